--- /dev/null
+++ b/damasklead/audit.py
@@ -0,0 +1,101 @@
+"""
+Audit trail
+===========
+
+Who changed what and when, as rows of the table service.
+
+Entries keep events in memory while the store is out, up to a bound; what the bound
+drops is counted and reported in the next event that is written.
+"""
+
+from collections import deque
+
+import msgspec
+from result import Err
+
+from damasklead.platform.base import ABSENT, Commit, Condition, Put, Row
+from damasklead.protocol import Steps
+
+__all__ = ["AUDIT_TABLE", "AuditBuffer", "AuditEvent", "audit_put", "decode_event"]
+
+AUDIT_TABLE = "audit"
+MAX_BUFFERED = 1000
+MILLISECONDS = 1000
+
+
+class AuditEvent(msgspec.Struct, kw_only=True, frozen=True):
+    """
+    One change.
+
+    Attributes
+    ----------
+    id : str
+        Unique, so that writing the event twice stores it once.
+    at : float
+        Wall-clock time in seconds since 1970, for people to read; nothing is decided by
+        it.
+    who : str
+        The operator or the instance.
+    action, subject : str
+        What was done, to what.
+    before, after : str
+        The state on both sides of the change.
+    """
+
+    id: str
+    at: float
+    who: str
+    action: str
+    subject: str
+    before: str = ""
+    after: str = ""
+
+
+def audit_put(event: AuditEvent) -> Put:
+    """
+    Return the write that stores an event, to be part of the commit that it describes.
+    """
+    key = f"{int(event.at * MILLISECONDS):015d}-{event.id}"
+    return Put(table=AUDIT_TABLE, key=key, value=msgspec.json.encode(event))
+
+
+def decode_event(row: Row) -> AuditEvent:
+    """Return the event in a row."""
+    return msgspec.json.decode(row.value, type=AuditEvent)
+
+
+class AuditBuffer:
+    """Events of one entry that are not stored yet."""
+
+    def __init__(self, *, bound: int = MAX_BUFFERED) -> None:
+        self.dropped = 0
+        self._bound = bound
+        self._events: deque[AuditEvent] = deque()
+
+    def __len__(self) -> int:
+        return len(self._events)
+
+    def add(self, event: AuditEvent) -> None:
+        """Keep an event; the oldest is dropped and counted when there is no room."""
+        if len(self._events) >= self._bound:
+            self._events.popleft()
+            self.dropped += 1
+        self._events.append(event)
+
+    def flush(self) -> Steps[int]:
+        """Store what is kept, one commit an event; returns how many were stored."""
+        stored = 0
+        while self._events:
+            event = self._events[0]
+            result = yield self._commit(event)
+            if isinstance(result, Err):
+                return stored
+            if self._events and self._events[0] is event:
+                self._events.popleft()
+            stored += 1
+        return stored
+
+    def _commit(self, event: AuditEvent) -> Commit:
+        put = audit_put(event)
+        condition = Condition(table=put.table, key=put.key, version=ABSENT)
+        return Commit(conditions=(condition,), writes=(put,))
--- /dev/null
+++ b/damasklead/claims.py
@@ -0,0 +1,321 @@
+"""
+Claims of requests that may not be repeated
+===========================================
+
+A conditional write claims an idempotency key for one attempt before the first byte goes
+upstream.
+
+A claim is never taken over while its attempt may have sent anything.  An attempt whose
+claim could not be confirmed sends nothing, and its claim is released as soon as the
+store answers.
+"""
+
+from enum import Enum
+
+import msgspec
+from result import Err, Ok
+
+from damasklead.audit import AuditEvent, audit_put
+from damasklead.ids import AttemptId, Incarnation, InstanceId, WorkspaceId
+from damasklead.platform.base import (
+    ABSENT,
+    Commit,
+    Committed,
+    Condition,
+    Conflict,
+    Put,
+    Row,
+    StoreError,
+)
+from damasklead.protocol import ReadRows, Steps
+
+__all__ = [
+    "CLAIMS_TABLE",
+    "Acquired",
+    "Answer",
+    "BodyDiffers",
+    "Claim",
+    "ClaimState",
+    "Held",
+    "StoreDown",
+    "abandon",
+    "acquire",
+    "claim_key",
+    "decode_claim",
+    "resolve",
+    "settle",
+]
+
+CLAIMS_TABLE = "claims"
+MAX_TRIES = 3
+
+
+class ClaimState(Enum):
+    """
+    What is known of the attempt that holds a key.
+
+    ``RELEASED`` says that the attempt surely did not run; the next one may claim the
+    key.
+    """
+
+    CLAIMED = "claimed"
+    ANSWERED = "answered"
+    FAILED = "failed"
+    RELEASED = "released"
+
+
+class Answer(msgspec.Struct, kw_only=True, frozen=True):
+    """A recorded answer; ``body`` is ``None`` when it was too large to keep."""
+
+    status: int
+    content_type: str
+    body: bytes | None
+
+
+class Claim(msgspec.Struct, kw_only=True, frozen=True):
+    """
+    The row of one idempotency key.
+
+    Attributes
+    ----------
+    attempt : str
+        The attempt that holds the key.
+    body_digest : str
+        Digest of the request, so that another request under the same key is refused.
+    holder, incarnation
+        The entry that runs the attempt.
+    generation : int
+        The sweeper's hour count when the claim was made.
+    note : str
+        Who settled the claim, when an operator did.
+    """
+
+    workspace: WorkspaceId
+    key: str
+    attempt: AttemptId
+    body_digest: str
+    holder: InstanceId
+    incarnation: Incarnation
+    generation: int = 0
+    state: ClaimState = ClaimState.CLAIMED
+    answer: Answer | None = None
+    note: str = ""
+
+
+class Acquired(msgspec.Struct, kw_only=True, frozen=True):
+    """The attempt holds the key at this row version and may send."""
+
+    version: int
+
+
+class Held(msgspec.Struct, kw_only=True, frozen=True):
+    """An earlier attempt holds the key; ``claim.state`` says how far it came."""
+
+    claim: Claim
+
+
+class BodyDiffers(msgspec.Struct, kw_only=True, frozen=True):
+    """The key belongs to a request with another body."""
+
+
+class StoreDown(msgspec.Struct, kw_only=True, frozen=True):
+    """
+    The claim could not be confirmed; nothing may be sent.
+
+    Attributes
+    ----------
+    maybe_written : bool
+        Whether the claim may stand all the same; then ``abandon`` must follow.
+    """
+
+    maybe_written: bool
+
+
+AcquireResult = Acquired | Held | BodyDiffers | StoreDown
+
+
+def claim_key(workspace: WorkspaceId, key: str) -> str:
+    """Return the row key of an idempotency key."""
+    return f"{workspace}/{key}"
+
+
+def decode_claim(row: Row) -> Claim:
+    """Return the claim in a row."""
+    return msgspec.json.decode(row.value, type=Claim)
+
+
+def acquire(claim: Claim) -> Steps[AcquireResult]:
+    """
+    Claim a key for an attempt.
+
+    Parameters
+    ----------
+    claim : Claim
+        In the state ``CLAIMED``, with an attempt id that is used nowhere else.
+    """
+    version = ABSENT
+    maybe_written = False
+    for _ in range(MAX_TRIES):
+        result = yield _put(claim, version)
+        if isinstance(result, Ok) and isinstance(result.ok_value, Committed):
+            return Acquired(version=result.ok_value.version)
+        if isinstance(result, Ok):
+            conflict: Conflict = result.ok_value
+            row = conflict.rows[0] if conflict.rows else None
+        else:
+            maybe_written |= result.err_value is StoreError.UNKNOWN
+            result = yield _read(claim)
+            if isinstance(result, Err):
+                continue
+            row = result.ok_value[0] if result.ok_value else None
+        if row is None:
+            version = ABSENT
+            continue
+        decided = _decide(claim, row)
+        if decided is not None:
+            return decided
+        version = row.version
+    return StoreDown(maybe_written=maybe_written)
+
+
+def settle(claim: Claim, *, version: int) -> Steps[bool]:
+    """
+    Record what became of an acquired claim.
+
+    Parameters
+    ----------
+    claim : Claim
+        With its new state.
+    version : int
+        The row version at which it was acquired.
+
+    Returns
+    -------
+    bool
+        ``False`` when the store could not be reached; the same call may be made again.
+    """
+    result = yield _put(claim, version)
+    if isinstance(result, Ok):
+        return True
+    result = yield _read(claim)
+    if isinstance(result, Err):
+        return False
+    rows: tuple[Row, ...] = result.ok_value
+    return not rows or rows[0].version != version
+
+
+def abandon(claim: Claim) -> Steps[bool]:
+    """
+    Make sure that an unconfirmed claim of an attempt that sent nothing holds the key no
+    longer.
+
+    A released row is written even where there is none, so that a claim that is still on
+    its way to the store finds its condition broken when it arrives.
+
+    Returns
+    -------
+    bool
+        ``False`` when the store could not be reached; the same call may be made again.
+    """
+    released = msgspec.structs.replace(claim, state=ClaimState.RELEASED, answer=None)
+    for _ in range(MAX_TRIES):
+        result = yield _read(claim)
+        if isinstance(result, Err):
+            return False
+        row = result.ok_value[0] if result.ok_value else None
+        if row is not None and not _is_open_to(claim, row):
+            return True
+        result = yield _put(released, ABSENT if row is None else row.version)
+        if isinstance(result, Ok) and isinstance(result.ok_value, Committed):
+            return True
+    return False
+
+
+def resolve(
+    key: str, *, ran: bool, event: AuditEvent, force: bool = False
+) -> Steps[str]:
+    """
+    Settle an order whose outcome is not known, as an operator says.
+
+    Parameters
+    ----------
+    key : str
+        The row key, ``workspace/key``.
+    ran : bool
+        Whether the order ran; if not, its key is free for another sending.
+    event : AuditEvent
+        Stored in the same commit.
+    force : bool
+        Whether to settle a claim whose attempt may still run.
+
+    Returns
+    -------
+    str
+        Why nothing was settled, empty when it was.
+    """
+    result = yield ReadRows(table=CLAIMS_TABLE, keys=(key,))
+    if isinstance(result, Err):
+        return "the platform does not answer"
+    if not result.ok_value:
+        return f"there is no order {key!r}"
+    row: Row = result.ok_value[0]
+    claim = decode_claim(row)
+    if claim.state not in (ClaimState.FAILED, ClaimState.CLAIMED):
+        return f"the order is {claim.state.value} already"
+    if claim.state is ClaimState.CLAIMED and not force:
+        return "its attempt may still run; wait, or use --force when its entry is gone"
+    state = ClaimState.ANSWERED if ran else ClaimState.RELEASED
+    settled = msgspec.structs.replace(
+        claim, state=state, note=f"settled by {event.who}"
+    )
+    commit = Commit(
+        conditions=(Condition(table=CLAIMS_TABLE, key=key, version=row.version),),
+        writes=(
+            Put(table=CLAIMS_TABLE, key=key, value=msgspec.json.encode(settled)),
+            audit_put(event),
+        ),
+    )
+    result = yield commit
+    if isinstance(result, Ok):
+        return (
+            ""
+            if isinstance(result.ok_value, Committed)
+            else "the order changed meanwhile"
+        )
+    return "the platform did not answer; look again before you repeat this"
+
+
+def _decide(claim: Claim, row: Row) -> AcquireResult | None:
+    """
+    Return what a row means for an attempt, or ``None`` when the key is free again.
+    """
+    held = decode_claim(row)
+    if held.attempt == claim.attempt and held.state is ClaimState.CLAIMED:
+        return Acquired(version=row.version)
+    if held.state is ClaimState.RELEASED:
+        return None
+    if held.body_digest != claim.body_digest:
+        return BodyDiffers()
+    return Held(claim=held)
+
+
+def _is_open_to(claim: Claim, row: Row) -> bool:
+    """
+    Tell whether a late write of this claim could still make the attempt hold the key.
+    """
+    held = decode_claim(row)
+    if held.attempt == claim.attempt:
+        return held.state is ClaimState.CLAIMED
+    return held.state is ClaimState.RELEASED
+
+
+def _put(claim: Claim, version: int) -> Commit:
+    key = claim_key(claim.workspace, claim.key)
+    return Commit(
+        conditions=(Condition(table=CLAIMS_TABLE, key=key, version=version),),
+        writes=(Put(table=CLAIMS_TABLE, key=key, value=msgspec.json.encode(claim)),),
+    )
+
+
+def _read(claim: Claim) -> ReadRows:
+    return ReadRows(table=CLAIMS_TABLE, keys=(claim_key(claim.workspace, claim.key),))
--- /dev/null
+++ b/damasklead/configuration.py
@@ -0,0 +1,458 @@
+"""
+Configuration
+=============
+
+What operators publish: services with their classes of requests, and workspaces with
+their keys.
+"""
+
+import hashlib
+import hmac
+from collections.abc import Iterable, Mapping
+from enum import Enum
+from typing import Annotated, Literal
+
+import msgspec
+import pydantic
+
+from damasklead import jsonc
+from damasklead.checking import CheckedModel, check_text
+from damasklead.findings import Findings, nearest
+from damasklead.ids import ClassName, ServiceName, WorkspaceId
+
+__all__ = [
+    "FILE_SUFFIX",
+    "Configuration",
+    "PoolScope",
+    "RequestClass",
+    "Service",
+    "ServiceKind",
+    "Workspace",
+    "build_configuration",
+    "digest_key",
+]
+
+FILE_SUFFIX = ".damasklead.json"
+TIERS = 5
+MILLISECONDS_PER_SECOND = 1000.0
+
+Name = Annotated[str, pydantic.Field(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
+Milliseconds = Annotated[float, pydantic.Field(gt=0, le=86_400_000)]
+
+
+class ServiceKind(Enum):
+    """What stands behind a service."""
+
+    ENGINE = "engine"
+    PLAIN = "plain"
+
+
+class PoolScope(Enum):
+    """Which upstreams of a service share their capacity through one coordinator."""
+
+    REGION = "region"
+    DATA_CENTRE = "data-centre"
+
+
+class ClassDocument(CheckedModel):
+    """A class of requests in a service's file."""
+
+    name: Name
+    tier: Annotated[int, pydantic.Field(ge=1, le=TIERS)]
+    first_token_ms: Milliseconds | None = None
+    token_gap_ms: Milliseconds | None = None
+    answer_ms: Milliseconds | None = None
+    may_repeat: bool = True
+    late_answers: Literal["useful", "useless"] = "useful"
+    minimum_share: Annotated[float, pydantic.Field(ge=0, le=0.2)] = 0.0
+    queue_bound: Annotated[int, pydantic.Field(ge=1, le=100_000)] = 1000
+    max_wait_ms: Milliseconds = 600_000.0
+    methods: list[Literal["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"]] = []
+    path_prefix: str = ""
+    workspaces: list[Name] = []
+
+
+class WantedModelDocument(CheckedModel):
+    """A model that a number of the service's upstreams should have loaded."""
+
+    model: Name
+    version: Annotated[str, pydantic.Field(min_length=1, max_length=64)]
+    replicas: Annotated[int, pydantic.Field(ge=1, le=10_000)]
+
+
+class ServiceDocument(CheckedModel):
+    """The file that a service keeps beside its code."""
+
+    service: Name
+    kind: Literal["engine", "plain"]
+    models: list[Name] = []
+    pool_scope: Literal["region", "data-centre"] = "region"
+    checks_fencing: bool = False
+    classes: Annotated[list[ClassDocument], pydantic.Field(min_length=1)]
+    wanted_models: list[WantedModelDocument] = []
+
+
+class WorkspaceDocument(CheckedModel):
+    """A customer of the deployment with the digests of its keys."""
+
+    name: Name
+    key_digests: Annotated[
+        list[Annotated[str, pydantic.Field(pattern=r"^[0-9a-f]{16}:[0-9a-f]{64}$")]],
+        pydantic.Field(min_length=1),
+    ]
+    weight: Annotated[float, pydantic.Field(gt=0, le=100)] = 1.0
+    may_choose_classes: list[Name] = []
+
+
+class WorkspacesDocument(CheckedModel):
+    """The file that lists workspaces."""
+
+    workspaces: Annotated[list[WorkspaceDocument], pydantic.Field(min_length=1)]
+
+
+class RequestClass(msgspec.Struct, kw_only=True, frozen=True):
+    """
+    A class of requests in force.
+
+    Attributes
+    ----------
+    tier : int
+        Priority from 1, the highest, to 5.
+    first_token, token_gap, answer : float or None
+        Targets in seconds: to the first token, between tokens, for the whole answer.
+    may_repeat : bool
+        Whether running a request twice does no harm (idempotent).
+    late_useless : bool
+        Whether an answer after its target has no value to the caller.
+    minimum_share : float
+        The fraction of capacity in slot-seconds that the class gets while it waits.
+    queue_bound : int
+        How many requests of the class may wait at one entry.
+    max_wait : float
+        Seconds in the queue after which a request is refused as not run.
+    """
+
+    name: ClassName
+    service: ServiceName
+    tier: int
+    first_token: float | None = None
+    token_gap: float | None = None
+    answer: float | None = None
+    may_repeat: bool = True
+    late_useless: bool = False
+    minimum_share: float = 0.0
+    queue_bound: int = 1000
+    max_wait: float = 600.0
+    methods: tuple[str, ...] = ()
+    path_prefix: str = ""
+    workspaces: tuple[str, ...] = ()
+
+    @property
+    def start_target(self) -> float:
+        """
+        Seconds from arrival within which the answer should begin or, failing that, end.
+        """
+        return self.first_token or self.answer or self.max_wait
+
+    def admits(self, *, workspace: WorkspaceId, method: str, path: str) -> bool:
+        """Tell whether a request may fall into this class."""
+        if self.workspaces and workspace not in self.workspaces:
+            return False
+        if self.methods and method not in self.methods:
+            return False
+        return path.startswith(self.path_prefix)
+
+
+class WantedModel(msgspec.Struct, kw_only=True, frozen=True):
+    """A model version that ``replicas`` upstreams of a service should have loaded."""
+
+    model: str
+    version: str
+    replicas: int
+
+
+class Service(msgspec.Struct, kw_only=True, frozen=True):
+    """A service in force; ``classes`` are in the order of its file."""
+
+    name: ServiceName
+    kind: ServiceKind
+    models: tuple[str, ...]
+    pool_scope: PoolScope
+    checks_fencing: bool
+    classes: tuple[RequestClass, ...]
+    wanted_models: tuple[WantedModel, ...] = ()
+
+
+class Workspace(msgspec.Struct, kw_only=True, frozen=True):
+    """A workspace in force; digests are ``salt:sha256`` in hexadecimal."""
+
+    name: WorkspaceId
+    key_digests: tuple[str, ...]
+    weight: float
+    may_choose: tuple[str, ...]
+
+
+class Configuration(msgspec.Struct, kw_only=True, frozen=True):
+    """Everything in force at one version."""
+
+    version: int
+    services: dict[str, Service]
+    workspaces: dict[str, Workspace]
+
+    def service_of_model(self, model: str) -> Service | None:
+        """Return the engine service that offers a model."""
+        for service in self.services.values():
+            if model in service.models:
+                return service
+        return None
+
+    def authenticate(self, key: str) -> Workspace | None:
+        """
+        Return the workspace of a bearer key.
+
+        Parameters
+        ----------
+        key : str
+            ``<workspace>.<secret>``; the digest is compared in constant time.
+        """
+        name, _, secret = key.partition(".")
+        workspace = self.workspaces.get(name)
+        if workspace is None or not secret:
+            return None
+        for digest in workspace.key_digests:
+            salt = digest.partition(":")[0]
+            if hmac.compare_digest(digest_key(key, salt=salt), digest):
+                return workspace
+        return None
+
+    def classify(
+        self,
+        service: Service,
+        *,
+        workspace: Workspace,
+        method: str,
+        path: str,
+        wanted: str | None,
+    ) -> RequestClass | None:
+        """
+        Return the class of a request, or ``None`` when no class admits it.
+
+        Parameters
+        ----------
+        wanted : str or None
+            The class that the caller names; it must be one its workspace may choose.
+        """
+        for item in service.classes:
+            if wanted is not None and item.name != wanted:
+                continue
+            if wanted is not None and wanted not in workspace.may_choose:
+                return None
+            if item.admits(workspace=workspace.name, method=method, path=path):
+                return item
+        return None
+
+
+def digest_key(key: str, *, salt: str) -> str:
+    """
+    Return the salted digest of a bearer key as ``salt:sha256``.
+
+    Examples
+    --------
+    >>> digest_key("quay.secret", salt="00" * 8)[:17]
+    '0000000000000000:'
+    """
+    return f"{salt}:{hashlib.sha256(bytes.fromhex(salt) + key.encode()).hexdigest()}"
+
+
+def build_configuration(
+    files: Mapping[str, str], *, version: int, findings: Findings
+) -> Configuration | None:
+    """
+    Check a set of files as a whole.
+
+    Parameters
+    ----------
+    files : mapping
+        Content by file name; a file with the key ``workspaces`` lists workspaces.
+    version : int
+        The version that the configuration gets.
+    findings : Findings
+        Where all problems of all files are added.
+
+    Returns
+    -------
+    Configuration or None
+        ``None`` when there is any finding.
+    """
+    before = len(findings)
+    builder = _Builder(findings=findings)
+    for name in sorted(files):
+        builder.add_file(name, files[name])
+    builder.check_references()
+    if not builder.services and len(findings) == before:
+        findings.add(
+            jsonc.Document(file="-", value=None, places={}).finding((), "no service")
+        )
+    if len(findings) > before:
+        return None
+    return Configuration(
+        version=version, services=builder.services, workspaces=builder.workspaces
+    )
+
+
+class _Builder:
+    """Collects services and workspaces and checks what one file says of another."""
+
+    def __init__(self, *, findings: Findings) -> None:
+        self.services: dict[str, Service] = {}
+        self.workspaces: dict[str, Workspace] = {}
+        self._findings = findings
+        self._sources: list[
+            tuple[ServiceDocument | WorkspacesDocument, jsonc.Document]
+        ] = []
+        self._models: dict[str, str] = {}
+
+    def add_file(self, name: str, text: str) -> None:
+        """Check one file and keep what it declares."""
+        document = jsonc.parse(text, file=name, findings=Findings())
+        value = document.value if document else None
+        is_list = (
+            isinstance(value, dict) and "workspaces" in value and "service" not in value
+        )
+        model = WorkspacesDocument if is_list else ServiceDocument
+        checked = check_text(model, text, file=name, findings=self._findings)
+        if checked is None:
+            return
+        content, document = checked
+        assert isinstance(content, ServiceDocument | WorkspacesDocument)
+        self._sources.append((content, document))
+        if isinstance(content, ServiceDocument):
+            self._add_service(content, document)
+        elif isinstance(content, WorkspacesDocument):
+            self._add_workspaces(content, document)
+
+    def check_references(self) -> None:
+        """Report names that no file declares."""
+        classes = {
+            item.name for service in self.services.values() for item in service.classes
+        }
+        for content, document in self._sources:
+            if isinstance(content, ServiceDocument):
+                for index, item in enumerate(content.classes):
+                    path: jsonc.Path = ("classes", index, "workspaces")
+                    self._check_names(
+                        item.workspaces, self.workspaces, document, path, "workspace"
+                    )
+            elif isinstance(content, WorkspacesDocument):
+                for index, workspace in enumerate(content.workspaces):
+                    path = ("workspaces", index, "may_choose_classes")
+                    self._check_names(
+                        workspace.may_choose_classes, classes, document, path, "class"
+                    )
+
+    def _check_names(
+        self,
+        names: Iterable[str],
+        known: Iterable[str],
+        document: jsonc.Document,
+        path: jsonc.Path,
+        kind: str,
+    ) -> None:
+        for index, name in enumerate(names):
+            if name not in known:
+                hint = nearest(name, known)
+                message = f"unknown {kind} {name!r}" + (
+                    f"; did you mean {hint!r}?" if hint else ""
+                )
+                self._findings.add(document.finding((*path, index), message))
+
+    def _add_service(self, content: ServiceDocument, document: jsonc.Document) -> None:
+        if content.service in self.services:
+            message = f"service {content.service!r} is declared in another file too"
+            self._findings.add(document.finding(("service",), message))
+            return
+        self._check_service(content, document)
+        name = ServiceName(content.service)
+        self.services[name] = Service(
+            name=name,
+            kind=ServiceKind(content.kind),
+            models=tuple(content.models),
+            pool_scope=PoolScope(content.pool_scope),
+            checks_fencing=content.checks_fencing,
+            classes=tuple(_request_class(item, name) for item in content.classes),
+            wanted_models=tuple(
+                WantedModel(
+                    model=item.model, version=item.version, replicas=item.replicas
+                )
+                for item in content.wanted_models
+            ),
+        )
+
+    def _check_service(
+        self, content: ServiceDocument, document: jsonc.Document
+    ) -> None:
+        for index, model in enumerate(content.models):
+            owner = self._models.setdefault(model, content.service)
+            if owner != content.service:
+                message = f"model {model!r} is offered by service {owner!r} too"
+                self._findings.add(document.finding(("models", index), message))
+        if content.kind == "engine" and not content.models:
+            self._findings.add(
+                document.finding(("models",), "an engine service needs a model")
+            )
+        if sum(item.minimum_share for item in content.classes) > 0.5:
+            message = (
+                "the minimum shares of a service's classes add up to more than 0.5"
+            )
+            self._findings.add(document.finding(("classes",), message))
+        seen: set[str] = set()
+        for index, item in enumerate(content.classes):
+            if item.name in seen:
+                message = f"class {item.name!r} is declared twice"
+                self._findings.add(
+                    document.finding(("classes", index, "name"), message)
+                )
+            seen.add(item.name)
+            if item.first_token_ms is None and item.answer_ms is None:
+                message = "a class needs first_token_ms or answer_ms"
+                self._findings.add(document.finding(("classes", index), message))
+
+    def _add_workspaces(
+        self, content: WorkspacesDocument, document: jsonc.Document
+    ) -> None:
+        for index, item in enumerate(content.workspaces):
+            if item.name in self.workspaces:
+                message = f"workspace {item.name!r} is declared twice"
+                self._findings.add(
+                    document.finding(("workspaces", index, "name"), message)
+                )
+                continue
+            self.workspaces[item.name] = Workspace(
+                name=WorkspaceId(item.name),
+                key_digests=tuple(item.key_digests),
+                weight=item.weight,
+                may_choose=tuple(item.may_choose_classes),
+            )
+
+
+def _request_class(item: ClassDocument, service: ServiceName) -> RequestClass:
+    return RequestClass(
+        name=ClassName(item.name),
+        service=service,
+        tier=item.tier,
+        first_token=_seconds(item.first_token_ms),
+        token_gap=_seconds(item.token_gap_ms),
+        answer=_seconds(item.answer_ms),
+        may_repeat=item.may_repeat,
+        late_useless=item.late_answers == "useless",
+        minimum_share=item.minimum_share,
+        queue_bound=item.queue_bound,
+        max_wait=item.max_wait_ms / MILLISECONDS_PER_SECOND,
+        methods=tuple(item.methods),
+        path_prefix=item.path_prefix,
+        workspaces=tuple(item.workspaces),
+    )
+
+
+def _seconds(milliseconds: float | None) -> float | None:
+    return None if milliseconds is None else milliseconds / MILLISECONDS_PER_SECOND
--- /dev/null
+++ b/damasklead/daemon/callers.py
@@ -0,0 +1,479 @@
+"""
+Callers' listener
+=================
+
+The HTTP interface for callers, on gevent's WSGI server.
+"""
+
+import hashlib
+import re
+from collections.abc import Callable, Iterable, Iterator
+from typing import Any
+
+import msgspec
+from gevent import pywsgi, socket
+from gevent.pool import Pool as GreenletPool
+
+from damasklead import logs
+from damasklead.claims import Claim
+from damasklead.configuration import (
+    Configuration,
+    RequestClass,
+    Service,
+    ServiceKind,
+    Workspace,
+)
+from damasklead.daemon.entry import Entry, Pool
+from damasklead.daemon.exchange import Exchange, Head, digest_body
+from damasklead.ids import AttemptId, Fingerprint, RequestId, ServiceName
+from damasklead.problems import Problem
+from damasklead.requests import Outcome, Request
+from damasklead.upstreams import OutgoingCall
+from damasklead.util import new_id, split_address
+
+__all__ = ["CallerApplication", "CallerServer"]
+
+COMPLETIONS_PATH = "/v1/chat/completions"
+MODELS_PATH = "/v1/models"
+SERVICES_PREFIX = "/services/"
+OUTCOME_HEADER = "X-Damasklead-Outcome"
+BYTES_PER_TOKEN = 4
+PREFIX_BYTES = 1024
+ID_PATTERN = re.compile(r"^[A-Za-z0-9._:-]{1,128}$")
+KEY_PATTERN = re.compile(r"^[\x21-\x7e]{1,128}$")
+PASSED_HEADERS = {
+    "HTTP_ACCEPT": "Accept",
+    "HTTP_ACCEPT_LANGUAGE": "Accept-Language",
+    "CONTENT_TYPE": "Content-Type",
+    "HTTP_TRACEPARENT": "Traceparent",
+}
+
+Environ = dict[str, Any]
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+
+
+class CallerApplication:
+    """
+    The WSGI application.
+
+    Parameters
+    ----------
+    entry : Entry
+    """
+
+    def __init__(self, *, entry: Entry) -> None:
+        self._entry = entry
+
+    def __call__(
+        self, environ: Environ, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Answer one request."""
+        request_id = _request_id(environ)
+        try:
+            exchange = self._open(environ)
+        except Problem as problem:
+            return _send_problem(problem, request_id, start_response)
+        if isinstance(exchange, bytes):
+            headers = [("Content-Type", "application/json"), *_common(request_id)]
+            start_response("200 OK", headers)
+            return [exchange]
+        return _AnswerBody(
+            exchange=exchange, start_response=start_response, request_id=request_id
+        )
+
+    def _open(self, environ: Environ) -> Exchange | bytes:
+        """Check a request and return its exchange, or the body of a direct answer."""
+        configuration = self._entry.holder.configuration
+        if configuration is None or not self._entry.ready:
+            raise Problem(
+                status=503,
+                kind="not-ready",
+                title="This entry is not ready",
+                retry_after=1.0,
+            )
+        workspace = _authenticate(configuration, environ)
+        path = environ["PATH_INFO"]
+        method = environ["REQUEST_METHOD"]
+        if path == MODELS_PATH and method == "GET":
+            return _models(configuration)
+        if path == COMPLETIONS_PATH:
+            if method != "POST":
+                raise Problem(status=405, kind="method", title="POST is needed here")
+            return self._open_completion(environ, configuration, workspace)
+        if path.startswith(SERVICES_PREFIX):
+            return self._open_service(environ, configuration, workspace)
+        raise Problem(
+            status=404, kind="not-found", title="There is nothing at this path"
+        )
+
+    def _open_completion(
+        self,
+        environ: Environ,
+        configuration: Configuration,
+        workspace: Workspace,
+    ) -> Exchange:
+        body = self._read_body(environ)
+        document = _completion_document(body)
+        service = configuration.service_of_model(document["model"])
+        if service is None:
+            raise _bad(
+                "unknown-model", "No service offers this model", "model", status=404
+            )
+        request_class = _classify(
+            configuration, service, workspace, environ, COMPLETIONS_PATH
+        )
+        messages = msgspec.json.encode(document["messages"])
+        request = Request(
+            id=RequestId(new_id()),
+            workspace=workspace.name,
+            request_class=request_class,
+            arrival=self._entry.clock.now(),
+            prompt_tokens=len(messages) // BYTES_PER_TOKEN,
+            prefix=hashlib.sha256(messages[:PREFIX_BYTES]).hexdigest()[:16],
+            fingerprint=Fingerprint(hashlib.sha256(messages).hexdigest()[:24]),
+            model=document["model"],
+            weight=workspace.weight,
+        )
+        return self._exchange(
+            environ,
+            service,
+            request,
+            path=COMPLETIONS_PATH,
+            body=body,
+            stream=bool(document.get("stream")),
+            document=document,
+        )
+
+    def _open_service(
+        self,
+        environ: Environ,
+        configuration: Configuration,
+        workspace: Workspace,
+    ) -> Exchange:
+        name, _, rest = environ["PATH_INFO"][len(SERVICES_PREFIX) :].partition("/")
+        service = configuration.services.get(name)
+        if service is None or service.kind is not ServiceKind.PLAIN:
+            raise Problem(
+                status=404, kind="unknown-service", title="There is no such service"
+            )
+        path = "/" + rest
+        request_class = _classify(configuration, service, workspace, environ, path)
+        body = self._read_body(environ)
+        request = Request(
+            id=RequestId(new_id()),
+            workspace=workspace.name,
+            request_class=request_class,
+            arrival=self._entry.clock.now(),
+            weight=workspace.weight,
+        )
+        query = environ.get("QUERY_STRING", "")
+        target = f"{path}?{query}" if query else path
+        return self._exchange(
+            environ, service, request, path=target, body=body, stream=False
+        )
+
+    def _exchange(
+        self,
+        environ: Environ,
+        service: Service,
+        request: Request,
+        *,
+        path: str,
+        body: bytes,
+        stream: bool,
+        document: dict[str, Any] | None = None,
+    ) -> Exchange:
+        method = environ["REQUEST_METHOD"]
+        call = OutgoingCall(
+            attempt=AttemptId(""),
+            method=method,
+            path=path,
+            headers=_passed_headers(environ),
+            body=body,
+            priority=request.tier,
+            repeatable=request.request_class.may_repeat,
+            silence=self._entry.settings.limits.upstream_idle_seconds,
+        )
+        exchange = Exchange(
+            entry=self._entry,
+            pool=self._pool(service),
+            request=request,
+            call=call,
+            stream=stream,
+            document=document,
+            claim=self._claim(environ, request, digest_body(method, path, body)),
+        )
+        exchange.caller = environ.get("damasklead.socket")
+        return exchange
+
+    def _pool(self, service: Service) -> Pool:
+        return self._entry.pools[ServiceName(service.name)]
+
+    def _claim(self, environ: Environ, request: Request, digest: str) -> Claim | None:
+        """Return the claim that a request needs which may not be repeated."""
+        if request.request_class.may_repeat:
+            return None
+        key = environ.get("HTTP_IDEMPOTENCY_KEY", "")
+        if not KEY_PATTERN.match(key):
+            raise _bad(
+                "idempotency-key",
+                "A request of this class needs a key of 1 to 128 printable characters",
+                "Idempotency-Key",
+            )
+        return Claim(
+            workspace=request.workspace,
+            key=key,
+            attempt=AttemptId(""),
+            body_digest=digest,
+            holder=self._entry.instance,
+            incarnation=self._entry.incarnation,
+            generation=self._entry.generation,
+        )
+
+    def _read_body(self, environ: Environ) -> bytes:
+        limit = self._entry.settings.limits.body_bytes
+        declared = environ.get("CONTENT_LENGTH") or "0"
+        if not declared.isdigit():
+            raise _bad("content-length", "The length is not a number", "Content-Length")
+        if int(declared) > limit:
+            raise _too_large(limit)
+        body: bytes = environ["wsgi.input"].read(limit + 1)
+        if len(body) > limit:
+            raise _too_large(limit)
+        if len(body) < int(declared):
+            raise _bad(
+                "body", "The body is shorter than its length says", "Content-Length"
+            )
+        return body
+
+
+class _AnswerBody:
+    """The body of an answer; the head is sent when the first piece is known."""
+
+    def __init__(
+        self,
+        *,
+        exchange: Exchange,
+        start_response: StartResponse,
+        request_id: RequestId,
+    ) -> None:
+        self._pieces = exchange.run()
+        self._start_response = start_response
+        self._request_id = request_id
+
+    def __iter__(self) -> Iterator[bytes]:
+        started = False
+        for piece in self._pieces:
+            if isinstance(piece, Head):
+                started = True
+                self._send_head(piece)
+            elif isinstance(piece, bytes):
+                yield piece
+            elif started:
+                yield _error_event(piece)
+            else:
+                yield from _send_problem(piece, self._request_id, self._start_response)
+
+    def close(self) -> None:
+        """
+        Give up the request if it is not finished; called when the caller has gone.
+        """
+        self._pieces.close()
+
+    def _send_head(self, head: Head) -> None:
+        outcome = (OUTCOME_HEADER, Outcome.ANSWERED.value)
+        headers = [*head.headers, ("X-Request-ID", self._request_id), outcome]
+        self._start_response(f"{head.status} Answer", headers)
+
+
+class _Handler(pywsgi.WSGIHandler):
+    """Refuses ambiguous framing and gives the application the caller's socket."""
+
+    limits_header_bytes = 16_384
+
+    def read_request(self, raw_requestline: str) -> Any:
+        """Read a request's head; returns whether it can be served."""
+        valid = super().read_request(raw_requestline)
+        if valid and self._is_ambiguous():
+            self.close_connection = True
+            self.status = "400 Bad Request"
+            self.socket.sendall(
+                b"HTTP/1.1 400 Bad Request\r\n"
+                b"Connection: close\r\nContent-Length: 0\r\n\r\n"
+            )
+            return False
+        return valid
+
+    def get_environ(self) -> Environ:
+        """Return the WSGI environment with the caller's socket."""
+        environ: Environ = super().get_environ()
+        environ["damasklead.socket"] = self.socket
+        return environ
+
+    def log_request(self) -> None:
+        """Leave requests out of the server's own log."""
+
+    def _is_ambiguous(self) -> bool:
+        lengths = self.headers.get_all("Content-Length") or []
+        encodings = self.headers.get_all("Transfer-Encoding") or []
+        size = sum(len(name) + len(value) for name, value in self.headers.items())
+        return (
+            len(lengths) > 1
+            or bool(lengths and encodings)
+            or len(encodings) > 1
+            or any(item.strip().lower() != "chunked" for item in encodings)
+            or any(not item.strip().isdigit() for item in lengths)
+            or size > self.limits_header_bytes
+        )
+
+
+class CallerServer(pywsgi.WSGIServer):
+    """
+    The listener for callers.
+
+    Parameters
+    ----------
+    entry : Entry
+    """
+
+    def __init__(self, *, entry: Entry) -> None:
+        limits = entry.settings.limits
+        handler = type(
+            "Handler", (_Handler,), {"limits_header_bytes": limits.header_bytes}
+        )
+        options: dict[str, Any] = {}
+        if entry.settings.tls is not None:
+            options["certfile"] = entry.settings.tls.certificate
+            options["keyfile"] = entry.settings.tls.key
+        super().__init__(
+            split_address(entry.settings.listen.callers),
+            CallerApplication(entry=entry),
+            spawn=GreenletPool(limits.connections),
+            handler_class=handler,
+            log=None,
+            error_log=_ErrorLog(),
+            **options,
+        )
+        self._idle_seconds = limits.idle_seconds
+
+    def handle(self, client_socket: socket.socket, address: Any) -> None:
+        """Serve one connection, which may be silent for so long only."""
+        client_socket.settimeout(self._idle_seconds)
+        client_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        super().handle(client_socket, address)
+
+
+class _ErrorLog:
+    """Turns the server's error lines into log events."""
+
+    def write(self, text: str) -> None:
+        """Log a line, without what the caller sent."""
+        last = text.strip().splitlines()[-1:] or [""]
+        logs.problem("caller-connection", detail=last[0][:200])
+
+    def flush(self) -> None:
+        """Do nothing; events are written at once."""
+
+
+def _request_id(environ: Environ) -> RequestId:
+    """Return the caller's id for its request, or a new one; it need not be unique."""
+    given = environ.get("HTTP_X_REQUEST_ID", "")
+    return RequestId(given if ID_PATTERN.match(given) else new_id())
+
+
+def _common(request_id: RequestId) -> list[tuple[str, str]]:
+    return [("X-Request-ID", request_id), (OUTCOME_HEADER, Outcome.ANSWERED.value)]
+
+
+def _send_problem(
+    problem: Problem, request_id: RequestId, start_response: StartResponse
+) -> list[bytes]:
+    headers = [
+        ("Content-Type", "application/problem+json"),
+        ("X-Request-ID", request_id),
+        (OUTCOME_HEADER, problem.outcome.value),
+    ]
+    if problem.retry_after is not None:
+        headers.append(("Retry-After", str(max(1, round(problem.retry_after)))))
+    start_response(f"{problem.status} Problem", headers)
+    return [problem.document()]
+
+
+def _error_event(problem: Problem) -> bytes:
+    """Return the event that ends a stream which can't be completed."""
+    return b"event: error\ndata: " + problem.document() + b"\n\n"
+
+
+def _authenticate(configuration: Configuration, environ: Environ) -> Workspace:
+    scheme, _, key = environ.get("HTTP_AUTHORIZATION", "").partition(" ")
+    workspace = (
+        configuration.authenticate(key.strip()) if scheme.lower() == "bearer" else None
+    )
+    if workspace is None:
+        raise _bad("key", "A valid bearer key is needed", "Authorization", status=401)
+    return workspace
+
+
+def _classify(
+    configuration: Configuration,
+    service: Service,
+    workspace: Workspace,
+    environ: Environ,
+    path: str,
+) -> RequestClass:
+    wanted = environ.get("HTTP_X_REQUEST_CLASS")
+    found = configuration.classify(
+        service,
+        workspace=workspace,
+        method=environ["REQUEST_METHOD"],
+        path=path,
+        wanted=wanted,
+    )
+    if found is None:
+        raise _bad(
+            "class", "No class admits this request", "X-Request-Class", status=403
+        )
+    return found
+
+
+def _completion_document(body: bytes) -> dict[str, Any]:
+    try:
+        document = msgspec.json.decode(body)
+    except msgspec.DecodeError as error:
+        raise _bad("json", "The body is not valid JSON", "body") from error
+    if not isinstance(document, dict):
+        raise _bad("json", "The body is not a JSON object", "body")
+    if not isinstance(document.get("model"), str):
+        raise _bad("field", "The model's name is missing", "model")
+    messages = document.get("messages")
+    if not isinstance(messages, list) or not messages:
+        raise _bad("field", "A list of messages is needed", "messages")
+    if not all(isinstance(message, dict) for message in messages):
+        raise _bad("field", "Each message must be an object", "messages")
+    if not isinstance(document.get("stream", False), bool):
+        raise _bad("field", "stream must be true or false", "stream")
+    return document
+
+
+def _models(configuration: Configuration) -> bytes:
+    names = sorted(
+        model for service in configuration.services.values() for model in service.models
+    )
+    data = [{"id": name, "object": "model", "owned_by": "damasklead"} for name in names]
+    return msgspec.json.encode({"object": "list", "data": data})
+
+
+def _passed_headers(environ: Environ) -> tuple[tuple[str, str], ...]:
+    return tuple(
+        (name, environ[key]) for key, name in PASSED_HEADERS.items() if environ.get(key)
+    )
+
+
+def _bad(kind: str, title: str, field: str, *, status: int = 400) -> Problem:
+    return Problem(status=status, kind=kind, title=title, field=field)
+
+
+def _too_large(limit: int) -> Problem:
+    return _bad(
+        "too-large", f"The body is longer than {limit} bytes", "body", status=413
+    )
--- /dev/null
+++ b/damasklead/daemon/claimkeeper.py
@@ -0,0 +1,80 @@
+"""
+Keeper of claims
+================
+
+Settles and releases claims, again and again while the store is out.
+"""
+
+from collections import OrderedDict
+from collections.abc import Callable
+
+import msgspec
+
+from damasklead import logs
+from damasklead.claims import Claim, abandon, settle
+from damasklead.clock import Clock
+from damasklead.ids import AttemptId
+from damasklead.protocol import Steps
+
+__all__ = ["ClaimKeeper"]
+
+MAX_PENDING = 1000
+MAX_PER_ROUND = 50
+
+
+class _Pending(msgspec.Struct, kw_only=True):
+    claim: Claim
+    version: int | None
+
+
+class ClaimKeeper:
+    """
+    Claims of one entry whose end the store does not hold yet.
+
+    Parameters
+    ----------
+    run : callable
+        Drives a protocol against the platform.
+    """
+
+    def __init__(self, *, run: Callable[[Steps[bool]], bool], clock: Clock) -> None:
+        self._run = run
+        self._clock = clock
+        self._pending: OrderedDict[AttemptId, _Pending] = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._pending)
+
+    def settle(self, claim: Claim, *, version: int) -> None:
+        """Record the end of an acquired claim, later if need be."""
+        self._finish(_Pending(claim=claim, version=version))
+
+    def abandon(self, claim: Claim) -> None:
+        """Release a claim that could not be confirmed, later if need be."""
+        self._finish(_Pending(claim=claim, version=None))
+
+    def retry(self) -> None:
+        """Try again what is pending, as long as the store answers."""
+        for attempt in list(self._pending)[:MAX_PER_ROUND]:
+            pending = self._pending.pop(attempt)
+            if not self._finish(pending):
+                return
+
+    def _finish(self, pending: _Pending) -> bool:
+        if pending.version is None:
+            done = self._run(abandon(pending.claim))
+        else:
+            done = self._run(settle(pending.claim, version=pending.version))
+        if not done:
+            self._keep(pending)
+        return done
+
+    def _keep(self, pending: _Pending) -> None:
+        self._pending[pending.claim.attempt] = pending
+        if len(self._pending) > MAX_PENDING:
+            _, dropped = self._pending.popitem(last=False)
+            logs.problem(
+                "claim-unsettled",
+                key=dropped.claim.key,
+                state=dropped.claim.state.value,
+            )
--- /dev/null
+++ b/damasklead/daemon/entry.py
@@ -0,0 +1,430 @@
+"""
+Entry
+=====
+
+The state of one entry process: configuration, members, pools and the exchanges in
+progress.
+"""
+
+import random
+from collections.abc import Iterable
+
+import gevent
+import msgspec
+
+from damasklead import logs
+from damasklead.audit import AuditBuffer, AuditEvent
+from damasklead.configuration import PoolScope, Service, ServiceKind
+from damasklead.daemon.claimkeeper import ClaimKeeper
+from damasklead.daemon.exchange import Exchange
+from damasklead.daemon.loop import LoopClock
+from damasklead.daemon.metrics import Metrics
+from damasklead.dispatching import PoolDispatcher
+from damasklead.gossip import GossipBuffer
+from damasklead.ids import (
+    AttemptId,
+    DataCentre,
+    Fingerprint,
+    Incarnation,
+    InstanceId,
+    PoolId,
+    RequestId,
+    ServiceName,
+)
+from damasklead.learning import CostModel
+from damasklead.manifest import ConfigurationHolder
+from damasklead.membership import Member, Membership
+from damasklead.messages import (
+    CrashNotice,
+    GossipItem,
+    LeavingNotice,
+    QuarantineNotice,
+    ReleaseNotice,
+)
+from damasklead.platform import Platform
+from damasklead.protocol import Steps, T, run
+from damasklead.quarantine import Quarantine
+from damasklead.replicas import ReplicaInfo
+from damasklead.requests import (
+    Action,
+    Cancel,
+    Failure,
+    Finish,
+    Outcome,
+    Reason,
+    Refuse,
+    Start,
+)
+from damasklead.settings import Settings
+from damasklead.sharing import choose_coordinator
+from damasklead.upstreams import UPSTREAMS, ConnectionPool, Upstream, UpstreamError
+from damasklead.util import new_id, stable_hash
+
+__all__ = ["ENTRY_SERVICE", "Entry", "Pool"]
+
+ENTRY_SERVICE = ServiceName("damasklead")
+
+
+class Pool(msgspec.Struct, kw_only=True):
+    """A service's upstreams with the dispatcher of this entry for them."""
+
+    service: Service
+    dispatcher: PoolDispatcher
+    upstream: Upstream
+    coordinator: InstanceId | None = None
+
+
+class Entry:
+    """
+    The state that the tasks and listeners of one process share.
+
+    Parameters
+    ----------
+    settings : Settings
+    platform : Platform
+    clock : LoopClock
+    """
+
+    def __init__(
+        self, *, settings: Settings, platform: Platform, clock: LoopClock
+    ) -> None:
+        self.settings = settings
+        self.platform = platform
+        self.clock = clock
+        self.instance = InstanceId(settings.instance)
+        self.incarnation = Incarnation(int(clock.wall() * 1000))
+        self.holder = ConfigurationHolder()
+        self.membership = Membership(clock=clock)
+        self.gossip = GossipBuffer(clock=clock)
+        self.quarantine = Quarantine(clock=clock)
+        self.audit = AuditBuffer()
+        self.metrics = Metrics()
+        self.claims = ClaimKeeper(run=self.run_protocol, clock=clock)
+        self.connections = ConnectionPool()
+        self.pools: dict[ServiceName, Pool] = {}
+        self.stopping = False
+        self.generation = 0
+        self.reported_version = 0
+        self._costs = CostModel()
+        self._random = random.Random(
+            stable_hash(settings.instance, str(self.incarnation))
+        )
+        self._exchanges: dict[RequestId, Exchange] = {}
+        self._attempt_number = 0
+
+    @property
+    def exchanges(self) -> dict[RequestId, Exchange]:
+        """The requests in progress."""
+        return self._exchanges
+
+    @property
+    def ready(self) -> bool:
+        """Whether the entry can take requests."""
+        return self.holder.configuration is not None and not self.stopping
+
+    def run_protocol(self, steps: Steps[T]) -> T:
+        """Drive a protocol against the platform."""
+        return run(steps, self.platform)
+
+    def record(
+        self, action: str, subject: str, *, before: str = "", after: str = ""
+    ) -> None:
+        """Add a change to the audit trail."""
+        logs.event("change", action=action, subject=subject, before=before, after=after)
+        self.audit.add(
+            AuditEvent(
+                id=new_id(),
+                at=self.clock.wall(),
+                who=self.instance,
+                action=action,
+                subject=subject,
+                before=before,
+                after=after,
+            )
+        )
+
+    def take_configuration(self, files: dict[str, str], *, version: int) -> bool:
+        """Put a configuration into force if it is newer than the present one."""
+        before = self.holder.version
+        if not self.holder.offer(files, version=version):
+            return False
+        logs.event("configuration", before=before, version=version)
+        self.metrics.configuration_version.set(version)
+        self._arrange_pools()
+        return True
+
+    def arrange_members(self) -> None:
+        """Let the pools see the present members."""
+        entries = self.live_entries()
+        for pool in self.pools.values():
+            scope = pool.service.pool_scope
+            members = self.pool_members(pool.service)
+            peers = [entry for entry in entries if self._in_scope(entry, scope)]
+            pool.coordinator = choose_coordinator(
+                pool.dispatcher.pool, (entry.instance for entry in peers)
+            )
+            infos = [
+                ReplicaInfo(instance=member.instance, data_centre=member.data_centre)
+                for member in members
+            ]
+            self.apply(pool, pool.dispatcher.set_replicas(infos, entries=len(peers)))
+
+    def live_entries(self) -> list[Member]:
+        """Return the live entries, this one included."""
+        return self.membership.live(ENTRY_SERVICE)
+
+    def pool_members(self, service: Service) -> list[Member]:
+        """
+        Return the upstreams in this entry's scope, or the nearest others when it has
+        none.
+        """
+        members = self.membership.live(service.name)
+        own = [
+            member for member in members if self._in_scope(member, service.pool_scope)
+        ]
+        if own:
+            return own
+        region = [member for member in members if member.region == self.settings.region]
+        candidates = region or members
+        centres = {member.data_centre for member in candidates}
+        nearest = max(
+            centres,
+            key=lambda item: stable_hash(self.pool_id(service), item),
+            default="",
+        )
+        return [member for member in candidates if member.data_centre == nearest]
+
+    def pool_id(self, service: Service) -> PoolId:
+        """Return the id of the pool from which this entry serves a service."""
+        in_region = service.pool_scope is PoolScope.REGION
+        place = self.settings.region if in_region else self.settings.data_centre
+        return PoolId(f"{service.name}@{place}")
+
+    def address_of(self, instance: InstanceId) -> str | None:
+        """Return an instance's address."""
+        member = self.membership.get(instance)
+        return None if member is None else member.address
+
+    def mark_leaving(
+        self, instance: InstanceId, incarnation: Incarnation, *, why: str
+    ) -> None:
+        """Take in that an upstream or entry is leaving, and tell the others."""
+        if self.membership.mark_leaving(instance, incarnation):
+            self.gossip.add(LeavingNotice(instance=instance, incarnation=incarnation))
+            self.record("leaving", instance, before="live", after=f"leaving: {why}")
+            self.arrange_members()
+
+    def hear(self, items: Iterable[GossipItem]) -> None:
+        """Take in gossip from a peer."""
+        for item in items:
+            if not self.gossip.add(item):
+                continue
+            match item:
+                case LeavingNotice():
+                    if self.membership.mark_leaving(item.instance, item.incarnation):
+                        self.arrange_members()
+                case CrashNotice():
+                    self._observe_crash(item)
+                case QuarantineNotice():
+                    self.quarantine.name(item.fingerprint)
+                case ReleaseNotice():
+                    self.quarantine.release(item.fingerprint, number=item.number)
+
+    def submit(self, pool: Pool, exchange: Exchange) -> None:
+        """Let the pool's dispatcher take in an exchange's request."""
+        request = exchange.request
+        self._exchanges[request.id] = exchange
+        actions = pool.dispatcher.submit(request, preemptable=exchange.preemptable)
+        self.apply(pool, actions)
+
+    def forget(self, pool: Pool, exchange: Exchange, *, finished: bool) -> None:
+        """Drop an exchange whose caller has its final answer or has gone."""
+        if self._exchanges.pop(exchange.request.id, None) is None:
+            return
+        if not finished:
+            actions = pool.dispatcher.abandon(exchange.request.id)
+            for action in actions:
+                if isinstance(action, Cancel):
+                    exchange.deliver(action)
+            self.apply(pool, actions)
+
+    def caller_gone(self, exchange: Exchange) -> None:
+        """Give up a request whose caller has gone."""
+        refuse = Refuse(
+            request=exchange.request, reason=Reason.CALLER_GONE, outcome=Outcome.UNKNOWN
+        )
+        actions = exchange.pool.dispatcher.abandon(exchange.request.id)
+        self.apply(exchange.pool, actions)
+        exchange.deliver(refuse)
+
+    def withdraw(self, pool: Pool, exchange: Exchange) -> None:
+        """Take a request back whose attempt is not to be sent."""
+        self.apply(pool, pool.dispatcher.abandon(exchange.request.id))
+
+    def apply(self, pool: Pool, actions: list[Action]) -> None:
+        """Carry out a dispatcher's actions."""
+        for action in actions:
+            exchange = self._exchanges.get(action.request.id)
+            self._count(action)
+            if exchange is not None:
+                exchange.deliver(action)
+            elif isinstance(action, Start):
+                late = pool.dispatcher.abandon(action.request.id)
+                gevent.spawn(self.apply, pool, late)
+
+    def attempt_finished(self, pool: Pool, exchange: Exchange, start: Start) -> None:
+        """Take in that an attempt's answer is whole."""
+        self.metrics.attempts.labels(pool.service.name, "finished").inc()
+        self.apply(pool, pool.dispatcher.finish(start.attempt))
+
+    def attempt_failed(self, pool: Pool, start: Start, error: UpstreamError) -> None:
+        """Take in that an attempt failed."""
+        logs.problem(
+            "attempt-failed",
+            attempt=start.attempt,
+            request=start.request.id,
+            upstream=start.replica,
+            failure=error.failure.value,
+            detail=str(error),
+        )
+        self.metrics.attempts.labels(pool.service.name, error.failure.value).inc()
+        member = self.membership.get(start.replica)
+        if error.leaving and member is not None:
+            self.mark_leaving(
+                member.instance, member.incarnation, why="it refused work"
+            )
+        if error.failure is Failure.BROKEN and pool.service.kind is ServiceKind.ENGINE:
+            self._suspect_crash(pool, start, member)
+        self.apply(pool, pool.dispatcher.fail(start.attempt, error.failure))
+
+    def first_event(self, exchange: Exchange) -> None:
+        """Count the time to a request's first event."""
+        waited = self.clock.now() - exchange.request.arrival
+        self.metrics.first_token.labels(exchange.request.request_class.name).observe(
+            waited
+        )
+
+    def cancel_attempt(self, pool: Pool, cancel: Cancel) -> None:
+        """Tell an upstream that an attempt's answer is not wanted any more."""
+        address = self.address_of(cancel.replica)
+        if address is not None:
+            pool.upstream.cancel(address, cancel.attempt)
+
+    def tick(self) -> None:
+        """Let time pass in all pools."""
+        for pool in self.pools.values():
+            self.apply(pool, pool.dispatcher.tick())
+
+    def name_quarantine(self, fingerprint: Fingerprint, *, why: str) -> None:
+        """Refuse a fingerprint at every entry."""
+        if self.quarantine.name(fingerprint):
+            self.gossip.add(QuarantineNotice(fingerprint=fingerprint))
+            self.record("quarantine", fingerprint, before="suspect", after=why)
+
+    def new_attempt_id(self) -> AttemptId:
+        """Return an id that no other attempt has."""
+        self._attempt_number += 1
+        return AttemptId(
+            f"{self.instance}-{self.incarnation:x}-{self._attempt_number:x}"
+        )
+
+    def _arrange_pools(self) -> None:
+        configuration = self.holder.configuration
+        assert configuration is not None
+        for name, service in configuration.services.items():
+            pool = self.pools.get(ServiceName(name))
+            if pool is None:
+                self.pools[ServiceName(name)] = self._new_pool(service)
+            else:
+                pool.service = service
+                pool.dispatcher.configure(service)
+        for name in list(self.pools):
+            if (
+                name not in configuration.services
+                and not self.pools[name].dispatcher.attempts
+            ):
+                del self.pools[name]
+        self.arrange_members()
+
+    def _new_pool(self, service: Service) -> Pool:
+        dispatcher = PoolDispatcher(
+            pool=self.pool_id(service),
+            service=service,
+            clock=self.clock,
+            data_centre=DataCentre(self.settings.data_centre),
+            random_source=self._random,
+            costs=self._costs,
+            quarantine=self.quarantine,
+            new_attempt_id=self.new_attempt_id,
+        )
+        upstream = UPSTREAMS[service.kind.value](pool=self.connections)
+        return Pool(service=service, dispatcher=dispatcher, upstream=upstream)
+
+    def _in_scope(self, member: Member, scope: PoolScope) -> bool:
+        if scope is PoolScope.DATA_CENTRE:
+            return member.data_centre == self.settings.data_centre
+        return member.region == self.settings.region
+
+    def _suspect_crash(self, pool: Pool, start: Start, member: Member | None) -> None:
+        """
+        Take all requests on a replica whose connection broke as suspects of a crash.
+        """
+        if member is None:
+            return
+        fingerprints = frozenset(
+            attempt.request.fingerprint
+            for attempt in pool.dispatcher.attempts.values()
+            if attempt.replica == start.replica and attempt.request.fingerprint
+        )
+        if not fingerprints:
+            return
+        notice = CrashNotice(
+            instance=member.instance,
+            incarnation=member.incarnation,
+            fingerprints=tuple(sorted(fingerprints)),
+        )
+        self._observe_crash(notice)
+        gevent.spawn(self._confirm_crash, pool, member.address, notice)
+
+    def _confirm_crash(self, pool: Pool, address: str, notice: CrashNotice) -> None:
+        """
+        Ask a replica for its incarnation: only if it is gone or new was there a crash.
+        """
+        try:
+            status = pool.upstream.status(address)
+        except UpstreamError:
+            status = None
+        if status is not None and status.incarnation == notice.incarnation:
+            self.quarantine.retract(notice.instance, notice.incarnation)
+            return
+        if self.gossip.add(notice):
+            self.record(
+                "crash", notice.instance, after=f"{len(notice.fingerprints)} suspects"
+            )
+
+    def _observe_crash(self, notice: CrashNotice) -> None:
+        named = self.quarantine.observe_crash(
+            notice.instance, notice.incarnation, frozenset(notice.fingerprints)
+        )
+        for fingerprint in named:
+            self.name_quarantine(fingerprint, why="it crashed upstreams again")
+
+    def _count(self, action: Action) -> None:
+        name = action.request.request_class.name
+        if isinstance(action, Refuse):
+            self.metrics.refusals.labels(name, action.reason.value).inc()
+            self.metrics.requests.labels(name, action.outcome.value).inc()
+        elif isinstance(action, Finish):
+            self._count_finish(action)
+        elif isinstance(action, Start) and action.request.started == 1:
+            waited = self.clock.now() - action.request.arrival
+            self.metrics.queue_wait.labels(name).observe(waited)
+
+    def _count_finish(self, finish: Finish) -> None:
+        request_class = finish.request.request_class
+        name = request_class.name
+        self.metrics.requests.labels(name, Outcome.ANSWERED.value).inc()
+        took = self.clock.now() - finish.request.arrival
+        if request_class.answer is None or took <= request_class.answer:
+            self.metrics.on_time.labels(name).inc()
+            self.metrics.good_tokens.labels(name).inc(finish.tokens)
--- /dev/null
+++ b/damasklead/daemon/exchange.py
@@ -0,0 +1,401 @@
+"""
+Exchange
+========
+
+One caller's request from its submission to its final answer, over as many attempts as
+it takes.
+"""
+
+import hashlib
+from collections.abc import Generator, Iterator
+from typing import TYPE_CHECKING, Any
+
+import gevent
+import msgspec
+from gevent import socket
+from gevent.queue import SimpleQueue
+
+from damasklead.claims import (
+    Acquired,
+    Answer as RecordedAnswer,
+    BodyDiffers,
+    Claim,
+    ClaimState,
+    Held,
+    StoreDown,
+    acquire,
+)
+from damasklead.ids import AttemptId
+from damasklead.problems import Problem, problem_for
+from damasklead.requests import (
+    Action,
+    Cancel,
+    Failure,
+    Finish,
+    Outcome,
+    Refuse,
+    Request,
+    Start,
+)
+from damasklead.upstreams import Answer, OutgoingCall, UpstreamError
+from damasklead.upstreams.engine import EngineUpstream, continuation_body
+
+if TYPE_CHECKING:
+    from damasklead.daemon.entry import Entry, Pool
+
+__all__ = ["Exchange", "Head"]
+
+EVENT_END = b"\n\n"
+DONE_EVENT = b"data: [DONE]\n\n"
+MAX_RAW_BYTES = 65_536
+MAX_KEPT_ANSWER = 262_144  # bytes
+HOP_BY_HOP = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "x-request-id",
+        "date",
+        "server",
+    )
+)
+
+
+class Head(msgspec.Struct, kw_only=True):
+    """
+    The head of an answer to the caller; ``whole`` says that one piece of body follows.
+    """
+
+    status: int
+    headers: list[tuple[str, str]]
+    whole: bool
+
+
+Piece = Head | bytes | Problem
+
+
+class Exchange:
+    """
+    A request with its caller on one side and its attempts on the other.
+
+    Parameters
+    ----------
+    entry : Entry
+    pool : Pool
+        Where the request goes.
+    request : Request
+    call : OutgoingCall
+        What is sent; the attempt id is filled in for each attempt.
+    stream : bool
+        Whether the answer is passed on as it arrives.
+    document : dict, optional
+        The parsed body of an engine request, for continuing it elsewhere.
+    claim : Claim, optional
+        The claim to make before the first byte is sent.
+    """
+
+    def __init__(
+        self,
+        *,
+        entry: "Entry",
+        pool: "Pool",
+        request: Request,
+        call: OutgoingCall,
+        stream: bool,
+        document: dict[str, Any] | None = None,
+        claim: Claim | None = None,
+    ) -> None:
+        self.request = request
+        self.claim = claim
+        self.streaming = False
+        self.caller: socket.socket | None = None
+        self._entry = entry
+        self.pool = pool
+        self._call = call
+        self._stream = stream and claim is None
+        self._document = document
+        self._claim_version: int | None = None
+        self._mailbox: SimpleQueue[Action] = SimpleQueue()
+        self._current: AttemptId | None = None
+        self._connection: socket.socket | None = None
+        self._last_start: Start | None = None
+        self._raw: list[bytes] = []
+        self._raw_size = 0
+        self._text = ""
+        self._done = False
+
+    @property
+    def preemptable(self) -> bool:
+        """Whether an attempt can be cancelled and go on later without loss."""
+        return self._stream and self.request.request_class.may_repeat
+
+    @property
+    def sent(self) -> bool:
+        """Whether an attempt is under way."""
+        return self._current is not None
+
+    def deliver(self, action: Action) -> None:
+        """Take an action of the dispatcher."""
+        if isinstance(action, Cancel):
+            self._interrupt(action)
+        elif not isinstance(action, Finish):
+            self._mailbox.put(action)
+
+    def run(self) -> Generator[Piece, None, None]:
+        """
+        Yield the answer: a head and its body, or a problem, which may follow a head.
+        """
+        self._entry.submit(self.pool, self)
+        try:
+            while True:
+                action = self._mailbox.get()
+                if isinstance(action, Refuse):
+                    self._release_claim(action.outcome)
+                    yield problem_for(action.reason, action.outcome, action.retry_after)
+                    return
+                assert isinstance(action, Start)
+                yield from self._attempt(action)
+                if self._done:
+                    return
+        finally:
+            self._entry.forget(self.pool, self, finished=self._done)
+
+    def _interrupt(self, cancel: Cancel) -> None:
+        """Stop an attempt that the dispatcher took back."""
+        if self._current == cancel.attempt:
+            self._current = None
+            if self._connection is not None:
+                self._connection.close()
+        if self._last_start is not None and self._last_start.attempt == cancel.attempt:
+            gevent.spawn(self._entry.cancel_attempt, self.pool, cancel)
+
+    def _attempt(self, start: Start) -> Iterator[Piece]:
+        if self.claim is not None and self._claim_version is None:
+            refused = self._acquire_claim(start)
+            if refused is not None:
+                self._done = True
+                self._entry.withdraw(self.pool, self)
+                yield from refused
+                return
+        self._current = start.attempt
+        try:
+            answer = self._send(start)
+            if self._stream and answer.status == 200:
+                yield from self._relay(answer, start)
+            else:
+                yield from self._pass_whole(answer, start)
+        except UpstreamError as error:
+            if self._current == start.attempt:
+                self._current = None
+                self._entry.attempt_failed(self.pool, start, error)
+
+    def _send(self, start: Start) -> Answer:
+        address = self._entry.address_of(start.replica)
+        if address is None:
+            raise UpstreamError(Failure.NOT_SENT, "the upstream is gone")
+        call = msgspec.structs.replace(self._call, attempt=start.attempt)
+        previous, self._last_start = self._last_start, start
+        if self.request.generated and self._document is not None:
+            upstream = self.pool.upstream
+            if previous is not None and previous.replica == start.replica:
+                assert isinstance(upstream, EngineUpstream)
+                try:
+                    return upstream.resume(
+                        address,
+                        call,
+                        original=previous.attempt,
+                        event=self.request.generated,
+                    )
+                except UpstreamError as error:
+                    if error.failure is not Failure.REFUSED:
+                        raise
+            call = msgspec.structs.replace(call, body=self._continuation())
+        return self.pool.upstream.send(address, call, on_connect=self._set_connection)
+
+    def _set_connection(self, connection: socket.socket) -> None:
+        self._connection = connection
+
+    def _relay(self, answer: Answer, start: Start) -> Iterator[Piece]:
+        """Pass a stream on in whole events, as they arrive."""
+        if not self.streaming:
+            self.streaming = True
+            yield Head(status=200, headers=_end_to_end(answer), whole=False)
+        held = b""
+        ended = False
+        progress = self.pool.dispatcher.progress
+        while chunk := answer.read_chunk():
+            data = held + chunk if held else chunk
+            cut = data.rfind(EVENT_END) + len(EVENT_END)
+            if cut < len(EVENT_END):
+                held = data
+                continue
+            held = data[cut:] if cut < len(data) else b""
+            whole = data if not held else data[:cut]
+            ended = whole.endswith(DONE_EVENT)
+            events = whole.count(EVENT_END) - ended
+            self._keep(whole)
+            if self.request.generated == 0:
+                self._entry.first_event(self)
+            progress(start.attempt, events=events)
+            if ended:
+                self._complete(start)
+            yield whole
+        if not ended:
+            raise UpstreamError(Failure.BROKEN, "the stream ended early")
+
+    def _pass_whole(self, answer: Answer, start: Start) -> Iterator[Piece]:
+        body = answer.read_all(limit=self._entry.settings.limits.answer_bytes)
+        self.pool.dispatcher.progress(start.attempt, events=1)
+        headers = _end_to_end(answer)
+        self._record_answer(answer, body)
+        self._complete(start)
+        yield Head(status=answer.status, headers=headers, whole=True)
+        yield body
+
+    def _complete(self, start: Start) -> None:
+        self._done = True
+        self._current = None
+        self._entry.attempt_finished(self.pool, self, start)
+
+    def _acquire_claim(self, start: Start) -> list[Piece] | None:
+        """Claim the key for this exchange; returns the answer to give if that fails."""
+        assert self.claim is not None
+        self.claim = msgspec.structs.replace(self.claim, attempt=start.attempt)
+        result = self._entry.run_protocol(acquire(self.claim))
+        if isinstance(result, Acquired):
+            self._claim_version = result.version
+            return None
+        if isinstance(result, StoreDown):
+            if result.maybe_written:
+                self._entry.claims.abandon(self.claim)
+            return [_store_down()]
+        if isinstance(result, BodyDiffers):
+            return [_body_differs()]
+        assert isinstance(result, Held)
+        return _replay(result.claim)
+
+    def _record_answer(self, answer: Answer, body: bytes) -> None:
+        if self.claim is None or self._claim_version is None:
+            return
+        kept = RecordedAnswer(
+            status=answer.status,
+            content_type=answer.header("Content-Type"),
+            body=body if len(body) <= MAX_KEPT_ANSWER else None,
+        )
+        self._settle(ClaimState.ANSWERED, kept)
+
+    def _release_claim(self, outcome: Outcome) -> None:
+        """Record that an acquired claim did not run, or that nobody knows."""
+        if self._claim_version is not None:
+            unrun = outcome is Outcome.NOT_RUN
+            self._settle(ClaimState.RELEASED if unrun else ClaimState.FAILED, None)
+
+    def _settle(self, state: ClaimState, answer: RecordedAnswer | None) -> None:
+        assert self.claim is not None and self._claim_version is not None
+        settled = msgspec.structs.replace(self.claim, state=state, answer=answer)
+        self._entry.claims.settle(settled, version=self._claim_version)
+
+    def _keep(self, whole: bytes) -> None:
+        """Keep what was sent, so that the stream can be continued elsewhere."""
+        self._raw.append(whole)
+        self._raw_size += len(whole)
+        if self._raw_size > MAX_RAW_BYTES:
+            self._compact()
+
+    def _compact(self) -> None:
+        """Reduce the kept events to their text."""
+        self._text += _text_of(b"".join(self._raw))
+        self._raw = []
+        self._raw_size = 0
+
+    def _continuation(self) -> bytes:
+        assert self._document is not None
+        self._compact()
+        document = dict(self._document)
+        if isinstance(document.get("max_tokens"), int):
+            document["max_tokens"] = max(
+                1, document["max_tokens"] - self.request.generated
+            )
+        return continuation_body(document, self._text)
+
+
+def digest_body(method: str, path: str, body: bytes) -> str:
+    """Return the digest by which two sendings of one order are recognised."""
+    return hashlib.sha256(f"{method} {path}\n".encode() + body).hexdigest()
+
+
+def _text_of(events: bytes) -> str:
+    """Return the generated text in a run of server-sent events."""
+    text = ""
+    for event in events.split(EVENT_END):
+        if not event.startswith(b"data: {"):
+            continue
+        for choice in msgspec.json.decode(event[6:]).get("choices", ()):
+            text += choice.get("delta", {}).get("content") or ""
+    return text
+
+
+def _end_to_end(answer: Answer) -> list[tuple[str, str]]:
+    return [pair for pair in answer.headers() if pair[0].lower() not in HOP_BY_HOP]
+
+
+def _replay(claim: Claim) -> list[Piece]:
+    """Return the answer to a second sending."""
+    if claim.state is ClaimState.CLAIMED:
+        return [
+            Problem(
+                status=409,
+                kind="order-in-progress",
+                title="An earlier sending with this key is still running",
+                outcome=Outcome.UNKNOWN,
+                retry_after=2.0,
+            )
+        ]
+    if claim.state is ClaimState.FAILED or claim.answer is None:
+        answered = claim.state is ClaimState.ANSWERED
+        return [
+            Problem(
+                status=409,
+                kind="order-answer-not-kept" if answered else "order-outcome-unknown",
+                title=(
+                    "An earlier sending with this key ran; its answer is not kept"
+                    if answered
+                    else "Whether an earlier sending with this key ran is not known"
+                ),
+                outcome=Outcome.ANSWERED if answered else Outcome.UNKNOWN,
+            )
+        ]
+    if claim.answer.body is None:
+        return _replay(msgspec.structs.replace(claim, answer=None))
+    headers = [
+        ("Content-Type", claim.answer.content_type),
+        ("X-Damasklead-Replayed", "true"),
+    ]
+    return [
+        Head(status=claim.answer.status, headers=headers, whole=True),
+        claim.answer.body,
+    ]
+
+
+def _store_down() -> Problem:
+    return Problem(
+        status=503,
+        kind="store-unavailable",
+        title="The order could not be recorded and was not run",
+        retry_after=2.0,
+    )
+
+
+def _body_differs() -> Problem:
+    return Problem(
+        status=422,
+        kind="idempotency-key-reused",
+        title="The idempotency key belongs to another request",
+        field="Idempotency-Key",
+    )
--- /dev/null
+++ b/damasklead/daemon/operators.py
@@ -0,0 +1,116 @@
+"""
+Operators' listener
+===================
+
+Health, readiness, metrics and status, on an address of its own without callers' keys.
+"""
+
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import msgspec
+from gevent import pywsgi
+
+from damasklead.daemon.entry import Entry
+from damasklead.util import split_address
+
+__all__ = ["OperatorServer", "PoolStatus", "Status"]
+
+
+class PoolStatus(msgspec.Struct, kw_only=True):
+    """A pool as this entry sees it."""
+
+    pool: str
+    coordinator: str
+    granted: bool
+    running: list[int]
+    waiting: list[int]
+    replicas: list[str]
+
+
+class Status(msgspec.Struct, kw_only=True):
+    """An entry's state for operators."""
+
+    instance: str
+    incarnation: int
+    ready: bool
+    stopping: bool
+    configuration: int
+    entries: list[str]
+    pools: list[PoolStatus]
+    requests: int
+    quarantined: list[str]
+    claims_pending: int
+    audit_pending: int
+    audit_dropped: int
+
+
+class OperatorServer(pywsgi.WSGIServer):
+    """
+    The listener for operators.
+
+    Parameters
+    ----------
+    entry : Entry
+    """
+
+    def __init__(self, *, entry: Entry) -> None:
+        self._entry = entry
+        super().__init__(
+            split_address(entry.settings.listen.operators),
+            self._answer,
+            log=None,
+            error_log=None,
+        )
+
+    def status(self) -> Status:
+        """Return the entry's state."""
+        entry = self._entry
+        return Status(
+            instance=entry.instance,
+            incarnation=entry.incarnation,
+            ready=entry.ready,
+            stopping=entry.stopping,
+            configuration=entry.holder.version,
+            entries=[member.instance for member in entry.live_entries()],
+            pools=[
+                PoolStatus(
+                    pool=pool.dispatcher.pool,
+                    coordinator=pool.coordinator or "",
+                    granted=pool.dispatcher.share.granted,
+                    running=list(pool.dispatcher.demand().running),
+                    waiting=list(pool.dispatcher.demand().waiting),
+                    replicas=sorted(pool.dispatcher.replicas.instances),
+                )
+                for pool in entry.pools.values()
+            ],
+            requests=len(entry.exchanges),
+            quarantined=list(entry.quarantine.named),
+            claims_pending=len(entry.claims),
+            audit_pending=len(entry.audit),
+            audit_dropped=entry.audit.dropped,
+        )
+
+    def _answer(
+        self, environ: dict[str, Any], start_response: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        path = environ["PATH_INFO"]
+        if path == "/healthz":
+            return _text(start_response, "200 OK", b"ok\n")
+        if path == "/readyz":
+            ready = self._entry.ready
+            status = "200 OK" if ready else "503 Not Ready"
+            return _text(
+                start_response, status, b"ready\n" if ready else b"not ready\n"
+            )
+        if path == "/metrics":
+            return _text(start_response, "200 OK", self._entry.metrics.render())
+        if path == "/status":
+            start_response("200 OK", [("Content-Type", "application/json")])
+            return [msgspec.json.encode(self.status())]
+        return _text(start_response, "404 Not Found", b"not found\n")
+
+
+def _text(start_response: Callable[..., Any], status: str, body: bytes) -> list[bytes]:
+    start_response(status, [("Content-Type", "text/plain; charset=utf-8")])
+    return [body]
--- /dev/null
+++ b/damasklead/daemon/peers.py
@@ -0,0 +1,183 @@
+"""
+Messages between entries
+========================
+
+A pyzmq ROUTER socket that receives and one DEALER socket for each peer that is spoken
+to.
+"""
+
+import msgspec
+import zmq.green as zmq
+
+from damasklead import logs
+from damasklead.daemon.entry import Entry
+from damasklead.ids import InstanceId
+from damasklead.membership import Member
+from damasklead.messages import (
+    Body,
+    ConfigurationAnswer,
+    ConfigurationQuery,
+    Demand,
+    Grant,
+    PeerMessage,
+    decode_message,
+    encode_message,
+)
+from damasklead.settings import PeerKeys
+from damasklead.sharing import Coordinator
+
+__all__ = ["Peers"]
+
+SEND_QUEUE = 100  # messages
+MAX_MESSAGE_BYTES = 4_194_304
+IDLE_SECONDS = 60.0
+
+
+class _Link(msgspec.Struct, kw_only=True):
+    """The way to one incarnation of a peer."""
+
+    socket: zmq.Socket
+    address: str
+    used_at: float
+
+
+class Peers:
+    """
+    Sends to peers, receives from them and hands on what they say.
+
+    Parameters
+    ----------
+    entry : Entry
+    coordinators : dict
+        The pools that this entry coordinates.
+    """
+
+    def __init__(self, *, entry: Entry, coordinators: dict[str, Coordinator]) -> None:
+        self._entry = entry
+        self._coordinators = coordinators
+        self._context = zmq.Context()
+        self._receiver: zmq.Socket | None = None
+        self._links: dict[InstanceId, _Link] = {}
+        self.newer_version: tuple[int, InstanceId] = (0, InstanceId(""))
+
+    def receive_forever(self) -> None:
+        """Receive messages until the task is stopped."""
+        receiver = self._context.socket(zmq.ROUTER)
+        receiver.setsockopt(zmq.LINGER, 0)
+        receiver.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
+        self._serve_curve(receiver)
+        receiver.bind(f"tcp://{self._entry.settings.listen.peers}")
+        try:
+            while True:
+                frames = receiver.recv_multipart()
+                self._entry.metrics.peer_bytes.labels("in").inc(len(frames[-1]))
+                try:
+                    message = decode_message(frames[-1])
+                except msgspec.DecodeError as error:
+                    logs.problem("peer-message", detail=str(error))
+                    continue
+                self._take(message)
+        finally:
+            receiver.close()
+
+    def send(self, peer: InstanceId, *body: Body) -> None:
+        """Send to a peer; a message that can't be sent at once is dropped."""
+        member = self._entry.membership.get(peer)
+        if member is None:
+            return
+        message = PeerMessage(
+            sender=self._entry.instance,
+            incarnation=self._entry.incarnation,
+            configuration=self._entry.holder.version,
+            gossip=self._entry.gossip.take_for(peer),
+            body=body,
+        )
+        content = encode_message(message)
+        try:
+            self._link(member).send(content, zmq.NOBLOCK)
+        except zmq.ZMQError as error:
+            logs.problem("peer-send", peer=peer, detail=str(error))
+            return
+        self._entry.metrics.peer_bytes.labels("out").inc(len(content))
+
+    def close_idle(self) -> None:
+        """Close links that were not used lately."""
+        horizon = self._entry.clock.now() - IDLE_SECONDS
+        for peer, link in list(self._links.items()):
+            if link.used_at < horizon:
+                link.socket.close()
+                del self._links[peer]
+
+    def close(self) -> None:
+        """Close all links."""
+        for link in self._links.values():
+            link.socket.close()
+        self._links.clear()
+
+    def take_body(self, sender: InstanceId, body: Body) -> None:
+        """Take in one part of a message, from a peer or from this entry itself."""
+        match body:
+            case Demand():
+                coordinator = self._coordinators.get(body.pool)
+                if coordinator is not None:
+                    coordinator.demand(sender, body)
+            case Grant():
+                self._take_grant(body)
+            case ConfigurationQuery():
+                holder = self._entry.holder
+                if holder.version > body.have:
+                    answer = ConfigurationAnswer(
+                        version=holder.version, files=holder.files
+                    )
+                    self.send(sender, answer)
+            case ConfigurationAnswer():
+                self._entry.take_configuration(body.files, version=body.version)
+
+    def _take(self, message: PeerMessage) -> None:
+        if message.configuration > max(
+            self._entry.holder.version, self.newer_version[0]
+        ):
+            self.newer_version = (message.configuration, message.sender)
+        self._entry.hear(message.gossip)
+        for body in message.body:
+            self.take_body(message.sender, body)
+
+    def _take_grant(self, grant: Grant) -> None:
+        for pool in self._entry.pools.values():
+            if pool.dispatcher.pool == grant.pool:
+                self._entry.apply(pool, pool.dispatcher.take_grant(grant))
+
+    def _link(self, member: Member) -> zmq.Socket:
+        link = self._links.get(member.instance)
+        if link is not None and link.address != member.address:
+            link.socket.close()
+            link = None
+        if link is None:
+            link = self._connect(member)
+            self._links[member.instance] = link
+        link.used_at = self._entry.clock.now()
+        return link.socket
+
+    def _connect(self, member: Member) -> _Link:
+        sender = self._context.socket(zmq.DEALER)
+        sender.setsockopt(zmq.LINGER, 0)
+        sender.setsockopt(zmq.SNDHWM, SEND_QUEUE)
+        sender.setsockopt(zmq.IMMEDIATE, 0)
+        self._use_curve(sender)
+        sender.connect(f"tcp://{member.address}")
+        return _Link(socket=sender, address=member.address, used_at=0.0)
+
+    def _serve_curve(self, receiver: zmq.Socket) -> None:
+        """Let in only peers that hold the deployment's key."""
+        keys = self._entry.settings.peer_keys
+        if keys is not None:
+            receiver.curve_secretkey = keys.secret_key.encode()
+            receiver.curve_publickey = keys.public_key.encode()
+            receiver.curve_server = True
+
+    def _use_curve(self, sender: zmq.Socket) -> None:
+        keys: PeerKeys | None = self._entry.settings.peer_keys
+        if keys is not None:
+            sender.curve_secretkey = keys.secret_key.encode()
+            sender.curve_publickey = keys.public_key.encode()
+            sender.curve_serverkey = keys.public_key.encode()
--- /dev/null
+++ b/damasklead/daemon/service.py
@@ -0,0 +1,145 @@
+"""
+Service
+=======
+
+One entry process: its supervisor tree, its start and its graceful stop.
+"""
+
+import signal
+
+import gevent
+from gevent.event import Event
+
+from damasklead import logs
+from damasklead.daemon.callers import CallerServer
+from damasklead.daemon.entry import Entry
+from damasklead.daemon.loop import LoopClock
+from damasklead.daemon.operators import OperatorServer
+from damasklead.daemon.peers import Peers
+from damasklead.daemon.sharetasks import ShareTasks
+from damasklead.daemon.supervisor import Child, ServerChild, Supervisor, TaskChild
+from damasklead.daemon.watchers import Watchers
+from damasklead.platform import Platform
+from damasklead.platform.base import InstanceState
+from damasklead.settings import Settings
+from damasklead.sharing import Coordinator
+
+__all__ = ["EntryService"]
+
+POLL_SECONDS = 0.05
+LEAVING_SECONDS = 1.0
+
+
+class EntryService:
+    """
+    An entry with its tree of tasks and listeners.
+
+    Parameters
+    ----------
+    settings : Settings
+    platform : Platform
+    """
+
+    def __init__(self, *, settings: Settings, platform: Platform) -> None:
+        clock = LoopClock()
+        self.entry = Entry(settings=settings, platform=platform, clock=clock)
+        coordinators: dict[str, Coordinator] = {}
+        self._peers = Peers(entry=self.entry, coordinators=coordinators)
+        self._watchers = Watchers(entry=self.entry, peers=self._peers)
+        self._shares = ShareTasks(
+            entry=self.entry, peers=self._peers, coordinators=coordinators
+        )
+        self._callers = CallerServer(entry=self.entry)
+        self._operators = OperatorServer(entry=self.entry)
+        self._clock = clock
+        self._stop_asked = Event()
+        self.tree = self._build_tree()
+
+    def start(self) -> None:
+        """Start everything; returns at once."""
+        self._watchers.announce()
+        self.tree.start(self._tree_failed)
+        logs.event(
+            "started", instance=self.entry.instance, incarnation=self.entry.incarnation
+        )
+
+    def run(self) -> int:
+        """Run until SIGTERM or SIGINT and stop gracefully; returns the exit code."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            gevent.signal_handler(number, self._stop_asked.set)
+        self.start()
+        self._stop_asked.wait()
+        self.stop()
+        return 1 if self.tree.failed.is_set() else 0
+
+    def stop(self) -> None:
+        """Say that this entry leaves, let requests in progress end, and stop."""
+        entry = self.entry
+        entry.stopping = True
+        logs.event("stopping", requests=len(entry.exchanges))
+        self._watchers.announce(InstanceState.LEAVING)
+        entry.mark_leaving(entry.instance, entry.incarnation, why="it was told to stop")
+        self._clock.sleep(LEAVING_SECONDS)
+        self._callers.stop_accepting()
+        deadline = self._clock.now() + entry.settings.limits.stop_seconds
+        while entry.exchanges and self._clock.now() < deadline:
+            self._clock.sleep(POLL_SECONDS)
+        entry.run_protocol(entry.audit.flush())
+        self.tree.stop()
+        self._peers.close()
+        entry.connections.close()
+        logs.event("stopped", instance=entry.instance, cut_off=len(entry.exchanges))
+
+    def _tree_failed(self, child: Child, cause: BaseException | None) -> None:
+        self._stop_asked.set()
+
+    def _build_tree(self) -> Supervisor:
+        return Supervisor(
+            name="entry",
+            clock=self._clock,
+            children=[
+                Supervisor(
+                    name="platform",
+                    clock=self._clock,
+                    children=[
+                        TaskChild(name="members", function=self._watchers.run_members),
+                        TaskChild(
+                            name="configuration",
+                            function=self._watchers.run_configuration,
+                        ),
+                        TaskChild(name="records", function=self._watchers.run_records),
+                    ],
+                ),
+                Supervisor(
+                    name="sharing",
+                    clock=self._clock,
+                    children=[
+                        TaskChild(name="peers", function=self._peers.receive_forever),
+                        TaskChild(
+                            name="coordinator", function=self._shares.run_coordinator
+                        ),
+                        TaskChild(name="demands", function=self._shares.run_demands),
+                    ],
+                ),
+                Supervisor(
+                    name="traffic",
+                    clock=self._clock,
+                    children=[
+                        TaskChild(name="ticks", function=self._watchers.run_ticks),
+                        TaskChild(
+                            name="callers-gone", function=self._watchers.run_callers
+                        ),
+                        ServerChild(
+                            name="operators",
+                            begin=self._operators.start,
+                            end=self._operators.stop,
+                        ),
+                        ServerChild(
+                            name="callers",
+                            begin=self._callers.start,
+                            end=self._callers.stop,
+                        ),
+                    ],
+                ),
+            ],
+        )
--- /dev/null
+++ b/damasklead/daemon/sharetasks.py
@@ -0,0 +1,119 @@
+"""
+Share tasks
+===========
+
+Sends demands to the coordinators and, for the pools that this entry coordinates, polls
+the replicas' reports and sends grants.
+"""
+
+import random
+
+import gevent
+
+from damasklead.configuration import Service
+from damasklead.daemon.entry import Entry, Pool
+from damasklead.daemon.peers import Peers
+from damasklead.membership import Member
+from damasklead.sharing import Coordinator, share_interval
+from damasklead.upstreams import UpstreamError
+
+__all__ = ["ShareTasks"]
+
+JITTER = 0.1
+POLL_TIMEOUT = 1.0  # seconds
+
+
+class ShareTasks:
+    """The periodic work of sharing."""
+
+    def __init__(
+        self, *, entry: Entry, peers: Peers, coordinators: dict[str, Coordinator]
+    ) -> None:
+        self._entry = entry
+        self._peers = peers
+        self._coordinators = coordinators
+        self._random = random.Random(entry.instance)
+
+    def run_demands(self) -> None:
+        """Send this entry's demands until the task is stopped."""
+        while True:
+            self._pause()
+            for pool in list(self._entry.pools.values()):
+                self._send_demand(pool)
+            self._peers.close_idle()
+
+    def run_coordinator(self) -> None:
+        """Serve the pools that this entry coordinates until the task is stopped."""
+        while True:
+            self._pause()
+            for pool in list(self._entry.pools.values()):
+                if pool.coordinator == self._entry.instance:
+                    self._serve(pool)
+                else:
+                    self._coordinators.pop(pool.dispatcher.pool, None)
+
+    def _pause(self) -> None:
+        interval = share_interval(len(self._entry.live_entries()))
+        self._entry.clock.sleep(interval * (1 + self._random.uniform(-JITTER, JITTER)))
+
+    def _send_demand(self, pool: Pool) -> None:
+        coordinator = pool.coordinator
+        demand = pool.dispatcher.demand()
+        if coordinator == self._entry.instance:
+            self._peers.take_body(self._entry.instance, demand)
+        elif coordinator is not None:
+            self._peers.send(coordinator, demand)
+
+    def _serve(self, pool: Pool) -> None:
+        coordinator = self._coordinators.get(pool.dispatcher.pool)
+        if coordinator is None:
+            coordinator = Coordinator(
+                pool=pool.dispatcher.pool, clock=self._entry.clock
+            )
+            self._coordinators[pool.dispatcher.pool] = coordinator
+        coordinator.configure(
+            gap_targets=_gap_targets(pool.service), min_shares=_min_shares(pool.service)
+        )
+        members = self._entry.pool_members(pool.service)
+        coordinator.retain(member.instance for member in members)
+        polls = [
+            gevent.spawn(self._poll, pool, coordinator, member) for member in members
+        ]
+        gevent.joinall(polls, timeout=POLL_TIMEOUT)
+        for entry, grant in coordinator.allocate().items():
+            if entry == self._entry.instance:
+                self._peers.take_body(entry, grant)
+            else:
+                self._peers.send(entry, grant)
+
+    def _poll(self, pool: Pool, coordinator: Coordinator, member: Member) -> None:
+        try:
+            status = pool.upstream.status(member.address)
+        except UpstreamError:
+            return
+        self._entry.membership.observe_incarnation(member.instance, status.incarnation)
+        if status.leaving:
+            self._entry.mark_leaving(
+                member.instance, status.incarnation, why="its report says so"
+            )
+        elif status.load is not None:
+            coordinator.report(member.instance, status.load)
+
+
+def _gap_targets(service: Service) -> dict[int, float]:
+    """Return the tightest target between tokens in each tier, in seconds."""
+    targets: dict[int, float] = {}
+    for item in service.classes:
+        if item.token_gap is not None:
+            targets[item.tier] = min(
+                item.token_gap, targets.get(item.tier, item.token_gap)
+            )
+    return targets
+
+
+def _min_shares(service: Service) -> dict[int, float]:
+    """Return the sum of the minimum shares in each tier."""
+    shares: dict[int, float] = {}
+    for item in service.classes:
+        shares[item.tier] = shares.get(item.tier, 0.0) + item.minimum_share
+    return shares
--- /dev/null
+++ b/damasklead/dispatching.py
@@ -0,0 +1,495 @@
+"""
+Dispatching
+===========
+
+Decides for each request at an entry when it starts, where it runs and what follows a
+failure.
+
+The objects here hold no I/O: calls come in with the clock's time, and actions go out.
+The daemon and the bench drive the same objects.
+"""
+
+import random
+from collections.abc import Callable, Iterable
+
+import msgspec
+
+from damasklead.clock import Clock
+from damasklead.configuration import Service, ServiceKind
+from damasklead.ids import AttemptId, DataCentre, InstanceId, PoolId, RequestId
+from damasklead.learning import CostModel
+from damasklead.messages import Demand, Grant
+from damasklead.quarantine import Quarantine
+from damasklead.queueing import PoolQueue
+from damasklead.replicas import ReplicaChooser, ReplicaInfo
+from damasklead.requests import (
+    Action,
+    Cancel,
+    Failure,
+    Finish,
+    Reason,
+    Refuse,
+    Request,
+    Start,
+)
+from damasklead.retrying import BURST, RetryBudget
+from damasklead.sharing import TIERS, ShareHolder
+
+__all__ = ["Attempt", "Options", "PoolDispatcher"]
+
+TOP_TIER = 1
+MAX_FAILURES = 4
+MAX_PREEMPTIONS = 3
+ISOLATED_CRASHES = 2
+FIRST_TOKEN_PATIENCE = 4.0  # multiples of the first-token target
+BROKEN_AVOID_SECONDS = 1.0
+REFUSED_AVOID_SECONDS = 0.2
+NO_UPSTREAM_SECONDS = 5.0
+RETRY_AFTER_FAILURE = 2.0  # seconds
+
+
+class Options(msgspec.Struct, kw_only=True, frozen=True):
+    """
+    Parts of the policy that a bench can switch off.
+
+    Attributes
+    ----------
+    preempt : bool
+        Whether running requests of lower tiers give way to waiting ones of higher
+        tiers.
+    move_from_stragglers : bool
+        Whether requests on an ejected replica go on elsewhere.
+    top_tier_beyond_share : bool
+        Whether the top tier may go beyond its share up to a replica's hard limit.
+    """
+
+    preempt: bool = True
+    move_from_stragglers: bool = True
+    top_tier_beyond_share: bool = True
+
+
+class Attempt(msgspec.Struct, kw_only=True):
+    """
+    A request that runs on a replica.
+
+    Attributes
+    ----------
+    preemptable : bool
+        Whether it can be cancelled and go on later without losing what was generated.
+    """
+
+    id: AttemptId
+    request: Request
+    replica: InstanceId
+    started_at: float
+    preemptable: bool
+    first_token_at: float | None = None
+    events: int = 0
+
+
+class PoolDispatcher:
+    """
+    The requests of one pool at one entry.
+
+    Parameters
+    ----------
+    pool : PoolId
+    service : Service
+    clock : Clock
+    data_centre : DataCentre
+        Where this entry is.
+    random_source : random.Random
+        Seeded differently in each entry.
+    costs : CostModel
+    quarantine : Quarantine
+    new_attempt_id : callable
+        Returns ids that no other attempt of any entry has.
+    options : Options
+    """
+
+    def __init__(
+        self,
+        *,
+        pool: PoolId,
+        service: Service,
+        clock: Clock,
+        data_centre: DataCentre,
+        random_source: random.Random,
+        costs: CostModel,
+        quarantine: Quarantine,
+        new_attempt_id: Callable[[], AttemptId],
+        options: Options | None = None,
+    ) -> None:
+        self.pool = pool
+        self.share = ShareHolder(clock=clock)
+        self.replicas = ReplicaChooser(
+            clock=clock, data_centre=data_centre, random_source=random_source
+        )
+        self.wasted_tokens = 0
+        self._service = service
+        self._clock = clock
+        self._costs = costs
+        self._quarantine = quarantine
+        self._new_attempt_id = new_attempt_id
+        self._options = options or Options()
+        self._queue = PoolQueue(clock=clock, costs=costs)
+        self._budget = RetryBudget()
+        self._attempts: dict[AttemptId, Attempt] = {}
+        self._running = [0] * (TIERS + 1)
+        self._entries = 1
+        self._replica_seen_at = clock.now()
+        self._preemptable: set[RequestId] = set()
+        self.configure(service)
+
+    @property
+    def attempts(self) -> dict[AttemptId, Attempt]:
+        """The attempts that run, by id."""
+        return self._attempts
+
+    @property
+    def queued(self) -> int:
+        """How many requests wait."""
+        return len(self._queue)
+
+    def configure(self, service: Service) -> None:
+        """Take the service's classes in force."""
+        self._service = service
+        self._queue.configure(service.classes)
+
+    def set_replicas(
+        self, replicas: Iterable[ReplicaInfo], *, entries: int
+    ) -> list[Action]:
+        """Take the replicas that may take new work and the number of entries."""
+        self.replicas.retain(replicas)
+        self._entries = max(1, entries)
+        self._budget.resize(max(BURST, float(self.replicas.capacity)))
+        return self._fill()
+
+    def take_grant(self, grant: Grant) -> list[Action]:
+        """Take a share from the coordinator."""
+        self.share.take(grant)
+        ejected = self.replicas.observe_loads(grant.replicas)
+        return [*self._leave_stragglers(ejected), *self._fill(), *self._yield_share()]
+
+    def demand(self) -> Demand:
+        """Return what to tell the coordinator."""
+        waiting = self._queue.waiting_by_tier()
+        return Demand(
+            pool=self.pool,
+            running=tuple(self._running[1:]),
+            waiting=tuple(waiting.get(tier, 0) for tier in range(1, TIERS + 1)),
+        )
+
+    def submit(self, request: Request, *, preemptable: bool = False) -> list[Action]:
+        """
+        Take in a request.
+
+        Parameters
+        ----------
+        preemptable : bool
+            Whether the request can be cancelled and go on later without loss.
+        """
+        if self._quarantine.is_named(request.fingerprint):
+            return [_refuse(request, Reason.QUARANTINED, retry_after=None)]
+        if preemptable:
+            self._preemptable.add(request.id)
+        actions: list[Action] = list(self._queue.push(request))
+        actions.extend(self._fill())
+        if request.id in self._queue:
+            actions.extend(self._make_room(request))
+        return actions
+
+    def abandon(self, request_id: RequestId) -> list[Action]:
+        """Take in that the caller has gone."""
+        if self._queue.remove(request_id):
+            self._preemptable.discard(request_id)
+            return []
+        for attempt in list(self._attempts.values()):
+            if attempt.request.id == request_id:
+                self.wasted_tokens += attempt.events
+                self._end(attempt)
+                self._preemptable.discard(request_id)
+                cancel = Cancel(
+                    request=attempt.request,
+                    attempt=attempt.id,
+                    replica=attempt.replica,
+                    requeued=False,
+                )
+                return [cancel, *self._fill()]
+        return []
+
+    def progress(self, attempt_id: AttemptId, *, events: int) -> list[Action]:
+        """
+        Take in that ``events`` more events of an attempt's answer have reached the
+        caller.
+        """
+        attempt = self._attempts.get(attempt_id)
+        if attempt is None or events <= 0:
+            return []
+        if attempt.first_token_at is None:
+            attempt.first_token_at = self._clock.now()
+            self.share.observe_latency(attempt.first_token_at - attempt.started_at)
+        attempt.events += events
+        attempt.request.generated += events
+        return []
+
+    def finish(self, attempt_id: AttemptId) -> list[Action]:
+        """Take in that an attempt's answer is whole."""
+        attempt = self._attempts.get(attempt_id)
+        if attempt is None:
+            return []
+        self._end(attempt)
+        request = attempt.request
+        self._preemptable.discard(request.id)
+        now = self._clock.now()
+        self._costs.learn(
+            request.request_class.name,
+            request.workspace,
+            tokens=request.generated,
+            seconds=now - attempt.started_at
+            if attempt.events == request.generated
+            else 0.0,
+        )
+        self._queue.correct(request, tokens=request.generated)
+        self._quarantine.clear(request.fingerprint)
+        ejected = self._observe_gap(attempt, now)
+        done = Finish(request=request, tokens=request.generated)
+        return [done, *self._leave_stragglers(ejected), *self._fill()]
+
+    def fail(self, attempt_id: AttemptId, failure: Failure) -> list[Action]:
+        """Take in that an attempt ended without a whole answer."""
+        attempt = self._attempts.get(attempt_id)
+        if attempt is None:
+            return []
+        self._end(attempt)
+        request = attempt.request
+        request.failures += 1
+        request.tried.append(attempt.replica)
+        request.may_have_run |= not failure.surely_unrun
+        avoid = (
+            REFUSED_AVOID_SECONDS
+            if failure is Failure.REFUSED
+            else BROKEN_AVOID_SECONDS
+        )
+        self.replicas.observe_failure(attempt.replica, seconds=avoid)
+        return [*self._after_failure(request, failure), *self._fill()]
+
+    def tick(self) -> list[Action]:
+        """
+        Let time pass: refuse what waited too long, give up on silent attempts, start
+        more.
+        """
+        actions: list[Action] = list(self._queue.expire())
+        for refused in actions:
+            self._preemptable.discard(refused.request.id)
+        actions.extend(self._check_patience())
+        actions.extend(self._check_upstreams())
+        actions.extend(self._fill())
+        return actions
+
+    def _after_failure(self, request: Request, failure: Failure) -> list[Action]:
+        if self._quarantine.is_named(request.fingerprint):
+            return [self._final(request, Reason.QUARANTINED)]
+        if not failure.surely_unrun and not request.request_class.may_repeat:
+            return [self._final(request, Reason.UPSTREAM_FAILED)]
+        if request.failures >= MAX_FAILURES or not self._may_retry(failure):
+            return [self._final(request, Reason.RETRIES_EXHAUSTED)]
+        self._queue.requeue(request)
+        return []
+
+    def _may_retry(self, failure: Failure) -> bool:
+        """
+        Tell whether a retry may follow; one that reached no upstream adds no load.
+        """
+        return failure is Failure.NOT_SENT or self._budget.take()
+
+    def _final(self, request: Request, reason: Reason) -> Refuse:
+        self._preemptable.discard(request.id)
+        retry_after = None if reason is Reason.QUARANTINED else RETRY_AFTER_FAILURE
+        return _refuse(request, reason, retry_after=retry_after)
+
+    def _fill(self) -> list[Action]:
+        """Start what may start now."""
+        actions: list[Action] = []
+        slots = self._slots()
+        total = float(sum(slots))
+        while len(self._queue):
+            request = self._queue.pop(
+                slots=total, admitted_tier=self._admitted_tier(slots)
+            )
+            if request is None:
+                break
+            if self._quarantine.is_named(request.fingerprint):
+                actions.append(_refuse(request, Reason.QUARANTINED, retry_after=None))
+                continue
+            replica = self._place(request)
+            if replica is None:
+                self._queue.requeue(request)
+                break
+            actions.append(self._start(request, replica))
+        return actions
+
+    def _place(self, request: Request) -> InstanceId | None:
+        beyond = request.tier == TOP_TIER and self._options.top_tier_beyond_share
+        avoid = self._suspect_replicas(request)
+        return self.replicas.choose(request, beyond_limit=beyond, avoid=avoid)
+
+    def _suspect_replicas(self, request: Request) -> frozenset[InstanceId]:
+        """
+        Return where a suspect of several crashes must not run: beside another suspect.
+        """
+        if self._quarantine.crashes(request.fingerprint) < ISOLATED_CRASHES:
+            return frozenset()
+        return frozenset(
+            attempt.replica
+            for attempt in self._attempts.values()
+            if self._quarantine.is_suspect(attempt.request.fingerprint)
+        )
+
+    def _start(self, request: Request, replica: InstanceId) -> Start:
+        now = self._clock.now()
+        attempt = Attempt(
+            id=self._new_attempt_id(),
+            request=request,
+            replica=replica,
+            started_at=now,
+            preemptable=request.id in self._preemptable,
+        )
+        if not request.started:
+            self._budget.record_first()
+        request.started += 1
+        self._attempts[attempt.id] = attempt
+        self._running[request.tier] += 1
+        self.replicas.started(replica, attempt.id)
+        return Start(request=request, attempt=attempt.id, replica=replica)
+
+    def _end(self, attempt: Attempt) -> None:
+        """Count an attempt as ended."""
+        del self._attempts[attempt.id]
+        self._running[attempt.request.tier] -= 1
+        self.replicas.ended(attempt.replica, attempt.id)
+
+    def _slots(self) -> tuple[int, ...]:
+        return self.share.slots(capacity=self.replicas.capacity, entries=self._entries)
+
+    def _admitted_tier(self, slots: tuple[int, ...]) -> int:
+        """
+        Return the lowest tier that may start: each may use the slots of those below it.
+        """
+        admitted = TOP_TIER if self._options.top_tier_beyond_share else 0
+        if sum(self._running) >= sum(slots):
+            return admitted
+        for tier in range(1, TIERS + 1):
+            if sum(self._running[tier:]) >= sum(slots[tier - 1 :]):
+                break
+            admitted = tier
+        return admitted
+
+    def _yield_share(self) -> list[Action]:
+        """
+        Preempt running requests below a tier that waits somewhere, down to the grant.
+        """
+        pressed = self.share.pressed_tier
+        if not pressed or not self._options.preempt:
+            return []
+        slots = self._slots()
+        excess = sum(self._running[pressed + 1 :]) - sum(slots[pressed:])
+        return self._preempt(below=pressed, count=excess)
+
+    def _make_room(self, request: Request) -> list[Action]:
+        """Preempt one lower request of this entry for one that found no slot."""
+        if not self._options.preempt:
+            return []
+        preempted = self._preempt(below=request.tier, count=1)
+        return [*preempted, *self._fill()] if preempted else []
+
+    def _preempt(self, *, below: int, count: int) -> list[Action]:
+        """
+        Cancel up to ``count`` attempts of tiers below one; they wait again and go on
+        later.
+        """
+        if count <= 0:
+            return []
+        victims = sorted(
+            (
+                item
+                for item in self._attempts.values()
+                if self._may_preempt(item, below)
+            ),
+            key=lambda item: (-item.request.tier, item.request.generated),
+        )
+        return [self._requeue_running(attempt) for attempt in victims[:count]]
+
+    def _may_preempt(self, attempt: Attempt, below: int) -> bool:
+        request = attempt.request
+        if request.tier <= below or not attempt.preemptable:
+            return False
+        return request.preemptions < MAX_PREEMPTIONS
+
+    def _requeue_running(self, attempt: Attempt) -> Cancel:
+        self._end(attempt)
+        attempt.request.preemptions += 1
+        attempt.request.may_have_run = True
+        self._queue.requeue(attempt.request)
+        return Cancel(
+            request=attempt.request,
+            attempt=attempt.id,
+            replica=attempt.replica,
+            requeued=True,
+        )
+
+    def _leave_stragglers(self, ejected: list[InstanceId]) -> list[Action]:
+        """Let requests on ejected replicas go on elsewhere."""
+        if not ejected or not self._options.move_from_stragglers:
+            return []
+        moved = [
+            attempt
+            for attempt in self._attempts.values()
+            if attempt.replica in ejected and self._may_preempt(attempt, 0)
+        ]
+        return [self._requeue_running(attempt) for attempt in moved]
+
+    def _check_patience(self) -> list[Action]:
+        """Start anew elsewhere what had no first token for long and may be repeated."""
+        if self._service.kind is not ServiceKind.ENGINE:
+            return []
+        now = self._clock.now()
+        actions: list[Action] = []
+        for attempt in list(self._attempts.values()):
+            target = attempt.request.request_class.first_token
+            if target is None or attempt.first_token_at is not None:
+                continue
+            overdue = now - attempt.started_at > FIRST_TOKEN_PATIENCE * target
+            if overdue and self._may_preempt(attempt, 0) and self._budget.take():
+                attempt.request.tried.append(attempt.replica)
+                actions.append(self._requeue_running(attempt))
+        return actions
+
+    def _check_upstreams(self) -> list[Action]:
+        """Refuse what waits while there has been no replica for some seconds."""
+        now = self._clock.now()
+        if self.replicas.instances or not len(self._queue):
+            self._replica_seen_at = now
+            return []
+        if now - self._replica_seen_at < NO_UPSTREAM_SECONDS:
+            return []
+        return [self._final_waiting(request) for request in self._queue.drain()]
+
+    def _final_waiting(self, request: Request) -> Refuse:
+        self._preemptable.discard(request.id)
+        return _refuse(request, Reason.NO_UPSTREAM, retry_after=NO_UPSTREAM_SECONDS)
+
+    def _observe_gap(self, attempt: Attempt, now: float) -> list[InstanceId]:
+        if attempt.first_token_at is None or attempt.events < 2:
+            return []
+        gap = (now - attempt.first_token_at) / (attempt.events - 1)
+        return self.replicas.observe_gap(attempt.replica, gap)
+
+
+def _refuse(request: Request, reason: Reason, *, retry_after: float | None) -> Refuse:
+    return Refuse(
+        request=request,
+        reason=reason,
+        outcome=request.unanswered_outcome,
+        retry_after=retry_after,
+    )
--- /dev/null
+++ b/damasklead/drains.py
@@ -0,0 +1,30 @@
+"""
+Drains
+======
+
+An operator's word that an upstream or entry is leaving, as a row of the table service.
+"""
+
+import msgspec
+
+from damasklead.audit import AuditEvent, audit_put
+from damasklead.ids import Incarnation, InstanceId
+from damasklead.platform.base import Commit, Put
+
+__all__ = ["DRAINS_TABLE", "Drain", "drain_commit"]
+
+DRAINS_TABLE = "drains"
+
+
+class Drain(msgspec.Struct, kw_only=True, frozen=True):
+    """An incarnation that must get no new work."""
+
+    instance: InstanceId
+    incarnation: Incarnation
+    who: str
+
+
+def drain_commit(drain: Drain, *, event: AuditEvent) -> Commit:
+    """Return the commit that drains an instance and records it in the audit trail."""
+    row = Put(table=DRAINS_TABLE, key=drain.instance, value=msgspec.json.encode(drain))
+    return Commit(conditions=(), writes=(row, audit_put(event)))
--- /dev/null
+++ b/damasklead/manifest.py
@@ -0,0 +1,376 @@
+"""
+Published configuration
+=======================
+
+A manifest row names the version in force and the digests of its files in the object
+store.
+
+A publisher moves the manifest by a conditional write on the version it was based on.  A
+follower only ever takes a higher version.
+"""
+
+import hashlib
+from collections.abc import Iterable, Mapping
+
+import msgspec
+from result import Err, Ok
+
+from damasklead.audit import AuditEvent, audit_put
+from damasklead.configuration import Configuration, build_configuration
+from damasklead.findings import Findings
+from damasklead.ids import AttemptId, Incarnation, InstanceId
+from damasklead.platform.base import (
+    ABSENT,
+    Commit,
+    Committed,
+    Condition,
+    Put,
+    Row,
+    StoreError,
+)
+from damasklead.protocol import GetObject, PutObject, ReadRows, Steps
+
+__all__ = [
+    "CONFIGURATION_TABLE",
+    "ConfigurationHolder",
+    "Manifest",
+    "Published",
+    "PublishConflict",
+    "PublishFailed",
+    "PublishRefused",
+    "Publication",
+    "decode_manifest",
+    "digest_text",
+    "fetch",
+    "publish",
+    "read_manifest",
+    "read_versions",
+    "report_version",
+]
+
+CONFIGURATION_TABLE = "configuration"
+REPORTS_TABLE = "configuration-reports"
+MANIFEST_KEY = "manifest"
+READ_BACKS = 5
+
+
+class Manifest(msgspec.Struct, kw_only=True, frozen=True):
+    """
+    The configuration in force.
+
+    Attributes
+    ----------
+    version : int
+        Grows by one with each publication.
+    files : dict
+        SHA-256 in hexadecimal, the object's name, by file name.
+    publication : str
+        The id of the publication that made it.
+    """
+
+    version: int
+    files: dict[str, str]
+    publication: AttemptId
+    who: str
+
+
+class Publication(msgspec.Struct, kw_only=True, frozen=True):
+    """
+    A change that an operator asks for.
+
+    Attributes
+    ----------
+    id : str
+        Unique to this publication.
+    files : dict
+        Content by file name, to be added or replaced.
+    removed : tuple of str
+        Names of files to be removed.
+    based_on : int or None
+        The version that the operator saw; ``None`` takes the version found at the
+        start.
+    at : float
+        Wall-clock seconds for the audit trail.
+    """
+
+    id: AttemptId
+    who: str
+    files: dict[str, str]
+    removed: tuple[str, ...] = ()
+    based_on: int | None = None
+    at: float = 0.0
+
+
+class Published(msgspec.Struct, kw_only=True, frozen=True):
+    """The publication is in force as ``version``."""
+
+    version: int
+
+
+class PublishConflict(msgspec.Struct, kw_only=True, frozen=True):
+    """Another publication came first; nothing was changed."""
+
+    version: int
+    who: str
+
+
+class PublishRefused(msgspec.Struct, kw_only=True):
+    """The whole has findings; nothing was changed."""
+
+    findings: Findings
+
+
+class PublishFailed(msgspec.Struct, kw_only=True, frozen=True):
+    """
+    The store failed; ``maybe_published`` tells whether the change may have taken
+    effect.
+    """
+
+    maybe_published: bool
+
+
+PublishResult = Published | PublishConflict | PublishRefused | PublishFailed
+Bundle = dict[str, str]
+
+
+def read_manifest() -> Steps[Row | StoreError | None]:
+    """Read the manifest's row; ``None`` when nothing was published yet."""
+    result = yield ReadRows(table=CONFIGURATION_TABLE, keys=(MANIFEST_KEY,))
+    if isinstance(result, Err):
+        return result.err_value
+    rows: tuple[Row, ...] = result.ok_value
+    return rows[0] if rows else None
+
+
+def decode_manifest(row: Row) -> Manifest:
+    """Return the manifest in a row."""
+    return msgspec.json.decode(row.value, type=Manifest)
+
+
+def fetch(manifest: Manifest, *, known: Mapping[str, str]) -> Steps[Bundle | None]:
+    """
+    Fetch the files of a manifest.
+
+    Parameters
+    ----------
+    known : mapping
+        Content by digest of files that need not be fetched again.
+
+    Returns
+    -------
+    dict or None
+        Content by file name, or ``None`` when an object could not be had whole.
+    """
+    files: Bundle = {}
+    for name, digest in manifest.files.items():
+        text = known.get(digest)
+        if text is None:
+            result = yield GetObject(name=digest)
+            if isinstance(result, Err) or result.ok_value is None:
+                return None
+            if hashlib.sha256(result.ok_value).hexdigest() != digest:
+                return None
+            text = result.ok_value.decode()
+        files[name] = text
+    return files
+
+
+def publish(publication: Publication) -> Steps[PublishResult]:
+    """Put a change into force, or say why not."""
+    row = yield from read_manifest()
+    if isinstance(row, StoreError):
+        return PublishFailed(maybe_published=False)
+    base = None if row is None else decode_manifest(row)
+    base_version = 0 if base is None else base.version
+    if publication.based_on is not None and publication.based_on != base_version:
+        return PublishConflict(
+            version=base_version, who="" if base is None else base.who
+        )
+    merged = yield from _merge(publication, base)
+    if merged is None:
+        return PublishFailed(maybe_published=False)
+    findings = Findings()
+    if build_configuration(merged, version=base_version + 1, findings=findings) is None:
+        return PublishRefused(findings=findings)
+    manifest = Manifest(
+        version=base_version + 1,
+        files={name: digest_text(text) for name, text in merged.items()},
+        publication=publication.id,
+        who=publication.who,
+    )
+    if not (yield from _store_files(merged)):
+        return PublishFailed(maybe_published=False)
+    result = yield _move(
+        manifest, ABSENT if row is None else row.version, base, publication
+    )
+    if isinstance(result, Ok) and isinstance(result.ok_value, Committed):
+        return Published(version=manifest.version)
+    if result == Err(StoreError.UNAVAILABLE):
+        return PublishFailed(maybe_published=False)
+    return (yield from _read_back(manifest))
+
+
+class VersionReport(msgspec.Struct, kw_only=True, frozen=True):
+    """The version that an entry has in force."""
+
+    instance: InstanceId
+    incarnation: Incarnation
+    version: int
+
+
+def report_version(
+    instance: InstanceId, incarnation: Incarnation, version: int
+) -> Steps[bool]:
+    """
+    Store which version an entry has in force; returns whether that surely took effect.
+    """
+    report = VersionReport(instance=instance, incarnation=incarnation, version=version)
+    write = Put(table=REPORTS_TABLE, key=instance, value=msgspec.json.encode(report))
+    result = yield Commit(conditions=(), writes=(write,))
+    return isinstance(result, Ok)
+
+
+def read_versions(
+    instances: Iterable[InstanceId],
+) -> Steps[dict[InstanceId, int] | None]:
+    """
+    Return the reported version by entry, or ``None`` when the store does not answer.
+    """
+    result = yield ReadRows(table=REPORTS_TABLE, keys=tuple(instances))
+    if isinstance(result, Err):
+        return None
+    reports = [
+        msgspec.json.decode(row.value, type=VersionReport) for row in result.ok_value
+    ]
+    return {report.instance: report.version for report in reports}
+
+
+class ConfigurationHolder:
+    """The configuration in force in one process; its version never goes back."""
+
+    def __init__(self) -> None:
+        self._configuration: Configuration | None = None
+        self._files: Bundle = {}
+
+    @property
+    def version(self) -> int:
+        """The version in force, 0 when there is none yet."""
+        return 0 if self._configuration is None else self._configuration.version
+
+    @property
+    def configuration(self) -> Configuration | None:
+        """The configuration in force."""
+        return self._configuration
+
+    @property
+    def files(self) -> Bundle:
+        """The files in force by name."""
+        return self._files
+
+    def known(self) -> dict[str, str]:
+        """Return the files in force by digest."""
+        return {digest_text(text): text for text in self._files.values()}
+
+    def offer(self, files: Bundle, *, version: int) -> bool:
+        """
+        Take a version if it is higher than the one in force; returns whether it was
+        taken.
+        """
+        if version <= self.version:
+            return False
+        configuration = build_configuration(files, version=version, findings=Findings())
+        if configuration is None:
+            return False
+        self._configuration = configuration
+        self._files = dict(files)
+        return True
+
+
+def digest_text(text: str) -> str:
+    """Return the name of a file's object: its SHA-256 in hexadecimal."""
+    return hashlib.sha256(text.encode()).hexdigest()
+
+
+def _merge(publication: Publication, base: Manifest | None) -> Steps[Bundle | None]:
+    """
+    Return the files after the change, or ``None`` when the present ones can't be had.
+    """
+    merged: Bundle = {}
+    if base is not None:
+        kept = {
+            name: digest
+            for name, digest in base.files.items()
+            if name not in publication.files and name not in publication.removed
+        }
+        present = yield from fetch(msgspec.structs.replace(base, files=kept), known={})
+        if present is None:
+            return None
+        merged.update(present)
+    merged.update(publication.files)
+    return merged
+
+
+def _store_files(files: Bundle) -> Steps[bool]:
+    for text in files.values():
+        result = yield PutObject(name=digest_text(text), content=text.encode())
+        if isinstance(result, Err):
+            return False
+    return True
+
+
+def _move(
+    manifest: Manifest,
+    row_version: int,
+    base: Manifest | None,
+    publication: Publication,
+) -> Commit:
+    """
+    Return the commit that moves the manifest and records it in history and audit trail.
+    """
+    content = msgspec.json.encode(manifest)
+    before = "nothing" if base is None else f"version {base.version}"
+    event = AuditEvent(
+        id=publication.id,
+        at=publication.at,
+        who=publication.who,
+        action="publish",
+        subject=", ".join(
+            [*sorted(publication.files), *(f"-{n}" for n in publication.removed)]
+        ),
+        before=before,
+        after=f"version {manifest.version}",
+    )
+    return Commit(
+        conditions=(
+            Condition(table=CONFIGURATION_TABLE, key=MANIFEST_KEY, version=row_version),
+        ),
+        writes=(
+            Put(table=CONFIGURATION_TABLE, key=MANIFEST_KEY, value=content),
+            Put(
+                table=CONFIGURATION_TABLE,
+                key=_history_key(manifest.version),
+                value=content,
+            ),
+            audit_put(event),
+        ),
+    )
+
+
+def _read_back(manifest: Manifest) -> Steps[PublishResult]:
+    """Find out by the history row of the version whether a move took effect."""
+    history_key = _history_key(manifest.version)
+    for _ in range(READ_BACKS):
+        result = yield ReadRows(table=CONFIGURATION_TABLE, keys=(history_key,))
+        if isinstance(result, Err):
+            continue
+        if not result.ok_value:
+            continue
+        found = decode_manifest(result.ok_value[0])
+        if found.publication == manifest.publication:
+            return Published(version=manifest.version)
+        return PublishConflict(version=found.version, who=found.who)
+    return PublishFailed(maybe_published=True)
+
+
+def _history_key(version: int) -> str:
+    return f"history/{version:012d}"
--- /dev/null
+++ b/damasklead/platform/http.py
@@ -0,0 +1,224 @@
+"""
+Platform over HTTP
+==================
+
+The platform's services as JSON documents posted over HTTP.
+"""
+
+from typing import Any, TypeVar
+
+import msgspec
+from geventhttpclient import HTTPClient
+from result import Err, Ok, Result
+
+from damasklead.ids import InstanceId
+from damasklead.platform.base import (
+    Commit,
+    Committed,
+    Conflict,
+    InstanceList,
+    InstanceRecord,
+    ObjectStore,
+    Platform,
+    Row,
+    StoreError,
+    TableService,
+)
+from damasklead.util import split_address
+
+__all__ = [
+    "AnnounceCall",
+    "CommitCall",
+    "GetCall",
+    "HttpPlatformClient",
+    "ListCall",
+    "PutCall",
+    "ReadCall",
+    "ScanCall",
+    "WithdrawCall",
+    "http_platform",
+]
+
+CONNECT_TIMEOUT = 0.5  # seconds
+ANSWER_TIMEOUT = 2.0  # seconds
+CONNECTIONS = 8
+T = TypeVar("T")
+
+
+class ReadCall(msgspec.Struct, kw_only=True, tag="read"):
+    """Arguments of ``TableService.read``."""
+
+    table: str
+    keys: tuple[str, ...]
+
+
+class ScanCall(msgspec.Struct, kw_only=True, tag="scan"):
+    """Arguments of ``TableService.scan``."""
+
+    table: str
+    prefix: str
+    after: str
+    limit: int
+
+
+class CommitCall(msgspec.Struct, kw_only=True, tag="commit"):
+    """Arguments of ``TableService.commit``."""
+
+    commit: Commit
+
+
+class PutCall(msgspec.Struct, kw_only=True, tag="put-object"):
+    """Arguments of ``ObjectStore.put``."""
+
+    name: str
+    content: bytes
+
+
+class GetCall(msgspec.Struct, kw_only=True, tag="get-object"):
+    """Arguments of ``ObjectStore.get``."""
+
+    name: str
+
+
+class ListCall(msgspec.Struct, kw_only=True, tag="list-instances"):
+    """Arguments of ``InstanceList.list``."""
+
+
+class AnnounceCall(msgspec.Struct, kw_only=True, tag="announce"):
+    """Arguments of ``InstanceList.announce``."""
+
+    record: InstanceRecord
+
+
+class WithdrawCall(msgspec.Struct, kw_only=True, tag="withdraw"):
+    """Arguments of ``InstanceList.withdraw``."""
+
+    instance: InstanceId
+
+
+Call = (
+    ReadCall
+    | ScanCall
+    | CommitCall
+    | PutCall
+    | GetCall
+    | ListCall
+    | AnnounceCall
+    | WithdrawCall
+)
+
+
+class HttpPlatformClient:
+    """
+    Posts calls to the platform.
+
+    Parameters
+    ----------
+    address : str
+        ``ip:port`` of the platform.
+    """
+
+    def __init__(self, *, address: str) -> None:
+        host, port = split_address(address)
+        self._client = HTTPClient(
+            host,
+            port,
+            concurrency=CONNECTIONS,
+            connection_timeout=CONNECT_TIMEOUT,
+            network_timeout=ANSWER_TIMEOUT,
+        )
+
+    def call(self, call: Call, answer_type: Any) -> Result[Any, StoreError]:
+        """
+        Post one call.
+
+        Returns
+        -------
+        Result
+            ``Err(UNAVAILABLE)`` when no connection could be made or the platform
+            refused; ``Err(UNKNOWN)`` when the answer was lost.
+        """
+        body = msgspec.json.encode(call)
+        try:
+            response = self._client.post("/call", body=body)
+            content = bytes(response.read())
+        except ConnectionRefusedError:
+            return Err(StoreError.UNAVAILABLE)
+        except Exception:
+            return Err(StoreError.UNKNOWN)
+        if response.status_code == 503:
+            return Err(StoreError.UNAVAILABLE)
+        if response.status_code != 200:
+            return Err(StoreError.UNKNOWN)
+        try:
+            return Ok(msgspec.json.decode(content, type=answer_type))
+        except msgspec.DecodeError:
+            return Err(StoreError.UNKNOWN)
+
+
+class HttpTableService(TableService):
+    """Tables over HTTP."""
+
+    def __init__(self, *, client: HttpPlatformClient) -> None:
+        self._client = client
+
+    def read(
+        self, table: str, keys: tuple[str, ...]
+    ) -> Result[tuple[Row, ...], StoreError]:
+        """Return the rows that exist among ``keys``."""
+        return self._client.call(ReadCall(table=table, keys=keys), tuple[Row, ...])
+
+    def scan(
+        self, table: str, *, prefix: str = "", after: str = "", limit: int = 100
+    ) -> Result[tuple[Row, ...], StoreError]:
+        """Return up to ``limit`` rows in key order whose key starts with ``prefix``."""
+        call = ScanCall(table=table, prefix=prefix, after=after, limit=limit)
+        return self._client.call(call, tuple[Row, ...])
+
+    def commit(self, commit: Commit) -> Result[Committed | Conflict, StoreError]:
+        """Apply a commit."""
+        return self._client.call(CommitCall(commit=commit), Committed | Conflict)
+
+
+class HttpObjectStore(ObjectStore):
+    """Objects over HTTP."""
+
+    def __init__(self, *, client: HttpPlatformClient) -> None:
+        self._client = client
+
+    def put(self, name: str, content: bytes) -> Result[None, StoreError]:
+        """Store an object."""
+        return self._client.call(PutCall(name=name, content=content), None)
+
+    def get(self, name: str) -> Result[bytes | None, StoreError]:
+        """Return an object's content, or ``None`` when there is none."""
+        return self._client.call(GetCall(name=name), bytes | None)
+
+
+class HttpInstanceList(InstanceList):
+    """The instance list over HTTP."""
+
+    def __init__(self, *, client: HttpPlatformClient) -> None:
+        self._client = client
+
+    def list(self) -> Result[tuple[InstanceRecord, ...], StoreError]:
+        """Return all instances."""
+        return self._client.call(ListCall(), tuple[InstanceRecord, ...])
+
+    def announce(self, record: InstanceRecord) -> Result[None, StoreError]:
+        """Enter or update an instance."""
+        return self._client.call(AnnounceCall(record=record), None)
+
+    def withdraw(self, instance: InstanceId) -> Result[None, StoreError]:
+        """Remove an instance."""
+        return self._client.call(WithdrawCall(instance=instance), None)
+
+
+def http_platform(*, address: str) -> Platform:
+    """Return the platform at ``address``."""
+    client = HttpPlatformClient(address=address)
+    return Platform(
+        tables=HttpTableService(client=client),
+        objects=HttpObjectStore(client=client),
+        instances=HttpInstanceList(client=client),
+    )
--- /dev/null
+++ b/damasklead/platform/memory.py
@@ -0,0 +1,202 @@
+"""
+In-memory platform
+==================
+
+The embedded default and the store behind the platform stand-in, with faults to be
+switched on.
+"""
+
+import bisect
+
+import msgspec
+from result import Err, Ok, Result
+
+from damasklead.ids import InstanceId
+from damasklead.platform.base import (
+    ABSENT,
+    Commit,
+    Committed,
+    Condition,
+    Conflict,
+    Delete,
+    InstanceList,
+    InstanceRecord,
+    ObjectStore,
+    Platform,
+    Row,
+    StoreError,
+    TableService,
+)
+
+__all__ = [
+    "Faults",
+    "MemoryInstanceList",
+    "MemoryObjectStore",
+    "MemoryTableService",
+    "memory_platform",
+]
+
+
+class Faults(msgspec.Struct, kw_only=True):
+    """
+    What is wrong with a platform at the moment.
+
+    Attributes
+    ----------
+    down : bool
+        Every call fails without effect.
+    lose_answers : int
+        How many of the next commits take effect although their answer is lost.
+    list_frozen : bool
+        The instance list shows what it showed when the fault began.
+    delay : float
+        Seconds by which the stand-in process delays each answer.
+    """
+
+    down: bool = False
+    lose_answers: int = 0
+    list_frozen: bool = False
+    delay: float = 0.0
+
+
+class MemoryTableService(TableService):
+    """Tables in memory; ``reads`` and ``writes`` count the calls that arrived."""
+
+    def __init__(self, *, faults: Faults) -> None:
+        self.reads = 0
+        self.writes = 0
+        self._faults = faults
+        self._tables: dict[str, dict[str, Row]] = {}
+        self._keys: dict[str, list[str]] = {}
+        self._version = ABSENT
+
+    def read(
+        self, table: str, keys: tuple[str, ...]
+    ) -> Result[tuple[Row, ...], StoreError]:
+        """Return the rows that exist among ``keys``."""
+        self.reads += 1
+        if self._faults.down:
+            return Err(StoreError.UNAVAILABLE)
+        rows = self._tables.get(table, {})
+        return Ok(tuple(rows[key] for key in keys if key in rows))
+
+    def scan(
+        self, table: str, *, prefix: str = "", after: str = "", limit: int = 100
+    ) -> Result[tuple[Row, ...], StoreError]:
+        """Return up to ``limit`` rows in key order whose key starts with ``prefix``."""
+        self.reads += 1
+        if self._faults.down:
+            return Err(StoreError.UNAVAILABLE)
+        keys = self._keys.get(table, [])
+        start = (
+            bisect.bisect_right(keys, after)
+            if after
+            else bisect.bisect_left(keys, prefix)
+        )
+        rows = self._tables.get(table, {})
+        found = [
+            rows[key] for key in keys[start : start + limit] if key.startswith(prefix)
+        ]
+        return Ok(tuple(found))
+
+    def commit(self, commit: Commit) -> Result[Committed | Conflict, StoreError]:
+        """Apply a commit, or lose its answer when told to."""
+        self.writes += 1
+        if self._faults.down:
+            return Err(StoreError.UNAVAILABLE)
+        outcome = self._apply(commit)
+        if self._faults.lose_answers > 0:
+            self._faults.lose_answers -= 1
+            return Err(StoreError.UNKNOWN)
+        return Ok(outcome)
+
+    def _apply(self, commit: Commit) -> Committed | Conflict:
+        if not all(self._holds(condition) for condition in commit.conditions):
+            current = (self._row(item.table, item.key) for item in commit.conditions)
+            return Conflict(rows=tuple(row for row in current if row is not None))
+        self._version += 1
+        for write in commit.writes:
+            rows = self._tables.setdefault(write.table, {})
+            keys = self._keys.setdefault(write.table, [])
+            if isinstance(write, Delete):
+                if rows.pop(write.key, None) is not None:
+                    keys.pop(bisect.bisect_left(keys, write.key))
+                continue
+            if write.key not in rows:
+                bisect.insort(keys, write.key)
+            rows[write.key] = Row(
+                table=write.table,
+                key=write.key,
+                value=write.value,
+                version=self._version,
+            )
+        return Committed(version=self._version)
+
+    def _holds(self, condition: Condition) -> bool:
+        row = self._row(condition.table, condition.key)
+        return condition.version == (ABSENT if row is None else row.version)
+
+    def _row(self, table: str, key: str) -> Row | None:
+        return self._tables.get(table, {}).get(key)
+
+
+class MemoryObjectStore(ObjectStore):
+    """Objects in memory."""
+
+    def __init__(self, *, faults: Faults) -> None:
+        self._faults = faults
+        self._objects: dict[str, bytes] = {}
+
+    def put(self, name: str, content: bytes) -> Result[None, StoreError]:
+        """Store an object."""
+        if self._faults.down:
+            return Err(StoreError.UNAVAILABLE)
+        self._objects[name] = content
+        return Ok(None)
+
+    def get(self, name: str) -> Result[bytes | None, StoreError]:
+        """Return an object's content, or ``None`` when there is none."""
+        if self._faults.down:
+            return Err(StoreError.UNAVAILABLE)
+        return Ok(self._objects.get(name))
+
+
+class MemoryInstanceList(InstanceList):
+    """An instance list in memory that can be frozen."""
+
+    def __init__(self, *, faults: Faults) -> None:
+        self._faults = faults
+        self._records: dict[InstanceId, InstanceRecord] = {}
+        self._shown: tuple[InstanceRecord, ...] = ()
+
+    def list(self) -> Result[tuple[InstanceRecord, ...], StoreError]:
+        """Return all instances, as they were when the list was frozen if it is."""
+        if self._faults.down:
+            return Err(StoreError.UNAVAILABLE)
+        if not self._faults.list_frozen:
+            self._shown = tuple(self._records.values())
+        return Ok(self._shown)
+
+    def announce(self, record: InstanceRecord) -> Result[None, StoreError]:
+        """Enter or update an instance."""
+        if self._faults.down:
+            return Err(StoreError.UNAVAILABLE)
+        self._records[record.instance] = record
+        return Ok(None)
+
+    def withdraw(self, instance: InstanceId) -> Result[None, StoreError]:
+        """Remove an instance."""
+        if self._faults.down:
+            return Err(StoreError.UNAVAILABLE)
+        self._records.pop(instance, None)
+        return Ok(None)
+
+
+def memory_platform(*, faults: Faults | None = None) -> Platform:
+    """Return a platform whose services share one set of faults."""
+    shared = faults or Faults()
+    return Platform(
+        tables=MemoryTableService(faults=shared),
+        objects=MemoryObjectStore(faults=shared),
+        instances=MemoryInstanceList(faults=shared),
+    )
--- /dev/null
+++ b/damasklead/replicas.py
@@ -0,0 +1,258 @@
+"""
+Choice of a replica
+===================
+
+Scores the replicas of a pool by load, speed, prefix cache and distance, and ejects
+stragglers.
+"""
+
+import random
+import statistics
+from collections.abc import Iterable
+
+import msgspec
+
+from damasklead.clock import Clock
+from damasklead.ids import AttemptId, DataCentre, InstanceId
+from damasklead.learning import MovingAverage
+from damasklead.messages import ReplicaLoad
+from damasklead.requests import Request
+from damasklead.util import stable_hash
+
+__all__ = ["ReplicaChooser", "ReplicaInfo"]
+
+DEFAULT_LIMIT = 16
+SAMPLED = 4
+PREFIX_FAVOURITES = 2
+PREFIX_BONUS = 0.2
+OTHER_CENTRE_COST = 0.15
+TRIED_COST = 10.0
+STRAGGLER_RATIO = 2.0
+MAX_EJECTED_FRACTION = 0.34
+EJECT_SECONDS = 10.0
+MIN_GAP_SAMPLES = 3
+MICROSECONDS = 1_000_000
+GAP_RATE = 0.3
+
+
+class ReplicaInfo(msgspec.Struct, kw_only=True, frozen=True):
+    """A replica that may take work: its id, place and loaded models (empty: any)."""
+
+    instance: InstanceId
+    data_centre: DataCentre
+    models: tuple[str, ...] = ()
+
+
+class _Replica(msgspec.Struct, kw_only=True):
+    info: ReplicaInfo
+    limit: int = DEFAULT_LIMIT
+    hard_limit: int = DEFAULT_LIMIT
+    reported: int = 0
+    own_at_report: int = 0
+    gap: MovingAverage = msgspec.field(
+        default_factory=lambda: MovingAverage(value=0.0, rate=GAP_RATE)
+    )
+    ejected_until: float = 0.0
+    broken_until: float = 0.0
+    own: set[AttemptId] = msgspec.field(default_factory=set)
+
+    @property
+    def load(self) -> int:
+        """Estimated requests there: the report, corrected by our own since."""
+        own = len(self.own)
+        return max(own, self.reported - self.own_at_report + own)
+
+
+class ReplicaChooser:
+    """
+    The replicas of one pool as one entry sees them.
+
+    Parameters
+    ----------
+    clock : Clock
+    data_centre : DataCentre
+        Where this entry is; replicas there are preferred.
+    random_source : random.Random
+        Differs between entries, so that they do not all follow the same stale report.
+    """
+
+    def __init__(
+        self, *, clock: Clock, data_centre: DataCentre, random_source: random.Random
+    ) -> None:
+        self._clock = clock
+        self._data_centre = data_centre
+        self._random = random_source
+        self._replicas: dict[InstanceId, _Replica] = {}
+
+    @property
+    def capacity(self) -> int:
+        """The slots of all replicas, as far as known."""
+        return sum(replica.limit for replica in self._replicas.values())
+
+    @property
+    def instances(self) -> list[InstanceId]:
+        """The replicas that may take work."""
+        return list(self._replicas)
+
+    def retain(self, replicas: Iterable[ReplicaInfo]) -> None:
+        """Take the replicas that may take new work; others take none from now on."""
+        known = self._replicas
+        self._replicas = {}
+        for info in replicas:
+            replica = known.get(info.instance) or _Replica(info=info)
+            replica.info = info
+            self._replicas[info.instance] = replica
+
+    def observe_loads(self, loads: Iterable[ReplicaLoad]) -> list[InstanceId]:
+        """Take in reported loads; returns the replicas that are ejected by them."""
+        for load in loads:
+            replica = self._replicas.get(load.instance)
+            if replica is None:
+                continue
+            replica.reported = load.load
+            replica.own_at_report = len(replica.own)
+            replica.limit = max(1, load.limit)
+            replica.hard_limit = max(1, load.hard_limit)
+            if load.gap_us:
+                replica.gap.add(load.gap_us / MICROSECONDS)
+        return self._eject_stragglers()
+
+    def observe_gap(self, instance: InstanceId, seconds: float) -> list[InstanceId]:
+        """
+        Take in a measured time between tokens; returns the replicas that are ejected.
+        """
+        replica = self._replicas.get(instance)
+        if replica is not None and seconds > 0:
+            replica.gap.add(seconds)
+        return self._eject_stragglers()
+
+    def observe_failure(self, instance: InstanceId, *, seconds: float) -> None:
+        """Avoid a replica that failed for some seconds."""
+        replica = self._replicas.get(instance)
+        if replica is not None:
+            replica.broken_until = self._clock.now() + seconds
+
+    def started(self, instance: InstanceId, attempt: AttemptId) -> None:
+        """Count an attempt as running."""
+        replica = self._replicas.get(instance)
+        if replica is not None:
+            replica.own.add(attempt)
+
+    def ended(self, instance: InstanceId, attempt: AttemptId) -> None:
+        """Count an attempt as ended."""
+        replica = self._replicas.get(instance)
+        if replica is not None:
+            replica.own.discard(attempt)
+
+    def choose(
+        self,
+        request: Request,
+        *,
+        beyond_limit: bool,
+        avoid: frozenset[InstanceId] = frozenset(),
+    ) -> InstanceId | None:
+        """
+        Return the replica for a request, or ``None`` when none has room.
+
+        Parameters
+        ----------
+        beyond_limit : bool
+            Whether the request may go beyond the limit for targets, up to the hard
+            limit.
+        avoid : frozenset
+            Replicas that must not take this request.
+        """
+        open_replicas = [
+            replica
+            for instance, replica in self._replicas.items()
+            if instance not in avoid and self._has_room(replica, request, beyond_limit)
+        ]
+        if not open_replicas:
+            return None
+        sampled = self._sample(open_replicas, request)
+        favourites = self._favourites(request)
+        best = min(sampled, key=lambda item: self._score(item, request, favourites))
+        return best.info.instance
+
+    def _has_room(
+        self, replica: _Replica, request: Request, beyond_limit: bool
+    ) -> bool:
+        now = self._clock.now()
+        if now < replica.broken_until or now < replica.ejected_until:
+            return False
+        if (
+            replica.info.models
+            and request.model
+            and request.model not in replica.info.models
+        ):
+            return False
+        return replica.load < (replica.hard_limit if beyond_limit else replica.limit)
+
+    def _sample(self, replicas: list[_Replica], request: Request) -> list[_Replica]:
+        if len(replicas) <= SAMPLED:
+            return replicas
+        chosen = self._random.sample(replicas, SAMPLED)
+        favourites = self._favourites(request)
+        chosen.extend(item for item in replicas if item.info.instance in favourites)
+        return chosen
+
+    def _favourites(self, request: Request) -> frozenset[InstanceId]:
+        """Return the replicas that all entries prefer for the request's prefix."""
+        if not request.prefix:
+            return frozenset()
+        ranked = sorted(
+            self._replicas,
+            key=lambda item: stable_hash(request.prefix, item),
+            reverse=True,
+        )
+        return frozenset(ranked[:PREFIX_FAVOURITES])
+
+    def _score(
+        self, replica: _Replica, request: Request, favourites: frozenset[InstanceId]
+    ) -> float:
+        score = (replica.load + 1) / replica.limit * self._slowness(replica)
+        if replica.info.data_centre != self._data_centre:
+            score += OTHER_CENTRE_COST
+        if replica.info.instance in favourites:
+            score -= PREFIX_BONUS
+        if replica.info.instance in request.tried:
+            score += TRIED_COST
+        return score + self._random.random() * 0.01
+
+    def _slowness(self, replica: _Replica) -> float:
+        median = self._median_gap()
+        if median <= 0 or replica.gap.count < MIN_GAP_SAMPLES:
+            return 1.0
+        return max(0.5, replica.gap.value / median)
+
+    def _median_gap(self) -> float:
+        gaps = [
+            replica.gap.value
+            for replica in self._replicas.values()
+            if replica.gap.count >= MIN_GAP_SAMPLES
+        ]
+        return statistics.median(gaps) if len(gaps) >= 2 else 0.0
+
+    def _eject_stragglers(self) -> list[InstanceId]:
+        median = self._median_gap()
+        if median <= 0:
+            return []
+        now = self._clock.now()
+        allowed = int(MAX_EJECTED_FRACTION * len(self._replicas))
+        ejected = sum(
+            1 for replica in self._replicas.values() if now < replica.ejected_until
+        )
+        newly: list[InstanceId] = []
+        for instance, replica in self._replicas.items():
+            slow = replica.gap.value > STRAGGLER_RATIO * median
+            if (
+                not slow
+                or replica.gap.count < MIN_GAP_SAMPLES
+                or now < replica.ejected_until
+            ):
+                continue
+            if ejected + len(newly) < allowed:
+                replica.ejected_until = now + EJECT_SECONDS
+                replica.gap = MovingAverage(value=0.0, rate=GAP_RATE)
+                newly.append(instance)
+        return newly
--- /dev/null
+++ b/damasklead/util.py
@@ -0,0 +1,37 @@
+"""
+Utilities
+=========
+
+Small functions that several modules use.
+"""
+
+import hashlib
+import uuid
+
+__all__ = ["new_id", "split_address", "stable_hash"]
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """
+    Split ``ip:port``.
+
+    Examples
+    --------
+    >>> split_address("127.0.0.1:8080")
+    ('127.0.0.1', 8080)
+    >>> split_address("[::1]:8080")
+    ('::1', 8080)
+    """
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
+def stable_hash(*parts: str) -> int:
+    """Return a 64-bit hash that is the same in every process."""
+    digest = hashlib.blake2b("\x00".join(parts).encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big")
+
+
+def new_id() -> str:
+    """Return a random identifier of 32 hexadecimal digits."""
+    return uuid.uuid4().hex
--- /dev/null
+++ b/models/__init__.py
@@ -0,0 +1,6 @@
+"""
+Models
+======
+
+Small specifications of the core protocols, checked exhaustively.
+"""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,6 @@
+"""
+Tests
+=====
+
+They mirror the package, one module for each of its modules.
+"""
--- /dev/null
+++ b/tests/test_demo.py
@@ -0,0 +1,13 @@
+"""
+Test of the demonstration
+=========================
+"""
+
+from absl import logging
+
+from damasklead.demo import run_demo
+
+
+def test_every_promise_holds_in_the_demonstration() -> None:
+    logging.set_verbosity(logging.ERROR)
+    assert run_demo() == 0
