--- a/damasklead/daemon/entry.py
+++ b/damasklead/daemon/entry.py
@@ -312,6 +312,8 @@
 
     def tick(self) -> None:
         """Let time pass in all pools."""
+        for fingerprint in self.quarantine.decide():
+            self.name_quarantine(fingerprint, why="it crashed upstreams again")
         for pool in self.pools.values():
             self.apply(pool, pool.dispatcher.tick())
 
@@ -403,11 +405,9 @@
             )
 
     def _observe_crash(self, notice: CrashNotice) -> None:
-        named = self.quarantine.observe_crash(
+        self.quarantine.observe_crash(
             notice.instance, notice.incarnation, frozenset(notice.fingerprints)
         )
-        for fingerprint in named:
-            self.name_quarantine(fingerprint, why="it crashed upstreams again")
 
     def _count(self, action: Action) -> None:
         name = action.request.request_class.name
--- a/damasklead/dispatching.py
+++ b/damasklead/dispatching.py
@@ -38,9 +38,10 @@
 __all__ = ["Attempt", "Options", "PoolDispatcher"]
 
 TOP_TIER = 1
+URGENT_TIER = 2
+URGENT_FRACTION = 0.3  # of the target that a request has waited
 MAX_FAILURES = 4
 MAX_PREEMPTIONS = 3
-ISOLATED_CRASHES = 2
 FIRST_TOKEN_PATIENCE = 4.0  # multiples of the first-token target
 BROKEN_AVOID_SECONDS = 1.0
 REFUSED_AVOID_SECONDS = 0.2
@@ -160,8 +161,8 @@
         self, replicas: Iterable[ReplicaInfo], *, entries: int
     ) -> list[Action]:
         """Take the replicas that may take new work and the number of entries."""
-        self.replicas.retain(replicas)
         self._entries = max(1, entries)
+        self.replicas.retain(replicas, entries=self._entries)
         self._budget.resize(max(BURST, float(self.replicas.capacity)))
         return self._fill()
 
@@ -228,6 +229,7 @@
             return []
         if attempt.first_token_at is None:
             attempt.first_token_at = self._clock.now()
+            self.replicas.observe_answer(attempt.replica)
             self.share.observe_latency(attempt.first_token_at - attempt.started_at)
         attempt.events += events
         attempt.request.generated += events
@@ -250,7 +252,7 @@
             if attempt.events == request.generated
             else 0.0,
         )
-        self._queue.correct(request, tokens=request.generated)
+        self._queue.correct(request)
         self._quarantine.clear(request.fingerprint)
         ejected = self._observe_gap(attempt, now)
         done = Finish(request=request, tokens=request.generated)
@@ -263,7 +265,8 @@
             return []
         self._end(attempt)
         request = attempt.request
-        request.failures += 1
+        unreachable = failure is Failure.NOT_SENT
+        request.failures += not unreachable
         request.tried.append(attempt.replica)
         request.may_have_run |= not failure.surely_unrun
         avoid = (
@@ -271,7 +274,9 @@
             if failure is Failure.REFUSED
             else BROKEN_AVOID_SECONDS
         )
-        self.replicas.observe_failure(attempt.replica, seconds=avoid)
+        self.replicas.observe_failure(
+            attempt.replica, seconds=avoid, unreachable=unreachable
+        )
         return [*self._after_failure(request, failure), *self._fill()]
 
     def tick(self) -> list[Action]:
@@ -311,40 +316,51 @@
     def _fill(self) -> list[Action]:
         """Start what may start now."""
         actions: list[Action] = []
+        held: list[Request] = []
         slots = self._slots()
         total = float(sum(slots))
         while len(self._queue):
-            request = self._queue.pop(
-                slots=total, admitted_tier=self._admitted_tier(slots)
-            )
+            admitted = self._admitted_tier(slots)
+            request = self._queue.pop(slots=total, admitted_tier=admitted)
             if request is None:
                 break
             if self._quarantine.is_named(request.fingerprint):
                 actions.append(_refuse(request, Reason.QUARANTINED, retry_after=None))
                 continue
             replica = self._place(request)
-            if replica is None:
-                self._queue.requeue(request)
+            if replica is not None:
+                actions.append(self._start(request, replica))
+                continue
+            held.append(request)
+            if not self._quarantine.is_suspect(request.fingerprint):
                 break
-            actions.append(self._start(request, replica))
+        for request in held:
+            self._queue.requeue(request)
         return actions
 
     def _place(self, request: Request) -> InstanceId | None:
-        beyond = request.tier == TOP_TIER and self._options.top_tier_beyond_share
-        avoid = self._suspect_replicas(request)
-        return self.replicas.choose(request, beyond_limit=beyond, avoid=avoid)
+        beyond = self._is_urgent(request)
+        return self.replicas.choose(
+            request, beyond_limit=beyond, among=self._among(request)
+        )
+
+    def _among(self, request: Request) -> frozenset[InstanceId]:
+        """Return the replicas that may run a request."""
+        return self._quarantine.may_run_on(
+            request.fingerprint, sorted(self.replicas.instances)
+        )
 
-    def _suspect_replicas(self, request: Request) -> frozenset[InstanceId]:
+    def _is_urgent(self, request: Request) -> bool:
         """
-        Return where a suspect of several crashes must not run: beside another suspect.
+        Tell whether a request may go beyond share and limit, up to the hard limit.
         """
-        if self._quarantine.crashes(request.fingerprint) < ISOLATED_CRASHES:
-            return frozenset()
-        return frozenset(
-            attempt.replica
-            for attempt in self._attempts.values()
-            if self._quarantine.is_suspect(attempt.request.fingerprint)
-        )
+        if not self._options.top_tier_beyond_share:
+            return False
+        if request.tier == TOP_TIER:
+            return True
+        waited = self._clock.now() - request.arrival
+        target = request.request_class.start_target
+        return request.tier <= URGENT_TIER and waited > URGENT_FRACTION * target
 
     def _start(self, request: Request, replica: InstanceId) -> Start:
         now = self._clock.now()
@@ -376,15 +392,25 @@
         """
         Return the lowest tier that may start: each may use the slots of those below it.
         """
-        admitted = TOP_TIER if self._options.top_tier_beyond_share else 0
+        admitted = self._urgent_tier()
         if sum(self._running) >= sum(slots):
             return admitted
         for tier in range(1, TIERS + 1):
             if sum(self._running[tier:]) >= sum(slots[tier - 1 :]):
                 break
-            admitted = tier
+            admitted = max(admitted, tier)
         return admitted
 
+    def _urgent_tier(self) -> int:
+        """Return the lowest tier whose next request may go beyond the share."""
+        if not self._options.top_tier_beyond_share:
+            return 0
+        for tier in range(URGENT_TIER, TOP_TIER, -1):
+            head = self._queue.earliest(tier)
+            if head is not None and self._is_urgent(head):
+                return tier
+        return TOP_TIER
+
     def _yield_share(self) -> list[Action]:
         """
         Preempt running requests below a tier that waits somewhere, down to the grant.
@@ -468,7 +494,7 @@
     def _check_upstreams(self) -> list[Action]:
         """Refuse what waits while there has been no replica for some seconds."""
         now = self._clock.now()
-        if self.replicas.instances or not len(self._queue):
+        if self.replicas.reachable or not len(self._queue):
             self._replica_seen_at = now
             return []
         if now - self._replica_seen_at < NO_UPSTREAM_SECONDS:
--- a/damasklead/learning.py
+++ b/damasklead/learning.py
@@ -10,13 +10,19 @@
 
 from damasklead.ids import ClassName, WorkspaceId
 
-__all__ = ["BatchModel", "CostModel", "MovingAverage"]
+__all__ = ["BatchLimit", "CostModel", "MovingAverage"]
 
 DEFAULT_TOKENS = 200.0
 DEFAULT_TOKEN_SECONDS = 0.02
 LEARNING_RATE = 0.1
-GAP_DECAY = 0.995
-MIN_BATCH_SPREAD = 4.0
+GAP_HIGH = 0.85  # of the target
+GAP_LOW = 0.8  # of the target
+MAX_LIMIT_DECREASE = 0.92
+LIMIT_INCREASE = 0.25
+IN_USE_FRACTION = 0.8
+IN_FORCE_FRACTION = 1.25
+START_FRACTION = 0.75
+MIN_LIMIT_FRACTION = 0.4
 
 
 class MovingAverage(msgspec.Struct, kw_only=True):
@@ -80,45 +86,50 @@
         return self.tokens(name, workspace) * self._token_seconds.value
 
 
-class BatchModel:
+class BatchLimit:
     """
-    Least-squares line of the time between tokens against the batch size, with decay.
+    How many requests a replica may run at once within a target between tokens.
 
-    It answers how many requests a replica may run at once within a target between
-    tokens.
+    It falls by a factor while tokens come too slowly and rises by a step while they
+    come fast enough, so that it needs no model of the engine.
+
+    Examples
+    --------
+    >>> limit = BatchLimit(slots=32)
+    >>> limit.observe(token_gap=0.030, target=0.026, batch=32.0)
+    >>> limit.value < 32
+    True
     """
 
-    def __init__(self) -> None:
-        self._weight = 0.0
-        self._sum_x = 0.0
-        self._sum_y = 0.0
-        self._sum_xx = 0.0
-        self._sum_xy = 0.0
-
-    def learn(self, *, batch: float, token_gap: float) -> None:
-        """Take in one report: the batch size and the seconds between tokens."""
-        self._weight = self._weight * GAP_DECAY + 1.0
-        self._sum_x = self._sum_x * GAP_DECAY + batch
-        self._sum_y = self._sum_y * GAP_DECAY + token_gap
-        self._sum_xx = self._sum_xx * GAP_DECAY + batch * batch
-        self._sum_xy = self._sum_xy * GAP_DECAY + batch * token_gap
-
-    def batch_for(self, token_gap: float) -> float | None:
-        """
-        Return the batch size at which tokens come ``token_gap`` seconds apart.
+    def __init__(self, *, slots: int) -> None:
+        self._slots = float(slots)
+        self._value = START_FRACTION * slots
+
+    @property
+    def value(self) -> int:
+        """The limit."""
+        return max(1, int(self._value))
 
-        Returns
-        -------
-        float or None
-            ``None`` while the reports do not show a slope.
+    def observe(self, *, token_gap: float, target: float | None, batch: float) -> None:
         """
-        if self._weight < 10:
-            return None
-        mean_x = self._sum_x / self._weight
-        mean_y = self._sum_y / self._weight
-        variance = self._sum_xx / self._weight - mean_x * mean_x
-        covariance = self._sum_xy / self._weight - mean_x * mean_y
-        if variance < MIN_BATCH_SPREAD or covariance <= 0:
-            return None
-        slope = covariance / variance
-        return mean_x + (token_gap - mean_y) / slope
+        Take in the present seconds between tokens.
+
+        Parameters
+        ----------
+        target : float or None
+            ``None`` when no class now asked for has one.
+        batch : float
+            How many requests the replicas run on average; the limit falls only while it
+            is in force, and rises only while it is in use.
+        """
+        too_slow = target is not None and token_gap > GAP_HIGH * target
+        if target is not None and too_slow:
+            if batch > IN_FORCE_FRACTION * self._value:
+                return
+            lowest = MIN_LIMIT_FRACTION * self._slots
+            factor = max(MAX_LIMIT_DECREASE, GAP_HIGH * target / token_gap)
+            self._value = max(lowest, self._value * factor)
+        elif batch >= IN_USE_FRACTION * self._value and (
+            target is None or token_gap < GAP_LOW * target
+        ):
+            self._value = min(self._slots, self._value + LIMIT_INCREASE)
--- a/damasklead/quarantine.py
+++ b/damasklead/quarantine.py
@@ -5,12 +5,14 @@
 Finds the one request that crashes each upstream that runs it, and has it refused.
 
 After a crash all requests that ran there are suspects; they run again on the other
-replicas.  A suspect of two crashes runs only where no other suspect of its entry runs.
-A request is named when it alone was in an earlier crash too, and at the latest after
-``MAX_CRASHES`` crashes.  One that ends well is cleared.
+replicas.  Suspects of two crashes wait until all entries have heard of the crash and
+are then spread, no two on one replica.  A request is named when it alone was in an
+earlier crash too, and at the latest after ``MAX_CRASHES`` crashes.  One that ends well
+is cleared.
 """
 
 from collections import OrderedDict
+from collections.abc import Sequence
 
 import msgspec
 
@@ -20,9 +22,11 @@
 __all__ = ["MAX_CRASHES", "Quarantine"]
 
 MAX_CRASHES = 4
+SPREAD_CRASHES = 2
 SUSPECT_SECONDS = 3600.0
 QUARANTINE_SECONDS = 86_400.0
 MAX_TRACKED = 10_000
+NOTICE_SECONDS = 1.0
 
 
 class _Suspect(msgspec.Struct, kw_only=True):
@@ -37,10 +41,14 @@
     Parameters
     ----------
     clock : Clock
+    notice_seconds : float
+        How long all entries may take to tell of a crash.
     """
 
-    def __init__(self, *, clock: Clock) -> None:
+    def __init__(self, *, clock: Clock, notice_seconds: float = NOTICE_SECONDS) -> None:
         self._clock = clock
+        self._notice_seconds = notice_seconds
+        self._undecided: dict[tuple[InstanceId, Incarnation], float] = {}
         self._suspects: OrderedDict[Fingerprint, _Suspect] = OrderedDict()
         self._named: dict[Fingerprint, float] = {}
         self._seen: dict[tuple[InstanceId, Incarnation], set[Fingerprint]] = {}
@@ -74,27 +82,58 @@
         instance: InstanceId,
         incarnation: Incarnation,
         fingerprints: frozenset[Fingerprint],
-    ) -> list[Fingerprint]:
+    ) -> None:
         """
         Take in that a replica crashed while it ran these.
 
         Several notices of one crash, from several entries, count as one crash.
-
-        Returns
-        -------
-        list of Fingerprint
-            Those that are named by it.
         """
         crash = (instance, incarnation)
         seen = self._seen.setdefault(crash, set())
-        earlier = {item for item in fingerprints if self.is_suspect(item)}
-        fresh = fingerprints - seen
-        seen |= fingerprints
-        for fingerprint in fresh:
+        self._undecided.setdefault(crash, self._clock.now())
+        for fingerprint in fingerprints - seen:
             self._suspect(fingerprint, crash)
-        return [
-            item for item in fresh if self._should_name(item, item in earlier, seen)
+        seen |= fingerprints
+
+    def decide(self) -> list[Fingerprint]:
+        """
+        Return the fingerprints to name, once all entries had time to tell of a crash.
+        """
+        now = self._clock.now()
+        due = [
+            crash
+            for crash, at in self._undecided.items()
+            if now - at >= self._notice_seconds
         ]
+        named: list[Fingerprint] = []
+        for crash in due:
+            del self._undecided[crash]
+            named.extend(self._guilty(crash))
+        return named
+
+    def may_run_on(
+        self, fingerprint: Fingerprint, replicas: Sequence[InstanceId]
+    ) -> frozenset[InstanceId]:
+        """
+        Return the replicas that may run a request; none while it has to wait.
+
+        Suspects of several crashes are spread over the replicas in the same way by all
+        entries, so that no two of them meet and the next crash names one.
+
+        Parameters
+        ----------
+        replicas : sequence
+            All replicas in use, in the same order at all entries.
+        """
+        if self.crashes(fingerprint) < SPREAD_CRASHES or not replicas:
+            return frozenset(replicas)
+        waited = self._clock.now() - self._suspects[fingerprint].at
+        if waited < self._notice_seconds:
+            return frozenset()
+        spread = sorted(
+            item for item in self._suspects if self.crashes(item) >= SPREAD_CRASHES
+        )
+        return frozenset((replicas[spread.index(fingerprint) % len(replicas)],))
 
     def name(self, fingerprint: Fingerprint) -> bool:
         """Refuse a fingerprint from now on; returns whether that is news."""
@@ -121,6 +160,7 @@
         Take back a crash that was none: the replica still runs in the same incarnation.
         """
         crash = (instance, incarnation)
+        self._undecided.pop(crash, None)
         for fingerprint in self._seen.pop(crash, set()):
             suspect = self._suspects.get(fingerprint)
             if suspect is not None:
@@ -142,21 +182,11 @@
         if len(self._seen) > MAX_TRACKED:
             del self._seen[next(iter(self._seen))]
 
-    def _should_name(
-        self,
-        fingerprint: Fingerprint,
-        was_suspect: bool,
-        crashed_with: set[Fingerprint],
-    ) -> bool:
-        suspect = self._suspects.get(fingerprint)
-        if suspect is None:
-            return False
-        if len(suspect.crashes) >= MAX_CRASHES:
-            return True
-        others = {
-            item
-            for item in crashed_with
-            if item != fingerprint
-            and len(self._suspects[item].crashes if item in self._suspects else ()) > 1
-        }
-        return was_suspect and len(suspect.crashes) > 1 and not others
+    def _guilty(self, crash: tuple[InstanceId, Incarnation]) -> list[Fingerprint]:
+        """Return those that were in an earlier crash too, if it can only be they."""
+        repeated = [
+            item for item in sorted(self._seen.get(crash, ())) if self.crashes(item) > 1
+        ]
+        if len(repeated) == 1:
+            return repeated
+        return [item for item in repeated if self.crashes(item) >= MAX_CRASHES]
--- a/damasklead/queueing.py
+++ b/damasklead/queueing.py
@@ -136,6 +136,15 @@
                 counts[tier] = counts.get(tier, 0) + len(line.waiting)
         return counts
 
+    def earliest(self, tier: int) -> Request | None:
+        """Return the waiting request of a tier that arrived first of its class."""
+        heads = [
+            next(iter(line.waiting.values()))
+            for line in self._lines.values()
+            if line.waiting and line.request_class.tier == tier
+        ]
+        return min(heads, key=lambda item: item.deadline, default=None)
+
     def push(self, request: Request) -> list[Refuse]:
         """
         Let a request wait; what has no room is refused as not run.
@@ -162,6 +171,7 @@
 
     def requeue(self, request: Request) -> None:
         """Let a request wait again that was admitted before; it always has room."""
+        self.correct(request)
         self._insert(request, self._line(request.request_class))
 
     def remove(self, request_id: RequestId) -> bool:
@@ -216,15 +226,16 @@
         self._charge(request)
         return request
 
-    def correct(self, request: Request, *, tokens: int) -> None:
+    def correct(self, request: Request) -> None:
         """Replace the expected cost that a request was charged by what it came to."""
         tier = self._tiers.get(request.tier)
         if tier is not None and request.charged:
-            difference = (tokens - request.charged) / request.weight
-            tier.served[request.workspace] = max(
-                0.0, tier.served.get(request.workspace, 0.0) + difference
-            )
+            actual = request.generated - request.billed
+            served = tier.served.get(request.workspace, 0.0)
+            served += (actual - request.charged) / request.weight
+            tier.served[request.workspace] = max(0.0, served)
         request.charged = 0.0
+        request.billed = request.generated
 
     def _line(self, request_class: RequestClass) -> _ClassLine:
         line = self._lines.get(request_class.name)
--- a/damasklead/replicas.py
+++ b/damasklead/replicas.py
@@ -22,17 +22,21 @@
 __all__ = ["ReplicaChooser", "ReplicaInfo"]
 
 DEFAULT_LIMIT = 16
-SAMPLED = 4
+SAMPLED = 32
 PREFIX_FAVOURITES = 2
-PREFIX_BONUS = 0.2
-OTHER_CENTRE_COST = 0.15
-TRIED_COST = 10.0
-STRAGGLER_RATIO = 2.0
+PREFIX_BONUS = 1.0  # requests
+OTHER_CENTRE_COST = 0.1  # requests
+TRIED_COST = 1000.0  # requests
+OTHERS_WEIGHT = 0.5
+STRAGGLER_RATIO = 2.5
 MAX_EJECTED_FRACTION = 0.34
 EJECT_SECONDS = 10.0
+SLOW_SECONDS = 1.0
+MAX_EJECTIONS = 6
 MIN_GAP_SAMPLES = 3
 MICROSECONDS = 1_000_000
 GAP_RATE = 0.3
+OTHERS_RATE = 0.2
 
 
 class ReplicaInfo(msgspec.Struct, kw_only=True, frozen=True):
@@ -47,20 +51,24 @@
     info: ReplicaInfo
     limit: int = DEFAULT_LIMIT
     hard_limit: int = DEFAULT_LIMIT
-    reported: int = 0
-    own_at_report: int = 0
+    others: MovingAverage = msgspec.field(
+        default_factory=lambda: MovingAverage(value=0.0, rate=OTHERS_RATE)
+    )
     gap: MovingAverage = msgspec.field(
         default_factory=lambda: MovingAverage(value=0.0, rate=GAP_RATE)
     )
+    slow_since: float | None = None
     ejected_until: float = 0.0
+    ejections: int = 0
+    probing: bool = False
     broken_until: float = 0.0
+    unreachable: bool = False
     own: set[AttemptId] = msgspec.field(default_factory=set)
 
     @property
-    def load(self) -> int:
-        """Estimated requests there: the report, corrected by our own since."""
-        own = len(self.own)
-        return max(own, self.reported - self.own_at_report + own)
+    def load(self) -> float:
+        """Estimated requests there: our own, and those of others by the reports."""
+        return len(self.own) + self.others.value
 
 
 class ReplicaChooser:
@@ -83,19 +91,33 @@
         self._data_centre = data_centre
         self._random = random_source
         self._replicas: dict[InstanceId, _Replica] = {}
+        self._entries = 1
 
     @property
     def capacity(self) -> int:
         """The slots of all replicas, as far as known."""
         return sum(replica.limit for replica in self._replicas.values())
 
+    @property
+    def reachable(self) -> bool:
+        """Whether some replica is not known to be out of reach."""
+        return any(not replica.unreachable for replica in self._replicas.values())
+
     @property
     def instances(self) -> list[InstanceId]:
         """The replicas that may take work."""
         return list(self._replicas)
 
-    def retain(self, replicas: Iterable[ReplicaInfo]) -> None:
-        """Take the replicas that may take new work; others take none from now on."""
+    def retain(self, replicas: Iterable[ReplicaInfo], *, entries: int = 1) -> None:
+        """
+        Take the replicas that may take new work; others take none from now on.
+
+        Parameters
+        ----------
+        entries : int
+            How many entries send to them.
+        """
+        self._entries = entries
         known = self._replicas
         self._replicas = {}
         for info in replicas:
@@ -109,8 +131,7 @@
             replica = self._replicas.get(load.instance)
             if replica is None:
                 continue
-            replica.reported = load.load
-            replica.own_at_report = len(replica.own)
+            replica.others.add(max(0, load.load - len(replica.own)))
             replica.limit = max(1, load.limit)
             replica.hard_limit = max(1, load.hard_limit)
             if load.gap_us:
@@ -126,11 +147,27 @@
             replica.gap.add(seconds)
         return self._eject_stragglers()
 
-    def observe_failure(self, instance: InstanceId, *, seconds: float) -> None:
-        """Avoid a replica that failed for some seconds."""
+    def observe_failure(
+        self, instance: InstanceId, *, seconds: float, unreachable: bool = False
+    ) -> None:
+        """
+        Avoid a replica that failed for some seconds.
+
+        Parameters
+        ----------
+        unreachable : bool
+            Whether no connection could be made.
+        """
         replica = self._replicas.get(instance)
         if replica is not None:
             replica.broken_until = self._clock.now() + seconds
+            replica.unreachable = unreachable
+
+    def observe_answer(self, instance: InstanceId) -> None:
+        """Take in that a replica answers."""
+        replica = self._replicas.get(instance)
+        if replica is not None:
+            replica.unreachable = False
 
     def started(self, instance: InstanceId, attempt: AttemptId) -> None:
         """Count an attempt as running."""
@@ -149,7 +186,7 @@
         request: Request,
         *,
         beyond_limit: bool,
-        avoid: frozenset[InstanceId] = frozenset(),
+        among: frozenset[InstanceId],
     ) -> InstanceId | None:
         """
         Return the replica for a request, or ``None`` when none has room.
@@ -159,13 +196,13 @@
         beyond_limit : bool
             Whether the request may go beyond the limit for targets, up to the hard
             limit.
-        avoid : frozenset
-            Replicas that must not take this request.
+        among : frozenset
+            The replicas that may take this request.
         """
         open_replicas = [
             replica
             for instance, replica in self._replicas.items()
-            if instance not in avoid and self._has_room(replica, request, beyond_limit)
+            if instance in among and self._has_room(replica, request, beyond_limit)
         ]
         if not open_replicas:
             return None
@@ -186,6 +223,8 @@
             and request.model not in replica.info.models
         ):
             return False
+        if replica.probing:
+            return request.tier > 1 and not replica.own
         return replica.load < (replica.hard_limit if beyond_limit else replica.limit)
 
     def _sample(self, replicas: list[_Replica], request: Request) -> list[_Replica]:
@@ -210,7 +249,8 @@
     def _score(
         self, replica: _Replica, request: Request, favourites: frozenset[InstanceId]
     ) -> float:
-        score = (replica.load + 1) / replica.limit * self._slowness(replica)
+        seen = len(replica.own) + OTHERS_WEIGHT * replica.others.value / self._entries
+        score = (seen + 1.0) * self._slowness(replica)
         if replica.info.data_centre != self._data_centre:
             score += OTHER_CENTRE_COST
         if replica.info.instance in favourites:
@@ -244,15 +284,28 @@
         )
         newly: list[InstanceId] = []
         for instance, replica in self._replicas.items():
-            slow = replica.gap.value > STRAGGLER_RATIO * median
-            if (
-                not slow
-                or replica.gap.count < MIN_GAP_SAMPLES
-                or now < replica.ejected_until
-            ):
+            if now < replica.ejected_until or not self._slow_for_long(replica, median):
                 continue
             if ejected + len(newly) < allowed:
-                replica.ejected_until = now + EJECT_SECONDS
+                replica.ejections = min(replica.ejections + 1, MAX_EJECTIONS)
+                replica.ejected_until = now + EJECT_SECONDS * replica.ejections
+                replica.probing = True
+                replica.slow_since = None
                 replica.gap = MovingAverage(value=0.0, rate=GAP_RATE)
                 newly.append(instance)
         return newly
+
+    def _slow_for_long(self, replica: _Replica, median: float) -> bool:
+        """Note since when a replica is slower than its peers; tell if for long."""
+        now = self._clock.now()
+        slow = replica.gap.value > STRAGGLER_RATIO * median
+        if replica.gap.count < MIN_GAP_SAMPLES:
+            return False
+        if not slow:
+            replica.slow_since = None
+            replica.probing = False
+            replica.ejections = 0
+            return False
+        if replica.slow_since is None:
+            replica.slow_since = now
+        return now - replica.slow_since >= SLOW_SECONDS
--- a/damasklead/requests.py
+++ b/damasklead/requests.py
@@ -86,6 +86,10 @@
         Events of the answer that the caller already has.
     started, failures, preemptions : int
         How often the request was started, failed and was preempted.
+    charged : float
+        Tokens that the workspace was charged in advance for the present start.
+    billed : int
+        Tokens that it was charged for good.
     may_have_run : bool
         Whether an upstream may have run the request, wholly or in part.
     tried : list
@@ -106,6 +110,7 @@
     failures: int = 0
     preemptions: int = 0
     charged: float = 0.0
+    billed: int = 0
     may_have_run: bool = False
     tried: list[InstanceId] = msgspec.field(default_factory=list)
 
--- a/damasklead/sharing.py
+++ b/damasklead/sharing.py
@@ -8,13 +8,14 @@
 requests an entry starts.
 """
 
+import statistics
 from collections.abc import Iterable, Sequence
 
 import msgspec
 
 from damasklead.clock import Clock
 from damasklead.ids import InstanceId, PoolId
-from damasklead.learning import BatchModel, MovingAverage
+from damasklead.learning import BatchLimit, MovingAverage
 from damasklead.messages import Demand, Grant, ReplicaLoad
 from damasklead.util import stable_hash
 
@@ -34,9 +35,15 @@
 TTL_INTERVALS = 4
 FORGET_INTERVALS = 6
 REPORT_HORIZON = 10.0  # seconds
+BUSY_FRACTION = 0.3
+STRAGGLER_RATIO = 2.5
 MICROSECONDS = 1_000_000
-FALLBACK_DECREASE = 0.8
+FALLBACK_DECREASE = 0.95
+FALLBACK_INCREASE = 0.02
 MIN_FALLBACK_FACTOR = 0.25
+MAX_FALLBACK_FACTOR = 1.5
+LATENCY_TOLERANCE = 4.0  # multiples of the best latency
+LATENCY_DRIFT = 1.001  # by which the best latency is forgotten with each sample
 
 
 class LoadReport(msgspec.Struct, kw_only=True, frozen=True):
@@ -144,7 +151,7 @@
         self._clock = clock
         self._replicas: dict[InstanceId, _Replica] = {}
         self._demands: dict[InstanceId, _EntryDemand] = {}
-        self._batches = BatchModel()
+        self._limit: BatchLimit | None = None
         self._gap_targets: dict[int, float] = {}
         self._min_shares: dict[int, float] = {}
 
@@ -158,8 +165,6 @@
     def report(self, replica: InstanceId, report: LoadReport) -> None:
         """Take in a replica's report."""
         self._replicas[replica] = _Replica(report=report, at=self._clock.now())
-        if report.running and report.token_gap > 0:
-            self._batches.learn(batch=report.running, token_gap=report.token_gap)
 
     def retain(self, replicas: Iterable[InstanceId]) -> None:
         """Forget all replicas but these."""
@@ -200,38 +205,56 @@
                 del self._demands[entry]
 
     def _loads(self) -> tuple[ReplicaLoad, ...]:
-        batch = self._target_batch()
+        self._adapt_limit()
+        reports = [known.report for known in self._replicas.values()]
+        gaps = [report.token_gap for report in reports if report.token_gap > 0]
+        median = statistics.median(gaps) if gaps else 0.0
         loads = []
         for instance in sorted(self._replicas):
             report = self._replicas[instance].report
-            limit = (
-                report.slots if batch is None else min(report.slots, max(1, int(batch)))
-            )
+            limit = report.slots if self._limit is None else self._limit.value
+            if report.token_gap > STRAGGLER_RATIO * median > 0:
+                limit = max(1, int(limit * median / report.token_gap))
             loads.append(
                 ReplicaLoad(
                     instance=instance,
                     load=report.running + report.waiting,
-                    limit=limit,
+                    limit=min(limit, report.slots),
                     hard_limit=report.slots,
                     gap_us=int(report.token_gap * MICROSECONDS),
                 )
             )
         return tuple(loads)
 
-    def _target_batch(self) -> float | None:
-        """
-        Return the batch that keeps the tightest target between tokens now asked for.
-        """
-        wanted = {
-            tier
-            for known in self._demands.values()
-            for tier in range(1, TIERS + 1)
-            if _want(known.demand, tier)
-        }
+    def _adapt_limit(self) -> None:
+        """Adapt the batch limit to the time between tokens on the busy replicas."""
+        reports = [known.report for known in self._replicas.values()]
+        if not reports:
+            return
+        slots = max(report.slots for report in reports)
+        if self._limit is None:
+            self._limit = BatchLimit(slots=slots)
+        busy = [
+            report
+            for report in reports
+            if report.token_gap > 0 and report.running >= BUSY_FRACTION * slots
+        ]
+        if busy:
+            mean = sum(report.running for report in reports) / len(reports)
+            self._limit.observe(
+                token_gap=statistics.median(report.token_gap for report in busy),
+                target=self._gap_target(),
+                batch=mean,
+            )
+
+    def _gap_target(self) -> float | None:
+        """Return the tightest target between tokens among the tiers that ask now."""
         targets = [
-            self._gap_targets[tier] for tier in wanted if tier in self._gap_targets
+            target
+            for tier, target in self._gap_targets.items()
+            if any(_want(known.demand, tier) for known in self._demands.values())
         ]
-        return self._batches.batch_for(min(targets)) if targets else None
+        return min(targets, default=None)
 
     def _slots(
         self, entries: list[InstanceId], capacity: int
@@ -325,18 +348,16 @@
         The factor follows the ratio of the best latency to the present one (latency
         gradient).
         """
-        best = (
-            seconds
-            if self._best_latency is None
-            else min(self._best_latency * 1.001, seconds)
-        )
+        best = self._best_latency
+        best = seconds if best is None else min(best * LATENCY_DRIFT, seconds)
         self._best_latency = best
         self._latency.add(seconds)
-        if self.granted or self._latency.value <= 0:
+        if self.granted:
             return
-        gradient = max(0.5, min(1.0, 2.0 * best / self._latency.value))
-        target = 1.0 if gradient >= 1.0 else self._factor * FALLBACK_DECREASE
-        self._factor = max(MIN_FALLBACK_FACTOR, 0.9 * self._factor + 0.1 * target)
+        if self._latency.value > LATENCY_TOLERANCE * best:
+            self._factor = max(MIN_FALLBACK_FACTOR, self._factor * FALLBACK_DECREASE)
+        else:
+            self._factor = min(MAX_FALLBACK_FACTOR, self._factor + FALLBACK_INCREASE)
 
     def slots(self, *, capacity: int, entries: int) -> tuple[int, ...]:
         """
