--- a/damasklead/daemon/peers.py
+++ b/damasklead/daemon/peers.py
@@ -12,7 +12,6 @@
 from damasklead import logs
 from damasklead.daemon.entry import Entry
 from damasklead.ids import InstanceId
-from damasklead.membership import Member
 from damasklead.messages import (
     Body,
     ConfigurationAnswer,
@@ -83,8 +82,11 @@
     def send(self, peer: InstanceId, *body: Body) -> None:
         """Send to a peer; a message that can't be sent at once is dropped."""
         member = self._entry.membership.get(peer)
-        if member is None:
-            return
+        if member is not None:
+            self.send_to(peer, member.address, *body)
+
+    def send_to(self, peer: InstanceId, address: str, *body: Body) -> None:
+        """Send to a peer at an address; as ``send`` otherwise."""
         message = PeerMessage(
             sender=self._entry.instance,
             incarnation=self._entry.incarnation,
@@ -94,7 +96,7 @@
         )
         content = encode_message(message)
         try:
-            self._link(member).send(content, zmq.NOBLOCK)
+            self._link(peer, address).send(content, zmq.NOBLOCK)
         except zmq.ZMQError as error:
             logs.problem("peer-send", peer=peer, detail=str(error))
             return
@@ -127,10 +129,13 @@
                 holder = self._entry.holder
                 if holder.version > body.have:
                     answer = ConfigurationAnswer(
-                        version=holder.version, files=holder.files
+                        version=holder.version,
+                        files=holder.files,
+                        members=self._entry.membership.records(),
                     )
-                    self.send(sender, answer)
+                    self.send_to(sender, body.reply_to, answer)
             case ConfigurationAnswer():
+                self._entry.membership.observe_peer(body.members)
                 self._entry.take_configuration(body.files, version=body.version)
 
     def _take(self, message: PeerMessage) -> None:
@@ -147,25 +152,25 @@
             if pool.dispatcher.pool == grant.pool:
                 self._entry.apply(pool, pool.dispatcher.take_grant(grant))
 
-    def _link(self, member: Member) -> zmq.Socket:
-        link = self._links.get(member.instance)
-        if link is not None and link.address != member.address:
+    def _link(self, peer: InstanceId, address: str) -> zmq.Socket:
+        link = self._links.get(peer)
+        if link is not None and link.address != address:
             link.socket.close()
             link = None
         if link is None:
-            link = self._connect(member)
-            self._links[member.instance] = link
+            link = self._connect(address)
+            self._links[peer] = link
         link.used_at = self._entry.clock.now()
         return link.socket
 
-    def _connect(self, member: Member) -> _Link:
+    def _connect(self, address: str) -> _Link:
         sender = self._context.socket(zmq.DEALER)
         sender.setsockopt(zmq.LINGER, 0)
         sender.setsockopt(zmq.SNDHWM, SEND_QUEUE)
         sender.setsockopt(zmq.IMMEDIATE, 0)
         self._use_curve(sender)
-        sender.connect(f"tcp://{member.address}")
-        return _Link(socket=sender, address=member.address, used_at=0.0)
+        sender.connect(f"tcp://{address}")
+        return _Link(socket=sender, address=address, used_at=0.0)
 
     def _serve_curve(self, receiver: zmq.Socket) -> None:
         """Let in only peers that hold the deployment's key."""
--- a/damasklead/daemon/watchers.py
+++ b/damasklead/daemon/watchers.py
@@ -18,7 +18,7 @@
 from damasklead.daemon.entry import ENTRY_SERVICE, Entry
 from damasklead.daemon.peers import Peers
 from damasklead.drains import DRAINS_TABLE, Drain
-from damasklead.ids import DataCentre
+from damasklead.ids import DataCentre, InstanceId
 from damasklead.manifest import (
     decode_manifest,
     fetch,
@@ -132,14 +132,16 @@
     def _ask_peers(self) -> None:
         """Ask peers for their configuration while the platform is out."""
         version, sender = self._peers.newer_version
-        query = ConfigurationQuery(have=self._entry.holder.version)
+        own = self._entry.settings.listen.peers
+        query = ConfigurationQuery(have=self._entry.holder.version, reply_to=own)
         if version > self._entry.holder.version:
             self._peers.send(sender, query)
         elif self._entry.holder.version == 0:
-            others = [item.instance for item in self._entry.live_entries()]
-            for peer in others:
-                if peer != self._entry.instance:
-                    self._peers.send(peer, query)
+            known = {item.instance: item.address for item in self._entry.live_entries()}
+            seeds = {InstanceId(seed): seed for seed in self._entry.settings.seeds}
+            for peer, address in (known or seeds).items():
+                if address != own:
+                    self._peers.send_to(peer, address, query)
 
     def _report_version(self) -> None:
         """Tell publishers which version this entry has in force."""
--- a/damasklead/membership.py
+++ b/damasklead/membership.py
@@ -30,6 +30,13 @@
     GONE = 2
 
 
+_LISTED_STATES = {
+    MemberState.LIVE: InstanceState.LIVE,
+    MemberState.LEAVING: InstanceState.LEAVING,
+    MemberState.GONE: InstanceState.LEAVING,
+}
+
+
 class Member(msgspec.Struct, kw_only=True):
     """
     An instance as it is known here.
@@ -76,6 +83,26 @@
         self._observe_absence({record.instance for record in records})
         return leaving
 
+    def observe_peer(self, records: tuple[InstanceRecord, ...]) -> None:
+        """Merge what a peer knows; it says nothing about who is absent."""
+        for record in records:
+            self._observe(record)
+
+    def records(self) -> tuple[InstanceRecord, ...]:
+        """Return what is known here, for a peer."""
+        return tuple(
+            InstanceRecord(
+                instance=member.instance,
+                incarnation=member.incarnation,
+                service=member.service,
+                address=member.address,
+                data_centre=member.data_centre,
+                region=member.region,
+                state=_LISTED_STATES[member.state],
+            )
+            for member in self._members.values()
+        )
+
     def mark_leaving(self, instance: InstanceId, incarnation: Incarnation) -> bool:
         """Take in a sign that an incarnation is leaving; returns whether it is news."""
         ended = self._ended.get(instance)
--- a/damasklead/messages.py
+++ b/damasklead/messages.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from damasklead.ids import Fingerprint, Incarnation, InstanceId, PoolId
+from damasklead.platform.base import InstanceRecord
 
 __all__ = [
     "ConfigurationAnswer",
@@ -81,18 +82,24 @@
 class ConfigurationQuery(
     msgspec.Struct, kw_only=True, frozen=True, array_like=True, tag=3
 ):
-    """Asks a peer for its configuration if it is newer than ``have``."""
+    """
+    Asks a peer for its configuration if it is newer than ``have``.
+
+    ``reply_to`` is the asker's peers' address, which the peer may not know.
+    """
 
     have: int
+    reply_to: str
 
 
 class ConfigurationAnswer(
     msgspec.Struct, kw_only=True, frozen=True, array_like=True, tag=4
 ):
-    """A configuration's files by name."""
+    """A configuration's files by name, and the members that the peer knows."""
 
     version: int
     files: dict[str, str]
+    members: tuple[InstanceRecord, ...]
 
 
 class LeavingNotice(msgspec.Struct, kw_only=True, frozen=True, array_like=True, tag=11):
--- a/damasklead/settings.py
+++ b/damasklead/settings.py
@@ -71,7 +71,12 @@
 
 
 class Settings(CheckedModel):
-    """The settings of an entry."""
+    """
+    The settings of an entry.
+
+    ``seeds`` are peers' addresses to ask for the configuration while the platform is
+    out; any few that are likely to be up will do.
+    """
 
     instance: Annotated[str, pydantic.Field(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
     data_centre: str
@@ -80,6 +85,7 @@
     platform: PlatformSettings
     tls: TlsSettings | None = None
     peer_keys: PeerKeys | None = None
+    seeds: list[Address] = []
     limits: Limits = Limits()
 
 
