--- a/Makefile
+++ b/Makefile
@@ -30,3 +30,6 @@
 
 clean:
 	rm -rf $(VENV) build dist
+
+fuzz: $(VENV)/.installed
+	FUZZ_EXAMPLES=3000 FUZZ_STEPS=100 $(RUN) -m pytest tests/test_fuzz.py --hypothesis-show-statistics
--- a/damasklead/daemon/service.py
+++ b/damasklead/daemon/service.py
@@ -12,6 +12,7 @@
 
 from damasklead import logs
 from damasklead.daemon.callers import CallerServer
+from damasklead.daemon.dutytask import DutyTask
 from damasklead.daemon.entry import Entry
 from damasklead.daemon.loop import LoopClock
 from damasklead.daemon.operators import OperatorServer
@@ -49,6 +50,7 @@
         self._shares = ShareTasks(
             entry=self.entry, peers=self._peers, coordinators=coordinators
         )
+        self._duties = DutyTask(entry=self.entry)
         self._callers = CallerServer(entry=self.entry)
         self._operators = OperatorServer(entry=self.entry)
         self._clock = clock
@@ -84,6 +86,7 @@
         deadline = self._clock.now() + entry.settings.limits.stop_seconds
         while entry.exchanges and self._clock.now() < deadline:
             self._clock.sleep(POLL_SECONDS)
+        self._duties.release()
         entry.run_protocol(entry.audit.flush())
         self.tree.stop()
         self._peers.close()
@@ -108,6 +111,7 @@
                             function=self._watchers.run_configuration,
                         ),
                         TaskChild(name="records", function=self._watchers.run_records),
+                        TaskChild(name="duties", function=self._duties.run),
                     ],
                 ),
                 Supervisor(
--- a/damasklead/standins/engine.py
+++ b/damasklead/standins/engine.py
@@ -15,6 +15,7 @@
 import msgspec
 from gevent.event import Event
 
+from damasklead.duties import LoadOrder
 from damasklead.platform.base import InstanceRecord, Platform
 from damasklead.sharing import LoadReport
 from damasklead.standins.base import Call, Reply, StandinServer, json_reply
@@ -27,6 +28,7 @@
 TOKEN_SECONDS_PER_REQUEST = 0.0003
 PREFILL_SECONDS = 0.01
 DEFAULT_SLOTS = 32
+LOAD_SECONDS = 0.2
 POISON = "POISON"
 
 
@@ -65,6 +67,11 @@
         self.slow_factor = 1.0
         self.crash_after: int | None = None
         self.requests: list[str] = []
+        self.checks_fencing = True
+        self.highest_fencing = 0
+        self.orders: list[LoadOrder] = []
+        self.models: list[str] = []
+        self.loading: list[str] = []
         self._slots = slots
         self._running = 0
         self._waiting: list[tuple[int, int, Event]] = []
@@ -81,6 +88,8 @@
                 return self._cancel(name)
             if verb == "resume":
                 return self._resume(call, name)
+        if call.path == "/v1/models/load" and call.method == "POST":
+            return self._load_model(call)
         return super().handle(call)
 
     def status(self) -> UpstreamStatus:
@@ -92,7 +101,11 @@
             token_gap=self._token_seconds() if self._running else 0.0,
         )
         return UpstreamStatus(
-            incarnation=self.record.incarnation, leaving=self.leaving, load=load
+            incarnation=self.record.incarnation,
+            leaving=self.leaving,
+            load=load,
+            models=tuple(self.models),
+            loading=tuple(self.loading),
         )
 
     def restart(self) -> None:
@@ -103,6 +116,23 @@
         self.crash_after = None
         super().restart()
 
+    def _load_model(self, call: Call) -> Reply:
+        """Begin to load a model, unless the order carries an old fencing number."""
+        order = msgspec.json.decode(call.body, type=LoadOrder)
+        self.orders.append(order)
+        if self.checks_fencing and order.fencing < self.highest_fencing:
+            return json_reply({"error": "old fencing number"}, status=409)
+        self.highest_fencing = max(self.highest_fencing, order.fencing)
+        name = f"{order.model}@{order.version}"
+        if name not in self.models and name not in self.loading:
+            self.loading.append(name)
+            gevent.spawn_later(LOAD_SECONDS, self._finish_load, name)
+        return json_reply({"loading": name})
+
+    def _finish_load(self, name: str) -> None:
+        self.loading.remove(name)
+        self.models.append(name)
+
     def _complete(self, call: Call) -> Reply:
         if self.leaving:
             return self.refusal(call)
--- a/damasklead/upstreams/base.py
+++ b/damasklead/upstreams/base.py
@@ -54,12 +54,17 @@
 
 
 class UpstreamStatus(msgspec.Struct, kw_only=True, frozen=True):
-    """An upstream's own word on itself."""
+    """
+    An upstream's own word on itself.
+
+    ``models`` and ``loading`` are ``model@version`` texts, for engines.
+    """
 
     incarnation: Incarnation
     leaving: bool = False
     load: LoadReport | None = None
     models: tuple[str, ...] = ()
+    loading: tuple[str, ...] = ()
 
 
 class Upstream(ABC):
--- /dev/null
+++ b/tests/faulty.py
@@ -0,0 +1,80 @@
+"""
+A store whose answers fail step by step
+=======================================
+"""
+
+from collections.abc import Generator
+from enum import Enum
+from typing import Any
+
+from result import Err, Result
+
+from damasklead.platform.base import Commit, Platform, StoreError
+from damasklead.platform.memory import memory_platform
+from damasklead.protocol import PlatformCall, perform
+
+__all__ = ["Fault", "FaultyStore", "Task"]
+
+
+class Fault(Enum):
+    """What happens to one call."""
+
+    NONE = "none"
+    DOWN = "down"
+    LOST_BEFORE = "lost before it took effect"
+    LOST_AFTER = "answer lost after it took effect"
+    LATE = "takes effect later"
+    TWICE = "takes effect twice"
+
+
+class FaultyStore:
+    """A platform in memory; late commits wait until ``land`` is called."""
+
+    def __init__(self) -> None:
+        self.platform: Platform = memory_platform()
+        self.late: list[Commit] = []
+
+    def perform(self, call: PlatformCall, fault: Fault) -> Result[Any, StoreError]:
+        """Carry out a call with a fault."""
+        if fault is Fault.NONE:
+            return perform(self.platform, call)
+        if fault is Fault.DOWN:
+            return Err(StoreError.UNAVAILABLE)
+        if not isinstance(call, Commit):
+            return Err(StoreError.UNKNOWN)
+        if fault is Fault.LATE:
+            self.late.append(call)
+            return Err(StoreError.UNKNOWN)
+        if fault is Fault.LOST_BEFORE:
+            return Err(StoreError.UNKNOWN)
+        perform(self.platform, call)
+        if fault is Fault.TWICE:
+            return perform(self.platform, call)
+        return Err(StoreError.UNKNOWN)
+
+    def land(self, index: int) -> None:
+        """Let a late commit take effect."""
+        perform(self.platform, self.late.pop(index % len(self.late)))
+
+
+class Task:
+    """A protocol that is driven one call at a time, so that others run in between."""
+
+    def __init__(self, steps: Generator[PlatformCall, Any, Any]) -> None:
+        self._steps = steps
+        self._call: PlatformCall | None = None
+        self.done = False
+        self.result: Any = None
+        self._advance(None)
+
+    def step(self, store: FaultyStore, fault: Fault) -> None:
+        """Carry out the present call and go on to the next."""
+        assert self._call is not None
+        self._advance(store.perform(self._call, fault))
+
+    def _advance(self, value: Any) -> None:
+        try:
+            self._call = self._steps.send(value)
+        except StopIteration as stop:
+            self.done = True
+            self.result = stop.value
--- /dev/null
+++ b/tests/test_leases.py
@@ -0,0 +1,96 @@
+"""
+Tests of leases
+===============
+"""
+
+import pytest
+
+from damasklead.audit import AuditEvent
+from damasklead.clock import ManualClock
+from damasklead.ids import Incarnation, InstanceId
+from damasklead.leases import EXPIRY, HOLD, LeaseKeeper
+from damasklead.protocol import run
+from tests.faulty import Fault, FaultyStore, Task
+
+
+@pytest.fixture
+def clock() -> ManualClock:
+    return ManualClock()
+
+
+@pytest.fixture
+def store() -> FaultyStore:
+    return FaultyStore()
+
+
+def make_keeper(name: str, clock: ManualClock) -> LeaseKeeper:
+    def event(duty: str, before: str) -> AuditEvent:
+        return AuditEvent(
+            id=f"{name}-{clock.now()}", at=0.0, who=name, action="lease", subject=duty
+        )
+
+    return LeaseKeeper(
+        duty="duty",
+        instance=InstanceId(name),
+        incarnation=Incarnation(1),
+        clock=clock,
+        new_event=event,
+    )
+
+
+def test_a_dead_holder_is_followed_after_expiry(
+    clock: ManualClock, store: FaultyStore
+) -> None:
+    first, second = make_keeper("a", clock), make_keeper("b", clock)
+    run(first.poll(), store.platform)
+    assert first.fencing == 1
+    run(second.poll(), store.platform)
+    clock.advance(EXPIRY - 0.1)
+    run(second.poll(), store.platform)
+    assert second.fencing is None
+    assert first.fencing is None, "the holder stops by itself before it is followed"
+    clock.advance(0.2)
+    run(second.poll(), store.platform)
+    assert second.fencing == 2
+
+
+def test_a_lease_given_back_is_free_at_once(
+    clock: ManualClock, store: FaultyStore
+) -> None:
+    first, second = make_keeper("a", clock), make_keeper("b", clock)
+    run(first.poll(), store.platform)
+    run(first.release(), store.platform)
+    assert first.fencing is None
+    run(second.poll(), store.platform)
+    assert second.fencing == 2
+
+
+def test_a_renewal_that_landed_unseen_counts_from_its_first_try(
+    clock: ManualClock, store: FaultyStore
+) -> None:
+    """Its answer was lost; seen again after a pause it must not extend the lease."""
+    first, second = make_keeper("a", clock), make_keeper("b", clock)
+    run(first.poll(), store.platform)
+    clock.advance(1.0)
+    renewal = Task(first.poll())
+    renewal.step(store, Fault.LOST_AFTER)
+    renewal.step(store, Fault.DOWN)
+    run(second.poll(), store.platform)
+    clock.advance(HOLD - 1.5)
+    run(first.poll(), store.platform)
+    clock.advance(EXPIRY - HOLD + 2.0)
+    run(second.poll(), store.platform)
+    assert first.fencing is None or second.fencing is None
+
+
+@pytest.mark.parametrize("fault", [Fault.LOST_AFTER, Fault.TWICE])
+def test_a_lost_answer_is_settled_by_reading_back(
+    clock: ManualClock, store: FaultyStore, fault: Fault
+) -> None:
+    keeper = make_keeper("a", clock)
+    task = Task(keeper.poll())
+    task.step(store, Fault.NONE)
+    task.step(store, fault)
+    while not task.done:
+        task.step(store, Fault.NONE)
+    assert keeper.fencing == 1
