--- a/damasklead/sharing.py
+++ b/damasklead/sharing.py
@@ -111,11 +111,9 @@
     left = min(amount, sum(wants))
     open_indexes = [index for index, want in enumerate(wants) if want > 0]
     while left > 0:
-        part, extra = divmod(left, len(open_indexes))
-        for position, index in enumerate(open_indexes):
-            given = min(
-                wants[index] - shares[index], part + (1 if position < extra else 0)
-            )
+        part = max(1, left // len(open_indexes))
+        for index in sorted(open_indexes, key=shares.__getitem__)[:left]:
+            given = min(wants[index] - shares[index], part)
             shares[index] += given
             left -= given
         open_indexes = [index for index in open_indexes if shares[index] < wants[index]]
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,102 @@
+"""
+Tests of membership
+===================
+"""
+
+from hypothesis import given, settings, strategies as st
+
+from damasklead.clock import ManualClock
+from damasklead.ids import DataCentre, Incarnation, InstanceId, ServiceName
+from damasklead.membership import ABSENT_GRACE, Membership, MemberState
+from damasklead.platform.base import InstanceRecord, InstanceState
+
+PROPERTY = settings(max_examples=200, derandomize=True, deadline=None, database=None)
+NAMES = ("a", "b")
+
+
+def record(
+    name: str, incarnation: int, state: InstanceState = InstanceState.LIVE
+) -> InstanceRecord:
+    return InstanceRecord(
+        instance=InstanceId(name),
+        incarnation=Incarnation(incarnation),
+        service=ServiceName("s"),
+        address="127.0.0.1:1",
+        data_centre=DataCentre("x"),
+        region="r",
+        state=state,
+    )
+
+
+RECORDS = st.builds(
+    record, st.sampled_from(NAMES), st.integers(1, 3), st.sampled_from(InstanceState)
+)
+
+
+@PROPERTY
+@given(
+    st.lists(
+        st.one_of(
+            st.tuples(st.just("list"), st.lists(RECORDS, max_size=3)),
+            st.tuples(st.just("sign"), RECORDS),
+            st.tuples(st.just("peer"), RECORDS),
+            st.tuples(st.just("time"), st.floats(0.1, 10.0)),
+        ),
+        max_size=30,
+    )
+)
+def test_leaving_is_never_undone_for_one_incarnation(calls: list) -> None:  # type: ignore[type-arg]
+    """Stale lists, peers and signs come in any order."""
+    clock = ManualClock()
+    membership = Membership(clock=clock)
+    left: dict[str, int] = {}
+    for kind, value in calls:
+        if kind == "list":
+            membership.observe_list(tuple(value))
+            records = value
+        elif kind == "peer":
+            membership.observe_peer((value,))
+            records = [value]
+        elif kind == "sign":
+            membership.mark_leaving(value.instance, value.incarnation)
+            left[value.instance] = max(left.get(value.instance, 0), value.incarnation)
+            records = []
+        else:
+            clock.advance(value)
+            records = []
+        for item in records:
+            known = membership.get(item.instance)
+            accepted = known is not None and known.incarnation == item.incarnation
+            if item.state is InstanceState.LEAVING and accepted:
+                left[item.instance] = max(left.get(item.instance, 0), item.incarnation)
+        for member in membership.live(ServiceName("s")):
+            assert member.incarnation > left.get(member.instance, 0)
+
+
+def test_a_higher_incarnation_is_live_again() -> None:
+    membership = Membership(clock=ManualClock())
+    membership.observe_list((record("a", 1),))
+    assert membership.mark_leaving(InstanceId("a"), Incarnation(1))
+    assert not membership.mark_leaving(InstanceId("a"), Incarnation(1))
+    assert membership.live(ServiceName("s")) == []
+    membership.observe_list((record("a", 2),))
+    assert [item.instance for item in membership.live(ServiceName("s"))] == ["a"]
+
+
+def test_an_instance_missing_from_the_list_stays_for_a_grace() -> None:
+    clock = ManualClock()
+    membership = Membership(clock=clock)
+    membership.observe_list((record("a", 1),))
+    membership.observe_list(())
+    assert len(membership.live(ServiceName("s"))) == 1
+    clock.advance(ABSENT_GRACE + 0.1)
+    membership.observe_list(())
+    assert membership.live(ServiceName("s")) == []
+
+
+def test_a_leaving_member_is_told_to_peers_as_leaving() -> None:
+    membership = Membership(clock=ManualClock())
+    membership.observe_list((record("a", 1),))
+    membership.mark_leaving(InstanceId("a"), Incarnation(1))
+    assert membership.get(InstanceId("a")).state is MemberState.LEAVING  # type: ignore[union-attr]
+    assert membership.records()[0].state is InstanceState.LEAVING
