Test the entry over HTTP; resume streams by the attempt's own count of events

Cause: a stream cut twice lost words: the second resume counted events of the whole answer, the engine those of the attempt; found by cutting 12 streams on two engines one after the other. Contradicting length headers were accepted, because the server drops one of them before they could be seen. Change: resume counts the events of the attempt that it resumes; headers are judged as they are parsed; stand-ins that crash break their connections off.

--- a/damasklead/daemon/callers.py
+++ b/damasklead/daemon/callers.py
@@ -293,16 +293,28 @@
 
     def read_request(self, raw_requestline: str) -> Any:
         """Read a request's head; returns whether it can be served."""
-        valid = super().read_request(raw_requestline)
-        if valid and self._is_ambiguous():
-            self.close_connection = True
-            self.status = "400 Bad Request"
-            self.socket.sendall(
-                b"HTTP/1.1 400 Bad Request\r\n"
-                b"Connection: close\r\nContent-Length: 0\r\n\r\n"
-            )
-            return False
-        return valid
+        return super().read_request(raw_requestline) and not self._ambiguous
+
+    def MessageClass(self, *arguments: Any) -> Any:  # noqa: N802
+        """Parse the headers; the server drops some of those that contradict."""
+        headers = super().MessageClass(*arguments)
+        self._ambiguous = self._is_ambiguous(headers)
+        return headers
+
+    def handle_one_request(self) -> Any:
+        """Handle one request; a head that can't be served is told as not run."""
+        result = super().handle_one_request()
+        if not isinstance(result, tuple):
+            return result
+        problem = Problem(status=int(result[0]), kind="head", title="Not a valid head")
+        body = problem.document()
+        head = (
+            f"HTTP/1.1 {problem.status} Problem\r\nConnection: close\r\n"
+            f"Content-Type: application/problem+json\r\n"
+            f"{OUTCOME_HEADER}: {problem.outcome.value}\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n"
+        )
+        return (result[0], head.encode() + body)
 
     def get_environ(self) -> Environ:
         """Return the WSGI environment with the caller's socket."""
@@ -313,10 +325,10 @@
     def log_request(self) -> None:
         """Leave requests out of the server's own log."""
 
-    def _is_ambiguous(self) -> bool:
-        lengths = self.headers.get_all("Content-Length") or []
-        encodings = self.headers.get_all("Transfer-Encoding") or []
-        size = sum(len(name) + len(value) for name, value in self.headers.items())
+    def _is_ambiguous(self, headers: Any) -> bool:
+        lengths = headers.get_all("Content-Length") or []
+        encodings = headers.get_all("Transfer-Encoding") or []
+        size = sum(len(name) + len(value) for name, value in headers.items())
         return (
             len(lengths) > 1
             or bool(lengths and encodings)
--- a/damasklead/daemon/exchange.py
+++ b/damasklead/daemon/exchange.py
@@ -125,6 +125,7 @@
         self._current: AttemptId | None = None
         self._connection: socket.socket | None = None
         self._last_start: Start | None = None
+        self._before_attempt = 0
         self._raw: list[bytes] = []
         self._raw_size = 0
         self._text = ""
@@ -201,6 +202,8 @@
             raise UpstreamError(Failure.NOT_SENT, "the upstream is gone")
         call = msgspec.structs.replace(self._call, attempt=start.attempt)
         previous, self._last_start = self._last_start, start
+        received = self.request.generated - self._before_attempt
+        self._before_attempt = self.request.generated
         if self.request.generated and self._document is not None:
             upstream = self.pool.upstream
             if previous is not None and previous.replica == start.replica:
@@ -210,7 +213,7 @@
                         address,
                         call,
                         original=previous.attempt,
-                        event=self.request.generated,
+                        event=received,
                     )
                 except UpstreamError as error:
                     if error.failure is not Failure.REFUSED:
--- a/damasklead/standins/base.py
+++ b/damasklead/standins/base.py
@@ -6,13 +6,14 @@
 was run.
 """
 
+import contextlib
 import os
 from collections.abc import Callable, Iterable, Iterator
 from typing import Any
 
 import gevent
 import msgspec
-from gevent import pywsgi
+from gevent import pywsgi, socket
 from gevent.pool import Pool
 
 from damasklead.platform.base import InstanceRecord, Platform
@@ -56,6 +57,28 @@
     )
 
 
+class _Server(pywsgi.WSGIServer):
+    """Remembers its connections, so that a crash can break them all off."""
+
+    def __init__(self, *arguments: Any, **options: Any) -> None:
+        super().__init__(*arguments, **options)
+        self._connections: set[socket.socket] = set()
+
+    def handle(self, client_socket: socket.socket, address: Any) -> None:
+        """Serve one connection."""
+        self._connections.add(client_socket)
+        try:
+            super().handle(client_socket, address)
+        finally:
+            self._connections.discard(client_socket)
+
+    def break_off(self) -> None:
+        """End every connection without a word."""
+        for connection in self._connections:
+            with contextlib.suppress(OSError):
+                connection.shutdown(socket.SHUT_RDWR)
+
+
 class StandinServer:
     """
     A small HTTP server that can crash, leave and enter itself into the instance list.
@@ -82,7 +105,7 @@
         self.crashes = 0
         self._platform = platform
         self._exits_on_crash = exits_on_crash
-        self._server: pywsgi.WSGIServer | None = None
+        self._server: _Server | None = None
         self._pool = Pool()
 
     @property
@@ -93,7 +116,7 @@
     def start(self) -> None:
         """Listen, and announce the instance."""
         self._pool = Pool()
-        self._server = pywsgi.WSGIServer(
+        self._server = _Server(
             split_address(self.record.address),
             self._serve,
             spawn=self._pool,
@@ -108,6 +131,7 @@
         """Stop at once, closing every connection."""
         server, self._server = self._server, None
         if server is not None:
+            server.break_off()
             server.stop(timeout=0)
             self._pool.kill(block=False)
 
--- a/damasklead/upstreams/engine.py
+++ b/damasklead/upstreams/engine.py
@@ -63,6 +63,13 @@
         """
         Go on with a stream that this engine ran, from an event on.
 
+        Parameters
+        ----------
+        original : str
+            The attempt whose stream it was.
+        event : int
+            How many events of that attempt's stream have been received.
+
         Raises
         ------
         UpstreamError
--- /dev/null
+++ b/tests/test_daemon.py
@@ -0,0 +1,434 @@
+"""
+Tests of the entry in one process
+=================================
+
+A real entry with stand-ins on loopback; the platform is in memory.
+"""
+
+from collections.abc import Iterator
+from importlib import resources
+from typing import Any
+
+import gevent
+import msgspec
+import pytest
+from absl import logging
+from gevent import socket
+
+from damasklead.configuration import digest_key
+from damasklead.daemon import EntryService
+from damasklead.demo.run import KEYS, SALT, free_address
+from damasklead.findings import Findings
+from damasklead.ids import (
+    AttemptId,
+    DataCentre,
+    Incarnation,
+    InstanceId,
+    ServiceName,
+)
+from damasklead.manifest import Publication, Published, publish
+from damasklead.platform.base import InstanceRecord
+from damasklead.platform.memory import Faults, memory_platform
+from damasklead.protocol import run
+from damasklead.settings import check_settings
+from damasklead.standins import EngineStandin, PlainStandin
+from damasklead.standins.base import Call, Reply, json_reply
+from damasklead.standins.engine import expected_text
+from damasklead.upstreams import Answer, ConnectionPool, UpstreamError
+from damasklead.upstreams.transport import exchange
+from damasklead.util import new_id, split_address
+
+MODEL = "demo-7b"
+COMPLETIONS = "/v1/chat/completions"
+
+
+class Running:
+    """An entry with two engines and a plain service."""
+
+    def __init__(self) -> None:
+        logging.set_verbosity(logging.ERROR)
+        self.faults = Faults()
+        self.platform = memory_platform(faults=self.faults)
+        self.engines = [
+            EngineStandin(
+                record=self._record(f"engine-{n}", "demo-llm"), platform=self.platform
+            )
+            for n in range(2)
+        ]
+        self.shop = PlainStandin(
+            record=self._record("shop", "demo-app"), platform=self.platform
+        )
+        self.address = free_address()
+        self.operators = free_address()
+        self.service = self._service()
+        self.pool = ConnectionPool()
+
+    def _record(self, name: str, service: str) -> InstanceRecord:
+        return InstanceRecord(
+            instance=InstanceId(name),
+            incarnation=Incarnation(1),
+            service=ServiceName(service),
+            address=free_address(),
+            data_centre=DataCentre("local"),
+            region="local",
+        )
+
+    def _service(self) -> EntryService:
+        text = msgspec.json.encode(
+            {
+                "instance": "entry",
+                "data_centre": "local",
+                "region": "local",
+                "listen": {
+                    "callers": self.address,
+                    "operators": self.operators,
+                    "peers": free_address(),
+                },
+                "platform": {"kind": "memory", "announce": True},
+                "limits": {"body_bytes": 2048, "idle_seconds": 1.0},
+            }
+        ).decode()
+        settings = check_settings(text, file="t", findings=Findings())
+        assert settings is not None
+        return EntryService(settings=settings, platform=self.platform)
+
+    def start(self) -> None:
+        for standin in (*self.engines, self.shop):
+            standin.start()
+        folder = resources.files("damasklead.demo")
+        names = ("demo-llm.damasklead.json", "demo-app.damasklead.json")
+        files = {name: (folder / name).read_text() for name in names}
+        workspaces = [
+            {"name": name, "key_digests": [digest_key(key, salt=SALT)]}
+            for name, key in KEYS.items()
+        ]
+        files["w.damasklead.json"] = msgspec.json.encode(
+            {"workspaces": workspaces}
+        ).decode()
+        publication = Publication(id=AttemptId(new_id()), who="t", files=files)
+        assert isinstance(run(publish(publication), self.platform), Published)
+        self.service.start()
+        self.until(
+            lambda: all(p.dispatcher.share.granted for p in self.pools) and self.pools
+        )
+
+    def stop(self) -> None:
+        self.service.tree.stop()
+        for standin in (*self.engines, self.shop):
+            standin.stop()
+
+    @property
+    def pools(self) -> list[Any]:
+        return list(self.service.entry.pools.values())
+
+    def until(self, condition: Any, seconds: float = 10.0) -> None:
+        for _ in range(int(seconds / 0.02)):
+            if condition():
+                return
+            gevent.sleep(0.02)
+        raise AssertionError(f"not within {seconds} s")
+
+    def send(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        key: str = "skippers",
+        **headers: str,
+    ) -> Answer:
+        pairs = [("Authorization", f"Bearer {KEYS.get(key, key)}")]
+        pairs += [(name.replace("_", "-"), value) for name, value in headers.items()]
+        return exchange(
+            self.pool, self.address, method=method, path=path, headers=pairs, body=body,
+            silence=20.0, fresh=True,
+        )  # fmt: skip
+
+    def ask(
+        self, prompt: str, *, tokens: int = 30, stream: bool = True
+    ) -> tuple[Answer, dict[str, Any]]:
+        document = {
+            "model": MODEL,
+            "messages": [{"role": "user", "content": prompt}],
+            "max_tokens": tokens,
+            "stream": stream,
+        }
+        return self.send("POST", COMPLETIONS, msgspec.json.encode(document)), document
+
+
+@pytest.fixture
+def running() -> Iterator[Running]:
+    world = Running()
+    world.start()
+    yield world
+    world.stop()
+
+
+def text_of(answer: Answer) -> str:
+    body = answer.read_all(limit=1_000_000)
+    assert body.endswith(b"data: [DONE]\n\n"), body[-200:]
+    events = [event for event in body.split(b"\n\n") if event.startswith(b"data: {")]
+    words = [
+        msgspec.json.decode(e[6:])["choices"][0]["delta"]["content"] for e in events
+    ]
+    return "".join(words).strip()
+
+
+def problem_of(answer: Answer) -> dict[str, Any]:
+    assert answer.header("Content-Type") == "application/problem+json"
+    document: dict[str, Any] = msgspec.json.decode(answer.read_all(limit=100_000))
+    assert document["status"] == answer.status
+    return document
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "body", "key", "status", "field"),
+    [
+        ("GET", "/v1/models", b"", "nobody.x", 401, "Authorization"),
+        ("GET", "/v1/models", b"", "skippers.wrong", 401, "Authorization"),
+        ("POST", COMPLETIONS, b"{", "skippers", 400, "body"),
+        ("POST", COMPLETIONS, b"[]", "skippers", 400, "body"),
+        ("POST", COMPLETIONS, b"{}", "skippers", 400, "model"),
+        ("POST", COMPLETIONS, b'{"model": "demo-7b"}', "skippers", 400, "messages"),
+        ("POST", COMPLETIONS, b'{"model": "demo-7b", "messages": [1]}', "skippers", 400, "messages"),
+        ("POST", COMPLETIONS, b'{"model": "x", "messages": [{}]}', "skippers", 404, "model"),
+        ("POST", COMPLETIONS, b"x" * 3000, "skippers", 413, "body"),
+        ("GET", COMPLETIONS, b"", "skippers", 405, None),
+        ("GET", "/nothing", b"", "skippers", 404, None),
+        ("POST", "/services/none/x", b"", "skippers", 404, None),
+        ("POST", "/services/demo-app/orders", b"{}", "skippers", 400, "Idempotency-Key"),
+        ("DELETE", "/services/demo-app/orders", b"", "skippers", 403, "X-Request-Class"),
+    ],
+)  # fmt: skip
+def test_bad_requests_are_told_what_is_at_fault(
+    running: Running,
+    method: str,
+    path: str,
+    body: bytes,
+    key: str,
+    status: int,
+    field: str | None,
+) -> None:
+    answer = running.send(method, path, body, key=key)
+    assert answer.status == status
+    assert answer.header("X-Damasklead-Outcome") == "not-run"
+    document = problem_of(answer)
+    assert document.get("field") == field
+    assert document["type"].startswith("urn:damasklead:problem:")
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"Content-Length: 5\r\nContent-Length: 6\r\n",
+        b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+        b"Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n",
+        b"Transfer-Encoding: xchunked\r\n",
+        b"Content-Length: +5\r\n",
+        b"X-Large: " + b"x" * 20_000 + b"\r\n",
+    ],
+)
+def test_ambiguous_framing_is_refused(running: Running, head: bytes) -> None:
+    connection = socket.create_connection(split_address(running.address))
+    request = b"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n" + head + b"\r\n"
+    connection.sendall(request + b"0\r\n\r\nGET /v1/models HTTP/1.1\r\n\r\n")
+    connection.settimeout(5.0)
+    received = b""
+    while chunk := connection.recv(65536):
+        received += chunk
+    assert received.startswith(b"HTTP/1.1 4")
+    assert received.count(b"HTTP/1.1") == 1
+
+
+def test_a_silent_connection_is_closed(running: Running) -> None:
+    connection = socket.create_connection(split_address(running.address))
+    connection.sendall(b"POST /v1/chat/completions HTTP/1.1\r\n")
+    connection.settimeout(5.0)
+    while connection.recv(1000):
+        continue
+
+
+def test_the_request_id_comes_back(running: Running) -> None:
+    answer = running.send("GET", "/v1/models", X_Request_ID="my-id-7")
+    assert answer.header("X-Request-ID") == "my-id-7"
+    assert b"demo-7b" in answer.read_all(limit=10_000)
+
+
+def test_whole_and_streamed_answers_are_the_callers_own(running: Running) -> None:
+    def check(number: int) -> None:
+        answer, document = running.ask(f"prompt {number}", stream=number % 2 == 0)
+        if number % 2 == 0:
+            assert text_of(answer) == expected_text(document)
+            return
+        content = msgspec.json.decode(answer.read_all(limit=100_000))
+        assert content["choices"][0]["message"]["content"] == expected_text(document)
+
+    greenlets = [gevent.spawn(check, number) for number in range(40)]
+    gevent.joinall(greenlets, raise_error=True)
+
+
+def test_a_crossed_answer_never_reaches_the_wrong_caller(
+    running: Running, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """One engine answers with another request's id; the other answers well."""
+    first = running.engines[0]
+    original = first.handle
+
+    def handle(call: Call) -> Reply:
+        if call.path != COMPLETIONS:
+            return original(call)
+        choice = {"message": {"content": "another's"}}
+        headers = (("X-Request-ID", "another"),)
+        return json_reply({"choices": [choice]}, headers=headers)
+
+    monkeypatch.setattr(first, "handle", handle)
+    for number in range(10):
+        answer, document = running.ask(f"crossed {number}", stream=False)
+        content = msgspec.json.decode(answer.read_all(limit=100_000))
+        assert content["choices"][0]["message"]["content"] == expected_text(document)
+
+
+@pytest.mark.parametrize("keeps_its_streams", [True, False])
+def test_a_cut_stream_goes_on_at_the_exact_event(
+    running: Running, keeps_its_streams: bool
+) -> None:
+    """The connections break; the engine can resume, or has restarted with nothing."""
+    greenlets = [gevent.spawn(running.ask, f"cut {n}", tokens=200) for n in range(12)]
+    gevent.sleep(0.4)
+    for engine in running.engines:
+        runs = dict(engine._runs)
+        engine.stop()
+        engine.start()
+        if keeps_its_streams:
+            engine._runs = runs
+        else:
+            engine._runs = {}
+        engine._running = 0
+    gevent.joinall(greenlets, raise_error=True)
+    for greenlet in greenlets:
+        answer, document = greenlet.value
+        assert text_of(answer) == expected_text(document)
+
+
+def test_a_stream_that_cannot_go_on_ends_with_an_error_event(running: Running) -> None:
+    answer, _ = running.ask("hopeless", tokens=400)
+    assert answer.read_chunk()
+    for engine in running.engines:
+        engine.stop()
+    body = answer.read_all(limit=1_000_000)
+    assert b"event: error\n" in body
+    assert b'"outcome":"unknown"' in body
+    assert b"[DONE]" not in body
+
+
+def test_a_caller_that_goes_away_is_cancelled_at_the_engine(running: Running) -> None:
+    answer, _ = running.ask("gone", tokens=2000)
+    assert answer.read_chunk()
+    answer.close()
+    running.until(lambda: not running.service.entry.exchanges)
+    running.until(lambda: all(engine._running == 0 for engine in running.engines))
+
+
+def test_a_caller_that_goes_away_before_the_answer_is_noticed(running: Running) -> None:
+    for engine in running.engines:
+        engine.slow_factor = 50.0
+    connection = socket.create_connection(split_address(running.address))
+    body = b'{"model": "demo-7b", "messages": [{"role": "user", "content": "x"}]}'
+    head = f"POST {COMPLETIONS} HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n"
+    head += f"Authorization: Bearer {KEYS['skippers']}\r\n\r\n"
+    connection.sendall(head.encode() + body)
+    running.until(lambda: len(running.service.entry.exchanges) == 1)
+    connection.close()
+    running.until(lambda: not running.service.entry.exchanges, seconds=3.0)
+
+
+def test_a_second_sending_gets_the_recorded_answer(running: Running) -> None:
+    body = b'{"reference": "once"}'
+    path = "/services/demo-app/orders"
+    first = running.send("POST", path, body, Idempotency_Key="k1")
+    again = running.send("POST", path, body, Idempotency_Key="k1")
+    assert first.status == again.status == 200
+    assert again.header("X-Damasklead-Replayed") == "true"
+    assert first.read_all(limit=1000) == again.read_all(limit=1000)
+    assert running.shop.orders == ["once"]
+    other = running.send("POST", path, b'{"reference": "x"}', Idempotency_Key="k1")
+    assert problem_of(other)["type"].endswith("idempotency-key-reused")
+    assert running.shop.orders == ["once"]
+
+
+def test_an_order_whose_upstream_breaks_is_unknown_and_stays_so(
+    running: Running,
+) -> None:
+    path = "/services/demo-app/orders"
+
+    def send() -> Answer:
+        return running.send("POST", path, b'{"reference": "x"}', Idempotency_Key="k")
+
+    def break_off(call: Call) -> Reply:
+        running.shop.orders.append("x")
+        running.shop.crash()
+        gevent.sleep(5.0)
+        return Reply()
+
+    running.shop._order = break_off  # type: ignore[method-assign]
+    answer = send()
+    assert (answer.status, answer.header("X-Damasklead-Outcome")) == (502, "unknown")
+    answer.close()
+    del running.shop._order
+    running.shop.start()
+    gevent.sleep(1.2)
+    again = send()
+    assert again.header("X-Damasklead-Outcome") == "unknown"
+    assert problem_of(again)["type"].endswith("order-outcome-unknown")
+    assert running.shop.orders == ["x"]
+
+
+def test_an_order_is_refused_unrun_while_the_store_is_out(running: Running) -> None:
+    running.faults.down = True
+    path = "/services/demo-app/orders"
+    body = b'{"reference": "later"}'
+    answer = running.send("POST", path, body, Idempotency_Key="k")
+    assert (answer.status, answer.header("X-Damasklead-Outcome")) == (503, "not-run")
+    assert answer.header("Retry-After")
+    running.faults.down = False
+    assert running.send("POST", path, body, Idempotency_Key="k").status == 200
+    assert running.shop.orders == ["later"]
+
+
+def test_operators_see_health_metrics_and_status(running: Running) -> None:
+    running.ask("metrics")[0].read_all(limit=100_000)
+
+    def get(path: str) -> tuple[int, bytes]:
+        answer = exchange(
+            running.pool,
+            running.operators,
+            method="GET",
+            path=path,
+            headers=(),
+            body=b"",
+            silence=5.0,
+        )
+        return answer.status, answer.read_all(limit=1_000_000)
+
+    assert get("/healthz")[0] == 200 and get("/readyz")[0] == 200
+    metrics = get("/metrics")[1].decode()
+    assert (
+        'damasklead_requests_total{class="dispatch-query",outcome="answered"} 1.0'
+        in metrics
+    )
+    status = msgspec.json.decode(get("/status")[1])
+    assert status["configuration"] == 1 and status["ready"]
+    with pytest.raises(UpstreamError):
+        exchange(
+            running.pool,
+            "127.0.0.1:1",
+            method="GET",
+            path="/",
+            headers=(),
+            body=b"",
+            silence=1.0,
+        )
+
+
+def test_the_listener_of_callers_has_no_operators_paths(running: Running) -> None:
+    for path in ("/status", "/metrics", "/healthz"):
+        assert running.send("GET", path).status == 404
--- /dev/null
+++ b/tests/test_dispatching.py
@@ -0,0 +1,278 @@
+"""
+Tests of dispatching
+====================
+"""
+
+import itertools
+import random
+
+import pytest
+from hypothesis import given, settings, strategies as st
+
+from damasklead.clock import ManualClock
+from damasklead.configuration import PoolScope, RequestClass, Service, ServiceKind
+from damasklead.dispatching import MAX_FAILURES, PoolDispatcher
+from damasklead.ids import (
+    AttemptId,
+    ClassName,
+    DataCentre,
+    Fingerprint,
+    InstanceId,
+    PoolId,
+    RequestId,
+    ServiceName,
+    WorkspaceId,
+)
+from damasklead.learning import CostModel
+from damasklead.messages import Grant, ReplicaLoad
+from damasklead.quarantine import Quarantine
+from damasklead.replicas import ReplicaInfo
+from damasklead.requests import (
+    Action,
+    Cancel,
+    Failure,
+    Finish,
+    Outcome,
+    Reason,
+    Refuse,
+    Request,
+    Start,
+)
+
+PROPERTY = settings(max_examples=150, derandomize=True, deadline=None, database=None)
+POOL = PoolId("p")
+
+
+class Bench:
+    """A dispatcher with two replicas of four slots and a class in each tier."""
+
+    def __init__(self, *, may_repeat: bool = True) -> None:
+        self.clock = ManualClock()
+        self.quarantine = Quarantine(clock=self.clock)
+        self.classes = {
+            tier: RequestClass(
+                name=ClassName(f"t{tier}"),
+                service=ServiceName("s"),
+                tier=tier,
+                first_token=1.0,
+                may_repeat=may_repeat,
+                queue_bound=50,
+            )
+            for tier in range(1, 6)
+        }
+        numbers = itertools.count(1)
+        self.pool = PoolDispatcher(
+            pool=POOL,
+            service=Service(
+                name=ServiceName("s"),
+                kind=ServiceKind.ENGINE,
+                models=("m",),
+                pool_scope=PoolScope.REGION,
+                checks_fencing=False,
+                classes=tuple(self.classes.values()),
+            ),
+            clock=self.clock,
+            data_centre=DataCentre("x"),
+            random_source=random.Random(1),
+            costs=CostModel(),
+            quarantine=self.quarantine,
+            new_attempt_id=lambda: AttemptId(f"a{next(numbers)}"),
+        )
+        self.made = itertools.count(1)
+        infos = [
+            ReplicaInfo(instance=InstanceId(name), data_centre=DataCentre("x"))
+            for name in ("r1", "r2")
+        ]
+        self.pool.set_replicas(infos, entries=1)
+        self.grant(lowest=8)
+
+    def grant(self, *, lowest: int, pressed: int = 0) -> list[Action]:
+        loads = tuple(
+            ReplicaLoad(
+                instance=InstanceId(name), load=0, limit=4, hard_limit=6, gap_us=0
+            )
+            for name in ("r1", "r2")
+        )
+        return self.pool.take_grant(
+            Grant(
+                pool=POOL,
+                slots=(0, 0, 0, 0, lowest),
+                ttl_ms=100_000,
+                pressed_tier=pressed,
+                replicas=loads,
+            )
+        )
+
+    def submit(self, tier: int, *, preemptable: bool = True) -> list[Action]:
+        request = Request(
+            id=RequestId(f"q{next(self.made)}"),
+            workspace=WorkspaceId("w"),
+            request_class=self.classes[tier],
+            arrival=self.clock.now(),
+            fingerprint=Fingerprint(f"f{tier}"),
+        )
+        return self.pool.submit(request, preemptable=preemptable)
+
+
+def start_of(actions: list[Action]) -> Start:
+    return next(action for action in actions if isinstance(action, Start))
+
+
+def test_a_request_starts_at_once_when_there_is_room() -> None:
+    bench = Bench()
+    start = start_of(bench.submit(3))
+    assert start.replica in ("r1", "r2")
+    bench.pool.progress(start.attempt, events=7)
+    (done, *_) = bench.pool.finish(start.attempt)
+    assert isinstance(done, Finish) and done.tokens == 7
+
+
+def test_load_is_spread_over_replicas() -> None:
+    bench = Bench()
+    replicas = [start_of(bench.submit(3)).replica for _ in range(8)]
+    assert replicas.count(InstanceId("r1")) == 4
+    assert bench.submit(3) == []
+    assert bench.pool.queued == 1
+
+
+def test_a_higher_tier_takes_the_place_of_a_lower_one_that_goes_on_later() -> None:
+    bench = Bench()
+    starts = [start_of(bench.submit(5)) for _ in range(8)]
+    for start in starts:
+        bench.pool.progress(start.attempt, events=10)
+    actions = bench.submit(2)
+    cancels = [action for action in actions if isinstance(action, Cancel)]
+    assert [item.request.tier for item in cancels] == [5]
+    assert cancels[0].requeued
+    assert start_of(actions).request.tier == 2
+    bench.pool.finish(start_of(actions).attempt)
+    resumed = [
+        attempt.request
+        for attempt in bench.pool.attempts.values()
+        if attempt.request.generated == 10 and attempt.events == 0
+    ]
+    assert len(resumed) == 1
+
+
+def test_what_cannot_go_on_without_loss_is_not_preempted() -> None:
+    bench = Bench()
+    for _ in range(8):
+        bench.submit(5, preemptable=False)
+    assert not any(isinstance(action, Cancel) for action in bench.submit(2))
+
+
+@PROPERTY
+@given(
+    st.lists(
+        st.one_of(
+            st.tuples(st.just("submit"), st.integers(1, 5)),
+            st.tuples(st.just("finish"), st.integers(0, 100)),
+            st.tuples(st.just("fail"), st.integers(0, 100)),
+            st.tuples(st.just("grant"), st.integers(0, 12)),
+            st.tuples(st.just("tick"), st.integers(0, 3)),
+        ),
+        max_size=80,
+    )
+)
+def test_no_higher_tier_gives_way_to_a_lower_one(calls: list[tuple[str, int]]) -> None:
+    """Whatever comes: cancelled is only what is lower than something that waits."""
+    bench = Bench()
+    for kind, value in calls:
+        attempts = list(bench.pool.attempts)
+        waiting = bench.pool.demand().waiting
+        actions: list[Action] = []
+        if kind == "submit":
+            actions = bench.submit(value)
+            waiting = tuple(
+                count + (tier == value) for tier, count in enumerate(waiting, start=1)
+            )
+        elif kind == "finish" and attempts:
+            bench.pool.progress(attempts[value % len(attempts)], events=3)
+            actions = bench.pool.finish(attempts[value % len(attempts)])
+        elif kind == "fail" and attempts:
+            actions = bench.pool.fail(attempts[value % len(attempts)], Failure.BROKEN)
+        elif kind == "grant":
+            pressed = next((t for t in range(4, 0, -1) if waiting[t - 1]), 0)
+            actions = bench.grant(lowest=value, pressed=pressed)
+        elif kind == "tick":
+            bench.clock.advance(value)
+            actions = bench.pool.tick()
+        highest = next((t for t in range(1, 6) if waiting[t - 1]), 6)
+        for action in actions:
+            if isinstance(action, Cancel) and kind != "tick":
+                assert action.request.tier > highest
+        starts = [action.attempt for action in actions if isinstance(action, Start)]
+        assert len(set(starts)) == len(starts)
+    running = bench.pool.demand().running
+    assert sum(running) == len(bench.pool.attempts)
+
+
+@pytest.mark.parametrize(
+    ("failure", "may_repeat", "retried", "outcome"),
+    [
+        (Failure.NOT_SENT, False, True, None),
+        (Failure.REFUSED, False, True, None),
+        (Failure.BROKEN, False, False, Outcome.UNKNOWN),
+        (Failure.TIMED_OUT, False, False, Outcome.UNKNOWN),
+        (Failure.CROSSED, False, False, Outcome.UNKNOWN),
+        (Failure.BROKEN, True, True, None),
+        (Failure.CROSSED, True, True, None),
+    ],
+)
+def test_only_what_may_repeat_or_surely_never_ran_is_tried_again(
+    failure: Failure, may_repeat: bool, retried: bool, outcome: Outcome | None
+) -> None:
+    bench = Bench(may_repeat=may_repeat)
+    start = start_of(bench.submit(1))
+    actions = bench.pool.fail(start.attempt, failure)
+    assert any(isinstance(action, Start) for action in actions) is retried
+    refused = [action for action in actions if isinstance(action, Refuse)]
+    assert [item.outcome for item in refused] == ([outcome] if outcome else [])
+
+
+def test_a_retry_goes_to_another_replica() -> None:
+    bench = Bench()
+    start = start_of(bench.submit(1))
+    again = start_of(bench.pool.fail(start.attempt, Failure.BROKEN))
+    assert again.replica != start.replica
+
+
+def test_failures_are_bounded_and_the_caller_is_told() -> None:
+    bench = Bench()
+    actions = bench.submit(1)
+    for _ in range(MAX_FAILURES):
+        bench.clock.advance(2.0)
+        actions = actions or bench.pool.tick()
+        actions = bench.pool.fail(start_of(actions).attempt, Failure.REFUSED)
+    (refused,) = [action for action in actions if isinstance(action, Refuse)]
+    assert refused.reason is Reason.RETRIES_EXHAUSTED
+    assert refused.outcome is Outcome.NOT_RUN
+
+
+def test_without_any_upstream_the_answer_comes_within_seconds() -> None:
+    bench = Bench()
+    bench.pool.set_replicas([], entries=1)
+    assert bench.submit(1) == []
+    bench.clock.advance(4.0)
+    assert bench.pool.tick() == []
+    bench.clock.advance(2.0)
+    (refused,) = bench.pool.tick()
+    assert isinstance(refused, Refuse)
+    assert (refused.reason, refused.outcome) == (Reason.NO_UPSTREAM, Outcome.NOT_RUN)
+
+
+def test_a_caller_that_goes_away_frees_its_slot() -> None:
+    bench = Bench()
+    start = start_of(bench.submit(1))
+    (cancel, *_) = bench.pool.abandon(start.request.id)
+    assert isinstance(cancel, Cancel) and not cancel.requeued
+    assert bench.pool.attempts == {}
+    assert bench.pool.finish(start.attempt) == []
+
+
+def test_a_named_request_is_refused_before_it_waits() -> None:
+    bench = Bench()
+    bench.quarantine.name(Fingerprint("f3"))
+    (refused,) = bench.submit(3)
+    assert isinstance(refused, Refuse)
+    assert (refused.reason, refused.retry_after) == (Reason.QUARANTINED, None)
