Fit the control traffic into the planned size; measure data path and slopes

Cause: at 72 entries and 31 pools a data centre, demands and grants every 3.6 s come to 2.3 KB/s for each entry and 5.4 KB/s more for a coordinator, above 3 KB/s; the whole instance list at each poll would be 292 KB. Ruled out: keeping the interval and shortening ids only (204 to 148 bytes a grant, still 4 KB/s for a coordinator). Change: an interval of a sixth of a second for each entry (1.33 s at 8, 12 s at 72), replicas as 32-bit keys, the list read only when its version changed, a timer for each stream's silence instead of one for each chunk.

--- a/damasklead/cmdline.py
+++ b/damasklead/cmdline.py
@@ -246,7 +246,11 @@
         listed = platform.instances.list()
         if isinstance(listed, Err):
             return _no_platform()
-        records = [item for item in listed.ok_value if item.instance == self.instance]
+        records = [
+            item
+            for item in listed.ok_value.records or ()
+            if item.instance == self.instance
+        ]
         if not records:
             print(f"failed: the platform lists no instance {self.instance!r}")
             return FAILED
@@ -476,7 +480,7 @@
         return None
     entries = [
         item.instance
-        for item in listed.ok_value
+        for item in listed.ok_value.records or ()
         if item.service == ENTRY_SERVICE and item.state is InstanceState.LIVE
     ]
     versions = run(read_versions(entries), platform)
--- a/damasklead/daemon/callers.py
+++ b/damasklead/daemon/callers.py
@@ -38,6 +38,7 @@
 SERVICES_PREFIX = "/services/"
 OUTCOME_HEADER = "X-Damasklead-Outcome"
 BYTES_PER_TOKEN = 4
+BACKLOG = 1024  # connections
 PREFIX_BYTES = 1024
 ID_PATTERN = re.compile(r"^[A-Za-z0-9._:-]{1,128}$")
 KEY_PATTERN = re.compile(r"^[\x21-\x7e]{1,128}$")
@@ -322,6 +323,17 @@
         environ["damasklead.socket"] = self.socket
         return environ
 
+    def _sendall(self, data: bytes) -> None:
+        """Send with one call where that is enough, as it is for a chunk of a stream."""
+        try:
+            sent = self.socket.send(data)
+            if sent < len(data):
+                self.socket.sendall(data[sent:])
+        except OSError as error:
+            self.status = f"socket error: {error}"
+            raise
+        self.response_length += len(data)
+
     def log_request(self) -> None:
         """Leave requests out of the server's own log."""
 
@@ -362,6 +374,7 @@
             CallerApplication(entry=entry),
             spawn=GreenletPool(limits.connections),
             handler_class=handler,
+            backlog=BACKLOG,
             log=None,
             error_log=_ErrorLog(),
             **options,
--- a/damasklead/daemon/entry.py
+++ b/damasklead/daemon/entry.py
@@ -56,7 +56,7 @@
     Start,
 )
 from damasklead.settings import Settings
-from damasklead.sharing import choose_coordinator
+from damasklead.sharing import choose_coordinator, share_interval
 from damasklead.upstreams import UPSTREAMS, ConnectionPool, Upstream, UpstreamError
 from damasklead.util import new_id, stable_hash
 
@@ -64,6 +64,8 @@
 
 ENTRY_SERVICE = ServiceName("damasklead")
 
+NOTICE_INTERVALS = 2.5  # share intervals that gossip may take to reach all entries
+
 
 class Pool(msgspec.Struct, kw_only=True):
     """A service's upstreams with the dispatcher of this entry for them."""
@@ -156,6 +158,7 @@
     def arrange_members(self) -> None:
         """Let the pools see the present members."""
         entries = self.live_entries()
+        self.quarantine.set_notice(NOTICE_INTERVALS * share_interval(len(entries)))
         for pool in self.pools.values():
             scope = pool.service.pool_scope
             members = self.pool_members(pool.service)
--- a/damasklead/daemon/exchange.py
+++ b/damasklead/daemon/exchange.py
@@ -125,6 +125,8 @@
         self._current: AttemptId | None = None
         self._connection: socket.socket | None = None
         self._last_start: Start | None = None
+        self._answer: Answer | None = None
+        self._heard: tuple[int, float] = (0, 0.0)
         self._before_attempt = 0
         self._raw: list[bytes] = []
         self._raw_size = 0
@@ -148,6 +150,18 @@
         elif not isinstance(action, Finish):
             self._mailbox.put(action)
 
+    def check_silence(self) -> None:
+        """End the attempt if its stream has been silent for too long."""
+        answer = self._answer
+        if answer is None or self._current is None:
+            return
+        now = self._entry.clock.now()
+        if answer.chunks != self._heard[0]:
+            self._heard = (answer.chunks, now)
+        elif now - self._heard[1] > self._call.silence:
+            self._answer = None
+            answer.interrupt(Failure.TIMED_OUT)
+
     def run(self) -> Generator[Piece, None, None]:
         """
         Yield the answer: a head and its body, or a problem, which may follow a head.
@@ -185,6 +199,8 @@
                 yield from refused
                 return
         self._current = start.attempt
+        self._answer = None
+        self._heard = (-1, self._entry.clock.now())
         try:
             answer = self._send(start)
             if self._stream and answer.status == 200:
@@ -226,6 +242,8 @@
 
     def _relay(self, answer: Answer, start: Start) -> Iterator[Piece]:
         """Pass a stream on in whole events, as they arrive."""
+        answer.stream()
+        self._answer = answer
         if not self.streaming:
             self.streaming = True
             yield Head(status=200, headers=_end_to_end(answer), whole=False)
--- a/damasklead/daemon/watchers.py
+++ b/damasklead/daemon/watchers.py
@@ -26,14 +26,21 @@
     report_version,
 )
 from damasklead.messages import ConfigurationQuery
-from damasklead.platform.base import InstanceRecord, InstanceState, Row, StoreError
+from damasklead.platform.base import (
+    InstanceRecord,
+    InstanceState,
+    Listing,
+    Row,
+    StoreError,
+)
 
 __all__ = ["Watchers"]
 
 TICK_SECONDS = 0.05
+WAKE_SECONDS = 0.2
 CALLER_CHECK_SECONDS = 0.25
 MIN_POLL_SECONDS = 1.0
-READS_PER_SECOND = 72.0  # of all entries together, for each polled thing
+READS_PER_SECOND = 20.0  # of all entries together, for each polled thing
 AUDIT_SECONDS = 1.0
 BACK_OFF_LIMIT = 30.0  # seconds
 
@@ -53,6 +60,8 @@
         self._peers = peers
         self._random = random.Random(entry.instance)
         self._failures = 0
+        self._list_version = ""
+        self._listed: tuple[InstanceRecord, ...] = ()
 
     def run_ticks(self) -> None:
         """Let time pass in the pools."""
@@ -75,10 +84,14 @@
             self._wait(lambda: False)
 
     def run_callers(self) -> None:
-        """Give up requests whose caller has gone before the answer began."""
+        """
+        Give up requests whose caller has gone before the answer began, and attempts
+        whose upstream is silent.
+        """
         while True:
             self._entry.clock.sleep(CALLER_CHECK_SECONDS)
             for exchange in list(self._entry.exchanges.values()):
+                exchange.check_silence()
                 waits = not exchange.streaming and not (
                     exchange.claim and exchange.sent
                 )
@@ -155,12 +168,9 @@
     def _follow_members(self) -> None:
         entry = self._entry
         before = entry.membership.generation
-        result = entry.platform.instances.list()
+        result = entry.platform.instances.list(known=self._list_version)
         if isinstance(result, Ok):
-            for member in entry.membership.observe_list(result.ok_value):
-                entry.record(
-                    "leaving", member.instance, before="live", after="the list says so"
-                )
+            self._take_listing(result.ok_value)
         drains = entry.platform.tables.scan(DRAINS_TABLE, limit=1000)
         if isinstance(drains, Ok):
             for row in drains.ok_value:
@@ -171,12 +181,22 @@
         if entry.membership.generation != before:
             entry.arrange_members()
 
+    def _take_listing(self, listing: Listing) -> None:
+        """Merge a reading of the instance list; one without news repeats the last."""
+        if listing.records is not None:
+            self._list_version = listing.version
+            self._listed = listing.records
+        for member in self._entry.membership.observe_list(self._listed):
+            self._entry.record(
+                "leaving", member.instance, before="live", after="the list says so"
+            )
+
     def _wait(self, wake: Callable[[], bool]) -> None:
         entries = max(1, len(self._entry.live_entries()))
         period = max(MIN_POLL_SECONDS, entries / READS_PER_SECOND)
         deadline = self._entry.clock.now() + period * self._random.uniform(0.8, 1.2)
         while self._entry.clock.now() < deadline:
-            self._entry.clock.sleep(TICK_SECONDS)
+            self._entry.clock.sleep(WAKE_SECONDS)
             if wake():
                 return
 
--- a/damasklead/dispatching.py
+++ b/damasklead/dispatching.py
@@ -284,6 +284,9 @@
         Let time pass: refuse what waited too long, give up on silent attempts, start
         more.
         """
+        if not self._attempts and not len(self._queue):
+            self._replica_seen_at = self._clock.now()
+            return []
         actions: list[Action] = list(self._queue.expire())
         for refused in actions:
             self._preemptable.discard(refused.request.id)
--- a/damasklead/messages.py
+++ b/damasklead/messages.py
@@ -12,6 +12,7 @@
 
 from damasklead.ids import Fingerprint, Incarnation, InstanceId, PoolId
 from damasklead.platform.base import InstanceRecord
+from damasklead.util import stable_hash
 
 __all__ = [
     "ConfigurationAnswer",
@@ -27,6 +28,7 @@
     "ReplicaLoad",
     "decode_message",
     "encode_message",
+    "replica_key",
 ]
 
 
@@ -44,13 +46,15 @@
 
     Attributes
     ----------
+    key : int
+        ``replica_key`` of the replica.
     load, limit, hard_limit : int
         Requests that run or wait there, may run within targets, and may run at all.
     gap_us : int
         Microseconds between tokens, 0 when unknown.
     """
 
-    instance: InstanceId
+    key: int
     load: int
     limit: int
     hard_limit: int
@@ -148,6 +152,11 @@
     body: tuple[Body, ...] = ()
 
 
+def replica_key(instance: InstanceId) -> int:
+    """Return 32 bits that stand for a replica where its id would be too long."""
+    return stable_hash(instance) & 0xFFFF_FFFF
+
+
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(PeerMessage)
 
--- a/damasklead/platform/base.py
+++ b/damasklead/platform/base.py
@@ -27,6 +27,7 @@
     "InstanceList",
     "InstanceRecord",
     "InstanceState",
+    "Listing",
     "ObjectStore",
     "Platform",
     "Put",
@@ -128,6 +129,22 @@
     state: InstanceState = InstanceState.LIVE
 
 
+class Listing(msgspec.Struct, kw_only=True, frozen=True):
+    """
+    A reading of the instance list.
+
+    Attributes
+    ----------
+    version : str
+        Names this state of the list, like an entity tag.
+    records : tuple or None
+        ``None`` when the list still has the version that the reader knows.
+    """
+
+    version: str
+    records: tuple[InstanceRecord, ...] | None
+
+
 class TableService(ABC):
     """Transactional tables."""
 
@@ -164,8 +181,15 @@
     """The platform's lagging list of instances."""
 
     @abstractmethod
-    def list(self) -> Result[tuple[InstanceRecord, ...], StoreError]:
-        """Return all instances that the platform believes live or leaving."""
+    def list(self, *, known: str = "") -> Result[Listing, StoreError]:
+        """
+        Return all instances that the platform believes live or leaving.
+
+        Parameters
+        ----------
+        known : str
+            The version that the reader has; if it is the present one, no records come.
+        """
 
     @abstractmethod
     def announce(self, record: InstanceRecord) -> Result[None, StoreError]:
--- a/damasklead/platform/http.py
+++ b/damasklead/platform/http.py
@@ -18,6 +18,7 @@
     Conflict,
     InstanceList,
     InstanceRecord,
+    Listing,
     ObjectStore,
     Platform,
     Row,
@@ -83,6 +84,8 @@
 class ListCall(msgspec.Struct, kw_only=True, tag="list-instances"):
     """Arguments of ``InstanceList.list``."""
 
+    known: str = ""
+
 
 class AnnounceCall(msgspec.Struct, kw_only=True, tag="announce"):
     """Arguments of ``InstanceList.announce``."""
@@ -201,9 +204,9 @@
     def __init__(self, *, client: HttpPlatformClient) -> None:
         self._client = client
 
-    def list(self) -> Result[tuple[InstanceRecord, ...], StoreError]:
-        """Return all instances."""
-        return self._client.call(ListCall(), tuple[InstanceRecord, ...])
+    def list(self, *, known: str = "") -> Result[Listing, StoreError]:
+        """Return all instances, unless the reader knows the present version."""
+        return self._client.call(ListCall(known=known), Listing)
 
     def announce(self, record: InstanceRecord) -> Result[None, StoreError]:
         """Enter or update an instance."""
--- a/damasklead/platform/memory.py
+++ b/damasklead/platform/memory.py
@@ -21,6 +21,7 @@
     Delete,
     InstanceList,
     InstanceRecord,
+    Listing,
     ObjectStore,
     Platform,
     Row,
@@ -168,20 +169,27 @@
         self._faults = faults
         self._records: dict[InstanceId, InstanceRecord] = {}
         self._shown: tuple[InstanceRecord, ...] = ()
+        self._version = 1
+        self._shown_version = 0
 
-    def list(self) -> Result[tuple[InstanceRecord, ...], StoreError]:
+    def list(self, *, known: str = "") -> Result[Listing, StoreError]:
         """Return all instances, as they were when the list was frozen if it is."""
         if self._faults.down:
             return Err(StoreError.UNAVAILABLE)
         if not self._faults.list_frozen:
             self._shown = tuple(self._records.values())
-        return Ok(self._shown)
+            self._shown_version = self._version
+        version = str(self._shown_version)
+        return Ok(
+            Listing(version=version, records=None if version == known else self._shown)
+        )
 
     def announce(self, record: InstanceRecord) -> Result[None, StoreError]:
         """Enter or update an instance."""
         if self._faults.down:
             return Err(StoreError.UNAVAILABLE)
         self._records[record.instance] = record
+        self._version += 1
         return Ok(None)
 
     def withdraw(self, instance: InstanceId) -> Result[None, StoreError]:
@@ -189,6 +197,7 @@
         if self._faults.down:
             return Err(StoreError.UNAVAILABLE)
         self._records.pop(instance, None)
+        self._version += 1
         return Ok(None)
 
 
--- a/damasklead/quarantine.py
+++ b/damasklead/quarantine.py
@@ -54,6 +54,10 @@
         self._seen: dict[tuple[InstanceId, Incarnation], set[Fingerprint]] = {}
         self._releases: dict[Fingerprint, int] = {}
 
+    def set_notice(self, seconds: float) -> None:
+        """Change how long all entries may take to tell of a crash."""
+        self._notice_seconds = seconds
+
     @property
     def named(self) -> list[Fingerprint]:
         """The fingerprints that are refused at present."""
--- a/damasklead/replicas.py
+++ b/damasklead/replicas.py
@@ -15,7 +15,7 @@
 from damasklead.clock import Clock
 from damasklead.ids import AttemptId, DataCentre, InstanceId
 from damasklead.learning import MovingAverage
-from damasklead.messages import ReplicaLoad
+from damasklead.messages import ReplicaLoad, replica_key
 from damasklead.requests import Request
 from damasklead.util import stable_hash
 
@@ -49,6 +49,7 @@
 
 class _Replica(msgspec.Struct, kw_only=True):
     info: ReplicaInfo
+    key: int
     limit: int = DEFAULT_LIMIT
     hard_limit: int = DEFAULT_LIMIT
     others: MovingAverage = msgspec.field(
@@ -121,14 +122,17 @@
         known = self._replicas
         self._replicas = {}
         for info in replicas:
-            replica = known.get(info.instance) or _Replica(info=info)
+            replica = known.get(info.instance) or _Replica(
+                info=info, key=replica_key(info.instance)
+            )
             replica.info = info
             self._replicas[info.instance] = replica
 
     def observe_loads(self, loads: Iterable[ReplicaLoad]) -> list[InstanceId]:
         """Take in reported loads; returns the replicas that are ejected by them."""
+        by_key = {replica.key: replica for replica in self._replicas.values()}
         for load in loads:
-            replica = self._replicas.get(load.instance)
+            replica = by_key.get(load.key)
             if replica is None:
                 continue
             replica.others.add(max(0, load.load - len(replica.own)))
--- a/damasklead/sharing.py
+++ b/damasklead/sharing.py
@@ -16,7 +16,7 @@
 from damasklead.clock import Clock
 from damasklead.ids import InstanceId, PoolId
 from damasklead.learning import BatchLimit, MovingAverage
-from damasklead.messages import Demand, Grant, ReplicaLoad
+from damasklead.messages import Demand, Grant, ReplicaLoad, replica_key
 from damasklead.util import stable_hash
 
 __all__ = [
@@ -31,7 +31,7 @@
 
 TIERS = 5
 MIN_INTERVAL = 0.25  # seconds
-INTERVAL_PER_ENTRY = 0.05  # seconds
+INTERVAL_PER_ENTRY = 1 / 6  # seconds
 TTL_INTERVALS = 4
 FORGET_INTERVALS = 6
 REPORT_HORIZON = 10.0  # seconds
@@ -90,8 +90,8 @@
 
     Examples
     --------
-    >>> share_interval(8), share_interval(72)
-    (0.4, 3.6)
+    >>> round(share_interval(8), 2), round(share_interval(72), 2)
+    (1.33, 12.0)
     """
     return max(MIN_INTERVAL, entries * INTERVAL_PER_ENTRY)
 
@@ -215,7 +215,7 @@
                 limit = max(1, int(limit * median / report.token_gap))
             loads.append(
                 ReplicaLoad(
-                    instance=instance,
+                    key=replica_key(instance),
                     load=report.running + report.waiting,
                     limit=min(limit, report.slots),
                     hard_limit=report.slots,
--- a/damasklead/standins/base.py
+++ b/damasklead/standins/base.py
@@ -66,6 +66,7 @@
 
     def handle(self, client_socket: socket.socket, address: Any) -> None:
         """Serve one connection."""
+        client_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._connections.add(client_socket)
         try:
             super().handle(client_socket, address)
--- a/damasklead/standins/platform.py
+++ b/damasklead/standins/platform.py
@@ -86,7 +86,7 @@
             case GetCall():
                 return services.objects.get(call.name)
             case ListCall():
-                return services.instances.list()
+                return services.instances.list(known=call.known)
             case AnnounceCall():
                 return services.instances.announce(call.record)
             case WithdrawCall():
--- a/damasklead/upstreams/transport.py
+++ b/damasklead/upstreams/transport.py
@@ -124,6 +124,8 @@
     ----------
     status : int
         The HTTP status.
+    chunks : int
+        How often something arrived.
     """
 
     def __init__(
@@ -139,6 +141,23 @@
         self._connection: socket.socket | None = connection
         self._address = address
         self._pool = pool
+        self._interrupted: Failure | None = None
+        self.chunks = 0
+
+    def stream(self) -> None:
+        """
+        Read without a timer for each chunk, which costs more than the chunk.
+
+        Whoever calls this must call ``interrupt`` when the upstream is silent for long;
+        ``chunks`` tells how much has come.
+        """
+        if self._connection is not None:
+            self._connection.settimeout(None)
+
+    def interrupt(self, failure: Failure) -> None:
+        """End the call; its reader gets this failure."""
+        self._interrupted = failure
+        self.close()
 
     def header(self, name: str) -> str:
         """Return a header's value, empty when there is none."""
@@ -166,9 +185,7 @@
             if self._parser.message_complete:
                 self._finish()
                 return b""
-            if self._connection is None:
-                raise UpstreamError(Failure.BROKEN, "the call was closed")
-            _receive(self._connection, self._parser)
+            self._receive()
 
     def read_all(self, *, limit: int) -> bytes:
         """
@@ -193,6 +210,17 @@
         if connection is not None:
             connection.close()
 
+    def _receive(self) -> None:
+        if self._connection is None:
+            raise UpstreamError(self._interrupted or Failure.BROKEN, "interrupted")
+        try:
+            _receive(self._connection, self._parser)
+        except UpstreamError as error:
+            if self._interrupted is not None:
+                raise UpstreamError(self._interrupted, "interrupted") from error
+            raise
+        self.chunks += 1
+
     def _finish(self) -> None:
         connection, self._connection = self._connection, None
         if connection is None:
