--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,8 @@
 bench: $(VENV)/.installed
 	$(RUN) -m bench.policy
 	$(RUN) -m bench.datapath
+	$(RUN) -m bench.store
+	$(RUN) -m bench.slopes
 
 model: $(VENV)/.installed
 	$(RUN) -m models
--- /dev/null
+++ b/tests/test_package.py
@@ -0,0 +1,54 @@
+"""
+Tests of the package's shape
+============================
+"""
+
+import ast
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+PACKAGE = Path(__file__).parent.parent / "damasklead"
+DECISIONS = (
+    "claims", "configuration", "dispatching", "duties", "gossip", "leases", "learning",
+    "manifest", "membership", "protocol", "quarantine", "queueing", "replicas",
+    "retrying", "sharing",
+)  # fmt: skip
+FORBIDDEN = {"gevent", "geventhttpclient", "zmq", "time", "socket"}
+
+
+def test_the_public_names_load_no_network_library() -> None:
+    code = (
+        "import sys, damasklead; print('gevent' in sys.modules, 'zmq' in sys.modules)"
+    )
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True)
+    assert done.stdout.split() == ["False", "False"], done.stderr
+
+
+@pytest.mark.parametrize("module", DECISIONS)
+def test_decisions_import_neither_io_nor_clocks(module: str) -> None:
+    tree = ast.parse((PACKAGE / f"{module}.py").read_text())
+    imported: set[str] = set()
+    for node in ast.walk(tree):
+        if isinstance(node, ast.Import):
+            imported |= {alias.name.split(".")[0] for alias in node.names}
+        elif isinstance(node, ast.ImportFrom) and node.module:
+            imported.add(node.module.split(".")[0])
+    assert not imported & FORBIDDEN
+
+
+def test_the_examples_pass_the_check() -> None:
+    examples = PACKAGE.parent / "examples"
+    for folder in examples.iterdir():
+        entries = [str(path) for path in sorted((folder / "entries").glob("*.json"))]
+        command = [
+            sys.executable,
+            "-m",
+            "damasklead",
+            "check",
+            str(folder / "services"),
+        ]
+        done = subprocess.run([*command, *entries], capture_output=True, text=True)
+        assert done.returncode == 0, done.stdout
