Spread coordinators evenly; leave the platform's own list out of the audit trail

Cause: with plain rendezvous hashing an entry may coordinate three pools at the planned size, 1.5 KB/s each; and every entry wrote an audit row for every instance that the list showed as leaving, 360 rows for each. Change: bounded loads, at most ceil(pools / entries) for each entry; the list's own changes are not recorded.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -232,6 +232,24 @@
     show("taking a grant by replicas of the pool", "us", grants)
 
 
+def measure_ticks() -> None:
+    """Print the time of a pool's tick by the requests that run."""
+    points: list[tuple[float, float]] = []
+    for running in (1, 7, 20, 60):
+        clock = ManualClock()
+        dispatcher, request_class = make_dispatcher(7, clock)
+        for number in range(running):
+            request = Request(
+                id=RequestId(str(number)),
+                workspace=WorkspaceId("w"),
+                request_class=request_class,
+                arrival=clock.now(),
+            )
+            dispatcher.submit(request)
+        points.append((running, timed(dispatcher.tick, times=500)))
+    show("a pool's tick by its running requests", "us", points)
+
+
 def make_files(*, models: int, workspaces: int) -> dict[str, str]:
     """Return the files of a configuration with five tiers for each model."""
     files = {}
@@ -336,6 +354,7 @@
     """Measure everything."""
     measure_sharing()
     measure_decisions()
+    measure_ticks()
     measure_configuration()
     measure_members()
 
--- a/damasklead/daemon/entry.py
+++ b/damasklead/daemon/entry.py
@@ -56,7 +56,7 @@
     Start,
 )
 from damasklead.settings import Settings
-from damasklead.sharing import choose_coordinator, share_interval
+from damasklead.sharing import choose_coordinators, share_interval
 from damasklead.upstreams import UPSTREAMS, ConnectionPool, Upstream, UpstreamError
 from damasklead.util import new_id, stable_hash
 
@@ -159,18 +159,11 @@
         """Let the pools see the present members."""
         entries = self.live_entries()
         self.quarantine.set_notice(NOTICE_INTERVALS * share_interval(len(entries)))
-        for pool in self.pools.values():
-            scope = pool.service.pool_scope
-            members = self.pool_members(pool.service)
-            peers = [entry for entry in entries if self._in_scope(entry, scope)]
-            pool.coordinator = choose_coordinator(
-                pool.dispatcher.pool, (entry.instance for entry in peers)
-            )
-            infos = [
-                ReplicaInfo(instance=member.instance, data_centre=member.data_centre)
-                for member in members
+        for scope in PoolScope:
+            peers = [
+                entry.instance for entry in entries if self._in_scope(entry, scope)
             ]
-            self.apply(pool, pool.dispatcher.set_replicas(infos, entries=len(peers)))
+            self._arrange_scope(scope, peers)
 
     def live_entries(self) -> list[Member]:
         """Return the live entries, this one included."""
@@ -351,6 +344,20 @@
                 del self.pools[name]
         self.arrange_members()
 
+    def _arrange_scope(self, scope: PoolScope, peers: list[InstanceId]) -> None:
+        """Let the pools of one scope see their coordinators and upstreams."""
+        pools = [
+            pool for pool in self.pools.values() if pool.service.pool_scope is scope
+        ]
+        chosen = choose_coordinators((pool.dispatcher.pool for pool in pools), peers)
+        for pool in pools:
+            pool.coordinator = chosen.get(pool.dispatcher.pool)
+            infos = [
+                ReplicaInfo(instance=member.instance, data_centre=member.data_centre)
+                for member in self.pool_members(pool.service)
+            ]
+            self.apply(pool, pool.dispatcher.set_replicas(infos, entries=len(peers)))
+
     def _new_pool(self, service: Service) -> Pool:
         dispatcher = PoolDispatcher(
             pool=self.pool_id(service),
--- a/damasklead/daemon/watchers.py
+++ b/damasklead/daemon/watchers.py
@@ -186,10 +186,7 @@
         if listing.records is not None:
             self._list_version = listing.version
             self._listed = listing.records
-        for member in self._entry.membership.observe_list(self._listed):
-            self._entry.record(
-                "leaving", member.instance, before="live", after="the list says so"
-            )
+        self._entry.membership.observe_list(self._listed)
 
     def _wait(self, wake: Callable[[], bool]) -> None:
         entries = max(1, len(self._entry.live_entries()))
--- a/damasklead/membership.py
+++ b/damasklead/membership.py
@@ -66,22 +66,11 @@
         self._members: dict[InstanceId, Member] = {}
         self._ended: dict[InstanceId, tuple[Incarnation, MemberState, float]] = {}
 
-    def observe_list(self, records: tuple[InstanceRecord, ...]) -> list[Member]:
-        """
-        Merge a reading of the instance list.
-
-        Returns
-        -------
-        list of Member
-            Those that this reading first shows as leaving.
-        """
-        leaving = [
-            member
-            for record in records
-            if (member := self._observe(record)) is not None
-        ]
+    def observe_list(self, records: tuple[InstanceRecord, ...]) -> None:
+        """Merge a reading of the instance list."""
+        for record in records:
+            self._observe(record)
         self._observe_absence({record.instance for record in records})
-        return leaving
 
     def observe_peer(self, records: tuple[InstanceRecord, ...]) -> None:
         """Merge what a peer knows; it says nothing about who is absent."""
@@ -142,11 +131,10 @@
         ]
         return sorted(found, key=lambda member: member.instance)
 
-    def _observe(self, record: InstanceRecord) -> Member | None:
-        """Merge one record; returns the member when it turns to leaving by it."""
+    def _observe(self, record: InstanceRecord) -> None:
         known = self._members.get(record.instance)
         if known is not None and record.incarnation < known.incarnation:
-            return None
+            return
         ceiling = self._ceiling(record.instance, record.incarnation)
         listed = MemberState.LIVE
         if record.state is InstanceState.LEAVING:
@@ -155,8 +143,8 @@
         if known is not None and record.incarnation == known.incarnation:
             known.absent_since = None
             if (known.state, known.address) == (state, record.address):
-                return None
-        member = Member(
+                return
+        self._members[record.instance] = Member(
             instance=record.instance,
             incarnation=record.incarnation,
             service=record.service,
@@ -165,16 +153,10 @@
             region=record.region,
             state=state,
         )
-        self._members[record.instance] = member
         self.generation += 1
-        if state is MemberState.LEAVING and ceiling is MemberState.LIVE:
-            self._ended[record.instance] = (
-                record.incarnation,
-                state,
-                self._clock.now(),
-            )
-            return member
-        return None
+        if listed is not MemberState.LIVE and ceiling is MemberState.LIVE:
+            ended = (record.incarnation, state, self._clock.now())
+            self._ended[record.instance] = ended
 
     def _ceiling(self, instance: InstanceId, incarnation: Incarnation) -> MemberState:
         """Return the furthest state that this incarnation is known to have reached."""
--- a/damasklead/sharing.py
+++ b/damasklead/sharing.py
@@ -25,6 +25,7 @@
     "LoadReport",
     "ShareHolder",
     "choose_coordinator",
+    "choose_coordinators",
     "divide",
     "share_interval",
 ]
@@ -83,6 +84,38 @@
     return max(entries, key=lambda entry: stable_hash(pool, entry), default=None)
 
 
+def choose_coordinators(
+    pools: Iterable[PoolId], entries: Sequence[InstanceId]
+) -> dict[PoolId, InstanceId]:
+    """
+    Return each pool's coordinator, with the pools spread evenly over the entries.
+
+    Each pool goes to its highest rendezvous hash among the entries that have room left
+    (bounded loads).  Entries that know other members choose otherwise for a while,
+    which costs efficiency only.
+
+    Examples
+    --------
+    >>> names = [InstanceId(name) for name in "abc"]
+    >>> chosen = choose_coordinators([PoolId(str(n)) for n in range(6)], names)
+    >>> sorted(chosen.values())
+    ['a', 'a', 'b', 'b', 'c', 'c']
+    """
+    ordered = sorted(pools)
+    if not entries:
+        return {}
+    bound = -(-len(ordered) // len(entries))
+    taken = dict.fromkeys(entries, 0)
+    chosen: dict[PoolId, InstanceId] = {}
+    for pool in ordered:
+        open_entries = [entry for entry in entries if taken[entry] < bound]
+        coordinator = choose_coordinator(pool, open_entries)
+        assert coordinator is not None
+        taken[coordinator] += 1
+        chosen[pool] = coordinator
+    return chosen
+
+
 def share_interval(entries: int) -> float:
     """
     Return the seconds between an entry's demands, so that a coordinator's load stays
