Let others give way for the top tier only; a retry budget that covers a whole replica

In the demonstration a crash of 45 requests met a retry budget of 32, because it was sized by the limits known before the first grant. Change: only the top tier preempts; the budget follows each grant.

--- a/damasklead/daemon/exchange.py
+++ b/damasklead/daemon/exchange.py
@@ -273,7 +273,7 @@
     def _pass_whole(self, answer: Answer, start: Start) -> Iterator[Piece]:
         body = answer.read_all(limit=self._entry.settings.limits.answer_bytes)
         self.pool.dispatcher.progress(start.attempt, events=1)
-        headers = _end_to_end(answer)
+        headers = [*_end_to_end(answer), ("Content-Length", str(len(body)))]
         self._record_answer(answer, body)
         self._complete(start)
         yield Head(status=answer.status, headers=headers, whole=True)
@@ -397,6 +397,7 @@
     headers = [
         ("Content-Type", claim.answer.content_type),
         ("X-Damasklead-Replayed", "true"),
+        ("Content-Length", str(len(claim.answer.body))),
     ]
     return [
         Head(status=claim.answer.status, headers=headers, whole=True),
--- a/damasklead/demo/run.py
+++ b/damasklead/demo/run.py
@@ -47,6 +47,7 @@
 }
 MODEL = "demo-7b"
 CRASH_AFTER_TOKENS = 300
+SLOTS = 64
 
 
 class Row(msgspec.Struct, kw_only=True):
@@ -96,7 +97,7 @@
 
     def _engine(self, number: int) -> EngineStandin:
         record = self._record(f"engine-{number}", "demo-llm")
-        return EngineStandin(record=record, platform=self._platform)
+        return EngineStandin(record=record, platform=self._platform, slots=SLOTS)
 
     def _record(self, name: str, service: str) -> InstanceRecord:
         return InstanceRecord(
--- a/damasklead/dispatching.py
+++ b/damasklead/dispatching.py
@@ -38,6 +38,7 @@
 __all__ = ["Attempt", "Options", "PoolDispatcher"]
 
 TOP_TIER = 1
+PREEMPTING_TIER = 1  # the lowest tier for which others give way
 URGENT_TIER = 2
 URGENT_FRACTION = 0.3  # of the target that a request has waited
 MAX_FAILURES = 4
@@ -163,13 +164,14 @@
         """Take the replicas that may take new work and the number of entries."""
         self._entries = max(1, entries)
         self.replicas.retain(replicas, entries=self._entries)
-        self._budget.resize(max(BURST, float(self.replicas.capacity)))
+        self._resize_budget()
         return self._fill()
 
     def take_grant(self, grant: Grant) -> list[Action]:
         """Take a share from the coordinator."""
         self.share.take(grant)
         ejected = self.replicas.observe_loads(grant.replicas)
+        self._resize_budget()
         return [*self._leave_stragglers(ejected), *self._fill(), *self._yield_share()]
 
     def demand(self) -> Demand:
@@ -295,6 +297,10 @@
         actions.extend(self._fill())
         return actions
 
+    def _resize_budget(self) -> None:
+        """Let the budget cover the crash of a replica with all that runs there."""
+        self._budget.resize(max(BURST, float(self.replicas.capacity)))
+
     def _after_failure(self, request: Request, failure: Failure) -> list[Action]:
         if self._quarantine.is_named(request.fingerprint):
             return [self._final(request, Reason.QUARANTINED)]
@@ -421,13 +427,14 @@
         pressed = self.share.pressed_tier
         if not pressed or not self._options.preempt:
             return []
+        pressed = min(pressed, PREEMPTING_TIER)
         slots = self._slots()
         excess = sum(self._running[pressed + 1 :]) - sum(slots[pressed:])
         return self._preempt(below=pressed, count=excess)
 
     def _make_room(self, request: Request) -> list[Action]:
         """Preempt one lower request of this entry for one that found no slot."""
-        if not self._options.preempt:
+        if not self._options.preempt or request.tier > PREEMPTING_TIER:
             return []
         preempted = self._preempt(below=request.tier, count=1)
         return [*preempted, *self._fill()] if preempted else []
