--- a/damasklead/demo/run.py
+++ b/damasklead/demo/run.py
@@ -6,6 +6,8 @@
 stand-ins saw.
 """
 
+import itertools
+import os
 import sys
 from collections.abc import Callable
 from importlib import resources
@@ -48,6 +50,13 @@
 MODEL = "demo-7b"
 CRASH_AFTER_TOKENS = 300
 SLOTS = 64
+FIRST_PORT = 12_000
+PORTS = 10_000
+
+
+_PORTS = itertools.cycle(
+    range(FIRST_PORT + os.getpid() * 50 % PORTS, FIRST_PORT + 2 * PORTS)
+)
 
 
 class Row(msgspec.Struct, kw_only=True):
@@ -250,12 +259,20 @@
 
 
 def free_address() -> str:
-    """Return a loopback address whose port is free at the moment."""
-    listener = socket.socket()
-    listener.bind(("127.0.0.1", 0))
-    port = listener.getsockname()[1]
-    listener.close()
-    return f"127.0.0.1:{port}"
+    """
+    Return a loopback address whose port is free at the moment.
+
+    The ports are below those that the system gives to outgoing connections, so that
+    none of these takes one before its server listens.
+    """
+    while True:
+        port = next(_PORTS)
+        with socket.socket() as listener:
+            try:
+                listener.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        return f"127.0.0.1:{port}"
 
 
 def _count(row: Row, received: Received) -> None:
