Keep quarantines as rows, so that later entries know them and operators can lift them

Cause: names rode on gossip for 30 s only; an entry started later would let the request crash upstreams again. Change: a row written with the audit event, read with the drains; quarantine list and release.

--- a/damasklead/audit.py
+++ b/damasklead/audit.py
@@ -70,32 +70,36 @@
     def __init__(self, *, bound: int = MAX_BUFFERED) -> None:
         self.dropped = 0
         self._bound = bound
-        self._events: deque[AuditEvent] = deque()
+        self._events: deque[tuple[AuditEvent, tuple[Put, ...]]] = deque()
 
     def __len__(self) -> int:
         return len(self._events)
 
-    def add(self, event: AuditEvent) -> None:
-        """Keep an event; the oldest is dropped and counted when there is no room."""
+    def add(self, event: AuditEvent, *writes: Put) -> None:
+        """
+        Keep an event with the writes that belong to it, to be stored together.
+
+        The oldest is dropped and counted when there is no room.
+        """
         if len(self._events) >= self._bound:
             self._events.popleft()
             self.dropped += 1
-        self._events.append(event)
+        self._events.append((event, writes))
 
     def flush(self) -> Steps[int]:
         """Store what is kept, one commit an event; returns how many were stored."""
         stored = 0
         while self._events:
-            event = self._events[0]
-            result = yield self._commit(event)
+            first = self._events[0]
+            result = yield self._commit(*first)
             if isinstance(result, Err):
                 return stored
-            if self._events and self._events[0] is event:
+            if self._events and self._events[0] is first:
                 self._events.popleft()
             stored += 1
         return stored
 
-    def _commit(self, event: AuditEvent) -> Commit:
+    def _commit(self, event: AuditEvent, writes: tuple[Put, ...]) -> Commit:
         put = audit_put(event)
         condition = Condition(table=put.table, key=put.key, version=ABSENT)
-        return Commit(conditions=(condition,), writes=(put,))
+        return Commit(conditions=(condition,), writes=(put, *writes))
--- a/damasklead/cmdline.py
+++ b/damasklead/cmdline.py
@@ -47,6 +47,7 @@
 from damasklead.platform.base import InstanceRecord, InstanceState
 from damasklead.platform.http import http_platform
 from damasklead.protocol import run
+from damasklead.quarantine_rows import QUARANTINE_TABLE, decode_row, release_commit
 from damasklead.settings import check_settings
 from damasklead.util import new_id, split_address
 
@@ -335,6 +336,68 @@
     command: cappa.Subcommands[OrdersList | OrdersResolve]
 
 
+@cappa.command(name="list", help="List quarantined fingerprints.")
+@dataclass(kw_only=True)
+class QuarantineList:
+    """Those that entries refuse, and those that operators have lifted."""
+
+    platform: Where
+    json: Json = False
+
+    def __call__(self) -> int:
+        platform = http_platform(address=self.platform)
+        rows = _scan(platform, QUARANTINE_TABLE, decode_row)
+        if rows is None:
+            return _no_platform()
+        if self.json:
+            print(msgspec.json.encode(rows).decode())
+            return DONE
+        for row in rows:
+            state = "lifted by" if row.released else "named by"
+            print(f"{row.fingerprint}  {state} {row.who}")
+        return DONE
+
+
+@cappa.command(name="release", help="Lift a quarantine at every entry.")
+@dataclass(kw_only=True)
+class QuarantineRelease:
+    """Do so when the engines have been mended or the naming was wrong."""
+
+    fingerprint: str
+    platform: Where
+    who: Who = ""
+
+    def __call__(self) -> int:
+        platform = http_platform(address=self.platform)
+        rows = _scan(platform, QUARANTINE_TABLE, decode_row)
+        if rows is None:
+            return _no_platform()
+        found = [row for row in rows if row.fingerprint == self.fingerprint]
+        if not found:
+            print(f"failed: {self.fingerprint} is not quarantined")
+            return FAILED
+        event = _event(
+            self.who or _user(),
+            "release-quarantine",
+            self.fingerprint,
+            before="refused",
+            after="lifted",
+        )
+        commit = release_commit(found[0], event=event)
+        if isinstance(platform.tables.commit(commit), Err):
+            return _no_platform()
+        print(f"{self.fingerprint} is lifted")
+        return DONE
+
+
+@cappa.command(name="quarantine", help="List and lift quarantined requests.")
+@dataclass(kw_only=True)
+class QuarantineGroup:
+    """Requests that crash upstreams."""
+
+    command: cappa.Subcommands[QuarantineList | QuarantineRelease]
+
+
 @cappa.command(
     name="key", help="Make a bearer key for a workspace and print its digest."
 )
@@ -418,6 +481,7 @@
         | Audit
         | DrainInstance
         | Orders
+        | QuarantineGroup
         | MakeKey
         | Demo
         | Standin
--- a/damasklead/daemon/entry.py
+++ b/damasklead/daemon/entry.py
@@ -42,8 +42,10 @@
     ReleaseNotice,
 )
 from damasklead.platform import Platform
+from damasklead.platform.base import Put
 from damasklead.protocol import Steps, T, run
 from damasklead.quarantine import Quarantine
+from damasklead.quarantine_rows import QuarantineRow, row_put
 from damasklead.replicas import ReplicaInfo
 from damasklead.requests import (
     Action,
@@ -129,21 +131,20 @@
         return run(steps, self.platform)
 
     def record(
-        self, action: str, subject: str, *, before: str = "", after: str = ""
+        self, action: str, subject: str, *writes: Put, before: str = "", after: str = ""
     ) -> None:
-        """Add a change to the audit trail."""
+        """Add a change to the audit trail, with the writes that belong to it."""
         logs.event("change", action=action, subject=subject, before=before, after=after)
-        self.audit.add(
-            AuditEvent(
-                id=new_id(),
-                at=self.clock.wall(),
-                who=self.instance,
-                action=action,
-                subject=subject,
-                before=before,
-                after=after,
-            )
+        event = AuditEvent(
+            id=new_id(),
+            at=self.clock.wall(),
+            who=self.instance,
+            action=action,
+            subject=subject,
+            before=before,
+            after=after,
         )
+        self.audit.add(event, *writes)
 
     def take_configuration(self, files: dict[str, str], *, version: int) -> bool:
         """Put a configuration into force if it is newer than the present one."""
@@ -317,7 +318,15 @@
         """Refuse a fingerprint at every entry."""
         if self.quarantine.name(fingerprint):
             self.gossip.add(QuarantineNotice(fingerprint=fingerprint))
-            self.record("quarantine", fingerprint, before="suspect", after=why)
+            row = QuarantineRow(
+                fingerprint=fingerprint,
+                number=self.quarantine.release_number(fingerprint) + 1,
+                released=False,
+                who=self.instance,
+            )
+            self.record(
+                "quarantine", fingerprint, row_put(row), before="suspect", after=why
+            )
 
     def new_attempt_id(self) -> AttemptId:
         """Return an id that no other attempt has."""
--- a/damasklead/daemon/watchers.py
+++ b/damasklead/daemon/watchers.py
@@ -33,6 +33,7 @@
     Row,
     StoreError,
 )
+from damasklead.quarantine_rows import QUARANTINE_TABLE, apply_row, decode_row
 
 __all__ = ["Watchers"]
 
@@ -178,6 +179,10 @@
                 entry.mark_leaving(
                     drain.instance, drain.incarnation, why="an operator drains it"
                 )
+        named = entry.platform.tables.scan(QUARANTINE_TABLE, limit=1000)
+        if isinstance(named, Ok):
+            for row in named.ok_value:
+                apply_row(decode_row(row), entry.quarantine)
         if entry.membership.generation != before:
             entry.arrange_members()
 
--- a/damasklead/quarantine.py
+++ b/damasklead/quarantine.py
@@ -155,6 +155,10 @@
         self._suspects.pop(fingerprint, None)
         return self._named.pop(fingerprint, None) is not None
 
+    def release_number(self, fingerprint: Fingerprint) -> int:
+        """Return the number of the last release of a fingerprint, 0 before any."""
+        return self._releases.get(fingerprint, 0)
+
     def clear(self, fingerprint: Fingerprint) -> None:
         """Take in that a request with this fingerprint ended well."""
         self._suspects.pop(fingerprint, None)
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -249,9 +249,24 @@
     deployment.until(lambda: all(map(deployment.is_serving, deployment.operators)))
     gevent.sleep(2.0)
     innocent = results([gevent.spawn(ask, caller, number) for number in range(20)])
-    keeper.kill()
     assert all(item.verdict is Verdict.WHOLE for item in innocent)
     assert "quarantine" in deployment.command("audit").stdout
+    # An entry that starts later refuses it too, until an operator lifts it.
+    deployment.kill("entry-1")
+    deployment.start_entry("entry-1")
+    deployment.until(lambda: deployment.is_serving("entry-1"))
+    late = deployment.caller("skippers", "entry-1")
+    refusal = late.complete("poison", prompt, tokens=5, stream=True, model=MODEL)
+    assert b"quarantined" in refusal.body
+    listed = deployment.command("quarantine", "list", "--json").stdout
+    fingerprint = msgspec.json.decode(listed)[0]["fingerprint"]
+    lifted = deployment.command("quarantine", "release", fingerprint)
+    assert lifted.returncode == 0, lifted.stdout
+    for name in deployment.operators:
+        deployment.until(
+            lambda entry=name: deployment.status(entry)["quarantined"] == []  # type: ignore[misc]
+        )
+    keeper.kill()
 
 
 def replicas_of(deployment: Deployment, entry: str) -> list[str]:
