--- a/Makefile
+++ b/Makefile
@@ -30,8 +30,27 @@
 model: $(VENV)/.installed
 	$(RUN) -m models
 
+BUILD := .venv-binary
+$(BUILD)/.installed: requirements-binary.txt
+	$(PYTHON) -m venv $(BUILD)
+	$(BUILD)/bin/python -m pip install --quiet --disable-pip-version-check --require-hashes -r requirements-binary.txt
+	touch $@
+
+# Needs a C compiler and patchelf; takes some minutes.  See docs/BINARY.md.
+binary: $(BUILD)/.installed
+	$(BUILD)/bin/python -m nuitka --onefile --python-flag=-m \
+		--onefile-tempdir-spec='{CACHE_DIR}/damasklead/{VERSION}' \
+		--product-version=0.1.0 --file-version=0.1.0 \
+		--include-package=damasklead --include-package-data=damasklead \
+		--nofollow-import-to=gevent.tests --nofollow-import-to=gevent.testing \
+		--nofollow-import-to=tkinter --nofollow-import-to=unittest \
+		--nofollow-import-to=setuptools --lto=no \
+		--output-dir=build --output-filename=damasklead damasklead
+	mkdir -p dist
+	cp build/damasklead dist/damasklead
+
 clean:
-	rm -rf $(VENV) build dist
+	rm -rf $(VENV) $(BUILD) build dist
 
 fuzz: $(VENV)/.installed
 	FUZZ_EXAMPLES=3000 FUZZ_STEPS=100 $(RUN) -m pytest tests/test_fuzz.py --hypothesis-show-statistics
--- a/damasklead/daemon/entry.py
+++ b/damasklead/daemon/entry.py
@@ -67,15 +67,27 @@
 ENTRY_SERVICE = ServiceName("damasklead")
 
 NOTICE_INTERVALS = 2.5  # share intervals that gossip may take to reach all entries
+SILENT_INTERVALS = (
+    4  # share intervals without a grant until a coordinator is passed over
+)
+SILENT_SECONDS = 60.0  # for which it is passed over unless it is heard
 
 
 class Pool(msgspec.Struct, kw_only=True):
-    """A service's upstreams with the dispatcher of this entry for them."""
+    """
+    A service's upstreams with the dispatcher of this entry for them.
+
+    Attributes
+    ----------
+    granted_at : float
+        Clock reading when the pool last had a grant or a new coordinator.
+    """
 
     service: Service
     dispatcher: PoolDispatcher
     upstream: Upstream
     coordinator: InstanceId | None = None
+    granted_at: float = 0.0
 
 
 class Entry:
@@ -115,6 +127,7 @@
         )
         self._exchanges: dict[RequestId, Exchange] = {}
         self._attempt_number = 0
+        self._silent: dict[InstanceId, float] = {}
 
     @property
     def exchanges(self) -> dict[RequestId, Exchange]:
@@ -160,12 +173,38 @@
         """Let the pools see the present members."""
         entries = self.live_entries()
         self.quarantine.set_notice(NOTICE_INTERVALS * share_interval(len(entries)))
+        heard = [entry for entry in entries if entry.instance not in self._silent]
         for scope in PoolScope:
-            peers = [
-                entry.instance for entry in entries if self._in_scope(entry, scope)
-            ]
+            peers = [item.instance for item in heard if self._in_scope(item, scope)]
             self._arrange_scope(scope, peers)
 
+    def check_coordinators(self) -> None:
+        """
+        Pass over coordinators that have sent no grant for some intervals.
+
+        The list may show an entry long after it has gone.
+        """
+        now = self.clock.now()
+        patience = SILENT_INTERVALS * share_interval(len(self.live_entries()))
+        before = set(self._silent)
+        for pool in self.pools.values():
+            own = pool.coordinator in (None, self.instance)
+            if own or pool.dispatcher.share.granted:
+                pool.granted_at = now
+            elif now - pool.granted_at > patience:
+                assert pool.coordinator is not None
+                self._silent[pool.coordinator] = now + SILENT_SECONDS
+        for instance in [item for item, until in self._silent.items() if until < now]:
+            del self._silent[instance]
+        if set(self._silent) != before:
+            logs.event("silent-coordinators", entries=", ".join(sorted(self._silent)))
+            self.arrange_members()
+
+    def heard_from(self, instance: InstanceId) -> None:
+        """Take in that a peer has sent something."""
+        if self._silent.pop(instance, None) is not None:
+            self.arrange_members()
+
     def live_entries(self) -> list[Member]:
         """Return the live entries, this one included."""
         return self.membership.live(ENTRY_SERVICE)
@@ -360,7 +399,10 @@
         ]
         chosen = choose_coordinators((pool.dispatcher.pool for pool in pools), peers)
         for pool in pools:
-            pool.coordinator = chosen.get(pool.dispatcher.pool)
+            coordinator = chosen.get(pool.dispatcher.pool)
+            if coordinator != pool.coordinator:
+                pool.granted_at = self.clock.now()
+            pool.coordinator = coordinator
             infos = [
                 ReplicaInfo(instance=member.instance, data_centre=member.data_centre)
                 for member in self.pool_members(pool.service)
--- a/damasklead/daemon/peers.py
+++ b/damasklead/daemon/peers.py
@@ -143,6 +143,7 @@
             self._entry.holder.version, self.newer_version[0]
         ):
             self.newer_version = (message.configuration, message.sender)
+        self._entry.heard_from(message.sender)
         self._entry.hear(message.gossip)
         for body in message.body:
             self.take_body(message.sender, body)
--- a/damasklead/daemon/sharetasks.py
+++ b/damasklead/daemon/sharetasks.py
@@ -41,6 +41,7 @@
             for pool in list(self._entry.pools.values()):
                 self._send_demand(pool)
             self._peers.close_idle()
+            self._entry.check_coordinators()
 
     def run_coordinator(self) -> None:
         """Serve the pools that this entry coordinates until the task is stopped."""
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -216,6 +216,21 @@
     deployment.until(lambda: deployment.is_serving("entry-0"))
 
 
+def test_dead_coordinators_are_passed_over_while_the_list_shows_them(
+    deployment: Deployment,
+) -> None:
+    deployment.kill("entry-1")
+    deployment.kill("entry-2")
+    deployment.until(
+        lambda: all(
+            pool["coordinator"] == "entry-0" and pool["granted"]
+            for pool in deployment.status("entry-0")["pools"]
+        )
+    )
+    deployment.start_entry("entry-1")
+    deployment.until(lambda: deployment.is_serving("entry-1"))
+
+
 def test_a_poisonous_request_is_refused_everywhere(deployment: Deployment) -> None:
     """Its caller sends it again and again, to all entries, while engines restart."""
     engines = [name for name in deployment.processes if name.startswith("engine")]
