--- a/bench/datapath.py
+++ b/bench/datapath.py
@@ -15,7 +15,7 @@
 import gevent
 import msgspec
 
-from damasklead.demo.run import KEYS
+from damasklead.demo.local import KEYS
 from damasklead.upstreams import ConnectionPool
 from damasklead.upstreams.transport import exchange
 from tests.processes import Deployment
--- /dev/null
+++ b/damasklead/commands/running.py
@@ -0,0 +1,149 @@
+"""
+Running
+=======
+
+Commands that run something: an entry, a check, the demonstration, a stand-in.
+"""
+
+import hashlib
+import secrets
+import time
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated, Literal
+
+import cappa
+from absl import logging
+
+from damasklead.commands import DONE, collect, print_findings
+from damasklead.configuration import FILE_SUFFIX, build_configuration, digest_key
+from damasklead.findings import Findings
+from damasklead.ids import (
+    DataCentre,
+    Incarnation,
+    InstanceId,
+    ServiceName,
+)
+from damasklead.platform import open_platform
+from damasklead.platform.base import InstanceRecord, InstanceState
+from damasklead.settings import check_settings
+
+__all__ = ["Serve", "Check", "MakeKey", "Demo", "Standin"]
+
+
+@cappa.command(name="serve", help="Run an entry with a settings file.")
+@dataclass(kw_only=True)
+class Serve:
+    """Run an entry until SIGTERM, then stop without cutting off a request."""
+
+    settings: Annotated[Path, cappa.Arg(help="The settings file.")]
+
+    def __call__(self) -> int:
+        """Run the command; returns the exit code."""
+        from damasklead.daemon import EntryService
+
+        findings = Findings()
+        text = self.settings.read_text()
+        settings = check_settings(text, file=str(self.settings), findings=findings)
+        if settings is None:
+            return print_findings(findings)
+        platform = open_platform(settings.platform)
+        return EntryService(settings=settings, platform=platform).run()
+
+
+@cappa.command(
+    name="check", help="Check settings files and folders of configuration files."
+)
+@dataclass(kw_only=True)
+class Check:
+    """Print all findings of all files together; exit code 2 when there are any."""
+
+    paths: Annotated[
+        list[Path],
+        cappa.Arg(help=f"Folders with *{FILE_SUFFIX} files, or single settings files."),
+    ]
+
+    def __call__(self) -> int:
+        """Run the command; returns the exit code."""
+        findings = Findings()
+        folders = [path for path in self.paths if path.is_dir()]
+        for path in self.paths:
+            if not path.is_dir():
+                check_settings(path.read_text(), file=str(path), findings=findings)
+        files = collect(folders)
+        if folders:
+            build_configuration(files, version=1, findings=findings)
+        if len(findings):
+            return print_findings(findings)
+        print(f"{len(files) + len(self.paths) - len(folders)} files, no findings")
+        return DONE
+
+
+@cappa.command(
+    name="key", help="Make a bearer key for a workspace and print its digest."
+)
+@dataclass(kw_only=True)
+class MakeKey:
+    """The digest goes into the workspaces file, the key to the caller."""
+
+    workspace: str
+
+    def __call__(self) -> int:
+        """Run the command; returns the exit code."""
+        key = f"{self.workspace}.{secrets.token_urlsafe(24)}"
+        salt = hashlib.sha256(secrets.token_bytes(16)).hexdigest()[:16]
+        print(f"key:    {key}\ndigest: {digest_key(key, salt=salt)}")
+        return DONE
+
+
+@cappa.command(name="demo", help="Show the whole path in one process, with faults.")
+@dataclass(kw_only=True)
+class Demo:
+    """Exit code 0 only if every promise held."""
+
+    verbose: Annotated[
+        bool, cappa.Arg(long="--verbose", help="Print the logs too.")
+    ] = False
+
+    def __call__(self) -> int:
+        """Run the command; returns the exit code."""
+        from damasklead.demo import run_demo
+
+        if not self.verbose:
+            logging.set_verbosity(logging.ERROR)
+        return run_demo()
+
+
+@cappa.command(
+    name="standin", help="Run a stand-in for an engine, a service or the platform."
+)
+@dataclass(kw_only=True)
+class Standin:
+    """For trials on one machine."""
+
+    kind: Literal["engine", "service", "platform"]
+    listen: Annotated[
+        str, cappa.Arg(long="--listen", help="Where it listens, ip:port.")
+    ]
+    name: Annotated[str, cappa.Arg(long="--name")] = "standin"
+    service: Annotated[str, cappa.Arg(long="--service")] = "standin"
+    data_centre: Annotated[str, cappa.Arg(long="--data-centre")] = "local"
+    region: Annotated[str, cappa.Arg(long="--region")] = "local"
+    platform: Annotated[str, cappa.Arg(long="--platform")] = ""
+
+    def __call__(self) -> int:
+        """Run the command; returns the exit code."""
+        from damasklead import standins
+
+        record = InstanceRecord(
+            instance=InstanceId(self.name),
+            incarnation=Incarnation(int(time.time() * 1000)),
+            service=ServiceName(self.service),
+            address=self.listen,
+            data_centre=DataCentre(self.data_centre),
+            region=self.region,
+            state=InstanceState.LIVE,
+        )
+        return standins.run_standin(
+            self.kind, record=record, platform_address=self.platform
+        )
--- a/damasklead/demo/run.py
+++ b/damasklead/demo/run.py
@@ -6,39 +6,33 @@
 stand-ins saw.
 """
 
-import itertools
-import os
 import sys
 from collections.abc import Callable
-from importlib import resources
 
 import gevent
 import msgspec
-from gevent import socket
 
-from damasklead.configuration import digest_key
 from damasklead.daemon import EntryService
 from damasklead.daemon.loop import LoopClock
+from damasklead.demo.local import (
+    KEYS,
+    configuration_files,
+    free_address,
+    local_record,
+    settings_text,
+)
 from damasklead.demo.traffic import Caller, Received, Verdict
 from damasklead.findings import Findings
-from damasklead.ids import AttemptId, DataCentre, Incarnation, InstanceId, ServiceName
+from damasklead.ids import AttemptId
 from damasklead.manifest import Publication, Published, publish
-from damasklead.platform.base import InstanceRecord
 from damasklead.platform.memory import Faults, memory_platform
 from damasklead.protocol import run as run_protocol
 from damasklead.settings import check_settings
 from damasklead.standins import EngineStandin, PlainStandin
 from damasklead.util import new_id
 
-__all__ = ["Demonstration", "free_address", "run_demo"]
+__all__ = ["Demonstration", "run_demo"]
 
-KEYS = {
-    "skippers": "skippers.quay",
-    "gumming-line": "gumming-line.folder",
-    "processors": "processors.fish",
-    "planning": "planning.paper",
-}
-SALT = "00" * 8
 TARGETS = {  # seconds to the first byte, or to the last
     "dispatch-query": (0.34, None),
     "folder-guidance": (0.34, None),
@@ -50,13 +44,6 @@
 MODEL = "demo-7b"
 CRASH_AFTER_TOKENS = 300
 SLOTS = 64
-FIRST_PORT = 12_000
-PORTS = 10_000
-
-
-_PORTS = itertools.cycle(
-    range(FIRST_PORT + os.getpid() * 50 % PORTS, FIRST_PORT + 2 * PORTS)
-)
 
 
 class Row(msgspec.Struct, kw_only=True):
@@ -82,7 +69,7 @@
         self._platform = memory_platform(faults=self._faults)
         self._engines = [self._engine(number) for number in (1, 2)]
         self._shop = PlainStandin(
-            record=self._record("shop-1", "demo-app"), platform=self._platform
+            record=local_record("shop-1", "demo-app"), platform=self._platform
         )
         self._address = free_address()
         self._service = self._entry()
@@ -105,33 +92,16 @@
         return self._report()
 
     def _engine(self, number: int) -> EngineStandin:
-        record = self._record(f"engine-{number}", "demo-llm")
+        record = local_record(f"engine-{number}", "demo-llm")
         return EngineStandin(record=record, platform=self._platform, slots=SLOTS)
 
-    def _record(self, name: str, service: str) -> InstanceRecord:
-        return InstanceRecord(
-            instance=InstanceId(name),
-            incarnation=Incarnation(1),
-            service=ServiceName(service),
-            address=free_address(),
-            data_centre=DataCentre("local"),
-            region="local",
-        )
-
     def _entry(self) -> EntryService:
-        text = msgspec.json.encode(
-            {
-                "instance": "entry-1",
-                "data_centre": "local",
-                "region": "local",
-                "listen": {
-                    "callers": self._address,
-                    "operators": free_address(),
-                    "peers": free_address(),
-                },
-                "platform": {"kind": "memory", "announce": True},
-            }
-        ).decode()
+        listen = {
+            "callers": self._address,
+            "operators": free_address(),
+            "peers": free_address(),
+        }
+        text = settings_text("entry-1", listen, {"kind": "memory"})
         findings = Findings()
         settings = check_settings(text, file="demo", findings=findings)
         assert settings is not None, list(findings)
@@ -140,20 +110,11 @@
     def _publish(self) -> None:
         """Publish the configuration, with the answer of the commit lost on the way."""
         self._faults.lose_answers = 1
-        folder = resources.files("damasklead.demo")
-        files = {
-            name: (folder / name).read_text()
-            for name in ("demo-llm.damasklead.json", "demo-app.damasklead.json")
-        }
-        workspaces = [
-            {"name": name, "key_digests": [digest_key(key, salt=SALT)]}
-            for name, key in KEYS.items()
-        ]
-        files["workspaces.damasklead.json"] = msgspec.json.encode(
-            {"workspaces": workspaces}
-        ).decode()
         publication = Publication(
-            id=AttemptId(new_id()), who="demo", files=files, at=self._clock.wall()
+            id=AttemptId(new_id()),
+            who="demo",
+            files=configuration_files(),
+            at=self._clock.wall(),
         )
         result = run_protocol(publish(publication), self._platform)
         assert isinstance(result, Published), result
@@ -258,23 +219,6 @@
     return 0 if Demonstration().run() else 1
 
 
-def free_address() -> str:
-    """
-    Return a loopback address whose port is free at the moment.
-
-    The ports are below those that the system gives to outgoing connections, so that
-    none of these takes one before its server listens.
-    """
-    while True:
-        port = next(_PORTS)
-        with socket.socket() as listener:
-            try:
-                listener.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        return f"127.0.0.1:{port}"
-
-
 def _count(row: Row, received: Received) -> None:
     row.sent += 1
     first_target, last_target = TARGETS[row.name]
--- a/damasklead/sharing.py
+++ b/damasklead/sharing.py
@@ -31,7 +31,7 @@
 ]
 
 TIERS = 5
-MIN_INTERVAL = 0.25  # seconds
+MIN_INTERVAL = 0.5  # seconds
 INTERVAL_PER_ENTRY = 1 / 6  # seconds
 TTL_INTERVALS = 4
 FORGET_INTERVALS = 6
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -18,8 +18,12 @@
 import gevent
 import msgspec
 
-from damasklead.configuration import digest_key
-from damasklead.demo.run import KEYS, SALT, free_address
+from damasklead.demo.local import (
+    KEYS,
+    configuration_files,
+    free_address,
+    settings_text,
+)
 from damasklead.demo.traffic import Caller
 from damasklead.platform import Platform
 from damasklead.platform.http import http_platform
@@ -37,8 +41,14 @@
     """A small deployment; every process ends with the ``with`` block."""
 
     def __init__(
-        self, *, entries: int = 3, engines: int = 3, services: int = 1
+        self,
+        *,
+        entries: int = 3,
+        engines: int = 3,
+        services: int = 1,
+        settings: dict[str, Any] | None = None,
     ) -> None:
+        self.settings = settings or {}
         self.folder = Path(tempfile.mkdtemp(prefix="damasklead-test-"))
         self.platform_address = free_address()
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
@@ -95,21 +105,17 @@
             addresses = {
                 kind: free_address() for kind in ("callers", "operators", "peers")
             }
-            settings = {
-                "instance": name,
-                "data_centre": "local",
-                "region": REGION,
-                "listen": addresses,
-                "platform": {
-                    "kind": "http",
-                    "address": self.platform_address,
-                    "announce": True,
-                },
-                "seeds": list(self.peers.values()),
-                "limits": {"stop_seconds": 30.0},
-            }
+            platform = {"kind": "http", "address": self.platform_address}
+            text = settings_text(
+                name,
+                addresses,
+                platform,
+                seeds=list(self.peers.values()),
+                limits={"stop_seconds": 30.0},
+                **self.settings,
+            )
             path = self.folder / f"{name}.json"
-            path.write_bytes(msgspec.json.encode(settings))
+            path.write_text(text)
             self.callers[name] = addresses["callers"]
             self.operators[name] = addresses["operators"]
             self.peers[name] = addresses["peers"]
@@ -203,11 +209,5 @@
         self.start(name)
 
     def _write_configuration(self) -> None:
-        for name in ("demo-llm.damasklead.json", "demo-app.damasklead.json"):
-            (self.folder / name).write_text((DEMO_FILES / name).read_text())
-        workspaces = [
-            {"name": name, "key_digests": [digest_key(key, salt=SALT)]}
-            for name, key in KEYS.items()
-        ]
-        path = self.folder / "workspaces.damasklead.json"
-        path.write_bytes(msgspec.json.encode({"workspaces": workspaces}))
+        for name, text in configuration_files().items():
+            (self.folder / name).write_text(text)
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -6,7 +6,6 @@
 """
 
 from collections.abc import Iterator
-from importlib import resources
 from typing import Any
 
 import gevent
@@ -15,19 +14,19 @@
 from absl import logging
 from gevent import socket
 
-from damasklead.configuration import digest_key
 from damasklead.daemon import EntryService
-from damasklead.demo.run import KEYS, SALT, free_address
+from damasklead.demo.local import (
+    KEYS,
+    configuration_files,
+    free_address,
+    local_record,
+    settings_text,
+)
 from damasklead.findings import Findings
 from damasklead.ids import (
     AttemptId,
-    DataCentre,
-    Incarnation,
-    InstanceId,
-    ServiceName,
 )
 from damasklead.manifest import Publication, Published, publish
-from damasklead.platform.base import InstanceRecord
 from damasklead.platform.memory import Faults, memory_platform
 from damasklead.protocol import run
 from damasklead.settings import check_settings
@@ -51,43 +50,26 @@
         self.platform = memory_platform(faults=self.faults)
         self.engines = [
             EngineStandin(
-                record=self._record(f"engine-{n}", "demo-llm"), platform=self.platform
+                record=local_record(f"engine-{n}", "demo-llm"), platform=self.platform
             )
             for n in range(2)
         ]
         self.shop = PlainStandin(
-            record=self._record("shop", "demo-app"), platform=self.platform
+            record=local_record("shop", "demo-app"), platform=self.platform
         )
         self.address = free_address()
         self.operators = free_address()
         self.service = self._service()
         self.pool = ConnectionPool()
 
-    def _record(self, name: str, service: str) -> InstanceRecord:
-        return InstanceRecord(
-            instance=InstanceId(name),
-            incarnation=Incarnation(1),
-            service=ServiceName(service),
-            address=free_address(),
-            data_centre=DataCentre("local"),
-            region="local",
-        )
-
     def _service(self) -> EntryService:
-        text = msgspec.json.encode(
-            {
-                "instance": "entry",
-                "data_centre": "local",
-                "region": "local",
-                "listen": {
-                    "callers": self.address,
-                    "operators": self.operators,
-                    "peers": free_address(),
-                },
-                "platform": {"kind": "memory", "announce": True},
-                "limits": {"body_bytes": 2048, "idle_seconds": 1.0},
-            }
-        ).decode()
+        listen = {
+            "callers": self.address,
+            "operators": self.operators,
+            "peers": free_address(),
+        }
+        limits = {"body_bytes": 2048, "idle_seconds": 1.0}
+        text = settings_text("entry", listen, {"kind": "memory"}, limits=limits)
         settings = check_settings(text, file="t", findings=Findings())
         assert settings is not None
         return EntryService(settings=settings, platform=self.platform)
@@ -95,17 +77,9 @@
     def start(self) -> None:
         for standin in (*self.engines, self.shop):
             standin.start()
-        folder = resources.files("damasklead.demo")
-        names = ("demo-llm.damasklead.json", "demo-app.damasklead.json")
-        files = {name: (folder / name).read_text() for name in names}
-        workspaces = [
-            {"name": name, "key_digests": [digest_key(key, salt=SALT)]}
-            for name, key in KEYS.items()
-        ]
-        files["w.damasklead.json"] = msgspec.json.encode(
-            {"workspaces": workspaces}
-        ).decode()
-        publication = Publication(id=AttemptId(new_id()), who="t", files=files)
+        publication = Publication(
+            id=AttemptId(new_id()), who="t", files=configuration_files()
+        )
         assert isinstance(run(publish(publication), self.platform), Published)
         self.service.start()
         self.until(
