Send requests where their model is loaded

Cause: the duties ordered loads, but the choice of a replica ignored them. Change: grants carry 32-bit keys of loaded models where replicas report any. Conclusion: shown by a test of the dispatcher, and among processes: the lease's holder has the model loaded at two of three engines and requests are answered.

--- a/damasklead/daemon/sharetasks.py
+++ b/damasklead/daemon/sharetasks.py
@@ -9,6 +9,7 @@
 import random
 
 import gevent
+import msgspec
 
 from damasklead.configuration import Service
 from damasklead.daemon.entry import Entry, Pool
@@ -98,7 +99,17 @@
                 member.instance, status.incarnation, why="its report says so"
             )
         elif status.load is not None:
-            coordinator.report(member.instance, status.load)
+            report = msgspec.structs.replace(status.load, models=_loaded(status.models))
+            coordinator.report(member.instance, report)
+
+
+def _loaded(names: tuple[str, ...]) -> tuple[str, ...]:
+    """
+    Return the models among ``model@version`` texts, whatever their version.
+
+    While a version is being replaced, replicas with either serve.
+    """
+    return tuple(sorted({name.partition("@")[0] for name in names}))
 
 
 def _gap_targets(service: Service) -> dict[int, float]:
--- a/damasklead/messages.py
+++ b/damasklead/messages.py
@@ -28,7 +28,7 @@
     "ReplicaLoad",
     "decode_message",
     "encode_message",
-    "replica_key",
+    "short_key",
 ]
 
 
@@ -47,11 +47,13 @@
     Attributes
     ----------
     key : int
-        ``replica_key`` of the replica.
+        ``short_key`` of the replica's id.
     load, limit, hard_limit : int
         Requests that run or wait there, may run within targets, and may run at all.
     gap_us : int
         Microseconds between tokens, 0 when unknown.
+    models : tuple of int
+        ``short_key`` of each loaded model, empty when the replica runs any.
     """
 
     key: int
@@ -59,6 +61,7 @@
     limit: int
     hard_limit: int
     gap_us: int
+    models: tuple[int, ...] = ()
 
 
 class Grant(msgspec.Struct, kw_only=True, frozen=True, array_like=True, tag=2):
@@ -152,9 +155,9 @@
     body: tuple[Body, ...] = ()
 
 
-def replica_key(instance: InstanceId) -> int:
-    """Return 32 bits that stand for a replica where its id would be too long."""
-    return stable_hash(instance) & 0xFFFF_FFFF
+def short_key(name: str) -> int:
+    """Return 32 bits that stand for a replica or model where a name is too long."""
+    return stable_hash(name) & 0xFFFF_FFFF
 
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/damasklead/replicas.py
+++ b/damasklead/replicas.py
@@ -15,7 +15,7 @@
 from damasklead.clock import Clock
 from damasklead.ids import AttemptId, DataCentre, InstanceId
 from damasklead.learning import MovingAverage
-from damasklead.messages import ReplicaLoad, replica_key
+from damasklead.messages import ReplicaLoad, short_key
 from damasklead.requests import Request
 from damasklead.util import stable_hash
 
@@ -40,11 +40,10 @@
 
 
 class ReplicaInfo(msgspec.Struct, kw_only=True, frozen=True):
-    """A replica that may take work: its id, place and loaded models (empty: any)."""
+    """A replica that may take work: its id and place."""
 
     instance: InstanceId
     data_centre: DataCentre
-    models: tuple[str, ...] = ()
 
 
 class _Replica(msgspec.Struct, kw_only=True):
@@ -59,6 +58,7 @@
         default_factory=lambda: MovingAverage(value=0.0, rate=GAP_RATE)
     )
     slow_since: float | None = None
+    models: tuple[int, ...] = ()
     ejected_until: float = 0.0
     ejections: int = 0
     probing: bool = False
@@ -66,6 +66,10 @@
     unreachable: bool = False
     own: set[AttemptId] = msgspec.field(default_factory=set)
 
+    def runs(self, model: str) -> bool:
+        """Tell whether the replica can run a model, as far as its report says."""
+        return not self.models or not model or short_key(model) in self.models
+
     @property
     def load(self) -> float:
         """Estimated requests there: our own, and those of others by the reports."""
@@ -123,7 +127,7 @@
         self._replicas = {}
         for info in replicas:
             replica = known.get(info.instance) or _Replica(
-                info=info, key=replica_key(info.instance)
+                info=info, key=short_key(info.instance)
             )
             replica.info = info
             self._replicas[info.instance] = replica
@@ -138,6 +142,7 @@
             replica.others.add(max(0, load.load - len(replica.own)))
             replica.limit = max(1, load.limit)
             replica.hard_limit = max(1, load.hard_limit)
+            replica.models = load.models
             if load.gap_us:
                 replica.gap.add(load.gap_us / MICROSECONDS)
         return self._eject_stragglers()
@@ -221,11 +226,7 @@
         now = self._clock.now()
         if now < replica.broken_until or now < replica.ejected_until:
             return False
-        if (
-            replica.info.models
-            and request.model
-            and request.model not in replica.info.models
-        ):
+        if not replica.runs(request.model):
             return False
         if replica.probing:
             return request.tier > 1 and not replica.own
--- a/damasklead/sharing.py
+++ b/damasklead/sharing.py
@@ -16,7 +16,7 @@
 from damasklead.clock import Clock
 from damasklead.ids import InstanceId, PoolId
 from damasklead.learning import BatchLimit, MovingAverage
-from damasklead.messages import Demand, Grant, ReplicaLoad, replica_key
+from damasklead.messages import Demand, Grant, ReplicaLoad, short_key
 from damasklead.util import stable_hash
 
 __all__ = [
@@ -59,12 +59,15 @@
         The largest batch it runs.
     token_gap : float
         Seconds between the tokens of one request at present, 0 when idle.
+    models : tuple of str
+        The models that it has loaded, empty when it runs any of its service.
     """
 
     running: int
     waiting: int
     slots: int
     token_gap: float = 0.0
+    models: tuple[str, ...] = ()
 
 
 def choose_coordinator(
@@ -248,11 +251,12 @@
                 limit = max(1, int(limit * median / report.token_gap))
             loads.append(
                 ReplicaLoad(
-                    key=replica_key(instance),
+                    key=short_key(instance),
                     load=report.running + report.waiting,
                     limit=min(limit, report.slots),
                     hard_limit=report.slots,
                     gap_us=int(report.token_gap * MICROSECONDS),
+                    models=tuple(short_key(model) for model in report.models),
                 )
             )
         return tuple(loads)
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -24,7 +24,7 @@
     WorkspaceId,
 )
 from damasklead.learning import CostModel
-from damasklead.messages import Grant, ReplicaLoad, replica_key
+from damasklead.messages import Grant, ReplicaLoad, short_key
 from damasklead.quarantine import Quarantine
 from damasklead.replicas import ReplicaInfo
 from damasklead.requests import (
@@ -89,7 +89,7 @@
     def grant(self, *, lowest: int, pressed: int = 0, hard: int = 6) -> list[Action]:
         loads = tuple(
             ReplicaLoad(
-                key=replica_key(InstanceId(name)),
+                key=short_key(InstanceId(name)),
                 load=0,
                 limit=4,
                 hard_limit=hard,
@@ -114,6 +114,7 @@
             request_class=self.classes[tier],
             arrival=self.clock.now(),
             fingerprint=Fingerprint(f"f{tier}"),
+            model="m",
         )
         return self.pool.submit(request, preemptable=preemptable)
 
@@ -285,3 +286,25 @@
     (refused,) = bench.submit(3)
     assert isinstance(refused, Refuse)
     assert (refused.reason, refused.retry_after) == (Reason.QUARANTINED, None)
+
+
+def test_a_request_goes_where_its_model_is_loaded() -> None:
+    bench = Bench()
+    loads = tuple(
+        ReplicaLoad(
+            key=short_key(InstanceId(name)),
+            load=0,
+            limit=4,
+            hard_limit=6,
+            gap_us=0,
+            models=(short_key(model),),
+        )
+        for name, model in (("r1", "other"), ("r2", "m"))
+    )
+    grant = Grant(
+        pool=POOL, slots=(0, 0, 0, 0, 8), ttl_ms=1000, pressed_tier=0, replicas=loads
+    )
+    bench.pool.take_grant(grant)
+    starts = [start_of(bench.submit(2)) for _ in range(4)]
+    assert {start.replica for start in starts} == {InstanceId("r2")}
+    assert bench.submit(2) == [], "the other replica has room but not the model"
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -287,3 +287,27 @@
 def replicas_of(deployment: Deployment, entry: str) -> list[str]:
     pools = deployment.status(entry).get("pools", [])
     return [name for pool in pools for name in pool["replicas"]]
+
+
+def test_the_duties_holder_has_wanted_models_loaded(deployment: Deployment) -> None:
+    """Two of three engines get the model; requests then go only to these."""
+    path = deployment.folder / "demo-llm.damasklead.json"
+    wanted = '"wanted_models": [{"model": "demo-7b", "version": "v2", "replicas": 2}],'
+    text = path.read_text().replace('"models":', f'{wanted}\n  "models":')
+    path.write_text(text)
+    assert deployment.command("publish", str(deployment.folder)).returncode == 0
+
+    def loaded() -> list[str]:
+        found = []
+        for name, address in deployment.upstreams.items():
+            report = deployment.get(address, "/load") or {}
+            if "demo-7b@v2" in report.get("models", []):
+                found.append(name)
+        return found
+
+    deployment.until(lambda: len(loaded()) == 2, seconds=60.0)
+    trail = deployment.command("audit", "--action", "load-model").stdout
+    assert trail.count("ordered, fencing 1") == 2
+    caller = deployment.caller("skippers")
+    received = results([gevent.spawn(ask, caller, number) for number in range(10)])
+    assert all(item.verdict is Verdict.WHOLE for item in received)
