Let a pool's coordinator hold the lease of its model loads

Cause: one holder of all duties would poll every replica of a region each 3 s, 33 KB/s and 2.9 % of a core at the planned size, and all entries read its row.

--- a/damasklead/daemon/dutytask.py
+++ b/damasklead/daemon/dutytask.py
@@ -13,10 +13,8 @@
 
 from damasklead.audit import AuditEvent
 from damasklead.claims import CLAIMS_TABLE
-from damasklead.configuration import ServiceKind
 from damasklead.daemon.entry import Entry, Pool
 from damasklead.duties import (
-    DUTIES_LEASE,
     GENERATION_SECONDS,
     LoadOrder,
     LoadState,
@@ -26,82 +24,113 @@
     stale_claims,
     sweep,
 )
-from damasklead.ids import InstanceId
+from damasklead.ids import InstanceId, PoolId
 from damasklead.leases import LeaseKeeper
+from damasklead.sharing import choose_coordinator
 from damasklead.upstreams import UpstreamError
 from damasklead.util import new_id
 
 __all__ = ["DutyTask"]
 
 POLL_SECONDS = 3.0
-SWEEP_ROWS = 100
-WATCHERS_PER_SECOND = 20.0  # reads of the lease's row by all entries together
+SWEEP_ROWS = 20
+ROUNDS_PER_WORK = 4
+SWEEP_DUTY = PoolId("sweep")
 
 
 class DutyTask:
     """
     The duties of one entry.
 
+    A pool's coordinator contends for the lease of its loads, and one entry, chosen in
+    the same way, for that of the sweeping; the leases hold where two believe to be
+    chosen.
+
     Parameters
     ----------
     entry : Entry
     """
 
     def __init__(self, *, entry: Entry) -> None:
-        self.keeper = LeaseKeeper(
-            duty=DUTIES_LEASE,
-            instance=entry.instance,
-            incarnation=entry.incarnation,
-            clock=entry.clock,
-            new_event=self._lease_event,
-        )
         self._entry = entry
         self._random = random.Random(entry.instance)
+        self._keepers: dict[str, LeaseKeeper] = {}
+        self._generation: int | None = None
         self._generation_since = entry.clock.now()
         self._sweep_after = ""
+        self._rounds = 0
 
     def run(self) -> None:
-        """Contend for the lease and do the duties until the task is stopped."""
+        """Contend for leases and do the duties until the task is stopped."""
         while True:
-            self._entry.clock.sleep(self._period() * self._random.uniform(0.8, 1.2))
-            self._entry.run_protocol(self.keeper.poll())
-            self._follow_generation()
-            if self.keeper.fencing is not None:
-                self._do_duties()
+            self._entry.clock.sleep(POLL_SECONDS * self._random.uniform(0.8, 1.2))
+            self._rounds += 1
+            pools = self._duties()
+            self._give_up(set(pools))
+            for duty, pool in pools.items():
+                self._serve(duty, pool)
 
     def release(self) -> None:
-        """Give the lease back at a graceful stop."""
-        self._entry.run_protocol(self.keeper.release())
+        """Give all leases back at a graceful stop."""
+        self._give_up(set())
 
-    def _period(self) -> float:
+    def _duties(self) -> dict[str, Pool | None]:
         """
-        Return the seconds between polls: short for the holder, by number for others.
+        Return the duties that fall to this entry, with the pool of each that has one.
         """
-        if self.keeper.fencing is not None:
-            return POLL_SECONDS
-        entries = len(self._entry.live_entries())
-        return max(POLL_SECONDS, entries / WATCHERS_PER_SECOND)
-
-    def _do_duties(self) -> None:
-        for pool in list(self._entry.pools.values()):
-            wants = (
-                pool.service.kind is ServiceKind.ENGINE and pool.service.wanted_models
-            )
-            if wants:
-                self._order_loads(pool)
-        self._sweep_claims()
+        own = self._entry.instance
+        duties: dict[str, Pool | None] = {}
+        for pool in self._entry.pools.values():
+            if pool.coordinator == own and pool.service.wanted_models:
+                duties[f"loads/{pool.dispatcher.pool}"] = pool
+        entries = [member.instance for member in self._entry.live_entries()]
+        if choose_coordinator(SWEEP_DUTY, entries) == own:
+            duties[SWEEP_DUTY] = None
+        return duties
+
+    def _give_up(self, kept: set[str]) -> None:
+        """Give back the leases of duties that fall to others now."""
+        for duty in [duty for duty in self._keepers if duty not in kept]:
+            self._entry.run_protocol(self._keepers.pop(duty).release())
+            if duty == SWEEP_DUTY:
+                self._generation = None
+
+    def _serve(self, duty: str, pool: Pool | None) -> None:
+        keeper = self._keepers.get(duty)
+        if keeper is None:
+            keeper = self._new_keeper(duty)
+            self._keepers[duty] = keeper
+        self._entry.run_protocol(keeper.poll())
+        if keeper.fencing is None:
+            return
+        if self._rounds % ROUNDS_PER_WORK:
+            return
+        if pool is None:
+            self._follow_generation()
+            self._sweep_claims()
+        else:
+            self._order_loads(keeper, pool)
+
+    def _new_keeper(self, duty: str) -> LeaseKeeper:
+        return LeaseKeeper(
+            duty=duty,
+            instance=self._entry.instance,
+            incarnation=self._entry.incarnation,
+            clock=self._entry.clock,
+            new_event=self._lease_event,
+        )
 
-    def _order_loads(self, pool: Pool) -> None:
-        fencing = self.keeper.fencing
+    def _order_loads(self, keeper: LeaseKeeper, pool: Pool) -> None:
+        fencing = keeper.fencing
         if fencing is None:
             return
         states = self._load_states(pool)
         orders = plan_loads(
-            pool.service, states, fencing=fencing, held_for=self.keeper.held_for
+            pool.service, states, fencing=fencing, held_for=keeper.held_for
         )
         for order in orders:
             # The lease is looked at again just before each order is sent.
-            if self.keeper.fencing != order.fencing:
+            if keeper.fencing != order.fencing:
                 return
             self._send(pool, order)
 
@@ -135,16 +164,15 @@
         )
 
     def _follow_generation(self) -> None:
-        """Read the claims' generation; the holder begins the next one after an hour."""
+        """Begin the claims' next generation after an hour."""
         known = self._entry.run_protocol(read_generation())
         if known is None:
             return
         generation, version = known
-        if generation != self._entry.generation:
-            self._entry.generation = generation
+        if generation != self._generation:
+            self._generation = generation
             self._generation_since = self._entry.clock.now()
-        due = self._entry.clock.now() - self._generation_since > GENERATION_SECONDS
-        if due and self.keeper.fencing is not None:
+        if self._entry.clock.now() - self._generation_since > GENERATION_SECONDS:
             self._entry.run_protocol(advance_generation(generation, version))
 
     def _sweep_claims(self) -> None:
--- a/damasklead/daemon/watchers.py
+++ b/damasklead/daemon/watchers.py
@@ -18,6 +18,7 @@
 from damasklead.daemon.entry import ENTRY_SERVICE, Entry
 from damasklead.daemon.peers import Peers
 from damasklead.drains import DRAINS_TABLE, Drain
+from damasklead.duties import read_generation
 from damasklead.ids import DataCentre, InstanceId
 from damasklead.manifest import (
     decode_manifest,
@@ -179,6 +180,9 @@
                 entry.mark_leaving(
                     drain.instance, drain.incarnation, why="an operator drains it"
                 )
+        generation = entry.run_protocol(read_generation())
+        if generation is not None:
+            entry.generation = generation[0]
         named = entry.platform.tables.scan(QUARANTINE_TABLE, limit=1000)
         if isinstance(named, Ok):
             for row in named.ok_value:
--- a/damasklead/duties.py
+++ b/damasklead/duties.py
@@ -2,7 +2,7 @@
 Duties
 ======
 
-What the holder of the duties' lease does: it orders model loads and sweeps old claims.
+What the holders of leases do: they order model loads and sweep old claims.
 
 An order states the wanted end state and carries the fencing number.  Where engines do
 not check it, a new holder first waits out the old one and then orders from what the
@@ -22,7 +22,6 @@
 from damasklead.protocol import ReadRows, Steps
 
 __all__ = [
-    "DUTIES_LEASE",
     "LoadOrder",
     "advance_generation",
     "plan_loads",
@@ -31,7 +30,6 @@
     "sweep",
 ]
 
-DUTIES_LEASE = "duties"
 MAX_LOADS = 2  # orders under way at once, within the weight store's rate
 GENERATION_SECONDS = 3600.0
 KEPT_GENERATIONS = 24
