--- a/bench/processes.py
+++ b/bench/processes.py
@@ -16,8 +16,8 @@
 from damasklead.demo.traffic import Received, Verdict
 from tests.processes import Deployment
 
-REVIEWS = 60
-REVIEW_TOKENS = 600
+REVIEWS = 120
+REVIEW_TOKENS = 400
 QUERIES = 150
 QUERY_TOKENS = 40
 BURST_SECONDS = 5.0
