Fill two metrics that always read 0, drop a third and code without a caller

Cause: reading the whole change again: wasted tokens, the platform's age and store calls were declared on /metrics and never set; a constant, a method of the demonstration's caller and a counter of the dispatcher had no user. Change: wasted tokens are counted where an exchange ends without a whole answer, the age follows the last answer of the instance list; store calls are removed, as are the others. The test of a caller that goes away asks for the count.

--- a/damasklead/daemon/entry.py
+++ b/damasklead/daemon/entry.py
@@ -67,9 +67,7 @@
 ENTRY_SERVICE = ServiceName("damasklead")
 
 NOTICE_INTERVALS = 2.5  # share intervals that gossip may take to reach all entries
-SILENT_INTERVALS = (
-    4  # share intervals without a grant until a coordinator is passed over
-)
+SILENT_INTERVALS = 4  # share intervals without a grant after which it is passed over
 SILENT_SECONDS = 60.0  # for which it is passed over unless it is heard
 
 
@@ -128,6 +126,10 @@
         self._exchanges: dict[RequestId, Exchange] = {}
         self._attempt_number = 0
         self._silent: dict[InstanceId, float] = {}
+        self.platform_seen_at = clock.now()
+        self.metrics.platform_age.set_function(
+            lambda: clock.now() - self.platform_seen_at
+        )
 
     @property
     def exchanges(self) -> dict[RequestId, Exchange]:
@@ -278,6 +280,9 @@
         if self._exchanges.pop(exchange.request.id, None) is None:
             return
         if not finished:
+            request = exchange.request
+            name = request.request_class.name
+            self.metrics.wasted_tokens.labels(name).inc(request.generated)
             actions = pool.dispatcher.abandon(exchange.request.id)
             for action in actions:
                 if isinstance(action, Cancel):
--- a/damasklead/daemon/metrics.py
+++ b/damasklead/daemon/metrics.py
@@ -103,12 +103,6 @@
             ["direction"],
             registry=self.registry,
         )
-        self.store_calls = Counter(
-            "damasklead_store_calls",
-            "Calls to the table service",
-            ["kind", "result"],
-            registry=self.registry,
-        )
 
     def render(self) -> bytes:
         """Return the exposition text."""
--- a/damasklead/daemon/watchers.py
+++ b/damasklead/daemon/watchers.py
@@ -172,6 +172,7 @@
         before = entry.membership.generation
         result = entry.platform.instances.list(known=self._list_version)
         if isinstance(result, Ok):
+            entry.platform_seen_at = entry.clock.now()
             self._take_listing(result.ok_value)
         drains = entry.platform.tables.scan(DRAINS_TABLE, limit=1000)
         if isinstance(drains, Ok):
--- a/damasklead/demo/traffic.py
+++ b/damasklead/demo/traffic.py
@@ -8,7 +8,6 @@
 from collections.abc import Callable
 from enum import Enum
 
-import gevent
 import msgspec
 
 from damasklead.requests import Outcome
@@ -135,10 +134,6 @@
             received.last = self._now() - began
         return received
 
-    def burst(self, calls: list[Callable[[], Received]]) -> list[gevent.Greenlet]:
-        """Start several calls at once."""
-        return [gevent.spawn(call) for call in calls]
-
 
 def _verdict(status: int, outcome: str) -> Verdict:
     if outcome == Outcome.ANSWERED.value and status < 400:
--- a/damasklead/dispatching.py
+++ b/damasklead/dispatching.py
@@ -127,7 +127,6 @@
         self.replicas = ReplicaChooser(
             clock=clock, data_centre=data_centre, random_source=random_source
         )
-        self.wasted_tokens = 0
         self._service = service
         self._clock = clock
         self._costs = costs
@@ -209,7 +208,6 @@
             return []
         for attempt in list(self._attempts.values()):
             if attempt.request.id == request_id:
-                self.wasted_tokens += attempt.events
                 self._end(attempt)
                 self._preemptable.discard(request_id)
                 cancel = Cancel(
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -299,6 +299,10 @@
     assert answer.read_chunk()
     answer.close()
     running.until(lambda: not running.service.entry.exchanges)
+    wasted = 'damasklead_wasted_tokens_total{class="dispatch-query"}'
+    lines = running.service.entry.metrics.render().decode().splitlines()
+    counted = [float(line.split()[1]) for line in lines if line.startswith(wasted)]
+    assert counted and counted[0] >= 1.0
     running.until(lambda: all(engine._running == 0 for engine in running.engines))
 
 
