--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -40,11 +40,11 @@
 from damasklead.learning import CostModel
 from damasklead.membership import Membership
 from damasklead.messages import Demand, PeerMessage, decode_message, encode_message
-from damasklead.platform.base import InstanceRecord
 from damasklead.quarantine import Quarantine
 from damasklead.replicas import ReplicaInfo
 from damasklead.requests import Request, Start
 from damasklead.sharing import Coordinator, LoadReport, choose_coordinator
+from damasklead.stores.base import InstanceRecord
 
 REPEATS = 5
 POOL = PoolId("service-00@data-centre-0")
--- a/damasklead/__init__.py
+++ b/damasklead/__init__.py
@@ -5,18 +5,28 @@
 A router for language-model traffic with service levels and priorities, and the
 coordination parts that it is made of.
 
-The names below hold no I/O and load no network library.
+The names below hold no I/O and load no network library.  Each is imported when it is
+first used, so that a daemon loads only the parts that it runs.
 """
 
-from damasklead.claims import Claim, ClaimState, abandon, acquire, settle
-from damasklead.clock import Clock, ManualClock
-from damasklead.gossip import GossipBuffer
-from damasklead.leases import LeaseKeeper
-from damasklead.manifest import ConfigurationHolder, Publication, fetch, publish
-from damasklead.membership import Membership
-from damasklead.protocol import perform, run
-from damasklead.quarantine import Quarantine
-from damasklead.sharing import Coordinator, ShareHolder, choose_coordinator
+from importlib import import_module
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from damasklead.claims import Claim, ClaimState, abandon, acquire, settle
+    from damasklead.clock import Clock, ManualClock
+    from damasklead.gossip import GossipBuffer
+    from damasklead.leases import LeaseKeeper
+    from damasklead.manifest import (
+        ConfigurationHolder,
+        Publication,
+        fetch,
+        publish,
+    )
+    from damasklead.membership import Membership
+    from damasklead.protocol import perform, run
+    from damasklead.quarantine import Quarantine
+    from damasklead.sharing import Coordinator, ShareHolder, choose_coordinator
 
 __all__ = [
     "Claim",
@@ -43,3 +53,26 @@
 ]
 
 __version__ = "0.1.0"
+
+_HOMES = {
+    "claims": ("Claim", "ClaimState", "abandon", "acquire", "settle"),
+    "clock": ("Clock", "ManualClock"),
+    "gossip": ("GossipBuffer",),
+    "leases": ("LeaseKeeper",),
+    "manifest": ("ConfigurationHolder", "Publication", "fetch", "publish"),
+    "membership": ("Membership",),
+    "protocol": ("perform", "run"),
+    "quarantine": ("Quarantine",),
+    "sharing": ("Coordinator", "ShareHolder", "choose_coordinator"),
+}
+_HOME = {name: module for module, names in _HOMES.items() for name in names}
+
+
+def __getattr__(name: str) -> Any:
+    """Import a public name from its module on first use."""
+    module = _HOME.get(name)
+    if module is None:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    value = getattr(import_module(f"{__name__}.{module}"), name)
+    globals()[name] = value
+    return value
--- a/damasklead/audit.py
+++ b/damasklead/audit.py
@@ -13,8 +13,8 @@
 import msgspec
 from result import Err
 
-from damasklead.platform.base import ABSENT, Commit, Condition, Put, Row
 from damasklead.protocol import Steps
+from damasklead.stores.base import ABSENT, Commit, Condition, Put, Row
 
 __all__ = ["AUDIT_TABLE", "AuditBuffer", "AuditEvent", "audit_put", "decode_event"]
 
--- a/damasklead/claims.py
+++ b/damasklead/claims.py
@@ -17,7 +17,8 @@
 
 from damasklead.audit import AuditEvent, audit_put
 from damasklead.ids import AttemptId, Incarnation, InstanceId, WorkspaceId
-from damasklead.platform.base import (
+from damasklead.protocol import ReadRows, Steps
+from damasklead.stores.base import (
     ABSENT,
     Commit,
     Committed,
@@ -27,7 +28,6 @@
     Row,
     StoreError,
 )
-from damasklead.protocol import ReadRows, Steps
 
 __all__ = [
     "CLAIMS_TABLE",
--- a/damasklead/commands/__init__.py
+++ b/damasklead/commands/__init__.py
@@ -17,7 +17,7 @@
 from damasklead.audit import AuditEvent
 from damasklead.configuration import FILE_SUFFIX
 from damasklead.findings import Findings
-from damasklead.platform.base import Platform, Row
+from damasklead.stores.base import Platform, Row
 from damasklead.util import new_id
 
 __all__ = [
--- a/damasklead/commands/changing.py
+++ b/damasklead/commands/changing.py
@@ -39,10 +39,10 @@
     publish,
     read_versions,
 )
-from damasklead.platform import Platform
-from damasklead.platform.base import InstanceState
-from damasklead.platform.http import http_platform
 from damasklead.protocol import run
+from damasklead.stores import Platform
+from damasklead.stores.base import InstanceState
+from damasklead.stores.http import http_platform
 from damasklead.util import new_id
 
 __all__ = ["Publish", "DrainInstance"]
--- a/damasklead/commands/inspecting.py
+++ b/damasklead/commands/inspecting.py
@@ -15,7 +15,7 @@
 
 from damasklead.audit import AUDIT_TABLE, AuditEvent, decode_event
 from damasklead.commands import DONE, FAILED, Json, Where, no_platform, scan
-from damasklead.platform.http import http_platform
+from damasklead.stores.http import http_platform
 from damasklead.util import split_address
 
 __all__ = ["ShowStatus", "Audit"]
--- a/damasklead/commands/orders.py
+++ b/damasklead/commands/orders.py
@@ -26,8 +26,8 @@
 from damasklead.ids import (
     WorkspaceId,
 )
-from damasklead.platform.http import http_platform
 from damasklead.protocol import run
+from damasklead.stores.http import http_platform
 
 __all__ = ["OrdersList", "OrdersResolve", "Orders"]
 
--- a/damasklead/commands/quarantine.py
+++ b/damasklead/commands/quarantine.py
@@ -22,8 +22,8 @@
     scan,
     user_name,
 )
-from damasklead.platform.http import http_platform
 from damasklead.quarantine_rows import QUARANTINE_TABLE, decode_row, release_commit
+from damasklead.stores.http import http_platform
 
 __all__ = ["QuarantineList", "QuarantineRelease", "QuarantineGroup"]
 
--- a/damasklead/commands/running.py
+++ b/damasklead/commands/running.py
@@ -24,9 +24,9 @@
     InstanceId,
     ServiceName,
 )
-from damasklead.platform import open_platform
-from damasklead.platform.base import InstanceRecord, InstanceState
 from damasklead.settings import check_settings
+from damasklead.stores import open_platform
+from damasklead.stores.base import InstanceRecord, InstanceState
 
 __all__ = ["Serve", "Check", "MakeKey", "Demo", "Standin"]
 
--- a/damasklead/daemon/entry.py
+++ b/damasklead/daemon/entry.py
@@ -17,7 +17,6 @@
 from damasklead.configuration import PoolScope, Service, ServiceKind
 from damasklead.daemon.claimkeeper import ClaimKeeper
 from damasklead.daemon.exchange import Exchange
-from damasklead.daemon.loop import LoopClock
 from damasklead.daemon.metrics import Metrics
 from damasklead.dispatching import PoolDispatcher
 from damasklead.gossip import GossipBuffer
@@ -32,6 +31,7 @@
     ServiceName,
 )
 from damasklead.learning import CostModel
+from damasklead.loop import LoopClock
 from damasklead.manifest import ConfigurationHolder
 from damasklead.membership import Member, Membership
 from damasklead.messages import (
@@ -41,8 +41,6 @@
     QuarantineNotice,
     ReleaseNotice,
 )
-from damasklead.platform import Platform
-from damasklead.platform.base import Put
 from damasklead.protocol import Steps, T, run
 from damasklead.quarantine import Quarantine
 from damasklead.quarantine_rows import QuarantineRow, row_put
@@ -59,6 +57,8 @@
 )
 from damasklead.settings import Settings
 from damasklead.sharing import choose_coordinators, share_interval
+from damasklead.stores import Platform
+from damasklead.stores.base import Put
 from damasklead.upstreams import UPSTREAMS, ConnectionPool, Upstream, UpstreamError
 from damasklead.util import new_id, stable_hash
 
--- a/damasklead/daemon/service.py
+++ b/damasklead/daemon/service.py
@@ -14,16 +14,16 @@
 from damasklead.daemon.callers import CallerServer
 from damasklead.daemon.dutytask import DutyTask
 from damasklead.daemon.entry import Entry
-from damasklead.daemon.loop import LoopClock
 from damasklead.daemon.operators import OperatorServer
 from damasklead.daemon.peers import Peers
 from damasklead.daemon.sharetasks import ShareTasks
-from damasklead.daemon.supervisor import Child, ServerChild, Supervisor, TaskChild
 from damasklead.daemon.watchers import Watchers
-from damasklead.platform import Platform
-from damasklead.platform.base import InstanceState
+from damasklead.loop import LoopClock
 from damasklead.settings import Settings
 from damasklead.sharing import Coordinator
+from damasklead.stores import Platform
+from damasklead.stores.base import InstanceState
+from damasklead.supervision import Child, ServerChild, Supervisor, TaskChild
 
 __all__ = ["EntryService"]
 
--- a/damasklead/daemon/watchers.py
+++ b/damasklead/daemon/watchers.py
@@ -27,14 +27,14 @@
     report_version,
 )
 from damasklead.messages import ConfigurationQuery
-from damasklead.platform.base import (
+from damasklead.quarantine_rows import QUARANTINE_TABLE, apply_row, decode_row
+from damasklead.stores.base import (
     InstanceRecord,
     InstanceState,
     Listing,
     Row,
     StoreError,
 )
-from damasklead.quarantine_rows import QUARANTINE_TABLE, apply_row, decode_row
 
 __all__ = ["Watchers"]
 
--- a/damasklead/demo/local.py
+++ b/damasklead/demo/local.py
@@ -15,7 +15,7 @@
 
 from damasklead.configuration import digest_key
 from damasklead.ids import DataCentre, Incarnation, InstanceId, ServiceName
-from damasklead.platform.base import InstanceRecord
+from damasklead.stores.base import InstanceRecord
 
 __all__ = [
     "KEYS",
--- a/damasklead/demo/run.py
+++ b/damasklead/demo/run.py
@@ -13,7 +13,6 @@
 import msgspec
 
 from damasklead.daemon import EntryService
-from damasklead.daemon.loop import LoopClock
 from damasklead.demo.local import (
     KEYS,
     configuration_files,
@@ -24,11 +23,12 @@
 from damasklead.demo.traffic import Caller, Received, Verdict
 from damasklead.findings import Findings
 from damasklead.ids import AttemptId
+from damasklead.loop import LoopClock
 from damasklead.manifest import Publication, Published, publish
-from damasklead.platform.memory import Faults, memory_platform
 from damasklead.protocol import run as run_protocol
 from damasklead.settings import check_settings
 from damasklead.standins import EngineStandin, PlainStandin
+from damasklead.stores.memory import Faults, memory_platform
 from damasklead.util import new_id
 
 __all__ = ["Demonstration", "run_demo"]
--- a/damasklead/drains.py
+++ b/damasklead/drains.py
@@ -9,7 +9,7 @@
 
 from damasklead.audit import AuditEvent, audit_put
 from damasklead.ids import Incarnation, InstanceId
-from damasklead.platform.base import Commit, Put
+from damasklead.stores.base import Commit, Put
 
 __all__ = ["DRAINS_TABLE", "Drain", "drain_commit"]
 
--- a/damasklead/duties.py
+++ b/damasklead/duties.py
@@ -18,8 +18,8 @@
 from damasklead.configuration import Service
 from damasklead.ids import InstanceId
 from damasklead.leases import EXPIRY
-from damasklead.platform.base import ABSENT, Commit, Condition, Delete, Put, Row
 from damasklead.protocol import ReadRows, Steps
+from damasklead.stores.base import ABSENT, Commit, Condition, Delete, Put, Row
 
 __all__ = [
     "LoadOrder",
--- /dev/null
+++ b/damasklead/gateway/attempts.py
@@ -0,0 +1,334 @@
+"""
+Attempts
+========
+
+The attempts of one request at replicas, one after the other, and the relay of the
+answer to its caller.
+"""
+
+from collections.abc import Callable
+
+import gevent
+import msgspec
+
+from damasklead.clock import Clock
+from damasklead.failures import Failure
+from damasklead.gateway.budget import SharedRetryBudget
+from damasklead.gateway.callers import CallerConnection
+from damasklead.gateway.calls import Call, ReplyHead, ReplyKind, UpstreamRecord
+from damasklead.gateway.dialect import Dialect, SendPlan
+from damasklead.gateway.events import EventSplitter
+from damasklead.gateway.journal import Journal
+from damasklead.gateway.placement import Placement
+from damasklead.gateway.refusals import Reason, Refusal
+from damasklead.gateway.routing import RouteKind
+from damasklead.gateway.upstream_http import Connection, ConnectionPool, SendError
+from damasklead.ids import InstanceId
+
+__all__ = ["Run", "RunParts"]
+
+# A request that surely did not run may be offered to so many replicas.
+MAX_OFFERS = 4
+# Answers to other requests that are passed over on one connection.
+MAX_STRAY_ANSWERS = 3
+# Longest body of an answer that is not a stream.
+ANSWER_BYTES = 16_777_216
+# A request that may be repeated moves on when its replica is silent for so many
+# targets, and not before the least time.
+SILENT_TARGETS = 2.5
+LEAST_SILENT_SECONDS = 0.25
+# Sent when no replica is known or all are full, in seconds.
+RETRY_AFTER_SECONDS = 0.4
+
+
+class RunParts(msgspec.Struct, kw_only=True, frozen=True):
+    """What the runs of one gateway share; ``left`` is told of misplaced replicas."""
+
+    dialect: Dialect
+    clock: Clock
+    connections: ConnectionPool
+    budget: SharedRetryBudget
+    journal: Journal
+    left: Callable[[InstanceId], None]
+
+
+class Run:
+    """
+    One request's way through replicas.
+
+    Parameters
+    ----------
+    parts : RunParts
+    call : Call
+    placement : Placement
+    caller : CallerConnection
+
+    Attributes
+    ----------
+    replica : InstanceId
+        The last replica that the request was offered to; empty before.
+    status : int
+        The status that the caller got.
+    offers : int
+        Replicas that the request was offered to.
+    events : int
+        Events of a stream that the caller got.
+    first_after : float
+        Seconds from arrival to the first byte of the answer.
+    """
+
+    def __init__(
+        self,
+        *,
+        parts: RunParts,
+        call: Call,
+        placement: Placement,
+        caller: CallerConnection,
+    ) -> None:
+        self._parts = parts
+        self._call = call
+        self._placement = placement
+        self._caller = caller
+        self._upstream: Connection | None = None
+        self._excluded: set[InstanceId] = set()
+        self._runs = 0
+        self._sent = False
+        self._last_event: bytes | None = None
+        self._failed_answer: tuple[ReplyHead, bytes] | None = None
+        self.replica = InstanceId("")
+        self.status = 0
+        self.offers = 0
+        self.events = 0
+        self.first_after = 0.0
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a replica may have run the request."""
+        return self._sent or self._runs > 0
+
+    def attempts(self) -> Refusal | None:
+        """
+        Offer the request to replicas until one has answered.
+
+        Returns
+        -------
+        Refusal or None
+            ``None`` when the caller has a replica's whole answer.
+        """
+        while True:
+            record = self._placement.choose(self._call, excluded=self._excluded)
+            if record is None or record.instance in self._excluded:
+                return self._give_up(Reason.NO_REPLICA, "no replica is left to try")
+            try:
+                self._offer(record)
+                return None
+            except SendError as error:
+                self._note_failure(record, error)
+                if not self._may_go_on(error.failure):
+                    return self._give_up(_reason(error.failure), str(error))
+
+    def out_of_time(self) -> Refusal | None:
+        """Return the final answer of a request whose time is over."""
+        if self._sent:
+            self._placement.withdrawn(self.replica, self._call)
+        if not self.may_have_run:
+            return Refusal(reason=Reason.TOO_LATE, detail="not sent in time")
+        return self._give_up(Reason.TIMED_OUT, "no whole answer in time")
+
+    def close(self) -> None:
+        """Close the connection to the replica, which cancels what still runs there."""
+        upstream, self._upstream = self._upstream, None
+        if upstream is not None:
+            upstream.close()
+            self._placement.withdrawn(self.replica, self._call)
+
+    def _offer(self, record: UpstreamRecord) -> None:
+        """Send the request to a replica and relay its answer."""
+        call = self._call
+        self.replica = record.instance
+        self.offers += 1
+        self._parts.journal.event(
+            "offered",
+            request=call.id,
+            replica=record.instance,
+            offer=self.offers,
+            **self._placement.explain(record.instance, call),
+        )
+        self._placement.sent(record.instance, call)
+        upstream = self._parts.connections.take(record.address)
+        self._upstream = upstream
+        headers = self._parts.dialect.upstream_headers(
+            call,
+            SendPlan(
+                instance=record.instance,
+                seconds_left=call.deadline - self._parts.clock.now(),
+                urgency=call.tier,
+                resume_after=self._last_event,
+            ),
+        )
+        self._sent = True
+        upstream.send(
+            method=call.head.method,
+            target=call.head.target,
+            headers=headers,
+            body=call.body,
+        )
+        reply = self._read_reply(upstream)
+        self._placement.heard(record.instance, reply.load)
+        self._check(reply, record)
+        self._relay(upstream, reply)
+        self._placement.finished(record.instance, call)
+        self._upstream = None
+        self._parts.connections.give_back(
+            upstream, keep_alive=0.0 if reply.leaving else reply.keep_alive
+        )
+
+    def _read_reply(self, upstream: Connection) -> ReplyHead:
+        """Return the head of our answer, passing over answers to other requests."""
+        silence = SendError(Failure.TIMED_OUT, "no answer for long")
+        patience = self._patience()
+        timer = gevent.Timeout(patience, silence) if patience is not None else None
+        if timer is not None:
+            timer.start()
+        try:
+            for _ in range(MAX_STRAY_ANSWERS):
+                head = upstream.read_head()
+                reply = self._parts.dialect.judge_reply(
+                    status=head.status_code,
+                    headers=[(bytes(n), bytes(v)) for n, v in head.headers.raw_items()],
+                    attempt=self._call.id,
+                )
+                if reply.kind is not ReplyKind.STRAY:
+                    return reply
+                upstream.skip_answer()
+        finally:
+            if timer is not None:
+                timer.close()
+        raise SendError(Failure.CROSSED, "only other requests' answers came")
+
+    def _patience(self) -> float | None:
+        """Return how long a replica may be silent; ``None`` for as long as it takes."""
+        route = self._call.route
+        if (
+            route.kind is not RouteKind.IDEMPOTENT
+            or self._runs + 1 >= route.max_attempts
+        ):
+            return None
+        return max(LEAST_SILENT_SECONDS, SILENT_TARGETS * route.target)
+
+    def _check(self, reply: ReplyHead, record: UpstreamRecord) -> None:
+        """Raise ``SendError`` unless the reply is an answer to the request."""
+        if reply.kind is ReplyKind.MISPLACED:
+            self._parts.left(record.instance)
+            raise SendError(Failure.REFUSED, "another replica has the address")
+        if reply.kind is ReplyKind.REFUSED:
+            raise SendError(Failure.REFUSED, f"status {reply.status}, not run")
+        if reply.kind is ReplyKind.INVALID:
+            raise SendError(Failure.BROKEN, reply.detail)
+
+    def _relay(self, upstream: Connection, reply: ReplyHead) -> None:
+        whole = self._call.route.kind is not RouteKind.STREAM
+        if whole or not 200 <= reply.status < 300:
+            self._relay_whole(upstream, reply)
+        else:
+            self._relay_stream(upstream, reply)
+
+    def _relay_whole(self, upstream: Connection, reply: ReplyHead) -> None:
+        body = upstream.read_all(limit=ANSWER_BYTES)
+        if reply.status >= 500 and self._call.route.may_repeat:
+            self._failed_answer = (reply, body)
+            raise SendError(Failure.BROKEN, f"status {reply.status}")
+        self._respond(reply, body)
+
+    def _respond(self, reply: ReplyHead, body: bytes) -> None:
+        if self._caller.head_sent:
+            raise SendError(Failure.BROKEN, f"status {reply.status} amid a stream")
+        self._note_first(reply.status)
+        self._caller.respond(reply.status, reply.headers, body)
+
+    def _relay_stream(self, upstream: Connection, reply: ReplyHead) -> None:
+        splitter = EventSplitter()
+        while data := upstream.read_data():
+            whole = splitter.feed(data)
+            if not whole:
+                continue
+            if splitter.last_id is not None:
+                self._last_event = splitter.last_id
+            self._placement.progressed(self.replica, self._call)
+            self._send_events(reply, whole)
+            self.events += splitter.take_count()
+        if splitter.partial:
+            raise SendError(Failure.BROKEN, "the stream ended amid an event")
+        if not self._caller.head_sent:
+            self._send_events(reply, b"")
+        self._caller.end()
+
+    def _send_events(self, reply: ReplyHead, data: bytes) -> None:
+        if self._caller.head_sent:
+            self._caller.send(data)
+            return
+        self._note_first(reply.status)
+        self._caller.begin(reply.status, reply.headers, data)
+
+    def _note_first(self, status: int) -> None:
+        self.status = status
+        self.first_after = self._parts.clock.now() - self._call.arrival
+
+    def _note_failure(self, record: UpstreamRecord, error: SendError) -> None:
+        """Take in that an attempt failed."""
+        failure = error.failure
+        upstream, self._upstream = self._upstream, None
+        if upstream is not None:
+            upstream.close()
+        self._sent = False
+        self._placement.failed(record.instance, self._call, failure)
+        self._excluded.add(record.instance)
+        if not failure.surely_unrun:
+            self._runs += 1
+        self._parts.journal.event(
+            "attempt-failed",
+            request=self._call.id,
+            replica=record.instance,
+            failure=failure.value,
+            detail=str(error),
+            events=self.events,
+            runs=self._runs,
+        )
+
+    def _may_go_on(self, failure: Failure) -> bool:
+        route = self._call.route
+        if failure.surely_unrun:
+            if self.offers >= MAX_OFFERS:
+                return False
+        elif not route.may_repeat or self._runs >= route.max_attempts:
+            return False
+        # A refused connection brings no request to a replica.
+        return failure is Failure.NOT_SENT or self._parts.budget.take(
+            self._call.service
+        )
+
+    def _give_up(self, reason: Reason, detail: str) -> Refusal | None:
+        """
+        Return the final answer, or ``None`` after giving the caller the failure that a
+        replica answered.
+        """
+        if self._failed_answer is not None and not self._caller.head_sent:
+            reply, body = self._failed_answer
+            self._respond(reply, body)
+            return None
+        if not self.may_have_run:
+            return Refusal(
+                reason=reason, detail=detail, retry_after=RETRY_AFTER_SECONDS
+            )
+        if reason is not Reason.TIMED_OUT:
+            reason = Reason.UPSTREAM_FAILED
+        return Refusal(reason=reason, detail=detail)
+
+
+def _reason(failure: Failure) -> Reason:
+    """Return why there is no answer, after the last attempt."""
+    if failure is Failure.REFUSED:
+        return Reason.REPLICAS_FULL
+    if failure is Failure.NOT_SENT:
+        return Reason.UNREACHABLE
+    return Reason.UPSTREAM_FAILED
--- /dev/null
+++ b/damasklead/gateway/dialect.py
@@ -0,0 +1,174 @@
+"""
+Dialect
+=======
+
+What a platform's adapter gives the gateway: the meaning of headers, and the lists that
+it follows.  The base classes here are the gateway's own interface; adapters translate.
+"""
+
+from abc import ABC, abstractmethod
+from collections.abc import Iterable, Sequence
+from enum import Enum
+from typing import Generic, TypeVar
+
+import msgspec
+
+from damasklead.gateway.calls import Call, CallHead, Header, ReplyHead
+from damasklead.gateway.directory import ListedRow
+from damasklead.gateway.routing import RoutingTable
+from damasklead.ids import AttemptId, InstanceId
+
+__all__ = [
+    "BadHead",
+    "Changes",
+    "Dialect",
+    "Feed",
+    "FeedError",
+    "FeedFault",
+    "PlatformLink",
+    "SendPlan",
+    "join_headers",
+]
+
+T = TypeVar("T")
+
+
+class BadHead(Exception):
+    """A request's head that can't be forwarded; the text says why."""
+
+
+class SendPlan(msgspec.Struct, kw_only=True, frozen=True):
+    """
+    How one attempt is sent to a replica.
+
+    Attributes
+    ----------
+    instance : InstanceId
+        The replica that must be the one to run it.
+    seconds_left : float
+        What is left of the caller's time.
+    urgency : int
+        Rank at the replica; 0 goes first.
+    resume_after : bytes or None
+        The id of the last event that the caller has.
+    """
+
+    instance: InstanceId
+    seconds_left: float
+    urgency: int
+    resume_after: bytes | None = None
+
+
+class Dialect(ABC):
+    """The headers of a platform's callers and replicas."""
+
+    @abstractmethod
+    def decode_head(
+        self, *, method: str, target: str, headers: Sequence[Header]
+    ) -> CallHead:
+        """
+        Decode the head of a request.
+
+        Raises
+        ------
+        BadHead
+            When it can't be forwarded as it is.
+        """
+
+    @abstractmethod
+    def upstream_headers(self, call: Call, plan: SendPlan) -> list[Header]:
+        """Return the headers of an attempt, without those that frame its body."""
+
+    @abstractmethod
+    def judge_reply(
+        self, *, status: int, headers: Sequence[Header], attempt: AttemptId
+    ) -> ReplyHead:
+        """Judge the head of an answer; its headers are those that go to the caller."""
+
+    @abstractmethod
+    def own_headers(
+        self, *, attempt: AttemptId | None, retry_after: float | None
+    ) -> list[Header]:
+        """Return the headers of an answer of the gateway's own."""
+
+
+class FeedFault(Enum):
+    """Why a feed gave nothing."""
+
+    UNREACHABLE = "unreachable"
+    REFUSED = "refused"
+    HISTORY_LOST = "history-lost"
+    STALE = "stale"
+    UNREADABLE = "unreadable"
+
+
+class FeedError(Exception):
+    """
+    A call for a list that failed.
+
+    Attributes
+    ----------
+    fault : FeedFault
+    """
+
+    def __init__(self, fault: FeedFault, detail: str) -> None:
+        super().__init__(f"{fault.value}: {detail}")
+        self.fault = fault
+
+
+class Changes(msgspec.Struct, Generic[T], kw_only=True, frozen=True):
+    """
+    What a feed told.
+
+    Attributes
+    ----------
+    items : list
+        The entries that are new or changed.
+    whole : bool
+        Whether these are all entries there are.
+    cursor : int
+        Where to go on.
+    """
+
+    items: list[T]
+    whole: bool
+    cursor: int
+
+
+class Feed(ABC, Generic[T]):
+    """A list that is read once and then followed; calls may raise ``FeedError``."""
+
+    @abstractmethod
+    def read(self) -> Changes[T]:
+        """Read the whole list."""
+
+    @abstractmethod
+    def follow(self, cursor: int, *, wait: float) -> Changes[T]:
+        """Return the changes since a cursor, waiting some seconds for the first."""
+
+
+class PlatformLink(ABC):
+    """What a gateway reads from its platform."""
+
+    @property
+    @abstractmethod
+    def routing(self) -> Feed[RoutingTable]:
+        """The configuration's versions."""
+
+    @property
+    @abstractmethod
+    def upstreams(self) -> Feed[ListedRow]:
+        """The replicas."""
+
+    @abstractmethod
+    def close(self) -> None:
+        """Close the connections."""
+
+
+def join_headers(headers: Iterable[Header]) -> dict[bytes, bytes]:
+    """Return headers by lowercase name; repeated ones are joined by commas."""
+    joined: dict[bytes, bytes] = {}
+    for name, value in headers:
+        name = name.lower()
+        joined[name] = joined[name] + b", " + value if name in joined else value
+    return joined
--- /dev/null
+++ b/damasklead/gateway/following.py
@@ -0,0 +1,221 @@
+"""
+Following the platform's lists
+==============================
+
+Keeps the configuration and the directory of replicas up to date, and knows when they
+are not.
+"""
+
+import math
+import random
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from typing import Generic, TypeVar
+
+import gevent
+
+from damasklead.clock import Clock
+from damasklead.gateway.dialect import Changes, Feed, FeedError, FeedFault
+from damasklead.gateway.directory import ListedRow, UpstreamDirectory
+from damasklead.gateway.journal import Journal
+from damasklead.gateway.routing import RoutingTable
+
+__all__ = ["ConfigurationFollower", "Follower", "UpstreamFollower"]
+
+T = TypeVar("T")
+
+# One call lasts so long when nothing changes: a connection that went silent is found
+# within a bound of two seconds.
+WAIT_SECONDS = 1.5
+# Pause after a failed call, doubled up to the longest.
+FIRST_PAUSE_SECONDS = 0.1
+MAX_PAUSE_SECONDS = 0.8
+
+
+class Follower(ABC, Generic[T]):
+    """
+    Reads a list once and follows its changes, over failures and lost history.
+
+    Parameters
+    ----------
+    name : str
+        For logs.
+    feed : callable
+        Returns the feed in force.
+    clock : Clock
+    journal : Journal
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        feed: Callable[[], Feed[T]],
+        clock: Clock,
+        journal: Journal,
+    ) -> None:
+        self._name = name
+        self._feed = feed
+        self._clock = clock
+        self._journal = journal
+        self._cursor: int | None = None
+        self._seen_at: float | None = None
+        self._lost = False
+        self._pause = FIRST_PAUSE_SECONDS
+
+    @property
+    def name(self) -> str:
+        """The list's name."""
+        return self._name
+
+    @property
+    def seen_at(self) -> float | None:
+        """Clock reading when the list was last read; ``None`` before."""
+        return self._seen_at
+
+    def age(self) -> float:
+        """Return the seconds since the list was last read; infinite before."""
+        return math.inf if self._seen_at is None else self._clock.now() - self._seen_at
+
+    def run(self) -> None:
+        """Follow forever."""
+        while True:
+            gevent.sleep(self.step())
+
+    def step(self) -> float:
+        """Make one call; returns the seconds to wait before the next."""
+        try:
+            changes = self._call()
+        except FeedError as error:
+            return self._after_error(error)
+        self._seen_at = self._clock.now()
+        self._pause = FIRST_PAUSE_SECONDS
+        if self._lost:
+            self._lost = False
+            self._journal.event("dependency-regained", feed=self._name)
+        self.back()
+        self._cursor = changes.cursor
+        self.take(changes)
+        return self.spacing()
+
+    def spacing(self) -> float:
+        """Return the seconds between two calls that succeed."""
+        return 0.0
+
+    @abstractmethod
+    def take(self, changes: Changes[T]) -> None:
+        """Take in what the feed told."""
+
+    def lost(self) -> None:
+        """Take in that the list can't be read."""
+
+    def back(self) -> None:
+        """Take in that the list can be read."""
+
+    def _call(self) -> Changes[T]:
+        feed = self._feed()
+        if self._cursor is None:
+            return feed.read()
+        return feed.follow(self._cursor, wait=WAIT_SECONDS)
+
+    def _after_error(self, error: FeedError) -> float:
+        if error.fault in (FeedFault.HISTORY_LOST, FeedFault.STALE):
+            self._journal.event("list-restarted", feed=self._name, cause=str(error))
+            self._cursor = None
+            return FIRST_PAUSE_SECONDS
+        if not self._lost:
+            self._lost = True
+            self._journal.event("dependency-lost", feed=self._name, cause=str(error))
+        self.lost()
+        pause, self._pause = self._pause, min(2 * self._pause, MAX_PAUSE_SECONDS)
+        return pause * random.uniform(0.5, 1.0)
+
+
+class ConfigurationFollower(Follower[RoutingTable]):
+    """
+    Follows the configuration's versions; an older version than the one in force is
+    passed over.
+
+    Parameters
+    ----------
+    changed : callable
+        Told of each version that comes into force.
+    """
+
+    def __init__(
+        self,
+        *,
+        feed: Callable[[], Feed[RoutingTable]],
+        clock: Clock,
+        journal: Journal,
+        changed: Callable[[RoutingTable], None],
+    ) -> None:
+        super().__init__(name="configuration", feed=feed, clock=clock, journal=journal)
+        self._changed = changed
+        self._table: RoutingTable | None = None
+
+    @property
+    def table(self) -> RoutingTable | None:
+        """The configuration in force."""
+        return self._table
+
+    def take(self, changes: Changes[RoutingTable]) -> None:
+        """Put the newest version into force."""
+        for table in changes.items:
+            before = 0 if self._table is None else self._table.version
+            if table.version <= before:
+                continue
+            self._table = table
+            self._journal.event(
+                "configuration",
+                before=before,
+                version=table.version,
+                routes=len(table.routes),
+            )
+            self._changed(table)
+
+
+class UpstreamFollower(Follower[ListedRow]):
+    """
+    Follows the list of replicas.
+
+    Parameters
+    ----------
+    directory : UpstreamDirectory
+    changed : callable
+        Told that the directory has changed.
+    """
+
+    def __init__(
+        self,
+        *,
+        feed: Callable[[], Feed[ListedRow]],
+        clock: Clock,
+        journal: Journal,
+        directory: UpstreamDirectory,
+        changed: Callable[[], None],
+    ) -> None:
+        super().__init__(name="replicas", feed=feed, clock=clock, journal=journal)
+        self._directory = directory
+        self._changed = changed
+
+    def take(self, changes: Changes[ListedRow]) -> None:
+        """Take in entries of the list."""
+        self._note(self._directory.apply(changes.items, whole=changes.whole))
+
+    def lost(self) -> None:
+        """Take in that the list can't be read: removals may be lapses."""
+        self._directory.list_lost()
+
+    def back(self) -> None:
+        """Take in that the list can be read."""
+        self._directory.list_back()
+
+    def expire(self) -> None:
+        """Drop replicas that have not come back after an outage."""
+        self._note(self._directory.expire())
+
+    def _note(self, changes: list[str]) -> None:
+        if changes:
+            self._journal.event("replicas", changes="; ".join(changes))
+            self._changed()
--- /dev/null
+++ b/damasklead/gateway/listeners.py
@@ -0,0 +1,133 @@
+"""
+Listeners
+=========
+
+The gateway's listening sockets, and the answers of the ports that serve no callers.
+"""
+
+from collections.abc import Callable
+
+import msgspec
+from gevent import socket
+from gevent.server import StreamServer
+
+from damasklead.clock import Clock
+from damasklead.gateway.callers import (
+    CallerConnection,
+    ConnectionState,
+    RawRequest,
+    RequestHandler,
+)
+from damasklead.gateway.routing import CallerLimits
+from damasklead.util import split_address
+
+__all__ = ["Listener", "ReadyHandler", "StatusHandler"]
+
+# New connections that wait for the loop; more are opened again a second later.
+BACKLOG = 2048
+
+
+class Listener:
+    """
+    A listening socket whose connections are served by a handler.
+
+    Parameters
+    ----------
+    address : str
+        ``ip:port``.
+    handler : RequestHandler
+    clock : Clock
+    stopping : callable
+        Whether the process stops.
+    """
+
+    def __init__(
+        self,
+        *,
+        address: str,
+        handler: RequestHandler,
+        clock: Clock,
+        stopping: Callable[[], bool],
+    ) -> None:
+        self._address = address
+        self._handler = handler
+        self._clock = clock
+        self._stopping = stopping
+        self._server: StreamServer | None = None
+        self._connections: set[CallerConnection] = set()
+
+    @property
+    def busy(self) -> int:
+        """Connections on which a request is being read or answered."""
+        return sum(item.state is not ConnectionState.IDLE for item in self._connections)
+
+    def start(self) -> None:
+        """Listen."""
+        self._server = StreamServer(
+            split_address(self._address), self._serve, backlog=BACKLOG
+        )
+        self._server.start()
+
+    def stop(self) -> None:
+        """Take no further connections; those that are open go on."""
+        server, self._server = self._server, None
+        if server is not None:
+            server.stop(timeout=0)
+
+    def close_idle(self) -> None:
+        """Close the connections on which no request is under way."""
+        for connection in list(self._connections):
+            connection.close_if_idle()
+
+    def _serve(self, raw: socket.socket, _peer: object) -> None:
+        connection = CallerConnection(
+            raw=raw,
+            handler=self._handler,
+            clock=self._clock,
+            stopping=self._stopping,
+        )
+        self._connections.add(connection)
+        try:
+            connection.serve()
+        finally:
+            self._connections.discard(connection)
+
+
+class ReadyHandler(RequestHandler):
+    """Says whether the process can take requests."""
+
+    def __init__(self, *, ready: Callable[[], bool]) -> None:
+        self._ready = ready
+
+    def handle(self, request: RawRequest, connection: CallerConnection) -> None:
+        """Answer 200 or 503."""
+        ready = self._ready()
+        connection.respond(
+            200 if ready else 503, [], b"ready" if ready else b"not ready"
+        )
+
+    def limits(self) -> CallerLimits:
+        """Return the default limits."""
+        return CallerLimits()
+
+
+class StatusHandler(RequestHandler):
+    """Shows operators the metrics at ``/metrics`` and the state anywhere else."""
+
+    def __init__(
+        self, *, metrics: Callable[[], bytes], state: Callable[[], dict[str, object]]
+    ) -> None:
+        self._metrics = metrics
+        self._state = state
+
+    def handle(self, request: RawRequest, connection: CallerConnection) -> None:
+        """Answer a question of an operator."""
+        if request.target.startswith("/metrics"):
+            kind, body = b"text/plain; version=0.0.4", self._metrics()
+        else:
+            kind, body = b"application/json", msgspec.json.encode(self._state())
+        connection.respond(200, [(b"Content-Type", kind)], body)
+
+    def limits(self) -> CallerLimits:
+        """Return the default limits."""
+        return CallerLimits()
--- /dev/null
+++ b/damasklead/gateway/metrics.py
@@ -0,0 +1,104 @@
+"""
+Gateway metrics
+===============
+
+What a gateway counts, for ``/metrics``.
+"""
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+
+from damasklead.gateway.calls import Call
+from damasklead.gateway.refusals import Refusal
+
+__all__ = ["GatewayMetrics"]
+
+FIRST_BYTE_BUCKETS = (0.02, 0.05, 0.125, 0.25, 0.5, 1.0, 1.5, 3.0, 5.0, 15.0)
+
+
+class GatewayMetrics:
+    """The counters of one gateway in a registry of their own."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self._answers = Counter(
+            "damasklead_answers",
+            "Answers of replicas by service, route kind and status",
+            ["service", "kind", "status"],
+            registry=self.registry,
+        )
+        self._refusals = Counter(
+            "damasklead_own_answers",
+            "Answers of the gateway's own by service and reason",
+            ["service", "reason"],
+            registry=self.registry,
+        )
+        self._gone = Counter(
+            "damasklead_callers_gone",
+            "Requests whose caller left before the answer's end",
+            ["service"],
+            registry=self.registry,
+        )
+        self._first_byte = Histogram(
+            "damasklead_first_byte_seconds",
+            "Seconds from a request's head to its answer's first byte",
+            ["service", "kind"],
+            registry=self.registry,
+            buckets=FIRST_BYTE_BUCKETS,
+        )
+        self.configuration_version = Gauge(
+            "damasklead_configuration_version",
+            "The version in force",
+            registry=self.registry,
+        )
+        self.feed_age = Gauge(
+            "damasklead_feed_age_seconds",
+            "Seconds since a list of the platform was last read",
+            ["feed"],
+            registry=self.registry,
+        )
+        self.replicas = Gauge(
+            "damasklead_replicas",
+            "Replicas that may take new work",
+            ["service"],
+            registry=self.registry,
+        )
+        self.active = Gauge(
+            "damasklead_active_requests",
+            "Requests that are being answered",
+            registry=self.registry,
+        )
+        self.connections_opened = Gauge(
+            "damasklead_upstream_connections_opened",
+            "Connections to replicas opened since the start",
+            registry=self.registry,
+        )
+        self.log_lines_dropped = Gauge(
+            "damasklead_log_lines_dropped",
+            "Log lines dropped since the start",
+            registry=self.registry,
+        )
+
+    def answered(self, call: Call, status: int, first_byte: float) -> None:
+        """Count a replica's answer."""
+        kind = call.route.kind.value
+        self._answers.labels(call.service, kind, str(status)).inc()
+        self._first_byte.labels(call.service, kind).observe(first_byte)
+
+    def refused(self, call: Call | None, refusal: Refusal) -> None:
+        """Count an answer of the gateway's own."""
+        service = "none" if call is None else call.service
+        self._refusals.labels(service, refusal.reason.value).inc()
+
+    def gone(self, call: Call) -> None:
+        """Count a request whose caller left."""
+        self._gone.labels(call.service).inc()
+
+    def render(self) -> bytes:
+        """Return the exposition text."""
+        return generate_latest(self.registry)
--- /dev/null
+++ b/damasklead/gateway/placement.py
@@ -0,0 +1,323 @@
+"""
+Placement
+=========
+
+Decides which replica gets a request.  No I/O: what is known comes in as calls with the
+clock's time, a choice goes out.
+"""
+
+from abc import ABC, abstractmethod
+from collections.abc import Collection, Iterable
+
+from damasklead.clock import Clock
+from damasklead.failures import Failure
+from damasklead.gateway.calls import Call, LoadHint, UpstreamRecord
+from damasklead.gateway.replicastate import ReplicaState
+from damasklead.gateway.routing import Route, ServiceSpec
+from damasklead.ids import DataCentre, InstanceId
+from damasklead.util import stable_hash
+
+__all__ = ["EnginePlacement", "Placement", "PlainPlacement", "new_placement"]
+
+# A replica that has not said a word for so many targets is passed over.
+SILENT_TARGETS = 3.0
+# Shortest silence that counts, in seconds: a lost packet is sent again after 0.2 s.
+SILENT_SECONDS = 0.5
+# Requests of advantage for a replica in this gateway's data centre.
+SAME_CENTRE_BONUS = 0.5
+# Weight of other gateways' requests: every gateway has the same late figures.
+OTHERS_WEIGHT = 0.5
+# Requests that a certain failure is worth in the comparison of replicas.
+FAILURE_COST = 6.0
+
+# Prompt tokens that an engine reads in a second, to compare costs; the order of
+# magnitude is enough.
+READ_TOKENS_PER_SECOND = 38_000.0
+# Time that one running request adds to each of another one's tokens, over its stream.
+RUNNING_COST = 0.004
+# Cost in seconds of leaving the data centre, for a request of some kilobytes.
+OTHER_CENTRE_SECONDS = 0.01
+# Probability that a part is cached at its home replica though this gateway has not
+# sent it there.
+HOME_CACHED = 0.8
+# Share of engines kept for the streams with the shortest allowed pause.
+TIGHT_SHARE = 0.22
+# Streams are kept apart from others whose allowed pause is so many times longer.
+TIGHT_RATIO = 1.3
+
+
+class Placement(ABC):
+    """
+    The replicas of one service as one gateway sees them.
+
+    Parameters
+    ----------
+    service : ServiceSpec
+    clock : Clock
+    data_centre : DataCentre
+        Where this gateway is.
+    """
+
+    def __init__(
+        self, *, service: ServiceSpec, clock: Clock, data_centre: DataCentre
+    ) -> None:
+        self._service = service
+        self._clock = clock
+        self._data_centre = data_centre
+        self._replicas: dict[InstanceId, ReplicaState] = {}
+        self._usable: dict[InstanceId, ReplicaState] = {}
+
+    @property
+    def service(self) -> ServiceSpec:
+        """The service."""
+        return self._service
+
+    @property
+    def usable(self) -> Collection[InstanceId]:
+        """The replicas that may take new work."""
+        return self._usable.keys()
+
+    def retain(self, records: Iterable[UpstreamRecord]) -> None:
+        """Take the replicas that may take new work from now on."""
+        usable: dict[InstanceId, ReplicaState] = {}
+        for record in records:
+            state = self._replicas.get(record.instance)
+            if state is None:
+                state = ReplicaState(record=record, memory_tokens=self._memory())
+                self._replicas[record.instance] = state
+            else:
+                state.take_record(record)
+            usable[record.instance] = state
+        self._usable = usable
+        for instance in [item for item in self._replicas if item not in usable]:
+            if not self._replicas[instance].own:
+                del self._replicas[instance]
+
+    def configure(self, service: ServiceSpec, routes: Iterable[Route]) -> None:
+        """Take the service's specification in force and the routes that lead to it."""
+        self._service = service
+
+    def choose(
+        self, call: Call, *, excluded: Collection[InstanceId] = ()
+    ) -> UpstreamRecord | None:
+        """
+        Return the replica for a request, or ``None`` when there is none.
+
+        Parameters
+        ----------
+        excluded : collection
+            Replicas on which the request failed; they come last.
+        """
+        candidates = [
+            state for item, state in self._usable.items() if item not in excluded
+        ]
+        if not candidates:
+            return None
+        now = self._clock.now()
+        sound = [item for item in candidates if self._is_sound(item, call, now)]
+        best = min(
+            self._preferred(call, sound or candidates, now),
+            key=lambda state: self._cost(state, call, now),
+        )
+        return best.record
+
+    def explain(self, instance: InstanceId, call: Call) -> dict[str, object]:
+        """Return what is known of a chosen replica, for the log."""
+        state = self._replicas[instance]
+        now = self._clock.now()
+        return {
+            "candidates": len(self._usable),
+            "own": state.own,
+            "others": round(state.others(now), 1),
+            "hint_age": round(state.hint_age(now), 3),
+            "unread": self._unread_tokens(state, call),
+            "backlog": state.unread_tokens,
+        }
+
+    def sent(self, instance: InstanceId, call: Call) -> None:
+        """Count a request that is being sent to a replica."""
+        state = self._replicas.get(instance)
+        if state is not None:
+            state.sent(
+                call,
+                unread_tokens=self._unread_tokens(state, call),
+                now=self._clock.now(),
+            )
+
+    def heard(self, instance: InstanceId, hint: LoadHint | None) -> None:
+        """Take in the head of an answer."""
+        state = self._replicas.get(instance)
+        if state is not None:
+            state.heard(hint, now=self._clock.now())
+
+    def progressed(self, instance: InstanceId, call: Call) -> None:
+        """Take in an event of a request's stream."""
+        state = self._replicas.get(instance)
+        if state is not None:
+            state.progressed(call, now=self._clock.now())
+
+    def finished(self, instance: InstanceId, call: Call) -> None:
+        """Take in that a request has its whole answer."""
+        state = self._replicas.get(instance)
+        if state is not None:
+            state.ended(call)
+            state.succeeded()
+
+    def failed(self, instance: InstanceId, call: Call, failure: Failure) -> None:
+        """Take in that an attempt ended without a whole answer."""
+        state = self._replicas.get(instance)
+        if state is not None:
+            state.ended(call)
+            state.failed(failure, now=self._clock.now())
+
+    def withdrawn(self, instance: InstanceId, call: Call) -> None:
+        """Take in that an attempt was cancelled; that says nothing of the replica."""
+        state = self._replicas.get(instance)
+        if state is not None:
+            state.ended(call)
+
+    @abstractmethod
+    def _cost(self, state: ReplicaState, call: Call, now: float) -> float:
+        """Return the cost of a request at a replica; the lowest is chosen."""
+
+    def _preferred(
+        self, call: Call, candidates: list[ReplicaState], now: float
+    ) -> list[ReplicaState]:
+        """Return those among which the cost decides."""
+        return candidates
+
+    def _unread_tokens(self, state: ReplicaState, call: Call) -> int:
+        """Return the prompt tokens that the replica will have to read."""
+        return 0
+
+    def _memory(self) -> int:
+        engine = self._service.engine
+        return 0 if engine is None else engine.memory_tokens
+
+    def _is_sound(self, state: ReplicaState, call: Call, now: float) -> bool:
+        """Tell whether nothing speaks against a replica just now."""
+        if now < state.avoid_until:
+            return False
+        patience = max(SILENT_SECONDS, SILENT_TARGETS * call.route.target)
+        return state.silent_for(now) < patience
+
+
+class PlainPlacement(Placement):
+    """
+    The fewest requests, near ones first.
+
+    Load pattern: short requests on replicas with few slots and a short queue of their
+    own, where a request that waits behind another one is late.
+    """
+
+    def _cost(self, state: ReplicaState, call: Call, now: float) -> float:
+        cost = state.own + OTHERS_WEIGHT * state.others(now)
+        if state.record.data_centre != self._data_centre:
+            cost += SAME_CENTRE_BONUS
+        cost += FAILURE_COST * state.failure_rate
+        return cost + _tie(state, call)
+
+
+class EnginePlacement(Placement):
+    """
+    Where the prompt's parts are cached, unless others would be much sooner; streams
+    with the shortest allowed pause run on engines of their own.
+
+    Load pattern: long prompts with shared parts that fit the pool's memory once, beside
+    long streams whose pauses are broken by the reading of other requests' prompts.
+    """
+
+    def __init__(
+        self, *, service: ServiceSpec, clock: Clock, data_centre: DataCentre
+    ) -> None:
+        super().__init__(service=service, clock=clock, data_centre=data_centre)
+        self._tight_gap: float | None = None
+        self._tight: frozenset[InstanceId] = frozenset()
+
+    @property
+    def tight(self) -> frozenset[InstanceId]:
+        """The replicas kept for the streams with the shortest allowed pause."""
+        return self._tight
+
+    def configure(self, service: ServiceSpec, routes: Iterable[Route]) -> None:
+        """Find the shortest allowed pause, if it is clearly shorter than others."""
+        super().configure(service, routes)
+        gaps = sorted({route.event_gap for route in routes if route.event_gap})
+        apart = len(gaps) > 1 and gaps[1] >= TIGHT_RATIO * gaps[0]
+        self._tight_gap = gaps[0] if apart else None
+        self._arrange()
+
+    def retain(self, records: Iterable[UpstreamRecord]) -> None:
+        """Take the replicas that may take new work from now on."""
+        super().retain(records)
+        self._arrange()
+
+    def _arrange(self) -> None:
+        count = max(1, int(TIGHT_SHARE * len(self._usable) + 0.5))
+        if self._tight_gap is None or len(self._usable) <= count:
+            self._tight = frozenset()
+            return
+        ranked = sorted(
+            self._usable, key=lambda item: stable_hash(self._service.name, item)
+        )
+        self._tight = frozenset(ranked[:count])
+
+    def _preferred(
+        self, call: Call, candidates: list[ReplicaState], now: float
+    ) -> list[ReplicaState]:
+        if not self._tight:
+            return candidates
+        tight = call.route.event_gap == self._tight_gap
+        own = [
+            state
+            for state in candidates
+            if (state.record.instance in self._tight) is tight
+        ]
+        return own or candidates
+
+    def _unread_tokens(self, state: ReplicaState, call: Call) -> int:
+        return int(self._expected_unread(state, call))
+
+    def _expected_unread(self, state: ReplicaState, call: Call) -> float:
+        """Estimate the tokens to read: a part is cached only with all before it."""
+        unread = float(call.head.prompt_tokens)
+        cached = 1.0
+        for part in call.head.prompt[:-1]:
+            if part.key not in state.parts:
+                home = self._home(part.key, call) == state.record.instance
+                cached *= HOME_CACHED if home else 0.0
+            unread -= cached * part.tokens
+            if not cached:
+                break
+        return max(0.0, unread)
+
+    def _home(self, key: str, call: Call) -> InstanceId | None:
+        """Return the replica that all gateways choose for a part."""
+        tight = call.route.event_gap == self._tight_gap
+        group = [
+            item for item in self._usable if (item in self._tight) is tight
+        ] or self._usable
+        return max(group, key=lambda item: stable_hash(key, item), default=None)
+
+    def _cost(self, state: ReplicaState, call: Call, now: float) -> float:
+        unread = self._expected_unread(state, call)
+        cost = (unread + state.unread_tokens) / READ_TOKENS_PER_SECOND
+        load = state.own + OTHERS_WEIGHT * state.others(now) + state.waiting(now)
+        cost += RUNNING_COST * load
+        if state.record.data_centre != self._data_centre:
+            cost += OTHER_CENTRE_SECONDS
+        cost += FAILURE_COST * RUNNING_COST * state.failure_rate
+        return cost + RUNNING_COST * _tie(state, call)
+
+
+def _tie(state: ReplicaState, call: Call) -> float:
+    """Return a small figure by which equal replicas differ for each request."""
+    return stable_hash(call.id, state.record.instance) / 2**64 * 0.01
+
+
+def new_placement(
+    *, service: ServiceSpec, clock: Clock, data_centre: DataCentre
+) -> Placement:
+    """Return the placement for a kind of service."""
+    kind = PlainPlacement if service.engine is None else EnginePlacement
+    return kind(service=service, clock=clock, data_centre=data_centre)
--- /dev/null
+++ b/damasklead/gateway/process.py
@@ -0,0 +1,312 @@
+"""
+Gateway process
+===============
+
+One gateway: its supervisor tree, its start, its settings as they change, and its
+graceful stop.
+"""
+
+import os
+import signal
+from collections.abc import Callable
+from pathlib import Path
+
+import gevent
+from gevent.event import Event
+
+from damasklead.findings import Findings
+from damasklead.gateway.attempts import RunParts
+from damasklead.gateway.budget import SharedRetryBudget
+from damasklead.gateway.callers import RequestHandler
+from damasklead.gateway.dialect import Dialect, PlatformLink
+from damasklead.gateway.directory import UpstreamDirectory
+from damasklead.gateway.following import ConfigurationFollower, UpstreamFollower
+from damasklead.gateway.forwarding import Forwarder
+from damasklead.gateway.journal import Journal
+from damasklead.gateway.listeners import Listener, ReadyHandler, StatusHandler
+from damasklead.gateway.metrics import GatewayMetrics
+from damasklead.gateway.placement import Placement, new_placement
+from damasklead.gateway.routing import Route, RoutingTable, ServiceSpec
+from damasklead.gateway.settings import GatewaySettings, check_gateway_settings
+from damasklead.gateway.upstream_http import ConnectionPool
+from damasklead.ids import DataCentre, InstanceId, ServiceName
+from damasklead.loop import LoopClock
+from damasklead.supervision import Child, ServerChild, Supervisor, TaskChild
+
+__all__ = ["GatewayProcess"]
+
+TICK_SECONDS = 0.25
+# The balancer asks once a second and needs two misses, so new connections come for so
+# long after a gateway says that it is not ready.
+UNROUTED_SECONDS = 2.4
+# Kept before the process is killed, to close what is left in order.
+STOP_MARGIN_SECONDS = 0.4
+POLL_SECONDS = 0.05
+
+
+class GatewayProcess:
+    """
+    A gateway with its tree of tasks and listeners.
+
+    Parameters
+    ----------
+    settings_file : Path
+    settings : GatewaySettings
+        As read from the file at the start.
+    dialect : Dialect
+    open_link : callable
+        Opens the link to the platform at an address.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings_file: Path,
+        settings: GatewaySettings,
+        dialect: Dialect,
+        open_link: Callable[[str], PlatformLink],
+    ) -> None:
+        self._settings_file = settings_file
+        self._settings = settings
+        self._settings_stamp = _stamp(settings_file)
+        self._open_link = open_link
+        self._clock = LoopClock()
+        self._journal = Journal(instance=settings.instance)
+        self._metrics = GatewayMetrics()
+        self._stopping = False
+        self._stop_asked = Event()
+        self._link = open_link(settings.platform)
+        self._directory = UpstreamDirectory(clock=self._clock)
+        self._placements: dict[ServiceName, Placement] = {}
+        self._connections = ConnectionPool(clock=self._clock)
+        self._budget = SharedRetryBudget(
+            clock=self._clock,
+            ratio=settings.bounds.retry_ratio,
+            allowance=settings.bounds.retry_allowance,
+            window=settings.bounds.retry_window_seconds,
+        )
+        self._configuration = ConfigurationFollower(
+            feed=lambda: self._link.routing,
+            clock=self._clock,
+            journal=self._journal,
+            changed=self._configure,
+        )
+        self._upstreams = UpstreamFollower(
+            feed=lambda: self._link.upstreams,
+            clock=self._clock,
+            journal=self._journal,
+            directory=self._directory,
+            changed=self._arrange,
+        )
+        self._forwarder = Forwarder(
+            parts=RunParts(
+                dialect=dialect,
+                clock=self._clock,
+                connections=self._connections,
+                budget=self._budget,
+                journal=self._journal,
+                left=self._note_left,
+            ),
+            placement_of=self._placement_of,
+            table=lambda: self._configuration.table,
+            metrics=self._metrics,
+        )
+        self._callers = self._listener(settings.listen.callers, self._forwarder)
+        self._tree = self._build_tree()
+        self._observe()
+
+    @property
+    def ready(self) -> bool:
+        """Whether the process can take requests."""
+        known = self._configuration.table is not None
+        return known and self._upstreams.seen_at is not None and not self._stopping
+
+    @property
+    def tree(self) -> Supervisor:
+        """The supervisor tree."""
+        return self._tree
+
+    def run(self) -> int:
+        """Run until SIGTERM or SIGINT and stop gracefully; returns the exit code."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            gevent.signal_handler(number, self._stop_asked.set)
+        gevent.signal_handler(signal.SIGHUP, self.reload)
+        self.start()
+        self._stop_asked.wait()
+        self.stop()
+        return 1 if self._tree.failed.is_set() else 0
+
+    def start(self) -> None:
+        """Start everything; returns at once."""
+        self._tree.start(lambda _child, _cause: self._stop_asked.set())
+        self._journal.event(
+            "started", data_centre=self._settings.data_centre, pid=os.getpid()
+        )
+
+    def stop(self) -> None:
+        """Invite no further requests, let those under way end, and stop."""
+        began = self._clock.now()
+        self._stopping = True
+        self._journal.event("stopping", requests=self._forwarder.active)
+        deadline = began + self._settings.bounds.stop_seconds - STOP_MARGIN_SECONDS
+        gevent.sleep(UNROUTED_SECONDS)
+        self._callers.close_idle()
+        self._callers.stop()
+        while self._callers.busy and self._clock.now() < deadline:
+            gevent.sleep(POLL_SECONDS)
+        self._journal.event(
+            "stopped",
+            cut_off=self._callers.busy,
+            seconds=self._clock.now() - began,
+        )
+        self._tree.stop()
+        self._connections.close()
+        self._link.close()
+        self._journal.flush()
+
+    def reload(self) -> None:
+        """Read the settings file again; what is wrong leaves the old ones in force."""
+        self._settings_stamp = _stamp(self._settings_file)
+        findings = Findings()
+        try:
+            text = self._settings_file.read_text()
+        except OSError as error:
+            self._journal.event("reload-failed", cause=str(error))
+            return
+        settings = check_gateway_settings(
+            text, file=str(self._settings_file), findings=findings
+        )
+        if settings is None:
+            self._journal.event("reload-failed", findings="; ".join(map(str, findings)))
+            return
+        before, self._settings = self._settings, settings
+        if settings.platform != before.platform:
+            old, self._link = self._link, self._open_link(settings.platform)
+            old.close()
+        self._budget.configure(
+            ratio=settings.bounds.retry_ratio,
+            allowance=settings.bounds.retry_allowance,
+            window=settings.bounds.retry_window_seconds,
+        )
+        self._journal.event("reloaded", changed=settings != before)
+
+    def _tick_forever(self) -> None:
+        while True:
+            gevent.sleep(TICK_SECONDS)
+            self._upstreams.expire()
+            self._connections.sweep()
+            if _stamp(self._settings_file) != self._settings_stamp:
+                self.reload()
+
+    def _configure(self, table: RoutingTable) -> None:
+        self._metrics.configuration_version.set(table.version)
+        for name in [item for item in self._placements if item not in table.services]:
+            del self._placements[name]
+        for service in table.services.values():
+            placement = self._placement_of(service.name)
+            placement.configure(service, _routes_of(table, service.name))
+        self._arrange()
+
+    def _arrange(self) -> None:
+        """Let the placements see the replicas that may take new work."""
+        for name, placement in self._placements.items():
+            usable = self._directory.usable(name)
+            placement.retain(usable)
+            self._metrics.replicas.labels(name).set(len(usable))
+
+    def _placement_of(self, name: ServiceName) -> Placement:
+        placement = self._placements.get(name)
+        if placement is None:
+            table = self._configuration.table
+            spec = None if table is None else table.services.get(name)
+            placement = new_placement(
+                service=spec or ServiceSpec(name=name, max_connections=1),
+                clock=self._clock,
+                data_centre=DataCentre(self._settings.data_centre),
+            )
+            placement.retain(self._directory.usable(name))
+            self._placements[name] = placement
+        return placement
+
+    def _note_left(self, instance: InstanceId) -> None:
+        if self._directory.mark_left(instance):
+            self._journal.event("replica-left", replica=instance, sign="address reused")
+            self._arrange()
+
+    def _listener(self, address: str, handler: RequestHandler) -> Listener:
+        return Listener(
+            address=address,
+            handler=handler,
+            clock=self._clock,
+            stopping=lambda: self._stopping,
+        )
+
+    def _state(self) -> dict[str, object]:
+        """Return what operators are shown."""
+        table = self._configuration.table
+        return {
+            "instance": self._settings.instance,
+            "ready": self.ready,
+            "configuration": None if table is None else table.version,
+            "active": self._forwarder.active,
+            "replicas": {
+                name: sorted(placement.usable)
+                for name, placement in self._placements.items()
+            },
+        }
+
+    def _observe(self) -> None:
+        """Let the gauges read the process's state."""
+        metrics = self._metrics
+        metrics.active.set_function(lambda: self._forwarder.active)
+        metrics.connections_opened.set_function(lambda: self._connections.opened)
+        metrics.log_lines_dropped.set_function(lambda: self._journal.dropped)
+        for follower in (self._configuration, self._upstreams):
+            metrics.feed_age.labels(follower.name).set_function(follower.age)
+
+    def _build_tree(self) -> Supervisor:
+        listen = self._settings.listen
+        ready = self._listener(listen.ready, ReadyHandler(ready=lambda: self.ready))
+        status = StatusHandler(metrics=self._metrics.render, state=self._state)
+        servers = {"callers": self._callers, "ready": ready}
+        if listen.operators is not None:
+            servers["operators"] = self._listener(listen.operators, status)
+        if listen.metrics_port is not None:
+            host = listen.callers.rpartition(":")[0]
+            address = f"{host}:{listen.metrics_port}"
+            servers["metrics"] = self._listener(address, status)
+        tasks: list[Child] = [
+            TaskChild(name="journal", function=self._journal.run),
+            TaskChild(name="configuration", function=self._configuration.run),
+            TaskChild(name="replicas", function=self._upstreams.run),
+            TaskChild(name="ticks", function=self._tick_forever),
+        ]
+        listeners: list[Child] = [
+            ServerChild(name=name, begin=server.start, end=server.stop)
+            for name, server in servers.items()
+        ]
+        return Supervisor(
+            name="gateway",
+            clock=self._clock,
+            children=[
+                Supervisor(name="tasks", clock=self._clock, children=tasks),
+                Supervisor(name="listeners", clock=self._clock, children=listeners),
+            ],
+        )
+
+
+def _routes_of(table: RoutingTable, service: ServiceName) -> list[Route]:
+    return [
+        route
+        for route in table.routes
+        if any(name == service for name, _ in route.split)
+    ]
+
+
+def _stamp(file: Path) -> tuple[int, int]:
+    """Return what changes when a file is written; zeros while there is none."""
+    try:
+        status = file.stat()
+    except OSError:
+        return (0, 0)
+    return (status.st_mtime_ns, status.st_size)
--- /dev/null
+++ b/damasklead/gateway/refusals.py
@@ -0,0 +1,68 @@
+"""
+Refusals
+========
+
+Why a request gets an answer of the gateway's own, which status says so, and when it
+helps to come back.
+"""
+
+from enum import Enum
+
+import msgspec
+
+from damasklead.ids import AttemptId
+
+__all__ = ["Reason", "Refusal"]
+
+
+class Reason(Enum):
+    """Why there is no answer of a replica."""
+
+    BAD_REQUEST = "bad-request"
+    NO_CONFIGURATION = "no-configuration"
+    NO_ROUTE = "no-route"
+    UNKNOWN_KEY = "unknown-key"
+    NO_REPLICA = "no-replica"
+    REPLICAS_FULL = "replicas-full"
+    TOO_LATE = "too-late"
+    UNREACHABLE = "unreachable"
+    UPSTREAM_FAILED = "upstream-failed"
+    TIMED_OUT = "timed-out"
+
+
+_STATUS = {
+    Reason.BAD_REQUEST: 400,
+    Reason.NO_CONFIGURATION: 503,
+    Reason.NO_ROUTE: 404,
+    Reason.UNKNOWN_KEY: 401,
+    Reason.NO_REPLICA: 503,
+    Reason.REPLICAS_FULL: 503,
+    Reason.TOO_LATE: 503,
+    Reason.UNREACHABLE: 503,
+    Reason.UPSTREAM_FAILED: 502,
+    Reason.TIMED_OUT: 504,
+}
+
+
+class Refusal(msgspec.Struct, kw_only=True, frozen=True):
+    """
+    An answer of the gateway's own.
+
+    A status of 503 says that the request has not run and will not run, so reasons with
+    that status are given only where no replica can have run it.
+
+    Attributes
+    ----------
+    retry_after : float or None
+        Seconds after which it helps to come back.
+    """
+
+    reason: Reason
+    detail: str = ""
+    attempt: AttemptId | None = None
+    retry_after: float | None = None
+
+    @property
+    def status(self) -> int:
+        """The HTTP status."""
+        return _STATUS[self.reason]
--- a/damasklead/leases.py
+++ b/damasklead/leases.py
@@ -20,7 +20,8 @@
 from damasklead.audit import AuditEvent, audit_put
 from damasklead.clock import Clock
 from damasklead.ids import Incarnation, InstanceId
-from damasklead.platform.base import (
+from damasklead.protocol import ReadRows, Steps
+from damasklead.stores.base import (
     ABSENT,
     Commit,
     Committed,
@@ -29,7 +30,6 @@
     Put,
     Row,
 )
-from damasklead.protocol import ReadRows, Steps
 
 __all__ = ["EXPIRY", "HOLD", "LEASES_TABLE", "Lease", "LeaseKeeper"]
 
--- a/damasklead/daemon/loop.py
+++ b/damasklead/loop.py
@@ -18,8 +18,8 @@
     """Monotonic time, and waiting that lets other greenlets run."""
 
     def now(self) -> float:
-        """Return the monotonic time in seconds."""
-        return time.monotonic()
+        """Return seconds that also count while the machine is suspended."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
 
     def wall(self) -> float:
         """
--- a/damasklead/manifest.py
+++ b/damasklead/manifest.py
@@ -19,7 +19,8 @@
 from damasklead.configuration import Configuration, build_configuration
 from damasklead.findings import Findings
 from damasklead.ids import AttemptId, Incarnation, InstanceId
-from damasklead.platform.base import (
+from damasklead.protocol import GetObject, PutObject, ReadRows, Steps
+from damasklead.stores.base import (
     ABSENT,
     Commit,
     Committed,
@@ -28,7 +29,6 @@
     Row,
     StoreError,
 )
-from damasklead.protocol import GetObject, PutObject, ReadRows, Steps
 
 __all__ = [
     "CONFIGURATION_TABLE",
--- a/damasklead/membership.py
+++ b/damasklead/membership.py
@@ -14,7 +14,7 @@
 
 from damasklead.clock import Clock
 from damasklead.ids import DataCentre, Incarnation, InstanceId, ServiceName
-from damasklead.platform.base import InstanceRecord, InstanceState
+from damasklead.stores.base import InstanceRecord, InstanceState
 
 __all__ = ["Member", "MemberState", "Membership"]
 
--- a/damasklead/messages.py
+++ b/damasklead/messages.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from damasklead.ids import Fingerprint, Incarnation, InstanceId, PoolId
-from damasklead.platform.base import InstanceRecord
+from damasklead.stores.base import InstanceRecord
 from damasklead.util import stable_hash
 
 __all__ = [
--- a/damasklead/platform/__init__.py
+++ b/damasklead/platform/__init__.py
@@ -1,35 +1,8 @@
 """
-Platform
-========
+Platform adapter
+================
 
-The platform's services behind abstract base classes, with a table of implementations by
-name.
-
-Importing this package loads no network library; opening a platform over HTTP does.
+Translates between the users' platform and the gateway: headers of requests and
+answers, the operators' configuration, the list of replicas, and the store's rows.
+Their names stand in this package, in ``deploy/`` and in its tests, and nowhere else.
 """
-
-from damasklead.platform.base import Platform
-from damasklead.settings import PlatformSettings
-
-__all__ = ["Platform", "open_platform"]
-
-
-def open_platform(settings: PlatformSettings) -> Platform:
-    """Return the platform that the settings name."""
-    return _KINDS[settings.kind](settings)
-
-
-def _open_memory(settings: PlatformSettings) -> Platform:
-    from damasklead.platform.memory import memory_platform
-
-    return memory_platform()
-
-
-def _open_http(settings: PlatformSettings) -> Platform:
-    from damasklead.platform.http import http_platform
-
-    assert settings.address is not None
-    return http_platform(address=settings.address)
-
-
-_KINDS = {"memory": _open_memory, "http": _open_http}
--- /dev/null
+++ b/damasklead/platform/start.py
@@ -0,0 +1,37 @@
+"""
+Start
+=====
+
+Puts the adapter's parts and the gateway together.
+"""
+
+import sys
+from pathlib import Path
+
+from damasklead.findings import Findings
+from damasklead.gateway.process import GatewayProcess
+from damasklead.gateway.settings import check_gateway_settings
+from damasklead.loop import LoopClock
+from damasklead.platform.headers import PlatformDialect
+from damasklead.platform.store import StoreLink
+
+__all__ = ["run_gateway"]
+
+WRONG_SETTINGS = 2
+
+
+def run_gateway(settings_file: Path) -> int:
+    """Run a gateway until SIGTERM; returns the exit code."""
+    findings = Findings()
+    settings = check_gateway_settings(
+        settings_file.read_text(), file=str(settings_file), findings=findings
+    )
+    if settings is None:
+        print(*findings, sep="\n", file=sys.stderr)
+        return WRONG_SETTINGS
+    return GatewayProcess(
+        settings_file=settings_file,
+        settings=settings,
+        dialect=PlatformDialect(),
+        open_link=lambda address: StoreLink(address=address, clock=LoopClock()),
+    ).run()
--- /dev/null
+++ b/damasklead/platform/store.py
@@ -0,0 +1,230 @@
+"""
+Store
+=====
+
+The users' platform store: its calls about rows over HTTP, and the two lists that the
+gateway follows there.
+"""
+
+import base64
+import binascii
+from collections.abc import Callable
+from typing import Generic, TypeVar
+from urllib.parse import urlencode
+
+import gevent
+import msgspec
+
+from damasklead.clock import Clock
+from damasklead.gateway.dialect import (
+    Changes,
+    Feed,
+    FeedError,
+    FeedFault,
+    PlatformLink,
+)
+from damasklead.gateway.directory import ListedRow
+from damasklead.gateway.routing import RoutingTable
+from damasklead.gateway.upstream_http import Connection, ConnectionPool, SendError
+from damasklead.ids import InstanceId
+from damasklead.platform.documents import decode_configuration, decode_upstream
+
+__all__ = ["StoreLink"]
+
+T = TypeVar("T")
+
+# A call takes 4 to 8 ms; far slower ones still count as an answer.
+CALL_SECONDS = 1.0
+# What a waiting call may take beyond its wait.
+WAIT_MARGIN_SECONDS = 0.7
+ANSWER_BYTES = 16_777_216
+# The store's own longest page.
+PAGE_ROWS = 500
+MAX_PAGES = 40
+HISTORY_LOST_STATUS = 410
+# The server keeps idle connections longer than the time between two calls.
+KEEP_ALIVE_SECONDS = 10.0
+
+
+class _Row(msgspec.Struct):
+    key: str
+    # The store's counter of transactions, despite its name: the row's version.
+    schema_version: int
+    data: str = ""
+    deleted: bool = False
+
+
+class _Rows(msgspec.Struct):
+    rows: list[_Row]
+    # The newest version in the whole store.
+    schema_version: int
+    has_more: bool = False
+
+
+class _TableFeed(Feed[T], Generic[T]):
+    """
+    One table, read and followed.
+
+    Parameters
+    ----------
+    call : callable
+        Makes a call of the store.
+    table : str
+    decode : callable
+        Turns rows into items.
+    """
+
+    def __init__(
+        self,
+        *,
+        call: Callable[[str, dict[str, object], float], _Rows],
+        table: str,
+        decode: Callable[[list[_Row]], list[T]],
+    ) -> None:
+        self._call = call
+        self._table = table
+        self._decode = decode
+        self._newest = 0
+
+    def read(self) -> Changes[T]:
+        """Read the whole table, page by page."""
+        rows: list[_Row] = []
+        cursor: int | None = None
+        start = ""
+        for _ in range(MAX_PAGES):
+            query: dict[str, object] = {"table": self._table, "part": ""}
+            if start:
+                query["range_start"] = start
+            query["limit"] = PAGE_ROWS
+            page = self._call("/-/rows-get", query, CALL_SECONDS)
+            self._check_age(page)
+            cursor = page.schema_version if cursor is None else cursor
+            rows.extend(page.rows)
+            if not page.has_more or not page.rows:
+                break
+            start = page.rows[-1].key + "\0"
+        return Changes(items=self._decode(rows), whole=True, cursor=cursor or 0)
+
+    def follow(self, cursor: int, *, wait: float) -> Changes[T]:
+        """Return the changes since a cursor, waiting some seconds for the first."""
+        query: dict[str, object] = {
+            "table": self._table,
+            "since_revision": cursor,
+            "wait_ms": int(wait * 1000),
+        }
+        page = self._call("/-/rows-feed", query, wait + WAIT_MARGIN_SECONDS)
+        self._check_age(page)
+        return Changes(
+            items=self._decode(page.rows),
+            whole=False,
+            cursor=max(cursor, page.schema_version),
+        )
+
+    def _check_age(self, page: _Rows) -> None:
+        """Refuse an answer that is older than an earlier one."""
+        if page.schema_version < self._newest:
+            raise FeedError(
+                FeedFault.STALE, f"version {page.schema_version} after {self._newest}"
+            )
+        self._newest = page.schema_version
+
+
+class StoreLink(PlatformLink):
+    """
+    The store at one address.
+
+    Parameters
+    ----------
+    address : str
+        ``ip:port``.
+    clock : Clock
+    """
+
+    def __init__(self, *, address: str, clock: Clock) -> None:
+        self._address = address
+        self._connections = ConnectionPool(clock=clock)
+        self._routing = _TableFeed(
+            call=self._call, table="op", decode=_decode_configurations
+        )
+        self._upstreams = _TableFeed(
+            call=self._call, table="servers", decode=_decode_upstreams
+        )
+
+    @property
+    def routing(self) -> Feed[RoutingTable]:
+        """The configuration's versions."""
+        return self._routing
+
+    @property
+    def upstreams(self) -> Feed[ListedRow]:
+        """The replicas."""
+        return self._upstreams
+
+    def close(self) -> None:
+        """Close the connections."""
+        self._connections.close()
+
+    def _call(self, path: str, query: dict[str, object], seconds: float) -> _Rows:
+        """Make one call; raises ``FeedError``."""
+        late = FeedError(FeedFault.UNREACHABLE, f"no answer in {seconds} s")
+        connection: Connection | None = None
+        try:
+            with gevent.Timeout(seconds, late):
+                connection = self._connections.take(self._address)
+                connection.send(
+                    method="GET",
+                    target=f"{path}?{urlencode(query)}",
+                    headers=[(b"Host", self._address.encode())],
+                    body=b"",
+                )
+                status = connection.read_head().status_code
+                body = connection.read_all(limit=ANSWER_BYTES)
+        except (SendError, FeedError) as error:
+            if connection is not None:
+                connection.close()
+            if isinstance(error, FeedError):
+                raise
+            raise FeedError(FeedFault.UNREACHABLE, str(error)) from error
+        self._connections.give_back(connection, keep_alive=KEEP_ALIVE_SECONDS)
+        return _decode_answer(status, body)
+
+
+def _decode_answer(status: int, body: bytes) -> _Rows:
+    if status == HISTORY_LOST_STATUS:
+        raise FeedError(FeedFault.HISTORY_LOST, "the store keeps no such history")
+    if status != 200:
+        raise FeedError(FeedFault.REFUSED, f"status {status}")
+    try:
+        return msgspec.json.decode(body, type=_Rows)
+    except msgspec.DecodeError as error:
+        raise FeedError(FeedFault.UNREADABLE, str(error)) from error
+
+
+def _decode_configurations(rows: list[_Row]) -> list[RoutingTable]:
+    try:
+        return [
+            decode_configuration(base64.b64decode(row.data))
+            for row in rows
+            if row.key == "config" and not row.deleted
+        ]
+    except (msgspec.DecodeError, binascii.Error) as error:
+        raise FeedError(FeedFault.UNREADABLE, f"configuration: {error}") from error
+
+
+def _decode_upstreams(rows: list[_Row]) -> list[ListedRow]:
+    listed: list[ListedRow] = []
+    for row in rows:
+        record = None
+        if not row.deleted:
+            try:
+                record = decode_upstream(row.key, base64.b64decode(row.data))
+            except binascii.Error:
+                record = None  # names no replica, like any entry that can't be read
+        listed.append(
+            ListedRow(
+                instance=InstanceId(row.key),
+                version=row.schema_version,
+                record=record,
+            )
+        )
+    return listed
--- a/damasklead/protocol.py
+++ b/damasklead/protocol.py
@@ -12,7 +12,7 @@
 import msgspec
 from result import Result
 
-from damasklead.platform.base import Commit, Platform, StoreError
+from damasklead.stores.base import Commit, Platform, StoreError
 
 __all__ = [
     "GetObject",
--- a/damasklead/quarantine_rows.py
+++ b/damasklead/quarantine_rows.py
@@ -10,8 +10,8 @@
 
 from damasklead.audit import AuditEvent, audit_put
 from damasklead.ids import Fingerprint
-from damasklead.platform.base import Commit, Put, Row
 from damasklead.quarantine import Quarantine
+from damasklead.stores.base import Commit, Put, Row
 
 __all__ = [
     "QUARANTINE_TABLE",
--- a/damasklead/requests.py
+++ b/damasklead/requests.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from damasklead.configuration import RequestClass
+from damasklead.failures import Failure
 from damasklead.ids import AttemptId, Fingerprint, InstanceId, RequestId, WorkspaceId
 
 __all__ = [
@@ -33,26 +34,6 @@
     UNKNOWN = "unknown"
 
 
-class Failure(Enum):
-    """
-    How an attempt ended without a whole answer.
-
-    ``NOT_SENT`` and ``REFUSED`` are sure signs that the upstream did not run the
-    request.
-    """
-
-    NOT_SENT = "not-sent"
-    REFUSED = "refused"
-    BROKEN = "broken"
-    TIMED_OUT = "timed-out"
-    CROSSED = "crossed"
-
-    @property
-    def surely_unrun(self) -> bool:
-        """Whether the upstream certainly did not run the request."""
-        return self in (Failure.NOT_SENT, Failure.REFUSED)
-
-
 class Reason(Enum):
     """Why a request is refused or fails; the value is part of the problem's type."""
 
--- a/damasklead/standins/__init__.py
+++ b/damasklead/standins/__init__.py
@@ -11,12 +11,12 @@
 from gevent import signal_handler
 from gevent.event import Event
 
-from damasklead.platform.base import InstanceRecord
-from damasklead.platform.http import http_platform
 from damasklead.standins.base import StandinServer
 from damasklead.standins.engine import EngineStandin
 from damasklead.standins.plain import PlainStandin
 from damasklead.standins.platform import PlatformStandin
+from damasklead.stores.base import InstanceRecord
+from damasklead.stores.http import http_platform
 
 __all__ = ["EngineStandin", "PlainStandin", "PlatformStandin", "run_standin"]
 
--- a/damasklead/standins/base.py
+++ b/damasklead/standins/base.py
@@ -16,7 +16,7 @@
 from gevent import pywsgi, socket
 from gevent.pool import Pool
 
-from damasklead.platform.base import InstanceRecord, Platform
+from damasklead.stores.base import InstanceRecord, Platform
 from damasklead.upstreams.base import LEAVING_HEADER, UpstreamStatus
 from damasklead.util import split_address
 
--- a/damasklead/standins/engine.py
+++ b/damasklead/standins/engine.py
@@ -16,9 +16,9 @@
 from gevent.event import Event
 
 from damasklead.duties import LoadOrder
-from damasklead.platform.base import InstanceRecord, Platform
 from damasklead.sharing import LoadReport
 from damasklead.standins.base import Call, Reply, StandinServer, json_reply
+from damasklead.stores.base import InstanceRecord, Platform
 from damasklead.upstreams.base import UpstreamStatus
 
 __all__ = ["EngineStandin", "expected_text", "expected_words"]
--- a/damasklead/standins/plain.py
+++ b/damasklead/standins/plain.py
@@ -8,9 +8,9 @@
 import gevent
 import msgspec
 
-from damasklead.platform.base import InstanceRecord, Platform
 from damasklead.sharing import LoadReport
 from damasklead.standins.base import Call, Reply, StandinServer, json_reply
+from damasklead.stores.base import InstanceRecord, Platform
 from damasklead.upstreams.base import UpstreamStatus
 
 __all__ = ["PlainStandin"]
--- a/damasklead/standins/platform.py
+++ b/damasklead/standins/platform.py
@@ -11,8 +11,9 @@
 import msgspec
 from result import Err, Ok, Result
 
-from damasklead.platform.base import InstanceRecord, Platform, StoreError
-from damasklead.platform.http import (
+from damasklead.standins.base import Call, Reply, StandinServer, json_reply
+from damasklead.stores.base import InstanceRecord, Platform, StoreError
+from damasklead.stores.http import (
     AnnounceCall,
     Call as PlatformCall,
     CommitCall,
@@ -23,8 +24,7 @@
     ScanCall,
     WithdrawCall,
 )
-from damasklead.platform.memory import Faults, memory_platform
-from damasklead.standins.base import Call, Reply, StandinServer, json_reply
+from damasklead.stores.memory import Faults, memory_platform
 
 __all__ = ["PlatformStandin"]
 
--- /dev/null
+++ b/damasklead/stores/__init__.py
@@ -0,0 +1,35 @@
+"""
+Stores
+======
+
+The services of a platform that the entries keep their state in, behind abstract base
+classes, with a table of implementations by name.
+
+Importing this package loads no network library; opening a platform over HTTP does.
+"""
+
+from damasklead.settings import PlatformSettings
+from damasklead.stores.base import Platform
+
+__all__ = ["Platform", "open_platform"]
+
+
+def open_platform(settings: PlatformSettings) -> Platform:
+    """Return the platform that the settings name."""
+    return _KINDS[settings.kind](settings)
+
+
+def _open_memory(settings: PlatformSettings) -> Platform:
+    from damasklead.stores.memory import memory_platform
+
+    return memory_platform()
+
+
+def _open_http(settings: PlatformSettings) -> Platform:
+    from damasklead.stores.http import http_platform
+
+    assert settings.address is not None
+    return http_platform(address=settings.address)
+
+
+_KINDS = {"memory": _open_memory, "http": _open_http}
--- a/damasklead/platform/http.py
+++ b/damasklead/stores/http.py
@@ -12,7 +12,7 @@
 from result import Err, Ok, Result
 
 from damasklead.ids import InstanceId
-from damasklead.platform.base import (
+from damasklead.stores.base import (
     Commit,
     Committed,
     Conflict,
--- a/damasklead/platform/memory.py
+++ b/damasklead/stores/memory.py
@@ -12,7 +12,7 @@
 from result import Err, Ok, Result
 
 from damasklead.ids import InstanceId
-from damasklead.platform.base import (
+from damasklead.stores.base import (
     ABSENT,
     Commit,
     Committed,
--- a/tests/faulty.py
+++ b/tests/faulty.py
@@ -9,9 +9,9 @@
 
 from result import Err, Result
 
-from damasklead.platform.base import Commit, Platform, StoreError
-from damasklead.platform.memory import memory_platform
 from damasklead.protocol import PlatformCall, perform
+from damasklead.stores.base import Commit, Platform, StoreError
+from damasklead.stores.memory import memory_platform
 
 __all__ = ["Fault", "FaultyStore", "Task"]
 
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -25,9 +25,9 @@
     settings_text,
 )
 from damasklead.demo.traffic import Caller
-from damasklead.platform import Platform
-from damasklead.platform.http import http_platform
-from damasklead.platform.memory import Faults
+from damasklead.stores import Platform
+from damasklead.stores.http import http_platform
+from damasklead.stores.memory import Faults
 from damasklead.upstreams import ConnectionPool, UpstreamError
 from damasklead.upstreams.transport import exchange
 
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -26,9 +26,9 @@
     settle,
 )
 from damasklead.ids import AttemptId, Incarnation, InstanceId, WorkspaceId
-from damasklead.platform.base import Commit, Platform, StoreError
-from damasklead.platform.memory import Faults, memory_platform
 from damasklead.protocol import Steps, perform, run
+from damasklead.stores.base import Commit, Platform, StoreError
+from damasklead.stores.memory import Faults, memory_platform
 
 
 def make_claim(attempt: str, *, body: str = "body") -> Claim:
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -27,12 +27,12 @@
     AttemptId,
 )
 from damasklead.manifest import Publication, Published, publish
-from damasklead.platform.memory import Faults, memory_platform
 from damasklead.protocol import run
 from damasklead.settings import check_settings
 from damasklead.standins import EngineStandin, PlainStandin
 from damasklead.standins.base import Call, Reply, json_reply
 from damasklead.standins.engine import expected_text
+from damasklead.stores.memory import Faults, memory_platform
 from damasklead.upstreams import Answer, ConnectionPool, UpstreamError
 from damasklead.upstreams.transport import exchange
 from damasklead.util import new_id, split_address
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -32,9 +32,9 @@
     WorkspaceId,
 )
 from damasklead.leases import EXPIRY
-from damasklead.platform.base import Commit, Put
-from damasklead.platform.memory import memory_platform
 from damasklead.protocol import run
+from damasklead.stores.base import Commit, Put
+from damasklead.stores.memory import memory_platform
 
 
 def make_service(*, replicas: int, checks_fencing: bool = True) -> Service:
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -39,8 +39,8 @@
     publish,
     read_manifest,
 )
-from damasklead.platform.base import Row
 from damasklead.protocol import run
+from damasklead.stores.base import Row
 from tests.faulty import Fault, FaultyStore, Task
 
 EXAMPLES = int(os.environ.get("FUZZ_EXAMPLES", "150"))
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -8,7 +8,7 @@
 from damasklead.clock import ManualClock
 from damasklead.ids import DataCentre, Incarnation, InstanceId, ServiceName
 from damasklead.membership import ABSENT_GRACE, Membership, MemberState
-from damasklead.platform.base import InstanceRecord, InstanceState
+from damasklead.stores.base import InstanceRecord, InstanceState
 
 PROPERTY = settings(max_examples=200, derandomize=True, deadline=None, database=None)
 NAMES = ("a", "b")
