--- a/damasklead/gateway/placement.py
+++ b/damasklead/gateway/placement.py
@@ -40,8 +40,18 @@
 # Probability that a part is cached at its home replica though this gateway has not
 # sent it there.
 HOME_CACHED = 0.8
-# Share of engines kept for the streams with the shortest allowed pause.
+# Least share of engines kept for the streams with the shortest allowed pause.
 TIGHT_SHARE = 0.22
+# Largest one: the other classes must make progress.
+MOST_TIGHT_SHARE = 0.6
+# One engine more is kept when those that are kept use more of their slots: beyond,
+# reading the streams' own prompts stretches their tokens until the slots run out.
+TIGHT_GROW_LOAD = 0.45
+# One engine fewer is kept when the rest would use less of their slots.
+TIGHT_SHRINK_LOAD = 0.2
+# Seconds between two changes: new requests need about as long to spread.
+TIGHT_GROW_SECONDS = 0.5
+TIGHT_SHRINK_SECONDS = 3.0
 # Streams are kept apart from others whose allowed pause is so many times longer.
 TIGHT_RATIO = 1.3
 
@@ -233,6 +243,8 @@
         super().__init__(service=service, clock=clock, data_centre=data_centre)
         self._tight_gap: float | None = None
         self._tight: frozenset[InstanceId] = frozenset()
+        self._extra = 0
+        self._resized_at = clock.now()
 
     @property
     def tight(self) -> frozenset[InstanceId]:
@@ -252,8 +264,37 @@
         super().retain(records)
         self._arrange()
 
+    def heard(self, instance: InstanceId, hint: LoadHint | None) -> None:
+        """Take in the head of an answer; the kept engines follow their load."""
+        super().heard(instance, hint)
+        if instance in self._tight:
+            self._resize()
+
+    def _resize(self) -> None:
+        """Keep more or fewer engines apart, as the load of those kept asks."""
+        engine = self._service.engine
+        if engine is None:
+            return
+        now = self._clock.now()
+        since = now - self._resized_at
+        slots = float(engine.slots * len(self._tight))
+        load = sum(self._replicas[item].load(now) for item in self._tight)
+        if load > TIGHT_GROW_LOAD * slots and since >= TIGHT_GROW_SECONDS:
+            most = int(MOST_TIGHT_SHARE * len(self._usable))
+            if len(self._tight) < most:
+                self._change_extra(1)
+        elif self._extra and since >= TIGHT_SHRINK_SECONDS:
+            if load < TIGHT_SHRINK_LOAD * (slots - engine.slots):
+                self._change_extra(-1)
+
+    def _change_extra(self, change: int) -> None:
+        self._extra += change
+        self._resized_at = self._clock.now()
+        self._arrange()
+
     def _arrange(self) -> None:
-        count = max(1, int(TIGHT_SHARE * len(self._usable) + 0.5))
+        least = max(1, int(TIGHT_SHARE * len(self._usable) + 0.5))
+        count = least + self._extra
         if self._tight_gap is None or len(self._usable) <= count:
             self._tight = frozenset()
             return
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -394,3 +394,24 @@
             placement.sent(chosen.instance, call)
             found.append(chosen.instance)
         assert len(set(found)) >= 3
+
+    def test_a_burst_of_tight_streams_gets_more_engines_and_gives_them_back(
+        self,
+    ) -> None:
+        placement = self.placement()
+        before = placement.tight
+        for _ in range(4):
+            for instance in placement.tight:
+                placement.heard(instance, LoadHint(50, 0, 64))
+            self.clock.advance(0.6)
+        assert before < placement.tight and len(placement.tight) == 5
+        for _ in range(6):
+            self.clock.advance(3.1)
+            for instance in placement.tight:
+                placement.heard(instance, LoadHint(2, 0, 64))
+        assert placement.tight == before
+
+    def test_gateways_that_differ_by_one_engine_agree_on_the_others(self) -> None:
+        here, there = self.placement(), self.placement()
+        there.heard(min(there.tight), LoadHint(64, 90, 64))
+        assert here.tight <= there.tight
