--- /dev/null
+++ b/damasklead/gateway/admission.py
@@ -0,0 +1,126 @@
+"""
+Admission
+=========
+
+Decides when a request to an engine may be sent, and which go first when not all can.
+
+Load pattern: more prompts arrive than the engines can read.  If all are sent, they wait
+in the engines, where first come is first served: soon each is late.  So requests of the
+least urgent tier wait here until some engine has little left to read: those that can
+still be in time go first, then tiers, then the earliest due.  More urgent ones are sent
+at once; the engines' own order by tier holds over all gateways.
+
+No I/O: requests and the clock come in, decisions go out.
+"""
+
+from collections.abc import Callable
+
+import msgspec
+
+from damasklead.clock import Clock
+from damasklead.gateway.calls import Call
+from damasklead.gateway.refusals import Reason
+from damasklead.ids import AttemptId
+from damasklead.util import stable_hash
+
+__all__ = ["Admission", "Admit", "Decision", "Reject"]
+
+# Least that a caller is asked to wait, and how far returns are spread.
+LEAST_RETRY_SECONDS = 0.3
+RETRY_SPREAD = 0.5
+# Callers honour at most a third of the time that they have left.
+MOST_RETRY_SHARE = 0.33
+# Requests that one gateway keeps back at most; the rest is refused at once.
+MOST_WAITING = 200
+# A first event can't come sooner than this after sending.
+LEAST_FIRST_EVENT_SECONDS = 0.1
+
+
+class Admit(msgspec.Struct, kw_only=True, frozen=True):
+    """The request may be sent."""
+
+    call: Call
+
+
+class Reject(msgspec.Struct, kw_only=True, frozen=True):
+    """The request is refused; ``retry_after`` is in seconds."""
+
+    call: Call
+    reason: Reason
+    retry_after: float
+
+
+Decision = Admit | Reject
+
+
+class Admission:
+    """
+    The requests of one gateway to one service's engines.
+
+    Parameters
+    ----------
+    clock : Clock
+    has_room : callable
+        Whether the engine that a request would go to has little left to read.
+    is_urgent : callable
+        Whether a request is sent at once, room or not.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        has_room: Callable[[Call], bool],
+        is_urgent: Callable[[Call], bool],
+    ) -> None:
+        self._clock = clock
+        self._has_room = has_room
+        self._is_urgent = is_urgent
+        self._waiting: dict[AttemptId, Call] = {}
+
+    @property
+    def waiting(self) -> int:
+        """How many requests are kept back."""
+        return len(self._waiting)
+
+    def submit(self, call: Call) -> Decision | None:
+        """Take in a request; ``None`` when it has to wait."""
+        if self._is_urgent(call):
+            return Admit(call=call)
+        if not self._waiting and self._has_room(call):
+            return Admit(call=call)
+        if len(self._waiting) >= MOST_WAITING:
+            return self._reject(call)
+        self._waiting[call.id] = call
+        return None
+
+    def withdraw(self, call: Call) -> None:
+        """Take in that a request that waits has ended."""
+        self._waiting.pop(call.id, None)
+
+    def next(self) -> Decision | None:
+        """
+        Return a decision about a request that waits, ``None`` when there is none.
+
+        What is sent changes what has room, so each is carried out before the next.
+        """
+        now = self._clock.now()
+        for call in sorted(self._waiting.values(), key=lambda item: _rank(item, now)):
+            if now + LEAST_FIRST_EVENT_SECONDS > call.useful_until:
+                del self._waiting[call.id]
+                return self._reject(call)
+            if self._has_room(call):
+                del self._waiting[call.id]
+                return Admit(call=call)
+        return None
+
+    def _reject(self, call: Call) -> Reject:
+        left = call.caller_deadline - self._clock.now()
+        spread = 1 - RETRY_SPREAD * stable_hash(call.id) / 2**64
+        seconds = max(LEAST_RETRY_SECONDS, MOST_RETRY_SHARE * left * spread)
+        return Reject(call=call, reason=Reason.OVERLOADED, retry_after=seconds)
+
+
+def _rank(call: Call, now: float) -> tuple[bool, int, float]:
+    """Return what the lowest goes first by."""
+    return (now > call.due, call.tier, call.due)
--- a/damasklead/gateway/attempts.py
+++ b/damasklead/gateway/attempts.py
@@ -18,6 +18,7 @@
 from damasklead.gateway.calls import Call, ReplyHead, ReplyKind, UpstreamRecord
 from damasklead.gateway.dialect import Dialect, SendPlan
 from damasklead.gateway.events import EventSplitter
+from damasklead.gateway.gate import Gate
 from damasklead.gateway.journal import Journal
 from damasklead.gateway.placement import Placement
 from damasklead.gateway.refusals import Reason, Refusal
@@ -48,6 +49,7 @@
     clock: Clock
     connections: ConnectionPool
     budget: SharedRetryBudget
+    gate: Gate
     journal: Journal
     left: Callable[[InstanceId], None]
 
@@ -115,6 +117,9 @@
         Refusal or None
             ``None`` when the caller has a replica's whole answer.
         """
+        refusal = self._parts.gate.enter(self._call, self._placement)
+        if refusal is not None:
+            return refusal
         while True:
             record = self._placement.choose(self._call, excluded=self._excluded)
             if record is None or record.instance in self._excluded:
--- a/damasklead/gateway/calls.py
+++ b/damasklead/gateway/calls.py
@@ -26,6 +26,12 @@
 
 Header = tuple[bytes, bytes]
 
+# Callers abandon a stream that is silent for the longest of these: seconds, targets
+# and allowed pauses.
+LEAST_STREAM_PATIENCE = 2.0
+TARGETS_OF_PATIENCE = 4.0
+GAPS_OF_PATIENCE = 8.0
+
 
 class PromptPart(msgspec.Struct, frozen=True):
     """A part of a prompt that other prompts may share, and its length in tokens."""
@@ -93,6 +99,29 @@
     tier: int
     body: bytes = b""
 
+    @property
+    def due(self) -> float:
+        """
+        Clock reading at which the answer, or a stream's first event, is due.
+
+        A caller that has less patience than its route allows has been here before.
+        """
+        spent = max(0.0, self.arrival + self.route.timeout - self.caller_deadline)
+        return self.arrival + self.route.target - spent
+
+    @property
+    def useful_until(self) -> float:
+        """Clock reading until which a first event is of use to the caller."""
+        gap = self.route.event_gap
+        if gap is None:
+            return self.deadline
+        patience = max(
+            LEAST_STREAM_PATIENCE,
+            TARGETS_OF_PATIENCE * self.route.target,
+            GAPS_OF_PATIENCE * gap,
+        )
+        return min(self.deadline, self.arrival + patience)
+
     @property
     def id(self) -> AttemptId:
         """The caller's attempt id."""
--- a/damasklead/gateway/dialect.py
+++ b/damasklead/gateway/dialect.py
@@ -25,6 +25,8 @@
     "Feed",
     "FeedError",
     "FeedFault",
+    "PeerDirectory",
+    "PeerEntry",
     "PlatformLink",
     "SendPlan",
     "join_headers",
@@ -147,6 +149,42 @@
         """Return the changes since a cursor, waiting some seconds for the first."""
 
 
+class PeerEntry(msgspec.Struct, kw_only=True, frozen=True):
+    """
+    A gateway as it announces itself.
+
+    Attributes
+    ----------
+    address : str
+        Where the others connect.
+    incarnation : int
+        Start of the process in milliseconds.
+    version : int
+        The entry's version in the directory, 0 when it was not read from there.
+    """
+
+    instance: InstanceId
+    address: str
+    incarnation: int
+    version: int = 0
+
+
+class PeerDirectory(ABC):
+    """Where gateways find each other; every call may raise ``FeedError``."""
+
+    @abstractmethod
+    def announce(self, entry: PeerEntry) -> None:
+        """Write or replace this gateway's entry."""
+
+    @abstractmethod
+    def withdraw(self, entry: PeerEntry) -> None:
+        """Remove an entry, unless it has changed since it was read."""
+
+    @abstractmethod
+    def read(self) -> list[PeerEntry]:
+        """Return all entries."""
+
+
 class PlatformLink(ABC):
     """What a gateway reads from its platform."""
 
@@ -160,6 +198,11 @@
     def upstreams(self) -> Feed[ListedRow]:
         """The replicas."""
 
+    @property
+    @abstractmethod
+    def peers(self) -> PeerDirectory:
+        """The gateways."""
+
     @abstractmethod
     def close(self) -> None:
         """Close the connections."""
--- a/damasklead/gateway/journal.py
+++ b/damasklead/gateway/journal.py
@@ -58,7 +58,7 @@
             self._lost += 1
             return
         line = logs.format_event(
-            name, time=round(time.time(), 3), at=self._instance, **pairs
+            name, unix_ms=int(time.time() * 1000), at=self._instance, **pairs
         )
         self._lines.append(line)
 
--- /dev/null
+++ b/damasklead/gateway/peers.py
@@ -0,0 +1,174 @@
+"""
+Peers
+=====
+
+Tells the other gateways what this one has sent to each replica, and hears the same from
+them, in datagrams.  Losing one is harmless: the next one holds everything.
+"""
+
+import random
+from collections.abc import Callable
+
+import gevent
+import msgspec
+from gevent import socket
+
+from damasklead.clock import Clock
+from damasklead.gateway.dialect import FeedError, PeerDirectory, PeerEntry
+from damasklead.gateway.journal import Journal
+from damasklead.gateway.peerload import (
+    LoadMessage,
+    PeerLoads,
+    ReplicaShare,
+    send_interval,
+)
+from damasklead.util import split_address
+
+__all__ = ["Peers"]
+
+# Peers are looked up this often; one more machine is noticed by its own messages only
+# after it was found.
+LOOK_UP_SECONDS = 5.0
+RETRY_SECONDS = 0.7
+# Sent also when nothing has changed, so that silence means something.
+REFRESH_SECONDS = 0.6
+# An entry whose gateway was not heard for so long is removed by those that see it.
+FORGET_SECONDS = 60.0
+RECEIVE_BYTES = 65_536
+
+
+class Peers:
+    """
+    The messages between one gateway and the others.
+
+    Parameters
+    ----------
+    own : PeerEntry
+        Under which this gateway announces itself.
+    directory : callable
+        Returns the directory of gateways.
+    loads : PeerLoads
+    shares : callable
+        Returns what to tell the others.
+    clock : Clock
+    journal : Journal
+    """
+
+    def __init__(
+        self,
+        *,
+        own: PeerEntry,
+        directory: Callable[[], PeerDirectory],
+        loads: PeerLoads,
+        shares: Callable[[], list[ReplicaShare]],
+        clock: Clock,
+        journal: Journal,
+    ) -> None:
+        self._own = own
+        self._directory = directory
+        self._loads = loads
+        self._shares = shares
+        self._clock = clock
+        self._journal = journal
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._addresses: dict[str, tuple[str, int]] = {}
+        self._first_seen: dict[str, float] = {}
+        self._number = 0
+
+    @property
+    def known(self) -> int | None:
+        """How many gateways the directory holds; ``None`` before it was read."""
+        return len(self._first_seen) or None
+
+    def listen(self) -> None:
+        """Bind the port to which the others send."""
+        self._socket.bind(split_address(self._own.address))
+
+    def run_sender(self) -> None:
+        """Tell the others what has changed, forever."""
+        told: list[ReplicaShare] = []
+        told_at = 0.0
+        while True:
+            gevent.sleep(send_interval(self._loads.gateways))
+            self._loads.expire()
+            shares = self._shares()
+            now = self._clock.now()
+            if shares != told or now - told_at >= REFRESH_SECONDS:
+                told, told_at = shares, now
+                self._send(shares)
+
+    def run_receiver(self) -> None:
+        """Hear the others, forever."""
+        decoder = msgspec.msgpack.Decoder(LoadMessage)
+        while True:
+            data = self._socket.recv(RECEIVE_BYTES)
+            try:
+                message = decoder.decode(data)
+            except msgspec.DecodeError as error:
+                self._journal.event("peer-message-unreadable", cause=str(error))
+                continue
+            if message.sender != self._own.instance:
+                self._loads.take(message)
+
+    def run_look_up(self) -> None:
+        """Announce this gateway and find the others, forever."""
+        announced = False
+        while True:
+            try:
+                if not announced:
+                    self._directory().announce(self._own)
+                    announced = True
+                self._take(self._directory().read())
+            except FeedError as error:
+                self._journal.event("peers-not-found", cause=str(error))
+                gevent.sleep(RETRY_SECONDS * random.uniform(0.7, 1.3))
+                continue
+            gevent.sleep(LOOK_UP_SECONDS * random.uniform(0.8, 1.2))
+
+    def close(self) -> None:
+        """Withdraw the announcement and close the socket."""
+        try:
+            self._directory().withdraw(self._own)
+        except FeedError as error:
+            self._journal.event("withdrawal-failed", cause=str(error))
+        self._socket.close()
+
+    def _send(self, shares: list[ReplicaShare]) -> None:
+        self._number += 1
+        message = LoadMessage(
+            self._own.instance, self._own.incarnation, self._number, shares
+        )
+        data = msgspec.msgpack.encode(message)
+        for instance, address in self._addresses.items():
+            try:
+                self._socket.sendto(data, address)
+            except OSError as error:
+                self._journal.event("peer-unreachable", peer=instance, cause=str(error))
+
+    def _take(self, entries: list[PeerEntry]) -> None:
+        """Take in which gateways there are."""
+        before = self._addresses
+        self._addresses = {
+            entry.instance: split_address(entry.address)
+            for entry in entries
+            if entry.instance != self._own.instance
+        }
+        for instance in self._addresses.keys() - before.keys():
+            self._journal.event("peer-found", peer=instance)
+        for instance in before.keys() - self._addresses.keys():
+            self._journal.event("peer-gone", peer=instance)
+        self._forget_silent(entries)
+
+    def _forget_silent(self, entries: list[PeerEntry]) -> None:
+        """Remove entries whose gateway has not been heard for long."""
+        now = self._clock.now()
+        heard = self._loads.heard
+        names = {entry.instance for entry in entries}
+        self._first_seen = {
+            name: self._first_seen.get(name, now) for name in sorted(names)
+        }
+        for entry in entries:
+            since = max(self._first_seen[entry.instance], heard.get(entry.instance, 0))
+            if entry.instance != self._own.instance and now - since > FORGET_SECONDS:
+                self._directory().withdraw(entry)
+                self._journal.event("peer-forgotten", peer=entry.instance)
--- a/damasklead/gateway/placement.py
+++ b/damasklead/gateway/placement.py
@@ -7,11 +7,12 @@
 """
 
 from abc import ABC, abstractmethod
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Iterator
 
 from damasklead.clock import Clock
 from damasklead.failures import Failure
 from damasklead.gateway.calls import Call, LoadHint, UpstreamRecord
+from damasklead.gateway.peerload import PeerLoads
 from damasklead.gateway.replicastate import ReplicaState
 from damasklead.gateway.routing import Route, ServiceSpec
 from damasklead.ids import DataCentre, InstanceId
@@ -33,6 +34,9 @@
 # Prompt tokens that an engine reads in a second, to compare costs; the order of
 # magnitude is enough.
 READ_TOKENS_PER_SECOND = 38_000.0
+# A request that can wait is sent when its engine can read what it has in this time:
+# enough to keep the engine busy until the next figures of other gateways come.
+ROOM_SECONDS = 0.3
 # Time that one running request adds to each of another one's tokens, over its stream.
 RUNNING_COST = 0.004
 # Cost in seconds of leaving the data centre, for a request of some kilobytes.
@@ -66,13 +70,21 @@
     clock : Clock
     data_centre : DataCentre
         Where this gateway is.
+    peers : PeerLoads
+        What the other gateways have sent.
     """
 
     def __init__(
-        self, *, service: ServiceSpec, clock: Clock, data_centre: DataCentre
+        self,
+        *,
+        service: ServiceSpec,
+        clock: Clock,
+        data_centre: DataCentre,
+        peers: PeerLoads,
     ) -> None:
         self._service = service
         self._clock = clock
+        self._peers = peers
         self._data_centre = data_centre
         self._replicas: dict[InstanceId, ReplicaState] = {}
         self._usable: dict[InstanceId, ReplicaState] = {}
@@ -136,9 +148,11 @@
         state = self._replicas[instance]
         now = self._clock.now()
         return {
+            "tier": call.tier,
             "candidates": len(self._usable),
             "own": state.own,
-            "others": round(state.others(now), 1),
+            "others": round(self._others(state, now), 1),
+            "peer_unread": self._peers.at(instance)[1],
             "hint_age": round(state.hint_age(now), 3),
             "unread": self._unread_tokens(state, call),
             "backlog": state.unread_tokens,
@@ -186,6 +200,19 @@
         if state is not None:
             state.ended(call)
 
+    def has_room(self, call: Call) -> bool:
+        """Tell whether the replica that a request would go to has little left to do."""
+        return True
+
+    def is_urgent(self, call: Call) -> bool:
+        """Tell whether a request is sent at once, room or not."""
+        return True
+
+    def loads(self) -> Iterator[tuple[InstanceId, int, int]]:
+        """Return this gateway's requests and unread prompt tokens by replica."""
+        for instance, state in self._replicas.items():
+            yield instance, state.own, state.unread_tokens
+
     @abstractmethod
     def _cost(self, state: ReplicaState, call: Call, now: float) -> float:
         """Return the cost of a request at a replica; the lowest is chosen."""
@@ -204,6 +231,11 @@
         engine = self._service.engine
         return 0 if engine is None else engine.memory_tokens
 
+    def _others(self, state: ReplicaState, now: float) -> float:
+        """Estimate the requests of other gateways at a replica."""
+        requests, _ = self._peers.at(state.record.instance)
+        return max(float(requests), state.others(now))
+
     def _is_sound(self, state: ReplicaState, call: Call, now: float) -> bool:
         """Tell whether nothing speaks against a replica just now."""
         if now < state.avoid_until:
@@ -221,7 +253,7 @@
     """
 
     def _cost(self, state: ReplicaState, call: Call, now: float) -> float:
-        cost = state.own + OTHERS_WEIGHT * state.others(now)
+        cost = state.own + OTHERS_WEIGHT * self._others(state, now)
         if state.record.data_centre != self._data_centre:
             cost += SAME_CENTRE_BONUS
         cost += FAILURE_COST * state.failure_rate
@@ -238,9 +270,16 @@
     """
 
     def __init__(
-        self, *, service: ServiceSpec, clock: Clock, data_centre: DataCentre
+        self,
+        *,
+        service: ServiceSpec,
+        clock: Clock,
+        data_centre: DataCentre,
+        peers: PeerLoads,
     ) -> None:
-        super().__init__(service=service, clock=clock, data_centre=data_centre)
+        super().__init__(
+            service=service, clock=clock, data_centre=data_centre, peers=peers
+        )
         self._tight_gap: float | None = None
         self._tight: frozenset[InstanceId] = frozenset()
         self._extra = 0
@@ -253,6 +292,7 @@
 
     def configure(self, service: ServiceSpec, routes: Iterable[Route]) -> None:
         """Find the shortest allowed pause, if it is clearly shorter than others."""
+        routes = list(routes)
         super().configure(service, routes)
         gaps = sorted({route.event_gap for route in routes if route.event_gap})
         apart = len(gaps) > 1 and gaps[1] >= TIGHT_RATIO * gaps[0]
@@ -264,6 +304,23 @@
         super().retain(records)
         self._arrange()
 
+    def has_room(self, call: Call) -> bool:
+        """Tell whether the engine that a request would go to has little to read."""
+        record = self.choose(call)
+        if record is None:
+            return True
+        backlog = self._backlog(self._replicas[record.instance])
+        return backlog <= ROOM_SECONDS
+
+    def is_urgent(self, call: Call) -> bool:
+        """Tell whether a request runs on the engines kept for tight streams."""
+        return bool(self._tight) and call.route.event_gap == self._tight_gap
+
+    def _backlog(self, state: ReplicaState) -> float:
+        """Return the seconds that an engine needs to read what was sent to it."""
+        _, unread = self._peers.at(state.record.instance)
+        return (state.unread_tokens + unread) / READ_TOKENS_PER_SECOND
+
     def heard(self, instance: InstanceId, hint: LoadHint | None) -> None:
         """Take in the head of an answer; the kept engines follow their load."""
         super().heard(instance, hint)
@@ -278,14 +335,16 @@
         now = self._clock.now()
         since = now - self._resized_at
         slots = float(engine.slots * len(self._tight))
-        load = sum(self._replicas[item].load(now) for item in self._tight)
+        states = [self._replicas[item] for item in self._tight]
+        load = sum(state.own + self._others(state, now) for state in states)
         if load > TIGHT_GROW_LOAD * slots and since >= TIGHT_GROW_SECONDS:
             most = int(MOST_TIGHT_SHARE * len(self._usable))
             if len(self._tight) < most:
                 self._change_extra(1)
-        elif self._extra and since >= TIGHT_SHRINK_SECONDS:
-            if load < TIGHT_SHRINK_LOAD * (slots - engine.slots):
-                self._change_extra(-1)
+            return
+        idle = load < TIGHT_SHRINK_LOAD * (slots - engine.slots)
+        if self._extra and idle and since >= TIGHT_SHRINK_SECONDS:
+            self._change_extra(-1)
 
     def _change_extra(self, change: int) -> None:
         self._extra += change
@@ -342,9 +401,8 @@
 
     def _cost(self, state: ReplicaState, call: Call, now: float) -> float:
         unread = self._expected_unread(state, call)
-        cost = (unread + state.unread_tokens) / READ_TOKENS_PER_SECOND
-        load = state.own + OTHERS_WEIGHT * state.others(now) + state.waiting(now)
-        cost += RUNNING_COST * load
+        cost = unread / READ_TOKENS_PER_SECOND + self._backlog(state)
+        cost += RUNNING_COST * (state.own + self._others(state, now))
         if state.record.data_centre != self._data_centre:
             cost += OTHER_CENTRE_SECONDS
         cost += FAILURE_COST * RUNNING_COST * state.failure_rate
@@ -357,8 +415,12 @@
 
 
 def new_placement(
-    *, service: ServiceSpec, clock: Clock, data_centre: DataCentre
+    *,
+    service: ServiceSpec,
+    clock: Clock,
+    data_centre: DataCentre,
+    peers: PeerLoads,
 ) -> Placement:
     """Return the placement for a kind of service."""
     kind = PlainPlacement if service.engine is None else EnginePlacement
-    return kind(service=service, clock=clock, data_centre=data_centre)
+    return kind(service=service, clock=clock, data_centre=data_centre, peers=peers)
--- a/damasklead/gateway/process.py
+++ b/damasklead/gateway/process.py
@@ -18,13 +18,16 @@
 from damasklead.gateway.attempts import RunParts
 from damasklead.gateway.budget import SharedRetryBudget
 from damasklead.gateway.callers import RequestHandler
-from damasklead.gateway.dialect import Dialect, PlatformLink
+from damasklead.gateway.dialect import Dialect, PeerEntry, PlatformLink
 from damasklead.gateway.directory import UpstreamDirectory
 from damasklead.gateway.following import ConfigurationFollower, UpstreamFollower
 from damasklead.gateway.forwarding import Forwarder
+from damasklead.gateway.gate import Gate
 from damasklead.gateway.journal import Journal
 from damasklead.gateway.listeners import Listener, ReadyHandler, StatusHandler
 from damasklead.gateway.metrics import GatewayMetrics
+from damasklead.gateway.peerload import PeerLoads, ReplicaShare, make_shares
+from damasklead.gateway.peers import Peers
 from damasklead.gateway.placement import Placement, new_placement
 from damasklead.gateway.routing import Route, RoutingTable, ServiceSpec
 from damasklead.gateway.settings import GatewaySettings, check_gateway_settings
@@ -36,6 +39,8 @@
 __all__ = ["GatewayProcess"]
 
 TICK_SECONDS = 0.25
+# Requests that wait are looked at so often, one of each service.
+ADMIT_SECONDS = 0.01
 # The balancer asks once a second and needs two misses, so new connections come for so
 # long after a gateway says that it is not ready.
 UNROUTED_SECONDS = 2.4
@@ -85,6 +90,9 @@
             allowance=settings.bounds.retry_allowance,
             window=settings.bounds.retry_window_seconds,
         )
+        self._gate = Gate(clock=self._clock)
+        self._peer_loads = PeerLoads(clock=self._clock)
+        self._peers = self._make_peers()
         self._configuration = ConfigurationFollower(
             feed=lambda: self._link.routing,
             clock=self._clock,
@@ -104,6 +112,7 @@
                 clock=self._clock,
                 connections=self._connections,
                 budget=self._budget,
+                gate=self._gate,
                 journal=self._journal,
                 left=self._note_left,
             ),
@@ -160,6 +169,8 @@
             seconds=self._clock.now() - began,
         )
         self._tree.stop()
+        if self._peers is not None:
+            self._peers.close()
         self._connections.close()
         self._link.close()
         self._journal.flush()
@@ -195,9 +206,16 @@
             gevent.sleep(TICK_SECONDS)
             self._upstreams.expire()
             self._connections.sweep()
+            if self._peers is not None and self._peers.known is not None:
+                self._budget.set_gateways(self._peers.known)
             if _stamp(self._settings_file) != self._settings_stamp:
                 self.reload()
 
+    def _admit_forever(self) -> None:
+        while True:
+            gevent.sleep(ADMIT_SECONDS)
+            self._gate.tick()
+
     def _configure(self, table: RoutingTable) -> None:
         self._metrics.configuration_version.set(table.version)
         for name in [item for item in self._placements if item not in table.services]:
@@ -223,6 +241,7 @@
                 service=spec or ServiceSpec(name=name, max_connections=1),
                 clock=self._clock,
                 data_centre=DataCentre(self._settings.data_centre),
+                peers=self._peer_loads,
             )
             placement.retain(self._directory.usable(name))
             self._placements[name] = placement
@@ -280,6 +299,8 @@
             TaskChild(name="configuration", function=self._configuration.run),
             TaskChild(name="replicas", function=self._upstreams.run),
             TaskChild(name="ticks", function=self._tick_forever),
+            TaskChild(name="admission", function=self._admit_forever),
+            *self._peer_tasks(),
         ]
         listeners: list[Child] = [
             ServerChild(name=name, begin=server.start, end=server.stop)
@@ -294,6 +315,44 @@
             ],
         )
 
+    def _make_peers(self) -> Peers | None:
+        """Return the messages to other gateways, if a port is there for them."""
+        ports = self._settings.peer_ports
+        if ports is None:
+            return None
+        host = self._settings.listen.callers.rpartition(":")[0]
+        return Peers(
+            own=PeerEntry(
+                instance=InstanceId(self._settings.instance),
+                address=f"{host}:{ports[0]}",
+                incarnation=int(self._clock.wall() * 1000),
+            ),
+            directory=lambda: self._link.peers,
+            loads=self._peer_loads,
+            shares=self._shares,
+            clock=self._clock,
+            journal=self._journal,
+        )
+
+    def _shares(self) -> list[ReplicaShare]:
+        """Return what this gateway has sent to each replica."""
+        return [
+            share
+            for placement in self._placements.values()
+            for share in make_shares(placement.loads())
+        ]
+
+    def _peer_tasks(self) -> list[Child]:
+        peers = self._peers
+        if peers is None:
+            return []
+        peers.listen()
+        return [
+            TaskChild(name="peer-sender", function=peers.run_sender),
+            TaskChild(name="peer-receiver", function=peers.run_receiver),
+            TaskChild(name="peer-look-up", function=peers.run_look_up),
+        ]
+
 
 def _routes_of(table: RoutingTable, service: ServiceName) -> list[Route]:
     return [
--- a/damasklead/gateway/refusals.py
+++ b/damasklead/gateway/refusals.py
@@ -25,6 +25,7 @@
     NO_REPLICA = "no-replica"
     REPLICAS_FULL = "replicas-full"
     TOO_LATE = "too-late"
+    OVERLOADED = "overloaded"
     UNREACHABLE = "unreachable"
     UPSTREAM_FAILED = "upstream-failed"
     TIMED_OUT = "timed-out"
@@ -38,6 +39,7 @@
     Reason.NO_REPLICA: 503,
     Reason.REPLICAS_FULL: 503,
     Reason.TOO_LATE: 503,
+    Reason.OVERLOADED: 503,
     Reason.UNREACHABLE: 503,
     Reason.UPSTREAM_FAILED: 502,
     Reason.TIMED_OUT: 504,
--- a/damasklead/gateway/replicastate.py
+++ b/damasklead/gateway/replicastate.py
@@ -179,20 +179,10 @@
         fresh = 0.5 ** ((now - self._hint_at) / HINT_HALF_LIFE)
         return max(0.0, self._hint.running + self._hint.waiting - self.own) * fresh
 
-    def load(self, now: float) -> float:
-        """Estimate all requests that run or wait there."""
-        return self.own + self.others(now)
-
     def hint_age(self, now: float) -> float:
         """Return the age of the replica's load answer in seconds; -1 without one."""
         return -1.0 if self._hint is None else now - self._hint_at
 
-    def waiting(self, now: float) -> float:
-        """Estimate the requests that wait there for a slot."""
-        if self._hint is None:
-            return 0.0
-        return self._hint.waiting * 0.5 ** ((now - self._hint_at) / HINT_HALF_LIFE)
-
     def silent_for(self, now: float) -> float:
         """
         Return the seconds since the replica was heard while a request there waits for
--- a/damasklead/platform/store.py
+++ b/damasklead/platform/store.py
@@ -21,6 +21,8 @@
     Feed,
     FeedError,
     FeedFault,
+    PeerDirectory,
+    PeerEntry,
     PlatformLink,
 )
 from damasklead.gateway.directory import ListedRow
@@ -41,6 +43,7 @@
 # The store's own longest page.
 PAGE_ROWS = 500
 MAX_PAGES = 40
+PEER_TABLE = "damasklead-gateways"
 HISTORY_LOST_STATUS = 410
 # The server keeps idle connections longer than the time between two calls.
 KEEP_ALIVE_SECONDS = 10.0
@@ -55,12 +58,21 @@
 
 
 class _Rows(msgspec.Struct):
-    rows: list[_Row]
     # The newest version in the whole store.
     schema_version: int
+    rows: list[_Row] = []
     has_more: bool = False
 
 
+class _Peer(msgspec.Struct):
+    address: str
+    incarnation: int
+
+
+# Method, path with query, content and the longest time of a call.
+_Call = Callable[[str, str, dict[str, object] | None, float], _Rows]
+
+
 class _TableFeed(Feed[T], Generic[T]):
     """
     One table, read and followed.
@@ -77,7 +89,7 @@
     def __init__(
         self,
         *,
-        call: Callable[[str, dict[str, object], float], _Rows],
+        call: _Call,
         table: str,
         decode: Callable[[list[_Row]], list[T]],
     ) -> None:
@@ -96,7 +108,8 @@
             if start:
                 query["range_start"] = start
             query["limit"] = PAGE_ROWS
-            page = self._call("/-/rows-get", query, CALL_SECONDS)
+            target = f"/-/rows-get?{urlencode(query)}"
+            page = self._call("GET", target, None, CALL_SECONDS)
             self._check_age(page)
             cursor = page.schema_version if cursor is None else cursor
             rows.extend(page.rows)
@@ -112,7 +125,8 @@
             "since_revision": cursor,
             "wait_ms": int(wait * 1000),
         }
-        page = self._call("/-/rows-feed", query, wait + WAIT_MARGIN_SECONDS)
+        target = f"/-/rows-feed?{urlencode(query)}"
+        page = self._call("GET", target, None, wait + WAIT_MARGIN_SECONDS)
         self._check_age(page)
         return Changes(
             items=self._decode(page.rows),
@@ -129,6 +143,64 @@
         self._newest = page.schema_version
 
 
+class _PeerTable(PeerDirectory):
+    """
+    The gateways' entries as rows of a table of our own.
+
+    Parameters
+    ----------
+    call : callable
+        Makes a call of the store.
+    """
+
+    def __init__(self, *, call: _Call) -> None:
+        self._call = call
+
+    def announce(self, entry: PeerEntry) -> None:
+        """Write or replace this gateway's entry."""
+        content = msgspec.json.encode(
+            {"address": entry.address, "incarnation": entry.incarnation}
+        )
+        data = base64.b64encode(content).decode()
+        self._change({"write": [_peer_row(entry) | {"data": data}]})
+
+    def withdraw(self, entry: PeerEntry) -> None:
+        """Remove an entry, unless it has changed since it was read."""
+        change: dict[str, object] = {"remove": [_peer_row(entry)]}
+        if entry.version:
+            version = {"schema_version": entry.version}
+            change["precondition"] = [_peer_row(entry) | version]
+        self._change(change)
+
+    def read(self) -> list[PeerEntry]:
+        """Return all entries."""
+        query = {"table": PEER_TABLE, "part": "", "limit": PAGE_ROWS}
+        page = self._call("GET", f"/-/rows-get?{urlencode(query)}", None, CALL_SECONDS)
+        entries: list[PeerEntry] = []
+        for row in page.rows:
+            try:
+                content = msgspec.json.decode(base64.b64decode(row.data), type=_Peer)
+            except (msgspec.DecodeError, binascii.Error):
+                continue  # not written by a gateway of this version
+            entries.append(
+                PeerEntry(
+                    instance=InstanceId(row.key),
+                    address=content.address,
+                    incarnation=content.incarnation,
+                    version=row.schema_version,
+                )
+            )
+        return entries
+
+    def _change(self, change: dict[str, object]) -> None:
+        empty: dict[str, object] = {"precondition": [], "write": [], "remove": []}
+        self._call("POST", "/-/rows-tx", empty | change, CALL_SECONDS)
+
+
+def _peer_row(entry: PeerEntry) -> dict[str, object]:
+    return {"table": PEER_TABLE, "part": "", "key": entry.instance}
+
+
 class StoreLink(PlatformLink):
     """
     The store at one address.
@@ -146,6 +218,7 @@
         self._routing = _TableFeed(
             call=self._call, table="op", decode=_decode_configurations
         )
+        self._peers = _PeerTable(call=self._call)
         self._upstreams = _TableFeed(
             call=self._call, table="servers", decode=_decode_upstreams
         )
@@ -160,25 +233,41 @@
         """The replicas."""
         return self._upstreams
 
+    @property
+    def peers(self) -> PeerDirectory:
+        """The gateways."""
+        return self._peers
+
     def close(self) -> None:
         """Close the connections."""
         self._connections.close()
 
-    def _call(self, path: str, query: dict[str, object], seconds: float) -> _Rows:
+    def _call(
+        self,
+        method: str,
+        target: str,
+        content: dict[str, object] | None,
+        seconds: float,
+    ) -> _Rows:
         """Make one call; raises ``FeedError``."""
         late = FeedError(FeedFault.UNREACHABLE, f"no answer in {seconds} s")
         connection: Connection | None = None
+        headers = [(b"Host", self._address.encode())]
+        body = b""
+        if content is not None:
+            headers.append((b"Content-Type", b"application/json"))
+            body = msgspec.json.encode(content)
         try:
             with gevent.Timeout(seconds, late):
                 connection = self._connections.take(self._address)
                 connection.send(
-                    method="GET",
-                    target=f"{path}?{urlencode(query)}",
-                    headers=[(b"Host", self._address.encode())],
-                    body=b"",
+                    method=method,
+                    target=target,
+                    headers=headers,
+                    body=body,
                 )
                 status = connection.read_head().status_code
-                body = connection.read_all(limit=ANSWER_BYTES)
+                answer = connection.read_all(limit=ANSWER_BYTES)
         except (SendError, FeedError) as error:
             if connection is not None:
                 connection.close()
@@ -186,7 +275,7 @@
                 raise
             raise FeedError(FeedFault.UNREACHABLE, str(error)) from error
         self._connections.give_back(connection, keep_alive=KEEP_ALIVE_SECONDS)
-        return _decode_answer(status, body)
+        return _decode_answer(status, answer)
 
 
 def _decode_answer(status: int, body: bytes) -> _Rows:
--- a/tests/gatewaykit.py
+++ b/tests/gatewaykit.py
@@ -15,9 +15,11 @@
 from damasklead.gateway.budget import SharedRetryBudget
 from damasklead.gateway.calls import UpstreamRecord, UpstreamState
 from damasklead.gateway.forwarding import Forwarder
+from damasklead.gateway.gate import Gate
 from damasklead.gateway.journal import Journal
 from damasklead.gateway.listeners import Listener
 from damasklead.gateway.metrics import GatewayMetrics
+from damasklead.gateway.peerload import PeerLoads
 from damasklead.gateway.placement import Placement, new_placement
 from damasklead.gateway.routing import (
     ApiKey,
@@ -172,6 +174,7 @@
             service=ServiceSpec(name=SERVICE, max_connections=100),
             clock=self.clock,
             data_centre=DataCentre("hout"),
+            peers=PeerLoads(clock=self.clock),
         )
         self.placement.retain(replica.record for replica in replicas)
         self.budget = SharedRetryBudget(
@@ -184,6 +187,7 @@
                 clock=self.clock,
                 connections=ConnectionPool(clock=self.clock),
                 budget=self.budget,
+                gate=Gate(clock=self.clock),
                 journal=self.journal,
                 left=self.left.append,
             ),
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -21,6 +21,9 @@
 from damasklead.gateway.events import EventSplitter
 from damasklead.gateway.following import ConfigurationFollower, UpstreamFollower
 from damasklead.gateway.journal import MAX_LINES, Journal
+from damasklead.gateway.peerload import (
+    PeerLoads,
+)
 from damasklead.gateway.placement import EnginePlacement, PlainPlacement
 from damasklead.gateway.routing import (
     EngineSpec,
@@ -297,6 +300,7 @@
             service=ServiceSpec(name=SERVICE, max_connections=10),
             clock=self.clock,
             data_centre=HERE,
+            peers=PeerLoads(clock=self.clock),
         )
         placement.retain(records)
         return placement
@@ -349,7 +353,10 @@
             max_connections=100,
             engine=EngineSpec(slots=64, memory_tokens=100_000, tokens_per_event=4),
         )
-        placement = EnginePlacement(service=service, clock=self.clock, data_centre=HERE)
+        self.peers = PeerLoads(clock=self.clock)
+        placement = EnginePlacement(
+            service=service, clock=self.clock, data_centre=HERE, peers=self.peers
+        )
         placement.configure(service, [CHAT, REVIEW])
         placement.retain(record(f"e{number}") for number in range(count))
         return placement
