--- a/damasklead/gateway/placement.py
+++ b/damasklead/gateway/placement.py
@@ -37,6 +37,8 @@
 # A request that can wait is sent when its engine can read what it has in this time:
 # enough to keep the engine busy until the next figures of other gateways come.
 ROOM_SECONDS = 0.3
+# Weight of reading against waiting: what is read twice is taken from everybody.
+UNREAD_WEIGHT = 3.0
 # Time that one running request adds to each of another one's tokens, over its stream.
 RUNNING_COST = 0.004
 # Cost in seconds of leaving the data centre, for a request of some kilobytes.
@@ -401,7 +403,7 @@
 
     def _cost(self, state: ReplicaState, call: Call, now: float) -> float:
         unread = self._expected_unread(state, call)
-        cost = unread / READ_TOKENS_PER_SECOND + self._backlog(state)
+        cost = UNREAD_WEIGHT * unread / READ_TOKENS_PER_SECOND + self._backlog(state)
         cost += RUNNING_COST * (state.own + self._others(state, now))
         if state.record.data_centre != self._data_centre:
             cost += OTHER_CENTRE_SECONDS
