--- a/damasklead/gateway/placement.py
+++ b/damasklead/gateway/placement.py
@@ -382,16 +382,17 @@
 
     def _expected_unread(self, state: ReplicaState, call: Call) -> float:
         """Estimate the tokens to read: a part is cached only with all before it."""
-        unread = float(call.head.prompt_tokens)
-        cached = 1.0
-        for part in call.head.prompt[:-1]:
+        total = call.head.prompt_tokens
+        shared = call.head.prompt[:-1]
+        known = 0
+        for part in shared:
             if part.key not in state.parts:
-                home = self._home(part.key, call) == state.record.instance
-                cached *= HOME_CACHED if home else 0.0
-            unread -= cached * part.tokens
-            if not cached:
                 break
-        return max(0.0, unread)
+            known += part.tokens
+        if shared and self._home(shared[-1].key, call) == state.record.instance:
+            likely = HOME_CACHED * sum(part.tokens for part in shared)
+            return max(0.0, total - max(known, likely))
+        return max(0.0, total - known)
 
     def _home(self, key: str, call: Call) -> InstanceId | None:
         """Return the replica that all gateways choose for a part."""
