--- a/damasklead/gateway/placement.py
+++ b/damasklead/gateway/placement.py
@@ -34,9 +34,9 @@
 # Prompt tokens that an engine reads in a second, to compare costs; the order of
 # magnitude is enough.
 READ_TOKENS_PER_SECOND = 38_000.0
-# A request that can wait is sent when its engine can read what it has in this time:
-# enough to keep the engine busy until the next figures of other gateways come.
-ROOM_SECONDS = 0.3
+# A request that can wait is sent when its engine can read what it has in this part of
+# the shortest target of the requests that share the engines, so that these are in time.
+ROOM_SHARE = 0.5
 # Weight of reading against waiting: what is read twice is taken from everybody.
 UNREAD_WEIGHT = 3.0
 # Time that one running request adds to each of another one's tokens, over its stream.
@@ -282,6 +282,7 @@
         super().__init__(
             service=service, clock=clock, data_centre=data_centre, peers=peers
         )
+        self._least_target = 0.0
         self._tight_gap: float | None = None
         self._tight: frozenset[InstanceId] = frozenset()
         self._extra = 0
@@ -299,6 +300,10 @@
         gaps = sorted({route.event_gap for route in routes if route.event_gap})
         apart = len(gaps) > 1 and gaps[1] >= TIGHT_RATIO * gaps[0]
         self._tight_gap = gaps[0] if apart else None
+        self._least_target = min(
+            (item.target for item in routes if item.event_gap != self._tight_gap),
+            default=0.0,
+        )
         self._arrange()
 
     def retain(self, records: Iterable[UpstreamRecord]) -> None:
@@ -311,8 +316,15 @@
         record = self.choose(call)
         if record is None:
             return True
-        backlog = self._backlog(self._replicas[record.instance])
-        return backlog <= ROOM_SECONDS
+        state = self._replicas[record.instance]
+        backlog = self._backlog(state)
+        if backlog <= ROOM_SHARE * self._least_target:
+            return True
+        if call.route.target > self._least_target:
+            return False
+        # The shortest target leaves no time to wait: in time now or not at all.
+        reading = self._expected_unread(state, call) / READ_TOKENS_PER_SECOND
+        return self._clock.now() + backlog + reading < call.due
 
     def is_urgent(self, call: Call) -> bool:
         """Tell whether a request runs on the engines kept for tight streams."""
