--- a/damasklead/gateway/attempts.py
+++ b/damasklead/gateway/attempts.py
@@ -20,7 +20,7 @@
 from damasklead.gateway.events import EventSplitter
 from damasklead.gateway.gate import Gate
 from damasklead.gateway.journal import Journal
-from damasklead.gateway.placement import Placement
+from damasklead.gateway.placements import Placement
 from damasklead.gateway.refusals import Reason, Refusal
 from damasklead.gateway.routing import RouteKind
 from damasklead.gateway.upstream_http import Connection, ConnectionPool, SendError
--- a/damasklead/gateway/directory.py
+++ b/damasklead/gateway/directory.py
@@ -61,6 +61,13 @@
         """Whether no replica is known."""
         return not self._records
 
+    def rows(self) -> list[ListedRow]:
+        """Return all entries, for another gateway."""
+        return [
+            ListedRow(instance=item, version=self._versions.get(item, 0), record=record)
+            for item, record in self._records.items()
+        ]
+
     def usable(self, service: ServiceName) -> list[UpstreamRecord]:
         """Return the replicas of a service that may take new work."""
         return self._by_service.get(service, [])
--- a/damasklead/gateway/following.py
+++ b/damasklead/gateway/following.py
@@ -162,17 +162,21 @@
     def take(self, changes: Changes[RoutingTable]) -> None:
         """Put the newest version into force."""
         for table in changes.items:
-            before = 0 if self._table is None else self._table.version
-            if table.version <= before:
-                continue
-            self._table = table
-            self._journal.event(
-                "configuration",
-                before=before,
-                version=table.version,
-                routes=len(table.routes),
-            )
-            self._changed(table)
+            self.offer(table)
+
+    def offer(self, table: RoutingTable) -> None:
+        """Put a version into force if it is newer than the present one."""
+        before = 0 if self._table is None else self._table.version
+        if table.version <= before:
+            return
+        self._table = table
+        self._journal.event(
+            "configuration",
+            before=before,
+            version=table.version,
+            routes=len(table.routes),
+        )
+        self._changed(table)
 
 
 class UpstreamFollower(Follower[ListedRow]):
@@ -203,6 +207,10 @@
         """Take in entries of the list."""
         self._note(self._directory.apply(changes.items, whole=changes.whole))
 
+    def offer(self, rows: list[ListedRow]) -> None:
+        """Take in entries that another gateway knows."""
+        self._note(self._directory.apply(rows, whole=False))
+
     def lost(self) -> None:
         """Take in that the list can't be read: removals may be lapses."""
         self._directory.list_lost()
--- a/damasklead/gateway/forwarding.py
+++ b/damasklead/gateway/forwarding.py
@@ -20,7 +20,7 @@
 from damasklead.gateway.calls import Call
 from damasklead.gateway.dialect import BadHead
 from damasklead.gateway.metrics import GatewayMetrics
-from damasklead.gateway.placement import Placement
+from damasklead.gateway.placements import Placement
 from damasklead.gateway.refusals import Reason, Refusal
 from damasklead.gateway.routing import CallerLimits, RouteKind, RoutingTable
 from damasklead.ids import ServiceName
--- a/damasklead/gateway/gate.py
+++ b/damasklead/gateway/gate.py
@@ -10,7 +10,7 @@
 from damasklead.clock import Clock
 from damasklead.gateway.admission import Admission, Admit, Decision
 from damasklead.gateway.calls import Call
-from damasklead.gateway.placement import Placement
+from damasklead.gateway.placements import Placement
 from damasklead.gateway.refusals import Refusal
 from damasklead.ids import AttemptId, ServiceName
 
--- a/damasklead/gateway/listeners.py
+++ b/damasklead/gateway/listeners.py
@@ -19,6 +19,7 @@
     RequestHandler,
 )
 from damasklead.gateway.routing import CallerLimits
+from damasklead.gateway.snapshot import SNAPSHOT_PATH, Snapshot
 from damasklead.util import split_address
 
 __all__ = ["Listener", "ReadyHandler", "StatusHandler"]
@@ -112,22 +113,50 @@
 
 
 class StatusHandler(RequestHandler):
-    """Shows operators the metrics at ``/metrics`` and the state anywhere else."""
+    """
+    Shows operators the metrics at ``/metrics`` and the state anywhere else, and other
+    gateways what this one knows.
+
+    Parameters
+    ----------
+    metrics : callable
+        Returns the exposition text.
+    state : callable
+        Returns what operators are shown.
+    snapshot : callable
+        Returns what this gateway knows; ``None`` while that is nothing.
+    """
 
     def __init__(
-        self, *, metrics: Callable[[], bytes], state: Callable[[], dict[str, object]]
+        self,
+        *,
+        metrics: Callable[[], bytes],
+        state: Callable[[], dict[str, object]],
+        snapshot: Callable[[], Snapshot | None],
     ) -> None:
         self._metrics = metrics
         self._state = state
+        self._snapshot = snapshot
 
     def handle(self, request: RawRequest, connection: CallerConnection) -> None:
         """Answer a question of an operator."""
+        if request.target == SNAPSHOT_PATH:
+            self._answer_snapshot(connection)
+            return
         if request.target.startswith("/metrics"):
             kind, body = b"text/plain; version=0.0.4", self._metrics()
         else:
             kind, body = b"application/json", msgspec.json.encode(self._state())
         connection.respond(200, [(b"Content-Type", kind)], body)
 
+    def _answer_snapshot(self, connection: CallerConnection) -> None:
+        snapshot = self._snapshot()
+        if snapshot is None:
+            connection.respond(503, [], b"nothing is known yet")
+            return
+        headers = [(b"Content-Type", b"application/msgpack")]
+        connection.respond(200, headers, msgspec.msgpack.encode(snapshot))
+
     def limits(self) -> CallerLimits:
         """Return the default limits."""
         return CallerLimits()
--- a/damasklead/gateway/peers.py
+++ b/damasklead/gateway/peers.py
@@ -73,6 +73,7 @@
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._addresses: dict[str, tuple[str, int]] = {}
         self._first_seen: dict[str, float] = {}
+        self._entries: list[PeerEntry] = []
         self._number = 0
 
     @property
@@ -80,6 +81,16 @@
         """How many gateways the directory holds; ``None`` before it was read."""
         return len(self._first_seen) or None
 
+    @property
+    def entries(self) -> list[PeerEntry]:
+        """The gateways' entries as they were last read, or told by another one."""
+        return self._entries
+
+    def offer(self, entries: list[PeerEntry]) -> None:
+        """Take in the gateways that another one knows, until they can be read."""
+        if not self._entries:
+            self._take(entries)
+
     def listen(self) -> None:
         """Bind the port to which the others send."""
         self._socket.bind(split_address(self._own.address))
@@ -147,6 +158,7 @@
 
     def _take(self, entries: list[PeerEntry]) -> None:
         """Take in which gateways there are."""
+        self._entries = entries
         before = self._addresses
         self._addresses = {
             entry.instance: split_address(entry.address)
--- /dev/null
+++ b/damasklead/gateway/placements/base.py
@@ -0,0 +1,217 @@
+"""
+Base of placements
+==================
+
+Decides which replica gets a request.  No I/O: what is known comes in as calls with the
+clock's time, a choice goes out.
+"""
+
+from abc import ABC, abstractmethod
+from collections.abc import Collection, Iterable, Iterator
+
+from damasklead.clock import Clock
+from damasklead.failures import Failure
+from damasklead.gateway.calls import Call, LoadHint, UpstreamRecord
+from damasklead.gateway.peerload import PeerLoads
+from damasklead.gateway.replicastate import ReplicaState
+from damasklead.gateway.routing import Route, ServiceSpec
+from damasklead.ids import DataCentre, InstanceId
+from damasklead.util import stable_hash
+
+__all__ = ["FAILURE_COST", "Placement", "tie_breaker"]
+
+# A replica that has not said a word for so many targets is passed over.
+SILENT_TARGETS = 3.0
+# Shortest silence that counts, in seconds: a lost packet is sent again after 0.2 s.
+SILENT_SECONDS = 0.5
+# Requests that a certain failure is worth in the comparison of replicas.
+FAILURE_COST = 6.0
+
+
+class Placement(ABC):
+    """
+    The replicas of one service as one gateway sees them.
+
+    Parameters
+    ----------
+    service : ServiceSpec
+    clock : Clock
+    data_centre : DataCentre
+        Where this gateway is.
+    peers : PeerLoads
+        What the other gateways have sent.
+    """
+
+    def __init__(
+        self,
+        *,
+        service: ServiceSpec,
+        clock: Clock,
+        data_centre: DataCentre,
+        peers: PeerLoads,
+    ) -> None:
+        self._service = service
+        self._clock = clock
+        self._peers = peers
+        self._data_centre = data_centre
+        self._replicas: dict[InstanceId, ReplicaState] = {}
+        self._usable: dict[InstanceId, ReplicaState] = {}
+
+    @property
+    def service(self) -> ServiceSpec:
+        """The service."""
+        return self._service
+
+    @property
+    def usable(self) -> Collection[InstanceId]:
+        """The replicas that may take new work."""
+        return self._usable.keys()
+
+    def retain(self, records: Iterable[UpstreamRecord]) -> None:
+        """Take the replicas that may take new work from now on."""
+        usable: dict[InstanceId, ReplicaState] = {}
+        for record in records:
+            state = self._replicas.get(record.instance)
+            if state is None:
+                state = ReplicaState(record=record, memory_tokens=self._memory())
+                self._replicas[record.instance] = state
+            else:
+                state.take_record(record)
+            usable[record.instance] = state
+        self._usable = usable
+        for instance in [item for item in self._replicas if item not in usable]:
+            if not self._replicas[instance].own:
+                del self._replicas[instance]
+
+    def configure(self, service: ServiceSpec, routes: Iterable[Route]) -> None:
+        """Take the service's specification in force and the routes that lead to it."""
+        self._service = service
+
+    def choose(
+        self, call: Call, *, excluded: Collection[InstanceId] = ()
+    ) -> UpstreamRecord | None:
+        """
+        Return the replica for a request, or ``None`` when there is none.
+
+        Parameters
+        ----------
+        excluded : collection
+            Replicas on which the request failed; they come last.
+        """
+        candidates = [
+            state for item, state in self._usable.items() if item not in excluded
+        ]
+        if not candidates:
+            return None
+        now = self._clock.now()
+        sound = [item for item in candidates if self._is_sound(item, call, now)]
+        best = min(
+            self._preferred(call, sound or candidates, now),
+            key=lambda state: self._cost(state, call, now),
+        )
+        return best.record
+
+    def explain(self, instance: InstanceId, call: Call) -> dict[str, object]:
+        """Return what is known of a chosen replica, for the log."""
+        state = self._replicas[instance]
+        now = self._clock.now()
+        return {
+            "tier": call.tier,
+            "candidates": len(self._usable),
+            "own": state.own,
+            "others": round(self._others(state, now), 1),
+            "peer_unread": self._peers.at(instance)[1],
+            "hint_age": round(state.hint_age(now), 3),
+            "unread": self._unread_tokens(state, call),
+            "backlog": state.unread_tokens,
+        }
+
+    def sent(self, instance: InstanceId, call: Call) -> None:
+        """Count a request that is being sent to a replica."""
+        state = self._replicas.get(instance)
+        if state is not None:
+            state.sent(
+                call,
+                unread_tokens=self._unread_tokens(state, call),
+                now=self._clock.now(),
+            )
+
+    def heard(self, instance: InstanceId, hint: LoadHint | None) -> None:
+        """Take in the head of an answer."""
+        state = self._replicas.get(instance)
+        if state is not None:
+            state.heard(hint, now=self._clock.now())
+
+    def progressed(self, instance: InstanceId, call: Call) -> None:
+        """Take in an event of a request's stream."""
+        state = self._replicas.get(instance)
+        if state is not None:
+            state.progressed(call, now=self._clock.now())
+
+    def finished(self, instance: InstanceId, call: Call) -> None:
+        """Take in that a request has its whole answer."""
+        state = self._replicas.get(instance)
+        if state is not None:
+            state.ended(call)
+            state.succeeded()
+
+    def failed(self, instance: InstanceId, call: Call, failure: Failure) -> None:
+        """Take in that an attempt ended without a whole answer."""
+        state = self._replicas.get(instance)
+        if state is not None:
+            state.ended(call)
+            state.failed(failure, now=self._clock.now())
+
+    def withdrawn(self, instance: InstanceId, call: Call) -> None:
+        """Take in that an attempt was cancelled; that says nothing of the replica."""
+        state = self._replicas.get(instance)
+        if state is not None:
+            state.ended(call)
+
+    def has_room(self, call: Call) -> bool:
+        """Tell whether the replica that a request would go to has little left to do."""
+        return True
+
+    def is_urgent(self, call: Call) -> bool:
+        """Tell whether a request is sent at once, room or not."""
+        return True
+
+    def loads(self) -> Iterator[tuple[InstanceId, int, int]]:
+        """Return this gateway's requests and unread prompt tokens by replica."""
+        for instance, state in self._replicas.items():
+            yield instance, state.own, state.unread_tokens
+
+    @abstractmethod
+    def _cost(self, state: ReplicaState, call: Call, now: float) -> float:
+        """Return the cost of a request at a replica; the lowest is chosen."""
+
+    def _preferred(
+        self, call: Call, candidates: list[ReplicaState], now: float
+    ) -> list[ReplicaState]:
+        """Return those among which the cost decides."""
+        return candidates
+
+    def _unread_tokens(self, state: ReplicaState, call: Call) -> int:
+        """Return the prompt tokens that the replica will have to read."""
+        return 0
+
+    def _memory(self) -> int:
+        engine = self._service.engine
+        return 0 if engine is None else engine.memory_tokens
+
+    def _others(self, state: ReplicaState, now: float) -> float:
+        """Estimate the requests of other gateways at a replica."""
+        requests, _ = self._peers.at(state.record.instance)
+        return max(float(requests), state.others(now))
+
+    def _is_sound(self, state: ReplicaState, call: Call, now: float) -> bool:
+        """Tell whether nothing speaks against a replica just now."""
+        if now < state.avoid_until:
+            return False
+        patience = max(SILENT_SECONDS, SILENT_TARGETS * call.route.target)
+        return state.silent_for(now) < patience
+
+
+def tie_breaker(state: ReplicaState, call: Call) -> float:
+    """Return a small figure by which equal replicas differ for each request."""
+    return stable_hash(call.id, state.record.instance) / 2**64 * 0.01
--- /dev/null
+++ b/damasklead/gateway/placements/engine.py
@@ -0,0 +1,212 @@
+"""
+Placement on engines
+====================
+
+Chooses among model engines: cached prompt parts, what is still to be read, and engines
+kept apart for streams with a short allowed pause.
+"""
+
+from collections.abc import Iterable
+
+from damasklead.clock import Clock
+from damasklead.gateway.calls import Call, LoadHint, UpstreamRecord
+from damasklead.gateway.peerload import PeerLoads
+from damasklead.gateway.placements.base import FAILURE_COST, Placement, tie_breaker
+from damasklead.gateway.replicastate import ReplicaState
+from damasklead.gateway.routing import Route, ServiceSpec
+from damasklead.ids import DataCentre, InstanceId
+from damasklead.util import stable_hash
+
+__all__ = ["EnginePlacement"]
+
+# Prompt tokens that an engine reads in a second, to compare costs; the order of
+# magnitude is enough.
+READ_TOKENS_PER_SECOND = 38_000.0
+# A request that can wait is sent when its engine can read what it has in this part of
+# the shortest target of the requests that share the engines, so that these are in time.
+ROOM_SHARE = 0.5
+# Weight of reading against waiting: what is read twice is taken from everybody.
+UNREAD_WEIGHT = 3.0
+# Time that one running request adds to each of another one's tokens, over its stream.
+RUNNING_COST = 0.004
+# Cost in seconds of leaving the data centre, for a request of some kilobytes.
+OTHER_CENTRE_SECONDS = 0.01
+# Probability that a part is cached at its home replica though this gateway has not
+# sent it there.
+HOME_CACHED = 0.8
+# Least share of engines kept for the streams with the shortest allowed pause.
+TIGHT_SHARE = 0.22
+# Largest one: the other classes must make progress.
+MOST_TIGHT_SHARE = 0.6
+# One engine more is kept when those that are kept use more of their slots: beyond,
+# reading the streams' own prompts stretches their tokens until the slots run out.
+TIGHT_GROW_LOAD = 0.45
+# One engine fewer is kept when the rest would use less of their slots.
+TIGHT_SHRINK_LOAD = 0.2
+# Seconds between two changes: new requests need about as long to spread.
+TIGHT_GROW_SECONDS = 0.5
+TIGHT_SHRINK_SECONDS = 3.0
+# Streams are kept apart from others whose allowed pause is so many times longer.
+TIGHT_RATIO = 1.3
+
+
+class EnginePlacement(Placement):
+    """
+    Where the prompt's parts are cached, unless others would be much sooner; streams
+    with the shortest allowed pause run on engines of their own.
+
+    Load pattern: long prompts with shared parts that fit the pool's memory once, beside
+    long streams whose pauses are broken by the reading of other requests' prompts.
+    """
+
+    def __init__(
+        self,
+        *,
+        service: ServiceSpec,
+        clock: Clock,
+        data_centre: DataCentre,
+        peers: PeerLoads,
+    ) -> None:
+        super().__init__(
+            service=service, clock=clock, data_centre=data_centre, peers=peers
+        )
+        self._least_target = 0.0
+        self._tight_gap: float | None = None
+        self._tight: frozenset[InstanceId] = frozenset()
+        self._extra = 0
+        self._resized_at = clock.now()
+
+    @property
+    def tight(self) -> frozenset[InstanceId]:
+        """The replicas kept for the streams with the shortest allowed pause."""
+        return self._tight
+
+    def configure(self, service: ServiceSpec, routes: Iterable[Route]) -> None:
+        """Find the shortest allowed pause, if it is clearly shorter than others."""
+        routes = list(routes)
+        super().configure(service, routes)
+        gaps = sorted({route.event_gap for route in routes if route.event_gap})
+        apart = len(gaps) > 1 and gaps[1] >= TIGHT_RATIO * gaps[0]
+        self._tight_gap = gaps[0] if apart else None
+        self._least_target = min(
+            (item.target for item in routes if item.event_gap != self._tight_gap),
+            default=0.0,
+        )
+        self._arrange()
+
+    def retain(self, records: Iterable[UpstreamRecord]) -> None:
+        """Take the replicas that may take new work from now on."""
+        super().retain(records)
+        self._arrange()
+
+    def has_room(self, call: Call) -> bool:
+        """Tell whether the engine that a request would go to has little to read."""
+        record = self.choose(call)
+        if record is None:
+            return True
+        state = self._replicas[record.instance]
+        backlog = self._backlog(state)
+        if backlog <= ROOM_SHARE * self._least_target:
+            return True
+        if call.route.target > self._least_target:
+            return False
+        # The shortest target leaves no time to wait: in time now or not at all.
+        reading = self._expected_unread(state, call) / READ_TOKENS_PER_SECOND
+        return self._clock.now() + backlog + reading < call.due
+
+    def is_urgent(self, call: Call) -> bool:
+        """Tell whether a request runs on the engines kept for tight streams."""
+        return bool(self._tight) and call.route.event_gap == self._tight_gap
+
+    def _backlog(self, state: ReplicaState) -> float:
+        """Return the seconds that an engine needs to read what was sent to it."""
+        _, unread = self._peers.at(state.record.instance)
+        return (state.unread_tokens + unread) / READ_TOKENS_PER_SECOND
+
+    def heard(self, instance: InstanceId, hint: LoadHint | None) -> None:
+        """Take in the head of an answer; the kept engines follow their load."""
+        super().heard(instance, hint)
+        if instance in self._tight:
+            self._resize()
+
+    def _resize(self) -> None:
+        """Keep more or fewer engines apart, as the load of those kept asks."""
+        engine = self._service.engine
+        if engine is None:
+            return
+        now = self._clock.now()
+        since = now - self._resized_at
+        slots = float(engine.slots * len(self._tight))
+        states = [self._replicas[item] for item in self._tight]
+        load = sum(state.own + self._others(state, now) for state in states)
+        if load > TIGHT_GROW_LOAD * slots and since >= TIGHT_GROW_SECONDS:
+            most = int(MOST_TIGHT_SHARE * len(self._usable))
+            if len(self._tight) < most:
+                self._change_extra(1)
+            return
+        idle = load < TIGHT_SHRINK_LOAD * (slots - engine.slots)
+        if self._extra and idle and since >= TIGHT_SHRINK_SECONDS:
+            self._change_extra(-1)
+
+    def _change_extra(self, change: int) -> None:
+        self._extra += change
+        self._resized_at = self._clock.now()
+        self._arrange()
+
+    def _arrange(self) -> None:
+        least = max(1, int(TIGHT_SHARE * len(self._usable) + 0.5))
+        count = least + self._extra
+        if self._tight_gap is None or len(self._usable) <= count:
+            self._tight = frozenset()
+            return
+        ranked = sorted(
+            self._usable, key=lambda item: stable_hash(self._service.name, item)
+        )
+        self._tight = frozenset(ranked[:count])
+
+    def _preferred(
+        self, call: Call, candidates: list[ReplicaState], now: float
+    ) -> list[ReplicaState]:
+        if not self._tight:
+            return candidates
+        tight = call.route.event_gap == self._tight_gap
+        own = [
+            state
+            for state in candidates
+            if (state.record.instance in self._tight) is tight
+        ]
+        return own or candidates
+
+    def _unread_tokens(self, state: ReplicaState, call: Call) -> int:
+        return int(self._expected_unread(state, call))
+
+    def _expected_unread(self, state: ReplicaState, call: Call) -> float:
+        """Estimate the tokens to read: a part is cached only with all before it."""
+        total = call.head.prompt_tokens
+        shared = call.head.prompt[:-1]
+        known = 0
+        for part in shared:
+            if part.key not in state.parts:
+                break
+            known += part.tokens
+        if shared and self._home(shared[-1].key, call) == state.record.instance:
+            likely = HOME_CACHED * sum(part.tokens for part in shared)
+            return max(0.0, total - max(known, likely))
+        return max(0.0, total - known)
+
+    def _home(self, key: str, call: Call) -> InstanceId | None:
+        """Return the replica that all gateways choose for a part."""
+        tight = call.route.event_gap == self._tight_gap
+        group = [
+            item for item in self._usable if (item in self._tight) is tight
+        ] or self._usable
+        return max(group, key=lambda item: stable_hash(key, item), default=None)
+
+    def _cost(self, state: ReplicaState, call: Call, now: float) -> float:
+        unread = self._expected_unread(state, call)
+        cost = UNREAD_WEIGHT * unread / READ_TOKENS_PER_SECOND + self._backlog(state)
+        cost += RUNNING_COST * (state.own + self._others(state, now))
+        if state.record.data_centre != self._data_centre:
+            cost += OTHER_CENTRE_SECONDS
+        cost += FAILURE_COST * RUNNING_COST * state.failure_rate
+        return cost + RUNNING_COST * tie_breaker(state, call)
--- a/damasklead/gateway/process.py
+++ b/damasklead/gateway/process.py
@@ -16,6 +16,7 @@
 
 from damasklead.findings import Findings
 from damasklead.gateway.attempts import RunParts
+from damasklead.gateway.bootstrap import Bootstrap
 from damasklead.gateway.budget import SharedRetryBudget
 from damasklead.gateway.callers import RequestHandler
 from damasklead.gateway.dialect import Dialect, PeerEntry, PlatformLink
@@ -28,13 +29,14 @@
 from damasklead.gateway.metrics import GatewayMetrics
 from damasklead.gateway.peerload import PeerLoads, ReplicaShare, make_shares
 from damasklead.gateway.peers import Peers
-from damasklead.gateway.placement import Placement, new_placement
+from damasklead.gateway.placements import Placement, new_placement
 from damasklead.gateway.routing import Route, RoutingTable, ServiceSpec
 from damasklead.gateway.settings import GatewaySettings, check_gateway_settings
+from damasklead.gateway.snapshot import Snapshot
 from damasklead.gateway.upstream_http import ConnectionPool
 from damasklead.ids import DataCentre, InstanceId, ServiceName
 from damasklead.loop import LoopClock
-from damasklead.supervision import Child, ServerChild, Supervisor, TaskChild
+from damasklead.supervision import Child, Restart, ServerChild, Supervisor, TaskChild
 
 __all__ = ["GatewayProcess"]
 
@@ -120,6 +122,15 @@
             table=lambda: self._configuration.table,
             metrics=self._metrics,
         )
+        self._bootstrap = Bootstrap(
+            seeds=[
+                seed for seed in settings.seeds if seed != settings.listen.operators
+            ],
+            done=lambda: self._configuration.table is not None,
+            take=self._take_snapshot,
+            connections=self._connections,
+            journal=self._journal,
+        )
         self._callers = self._listener(settings.listen.callers, self._forwarder)
         self._tree = self._build_tree()
         self._observe()
@@ -127,8 +138,9 @@
     @property
     def ready(self) -> bool:
         """Whether the process can take requests."""
-        known = self._configuration.table is not None
-        return known and self._upstreams.seen_at is not None and not self._stopping
+        listed = self._upstreams.seen_at is not None or not self._directory.empty
+        known = self._configuration.table is not None and listed
+        return known and not self._stopping
 
     @property
     def tree(self) -> Supervisor:
@@ -216,6 +228,23 @@
             gevent.sleep(ADMIT_SECONDS)
             self._gate.tick()
 
+    def _take_snapshot(self, snapshot: Snapshot) -> None:
+        self._upstreams.offer(snapshot.upstreams)
+        self._configuration.offer(RoutingTable(content=snapshot.routing))
+        if self._peers is not None:
+            self._peers.offer(snapshot.peers)
+
+    def _snapshot(self) -> Snapshot | None:
+        """Return what this gateway knows, for one that starts."""
+        table = self._configuration.table
+        if table is None:
+            return None
+        return Snapshot(
+            routing=table.content,
+            upstreams=self._directory.rows(),
+            peers=[] if self._peers is None else self._peers.entries,
+        )
+
     def _configure(self, table: RoutingTable) -> None:
         self._metrics.configuration_version.set(table.version)
         for name in [item for item in self._placements if item not in table.services]:
@@ -286,7 +315,9 @@
     def _build_tree(self) -> Supervisor:
         listen = self._settings.listen
         ready = self._listener(listen.ready, ReadyHandler(ready=lambda: self.ready))
-        status = StatusHandler(metrics=self._metrics.render, state=self._state)
+        status = StatusHandler(
+            metrics=self._metrics.render, state=self._state, snapshot=self._snapshot
+        )
         servers = {"callers": self._callers, "ready": ready}
         if listen.operators is not None:
             servers["operators"] = self._listener(listen.operators, status)
@@ -300,6 +331,9 @@
             TaskChild(name="replicas", function=self._upstreams.run),
             TaskChild(name="ticks", function=self._tick_forever),
             TaskChild(name="admission", function=self._admit_forever),
+            TaskChild(
+                name="seeds", function=self._bootstrap.run, restart=Restart.TRANSIENT
+            ),
             *self._peer_tasks(),
         ]
         listeners: list[Child] = [
--- a/damasklead/gateway/routing.py
+++ b/damasklead/gateway/routing.py
@@ -6,7 +6,6 @@
 one immutable table of a version.
 """
 
-from collections.abc import Iterable
 from enum import Enum
 from typing import NewType
 
@@ -22,6 +21,7 @@
     "Route",
     "RouteKind",
     "RouteName",
+    "RoutingContent",
     "RoutingTable",
     "ServiceSpec",
     "Workspace",
@@ -156,18 +156,30 @@
     tier: int | None = None
 
 
+class RoutingContent(msgspec.Struct, kw_only=True, frozen=True):
+    """
+    One version of the configuration as it goes over a wire.
+
+    Attributes
+    ----------
+    workspaces : list or None
+        ``None`` when requests need no keys at all.
+    """
+
+    version: int
+    routes: list[Route]
+    services: list[ServiceSpec]
+    workspaces: list[Workspace] | None
+    limits: CallerLimits
+
+
 class RoutingTable:
     """
     One version of the configuration, indexed for look-ups.
 
     Parameters
     ----------
-    version : int
-    routes : iterable of Route
-    services : iterable of ServiceSpec
-    workspaces : iterable of Workspace, optional
-        ``None`` when requests need no keys at all.
-    limits : CallerLimits
+    content : RoutingContent
 
     Examples
     --------
@@ -176,49 +188,46 @@
     ...     name=RouteName("chat"), host="ice.example", prefix="/chat/",
     ...     kind=RouteKind.STREAM, timeout=5.0, target=0.25, tier=0,
     ...     split=((llm, 1.0),))
-    >>> table = RoutingTable(
+    >>> table = RoutingTable(content=RoutingContent(
     ...     version=3, routes=[route], services=[], workspaces=None,
-    ...     limits=CallerLimits())
+    ...     limits=CallerLimits()))
     >>> table.match("ICE.example:80", "/chat/7?x=/").name
     'chat'
     >>> table.match("ice.example", "/chatter") is None
     True
     """
 
-    def __init__(
-        self,
-        *,
-        version: int,
-        routes: Iterable[Route],
-        services: Iterable[ServiceSpec],
-        workspaces: Iterable[Workspace] | None,
-        limits: CallerLimits,
-    ) -> None:
-        self._version = version
-        self._limits = limits
-        self._services = {service.name: service for service in services}
-        self._needs_keys = workspaces is not None
+    def __init__(self, *, content: RoutingContent) -> None:
+        self._content = content
+        self._services = {service.name: service for service in content.services}
         self._by_key = {
-            key: workspace for workspace in workspaces or () for key in workspace.keys
+            key: workspace
+            for workspace in content.workspaces or ()
+            for key in workspace.keys
         }
         self._by_host: dict[str, dict[str, Route]] = {}
-        for route in routes:
+        for route in content.routes:
             self._by_host.setdefault(route.host.lower(), {})[route.prefix] = route
 
     @property
     def version(self) -> int:
         """The configuration's version."""
-        return self._version
+        return self._content.version
+
+    @property
+    def content(self) -> RoutingContent:
+        """The version as it goes over a wire."""
+        return self._content
 
     @property
     def limits(self) -> CallerLimits:
         """What callers may send."""
-        return self._limits
+        return self._content.limits
 
     @property
     def needs_keys(self) -> bool:
         """Whether requests on routes that are not public need a key."""
-        return self._needs_keys
+        return self._content.workspaces is not None
 
     @property
     def services(self) -> dict[ServiceName, ServiceSpec]:
@@ -228,9 +237,7 @@
     @property
     def routes(self) -> list[Route]:
         """All routes."""
-        return [
-            route for prefixes in self._by_host.values() for route in prefixes.values()
-        ]
+        return self._content.routes
 
     def match(self, host: str, target: str) -> Route | None:
         """Return the route with the longest prefix of a request's path."""
--- a/damasklead/platform/documents.py
+++ b/damasklead/platform/documents.py
@@ -16,6 +16,7 @@
     Route,
     RouteKind,
     RouteName,
+    RoutingContent,
     RoutingTable,
     ServiceSpec,
     Workspace,
@@ -111,7 +112,7 @@
     """
     document = msgspec.json.decode(data, type=_Configuration)
     limits = document.limits
-    return RoutingTable(
+    content = RoutingContent(
         version=document.version,
         routes=[_route(item) for item in document.routes if item.type in _KINDS],
         services=[_service(item) for item in document.services],
@@ -125,6 +126,7 @@
             idle_seconds=limits.idle_timeout_ms / MILLISECONDS,
         ),
     )
+    return RoutingTable(content=content)
 
 
 def decode_upstream(instance: str, data: bytes) -> UpstreamRecord | None:
--- a/tests/gatewaykit.py
+++ b/tests/gatewaykit.py
@@ -20,13 +20,14 @@
 from damasklead.gateway.listeners import Listener
 from damasklead.gateway.metrics import GatewayMetrics
 from damasklead.gateway.peerload import PeerLoads
-from damasklead.gateway.placement import Placement, new_placement
+from damasklead.gateway.placements import Placement, new_placement
 from damasklead.gateway.routing import (
     ApiKey,
     CallerLimits,
     Route,
     RouteKind,
     RouteName,
+    RoutingContent,
     RoutingTable,
     ServiceSpec,
     Workspace,
@@ -64,12 +65,12 @@
     """Return a configuration with a route of each kind."""
     content: dict = {
         "version": version,
-        "routes": ROUTES,
+        "routes": list(ROUTES),
         "services": [ServiceSpec(name=SERVICE, max_connections=100)],
         "workspaces": [Workspace(name=WorkspaceId("skippers"), keys=(ApiKey(KEY),))],
         "limits": CallerLimits(head_seconds=0.5, idle_seconds=1.0),
     }
-    return RoutingTable(**(content | changes))
+    return RoutingTable(content=RoutingContent(**(content | changes)))
 
 
 def read_request(connection: socket.socket) -> tuple[str, dict[str, str], bytes]:
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -3,6 +3,7 @@
 ================================
 """
 
+import msgspec
 import pytest
 
 from damasklead.clock import ManualClock
@@ -22,9 +23,13 @@
 from damasklead.gateway.following import ConfigurationFollower, UpstreamFollower
 from damasklead.gateway.journal import MAX_LINES, Journal
 from damasklead.gateway.peerload import (
+    LoadMessage,
     PeerLoads,
+    ReplicaShare,
+    replica_key,
+    send_interval,
 )
-from damasklead.gateway.placement import EnginePlacement, PlainPlacement
+from damasklead.gateway.placements import EnginePlacement, PlainPlacement
 from damasklead.gateway.routing import (
     EngineSpec,
     Route,
@@ -422,3 +427,56 @@
         here, there = self.placement(), self.placement()
         there.heard(min(there.tight), LoadHint(64, 90, 64))
         assert here.tight <= there.tight
+
+    def test_what_peers_have_sent_counts(self) -> None:
+        placement = self.placement()
+        call = make_call("r", REVIEW, tokens=9000)
+        first = placement.choose(call)
+        assert first is not None and placement.has_room(call)
+        for instance in placement.usable:
+            if instance not in placement.tight:
+                share = ReplicaShare(replica_key(instance), 3, 600)
+                self.peers.take(LoadMessage(f"g-{instance}", 1, 1, [share]))
+        assert not placement.has_room(call)
+        share = ReplicaShare(replica_key(first.instance), 3, 900)
+        self.peers.take(LoadMessage(f"g-{first.instance}", 1, 2, [share]))
+        other = placement.choose(call)
+        assert other is not None and other.instance != first.instance
+
+    def test_the_shortest_target_is_sent_while_it_can_be_in_time(self) -> None:
+        quote = stream_route("quote", 0.25)
+        review = msgspec.structs.replace(REVIEW, target=1.5)
+        placement = self.placement()
+        placement.configure(placement.service, [CHAT, quote, review])
+        for instance in placement.usable:
+            share = ReplicaShare(replica_key(instance), 1, 200)
+            self.peers.take(LoadMessage(f"g-{instance}", 1, 1, [share]))
+        assert placement.has_room(make_call("q", quote, tokens=1800))
+        assert not placement.has_room(make_call("r", review, tokens=1800))
+        self.clock.advance(0.4)
+        assert not placement.has_room(make_call("q", quote, tokens=1800))
+
+
+class TestPeerLoads:
+    def test_the_newest_message_of_each_peer_counts(self) -> None:
+        loads = PeerLoads(clock=ManualClock())
+        key = replica_key(InstanceId("a"))
+        loads.take(LoadMessage("g1", 1, 2, [ReplicaShare(key, 2, 10)]))
+        loads.take(LoadMessage("g1", 1, 1, [ReplicaShare(key, 9, 90)]))
+        loads.take(LoadMessage("g2", 1, 1, [ReplicaShare(key, 1, 5)]))
+        assert loads.at(InstanceId("a")) == (3, 15 * 64) and loads.gateways == 3
+        loads.take(LoadMessage("g1", 2, 1, []))
+        assert loads.at(InstanceId("a")) == (1, 5 * 64)
+
+    def test_a_silent_peer_counts_no_more(self) -> None:
+        clock = ManualClock()
+        loads = PeerLoads(clock=clock)
+        key = replica_key(InstanceId("a"))
+        loads.take(LoadMessage("g1", 1, 2, [ReplicaShare(key, 2, 10)]))
+        clock.advance(1.1)
+        loads.expire()
+        assert loads.at(InstanceId("a")) == (0, 0) and loads.gateways == 1
+
+    def test_messages_do_not_grow_with_the_square_of_the_fleet(self) -> None:
+        received = [(n - 1) / send_interval(n) for n in (8, 80, 300)]
+        assert max(received) <= 50
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -68,6 +68,11 @@
         }
         self.settings_file.write_text(json.dumps(content | changes))
 
+    @property
+    def operators(self) -> str:
+        """The operators' address."""
+        return f"127.0.0.1:{self._ports['operators']}"
+
     def fill_store(self) -> None:
         """Write a configuration and the replicas' entries."""
         self.store.put("op", "config", configuration(1))
@@ -172,6 +177,29 @@
     wait_until(lambda: site.logged("event=dependency-regained"), seconds=10)
 
 
+def test_one_that_starts_while_the_store_is_away_asks_another_one(
+    site: Site, tmp_path: Path
+) -> None:
+    site.fill_store()
+    site.start()
+    wait_until(site.is_ready, seconds=10)
+    (tmp_path / "second").mkdir()
+    second = Site(tmp_path / "second")
+    try:
+        second.store.refusing = True
+        second.write_settings(seeds=["127.0.0.1:1", site.operators])
+        second.start()
+        wait_until(second.is_ready, seconds=15)
+        assert second.order().startswith(b"HTTP/1.1 200")
+        wait_until(lambda: second.logged("event=snapshot-taken"))
+        second.store.refusing = False
+        second.fill_store()
+        second.store.put("op", "config", configuration(5, prefix="/booking/"))
+        wait_until(lambda: second.logged("version=5"), seconds=10)
+    finally:
+        second.close()
+
+
 def test_changes_of_configuration_and_replicas_come_into_force(site: Site) -> None:
     site.fill_store()
     site.start()
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -14,7 +14,13 @@
 
 from damasklead.findings import Findings
 from damasklead.gateway.calls import Call, ReplyKind, UpstreamState
-from damasklead.gateway.dialect import BadHead, FeedError, FeedFault, SendPlan
+from damasklead.gateway.dialect import (
+    BadHead,
+    FeedError,
+    FeedFault,
+    PeerEntry,
+    SendPlan,
+)
 from damasklead.gateway.routing import RouteKind, Workspace
 from damasklead.gateway.settings import check_gateway_settings
 from damasklead.ids import AttemptId, InstanceId, ServiceName, WorkspaceId
@@ -315,6 +321,25 @@
         assert fault_of(lambda: feed.follow(5, wait=0.1)) is FeedFault.STALE
         assert fault_of(lambda: feed.follow(5, wait=0.1)) is FeedFault.UNREADABLE
 
+    def test_gateways_find_each_other(
+        self, store: StoreStandin, link: StoreLink
+    ) -> None:
+        own = PeerEntry(instance=InstanceId("g1"), address="10.0.0.1:7", incarnation=5)
+        other = {"key": "g2", "schema_version": 4, "data": "bm8="}
+        content = {"address": "10.0.0.1:7", "incarnation": 5}
+        store.answers = [
+            (200, {"schema_version": 3, "now_ms": 1}),
+            (200, page(store_row("g1", 3, content), other, version=4)),
+            (412, {"rows": [], "schema_version": 9}),
+        ]
+        link.peers.announce(own)
+        (entry,) = link.peers.read()
+        assert entry.address == own.address and entry.version == 3
+        assert fault_of(lambda: link.peers.withdraw(entry)) is FeedFault.REFUSED
+        assert [target.split("?")[0] for target in store.targets] == [
+            "/-/rows-tx", "/-/rows-get", "/-/rows-tx",
+        ]  # fmt: skip
+
     def test_a_store_that_is_gone_is_unreachable(
         self, store: StoreStandin, link: StoreLink
     ) -> None:
