--- a/damasklead/gateway/admission.py
+++ b/damasklead/gateway/admission.py
@@ -25,8 +25,7 @@
 
 __all__ = ["Admission", "Admit", "Decision", "Reject"]
 
-# Least that a caller is asked to wait, and how far returns are spread.
-LEAST_RETRY_SECONDS = 0.3
+# How far returns are spread, so that they don't come together.
 RETRY_SPREAD = 0.5
 # Callers honour at most a third of the time that they have left.
 MOST_RETRY_SHARE = 0.33
@@ -117,7 +116,7 @@
     def _reject(self, call: Call) -> Reject:
         left = call.caller_deadline - self._clock.now()
         spread = 1 - RETRY_SPREAD * stable_hash(call.id) / 2**64
-        seconds = max(LEAST_RETRY_SECONDS, MOST_RETRY_SHARE * left * spread)
+        seconds = max(0.0, MOST_RETRY_SHARE * left * spread)
         return Reject(call=call, reason=Reason.OVERLOADED, retry_after=seconds)
 
 
