--- a/damasklead/gateway/peerload.py
+++ b/damasklead/gateway/peerload.py
@@ -25,6 +25,7 @@
     "make_shares",
     "replica_key",
     "send_interval",
+    "worth_telling",
 ]
 
 # A gateway takes in so many messages a second from all others together, whatever their
@@ -37,6 +38,10 @@
 # Prompt tokens are sent in units of so many.
 TOKEN_UNIT = 64
 KEY_BITS = 32
+# Smaller changes wait for the next refresh: half a prompt, and requests that an engine
+# does not feel.
+TOLD_TOKENS = 1500
+TOLD_REQUESTS = 3
 
 
 class ReplicaShare(msgspec.Struct, array_like=True, frozen=True):
@@ -89,6 +94,31 @@
     return max(LEAST_INTERVAL_SECONDS, gateways / MESSAGES_PER_SECOND)
 
 
+def worth_telling(told: list[ReplicaShare], now: list[ReplicaShare]) -> bool:
+    """
+    Tell whether figures differ so much that others should know at once.
+
+    Examples
+    --------
+    >>> worth_telling([ReplicaShare(7, 1, 0)], [ReplicaShare(7, 2, 10)])
+    False
+    >>> worth_telling([], [ReplicaShare(7, 1, 40)])
+    True
+    """
+    before = {share.key: share for share in told}
+    none = ReplicaShare(0, 0, 0)
+    for share in now:
+        old = before.pop(share.key, none)
+        if _differ(old, share):
+            return True
+    return any(_differ(old, none) for old in before.values())
+
+
+def _differ(old: ReplicaShare, new: ReplicaShare) -> bool:
+    tokens = abs(new.unread - old.unread) * TOKEN_UNIT
+    return tokens >= TOLD_TOKENS or abs(new.requests - old.requests) >= TOLD_REQUESTS
+
+
 class PeerLoads:
     """
     The newest figures of all peers.
--- a/damasklead/gateway/peers.py
+++ b/damasklead/gateway/peers.py
@@ -21,6 +21,7 @@
     PeerLoads,
     ReplicaShare,
     send_interval,
+    worth_telling,
 )
 from damasklead.util import split_address
 
@@ -104,7 +105,7 @@
             self._loads.expire()
             shares = self._shares()
             now = self._clock.now()
-            if shares != told or now - told_at >= REFRESH_SECONDS:
+            if worth_telling(told, shares) or now - told_at >= REFRESH_SECONDS:
                 told, told_at = shares, now
                 self._send(shares)
 
