Close idle connections without meeting a request that was just read

Ruled out: the stop's time limit (cut 2.4 s after SIGTERM). Now only the wait for a first byte is ended, and a request that is there is still served.

--- a/damasklead/gateway/callers.py
+++ b/damasklead/gateway/callers.py
@@ -9,6 +9,7 @@
 from abc import ABC, abstractmethod
 from collections.abc import Callable, Iterable, Sequence
 from enum import Enum
+from typing import Any
 
 import gevent
 import h11
@@ -17,7 +18,7 @@
 from damasklead.clock import Clock
 from damasklead.gateway.calls import Header
 from damasklead.gateway.routing import CallerLimits
-from damasklead.gateway.sockets import prepare
+from damasklead.gateway.sockets import prepare, readable
 
 __all__ = ["CallerConnection", "CallerGone", "RawRequest", "RequestHandler"]
 
@@ -30,6 +31,10 @@
     """The caller closed its connection; raised in the greenlet that serves it."""
 
 
+class _CloseIdle(BaseException):
+    """The process closes a connection that is idle."""
+
+
 class ConnectionState(Enum):
     """What a caller's connection does."""
 
@@ -107,7 +112,7 @@
         self._stopping = stopping
         self._http = h11.Connection(h11.SERVER)
         self._state = ConnectionState.IDLE
-        self._greenlet: gevent.Greenlet | None = None
+        self._idle_wait: Any = None
         self._half_closed = False
         self._head_sent = False
         self.cancel_when_gone = True
@@ -124,7 +129,6 @@
 
     def serve(self) -> None:
         """Serve requests until the connection ends."""
-        self._greenlet = gevent.getcurrent()
         try:
             prepare(self._socket)
             while self._serve_one():
@@ -132,13 +136,18 @@
         except (CallerGone, OSError):
             pass  # the caller has gone, and there is nobody to answer
         finally:
-            self._greenlet = None
             self._socket.close()
 
     def close_if_idle(self) -> None:
-        """Close the connection if no request is being read or answered."""
-        if self._state is ConnectionState.IDLE and self._greenlet is not None:
-            gevent.kill(self._greenlet, CallerGone())
+        """
+        Close the connection if no request is being read or answered.
+
+        A request that has arrived and was not read yet is still read and answered:
+        only what comes after it is cut off.
+        """
+        if self._idle_wait is not None:
+            # Does nothing when the wait is already over.
+            socket.cancel_wait(self._idle_wait, _CloseIdle())
 
     def respond(
         self,
@@ -218,7 +227,8 @@
     def _read_request(self) -> RawRequest | None:
         """Read a request; ``None`` when the connection ended before one."""
         limits = self._handler.limits()
-        self._socket.settimeout(limits.idle_seconds)
+        if not self._http.trailing_data[0] and not self._wait_idle(limits.idle_seconds):
+            return None
         event = self._next_event(limits)
         if isinstance(event, h11.ConnectionClosed):
             return None
@@ -239,6 +249,18 @@
             arrival=arrival,
         )
 
+    def _wait_idle(self, seconds: float) -> bool:
+        """Wait for a request's first byte; returns whether there may be one."""
+        wait = self._idle_wait = gevent.get_hub().loop.io(self._socket.fileno(), 1)
+        try:
+            socket.wait(wait, timeout=seconds, timeout_exc=TimeoutError())
+        except (TimeoutError, _CloseIdle):
+            return readable(self._socket)
+        finally:
+            self._idle_wait = None
+            wait.close()
+        return True
+
     def _read_body(self, limits: CallerLimits) -> bytes:
         if self._http.they_are_waiting_for_100_continue:
             going_on = h11.InformationalResponse(status_code=100, headers=[])
--- a/damasklead/logs.py
+++ b/damasklead/logs.py
@@ -6,10 +6,12 @@
 """
 
 import json
+import sys
+from logging import Formatter
 
 from absl import logging
 
-__all__ = ["event", "format_event", "problem"]
+__all__ = ["event", "format_event", "problem", "to_standard_output"]
 
 
 def format_event(name: str, **pairs: object) -> str:
@@ -35,6 +37,15 @@
     return " ".join(parts)
 
 
+def to_standard_output() -> None:
+    """Write bare lines to standard output, for daemons whose output is collected."""
+    logging.use_absl_handler()
+    logging.set_verbosity(logging.INFO)
+    handler = logging.get_absl_handler()
+    handler.setFormatter(Formatter("%(message)s"))
+    handler.python_handler.stream = sys.stdout
+
+
 def event(name: str, **pairs: object) -> None:
     """Log an ordinary event."""
     logging.info("%s", format_event(name, **pairs))
--- a/damasklead/platform/start.py
+++ b/damasklead/platform/start.py
@@ -8,6 +8,7 @@
 import sys
 from pathlib import Path
 
+from damasklead import logs
 from damasklead.findings import Findings
 from damasklead.gateway.process import GatewayProcess
 from damasklead.gateway.settings import check_gateway_settings
@@ -22,6 +23,7 @@
 
 def run_gateway(settings_file: Path) -> int:
     """Run a gateway until SIGTERM; returns the exit code."""
+    logs.to_standard_output()
     findings = Findings()
     settings = check_gateway_settings(
         settings_file.read_text(), file=str(settings_file), findings=findings
--- a/damasklead/supervision.py
+++ b/damasklead/supervision.py
@@ -167,14 +167,14 @@
     def _child_exited(self, child: Child, cause: BaseException | None) -> None:
         if self._stopping:
             return
+        if cause is None and child.restart is Restart.TRANSIENT:
+            return
         logs.problem(
             "child-ended",
             supervisor=self.name,
             child=child.name,
             cause=repr(cause) if cause is not None else "returned",
         )
-        if cause is None and child.restart is Restart.TRANSIENT:
-            return
         if self._too_many_restarts():
             self._give_up(child)
             return
--- a/tests/test_gateway_callers.py
+++ b/tests/test_gateway_callers.py
@@ -145,6 +145,22 @@
     assert b"connection: close" in said.lower() and said.endswith(b"for a1")
 
 
+def test_a_request_that_meets_the_close_of_its_idle_connection_is_answered(
+    world: World,
+) -> None:
+    with world.connect() as caller:
+        caller.sendall(request("/read/1", attempt="a1"))
+        read_answer(caller, b"for a1")
+        world.stopping = True
+        caller.sendall(request("/order/1", method="POST", body="x", attempt="a2"))
+        world.listener.close_idle()
+        assert read_all(caller).endswith(b"for a2")
+    with world.connect() as caller:
+        gevent.sleep(0.05)
+        world.listener.close_idle()
+        assert read_all(caller) == b""
+
+
 def test_a_caller_that_expects_leave_to_send_gets_it(world: World) -> None:
     with world.connect() as caller:
         caller.sendall(
