--- a/damasklead/cmdline.py
+++ b/damasklead/cmdline.py
@@ -17,7 +17,14 @@
 from damasklead.commands.inspecting import Audit, ShowStatus
 from damasklead.commands.orders import Orders
 from damasklead.commands.quarantine import QuarantineGroup
-from damasklead.commands.running import Check, Demo, MakeKey, Serve, Standin
+from damasklead.commands.running import (
+    Check,
+    Demo,
+    Gateway,
+    MakeKey,
+    Serve,
+    Standin,
+)
 
 __all__ = ["main"]
 
@@ -32,6 +39,7 @@
 
     command: cappa.Subcommands[
         Serve
+        | Gateway
         | Check
         | Publish
         | ShowStatus
--- a/damasklead/commands/running.py
+++ b/damasklead/commands/running.py
@@ -18,6 +18,7 @@
 from damasklead.commands import DONE, collect, print_findings
 from damasklead.configuration import FILE_SUFFIX, build_configuration, digest_key
 from damasklead.findings import Findings
+from damasklead.gateway.settings import check_gateway_settings
 from damasklead.ids import (
     DataCentre,
     Incarnation,
@@ -28,7 +29,7 @@
 from damasklead.stores import open_platform
 from damasklead.stores.base import InstanceRecord, InstanceState
 
-__all__ = ["Serve", "Check", "MakeKey", "Demo", "Standin"]
+__all__ = ["Serve", "Gateway", "Check", "MakeKey", "Demo", "Standin"]
 
 
 @cappa.command(name="serve", help="Run an entry with a settings file.")
@@ -51,6 +52,23 @@
         return EntryService(settings=settings, platform=platform).run()
 
 
+@cappa.command(
+    name="gateway",
+    help="Run a gateway on the platform, with a gateway's settings file.",
+)
+@dataclass(kw_only=True)
+class Gateway:
+    """Run a gateway until SIGTERM, then stop without cutting off a request."""
+
+    settings: Annotated[Path, cappa.Arg(help="The gateway's settings file.")]
+
+    def __call__(self) -> int:
+        """Run the command; returns the exit code."""
+        from damasklead.platform.start import run_gateway
+
+        return run_gateway(self.settings)
+
+
 @cappa.command(
     name="check", help="Check settings files and folders of configuration files."
 )
@@ -62,6 +80,10 @@
         list[Path],
         cappa.Arg(help=f"Folders with *{FILE_SUFFIX} files, or single settings files."),
     ]
+    gateway: Annotated[
+        bool,
+        cappa.Arg(long=True, help="Single files are the settings of gateways."),
+    ] = False
 
     def __call__(self) -> int:
         """Run the command; returns the exit code."""
@@ -69,7 +91,8 @@
         folders = [path for path in self.paths if path.is_dir()]
         for path in self.paths:
             if not path.is_dir():
-                check_settings(path.read_text(), file=str(path), findings=findings)
+                check = check_gateway_settings if self.gateway else check_settings
+                check(path.read_text(), file=str(path), findings=findings)
         files = collect(folders)
         if folders:
             build_configuration(files, version=1, findings=findings)
--- a/damasklead/gateway/metrics.py
+++ b/damasklead/gateway/metrics.py
@@ -73,6 +73,11 @@
             "Requests that are being answered",
             registry=self.registry,
         )
+        self.waiting = Gauge(
+            "damasklead_waiting_requests",
+            "Requests that wait for an engine with room",
+            registry=self.registry,
+        )
         self.connections_opened = Gauge(
             "damasklead_upstream_connections_opened",
             "Connections to replicas opened since the start",
--- a/damasklead/gateway/process.py
+++ b/damasklead/gateway/process.py
@@ -307,6 +307,7 @@
         """Let the gauges read the process's state."""
         metrics = self._metrics
         metrics.active.set_function(lambda: self._forwarder.active)
+        metrics.waiting.set_function(lambda: self._gate.waiting)
         metrics.connections_opened.set_function(lambda: self._connections.opened)
         metrics.log_lines_dropped.set_function(lambda: self._journal.dropped)
         for follower in (self._configuration, self._upstreams):
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -12,6 +12,7 @@
 from gevent import socket
 from gevent.server import StreamServer
 
+from damasklead.cmdline import main
 from damasklead.findings import Findings
 from damasklead.gateway.calls import Call, ReplyKind, UpstreamState
 from damasklead.gateway.dialect import (
@@ -366,6 +367,32 @@
     assert finding.line == 4 and finding.path == "listen.ready"
 
 
+def test_the_command_line_checks_a_gateways_settings(tmp_path: Path) -> None:
+    file = tmp_path / "gateway.json"
+    file.write_text(SETTINGS)
+    assert main(["check", "--gateway", str(file)]) == 0
+    file.write_text(SETTINGS.replace('"hout"', "7"))
+    assert main(["check", "--gateway", str(file)]) == 2
+
+
+def test_the_template_gives_settings_that_pass_the_check() -> None:
+    values = {
+        "node_name": "edge-1", "zone": "hout", "listen.http": "10.0.0.1:80",
+        "listen.ready": "10.0.0.1:81", "listen.admin": "10.0.0.1:82",
+        "platform.address": "10.0.0.9:83", "internal_ports": [7340, 7355],
+        "seeds": [], "bounds.retry_ratio": 0.2, "bounds.budget_slack": 56,
+        "bounds.retry_window_s": 10, "bounds.grace_s": 8,
+    }  # fmt: skip
+    root = Path(__file__).parent.parent
+    text = (root / "deploy" / "settings.json.template").read_text()
+    for mark in ("{{#listen.admin}}", "{{/listen.admin}}"):
+        text = text.replace(mark, "")
+    for name, value in values.items():
+        text = text.replace("{{" + name + "|json}}", json.dumps(value))
+    findings = Findings()
+    assert check_gateway_settings(text, file="t", findings=findings), list(findings)
+
+
 WIRE_WORDS = (
     "attempt-id", "deadline-ms", "token-usage", "prefix-hash", "response-signature",
     "not-executed", "expected-instance", "backend-load", "request-priority", "kv-from",
