Let one gateway wait at the store and tell the others of changes

Now the first by rank among those heard waits at the store; the others ask once when it tells of a change, and on their own when it has told nothing for 1.1 s. Tests replay cut off and frozen readers against the bound.

--- a/damasklead/gateway/following.py
+++ b/damasklead/gateway/following.py
@@ -13,20 +13,23 @@
 from typing import Generic, TypeVar
 
 import gevent
+from gevent.event import Event
 
 from damasklead.clock import Clock
 from damasklead.gateway.dialect import Changes, Feed, FeedError, FeedFault
 from damasklead.gateway.directory import ListedRow, UpstreamDirectory
 from damasklead.gateway.journal import Journal
+from damasklead.gateway.reading import (
+    GATHER_SECONDS,
+    READER_WAIT_SECONDS,
+    ReadPlan,
+)
 from damasklead.gateway.routing import RoutingTable
 
 __all__ = ["ConfigurationFollower", "Follower", "UpstreamFollower"]
 
 T = TypeVar("T")
 
-# One call lasts so long when nothing changes: a connection that went silent is found
-# within a bound of two seconds.
-WAIT_SECONDS = 1.5
 # Pause after a failed call, doubled up to the longest.
 FIRST_PAUSE_SECONDS = 0.1
 MAX_PAUSE_SECONDS = 0.8
@@ -42,6 +45,8 @@
         For logs.
     feed : callable
         Returns the feed in force.
+    plan : ReadPlan
+        When to ask.
     clock : Clock
     journal : Journal
     """
@@ -51,10 +56,13 @@
         *,
         name: str,
         feed: Callable[[], Feed[T]],
+        plan: ReadPlan,
         clock: Clock,
         journal: Journal,
     ) -> None:
         self._name = name
+        self._plan = plan
+        self._notice = Event()
         self._feed = feed
         self._clock = clock
         self._journal = journal
@@ -77,15 +85,25 @@
         """Return the seconds since the list was last read; infinite before."""
         return math.inf if self._seen_at is None else self._clock.now() - self._seen_at
 
+    def notify(self) -> None:
+        """Look at once whether other gateways know of a change."""
+        self._notice.set()
+
     def run(self) -> None:
         """Follow forever."""
         while True:
-            gevent.sleep(self.step())
-
-    def step(self) -> float:
+            step = self._plan.next()
+            if step.ask:
+                gevent.sleep(self.step(wait=step.wait))
+            else:
+                self._notice.wait(timeout=step.wait)
+                self._notice.clear()
+
+    def step(self, *, wait: float = READER_WAIT_SECONDS) -> float:
         """Make one call; returns the seconds to wait before the next."""
+        told = self._plan.told()
         try:
-            changes = self._call()
+            changes = self._call(wait)
         except FeedError as error:
             return self._after_error(error)
         self._seen_at = self._clock.now()
@@ -96,11 +114,12 @@
         self.back()
         self._cursor = changes.cursor
         self.take(changes)
-        return self.spacing()
+        self._plan.asked(told=told, mark=self.mark(changes))
+        return GATHER_SECONDS if changes.items else 0.0
 
-    def spacing(self) -> float:
-        """Return the seconds between two calls that succeed."""
-        return 0.0
+    @abstractmethod
+    def mark(self, changes: Changes[T]) -> int:
+        """Return a figure that grows with each change of the list."""
 
     @abstractmethod
     def take(self, changes: Changes[T]) -> None:
@@ -112,11 +131,11 @@
     def back(self) -> None:
         """Take in that the list can be read."""
 
-    def _call(self) -> Changes[T]:
+    def _call(self, wait: float) -> Changes[T]:
         feed = self._feed()
         if self._cursor is None:
             return feed.read()
-        return feed.follow(self._cursor, wait=WAIT_SECONDS)
+        return feed.follow(self._cursor, wait=wait)
 
     def _after_error(self, error: FeedError) -> float:
         if error.fault in (FeedFault.HISTORY_LOST, FeedFault.STALE):
@@ -146,11 +165,14 @@
         self,
         *,
         feed: Callable[[], Feed[RoutingTable]],
+        plan: ReadPlan,
         clock: Clock,
         journal: Journal,
         changed: Callable[[RoutingTable], None],
     ) -> None:
-        super().__init__(name="configuration", feed=feed, clock=clock, journal=journal)
+        super().__init__(
+            name="configuration", feed=feed, plan=plan, clock=clock, journal=journal
+        )
         self._changed = changed
         self._table: RoutingTable | None = None
 
@@ -164,6 +186,10 @@
         for table in changes.items:
             self.offer(table)
 
+    def mark(self, changes: Changes[RoutingTable]) -> int:
+        """Return the newest version."""
+        return max((table.version for table in changes.items), default=0)
+
     def offer(self, table: RoutingTable) -> None:
         """Put a version into force if it is newer than the present one."""
         before = 0 if self._table is None else self._table.version
@@ -194,12 +220,15 @@
         self,
         *,
         feed: Callable[[], Feed[ListedRow]],
+        plan: ReadPlan,
         clock: Clock,
         journal: Journal,
         directory: UpstreamDirectory,
         changed: Callable[[], None],
     ) -> None:
-        super().__init__(name="replicas", feed=feed, clock=clock, journal=journal)
+        super().__init__(
+            name="replicas", feed=feed, plan=plan, clock=clock, journal=journal
+        )
         self._directory = directory
         self._changed = changed
 
@@ -207,6 +236,10 @@
         """Take in entries of the list."""
         self._note(self._directory.apply(changes.items, whole=changes.whole))
 
+    def mark(self, changes: Changes[ListedRow]) -> int:
+        """Return the newest entry's version."""
+        return max((row.version for row in changes.items), default=0)
+
     def offer(self, rows: list[ListedRow]) -> None:
         """Take in entries that another gateway knows."""
         self._note(self._directory.apply(rows, whole=False))
--- a/damasklead/gateway/peerload.py
+++ b/damasklead/gateway/peerload.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from damasklead.clock import Clock
+from damasklead.gateway.reading import ListReport
 from damasklead.ids import InstanceId
 from damasklead.util import stable_hash
 
@@ -63,12 +64,22 @@
 
 
 class LoadMessage(msgspec.Struct, array_like=True, frozen=True):
-    """What one gateway tells the others; ``number`` orders its messages."""
+    """
+    What one gateway tells the others.
+
+    Attributes
+    ----------
+    number : int
+        Orders the sender's messages.
+    lists : list
+        What it knows of the platform's lists.
+    """
 
     sender: str
     incarnation: int
     number: int
     shares: list[ReplicaShare]
+    lists: list[ListReport] = []
 
 
 class _Peer(msgspec.Struct, kw_only=True):
--- a/damasklead/gateway/peers.py
+++ b/damasklead/gateway/peers.py
@@ -12,6 +12,7 @@
 import gevent
 import msgspec
 from gevent import socket
+from gevent.event import Event
 
 from damasklead.clock import Clock
 from damasklead.gateway.dialect import FeedError, PeerDirectory, PeerEntry
@@ -23,6 +24,7 @@
     send_interval,
     worth_telling,
 )
+from damasklead.gateway.reading import ListReport, ListReports
 from damasklead.util import split_address
 
 __all__ = ["Peers"]
@@ -35,6 +37,9 @@
 REFRESH_SECONDS = 0.6
 # An entry whose gateway was not heard for so long is removed by those that see it.
 FORGET_SECONDS = 60.0
+# The gateway that reads the platform's lists for the others is heard so often; a lost
+# datagram is made up for by the next.
+HEARTBEAT_SECONDS = 0.3
 RECEIVE_BYTES = 65_536
 
 
@@ -50,7 +55,13 @@
         Returns the directory of gateways.
     loads : PeerLoads
     shares : callable
-        Returns what to tell the others.
+        Returns what to tell the others of this gateway's requests.
+    reports : callable
+        Returns what to tell them of the platform's lists.
+    list_reports : ListReports
+        Takes what they tell of them.
+    notify : callable
+        Called after each message.
     clock : Clock
     journal : Journal
     """
@@ -62,6 +73,9 @@
         directory: Callable[[], PeerDirectory],
         loads: PeerLoads,
         shares: Callable[[], list[ReplicaShare]],
+        reports: Callable[[], list[ListReport]],
+        list_reports: ListReports,
+        notify: Callable[[], None],
         clock: Clock,
         journal: Journal,
     ) -> None:
@@ -69,6 +83,10 @@
         self._directory = directory
         self._loads = loads
         self._shares = shares
+        self._reports = reports
+        self._list_reports = list_reports
+        self._notify = notify
+        self._changed = Event()
         self._clock = clock
         self._journal = journal
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -99,15 +117,24 @@
     def run_sender(self) -> None:
         """Tell the others what has changed, forever."""
         told: list[ReplicaShare] = []
+        marks: list[int] = []
         told_at = 0.0
         while True:
-            gevent.sleep(send_interval(self._loads.gateways))
+            interval = send_interval(self._loads.gateways)
+            self._changed.wait(timeout=min(interval, HEARTBEAT_SECONDS))
+            self._changed.clear()
             self._loads.expire()
-            shares = self._shares()
+            shares, lists = self._shares(), self._reports()
             now = self._clock.now()
-            if worth_telling(told, shares) or now - told_at >= REFRESH_SECONDS:
+            reads = any(report.age >= 0 for report in lists)
+            refresh = HEARTBEAT_SECONDS if reads else max(REFRESH_SECONDS, interval)
+            news = marks != [report.mark for report in lists] or (
+                now - told_at >= interval and worth_telling(told, shares)
+            )
+            if news or now - told_at >= refresh:
                 told, told_at = shares, now
-                self._send(shares)
+                marks = [report.mark for report in lists]
+                self._send(shares, lists)
 
     def run_receiver(self) -> None:
         """Hear the others, forever."""
@@ -121,6 +148,8 @@
                 continue
             if message.sender != self._own.instance:
                 self._loads.take(message)
+                self._list_reports.take(message.lists)
+                self._notify()
 
     def run_look_up(self) -> None:
         """Announce this gateway and find the others, forever."""
@@ -145,10 +174,14 @@
             self._journal.event("withdrawal-failed", cause=str(error))
         self._socket.close()
 
-    def _send(self, shares: list[ReplicaShare]) -> None:
+    def tell_soon(self) -> None:
+        """Tell the others at once that a list has changed."""
+        self._changed.set()
+
+    def _send(self, shares: list[ReplicaShare], lists: list[ListReport]) -> None:
         self._number += 1
         message = LoadMessage(
-            self._own.instance, self._own.incarnation, self._number, shares
+            self._own.instance, self._own.incarnation, self._number, shares, lists
         )
         data = msgspec.msgpack.encode(message)
         for instance, address in self._addresses.items():
--- a/damasklead/gateway/process.py
+++ b/damasklead/gateway/process.py
@@ -30,6 +30,7 @@
 from damasklead.gateway.peerload import PeerLoads, ReplicaShare, make_shares
 from damasklead.gateway.peers import Peers
 from damasklead.gateway.placements import Placement, new_placement
+from damasklead.gateway.reading import ListName, ListReports, ReadPlan, is_reader
 from damasklead.gateway.routing import Route, RoutingTable, ServiceSpec
 from damasklead.gateway.settings import GatewaySettings, check_gateway_settings
 from damasklead.gateway.snapshot import Snapshot
@@ -94,15 +95,19 @@
         )
         self._gate = Gate(clock=self._clock)
         self._peer_loads = PeerLoads(clock=self._clock)
+        self._list_reports = ListReports(clock=self._clock)
         self._peers = self._make_peers()
+        self._plans = [self._read_plan(name) for name in ListName]
         self._configuration = ConfigurationFollower(
             feed=lambda: self._link.routing,
+            plan=self._plans[ListName.ROUTING],
             clock=self._clock,
             journal=self._journal,
             changed=self._configure,
         )
         self._upstreams = UpstreamFollower(
             feed=lambda: self._link.upstreams,
+            plan=self._plans[ListName.UPSTREAMS],
             clock=self._clock,
             journal=self._journal,
             directory=self._directory,
@@ -246,6 +251,8 @@
         )
 
     def _configure(self, table: RoutingTable) -> None:
+        if self._peers is not None:
+            self._peers.tell_soon()
         self._metrics.configuration_version.set(table.version)
         for name in [item for item in self._placements if item not in table.services]:
             del self._placements[name]
@@ -256,6 +263,8 @@
 
     def _arrange(self) -> None:
         """Let the placements see the replicas that may take new work."""
+        if self._peers is not None:
+            self._peers.tell_soon()
         for name, placement in self._placements.items():
             usable = self._directory.usable(name)
             placement.retain(usable)
@@ -365,10 +374,25 @@
             directory=lambda: self._link.peers,
             loads=self._peer_loads,
             shares=self._shares,
+            reports=lambda: [plan.report for plan in self._plans],
+            list_reports=self._list_reports,
+            notify=self._notify_followers,
             clock=self._clock,
             journal=self._journal,
         )
 
+    def _read_plan(self, name: ListName) -> ReadPlan:
+        return ReadPlan(
+            name=name,
+            clock=self._clock,
+            reports=self._list_reports,
+            reads=lambda: is_reader(self._settings.instance, self._peer_loads.heard),
+        )
+
+    def _notify_followers(self) -> None:
+        self._configuration.notify()
+        self._upstreams.notify()
+
     def _shares(self) -> list[ReplicaShare]:
         """Return what this gateway has sent to each replica."""
         return [
--- /dev/null
+++ b/damasklead/gateway/reading.py
@@ -0,0 +1,193 @@
+"""
+Reading the lists
+=================
+
+Decides which gateway asks the platform's store for changes, and when the others ask.
+
+Load pattern: calls of the store are paid for, and a list that nothing changes would be
+asked for by every gateway all the time.  So one gateway, the first by rank among those
+that are heard, waits at the store and tells the others in its datagrams that a list has
+changed, or that it has not.  They then ask the store themselves, once; and they ask on
+their own as soon as they have not been told for a second, whatever the reason is.  What
+is in force always comes from the store, never from the reader.
+
+No I/O: reports and the clock come in, decisions go out.
+"""
+
+from collections.abc import Callable, Iterable
+from enum import IntEnum
+
+import msgspec
+
+from damasklead.clock import Clock
+from damasklead.util import stable_hash
+
+__all__ = ["ListName", "ListReport", "ListReports", "ReadPlan", "Step", "is_reader"]
+
+# One call of the reader lasts so long when nothing changes.
+READER_WAIT_SECONDS = 0.6
+# A confirmation older than this doesn't count: a change has to be in force within two
+# seconds of the store's word, and a call of one's own takes far less than the rest.
+TRUST_SECONDS = 1.1
+# Pause after a call that brought changes, so that several are read together.
+GATHER_SECONDS = 0.25
+
+
+class ListName(IntEnum):
+    """The lists, by their place in a datagram."""
+
+    ROUTING = 0
+    UPSTREAMS = 1
+
+
+class ListReport(msgspec.Struct, array_like=True, frozen=True):
+    """
+    What a gateway knows of a list.
+
+    Attributes
+    ----------
+    mark : int
+        Grows with each change of the list.
+    age : int
+        Milliseconds since the store said that there is nothing newer; -1 when this
+        gateway doesn't ask the store all the time.
+    """
+
+    mark: int
+    age: int
+
+
+class Step(msgspec.Struct, kw_only=True, frozen=True):
+    """
+    What to do next.
+
+    Attributes
+    ----------
+    ask : bool
+        Whether to ask the store.
+    wait : float
+        Seconds that the store may wait for a change, or to wait here for a notice.
+    """
+
+    ask: bool
+    wait: float
+
+
+class ListReports:
+    """
+    The newest reports of other gateways.
+
+    Parameters
+    ----------
+    clock : Clock
+    """
+
+    def __init__(self, *, clock: Clock) -> None:
+        self._clock = clock
+        self._marks = dict.fromkeys(ListName, 0)
+        self._confirmed = dict.fromkeys(ListName, float("-inf"))
+
+    def take(self, reports: Iterable[ListReport]) -> None:
+        """Take in one gateway's reports, in the order of the lists."""
+        now = self._clock.now()
+        for name, report in zip(ListName, reports, strict=False):
+            self._marks[name] = max(self._marks[name], report.mark)
+            if report.age >= 0:
+                confirmed = now - report.age / 1000
+                self._confirmed[name] = max(self._confirmed[name], confirmed)
+
+    def mark(self, name: ListName) -> int:
+        """Return the newest mark that any gateway has told."""
+        return self._marks[name]
+
+    def confirmed_at(self, name: ListName) -> float:
+        """Return when the store last said to another gateway what is newest."""
+        return self._confirmed[name]
+
+
+def is_reader(own: str, others: Iterable[str]) -> bool:
+    """
+    Tell whether a gateway is the first by rank among those that are heard.
+
+    Examples
+    --------
+    >>> names = ["g1", "g2", "g3"]
+    >>> sum(is_reader(name, [n for n in names if n != name]) for name in names)
+    1
+    """
+    rank = stable_hash("reader", own)
+    return all(rank < stable_hash("reader", other) for other in others)
+
+
+class ReadPlan:
+    """
+    When one gateway asks for one list.
+
+    Parameters
+    ----------
+    name : ListName
+    clock : Clock
+    reports : ListReports
+    reads : callable
+        Whether this gateway is the one that reads for the others.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: ListName,
+        clock: Clock,
+        reports: ListReports,
+        reads: Callable[[], bool],
+    ) -> None:
+        self._name = name
+        self._clock = clock
+        self._reports = reports
+        self._reads = reads
+        self._mark = 0
+        self._caught_up = 0
+        self._asked_at = float("-inf")
+        self._direct = True
+
+    @property
+    def report(self) -> ListReport:
+        """What to tell other gateways."""
+        if not self._direct or self._asked_at == float("-inf"):
+            return ListReport(self._mark, -1)
+        age = max(0.0, self._clock.now() - self._asked_at)
+        return ListReport(self._mark, int(age * 1000))
+
+    def next(self) -> Step:
+        """Return what to do next."""
+        now = self._clock.now()
+        if self._asked_at == float("-inf") or self._reads():
+            self._direct = True
+            return Step(ask=True, wait=READER_WAIT_SECONDS)
+        if self._reports.mark(self._name) > max(self._mark, self._caught_up):
+            return Step(ask=True, wait=0.0)
+        trusted = self._reports.confirmed_at(self._name) + TRUST_SECONDS
+        if now >= trusted:
+            self._direct = True
+            return Step(ask=True, wait=READER_WAIT_SECONDS)
+        self._direct = False
+        return Step(ask=False, wait=trusted - now)
+
+    def asked(self, *, told: int, mark: int) -> None:
+        """
+        Take in an answer of the store.
+
+        Parameters
+        ----------
+        told : int
+            The newest mark that others had told before the call.
+        mark : int
+            The newest mark of what the answer held.
+        """
+        self._asked_at = self._clock.now()
+        self._mark = max(self._mark, mark)
+        # What others saw removed leaves no mark in a list that is read anew.
+        self._caught_up = max(self._caught_up, told)
+
+    def told(self) -> int:
+        """Return the newest mark that others have told."""
+        return self._reports.mark(self._name)
--- a/tests/platformstandin.py
+++ b/tests/platformstandin.py
@@ -91,19 +91,40 @@
     def _serve(self, connection: socket.socket, _peer: object) -> None:
         try:
             while True:
-                line, _, _ = read_request(connection)
+                line, _, body = read_request(connection)
                 self.calls += 1
-                status, content = self._answer(line.split()[1])
-                body = json.dumps(content).encode()
-                head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n\r\n"
-                connection.sendall(head.encode() + body)
+                status, content = self._answer(line.split()[1], body)
+                data = json.dumps(content).encode()
+                head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(data)}\r\n\r\n"
+                connection.sendall(head.encode() + data)
         except (EOFError, OSError):
             connection.close()
 
-    def _answer(self, target: str) -> tuple[int, dict]:
+    def live_rows(self, table: str) -> list[str]:
+        """Return the keys of a table's rows."""
+        return [
+            key
+            for (name, key), row in self._rows.items()
+            if name == table and not row.get("deleted")
+        ]
+
+    def _transact(self, change: dict) -> tuple[int, dict]:
+        for row in change["precondition"]:
+            present = self._rows.get((row["table"], row["key"]), {})
+            if present.get("schema_version", 0) != row["schema_version"]:
+                return 412, {"rows": [], "schema_version": self._version}
+        for row in change["write"]:
+            self._write(row["table"], row["key"], {"data": row["data"]})
+        for row in change["remove"]:
+            self._write(row["table"], row["key"], {"deleted": True})
+        return 200, {"schema_version": self._version}
+
+    def _answer(self, target: str, body: bytes) -> tuple[int, dict]:
         if self.refusing:
             return 503, {}
         parts = urlsplit(target)
+        if parts.path.endswith("rows-tx"):
+            return self._transact(json.loads(body))
         query = {name: values[0] for name, values in parse_qs(parts.query).items()}
         since = int(query.get("since_revision", 0))
         rows = self._since(query["table"], since)
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -30,6 +30,7 @@
     send_interval,
 )
 from damasklead.gateway.placements import EnginePlacement, PlainPlacement
+from damasklead.gateway.reading import ListName, ListReports, ReadPlan
 from damasklead.gateway.routing import (
     EngineSpec,
     Route,
@@ -135,6 +136,15 @@
         assert names(directory) == []
 
 
+def read_plan(clock: ManualClock) -> ReadPlan:
+    return ReadPlan(
+        name=ListName.ROUTING,
+        clock=clock,
+        reports=ListReports(clock=clock),
+        reads=lambda: True,
+    )
+
+
 class ScriptedFeed(Feed):
     """Gives what a test put in, one a call."""
 
@@ -166,6 +176,7 @@
         feed = ScriptedFeed(*results)
         follower = ConfigurationFollower(
             feed=lambda: feed,
+            plan=read_plan(ManualClock()),
             clock=ManualClock(),
             journal=Journal(instance="g"),
             changed=lambda table: None,
@@ -224,6 +235,7 @@
         heard: list[int] = []
         follower = UpstreamFollower(
             feed=lambda: feed,
+            plan=read_plan(clock),
             clock=clock,
             journal=Journal(instance="g"),
             directory=directory,
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -53,7 +53,9 @@
         self.replicas = [ScriptedReplica(name, serve) for name in ("r0", "r1")]
         self.settings_file = folder / "settings.json"
         self.log_file = folder / "log"
-        self._ports = {name: free_port() for name in ("callers", "ready", "operators")}
+        self._ports = {
+            name: free_port() for name in ("callers", "ready", "operators", "peers")
+        }
         self.write_settings()
         self._process: subprocess.Popen | None = None
 
@@ -62,8 +64,12 @@
         content: dict = {
             "instance": "gateway-1",
             "data_centre": "hout",
-            "listen": {n: f"127.0.0.1:{port}" for n, port in self._ports.items()},
+            "listen": {
+                name: f"127.0.0.1:{self._ports[name]}"
+                for name in ("callers", "ready", "operators")
+            },
             "platform": self.store.address,
+            "peer_ports": [self._ports["peers"], self._ports["peers"]],
             "bounds": {"stop_seconds": 8},
         }
         self.settings_file.write_text(json.dumps(content | changes))
@@ -200,6 +206,29 @@
         second.close()
 
 
+def test_gateways_find_each_other_and_one_reads_for_both(
+    site: Site, tmp_path: Path
+) -> None:
+    site.fill_store()
+    site.start()
+    (tmp_path / "second").mkdir()
+    second = Site(tmp_path / "second")
+    try:
+        second.write_settings(instance="gateway-2", platform=site.store.address)
+        second.start()
+        wait_until(lambda: site.is_ready() and second.is_ready(), seconds=10)
+        wait_until(lambda: site.logged('peer="gateway-2"'), seconds=10)
+        wait_until(lambda: second.logged('peer="gateway-1"'), seconds=10)
+        site.store.put("op", "config", configuration(7, prefix="/booking/"))
+        wait_until(lambda: site.logged("version=7") and second.logged("version=7"))
+        for gateway in (site, second):
+            gateway.signal(signal.SIGTERM)
+            assert gateway.exit_code() == 0
+        assert not site.store.live_rows("damasklead-gateways")
+    finally:
+        second.close()
+
+
 def test_changes_of_configuration_and_replicas_come_into_force(site: Site) -> None:
     site.fill_store()
     site.start()
--- /dev/null
+++ b/tests/test_gateway_reading.py
@@ -0,0 +1,197 @@
+"""
+Tests of who reads the lists
+============================
+
+Several gateways on one paused clock follow one list whose version only grows; the
+oracle is the version and when it was written.
+"""
+
+import random
+
+import pytest
+
+from damasklead.clock import ManualClock
+from damasklead.gateway.reading import (
+    TRUST_SECONDS,
+    ListName,
+    ListReport,
+    ListReports,
+    ReadPlan,
+    is_reader,
+)
+
+STEP_SECONDS = 0.01
+# The time within which a change has to be in force.
+BOUND_SECONDS = 2.0
+HEARTBEAT_SECONDS = 0.3
+
+
+class Gateway:
+    """One gateway: its plan, what it believes, and a call that may be under way."""
+
+    def __init__(self, fleet: "Fleet", name: str) -> None:
+        self.fleet = fleet
+        self.name = name
+        self.reports = ListReports(clock=fleet.clock)
+        self.heard: dict[str, float] = {}
+        self.plan = ReadPlan(
+            name=ListName.ROUTING,
+            clock=fleet.clock,
+            reports=self.reports,
+            reads=lambda: is_reader(name, self.live()),
+        )
+        self.version = 0
+        self.calls = 0
+        self.told_at = 0.0
+        self.told_version = 0
+        self.call: tuple[float, int] | None = None
+        self.cut_off = False
+        self.frozen = False
+
+    def live(self) -> list[str]:
+        now = self.fleet.clock.now()
+        return [name for name, at in self.heard.items() if now - at < 1.0]
+
+    def step(self) -> None:
+        if self.frozen:
+            return
+        now = self.fleet.clock.now()
+        if self.call is None:
+            step = self.plan.next()
+            if step.ask:
+                self.calls += 1
+                self.call = (now + step.wait, self.plan.told())
+        if self.call is not None:
+            self._finish_call(now)
+        self._tell(now)
+
+    def _finish_call(self, now: float) -> None:
+        assert self.call is not None
+        until, told = self.call
+        if self.cut_off:
+            if now >= until + 0.7:  # the time-out of a call that gets no answer
+                self.call = None
+            return
+        if self.fleet.version > self.version or now >= until:
+            self.version = self.fleet.version
+            self.plan.asked(told=told, mark=self.version)
+            self.call = None
+
+    def _tell(self, now: float) -> None:
+        report = self.plan.report
+        news = self.version > self.told_version
+        if news or now - self.told_at >= HEARTBEAT_SECONDS:
+            self.told_at, self.told_version = now, self.version
+            self.fleet.tell(self, report)
+
+
+class Fleet:
+    """Gateways and the list that they follow."""
+
+    def __init__(self, count: int, *, seed: int = 1, loss: float = 0.0) -> None:
+        self.clock = ManualClock(start=50.0)
+        self.version = 1
+        self.written_at = self.clock.now()
+        self.gateways = [Gateway(self, f"g{number}") for number in range(count)]
+        self._random = random.Random(seed)
+        self._loss = loss
+
+    def tell(self, sender: Gateway, report: ListReport) -> None:
+        for other in self.gateways:
+            lost = self._random.random() < self._loss
+            if other is not sender and not other.frozen and not lost:
+                other.heard[sender.name] = self.clock.now()
+                other.reports.take([report])
+
+    def write(self) -> None:
+        self.version += 1
+        self.written_at = self.clock.now()
+
+    def run(self, seconds: float) -> None:
+        for _ in range(int(seconds / STEP_SECONDS)):
+            self.clock.advance(STEP_SECONDS)
+            for gateway in self.gateways:
+                gateway.step()
+            if self.clock.now() - self.written_at > BOUND_SECONDS:
+                behind = [
+                    gateway.name
+                    for gateway in self.gateways
+                    if gateway.version < self.version
+                    and not gateway.cut_off
+                    and not gateway.frozen
+                ]
+                assert behind == []
+
+    def reader(self) -> Gateway:
+        return next(
+            item
+            for item in self.gateways
+            if is_reader(item.name, [g.name for g in self.gateways if g is not item])
+        )
+
+
+@pytest.mark.parametrize("loss", [0.0, 0.1])
+def test_changes_are_in_force_in_time(loss: float) -> None:
+    fleet = Fleet(8, loss=loss)
+    fleet.run(2.0)
+    for _ in range(20):
+        fleet.write()
+        fleet.run(1.3)
+
+
+def test_a_quiet_list_costs_the_same_whatever_the_fleet_is() -> None:
+    calls = {}
+    for count in (8, 40):
+        fleet = Fleet(count)
+        fleet.run(3.0)
+        before = sum(item.calls for item in fleet.gateways)
+        fleet.run(10.0)
+        calls[count] = sum(item.calls for item in fleet.gateways) - before
+    assert calls[8] <= 20 and calls[40] <= 20
+
+
+@pytest.mark.parametrize("trouble", ["cut_off", "frozen"])
+def test_a_reader_in_trouble_is_not_waited_for(trouble: str) -> None:
+    for delay in (0.0, 0.1, 0.25, 0.4, 0.55, 0.7):
+        fleet = Fleet(8)
+        fleet.run(2.0 + delay)
+        setattr(fleet.reader(), trouble, True)
+        fleet.run(0.05)
+        fleet.write()
+        fleet.run(4.0)
+        setattr(fleet.reader(), trouble, False)
+        fleet.run(2.5)
+
+
+def test_random_troubles_keep_the_bound() -> None:
+    for seed in range(12):
+        source = random.Random(seed)
+        fleet = Fleet(6, seed=seed, loss=0.05)
+        fleet.run(2.0)
+        for _ in range(12):
+            gateway = source.choice(fleet.gateways)
+            trouble = source.choice(["cut_off", "frozen"])
+            setattr(gateway, trouble, True)
+            if source.random() < 0.7:
+                fleet.write()
+            fleet.run(source.uniform(0.2, 3.0))
+            setattr(gateway, trouble, False)
+            # Out of touch until it has been undisturbed for a while.
+            gateway.frozen = gateway.cut_off = False
+            fleet.written_at = max(fleet.written_at, fleet.clock.now())
+            fleet.run(0.3)
+
+
+def test_a_notice_of_what_a_whole_reading_does_not_show_is_not_repeated() -> None:
+    clock = ManualClock()
+    reports = ListReports(clock=clock)
+    plan = ReadPlan(
+        name=ListName.UPSTREAMS, clock=clock, reports=reports, reads=lambda: False
+    )
+    plan.asked(told=0, mark=3)
+    reports.take([ListReport(0, 0), ListReport(9, 0)])
+    assert plan.next().ask
+    plan.asked(told=plan.told(), mark=3)
+    assert not plan.next().ask
+    clock.advance(TRUST_SECONDS + 0.01)
+    assert plan.next().ask
