--- a/damasklead/gateway/placements/engine.py
+++ b/damasklead/gateway/placements/engine.py
@@ -26,7 +26,7 @@
 # the shortest target of the requests that share the engines, so that these are in time.
 ROOM_SHARE = 0.5
 # Weight of reading against waiting: what is read twice is taken from everybody.
-UNREAD_WEIGHT = 6.0
+UNREAD_WEIGHT = 12.0
 # Time that one running request adds to each of another one's tokens, over its stream.
 RUNNING_COST = 0.004
 # Cost in seconds of leaving the data centre, for a request of some kilobytes.
