Let only the least urgent routes wait for room; spread hot subjects

Ruled out: workspaces' tiers (both kinds had them alike). Now only requests of the least urgent routes wait, whatever their workspace's tier is.

--- a/damasklead/gateway/placements/engine.py
+++ b/damasklead/gateway/placements/engine.py
@@ -27,6 +27,11 @@
 ROOM_SHARE = 0.5
 # Weight of reading against waiting: what is read twice is taken from everybody.
 UNREAD_WEIGHT = 12.0
+# An engine that has more to read than the others by this part of a request's target
+# holds a hot subject, which is then read again elsewhere.  When all have much to read,
+# reading again helps nobody.
+HOT_SHARE = 0.6
+HOT_WEIGHT = 40.0
 # Time that one running request adds to each of another one's tokens, over its stream.
 RUNNING_COST = 0.004
 # Cost in seconds of leaving the data centre, for a request of some kilobytes.
@@ -70,6 +75,8 @@
         super().__init__(
             service=service, clock=clock, data_centre=data_centre, peers=peers
         )
+        self._last_tier = 0
+        self._mean_backlog = 0.0
         self._least_target = 0.0
         self._tight_gap: float | None = None
         self._tight: frozenset[InstanceId] = frozenset()
@@ -88,6 +95,7 @@
         gaps = sorted({route.event_gap for route in routes if route.event_gap})
         apart = len(gaps) > 1 and gaps[1] >= TIGHT_RATIO * gaps[0]
         self._tight_gap = gaps[0] if apart else None
+        self._last_tier = max((item.tier for item in routes), default=0)
         self._least_target = min(
             (item.target for item in routes if item.event_gap != self._tight_gap),
             default=0.0,
@@ -104,19 +112,16 @@
         record = self.choose(call)
         if record is None:
             return True
-        state = self._replicas[record.instance]
-        backlog = self._backlog(state)
-        if backlog <= ROOM_SHARE * self._least_target:
-            return True
-        if call.route.target > self._least_target:
-            return False
-        # The shortest target leaves no time to wait: in time now or not at all.
-        reading = self._expected_unread(state, call) / READ_TOKENS_PER_SECOND
-        return self._clock.now() + backlog + reading < call.due
+        backlog = self._backlog(self._replicas[record.instance])
+        return backlog <= ROOM_SHARE * self._least_target
 
     def is_urgent(self, call: Call) -> bool:
-        """Tell whether a request runs on the engines kept for tight streams."""
-        return bool(self._tight) and call.route.event_gap == self._tight_gap
+        """
+        Tell whether a request is sent at once: all but the least urgent routes' are,
+        whatever their workspace's tier, so that none starves behind longer prompts.
+        """
+        tight = bool(self._tight) and call.route.event_gap == self._tight_gap
+        return tight or call.route.tier < self._last_tier
 
     def _backlog(self, state: ReplicaState) -> float:
         """Return the seconds that an engine needs to read what was sent to it."""
@@ -167,6 +172,8 @@
     def _preferred(
         self, call: Call, candidates: list[ReplicaState], now: float
     ) -> list[ReplicaState]:
+        backlogs = [self._backlog(state) for state in self._usable.values()]
+        self._mean_backlog = sum(backlogs) / len(backlogs) if backlogs else 0.0
         if not self._tight:
             return candidates
         tight = call.route.event_gap == self._tight_gap
@@ -204,7 +211,11 @@
 
     def _cost(self, state: ReplicaState, call: Call, now: float) -> float:
         unread = self._expected_unread(state, call)
-        cost = UNREAD_WEIGHT * unread / READ_TOKENS_PER_SECOND + self._backlog(state)
+        reading = unread / READ_TOKENS_PER_SECOND
+        backlog = self._backlog(state)
+        cost = UNREAD_WEIGHT * reading + backlog
+        hot = backlog - self._mean_backlog - HOT_SHARE * call.route.target
+        cost += HOT_WEIGHT * max(0.0, hot)
         cost += RUNNING_COST * (state.own + self._others(state, now))
         if state.record.data_centre != self._data_centre:
             cost += OTHER_CENTRE_SECONDS
