--- a/models/__main__.py
+++ b/models/__main__.py
@@ -13,7 +13,7 @@
 
 from minicheck import Protocol, check_liveness, check_safety
 
-from models import claim, lease, manifest
+from models import claim, following, lease, manifest
 
 MAX_STATES = 500_000
 
@@ -24,6 +24,7 @@
         (claim.build, claim.MISTAKES),
         (lease.build, lease.MISTAKES),
         (manifest.build, manifest.MISTAKES),
+        (following.build, following.MISTAKES),
     ]
     good = check_whole(lease.build("", engine_checks=False))
     for build, mistakes in specifications:
