--- a/damasklead/gateway/callers.py
+++ b/damasklead/gateway/callers.py
@@ -110,7 +110,9 @@
         self._handler = handler
         self._clock = clock
         self._stopping = stopping
-        self._http = h11.Connection(h11.SERVER)
+        self._http = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=handler.limits().head_bytes
+        )
         self._state = ConnectionState.IDLE
         self._idle_wait: Any = None
         self._half_closed = False
--- a/damasklead/gateway/directory.py
+++ b/damasklead/gateway/directory.py
@@ -19,6 +19,9 @@
 LAPSE_GRACE_SECONDS = 2.3
 # For so long after an outage a removal may be a lapse.
 LAPSE_DOUBT_SECONDS = 1.5
+# Versions of replicas that are gone are forgotten beyond so many: ids are new at each
+# start, and a process may run for months.
+MOST_VERSIONS = 10_000
 
 
 class ListedRow(msgspec.Struct, kw_only=True, frozen=True):
@@ -119,6 +122,10 @@
                 changes.extend(self._put(row.record))
         if changes:
             self._index()
+        if len(self._versions) > MOST_VERSIONS:
+            self._versions = {
+                item: self._versions.get(item, 0) for item in self._records
+            }
         return changes
 
     def mark_left(self, instance: InstanceId) -> bool:
--- a/damasklead/gateway/upstream_http.py
+++ b/damasklead/gateway/upstream_http.py
@@ -6,6 +6,7 @@
 parser is h11's, on gevent's sockets.
 """
 
+import contextlib
 from collections import deque
 from collections.abc import Sequence
 
@@ -225,10 +226,8 @@
 
     def _send_beside(self, data: bytes) -> None:
         # A failure shows on the reading side, which may still hold an early answer.
-        try:
+        with contextlib.suppress(OSError):
             self._socket.sendall(data)
-        except OSError:
-            self._unsent = True
 
 
 class ConnectionPool:
--- a/damasklead/platform/headers.py
+++ b/damasklead/platform/headers.py
@@ -39,7 +39,6 @@
 SIGNATURE = b"response-signature"
 NOT_RUN = b"not-executed"
 LOAD = b"backend-load"
-RETRY_AFTER = b"retry-after"
 
 MOST_URGENT, LEAST_URGENT = 0, 9
 MISPLACED_STATUS = 421
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -18,7 +18,11 @@
     UpstreamState,
 )
 from damasklead.gateway.dialect import Changes, Feed, FeedError, FeedFault
-from damasklead.gateway.directory import ListedRow, UpstreamDirectory
+from damasklead.gateway.directory import (
+    MOST_VERSIONS,
+    ListedRow,
+    UpstreamDirectory,
+)
 from damasklead.gateway.events import EventSplitter
 from damasklead.gateway.following import ConfigurationFollower, UpstreamFollower
 from damasklead.gateway.journal import MAX_LINES, Journal
@@ -128,6 +132,15 @@
         directory.apply(rows, whole=True)
         assert names(directory) == ["b"]
 
+    def test_replicas_that_are_gone_are_forgotten_in_the_end(self) -> None:
+        directory = UpstreamDirectory(clock=ManualClock())
+        directory.apply([row("a", 1)], whole=True)
+        for number in range(MOST_VERSIONS + 10):
+            directory.apply([row(f"x{number}", 2 * number + 2)], whole=False)
+            directory.apply([gone(f"x{number}", 2 * number + 3)], whole=False)
+        assert len(directory._versions) <= MOST_VERSIONS + 1
+        assert names(directory) == ["a"]
+
     def test_a_replica_whose_address_another_one_has_gets_no_work(self) -> None:
         directory = UpstreamDirectory(clock=ManualClock())
         directory.apply([row("a", 1)], whole=True)
