--- a/damasklead/gateway/placements/engine.py
+++ b/damasklead/gateway/placements/engine.py
@@ -97,8 +97,7 @@
         self._tight_gap = gaps[0] if apart else None
         self._last_tier = max((item.tier for item in routes), default=0)
         self._least_target = min(
-            (item.target for item in routes if item.event_gap != self._tight_gap),
-            default=0.0,
+            (item.target for item in routes if not self._is_tight(item)), default=0.0
         )
         self._arrange()
 
@@ -120,20 +119,24 @@
         Tell whether a request is sent at once: all but the least urgent routes' are,
         whatever their workspace's tier, so that none starves behind longer prompts.
         """
-        tight = bool(self._tight) and call.route.event_gap == self._tight_gap
+        tight = bool(self._tight) and self._is_tight(call.route)
         return tight or call.route.tier < self._last_tier
 
-    def _backlog(self, state: ReplicaState) -> float:
-        """Return the seconds that an engine needs to read what was sent to it."""
-        _, unread = self._peers.at(state.record.instance)
-        return (state.unread_tokens + unread) / READ_TOKENS_PER_SECOND
-
     def heard(self, instance: InstanceId, hint: LoadHint | None) -> None:
         """Take in the head of an answer; the kept engines follow their load."""
         super().heard(instance, hint)
         if instance in self._tight:
             self._resize()
 
+    def _is_tight(self, route: Route) -> bool:
+        """Tell whether a route's streams are to be kept apart."""
+        return self._tight_gap is not None and route.event_gap == self._tight_gap
+
+    def _backlog(self, state: ReplicaState) -> float:
+        """Return the seconds that an engine needs to read what was sent to it."""
+        _, unread = self._peers.at(state.record.instance)
+        return (state.unread_tokens + unread) / READ_TOKENS_PER_SECOND
+
     def _resize(self) -> None:
         """Keep more or fewer engines apart, as the load of those kept asks."""
         engine = self._service.engine
@@ -176,7 +179,7 @@
         self._mean_backlog = sum(backlogs) / len(backlogs) if backlogs else 0.0
         if not self._tight:
             return candidates
-        tight = call.route.event_gap == self._tight_gap
+        tight = self._is_tight(call.route)
         own = [
             state
             for state in candidates
@@ -203,7 +206,7 @@
 
     def _home(self, key: str, call: Call) -> InstanceId | None:
         """Return the replica that all gateways choose for a part."""
-        tight = call.route.event_gap == self._tight_gap
+        tight = self._is_tight(call.route)
         group = [
             item for item in self._usable if (item in self._tight) is tight
         ] or self._usable
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -483,6 +483,16 @@
         assert not placement.is_urgent(make_call("r", review, tokens=1800))
         assert not placement.has_room(make_call("r", review, tokens=1800))
 
+    def test_routes_without_an_allowed_pause_wait_for_room_like_others(self) -> None:
+        plain = msgspec.structs.replace(REVIEW, event_gap=None, target=1.0)
+        placement = self.placement()
+        placement.configure(placement.service, [plain])
+        assert not placement.tight
+        for instance in placement.usable:
+            share = ReplicaShare(replica_key(instance), 1, 100)
+            self.peers.take(LoadMessage(f"g-{instance}", 1, 1, [share]))
+        assert placement.has_room(make_call("r", plain, tokens=1800))
+
 
 class TestPeerLoads:
     def test_the_newest_message_of_each_peer_counts(self) -> None:
