--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,7 @@
 bench: $(VENV)/.installed
 	$(RUN) -m bench.policy
 	$(RUN) -m bench.datapath
+	$(RUN) -m bench.gatewaypath
 	$(RUN) -m bench.processes
 	$(RUN) -m bench.store
 	$(RUN) -m bench.slopes
