--- a/damasklead/gateway/attempts.py
+++ b/damasklead/gateway/attempts.py
@@ -167,7 +167,7 @@
             SendPlan(
                 instance=record.instance,
                 seconds_left=call.deadline - self._parts.clock.now(),
-                urgency=call.tier,
+                urgency=call.urgency,
                 resume_after=self._last_event,
             ),
         )
--- a/damasklead/gateway/calls.py
+++ b/damasklead/gateway/calls.py
@@ -31,6 +31,8 @@
 LEAST_STREAM_PATIENCE = 2.0
 TARGETS_OF_PATIENCE = 4.0
 GAPS_OF_PATIENCE = 8.0
+# Ranks that routes have within a workspace's tier.
+ROUTE_TIERS = 3
 
 
 class PromptPart(msgspec.Struct, frozen=True):
@@ -99,6 +101,16 @@
     tier: int
     body: bytes = b""
 
+    @property
+    def urgency(self) -> int:
+        """
+        Rank at an engine; 0 goes first.
+
+        The workspace's tier goes before the route's; among requests with the same one
+        the route's decides, so that short targets don't wait behind long prompts.
+        """
+        return self.tier * ROUTE_TIERS + min(self.route.tier, ROUTE_TIERS - 1)
+
     @property
     def due(self) -> float:
         """
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -323,6 +323,17 @@
 CHAT, REVIEW = stream_route("chat", 0.15), stream_route("review", 0.6)
 
 
+@pytest.mark.parametrize(
+    ("tier", "route_tier", "urgency"), [(0, 0, 0), (0, 2, 2), (1, 1, 4), (1, 7, 5)]
+)
+def test_a_workspaces_tier_goes_first_and_then_the_routes(
+    tier: int, route_tier: int, urgency: int
+) -> None:
+    call = make_call("q", msgspec.structs.replace(CHAT, tier=route_tier))
+    call.tier = tier
+    assert call.urgency == urgency
+
+
 class TestPlainPlacement:
     def placement(self, *records: UpstreamRecord) -> PlainPlacement:
         self.clock = ManualClock()
