--- a/damasklead/daemon/callers.py
+++ b/damasklead/daemon/callers.py
@@ -23,8 +23,9 @@
     ServiceKind,
     Workspace,
 )
-from damasklead.daemon.entry import Entry, Pool
+from damasklead.daemon.entry import Entry
 from damasklead.daemon.exchange import Exchange, Head, digest_body
+from damasklead.daemon.pools import Pool
 from damasklead.ids import AttemptId, Fingerprint, RequestId, ServiceName
 from damasklead.problems import Problem
 from damasklead.requests import Outcome, Request
--- a/damasklead/daemon/dutytask.py
+++ b/damasklead/daemon/dutytask.py
@@ -13,7 +13,8 @@
 
 from damasklead.audit import AuditEvent
 from damasklead.claims import CLAIMS_TABLE
-from damasklead.daemon.entry import Entry, Pool
+from damasklead.daemon.entry import Entry
+from damasklead.daemon.pools import Pool
 from damasklead.duties import (
     GENERATION_SECONDS,
     LoadOrder,
--- a/damasklead/daemon/entry.py
+++ b/damasklead/daemon/entry.py
@@ -10,14 +10,14 @@
 from collections.abc import Iterable
 
 import gevent
-import msgspec
 
 from damasklead import logs
 from damasklead.audit import AuditBuffer, AuditEvent
 from damasklead.configuration import PoolScope, Service, ServiceKind
 from damasklead.daemon.claimkeeper import ClaimKeeper
-from damasklead.daemon.exchange import Exchange
+from damasklead.daemon.exchange import Exchange, ExchangeHost
 from damasklead.daemon.metrics import Metrics
+from damasklead.daemon.pools import Pool
 from damasklead.dispatching import PoolDispatcher
 from damasklead.gossip import GossipBuffer
 from damasklead.ids import (
@@ -59,10 +59,10 @@
 from damasklead.sharing import choose_coordinators, share_interval
 from damasklead.stores import Platform
 from damasklead.stores.base import Put
-from damasklead.upstreams import UPSTREAMS, ConnectionPool, Upstream, UpstreamError
+from damasklead.upstreams import UPSTREAMS, ConnectionPool, UpstreamError
 from damasklead.util import new_id, stable_hash
 
-__all__ = ["ENTRY_SERVICE", "Entry", "Pool"]
+__all__ = ["ENTRY_SERVICE", "Entry"]
 
 ENTRY_SERVICE = ServiceName("damasklead")
 
@@ -71,24 +71,7 @@
 SILENT_SECONDS = 60.0  # for which it is passed over unless it is heard
 
 
-class Pool(msgspec.Struct, kw_only=True):
-    """
-    A service's upstreams with the dispatcher of this entry for them.
-
-    Attributes
-    ----------
-    granted_at : float
-        Clock reading when the pool last had a grant or a new coordinator.
-    """
-
-    service: Service
-    dispatcher: PoolDispatcher
-    upstream: Upstream
-    coordinator: InstanceId | None = None
-    granted_at: float = 0.0
-
-
-class Entry:
+class Entry(ExchangeHost):
     """
     The state that the tasks and listeners of one process share.
 
--- a/damasklead/daemon/exchange.py
+++ b/damasklead/daemon/exchange.py
@@ -7,8 +7,9 @@
 """
 
 import hashlib
+from abc import ABC, abstractmethod
 from collections.abc import Generator, Iterator
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import gevent
 import msgspec
@@ -25,8 +26,12 @@
     StoreDown,
     acquire,
 )
-from damasklead.ids import AttemptId
+from damasklead.daemon.claimkeeper import ClaimKeeper
+from damasklead.daemon.pools import Pool
+from damasklead.ids import AttemptId, InstanceId
+from damasklead.loop import LoopClock
 from damasklead.problems import Problem, problem_for
+from damasklead.protocol import Steps, T
 from damasklead.requests import (
     Action,
     Cancel,
@@ -37,13 +42,11 @@
     Request,
     Start,
 )
+from damasklead.settings import Settings
 from damasklead.upstreams import Answer, OutgoingCall, UpstreamError
 from damasklead.upstreams.engine import EngineUpstream, continuation_body
 
-if TYPE_CHECKING:
-    from damasklead.daemon.entry import Entry, Pool
-
-__all__ = ["Exchange", "Head"]
+__all__ = ["Exchange", "ExchangeHost", "Head"]
 
 EVENT_END = b"\n\n"
 DONE_EVENT = b"data: [DONE]\n\n"
@@ -80,13 +83,65 @@
 Piece = Head | bytes | Problem
 
 
+class ExchangeHost(ABC):
+    """
+    What an exchange asks of the entry that it belongs to.
+
+    Attributes
+    ----------
+    clock : LoopClock
+    settings : Settings
+    claims : ClaimKeeper
+    """
+
+    clock: LoopClock
+    settings: Settings
+    claims: ClaimKeeper
+
+    @abstractmethod
+    def submit(self, pool: Pool, exchange: "Exchange") -> None:
+        """Let the pool's dispatcher take in an exchange's request."""
+
+    @abstractmethod
+    def forget(self, pool: Pool, exchange: "Exchange", *, finished: bool) -> None:
+        """Drop an exchange whose caller has its final answer or has gone."""
+
+    @abstractmethod
+    def withdraw(self, pool: Pool, exchange: "Exchange") -> None:
+        """Take a request back whose attempt is not to be sent."""
+
+    @abstractmethod
+    def cancel_attempt(self, pool: Pool, cancel: Cancel) -> None:
+        """Tell an upstream that an attempt's answer is not wanted any more."""
+
+    @abstractmethod
+    def attempt_failed(self, pool: Pool, start: Start, error: UpstreamError) -> None:
+        """Take in that an attempt failed."""
+
+    @abstractmethod
+    def attempt_finished(self, pool: Pool, exchange: "Exchange", start: Start) -> None:
+        """Take in that an attempt's answer is whole."""
+
+    @abstractmethod
+    def first_event(self, exchange: "Exchange") -> None:
+        """Count the time to a request's first event."""
+
+    @abstractmethod
+    def address_of(self, instance: InstanceId) -> str | None:
+        """Return an instance's address."""
+
+    @abstractmethod
+    def run_protocol(self, steps: Steps[T]) -> T:
+        """Drive a protocol against the platform."""
+
+
 class Exchange:
     """
     A request with its caller on one side and its attempts on the other.
 
     Parameters
     ----------
-    entry : Entry
+    entry : ExchangeHost
     pool : Pool
         Where the request goes.
     request : Request
@@ -103,8 +158,8 @@
     def __init__(
         self,
         *,
-        entry: "Entry",
-        pool: "Pool",
+        entry: "ExchangeHost",
+        pool: Pool,
         request: Request,
         call: OutgoingCall,
         stream: bool,
--- a/damasklead/daemon/sharetasks.py
+++ b/damasklead/daemon/sharetasks.py
@@ -12,8 +12,9 @@
 import msgspec
 
 from damasklead.configuration import Service
-from damasklead.daemon.entry import Entry, Pool
+from damasklead.daemon.entry import Entry
 from damasklead.daemon.peers import Peers
+from damasklead.daemon.pools import Pool
 from damasklead.membership import Member
 from damasklead.sharing import Coordinator, share_interval
 from damasklead.upstreams import UpstreamError
--- a/tests/test_package.py
+++ b/tests/test_package.py
@@ -52,3 +52,49 @@
         ]
         done = subprocess.run([*command, *entries], capture_output=True, text=True)
         assert done.returncode == 0, done.stdout
+
+
+def test_no_two_modules_import_each_other() -> None:
+    modules = {
+        ".".join(("damasklead", *path.relative_to(PACKAGE).with_suffix("").parts)): path
+        for path in PACKAGE.rglob("*.py")
+    }
+    imports: dict[str, set[str]] = {}
+    for name, path in modules.items():
+        found: set[str] = set()
+        for node in ast.walk(ast.parse(path.read_text())):
+            if isinstance(node, ast.ImportFrom) and node.module:
+                found.add(node.module)
+                found |= {f"{node.module}.{alias.name}" for alias in node.names}
+        imports[name] = found & modules.keys()
+    mutual = [
+        (name, other)
+        for name, others in imports.items()
+        for other in others
+        if name < other and name in imports[other]
+    ]
+    assert mutual == []
+
+
+GATEWAY_DECISIONS = (
+    "admission", "budget", "calls", "directory", "events", "peerload", "reading",
+    "refusals", "replicastate", "routing", "placements/base", "placements/engine",
+    "placements/plain",
+)  # fmt: skip
+
+
+@pytest.mark.parametrize("module", GATEWAY_DECISIONS)
+def test_decisions_of_the_gateway_import_neither_io_nor_clocks(module: str) -> None:
+    tree = ast.parse((PACKAGE / "gateway" / f"{module}.py").read_text())
+    imported = {
+        name.split(".")[0]
+        for node in ast.walk(tree)
+        for name in (
+            [alias.name for alias in node.names]
+            if isinstance(node, ast.Import)
+            else [node.module or ""]
+            if isinstance(node, ast.ImportFrom)
+            else []
+        )
+    }
+    assert not imported & (FORBIDDEN | {"h11"})
