Wait until every connection has ended before a stopping gateway does

Ruled out: the time limit, and the wait for a first byte (mended before). Now nothing must be open for two polls.

--- a/damasklead/gateway/listeners.py
+++ b/damasklead/gateway/listeners.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable
 
+import gevent
 import msgspec
 from gevent import socket
 from gevent.server import StreamServer
@@ -14,7 +15,6 @@
 from damasklead.clock import Clock
 from damasklead.gateway.callers import (
     CallerConnection,
-    ConnectionState,
     RawRequest,
     RequestHandler,
 )
@@ -26,6 +26,9 @@
 
 # New connections that wait for the loop; more are opened again a second later.
 BACKLOG = 2048
+POLL_SECONDS = 0.05
+# Polls without an open connection after which none is to come any more.
+QUIET_POLLS = 2
 
 
 class Listener:
@@ -58,9 +61,9 @@
         self._connections: set[CallerConnection] = set()
 
     @property
-    def busy(self) -> int:
-        """Connections on which a request is being read or answered."""
-        return sum(item.state is not ConnectionState.IDLE for item in self._connections)
+    def open(self) -> int:
+        """Connections that have not ended."""
+        return len(self._connections)
 
     def start(self) -> None:
         """Listen."""
@@ -75,6 +78,26 @@
         if server is not None:
             server.stop(timeout=0)
 
+    def drain(self, *, seconds: float) -> None:
+        """
+        Take no further connections, and wait until those that are open have ended.
+
+        One that was just accepted, or whose request has just arrived, looks idle for a
+        moment, so the end counts only when nothing has been open for some polls.
+
+        Parameters
+        ----------
+        seconds : float
+            The longest time to wait.
+        """
+        self.stop()
+        deadline = self._clock.now() + seconds
+        quiet = 0
+        while quiet < QUIET_POLLS and self._clock.now() < deadline:
+            self.close_idle()
+            gevent.sleep(POLL_SECONDS)
+            quiet = 0 if self._connections else quiet + 1
+
     def close_idle(self) -> None:
         """Close the connections on which no request is under way."""
         for connection in list(self._connections):
--- a/damasklead/gateway/process.py
+++ b/damasklead/gateway/process.py
@@ -49,7 +49,6 @@
 UNROUTED_SECONDS = 2.4
 # Kept before the process is killed, to close what is left in order.
 STOP_MARGIN_SECONDS = 0.4
-POLL_SECONDS = 0.05
 
 
 class GatewayProcess:
@@ -176,13 +175,10 @@
         self._journal.event("stopping", requests=self._forwarder.active)
         deadline = began + self._settings.bounds.stop_seconds - STOP_MARGIN_SECONDS
         gevent.sleep(UNROUTED_SECONDS)
-        self._callers.close_idle()
-        self._callers.stop()
-        while self._callers.busy and self._clock.now() < deadline:
-            gevent.sleep(POLL_SECONDS)
+        self._callers.drain(seconds=deadline - self._clock.now())
         self._journal.event(
             "stopped",
-            cut_off=self._callers.busy,
+            cut_off=self._callers.open,
             seconds=self._clock.now() - began,
         )
         self._tree.stop()
--- a/tests/test_gateway_callers.py
+++ b/tests/test_gateway_callers.py
@@ -161,6 +161,27 @@
         assert read_all(caller) == b""
 
 
+@pytest.mark.parametrize("turns", range(8))
+def test_a_request_that_arrives_as_the_process_stops_is_answered_or_never_read(
+    world: World, turns: int
+) -> None:
+    """A connection that was just accepted looked idle, and the process ended."""
+    callers = [world.connect() for _ in range(3)]
+    for number, caller in enumerate(callers):
+        caller.sendall(
+            request("/order/slow", method="POST", body="x", attempt=f"a{number}")
+        )
+    for _ in range(turns):
+        gevent.sleep(0)
+    world.stopping = True
+    world.listener.drain(seconds=3.0)
+    assert world.forwarder.active == 0 and world.listener.open == 0
+    answered = sum(b"for a" in read_all(caller) for caller in callers)
+    assert answered == len(world.replicas[0].requests)
+    for caller in callers:
+        caller.close()
+
+
 def test_a_caller_that_expects_leave_to_send_gets_it(world: World) -> None:
     with world.connect() as caller:
         caller.sendall(
