Count no request at a replica after its end; cap pauses; remember homes

Found on rereading. A request whose caller left, or whose time ended, while it was connecting stayed counted at its replica for good, which then looked silent to this gateway ever after. A replica that failed 1,075 times in a row overflowed its pause. A prompt's home was hashed over all replicas for each candidate of each choice; it is remembered until replicas change. An unused look-up and an unused field are gone.

--- a/damasklead/gateway/attempts.py
+++ b/damasklead/gateway/attempts.py
@@ -134,8 +134,6 @@
 
     def out_of_time(self) -> Refusal | None:
         """Return the final answer of a request whose time is over."""
-        if self._sent:
-            self._placement.withdrawn(self.replica, self._call)
         if not self.may_have_run:
             return Refusal(reason=Reason.TOO_LATE, detail="not sent in time")
         return self._give_up(Reason.TIMED_OUT, "no whole answer in time")
@@ -145,7 +143,8 @@
         upstream, self._upstream = self._upstream, None
         if upstream is not None:
             upstream.close()
-            self._placement.withdrawn(self.replica, self._call)
+        # Also a request that ended while it was connecting was counted there.
+        self._placement.withdrawn(self.replica, self._call)
 
     def _offer(self, record: UpstreamRecord) -> None:
         """Send the request to a replica and relay its answer."""
--- a/damasklead/gateway/directory.py
+++ b/damasklead/gateway/directory.py
@@ -75,10 +75,6 @@
         """Return the replicas of a service that may take new work."""
         return self._by_service.get(service, [])
 
-    def get(self, instance: InstanceId) -> UpstreamRecord | None:
-        """Return a listed replica, also one that leaves."""
-        return self._records.get(instance)
-
     def list_lost(self) -> bool:
         """Take in that the list can't be read; returns whether that is new."""
         news, self._down = not self._down, True
--- a/damasklead/gateway/placements/engine.py
+++ b/damasklead/gateway/placements/engine.py
@@ -39,6 +39,9 @@
 # Probability that a part is cached at its home replica though this gateway has not
 # sent it there.
 HOME_CACHED = 0.8
+# Homes remembered between two changes of the replicas: each is asked for once for
+# every candidate of every choice.
+MOST_HOMES = 10_000
 # Least share of engines kept for the streams with the shortest allowed pause.
 TIGHT_SHARE = 0.22
 # Largest one: the other classes must make progress.
@@ -80,6 +83,7 @@
         self._least_target = 0.0
         self._tight_gap: float | None = None
         self._tight: frozenset[InstanceId] = frozenset()
+        self._homes: dict[tuple[str, bool], InstanceId | None] = {}
         self._extra = 0
         self._resized_at = clock.now()
 
@@ -162,6 +166,7 @@
         self._arrange()
 
     def _arrange(self) -> None:
+        self._homes.clear()
         least = max(1, int(TIGHT_SHARE * len(self._usable) + 0.5))
         count = least + self._extra
         if self._tight_gap is None or len(self._usable) <= count:
@@ -207,10 +212,16 @@
     def _home(self, key: str, call: Call) -> InstanceId | None:
         """Return the replica that all gateways choose for a part."""
         tight = self._is_tight(call.route)
-        group = [
-            item for item in self._usable if (item in self._tight) is tight
-        ] or self._usable
-        return max(group, key=lambda item: stable_hash(key, item), default=None)
+        if (key, tight) not in self._homes:
+            if len(self._homes) >= MOST_HOMES:
+                self._homes.clear()
+            group = [
+                item for item in self._usable if (item in self._tight) is tight
+            ] or self._usable
+            self._homes[key, tight] = max(
+                group, key=lambda item: stable_hash(key, item), default=None
+            )
+        return self._homes[key, tight]
 
     def _cost(self, state: ReplicaState, call: Call, now: float) -> float:
         unread = self._expected_unread(state, call)
--- a/damasklead/gateway/replicastate.py
+++ b/damasklead/gateway/replicastate.py
@@ -70,7 +70,6 @@
 
     at: float
     unread_tokens: int
-    event_gap: float | None
     events: int = 0
 
 
@@ -97,7 +96,7 @@
         self._hint: LoadHint | None = None
         self._hint_at = 0.0
         self._heard_at = 0.0
-        self._failures_in_row = 0
+        self._pause = 0.0
         self._failure_rate = 0.0
 
     @property
@@ -120,7 +119,7 @@
         if record.incarnation != self.record.incarnation:
             self.parts.clear()
             self.avoid_until = 0.0
-            self._failures_in_row = 0
+            self._pause = 0.0
             self._failure_rate = 0.0
             self._hint = None
         self.record = record
@@ -128,9 +127,7 @@
     def sent(self, call: Call, *, unread_tokens: int, now: float) -> None:
         """Count a request that is being sent."""
         self.ended(call)
-        self._sent[call.id] = _Sent(
-            at=now, unread_tokens=unread_tokens, event_gap=call.route.event_gap
-        )
+        self._sent[call.id] = _Sent(at=now, unread_tokens=unread_tokens)
         self._unread += unread_tokens
         for part in call.head.prompt:
             self.parts.add(part.key, part.tokens)
@@ -158,7 +155,7 @@
 
     def succeeded(self) -> None:
         """Take in a whole answer."""
-        self._failures_in_row = 0
+        self._pause = 0.0
         self.avoid_until = 0.0
         self._failure_rate *= 1 - FAILURE_RATE_WEIGHT
 
@@ -168,9 +165,8 @@
             self.avoid_until = max(self.avoid_until, now + FULL_AVOID_SECONDS)
             return
         self._failure_rate += FAILURE_RATE_WEIGHT * (1 - self._failure_rate)
-        self._failures_in_row += 1
-        pause = AVOID_SECONDS * 2 ** (self._failures_in_row - 1)
-        self.avoid_until = now + min(pause, MAX_AVOID_SECONDS)
+        self._pause = min(2 * self._pause or AVOID_SECONDS, MAX_AVOID_SECONDS)
+        self.avoid_until = now + self._pause
 
     def others(self, now: float) -> float:
         """Estimate the requests of other gateways that run or wait there."""
--- a/tests/gatewaykit.py
+++ b/tests/gatewaykit.py
@@ -165,7 +165,12 @@
 class World:
     """A forwarder behind a listener, with scripted replicas."""
 
-    def __init__(self, replicas: Sequence[ScriptedReplica]) -> None:
+    def __init__(
+        self,
+        replicas: Sequence[ScriptedReplica],
+        *,
+        connections: ConnectionPool | None = None,
+    ) -> None:
         self.clock = LoopClock()
         self.replicas = list(replicas)
         self.table: RoutingTable | None = make_table()
@@ -186,7 +191,7 @@
             parts=RunParts(
                 dialect=PlatformDialect(),
                 clock=self.clock,
-                connections=ConnectionPool(clock=self.clock),
+                connections=connections or ConnectionPool(clock=self.clock),
                 budget=self.budget,
                 gate=Gate(clock=self.clock),
                 journal=self.journal,
--- a/tests/test_gateway_callers.py
+++ b/tests/test_gateway_callers.py
@@ -9,6 +9,8 @@
 import pytest
 from gevent import socket
 
+from damasklead.gateway.upstream_http import Connection, ConnectionPool
+from damasklead.loop import LoopClock
 from tests.gatewaykit import (
     ScriptedReplica,
     World,
@@ -120,6 +122,31 @@
     assert len(world.lines("caller-gone")) == 1
 
 
+class NeverConnecting(ConnectionPool):
+    """Opens connections for longer than any caller waits."""
+
+    def take(self, address: str) -> Connection:
+        gevent.sleep(60)
+        raise AssertionError("nobody waits so long")
+
+
+@pytest.mark.parametrize("end", ["caller leaves", "time is over"])
+def test_a_request_that_ends_while_it_connects_is_counted_no_more(end: str) -> None:
+    """It was counted for good, and the replica looked silent ever after."""
+    made = World(
+        [ScriptedReplica("r0", serve)],
+        connections=NeverConnecting(clock=LoopClock()),
+    )
+    with made.connect() as caller:
+        caller.sendall(request("/read/1"))
+        wait_until(lambda: made.forwarder.active == 1)
+        if end == "time is over":
+            assert read_answer(caller, b"too-late").startswith(b"HTTP/1.1 503")
+    wait_until(lambda: made.forwarder.active == 0)
+    assert [own for _, own, _ in made.placement.loads()] == [0]
+    made.stop()
+
+
 def test_an_order_goes_on_when_its_caller_half_closes(world: World) -> None:
     with world.connect() as caller:
         caller.sendall(request("/order/slow", method="POST", body="x"))
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -368,6 +368,15 @@
         found = [placement.choose(make_call(f"r{n}", IDEMPOTENT)) for n in range(9)]
         assert {item.instance for item in found if item} == {"b"}
 
+    def test_a_replica_that_fails_for_very_long_is_still_counted(self) -> None:
+        placement = self.placement(record("a"))
+        for _ in range(1200):
+            placement.failed(
+                InstanceId("a"), make_call("q", IDEMPOTENT), Failure.BROKEN
+            )
+        self.clock.advance(5.0)
+        assert placement.choose(make_call("r", IDEMPOTENT)) is not None
+
     def test_a_silent_replica_is_avoided(self) -> None:
         placement = self.placement(record("a"), record("b"))
         for number in range(4):
