--- a/tests/gatewaykit.py
+++ b/tests/gatewaykit.py
@@ -201,7 +201,7 @@
             table=lambda: self.table,
             metrics=GatewayMetrics(),
         )
-        self._port = free_port()
+        (self._port,) = free_ports(1)
         self.listener = Listener(
             address=f"127.0.0.1:{self._port}",
             handler=self.forwarder,
@@ -268,8 +268,17 @@
             gevent.sleep(0.005)
 
 
-def free_port() -> int:
-    """Return a port of the loopback address that nobody listens on."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+def free_ports(count: int) -> list[int]:
+    """
+    Return different ports of the loopback address that nobody listens on.
+
+    All are held until the last is found: the system may give the same one twice.
+    """
+    probes = [socket.socket() for _ in range(count)]
+    try:
+        for probe in probes:
+            probe.bind(("127.0.0.1", 0))
+        return [probe.getsockname()[1] for probe in probes]
+    finally:
+        for probe in probes:
+            probe.close()
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -23,7 +23,7 @@
     answer,
     chunk,
     event,
-    free_port,
+    free_ports,
     read_all,
     request,
     stream_head,
@@ -53,9 +53,8 @@
         self.replicas = [ScriptedReplica(name, serve) for name in ("r0", "r1")]
         self.settings_file = folder / "settings.json"
         self.log_file = folder / "log"
-        self._ports = {
-            name: free_port() for name in ("callers", "ready", "operators", "peers")
-        }
+        names = ("callers", "ready", "operators", "peers")
+        self._ports = dict(zip(names, free_ports(len(names)), strict=True))
         self.write_settings()
         self._process: subprocess.Popen | None = None
 
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -306,8 +306,14 @@
         return found
 
     deployment.until(lambda: len(loaded()) == 2, seconds=60.0)
-    trail = deployment.command("audit", "--action", "load-model").stdout
-    assert trail.count("ordered, fencing 1") == 2
+
+    def orders() -> int:
+        trail = deployment.command("audit", "--action", "load-model").stdout
+        return trail.count("ordered, fencing 1")
+
+    # The trail is stored by a task of its own, a little after the loads themselves.
+    deployment.until(lambda: orders() >= 2, seconds=20.0)
+    assert orders() == 2
     caller = deployment.caller("skippers")
     received = results([gevent.spawn(ask, caller, number) for number in range(10)])
     assert all(item.verdict is Verdict.WHOLE for item in received)
