--- a/damasklead/gateway/callers.py
+++ b/damasklead/gateway/callers.py
@@ -202,7 +202,8 @@
         try:
             self._handler.handle(request, self)
         finally:
-            watcher.kill(block=False)
+            # Waits for its end: only one greenlet may read from a socket.
+            watcher.kill()
         return self._next_cycle()
 
     def _next_cycle(self) -> bool:
--- a/damasklead/gateway/journal.py
+++ b/damasklead/gateway/journal.py
@@ -41,6 +41,11 @@
         self._dropped = 0
         self._lost = 0
 
+    @property
+    def pending(self) -> list[str]:
+        """The lines that are not written yet."""
+        return list(self._lines)
+
     @property
     def dropped(self) -> int:
         """How many lines were dropped since the start."""
--- /dev/null
+++ b/tests/platformstandin.py
@@ -0,0 +1,124 @@
+"""
+Stand-in of the platform's store
+================================
+
+Serves the rows of the operators' and the replicas' tables, with feeds, from memory.
+"""
+
+import base64
+import json
+from urllib.parse import parse_qs, urlsplit
+
+import gevent
+from gevent import socket
+from gevent.event import Event
+from gevent.server import StreamServer
+
+from tests.gatewaykit import KEY, read_request
+
+HOST = "ice.example"
+SERVICE = "shop"
+
+
+def configuration(version: int, *, prefix: str = "/order/", timeout: int = 800) -> dict:
+    """Return a configuration with an order route, a read route and a stream."""
+
+    def route(name: str, path: str, kind: str, **more: object) -> dict:
+        return {
+            "name": name, "host": HOST, "prefix": path, "type": kind,
+            "timeout_ms": timeout, "slo_ms": 100, "priority": 1, "service": SERVICE,
+            "max_attempts": 1, "public": False, **more,
+        }  # fmt: skip
+
+    return {
+        "version": version,
+        "routes": [
+            route("order", prefix, "non_idempotent"),
+            route("read", "/read/", "idempotent", max_attempts=2),
+            route("chat", "/chat/", "streaming", timeout_ms=5000, itl_target_ms=200),
+        ],
+        "services": [{"name": SERVICE, "max_connections": 100}],
+        "limits": {"header_timeout_ms": 1000, "idle_timeout_ms": 5000},
+        "tenants": [{"name": "skippers", "api_keys": [KEY]}],
+    }
+
+
+def upstream(address: str, *, state: str = "ready", born: int = 1) -> dict:
+    """Return a replica's entry."""
+    return {
+        "service": SERVICE, "address": address, "zone": "hout", "version": "v1",
+        "slots": 6, "state": state, "warmup_left_ms": 0, "sequence": 1, "born": born,
+    }  # fmt: skip
+
+
+class StoreStandin:
+    """Two tables with feeds; ``refusing`` makes every call a 503."""
+
+    def __init__(self) -> None:
+        self.refusing = False
+        self.calls = 0
+        self._version = 1
+        self._rows: dict[tuple[str, str], dict] = {}
+        self._changed = Event()
+        self._server = StreamServer(("127.0.0.1", 0), self._serve)
+        self._server.start()
+
+    @property
+    def address(self) -> str:
+        """Where it listens."""
+        return f"127.0.0.1:{self._server.server_port}"
+
+    def put(self, table: str, key: str, content: dict) -> None:
+        """Write a row."""
+        data = base64.b64encode(json.dumps(content).encode()).decode()
+        self._write(table, key, {"data": data})
+
+    def drop(self, table: str, key: str) -> None:
+        """Remove a row."""
+        self._write(table, key, {"deleted": True})
+
+    def stop(self) -> None:
+        """Listen no more."""
+        self._server.stop(timeout=0)
+
+    def _write(self, table: str, key: str, content: dict) -> None:
+        self._version += 1
+        row = {"table": table, "part": "", "key": key, "schema_version": self._version}
+        self._rows[table, key] = row | content
+        self._changed.set()
+        self._changed = Event()
+
+    def _serve(self, connection: socket.socket, _peer: object) -> None:
+        try:
+            while True:
+                line, _, _ = read_request(connection)
+                self.calls += 1
+                status, content = self._answer(line.split()[1])
+                body = json.dumps(content).encode()
+                head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n\r\n"
+                connection.sendall(head.encode() + body)
+        except (EOFError, OSError):
+            connection.close()
+
+    def _answer(self, target: str) -> tuple[int, dict]:
+        if self.refusing:
+            return 503, {}
+        parts = urlsplit(target)
+        query = {name: values[0] for name, values in parse_qs(parts.query).items()}
+        since = int(query.get("since_revision", 0))
+        rows = self._since(query["table"], since)
+        if not rows and parts.path.endswith("rows-feed"):
+            self._changed.wait(timeout=int(query["wait_ms"]) / 1000)
+            gevent.sleep(0)
+            rows = self._since(query["table"], since)
+        if not since:
+            rows = [row for row in rows if not row.get("deleted")]
+        return 200, {"rows": rows, "has_more": False, "schema_version": self._version}
+
+    def _since(self, table: str, version: int) -> list[dict]:
+        found = [
+            row
+            for (name, _), row in self._rows.items()
+            if name == table and row["schema_version"] > version
+        ]
+        return sorted(found, key=lambda row: row["schema_version"])
--- /dev/null
+++ b/tests/test_gateway_callers.py
@@ -0,0 +1,159 @@
+"""
+Tests of callers' connections
+=============================
+"""
+
+from collections.abc import Iterator
+
+import gevent
+import pytest
+from gevent import socket
+
+from tests.gatewaykit import (
+    ScriptedReplica,
+    World,
+    answer,
+    chunk,
+    event,
+    read_all,
+    request,
+    stream_head,
+    wait_until,
+)
+
+
+def serve(replica: ScriptedReplica, connection: socket.socket) -> None:
+    while True:
+        attempt = replica.next_request(connection)
+        if "/chat/slow" in replica.requests[-1][0]:
+            connection.sendall(stream_head(attempt) + chunk(event(1)))
+            connection.recv(1)
+            replica.closed_by_gateway += 1
+            return
+        if "/order/slow" in replica.requests[-1][0]:
+            gevent.sleep(0.2)
+        connection.sendall(answer(attempt, b"for " + attempt.encode()))
+
+
+@pytest.fixture
+def world() -> Iterator[World]:
+    made = World([ScriptedReplica("r0", serve)])
+    yield made
+    made.stop()
+
+
+def read_answer(connection: socket.socket, ending: bytes) -> bytes:
+    data = b""
+    while not data.endswith(ending):
+        more = connection.recv(65536)
+        assert more, "the connection ended"
+        data += more
+    return data
+
+
+def test_requests_in_a_row_on_one_connection(world: World) -> None:
+    with world.connect() as caller:
+        for name in ("a1", "a2", "a3"):
+            caller.sendall(request("/read/1", attempt=name))
+            assert read_answer(caller, b"for " + name.encode()).startswith(
+                b"HTTP/1.1 200"
+            )
+
+
+def test_requests_sent_ahead_are_answered_in_order(world: World) -> None:
+    with world.connect() as caller:
+        caller.sendall(
+            request("/order/slow", method="POST", body="x", attempt="a1")
+            + request("/read/1", attempt="a2", close=True)
+        )
+        said = read_all(caller)
+    assert said.index(b"for a1") < said.index(b"for a2")
+
+
+def test_a_request_in_pieces_and_in_chunks_arrives_whole(world: World) -> None:
+    with world.connect() as caller:
+        data = (
+            request(
+                "/order/1",
+                method="POST",
+                extra="Transfer-Encoding: chunked\r\n",
+                close=True,
+            )
+            + chunk(b"hello ")
+            + chunk(b"world")
+            + chunk(b"")
+        )
+        for start in range(0, len(data), 7):
+            caller.sendall(data[start : start + 7])
+            gevent.sleep(0.001)
+        assert read_all(caller).startswith(b"HTTP/1.1 200")
+    assert world.replicas[0].requests[0][2] == b"hello world"
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+        "Content-Length: 5\r\nContent-Length: 6\r\n",
+        "Transfer-Encoding: gzip, chunked\r\n",
+        "Host: other.example\r\n",
+        "Content-Length : 5\r\n",
+    ],
+)
+def test_requests_that_two_readers_see_differently_are_refused(
+    world: World, head: str
+) -> None:
+    hidden = "0\r\n\r\nGET /read/hidden HTTP/1.1\r\nHost: ice.example\r\n\r\n"
+    with world.connect() as caller:
+        caller.sendall(request("/order/1", method="POST", extra=head) + hidden.encode())
+        said = read_all(caller)
+    assert said[:10] in (b"HTTP/1.1 4", b"HTTP/1.1 5") and said.count(b"HTTP/1.1") == 1
+    assert not world.replicas[0].requests
+
+
+def test_a_stream_is_cancelled_when_its_caller_leaves(world: World) -> None:
+    with world.connect() as caller:
+        caller.sendall(request("/chat/slow", method="POST", body="x"))
+        read_answer(caller, b"piece 1\n\n\r\n")
+    wait_until(lambda: world.replicas[0].closed_by_gateway == 1)
+    wait_until(lambda: world.forwarder.active == 0)
+    assert len(world.lines("caller-gone")) == 1
+
+
+def test_an_order_goes_on_when_its_caller_half_closes(world: World) -> None:
+    with world.connect() as caller:
+        caller.sendall(request("/order/slow", method="POST", body="x"))
+        caller.shutdown(socket.SHUT_WR)
+        assert read_all(caller).endswith(b"for a1")
+
+
+def test_a_slow_head_is_refused_and_an_idle_connection_closed(world: World) -> None:
+    with world.connect() as caller:
+        caller.sendall(b"GET /read/1 HT")
+        assert read_all(caller).startswith(b"HTTP/1.1 408")
+    with world.connect() as caller:
+        assert read_all(caller) == b""
+
+
+def test_a_stopping_process_answers_and_invites_no_more(world: World) -> None:
+    with world.connect() as caller:
+        caller.sendall(request("/order/slow", method="POST", body="x"))
+        wait_until(lambda: world.forwarder.active == 1)
+        world.stopping = True
+        world.listener.close_idle()
+        said = read_all(caller)
+    assert b"connection: close" in said.lower() and said.endswith(b"for a1")
+
+
+def test_a_caller_that_expects_leave_to_send_gets_it(world: World) -> None:
+    with world.connect() as caller:
+        caller.sendall(
+            request(
+                "/order/1",
+                method="POST",
+                extra="Expect: 100-continue\r\nContent-Length: 2\r\n",
+            )
+        )
+        assert caller.recv(65536).startswith(b"HTTP/1.1 100")
+        caller.sendall(b"ok")
+        assert read_answer(caller, b"for a1").startswith(b"HTTP/1.1 200")
--- /dev/null
+++ b/tests/test_gateway_parts.py
@@ -0,0 +1,396 @@
+"""
+Tests of the gateway's decisions
+================================
+"""
+
+import pytest
+
+from damasklead.clock import ManualClock
+from damasklead.failures import Failure
+from damasklead.gateway.budget import SharedRetryBudget
+from damasklead.gateway.calls import (
+    Call,
+    CallHead,
+    LoadHint,
+    PromptPart,
+    UpstreamRecord,
+    UpstreamState,
+)
+from damasklead.gateway.dialect import Changes, Feed, FeedError, FeedFault
+from damasklead.gateway.directory import ListedRow, UpstreamDirectory
+from damasklead.gateway.events import EventSplitter
+from damasklead.gateway.following import ConfigurationFollower, UpstreamFollower
+from damasklead.gateway.journal import MAX_LINES, Journal
+from damasklead.gateway.placement import EnginePlacement, PlainPlacement
+from damasklead.gateway.routing import (
+    EngineSpec,
+    Route,
+    RouteKind,
+    RouteName,
+    ServiceSpec,
+)
+from damasklead.ids import AttemptId, DataCentre, InstanceId, ServiceName
+from tests.gatewaykit import IDEMPOTENT, SERVICE, make_table
+
+HERE = DataCentre("hout")
+
+
+def record(name: str, **changes: object) -> UpstreamRecord:
+    content: dict = {
+        "instance": InstanceId(name),
+        "service": SERVICE,
+        "address": "127.0.0.1:1",
+        "data_centre": HERE,
+        "state": UpstreamState.LIVE,
+        "incarnation": 1,
+    }
+    return UpstreamRecord(**(content | changes))
+
+
+def row(name: str, version: int, **changes: object) -> ListedRow:
+    return ListedRow(
+        instance=InstanceId(name), version=version, record=record(name, **changes)
+    )
+
+
+def gone(name: str, version: int) -> ListedRow:
+    return ListedRow(instance=InstanceId(name), version=version, record=None)
+
+
+def names(directory: UpstreamDirectory) -> list[str]:
+    return [item.instance for item in directory.usable(SERVICE)]
+
+
+class TestDirectory:
+    def test_leaving_and_removed_replicas_get_no_work(self) -> None:
+        directory = UpstreamDirectory(clock=ManualClock())
+        directory.apply([row("a", 1), row("b", 2), row("c", 3)], whole=True)
+        directory.apply([row("a", 4, state=UpstreamState.LEAVING)], whole=False)
+        directory.apply([gone("b", 5)], whole=False)
+        assert names(directory) == ["c"]
+
+    def test_leaving_is_final_until_the_replica_starts_again(self) -> None:
+        directory = UpstreamDirectory(clock=ManualClock())
+        directory.apply([row("a", 1, state=UpstreamState.LEAVING)], whole=True)
+        directory.apply([row("a", 2)], whole=False)
+        assert names(directory) == []
+        directory.apply([row("a", 3, incarnation=2)], whole=False)
+        assert names(directory) == ["a"]
+
+    def test_an_older_entry_does_not_replace_a_newer_one(self) -> None:
+        directory = UpstreamDirectory(clock=ManualClock())
+        directory.apply([row("a", 7, address="127.0.0.1:7")], whole=True)
+        directory.apply([row("a", 6, address="127.0.0.1:6")], whole=False)
+        assert directory.usable(SERVICE)[0].address == "127.0.0.1:7"
+
+    def test_entries_that_lapsed_in_an_outage_are_kept_until_they_may_be_back(
+        self,
+    ) -> None:
+        clock = ManualClock()
+        directory = UpstreamDirectory(clock=clock)
+        directory.apply([row("a", 1), row("b", 2)], whole=True)
+        directory.list_lost()
+        clock.advance(5.0)
+        directory.list_back()
+        directory.apply([gone("a", 3), gone("b", 4)], whole=False)
+        assert names(directory) == ["a", "b"]
+        clock.advance(1.0)
+        directory.apply([row("a", 5)], whole=False)
+        clock.advance(1.5)
+        directory.expire()
+        assert names(directory) == ["a"]
+
+    def test_a_removal_long_after_an_outage_counts_at_once(self) -> None:
+        clock = ManualClock()
+        directory = UpstreamDirectory(clock=clock)
+        directory.apply([row("a", 1), row("b", 2)], whole=True)
+        directory.list_lost()
+        directory.list_back()
+        clock.advance(3.0)
+        directory.apply([gone("a", 3)], whole=False)
+        assert names(directory) == ["b"]
+
+    def test_a_drain_during_an_outage_counts_at_once(self) -> None:
+        directory = UpstreamDirectory(clock=ManualClock())
+        directory.apply([row("a", 1), row("b", 2)], whole=True)
+        directory.list_lost()
+        directory.list_back()
+        rows = [row("a", 3, state=UpstreamState.LEAVING), row("b", 2)]
+        directory.apply(rows, whole=True)
+        assert names(directory) == ["b"]
+
+    def test_a_replica_whose_address_another_one_has_gets_no_work(self) -> None:
+        directory = UpstreamDirectory(clock=ManualClock())
+        directory.apply([row("a", 1)], whole=True)
+        assert directory.mark_left(InstanceId("a"))
+        assert not directory.mark_left(InstanceId("a"))
+        assert names(directory) == []
+
+
+class ScriptedFeed(Feed):
+    """Gives what a test put in, one a call."""
+
+    def __init__(self, *results: object) -> None:
+        self.results = list(results)
+        self.calls: list[object] = []
+
+    def read(self) -> Changes:
+        self.calls.append("read")
+        return self._next()
+
+    def follow(self, cursor: int, *, wait: float) -> Changes:
+        self.calls.append(cursor)
+        return self._next()
+
+    def _next(self) -> Changes:
+        result = self.results.pop(0)
+        if isinstance(result, FeedError):
+            raise result
+        return result
+
+
+def changes(*items: object, cursor: int, whole: bool = False) -> Changes:
+    return Changes(items=list(items), whole=whole, cursor=cursor)
+
+
+class TestFollowing:
+    def follower(self, *results: object) -> tuple[ConfigurationFollower, ScriptedFeed]:
+        feed = ScriptedFeed(*results)
+        follower = ConfigurationFollower(
+            feed=lambda: feed,
+            clock=ManualClock(),
+            journal=Journal(instance="g"),
+            changed=lambda table: None,
+        )
+        return follower, feed
+
+    def test_versions_only_go_up(self) -> None:
+        follower, _ = self.follower(
+            changes(make_table(5), cursor=10, whole=True),
+            changes(make_table(3), cursor=11),
+            changes(make_table(8), make_table(7), cursor=12),
+        )
+        versions = []
+        for _ in range(3):
+            follower.step()
+            assert follower.table is not None
+            versions.append(follower.table.version)
+        assert versions == [5, 5, 8]
+
+    @pytest.mark.parametrize("fault", [FeedFault.HISTORY_LOST, FeedFault.STALE])
+    def test_a_lost_history_or_a_stale_answer_means_reading_anew(
+        self, fault: FeedFault
+    ) -> None:
+        follower, feed = self.follower(
+            changes(make_table(5), cursor=10, whole=True),
+            FeedError(fault, "test"),
+            changes(make_table(6), cursor=30, whole=True),
+            changes(cursor=31),
+        )
+        for _ in range(4):
+            follower.step()
+        assert feed.calls == ["read", 10, "read", 30]
+        assert follower.table is not None and follower.table.version == 6
+
+    def test_an_outage_keeps_the_configuration_and_the_place(self) -> None:
+        lost = FeedError(FeedFault.UNREACHABLE, "test")
+        follower, feed = self.follower(
+            changes(make_table(5), cursor=10, whole=True),
+            lost,
+            lost,
+            changes(cursor=11),
+        )
+        pauses = [follower.step() for _ in range(4)]
+        assert feed.calls == ["read", 10, 10, 10]
+        assert follower.table is not None and follower.table.version == 5
+        assert 0 < pauses[1] <= 0.1 and 0 < pauses[2] <= 0.2
+
+    def test_the_directory_hears_of_the_outage(self) -> None:
+        clock = ManualClock()
+        directory = UpstreamDirectory(clock=clock)
+        feed = ScriptedFeed(
+            changes(row("a", 1), cursor=1, whole=True),
+            FeedError(FeedFault.REFUSED, "test"),
+            changes(gone("a", 2), cursor=2),
+        )
+        heard: list[int] = []
+        follower = UpstreamFollower(
+            feed=lambda: feed,
+            clock=clock,
+            journal=Journal(instance="g"),
+            directory=directory,
+            changed=lambda: heard.append(len(names(directory))),
+        )
+        for _ in range(3):
+            follower.step()
+        assert names(directory) == ["a"]
+        clock.advance(3.0)
+        follower.expire()
+        assert heard[-1] == 0
+
+
+class TestBudget:
+    def test_all_gateways_together_keep_the_bound(self) -> None:
+        clock = ManualClock()
+        budgets = [
+            SharedRetryBudget(clock=clock, ratio=0.2, allowance=56.0, window=10.0)
+            for _ in range(12)
+        ]
+        taken = 0
+        for number in range(1200):
+            budget = budgets[number % 12]
+            budget.record_first(SERVICE)
+            taken += budget.take(SERVICE) + budget.take(SERVICE)
+            clock.advance(0.008)
+        assert 0.1 * 1200 < taken <= 0.2 * 1200 + 56
+
+    def test_services_have_budgets_of_their_own(self) -> None:
+        budget = SharedRetryBudget(
+            clock=ManualClock(), ratio=0.2, allowance=16.0, window=10.0, used=1.0
+        )
+        assert budget.take(SERVICE) and not budget.take(SERVICE)
+        assert budget.take(ServiceName("other"))
+
+
+class TestEvents:
+    @pytest.mark.parametrize("ending", [b"\n\n", b"\r\n\r\n"])
+    def test_any_cut_gives_the_same_events(self, ending: bytes) -> None:
+        whole = b"".join(b"id: %d\ndata: x%s" % (n, ending) for n in range(5))
+        for cut in range(len(whole)):
+            splitter = EventSplitter()
+            out = splitter.feed(whole[:cut]) + splitter.feed(whole[cut:])
+            assert out == whole and splitter.last_id == b"4" and not splitter.partial
+
+
+def test_a_journal_drops_lines_rather_than_grow() -> None:
+    journal = Journal(instance="g")
+    for number in range(MAX_LINES + 5):
+        journal.event("tested", number=number)
+    assert len(journal.pending) == MAX_LINES and journal.dropped == 5
+
+
+def make_call(name: str, route: Route, *, parts: tuple = (), tokens: int = 0) -> Call:
+    head = CallHead(
+        method="POST", target="/", host="", attempt=AttemptId(name), patience=5.0,
+        key=None, prompt=parts, prompt_tokens=tokens,
+    )  # fmt: skip
+    return Call(
+        head=head, route=route, service=SERVICE, workspace=None, arrival=0.0,
+        deadline=5.0, caller_deadline=5.0, tier=route.tier,
+    )  # fmt: skip
+
+
+def stream_route(name: str, gap: float) -> Route:
+    return Route(
+        name=RouteName(name), host="h", prefix=f"/{name}/", kind=RouteKind.STREAM,
+        timeout=5.0, target=0.5, tier=0, split=((SERVICE, 1.0),), event_gap=gap,
+    )  # fmt: skip
+
+
+CHAT, REVIEW = stream_route("chat", 0.15), stream_route("review", 0.6)
+
+
+class TestPlainPlacement:
+    def placement(self, *records: UpstreamRecord) -> PlainPlacement:
+        self.clock = ManualClock()
+        placement = PlainPlacement(
+            service=ServiceSpec(name=SERVICE, max_connections=10),
+            clock=self.clock,
+            data_centre=HERE,
+        )
+        placement.retain(records)
+        return placement
+
+    def test_requests_spread_over_near_replicas_first(self) -> None:
+        far = DataCentre("mossel")
+        placement = self.placement(
+            record("a"), record("b"), record("c", data_centre=far)
+        )
+        chosen = []
+        for number in range(3):
+            call = make_call(f"q{number}", IDEMPOTENT)
+            found = placement.choose(call)
+            assert found is not None
+            placement.sent(found.instance, call)
+            chosen.append(found.instance)
+        assert sorted(chosen[:2]) == ["a", "b"] and chosen[2] == "c"
+
+    def test_a_failed_replica_is_avoided_for_a_while(self) -> None:
+        placement = self.placement(record("a"), record("b"))
+        call = make_call("q", IDEMPOTENT)
+        for _ in range(3):
+            placement.failed(InstanceId("a"), call, Failure.BROKEN)
+        found = [placement.choose(make_call(f"r{n}", IDEMPOTENT)) for n in range(9)]
+        assert {item.instance for item in found if item} == {"b"}
+
+    def test_a_silent_replica_is_avoided(self) -> None:
+        placement = self.placement(record("a"), record("b"))
+        for number in range(4):
+            placement.sent(InstanceId("a"), make_call(f"q{number}", IDEMPOTENT))
+        for number in range(9):
+            placement.sent(InstanceId("b"), make_call(f"r{number}", IDEMPOTENT))
+        self.clock.advance(1.0)
+        placement.heard(InstanceId("b"), None)
+        found = placement.choose(make_call("s", IDEMPOTENT))
+        assert found is not None and found.instance == "b"
+
+    def test_other_gateways_requests_count_by_the_replicas_own_word(self) -> None:
+        placement = self.placement(record("a"), record("b"))
+        placement.heard(InstanceId("a"), LoadHint(6, 4, 6))
+        found = placement.choose(make_call("s", IDEMPOTENT))
+        assert found is not None and found.instance == "b"
+
+
+class TestEnginePlacement:
+    def placement(self, count: int = 9) -> EnginePlacement:
+        self.clock = ManualClock()
+        service = ServiceSpec(
+            name=SERVICE,
+            max_connections=100,
+            engine=EngineSpec(slots=64, memory_tokens=100_000, tokens_per_event=4),
+        )
+        placement = EnginePlacement(service=service, clock=self.clock, data_centre=HERE)
+        placement.configure(service, [CHAT, REVIEW])
+        placement.retain(record(f"e{number}") for number in range(count))
+        return placement
+
+    def test_tight_streams_run_apart_from_long_prompts(self) -> None:
+        placement = self.placement()
+        for number in range(40):
+            chat = placement.choose(make_call(f"c{number}", CHAT, tokens=700))
+            review = placement.choose(make_call(f"r{number}", REVIEW, tokens=9000))
+            assert chat is not None and chat.instance in placement.tight
+            assert review is not None and review.instance not in placement.tight
+
+    def test_all_gateways_keep_the_same_engines_apart(self) -> None:
+        assert self.placement().tight == self.placement().tight
+
+    def test_the_same_subject_goes_to_the_same_engine_at_every_gateway(self) -> None:
+        parts = (
+            PromptPart("contract", 2500),
+            PromptPart("subject", 3700),
+            PromptPart("own", 2900),
+        )
+        found = set()
+        for number in range(8):
+            call = make_call(f"r{number}", REVIEW, parts=parts, tokens=9100)
+            chosen = self.placement().choose(call)
+            assert chosen is not None
+            found.add(chosen.instance)
+        assert len(found) == 1
+
+    def test_a_hot_subject_spreads_before_it_queues(self) -> None:
+        parts = (
+            PromptPart("contract", 2500),
+            PromptPart("hot", 3700),
+            PromptPart("own", 2900),
+        )
+        placement = self.placement()
+        found = []
+        for number in range(12):
+            call = make_call(f"r{number}", REVIEW, parts=parts, tokens=9100)
+            chosen = placement.choose(call)
+            assert chosen is not None
+            placement.sent(chosen.instance, call)
+            found.append(chosen.instance)
+        assert len(set(found)) >= 3
--- /dev/null
+++ b/tests/test_gateway_process.py
@@ -0,0 +1,215 @@
+"""
+Tests of a gateway as a real process
+====================================
+
+The process is started as on the platform, against stand-ins of the store and of
+replicas, and driven by signals.
+"""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+
+import gevent
+import pytest
+from gevent import socket
+
+from tests.gatewaykit import (
+    ScriptedReplica,
+    answer,
+    chunk,
+    event,
+    free_port,
+    read_all,
+    request,
+    stream_head,
+    wait_until,
+)
+from tests.platformstandin import StoreStandin, configuration, upstream
+
+
+def serve(replica: ScriptedReplica, connection: socket.socket) -> None:
+    while True:
+        attempt = replica.next_request(connection)
+        if "/chat/" in replica.requests[-1][0]:
+            connection.sendall(stream_head(attempt))
+            for number in range(1, 31):
+                connection.sendall(chunk(event(number)))
+                gevent.sleep(0.1)
+            connection.sendall(chunk(b""))
+        else:
+            connection.sendall(answer(attempt, replica.name.encode()))
+
+
+class Site:
+    """A store, two replicas and one gateway process."""
+
+    def __init__(self, folder: Path) -> None:
+        self.store = StoreStandin()
+        self.replicas = [ScriptedReplica(name, serve) for name in ("r0", "r1")]
+        self.settings_file = folder / "settings.json"
+        self.log_file = folder / "log"
+        self._ports = {name: free_port() for name in ("callers", "ready", "operators")}
+        self.write_settings()
+        self._process: subprocess.Popen | None = None
+
+    def write_settings(self, **changes: object) -> None:
+        """Write the settings file."""
+        content: dict = {
+            "instance": "gateway-1",
+            "data_centre": "hout",
+            "listen": {n: f"127.0.0.1:{port}" for n, port in self._ports.items()},
+            "platform": self.store.address,
+            "bounds": {"stop_seconds": 8},
+        }
+        self.settings_file.write_text(json.dumps(content | changes))
+
+    def fill_store(self) -> None:
+        """Write a configuration and the replicas' entries."""
+        self.store.put("op", "config", configuration(1))
+        for replica in self.replicas:
+            self.store.put("servers", replica.name, upstream(replica.record.address))
+
+    def start(self) -> None:
+        """Start the gateway."""
+        environment = os.environ | {"DAMASKLEAD_SETTINGS": str(self.settings_file)}
+        with self.log_file.open("ab") as log:
+            self._process = subprocess.Popen(
+                [sys.executable, "-m", "damasklead.platform"],
+                env=environment, stdout=log, stderr=log,
+            )  # fmt: skip
+
+    def signal(self, number: int) -> None:
+        """Send the process a signal."""
+        assert self._process is not None
+        self._process.send_signal(number)
+
+    def exit_code(self) -> int:
+        """Wait for the process to end."""
+        process = self._process
+        assert process is not None
+        wait_until(lambda: process.poll() is not None, seconds=15)
+        return process.returncode
+
+    def ask(self, port: str, data: bytes) -> bytes:
+        """Send bytes to a port and return all that comes."""
+        try:
+            with socket.create_connection(
+                ("127.0.0.1", self._ports[port]), timeout=10
+            ) as connection:
+                connection.sendall(data)
+                return read_all(connection)
+        except ConnectionRefusedError:
+            return b""
+
+    def order(self, attempt: str = "a1", path: str = "/order/1") -> bytes:
+        """Send an order."""
+        return self.ask(
+            "callers",
+            request(path, method="POST", body="x", attempt=attempt, close=True),
+        )
+
+    def is_ready(self) -> bool:
+        """Ask whether the gateway is ready."""
+        question = b"GET /x HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+        return self.ask("ready", question).startswith(b"HTTP/1.1 200")
+
+    def logged(self, text: str) -> bool:
+        """Tell whether the log holds a text."""
+        return text in self.log_file.read_text()
+
+    def close(self) -> None:
+        """End everything that was started."""
+        if self._process is not None and self._process.poll() is None:
+            self._process.kill()
+            self._process.wait()
+        self.store.stop()
+        for replica in self.replicas:
+            replica.stop()
+
+
+@pytest.fixture
+def site(tmp_path: Path) -> Iterator[Site]:
+    made = Site(tmp_path)
+    yield made
+    made.close()
+
+
+def test_a_stop_lets_streams_end_and_says_not_ready_at_once(site: Site) -> None:
+    site.fill_store()
+    site.start()
+    wait_until(site.is_ready, seconds=10)
+    data = request("/chat/1", method="POST", body="x", close=True)
+    stream = gevent.spawn(site.ask, "callers", data)
+    wait_until(lambda: any(item.requests for item in site.replicas))
+    site.signal(signal.SIGTERM)
+    wait_until(lambda: not site.is_ready())
+    assert site.order().startswith(b"HTTP/1.1 200")
+    said = stream.get(timeout=10)
+    assert event(30) in said and said.endswith(b"0\r\n\r\n")
+    assert site.exit_code() == 0
+    assert site.logged("event=stopped") and site.logged("cut_off=0")
+
+
+def test_it_waits_for_a_store_that_is_away_and_goes_on_when_it_goes_again(
+    site: Site,
+) -> None:
+    site.fill_store()
+    site.store.refusing = True
+    site.start()
+    wait_until(lambda: site.order().startswith(b"HTTP/1.1 503"), seconds=10)
+    assert not site.is_ready()
+    site.store.refusing = False
+    wait_until(site.is_ready, seconds=10)
+    site.store.refusing = True
+    wait_until(lambda: site.logged("event=dependency-lost"), seconds=10)
+    assert site.order().startswith(b"HTTP/1.1 200") and site.is_ready()
+    site.store.refusing = False
+    wait_until(lambda: site.logged("event=dependency-regained"), seconds=10)
+
+
+def test_changes_of_configuration_and_replicas_come_into_force(site: Site) -> None:
+    site.fill_store()
+    site.start()
+    wait_until(site.is_ready, seconds=10)
+    site.store.put("op", "config", configuration(4, prefix="/booking/"))
+    wait_until(lambda: site.order(path="/booking/1").startswith(b"HTTP/1.1 200"))
+    assert site.order().startswith(b"HTTP/1.1 404")
+    address = site.replicas[0].record.address
+    site.store.put("servers", "r0", upstream(address, state="draining"))
+    wait_until(lambda: site.logged("r0 leaving"))
+    answers = {site.order(f"b{n}", "/booking/1")[-2:] for n in range(6)}
+    assert answers == {b"r1"}
+
+
+def test_settings_are_read_again_on_a_signal_and_without_one(site: Site) -> None:
+    site.fill_store()
+    site.start()
+    wait_until(site.is_ready, seconds=10)
+    site.signal(signal.SIGHUP)
+    wait_until(lambda: site.logged("event=reloaded"))
+    site.write_settings(bounds={"stop_seconds": -1})
+    wait_until(lambda: site.logged("event=reload-failed"))
+    site.write_settings(bounds={"stop_seconds": 7})
+    wait_until(lambda: site.logged("changed=True"))
+    assert site.order().startswith(b"HTTP/1.1 200")
+
+
+def test_operators_see_state_and_metrics(site: Site) -> None:
+    site.fill_store()
+    site.start()
+    wait_until(site.is_ready, seconds=10)
+    site.order()
+    ask = "GET {} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+    metrics = site.ask("operators", ask.format("/metrics").encode())
+    assert b"damasklead_answers_total" in metrics
+    assert b"damasklead_configuration_version 1.0" in metrics
+    state = site.ask("operators", ask.format("/status").encode())
+    assert json.loads(state.partition(b"\r\n\r\n")[2])["replicas"]["shop"] == [
+        "r0",
+        "r1",
+    ]
--- /dev/null
+++ b/tests/test_platform_adapter.py
@@ -0,0 +1,363 @@
+"""
+Tests of the platform's adapter
+===============================
+"""
+
+import base64
+import json
+from collections.abc import Callable, Iterator
+from pathlib import Path
+
+import pytest
+from gevent import socket
+from gevent.server import StreamServer
+
+from damasklead.findings import Findings
+from damasklead.gateway.calls import Call, ReplyKind, UpstreamState
+from damasklead.gateway.dialect import BadHead, FeedError, FeedFault, SendPlan
+from damasklead.gateway.routing import RouteKind, Workspace
+from damasklead.gateway.settings import check_gateway_settings
+from damasklead.ids import AttemptId, InstanceId, ServiceName, WorkspaceId
+from damasklead.loop import LoopClock
+from damasklead.platform.documents import decode_configuration, decode_upstream
+from damasklead.platform.headers import PlatformDialect
+from damasklead.platform.store import StoreLink
+from tests.gatewaykit import ONCE, read_request
+
+CONFIGURATION = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r-1", "host": "ficu95.example", "prefix": "/lohu930/",
+            "type": "streaming", "timeout_ms": 5000, "slo_ms": 1500, "priority": 2,
+            "split": [
+                {"service": "huvo11a", "weight": 90},
+                {"service": "wuno96b", "weight": 10},
+            ],
+            "max_attempts": 1, "public": False, "sticky": True, "resumable": False,
+            "itl_target_ms": 600,
+        },
+        {
+            "name": "r-2", "host": "ficu95.example", "prefix": "/puxa403/",
+            "type": "non_idempotent", "timeout_ms": 800, "slo_ms": 100, "priority": 2,
+            "service": "wuno96b", "max_attempts": 1, "public": True,
+        },
+    ],
+    "services": [
+        {
+            "name": "huvo11a", "health_path": "/healthz", "max_connections": 370,
+            "engine": {"slots": 64, "kv_capacity": 245097, "stride": 4},
+        },
+        {"name": "wuno96b", "health_path": "/healthz", "max_connections": 110},
+    ],
+    "limits": {
+        "max_header_bytes": 16384, "max_body_bytes": 4194304,
+        "header_timeout_ms": 3000, "idle_timeout_ms": 15000,
+    },
+    "tenants": [{"name": "hule930", "api_keys": ["k1", "k2"], "priority": 1}],
+}  # fmt: skip
+UPSTREAM = {
+    "service": "huvo11a", "address": "10.128.0.9:8080", "zone": "saldanha",
+    "version": "v1", "slots": 64, "state": "ready", "warmup_left_ms": 500,
+    "phase": "unified", "models": [], "sequence": 4, "born": 1733280000123,
+}  # fmt: skip
+
+
+def headers(**values: str) -> list[tuple[bytes, bytes]]:
+    return [
+        (name.replace("_", "-").title().encode(), value.encode())
+        for name, value in values.items()
+    ]
+
+
+class TestHeaders:
+    def decode(self, **values: str):
+        return PlatformDialect().decode_head(
+            method="POST",
+            target="/a",
+            headers=headers(host="h.example", attempt_id="a1", **values),
+        )
+
+    def test_a_request_is_decoded(self) -> None:
+        head = self.decode(
+            deadline_ms="1500", authorization="Token k1", token_usage="1460,80",
+            prefix_hash="5c1e:800,91bd:410,e440:250", last_event_id="7",
+        )  # fmt: skip
+        assert head.attempt == "a1" and head.patience == 1.5 and head.key == "k1"
+        assert (head.prompt_tokens, head.output_tokens) == (1460, 80)
+        assert [part.tokens for part in head.prompt] == [800, 410, 250]
+        assert head.last_event == b"7"
+
+    @pytest.mark.parametrize("value", ["", "x", "1", "5:x", "a:1,,b:2"])
+    def test_unreadable_hints_are_no_hints(self, value: str) -> None:
+        head = self.decode(token_usage=value, prefix_hash=value, deadline_ms="soon")
+        assert head.prompt_tokens == 0 and head.prompt == () and head.patience is None
+
+    def test_what_the_gateway_sets_can_not_be_forged(self) -> None:
+        forged = {
+            "tenant": "x", "request_priority": "0", "expected_instance": "x",
+            "expected_version": "1", "retain": "1", "pin_ms": "1", "kv_from": "x",
+            "kv_backup": "x", "kv_fetch": "x", "authorization": "Token k1",
+            "deadline_ms": "99999", "upgrade": "x", "proxy_connection": "x",
+        }  # fmt: skip
+        head = self.decode(**forged, x_note="kept", model="m")
+        names = {name.lower() for name, _ in head.forwarded}
+        assert names == {b"host", b"attempt-id", b"x-note", b"model"}
+
+    def test_a_connection_header_drops_its_names_but_not_what_is_needed(self) -> None:
+        head = self.decode(connection="X-Hop, Attempt-Id, Model", x_hop="1", model="m")
+        names = {name.lower() for name, _ in head.forwarded}
+        assert names == {b"host", b"attempt-id", b"model"}
+
+    @pytest.mark.parametrize("attempt", ["", "a1, a2"])
+    def test_a_request_needs_one_attempt_id(self, attempt: str) -> None:
+        with pytest.raises(BadHead):
+            PlatformDialect().decode_head(
+                method="GET", target="/", headers=headers(host="h", attempt_id=attempt)
+            )
+
+    def test_an_attempt_names_its_replica_its_rank_and_the_time_left(self) -> None:
+        call = Call(
+            head=self.decode(last_event_id="3"), route=ONCE, service=ServiceName("s"),
+            workspace=Workspace(name=WorkspaceId("w"), keys=()), arrival=0.0,
+            deadline=1.0, caller_deadline=1.0, tier=12,
+        )  # fmt: skip
+        plan = SendPlan(
+            instance=InstanceId("i-1"), seconds_left=0.4321, urgency=12,
+            resume_after=b"9",
+        )  # fmt: skip
+        sent = dict(PlatformDialect().upstream_headers(call, plan))
+        assert sent[b"Deadline-Ms"] == b"432" and sent[b"Expected-Instance"] == b"i-1"
+        assert sent[b"Tenant"] == b"w" and sent[b"Request-Priority"] == b"9"
+        assert sent[b"Last-Event-Id"] == b"9"
+
+    @pytest.mark.parametrize(
+        ("status", "values", "kind"),
+        [
+            (200, {"attempt_id": "a1", "response_signature": "s"}, ReplyKind.ANSWER),
+            (500, {"attempt_id": "a1", "response_signature": "s"}, ReplyKind.ANSWER),
+            (200, {"attempt_id": "a2", "response_signature": "s"}, ReplyKind.STRAY),
+            (503, {"attempt_id": "a2", "not_executed": "1"}, ReplyKind.STRAY),
+            (503, {"not_executed": "1"}, ReplyKind.REFUSED),
+            (429, {"attempt_id": "a1"}, ReplyKind.INVALID),
+            (503, {"attempt_id": "a1", "response_signature": "s"}, ReplyKind.INVALID),
+            (421, {"instance_id": "i-2"}, ReplyKind.MISPLACED),
+            (200, {"attempt_id": "a1"}, ReplyKind.INVALID),
+            (200, {"response_signature": "s"}, ReplyKind.INVALID),
+        ],
+    )
+    def test_a_reply_is_judged(
+        self, status: int, values: dict, kind: ReplyKind
+    ) -> None:
+        reply = PlatformDialect().judge_reply(
+            status=status, headers=headers(**values), attempt=AttemptId("a1")
+        )
+        assert reply.kind is kind
+
+    def test_a_reply_tells_load_and_how_long_it_keeps_the_connection(self) -> None:
+        reply = PlatformDialect().judge_reply(
+            status=200,
+            headers=headers(
+                attempt_id="a1", response_signature="s", backend_load="3,1,8",
+                keep_alive="timeout=2, max=100", connection="close",
+            ),
+            attempt=AttemptId("a1"),
+        )  # fmt: skip
+        assert reply.load is not None and reply.load.waiting == 1
+        assert reply.keep_alive == 2.0 and reply.leaving
+        assert {name for name, _ in reply.headers} == {
+            b"Attempt-Id", b"Response-Signature", b"Backend-Load",
+        }  # fmt: skip
+
+
+class TestDocuments:
+    def test_the_configuration_is_decoded(self) -> None:
+        table = decode_configuration(json.dumps(CONFIGURATION).encode())
+        route = table.match("ficu95.example", "/lohu930/2f")
+        assert route is not None and route.kind is RouteKind.STREAM
+        assert (route.timeout, route.target, route.event_gap) == (5.0, 1.5, 0.6)
+        assert {route.service_for(f"a{n}") for n in range(99)} == {"huvo11a", "wuno96b"}
+        order = table.match("ficu95.example", "/puxa403/x")
+        assert order is not None and order.kind is RouteKind.ONCE and order.public
+        engine = table.services[ServiceName("huvo11a")].engine
+        assert engine is not None and engine.memory_tokens == 245097
+        workspace = table.workspace_of("k2")
+        assert workspace is not None and workspace.tier == 1
+        assert table.limits.idle_seconds == 15.0
+
+    def test_a_replica_is_decoded(self) -> None:
+        record = decode_upstream("i-1", json.dumps(UPSTREAM).encode())
+        assert record is not None and record.state is UpstreamState.LIVE
+        assert record.incarnation == 1733280000123 and record.warm_up == 0.5
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            {"state": "new"}, {"address": 7}, {"address": "nowhere"}, {"slots": "many"},
+            {"born": 1.5}, {"service": None}, {"zone": []},
+        ],
+    )  # fmt: skip
+    def test_an_entry_of_another_writer_names_no_replica(self, change: dict) -> None:
+        assert decode_upstream("i-1", json.dumps(UPSTREAM | change).encode()) is None
+
+    @pytest.mark.parametrize("data", [b"", b"\xff\x00", b"[]", b"{}"])
+    def test_unreadable_bytes_name_no_replica(self, data: bytes) -> None:
+        assert decode_upstream("i-1", data) is None
+
+
+class StoreStandin:
+    """Answers each call of the store with what a test put in."""
+
+    def __init__(self) -> None:
+        self.answers: list[tuple[int, dict]] = []
+        self.targets: list[str] = []
+        self._server = StreamServer(("127.0.0.1", 0), self._serve)
+        self._server.start()
+        self.address = f"127.0.0.1:{self._server.server_port}"
+
+    def stop(self) -> None:
+        self._server.stop(timeout=0)
+
+    def _serve(self, connection: socket.socket, _peer: object) -> None:
+        try:
+            while True:
+                line, _, _ = read_request(connection)
+                self.targets.append(line.split()[1])
+                status, content = self.answers.pop(0)
+                if not status:
+                    connection.close()
+                    return
+                body = json.dumps(content).encode()
+                connection.sendall(
+                    b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n" % (status, len(body))
+                    + body
+                )
+        except (EOFError, OSError):
+            connection.close()
+
+
+@pytest.fixture
+def store() -> Iterator[StoreStandin]:
+    standin = StoreStandin()
+    yield standin
+    standin.stop()
+
+
+@pytest.fixture
+def link(store: StoreStandin) -> Iterator[StoreLink]:
+    link = StoreLink(address=store.address, clock=LoopClock())
+    yield link
+    link.close()
+
+
+def page(*rows: dict, version: int, more: bool = False) -> dict:
+    return {"rows": list(rows), "schema_version": version, "has_more": more}
+
+
+def store_row(key: str, version: int, content: dict) -> dict:
+    data = base64.b64encode(json.dumps(content).encode()).decode()
+    return {
+        "table": "t",
+        "part": "",
+        "key": key,
+        "data": data,
+        "schema_version": version,
+    }
+
+
+def fault_of(call: Callable) -> FeedFault:
+    with pytest.raises(FeedError) as caught:
+        call()
+    return caught.value.fault
+
+
+class TestStore:
+    def test_a_table_is_read_page_by_page(
+        self, store: StoreStandin, link: StoreLink
+    ) -> None:
+        store.answers = [
+            (200, page(store_row("i-1", 3, UPSTREAM), version=9, more=True)),
+            (200, page(store_row("i-2", 4, UPSTREAM), version=10)),
+        ]
+        changes = link.upstreams.read()
+        assert [item.instance for item in changes.items] == ["i-1", "i-2"]
+        assert changes.whole and changes.cursor == 9
+        assert "range_start=i-1%00" in store.targets[1]
+
+    def test_changes_are_followed(self, store: StoreStandin, link: StoreLink) -> None:
+        store.answers = [
+            (200, page(store_row("config", 3, CONFIGURATION), version=9)),
+            (
+                200,
+                page({"key": "i-1", "schema_version": 12, "deleted": True}, version=12),
+            ),
+        ]
+        assert link.routing.read().items[0].version == 7
+        changes = link.upstreams.follow(9, wait=0.5)
+        assert changes.items[0].record is None and changes.cursor == 12
+        assert "since_revision=9&wait_ms=500" in store.targets[1]
+
+    def test_each_kind_of_trouble_has_its_name(
+        self, store: StoreStandin, link: StoreLink
+    ) -> None:
+        broken = {"key": "config", "schema_version": 20, "data": "e30="}
+        store.answers = [
+            (410, {}), (429, {}), (503, {}), (0, {}), (200, {"x": 1}),
+            (200, page(version=20)), (200, page(version=19)), (200, page(broken, version=21)),
+        ]  # fmt: skip
+        feed = link.routing
+        found = [fault_of(lambda: feed.follow(5, wait=0.1)) for _ in range(5)]
+        assert found == [
+            FeedFault.HISTORY_LOST, FeedFault.REFUSED, FeedFault.REFUSED,
+            FeedFault.UNREACHABLE, FeedFault.UNREADABLE,
+        ]  # fmt: skip
+        feed.follow(5, wait=0.1)
+        assert fault_of(lambda: feed.follow(5, wait=0.1)) is FeedFault.STALE
+        assert fault_of(lambda: feed.follow(5, wait=0.1)) is FeedFault.UNREADABLE
+
+    def test_a_store_that_is_gone_is_unreachable(
+        self, store: StoreStandin, link: StoreLink
+    ) -> None:
+        store.stop()
+        assert fault_of(link.upstreams.read) is FeedFault.UNREACHABLE
+
+
+SETTINGS = """{
+  // one gateway
+  "instance": "edge-1", "data_centre": "hout",
+  "listen": {"callers": "10.0.0.1:80", "ready": "10.0.0.1:81"},
+  "platform": "10.0.0.9:82", "peer_ports": [7340, 7355], "seeds": [],
+  "bounds": {"retry_ratio": 0.2, "retry_allowance": 56, "stop_seconds": 8}
+}"""
+
+
+def test_settings_are_checked_with_their_place() -> None:
+    findings = Findings()
+    good = check_gateway_settings(SETTINGS, file="s.json", findings=findings)
+    assert good is not None and good.bounds.retry_allowance == 56 and not len(findings)
+    wrong = SETTINGS.replace('"10.0.0.1:81"', '"ten:81"')
+    assert check_gateway_settings(wrong, file="s.json", findings=findings) is None
+    (finding,) = findings
+    assert finding.line == 4 and finding.path == "listen.ready"
+
+
+WIRE_WORDS = (
+    "attempt-id", "deadline-ms", "token-usage", "prefix-hash", "response-signature",
+    "not-executed", "expected-instance", "backend-load", "request-priority", "kv-from",
+    "kv-fetch", "kv-backup", "rows-tx", "rows-get", "rows-feed", "itl_target_ms",
+    "slo_ms", "api_keys", "fleetbench", "op/config", "schema_version", "since_revision",
+    "budget_slack", "node_name",
+)  # fmt: skip
+
+
+def test_no_name_of_the_wire_stands_outside_the_adapter() -> None:
+    root = Path(__file__).parent.parent
+    found = [
+        f"{path.relative_to(root)}: {word}"
+        for folder in ("damasklead", "bench", "models")
+        for path in (root / folder).rglob("*.py")
+        if "platform" not in path.relative_to(root).parts
+        for word in WIRE_WORDS
+        if word in path.read_text().lower().replace("kv_", "kv-")
+    ]
+    assert found == []
