Contain requests that crash replicas on all gateways

Cause: the rule on budgets counts requests that crash replicas and come back at any machine; gateways kept no record of crashes.

--- a/damasklead/gateway/attempts.py
+++ b/damasklead/gateway/attempts.py
@@ -16,6 +16,7 @@
 from damasklead.gateway.budget import SharedRetryBudget
 from damasklead.gateway.callers import CallerConnection
 from damasklead.gateway.calls import Call, ReplyHead, ReplyKind, UpstreamRecord
+from damasklead.gateway.containment import Containment
 from damasklead.gateway.dialect import Dialect, SendPlan
 from damasklead.gateway.events import EventSplitter
 from damasklead.gateway.gate import Gate
@@ -40,6 +41,8 @@
 LEAST_SILENT_SECONDS = 0.25
 # Sent when no replica is known or all are full, in seconds.
 RETRY_AFTER_SECONDS = 0.4
+# Sent with a request that crashes replicas, in seconds: operators have to look at it.
+QUARANTINED_RETRY_SECONDS = 60.0
 
 
 class RunParts(msgspec.Struct, kw_only=True, frozen=True):
@@ -50,6 +53,7 @@
     connections: ConnectionPool
     budget: SharedRetryBudget
     gate: Gate
+    containment: Containment
     journal: Journal
     left: Callable[[InstanceId], None]
 
@@ -117,6 +121,12 @@
         Refusal or None
             ``None`` when the caller has a replica's whole answer.
         """
+        if self._parts.containment.refuses(self._call):
+            return Refusal(
+                reason=Reason.QUARANTINED,
+                detail="crashes replicas",
+                retry_after=QUARANTINED_RETRY_SECONDS,
+            )
         refusal = self._parts.gate.enter(self._call, self._placement)
         if refusal is not None:
             return refusal
@@ -182,6 +192,7 @@
         self._check(reply, record)
         self._relay(upstream, reply)
         self._placement.finished(record.instance, call)
+        self._parts.containment.ended_well(call)
         self._upstream = None
         self._parts.connections.give_back(
             upstream, keep_alive=0.0 if reply.leaving else reply.keep_alive
@@ -287,6 +298,10 @@
         self._sent = False
         self._placement.failed(record.instance, self._call, failure)
         self._excluded.add(record.instance)
+        if failure is Failure.NOT_SENT:
+            self._parts.containment.unreachable(record)
+        elif failure is Failure.BROKEN:
+            self._parts.containment.broke(record, self._call)
         if not failure.surely_unrun:
             self._runs += 1
         self._parts.journal.event(
@@ -306,6 +321,8 @@
                 return False
         elif not route.may_repeat or self._runs >= route.max_attempts:
             return False
+        if self._parts.containment.refuses(self._call):
+            return False
         # A refused connection brings no request to a replica.
         return failure is Failure.NOT_SENT or self._parts.budget.take(
             self._call.service
--- a/damasklead/gateway/peerload.py
+++ b/damasklead/gateway/peerload.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from damasklead.clock import Clock
+from damasklead.gateway.containment import CrashNote
 from damasklead.gateway.reading import ListReport
 from damasklead.ids import InstanceId
 from damasklead.util import stable_hash
@@ -73,6 +74,8 @@
         Orders the sender's messages.
     lists : list
         What it knows of the platform's lists.
+    crashes : list
+        Crashes of replicas that it has seen lately.
     """
 
     sender: str
@@ -80,6 +83,7 @@
     number: int
     shares: list[ReplicaShare]
     lists: list[ListReport] = []
+    crashes: list[CrashNote] = []
 
 
 class _Peer(msgspec.Struct, kw_only=True):
--- a/damasklead/gateway/peers.py
+++ b/damasklead/gateway/peers.py
@@ -15,6 +15,7 @@
 from gevent.event import Event
 
 from damasklead.clock import Clock
+from damasklead.gateway.containment import Containment
 from damasklead.gateway.dialect import FeedError, PeerDirectory, PeerEntry
 from damasklead.gateway.journal import Journal
 from damasklead.gateway.peerload import (
@@ -60,6 +61,8 @@
         Returns what to tell them of the platform's lists.
     list_reports : ListReports
         Takes what they tell of them.
+    containment : Containment
+        Hears of the crashes that others have seen, and tells its own.
     notify : callable
         Called after each message.
     clock : Clock
@@ -75,6 +78,7 @@
         shares: Callable[[], list[ReplicaShare]],
         reports: Callable[[], list[ListReport]],
         list_reports: ListReports,
+        containment: Containment,
         notify: Callable[[], None],
         clock: Clock,
         journal: Journal,
@@ -85,6 +89,7 @@
         self._shares = shares
         self._reports = reports
         self._list_reports = list_reports
+        self._containment = containment
         self._notify = notify
         self._changed = Event()
         self._clock = clock
@@ -118,6 +123,7 @@
         """Tell the others what has changed, forever."""
         told: list[ReplicaShare] = []
         marks: list[int] = []
+        crashes = 0
         told_at = 0.0
         while True:
             interval = send_interval(self._loads.gateways)
@@ -128,9 +134,12 @@
             now = self._clock.now()
             reads = any(report.age >= 0 for report in lists)
             refresh = HEARTBEAT_SECONDS if reads else max(REFRESH_SECONDS, interval)
-            news = marks != [report.mark for report in lists] or (
-                now - told_at >= interval and worth_telling(told, shares)
+            news = (
+                marks != [report.mark for report in lists]
+                or crashes < len(self._containment.notes)
+                or (now - told_at >= interval and worth_telling(told, shares))
             )
+            crashes = len(self._containment.notes)
             if news or now - told_at >= refresh:
                 told, told_at = shares, now
                 marks = [report.mark for report in lists]
@@ -149,6 +158,7 @@
             if message.sender != self._own.instance:
                 self._loads.take(message)
                 self._list_reports.take(message.lists)
+                self._containment.take(message.crashes)
                 self._notify()
 
     def run_look_up(self) -> None:
@@ -181,7 +191,12 @@
     def _send(self, shares: list[ReplicaShare], lists: list[ListReport]) -> None:
         self._number += 1
         message = LoadMessage(
-            self._own.instance, self._own.incarnation, self._number, shares, lists
+            self._own.instance,
+            self._own.incarnation,
+            self._number,
+            shares,
+            lists,
+            self._containment.notes,
         )
         data = msgspec.msgpack.encode(message)
         for instance, address in self._addresses.items():
--- a/damasklead/gateway/process.py
+++ b/damasklead/gateway/process.py
@@ -19,6 +19,7 @@
 from damasklead.gateway.bootstrap import Bootstrap
 from damasklead.gateway.budget import SharedRetryBudget
 from damasklead.gateway.callers import RequestHandler
+from damasklead.gateway.containment import Containment
 from damasklead.gateway.dialect import Dialect, PeerEntry, PlatformLink
 from damasklead.gateway.directory import UpstreamDirectory
 from damasklead.gateway.following import ConfigurationFollower, UpstreamFollower
@@ -35,7 +36,7 @@
 from damasklead.gateway.settings import GatewaySettings, check_gateway_settings
 from damasklead.gateway.snapshot import Snapshot
 from damasklead.gateway.upstream_http import ConnectionPool
-from damasklead.ids import DataCentre, InstanceId, ServiceName
+from damasklead.ids import DataCentre, Fingerprint, InstanceId, ServiceName
 from damasklead.loop import LoopClock
 from damasklead.supervision import Child, Restart, ServerChild, Supervisor, TaskChild
 
@@ -95,6 +96,7 @@
         self._gate = Gate(clock=self._clock)
         self._peer_loads = PeerLoads(clock=self._clock)
         self._list_reports = ListReports(clock=self._clock)
+        self._containment = Containment(clock=self._clock, named=self._note_named)
         self._peers = self._make_peers()
         self._plans = [self._read_plan(name) for name in ListName]
         self._configuration = ConfigurationFollower(
@@ -119,6 +121,7 @@
                 connections=self._connections,
                 budget=self._budget,
                 gate=self._gate,
+                containment=self._containment,
                 journal=self._journal,
                 left=self._note_left,
             ),
@@ -219,6 +222,7 @@
             gevent.sleep(TICK_SECONDS)
             self._upstreams.expire()
             self._connections.sweep()
+            self._containment.tick()
             if self._peers is not None and self._peers.known is not None:
                 self._budget.set_gateways(self._peers.known)
             if _stamp(self._settings_file) != self._settings_stamp:
@@ -261,6 +265,8 @@
         """Let the placements see the replicas that may take new work."""
         if self._peers is not None:
             self._peers.tell_soon()
+        rows = (row.record for row in self._directory.rows())
+        self._containment.retain([record for record in rows if record is not None])
         for name, placement in self._placements.items():
             usable = self._directory.usable(name)
             placement.retain(usable)
@@ -286,6 +292,9 @@
             self._journal.event("replica-left", replica=instance, sign="address reused")
             self._arrange()
 
+    def _note_named(self, fingerprint: Fingerprint) -> None:
+        self._journal.event("request-quarantined", fingerprint=fingerprint)
+
     def _listener(self, address: str, handler: RequestHandler) -> Listener:
         return Listener(
             address=address,
@@ -372,6 +381,7 @@
             shares=self._shares,
             reports=lambda: [plan.report for plan in self._plans],
             list_reports=self._list_reports,
+            containment=self._containment,
             notify=self._notify_followers,
             clock=self._clock,
             journal=self._journal,
--- a/damasklead/gateway/refusals.py
+++ b/damasklead/gateway/refusals.py
@@ -27,6 +27,7 @@
     TOO_LATE = "too-late"
     OVERLOADED = "overloaded"
     UNREACHABLE = "unreachable"
+    QUARANTINED = "quarantined"
     UPSTREAM_FAILED = "upstream-failed"
     TIMED_OUT = "timed-out"
 
@@ -41,6 +42,7 @@
     Reason.TOO_LATE: 503,
     Reason.OVERLOADED: 503,
     Reason.UNREACHABLE: 503,
+    Reason.QUARANTINED: 503,
     Reason.UPSTREAM_FAILED: 502,
     Reason.TIMED_OUT: 504,
 }
--- a/damasklead/quarantine.py
+++ b/damasklead/quarantine.py
@@ -27,6 +27,8 @@
 QUARANTINE_SECONDS = 86_400.0
 MAX_TRACKED = 10_000
 NOTICE_SECONDS = 1.0
+# Of a single suspect; the first crash of several requests blames nobody.
+LEAST_CRASHES = 2
 
 
 class _Suspect(msgspec.Struct, kw_only=True):
@@ -43,10 +45,19 @@
     clock : Clock
     notice_seconds : float
         How long all entries may take to tell of a crash.
+    least_crashes : int
+        A fingerprint is named after so many crashes at the earliest.
     """
 
-    def __init__(self, *, clock: Clock, notice_seconds: float = NOTICE_SECONDS) -> None:
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        notice_seconds: float = NOTICE_SECONDS,
+        least_crashes: int = LEAST_CRASHES,
+    ) -> None:
         self._clock = clock
+        self._least_crashes = least_crashes
         self._notice_seconds = notice_seconds
         self._undecided: dict[tuple[InstanceId, Incarnation], float] = {}
         self._suspects: OrderedDict[Fingerprint, _Suspect] = OrderedDict()
@@ -64,6 +75,11 @@
         now = self._clock.now()
         return sorted(item for item, until in self._named.items() if now < until)
 
+    @property
+    def has_suspects(self) -> bool:
+        """Whether any fingerprint was in a crash and has not ended well since."""
+        return bool(self._suspects)
+
     def is_named(self, fingerprint: Fingerprint) -> bool:
         """Tell whether requests with this fingerprint are refused."""
         return self._clock.now() < self._named.get(fingerprint, 0.0)
@@ -193,7 +209,9 @@
     def _guilty(self, crash: tuple[InstanceId, Incarnation]) -> list[Fingerprint]:
         """Return those that were in an earlier crash too, if it can only be they."""
         repeated = [
-            item for item in sorted(self._seen.get(crash, ())) if self.crashes(item) > 1
+            item
+            for item in sorted(self._seen.get(crash, ()))
+            if self.crashes(item) >= self._least_crashes
         ]
         if len(repeated) == 1:
             return repeated
--- a/tests/gatewaykit.py
+++ b/tests/gatewaykit.py
@@ -14,6 +14,7 @@
 from damasklead.gateway.attempts import RunParts
 from damasklead.gateway.budget import SharedRetryBudget
 from damasklead.gateway.calls import UpstreamRecord, UpstreamState
+from damasklead.gateway.containment import Containment
 from damasklead.gateway.forwarding import Forwarder
 from damasklead.gateway.gate import Gate
 from damasklead.gateway.journal import Journal
@@ -33,7 +34,13 @@
     Workspace,
 )
 from damasklead.gateway.upstream_http import ConnectionPool
-from damasklead.ids import DataCentre, InstanceId, ServiceName, WorkspaceId
+from damasklead.ids import (
+    DataCentre,
+    Fingerprint,
+    InstanceId,
+    ServiceName,
+    WorkspaceId,
+)
 from damasklead.loop import LoopClock
 from damasklead.platform.headers import PlatformDialect
 
@@ -186,6 +193,8 @@
         self.budget = SharedRetryBudget(
             clock=self.clock, ratio=0.2, allowance=100.0, window=10.0
         )
+        self.quarantined: list[Fingerprint] = []
+        self.containment = Containment(clock=self.clock, named=self.quarantined.append)
         self.journal = Journal(instance="gateway-1")
         self.forwarder = Forwarder(
             parts=RunParts(
@@ -194,6 +203,7 @@
                 connections=connections or ConnectionPool(clock=self.clock),
                 budget=self.budget,
                 gate=Gate(clock=self.clock),
+                containment=self.containment,
                 journal=self.journal,
                 left=self.left.append,
             ),
