Keep idle connections within a service's bound; model a leaving replica

Cause: the bound on connections of a service was decoded and not used; with 360 gateways 16 idle connections each would be eleven times what a replica takes. Change: all gateways together keep at most half of it idle.

--- a/damasklead/gateway/process.py
+++ b/damasklead/gateway/process.py
@@ -224,10 +224,22 @@
             self._connections.sweep()
             self._containment.tick()
             if self._peers is not None and self._peers.known is not None:
-                self._budget.set_gateways(self._peers.known)
+                self._share_among(self._peers.known)
             if _stamp(self._settings_file) != self._settings_stamp:
                 self.reload()
 
+    def _share_among(self, gateways: int) -> None:
+        """Take this gateway's share of what all have together."""
+        self._budget.set_gateways(gateways)
+        table = self._configuration.table
+        if table is not None and table.services:
+            self._connections.share(
+                max_connections=min(
+                    item.max_connections for item in table.services.values()
+                ),
+                gateways=gateways,
+            )
+
     def _admit_forever(self) -> None:
         while True:
             gevent.sleep(ADMIT_SECONDS)
--- a/damasklead/gateway/upstream_http.py
+++ b/damasklead/gateway/upstream_http.py
@@ -32,6 +32,9 @@
 # Part of the time that a replica names within which a connection is used again.
 IDLE_FRACTION = 0.6
 MAX_IDLE_CONNECTIONS = 16
+# Part of a replica's connections that all gateways together may keep idle; the rest is
+# for those in use.
+IDLE_SHARE = 0.5
 
 
 class SendError(Exception):
@@ -243,12 +246,30 @@
         self._clock = clock
         self._idle: dict[str, deque[tuple[float, Connection]]] = {}
         self._opened = 0
+        self._most_idle = MAX_IDLE_CONNECTIONS
 
     @property
     def opened(self) -> int:
         """How many connections were opened."""
         return self._opened
 
+    @property
+    def most_idle(self) -> int:
+        """How many idle connections are kept to one address."""
+        return self._most_idle
+
+    def share(self, *, max_connections: int, gateways: int) -> None:
+        """
+        Keep no more idle connections than this gateway's share.
+
+        Parameters
+        ----------
+        max_connections : int
+            Connections that a replica takes from all gateways together.
+        """
+        share = int(IDLE_SHARE * max_connections / max(1, gateways))
+        self._most_idle = min(MAX_IDLE_CONNECTIONS, max(1, share))
+
     def take(self, address: str) -> Connection:
         """
         Return an idle connection that is still good, or a new one.
@@ -282,7 +303,7 @@
             DEFAULT_IDLE_SECONDS if keep_alive is None else keep_alive * IDLE_FRACTION
         )
         idle = self._idle.setdefault(connection.address, deque())
-        if len(idle) >= MAX_IDLE_CONNECTIONS:
+        while len(idle) >= self._most_idle:
             idle.popleft()[1].close()
         idle.append((self._clock.now() + seconds, connection))
 
--- a/models/__main__.py
+++ b/models/__main__.py
@@ -13,7 +13,7 @@
 
 from minicheck import Protocol, check_liveness, check_safety
 
-from models import claim, following, lease, manifest
+from models import claim, following, lease, leaving, manifest
 
 MAX_STATES = 500_000
 
@@ -25,6 +25,7 @@
         (lease.build, lease.MISTAKES),
         (manifest.build, manifest.MISTAKES),
         (following.build, following.MISTAKES),
+        (leaving.build, leaving.MISTAKES),
     ]
     good = check_whole(lease.build("", engine_checks=False))
     for build, mistakes in specifications:
--- /dev/null
+++ b/tests/test_gateway_connections.py
@@ -0,0 +1,63 @@
+"""
+Tests of the connections that gateways keep to replicas
+=======================================================
+"""
+
+from collections.abc import Iterator
+
+import pytest
+from gevent.server import StreamServer
+
+from damasklead.gateway.upstream_http import MAX_IDLE_CONNECTIONS, ConnectionPool
+from damasklead.loop import LoopClock
+from tests.gatewaykit import answer, read_request
+
+
+@pytest.fixture
+def address() -> Iterator[str]:
+    def serve(connection: object, _peer: object) -> None:
+        while True:
+            try:
+                _, headers, _ = read_request(connection)
+            except (EOFError, OSError):
+                return
+            connection.sendall(answer(headers["attempt-id"]))
+
+    server = StreamServer(("127.0.0.1", 0), serve)
+    server.start()
+    yield f"127.0.0.1:{server.server_port}"
+    server.stop(timeout=0)
+
+
+def use(pool: ConnectionPool, address: str, count: int) -> None:
+    """Send so many requests at once and give the connections back."""
+    connections = [pool.take(address) for _ in range(count)]
+    for number, connection in enumerate(connections):
+        connection.send(
+            method="GET",
+            target="/",
+            headers=[(b"Host", b"h"), (b"Attempt-Id", b"%d" % number)],
+            body=b"",
+        )
+        connection.read_head()
+        connection.read_all(limit=1000)
+    for connection in connections:
+        pool.give_back(connection, keep_alive=10.0)
+
+
+@pytest.mark.parametrize(
+    ("max_connections", "gateways", "kept"),
+    [(520, 8, MAX_IDLE_CONNECTIONS), (520, 77, 3), (520, 360, 1)],
+)
+def test_all_gateways_together_keep_half_of_a_replicas_connections_idle(
+    address: str, max_connections: int, gateways: int, kept: int
+) -> None:
+    pool = ConnectionPool(clock=LoopClock())
+    pool.share(max_connections=max_connections, gateways=gateways)
+    assert pool.most_idle == kept
+    assert pool.most_idle * gateways <= max_connections
+    use(pool, address, MAX_IDLE_CONNECTIONS + 2)
+    opened = pool.opened
+    use(pool, address, MAX_IDLE_CONNECTIONS + 2)
+    assert pool.opened - opened == MAX_IDLE_CONNECTIONS + 2 - kept
+    pool.close()
