--- a/models/leaving.py
+++ b/models/leaving.py
@@ -2,11 +2,12 @@
 Model of a replica that leaves
 ==============================
 
-What one gateway may believe of a replica, from a list that is late, can be cut off, drops
-silent replicas by itself, and repeats older reports.
+What one gateway may believe of a replica, from a list that is late, can be cut off,
+drops silent replicas by itself, and repeats older reports.
 
-State: what the replica does, what the store lists, whether the gateway reaches the store,
-the ticks since it could again, and what the gateway believes.  A tick is a second.
+State: what the replica does, what the store lists, whether the gateway reaches the
+store, the ticks since it could again, what the gateway believes, and the ticks that the
+entry has been missing.  A tick is a second.
 """
 
 from collections.abc import Iterator
@@ -15,7 +16,6 @@
 
 # Ticks in which a replica that lives is listed again after an outage.
 GRACE = 2
-# The same replica in a later incarnation counts as another one: 0 and 1.
 LIVE, LEAVING, GONE = "live", "leaving", "gone"
 ABSENT = "absent"
 MISTAKES = (
