Spend less processor time on messages between gateways; let engines copy prompt parts

Change: totals are kept instead of summed anew for each message, followers are woken by news only, the admission's clock runs only while a request waits. Prompt parts whose home is another engine are copied from there.

--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -1,19 +1,18 @@
 """
-Driver and fake engines
-=======================
+Fake engines
+============
 
-An event queue on the paused clock, and engines with continuous batching whose step grows with the
+Engines with continuous batching whose step grows with the
 batch and with the prompt tokens that the prefix cache does not hold.
 """
 
 import heapq
 from collections import OrderedDict
 from collections.abc import Callable
-from functools import partial
 
 import msgspec
 
-from damasklead.clock import ManualClock
+from damasklead.experiment.driver import Driver
 from damasklead.ids import AttemptId, InstanceId
 from damasklead.requests import Request
 from damasklead.sharing import LoadReport
@@ -29,29 +28,6 @@
 RESTART_SECONDS = 20.0
 
 
-class Driver:
-    """Runs callbacks in the order of their times."""
-
-    def __init__(self) -> None:
-        self.clock = ManualClock()
-        self._events: list[tuple[float, int, Callable[[], object]]] = []
-        self._sequence = 0
-
-    def at(self, delay: float, callback: Callable[..., object], *args: object) -> None:
-        """Run a callback with its arguments after ``delay`` seconds."""
-        self._sequence += 1
-        when = self.clock.now() + delay
-        call: Callable[[], object] = partial(callback, *args)
-        heapq.heappush(self._events, (when, self._sequence, call))
-
-    def run_until(self, end: float) -> None:
-        """Run all events up to a time in seconds."""
-        while self._events and self._events[0][0] <= end:
-            when, _, callback = heapq.heappop(self._events)
-            self.clock.advance(max(0.0, when - self.clock.now()))
-            callback()
-
-
 class Run(msgspec.Struct, kw_only=True):
     """
     An attempt on an engine; ``told`` of the ``made`` tokens are reported.
--- /dev/null
+++ b/damasklead/experiment/fleet.py
@@ -0,0 +1,187 @@
+"""
+Fleet of an experiment
+======================
+
+All gateways, engines and callers of one run, with its troubles.
+"""
+
+import msgspec
+
+from damasklead.experiment.callers import Caller
+from damasklead.experiment.description import Experiment, Fault, FaultKind, Kind
+from damasklead.experiment.driver import Driver
+from damasklead.experiment.engines import Engine
+from damasklead.experiment.gateways import TICK_SECONDS, Gateway
+from damasklead.experiment.load import Arrival, arrivals
+from damasklead.experiment.policies import Policy
+from damasklead.experiment.tally import Tally
+from damasklead.gateway.calls import UpstreamRecord, UpstreamState
+from damasklead.gateway.peerload import send_interval
+from damasklead.gateway.routing import (
+    EngineSpec,
+    Route,
+    RouteKind,
+    RouteName,
+    ServiceSpec,
+)
+from damasklead.ids import DataCentre, InstanceId, ServiceName
+
+__all__ = ["run"]
+
+SERVICE = ServiceName("engines")
+# The list shows a crashed engine so much later, and one that is back.
+LIST_SECONDS = 3.0
+# Runs of a request that may be repeated.
+MOST_RUNS = 2
+
+
+def run(experiment: Experiment, policy: Policy, seed: int) -> Tally:
+    """Run an experiment once and return what its callers got."""
+    return _Fleet(experiment=experiment, policy=policy, seed=seed).run()
+
+
+def route_of(kind: Kind) -> Route:
+    """Return the route of a kind of request."""
+    return Route(
+        name=RouteName(kind.name),
+        host="experiment",
+        prefix=f"/{kind.name}/",
+        kind=RouteKind.STREAM,
+        timeout=kind.timeout,
+        target=kind.target,
+        tier=kind.tier,
+        event_gap=kind.event_gap,
+        resumable=kind.resumable,
+        max_attempts=MOST_RUNS if kind.resumable else 1,
+        split=((SERVICE, 1.0),),
+    )
+
+
+class _Fleet:
+    def __init__(self, *, experiment: Experiment, policy: Policy, seed: int) -> None:
+        self._experiment = experiment
+        self._driver = Driver()
+        self._tally = Tally()
+        self._seed = seed
+        figures = experiment.engines
+        known: set[str] = set()
+        self._records = [self._record(number) for number in range(figures.count)]
+        self._engines = {
+            record.instance: Engine(
+                figures=figures,
+                driver=self._driver,
+                speed=figures.speeds[number % len(figures.speeds)],
+                known=known,
+            )
+            for number, record in enumerate(self._records)
+        }
+        self._routes = {kind.name: route_of(kind) for kind in experiment.kinds}
+        self._gateways = [
+            self._gateway(number, policy) for number in range(experiment.gateways)
+        ]
+        self._cut: set[str] = set()
+
+    def run(self) -> Tally:
+        """Play the whole experiment."""
+        self._list()
+        for arrival in arrivals(self._experiment, self._seed):
+            self._driver.at(arrival.at, self._arrive, arrival)
+        for fault in self._experiment.faults:
+            self._driver.at(fault.at, self._strike, fault)
+        interval = send_interval(len(self._gateways))
+        for number, gateway in enumerate(self._gateways):
+            offset = interval * number / len(self._gateways)
+            self._driver.at(offset, self._exchange, gateway, interval)
+            self._driver.at(0.0, self._tick, gateway)
+        longest = max(kind.timeout for kind in self._experiment.kinds)
+        self._driver.run_until(self._experiment.seconds + longest + 1.0)
+        self._tally.read = sum(item.read for item in self._engines.values())
+        self._tally.read_again = sum(item.read_again for item in self._engines.values())
+        return self._tally
+
+    def _record(self, number: int) -> UpstreamRecord:
+        centres = self._experiment.data_centres
+        return UpstreamRecord(
+            instance=InstanceId(f"engine-{self._seed}-{number}"),
+            service=SERVICE,
+            address=f"127.0.0.1:{number + 1}",
+            data_centre=DataCentre(centres[number % len(centres)]),
+            state=UpstreamState.LIVE,
+            slots=self._experiment.engines.slots,
+            incarnation=1,
+        )
+
+    def _gateway(self, number: int, policy: Policy) -> Gateway:
+        centres, figures = self._experiment.data_centres, self._experiment.engines
+        spec = EngineSpec(
+            slots=figures.slots,
+            memory_tokens=figures.memory_tokens,
+            tokens_per_event=figures.tokens_per_event,
+        )
+        return Gateway(
+            name=f"gateway-{number}",
+            data_centre=DataCentre(centres[number % len(centres)]),
+            driver=self._driver,
+            service=ServiceSpec(name=SERVICE, max_connections=1000, engine=spec),
+            routes=list(self._routes.values()),
+            policy=policy,
+            engines=self._engines,
+            delay_to=self._delay,
+        )
+
+    def _delay(self, here: DataCentre, there: DataCentre) -> float:
+        near = here == there
+        return self._experiment.delay if near else self._experiment.far_delay
+
+    def _arrive(self, arrival: Arrival) -> None:
+        Caller(
+            arrival=arrival,
+            route=self._routes[arrival.kind.name],
+            service=SERVICE,
+            gateways=self._gateways,
+            driver=self._driver,
+            tally=self._tally,
+            tokens_per_event=self._experiment.engines.tokens_per_event,
+        ).begin()
+
+    def _tick(self, gateway: Gateway) -> None:
+        gateway.tick()
+        self._driver.at(TICK_SECONDS, self._tick, gateway)
+
+    def _exchange(self, gateway: Gateway, interval: float) -> None:
+        message = gateway.message()
+        if message is not None and gateway.name not in self._cut:
+            for other in self._gateways:
+                if other is not gateway and other.name not in self._cut:
+                    delay = self._delay(gateway.data_centre, other.data_centre)
+                    self._driver.at(delay, other.loads.take, message)
+        self._driver.at(interval, self._exchange, gateway, interval)
+
+    def _strike(self, fault: Fault) -> None:
+        if fault.kind is FaultKind.CUT:
+            count = max(1, round(fault.share * len(self._gateways)))
+            self._cut |= {item.name for item in self._gateways[:count]}
+            self._driver.at(fault.seconds, self._cut.clear)
+            return
+        count = max(1, round(fault.share * len(self._engines)))
+        for engine in list(self._engines.values())[:count]:
+            if fault.kind is FaultKind.CRASH:
+                engine.crash(fault.seconds)
+            else:
+                engine.slow_factor = fault.factor
+                self._driver.at(fault.seconds, setattr, engine, "slow_factor", 1.0)
+        if fault.kind is FaultKind.CRASH:
+            self._driver.at(min(LIST_SECONDS, fault.seconds), self._list)
+            self._driver.at(fault.seconds + LIST_SECONDS, self._list)
+
+    def _list(self) -> None:
+        """Let all gateways see which engines are listed."""
+        listed = [
+            msgspec.structs.replace(
+                record, incarnation=self._engines[record.instance].incarnation
+            )
+            for record in self._records
+            if self._engines[record.instance].alive
+        ]
+        for gateway in self._gateways:
+            gateway.retain(listed)
--- a/damasklead/gateway/attempts.py
+++ b/damasklead/gateway/attempts.py
@@ -168,6 +168,7 @@
             offer=self.offers,
             **self._placement.explain(record.instance, call),
         )
+        source = self._placement.copy_source(record.instance, call)
         self._placement.sent(record.instance, call)
         upstream = self._parts.connections.take(record.address)
         self._upstream = upstream
@@ -178,6 +179,7 @@
                 seconds_left=call.deadline - self._parts.clock.now(),
                 urgency=call.urgency,
                 resume_after=self._last_event,
+                copy_from=source,
             ),
         )
         self._sent = True
--- a/damasklead/gateway/dialect.py
+++ b/damasklead/gateway/dialect.py
@@ -53,12 +53,15 @@
         Rank at the replica; 0 goes first.
     resume_after : bytes or None
         The id of the last event that the caller has.
+    copy_from : str or None
+        Address of a replica from which prompt parts may be copied instead of read.
     """
 
     instance: InstanceId
     seconds_left: float
     urgency: int
     resume_after: bytes | None = None
+    copy_from: str | None = None
 
 
 class Dialect(ABC):
--- a/damasklead/gateway/gate.py
+++ b/damasklead/gateway/gate.py
@@ -5,7 +5,7 @@
 Lets greenlets wait for the admission's decisions, one admission for each service.
 """
 
-from gevent.event import AsyncResult
+from gevent.event import AsyncResult, Event
 
 from damasklead.clock import Clock
 from damasklead.gateway.admission import Admission, Admit, Decision
@@ -30,6 +30,7 @@
         self._clock = clock
         self._admissions: dict[ServiceName, Admission] = {}
         self._results: dict[AttemptId, AsyncResult] = {}
+        self._occupied = Event()
 
     @property
     def waiting(self) -> int:
@@ -42,6 +43,7 @@
         decision = admission.submit(call)
         if decision is None:
             result = self._results[call.id] = AsyncResult()
+            self._occupied.set()
             try:
                 decision = result.get()
             finally:
@@ -55,6 +57,12 @@
             retry_after=decision.retry_after,
         )
 
+    def wait(self) -> None:
+        """Wait until a request waits for a decision."""
+        if not self._results:
+            self._occupied.clear()
+            self._occupied.wait()
+
     def tick(self) -> None:
         """Decide about one request of each service; the rest follows."""
         for admission in self._admissions.values():
--- a/damasklead/gateway/peerload.py
+++ b/damasklead/gateway/peerload.py
@@ -16,16 +16,16 @@
 
 from damasklead.clock import Clock
 from damasklead.gateway.containment import CrashNote
+from damasklead.gateway.partplaces import PartNote, PartPlaces
 from damasklead.gateway.reading import ListReport
 from damasklead.ids import InstanceId
-from damasklead.util import stable_hash
+from damasklead.util import short_key
 
 __all__ = [
     "LoadMessage",
     "PeerLoads",
     "ReplicaShare",
     "make_shares",
-    "replica_key",
     "send_interval",
     "worth_telling",
 ]
@@ -39,7 +39,6 @@
 LEAST_LIFE_SECONDS = 1.0
 # Prompt tokens are sent in units of so many.
 TOKEN_UNIT = 64
-KEY_BITS = 32
 # Smaller changes wait for the next refresh: half a prompt, and requests that an engine
 # does not feel.
 TOLD_TOKENS = 1500
@@ -76,6 +75,8 @@
         What it knows of the platform's lists.
     crashes : list
         Crashes of replicas that it has seen lately.
+    parts : list
+        Prompt parts that it has sent to replicas lately.
     """
 
     sender: str
@@ -84,17 +85,13 @@
     shares: list[ReplicaShare]
     lists: list[ListReport] = []
     crashes: list[CrashNote] = []
+    parts: list[PartNote] = []
 
 
 class _Peer(msgspec.Struct, kw_only=True):
     order: tuple[int, int]
     heard_at: float
-    shares: dict[int, ReplicaShare]
-
-
-def replica_key(instance: InstanceId) -> int:
-    """Return the short key of a replica."""
-    return stable_hash(instance) >> (64 - KEY_BITS)
+    shares: list[ReplicaShare]
 
 
 def send_interval(gateways: int) -> float:
@@ -141,9 +138,15 @@
     Parameters
     ----------
     clock : Clock
+
+    Attributes
+    ----------
+    parts : PartPlaces
+        Where prompt parts are.
     """
 
     def __init__(self, *, clock: Clock) -> None:
+        self.parts = PartPlaces(clock=clock)
         self._clock = clock
         self._peers: dict[str, _Peer] = {}
         self._totals: dict[int, tuple[int, int]] = {}
@@ -164,12 +167,13 @@
         peer = self._peers.get(message.sender)
         if peer is not None and order <= peer.order:
             return
+        if peer is not None:
+            self._add(peer.shares, -1)
         self._peers[message.sender] = _Peer(
-            order=order,
-            heard_at=self._clock.now(),
-            shares={share.key: share for share in message.shares},
+            order=order, heard_at=self._clock.now(), shares=message.shares
         )
-        self._sum()
+        self._add(message.shares, 1)
+        self.parts.take(message.parts)
 
     def expire(self) -> None:
         """Forget peers that have been silent for long."""
@@ -178,24 +182,23 @@
         life = max(LEAST_LIFE_SECONDS, life)
         silent = [n for n, peer in self._peers.items() if now - peer.heard_at > life]
         for name in silent:
-            del self._peers[name]
-        if silent:
-            self._sum()
+            self._add(self._peers.pop(name).shares, -1)
 
     def at(self, instance: InstanceId) -> tuple[int, int]:
         """Return the peers' requests at a replica and their unread prompt tokens."""
-        return self._totals.get(replica_key(instance), (0, 0))
+        requests, unread = self._totals.get(short_key(instance), (0, 0))
+        return requests, unread * TOKEN_UNIT
 
-    def _sum(self) -> None:
-        totals: dict[int, tuple[int, int]] = {}
-        for peer in self._peers.values():
-            for key, share in peer.shares.items():
-                requests, unread = totals.get(key, (0, 0))
-                totals[key] = (
-                    requests + share.requests,
-                    unread + share.unread * TOKEN_UNIT,
-                )
-        self._totals = totals
+    def _add(self, shares: list[ReplicaShare], sign: int) -> None:
+        """Add a peer's figures to the totals, or take them out again."""
+        for share in shares:
+            requests, unread = self._totals.get(share.key, (0, 0))
+            requests += sign * share.requests
+            unread += sign * share.unread
+            if requests or unread:
+                self._totals[share.key] = requests, unread
+            else:
+                self._totals.pop(share.key, None)
 
 
 def make_shares(
@@ -210,7 +213,7 @@
         Replica, requests there and unread prompt tokens.
     """
     return [
-        ReplicaShare(replica_key(instance), requests, -(-unread // TOKEN_UNIT))
+        ReplicaShare(short_key(instance), requests, -(-unread // TOKEN_UNIT))
         for instance, requests, unread in loads
         if requests
     ]
--- a/damasklead/gateway/peers.py
+++ b/damasklead/gateway/peers.py
@@ -64,7 +64,7 @@
     containment : Containment
         Hears of the crashes that others have seen, and tells its own.
     notify : callable
-        Called after each message.
+        Called when a message tells of a change of the lists.
     clock : Clock
     journal : Journal
     """
@@ -157,9 +157,9 @@
                 continue
             if message.sender != self._own.instance:
                 self._loads.take(message)
-                self._list_reports.take(message.lists)
                 self._containment.take(message.crashes)
-                self._notify()
+                if self._list_reports.take(message.lists):
+                    self._notify()
 
     def run_look_up(self) -> None:
         """Announce this gateway and find the others, forever."""
--- a/damasklead/gateway/placements/base.py
+++ b/damasklead/gateway/placements/base.py
@@ -168,6 +168,10 @@
         if state is not None:
             state.ended(call)
 
+    def copy_source(self, instance: InstanceId, call: Call) -> str | None:
+        """Return from where a replica may copy prompt parts; ``None`` for nowhere."""
+        return None
+
     def has_room(self, call: Call) -> bool:
         """Tell whether the replica that a request would go to has little left to do."""
         return True
--- a/damasklead/gateway/placements/engine.py
+++ b/damasklead/gateway/placements/engine.py
@@ -110,6 +110,16 @@
         super().retain(records)
         self._arrange()
 
+    def copy_source(self, instance: InstanceId, call: Call) -> str | None:
+        """Return the address of the home of a prompt's shared parts."""
+        shared = call.head.prompt[:-1]
+        if not shared or shared[-1].key in self._replicas[instance].parts:
+            return None
+        home = self._home(shared[-1].key, call)
+        if home is None or home == instance:
+            return None
+        return self._replicas[home].record.address
+
     def has_room(self, call: Call) -> bool:
         """Tell whether the engine that a request would go to has little to read."""
         record = self.choose(call)
--- a/damasklead/gateway/process.py
+++ b/damasklead/gateway/process.py
@@ -242,6 +242,7 @@
 
     def _admit_forever(self) -> None:
         while True:
+            self._gate.wait()
             gevent.sleep(ADMIT_SECONDS)
             self._gate.tick()
 
--- a/damasklead/gateway/reading.py
+++ b/damasklead/gateway/reading.py
@@ -87,14 +87,19 @@
         self._marks = dict.fromkeys(ListName, 0)
         self._confirmed = dict.fromkeys(ListName, float("-inf"))
 
-    def take(self, reports: Iterable[ListReport]) -> None:
-        """Take in one gateway's reports, in the order of the lists."""
+    def take(self, reports: Iterable[ListReport]) -> bool:
+        """
+        Take in one gateway's reports, in the order of the lists; returns whether any
+        tells of a change.
+        """
         now = self._clock.now()
+        before = sum(self._marks.values())
         for name, report in zip(ListName, reports, strict=False):
             self._marks[name] = max(self._marks[name], report.mark)
             if report.age >= 0:
                 confirmed = now - report.age / 1000
                 self._confirmed[name] = max(self._confirmed[name], confirmed)
+        return sum(self._marks.values()) > before
 
     def mark(self, name: ListName) -> int:
         """Return the newest mark that any gateway has told."""
--- a/damasklead/gateway/settings.py
+++ b/damasklead/gateway/settings.py
@@ -97,13 +97,4 @@
     GatewaySettings or None
         ``None`` when anything is wrong.
     """
-    document = jsonc.parse(text, file=file, findings=findings)
-    if document is None:
-        return None
-    try:
-        return msgspec.convert(document.value, GatewaySettings)
-    except msgspec.ValidationError as error:
-        message, _, where = str(error).partition(" - at `$")
-        path = tuple(part for part in where.rstrip("`").split(".") if part)
-        findings.add(document.finding(path, message))
-        return None
+    return jsonc.convert(text, GatewaySettings, file=file, findings=findings)
--- a/damasklead/jsonc.py
+++ b/damasklead/jsonc.py
@@ -6,7 +6,7 @@
 """
 
 import json
-from typing import Any
+from typing import Any, TypeVar
 
 import msgspec
 import tree_sitter
@@ -14,9 +14,10 @@
 
 from damasklead.findings import Finding, Findings
 
-__all__ = ["Document", "Path", "format_path", "parse"]
+__all__ = ["Document", "Path", "convert", "format_path", "parse"]
 
 Path = tuple[str | int, ...]
+T = TypeVar("T")
 
 _PARSER = tree_sitter.Parser(tree_sitter.Language(tree_sitter_json.language()))
 _CONSTANTS = {"true": True, "false": False, "null": None}
@@ -107,6 +108,27 @@
     return Document(file=file, value=value, places=reader.places)
 
 
+def convert(text: str, kind: type[T], *, file: str, findings: Findings) -> T | None:
+    """
+    Parse one document into a type of ``msgspec``.
+
+    Returns
+    -------
+    object or None
+        ``None`` when anything is wrong, which is added to ``findings``.
+    """
+    document = parse(text, file=file, findings=findings)
+    if document is None:
+        return None
+    try:
+        return msgspec.convert(document.value, kind)
+    except msgspec.ValidationError as error:
+        message, _, where = str(error).partition(" - at `$")
+        path = tuple(part for part in where.rstrip("`").split(".") if part)
+        findings.add(document.finding(path, message))
+        return None
+
+
 class _Reader:
     """Turns syntax nodes into values and remembers their places."""
 
--- a/damasklead/messages.py
+++ b/damasklead/messages.py
@@ -12,7 +12,6 @@
 
 from damasklead.ids import Fingerprint, Incarnation, InstanceId, PoolId
 from damasklead.stores.base import InstanceRecord
-from damasklead.util import stable_hash
 
 __all__ = [
     "ConfigurationAnswer",
@@ -28,7 +27,6 @@
     "ReplicaLoad",
     "decode_message",
     "encode_message",
-    "short_key",
 ]
 
 
@@ -155,11 +153,6 @@
     body: tuple[Body, ...] = ()
 
 
-def short_key(name: str) -> int:
-    """Return 32 bits that stand for a replica or model where a name is too long."""
-    return stable_hash(name) & 0xFFFF_FFFF
-
-
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(PeerMessage)
 
--- a/damasklead/platform/headers.py
+++ b/damasklead/platform/headers.py
@@ -105,6 +105,8 @@
             headers.append((b"Tenant", call.workspace.name.encode("latin-1")))
         urgency = min(max(plan.urgency, MOST_URGENT), LEAST_URGENT)
         headers.append((b"Request-Priority", b"%d" % urgency))
+        if plan.copy_from is not None:
+            headers.append((b"Kv-Fetch", plan.copy_from.encode("latin-1")))
         return headers
 
     def judge_reply(
--- a/damasklead/replicas.py
+++ b/damasklead/replicas.py
@@ -15,9 +15,9 @@
 from damasklead.clock import Clock
 from damasklead.ids import AttemptId, DataCentre, InstanceId
 from damasklead.learning import MovingAverage
-from damasklead.messages import ReplicaLoad, short_key
+from damasklead.messages import ReplicaLoad
 from damasklead.requests import Request
-from damasklead.util import stable_hash
+from damasklead.util import short_key, stable_hash
 
 __all__ = ["ReplicaChooser", "ReplicaInfo"]
 
--- a/damasklead/sharing.py
+++ b/damasklead/sharing.py
@@ -16,8 +16,8 @@
 from damasklead.clock import Clock
 from damasklead.ids import InstanceId, PoolId
 from damasklead.learning import BatchLimit, MovingAverage
-from damasklead.messages import Demand, Grant, ReplicaLoad, short_key
-from damasklead.util import stable_hash
+from damasklead.messages import Demand, Grant, ReplicaLoad
+from damasklead.util import short_key, stable_hash
 
 __all__ = [
     "TIERS",
--- a/damasklead/util.py
+++ b/damasklead/util.py
@@ -8,7 +8,7 @@
 import hashlib
 import uuid
 
-__all__ = ["new_id", "split_address", "stable_hash"]
+__all__ = ["new_id", "short_key", "split_address", "stable_hash"]
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -32,6 +32,11 @@
     return int.from_bytes(digest, "big")
 
 
+def short_key(name: str) -> int:
+    """Return 32 bits that stand for a replica or model where a name is too long."""
+    return stable_hash(name) & 0xFFFF_FFFF
+
+
 def new_id() -> str:
     """Return a random identifier of 32 hexadecimal digits."""
     return uuid.uuid4().hex
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -24,7 +24,7 @@
     WorkspaceId,
 )
 from damasklead.learning import CostModel
-from damasklead.messages import Grant, ReplicaLoad, short_key
+from damasklead.messages import Grant, ReplicaLoad
 from damasklead.quarantine import Quarantine
 from damasklead.replicas import ReplicaInfo
 from damasklead.requests import (
@@ -38,6 +38,7 @@
     Request,
     Start,
 )
+from damasklead.util import short_key
 
 PROPERTY = settings(max_examples=150, derandomize=True, deadline=None, database=None)
 POOL = PoolId("p")
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -30,7 +30,6 @@
     LoadMessage,
     PeerLoads,
     ReplicaShare,
-    replica_key,
     send_interval,
 )
 from damasklead.gateway.placements import EnginePlacement, PlainPlacement
@@ -43,6 +42,7 @@
     ServiceSpec,
 )
 from damasklead.ids import AttemptId, DataCentre, InstanceId, ServiceName
+from damasklead.util import short_key
 from tests.gatewaykit import IDEMPOTENT, SERVICE, make_table
 
 HERE = DataCentre("hout")
@@ -480,10 +480,10 @@
         assert first is not None and placement.has_room(call)
         for instance in placement.usable:
             if instance not in placement.tight:
-                share = ReplicaShare(replica_key(instance), 3, 600)
+                share = ReplicaShare(short_key(instance), 3, 600)
                 self.peers.take(LoadMessage(f"g-{instance}", 1, 1, [share]))
         assert not placement.has_room(call)
-        share = ReplicaShare(replica_key(first.instance), 3, 900)
+        share = ReplicaShare(short_key(first.instance), 3, 900)
         self.peers.take(LoadMessage(f"g-{first.instance}", 1, 2, [share]))
         other = placement.choose(call)
         assert other is not None and other.instance != first.instance
@@ -495,7 +495,7 @@
         placement = self.placement()
         placement.configure(placement.service, [CHAT, quote, review])
         for instance in placement.usable:
-            share = ReplicaShare(replica_key(instance), 1, 300)
+            share = ReplicaShare(short_key(instance), 1, 300)
             self.peers.take(LoadMessage(f"g-{instance}", 1, 1, [share]))
         late_quote = make_call("q", quote, tokens=1800)
         self.clock.advance(1.0)
@@ -509,7 +509,7 @@
         placement.configure(placement.service, [plain])
         assert not placement.tight
         for instance in placement.usable:
-            share = ReplicaShare(replica_key(instance), 1, 100)
+            share = ReplicaShare(short_key(instance), 1, 100)
             self.peers.take(LoadMessage(f"g-{instance}", 1, 1, [share]))
         assert placement.has_room(make_call("r", plain, tokens=1800))
 
@@ -517,7 +517,7 @@
 class TestPeerLoads:
     def test_the_newest_message_of_each_peer_counts(self) -> None:
         loads = PeerLoads(clock=ManualClock())
-        key = replica_key(InstanceId("a"))
+        key = short_key(InstanceId("a"))
         loads.take(LoadMessage("g1", 1, 2, [ReplicaShare(key, 2, 10)]))
         loads.take(LoadMessage("g1", 1, 1, [ReplicaShare(key, 9, 90)]))
         loads.take(LoadMessage("g2", 1, 1, [ReplicaShare(key, 1, 5)]))
@@ -528,7 +528,7 @@
     def test_a_silent_peer_counts_no_more(self) -> None:
         clock = ManualClock()
         loads = PeerLoads(clock=clock)
-        key = replica_key(InstanceId("a"))
+        key = short_key(InstanceId("a"))
         loads.take(LoadMessage("g1", 1, 2, [ReplicaShare(key, 2, 10)]))
         clock.advance(1.1)
         loads.expire()
