Tell the other gateways where prompt parts are, and let engines copy them

Change: gateways tell each other in their datagrams which parts they have sent where (at most 200 notes a second over all); the engine with the least to do gets the prompt and copies from the one that has the parts; first requests prefer their data centre.

--- a/damasklead/experiment/callers.py
+++ b/damasklead/experiment/callers.py
@@ -20,6 +20,7 @@
 
 # Callers come back once, and honour a Retry-After of at most this part of their time.
 RETRIES = 1
+BYTES_PER_TOKEN = 2
 MOST_RETRY_SHARE = 1 / 3
 
 
@@ -92,6 +93,7 @@
             deadline=now + self._left,
             caller_deadline=now + self._left,
             tier=0,
+            body=bytes(BYTES_PER_TOKEN * head.prompt_tokens),
         )
         answer = Answer(
             on_event=self._take_event,
--- a/damasklead/experiment/description.py
+++ b/damasklead/experiment/description.py
@@ -101,6 +101,8 @@
         Added for each pair of a read token and a token before it.
     queue : int
         Requests that wait in an engine beyond its slots before it refuses.
+    copy_setup, copy_token : float
+        Time to copy prompt parts from another engine, and what each token adds.
     speeds : list
         Factors of the time of all steps, by turns.
     """
@@ -116,6 +118,8 @@
     pair_seconds: float
     chunk: int
     tokens_per_event: int
+    copy_setup: float = 0.002
+    copy_token: float = 0.0000012
     speeds: tuple[float, ...] = (1.0,)
 
 
--- a/damasklead/experiment/engines.py
+++ b/damasklead/experiment/engines.py
@@ -105,8 +105,9 @@
     alive : bool
     slow_factor : float
         Multiplies the time of all steps.
-    read, read_again : int
-        Prompt tokens read, and those of shared parts that some engine had read before.
+    read, read_again, copied : int
+        Prompt tokens read, those of shared parts that some engine had read before, and
+        those copied from other engines.
     """
 
     def __init__(
@@ -117,6 +118,7 @@
         self.slow_factor = 1.0
         self.read = 0
         self.read_again = 0
+        self.copied = 0
         self._figures = figures
         self._driver = driver
         self._speed = speed
@@ -151,7 +153,7 @@
 
     def missing_tokens(self, prompt: tuple[PromptPart, ...]) -> int:
         """Return what would have to be read of a prompt."""
-        return sum(part.tokens for part in prompt) - self._cache.cached(prompt[:-1])
+        return sum(part.tokens for part in prompt) - self.cached_tokens(prompt)
 
     def submit(self, run: EngineRun) -> bool:
         """Take a request in; returns ``False`` when the engine is full."""
@@ -165,6 +167,24 @@
             self._begin_step()
         return True
 
+    def copy(self, source: "Engine", prompt: tuple[PromptPart, ...]) -> float:
+        """Copy the shared parts of a prompt; returns the seconds that it takes."""
+        there = source.cached_tokens(prompt)
+        tokens = there - self.cached_tokens(prompt)
+        if tokens <= 0 or not source.alive:
+            return 0.0
+        kept: list[PromptPart] = []
+        for part in prompt[:-1]:
+            if sum(item.tokens for item in kept) < there:
+                kept.append(part)
+        self._cache.keep(tuple(kept))
+        self.copied += tokens
+        return self._figures.copy_setup + tokens * self._figures.copy_token
+
+    def cached_tokens(self, prompt: tuple[PromptPart, ...]) -> int:
+        """Return the tokens of a prompt's shared parts in memory."""
+        return self._cache.cached(prompt[:-1])
+
     def cancel(self, attempt: AttemptId) -> None:
         """Stop a request without a word."""
         if self._running.pop(attempt, None) is None:
--- a/damasklead/experiment/fleet.py
+++ b/damasklead/experiment/fleet.py
@@ -97,6 +97,8 @@
         self._driver.run_until(self._experiment.seconds + longest + 1.0)
         self._tally.read = sum(item.read for item in self._engines.values())
         self._tally.read_again = sum(item.read_again for item in self._engines.values())
+        self._tally.copied = sum(item.copied for item in self._engines.values())
+        self._tally.far_bytes = sum(item.far_bytes for item in self._gateways)
         return self._tally
 
     def _record(self, number: int) -> UpstreamRecord:
--- a/damasklead/experiment/gateways.py
+++ b/damasklead/experiment/gateways.py
@@ -84,6 +84,11 @@
     engines : Mapping
     delay_to : callable
         Returns the seconds from a data centre to another.
+
+    Attributes
+    ----------
+    far_bytes : int
+        Bytes of prompts sent to other data centres.
     """
 
     def __init__(
@@ -100,9 +105,11 @@
     ) -> None:
         self.name = name
         self.data_centre = data_centre
+        self.far_bytes = 0
         self.loads = PeerLoads(clock=driver.clock)
         self._driver = driver
         self._engines = engines
+        self._sources: dict[str, Engine] = {}
         self._delay_to = delay_to
         self._event_tokens = service.engine.tokens_per_event if service.engine else 1
         self._placement = policy.placement(
@@ -121,6 +128,8 @@
 
     def retain(self, records: list[UpstreamRecord]) -> None:
         """Take the replicas that are listed."""
+        for record in records:
+            self._sources[record.address] = self._engines[record.instance]
         self._placement.retain(records)
 
     def submit(self, call: Call, answer: Answer, *, tokens: int) -> None:
@@ -146,11 +155,13 @@
         interval = send_interval(self.loads.gateways)
         shares = make_shares(self._placement.loads())
         due = now - self._told_at >= max(REFRESH_SECONDS, interval)
+        due = due or self.loads.parts.pending
         if not due and not worth_telling(self._told, shares):
             return None
         self._told, self._told_at = shares, now
         self._number += 1
-        return LoadMessage(self.name, 1, self._number, shares)
+        parts = self.loads.parts.tell(gateways=self.loads.gateways, seconds=interval)
+        return LoadMessage(self.name, 1, self._number, shares, [], [], parts)
 
     def _carry_out(self, decision: Decision) -> None:
         work = self._works[decision.call.id]
@@ -167,11 +178,16 @@
         work.offers += 1
         work.replica = record.instance
         work.sent_at = self._driver.clock.now()
+        source = self._placement.copy_source(record.instance, work.call)
         self._placement.sent(record.instance, work.call)
+        if record.data_centre != self.data_centre:
+            self.far_bytes += len(work.call.body)
         delay = self._delay_to(self.data_centre, record.data_centre)
-        self._driver.at(delay, self._arrive, work, record, delay)
+        self._driver.at(delay, self._arrive, work, record, delay, source)
 
-    def _arrive(self, work: _Work, record: UpstreamRecord, delay: float) -> None:
+    def _arrive(
+        self, work: _Work, record: UpstreamRecord, delay: float, source: str | None
+    ) -> None:
         if work.done:
             return
         engine = self._engines[record.instance]
@@ -185,7 +201,14 @@
         )
         if not engine.alive:
             self._driver.at(delay, self._fail, work, Failure.NOT_SENT)
-        elif not engine.submit(run):
+            return
+        seconds = 0.0
+        if source is not None:
+            seconds = engine.copy(self._sources[source], work.call.head.prompt)
+        self._driver.at(seconds, self._enter, work, engine, run, delay)
+
+    def _enter(self, work: _Work, engine: Engine, run: EngineRun, delay: float) -> None:
+        if not work.done and not engine.submit(run):
             self._driver.at(delay, self._fail, work, Failure.REFUSED)
 
     def _later(
--- a/damasklead/experiment/tally.py
+++ b/damasklead/experiment/tally.py
@@ -63,13 +63,18 @@
 
     Attributes
     ----------
-    read, read_again : int
-        Prompt tokens that the engines read, and those of shared parts read again.
+    read, read_again, copied : int
+        Prompt tokens that the engines read, those of shared parts read again, and those
+        copied between engines.
+    far_bytes : int
+        Bytes of prompts sent to other data centres.
     """
 
     def __init__(self) -> None:
         self.read = 0
         self.read_again = 0
+        self.copied = 0
+        self.far_bytes = 0
         self._outcomes: list[Outcome] = []
 
     def add(self, outcome: Outcome) -> None:
--- a/damasklead/gateway/partplaces.py
+++ b/damasklead/gateway/partplaces.py
@@ -24,13 +24,15 @@
 LEAST_TOKENS = 200
 # Notes that one gateway takes in from all others together; about 12 bytes each, so that
 # control stays within 3 KB/s.
-NOTES_PER_SECOND = 150.0
+NOTES_PER_SECOND = 200.0
+# A message after a longer silence holds no more than those of this time.
+MOST_SECONDS = 4.0
 # Seconds over which own notes that were not told are counted.
 WINDOW_SECONDS = 10.0
 # Unless nearly all notes are told, an unknown part may have been read somewhere.
 MOST_UNTOLD = 0.1
 # Replicas remembered for one part: the newest; older ones will have dropped it first.
-MOST_PLACES = 4
+MOST_PLACES = 8
 # Parts remembered, about 300 bytes each.
 MOST_PARTS = 10_000
 
@@ -64,6 +66,11 @@
         dropped = sum(item[2] for item in self._counts)
         return dropped <= MOST_UNTOLD * (told + dropped)
 
+    @property
+    def pending(self) -> bool:
+        """Whether there is anything to tell the others."""
+        return bool(self._untold)
+
     def sent(self, name: str, tokens: int, instance: InstanceId) -> None:
         """Note that a part was sent to a replica."""
         if tokens < LEAST_TOKENS:
@@ -89,7 +96,9 @@
         seconds : float
             Time since the last call.
         """
-        most = max(1, round(NOTES_PER_SECOND * min(1.0, seconds) / max(1, gateways)))
+        most = max(
+            1, round(NOTES_PER_SECOND * min(MOST_SECONDS, seconds) / max(1, gateways))
+        )
         notes = [self._untold.pop() for _ in range(min(most, len(self._untold)))]
         now = self._clock.now()
         self._counts.append((now, len(notes), len(self._untold)))
--- a/damasklead/gateway/peers.py
+++ b/damasklead/gateway/peers.py
@@ -99,6 +99,7 @@
         self._first_seen: dict[str, float] = {}
         self._entries: list[PeerEntry] = []
         self._number = 0
+        self._sent_at = clock.now()
 
     @property
     def known(self) -> int | None:
@@ -137,7 +138,10 @@
             news = (
                 marks != [report.mark for report in lists]
                 or crashes < len(self._containment.notes)
-                or (now - told_at >= interval and worth_telling(told, shares))
+                or (
+                    now - told_at >= interval
+                    and (self._loads.parts.pending or worth_telling(told, shares))
+                )
             )
             crashes = len(self._containment.notes)
             if news or now - told_at >= refresh:
@@ -190,6 +194,7 @@
 
     def _send(self, shares: list[ReplicaShare], lists: list[ListReport]) -> None:
         self._number += 1
+        now = self._clock.now()
         message = LoadMessage(
             self._own.instance,
             self._own.incarnation,
@@ -197,7 +202,11 @@
             shares,
             lists,
             self._containment.notes,
+            self._loads.parts.tell(
+                gateways=self._loads.gateways, seconds=now - self._sent_at
+            ),
         )
+        self._sent_at = now
         data = msgspec.msgpack.encode(message)
         for instance, address in self._addresses.items():
             try:
--- a/damasklead/gateway/placements/base.py
+++ b/damasklead/gateway/placements/base.py
@@ -75,8 +75,8 @@
             if state is None:
                 state = ReplicaState(record=record, memory_tokens=self._memory())
                 self._replicas[record.instance] = state
-            else:
-                state.take_record(record)
+            elif state.take_record(record):
+                self._peers.parts.forget(record.instance)
             usable[record.instance] = state
         self._usable = usable
         for instance in [item for item in self._replicas if item not in usable]:
@@ -130,6 +130,8 @@
         """Count a request that is being sent to a replica."""
         state = self._replicas.get(instance)
         if state is not None:
+            for part in call.head.prompt[:-1]:
+                self._peers.parts.sent(part.key, part.tokens, instance)
             state.sent(
                 call,
                 unread_tokens=self._unread_tokens(state, call),
--- a/damasklead/gateway/placements/engine.py
+++ b/damasklead/gateway/placements/engine.py
@@ -12,9 +12,10 @@
 from damasklead.gateway.calls import Call, LoadHint, UpstreamRecord
 from damasklead.gateway.peerload import PeerLoads
 from damasklead.gateway.placements.base import FAILURE_COST, Placement, tie_breaker
+from damasklead.gateway.placements.prefixes import SharedParts
 from damasklead.gateway.replicastate import ReplicaState
 from damasklead.gateway.routing import Route, ServiceSpec
-from damasklead.ids import DataCentre, InstanceId
+from damasklead.ids import AttemptId, DataCentre, InstanceId
 from damasklead.util import stable_hash
 
 __all__ = ["EnginePlacement"]
@@ -27,6 +28,9 @@
 ROOM_SHARE = 0.5
 # Weight of reading against waiting: what is read twice is taken from everybody.
 UNREAD_WEIGHT = 12.0
+# Weight of copying a part from another engine: a ninth of reading it again, what the
+# operators count for both.
+COPY_WEIGHT = 4.0
 # An engine that has more to read than the others by this part of a request's target
 # holds a hot subject, which is then read again elsewhere.  When all have much to read,
 # reading again helps nobody.
@@ -34,11 +38,16 @@
 HOT_WEIGHT = 40.0
 # Time that one running request adds to each of another one's tokens, over its stream.
 RUNNING_COST = 0.004
-# Cost in seconds of leaving the data centre, for a request of some kilobytes.
+# Cost in seconds of leaving the data centre, and for each byte of a prompt, since bytes
+# between data centres are dear.
 OTHER_CENTRE_SECONDS = 0.01
+OTHER_CENTRE_SECONDS_PER_BYTE = 0.000005
 # Probability that a part is cached at its home replica though this gateway has not
 # sent it there.
 HOME_CACHED = 0.8
+# The same where gateways tell each other what they have sent: another one may just be
+# sending the part there.
+HOME_READING = 0.1
 # Homes remembered between two changes of the replicas: each is asked for once for
 # every candidate of every choice.
 MOST_HOMES = 10_000
@@ -83,7 +92,9 @@
         self._least_target = 0.0
         self._tight_gap: float | None = None
         self._tight: frozenset[InstanceId] = frozenset()
-        self._homes: dict[tuple[str, bool], InstanceId | None] = {}
+        self._homes: dict[tuple[str, bool, bool], InstanceId | None] = {}
+        self._shared_of: tuple[AttemptId, float] | None = None
+        self._shared_parts: SharedParts | None = None
         self._extra = 0
         self._resized_at = clock.now()
 
@@ -112,10 +123,13 @@
 
     def copy_source(self, instance: InstanceId, call: Call) -> str | None:
         """Return the address of the home of a prompt's shared parts."""
-        shared = call.head.prompt[:-1]
-        if not shared or shared[-1].key in self._replicas[instance].parts:
+        shared = self._shared(call)
+        state = self._replicas[instance]
+        if shared.holder is not None and shared.best > shared.at(state):
+            return shared.holder.record.address
+        if shared.known or not call.head.prompt[:-1] or self._peers.parts.complete:
             return None
-        home = self._home(shared[-1].key, call)
+        home = self._home(call.head.prompt[-2].key, call)
         if home is None or home == instance:
             return None
         return self._replicas[home].record.address
@@ -208,40 +222,79 @@
     def _expected_unread(self, state: ReplicaState, call: Call) -> float:
         """Estimate the tokens to read: a part is cached only with all before it."""
         total = call.head.prompt_tokens
-        shared = call.head.prompt[:-1]
-        known = 0
-        for part in shared:
-            if part.key not in state.parts:
-                break
-            known += part.tokens
-        if shared and self._home(shared[-1].key, call) == state.record.instance:
-            likely = HOME_CACHED * sum(part.tokens for part in shared)
-            return max(0.0, total - max(known, likely))
+        parts = call.head.prompt[:-1]
+        if not parts:
+            return total
+        shared = self._shared(call)
+        known = float(shared.best)
+        if (
+            not shared.known
+            and self._home(parts[-1].key, call) == state.record.instance
+        ):
+            likely = HOME_READING if self._peers.parts.complete else HOME_CACHED
+            known = max(known, likely * shared.tokens)
         return max(0.0, total - known)
 
+    def _copied(self, state: ReplicaState, call: Call) -> int:
+        """Return the tokens that would be copied from another engine."""
+        shared = self._shared(call)
+        return max(0, shared.best - shared.at(state))
+
+    def _shared(self, call: Call) -> SharedParts:
+        """Return where the shared parts of a prompt are at this instant."""
+        key = (call.id, self._clock.now())
+        if self._shared_of != key or self._shared_parts is None:
+            self._shared_of = key
+            self._shared_parts = SharedParts(
+                parts=call.head.prompt[:-1],
+                places=self._peers.parts,
+                replicas=self._usable.values(),
+            )
+        return self._shared_parts
+
     def _home(self, key: str, call: Call) -> InstanceId | None:
-        """Return the replica that all gateways choose for a part."""
+        """
+        Return the replica for a part that no replica is known to have.
+
+        All gateways choose the same one; where they tell each other what they have
+        sent, all gateways of a data centre do, so that few prompts leave it.
+        """
         tight = self._is_tight(call.route)
-        if (key, tight) not in self._homes:
+        near = self._peers.parts.complete
+        if (key, tight, near) not in self._homes:
             if len(self._homes) >= MOST_HOMES:
                 self._homes.clear()
-            group = [
-                item for item in self._usable if (item in self._tight) is tight
-            ] or self._usable
-            self._homes[key, tight] = max(
-                group, key=lambda item: stable_hash(key, item), default=None
+            self._homes[key, tight, near] = max(
+                self._group(tight=tight, near=near),
+                key=lambda item: stable_hash(key, item),
+                default=None,
             )
-        return self._homes[key, tight]
+        return self._homes[key, tight, near]
+
+    def _group(self, *, tight: bool, near: bool) -> list[InstanceId]:
+        """Return the replicas among which a home is chosen."""
+        group = [
+            item for item in self._usable if (item in self._tight) is tight
+        ] or list(self._usable)
+        if not near:
+            return group
+        return [
+            item
+            for item in group
+            if self._usable[item].record.data_centre == self._data_centre
+        ] or group
 
     def _cost(self, state: ReplicaState, call: Call, now: float) -> float:
         unread = self._expected_unread(state, call)
         reading = unread / READ_TOKENS_PER_SECOND
         backlog = self._backlog(state)
         cost = UNREAD_WEIGHT * reading + backlog
+        cost += COPY_WEIGHT * self._copied(state, call) / READ_TOKENS_PER_SECOND
         hot = backlog - self._mean_backlog - HOT_SHARE * call.route.target
         cost += HOT_WEIGHT * max(0.0, hot)
         cost += RUNNING_COST * (state.own + self._others(state, now))
         if state.record.data_centre != self._data_centre:
             cost += OTHER_CENTRE_SECONDS
+            cost += OTHER_CENTRE_SECONDS_PER_BYTE * len(call.body)
         cost += FAILURE_COST * RUNNING_COST * state.failure_rate
         return cost + RUNNING_COST * tie_breaker(state, call)
--- a/damasklead/gateway/replicastate.py
+++ b/damasklead/gateway/replicastate.py
@@ -13,6 +13,7 @@
 from damasklead.failures import Failure
 from damasklead.gateway.calls import Call, LoadHint, UpstreamRecord
 from damasklead.ids import AttemptId
+from damasklead.util import short_key
 
 __all__ = ["PartMemory", "ReplicaState"]
 
@@ -81,6 +82,8 @@
     ----------
     record : UpstreamRecord
         The list's entry.
+    key : int
+        Short key of the replica.
     parts : PartMemory
         Prompt parts sent there.
     avoid_until : float
@@ -89,6 +92,7 @@
 
     def __init__(self, *, record: UpstreamRecord, memory_tokens: int) -> None:
         self.record = record
+        self.key = short_key(record.instance)
         self.parts = PartMemory(capacity=memory_tokens)
         self.avoid_until = 0.0
         self._sent: dict[AttemptId, _Sent] = {}
@@ -114,8 +118,16 @@
         """Recent share of attempts that failed."""
         return self._failure_rate
 
-    def take_record(self, record: UpstreamRecord) -> None:
-        """Take the list's newer entry; a new incarnation begins without a past."""
+    def take_record(self, record: UpstreamRecord) -> bool:
+        """
+        Take the list's newer entry; a new incarnation begins without a past.
+
+        Returns
+        -------
+        bool
+            Whether it is a new incarnation.
+        """
+        restarted = record.incarnation != self.record.incarnation
         if record.incarnation != self.record.incarnation:
             self.parts.clear()
             self.avoid_until = 0.0
@@ -123,6 +135,7 @@
             self._failure_rate = 0.0
             self._hint = None
         self.record = record
+        return restarted
 
     def sent(self, call: Call, *, unread_tokens: int, now: float) -> None:
         """Count a request that is being sent."""
--- /dev/null
+++ b/tests/test_gateway_partplaces.py
@@ -0,0 +1,179 @@
+"""
+Tests of where prompt parts are
+===============================
+"""
+
+from damasklead.clock import ManualClock
+from damasklead.gateway.calls import Call, PromptPart
+from damasklead.gateway.partplaces import (
+    LEAST_TOKENS,
+    MOST_PARTS,
+    MOST_PLACES,
+    NOTES_PER_SECOND,
+    PartPlaces,
+)
+from damasklead.gateway.peerload import LoadMessage, PeerLoads
+from damasklead.gateway.placements import EnginePlacement
+from damasklead.gateway.routing import EngineSpec, ServiceSpec
+from damasklead.ids import DataCentre, InstanceId
+from damasklead.util import short_key
+from tests.gatewaykit import SERVICE
+from tests.test_gateway_parts import CHAT, HERE, REVIEW, make_call, record
+
+PARTS = (
+    PromptPart("contract", 2500),
+    PromptPart("subject", 3700),
+    PromptPart("own", 2900),
+)
+
+
+def review(name: str, parts: tuple[PromptPart, ...] = PARTS) -> Call:
+    return make_call(
+        name, REVIEW, parts=parts, tokens=sum(part.tokens for part in parts)
+    )
+
+
+class Gateway:
+    """One gateway's placement and what it tells the others."""
+
+    def __init__(self, clock: ManualClock, name: str, centre: str = "hout") -> None:
+        self.name = name
+        self.peers = PeerLoads(clock=clock)
+        service = ServiceSpec(
+            name=SERVICE,
+            max_connections=100,
+            engine=EngineSpec(slots=64, memory_tokens=250_000, tokens_per_event=4),
+        )
+        self.placement = EnginePlacement(
+            service=service,
+            clock=clock,
+            data_centre=DataCentre(centre),
+            peers=self.peers,
+        )
+        self.placement.configure(service, [CHAT, REVIEW])
+        self.placement.retain(
+            record(f"e{number}", address=f"127.0.0.1:{number + 1}")
+            for number in range(9)
+        )
+
+    def send(self, call: Call) -> tuple[InstanceId, str | None]:
+        """Place a request; returns the engine and from where it copies."""
+        chosen = self.placement.choose(call)
+        assert chosen is not None
+        source = self.placement.copy_source(chosen.instance, call)
+        self.placement.sent(chosen.instance, call)
+        return chosen.instance, source
+
+    def tell(self, other: "Gateway") -> None:
+        notes = self.peers.parts.tell(gateways=2, seconds=1.0)
+        other.peers.take(LoadMessage(self.name, 1, 1, [], [], [], notes))
+
+
+def test_a_part_that_another_gateway_sent_is_found_there_or_copied() -> None:
+    clock = ManualClock()
+    first, second = Gateway(clock, "g1"), Gateway(clock, "g2")
+    engine, source = first.send(review("r1"))
+    assert source is None
+    first.tell(second)
+    call = review("r2")
+    for _ in range(3):
+        chosen, source = second.send(call)
+        address = f"127.0.0.1:{int(engine[1:]) + 1}"
+        assert (chosen == engine) == (source is None)
+        assert source in (None, address)
+    # An engine with much to read is left, and what it has is copied.
+    long = tuple(PromptPart(f"long{number}", 40_000) for number in range(2))
+    for number in range(4):
+        second.placement.sent(engine, review(f"x{number}", long))
+    chosen, source = second.send(review("r3"))
+    assert chosen != engine
+    assert source is not None
+
+
+def test_gateways_of_a_data_centre_send_a_new_subject_to_the_same_engine() -> None:
+    clock = ManualClock()
+    found = {Gateway(clock, f"g{number}").send(review("r"))[0] for number in range(8)}
+    assert len(found) == 1
+
+
+def test_an_engine_that_started_again_is_no_source() -> None:
+    clock = ManualClock()
+    gateway = Gateway(clock, "g1")
+    engine, _ = gateway.send(review("r1"))
+    records = [
+        record(
+            f"e{number}",
+            address=f"127.0.0.1:{number + 1}",
+            incarnation=2 if f"e{number}" == engine else 1,
+        )
+        for number in range(9)
+    ]
+    gateway.placement.retain(records)
+    for item in records:
+        assert gateway.placement.copy_source(item.instance, review("r2")) is None
+
+
+def test_an_engine_that_left_is_no_source() -> None:
+    clock = ManualClock()
+    gateway = Gateway(clock, "g1")
+    engine, _ = gateway.send(review("r1"))
+    gateway.placement.retain(
+        record(f"e{number}") for number in range(9) if f"e{number}" != engine
+    )
+    chosen, source = gateway.send(review("r2"))
+    assert chosen != engine and source is None
+
+
+def test_notes_stay_within_their_rate_whatever_the_number_of_gateways() -> None:
+    clock = ManualClock()
+    for gateways in (8, 80, 360):
+        places = PartPlaces(clock=clock)
+        told = 0
+        for second in range(10):
+            for number in range(200):
+                places.sent(f"{second}-{number}", LEAST_TOKENS, InstanceId("e1"))
+            clock.advance(1.0)
+            told += len(places.tell(gateways=gateways, seconds=1.0))
+        assert told / 10 * gateways <= max(NOTES_PER_SECOND * 1.1, gateways)
+        assert not places.complete
+
+
+def test_where_all_is_told_an_unknown_part_was_read_nowhere() -> None:
+    clock = ManualClock()
+    places = PartPlaces(clock=clock)
+    for second in range(10):
+        places.sent(f"{second}", LEAST_TOKENS, InstanceId("e1"))
+        places.sent("small", LEAST_TOKENS - 1, InstanceId("e1"))
+        clock.advance(1.0)
+        assert len(places.tell(gateways=8, seconds=1.0)) == 1
+    assert places.complete
+    assert not places.replicas("small")
+
+
+def test_what_is_remembered_is_bounded() -> None:
+    places = PartPlaces(clock=ManualClock())
+    for number in range(2 * MOST_PLACES):
+        places.sent("hot", LEAST_TOKENS, InstanceId(f"e{number}"))
+    assert len(places.replicas("hot")) == MOST_PLACES
+    assert short_key(f"e{2 * MOST_PLACES - 1}") in places.replicas("hot")
+    for number in range(MOST_PARTS + 1):
+        places.sent(f"p{number}", LEAST_TOKENS, InstanceId("e1"))
+    assert not places.replicas("hot")
+
+
+def test_a_first_request_stays_in_its_data_centre() -> None:
+    clock = ManualClock()
+    gateway = Gateway(clock, "g1", centre=str(HERE))
+    gateway.placement.retain(
+        record(f"e{number}", data_centre=DataCentre(("hout", "mossel")[number % 2]))
+        for number in range(10)
+    )
+    centres = set()
+    for number in range(5):
+        parts = (PromptPart(f"s{number}", 3000), PromptPart(f"o{number}", 3000))
+        call = review(f"r{number}", parts)
+        call.body = bytes(12_000)
+        chosen = gateway.placement.choose(call)
+        assert chosen is not None
+        centres.add(chosen.data_centre)
+    assert centres == {HERE}
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -131,11 +131,12 @@
         )  # fmt: skip
         plan = SendPlan(
             instance=InstanceId("i-1"), seconds_left=0.4321, urgency=12,
-            resume_after=b"9",
+            resume_after=b"9", copy_from="127.0.0.1:7",
         )  # fmt: skip
         sent = dict(PlatformDialect().upstream_headers(call, plan))
         assert sent[b"Deadline-Ms"] == b"432" and sent[b"Expected-Instance"] == b"i-1"
         assert sent[b"Tenant"] == b"w" and sent[b"Request-Priority"] == b"9"
+        assert sent[b"Kv-Fetch"] == b"127.0.0.1:7"
         assert sent[b"Last-Event-Id"] == b"9"
 
     @pytest.mark.parametrize(
