Let short prompts use engines kept for tight streams while these have little to read

Cause: two of nine engines ran chats only, at a tenth of their reading rate, while reviews waited for the others. Change: half of the gateways (by rank, the same at all) may send a prompt there that the engine can read within half of the shortest allowed pause; all of them at once broke pauses, since loads are known 0.16 s late.

--- a/damasklead/experiment/gateways.py
+++ b/damasklead/experiment/gateways.py
@@ -106,7 +106,7 @@
         self.name = name
         self.data_centre = data_centre
         self.far_bytes = 0
-        self.loads = PeerLoads(clock=driver.clock)
+        self.loads = PeerLoads(clock=driver.clock, own=name)
         self._driver = driver
         self._engines = engines
         self._sources: dict[str, Engine] = {}
--- a/damasklead/gateway/peerload.py
+++ b/damasklead/gateway/peerload.py
@@ -19,7 +19,7 @@
 from damasklead.gateway.partplaces import PartNote, PartPlaces
 from damasklead.gateway.reading import ListReport
 from damasklead.ids import InstanceId
-from damasklead.util import short_key
+from damasklead.util import short_key, stable_hash
 
 __all__ = [
     "LoadMessage",
@@ -43,6 +43,8 @@
 # does not feel.
 TOLD_TOKENS = 1500
 TOLD_REQUESTS = 3
+# Part of the gateways that may use a replica for what not all should do at once.
+CHOSEN_SHARE = 0.5
 
 
 class ReplicaShare(msgspec.Struct, array_like=True, frozen=True):
@@ -138,6 +140,8 @@
     Parameters
     ----------
     clock : Clock
+    own : str
+        This gateway's id.
 
     Attributes
     ----------
@@ -145,9 +149,11 @@
         Where prompt parts are.
     """
 
-    def __init__(self, *, clock: Clock) -> None:
+    def __init__(self, *, clock: Clock, own: str = "") -> None:
         self.parts = PartPlaces(clock=clock)
         self._clock = clock
+        self._own = own
+        self._chosen: dict[str, bool] = {}
         self._peers: dict[str, _Peer] = {}
         self._totals: dict[int, tuple[int, int]] = {}
 
@@ -169,6 +175,8 @@
             return
         if peer is not None:
             self._add(peer.shares, -1)
+        else:
+            self._chosen.clear()
         self._peers[message.sender] = _Peer(
             order=order, heard_at=self._clock.now(), shares=message.shares
         )
@@ -181,9 +189,24 @@
         life = LIFE_INTERVALS * send_interval(self.gateways)
         life = max(LEAST_LIFE_SECONDS, life)
         silent = [n for n, peer in self._peers.items() if now - peer.heard_at > life]
+        if silent:
+            self._chosen.clear()
         for name in silent:
             self._add(self._peers.pop(name).shares, -1)
 
+    def is_chosen(self, instance: InstanceId) -> bool:
+        """
+        Tell whether this gateway is of those that may use a replica for what would harm
+        if all did it at once, knowing little of each other.
+        """
+        chosen = self._chosen.get(instance)
+        if chosen is None:
+            rank = stable_hash(instance, self._own)
+            before = sum(rank > stable_hash(instance, name) for name in self._peers)
+            chosen = before < max(1.0, CHOSEN_SHARE * self.gateways)
+            self._chosen[instance] = chosen
+        return chosen
+
     def at(self, instance: InstanceId) -> tuple[int, int]:
         """Return the peers' requests at a replica and their unread prompt tokens."""
         requests, unread = self._totals.get(short_key(instance), (0, 0))
--- a/damasklead/gateway/placements/engine.py
+++ b/damasklead/gateway/placements/engine.py
@@ -51,6 +51,9 @@
 # Homes remembered between two changes of the replicas: each is asked for once for
 # every candidate of every choice.
 MOST_HOMES = 10_000
+# Part of the shortest allowed pause for which an engine may read prompts between two
+# events of a stream; the rest is for the tokens' own steps, and for slower engines.
+BESIDE_SHARE = 0.5
 # Least share of engines kept for the streams with the shortest allowed pause.
 TIGHT_SHARE = 0.22
 # Largest one: the other classes must make progress.
@@ -213,9 +216,21 @@
             state
             for state in candidates
             if (state.record.instance in self._tight) is tight
+            or (not tight and self._fits_beside(state, call))
         ]
         return own or candidates
 
+    def _fits_beside(self, state: ReplicaState, call: Call) -> bool:
+        """
+        Tell whether an engine kept for tight streams can read a prompt without
+        breaking their pauses.
+        """
+        if not self._peers.is_chosen(state.record.instance):
+            return False
+        gap = self._tight_gap or 0.0
+        reading = self._expected_unread(state, call) / READ_TOKENS_PER_SECOND
+        return self._backlog(state) + reading <= BESIDE_SHARE * gap
+
     def _unread_tokens(self, state: ReplicaState, call: Call) -> int:
         return int(self._expected_unread(state, call))
 
--- a/damasklead/gateway/process.py
+++ b/damasklead/gateway/process.py
@@ -94,7 +94,7 @@
             window=settings.bounds.retry_window_seconds,
         )
         self._gate = Gate(clock=self._clock)
-        self._peer_loads = PeerLoads(clock=self._clock)
+        self._peer_loads = PeerLoads(clock=self._clock, own=settings.instance)
         self._list_reports = ListReports(clock=self._clock)
         self._containment = Containment(clock=self._clock, named=self._note_named)
         self._peers = self._make_peers()
--- /dev/null
+++ b/tests/test_experiment.py
@@ -0,0 +1,161 @@
+"""
+Tests of experiments: loads replayed to the gateways' decisions
+===============================================================
+
+Each gain in how prompts are placed has the load that it answers replayed with and
+without it.
+"""
+
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from damasklead.experiment.description import (
+    Burst,
+    Experiment,
+    Fault,
+    FaultKind,
+    check_experiment,
+)
+from damasklead.experiment.driver import Driver
+from damasklead.experiment.engines import Engine, EngineRun
+from damasklead.experiment.fleet import run
+from damasklead.experiment.policies import POLICIES
+from damasklead.experiment.tally import Result, Tally
+from damasklead.findings import Findings
+from damasklead.gateway.calls import PromptPart
+from damasklead.gateway.placements import engine as engine_placement
+from damasklead.ids import AttemptId
+
+FILE = Path(__file__).parent.parent / "experiments" / "bursts.jsonc"
+# Long enough for a burst of reviews, short enough for a test.
+SECONDS = 12.0
+SEEDS = (1, 2, 3)
+
+
+@pytest.fixture(scope="module")
+def experiment() -> Experiment:
+    findings = Findings()
+    found = check_experiment(FILE.read_text(), file=str(FILE), findings=findings)
+    assert found is not None, list(findings)
+    return msgspec.structs.replace(found, seconds=SECONDS, faults=[])
+
+
+def replay(experiment: Experiment, policy: str = "shipped", seed: int = 1) -> Tally:
+    return run(experiment, POLICIES[policy], seed)
+
+
+def attainment(tallies: list[Tally]) -> float:
+    return sum(tally.attainment() for tally in tallies) / len(tallies)
+
+
+def test_the_same_seed_gives_the_same_run(experiment: Experiment) -> None:
+    first, second = replay(experiment), replay(experiment)
+    assert first.attainment() == second.attainment()
+    assert first.read == second.read
+
+
+def test_the_shipped_decisions_serve_better_than_least_outstanding(
+    experiment: Experiment,
+) -> None:
+    shipped, least = replay(experiment), replay(experiment, "least")
+    assert shipped.attainment() > least.attainment() + 0.1
+    assert shipped.read_again < least.read_again / 2
+
+
+@pytest.mark.parametrize(
+    ("constant", "without"),
+    [("COPY_WEIGHT", 0.0), ("BESIDE_SHARE", 0.0), ("TIGHT_SHARE", 0.0)],
+)
+def test_each_part_of_the_placement_serves_the_burst_better(
+    experiment: Experiment,
+    monkeypatch: pytest.MonkeyPatch,
+    constant: str,
+    without: float,
+) -> None:
+    whole = attainment([replay(experiment, seed=seed) for seed in SEEDS])
+    monkeypatch.setattr(engine_placement, constant, without)
+    less = attainment([replay(experiment, seed=seed) for seed in SEEDS])
+    assert whole > less
+
+
+def test_prompts_are_read_again_far_less_when_engines_copy(
+    experiment: Experiment, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    with_copies = [replay(experiment, seed=seed) for seed in SEEDS]
+    monkeypatch.setattr(
+        engine_placement.EnginePlacement, "copy_source", lambda *_: None
+    )
+    without = [replay(experiment, seed=seed) for seed in SEEDS]
+    again = sum(tally.read_again for tally in with_copies)
+    assert again < sum(tally.read_again for tally in without) / 2
+    assert attainment(with_copies) > attainment(without)
+
+
+def test_a_crash_is_survived_by_those_that_come_back(experiment: Experiment) -> None:
+    fault = Fault(kind=FaultKind.CRASH, at=4.0, seconds=3.0, share=0.2)
+    calm = msgspec.structs.replace(experiment, bursts=[])
+    tally = replay(msgspec.structs.replace(calm, faults=[fault]))
+    failed = sum(kind.counts[Result.FAILED] for kind in tally.kinds().values())
+    asked = sum(sum(kind.counts.values()) for kind in tally.kinds().values())
+    assert asked > 200
+    assert failed <= 0.05 * asked
+
+
+def test_gateways_that_do_not_hear_each_other_still_serve(
+    experiment: Experiment,
+) -> None:
+    cut = Fault(kind=FaultKind.CUT, at=0.0, seconds=SECONDS, share=1.0)
+    alone = replay(msgspec.structs.replace(experiment, faults=[cut]))
+    assert alone.attainment() > 0.7 * replay(experiment).attainment()
+
+
+def test_a_burst_makes_more_requests(experiment: Experiment) -> None:
+    def asked(bursts: list[Burst]) -> int:
+        tally = replay(msgspec.structs.replace(experiment, bursts=bursts), "least")
+        return sum(sum(kind.counts.values()) for kind in tally.kinds().values())
+
+    burst = Burst(at=0.0, seconds=SECONDS, factor=3.0)
+    assert asked([burst]) > 2 * asked([])
+
+
+def test_an_engine_reads_a_shared_part_once(experiment: Experiment) -> None:
+    driver = Driver()
+    one, other = (
+        Engine(figures=experiment.engines, driver=driver, speed=1.0, known=set())
+        for _ in range(2)
+    )
+    ended: list[bool] = []
+
+    def send(engine: Engine, name: str) -> None:
+        parts = (PromptPart("shared", 4000), PromptPart(f"own-{name}", 500))
+        assert engine.submit(
+            EngineRun(
+                attempt=AttemptId(name),
+                prompt=parts,
+                urgency=0,
+                answer=8,
+                on_event=lambda _hint: None,
+                on_end=ended.append,
+            )
+        )
+        driver.run_until(driver.clock.now() + 5.0)
+
+    send(one, "a")
+    assert one.read == 4500
+    send(one, "b")
+    assert one.read == 5000
+    seconds = other.copy(one, (PromptPart("shared", 4000), PromptPart("x", 1)))
+    assert 0 < seconds < 0.02
+    send(other, "c")
+    assert other.read == 500
+    assert ended == [True, True, True]
+
+
+def test_a_wrong_file_is_reported_with_its_place() -> None:
+    findings = Findings()
+    text = FILE.read_text().replace('"gateways": 8', '"gateways": "many"')
+    assert check_experiment(text, file="f.jsonc", findings=findings) is None
+    (finding,) = findings
+    assert finding.path == "gateways" and finding.line == 6
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -537,3 +537,39 @@
     def test_messages_do_not_grow_with_the_square_of_the_fleet(self) -> None:
         received = [(n - 1) / send_interval(n) for n in (8, 80, 300)]
         assert max(received) <= 50
+
+
+def test_half_of_the_gateways_may_use_a_replica_and_each_knows_which() -> None:
+    names = [f"gateway-{number}" for number in range(8)]
+    chosen = []
+    for name in names:
+        loads = PeerLoads(clock=ManualClock(), own=name)
+        for number, other in enumerate(names):
+            if other != name:
+                loads.take(LoadMessage(other, 1, number + 1, []))
+        chosen.append(loads.is_chosen(InstanceId("e1")))
+    assert sum(chosen) == 4
+    alone = PeerLoads(clock=ManualClock(), own="gateway-1")
+    assert alone.is_chosen(InstanceId("e1"))
+
+
+def test_a_short_prompt_goes_to_an_engine_of_tight_streams_that_has_little_to_read() -> (
+    None
+):
+    placement = TestEnginePlacement().placement()
+    others = [f"e{n}" for n in range(9) if f"e{n}" not in placement.tight]
+    for number, name in enumerate(others):
+        busy = make_call(f"b{number}", REVIEW, tokens=9000)
+        placement.sent(InstanceId(name), busy)
+    short, long = (
+        make_call(f"s{tokens}", REVIEW, tokens=tokens) for tokens in (1500, 6000)
+    )
+    chosen = placement.choose(short)
+    assert chosen is not None and chosen.instance in placement.tight
+    placement.sent(chosen.instance, short)
+    second = placement.choose(long)
+    assert second is not None and second.instance not in placement.tight
+    for name in placement.tight:
+        placement.sent(name, make_call(f"full-{name}", CHAT, tokens=2500))
+    third = placement.choose(make_call("third", REVIEW, tokens=1500))
+    assert third is not None and third.instance not in placement.tight
