--- a/damasklead/cmdline.py
+++ b/damasklead/cmdline.py
@@ -14,6 +14,7 @@
 
 from damasklead import __version__
 from damasklead.commands.changing import DrainInstance, Publish
+from damasklead.commands.experimenting import RunExperiment
 from damasklead.commands.inspecting import Audit, ShowStatus
 from damasklead.commands.orders import Orders
 from damasklead.commands.quarantine import QuarantineGroup
@@ -49,6 +50,7 @@
         | QuarantineGroup
         | MakeKey
         | Demo
+        | RunExperiment
         | Standin
     ]
 
--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -11,6 +11,7 @@
 import msgspec
 import pytest
 
+from damasklead.cmdline import main
 from damasklead.experiment.description import (
     Burst,
     Experiment,
@@ -153,6 +154,23 @@
     assert ended == [True, True, True]
 
 
+def test_the_command_prints_a_table_and_draws_a_plot(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    text = FILE.read_text().replace('"seconds": 34', '"seconds": 3')
+    file, plot = tmp_path / "short.jsonc", tmp_path / "day.png"
+    file.write_text(text)
+    options = ["--policy", "shipped", "--policy", "least", "--seeds", "1"]
+    code = main(["experiment", str(file), *options, "--plot", str(plot)])
+    printed = capsys.readouterr().out
+    assert code == 0
+    assert printed.startswith("policy") and "least:" in printed and "chat" in printed
+    assert plot.read_bytes().startswith(b"\x89PNG")
+    assert main(["experiment", str(file), "--policy", "best"]) == 1
+    file.write_text(text.replace('"rate": 12.0', '"rate": "fast"'))
+    assert main(["experiment", str(file)]) == 2
+
+
 def test_a_wrong_file_is_reported_with_its_place() -> None:
     findings = Findings()
     text = FILE.read_text().replace('"gateways": 8', '"gateways": "many"')
--- a/tests/test_package.py
+++ b/tests/test_package.py
@@ -77,9 +77,9 @@
 
 
 GATEWAY_DECISIONS = (
-    "admission", "budget", "calls", "directory", "events", "peerload", "reading",
-    "refusals", "replicastate", "routing", "placements/base", "placements/engine",
-    "placements/plain",
+    "admission", "budget", "calls", "containment", "directory", "events",
+    "partplaces", "peerload", "reading", "refusals", "replicastate", "routing",
+    "placements/base", "placements/engine", "placements/plain", "placements/prefixes",
 )  # fmt: skip
 
 
