--- /dev/null
+++ b/soak/faults.py
@@ -0,0 +1,168 @@
+"""
+Faults
+======
+
+The seeded schedule of a run: what goes wrong, when, and for how long.
+"""
+
+import random
+import signal
+from collections.abc import Callable
+
+import gevent
+import msgspec
+
+from soak.proxy import Trouble
+from soak.site import Site
+
+__all__ = ["FAULTS", "Fault", "play", "schedule"]
+
+# Callers look at readiness before they stop sending, as a balancer does.
+RESTART_SECONDS = 0.5
+
+
+class Fault(msgspec.Struct, kw_only=True, frozen=True):
+    """One fault of a schedule; ``pick`` chooses among what it may strike."""
+
+    at: float
+    kind: str
+    pick: int
+    seconds: float
+
+
+def schedule(seed: int, *, seconds: float, count: int) -> list[Fault]:
+    """Return the faults of a seed, in the order of their times; they may overlap."""
+    source = random.Random(seed)
+    faults = [
+        Fault(
+            at=source.uniform(0.0, 0.8 * seconds),
+            kind=source.choice(sorted(FAULTS)),
+            pick=source.randrange(1000),
+            seconds=source.uniform(0.3, 2.5),
+        )
+        for _ in range(count)
+    ]
+    return sorted(faults, key=lambda fault: fault.at)
+
+
+def play(site: Site, faults: list[Fault]) -> list[gevent.Greenlet]:
+    """Begin all faults at their times; returns what plays them."""
+    return [
+        gevent.spawn_later(fault.at, FAULTS[fault.kind], site, fault)
+        for fault in faults
+    ]
+
+
+def _gateway(site: Site, fault: Fault) -> str:
+    return site.gateways[fault.pick % len(site.gateways)]
+
+
+def _replica(site: Site, fault: Fault) -> str:
+    alive = [name for name, replica in site.replicas.items() if replica.alive]
+    return alive[fault.pick % len(alive)]
+
+
+def _stop(site: Site, fault: Fault) -> None:
+    name = _gateway(site, fault)
+    site.signal(name, signal.SIGTERM)
+    _start_again(site, name)
+
+
+def _kill(site: Site, fault: Fault) -> None:
+    name = _gateway(site, fault)
+    site.signal(name, signal.SIGKILL)
+    _start_again(site, name)
+
+
+def _start_again(site: Site, name: str) -> None:
+    while site.running(name):
+        gevent.sleep(0.05)
+    gevent.sleep(RESTART_SECONDS)
+    # Two faults may have ended the same process.
+    if not site.running(name):
+        site.start(name)
+
+
+def _pause(site: Site, fault: Fault) -> None:
+    name = _gateway(site, fault)
+    site.signal(name, signal.SIGSTOP)
+    gevent.sleep(fault.seconds)
+    site.signal(name, signal.SIGCONT)
+
+
+def _reload(site: Site, fault: Fault) -> None:
+    site.signal(_gateway(site, fault), signal.SIGHUP)
+
+
+def _trouble_replica(trouble: Trouble) -> Callable[[Site, Fault], None]:
+    def strike(site: Site, fault: Fault) -> None:
+        proxy = site.proxies[_replica(site, fault)]
+        proxy.trouble(trouble, seconds=fault.seconds / 10)
+        gevent.sleep(fault.seconds)
+        proxy.trouble(Trouble.NONE)
+
+    return strike
+
+
+def _trouble_store(trouble: Trouble) -> Callable[[Site, Fault], None]:
+    def strike(site: Site, fault: Fault) -> None:
+        proxy = site.store_proxies[_gateway(site, fault)]
+        proxy.trouble(trouble, seconds=fault.seconds / 10)
+        gevent.sleep(fault.seconds)
+        proxy.trouble(Trouble.NONE)
+
+    return strike
+
+
+def _store_away(site: Site, fault: Fault) -> None:
+    site.store.refusing = True
+    gevent.sleep(fault.seconds)
+    site.store.refusing = False
+
+
+def _crash_replica(site: Site, fault: Fault) -> None:
+    name = _replica(site, fault)
+    site.replicas[name].crash()
+    gevent.sleep(fault.seconds)
+    site.remove_replica(name)
+    site.add_replica()
+
+
+def _drain_replica(site: Site, fault: Fault) -> None:
+    site.add_replica()
+    name = _replica(site, fault)
+    site.list_replica(name, state="draining")
+    gevent.sleep(3.0 + fault.seconds)
+    site.remove_replica(name)
+
+
+def _fail_replica(site: Site, fault: Fault) -> None:
+    replica = site.replicas[_replica(site, fault)]
+    replica.failing = True
+    gevent.sleep(fault.seconds)
+    replica.failing = False
+
+
+def _configure(site: Site, _fault: Fault) -> None:
+    site.configure()
+
+
+FAULTS: dict[str, Callable[[Site, Fault], None]] = {
+    "configuration changes": _configure,
+    "gateway is killed": _kill,
+    "gateway is paused": _pause,
+    "gateway is told to reload": _reload,
+    "gateway is told to stop": _stop,
+    "replica crashes": _crash_replica,
+    "replica drains": _drain_replica,
+    "replica refuses": _fail_replica,
+    "replica's answers are cut": _trouble_replica(Trouble.CUT_ANSWERS),
+    "replica's connections are reset": _trouble_replica(Trouble.RESET),
+    "replica is slow": _trouble_replica(Trouble.DELAY),
+    "replica is silent": _trouble_replica(Trouble.SILENCE),
+    "store is away": _store_away,
+    "store is silent to one": _trouble_store(Trouble.SILENCE),
+    "store is slow to one": _trouble_store(Trouble.DELAY),
+    "store loses answers to one": _trouble_store(Trouble.CUT_ANSWERS),
+    "store resets one": _trouble_store(Trouble.RESET),
+}
