--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 RUN := $(VENV)/bin/python
 
-.PHONY: demo test lint bench model fuzz binary clean
+.PHONY: demo test lint bench model fuzz soak binary clean
 
 $(VENV)/.installed: requirements-dev.txt
 	$(PYTHON) -m venv $(VENV)
@@ -29,6 +29,12 @@
 	$(RUN) -m bench.store
 	$(RUN) -m bench.slopes
 
+# One seed, or several: make soak SEED=7 SEEDS=50.
+SEED ?= 1
+SEEDS ?= 1
+soak: $(VENV)/.installed
+	$(RUN) -m soak --seed $(SEED) --seeds $(SEEDS)
+
 model: $(VENV)/.installed
 	$(RUN) -m models
 
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -11,7 +11,7 @@
 
 import gevent
 import msgspec
-from gevent import socket
+from gevent import select, socket
 
 from tests.gatewaykit import request
 
@@ -97,9 +97,9 @@
         method = "GET" if path.startswith("/read/") else "POST"
         data = request(path, method=method, body="x", attempt=note.attempt)
         try:
-            # A kept connection is used until the process is gone.
+            # A kept connection is used until the gateway has closed it.
             connection = self._connections.pop(gateway, None)
-            if connection is None:
+            if connection is None or _is_closed(connection):
                 connection = socket.create_connection(
                     ("127.0.0.1", self._ports[gateway]), timeout=PATIENCE_SECONDS
                 )
@@ -114,6 +114,12 @@
             return
 
 
+def _is_closed(connection: socket.socket) -> bool:
+    """Tell whether the peer has closed an idle connection."""
+    readable, _, _ = select.select([connection], [], [], 0)
+    return bool(readable)
+
+
 def _read_answer(connection: socket.socket, note: AnswerNote) -> bool:
     """Read one answer into a note; returns whether the connection may be kept."""
     stream = connection.makefile("rb")
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -22,6 +22,8 @@
 STOP_SLACK_SECONDS = 1.0
 # Part of the requests that is served once all faults are over.
 LEAST_SERVED = 0.95
+# Requests that are shown with their logs.
+MOST_SHOWN = 5
 
 
 class Breach(msgspec.Struct, kw_only=True, frozen=True):
@@ -64,7 +66,15 @@
     if late and served >= LEAST_SERVED * len(late):
         return []
     detail = f"{served} of {len(late)} served after the last fault"
-    return [Breach(promise="service recovers", detail=detail)]
+    unserved = [note for note in late if not (note.status == 200 and note.whole)]
+    return [Breach(promise="service recovers", detail=detail)] + [
+        Breach(
+            promise="service recovers",
+            detail=f"{note.path} at {note.gateway}: {note.status}",
+            attempt=note.attempt,
+        )
+        for note in unserved[:MOST_SHOWN]
+    ]
 
 
 def _judge_answer(note: AnswerNote, ran: int) -> list[Breach]:
--- a/soak/site.py
+++ b/soak/site.py
@@ -152,8 +152,8 @@
 
     def signal(self, name: str, number: signal.Signals) -> None:
         """Send a gateway process a signal, if it runs."""
-        process = self._processes[name]
-        if process.poll() is not None:
+        process = self._processes.get(name)
+        if process is None or process.poll() is not None:
             return
         if number in (signal.SIGTERM, signal.SIGKILL):
             self._asked_to_end.setdefault(name, time.monotonic())
