--- a/damasklead/gateway/peers.py
+++ b/damasklead/gateway/peers.py
@@ -30,9 +30,10 @@
 
 __all__ = ["Peers"]
 
-# Peers are looked up this often; one more machine is noticed by its own messages only
-# after it was found.
-LOOK_UP_SECONDS = 5.0
+# Peers are looked up this often, and at once when an unknown one is heard, but not more
+# often than the pause: each look-up is a priced call to the platform.
+LOOK_UP_SECONDS = 20.0
+LOOK_UP_PAUSE_SECONDS = 2.0
 RETRY_SECONDS = 0.7
 # Sent also when nothing has changed, so that silence means something.
 REFRESH_SECONDS = 0.6
@@ -92,6 +93,7 @@
         self._containment = containment
         self._notify = notify
         self._changed = Event()
+        self._unknown = Event()
         self._clock = clock
         self._journal = journal
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -160,6 +162,8 @@
                 self._journal.event("peer-message-unreadable", cause=str(error))
                 continue
             if message.sender != self._own.instance:
+                if message.sender not in self._addresses:
+                    self._unknown.set()
                 self._loads.take(message)
                 self._containment.take(message.crashes)
                 if self._list_reports.take(message.lists):
@@ -178,7 +182,9 @@
                 self._journal.event("peers-not-found", cause=str(error))
                 gevent.sleep(RETRY_SECONDS * random.uniform(0.7, 1.3))
                 continue
-            gevent.sleep(LOOK_UP_SECONDS * random.uniform(0.8, 1.2))
+            gevent.sleep(LOOK_UP_PAUSE_SECONDS * random.uniform(0.8, 1.2))
+            self._unknown.wait(timeout=LOOK_UP_SECONDS * random.uniform(0.8, 1.2))
+            self._unknown.clear()
 
     def close(self) -> None:
         """Withdraw the announcement and close the socket."""
--- a/damasklead/gateway/process.py
+++ b/damasklead/gateway/process.py
@@ -14,7 +14,6 @@
 import gevent
 from gevent.event import Event
 
-from damasklead.findings import Findings
 from damasklead.gateway.attempts import RunParts
 from damasklead.gateway.bootstrap import Bootstrap
 from damasklead.gateway.budget import SharedRetryBudget
@@ -32,8 +31,9 @@
 from damasklead.gateway.peers import Peers
 from damasklead.gateway.placements import Placement, new_placement
 from damasklead.gateway.reading import ListName, ListReports, ReadPlan, is_reader
-from damasklead.gateway.routing import Route, RoutingTable, ServiceSpec
-from damasklead.gateway.settings import GatewaySettings, check_gateway_settings
+from damasklead.gateway.reloading import SettingsFile
+from damasklead.gateway.routing import RoutingTable, ServiceSpec
+from damasklead.gateway.settings import GatewaySettings
 from damasklead.gateway.snapshot import Snapshot
 from damasklead.gateway.upstream_http import ConnectionPool
 from damasklead.ids import DataCentre, Fingerprint, InstanceId, ServiceName
@@ -74,12 +74,12 @@
         dialect: Dialect,
         open_link: Callable[[str], PlatformLink],
     ) -> None:
-        self._settings_file = settings_file
-        self._settings = settings
-        self._settings_stamp = _stamp(settings_file)
         self._open_link = open_link
         self._clock = LoopClock()
         self._journal = Journal(instance=settings.instance)
+        self._file = SettingsFile(
+            path=settings_file, settings=settings, journal=self._journal
+        )
         self._metrics = GatewayMetrics()
         self._stopping = False
         self._stop_asked = Event()
@@ -142,6 +142,10 @@
         self._tree = self._build_tree()
         self._observe()
 
+    @property
+    def _settings(self) -> GatewaySettings:
+        return self._file.settings
+
     @property
     def ready(self) -> bool:
         """Whether the process can take requests."""
@@ -193,20 +197,10 @@
 
     def reload(self) -> None:
         """Read the settings file again; what is wrong leaves the old ones in force."""
-        self._settings_stamp = _stamp(self._settings_file)
-        findings = Findings()
-        try:
-            text = self._settings_file.read_text()
-        except OSError as error:
-            self._journal.event("reload-failed", cause=str(error))
-            return
-        settings = check_gateway_settings(
-            text, file=str(self._settings_file), findings=findings
-        )
-        if settings is None:
-            self._journal.event("reload-failed", findings="; ".join(map(str, findings)))
+        before = self._settings
+        if not self._file.read():
             return
-        before, self._settings = self._settings, settings
+        settings = self._settings
         if settings.platform != before.platform:
             old, self._link = self._link, self._open_link(settings.platform)
             old.close()
@@ -215,7 +209,6 @@
             allowance=settings.bounds.retry_allowance,
             window=settings.bounds.retry_window_seconds,
         )
-        self._journal.event("reloaded", changed=settings != before)
 
     def _tick_forever(self) -> None:
         while True:
@@ -225,7 +218,7 @@
             self._containment.tick()
             if self._peers is not None and self._peers.known is not None:
                 self._share_among(self._peers.known)
-            if _stamp(self._settings_file) != self._settings_stamp:
+            if self._file.changed:
                 self.reload()
 
     def _share_among(self, gateways: int) -> None:
@@ -271,7 +264,7 @@
             del self._placements[name]
         for service in table.services.values():
             placement = self._placement_of(service.name)
-            placement.configure(service, _routes_of(table, service.name))
+            placement.configure(service, table.routes_to(service.name))
         self._arrange()
 
     def _arrange(self) -> None:
@@ -430,20 +423,3 @@
             TaskChild(name="peer-receiver", function=peers.run_receiver),
             TaskChild(name="peer-look-up", function=peers.run_look_up),
         ]
-
-
-def _routes_of(table: RoutingTable, service: ServiceName) -> list[Route]:
-    return [
-        route
-        for route in table.routes
-        if any(name == service for name, _ in route.split)
-    ]
-
-
-def _stamp(file: Path) -> tuple[int, int]:
-    """Return what changes when a file is written; zeros while there is none."""
-    try:
-        status = file.stat()
-    except OSError:
-        return (0, 0)
-    return (status.st_mtime_ns, status.st_size)
--- /dev/null
+++ b/damasklead/gateway/reloading.py
@@ -0,0 +1,78 @@
+"""
+Settings as they change
+=======================
+
+Reads the settings file at the start, on a signal, and whenever it has changed.
+"""
+
+from pathlib import Path
+
+from damasklead.findings import Findings
+from damasklead.gateway.journal import Journal
+from damasklead.gateway.settings import GatewaySettings, check_gateway_settings
+
+__all__ = ["SettingsFile"]
+
+
+class SettingsFile:
+    """
+    The settings file of one gateway.
+
+    Parameters
+    ----------
+    path : Path
+    settings : GatewaySettings
+        As read from the file at the start.
+    journal : Journal
+    """
+
+    def __init__(
+        self, *, path: Path, settings: GatewaySettings, journal: Journal
+    ) -> None:
+        self._path = path
+        self._settings = settings
+        self._journal = journal
+        self._stamp = _stamp(path)
+
+    @property
+    def settings(self) -> GatewaySettings:
+        """The settings in force."""
+        return self._settings
+
+    @property
+    def changed(self) -> bool:
+        """Whether the file was written since it was last read."""
+        return _stamp(self._path) != self._stamp
+
+    def read(self) -> bool:
+        """
+        Read the file again; what is wrong leaves the old settings in force.
+
+        Returns
+        -------
+        bool
+            Whether the file was sound.
+        """
+        self._stamp = _stamp(self._path)
+        findings = Findings()
+        try:
+            text = self._path.read_text()
+        except OSError as error:
+            self._journal.event("reload-failed", cause=str(error))
+            return False
+        settings = check_gateway_settings(text, file=str(self._path), findings=findings)
+        if settings is None:
+            self._journal.event("reload-failed", findings="; ".join(map(str, findings)))
+            return False
+        before, self._settings = self._settings, settings
+        self._journal.event("reloaded", changed=settings != before)
+        return True
+
+
+def _stamp(file: Path) -> tuple[int, int]:
+    """Return what changes when a file is written; zeros while there is none."""
+    try:
+        status = file.stat()
+    except OSError:
+        return (0, 0)
+    return (status.st_mtime_ns, status.st_size)
--- a/damasklead/gateway/routing.py
+++ b/damasklead/gateway/routing.py
@@ -239,6 +239,14 @@
         """All routes."""
         return self._content.routes
 
+    def routes_to(self, service: ServiceName) -> list[Route]:
+        """Return the routes that lead to a service."""
+        return [
+            route
+            for route in self.routes
+            if any(name == service for name, _ in route.split)
+        ]
+
     def match(self, host: str, target: str) -> Route | None:
         """Return the route with the longest prefix of a request's path."""
         prefixes = self._by_host.get(_bare_host(host))
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -269,3 +269,22 @@
         "r0",
         "r1",
     ]
+
+
+def test_a_gateway_that_comes_later_is_looked_up_when_it_is_heard(
+    site: Site, tmp_path: Path
+) -> None:
+    site.fill_store()
+    site.start()
+    wait_until(site.is_ready, seconds=10)
+    # Longer than the pause after a look-up, far shorter than until the next one.
+    gevent.sleep(3.0)
+    (tmp_path / "second").mkdir()
+    second = Site(tmp_path / "second")
+    try:
+        second.write_settings(instance="gateway-2", platform=site.store.address)
+        second.start()
+        wait_until(lambda: second.logged('peer="gateway-1"'), seconds=10)
+        wait_until(lambda: site.logged('peer="gateway-2"'), seconds=8)
+    finally:
+        second.close()
