--- a/bench/policies.py
+++ b/bench/policies.py
@@ -16,10 +16,11 @@
 
 from bench.simulation import HARD_BATCH, Driver, Engine, Run
 from bench.workload import ENTRIES, Arrival, Deployment, Fault, Scenario
-from damasklead.dispatching import Options, PoolDispatcher
+from damasklead.dispatching import PoolDispatcher
 from damasklead.ids import AttemptId, Fingerprint, Incarnation, InstanceId, PoolId
 from damasklead.learning import CostModel
 from damasklead.messages import PeerMessage, encode_message
+from damasklead.preempting import Options
 from damasklead.quarantine import Quarantine
 from damasklead.replicas import ReplicaInfo
 from damasklead.requests import (
--- /dev/null
+++ b/damasklead/daemon/crashes.py
@@ -0,0 +1,113 @@
+"""
+Crashes
+=======
+
+Takes the requests on a replica whose connection broke as suspects, confirms the crash,
+and has guilty requests refused at every entry.
+"""
+
+from collections.abc import Callable
+
+import gevent
+
+from damasklead.daemon.pools import Pool
+from damasklead.gossip import GossipBuffer
+from damasklead.ids import Fingerprint, InstanceId
+from damasklead.membership import Member
+from damasklead.messages import CrashNotice, QuarantineNotice
+from damasklead.quarantine import Quarantine
+from damasklead.quarantine_rows import QuarantineRow, row_put
+from damasklead.requests import Start
+from damasklead.upstreams import UpstreamError
+
+__all__ = ["CrashWatch"]
+
+
+class CrashWatch:
+    """
+    The crashes of replicas as one entry sees them.
+
+    Parameters
+    ----------
+    instance : InstanceId
+        This entry.
+    quarantine : Quarantine
+    gossip : GossipBuffer
+    record : callable
+        Adds a change to the audit trail.
+    """
+
+    def __init__(
+        self,
+        *,
+        instance: InstanceId,
+        quarantine: Quarantine,
+        gossip: GossipBuffer,
+        record: Callable[..., None],
+    ) -> None:
+        self._instance = instance
+        self._quarantine = quarantine
+        self._gossip = gossip
+        self._record = record
+
+    def tick(self) -> None:
+        """Refuse what is found guilty."""
+        for fingerprint in self._quarantine.decide():
+            self._name(fingerprint, why="it crashed upstreams again")
+
+    def suspect(self, pool: Pool, start: Start, member: Member | None) -> None:
+        """
+        Take all requests on a replica whose connection broke as suspects of a crash.
+        """
+        if member is None:
+            return
+        fingerprints = frozenset(
+            attempt.request.fingerprint
+            for attempt in pool.dispatcher.attempts.values()
+            if attempt.replica == start.replica and attempt.request.fingerprint
+        )
+        if not fingerprints:
+            return
+        notice = CrashNotice(
+            instance=member.instance,
+            incarnation=member.incarnation,
+            fingerprints=tuple(sorted(fingerprints)),
+        )
+        self.observe(notice)
+        gevent.spawn(self._confirm, pool, member.address, notice)
+
+    def observe(self, notice: CrashNotice) -> None:
+        """Take in a notice of a crash, an own one or another entry's."""
+        self._quarantine.observe_crash(
+            notice.instance, notice.incarnation, frozenset(notice.fingerprints)
+        )
+
+    def _name(self, fingerprint: Fingerprint, *, why: str) -> None:
+        """Refuse a fingerprint at every entry."""
+        if self._quarantine.name(fingerprint):
+            self._gossip.add(QuarantineNotice(fingerprint=fingerprint))
+            row = QuarantineRow(
+                fingerprint=fingerprint,
+                number=self._quarantine.release_number(fingerprint) + 1,
+                released=False,
+                who=self._instance,
+            )
+            self._record(
+                "quarantine", fingerprint, row_put(row), before="suspect", after=why
+            )
+
+    def _confirm(self, pool: Pool, address: str, notice: CrashNotice) -> None:
+        """
+        Ask a replica for its incarnation: only if it is gone or new was there a crash.
+        """
+        try:
+            status = pool.upstream.status(address)
+        except UpstreamError:
+            status = None
+        if status is not None and status.incarnation == notice.incarnation:
+            self._quarantine.retract(notice.instance, notice.incarnation)
+            return
+        if self._gossip.add(notice):
+            self._record(
+                "crash", notice.instance, after=f"{len(notice.fingerprints)} suspects"
+            )
--- a/damasklead/daemon/entry.py
+++ b/damasklead/daemon/entry.py
@@ -15,6 +15,7 @@
 from damasklead.audit import AuditBuffer, AuditEvent
 from damasklead.configuration import PoolScope, Service, ServiceKind
 from damasklead.daemon.claimkeeper import ClaimKeeper
+from damasklead.daemon.crashes import CrashWatch
 from damasklead.daemon.exchange import Exchange, ExchangeHost
 from damasklead.daemon.metrics import Metrics
 from damasklead.daemon.pools import Pool
@@ -23,7 +24,6 @@
 from damasklead.ids import (
     AttemptId,
     DataCentre,
-    Fingerprint,
     Incarnation,
     InstanceId,
     PoolId,
@@ -43,7 +43,6 @@
 )
 from damasklead.protocol import Steps, T, run
 from damasklead.quarantine import Quarantine
-from damasklead.quarantine_rows import QuarantineRow, row_put
 from damasklead.replicas import ReplicaInfo
 from damasklead.requests import (
     Action,
@@ -95,6 +94,12 @@
         self.gossip = GossipBuffer(clock=clock)
         self.quarantine = Quarantine(clock=clock)
         self.audit = AuditBuffer()
+        self.crashes = CrashWatch(
+            instance=self.instance,
+            quarantine=self.quarantine,
+            gossip=self.gossip,
+            record=self.record,
+        )
         self.metrics = Metrics()
         self.claims = ClaimKeeper(run=self.run_protocol, clock=clock)
         self.connections = ConnectionPool()
@@ -245,7 +250,7 @@
                     if self.membership.mark_leaving(item.instance, item.incarnation):
                         self.arrange_members()
                 case CrashNotice():
-                    self._observe_crash(item)
+                    self.crashes.observe(item)
                 case QuarantineNotice():
                     self.quarantine.name(item.fingerprint)
                 case ReleaseNotice():
@@ -318,7 +323,7 @@
                 member.instance, member.incarnation, why="it refused work"
             )
         if error.failure is Failure.BROKEN and pool.service.kind is ServiceKind.ENGINE:
-            self._suspect_crash(pool, start, member)
+            self.crashes.suspect(pool, start, member)
         self.apply(pool, pool.dispatcher.fail(start.attempt, error.failure))
 
     def first_event(self, exchange: Exchange) -> None:
@@ -336,25 +341,10 @@
 
     def tick(self) -> None:
         """Let time pass in all pools."""
-        for fingerprint in self.quarantine.decide():
-            self.name_quarantine(fingerprint, why="it crashed upstreams again")
+        self.crashes.tick()
         for pool in self.pools.values():
             self.apply(pool, pool.dispatcher.tick())
 
-    def name_quarantine(self, fingerprint: Fingerprint, *, why: str) -> None:
-        """Refuse a fingerprint at every entry."""
-        if self.quarantine.name(fingerprint):
-            self.gossip.add(QuarantineNotice(fingerprint=fingerprint))
-            row = QuarantineRow(
-                fingerprint=fingerprint,
-                number=self.quarantine.release_number(fingerprint) + 1,
-                released=False,
-                who=self.instance,
-            )
-            self.record(
-                "quarantine", fingerprint, row_put(row), before="suspect", after=why
-            )
-
     def new_attempt_id(self) -> AttemptId:
         """Return an id that no other attempt has."""
         self._attempt_number += 1
@@ -416,48 +406,6 @@
             return member.data_centre == self.settings.data_centre
         return member.region == self.settings.region
 
-    def _suspect_crash(self, pool: Pool, start: Start, member: Member | None) -> None:
-        """
-        Take all requests on a replica whose connection broke as suspects of a crash.
-        """
-        if member is None:
-            return
-        fingerprints = frozenset(
-            attempt.request.fingerprint
-            for attempt in pool.dispatcher.attempts.values()
-            if attempt.replica == start.replica and attempt.request.fingerprint
-        )
-        if not fingerprints:
-            return
-        notice = CrashNotice(
-            instance=member.instance,
-            incarnation=member.incarnation,
-            fingerprints=tuple(sorted(fingerprints)),
-        )
-        self._observe_crash(notice)
-        gevent.spawn(self._confirm_crash, pool, member.address, notice)
-
-    def _confirm_crash(self, pool: Pool, address: str, notice: CrashNotice) -> None:
-        """
-        Ask a replica for its incarnation: only if it is gone or new was there a crash.
-        """
-        try:
-            status = pool.upstream.status(address)
-        except UpstreamError:
-            status = None
-        if status is not None and status.incarnation == notice.incarnation:
-            self.quarantine.retract(notice.instance, notice.incarnation)
-            return
-        if self.gossip.add(notice):
-            self.record(
-                "crash", notice.instance, after=f"{len(notice.fingerprints)} suspects"
-            )
-
-    def _observe_crash(self, notice: CrashNotice) -> None:
-        self.quarantine.observe_crash(
-            notice.instance, notice.incarnation, frozenset(notice.fingerprints)
-        )
-
     def _count(self, action: Action) -> None:
         name = action.request.request_class.name
         if isinstance(action, Refuse):
--- a/damasklead/daemon/exchange.py
+++ b/damasklead/daemon/exchange.py
@@ -6,7 +6,6 @@
 it takes.
 """
 
-import hashlib
 from abc import ABC, abstractmethod
 from collections.abc import Generator, Iterator
 from typing import Any
@@ -28,9 +27,22 @@
 )
 from damasklead.daemon.claimkeeper import ClaimKeeper
 from damasklead.daemon.pools import Pool
+from damasklead.daemon.replies import (
+    DONE_EVENT,
+    EVENT_END,
+    MAX_KEPT_ANSWER,
+    MAX_RAW_BYTES,
+    Head,
+    Piece,
+    body_differs,
+    end_to_end,
+    replay_claim,
+    store_down,
+    text_of,
+)
 from damasklead.ids import AttemptId, InstanceId
 from damasklead.loop import LoopClock
-from damasklead.problems import Problem, problem_for
+from damasklead.problems import problem_for
 from damasklead.protocol import Steps, T
 from damasklead.requests import (
     Action,
@@ -46,41 +58,7 @@
 from damasklead.upstreams import Answer, OutgoingCall, UpstreamError
 from damasklead.upstreams.engine import EngineUpstream, continuation_body
 
-__all__ = ["Exchange", "ExchangeHost", "Head"]
-
-EVENT_END = b"\n\n"
-DONE_EVENT = b"data: [DONE]\n\n"
-MAX_RAW_BYTES = 65_536
-MAX_KEPT_ANSWER = 262_144  # bytes
-HOP_BY_HOP = frozenset(
-    (
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "content-length",
-        "x-request-id",
-        "date",
-        "server",
-    )
-)
-
-
-class Head(msgspec.Struct, kw_only=True):
-    """
-    The head of an answer to the caller; ``whole`` says that one piece of body follows.
-    """
-
-    status: int
-    headers: list[tuple[str, str]]
-    whole: bool
-
-
-Piece = Head | bytes | Problem
+__all__ = ["Exchange", "ExchangeHost"]
 
 
 class ExchangeHost(ABC):
@@ -301,7 +279,7 @@
         self._answer = answer
         if not self.streaming:
             self.streaming = True
-            yield Head(status=200, headers=_end_to_end(answer), whole=False)
+            yield Head(status=200, headers=end_to_end(answer), whole=False)
         held = b""
         ended = False
         progress = self.pool.dispatcher.progress
@@ -328,7 +306,7 @@
     def _pass_whole(self, answer: Answer, start: Start) -> Iterator[Piece]:
         body = answer.read_all(limit=self._entry.settings.limits.answer_bytes)
         self.pool.dispatcher.progress(start.attempt, events=1)
-        headers = [*_end_to_end(answer), ("Content-Length", str(len(body)))]
+        headers = [*end_to_end(answer), ("Content-Length", str(len(body)))]
         self._record_answer(answer, body)
         self._complete(start)
         yield Head(status=answer.status, headers=headers, whole=True)
@@ -350,11 +328,11 @@
         if isinstance(result, StoreDown):
             if result.maybe_written:
                 self._entry.claims.abandon(self.claim)
-            return [_store_down()]
+            return [store_down()]
         if isinstance(result, BodyDiffers):
-            return [_body_differs()]
+            return [body_differs()]
         assert isinstance(result, Held)
-        return _replay(result.claim)
+        return replay_claim(result.claim)
 
     def _record_answer(self, answer: Answer, body: bytes) -> None:
         if self.claim is None or self._claim_version is None:
@@ -386,7 +364,7 @@
 
     def _compact(self) -> None:
         """Reduce the kept events to their text."""
-        self._text += _text_of(b"".join(self._raw))
+        self._text += text_of(b"".join(self._raw))
         self._raw = []
         self._raw_size = 0
 
@@ -399,80 +377,3 @@
                 1, document["max_tokens"] - self.request.generated
             )
         return continuation_body(document, self._text)
-
-
-def digest_body(method: str, path: str, body: bytes) -> str:
-    """Return the digest by which two sendings of one order are recognised."""
-    return hashlib.sha256(f"{method} {path}\n".encode() + body).hexdigest()
-
-
-def _text_of(events: bytes) -> str:
-    """Return the generated text in a run of server-sent events."""
-    text = ""
-    for event in events.split(EVENT_END):
-        if not event.startswith(b"data: {"):
-            continue
-        for choice in msgspec.json.decode(event[6:]).get("choices", ()):
-            text += choice.get("delta", {}).get("content") or ""
-    return text
-
-
-def _end_to_end(answer: Answer) -> list[tuple[str, str]]:
-    return [pair for pair in answer.headers() if pair[0].lower() not in HOP_BY_HOP]
-
-
-def _replay(claim: Claim) -> list[Piece]:
-    """Return the answer to a second sending."""
-    if claim.state is ClaimState.CLAIMED:
-        return [
-            Problem(
-                status=409,
-                kind="order-in-progress",
-                title="An earlier sending with this key is still running",
-                outcome=Outcome.UNKNOWN,
-                retry_after=2.0,
-            )
-        ]
-    if claim.state is ClaimState.FAILED or claim.answer is None:
-        answered = claim.state is ClaimState.ANSWERED
-        return [
-            Problem(
-                status=409,
-                kind="order-answer-not-kept" if answered else "order-outcome-unknown",
-                title=(
-                    "An earlier sending with this key ran; its answer is not kept"
-                    if answered
-                    else "Whether an earlier sending with this key ran is not known"
-                ),
-                outcome=Outcome.ANSWERED if answered else Outcome.UNKNOWN,
-            )
-        ]
-    if claim.answer.body is None:
-        return _replay(msgspec.structs.replace(claim, answer=None))
-    headers = [
-        ("Content-Type", claim.answer.content_type),
-        ("X-Damasklead-Replayed", "true"),
-        ("Content-Length", str(len(claim.answer.body))),
-    ]
-    return [
-        Head(status=claim.answer.status, headers=headers, whole=True),
-        claim.answer.body,
-    ]
-
-
-def _store_down() -> Problem:
-    return Problem(
-        status=503,
-        kind="store-unavailable",
-        title="The order could not be recorded and was not run",
-        retry_after=2.0,
-    )
-
-
-def _body_differs() -> Problem:
-    return Problem(
-        status=422,
-        kind="idempotency-key-reused",
-        title="The idempotency key belongs to another request",
-        field="Idempotency-Key",
-    )
--- /dev/null
+++ b/damasklead/daemon/replies.py
@@ -0,0 +1,144 @@
+"""
+Replies
+=======
+
+The pieces of an answer to a caller, and the answers that need no upstream.
+"""
+
+import hashlib
+
+import msgspec
+
+from damasklead.claims import Claim, ClaimState
+from damasklead.problems import Problem
+from damasklead.requests import Outcome
+from damasklead.upstreams import Answer
+
+__all__ = [
+    "DONE_EVENT",
+    "EVENT_END",
+    "MAX_KEPT_ANSWER",
+    "MAX_RAW_BYTES",
+    "Head",
+    "Piece",
+    "body_differs",
+    "digest_body",
+    "end_to_end",
+    "replay_claim",
+    "store_down",
+    "text_of",
+]
+
+EVENT_END = b"\n\n"
+DONE_EVENT = b"data: [DONE]\n\n"
+MAX_RAW_BYTES = 65_536
+MAX_KEPT_ANSWER = 262_144  # bytes
+HOP_BY_HOP = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "x-request-id",
+        "date",
+        "server",
+    )
+)
+
+
+class Head(msgspec.Struct, kw_only=True):
+    """
+    The head of an answer to the caller; ``whole`` says that one piece of body follows.
+    """
+
+    status: int
+    headers: list[tuple[str, str]]
+    whole: bool
+
+
+Piece = Head | bytes | Problem
+
+
+def digest_body(method: str, path: str, body: bytes) -> str:
+    """Return the digest by which two sendings of one order are recognised."""
+    return hashlib.sha256(f"{method} {path}\n".encode() + body).hexdigest()
+
+
+def text_of(events: bytes) -> str:
+    """Return the generated text in a run of server-sent events."""
+    text = ""
+    for event in events.split(EVENT_END):
+        if not event.startswith(b"data: {"):
+            continue
+        for choice in msgspec.json.decode(event[6:]).get("choices", ()):
+            text += choice.get("delta", {}).get("content") or ""
+    return text
+
+
+def end_to_end(answer: Answer) -> list[tuple[str, str]]:
+    """Return the headers that go on to the caller."""
+    return [pair for pair in answer.headers() if pair[0].lower() not in HOP_BY_HOP]
+
+
+def replay_claim(claim: Claim) -> list[Piece]:
+    """Return the answer to a second sending."""
+    if claim.state is ClaimState.CLAIMED:
+        return [
+            Problem(
+                status=409,
+                kind="order-in-progress",
+                title="An earlier sending with this key is still running",
+                outcome=Outcome.UNKNOWN,
+                retry_after=2.0,
+            )
+        ]
+    if claim.state is ClaimState.FAILED or claim.answer is None:
+        answered = claim.state is ClaimState.ANSWERED
+        return [
+            Problem(
+                status=409,
+                kind="order-answer-not-kept" if answered else "order-outcome-unknown",
+                title=(
+                    "An earlier sending with this key ran; its answer is not kept"
+                    if answered
+                    else "Whether an earlier sending with this key ran is not known"
+                ),
+                outcome=Outcome.ANSWERED if answered else Outcome.UNKNOWN,
+            )
+        ]
+    if claim.answer.body is None:
+        return replay_claim(msgspec.structs.replace(claim, answer=None))
+    headers = [
+        ("Content-Type", claim.answer.content_type),
+        ("X-Damasklead-Replayed", "true"),
+        ("Content-Length", str(len(claim.answer.body))),
+    ]
+    return [
+        Head(status=claim.answer.status, headers=headers, whole=True),
+        claim.answer.body,
+    ]
+
+
+def store_down() -> Problem:
+    """Return the problem of a claim that could not be recorded."""
+    return Problem(
+        status=503,
+        kind="store-unavailable",
+        title="The order could not be recorded and was not run",
+        retry_after=2.0,
+    )
+
+
+def body_differs() -> Problem:
+    """Return the problem of a key that was used for another body."""
+    return Problem(
+        status=422,
+        kind="idempotency-key-reused",
+        title="The idempotency key belongs to another request",
+        field="Idempotency-Key",
+    )
--- a/damasklead/daemon/service.py
+++ b/damasklead/daemon/service.py
@@ -11,7 +11,7 @@
 from gevent.event import Event
 
 from damasklead import logs
-from damasklead.daemon.callers import CallerServer
+from damasklead.daemon.callerserver import CallerServer
 from damasklead.daemon.dutytask import DutyTask
 from damasklead.daemon.entry import Entry
 from damasklead.daemon.operators import OperatorServer
--- a/damasklead/dispatching.py
+++ b/damasklead/dispatching.py
@@ -12,13 +12,18 @@
 import random
 from collections.abc import Callable, Iterable
 
-import msgspec
-
 from damasklead.clock import Clock
 from damasklead.configuration import Service, ServiceKind
 from damasklead.ids import AttemptId, DataCentre, InstanceId, PoolId, RequestId
 from damasklead.learning import CostModel
 from damasklead.messages import Demand, Grant
+from damasklead.preempting import (
+    Attempt,
+    Options,
+    choose_victims,
+    may_preempt,
+    overdue,
+)
 from damasklead.quarantine import Quarantine
 from damasklead.queueing import PoolQueue
 from damasklead.replicas import ReplicaChooser, ReplicaInfo
@@ -35,60 +40,19 @@
 from damasklead.retrying import BURST, RetryBudget
 from damasklead.sharing import TIERS, ShareHolder
 
-__all__ = ["Attempt", "Options", "PoolDispatcher"]
+__all__ = ["PoolDispatcher"]
 
 TOP_TIER = 1
 PREEMPTING_TIER = 1  # the lowest tier for which others give way
 URGENT_TIER = 2
 URGENT_FRACTION = 0.3  # of the target that a request has waited
 MAX_FAILURES = 4
-MAX_PREEMPTIONS = 3
-FIRST_TOKEN_PATIENCE = 4.0  # multiples of the first-token target
 BROKEN_AVOID_SECONDS = 1.0
 REFUSED_AVOID_SECONDS = 0.2
 NO_UPSTREAM_SECONDS = 5.0
 RETRY_AFTER_FAILURE = 2.0  # seconds
 
 
-class Options(msgspec.Struct, kw_only=True, frozen=True):
-    """
-    Parts of the policy that a bench can switch off.
-
-    Attributes
-    ----------
-    preempt : bool
-        Whether running requests of lower tiers give way to waiting ones of higher
-        tiers.
-    move_from_stragglers : bool
-        Whether requests on an ejected replica go on elsewhere.
-    top_tier_beyond_share : bool
-        Whether the top tier may go beyond its share up to a replica's hard limit.
-    """
-
-    preempt: bool = True
-    move_from_stragglers: bool = True
-    top_tier_beyond_share: bool = True
-
-
-class Attempt(msgspec.Struct, kw_only=True):
-    """
-    A request that runs on a replica.
-
-    Attributes
-    ----------
-    preemptable : bool
-        Whether it can be cancelled and go on later without losing what was generated.
-    """
-
-    id: AttemptId
-    request: Request
-    replica: InstanceId
-    started_at: float
-    preemptable: bool
-    first_token_at: float | None = None
-    events: int = 0
-
-
 class PoolDispatcher:
     """
     The requests of one pool at one entry.
@@ -442,23 +406,8 @@
         Cancel up to ``count`` attempts of tiers below one; they wait again and go on
         later.
         """
-        if count <= 0:
-            return []
-        victims = sorted(
-            (
-                item
-                for item in self._attempts.values()
-                if self._may_preempt(item, below)
-            ),
-            key=lambda item: (-item.request.tier, item.request.generated),
-        )
-        return [self._requeue_running(attempt) for attempt in victims[:count]]
-
-    def _may_preempt(self, attempt: Attempt, below: int) -> bool:
-        request = attempt.request
-        if request.tier <= below or not attempt.preemptable:
-            return False
-        return request.preemptions < MAX_PREEMPTIONS
+        victims = choose_victims(self._attempts.values(), below=below, count=count)
+        return [self._requeue_running(attempt) for attempt in victims]
 
     def _requeue_running(self, attempt: Attempt) -> Cancel:
         self._end(attempt)
@@ -479,7 +428,7 @@
         moved = [
             attempt
             for attempt in self._attempts.values()
-            if attempt.replica in ejected and self._may_preempt(attempt, 0)
+            if attempt.replica in ejected and may_preempt(attempt, 0)
         ]
         return [self._requeue_running(attempt) for attempt in moved]
 
@@ -487,14 +436,9 @@
         """Start anew elsewhere what had no first token for long and may be repeated."""
         if self._service.kind is not ServiceKind.ENGINE:
             return []
-        now = self._clock.now()
         actions: list[Action] = []
-        for attempt in list(self._attempts.values()):
-            target = attempt.request.request_class.first_token
-            if target is None or attempt.first_token_at is not None:
-                continue
-            overdue = now - attempt.started_at > FIRST_TOKEN_PATIENCE * target
-            if overdue and self._may_preempt(attempt, 0) and self._budget.take():
+        for attempt in overdue(self._attempts.values(), self._clock.now()):
+            if self._budget.take():
                 attempt.request.tried.append(attempt.replica)
                 actions.append(self._requeue_running(attempt))
         return actions
