--- a/damasklead/experiment/gateways.py
+++ b/damasklead/experiment/gateways.py
@@ -13,7 +13,7 @@
 
 from damasklead.experiment.driver import Driver
 from damasklead.experiment.engines import Engine, EngineRun
-from damasklead.experiment.policies import Policy
+from damasklead.experiment.policies import GatewayParts, Policy
 from damasklead.failures import Failure
 from damasklead.gateway.admission import Admit, Decision
 from damasklead.gateway.calls import Call, LoadHint, UpstreamRecord
@@ -113,11 +113,13 @@
         self._delay_to = delay_to
         self._event_tokens = service.engine.tokens_per_event if service.engine else 1
         self._placement = policy.placement(
-            service=service,
-            clock=driver.clock,
-            data_centre=data_centre,
-            peers=self.loads,
-            engines=engines,
+            GatewayParts(
+                service=service,
+                clock=driver.clock,
+                data_centre=data_centre,
+                peers=self.loads,
+                engines=engines,
+            )
         )
         self._placement.configure(service, routes)
         self._admission = policy.admission(driver.clock, self._placement)
--- a/damasklead/experiment/policies.py
+++ b/damasklead/experiment/policies.py
@@ -7,7 +7,9 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Mapping
-from typing import ClassVar
+from typing import ClassVar, TypeVar
+
+import msgspec
 
 from damasklead.clock import Clock
 from damasklead.experiment.engines import Engine
@@ -21,7 +23,19 @@
 from damasklead.gateway.routing import ServiceSpec
 from damasklead.ids import DataCentre, InstanceId
 
-__all__ = ["POLICIES", "Clairvoyant", "LeastOutstanding", "Policy", "Shipped"]
+__all__ = ["POLICIES", "GatewayParts", "Policy"]
+
+T = TypeVar("T", bound=Placement)
+
+
+class GatewayParts(msgspec.Struct, kw_only=True, frozen=True):
+    """What one gateway's placement is made of; ``engines`` is for the clairvoyant."""
+
+    service: ServiceSpec
+    clock: Clock
+    data_centre: DataCentre
+    peers: PeerLoads
+    engines: Mapping[InstanceId, Engine]
 
 
 class Policy(ABC):
@@ -30,15 +44,7 @@
     summary: ClassVar[str]
 
     @abstractmethod
-    def placement(
-        self,
-        *,
-        service: ServiceSpec,
-        clock: Clock,
-        data_centre: DataCentre,
-        peers: PeerLoads,
-        engines: Mapping[InstanceId, Engine],
-    ) -> Placement:
+    def placement(self, parts: GatewayParts) -> Placement:
         """Return the placement of one gateway."""
 
     def admission(self, clock: Clock, placement: Placement) -> Admission:
@@ -53,19 +59,9 @@
 
     summary = "the gateways' own placement and admission"
 
-    def placement(
-        self,
-        *,
-        service: ServiceSpec,
-        clock: Clock,
-        data_centre: DataCentre,
-        peers: PeerLoads,
-        engines: Mapping[InstanceId, Engine],
-    ) -> Placement:
+    def placement(self, parts: GatewayParts) -> Placement:
         """Return the placement of one gateway."""
-        return EnginePlacement(
-            service=service, clock=clock, data_centre=data_centre, peers=peers
-        )
+        return _make(EnginePlacement, parts)
 
 
 class _Least(Placement):
@@ -78,50 +74,26 @@
 
     summary = "the replica with the fewest requests, none waits"
 
-    def placement(
-        self,
-        *,
-        service: ServiceSpec,
-        clock: Clock,
-        data_centre: DataCentre,
-        peers: PeerLoads,
-        engines: Mapping[InstanceId, Engine],
-    ) -> Placement:
+    def placement(self, parts: GatewayParts) -> Placement:
         """Return the placement of one gateway."""
-        return _Least(
-            service=service, clock=clock, data_centre=data_centre, peers=peers
-        )
+        return _make(_Least, parts)
 
 
 class _Clairvoyant(EnginePlacement):
     """Knows what each engine has cached and what it has to do, this instant."""
 
-    def __init__(
-        self,
-        *,
-        service: ServiceSpec,
-        clock: Clock,
-        data_centre: DataCentre,
-        peers: PeerLoads,
-        engines: Mapping[InstanceId, Engine],
-    ) -> None:
-        self._engines = engines
-        super().__init__(
-            service=service, clock=clock, data_centre=data_centre, peers=peers
-        )
-
     engines: Mapping[InstanceId, Engine] = {}
 
     def _backlog(self, state: ReplicaState) -> float:
-        engine = self._engines[state.record.instance]
+        engine = self.engines[state.record.instance]
         return engine.unread_tokens() * engine.speed / READ_TOKENS_PER_SECOND
 
     def _expected_unread(self, state: ReplicaState, call: Call) -> float:
-        engine = self._engines[state.record.instance]
+        engine = self.engines[state.record.instance]
         return engine.missing_tokens(call.head.prompt) * engine.speed
 
     def _others(self, state: ReplicaState, now: float) -> float:
-        hint = self._engines[state.record.instance].hint
+        hint = self.engines[state.record.instance].hint
         return hint.running + hint.waiting - state.own
 
 
@@ -134,23 +106,20 @@
 
     summary = "the shipped rules with the engines' true state"
 
-    def placement(
-        self,
-        *,
-        service: ServiceSpec,
-        clock: Clock,
-        data_centre: DataCentre,
-        peers: PeerLoads,
-        engines: Mapping[InstanceId, Engine],
-    ) -> Placement:
+    def placement(self, parts: GatewayParts) -> Placement:
         """Return the placement of one gateway."""
-        return _Clairvoyant(
-            service=service,
-            clock=clock,
-            data_centre=data_centre,
-            peers=peers,
-            engines=engines,
-        )
+        placement = _make(_Clairvoyant, parts)
+        placement.engines = parts.engines
+        return placement
+
+
+def _make(kind: type[T], parts: GatewayParts) -> T:
+    return kind(
+        service=parts.service,
+        clock=parts.clock,
+        data_centre=parts.data_centre,
+        peers=parts.peers,
+    )
 
 
 POLICIES: dict[str, Policy] = {
--- a/damasklead/gateway/placements/engine.py
+++ b/damasklead/gateway/placements/engine.py
@@ -125,7 +125,7 @@
         self._arrange()
 
     def copy_source(self, instance: InstanceId, call: Call) -> str | None:
-        """Return the address of the home of a prompt's shared parts."""
+        """Return the address of the engine that has most of a prompt's shared parts."""
         shared = self._shared(call)
         state = self._replicas[instance]
         if shared.holder is not None and shared.best > shared.at(state):
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -12,7 +12,7 @@
 import gevent
 import msgspec
 
-from soak.proxy import Trouble
+from soak.proxy import Proxy, Trouble
 from soak.site import Site
 
 __all__ = ["FAULTS", "Fault", "play", "schedule"]
@@ -94,19 +94,19 @@
     site.signal(_gateway(site, fault), signal.SIGHUP)
 
 
-def _trouble_replica(trouble: Trouble) -> Callable[[Site, Fault], None]:
-    def strike(site: Site, fault: Fault) -> None:
-        proxy = site.proxies[_replica(site, fault)]
-        proxy.trouble(trouble, seconds=fault.seconds / 10)
-        gevent.sleep(fault.seconds)
-        proxy.trouble(Trouble.NONE)
+def _replica_proxy(site: Site, fault: Fault) -> Proxy:
+    return site.proxies[_replica(site, fault)]
 
-    return strike
+
+def _store_proxy(site: Site, fault: Fault) -> Proxy:
+    return site.store_proxies[_gateway(site, fault)]
 
 
-def _trouble_store(trouble: Trouble) -> Callable[[Site, Fault], None]:
+def _trouble(
+    proxy_of: Callable[[Site, Fault], Proxy], trouble: Trouble
+) -> Callable[[Site, Fault], None]:
     def strike(site: Site, fault: Fault) -> None:
-        proxy = site.store_proxies[_gateway(site, fault)]
+        proxy = proxy_of(site, fault)
         proxy.trouble(trouble, seconds=fault.seconds / 10)
         gevent.sleep(fault.seconds)
         proxy.trouble(Trouble.NONE)
@@ -156,13 +156,13 @@
     "replica crashes": _crash_replica,
     "replica drains": _drain_replica,
     "replica refuses": _fail_replica,
-    "replica's answers are cut": _trouble_replica(Trouble.CUT_ANSWERS),
-    "replica's connections are reset": _trouble_replica(Trouble.RESET),
-    "replica is slow": _trouble_replica(Trouble.DELAY),
-    "replica is silent": _trouble_replica(Trouble.SILENCE),
+    "replica's answers are cut": _trouble(_replica_proxy, Trouble.CUT_ANSWERS),
+    "replica's connections are reset": _trouble(_replica_proxy, Trouble.RESET),
+    "replica is slow": _trouble(_replica_proxy, Trouble.DELAY),
+    "replica is silent": _trouble(_replica_proxy, Trouble.SILENCE),
     "store is away": _store_away,
-    "store is silent to one": _trouble_store(Trouble.SILENCE),
-    "store is slow to one": _trouble_store(Trouble.DELAY),
-    "store loses answers to one": _trouble_store(Trouble.CUT_ANSWERS),
-    "store resets one": _trouble_store(Trouble.RESET),
+    "store is silent to one": _trouble(_store_proxy, Trouble.SILENCE),
+    "store is slow to one": _trouble(_store_proxy, Trouble.DELAY),
+    "store loses answers to one": _trouble(_store_proxy, Trouble.CUT_ANSWERS),
+    "store resets one": _trouble(_store_proxy, Trouble.RESET),
 }
