Discard what an attempt that was taken back still holds

Cause: the demonstration failed once in a full run beside 13 busy processes: one review's text was wrong. While the caller is written to, the dispatcher may take an attempt back; events that the connection had already buffered were then passed on and not counted, so the next attempt generated them again, or the request ran on although it waited anew. Change: the relay stops at once.

--- a/damasklead/daemon/exchange.py
+++ b/damasklead/daemon/exchange.py
@@ -284,6 +284,10 @@
         ended = False
         progress = self.pool.dispatcher.progress
         while chunk := answer.read_chunk():
+            if self._current != start.attempt:
+                # What was buffered when the attempt was taken back is not counted, so
+                # the next attempt generates it again.
+                raise UpstreamError(Failure.BROKEN, "the attempt was taken back")
             data = held + chunk if held else chunk
             cut = data.rfind(EVENT_END) + len(EVENT_END)
             if cut < len(EVENT_END):
