--- a/soak/site.py
+++ b/soak/site.py
@@ -27,9 +27,6 @@
 ROUTE_SECONDS = 2.0
 STOP_SECONDS = 8
 ASK_SECONDS = 0.5
-# A reload that reaches the interpreter before the program's first line ends it; nothing
-# in the program can prevent that (seed 19).
-INTERPRETER_SECONDS = 0.3
 PORTS = ("callers", "ready", "operators", "peers")
 
 
@@ -75,7 +72,6 @@
         self.proxies: dict[str, Proxy] = {}
         self._ready: dict[str, bool] = {}
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
-        self._started_at: dict[str, float] = {}
         self._asked_to_end: dict[str, float] = {}
         names = [f"gateway-{number}" for number in range(1, gateways + 1)]
         ports = iter(free_ports(len(PORTS) * gateways))
@@ -147,7 +143,6 @@
             "bounds": {"stop_seconds": STOP_SECONDS},
         }
         file.write_text(json.dumps(settings))
-        self._started_at[name] = time.monotonic()
         environment = os.environ | {"DAMASKLEAD_SETTINGS": str(file)}
         with (self._folder / f"{name}.log").open("ab") as log:
             self._processes[name] = subprocess.Popen(
@@ -162,8 +157,7 @@
             return
         if number in (signal.SIGTERM, signal.SIGKILL):
             self._asked_to_end.setdefault(name, time.monotonic())
-        young = time.monotonic() - self._started_at[name] < INTERPRETER_SECONDS
-        if number is signal.SIGHUP and young:
+        if number is signal.SIGHUP and not _minds_reload(process.pid):
             return
         process.send_signal(number)
 
@@ -228,3 +222,18 @@
             )
         )
         del self._processes[name]
+
+
+def _minds_reload(pid: int) -> bool:
+    """
+    Tell whether a process ignores or handles a request to reload.
+
+    One that reaches the interpreter before the program's first line ends it; nothing in
+    the program can prevent that (seed 19).
+    """
+    masks = dict(
+        line.split(":\t", 1)
+        for line in Path(f"/proc/{pid}/status").read_text().splitlines()
+    )
+    minded = int(masks["SigIgn"], 16) | int(masks["SigCgt"], 16)
+    return bool(minded >> (signal.SIGHUP - 1) & 1)
