Look up once a choice where a prompt's parts are

Cause: the look-up was kept for one instant of the clock, and a real clock goes on between two engines that are weighed, so it was made anew for each: 70 engines times 70, 13.1 ms a choice. Change: it is made once for a choice. The test fails before.

--- a/damasklead/gateway/placements/engine.py
+++ b/damasklead/gateway/placements/engine.py
@@ -6,7 +6,7 @@
 kept apart for streams with a short allowed pause.
 """
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 from damasklead.clock import Clock
 from damasklead.gateway.calls import Call, LoadHint, UpstreamRecord
@@ -98,6 +98,7 @@
         self._homes: dict[tuple[str, bool, bool], InstanceId | None] = {}
         self._shared_of: tuple[AttemptId, float] | None = None
         self._shared_parts: SharedParts | None = None
+        self._weighed: SharedParts | None = None
         self._extra = 0
         self._resized_at = clock.now()
 
@@ -124,6 +125,18 @@
         super().retain(records)
         self._arrange()
 
+    def choose(
+        self, call: Call, *, excluded: Collection[InstanceId] = ()
+    ) -> UpstreamRecord | None:
+        """Return the engine for a request, or ``None`` when there is none."""
+        # Nothing changes while one choice is made, though the clock goes on: where the
+        # parts are is looked up once, not for each engine that is weighed.
+        self._weighed = self._shared(call)
+        try:
+            return super().choose(call, excluded=excluded)
+        finally:
+            self._weighed = None
+
     def copy_source(self, instance: InstanceId, call: Call) -> str | None:
         """Return the address of the engine that has most of a prompt's shared parts."""
         shared = self._shared(call)
@@ -257,6 +270,8 @@
 
     def _shared(self, call: Call) -> SharedParts:
         """Return where the shared parts of a prompt are at this instant."""
+        if self._weighed is not None:
+            return self._weighed
         key = (call.id, self._clock.now())
         if self._shared_of != key or self._shared_parts is None:
             self._shared_of = key
--- a/tests/test_gateway_partplaces.py
+++ b/tests/test_gateway_partplaces.py
@@ -3,6 +3,8 @@
 ===============================
 """
 
+import pytest
+
 from damasklead.clock import ManualClock
 from damasklead.gateway.calls import Call, PromptPart
 from damasklead.gateway.partplaces import (
@@ -150,6 +152,30 @@
     assert not places.replicas("small")
 
 
+class MovingClock(ManualClock):
+    """Goes on between any two looks, as a real one does."""
+
+    def now(self) -> float:
+        self.advance(1e-6)
+        return super().now()
+
+
+def test_one_choice_looks_once_where_the_parts_are(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    gateway = Gateway(MovingClock(), "g1")
+    looks: list[str] = []
+    replicas = PartPlaces.replicas
+
+    def look(places: PartPlaces, name: str) -> dict[int, float]:
+        looks.append(name)
+        return replicas(places, name)
+
+    monkeypatch.setattr(PartPlaces, "replicas", look)
+    assert gateway.placement.choose(review("r1")) is not None
+    assert looks == ["contract", "subject"]
+
+
 def test_what_is_remembered_is_bounded() -> None:
     places = PartPlaces(clock=ManualClock())
     for number in range(2 * MOST_PLACES):
