--- a/damasklead/gateway/partplaces.py
+++ b/damasklead/gateway/partplaces.py
@@ -58,13 +58,13 @@
         self._places: OrderedDict[int, dict[int, float]] = OrderedDict()
         self._untold: deque[PartNote] = deque()
         self._counts: deque[tuple[float, int, int]] = deque()
+        self._told = 0
+        self._dropped = 0
 
     @property
     def complete(self) -> bool:
         """Whether a part that is not known here has most likely been read nowhere."""
-        told = sum(item[1] for item in self._counts)
-        dropped = sum(item[2] for item in self._counts)
-        return dropped <= MOST_UNTOLD * (told + dropped)
+        return self._dropped <= MOST_UNTOLD * (self._told + self._dropped)
 
     @property
     def pending(self) -> bool:
@@ -101,10 +101,12 @@
         )
         notes = [self._untold.pop() for _ in range(min(most, len(self._untold)))]
         now = self._clock.now()
-        self._counts.append((now, len(notes), len(self._untold)))
+        self._count(now, told=len(notes), dropped=len(self._untold))
         self._untold.clear()
-        while self._counts and self._counts[0][0] < now - WINDOW_SECONDS:
-            self._counts.popleft()
+        while self._counts[0][0] < now - WINDOW_SECONDS:
+            _, old_told, old_dropped = self._counts.popleft()
+            self._told -= old_told
+            self._dropped -= old_dropped
         return notes
 
     def replicas(self, name: str) -> dict[int, float]:
@@ -117,6 +119,12 @@
         for places in self._places.values():
             places.pop(key, None)
 
+    def _count(self, now: float, *, told: int, dropped: int) -> None:
+        # Kept as totals: each choice asks several times for each engine.
+        self._counts.append((now, told, dropped))
+        self._told += told
+        self._dropped += dropped
+
     def _put(self, note: PartNote) -> None:
         places = self._places.setdefault(note.part, {})
         self._places.move_to_end(note.part)
--- a/damasklead/util.py
+++ b/damasklead/util.py
@@ -7,9 +7,13 @@
 
 import hashlib
 import uuid
+from functools import lru_cache
 
 __all__ = ["new_id", "short_key", "split_address", "stable_hash"]
 
+# Names of replicas and prompt parts come again and again; about 150 bytes each.
+KEPT_KEYS = 4_096
+
 
 def split_address(address: str) -> tuple[str, int]:
     """
@@ -32,6 +36,7 @@
     return int.from_bytes(digest, "big")
 
 
+@lru_cache(maxsize=KEPT_KEYS)
 def short_key(name: str) -> int:
     """Return 32 bits that stand for a replica or model where a name is too long."""
     return stable_hash(name) & 0xFFFF_FFFF
