Remove what the emulator does not use, and take its limits from the gateway

The tick, the refresh, the offers and the pause after refusals were copied; a parameter, a field and a method had no use.

--- a/damasklead/experiment/callers.py
+++ b/damasklead/experiment/callers.py
@@ -36,7 +36,6 @@
     gateways : sequence of Gateway
     driver : Driver
     tally : Tally
-    tokens_per_event : int
     """
 
     def __init__(
@@ -48,7 +47,6 @@
         gateways: Sequence[Gateway],
         driver: Driver,
         tally: Tally,
-        tokens_per_event: int,
     ) -> None:
         self._arrival = arrival
         self._route = route
@@ -56,7 +54,6 @@
         self._gateways = gateways
         self._driver = driver
         self._tally = tally
-        self._tokens_per_event = tokens_per_event
         self._began = driver.clock.now()
         self._tries = 0
         self._refused = False
--- a/damasklead/experiment/engines.py
+++ b/damasklead/experiment/engines.py
@@ -147,7 +147,7 @@
         """Return the prompt tokens still to read."""
         waiting = (item[2] for item in self._waiting)
         return sum(
-            self._missing(run) if run.unread < 0 else run.unread
+            self.missing_tokens(run.prompt) if run.unread < 0 else run.unread
             for run in (*self._running.values(), *waiting)
         )
 
@@ -206,9 +206,6 @@
         self.alive = True
         self.incarnation += 1
 
-    def _missing(self, run: EngineRun) -> int:
-        return self.missing_tokens(run.prompt)
-
     def _admit(self) -> None:
         while self._waiting and len(self._running) < self._figures.slots:
             run = heapq.heappop(self._waiting)[2]
@@ -235,7 +232,7 @@
         reading = [run for run in self._running.values() if run.unread]
         for run in sorted(reading, key=lambda item: item.urgency):
             if run.unread < 0:
-                run.unread = self._missing(run)
+                run.unread = self.missing_tokens(run.prompt)
                 self._note_read(run)
             tokens = min(left, run.unread)
             pairs += tokens * (run.tokens - run.unread + tokens / 2)
--- a/damasklead/experiment/fleet.py
+++ b/damasklead/experiment/fleet.py
@@ -11,12 +11,13 @@
 from damasklead.experiment.description import Experiment, Fault, FaultKind, Kind
 from damasklead.experiment.driver import Driver
 from damasklead.experiment.engines import Engine
-from damasklead.experiment.gateways import TICK_SECONDS, Gateway
+from damasklead.experiment.gateways import Gateway
 from damasklead.experiment.load import Arrival, arrivals
 from damasklead.experiment.policies import Policy
 from damasklead.experiment.tally import Tally
 from damasklead.gateway.calls import UpstreamRecord, UpstreamState
 from damasklead.gateway.peerload import send_interval
+from damasklead.gateway.process import ADMIT_SECONDS
 from damasklead.gateway.routing import (
     EngineSpec,
     Route,
@@ -143,12 +144,11 @@
             gateways=self._gateways,
             driver=self._driver,
             tally=self._tally,
-            tokens_per_event=self._experiment.engines.tokens_per_event,
         ).begin()
 
     def _tick(self, gateway: Gateway) -> None:
         gateway.tick()
-        self._driver.at(TICK_SECONDS, self._tick, gateway)
+        self._driver.at(ADMIT_SECONDS, self._tick, gateway)
 
     def _exchange(self, gateway: Gateway, interval: float) -> None:
         message = gateway.message()
--- a/damasklead/experiment/gateways.py
+++ b/damasklead/experiment/gateways.py
@@ -16,6 +16,7 @@
 from damasklead.experiment.policies import GatewayParts, Policy
 from damasklead.failures import Failure
 from damasklead.gateway.admission import Admit, Decision
+from damasklead.gateway.attempts import MAX_OFFERS, RETRY_AFTER_SECONDS
 from damasklead.gateway.calls import Call, LoadHint, UpstreamRecord
 from damasklead.gateway.peerload import (
     LoadMessage,
@@ -25,17 +26,12 @@
     send_interval,
     worth_telling,
 )
+from damasklead.gateway.peers import REFRESH_SECONDS
 from damasklead.gateway.routing import Route, ServiceSpec
 from damasklead.ids import DataCentre, InstanceId
 
 __all__ = ["Answer", "Gateway"]
 
-# As the real gateway does it.
-TICK_SECONDS = 0.01
-REFRESH_SECONDS = 0.6
-MOST_OFFERS = 4
-FULL_RETRY_SECONDS = 0.4
-
 
 class Answer(msgspec.Struct, kw_only=True):
     """
@@ -65,7 +61,6 @@
     runs: int = 0
     events: int = 0
     replica: InstanceId | None = None
-    sent_at: float | None = None
     done: bool = False
 
 
@@ -174,12 +169,11 @@
 
     def _offer(self, work: _Work) -> None:
         record = self._placement.choose(work.call, excluded=work.excluded)
-        if record is None or work.offers >= MOST_OFFERS:
-            self._refuse(work, FULL_RETRY_SECONDS)
+        if record is None or work.offers >= MAX_OFFERS:
+            self._refuse(work, RETRY_AFTER_SECONDS)
             return
         work.offers += 1
         work.replica = record.instance
-        work.sent_at = self._driver.clock.now()
         source = self._placement.copy_source(record.instance, work.call)
         self._placement.sent(record.instance, work.call)
         if record.data_centre != self.data_centre:
