--- a/damasklead/commands/experimenting.py
+++ b/damasklead/commands/experimenting.py
@@ -14,7 +14,6 @@
 
 from damasklead.commands import DONE, FAILED, print_findings
 from damasklead.experiment.description import Experiment, check_experiment
-from damasklead.experiment.fleet import run
 from damasklead.experiment.policies import POLICIES
 from damasklead.experiment.report import format_report, write_plot
 from damasklead.experiment.tally import Tally
@@ -77,5 +76,8 @@
 
 
 def _run_one(task: tuple[Experiment, str, int]) -> Tally:
+    # Loads the whole gateway, which no other command needs.
+    from damasklead.experiment.fleet import run
+
     experiment, name, seed = task
     return run(experiment, POLICIES[name], seed)
