Leave replicas that say so, keep their pauses, and bound bytes without end

A replica that leaves says so in its answers, one that is overloaded asks for a pause, and a faulty one may send bytes that never end; the gateway knew none of these. Reading for them showed more: a stream that brought bytes and no event lived until its route's timeout; the bodies of 50 endless answers could take 800 MB; a replica that left was taken again when its entry came back; connections that waited to be accepted when a stop began were reset.

Change: ReplyHead.leaving and .pause; UpstreamDirectory keeps departures by incarnation and tells them to gateways that start, Departures to those that run; ReplicaState keeps pauses (60 s at most) and choices pass over paused replicas, also after connecting; a caller is told when the first pause ends; heads, interim answers, bodies, events and the memory of all bodies are bounded; streams end after the callers' own patience without an event, those that may be resumed move on after half of it.

--- a/damasklead/gateway/attempts.py
+++ b/damasklead/gateway/attempts.py
@@ -24,8 +24,14 @@
 from damasklead.gateway.placements import Placement
 from damasklead.gateway.refusals import Reason, Refusal
 from damasklead.gateway.routing import RouteKind
-from damasklead.gateway.upstream_http import Connection, ConnectionPool, SendError
+from damasklead.gateway.upstream_http import (
+    AnswerMemory,
+    Connection,
+    ConnectionPool,
+    SendError,
+)
 from damasklead.ids import InstanceId
+from damasklead.util import stable_hash
 
 __all__ = ["Run", "RunParts"]
 
@@ -35,6 +41,11 @@
 MAX_STRAY_ANSWERS = 3
 # Longest body of an answer that is not a stream.
 ANSWER_BYTES = 16_777_216
+# Longest event of a stream.
+EVENT_BYTES = 262_144
+# Part of a caller's patience for the next event after which a stream that may be
+# resumed moves to another replica.
+RESUME_PATIENCE_SHARE = 0.5
 # A request that may be repeated moves on when its replica is silent for so many
 # targets, and not before the least time.
 SILENT_TARGETS = 2.5
@@ -43,10 +54,21 @@
 RETRY_AFTER_SECONDS = 0.4
 # Sent with a request that crashes replicas, in seconds: operators have to look at it.
 QUARANTINED_RETRY_SECONDS = 60.0
+# Callers come back so much after the end of a pause, at most, so as not to collide.
+PAUSE_SPREAD_SECONDS = 0.5
 
 
 class RunParts(msgspec.Struct, kw_only=True, frozen=True):
-    """What the runs of one gateway share; ``left`` is told of misplaced replicas."""
+    """
+    What the runs of one gateway share.
+
+    Attributes
+    ----------
+    left : callable
+        Told of a replica that leaves or is gone, and by which sign.
+    answers : AnswerMemory
+        Bounds the bodies that are being read.
+    """
 
     dialect: Dialect
     clock: Clock
@@ -55,7 +77,8 @@
     gate: Gate
     containment: Containment
     journal: Journal
-    left: Callable[[InstanceId], None]
+    left: Callable[[UpstreamRecord, str], None]
+    answers: AnswerMemory = msgspec.field(default_factory=AnswerMemory)
 
 
 class Run:
@@ -99,6 +122,7 @@
         self._excluded: set[InstanceId] = set()
         self._runs = 0
         self._sent = False
+        self._begun = False
         self._last_event: bytes | None = None
         self._failed_answer: tuple[ReplyHead, bytes] | None = None
         self.replica = InstanceId("")
@@ -133,10 +157,11 @@
         while True:
             record = self._placement.choose(self._call, excluded=self._excluded)
             if record is None or record.instance in self._excluded:
-                return self._give_up(Reason.NO_REPLICA, "no replica is left to try")
+                return self._find_none()
             try:
-                self._offer(record)
-                return None
+                if self._connect(record):
+                    self._offer(record)
+                    return None
             except SendError as error:
                 self._note_failure(record, error)
                 if not self._may_go_on(error.failure):
@@ -146,6 +171,9 @@
         """Return the final answer of a request whose time is over."""
         if not self.may_have_run:
             return Refusal(reason=Reason.TOO_LATE, detail="not sent in time")
+        if self._begun:
+            # The answer had begun and did not end.
+            self._placement.failed(self.replica, self._call, Failure.TIMED_OUT)
         return self._give_up(Reason.TIMED_OUT, "no whole answer in time")
 
     def close(self) -> None:
@@ -156,9 +184,37 @@
         # Also a request that ended while it was connecting was counted there.
         self._placement.withdrawn(self.replica, self._call)
 
+    def _find_none(self) -> Refusal | None:
+        """Return the final answer when no replica is left to try."""
+        pause = self._placement.pause_left()
+        if pause is None:
+            return self._give_up(Reason.NO_REPLICA, "no replica is left to try")
+        spread = PAUSE_SPREAD_SECONDS * stable_hash(self._call.id) / 2**64
+        return self._give_up(
+            Reason.REPLICAS_PAUSED, "all replicas pause", retry_after=pause + spread
+        )
+
+    def _connect(self, record: UpstreamRecord) -> bool:
+        """
+        Connect to a replica; returns whether it still takes requests after that.
+
+        Raises
+        ------
+        SendError
+            ``NOT_SENT``
+        """
+        self._upstream = self._parts.connections.take(record.address)
+        if self._placement.accepts(record.instance):
+            return True
+        self._parts.connections.give_back(self._upstream, keep_alive=None)
+        self._upstream = None
+        return False
+
     def _offer(self, record: UpstreamRecord) -> None:
         """Send the request to a replica and relay its answer."""
         call = self._call
+        upstream = self._upstream
+        assert upstream is not None
         self.replica = record.instance
         self.offers += 1
         self._parts.journal.event(
@@ -170,8 +226,6 @@
         )
         source = self._placement.copy_source(record.instance, call)
         self._placement.sent(record.instance, call)
-        upstream = self._parts.connections.take(record.address)
-        self._upstream = upstream
         headers = self._parts.dialect.upstream_headers(
             call,
             SendPlan(
@@ -189,18 +243,20 @@
             headers=headers,
             body=call.body,
         )
-        reply = self._read_reply(upstream)
+        reply = self._read_reply(upstream, record)
         self._placement.heard(record.instance, reply.load)
+        self._note_state(reply, record)
         self._check(reply, record)
         self._relay(upstream, reply)
         self._placement.finished(record.instance, call)
         self._parts.containment.ended_well(call)
         self._upstream = None
         self._parts.connections.give_back(
-            upstream, keep_alive=0.0 if reply.leaving else reply.keep_alive
+            upstream,
+            keep_alive=0.0 if reply.closing or reply.leaving else reply.keep_alive,
         )
 
-    def _read_reply(self, upstream: Connection) -> ReplyHead:
+    def _read_reply(self, upstream: Connection, record: UpstreamRecord) -> ReplyHead:
         """Return the head of our answer, passing over answers to other requests."""
         silence = SendError(Failure.TIMED_OUT, "no answer for long")
         patience = self._patience()
@@ -217,6 +273,8 @@
                 )
                 if reply.kind is not ReplyKind.STRAY:
                     return reply
+                # It is the same replica that answers another request late.
+                self._note_state(reply, record)
                 upstream.skip_answer()
         finally:
             if timer is not None:
@@ -233,13 +291,29 @@
             return None
         return max(LEAST_SILENT_SECONDS, SILENT_TARGETS * route.target)
 
+    def _note_state(self, reply: ReplyHead, record: UpstreamRecord) -> None:
+        """Take in what an answer says of its replica's state."""
+        if reply.kind is ReplyKind.MISPLACED:
+            self._parts.left(record, "another replica has the address")
+        elif reply.leaving:
+            self._parts.left(record, "its answer says that it leaves")
+        if reply.pause is not None:
+            granted = self._placement.paused(record.instance, reply.pause)
+            self._parts.journal.event(
+                "replica-paused",
+                request=self._call.id,
+                replica=record.instance,
+                asked=reply.pause,
+                seconds=granted,
+            )
+
     def _check(self, reply: ReplyHead, record: UpstreamRecord) -> None:
         """Raise ``SendError`` unless the reply is an answer to the request."""
         if reply.kind is ReplyKind.MISPLACED:
-            self._parts.left(record.instance)
             raise SendError(Failure.REFUSED, "another replica has the address")
         if reply.kind is ReplyKind.REFUSED:
-            raise SendError(Failure.REFUSED, f"status {reply.status}, not run")
+            failure = Failure.REFUSED if reply.pause is None else Failure.PAUSED
+            raise SendError(failure, f"status {reply.status}, not run")
         if reply.kind is ReplyKind.INVALID:
             raise SendError(Failure.BROKEN, reply.detail)
 
@@ -251,7 +325,9 @@
             self._relay_stream(upstream, reply)
 
     def _relay_whole(self, upstream: Connection, reply: ReplyHead) -> None:
-        body = upstream.read_all(limit=ANSWER_BYTES)
+        self._begun = True
+        body = upstream.read_all(limit=ANSWER_BYTES, memory=self._parts.answers)
+        self._begun = False
         if reply.status >= 500 and self._call.route.may_repeat:
             self._failed_answer = (reply, body)
             raise SendError(Failure.BROKEN, f"status {reply.status}")
@@ -265,10 +341,16 @@
 
     def _relay_stream(self, upstream: Connection, reply: ReplyHead) -> None:
         splitter = EventSplitter()
+        patience = self._event_patience()
+        upstream.limit_silence(patience)
+        event_at = self._parts.clock.now()
         while data := upstream.read_data():
             whole = splitter.feed(data)
+            now = self._parts.clock.now()
             if not whole:
+                self._check_progress(splitter, now - event_at, patience)
                 continue
+            event_at = now
             if splitter.last_id is not None:
                 self._last_event = splitter.last_id
             self._placement.progressed(self.replica, self._call)
@@ -280,6 +362,24 @@
             self._send_events(reply, b"")
         self._caller.end()
 
+    def _event_patience(self) -> float:
+        """Return how long a stream may be without a whole event, in seconds."""
+        patience = self._call.event_patience
+        if self._call.route.may_repeat and self._runs + 1 < (
+            self._call.route.max_attempts
+        ):
+            patience *= RESUME_PATIENCE_SHARE
+        return patience
+
+    def _check_progress(
+        self, splitter: EventSplitter, seconds: float, patience: float
+    ) -> None:
+        """Raise ``SendError`` when bytes come that are no events."""
+        if seconds > patience:
+            raise SendError(Failure.TIMED_OUT, f"no whole event in {seconds:.2f} s")
+        if splitter.waiting_bytes > EVENT_BYTES:
+            raise SendError(Failure.BROKEN, "an event is too long")
+
     def _send_events(self, reply: ReplyHead, data: bytes) -> None:
         if self._caller.head_sent:
             self._caller.send(data)
@@ -297,7 +397,7 @@
         upstream, self._upstream = self._upstream, None
         if upstream is not None:
             upstream.close()
-        self._sent = False
+        self._sent = self._begun = False
         self._placement.failed(record.instance, self._call, failure)
         self._excluded.add(record.instance)
         if failure is Failure.NOT_SENT:
@@ -330,7 +430,9 @@
             self._call.service
         )
 
-    def _give_up(self, reason: Reason, detail: str) -> Refusal | None:
+    def _give_up(
+        self, reason: Reason, detail: str, *, retry_after: float = RETRY_AFTER_SECONDS
+    ) -> Refusal | None:
         """
         Return the final answer, or ``None`` after giving the caller the failure that a
         replica answered.
@@ -340,9 +442,7 @@
             self._respond(reply, body)
             return None
         if not self.may_have_run:
-            return Refusal(
-                reason=reason, detail=detail, retry_after=RETRY_AFTER_SECONDS
-            )
+            return Refusal(reason=reason, detail=detail, retry_after=retry_after)
         if reason is not Reason.TIMED_OUT:
             reason = Reason.UPSTREAM_FAILED
         return Refusal(reason=reason, detail=detail)
@@ -350,7 +450,7 @@
 
 def _reason(failure: Failure) -> Reason:
     """Return why there is no answer, after the last attempt."""
-    if failure is Failure.REFUSED:
+    if failure in (Failure.REFUSED, Failure.PAUSED):
         return Reason.REPLICAS_FULL
     if failure is Failure.NOT_SENT:
         return Reason.UNREACHABLE
--- a/damasklead/gateway/calls.py
+++ b/damasklead/gateway/calls.py
@@ -122,17 +122,20 @@
         return self.arrival + self.route.target - spent
 
     @property
-    def useful_until(self) -> float:
-        """Clock reading until which a first event is of use to the caller."""
-        gap = self.route.event_gap
-        if gap is None:
-            return self.deadline
-        patience = max(
+    def event_patience(self) -> float:
+        """Seconds after which a caller abandons a stream that brings no event."""
+        return max(
             LEAST_STREAM_PATIENCE,
             TARGETS_OF_PATIENCE * self.route.target,
-            GAPS_OF_PATIENCE * gap,
+            GAPS_OF_PATIENCE * (self.route.event_gap or 0.0),
         )
-        return min(self.deadline, self.arrival + patience)
+
+    @property
+    def useful_until(self) -> float:
+        """Clock reading until which a first event is of use to the caller."""
+        if self.route.event_gap is None:
+            return self.deadline
+        return min(self.deadline, self.arrival + self.event_patience)
 
     @property
     def id(self) -> AttemptId:
@@ -167,18 +170,24 @@
     kind : ReplyKind
         ``REFUSED`` and ``MISPLACED`` mean that the replica did not run the request;
         ``STRAY`` is the answer to another request.
-    leaving : bool
+    closing : bool
         Whether the replica closes the connection after this answer.
+    leaving : bool
+        Whether the replica says that it leaves and takes no new work.
     keep_alive : float or None
         Seconds that the replica keeps an idle connection open, where it says so.
+    pause : float or None
+        Seconds for which the replica wants no request from this gateway.
     """
 
     status: int
     kind: ReplyKind
     headers: tuple[Header, ...]
     load: LoadHint | None = None
+    closing: bool = False
     leaving: bool = False
     keep_alive: float | None = None
+    pause: float | None = None
     detail: str = ""
 
 
--- a/damasklead/gateway/directory.py
+++ b/damasklead/gateway/directory.py
@@ -65,9 +65,13 @@
         return not self._records
 
     def rows(self) -> list[ListedRow]:
-        """Return all entries, for another gateway."""
+        """Return all entries, for another gateway; what leaves is told as leaving."""
         return [
-            ListedRow(instance=item, version=self._versions.get(item, 0), record=record)
+            ListedRow(
+                instance=item,
+                version=self._versions.get(item, 0),
+                record=self._as_known(record),
+            )
             for item, record in self._records.items()
         ]
 
@@ -124,15 +128,17 @@
             }
         return changes
 
-    def mark_left(self, instance: InstanceId) -> bool:
+    def mark_left(self, instance: InstanceId, incarnation: int) -> bool:
         """
-        Take in that a replica itself said that it is gone or another one has its
-        address; returns whether that is new.
+        Take in that a replica itself said that it leaves or is gone, or that another
+        one has its address; returns whether that is new.
         """
-        record = self._records.get(instance)
-        if record is None or self._left.get(instance) == record.incarnation:
+        if self._left.get(instance) == incarnation:
             return False
-        self._left[instance] = record.incarnation
+        # Kept when the entry is removed: it may be listed again while it leaves.
+        self._left[instance] = incarnation
+        if len(self._left) > MOST_VERSIONS:
+            del self._left[next(iter(self._left))]
         self._index()
         return True
 
@@ -157,7 +163,6 @@
             return []
         self._records[instance] = record
         if before is None or before.incarnation != record.incarnation:
-            self._left.pop(instance, None)
             return [f"{instance} {record.state.value}"]
         if before.state is UpstreamState.LEAVING:
             # An older report may arrive late; leaving is final for one incarnation.
@@ -191,9 +196,14 @@
     def _drop(self, instance: InstanceId, *, why: str) -> list[str]:
         self._records.pop(instance, None)
         self._held.pop(instance, None)
-        self._left.pop(instance, None)
         return [f"{instance} {why}"]
 
+    def _as_known(self, record: UpstreamRecord) -> UpstreamRecord:
+        """Return a record with what its replica itself has said."""
+        if self._left.get(record.instance) != record.incarnation:
+            return record
+        return msgspec.structs.replace(record, state=UpstreamState.LEAVING)
+
     def _index(self) -> None:
         by_service: dict[ServiceName, list[UpstreamRecord]] = {}
         for instance in sorted(self._records):
--- a/damasklead/gateway/events.py
+++ b/damasklead/gateway/events.py
@@ -38,6 +38,11 @@
         """The id of the last whole event that has one."""
         return self._last_id
 
+    @property
+    def waiting_bytes(self) -> int:
+        """How many bytes of an event that is not whole are kept."""
+        return len(self._rest)
+
     @property
     def partial(self) -> bool:
         """Whether an event has begun and is not whole."""
--- a/damasklead/gateway/listeners.py
+++ b/damasklead/gateway/listeners.py
@@ -90,8 +90,10 @@
         seconds : float
             The longest time to wait.
         """
-        self.stop()
         deadline = self._clock.now() + seconds
+        # Connections that wait to be accepted would be reset by the end of listening.
+        gevent.sleep(POLL_SECONDS)
+        self.stop()
         quiet = 0
         while quiet < QUIET_POLLS and self._clock.now() < deadline:
             self.close_idle()
--- a/damasklead/gateway/peerload.py
+++ b/damasklead/gateway/peerload.py
@@ -16,6 +16,7 @@
 
 from damasklead.clock import Clock
 from damasklead.gateway.containment import CrashNote
+from damasklead.gateway.departures import LeftNote
 from damasklead.gateway.partplaces import PartNote, PartPlaces
 from damasklead.gateway.reading import ListReport
 from damasklead.ids import InstanceId
@@ -79,6 +80,8 @@
         Crashes of replicas that it has seen lately.
     parts : list
         Prompt parts that it has sent to replicas lately.
+    left : list
+        Replicas that have told it lately that they leave.
     """
 
     sender: str
@@ -88,6 +91,7 @@
     lists: list[ListReport] = []
     crashes: list[CrashNote] = []
     parts: list[PartNote] = []
+    left: list[LeftNote] = []
 
 
 class _Peer(msgspec.Struct, kw_only=True):
--- a/damasklead/gateway/peers.py
+++ b/damasklead/gateway/peers.py
@@ -16,6 +16,7 @@
 
 from damasklead.clock import Clock
 from damasklead.gateway.containment import Containment
+from damasklead.gateway.departures import Departures, LeftNote
 from damasklead.gateway.dialect import FeedError, PeerDirectory, PeerEntry
 from damasklead.gateway.journal import Journal
 from damasklead.gateway.peerload import (
@@ -64,6 +65,10 @@
         Takes what they tell of them.
     containment : Containment
         Hears of the crashes that others have seen, and tells its own.
+    departures : Departures
+        Tells which replicas have said that they leave.
+    take_departures : callable
+        Takes what the others tell of that.
     notify : callable
         Called when a message tells of a change of the lists.
     clock : Clock
@@ -80,6 +85,8 @@
         reports: Callable[[], list[ListReport]],
         list_reports: ListReports,
         containment: Containment,
+        departures: Departures,
+        take_departures: Callable[[list[LeftNote]], None],
         notify: Callable[[], None],
         clock: Clock,
         journal: Journal,
@@ -91,6 +98,8 @@
         self._reports = reports
         self._list_reports = list_reports
         self._containment = containment
+        self._departures = departures
+        self._take_departures = take_departures
         self._notify = notify
         self._changed = Event()
         self._unknown = Event()
@@ -126,7 +135,7 @@
         """Tell the others what has changed, forever."""
         told: list[ReplicaShare] = []
         marks: list[int] = []
-        crashes = 0
+        crashes = departures = 0
         told_at = 0.0
         while True:
             interval = send_interval(self._loads.gateways)
@@ -140,12 +149,14 @@
             news = (
                 marks != [report.mark for report in lists]
                 or crashes < len(self._containment.notes)
+                or departures < len(self._departures.notes)
                 or (
                     now - told_at >= interval
                     and (self._loads.parts.pending or worth_telling(told, shares))
                 )
             )
             crashes = len(self._containment.notes)
+            departures = len(self._departures.notes)
             if news or now - told_at >= refresh:
                 told, told_at = shares, now
                 marks = [report.mark for report in lists]
@@ -166,6 +177,7 @@
                     self._unknown.set()
                 self._loads.take(message)
                 self._containment.take(message.crashes)
+                self._take_departures(message.left)
                 if self._list_reports.take(message.lists):
                     self._notify()
 
@@ -211,6 +223,7 @@
             self._loads.parts.tell(
                 gateways=self._loads.gateways, seconds=now - self._sent_at
             ),
+            self._departures.notes,
         )
         self._sent_at = now
         data = msgspec.msgpack.encode(message)
--- a/damasklead/gateway/placements/base.py
+++ b/damasklead/gateway/placements/base.py
@@ -79,8 +79,10 @@
                 self._peers.parts.forget(record.instance)
             usable[record.instance] = state
         self._usable = usable
+        now = self._clock.now()
         for instance in [item for item in self._replicas if item not in usable]:
-            if not self._replicas[instance].own:
+            state = self._replicas[instance]
+            if not state.own and state.paused_until <= now:
                 del self._replicas[instance]
 
     def configure(self, service: ServiceSpec, routes: Iterable[Route]) -> None:
@@ -98,12 +100,14 @@
         excluded : collection
             Replicas on which the request failed; they come last.
         """
+        now = self._clock.now()
         candidates = [
-            state for item, state in self._usable.items() if item not in excluded
+            state
+            for item, state in self._usable.items()
+            if item not in excluded and state.paused_until <= now
         ]
         if not candidates:
             return None
-        now = self._clock.now()
         sound = [item for item in candidates if self._is_sound(item, call, now)]
         best = min(
             self._preferred(call, sound or candidates, now),
@@ -111,6 +115,30 @@
         )
         return best.record
 
+    def accepts(self, instance: InstanceId) -> bool:
+        """Tell whether a replica may be sent a request at this instant."""
+        state = self._usable.get(instance)
+        return state is not None and state.paused_until <= self._clock.now()
+
+    def pause_left(self) -> float | None:
+        """
+        Return the seconds until the first replica takes requests again, ``None`` when
+        some replica does or there is none.
+        """
+        if not self._usable:
+            return None
+        first = min(state.paused_until for state in self._usable.values())
+        left = first - self._clock.now()
+        return left if left > 0 else None
+
+    def paused(self, instance: InstanceId, seconds: float) -> float:
+        """
+        Take in that a replica wants no request for some seconds; returns the seconds
+        that it gets.
+        """
+        state = self._replicas.get(instance)
+        return 0.0 if state is None else state.pause(seconds, now=self._clock.now())
+
     def explain(self, instance: InstanceId, call: Call) -> dict[str, object]:
         """Return what is known of a chosen replica, for the log."""
         state = self._replicas[instance]
--- a/damasklead/gateway/process.py
+++ b/damasklead/gateway/process.py
@@ -18,7 +18,9 @@
 from damasklead.gateway.bootstrap import Bootstrap
 from damasklead.gateway.budget import SharedRetryBudget
 from damasklead.gateway.callers import RequestHandler
+from damasklead.gateway.calls import UpstreamRecord
 from damasklead.gateway.containment import Containment
+from damasklead.gateway.departures import Departures, LeftNote
 from damasklead.gateway.dialect import Dialect, PeerEntry, PlatformLink
 from damasklead.gateway.directory import UpstreamDirectory
 from damasklead.gateway.following import ConfigurationFollower, UpstreamFollower
@@ -97,6 +99,7 @@
         self._peer_loads = PeerLoads(clock=self._clock, own=settings.instance)
         self._list_reports = ListReports(clock=self._clock)
         self._containment = Containment(clock=self._clock, named=self._note_named)
+        self._departures = Departures(clock=self._clock)
         self._peers = self._make_peers()
         self._plans = [self._read_plan(name) for name in ListName]
         self._configuration = ConfigurationFollower(
@@ -293,9 +296,26 @@
             self._placements[name] = placement
         return placement
 
-    def _note_left(self, instance: InstanceId) -> None:
-        if self._directory.mark_left(instance):
-            self._journal.event("replica-left", replica=instance, sign="address reused")
+    def _note_left(self, record: UpstreamRecord, sign: str) -> None:
+        """Give a replica nothing more, and tell the other gateways."""
+        self._connections.discard(record.address)
+        if self._directory.mark_left(record.instance, record.incarnation):
+            self._journal.event("replica-left", replica=record.instance, sign=sign)
+            self._departures.note(record.instance, record.incarnation)
+            self._arrange()
+
+    def _take_departures(self, notes: list[LeftNote]) -> None:
+        """Take in which replicas other gateways know to leave."""
+        news = [
+            note
+            for note in notes
+            if self._directory.mark_left(note.instance, note.incarnation)
+        ]
+        for note in news:
+            self._journal.event(
+                "replica-left", replica=note.instance, sign="another gateway tells"
+            )
+        if news:
             self._arrange()
 
     def _note_named(self, fingerprint: Fingerprint) -> None:
@@ -388,6 +408,8 @@
             reports=lambda: [plan.report for plan in self._plans],
             list_reports=self._list_reports,
             containment=self._containment,
+            departures=self._departures,
+            take_departures=self._take_departures,
             notify=self._notify_followers,
             clock=self._clock,
             journal=self._journal,
--- a/damasklead/gateway/refusals.py
+++ b/damasklead/gateway/refusals.py
@@ -24,6 +24,7 @@
     UNKNOWN_KEY = "unknown-key"
     NO_REPLICA = "no-replica"
     REPLICAS_FULL = "replicas-full"
+    REPLICAS_PAUSED = "replicas-paused"
     TOO_LATE = "too-late"
     OVERLOADED = "overloaded"
     UNREACHABLE = "unreachable"
@@ -39,6 +40,7 @@
     Reason.UNKNOWN_KEY: 401,
     Reason.NO_REPLICA: 503,
     Reason.REPLICAS_FULL: 503,
+    Reason.REPLICAS_PAUSED: 503,
     Reason.TOO_LATE: 503,
     Reason.OVERLOADED: 503,
     Reason.UNREACHABLE: 503,
--- a/damasklead/gateway/replicastate.py
+++ b/damasklead/gateway/replicastate.py
@@ -20,6 +20,8 @@
 # First pause after a failed connection or a broken answer, and the longest one.
 AVOID_SECONDS = 0.5
 MAX_AVOID_SECONDS = 4.0
+# Longest pause that a replica is granted; a longer one is a mistake of the replica's.
+MAX_PAUSE_SECONDS = 60.0
 # A replica that says that it is full is full for about a request's time.
 FULL_AVOID_SECONDS = 0.1
 # Half-life of what a load answer says: requests last about a second.
@@ -88,6 +90,8 @@
         Prompt parts sent there.
     avoid_until : float
         Clock reading until which others go first.
+    paused_until : float
+        Clock reading until which the replica gets nothing from this gateway.
     """
 
     def __init__(self, *, record: UpstreamRecord, memory_tokens: int) -> None:
@@ -95,6 +99,7 @@
         self.key = short_key(record.instance)
         self.parts = PartMemory(capacity=memory_tokens)
         self.avoid_until = 0.0
+        self.paused_until = 0.0
         self._sent: dict[AttemptId, _Sent] = {}
         self._unread = 0
         self._hint: LoadHint | None = None
@@ -131,6 +136,7 @@
         if record.incarnation != self.record.incarnation:
             self.parts.clear()
             self.avoid_until = 0.0
+            self.paused_until = 0.0
             self._pause = 0.0
             self._failure_rate = 0.0
             self._hint = None
@@ -166,6 +172,16 @@
         if hint is not None:
             self._hint, self._hint_at = hint, now
 
+    def pause(self, seconds: float, *, now: float) -> float:
+        """
+        Take in that the replica wants no request for some time; returns the seconds
+        that it gets.  A shorter request for a pause does not end a longer one.
+        """
+        # A comparison with NaN is false, so it gets none.
+        granted = min(seconds, MAX_PAUSE_SECONDS) if seconds > 0 else 0.0
+        self.paused_until = max(self.paused_until, now + granted)
+        return granted
+
     def succeeded(self) -> None:
         """Take in a whole answer."""
         self._pause = 0.0
@@ -174,7 +190,7 @@
 
     def failed(self, failure: Failure, *, now: float) -> None:
         """Take in a failed attempt: others go first for a while."""
-        if failure is Failure.REFUSED:
+        if failure in (Failure.REFUSED, Failure.PAUSED):
             self.avoid_until = max(self.avoid_until, now + FULL_AVOID_SECONDS)
             return
         self._failure_rate += FAILURE_RATE_WEIGHT * (1 - self._failure_rate)
--- a/damasklead/gateway/upstream_http.py
+++ b/damasklead/gateway/upstream_http.py
@@ -19,7 +19,7 @@
 from damasklead.gateway.calls import Header
 from damasklead.gateway.sockets import connect, readable
 
-__all__ = ["Connection", "ConnectionPool", "SendError"]
+__all__ = ["AnswerMemory", "Connection", "ConnectionPool", "SendError"]
 
 RECEIVE_BYTES = 65_536
 # A connection on the same network opens within milliseconds.
@@ -32,6 +32,14 @@
 # Part of the time that a replica names within which a connection is used again.
 IDLE_FRACTION = 0.6
 MAX_IDLE_CONNECTIONS = 16
+# Interim answers that may come before the final one.
+MAX_INTERIM_ANSWERS = 8
+# Longest body of another request's answer that is passed over.
+STRAY_ANSWER_BYTES = 1_048_576
+# What the bodies of all answers that are being read may take together, and up to which
+# size one is let be when they take more.
+ANSWERS_BYTES = 25_165_824
+SMALL_ANSWER_BYTES = 262_144
 # Part of a replica's connections that all gateways together may keep idle; the rest is
 # for those in use.
 IDLE_SHARE = 0.5
@@ -52,6 +60,34 @@
         self.failure = failure
 
 
+class AnswerMemory:
+    """
+    What the bodies of answers take that are being read.
+
+    Load pattern: many replicas at once send bodies that don't end; short answers of
+    sound replicas still go through.
+
+    Parameters
+    ----------
+    limit : int
+        Bytes for all of them.
+
+    Attributes
+    ----------
+    limit : int
+    used : int
+        Bytes at present.
+    """
+
+    def __init__(self, *, limit: int = ANSWERS_BYTES) -> None:
+        self.limit = limit
+        self.used = 0
+
+    def exceeded(self, size: int) -> bool:
+        """Tell whether a body that has grown to a size has to be given up."""
+        return self.used > self.limit and size > SMALL_ANSWER_BYTES
+
+
 class Connection:
     """
     One connection to a replica, for one request at a time.
@@ -121,12 +157,17 @@
         SendError
             ``BROKEN`` when the connection ends or what arrives is no answer.
         """
-        while True:
+        for _ in range(MAX_INTERIM_ANSWERS):
             event = self._next_event()
             if isinstance(event, h11.Response):
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise SendError(Failure.BROKEN, f"unexpected {type(event).__name__}")
+        raise SendError(Failure.BROKEN, "only interim answers came")
+
+    def limit_silence(self, seconds: float | None) -> None:
+        """Fail with ``TIMED_OUT`` when nothing at all arrives for so long."""
+        self._socket.settimeout(seconds)
 
     def read_data(self) -> bytes:
         """
@@ -145,16 +186,36 @@
                 return b""
             raise SendError(Failure.BROKEN, f"unexpected {type(event).__name__}")
 
-    def read_all(self, *, limit: int) -> bytes:
-        """Return the whole body; raises ``SendError`` when it is too long."""
+    def read_all(self, *, limit: int, memory: "AnswerMemory | None" = None) -> bytes:
+        """
+        Return the whole body.
+
+        Parameters
+        ----------
+        limit : int
+            Longest body in bytes.
+        memory : AnswerMemory or None
+            What all bodies that are being read may take together.
+
+        Raises
+        ------
+        SendError
+            ``BROKEN`` when it is too long or ends early.
+        """
         parts: list[bytes] = []
         size = 0
-        while data := self.read_data():
-            parts.append(data)
-            size += len(data)
-            if size > limit:
-                raise SendError(Failure.BROKEN, f"body is longer than {limit} bytes")
-        return b"".join(parts)
+        try:
+            while data := self.read_data():
+                parts.append(data)
+                size += len(data)
+                if memory is not None:
+                    memory.used += len(data)
+                if size > limit or (memory is not None and memory.exceeded(size)):
+                    raise SendError(Failure.BROKEN, f"body of {size} bytes is too long")
+            return b"".join(parts)
+        finally:
+            if memory is not None:
+                memory.used -= size
 
     def skip_answer(self) -> None:
         """
@@ -166,8 +227,11 @@
             ``CROSSED`` when nothing can follow on this connection.
         """
         assert self._request is not None
-        while self.read_data():
-            pass
+        size = 0
+        while data := self.read_data():
+            size += len(data)
+            if size > STRAY_ANSWER_BYTES:
+                raise SendError(Failure.CROSSED, "another request's answer is too long")
         if self._http.their_state is not h11.DONE:
             raise SendError(Failure.CROSSED, "only another request's answer came")
         rest, ended = self._http.trailing_data
@@ -186,6 +250,7 @@
 
     def next_request(self) -> None:
         """Make ready for another request."""
+        self.limit_silence(None)
         self._http.start_next_cycle()
         self._writer = None
 
@@ -212,6 +277,8 @@
     def _receive(self) -> None:
         try:
             data = self._socket.recv(RECEIVE_BYTES)
+        except TimeoutError as error:
+            raise SendError(Failure.TIMED_OUT, "the replica is silent") from error
         except OSError as error:
             raise SendError(Failure.BROKEN, f"receive: {error}") from error
         if not data and self._http.their_state is h11.SEND_RESPONSE:
@@ -307,6 +374,11 @@
             idle.popleft()[1].close()
         idle.append((self._clock.now() + seconds, connection))
 
+    def discard(self, address: str) -> None:
+        """Close the idle connections to an address."""
+        for _, connection in self._idle.pop(address, ()):
+            connection.close()
+
     def sweep(self) -> None:
         """Close connections that have been idle for too long."""
         now = self._clock.now()
--- a/damasklead/platform/headers.py
+++ b/damasklead/platform/headers.py
@@ -39,9 +39,13 @@
 SIGNATURE = b"response-signature"
 NOT_RUN = b"not-executed"
 LOAD = b"backend-load"
+LEAVING = b"server-leaving"
+RETRY_AFTER = b"retry-after"
 
 MOST_URGENT, LEAST_URGENT = 0, 9
 MISPLACED_STATUS = 421
+# With a time to return it asks for a pause of all that this gateway sends.
+UNAVAILABLE_STATUS = 503
 # Statuses that promise a caller that its request has not run.
 PROMISING_STATUSES = frozenset({408, 421, 429, 503})
 
@@ -124,8 +128,12 @@
                 (name, value) for name, value in headers if name.lower() not in dropped
             ),
             load=_load(values.get(LOAD)),
-            leaving=b"close" in values.get(b"connection", b"").lower(),
+            closing=b"close" in values.get(b"connection", b"").lower(),
+            leaving=values.get(LEAVING, b"0").strip() not in (b"", b"0"),
             keep_alive=_keep_alive(values.get(b"keep-alive", b"")),
+            pause=_seconds(values.get(RETRY_AFTER))
+            if status == UNAVAILABLE_STATUS
+            else None,
         )
 
     def own_headers(
@@ -174,6 +182,14 @@
         return None
 
 
+def _seconds(value: bytes | None) -> float | None:
+    """Return a number of seconds, sensible or not; ``None`` when it is no number."""
+    try:
+        return float(value) if value is not None else None
+    except ValueError:
+        return None
+
+
 def _api_key(value: bytes | None) -> ApiKey | None:
     if value is None or not value.lower().startswith(TOKEN_SCHEME):
         return None
--- a/tests/gatewaykit.py
+++ b/tests/gatewaykit.py
@@ -33,7 +33,7 @@
     ServiceSpec,
     Workspace,
 )
-from damasklead.gateway.upstream_http import ConnectionPool
+from damasklead.gateway.upstream_http import AnswerMemory, ConnectionPool
 from damasklead.ids import (
     DataCentre,
     Fingerprint,
@@ -183,6 +183,7 @@
         self.table: RoutingTable | None = make_table()
         self.stopping = False
         self.left: list[InstanceId] = []
+        self.memory = AnswerMemory()
         self.placement: Placement = new_placement(
             service=ServiceSpec(name=SERVICE, max_connections=100),
             clock=self.clock,
@@ -205,7 +206,8 @@
                 gate=Gate(clock=self.clock),
                 containment=self.containment,
                 journal=self.journal,
-                left=self.left.append,
+                left=self._note_left,
+                answers=self.memory,
             ),
             placement_of=lambda name: self.placement,
             table=lambda: self.table,
@@ -234,6 +236,14 @@
         """Return the log lines of an event."""
         return [line for line in self.journal.pending if f"event={name} " in line]
 
+    def _note_left(self, record: UpstreamRecord, sign: str) -> None:
+        self.left.append(record.instance)
+        self.placement.retain(
+            replica.record
+            for replica in self.replicas
+            if replica.record.instance not in self.left
+        )
+
     def stop(self) -> None:
         """Stop listening."""
         self.listener.stop()
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -144,8 +144,8 @@
     def test_a_replica_whose_address_another_one_has_gets_no_work(self) -> None:
         directory = UpstreamDirectory(clock=ManualClock())
         directory.apply([row("a", 1)], whole=True)
-        assert directory.mark_left(InstanceId("a"))
-        assert not directory.mark_left(InstanceId("a"))
+        assert directory.mark_left(InstanceId("a"), 1)
+        assert not directory.mark_left(InstanceId("a"), 1)
         assert names(directory) == []
 
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -172,7 +172,7 @@
             attempt=AttemptId("a1"),
         )  # fmt: skip
         assert reply.load is not None and reply.load.waiting == 1
-        assert reply.keep_alive == 2.0 and reply.leaving
+        assert reply.keep_alive == 2.0 and reply.closing
         assert {name for name, _ in reply.headers} == {
             b"Attempt-Id", b"Response-Signature", b"Backend-Load",
         }  # fmt: skip
