--- a/damasklead/experiment/engines.py
+++ b/damasklead/experiment/engines.py
@@ -129,6 +129,11 @@
         self._sequence = 0
         self._stepping = False
 
+    @property
+    def event_tokens(self) -> int:
+        """Tokens in one event of a stream."""
+        return self._figures.tokens_per_event
+
     @property
     def hint(self) -> LoadHint:
         """What the engine tells of its load."""
--- a/damasklead/gateway/admission.py
+++ b/damasklead/gateway/admission.py
@@ -13,7 +13,7 @@
 No I/O: requests and the clock come in, decisions go out.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 import msgspec
 
@@ -31,6 +31,11 @@
 MOST_RETRY_SHARE = 0.33
 # Requests that one gateway keeps back at most; the rest is refused at once.
 MOST_WAITING = 200
+# Requests that are weighed at one look, the first by rank: whoever can't be placed
+# waits for an engine with cached parts, and the next may use another one.
+MOST_WEIGHED = 16
+# What waits is looked through for requests without hope so often.
+HOPE_SECONDS = 0.05
 # A first event can't come sooner than this after sending.
 LEAST_FIRST_EVENT_SECONDS = 0.1
 
@@ -63,6 +68,10 @@
         Whether the engine that a request would go to has little left to read.
     is_urgent : callable
         Whether a request is sent at once, room or not.
+    any_room : callable
+        Whether any engine has room; asked first, since it costs less.
+    seconds_of : callable
+        How long all engines together need to read a request.
     """
 
     def __init__(
@@ -71,7 +80,12 @@
         clock: Clock,
         has_room: Callable[[Call], bool],
         is_urgent: Callable[[Call], bool],
+        any_room: Callable[[], bool] = lambda: True,
+        seconds_of: Callable[[Call], float] = lambda _call: 0.0,
     ) -> None:
+        self._any_room = any_room
+        self._seconds_of = seconds_of
+        self._looked_at = 0.0
         self._clock = clock
         self._has_room = has_room
         self._is_urgent = is_urgent
@@ -82,6 +96,11 @@
         """How many requests are kept back."""
         return len(self._waiting)
 
+    @property
+    def calls(self) -> Collection[Call]:
+        """The requests that are kept back."""
+        return self._waiting.values()
+
     def submit(self, call: Call) -> Decision | None:
         """Take in a request; ``None`` when it has to wait."""
         if self._is_urgent(call):
@@ -104,15 +123,34 @@
         What is sent changes what has room, so each is carried out before the next.
         """
         now = self._clock.now()
-        for call in sorted(self._waiting.values(), key=lambda item: _rank(item, now)):
-            if now + LEAST_FIRST_EVENT_SECONDS > call.useful_until:
-                del self._waiting[call.id]
-                return self._reject(call)
+        looks = now - self._looked_at >= HOPE_SECONDS
+        if not looks and not self._any_room():
+            return None
+        ranked = sorted(self._waiting.values(), key=lambda item: _rank(item, now))
+        hopeless = self._find_hopeless(ranked, now) if looks else None
+        if hopeless is not None:
+            del self._waiting[hopeless.id]
+            return self._reject(hopeless)
+        for call in ranked[:MOST_WEIGHED] if self._any_room() else ():
             if self._has_room(call):
                 del self._waiting[call.id]
                 return Admit(call=call)
         return None
 
+    def _find_hopeless(self, ranked: list[Call], now: float) -> Call | None:
+        """
+        Return a request whose first event would come too late to be of use.
+
+        It is refused at once: its caller may still be served elsewhere or later.
+        """
+        wait = LEAST_FIRST_EVENT_SECONDS
+        for call in ranked:
+            wait += self._seconds_of(call)
+            if now + wait > call.useful_until:
+                return call
+        self._looked_at = now
+        return None
+
     def _reject(self, call: Call) -> Reject:
         left = call.caller_deadline - self._clock.now()
         spread = 1 - RETRY_SPREAD * stable_hash(call.id) / 2**64
--- a/damasklead/gateway/attempts.py
+++ b/damasklead/gateway/attempts.py
@@ -17,9 +17,10 @@
 from damasklead.gateway.callers import CallerConnection
 from damasklead.gateway.calls import Call, ReplyHead, ReplyKind, UpstreamRecord
 from damasklead.gateway.containment import Containment
+from damasklead.gateway.coordination.asking import Asker, Seat
+from damasklead.gateway.coordination.messages import Turned
 from damasklead.gateway.dialect import Dialect, SendPlan
 from damasklead.gateway.events import EventSplitter
-from damasklead.gateway.gate import Gate
 from damasklead.gateway.journal import Journal
 from damasklead.gateway.placements import Placement
 from damasklead.gateway.refusals import Reason, Refusal
@@ -37,6 +38,9 @@
 
 # A request that surely did not run may be offered to so many replicas.
 MAX_OFFERS = 4
+# Places that a coordinator may give before this gateway chooses by itself: its list of
+# replicas may differ from this gateway's.
+MOST_SEATS = 3
 # Answers to other requests that are passed over on one connection.
 MAX_STRAY_ANSWERS = 3
 # Longest body of an answer that is not a stream.
@@ -74,7 +78,7 @@
     clock: Clock
     connections: ConnectionPool
     budget: SharedRetryBudget
-    gate: Gate
+    asker: Asker
     containment: Containment
     journal: Journal
     left: Callable[[UpstreamRecord, str], None]
@@ -119,6 +123,7 @@
         self._placement = placement
         self._caller = caller
         self._upstream: Connection | None = None
+        self._seat: Seat | None = None
         self._excluded: set[InstanceId] = set()
         self._runs = 0
         self._sent = False
@@ -151,13 +156,12 @@
                 detail="crashes replicas",
                 retry_after=QUARANTINED_RETRY_SECONDS,
             )
-        refusal = self._parts.gate.enter(self._call, self._placement)
-        if refusal is not None:
-            return refusal
         while True:
-            record = self._placement.choose(self._call, excluded=self._excluded)
-            if record is None or record.instance in self._excluded:
+            record = self._choose()
+            if record is None:
                 return self._find_none()
+            if isinstance(record, Refusal):
+                return record
             try:
                 if self._connect(record):
                     self._offer(record)
@@ -183,6 +187,39 @@
             upstream.close()
         # Also a request that ended while it was connecting was counted there.
         self._placement.withdrawn(self.replica, self._call)
+        self._leave_seat("withdrawn")
+
+    def _choose(self) -> UpstreamRecord | Refusal | None:
+        """Return the replica to try next, or why there is to be none."""
+        if not self._placement.coordinated:
+            return self._placement.choose(self._call, excluded=self._excluded)
+        passed_over = self._excluded | self._placement.paused_replicas()
+        for _ in range(MOST_SEATS):
+            found = self._parts.asker.find(
+                self._call, excluded=passed_over, first=not self.offers
+            )
+            if found is None:
+                break
+            if isinstance(found, Turned):
+                return Refusal(
+                    reason=Reason.OVERLOADED,
+                    detail="the coordinator refuses",
+                    retry_after=found.retry_after,
+                )
+            record = self._placement.record(found.instance)
+            if record is not None and self._placement.accepts(found.instance):
+                self._seat = found
+                return record
+            # The coordinator's list is older or newer than this gateway's.
+            self._parts.asker.ended(found, self._call, "withdrawn")
+            passed_over = passed_over | {found.instance}
+        return self._placement.choose(self._call, excluded=self._excluded)
+
+    def _leave_seat(self, outcome: str) -> None:
+        """Tell the coordinator that the request is at its replica no more."""
+        seat, self._seat = self._seat, None
+        if seat is not None:
+            self._parts.asker.ended(seat, self._call, outcome)
 
     def _find_none(self) -> Refusal | None:
         """Return the final answer when no replica is left to try."""
@@ -208,6 +245,7 @@
             return True
         self._parts.connections.give_back(self._upstream, keep_alive=None)
         self._upstream = None
+        self._leave_seat("withdrawn")
         return False
 
     def _offer(self, record: UpstreamRecord) -> None:
@@ -224,7 +262,7 @@
             offer=self.offers,
             **self._placement.explain(record.instance, call),
         )
-        source = self._placement.copy_source(record.instance, call)
+        source = None if self._seat is None else self._seat.source
         self._placement.sent(record.instance, call)
         headers = self._parts.dialect.upstream_headers(
             call,
@@ -249,6 +287,7 @@
         self._check(reply, record)
         self._relay(upstream, reply)
         self._placement.finished(record.instance, call)
+        self._leave_seat("whole")
         self._parts.containment.ended_well(call)
         self._upstream = None
         self._parts.connections.give_back(
@@ -353,6 +392,8 @@
             event_at = now
             if splitter.last_id is not None:
                 self._last_event = splitter.last_id
+            if self._seat is not None and not self.events:
+                self._parts.asker.read(self._seat, self._call, reply.load)
             self._placement.progressed(self.replica, self._call)
             self._send_events(reply, whole)
             self.events += splitter.take_count()
@@ -399,6 +440,7 @@
             upstream.close()
         self._sent = self._begun = False
         self._placement.failed(record.instance, self._call, failure)
+        self._leave_seat(failure.value)
         self._excluded.add(record.instance)
         if failure is Failure.NOT_SENT:
             self._parts.containment.unreachable(record)
--- a/damasklead/gateway/bootstrap.py
+++ b/damasklead/gateway/bootstrap.py
@@ -2,13 +2,16 @@
 Bootstrap
 =========
 
-Asks other gateways for what they know while the platform's store tells nothing.
+Asks other gateways for what they know when this one starts: it is in service sooner,
+also while the platform's store is away, and the store is spared the calls of many
+gateways that start together.
 """
 
 import random
 from collections.abc import Callable
 
 import gevent
+from gevent.event import Event
 
 from damasklead.gateway.journal import Journal
 from damasklead.gateway.snapshot import Snapshot, SnapshotError, fetch_snapshot
@@ -16,8 +19,10 @@
 
 __all__ = ["Bootstrap"]
 
-# The store answers within milliseconds when it is there.
+# Time between two rounds of asking.
 ASK_SECONDS = 0.25
+# The store is asked as well after so long, when a seed does not even refuse.
+PATIENCE_SECONDS = 0.35
 
 
 class Bootstrap:
@@ -50,14 +55,26 @@
         self._take = take
         self._connections = connections
         self._journal = journal
+        self._over = Event()
+        if not seeds:
+            self._over.set()
+
+    def wait(self) -> None:
+        """Wait until another gateway has told what it knows, but not for long."""
+        self._over.wait(timeout=PATIENCE_SECONDS)
+        self._over.set()
 
     def run(self) -> None:
-        """Ask one seed after the other until a configuration is known."""
-        while self._seeds:
-            gevent.sleep(ASK_SECONDS)
+        """Ask all seeds, then one after the other until a configuration is known."""
+        asked = [gevent.spawn(self._ask, seed) for seed in self._seeds]
+        for _ in gevent.iwait(asked):
             if self._done():
-                return
-            self._ask(random.choice(self._seeds))
+                break
+        self._over.set()
+        while not self._done():
+            gevent.sleep(ASK_SECONDS)
+            if not self._done() and self._seeds:
+                self._ask(random.choice(self._seeds))
 
     def _ask(self, seed: str) -> None:
         try:
--- /dev/null
+++ b/damasklead/gateway/bulletins.py
@@ -0,0 +1,231 @@
+"""
+Bulletins
+=========
+
+One gateway, the first by rank that is heard, tells all others what the platform's lists
+hold, which replicas leave and which requests crash replicas.  The others tell it what
+they see.  When it is silent, the next by rank takes over.
+
+Load pattern: hundreds of gateways that all need each change within a second; if each
+told all others, messages would grow with the square of the fleet, and if each asked the
+store, calls with every change.
+"""
+
+import zlib
+from collections.abc import Callable
+
+import gevent
+import msgspec
+from gevent.event import Event
+
+from damasklead.clock import Clock
+from damasklead.gateway.containment import Containment, CrashNote
+from damasklead.gateway.departures import Departures, LeftNote
+from damasklead.gateway.following import ConfigurationFollower, UpstreamFollower
+from damasklead.gateway.messages import Bulletin, Notice
+from damasklead.gateway.peers import Peers
+from damasklead.gateway.reading import ListName, ListReports, ReadPlan, reader_rank
+from damasklead.gateway.routing import RoutingContent, RoutingTable
+
+__all__ = ["Bulletins"]
+
+# Time between two bulletins without news.
+BULLETIN_SECONDS = 0.3
+# Time between two with news, so that several go together.
+GATHER_SECONDS = 0.02
+# The next gateway by rank takes over after such a silence, others so much later each.
+TAKE_OVER_SECONDS = 1.0
+TAKE_OVER_STEP_SECONDS = 0.1
+MOST_STEPS = 10
+# Another gateway's confirmation of the lists makes one's own needless for so long.
+CONFIRMED_SECONDS = 0.6
+# Notices are repeated so often while there is anything to tell.
+NOTICE_SECONDS = 0.5
+# What other gateways have told is handed on for so long.
+RELAY_SECONDS = 3.0
+# A configuration that is longer when it is compressed is asked of the store.
+ROUTING_BYTES = 8_192
+ROUTING_SECONDS = 1.5
+
+
+class Bulletins:
+    """
+    Sends bulletins or takes them in.
+
+    Parameters
+    ----------
+    peers : Peers
+    configuration : ConfigurationFollower
+    upstreams : UpstreamFollower
+    plans : list of ReadPlan
+    reports : ListReports
+    containment : Containment
+    departures : Departures
+    take_departures : callable
+        Takes what others tell of replicas that leave.
+    clock : Clock
+    own : str
+    incarnation : int
+    """
+
+    def __init__(
+        self,
+        *,
+        peers: Peers,
+        configuration: ConfigurationFollower,
+        upstreams: UpstreamFollower,
+        plans: list[ReadPlan],
+        reports: ListReports,
+        containment: Containment,
+        departures: Departures,
+        take_departures: Callable[[list[LeftNote]], None],
+        clock: Clock,
+        own: str,
+        incarnation: int,
+    ) -> None:
+        self._peers = peers
+        self._configuration = configuration
+        self._upstreams = upstreams
+        self._plans = plans
+        self._reports = reports
+        self._containment = containment
+        self._departures = departures
+        self._take_departures = take_departures
+        self._clock = clock
+        self._own = own
+        self._incarnation = incarnation
+        self._number = 0
+        self._changed = Event()
+        self._position = 0
+        self._earlier: frozenset[str] = frozenset()
+        self._heard_at = clock.now()
+        self._herald: str | None = None
+        self._orders: dict[str, tuple[int, int]] = {}
+        self._relayed: dict[CrashNote | LeftNote, float] = {}
+        self._routing = (0, b"", 0.0)
+        peers.on(Bulletin, self._take_bulletin)
+        peers.on(Notice, self._take_notice)
+
+    @property
+    def position(self) -> int:
+        """The place of this gateway by rank, 0 for the first."""
+        return self._position
+
+    @property
+    def sends(self) -> bool:
+        """Whether this gateway is the one that tells the others."""
+        steps = min(self._position, MOST_STEPS) * TAKE_OVER_STEP_SECONDS
+        silent = self._clock.now() - self._heard_at
+        return self._position == 0 or silent > TAKE_OVER_SECONDS + steps
+
+    def arrange(self) -> None:
+        """Take in that the gateways have changed."""
+        rank = reader_rank(self._own)
+        names = [entry.instance for entry in self._peers.members]
+        self._earlier = frozenset(n for n in names if reader_rank(n) < rank)
+        self._position = len(self._earlier)
+
+    def tell_soon(self) -> None:
+        """Tell others at once that there is news."""
+        self._changed.set()
+
+    def run(self) -> None:
+        """Tell the others, forever."""
+        noticed_at = 0.0
+        while True:
+            self._changed.wait(timeout=BULLETIN_SECONDS)
+            self._changed.clear()
+            now = self._clock.now()
+            if self.sends or self._confirms_alone():
+                self._peers.send_all(self._bulletin())
+                gevent.sleep(GATHER_SECONDS)
+            elif now - noticed_at >= NOTICE_SECONDS or self._has_news():
+                noticed_at = now
+                self._notify_herald()
+
+    def _confirms_alone(self) -> bool:
+        """Whether only this gateway reads the lists, as far as it knows."""
+        now = self._clock.now()
+        ages = [plan.report.age for plan in self._plans]
+        if not all(0 <= age < CONFIRMED_SECONDS * 1000 for age in ages):
+            return False
+        confirmed = min(self._reports.confirmed_at(name) for name in ListName)
+        return now - confirmed > CONFIRMED_SECONDS
+
+    def _has_news(self) -> bool:
+        return bool(self._departures.notes or self._containment.notes)
+
+    def _notify_herald(self) -> None:
+        crashes, left = self._containment.notes, self._departures.notes
+        if self._herald is not None and (crashes or left):
+            self._peers.send(self._herald, Notice(self._own, crashes, left))
+
+    def _bulletin(self) -> Bulletin:
+        self._number += 1
+        now = self._clock.now()
+        self._relayed = {
+            note: at for note, at in self._relayed.items() if now - at < RELAY_SECONDS
+        }
+        crashes = [n for n in self._relayed if isinstance(n, CrashNote)]
+        left = [n for n in self._relayed if isinstance(n, LeftNote)]
+        log = self._upstreams.log
+        return Bulletin(
+            self._own,
+            self._incarnation,
+            self._number,
+            [plan.report for plan in self._plans],
+            log.base,
+            log.cursor,
+            log.rows,
+            self._new_routing(),
+            [*self._containment.notes, *crashes],
+            [*self._departures.notes, *left],
+        )
+
+    def _new_routing(self) -> bytes:
+        """Return the configuration while it is new and if it is short."""
+        table = self._configuration.table
+        if table is None:
+            return b""
+        version, data, at = self._routing
+        if version != table.version:
+            packed = zlib.compress(msgspec.msgpack.encode(table.content), 1)
+            data = packed if len(packed) <= ROUTING_BYTES else b""
+            at = self._clock.now()
+            self._routing = (table.version, data, at)
+        return data if self._clock.now() - at < ROUTING_SECONDS else b""
+
+    def _take_bulletin(self, message: Bulletin, sender: str) -> None:
+        order = (message.incarnation, message.number)
+        if order <= self._orders.get(sender, (0, 0)):
+            return
+        self._orders[sender] = order
+        if sender in self._earlier or not self.sends:
+            self._herald = sender
+        if sender in self._earlier:
+            self._heard_at = self._clock.now()
+        self._containment.take(message.crashes)
+        self._take_departures(message.left)
+        if message.routing:
+            self._take_routing(message.routing)
+        news = self._reports.take(message.lists)
+        self._upstreams.hand_over(message.base, message.cursor, message.rows)
+        if news:
+            self._configuration.notify()
+            self._upstreams.notify()
+
+    def _take_routing(self, data: bytes) -> None:
+        content = msgspec.msgpack.decode(zlib.decompress(data), type=RoutingContent)
+        self._configuration.hand_over(RoutingTable(content=content))
+
+    def _take_notice(self, message: Notice, _sender: str) -> None:
+        now = self._clock.now()
+        news = False
+        notes: list[CrashNote | LeftNote] = [*message.crashes, *message.left]
+        for note in notes:
+            news = news or note not in self._relayed
+            self._relayed.setdefault(note, now)
+        self._containment.take(message.crashes)
+        self._take_departures(message.left)
+        if news:
+            self.tell_soon()
--- /dev/null
+++ b/damasklead/gateway/changelog.py
@@ -0,0 +1,95 @@
+"""
+Change log
+==========
+
+The newest changes of a list, for gateways that are not far behind.  No I/O.
+"""
+
+from collections import deque
+from typing import Generic, TypeVar
+
+import msgspec
+
+from damasklead.clock import Clock
+
+__all__ = ["ChangeLog"]
+
+T = TypeVar("T")
+
+# Changes are handed on for so long; whoever has missed them all asks the store.
+KEEP_SECONDS = 2.0
+# Changed rows that are handed on at most, about 150 bytes each.
+MOST_ROWS = 24
+
+
+class _Step(msgspec.Struct, kw_only=True):
+    at: float
+    cursor: int
+    rows: list
+
+
+class ChangeLog(Generic[T]):
+    """
+    Changes after ``base`` up to ``cursor``.
+
+    Parameters
+    ----------
+    clock : Clock
+
+    Examples
+    --------
+    >>> from damasklead.clock import ManualClock
+    >>> clock = ManualClock()
+    >>> log = ChangeLog(clock=clock)
+    >>> log.restart(10)
+    >>> log.add(["a"], 12)
+    >>> log.base, log.cursor, log.rows
+    (10, 12, ['a'])
+    >>> clock.advance(KEEP_SECONDS)
+    >>> log.base, log.cursor, log.rows
+    (12, 12, [])
+    """
+
+    def __init__(self, *, clock: Clock) -> None:
+        self._clock = clock
+        self._base = 0
+        self._cursor = 0
+        self._steps: deque[_Step] = deque()
+
+    @property
+    def base(self) -> int:
+        """The cursor after which all changes are held."""
+        self._trim()
+        return self._base
+
+    @property
+    def cursor(self) -> int:
+        """The newest cursor."""
+        return self._cursor
+
+    @property
+    def rows(self) -> list[T]:
+        """The changes in order."""
+        self._trim()
+        return [row for step in self._steps for row in step.rows]
+
+    def restart(self, cursor: int) -> None:
+        """Begin anew at a cursor, after a whole list was read."""
+        self._steps.clear()
+        self._base = self._cursor = cursor
+
+    def add(self, rows: list[T], cursor: int) -> None:
+        """Take in the changes up to a cursor."""
+        self._cursor = max(self._cursor, cursor)
+        if rows:
+            step = _Step(at=self._clock.now(), cursor=self._cursor, rows=rows)
+            self._steps.append(step)
+        self._trim()
+
+    def _trim(self) -> None:
+        begin = self._clock.now() - KEEP_SECONDS
+        count = sum(len(step.rows) for step in self._steps)
+        while self._steps and (self._steps[0].at <= begin or count > MOST_ROWS):
+            step = self._steps.popleft()
+            count -= len(step.rows)
+            self._base = step.cursor
--- /dev/null
+++ b/damasklead/gateway/coordination/asking.py
@@ -0,0 +1,252 @@
+"""
+Asking
+======
+
+The gateway's side of coordination: asks a cell's coordinator where a request goes,
+tells it what became of the request, and asks the next one when it is silent.
+
+Load pattern: a coordinator that is killed, frozen or cut off with requests of all
+gateways under way; each gateway finds out with one request and passes it over until it
+is heard again.
+"""
+
+from collections.abc import Callable, Collection
+
+import gevent
+import msgspec
+from gevent.event import AsyncResult
+
+from damasklead.clock import Clock
+from damasklead.gateway.calls import Call, LoadHint
+from damasklead.gateway.coordination.cellmap import CellMap
+from damasklead.gateway.coordination.cells import Cell
+from damasklead.gateway.coordination.messages import (
+    Answer,
+    Ask,
+    Ended,
+    Grant,
+    Held,
+    Read,
+    Running,
+    Turned,
+)
+from damasklead.gateway.journal import Journal
+from damasklead.ids import AttemptId, InstanceId
+
+__all__ = ["Asker", "Seat", "make_ask"]
+
+# A coordinator answers within a few milliseconds; a lost datagram is made up for by a
+# second ask.
+FIRST_ASK_SECONDS = 0.04
+SECOND_ASK_SECONDS = 0.06
+# A coordinator repeats every 0.2 s that a request waits.
+HELD_PATIENCE_SECONDS = 0.65
+# Coordinators that are asked before this gateway decides by itself.
+MOST_COORDINATORS = 2
+
+
+class Seat(msgspec.Struct, kw_only=True, frozen=True):
+    """
+    A place of a request at a replica.
+
+    Attributes
+    ----------
+    coordinator : str
+        The gateway that gave it.
+    """
+
+    cell: Cell
+    coordinator: str
+    instance: InstanceId
+    source: str | None
+
+
+class Asker:
+    """
+    Finds places for one gateway's requests to engines.
+
+    Parameters
+    ----------
+    own : str
+        This gateway's id.
+    clock : Clock
+    cells : CellMap
+    send : callable
+        Sends a message to a gateway, which may be this one.
+    journal : Journal
+    """
+
+    def __init__(
+        self,
+        *,
+        own: str,
+        clock: Clock,
+        cells: CellMap,
+        send: Callable[[str, object], None],
+        journal: Journal,
+    ) -> None:
+        self._own = own
+        self._clock = clock
+        self._cells = cells
+        self._send = send
+        self._journal = journal
+        self._waiting: dict[AttemptId, AsyncResult] = {}
+        self._seats: dict[AttemptId, tuple[Seat, int]] = {}
+
+    @property
+    def waiting(self) -> int:
+        """How many requests wait for a place."""
+        return len(self._waiting)
+
+    def find(
+        self, call: Call, *, excluded: Collection[InstanceId], first: bool
+    ) -> Seat | Turned | None:
+        """
+        Return a place for a request, its refusal, or ``None`` when there is no replica.
+
+        Parameters
+        ----------
+        excluded : collection
+            Replicas that are passed over.
+        first : bool
+            Whether the request may be made to wait or be refused.
+        """
+        cell = self._cells.choose(call, first=first)
+        if cell is None:
+            return None
+        for coordinator in self._cells.coordinators(cell, most=MOST_COORDINATORS):
+            answer = self._ask(call, cell, coordinator, excluded, first)
+            if isinstance(answer, Grant):
+                return self._take_seat(call, cell, coordinator, answer)
+            if isinstance(answer, Turned) and answer.retry_after is not None:
+                return answer
+        return None
+
+    def take(self, answer: Answer, sender: str) -> None:
+        """Take in a coordinator's answer."""
+        result = self._waiting.get(answer.attempt)
+        if result is not None:
+            result.set(answer)
+        elif isinstance(answer, Grant) and answer.attempt not in self._seats:
+            # It comes too late: another coordinator was asked, or the caller has gone.
+            cell = self._cells.cell_of(answer.instance)
+            if cell is not None:
+                gone = Ended(self._own, cell, answer.attempt, "withdrawn")
+                self._send(sender, gone)
+
+    def read(self, seat: Seat, call: Call, load: LoadHint | None) -> None:
+        """Take in that a request's first event came."""
+        self._seats[call.id] = (seat, 0)
+        self._send(seat.coordinator, Read(self._own, seat.cell, call.id, load))
+
+    def ended(self, seat: Seat, call: Call, outcome: str) -> None:
+        """Take in that a request has left its place."""
+        self._seats.pop(call.id, None)
+        self._send(seat.coordinator, Ended(self._own, seat.cell, call.id, outcome))
+
+    def tell_running(self) -> None:
+        """Tell the coordinators what runs at their engines."""
+        by_cell: dict[Cell, list[tuple[AttemptId, InstanceId, int]]] = {}
+        for attempt, (seat, unread) in self._seats.items():
+            by_cell.setdefault(seat.cell, []).append((attempt, seat.instance, unread))
+        for cell, requests in by_cell.items():
+            for coordinator in self._cells.coordinators(cell, most=1):
+                self._send(coordinator, Running(self._own, cell, tuple(requests)))
+
+    def _ask(
+        self,
+        call: Call,
+        cell: Cell,
+        coordinator: str,
+        excluded: Collection[InstanceId],
+        first: bool,
+    ) -> Grant | Turned | None:
+        """Ask one coordinator; ``None`` when it is silent."""
+        placed = False
+        try:
+            answer = self._wait_for(
+                call,
+                cell,
+                coordinator,
+                make_ask(
+                    self._own,
+                    call,
+                    cell,
+                    now=self._clock.now(),
+                    excluded=excluded,
+                    first=first,
+                ),
+            )
+            placed = answer is not None
+            return answer
+        finally:
+            if not placed:
+                gone = Ended(self._own, cell, call.id, "withdrawn")
+                self._send(coordinator, gone)
+
+    def _wait_for(
+        self, call: Call, cell: Cell, coordinator: str, ask: Ask
+    ) -> Grant | Turned | None:
+        patience = FIRST_ASK_SECONDS
+        try:
+            for _ in range(2):
+                result = self._waiting[call.id] = AsyncResult()
+                self._send(coordinator, ask)
+                answer = self._next_answer(result, patience)
+                while isinstance(answer, Held):
+                    result = self._waiting[call.id] = AsyncResult()
+                    answer = self._next_answer(result, HELD_PATIENCE_SECONDS)
+                if answer is not None:
+                    self._cells.note_load(cell, answer.backlog)
+                    return answer
+                patience = SECOND_ASK_SECONDS
+        finally:
+            self._waiting.pop(call.id, None)
+        if coordinator != self._own and self._cells.suspect(coordinator):
+            self._journal.event("coordinator-silent", peer=coordinator, request=call.id)
+        return None
+
+    def _next_answer(self, result: AsyncResult, seconds: float) -> Answer | None:
+        try:
+            answer: Answer = result.get(timeout=seconds)
+        except gevent.Timeout:
+            return None
+        return answer
+
+    def _take_seat(
+        self, call: Call, cell: Cell, coordinator: str, grant: Grant
+    ) -> Seat:
+        seat = Seat(
+            cell=cell,
+            coordinator=coordinator,
+            instance=grant.instance,
+            source=grant.source,
+        )
+        self._seats[call.id] = (seat, call.head.prompt_tokens)
+        return seat
+
+
+def make_ask(
+    own: str,
+    call: Call,
+    cell: Cell,
+    *,
+    now: float,
+    excluded: Collection[InstanceId],
+    first: bool,
+) -> Ask:
+    """Return what a coordinator has to know of a request."""
+    return Ask(
+        own,
+        call.id,
+        cell,
+        call.route.name,
+        call.tier,
+        call.deadline - now,
+        call.caller_deadline - now,
+        now - call.arrival,
+        call.head.prompt_tokens,
+        call.head.prompt,
+        tuple(excluded),
+        first,
+    )
--- /dev/null
+++ b/damasklead/gateway/coordination/cellmap.py
@@ -0,0 +1,182 @@
+"""
+Cell map
+========
+
+The cells of all services as one gateway sees them, which gateways coordinate them, and
+which of these are silent.  No I/O.
+"""
+
+import math
+from collections.abc import Callable, Iterable
+
+from damasklead.clock import Clock
+from damasklead.gateway.calls import Call, UpstreamRecord
+from damasklead.gateway.coordination.cells import (
+    Cell,
+    Member,
+    divide,
+    home_cell,
+    rank_members,
+)
+from damasklead.ids import InstanceId, ServiceName
+from damasklead.util import stable_hash
+
+__all__ = ["CellMap"]
+
+# Ranked gateways that are remembered for a cell: more are never passed over at once.
+MOST_RANKED = 12
+# A silent coordinator is asked whether it is back after so long, doubled each time.
+FIRST_PING_SECONDS = 0.3
+MAX_PING_SECONDS = 5.0
+# A cell's load is known for so long.
+LOAD_LIFE_SECONDS = 1.0
+# A request leaves its home cell when that has so many seconds more to read than
+# another one: it is read in full there.
+SPILL_SECONDS = 0.5
+# Part of the requests beyond that which look at a cell whose load is not known.
+LOOK_SHARE = 0.25
+
+
+class CellMap:
+    """
+    Cells, coordinators and suspicions.
+
+    Parameters
+    ----------
+    clock : Clock
+    own : Member
+        This gateway.
+    """
+
+    def __init__(self, *, clock: Clock, own: Member) -> None:
+        self._clock = clock
+        self._own = own
+        self._members: set[Member] = {own}
+        self._cells: dict[ServiceName, dict[Cell, list[UpstreamRecord]]] = {}
+        self._cell_of: dict[InstanceId, Cell] = {}
+        self._ranked: dict[Cell, list[InstanceId]] = {}
+        self._suspects: dict[str, tuple[float, float]] = {}
+        self._loads: dict[Cell, tuple[float, float]] = {}
+
+    @property
+    def cells(self) -> list[Cell]:
+        """All cells."""
+        return [cell for cells in self._cells.values() for cell in cells]
+
+    def take_members(self, members: Iterable[Member]) -> None:
+        """Take in which gateways there are besides this one."""
+        members = {self._own, *members}
+        if members != self._members:
+            self._members = members
+            self._ranked.clear()
+
+    def take_engines(self, service: ServiceName, records: list[UpstreamRecord]) -> None:
+        """Take in a service's engines that take new work."""
+        self._cells[service] = divide(records)
+        self._cell_of = {
+            record.instance: cell
+            for cells in self._cells.values()
+            for cell, group in cells.items()
+            for record in group
+        }
+
+    def forget(self, keep: Callable[[ServiceName], bool]) -> None:
+        """Forget services that there are no more."""
+        self._cells = {name: item for name, item in self._cells.items() if keep(name)}
+
+    def engines(self, cell: Cell) -> list[UpstreamRecord]:
+        """Return a cell's engines."""
+        return self._cells.get(cell.service, {}).get(cell, [])
+
+    def cell_of(self, instance: InstanceId) -> Cell | None:
+        """Return the cell of an engine."""
+        return self._cell_of.get(instance)
+
+    def note_load(self, cell: Cell, load: float) -> None:
+        """Take in how many seconds a cell's engines have to read, on average."""
+        self._loads[cell] = (load, self._clock.now())
+
+    def choose(self, call: Call, *, first: bool) -> Cell | None:
+        """
+        Return the cell of a request: its home, or one that has much less to do.
+
+        Parameters
+        ----------
+        first : bool
+            Whether the request has not been offered to a replica yet.
+        """
+        home = self.home(call)
+        if home is None or not first:
+            return home
+        load = self._load(home)
+        if load is None or load <= SPILL_SECONDS:
+            return home
+        other = self._another(home)
+        if other is None:
+            return home
+        there = self._load(other)
+        if there is None:
+            looks = stable_hash("look", call.id) < LOOK_SHARE * 2**64
+            return other if looks else home
+        return other if there + SPILL_SECONDS < load else home
+
+    def home(self, call: Call) -> Cell | None:
+        """Return the home cell of a request."""
+        cells = self._cells.get(call.service, {})
+        return home_cell(cells, call, self._own.data_centre)
+
+    def _load(self, cell: Cell) -> float | None:
+        load, at = self._loads.get(cell, (0.0, -math.inf))
+        return load if self._clock.now() - at < LOAD_LIFE_SECONDS else None
+
+    def _another(self, home: Cell) -> Cell | None:
+        """
+        Return a cell to which requests go when their home has too much to do.
+
+        It is another one in each data centre's turn, near ones first.
+        """
+        others = [cell for cell in self._cells.get(home.service, {}) if cell != home]
+        near = [cell for cell in others if cell.data_centre == home.data_centre]
+        # Changes every second, so that all cells are looked at.
+        turn = str(int(self._clock.now()))
+        return max(
+            near or others,
+            key=lambda cell: stable_hash(
+                turn, self._own.instance, cell.data_centre, str(cell.number)
+            ),
+            default=None,
+        )
+
+    def coordinators(self, cell: Cell, *, most: int) -> list[str]:
+        """Return the gateways to ask, the first first; the last one is this one."""
+        ranked = self._ranked.get(cell)
+        if ranked is None:
+            ranked = rank_members(cell, self._members)[:MOST_RANKED]
+            self._ranked[cell] = ranked
+        sound = [name for name in ranked if name not in self._suspects][:most]
+        if self._own.instance in sound:
+            return [*sound[: sound.index(self._own.instance)], self._own.instance]
+        return [*sound, self._own.instance]
+
+    def suspect(self, name: str) -> bool:
+        """Take in that a gateway is silent; returns whether that is new."""
+        if name in self._suspects:
+            return False
+        ping_at = self._clock.now() + FIRST_PING_SECONDS
+        self._suspects[name] = (ping_at, FIRST_PING_SECONDS)
+        return True
+
+    def heard(self, name: str) -> bool:
+        """Take in that a gateway was heard; returns whether it was a suspect."""
+        return self._suspects.pop(name, None) is not None
+
+    def to_ping(self) -> list[str]:
+        """Return the silent gateways that are to be asked now whether they are back."""
+        now = self._clock.now()
+        due: list[str] = []
+        for name, (at, pause) in list(self._suspects.items()):
+            if now >= at:
+                pause = min(2 * pause, MAX_PING_SECONDS)
+                self._suspects[name] = (now + pause, pause)
+                due.append(name)
+        return due
--- /dev/null
+++ b/damasklead/gateway/coordination/cells.py
@@ -0,0 +1,109 @@
+"""
+Cells
+=====
+
+Divides a service's engines into cells and finds the cell of a request and the
+coordinators of a cell.  Every gateway finds the same from the same lists; where lists
+differ for a moment, two coordinators use the same engines for that moment.
+
+Load pattern: hundreds of gateways with a request or two a second each, before tens or
+hundreds of engines, of which each gateway alone knows next to nothing.
+"""
+
+from collections.abc import Iterable, Sequence
+
+import msgspec
+
+from damasklead.gateway.calls import Call, UpstreamRecord
+from damasklead.ids import DataCentre, InstanceId, ServiceName
+from damasklead.util import stable_hash
+
+__all__ = ["Cell", "Member", "divide", "home_cell", "rank_members"]
+
+# Engines of one cell: enough to keep some apart for tight streams and to let a hot
+# subject spread, few enough for one coordinator to weigh them all for each request.
+CELL_ENGINES = 12
+# Data centres with fewer engines than this share their cells.
+LEAST_ENGINES = 6
+# Shared parts of so many tokens are worth the way to another data centre: one engine
+# of all reads them, instead of one in each data centre.
+FAR_TOKENS = 2000
+
+
+class Cell(msgspec.Struct, array_like=True, frozen=True):
+    """
+    A cell's name.
+
+    Attributes
+    ----------
+    data_centre : DataCentre
+        Empty for a cell whose engines are in several.
+    """
+
+    service: ServiceName
+    data_centre: DataCentre
+    number: int
+
+
+class Member(msgspec.Struct, frozen=True):
+    """A gateway that may coordinate."""
+
+    instance: InstanceId
+    data_centre: DataCentre
+
+
+def divide(records: Sequence[UpstreamRecord]) -> dict[Cell, list[UpstreamRecord]]:
+    """
+    Divide a service's engines into cells of about equal size.
+
+    One engine more or less moves at most one engine over each border.
+    """
+    by_centre: dict[DataCentre, list[UpstreamRecord]] = {}
+    for record in records:
+        by_centre.setdefault(record.data_centre, []).append(record)
+    if min((len(group) for group in by_centre.values()), default=0) < LEAST_ENGINES:
+        by_centre = {DataCentre(""): list(records)} if records else {}
+    cells: dict[Cell, list[UpstreamRecord]] = {}
+    for centre, group in by_centre.items():
+        group.sort(key=lambda item: stable_hash("cell", item.instance))
+        count = max(1, round(len(group) / CELL_ENGINES))
+        for number in range(count):
+            begin, end = (len(group) * step // count for step in (number, number + 1))
+            cells[Cell(group[0].service, centre, number)] = group[begin:end]
+    return cells
+
+
+def home_cell(
+    cells: Iterable[Cell], call: Call, data_centre: DataCentre
+) -> Cell | None:
+    """
+    Return the cell where a request's shared parts are most likely cached.
+
+    Short shared parts are read in each data centre; requests without any are spread.
+    """
+    cells = list(cells)
+    near = [cell for cell in cells if cell.data_centre == data_centre]
+    shared = call.head.prompt[:-1]
+    key = shared[-1].key if shared else call.id
+    far = sum(part.tokens for part in shared) >= FAR_TOKENS
+    return max(
+        cells if far else near or cells,
+        key=lambda cell: stable_hash(key, cell.data_centre, str(cell.number)),
+        default=None,
+    )
+
+
+def rank_members(cell: Cell, members: Iterable[Member]) -> list[InstanceId]:
+    """Return the gateways that may coordinate a cell, the first to be asked first."""
+    return [
+        member.instance
+        for member in sorted(
+            members,
+            key=lambda item: (
+                bool(cell.data_centre) and item.data_centre != cell.data_centre,
+                stable_hash(
+                    cell.service, cell.data_centre, str(cell.number), item.instance
+                ),
+            ),
+        )
+    ]
--- a/damasklead/gateway/dialect.py
+++ b/damasklead/gateway/dialect.py
@@ -16,7 +16,7 @@
 from damasklead.gateway.calls import Call, CallHead, Header, ReplyHead
 from damasklead.gateway.directory import ListedRow
 from damasklead.gateway.routing import RoutingTable
-from damasklead.ids import AttemptId, InstanceId
+from damasklead.ids import AttemptId, DataCentre, InstanceId
 
 __all__ = [
     "BadHead",
@@ -169,6 +169,7 @@
     instance: InstanceId
     address: str
     incarnation: int
+    data_centre: DataCentre = DataCentre("")
     version: int = 0
 
 
--- /dev/null
+++ b/damasklead/gateway/fleet.py
@@ -0,0 +1,285 @@
+"""
+Fleet
+=====
+
+One gateway's part in the fleet: what it follows, what it tells the other gateways and
+hears from them, and coordination.
+"""
+
+from collections.abc import Callable
+
+import gevent
+
+from damasklead.clock import Clock
+from damasklead.gateway.bootstrap import Bootstrap
+from damasklead.gateway.bulletins import Bulletins
+from damasklead.gateway.calls import UpstreamRecord
+from damasklead.gateway.containment import Containment
+from damasklead.gateway.coordination.cells import Member
+from damasklead.gateway.coordination.service import Coordination
+from damasklead.gateway.departures import Departures, LeftNote
+from damasklead.gateway.dialect import PeerEntry, PlatformLink
+from damasklead.gateway.directory import UpstreamDirectory
+from damasklead.gateway.following import ConfigurationFollower, UpstreamFollower
+from damasklead.gateway.journal import Journal
+from damasklead.gateway.peers import Peers
+from damasklead.gateway.reading import ListName, ListReports, ReadPlan
+from damasklead.gateway.routing import RoutingTable
+from damasklead.gateway.settings import GatewaySettings
+from damasklead.gateway.snapshot import Snapshot
+from damasklead.gateway.upstream_http import ConnectionPool
+from damasklead.ids import DataCentre, Fingerprint, InstanceId
+from damasklead.supervision import Child, Restart, TaskChild
+
+__all__ = ["Fleet"]
+
+# Silent gateways are looked for so often.
+CHECK_SECONDS = 5.0
+
+
+class Fleet:
+    """
+    The lists that a gateway follows and its ties to the others.
+
+    Parameters
+    ----------
+    settings : GatewaySettings
+    clock : Clock
+    incarnation : int
+        Start of the process in milliseconds.
+    journal : Journal
+    link : callable
+        Returns the link to the platform in force.
+    directory : UpstreamDirectory
+    connections : ConnectionPool
+    configured : callable
+        Told of each configuration that comes into force.
+    arranged : callable
+        Told that the replicas have changed.
+
+    Attributes
+    ----------
+    configuration : ConfigurationFollower
+    upstreams : UpstreamFollower
+    containment : Containment
+    coordination : Coordination
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: GatewaySettings,
+        clock: Clock,
+        incarnation: int,
+        journal: Journal,
+        link: Callable[[], PlatformLink],
+        directory: UpstreamDirectory,
+        connections: ConnectionPool,
+        configured: Callable[[RoutingTable], None],
+        arranged: Callable[[], None],
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._journal = journal
+        self._link = link
+        self._directory = directory
+        self._configured = configured
+        self._arranged = arranged
+        self._own = Member(
+            InstanceId(settings.instance), DataCentre(settings.data_centre)
+        )
+        self._departures = Departures(clock=clock)
+        self._reports = ListReports(clock=clock)
+        self._plans = [self._read_plan(name) for name in ListName]
+        self.containment = Containment(clock=clock, named=self._note_named)
+        self.configuration = ConfigurationFollower(
+            feed=lambda: link().routing,
+            plan=self._plans[ListName.ROUTING],
+            clock=clock,
+            journal=journal,
+            changed=self._configure,
+            gateways=lambda: self.gateways,
+        )
+        self.upstreams = UpstreamFollower(
+            feed=lambda: link().upstreams,
+            plan=self._plans[ListName.UPSTREAMS],
+            clock=clock,
+            journal=journal,
+            directory=directory,
+            changed=self._arrange,
+            gateways=lambda: self.gateways,
+        )
+        self._peers = self._make_peers(incarnation)
+        self.coordination = Coordination(
+            own=self._own,
+            clock=clock,
+            table=lambda: self.configuration.table,
+            peers=self._peers,
+            journal=journal,
+        )
+        self._bulletins = self._make_bulletins(incarnation)
+        self._bootstrap = Bootstrap(
+            seeds=[
+                seed for seed in settings.seeds if seed != settings.listen.operators
+            ],
+            done=lambda: self.configuration.table is not None,
+            take=self._take_snapshot,
+            connections=connections,
+            journal=journal,
+        )
+
+    @property
+    def gateways(self) -> int:
+        """How many gateways are known, this one included."""
+        return 1 if self._peers is None else len(self._peers.members) + 1
+
+    def snapshot(self) -> Snapshot | None:
+        """Return what this gateway knows, for one that starts."""
+        table = self.configuration.table
+        if table is None:
+            return None
+        return Snapshot(
+            routing=table.content,
+            upstreams=self._directory.rows(),
+            peers=[] if self._peers is None else self._peers.entries,
+            cursor=self.upstreams.cursor,
+        )
+
+    def note_left(self, record: UpstreamRecord, sign: str) -> None:
+        """Give a replica nothing more, and tell the other gateways."""
+        if self._directory.mark_left(record.instance, record.incarnation):
+            self._journal.event("replica-left", replica=record.instance, sign=sign)
+            self._departures.note(record.instance, record.incarnation)
+            self._arrange()
+
+    def tasks(self) -> list[Child]:
+        """Return the tasks, to be supervised."""
+        tasks: list[Child] = [
+            TaskChild(
+                name="seeds", function=self._bootstrap.run, restart=Restart.TRANSIENT
+            ),
+            TaskChild(name="configuration", function=self._follow_configuration),
+            TaskChild(name="replicas", function=self._follow_upstreams),
+            TaskChild(name="decisions", function=self.coordination.run_decisions),
+            TaskChild(name="running", function=self.coordination.run_reports),
+        ]
+        if self._peers is not None and self._bulletins is not None:
+            self._peers.listen()
+            tasks += [
+                TaskChild(name="bulletins", function=self._bulletins.run),
+                TaskChild(name="peer-receiver", function=self._peers.run_receiver),
+                TaskChild(name="peer-look-up", function=self._peers.run_look_up),
+                TaskChild(name="peer-check", function=self._check_forever),
+            ]
+        return tasks
+
+    def close(self) -> None:
+        """Take leave of the others."""
+        if self._peers is not None:
+            self._peers.close()
+
+    def _follow_configuration(self) -> None:
+        self._bootstrap.wait()
+        self.configuration.run()
+
+    def _follow_upstreams(self) -> None:
+        self._bootstrap.wait()
+        self.upstreams.run()
+
+    def _check_forever(self) -> None:
+        assert self._peers is not None and self._bulletins is not None
+        while True:
+            gevent.sleep(CHECK_SECONDS)
+            if self._bulletins.sends:
+                self._peers.check_silent()
+
+    def _take_snapshot(self, snapshot: Snapshot) -> None:
+        self.upstreams.offer(snapshot.upstreams, snapshot.cursor)
+        self.configuration.hand_over(RoutingTable(content=snapshot.routing))
+        if self._peers is not None:
+            self._peers.offer(snapshot.peers)
+
+    def _configure(self, table: RoutingTable) -> None:
+        self._configured(table)
+        self.coordination.cells.forget(lambda name: name not in table.services)
+        self._arrange()
+
+    def _arrange(self) -> None:
+        """Let all see the replicas that may take new work."""
+        rows = (row.record for row in self._directory.rows())
+        self.containment.retain([record for record in rows if record is not None])
+        table = self.configuration.table
+        for name, spec in ({} if table is None else table.services).items():
+            if spec.engine is not None:
+                self.coordination.cells.take_engines(name, self._directory.usable(name))
+        self.coordination.desk.arrange()
+        self._arranged()
+        if self._bulletins is not None:
+            self._bulletins.tell_soon()
+
+    def _take_departures(self, notes: list[LeftNote]) -> None:
+        """Take in which replicas other gateways know to leave."""
+        news = [
+            note
+            for note in notes
+            if self._directory.mark_left(note.instance, note.incarnation)
+        ]
+        for note in news:
+            self._journal.event(
+                "replica-left", replica=note.instance, sign="another gateway tells"
+            )
+        if news:
+            self._arrange()
+
+    def _take_members(self) -> None:
+        self.coordination.take_members()
+        if self._bulletins is not None:
+            self._bulletins.arrange()
+
+    def _note_named(self, fingerprint: Fingerprint) -> None:
+        self._journal.event("request-quarantined", fingerprint=fingerprint)
+
+    def _read_plan(self, name: ListName) -> ReadPlan:
+        return ReadPlan(
+            name=name,
+            clock=self._clock,
+            reports=self._reports,
+            position=lambda: 0 if self._bulletins is None else self._bulletins.position,
+        )
+
+    def _make_peers(self, incarnation: int) -> Peers | None:
+        """Return the ties to other gateways, if a port is there for them."""
+        ports = self._settings.peer_ports
+        if ports is None:
+            return None
+        host = self._settings.listen.callers.rpartition(":")[0]
+        return Peers(
+            own=PeerEntry(
+                instance=self._own.instance,
+                address=f"{host}:{ports[0]}",
+                incarnation=incarnation,
+                data_centre=self._own.data_centre,
+            ),
+            directory=lambda: self._link().peers,
+            changed=self._take_members,
+            heard=lambda name: self.coordination.heard(name),
+            clock=self._clock,
+            journal=self._journal,
+        )
+
+    def _make_bulletins(self, incarnation: int) -> Bulletins | None:
+        if self._peers is None:
+            return None
+        return Bulletins(
+            peers=self._peers,
+            configuration=self.configuration,
+            upstreams=self.upstreams,
+            plans=self._plans,
+            reports=self._reports,
+            containment=self.containment,
+            departures=self._departures,
+            take_departures=self._take_departures,
+            clock=self._clock,
+            own=self._own.instance,
+            incarnation=incarnation,
+        )
--- a/damasklead/gateway/following.py
+++ b/damasklead/gateway/following.py
@@ -16,6 +16,7 @@
 from gevent.event import Event
 
 from damasklead.clock import Clock
+from damasklead.gateway.changelog import ChangeLog
 from damasklead.gateway.dialect import Changes, Feed, FeedError, FeedFault
 from damasklead.gateway.directory import ListedRow, UpstreamDirectory
 from damasklead.gateway.journal import Journal
@@ -33,6 +34,9 @@
 # Pause after a failed call, doubled up to the longest.
 FIRST_PAUSE_SECONDS = 0.1
 MAX_PAUSE_SECONDS = 0.8
+# With many gateways each asks a store that is away less often: one that reaches it
+# tells the others.
+PAUSE_SECONDS_PER_GATEWAY = 0.015
 
 
 class Follower(ABC, Generic[T]):
@@ -49,6 +53,8 @@
         When to ask.
     clock : Clock
     journal : Journal
+    gateways : callable
+        Returns how many gateways there are.
     """
 
     def __init__(
@@ -59,8 +65,10 @@
         plan: ReadPlan,
         clock: Clock,
         journal: Journal,
+        gateways: Callable[[], int] = lambda: 1,
     ) -> None:
         self._name = name
+        self._gateways = gateways
         self._plan = plan
         self._notice = Event()
         self._feed = feed
@@ -112,7 +120,9 @@
             self._lost = False
             self._journal.event("dependency-regained", feed=self._name)
         self.back()
-        self._cursor = changes.cursor
+        # What was handed over meanwhile may be newer than the answer.
+        before = 0 if changes.whole or self._cursor is None else self._cursor
+        self._cursor = max(before, changes.cursor)
         self.take(changes)
         self._plan.asked(told=told, mark=self.mark(changes))
         return GATHER_SECONDS if changes.items else 0.0
@@ -146,7 +156,8 @@
             self._lost = True
             self._journal.event("dependency-lost", feed=self._name, cause=str(error))
         self.lost()
-        pause, self._pause = self._pause, min(2 * self._pause, MAX_PAUSE_SECONDS)
+        most = max(MAX_PAUSE_SECONDS, PAUSE_SECONDS_PER_GATEWAY * self._gateways())
+        pause, self._pause = self._pause, min(2 * self._pause, most)
         return pause * random.uniform(0.5, 1.0)
 
 
@@ -169,9 +180,15 @@
         clock: Clock,
         journal: Journal,
         changed: Callable[[RoutingTable], None],
+        gateways: Callable[[], int] = lambda: 1,
     ) -> None:
         super().__init__(
-            name="configuration", feed=feed, plan=plan, clock=clock, journal=journal
+            name="configuration",
+            feed=feed,
+            plan=plan,
+            clock=clock,
+            journal=journal,
+            gateways=gateways,
         )
         self._changed = changed
         self._table: RoutingTable | None = None
@@ -190,6 +207,11 @@
         """Return the newest version."""
         return max((table.version for table in changes.items), default=0)
 
+    def hand_over(self, table: RoutingTable) -> None:
+        """Take in a version that another gateway has read."""
+        self.offer(table)
+        self._plan.handed(mark=table.version, caught_up=table.version)
+
     def offer(self, table: RoutingTable) -> None:
         """Put a version into force if it is newer than the present one."""
         before = 0 if self._table is None else self._table.version
@@ -214,6 +236,11 @@
     directory : UpstreamDirectory
     changed : callable
         Told that the directory has changed.
+
+    Attributes
+    ----------
+    log : ChangeLog
+        The newest changes, for other gateways.
     """
 
     def __init__(
@@ -225,25 +252,56 @@
         journal: Journal,
         directory: UpstreamDirectory,
         changed: Callable[[], None],
+        gateways: Callable[[], int] = lambda: 1,
     ) -> None:
         super().__init__(
-            name="replicas", feed=feed, plan=plan, clock=clock, journal=journal
+            name="replicas",
+            feed=feed,
+            plan=plan,
+            clock=clock,
+            journal=journal,
+            gateways=gateways,
         )
+        self.log: ChangeLog[ListedRow] = ChangeLog(clock=clock)
         self._directory = directory
         self._changed = changed
 
     def take(self, changes: Changes[ListedRow]) -> None:
         """Take in entries of the list."""
+        if changes.whole:
+            self.log.restart(changes.cursor)
+        else:
+            self.log.add(changes.items, changes.cursor)
         self._note(self._directory.apply(changes.items, whole=changes.whole))
 
     def mark(self, changes: Changes[ListedRow]) -> int:
         """Return the newest entry's version."""
         return max((row.version for row in changes.items), default=0)
 
-    def offer(self, rows: list[ListedRow]) -> None:
-        """Take in entries that another gateway knows."""
+    def offer(self, rows: list[ListedRow], cursor: int) -> None:
+        """Take in the whole list as another gateway knows it."""
+        if self._cursor is None and cursor > 0:
+            self._cursor = cursor
+            self.log.restart(cursor)
+            self._plan.handed(mark=_newest(rows), caught_up=cursor)
         self._note(self._directory.apply(rows, whole=False))
 
+    def hand_over(self, base: int, cursor: int, rows: list[ListedRow]) -> None:
+        """Take in the changes after one cursor up to another one, if none is missed."""
+        if self._cursor is None or not base <= self._cursor < cursor:
+            return
+        known = self._cursor
+        self._cursor = cursor
+        news = [row for row in rows if row.version > known]
+        self.log.add(news, cursor)
+        self._plan.handed(mark=_newest(rows), caught_up=cursor)
+        self._note(self._directory.apply(news, whole=False))
+
+    @property
+    def cursor(self) -> int:
+        """Up to where the list was read; 0 before."""
+        return self._cursor or 0
+
     def lost(self) -> None:
         """Take in that the list can't be read: removals may be lapses."""
         self._directory.list_lost()
@@ -260,3 +318,7 @@
         if changes:
             self._journal.event("replicas", changes="; ".join(changes))
             self._changed()
+
+
+def _newest(rows: list[ListedRow]) -> int:
+    return max((row.version for row in rows), default=0)
--- /dev/null
+++ b/damasklead/gateway/messages.py
@@ -0,0 +1,64 @@
+"""
+Messages between gateways
+=========================
+
+What gateways tell each other besides coordination.  Losing one is harmless: the next
+holds everything that is still of use.
+"""
+
+import msgspec
+
+from damasklead.gateway.containment import CrashNote
+from damasklead.gateway.departures import LeftNote
+from damasklead.gateway.directory import ListedRow
+from damasklead.gateway.reading import ListReport
+
+__all__ = ["Bulletin", "Hello", "Notice", "Ping"]
+
+
+class Hello(msgspec.Struct, array_like=True, frozen=True, tag=10):
+    """A gateway says where it is, when it starts and when it is asked."""
+
+    instance: str
+    address: str
+    incarnation: int
+    data_centre: str
+
+
+class Ping(msgspec.Struct, array_like=True, frozen=True, tag=11):
+    """Asks a gateway for its ``Hello``."""
+
+
+class Bulletin(msgspec.Struct, array_like=True, frozen=True, tag=12):
+    """
+    What one gateway tells all others.
+
+    Attributes
+    ----------
+    lists : list
+        What it knows of the platform's lists.
+    base, cursor : int
+        ``rows`` are all changes of the list of replicas after ``base`` up to
+        ``cursor``.
+    routing : bytes
+        The configuration in force, compressed, when it is short and new.
+    """
+
+    sender: str
+    incarnation: int
+    number: int
+    lists: list[ListReport]
+    base: int
+    cursor: int
+    rows: list[ListedRow]
+    routing: bytes
+    crashes: list[CrashNote]
+    left: list[LeftNote]
+
+
+class Notice(msgspec.Struct, array_like=True, frozen=True, tag=13):
+    """What a gateway tells the one that sends bulletins."""
+
+    sender: str
+    crashes: list[CrashNote]
+    left: list[LeftNote]
--- a/damasklead/gateway/peers.py
+++ b/damasklead/gateway/peers.py
@@ -2,53 +2,55 @@
 Peers
 =====
 
-Tells the other gateways what this one has sent to each replica, and hears the same from
-them, in datagrams.  Losing one is harmless: the next one holds everything.
+The other gateways, and the datagrams to and from them.
 """
 
 import random
 from collections.abc import Callable
+from typing import Any
 
 import gevent
 import msgspec
 from gevent import socket
-from gevent.event import Event
 
 from damasklead.clock import Clock
-from damasklead.gateway.containment import Containment
-from damasklead.gateway.departures import Departures, LeftNote
+from damasklead.gateway.coordination.messages import (
+    Ask,
+    Ended,
+    Grant,
+    Held,
+    Read,
+    Running,
+    Turned,
+)
 from damasklead.gateway.dialect import FeedError, PeerDirectory, PeerEntry
 from damasklead.gateway.journal import Journal
-from damasklead.gateway.peerload import (
-    LoadMessage,
-    PeerLoads,
-    ReplicaShare,
-    send_interval,
-    worth_telling,
-)
-from damasklead.gateway.reading import ListReport, ListReports
+from damasklead.gateway.messages import Bulletin, Hello, Notice, Ping
+from damasklead.ids import DataCentre, InstanceId
 from damasklead.util import split_address
 
 __all__ = ["Peers"]
 
-# Peers are looked up this often, and at once when an unknown one is heard, but not more
-# often than the pause: each look-up is a priced call to the platform.
+# Gateways say where they are when they start, so a look-up only finds what was missed:
+# soon after the start, when others have started as well, and then seldom.
+SECOND_LOOK_UP_SECONDS = 3.0
 LOOK_UP_SECONDS = 20.0
-LOOK_UP_PAUSE_SECONDS = 2.0
+LOOK_UP_SECONDS_PER_GATEWAY = 0.5
 RETRY_SECONDS = 0.7
-# Sent also when nothing has changed, so that silence means something.
-REFRESH_SECONDS = 0.6
-# An entry whose gateway was not heard for so long is removed by those that see it.
+# Entries of gateways that stay silent when they are asked for so long are removed.
 FORGET_SECONDS = 60.0
-# The gateway that reads the platform's lists for the others is heard so often; a lost
-# datagram is made up for by the next.
-HEARTBEAT_SECONDS = 0.3
+PING_SECONDS = 15.0
 RECEIVE_BYTES = 65_536
 
+_Message = (
+    Ask | Held | Grant | Turned | Read | Ended | Running
+    | Hello | Ping | Bulletin | Notice
+)  # fmt: skip
+
 
 class Peers:
     """
-    The messages between one gateway and the others.
+    Sends messages to other gateways and hands theirs to the modules they are for.
 
     Parameters
     ----------
@@ -56,21 +58,10 @@
         Under which this gateway announces itself.
     directory : callable
         Returns the directory of gateways.
-    loads : PeerLoads
-    shares : callable
-        Returns what to tell the others of this gateway's requests.
-    reports : callable
-        Returns what to tell them of the platform's lists.
-    list_reports : ListReports
-        Takes what they tell of them.
-    containment : Containment
-        Hears of the crashes that others have seen, and tells its own.
-    departures : Departures
-        Tells which replicas have said that they leave.
-    take_departures : callable
-        Takes what the others tell of that.
-    notify : callable
-        Called when a message tells of a change of the lists.
+    changed : callable
+        Called when the gateways that are known have changed.
+    heard : callable
+        Called with the name of each gateway that is heard.
     clock : Clock
     journal : Journal
     """
@@ -80,110 +71,90 @@
         *,
         own: PeerEntry,
         directory: Callable[[], PeerDirectory],
-        loads: PeerLoads,
-        shares: Callable[[], list[ReplicaShare]],
-        reports: Callable[[], list[ListReport]],
-        list_reports: ListReports,
-        containment: Containment,
-        departures: Departures,
-        take_departures: Callable[[list[LeftNote]], None],
-        notify: Callable[[], None],
+        changed: Callable[[], None],
+        heard: Callable[[str], None],
         clock: Clock,
         journal: Journal,
     ) -> None:
         self._own = own
         self._directory = directory
-        self._loads = loads
-        self._shares = shares
-        self._reports = reports
-        self._list_reports = list_reports
-        self._containment = containment
-        self._departures = departures
-        self._take_departures = take_departures
-        self._notify = notify
-        self._changed = Event()
-        self._unknown = Event()
+        self._changed = changed
+        self._heard = heard
         self._clock = clock
         self._journal = journal
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._members: dict[str, PeerEntry] = {}
         self._addresses: dict[str, tuple[str, int]] = {}
-        self._first_seen: dict[str, float] = {}
-        self._entries: list[PeerEntry] = []
-        self._number = 0
-        self._sent_at = clock.now()
+        self._names: dict[tuple[str, int], str] = {}
+        self._heard_at: dict[str, float] = {}
+        self._handlers: dict[type, Callable[[Any, str], None]] = {}
 
     @property
-    def known(self) -> int | None:
-        """How many gateways the directory holds; ``None`` before it was read."""
-        return len(self._first_seen) or None
+    def members(self) -> list[PeerEntry]:
+        """The other gateways."""
+        return list(self._members.values())
 
     @property
     def entries(self) -> list[PeerEntry]:
-        """The gateways' entries as they were last read, or told by another one."""
-        return self._entries
+        """All gateways, this one included."""
+        return [self._own, *self._members.values()]
+
+    def on(self, kind: type, handler: Callable[[Any, str], None]) -> None:
+        """Hand messages of a kind, and their sender's name, to a handler."""
+        self._handlers[kind] = handler
 
     def offer(self, entries: list[PeerEntry]) -> None:
-        """Take in the gateways that another one knows, until they can be read."""
-        if not self._entries:
-            self._take(entries)
+        """Take in the gateways that another one knows."""
+        self._add(entries)
+        self._say_hello()
 
     def listen(self) -> None:
         """Bind the port to which the others send."""
         self._socket.bind(split_address(self._own.address))
 
-    def run_sender(self) -> None:
-        """Tell the others what has changed, forever."""
-        told: list[ReplicaShare] = []
-        marks: list[int] = []
-        crashes = departures = 0
-        told_at = 0.0
-        while True:
-            interval = send_interval(self._loads.gateways)
-            self._changed.wait(timeout=min(interval, HEARTBEAT_SECONDS))
-            self._changed.clear()
-            self._loads.expire()
-            shares, lists = self._shares(), self._reports()
-            now = self._clock.now()
-            reads = any(report.age >= 0 for report in lists)
-            refresh = HEARTBEAT_SECONDS if reads else max(REFRESH_SECONDS, interval)
-            news = (
-                marks != [report.mark for report in lists]
-                or crashes < len(self._containment.notes)
-                or departures < len(self._departures.notes)
-                or (
-                    now - told_at >= interval
-                    and (self._loads.parts.pending or worth_telling(told, shares))
-                )
-            )
-            crashes = len(self._containment.notes)
-            departures = len(self._departures.notes)
-            if news or now - told_at >= refresh:
-                told, told_at = shares, now
-                marks = [report.mark for report in lists]
-                self._send(shares, lists)
+    def send(self, name: str, message: object) -> None:
+        """Send a message to a gateway; to an unknown one it is lost."""
+        address = self._addresses.get(name)
+        if address is not None:
+            self._send_data(msgspec.msgpack.encode(message), name, address)
+
+    def send_all(self, message: object) -> None:
+        """Send a message to all other gateways."""
+        data = msgspec.msgpack.encode(message)
+        for name, address in self._addresses.items():
+            self._send_data(data, name, address)
 
     def run_receiver(self) -> None:
         """Hear the others, forever."""
-        decoder = msgspec.msgpack.Decoder(LoadMessage)
+        decoder = msgspec.msgpack.Decoder(_Message)
         while True:
-            data = self._socket.recv(RECEIVE_BYTES)
+            data, address = self._socket.recvfrom(RECEIVE_BYTES)
             try:
                 message = decoder.decode(data)
             except msgspec.DecodeError as error:
                 self._journal.event("peer-message-unreadable", cause=str(error))
                 continue
-            if message.sender != self._own.instance:
-                if message.sender not in self._addresses:
-                    self._unknown.set()
-                self._loads.take(message)
-                self._containment.take(message.crashes)
-                self._take_departures(message.left)
-                if self._list_reports.take(message.lists):
-                    self._notify()
+            name = self._names.get(address)
+            if isinstance(message, Hello):
+                self._take_hello(message)
+            elif isinstance(message, Ping):
+                self._take_ping(address)
+            elif name is None:
+                # One that started while no datagram of its own arrived.
+                ping = msgspec.msgpack.encode(Ping())
+                self._send_data(ping, str(address), address)
+                continue
+            if name is not None:
+                self._heard_at[name] = self._clock.now()
+                self._heard(name)
+                handler = self._handlers.get(type(message))
+                if handler is not None:
+                    handler(message, name)
 
     def run_look_up(self) -> None:
         """Announce this gateway and find the others, forever."""
         announced = False
+        pause = SECOND_LOOK_UP_SECONDS
         while True:
             try:
                 if not announced:
@@ -192,11 +163,29 @@
                 self._take(self._directory().read())
             except FeedError as error:
                 self._journal.event("peers-not-found", cause=str(error))
-                gevent.sleep(RETRY_SECONDS * random.uniform(0.7, 1.3))
+                most = max(RETRY_SECONDS, 0.01 * len(self._members))
+                gevent.sleep(most * random.uniform(0.7, 1.3))
                 continue
-            gevent.sleep(LOOK_UP_PAUSE_SECONDS * random.uniform(0.8, 1.2))
-            self._unknown.wait(timeout=LOOK_UP_SECONDS * random.uniform(0.8, 1.2))
-            self._unknown.clear()
+            gevent.sleep(pause * random.uniform(0.8, 1.2))
+            pause = max(
+                LOOK_UP_SECONDS, LOOK_UP_SECONDS_PER_GATEWAY * len(self._members)
+            )
+
+    def check_silent(self) -> None:
+        """Ask gateways that were not heard for long, and remove those that are gone."""
+        now = self._clock.now()
+        for entry in self.members:
+            silent = now - self._heard_at.setdefault(entry.instance, now)
+            if silent > FORGET_SECONDS:
+                self._directory().withdraw(entry)
+                self._remove(entry.instance)
+                self._journal.event("peer-forgotten", peer=entry.instance)
+            elif silent > PING_SECONDS:
+                self.ping(entry.instance)
+
+    def ping(self, name: str) -> None:
+        """Ask a gateway whether it is there."""
+        self.send(name, Ping())
 
     def close(self) -> None:
         """Withdraw the announcement and close the socket."""
@@ -206,58 +195,69 @@
             self._journal.event("withdrawal-failed", cause=str(error))
         self._socket.close()
 
-    def tell_soon(self) -> None:
-        """Tell the others at once that a list has changed."""
-        self._changed.set()
+    def _send_data(self, data: bytes, name: str, address: tuple[str, int]) -> None:
+        try:
+            self._socket.sendto(data, address)
+        except OSError as error:
+            self._journal.event("peer-unreachable", peer=name, cause=str(error))
 
-    def _send(self, shares: list[ReplicaShare], lists: list[ListReport]) -> None:
-        self._number += 1
-        now = self._clock.now()
-        message = LoadMessage(
-            self._own.instance,
-            self._own.incarnation,
-            self._number,
-            shares,
-            lists,
-            self._containment.notes,
-            self._loads.parts.tell(
-                gateways=self._loads.gateways, seconds=now - self._sent_at
-            ),
-            self._departures.notes,
+    def _say_hello(self) -> None:
+        self.send_all(self._hello())
+
+    def _hello(self) -> Hello:
+        own = self._own
+        return Hello(own.instance, own.address, own.incarnation, own.data_centre)
+
+    def _take_hello(self, message: Hello) -> None:
+        entry = PeerEntry(
+            instance=InstanceId(message.instance),
+            address=message.address,
+            incarnation=message.incarnation,
+            data_centre=DataCentre(message.data_centre),
         )
-        self._sent_at = now
-        data = msgspec.msgpack.encode(message)
-        for instance, address in self._addresses.items():
-            try:
-                self._socket.sendto(data, address)
-            except OSError as error:
-                self._journal.event("peer-unreachable", peer=instance, cause=str(error))
+        self._add([entry])
+        self._heard_at[entry.instance] = self._clock.now()
+        self._heard(entry.instance)
 
-    def _take(self, entries: list[PeerEntry]) -> None:
-        """Take in which gateways there are."""
-        self._entries = entries
-        before = self._addresses
-        self._addresses = {
-            entry.instance: split_address(entry.address)
-            for entry in entries
-            if entry.instance != self._own.instance
-        }
-        for instance in self._addresses.keys() - before.keys():
-            self._journal.event("peer-found", peer=instance)
-        for instance in before.keys() - self._addresses.keys():
-            self._journal.event("peer-gone", peer=instance)
-        self._forget_silent(entries)
+    def _take_ping(self, address: tuple[str, int]) -> None:
+        data = msgspec.msgpack.encode(self._hello())
+        self._send_data(data, str(address), address)
 
-    def _forget_silent(self, entries: list[PeerEntry]) -> None:
-        """Remove entries whose gateway has not been heard for long."""
+    def _take(self, entries: list[PeerEntry]) -> None:
+        """Take in the directory's entries; the others are gone."""
+        listed = {entry.instance for entry in entries}
         now = self._clock.now()
-        heard = self._loads.heard
-        names = {entry.instance for entry in entries}
-        self._first_seen = {
-            name: self._first_seen.get(name, now) for name in sorted(names)
-        }
+        for name in [item for item in self._members if item not in listed]:
+            # It may have started after the entries were read.
+            if now - self._heard_at.get(name, 0.0) > SECOND_LOOK_UP_SECONDS:
+                self._remove(name)
+        before = set(self._members)
+        self._add(entries)
+        if set(self._members) - before:
+            self._say_hello()
+
+    def _add(self, entries: list[PeerEntry]) -> None:
+        news = False
         for entry in entries:
-            since = max(self._first_seen[entry.instance], heard.get(entry.instance, 0))
-            if entry.instance != self._own.instance and now - since > FORGET_SECONDS:
-                self._directory().withdraw(entry)
-                self._journal.event("peer-forgotten", peer=entry.instance)
+            known = self._members.get(entry.instance)
+            if entry.instance == self._own.instance:
+                continue
+            if known is not None and known.incarnation >= entry.incarnation:
+                continue
+            self._members[entry.instance] = entry
+            address = split_address(entry.address)
+            self._addresses[entry.instance] = address
+            self._names[address] = entry.instance
+            self._journal.event("peer-found", peer=entry.instance)
+            news = True
+        if news:
+            self._changed()
+
+    def _remove(self, name: str) -> None:
+        self._members.pop(name, None)
+        self._heard_at.pop(name, None)
+        address = self._addresses.pop(name, None)
+        if address is not None:
+            self._names.pop(address, None)
+        self._journal.event("peer-gone", peer=name)
+        self._changed()
--- a/damasklead/gateway/placements/__init__.py
+++ b/damasklead/gateway/placements/__init__.py
@@ -6,7 +6,6 @@
 """
 
 from damasklead.clock import Clock
-from damasklead.gateway.peerload import PeerLoads
 from damasklead.gateway.placements.base import Placement
 from damasklead.gateway.placements.engine import EnginePlacement
 from damasklead.gateway.placements.plain import PlainPlacement
@@ -32,10 +31,7 @@
     service: ServiceSpec,
     clock: Clock,
     data_centre: DataCentre,
-    peers: PeerLoads,
 ) -> Placement:
     """Return the placement for a kind of service."""
     kind = "plain" if service.engine is None else "engine"
-    return PLACEMENTS[kind](
-        service=service, clock=clock, data_centre=data_centre, peers=peers
-    )
+    return PLACEMENTS[kind](service=service, clock=clock, data_centre=data_centre)
--- a/damasklead/gateway/placements/base.py
+++ b/damasklead/gateway/placements/base.py
@@ -7,12 +7,12 @@
 """
 
 from abc import ABC, abstractmethod
-from collections.abc import Collection, Iterable, Iterator
+from collections.abc import Collection, Iterable
 
 from damasklead.clock import Clock
 from damasklead.failures import Failure
 from damasklead.gateway.calls import Call, LoadHint, UpstreamRecord
-from damasklead.gateway.peerload import PeerLoads
+from damasklead.gateway.partplaces import PartPlaces
 from damasklead.gateway.replicastate import ReplicaState
 from damasklead.gateway.routing import Route, ServiceSpec
 from damasklead.ids import DataCentre, InstanceId
@@ -38,8 +38,6 @@
     clock : Clock
     data_centre : DataCentre
         Where this gateway is.
-    peers : PeerLoads
-        What the other gateways have sent.
     """
 
     def __init__(
@@ -48,11 +46,10 @@
         service: ServiceSpec,
         clock: Clock,
         data_centre: DataCentre,
-        peers: PeerLoads,
     ) -> None:
         self._service = service
         self._clock = clock
-        self._peers = peers
+        self._parts = PartPlaces(clock=clock)
         self._data_centre = data_centre
         self._replicas: dict[InstanceId, ReplicaState] = {}
         self._usable: dict[InstanceId, ReplicaState] = {}
@@ -62,6 +59,23 @@
         """The service."""
         return self._service
 
+    @property
+    def coordinated(self) -> bool:
+        """Whether coordinators choose among the service's replicas."""
+        return self._service.engine is not None
+
+    def record(self, instance: InstanceId) -> UpstreamRecord | None:
+        """Return the entry of a replica that may take new work."""
+        state = self._usable.get(instance)
+        return None if state is None else state.record
+
+    def paused_replicas(self) -> frozenset[InstanceId]:
+        """Return the replicas that want no request just now."""
+        now = self._clock.now()
+        return frozenset(
+            item for item, state in self._usable.items() if state.paused_until > now
+        )
+
     @property
     def usable(self) -> Collection[InstanceId]:
         """The replicas that may take new work."""
@@ -76,7 +90,7 @@
                 state = ReplicaState(record=record, memory_tokens=self._memory())
                 self._replicas[record.instance] = state
             elif state.take_record(record):
-                self._peers.parts.forget(record.instance)
+                self._parts.forget(record.instance)
             usable[record.instance] = state
         self._usable = usable
         now = self._clock.now()
@@ -148,7 +162,6 @@
             "candidates": len(self._usable),
             "own": state.own,
             "others": round(self._others(state, now), 1),
-            "peer_unread": self._peers.at(instance)[1],
             "hint_age": round(state.hint_age(now), 3),
             "unread": self._unread_tokens(state, call),
             "backlog": state.unread_tokens,
@@ -159,7 +172,7 @@
         state = self._replicas.get(instance)
         if state is not None:
             for part in call.head.prompt[:-1]:
-                self._peers.parts.sent(part.key, part.tokens, instance)
+                self._parts.sent(part.key, part.tokens, instance)
             state.sent(
                 call,
                 unread_tokens=self._unread_tokens(state, call),
@@ -202,6 +215,19 @@
         """Return from where a replica may copy prompt parts; ``None`` for nowhere."""
         return None
 
+    @property
+    def mean_backlog(self) -> float:
+        """Seconds that the replicas have to read, on average."""
+        return 0.0
+
+    def any_room(self) -> bool:
+        """Tell whether any replica has little left to do."""
+        return True
+
+    def seconds_of(self, call: Call) -> float:
+        """Return how long all replicas together need to read a request."""
+        return 0.0
+
     def has_room(self, call: Call) -> bool:
         """Tell whether the replica that a request would go to has little left to do."""
         return True
@@ -210,11 +236,6 @@
         """Tell whether a request is sent at once, room or not."""
         return True
 
-    def loads(self) -> Iterator[tuple[InstanceId, int, int]]:
-        """Return this gateway's requests and unread prompt tokens by replica."""
-        for instance, state in self._replicas.items():
-            yield instance, state.own, state.unread_tokens
-
     @abstractmethod
     def _cost(self, state: ReplicaState, call: Call, now: float) -> float:
         """Return the cost of a request at a replica; the lowest is chosen."""
@@ -235,8 +256,7 @@
 
     def _others(self, state: ReplicaState, now: float) -> float:
         """Estimate the requests of other gateways at a replica."""
-        requests, _ = self._peers.at(state.record.instance)
-        return max(float(requests), state.others(now))
+        return state.others(now)
 
     def _is_sound(self, state: ReplicaState, call: Call, now: float) -> bool:
         """Tell whether nothing speaks against a replica just now."""
--- a/damasklead/gateway/placements/engine.py
+++ b/damasklead/gateway/placements/engine.py
@@ -10,7 +10,6 @@
 
 from damasklead.clock import Clock
 from damasklead.gateway.calls import Call, LoadHint, UpstreamRecord
-from damasklead.gateway.peerload import PeerLoads
 from damasklead.gateway.placements.base import FAILURE_COST, Placement, tie_breaker
 from damasklead.gateway.placements.prefixes import SharedParts
 from damasklead.gateway.replicastate import ReplicaState
@@ -38,16 +37,15 @@
 HOT_WEIGHT = 40.0
 # Time that one running request adds to each of another one's tokens, over its stream.
 RUNNING_COST = 0.004
+# About how long a request waits for a slot of an engine that has none left.
+FULL_SECONDS = 0.5
 # Cost in seconds of leaving the data centre, and for each byte of a prompt, since bytes
 # between data centres are dear.
 OTHER_CENTRE_SECONDS = 0.01
 OTHER_CENTRE_SECONDS_PER_BYTE = 0.000005
-# Probability that a part is cached at its home replica though this gateway has not
-# sent it there.
-HOME_CACHED = 0.8
-# The same where gateways tell each other what they have sent: another one may just be
-# sending the part there.
-HOME_READING = 0.1
+# Probability that a part is cached at its home replica though it was not sent there
+# from here: another coordinator may have been before this one.
+HOME_CACHED = 0.1
 # Homes remembered between two changes of the replicas: each is asked for once for
 # every candidate of every choice.
 MOST_HOMES = 10_000
@@ -85,17 +83,14 @@
         service: ServiceSpec,
         clock: Clock,
         data_centre: DataCentre,
-        peers: PeerLoads,
     ) -> None:
-        super().__init__(
-            service=service, clock=clock, data_centre=data_centre, peers=peers
-        )
+        super().__init__(service=service, clock=clock, data_centre=data_centre)
         self._last_tier = 0
         self._mean_backlog = 0.0
         self._least_target = 0.0
         self._tight_gap: float | None = None
         self._tight: frozenset[InstanceId] = frozenset()
-        self._homes: dict[tuple[str, bool, bool], InstanceId | None] = {}
+        self._homes: dict[tuple[str, bool], InstanceId | None] = {}
         self._shared_of: tuple[AttemptId, float] | None = None
         self._shared_parts: SharedParts | None = None
         self._weighed: SharedParts | None = None
@@ -107,6 +102,12 @@
         """The replicas kept for the streams with the shortest allowed pause."""
         return self._tight
 
+    @property
+    def mean_backlog(self) -> float:
+        """Seconds that the engines have to read, on average."""
+        backlogs = [self._backlog(state) for state in self._usable.values()]
+        return sum(backlogs) / len(backlogs) if backlogs else 0.0
+
     def configure(self, service: ServiceSpec, routes: Iterable[Route]) -> None:
         """Find the shortest allowed pause, if it is clearly shorter than others."""
         routes = list(routes)
@@ -143,20 +144,58 @@
         state = self._replicas[instance]
         if shared.holder is not None and shared.best > shared.at(state):
             return shared.holder.record.address
-        if shared.known or not call.head.prompt[:-1] or self._peers.parts.complete:
-            return None
-        home = self._home(call.head.prompt[-2].key, call)
-        if home is None or home == instance:
-            return None
-        return self._replicas[home].record.address
+        return None
 
     def has_room(self, call: Call) -> bool:
         """Tell whether the engine that a request would go to has little to read."""
-        record = self.choose(call)
-        if record is None:
-            return True
-        backlog = self._backlog(self._replicas[record.instance])
-        return backlog <= ROOM_SHARE * self._least_target
+        states = list(self._usable.values())
+        roomy = {
+            state.record.instance
+            for state in self._preferred(call, states, self._clock.now())
+            if self._roomy(state)
+        }
+        if not roomy:
+            return not states
+        # Of those with much to read only one that has its parts can be the better one.
+        passed_over = {
+            item
+            for item, state in self._usable.items()
+            if item not in roomy and not self._may_hold(state, call)
+        }
+        record = self.choose(call, excluded=passed_over)
+        return record is None or record.instance in roomy
+
+    def any_room(self) -> bool:
+        """Tell whether any engine has little to read."""
+        return not self._usable or any(map(self._roomy, self._usable.values()))
+
+    def seconds_of(self, call: Call) -> float:
+        """
+        Return how long all engines that are not kept for tight streams need together
+        to read a request, shared parts taken to be cached.
+        """
+        engines = max(1, len(self._usable) - len(self._tight))
+        parts = call.head.prompt
+        tokens = parts[-1].tokens if parts else call.head.prompt_tokens
+        return tokens / (engines * READ_TOKENS_PER_SECOND)
+
+    def _may_hold(self, state: ReplicaState, call: Call) -> bool:
+        """Tell whether an engine may have all shared parts of a prompt."""
+        parts = call.head.prompt[:-1]
+        if not parts:
+            return False
+        last = parts[-1].key
+        held = last in state.parts or state.key in self._parts.replicas(last)
+        return held or self._home(last, call) == state.record.instance
+
+    def _roomy(self, state: ReplicaState) -> bool:
+        """Tell whether an engine has little to read and a free slot."""
+        little = self._backlog(state) <= ROOM_SHARE * self._least_target
+        return little and not self._is_full(state)
+
+    def _is_full(self, state: ReplicaState) -> bool:
+        engine = self._service.engine
+        return engine is not None and state.own >= engine.slots
 
     def is_urgent(self, call: Call) -> bool:
         """
@@ -178,8 +217,7 @@
 
     def _backlog(self, state: ReplicaState) -> float:
         """Return the seconds that an engine needs to read what was sent to it."""
-        _, unread = self._peers.at(state.record.instance)
-        return (state.unread_tokens + unread) / READ_TOKENS_PER_SECOND
+        return state.unread_tokens / READ_TOKENS_PER_SECOND
 
     def _resize(self) -> None:
         """Keep more or fewer engines apart, as the load of those kept asks."""
@@ -220,8 +258,7 @@
     def _preferred(
         self, call: Call, candidates: list[ReplicaState], now: float
     ) -> list[ReplicaState]:
-        backlogs = [self._backlog(state) for state in self._usable.values()]
-        self._mean_backlog = sum(backlogs) / len(backlogs) if backlogs else 0.0
+        self._mean_backlog = self.mean_backlog
         if not self._tight:
             return candidates
         tight = self._is_tight(call.route)
@@ -238,8 +275,6 @@
         Tell whether an engine kept for tight streams can read a prompt without
         breaking their pauses.
         """
-        if not self._peers.is_chosen(state.record.instance):
-            return False
         gap = self._tight_gap or 0.0
         reading = self._expected_unread(state, call) / READ_TOKENS_PER_SECOND
         return self._backlog(state) + reading <= BESIDE_SHARE * gap
@@ -259,8 +294,7 @@
             not shared.known
             and self._home(parts[-1].key, call) == state.record.instance
         ):
-            likely = HOME_READING if self._peers.parts.complete else HOME_CACHED
-            known = max(known, likely * shared.tokens)
+            known = max(known, HOME_CACHED * shared.tokens)
         return max(0.0, total - known)
 
     def _copied(self, state: ReplicaState, call: Call) -> int:
@@ -277,7 +311,7 @@
             self._shared_of = key
             self._shared_parts = SharedParts(
                 parts=call.head.prompt[:-1],
-                places=self._peers.parts,
+                places=self._parts,
                 replicas=self._usable.values(),
             )
         return self._shared_parts
@@ -286,28 +320,25 @@
         """
         Return the replica for a part that no replica is known to have.
 
-        All gateways choose the same one; where they tell each other what they have
-        sent, all gateways of a data centre do, so that few prompts leave it.
+        All coordinators of a cell choose the same one, so that a successor finds what
+        the one before it has placed.
         """
         tight = self._is_tight(call.route)
-        near = self._peers.parts.complete
-        if (key, tight, near) not in self._homes:
+        if (key, tight) not in self._homes:
             if len(self._homes) >= MOST_HOMES:
                 self._homes.clear()
-            self._homes[key, tight, near] = max(
-                self._group(tight=tight, near=near),
+            self._homes[key, tight] = max(
+                self._group(tight=tight),
                 key=lambda item: stable_hash(key, item),
                 default=None,
             )
-        return self._homes[key, tight, near]
+        return self._homes[key, tight]
 
-    def _group(self, *, tight: bool, near: bool) -> list[InstanceId]:
-        """Return the replicas among which a home is chosen."""
+    def _group(self, *, tight: bool) -> list[InstanceId]:
+        """Return the replicas among which a home is chosen, near ones if it can be."""
         group = [
             item for item in self._usable if (item in self._tight) is tight
         ] or list(self._usable)
-        if not near:
-            return group
         return [
             item
             for item in group
@@ -327,4 +358,5 @@
             cost += OTHER_CENTRE_SECONDS
             cost += OTHER_CENTRE_SECONDS_PER_BYTE * len(call.body)
         cost += FAILURE_COST * RUNNING_COST * state.failure_rate
+        cost += FULL_SECONDS if self._is_full(state) else 0.0
         return cost + RUNNING_COST * tie_breaker(state, call)
--- a/damasklead/gateway/reading.py
+++ b/damasklead/gateway/reading.py
@@ -5,11 +5,10 @@
 Decides which gateway asks the platform's store for changes, and when the others ask.
 
 Load pattern: calls of the store are paid for, and a list that nothing changes would be
-asked for by every gateway all the time.  So one gateway, the first by rank among those
-that are heard, waits at the store and tells the others in its datagrams that a list has
-changed, or that it has not.  They then ask the store themselves, once; and they ask on
-their own as soon as they have not been told for a second, whatever the reason is.  What
-is in force always comes from the store, never from the reader.
+asked for by every gateway all the time.  So one gateway, the first by rank, waits at
+the store and hands what it is told to the others, or that there is nothing new.  They
+ask the store themselves when they have missed a change, and as soon as they have not
+been told for a second, whatever the reason is.
 
 No I/O: reports and the clock come in, decisions go out.
 """
@@ -22,13 +21,24 @@
 from damasklead.clock import Clock
 from damasklead.util import stable_hash
 
-__all__ = ["ListName", "ListReport", "ListReports", "ReadPlan", "Step", "is_reader"]
+__all__ = [
+    "ListName",
+    "ListReport",
+    "ListReports",
+    "ReadPlan",
+    "Step",
+    "reader_rank",
+]
 
 # One call of the reader lasts so long when nothing changes.
 READER_WAIT_SECONDS = 0.6
 # A confirmation older than this doesn't count: a change has to be in force within two
 # seconds of the store's word, and a call of one's own takes far less than the rest.
 TRUST_SECONDS = 1.1
+# Gateways further down by rank ask so much later, so that one of the first ones can
+# tell the others.
+RANK_SECONDS = 0.02
+MOST_RANK_SECONDS = 0.4
 # Pause after a call that brought changes, so that several are read together.
 GATHER_SECONDS = 0.25
 
@@ -110,18 +120,9 @@
         return self._confirmed[name]
 
 
-def is_reader(own: str, others: Iterable[str]) -> bool:
-    """
-    Tell whether a gateway is the first by rank among those that are heard.
-
-    Examples
-    --------
-    >>> names = ["g1", "g2", "g3"]
-    >>> sum(is_reader(name, [n for n in names if n != name]) for name in names)
-    1
-    """
-    rank = stable_hash("reader", own)
-    return all(rank < stable_hash("reader", other) for other in others)
+def reader_rank(name: str) -> int:
+    """Return a gateway's rank; the lowest one reads the lists for the others."""
+    return stable_hash("reader", name)
 
 
 class ReadPlan:
@@ -133,8 +134,8 @@
     name : ListName
     clock : Clock
     reports : ListReports
-    reads : callable
-        Whether this gateway is the one that reads for the others.
+    position : callable
+        Returns this gateway's place by rank; the first reads for the others.
     """
 
     def __init__(
@@ -143,12 +144,12 @@
         name: ListName,
         clock: Clock,
         reports: ListReports,
-        reads: Callable[[], bool],
+        position: Callable[[], int],
     ) -> None:
         self._name = name
         self._clock = clock
         self._reports = reports
-        self._reads = reads
+        self._position = position
         self._mark = 0
         self._caught_up = 0
         self._asked_at = float("-inf")
@@ -165,12 +166,14 @@
     def next(self) -> Step:
         """Return what to do next."""
         now = self._clock.now()
-        if self._asked_at == float("-inf") or self._reads():
+        position = self._position()
+        if self._asked_at == float("-inf") or position == 0:
             self._direct = True
             return Step(ask=True, wait=READER_WAIT_SECONDS)
         if self._reports.mark(self._name) > max(self._mark, self._caught_up):
             return Step(ask=True, wait=0.0)
         trusted = self._reports.confirmed_at(self._name) + TRUST_SECONDS
+        trusted += min(position * RANK_SECONDS, MOST_RANK_SECONDS)
         if now >= trusted:
             self._direct = True
             return Step(ask=True, wait=READER_WAIT_SECONDS)
@@ -193,6 +196,23 @@
         # What others saw removed leaves no mark in a list that is read anew.
         self._caught_up = max(self._caught_up, told)
 
+    def handed(self, *, mark: int, caught_up: int) -> None:
+        """
+        Take in that another gateway has handed over what the store told it.
+
+        Parameters
+        ----------
+        mark : int
+            The newest mark of what was handed over.
+        caught_up : int
+            The mark up to which nothing is missing.
+        """
+        if self._asked_at == float("-inf"):
+            self._asked_at = self._clock.now()
+            self._direct = False
+        self._mark = max(self._mark, mark)
+        self._caught_up = max(self._caught_up, caught_up)
+
     def told(self) -> int:
         """Return the newest mark that others have told."""
         return self._reports.mark(self._name)
--- a/damasklead/gateway/snapshot.py
+++ b/damasklead/gateway/snapshot.py
@@ -28,6 +28,8 @@
     routing: RoutingContent
     upstreams: list[ListedRow]
     peers: list[PeerEntry]
+    # Up to where the list of replicas was read.
+    cursor: int = 0
 
 
 class SnapshotError(Exception):
--- a/damasklead/platform/store.py
+++ b/damasklead/platform/store.py
@@ -28,7 +28,7 @@
 from damasklead.gateway.directory import ListedRow
 from damasklead.gateway.routing import RoutingTable
 from damasklead.gateway.upstream_http import Connection, ConnectionPool, SendError
-from damasklead.ids import InstanceId
+from damasklead.ids import DataCentre, InstanceId
 from damasklead.platform.documents import decode_configuration, decode_upstream
 
 __all__ = ["StoreLink"]
@@ -67,6 +67,7 @@
 class _Peer(msgspec.Struct):
     address: str
     incarnation: int
+    data_centre: str = ""
 
 
 # Method, path with query, content and the longest time of a call.
@@ -159,7 +160,7 @@
     def announce(self, entry: PeerEntry) -> None:
         """Write or replace this gateway's entry."""
         content = msgspec.json.encode(
-            {"address": entry.address, "incarnation": entry.incarnation}
+            _Peer(entry.address, entry.incarnation, entry.data_centre)
         )
         data = base64.b64encode(content).decode()
         self._change({"write": [_peer_row(entry) | {"data": data}]})
@@ -187,6 +188,7 @@
                     instance=InstanceId(row.key),
                     address=content.address,
                     incarnation=content.incarnation,
+                    data_centre=DataCentre(content.data_centre),
                     version=row.schema_version,
                 )
             )
--- a/tests/test_gateway_admission.py
+++ b/tests/test_gateway_admission.py
@@ -107,6 +107,15 @@
     assert scene.admitted == ["q"]
 
 
+def test_the_tier_goes_before_the_time_that_is_left() -> None:
+    scene = Scene(room=0)
+    scene.submit("r", REVIEW)
+    scene.clock.advance(1.2)
+    scene.submit("q", QUOTE)
+    scene.make_room(1)
+    assert scene.admitted == ["q"]
+
+
 def test_requests_that_can_be_in_time_go_before_late_ones() -> None:
     scene = Scene(room=0)
     scene.submit("old", REVIEW)
