Say goodbye when a gateway stops; count gateways before sharing; tests of bulletins and peers

A gateway that stops coordinates nothing from SIGTERM on and tells the others, so that they need not find out by silence. The retry allowance is divided only once the gateways were looked up. The gateways are ranked when needed, not with each hello. Log lines name the coordinator, the cell and what it had to read. Tests of bulletins (paused clock, lossy datagrams, a store that counts calls) and of peers (loopback).

--- a/damasklead/gateway/attempts.py
+++ b/damasklead/gateway/attempts.py
@@ -203,7 +203,7 @@
             if isinstance(found, Turned):
                 return Refusal(
                     reason=Reason.OVERLOADED,
-                    detail="the coordinator refuses",
+                    detail=f"the cell has {found.backlog:.2f} s to read",
                     retry_after=found.retry_after,
                 )
             record = self._placement.record(found.instance)
@@ -261,6 +261,7 @@
             replica=record.instance,
             offer=self.offers,
             **self._placement.explain(record.instance, call),
+            **({} if self._seat is None else self._seat.explain()),
         )
         source = None if self._seat is None else self._seat.source
         self._placement.sent(record.instance, call)
--- a/damasklead/gateway/bulletins.py
+++ b/damasklead/gateway/bulletins.py
@@ -39,8 +39,6 @@
 MOST_STEPS = 10
 # Another gateway's confirmation of the lists makes one's own needless for so long.
 CONFIRMED_SECONDS = 0.6
-# Notices are repeated so often while there is anything to tell.
-NOTICE_SECONDS = 0.5
 # What other gateways have told is handed on for so long.
 RELAY_SECONDS = 3.0
 # A configuration that is longer when it is compressed is asked of the store.
@@ -96,8 +94,7 @@
         self._incarnation = incarnation
         self._number = 0
         self._changed = Event()
-        self._position = 0
-        self._earlier: frozenset[str] = frozenset()
+        self._ranked: tuple[frozenset[str], int] | None = None
         self._heard_at = clock.now()
         self._herald: str | None = None
         self._orders: dict[str, tuple[int, int]] = {}
@@ -109,21 +106,19 @@
     @property
     def position(self) -> int:
         """The place of this gateway by rank, 0 for the first."""
-        return self._position
+        return self._places()[1]
 
     @property
     def sends(self) -> bool:
         """Whether this gateway is the one that tells the others."""
-        steps = min(self._position, MOST_STEPS) * TAKE_OVER_STEP_SECONDS
+        position = self.position
+        steps = min(position, MOST_STEPS) * TAKE_OVER_STEP_SECONDS
         silent = self._clock.now() - self._heard_at
-        return self._position == 0 or silent > TAKE_OVER_SECONDS + steps
+        return position == 0 or silent > TAKE_OVER_SECONDS + steps
 
     def arrange(self) -> None:
-        """Take in that the gateways have changed."""
-        rank = reader_rank(self._own)
-        names = [entry.instance for entry in self._peers.members]
-        self._earlier = frozenset(n for n in names if reader_rank(n) < rank)
-        self._position = len(self._earlier)
+        """Take in that the gateways have changed; they are ranked when needed."""
+        self._ranked = None
 
     def tell_soon(self) -> None:
         """Tell others at once that there is news."""
@@ -131,17 +126,27 @@
 
     def run(self) -> None:
         """Tell the others, forever."""
-        noticed_at = 0.0
         while True:
             self._changed.wait(timeout=BULLETIN_SECONDS)
             self._changed.clear()
-            now = self._clock.now()
-            if self.sends or self._confirms_alone():
-                self._peers.send_all(self._bulletin())
-                gevent.sleep(GATHER_SECONDS)
-            elif now - noticed_at >= NOTICE_SECONDS or self._has_news():
-                noticed_at = now
-                self._notify_herald()
+            self.step()
+            gevent.sleep(GATHER_SECONDS)
+
+    def step(self) -> None:
+        """Tell all others, or the one that does, what there is to tell."""
+        if self.sends or self._confirms_alone():
+            self._peers.send_all(self._bulletin())
+        else:
+            self._notify_herald()
+
+    def _places(self) -> tuple[frozenset[str], int]:
+        """Return the gateways before this one by rank, and how many they are."""
+        if self._ranked is None:
+            rank = reader_rank(self._own)
+            names = [entry.instance for entry in self._peers.members]
+            earlier = frozenset(name for name in names if reader_rank(name) < rank)
+            self._ranked = (earlier, len(earlier))
+        return self._ranked
 
     def _confirms_alone(self) -> bool:
         """Whether only this gateway reads the lists, as far as it knows."""
@@ -152,9 +157,6 @@
         confirmed = min(self._reports.confirmed_at(name) for name in ListName)
         return now - confirmed > CONFIRMED_SECONDS
 
-    def _has_news(self) -> bool:
-        return bool(self._departures.notes or self._containment.notes)
-
     def _notify_herald(self) -> None:
         crashes, left = self._containment.notes, self._departures.notes
         if self._herald is not None and (crashes or left):
@@ -200,9 +202,10 @@
         if order <= self._orders.get(sender, (0, 0)):
             return
         self._orders[sender] = order
-        if sender in self._earlier or not self.sends:
+        earlier = sender in self._places()[0]
+        if earlier or not self.sends:
             self._herald = sender
-        if sender in self._earlier:
+        if earlier:
             self._heard_at = self._clock.now()
         self._containment.take(message.crashes)
         self._take_departures(message.left)
--- a/damasklead/gateway/coordination/asking.py
+++ b/damasklead/gateway/coordination/asking.py
@@ -53,12 +53,26 @@
     ----------
     coordinator : str
         The gateway that gave it.
+    source : str or None
+        Address of a replica from which prompt parts are copied.
+    backlog : float
+        Seconds that the cell's engines had to read, on average.
     """
 
     cell: Cell
     coordinator: str
     instance: InstanceId
     source: str | None
+    backlog: float = 0.0
+
+    def explain(self) -> dict[str, object]:
+        """Return what decided, for the log."""
+        return {
+            "coordinator": self.coordinator,
+            "cell": f"{self.cell.data_centre}/{self.cell.number}",
+            "cell_backlog": round(self.backlog, 3),
+            "source": self.source or "",
+        }
 
 
 class Asker:
@@ -221,6 +235,7 @@
             coordinator=coordinator,
             instance=grant.instance,
             source=grant.source,
+            backlog=grant.backlog,
         )
         self._seats[call.id] = (seat, call.head.prompt_tokens)
         return seat
--- a/damasklead/gateway/coordination/cellmap.py
+++ b/damasklead/gateway/coordination/cellmap.py
@@ -46,12 +46,18 @@
     clock : Clock
     own : Member
         This gateway.
+    refresh : callable
+        Called before gateways are ranked, to take in others if they have changed.
     """
 
-    def __init__(self, *, clock: Clock, own: Member) -> None:
+    def __init__(
+        self, *, clock: Clock, own: Member, refresh: Callable[[], None] = lambda: None
+    ) -> None:
+        self._refresh = refresh
         self._clock = clock
         self._own = own
         self._members: set[Member] = {own}
+        self._retired = False
         self._cells: dict[ServiceName, dict[Cell, list[UpstreamRecord]]] = {}
         self._cell_of: dict[InstanceId, Cell] = {}
         self._ranked: dict[Cell, list[InstanceId]] = {}
@@ -63,6 +69,11 @@
         """All cells."""
         return [cell for cells in self._cells.values() for cell in cells]
 
+    def retire(self) -> None:
+        """Let others coordinate from now on: this gateway stops."""
+        self._retired = True
+        self._ranked.clear()
+
     def take_members(self, members: Iterable[Member]) -> None:
         """Take in which gateways there are besides this one."""
         members = {self._own, *members}
@@ -149,9 +160,11 @@
 
     def coordinators(self, cell: Cell, *, most: int) -> list[str]:
         """Return the gateways to ask, the first first; the last one is this one."""
+        self._refresh()
         ranked = self._ranked.get(cell)
         if ranked is None:
-            ranked = rank_members(cell, self._members)[:MOST_RANKED]
+            members = self._members - {self._own} if self._retired else self._members
+            ranked = rank_members(cell, members)[:MOST_RANKED]
             self._ranked[cell] = ranked
         sound = [name for name in ranked if name not in self._suspects][:most]
         if self._own.instance in sound:
--- a/damasklead/gateway/coordination/service.py
+++ b/damasklead/gateway/coordination/service.py
@@ -76,7 +76,8 @@
         self._peers = peers
         self._journal = journal
         self._waiting = Event()
-        self.cells = CellMap(clock=clock, own=own)
+        self._members_changed = True
+        self.cells = CellMap(clock=clock, own=own, refresh=self._take_members)
         self.asker = Asker(
             own=own.instance,
             clock=clock,
@@ -98,9 +99,13 @@
         if self.cells.heard(name):
             self._journal.event("coordinator-back", peer=name)
 
-    def take_members(self) -> None:
-        """Take in that the gateways have changed."""
-        if self._peers is not None:
+    def members_changed(self) -> None:
+        """Take in that the gateways have changed; they are looked at when needed."""
+        self._members_changed = True
+
+    def _take_members(self) -> None:
+        if self._peers is not None and self._members_changed:
+            self._members_changed = False
             self.cells.take_members(
                 Member(entry.instance, entry.data_centre)
                 for entry in self._peers.members
--- a/damasklead/gateway/fleet.py
+++ b/damasklead/gateway/fleet.py
@@ -18,7 +18,7 @@
 from damasklead.gateway.coordination.cells import Member
 from damasklead.gateway.coordination.service import Coordination
 from damasklead.gateway.departures import Departures, LeftNote
-from damasklead.gateway.dialect import PeerEntry, PlatformLink
+from damasklead.gateway.dialect import FeedError, PeerEntry, PlatformLink
 from damasklead.gateway.directory import UpstreamDirectory
 from damasklead.gateway.following import ConfigurationFollower, UpstreamFollower
 from damasklead.gateway.journal import Journal
@@ -133,6 +133,11 @@
         """How many gateways are known, this one included."""
         return 1 if self._peers is None else len(self._peers.members) + 1
 
+    @property
+    def counted(self) -> bool:
+        """Whether the gateways were looked up."""
+        return self._peers is None or self._peers.looked_up
+
     def snapshot(self) -> Snapshot | None:
         """Return what this gateway knows, for one that starts."""
         table = self.configuration.table
@@ -173,8 +178,14 @@
             ]
         return tasks
 
+    def retire(self) -> None:
+        """Coordinate nothing any more, since this gateway stops."""
+        self.coordination.cells.retire()
+        if self._peers is not None:
+            self._peers.say_goodbye()
+
     def close(self) -> None:
-        """Take leave of the others."""
+        """Leave the directory of gateways."""
         if self._peers is not None:
             self._peers.close()
 
@@ -190,8 +201,11 @@
         assert self._peers is not None and self._bulletins is not None
         while True:
             gevent.sleep(CHECK_SECONDS)
-            if self._bulletins.sends:
-                self._peers.check_silent()
+            try:
+                if self._bulletins.sends:
+                    self._peers.check_silent()
+            except FeedError as error:
+                self._journal.event("withdrawal-failed", cause=str(error))
 
     def _take_snapshot(self, snapshot: Snapshot) -> None:
         self.upstreams.offer(snapshot.upstreams, snapshot.cursor)
@@ -232,7 +246,7 @@
             self._arrange()
 
     def _take_members(self) -> None:
-        self.coordination.take_members()
+        self.coordination.members_changed()
         if self._bulletins is not None:
             self._bulletins.arrange()
 
--- a/damasklead/gateway/messages.py
+++ b/damasklead/gateway/messages.py
@@ -13,7 +13,7 @@
 from damasklead.gateway.directory import ListedRow
 from damasklead.gateway.reading import ListReport
 
-__all__ = ["Bulletin", "Hello", "Notice", "Ping"]
+__all__ = ["Bulletin", "Goodbye", "Hello", "Notice", "Ping"]
 
 
 class Hello(msgspec.Struct, array_like=True, frozen=True, tag=10):
@@ -25,6 +25,13 @@
     data_centre: str
 
 
+class Goodbye(msgspec.Struct, array_like=True, frozen=True, tag=14):
+    """A gateway stops: it coordinates nothing any more."""
+
+    instance: str
+    incarnation: int
+
+
 class Ping(msgspec.Struct, array_like=True, frozen=True, tag=11):
     """Asks a gateway for its ``Hello``."""
 
--- a/damasklead/gateway/peers.py
+++ b/damasklead/gateway/peers.py
@@ -25,7 +25,7 @@
 )
 from damasklead.gateway.dialect import FeedError, PeerDirectory, PeerEntry
 from damasklead.gateway.journal import Journal
-from damasklead.gateway.messages import Bulletin, Hello, Notice, Ping
+from damasklead.gateway.messages import Bulletin, Goodbye, Hello, Notice, Ping
 from damasklead.ids import DataCentre, InstanceId
 from damasklead.util import split_address
 
@@ -44,7 +44,7 @@
 
 _Message = (
     Ask | Held | Grant | Turned | Read | Ended | Running
-    | Hello | Ping | Bulletin | Notice
+    | Hello | Goodbye | Ping | Bulletin | Notice
 )  # fmt: skip
 
 
@@ -88,12 +88,19 @@
         self._names: dict[tuple[str, int], str] = {}
         self._heard_at: dict[str, float] = {}
         self._handlers: dict[type, Callable[[Any, str], None]] = {}
+        self._looked_up = False
+        self._said_goodbye = False
 
     @property
     def members(self) -> list[PeerEntry]:
         """The other gateways."""
         return list(self._members.values())
 
+    @property
+    def looked_up(self) -> bool:
+        """Whether the other gateways were looked up, or told by one of them."""
+        return self._looked_up
+
     @property
     def entries(self) -> list[PeerEntry]:
         """All gateways, this one included."""
@@ -105,6 +112,7 @@
 
     def offer(self, entries: list[PeerEntry]) -> None:
         """Take in the gateways that another one knows."""
+        self._looked_up = True
         self._add(entries)
         self._say_hello()
 
@@ -137,6 +145,9 @@
             name = self._names.get(address)
             if isinstance(message, Hello):
                 self._take_hello(message)
+            elif isinstance(message, Goodbye):
+                self._take_goodbye(message)
+                continue
             elif isinstance(message, Ping):
                 self._take_ping(address)
             elif name is None:
@@ -172,7 +183,14 @@
             )
 
     def check_silent(self) -> None:
-        """Ask gateways that were not heard for long, and remove those that are gone."""
+        """
+        Ask gateways that were not heard for long, and remove those that are gone.
+
+        Raises
+        ------
+        FeedError
+            When the directory can't be changed.
+        """
         now = self._clock.now()
         for entry in self.members:
             silent = now - self._heard_at.setdefault(entry.instance, now)
@@ -187,6 +205,11 @@
         """Ask a gateway whether it is there."""
         self.send(name, Ping())
 
+    def say_goodbye(self) -> None:
+        """Tell the others that this gateway stops."""
+        self._said_goodbye = True
+        self.send_all(Goodbye(self._own.instance, self._own.incarnation))
+
     def close(self) -> None:
         """Withdraw the announcement and close the socket."""
         try:
@@ -202,7 +225,8 @@
             self._journal.event("peer-unreachable", peer=name, cause=str(error))
 
     def _say_hello(self) -> None:
-        self.send_all(self._hello())
+        if not self._said_goodbye:
+            self.send_all(self._hello())
 
     def _hello(self) -> Hello:
         own = self._own
@@ -219,12 +243,20 @@
         self._heard_at[entry.instance] = self._clock.now()
         self._heard(entry.instance)
 
+    def _take_goodbye(self, message: Goodbye) -> None:
+        known = self._members.get(message.instance)
+        if known is not None and known.incarnation <= message.incarnation:
+            self._remove(message.instance)
+
     def _take_ping(self, address: tuple[str, int]) -> None:
+        if self._said_goodbye:
+            return
         data = msgspec.msgpack.encode(self._hello())
         self._send_data(data, str(address), address)
 
     def _take(self, entries: list[PeerEntry]) -> None:
         """Take in the directory's entries; the others are gone."""
+        self._looked_up = True
         listed = {entry.instance for entry in entries}
         now = self._clock.now()
         for name in [item for item in self._members if item not in listed]:
--- a/damasklead/gateway/process.py
+++ b/damasklead/gateway/process.py
@@ -155,6 +155,7 @@
         began = self._clock.now()
         self._stopping = True
         self._journal.event("stopping", requests=self._forwarder.active)
+        self._fleet.retire()
         deadline = began + self._settings.bounds.stop_seconds - STOP_MARGIN_SECONDS
         gevent.sleep(UNROUTED_SECONDS)
         self._callers.drain(seconds=deadline - self._clock.now())
@@ -190,7 +191,8 @@
             self._fleet.upstreams.expire()
             self._connections.sweep()
             self._fleet.containment.tick()
-            self._share_among(self._fleet.gateways)
+            if self._fleet.counted:
+                self._share_among(self._fleet.gateways)
             if self._file.changed:
                 self.reload()
 
--- a/damasklead/gateway/reading.py
+++ b/damasklead/gateway/reading.py
@@ -15,6 +15,7 @@
 
 from collections.abc import Callable, Iterable
 from enum import IntEnum
+from functools import lru_cache
 
 import msgspec
 
@@ -39,6 +40,8 @@
 # tell the others.
 RANK_SECONDS = 0.02
 MOST_RANK_SECONDS = 0.4
+# Ranks of gateways that are remembered.
+KEPT_RANKS = 1_024
 # Pause after a call that brought changes, so that several are read together.
 GATHER_SECONDS = 0.25
 
@@ -120,6 +123,7 @@
         return self._confirmed[name]
 
 
+@lru_cache(maxsize=KEPT_RANKS)
 def reader_rank(name: str) -> int:
     """Return a gateway's rank; the lowest one reads the lists for the others."""
     return stable_hash("reader", name)
--- /dev/null
+++ b/tests/test_gateway_bulletins.py
@@ -0,0 +1,368 @@
+"""
+Tests of bulletins
+==================
+
+Gateways on one paused clock, with a store that counts their calls and datagrams that may
+get lost.
+"""
+
+import random
+
+import msgspec
+import pytest
+
+from damasklead.clock import ManualClock
+from damasklead.gateway.bulletins import (
+    BULLETIN_SECONDS,
+    ROUTING_BYTES,
+    TAKE_OVER_SECONDS,
+    Bulletins,
+)
+from damasklead.gateway.calls import UpstreamState
+from damasklead.gateway.containment import Containment, CrashNote
+from damasklead.gateway.departures import Departures, LeftNote
+from damasklead.gateway.dialect import Changes, Feed, FeedError, FeedFault, PeerEntry
+from damasklead.gateway.directory import ListedRow, UpstreamDirectory
+from damasklead.gateway.following import ConfigurationFollower, UpstreamFollower
+from damasklead.gateway.journal import Journal
+from damasklead.gateway.messages import Bulletin, Notice
+from damasklead.gateway.reading import ListName, ListReports, ReadPlan, reader_rank
+from damasklead.gateway.routing import RoutingTable
+from damasklead.ids import Fingerprint, InstanceId
+from tests.gatewaykit import SERVICE, make_table
+from tests.test_gateway_parts import gone, row
+
+STEP_SECONDS = 0.05
+BOUND_SECONDS = 2.0
+
+
+class Store:
+    """The two lists, with one counter of versions, as the platform keeps them."""
+
+    def __init__(self) -> None:
+        self.version = 1
+        self.rows: list[ListedRow] = []
+        self.tables: list[tuple[int, RoutingTable]] = []
+        self.calls = 0
+        self.away = False
+
+    def write(self, instance: str, **changes: object) -> None:
+        self.version += 1
+        self.rows.append(row(instance, self.version, **changes))
+
+    def remove(self, instance: str) -> None:
+        self.version += 1
+        self.rows.append(gone(instance, self.version))
+
+    def configure(self, **changes: object) -> int:
+        self.version += 1
+        table = make_table(self.version, **changes)
+        self.tables.append((self.version, table))
+        return table.version
+
+
+class ListFeed(Feed):
+    """One of the lists."""
+
+    def __init__(self, store: Store, name: ListName) -> None:
+        self._store = store
+        self._name = name
+
+    def read(self) -> Changes:
+        if self._name is ListName.ROUTING:
+            return self.follow(0, wait=0.0)
+        newest = {item.instance: item for item in self._store.rows}
+        present = [item for item in newest.values() if item.record is not None]
+        self._call()
+        return Changes(items=present, whole=True, cursor=self._store.version)
+
+    def follow(self, cursor: int, *, wait: float) -> Changes:
+        self._call()
+        items: list = [
+            table for version, table in self._store.tables if version > cursor
+        ]
+        if self._name is ListName.UPSTREAMS:
+            items = [item for item in self._store.rows if item.version > cursor]
+        return Changes(items=items, whole=False, cursor=self._store.version)
+
+    def _call(self) -> None:
+        self._store.calls += 1
+        if self._store.away:
+            raise FeedError(FeedFault.UNREACHABLE, "away")
+
+
+class FakePeers:
+    """Datagrams between gateways in one process."""
+
+    def __init__(self, fleet: "Fleet", name: str) -> None:
+        self.fleet = fleet
+        self.name = name
+        self.handlers: dict = {}
+
+    @property
+    def members(self) -> list[PeerEntry]:
+        return [
+            PeerEntry(instance=InstanceId(name), address="127.0.0.1:1", incarnation=1)
+            for name in self.fleet.gateways
+            if name != self.name
+        ]
+
+    def on(self, kind: type, handler: object) -> None:
+        self.handlers[kind] = handler
+
+    def send(self, name: str, message: object) -> None:
+        self.fleet.deliver(self.name, name, message)
+
+    def send_all(self, message: object) -> None:
+        for entry in self.members:
+            self.send(entry.instance, message)
+
+
+class Gateway:
+    """What one gateway follows and tells."""
+
+    def __init__(self, fleet: "Fleet", name: str) -> None:
+        clock = fleet.clock
+        journal = Journal(instance=name)
+        self.name = name
+        self.down = False
+        self.directory = UpstreamDirectory(clock=clock)
+        self.departures = Departures(clock=clock)
+        self.containment = Containment(clock=clock, named=lambda _name: None)
+        reports = ListReports(clock=clock)
+        self.plans = [
+            ReadPlan(
+                name=item,
+                clock=clock,
+                reports=reports,
+                position=lambda: self.bulletins.position,
+            )
+            for item in ListName
+        ]
+        self.configuration = ConfigurationFollower(
+            feed=lambda: ListFeed(fleet.store, ListName.ROUTING),
+            plan=self.plans[ListName.ROUTING],
+            clock=clock,
+            journal=journal,
+            changed=lambda _table: self.bulletins.tell_soon(),
+            gateways=lambda: len(fleet.gateways),
+        )
+        self.upstreams = UpstreamFollower(
+            feed=lambda: ListFeed(fleet.store, ListName.UPSTREAMS),
+            plan=self.plans[ListName.UPSTREAMS],
+            clock=clock,
+            journal=journal,
+            directory=self.directory,
+            changed=lambda: self.bulletins.tell_soon(),
+            gateways=lambda: len(fleet.gateways),
+        )
+        self.peers = FakePeers(fleet, name)
+        self.bulletins = Bulletins(
+            peers=self.peers,
+            configuration=self.configuration,
+            upstreams=self.upstreams,
+            plans=self.plans,
+            reports=reports,
+            containment=self.containment,
+            departures=self.departures,
+            take_departures=self.take_departures,
+            clock=clock,
+            own=name,
+            incarnation=1,
+        )
+        self._resume = [0.0, 0.0]
+        self._told_at = 0.0
+
+    @property
+    def replicas(self) -> list[str]:
+        return [item.instance for item in self.directory.usable(SERVICE)]
+
+    @property
+    def version(self) -> int:
+        table = self.configuration.table
+        return 0 if table is None else table.version
+
+    def take_departures(self, notes: list[LeftNote]) -> None:
+        for note in notes:
+            self.directory.mark_left(note.instance, note.incarnation)
+
+    def step(self, now: float) -> None:
+        followers = (self.configuration, self.upstreams)
+        for index, follower in enumerate(followers):
+            if now >= self._resume[index] and self.plans[index].next().ask:
+                pause = follower.step(wait=0.0)
+                # A call of the reader's waits at the store while nothing changes.
+                self._resume[index] = now + (pause or 0.6)
+        if now - self._told_at >= BULLETIN_SECONDS:
+            self._told_at = now
+            self.bulletins.step()
+
+
+class Fleet:
+    """Some gateways and their store."""
+
+    def __init__(self, count: int, *, loss: float = 0.0, seed: int = 1) -> None:
+        self.clock = ManualClock(start=50.0)
+        self.store = Store()
+        self.store.configure()
+        for number in range(4):
+            self.store.write(f"r{number}")
+        self.datagrams = 0
+        self.kinds: list[object] = []
+        self._loss = loss
+        self._random = random.Random(seed)
+        self.gateways: dict[str, Gateway] = {}
+        for number in range(count):
+            self.gateways[f"g{number}"] = Gateway(self, f"g{number}")
+        for gateway in self.gateways.values():
+            gateway.bulletins.arrange()
+
+    @property
+    def first(self) -> Gateway:
+        return self.gateways[min(self.gateways, key=reader_rank)]
+
+    @property
+    def up(self) -> list[Gateway]:
+        return [item for item in self.gateways.values() if not item.down]
+
+    def deliver(self, sender: str, name: str, message: object) -> None:
+        self.datagrams += 1
+        self.kinds.append(message)
+        other = self.gateways[name]
+        if not other.down and self._random.random() >= self._loss:
+            kind = type(message)
+            copy = msgspec.msgpack.decode(msgspec.msgpack.encode(message), type=kind)
+            other.peers.handlers[kind](copy, sender)
+
+    def run(self, seconds: float) -> None:
+        for _ in range(round(seconds / STEP_SECONDS)):
+            self.clock.advance(STEP_SECONDS)
+            for gateway in self.up:
+                gateway.step(self.clock.now())
+
+
+@pytest.mark.parametrize("count", [8, 60])
+def test_a_change_reaches_all_and_costs_a_call_or_two(count: int) -> None:
+    fleet = Fleet(count)
+    fleet.run(4.0)
+    before = fleet.store.calls
+    for number in range(6):
+        fleet.store.write(f"n{number}")
+        fleet.store.remove(f"r{number % 4}")
+        fleet.store.write(f"r{number % 4}", incarnation=number + 2)
+        version = fleet.store.configure()
+        fleet.run(BOUND_SECONDS)
+        for gateway in fleet.up:
+            assert gateway.version == version
+            assert f"n{number}" in gateway.replicas and len(gateway.replicas) == (
+                5 + number
+            )
+    # Two lists, a call of each in 0.6 s, whatever the number of gateways is.
+    assert fleet.store.calls - before <= 12.0 / 0.6 * 2 * 1.2
+
+
+def test_who_missed_a_change_asks_the_store_itself() -> None:
+    fleet = Fleet(30, loss=0.3)
+    fleet.run(4.0)
+    for number in range(6):
+        fleet.store.write(f"n{number}")
+        fleet.run(BOUND_SECONDS)
+        assert all(f"n{number}" in gateway.replicas for gateway in fleet.up)
+
+
+def test_a_long_configuration_is_asked_of_the_store() -> None:
+    fleet = Fleet(8)
+    fleet.run(4.0)
+    routes = [
+        msgspec.structs.replace(
+            make_table().routes[0], name=f"x{n}", prefix=f"/{random.random()}/"
+        )
+        for n in range(ROUTING_BYTES // 10)
+    ]
+    version = fleet.store.configure(routes=routes)
+    before = fleet.store.calls
+    fleet.run(BOUND_SECONDS)
+    assert all(gateway.version == version for gateway in fleet.up)
+    assert fleet.store.calls - before >= 7
+    longest = max(
+        len(msgspec.msgpack.encode(item))
+        for item in fleet.kinds
+        if isinstance(item, Bulletin)
+    )
+    assert longest < 2 * ROUTING_BYTES
+
+
+def test_messages_grow_with_the_fleet_and_not_with_its_square() -> None:
+    sent = {}
+    for count in (10, 80):
+        fleet = Fleet(count)
+        fleet.run(4.0)
+        before = fleet.datagrams
+        fleet.run(6.0)
+        sent[count] = fleet.datagrams - before
+    assert sent[80] <= 10 * sent[10]
+    assert sent[80] / 80 <= 6.0 / BULLETIN_SECONDS + 2
+
+
+def test_the_next_gateway_takes_over_from_a_silent_one() -> None:
+    fleet = Fleet(20)
+    fleet.run(4.0)
+    for number in range(4):
+        fleet.first.down = True
+        second = min((item.name for item in fleet.up), key=reader_rank)
+        fleet.store.write(f"n{number}")
+        fleet.run(TAKE_OVER_SECONDS + 1.5)
+        assert all(f"n{number}" in gateway.replicas for gateway in fleet.up)
+        senders = {
+            item.sender for item in fleet.kinds[-19:] if isinstance(item, Bulletin)
+        }
+        assert senders == {second}
+        fleet.first.down = False
+        fleet.run(2.0)
+
+
+def test_an_outage_costs_fewer_calls_of_each_gateway_the_more_there_are() -> None:
+    calls = {}
+    for count in (10, 100):
+        fleet = Fleet(count)
+        fleet.run(4.0)
+        fleet.store.away = True
+        before = fleet.store.calls
+        fleet.run(10.0)
+        calls[count] = (fleet.store.calls - before) / count
+        fleet.store.away = False
+        fleet.store.write("back")
+        fleet.run(4.0)
+        assert all("back" in gateway.replicas for gateway in fleet.up)
+    assert calls[100] < 0.7 * calls[10]
+
+
+def test_a_departure_reaches_all_through_one_gateway_without_the_store() -> None:
+    fleet = Fleet(40)
+    fleet.run(4.0)
+    fleet.store.away = True
+    fleet.run(3.0)
+    told = next(item for item in fleet.up if item is not fleet.first)
+    told.directory.mark_left(InstanceId("r1"), 1)
+    told.departures.note(InstanceId("r1"), 1)
+    before = fleet.datagrams
+    fleet.run(1.0)
+    assert all("r1" not in gateway.replicas for gateway in fleet.up)
+    assert fleet.datagrams - before < 8 * 40
+    newcomer = UpstreamDirectory(clock=fleet.clock)
+    newcomer.apply(fleet.first.directory.rows(), whole=False)
+    left = [item for item in newcomer.rows() if item.instance == "r1"]
+    assert left[0].record.state is UpstreamState.LEAVING
+
+
+def test_crashes_reach_all_as_well() -> None:
+    fleet = Fleet(12)
+    fleet.run(4.0)
+    seen: dict[str, list[CrashNote]] = {name: [] for name in fleet.gateways}
+    for name, gateway in fleet.gateways.items():
+        gateway.containment.take = seen[name].extend
+    note = CrashNote(InstanceId("r1"), 1, (Fingerprint("f"),))
+    told = next(item for item in fleet.up if item is not fleet.first)
+    fleet.deliver(told.name, fleet.first.name, Notice(told.name, [note], []))
+    fleet.run(1.0)
+    assert all(note in notes for name, notes in seen.items() if name != told.name)
