Let news go before asks, weigh less, and let stronger gateways coordinate

Change: news and ends are handled before asks, at most 32 asks of one look are answered, the newest; cells of about 8 engines; gateways with more processor coordinate more; what waits is weighed 8 at a time and looked through for hopeless requests every 50 ms in one pass; the cell's work is summed every 50 ms.

--- a/damasklead/gateway/admission.py
+++ b/damasklead/gateway/admission.py
@@ -13,6 +13,7 @@
 No I/O: requests and the clock come in, decisions go out.
 """
 
+import heapq
 from collections.abc import Callable, Collection
 
 import msgspec
@@ -33,7 +34,7 @@
 MOST_WAITING = 200
 # Requests that are weighed at one look, the first by rank: whoever can't be placed
 # waits for an engine with cached parts, and the next may use another one.
-MOST_WEIGHED = 16
+MOST_WEIGHED = 8
 # What waits is looked through for requests without hope so often.
 HOPE_SECONDS = 0.05
 # A first event can't come sooner than this after sending.
@@ -86,6 +87,7 @@
         self._any_room = any_room
         self._seconds_of = seconds_of
         self._looked_at = 0.0
+        self._hopeless: list[Call] = []
         self._clock = clock
         self._has_room = has_room
         self._is_urgent = is_urgent
@@ -123,33 +125,38 @@
         What is sent changes what has room, so each is carried out before the next.
         """
         now = self._clock.now()
-        looks = now - self._looked_at >= HOPE_SECONDS
-        if not looks and not self._any_room():
+        if now - self._looked_at >= HOPE_SECONDS:
+            self._looked_at = now
+            self._hopeless = self._find_hopeless(now)
+        while self._hopeless:
+            call = self._hopeless.pop()
+            if self._waiting.pop(call.id, None) is not None:
+                return self._reject(call)
+        if not self._waiting or not self._any_room():
             return None
-        ranked = sorted(self._waiting.values(), key=lambda item: _rank(item, now))
-        hopeless = self._find_hopeless(ranked, now) if looks else None
-        if hopeless is not None:
-            del self._waiting[hopeless.id]
-            return self._reject(hopeless)
-        for call in ranked[:MOST_WEIGHED] if self._any_room() else ():
+        for call in heapq.nsmallest(
+            MOST_WEIGHED, self._waiting.values(), key=lambda item: _rank(item, now)
+        ):
             if self._has_room(call):
                 del self._waiting[call.id]
                 return Admit(call=call)
         return None
 
-    def _find_hopeless(self, ranked: list[Call], now: float) -> Call | None:
+    def _find_hopeless(self, now: float) -> list[Call]:
         """
-        Return a request whose first event would come too late to be of use.
+        Return the requests whose first event would come too late to be of use.
 
-        It is refused at once: its caller may still be served elsewhere or later.
+        They are refused at once: their callers may still be served elsewhere or later.
         """
         wait = LEAST_FIRST_EVENT_SECONDS
-        for call in ranked:
-            wait += self._seconds_of(call)
-            if now + wait > call.useful_until:
-                return call
-        self._looked_at = now
-        return None
+        hopeless: list[Call] = []
+        for call in sorted(self._waiting.values(), key=lambda item: _rank(item, now)):
+            seconds = self._seconds_of(call)
+            if now + wait + seconds > call.useful_until:
+                hopeless.append(call)
+            else:
+                wait += seconds
+        return hopeless
 
     def _reject(self, call: Call) -> Reject:
         left = call.caller_deadline - self._clock.now()
--- a/damasklead/gateway/coordination/asking.py
+++ b/damasklead/gateway/coordination/asking.py
@@ -164,8 +164,8 @@
         for attempt, (seat, unread) in self._seats.items():
             by_cell.setdefault(seat.cell, []).append((attempt, seat.instance, unread))
         for cell, requests in by_cell.items():
-            for coordinator in self._cells.coordinators(cell, most=1):
-                self._send(coordinator, Running(self._own, cell, tuple(requests)))
+            coordinator = self._cells.coordinators(cell, most=1)[0]
+            self._send(coordinator, Running(self._own, cell, tuple(requests)))
 
     def _ask(
         self,
--- a/damasklead/gateway/coordination/cells.py
+++ b/damasklead/gateway/coordination/cells.py
@@ -10,6 +10,7 @@
 hundreds of engines, of which each gateway alone knows next to nothing.
 """
 
+import math
 from collections.abc import Iterable, Sequence
 
 import msgspec
@@ -22,12 +23,15 @@
 
 # Engines of one cell: enough to keep some apart for tight streams and to let a hot
 # subject spread, few enough for one coordinator to weigh them all for each request.
-CELL_ENGINES = 12
+CELL_ENGINES = 8
 # Data centres with fewer engines than this share their cells.
 LEAST_ENGINES = 6
 # Shared parts of so many tokens are worth the way to another data centre: one engine
 # of all reads them, instead of one in each data centre.
 FAR_TOKENS = 2000
+# A gateway with twice the processor coordinates eight times as often: the work of a
+# coordinator is a large part of what a small one has.
+CORES_POWER = 3
 
 
 class Cell(msgspec.Struct, array_like=True, frozen=True):
@@ -46,10 +50,18 @@
 
 
 class Member(msgspec.Struct, frozen=True):
-    """A gateway that may coordinate."""
+    """
+    A gateway that may coordinate.
+
+    Attributes
+    ----------
+    cores : float
+        Processor that it may use.
+    """
 
     instance: InstanceId
     data_centre: DataCentre
+    cores: float = 1.0
 
 
 def divide(records: Sequence[UpstreamRecord]) -> dict[Cell, list[UpstreamRecord]]:
@@ -94,16 +106,16 @@
 
 
 def rank_members(cell: Cell, members: Iterable[Member]) -> list[InstanceId]:
-    """Return the gateways that may coordinate a cell, the first to be asked first."""
-    return [
-        member.instance
-        for member in sorted(
-            members,
-            key=lambda item: (
-                bool(cell.data_centre) and item.data_centre != cell.data_centre,
-                stable_hash(
-                    cell.service, cell.data_centre, str(cell.number), item.instance
-                ),
-            ),
-        )
-    ]
+    """
+    Return the gateways that may coordinate a cell, the first to be asked first.
+
+    Rendezvous hashing, weighted so that those with more processor coordinate more.
+    """
+
+    def order(member: Member) -> tuple[bool, float]:
+        far = bool(cell.data_centre) and member.data_centre != cell.data_centre
+        name = (cell.service, cell.data_centre, str(cell.number), member.instance)
+        point = (stable_hash(*name) + 1) / 2**64
+        return far, -math.log(point) / member.cores**CORES_POWER
+
+    return [member.instance for member in sorted(members, key=order)]
--- a/damasklead/gateway/coordination/coordinator.py
+++ b/damasklead/gateway/coordination/coordinator.py
@@ -10,6 +10,8 @@
 a shared part is read once, and what waits is in one order.
 """
 
+import math
+
 import msgspec
 
 from damasklead.clock import Clock
@@ -38,8 +40,10 @@
 # What a gateway doesn't list as running is dropped when it is older than this: the
 # list may have crossed the grant.
 CROSSED_SECONDS = 0.4
+# What the cell has to do is summed up so often.
+WEIGH_SECONDS = 0.05
 # Decisions taken at one look at what waits.
-DECISIONS_PER_TICK = 8
+DECISIONS_PER_TICK = 16
 # A cell that nobody has asked about for so long is forgotten.
 IDLE_SECONDS = 20.0
 # Answers are remembered for repeated asks for so long.
@@ -103,6 +107,8 @@
             any_room=self._placement.any_room,
             seconds_of=self._placement.seconds_of,
         )
+        self._backlog = 0.0
+        self._weighed_at = -math.inf
         self._routes: dict[str, Route] = {}
         self._works: dict[AttemptId, _Work] = {}
         self.configure(service, routes)
@@ -116,8 +122,12 @@
     @property
     def backlog(self) -> float:
         """Seconds that the cell's engines have to read, on average, what waits too."""
-        waiting = sum(map(self._placement.seconds_of, self._admission.calls))
-        return self._placement.mean_backlog + waiting
+        now = self._clock.now()
+        if now - self._weighed_at >= WEIGH_SECONDS:
+            self._weighed_at = now
+            waiting = sum(map(self._placement.seconds_of, self._admission.calls))
+            self._backlog = self._placement.mean_backlog + waiting
+        return self._backlog
 
     @property
     def waiting(self) -> int:
--- a/damasklead/gateway/coordination/service.py
+++ b/damasklead/gateway/coordination/service.py
@@ -107,7 +107,7 @@
         if self._peers is not None and self._members_changed:
             self._members_changed = False
             self.cells.take_members(
-                Member(entry.instance, entry.data_centre)
+                Member(entry.instance, entry.data_centre, entry.cores)
                 for entry in self._peers.members
             )
 
--- a/damasklead/gateway/dialect.py
+++ b/damasklead/gateway/dialect.py
@@ -162,6 +162,8 @@
         Where the others connect.
     incarnation : int
         Start of the process in milliseconds.
+    cores : float
+        Processor that it may use.
     version : int
         The entry's version in the directory, 0 when it was not read from there.
     """
@@ -170,6 +172,7 @@
     address: str
     incarnation: int
     data_centre: DataCentre = DataCentre("")
+    cores: float = 1.0
     version: int = 0
 
 
--- a/damasklead/gateway/fleet.py
+++ b/damasklead/gateway/fleet.py
@@ -86,7 +86,9 @@
         self._configured = configured
         self._arranged = arranged
         self._own = Member(
-            InstanceId(settings.instance), DataCentre(settings.data_centre)
+            InstanceId(settings.instance),
+            DataCentre(settings.data_centre),
+            settings.cores,
         )
         self._departures = Departures(clock=clock)
         self._reports = ListReports(clock=clock)
@@ -273,6 +275,7 @@
                 address=f"{host}:{ports[0]}",
                 incarnation=incarnation,
                 data_centre=self._own.data_centre,
+                cores=self._own.cores,
             ),
             directory=lambda: self._link().peers,
             changed=self._take_members,
--- a/damasklead/gateway/messages.py
+++ b/damasklead/gateway/messages.py
@@ -23,6 +23,7 @@
     address: str
     incarnation: int
     data_centre: str
+    cores: float
 
 
 class Goodbye(msgspec.Struct, array_like=True, frozen=True, tag=14):
--- a/damasklead/gateway/peers.py
+++ b/damasklead/gateway/peers.py
@@ -24,6 +24,7 @@
     Turned,
 )
 from damasklead.gateway.dialect import FeedError, PeerDirectory, PeerEntry
+from damasklead.gateway.inbox import Inbox
 from damasklead.gateway.journal import Journal
 from damasklead.gateway.messages import Bulletin, Goodbye, Hello, Notice, Ping
 from damasklead.ids import DataCentre, InstanceId
@@ -42,6 +43,7 @@
 PING_SECONDS = 15.0
 RECEIVE_BYTES = 65_536
 
+_Address = tuple[str, int]
 _Message = (
     Ask | Held | Grant | Turned | Read | Ended | Running
     | Hello | Goodbye | Ping | Bulletin | Notice
@@ -136,31 +138,55 @@
         """Hear the others, forever."""
         decoder = msgspec.msgpack.Decoder(_Message)
         while True:
+            inbox: Inbox[tuple[Any, _Address]] = Inbox()
             data, address = self._socket.recvfrom(RECEIVE_BYTES)
-            try:
-                message = decoder.decode(data)
-            except msgspec.DecodeError as error:
-                self._journal.event("peer-message-unreadable", cause=str(error))
-                continue
-            name = self._names.get(address)
-            if isinstance(message, Hello):
-                self._take_hello(message)
-            elif isinstance(message, Goodbye):
-                self._take_goodbye(message)
-                continue
-            elif isinstance(message, Ping):
-                self._take_ping(address)
-            elif name is None:
-                # One that started while no datagram of its own arrived.
-                ping = msgspec.msgpack.encode(Ping())
-                self._send_data(ping, str(address), address)
-                continue
-            if name is not None:
-                self._heard_at[name] = self._clock.now()
-                self._heard(name)
-                handler = self._handlers.get(type(message))
-                if handler is not None:
-                    handler(message, name)
+            while data is not None:
+                try:
+                    message = decoder.decode(data)
+                except msgspec.DecodeError as error:
+                    self._journal.event("peer-message-unreadable", cause=str(error))
+                else:
+                    inbox.put(type(message), (message, address))
+                data, address = self._receive_more(full=inbox.full)
+            for message, sender in inbox.take():
+                self._take_message(message, sender)
+            if inbox.dropped:
+                self._journal.event("asks-dropped", asks=inbox.dropped)
+            # Requests of this gateway's own callers get their turn.
+            gevent.sleep(0)
+
+    def _receive_more(self, *, full: bool) -> tuple[bytes | None, _Address]:
+        """Return a datagram that has arrived already, ``None`` without one."""
+        if full:
+            return None, ("", 0)
+        self._socket.settimeout(0.0)
+        try:
+            data, address = self._socket.recvfrom(RECEIVE_BYTES)
+        except BlockingIOError:
+            return None, ("", 0)
+        finally:
+            self._socket.settimeout(None)
+        return data, address
+
+    def _take_message(self, message: object, address: _Address) -> None:
+        name = self._names.get(address)
+        if isinstance(message, Hello):
+            self._take_hello(message)
+        elif isinstance(message, Goodbye):
+            self._take_goodbye(message)
+            return
+        elif isinstance(message, Ping):
+            self._take_ping(address)
+        elif name is None:
+            # One that started while no datagram of its own arrived.
+            self._send_data(msgspec.msgpack.encode(Ping()), str(address), address)
+            return
+        if name is not None:
+            self._heard_at[name] = self._clock.now()
+            self._heard(name)
+            handler = self._handlers.get(type(message))
+            if handler is not None:
+                handler(message, name)
 
     def run_look_up(self) -> None:
         """Announce this gateway and find the others, forever."""
@@ -230,7 +256,9 @@
 
     def _hello(self) -> Hello:
         own = self._own
-        return Hello(own.instance, own.address, own.incarnation, own.data_centre)
+        return Hello(
+            own.instance, own.address, own.incarnation, own.data_centre, own.cores
+        )
 
     def _take_hello(self, message: Hello) -> None:
         entry = PeerEntry(
@@ -238,6 +266,7 @@
             address=message.address,
             incarnation=message.incarnation,
             data_centre=DataCentre(message.data_centre),
+            cores=message.cores,
         )
         self._add([entry])
         self._heard_at[entry.instance] = self._clock.now()
--- a/damasklead/gateway/settings.py
+++ b/damasklead/gateway/settings.py
@@ -75,6 +75,8 @@
         First and last port that gateways may use among themselves.
     seeds : list
         Operators' addresses of some gateways; any of them may be down.
+    cores : float
+        Processor that the gateway may use; those with more coordinate more.
     """
 
     instance: Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
@@ -83,6 +85,7 @@
     platform: Address
     peer_ports: tuple[Port, Port] | None = None
     seeds: list[Address] = []
+    cores: Annotated[float, msgspec.Meta(gt=0)] = 1.0
     bounds: Bounds = msgspec.field(default_factory=Bounds)
 
 
--- a/damasklead/platform/store.py
+++ b/damasklead/platform/store.py
@@ -68,6 +68,7 @@
     address: str
     incarnation: int
     data_centre: str = ""
+    cores: float = 1.0
 
 
 # Method, path with query, content and the longest time of a call.
@@ -160,7 +161,7 @@
     def announce(self, entry: PeerEntry) -> None:
         """Write or replace this gateway's entry."""
         content = msgspec.json.encode(
-            _Peer(entry.address, entry.incarnation, entry.data_centre)
+            _Peer(entry.address, entry.incarnation, entry.data_centre, entry.cores)
         )
         data = base64.b64encode(content).decode()
         self._change({"write": [_peer_row(entry) | {"data": data}]})
@@ -189,6 +190,7 @@
                     address=content.address,
                     incarnation=content.incarnation,
                     data_centre=DataCentre(content.data_centre),
+                    cores=content.cores,
                     version=row.schema_version,
                 )
             )
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -11,7 +11,9 @@
 import pytest
 
 from damasklead.clock import ManualClock
+from damasklead.gateway.coordination.messages import Ask
 from damasklead.gateway.dialect import FeedError, FeedFault, PeerDirectory, PeerEntry
+from damasklead.gateway.inbox import MOST_ASKS, MOST_MESSAGES, Inbox
 from damasklead.gateway.journal import Journal
 from damasklead.gateway.messages import Notice
 from damasklead.gateway.peers import FORGET_SECONDS, PING_SECONDS, Peers
@@ -92,6 +94,18 @@
     made.stop()
 
 
+def test_news_goes_before_asks_and_old_asks_are_passed_over() -> None:
+    inbox: Inbox[int] = Inbox()
+    for number in range(MOST_MESSAGES):
+        inbox.put(Ask if number % 2 else Notice, number)
+    assert inbox.full
+    taken = inbox.take()
+    news = [number for number in range(MOST_MESSAGES) if number % 2 == 0]
+    assert taken[: len(news)] == news
+    assert taken[len(news) :] == list(range(1, MOST_MESSAGES, 2))[-MOST_ASKS:]
+    assert inbox.dropped == MOST_MESSAGES // 2 - MOST_ASKS
+
+
 def test_who_starts_says_hello_to_those_it_finds(site: Site) -> None:
     first = site.start("g1")
     wait_until(lambda: "g1" in site.directory.entries)
--- a/tests/test_package.py
+++ b/tests/test_package.py
@@ -78,7 +78,7 @@
 
 GATEWAY_DECISIONS = (
     "admission", "budget", "calls", "changelog", "containment", "departures",
-    "directory", "events", "partplaces", "reading", "refusals", "replicastate",
+    "directory", "events", "inbox", "partplaces", "reading", "refusals", "replicastate",
     "routing", "coordination/cellmap", "coordination/cells", "coordination/coordinator",
     "coordination/desk", "coordination/messages",
     "placements/base", "placements/engine", "placements/plain", "placements/prefixes",
