Let a request that leaves its home cell copy its shared parts from there

Change: the ask names the home cell's first engine for the part; the coordinator passes that on as the source where it knows none of its own. A source that has left by the time of sending is not named.

--- a/damasklead/experiment/gateways.py
+++ b/damasklead/experiment/gateways.py
@@ -195,6 +195,7 @@
             now=self._driver.clock.now(),
             excluded=work.excluded,
             first=not work.offers,
+            source=self._cells.source_for(work.call, work.cell),
         )
         self._send(work.coordinator, ask)
 
--- a/damasklead/gateway/attempts.py
+++ b/damasklead/gateway/attempts.py
@@ -264,6 +264,8 @@
             **({} if self._seat is None else self._seat.explain()),
         )
         source = None if self._seat is None else self._seat.source
+        if source is not None and not self._placement.has_address(source):
+            source = None  # it leaves, as this gateway knows by now
         self._placement.sent(record.instance, call)
         headers = self._parts.dialect.upstream_headers(
             call,
--- a/damasklead/gateway/coordination/asking.py
+++ b/damasklead/gateway/coordination/asking.py
@@ -189,6 +189,7 @@
                     now=self._clock.now(),
                     excluded=excluded,
                     first=first,
+                    source=self._cells.source_for(call, cell),
                 ),
             )
             placed = answer is not None
@@ -249,6 +250,7 @@
     now: float,
     excluded: Collection[InstanceId],
     first: bool,
+    source: str | None = None,
 ) -> Ask:
     """Return what a coordinator has to know of a request."""
     return Ask(
@@ -264,4 +266,5 @@
         call.head.prompt,
         tuple(excluded),
         first,
+        source,
     )
--- a/damasklead/gateway/coordination/cellmap.py
+++ b/damasklead/gateway/coordination/cellmap.py
@@ -16,6 +16,7 @@
     Member,
     divide,
     home_cell,
+    home_engine,
     rank_members,
 )
 from damasklead.ids import InstanceId, ServiceName
@@ -136,6 +137,18 @@
         cells = self._cells.get(call.service, {})
         return home_cell(cells, call, self._own.data_centre)
 
+    def source_for(self, call: Call, cell: Cell) -> str | None:
+        """
+        Return the address of the engine that is likely to have a request's shared
+        parts, for a cell that is not the request's home.
+        """
+        home = self.home(call)
+        shared = call.head.prompt[:-1]
+        if home is None or home == cell or not shared:
+            return None
+        engine = home_engine(self.engines(home), shared[-1].key)
+        return None if engine is None else engine.address
+
     def _load(self, cell: Cell) -> float | None:
         load, at = self._loads.get(cell, (0.0, -math.inf))
         return load if self._clock.now() - at < LOAD_LIFE_SECONDS else None
--- a/damasklead/gateway/coordination/cells.py
+++ b/damasklead/gateway/coordination/cells.py
@@ -19,7 +19,14 @@
 from damasklead.ids import DataCentre, InstanceId, ServiceName
 from damasklead.util import stable_hash
 
-__all__ = ["Cell", "Member", "divide", "home_cell", "rank_members"]
+__all__ = [
+    "Cell",
+    "Member",
+    "divide",
+    "home_cell",
+    "home_engine",
+    "rank_members",
+]
 
 # Engines of one cell: enough to keep some apart for tight streams and to let a hot
 # subject spread, few enough for one coordinator to weigh them all for each request.
@@ -105,6 +112,11 @@
     )
 
 
+def home_engine(records: Iterable[UpstreamRecord], key: str) -> UpstreamRecord | None:
+    """Return the engine of a cell that a new shared part is sent to first."""
+    return max(records, key=lambda item: stable_hash(key, item.instance), default=None)
+
+
 def rank_members(cell: Cell, members: Iterable[Member]) -> list[InstanceId]:
     """
     Return the gateways that may coordinate a cell, the first to be asked first.
--- a/damasklead/gateway/coordination/coordinator.py
+++ b/damasklead/gateway/coordination/coordinator.py
@@ -65,6 +65,7 @@
     asker: str
     at: float
     excluded: frozenset[InstanceId]
+    source: str | None = None
     held_at: float = 0.0
     instance: InstanceId | None = None
     answer: Grant | None = None
@@ -255,7 +256,11 @@
             tier=ask.tier,
         )
         return _Work(
-            call=call, asker=ask.asker, at=now, excluded=frozenset(ask.excluded)
+            call=call,
+            asker=ask.asker,
+            at=now,
+            excluded=frozenset(ask.excluded),
+            source=ask.source,
         )
 
     def _carry_out(self, decision: Decision) -> Reply:
@@ -272,7 +277,7 @@
         if record is None:
             del self._works[call.id]
             return Reply(work.asker, Turned(call.id, None, self.backlog))
-        source = self._placement.copy_source(record.instance, call)
+        source = self._placement.copy_source(record.instance, call) or work.source
         self._placement.sent(record.instance, call)
         work.instance, work.at = record.instance, self._clock.now()
         work.answer = Grant(call.id, record.instance, source, self.backlog)
--- a/damasklead/gateway/coordination/messages.py
+++ b/damasklead/gateway/coordination/messages.py
@@ -33,6 +33,8 @@
         Replicas that this request or this gateway passes over.
     first : bool
         Whether the request may be made to wait or be refused.
+    source : str or None
+        Address of a replica of another cell that is likely to have the shared parts.
     """
 
     asker: str
@@ -47,6 +49,7 @@
     prompt: tuple[PromptPart, ...]
     excluded: tuple[InstanceId, ...]
     first: bool
+    source: str | None = None
 
 
 class Held(msgspec.Struct, array_like=True, frozen=True, tag=2):
--- a/damasklead/gateway/placements/base.py
+++ b/damasklead/gateway/placements/base.py
@@ -69,6 +69,10 @@
         state = self._usable.get(instance)
         return None if state is None else state.record
 
+    def has_address(self, address: str) -> bool:
+        """Tell whether a replica that may take new work has an address."""
+        return any(state.record.address == address for state in self._usable.values())
+
     def paused_replicas(self) -> frozenset[InstanceId]:
         """Return the replicas that want no request just now."""
         now = self._clock.now()
--- a/tests/test_gateway_coordination.py
+++ b/tests/test_gateway_coordination.py
@@ -182,6 +182,19 @@
             first[ranked[0]] += 1
         assert len(first) >= 10
 
+    def test_gateways_with_more_processor_coordinate_more(self) -> None:
+        members = [
+            Member(InstanceId(f"g{number}"), DataCentre("hout"), cores)
+            for number, cores in enumerate([0.25] * 8 + [1.0] * 4)
+        ]
+        firsts = [
+            rank_members(Cell(SERVICE, DataCentre("hout"), number), members)[0]
+            for number in range(200)
+        ]
+        strong = [name for name in firsts if int(name[1:]) >= 8]
+        assert len(strong) >= 180
+        assert len(set(strong)) == 4
+
     def test_a_gateway_that_goes_moves_only_its_own_cells(self) -> None:
         members = [
             Member(InstanceId(f"g{number}"), DataCentre("hout")) for number in range(8)
@@ -255,6 +268,14 @@
         assert scene.ask(call) == scene.ask(call)
         assert scene.coordinator.requests == 1
 
+    def test_a_request_from_another_cell_copies_from_its_home(self) -> None:
+        scene = Scene()
+        call = review("r")
+        (answer,) = scene.ask(call, source="127.0.0.1:99")
+        assert isinstance(answer, Grant) and answer.source == "127.0.0.1:99"
+        (known,) = scene.ask(review("r2"), source="127.0.0.1:99", first=False)
+        assert known.instance == answer.instance or known.source != "127.0.0.1:99"
+
     def test_a_retry_gets_another_place(self) -> None:
         scene = Scene()
         call = review("r")
@@ -381,6 +402,16 @@
         clock.advance(1.5)
         assert {cells.choose(call, first=True) for call in here} == {home}
 
+    def test_the_source_is_the_home_of_a_request_that_goes_elsewhere(self) -> None:
+        cells = self.cell_map(ManualClock())
+        call = review("r")
+        home = cells.home(call)
+        assert home is not None and cells.source_for(call, home) is None
+        other = next(cell for cell in cells.cells if cell != home)
+        source = cells.source_for(call, other)
+        assert source in {item.address for item in cells.engines(home)}
+        assert cells.source_for(make_call("c", CHAT), other) is None
+
     def test_few_look_at_a_cell_that_is_not_known(self) -> None:
         cells = self.cell_map(ManualClock())
         calls = [review(f"r{number}", "s") for number in range(200)]
