Split the attempts by job; count connections that fail as offers

seating finds a replica, streamprogress judges a stream, runparts is what runs share. Since the change that looks at departures after connecting, an attempt that could not connect was not counted, so that one request could try every replica; test test_replicas_that_take_no_connection_are_tried_a_few_times_only.

--- a/damasklead/gateway/attempts.py
+++ b/damasklead/gateway/attempts.py
@@ -6,47 +6,34 @@
 answer to its caller.
 """
 
-from collections.abc import Callable
-
 import gevent
-import msgspec
 
-from damasklead.clock import Clock
 from damasklead.failures import Failure
-from damasklead.gateway.budget import SharedRetryBudget
 from damasklead.gateway.callers import CallerConnection
 from damasklead.gateway.calls import Call, ReplyHead, ReplyKind, UpstreamRecord
-from damasklead.gateway.containment import Containment
-from damasklead.gateway.coordination.asking import Asker, Seat
-from damasklead.gateway.coordination.messages import Turned
-from damasklead.gateway.dialect import Dialect, SendPlan
+from damasklead.gateway.dialect import SendPlan
 from damasklead.gateway.events import EventSplitter
-from damasklead.gateway.journal import Journal
 from damasklead.gateway.placements import Placement
-from damasklead.gateway.refusals import Reason, Refusal
+from damasklead.gateway.refusals import Reason, Refusal, reason_for
 from damasklead.gateway.routing import RouteKind
+from damasklead.gateway.runparts import RunParts
+from damasklead.gateway.seating import Seating
+from damasklead.gateway.streamprogress import StreamProgress
 from damasklead.gateway.upstream_http import (
-    AnswerMemory,
     Connection,
-    ConnectionPool,
     SendError,
 )
 from damasklead.ids import InstanceId
 from damasklead.util import stable_hash
 
-__all__ = ["Run", "RunParts"]
+__all__ = ["Run"]
 
 # A request that surely did not run may be offered to so many replicas.
 MAX_OFFERS = 4
-# Places that a coordinator may give before this gateway chooses by itself: its list of
-# replicas may differ from this gateway's.
-MOST_SEATS = 3
 # Answers to other requests that are passed over on one connection.
 MAX_STRAY_ANSWERS = 3
 # Longest body of an answer that is not a stream.
 ANSWER_BYTES = 16_777_216
-# Longest event of a stream.
-EVENT_BYTES = 262_144
 # Part of a caller's patience for the next event after which a stream that may be
 # resumed moves to another replica.
 RESUME_PATIENCE_SHARE = 0.5
@@ -62,29 +49,6 @@
 PAUSE_SPREAD_SECONDS = 0.5
 
 
-class RunParts(msgspec.Struct, kw_only=True, frozen=True):
-    """
-    What the runs of one gateway share.
-
-    Attributes
-    ----------
-    left : callable
-        Told of a replica that leaves or is gone, and by which sign.
-    answers : AnswerMemory
-        Bounds the bodies that are being read.
-    """
-
-    dialect: Dialect
-    clock: Clock
-    connections: ConnectionPool
-    budget: SharedRetryBudget
-    asker: Asker
-    containment: Containment
-    journal: Journal
-    left: Callable[[UpstreamRecord, str], None]
-    answers: AnswerMemory = msgspec.field(default_factory=AnswerMemory)
-
-
 class Run:
     """
     One request's way through replicas.
@@ -123,7 +87,7 @@
         self._placement = placement
         self._caller = caller
         self._upstream: Connection | None = None
-        self._seat: Seat | None = None
+        self._seating = Seating(asker=parts.asker, placement=placement, call=call)
         self._excluded: set[InstanceId] = set()
         self._runs = 0
         self._sent = False
@@ -157,7 +121,9 @@
                 retry_after=QUARANTINED_RETRY_SECONDS,
             )
         while True:
-            record = self._choose()
+            record = self._seating.choose(
+                excluded=self._excluded, first=not self.offers
+            )
             if record is None:
                 return self._find_none()
             if isinstance(record, Refusal):
@@ -169,7 +135,7 @@
             except SendError as error:
                 self._note_failure(record, error)
                 if not self._may_go_on(error.failure):
-                    return self._give_up(_reason(error.failure), str(error))
+                    return self._give_up(reason_for(error.failure), str(error))
 
     def out_of_time(self) -> Refusal | None:
         """Return the final answer of a request whose time is over."""
@@ -187,39 +153,7 @@
             upstream.close()
         # Also a request that ended while it was connecting was counted there.
         self._placement.withdrawn(self.replica, self._call)
-        self._leave_seat("withdrawn")
-
-    def _choose(self) -> UpstreamRecord | Refusal | None:
-        """Return the replica to try next, or why there is to be none."""
-        if not self._placement.coordinated:
-            return self._placement.choose(self._call, excluded=self._excluded)
-        passed_over = self._excluded | self._placement.paused_replicas()
-        for _ in range(MOST_SEATS):
-            found = self._parts.asker.find(
-                self._call, excluded=passed_over, first=not self.offers
-            )
-            if found is None:
-                break
-            if isinstance(found, Turned):
-                return Refusal(
-                    reason=Reason.OVERLOADED,
-                    detail=f"the cell has {found.backlog:.2f} s to read",
-                    retry_after=found.retry_after,
-                )
-            record = self._placement.record(found.instance)
-            if record is not None and self._placement.accepts(found.instance):
-                self._seat = found
-                return record
-            # The coordinator's list is older or newer than this gateway's.
-            self._parts.asker.ended(found, self._call, "withdrawn")
-            passed_over = passed_over | {found.instance}
-        return self._placement.choose(self._call, excluded=self._excluded)
-
-    def _leave_seat(self, outcome: str) -> None:
-        """Tell the coordinator that the request is at its replica no more."""
-        seat, self._seat = self._seat, None
-        if seat is not None:
-            self._parts.asker.ended(seat, self._call, outcome)
+        self._seating.leave("withdrawn")
 
     def _find_none(self) -> Refusal | None:
         """Return the final answer when no replica is left to try."""
@@ -240,12 +174,14 @@
         SendError
             ``NOT_SENT``
         """
+        self.replica = record.instance
+        self.offers += 1
         self._upstream = self._parts.connections.take(record.address)
         if self._placement.accepts(record.instance):
             return True
         self._parts.connections.give_back(self._upstream, keep_alive=None)
         self._upstream = None
-        self._leave_seat("withdrawn")
+        self._seating.leave("withdrawn")
         return False
 
     def _offer(self, record: UpstreamRecord) -> None:
@@ -253,19 +189,14 @@
         call = self._call
         upstream = self._upstream
         assert upstream is not None
-        self.replica = record.instance
-        self.offers += 1
         self._parts.journal.event(
             "offered",
             request=call.id,
             replica=record.instance,
             offer=self.offers,
             **self._placement.explain(record.instance, call),
-            **({} if self._seat is None else self._seat.explain()),
+            **self._seating.explain(),
         )
-        source = None if self._seat is None else self._seat.source
-        if source is not None and not self._placement.has_address(source):
-            source = None  # it leaves, as this gateway knows by now
         self._placement.sent(record.instance, call)
         headers = self._parts.dialect.upstream_headers(
             call,
@@ -274,7 +205,7 @@
                 seconds_left=call.deadline - self._parts.clock.now(),
                 urgency=call.urgency,
                 resume_after=self._last_event,
-                copy_from=source,
+                copy_from=self._seating.source,
             ),
         )
         self._sent = True
@@ -290,7 +221,7 @@
         self._check(reply, record)
         self._relay(upstream, reply)
         self._placement.finished(record.instance, call)
-        self._leave_seat("whole")
+        self._seating.leave("whole")
         self._parts.containment.ended_well(call)
         self._upstream = None
         self._parts.connections.give_back(
@@ -383,20 +314,19 @@
 
     def _relay_stream(self, upstream: Connection, reply: ReplyHead) -> None:
         splitter = EventSplitter()
-        patience = self._event_patience()
-        upstream.limit_silence(patience)
-        event_at = self._parts.clock.now()
+        progress = StreamProgress(
+            clock=self._parts.clock, patience=self._event_patience()
+        )
+        upstream.limit_silence(progress.patience)
         while data := upstream.read_data():
             whole = splitter.feed(data)
-            now = self._parts.clock.now()
+            progress.check(events=bool(whole), waiting_bytes=splitter.waiting_bytes)
             if not whole:
-                self._check_progress(splitter, now - event_at, patience)
                 continue
-            event_at = now
             if splitter.last_id is not None:
                 self._last_event = splitter.last_id
-            if self._seat is not None and not self.events:
-                self._parts.asker.read(self._seat, self._call, reply.load)
+            if not self.events:
+                self._seating.read(reply.load)
             self._placement.progressed(self.replica, self._call)
             self._send_events(reply, whole)
             self.events += splitter.take_count()
@@ -408,22 +338,11 @@
 
     def _event_patience(self) -> float:
         """Return how long a stream may be without a whole event, in seconds."""
-        patience = self._call.event_patience
-        if self._call.route.may_repeat and self._runs + 1 < (
-            self._call.route.max_attempts
-        ):
+        route, patience = self._call.route, self._call.event_patience
+        if route.may_repeat and self._runs + 1 < route.max_attempts:
             patience *= RESUME_PATIENCE_SHARE
         return patience
 
-    def _check_progress(
-        self, splitter: EventSplitter, seconds: float, patience: float
-    ) -> None:
-        """Raise ``SendError`` when bytes come that are no events."""
-        if seconds > patience:
-            raise SendError(Failure.TIMED_OUT, f"no whole event in {seconds:.2f} s")
-        if splitter.waiting_bytes > EVENT_BYTES:
-            raise SendError(Failure.BROKEN, "an event is too long")
-
     def _send_events(self, reply: ReplyHead, data: bytes) -> None:
         if self._caller.head_sent:
             self._caller.send(data)
@@ -443,7 +362,7 @@
             upstream.close()
         self._sent = self._begun = False
         self._placement.failed(record.instance, self._call, failure)
-        self._leave_seat(failure.value)
+        self._seating.leave(failure.value)
         self._excluded.add(record.instance)
         if failure is Failure.NOT_SENT:
             self._parts.containment.unreachable(record)
@@ -491,12 +410,3 @@
         if reason is not Reason.TIMED_OUT:
             reason = Reason.UPSTREAM_FAILED
         return Refusal(reason=reason, detail=detail)
-
-
-def _reason(failure: Failure) -> Reason:
-    """Return why there is no answer, after the last attempt."""
-    if failure in (Failure.REFUSED, Failure.PAUSED):
-        return Reason.REPLICAS_FULL
-    if failure is Failure.NOT_SENT:
-        return Reason.UNREACHABLE
-    return Reason.UPSTREAM_FAILED
--- a/damasklead/gateway/forwarding.py
+++ b/damasklead/gateway/forwarding.py
@@ -10,7 +10,7 @@
 
 import gevent
 
-from damasklead.gateway.attempts import Run, RunParts
+from damasklead.gateway.attempts import Run
 from damasklead.gateway.callers import (
     CallerConnection,
     CallerGone,
@@ -23,6 +23,7 @@
 from damasklead.gateway.placements import Placement
 from damasklead.gateway.refusals import Reason, Refusal
 from damasklead.gateway.routing import CallerLimits, RouteKind, RoutingTable
+from damasklead.gateway.runparts import RunParts
 from damasklead.ids import ServiceName
 
 __all__ = ["Forwarder"]
--- a/damasklead/gateway/process.py
+++ b/damasklead/gateway/process.py
@@ -14,7 +14,6 @@
 import gevent
 from gevent.event import Event
 
-from damasklead.gateway.attempts import RunParts
 from damasklead.gateway.budget import SharedRetryBudget
 from damasklead.gateway.callers import RequestHandler
 from damasklead.gateway.calls import UpstreamRecord
@@ -28,6 +27,7 @@
 from damasklead.gateway.placements import Placement, new_placement
 from damasklead.gateway.reloading import SettingsFile
 from damasklead.gateway.routing import RoutingTable, ServiceSpec
+from damasklead.gateway.runparts import RunParts
 from damasklead.gateway.settings import GatewaySettings
 from damasklead.gateway.upstream_http import ConnectionPool
 from damasklead.ids import DataCentre, ServiceName
--- a/damasklead/gateway/refusals.py
+++ b/damasklead/gateway/refusals.py
@@ -10,9 +10,10 @@
 
 import msgspec
 
+from damasklead.failures import Failure
 from damasklead.ids import AttemptId
 
-__all__ = ["Reason", "Refusal"]
+__all__ = ["Reason", "Refusal", "reason_for"]
 
 
 class Reason(Enum):
@@ -72,3 +73,12 @@
     def status(self) -> int:
         """The HTTP status."""
         return _STATUS[self.reason]
+
+
+def reason_for(failure: Failure) -> Reason:
+    """Return why there is no answer, after the last attempt."""
+    if failure in (Failure.REFUSED, Failure.PAUSED):
+        return Reason.REPLICAS_FULL
+    if failure is Failure.NOT_SENT:
+        return Reason.UNREACHABLE
+    return Reason.UPSTREAM_FAILED
--- /dev/null
+++ b/damasklead/gateway/runparts.py
@@ -0,0 +1,44 @@
+"""
+Parts of runs
+=============
+
+What the runs of one gateway share.
+"""
+
+from collections.abc import Callable
+
+import msgspec
+
+from damasklead.clock import Clock
+from damasklead.gateway.budget import SharedRetryBudget
+from damasklead.gateway.calls import UpstreamRecord
+from damasklead.gateway.containment import Containment
+from damasklead.gateway.coordination.asking import Asker
+from damasklead.gateway.dialect import Dialect
+from damasklead.gateway.journal import Journal
+from damasklead.gateway.upstream_http import AnswerMemory, ConnectionPool
+
+__all__ = ["RunParts"]
+
+
+class RunParts(msgspec.Struct, kw_only=True, frozen=True):
+    """
+    What the runs of one gateway share.
+
+    Attributes
+    ----------
+    left : callable
+        Told of a replica that leaves or is gone, and by which sign.
+    answers : AnswerMemory
+        Bounds the bodies that are being read.
+    """
+
+    dialect: Dialect
+    clock: Clock
+    connections: ConnectionPool
+    budget: SharedRetryBudget
+    asker: Asker
+    containment: Containment
+    journal: Journal
+    left: Callable[[UpstreamRecord, str], None]
+    answers: AnswerMemory = msgspec.field(default_factory=AnswerMemory)
--- /dev/null
+++ b/damasklead/gateway/seating.py
@@ -0,0 +1,98 @@
+"""
+Seating
+=======
+
+Finds a replica for each attempt of one request: by a coordinator where the service has
+them, otherwise by this gateway's own choice.
+"""
+
+from collections.abc import Collection
+
+from damasklead.gateway.calls import Call, LoadHint, UpstreamRecord
+from damasklead.gateway.coordination.asking import Asker, Seat
+from damasklead.gateway.coordination.messages import Turned
+from damasklead.gateway.placements import Placement
+from damasklead.gateway.refusals import Reason, Refusal
+from damasklead.ids import InstanceId
+
+__all__ = ["Seating"]
+
+# Places that a coordinator may give before this gateway chooses by itself: its list of
+# replicas may differ from this gateway's.
+MOST_SEATS = 3
+
+
+class Seating:
+    """
+    The place of one request.
+
+    Parameters
+    ----------
+    asker : Asker
+    placement : Placement
+    call : Call
+    """
+
+    def __init__(self, *, asker: Asker, placement: Placement, call: Call) -> None:
+        self._asker = asker
+        self._placement = placement
+        self._call = call
+        self._seat: Seat | None = None
+
+    @property
+    def source(self) -> str | None:
+        """Address of a replica from which prompt parts are copied."""
+        source = None if self._seat is None else self._seat.source
+        if source is None or not self._placement.has_address(source):
+            return None  # none, or one that leaves, as this gateway knows by now
+        return source
+
+    def explain(self) -> dict[str, object]:
+        """Return what decided, for the log."""
+        return {} if self._seat is None else self._seat.explain()
+
+    def choose(
+        self, *, excluded: Collection[InstanceId], first: bool
+    ) -> UpstreamRecord | Refusal | None:
+        """
+        Return the replica to try next, a refusal, or ``None`` when there is none.
+
+        Parameters
+        ----------
+        excluded : collection
+            Replicas on which the request failed.
+        first : bool
+            Whether the request may be made to wait or be refused.
+        """
+        if not self._placement.coordinated:
+            return self._placement.choose(self._call, excluded=excluded)
+        passed_over = set(excluded) | self._placement.paused_replicas()
+        for _ in range(MOST_SEATS):
+            found = self._asker.find(self._call, excluded=passed_over, first=first)
+            if found is None:
+                break
+            if isinstance(found, Turned):
+                return Refusal(
+                    reason=Reason.OVERLOADED,
+                    detail=f"the cell has {found.backlog:.2f} s to read",
+                    retry_after=found.retry_after,
+                )
+            record = self._placement.record(found.instance)
+            if record is not None and self._placement.accepts(found.instance):
+                self._seat = found
+                return record
+            # The coordinator's list is older or newer than this gateway's.
+            self._asker.ended(found, self._call, "withdrawn")
+            passed_over.add(found.instance)
+        return self._placement.choose(self._call, excluded=excluded)
+
+    def read(self, load: LoadHint | None) -> None:
+        """Tell the coordinator that the request's first event came."""
+        if self._seat is not None:
+            self._asker.read(self._seat, self._call, load)
+
+    def leave(self, outcome: str) -> None:
+        """Tell the coordinator that the request is at its replica no more."""
+        seat, self._seat = self._seat, None
+        if seat is not None:
+            self._asker.ended(seat, self._call, outcome)
--- a/tests/gatewaykit.py
+++ b/tests/gatewaykit.py
@@ -11,7 +11,6 @@
 from gevent import socket
 from gevent.server import StreamServer
 
-from damasklead.gateway.attempts import RunParts
 from damasklead.gateway.budget import SharedRetryBudget
 from damasklead.gateway.calls import UpstreamRecord, UpstreamState
 from damasklead.gateway.containment import Containment
@@ -34,6 +33,7 @@
     ServiceSpec,
     Workspace,
 )
+from damasklead.gateway.runparts import RunParts
 from damasklead.gateway.upstream_http import AnswerMemory, ConnectionPool
 from damasklead.ids import (
     DataCentre,
--- a/tests/test_gateway_replica_trouble.py
+++ b/tests/test_gateway_replica_trouble.py
@@ -14,6 +14,7 @@
 
 from damasklead.clock import ManualClock
 from damasklead.failures import Failure
+from damasklead.gateway.attempts import MAX_OFFERS
 from damasklead.gateway.calls import LoadHint, UpstreamState
 from damasklead.gateway.departures import TELL_SECONDS, Departures, LeftNote
 from damasklead.gateway.directory import UpstreamDirectory
@@ -398,6 +399,16 @@
             world.ask(path, method="POST", body="x", attempt=path.replace("/", "-"))
             assert sum(arrivals(world)) - before == 1
 
+    def test_replicas_that_take_no_connection_are_tried_a_few_times_only(
+        self, worlds: list[World]
+    ) -> None:
+        world = world_of(worlds, *[well] * 9)
+        for replica in world.replicas:
+            replica.stop()
+        said = world.ask("/order/1", method="POST", body="x")
+        assert said.startswith(b"HTTP/1.1 503")
+        assert len(world.lines("attempt-failed")) == MAX_OFFERS
+
     def test_the_routes_timeout_bounds_what_a_patient_caller_gets(
         self, worlds: list[World]
     ) -> None:
