--- a/Makefile
+++ b/Makefile
@@ -28,6 +28,7 @@
 	$(RUN) -m bench.processes
 	$(RUN) -m bench.store
 	$(RUN) -m bench.slopes
+	$(RUN) -m bench.coordination
 
 # One seed, or several: make soak SEED=7 SEEDS=50.
 SEED ?= 1
--- /dev/null
+++ b/bench/coordination.py
@@ -0,0 +1,151 @@
+"""
+Cost of coordination
+====================
+
+Sizes of the messages between gateways, and the processor time of a coordinator for one
+request, by the number of engines and of requests that wait.
+
+Run with ``python -m bench.coordination``.
+"""
+
+import time
+from collections.abc import Iterator
+
+import msgspec
+
+from damasklead.clock import ManualClock
+from damasklead.gateway.calls import (
+    Call,
+    CallHead,
+    LoadHint,
+    PromptPart,
+    UpstreamRecord,
+    UpstreamState,
+)
+from damasklead.gateway.coordination.asking import make_ask
+from damasklead.gateway.coordination.cells import Cell, divide
+from damasklead.gateway.coordination.coordinator import Coordinator
+from damasklead.gateway.coordination.messages import Ended, Grant, Held, Read, Running
+from damasklead.gateway.directory import ListedRow
+from damasklead.gateway.messages import Bulletin
+from damasklead.gateway.reading import ListReport
+from damasklead.gateway.routing import (
+    EngineSpec,
+    Route,
+    RouteKind,
+    RouteName,
+    ServiceSpec,
+)
+from damasklead.ids import AttemptId, DataCentre, InstanceId, ServiceName
+
+SERVICE = ServiceName("engines")
+CENTRES = 5
+REQUESTS = 400
+SPEC = ServiceSpec(
+    name=SERVICE,
+    max_connections=1000,
+    engine=EngineSpec(slots=16, memory_tokens=250_000, tokens_per_event=4),
+)
+ROUTE = Route(
+    name=RouteName("review"), host="h", prefix="/review/", kind=RouteKind.STREAM,
+    timeout=5.0, target=1.5, tier=2, event_gap=0.6, split=((SERVICE, 1.0),),
+)  # fmt: skip
+
+
+def make_records(count: int) -> list[UpstreamRecord]:
+    """Return engines in several data centres."""
+    return [
+        UpstreamRecord(
+            instance=InstanceId(f"i-{number:010x}"),
+            service=SERVICE,
+            address=f"10.{number % CENTRES}.64.{number % 250}:8364",
+            data_centre=DataCentre(f"centre-{number % CENTRES}"),
+            state=UpstreamState.LIVE,
+            incarnation=1_783_222_000_000,
+        )
+        for number in range(count)
+    ]
+
+
+def make_call(number: int, subjects: int) -> Call:
+    """Return a request with shared parts."""
+    parts = (
+        PromptPart("0d1e07a2", 2520),
+        PromptPart(f"{number % subjects:08x}", 3780),
+        PromptPart(f"{number:08x}", 2890),
+    )
+    head = CallHead(
+        method="POST", target="/", host="h", attempt=AttemptId(f"{number:016x}"),
+        patience=5.0, key=None, prompt=parts, prompt_tokens=9190,
+    )  # fmt: skip
+    return Call(
+        head=head, route=ROUTE, service=SERVICE, workspace=None, arrival=0.0,
+        deadline=5.0, caller_deadline=5.0, tier=2,
+    )  # fmt: skip
+
+
+def sizes() -> Iterator[tuple[str, int]]:
+    """Yield the bytes of each kind of message."""
+    cell = Cell(SERVICE, DataCentre("centre-1"), 1)
+    call = make_call(1, 10)
+    name, instance = "edge-centre-1-17", InstanceId("i-7f3a91c2d4")
+    ask = make_ask(name, call, cell, now=0.1, excluded=(), first=True)
+    row = ListedRow(instance=instance, version=123_456, record=make_records(1)[0])
+    reports = [ListReport(123_456, 120)] * 2
+    messages = {
+        "ask": ask,
+        "held": Held(call.id),
+        "grant": Grant(call.id, instance, "10.1.64.25:8364", 0.2),
+        "read": Read(name, cell, call.id, LoadHint(12, 0, 16)),
+        "ended": Ended(name, cell, call.id, "whole"),
+        "running, 4": Running(name, cell, ((call.id, instance, 9190),) * 4),
+        "bulletin": Bulletin(
+            name, 1_783_222_000_000, 999, reports, 1, 2, [], b"", [], []
+        ),
+        "bulletin, 10 rows": Bulletin(
+            name, 1_783_222_000_000, 999, reports, 1, 2, [row] * 10, b"", [], []
+        ),
+    }
+    for kind, message in messages.items():
+        yield kind, len(msgspec.msgpack.encode(message))
+
+
+def seconds_per_request(engines: int, waiting: int) -> float:
+    """Return the processor time of one request at its coordinator."""
+    clock = ManualClock(start=100.0)
+    cell, records = next(iter(divide(make_records(engines)).items()))
+    coordinator = Coordinator(cell=cell, clock=clock, service=SPEC, routes=[ROUTE])
+    coordinator.retain(records)
+    for number in range(waiting + 2 * len(records)):
+        call = make_call(10_000 + number, 200)
+        coordinator.ask(make_ask("g", call, cell, now=0.0, excluded=(), first=True))
+    begin = time.process_time()
+    for number in range(REQUESTS):
+        call = make_call(number, 200)
+        clock.advance(0.001)
+        coordinator.ask(make_ask("g", call, cell, now=0.0, excluded=(), first=False))
+        coordinator.read(Read("g", cell, call.id, LoadHint(1, 0, 16)))
+        coordinator.ended(Ended("g", cell, call.id, "whole"))
+        if number % 10 == 0:
+            coordinator.tick()
+    return (time.process_time() - begin) / REQUESTS
+
+
+def main() -> None:
+    """Print both tables."""
+    print("bytes of a message")
+    for kind, size in sizes():
+        print(f"  {kind:20} {size:6}")
+    print("processor time of a request at its coordinator, in us")
+    print("  engines   cells  of cell   none waits   100 wait")
+    for engines in (8, 78, 300, 1100):
+        cells = divide(make_records(engines))
+        idle, busy = (seconds_per_request(engines, count) for count in (0, 100))
+        size = len(next(iter(cells.values())))
+        print(
+            f"  {engines:7} {len(cells):7} {size:8} {idle * 1e6:12.0f} {busy * 1e6:10.0f}"
+        )
+
+
+if __name__ == "__main__":
+    main()
