--- a/bench/coordination.py
+++ b/bench/coordination.py
@@ -25,9 +25,9 @@
 from damasklead.gateway.coordination.asking import make_ask
 from damasklead.gateway.coordination.cells import Cell, divide
 from damasklead.gateway.coordination.coordinator import Coordinator
-from damasklead.gateway.coordination.messages import Ended, Grant, Held, Read, Running
+from damasklead.gateway.coordination.messages import Ended, Grant, Queued, Read, Running
 from damasklead.gateway.directory import ListedRow
-from damasklead.gateway.messages import Bulletin
+from damasklead.gateway.messages import Broadcast
 from damasklead.gateway.reading import ListReport
 from damasklead.gateway.routing import (
     EngineSpec,
@@ -94,15 +94,15 @@
     reports = [ListReport(123_456, 120)] * 2
     messages = {
         "ask": ask,
-        "held": Held(call.id),
+        "held": Queued(call.id),
         "grant": Grant(call.id, instance, "10.1.64.25:8364", 0.2),
         "read": Read(name, cell, call.id, LoadHint(12, 0, 16)),
         "ended": Ended(name, cell, call.id, "whole"),
         "running, 4": Running(name, cell, ((call.id, instance, 9190),) * 4),
-        "bulletin": Bulletin(
+        "broadcast": Broadcast(
             name, 1_783_222_000_000, 999, reports, 1, 2, [], b"", [], []
         ),
-        "bulletin, 10 rows": Bulletin(
+        "broadcast, 10 rows": Broadcast(
             name, 1_783_222_000_000, 999, reports, 1, 2, [row] * 10, b"", [], []
         ),
     }
--- a/damasklead/experiment/gateways.py
+++ b/damasklead/experiment/gateways.py
@@ -18,22 +18,22 @@
 from damasklead.gateway.calls import Call, LoadHint, UpstreamRecord
 from damasklead.gateway.coordination.asking import (
     FIRST_ASK_SECONDS,
-    HELD_PATIENCE_SECONDS,
     MOST_COORDINATORS,
+    QUEUED_PATIENCE_SECONDS,
     SECOND_ASK_SECONDS,
     make_ask,
 )
 from damasklead.gateway.coordination.cellmap import CellMap
 from damasklead.gateway.coordination.cells import Cell, Member
-from damasklead.gateway.coordination.desk import Desk
+from damasklead.gateway.coordination.coordinators import Coordinators
 from damasklead.gateway.coordination.messages import (
     Ask,
     Ended,
     Grant,
-    Held,
+    Queued,
     Read,
+    Refused,
     Running,
-    Turned,
 )
 from damasklead.gateway.placements import Placement
 from damasklead.gateway.routing import RoutingTable
@@ -127,7 +127,7 @@
         self._delay_to = delay_to
         self._send_far = send
         self._cells = CellMap(clock=driver.clock, own=self.member)
-        self._desk = Desk(
+        self._coordinators = Coordinators(
             clock=driver.clock,
             cells=self._cells,
             table=lambda: table,
@@ -146,7 +146,7 @@
         for record in records:
             self._sources[record.address] = self._engines[record.instance]
         self._cells.take_engines(service, records)
-        self._desk.arrange()
+        self._coordinators.arrange()
 
     def submit(self, call: Call, answer: Answer, *, tokens: int) -> None:
         """Take a request in; ``tokens`` is the length that its answer will have."""
@@ -158,13 +158,13 @@
 
     def tick(self) -> None:
         """Let the coordinators here decide about what waits."""
-        self._desk.tick()
+        self._coordinators.tick()
 
     def take(self, message: object, sender: str) -> None:
         """Take in a message of a gateway."""
         if isinstance(message, (Ask, Read, Ended, Running)):
-            self._desk.take(message)
-        elif isinstance(message, (Grant, Held, Turned)):
+            self._coordinators.take(message)
+        elif isinstance(message, (Grant, Queued, Refused)):
             self._take_answer(message, sender)
 
     def _send(self, name: str, message: object) -> None:
@@ -210,25 +210,25 @@
             self._cells.suspect(work.coordinator)
         self._ask(work)
 
-    def _take_answer(self, answer: Grant | Held | Turned, sender: str) -> None:
+    def _take_answer(self, answer: Grant | Queued | Refused, sender: str) -> None:
         self._cells.heard(sender)
         work = self._works.get(answer.attempt)
         wanted = work is not None and sender == work.coordinator and not work.replica
         if work is None or not wanted:
             self._give_back(answer, sender)
             return
-        if isinstance(answer, Held):
-            self._await(work, HELD_PATIENCE_SECONDS)
+        if isinstance(answer, Queued):
+            self._await(work, QUEUED_PATIENCE_SECONDS)
             return
         work.asks += 1
         if work.cell is not None:
             self._cells.note_load(work.cell, answer.backlog)
-        if isinstance(answer, Turned):
+        if isinstance(answer, Refused):
             self._refuse(work, answer.retry_after or RETRY_AFTER_SECONDS)
         else:
             self._offer(work, answer)
 
-    def _give_back(self, answer: Grant | Held | Turned, sender: str) -> None:
+    def _give_back(self, answer: Grant | Queued | Refused, sender: str) -> None:
         """Tell a coordinator that its place comes too late."""
         cell = (
             self._cells.cell_of(answer.instance) if isinstance(answer, Grant) else None
--- a/damasklead/gateway/admission.py
+++ b/damasklead/gateway/admission.py
@@ -36,7 +36,7 @@
 # waits for an engine with cached parts, and the next may use another one.
 MOST_WEIGHED = 8
 # What waits is looked through for requests without hope so often.
-HOPE_SECONDS = 0.05
+LOOK_THROUGH_SECONDS = 0.05
 # A first event can't come sooner than this after sending.
 LEAST_FIRST_EVENT_SECONDS = 0.1
 
@@ -87,7 +87,7 @@
         self._any_room = any_room
         self._seconds_of = seconds_of
         self._looked_at = 0.0
-        self._hopeless: list[Call] = []
+        self._too_late: list[Call] = []
         self._clock = clock
         self._has_room = has_room
         self._is_urgent = is_urgent
@@ -125,11 +125,11 @@
         What is sent changes what has room, so each is carried out before the next.
         """
         now = self._clock.now()
-        if now - self._looked_at >= HOPE_SECONDS:
+        if now - self._looked_at >= LOOK_THROUGH_SECONDS:
             self._looked_at = now
-            self._hopeless = self._find_hopeless(now)
-        while self._hopeless:
-            call = self._hopeless.pop()
+            self._too_late = self._find_too_late(now)
+        while self._too_late:
+            call = self._too_late.pop()
             if self._waiting.pop(call.id, None) is not None:
                 return self._reject(call)
         if not self._waiting or not self._any_room():
@@ -142,21 +142,21 @@
                 return Admit(call=call)
         return None
 
-    def _find_hopeless(self, now: float) -> list[Call]:
+    def _find_too_late(self, now: float) -> list[Call]:
         """
         Return the requests whose first event would come too late to be of use.
 
         They are refused at once: their callers may still be served elsewhere or later.
         """
         wait = LEAST_FIRST_EVENT_SECONDS
-        hopeless: list[Call] = []
+        too_late: list[Call] = []
         for call in sorted(self._waiting.values(), key=lambda item: _rank(item, now)):
             seconds = self._seconds_of(call)
             if now + wait + seconds > call.useful_until:
-                hopeless.append(call)
+                too_late.append(call)
             else:
                 wait += seconds
-        return hopeless
+        return too_late
 
     def _reject(self, call: Call) -> Reject:
         left = call.caller_deadline - self._clock.now()
--- a/damasklead/gateway/seating.py
+++ b/damasklead/gateway/assigning.py
@@ -1,6 +1,6 @@
 """
-Seating
-=======
+Assigning replicas
+==================
 
 Finds a replica for each attempt of one request: by a coordinator where the service has
 them, otherwise by this gateway's own choice.
@@ -9,20 +9,20 @@
 from collections.abc import Collection
 
 from damasklead.gateway.calls import Call, LoadHint, UpstreamRecord
-from damasklead.gateway.coordination.asking import Asker, Seat
-from damasklead.gateway.coordination.messages import Turned
+from damasklead.gateway.coordination.asking import Asker, Assignment
+from damasklead.gateway.coordination.messages import Refused
 from damasklead.gateway.placements import Placement
 from damasklead.gateway.refusals import Reason, Refusal
 from damasklead.ids import InstanceId
 
-__all__ = ["Seating"]
+__all__ = ["Assigner"]
 
 # Places that a coordinator may give before this gateway chooses by itself: its list of
 # replicas may differ from this gateway's.
-MOST_SEATS = 3
+MOST_ASSIGNMENTS = 3
 
 
-class Seating:
+class Assigner:
     """
     The place of one request.
 
@@ -37,19 +37,19 @@
         self._asker = asker
         self._placement = placement
         self._call = call
-        self._seat: Seat | None = None
+        self._assignment: Assignment | None = None
 
     @property
     def source(self) -> str | None:
         """Address of a replica from which prompt parts are copied."""
-        source = None if self._seat is None else self._seat.source
+        source = None if self._assignment is None else self._assignment.source
         if source is None or not self._placement.has_address(source):
             return None  # none, or one that leaves, as this gateway knows by now
         return source
 
     def explain(self) -> dict[str, object]:
         """Return what decided, for the log."""
-        return {} if self._seat is None else self._seat.explain()
+        return {} if self._assignment is None else self._assignment.explain()
 
     def choose(
         self, *, excluded: Collection[InstanceId], first: bool
@@ -67,11 +67,11 @@
         if not self._placement.coordinated:
             return self._placement.choose(self._call, excluded=excluded)
         passed_over = set(excluded) | self._placement.paused_replicas()
-        for _ in range(MOST_SEATS):
+        for _ in range(MOST_ASSIGNMENTS):
             found = self._asker.find(self._call, excluded=passed_over, first=first)
             if found is None:
                 break
-            if isinstance(found, Turned):
+            if isinstance(found, Refused):
                 return Refusal(
                     reason=Reason.OVERLOADED,
                     detail=f"the cell has {found.backlog:.2f} s to read",
@@ -79,7 +79,7 @@
                 )
             record = self._placement.record(found.instance)
             if record is not None and self._placement.accepts(found.instance):
-                self._seat = found
+                self._assignment = found
                 return record
             # The coordinator's list is older or newer than this gateway's.
             self._asker.ended(found, self._call, "withdrawn")
@@ -88,11 +88,11 @@
 
     def read(self, load: LoadHint | None) -> None:
         """Tell the coordinator that the request's first event came."""
-        if self._seat is not None:
-            self._asker.read(self._seat, self._call, load)
+        if self._assignment is not None:
+            self._asker.read(self._assignment, self._call, load)
 
     def leave(self, outcome: str) -> None:
         """Tell the coordinator that the request is at its replica no more."""
-        seat, self._seat = self._seat, None
-        if seat is not None:
-            self._asker.ended(seat, self._call, outcome)
+        assignment, self._assignment = self._assignment, None
+        if assignment is not None:
+            self._asker.ended(assignment, self._call, outcome)
--- a/damasklead/gateway/attempts.py
+++ b/damasklead/gateway/attempts.py
@@ -9,6 +9,7 @@
 import gevent
 
 from damasklead.failures import Failure
+from damasklead.gateway.assigning import Assigner
 from damasklead.gateway.callers import CallerConnection
 from damasklead.gateway.calls import Call, ReplyHead, ReplyKind, UpstreamRecord
 from damasklead.gateway.dialect import SendPlan
@@ -17,7 +18,6 @@
 from damasklead.gateway.refusals import Reason, Refusal, reason_for
 from damasklead.gateway.routing import RouteKind
 from damasklead.gateway.runparts import RunParts
-from damasklead.gateway.seating import Seating
 from damasklead.gateway.streamprogress import StreamProgress
 from damasklead.gateway.upstream_http import (
     Connection,
@@ -87,7 +87,7 @@
         self._placement = placement
         self._caller = caller
         self._upstream: Connection | None = None
-        self._seating = Seating(asker=parts.asker, placement=placement, call=call)
+        self._assigner = Assigner(asker=parts.asker, placement=placement, call=call)
         self._excluded: set[InstanceId] = set()
         self._runs = 0
         self._sent = False
@@ -121,7 +121,7 @@
                 retry_after=QUARANTINED_RETRY_SECONDS,
             )
         while True:
-            record = self._seating.choose(
+            record = self._assigner.choose(
                 excluded=self._excluded, first=not self.offers
             )
             if record is None:
@@ -153,7 +153,7 @@
             upstream.close()
         # Also a request that ended while it was connecting was counted there.
         self._placement.withdrawn(self.replica, self._call)
-        self._seating.leave("withdrawn")
+        self._assigner.leave("withdrawn")
 
     def _find_none(self) -> Refusal | None:
         """Return the final answer when no replica is left to try."""
@@ -181,7 +181,7 @@
             return True
         self._parts.connections.give_back(self._upstream, keep_alive=None)
         self._upstream = None
-        self._seating.leave("withdrawn")
+        self._assigner.leave("withdrawn")
         return False
 
     def _offer(self, record: UpstreamRecord) -> None:
@@ -195,7 +195,7 @@
             replica=record.instance,
             offer=self.offers,
             **self._placement.explain(record.instance, call),
-            **self._seating.explain(),
+            **self._assigner.explain(),
         )
         self._placement.sent(record.instance, call)
         headers = self._parts.dialect.upstream_headers(
@@ -205,7 +205,7 @@
                 seconds_left=call.deadline - self._parts.clock.now(),
                 urgency=call.urgency,
                 resume_after=self._last_event,
-                copy_from=self._seating.source,
+                copy_from=self._assigner.source,
             ),
         )
         self._sent = True
@@ -221,7 +221,7 @@
         self._check(reply, record)
         self._relay(upstream, reply)
         self._placement.finished(record.instance, call)
-        self._seating.leave("whole")
+        self._assigner.leave("whole")
         self._parts.containment.ended_well(call)
         self._upstream = None
         self._parts.connections.give_back(
@@ -326,7 +326,7 @@
             if splitter.last_id is not None:
                 self._last_event = splitter.last_id
             if not self.events:
-                self._seating.read(reply.load)
+                self._assigner.read(reply.load)
             self._placement.progressed(self.replica, self._call)
             self._send_events(reply, whole)
             self.events += splitter.take_count()
@@ -362,7 +362,7 @@
             upstream.close()
         self._sent = self._begun = False
         self._placement.failed(record.instance, self._call, failure)
-        self._seating.leave(failure.value)
+        self._assigner.leave(failure.value)
         self._excluded.add(record.instance)
         if failure is Failure.NOT_SENT:
             self._parts.containment.unreachable(record)
--- a/damasklead/gateway/bulletins.py
+++ b/damasklead/gateway/broadcasts.py
@@ -1,6 +1,6 @@
 """
-Bulletins
-=========
+Broadcasts
+==========
 
 One gateway, the first by rank that is heard, tells all others what the platform's lists
 hold, which replicas leave and which requests crash replicas.  The others tell it what
@@ -22,15 +22,15 @@
 from damasklead.gateway.containment import Containment, CrashNote
 from damasklead.gateway.departures import Departures, LeftNote
 from damasklead.gateway.following import ConfigurationFollower, UpstreamFollower
-from damasklead.gateway.messages import Bulletin, Notice
+from damasklead.gateway.messages import Broadcast, Notice
 from damasklead.gateway.peers import Peers
 from damasklead.gateway.reading import ListName, ListReports, ReadPlan, reader_rank
 from damasklead.gateway.routing import RoutingContent, RoutingTable
 
-__all__ = ["Bulletins"]
+__all__ = ["Broadcasts"]
 
-# Time between two bulletins without news.
-BULLETIN_SECONDS = 0.3
+# Time between two broadcasts without news.
+BROADCAST_SECONDS = 0.3
 # Time between two with news, so that several go together.
 GATHER_SECONDS = 0.15
 # Each piece of news is told so often, since datagrams get lost.
@@ -41,7 +41,7 @@
 MOST_STEPS = 10
 # Another gateway's confirmation of the lists makes one's own needless for so long.
 CONFIRMED_SECONDS = 0.6
-# Milliseconds since its sender's call for which a bulletin stands for one's own call.
+# Milliseconds since its sender's call for which a broadcast stands for one's own call.
 CONFIRMED_AGE = 1_000
 # What was told is remembered for so long, so that it is not told again.
 REMEMBER_SECONDS = 30.0
@@ -59,9 +59,9 @@
     told: int = 0
 
 
-class Bulletins:
+class Broadcasts:
     """
-    Sends bulletins or takes them in.
+    Sends broadcasts or takes them in.
 
     Parameters
     ----------
@@ -112,11 +112,11 @@
         self._changed = Event()
         self._ranked: tuple[frozenset[str], int] | None = None
         self._heard_at = clock.now()
-        self._herald: str | None = None
+        self._broadcaster: str | None = None
         self._orders: dict[str, tuple[int, int]] = {}
         self._news: dict[_Note, _News] = {}
         self._routing = (0, b"", 0)
-        peers.on(Bulletin, self._take_bulletin)
+        peers.on(Broadcast, self._take_broadcast)
         peers.on(Notice, self._take_notice)
 
     @property
@@ -143,7 +143,7 @@
     def run(self) -> None:
         """Tell the others, forever."""
         while True:
-            self._changed.wait(timeout=BULLETIN_SECONDS)
+            self._changed.wait(timeout=BROADCAST_SECONDS)
             self._changed.clear()
             self.step()
             gevent.sleep(GATHER_SECONDS)
@@ -151,10 +151,10 @@
     def step(self) -> None:
         """Tell all others, or the one that does, what there is to tell."""
         if self.sends or self._confirms_alone():
-            self._peers.send_all(self._bulletin())
+            self._peers.send_all(self._broadcast())
             self._upstreams.log.told()
         else:
-            self._notify_herald()
+            self._notify_broadcaster()
 
     def _places(self) -> tuple[frozenset[str], int]:
         """Return the gateways before this one by rank, and how many they are."""
@@ -177,12 +177,12 @@
         confirmed = min(self._reports.confirmed_at(name) for name in ListName)
         return now - confirmed > CONFIRMED_SECONDS
 
-    def _notify_herald(self) -> None:
+    def _notify_broadcaster(self) -> None:
         crashes, left = self._containment.notes, self._departures.notes
-        if self._herald is not None and (crashes or left):
-            self._peers.send(self._herald, Notice(self._own, crashes, left))
+        if self._broadcaster is not None and (crashes or left):
+            self._peers.send(self._broadcaster, Notice(self._own, crashes, left))
 
-    def _bulletin(self) -> Bulletin:
+    def _broadcast(self) -> Broadcast:
         self._number += 1
         now = self._clock.now()
         own: list[_Note] = [*self._containment.notes, *self._departures.notes]
@@ -197,7 +197,7 @@
         for note in untold:
             self._news[note].told += 1
         log = self._upstreams.log
-        return Bulletin(
+        return Broadcast(
             self._own,
             self._incarnation,
             self._number,
@@ -223,14 +223,14 @@
         self._routing = (table.version, data, told + 1)
         return data if told < MOST_TELLINGS else b""
 
-    def _take_bulletin(self, message: Bulletin, sender: str) -> None:
+    def _take_broadcast(self, message: Broadcast, sender: str) -> None:
         order = (message.incarnation, message.number)
         if order <= self._orders.get(sender, (0, 0)):
             return
         self._orders[sender] = order
         earlier = sender in self._places()[0]
         if earlier or not self.sends:
-            self._herald = sender
+            self._broadcaster = sender
         if earlier:
             self._heard_at = self._clock.now()
         self._containment.take(message.crashes)
@@ -244,7 +244,7 @@
             self._configuration.notify()
             self._upstreams.notify()
 
-    def _confirm(self, message: Bulletin) -> None:
+    def _confirm(self, message: Broadcast) -> None:
         """Let the followers know that the sender has just read the lists."""
         fresh = [0 <= report.age < CONFIRMED_AGE for report in message.lists]
         if fresh[ListName.ROUTING] and self._plans[ListName.ROUTING].caught_up:
--- a/damasklead/gateway/coordination/asking.py
+++ b/damasklead/gateway/coordination/asking.py
@@ -25,27 +25,27 @@
     Ask,
     Ended,
     Grant,
-    Held,
+    Queued,
     Read,
+    Refused,
     Running,
-    Turned,
 )
 from damasklead.gateway.journal import Journal
 from damasklead.ids import AttemptId, InstanceId
 
-__all__ = ["Asker", "Seat", "make_ask"]
+__all__ = ["Asker", "Assignment", "make_ask"]
 
 # A coordinator answers within a few milliseconds; a lost datagram is made up for by a
 # second ask.
 FIRST_ASK_SECONDS = 0.04
 SECOND_ASK_SECONDS = 0.06
 # A coordinator repeats every 0.2 s that a request waits.
-HELD_PATIENCE_SECONDS = 0.65
+QUEUED_PATIENCE_SECONDS = 0.65
 # Coordinators that are asked before this gateway decides by itself.
 MOST_COORDINATORS = 2
 
 
-class Seat(msgspec.Struct, kw_only=True, frozen=True):
+class Assignment(msgspec.Struct, kw_only=True, frozen=True):
     """
     A place of a request at a replica.
 
@@ -105,7 +105,7 @@
         self._send = send
         self._journal = journal
         self._waiting: dict[AttemptId, AsyncResult] = {}
-        self._seats: dict[AttemptId, tuple[Seat, int]] = {}
+        self._assignments: dict[AttemptId, tuple[Assignment, int]] = {}
 
     @property
     def waiting(self) -> int:
@@ -114,7 +114,7 @@
 
     def find(
         self, call: Call, *, excluded: Collection[InstanceId], first: bool
-    ) -> Seat | Turned | None:
+    ) -> Assignment | Refused | None:
         """
         Return a place for a request, its refusal, or ``None`` when there is no replica.
 
@@ -131,8 +131,8 @@
         for coordinator in self._cells.coordinators(cell, most=MOST_COORDINATORS):
             answer = self._ask(call, cell, coordinator, excluded, first)
             if isinstance(answer, Grant):
-                return self._take_seat(call, cell, coordinator, answer)
-            if isinstance(answer, Turned) and answer.retry_after is not None:
+                return self._take_assignment(call, cell, coordinator, answer)
+            if isinstance(answer, Refused) and answer.retry_after is not None:
                 return answer
         return None
 
@@ -141,28 +141,34 @@
         result = self._waiting.get(answer.attempt)
         if result is not None:
             result.set(answer)
-        elif isinstance(answer, Grant) and answer.attempt not in self._seats:
+        elif isinstance(answer, Grant) and answer.attempt not in self._assignments:
             # It comes too late: another coordinator was asked, or the caller has gone.
             cell = self._cells.cell_of(answer.instance)
             if cell is not None:
                 gone = Ended(self._own, cell, answer.attempt, "withdrawn")
                 self._send(sender, gone)
 
-    def read(self, seat: Seat, call: Call, load: LoadHint | None) -> None:
+    def read(self, assignment: Assignment, call: Call, load: LoadHint | None) -> None:
         """Take in that a request's first event came."""
-        self._seats[call.id] = (seat, 0)
-        self._send(seat.coordinator, Read(self._own, seat.cell, call.id, load))
+        self._assignments[call.id] = (assignment, 0)
+        self._send(
+            assignment.coordinator, Read(self._own, assignment.cell, call.id, load)
+        )
 
-    def ended(self, seat: Seat, call: Call, outcome: str) -> None:
+    def ended(self, assignment: Assignment, call: Call, outcome: str) -> None:
         """Take in that a request has left its place."""
-        self._seats.pop(call.id, None)
-        self._send(seat.coordinator, Ended(self._own, seat.cell, call.id, outcome))
+        self._assignments.pop(call.id, None)
+        self._send(
+            assignment.coordinator, Ended(self._own, assignment.cell, call.id, outcome)
+        )
 
     def tell_running(self) -> None:
         """Tell the coordinators what runs at their engines."""
         by_cell: dict[Cell, list[tuple[AttemptId, InstanceId, int]]] = {}
-        for attempt, (seat, unread) in self._seats.items():
-            by_cell.setdefault(seat.cell, []).append((attempt, seat.instance, unread))
+        for attempt, (assignment, unread) in self._assignments.items():
+            by_cell.setdefault(assignment.cell, []).append(
+                (attempt, assignment.instance, unread)
+            )
         for cell, requests in by_cell.items():
             coordinator = self._cells.coordinators(cell, most=1)[0]
             self._send(coordinator, Running(self._own, cell, tuple(requests)))
@@ -174,7 +180,7 @@
         coordinator: str,
         excluded: Collection[InstanceId],
         first: bool,
-    ) -> Grant | Turned | None:
+    ) -> Grant | Refused | None:
         """Ask one coordinator; ``None`` when it is silent."""
         placed = False
         try:
@@ -201,16 +207,16 @@
 
     def _wait_for(
         self, call: Call, cell: Cell, coordinator: str, ask: Ask
-    ) -> Grant | Turned | None:
+    ) -> Grant | Refused | None:
         patience = FIRST_ASK_SECONDS
         try:
             for _ in range(2):
                 result = self._waiting[call.id] = AsyncResult()
                 self._send(coordinator, ask)
                 answer = self._next_answer(result, patience)
-                while isinstance(answer, Held):
+                while isinstance(answer, Queued):
                     result = self._waiting[call.id] = AsyncResult()
-                    answer = self._next_answer(result, HELD_PATIENCE_SECONDS)
+                    answer = self._next_answer(result, QUEUED_PATIENCE_SECONDS)
                 if answer is not None:
                     self._cells.note_load(cell, answer.backlog)
                     return answer
@@ -228,18 +234,18 @@
             return None
         return answer
 
-    def _take_seat(
+    def _take_assignment(
         self, call: Call, cell: Cell, coordinator: str, grant: Grant
-    ) -> Seat:
-        seat = Seat(
+    ) -> Assignment:
+        assignment = Assignment(
             cell=cell,
             coordinator=coordinator,
             instance=grant.instance,
             source=grant.source,
             backlog=grant.backlog,
         )
-        self._seats[call.id] = (seat, call.head.prompt_tokens)
-        return seat
+        self._assignments[call.id] = (assignment, call.head.prompt_tokens)
+        return assignment
 
 
 def make_ask(
--- a/damasklead/gateway/coordination/coordinator.py
+++ b/damasklead/gateway/coordination/coordinator.py
@@ -24,10 +24,10 @@
     Ask,
     Ended,
     Grant,
-    Held,
+    Queued,
     Read,
+    Refused,
     Running,
-    Turned,
 )
 from damasklead.gateway.placements import EnginePlacement, Placement
 from damasklead.gateway.routing import Route, ServiceSpec
@@ -36,7 +36,7 @@
 __all__ = ["Coordinator", "Reply"]
 
 # Askers are told so often that their request still waits.
-HELD_SECONDS = 0.2
+QUEUED_SECONDS = 0.2
 # What a gateway doesn't list as running is dropped when it is older than this: the
 # list may have crossed the grant.
 CROSSED_SECONDS = 0.4
@@ -66,7 +66,7 @@
     at: float
     excluded: frozenset[InstanceId]
     source: str | None = None
-    held_at: float = 0.0
+    queued_at: float = 0.0
     instance: InstanceId | None = None
     answer: Grant | None = None
 
@@ -159,7 +159,7 @@
                 return [again]
         route = self._routes.get(ask.route)
         if route is None:
-            return [Reply(ask.asker, Turned(ask.attempt, None, self.backlog))]
+            return [Reply(ask.asker, Refused(ask.attempt, None, self.backlog))]
         work = self._new_work(ask, route)
         self._works[ask.attempt] = work
         if not ask.first:
@@ -167,8 +167,8 @@
         decision = self._admission.submit(work.call)
         if decision is not None:
             return [self._carry_out(decision)]
-        work.held_at = self._clock.now()
-        return [Reply(ask.asker, Held(ask.attempt))]
+        work.queued_at = self._clock.now()
+        return [Reply(ask.asker, Queued(ask.attempt))]
 
     def read(self, message: Read) -> None:
         """Take in that a request's prompt was read."""
@@ -218,15 +218,15 @@
         for work in list(self._works.values()):
             if now > work.call.deadline + CROSSED_SECONDS:
                 self._drop(work)
-            elif work.instance is None and now - work.held_at >= HELD_SECONDS:
-                work.held_at = now
-                replies.append(Reply(work.asker, Held(work.call.id)))
+            elif work.instance is None and now - work.queued_at >= QUEUED_SECONDS:
+                work.queued_at = now
+                replies.append(Reply(work.asker, Queued(work.call.id)))
         return replies
 
     def _repeat(self, work: _Work, ask: Ask) -> Reply | None:
         """Answer an ask that came before; ``None`` when it is for another replica."""
         if work.instance is None:
-            return Reply(work.asker, Held(ask.attempt))
+            return Reply(work.asker, Queued(ask.attempt))
         fresh = self._clock.now() - work.at < REMEMBER_SECONDS
         if work.answer is not None and fresh and work.instance not in ask.excluded:
             return Reply(work.asker, work.answer)
@@ -268,7 +268,7 @@
         if isinstance(decision, Admit):
             return self._grant(work)
         del self._works[decision.call.id]
-        turned = Turned(decision.call.id, decision.retry_after, self.backlog)
+        turned = Refused(decision.call.id, decision.retry_after, self.backlog)
         return Reply(work.asker, turned)
 
     def _grant(self, work: _Work) -> Reply:
@@ -276,7 +276,7 @@
         record = self._placement.choose(call, excluded=work.excluded)
         if record is None:
             del self._works[call.id]
-            return Reply(work.asker, Turned(call.id, None, self.backlog))
+            return Reply(work.asker, Refused(call.id, None, self.backlog))
         source = self._placement.copy_source(record.instance, call) or work.source
         self._placement.sent(record.instance, call)
         work.instance, work.at = record.instance, self._clock.now()
--- a/damasklead/gateway/coordination/desk.py
+++ b/damasklead/gateway/coordination/coordinators.py
@@ -1,6 +1,6 @@
 """
-Desk
-====
+Coordinators
+============
 
 Carries out this gateway's part as a coordinator: hands messages to the coordinators of
 its cells and sends their answers.
@@ -17,16 +17,16 @@
     Ask,
     Ended,
     Read,
+    Refused,
     Running,
-    Turned,
 )
 from damasklead.gateway.placements import EnginePlacement, Placement
 from damasklead.gateway.routing import RoutingTable
 
-__all__ = ["Desk"]
+__all__ = ["Coordinators"]
 
 
-class Desk:
+class Coordinators:
     """
     The coordinators of one gateway, made when the first request asks for them.
 
@@ -89,7 +89,7 @@
             coordinator = self._open(message.cell)
         if isinstance(message, Ask):
             if coordinator is None:
-                self._answer(message.asker, Turned(message.attempt, None, 0.0))
+                self._answer(message.asker, Refused(message.attempt, None, 0.0))
             else:
                 self._send(coordinator.ask(message))
         elif coordinator is not None:
--- a/damasklead/gateway/coordination/messages.py
+++ b/damasklead/gateway/coordination/messages.py
@@ -12,7 +12,7 @@
 from damasklead.gateway.coordination.cells import Cell
 from damasklead.ids import AttemptId, InstanceId
 
-__all__ = ["Answer", "Ask", "Ended", "Grant", "Held", "Read", "Running", "Turned"]
+__all__ = ["Answer", "Ask", "Ended", "Grant", "Queued", "Read", "Running", "Refused"]
 
 
 class Ask(msgspec.Struct, array_like=True, frozen=True, tag=1):
@@ -52,7 +52,7 @@
     source: str | None = None
 
 
-class Held(msgspec.Struct, array_like=True, frozen=True, tag=2):
+class Queued(msgspec.Struct, array_like=True, frozen=True, tag=2):
     """The request waits at the coordinator."""
 
     attempt: AttemptId
@@ -76,7 +76,7 @@
     backlog: float
 
 
-class Turned(msgspec.Struct, array_like=True, frozen=True, tag=4):
+class Refused(msgspec.Struct, array_like=True, frozen=True, tag=4):
     """
     The request has no place.
 
@@ -132,4 +132,4 @@
     requests: tuple[tuple[AttemptId, InstanceId, int], ...]
 
 
-Answer = Held | Grant | Turned
+Answer = Queued | Grant | Refused
--- a/damasklead/gateway/coordination/service.py
+++ b/damasklead/gateway/coordination/service.py
@@ -14,16 +14,16 @@
 from damasklead.gateway.coordination.asking import Asker
 from damasklead.gateway.coordination.cellmap import CellMap
 from damasklead.gateway.coordination.cells import Member
-from damasklead.gateway.coordination.desk import Desk
+from damasklead.gateway.coordination.coordinators import Coordinators
 from damasklead.gateway.coordination.messages import (
     Answer,
     Ask,
     Ended,
     Grant,
-    Held,
+    Queued,
     Read,
+    Refused,
     Running,
-    Turned,
 )
 from damasklead.gateway.journal import Journal
 from damasklead.gateway.peers import Peers
@@ -38,13 +38,13 @@
 # Silent coordinators are looked at so often.
 PING_SECONDS = 0.25
 
-_DESK_KINDS = (Ask, Read, Ended, Running)
-_ASKER_KINDS = (Grant, Held, Turned)
+_COORDINATOR_KINDS = (Ask, Read, Ended, Running)
+_ASKER_KINDS = (Grant, Queued, Refused)
 
 
 class Coordination:
     """
-    The asker and the desk of one gateway.
+    The asker and the coordinators of one gateway.
 
     Parameters
     ----------
@@ -60,7 +60,7 @@
     ----------
     cells : CellMap
     asker : Asker
-    desk : Desk
+    coordinators : Coordinators
     """
 
     def __init__(
@@ -85,11 +85,11 @@
             send=self._send,
             journal=journal,
         )
-        self.desk = Desk(
+        self.coordinators = Coordinators(
             clock=clock, cells=self.cells, table=table, answer=self._answer
         )
         if peers is not None:
-            for work in _DESK_KINDS:
+            for work in _COORDINATOR_KINDS:
                 peers.on(work, self._take_work)
             for answer in _ASKER_KINDS:
                 peers.on(answer, self.asker.take)
@@ -116,8 +116,8 @@
         while True:
             self._waiting.wait()
             gevent.sleep(DECIDE_SECONDS)
-            self.desk.tick()
-            if not self.desk.waiting:
+            self.coordinators.tick()
+            if not self.coordinators.waiting:
                 self._waiting.clear()
 
     def run_reports(self) -> None:
@@ -132,7 +132,7 @@
             if since >= RUNNING_SECONDS:
                 since = 0.0
                 self.asker.tell_running()
-                self.desk.tick()
+                self.coordinators.tick()
 
     def _send(self, name: str, message: object) -> None:
         if name == self._own:
@@ -141,11 +141,11 @@
             self._peers.send(name, message)
 
     def _take_work(self, message: object, _sender: str) -> None:
-        assert isinstance(message, _DESK_KINDS)
-        self.desk.take(message)
+        assert isinstance(message, _COORDINATOR_KINDS)
+        self.coordinators.take(message)
 
     def _answer(self, name: str, answer: Answer) -> None:
-        if isinstance(answer, Held):
+        if isinstance(answer, Queued):
             self._waiting.set()
         if name == self._own:
             self.asker.take(answer, name)
--- a/damasklead/gateway/fleet.py
+++ b/damasklead/gateway/fleet.py
@@ -12,7 +12,7 @@
 
 from damasklead.clock import Clock
 from damasklead.gateway.bootstrap import Bootstrap
-from damasklead.gateway.bulletins import Bulletins
+from damasklead.gateway.broadcasts import Broadcasts
 from damasklead.gateway.calls import UpstreamRecord
 from damasklead.gateway.containment import Containment
 from damasklead.gateway.coordination.cells import Member
@@ -119,7 +119,7 @@
             peers=self._peers,
             journal=journal,
         )
-        self._bulletins = self._make_bulletins(incarnation)
+        self._broadcasts = self._make_broadcasts(incarnation)
         self._bootstrap = Bootstrap(
             seeds=[
                 seed for seed in settings.seeds if seed != settings.listen.operators
@@ -170,10 +170,10 @@
             TaskChild(name="decisions", function=self.coordination.run_decisions),
             TaskChild(name="running", function=self.coordination.run_reports),
         ]
-        if self._peers is not None and self._bulletins is not None:
+        if self._peers is not None and self._broadcasts is not None:
             self._peers.listen()
             tasks += [
-                TaskChild(name="bulletins", function=self._bulletins.run),
+                TaskChild(name="broadcasts", function=self._broadcasts.run),
                 TaskChild(name="peer-receiver", function=self._peers.run_receiver),
                 TaskChild(name="peer-look-up", function=self._peers.run_look_up),
                 TaskChild(name="peer-check", function=self._check_forever),
@@ -200,11 +200,11 @@
         self.upstreams.run()
 
     def _check_forever(self) -> None:
-        assert self._peers is not None and self._bulletins is not None
+        assert self._peers is not None and self._broadcasts is not None
         while True:
             gevent.sleep(CHECK_SECONDS)
             try:
-                if self._bulletins.sends:
+                if self._broadcasts.sends:
                     self._peers.check_silent()
             except FeedError as error:
                 self._journal.event("withdrawal-failed", cause=str(error))
@@ -228,10 +228,10 @@
         for name, spec in ({} if table is None else table.services).items():
             if spec.engine is not None:
                 self.coordination.cells.take_engines(name, self._directory.usable(name))
-        self.coordination.desk.arrange()
+        self.coordination.coordinators.arrange()
         self._arranged()
-        if self._bulletins is not None:
-            self._bulletins.tell_soon()
+        if self._broadcasts is not None:
+            self._broadcasts.tell_soon()
 
     def _take_departures(self, notes: list[LeftNote]) -> None:
         """Take in which replicas other gateways know to leave."""
@@ -249,8 +249,8 @@
 
     def _take_members(self) -> None:
         self.coordination.members_changed()
-        if self._bulletins is not None:
-            self._bulletins.arrange()
+        if self._broadcasts is not None:
+            self._broadcasts.arrange()
 
     def _note_named(self, fingerprint: Fingerprint) -> None:
         self._journal.event("request-quarantined", fingerprint=fingerprint)
@@ -260,7 +260,9 @@
             name=name,
             clock=self._clock,
             reports=self._reports,
-            position=lambda: 0 if self._bulletins is None else self._bulletins.position,
+            position=lambda: (
+                0 if self._broadcasts is None else self._broadcasts.position
+            ),
         )
 
     def _make_peers(self, incarnation: int) -> Peers | None:
@@ -284,10 +286,10 @@
             journal=self._journal,
         )
 
-    def _make_bulletins(self, incarnation: int) -> Bulletins | None:
+    def _make_broadcasts(self, incarnation: int) -> Broadcasts | None:
         if self._peers is None:
             return None
-        return Bulletins(
+        return Broadcasts(
             peers=self._peers,
             configuration=self.configuration,
             upstreams=self.upstreams,
--- a/damasklead/gateway/messages.py
+++ b/damasklead/gateway/messages.py
@@ -13,7 +13,7 @@
 from damasklead.gateway.directory import ListedRow
 from damasklead.gateway.reading import ListReport
 
-__all__ = ["Bulletin", "Goodbye", "Hello", "Notice", "Ping"]
+__all__ = ["Broadcast", "Goodbye", "Hello", "Notice", "Ping"]
 
 
 class Hello(msgspec.Struct, array_like=True, frozen=True, tag=10):
@@ -37,7 +37,7 @@
     """Asks a gateway for its ``Hello``."""
 
 
-class Bulletin(msgspec.Struct, array_like=True, frozen=True, tag=12):
+class Broadcast(msgspec.Struct, array_like=True, frozen=True, tag=12):
     """
     What one gateway tells all others.
 
@@ -65,7 +65,7 @@
 
 
 class Notice(msgspec.Struct, array_like=True, frozen=True, tag=13):
-    """What a gateway tells the one that sends bulletins."""
+    """What a gateway tells the one that sends broadcasts."""
 
     sender: str
     crashes: list[CrashNote]
--- a/damasklead/gateway/peers.py
+++ b/damasklead/gateway/peers.py
@@ -18,15 +18,15 @@
     Ask,
     Ended,
     Grant,
-    Held,
+    Queued,
     Read,
+    Refused,
     Running,
-    Turned,
 )
 from damasklead.gateway.dialect import FeedError, PeerDirectory, PeerEntry
 from damasklead.gateway.inbox import Inbox
 from damasklead.gateway.journal import Journal
-from damasklead.gateway.messages import Bulletin, Goodbye, Hello, Notice, Ping
+from damasklead.gateway.messages import Broadcast, Goodbye, Hello, Notice, Ping
 from damasklead.ids import DataCentre, InstanceId
 from damasklead.util import split_address
 
@@ -45,8 +45,8 @@
 
 _Address = tuple[str, int]
 _Message = (
-    Ask | Held | Grant | Turned | Read | Ended | Running
-    | Hello | Goodbye | Ping | Bulletin | Notice
+    Ask | Queued | Grant | Refused | Read | Ended | Running
+    | Hello | Goodbye | Ping | Broadcast | Notice
 )  # fmt: skip
 
 
--- a/damasklead/gateway/process.py
+++ b/damasklead/gateway/process.py
@@ -258,7 +258,7 @@
             "configuration": None if table is None else table.version,
             "active": self._forwarder.active,
             "gateways": self._fleet.gateways,
-            "cells": self._fleet.coordination.desk.state,
+            "cells": self._fleet.coordination.coordinators.state,
             "replicas": {
                 name: sorted(placement.usable)
                 for name, placement in self._placements.items()
--- a/tests/test_gateway_bulletins.py
+++ b/tests/test_gateway_broadcasts.py
@@ -1,6 +1,6 @@
 """
-Tests of bulletins
-==================
+Tests of broadcasts
+===================
 
 Gateways on one paused clock, with a store that counts their calls and datagrams that may
 get lost.
@@ -12,11 +12,11 @@
 import pytest
 
 from damasklead.clock import ManualClock
-from damasklead.gateway.bulletins import (
-    BULLETIN_SECONDS,
+from damasklead.gateway.broadcasts import (
+    BROADCAST_SECONDS,
     ROUTING_BYTES,
     TAKE_OVER_SECONDS,
-    Bulletins,
+    Broadcasts,
 )
 from damasklead.gateway.calls import UpstreamState
 from damasklead.gateway.containment import Containment, CrashNote
@@ -25,7 +25,7 @@
 from damasklead.gateway.directory import ListedRow, UpstreamDirectory
 from damasklead.gateway.following import ConfigurationFollower, UpstreamFollower
 from damasklead.gateway.journal import Journal
-from damasklead.gateway.messages import Bulletin, Notice
+from damasklead.gateway.messages import Broadcast, Notice
 from damasklead.gateway.reading import ListName, ListReports, ReadPlan, reader_rank
 from damasklead.gateway.routing import RoutingTable
 from damasklead.ids import Fingerprint, InstanceId
@@ -137,7 +137,7 @@
                 name=item,
                 clock=clock,
                 reports=reports,
-                position=lambda: self.bulletins.position,
+                position=lambda: self.broadcasts.position,
             )
             for item in ListName
         ]
@@ -146,7 +146,7 @@
             plan=self.plans[ListName.ROUTING],
             clock=clock,
             journal=journal,
-            changed=lambda _table: self.bulletins.tell_soon(),
+            changed=lambda _table: self.broadcasts.tell_soon(),
             gateways=lambda: len(fleet.gateways),
         )
         self.upstreams = UpstreamFollower(
@@ -155,11 +155,11 @@
             clock=clock,
             journal=journal,
             directory=self.directory,
-            changed=lambda: self.bulletins.tell_soon(),
+            changed=lambda: self.broadcasts.tell_soon(),
             gateways=lambda: len(fleet.gateways),
         )
         self.peers = FakePeers(fleet, name)
-        self.bulletins = Bulletins(
+        self.broadcasts = Broadcasts(
             peers=self.peers,
             configuration=self.configuration,
             upstreams=self.upstreams,
@@ -196,9 +196,9 @@
                 pause = follower.step(wait=0.0)
                 # A call of the reader's waits at the store while nothing changes.
                 self._resume[index] = now + (pause or 0.6)
-        if now - self._told_at >= BULLETIN_SECONDS:
+        if now - self._told_at >= BROADCAST_SECONDS:
             self._told_at = now
-            self.bulletins.step()
+            self.broadcasts.step()
 
 
 class Fleet:
@@ -219,7 +219,7 @@
         for number in range(count):
             self.gateways[f"g{number}"] = Gateway(self, f"g{number}")
         for gateway in self.gateways.values():
-            gateway.bulletins.arrange()
+            gateway.broadcasts.arrange()
 
     @property
     def first(self) -> Gateway:
@@ -295,7 +295,7 @@
     longest = max(
         len(msgspec.msgpack.encode(item))
         for item in fleet.kinds
-        if isinstance(item, Bulletin)
+        if isinstance(item, Broadcast)
     )
     assert longest < 2 * ROUTING_BYTES
 
@@ -312,7 +312,7 @@
     sizes = [
         len(msgspec.msgpack.encode(item))
         for item in fleet.kinds
-        if isinstance(item, Bulletin)
+        if isinstance(item, Broadcast)
     ]
     assert sum(sizes) / 4.0 < 5_000_000 / 8 / 2
     fleet.run(1.0)
@@ -328,7 +328,7 @@
         fleet.run(6.0)
         sent[count] = fleet.datagrams - before
     assert sent[80] <= 10 * sent[10]
-    assert sent[80] / 80 <= 6.0 / BULLETIN_SECONDS + 2
+    assert sent[80] / 80 <= 6.0 / BROADCAST_SECONDS + 2
 
 
 def test_the_next_gateway_takes_over_from_a_silent_one() -> None:
@@ -341,7 +341,7 @@
         fleet.run(TAKE_OVER_SECONDS + 1.5)
         assert all(f"n{number}" in gateway.replicas for gateway in fleet.up)
         senders = {
-            item.sender for item in fleet.kinds[-19:] if isinstance(item, Bulletin)
+            item.sender for item in fleet.kinds[-19:] if isinstance(item, Broadcast)
         }
         assert senders == {second}
         fleet.first.down = False
@@ -406,7 +406,7 @@
     fleet.run(1.0)
     fleet.store.refused = set()
     fleet.run(2.0)
-    # It misses a bulletin and asks the store itself, for the first time since.
+    # It misses a broadcast and asks the store itself, for the first time since.
     fleet.deaf = {gateway.name}
     fleet.store.write("n1")
     fleet.run(1.6)
--- a/tests/test_gateway_coordination.py
+++ b/tests/test_gateway_coordination.py
@@ -15,7 +15,7 @@
 from damasklead.clock import ManualClock
 from damasklead.failures import Failure
 from damasklead.gateway.calls import Call, LoadHint, PromptPart, UpstreamRecord
-from damasklead.gateway.coordination.asking import Asker, Seat, make_ask
+from damasklead.gateway.coordination.asking import Asker, Assignment, make_ask
 from damasklead.gateway.coordination.cellmap import (
     MAX_PING_SECONDS,
     SPILL_SECONDS,
@@ -31,21 +31,21 @@
 )
 from damasklead.gateway.coordination.coordinator import (
     CROSSED_SECONDS,
-    HELD_SECONDS,
     IDLE_SECONDS,
+    QUEUED_SECONDS,
     Coordinator,
     Reply,
 )
-from damasklead.gateway.coordination.desk import Desk
+from damasklead.gateway.coordination.coordinators import Coordinators
 from damasklead.gateway.coordination.messages import (
     Answer,
     Ask,
     Ended,
     Grant,
-    Held,
+    Queued,
     Read,
+    Refused,
     Running,
-    Turned,
 )
 from damasklead.gateway.journal import Journal
 from damasklead.gateway.routing import EngineSpec, ServiceSpec
@@ -236,9 +236,9 @@
         calls = [review(f"r{number}", f"s{number}") for number in range(30)]
         for number, call in enumerate(calls):
             scene.ask(call, f"g{number}")
-        waiting = [call for call in calls if isinstance(scene.told[call.id][0], Held)]
+        waiting = [call for call in calls if isinstance(scene.told[call.id][0], Queued)]
         assert 15 <= len(waiting) == scene.coordinator.waiting
-        scene.clock.advance(HELD_SECONDS)
+        scene.clock.advance(QUEUED_SECONDS)
         assert {item.attempt for item in scene.tick()} == {call.id for call in waiting}
         for call in calls[:6]:
             scene.read(call, f"g{call.id[1:]}")
@@ -258,7 +258,7 @@
             scene.ask(review(f"r{number}", f"s{number}"))
         scene.clock.advance(4.95)
         refused = [item for _ in range(5) for item in scene.tick()]
-        refused = [item for item in refused if isinstance(item, Turned)]
+        refused = [item for item in refused if isinstance(item, Refused)]
         assert refused
         assert all(item.retry_after is not None for item in refused)
 
@@ -295,14 +295,14 @@
     def test_without_a_replica_the_gateway_is_told_to_choose_itself(self) -> None:
         scene = Scene(0)
         (answer,) = scene.ask(make_call("c", CHAT))
-        assert answer == Turned(AttemptId("c"), None, 0.0)
+        assert answer == Refused(AttemptId("c"), None, 0.0)
         assert scene.coordinator.requests == 0
 
     def test_an_unknown_route_is_left_to_the_gateway(self) -> None:
         scene = Scene()
         strange = msgspec.structs.replace(CHAT, name="strange")
         (answer,) = scene.ask(make_call("c", strange))
-        assert isinstance(answer, Turned) and answer.retry_after is None
+        assert isinstance(answer, Refused) and answer.retry_after is None
 
     def test_a_successor_learns_what_runs_and_forgets_what_has_ended(self) -> None:
         scene = Scene(2)
@@ -423,7 +423,7 @@
 
 
 class World:
-    """An asker and its desk, with coordinators that may be silent."""
+    """An asker and its coordinators, with coordinators that may be silent."""
 
     def __init__(self) -> None:
         self.clock = LoopClock()
@@ -435,8 +435,8 @@
         )
         self.cells.take_engines(SERVICE, engines(9))
         table = make_table(services=[SPEC], routes=[CHAT, QUOTE, LATER])
-        self.desks = {
-            name: Desk(
+        self.hosts = {
+            name: Coordinators(
                 clock=self.clock,
                 cells=self.cells,
                 table=lambda: table,
@@ -459,14 +459,14 @@
         self.sent.append((name, message))
         assert isinstance(message, (Ask, Read, Ended, Running))
         if name not in self.silent:
-            self.desks[name].take(message)
+            self.hosts[name].take(message)
 
     def answer(self, name: str, answer: Answer) -> None:
         gevent.spawn(self.asker.take, answer, name)
 
-    def find(self, call: Call) -> Seat:
+    def find(self, call: Call) -> Assignment:
         found = self.asker.find(call, excluded=(), first=True)
-        assert isinstance(found, Seat)
+        assert isinstance(found, Assignment)
         return found
 
     def ranked(self) -> list[str]:
@@ -486,9 +486,9 @@
         first = world.ranked()[0]
         world.silent = {"g1", "g2"} if first == "g0" else {first}
         began = world.clock.now()
-        seat = world.find(live_call("c1", world.clock))
+        assignment = world.find(live_call("c1", world.clock))
         assert world.clock.now() - began < 0.5
-        assert seat.coordinator not in world.silent
+        assert assignment.coordinator not in world.silent
         began = world.clock.now()
         world.find(live_call("c2", world.clock))
         assert world.clock.now() - began < 0.05
@@ -508,7 +508,7 @@
 
     def test_a_request_that_waits_is_withdrawn_when_its_caller_goes(self) -> None:
         world = World()
-        world.desks = dict.fromkeys(world.desks, world.desks["g0"])
+        world.hosts = dict.fromkeys(world.hosts, world.hosts["g0"])
         calls = [review(f"r{number}", f"s{number}") for number in range(60)]
         for call in calls:
             call.arrival = world.clock.now()
@@ -516,23 +516,23 @@
         finders = [gevent.spawn(world.find, call) for call in calls]
         gevent.sleep(0.05)
         waiting = [finder for finder in finders if not finder.ready()]
-        assert waiting and world.desks["g0"].waiting
+        assert waiting and world.hosts["g0"].waiting
         gevent.killall(waiting)
-        assert not world.desks["g0"].waiting
+        assert not world.hosts["g0"].waiting
 
     def test_what_runs_is_told_until_it_ends(self) -> None:
         world = World()
         call = live_call("c1", world.clock)
-        seat = world.find(call)
+        assignment = world.find(call)
         world.sent.clear()
         world.asker.tell_running()
         (running,) = [item for _, item in world.sent if isinstance(item, Running)]
-        assert running.requests == ((call.id, seat.instance, 700),)
-        world.asker.read(seat, call, None)
+        assert running.requests == ((call.id, assignment.instance, 700),)
+        world.asker.read(assignment, call, None)
         world.sent.clear()
         world.asker.tell_running()
-        assert world.sent[-1][1].requests == ((call.id, seat.instance, 0),)
-        world.asker.ended(seat, call, "whole")
+        assert world.sent[-1][1].requests == ((call.id, assignment.instance, 0),)
+        world.asker.ended(assignment, call, "whole")
         world.sent.clear()
         world.asker.tell_running()
         assert not world.sent
--- a/tests/test_package.py
+++ b/tests/test_package.py
@@ -80,7 +80,7 @@
     "admission", "budget", "calls", "changelog", "containment", "departures",
     "directory", "events", "inbox", "partplaces", "reading", "refusals", "replicastate",
     "routing", "coordination/cellmap", "coordination/cells", "coordination/coordinator",
-    "coordination/desk", "coordination/messages",
+    "coordination/coordinators", "coordination/messages",
     "placements/base", "placements/engine", "placements/plain", "placements/prefixes",
 )  # fmt: skip
 
