--- a/tests/test_gateway_replica_trouble.py
+++ b/tests/test_gateway_replica_trouble.py
@@ -34,6 +34,7 @@
     stream_head,
     wait_until,
 )
+from tests.test_gateway_answers import well, world_of
 from tests.test_gateway_parts import gone, names, row
 
 Serve = Callable[[ScriptedReplica, object], None]
@@ -47,21 +48,10 @@
         world.stop()
 
 
-def world_of(worlds: list[World], *serves: Serve) -> World:
-    replicas = [ScriptedReplica(f"r{i}", serve) for i, serve in enumerate(serves)]
-    worlds.append(World(replicas))
-    return worlds[-1]
-
-
 def arrivals(world: World) -> list[int]:
     return [len(replica.requests) for replica in world.replicas]
 
 
-def well(replica: ScriptedReplica, connection: object) -> None:
-    while True:
-        connection.sendall(answer(replica.next_request(connection)))
-
-
 def leaving(replica: ScriptedReplica, connection: object) -> None:
     while True:
         attempt = replica.next_request(connection)
