Hand on only list entries that matter for placing requests

A replica that warms up changes its entry with each heartbeat, and every such row was told to all, twice.

Change: rows that differ in nothing but the time left to warm up, which nobody reads, are not handed on; one that is back after a lapse is.

Result: test_an_entry_that_only_warms_up_is_not_handed_on fails before.

--- a/damasklead/gateway/directory.py
+++ b/damasklead/gateway/directory.py
@@ -79,6 +79,17 @@
         """Return the replicas of a service that may take new work."""
         return self._by_service.get(service, [])
 
+    def differs(self, row: ListedRow) -> bool:
+        """
+        Tell whether an entry says anything that matters for placing requests.
+
+        A replica that warms up changes its entry with each heartbeat.
+        """
+        before = self._records.get(row.instance)
+        if row.record is None or before is None or row.instance in self._held:
+            return row.record is not None or before is not None
+        return before != msgspec.structs.replace(row.record, warm_up=before.warm_up)
+
     def list_lost(self) -> bool:
         """Take in that the list can't be read; returns whether that is new."""
         news, self._down = not self._down, True
--- a/damasklead/gateway/following.py
+++ b/damasklead/gateway/following.py
@@ -284,7 +284,8 @@
         if changes.whole:
             self.log.restart(changes.cursor)
         else:
-            self.log.add(changes.items, changes.cursor)
+            news = [row for row in changes.items if self._directory.differs(row)]
+            self.log.add(news, changes.cursor)
         self._note(self._directory.apply(changes.items, whole=changes.whole))
 
     def mark(self, changes: Changes[ListedRow]) -> int:
--- a/tests/test_gateway_broadcasts.py
+++ b/tests/test_gateway_broadcasts.py
@@ -431,3 +431,32 @@
     for gateway in fleet.up:
         gateway.upstreams.expire()
         assert "r1" in gateway.replicas
+
+
+def test_an_entry_that_only_warms_up_is_not_handed_on() -> None:
+    """Ten replicas for each gateway filled the links with their heartbeats."""
+    fleet = Fleet(20)
+    fleet.run(4.0)
+    fleet.kinds.clear()
+    for number in range(20):
+        fleet.store.write("r1", warm_up=20.0 - number)
+        fleet.run(0.2)
+    assert not any(item.rows for item in fleet.kinds if isinstance(item, Broadcast))
+    fleet.store.write("r1", state=UpstreamState.LEAVING)
+    fleet.run(1.0)
+    assert all("r1" not in gateway.replicas for gateway in fleet.up)
+
+
+def test_an_entry_that_is_back_unchanged_after_a_lapse_is_handed_on() -> None:
+    fleet = Fleet(8)
+    fleet.run(4.0)
+    fleet.store.away = True
+    fleet.run(3.0)
+    fleet.store.remove("r1")
+    fleet.store.away = False
+    fleet.run(1.0)
+    fleet.store.write("r1")
+    fleet.run(3.0)
+    for gateway in fleet.up:
+        gateway.upstreams.expire()
+        assert "r1" in gateway.replicas
