--- a/bench/coordination.py
+++ b/bench/coordination.py
@@ -28,6 +28,7 @@
 from damasklead.gateway.coordination.messages import Ended, Grant, Queued, Read, Running
 from damasklead.gateway.directory import ListedRow
 from damasklead.gateway.messages import Broadcast
+from damasklead.gateway.positions import Position
 from damasklead.gateway.reading import ListReport
 from damasklead.gateway.routing import (
     EngineSpec,
@@ -90,8 +91,11 @@
     call = make_call(1, 10)
     name, instance = "edge-centre-1-17", InstanceId("i-7f3a91c2d4")
     ask = make_ask(name, call, cell, now=0.1, excluded=(), first=True)
-    row = ListedRow(instance=instance, version=123_456, record=make_records(1)[0])
-    reports = [ListReport(123_456, 120)] * 2
+    row = ListedRow(
+        instance=instance, position=Position(version=123_456), record=make_records(1)[0]
+    )
+    reports = [ListReport(Position(version=123_456), 120)] * 2
+    base, cursor = Position(version=123_450), Position(version=123_456)
     messages = {
         "ask": ask,
         "held": Queued(call.id),
@@ -100,10 +104,10 @@
         "ended": Ended(name, cell, call.id, "whole"),
         "running, 4": Running(name, cell, ((call.id, instance, 9190),) * 4),
         "broadcast": Broadcast(
-            name, 1_783_222_000_000, 999, reports, 1, 2, [], b"", [], []
+            name, 1_783_222_000_000, 999, reports, base, cursor, [], b"", [], []
         ),
         "broadcast, 10 rows": Broadcast(
-            name, 1_783_222_000_000, 999, reports, 1, 2, [row] * 10, b"", [], []
+            name, 1_783_222_000_000, 999, reports, base, cursor, [row] * 10, b"", [], []
         ),
     }
     for kind, message in messages.items():
--- a/damasklead/gateway/bootstrap.py
+++ b/damasklead/gateway/bootstrap.py
@@ -13,16 +13,19 @@
 import gevent
 from gevent.event import Event
 
+from damasklead.clock import Clock
 from damasklead.gateway.journal import Journal
 from damasklead.gateway.snapshot import Snapshot, SnapshotError, fetch_snapshot
 from damasklead.gateway.upstream_http import ConnectionPool
 
-__all__ = ["Bootstrap"]
+__all__ = ["Bootstrap", "CatchUp"]
 
 # Time between two rounds of asking.
 ASK_SECONDS = 0.25
 # The store is asked as well after so long, when a seed does not even refuse.
 PATIENCE_SECONDS = 0.35
+# Time between two questions for a newer configuration.
+CATCH_UP_SECONDS = 0.5
 
 
 class Bootstrap:
@@ -91,3 +94,50 @@
             replicas=len(snapshot.upstreams),
         )
         self._take(snapshot)
+
+
+class CatchUp:
+    """
+    Gets what another gateway knows when the platform's store has forgotten it.
+
+    Parameters
+    ----------
+    take : callable
+        Is given what another gateway knows.
+    connections : ConnectionPool
+    clock : Clock
+    journal : Journal
+    """
+
+    def __init__(
+        self,
+        *,
+        take: Callable[[Snapshot], None],
+        connections: ConnectionPool,
+        clock: Clock,
+        journal: Journal,
+    ) -> None:
+        self._take = take
+        self._connections = connections
+        self._clock = clock
+        self._journal = journal
+        self._asked_at = float("-inf")
+
+    def ask(self, address: str) -> None:
+        """Ask a gateway in the background, unless one was asked just now."""
+        now = self._clock.now()
+        if not address or now - self._asked_at < CATCH_UP_SECONDS:
+            return
+        self._asked_at = now
+        gevent.spawn(self._fetch, address)
+
+    def _fetch(self, address: str) -> None:
+        try:
+            snapshot = fetch_snapshot(address, self._connections)
+        except SnapshotError as error:
+            self._journal.event("peer-unavailable", peer=address, cause=str(error))
+            return
+        self._journal.event(
+            "newer-configuration", peer=address, version=snapshot.routing.version
+        )
+        self._take(snapshot)
--- a/damasklead/gateway/broadcasts.py
+++ b/damasklead/gateway/broadcasts.py
@@ -24,7 +24,14 @@
 from damasklead.gateway.following import ConfigurationFollower, UpstreamFollower
 from damasklead.gateway.messages import Broadcast, Notice
 from damasklead.gateway.peers import Peers
-from damasklead.gateway.reading import ListName, ListReports, ReadPlan, reader_rank
+from damasklead.gateway.positions import START, Position
+from damasklead.gateway.reading import (
+    ListName,
+    ListReport,
+    ListReports,
+    ReadPlan,
+    reader_rank,
+)
 from damasklead.gateway.routing import RoutingContent, RoutingTable
 
 __all__ = ["Broadcasts"]
@@ -74,6 +81,8 @@
     departures : Departures
     take_departures : callable
         Takes what others tell of replicas that leave.
+    outdated : callable
+        Told of a gateway whose configuration is newer than this one's and the store's.
     clock : Clock
     own : str
     cores : float
@@ -91,6 +100,7 @@
         containment: Containment,
         departures: Departures,
         take_departures: Callable[[list[LeftNote]], None],
+        outdated: Callable[[str], None],
         clock: Clock,
         own: str,
         cores: float,
@@ -104,6 +114,7 @@
         self._containment = containment
         self._departures = departures
         self._take_departures = take_departures
+        self._outdated = outdated
         self._clock = clock
         self._own = own
         self._cores = cores
@@ -113,6 +124,7 @@
         self._ranked: tuple[frozenset[str], int] | None = None
         self._heard_at = clock.now()
         self._broadcaster: str | None = None
+        self._broadcaster_mark = START
         self._orders: dict[str, tuple[int, int]] = {}
         self._news: dict[_Note, _News] = {}
         self._routing = (0, b"", 0)
@@ -179,8 +191,11 @@
 
     def _notify_broadcaster(self) -> None:
         crashes, left = self._containment.notes, self._departures.notes
-        if self._broadcaster is not None and (crashes or left):
-            self._peers.send(self._broadcaster, Notice(self._own, crashes, left))
+        own = self._plans[ListName.ROUTING].report.mark
+        newer = own if own > self._broadcaster_mark else START
+        if self._broadcaster is not None and (crashes or left or newer != START):
+            notice = Notice(self._own, crashes, left, newer)
+            self._peers.send(self._broadcaster, notice)
 
     def _broadcast(self) -> Broadcast:
         self._number += 1
@@ -231,6 +246,7 @@
         earlier = sender in self._places()[0]
         if earlier or not self.sends:
             self._broadcaster = sender
+            self._broadcaster_mark = message.lists[ListName.ROUTING].mark
         if earlier:
             self._heard_at = self._clock.now()
         self._containment.take(message.crashes)
@@ -240,6 +256,7 @@
         news = self._reports.take(message.lists)
         self._upstreams.hand_over(message.base, message.cursor, message.rows)
         self._confirm(message)
+        self._look_for_newer(sender, message.lists[ListName.ROUTING].mark)
         if news:
             self._configuration.notify()
             self._upstreams.notify()
@@ -256,7 +273,15 @@
         content = msgspec.msgpack.decode(zlib.decompress(data), type=RoutingContent)
         self._configuration.hand_over(RoutingTable(content=content))
 
-    def _take_notice(self, message: Notice, _sender: str) -> None:
+    def _look_for_newer(self, sender: str, mark: Position) -> None:
+        """Get a configuration that another gateway has and the store has not."""
+        if self._plans[ListName.ROUTING].is_outdated(mark):
+            self._outdated(sender)
+
+    def _take_notice(self, message: Notice, sender: str) -> None:
+        if self._reports.take([ListReport(message.routing, -1)]):
+            self._configuration.notify()
+        self._look_for_newer(sender, message.routing)
         now = self._clock.now()
         news = False
         notes: list[_Note] = [*message.crashes, *message.left]
--- a/damasklead/gateway/changelog.py
+++ b/damasklead/gateway/changelog.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from damasklead.clock import Clock
+from damasklead.gateway.positions import START, Position
 
 __all__ = ["ChangeLog"]
 
@@ -26,7 +27,7 @@
 
 class _Step(msgspec.Struct, kw_only=True):
     at: float
-    cursor: int
+    cursor: Position
     rows: list
     tellings: int = 0
 
@@ -44,29 +45,29 @@
     >>> from damasklead.clock import ManualClock
     >>> clock = ManualClock()
     >>> log = ChangeLog(clock=clock)
-    >>> log.restart(10)
-    >>> log.add(["a"], 12)
-    >>> log.base, log.cursor, log.rows
+    >>> log.restart(Position(version=10))
+    >>> log.add(["a"], Position(version=12))
+    >>> log.base.version, log.cursor.version, log.rows
     (10, 12, ['a'])
     >>> clock.advance(KEEP_SECONDS)
-    >>> log.base, log.cursor, log.rows
+    >>> log.base.version, log.cursor.version, log.rows
     (12, 12, [])
     """
 
     def __init__(self, *, clock: Clock) -> None:
         self._clock = clock
-        self._base = 0
-        self._cursor = 0
+        self._base = START
+        self._cursor = START
         self._steps: deque[_Step] = deque()
 
     @property
-    def base(self) -> int:
+    def base(self) -> Position:
         """The cursor after which all changes are held."""
         self._trim()
         return self._base
 
     @property
-    def cursor(self) -> int:
+    def cursor(self) -> Position:
         """The newest cursor."""
         return self._cursor
 
@@ -76,12 +77,12 @@
         self._trim()
         return [row for step in self._steps for row in step.rows]
 
-    def restart(self, cursor: int) -> None:
+    def restart(self, cursor: Position) -> None:
         """Begin anew at a cursor, after a whole list was read."""
         self._steps.clear()
         self._base = self._cursor = cursor
 
-    def add(self, rows: list[T], cursor: int) -> None:
+    def add(self, rows: list[T], cursor: Position) -> None:
         """Take in the changes up to a cursor."""
         self._cursor = max(self._cursor, cursor)
         if rows:
@@ -89,6 +90,16 @@
             self._steps.append(step)
         self._trim()
 
+    def bridge(self, rows: list[T], cursor: Position) -> None:
+        """
+        Take in how a list that was read anew differs from the one known before.
+
+        From an older era only the very point leads on at which that era was left.
+        """
+        if cursor.era > self._cursor.era:
+            self.restart(self._cursor)
+        self.add(rows, cursor)
+
     def told(self) -> None:
         """Take in that the changes were handed on once."""
         for step in self._steps:
--- a/damasklead/gateway/dialect.py
+++ b/damasklead/gateway/dialect.py
@@ -15,6 +15,7 @@
 
 from damasklead.gateway.calls import Call, CallHead, Header, ReplyHead
 from damasklead.gateway.directory import ListedRow
+from damasklead.gateway.positions import START, Position
 from damasklead.gateway.routing import RoutingTable
 from damasklead.ids import AttemptId, DataCentre, InstanceId
 
@@ -98,11 +99,17 @@
 
 
 class FeedFault(Enum):
-    """Why a feed gave nothing."""
+    """
+    Why a feed gave nothing.
+
+    ``RESTORED``: the store has come back from an older copy, so that nothing that was
+    read before can be gone on from.
+    """
 
     UNREACHABLE = "unreachable"
     REFUSED = "refused"
     HISTORY_LOST = "history-lost"
+    RESTORED = "restored"
     STALE = "stale"
     UNREADABLE = "unreadable"
 
@@ -131,13 +138,13 @@
         The entries that are new or changed.
     whole : bool
         Whether these are all entries there are.
-    cursor : int
+    cursor : Position
         Where to go on.
     """
 
     items: list[T]
     whole: bool
-    cursor: int
+    cursor: Position
 
 
 class Feed(ABC, Generic[T]):
@@ -148,7 +155,7 @@
         """Read the whole list."""
 
     @abstractmethod
-    def follow(self, cursor: int, *, wait: float) -> Changes[T]:
+    def follow(self, cursor: Position, *, wait: float) -> Changes[T]:
         """Return the changes since a cursor, waiting some seconds for the first."""
 
 
@@ -164,8 +171,10 @@
         Start of the process in milliseconds.
     cores : float
         Processor that it may use.
-    version : int
-        The entry's version in the directory, 0 when it was not read from there.
+    operators : str
+        Where it tells others what it knows; empty where it does not.
+    position : Position
+        The entry's version in the directory; ``START`` when it was not read from there.
     """
 
     instance: InstanceId
@@ -173,7 +182,8 @@
     incarnation: int
     data_centre: DataCentre = DataCentre("")
     cores: float = 1.0
-    version: int = 0
+    operators: str = ""
+    position: Position = START
 
 
 class PeerDirectory(ABC):
--- a/damasklead/gateway/directory.py
+++ b/damasklead/gateway/directory.py
@@ -10,7 +10,8 @@
 
 from damasklead.clock import Clock
 from damasklead.gateway.calls import UpstreamRecord, UpstreamState
-from damasklead.ids import InstanceId, ServiceName
+from damasklead.gateway.positions import START, Position
+from damasklead.ids import InstanceId, ServiceName, StoreEra
 
 __all__ = ["ListedRow", "UpstreamDirectory"]
 
@@ -19,6 +20,9 @@
 LAPSE_GRACE_SECONDS = 2.3
 # For so long after an outage a removal may be a lapse.
 LAPSE_DOUBT_SECONDS = 1.5
+# The platform removes silent entries after three heartbeats of about a second, so one
+# that a restored store still lists after so long has been written again.
+RESTORED_DOUBT_SECONDS = 8.0
 # Versions of replicas that are gone are forgotten beyond so many: ids are new at each
 # start, and a process may run for months.
 MOST_VERSIONS = 10_000
@@ -31,10 +35,24 @@
     """
 
     instance: InstanceId
-    version: int
+    position: Position
     record: UpstreamRecord | None
 
 
+class _Removal(msgspec.Struct, kw_only=True, frozen=True):
+    """An entry that was seen to go."""
+
+    incarnation: int
+    era: StoreEra
+
+
+class _Doubtful(msgspec.Struct, kw_only=True, frozen=True):
+    """An entry of a restored copy whose replica was seen to go; not used before."""
+
+    record: UpstreamRecord
+    until: float
+
+
 class UpstreamDirectory:
     """
     The replicas that may take new work.
@@ -42,7 +60,9 @@
     A replica that is known to leave stays so until it starts again.  A removal counts
     at once, unless the list was out of reach just before: then the entry may have
     lapsed only because its replica could not renew it, and the replica is kept for a
-    short time.
+    short time.  Entries that are missing after the store came back from an older copy
+    are kept likewise; those that only the copy has are not used before they are written
+    again.
 
     Parameters
     ----------
@@ -52,7 +72,10 @@
     def __init__(self, *, clock: Clock) -> None:
         self._clock = clock
         self._records: dict[InstanceId, UpstreamRecord] = {}
-        self._versions: dict[InstanceId, int] = {}
+        self._positions: dict[InstanceId, Position] = {}
+        self._removals: dict[InstanceId, _Removal] = {}
+        self._doubtful: dict[InstanceId, _Doubtful] = {}
+        self._copy = START
         self._held: dict[InstanceId, float] = {}
         self._left: dict[InstanceId, int] = {}
         self._down = False
@@ -69,7 +92,7 @@
         return [
             ListedRow(
                 instance=item,
-                version=self._versions.get(item, 0),
+                position=self._positions.get(item, START),
                 record=self._as_known(record),
             )
             for item, record in self._records.items()
@@ -104,6 +127,20 @@
             self._held = dict.fromkeys(self._held, until)
         return news
 
+    def list_restored(self, position: Position) -> None:
+        """
+        Take in that the store has come back from an older copy.
+
+        Parameters
+        ----------
+        position : Position
+            Up to where entries may be the copy's.
+        """
+        self._copy = position
+        self._doubtful.clear()
+        self._down = True
+        self.list_back()
+
     def apply(self, rows: list[ListedRow], *, whole: bool) -> list[str]:
         """
         Take in entries of the list.
@@ -124,21 +161,47 @@
             for instance in [item for item in self._records if item not in present]:
                 changes.extend(self._remove(instance))
         for row in rows:
-            if row.version < self._versions.get(row.instance, 0):
+            if row.position < self._positions.get(row.instance, START):
                 continue
-            self._versions[row.instance] = row.version
+            self._positions[row.instance] = row.position
             if row.record is None:
                 changes.extend(self._remove(row.instance))
+            elif self._is_doubtful(row.record, row.position):
+                changes.extend(self._doubt(row.record))
             else:
                 changes.extend(self._put(row.record))
         if changes:
             self._index()
-        if len(self._versions) > MOST_VERSIONS:
-            self._versions = {
-                item: self._versions.get(item, 0) for item in self._records
-            }
+        self._forget()
         return changes
 
+    def _forget(self) -> None:
+        """Keep what is remembered of replicas that are gone within its bound."""
+        if len(self._positions) > MOST_VERSIONS:
+            self._positions = {
+                item: self._positions.get(item, START) for item in self._records
+            }
+        while len(self._removals) > MOST_VERSIONS:
+            del self._removals[next(iter(self._removals))]
+
+    def _is_doubtful(self, record: UpstreamRecord, position: Position) -> bool:
+        """Tell whether only the store's copy may say that a replica is there."""
+        removal = self._removals.get(record.instance)
+        return (
+            removal is not None
+            and removal.incarnation == record.incarnation
+            and removal.era < position.era
+            and position <= self._copy
+        )
+
+    def _doubt(self, record: UpstreamRecord) -> list[str]:
+        until = self._clock.now() + RESTORED_DOUBT_SECONDS
+        known = self._doubtful.get(record.instance)
+        if known is not None:
+            until = known.until
+        self._doubtful[record.instance] = _Doubtful(record=record, until=until)
+        return [] if known is not None else [f"{record.instance} doubtful"]
+
     def mark_left(self, instance: InstanceId, incarnation: int) -> bool:
         """
         Take in that a replica itself said that it leaves or is gone, or that another
@@ -162,6 +225,8 @@
             return changes
         for instance in gone:
             changes.extend(self._drop(instance, why="has not come back"))
+        for instance in [i for i, item in self._doubtful.items() if now >= item.until]:
+            changes.extend(self._put(self._doubtful[instance].record))
         if changes:
             self._index()
         return changes
@@ -169,6 +234,8 @@
     def _put(self, record: UpstreamRecord) -> list[str]:
         instance = record.instance
         self._held.pop(instance, None)
+        self._doubtful.pop(instance, None)
+        self._removals.pop(instance, None)
         before = self._records.get(instance)
         if before == record:
             return []
@@ -187,6 +254,7 @@
 
     def _remove(self, instance: InstanceId) -> list[str]:
         record = self._records.get(instance)
+        self._doubtful.pop(instance, None)
         if record is None:
             return []
         if record.state is UpstreamState.LIVE and self._may_have_lapsed():
@@ -205,8 +273,13 @@
         return self._clock.now() - self._back_at < LAPSE_DOUBT_SECONDS
 
     def _drop(self, instance: InstanceId, *, why: str) -> list[str]:
-        self._records.pop(instance, None)
+        record = self._records.pop(instance, None)
         self._held.pop(instance, None)
+        if record is not None:
+            era = self._positions.get(instance, START).era
+            self._removals[instance] = _Removal(incarnation=record.incarnation, era=era)
+            if record.state is UpstreamState.LEAVING:
+                self._left[instance] = record.incarnation
         return [f"{instance} {why}"]
 
     def _as_known(self, record: UpstreamRecord) -> UpstreamRecord:
--- a/damasklead/gateway/fleet.py
+++ b/damasklead/gateway/fleet.py
@@ -11,7 +11,7 @@
 import gevent
 
 from damasklead.clock import Clock
-from damasklead.gateway.bootstrap import Bootstrap
+from damasklead.gateway.bootstrap import Bootstrap, CatchUp
 from damasklead.gateway.broadcasts import Broadcasts
 from damasklead.gateway.calls import UpstreamRecord
 from damasklead.gateway.containment import Containment
@@ -23,12 +23,13 @@
 from damasklead.gateway.following import ConfigurationFollower, UpstreamFollower
 from damasklead.gateway.journal import Journal
 from damasklead.gateway.peers import Peers
+from damasklead.gateway.positions import Position
 from damasklead.gateway.reading import ListName, ListReports, ReadPlan
 from damasklead.gateway.routing import RoutingTable
 from damasklead.gateway.settings import GatewaySettings
 from damasklead.gateway.snapshot import Snapshot
 from damasklead.gateway.upstream_http import ConnectionPool
-from damasklead.ids import DataCentre, Fingerprint, InstanceId
+from damasklead.ids import DataCentre, Fingerprint, InstanceId, StoreEra
 from damasklead.supervision import Child, Restart, TaskChild
 
 __all__ = ["Fleet"]
@@ -101,6 +102,7 @@
             journal=journal,
             changed=self._configure,
             gateways=lambda: self.gateways,
+            restored=self._note_restored,
         )
         self.upstreams = UpstreamFollower(
             feed=lambda: link().upstreams,
@@ -110,7 +112,10 @@
             directory=directory,
             changed=self._arrange,
             gateways=lambda: self.gateways,
+            restored=self._note_restored,
         )
+        self._era = StoreEra(0)
+        self._restores = 0
         self._peers = self._make_peers(incarnation)
         self.coordination = Coordination(
             own=self._own,
@@ -120,6 +125,12 @@
             journal=journal,
         )
         self._broadcasts = self._make_broadcasts(incarnation)
+        self._catch_up = CatchUp(
+            take=self._take_newer_routing,
+            connections=connections,
+            clock=clock,
+            journal=journal,
+        )
         self._bootstrap = Bootstrap(
             seeds=[
                 seed for seed in settings.seeds if seed != settings.listen.operators
@@ -140,6 +151,11 @@
         """Whether the gateways were looked up."""
         return self._peers is None or self._peers.looked_up
 
+    @property
+    def restores(self) -> int:
+        """How often the platform's store was seen to come back from an older copy."""
+        return self._restores
+
     def snapshot(self) -> Snapshot | None:
         """Return what this gateway knows, for one that starts."""
         table = self.configuration.table
@@ -215,6 +231,32 @@
         if self._peers is not None:
             self._peers.offer(snapshot.peers)
 
+    def _take_newer_routing(self, snapshot: Snapshot) -> None:
+        self.configuration.hand_over(RoutingTable(content=snapshot.routing))
+
+    def _note_outdated(self, peer: str) -> None:
+        """Get the configuration from a gateway that has a newer one than the store."""
+        assert self._peers is not None
+        self._catch_up.ask(self._peers.address_of(peer))
+
+    def _note_restored(self, before: Position, after: Position) -> None:
+        """Take in, once for both lists, that the store came back from a copy."""
+        if after.era <= self._era:
+            return
+        self._era = after.era
+        self._restores += 1
+        table = self.configuration.table
+        self._journal.event(
+            "store-restored",
+            era_before=before.era,
+            era=after.era,
+            version_before=before.version,
+            version=after.version,
+            configuration=0 if table is None else table.version,
+        )
+        if self._peers is not None:
+            self._peers.list_restored()
+
     def _configure(self, table: RoutingTable) -> None:
         self._configured(table)
         self.coordination.cells.forget(lambda name: name not in table.services)
@@ -278,6 +320,7 @@
                 incarnation=incarnation,
                 data_centre=self._own.data_centre,
                 cores=self._own.cores,
+                operators=self._settings.listen.operators or "",
             ),
             directory=lambda: self._link().peers,
             changed=self._take_members,
@@ -298,6 +341,7 @@
             containment=self.containment,
             departures=self._departures,
             take_departures=self._take_departures,
+            outdated=self._note_outdated,
             clock=self._clock,
             own=self._own.instance,
             cores=self._own.cores,
--- a/damasklead/gateway/following.py
+++ b/damasklead/gateway/following.py
@@ -20,6 +20,7 @@
 from damasklead.gateway.dialect import Changes, Feed, FeedError, FeedFault
 from damasklead.gateway.directory import ListedRow, UpstreamDirectory
 from damasklead.gateway.journal import Journal
+from damasklead.gateway.positions import START, Position
 from damasklead.gateway.reading import (
     GATHER_SECONDS,
     READER_WAIT_SECONDS,
@@ -31,12 +32,10 @@
 
 T = TypeVar("T")
 
-# Pause after a failed call, doubled up to the longest.
-FIRST_PAUSE_SECONDS = 0.1
-MAX_PAUSE_SECONDS = 0.8
-# With many gateways each asks a store that is away less often: one that reaches it
-# tells the others.
-PAUSE_SECONDS_PER_GATEWAY = 0.015
+# After these the whole list has to be read again.
+_STARTING_ANEW = (FeedFault.HISTORY_LOST, FeedFault.STALE, FeedFault.RESTORED)
+# Pause before a list is read anew.
+ANEW_SECONDS = 0.1
 
 
 class Follower(ABC, Generic[T]):
@@ -55,6 +54,9 @@
     journal : Journal
     gateways : callable
         Returns how many gateways there are.
+    restored : callable
+        Told where the list was read before and after the store came back from an older
+        copy.
     """
 
     def __init__(
@@ -66,18 +68,20 @@
         clock: Clock,
         journal: Journal,
         gateways: Callable[[], int] = lambda: 1,
+        restored: Callable[[Position, Position], None] = lambda _before, _after: None,
     ) -> None:
         self._name = name
+        self._restored = restored
         self._gateways = gateways
         self._plan = plan
         self._notice = Event()
         self._feed = feed
         self._clock = clock
         self._journal = journal
-        self._cursor: int | None = None
+        self._cursor: Position | None = None
+        self._reached = START
         self._seen_at: float | None = None
         self._lost = False
-        self._pause = FIRST_PAUSE_SECONDS
 
     @property
     def name(self) -> str:
@@ -114,10 +118,13 @@
             changes = self._call(wait)
         except FeedError as error:
             return self._after_error(error)
+        if self._cursor is not None and changes.cursor.era < self._cursor.era:
+            return ANEW_SECONDS  # a newer era was handed over meanwhile
         self._seen_at = self._clock.now()
         self._regain()
+        self._reach(changes.cursor)
         # What was handed over meanwhile may be newer than the answer.
-        before = 0 if changes.whole or self._cursor is None else self._cursor
+        before = START if changes.whole or self._cursor is None else self._cursor
         self._cursor = max(before, changes.cursor)
         self.take(changes)
         self._plan.asked(told=told, mark=self.mark(changes))
@@ -134,14 +141,23 @@
             self._regain()
 
     def _regain(self) -> None:
-        self._pause = FIRST_PAUSE_SECONDS
         if self._lost:
             self._lost = False
             self._journal.event("dependency-regained", feed=self._name)
         self.back()
 
+    def _reach(self, cursor: Position) -> None:
+        """Note up to where the list is known, and whether the store was restored."""
+        before, self._reached = self._reached, cursor
+        if before != START and cursor.era > before.era:
+            self.restored(cursor)
+            self._restored(before, cursor)
+
+    def restored(self, cursor: Position) -> None:
+        """Take in that the store has come back from an older copy."""
+
     @abstractmethod
-    def mark(self, changes: Changes[T]) -> int:
+    def mark(self, changes: Changes[T]) -> Position:
         """Return a figure that grows with each change of the list."""
 
     @abstractmethod
@@ -161,16 +177,15 @@
         return feed.follow(self._cursor, wait=wait)
 
     def _after_error(self, error: FeedError) -> float:
-        if error.fault in (FeedFault.HISTORY_LOST, FeedFault.STALE):
+        if error.fault in _STARTING_ANEW:
             self._journal.event("list-restarted", feed=self._name, cause=str(error))
             self._cursor = None
-            return FIRST_PAUSE_SECONDS
+            return ANEW_SECONDS
         if not self._lost:
             self._lost = True
             self._journal.event("dependency-lost", feed=self._name, cause=str(error))
         self.lost()
-        most = max(MAX_PAUSE_SECONDS, PAUSE_SECONDS_PER_GATEWAY * self._gateways())
-        pause, self._pause = self._pause, min(2 * self._pause, most)
+        pause = self._plan.failed(gateways=self._gateways())
         return pause * random.uniform(0.5, 1.0)
 
 
@@ -194,6 +209,7 @@
         journal: Journal,
         changed: Callable[[RoutingTable], None],
         gateways: Callable[[], int] = lambda: 1,
+        restored: Callable[[Position, Position], None] = lambda _before, _after: None,
     ) -> None:
         super().__init__(
             name="configuration",
@@ -202,6 +218,7 @@
             clock=clock,
             journal=journal,
             gateways=gateways,
+            restored=restored,
         )
         self._changed = changed
         self._table: RoutingTable | None = None
@@ -216,14 +233,16 @@
         for table in changes.items:
             self.offer(table)
 
-    def mark(self, changes: Changes[RoutingTable]) -> int:
-        """Return the newest version."""
-        return max((table.version for table in changes.items), default=0)
+    def mark(self, changes: Changes[RoutingTable]) -> Position:
+        """Return the newest version; it is the operators' and knows no eras."""
+        newest = max((table.version for table in changes.items), default=0)
+        return Position(version=newest)
 
     def hand_over(self, table: RoutingTable) -> None:
         """Take in a version that another gateway has read."""
         self.offer(table)
-        self._plan.handed(mark=table.version, caught_up=table.version)
+        mark = Position(version=table.version)
+        self._plan.handed(mark=mark, caught_up=mark)
 
     def offer(self, table: RoutingTable) -> None:
         """Put a version into force if it is newer than the present one."""
@@ -266,6 +285,7 @@
         directory: UpstreamDirectory,
         changed: Callable[[], None],
         gateways: Callable[[], int] = lambda: 1,
+        restored: Callable[[Position, Position], None] = lambda _before, _after: None,
     ) -> None:
         super().__init__(
             name="replicas",
@@ -274,6 +294,7 @@
             clock=clock,
             journal=journal,
             gateways=gateways,
+            restored=restored,
         )
         self.log: ChangeLog[ListedRow] = ChangeLog(clock=clock)
         self._directory = directory
@@ -282,39 +303,76 @@
     def take(self, changes: Changes[ListedRow]) -> None:
         """Take in entries of the list."""
         if changes.whole:
-            self.log.restart(changes.cursor)
+            self._log_whole(changes)
         else:
             news = [row for row in changes.items if self._directory.differs(row)]
             self.log.add(news, changes.cursor)
         self._note(self._directory.apply(changes.items, whole=changes.whole))
 
-    def mark(self, changes: Changes[ListedRow]) -> int:
+    def _log_whole(self, changes: Changes[ListedRow]) -> None:
+        """
+        Hand on what differs in a list that was read anew.
+
+        Others need not read it as well where they know what this gateway knew.
+        """
+        before = self.log.cursor
+        if before == START or before >= changes.cursor:
+            self.log.restart(changes.cursor)
+            return
+        present = {row.instance for row in changes.items}
+        news = [row for row in changes.items if self._directory.differs(row)]
+        news += [
+            ListedRow(instance=row.instance, position=changes.cursor, record=None)
+            for row in self._directory.rows()
+            if row.instance not in present
+        ]
+        self.log.bridge(news, changes.cursor)
+
+    def mark(self, changes: Changes[ListedRow]) -> Position:
         """Return the newest entry's version."""
-        return max((row.version for row in changes.items), default=0)
+        return _newest(changes.items)
 
-    def offer(self, rows: list[ListedRow], cursor: int) -> None:
+    def offer(self, rows: list[ListedRow], cursor: Position) -> None:
         """Take in the whole list as another gateway knows it."""
-        if self._cursor is None and cursor > 0:
+        if self._cursor is None and cursor > START:
             self._cursor = cursor
+            self._reach(cursor)
             self.log.restart(cursor)
             self._plan.handed(mark=_newest(rows), caught_up=cursor)
         self._note(self._directory.apply(rows, whole=False))
 
-    def hand_over(self, base: int, cursor: int, rows: list[ListedRow]) -> None:
+    def hand_over(
+        self,
+        base: Position,
+        cursor: Position,
+        rows: list[ListedRow],
+    ) -> None:
         """Take in the changes after one cursor up to another one, if none is missed."""
         if self._cursor is None or not base <= self._cursor < cursor:
             return
         known = self._cursor
+        restored = cursor.era > known.era
+        if restored and known != base:
+            # It may know of changes that neither the sender nor the store knows now.
+            return
         self._cursor = cursor
-        news = [row for row in rows if row.version > known]
-        self.log.add(news, cursor)
+        self._reach(cursor)
+        news = [row for row in rows if row.position > known]
+        if restored:
+            self.log.bridge(news, cursor)
+        else:
+            self.log.add(news, cursor)
         self._plan.handed(mark=_newest(rows), caught_up=cursor)
         self._note(self._directory.apply(news, whole=False))
 
     @property
-    def cursor(self) -> int:
-        """Up to where the list was read; 0 before."""
-        return self._cursor or 0
+    def cursor(self) -> Position:
+        """Up to where the list was read; ``START`` before."""
+        return self._cursor or START
+
+    def restored(self, cursor: Position) -> None:
+        """Take in that the store has come back from an older copy."""
+        self._directory.list_restored(cursor)
 
     def lost(self) -> None:
         """Take in that the list can't be read: removals may be lapses."""
@@ -334,5 +392,5 @@
             self._changed()
 
 
-def _newest(rows: list[ListedRow]) -> int:
-    return max((row.version for row in rows), default=0)
+def _newest(rows: list[ListedRow]) -> Position:
+    return max((row.position for row in rows), default=START)
--- a/damasklead/gateway/messages.py
+++ b/damasklead/gateway/messages.py
@@ -11,6 +11,7 @@
 from damasklead.gateway.containment import CrashNote
 from damasklead.gateway.departures import LeftNote
 from damasklead.gateway.directory import ListedRow
+from damasklead.gateway.positions import START, Position
 from damasklead.gateway.reading import ListReport
 
 __all__ = ["Broadcast", "Goodbye", "Hello", "Notice", "Ping"]
@@ -24,6 +25,7 @@
     incarnation: int
     data_centre: str
     cores: float
+    operators: str = ""
 
 
 class Goodbye(msgspec.Struct, array_like=True, frozen=True, tag=14):
@@ -45,7 +47,7 @@
     ----------
     lists : list
         What it knows of the platform's lists.
-    base, cursor : int
+    base, cursor : Position
         ``rows`` are all changes of the list of replicas after ``base`` up to
         ``cursor``.
     routing : bytes
@@ -56,8 +58,8 @@
     incarnation: int
     number: int
     lists: list[ListReport]
-    base: int
-    cursor: int
+    base: Position
+    cursor: Position
     rows: list[ListedRow]
     routing: bytes
     crashes: list[CrashNote]
@@ -65,8 +67,16 @@
 
 
 class Notice(msgspec.Struct, array_like=True, frozen=True, tag=13):
-    """What a gateway tells the one that sends broadcasts."""
+    """
+    What a gateway tells the one that sends broadcasts.
+
+    Attributes
+    ----------
+    routing : Position
+        Mark of its configuration when the other one's is older.
+    """
 
     sender: str
     crashes: list[CrashNote]
     left: list[LeftNote]
+    routing: Position = START
--- a/damasklead/gateway/metrics.py
+++ b/damasklead/gateway/metrics.py
@@ -78,6 +78,11 @@
             "Requests that wait for an engine with room",
             registry=self.registry,
         )
+        self.store_restores = Gauge(
+            "damasklead_store_restores",
+            "Times the platform's store came back from an older copy",
+            registry=self.registry,
+        )
         self.connections_opened = Gauge(
             "damasklead_upstream_connections_opened",
             "Connections to replicas opened since the start",
--- a/damasklead/gateway/peers.py
+++ b/damasklead/gateway/peers.py
@@ -12,6 +12,7 @@
 import gevent
 import msgspec
 from gevent import socket
+from gevent.event import Event
 
 from damasklead.clock import Clock
 from damasklead.gateway.coordination.messages import (
@@ -42,6 +43,12 @@
 FORGET_SECONDS = 60.0
 PING_SECONDS = 15.0
 RECEIVE_BYTES = 65_536
+# What was written longer ago than this is in the copy from which a store comes back.
+MAX_RESTORE_SECONDS = 30.0
+# Look-ups after that are spread over so long for each gateway.
+RESTORED_SECONDS_PER_GATEWAY = 0.3
+# Gateways that said goodbye are remembered up to so many.
+MOST_GONE = 1_000
 
 _Address = tuple[str, int]
 _Message = (
@@ -92,6 +99,11 @@
         self._handlers: dict[type, Callable[[Any, str], None]] = {}
         self._looked_up = False
         self._said_goodbye = False
+        self._announced_at: float | None = None
+        self._look_up_now = Event()
+        # Incarnations that said goodbye, whatever the directory's copy shows.
+        self._gone: dict[str, int] = {}
+        self._returned: dict[str, PeerEntry] = {}
 
     @property
     def members(self) -> list[PeerEntry]:
@@ -188,26 +200,57 @@
             if handler is not None:
                 handler(message, name)
 
+    def address_of(self, name: str) -> str:
+        """Return where a gateway tells what it knows, empty when that is not known."""
+        entry = self._members.get(name)
+        return "" if entry is None else entry.operators
+
+    def list_restored(self) -> None:
+        """
+        Take in that the directory has come back from an older copy.
+
+        A gateway that announced itself not long before looks for its own entry soon; it
+        may be the only one that knows of it.
+        """
+        if self._announced_at is None:
+            return
+        if self._clock.now() - self._announced_at < MAX_RESTORE_SECONDS:
+            self._look_up_now.set()
+
     def run_look_up(self) -> None:
         """Announce this gateway and find the others, forever."""
-        announced = False
         pause = SECOND_LOOK_UP_SECONDS
         while True:
             try:
-                if not announced:
-                    self._directory().announce(self._own)
-                    announced = True
-                self._take(self._directory().read())
+                self._look_up()
             except FeedError as error:
                 self._journal.event("peers-not-found", cause=str(error))
                 most = max(RETRY_SECONDS, 0.01 * len(self._members))
                 gevent.sleep(most * random.uniform(0.7, 1.3))
                 continue
-            gevent.sleep(pause * random.uniform(0.8, 1.2))
+            if self._look_up_now.wait(timeout=pause * random.uniform(0.8, 1.2)):
+                self._look_up_now.clear()
+                spread = RESTORED_SECONDS_PER_GATEWAY * (len(self._members) + 1)
+                gevent.sleep(random.uniform(0.0, spread))
             pause = max(
                 LOOK_UP_SECONDS, LOOK_UP_SECONDS_PER_GATEWAY * len(self._members)
             )
 
+    def _look_up(self) -> None:
+        """Find the others, and announce this gateway where its entry is missing."""
+        if self._announced_at is None:
+            self._announce()
+        entries = self._directory().read()
+        self._take(entries)
+        own = next((e for e in entries if e.instance == self._own.instance), None)
+        if own is None or own.incarnation < self._own.incarnation:
+            self._journal.event("announcement-missing", peer=self._own.instance)
+            self._announce()
+
+    def _announce(self) -> None:
+        self._directory().announce(self._own)
+        self._announced_at = self._clock.now()
+
     def check_silent(self) -> None:
         """
         Ask gateways that were not heard for long, and remove those that are gone.
@@ -218,6 +261,9 @@
             When the directory can't be changed.
         """
         now = self._clock.now()
+        for entry in list(self._returned.values()):
+            self._directory().withdraw(entry)
+            del self._returned[entry.instance]
         for entry in self.members:
             silent = now - self._heard_at.setdefault(entry.instance, now)
             if silent > FORGET_SECONDS:
@@ -257,7 +303,12 @@
     def _hello(self) -> Hello:
         own = self._own
         return Hello(
-            own.instance, own.address, own.incarnation, own.data_centre, own.cores
+            own.instance,
+            own.address,
+            own.incarnation,
+            own.data_centre,
+            own.cores,
+            own.operators,
         )
 
     def _take_hello(self, message: Hello) -> None:
@@ -267,6 +318,7 @@
             incarnation=message.incarnation,
             data_centre=DataCentre(message.data_centre),
             cores=message.cores,
+            operators=message.operators,
         )
         self._add([entry])
         self._heard_at[entry.instance] = self._clock.now()
@@ -275,6 +327,9 @@
     def _take_goodbye(self, message: Goodbye) -> None:
         known = self._members.get(message.instance)
         if known is not None and known.incarnation <= message.incarnation:
+            self._gone[message.instance] = message.incarnation
+            while len(self._gone) > MOST_GONE:
+                del self._gone[next(iter(self._gone))]
             self._remove(message.instance)
 
     def _take_ping(self, address: tuple[str, int]) -> None:
@@ -293,6 +348,12 @@
             if now - self._heard_at.get(name, 0.0) > SECOND_LOOK_UP_SECONDS:
                 self._remove(name)
         before = set(self._members)
+        # A copy of the directory may hold what was withdrawn since.
+        self._returned = {
+            entry.instance: entry
+            for entry in entries
+            if entry.incarnation == self._gone.get(entry.instance)
+        }
         self._add(entries)
         if set(self._members) - before:
             self._say_hello()
@@ -305,6 +366,8 @@
                 continue
             if known is not None and known.incarnation >= entry.incarnation:
                 continue
+            if entry.incarnation == self._gone.get(entry.instance):
+                continue
             self._members[entry.instance] = entry
             address = split_address(entry.address)
             self._addresses[entry.instance] = address
--- a/damasklead/gateway/process.py
+++ b/damasklead/gateway/process.py
@@ -271,6 +271,7 @@
         metrics.active.set_function(lambda: self._forwarder.active)
         metrics.waiting.set_function(lambda: self._fleet.coordination.asker.waiting)
         metrics.connections_opened.set_function(lambda: self._connections.opened)
+        metrics.store_restores.set_function(lambda: self._fleet.restores)
         metrics.log_lines_dropped.set_function(lambda: self._journal.dropped)
         for follower in (self._fleet.configuration, self._fleet.upstreams):
             metrics.feed_age.labels(follower.name).set_function(follower.age)
--- a/damasklead/gateway/reading.py
+++ b/damasklead/gateway/reading.py
@@ -21,6 +21,7 @@
 import msgspec
 
 from damasklead.clock import Clock
+from damasklead.gateway.positions import START, Position
 from damasklead.util import stable_hash
 
 __all__ = [
@@ -40,7 +41,19 @@
 # Gateways further down by rank ask so much later, so that one of the first ones can
 # tell the others.
 RANK_SECONDS = 0.02
-MOST_RANK_SECONDS = 0.4
+# Beyond so many, the time between two grows with the square: when none of the first
+# was answered the store is most likely away for all.
+FIRST_RANKS = 8
+LATER_RANK_SECONDS = 0.05
+# Pause after a failed call of the first by rank, doubled up to the longest.  Others
+# pause longer, by the square of their place, up to the longest of two limits.
+FIRST_PAUSE_SECONDS = 0.1
+MAX_PAUSE_SECONDS = 0.8
+OTHERS_PAUSE_SECONDS = 10.0
+PAUSE_SECONDS_PER_GATEWAY = 0.6
+# Who has not heard another gateway for so long can rely on nobody.
+ALONE_SECONDS = 2.0
+MOST_DOUBLINGS = 10
 # A gateway with twice the processor reads eight times as often: telling all others is
 # much for a small one.
 CORES_POWER = 3
@@ -63,14 +76,14 @@
 
     Attributes
     ----------
-    mark : int
+    mark : Position
         Grows with each change of the list.
     age : int
         Milliseconds since the store said that there is nothing newer; -1 when this
         gateway doesn't ask the store all the time.
     """
 
-    mark: int
+    mark: Position
     age: int
 
 
@@ -101,24 +114,30 @@
 
     def __init__(self, *, clock: Clock) -> None:
         self._clock = clock
-        self._marks = dict.fromkeys(ListName, 0)
+        self._marks = dict.fromkeys(ListName, START)
         self._confirmed = dict.fromkeys(ListName, float("-inf"))
+        self._heard_at = float("-inf")
+
+    @property
+    def heard(self) -> bool:
+        """Whether another gateway was heard lately."""
+        return self._clock.now() - self._heard_at <= ALONE_SECONDS
 
     def take(self, reports: Iterable[ListReport]) -> bool:
         """
         Take in one gateway's reports, in the order of the lists; returns whether any
         tells of a change.
         """
-        now = self._clock.now()
-        before = sum(self._marks.values())
+        now = self._heard_at = self._clock.now()
+        before = dict(self._marks)
         for name, report in zip(ListName, reports, strict=False):
             self._marks[name] = max(self._marks[name], report.mark)
             if report.age >= 0:
                 confirmed = now - report.age / 1000
                 self._confirmed[name] = max(self._confirmed[name], confirmed)
-        return sum(self._marks.values()) > before
+        return self._marks != before
 
-    def mark(self, name: ListName) -> int:
+    def mark(self, name: ListName) -> Position:
         """Return the newest mark that any gateway has told."""
         return self._marks[name]
 
@@ -165,10 +184,11 @@
         self._clock = clock
         self._reports = reports
         self._position = position
-        self._mark = 0
-        self._caught_up = 0
+        self._mark = START
+        self._caught_up = START
         self._asked_at = float("-inf")
         self._direct = True
+        self._failures = 0
 
     @property
     def report(self) -> ListReport:
@@ -183,6 +203,12 @@
         """Whether nothing that other gateways have told is missing."""
         return self._reports.mark(self._name) <= max(self._mark, self._caught_up)
 
+    def is_outdated(self, mark: Position) -> bool:
+        """
+        Tell whether another gateway has something newer that the store no longer has.
+        """
+        return self._mark < mark <= self._caught_up
+
     def next(self) -> Step:
         """Return what to do next."""
         now = self._clock.now()
@@ -193,46 +219,77 @@
         if not self.caught_up:
             return Step(ask=True, wait=0.0)
         trusted = self._reports.confirmed_at(self._name) + TRUST_SECONDS
-        trusted += min(position * RANK_SECONDS, MOST_RANK_SECONDS)
+        trusted += self._rank_delay(position)
         if now >= trusted:
             self._direct = True
             return Step(ask=True, wait=READER_WAIT_SECONDS)
         self._direct = False
         return Step(ask=False, wait=trusted - now)
 
-    def asked(self, *, told: int, mark: int) -> None:
+    def _rank_delay(self, position: int) -> float:
+        """Return the seconds for which those before by rank may ask first."""
+        delay = min(position, FIRST_RANKS) * RANK_SECONDS
+        later = position - FIRST_RANKS
+        if later > 0 and self._reports.heard:
+            delay += LATER_RANK_SECONDS * later**2
+        return delay
+
+    def failed(self, *, gateways: int) -> float:
+        """
+        Take in that the store could not be asked; returns the seconds to pause.
+
+        Whoever reaches it again tells the others, so that a store that is away is asked
+        a few times a second by the whole fleet, whatever its size.
+
+        Parameters
+        ----------
+        gateways : int
+            How many there are.
+        """
+        self._failures += 1
+        place = (self._position() + 1) ** 2 if self._reports.heard else 1
+        most = MAX_PAUSE_SECONDS
+        if place > 1:
+            limit = max(OTHERS_PAUSE_SECONDS, PAUSE_SECONDS_PER_GATEWAY * gateways)
+            most = min(MAX_PAUSE_SECONDS * place, limit)
+        doublings = min(self._failures - 1, MOST_DOUBLINGS)
+        return min(FIRST_PAUSE_SECONDS * place * 2**doublings, most)
+
+    def asked(self, *, told: Position, mark: Position) -> None:
         """
         Take in an answer of the store.
 
         Parameters
         ----------
-        told : int
+        told : Position
             The newest mark that others had told before the call.
-        mark : int
+        mark : Position
             The newest mark of what the answer held.
         """
         self._asked_at = self._clock.now()
+        self._failures = 0
         self._mark = max(self._mark, mark)
         # What others saw removed leaves no mark in a list that is read anew.
         self._caught_up = max(self._caught_up, told)
 
-    def handed(self, *, mark: int, caught_up: int) -> None:
+    def handed(self, *, mark: Position, caught_up: Position) -> None:
         """
         Take in that another gateway has handed over what the store told it.
 
         Parameters
         ----------
-        mark : int
+        mark : Position
             The newest mark of what was handed over.
-        caught_up : int
+        caught_up : Position
             The mark up to which nothing is missing.
         """
+        self._failures = 0
         if self._asked_at == float("-inf"):
             self._asked_at = self._clock.now()
             self._direct = False
         self._mark = max(self._mark, mark)
         self._caught_up = max(self._caught_up, caught_up)
 
-    def told(self) -> int:
+    def told(self) -> Position:
         """Return the newest mark that others have told."""
         return self._reports.mark(self._name)
--- a/damasklead/gateway/snapshot.py
+++ b/damasklead/gateway/snapshot.py
@@ -10,6 +10,7 @@
 
 from damasklead.gateway.dialect import PeerEntry
 from damasklead.gateway.directory import ListedRow
+from damasklead.gateway.positions import START, Position
 from damasklead.gateway.routing import RoutingContent
 from damasklead.gateway.upstream_http import ConnectionPool, SendError
 
@@ -29,7 +30,7 @@
     upstreams: list[ListedRow]
     peers: list[PeerEntry]
     # Up to where the list of replicas was read.
-    cursor: int = 0
+    cursor: Position = START
 
 
 class SnapshotError(Exception):
--- a/damasklead/ids.py
+++ b/damasklead/ids.py
@@ -17,6 +17,7 @@
     "PoolId",
     "RequestId",
     "ServiceName",
+    "StoreEra",
     "WorkspaceId",
 ]
 
@@ -30,3 +31,5 @@
 AttemptId = NewType("AttemptId", str)
 PoolId = NewType("PoolId", str)
 Fingerprint = NewType("Fingerprint", str)
+# Rises each time the platform's store comes back from an older copy.
+StoreEra = NewType("StoreEra", int)
--- a/damasklead/platform/store.py
+++ b/damasklead/platform/store.py
@@ -8,7 +8,7 @@
 
 import base64
 import binascii
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Generic, TypeVar
 from urllib.parse import urlencode
 
@@ -16,6 +16,7 @@
 import msgspec
 
 from damasklead.clock import Clock
+from damasklead.gateway.calls import Header
 from damasklead.gateway.dialect import (
     Changes,
     Feed,
@@ -24,11 +25,13 @@
     PeerDirectory,
     PeerEntry,
     PlatformLink,
+    join_headers,
 )
 from damasklead.gateway.directory import ListedRow
+from damasklead.gateway.positions import START, Position
 from damasklead.gateway.routing import RoutingTable
 from damasklead.gateway.upstream_http import Connection, ConnectionPool, SendError
-from damasklead.ids import DataCentre, InstanceId
+from damasklead.ids import DataCentre, InstanceId, StoreEra
 from damasklead.platform.documents import decode_configuration, decode_upstream
 
 __all__ = ["StoreLink"]
@@ -45,6 +48,12 @@
 MAX_PAGES = 40
 PEER_TABLE = "damasklead-gateways"
 HISTORY_LOST_STATUS = 410
+ERA_HEADER = b"store-era"
+# What fits 64 bits between gateways.
+MAX_ERA_DIGITS = 18
+# A store that names no era and whose versions stay lower for so long has come back from
+# an older copy; one that is only behind itself catches up sooner.
+STALE_SECONDS = 3.0
 # The server keeps idle connections longer than the time between two calls.
 KEEP_ALIVE_SECONDS = 10.0
 
@@ -62,6 +71,12 @@
     schema_version: int
     rows: list[_Row] = []
     has_more: bool = False
+    # Not in the body: a header of all answers.
+    era: StoreEra = StoreEra(0)
+
+    @property
+    def position(self) -> Position:
+        return Position(self.era, self.schema_version)
 
 
 class _Peer(msgspec.Struct):
@@ -69,6 +84,7 @@
     incarnation: int
     data_centre: str = ""
     cores: float = 1.0
+    operators: str = ""
 
 
 # Method, path with query, content and the longest time of a call.
@@ -85,7 +101,8 @@
         Makes a call of the store.
     table : str
     decode : callable
-        Turns rows into items.
+        Turns rows of an era into items.
+    clock : Clock
     """
 
     def __init__(
@@ -93,17 +110,20 @@
         *,
         call: _Call,
         table: str,
-        decode: Callable[[list[_Row]], list[T]],
+        decode: Callable[[list[_Row], StoreEra], list[T]],
+        clock: Clock,
     ) -> None:
         self._call = call
         self._table = table
         self._decode = decode
-        self._newest = 0
+        self._clock = clock
+        self._newest = START
+        self._stale_since: float | None = None
 
     def read(self) -> Changes[T]:
         """Read the whole table, page by page."""
         rows: list[_Row] = []
-        cursor: int | None = None
+        cursor: Position | None = None
         start = ""
         for _ in range(MAX_PAGES):
             query: dict[str, object] = {"table": self._table, "part": ""}
@@ -113,36 +133,48 @@
             target = f"/-/rows-get?{urlencode(query)}"
             page = self._call("GET", target, None, CALL_SECONDS)
             self._check_age(page)
-            cursor = page.schema_version if cursor is None else cursor
+            cursor = page.position if cursor is None else cursor
+            _check_era(page, cursor)
             rows.extend(page.rows)
             if not page.has_more or not page.rows:
                 break
             start = page.rows[-1].key + "\0"
-        return Changes(items=self._decode(rows), whole=True, cursor=cursor or 0)
+        cursor = cursor or START
+        items = self._decode(rows, cursor.era)
+        return Changes(items=items, whole=True, cursor=cursor)
 
-    def follow(self, cursor: int, *, wait: float) -> Changes[T]:
+    def follow(self, cursor: Position, *, wait: float) -> Changes[T]:
         """Return the changes since a cursor, waiting some seconds for the first."""
         query: dict[str, object] = {
             "table": self._table,
-            "since_revision": cursor,
+            "since_revision": cursor.version,
             "wait_ms": int(wait * 1000),
         }
         target = f"/-/rows-feed?{urlencode(query)}"
         page = self._call("GET", target, None, wait + WAIT_MARGIN_SECONDS)
         self._check_age(page)
+        _check_era(page, cursor)
         return Changes(
-            items=self._decode(page.rows),
+            items=self._decode(page.rows, page.era),
             whole=False,
-            cursor=max(cursor, page.schema_version),
+            cursor=max(cursor, page.position),
         )
 
     def _check_age(self, page: _Rows) -> None:
         """Refuse an answer that is older than an earlier one."""
-        if page.schema_version < self._newest:
-            raise FeedError(
-                FeedFault.STALE, f"version {page.schema_version} after {self._newest}"
-            )
-        self._newest = page.schema_version
+        position, newest = page.position, self._newest
+        if position >= newest:
+            self._newest = position
+            self._stale_since = None
+            return
+        now = self._clock.now()
+        if self._stale_since is None:
+            self._stale_since = now
+        if position.era or now - self._stale_since < STALE_SECONDS:
+            raise FeedError(FeedFault.STALE, f"{position} after {newest}")
+        self._newest = position
+        self._stale_since = None
+        raise FeedError(FeedFault.RESTORED, f"{position} for long after {newest}")
 
 
 class _PeerTable(PeerDirectory):
@@ -153,15 +185,24 @@
     ----------
     call : callable
         Makes a call of the store.
+    era : callable
+        Returns the store's era, as far as it is known.
     """
 
-    def __init__(self, *, call: _Call) -> None:
+    def __init__(self, *, call: _Call, era: Callable[[], StoreEra]) -> None:
         self._call = call
+        self._era = era
 
     def announce(self, entry: PeerEntry) -> None:
         """Write or replace this gateway's entry."""
         content = msgspec.json.encode(
-            _Peer(entry.address, entry.incarnation, entry.data_centre, entry.cores)
+            _Peer(
+                entry.address,
+                entry.incarnation,
+                entry.data_centre,
+                entry.cores,
+                entry.operators,
+            )
         )
         data = base64.b64encode(content).decode()
         self._change({"write": [_peer_row(entry) | {"data": data}]})
@@ -169,8 +210,10 @@
     def withdraw(self, entry: PeerEntry) -> None:
         """Remove an entry, unless it has changed since it was read."""
         change: dict[str, object] = {"remove": [_peer_row(entry)]}
-        if entry.version:
-            version = {"schema_version": entry.version}
+        if entry.position != START:
+            if entry.position.era != self._era():
+                raise FeedError(FeedFault.RESTORED, f"{entry.instance} was read before")
+            version = {"schema_version": entry.position.version}
             change["precondition"] = [_peer_row(entry) | version]
         self._change(change)
 
@@ -191,7 +234,8 @@
                     incarnation=content.incarnation,
                     data_centre=DataCentre(content.data_centre),
                     cores=content.cores,
-                    version=row.schema_version,
+                    operators=content.operators,
+                    position=Position(page.era, row.schema_version),
                 )
             )
         return entries
@@ -219,12 +263,13 @@
     def __init__(self, *, address: str, clock: Clock) -> None:
         self._address = address
         self._connections = ConnectionPool(clock=clock)
+        self._era = StoreEra(0)
         self._routing = _TableFeed(
-            call=self._call, table="op", decode=_decode_configurations
+            call=self._call, table="op", decode=_decode_configurations, clock=clock
         )
-        self._peers = _PeerTable(call=self._call)
+        self._peers = _PeerTable(call=self._call, era=lambda: self._era)
         self._upstreams = _TableFeed(
-            call=self._call, table="servers", decode=_decode_upstreams
+            call=self._call, table="servers", decode=_decode_upstreams, clock=clock
         )
 
     @property
@@ -270,7 +315,7 @@
                     headers=headers,
                     body=body,
                 )
-                status = connection.read_head().status_code
+                head = connection.read_head()
                 answer = connection.read_all(limit=ANSWER_BYTES)
         except (SendError, FeedError) as error:
             if connection is not None:
@@ -279,7 +324,34 @@
                 raise
             raise FeedError(FeedFault.UNREACHABLE, str(error)) from error
         self._connections.give_back(connection, keep_alive=KEEP_ALIVE_SECONDS)
-        return _decode_answer(status, answer)
+        self._take_era(_decode_era(head.headers))
+        page = _decode_answer(head.status_code, answer)
+        page.era = self._era
+        return page
+
+    def _take_era(self, era: StoreEra | None) -> None:
+        """Take in the era of an answer; raises ``FeedError`` for an older one's."""
+        if era is None:
+            return
+        if era < self._era:
+            raise FeedError(FeedFault.STALE, f"era {era} after {self._era}")
+        self._era = era
+
+
+def _decode_era(headers: Iterable[Header]) -> StoreEra | None:
+    """Return the era that an answer names, if any."""
+    value = join_headers(headers).get(ERA_HEADER)
+    if value is None:
+        return None
+    if not value.isdigit() or len(value) > MAX_ERA_DIGITS:
+        raise FeedError(FeedFault.UNREADABLE, f"era {value!r}")
+    return StoreEra(int(value))
+
+
+def _check_era(page: _Rows, cursor: Position) -> None:
+    """Refuse an answer from another era than the reading began in."""
+    if page.era != cursor.era:
+        raise FeedError(FeedFault.RESTORED, f"era {page.era} after {cursor.era}")
 
 
 def _decode_answer(status: int, body: bytes) -> _Rows:
@@ -293,7 +365,7 @@
         raise FeedError(FeedFault.UNREADABLE, str(error)) from error
 
 
-def _decode_configurations(rows: list[_Row]) -> list[RoutingTable]:
+def _decode_configurations(rows: list[_Row], _era: StoreEra) -> list[RoutingTable]:
     try:
         return [
             decode_configuration(base64.b64decode(row.data))
@@ -304,7 +376,7 @@
         raise FeedError(FeedFault.UNREADABLE, f"configuration: {error}") from error
 
 
-def _decode_upstreams(rows: list[_Row]) -> list[ListedRow]:
+def _decode_upstreams(rows: list[_Row], era: StoreEra) -> list[ListedRow]:
     listed: list[ListedRow] = []
     for row in rows:
         record = None
@@ -316,7 +388,7 @@
         listed.append(
             ListedRow(
                 instance=InstanceId(row.key),
-                version=row.schema_version,
+                position=Position(era, row.schema_version),
                 record=record,
             )
         )
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -19,6 +19,13 @@
 
 # Callers look at readiness before they stop sending, as a balancer does.
 RESTART_SECONDS = 0.5
+# A copy is up to so much older than the outage.
+RESTORE_SECONDS = 6
+# Replicas write again within about two seconds.
+REWRITE_SECONDS = 1.0
+STORE_RESTORED = "store comes back from a copy"
+# How often in a run that has any.
+RESTORES = 2
 
 
 class Fault(msgspec.Struct, kw_only=True, frozen=True):
@@ -32,17 +39,27 @@
 
 def schedule(seed: int, *, seconds: float, count: int) -> list[Fault]:
     """Return the faults of a seed, in the order of their times; they may overlap."""
-    source = random.Random(seed)
-    faults = [
+    kinds = sorted(FAULTS.keys() - {STORE_RESTORED})
+    faults = _draw(random.Random(seed), kinds, seconds=seconds, count=count)
+    # Drawn apart, so that the other faults of older seeds stay the same.
+    source = random.Random(f"{STORE_RESTORED} {seed}")
+    drills = source.choice((0, RESTORES))
+    faults += _draw(source, [STORE_RESTORED], seconds=seconds, count=drills)
+    return sorted(faults, key=lambda fault: fault.at)
+
+
+def _draw(
+    source: random.Random, kinds: list[str], *, seconds: float, count: int
+) -> list[Fault]:
+    return [
         Fault(
             at=source.uniform(0.0, 0.8 * seconds),
-            kind=source.choice(sorted(FAULTS)),
+            kind=source.choice(kinds),
             pick=source.randrange(1000),
             seconds=source.uniform(0.3, 2.5),
         )
         for _ in range(count)
     ]
-    return sorted(faults, key=lambda fault: fault.at)
 
 
 def play(site: Site, faults: list[Fault]) -> list[gevent.Greenlet]:
@@ -120,6 +137,16 @@
     site.store.refusing = False
 
 
+def _restore_store(site: Site, fault: Fault) -> None:
+    """Play the drill: the store is away and comes back from an older copy."""
+    site.store.refusing = True
+    gevent.sleep(fault.seconds)
+    site.store.restore(fault.seconds + fault.pick % RESTORE_SECONDS)
+    site.store.refusing = False
+    gevent.sleep(REWRITE_SECONDS)
+    site.write_again()
+
+
 def _crash_replica(site: Site, fault: Fault) -> None:
     name = _replica(site, fault)
     site.replicas[name].crash()
@@ -161,6 +188,7 @@
     "replica is slow": _trouble(_replica_proxy, Trouble.DELAY),
     "replica is silent": _trouble(_replica_proxy, Trouble.SILENCE),
     "store is away": _store_away,
+    STORE_RESTORED: _restore_store,
     "store is silent to one": _trouble(_store_proxy, Trouble.SILENCE),
     "store is slow to one": _trouble(_store_proxy, Trouble.DELAY),
     "store loses answers to one": _trouble(_store_proxy, Trouble.CUT_ANSWERS),
--- a/soak/site.py
+++ b/soak/site.py
@@ -68,6 +68,9 @@
         self._folder = folder
         self._seed = seed
         self._next_replica = 0
+        # What replicas last wrote of themselves, and those that were removed.
+        self._states: dict[str, str] = {}
+        self._removed: set[str] = set()
         self.replicas: dict[str, Replica] = {}
         self.proxies: dict[str, Proxy] = {}
         self._ready: dict[str, bool] = {}
@@ -100,6 +103,16 @@
         self.store.put("op", "config", content)
         self.version += 1
 
+    def write_again(self) -> None:
+        """Let the operators and the replicas write what the store has forgotten."""
+        self.version = max(1, self.version - 1)
+        self.configure()
+        for name, replica in self.replicas.items():
+            if name in self._removed:
+                self.store.drop("servers", name)
+            elif replica.alive:
+                self.list_replica(name, state=self._states[name])
+
     def add_replica(self) -> Replica:
         """Start a replica and list it."""
         self._next_replica += 1
@@ -114,6 +127,7 @@
 
     def list_replica(self, name: str, *, state: str) -> None:
         """Write a replica's entry."""
+        self._states[name] = state
         self.store.put(
             "servers", name, upstream(self.proxies[name].address, state=state)
         )
@@ -121,6 +135,7 @@
     def remove_replica(self, name: str) -> None:
         """End a replica and remove its entry."""
         self.replicas[name].crash()
+        self._removed.add(name)
         self.store.drop("servers", name)
         self.proxies[name].close()
 
--- a/tests/gatewaykit.py
+++ b/tests/gatewaykit.py
@@ -22,6 +22,7 @@
 from damasklead.gateway.listeners import Listener
 from damasklead.gateway.metrics import GatewayMetrics
 from damasklead.gateway.placements import Placement, new_placement
+from damasklead.gateway.positions import Position
 from damasklead.gateway.routing import (
     ApiKey,
     CallerLimits,
@@ -40,6 +41,7 @@
     Fingerprint,
     InstanceId,
     ServiceName,
+    StoreEra,
     WorkspaceId,
 )
 from damasklead.loop import LoopClock
@@ -81,6 +83,11 @@
     return RoutingTable(content=RoutingContent(**(content | changes)))
 
 
+def at(version: int, *, era: int = 0) -> Position:
+    """Return a position in the platform's store."""
+    return Position(StoreEra(era), version)
+
+
 def read_request(connection: socket.socket) -> tuple[str, dict[str, str], bytes]:
     """Return the request line, the headers by lowercase name and the body."""
     data = b""
--- a/tests/platformstandin.py
+++ b/tests/platformstandin.py
@@ -7,6 +7,7 @@
 
 import base64
 import json
+import time
 from urllib.parse import parse_qs, urlsplit
 
 import gevent
@@ -52,13 +53,18 @@
 
 
 class StoreStandin:
-    """Two tables with feeds; ``refusing`` makes every call a 503."""
+    """
+    Two tables with feeds; ``refusing`` makes every call a 503, and ``restore`` brings
+    back an older copy.
+    """
 
     def __init__(self) -> None:
         self.refusing = False
         self.calls = 0
+        self.era = 1
         self._version = 1
         self._rows: dict[tuple[str, str], dict] = {}
+        self._written: list[tuple[float, dict]] = []
         self._changed = Event()
         self._server = StreamServer(("127.0.0.1", 0), self._serve)
         self._server.start()
@@ -77,6 +83,16 @@
         """Remove a row."""
         self._write(table, key, {"deleted": True})
 
+    def restore(self, seconds: float) -> None:
+        """Come back from a copy so many seconds old, in a new era."""
+        begin = time.monotonic() - seconds
+        self._written = [item for item in self._written if item[0] <= begin]
+        self._rows = {(row["table"], row["key"]): row for _, row in self._written}
+        versions = [row["schema_version"] for _, row in self._written]
+        self._version = max(versions, default=1)
+        self.era += 1
+        self._notify()
+
     def stop(self) -> None:
         """Listen no more."""
         self._server.stop(timeout=0)
@@ -85,6 +101,10 @@
         self._version += 1
         row = {"table": table, "part": "", "key": key, "schema_version": self._version}
         self._rows[table, key] = row | content
+        self._written.append((time.monotonic(), row | content))
+        self._notify()
+
+    def _notify(self) -> None:
         self._changed.set()
         self._changed = Event()
 
@@ -95,7 +115,10 @@
                 self.calls += 1
                 status, content = self._answer(line.split()[1], body)
                 data = json.dumps(content).encode()
-                head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(data)}\r\n\r\n"
+                head = (
+                    f"HTTP/1.1 {status} X\r\nStore-Era: {self.era}\r\n"
+                    f"Content-Length: {len(data)}\r\n\r\n"
+                )
                 connection.sendall(head.encode() + data)
         except (EOFError, OSError):
             connection.close()
@@ -127,6 +150,8 @@
             return self._transact(json.loads(body))
         query = {name: values[0] for name, values in parse_qs(parts.query).items()}
         since = int(query.get("since_revision", 0))
+        if since > self._version:
+            return 410, {}
         rows = self._since(query["table"], since)
         if not rows and parts.path.endswith("rows-feed"):
             self._changed.wait(timeout=int(query["wait_ms"]) / 1000)
--- a/tests/test_gateway_broadcasts.py
+++ b/tests/test_gateway_broadcasts.py
@@ -26,10 +26,11 @@
 from damasklead.gateway.following import ConfigurationFollower, UpstreamFollower
 from damasklead.gateway.journal import Journal
 from damasklead.gateway.messages import Broadcast, Notice
+from damasklead.gateway.positions import Position
 from damasklead.gateway.reading import ListName, ListReports, ReadPlan, reader_rank
 from damasklead.gateway.routing import RoutingTable
 from damasklead.ids import Fingerprint, InstanceId
-from tests.gatewaykit import SERVICE, make_table
+from tests.gatewaykit import SERVICE, at, make_table
 from tests.test_gateway_parts import gone, row
 
 STEP_SECONDS = 0.05
@@ -39,28 +40,58 @@
 class Store:
     """The two lists, with one counter of versions, as the platform keeps them."""
 
-    def __init__(self) -> None:
+    def __init__(self, clock: ManualClock) -> None:
+        self.era = 1
         self.version = 1
         self.rows: list[ListedRow] = []
         self.tables: list[tuple[int, RoutingTable]] = []
         self.calls = 0
         self.away = False
         self.refused: set[str] = set()
+        self._clock = clock
+        self._written_at: dict[int, float] = {}
 
     def write(self, instance: str, **changes: object) -> None:
-        self.version += 1
+        self._count()
         self.rows.append(row(instance, self.version, **changes))
 
     def remove(self, instance: str) -> None:
-        self.version += 1
+        self._count()
         self.rows.append(gone(instance, self.version))
 
     def configure(self, **changes: object) -> int:
-        self.version += 1
-        table = make_table(self.version, **changes)
+        self._count()
+        newest = self.tables[-1][1].version if self.tables else 0
+        version = max(newest + 1, self.version)
+        table = make_table(**{"version": version} | changes)
         self.tables.append((self.version, table))
         return table.version
 
+    def restore(self, seconds: float) -> None:
+        """Come back from a copy so many seconds old."""
+        begin = self._clock.now() - seconds
+        kept = [v for v, written in self._written_at.items() if written <= begin]
+        self.version = max(kept)
+        self.rows = [item for item in self.rows if item.position.version in kept]
+        self.tables = [item for item in self.tables if item[0] in kept]
+        self._written_at = {v: self._written_at[v] for v in kept}
+        self.era += 1
+        self.away = False
+
+    def changes(self, since: int) -> list[ListedRow]:
+        """Return the entries written after a version, in the present era."""
+        return [
+            msgspec.structs.replace(
+                item, position=at(item.position.version, era=self.era)
+            )
+            for item in self.rows
+            if item.position.version > since
+        ]
+
+    def _count(self) -> None:
+        self.version += 1
+        self._written_at[self.version] = self._clock.now()
+
 
 class ListFeed(Feed):
     """One of the lists."""
@@ -72,20 +103,25 @@
 
     def read(self) -> Changes:
         if self._name is ListName.ROUTING:
-            return self.follow(0, wait=0.0)
-        newest = {item.instance: item for item in self._store.rows}
+            return self._since(0, whole=True)
+        changes = self._since(0, whole=True)
+        newest = {item.instance: item for item in changes.items}
         present = [item for item in newest.values() if item.record is not None]
-        self._call()
-        return Changes(items=present, whole=True, cursor=self._store.version)
+        return Changes(items=present, whole=True, cursor=changes.cursor)
 
-    def follow(self, cursor: int, *, wait: float) -> Changes:
+    def follow(self, cursor: Position, *, wait: float) -> Changes:
+        if cursor.era != self._store.era or cursor.version > self._store.version:
+            self._call()
+            raise FeedError(FeedFault.RESTORED, "test")
+        return self._since(cursor.version)
+
+    def _since(self, version: int, *, whole: bool = False) -> Changes:
         self._call()
-        items: list = [
-            table for version, table in self._store.tables if version > cursor
-        ]
+        items: list = [table for count, table in self._store.tables if count > version]
         if self._name is ListName.UPSTREAMS:
-            items = [item for item in self._store.rows if item.version > cursor]
-        return Changes(items=items, whole=False, cursor=self._store.version)
+            items = list(self._store.changes(version))
+        cursor = at(self._store.version, era=self._store.era)
+        return Changes(items=items, whole=whole, cursor=cursor)
 
     def _call(self) -> None:
         self._store.calls += 1
@@ -127,6 +163,7 @@
         clock = fleet.clock
         journal = Journal(instance=name)
         self.name = name
+        self.fleet = fleet
         self.down = False
         self.directory = UpstreamDirectory(clock=clock)
         self.departures = Departures(clock=clock)
@@ -168,6 +205,7 @@
             containment=self.containment,
             departures=self.departures,
             take_departures=self.take_departures,
+            outdated=self.catch_up,
             clock=clock,
             own=name,
             cores=1.0,
@@ -189,7 +227,15 @@
         for note in notes:
             self.directory.mark_left(note.instance, note.incarnation)
 
+    def catch_up(self, name: str) -> None:
+        """Take another gateway's configuration, as its snapshot holds it."""
+        table = self.fleet.gateways[name].configuration.table
+        assert table is not None
+        self.fleet.snapshots += 1
+        self.configuration.hand_over(table)
+
     def step(self, now: float) -> None:
+        self.upstreams.expire()
         followers = (self.configuration, self.upstreams)
         for index, follower in enumerate(followers):
             if now >= self._resume[index] and self.plans[index].next().ask:
@@ -206,7 +252,8 @@
 
     def __init__(self, count: int, *, loss: float = 0.0, seed: int = 1) -> None:
         self.clock = ManualClock(start=50.0)
-        self.store = Store()
+        self.store = Store(self.clock)
+        self.snapshots = 0
         self.store.configure()
         for number in range(4):
             self.store.write(f"r{number}")
--- a/tests/test_gateway_fuzz.py
+++ b/tests/test_gateway_fuzz.py
@@ -25,6 +25,7 @@
 from damasklead.gateway.events import EventSplitter
 from damasklead.ids import AttemptId, DataCentre, InstanceId, ServiceName
 from damasklead.platform.headers import PlatformDialect
+from tests.gatewaykit import at
 
 EXAMPLES = int(os.environ.get("FUZZ_EXAMPLES", "100"))
 STEPS = int(os.environ.get("FUZZ_STEPS", "40"))
@@ -78,7 +79,9 @@
     def _write(self, name: str) -> None:
         self.version += 1
         row = ListedRow(
-            instance=InstanceId(name), version=self.version, record=self._record(name)
+            instance=InstanceId(name),
+            position=at(self.version),
+            record=self._record(name),
         )
         self.unread.append(row)
 
@@ -134,7 +137,9 @@
             rows = [
                 ListedRow(
                     instance=InstanceId(name),
-                    version=newest[InstanceId(name)].version if name in newest else 1,
+                    position=newest[InstanceId(name)].position
+                    if name in newest
+                    else at(1),
                     record=self._record(name),
                 )
                 for name, truth in self.truth.items()
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -27,6 +27,7 @@
 from damasklead.gateway.following import ConfigurationFollower, UpstreamFollower
 from damasklead.gateway.journal import MAX_LINES, Journal
 from damasklead.gateway.placements import EnginePlacement, PlainPlacement
+from damasklead.gateway.positions import Position
 from damasklead.gateway.reading import ListName, ListReports, ReadPlan
 from damasklead.gateway.routing import (
     EngineSpec,
@@ -36,7 +37,7 @@
     ServiceSpec,
 )
 from damasklead.ids import AttemptId, DataCentre, InstanceId, ServiceName
-from tests.gatewaykit import IDEMPOTENT, SERVICE, make_table
+from tests.gatewaykit import IDEMPOTENT, SERVICE, at, make_table
 
 HERE = DataCentre("hout")
 
@@ -53,14 +54,17 @@
     return UpstreamRecord(**(content | changes))
 
 
-def row(name: str, version: int, **changes: object) -> ListedRow:
+def row(name: str, version: int, *, era: int = 0, **changes: object) -> ListedRow:
     return ListedRow(
-        instance=InstanceId(name), version=version, record=record(name, **changes)
+        instance=InstanceId(name),
+        position=at(version, era=era),
+        record=record(name, **changes),
     )
 
 
-def gone(name: str, version: int) -> ListedRow:
-    return ListedRow(instance=InstanceId(name), version=version, record=None)
+def gone(name: str, version: int, *, era: int = 0) -> ListedRow:
+    position = at(version, era=era)
+    return ListedRow(instance=InstanceId(name), position=position, record=None)
 
 
 def names(directory: UpstreamDirectory) -> list[str]:
@@ -131,7 +135,8 @@
         for number in range(MOST_VERSIONS + 10):
             directory.apply([row(f"x{number}", 2 * number + 2)], whole=False)
             directory.apply([gone(f"x{number}", 2 * number + 3)], whole=False)
-        assert len(directory._versions) <= MOST_VERSIONS + 1
+        assert len(directory._positions) <= MOST_VERSIONS + 1
+        assert len(directory._removals) <= MOST_VERSIONS
         assert names(directory) == ["a"]
 
     def test_a_replica_whose_address_another_one_has_gets_no_work(self) -> None:
@@ -162,8 +167,8 @@
         self.calls.append("read")
         return self._next()
 
-    def follow(self, cursor: int, *, wait: float) -> Changes:
-        self.calls.append(cursor)
+    def follow(self, cursor: Position, *, wait: float) -> Changes:
+        self.calls.append(cursor.version)
         return self._next()
 
     def _next(self) -> Changes:
@@ -173,8 +178,8 @@
         return result
 
 
-def changes(*items: object, cursor: int, whole: bool = False) -> Changes:
-    return Changes(items=list(items), whole=whole, cursor=cursor)
+def changes(*items: object, cursor: int, whole: bool = False, era: int = 0) -> Changes:
+    return Changes(items=list(items), whole=whole, cursor=at(cursor, era=era))
 
 
 class TestFollowing:
@@ -202,7 +207,9 @@
             versions.append(follower.table.version)
         assert versions == [5, 5, 8]
 
-    @pytest.mark.parametrize("fault", [FeedFault.HISTORY_LOST, FeedFault.STALE])
+    @pytest.mark.parametrize(
+        "fault", [FeedFault.HISTORY_LOST, FeedFault.STALE, FeedFault.RESTORED]
+    )
     def test_a_lost_history_or_a_stale_answer_means_reading_anew(
         self, fault: FeedFault
     ) -> None:
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -11,6 +11,7 @@
 import pytest
 
 from damasklead.clock import ManualClock
+from damasklead.gateway import peers as module
 from damasklead.gateway.coordination.messages import Ask
 from damasklead.gateway.dialect import FeedError, FeedFault, PeerDirectory, PeerEntry
 from damasklead.gateway.inbox import MOST_ASKS, MOST_MESSAGES, Inbox
@@ -18,7 +19,7 @@
 from damasklead.gateway.messages import Notice
 from damasklead.gateway.peers import FORGET_SECONDS, PING_SECONDS, Peers
 from damasklead.ids import DataCentre, InstanceId
-from tests.gatewaykit import free_ports, wait_until
+from tests.gatewaykit import at, free_ports, wait_until
 
 
 class MemoryDirectory(PeerDirectory):
@@ -178,7 +179,7 @@
     site.start("g2")
     wait_until(lambda: site.known("g1") == {"g2"})
     ghost = PeerEntry(
-        instance=InstanceId("g9"), address="127.0.0.1:9", incarnation=1, version=1
+        instance=InstanceId("g9"), address="127.0.0.1:9", incarnation=1, position=at(1)
     )
     site.directory.entries["g9"] = ghost
     site.peers["g1"]._add([ghost])
@@ -191,3 +192,44 @@
     assert site.known("g1") == {"g2"}
     assert "g9" not in site.directory.entries
     assert PING_SECONDS < FORGET_SECONDS / 3
+
+
+def test_a_withdrawal_that_a_copy_of_the_directory_undid_is_made_again(
+    site: Site, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(module, "SECOND_LOOK_UP_SECONDS", 0.2)
+    first = site.start("g1")
+    second = site.start("g2")
+    wait_until(lambda: site.known("g1") == {"g2"} and site.known("g2") == {"g1"})
+    copy = dict(site.directory.entries)
+    second.say_goodbye()
+    wait_until(lambda: site.known("g1") == set())
+    site.directory.entries = copy
+    first.list_restored()
+    wait_until(lambda: bool(first._returned))
+    assert site.known("g1") == set()
+    first.check_silent()
+    assert "g2" not in site.directory.entries
+
+
+def test_one_that_starts_again_after_its_goodbye_is_found(site: Site) -> None:
+    """Also when its clock went back, so that its incarnation is a lower one."""
+    site.start("g1")
+    second = site.start("g2", incarnation=9)
+    wait_until(lambda: site.known("g1") == {"g2"})
+    second.say_goodbye()
+    wait_until(lambda: site.known("g1") == set())
+    site.start("g2", incarnation=8)
+    wait_until(lambda: site.known("g1") == {"g2"})
+
+
+def test_an_announcement_that_the_directory_has_forgotten_is_made_again(
+    site: Site, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(module, "RESTORED_SECONDS_PER_GATEWAY", 0.05)
+    peers = site.start("g1")
+    wait_until(lambda: "g1" in site.directory.entries)
+    gevent.sleep(0.05)
+    site.directory.entries.clear()
+    peers.list_restored()
+    wait_until(lambda: "g1" in site.directory.entries)
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -304,3 +304,32 @@
         wait_until(lambda: site.logged('peer="gateway-2"'), seconds=8)
     finally:
         second.close()
+
+
+def test_a_store_that_comes_back_from_a_copy_is_followed_on(site: Site) -> None:
+    site.fill_store()
+    site.start()
+    wait_until(site.is_ready, seconds=10)
+    assert site.order("a1").startswith(b"HTTP/1.1 200")
+    gevent.sleep(1.5)
+    site.store.put("op", "config", configuration(2, prefix="/new/"))
+    wait_until(lambda: site.logged("version=2"), seconds=4)
+    site.store.restore(1.0)
+    wait_until(lambda: site.logged("event=store-restored"), seconds=4)
+    # What was in force stays so, and what is written again is followed.
+    assert site.order("a2", path="/new/1").startswith(b"HTTP/1.1 200")
+    assert site.order("a3").startswith(b"HTTP/1.1 404")
+    site.store.put("op", "config", configuration(3))
+    wait_until(lambda: site.logged("version=3"), seconds=2)
+    assert site.order("a4").startswith(b"HTTP/1.1 200")
+
+
+def test_an_announcement_that_was_lost_is_made_again(site: Site) -> None:
+    site.fill_store()
+    gevent.sleep(1.2)
+    site.start()
+    wait_until(site.is_ready, seconds=10)
+    wait_until(lambda: site.store.live_rows("damasklead-gateways"), seconds=4)
+    site.store.restore(1.0)
+    assert not site.store.live_rows("damasklead-gateways")
+    wait_until(lambda: site.store.live_rows("damasklead-gateways"), seconds=4)
--- a/tests/test_gateway_reading.py
+++ b/tests/test_gateway_reading.py
@@ -11,6 +11,7 @@
 import pytest
 
 from damasklead.clock import ManualClock
+from damasklead.gateway.positions import Position
 from damasklead.gateway.reading import (
     RANK_SECONDS,
     TRUST_SECONDS,
@@ -20,6 +21,7 @@
     ReadPlan,
     reader_rank,
 )
+from tests.gatewaykit import at
 
 STEP_SECONDS = 0.01
 # The time within which a change has to be in force.
@@ -40,11 +42,11 @@
             reports=self.reports,
             position=lambda: fleet.position(name),
         )
-        self.version = 0
+        self.version = at(0)
         self.calls = 0
         self.told_at = 0.0
-        self.told_version = 0
-        self.call: tuple[float, int] | None = None
+        self.told_version = at(0)
+        self.call: tuple[float, Position] | None = None
         self.cut_off = False
         self.frozen = False
 
@@ -86,7 +88,7 @@
 
     def __init__(self, count: int, *, seed: int = 1, loss: float = 0.0) -> None:
         self.clock = ManualClock(start=50.0)
-        self.version = 1
+        self.version = at(1)
         self.written_at = self.clock.now()
         self.gateways = [Gateway(self, f"g{number}") for number in range(count)]
         self._random = random.Random(seed)
@@ -99,7 +101,7 @@
                 other.reports.take([report])
 
     def write(self) -> None:
-        self.version += 1
+        self.version = at(self.version.version + 1)
         self.written_at = self.clock.now()
 
     def run(self, seconds: float) -> None:
@@ -183,10 +185,10 @@
     plan = ReadPlan(
         name=ListName.UPSTREAMS, clock=clock, reports=reports, position=lambda: 3
     )
-    plan.asked(told=0, mark=3)
-    reports.take([ListReport(0, 0), ListReport(9, 0)])
+    plan.asked(told=at(0), mark=at(3))
+    reports.take([ListReport(at(0), 0), ListReport(at(9), 0)])
     assert plan.next().ask
-    plan.asked(told=plan.told(), mark=3)
+    plan.asked(told=plan.told(), mark=at(3))
     assert not plan.next().ask
     clock.advance(TRUST_SECONDS + 3 * RANK_SECONDS + 0.01)
     assert plan.next().ask
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -12,6 +12,7 @@
 from gevent import socket
 from gevent.server import StreamServer
 
+from damasklead.clock import ManualClock
 from damasklead.cmdline import main
 from damasklead.findings import Findings
 from damasklead.gateway.calls import Call, ReplyKind, UpstreamState
@@ -28,8 +29,8 @@
 from damasklead.loop import LoopClock
 from damasklead.platform.documents import decode_configuration, decode_upstream
 from damasklead.platform.headers import PlatformDialect
-from damasklead.platform.store import StoreLink
-from tests.gatewaykit import ONCE, read_request
+from damasklead.platform.store import STALE_SECONDS, StoreLink
+from tests.gatewaykit import ONCE, at, read_request
 
 CONFIGURATION = {
     "version": 7,
@@ -232,12 +233,15 @@
                 line, _, _ = read_request(connection)
                 self.targets.append(line.split()[1])
                 status, content = self.answers.pop(0)
+                era = content.pop("era", None)
+                named = "" if era is None else f"Store-Era: {era}\r\n"
                 if not status:
                     connection.close()
                     return
                 body = json.dumps(content).encode()
                 connection.sendall(
-                    b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n" % (status, len(body))
+                    b"HTTP/1.1 %d X\r\n%sContent-Length: %d\r\n\r\n"
+                    % (status, named.encode(), len(body))
                     + body
                 )
         except (EOFError, OSError):
@@ -289,7 +293,7 @@
         ]
         changes = link.upstreams.read()
         assert [item.instance for item in changes.items] == ["i-1", "i-2"]
-        assert changes.whole and changes.cursor == 9
+        assert changes.whole and changes.cursor == at(9)
         assert "range_start=i-1%00" in store.targets[1]
 
     def test_changes_are_followed(self, store: StoreStandin, link: StoreLink) -> None:
@@ -301,8 +305,8 @@
             ),
         ]
         assert link.routing.read().items[0].version == 7
-        changes = link.upstreams.follow(9, wait=0.5)
-        assert changes.items[0].record is None and changes.cursor == 12
+        changes = link.upstreams.follow(at(9), wait=0.5)
+        assert changes.items[0].record is None and changes.cursor == at(12)
         assert "since_revision=9&wait_ms=500" in store.targets[1]
 
     def test_each_kind_of_trouble_has_its_name(
@@ -314,14 +318,89 @@
             (200, page(version=20)), (200, page(version=19)), (200, page(broken, version=21)),
         ]  # fmt: skip
         feed = link.routing
-        found = [fault_of(lambda: feed.follow(5, wait=0.1)) for _ in range(5)]
+        found = [fault_of(lambda: feed.follow(at(5), wait=0.1)) for _ in range(5)]
         assert found == [
             FeedFault.HISTORY_LOST, FeedFault.REFUSED, FeedFault.REFUSED,
             FeedFault.UNREACHABLE, FeedFault.UNREADABLE,
         ]  # fmt: skip
-        feed.follow(5, wait=0.1)
-        assert fault_of(lambda: feed.follow(5, wait=0.1)) is FeedFault.STALE
-        assert fault_of(lambda: feed.follow(5, wait=0.1)) is FeedFault.UNREADABLE
+        feed.follow(at(5), wait=0.1)
+        assert fault_of(lambda: feed.follow(at(5), wait=0.1)) is FeedFault.STALE
+        assert fault_of(lambda: feed.follow(at(5), wait=0.1)) is FeedFault.UNREADABLE
+
+    def test_versions_are_compared_inside_an_era(
+        self, store: StoreStandin, link: StoreLink
+    ) -> None:
+        store.answers = [
+            (200, page(version=1000) | {"era": 4}),
+            (200, page(version=900) | {"era": 4}),
+            (200, page(version=900) | {"era": 5}),
+            (200, page(version=900) | {"era": 5}),
+            (200, page(version=950) | {"era": 4}),
+        ]
+        feed = link.routing
+        assert feed.read().cursor == at(1000, era=4)
+        assert fault_of(feed.read) is FeedFault.STALE
+        assert feed.read().cursor == at(900, era=5)
+        restored = fault_of(lambda: feed.follow(at(1000, era=4), wait=0.1))
+        assert restored is FeedFault.RESTORED
+        assert fault_of(feed.read) is FeedFault.STALE
+
+    @pytest.mark.parametrize("status", [410, 429, 503])
+    def test_any_answer_tells_the_era(
+        self, store: StoreStandin, link: StoreLink, status: int
+    ) -> None:
+        store.answers = [
+            (status, {"era": 7}),
+            (200, page(version=9) | {"era": 6}),
+            (200, page(version=9)),
+        ]
+        fault_of(link.routing.read)
+        assert fault_of(link.upstreams.read) is FeedFault.STALE
+        assert link.upstreams.read().cursor == at(9, era=7)
+
+    @pytest.mark.parametrize("era", ["", "x", "-1", "1e3", "9" * 30])
+    def test_an_era_that_is_none_is_refused(
+        self, store: StoreStandin, link: StoreLink, era: str
+    ) -> None:
+        store.answers = [(200, page(version=9) | {"era": era})]
+        assert fault_of(link.routing.read) is FeedFault.UNREADABLE
+
+    def test_pages_of_two_eras_are_not_joined(
+        self, store: StoreStandin, link: StoreLink
+    ) -> None:
+        store.answers = [
+            (200, page(store_row("i-1", 3, UPSTREAM), version=9, more=True)
+             | {"era": 1}),
+            (200, page(store_row("i-2", 4, UPSTREAM), version=9) | {"era": 2}),
+        ]  # fmt: skip
+        assert fault_of(link.upstreams.read) is FeedFault.RESTORED
+
+    def test_a_store_without_eras_that_stays_behind_was_restored(
+        self, store: StoreStandin
+    ) -> None:
+        clock = ManualClock(start=50.0)
+        link = StoreLink(address=store.address, clock=clock)
+        store.answers = [(200, page(version=version)) for version in (90, 80, 80, 81)]
+        feed = link.routing
+        feed.read()
+        assert fault_of(feed.read) is FeedFault.STALE
+        clock.advance(STALE_SECONDS)
+        assert fault_of(feed.read) is FeedFault.RESTORED
+        assert feed.read().cursor == at(81)
+        link.close()
+
+    def test_no_condition_of_an_older_era_is_sent(
+        self, store: StoreStandin, link: StoreLink
+    ) -> None:
+        content = {"address": "10.0.0.1:7", "incarnation": 5}
+        store.answers = [
+            (200, page(store_row("g2", 3, content), version=4) | {"era": 1}),
+            (503, {"era": 2}),
+        ]
+        (entry,) = link.peers.read()
+        fault_of(link.routing.read)
+        assert fault_of(lambda: link.peers.withdraw(entry)) is FeedFault.RESTORED
+        assert len(store.targets) == 2
 
     def test_gateways_find_each_other(
         self, store: StoreStandin, link: StoreLink
@@ -336,7 +415,7 @@
         ]
         link.peers.announce(own)
         (entry,) = link.peers.read()
-        assert entry.address == own.address and entry.version == 3
+        assert entry.address == own.address and entry.position == at(3)
         assert fault_of(lambda: link.peers.withdraw(entry)) is FeedFault.REFUSED
         assert [target.split("?")[0] for target in store.targets] == [
             "/-/rows-tx", "/-/rows-get", "/-/rows-tx",
