--- a/damasklead/gateway/fleet.py
+++ b/damasklead/gateway/fleet.py
@@ -57,6 +57,8 @@
         Told of each configuration that comes into force.
     arranged : callable
         Told that the replicas have changed.
+    unavailable : callable
+        Told that neither the platform nor another gateway has told the configuration.
 
     Attributes
     ----------
@@ -78,6 +80,7 @@
         connections: ConnectionPool,
         configured: Callable[[RoutingTable], None],
         arranged: Callable[[], None],
+        unavailable: Callable[[], None],
     ) -> None:
         self._settings = settings
         self._clock = clock
@@ -103,6 +106,7 @@
             changed=self._configure,
             gateways=lambda: self.gateways,
             restored=self._note_restored,
+            unavailable=unavailable,
         )
         self.upstreams = UpstreamFollower(
             feed=lambda: link().upstreams,
--- a/damasklead/gateway/following.py
+++ b/damasklead/gateway/following.py
@@ -198,6 +198,8 @@
     ----------
     changed : callable
         Told of each version that comes into force.
+    unavailable : callable
+        Told when the configuration can't be read.
     """
 
     def __init__(
@@ -210,6 +212,7 @@
         changed: Callable[[RoutingTable], None],
         gateways: Callable[[], int] = lambda: 1,
         restored: Callable[[Position, Position], None] = lambda _before, _after: None,
+        unavailable: Callable[[], None] = lambda: None,
     ) -> None:
         super().__init__(
             name="configuration",
@@ -221,6 +224,7 @@
             restored=restored,
         )
         self._changed = changed
+        self._unavailable = unavailable
         self._table: RoutingTable | None = None
 
     @property
@@ -233,6 +237,10 @@
         for table in changes.items:
             self.offer(table)
 
+    def lost(self) -> None:
+        """Take in that the configuration can't be read."""
+        self._unavailable()
+
     def mark(self, changes: Changes[RoutingTable]) -> Position:
         """Return the newest version; it is the operators' and knows no eras."""
         newest = max((table.version for table in changes.items), default=0)
--- a/damasklead/gateway/forwarding.py
+++ b/damasklead/gateway/forwarding.py
@@ -24,6 +24,7 @@
 from damasklead.gateway.refusals import Reason, Refusal
 from damasklead.gateway.routing import CallerLimits, RouteKind, RoutingTable
 from damasklead.gateway.runparts import RunParts
+from damasklead.gateway.starting import StartGate
 from damasklead.ids import ServiceName
 
 __all__ = ["Forwarder"]
@@ -48,6 +49,8 @@
     table : callable
         Returns the configuration in force, or ``None`` while none is known.
     metrics : GatewayMetrics
+    gate : StartGate
+        Passed by each request before anything is decided about it.
     """
 
     def __init__(
@@ -57,11 +60,13 @@
         placement_of: Callable[[ServiceName], Placement],
         table: Callable[[], RoutingTable | None],
         metrics: GatewayMetrics,
+        gate: StartGate,
     ) -> None:
         self._parts = parts
         self._placement_of = placement_of
         self._table = table
         self._metrics = metrics
+        self._gate = gate
         self._active = 0
 
     @property
@@ -78,6 +83,7 @@
         """Answer one request on its connection, or abort it."""
         self._active += 1
         try:
+            self._gate.wait()
             call = self._admit(request)
             if isinstance(call, Refusal):
                 self._refuse_early(call, connection)
--- a/damasklead/gateway/process.py
+++ b/damasklead/gateway/process.py
@@ -29,6 +29,7 @@
 from damasklead.gateway.routing import RoutingTable, ServiceSpec
 from damasklead.gateway.runparts import RunParts
 from damasklead.gateway.settings import GatewaySettings
+from damasklead.gateway.starting import StartGate
 from damasklead.gateway.upstream_http import ConnectionPool
 from damasklead.ids import DataCentre, ServiceName
 from damasklead.loop import LoopClock
@@ -75,6 +76,7 @@
             path=settings_file, settings=settings, journal=self._journal
         )
         self._metrics = GatewayMetrics()
+        self._gate = StartGate()
         self._stopping = False
         self._stop_asked = Event()
         self._link = open_link(settings.platform)
@@ -97,6 +99,7 @@
             connections=self._connections,
             configured=self._configure,
             arranged=self._arrange,
+            unavailable=self._gate.open,
         )
         self._forwarder = Forwarder(
             parts=RunParts(
@@ -112,6 +115,7 @@
             placement_of=self._placement_of,
             table=lambda: self._fleet.configuration.table,
             metrics=self._metrics,
+            gate=self._gate,
         )
         self._callers = self._listener(settings.listen.callers, self._forwarder)
         self._tree = self._build_tree()
@@ -218,6 +222,8 @@
 
     def _arrange(self) -> None:
         """Let the placements see the replicas that may take new work."""
+        if self.ready:
+            self._gate.open()
         for name, placement in self._placements.items():
             usable = self._directory.usable(name)
             placement.retain(usable)
--- a/tests/gatewaykit.py
+++ b/tests/gatewaykit.py
@@ -35,6 +35,7 @@
     Workspace,
 )
 from damasklead.gateway.runparts import RunParts
+from damasklead.gateway.starting import StartGate
 from damasklead.gateway.upstream_http import AnswerMemory, ConnectionPool
 from damasklead.ids import (
     DataCentre,
@@ -204,6 +205,8 @@
         self.quarantined: list[Fingerprint] = []
         self.containment = Containment(clock=self.clock, named=self.quarantined.append)
         self.journal = Journal(instance="gateway-1")
+        self.gate = StartGate()
+        self.gate.open()
         self.forwarder = Forwarder(
             parts=RunParts(
                 dialect=PlatformDialect(),
@@ -219,6 +222,7 @@
             placement_of=lambda name: self.placement,
             table=lambda: self.table,
             metrics=GatewayMetrics(),
+            gate=self.gate,
         )
         (self._port,) = free_ports(1)
         self.listener = Listener(
--- /dev/null
+++ b/tests/test_gateway_starting.py
@@ -0,0 +1,63 @@
+"""
+Tests of a gateway that starts under load
+=========================================
+"""
+
+from collections.abc import Iterator
+
+import gevent
+import pytest
+from gevent import socket
+
+from damasklead.gateway import starting
+from damasklead.gateway.starting import StartGate
+from tests.gatewaykit import ScriptedReplica, World, answer
+
+
+def serve(replica: ScriptedReplica, connection: socket.socket) -> None:
+    while True:
+        connection.sendall(answer(replica.next_request(connection), b"served"))
+
+
+@pytest.fixture
+def world() -> Iterator[World]:
+    made = World([ScriptedReplica("r0", serve)])
+    yield made
+    made.stop()
+
+
+def close_gate(world: World) -> StartGate:
+    gate = world.gate = world.forwarder._gate = StartGate()
+    return gate
+
+
+def test_callers_that_come_before_the_configuration_are_served(world: World) -> None:
+    """After a loss of power each was refused and came back half a second later."""
+    gate = close_gate(world)
+    table, world.table = world.table, None
+    callers = [gevent.spawn(world.ask, "/read/1", attempt=f"a{n}") for n in range(20)]
+    gevent.sleep(0.1)
+    world.table = table
+    gate.open()
+    gevent.joinall(callers, timeout=5)
+    assert all(caller.value.startswith(b"HTTP/1.1 200") for caller in callers)
+    assert not world.lines("refused")
+
+
+def test_they_are_refused_as_soon_as_nothing_can_be_known(world: World) -> None:
+    gate = close_gate(world)
+    world.table = None
+    caller = gevent.spawn(world.ask, "/read/1")
+    gevent.sleep(0.05)
+    assert not caller.ready()
+    gate.open()
+    assert b" 503 " in caller.get(timeout=5)
+
+
+def test_none_is_held_for_longer_than_it_helps(
+    world: World, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(starting, "HOLD_SECONDS", 0.05)
+    close_gate(world)
+    world.table = None
+    assert b" 503 " in world.ask("/read/1")
