--- a/damasklead/gateway/bootstrap.py
+++ b/damasklead/gateway/bootstrap.py
@@ -22,8 +22,9 @@
 
 # Time between two rounds of asking.
 ASK_SECONDS = 0.25
-# The store is asked as well after so long, when a seed does not even refuse.
-PATIENCE_SECONDS = 0.35
+# The store is asked as well after so long, when a seed does not even refuse: a machine
+# without power does not, and one that knows anything answers within some milliseconds.
+PATIENCE_SECONDS = 0.05
 # Time between two questions for a newer configuration.
 CATCH_UP_SECONDS = 0.5
 
