--- a/damasklead/gateway/listeners.py
+++ b/damasklead/gateway/listeners.py
@@ -5,6 +5,7 @@
 The gateway's listening sockets, and the answers of the ports that serve no callers.
 """
 
+import socket as standard_socket
 from collections.abc import Callable
 
 import gevent
@@ -13,6 +14,7 @@
 from gevent.server import StreamServer
 
 from damasklead.clock import Clock
+from damasklead.earlylistener import BACKLOG
 from damasklead.gateway.callers import (
     CallerConnection,
     RawRequest,
@@ -24,8 +26,6 @@
 
 __all__ = ["Listener", "ReadyHandler", "StatusHandler"]
 
-# New connections that wait for the loop; more are opened again a second later.
-BACKLOG = 2048
 POLL_SECONDS = 0.05
 # Polls without an open connection after which none is to come any more.
 QUIET_POLLS = 2
@@ -43,6 +43,8 @@
     clock : Clock
     stopping : callable
         Whether the process stops.
+    listening : socket or None
+        Listens at the address already.
     """
 
     def __init__(
@@ -52,8 +54,10 @@
         handler: RequestHandler,
         clock: Clock,
         stopping: Callable[[], bool],
+        listening: standard_socket.socket | None = None,
     ) -> None:
         self._address = address
+        self._listening = listening
         self._handler = handler
         self._clock = clock
         self._stopping = stopping
@@ -67,9 +71,12 @@
 
     def start(self) -> None:
         """Listen."""
-        self._server = StreamServer(
-            split_address(self._address), self._serve, backlog=BACKLOG
-        )
+        early = self._take_early()
+        if early is None:
+            address = split_address(self._address)
+            self._server = StreamServer(address, self._serve, backlog=BACKLOG)
+        else:
+            self._server = StreamServer(early, self._serve)
         self._server.start()
 
     def stop(self) -> None:
@@ -105,6 +112,16 @@
         for connection in list(self._connections):
             connection.close_if_idle()
 
+    def _take_early(self) -> socket.socket | None:
+        """Return the socket that listens already, if it does so at the address."""
+        early, self._listening = self._listening, None
+        if early is None:
+            return None
+        if early.getsockname()[:2] != split_address(self._address):
+            early.close()
+            return None
+        return socket.socket(early.family, early.type, fileno=early.detach())
+
     def _serve(self, raw: socket.socket, _peer: object) -> None:
         connection = CallerConnection(
             raw=raw,
--- a/damasklead/gateway/process.py
+++ b/damasklead/gateway/process.py
@@ -8,6 +8,7 @@
 
 import os
 import signal
+import socket
 from collections.abc import Callable
 from pathlib import Path
 
@@ -59,6 +60,8 @@
     dialect : Dialect
     open_link : callable
         Opens the link to the platform at an address.
+    callers : socket or None
+        Listens for callers already.
     """
 
     def __init__(
@@ -68,6 +71,7 @@
         settings: GatewaySettings,
         dialect: Dialect,
         open_link: Callable[[str], PlatformLink],
+        callers: socket.socket | None = None,
     ) -> None:
         self._open_link = open_link
         self._clock = LoopClock()
@@ -117,7 +121,9 @@
             metrics=self._metrics,
             gate=self._gate,
         )
-        self._callers = self._listener(settings.listen.callers, self._forwarder)
+        self._callers = self._listener(
+            settings.listen.callers, self._forwarder, listening=callers
+        )
         self._tree = self._build_tree()
         self._observe()
 
@@ -247,8 +253,15 @@
         self._connections.discard(record.address)
         self._fleet.note_left(record, sign)
 
-    def _listener(self, address: str, handler: RequestHandler) -> Listener:
+    def _listener(
+        self,
+        address: str,
+        handler: RequestHandler,
+        *,
+        listening: socket.socket | None = None,
+    ) -> Listener:
         return Listener(
+            listening=listening,
             address=address,
             handler=handler,
             clock=self._clock,
--- a/damasklead/platform/__main__.py
+++ b/damasklead/platform/__main__.py
@@ -2,15 +2,18 @@
 Start on the platform
 =====================
 
-Runs a gateway with the settings file whose path stands in the environment.
+Runs a gateway with the settings file whose path stands in the environment.  Where the
+callers' address stands there too, its port is opened before the program is loaded.
 """
 
 import os
 import signal
 import sys
-from pathlib import Path
+
+from damasklead.earlylistener import open_early
 
 SETTINGS_VARIABLE = "DAMASKLEAD_SETTINGS"
+CALLERS_VARIABLE = "DAMASKLEAD_CALLERS"
 
 
 def main() -> int:
@@ -18,9 +21,12 @@
     # A reload that is asked for while the process starts would end it: the handler is
     # installed after the imports, and the settings are read after this line anyway.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    callers = open_early(os.environ.get(CALLERS_VARIABLE, ""))
+    from pathlib import Path
+
     from damasklead.platform.start import run_gateway
 
-    return run_gateway(Path(os.environ[SETTINGS_VARIABLE]))
+    return run_gateway(Path(os.environ[SETTINGS_VARIABLE]), callers=callers)
 
 
 if __name__ == "__main__":
--- a/damasklead/platform/start.py
+++ b/damasklead/platform/start.py
@@ -5,6 +5,7 @@
 Puts the adapter's parts and the gateway together.
 """
 
+import socket
 import sys
 from pathlib import Path
 
@@ -21,8 +22,16 @@
 WRONG_SETTINGS = 2
 
 
-def run_gateway(settings_file: Path) -> int:
-    """Run a gateway until SIGTERM; returns the exit code."""
+def run_gateway(settings_file: Path, *, callers: socket.socket | None = None) -> int:
+    """
+    Run a gateway until SIGTERM; returns the exit code.
+
+    Parameters
+    ----------
+    settings_file : Path
+    callers : socket or None
+        Listens for callers already.
+    """
     logs.to_standard_output()
     findings = Findings()
     settings = check_gateway_settings(
@@ -35,5 +44,6 @@
         settings_file=settings_file,
         settings=settings,
         dialect=PlatformDialect(),
+        callers=callers,
         open_link=lambda address: StoreLink(address=address, clock=LoopClock()),
     ).run()
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -84,9 +84,12 @@
         for replica in self.replicas:
             self.store.put("servers", replica.name, upstream(replica.record.address))
 
-    def start(self) -> None:
-        """Start the gateway."""
+    def start(self, *, early: bool = False) -> None:
+        """Start the gateway; ``early`` opens the callers' port before the rest."""
         environment = os.environ | {"DAMASKLEAD_SETTINGS": str(self.settings_file)}
+        if early:
+            address = f"127.0.0.1:{self._ports['callers']}"
+            environment["DAMASKLEAD_CALLERS"] = address
         with self.log_file.open("ab") as log:
             self._process = subprocess.Popen(
                 [sys.executable, "-m", "damasklead.platform"],
@@ -121,6 +124,14 @@
         except ConnectionRefusedError:
             return b""
 
+    def connects(self, port: str) -> bool:
+        """Tell whether a port is open."""
+        try:
+            socket.create_connection(("127.0.0.1", self._ports[port]), 10).close()
+        except ConnectionRefusedError:
+            return False
+        return True
+
     def order(self, attempt: str = "a1", path: str = "/order/1") -> bytes:
         """Send an order."""
         return self.ask(
@@ -333,3 +344,10 @@
     site.store.restore(1.0)
     assert not site.store.live_rows("damasklead-gateways")
     wait_until(lambda: site.store.live_rows("damasklead-gateways"), seconds=4)
+
+
+def test_a_process_serves_whoever_connects_while_it_is_loaded(site: Site) -> None:
+    site.fill_store()
+    site.start(early=True)
+    wait_until(lambda: site.connects("callers"), seconds=10)
+    assert site.order("a1").startswith(b"HTTP/1.1 200")
--- a/tests/test_gateway_starting.py
+++ b/tests/test_gateway_starting.py
@@ -9,9 +9,18 @@
 import pytest
 from gevent import socket
 
+from damasklead.earlylistener import open_early
 from damasklead.gateway import starting
+from damasklead.gateway.listeners import Listener
 from damasklead.gateway.starting import StartGate
-from tests.gatewaykit import ScriptedReplica, World, answer
+from tests.gatewaykit import (
+    ScriptedReplica,
+    World,
+    answer,
+    free_ports,
+    read_all,
+    request,
+)
 
 
 def serve(replica: ScriptedReplica, connection: socket.socket) -> None:
@@ -61,3 +70,41 @@
     close_gate(world)
     world.table = None
     assert b" 503 " in world.ask("/read/1")
+
+
+class TestEarlyListener:
+    def listener(self, world: World, port: int, early: object) -> Listener:
+        return Listener(
+            address=f"127.0.0.1:{port}",
+            handler=world.forwarder,
+            clock=world.clock,
+            stopping=lambda: False,
+            listening=early,  # type: ignore[arg-type]
+        )
+
+    def test_who_connected_before_the_program_was_loaded_is_served(
+        self, world: World
+    ) -> None:
+        (port,) = free_ports(1)
+        early = open_early(f"127.0.0.1:{port}")
+        with socket.create_connection(("127.0.0.1", port), timeout=5) as caller:
+            caller.sendall(request("/read/1", close=True))
+            listener = self.listener(world, port, early)
+            listener.start()
+            assert read_all(caller).startswith(b"HTTP/1.1 200")
+        listener.stop()
+
+    def test_the_settings_address_goes_first(self, world: World) -> None:
+        first, second = free_ports(2)
+        listener = self.listener(world, second, open_early(f"127.0.0.1:{first}"))
+        listener.start()
+        with socket.create_connection(("127.0.0.1", second), timeout=5) as caller:
+            caller.sendall(request("/read/1", close=True))
+            assert read_all(caller).startswith(b"HTTP/1.1 200")
+        with pytest.raises(OSError):
+            socket.create_connection(("127.0.0.1", first), timeout=5)
+        listener.stop()
+
+    @pytest.mark.parametrize("address", ["", "nowhere", "127.0.0.1:x", "1.2.3.4:80"])
+    def test_an_address_that_is_none_of_ours_opens_nothing(self, address: str) -> None:
+        assert open_early(address) is None
