--- a/damasklead/gateway/following.py
+++ b/damasklead/gateway/following.py
@@ -36,6 +36,8 @@
 _STARTING_ANEW = (FeedFault.HISTORY_LOST, FeedFault.STALE, FeedFault.RESTORED)
 # Pause before a list is read anew.
 ANEW_SECONDS = 0.1
+# While a gateway pauses after a failed call, what others tell is looked at so often.
+LOOK_SECONDS = 0.3
 
 
 class Follower(ABC, Generic[T]):
@@ -106,11 +108,18 @@
         while True:
             step = self._plan.next()
             if step.ask:
-                gevent.sleep(self.step(wait=step.wait))
+                gevent.sleep(min(self.step(wait=step.wait), LOOK_SECONDS))
+                self._wait_for_retry()
             else:
                 self._notice.wait(timeout=step.wait)
                 self._notice.clear()
 
+    def _wait_for_retry(self) -> None:
+        """Pause after a failed call, for as long as what others tell makes sense."""
+        while left := self._plan.pause_left():
+            self._notice.wait(timeout=min(left, LOOK_SECONDS))
+            self._notice.clear()
+
     def step(self, *, wait: float = READER_WAIT_SECONDS) -> float:
         """Make one call; returns the seconds to wait before the next."""
         told = self._plan.told()
@@ -185,8 +194,9 @@
             self._lost = True
             self._journal.event("dependency-lost", feed=self._name, cause=str(error))
         self.lost()
-        pause = self._plan.failed(gateways=self._gateways())
-        return pause * random.uniform(0.5, 1.0)
+        spread = random.uniform(0.5, 1.0)
+        self._plan.failed(gateways=self._gateways(), spread=spread)
+        return self._plan.pause_left()
 
 
 class ConfigurationFollower(Follower[RoutingTable]):
--- a/damasklead/gateway/reading.py
+++ b/damasklead/gateway/reading.py
@@ -189,6 +189,9 @@
         self._asked_at = float("-inf")
         self._direct = True
         self._failures = 0
+        self._failed_at = 0.0
+        self._gateways = 1
+        self._spread = 1.0
 
     @property
     def report(self) -> ListReport:
@@ -234,26 +237,49 @@
             delay += LATER_RANK_SECONDS * later**2
         return delay
 
-    def failed(self, *, gateways: int) -> float:
+    def failed(self, *, gateways: int, spread: float) -> None:
         """
-        Take in that the store could not be asked; returns the seconds to pause.
-
-        Whoever reaches it again tells the others, so that a store that is away is asked
-        a few times a second by the whole fleet, whatever its size.
+        Take in that the store could not be asked.
 
         Parameters
         ----------
         gateways : int
             How many there are.
+        spread : float
+            Part of the pause that is kept, so that gateways don't ask together.
         """
         self._failures += 1
-        place = (self._position() + 1) ** 2 if self._reports.heard else 1
+        self._failed_at = self._clock.now()
+        self._gateways = gateways
+        self._spread = spread
+
+    def pause_left(self) -> float:
+        """
+        Return the seconds for which the store is not asked after a failed call.
+
+        Whoever reaches a store that was away tells the others, so that the whole fleet,
+        whatever its size, asks it a few times a second.  As soon as another gateway
+        reaches it, only this one is turned away, and pauses no longer than the first.
+        """
+        if not self._failures:
+            return 0.0
+        place = (self._position() + 1) ** 2 if self._is_away else 1
         most = MAX_PAUSE_SECONDS
         if place > 1:
-            limit = max(OTHERS_PAUSE_SECONDS, PAUSE_SECONDS_PER_GATEWAY * gateways)
+            limit = max(
+                OTHERS_PAUSE_SECONDS, PAUSE_SECONDS_PER_GATEWAY * self._gateways
+            )
             most = min(MAX_PAUSE_SECONDS * place, limit)
         doublings = min(self._failures - 1, MOST_DOUBLINGS)
-        return min(FIRST_PAUSE_SECONDS * place * 2**doublings, most)
+        pause = self._spread * min(FIRST_PAUSE_SECONDS * place * 2**doublings, most)
+        return max(0.0, self._failed_at + pause - self._clock.now())
+
+    @property
+    def _is_away(self) -> bool:
+        """Whether no gateway reaches the store, though others are heard."""
+        now = self._clock.now()
+        confirmed = now - self._reports.confirmed_at(self._name) < TRUST_SECONDS
+        return self._reports.heard and not confirmed
 
     def asked(self, *, told: Position, mark: Position) -> None:
         """
--- a/tests/test_gateway_broadcasts.py
+++ b/tests/test_gateway_broadcasts.py
@@ -28,7 +28,7 @@
 from damasklead.gateway.messages import Broadcast, Notice
 from damasklead.gateway.positions import Position
 from damasklead.gateway.reading import ListName, ListReports, ReadPlan, reader_rank
-from damasklead.gateway.routing import RoutingTable
+from damasklead.gateway.routing import Route, RouteName, RoutingTable
 from damasklead.ids import Fingerprint, InstanceId
 from tests.gatewaykit import SERVICE, at, make_table
 from tests.test_gateway_parts import gone, row
@@ -238,10 +238,12 @@
         self.upstreams.expire()
         followers = (self.configuration, self.upstreams)
         for index, follower in enumerate(followers):
-            if now >= self._resume[index] and self.plans[index].next().ask:
+            if now < self._resume[index] or self.plans[index].pause_left():
+                continue
+            if self.plans[index].next().ask:
                 pause = follower.step(wait=0.0)
                 # A call of the reader's waits at the store while nothing changes.
-                self._resume[index] = now + (pause or 0.6)
+                self._resume[index] = now + min(pause or 0.6, 0.6)
         if now - self._told_at >= BROADCAST_SECONDS:
             self._told_at = now
             self.broadcasts.step()
@@ -325,16 +327,23 @@
         assert all(f"n{number}" in gateway.replicas for gateway in fleet.up)
 
 
-def test_a_long_configuration_is_asked_of_the_store() -> None:
-    fleet = Fleet(8)
-    fleet.run(4.0)
-    routes = [
+def long_routes() -> list[Route]:
+    """Return routes that don't fit a broadcast, also when they are compressed."""
+    source = random.Random(1)
+    return [
         msgspec.structs.replace(
-            make_table().routes[0], name=f"x{n}", prefix=f"/{random.random()}/"
+            make_table().routes[0],
+            name=RouteName(f"x{n}"),
+            prefix=f"/{source.random()}/",
         )
         for n in range(ROUTING_BYTES // 10)
     ]
-    version = fleet.store.configure(routes=routes)
+
+
+def test_a_long_configuration_is_asked_of_the_store() -> None:
+    fleet = Fleet(8)
+    fleet.run(4.0)
+    version = fleet.store.configure(routes=long_routes())
     before = fleet.store.calls
     fleet.run(BOUND_SECONDS)
     assert all(gateway.version == version for gateway in fleet.up)
@@ -395,6 +404,23 @@
         fleet.run(2.0)
 
 
+def test_those_that_the_store_turned_away_ask_as_soon_as_others_reach_it() -> None:
+    """
+    One that pauses as if the store were away for all missed a configuration that was
+    too long for a broadcast.
+    """
+    fleet = Fleet(65)
+    fleet.run(4.0)
+    ranked = sorted(fleet.gateways, key=reader_rank)
+    fleet.store.refused = {name for name in ranked if name not in ranked[10:50]}
+    fleet.run(9.0)
+    fleet.store.refused = set()
+    fleet.run(0.2)
+    version = fleet.store.configure(routes=long_routes())
+    fleet.run(BOUND_SECONDS)
+    assert {gateway.version for gateway in fleet.up} == {version}
+
+
 def test_an_outage_costs_fewer_calls_of_each_gateway_the_more_there_are() -> None:
     calls = {}
     for count in (10, 100):
