--- a/damasklead/cmdline.py
+++ b/damasklead/cmdline.py
@@ -15,6 +15,7 @@
 from damasklead import __version__
 from damasklead.commands.changing import DrainInstance, Publish
 from damasklead.commands.experimenting import RunExperiment
+from damasklead.commands.explaining import Explain
 from damasklead.commands.inspecting import Audit, ShowStatus
 from damasklead.commands.orders import Orders
 from damasklead.commands.quarantine import QuarantineGroup
@@ -51,6 +52,7 @@
         | MakeKey
         | Demo
         | RunExperiment
+        | Explain
         | Standin
     ]
 
--- /dev/null
+++ b/damasklead/commands/explaining.py
@@ -0,0 +1,57 @@
+"""
+Explaining
+==========
+
+The command that tells from logs what happened to requests.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Annotated
+
+import cappa
+
+from damasklead.commands import DONE, FAILED
+from damasklead.explaining.lines import LogLine, parse_lines
+from damasklead.explaining.stories import collect_stories, format_story
+from damasklead.explaining.tables import format_causes, format_windows
+
+__all__ = ["Explain"]
+
+
+@cappa.command(
+    name="explain", help="Tell from gateways' logs what happened to requests."
+)
+@dataclass(kw_only=True)
+class Explain:
+    """The story of one request, or what was lost by cause."""
+
+    logs: Annotated[
+        list[Path], cappa.Arg(help="Log files, or folders of files named *.log.")
+    ]
+    request: Annotated[
+        list[str], cappa.Arg(long=True, help="A request's attempt id.")
+    ] = field(default_factory=list)
+
+    def __call__(self) -> int:
+        """Run the command; returns the exit code."""
+        stories = collect_stories(self._read())
+        if not self.request:
+            found = list(stories.values())
+            print(*format_causes(found), "", *format_windows(found), sep="\n")
+            return DONE
+        missing = [name for name in self.request if name not in stories]
+        for name in self.request:
+            if name in stories:
+                print(f"request {name}", *format_story(stories[name]), sep="\n")
+        for name in missing:
+            print(f"no line mentions request {name}")
+        return FAILED if missing else DONE
+
+    def _read(self) -> Iterator[LogLine]:
+        for path in self.logs:
+            files = sorted(path.glob("*.log")) if path.is_dir() else [path]
+            for file in files:
+                with file.open(errors="replace") as lines:
+                    yield from parse_lines(lines)
--- a/damasklead/gateway/forwarding.py
+++ b/damasklead/gateway/forwarding.py
@@ -182,6 +182,7 @@
             events=run.events,
             offers=run.offers,
             first=run.first_after,
+            target=call.due - call.arrival,
             seconds=seconds,
         )
 
