--- a/damasklead/gateway/coordination/cellmap.py
+++ b/damasklead/gateway/coordination/cellmap.py
@@ -32,8 +32,8 @@
 # A cell's load is known for so long.
 LOAD_LIFE_SECONDS = 1.0
 # A request leaves its home cell when that has so many seconds more to read than
-# another one: it is read in full there.
-SPILL_SECONDS = 0.5
+# another one: its shared parts are read again there, which takes from everybody.
+SPILL_SECONDS = 2.0
 # Part of the requests beyond that which look at a cell whose load is not known.
 LOOK_SHARE = 0.25
 
--- a/damasklead/gateway/coordination/cells.py
+++ b/damasklead/gateway/coordination/cells.py
@@ -28,9 +28,10 @@
     "rank_members",
 ]
 
-# Engines of one cell: enough to keep some apart for tight streams and to let a hot
-# subject spread, few enough for one coordinator to weigh them all for each request.
-CELL_ENGINES = 8
+# Engines of one cell: enough that cells get about equal parts of the subjects, to keep
+# some apart for tight streams and to let a hot subject spread; few enough for one
+# coordinator to weigh them all for each request.
+CELL_ENGINES = 24
 # Data centres with fewer engines than this share their cells.
 LEAST_ENGINES = 6
 # Shared parts of so many tokens are worth the way to another data centre: one engine
--- a/tests/test_gateway_coordination.py
+++ b/tests/test_gateway_coordination.py
@@ -358,7 +358,7 @@
             Member(InstanceId(f"g{number}"), DataCentre("hout"))
             for number in range(1, gateways)
         )
-        cells.take_engines(SERVICE, engines(60, "hout", "mossel"))
+        cells.take_engines(SERVICE, engines(8 * CELL_ENGINES, "hout", "mossel"))
         return cells
 
     def test_the_last_one_asked_is_this_gateway(self) -> None:
