--- a/damasklead/gateway/coordination/coordinator.py
+++ b/damasklead/gateway/coordination/coordinator.py
@@ -107,6 +107,7 @@
             is_urgent=self._placement.is_urgent,
             any_room=self._placement.any_room,
             seconds_of=self._placement.seconds_of,
+            reading_of=self._placement.reading_of,
         )
         self._backlog = 0.0
         self._weighed_at = -math.inf
--- a/damasklead/gateway/placements/base.py
+++ b/damasklead/gateway/placements/base.py
@@ -53,6 +53,7 @@
         self._data_centre = data_centre
         self._replicas: dict[InstanceId, ReplicaState] = {}
         self._usable: dict[InstanceId, ReplicaState] = {}
+        self._keys: frozenset[int] = frozenset()
 
     @property
     def service(self) -> ServiceSpec:
@@ -97,6 +98,7 @@
                 self._parts.forget(record.instance)
             usable[record.instance] = state
         self._usable = usable
+        self._keys = frozenset(state.key for state in usable.values())
         now = self._clock.now()
         for instance in [item for item in self._replicas if item not in usable]:
             state = self._replicas[instance]
@@ -232,6 +234,10 @@
         """Return how long all replicas together need to read a request."""
         return 0.0
 
+    def reading_of(self, call: Call) -> float:
+        """Return how long a replica reads what none has cached of a request."""
+        return 0.0
+
     def has_room(self, call: Call) -> bool:
         """Tell whether the replica that a request would go to has little left to do."""
         return True
--- a/damasklead/gateway/placements/engine.py
+++ b/damasklead/gateway/placements/engine.py
@@ -179,6 +179,15 @@
         tokens = parts[-1].tokens if parts else call.head.prompt_tokens
         return tokens / (engines * READ_TOKENS_PER_SECOND)
 
+    def reading_of(self, call: Call) -> float:
+        """Return how long an engine reads what none has cached of a request."""
+        cached = tokens = 0
+        for part in call.head.prompt[:-1]:
+            tokens += part.tokens
+            if not self._keys.isdisjoint(self._parts.replicas(part.key)):
+                cached = tokens
+        return (call.head.prompt_tokens - cached) / READ_TOKENS_PER_SECOND
+
     def _may_hold(self, state: ReplicaState, call: Call) -> bool:
         """Tell whether an engine may have all shared parts of a prompt."""
         parts = call.head.prompt[:-1]
--- a/tests/test_gateway_admission.py
+++ b/tests/test_gateway_admission.py
@@ -6,7 +6,14 @@
 """
 
 from damasklead.clock import ManualClock
-from damasklead.gateway.admission import MOST_WAITING, Admission, Admit, Reject
+from damasklead.gateway.admission import (
+    MOST_READING_SHARE,
+    MOST_WAITING,
+    WEIGH_SECONDS,
+    Admission,
+    Admit,
+    Reject,
+)
 from damasklead.gateway.calls import Call, CallHead
 from damasklead.gateway.routing import Route, RouteKind, RouteName
 from damasklead.ids import AttemptId, ServiceName
@@ -34,10 +41,12 @@
     def __init__(self, *, room: int) -> None:
         self.clock = ManualClock(start=100.0)
         self.room = room
+        self.reading: dict[str, float] = {}
         self.admission = Admission(
             clock=self.clock,
             has_room=lambda call: self.room > 0,
             is_urgent=lambda call: call.route is CHAT,
+            reading_of=lambda call: self.reading.get(call.id, 0.0),
         )
         self.admitted: list[str] = []
         self.rejected: dict[str, Reject] = {}
@@ -160,3 +169,47 @@
     for number in range(MOST_WAITING + 3):
         scene.submit(f"r{number}", REVIEW)
     assert len(scene.rejected) == 3
+
+
+class TestWhatHasToBeRead:
+    """
+    A burst of long prompts about many subjects: some find their shared parts cached,
+    others take an engine five times as long.
+    """
+
+    def scene(self) -> Scene:
+        scene = Scene(room=0)
+        for number in range(10):
+            name = f"r{number}"
+            scene.reading[name] = 0.45 if number % 2 else 0.09
+            scene.submit(name, REVIEW)
+            scene.clock.advance(0.02)
+        return scene
+
+    def test_those_that_find_their_parts_cached_go_first(self) -> None:
+        scene = self.scene()
+        scene.make_room(5)
+        assert scene.admitted == [f"r{number}" for number in range(0, 10, 2)]
+        scene.make_room(5)
+        assert len(scene.admitted) == 10
+
+    def test_one_that_has_much_to_read_is_not_passed_over_for_long(self) -> None:
+        scene = Scene(room=0)
+        scene.reading["long"] = 60.0
+        scene.submit("long", REVIEW)
+        scene.clock.advance(MOST_READING_SHARE * REVIEW.target + 0.01)
+        scene.submit("short", REVIEW)
+        scene.make_room(1)
+        assert scene.admitted == ["long"]
+
+    def test_what_was_read_meanwhile_counts_as_cached(self) -> None:
+        scene = Scene(room=0)
+        scene.reading["first"] = 0.45
+        scene.submit("first", REVIEW)
+        scene.clock.advance(0.05)
+        scene.submit("second", REVIEW)
+        scene.decide()
+        scene.reading["first"] = 0.0
+        scene.clock.advance(1.1 * WEIGH_SECONDS)
+        scene.make_room(1)
+        assert scene.admitted == ["first"]
--- a/tests/test_gateway_partplaces.py
+++ b/tests/test_gateway_partplaces.py
@@ -168,3 +168,14 @@
         assert chosen is not None
         centres.add(chosen.data_centre)
     assert centres == {HERE}
+
+
+def test_what_some_engine_has_need_not_be_read_before_a_request_is_weighed() -> None:
+    cell = Cell(ManualClock())
+    alone = cell.placement.reading_of(review("r1"))
+    engine, _ = cell.send(review("r1"))
+    assert cell.placement.reading_of(review("r2")) < alone / 2
+    cell.placement.retain(
+        record(f"e{number}") for number in range(9) if f"e{number}" != engine
+    )
+    assert cell.placement.reading_of(review("r3")) == alone
