--- a/damasklead/gateway/broadcasts.py
+++ b/damasklead/gateway/broadcasts.py
@@ -21,7 +21,7 @@
 from damasklead.clock import Clock
 from damasklead.gateway.containment import Containment, CrashNote
 from damasklead.gateway.departures import Departures, LeftNote
-from damasklead.gateway.following import ConfigurationFollower, UpstreamFollower
+from damasklead.gateway.following import ConfigurationFollower
 from damasklead.gateway.messages import Broadcast, Notice
 from damasklead.gateway.peers import Peers
 from damasklead.gateway.positions import START, Position
@@ -32,6 +32,7 @@
     ReadPlan,
     reader_rank,
 )
+from damasklead.gateway.replicafollowing import UpstreamFollower
 from damasklead.gateway.routing import RoutingContent, RoutingTable
 
 __all__ = ["Broadcasts"]
--- a/damasklead/gateway/fleet.py
+++ b/damasklead/gateway/fleet.py
@@ -20,11 +20,12 @@
 from damasklead.gateway.departures import Departures, LeftNote
 from damasklead.gateway.dialect import FeedError, PeerEntry, PlatformLink
 from damasklead.gateway.directory import UpstreamDirectory
-from damasklead.gateway.following import ConfigurationFollower, UpstreamFollower
+from damasklead.gateway.following import ConfigurationFollower
 from damasklead.gateway.journal import Journal
 from damasklead.gateway.peers import Peers
 from damasklead.gateway.positions import Position
 from damasklead.gateway.reading import ListName, ListReports, ReadPlan
+from damasklead.gateway.replicafollowing import UpstreamFollower
 from damasklead.gateway.routing import RoutingTable
 from damasklead.gateway.settings import GatewaySettings
 from damasklead.gateway.snapshot import Snapshot
--- a/tests/test_gateway_broadcasts.py
+++ b/tests/test_gateway_broadcasts.py
@@ -23,11 +23,12 @@
 from damasklead.gateway.departures import Departures, LeftNote
 from damasklead.gateway.dialect import Changes, Feed, FeedError, FeedFault, PeerEntry
 from damasklead.gateway.directory import ListedRow, UpstreamDirectory
-from damasklead.gateway.following import ConfigurationFollower, UpstreamFollower
+from damasklead.gateway.following import ConfigurationFollower
 from damasklead.gateway.journal import Journal
 from damasklead.gateway.messages import Broadcast, Notice
 from damasklead.gateway.positions import Position
 from damasklead.gateway.reading import ListName, ListReports, ReadPlan, reader_rank
+from damasklead.gateway.replicafollowing import UpstreamFollower
 from damasklead.gateway.routing import Route, RouteName, RoutingTable
 from damasklead.ids import Fingerprint, InstanceId
 from tests.gatewaykit import SERVICE, at, make_table
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -24,11 +24,12 @@
     UpstreamDirectory,
 )
 from damasklead.gateway.events import EventSplitter
-from damasklead.gateway.following import ConfigurationFollower, UpstreamFollower
+from damasklead.gateway.following import ConfigurationFollower
 from damasklead.gateway.journal import MAX_LINES, Journal
 from damasklead.gateway.placements import EnginePlacement, PlainPlacement
 from damasklead.gateway.positions import Position
 from damasklead.gateway.reading import ListName, ListReports, ReadPlan
+from damasklead.gateway.replicafollowing import UpstreamFollower
 from damasklead.gateway.routing import (
     EngineSpec,
     Route,
