--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -7,6 +7,7 @@
 """
 
 from pathlib import Path
+from types import ModuleType
 
 import msgspec
 import pytest
@@ -25,11 +26,17 @@
 from damasklead.experiment.policies import POLICIES
 from damasklead.experiment.tally import Result, Tally
 from damasklead.findings import Findings
+from damasklead.gateway import admission
 from damasklead.gateway.calls import PromptPart
+from damasklead.gateway.coordination import cells
 from damasklead.gateway.placements import engine as engine_placement
 from damasklead.ids import AttemptId
 
-FILE = Path(__file__).parent.parent / "experiments" / "bursts.jsonc"
+# The burst's first half: what it loses is decided there.
+BURST_SECONDS = 5.0
+LOADS = Path(__file__).parent.parent / "experiments"
+FILE = LOADS / "bursts.jsonc"
+HISTORIES = LOADS / "long-histories.jsonc"
 # Long enough for a burst of reviews, short enough for a test.
 SECONDS = 12.0
 SEEDS = (1, 2, 3)
@@ -177,3 +184,38 @@
     assert check_experiment(text, file="f.jsonc", findings=findings) is None
     (finding,) = findings
     assert finding.path == "gateways" and finding.line == 6
+
+
+@pytest.fixture(scope="module")
+def many_subjects() -> Experiment:
+    """Return a burst about more subjects than its first seconds can read."""
+    findings = Findings()
+    text = HISTORIES.read_text()
+    found = check_experiment(text, file=str(HISTORIES), findings=findings)
+    assert found is not None, list(findings)
+    return msgspec.structs.replace(found, seconds=BURST_SECONDS, faults=[])
+
+
+@pytest.fixture(scope="module")
+def many_subjects_shipped(many_subjects: Experiment) -> Tally:
+    return replay(many_subjects)
+
+
+@pytest.mark.parametrize(
+    ("module", "changes"),
+    [
+        (cells, {"CELL_ENGINES": 8}),
+        (admission, {"READING_WEIGHT": 0.0}),
+        (admission, {"MOST_WAITING": 100}),
+    ],
+)
+def test_each_decision_serves_a_burst_about_many_subjects_better(
+    many_subjects: Experiment,
+    many_subjects_shipped: Tally,
+    monkeypatch: pytest.MonkeyPatch,
+    module: ModuleType,
+    changes: dict[str, float],
+) -> None:
+    for constant, value in changes.items():
+        monkeypatch.setattr(module, constant, value)
+    assert many_subjects_shipped.attainment() > replay(many_subjects).attainment()
