--- a/damasklead/gateway/admission.py
+++ b/damasklead/gateway/admission.py
@@ -34,9 +34,8 @@
 RETRY_SPREAD = 0.5
 # Callers honour at most a third of the time that they have left.
 MOST_RETRY_SHARE = 0.33
-# Requests that a coordinator keeps back at most, 25 for each engine of a full cell; the
-# rest is refused at once.
-MOST_WAITING = 600
+# Requests that a coordinator keeps back at most; the rest is refused at once.
+MOST_WAITING = 200
 # Requests that are weighed at one look, the first by rank: whoever can't be placed
 # waits for an engine with cached parts, and the next may use another one.
 MOST_WEIGHED = 8
