--- a/tests/test_gateway_answers.py
+++ b/tests/test_gateway_answers.py
@@ -314,3 +314,14 @@
     assert len([item for item in world.lines("offered") if '"a77"' in item]) == 2
     assert len([item for item in world.lines("attempt-failed") if '"a77"' in item]) == 2
     assert len([item for item in world.lines("answered") if '"a77"' in item]) == 1
+
+
+@pytest.mark.parametrize("serve", [full, failing, resetting])
+def test_nothing_is_sent_again_without_budget(
+    worlds: list[World], serve: object
+) -> None:
+    world = world_of(worlds, serve, serve)
+    world.budget.configure(ratio=0.0, allowance=0.0, window=10.0)
+    said = world.ask("/read/1")
+    assert arrivals(world) == 1
+    assert not said.startswith(b"HTTP/1.1 200")
--- a/tests/test_gateway_coordination.py
+++ b/tests/test_gateway_coordination.py
@@ -536,3 +536,21 @@
         world.sent.clear()
         world.asker.tell_running()
         assert not world.sent
+
+    def test_a_refusal_that_says_when_to_come_back_is_final(self) -> None:
+        """Another coordinator would place what the first one has no room for."""
+        world = World()
+        world.asker._cells.suspect("g0")
+        first = world.ranked()[0]
+        refusal = Refused(AttemptId("c1"), 1.5, 3.0)
+
+        def refuse(name: str, message: object) -> None:
+            world.sent.append((name, message))
+            if isinstance(message, Ask):
+                world.answer(name, refusal)
+
+        world.asker._send = refuse
+        found = world.asker.find(live_call("c1", world.clock), excluded=(), first=True)
+        assert found == refusal
+        asked = {name for name, message in world.sent if isinstance(message, Ask)}
+        assert asked == {first}
