--- a/damasklead/gateway/directory.py
+++ b/damasklead/gateway/directory.py
@@ -181,8 +181,9 @@
             self._positions = {
                 item: self._positions.get(item, START) for item in self._records
             }
-        while len(self._removals) > MOST_VERSIONS:
-            del self._removals[next(iter(self._removals))]
+        for remembered in (self._removals, self._left):
+            while len(remembered) > MOST_VERSIONS:
+                del remembered[next(iter(remembered))]
 
     def _is_doubtful(self, record: UpstreamRecord, position: Position) -> bool:
         """Tell whether only the store's copy may say that a replica is there."""
@@ -211,8 +212,7 @@
             return False
         # Kept when the entry is removed: it may be listed again while it leaves.
         self._left[instance] = incarnation
-        if len(self._left) > MOST_VERSIONS:
-            del self._left[next(iter(self._left))]
+        self._forget()
         self._index()
         return True
 
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -140,6 +140,14 @@
         assert len(directory._removals) <= MOST_VERSIONS
         assert names(directory) == ["a"]
 
+    def test_so_are_those_that_were_listed_as_leaving(self) -> None:
+        directory = UpstreamDirectory(clock=ManualClock())
+        for number in range(MOST_VERSIONS + 10):
+            leaving = row(f"x{number}", 2 * number, state=UpstreamState.LEAVING)
+            directory.apply([leaving], whole=False)
+            directory.apply([gone(f"x{number}", 2 * number + 1)], whole=False)
+        assert len(directory._left) <= MOST_VERSIONS
+
     def test_a_replica_whose_address_another_one_has_gets_no_work(self) -> None:
         directory = UpstreamDirectory(clock=ManualClock())
         directory.apply([row("a", 1)], whole=True)
