--- a/damasklead/experiment/gateways.py
+++ b/damasklead/experiment/gateways.py
@@ -14,7 +14,7 @@
 from damasklead.experiment.driver import Driver
 from damasklead.experiment.engines import Engine, EngineRun
 from damasklead.failures import Failure
-from damasklead.gateway.attempts import MAX_OFFERS, RETRY_AFTER_SECONDS
+from damasklead.gateway.attempts import MAX_REPLICA_ATTEMPTS, RETRY_AFTER_SECONDS
 from damasklead.gateway.calls import Call, LoadHint, UpstreamRecord
 from damasklead.gateway.coordination.asking import (
     FIRST_ASK_SECONDS,
@@ -176,7 +176,7 @@
 
     def _find(self, work: _Work) -> None:
         work.cell = self._cells.choose(work.call, first=not work.offers)
-        if work.cell is None or work.offers >= MAX_OFFERS:
+        if work.cell is None or work.offers >= MAX_REPLICA_ATTEMPTS:
             self._refuse(work, RETRY_AFTER_SECONDS)
             return
         work.coordinators = self._cells.coordinators(work.cell, most=MOST_COORDINATORS)
--- a/damasklead/gateway/attempts.py
+++ b/damasklead/gateway/attempts.py
@@ -26,10 +26,10 @@
 from damasklead.ids import InstanceId
 from damasklead.util import stable_hash
 
-__all__ = ["Run"]
+__all__ = ["ProxiedRequest"]
 
 # A request that surely did not run may be offered to so many replicas.
-MAX_OFFERS = 4
+MAX_REPLICA_ATTEMPTS = 4
 # Answers to other requests that are passed over on one connection.
 MAX_STRAY_ANSWERS = 3
 # Longest body of an answer that is not a stream.
@@ -49,7 +49,7 @@
 PAUSE_SPREAD_SECONDS = 0.5
 
 
-class Run:
+class ProxiedRequest:
     """
     One request's way through replicas.
 
@@ -105,7 +105,7 @@
         """Whether a replica may have run the request."""
         return self._sent or self._runs > 0
 
-    def attempts(self) -> Refusal | None:
+    def forward(self) -> Refusal | None:
         """
         Offer the request to replicas until one has answered.
 
@@ -137,7 +137,7 @@
                 if not self._may_go_on(error.failure):
                     return self._give_up(reason_for(error.failure), str(error))
 
-    def out_of_time(self) -> Refusal | None:
+    def handle_timeout(self) -> Refusal | None:
         """Return the final answer of a request whose time is over."""
         if not self.may_have_run:
             return Refusal(reason=Reason.TOO_LATE, detail="not sent in time")
@@ -176,10 +176,10 @@
         """
         self.replica = record.instance
         self.offers += 1
-        self._upstream = self._parts.connections.take(record.address)
+        self._upstream = self._parts.connections.acquire(record.address)
         if self._placement.accepts(record.instance):
             return True
-        self._parts.connections.give_back(self._upstream, keep_alive=None)
+        self._parts.connections.release(self._upstream, keep_alive=None)
         self._upstream = None
         self._assigner.leave("withdrawn")
         return False
@@ -209,7 +209,7 @@
             ),
         )
         self._sent = True
-        upstream.send(
+        upstream.send_request(
             method=call.head.method,
             target=call.head.target,
             headers=headers,
@@ -224,7 +224,7 @@
         self._assigner.leave("whole")
         self._parts.containment.ended_well(call)
         self._upstream = None
-        self._parts.connections.give_back(
+        self._parts.connections.release(
             upstream,
             keep_alive=0.0 if reply.closing or reply.leaving else reply.keep_alive,
         )
@@ -248,7 +248,7 @@
                     return reply
                 # It is the same replica that answers another request late.
                 self._note_state(reply, record)
-                upstream.skip_answer()
+                upstream.skip_stray_response()
         finally:
             if timer is not None:
                 timer.close()
@@ -299,7 +299,7 @@
 
     def _relay_whole(self, upstream: Connection, reply: ReplyHead) -> None:
         self._begun = True
-        body = upstream.read_all(limit=ANSWER_BYTES, memory=self._parts.answers)
+        body = upstream.read_body(limit=ANSWER_BYTES, memory=self._parts.answers)
         self._begun = False
         if reply.status >= 500 and self._call.route.may_repeat:
             self._failed_answer = (reply, body)
@@ -310,17 +310,17 @@
         if self._caller.head_sent:
             raise SendError(Failure.BROKEN, f"status {reply.status} amid a stream")
         self._note_first(reply.status)
-        self._caller.respond(reply.status, reply.headers, body)
+        self._caller.send_response(reply.status, reply.headers, body)
 
     def _relay_stream(self, upstream: Connection, reply: ReplyHead) -> None:
         splitter = EventSplitter()
         progress = StreamProgress(
             clock=self._parts.clock, patience=self._event_patience()
         )
-        upstream.limit_silence(progress.patience)
-        while data := upstream.read_data():
+        upstream.set_read_timeout(progress.patience)
+        while data := upstream.read_body_data():
             whole = splitter.feed(data)
-            progress.check(events=bool(whole), waiting_bytes=splitter.waiting_bytes)
+            progress.check(events=bool(whole), buffered_bytes=splitter.buffered_bytes)
             if not whole:
                 continue
             if splitter.last_id is not None:
@@ -329,12 +329,12 @@
                 self._assigner.read(reply.load)
             self._placement.progressed(self.replica, self._call)
             self._send_events(reply, whole)
-            self.events += splitter.take_count()
-        if splitter.partial:
+            self.events += splitter.take_event_count()
+        if splitter.has_partial_event:
             raise SendError(Failure.BROKEN, "the stream ended amid an event")
         if not self._caller.head_sent:
             self._send_events(reply, b"")
-        self._caller.end()
+        self._caller.end_response()
 
     def _event_patience(self) -> float:
         """Return how long a stream may be without a whole event, in seconds."""
@@ -345,10 +345,10 @@
 
     def _send_events(self, reply: ReplyHead, data: bytes) -> None:
         if self._caller.head_sent:
-            self._caller.send(data)
+            self._caller.send_body_data(data)
             return
         self._note_first(reply.status)
-        self._caller.begin(reply.status, reply.headers, data)
+        self._caller.start_response(reply.status, reply.headers, data)
 
     def _note_first(self, status: int) -> None:
         self.status = status
@@ -383,7 +383,7 @@
     def _may_go_on(self, failure: Failure) -> bool:
         route = self._call.route
         if failure.surely_unrun:
-            if self.offers >= MAX_OFFERS:
+            if self.offers >= MAX_REPLICA_ATTEMPTS:
                 return False
         elif not route.may_repeat or self._runs >= route.max_attempts:
             return False
--- a/damasklead/gateway/callers.py
+++ b/damasklead/gateway/callers.py
@@ -20,14 +20,14 @@
 from damasklead.gateway.routing import CallerLimits
 from damasklead.gateway.sockets import prepare, readable
 
-__all__ = ["CallerConnection", "CallerGone", "RawRequest", "RequestHandler"]
+__all__ = ["CallerConnection", "CallerDisconnected", "RawRequest", "RequestHandler"]
 
 RECEIVE_BYTES = 65_536
 # What a caller may send ahead while its request is being answered.
 AHEAD_BYTES = 131_072
 
 
-class CallerGone(BaseException):
+class CallerDisconnected(BaseException):
     """The caller closed its connection; raised in the greenlet that serves it."""
 
 
@@ -117,7 +117,7 @@
         self._idle_wait: Any = None
         self._half_closed = False
         self._head_sent = False
-        self.cancel_when_gone = True
+        self.cancel_on_disconnect = True
 
     @property
     def state(self) -> ConnectionState:
@@ -135,7 +135,7 @@
             prepare(self._socket)
             while self._serve_one():
                 pass
-        except (CallerGone, OSError):
+        except (CallerDisconnected, OSError):
             pass  # the caller has gone, and there is nobody to answer
         finally:
             self._socket.close()
@@ -151,7 +151,7 @@
             # Does nothing when the wait is already over.
             socket.cancel_wait(self._idle_wait, _CloseIdle())
 
-    def respond(
+    def send_response(
         self,
         status: int,
         headers: Sequence[Header],
@@ -166,16 +166,18 @@
         end = self._http.send(h11.EndOfMessage()) or b""
         self._socket.sendall(head + data + end)
 
-    def begin(self, status: int, headers: Sequence[Header], data: bytes) -> None:
+    def start_response(
+        self, status: int, headers: Sequence[Header], data: bytes
+    ) -> None:
         """Send the head and the first bytes of an answer whose length is unknown."""
         head = self._render_head(status, headers, close=False)
         self._socket.sendall(head + (self._http.send(h11.Data(data=data)) or b""))
 
-    def send(self, data: bytes) -> None:
+    def send_body_data(self, data: bytes) -> None:
         """Send more of the answer's body."""
         self._socket.sendall(self._http.send(h11.Data(data=data)) or b"")
 
-    def end(self) -> None:
+    def end_response(self) -> None:
         """End the answer as complete."""
         self._socket.sendall(self._http.send(h11.EndOfMessage()) or b"")
 
@@ -196,7 +198,7 @@
     def _serve_one(self) -> bool:
         """Read and answer one request; returns whether another may follow."""
         self._head_sent = False
-        self.cancel_when_gone = True
+        self.cancel_on_disconnect = True
         try:
             request = self._read_request()
         except h11.RemoteProtocolError as error:
@@ -275,7 +277,7 @@
             if isinstance(event, h11.EndOfMessage):
                 return b"".join(parts)
             if not isinstance(event, h11.Data):
-                raise CallerGone
+                raise CallerDisconnected
             parts.append(bytes(event.data))
             size += len(event.data)
             if size > limits.body_bytes:
@@ -286,7 +288,7 @@
         while True:
             event = self._http.next_event()
             if event is h11.PAUSED:
-                raise CallerGone
+                raise CallerDisconnected
             if isinstance(event, h11.Event):
                 return event
             if self._http.trailing_data[0] and begun is None:
@@ -309,7 +311,7 @@
         """Answer what could not be read, if an answer is still possible."""
         if self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
-        self.respond(
+        self.send_response(
             status, [(b"Content-Type", b"text/plain")], detail.encode(), close=True
         )
 
@@ -323,8 +325,8 @@
                 data = b""
             if not data:
                 self._half_closed = True
-                if self.cancel_when_gone:
-                    gevent.kill(served, CallerGone())
+                if self.cancel_on_disconnect:
+                    gevent.kill(served, CallerDisconnected())
                 return
             ahead += len(data)
             self._http.receive_data(data)
--- a/damasklead/gateway/events.py
+++ b/damasklead/gateway/events.py
@@ -20,11 +20,11 @@
     >>> splitter = EventSplitter()
     >>> splitter.feed(b"id: 1\ndata: a\n\nid: 2\nda")
     b'id: 1\ndata: a\n\n'
-    >>> splitter.last_id, splitter.partial
+    >>> splitter.last_id, splitter.has_partial_event
     (b'1', True)
     >>> splitter.feed(b"ta: b\n\n")
     b'id: 2\ndata: b\n\n'
-    >>> splitter.last_id, splitter.partial, splitter.take_count()
+    >>> splitter.last_id, splitter.has_partial_event, splitter.take_event_count()
     (b'2', False, 2)
     """
 
@@ -39,12 +39,12 @@
         return self._last_id
 
     @property
-    def waiting_bytes(self) -> int:
+    def buffered_bytes(self) -> int:
         """How many bytes of an event that is not whole are kept."""
         return len(self._rest)
 
     @property
-    def partial(self) -> bool:
+    def has_partial_event(self) -> bool:
         """Whether an event has begun and is not whole."""
         return bool(self._rest.strip())
 
@@ -62,7 +62,7 @@
                 self._events += 1
         return whole
 
-    def take_count(self) -> int:
+    def take_event_count(self) -> int:
         """Return the number of whole events since the last call."""
         count, self._events = self._events, 0
         return count
--- a/damasklead/gateway/forwarding.py
+++ b/damasklead/gateway/forwarding.py
@@ -10,10 +10,10 @@
 
 import gevent
 
-from damasklead.gateway.attempts import Run
+from damasklead.gateway.attempts import ProxiedRequest
 from damasklead.gateway.callers import (
     CallerConnection,
-    CallerGone,
+    CallerDisconnected,
     RawRequest,
     RequestHandler,
 )
@@ -70,7 +70,7 @@
         self._active = 0
 
     @property
-    def active(self) -> int:
+    def active_requests(self) -> int:
         """Requests that are being answered."""
         return self._active
 
@@ -132,9 +132,9 @@
     def _serve(self, call: Call, connection: CallerConnection) -> None:
         # An order goes on when its caller half-closes: it can't be taken back, and
         # the answer may still be wanted.
-        connection.cancel_when_gone = call.route.kind is not RouteKind.ONCE
+        connection.cancel_on_disconnect = call.route.kind is not RouteKind.ONCE
         self._parts.budget.record_first(call.service)
-        run = Run(
+        run = ProxiedRequest(
             parts=self._parts,
             call=call,
             placement=self._placement_of(call.service),
@@ -144,10 +144,10 @@
         timer = gevent.Timeout(max(0.0, left), _DeadlinePassed())
         timer.start()
         try:
-            refusal = run.attempts()
+            refusal = run.forward()
         except _DeadlinePassed:
-            refusal = run.out_of_time()
-        except (CallerGone, OSError) as error:
+            refusal = run.handle_timeout()
+        except (CallerDisconnected, OSError) as error:
             self._note_gone(call, run, error)
             raise
         finally:
@@ -158,8 +158,8 @@
         else:
             self._refuse(call, run, refusal, connection)
 
-    def _note_gone(self, call: Call, run: Run, error: BaseException) -> None:
-        self._metrics.gone(call)
+    def _note_gone(self, call: Call, run: ProxiedRequest, error: BaseException) -> None:
+        self._metrics.count_disconnect(call)
         self._parts.journal.event(
             "caller-gone",
             request=call.id,
@@ -170,9 +170,9 @@
             seconds=self._parts.clock.now() - call.arrival,
         )
 
-    def _note_answer(self, call: Call, run: Run) -> None:
+    def _note_answer(self, call: Call, run: ProxiedRequest) -> None:
         seconds = self._parts.clock.now() - call.arrival
-        self._metrics.answered(call, run.status, run.first_after)
+        self._metrics.count_response(call, run.status, run.first_after)
         self._parts.journal.event(
             "answered",
             request=call.id,
@@ -187,9 +187,13 @@
         )
 
     def _refuse(
-        self, call: Call, run: Run, refusal: Refusal, connection: CallerConnection
+        self,
+        call: Call,
+        run: ProxiedRequest,
+        refusal: Refusal,
+        connection: CallerConnection,
     ) -> None:
-        self._metrics.refused(call, refusal)
+        self._metrics.count_refusal(call, refusal)
         self._parts.journal.event(
             "refused",
             request=call.id,
@@ -211,7 +215,7 @@
     def _refuse_early(self, refusal: Refusal, connection: CallerConnection) -> None:
         """Refuse a request that matches nothing in the configuration."""
         table = self._table()
-        self._metrics.refused(None, refusal)
+        self._metrics.count_refusal(None, refusal)
         self._parts.journal.event(
             "refused",
             request=refusal.attempt or "unknown",
@@ -226,4 +230,4 @@
         headers = self._parts.dialect.own_headers(
             attempt=refusal.attempt, retry_after=refusal.retry_after
         )
-        connection.respond(refusal.status, headers, refusal.reason.value.encode())
+        connection.send_response(refusal.status, headers, refusal.reason.value.encode())
--- a/damasklead/gateway/listeners.py
+++ b/damasklead/gateway/listeners.py
@@ -145,7 +145,7 @@
     def handle(self, request: RawRequest, connection: CallerConnection) -> None:
         """Answer 200 or 503."""
         ready = self._ready()
-        connection.respond(
+        connection.send_response(
             200 if ready else 503, [], b"ready" if ready else b"not ready"
         )
 
@@ -189,15 +189,15 @@
             kind, body = b"text/plain; version=0.0.4", self._metrics()
         else:
             kind, body = b"application/json", msgspec.json.encode(self._state())
-        connection.respond(200, [(b"Content-Type", kind)], body)
+        connection.send_response(200, [(b"Content-Type", kind)], body)
 
     def _answer_snapshot(self, connection: CallerConnection) -> None:
         snapshot = self._snapshot()
         if snapshot is None:
-            connection.respond(503, [], b"nothing is known yet")
+            connection.send_response(503, [], b"nothing is known yet")
             return
         headers = [(b"Content-Type", b"application/msgpack")]
-        connection.respond(200, headers, msgspec.msgpack.encode(snapshot))
+        connection.send_response(200, headers, msgspec.msgpack.encode(snapshot))
 
     def limits(self) -> CallerLimits:
         """Return the default limits."""
--- a/damasklead/gateway/metrics.py
+++ b/damasklead/gateway/metrics.py
@@ -68,12 +68,12 @@
             ["service"],
             registry=self.registry,
         )
-        self.active = Gauge(
+        self.active_requests = Gauge(
             "damasklead_active_requests",
             "Requests that are being answered",
             registry=self.registry,
         )
-        self.waiting = Gauge(
+        self.waiting_requests = Gauge(
             "damasklead_waiting_requests",
             "Requests that wait for an engine with room",
             registry=self.registry,
@@ -94,18 +94,18 @@
             registry=self.registry,
         )
 
-    def answered(self, call: Call, status: int, first_byte: float) -> None:
+    def count_response(self, call: Call, status: int, first_byte: float) -> None:
         """Count a replica's answer."""
         kind = call.route.kind.value
         self._answers.labels(call.service, kind, str(status)).inc()
         self._first_byte.labels(call.service, kind).observe(first_byte)
 
-    def refused(self, call: Call | None, refusal: Refusal) -> None:
+    def count_refusal(self, call: Call | None, refusal: Refusal) -> None:
         """Count an answer of the gateway's own."""
         service = "none" if call is None else call.service
         self._refusals.labels(service, refusal.reason.value).inc()
 
-    def gone(self, call: Call) -> None:
+    def count_disconnect(self, call: Call) -> None:
         """Count a request whose caller left."""
         self._gone.labels(call.service).inc()
 
--- a/damasklead/gateway/process.py
+++ b/damasklead/gateway/process.py
@@ -164,7 +164,7 @@
         """Invite no further requests, let those under way end, and stop."""
         began = self._clock.now()
         self._stopping = True
-        self._journal.event("stopping", requests=self._forwarder.active)
+        self._journal.event("stopping", requests=self._forwarder.active_requests)
         self._fleet.retire()
         deadline = began + self._settings.bounds.stop_seconds - STOP_MARGIN_SECONDS
         gevent.sleep(UNROUTED_SECONDS)
@@ -199,7 +199,7 @@
         while True:
             gevent.sleep(TICK_SECONDS)
             self._fleet.upstreams.expire()
-            self._connections.sweep()
+            self._connections.close_expired()
             self._fleet.containment.tick()
             if self._fleet.counted:
                 self._share_among(self._fleet.gateways)
@@ -211,7 +211,7 @@
         self._budget.set_gateways(gateways)
         table = self._fleet.configuration.table
         if table is not None and table.services:
-            self._connections.share(
+            self._connections.set_idle_limit(
                 max_connections=min(
                     item.max_connections for item in table.services.values()
                 ),
@@ -250,7 +250,7 @@
         return placement
 
     def _note_left(self, record: UpstreamRecord, sign: str) -> None:
-        self._connections.discard(record.address)
+        self._connections.close_idle(record.address)
         self._fleet.note_left(record, sign)
 
     def _listener(
@@ -275,7 +275,7 @@
             "instance": self._settings.instance,
             "ready": self.ready,
             "configuration": None if table is None else table.version,
-            "active": self._forwarder.active,
+            "active": self._forwarder.active_requests,
             "gateways": self._fleet.gateways,
             "cells": self._fleet.coordination.coordinators.state,
             "replicas": {
@@ -287,9 +287,11 @@
     def _observe(self) -> None:
         """Let the gauges read the process's state."""
         metrics = self._metrics
-        metrics.active.set_function(lambda: self._forwarder.active)
-        metrics.waiting.set_function(lambda: self._fleet.coordination.asker.waiting)
-        metrics.connections_opened.set_function(lambda: self._connections.opened)
+        metrics.active_requests.set_function(lambda: self._forwarder.active_requests)
+        metrics.waiting_requests.set_function(
+            lambda: self._fleet.coordination.asker.waiting
+        )
+        metrics.connections_opened.set_function(lambda: self._connections.opened_count)
         metrics.store_restores.set_function(lambda: self._fleet.restores)
         metrics.log_lines_dropped.set_function(lambda: self._journal.dropped)
         for follower in (self._fleet.configuration, self._fleet.upstreams):
--- a/damasklead/gateway/runparts.py
+++ b/damasklead/gateway/runparts.py
@@ -16,7 +16,7 @@
 from damasklead.gateway.coordination.asking import Asker
 from damasklead.gateway.dialect import Dialect
 from damasklead.gateway.journal import Journal
-from damasklead.gateway.upstream_http import AnswerMemory, ConnectionPool
+from damasklead.gateway.upstream_http import ConnectionPool, ResponseMemoryBudget
 
 __all__ = ["RunParts"]
 
@@ -29,7 +29,7 @@
     ----------
     left : callable
         Told of a replica that leaves or is gone, and by which sign.
-    answers : AnswerMemory
+    answers : ResponseMemoryBudget
         Bounds the bodies that are being read.
     """
 
@@ -41,4 +41,4 @@
     containment: Containment
     journal: Journal
     left: Callable[[UpstreamRecord, str], None]
-    answers: AnswerMemory = msgspec.field(default_factory=AnswerMemory)
+    answers: ResponseMemoryBudget = msgspec.field(default_factory=ResponseMemoryBudget)
--- a/damasklead/gateway/settings.py
+++ b/damasklead/gateway/settings.py
@@ -12,7 +12,12 @@
 from damasklead import jsonc
 from damasklead.findings import Findings
 
-__all__ = ["Bounds", "GatewaySettings", "Listen", "check_gateway_settings"]
+__all__ = [
+    "GatewaySettings",
+    "ListenSettings",
+    "OperationalLimits",
+    "check_gateway_settings",
+]
 
 Address = Annotated[
     str, msgspec.Meta(pattern=r"^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-f:]+\]):\d{1,5}$")
@@ -21,7 +26,9 @@
 Port = Annotated[int, msgspec.Meta(gt=0, lt=65536)]
 
 
-class Listen(msgspec.Struct, kw_only=True, frozen=True, forbid_unknown_fields=True):
+class ListenSettings(
+    msgspec.Struct, kw_only=True, frozen=True, forbid_unknown_fields=True
+):
     """
     Where the process listens.
 
@@ -41,7 +48,9 @@
     metrics_port: Port | None = None
 
 
-class Bounds(msgspec.Struct, kw_only=True, frozen=True, forbid_unknown_fields=True):
+class OperationalLimits(
+    msgspec.Struct, kw_only=True, frozen=True, forbid_unknown_fields=True
+):
     """
     What the operators bind the fleet to.
 
@@ -81,12 +90,12 @@
 
     instance: Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
     data_centre: str
-    listen: Listen
+    listen: ListenSettings
     platform: Address
     peer_ports: tuple[Port, Port] | None = None
     seeds: list[Address] = []
     cores: Annotated[float, msgspec.Meta(gt=0)] = 1.0
-    bounds: Bounds = msgspec.field(default_factory=Bounds)
+    bounds: OperationalLimits = msgspec.field(default_factory=OperationalLimits)
 
 
 def check_gateway_settings(
--- a/damasklead/gateway/snapshot.py
+++ b/damasklead/gateway/snapshot.py
@@ -54,16 +54,16 @@
     late = SnapshotError(f"no answer in {FETCH_SECONDS} s")
     try:
         with gevent.Timeout(FETCH_SECONDS, late):
-            connection = connections.take(address)
+            connection = connections.acquire(address)
             try:
-                connection.send(
+                connection.send_request(
                     method="GET",
                     target=SNAPSHOT_PATH,
                     headers=[(b"Host", address.encode())],
                     body=b"",
                 )
                 status = connection.read_head().status_code
-                body = connection.read_all(limit=SNAPSHOT_BYTES)
+                body = connection.read_body(limit=SNAPSHOT_BYTES)
             finally:
                 connection.close()
     except SendError as error:
--- a/damasklead/gateway/streamprogress.py
+++ b/damasklead/gateway/streamprogress.py
@@ -40,7 +40,7 @@
         """Seconds that the stream may be without a whole event."""
         return self._patience
 
-    def check(self, *, events: bool, waiting_bytes: int) -> None:
+    def check(self, *, events: bool, buffered_bytes: int) -> None:
         """
         Take in bytes of the stream.
 
@@ -48,7 +48,7 @@
         ----------
         events : bool
             Whether they complete an event.
-        waiting_bytes : int
+        buffered_bytes : int
             What is kept of an event that is not whole.
 
         Raises
@@ -64,5 +64,5 @@
             raise SendError(
                 Failure.TIMED_OUT, f"no whole event in {now - self._event_at:.2f} s"
             )
-        elif waiting_bytes > EVENT_BYTES:
+        elif buffered_bytes > EVENT_BYTES:
             raise SendError(Failure.BROKEN, "an event is too long")
--- a/damasklead/gateway/upstream_http.py
+++ b/damasklead/gateway/upstream_http.py
@@ -19,7 +19,7 @@
 from damasklead.gateway.calls import Header
 from damasklead.gateway.sockets import connect, readable
 
-__all__ = ["AnswerMemory", "Connection", "ConnectionPool", "SendError"]
+__all__ = ["Connection", "ConnectionPool", "ResponseMemoryBudget", "SendError"]
 
 RECEIVE_BYTES = 65_536
 # A connection on the same network opens within milliseconds.
@@ -60,7 +60,7 @@
         self.failure = failure
 
 
-class AnswerMemory:
+class ResponseMemoryBudget:
     """
     What the bodies of answers take that are being read.
 
@@ -79,13 +79,13 @@
         Bytes at present.
     """
 
-    def __init__(self, *, limit: int = ANSWERS_BYTES) -> None:
-        self.limit = limit
-        self.used = 0
+    def __init__(self, *, limit_bytes: int = ANSWERS_BYTES) -> None:
+        self.limit_bytes = limit_bytes
+        self.used_bytes = 0
 
-    def exceeded(self, size: int) -> bool:
+    def must_drop(self, size: int) -> bool:
         """Tell whether a body that has grown to a size has to be given up."""
-        return self.used > self.limit and size > SMALL_ANSWER_BYTES
+        return self.used_bytes > self.limit_bytes and size > SMALL_ANSWER_BYTES
 
 
 class Connection:
@@ -112,19 +112,19 @@
         return self._address
 
     @property
-    def quiet(self) -> bool:
+    def is_open(self) -> bool:
         """Whether the idle connection is open and nothing has arrived on it."""
         return not self._closed and not readable(self._socket)
 
     @property
-    def reusable(self) -> bool:
+    def is_reusable(self) -> bool:
         """Whether another request may follow."""
         if self._closed or (self._writer is not None and not self._writer.ready()):
             return False
         states = self._http.our_state, self._http.their_state
         return states == (h11.DONE, h11.DONE) and not self._http.trailing_data[0]
 
-    def send(
+    def send_request(
         self, *, method: str, target: str, headers: Sequence[Header], body: bytes
     ) -> None:
         """
@@ -165,11 +165,11 @@
                 raise SendError(Failure.BROKEN, f"unexpected {type(event).__name__}")
         raise SendError(Failure.BROKEN, "only interim answers came")
 
-    def limit_silence(self, seconds: float | None) -> None:
+    def set_read_timeout(self, seconds: float | None) -> None:
         """Fail with ``TIMED_OUT`` when nothing at all arrives for so long."""
         self._socket.settimeout(seconds)
 
-    def read_data(self) -> bytes:
+    def read_body_data(self) -> bytes:
         """
         Return bytes of the body as they arrive, empty at its end.
 
@@ -186,7 +186,9 @@
                 return b""
             raise SendError(Failure.BROKEN, f"unexpected {type(event).__name__}")
 
-    def read_all(self, *, limit: int, memory: "AnswerMemory | None" = None) -> bytes:
+    def read_body(
+        self, *, limit: int, memory: "ResponseMemoryBudget | None" = None
+    ) -> bytes:
         """
         Return the whole body.
 
@@ -194,7 +196,7 @@
         ----------
         limit : int
             Longest body in bytes.
-        memory : AnswerMemory or None
+        memory : ResponseMemoryBudget or None
             What all bodies that are being read may take together.
 
         Raises
@@ -205,19 +207,19 @@
         parts: list[bytes] = []
         size = 0
         try:
-            while data := self.read_data():
+            while data := self.read_body_data():
                 parts.append(data)
                 size += len(data)
                 if memory is not None:
-                    memory.used += len(data)
-                if size > limit or (memory is not None and memory.exceeded(size)):
+                    memory.used_bytes += len(data)
+                if size > limit or (memory is not None and memory.must_drop(size)):
                     raise SendError(Failure.BROKEN, f"body of {size} bytes is too long")
             return b"".join(parts)
         finally:
             if memory is not None:
-                memory.used -= size
+                memory.used_bytes -= size
 
-    def skip_answer(self) -> None:
+    def skip_stray_response(self) -> None:
         """
         Pass over an answer to another request and expect ours after it.
 
@@ -228,7 +230,7 @@
         """
         assert self._request is not None
         size = 0
-        while data := self.read_data():
+        while data := self.read_body_data():
             size += len(data)
             if size > STRAY_ANSWER_BYTES:
                 raise SendError(Failure.CROSSED, "another request's answer is too long")
@@ -248,9 +250,9 @@
         if ended:
             self._http.receive_data(b"")
 
-    def next_request(self) -> None:
+    def prepare_next_request(self) -> None:
         """Make ready for another request."""
-        self.limit_silence(None)
+        self.set_read_timeout(None)
         self._http.start_next_cycle()
         self._writer = None
 
@@ -313,19 +315,19 @@
         self._clock = clock
         self._idle: dict[str, deque[tuple[float, Connection]]] = {}
         self._opened = 0
-        self._most_idle = MAX_IDLE_CONNECTIONS
+        self._max_idle = MAX_IDLE_CONNECTIONS
 
     @property
-    def opened(self) -> int:
+    def opened_count(self) -> int:
         """How many connections were opened."""
         return self._opened
 
     @property
-    def most_idle(self) -> int:
+    def max_idle(self) -> int:
         """How many idle connections are kept to one address."""
-        return self._most_idle
+        return self._max_idle
 
-    def share(self, *, max_connections: int, gateways: int) -> None:
+    def set_idle_limit(self, *, max_connections: int, gateways: int) -> None:
         """
         Keep no more idle connections than this gateway's share.
 
@@ -334,10 +336,10 @@
         max_connections : int
             Connections that a replica takes from all gateways together.
         """
-        share = int(IDLE_SHARE * max_connections / max(1, gateways))
-        self._most_idle = min(MAX_IDLE_CONNECTIONS, max(1, share))
+        idle_limit = int(IDLE_SHARE * max_connections / max(1, gateways))
+        self._max_idle = min(MAX_IDLE_CONNECTIONS, max(1, idle_limit))
 
-    def take(self, address: str) -> Connection:
+    def acquire(self, address: str) -> Connection:
         """
         Return an idle connection that is still good, or a new one.
 
@@ -350,8 +352,8 @@
         now = self._clock.now()
         while idle:
             until, connection = idle.pop()
-            if now < until and connection.quiet:
-                connection.next_request()
+            if now < until and connection.is_open:
+                connection.prepare_next_request()
                 return connection
             connection.close()
         try:
@@ -361,25 +363,25 @@
         self._opened += 1
         return Connection(address=address, raw=raw)
 
-    def give_back(self, connection: Connection, *, keep_alive: float | None) -> None:
+    def release(self, connection: Connection, *, keep_alive: float | None) -> None:
         """Keep a connection for later if another request may follow on it."""
-        if not connection.reusable:
+        if not connection.is_reusable:
             connection.close()
             return
         seconds = (
             DEFAULT_IDLE_SECONDS if keep_alive is None else keep_alive * IDLE_FRACTION
         )
         idle = self._idle.setdefault(connection.address, deque())
-        while len(idle) >= self._most_idle:
+        while len(idle) >= self._max_idle:
             idle.popleft()[1].close()
         idle.append((self._clock.now() + seconds, connection))
 
-    def discard(self, address: str) -> None:
+    def close_idle(self, address: str) -> None:
         """Close the idle connections to an address."""
         for _, connection in self._idle.pop(address, ()):
             connection.close()
 
-    def sweep(self) -> None:
+    def close_expired(self) -> None:
         """Close connections that have been idle for too long."""
         now = self._clock.now()
         for address in list(self._idle):
--- a/damasklead/platform/store.py
+++ b/damasklead/platform/store.py
@@ -308,22 +308,22 @@
             body = msgspec.json.encode(content)
         try:
             with gevent.Timeout(seconds, late):
-                connection = self._connections.take(self._address)
-                connection.send(
+                connection = self._connections.acquire(self._address)
+                connection.send_request(
                     method=method,
                     target=target,
                     headers=headers,
                     body=body,
                 )
                 head = connection.read_head()
-                answer = connection.read_all(limit=ANSWER_BYTES)
+                answer = connection.read_body(limit=ANSWER_BYTES)
         except (SendError, FeedError) as error:
             if connection is not None:
                 connection.close()
             if isinstance(error, FeedError):
                 raise
             raise FeedError(FeedFault.UNREACHABLE, str(error)) from error
-        self._connections.give_back(connection, keep_alive=KEEP_ALIVE_SECONDS)
+        self._connections.release(connection, keep_alive=KEEP_ALIVE_SECONDS)
         self._take_era(_decode_era(head.headers))
         page = _decode_answer(head.status_code, answer)
         page.era = self._era
--- a/tests/gatewaykit.py
+++ b/tests/gatewaykit.py
@@ -36,7 +36,7 @@
 )
 from damasklead.gateway.runparts import RunParts
 from damasklead.gateway.starting import StartGate
-from damasklead.gateway.upstream_http import AnswerMemory, ConnectionPool
+from damasklead.gateway.upstream_http import ConnectionPool, ResponseMemoryBudget
 from damasklead.ids import (
     DataCentre,
     Fingerprint,
@@ -192,7 +192,7 @@
         self.table: RoutingTable | None = make_table()
         self.stopping = False
         self.left: list[InstanceId] = []
-        self.memory = AnswerMemory()
+        self.memory = ResponseMemoryBudget()
         self.placement: Placement = new_placement(
             service=ServiceSpec(name=SERVICE, max_connections=100),
             clock=self.clock,
--- a/tests/test_gateway_callers.py
+++ b/tests/test_gateway_callers.py
@@ -118,14 +118,14 @@
         caller.sendall(request("/chat/slow", method="POST", body="x"))
         read_answer(caller, b"piece 1\n\n\r\n")
     wait_until(lambda: world.replicas[0].closed_by_gateway == 1)
-    wait_until(lambda: world.forwarder.active == 0)
+    wait_until(lambda: world.forwarder.active_requests == 0)
     assert len(world.lines("caller-gone")) == 1
 
 
 class NeverConnecting(ConnectionPool):
     """Opens connections for longer than any caller waits."""
 
-    def take(self, address: str) -> Connection:
+    def acquire(self, address: str) -> Connection:
         gevent.sleep(60)
         raise AssertionError("nobody waits so long")
 
@@ -139,10 +139,10 @@
     )
     with made.connect() as caller:
         caller.sendall(request("/read/1"))
-        wait_until(lambda: made.forwarder.active == 1)
+        wait_until(lambda: made.forwarder.active_requests == 1)
         if end == "time is over":
             assert read_answer(caller, b"too-late").startswith(b"HTTP/1.1 503")
-    wait_until(lambda: made.forwarder.active == 0)
+    wait_until(lambda: made.forwarder.active_requests == 0)
     assert [state.own for state in made.placement._replicas.values()] == [0]
     made.stop()
 
@@ -165,7 +165,7 @@
 def test_a_stopping_process_answers_and_invites_no_more(world: World) -> None:
     with world.connect() as caller:
         caller.sendall(request("/order/slow", method="POST", body="x"))
-        wait_until(lambda: world.forwarder.active == 1)
+        wait_until(lambda: world.forwarder.active_requests == 1)
         world.stopping = True
         world.listener.close_idle()
         said = read_all(caller)
@@ -202,7 +202,7 @@
         gevent.sleep(0)
     world.stopping = True
     world.listener.drain(seconds=3.0)
-    assert world.forwarder.active == 0 and world.listener.open == 0
+    assert world.forwarder.active_requests == 0 and world.listener.open == 0
     answered = sum(b"for a" in read_all(caller) for caller in callers)
     assert answered == len(world.replicas[0].requests)
     for caller in callers:
--- a/tests/test_gateway_connections.py
+++ b/tests/test_gateway_connections.py
@@ -31,18 +31,18 @@
 
 def use(pool: ConnectionPool, address: str, count: int) -> None:
     """Send so many requests at once and give the connections back."""
-    connections = [pool.take(address) for _ in range(count)]
+    connections = [pool.acquire(address) for _ in range(count)]
     for number, connection in enumerate(connections):
-        connection.send(
+        connection.send_request(
             method="GET",
             target="/",
             headers=[(b"Host", b"h"), (b"Attempt-Id", b"%d" % number)],
             body=b"",
         )
         connection.read_head()
-        connection.read_all(limit=1000)
+        connection.read_body(limit=1000)
     for connection in connections:
-        pool.give_back(connection, keep_alive=10.0)
+        pool.release(connection, keep_alive=10.0)
 
 
 @pytest.mark.parametrize(
@@ -53,11 +53,11 @@
     address: str, max_connections: int, gateways: int, kept: int
 ) -> None:
     pool = ConnectionPool(clock=LoopClock())
-    pool.share(max_connections=max_connections, gateways=gateways)
-    assert pool.most_idle == kept
-    assert pool.most_idle * gateways <= max_connections
+    pool.set_idle_limit(max_connections=max_connections, gateways=gateways)
+    assert pool.max_idle == kept
+    assert pool.max_idle * gateways <= max_connections
     use(pool, address, MAX_IDLE_CONNECTIONS + 2)
-    opened = pool.opened
+    opened = pool.opened_count
     use(pool, address, MAX_IDLE_CONNECTIONS + 2)
-    assert pool.opened - opened == MAX_IDLE_CONNECTIONS + 2 - kept
+    assert pool.opened_count - opened == MAX_IDLE_CONNECTIONS + 2 - kept
     pool.close()
--- a/tests/test_gateway_fuzz.py
+++ b/tests/test_gateway_fuzz.py
@@ -181,7 +181,7 @@
     for start, end in itertools.pairwise(places):
         out += splitter.feed(whole[start:end])
         assert whole.startswith(out) and (not out or out.endswith(ending))
-    assert out == whole and not splitter.partial
+    assert out == whole and not splitter.has_partial_event
 
 
 VALUES = st.binary(max_size=30).map(lambda data: data.replace(b"\r", b"").strip())
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -301,7 +301,11 @@
         for cut in range(len(whole)):
             splitter = EventSplitter()
             out = splitter.feed(whole[:cut]) + splitter.feed(whole[cut:])
-            assert out == whole and splitter.last_id == b"4" and not splitter.partial
+            assert (
+                out == whole
+                and splitter.last_id == b"4"
+                and not splitter.has_partial_event
+            )
 
 
 def test_a_journal_drops_lines_rather_than_grow() -> None:
--- a/tests/test_gateway_replica_trouble.py
+++ b/tests/test_gateway_replica_trouble.py
@@ -14,12 +14,12 @@
 
 from damasklead.clock import ManualClock
 from damasklead.failures import Failure
-from damasklead.gateway.attempts import MAX_OFFERS
+from damasklead.gateway.attempts import MAX_REPLICA_ATTEMPTS
 from damasklead.gateway.calls import LoadHint, UpstreamState
 from damasklead.gateway.departures import TELL_SECONDS, Departures, LeftNote
 from damasklead.gateway.directory import UpstreamDirectory
 from damasklead.gateway.replicastate import MAX_PAUSE_SECONDS
-from damasklead.gateway.upstream_http import AnswerMemory
+from damasklead.gateway.upstream_http import ResponseMemoryBudget
 from damasklead.ids import InstanceId
 from tests.gatewaykit import (
     ROUTES,
@@ -251,26 +251,26 @@
             connection.sendall(stream_head(attempt))
             while True:
                 connection.sendall(chunk(b"x" * 50_000))
-                held.append(world.memory.used)
+                held.append(world.memory.used_bytes)
 
         def run_one(number: int) -> bytes:
             return world.ask("/order/1", method="POST", body="x", attempt=f"a{number}")
 
         world = world_of(worlds, *[endless] * 50)
-        world.memory.limit = 4_000_000
+        world.memory.limit_bytes = 4_000_000
         callers = [gevent.spawn(run_one, number) for number in range(50)]
         gevent.joinall(callers, timeout=20, raise_error=True)
         for caller in callers:
             assert caller.value.startswith((b"HTTP/1.1 502", b"HTTP/1.1 504"))
         slack = 50 * 400_000  # each may hold a small answer and one piece
         assert max(held) <= 4_000_000 + slack
-        assert world.memory.used == 0
+        assert world.memory.used_bytes == 0
 
     def test_short_answers_go_through_beside_them(self) -> None:
-        memory = AnswerMemory(limit=1000)
-        memory.used = 5000
-        assert not memory.exceeded(800)
-        assert memory.exceeded(1_000_000)
+        memory = ResponseMemoryBudget(limit_bytes=1000)
+        memory.used_bytes = 5000
+        assert not memory.must_drop(800)
+        assert memory.must_drop(1_000_000)
 
     def test_a_body_that_never_ends_counts_against_its_replica(
         self, worlds: list[World]
@@ -397,7 +397,7 @@
             replica.stop()
         said = world.ask("/order/1", method="POST", body="x")
         assert said.startswith(b"HTTP/1.1 503")
-        assert len(world.lines("attempt-failed")) == MAX_OFFERS
+        assert len(world.lines("attempt-failed")) == MAX_REPLICA_ATTEMPTS
 
     def test_the_routes_timeout_bounds_what_a_patient_caller_gets(
         self, worlds: list[World]
