--- a/damasklead/gateway/broadcasts.py
+++ b/damasklead/gateway/broadcasts.py
@@ -24,13 +24,13 @@
 from damasklead.gateway.following import ConfigurationFollower
 from damasklead.gateway.messages import Broadcast, Notice
 from damasklead.gateway.peers import Peers
-from damasklead.gateway.positions import START, Position
+from damasklead.gateway.positions import INITIAL_POSITION, Position
 from damasklead.gateway.reading import (
     ListName,
     ListReport,
     ListReports,
     ReadPlan,
-    reader_rank,
+    reader_score,
 )
 from damasklead.gateway.replicafollowing import UpstreamFollower
 from damasklead.gateway.routing import RoutingContent, RoutingTable
@@ -125,7 +125,7 @@
         self._ranked: tuple[frozenset[str], int] | None = None
         self._heard_at = clock.now()
         self._broadcaster: str | None = None
-        self._broadcaster_mark = START
+        self._broadcaster_mark = INITIAL_POSITION
         self._orders: dict[str, tuple[int, int]] = {}
         self._news: dict[_Note, _News] = {}
         self._routing = (0, b"", 0)
@@ -165,18 +165,18 @@
         """Tell all others, or the one that does, what there is to tell."""
         if self.sends or self._confirms_alone():
             self._peers.send_all(self._broadcast())
-            self._upstreams.log.told()
+            self._upstreams.change_log.told()
         else:
             self._notify_broadcaster()
 
     def _places(self) -> tuple[frozenset[str], int]:
         """Return the gateways before this one by rank, and how many they are."""
         if self._ranked is None:
-            rank = reader_rank(self._own, self._cores)
+            rank = reader_score(self._own, self._cores)
             earlier = frozenset(
                 entry.instance
                 for entry in self._peers.members
-                if reader_rank(entry.instance, entry.cores) < rank
+                if reader_score(entry.instance, entry.cores) < rank
             )
             self._ranked = (earlier, len(earlier))
         return self._ranked
@@ -184,17 +184,19 @@
     def _confirms_alone(self) -> bool:
         """Whether only this gateway reads the lists, as far as it knows."""
         now = self._clock.now()
-        ages = [plan.report.age for plan in self._plans]
+        ages = [plan.report.age_ms for plan in self._plans]
         if not all(0 <= age < CONFIRMED_SECONDS * 1000 for age in ages):
             return False
-        confirmed = min(self._reports.confirmed_at(name) for name in ListName)
+        confirmed = min(self._reports.get_confirmation_time(name) for name in ListName)
         return now - confirmed > CONFIRMED_SECONDS
 
     def _notify_broadcaster(self) -> None:
         crashes, left = self._containment.notes, self._departures.notes
-        own = self._plans[ListName.ROUTING].report.mark
-        newer = own if own > self._broadcaster_mark else START
-        if self._broadcaster is not None and (crashes or left or newer != START):
+        own = self._plans[ListName.ROUTING].report.last_change
+        newer = own if own > self._broadcaster_mark else INITIAL_POSITION
+        if self._broadcaster is not None and (
+            crashes or left or newer != INITIAL_POSITION
+        ):
             notice = Notice(self._own, crashes, left, newer)
             self._peers.send(self._broadcaster, notice)
 
@@ -212,7 +214,7 @@
         untold = [n for n, news in self._news.items() if news.told < MOST_TELLINGS]
         for note in untold:
             self._news[note].told += 1
-        log = self._upstreams.log
+        log = self._upstreams.change_log
         return Broadcast(
             self._own,
             self._incarnation,
@@ -247,40 +249,40 @@
         earlier = sender in self._places()[0]
         if earlier or not self.sends:
             self._broadcaster = sender
-            self._broadcaster_mark = message.lists[ListName.ROUTING].mark
+            self._broadcaster_mark = message.lists[ListName.ROUTING].last_change
         if earlier:
             self._heard_at = self._clock.now()
         self._containment.take(message.crashes)
         self._take_departures(message.left)
         if message.routing:
             self._take_routing(message.routing)
-        news = self._reports.take(message.lists)
-        self._upstreams.hand_over(message.base, message.cursor, message.rows)
+        news = self._reports.record_reports(message.lists)
+        self._upstreams.apply_peer_changes(message.base, message.cursor, message.rows)
         self._confirm(message)
-        self._look_for_newer(sender, message.lists[ListName.ROUTING].mark)
+        self._look_for_newer(sender, message.lists[ListName.ROUTING].last_change)
         if news:
             self._configuration.notify()
             self._upstreams.notify()
 
     def _confirm(self, message: Broadcast) -> None:
         """Let the followers know that the sender has just read the lists."""
-        fresh = [0 <= report.age < CONFIRMED_AGE for report in message.lists]
-        if fresh[ListName.ROUTING] and self._plans[ListName.ROUTING].caught_up:
-            self._configuration.confirm()
+        fresh = [0 <= report.age_ms < CONFIRMED_AGE for report in message.lists]
+        if fresh[ListName.ROUTING] and self._plans[ListName.ROUTING].is_caught_up:
+            self._configuration.record_peer_confirmation()
         if fresh[ListName.UPSTREAMS] and self._upstreams.cursor >= message.cursor:
-            self._upstreams.confirm()
+            self._upstreams.record_peer_confirmation()
 
     def _take_routing(self, data: bytes) -> None:
         content = msgspec.msgpack.decode(zlib.decompress(data), type=RoutingContent)
-        self._configuration.hand_over(RoutingTable(content=content))
+        self._configuration.apply_peer_configuration(RoutingTable(content=content))
 
     def _look_for_newer(self, sender: str, mark: Position) -> None:
         """Get a configuration that another gateway has and the store has not."""
-        if self._plans[ListName.ROUTING].is_outdated(mark):
+        if self._plans[ListName.ROUTING].is_missing_from_store(mark):
             self._outdated(sender)
 
     def _take_notice(self, message: Notice, sender: str) -> None:
-        if self._reports.take([ListReport(message.routing, -1)]):
+        if self._reports.record_reports([ListReport(message.routing, -1)]):
             self._configuration.notify()
         self._look_for_newer(sender, message.routing)
         now = self._clock.now()
--- a/damasklead/gateway/changelog.py
+++ b/damasklead/gateway/changelog.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from damasklead.clock import Clock
-from damasklead.gateway.positions import START, Position
+from damasklead.gateway.positions import INITIAL_POSITION, Position
 
 __all__ = ["ChangeLog"]
 
@@ -56,8 +56,8 @@
 
     def __init__(self, *, clock: Clock) -> None:
         self._clock = clock
-        self._base = START
-        self._cursor = START
+        self._base = INITIAL_POSITION
+        self._cursor = INITIAL_POSITION
         self._steps: deque[_Step] = deque()
 
     @property
--- a/damasklead/gateway/dialect.py
+++ b/damasklead/gateway/dialect.py
@@ -15,7 +15,7 @@
 
 from damasklead.gateway.calls import Call, CallHead, Header, ReplyHead
 from damasklead.gateway.directory import ListedRow
-from damasklead.gateway.positions import START, Position
+from damasklead.gateway.positions import INITIAL_POSITION, Position
 from damasklead.gateway.routing import RoutingTable
 from damasklead.ids import AttemptId, DataCentre, InstanceId
 
@@ -174,7 +174,8 @@
     operators : str
         Where it tells others what it knows; empty where it does not.
     position : Position
-        The entry's version in the directory; ``START`` when it was not read from there.
+        The entry's version in the directory; ``INITIAL_POSITION`` when it was not read
+        from there.
     """
 
     instance: InstanceId
@@ -183,7 +184,7 @@
     data_centre: DataCentre = DataCentre("")
     cores: float = 1.0
     operators: str = ""
-    position: Position = START
+    position: Position = INITIAL_POSITION
 
 
 class PeerDirectory(ABC):
--- a/damasklead/gateway/directory.py
+++ b/damasklead/gateway/directory.py
@@ -10,7 +10,7 @@
 
 from damasklead.clock import Clock
 from damasklead.gateway.calls import UpstreamRecord, UpstreamState
-from damasklead.gateway.positions import START, Position
+from damasklead.gateway.positions import INITIAL_POSITION, Position
 from damasklead.ids import InstanceId, ServiceName, StoreEra
 
 __all__ = ["ListedRow", "UpstreamDirectory"]
@@ -75,7 +75,7 @@
         self._positions: dict[InstanceId, Position] = {}
         self._removals: dict[InstanceId, _Removal] = {}
         self._doubtful: dict[InstanceId, _Doubtful] = {}
-        self._copy = START
+        self._copy = INITIAL_POSITION
         self._held: dict[InstanceId, float] = {}
         self._left: dict[InstanceId, int] = {}
         self._down = False
@@ -92,7 +92,7 @@
         return [
             ListedRow(
                 instance=item,
-                position=self._positions.get(item, START),
+                position=self._positions.get(item, INITIAL_POSITION),
                 record=self._as_known(record),
             )
             for item, record in self._records.items()
@@ -161,7 +161,7 @@
             for instance in [item for item in self._records if item not in present]:
                 changes.extend(self._remove(instance))
         for row in rows:
-            if row.position < self._positions.get(row.instance, START):
+            if row.position < self._positions.get(row.instance, INITIAL_POSITION):
                 continue
             self._positions[row.instance] = row.position
             if row.record is None:
@@ -179,7 +179,8 @@
         """Keep what is remembered of replicas that are gone within its bound."""
         if len(self._positions) > MOST_VERSIONS:
             self._positions = {
-                item: self._positions.get(item, START) for item in self._records
+                item: self._positions.get(item, INITIAL_POSITION)
+                for item in self._records
             }
         for remembered in (self._removals, self._left):
             while len(remembered) > MOST_VERSIONS:
@@ -276,7 +277,7 @@
         record = self._records.pop(instance, None)
         self._held.pop(instance, None)
         if record is not None:
-            era = self._positions.get(instance, START).era
+            era = self._positions.get(instance, INITIAL_POSITION).era
             self._removals[instance] = _Removal(incarnation=record.incarnation, era=era)
             if record.state is UpstreamState.LEAVING:
                 self._left[instance] = record.incarnation
--- a/damasklead/gateway/fleet.py
+++ b/damasklead/gateway/fleet.py
@@ -104,10 +104,10 @@
             plan=self._plans[ListName.ROUTING],
             clock=clock,
             journal=journal,
-            changed=self._configure,
-            gateways=lambda: self.gateways,
-            restored=self._note_restored,
-            unavailable=unavailable,
+            on_change=self._configure,
+            gateway_count=lambda: self.gateways,
+            on_restore=self._note_restored,
+            on_unavailable=unavailable,
         )
         self.upstreams = UpstreamFollower(
             feed=lambda: link().upstreams,
@@ -115,9 +115,9 @@
             clock=clock,
             journal=journal,
             directory=directory,
-            changed=self._arrange,
-            gateways=lambda: self.gateways,
-            restored=self._note_restored,
+            on_change=self._arrange,
+            gateway_count=lambda: self.gateways,
+            on_restore=self._note_restored,
         )
         self._era = StoreEra(0)
         self._restores = 0
@@ -231,13 +231,17 @@
                 self._journal.event("withdrawal-failed", cause=str(error))
 
     def _take_snapshot(self, snapshot: Snapshot) -> None:
-        self.upstreams.offer(snapshot.upstreams, snapshot.cursor)
-        self.configuration.hand_over(RoutingTable(content=snapshot.routing))
+        self.upstreams.apply_snapshot(snapshot.upstreams, snapshot.cursor)
+        self.configuration.apply_peer_configuration(
+            RoutingTable(content=snapshot.routing)
+        )
         if self._peers is not None:
             self._peers.offer(snapshot.peers)
 
     def _take_newer_routing(self, snapshot: Snapshot) -> None:
-        self.configuration.hand_over(RoutingTable(content=snapshot.routing))
+        self.configuration.apply_peer_configuration(
+            RoutingTable(content=snapshot.routing)
+        )
 
     def _note_outdated(self, peer: str) -> None:
         """Get the configuration from a gateway that has a newer one than the store."""
@@ -307,9 +311,7 @@
             name=name,
             clock=self._clock,
             reports=self._reports,
-            position=lambda: (
-                0 if self._broadcasts is None else self._broadcasts.position
-            ),
+            rank=lambda: 0 if self._broadcasts is None else self._broadcasts.position,
         )
 
     def _make_peers(self, incarnation: int) -> Peers | None:
--- a/damasklead/gateway/following.py
+++ b/damasklead/gateway/following.py
@@ -18,10 +18,10 @@
 from damasklead.clock import Clock
 from damasklead.gateway.dialect import Changes, Feed, FeedError, FeedFault
 from damasklead.gateway.journal import Journal
-from damasklead.gateway.positions import START, Position
+from damasklead.gateway.positions import INITIAL_POSITION, Position
 from damasklead.gateway.reading import (
-    GATHER_SECONDS,
-    READER_WAIT_SECONDS,
+    CHANGE_BATCH_SECONDS,
+    LONG_POLL_SECONDS,
     ReadPlan,
 )
 from damasklead.gateway.routing import RoutingTable
@@ -31,11 +31,11 @@
 T = TypeVar("T")
 
 # After these the whole list has to be read again.
-_STARTING_ANEW = (FeedFault.HISTORY_LOST, FeedFault.STALE, FeedFault.RESTORED)
+_RESYNC_FAULTS = (FeedFault.HISTORY_LOST, FeedFault.STALE, FeedFault.RESTORED)
 # Pause before a list is read anew.
-ANEW_SECONDS = 0.1
+RESYNC_DELAY_SECONDS = 0.1
 # While a gateway pauses after a failed call, what others tell is looked at so often.
-LOOK_SECONDS = 0.3
+NOTICE_CHECK_SECONDS = 0.3
 
 
 class Follower(ABC, Generic[T]):
@@ -52,9 +52,9 @@
         When to ask.
     clock : Clock
     journal : Journal
-    gateways : callable
+    gateway_count : callable
         Returns how many gateways there are.
-    restored : callable
+    on_restore : callable
         Told where the list was read before and after the store came back from an older
         copy.
     """
@@ -67,21 +67,21 @@
         plan: ReadPlan,
         clock: Clock,
         journal: Journal,
-        gateways: Callable[[], int] = lambda: 1,
-        restored: Callable[[Position, Position], None] = lambda _before, _after: None,
+        gateway_count: Callable[[], int] = lambda: 1,
+        on_restore: Callable[[Position, Position], None] = lambda _before, _after: None,
     ) -> None:
         self._name = name
-        self._restored = restored
-        self._gateways = gateways
+        self._on_restore = on_restore
+        self._gateway_count = gateway_count
         self._plan = plan
-        self._notice = Event()
+        self._notification = Event()
         self._feed = feed
         self._clock = clock
         self._journal = journal
         self._cursor: Position | None = None
-        self._reached = START
-        self._seen_at: float | None = None
-        self._lost = False
+        self._last_position = INITIAL_POSITION
+        self._last_read_at: float | None = None
+        self._is_unavailable = False
 
     @property
     def name(self) -> str:
@@ -89,92 +89,102 @@
         return self._name
 
     @property
-    def seen_at(self) -> float | None:
+    def last_read_at(self) -> float | None:
         """Clock reading when the list was last read; ``None`` before."""
-        return self._seen_at
+        return self._last_read_at
 
-    def age(self) -> float:
+    def get_age(self) -> float:
         """Return the seconds since the list was last read; infinite before."""
-        return math.inf if self._seen_at is None else self._clock.now() - self._seen_at
+        return (
+            math.inf
+            if self._last_read_at is None
+            else self._clock.now() - self._last_read_at
+        )
 
     def notify(self) -> None:
         """Look at once whether other gateways know of a change."""
-        self._notice.set()
+        self._notification.set()
 
     def run(self) -> None:
         """Follow forever."""
         while True:
-            step = self._plan.next()
-            if step.ask:
-                gevent.sleep(min(self.step(wait=step.wait), LOOK_SECONDS))
+            step = self._plan.next_step()
+            if step.should_poll:
+                gevent.sleep(
+                    min(self.poll_once(wait=step.wait_seconds), NOTICE_CHECK_SECONDS)
+                )
                 self._wait_for_retry()
             else:
-                self._notice.wait(timeout=step.wait)
-                self._notice.clear()
+                self._notification.wait(timeout=step.wait_seconds)
+                self._notification.clear()
 
     def _wait_for_retry(self) -> None:
         """Pause after a failed call, for as long as what others tell makes sense."""
-        while left := self._plan.pause_left():
-            self._notice.wait(timeout=min(left, LOOK_SECONDS))
-            self._notice.clear()
+        while left := self._plan.get_remaining_backoff():
+            self._notification.wait(timeout=min(left, NOTICE_CHECK_SECONDS))
+            self._notification.clear()
 
-    def step(self, *, wait: float = READER_WAIT_SECONDS) -> float:
+    def poll_once(self, *, wait: float = LONG_POLL_SECONDS) -> float:
         """Make one call; returns the seconds to wait before the next."""
-        told = self._plan.told()
+        reported = self._plan.get_reported_change()
         try:
             changes = self._call(wait)
         except FeedError as error:
-            return self._after_error(error)
+            return self._handle_error(error)
         if self._cursor is not None and changes.cursor.era < self._cursor.era:
-            return ANEW_SECONDS  # a newer era was handed over meanwhile
-        self._seen_at = self._clock.now()
-        self._regain()
-        self._reach(changes.cursor)
+            return RESYNC_DELAY_SECONDS  # a newer era was handed over meanwhile
+        self._last_read_at = self._clock.now()
+        self._record_recovery()
+        self._advance_to(changes.cursor)
         # What was handed over meanwhile may be newer than the answer.
-        before = START if changes.whole or self._cursor is None else self._cursor
+        before = (
+            INITIAL_POSITION if changes.whole or self._cursor is None else self._cursor
+        )
         self._cursor = max(before, changes.cursor)
-        self.take(changes)
-        self._plan.asked(told=told, mark=self.mark(changes))
-        return GATHER_SECONDS if changes.items else 0.0
+        self.apply_changes(changes)
+        self._plan.record_response(
+            reported=reported, last_change=self.get_last_change(changes)
+        )
+        return CHANGE_BATCH_SECONDS if changes.items else 0.0
 
-    def confirm(self) -> None:
+    def record_peer_confirmation(self) -> None:
         """
         Take in that another gateway has just read the list and nothing is missing here.
 
         It is as good as a call of one's own: what is removed later has not lapsed in an
         outage of the store.
         """
-        if self._lost:
-            self._regain()
+        if self._is_unavailable:
+            self._record_recovery()
 
-    def _regain(self) -> None:
-        if self._lost:
-            self._lost = False
+    def _record_recovery(self) -> None:
+        if self._is_unavailable:
+            self._is_unavailable = False
             self._journal.event("dependency-regained", feed=self._name)
-        self.back()
+        self.handle_recovery()
 
-    def _reach(self, cursor: Position) -> None:
+    def _advance_to(self, cursor: Position) -> None:
         """Note up to where the list is known, and whether the store was restored."""
-        before, self._reached = self._reached, cursor
-        if before != START and cursor.era > before.era:
-            self.restored(cursor)
-            self._restored(before, cursor)
+        before, self._last_position = self._last_position, cursor
+        if before != INITIAL_POSITION and cursor.era > before.era:
+            self.handle_restore(cursor)
+            self._on_restore(before, cursor)
 
-    def restored(self, cursor: Position) -> None:
+    def handle_restore(self, cursor: Position) -> None:
         """Take in that the store has come back from an older copy."""
 
     @abstractmethod
-    def mark(self, changes: Changes[T]) -> Position:
+    def get_last_change(self, changes: Changes[T]) -> Position:
         """Return a figure that grows with each change of the list."""
 
     @abstractmethod
-    def take(self, changes: Changes[T]) -> None:
+    def apply_changes(self, changes: Changes[T]) -> None:
         """Take in what the feed told."""
 
-    def lost(self) -> None:
+    def handle_outage(self) -> None:
         """Take in that the list can't be read."""
 
-    def back(self) -> None:
+    def handle_recovery(self) -> None:
         """Take in that the list can be read."""
 
     def _call(self, wait: float) -> Changes[T]:
@@ -183,18 +193,18 @@
             return feed.read()
         return feed.follow(self._cursor, wait=wait)
 
-    def _after_error(self, error: FeedError) -> float:
-        if error.fault in _STARTING_ANEW:
+    def _handle_error(self, error: FeedError) -> float:
+        if error.fault in _RESYNC_FAULTS:
             self._journal.event("list-restarted", feed=self._name, cause=str(error))
             self._cursor = None
-            return ANEW_SECONDS
-        if not self._lost:
-            self._lost = True
+            return RESYNC_DELAY_SECONDS
+        if not self._is_unavailable:
+            self._is_unavailable = True
             self._journal.event("dependency-lost", feed=self._name, cause=str(error))
-        self.lost()
-        spread = random.uniform(0.5, 1.0)
-        self._plan.failed(gateways=self._gateways(), spread=spread)
-        return self._plan.pause_left()
+        self.handle_outage()
+        jitter = random.uniform(0.5, 1.0)
+        self._plan.record_failure(gateway_count=self._gateway_count(), jitter=jitter)
+        return self._plan.get_remaining_backoff()
 
 
 class ConfigurationFollower(Follower[RoutingTable]):
@@ -204,9 +214,9 @@
 
     Parameters
     ----------
-    changed : callable
+    on_change : callable
         Told of each version that comes into force.
-    unavailable : callable
+    on_unavailable : callable
         Told when the configuration can't be read.
     """
 
@@ -217,10 +227,10 @@
         plan: ReadPlan,
         clock: Clock,
         journal: Journal,
-        changed: Callable[[RoutingTable], None],
-        gateways: Callable[[], int] = lambda: 1,
-        restored: Callable[[Position, Position], None] = lambda _before, _after: None,
-        unavailable: Callable[[], None] = lambda: None,
+        on_change: Callable[[RoutingTable], None],
+        gateway_count: Callable[[], int] = lambda: 1,
+        on_restore: Callable[[Position, Position], None] = lambda _before, _after: None,
+        on_unavailable: Callable[[], None] = lambda: None,
     ) -> None:
         super().__init__(
             name="configuration",
@@ -228,11 +238,11 @@
             plan=plan,
             clock=clock,
             journal=journal,
-            gateways=gateways,
-            restored=restored,
+            gateway_count=gateway_count,
+            on_restore=on_restore,
         )
-        self._changed = changed
-        self._unavailable = unavailable
+        self._on_change = on_change
+        self._on_unavailable = on_unavailable
         self._table: RoutingTable | None = None
 
     @property
@@ -240,27 +250,27 @@
         """The configuration in force."""
         return self._table
 
-    def take(self, changes: Changes[RoutingTable]) -> None:
+    def apply_changes(self, changes: Changes[RoutingTable]) -> None:
         """Put the newest version into force."""
         for table in changes.items:
-            self.offer(table)
+            self.activate_if_newer(table)
 
-    def lost(self) -> None:
+    def handle_outage(self) -> None:
         """Take in that the configuration can't be read."""
-        self._unavailable()
+        self._on_unavailable()
 
-    def mark(self, changes: Changes[RoutingTable]) -> Position:
+    def get_last_change(self, changes: Changes[RoutingTable]) -> Position:
         """Return the newest version; it is the operators' and knows no eras."""
         newest = max((table.version for table in changes.items), default=0)
         return Position(version=newest)
 
-    def hand_over(self, table: RoutingTable) -> None:
+    def apply_peer_configuration(self, table: RoutingTable) -> None:
         """Take in a version that another gateway has read."""
-        self.offer(table)
-        mark = Position(version=table.version)
-        self._plan.handed(mark=mark, caught_up=mark)
+        self.activate_if_newer(table)
+        version = Position(version=table.version)
+        self._plan.record_peer_update(last_change=version, complete_up_to=version)
 
-    def offer(self, table: RoutingTable) -> None:
+    def activate_if_newer(self, table: RoutingTable) -> None:
         """Put a version into force if it is newer than the present one."""
         before = 0 if self._table is None else self._table.version
         if table.version <= before:
@@ -272,4 +282,4 @@
             version=table.version,
             routes=len(table.routes),
         )
-        self._changed(table)
+        self._on_change(table)
--- a/damasklead/gateway/messages.py
+++ b/damasklead/gateway/messages.py
@@ -11,7 +11,7 @@
 from damasklead.gateway.containment import CrashNote
 from damasklead.gateway.departures import LeftNote
 from damasklead.gateway.directory import ListedRow
-from damasklead.gateway.positions import START, Position
+from damasklead.gateway.positions import INITIAL_POSITION, Position
 from damasklead.gateway.reading import ListReport
 
 __all__ = ["Broadcast", "Goodbye", "Hello", "Notice", "Ping"]
@@ -79,4 +79,4 @@
     sender: str
     crashes: list[CrashNote]
     left: list[LeftNote]
-    routing: Position = START
+    routing: Position = INITIAL_POSITION
--- a/damasklead/gateway/positions.py
+++ b/damasklead/gateway/positions.py
@@ -13,7 +13,7 @@
 
 from damasklead.ids import StoreEra
 
-__all__ = ["START", "Position"]
+__all__ = ["INITIAL_POSITION", "Position"]
 
 
 class Position(msgspec.Struct, array_like=True, frozen=True, order=True):
@@ -37,4 +37,4 @@
 
 
 # Before anything was read.
-START = Position()
+INITIAL_POSITION = Position()
--- a/damasklead/gateway/process.py
+++ b/damasklead/gateway/process.py
@@ -134,7 +134,9 @@
     @property
     def ready(self) -> bool:
         """Whether the process can take requests."""
-        listed = self._fleet.upstreams.seen_at is not None or not self._directory.empty
+        listed = (
+            self._fleet.upstreams.last_read_at is not None or not self._directory.empty
+        )
         known = self._fleet.configuration.table is not None and listed
         return known and not self._stopping
 
@@ -295,7 +297,7 @@
         metrics.store_restores.set_function(lambda: self._fleet.restores)
         metrics.log_lines_dropped.set_function(lambda: self._journal.dropped)
         for follower in (self._fleet.configuration, self._fleet.upstreams):
-            metrics.feed_age.labels(follower.name).set_function(follower.age)
+            metrics.feed_age.labels(follower.name).set_function(follower.get_age)
 
     def _build_tree(self) -> Supervisor:
         listen = self._settings.listen
--- a/damasklead/gateway/replicafollowing.py
+++ b/damasklead/gateway/replicafollowing.py
@@ -13,7 +13,7 @@
 from damasklead.gateway.directory import ListedRow, UpstreamDirectory
 from damasklead.gateway.following import Follower
 from damasklead.gateway.journal import Journal
-from damasklead.gateway.positions import START, Position
+from damasklead.gateway.positions import INITIAL_POSITION, Position
 from damasklead.gateway.reading import ReadPlan
 
 __all__ = ["UpstreamFollower"]
@@ -26,12 +26,12 @@
     Parameters
     ----------
     directory : UpstreamDirectory
-    changed : callable
+    on_change : callable
         Told that the directory has changed.
 
     Attributes
     ----------
-    log : ChangeLog
+    change_log : ChangeLog
         The newest changes, for other gateways.
     """
 
@@ -43,9 +43,9 @@
         clock: Clock,
         journal: Journal,
         directory: UpstreamDirectory,
-        changed: Callable[[], None],
-        gateways: Callable[[], int] = lambda: 1,
-        restored: Callable[[Position, Position], None] = lambda _before, _after: None,
+        on_change: Callable[[], None],
+        gateway_count: Callable[[], int] = lambda: 1,
+        on_restore: Callable[[Position, Position], None] = lambda _before, _after: None,
     ) -> None:
         super().__init__(
             name="replicas",
@@ -53,55 +53,59 @@
             plan=plan,
             clock=clock,
             journal=journal,
-            gateways=gateways,
-            restored=restored,
+            gateway_count=gateway_count,
+            on_restore=on_restore,
         )
-        self.log: ChangeLog[ListedRow] = ChangeLog(clock=clock)
+        self.change_log: ChangeLog[ListedRow] = ChangeLog(clock=clock)
         self._directory = directory
-        self._changed = changed
+        self._on_change = on_change
 
-    def take(self, changes: Changes[ListedRow]) -> None:
+    def apply_changes(self, changes: Changes[ListedRow]) -> None:
         """Take in entries of the list."""
         if changes.whole:
-            self._log_whole(changes)
+            self._log_full_read(changes)
         else:
-            news = [row for row in changes.items if self._directory.differs(row)]
-            self.log.add(news, changes.cursor)
-        self._note(self._directory.apply(changes.items, whole=changes.whole))
+            changed_rows = [
+                row for row in changes.items if self._directory.differs(row)
+            ]
+            self.change_log.add(changed_rows, changes.cursor)
+        self._report_changes(self._directory.apply(changes.items, whole=changes.whole))
 
-    def _log_whole(self, changes: Changes[ListedRow]) -> None:
+    def _log_full_read(self, changes: Changes[ListedRow]) -> None:
         """
         Hand on what differs in a list that was read anew.
 
         Others need not read it as well where they know what this gateway knew.
         """
-        before = self.log.cursor
-        if before == START or before >= changes.cursor:
-            self.log.restart(changes.cursor)
+        before = self.change_log.cursor
+        if before == INITIAL_POSITION or before >= changes.cursor:
+            self.change_log.restart(changes.cursor)
             return
         present = {row.instance for row in changes.items}
-        news = [row for row in changes.items if self._directory.differs(row)]
-        news += [
+        changed_rows = [row for row in changes.items if self._directory.differs(row)]
+        changed_rows += [
             ListedRow(instance=row.instance, position=changes.cursor, record=None)
             for row in self._directory.rows()
             if row.instance not in present
         ]
-        self.log.bridge(news, changes.cursor)
+        self.change_log.bridge(changed_rows, changes.cursor)
 
-    def mark(self, changes: Changes[ListedRow]) -> Position:
+    def get_last_change(self, changes: Changes[ListedRow]) -> Position:
         """Return the newest entry's version."""
-        return _newest(changes.items)
+        return _last_change(changes.items)
 
-    def offer(self, rows: list[ListedRow], cursor: Position) -> None:
+    def apply_snapshot(self, rows: list[ListedRow], cursor: Position) -> None:
         """Take in the whole list as another gateway knows it."""
-        if self._cursor is None and cursor > START:
+        if self._cursor is None and cursor > INITIAL_POSITION:
             self._cursor = cursor
-            self._reach(cursor)
-            self.log.restart(cursor)
-            self._plan.handed(mark=_newest(rows), caught_up=cursor)
-        self._note(self._directory.apply(rows, whole=False))
-
-    def hand_over(
+            self._advance_to(cursor)
+            self.change_log.restart(cursor)
+            self._plan.record_peer_update(
+                last_change=_last_change(rows), complete_up_to=cursor
+            )
+        self._report_changes(self._directory.apply(rows, whole=False))
+
+    def apply_peer_changes(
         self,
         base: Position,
         cursor: Position,
@@ -110,47 +114,49 @@
         """Take in the changes after one cursor up to another one, if none is missed."""
         if self._cursor is None or not base <= self._cursor < cursor:
             return
-        known = self._cursor
-        restored = cursor.era > known.era
-        if restored and known != base:
+        previous = self._cursor
+        restored = cursor.era > previous.era
+        if restored and previous != base:
             # It may know of changes that neither the sender nor the store knows now.
             return
         self._cursor = cursor
-        self._reach(cursor)
-        news = [row for row in rows if row.position > known]
+        self._advance_to(cursor)
+        changed_rows = [row for row in rows if row.position > previous]
         if restored:
-            self.log.bridge(news, cursor)
+            self.change_log.bridge(changed_rows, cursor)
         else:
-            self.log.add(news, cursor)
-        self._plan.handed(mark=_newest(rows), caught_up=cursor)
-        self._note(self._directory.apply(news, whole=False))
+            self.change_log.add(changed_rows, cursor)
+        self._plan.record_peer_update(
+            last_change=_last_change(rows), complete_up_to=cursor
+        )
+        self._report_changes(self._directory.apply(changed_rows, whole=False))
 
     @property
     def cursor(self) -> Position:
-        """Up to where the list was read; ``START`` before."""
-        return self._cursor or START
+        """Up to where the list was read; ``INITIAL_POSITION`` before."""
+        return self._cursor or INITIAL_POSITION
 
-    def restored(self, cursor: Position) -> None:
+    def handle_restore(self, cursor: Position) -> None:
         """Take in that the store has come back from an older copy."""
         self._directory.list_restored(cursor)
 
-    def lost(self) -> None:
+    def handle_outage(self) -> None:
         """Take in that the list can't be read: removals may be lapses."""
         self._directory.list_lost()
 
-    def back(self) -> None:
+    def handle_recovery(self) -> None:
         """Take in that the list can be read."""
         self._directory.list_back()
 
     def expire(self) -> None:
         """Drop replicas that have not come back after an outage."""
-        self._note(self._directory.expire())
+        self._report_changes(self._directory.expire())
 
-    def _note(self, changes: list[str]) -> None:
+    def _report_changes(self, changes: list[str]) -> None:
         if changes:
             self._journal.event("replicas", changes="; ".join(changes))
-            self._changed()
+            self._on_change()
 
 
-def _newest(rows: list[ListedRow]) -> Position:
-    return max((row.position for row in rows), default=START)
+def _last_change(rows: list[ListedRow]) -> Position:
+    return max((row.position for row in rows), default=INITIAL_POSITION)
--- a/damasklead/gateway/snapshot.py
+++ b/damasklead/gateway/snapshot.py
@@ -10,7 +10,7 @@
 
 from damasklead.gateway.dialect import PeerEntry
 from damasklead.gateway.directory import ListedRow
-from damasklead.gateway.positions import START, Position
+from damasklead.gateway.positions import INITIAL_POSITION, Position
 from damasklead.gateway.routing import RoutingContent
 from damasklead.gateway.upstream_http import ConnectionPool, SendError
 
@@ -30,7 +30,7 @@
     upstreams: list[ListedRow]
     peers: list[PeerEntry]
     # Up to where the list of replicas was read.
-    cursor: Position = START
+    cursor: Position = INITIAL_POSITION
 
 
 class SnapshotError(Exception):
--- a/damasklead/platform/store.py
+++ b/damasklead/platform/store.py
@@ -28,7 +28,7 @@
     join_headers,
 )
 from damasklead.gateway.directory import ListedRow
-from damasklead.gateway.positions import START, Position
+from damasklead.gateway.positions import INITIAL_POSITION, Position
 from damasklead.gateway.routing import RoutingTable
 from damasklead.gateway.upstream_http import Connection, ConnectionPool, SendError
 from damasklead.ids import DataCentre, InstanceId, StoreEra
@@ -117,7 +117,7 @@
         self._table = table
         self._decode = decode
         self._clock = clock
-        self._newest = START
+        self._newest = INITIAL_POSITION
         self._stale_since: float | None = None
 
     def read(self) -> Changes[T]:
@@ -139,7 +139,7 @@
             if not page.has_more or not page.rows:
                 break
             start = page.rows[-1].key + "\0"
-        cursor = cursor or START
+        cursor = cursor or INITIAL_POSITION
         items = self._decode(rows, cursor.era)
         return Changes(items=items, whole=True, cursor=cursor)
 
@@ -210,7 +210,7 @@
     def withdraw(self, entry: PeerEntry) -> None:
         """Remove an entry, unless it has changed since it was read."""
         change: dict[str, object] = {"remove": [_peer_row(entry)]}
-        if entry.position != START:
+        if entry.position != INITIAL_POSITION:
             if entry.position.era != self._era():
                 raise FeedError(FeedFault.RESTORED, f"{entry.instance} was read before")
             version = {"schema_version": entry.position.version}
--- a/tests/test_gateway_broadcasts.py
+++ b/tests/test_gateway_broadcasts.py
@@ -27,7 +27,7 @@
 from damasklead.gateway.journal import Journal
 from damasklead.gateway.messages import Broadcast, Notice
 from damasklead.gateway.positions import Position
-from damasklead.gateway.reading import ListName, ListReports, ReadPlan, reader_rank
+from damasklead.gateway.reading import ListName, ListReports, ReadPlan, reader_score
 from damasklead.gateway.replicafollowing import UpstreamFollower
 from damasklead.gateway.routing import Route, RouteName, RoutingTable
 from damasklead.ids import Fingerprint, InstanceId
@@ -175,7 +175,7 @@
                 name=item,
                 clock=clock,
                 reports=reports,
-                position=lambda: self.broadcasts.position,
+                rank=lambda: self.broadcasts.position,
             )
             for item in ListName
         ]
@@ -184,8 +184,8 @@
             plan=self.plans[ListName.ROUTING],
             clock=clock,
             journal=journal,
-            changed=lambda _table: self.broadcasts.tell_soon(),
-            gateways=lambda: len(fleet.gateways),
+            on_change=lambda _table: self.broadcasts.tell_soon(),
+            gateway_count=lambda: len(fleet.gateways),
         )
         self.upstreams = UpstreamFollower(
             feed=lambda: ListFeed(fleet.store, ListName.UPSTREAMS, name),
@@ -193,8 +193,8 @@
             clock=clock,
             journal=journal,
             directory=self.directory,
-            changed=lambda: self.broadcasts.tell_soon(),
-            gateways=lambda: len(fleet.gateways),
+            on_change=lambda: self.broadcasts.tell_soon(),
+            gateway_count=lambda: len(fleet.gateways),
         )
         self.peers = FakePeers(fleet, name)
         self.broadcasts = Broadcasts(
@@ -233,16 +233,16 @@
         table = self.fleet.gateways[name].configuration.table
         assert table is not None
         self.fleet.snapshots += 1
-        self.configuration.hand_over(table)
+        self.configuration.apply_peer_configuration(table)
 
     def step(self, now: float) -> None:
         self.upstreams.expire()
         followers = (self.configuration, self.upstreams)
         for index, follower in enumerate(followers):
-            if now < self._resume[index] or self.plans[index].pause_left():
+            if now < self._resume[index] or self.plans[index].get_remaining_backoff():
                 continue
-            if self.plans[index].next().ask:
-                pause = follower.step(wait=0.0)
+            if self.plans[index].next_step().should_poll:
+                pause = follower.poll_once(wait=0.0)
                 # A call of the reader's waits at the store while nothing changes.
                 self._resume[index] = now + min(pause or 0.6, 0.6)
         if now - self._told_at >= BROADCAST_SECONDS:
@@ -273,7 +273,7 @@
 
     @property
     def first(self) -> Gateway:
-        return self.gateways[min(self.gateways, key=reader_rank)]
+        return self.gateways[min(self.gateways, key=reader_score)]
 
     @property
     def up(self) -> list[Gateway]:
@@ -393,7 +393,7 @@
     fleet.run(4.0)
     for number in range(4):
         fleet.first.down = True
-        second = min((item.name for item in fleet.up), key=reader_rank)
+        second = min((item.name for item in fleet.up), key=reader_score)
         fleet.store.write(f"n{number}")
         fleet.run(TAKE_OVER_SECONDS + 1.5)
         assert all(f"n{number}" in gateway.replicas for gateway in fleet.up)
@@ -412,7 +412,7 @@
     """
     fleet = Fleet(65)
     fleet.run(4.0)
-    ranked = sorted(fleet.gateways, key=reader_rank)
+    ranked = sorted(fleet.gateways, key=reader_score)
     fleet.store.refused = {name for name in ranked if name not in ranked[10:50]}
     fleet.run(9.0)
     fleet.store.refused = set()
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -161,7 +161,7 @@
         name=ListName.ROUTING,
         clock=clock,
         reports=ListReports(clock=clock),
-        position=lambda: 0,
+        rank=lambda: 0,
     )
 
 
@@ -199,7 +199,7 @@
             plan=read_plan(ManualClock()),
             clock=ManualClock(),
             journal=Journal(instance="g"),
-            changed=lambda table: None,
+            on_change=lambda table: None,
         )
         return follower, feed
 
@@ -211,7 +211,7 @@
         )
         versions = []
         for _ in range(3):
-            follower.step()
+            follower.poll_once()
             assert follower.table is not None
             versions.append(follower.table.version)
         assert versions == [5, 5, 8]
@@ -229,7 +229,7 @@
             changes(cursor=31),
         )
         for _ in range(4):
-            follower.step()
+            follower.poll_once()
         assert feed.calls == ["read", 10, "read", 30]
         assert follower.table is not None and follower.table.version == 6
 
@@ -241,7 +241,7 @@
             lost,
             changes(cursor=11),
         )
-        pauses = [follower.step() for _ in range(4)]
+        pauses = [follower.poll_once() for _ in range(4)]
         assert feed.calls == ["read", 10, 10, 10]
         assert follower.table is not None and follower.table.version == 5
         assert 0 < pauses[1] <= 0.1 and 0 < pauses[2] <= 0.2
@@ -261,10 +261,10 @@
             clock=clock,
             journal=Journal(instance="g"),
             directory=directory,
-            changed=lambda: heard.append(len(names(directory))),
+            on_change=lambda: heard.append(len(names(directory))),
         )
         for _ in range(3):
-            follower.step()
+            follower.poll_once()
         assert names(directory) == ["a"]
         clock.advance(3.0)
         follower.expire()
--- a/tests/test_gateway_reading.py
+++ b/tests/test_gateway_reading.py
@@ -13,13 +13,13 @@
 from damasklead.clock import ManualClock
 from damasklead.gateway.positions import Position
 from damasklead.gateway.reading import (
-    RANK_SECONDS,
-    TRUST_SECONDS,
+    CONFIRMATION_TTL_SECONDS,
+    RANK_DELAY_SECONDS,
     ListName,
     ListReport,
     ListReports,
     ReadPlan,
-    reader_rank,
+    reader_score,
 )
 from tests.gatewaykit import at
 
@@ -40,12 +40,12 @@
             name=ListName.ROUTING,
             clock=fleet.clock,
             reports=self.reports,
-            position=lambda: fleet.position(name),
+            rank=lambda: fleet.rank(name),
         )
         self.version = at(0)
         self.calls = 0
-        self.told_at = 0.0
-        self.told_version = at(0)
+        self.sent_at = 0.0
+        self.sent_version = at(0)
         self.call: tuple[float, Position] | None = None
         self.cut_off = False
         self.frozen = False
@@ -55,32 +55,32 @@
             return
         now = self.fleet.clock.now()
         if self.call is None:
-            step = self.plan.next()
-            if step.ask:
+            step = self.plan.next_step()
+            if step.should_poll:
                 self.calls += 1
-                self.call = (now + step.wait, self.plan.told())
+                self.call = (now + step.wait_seconds, self.plan.get_reported_change())
         if self.call is not None:
             self._finish_call(now)
-        self._tell(now)
+        self._send_report(now)
 
     def _finish_call(self, now: float) -> None:
         assert self.call is not None
-        until, told = self.call
+        until, reported = self.call
         if self.cut_off:
             if now >= until + 0.7:  # the time-out of a call that gets no answer
                 self.call = None
             return
         if self.fleet.version > self.version or now >= until:
             self.version = self.fleet.version
-            self.plan.asked(told=told, mark=self.version)
+            self.plan.record_response(reported=reported, last_change=self.version)
             self.call = None
 
-    def _tell(self, now: float) -> None:
+    def _send_report(self, now: float) -> None:
         report = self.plan.report
-        news = self.version > self.told_version
-        if news or now - self.told_at >= HEARTBEAT_SECONDS:
-            self.told_at, self.told_version = now, self.version
-            self.fleet.tell(self, report)
+        has_changed = self.version > self.sent_version
+        if has_changed or now - self.sent_at >= HEARTBEAT_SECONDS:
+            self.sent_at, self.sent_version = now, self.version
+            self.fleet.deliver(self, report)
 
 
 class Fleet:
@@ -94,11 +94,11 @@
         self._random = random.Random(seed)
         self._loss = loss
 
-    def tell(self, sender: Gateway, report: ListReport) -> None:
+    def deliver(self, sender: Gateway, report: ListReport) -> None:
         for other in self.gateways:
             lost = self._random.random() < self._loss
             if other is not sender and not other.frozen and not lost:
-                other.reports.take([report])
+                other.reports.record_reports([report])
 
     def write(self) -> None:
         self.version = at(self.version.version + 1)
@@ -120,11 +120,11 @@
                 assert behind == []
 
     def reader(self) -> Gateway:
-        return min(self.gateways, key=lambda item: reader_rank(item.name))
+        return min(self.gateways, key=lambda item: reader_score(item.name))
 
-    def position(self, name: str) -> int:
-        rank = reader_rank(name)
-        return sum(reader_rank(item.name) < rank for item in self.gateways)
+    def rank(self, name: str) -> int:
+        score = reader_score(name)
+        return sum(reader_score(item.name) < score for item in self.gateways)
 
 
 @pytest.mark.parametrize("loss", [0.0, 0.1])
@@ -183,12 +183,12 @@
     clock = ManualClock()
     reports = ListReports(clock=clock)
     plan = ReadPlan(
-        name=ListName.UPSTREAMS, clock=clock, reports=reports, position=lambda: 3
+        name=ListName.UPSTREAMS, clock=clock, reports=reports, rank=lambda: 3
     )
-    plan.asked(told=at(0), mark=at(3))
-    reports.take([ListReport(at(0), 0), ListReport(at(9), 0)])
-    assert plan.next().ask
-    plan.asked(told=plan.told(), mark=at(3))
-    assert not plan.next().ask
-    clock.advance(TRUST_SECONDS + 3 * RANK_SECONDS + 0.01)
-    assert plan.next().ask
+    plan.record_response(reported=at(0), last_change=at(3))
+    reports.record_reports([ListReport(at(0), 0), ListReport(at(9), 0)])
+    assert plan.next_step().should_poll
+    plan.record_response(reported=plan.get_reported_change(), last_change=at(3))
+    assert not plan.next_step().should_poll
+    clock.advance(CONFIRMATION_TTL_SECONDS + 3 * RANK_DELAY_SECONDS + 0.01)
+    assert plan.next_step().should_poll
--- a/tests/test_gateway_restored_store.py
+++ b/tests/test_gateway_restored_store.py
@@ -134,7 +134,7 @@
     ahead = next(item for item in fleet.up if item is not fleet.first)
     fleet.deaf = {item for item in fleet.gateways if item != ahead.name}
     fleet.store.write("ghost")
-    ahead.upstreams.step(wait=0.0)
+    ahead.upstreams.poll_once(wait=0.0)
     assert "ghost" in ahead.replicas
     fleet.store.restore(0.5)
     fleet.deaf.clear()
@@ -208,4 +208,4 @@
     drill(fleet)
     fleet.run(3.0)
     plans = [gateway.plans[ListName.UPSTREAMS] for gateway in fleet.up]
-    assert all(plan.caught_up for plan in plans)
+    assert all(plan.is_caught_up for plan in plans)
