--- a/damasklead/gateway/attempts.py
+++ b/damasklead/gateway/attempts.py
@@ -17,7 +17,7 @@
 from damasklead.gateway.placements import Placement
 from damasklead.gateway.refusals import Reason, Refusal, reason_for
 from damasklead.gateway.routing import RouteKind
-from damasklead.gateway.runparts import RunParts
+from damasklead.gateway.runparts import GatewayContext
 from damasklead.gateway.streamprogress import StreamProgress
 from damasklead.gateway.upstream_http import (
     Connection,
@@ -55,7 +55,7 @@
 
     Parameters
     ----------
-    parts : RunParts
+    context : GatewayContext
     call : Call
     placement : Placement
     caller : CallerConnection
@@ -77,17 +77,17 @@
     def __init__(
         self,
         *,
-        parts: RunParts,
+        context: GatewayContext,
         call: Call,
         placement: Placement,
         caller: CallerConnection,
     ) -> None:
-        self._parts = parts
+        self._context = context
         self._call = call
         self._placement = placement
         self._caller = caller
         self._upstream: Connection | None = None
-        self._assigner = Assigner(asker=parts.asker, placement=placement, call=call)
+        self._assigner = Assigner(asker=context.asker, placement=placement, call=call)
         self._excluded: set[InstanceId] = set()
         self._runs = 0
         self._sent = False
@@ -114,7 +114,7 @@
         Refusal or None
             ``None`` when the caller has a replica's whole answer.
         """
-        if self._parts.containment.refuses(self._call):
+        if self._context.containment.refuses(self._call):
             return Refusal(
                 reason=Reason.QUARANTINED,
                 detail="crashes replicas",
@@ -176,10 +176,10 @@
         """
         self.replica = record.instance
         self.offers += 1
-        self._upstream = self._parts.connections.acquire(record.address)
+        self._upstream = self._context.connections.acquire(record.address)
         if self._placement.accepts(record.instance):
             return True
-        self._parts.connections.release(self._upstream, keep_alive=None)
+        self._context.connections.release(self._upstream, keep_alive=None)
         self._upstream = None
         self._assigner.leave("withdrawn")
         return False
@@ -189,7 +189,7 @@
         call = self._call
         upstream = self._upstream
         assert upstream is not None
-        self._parts.journal.event(
+        self._context.journal.event(
             "offered",
             request=call.id,
             replica=record.instance,
@@ -198,11 +198,11 @@
             **self._assigner.explain(),
         )
         self._placement.sent(record.instance, call)
-        headers = self._parts.dialect.upstream_headers(
+        headers = self._context.dialect.upstream_headers(
             call,
             SendPlan(
                 instance=record.instance,
-                seconds_left=call.deadline - self._parts.clock.now(),
+                seconds_left=call.deadline - self._context.clock.now(),
                 urgency=call.urgency,
                 resume_after=self._last_event,
                 copy_from=self._assigner.source,
@@ -222,9 +222,9 @@
         self._relay(upstream, reply)
         self._placement.finished(record.instance, call)
         self._assigner.leave("whole")
-        self._parts.containment.ended_well(call)
+        self._context.containment.ended_well(call)
         self._upstream = None
-        self._parts.connections.release(
+        self._context.connections.release(
             upstream,
             keep_alive=0.0 if reply.closing or reply.leaving else reply.keep_alive,
         )
@@ -239,7 +239,7 @@
         try:
             for _ in range(MAX_STRAY_ANSWERS):
                 head = upstream.read_head()
-                reply = self._parts.dialect.judge_reply(
+                reply = self._context.dialect.judge_reply(
                     status=head.status_code,
                     headers=[(bytes(n), bytes(v)) for n, v in head.headers.raw_items()],
                     attempt=self._call.id,
@@ -267,12 +267,12 @@
     def _note_state(self, reply: ReplyHead, record: UpstreamRecord) -> None:
         """Take in what an answer says of its replica's state."""
         if reply.kind is ReplyKind.MISPLACED:
-            self._parts.left(record, "another replica has the address")
+            self._context.on_replica_left(record, "another replica has the address")
         elif reply.leaving:
-            self._parts.left(record, "its answer says that it leaves")
+            self._context.on_replica_left(record, "its answer says that it leaves")
         if reply.pause is not None:
             granted = self._placement.paused(record.instance, reply.pause)
-            self._parts.journal.event(
+            self._context.journal.event(
                 "replica-paused",
                 request=self._call.id,
                 replica=record.instance,
@@ -299,7 +299,9 @@
 
     def _relay_whole(self, upstream: Connection, reply: ReplyHead) -> None:
         self._begun = True
-        body = upstream.read_body(limit=ANSWER_BYTES, memory=self._parts.answers)
+        body = upstream.read_body(
+            limit=ANSWER_BYTES, memory=self._context.response_memory
+        )
         self._begun = False
         if reply.status >= 500 and self._call.route.may_repeat:
             self._failed_answer = (reply, body)
@@ -315,7 +317,7 @@
     def _relay_stream(self, upstream: Connection, reply: ReplyHead) -> None:
         splitter = EventSplitter()
         progress = StreamProgress(
-            clock=self._parts.clock, patience=self._event_patience()
+            clock=self._context.clock, patience=self._event_patience()
         )
         upstream.set_read_timeout(progress.patience)
         while data := upstream.read_body_data():
@@ -352,7 +354,7 @@
 
     def _note_first(self, status: int) -> None:
         self.status = status
-        self.first_after = self._parts.clock.now() - self._call.arrival
+        self.first_after = self._context.clock.now() - self._call.arrival
 
     def _note_failure(self, record: UpstreamRecord, error: SendError) -> None:
         """Take in that an attempt failed."""
@@ -365,12 +367,12 @@
         self._assigner.leave(failure.value)
         self._excluded.add(record.instance)
         if failure is Failure.NOT_SENT:
-            self._parts.containment.unreachable(record)
+            self._context.containment.unreachable(record)
         elif failure is Failure.BROKEN:
-            self._parts.containment.broke(record, self._call)
+            self._context.containment.broke(record, self._call)
         if not failure.surely_unrun:
             self._runs += 1
-        self._parts.journal.event(
+        self._context.journal.event(
             "attempt-failed",
             request=self._call.id,
             replica=record.instance,
@@ -387,10 +389,10 @@
                 return False
         elif not route.may_repeat or self._runs >= route.max_attempts:
             return False
-        if self._parts.containment.refuses(self._call):
+        if self._context.containment.refuses(self._call):
             return False
         # A refused connection brings no request to a replica.
-        return failure is Failure.NOT_SENT or self._parts.budget.take(
+        return failure is Failure.NOT_SENT or self._context.budget.take(
             self._call.service
         )
 
--- a/damasklead/gateway/bootstrap.py
+++ b/damasklead/gateway/bootstrap.py
@@ -18,15 +18,15 @@
 from damasklead.gateway.snapshot import Snapshot, SnapshotError, fetch_snapshot
 from damasklead.gateway.upstream_http import ConnectionPool
 
-__all__ = ["Bootstrap", "CatchUp"]
+__all__ = ["Bootstrap", "ConfigurationRecovery"]
 
 # Time between two rounds of asking.
-ASK_SECONDS = 0.25
+SEED_RETRY_SECONDS = 0.25
 # The store is asked as well after so long, when a seed does not even refuse: a machine
 # without power does not, and one that knows anything answers within some milliseconds.
-PATIENCE_SECONDS = 0.05
+MAX_SEED_WAIT_SECONDS = 0.05
 # Time between two questions for a newer configuration.
-CATCH_UP_SECONDS = 0.5
+MIN_FETCH_INTERVAL_SECONDS = 0.5
 
 
 class Bootstrap:
@@ -37,9 +37,9 @@
     ----------
     seeds : list of str
         Operators' addresses of other gateways; any of them may be down.
-    done : callable
+    is_configured : callable
         Whether a configuration is known.
-    take : callable
+    apply_snapshot : callable
         Is given what another gateway knows.
     connections : ConnectionPool
     journal : Journal
@@ -49,44 +49,44 @@
         self,
         *,
         seeds: list[str],
-        done: Callable[[], bool],
-        take: Callable[[Snapshot], None],
+        is_configured: Callable[[], bool],
+        apply_snapshot: Callable[[Snapshot], None],
         connections: ConnectionPool,
         journal: Journal,
     ) -> None:
         self._seeds = seeds
-        self._done = done
-        self._take = take
+        self._is_configured = is_configured
+        self._apply_snapshot = apply_snapshot
         self._connections = connections
         self._journal = journal
-        self._over = Event()
+        self._first_round_ended = Event()
         if not seeds:
-            self._over.set()
+            self._first_round_ended.set()
 
-    def wait(self) -> None:
+    def wait_for_seeds(self) -> None:
         """Wait until another gateway has told what it knows, but not for long."""
-        self._over.wait(timeout=PATIENCE_SECONDS)
-        self._over.set()
+        self._first_round_ended.wait(timeout=MAX_SEED_WAIT_SECONDS)
+        self._first_round_ended.set()
 
     def run(self) -> None:
         """Ask all seeds, then one after the other until a configuration is known."""
-        asked = [gevent.spawn(self._ask, seed) for seed in self._seeds]
-        for _ in gevent.iwait(asked):
-            if self._done():
+        fetches = [gevent.spawn(self._fetch_from, seed) for seed in self._seeds]
+        for _ in gevent.iwait(fetches):
+            if self._is_configured():
                 break
-        self._over.set()
-        while not self._done():
-            gevent.sleep(ASK_SECONDS)
-            if not self._done() and self._seeds:
-                self._ask(random.choice(self._seeds))
+        self._first_round_ended.set()
+        while not self._is_configured():
+            gevent.sleep(SEED_RETRY_SECONDS)
+            if not self._is_configured() and self._seeds:
+                self._fetch_from(random.choice(self._seeds))
 
-    def _ask(self, seed: str) -> None:
+    def _fetch_from(self, seed: str) -> None:
         try:
             snapshot = fetch_snapshot(seed, self._connections)
         except SnapshotError as error:
             self._journal.event("seed-unavailable", seed=seed, cause=str(error))
             return
-        if self._done():
+        if self._is_configured():
             return
         self._journal.event(
             "snapshot-taken",
@@ -94,16 +94,16 @@
             version=snapshot.routing.version,
             replicas=len(snapshot.upstreams),
         )
-        self._take(snapshot)
+        self._apply_snapshot(snapshot)
 
 
-class CatchUp:
+class ConfigurationRecovery:
     """
     Gets what another gateway knows when the platform's store has forgotten it.
 
     Parameters
     ----------
-    take : callable
+    apply_snapshot : callable
         Is given what another gateway knows.
     connections : ConnectionPool
     clock : Clock
@@ -113,23 +113,23 @@
     def __init__(
         self,
         *,
-        take: Callable[[Snapshot], None],
+        apply_snapshot: Callable[[Snapshot], None],
         connections: ConnectionPool,
         clock: Clock,
         journal: Journal,
     ) -> None:
-        self._take = take
+        self._apply_snapshot = apply_snapshot
         self._connections = connections
         self._clock = clock
         self._journal = journal
-        self._asked_at = float("-inf")
+        self._fetched_at = float("-inf")
 
-    def ask(self, address: str) -> None:
+    def fetch_from(self, address: str) -> None:
         """Ask a gateway in the background, unless one was asked just now."""
         now = self._clock.now()
-        if not address or now - self._asked_at < CATCH_UP_SECONDS:
+        if not address or now - self._fetched_at < MIN_FETCH_INTERVAL_SECONDS:
             return
-        self._asked_at = now
+        self._fetched_at = now
         gevent.spawn(self._fetch, address)
 
     def _fetch(self, address: str) -> None:
@@ -141,4 +141,4 @@
         self._journal.event(
             "newer-configuration", peer=address, version=snapshot.routing.version
         )
-        self._take(snapshot)
+        self._apply_snapshot(snapshot)
--- a/damasklead/gateway/fleet.py
+++ b/damasklead/gateway/fleet.py
@@ -11,7 +11,7 @@
 import gevent
 
 from damasklead.clock import Clock
-from damasklead.gateway.bootstrap import Bootstrap, CatchUp
+from damasklead.gateway.bootstrap import Bootstrap, ConfigurationRecovery
 from damasklead.gateway.broadcasts import Broadcasts
 from damasklead.gateway.calls import UpstreamRecord
 from damasklead.gateway.containment import Containment
@@ -130,8 +130,8 @@
             journal=journal,
         )
         self._broadcasts = self._make_broadcasts(incarnation)
-        self._catch_up = CatchUp(
-            take=self._take_newer_routing,
+        self._configuration_recovery = ConfigurationRecovery(
+            apply_snapshot=self._take_newer_routing,
             connections=connections,
             clock=clock,
             journal=journal,
@@ -140,8 +140,8 @@
             seeds=[
                 seed for seed in settings.seeds if seed != settings.listen.operators
             ],
-            done=lambda: self.configuration.table is not None,
-            take=self._take_snapshot,
+            is_configured=lambda: self.configuration.table is not None,
+            apply_snapshot=self._take_snapshot,
             connections=connections,
             journal=journal,
         )
@@ -213,11 +213,11 @@
             self._peers.close()
 
     def _follow_configuration(self) -> None:
-        self._bootstrap.wait()
+        self._bootstrap.wait_for_seeds()
         self.configuration.run()
 
     def _follow_upstreams(self) -> None:
-        self._bootstrap.wait()
+        self._bootstrap.wait_for_seeds()
         self.upstreams.run()
 
     def _check_forever(self) -> None:
@@ -246,7 +246,7 @@
     def _note_outdated(self, peer: str) -> None:
         """Get the configuration from a gateway that has a newer one than the store."""
         assert self._peers is not None
-        self._catch_up.ask(self._peers.address_of(peer))
+        self._configuration_recovery.fetch_from(self._peers.address_of(peer))
 
     def _note_restored(self, before: Position, after: Position) -> None:
         """Take in, once for both lists, that the store came back from a copy."""
--- a/damasklead/gateway/forwarding.py
+++ b/damasklead/gateway/forwarding.py
@@ -23,7 +23,7 @@
 from damasklead.gateway.placements import Placement
 from damasklead.gateway.refusals import Reason, Refusal
 from damasklead.gateway.routing import CallerLimits, RouteKind, RoutingTable
-from damasklead.gateway.runparts import RunParts
+from damasklead.gateway.runparts import GatewayContext
 from damasklead.gateway.starting import StartGate
 from damasklead.ids import ServiceName
 
@@ -43,7 +43,7 @@
 
     Parameters
     ----------
-    parts : RunParts
+    context : GatewayContext
     placement_of : callable
         Returns the placement of a service.
     table : callable
@@ -56,13 +56,13 @@
     def __init__(
         self,
         *,
-        parts: RunParts,
+        context: GatewayContext,
         placement_of: Callable[[ServiceName], Placement],
         table: Callable[[], RoutingTable | None],
         metrics: GatewayMetrics,
         gate: StartGate,
     ) -> None:
-        self._parts = parts
+        self._context = context
         self._placement_of = placement_of
         self._table = table
         self._metrics = metrics
@@ -95,7 +95,7 @@
     def _admit(self, request: RawRequest) -> Call | Refusal:
         """Decode a request and match it against the configuration."""
         try:
-            head = self._parts.dialect.decode_head(
+            head = self._context.dialect.decode_head(
                 method=request.method, target=request.target, headers=request.headers
             )
         except BadHead as error:
@@ -133,14 +133,14 @@
         # An order goes on when its caller half-closes: it can't be taken back, and
         # the answer may still be wanted.
         connection.cancel_on_disconnect = call.route.kind is not RouteKind.ONCE
-        self._parts.budget.record_first(call.service)
+        self._context.budget.record_first(call.service)
         run = ProxiedRequest(
-            parts=self._parts,
+            context=self._context,
             call=call,
             placement=self._placement_of(call.service),
             caller=connection,
         )
-        left = call.deadline - self._parts.clock.now()
+        left = call.deadline - self._context.clock.now()
         timer = gevent.Timeout(max(0.0, left), _DeadlinePassed())
         timer.start()
         try:
@@ -160,20 +160,20 @@
 
     def _note_gone(self, call: Call, run: ProxiedRequest, error: BaseException) -> None:
         self._metrics.count_disconnect(call)
-        self._parts.journal.event(
+        self._context.journal.event(
             "caller-gone",
             request=call.id,
             route=call.route.name,
             replica=run.replica,
             events=run.events,
             cause=repr(error),
-            seconds=self._parts.clock.now() - call.arrival,
+            seconds=self._context.clock.now() - call.arrival,
         )
 
     def _note_answer(self, call: Call, run: ProxiedRequest) -> None:
-        seconds = self._parts.clock.now() - call.arrival
+        seconds = self._context.clock.now() - call.arrival
         self._metrics.count_response(call, run.status, run.first_after)
-        self._parts.journal.event(
+        self._context.journal.event(
             "answered",
             request=call.id,
             route=call.route.name,
@@ -194,7 +194,7 @@
         connection: CallerConnection,
     ) -> None:
         self._metrics.count_refusal(call, refusal)
-        self._parts.journal.event(
+        self._context.journal.event(
             "refused",
             request=call.id,
             route=call.route.name,
@@ -205,7 +205,7 @@
             offers=run.offers,
             replica=run.replica,
             events=run.events,
-            seconds=self._parts.clock.now() - call.arrival,
+            seconds=self._context.clock.now() - call.arrival,
         )
         if connection.head_sent:
             connection.abort()
@@ -216,7 +216,7 @@
         """Refuse a request that matches nothing in the configuration."""
         table = self._table()
         self._metrics.count_refusal(None, refusal)
-        self._parts.journal.event(
+        self._context.journal.event(
             "refused",
             request=refusal.attempt or "unknown",
             reason=refusal.reason.value,
@@ -227,7 +227,7 @@
         self._respond(refusal, connection)
 
     def _respond(self, refusal: Refusal, connection: CallerConnection) -> None:
-        headers = self._parts.dialect.own_headers(
+        headers = self._context.dialect.own_headers(
             attempt=refusal.attempt, retry_after=refusal.retry_after
         )
         connection.send_response(refusal.status, headers, refusal.reason.value.encode())
--- a/damasklead/gateway/process.py
+++ b/damasklead/gateway/process.py
@@ -28,7 +28,7 @@
 from damasklead.gateway.placements import Placement, new_placement
 from damasklead.gateway.reloading import SettingsFile
 from damasklead.gateway.routing import RoutingTable, ServiceSpec
-from damasklead.gateway.runparts import RunParts
+from damasklead.gateway.runparts import GatewayContext
 from damasklead.gateway.settings import GatewaySettings
 from damasklead.gateway.starting import StartGate
 from damasklead.gateway.upstream_http import ConnectionPool
@@ -106,7 +106,7 @@
             unavailable=self._gate.open,
         )
         self._forwarder = Forwarder(
-            parts=RunParts(
+            context=GatewayContext(
                 dialect=dialect,
                 clock=self._clock,
                 connections=self._connections,
@@ -114,7 +114,7 @@
                 asker=self._fleet.coordination.asker,
                 containment=self._fleet.containment,
                 journal=self._journal,
-                left=self._note_left,
+                on_replica_left=self._note_left,
             ),
             placement_of=self._placement_of,
             table=lambda: self._fleet.configuration.table,
@@ -185,7 +185,7 @@
     def reload(self) -> None:
         """Read the settings file again; what is wrong leaves the old ones in force."""
         before = self._settings
-        if not self._file.read():
+        if not self._file.reload():
             return
         settings = self._settings
         if settings.platform != before.platform:
@@ -205,7 +205,7 @@
             self._fleet.containment.tick()
             if self._fleet.counted:
                 self._share_among(self._fleet.gateways)
-            if self._file.changed:
+            if self._file.has_changed:
                 self.reload()
 
     def _share_among(self, gateways: int) -> None:
--- a/damasklead/gateway/reloading.py
+++ b/damasklead/gateway/reloading.py
@@ -32,7 +32,7 @@
         self._path = path
         self._settings = settings
         self._journal = journal
-        self._stamp = _stamp(path)
+        self._stamp = _read_stamp(path)
 
     @property
     def settings(self) -> GatewaySettings:
@@ -40,11 +40,11 @@
         return self._settings
 
     @property
-    def changed(self) -> bool:
+    def has_changed(self) -> bool:
         """Whether the file was written since it was last read."""
-        return _stamp(self._path) != self._stamp
+        return _read_stamp(self._path) != self._stamp
 
-    def read(self) -> bool:
+    def reload(self) -> bool:
         """
         Read the file again; what is wrong leaves the old settings in force.
 
@@ -53,7 +53,7 @@
         bool
             Whether the file was sound.
         """
-        self._stamp = _stamp(self._path)
+        self._stamp = _read_stamp(self._path)
         findings = Findings()
         try:
             text = self._path.read_text()
@@ -69,7 +69,7 @@
         return True
 
 
-def _stamp(file: Path) -> tuple[int, int]:
+def _read_stamp(file: Path) -> tuple[int, int]:
     """Return what changes when a file is written; zeros while there is none."""
     try:
         status = file.stat()
--- a/damasklead/gateway/runparts.py
+++ b/damasklead/gateway/runparts.py
@@ -18,18 +18,18 @@
 from damasklead.gateway.journal import Journal
 from damasklead.gateway.upstream_http import ConnectionPool, ResponseMemoryBudget
 
-__all__ = ["RunParts"]
+__all__ = ["GatewayContext"]
 
 
-class RunParts(msgspec.Struct, kw_only=True, frozen=True):
+class GatewayContext(msgspec.Struct, kw_only=True, frozen=True):
     """
     What the runs of one gateway share.
 
     Attributes
     ----------
-    left : callable
+    on_replica_left : callable
         Told of a replica that leaves or is gone, and by which sign.
-    answers : ResponseMemoryBudget
+    response_memory : ResponseMemoryBudget
         Bounds the bodies that are being read.
     """
 
@@ -40,5 +40,7 @@
     asker: Asker
     containment: Containment
     journal: Journal
-    left: Callable[[UpstreamRecord, str], None]
-    answers: ResponseMemoryBudget = msgspec.field(default_factory=ResponseMemoryBudget)
+    on_replica_left: Callable[[UpstreamRecord, str], None]
+    response_memory: ResponseMemoryBudget = msgspec.field(
+        default_factory=ResponseMemoryBudget
+    )
--- a/damasklead/gateway/snapshot.py
+++ b/damasklead/gateway/snapshot.py
@@ -18,9 +18,9 @@
 
 SNAPSHOT_PATH = "/snapshot"
 # A gateway answers within milliseconds; one that doesn't is passed over.
-FETCH_SECONDS = 0.7
+SNAPSHOT_TIMEOUT_SECONDS = 0.7
 # A configuration with thousands of routes takes about 1 MB.
-SNAPSHOT_BYTES = 33_554_432
+MAX_SNAPSHOT_BYTES = 33_554_432
 
 
 class Snapshot(msgspec.Struct, kw_only=True, frozen=True):
@@ -51,9 +51,9 @@
     SnapshotError
         When it gives none in time.
     """
-    late = SnapshotError(f"no answer in {FETCH_SECONDS} s")
+    timeout_error = SnapshotError(f"no answer in {SNAPSHOT_TIMEOUT_SECONDS} s")
     try:
-        with gevent.Timeout(FETCH_SECONDS, late):
+        with gevent.Timeout(SNAPSHOT_TIMEOUT_SECONDS, timeout_error):
             connection = connections.acquire(address)
             try:
                 connection.send_request(
@@ -63,7 +63,7 @@
                     body=b"",
                 )
                 status = connection.read_head().status_code
-                body = connection.read_body(limit=SNAPSHOT_BYTES)
+                body = connection.read_body(limit=MAX_SNAPSHOT_BYTES)
             finally:
                 connection.close()
     except SendError as error:
--- a/damasklead/gateway/starting.py
+++ b/damasklead/gateway/starting.py
@@ -14,7 +14,7 @@
 __all__ = ["StartGate"]
 
 # Callers leave when nothing happens for about a second.
-HOLD_SECONDS = 0.7
+MAX_HOLD_SECONDS = 0.7
 
 
 class StartGate:
@@ -37,4 +37,4 @@
 
     def wait(self) -> None:
         """Hold a request for as long as it helps its caller."""
-        self._opened.wait(timeout=HOLD_SECONDS)
+        self._opened.wait(timeout=MAX_HOLD_SECONDS)
--- a/tests/gatewaykit.py
+++ b/tests/gatewaykit.py
@@ -34,7 +34,7 @@
     ServiceSpec,
     Workspace,
 )
-from damasklead.gateway.runparts import RunParts
+from damasklead.gateway.runparts import GatewayContext
 from damasklead.gateway.starting import StartGate
 from damasklead.gateway.upstream_http import ConnectionPool, ResponseMemoryBudget
 from damasklead.ids import (
@@ -208,7 +208,7 @@
         self.gate = StartGate()
         self.gate.open()
         self.forwarder = Forwarder(
-            parts=RunParts(
+            context=GatewayContext(
                 dialect=PlatformDialect(),
                 clock=self.clock,
                 connections=connections or ConnectionPool(clock=self.clock),
@@ -216,8 +216,8 @@
                 asker=self._make_asker(),
                 containment=self.containment,
                 journal=self.journal,
-                left=self._note_left,
-                answers=self.memory,
+                on_replica_left=self._note_left,
+                response_memory=self.memory,
             ),
             placement_of=lambda name: self.placement,
             table=lambda: self.table,
--- a/tests/test_gateway_starting.py
+++ b/tests/test_gateway_starting.py
@@ -66,7 +66,7 @@
 def test_none_is_held_for_longer_than_it_helps(
     world: World, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(starting, "HOLD_SECONDS", 0.05)
+    monkeypatch.setattr(starting, "MAX_HOLD_SECONDS", 0.05)
     close_gate(world)
     world.table = None
     assert b" 503 " in world.ask("/read/1")
