--- a/damasklead/gateway/broadcasts.py
+++ b/damasklead/gateway/broadcasts.py
@@ -20,9 +20,9 @@
 
 from damasklead.clock import Clock
 from damasklead.gateway.containment import Containment, CrashNote
-from damasklead.gateway.departures import Departures, LeftNote
+from damasklead.gateway.departures import Departure, DepartureLog
 from damasklead.gateway.following import ConfigurationFollower
-from damasklead.gateway.messages import Broadcast, Notice
+from damasklead.gateway.messages import Broadcast, PeerReport
 from damasklead.gateway.peers import Peers
 from damasklead.gateway.positions import INITIAL_POSITION, Position
 from damasklead.gateway.reading import (
@@ -57,7 +57,7 @@
 ROUTING_BYTES = 8_192
 
 
-_Note = CrashNote | LeftNote
+_Note = CrashNote | Departure
 
 
 class _News(msgspec.Struct, kw_only=True):
@@ -79,7 +79,7 @@
     plans : list of ReadPlan
     reports : ListReports
     containment : Containment
-    departures : Departures
+    departures : DepartureLog
     take_departures : callable
         Takes what others tell of replicas that leave.
     outdated : callable
@@ -99,8 +99,8 @@
         plans: list[ReadPlan],
         reports: ListReports,
         containment: Containment,
-        departures: Departures,
-        take_departures: Callable[[list[LeftNote]], None],
+        departures: DepartureLog,
+        take_departures: Callable[[list[Departure]], None],
         outdated: Callable[[str], None],
         clock: Clock,
         own: str,
@@ -129,8 +129,8 @@
         self._orders: dict[str, tuple[int, int]] = {}
         self._news: dict[_Note, _News] = {}
         self._routing = (0, b"", 0)
-        peers.on(Broadcast, self._take_broadcast)
-        peers.on(Notice, self._take_notice)
+        peers.register_handler(Broadcast, self._take_broadcast)
+        peers.register_handler(PeerReport, self._take_notice)
 
     @property
     def position(self) -> int:
@@ -165,7 +165,7 @@
         """Tell all others, or the one that does, what there is to tell."""
         if self.sends or self._confirms_alone():
             self._peers.send_all(self._broadcast())
-            self._upstreams.change_log.told()
+            self._upstreams.change_log.record_transmission()
         else:
             self._notify_broadcaster()
 
@@ -191,19 +191,22 @@
         return now - confirmed > CONFIRMED_SECONDS
 
     def _notify_broadcaster(self) -> None:
-        crashes, left = self._containment.notes, self._departures.notes
+        crashes, left = self._containment.notes, self._departures.recent_departures
         own = self._plans[ListName.ROUTING].report.last_change
         newer = own if own > self._broadcaster_mark else INITIAL_POSITION
         if self._broadcaster is not None and (
             crashes or left or newer != INITIAL_POSITION
         ):
-            notice = Notice(self._own, crashes, left, newer)
+            notice = PeerReport(self._own, crashes, left, newer)
             self._peers.send(self._broadcaster, notice)
 
     def _broadcast(self) -> Broadcast:
         self._number += 1
         now = self._clock.now()
-        own: list[_Note] = [*self._containment.notes, *self._departures.notes]
+        own: list[_Note] = [
+            *self._containment.notes,
+            *self._departures.recent_departures,
+        ]
         for note in own:
             self._news.setdefault(note, _News(at=now))
         self._news = {
@@ -225,7 +228,7 @@
             log.rows,
             self._new_routing(),
             [note for note in untold if isinstance(note, CrashNote)],
-            [note for note in untold if isinstance(note, LeftNote)],
+            [note for note in untold if isinstance(note, Departure)],
         )
 
     def _new_routing(self) -> bytes:
@@ -281,7 +284,7 @@
         if self._plans[ListName.ROUTING].is_missing_from_store(mark):
             self._outdated(sender)
 
-    def _take_notice(self, message: Notice, sender: str) -> None:
+    def _take_notice(self, message: PeerReport, sender: str) -> None:
         if self._reports.record_reports([ListReport(message.routing, -1)]):
             self._configuration.notify()
         self._look_for_newer(sender, message.routing)
--- a/damasklead/gateway/callers.py
+++ b/damasklead/gateway/callers.py
@@ -18,7 +18,7 @@
 from damasklead.clock import Clock
 from damasklead.gateway.calls import Header
 from damasklead.gateway.routing import CallerLimits
-from damasklead.gateway.sockets import prepare, readable
+from damasklead.gateway.sockets import is_readable, set_tcp_options
 
 __all__ = ["CallerConnection", "CallerDisconnected", "RawRequest", "RequestHandler"]
 
@@ -132,7 +132,7 @@
     def serve(self) -> None:
         """Serve requests until the connection ends."""
         try:
-            prepare(self._socket)
+            set_tcp_options(self._socket)
             while self._serve_one():
                 pass
         except (CallerDisconnected, OSError):
@@ -259,7 +259,7 @@
         try:
             socket.wait(wait, timeout=seconds, timeout_exc=TimeoutError())
         except (TimeoutError, _CloseIdle):
-            return readable(self._socket)
+            return is_readable(self._socket)
         finally:
             self._idle_wait = None
             wait.close()
--- a/damasklead/gateway/changelog.py
+++ b/damasklead/gateway/changelog.py
@@ -45,8 +45,8 @@
     >>> from damasklead.clock import ManualClock
     >>> clock = ManualClock()
     >>> log = ChangeLog(clock=clock)
-    >>> log.restart(Position(version=10))
-    >>> log.add(["a"], Position(version=12))
+    >>> log.reset(Position(version=10))
+    >>> log.append(["a"], Position(version=12))
     >>> log.base.version, log.cursor.version, log.rows
     (10, 12, ['a'])
     >>> clock.advance(KEEP_SECONDS)
@@ -77,12 +77,12 @@
         self._trim()
         return [row for step in self._steps for row in step.rows]
 
-    def restart(self, cursor: Position) -> None:
+    def reset(self, cursor: Position) -> None:
         """Begin anew at a cursor, after a whole list was read."""
         self._steps.clear()
         self._base = self._cursor = cursor
 
-    def add(self, rows: list[T], cursor: Position) -> None:
+    def append(self, rows: list[T], cursor: Position) -> None:
         """Take in the changes up to a cursor."""
         self._cursor = max(self._cursor, cursor)
         if rows:
@@ -90,17 +90,17 @@
             self._steps.append(step)
         self._trim()
 
-    def bridge(self, rows: list[T], cursor: Position) -> None:
+    def append_diff(self, rows: list[T], cursor: Position) -> None:
         """
         Take in how a list that was read anew differs from the one known before.
 
         From an older era only the very point leads on at which that era was left.
         """
         if cursor.era > self._cursor.era:
-            self.restart(self._cursor)
-        self.add(rows, cursor)
+            self.reset(self._cursor)
+        self.append(rows, cursor)
 
-    def told(self) -> None:
+    def record_transmission(self) -> None:
         """Take in that the changes were handed on once."""
         for step in self._steps:
             step.tellings += 1
--- a/damasklead/gateway/coordination/service.py
+++ b/damasklead/gateway/coordination/service.py
@@ -90,9 +90,9 @@
         )
         if peers is not None:
             for work in _COORDINATOR_KINDS:
-                peers.on(work, self._take_work)
+                peers.register_handler(work, self._take_work)
             for answer in _ASKER_KINDS:
-                peers.on(answer, self.asker.take)
+                peers.register_handler(answer, self.asker.take)
 
     def heard(self, name: str) -> None:
         """Take in that a gateway was heard."""
--- a/damasklead/gateway/departures.py
+++ b/damasklead/gateway/departures.py
@@ -1,5 +1,5 @@
 """
-Departures
+DepartureLog
 ==========
 
 Tells the other gateways which replicas say themselves that they leave.  No I/O.
@@ -14,20 +14,20 @@
 from damasklead.clock import Clock
 from damasklead.ids import InstanceId
 
-__all__ = ["Departures", "LeftNote"]
+__all__ = ["DepartureLog", "Departure"]
 
 # A departure is told for so long; lost datagrams are made up for.
-TELL_SECONDS = 5.0
+DEPARTURE_REPORT_SECONDS = 5.0
 
 
-class LeftNote(msgspec.Struct, array_like=True, frozen=True):
+class Departure(msgspec.Struct, array_like=True, frozen=True):
     """A replica that leaves, in one incarnation."""
 
     instance: InstanceId
     incarnation: int
 
 
-class Departures:
+class DepartureLog:
     """
     The departures that this gateway has seen and tells the others.
 
@@ -38,17 +38,19 @@
 
     def __init__(self, *, clock: Clock) -> None:
         self._clock = clock
-        self._notes: dict[LeftNote, float] = {}
+        self._notes: dict[Departure, float] = {}
 
     @property
-    def notes(self) -> list[LeftNote]:
+    def recent_departures(self) -> list[Departure]:
         """What the other gateways are to be told."""
         now = self._clock.now()
         self._notes = {
-            note: at for note, at in self._notes.items() if now - at < TELL_SECONDS
+            note: at
+            for note, at in self._notes.items()
+            if now - at < DEPARTURE_REPORT_SECONDS
         }
         return list(self._notes)
 
-    def note(self, instance: InstanceId, incarnation: int) -> None:
+    def record(self, instance: InstanceId, incarnation: int) -> None:
         """Take in that a replica said that it leaves."""
-        self._notes[LeftNote(instance, incarnation)] = self._clock.now()
+        self._notes[Departure(instance, incarnation)] = self._clock.now()
--- a/damasklead/gateway/fleet.py
+++ b/damasklead/gateway/fleet.py
@@ -17,7 +17,7 @@
 from damasklead.gateway.containment import Containment
 from damasklead.gateway.coordination.cells import Member
 from damasklead.gateway.coordination.service import Coordination
-from damasklead.gateway.departures import Departures, LeftNote
+from damasklead.gateway.departures import Departure, DepartureLog
 from damasklead.gateway.dialect import FeedError, PeerEntry, PlatformLink
 from damasklead.gateway.directory import UpstreamDirectory
 from damasklead.gateway.following import ConfigurationFollower
@@ -54,11 +54,11 @@
         Returns the link to the platform in force.
     directory : UpstreamDirectory
     connections : ConnectionPool
-    configured : callable
+    on_configuration : callable
         Told of each configuration that comes into force.
-    arranged : callable
+    on_replicas_changed : callable
         Told that the replicas have changed.
-    unavailable : callable
+    on_unavailable : callable
         Told that neither the platform nor another gateway has told the configuration.
 
     Attributes
@@ -79,23 +79,23 @@
         link: Callable[[], PlatformLink],
         directory: UpstreamDirectory,
         connections: ConnectionPool,
-        configured: Callable[[RoutingTable], None],
-        arranged: Callable[[], None],
-        unavailable: Callable[[], None],
+        on_configuration: Callable[[RoutingTable], None],
+        on_replicas_changed: Callable[[], None],
+        on_unavailable: Callable[[], None],
     ) -> None:
         self._settings = settings
         self._clock = clock
         self._journal = journal
         self._link = link
         self._directory = directory
-        self._configured = configured
-        self._arranged = arranged
+        self._on_configuration = on_configuration
+        self._on_replicas_changed = on_replicas_changed
         self._own = Member(
             InstanceId(settings.instance),
             DataCentre(settings.data_centre),
             settings.cores,
         )
-        self._departures = Departures(clock=clock)
+        self._departures = DepartureLog(clock=clock)
         self._reports = ListReports(clock=clock)
         self._plans = [self._read_plan(name) for name in ListName]
         self.containment = Containment(clock=clock, named=self._note_named)
@@ -105,9 +105,9 @@
             clock=clock,
             journal=journal,
             on_change=self._configure,
-            gateway_count=lambda: self.gateways,
+            gateway_count=lambda: self.gateway_count,
             on_restore=self._note_restored,
-            on_unavailable=unavailable,
+            on_unavailable=on_unavailable,
         )
         self.upstreams = UpstreamFollower(
             feed=lambda: link().upstreams,
@@ -116,11 +116,11 @@
             journal=journal,
             directory=directory,
             on_change=self._arrange,
-            gateway_count=lambda: self.gateways,
+            gateway_count=lambda: self.gateway_count,
             on_restore=self._note_restored,
         )
         self._era = StoreEra(0)
-        self._restores = 0
+        self._restore_count = 0
         self._peers = self._make_peers(incarnation)
         self.coordination = Coordination(
             own=self._own,
@@ -147,21 +147,21 @@
         )
 
     @property
-    def gateways(self) -> int:
+    def gateway_count(self) -> int:
         """How many gateways are known, this one included."""
         return 1 if self._peers is None else len(self._peers.members) + 1
 
     @property
-    def counted(self) -> bool:
+    def is_gateway_count_known(self) -> bool:
         """Whether the gateways were looked up."""
         return self._peers is None or self._peers.looked_up
 
     @property
-    def restores(self) -> int:
+    def restore_count(self) -> int:
         """How often the platform's store was seen to come back from an older copy."""
-        return self._restores
+        return self._restore_count
 
-    def snapshot(self) -> Snapshot | None:
+    def build_snapshot(self) -> Snapshot | None:
         """Return what this gateway knows, for one that starts."""
         table = self.configuration.table
         if table is None:
@@ -173,14 +173,14 @@
             cursor=self.upstreams.cursor,
         )
 
-    def note_left(self, record: UpstreamRecord, sign: str) -> None:
+    def record_departure(self, record: UpstreamRecord, sign: str) -> None:
         """Give a replica nothing more, and tell the other gateways."""
         if self._directory.mark_left(record.instance, record.incarnation):
             self._journal.event("replica-left", replica=record.instance, sign=sign)
-            self._departures.note(record.instance, record.incarnation)
+            self._departures.record(record.instance, record.incarnation)
             self._arrange()
 
-    def tasks(self) -> list[Child]:
+    def create_tasks(self) -> list[Child]:
         """Return the tasks, to be supervised."""
         tasks: list[Child] = [
             TaskChild(
@@ -201,7 +201,7 @@
             ]
         return tasks
 
-    def retire(self) -> None:
+    def announce_leave(self) -> None:
         """Coordinate nothing any more, since this gateway stops."""
         self.coordination.cells.retire()
         if self._peers is not None:
@@ -253,7 +253,7 @@
         if after.era <= self._era:
             return
         self._era = after.era
-        self._restores += 1
+        self._restore_count += 1
         table = self.configuration.table
         self._journal.event(
             "store-restored",
@@ -267,7 +267,7 @@
             self._peers.list_restored()
 
     def _configure(self, table: RoutingTable) -> None:
-        self._configured(table)
+        self._on_configuration(table)
         self.coordination.cells.forget(lambda name: name not in table.services)
         self._arrange()
 
@@ -280,11 +280,11 @@
             if spec.engine is not None:
                 self.coordination.cells.take_engines(name, self._directory.usable(name))
         self.coordination.coordinators.arrange()
-        self._arranged()
+        self._on_replicas_changed()
         if self._broadcasts is not None:
             self._broadcasts.tell_soon()
 
-    def _take_departures(self, notes: list[LeftNote]) -> None:
+    def _take_departures(self, notes: list[Departure]) -> None:
         """Take in which replicas other gateways know to leave."""
         news = [
             note
--- a/damasklead/gateway/journal.py
+++ b/damasklead/gateway/journal.py
@@ -19,7 +19,7 @@
 
 FLUSH_SECONDS = 0.2
 # Lines kept while standard output takes none; about 1 MB.
-MAX_LINES = 4000
+MAX_BUFFERED_LINES = 4000
 # Lines in one write.
 LINES_A_WRITE = 200
 
@@ -42,18 +42,18 @@
         self._lost = 0
 
     @property
-    def pending(self) -> list[str]:
+    def pending_lines(self) -> list[str]:
         """The lines that are not written yet."""
         return list(self._lines)
 
     @property
-    def dropped(self) -> int:
+    def dropped_count(self) -> int:
         """How many lines were dropped since the start."""
         return self._dropped
 
     def event(self, name: str, **pairs: object) -> None:
         """Add a line of key=value pairs."""
-        if len(self._lines) >= MAX_LINES:
+        if len(self._lines) >= MAX_BUFFERED_LINES:
             self._dropped += 1
             self._lost += 1
             return
--- a/damasklead/gateway/messages.py
+++ b/damasklead/gateway/messages.py
@@ -9,15 +9,15 @@
 import msgspec
 
 from damasklead.gateway.containment import CrashNote
-from damasklead.gateway.departures import LeftNote
+from damasklead.gateway.departures import Departure
 from damasklead.gateway.directory import ListedRow
 from damasklead.gateway.positions import INITIAL_POSITION, Position
 from damasklead.gateway.reading import ListReport
 
-__all__ = ["Broadcast", "Goodbye", "Hello", "Notice", "Ping"]
+__all__ = ["Broadcast", "LeaveNotice", "Announcement", "PeerReport", "Ping"]
 
 
-class Hello(msgspec.Struct, array_like=True, frozen=True, tag=10):
+class Announcement(msgspec.Struct, array_like=True, frozen=True, tag=10):
     """A gateway says where it is, when it starts and when it is asked."""
 
     instance: str
@@ -28,7 +28,7 @@
     operators: str = ""
 
 
-class Goodbye(msgspec.Struct, array_like=True, frozen=True, tag=14):
+class LeaveNotice(msgspec.Struct, array_like=True, frozen=True, tag=14):
     """A gateway stops: it coordinates nothing any more."""
 
     instance: str
@@ -36,7 +36,7 @@
 
 
 class Ping(msgspec.Struct, array_like=True, frozen=True, tag=11):
-    """Asks a gateway for its ``Hello``."""
+    """Asks a gateway for its ``Announcement``."""
 
 
 class Broadcast(msgspec.Struct, array_like=True, frozen=True, tag=12):
@@ -63,10 +63,10 @@
     rows: list[ListedRow]
     routing: bytes
     crashes: list[CrashNote]
-    left: list[LeftNote]
+    left: list[Departure]
 
 
-class Notice(msgspec.Struct, array_like=True, frozen=True, tag=13):
+class PeerReport(msgspec.Struct, array_like=True, frozen=True, tag=13):
     """
     What a gateway tells the one that sends broadcasts.
 
@@ -78,5 +78,5 @@
 
     sender: str
     crashes: list[CrashNote]
-    left: list[LeftNote]
+    left: list[Departure]
     routing: Position = INITIAL_POSITION
--- a/damasklead/gateway/peers.py
+++ b/damasklead/gateway/peers.py
@@ -27,7 +27,13 @@
 from damasklead.gateway.dialect import FeedError, PeerDirectory, PeerEntry
 from damasklead.gateway.inbox import Inbox
 from damasklead.gateway.journal import Journal
-from damasklead.gateway.messages import Broadcast, Goodbye, Hello, Notice, Ping
+from damasklead.gateway.messages import (
+    Announcement,
+    Broadcast,
+    LeaveNotice,
+    PeerReport,
+    Ping,
+)
 from damasklead.ids import DataCentre, InstanceId
 from damasklead.util import split_address
 
@@ -53,7 +59,7 @@
 _Address = tuple[str, int]
 _Message = (
     Ask | Queued | Grant | Refused | Read | Ended | Running
-    | Hello | Goodbye | Ping | Broadcast | Notice
+    | Announcement | LeaveNotice | Ping | Broadcast | PeerReport
 )  # fmt: skip
 
 
@@ -120,7 +126,7 @@
         """All gateways, this one included."""
         return [self._own, *self._members.values()]
 
-    def on(self, kind: type, handler: Callable[[Any, str], None]) -> None:
+    def register_handler(self, kind: type, handler: Callable[[Any, str], None]) -> None:
         """Hand messages of a kind, and their sender's name, to a handler."""
         self._handlers[kind] = handler
 
@@ -182,9 +188,9 @@
 
     def _take_message(self, message: object, address: _Address) -> None:
         name = self._names.get(address)
-        if isinstance(message, Hello):
+        if isinstance(message, Announcement):
             self._take_hello(message)
-        elif isinstance(message, Goodbye):
+        elif isinstance(message, LeaveNotice):
             self._take_goodbye(message)
             return
         elif isinstance(message, Ping):
@@ -280,7 +286,7 @@
     def say_goodbye(self) -> None:
         """Tell the others that this gateway stops."""
         self._said_goodbye = True
-        self.send_all(Goodbye(self._own.instance, self._own.incarnation))
+        self.send_all(LeaveNotice(self._own.instance, self._own.incarnation))
 
     def close(self) -> None:
         """Withdraw the announcement and close the socket."""
@@ -300,9 +306,9 @@
         if not self._said_goodbye:
             self.send_all(self._hello())
 
-    def _hello(self) -> Hello:
+    def _hello(self) -> Announcement:
         own = self._own
-        return Hello(
+        return Announcement(
             own.instance,
             own.address,
             own.incarnation,
@@ -311,7 +317,7 @@
             own.operators,
         )
 
-    def _take_hello(self, message: Hello) -> None:
+    def _take_hello(self, message: Announcement) -> None:
         entry = PeerEntry(
             instance=InstanceId(message.instance),
             address=message.address,
@@ -324,7 +330,7 @@
         self._heard_at[entry.instance] = self._clock.now()
         self._heard(entry.instance)
 
-    def _take_goodbye(self, message: Goodbye) -> None:
+    def _take_goodbye(self, message: LeaveNotice) -> None:
         known = self._members.get(message.instance)
         if known is not None and known.incarnation <= message.incarnation:
             self._gone[message.instance] = message.incarnation
--- a/damasklead/gateway/process.py
+++ b/damasklead/gateway/process.py
@@ -101,9 +101,9 @@
             link=lambda: self._link,
             directory=self._directory,
             connections=self._connections,
-            configured=self._configure,
-            arranged=self._arrange,
-            unavailable=self._gate.open,
+            on_configuration=self._configure,
+            on_replicas_changed=self._arrange,
+            on_unavailable=self._gate.open,
         )
         self._forwarder = Forwarder(
             context=GatewayContext(
@@ -167,7 +167,7 @@
         began = self._clock.now()
         self._stopping = True
         self._journal.event("stopping", requests=self._forwarder.active_requests)
-        self._fleet.retire()
+        self._fleet.announce_leave()
         deadline = began + self._settings.bounds.stop_seconds - STOP_MARGIN_SECONDS
         gevent.sleep(UNROUTED_SECONDS)
         self._callers.drain(seconds=deadline - self._clock.now())
@@ -203,8 +203,8 @@
             self._fleet.upstreams.expire()
             self._connections.close_expired()
             self._fleet.containment.tick()
-            if self._fleet.counted:
-                self._share_among(self._fleet.gateways)
+            if self._fleet.is_gateway_count_known:
+                self._share_among(self._fleet.gateway_count)
             if self._file.has_changed:
                 self.reload()
 
@@ -253,7 +253,7 @@
 
     def _note_left(self, record: UpstreamRecord, sign: str) -> None:
         self._connections.close_idle(record.address)
-        self._fleet.note_left(record, sign)
+        self._fleet.record_departure(record, sign)
 
     def _listener(
         self,
@@ -278,7 +278,7 @@
             "ready": self.ready,
             "configuration": None if table is None else table.version,
             "active": self._forwarder.active_requests,
-            "gateways": self._fleet.gateways,
+            "gateways": self._fleet.gateway_count,
             "cells": self._fleet.coordination.coordinators.state,
             "replicas": {
                 name: sorted(placement.usable)
@@ -294,8 +294,8 @@
             lambda: self._fleet.coordination.asker.waiting
         )
         metrics.connections_opened.set_function(lambda: self._connections.opened_count)
-        metrics.store_restores.set_function(lambda: self._fleet.restores)
-        metrics.log_lines_dropped.set_function(lambda: self._journal.dropped)
+        metrics.store_restores.set_function(lambda: self._fleet.restore_count)
+        metrics.log_lines_dropped.set_function(lambda: self._journal.dropped_count)
         for follower in (self._fleet.configuration, self._fleet.upstreams):
             metrics.feed_age.labels(follower.name).set_function(follower.get_age)
 
@@ -305,7 +305,7 @@
         status = StatusHandler(
             metrics=self._metrics.render,
             state=self._state,
-            snapshot=self._fleet.snapshot,
+            snapshot=self._fleet.build_snapshot,
         )
         servers = {"callers": self._callers, "ready": ready}
         if listen.operators is not None:
@@ -317,7 +317,7 @@
         tasks: list[Child] = [
             TaskChild(name="journal", function=self._journal.run),
             TaskChild(name="ticks", function=self._tick_forever),
-            *self._fleet.tasks(),
+            *self._fleet.create_tasks(),
         ]
         listeners: list[Child] = [
             ServerChild(name=name, begin=server.start, end=server.stop)
--- a/damasklead/gateway/replicafollowing.py
+++ b/damasklead/gateway/replicafollowing.py
@@ -68,7 +68,7 @@
             changed_rows = [
                 row for row in changes.items if self._directory.differs(row)
             ]
-            self.change_log.add(changed_rows, changes.cursor)
+            self.change_log.append(changed_rows, changes.cursor)
         self._report_changes(self._directory.apply(changes.items, whole=changes.whole))
 
     def _log_full_read(self, changes: Changes[ListedRow]) -> None:
@@ -79,7 +79,7 @@
         """
         before = self.change_log.cursor
         if before == INITIAL_POSITION or before >= changes.cursor:
-            self.change_log.restart(changes.cursor)
+            self.change_log.reset(changes.cursor)
             return
         present = {row.instance for row in changes.items}
         changed_rows = [row for row in changes.items if self._directory.differs(row)]
@@ -88,7 +88,7 @@
             for row in self._directory.rows()
             if row.instance not in present
         ]
-        self.change_log.bridge(changed_rows, changes.cursor)
+        self.change_log.append_diff(changed_rows, changes.cursor)
 
     def get_last_change(self, changes: Changes[ListedRow]) -> Position:
         """Return the newest entry's version."""
@@ -99,7 +99,7 @@
         if self._cursor is None and cursor > INITIAL_POSITION:
             self._cursor = cursor
             self._advance_to(cursor)
-            self.change_log.restart(cursor)
+            self.change_log.reset(cursor)
             self._plan.record_peer_update(
                 last_change=_last_change(rows), complete_up_to=cursor
             )
@@ -123,9 +123,9 @@
         self._advance_to(cursor)
         changed_rows = [row for row in rows if row.position > previous]
         if restored:
-            self.change_log.bridge(changed_rows, cursor)
+            self.change_log.append_diff(changed_rows, cursor)
         else:
-            self.change_log.add(changed_rows, cursor)
+            self.change_log.append(changed_rows, cursor)
         self._plan.record_peer_update(
             last_change=_last_change(rows), complete_up_to=cursor
         )
--- a/damasklead/gateway/sockets.py
+++ b/damasklead/gateway/sockets.py
@@ -11,7 +11,7 @@
 
 from damasklead.util import split_address
 
-__all__ = ["connect", "prepare", "readable"]
+__all__ = ["connect", "set_tcp_options", "is_readable"]
 
 # Unacknowledged data fails a connection after this long; a lost packet is sent again
 # within a second.
@@ -31,7 +31,7 @@
 )
 
 
-def prepare(connection: socket.socket) -> None:
+def set_tcp_options(connection: socket.socket) -> None:
     """Set the options of a TCP connection."""
     for level, option, value in _OPTIONS:
         connection.setsockopt(level, option, value)
@@ -41,11 +41,11 @@
     """Open a TCP connection to ``ip:port``; raises ``OSError``."""
     connection = socket.create_connection(split_address(address), timeout=timeout)
     connection.settimeout(None)
-    prepare(connection)
+    set_tcp_options(connection)
     return connection
 
 
-def readable(connection: socket.socket) -> bool:
+def is_readable(connection: socket.socket) -> bool:
     """Tell whether a connection has data or its end waiting."""
     connection.settimeout(0.0)
     try:
--- a/damasklead/gateway/upstream_http.py
+++ b/damasklead/gateway/upstream_http.py
@@ -17,7 +17,7 @@
 from damasklead.clock import Clock
 from damasklead.failures import Failure
 from damasklead.gateway.calls import Header
-from damasklead.gateway.sockets import connect, readable
+from damasklead.gateway.sockets import connect, is_readable
 
 __all__ = ["Connection", "ConnectionPool", "ResponseMemoryBudget", "SendError"]
 
@@ -114,7 +114,7 @@
     @property
     def is_open(self) -> bool:
         """Whether the idle connection is open and nothing has arrived on it."""
-        return not self._closed and not readable(self._socket)
+        return not self._closed and not is_readable(self._socket)
 
     @property
     def is_reusable(self) -> bool:
--- a/tests/gatewaykit.py
+++ b/tests/gatewaykit.py
@@ -255,7 +255,7 @@
 
     def lines(self, name: str) -> list[str]:
         """Return the log lines of an event."""
-        return [line for line in self.journal.pending if f"event={name} " in line]
+        return [line for line in self.journal.pending_lines if f"event={name} " in line]
 
     def _note_left(self, record: UpstreamRecord, sign: str) -> None:
         self.left.append(record.instance)
--- a/tests/test_gateway_broadcasts.py
+++ b/tests/test_gateway_broadcasts.py
@@ -20,12 +20,12 @@
 )
 from damasklead.gateway.calls import UpstreamState
 from damasklead.gateway.containment import Containment, CrashNote
-from damasklead.gateway.departures import Departures, LeftNote
+from damasklead.gateway.departures import Departure, DepartureLog
 from damasklead.gateway.dialect import Changes, Feed, FeedError, FeedFault, PeerEntry
 from damasklead.gateway.directory import ListedRow, UpstreamDirectory
 from damasklead.gateway.following import ConfigurationFollower
 from damasklead.gateway.journal import Journal
-from damasklead.gateway.messages import Broadcast, Notice
+from damasklead.gateway.messages import Broadcast, PeerReport
 from damasklead.gateway.positions import Position
 from damasklead.gateway.reading import ListName, ListReports, ReadPlan, reader_score
 from damasklead.gateway.replicafollowing import UpstreamFollower
@@ -146,7 +146,7 @@
             if name != self.name
         ]
 
-    def on(self, kind: type, handler: object) -> None:
+    def register_handler(self, kind: type, handler: object) -> None:
         self.handlers[kind] = handler
 
     def send(self, name: str, message: object) -> None:
@@ -167,7 +167,7 @@
         self.fleet = fleet
         self.down = False
         self.directory = UpstreamDirectory(clock=clock)
-        self.departures = Departures(clock=clock)
+        self.departures = DepartureLog(clock=clock)
         self.containment = Containment(clock=clock, named=lambda _name: None)
         reports = ListReports(clock=clock)
         self.plans = [
@@ -224,7 +224,7 @@
         table = self.configuration.table
         return 0 if table is None else table.version
 
-    def take_departures(self, notes: list[LeftNote]) -> None:
+    def take_departures(self, notes: list[Departure]) -> None:
         for note in notes:
             self.directory.mark_left(note.instance, note.incarnation)
 
@@ -445,7 +445,7 @@
     fleet.run(3.0)
     told = next(item for item in fleet.up if item is not fleet.first)
     told.directory.mark_left(InstanceId("r1"), 1)
-    told.departures.note(InstanceId("r1"), 1)
+    told.departures.record(InstanceId("r1"), 1)
     before = fleet.datagrams
     fleet.run(1.0)
     assert all("r1" not in gateway.replicas for gateway in fleet.up)
@@ -464,7 +464,7 @@
         gateway.containment.take = seen[name].extend
     note = CrashNote(InstanceId("r1"), 1, (Fingerprint("f"),))
     told = next(item for item in fleet.up if item is not fleet.first)
-    fleet.deliver(told.name, fleet.first.name, Notice(told.name, [note], []))
+    fleet.deliver(told.name, fleet.first.name, PeerReport(told.name, [note], []))
     fleet.run(1.0)
     assert all(note in notes for name, notes in seen.items() if name != told.name)
 
--- a/tests/test_gateway_containment.py
+++ b/tests/test_gateway_containment.py
@@ -15,7 +15,7 @@
     CrashNote,
     fingerprint_of,
 )
-from damasklead.gateway.messages import Notice
+from damasklead.gateway.messages import PeerReport
 from damasklead.ids import AttemptId, DataCentre, Fingerprint, InstanceId
 from tests.gatewaykit import IDEMPOTENT, SERVICE, ScriptedReplica, World
 
@@ -151,9 +151,9 @@
 
 def test_notes_go_through_a_datagram() -> None:
     note = CrashNote(InstanceId("r1"), 7, (Fingerprint("f"),))
-    message = Notice("gateway-1", [note], [])
+    message = PeerReport("gateway-1", [note], [])
     data = msgspec.msgpack.encode(message)
-    assert msgspec.msgpack.decode(data, type=Notice) == message
+    assert msgspec.msgpack.decode(data, type=PeerReport) == message
 
 
 def test_a_gateway_stops_sending_a_request_that_crashes_replicas() -> None:
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -25,7 +25,7 @@
 )
 from damasklead.gateway.events import EventSplitter
 from damasklead.gateway.following import ConfigurationFollower
-from damasklead.gateway.journal import MAX_LINES, Journal
+from damasklead.gateway.journal import MAX_BUFFERED_LINES, Journal
 from damasklead.gateway.placements import EnginePlacement, PlainPlacement
 from damasklead.gateway.positions import Position
 from damasklead.gateway.reading import ListName, ListReports, ReadPlan
@@ -310,9 +310,11 @@
 
 def test_a_journal_drops_lines_rather_than_grow() -> None:
     journal = Journal(instance="g")
-    for number in range(MAX_LINES + 5):
+    for number in range(MAX_BUFFERED_LINES + 5):
         journal.event("tested", number=number)
-    assert len(journal.pending) == MAX_LINES and journal.dropped == 5
+    assert (
+        len(journal.pending_lines) == MAX_BUFFERED_LINES and journal.dropped_count == 5
+    )
 
 
 def make_call(name: str, route: Route, *, parts: tuple = (), tokens: int = 0) -> Call:
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -16,7 +16,7 @@
 from damasklead.gateway.dialect import FeedError, FeedFault, PeerDirectory, PeerEntry
 from damasklead.gateway.inbox import MOST_ASKS, MOST_MESSAGES, Inbox
 from damasklead.gateway.journal import Journal
-from damasklead.gateway.messages import Notice
+from damasklead.gateway.messages import PeerReport
 from damasklead.gateway.peers import FORGET_SECONDS, PING_SECONDS, Peers
 from damasklead.ids import DataCentre, InstanceId
 from tests.gatewaykit import at, free_ports, wait_until
@@ -98,7 +98,7 @@
 def test_news_goes_before_asks_and_old_asks_are_passed_over() -> None:
     inbox: Inbox[int] = Inbox()
     for number in range(MOST_MESSAGES):
-        inbox.put(Ask if number % 2 else Notice, number)
+        inbox.put(Ask if number % 2 else PeerReport, number)
     assert inbox.full
     taken = inbox.take()
     news = [number for number in range(MOST_MESSAGES) if number % 2 == 0]
@@ -145,11 +145,13 @@
     second = site.start("g2")
     wait_until(lambda: site.known("g2") == {"g1"} and site.known("g1") == {"g2"})
     got: list[tuple[object, str]] = []
-    site.peers["g1"].on(Notice, lambda message, sender: got.append((message, sender)))
-    second.send("g1", Notice("g2", [], []))
-    second.send("nobody", Notice("g2", [], []))
+    site.peers["g1"].register_handler(
+        PeerReport, lambda message, sender: got.append((message, sender))
+    )
+    second.send("g1", PeerReport("g2", [], []))
+    second.send("nobody", PeerReport("g2", [], []))
     wait_until(lambda: bool(got))
-    assert got == [(Notice("g2", [], []), "g2")]
+    assert got == [(PeerReport("g2", [], []), "g2")]
     assert ("g1", "g2") in site.heard
 
 
@@ -157,7 +159,7 @@
     site.start("g1", look_up=False)
     second = site.start("g2", look_up=False)
     second._add(site.peers["g1"].entries)
-    second.send("g1", Notice("g2", [], []))
+    second.send("g1", PeerReport("g2", [], []))
     wait_until(lambda: site.known("g1") == {"g2"})
 
 
--- a/tests/test_gateway_replica_trouble.py
+++ b/tests/test_gateway_replica_trouble.py
@@ -16,7 +16,11 @@
 from damasklead.failures import Failure
 from damasklead.gateway.attempts import MAX_REPLICA_ATTEMPTS
 from damasklead.gateway.calls import LoadHint, UpstreamState
-from damasklead.gateway.departures import TELL_SECONDS, Departures, LeftNote
+from damasklead.gateway.departures import (
+    DEPARTURE_REPORT_SECONDS,
+    Departure,
+    DepartureLog,
+)
 from damasklead.gateway.directory import UpstreamDirectory
 from damasklead.gateway.replicastate import MAX_PAUSE_SECONDS
 from damasklead.gateway.upstream_http import ResponseMemoryBudget
@@ -131,11 +135,11 @@
 
     def test_other_gateways_are_told_for_a_while(self) -> None:
         clock = ManualClock()
-        departures = Departures(clock=clock)
-        departures.note(InstanceId("a"), 7)
-        assert departures.notes == [LeftNote(InstanceId("a"), 7)]
-        clock.advance(TELL_SECONDS)
-        assert departures.notes == []
+        departures = DepartureLog(clock=clock)
+        departures.record(InstanceId("a"), 7)
+        assert departures.recent_departures == [Departure(InstanceId("a"), 7)]
+        clock.advance(DEPARTURE_REPORT_SECONDS)
+        assert departures.recent_departures == []
 
 
 class TestPause:
