--- a/damasklead/gateway/attempts.py
+++ b/damasklead/gateway/attempts.py
@@ -2,8 +2,7 @@
 Attempts
 ========
 
-The attempts of one request at replicas, one after the other, and the relay of the
-answer to its caller.
+Forwards one request to replicas, with retries, and relays the response to its caller.
 """
 
 import gevent
@@ -28,50 +27,56 @@
 
 __all__ = ["ProxiedRequest"]
 
-# A request that surely did not run may be offered to so many replicas.
+# Attempts for a request that no replica has executed; a route's ``max_attempts`` bounds
+# those that may have been executed.
 MAX_REPLICA_ATTEMPTS = 4
-# Answers to other requests that are passed over on one connection.
-MAX_STRAY_ANSWERS = 3
-# Longest body of an answer that is not a stream.
-ANSWER_BYTES = 16_777_216
-# Part of a caller's patience for the next event after which a stream that may be
-# resumed moves to another replica.
-RESUME_PATIENCE_SHARE = 0.5
-# A request that may be repeated moves on when its replica is silent for so many
-# targets, and not before the least time.
-SILENT_TARGETS = 2.5
-LEAST_SILENT_SECONDS = 0.25
-# Sent when no replica is known or all are full, in seconds.
+# Responses to other requests that are skipped on one connection.
+MAX_STRAY_RESPONSES = 3
+# Longest body of a response that is not streamed.
+MAX_BODY_BYTES = 16_777_216
+# A resumable stream moves to another replica after this fraction of the time that its
+# caller waits for the next event.
+RESUME_TIMEOUT_FRACTION = 0.5
+# An idempotent request is retried when its replica sends no response head within this
+# multiple of the route's latency target, but not before the minimum.
+RESPONSE_TIMEOUT_TARGETS = 2.5
+MIN_RESPONSE_TIMEOUT_SECONDS = 0.25
+# Retry-After when no replica is known or all are full.
 RETRY_AFTER_SECONDS = 0.4
-# Sent with a request that crashes replicas, in seconds: operators have to look at it.
-QUARANTINED_RETRY_SECONDS = 60.0
-# Callers come back so much after the end of a pause, at most, so as not to collide.
-PAUSE_SPREAD_SECONDS = 0.5
+# Retry-After for a request that crashes replicas; only an operator can release it.
+QUARANTINED_RETRY_AFTER_SECONDS = 60.0
+# Largest delay added to Retry-After when all replicas pause, so that callers don't
+# retry at the same instant.
+RETRY_AFTER_JITTER_SECONDS = 0.5
 
 
 class ProxiedRequest:
     """
-    One request's way through replicas.
+    One request that is forwarded to replicas until one of them has answered it.
 
     Parameters
     ----------
     context : GatewayContext
+        Components that all requests of a gateway share.
     call : Call
+        The decoded request with its route and deadline.
     placement : Placement
+        The replicas of the request's service.
     caller : CallerConnection
+        Connection on which the response is sent.
 
     Attributes
     ----------
     replica : InstanceId
-        The last replica that the request was offered to; empty before.
+        Replica of the latest attempt; empty before the first.
     status : int
-        The status that the caller got.
-    offers : int
-        Replicas that the request was offered to.
-    events : int
-        Events of a stream that the caller got.
-    first_after : float
-        Seconds from arrival to the first byte of the answer.
+        HTTP status that was sent to the caller; 0 before.
+    attempt_count : int
+        Attempts so far, including those that failed to connect.
+    event_count : int
+        Events of a stream that were sent to the caller.
+    first_byte_seconds : float
+        Seconds from the request's arrival to the first byte of the response.
     """
 
     def __init__(
@@ -88,94 +93,98 @@
         self._caller = caller
         self._upstream: Connection | None = None
         self._assigner = Assigner(asker=context.asker, placement=placement, call=call)
-        self._excluded: set[InstanceId] = set()
-        self._runs = 0
-        self._sent = False
-        self._begun = False
-        self._last_event: bytes | None = None
-        self._failed_answer: tuple[ReplyHead, bytes] | None = None
+        self._excluded_replicas: set[InstanceId] = set()
+        self._possible_executions = 0
+        self._request_sent = False
+        self._body_pending = False
+        self._last_event_id: bytes | None = None
+        self._error_response: tuple[ReplyHead, bytes] | None = None
         self.replica = InstanceId("")
         self.status = 0
-        self.offers = 0
-        self.events = 0
-        self.first_after = 0.0
+        self.attempt_count = 0
+        self.event_count = 0
+        self.first_byte_seconds = 0.0
 
     @property
     def may_have_run(self) -> bool:
-        """Whether a replica may have run the request."""
-        return self._sent or self._runs > 0
+        """Whether a replica may have executed the request."""
+        return self._request_sent or self._possible_executions > 0
 
     def forward(self) -> Refusal | None:
         """
-        Offer the request to replicas until one has answered.
+        Try replicas until one has answered or no further attempt is allowed.
 
         Returns
         -------
         Refusal or None
-            ``None`` when the caller has a replica's whole answer.
+            ``None`` when a replica's complete response was sent to the caller.
         """
         if self._context.containment.refuses(self._call):
             return Refusal(
                 reason=Reason.QUARANTINED,
                 detail="crashes replicas",
-                retry_after=QUARANTINED_RETRY_SECONDS,
+                retry_after=QUARANTINED_RETRY_AFTER_SECONDS,
             )
         while True:
             record = self._assigner.choose(
-                excluded=self._excluded, first=not self.offers
+                excluded=self._excluded_replicas, first=not self.attempt_count
             )
             if record is None:
-                return self._find_none()
+                return self._refuse_without_replica()
             if isinstance(record, Refusal):
                 return record
             try:
                 if self._connect(record):
-                    self._offer(record)
+                    self._forward_to(record)
                     return None
             except SendError as error:
-                self._note_failure(record, error)
-                if not self._may_go_on(error.failure):
-                    return self._give_up(reason_for(error.failure), str(error))
+                self._record_failure(record, error)
+                if not self._may_retry(error.failure):
+                    return self._refuse_or_send_error(
+                        reason_for(error.failure), str(error)
+                    )
 
     def handle_timeout(self) -> Refusal | None:
-        """Return the final answer of a request whose time is over."""
+        """Return the refusal of a request whose deadline has passed."""
         if not self.may_have_run:
             return Refusal(reason=Reason.TOO_LATE, detail="not sent in time")
-        if self._begun:
-            # The answer had begun and did not end.
+        if self._body_pending:
+            # The response body was being read, which counts against the replica.
             self._placement.failed(self.replica, self._call, Failure.TIMED_OUT)
-        return self._give_up(Reason.TIMED_OUT, "no whole answer in time")
+        return self._refuse_or_send_error(Reason.TIMED_OUT, "no whole answer in time")
 
     def close(self) -> None:
-        """Close the connection to the replica, which cancels what still runs there."""
+        """Close the replica's connection, which cancels a request that runs there."""
         upstream, self._upstream = self._upstream, None
         if upstream is not None:
             upstream.close()
-        # Also a request that ended while it was connecting was counted there.
+        # A request that ends while it is connecting was already counted there.
         self._placement.withdrawn(self.replica, self._call)
         self._assigner.leave("withdrawn")
 
-    def _find_none(self) -> Refusal | None:
-        """Return the final answer when no replica is left to try."""
+    def _refuse_without_replica(self) -> Refusal | None:
+        """Return the refusal for a request that no replica can take."""
         pause = self._placement.pause_left()
         if pause is None:
-            return self._give_up(Reason.NO_REPLICA, "no replica is left to try")
-        spread = PAUSE_SPREAD_SECONDS * stable_hash(self._call.id) / 2**64
-        return self._give_up(
-            Reason.REPLICAS_PAUSED, "all replicas pause", retry_after=pause + spread
+            return self._refuse_or_send_error(
+                Reason.NO_REPLICA, "no replica is left to try"
+            )
+        jitter = RETRY_AFTER_JITTER_SECONDS * stable_hash(self._call.id) / 2**64
+        return self._refuse_or_send_error(
+            Reason.REPLICAS_PAUSED, "all replicas pause", retry_after=pause + jitter
         )
 
     def _connect(self, record: UpstreamRecord) -> bool:
         """
-        Connect to a replica; returns whether it still takes requests after that.
+        Connect to a replica; returns whether it still accepts requests after that.
 
         Raises
         ------
         SendError
-            ``NOT_SENT``
+            ``NOT_SENT`` when the connection fails.
         """
         self.replica = record.instance
-        self.offers += 1
+        self.attempt_count += 1
         self._upstream = self._context.connections.acquire(record.address)
         if self._placement.accepts(record.instance):
             return True
@@ -184,8 +193,8 @@
         self._assigner.leave("withdrawn")
         return False
 
-    def _offer(self, record: UpstreamRecord) -> None:
-        """Send the request to a replica and relay its answer."""
+    def _forward_to(self, record: UpstreamRecord) -> None:
+        """Send the request to a replica and relay its response."""
         call = self._call
         upstream = self._upstream
         assert upstream is not None
@@ -193,7 +202,7 @@
             "offered",
             request=call.id,
             replica=record.instance,
-            offer=self.offers,
+            offer=self.attempt_count,
             **self._placement.explain(record.instance, call),
             **self._assigner.explain(),
         )
@@ -204,22 +213,22 @@
                 instance=record.instance,
                 seconds_left=call.deadline - self._context.clock.now(),
                 urgency=call.urgency,
-                resume_after=self._last_event,
+                resume_after=self._last_event_id,
                 copy_from=self._assigner.source,
             ),
         )
-        self._sent = True
+        self._request_sent = True
         upstream.send_request(
             method=call.head.method,
             target=call.head.target,
             headers=headers,
             body=call.body,
         )
-        reply = self._read_reply(upstream, record)
+        reply = self._read_response_head(upstream, record)
         self._placement.heard(record.instance, reply.load)
-        self._note_state(reply, record)
-        self._check(reply, record)
-        self._relay(upstream, reply)
+        self._record_replica_state(reply, record)
+        self._check_response(reply, record)
+        self._relay_response(upstream, reply)
         self._placement.finished(record.instance, call)
         self._assigner.leave("whole")
         self._context.containment.ended_well(call)
@@ -229,15 +238,17 @@
             keep_alive=0.0 if reply.closing or reply.leaving else reply.keep_alive,
         )
 
-    def _read_reply(self, upstream: Connection, record: UpstreamRecord) -> ReplyHead:
-        """Return the head of our answer, passing over answers to other requests."""
-        silence = SendError(Failure.TIMED_OUT, "no answer for long")
-        patience = self._patience()
-        timer = gevent.Timeout(patience, silence) if patience is not None else None
+    def _read_response_head(
+        self, upstream: Connection, record: UpstreamRecord
+    ) -> ReplyHead:
+        """Return the head of this request's response; skips stray responses."""
+        timeout_error = SendError(Failure.TIMED_OUT, "no response within the timeout")
+        seconds = self._compute_response_timeout()
+        timer = gevent.Timeout(seconds, timeout_error) if seconds is not None else None
         if timer is not None:
             timer.start()
         try:
-            for _ in range(MAX_STRAY_ANSWERS):
+            for _ in range(MAX_STRAY_RESPONSES):
                 head = upstream.read_head()
                 reply = self._context.dialect.judge_reply(
                     status=head.status_code,
@@ -246,26 +257,32 @@
                 )
                 if reply.kind is not ReplyKind.STRAY:
                     return reply
-                # It is the same replica that answers another request late.
-                self._note_state(reply, record)
+                # A late response to another request still shows the replica's state.
+                self._record_replica_state(reply, record)
                 upstream.skip_stray_response()
         finally:
             if timer is not None:
                 timer.close()
-        raise SendError(Failure.CROSSED, "only other requests' answers came")
+        raise SendError(Failure.CROSSED, "received only responses to other requests")
 
-    def _patience(self) -> float | None:
-        """Return how long a replica may be silent; ``None`` for as long as it takes."""
+    def _compute_response_timeout(self) -> float | None:
+        """
+        Return the seconds within which a response head is due, or ``None`` if only the
+        request's deadline counts: for all but idempotent requests, and for the last
+        execution that the route allows.
+        """
         route = self._call.route
         if (
             route.kind is not RouteKind.IDEMPOTENT
-            or self._runs + 1 >= route.max_attempts
+            or self._possible_executions + 1 >= route.max_attempts
         ):
             return None
-        return max(LEAST_SILENT_SECONDS, SILENT_TARGETS * route.target)
+        return max(
+            MIN_RESPONSE_TIMEOUT_SECONDS, RESPONSE_TIMEOUT_TARGETS * route.target
+        )
 
-    def _note_state(self, reply: ReplyHead, record: UpstreamRecord) -> None:
-        """Take in what an answer says of its replica's state."""
+    def _record_replica_state(self, reply: ReplyHead, record: UpstreamRecord) -> None:
+        """Record that a replica leaves or pauses, as its response head says."""
         if reply.kind is ReplyKind.MISPLACED:
             self._context.on_replica_left(record, "another replica has the address")
         elif reply.leaving:
@@ -280,8 +297,8 @@
                 seconds=granted,
             )
 
-    def _check(self, reply: ReplyHead, record: UpstreamRecord) -> None:
-        """Raise ``SendError`` unless the reply is an answer to the request."""
+    def _check_response(self, reply: ReplyHead, record: UpstreamRecord) -> None:
+        """Raise ``SendError`` unless the reply is a valid response to the request."""
         if reply.kind is ReplyKind.MISPLACED:
             raise SendError(Failure.REFUSED, "another replica has the address")
         if reply.kind is ReplyKind.REFUSED:
@@ -290,122 +307,129 @@
         if reply.kind is ReplyKind.INVALID:
             raise SendError(Failure.BROKEN, reply.detail)
 
-    def _relay(self, upstream: Connection, reply: ReplyHead) -> None:
+    def _relay_response(self, upstream: Connection, reply: ReplyHead) -> None:
         whole = self._call.route.kind is not RouteKind.STREAM
         if whole or not 200 <= reply.status < 300:
-            self._relay_whole(upstream, reply)
+            self._relay_whole_response(upstream, reply)
         else:
             self._relay_stream(upstream, reply)
 
-    def _relay_whole(self, upstream: Connection, reply: ReplyHead) -> None:
-        self._begun = True
+    def _relay_whole_response(self, upstream: Connection, reply: ReplyHead) -> None:
+        self._body_pending = True
         body = upstream.read_body(
-            limit=ANSWER_BYTES, memory=self._context.response_memory
+            limit=MAX_BODY_BYTES, memory=self._context.response_memory
         )
-        self._begun = False
+        self._body_pending = False
         if reply.status >= 500 and self._call.route.may_repeat:
-            self._failed_answer = (reply, body)
+            self._error_response = (reply, body)
             raise SendError(Failure.BROKEN, f"status {reply.status}")
-        self._respond(reply, body)
+        self._send_response(reply, body)
 
-    def _respond(self, reply: ReplyHead, body: bytes) -> None:
+    def _send_response(self, reply: ReplyHead, body: bytes) -> None:
         if self._caller.head_sent:
-            raise SendError(Failure.BROKEN, f"status {reply.status} amid a stream")
-        self._note_first(reply.status)
+            raise SendError(
+                Failure.BROKEN, f"status {reply.status} after the stream began"
+            )
+        self._record_response_start(reply.status)
         self._caller.send_response(reply.status, reply.headers, body)
 
     def _relay_stream(self, upstream: Connection, reply: ReplyHead) -> None:
         splitter = EventSplitter()
         progress = StreamProgress(
-            clock=self._context.clock, patience=self._event_patience()
+            clock=self._context.clock, event_timeout=self._compute_event_timeout()
         )
-        upstream.set_read_timeout(progress.patience)
+        upstream.set_read_timeout(progress.event_timeout)
         while data := upstream.read_body_data():
             whole = splitter.feed(data)
-            progress.check(events=bool(whole), buffered_bytes=splitter.buffered_bytes)
+            progress.record_data(
+                events=bool(whole), buffered_bytes=splitter.buffered_bytes
+            )
             if not whole:
                 continue
             if splitter.last_id is not None:
-                self._last_event = splitter.last_id
-            if not self.events:
+                self._last_event_id = splitter.last_id
+            if not self.event_count:
                 self._assigner.read(reply.load)
             self._placement.progressed(self.replica, self._call)
             self._send_events(reply, whole)
-            self.events += splitter.take_event_count()
+            self.event_count += splitter.take_event_count()
         if splitter.has_partial_event:
-            raise SendError(Failure.BROKEN, "the stream ended amid an event")
+            raise SendError(Failure.BROKEN, "the stream ended within an event")
         if not self._caller.head_sent:
             self._send_events(reply, b"")
         self._caller.end_response()
 
-    def _event_patience(self) -> float:
-        """Return how long a stream may be without a whole event, in seconds."""
-        route, patience = self._call.route, self._call.event_patience
-        if route.may_repeat and self._runs + 1 < route.max_attempts:
-            patience *= RESUME_PATIENCE_SHARE
-        return patience
+    def _compute_event_timeout(self) -> float:
+        """Return the seconds that a stream may go without a complete event."""
+        route, seconds = self._call.route, self._call.event_patience
+        if route.may_repeat and self._possible_executions + 1 < route.max_attempts:
+            seconds *= RESUME_TIMEOUT_FRACTION
+        return seconds
 
     def _send_events(self, reply: ReplyHead, data: bytes) -> None:
         if self._caller.head_sent:
             self._caller.send_body_data(data)
             return
-        self._note_first(reply.status)
+        self._record_response_start(reply.status)
         self._caller.start_response(reply.status, reply.headers, data)
 
-    def _note_first(self, status: int) -> None:
+    def _record_response_start(self, status: int) -> None:
         self.status = status
-        self.first_after = self._context.clock.now() - self._call.arrival
+        self.first_byte_seconds = self._context.clock.now() - self._call.arrival
 
-    def _note_failure(self, record: UpstreamRecord, error: SendError) -> None:
-        """Take in that an attempt failed."""
+    def _record_failure(self, record: UpstreamRecord, error: SendError) -> None:
+        """Close the connection of a failed attempt and record how it failed."""
         failure = error.failure
         upstream, self._upstream = self._upstream, None
         if upstream is not None:
             upstream.close()
-        self._sent = self._begun = False
+        self._request_sent = self._body_pending = False
         self._placement.failed(record.instance, self._call, failure)
         self._assigner.leave(failure.value)
-        self._excluded.add(record.instance)
+        self._excluded_replicas.add(record.instance)
         if failure is Failure.NOT_SENT:
             self._context.containment.unreachable(record)
         elif failure is Failure.BROKEN:
             self._context.containment.broke(record, self._call)
         if not failure.surely_unrun:
-            self._runs += 1
+            self._possible_executions += 1
         self._context.journal.event(
             "attempt-failed",
             request=self._call.id,
             replica=record.instance,
             failure=failure.value,
             detail=str(error),
-            events=self.events,
-            runs=self._runs,
+            events=self.event_count,
+            runs=self._possible_executions,
         )
 
-    def _may_go_on(self, failure: Failure) -> bool:
+    def _may_retry(self, failure: Failure) -> bool:
         route = self._call.route
         if failure.surely_unrun:
-            if self.offers >= MAX_REPLICA_ATTEMPTS:
+            if self.attempt_count >= MAX_REPLICA_ATTEMPTS:
                 return False
-        elif not route.may_repeat or self._runs >= route.max_attempts:
+        elif not route.may_repeat or self._possible_executions >= route.max_attempts:
             return False
         if self._context.containment.refuses(self._call):
             return False
-        # A refused connection brings no request to a replica.
+        # A failed connection brings no request to a replica, so the retry after it is
+        # not charged to the budget.
         return failure is Failure.NOT_SENT or self._context.budget.take(
             self._call.service
         )
 
-    def _give_up(
+    def _refuse_or_send_error(
         self, reason: Reason, detail: str, *, retry_after: float = RETRY_AFTER_SECONDS
     ) -> Refusal | None:
         """
-        Return the final answer, or ``None`` after giving the caller the failure that a
-        replica answered.
+        Send the caller the error response of a replica if there is one and return
+        ``None``; otherwise return the refusal.
+
+        A request that a replica may have executed gets no status that says otherwise.
         """
-        if self._failed_answer is not None and not self._caller.head_sent:
-            reply, body = self._failed_answer
-            self._respond(reply, body)
+        if self._error_response is not None and not self._caller.head_sent:
+            reply, body = self._error_response
+            self._send_response(reply, body)
             return None
         if not self.may_have_run:
             return Refusal(reason=reason, detail=detail, retry_after=retry_after)
--- a/damasklead/gateway/callers.py
+++ b/damasklead/gateway/callers.py
@@ -2,8 +2,8 @@
 Connections from callers
 ========================
 
-Reads requests from one connection after the other, hands them to the forwarder, and
-writes answers.  The parser is h11's, on gevent's sockets.
+Reads HTTP/1.1 requests from callers' connections, passes them to a request handler and
+sends the responses.  Parsing is done by h11, I/O by gevent's sockets.
 """
 
 from abc import ABC, abstractmethod
@@ -18,25 +18,25 @@
 from damasklead.clock import Clock
 from damasklead.gateway.calls import Header
 from damasklead.gateway.routing import CallerLimits
-from damasklead.gateway.sockets import is_readable, set_tcp_options
+from damasklead.gateway.sockets import set_tcp_options, is_readable
 
 __all__ = ["CallerConnection", "CallerDisconnected", "RawRequest", "RequestHandler"]
 
 RECEIVE_BYTES = 65_536
-# What a caller may send ahead while its request is being answered.
-AHEAD_BYTES = 131_072
+# Bytes of pipelined requests that are buffered while a request is being answered.
+MAX_PIPELINED_BYTES = 131_072
 
 
 class CallerDisconnected(BaseException):
     """The caller closed its connection; raised in the greenlet that serves it."""
 
 
-class _CloseIdle(BaseException):
-    """The process closes a connection that is idle."""
+class _IdleConnectionClosed(BaseException):
+    """The process closes an idle connection; ends the wait for its next request."""
 
 
 class ConnectionState(Enum):
-    """What a caller's connection does."""
+    """Whether a caller's connection is idle, reads a request or sends a response."""
 
     IDLE = "idle"
     READING = "reading"
@@ -45,16 +45,18 @@
 
 class RawRequest:
     """
-    A request as it was read.
+    A request as it was read from the connection, before it is decoded.
 
     Attributes
     ----------
     method, target : str
+        From the request line.
     headers : list
-        Names as they were spelled.
+        Names, in the caller's spelling, and values.
     body : bytes
+        The complete body, without its transfer coding.
     arrival : float
-        Clock reading in seconds when its head was complete.
+        Clock reading in seconds when the head was complete.
     """
 
     def __init__(
@@ -74,28 +76,36 @@
 
 
 class RequestHandler(ABC):
-    """Answers requests."""
+    """Serves the requests that arrive on callers' connections."""
 
     @abstractmethod
     def handle(self, request: RawRequest, connection: "CallerConnection") -> None:
-        """Answer one request on its connection, or abort it."""
+        """Send the response to one request, or abort its connection."""
 
     @abstractmethod
     def limits(self) -> CallerLimits:
-        """Return what callers may send at present."""
+        """Return the limits on requests that are in force."""
 
 
 class CallerConnection:
     """
-    One connection from a caller.
+    One connection from a caller, with keep-alive and pipelining.
 
     Parameters
     ----------
     raw : socket
+        The accepted TCP connection.
     handler : RequestHandler
+        Serves the requests.
     clock : Clock
     stopping : callable
-        Whether the process stops, so that no further request is invited.
+        Returns whether the process is stopping; responses then close the connection.
+
+    Attributes
+    ----------
+    cancel_on_disconnect : bool
+        Whether the present request is cancelled when its caller closes or half-closes
+        the connection.
     """
 
     def __init__(
@@ -114,29 +124,29 @@
             h11.SERVER, max_incomplete_event_size=handler.limits().head_bytes
         )
         self._state = ConnectionState.IDLE
-        self._idle_wait: Any = None
+        self._idle_watcher: Any = None
         self._half_closed = False
         self._head_sent = False
         self.cancel_on_disconnect = True
 
     @property
     def state(self) -> ConnectionState:
-        """What the connection does."""
+        """Whether the connection is idle, reads a request or sends a response."""
         return self._state
 
     @property
     def head_sent(self) -> bool:
-        """Whether the present request's answer has begun."""
+        """Whether the head of the present request's response was sent."""
         return self._head_sent
 
     def serve(self) -> None:
-        """Serve requests until the connection ends."""
+        """Serve requests one after the other until the connection ends."""
         try:
             set_tcp_options(self._socket)
-            while self._serve_one():
+            while self._serve_request():
                 pass
         except (CallerDisconnected, OSError):
-            pass  # the caller has gone, and there is nobody to answer
+            pass  # the caller has disconnected, so no response can be sent
         finally:
             self._socket.close()
 
@@ -144,12 +154,12 @@
         """
         Close the connection if no request is being read or answered.
 
-        A request that has arrived and was not read yet is still read and answered:
-        only what comes after it is cut off.
+        A request that has arrived but was not read yet is still read and answered;
+        later ones are not.
         """
-        if self._idle_wait is not None:
-            # Does nothing when the wait is already over.
-            socket.cancel_wait(self._idle_wait, _CloseIdle())
+        if self._idle_watcher is not None:
+            # Has no effect if the wait has already ended.
+            socket.cancel_wait(self._idle_watcher, _IdleConnectionClosed())
 
     def send_response(
         self,
@@ -159,7 +169,7 @@
         *,
         close: bool = False,
     ) -> None:
-        """Send a whole answer."""
+        """Send a complete response."""
         framed = [*headers, (b"Content-Length", b"%d" % len(body))]
         head = self._render_head(status, framed, close=close)
         data = self._http.send(h11.Data(data=body)) or b""
@@ -169,57 +179,63 @@
     def start_response(
         self, status: int, headers: Sequence[Header], data: bytes
     ) -> None:
-        """Send the head and the first bytes of an answer whose length is unknown."""
+        """Send the head and the first body bytes of a response of unknown length."""
         head = self._render_head(status, headers, close=False)
         self._socket.sendall(head + (self._http.send(h11.Data(data=data)) or b""))
 
     def send_body_data(self, data: bytes) -> None:
-        """Send more of the answer's body."""
+        """Send further bytes of the response's body."""
         self._socket.sendall(self._http.send(h11.Data(data=data)) or b"")
 
     def end_response(self) -> None:
-        """End the answer as complete."""
+        """Mark the response as complete."""
         self._socket.sendall(self._http.send(h11.EndOfMessage()) or b"")
 
     def abort(self) -> None:
-        """End the connection so that the answer can't look complete."""
+        """Close the connection without marking the response as complete."""
         self._http.send_failed()
         self._socket.close()
 
     def _render_head(
         self, status: int, headers: Sequence[Header], *, close: bool
     ) -> bytes:
-        own = list(headers)
+        all_headers = list(headers)
         if close or self._stopping():
-            own.append((b"Connection", b"close"))
+            all_headers.append((b"Connection", b"close"))
         self._head_sent = True
-        return self._http.send(h11.Response(status_code=status, headers=own)) or b""
+        return (
+            self._http.send(h11.Response(status_code=status, headers=all_headers))
+            or b""
+        )
 
-    def _serve_one(self) -> bool:
-        """Read and answer one request; returns whether another may follow."""
+    def _serve_request(self) -> bool:
+        """Read and serve one request; returns whether another may follow."""
         self._head_sent = False
         self.cancel_on_disconnect = True
         try:
             request = self._read_request()
         except h11.RemoteProtocolError as error:
-            self._refuse(error.error_status_hint, str(error))
+            self._send_error(error.error_status_hint, str(error))
             return False
         except TimeoutError:
             if self._state is ConnectionState.READING:
-                self._refuse(408, "the request did not arrive in time")
+                self._send_error(408, "the request did not arrive in time")
             return False
         if request is None:
             return False
         self._state = ConnectionState.ANSWERING
-        watcher = gevent.spawn(self._watch, gevent.getcurrent())
+        disconnect_watcher = gevent.spawn(
+            self._watch_for_disconnect, gevent.getcurrent()
+        )
         try:
             self._handler.handle(request, self)
         finally:
-            # Waits for its end: only one greenlet may read from a socket.
-            watcher.kill()
-        return self._next_cycle()
+            # Blocks until the watcher has ended: only one greenlet may read from a
+            # socket.
+            disconnect_watcher.kill()
+        return self._prepare_next_request()
 
-    def _next_cycle(self) -> bool:
+    def _prepare_next_request(self) -> bool:
         if self._half_closed or self._http.our_state is not h11.DONE:
             return False
         if self._http.their_state is not h11.DONE or self._stopping():
@@ -229,9 +245,11 @@
         return True
 
     def _read_request(self) -> RawRequest | None:
-        """Read a request; ``None`` when the connection ended before one."""
+        """Read a request; returns ``None`` if the connection ended before one."""
         limits = self._handler.limits()
-        if not self._http.trailing_data[0] and not self._wait_idle(limits.idle_seconds):
+        if not self._http.trailing_data[0] and not self._wait_for_request(
+            limits.idle_seconds
+        ):
             return None
         event = self._next_event(limits)
         if isinstance(event, h11.ConnectionClosed):
@@ -253,22 +271,24 @@
             arrival=arrival,
         )
 
-    def _wait_idle(self, seconds: float) -> bool:
-        """Wait for a request's first byte; returns whether there may be one."""
-        wait = self._idle_wait = gevent.get_hub().loop.io(self._socket.fileno(), 1)
+    def _wait_for_request(self, seconds: float) -> bool:
+        """Wait for a request's first byte; returns whether there is data to read."""
+        watcher = self._idle_watcher = gevent.get_hub().loop.io(
+            self._socket.fileno(), 1
+        )
         try:
-            socket.wait(wait, timeout=seconds, timeout_exc=TimeoutError())
-        except (TimeoutError, _CloseIdle):
+            socket.wait(watcher, timeout=seconds, timeout_exc=TimeoutError())
+        except (TimeoutError, _IdleConnectionClosed):
             return is_readable(self._socket)
         finally:
-            self._idle_wait = None
-            wait.close()
+            self._idle_watcher = None
+            watcher.close()
         return True
 
     def _read_body(self, limits: CallerLimits) -> bytes:
         if self._http.they_are_waiting_for_100_continue:
-            going_on = h11.InformationalResponse(status_code=100, headers=[])
-            self._socket.sendall(self._http.send(going_on) or b"")
+            continue_response = h11.InformationalResponse(status_code=100, headers=[])
+            self._socket.sendall(self._http.send(continue_response) or b"")
         parts: list[bytes] = []
         size = 0
         self._socket.settimeout(limits.idle_seconds)
@@ -284,41 +304,41 @@
                 raise h11.RemoteProtocolError("body is too long", 413)
 
     def _next_event(self, limits: CallerLimits) -> h11.Event:
-        begun: float | None = None
+        started_at: float | None = None
         while True:
             event = self._http.next_event()
             if event is h11.PAUSED:
                 raise CallerDisconnected
             if isinstance(event, h11.Event):
                 return event
-            if self._http.trailing_data[0] and begun is None:
-                begun = self._begin_reading(limits)
-            if begun is not None:
-                left = begun + limits.head_seconds - self._clock.now()
-                if left <= 0:
+            if self._http.trailing_data[0] and started_at is None:
+                started_at = self._start_reading(limits)
+            if started_at is not None:
+                remaining = started_at + limits.head_seconds - self._clock.now()
+                if remaining <= 0:
                     raise TimeoutError
-                self._socket.settimeout(left)
+                self._socket.settimeout(remaining)
             data = self._socket.recv(RECEIVE_BYTES)
-            if begun is None and data and self._http.their_state is h11.IDLE:
-                begun = self._begin_reading(limits)
+            if started_at is None and data and self._http.their_state is h11.IDLE:
+                started_at = self._start_reading(limits)
             self._http.receive_data(data)
 
-    def _begin_reading(self, limits: CallerLimits) -> float:
+    def _start_reading(self, limits: CallerLimits) -> float:
         self._state = ConnectionState.READING
         return self._clock.now()
 
-    def _refuse(self, status: int, detail: str) -> None:
-        """Answer what could not be read, if an answer is still possible."""
+    def _send_error(self, status: int, detail: str) -> None:
+        """Reject an invalid request, if a response can still be sent."""
         if self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         self.send_response(
             status, [(b"Content-Type", b"text/plain")], detail.encode(), close=True
         )
 
-    def _watch(self, served: gevent.Greenlet) -> None:
-        """Notice that the caller closes while its request is being answered."""
-        ahead = 0
-        while ahead < AHEAD_BYTES:
+    def _watch_for_disconnect(self, serving_greenlet: gevent.Greenlet) -> None:
+        """Cancel the request when its caller disconnects; buffer pipelined ones."""
+        pipelined_bytes = 0
+        while pipelined_bytes < MAX_PIPELINED_BYTES:
             try:
                 data = self._socket.recv(RECEIVE_BYTES)
             except OSError:
@@ -326,14 +346,14 @@
             if not data:
                 self._half_closed = True
                 if self.cancel_on_disconnect:
-                    gevent.kill(served, CallerDisconnected())
+                    gevent.kill(serving_greenlet, CallerDisconnected())
                 return
-            ahead += len(data)
+            pipelined_bytes += len(data)
             self._http.receive_data(data)
 
 
 def _check_framing(headers: Iterable[Header]) -> None:
-    """Refuse requests whose length two readers might see differently."""
+    """Reject ambiguous framing, which would allow request smuggling."""
     names = [name for name, _ in headers]
     if b"content-length" in names and b"transfer-encoding" in names:
         raise h11.RemoteProtocolError("both a length and a transfer coding")
--- a/damasklead/gateway/events.py
+++ b/damasklead/gateway/events.py
@@ -2,18 +2,18 @@
 Events of a stream
 ==================
 
-Cuts the bytes of a ``text/event-stream`` into whole events and keeps the last id, so
-that a stream can go on elsewhere without a gap or a double.
+Splits the bytes of a ``text/event-stream`` into complete events and keeps the last
+event id, so that another replica can resume the stream without lost or repeated events.
 """
 
 __all__ = ["EventSplitter"]
 
-_ENDS = (b"\n\n", b"\r\n\r\n", b"\r\r")
+_EVENT_DELIMITERS = (b"\n\n", b"\r\n\r\n", b"\r\r")
 
 
 class EventSplitter:
     r"""
-    Hands out whole events only.
+    Buffers the bytes of a stream until they complete an event.
 
     Examples
     --------
@@ -29,40 +29,45 @@
     """
 
     def __init__(self) -> None:
-        self._rest = b""
+        self._buffer = b""
         self._last_id: bytes | None = None
-        self._events = 0
+        self._event_count = 0
 
     @property
     def last_id(self) -> bytes | None:
-        """The id of the last whole event that has one."""
+        """The id of the last complete event that carries one."""
         return self._last_id
 
     @property
     def buffered_bytes(self) -> int:
-        """How many bytes of an event that is not whole are kept."""
-        return len(self._rest)
+        """Length in bytes of the incomplete event that is buffered."""
+        return len(self._buffer)
 
     @property
     def has_partial_event(self) -> bool:
-        """Whether an event has begun and is not whole."""
-        return bool(self._rest.strip())
+        """Whether an incomplete event is buffered."""
+        return bool(self._buffer.strip())
 
     def feed(self, data: bytes) -> bytes:
-        """Take in bytes; returns those that complete events, as they came."""
-        data = self._rest + data
+        """Add bytes of the stream; returns all complete events, unchanged."""
+        data = self._buffer + data
         end = max(
-            (data.rfind(mark) + len(mark) for mark in _ENDS if mark in data), default=0
+            (
+                data.rfind(delimiter) + len(delimiter)
+                for delimiter in _EVENT_DELIMITERS
+                if delimiter in data
+            ),
+            default=0,
         )
-        whole, self._rest = data[:end], data[end:]
-        for line in whole.splitlines():
+        complete, self._buffer = data[:end], data[end:]
+        for line in complete.splitlines():
             if line.startswith(b"id:"):
                 self._last_id = line[3:].strip()
             elif line.startswith(b"data:"):
-                self._events += 1
-        return whole
+                self._event_count += 1
+        return complete
 
     def take_event_count(self) -> int:
-        """Return the number of whole events since the last call."""
-        count, self._events = self._events, 0
+        """Return the number of complete events since the last call, and reset it."""
+        count, self._event_count = self._event_count, 0
         return count
--- a/damasklead/gateway/forwarding.py
+++ b/damasklead/gateway/forwarding.py
@@ -2,8 +2,8 @@
 Forwarding
 ==========
 
-Takes one request from its caller to a replica and the answer back: route, key, time
-limit, attempts, and what the caller is told in the end.
+Serves one request: finds its route, checks its API key, enforces its deadline, forwards
+it to replicas and reports the outcome to the caller, the log and the metrics.
 """
 
 from collections.abc import Callable
@@ -29,28 +29,29 @@
 
 __all__ = ["Forwarder"]
 
-# Sent while no configuration is known; one is read within about this time.
+# Retry-After before the first configuration is read, which takes about this long.
 NO_CONFIGURATION_RETRY_SECONDS = 0.5
 
 
-class _DeadlinePassed(BaseException):
-    """The request's time is over; raised in the greenlet that serves it."""
+class _DeadlineExceeded(BaseException):
+    """The request's deadline has passed; raised in the greenlet that serves it."""
 
 
 class Forwarder(RequestHandler):
     """
-    Answers the requests of one gateway.
+    Serves the requests of callers in one gateway.
 
     Parameters
     ----------
     context : GatewayContext
+        Components that all requests of the gateway share.
     placement_of : callable
         Returns the placement of a service.
     table : callable
-        Returns the configuration in force, or ``None`` while none is known.
+        Returns the routing table in force, or ``None`` before the first one is read.
     metrics : GatewayMetrics
     gate : StartGate
-        Passed by each request before anything is decided about it.
+        Holds requests back while the gateway starts.
     """
 
     def __init__(
@@ -67,33 +68,33 @@
         self._table = table
         self._metrics = metrics
         self._gate = gate
-        self._active = 0
+        self._active_requests = 0
 
     @property
     def active_requests(self) -> int:
-        """Requests that are being answered."""
-        return self._active
+        """Number of requests that are being served."""
+        return self._active_requests
 
     def limits(self) -> CallerLimits:
-        """Return what callers may send at present."""
+        """Return the limits on requests in the current configuration."""
         table = self._table()
         return CallerLimits() if table is None else table.limits
 
     def handle(self, request: RawRequest, connection: CallerConnection) -> None:
-        """Answer one request on its connection, or abort it."""
-        self._active += 1
+        """Send the response to one request, or abort its connection."""
+        self._active_requests += 1
         try:
             self._gate.wait()
-            call = self._admit(request)
+            call = self._build_call(request)
             if isinstance(call, Refusal):
-                self._refuse_early(call, connection)
+                self._refuse_unmatched(call, connection)
             else:
-                self._serve(call, connection)
+                self._forward_call(call, connection)
         finally:
-            self._active -= 1
+            self._active_requests -= 1
 
-    def _admit(self, request: RawRequest) -> Call | Refusal:
-        """Decode a request and match it against the configuration."""
+    def _build_call(self, request: RawRequest) -> Call | Refusal:
+        """Decode a request and find its route, workspace and deadline."""
         try:
             head = self._context.dialect.decode_head(
                 method=request.method, target=request.target, headers=request.headers
@@ -129,67 +130,71 @@
             body=request.body,
         )
 
-    def _serve(self, call: Call, connection: CallerConnection) -> None:
-        # An order goes on when its caller half-closes: it can't be taken back, and
-        # the answer may still be wanted.
+    def _forward_call(self, call: Call, connection: CallerConnection) -> None:
+        # A request that may be executed only once goes on when its caller half-closes:
+        # it can't be undone, and the caller may still read the response.
         connection.cancel_on_disconnect = call.route.kind is not RouteKind.ONCE
         self._context.budget.record_first(call.service)
-        run = ProxiedRequest(
+        proxied_request = ProxiedRequest(
             context=self._context,
             call=call,
             placement=self._placement_of(call.service),
             caller=connection,
         )
         left = call.deadline - self._context.clock.now()
-        timer = gevent.Timeout(max(0.0, left), _DeadlinePassed())
+        timer = gevent.Timeout(max(0.0, left), _DeadlineExceeded())
         timer.start()
         try:
-            refusal = run.forward()
-        except _DeadlinePassed:
-            refusal = run.handle_timeout()
+            refusal = proxied_request.forward()
+        except _DeadlineExceeded:
+            refusal = proxied_request.handle_timeout()
         except (CallerDisconnected, OSError) as error:
-            self._note_gone(call, run, error)
+            self._record_disconnect(call, proxied_request, error)
             raise
         finally:
             timer.close()
-            run.close()
+            proxied_request.close()
         if refusal is None:
-            self._note_answer(call, run)
+            self._record_response(call, proxied_request)
         else:
-            self._refuse(call, run, refusal, connection)
+            self._refuse_call(call, proxied_request, refusal, connection)
 
-    def _note_gone(self, call: Call, run: ProxiedRequest, error: BaseException) -> None:
+    def _record_disconnect(
+        self, call: Call, proxied_request: ProxiedRequest, error: BaseException
+    ) -> None:
         self._metrics.count_disconnect(call)
         self._context.journal.event(
             "caller-gone",
             request=call.id,
             route=call.route.name,
-            replica=run.replica,
-            events=run.events,
+            replica=proxied_request.replica,
+            events=proxied_request.event_count,
             cause=repr(error),
             seconds=self._context.clock.now() - call.arrival,
         )
 
-    def _note_answer(self, call: Call, run: ProxiedRequest) -> None:
+    def _record_response(self, call: Call, proxied_request: ProxiedRequest) -> None:
         seconds = self._context.clock.now() - call.arrival
-        self._metrics.count_response(call, run.status, run.first_after)
+        self._metrics.count_response(
+            call, proxied_request.status, proxied_request.first_byte_seconds
+        )
         self._context.journal.event(
             "answered",
             request=call.id,
             route=call.route.name,
-            replica=run.replica,
-            status=run.status,
-            events=run.events,
-            offers=run.offers,
-            first=run.first_after,
+            replica=proxied_request.replica,
+            status=proxied_request.status,
+            events=proxied_request.event_count,
+            offers=proxied_request.attempt_count,
+            first=proxied_request.first_byte_seconds,
             target=call.due - call.arrival,
             seconds=seconds,
         )
 
-    def _refuse(
+    def _refuse_call(
         self,
         call: Call,
-        run: ProxiedRequest,
+        proxied_request: ProxiedRequest,
         refusal: Refusal,
         connection: CallerConnection,
     ) -> None:
@@ -202,18 +207,18 @@
             status=refusal.status,
             retry_after=refusal.retry_after or 0.0,
             detail=refusal.detail,
-            offers=run.offers,
-            replica=run.replica,
-            events=run.events,
+            offers=proxied_request.attempt_count,
+            replica=proxied_request.replica,
+            events=proxied_request.event_count,
             seconds=self._context.clock.now() - call.arrival,
         )
         if connection.head_sent:
             connection.abort()
         else:
-            self._respond(refusal, connection)
+            self._send_refusal(refusal, connection)
 
-    def _refuse_early(self, refusal: Refusal, connection: CallerConnection) -> None:
-        """Refuse a request that matches nothing in the configuration."""
+    def _refuse_unmatched(self, refusal: Refusal, connection: CallerConnection) -> None:
+        """Refuse a request that is invalid or matches no route or API key."""
         table = self._table()
         self._metrics.count_refusal(None, refusal)
         self._context.journal.event(
@@ -224,9 +229,9 @@
             detail=refusal.detail,
             configuration=0 if table is None else table.version,
         )
-        self._respond(refusal, connection)
+        self._send_refusal(refusal, connection)
 
-    def _respond(self, refusal: Refusal, connection: CallerConnection) -> None:
+    def _send_refusal(self, refusal: Refusal, connection: CallerConnection) -> None:
         headers = self._context.dialect.own_headers(
             attempt=refusal.attempt, retry_after=refusal.retry_after
         )
--- a/damasklead/gateway/metrics.py
+++ b/damasklead/gateway/metrics.py
@@ -2,7 +2,7 @@
 Gateway metrics
 ===============
 
-What a gateway counts, for ``/metrics``.
+Prometheus metrics of a gateway, exposed at ``/metrics``.
 """
 
 from prometheus_client import (
@@ -22,7 +22,7 @@
 
 
 class GatewayMetrics:
-    """The counters of one gateway in a registry of their own."""
+    """The metrics of one gateway, in a registry of their own."""
 
     def __init__(self) -> None:
         self.registry = CollectorRegistry()
@@ -95,20 +95,30 @@
         )
 
     def count_response(self, call: Call, status: int, first_byte: float) -> None:
-        """Count a replica's answer."""
+        """
+        Count a response that a replica gave.
+
+        Parameters
+        ----------
+        call : Call
+        status : int
+            HTTP status that was sent to the caller.
+        first_byte : float
+            Seconds from the request's head to the first byte of the response.
+        """
         kind = call.route.kind.value
         self._answers.labels(call.service, kind, str(status)).inc()
         self._first_byte.labels(call.service, kind).observe(first_byte)
 
     def count_refusal(self, call: Call | None, refusal: Refusal) -> None:
-        """Count an answer of the gateway's own."""
+        """Count a refusal by the gateway; ``call`` is ``None`` without a route."""
         service = "none" if call is None else call.service
         self._refusals.labels(service, refusal.reason.value).inc()
 
     def count_disconnect(self, call: Call) -> None:
-        """Count a request whose caller left."""
+        """Count a request whose caller disconnected before the response's end."""
         self._gone.labels(call.service).inc()
 
     def render(self) -> bytes:
-        """Return the exposition text."""
+        """Return the metrics in Prometheus' text exposition format."""
         return generate_latest(self.registry)
--- a/damasklead/gateway/settings.py
+++ b/damasklead/gateway/settings.py
@@ -2,7 +2,7 @@
 Gateway settings
 ================
 
-What one gateway process is told about itself and its surroundings.
+The settings file of one gateway process: its identity, addresses and limits.
 """
 
 from typing import Annotated
@@ -30,14 +30,14 @@
     msgspec.Struct, kw_only=True, frozen=True, forbid_unknown_fields=True
 ):
     """
-    Where the process listens.
+    Addresses on which the process listens, as ``ip:port``.
 
     Attributes
     ----------
     callers, ready : str
-        For requests, and for the question whether it is ready.
+        For callers' requests, and for readiness probes.
     operators : str or None
-        For people: state and metrics.
+        For operators: the gateway's state and metrics.
     metrics_port : int or None
         A further port for metrics, on the callers' IP address.
     """
@@ -52,15 +52,15 @@
     msgspec.Struct, kw_only=True, frozen=True, forbid_unknown_fields=True
 ):
     """
-    What the operators bind the fleet to.
+    Limits that operators set for all gateways.
 
     Attributes
     ----------
     retry_ratio, retry_allowance, retry_window_seconds : float
-        Over all gateways, retries to a service in a window are at most the ratio
-        times its requests, and the allowance.
+        Retry budget for each service over all gateways: within a window, retries are
+        at most ``retry_ratio`` times the requests plus ``retry_allowance``.
     stop_seconds : float
-        From SIGTERM to SIGKILL.
+        Seconds from SIGTERM to SIGKILL.
     """
 
     retry_ratio: Annotated[float, msgspec.Meta(ge=0)] = 0.1
@@ -78,14 +78,20 @@
     Attributes
     ----------
     instance, data_centre : str
+        The gateway's instance id, and the data centre that it runs in.
+    listen : ListenSettings
+        Addresses on which the gateway listens.
     platform : str
-        Address of the platform's store.
+        Address of the platform's store, as ``ip:port``.
     peer_ports : tuple of int
-        First and last port that gateways may use among themselves.
+        First and last port of the range that gateways use among themselves.
     seeds : list
-        Operators' addresses of some gateways; any of them may be down.
+        Operators' addresses of some gateways to start from; any of them may be down.
     cores : float
-        Processor that the gateway may use; those with more coordinate more.
+        Processor cores that the gateway may use; gateways with more cores coordinate
+        more of the requests.
+    bounds : OperationalLimits
+        Limits that operators set for all gateways.
     """
 
     instance: Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
@@ -102,11 +108,20 @@
     text: str, *, file: str, findings: Findings
 ) -> GatewaySettings | None:
     """
-    Check a settings file; every problem is added to ``findings``.
+    Parse and validate a settings file.
+
+    Parameters
+    ----------
+    text : str
+        Content of the file, JSON with comments.
+    file : str
+        Name of the file, for the findings.
+    findings : Findings
+        Every problem is added here.
 
     Returns
     -------
     GatewaySettings or None
-        ``None`` when anything is wrong.
+        ``None`` when the file is invalid.
     """
     return jsonc.convert(text, GatewaySettings, file=file, findings=findings)
--- a/damasklead/gateway/streamprogress.py
+++ b/damasklead/gateway/streamprogress.py
@@ -2,11 +2,12 @@
 Progress of a stream
 ====================
 
-Tells a slow but sound stream from one that stalls or sends bytes that are no events.
-No I/O.
+Detects a stream that stalls, or that sends bytes without completing an event, and lets
+a slow one continue.  No I/O.
 
-Load pattern: a replica in trouble that sends a byte now and then, or one event without
-end; its caller would wait until the route's timeout, and memory would grow.
+Load pattern: a faulty replica that sends single bytes at long intervals, or one event
+that never ends.  Unchecked, the caller would wait until the route's timeout, and the
+buffered bytes would grow.
 """
 
 from damasklead.clock import Clock
@@ -15,54 +16,55 @@
 
 __all__ = ["StreamProgress"]
 
-# Longest event of a stream.
-EVENT_BYTES = 262_144
+# Longest incomplete event that is buffered.
+MAX_EVENT_BYTES = 262_144
 
 
 class StreamProgress:
     """
-    The progress of one stream.
+    Time since the last complete event of one stream.
 
     Parameters
     ----------
     clock : Clock
-    patience : float
-        Seconds that the stream may be without a whole event.
+    event_timeout : float
+        Seconds that the stream may go without a complete event.
     """
 
-    def __init__(self, *, clock: Clock, patience: float) -> None:
+    def __init__(self, *, clock: Clock, event_timeout: float) -> None:
         self._clock = clock
-        self._patience = patience
-        self._event_at = clock.now()
+        self._event_timeout = event_timeout
+        self._last_event_at = clock.now()
 
     @property
-    def patience(self) -> float:
-        """Seconds that the stream may be without a whole event."""
-        return self._patience
+    def event_timeout(self) -> float:
+        """Seconds that the stream may go without a complete event."""
+        return self._event_timeout
 
-    def check(self, *, events: bool, buffered_bytes: int) -> None:
+    def record_data(self, *, events: bool, buffered_bytes: int) -> None:
         """
-        Take in bytes of the stream.
+        Record that bytes of the stream arrived, and check its limits.
 
         Parameters
         ----------
         events : bool
-            Whether they complete an event.
+            Whether the bytes complete an event.
         buffered_bytes : int
-            What is kept of an event that is not whole.
+            Length of the incomplete event that is buffered.
 
         Raises
         ------
         SendError
-            ``TIMED_OUT`` when no event came for too long, ``BROKEN`` when one is too
-            long.
+            ``TIMED_OUT`` when no event was completed within the timeout, ``BROKEN``
+            when the incomplete event is too long.
         """
         now = self._clock.now()
         if events:
-            self._event_at = now
-        elif now - self._event_at > self._patience:
+            self._last_event_at = now
+        elif now - self._last_event_at > self._event_timeout:
             raise SendError(
-                Failure.TIMED_OUT, f"no whole event in {now - self._event_at:.2f} s"
+                Failure.TIMED_OUT,
+                f"no complete event in {now - self._last_event_at:.2f} s",
             )
-        elif buffered_bytes > EVENT_BYTES:
+        elif buffered_bytes > MAX_EVENT_BYTES:
             raise SendError(Failure.BROKEN, "an event is too long")
--- a/damasklead/gateway/upstream_http.py
+++ b/damasklead/gateway/upstream_http.py
@@ -2,8 +2,8 @@
 Connections to replicas
 =======================
 
-Sends one request over one connection and hands out the answer as it arrives.  The
-parser is h11's, on gevent's sockets.
+HTTP/1.1 client connections with a keep-alive pool: sends one request at a time and
+yields the response as it arrives.  Parsing is done by h11, I/O by gevent's sockets.
 """
 
 import contextlib
@@ -22,37 +22,38 @@
 __all__ = ["Connection", "ConnectionPool", "ResponseMemoryBudget", "SendError"]
 
 RECEIVE_BYTES = 65_536
-# A connection on the same network opens within milliseconds.
+# Connect timeout; replicas are on the same network and accept within milliseconds.
 CONNECT_SECONDS = 0.3
-# Longer bodies are sent beside reading, since an early answer may leave them unread.
-SEND_AT_ONCE_BYTES = 4096
-# How long a replica keeps an idle connection that names no time: times are named in
-# whole seconds, so it may be less than one.
-DEFAULT_IDLE_SECONDS = 0.4
-# Part of the time that a replica names within which a connection is used again.
-IDLE_FRACTION = 0.6
+# Longer request bodies are sent in a greenlet of their own while the response is read:
+# a replica may respond early and leave the rest of the body unread.
+MAX_BLOCKING_SEND_BYTES = 4096
+# Assumed keep-alive timeout of a replica that states none.  The header has whole
+# seconds, so a replica that omits it may use less than one.
+DEFAULT_KEEP_ALIVE_SECONDS = 0.4
+# An idle connection is reused within this fraction of the replica's keep-alive timeout.
+KEEP_ALIVE_FRACTION = 0.6
 MAX_IDLE_CONNECTIONS = 16
-# Interim answers that may come before the final one.
-MAX_INTERIM_ANSWERS = 8
-# Longest body of another request's answer that is passed over.
-STRAY_ANSWER_BYTES = 1_048_576
-# What the bodies of all answers that are being read may take together, and up to which
-# size one is let be when they take more.
-ANSWERS_BYTES = 25_165_824
-SMALL_ANSWER_BYTES = 262_144
-# Part of a replica's connections that all gateways together may keep idle; the rest is
-# for those in use.
-IDLE_SHARE = 0.5
+# Interim (1xx) responses that are accepted before the final one.
+MAX_INTERIM_RESPONSES = 8
+# Longest body of a response to another request that is skipped.
+MAX_STRAY_BODY_BYTES = 1_048_576
+# Memory for all response bodies that are being read, and the size up to which a body
+# may still grow when they exceed it.
+RESPONSE_MEMORY_BYTES = 25_165_824
+SMALL_BODY_BYTES = 262_144
+# Fraction of a replica's connection limit that all gateways together may keep idle; the
+# rest is for connections in use.
+IDLE_CONNECTION_FRACTION = 0.5
 
 
 class SendError(Exception):
     """
-    An attempt that ended without a whole answer.
+    An attempt that ended without a complete response.
 
     Attributes
     ----------
     failure : Failure
-        How it ended.
+        How the attempt ended.
     """
 
     def __init__(self, failure: Failure, detail: str) -> None:
@@ -62,40 +63,43 @@
 
 class ResponseMemoryBudget:
     """
-    What the bodies of answers take that are being read.
+    Memory budget for the response bodies that are being read.
 
-    Load pattern: many replicas at once send bodies that don't end; short answers of
-    sound replicas still go through.
+    Load pattern: many faulty replicas send endless bodies at the same time; small
+    responses of healthy replicas must still succeed.
 
     Parameters
     ----------
-    limit : int
-        Bytes for all of them.
+    limit_bytes : int
+        Budget for all bodies together.
 
     Attributes
     ----------
-    limit : int
-    used : int
-        Bytes at present.
+    limit_bytes : int
+        Budget for all bodies together.
+    used_bytes : int
+        Bytes that the bodies being read hold at present.
     """
 
-    def __init__(self, *, limit_bytes: int = ANSWERS_BYTES) -> None:
+    def __init__(self, *, limit_bytes: int = RESPONSE_MEMORY_BYTES) -> None:
         self.limit_bytes = limit_bytes
         self.used_bytes = 0
 
     def must_drop(self, size: int) -> bool:
-        """Tell whether a body that has grown to a size has to be given up."""
-        return self.used_bytes > self.limit_bytes and size > SMALL_ANSWER_BYTES
+        """Return whether a body that has grown to ``size`` bytes must be dropped."""
+        return self.used_bytes > self.limit_bytes and size > SMALL_BODY_BYTES
 
 
 class Connection:
     """
-    One connection to a replica, for one request at a time.
+    A connection to a replica, for one request at a time.
 
     Parameters
     ----------
     address : str
+        ``ip:port`` of the replica.
     raw : socket
+        The open TCP connection.
     """
 
     def __init__(self, *, address: str, raw: socket.socket) -> None:
@@ -108,17 +112,22 @@
 
     @property
     def address(self) -> str:
-        """The replica's address."""
+        """The replica's address as ``ip:port``."""
         return self._address
 
     @property
     def is_open(self) -> bool:
+<<<<<<< HEAD
         """Whether the idle connection is open and nothing has arrived on it."""
         return not self._closed and not is_readable(self._socket)
+=======
+        """Whether an idle connection is open and has received no unexpected data."""
+        return not self._closed and not readable(self._socket)
+>>>>>>> 66e4462 (Reword and rename in the gateway's forwarding, HTTP connections, metrics and settings)
 
     @property
     def is_reusable(self) -> bool:
-        """Whether another request may follow."""
+        """Whether another request may be sent on this connection."""
         if self._closed or (self._writer is not None and not self._writer.ready()):
             return False
         states = self._http.our_state, self._http.their_state
@@ -128,55 +137,55 @@
         self, *, method: str, target: str, headers: Sequence[Header], body: bytes
     ) -> None:
         """
-        Send a request; a long body goes out beside reading.
+        Send a request; a long body is sent in the background.
 
         Raises
         ------
         SendError
-            ``BROKEN``: parts of it may have arrived.
+            ``BROKEN`` when sending fails; the replica may have received a part.
         """
-        framed = list(headers)
+        framed_headers = list(headers)
         if body or method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
-            framed.append((b"Content-Length", b"%d" % len(body)))
-        request = h11.Request(method=method, target=target, headers=framed)
+            framed_headers.append((b"Content-Length", b"%d" % len(body)))
+        request = h11.Request(method=method, target=target, headers=framed_headers)
         self._request = request
         head = self._http.send(request) or b""
         self._http.send(h11.Data(data=body))
         self._http.send(h11.EndOfMessage())
-        if len(body) <= SEND_AT_ONCE_BYTES:
+        if len(body) <= MAX_BLOCKING_SEND_BYTES:
             self._send_all(head + body)
         else:
-            self._writer = gevent.spawn(self._send_beside, head + body)
+            self._writer = gevent.spawn(self._send_in_background, head + body)
 
     def read_head(self) -> h11.Response:
         """
-        Return the head of the answer.
+        Return the head of the final response.
 
         Raises
         ------
         SendError
-            ``BROKEN`` when the connection ends or what arrives is no answer.
+            ``BROKEN`` when the connection ends or the data is no HTTP response.
         """
-        for _ in range(MAX_INTERIM_ANSWERS):
+        for _ in range(MAX_INTERIM_RESPONSES):
             event = self._next_event()
             if isinstance(event, h11.Response):
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise SendError(Failure.BROKEN, f"unexpected {type(event).__name__}")
-        raise SendError(Failure.BROKEN, "only interim answers came")
+        raise SendError(Failure.BROKEN, "received only interim responses")
 
     def set_read_timeout(self, seconds: float | None) -> None:
-        """Fail with ``TIMED_OUT`` when nothing at all arrives for so long."""
+        """Make reads fail with ``TIMED_OUT`` after some seconds without any data."""
         self._socket.settimeout(seconds)
 
     def read_body_data(self) -> bytes:
         """
-        Return bytes of the body as they arrive, empty at its end.
+        Return the next bytes of the body; empty at its end.
 
         Raises
         ------
         SendError
-            ``BROKEN`` when the body ends early.
+            ``BROKEN`` when the connection ends before the body.
         """
         while True:
             event = self._next_event()
@@ -190,19 +199,19 @@
         self, *, limit: int, memory: "ResponseMemoryBudget | None" = None
     ) -> bytes:
         """
-        Return the whole body.
+        Return the complete body.
 
         Parameters
         ----------
         limit : int
             Longest body in bytes.
         memory : ResponseMemoryBudget or None
-            What all bodies that are being read may take together.
+            Budget that the body is charged to while it is being read.
 
         Raises
         ------
         SendError
-            ``BROKEN`` when it is too long or ends early.
+            ``BROKEN`` when the body is too long or the connection ends before it.
         """
         parts: list[bytes] = []
         size = 0
@@ -221,43 +230,48 @@
 
     def skip_stray_response(self) -> None:
         """
-        Pass over an answer to another request and expect ours after it.
+        Read and drop the rest of a response to another request, then expect the
+        response to the present one.
 
         Raises
         ------
         SendError
-            ``CROSSED`` when nothing can follow on this connection.
+            ``CROSSED`` when no further response can follow on this connection.
         """
         assert self._request is not None
         size = 0
         while data := self.read_body_data():
             size += len(data)
-            if size > STRAY_ANSWER_BYTES:
-                raise SendError(Failure.CROSSED, "another request's answer is too long")
+            if size > MAX_STRAY_BODY_BYTES:
+                raise SendError(
+                    Failure.CROSSED, "a response to another request is too long"
+                )
         if self._http.their_state is not h11.DONE:
-            raise SendError(Failure.CROSSED, "only another request's answer came")
-        rest, ended = self._http.trailing_data
+            raise SendError(
+                Failure.CROSSED, "received only a response to another request"
+            )
+        remaining_data, ended = self._http.trailing_data
         self._http = h11.Connection(h11.CLIENT)
         self._http.send(self._request)
-        # The request went out already; this brings the parser to the same state.
-        framed = self._http.our_state is h11.SEND_BODY
-        if framed:
+        # The request was already sent; replaying it sets the new parser's state.
+        has_body = self._http.our_state is h11.SEND_BODY
+        if has_body:
             length = dict(self._request.headers).get(b"content-length", b"0")
             self._http.send(h11.Data(data=bytes(int(length))))
             self._http.send(h11.EndOfMessage())
-        if rest:
-            self._http.receive_data(rest)
+        if remaining_data:
+            self._http.receive_data(remaining_data)
         if ended:
             self._http.receive_data(b"")
 
     def prepare_next_request(self) -> None:
-        """Make ready for another request."""
+        """Reset the connection's state for another request."""
         self.set_read_timeout(None)
         self._http.start_next_cycle()
         self._writer = None
 
     def close(self) -> None:
-        """Close the connection, which also cancels what runs there."""
+        """Close the connection, which cancels a request that runs on the replica."""
         if not self._closed:
             self._closed = True
             if self._writer is not None:
@@ -271,7 +285,7 @@
             except h11.RemoteProtocolError as error:
                 raise SendError(Failure.BROKEN, f"not HTTP: {error}") from error
             if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
-                raise SendError(Failure.BROKEN, "closed before the answer's end")
+                raise SendError(Failure.BROKEN, "closed before the end of the response")
             if isinstance(event, h11.Event):
                 return event
             self._receive()
@@ -280,11 +294,11 @@
         try:
             data = self._socket.recv(RECEIVE_BYTES)
         except TimeoutError as error:
-            raise SendError(Failure.TIMED_OUT, "the replica is silent") from error
+            raise SendError(Failure.TIMED_OUT, "no data within the timeout") from error
         except OSError as error:
             raise SendError(Failure.BROKEN, f"receive: {error}") from error
         if not data and self._http.their_state is h11.SEND_RESPONSE:
-            raise SendError(Failure.BROKEN, "closed before an answer")
+            raise SendError(Failure.BROKEN, "closed before a response")
         try:
             self._http.receive_data(data)
         except RuntimeError as error:
@@ -296,19 +310,20 @@
         except OSError as error:
             raise SendError(Failure.BROKEN, f"send: {error}") from error
 
-    def _send_beside(self, data: bytes) -> None:
-        # A failure shows on the reading side, which may still hold an early answer.
+    def _send_in_background(self, data: bytes) -> None:
+        # The reader reports a failure, since an early response may still be readable.
         with contextlib.suppress(OSError):
             self._socket.sendall(data)
 
 
 class ConnectionPool:
     """
-    Idle connections by address.
+    Pool of idle keep-alive connections, by address.
 
     Parameters
     ----------
     clock : Clock
+        Measures how long connections have been idle.
     """
 
     def __init__(self, *, clock: Clock) -> None:
@@ -319,40 +334,42 @@
 
     @property
     def opened_count(self) -> int:
-        """How many connections were opened."""
+        """Number of connections opened since the start."""
         return self._opened
 
     @property
     def max_idle(self) -> int:
-        """How many idle connections are kept to one address."""
+        """Largest number of idle connections to one address."""
         return self._max_idle
 
     def set_idle_limit(self, *, max_connections: int, gateways: int) -> None:
         """
-        Keep no more idle connections than this gateway's share.
+        Limit the idle connections to this gateway's share of a replica's connections.
 
         Parameters
         ----------
         max_connections : int
-            Connections that a replica takes from all gateways together.
+            Connections that a replica accepts from all gateways together.
+        gateways : int
+            Number of gateways that share them.
         """
-        idle_limit = int(IDLE_SHARE * max_connections / max(1, gateways))
+        idle_limit = int(IDLE_CONNECTION_FRACTION * max_connections / max(1, gateways))
         self._max_idle = min(MAX_IDLE_CONNECTIONS, max(1, idle_limit))
 
     def acquire(self, address: str) -> Connection:
         """
-        Return an idle connection that is still good, or a new one.
+        Return an idle connection that is still open, or open a new one.
 
         Raises
         ------
         SendError
-            ``NOT_SENT`` when the replica can't be reached.
+            ``NOT_SENT`` when the connection can't be opened.
         """
         idle = self._idle.get(address)
         now = self._clock.now()
         while idle:
-            until, connection = idle.pop()
-            if now < until and connection.is_open:
+            expires_at, connection = idle.pop()
+            if now < expires_at and connection.is_open:
                 connection.prepare_next_request()
                 return connection
             connection.close()
@@ -364,12 +381,23 @@
         return Connection(address=address, raw=raw)
 
     def release(self, connection: Connection, *, keep_alive: float | None) -> None:
-        """Keep a connection for later if another request may follow on it."""
+        """
+        Return a connection to the pool, or close it if it can't be reused.
+
+        Parameters
+        ----------
+        connection : Connection
+        keep_alive : float or None
+            Seconds that the replica keeps the connection open when idle; ``None`` if
+            it stated none, 0 if it closes the connection.
+        """
         if not connection.is_reusable:
             connection.close()
             return
         seconds = (
-            DEFAULT_IDLE_SECONDS if keep_alive is None else keep_alive * IDLE_FRACTION
+            DEFAULT_KEEP_ALIVE_SECONDS
+            if keep_alive is None
+            else keep_alive * KEEP_ALIVE_FRACTION
         )
         idle = self._idle.setdefault(connection.address, deque())
         while len(idle) >= self._max_idle:
@@ -382,7 +410,7 @@
             connection.close()
 
     def close_expired(self) -> None:
-        """Close connections that have been idle for too long."""
+        """Close connections that are past their keep-alive time."""
         now = self._clock.now()
         for address in list(self._idle):
             idle = self._idle[address]
