--- a/damasklead/gateway/callers.py
+++ b/damasklead/gateway/callers.py
@@ -18,7 +18,7 @@
 from damasklead.clock import Clock
 from damasklead.gateway.calls import Header
 from damasklead.gateway.routing import CallerLimits
-from damasklead.gateway.sockets import set_tcp_options, is_readable
+from damasklead.gateway.sockets import is_readable, set_tcp_options
 
 __all__ = ["CallerConnection", "CallerDisconnected", "RawRequest", "RequestHandler"]
 
--- a/damasklead/gateway/upstream_http.py
+++ b/damasklead/gateway/upstream_http.py
@@ -117,13 +117,8 @@
 
     @property
     def is_open(self) -> bool:
-<<<<<<< HEAD
-        """Whether the idle connection is open and nothing has arrived on it."""
-        return not self._closed and not is_readable(self._socket)
-=======
         """Whether an idle connection is open and has received no unexpected data."""
-        return not self._closed and not readable(self._socket)
->>>>>>> 66e4462 (Reword and rename in the gateway's forwarding, HTTP connections, metrics and settings)
+        return not self._closed and not is_readable(self._socket)
 
     @property
     def is_reusable(self) -> bool:
@@ -311,7 +306,7 @@
             raise SendError(Failure.BROKEN, f"send: {error}") from error
 
     def _send_in_background(self, data: bytes) -> None:
-        # The reader reports a failure, since an early response may still be readable.
+        # The reader reports a failure, since an early response may still arrive.
         with contextlib.suppress(OSError):
             self._socket.sendall(data)
 
