--- a/damasklead/gateway/bootstrap.py
+++ b/damasklead/gateway/bootstrap.py
@@ -2,9 +2,9 @@
 Bootstrap
 =========
 
-Asks other gateways for what they know when this one starts: it is in service sooner,
-also while the platform's store is away, and the store is spared the calls of many
-gateways that start together.
+Fetches the configuration and the replicas from another gateway when this one starts.
+It is ready sooner, also while the platform's store is unreachable, and the store is
+spared the calls of many gateways that start at the same time.
 """
 
 import random
@@ -20,27 +20,28 @@
 
 __all__ = ["Bootstrap", "ConfigurationRecovery"]
 
-# Time between two rounds of asking.
+# Interval between fetches after the first round has brought no configuration.
 SEED_RETRY_SECONDS = 0.25
-# The store is asked as well after so long, when a seed does not even refuse: a machine
-# without power does not, and one that knows anything answers within some milliseconds.
+# The store is polled as well after this time.  A machine without power doesn't even
+# refuse the connection, and a gateway that has a configuration responds within some
+# milliseconds.
 MAX_SEED_WAIT_SECONDS = 0.05
-# Time between two questions for a newer configuration.
+# Minimum time between two fetches of a configuration that the store lacks.
 MIN_FETCH_INTERVAL_SECONDS = 0.5
 
 
 class Bootstrap:
     """
-    The search for a first configuration.
+    The search for a first configuration among the seeds.
 
     Parameters
     ----------
     seeds : list of str
-        Operators' addresses of other gateways; any of them may be down.
+        Addresses of the operators' listeners of other gateways; any may be down.
     is_configured : callable
-        Whether a configuration is known.
+        Returns whether this gateway has a configuration.
     apply_snapshot : callable
-        Is given what another gateway knows.
+        Called with the first snapshot of another gateway.
     connections : ConnectionPool
     journal : Journal
     """
@@ -64,12 +65,16 @@
             self._first_round_ended.set()
 
     def wait_for_seeds(self) -> None:
-        """Wait until another gateway has told what it knows, but not for long."""
+        """
+        Wait for the end of the first round, at most ``MAX_SEED_WAIT_SECONDS``.
+
+        The round ends at the first snapshot, or when all seeds have failed.
+        """
         self._first_round_ended.wait(timeout=MAX_SEED_WAIT_SECONDS)
         self._first_round_ended.set()
 
     def run(self) -> None:
-        """Ask all seeds, then one after the other until a configuration is known."""
+        """Try all seeds at once, then random ones until there is a configuration."""
         fetches = [gevent.spawn(self._fetch_from, seed) for seed in self._seeds]
         for _ in gevent.iwait(fetches):
             if self._is_configured():
@@ -99,12 +104,12 @@
 
 class ConfigurationRecovery:
     """
-    Gets what another gateway knows when the platform's store has forgotten it.
+    Fetches a configuration from another gateway if the platform's store has lost it.
 
     Parameters
     ----------
     apply_snapshot : callable
-        Is given what another gateway knows.
+        Called with the snapshot of the other gateway.
     connections : ConnectionPool
     clock : Clock
     journal : Journal
@@ -125,7 +130,16 @@
         self._fetched_at = float("-inf")
 
     def fetch_from(self, address: str) -> None:
-        """Ask a gateway in the background, unless one was asked just now."""
+        """
+        Fetch the snapshot of a gateway in the background.
+
+        Nothing is done within ``MIN_FETCH_INTERVAL_SECONDS`` of the last fetch.
+
+        Parameters
+        ----------
+        address : str
+            Address of the gateway's operators' listener; if empty, nothing is done.
+        """
         now = self._clock.now()
         if not address or now - self._fetched_at < MIN_FETCH_INTERVAL_SECONDS:
             return
--- a/damasklead/gateway/following.py
+++ b/damasklead/gateway/following.py
@@ -1,9 +1,10 @@
 """
-Following the platform's lists
-==============================
+Followers of the platform's lists
+=================================
 
-Keeps a list of the platform up to date and knows when it is not; the configuration is
-followed here, the replicas in ``replicafollowing``.
+Keep the gateway's copy of a list of the platform up to date, and detect when the list
+can't be read.  The follower of the configuration is here, that of the replicas in
+``replicafollowing``.
 """
 
 import math
@@ -30,33 +31,34 @@
 
 T = TypeVar("T")
 
-# After these the whole list has to be read again.
+# Faults after which the whole list has to be read again.
 _RESYNC_FAULTS = (FeedFault.HISTORY_LOST, FeedFault.STALE, FeedFault.RESTORED)
-# Pause before a list is read anew.
+# Pause before a full read.
 RESYNC_DELAY_SECONDS = 0.1
-# While a gateway pauses after a failed call, what others tell is looked at so often.
-NOTICE_CHECK_SECONDS = 0.3
+# Interval at which the backoff after a failed call is computed anew, since reports of
+# other gateways may have shortened it.
+BACKOFF_CHECK_SECONDS = 0.3
 
 
 class Follower(ABC, Generic[T]):
     """
-    Reads a list once and follows its changes, over failures and lost history.
+    Reads a list once and then its changes, across outages and lost history.
 
     Parameters
     ----------
     name : str
-        For logs.
+        Name of the list in log lines and metrics.
     feed : callable
-        Returns the feed in force.
+        Returns the feed of the present platform address.
     plan : ReadPlan
-        When to ask.
+        Decides when to poll the store.
     clock : Clock
     journal : Journal
     gateway_count : callable
-        Returns how many gateways there are.
+        Returns the number of gateways in the fleet.
     on_restore : callable
-        Told where the list was read before and after the store came back from an older
-        copy.
+        Called with the positions of the list before and after a restore of the store
+        from a backup.
     """
 
     def __init__(
@@ -102,16 +104,16 @@
         )
 
     def notify(self) -> None:
-        """Look at once whether other gateways know of a change."""
+        """Wake the follower, since other gateways have reported a change."""
         self._notification.set()
 
     def run(self) -> None:
-        """Follow forever."""
+        """Follow the list forever."""
         while True:
             step = self._plan.next_step()
             if step.should_poll:
                 gevent.sleep(
-                    min(self.poll_once(wait=step.wait_seconds), NOTICE_CHECK_SECONDS)
+                    min(self.poll_once(wait=step.wait_seconds), BACKOFF_CHECK_SECONDS)
                 )
                 self._wait_for_retry()
             else:
@@ -119,24 +121,36 @@
                 self._notification.clear()
 
     def _wait_for_retry(self) -> None:
-        """Pause after a failed call, for as long as what others tell makes sense."""
-        while left := self._plan.get_remaining_backoff():
-            self._notification.wait(timeout=min(left, NOTICE_CHECK_SECONDS))
+        """Wait until the backoff after a failed call has passed."""
+        while remaining := self._plan.get_remaining_backoff():
+            self._notification.wait(timeout=min(remaining, BACKOFF_CHECK_SECONDS))
             self._notification.clear()
 
     def poll_once(self, *, wait: float = LONG_POLL_SECONDS) -> float:
-        """Make one call; returns the seconds to wait before the next."""
+        """
+        Make one call to the store.
+
+        Parameters
+        ----------
+        wait : float
+            Maximum duration of the long poll in seconds.
+
+        Returns
+        -------
+        float
+            Seconds to wait before the next call.
+        """
         reported = self._plan.get_reported_change()
         try:
             changes = self._call(wait)
         except FeedError as error:
             return self._handle_error(error)
         if self._cursor is not None and changes.cursor.era < self._cursor.era:
-            return RESYNC_DELAY_SECONDS  # a newer era was handed over meanwhile
+            return RESYNC_DELAY_SECONDS  # a peer sent changes of a newer era meanwhile
         self._last_read_at = self._clock.now()
         self._record_recovery()
         self._advance_to(changes.cursor)
-        # What was handed over meanwhile may be newer than the answer.
+        # Changes that a peer sent during the call may be newer than the response.
         before = (
             INITIAL_POSITION if changes.whole or self._cursor is None else self._cursor
         )
@@ -149,10 +163,10 @@
 
     def record_peer_confirmation(self) -> None:
         """
-        Take in that another gateway has just read the list and nothing is missing here.
+        Record that another gateway has just read the list and this one lacks no change.
 
-        It is as good as a call of one's own: what is removed later has not lapsed in an
-        outage of the store.
+        This ends an outage as a successful call of the gateway's own does: entries that
+        are removed from now on haven't expired because of an outage of the store.
         """
         if self._is_unavailable:
             self._record_recovery()
@@ -164,28 +178,28 @@
         self.handle_recovery()
 
     def _advance_to(self, cursor: Position) -> None:
-        """Note up to where the list is known, and whether the store was restored."""
+        """Record the new position of the list and detect a restore of the store."""
         before, self._last_position = self._last_position, cursor
         if before != INITIAL_POSITION and cursor.era > before.era:
             self.handle_restore(cursor)
             self._on_restore(before, cursor)
 
     def handle_restore(self, cursor: Position) -> None:
-        """Take in that the store has come back from an older copy."""
+        """Handle a restore of the store from a backup; ``cursor`` is in its new era."""
 
     @abstractmethod
     def get_last_change(self, changes: Changes[T]) -> Position:
-        """Return a figure that grows with each change of the list."""
+        """Return the position of the newest change in a response."""
 
     @abstractmethod
     def apply_changes(self, changes: Changes[T]) -> None:
-        """Take in what the feed told."""
+        """Apply a response of the feed to the gateway's copy of the list."""
 
     def handle_outage(self) -> None:
-        """Take in that the list can't be read."""
+        """Handle a failed call, unless its fault is one of ``_RESYNC_FAULTS``."""
 
     def handle_recovery(self) -> None:
-        """Take in that the list can be read."""
+        """Handle a successful call, or a peer's confirmation after an outage."""
 
     def _call(self, wait: float) -> Changes[T]:
         feed = self._feed()
@@ -209,15 +223,14 @@
 
 class ConfigurationFollower(Follower[RoutingTable]):
     """
-    Follows the configuration's versions; an older version than the one in force is
-    passed over.
+    Follows the configuration and ignores versions older than the active one.
 
     Parameters
     ----------
     on_change : callable
-        Told of each version that comes into force.
+        Called with each version that becomes active.
     on_unavailable : callable
-        Told when the configuration can't be read.
+        Called each time that the store can't be read.
     """
 
     def __init__(
@@ -247,31 +260,35 @@
 
     @property
     def table(self) -> RoutingTable | None:
-        """The configuration in force."""
+        """The active configuration; ``None`` before the first."""
         return self._table
 
     def apply_changes(self, changes: Changes[RoutingTable]) -> None:
-        """Put the newest version into force."""
+        """Activate the newest version of a response."""
         for table in changes.items:
             self.activate_if_newer(table)
 
     def handle_outage(self) -> None:
-        """Take in that the configuration can't be read."""
+        """Report that the configuration can't be read."""
         self._on_unavailable()
 
     def get_last_change(self, changes: Changes[RoutingTable]) -> Position:
-        """Return the newest version; it is the operators' and knows no eras."""
+        """
+        Return the newest version in a response, as a position of era 0.
+
+        Operators number the versions, so a restore of the store doesn't affect them.
+        """
         newest = max((table.version for table in changes.items), default=0)
         return Position(version=newest)
 
     def apply_peer_configuration(self, table: RoutingTable) -> None:
-        """Take in a version that another gateway has read."""
+        """Apply a version that another gateway has read."""
         self.activate_if_newer(table)
-        version = Position(version=table.version)
-        self._plan.record_peer_update(last_change=version, complete_up_to=version)
+        position = Position(version=table.version)
+        self._plan.record_peer_update(last_change=position, complete_up_to=position)
 
     def activate_if_newer(self, table: RoutingTable) -> None:
-        """Put a version into force if it is newer than the present one."""
+        """Activate a version if it is newer than the active one."""
         before = 0 if self._table is None else self._table.version
         if table.version <= before:
             return
--- a/damasklead/gateway/positions.py
+++ b/damasklead/gateway/positions.py
@@ -2,11 +2,11 @@
 Positions
 =========
 
-Where in the platform's store a list was read.
+Positions in the change history of the platform's store.
 
-The store counts its changes.  When it comes back from an older copy it counts on from
-the copy, so the same figure may stand for two changes; its era, which rises with each
-such return, tells them apart.  No I/O.
+The store numbers its changes.  After a restore from a backup it continues from the
+backup's last number, so that one number may stand for two changes; the era, which the
+store increments at each restore, tells them apart.  No I/O.
 """
 
 import msgspec
@@ -18,13 +18,14 @@
 
 class Position(msgspec.Struct, array_like=True, frozen=True, order=True):
     """
-    A version of the store within an era; a later era goes before any version.
+    A version of the store within an era; positions are ordered by era, then version.
 
     Attributes
     ----------
     era : StoreEra
-        0 where the store names none.
+        Incremented at each restore of the store; 0 if the store reports none.
     version : int
+        Number of the store's change, or of a configuration.
 
     Examples
     --------
@@ -36,5 +37,5 @@
     version: int = 0
 
 
-# Before anything was read.
+# The position before the first read.
 INITIAL_POSITION = Position()
--- a/damasklead/gateway/reading.py
+++ b/damasklead/gateway/reading.py
@@ -1,16 +1,17 @@
 """
-Reading the lists
-=================
+Scheduling of list reads
+========================
 
-Decides which gateway asks the platform's store for changes, and when the others ask.
+Decides which gateway polls the platform's store for changes, and when the others do.
 
-Load pattern: calls of the store are paid for, and a list that nothing changes would be
-asked for by every gateway all the time.  So one gateway, the first by rank, waits at
-the store and hands what it is told to the others, or that there is nothing new.  They
-ask the store themselves when they have missed a change, and as soon as they have not
-been told for a second, whatever the reason is.
+Load pattern: calls to the store are billed, and without coordination every gateway
+would poll lists that seldom change.  So the gateways are ranked by a score, and the one
+of rank 0, the reader, long-polls the store and broadcasts the changes, or the
+confirmation that there are none.  The others poll the store themselves if they have
+missed a change, or if they have received no confirmation for about a second, for
+whatever reason.
 
-No I/O: reports and the clock come in, decisions go out.
+No I/O: reports and the clock are inputs, decisions are outputs.
 """
 
 import math
@@ -33,38 +34,41 @@
     "reader_score",
 ]
 
-# One call of the reader lasts so long when nothing changes.
+# How long the store holds a long poll while nothing changes.
 LONG_POLL_SECONDS = 0.6
-# A confirmation older than this doesn't count: a change has to be in force within two
-# seconds of the store's word, and a call of one's own takes far less than the rest.
+# How long a confirmation by a peer is valid.  A change must be in force within two
+# seconds of its write to the store, and a poll of the gateway's own takes far less than
+# the time that remains.
 CONFIRMATION_TTL_SECONDS = 1.1
-# Gateways further down by rank ask so much later, so that one of the first ones can
-# tell the others.
+# Delay of a poll per rank, so that a gateway of low rank can inform the others first.
 RANK_DELAY_SECONDS = 0.02
-# Beyond so many, the time between two grows with the square: when none of the first
-# was answered the store is most likely away for all.
+# Beyond this rank the delay grows quadratically: if no gateway of lower rank got a
+# response, the store is most likely unreachable for all.
 LINEAR_RANKS = 8
 QUADRATIC_RANK_DELAY_SECONDS = 0.05
-# Pause after a failed call of the first by rank, doubled up to the longest.  Others
-# pause longer, by the square of their place, up to the longest of two limits.
+# Exponential backoff of the reader after a failed call.  While the store is unreachable
+# for all, the backoff of the others is multiplied by the square of (rank + 1).  Its
+# maximum is multiplied likewise, but is no more than NON_READER_BACKOFF_SECONDS or
+# BACKOFF_SECONDS_PER_GATEWAY times the number of gateways, whichever is greater.
 INITIAL_BACKOFF_SECONDS = 0.1
 MAX_BACKOFF_SECONDS = 0.8
 NON_READER_BACKOFF_SECONDS = 10.0
 BACKOFF_SECONDS_PER_GATEWAY = 0.6
-# Who has not heard another gateway for so long can rely on nobody.
+# A gateway that has received no report for this long counts as isolated from its peers.
 PEER_TIMEOUT_SECONDS = 2.0
+# Limit of the backoff's exponent.
 MAX_DOUBLINGS = 10
-# A gateway with twice the processor reads eight times as often: telling all others is
-# much for a small one.
+# A gateway with twice the CPU is the reader eight times as often: sending broadcasts to
+# all others is a heavy load on a small machine.
 CORES_EXPONENT = 3
-# Ranks of gateways that are remembered.
+# Maximum number of cached scores.
 SCORE_CACHE_SIZE = 1_024
-# Pause after a call that brought changes, so that several are read together.
+# Pause after a poll that returned changes, so that the next one reads several at once.
 CHANGE_BATCH_SECONDS = 0.25
 
 
 class ListName(IntEnum):
-    """The lists, by their place in a datagram."""
+    """The lists of the platform; a value is the index of its report in a datagram."""
 
     ROUTING = 0
     UPSTREAMS = 1
@@ -72,15 +76,15 @@
 
 class ListReport(msgspec.Struct, array_like=True, frozen=True):
     """
-    What a gateway knows of a list.
+    How up to date a gateway's copy of a list is.
 
     Attributes
     ----------
     last_change : Position
-        Grows with each change of the list.
+        Position of the newest change that the gateway has applied.
     age_ms : int
-        Milliseconds since the store said that there is nothing newer; -1 when this
-        gateway doesn't ask the store all the time.
+        Milliseconds since the store confirmed that there is nothing newer; -1 while the
+        gateway isn't polling the store continuously.
     """
 
     last_change: Position
@@ -89,14 +93,14 @@
 
 class ReadStep(msgspec.Struct, kw_only=True, frozen=True):
     """
-    What to do next.
+    The next step of a follower: a poll of the store, or a wait for peers.
 
     Attributes
     ----------
     should_poll : bool
-        Whether to ask the store.
+        Whether to poll the store.
     wait_seconds : float
-        Seconds that the store may wait for a change, or to wait here for a notice.
+        Maximum duration of the long poll, or of the wait for a notification by a peer.
     """
 
     should_poll: bool
@@ -105,7 +109,7 @@
 
 class ListReports:
     """
-    The newest reports of other gateways.
+    The newest state of the lists that other gateways have reported.
 
     Parameters
     ----------
@@ -120,13 +124,22 @@
 
     @property
     def has_recent_peer(self) -> bool:
-        """Whether another gateway was heard lately."""
+        """Whether a report arrived within the last ``PEER_TIMEOUT_SECONDS``."""
         return self._clock.now() - self._received_at <= PEER_TIMEOUT_SECONDS
 
     def record_reports(self, reports: Iterable[ListReport]) -> bool:
         """
-        Take in one gateway's reports, in the order of the lists; returns whether any
-        tells of a change.
+        Record the reports of one gateway.
+
+        Parameters
+        ----------
+        reports : iterable of ListReport
+            In the order of ``ListName``.
+
+        Returns
+        -------
+        bool
+            Whether any of them announces a change that no gateway had reported before.
         """
         now = self._received_at = self._clock.now()
         before = dict(self._last_changes)
@@ -140,38 +153,43 @@
         return self._last_changes != before
 
     def get_last_change(self, name: ListName) -> Position:
-        """Return the newest mark that any gateway has told."""
+        """Return the position of the newest change that a gateway has reported."""
         return self._last_changes[name]
 
     def get_confirmation_time(self, name: ListName) -> float:
-        """Return when the store last said to another gateway what is newest."""
+        """Return the clock reading of the store's last confirmation to a peer."""
         return self._confirmation_times[name]
 
 
 @lru_cache(maxsize=SCORE_CACHE_SIZE)
 def reader_score(name: str, cores: float = 1.0) -> float:
     """
-    Return a gateway's rank; the lowest one reads the lists for the others.
+    Return a gateway's weighted rendezvous hashing score; the lowest has rank 0.
 
     Parameters
     ----------
+    name : str
+        The gateway's instance name.
     cores : float
-        Processor that it may use; those with more come first more often.
+        CPU cores that it may use; its weight is their number to the power of
+        ``CORES_EXPONENT``.
     """
     return -math.log((stable_hash("reader", name) + 1) / 2**64) / cores**CORES_EXPONENT
 
 
 class ReadPlan:
     """
-    When one gateway asks for one list.
+    The schedule by which one gateway polls the store for one list.
 
     Parameters
     ----------
     name : ListName
     clock : Clock
     reports : ListReports
+        Shared by the plans of all lists.
     rank : callable
-        Returns this gateway's place by rank; the first reads for the others.
+        Returns the number of gateways with a lower score; the one of rank 0 is the
+        reader.
     """
 
     def __init__(
@@ -197,7 +215,7 @@
 
     @property
     def report(self) -> ListReport:
-        """What to tell other gateways."""
+        """The report that is sent to other gateways."""
         if not self._polls_store or self._polled_at == float("-inf"):
             return ListReport(self._last_change, -1)
         age = max(0.0, self._clock.now() - self._polled_at)
@@ -205,19 +223,27 @@
 
     @property
     def is_caught_up(self) -> bool:
-        """Whether nothing that other gateways have told is missing."""
+        """Whether this gateway has all changes that its peers have reported."""
         return self._reports.get_last_change(self._name) <= max(
             self._last_change, self._complete_up_to
         )
 
     def is_missing_from_store(self, change: Position) -> bool:
         """
-        Tell whether another gateway has something newer that the store no longer has.
+        Return whether the store lacks a change that another gateway has.
+
+        That is the case if this gateway has read everything up to the change without
+        finding it.
+
+        Parameters
+        ----------
+        change : Position
+            Position of the newest change that the other gateway has reported.
         """
         return self._last_change < change <= self._complete_up_to
 
     def next_step(self) -> ReadStep:
-        """Return what to do next."""
+        """Return whether to poll the store now, and for how long to wait."""
         now = self._clock.now()
         rank = self._rank()
         if self._polled_at == float("-inf") or rank == 0:
@@ -236,7 +262,7 @@
         return ReadStep(should_poll=False, wait_seconds=confirmed_until - now)
 
     def _rank_delay(self, rank: int) -> float:
-        """Return the seconds for which those before by rank may ask first."""
+        """Return the seconds during which gateways of lower rank may poll first."""
         delay = min(rank, LINEAR_RANKS) * RANK_DELAY_SECONDS
         later_ranks = rank - LINEAR_RANKS
         if later_ranks > 0 and self._reports.has_recent_peer:
@@ -245,14 +271,14 @@
 
     def record_failure(self, *, gateway_count: int, jitter: float) -> None:
         """
-        Take in that the store could not be asked.
+        Record a failed call to the store.
 
         Parameters
         ----------
         gateway_count : int
-            How many there are.
+            Number of gateways in the fleet.
         jitter : float
-            Part of the pause that is kept, so that gateways don't ask together.
+            Factor of the backoff, at most 1, so that gateways don't retry in step.
         """
         self._failures += 1
         self._failed_at = self._clock.now()
@@ -261,11 +287,12 @@
 
     def get_remaining_backoff(self) -> float:
         """
-        Return the seconds for which the store is not asked after a failed call.
+        Return the seconds until the store may be polled again after a failed call.
 
-        Whoever reaches a store that was away tells the others, so that the whole fleet,
-        whatever its size, asks it a few times a second.  As soon as another gateway
-        reaches it, only this one is turned away, and pauses no longer than the first.
+        The first gateway that reaches the store again informs the others, so it is
+        enough that the whole fleet, whatever its size, retries a few times a second.
+        As soon as another gateway reaches the store, only this one is rejected, and its
+        backoff is no longer than that of the reader.
         """
         if not self._failures:
             return 0.0
@@ -285,7 +312,7 @@
 
     @property
     def _is_store_unreachable(self) -> bool:
-        """Whether no gateway reaches the store, though others are heard."""
+        """Whether peers send reports, but none was confirmed by the store lately."""
         now = self._clock.now()
         confirmed = (
             now - self._reports.get_confirmation_time(self._name)
@@ -295,33 +322,34 @@
 
     def record_response(self, *, reported: Position, last_change: Position) -> None:
         """
-        Take in an answer of the store.
+        Record a response of the store.
 
         Parameters
         ----------
         reported : Position
-            The newest mark that others had told before the call.
+            Position of the newest change that peers had reported before the call.
         last_change : Position
-            The newest mark of what the answer held.
+            Position of the newest change in the response.
         """
         self._polled_at = self._clock.now()
         self._failures = 0
         self._last_change = max(self._last_change, last_change)
-        # What others saw removed leaves no mark in a list that is read anew.
+        # A full read doesn't contain removed entries, so the position of a removal that
+        # peers have reported may be newer than any position in the response.
         self._complete_up_to = max(self._complete_up_to, reported)
 
     def record_peer_update(
         self, *, last_change: Position, complete_up_to: Position
     ) -> None:
         """
-        Take in that another gateway has handed over what the store told it.
+        Record changes that another gateway has read from the store and sent.
 
         Parameters
         ----------
         last_change : Position
-            The newest mark of what was handed over.
+            Position of the newest change among them.
         complete_up_to : Position
-            The mark up to which nothing is missing.
+            Position up to which no change is missing.
         """
         self._failures = 0
         if self._polled_at == float("-inf"):
@@ -331,5 +359,5 @@
         self._complete_up_to = max(self._complete_up_to, complete_up_to)
 
     def get_reported_change(self) -> Position:
-        """Return the newest mark that others have told."""
+        """Return the position of the newest change that peers have reported."""
         return self._reports.get_last_change(self._name)
--- a/damasklead/gateway/reloading.py
+++ b/damasklead/gateway/reloading.py
@@ -1,8 +1,9 @@
 """
-Settings as they change
-=======================
+Reloading of settings
+=====================
 
-Reads the settings file at the start, on a signal, and whenever it has changed.
+The settings file of a gateway, which is reloaded on a signal and whenever it has
+changed.
 """
 
 from pathlib import Path
@@ -22,7 +23,7 @@
     ----------
     path : Path
     settings : GatewaySettings
-        As read from the file at the start.
+        As read from the file at start-up.
     journal : Journal
     """
 
@@ -36,22 +37,22 @@
 
     @property
     def settings(self) -> GatewaySettings:
-        """The settings in force."""
+        """The active settings."""
         return self._settings
 
     @property
     def has_changed(self) -> bool:
-        """Whether the file was written since it was last read."""
+        """Whether the file was modified since it was last read."""
         return _read_stamp(self._path) != self._stamp
 
     def reload(self) -> bool:
         """
-        Read the file again; what is wrong leaves the old settings in force.
+        Reload the file; if it is invalid, the old settings stay active.
 
         Returns
         -------
         bool
-            Whether the file was sound.
+            Whether the file could be read and was valid.
         """
         self._stamp = _read_stamp(self._path)
         findings = Findings()
@@ -70,7 +71,7 @@
 
 
 def _read_stamp(file: Path) -> tuple[int, int]:
-    """Return what changes when a file is written; zeros while there is none."""
+    """Return a file's modification time in ns and its size; zeros if it is missing."""
     try:
         status = file.stat()
     except OSError:
--- a/damasklead/gateway/replicafollowing.py
+++ b/damasklead/gateway/replicafollowing.py
@@ -1,8 +1,9 @@
 """
-Following the replicas
-======================
+Follower of the replicas
+========================
 
-Keeps the directory of replicas up to date, and the newest changes for other gateways.
+Keeps the directory of replicas up to date, and a log of the newest changes, from which
+other gateways get theirs.
 """
 
 from collections.abc import Callable
@@ -26,13 +27,14 @@
     Parameters
     ----------
     directory : UpstreamDirectory
+        Receives the entries.
     on_change : callable
-        Told that the directory has changed.
+        Called when the directory has changed.
 
     Attributes
     ----------
     change_log : ChangeLog
-        The newest changes, for other gateways.
+        The newest changes, to be broadcast to other gateways.
     """
 
     def __init__(
@@ -61,7 +63,7 @@
         self._on_change = on_change
 
     def apply_changes(self, changes: Changes[ListedRow]) -> None:
-        """Take in entries of the list."""
+        """Apply the entries of a response to the directory and the change log."""
         if changes.whole:
             self._log_full_read(changes)
         else:
@@ -73,9 +75,10 @@
 
     def _log_full_read(self, changes: Changes[ListedRow]) -> None:
         """
-        Hand on what differs in a list that was read anew.
+        Log how a full read differs from the directory.
 
-        Others need not read it as well where they know what this gateway knew.
+        Gateways that are at this gateway's previous position then need no full read of
+        their own.
         """
         before = self.change_log.cursor
         if before == INITIAL_POSITION or before >= changes.cursor:
@@ -91,11 +94,11 @@
         self.change_log.append_diff(changed_rows, changes.cursor)
 
     def get_last_change(self, changes: Changes[ListedRow]) -> Position:
-        """Return the newest entry's version."""
+        """Return the position of the newest entry."""
         return _last_change(changes.items)
 
     def apply_snapshot(self, rows: list[ListedRow], cursor: Position) -> None:
-        """Take in the whole list as another gateway knows it."""
+        """Apply the whole list of another gateway, which has read up to ``cursor``."""
         if self._cursor is None and cursor > INITIAL_POSITION:
             self._cursor = cursor
             self._advance_to(cursor)
@@ -111,13 +114,22 @@
         cursor: Position,
         rows: list[ListedRow],
     ) -> None:
-        """Take in the changes after one cursor up to another one, if none is missed."""
+        """
+        Apply changes that another gateway has read, if they follow without a gap.
+
+        Parameters
+        ----------
+        base, cursor : Position
+            ``rows`` are all changes after ``base`` up to ``cursor``.
+        rows : list of ListedRow
+        """
         if self._cursor is None or not base <= self._cursor < cursor:
             return
         previous = self._cursor
         restored = cursor.era > previous.era
         if restored and previous != base:
-            # It may know of changes that neither the sender nor the store knows now.
+            # This gateway may have applied changes that the sender never read and that
+            # the restored store has lost, so it needs a full read.
             return
         self._cursor = cursor
         self._advance_to(cursor)
@@ -133,23 +145,23 @@
 
     @property
     def cursor(self) -> Position:
-        """Up to where the list was read; ``INITIAL_POSITION`` before."""
+        """Position up to which the list was read; ``INITIAL_POSITION`` before."""
         return self._cursor or INITIAL_POSITION
 
     def handle_restore(self, cursor: Position) -> None:
-        """Take in that the store has come back from an older copy."""
+        """Pass on that the store was restored: the list may lack newer entries."""
         self._directory.list_restored(cursor)
 
     def handle_outage(self) -> None:
-        """Take in that the list can't be read: removals may be lapses."""
+        """Pass on that the list can't be read: removals may be expired entries."""
         self._directory.list_lost()
 
     def handle_recovery(self) -> None:
-        """Take in that the list can be read."""
+        """Pass on that the list can be read again."""
         self._directory.list_back()
 
     def expire(self) -> None:
-        """Drop replicas that have not come back after an outage."""
+        """Remove replicas that haven't renewed their entry in time after an outage."""
         self._report_changes(self._directory.expire())
 
     def _report_changes(self, changes: list[str]) -> None:
--- a/damasklead/gateway/runparts.py
+++ b/damasklead/gateway/runparts.py
@@ -1,8 +1,8 @@
 """
-Parts of runs
-=============
+Gateway context
+===============
 
-What the runs of one gateway share.
+The collaborators that all proxied requests of one gateway share.
 """
 
 from collections.abc import Callable
@@ -23,14 +23,25 @@
 
 class GatewayContext(msgspec.Struct, kw_only=True, frozen=True):
     """
-    What the runs of one gateway share.
+    The collaborators that all proxied requests of one gateway share.
 
     Attributes
     ----------
+    dialect : Dialect
+        Translates the headers of the platform.
+    connections : ConnectionPool
+        Connections to replicas.
+    budget : SharedRetryBudget
+        Limits the retries of all requests together.
+    asker : Asker
+        Requests replicas from the coordinators.
+    containment : Containment
+        Refuses requests that have crashed replicas.
     on_replica_left : callable
-        Told of a replica that leaves or is gone, and by which sign.
+        Called with a replica that is leaving or gone, and a text that says how this was
+        detected.
     response_memory : ResponseMemoryBudget
-        Bounds the bodies that are being read.
+        Limits the total size of the response bodies that are being read.
     """
 
     dialect: Dialect
--- a/damasklead/gateway/snapshot.py
+++ b/damasklead/gateway/snapshot.py
@@ -2,7 +2,8 @@
 Snapshot
 ========
 
-What a gateway knows, for another one that starts while the platform's store is away.
+The lists that a gateway has read, as served to another one that starts or that lacks
+the newest configuration.
 """
 
 import gevent
@@ -17,41 +18,54 @@
 __all__ = ["SNAPSHOT_PATH", "Snapshot", "SnapshotError", "fetch_snapshot"]
 
 SNAPSHOT_PATH = "/snapshot"
-# A gateway answers within milliseconds; one that doesn't is passed over.
+# A gateway responds within milliseconds; one that takes longer is given up.
 SNAPSHOT_TIMEOUT_SECONDS = 0.7
-# A configuration with thousands of routes takes about 1 MB.
+# Limit of the body; a configuration with thousands of routes takes about 1 MB.
 MAX_SNAPSHOT_BYTES = 33_554_432
 
 
 class Snapshot(msgspec.Struct, kw_only=True, frozen=True):
-    """The configuration in force, the replicas' entries, and the gateways known."""
+    """
+    The lists of one gateway.
+
+    Attributes
+    ----------
+    routing : RoutingContent
+        The active configuration.
+    upstreams : list of ListedRow
+        The entries of the replicas.
+    peers : list of PeerEntry
+        The gateways that it knows, itself included.
+    cursor : Position
+        Position up to which the list of replicas was read.
+    """
 
     routing: RoutingContent
     upstreams: list[ListedRow]
     peers: list[PeerEntry]
-    # Up to where the list of replicas was read.
     cursor: Position = INITIAL_POSITION
 
 
 class SnapshotError(Exception):
-    """A gateway that gave no snapshot; the text says why."""
+    """Fetching a snapshot failed; the text gives the reason."""
 
 
 def fetch_snapshot(address: str, connections: ConnectionPool) -> Snapshot:
     """
-    Ask a gateway for what it knows.
+    Fetch the snapshot of another gateway.
 
     Parameters
     ----------
     address : str
-        The operators' address of the other gateway.
+        Address of the other gateway's operators' listener.
+    connections : ConnectionPool
 
     Raises
     ------
     SnapshotError
-        When it gives none in time.
+        If the gateway sends no valid snapshot in ``SNAPSHOT_TIMEOUT_SECONDS``.
     """
-    timeout_error = SnapshotError(f"no answer in {SNAPSHOT_TIMEOUT_SECONDS} s")
+    timeout_error = SnapshotError(f"no response in {SNAPSHOT_TIMEOUT_SECONDS} s")
     try:
         with gevent.Timeout(SNAPSHOT_TIMEOUT_SECONDS, timeout_error):
             connection = connections.acquire(address)
@@ -73,4 +87,4 @@
     try:
         return msgspec.msgpack.decode(body, type=Snapshot)
     except msgspec.DecodeError as error:
-        raise SnapshotError(f"unreadable: {error}") from error
+        raise SnapshotError(f"invalid snapshot: {error}") from error
--- a/damasklead/gateway/starting.py
+++ b/damasklead/gateway/starting.py
@@ -1,25 +1,27 @@
 """
-Starting
-========
+Start-up gate
+=============
 
-Holds the requests that arrive while a gateway learns what it needs to serve them.
+Holds requests that arrive before a gateway has its configuration and replicas.
 
-Load pattern: all gateways come back at once after a loss of power.  Callers connect the
-moment one listens, some hundredths of a second before it knows the configuration; a
-refusal would send each away for longer than that.
+Load pattern: all gateways restart at once after a power failure.  Callers connect as
+soon as one listens, some hundredths of a second before it has its configuration; a
+refusal would make each caller wait longer than that until its retry.
 """
 
 from gevent.event import Event
 
 __all__ = ["StartGate"]
 
-# Callers leave when nothing happens for about a second.
+# Callers disconnect if they receive nothing for about a second.
 MAX_HOLD_SECONDS = 0.7
 
 
 class StartGate:
     """
-    Closed until the gateway can serve, or until it is clear that it can't soon.
+    A gate that holds requests until the gateway is ready, or can't be ready soon.
+
+    It is opened once and never closed again.
 
     Examples
     --------
@@ -32,9 +34,9 @@
         self._opened = Event()
 
     def open(self) -> None:
-        """Let requests through; the gate does not close again."""
+        """Release all requests that are held, and hold no further ones."""
         self._opened.set()
 
     def wait(self) -> None:
-        """Hold a request for as long as it helps its caller."""
+        """Wait until the gate is open, at most ``MAX_HOLD_SECONDS``."""
         self._opened.wait(timeout=MAX_HOLD_SECONDS)
