--- a/damasklead/gateway/broadcasts.py
+++ b/damasklead/gateway/broadcasts.py
@@ -2,13 +2,14 @@
 Broadcasts
 ==========
 
-One gateway, the first by rank that is heard, tells all others what the platform's lists
-hold, which replicas leave and which requests crash replicas.  The others tell it what
-they see.  When it is silent, the next by rank takes over.
-
-Load pattern: hundreds of gateways that all need each change within a second; if each
-told all others, messages would grow with the square of the fleet, and if each asked the
-store, calls with every change.
+Distributes the state of the platform's lists, departures of replicas and crashes within
+the fleet.  One gateway, the broadcaster, sends them to all others, and each of these
+reports to it what it observes itself.  The broadcaster is the gateway of rank 0; when
+it is silent, the next gateway by rank takes over.
+
+Load pattern: hundreds of gateways that all need each change within a second.  If each
+sent its state to all others, messages would grow with the square of the fleet; if each
+polled the store, its calls would grow with every change.
 """
 
 import zlib
@@ -37,57 +38,76 @@
 
 __all__ = ["Broadcasts"]
 
-# Time between two broadcasts without news.
-BROADCAST_SECONDS = 0.3
-# Time between two with news, so that several go together.
-GATHER_SECONDS = 0.15
-# Each piece of news is told so often, since datagrams get lost.
-MOST_TELLINGS = 2
-# The next gateway by rank takes over after such a silence, others so much later each.
-TAKE_OVER_SECONDS = 1.0
-TAKE_OVER_STEP_SECONDS = 0.1
-MOST_STEPS = 10
-# Another gateway's confirmation of the lists makes one's own needless for so long.
-CONFIRMED_SECONDS = 0.6
-# Milliseconds since its sender's call for which a broadcast stands for one's own call.
-CONFIRMED_AGE = 1_000
-# What was told is remembered for so long, so that it is not told again.
-REMEMBER_SECONDS = 30.0
-# A configuration that is longer when it is compressed is asked of the store.
-ROUTING_BYTES = 8_192
-
-
-_Note = CrashNote | Departure
-
+# Time between two broadcasts, or two reports, when there is nothing new.
+BROADCAST_INTERVAL_SECONDS = 0.3
+# Least time between two of them, so that several events share a datagram.
+MIN_UPDATE_INTERVAL_SECONDS = 0.15
+# Broadcasts that repeat an event, since datagrams may be lost.
+MAX_TRANSMISSIONS = 2
+# Without a broadcast for this long the gateway of rank 1 takes over; each further rank
+# waits longer by a delay that is added for at most so many ranks.
+TAKEOVER_TIMEOUT_SECONDS = 1.0
+TAKEOVER_RANK_DELAY_SECONDS = 0.1
+MAX_DELAYED_RANKS = 10
+# A gateway broadcasts at any rank if it alone has read the lists within this time.
+SOLE_READER_WINDOW_SECONDS = 0.6
+# A broadcast replaces a poll of one's own if its sender polled at most so long before.
+MAX_CONFIRMATION_AGE_MS = 1_000
+# Events are remembered for this long, so that they are not broadcast again.
+EVENT_RETENTION_SECONDS = 30.0
+# Largest compressed configuration in a broadcast; a larger one is read from the store.
+MAX_ROUTING_BYTES = 8_192
+
+
+_FleetEvent = CrashNote | Departure
+
+
+class _EventState(msgspec.Struct, kw_only=True):
+    """
+    Transmissions of an event.
 
-class _News(msgspec.Struct, kw_only=True):
-    """When a note came, and how often it was told."""
+    Attributes
+    ----------
+    first_seen_at : float
+        Clock reading in seconds.
+    transmissions : int
+        Broadcasts that held the event.
+    """
 
-    at: float
-    told: int = 0
+    first_seen_at: float
+    transmissions: int = 0
 
 
 class Broadcasts:
     """
-    Sends broadcasts or takes them in.
+    Sends broadcasts or reports, and applies those of other gateways.
 
     Parameters
     ----------
     peers : Peers
+        Sends the datagrams and delivers received ones.
     configuration : ConfigurationFollower
     upstreams : UpstreamFollower
     plans : list of ReadPlan
+        One for each list, in the order of ``ListName``.
     reports : ListReports
+        State of the lists at other gateways.
     containment : Containment
+        Source and destination of replica crashes.
     departures : DepartureLog
-    take_departures : callable
-        Takes what others tell of replicas that leave.
-    outdated : callable
-        Told of a gateway whose configuration is newer than this one's and the store's.
+        Departures that this gateway observed itself.
+    apply_departures : callable
+        Applies departures that other gateways reported.
+    request_routing : callable
+        Called with the name of a gateway whose configuration is newer than both this
+        gateway's and the store's.
     clock : Clock
-    own : str
+    instance : str
+        Name of this gateway.
     cores : float
+        Processor cores that it may use.
     incarnation : int
+        Start of its process in milliseconds of Unix time.
     """
 
     def __init__(
@@ -100,10 +120,10 @@
         reports: ListReports,
         containment: Containment,
         departures: DepartureLog,
-        take_departures: Callable[[list[Departure]], None],
-        outdated: Callable[[str], None],
+        apply_departures: Callable[[list[Departure]], None],
+        request_routing: Callable[[str], None],
         clock: Clock,
-        own: str,
+        instance: str,
         cores: float,
         incarnation: int,
     ) -> None:
@@ -114,187 +134,203 @@
         self._reports = reports
         self._containment = containment
         self._departures = departures
-        self._take_departures = take_departures
-        self._outdated = outdated
+        self._apply_departures = apply_departures
+        self._request_routing = request_routing
         self._clock = clock
-        self._own = own
+        self._instance = instance
         self._cores = cores
         self._incarnation = incarnation
-        self._number = 0
-        self._changed = Event()
-        self._ranked: tuple[frozenset[str], int] | None = None
-        self._heard_at = clock.now()
+        self._sequence_number = 0
+        self._update_due = Event()
+        self._ranking: tuple[frozenset[str], int] | None = None
+        self._last_broadcast_at = clock.now()
         self._broadcaster: str | None = None
-        self._broadcaster_mark = INITIAL_POSITION
-        self._orders: dict[str, tuple[int, int]] = {}
-        self._news: dict[_Note, _News] = {}
+        self._broadcaster_position = INITIAL_POSITION
+        self._last_sequence: dict[str, tuple[int, int]] = {}
+        self._events: dict[_FleetEvent, _EventState] = {}
+        # Version, compressed content and transmissions of the last configuration.
         self._routing = (0, b"", 0)
-        peers.register_handler(Broadcast, self._take_broadcast)
-        peers.register_handler(PeerReport, self._take_notice)
+        peers.register_handler(Broadcast, self._handle_broadcast)
+        peers.register_handler(PeerReport, self._handle_report)
 
     @property
-    def position(self) -> int:
-        """The place of this gateway by rank, 0 for the first."""
-        return self._places()[1]
+    def rank(self) -> int:
+        """The number of gateways with a lower reader score than this one."""
+        return self._rank_peers()[1]
 
     @property
-    def sends(self) -> bool:
-        """Whether this gateway is the one that tells the others."""
-        position = self.position
-        steps = min(position, MOST_STEPS) * TAKE_OVER_STEP_SECONDS
-        silent = self._clock.now() - self._heard_at
-        return position == 0 or silent > TAKE_OVER_SECONDS + steps
+    def is_broadcaster(self) -> bool:
+        """Whether this gateway sends broadcasts, by its rank or after a timeout."""
+        rank = self.rank
+        delay = min(rank, MAX_DELAYED_RANKS) * TAKEOVER_RANK_DELAY_SECONDS
+        silence = self._clock.now() - self._last_broadcast_at
+        return rank == 0 or silence > TAKEOVER_TIMEOUT_SECONDS + delay
 
-    def arrange(self) -> None:
-        """Take in that the gateways have changed; they are ranked when needed."""
-        self._ranked = None
+    def invalidate_ranking(self) -> None:
+        """Discard the ranking after a change of members; it is computed when needed."""
+        self._ranking = None
 
-    def tell_soon(self) -> None:
-        """Tell others at once that there is news."""
-        self._changed.set()
+    def schedule_update(self) -> None:
+        """Send an update without waiting for the end of the broadcast interval."""
+        self._update_due.set()
 
     def run(self) -> None:
-        """Tell the others, forever."""
+        """Send updates at each interval or when they are scheduled, forever."""
         while True:
-            self._changed.wait(timeout=BROADCAST_SECONDS)
-            self._changed.clear()
-            self.step()
-            gevent.sleep(GATHER_SECONDS)
-
-    def step(self) -> None:
-        """Tell all others, or the one that does, what there is to tell."""
-        if self.sends or self._confirms_alone():
-            self._peers.send_all(self._broadcast())
+            self._update_due.wait(timeout=BROADCAST_INTERVAL_SECONDS)
+            self._update_due.clear()
+            self.send_update()
+            gevent.sleep(MIN_UPDATE_INTERVAL_SECONDS)
+
+    def send_update(self) -> None:
+        """Broadcast to all gateways, or report to the broadcaster."""
+        if self.is_broadcaster or self._is_sole_reader():
+            self._peers.send_all(self._build_broadcast())
             self._upstreams.change_log.record_transmission()
         else:
-            self._notify_broadcaster()
+            self._send_report()
 
-    def _places(self) -> tuple[frozenset[str], int]:
-        """Return the gateways before this one by rank, and how many they are."""
-        if self._ranked is None:
-            rank = reader_score(self._own, self._cores)
-            earlier = frozenset(
+    def _rank_peers(self) -> tuple[frozenset[str], int]:
+        """Return the gateways that precede this one by score, and their number."""
+        if self._ranking is None:
+            score = reader_score(self._instance, self._cores)
+            preceding = frozenset(
                 entry.instance
                 for entry in self._peers.members
-                if reader_score(entry.instance, entry.cores) < rank
+                if reader_score(entry.instance, entry.cores) < score
             )
-            self._ranked = (earlier, len(earlier))
-        return self._ranked
+            self._ranking = (preceding, len(preceding))
+        return self._ranking
 
-    def _confirms_alone(self) -> bool:
-        """Whether only this gateway reads the lists, as far as it knows."""
+    def _is_sole_reader(self) -> bool:
+        """Tell whether this gateway reads the lists and no other is known to."""
         now = self._clock.now()
         ages = [plan.report.age_ms for plan in self._plans]
-        if not all(0 <= age < CONFIRMED_SECONDS * 1000 for age in ages):
+        if not all(0 <= age < SOLE_READER_WINDOW_SECONDS * 1000 for age in ages):
             return False
-        confirmed = min(self._reports.get_confirmation_time(name) for name in ListName)
-        return now - confirmed > CONFIRMED_SECONDS
+        confirmed_at = min(
+            self._reports.get_confirmation_time(name) for name in ListName
+        )
+        return now - confirmed_at > SOLE_READER_WINDOW_SECONDS
 
-    def _notify_broadcaster(self) -> None:
-        crashes, left = self._containment.notes, self._departures.recent_departures
-        own = self._plans[ListName.ROUTING].report.last_change
-        newer = own if own > self._broadcaster_mark else INITIAL_POSITION
+    def _send_report(self) -> None:
+        """Send the broadcaster what it may not know, if there is anything."""
+        crashes, departures = (
+            self._containment.notes,
+            self._departures.recent_departures,
+        )
+        known = self._plans[ListName.ROUTING].report.last_change
+        newer = known if known > self._broadcaster_position else INITIAL_POSITION
         if self._broadcaster is not None and (
-            crashes or left or newer != INITIAL_POSITION
+            crashes or departures or newer != INITIAL_POSITION
         ):
-            notice = PeerReport(self._own, crashes, left, newer)
-            self._peers.send(self._broadcaster, notice)
+            report = PeerReport(self._instance, crashes, departures, newer)
+            self._peers.send(self._broadcaster, report)
 
-    def _broadcast(self) -> Broadcast:
-        self._number += 1
+    def _build_broadcast(self) -> Broadcast:
+        self._sequence_number += 1
         now = self._clock.now()
-        own: list[_Note] = [
+        observed: list[_FleetEvent] = [
             *self._containment.notes,
             *self._departures.recent_departures,
         ]
-        for note in own:
-            self._news.setdefault(note, _News(at=now))
-        self._news = {
-            note: news
-            for note, news in self._news.items()
-            if now - news.at < REMEMBER_SECONDS
+        for event in observed:
+            self._events.setdefault(event, _EventState(first_seen_at=now))
+        self._events = {
+            event: state
+            for event, state in self._events.items()
+            if now - state.first_seen_at < EVENT_RETENTION_SECONDS
         }
-        untold = [n for n, news in self._news.items() if news.told < MOST_TELLINGS]
-        for note in untold:
-            self._news[note].told += 1
-        log = self._upstreams.change_log
+        pending = [
+            event
+            for event, state in self._events.items()
+            if state.transmissions < MAX_TRANSMISSIONS
+        ]
+        for event in pending:
+            self._events[event].transmissions += 1
+        change_log = self._upstreams.change_log
         return Broadcast(
-            self._own,
+            self._instance,
             self._incarnation,
-            self._number,
+            self._sequence_number,
             [plan.report for plan in self._plans],
-            log.base,
-            log.cursor,
-            log.rows,
-            self._new_routing(),
-            [note for note in untold if isinstance(note, CrashNote)],
-            [note for note in untold if isinstance(note, Departure)],
+            change_log.base,
+            change_log.cursor,
+            change_log.rows,
+            self._encode_new_routing(),
+            [event for event in pending if isinstance(event, CrashNote)],
+            [event for event in pending if isinstance(event, Departure)],
         )
 
-    def _new_routing(self) -> bytes:
-        """Return the configuration while it is new and if it is short."""
+    def _encode_new_routing(self) -> bytes:
+        """
+        Return the compressed configuration, empty when it is too long for a broadcast
+        or has been sent ``MAX_TRANSMISSIONS`` times.
+        """
         table = self._configuration.table
         if table is None:
             return b""
-        version, data, told = self._routing
+        version, data, transmissions = self._routing
         if version != table.version:
-            packed = zlib.compress(msgspec.msgpack.encode(table.content), 1)
-            data = packed if len(packed) <= ROUTING_BYTES else b""
-            told = 0
-        self._routing = (table.version, data, told + 1)
-        return data if told < MOST_TELLINGS else b""
-
-    def _take_broadcast(self, message: Broadcast, sender: str) -> None:
-        order = (message.incarnation, message.number)
-        if order <= self._orders.get(sender, (0, 0)):
+            compressed = zlib.compress(msgspec.msgpack.encode(table.content), 1)
+            data = compressed if len(compressed) <= MAX_ROUTING_BYTES else b""
+            transmissions = 0
+        self._routing = (table.version, data, transmissions + 1)
+        return data if transmissions < MAX_TRANSMISSIONS else b""
+
+    def _handle_broadcast(self, message: Broadcast, sender: str) -> None:
+        sequence = (message.incarnation, message.sequence_number)
+        if sequence <= self._last_sequence.get(sender, (0, 0)):
             return
-        self._orders[sender] = order
-        earlier = sender in self._places()[0]
-        if earlier or not self.sends:
+        self._last_sequence[sender] = sequence
+        precedes = sender in self._rank_peers()[0]
+        if precedes or not self.is_broadcaster:
             self._broadcaster = sender
-            self._broadcaster_mark = message.lists[ListName.ROUTING].last_change
-        if earlier:
-            self._heard_at = self._clock.now()
+            self._broadcaster_position = message.lists[ListName.ROUTING].last_change
+        if precedes:
+            self._last_broadcast_at = self._clock.now()
         self._containment.take(message.crashes)
-        self._take_departures(message.left)
+        self._apply_departures(message.departures)
         if message.routing:
-            self._take_routing(message.routing)
-        news = self._reports.record_reports(message.lists)
+            self._apply_routing(message.routing)
+        has_changes = self._reports.record_reports(message.lists)
         self._upstreams.apply_peer_changes(message.base, message.cursor, message.rows)
-        self._confirm(message)
-        self._look_for_newer(sender, message.lists[ListName.ROUTING].last_change)
-        if news:
+        self._confirm_lists(message)
+        self._request_newer_routing(sender, message.lists[ListName.ROUTING].last_change)
+        if has_changes:
             self._configuration.notify()
             self._upstreams.notify()
 
-    def _confirm(self, message: Broadcast) -> None:
-        """Let the followers know that the sender has just read the lists."""
-        fresh = [0 <= report.age_ms < CONFIRMED_AGE for report in message.lists]
-        if fresh[ListName.ROUTING] and self._plans[ListName.ROUTING].is_caught_up:
+    def _confirm_lists(self, message: Broadcast) -> None:
+        """Record a recent poll of the sender for each list that is up to date here."""
+        is_fresh = [
+            0 <= report.age_ms < MAX_CONFIRMATION_AGE_MS for report in message.lists
+        ]
+        if is_fresh[ListName.ROUTING] and self._plans[ListName.ROUTING].is_caught_up:
             self._configuration.record_peer_confirmation()
-        if fresh[ListName.UPSTREAMS] and self._upstreams.cursor >= message.cursor:
+        if is_fresh[ListName.UPSTREAMS] and self._upstreams.cursor >= message.cursor:
             self._upstreams.record_peer_confirmation()
 
-    def _take_routing(self, data: bytes) -> None:
+    def _apply_routing(self, data: bytes) -> None:
         content = msgspec.msgpack.decode(zlib.decompress(data), type=RoutingContent)
         self._configuration.apply_peer_configuration(RoutingTable(content=content))
 
-    def _look_for_newer(self, sender: str, mark: Position) -> None:
-        """Get a configuration that another gateway has and the store has not."""
-        if self._plans[ListName.ROUTING].is_missing_from_store(mark):
-            self._outdated(sender)
+    def _request_newer_routing(self, sender: str, position: Position) -> None:
+        """Request the sender's configuration if the store no longer has it."""
+        if self._plans[ListName.ROUTING].is_missing_from_store(position):
+            self._request_routing(sender)
 
-    def _take_notice(self, message: PeerReport, sender: str) -> None:
+    def _handle_report(self, message: PeerReport, sender: str) -> None:
         if self._reports.record_reports([ListReport(message.routing, -1)]):
             self._configuration.notify()
-        self._look_for_newer(sender, message.routing)
+        self._request_newer_routing(sender, message.routing)
         now = self._clock.now()
-        news = False
-        notes: list[_Note] = [*message.crashes, *message.left]
-        for note in notes:
-            news = news or note not in self._news
-            self._news.setdefault(note, _News(at=now))
+        has_new_events = False
+        events: list[_FleetEvent] = [*message.crashes, *message.departures]
+        for event in events:
+            has_new_events = has_new_events or event not in self._events
+            self._events.setdefault(event, _EventState(first_seen_at=now))
         self._containment.take(message.crashes)
-        self._take_departures(message.left)
-        if news:
-            self.tell_soon()
+        self._apply_departures(message.departures)
+        if has_new_events:
+            self.schedule_update()
--- a/damasklead/gateway/changelog.py
+++ b/damasklead/gateway/changelog.py
@@ -2,7 +2,8 @@
 Change log
 ==========
 
-The newest changes of a list, for gateways that are not far behind.  No I/O.
+Recent changes of a list, with which gateways that lag only a little catch up without a
+poll of the store.  No I/O.
 """
 
 from collections import deque
@@ -17,24 +18,38 @@
 
 T = TypeVar("T")
 
-# Changes are handed on for so long and so often; whoever has missed them asks the
-# store.
-KEEP_SECONDS = 2.0
-MOST_TELLINGS = 2
-# Changed rows that are handed on at most, about 100 bytes each.
-MOST_ROWS = 60
+# A change is dropped at this age or after so many transmissions; a gateway that has
+# missed it polls the store.
+RETENTION_SECONDS = 2.0
+MAX_TRANSMISSIONS = 2
+# Limits the size of a broadcast, at about 100 bytes for each changed row.
+MAX_ROWS = 60
 
 
-class _Step(msgspec.Struct, kw_only=True):
-    at: float
+class _ChangeSet(msgspec.Struct, kw_only=True):
+    """
+    Changes that were added together.
+
+    Attributes
+    ----------
+    added_at : float
+        Clock reading in seconds.
+    cursor : Position
+        Position of the list after these changes.
+    rows : list
+    transmissions : int
+        Broadcasts that held the changes.
+    """
+
+    added_at: float
     cursor: Position
     rows: list
-    tellings: int = 0
+    transmissions: int = 0
 
 
 class ChangeLog(Generic[T]):
     """
-    Changes after ``base`` up to ``cursor``.
+    The changes of a list after ``base`` up to ``cursor``.
 
     Parameters
     ----------
@@ -49,7 +64,7 @@
     >>> log.append(["a"], Position(version=12))
     >>> log.base.version, log.cursor.version, log.rows
     (10, 12, ['a'])
-    >>> clock.advance(KEEP_SECONDS)
+    >>> clock.advance(RETENTION_SECONDS)
     >>> log.base.version, log.cursor.version, log.rows
     (12, 12, [])
     """
@@ -58,61 +73,64 @@
         self._clock = clock
         self._base = INITIAL_POSITION
         self._cursor = INITIAL_POSITION
-        self._steps: deque[_Step] = deque()
+        self._change_sets: deque[_ChangeSet] = deque()
 
     @property
     def base(self) -> Position:
-        """The cursor after which all changes are held."""
+        """The position after which all changes are held."""
         self._trim()
         return self._base
 
     @property
     def cursor(self) -> Position:
-        """The newest cursor."""
+        """The position up to which all changes are held."""
         return self._cursor
 
     @property
     def rows(self) -> list[T]:
-        """The changes in order."""
+        """The changed rows in the order of their changes."""
         self._trim()
-        return [row for step in self._steps for row in step.rows]
+        return [row for change_set in self._change_sets for row in change_set.rows]
 
     def reset(self, cursor: Position) -> None:
-        """Begin anew at a cursor, after a whole list was read."""
-        self._steps.clear()
+        """Drop all changes and start at a position, after the whole list was read."""
+        self._change_sets.clear()
         self._base = self._cursor = cursor
 
     def append(self, rows: list[T], cursor: Position) -> None:
-        """Take in the changes up to a cursor."""
+        """Append the changes up to a position."""
         self._cursor = max(self._cursor, cursor)
         if rows:
-            step = _Step(at=self._clock.now(), cursor=self._cursor, rows=rows)
-            self._steps.append(step)
+            change_set = _ChangeSet(
+                added_at=self._clock.now(), cursor=self._cursor, rows=rows
+            )
+            self._change_sets.append(change_set)
         self._trim()
 
     def append_diff(self, rows: list[T], cursor: Position) -> None:
         """
-        Take in how a list that was read anew differs from the one known before.
+        Append the difference between a list that was read anew and the list before.
 
-        From an older era only the very point leads on at which that era was left.
+        When the store's era has changed, earlier changes are dropped: the difference
+        is valid only from the last position of the old era.
         """
         if cursor.era > self._cursor.era:
             self.reset(self._cursor)
         self.append(rows, cursor)
 
     def record_transmission(self) -> None:
-        """Take in that the changes were handed on once."""
-        for step in self._steps:
-            step.tellings += 1
+        """Count one transmission of the changes."""
+        for change_set in self._change_sets:
+            change_set.transmissions += 1
 
     def _trim(self) -> None:
-        begin = self._clock.now() - KEEP_SECONDS
-        count = sum(len(step.rows) for step in self._steps)
-        while self._steps and (
-            self._steps[0].at <= begin
-            or self._steps[0].tellings >= MOST_TELLINGS
-            or count > MOST_ROWS
+        oldest = self._clock.now() - RETENTION_SECONDS
+        row_count = sum(len(change_set.rows) for change_set in self._change_sets)
+        while self._change_sets and (
+            self._change_sets[0].added_at <= oldest
+            or self._change_sets[0].transmissions >= MAX_TRANSMISSIONS
+            or row_count > MAX_ROWS
         ):
-            step = self._steps.popleft()
-            count -= len(step.rows)
-            self._base = step.cursor
+            change_set = self._change_sets.popleft()
+            row_count -= len(change_set.rows)
+            self._base = change_set.cursor
--- a/damasklead/gateway/departures.py
+++ b/damasklead/gateway/departures.py
@@ -1,12 +1,13 @@
 """
-DepartureLog
+Departures
 ==========
 
-Tells the other gateways which replicas say themselves that they leave.  No I/O.
+Replicas that announced to this gateway that they leave, to be reported to the other
+gateways.  No I/O.
 
-Load pattern: a replica that leaves answers one gateway, and all the others have to send
-it nothing more, though none of them has had an answer from it, whether or not the
-platform's list can be read.
+Load pattern: a replica that leaves announces it in a response to one gateway.  All the
+others must send it no new requests either, although none of them has had a response
+from it, whether or not the platform's list can be read.
 """
 
 import msgspec
@@ -14,9 +15,9 @@
 from damasklead.clock import Clock
 from damasklead.ids import InstanceId
 
-__all__ = ["DepartureLog", "Departure"]
+__all__ = ["Departure", "DepartureLog"]
 
-# A departure is told for so long; lost datagrams are made up for.
+# A departure is reported for this long, which makes up for lost datagrams.
 DEPARTURE_REPORT_SECONDS = 5.0
 
 
@@ -29,7 +30,7 @@
 
 class DepartureLog:
     """
-    The departures that this gateway has seen and tells the others.
+    The departures that this gateway observed and reports to the others.
 
     Parameters
     ----------
@@ -38,19 +39,19 @@
 
     def __init__(self, *, clock: Clock) -> None:
         self._clock = clock
-        self._notes: dict[Departure, float] = {}
+        self._recorded_at: dict[Departure, float] = {}
 
     @property
     def recent_departures(self) -> list[Departure]:
-        """What the other gateways are to be told."""
+        """The departures to report."""
         now = self._clock.now()
-        self._notes = {
-            note: at
-            for note, at in self._notes.items()
+        self._recorded_at = {
+            departure: at
+            for departure, at in self._recorded_at.items()
             if now - at < DEPARTURE_REPORT_SECONDS
         }
-        return list(self._notes)
+        return list(self._recorded_at)
 
     def record(self, instance: InstanceId, incarnation: int) -> None:
-        """Take in that a replica said that it leaves."""
-        self._notes[Departure(instance, incarnation)] = self._clock.now()
+        """Record that a replica announced its departure."""
+        self._recorded_at[Departure(instance, incarnation)] = self._clock.now()
--- a/damasklead/gateway/fleet.py
+++ b/damasklead/gateway/fleet.py
@@ -225,7 +225,7 @@
         while True:
             gevent.sleep(CHECK_SECONDS)
             try:
-                if self._broadcasts.sends:
+                if self._broadcasts.is_broadcaster:
                     self._peers.check_silent()
             except FeedError as error:
                 self._journal.event("withdrawal-failed", cause=str(error))
@@ -243,7 +243,7 @@
             RoutingTable(content=snapshot.routing)
         )
 
-    def _note_outdated(self, peer: str) -> None:
+    def _request_routing(self, peer: str) -> None:
         """Get the configuration from a gateway that has a newer one than the store."""
         assert self._peers is not None
         self._configuration_recovery.fetch_from(self._peers.address_of(peer))
@@ -282,9 +282,9 @@
         self.coordination.coordinators.arrange()
         self._on_replicas_changed()
         if self._broadcasts is not None:
-            self._broadcasts.tell_soon()
+            self._broadcasts.schedule_update()
 
-    def _take_departures(self, notes: list[Departure]) -> None:
+    def _apply_departures(self, notes: list[Departure]) -> None:
         """Take in which replicas other gateways know to leave."""
         news = [
             note
@@ -301,7 +301,7 @@
     def _take_members(self) -> None:
         self.coordination.members_changed()
         if self._broadcasts is not None:
-            self._broadcasts.arrange()
+            self._broadcasts.invalidate_ranking()
 
     def _note_named(self, fingerprint: Fingerprint) -> None:
         self._journal.event("request-quarantined", fingerprint=fingerprint)
@@ -311,7 +311,7 @@
             name=name,
             clock=self._clock,
             reports=self._reports,
-            rank=lambda: 0 if self._broadcasts is None else self._broadcasts.position,
+            rank=lambda: 0 if self._broadcasts is None else self._broadcasts.rank,
         )
 
     def _make_peers(self, incarnation: int) -> Peers | None:
@@ -347,10 +347,10 @@
             reports=self._reports,
             containment=self.containment,
             departures=self._departures,
-            take_departures=self._take_departures,
-            outdated=self._note_outdated,
+            apply_departures=self._apply_departures,
+            request_routing=self._request_routing,
             clock=self._clock,
-            own=self._own.instance,
+            instance=self._own.instance,
             cores=self._own.cores,
             incarnation=incarnation,
         )
--- a/damasklead/gateway/messages.py
+++ b/damasklead/gateway/messages.py
@@ -2,8 +2,9 @@
 Messages between gateways
 =========================
 
-What gateways tell each other besides coordination.  Losing one is harmless: the next
-holds everything that is still of use.
+Datagrams for membership and for the distribution of state; ``coordination.messages``
+has those of request assignment.  Each may be lost without harm, since the next one of
+its kind repeats what is still current.
 """
 
 import msgspec
@@ -14,11 +15,27 @@
 from damasklead.gateway.positions import INITIAL_POSITION, Position
 from damasklead.gateway.reading import ListReport
 
-__all__ = ["Broadcast", "LeaveNotice", "Announcement", "PeerReport", "Ping"]
+__all__ = ["Announcement", "Broadcast", "LeaveNotice", "PeerReport", "Ping"]
 
 
 class Announcement(msgspec.Struct, array_like=True, frozen=True, tag=10):
-    """A gateway says where it is, when it starts and when it is asked."""
+    """
+    Announces a gateway to its peers, at its start and in reply to a ``Ping``.
+
+    Attributes
+    ----------
+    instance : str
+        Name of the gateway.
+    address : str
+        ``ip:port`` on which it receives datagrams.
+    incarnation : int
+        Start of its process in milliseconds of Unix time.
+    data_centre : str
+    cores : float
+        Processor cores that it may use.
+    operators : str
+        Address of its operators' listener; empty without one.
+    """
 
     instance: str
     address: str
@@ -29,54 +46,74 @@
 
 
 class LeaveNotice(msgspec.Struct, array_like=True, frozen=True, tag=14):
-    """A gateway stops: it coordinates nothing any more."""
+    """Announces that a gateway stops and coordinates no requests any more."""
 
     instance: str
     incarnation: int
 
 
 class Ping(msgspec.Struct, array_like=True, frozen=True, tag=11):
-    """Asks a gateway for its ``Announcement``."""
+    """Requests the ``Announcement`` of a gateway."""
 
 
 class Broadcast(msgspec.Struct, array_like=True, frozen=True, tag=12):
     """
-    What one gateway tells all others.
+    What the broadcaster sends to all other gateways.
 
     Attributes
     ----------
+    sender : str
+        Name of the broadcaster.
+    incarnation : int
+        Start of the sender's process in milliseconds of Unix time.
+    sequence_number : int
+        Counts the broadcasts of one incarnation of the sender.
     lists : list
-        What it knows of the platform's lists.
+        State of the platform's lists at the sender, in the order of ``ListName``.
     base, cursor : Position
         ``rows`` are all changes of the list of replicas after ``base`` up to
         ``cursor``.
+    rows : list
+        Changed entries of the list of replicas.
     routing : bytes
-        The configuration in force, compressed, when it is short and new.
+        The active configuration as compressed MessagePack.  Empty when it doesn't fit
+        a broadcast or has been sent already.
+    crashes : list
+        Replica crashes that were reported lately.
+    departures : list
+        Replicas that announced lately that they leave.
     """
 
     sender: str
     incarnation: int
-    number: int
+    sequence_number: int
     lists: list[ListReport]
     base: Position
     cursor: Position
     rows: list[ListedRow]
     routing: bytes
     crashes: list[CrashNote]
-    left: list[Departure]
+    departures: list[Departure]
 
 
 class PeerReport(msgspec.Struct, array_like=True, frozen=True, tag=13):
     """
-    What a gateway tells the one that sends broadcasts.
+    What another gateway reports to the broadcaster.
 
     Attributes
     ----------
+    sender : str
+        Name of the reporting gateway.
+    crashes : list
+        Replica crashes that it observed.
+    departures : list
+        Replicas that announced to it that they leave.
     routing : Position
-        Mark of its configuration when the other one's is older.
+        Position of its configuration when that is newer than the broadcaster's, else
+        ``INITIAL_POSITION``.
     """
 
     sender: str
     crashes: list[CrashNote]
-    left: list[Departure]
+    departures: list[Departure]
     routing: Position = INITIAL_POSITION
--- a/tests/test_gateway_broadcasts.py
+++ b/tests/test_gateway_broadcasts.py
@@ -13,9 +13,9 @@
 
 from damasklead.clock import ManualClock
 from damasklead.gateway.broadcasts import (
-    BROADCAST_SECONDS,
-    ROUTING_BYTES,
-    TAKE_OVER_SECONDS,
+    BROADCAST_INTERVAL_SECONDS,
+    MAX_ROUTING_BYTES,
+    TAKEOVER_TIMEOUT_SECONDS,
     Broadcasts,
 )
 from damasklead.gateway.calls import UpstreamState
@@ -175,7 +175,7 @@
                 name=item,
                 clock=clock,
                 reports=reports,
-                rank=lambda: self.broadcasts.position,
+                rank=lambda: self.broadcasts.rank,
             )
             for item in ListName
         ]
@@ -184,7 +184,7 @@
             plan=self.plans[ListName.ROUTING],
             clock=clock,
             journal=journal,
-            on_change=lambda _table: self.broadcasts.tell_soon(),
+            on_change=lambda _table: self.broadcasts.schedule_update(),
             gateway_count=lambda: len(fleet.gateways),
         )
         self.upstreams = UpstreamFollower(
@@ -193,7 +193,7 @@
             clock=clock,
             journal=journal,
             directory=self.directory,
-            on_change=lambda: self.broadcasts.tell_soon(),
+            on_change=lambda: self.broadcasts.schedule_update(),
             gateway_count=lambda: len(fleet.gateways),
         )
         self.peers = FakePeers(fleet, name)
@@ -205,10 +205,10 @@
             reports=reports,
             containment=self.containment,
             departures=self.departures,
-            take_departures=self.take_departures,
-            outdated=self.catch_up,
+            apply_departures=self.apply_departures,
+            request_routing=self.copy_configuration,
             clock=clock,
-            own=name,
+            instance=name,
             cores=1.0,
             incarnation=1,
         )
@@ -224,11 +224,11 @@
         table = self.configuration.table
         return 0 if table is None else table.version
 
-    def take_departures(self, notes: list[Departure]) -> None:
+    def apply_departures(self, notes: list[Departure]) -> None:
         for note in notes:
             self.directory.mark_left(note.instance, note.incarnation)
 
-    def catch_up(self, name: str) -> None:
+    def copy_configuration(self, name: str) -> None:
         """Take another gateway's configuration, as its snapshot holds it."""
         table = self.fleet.gateways[name].configuration.table
         assert table is not None
@@ -245,9 +245,9 @@
                 pause = follower.poll_once(wait=0.0)
                 # A call of the reader's waits at the store while nothing changes.
                 self._resume[index] = now + min(pause or 0.6, 0.6)
-        if now - self._told_at >= BROADCAST_SECONDS:
+        if now - self._told_at >= BROADCAST_INTERVAL_SECONDS:
             self._told_at = now
-            self.broadcasts.step()
+            self.broadcasts.send_update()
 
 
 class Fleet:
@@ -269,7 +269,7 @@
         for number in range(count):
             self.gateways[f"g{number}"] = Gateway(self, f"g{number}")
         for gateway in self.gateways.values():
-            gateway.broadcasts.arrange()
+            gateway.broadcasts.invalidate_ranking()
 
     @property
     def first(self) -> Gateway:
@@ -337,7 +337,7 @@
             name=RouteName(f"x{n}"),
             prefix=f"/{source.random()}/",
         )
-        for n in range(ROUTING_BYTES // 10)
+        for n in range(MAX_ROUTING_BYTES // 10)
     ]
 
 
@@ -354,7 +354,7 @@
         for item in fleet.kinds
         if isinstance(item, Broadcast)
     )
-    assert longest < 2 * ROUTING_BYTES
+    assert longest < 2 * MAX_ROUTING_BYTES
 
 
 def test_many_changes_do_not_fill_the_link_of_the_gateway_that_tells_them() -> None:
@@ -385,7 +385,7 @@
         fleet.run(6.0)
         sent[count] = fleet.datagrams - before
     assert sent[80] <= 10 * sent[10]
-    assert sent[80] / 80 <= 6.0 / BROADCAST_SECONDS + 2
+    assert sent[80] / 80 <= 6.0 / BROADCAST_INTERVAL_SECONDS + 2
 
 
 def test_the_next_gateway_takes_over_from_a_silent_one() -> None:
@@ -395,7 +395,7 @@
         fleet.first.down = True
         second = min((item.name for item in fleet.up), key=reader_score)
         fleet.store.write(f"n{number}")
-        fleet.run(TAKE_OVER_SECONDS + 1.5)
+        fleet.run(TAKEOVER_TIMEOUT_SECONDS + 1.5)
         assert all(f"n{number}" in gateway.replicas for gateway in fleet.up)
         senders = {
             item.sender for item in fleet.kinds[-19:] if isinstance(item, Broadcast)
