--- a/tests/test_gateway_answers.py
+++ b/tests/test_gateway_answers.py
@@ -1,9 +1,9 @@
 """
-Tests of what callers are told
-==============================
+Tests of the responses that callers get
+=======================================
 
-Scripted replicas bring each failure about; the verdict is what callers and replicas
-see on their sockets.
+Scripted replicas cause each failure; the tests check what callers and replicas receive
+on their sockets.
 """
 
 from collections.abc import Iterator
@@ -26,34 +26,34 @@
 
 @pytest.fixture
 def worlds() -> Iterator[list[World]]:
-    made: list[World] = []
-    yield made
-    for world in made:
+    created_worlds: list[World] = []
+    yield created_worlds
+    for world in created_worlds:
         world.stop()
 
 
-def world_of(worlds: list[World], *serves: object) -> World:
+def make_world(worlds: list[World], *serves: object) -> World:
     replicas = [ScriptedReplica(f"r{i}", serve) for i, serve in enumerate(serves)]
     worlds.append(World(replicas))
     return worlds[-1]
 
 
-def arrivals(world: World) -> int:
+def count_requests(world: World) -> int:
     return sum(len(replica.requests) for replica in world.replicas)
 
 
-def well(replica: ScriptedReplica, connection: object) -> None:
+def respond(replica: ScriptedReplica, connection: object) -> None:
     while True:
         connection.sendall(answer(replica.next_request(connection)))
 
 
-def failing(replica: ScriptedReplica, connection: object) -> None:
+def respond_with_error(replica: ScriptedReplica, connection: object) -> None:
     while True:
         attempt = replica.next_request(connection)
         connection.sendall(answer(attempt, b"oops", status="500 Failed"))
 
 
-def full(replica: ScriptedReplica, connection: object) -> None:
+def refuse_as_full(replica: ScriptedReplica, connection: object) -> None:
     while True:
         replica.next_request(connection)
         connection.sendall(
@@ -61,21 +61,21 @@
         )
 
 
-def resetting(replica: ScriptedReplica, connection: object) -> None:
+def close_without_response(replica: ScriptedReplica, connection: object) -> None:
     replica.next_request(connection)
 
 
-def silent(replica: ScriptedReplica, connection: object) -> None:
+def never_respond(replica: ScriptedReplica, connection: object) -> None:
     replica.next_request(connection)
     connection.recv(1)
     replica.closed_by_gateway += 1
 
 
-def test_an_answer_goes_back_unchanged(worlds: list[World]) -> None:
-    world = world_of(worlds, well)
-    said = world.ask("/read/7?x=1")
-    assert said.startswith(b"HTTP/1.1 200") and said.endswith(b"\r\n\r\ndone")
-    assert b"Response-Signature: s" in said
+def test_a_response_is_relayed_unchanged(worlds: list[World]) -> None:
+    world = make_world(worlds, respond)
+    response = world.ask("/read/7?x=1")
+    assert response.startswith(b"HTTP/1.1 200") and response.endswith(b"\r\n\r\ndone")
+    assert b"Response-Signature: s" in response
     line, headers, _ = world.replicas[0].requests[0]
     assert line == "GET /read/7?x=1 HTTP/1.1"
     assert headers["tenant"] == "skippers" and "authorization" not in headers
@@ -83,78 +83,86 @@
     assert 0 < int(headers["deadline-ms"]) <= 800
 
 
-def test_a_failed_idempotent_request_runs_no_more_than_its_route_allows(
+def test_a_failed_idempotent_request_is_retried_up_to_max_attempts(
     worlds: list[World],
 ) -> None:
-    world = world_of(worlds, failing, failing, failing)
-    said = world.ask("/read/7")
-    assert said.startswith(b"HTTP/1.1 500") and said.endswith(b"oops")
+    world = make_world(
+        worlds, respond_with_error, respond_with_error, respond_with_error
+    )
+    response = world.ask("/read/7")
+    assert response.startswith(b"HTTP/1.1 500") and response.endswith(b"oops")
     gevent.sleep(0.05)
-    assert arrivals(world) == 2
+    assert count_requests(world) == 2
 
 
-def test_an_order_whose_answer_is_lost_is_not_sent_again(worlds: list[World]) -> None:
-    world = world_of(worlds, resetting, resetting)
+def test_a_once_request_whose_response_is_lost_is_not_retried(
+    worlds: list[World],
+) -> None:
+    world = make_world(worlds, close_without_response, close_without_response)
     assert world.ask("/order/1", method="POST", body="x").startswith(b"HTTP/1.1 502")
-    assert arrivals(world) == 1
+    assert count_requests(world) == 1
 
 
-def test_an_order_that_was_refused_goes_to_another_replica(worlds: list[World]) -> None:
-    world = world_of(worlds, full, well)
+def test_a_once_request_that_was_refused_is_retried_elsewhere(
+    worlds: list[World],
+) -> None:
+    world = make_world(worlds, refuse_as_full, respond)
     for number in range(4):
-        said = world.ask("/order/1", method="POST", body="x", attempt=f"a{number}")
-        assert said.startswith(b"HTTP/1.1 200")
+        response = world.ask("/order/1", method="POST", body="x", attempt=f"a{number}")
+        assert response.startswith(b"HTTP/1.1 200")
 
 
-def test_a_refusal_of_all_replicas_says_not_run_and_when_to_return(
+def test_a_refusal_by_all_replicas_returns_503_with_retry_after(
     worlds: list[World],
 ) -> None:
-    world = world_of(worlds, full, full)
-    said = world.ask("/order/1", method="POST", body="x")
-    assert said.startswith(b"HTTP/1.1 503") and b"Retry-After: 0." in said
-    assert b"Response-Signature" not in said
+    world = make_world(worlds, refuse_as_full, refuse_as_full)
+    response = world.ask("/order/1", method="POST", body="x")
+    assert response.startswith(b"HTTP/1.1 503") and b"Retry-After: 0." in response
+    assert b"Response-Signature" not in response
 
 
-def test_a_promise_that_a_replica_does_not_make_is_not_passed_on(
+def test_a_503_without_not_executed_marker_becomes_502(
     worlds: list[World],
 ) -> None:
-    def unavailable(replica: ScriptedReplica, connection: object) -> None:
+    def respond_unavailable(replica: ScriptedReplica, connection: object) -> None:
         attempt = replica.next_request(connection)
         connection.sendall(answer(attempt, b"", status="503 Busy"))
 
-    world = world_of(worlds, unavailable)
+    world = make_world(worlds, respond_unavailable)
     assert world.ask("/order/1", method="POST", body="x").startswith(b"HTTP/1.1 502")
 
 
-def test_a_silent_replica_gets_its_time_and_the_caller_its_answer(
+def test_an_unresponsive_replica_causes_504_at_the_deadline(
     worlds: list[World],
 ) -> None:
-    world = world_of(worlds, silent, silent)
-    began = world.clock.now()
+    world = make_world(worlds, never_respond, never_respond)
+    started_at = world.clock.now()
     assert world.ask("/order/1", method="POST", body="x").startswith(b"HTTP/1.1 504")
-    assert 0.7 < world.clock.now() - began < 1.3
-    assert arrivals(world) == 1
+    assert 0.7 < world.clock.now() - started_at < 1.3
+    assert count_requests(world) == 1
     wait_until(lambda: sum(item.closed_by_gateway for item in world.replicas) == 1)
 
 
-def test_a_repeatable_request_leaves_a_silent_replica(worlds: list[World]) -> None:
-    world = world_of(worlds, silent, well)
+def test_an_idempotent_request_is_retried_when_a_replica_is_unresponsive(
+    worlds: list[World],
+) -> None:
+    world = make_world(worlds, never_respond, respond)
     for number in range(6):
         assert world.ask("/read/1", attempt=f"a{number}").startswith(b"HTTP/1.1 200")
 
 
-def test_an_answer_to_another_request_is_passed_over(worlds: list[World]) -> None:
-    def crossed(replica: ScriptedReplica, connection: object) -> None:
+def test_a_response_to_another_request_is_skipped(worlds: list[World]) -> None:
+    def respond_to_another_first(replica: ScriptedReplica, connection: object) -> None:
         attempt = replica.next_request(connection)
         connection.sendall(answer("other", b"not yours") + answer(attempt, b"yours"))
 
-    world = world_of(worlds, crossed)
-    said = world.ask("/order/1", method="POST", body="x")
-    assert said.startswith(b"HTTP/1.1 200") and said.endswith(b"yours")
+    world = make_world(worlds, respond_to_another_first)
+    response = world.ask("/order/1", method="POST", body="x")
+    assert response.startswith(b"HTTP/1.1 200") and response.endswith(b"yours")
 
 
 @pytest.mark.parametrize(
-    "spoiled",
+    "invalid_response",
     [
         b"HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nContent-Length: 4\r\n\r\ndone",
         b"HTTP/1.1 200 OK\r\nResponse-Signature: s\r\nContent-Length: 4\r\n\r\ndone",
@@ -166,104 +174,106 @@
     ],
     ids=["unsigned", "no id", "cut", "encoded", "not HTTP"],
 )
-def test_a_spoiled_answer_never_reaches_the_caller(
-    worlds: list[World], spoiled: bytes
+def test_an_invalid_response_is_not_relayed(
+    worlds: list[World], invalid_response: bytes
 ) -> None:
-    def spoil(replica: ScriptedReplica, connection: object) -> None:
+    def respond_invalidly(replica: ScriptedReplica, connection: object) -> None:
         replica.next_request(connection)
-        connection.sendall(spoiled)
+        connection.sendall(invalid_response)
 
-    world = world_of(worlds, spoil)
-    said = world.ask("/order/1", method="POST", body="x")
-    assert said.startswith(b"HTTP/1.1 502") and b"done" not in said
+    world = make_world(worlds, respond_invalidly)
+    response = world.ask("/order/1", method="POST", body="x")
+    assert response.startswith(b"HTTP/1.1 502") and b"done" not in response
 
 
-def test_bytes_after_an_answer_spoil_only_their_connection(worlds: list[World]) -> None:
-    def extra(replica: ScriptedReplica, connection: object) -> None:
+def test_bytes_after_a_response_affect_only_their_connection(
+    worlds: list[World],
+) -> None:
+    def respond_twice(replica: ScriptedReplica, connection: object) -> None:
         while True:
             attempt = replica.next_request(connection)
             connection.sendall(answer(attempt) + answer(attempt, b"again"))
 
-    world = world_of(worlds, extra)
+    world = make_world(worlds, respond_twice)
     for number in range(3):
-        said = world.ask("/order/1", method="POST", body="x", attempt=f"a{number}")
-        assert said.endswith(b"\r\n\r\ndone")
+        response = world.ask("/order/1", method="POST", body="x", attempt=f"a{number}")
+        assert response.endswith(b"\r\n\r\ndone")
 
 
-def test_an_answer_without_a_length_ends_with_its_connection(
+def test_a_response_without_length_ends_with_its_connection(
     worlds: list[World],
 ) -> None:
-    def unframed(replica: ScriptedReplica, connection: object) -> None:
+    def respond_without_length(replica: ScriptedReplica, connection: object) -> None:
         attempt = replica.next_request(connection)
         connection.sendall(
             f"HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\n"
             "Response-Signature: s\r\n\r\nall of it".encode()
         )
 
-    world = world_of(worlds, unframed)
-    said = world.ask("/order/1", method="POST", body="x")
-    assert b"Content-Length: 9" in said and said.endswith(b"all of it")
+    world = make_world(worlds, respond_without_length)
+    response = world.ask("/order/1", method="POST", body="x")
+    assert b"Content-Length: 9" in response and response.endswith(b"all of it")
 
 
-def test_an_early_answer_to_a_long_body_is_delivered(worlds: list[World]) -> None:
-    def early(replica: ScriptedReplica, connection: object) -> None:
+def test_an_early_response_to_a_long_body_is_relayed(worlds: list[World]) -> None:
+    def respond_early(replica: ScriptedReplica, connection: object) -> None:
         head = connection.recv(200)
         assert b"a1" in head
         connection.sendall(answer("a1", b"too long", status="413 Too long"))
         gevent.sleep(0.2)
 
-    world = world_of(worlds, early)
-    said = world.ask("/order/1", method="POST", body="x" * 2_000_000)
-    assert said.startswith(b"HTTP/1.1 413") and said.endswith(b"too long")
+    world = make_world(worlds, respond_early)
+    response = world.ask("/order/1", method="POST", body="x" * 2_000_000)
+    assert response.startswith(b"HTTP/1.1 413") and response.endswith(b"too long")
 
 
-def test_a_stream_goes_out_event_by_event(worlds: list[World]) -> None:
-    go_on = gevent.event.Event()
+def test_a_stream_is_relayed_in_complete_events(worlds: list[World]) -> None:
+    send_rest = gevent.event.Event()
 
-    def stream(replica: ScriptedReplica, connection: object) -> None:
+    def send_stream(replica: ScriptedReplica, connection: object) -> None:
         attempt = replica.next_request(connection)
         connection.sendall(stream_head(attempt) + chunk(event(1) + event(2)[:5]))
-        go_on.wait()
+        send_rest.wait()
         connection.sendall(chunk(event(2)[5:]) + chunk(b""))
 
-    world = world_of(worlds, stream)
+    world = make_world(worlds, send_stream)
     with world.connect() as caller:
         caller.sendall(request("/chat/1", method="POST", body="x", close=True))
         first = b""
         while b"piece 1\n\n" not in first:
             first += caller.recv(65536)
         assert b"id: 2" not in first
-        go_on.set()
+        send_rest.set()
         rest = read_all(caller)
     assert event(2) in rest and rest.endswith(b"0\r\n\r\n")
 
 
-def test_a_broken_stream_does_not_look_complete(worlds: list[World]) -> None:
-    def cut(replica: ScriptedReplica, connection: object) -> None:
+def test_a_broken_stream_is_not_marked_complete(worlds: list[World]) -> None:
+    def send_partial_stream(replica: ScriptedReplica, connection: object) -> None:
         attempt = replica.next_request(connection)
         connection.sendall(stream_head(attempt) + chunk(event(1)))
 
-    world = world_of(worlds, cut, cut)
-    said = world.ask("/chat/1", method="POST", body="x")
-    assert event(1) in said and not said.endswith(b"0\r\n\r\n")
-    assert arrivals(world) == 1
+    world = make_world(worlds, send_partial_stream, send_partial_stream)
+    response = world.ask("/chat/1", method="POST", body="x")
+    assert event(1) in response and not response.endswith(b"0\r\n\r\n")
+    assert count_requests(world) == 1
 
 
-def test_a_stream_that_ends_amid_an_event_does_not_look_complete(
+def test_a_stream_that_ends_within_an_event_is_not_marked_complete(
     worlds: list[World],
 ) -> None:
-    def cut(replica: ScriptedReplica, connection: object) -> None:
+    def send_partial_stream(replica: ScriptedReplica, connection: object) -> None:
         attempt = replica.next_request(connection)
         body = chunk(event(1)) + chunk(event(2)[:6]) + chunk(b"")
         connection.sendall(stream_head(attempt) + body)
 
-    world = world_of(worlds, cut)
-    said = world.ask("/chat/1", method="POST", body="x")
-    assert event(1) in said and not said.endswith(b"0\r\n\r\n")
+    world = make_world(worlds, send_partial_stream)
+    response = world.ask("/chat/1", method="POST", body="x")
+    assert event(1) in response and not response.endswith(b"0\r\n\r\n")
 
 
-def test_a_resumable_stream_goes_on_without_gap_or_double(worlds: list[World]) -> None:
-    def piece(replica: ScriptedReplica, connection: object) -> None:
+def test_a_resumed_stream_has_each_event_exactly_once(worlds: list[World]) -> None:
+    def stream_from_last_event(replica: ScriptedReplica, connection: object) -> None:
         attempt = replica.next_request(connection)
         after = int(replica.requests[-1][1].get("last-event-id", 0))
         if after:
@@ -273,55 +283,55 @@
             sent = chunk(event(1) + event(2) + event(3)[:7])
             connection.sendall(stream_head(attempt) + sent)
 
-    world = world_of(worlds, piece, piece)
-    said = world.ask("/draft/1", method="POST", body="x")
+    world = make_world(worlds, stream_from_last_event, stream_from_last_event)
+    response = world.ask("/draft/1", method="POST", body="x")
     for number in range(1, 5):
-        assert said.count(event(number)) == 1
-    assert said.endswith(b"0\r\n\r\n") and said.count(b"HTTP/1.1") == 1
+        assert response.count(event(number)) == 1
+    assert response.endswith(b"0\r\n\r\n") and response.count(b"HTTP/1.1") == 1
 
 
-def test_a_replica_of_another_service_at_the_address_is_left(
+def test_a_misdirected_request_removes_the_replica(
     worlds: list[World],
 ) -> None:
-    def other(replica: ScriptedReplica, connection: object) -> None:
+    def respond_misdirected(replica: ScriptedReplica, connection: object) -> None:
         replica.next_request(connection)
         connection.sendall(
             b"HTTP/1.1 421 Misdirected\r\nInstance-Id: i9\r\nContent-Length: 0\r\n\r\n"
         )
 
-    world = world_of(worlds, other)
+    world = make_world(worlds, respond_misdirected)
     assert world.ask("/order/1", method="POST", body="x").startswith(b"HTTP/1.1 503")
     assert world.left == ["r0"]
 
 
-def test_without_a_configuration_nothing_is_denied(worlds: list[World]) -> None:
-    world = world_of(worlds, well)
+def test_requests_get_503_before_the_first_configuration(worlds: list[World]) -> None:
+    world = make_world(worlds, respond)
     world.table = None
     assert world.ask("/read/1").startswith(b"HTTP/1.1 503")
-    assert arrivals(world) == 0
+    assert count_requests(world) == 0
 
 
-def test_unknown_keys_and_paths_are_denied(worlds: list[World]) -> None:
-    world = world_of(worlds, well)
+def test_unknown_keys_and_paths_are_rejected(worlds: list[World]) -> None:
+    world = make_world(worlds, respond)
     assert world.ask("/read/1", key="nobody").startswith(b"HTTP/1.1 401")
     assert world.ask("/elsewhere/1").startswith(b"HTTP/1.1 404")
-    assert arrivals(world) == 0
+    assert count_requests(world) == 0
 
 
-def test_each_decision_leaves_a_line_with_the_request_id(worlds: list[World]) -> None:
-    world = world_of(worlds, failing, failing)
+def test_each_decision_is_logged_with_the_request_id(worlds: list[World]) -> None:
+    world = make_world(worlds, respond_with_error, respond_with_error)
     world.ask("/read/7", attempt="a77")
     assert len([item for item in world.lines("offered") if '"a77"' in item]) == 2
     assert len([item for item in world.lines("attempt-failed") if '"a77"' in item]) == 2
     assert len([item for item in world.lines("answered") if '"a77"' in item]) == 1
 
 
-@pytest.mark.parametrize("serve", [full, failing, resetting])
-def test_nothing_is_sent_again_without_budget(
-    worlds: list[World], serve: object
-) -> None:
-    world = world_of(worlds, serve, serve)
+@pytest.mark.parametrize(
+    "serve", [refuse_as_full, respond_with_error, close_without_response]
+)
+def test_no_retry_without_retry_budget(worlds: list[World], serve: object) -> None:
+    world = make_world(worlds, serve, serve)
     world.budget.configure(ratio=0.0, allowance=0.0, window=10.0)
-    said = world.ask("/read/1")
-    assert arrivals(world) == 1
-    assert not said.startswith(b"HTTP/1.1 200")
+    response = world.ask("/read/1")
+    assert count_requests(world) == 1
+    assert not response.startswith(b"HTTP/1.1 200")
--- a/tests/test_gateway_callers.py
+++ b/tests/test_gateway_callers.py
@@ -24,7 +24,7 @@
 )
 
 
-def serve(replica: ScriptedReplica, connection: socket.socket) -> None:
+def serve_requests(replica: ScriptedReplica, connection: socket.socket) -> None:
     while True:
         attempt = replica.next_request(connection)
         if "/chat/slow" in replica.requests[-1][0]:
@@ -39,9 +39,9 @@
 
 @pytest.fixture
 def world() -> Iterator[World]:
-    made = World([ScriptedReplica("r0", serve)])
-    yield made
-    made.stop()
+    created_world = World([ScriptedReplica("r0", serve_requests)])
+    yield created_world
+    created_world.stop()
 
 
 def read_answer(connection: socket.socket, ending: bytes) -> bytes:
@@ -53,7 +53,7 @@
     return data
 
 
-def test_requests_in_a_row_on_one_connection(world: World) -> None:
+def test_sequential_requests_on_one_connection(world: World) -> None:
     with world.connect() as caller:
         for name in ("a1", "a2", "a3"):
             caller.sendall(request("/read/1", attempt=name))
@@ -62,17 +62,17 @@
             )
 
 
-def test_requests_sent_ahead_are_answered_in_order(world: World) -> None:
+def test_pipelined_requests_are_answered_in_order(world: World) -> None:
     with world.connect() as caller:
         caller.sendall(
             request("/order/slow", method="POST", body="x", attempt="a1")
             + request("/read/1", attempt="a2", close=True)
         )
-        said = read_all(caller)
-    assert said.index(b"for a1") < said.index(b"for a2")
+        response = read_all(caller)
+    assert response.index(b"for a1") < response.index(b"for a2")
 
 
-def test_a_request_in_pieces_and_in_chunks_arrives_whole(world: World) -> None:
+def test_a_fragmented_chunked_request_is_reassembled(world: World) -> None:
     with world.connect() as caller:
         data = (
             request(
@@ -102,18 +102,21 @@
         "Content-Length : 5\r\n",
     ],
 )
-def test_requests_that_two_readers_see_differently_are_refused(
-    world: World, head: str
-) -> None:
-    hidden = "0\r\n\r\nGET /read/hidden HTTP/1.1\r\nHost: ice.example\r\n\r\n"
+def test_ambiguous_framing_is_rejected(world: World, head: str) -> None:
+    smuggled_request = "0\r\n\r\nGET /read/hidden HTTP/1.1\r\nHost: ice.example\r\n\r\n"
     with world.connect() as caller:
-        caller.sendall(request("/order/1", method="POST", extra=head) + hidden.encode())
-        said = read_all(caller)
-    assert said[:10] in (b"HTTP/1.1 4", b"HTTP/1.1 5") and said.count(b"HTTP/1.1") == 1
+        caller.sendall(
+            request("/order/1", method="POST", extra=head) + smuggled_request.encode()
+        )
+        response = read_all(caller)
+    assert (
+        response[:10] in (b"HTTP/1.1 4", b"HTTP/1.1 5")
+        and response.count(b"HTTP/1.1") == 1
+    )
     assert not world.replicas[0].requests
 
 
-def test_a_stream_is_cancelled_when_its_caller_leaves(world: World) -> None:
+def test_a_stream_is_cancelled_when_its_caller_disconnects(world: World) -> None:
     with world.connect() as caller:
         caller.sendall(request("/chat/slow", method="POST", body="x"))
         read_answer(caller, b"piece 1\n\n\r\n")
@@ -122,39 +125,42 @@
     assert len(world.lines("caller-gone")) == 1
 
 
-class NeverConnecting(ConnectionPool):
-    """Opens connections for longer than any caller waits."""
+class StuckConnectionPool(ConnectionPool):
+    """Takes longer to open a connection than any caller waits."""
 
     def acquire(self, address: str) -> Connection:
         gevent.sleep(60)
-        raise AssertionError("nobody waits so long")
-
-
-@pytest.mark.parametrize("end", ["caller leaves", "time is over"])
-def test_a_request_that_ends_while_it_connects_is_counted_no_more(end: str) -> None:
-    """It was counted for good, and the replica looked silent ever after."""
-    made = World(
-        [ScriptedReplica("r0", serve)],
-        connections=NeverConnecting(clock=LoopClock()),
+        raise AssertionError("the request was not cancelled")
+
+
+@pytest.mark.parametrize("cause", ["caller leaves", "time is over"])
+def test_a_request_that_ends_while_connecting_is_no_longer_counted(cause: str) -> None:
+    """
+    A request that was cancelled while connecting stayed in the replica's count of
+    requests, so the replica seemed unresponsive from then on.
+    """
+    created_world = World(
+        [ScriptedReplica("r0", serve_requests)],
+        connections=StuckConnectionPool(clock=LoopClock()),
     )
-    with made.connect() as caller:
+    with created_world.connect() as caller:
         caller.sendall(request("/read/1"))
-        wait_until(lambda: made.forwarder.active_requests == 1)
-        if end == "time is over":
+        wait_until(lambda: created_world.forwarder.active_requests == 1)
+        if cause == "time is over":
             assert read_answer(caller, b"too-late").startswith(b"HTTP/1.1 503")
-    wait_until(lambda: made.forwarder.active_requests == 0)
-    assert [state.own for state in made.placement._replicas.values()] == [0]
-    made.stop()
+    wait_until(lambda: created_world.forwarder.active_requests == 0)
+    assert [state.own for state in created_world.placement._replicas.values()] == [0]
+    created_world.stop()
 
 
-def test_an_order_goes_on_when_its_caller_half_closes(world: World) -> None:
+def test_a_once_request_continues_when_its_caller_half_closes(world: World) -> None:
     with world.connect() as caller:
         caller.sendall(request("/order/slow", method="POST", body="x"))
         caller.shutdown(socket.SHUT_WR)
         assert read_all(caller).endswith(b"for a1")
 
 
-def test_a_slow_head_is_refused_and_an_idle_connection_closed(world: World) -> None:
+def test_a_slow_head_gets_408_and_an_idle_connection_is_closed(world: World) -> None:
     with world.connect() as caller:
         caller.sendall(b"GET /read/1 HT")
         assert read_all(caller).startswith(b"HTTP/1.1 408")
@@ -162,17 +168,17 @@
         assert read_all(caller) == b""
 
 
-def test_a_stopping_process_answers_and_invites_no_more(world: World) -> None:
+def test_a_stopping_process_answers_and_closes_the_connection(world: World) -> None:
     with world.connect() as caller:
         caller.sendall(request("/order/slow", method="POST", body="x"))
         wait_until(lambda: world.forwarder.active_requests == 1)
         world.stopping = True
         world.listener.close_idle()
-        said = read_all(caller)
-    assert b"connection: close" in said.lower() and said.endswith(b"for a1")
+        response = read_all(caller)
+    assert b"connection: close" in response.lower() and response.endswith(b"for a1")
 
 
-def test_a_request_that_meets_the_close_of_its_idle_connection_is_answered(
+def test_a_request_that_races_with_closing_idle_connections_is_answered(
     world: World,
 ) -> None:
     with world.connect() as caller:
@@ -188,17 +194,20 @@
         assert read_all(caller) == b""
 
 
-@pytest.mark.parametrize("turns", range(8))
-def test_a_request_that_arrives_as_the_process_stops_is_answered_or_never_read(
-    world: World, turns: int
+@pytest.mark.parametrize("yields", range(8))
+def test_a_request_during_drain_is_answered_or_never_read(
+    world: World, yields: int
 ) -> None:
-    """A connection that was just accepted looked idle, and the process ended."""
+    """
+    A connection that was just accepted counted as idle, so the process ended before
+    its request was read.
+    """
     callers = [world.connect() for _ in range(3)]
     for number, caller in enumerate(callers):
         caller.sendall(
             request("/order/slow", method="POST", body="x", attempt=f"a{number}")
         )
-    for _ in range(turns):
+    for _ in range(yields):
         gevent.sleep(0)
     world.stopping = True
     world.listener.drain(seconds=3.0)
@@ -209,7 +218,7 @@
         caller.close()
 
 
-def test_a_caller_that_expects_leave_to_send_gets_it(world: World) -> None:
+def test_expect_100_continue_is_honoured(world: World) -> None:
     with world.connect() as caller:
         caller.sendall(
             request(
--- a/tests/test_gateway_connections.py
+++ b/tests/test_gateway_connections.py
@@ -1,6 +1,6 @@
 """
-Tests of the connections that gateways keep to replicas
-=======================================================
+Tests of the pool of connections to replicas
+============================================
 """
 
 from collections.abc import Iterator
@@ -29,8 +29,8 @@
     server.stop(timeout=0)
 
 
-def use(pool: ConnectionPool, address: str, count: int) -> None:
-    """Send so many requests at once and give the connections back."""
+def send_requests(pool: ConnectionPool, address: str, count: int) -> None:
+    """Send ``count`` concurrent requests, then release their connections."""
     connections = [pool.acquire(address) for _ in range(count)]
     for number, connection in enumerate(connections):
         connection.send_request(
@@ -46,18 +46,18 @@
 
 
 @pytest.mark.parametrize(
-    ("max_connections", "gateways", "kept"),
+    ("max_connections", "gateways", "idle_limit"),
     [(520, 8, MAX_IDLE_CONNECTIONS), (520, 77, 3), (520, 360, 1)],
 )
-def test_all_gateways_together_keep_half_of_a_replicas_connections_idle(
-    address: str, max_connections: int, gateways: int, kept: int
+def test_idle_connections_are_limited_to_the_gateways_share(
+    address: str, max_connections: int, gateways: int, idle_limit: int
 ) -> None:
     pool = ConnectionPool(clock=LoopClock())
     pool.set_idle_limit(max_connections=max_connections, gateways=gateways)
-    assert pool.max_idle == kept
+    assert pool.max_idle == idle_limit
     assert pool.max_idle * gateways <= max_connections
-    use(pool, address, MAX_IDLE_CONNECTIONS + 2)
-    opened = pool.opened_count
-    use(pool, address, MAX_IDLE_CONNECTIONS + 2)
-    assert pool.opened_count - opened == MAX_IDLE_CONNECTIONS + 2 - kept
+    send_requests(pool, address, MAX_IDLE_CONNECTIONS + 2)
+    opened_before = pool.opened_count
+    send_requests(pool, address, MAX_IDLE_CONNECTIONS + 2)
+    assert pool.opened_count - opened_before == MAX_IDLE_CONNECTIONS + 2 - idle_limit
     pool.close()
--- a/tests/test_gateway_replica_trouble.py
+++ b/tests/test_gateway_replica_trouble.py
@@ -1,9 +1,9 @@
 """
-Tests of what replicas in trouble bring about
-=============================================
+Tests of faulty and leaving replicas
+====================================
 
-Replicas that leave, that ask for a pause, that send bytes without end, and streams that
-stall; the verdict is what callers and replicas see on their sockets.
+Replicas that leave, request a pause or send endless responses, and streams that stall;
+the tests check what callers and replicas receive on their sockets.
 """
 
 import math
@@ -38,31 +38,31 @@
     stream_head,
     wait_until,
 )
-from tests.test_gateway_answers import well, world_of
+from tests.test_gateway_answers import make_world, respond
 from tests.test_gateway_parts import gone, names, row
 
-Serve = Callable[[ScriptedReplica, object], None]
+ReplicaScript = Callable[[ScriptedReplica, object], None]
 
 
 @pytest.fixture
 def worlds() -> Iterator[list[World]]:
-    made: list[World] = []
-    yield made
-    for world in made:
+    created_worlds: list[World] = []
+    yield created_worlds
+    for world in created_worlds:
         world.stop()
 
 
-def arrivals(world: World) -> list[int]:
+def list_request_counts(world: World) -> list[int]:
     return [len(replica.requests) for replica in world.replicas]
 
 
-def leaving(replica: ScriptedReplica, connection: object) -> None:
+def respond_as_leaving(replica: ScriptedReplica, connection: object) -> None:
     while True:
         attempt = replica.next_request(connection)
         connection.sendall(answer(attempt, extra="Server-Leaving: 1\r\n"))
 
 
-def pausing(seconds: str) -> Serve:
+def make_pausing_script(seconds: str) -> ReplicaScript:
     def serve(replica: ScriptedReplica, connection: object) -> None:
         while True:
             replica.next_request(connection)
@@ -74,47 +74,49 @@
     return serve
 
 
-class TestLeaving:
-    def test_a_replica_that_says_that_it_leaves_gets_nothing_more(
+class TestLeavingReplicas:
+    def test_a_replica_that_announces_leaving_gets_no_more_requests(
         self, worlds: list[World]
     ) -> None:
-        world = world_of(worlds, leaving, well)
+        world = make_world(worlds, respond_as_leaving, respond)
         for number in range(12):
-            said = world.ask("/read/1", attempt=f"a{number}")
-            assert said.startswith(b"HTTP/1.1 200")
-        assert arrivals(world)[0] == 1
+            response = world.ask("/read/1", attempt=f"a{number}")
+            assert response.startswith(b"HTTP/1.1 200")
+        assert list_request_counts(world)[0] == 1
         assert world.left == ["r0"]
 
-    def test_a_refusal_tells_of_leaving_as_well(self, worlds: list[World]) -> None:
-        def refuse(replica: ScriptedReplica, connection: object) -> None:
+    def test_a_refusal_may_announce_leaving(self, worlds: list[World]) -> None:
+        def refuse_as_leaving(replica: ScriptedReplica, connection: object) -> None:
             replica.next_request(connection)
             connection.sendall(
                 b"HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nServer-Leaving: 1\r\n"
                 b"Content-Length: 0\r\n\r\n"
             )
 
-        world = world_of(worlds, refuse, well)
+        world = make_world(worlds, refuse_as_leaving, respond)
         for number in range(6):
-            said = world.ask("/order/1", method="POST", body="x", attempt=f"a{number}")
-            assert said.startswith(b"HTTP/1.1 200")
-        assert arrivals(world)[0] <= 1
+            response = world.ask(
+                "/order/1", method="POST", body="x", attempt=f"a{number}"
+            )
+            assert response.startswith(b"HTTP/1.1 200")
+        assert list_request_counts(world)[0] <= 1
 
-    def test_a_stream_is_not_resumed_where_it_was_told_to_leave(
+    def test_a_stream_is_not_resumed_on_a_leaving_replica(
         self, worlds: list[World]
     ) -> None:
-        def cut(replica: ScriptedReplica, connection: object) -> None:
+        def send_partial_stream(replica: ScriptedReplica, connection: object) -> None:
             attempt = replica.next_request(connection)
             head = stream_head(attempt).replace(
                 b"\r\n\r\n", b"\r\nServer-Leaving: 1\r\n\r\n"
             )
             connection.sendall(head + chunk(event(1)))
 
-        world = world_of(worlds, cut)
-        said = world.ask("/draft/1", method="POST", body="x")
-        assert event(1) in said and not said.endswith(b"0\r\n\r\n")
-        assert arrivals(world) == [1]
+        world = make_world(worlds, send_partial_stream)
+        response = world.ask("/draft/1", method="POST", body="x")
+        assert event(1) in response and not response.endswith(b"0\r\n\r\n")
+        assert list_request_counts(world) == [1]
 
-    def test_it_stays_so_when_the_entry_goes_and_comes_back(self) -> None:
+    def test_leaving_persists_when_the_list_entry_is_removed_and_added(self) -> None:
         directory = UpstreamDirectory(clock=ManualClock())
         directory.apply([row("a", 1), row("b", 2)], whole=True)
         assert directory.mark_left(InstanceId("a"), 1)
@@ -124,16 +126,16 @@
         directory.apply([row("a", 5, incarnation=2)], whole=False)
         assert names(directory) == ["a", "b"]
 
-    def test_a_gateway_that_starts_is_told(self) -> None:
+    def test_leaving_is_reported_to_a_starting_gateway(self) -> None:
         directory = UpstreamDirectory(clock=ManualClock())
         directory.apply([row("a", 1), row("b", 2)], whole=True)
         directory.mark_left(InstanceId("a"), 1)
-        newcomer = UpstreamDirectory(clock=ManualClock())
-        newcomer.apply(directory.rows(), whole=False)
-        assert names(newcomer) == ["b"]
-        assert newcomer.rows()[0].record.state is UpstreamState.LEAVING
+        other_directory = UpstreamDirectory(clock=ManualClock())
+        other_directory.apply(directory.rows(), whole=False)
+        assert names(other_directory) == ["b"]
+        assert other_directory.rows()[0].record.state is UpstreamState.LEAVING
 
-    def test_other_gateways_are_told_for_a_while(self) -> None:
+    def test_departures_are_reported_to_other_gateways_for_a_time(self) -> None:
         clock = ManualClock()
         departures = DepartureLog(clock=clock)
         departures.record(InstanceId("a"), 7)
@@ -142,32 +144,34 @@
         assert departures.recent_departures == []
 
 
-class TestPause:
-    def test_a_replica_that_asks_for_a_pause_gets_nothing_until_its_end(
+class TestPausedReplicas:
+    def test_a_paused_replica_gets_no_requests_until_the_pause_ends(
         self, worlds: list[World]
     ) -> None:
-        world = world_of(worlds, pausing("0.6"), well)
+        world = make_world(worlds, make_pausing_script("0.6"), respond)
         for number in range(12):
-            said = world.ask("/order/1", method="POST", body="x", attempt=f"a{number}")
-            assert said.startswith(b"HTTP/1.1 200")
-        assert arrivals(world)[0] == 1
+            response = world.ask(
+                "/order/1", method="POST", body="x", attempt=f"a{number}"
+            )
+            assert response.startswith(b"HTTP/1.1 200")
+        assert list_request_counts(world)[0] == 1
         gevent.sleep(0.65)
         for number in range(12):
             world.ask("/read/1", attempt=f"b{number}")
-        assert arrivals(world)[0] == 2
+        assert list_request_counts(world)[0] == 2
 
-    def test_when_all_pause_the_caller_is_told_at_once_when_the_first_ends(
+    def test_when_all_pause_the_caller_gets_the_first_end_as_retry_after(
         self, worlds: list[World]
     ) -> None:
-        world = world_of(worlds, pausing("5"), pausing("2"))
+        world = make_world(worlds, make_pausing_script("5"), make_pausing_script("2"))
         world.ask("/read/1", attempt="a0")
-        began = world.clock.now()
-        said = world.ask("/order/1", method="POST", body="x", attempt="a1")
-        assert world.clock.now() - began < 0.3
-        assert said.startswith(b"HTTP/1.1 503")
-        seconds = float(said.partition(b"Retry-After: ")[2].partition(b"\r\n")[0])
+        started_at = world.clock.now()
+        response = world.ask("/order/1", method="POST", body="x", attempt="a1")
+        assert world.clock.now() - started_at < 0.3
+        assert response.startswith(b"HTTP/1.1 503")
+        seconds = float(response.partition(b"Retry-After: ")[2].partition(b"\r\n")[0])
         assert 1.5 < seconds <= 2.5
-        assert arrivals(world) == [1, 1]
+        assert list_request_counts(world) == [1, 1]
 
     @pytest.mark.parametrize(
         ("asked", "least", "most"),
@@ -180,39 +184,39 @@
             (math.inf, MAX_PAUSE_SECONDS, MAX_PAUSE_SECONDS),
         ],
     )
-    def test_absurd_times_have_a_bound(
+    def test_pause_durations_are_clamped(
         self, worlds: list[World], asked: float, least: float, most: float
     ) -> None:
-        world = world_of(worlds, well)
+        world = make_world(worlds, respond)
         assert least <= world.placement.paused(InstanceId("r0"), asked) <= most
         assert world.placement.accepts(InstanceId("r0")) is (most == 0.0)
 
-    def test_a_pause_leaves_a_log_line(self, worlds: list[World]) -> None:
-        world = world_of(worlds, pausing("nan"), well)
+    def test_a_pause_is_logged(self, worlds: list[World]) -> None:
+        world = make_world(worlds, make_pausing_script("nan"), respond)
         for number in range(4):
             world.ask("/read/1", attempt=f"a{number}")
         assert world.lines("replica-paused")
 
-    def test_a_pause_ends_with_the_incarnation_and_not_with_the_entry(
+    def test_a_pause_belongs_to_the_incarnation_not_to_the_list_entry(
         self, worlds: list[World]
     ) -> None:
-        world = world_of(worlds, well)
+        world = make_world(worlds, respond)
         record = world.replicas[0].record
         world.placement.paused(record.instance, 30.0)
         world.placement.retain([])
         world.placement.retain([record])
         assert world.placement.pause_left() is not None
-        started_again = type(record)(
+        restarted = type(record)(
             **{name: getattr(record, name) for name in record.__struct_fields__}
             | {"incarnation": 2}
         )
-        world.placement.retain([started_again])
+        world.placement.retain([restarted])
         assert world.placement.pause_left() is None
 
-    def test_a_shorter_request_does_not_end_a_longer_pause(
+    def test_a_shorter_pause_does_not_replace_a_longer_one(
         self, worlds: list[World]
     ) -> None:
-        world = world_of(worlds, well)
+        world = make_world(worlds, respond)
         name = InstanceId("r0")
         world.placement.paused(name, 30.0)
         world.placement.paused(name, 0.1)
@@ -220,95 +224,95 @@
         assert left is not None and left > 29.0
 
 
-class TestBytesWithoutEnd:
-    def test_a_head_without_end_is_cut(self, worlds: list[World]) -> None:
-        def endless(replica: ScriptedReplica, connection: object) -> None:
+class TestEndlessResponses:
+    def test_an_endless_head_is_aborted(self, worlds: list[World]) -> None:
+        def send_endlessly(replica: ScriptedReplica, connection: object) -> None:
             replica.next_request(connection)
             connection.sendall(b"HTTP/1.1 200 OK\r\n")
             while True:
                 connection.sendall(b"X-Filler: " + b"x" * 1000 + b"\r\n")
 
-        world = world_of(worlds, endless)
-        said = world.ask("/order/1", method="POST", body="x")
-        assert said.startswith(b"HTTP/1.1 502")
+        world = make_world(worlds, send_endlessly)
+        response = world.ask("/order/1", method="POST", body="x")
+        assert response.startswith(b"HTTP/1.1 502")
         wait_until(lambda: world.replicas[0].closed_by_gateway == 1)
 
-    def test_interim_answers_without_end_are_cut(self, worlds: list[World]) -> None:
-        def endless(replica: ScriptedReplica, connection: object) -> None:
+    def test_endless_interim_responses_are_aborted(self, worlds: list[World]) -> None:
+        def send_endlessly(replica: ScriptedReplica, connection: object) -> None:
             replica.next_request(connection)
             while True:
                 connection.sendall(b"HTTP/1.1 103 Early Hints\r\n\r\n")
                 gevent.sleep(0.001)
 
-        world = world_of(worlds, endless)
+        world = make_world(worlds, send_endlessly)
         assert world.ask("/order/1", method="POST", body="x").startswith(
             b"HTTP/1.1 502"
         )
 
-    def test_bodies_without_end_take_a_bounded_memory_together(
-        self, worlds: list[World]
-    ) -> None:
-        held: list[int] = []
+    def test_endless_bodies_share_a_memory_budget(self, worlds: list[World]) -> None:
+        memory_samples: list[int] = []
 
-        def endless(replica: ScriptedReplica, connection: object) -> None:
+        def send_endlessly(replica: ScriptedReplica, connection: object) -> None:
             attempt = replica.next_request(connection)
             connection.sendall(stream_head(attempt))
             while True:
                 connection.sendall(chunk(b"x" * 50_000))
-                held.append(world.memory.used_bytes)
+                memory_samples.append(world.memory.used_bytes)
 
         def run_one(number: int) -> bytes:
             return world.ask("/order/1", method="POST", body="x", attempt=f"a{number}")
 
-        world = world_of(worlds, *[endless] * 50)
+        world = make_world(worlds, *[send_endlessly] * 50)
         world.memory.limit_bytes = 4_000_000
         callers = [gevent.spawn(run_one, number) for number in range(50)]
         gevent.joinall(callers, timeout=20, raise_error=True)
         for caller in callers:
             assert caller.value.startswith((b"HTTP/1.1 502", b"HTTP/1.1 504"))
-        slack = 50 * 400_000  # each may hold a small answer and one piece
-        assert max(held) <= 4_000_000 + slack
+        slack = 50 * 400_000  # one small body and one received block for each response
+        assert max(memory_samples) <= 4_000_000 + slack
         assert world.memory.used_bytes == 0
 
-    def test_short_answers_go_through_beside_them(self) -> None:
+    def test_small_responses_are_exempt_from_the_memory_budget(self) -> None:
         memory = ResponseMemoryBudget(limit_bytes=1000)
         memory.used_bytes = 5000
         assert not memory.must_drop(800)
         assert memory.must_drop(1_000_000)
 
-    def test_a_body_that_never_ends_counts_against_its_replica(
+    def test_an_endless_body_counts_as_failure_of_its_replica(
         self, worlds: list[World]
     ) -> None:
-        def dribble(replica: ScriptedReplica, connection: object) -> None:
+        def send_slowly_without_end(
+            replica: ScriptedReplica, connection: object
+        ) -> None:
             attempt = replica.next_request(connection)
             connection.sendall(stream_head(attempt))
             while True:
                 connection.sendall(chunk(b"x"))
                 gevent.sleep(0.05)
 
-        world = world_of(worlds, dribble, well)
-        said = [
+        world = make_world(worlds, send_slowly_without_end, respond)
+        responses = [
             world.ask("/order/1", method="POST", body="x", attempt=f"a{number}")
             for number in range(4)
         ]
-        assert sum(item.startswith(b"HTTP/1.1 504") for item in said) == 1
-        assert arrivals(world)[0] == 1
+        assert sum(item.startswith(b"HTTP/1.1 504") for item in responses) == 1
+        assert list_request_counts(world)[0] == 1
 
-    def test_an_event_without_end_is_cut(self, worlds: list[World]) -> None:
-        def endless(replica: ScriptedReplica, connection: object) -> None:
+    def test_an_endless_event_is_aborted(self, worlds: list[World]) -> None:
+        def send_endlessly(replica: ScriptedReplica, connection: object) -> None:
             attempt = replica.next_request(connection)
             connection.sendall(stream_head(attempt) + chunk(event(1) + b"data: "))
             while True:
                 connection.sendall(chunk(b"x" * 60_000))
 
-        world = world_of(worlds, endless)
-        said = world.ask("/chat/1", method="POST", body="x")
-        assert event(1) in said and not said.endswith(b"0\r\n\r\n")
-        assert len(said) < 1000
+        world = make_world(worlds, send_endlessly)
+        response = world.ask("/chat/1", method="POST", body="x")
+        assert event(1) in response and not response.endswith(b"0\r\n\r\n")
+        assert len(response) < 1000
 
 
-def brisk_routes() -> list:
-    """Return the routes with streams whose callers wait for 2 s at most."""
+def make_long_timeout_routes() -> list:
+    """Return the routes with a timeout of 6 s, above the 2 s that streams may stall."""
     return [
         type(route)(
             **{name: getattr(route, name) for name in route.__struct_fields__}
@@ -318,28 +322,30 @@
     ]
 
 
-class TestStreams:
-    def test_a_stream_that_sends_bytes_and_no_event_ends(
+class TestStalledStreams:
+    def test_a_stream_of_bytes_without_events_is_aborted(
         self, worlds: list[World]
     ) -> None:
-        def stalled(replica: ScriptedReplica, connection: object) -> None:
+        def send_comments_only(replica: ScriptedReplica, connection: object) -> None:
             attempt = replica.next_request(connection)
             connection.sendall(stream_head(attempt) + chunk(event(1)))
             while True:
                 gevent.sleep(0.1)
                 connection.sendall(chunk(b":"))
 
-        world = world_of(worlds, stalled)
-        world.table = make_table(routes=brisk_routes())
-        began = world.clock.now()
-        said = world.ask("/chat/1", method="POST", body="x")
-        assert 1.9 < world.clock.now() - began < 3.0
-        assert event(1) in said and not said.endswith(b"0\r\n\r\n")
+        world = make_world(worlds, send_comments_only)
+        world.table = make_table(routes=make_long_timeout_routes())
+        started_at = world.clock.now()
+        response = world.ask("/chat/1", method="POST", body="x")
+        assert 1.9 < world.clock.now() - started_at < 3.0
+        assert event(1) in response and not response.endswith(b"0\r\n\r\n")
 
-    def test_a_silent_stream_that_may_be_resumed_goes_on_elsewhere(
+    def test_a_stalled_resumable_stream_is_resumed_elsewhere(
         self, worlds: list[World]
     ) -> None:
-        def half(replica: ScriptedReplica, connection: object) -> None:
+        def stall_after_first_event(
+            replica: ScriptedReplica, connection: object
+        ) -> None:
             attempt = replica.next_request(connection)
             after = int(replica.requests[-1][1].get("last-event-id", 0))
             if after:
@@ -348,16 +354,16 @@
             connection.sendall(stream_head(attempt) + chunk(event(1)))
             connection.recv(1)
 
-        world = world_of(worlds, half, half)
-        world.table = make_table(routes=brisk_routes())
-        began = world.clock.now()
-        said = world.ask("/draft/1", method="POST", body="x")
-        assert world.clock.now() - began < 1.6
-        assert said.count(event(1)) == said.count(event(2)) == 1
-        assert said.endswith(b"0\r\n\r\n")
+        world = make_world(worlds, stall_after_first_event, stall_after_first_event)
+        world.table = make_table(routes=make_long_timeout_routes())
+        started_at = world.clock.now()
+        response = world.ask("/draft/1", method="POST", body="x")
+        assert world.clock.now() - started_at < 1.6
+        assert response.count(event(1)) == response.count(event(2)) == 1
+        assert response.endswith(b"0\r\n\r\n")
 
-    def test_a_slow_but_sound_stream_lives(self, worlds: list[World]) -> None:
-        def slow(replica: ScriptedReplica, connection: object) -> None:
+    def test_a_slow_stream_is_not_aborted(self, worlds: list[World]) -> None:
+        def stream_slowly(replica: ScriptedReplica, connection: object) -> None:
             attempt = replica.next_request(connection)
             connection.sendall(stream_head(attempt))
             for number in range(1, 4):
@@ -365,20 +371,22 @@
                 connection.sendall(chunk(event(number)))
             connection.sendall(chunk(b""))
 
-        world = world_of(worlds, slow)
-        world.table = make_table(routes=brisk_routes())
-        said = world.ask("/chat/1", method="POST", body="x")
-        assert event(3) in said and said.endswith(b"0\r\n\r\n")
+        world = make_world(worlds, stream_slowly)
+        world.table = make_table(routes=make_long_timeout_routes())
+        response = world.ask("/chat/1", method="POST", body="x")
+        assert event(3) in response and response.endswith(b"0\r\n\r\n")
 
 
-class TestKeptPromises:
-    def test_an_order_runs_once_where_two_attempts_are_allowed(
+class TestGuarantees:
+    def test_non_repeatable_requests_are_executed_once_despite_max_attempts(
         self, worlds: list[World]
     ) -> None:
-        def resetting(replica: ScriptedReplica, connection: object) -> None:
+        def close_without_response(
+            replica: ScriptedReplica, connection: object
+        ) -> None:
             replica.next_request(connection)
 
-        world = world_of(worlds, resetting, resetting)
+        world = make_world(worlds, close_without_response, close_without_response)
         world.table = make_table(
             routes=[
                 type(route)(
@@ -389,102 +397,104 @@
             ]
         )
         for path in ("/order/1", "/chat/1"):
-            before = sum(arrivals(world))
+            before = sum(list_request_counts(world))
             world.ask(path, method="POST", body="x", attempt=path.replace("/", "-"))
-            assert sum(arrivals(world)) - before == 1
+            assert sum(list_request_counts(world)) - before == 1
 
-    def test_replicas_that_take_no_connection_are_tried_a_few_times_only(
+    def test_connection_failures_are_limited_to_max_replica_attempts(
         self, worlds: list[World]
     ) -> None:
-        world = world_of(worlds, *[well] * 9)
+        world = make_world(worlds, *[respond] * 9)
         for replica in world.replicas:
             replica.stop()
-        said = world.ask("/order/1", method="POST", body="x")
-        assert said.startswith(b"HTTP/1.1 503")
+        response = world.ask("/order/1", method="POST", body="x")
+        assert response.startswith(b"HTTP/1.1 503")
         assert len(world.lines("attempt-failed")) == MAX_REPLICA_ATTEMPTS
 
-    def test_the_routes_timeout_bounds_what_a_patient_caller_gets(
+    def test_the_routes_timeout_bounds_a_longer_caller_deadline(
         self, worlds: list[World]
     ) -> None:
-        def silent(replica: ScriptedReplica, connection: object) -> None:
+        def never_respond(replica: ScriptedReplica, connection: object) -> None:
             replica.next_request(connection)
             connection.recv(1)
 
-        world = world_of(worlds, silent)
-        began = world.clock.now()
-        said = world.ask(
+        world = make_world(worlds, never_respond)
+        started_at = world.clock.now()
+        response = world.ask(
             "/order/1", method="POST", body="x", extra="Deadline-Ms: 5000\r\n"
         )
-        assert said.startswith(b"HTTP/1.1 504")
-        assert 0.7 < world.clock.now() - began < 1.4
+        assert response.startswith(b"HTTP/1.1 504")
+        assert 0.7 < world.clock.now() - started_at < 1.4
         assert int(world.replicas[0].requests[0][1]["deadline-ms"]) <= 800
 
-    def test_a_connection_that_the_replica_closes_is_not_used_again(
+    def test_a_connection_that_the_replica_closes_is_not_reused(
         self, worlds: list[World]
     ) -> None:
-        served: list[int] = []
+        request_counts: list[int] = []
 
-        def closing(replica: ScriptedReplica, connection: object) -> None:
-            number = len(served)
-            served.append(0)
+        def respond_and_announce_close(
+            replica: ScriptedReplica, connection: object
+        ) -> None:
+            number = len(request_counts)
+            request_counts.append(0)
             while True:
                 attempt = replica.next_request(connection)
-                served[number] += 1
+                request_counts[number] += 1
                 connection.sendall(
                     answer(
                         attempt, extra="Connection: close\r\nKeep-Alive: timeout=9\r\n"
                     )
                 )
 
-        world = world_of(worlds, closing)
+        world = make_world(worlds, respond_and_announce_close)
         for number in range(3):
             world.ask("/order/1", method="POST", body="x", attempt=f"a{number}")
-        assert served == [1, 1, 1]
+        assert request_counts == [1, 1, 1]
 
-    def test_a_replica_that_just_failed_comes_after_a_busier_one(
+    def test_a_replica_that_just_failed_is_ranked_below_a_busier_one(
         self, worlds: list[World]
     ) -> None:
-        world = world_of(worlds, well, well)
+        world = make_world(worlds, respond, respond)
         calls: list = []
         world.placement.heard(InstanceId("r1"), LoadHint(5, 0, 8))
         choose = world.placement.choose
 
-        def noted(call: object, **options: object) -> object:
+        def record_call(call: object, **options: object) -> object:
             calls.append(call)
             return choose(call, **options)
 
-        world.placement.choose = noted
+        world.placement.choose = record_call
         world.ask("/read/1", attempt="a0")
-        assert arrivals(world) == [1, 0]
+        assert list_request_counts(world) == [1, 0]
         world.placement.failed(InstanceId("r0"), calls[0], Failure.BROKEN)
         world.ask("/read/1", attempt="a1")
-        assert arrivals(world) == [1, 1]
+        assert list_request_counts(world) == [1, 1]
 
-    def test_a_late_second_answer_is_nobodys(self, worlds: list[World]) -> None:
-        def doubling(replica: ScriptedReplica, connection: object) -> None:
+    def test_a_late_second_response_is_not_relayed(self, worlds: list[World]) -> None:
+        def respond_twice(replica: ScriptedReplica, connection: object) -> None:
             while True:
                 attempt = replica.next_request(connection)
                 connection.sendall(answer(attempt, b"first"))
                 gevent.sleep(0.05)
                 connection.sendall(answer(attempt, b"again"))
 
-        world = world_of(worlds, doubling)
+        world = make_world(worlds, respond_twice)
         with world.connect() as caller:
             for number in range(4):
                 caller.sendall(
                     request("/order/1", method="POST", body="x", attempt=f"a{number}")
                 )
-                said = b""
-                while not said.endswith(b"first"):
-                    said += caller.recv(65536)
-                assert b"again" not in said
-                assert f"Attempt-Id: a{number}".encode() in said
+                response = b""
+                while not response.endswith(b"first"):
+                    response += caller.recv(65536)
+                assert b"again" not in response
+                assert f"Attempt-Id: a{number}".encode() in response
                 gevent.sleep(0.02 * number)
 
-    def test_an_unframed_answer_that_is_reset_is_no_success(
+    def test_an_unframed_response_that_is_reset_is_a_failure(
         self, worlds: list[World]
     ) -> None:
-        def reset(replica: ScriptedReplica, connection: object) -> None:
+        def reset_within_body(replica: ScriptedReplica, connection: object) -> None:
             attempt = replica.next_request(connection)
             connection.sendall(
                 f"HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\n"
@@ -496,19 +506,19 @@
                 gevent.socket.SOL_SOCKET, gevent.socket.SO_LINGER, linger
             )
 
-        world = world_of(worlds, reset)
-        said = world.ask("/order/1", method="POST", body="x")
-        assert said.startswith(b"HTTP/1.1 502") and b"half" not in said
+        world = make_world(worlds, reset_within_body)
+        response = world.ask("/order/1", method="POST", body="x")
+        assert response.startswith(b"HTTP/1.1 502") and b"half" not in response
 
-    def test_what_was_read_as_a_stop_begins_is_answered(
+    def test_requests_read_before_a_stop_are_answered(
         self, worlds: list[World]
     ) -> None:
-        def slow(replica: ScriptedReplica, connection: object) -> None:
+        def respond_slowly(replica: ScriptedReplica, connection: object) -> None:
             attempt = replica.next_request(connection)
             gevent.sleep(0.2)
             connection.sendall(answer(attempt))
 
-        world = world_of(worlds, *[slow] * 3)
+        world = make_world(worlds, *[respond_slowly] * 3)
         callers = [world.connect() for _ in range(3)]
         for number, caller in enumerate(callers):
             caller.sendall(
@@ -517,6 +527,9 @@
         world.stopping = True
         world.listener.drain(seconds=2.0)
         for caller in callers:
-            said = read_all(caller)
-            assert said.startswith(b"HTTP/1.1 200") and b"Connection: close" in said
+            response = read_all(caller)
+            assert (
+                response.startswith(b"HTTP/1.1 200")
+                and b"Connection: close" in response
+            )
             caller.close()
