--- a/tests/test_gateway_reading.py
+++ b/tests/test_gateway_reading.py
@@ -1,9 +1,9 @@
 """
-Tests of who reads the lists
-============================
+Tests of the poll schedule of lists
+===================================
 
-Several gateways on one paused clock follow one list whose version only grows; the
-oracle is the version and when it was written.
+Several simulated gateways on a manual clock follow one list whose version only grows.
+The oracle is the list's version and the time at which it was written.
 """
 
 import random
@@ -24,13 +24,25 @@
 from tests.gatewaykit import at
 
 STEP_SECONDS = 0.01
-# The time within which a change has to be in force.
-BOUND_SECONDS = 2.0
+# Time within which a change must be in force at every gateway.
+MAX_PROPAGATION_SECONDS = 2.0
 HEARTBEAT_SECONDS = 0.3
 
 
 class Gateway:
-    """One gateway: its plan, what it believes, and a call that may be under way."""
+    """
+    A simulated gateway: its plan, the version it has, and a pending call to the store.
+
+    Attributes
+    ----------
+    call : tuple or None
+        When the pending call ends without a change, and the newest change that peers
+        had reported before it.
+    cut_off : bool
+        Whether its calls to the store get no response.
+    frozen : bool
+        Whether its process is paused.
+    """
 
     def __init__(self, fleet: "Fleet", name: str) -> None:
         self.fleet = fleet
@@ -67,7 +79,7 @@
         assert self.call is not None
         until, reported = self.call
         if self.cut_off:
-            if now >= until + 0.7:  # the time-out of a call that gets no answer
+            if now >= until + 0.7:  # the timeout of a call without response
                 self.call = None
             return
         if self.fleet.version > self.version or now >= until:
@@ -84,7 +96,7 @@
 
 
 class Fleet:
-    """Gateways and the list that they follow."""
+    """Simulated gateways and the list that they follow."""
 
     def __init__(self, count: int, *, seed: int = 1, loss: float = 0.0) -> None:
         self.clock = ManualClock(start=50.0)
@@ -95,10 +107,10 @@
         self._loss = loss
 
     def deliver(self, sender: Gateway, report: ListReport) -> None:
-        for other in self.gateways:
-            lost = self._random.random() < self._loss
-            if other is not sender and not other.frozen and not lost:
-                other.reports.record_reports([report])
+        for receiver in self.gateways:
+            is_lost = self._random.random() < self._loss
+            if receiver is not sender and not receiver.frozen and not is_lost:
+                receiver.reports.record_reports([report])
 
     def write(self) -> None:
         self.version = at(self.version.version + 1)
@@ -109,15 +121,15 @@
             self.clock.advance(STEP_SECONDS)
             for gateway in self.gateways:
                 gateway.step()
-            if self.clock.now() - self.written_at > BOUND_SECONDS:
-                behind = [
+            if self.clock.now() - self.written_at > MAX_PROPAGATION_SECONDS:
+                stale_gateways = [
                     gateway.name
                     for gateway in self.gateways
                     if gateway.version < self.version
                     and not gateway.cut_off
                     and not gateway.frozen
                 ]
-                assert behind == []
+                assert stale_gateways == []
 
     def reader(self) -> Gateway:
         return min(self.gateways, key=lambda item: reader_score(item.name))
@@ -136,7 +148,7 @@
         fleet.run(1.3)
 
 
-def test_a_quiet_list_costs_the_same_whatever_the_fleet_is() -> None:
+def test_an_unchanged_list_costs_the_same_for_any_fleet_size() -> None:
     calls = {}
     for count in (8, 40):
         fleet = Fleet(count)
@@ -147,39 +159,39 @@
     assert calls[8] <= 20 and calls[40] <= 20
 
 
-@pytest.mark.parametrize("trouble", ["cut_off", "frozen"])
-def test_a_reader_in_trouble_is_not_waited_for(trouble: str) -> None:
+@pytest.mark.parametrize("fault", ["cut_off", "frozen"])
+def test_a_failed_reader_is_not_waited_for(fault: str) -> None:
     for delay in (0.0, 0.1, 0.25, 0.4, 0.55, 0.7):
         fleet = Fleet(8)
         fleet.run(2.0 + delay)
-        setattr(fleet.reader(), trouble, True)
+        setattr(fleet.reader(), fault, True)
         fleet.run(0.05)
         fleet.write()
         fleet.run(4.0)
-        setattr(fleet.reader(), trouble, False)
+        setattr(fleet.reader(), fault, False)
         fleet.run(2.5)
 
 
-def test_random_troubles_keep_the_bound() -> None:
+def test_changes_are_in_force_in_time_under_random_faults() -> None:
     for seed in range(12):
-        source = random.Random(seed)
+        rng = random.Random(seed)
         fleet = Fleet(6, seed=seed, loss=0.05)
         fleet.run(2.0)
         for _ in range(12):
-            gateway = source.choice(fleet.gateways)
-            trouble = source.choice(["cut_off", "frozen"])
-            setattr(gateway, trouble, True)
-            if source.random() < 0.7:
+            gateway = rng.choice(fleet.gateways)
+            fault = rng.choice(["cut_off", "frozen"])
+            setattr(gateway, fault, True)
+            if rng.random() < 0.7:
                 fleet.write()
-            fleet.run(source.uniform(0.2, 3.0))
-            setattr(gateway, trouble, False)
-            # Out of touch until it has been undisturbed for a while.
+            fleet.run(rng.uniform(0.2, 3.0))
+            setattr(gateway, fault, False)
+            # The bound starts anew, since the gateway may have missed the last change.
             gateway.frozen = gateway.cut_off = False
             fleet.written_at = max(fleet.written_at, fleet.clock.now())
             fleet.run(0.3)
 
 
-def test_a_notice_of_what_a_whole_reading_does_not_show_is_not_repeated() -> None:
+def test_a_reported_removal_that_a_full_read_lacks_is_polled_for_once() -> None:
     clock = ManualClock()
     reports = ListReports(clock=clock)
     plan = ReadPlan(
--- a/tests/test_gateway_restored_store.py
+++ b/tests/test_gateway_restored_store.py
@@ -1,9 +1,10 @@
 """
-Tests of a store that comes back from an older copy
-===================================================
+Tests of a store that is restored from a backup
+===============================================
 
-Gateways on one paused clock; the store forgets its newest seconds and counts its
-versions anew.  The operators and the replicas write again what was forgotten.
+Simulated gateways on a manual clock.  The store loses the changes of its last seconds
+and continues from the backup's last version in a new era, so that versions repeat.
+Operators and replicas write again what was lost.
 """
 
 import pytest
@@ -21,18 +22,25 @@
 from tests.test_gateway_broadcasts import Fleet
 from tests.test_gateway_parts import gone, names, row
 
-COPY_SECONDS = 3.0
-# How long the store is away in a drill.
-AWAY_SECONDS = 3.0
-# Within which a change has to be in force.
-BOUND_SECONDS = 2.0
+BACKUP_AGE_SECONDS = 3.0
+# How long the store is unreachable before it is restored.
+OUTAGE_SECONDS = 3.0
+# Time within which a change must be in force at every gateway.
+MAX_PROPAGATION_SECONDS = 2.0
 
 
-def drill(fleet: Fleet, *, seconds: float = COPY_SECONDS) -> None:
-    """Let the store go away and come back from a copy."""
+def restore_store(fleet: Fleet, *, backup_age: float = BACKUP_AGE_SECONDS) -> None:
+    """
+    Make the store unreachable for a while, then restore it from a backup.
+
+    Parameters
+    ----------
+    backup_age : float
+        Age of the backup in seconds at the start of the outage.
+    """
     fleet.store.away = True
-    fleet.run(AWAY_SECONDS)
-    fleet.store.restore(seconds + AWAY_SECONDS)
+    fleet.run(OUTAGE_SECONDS)
+    fleet.store.restore(backup_age + OUTAGE_SECONDS)
 
 
 def test_a_change_after_a_restore_is_in_force_in_time() -> None:
@@ -40,84 +48,84 @@
     fleet.run(4.0)
     fleet.store.write("lost")
     fleet.run(1.0)
-    drill(fleet)
-    # Removals right after an outage may be lapses.
+    restore_store(fleet)
+    # Removals right after an outage may be expired entries and take effect later.
     fleet.run(LAPSE_DOUBT_SECONDS + 1.0)
     fleet.store.remove("r0")
     fleet.store.write("r1", state=UpstreamState.LEAVING)
     version = fleet.store.configure()
-    fleet.run(BOUND_SECONDS)
+    fleet.run(MAX_PROPAGATION_SECONDS)
     for gateway in fleet.up:
         assert "r0" not in gateway.replicas and "r1" not in gateway.replicas
         assert gateway.version == version
 
 
-def test_a_second_restore_is_taken_in_like_the_first() -> None:
+def test_a_second_restore_is_handled_like_the_first() -> None:
     fleet = Fleet(8)
     fleet.run(4.0)
     for number in range(2):
         fleet.store.write(f"lost-{number}")
         fleet.run(1.0)
-        drill(fleet)
+        restore_store(fleet)
         fleet.run(6.0)
     fleet.store.write("new")
-    fleet.run(BOUND_SECONDS)
+    fleet.run(MAX_PROPAGATION_SECONDS)
     for gateway in fleet.up:
         assert "new" in gateway.replicas and "lost-0" not in gateway.replicas
 
 
 @pytest.mark.parametrize("count", [8, 77, 300])
-def test_a_drill_costs_a_few_calls_a_second_whatever_the_fleet_is(count: int) -> None:
+def test_a_restore_costs_a_few_calls_per_second_for_any_fleet_size(count: int) -> None:
     fleet = Fleet(count)
     fleet.run(4.0)
     fleet.store.write("lost")
     fleet.run(1.0)
     before = fleet.store.calls
-    drill(fleet)
+    restore_store(fleet)
     fleet.run(5.0)
     fleet.store.write("lost")
     fleet.run(5.0)
     calls = fleet.store.calls - before
-    assert calls / (AWAY_SECONDS + 10.0) <= MOST_CALLS_A_SECOND
+    assert calls / (OUTAGE_SECONDS + 10.0) <= MAX_CALLS_PER_SECOND
     assert all("lost" in gateway.replicas for gateway in fleet.up)
 
 
-# Two lists, each waited for at the store by one gateway, are 3.3 calls a second.
-MOST_CALLS_A_SECOND = 8.0
+# Long polls of two lists by one gateway are 3.3 calls per second.
+MAX_CALLS_PER_SECOND = 8.0
 
 
-def test_the_newest_configuration_stays_in_force() -> None:
+def test_the_newest_configuration_stays_active() -> None:
     fleet = Fleet(8)
     fleet.run(4.0)
     version = fleet.store.configure()
     fleet.run(1.0)
-    drill(fleet)
+    restore_store(fleet)
     for _ in range(10):
         fleet.run(0.5)
         assert {gateway.version for gateway in fleet.up} == {version}
 
 
-def test_a_gateway_that_starts_in_the_gap_gets_it_from_another_one() -> None:
+def test_a_gateway_that_starts_after_the_restore_gets_the_lost_configuration() -> None:
     fleet = Fleet(8)
-    late = fleet.gateways["g7"]
-    late.down = True
+    late_gateway = fleet.gateways["g7"]
+    late_gateway.down = True
     fleet.run(4.0)
     version = fleet.store.configure()
     fleet.run(1.0)
-    drill(fleet)
-    late.down = False
-    fleet.run(BOUND_SECONDS)
-    assert late.version == version
+    restore_store(fleet)
+    late_gateway.down = False
+    fleet.run(MAX_PROPAGATION_SECONDS)
+    assert late_gateway.version == version
     assert fleet.snapshots < 5
 
 
-def test_a_replica_that_the_copy_lacks_is_kept_until_it_has_written_again() -> None:
+def test_a_replica_that_the_backup_lacks_is_kept_until_it_registers_again() -> None:
     fleet = Fleet(8)
     fleet.run(4.0)
     fleet.store.write("new")
     fleet.store.write("gone")
     fleet.run(1.0)
-    drill(fleet)
+    restore_store(fleet)
     for _ in range(4):
         fleet.run(0.4)
         assert all("new" in gateway.replicas for gateway in fleet.up)
@@ -127,19 +135,24 @@
         assert "new" in gateway.replicas and "gone" not in gateway.replicas
 
 
-def test_who_knew_more_than_the_reader_reads_the_list_itself() -> None:
-    """Its changes are in no list any more, so what the reader tells leads nowhere."""
+def test_a_gateway_that_was_ahead_of_the_reader_does_a_full_read() -> None:
+    """
+    Guards against a replica that stays in use although the restored store lacks it.
+
+    A gateway had read an entry that neither the reader nor the backup has.  The changes
+    that the reader broadcasts don't remove such an entry.
+    """
     fleet = Fleet(3)
     fleet.run(4.0)
-    ahead = next(item for item in fleet.up if item is not fleet.first)
-    fleet.deaf = {item for item in fleet.gateways if item != ahead.name}
+    ahead_gateway = next(item for item in fleet.up if item is not fleet.first)
+    fleet.deaf = {item for item in fleet.gateways if item != ahead_gateway.name}
     fleet.store.write("ghost")
-    ahead.upstreams.poll_once(wait=0.0)
-    assert "ghost" in ahead.replicas
+    ahead_gateway.upstreams.poll_once(wait=0.0)
+    assert "ghost" in ahead_gateway.replicas
     fleet.store.restore(0.5)
     fleet.deaf.clear()
     fleet.run(LAPSE_GRACE_SECONDS + 2.0)
-    assert "ghost" not in ahead.replicas
+    assert "ghost" not in ahead_gateway.replicas
 
 
 class TestDirectory:
@@ -156,7 +169,9 @@
         directory.apply([leaving], whole=False)
         assert names(directory) == ["a"]
 
-    def test_what_left_stays_so_although_the_copy_shows_it_ready(self) -> None:
+    def test_a_removed_replica_that_was_leaving_is_not_used_although_the_backup_has_it(
+        self,
+    ) -> None:
         directory, clock = self.directory()
         leaving = row("a", 30, era=1, state=UpstreamState.LEAVING)
         directory.apply([leaving], whole=False)
@@ -170,7 +185,7 @@
         directory.apply([row("a", 40, era=2, incarnation=2)], whole=False)
         assert names(directory) == ["a", "b"]
 
-    def test_what_was_removed_is_not_used_before_it_is_written_again(self) -> None:
+    def test_a_removed_replica_is_not_used_before_it_has_registered_again(self) -> None:
         directory, _ = self.directory()
         directory.apply([gone("a", 30, era=1)], whole=False)
         directory.list_restored(at(25, era=2))
@@ -179,8 +194,8 @@
         directory.apply([row("a", 26, era=2)], whole=False)
         assert names(directory) == ["a", "b"]
 
-    def test_one_that_stays_listed_has_been_written_again(self) -> None:
-        """The platform removes entries that their replicas do not renew."""
+    def test_a_removed_replica_that_stays_listed_is_used_again(self) -> None:
+        """The platform removes entries that aren't renewed, so this one was renewed."""
         directory, clock = self.directory()
         directory.apply([gone("a", 30, era=1)], whole=False)
         directory.list_restored(at(25, era=2))
@@ -189,7 +204,7 @@
         directory.expire()
         assert names(directory) == ["a", "b"]
 
-    def test_one_that_is_removed_meanwhile_is_not_used(self) -> None:
+    def test_a_removed_replica_that_is_removed_again_is_not_used(self) -> None:
         directory, clock = self.directory()
         directory.apply([gone("a", 30, era=1)], whole=False)
         directory.list_restored(at(25, era=2))
@@ -200,12 +215,12 @@
         assert names(directory) == ["b"]
 
 
-def test_marks_of_an_older_era_do_not_make_anyone_ask() -> None:
+def test_changes_of_an_older_era_cause_no_polls() -> None:
     fleet = Fleet(3)
     fleet.run(4.0)
     fleet.store.write("lost")
     fleet.run(1.0)
-    drill(fleet)
+    restore_store(fleet)
     fleet.run(3.0)
     plans = [gateway.plans[ListName.UPSTREAMS] for gateway in fleet.up]
     assert all(plan.is_caught_up for plan in plans)
--- a/tests/test_gateway_starting.py
+++ b/tests/test_gateway_starting.py
@@ -1,6 +1,9 @@
 """
 Tests of a gateway that starts under load
 =========================================
+
+Callers connect before the gateway has its configuration, or before its program has
+been loaded.
 """
 
 from collections.abc import Iterator
@@ -30,9 +33,9 @@
 
 @pytest.fixture
 def world() -> Iterator[World]:
-    made = World([ScriptedReplica("r0", serve)])
-    yield made
-    made.stop()
+    new_world = World([ScriptedReplica("r0", serve)])
+    yield new_world
+    new_world.stop()
 
 
 def close_gate(world: World) -> StartGate:
@@ -40,8 +43,14 @@
     return gate
 
 
-def test_callers_that_come_before_the_configuration_are_served(world: World) -> None:
-    """After a loss of power each was refused and came back half a second later."""
+def test_callers_that_connect_before_the_configuration_is_read_are_served(
+    world: World,
+) -> None:
+    """
+    Guards against refusals in the moment between listening and the first configuration.
+
+    After a power failure each such caller was refused and retried half a second later.
+    """
     gate = close_gate(world)
     table, world.table = world.table, None
     callers = [gevent.spawn(world.ask, "/read/1", attempt=f"a{n}") for n in range(20)]
@@ -53,7 +62,9 @@
     assert not world.lines("refused")
 
 
-def test_they_are_refused_as_soon_as_nothing_can_be_known(world: World) -> None:
+def test_held_callers_are_refused_once_the_gate_opens_without_configuration(
+    world: World,
+) -> None:
     gate = close_gate(world)
     world.table = None
     caller = gevent.spawn(world.ask, "/read/1")
@@ -63,7 +74,7 @@
     assert b" 503 " in caller.get(timeout=5)
 
 
-def test_none_is_held_for_longer_than_it_helps(
+def test_callers_are_held_no_longer_than_the_limit(
     world: World, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     monkeypatch.setattr(starting, "MAX_HOLD_SECONDS", 0.05)
@@ -73,38 +84,46 @@
 
 
 class TestEarlyListener:
-    def listener(self, world: World, port: int, early: object) -> Listener:
+    def listener(self, world: World, port: int, early_socket: object) -> Listener:
         return Listener(
             address=f"127.0.0.1:{port}",
             handler=world.forwarder,
             clock=world.clock,
             stopping=lambda: False,
-            listening=early,  # type: ignore[arg-type]
+            listening=early_socket,  # type: ignore[arg-type]
         )
 
-    def test_who_connected_before_the_program_was_loaded_is_served(
+    def test_callers_that_connected_before_the_program_was_loaded_are_served(
         self, world: World
     ) -> None:
         (port,) = free_ports(1)
-        early = open_early(f"127.0.0.1:{port}")
+        early_socket = open_early(f"127.0.0.1:{port}")
         with socket.create_connection(("127.0.0.1", port), timeout=5) as caller:
             caller.sendall(request("/read/1", close=True))
-            listener = self.listener(world, port, early)
+            listener = self.listener(world, port, early_socket)
             listener.start()
             assert read_all(caller).startswith(b"HTTP/1.1 200")
         listener.stop()
 
-    def test_the_settings_address_goes_first(self, world: World) -> None:
-        first, second = free_ports(2)
-        listener = self.listener(world, second, open_early(f"127.0.0.1:{first}"))
+    def test_the_settings_address_overrides_the_early_listener(
+        self, world: World
+    ) -> None:
+        early_port, settings_port = free_ports(2)
+        listener = self.listener(
+            world, settings_port, open_early(f"127.0.0.1:{early_port}")
+        )
         listener.start()
-        with socket.create_connection(("127.0.0.1", second), timeout=5) as caller:
+        with socket.create_connection(
+            ("127.0.0.1", settings_port), timeout=5
+        ) as caller:
             caller.sendall(request("/read/1", close=True))
             assert read_all(caller).startswith(b"HTTP/1.1 200")
         with pytest.raises(OSError):
-            socket.create_connection(("127.0.0.1", first), timeout=5)
+            socket.create_connection(("127.0.0.1", early_port), timeout=5)
         listener.stop()
 
     @pytest.mark.parametrize("address", ["", "nowhere", "127.0.0.1:x", "1.2.3.4:80"])
-    def test_an_address_that_is_none_of_ours_opens_nothing(self, address: str) -> None:
+    def test_an_invalid_or_foreign_address_opens_no_early_listener(
+        self, address: str
+    ) -> None:
         assert open_early(address) is None
