--- a/bench/coordination.py
+++ b/bench/coordination.py
@@ -22,10 +22,16 @@
     UpstreamRecord,
     UpstreamState,
 )
-from damasklead.gateway.coordination.asking import make_ask
-from damasklead.gateway.coordination.cells import Cell, divide
+from damasklead.gateway.coordination.asking import make_assignment_request
+from damasklead.gateway.coordination.cells import Cell, partition_engines
 from damasklead.gateway.coordination.coordinator import Coordinator
-from damasklead.gateway.coordination.messages import Ended, Grant, Queued, Read, Running
+from damasklead.gateway.coordination.messages import (
+    Grant,
+    PrefillDone,
+    RequestEnded,
+    RequestQueued,
+    RunningRequests,
+)
 from damasklead.gateway.directory import ListedRow
 from damasklead.gateway.messages import Broadcast
 from damasklead.gateway.positions import Position
@@ -90,7 +96,9 @@
     cell = Cell(SERVICE, DataCentre("centre-1"), 1)
     call = make_call(1, 10)
     name, instance = "edge-centre-1-17", InstanceId("i-7f3a91c2d4")
-    ask = make_ask(name, call, cell, now=0.1, excluded=(), first=True)
+    ask = make_assignment_request(
+        name, call, cell, now=0.1, excluded=(), first_offer=True
+    )
     row = ListedRow(
         instance=instance, position=Position(version=123_456), record=make_records(1)[0]
     )
@@ -98,11 +106,11 @@
     base, cursor = Position(version=123_450), Position(version=123_456)
     messages = {
         "ask": ask,
-        "held": Queued(call.id),
+        "held": RequestQueued(call.id),
         "grant": Grant(call.id, instance, "10.1.64.25:8364", 0.2),
-        "read": Read(name, cell, call.id, LoadHint(12, 0, 16)),
-        "ended": Ended(name, cell, call.id, "whole"),
-        "running, 4": Running(name, cell, ((call.id, instance, 9190),) * 4),
+        "read": PrefillDone(name, cell, call.id, LoadHint(12, 0, 16)),
+        "ended": RequestEnded(name, cell, call.id, "whole"),
+        "running, 4": RunningRequests(name, cell, ((call.id, instance, 9190),) * 4),
         "broadcast": Broadcast(
             name, 1_783_222_000_000, 999, reports, base, cursor, [], b"", [], []
         ),
@@ -117,21 +125,31 @@
 def seconds_per_request(engines: int, waiting: int) -> float:
     """Return the processor time of one request at its coordinator."""
     clock = ManualClock(start=100.0)
-    cell, records = next(iter(divide(make_records(engines)).items()))
+    cell, records = next(iter(partition_engines(make_records(engines)).items()))
     coordinator = Coordinator(cell=cell, clock=clock, service=SPEC, routes=[ROUTE])
-    coordinator.retain(records)
+    coordinator.set_engines(records)
     for number in range(waiting + 2 * len(records)):
         call = make_call(10_000 + number, 200)
-        coordinator.ask(make_ask("g", call, cell, now=0.0, excluded=(), first=True))
+        coordinator.handle_assignment_request(
+            make_assignment_request(
+                "g", call, cell, now=0.0, excluded=(), first_offer=True
+            )
+        )
     begin = time.process_time()
     for number in range(REQUESTS):
         call = make_call(number, 200)
         clock.advance(0.001)
-        coordinator.ask(make_ask("g", call, cell, now=0.0, excluded=(), first=False))
-        coordinator.read(Read("g", cell, call.id, LoadHint(1, 0, 16)))
-        coordinator.ended(Ended("g", cell, call.id, "whole"))
+        coordinator.handle_assignment_request(
+            make_assignment_request(
+                "g", call, cell, now=0.0, excluded=(), first_offer=False
+            )
+        )
+        coordinator.handle_prefill_done(
+            PrefillDone("g", cell, call.id, LoadHint(1, 0, 16))
+        )
+        coordinator.handle_request_ended(RequestEnded("g", cell, call.id, "whole"))
         if number % 10 == 0:
-            coordinator.tick()
+            coordinator.process_queue()
     return (time.process_time() - begin) / REQUESTS
 
 
@@ -143,7 +161,7 @@
     print("processor time of a request at its coordinator, in us")
     print("  engines   cells  of cell   none waits   100 wait")
     for engines in (8, 78, 300, 1100):
-        cells = divide(make_records(engines))
+        cells = partition_engines(make_records(engines))
         idle, busy = (seconds_per_request(engines, count) for count in (0, 100))
         size = len(next(iter(cells.values())))
         print(
--- a/damasklead/experiment/fleet.py
+++ b/damasklead/experiment/fleet.py
@@ -16,7 +16,7 @@
 from damasklead.experiment.policies import Policy
 from damasklead.experiment.tally import Tally
 from damasklead.gateway.calls import UpstreamRecord, UpstreamState
-from damasklead.gateway.coordination.service import DECIDE_SECONDS
+from damasklead.gateway.coordination.service import QUEUE_INTERVAL_SECONDS
 from damasklead.gateway.placements import Placement
 from damasklead.gateway.routing import (
     CallerLimits,
@@ -166,7 +166,7 @@
 
     def _tick(self, gateway: Gateway) -> None:
         gateway.tick()
-        self._driver.at(DECIDE_SECONDS, self._tick, gateway)
+        self._driver.at(QUEUE_INTERVAL_SECONDS, self._tick, gateway)
 
     def _send(self, gateway: Gateway, name: str, message: object) -> None:
         """Take a message from one gateway to another, unless either is cut off."""
--- a/damasklead/experiment/gateways.py
+++ b/damasklead/experiment/gateways.py
@@ -17,23 +17,23 @@
 from damasklead.gateway.attempts import MAX_REPLICA_ATTEMPTS, RETRY_AFTER_SECONDS
 from damasklead.gateway.calls import Call, LoadHint, UpstreamRecord
 from damasklead.gateway.coordination.asking import (
-    FIRST_ASK_SECONDS,
-    MOST_COORDINATORS,
-    QUEUED_PATIENCE_SECONDS,
-    SECOND_ASK_SECONDS,
-    make_ask,
+    FIRST_REQUEST_TIMEOUT_SECONDS,
+    MAX_COORDINATORS,
+    QUEUED_TIMEOUT_SECONDS,
+    SECOND_REQUEST_TIMEOUT_SECONDS,
+    make_assignment_request,
 )
 from damasklead.gateway.coordination.cellmap import CellMap
 from damasklead.gateway.coordination.cells import Cell, Member
 from damasklead.gateway.coordination.coordinators import Coordinators
 from damasklead.gateway.coordination.messages import (
-    Ask,
-    Ended,
+    AssignmentRequest,
     Grant,
-    Queued,
-    Read,
-    Refused,
-    Running,
+    PrefillDone,
+    RequestEnded,
+    RequestQueued,
+    RequestRejected,
+    RunningRequests,
 )
 from damasklead.gateway.placements import Placement
 from damasklead.gateway.routing import RoutingTable
@@ -131,22 +131,22 @@
             clock=driver.clock,
             cells=self._cells,
             table=lambda: table,
-            answer=self._send,
+            send_response=self._send,
             placement=placement,
         )
         self._works: dict[str, _Work] = {}
 
     def meet(self, members: list[Member]) -> None:
         """Take in which gateways there are."""
-        self._cells.take_members(members)
+        self._cells.set_members(members)
 
     def retain(self, service: ServiceName, records: list[UpstreamRecord]) -> None:
         """Take the replicas that are listed."""
         self._records = {record.instance: record for record in records}
         for record in records:
             self._sources[record.address] = self._engines[record.instance]
-        self._cells.take_engines(service, records)
-        self._coordinators.arrange()
+        self._cells.set_engines(service, records)
+        self._coordinators.apply_configuration()
 
     def submit(self, call: Call, answer: Answer, *, tokens: int) -> None:
         """Take a request in; ``tokens`` is the length that its answer will have."""
@@ -158,13 +158,15 @@
 
     def tick(self) -> None:
         """Let the coordinators here decide about what waits."""
-        self._coordinators.tick()
+        self._coordinators.process_queues()
 
     def take(self, message: object, sender: str) -> None:
         """Take in a message of a gateway."""
-        if isinstance(message, (Ask, Read, Ended, Running)):
-            self._coordinators.take(message)
-        elif isinstance(message, (Grant, Queued, Refused)):
+        if isinstance(
+            message, (AssignmentRequest, PrefillDone, RequestEnded, RunningRequests)
+        ):
+            self._coordinators.handle_message(message)
+        elif isinstance(message, (Grant, RequestQueued, RequestRejected)):
             self._take_answer(message, sender)
 
     def _send(self, name: str, message: object) -> None:
@@ -175,11 +177,13 @@
             self._send_far(self, name, message)
 
     def _find(self, work: _Work) -> None:
-        work.cell = self._cells.choose(work.call, first=not work.offers)
+        work.cell = self._cells.select_cell(work.call, first_offer=not work.offers)
         if work.cell is None or work.offers >= MAX_REPLICA_ATTEMPTS:
             self._refuse(work, RETRY_AFTER_SECONDS)
             return
-        work.coordinators = self._cells.coordinators(work.cell, most=MOST_COORDINATORS)
+        work.coordinators = self._cells.list_coordinators(
+            work.cell, limit=MAX_COORDINATORS
+        )
         self._ask(work)
 
     def _ask(self, work: _Work) -> None:
@@ -187,15 +191,17 @@
             self._refuse(work, RETRY_AFTER_SECONDS)
             return
         work.coordinator = work.coordinators.pop(0)
-        self._await(work, FIRST_ASK_SECONDS + SECOND_ASK_SECONDS)
-        ask = make_ask(
+        self._await(
+            work, FIRST_REQUEST_TIMEOUT_SECONDS + SECOND_REQUEST_TIMEOUT_SECONDS
+        )
+        ask = make_assignment_request(
             self.name,
             work.call,
             work.cell,
             now=self._driver.clock.now(),
             excluded=work.excluded,
-            first=not work.offers,
-            source=self._cells.source_for(work.call, work.cell),
+            first_offer=not work.offers,
+            source=self._cells.find_copy_source(work.call, work.cell),
         )
         self._send(work.coordinator, ask)
 
@@ -207,34 +213,42 @@
         if work.done or ask != work.asks or work.replica is not None:
             return
         if work.coordinator != self.name:
-            self._cells.suspect(work.coordinator)
+            self._cells.suspect_gateway(work.coordinator)
         self._ask(work)
 
-    def _take_answer(self, answer: Grant | Queued | Refused, sender: str) -> None:
-        self._cells.heard(sender)
+    def _take_answer(
+        self, answer: Grant | RequestQueued | RequestRejected, sender: str
+    ) -> None:
+        self._cells.clear_suspicion(sender)
         work = self._works.get(answer.attempt)
         wanted = work is not None and sender == work.coordinator and not work.replica
         if work is None or not wanted:
             self._give_back(answer, sender)
             return
-        if isinstance(answer, Queued):
-            self._await(work, QUEUED_PATIENCE_SECONDS)
+        if isinstance(answer, RequestQueued):
+            self._await(work, QUEUED_TIMEOUT_SECONDS)
             return
         work.asks += 1
         if work.cell is not None:
-            self._cells.note_load(work.cell, answer.backlog)
-        if isinstance(answer, Refused):
+            self._cells.record_load(work.cell, answer.backlog)
+        if isinstance(answer, RequestRejected):
             self._refuse(work, answer.retry_after or RETRY_AFTER_SECONDS)
         else:
             self._offer(work, answer)
 
-    def _give_back(self, answer: Grant | Queued | Refused, sender: str) -> None:
+    def _give_back(
+        self, answer: Grant | RequestQueued | RequestRejected, sender: str
+    ) -> None:
         """Tell a coordinator that its place comes too late."""
         cell = (
-            self._cells.cell_of(answer.instance) if isinstance(answer, Grant) else None
+            self._cells.find_cell(answer.instance)
+            if isinstance(answer, Grant)
+            else None
         )
         if cell is not None:
-            self._send(sender, Ended(self.name, cell, answer.attempt, "withdrawn"))
+            self._send(
+                sender, RequestEnded(self.name, cell, answer.attempt, "withdrawn")
+            )
 
     def _offer(self, work: _Work, grant: Grant) -> None:
         record = self._records.get(grant.instance)
@@ -286,7 +300,7 @@
             return
         work.events += 1
         if work.events == 1:
-            read = Read(self.name, work.cell, work.call.id, hint)
+            read = PrefillDone(self.name, work.cell, work.call.id, hint)
             self._send(work.coordinator, read)
         work.answer.on_event()
 
@@ -336,5 +350,5 @@
 
     def _tell_ended(self, work: _Work, outcome: str) -> None:
         if work.cell is not None and work.coordinator:
-            ended = Ended(self.name, work.cell, work.call.id, outcome)
+            ended = RequestEnded(self.name, work.cell, work.call.id, outcome)
             self._send(work.coordinator, ended)
--- a/damasklead/gateway/admission.py
+++ b/damasklead/gateway/admission.py
@@ -28,27 +28,27 @@
 from damasklead.ids import AttemptId
 from damasklead.util import stable_hash
 
-__all__ = ["Admission", "Admit", "Decision", "Reject"]
+__all__ = ["AdmissionController", "Admit", "Decision", "Reject"]
 
 # How far returns are spread, so that they don't come together.
-RETRY_SPREAD = 0.5
+RETRY_JITTER = 0.5
 # Callers honour at most a third of the time that they have left.
-MOST_RETRY_SHARE = 0.33
+MAX_RETRY_FRACTION = 0.33
 # Requests that a coordinator keeps back at most; the rest is refused at once.
-MOST_WAITING = 200
+MAX_QUEUE_LENGTH = 200
 # Requests that are weighed at one look, the first by rank: whoever can't be placed
 # waits for an engine with cached parts, and the next may use another one.
-MOST_WEIGHED = 8
+MAX_CANDIDATES = 8
 # What waits is looked through for requests without hope so often.
-LOOK_THROUGH_SECONDS = 0.05
+EXPIRY_SCAN_SECONDS = 0.05
 # Seconds by which a request counts as due later for each second that an engine has to
 # read for it, and the most, as a part of its target.
-READING_WEIGHT = 3.0
-MOST_READING_SHARE = 0.75
+PREFILL_WEIGHT = 3.0
+MAX_PREFILL_FRACTION = 0.75
 # What has to be read for a request that waits is worked out so often.
-WEIGH_SECONDS = 0.1
+PREFILL_ESTIMATE_SECONDS = 0.1
 # A first event can't come sooner than this after sending.
-LEAST_FIRST_EVENT_SECONDS = 0.1
+MIN_FIRST_EVENT_SECONDS = 0.1
 
 
 class Admit(msgspec.Struct, kw_only=True, frozen=True):
@@ -68,15 +68,15 @@
 Decision = Admit | Reject
 
 
-class _Waiting(msgspec.Struct, kw_only=True):
+class _QueuedCall(msgspec.Struct, kw_only=True):
     """A request that is kept back, and the delay by which it counts as due later."""
 
     call: Call
     delay: float = 0.0
-    weighed_at: float = -math.inf
+    estimated_at: float = -math.inf
 
 
-class Admission:
+class AdmissionController:
     """
     The requests of one gateway to one service's engines.
 
@@ -99,101 +99,105 @@
         self,
         *,
         clock: Clock,
-        has_room: Callable[[Call], bool],
+        has_capacity: Callable[[Call], bool],
         is_urgent: Callable[[Call], bool],
-        any_room: Callable[[], bool] = lambda: True,
-        seconds_of: Callable[[Call], float] = lambda _call: 0.0,
-        reading_of: Callable[[Call], float] = lambda _call: 0.0,
+        has_any_capacity: Callable[[], bool] = lambda: True,
+        estimate_seconds: Callable[[Call], float] = lambda _call: 0.0,
+        estimate_prefill_seconds: Callable[[Call], float] = lambda _call: 0.0,
     ) -> None:
-        self._any_room = any_room
-        self._seconds_of = seconds_of
-        self._reading_of = reading_of
-        self._looked_at = 0.0
-        self._too_late: list[Call] = []
+        self._has_any_capacity = has_any_capacity
+        self._estimate_seconds = estimate_seconds
+        self._estimate_prefill_seconds = estimate_prefill_seconds
+        self._scanned_at = 0.0
+        self._expired_calls: list[Call] = []
         self._clock = clock
-        self._has_room = has_room
+        self._has_capacity = has_capacity
         self._is_urgent = is_urgent
-        self._waiting: dict[AttemptId, _Waiting] = {}
+        self._queue: dict[AttemptId, _QueuedCall] = {}
 
     @property
-    def waiting(self) -> int:
+    def queue_length(self) -> int:
         """How many requests are kept back."""
-        return len(self._waiting)
+        return len(self._queue)
 
     @property
-    def calls(self) -> Collection[Call]:
+    def queued_calls(self) -> Collection[Call]:
         """The requests that are kept back."""
-        return [item.call for item in self._waiting.values()]
+        return [item.call for item in self._queue.values()]
 
     def submit(self, call: Call) -> Decision | None:
         """Take in a request; ``None`` when it has to wait."""
         if self._is_urgent(call):
             return Admit(call=call)
-        if not self._waiting and self._has_room(call):
+        if not self._queue and self._has_capacity(call):
             return Admit(call=call)
-        if len(self._waiting) >= MOST_WAITING:
+        if len(self._queue) >= MAX_QUEUE_LENGTH:
             return self._reject(call)
-        self._waiting[call.id] = _Waiting(call=call)
+        self._queue[call.id] = _QueuedCall(call=call)
         return None
 
     def withdraw(self, call: Call) -> None:
         """Take in that a request that waits has ended."""
-        self._waiting.pop(call.id, None)
+        self._queue.pop(call.id, None)
 
-    def next(self) -> Decision | None:
+    def decide_next(self) -> Decision | None:
         """
         Return a decision about a request that waits, ``None`` when there is none.
 
         What is sent changes what has room, so each is carried out before the next.
         """
         now = self._clock.now()
-        if now - self._looked_at >= LOOK_THROUGH_SECONDS:
-            self._looked_at = now
-            self._too_late = self._find_too_late(now)
-        while self._too_late:
-            call = self._too_late.pop()
-            if self._waiting.pop(call.id, None) is not None:
+        if now - self._scanned_at >= EXPIRY_SCAN_SECONDS:
+            self._scanned_at = now
+            self._expired_calls = self._find_expired(now)
+        while self._expired_calls:
+            call = self._expired_calls.pop()
+            if self._queue.pop(call.id, None) is not None:
                 return self._reject(call)
-        if not self._waiting or not self._any_room():
+        if not self._queue or not self._has_any_capacity():
             return None
         for item in heapq.nsmallest(
-            MOST_WEIGHED, self._waiting.values(), key=lambda item: self._rank(item, now)
+            MAX_CANDIDATES,
+            self._queue.values(),
+            key=lambda item: self._sort_key(item, now),
         ):
-            if self._has_room(item.call):
-                del self._waiting[item.call.id]
+            if self._has_capacity(item.call):
+                del self._queue[item.call.id]
                 return Admit(call=item.call)
         return None
 
-    def _find_too_late(self, now: float) -> list[Call]:
+    def _find_expired(self, now: float) -> list[Call]:
         """
         Return the requests whose first event would come too late to be of use.
 
         They are refused at once: their callers may still be served elsewhere or later.
         """
-        wait = LEAST_FIRST_EVENT_SECONDS
-        too_late: list[Call] = []
+        queue_seconds = MIN_FIRST_EVENT_SECONDS
+        expired_calls: list[Call] = []
         for item in sorted(
-            self._waiting.values(), key=lambda item: self._rank(item, now)
+            self._queue.values(), key=lambda item: self._sort_key(item, now)
         ):
             call = item.call
-            seconds = self._seconds_of(call)
-            if now + wait + seconds > call.useful_until:
-                too_late.append(call)
+            seconds = self._estimate_seconds(call)
+            if now + queue_seconds + seconds > call.useful_until:
+                expired_calls.append(call)
             else:
-                wait += seconds
-        return too_late
+                queue_seconds += seconds
+        return expired_calls
 
     def _reject(self, call: Call) -> Reject:
-        left = call.caller_deadline - self._clock.now()
-        spread = 1 - RETRY_SPREAD * stable_hash(call.id) / 2**64
-        seconds = max(0.0, MOST_RETRY_SHARE * left * spread)
+        seconds_left = call.caller_deadline - self._clock.now()
+        jitter = 1 - RETRY_JITTER * stable_hash(call.id) / 2**64
+        seconds = max(0.0, MAX_RETRY_FRACTION * seconds_left * jitter)
         return Reject(call=call, reason=Reason.OVERLOADED, retry_after=seconds)
 
-    def _rank(self, item: _Waiting, now: float) -> tuple[bool, int, float]:
+    def _sort_key(self, item: _QueuedCall, now: float) -> tuple[bool, int, float]:
         """Return what the lowest goes first by."""
         call = item.call
-        if now - item.weighed_at >= WEIGH_SECONDS:
-            item.weighed_at = now
-            most = MOST_READING_SHARE * call.route.target
-            item.delay = min(READING_WEIGHT * self._reading_of(call), most)
+        if now - item.estimated_at >= PREFILL_ESTIMATE_SECONDS:
+            item.estimated_at = now
+            max_delay = MAX_PREFILL_FRACTION * call.route.target
+            item.delay = min(
+                PREFILL_WEIGHT * self._estimate_prefill_seconds(call), max_delay
+            )
         return (now > call.due, call.tier, call.due + item.delay)
--- a/damasklead/gateway/assigning.py
+++ b/damasklead/gateway/assigning.py
@@ -9,20 +9,20 @@
 from collections.abc import Collection
 
 from damasklead.gateway.calls import Call, LoadHint, UpstreamRecord
-from damasklead.gateway.coordination.asking import Asker, Assignment
-from damasklead.gateway.coordination.messages import Refused
+from damasklead.gateway.coordination.asking import Assignment, AssignmentClient
+from damasklead.gateway.coordination.messages import RequestRejected
 from damasklead.gateway.placements import Placement
 from damasklead.gateway.refusals import Reason, Refusal
 from damasklead.ids import InstanceId
 
-__all__ = ["Assigner"]
+__all__ = ["ReplicaSelector"]
 
 # Places that a coordinator may give before this gateway chooses by itself: its list of
 # replicas may differ from this gateway's.
-MOST_ASSIGNMENTS = 3
+MAX_ASSIGNMENTS = 3
 
 
-class Assigner:
+class ReplicaSelector:
     """
     The place of one request.
 
@@ -33,14 +33,16 @@
     call : Call
     """
 
-    def __init__(self, *, asker: Asker, placement: Placement, call: Call) -> None:
-        self._asker = asker
+    def __init__(
+        self, *, client: AssignmentClient, placement: Placement, call: Call
+    ) -> None:
+        self._client = client
         self._placement = placement
         self._call = call
         self._assignment: Assignment | None = None
 
     @property
-    def source(self) -> str | None:
+    def copy_source(self) -> str | None:
         """Address of a replica from which prompt parts are copied."""
         source = None if self._assignment is None else self._assignment.source
         if source is None or not self._placement.has_address(source):
@@ -51,8 +53,8 @@
         """Return what decided, for the log."""
         return {} if self._assignment is None else self._assignment.explain()
 
-    def choose(
-        self, *, excluded: Collection[InstanceId], first: bool
+    def select_replica(
+        self, *, excluded: Collection[InstanceId], first_offer: bool
     ) -> UpstreamRecord | Refusal | None:
         """
         Return the replica to try next, a refusal, or ``None`` when there is none.
@@ -66,33 +68,35 @@
         """
         if not self._placement.coordinated:
             return self._placement.choose(self._call, excluded=excluded)
-        passed_over = set(excluded) | self._placement.paused_replicas()
-        for _ in range(MOST_ASSIGNMENTS):
-            found = self._asker.find(self._call, excluded=passed_over, first=first)
-            if found is None:
+        skipped_replicas = set(excluded) | self._placement.paused_replicas()
+        for _ in range(MAX_ASSIGNMENTS):
+            result = self._client.request_assignment(
+                self._call, excluded=skipped_replicas, first_offer=first_offer
+            )
+            if result is None:
                 break
-            if isinstance(found, Refused):
+            if isinstance(result, RequestRejected):
                 return Refusal(
                     reason=Reason.OVERLOADED,
-                    detail=f"the cell has {found.backlog:.2f} s to read",
-                    retry_after=found.retry_after,
+                    detail=f"the cell has {result.backlog:.2f} s to read",
+                    retry_after=result.retry_after,
                 )
-            record = self._placement.record(found.instance)
-            if record is not None and self._placement.accepts(found.instance):
-                self._assignment = found
+            record = self._placement.record(result.instance)
+            if record is not None and self._placement.accepts(result.instance):
+                self._assignment = result
                 return record
             # The coordinator's list is older or newer than this gateway's.
-            self._asker.ended(found, self._call, "withdrawn")
-            passed_over.add(found.instance)
+            self._client.report_request_ended(result, self._call, "withdrawn")
+            skipped_replicas.add(result.instance)
         return self._placement.choose(self._call, excluded=excluded)
 
-    def read(self, load: LoadHint | None) -> None:
+    def report_prefill_done(self, load: LoadHint | None) -> None:
         """Tell the coordinator that the request's first event came."""
         if self._assignment is not None:
-            self._asker.read(self._assignment, self._call, load)
+            self._client.report_prefill_done(self._assignment, self._call, load)
 
-    def leave(self, outcome: str) -> None:
+    def end_assignment(self, outcome: str) -> None:
         """Tell the coordinator that the request is at its replica no more."""
         assignment, self._assignment = self._assignment, None
         if assignment is not None:
-            self._asker.ended(assignment, self._call, outcome)
+            self._client.report_request_ended(assignment, self._call, outcome)
--- a/damasklead/gateway/attempts.py
+++ b/damasklead/gateway/attempts.py
@@ -8,7 +8,7 @@
 import gevent
 
 from damasklead.failures import Failure
-from damasklead.gateway.assigning import Assigner
+from damasklead.gateway.assigning import ReplicaSelector
 from damasklead.gateway.callers import CallerConnection
 from damasklead.gateway.calls import Call, ReplyHead, ReplyKind, UpstreamRecord
 from damasklead.gateway.dialect import SendPlan
@@ -92,7 +92,9 @@
         self._placement = placement
         self._caller = caller
         self._upstream: Connection | None = None
-        self._assigner = Assigner(asker=context.asker, placement=placement, call=call)
+        self._selector = ReplicaSelector(
+            client=context.assignment_client, placement=placement, call=call
+        )
         self._excluded_replicas: set[InstanceId] = set()
         self._possible_executions = 0
         self._request_sent = False
@@ -126,8 +128,8 @@
                 retry_after=QUARANTINED_RETRY_AFTER_SECONDS,
             )
         while True:
-            record = self._assigner.choose(
-                excluded=self._excluded_replicas, first=not self.attempt_count
+            record = self._selector.select_replica(
+                excluded=self._excluded_replicas, first_offer=not self.attempt_count
             )
             if record is None:
                 return self._refuse_without_replica()
@@ -160,7 +162,7 @@
             upstream.close()
         # A request that ends while it is connecting was already counted there.
         self._placement.withdrawn(self.replica, self._call)
-        self._assigner.leave("withdrawn")
+        self._selector.end_assignment("withdrawn")
 
     def _refuse_without_replica(self) -> Refusal | None:
         """Return the refusal for a request that no replica can take."""
@@ -190,7 +192,7 @@
             return True
         self._context.connections.release(self._upstream, keep_alive=None)
         self._upstream = None
-        self._assigner.leave("withdrawn")
+        self._selector.end_assignment("withdrawn")
         return False
 
     def _forward_to(self, record: UpstreamRecord) -> None:
@@ -204,7 +206,7 @@
             replica=record.instance,
             offer=self.attempt_count,
             **self._placement.explain(record.instance, call),
-            **self._assigner.explain(),
+            **self._selector.explain(),
         )
         self._placement.sent(record.instance, call)
         headers = self._context.dialect.upstream_headers(
@@ -214,7 +216,7 @@
                 seconds_left=call.deadline - self._context.clock.now(),
                 urgency=call.urgency,
                 resume_after=self._last_event_id,
-                copy_from=self._assigner.source,
+                copy_from=self._selector.copy_source,
             ),
         )
         self._request_sent = True
@@ -230,7 +232,7 @@
         self._check_response(reply, record)
         self._relay_response(upstream, reply)
         self._placement.finished(record.instance, call)
-        self._assigner.leave("whole")
+        self._selector.end_assignment("whole")
         self._context.containment.ended_well(call)
         self._upstream = None
         self._context.connections.release(
@@ -349,7 +351,7 @@
             if splitter.last_id is not None:
                 self._last_event_id = splitter.last_id
             if not self.event_count:
-                self._assigner.read(reply.load)
+                self._selector.report_prefill_done(reply.load)
             self._placement.progressed(self.replica, self._call)
             self._send_events(reply, whole)
             self.event_count += splitter.take_event_count()
@@ -385,7 +387,7 @@
             upstream.close()
         self._request_sent = self._body_pending = False
         self._placement.failed(record.instance, self._call, failure)
-        self._assigner.leave(failure.value)
+        self._selector.end_assignment(failure.value)
         self._excluded_replicas.add(record.instance)
         if failure is Failure.NOT_SENT:
             self._context.containment.unreachable(record)
--- a/damasklead/gateway/coordination/asking.py
+++ b/damasklead/gateway/coordination/asking.py
@@ -21,28 +21,28 @@
 from damasklead.gateway.coordination.cellmap import CellMap
 from damasklead.gateway.coordination.cells import Cell
 from damasklead.gateway.coordination.messages import (
-    Answer,
-    Ask,
-    Ended,
+    AssignmentRequest,
+    AssignmentResponse,
     Grant,
-    Queued,
-    Read,
-    Refused,
-    Running,
+    PrefillDone,
+    RequestEnded,
+    RequestQueued,
+    RequestRejected,
+    RunningRequests,
 )
 from damasklead.gateway.journal import Journal
 from damasklead.ids import AttemptId, InstanceId
 
-__all__ = ["Asker", "Assignment", "make_ask"]
+__all__ = ["Assignment", "AssignmentClient", "make_assignment_request"]
 
 # A coordinator answers within a few milliseconds; a lost datagram is made up for by a
 # second ask.
-FIRST_ASK_SECONDS = 0.04
-SECOND_ASK_SECONDS = 0.06
+FIRST_REQUEST_TIMEOUT_SECONDS = 0.04
+SECOND_REQUEST_TIMEOUT_SECONDS = 0.06
 # A coordinator repeats every 0.2 s that a request waits.
-QUEUED_PATIENCE_SECONDS = 0.65
+QUEUED_TIMEOUT_SECONDS = 0.65
 # Coordinators that are asked before this gateway decides by itself.
-MOST_COORDINATORS = 2
+MAX_COORDINATORS = 2
 
 
 class Assignment(msgspec.Struct, kw_only=True, frozen=True):
@@ -75,7 +75,7 @@
         }
 
 
-class Asker:
+class AssignmentClient:
     """
     Finds places for one gateway's requests to engines.
 
@@ -104,17 +104,17 @@
         self._cells = cells
         self._send = send
         self._journal = journal
-        self._waiting: dict[AttemptId, AsyncResult] = {}
+        self._pending: dict[AttemptId, AsyncResult] = {}
         self._assignments: dict[AttemptId, tuple[Assignment, int]] = {}
 
     @property
-    def waiting(self) -> int:
+    def pending_requests(self) -> int:
         """How many requests wait for a place."""
-        return len(self._waiting)
+        return len(self._pending)
 
-    def find(
-        self, call: Call, *, excluded: Collection[InstanceId], first: bool
-    ) -> Assignment | Refused | None:
+    def request_assignment(
+        self, call: Call, *, excluded: Collection[InstanceId], first_offer: bool
+    ) -> Assignment | RequestRejected | None:
         """
         Return a place for a request, its refusal, or ``None`` when there is no replica.
 
@@ -125,116 +125,131 @@
         first : bool
             Whether the request may be made to wait or be refused.
         """
-        cell = self._cells.choose(call, first=first)
+        cell = self._cells.select_cell(call, first_offer=first_offer)
         if cell is None:
             return None
-        for coordinator in self._cells.coordinators(cell, most=MOST_COORDINATORS):
-            answer = self._ask(call, cell, coordinator, excluded, first)
-            if isinstance(answer, Grant):
-                return self._take_assignment(call, cell, coordinator, answer)
-            if isinstance(answer, Refused) and answer.retry_after is not None:
-                return answer
+        for coordinator in self._cells.list_coordinators(cell, limit=MAX_COORDINATORS):
+            response = self._query_coordinator(
+                call, cell, coordinator, excluded, first_offer
+            )
+            if isinstance(response, Grant):
+                return self._record_assignment(call, cell, coordinator, response)
+            if (
+                isinstance(response, RequestRejected)
+                and response.retry_after is not None
+            ):
+                return response
         return None
 
-    def take(self, answer: Answer, sender: str) -> None:
+    def handle_response(self, response: AssignmentResponse, sender: str) -> None:
         """Take in a coordinator's answer."""
-        result = self._waiting.get(answer.attempt)
+        result = self._pending.get(response.attempt)
         if result is not None:
-            result.set(answer)
-        elif isinstance(answer, Grant) and answer.attempt not in self._assignments:
+            result.set(response)
+        elif isinstance(response, Grant) and response.attempt not in self._assignments:
             # It comes too late: another coordinator was asked, or the caller has gone.
-            cell = self._cells.cell_of(answer.instance)
+            cell = self._cells.find_cell(response.instance)
             if cell is not None:
-                gone = Ended(self._own, cell, answer.attempt, "withdrawn")
-                self._send(sender, gone)
+                withdrawal = RequestEnded(
+                    self._own, cell, response.attempt, "withdrawn"
+                )
+                self._send(sender, withdrawal)
 
-    def read(self, assignment: Assignment, call: Call, load: LoadHint | None) -> None:
+    def report_prefill_done(
+        self, assignment: Assignment, call: Call, load: LoadHint | None
+    ) -> None:
         """Take in that a request's first event came."""
         self._assignments[call.id] = (assignment, 0)
         self._send(
-            assignment.coordinator, Read(self._own, assignment.cell, call.id, load)
+            assignment.coordinator,
+            PrefillDone(self._own, assignment.cell, call.id, load),
         )
 
-    def ended(self, assignment: Assignment, call: Call, outcome: str) -> None:
+    def report_request_ended(
+        self, assignment: Assignment, call: Call, outcome: str
+    ) -> None:
         """Take in that a request has left its place."""
         self._assignments.pop(call.id, None)
         self._send(
-            assignment.coordinator, Ended(self._own, assignment.cell, call.id, outcome)
+            assignment.coordinator,
+            RequestEnded(self._own, assignment.cell, call.id, outcome),
         )
 
-    def tell_running(self) -> None:
+    def report_running_requests(self) -> None:
         """Tell the coordinators what runs at their engines."""
         by_cell: dict[Cell, list[tuple[AttemptId, InstanceId, int]]] = {}
-        for attempt, (assignment, unread) in self._assignments.items():
+        for attempt, (assignment, pending_tokens) in self._assignments.items():
             by_cell.setdefault(assignment.cell, []).append(
-                (attempt, assignment.instance, unread)
+                (attempt, assignment.instance, pending_tokens)
             )
         for cell, requests in by_cell.items():
-            coordinator = self._cells.coordinators(cell, most=1)[0]
-            self._send(coordinator, Running(self._own, cell, tuple(requests)))
+            coordinator = self._cells.list_coordinators(cell, limit=1)[0]
+            self._send(coordinator, RunningRequests(self._own, cell, tuple(requests)))
 
-    def _ask(
+    def _query_coordinator(
         self,
         call: Call,
         cell: Cell,
         coordinator: str,
         excluded: Collection[InstanceId],
-        first: bool,
-    ) -> Grant | Refused | None:
+        first_offer: bool,
+    ) -> Grant | RequestRejected | None:
         """Ask one coordinator; ``None`` when it is silent."""
-        placed = False
+        has_response = False
         try:
-            answer = self._wait_for(
+            response = self._send_with_retry(
                 call,
                 cell,
                 coordinator,
-                make_ask(
+                make_assignment_request(
                     self._own,
                     call,
                     cell,
                     now=self._clock.now(),
                     excluded=excluded,
-                    first=first,
-                    source=self._cells.source_for(call, cell),
+                    first_offer=first_offer,
+                    source=self._cells.find_copy_source(call, cell),
                 ),
             )
-            placed = answer is not None
-            return answer
+            has_response = response is not None
+            return response
         finally:
-            if not placed:
-                gone = Ended(self._own, cell, call.id, "withdrawn")
-                self._send(coordinator, gone)
+            if not has_response:
+                withdrawal = RequestEnded(self._own, cell, call.id, "withdrawn")
+                self._send(coordinator, withdrawal)
 
-    def _wait_for(
-        self, call: Call, cell: Cell, coordinator: str, ask: Ask
-    ) -> Grant | Refused | None:
-        patience = FIRST_ASK_SECONDS
+    def _send_with_retry(
+        self, call: Call, cell: Cell, coordinator: str, request: AssignmentRequest
+    ) -> Grant | RequestRejected | None:
+        timeout = FIRST_REQUEST_TIMEOUT_SECONDS
         try:
             for _ in range(2):
-                result = self._waiting[call.id] = AsyncResult()
-                self._send(coordinator, ask)
-                answer = self._next_answer(result, patience)
-                while isinstance(answer, Queued):
-                    result = self._waiting[call.id] = AsyncResult()
-                    answer = self._next_answer(result, QUEUED_PATIENCE_SECONDS)
-                if answer is not None:
-                    self._cells.note_load(cell, answer.backlog)
-                    return answer
-                patience = SECOND_ASK_SECONDS
+                result = self._pending[call.id] = AsyncResult()
+                self._send(coordinator, request)
+                response = self._await_response(result, timeout)
+                while isinstance(response, RequestQueued):
+                    result = self._pending[call.id] = AsyncResult()
+                    response = self._await_response(result, QUEUED_TIMEOUT_SECONDS)
+                if response is not None:
+                    self._cells.record_load(cell, response.backlog)
+                    return response
+                timeout = SECOND_REQUEST_TIMEOUT_SECONDS
         finally:
-            self._waiting.pop(call.id, None)
-        if coordinator != self._own and self._cells.suspect(coordinator):
+            self._pending.pop(call.id, None)
+        if coordinator != self._own and self._cells.suspect_gateway(coordinator):
             self._journal.event("coordinator-silent", peer=coordinator, request=call.id)
         return None
 
-    def _next_answer(self, result: AsyncResult, seconds: float) -> Answer | None:
+    def _await_response(
+        self, result: AsyncResult, timeout: float
+    ) -> AssignmentResponse | None:
         try:
-            answer: Answer = result.get(timeout=seconds)
+            response: AssignmentResponse = result.get(timeout=timeout)
         except gevent.Timeout:
             return None
-        return answer
+        return response
 
-    def _take_assignment(
+    def _record_assignment(
         self, call: Call, cell: Cell, coordinator: str, grant: Grant
     ) -> Assignment:
         assignment = Assignment(
@@ -248,18 +263,18 @@
         return assignment
 
 
-def make_ask(
+def make_assignment_request(
     own: str,
     call: Call,
     cell: Cell,
     *,
     now: float,
     excluded: Collection[InstanceId],
-    first: bool,
+    first_offer: bool,
     source: str | None = None,
-) -> Ask:
+) -> AssignmentRequest:
     """Return what a coordinator has to know of a request."""
-    return Ask(
+    return AssignmentRequest(
         own,
         call.id,
         cell,
@@ -271,6 +286,6 @@
         call.head.prompt_tokens,
         call.head.prompt,
         tuple(excluded),
-        first,
+        first_offer,
         source,
     )
--- a/damasklead/gateway/coordination/cellmap.py
+++ b/damasklead/gateway/coordination/cellmap.py
@@ -14,10 +14,10 @@
 from damasklead.gateway.coordination.cells import (
     Cell,
     Member,
-    divide,
-    home_cell,
-    home_engine,
+    partition_engines,
     rank_members,
+    select_home_cell,
+    select_home_engine,
 )
 from damasklead.ids import InstanceId, ServiceName
 from damasklead.util import stable_hash
@@ -25,17 +25,17 @@
 __all__ = ["CellMap"]
 
 # Ranked gateways that are remembered for a cell: more are never passed over at once.
-MOST_RANKED = 12
+MAX_RANKED_MEMBERS = 12
 # A silent coordinator is asked whether it is back after so long, doubled each time.
-FIRST_PING_SECONDS = 0.3
-MAX_PING_SECONDS = 5.0
+MIN_PING_INTERVAL_SECONDS = 0.3
+MAX_PING_INTERVAL_SECONDS = 5.0
 # A cell's load is known for so long.
-LOAD_LIFE_SECONDS = 1.0
+LOAD_TTL_SECONDS = 1.0
 # A request leaves its home cell when that has so many seconds more to read than
 # another one: its shared parts are read again there, which takes from everybody.
-SPILL_SECONDS = 2.0
+SPILLOVER_SECONDS = 2.0
 # Part of the requests beyond that which look at a cell whose load is not known.
-LOOK_SHARE = 0.25
+PROBE_FRACTION = 0.25
 
 
 class CellMap:
@@ -52,13 +52,17 @@
     """
 
     def __init__(
-        self, *, clock: Clock, own: Member, refresh: Callable[[], None] = lambda: None
+        self,
+        *,
+        clock: Clock,
+        own: Member,
+        refresh_members: Callable[[], None] = lambda: None,
     ) -> None:
-        self._refresh = refresh
+        self._refresh_members = refresh_members
         self._clock = clock
         self._own = own
         self._members: set[Member] = {own}
-        self._retired = False
+        self._has_resigned = False
         self._cells: dict[ServiceName, dict[Cell, list[UpstreamRecord]]] = {}
         self._cell_of: dict[InstanceId, Cell] = {}
         self._ranked: dict[Cell, list[InstanceId]] = {}
@@ -70,21 +74,21 @@
         """All cells."""
         return [cell for cells in self._cells.values() for cell in cells]
 
-    def retire(self) -> None:
+    def resign_coordination(self) -> None:
         """Let others coordinate from now on: this gateway stops."""
-        self._retired = True
+        self._has_resigned = True
         self._ranked.clear()
 
-    def take_members(self, members: Iterable[Member]) -> None:
+    def set_members(self, members: Iterable[Member]) -> None:
         """Take in which gateways there are besides this one."""
         members = {self._own, *members}
         if members != self._members:
             self._members = members
             self._ranked.clear()
 
-    def take_engines(self, service: ServiceName, records: list[UpstreamRecord]) -> None:
+    def set_engines(self, service: ServiceName, records: list[UpstreamRecord]) -> None:
         """Take in a service's engines that take new work."""
-        self._cells[service] = divide(records)
+        self._cells[service] = partition_engines(records)
         self._cell_of = {
             record.instance: cell
             for cells in self._cells.values()
@@ -92,23 +96,23 @@
             for record in group
         }
 
-    def forget(self, keep: Callable[[ServiceName], bool]) -> None:
+    def remove_services(self, keep: Callable[[ServiceName], bool]) -> None:
         """Forget services that there are no more."""
         self._cells = {name: item for name, item in self._cells.items() if keep(name)}
 
-    def engines(self, cell: Cell) -> list[UpstreamRecord]:
+    def get_engines(self, cell: Cell) -> list[UpstreamRecord]:
         """Return a cell's engines."""
         return self._cells.get(cell.service, {}).get(cell, [])
 
-    def cell_of(self, instance: InstanceId) -> Cell | None:
+    def find_cell(self, instance: InstanceId) -> Cell | None:
         """Return the cell of an engine."""
         return self._cell_of.get(instance)
 
-    def note_load(self, cell: Cell, load: float) -> None:
+    def record_load(self, cell: Cell, load: float) -> None:
         """Take in how many seconds a cell's engines have to read, on average."""
         self._loads[cell] = (load, self._clock.now())
 
-    def choose(self, call: Call, *, first: bool) -> Cell | None:
+    def select_cell(self, call: Call, *, first_offer: bool) -> Cell | None:
         """
         Return the cell of a request: its home, or one that has much less to do.
 
@@ -117,92 +121,97 @@
         first : bool
             Whether the request has not been offered to a replica yet.
         """
-        home = self.home(call)
-        if home is None or not first:
+        home = self.find_home_cell(call)
+        if home is None or not first_offer:
             return home
-        load = self._load(home)
-        if load is None or load <= SPILL_SECONDS:
+        load = self._get_fresh_load(home)
+        if load is None or load <= SPILLOVER_SECONDS:
             return home
-        other = self._another(home)
+        other = self._select_spillover_cell(home)
         if other is None:
             return home
-        there = self._load(other)
-        if there is None:
-            looks = stable_hash("look", call.id) < LOOK_SHARE * 2**64
-            return other if looks else home
-        return other if there + SPILL_SECONDS < load else home
+        other_load = self._get_fresh_load(other)
+        if other_load is None:
+            is_probe = stable_hash("look", call.id) < PROBE_FRACTION * 2**64
+            return other if is_probe else home
+        return other if other_load + SPILLOVER_SECONDS < load else home
 
-    def home(self, call: Call) -> Cell | None:
+    def find_home_cell(self, call: Call) -> Cell | None:
         """Return the home cell of a request."""
         cells = self._cells.get(call.service, {})
-        return home_cell(cells, call, self._own.data_centre)
+        return select_home_cell(cells, call, self._own.data_centre)
 
-    def source_for(self, call: Call, cell: Cell) -> str | None:
+    def find_copy_source(self, call: Call, cell: Cell) -> str | None:
         """
         Return the address of the engine that is likely to have a request's shared
         parts, for a cell that is not the request's home.
         """
-        home = self.home(call)
+        home = self.find_home_cell(call)
         shared = call.head.prompt[:-1]
         if home is None or home == cell or not shared:
             return None
-        engine = home_engine(self.engines(home), shared[-1].key)
+        engine = select_home_engine(self.get_engines(home), shared[-1].key)
         return None if engine is None else engine.address
 
-    def _load(self, cell: Cell) -> float | None:
-        load, at = self._loads.get(cell, (0.0, -math.inf))
-        return load if self._clock.now() - at < LOAD_LIFE_SECONDS else None
+    def _get_fresh_load(self, cell: Cell) -> float | None:
+        load, measured_at = self._loads.get(cell, (0.0, -math.inf))
+        return load if self._clock.now() - measured_at < LOAD_TTL_SECONDS else None
 
-    def _another(self, home: Cell) -> Cell | None:
+    def _select_spillover_cell(self, home: Cell) -> Cell | None:
         """
         Return a cell to which requests go when their home has too much to do.
 
         It is another one in each data centre's turn, near ones first.
         """
         others = [cell for cell in self._cells.get(home.service, {}) if cell != home]
-        near = [cell for cell in others if cell.data_centre == home.data_centre]
+        local_cells = [cell for cell in others if cell.data_centre == home.data_centre]
         # Changes every second, so that all cells are looked at.
-        turn = str(int(self._clock.now()))
+        second = str(int(self._clock.now()))
         return max(
-            near or others,
+            local_cells or others,
             key=lambda cell: stable_hash(
-                turn, self._own.instance, cell.data_centre, str(cell.number)
+                second, self._own.instance, cell.data_centre, str(cell.number)
             ),
             default=None,
         )
 
-    def coordinators(self, cell: Cell, *, most: int) -> list[str]:
+    def list_coordinators(self, cell: Cell, *, limit: int) -> list[str]:
         """Return the gateways to ask, the first first; the last one is this one."""
-        self._refresh()
+        self._refresh_members()
         ranked = self._ranked.get(cell)
         if ranked is None:
-            members = self._members - {self._own} if self._retired else self._members
-            ranked = rank_members(cell, members)[:MOST_RANKED]
+            members = (
+                self._members - {self._own} if self._has_resigned else self._members
+            )
+            ranked = rank_members(cell, members)[:MAX_RANKED_MEMBERS]
             self._ranked[cell] = ranked
-        sound = [name for name in ranked if name not in self._suspects][:most]
-        if self._own.instance in sound:
-            return [*sound[: sound.index(self._own.instance)], self._own.instance]
-        return [*sound, self._own.instance]
-
-    def suspect(self, name: str) -> bool:
+        candidates = [name for name in ranked if name not in self._suspects][:limit]
+        if self._own.instance in candidates:
+            return [
+                *candidates[: candidates.index(self._own.instance)],
+                self._own.instance,
+            ]
+        return [*candidates, self._own.instance]
+
+    def suspect_gateway(self, name: str) -> bool:
         """Take in that a gateway is silent; returns whether that is new."""
         if name in self._suspects:
             return False
-        ping_at = self._clock.now() + FIRST_PING_SECONDS
-        self._suspects[name] = (ping_at, FIRST_PING_SECONDS)
+        ping_at = self._clock.now() + MIN_PING_INTERVAL_SECONDS
+        self._suspects[name] = (ping_at, MIN_PING_INTERVAL_SECONDS)
         return True
 
-    def heard(self, name: str) -> bool:
+    def clear_suspicion(self, name: str) -> bool:
         """Take in that a gateway was heard; returns whether it was a suspect."""
         return self._suspects.pop(name, None) is not None
 
-    def to_ping(self) -> list[str]:
+    def collect_due_pings(self) -> list[str]:
         """Return the silent gateways that are to be asked now whether they are back."""
         now = self._clock.now()
-        due: list[str] = []
-        for name, (at, pause) in list(self._suspects.items()):
-            if now >= at:
-                pause = min(2 * pause, MAX_PING_SECONDS)
-                self._suspects[name] = (now + pause, pause)
-                due.append(name)
-        return due
+        due_names: list[str] = []
+        for name, (ping_at, interval) in list(self._suspects.items()):
+            if now >= ping_at:
+                interval = min(2 * interval, MAX_PING_INTERVAL_SECONDS)
+                self._suspects[name] = (now + interval, interval)
+                due_names.append(name)
+        return due_names
--- a/damasklead/gateway/coordination/cells.py
+++ b/damasklead/gateway/coordination/cells.py
@@ -22,9 +22,9 @@
 __all__ = [
     "Cell",
     "Member",
-    "divide",
-    "home_cell",
-    "home_engine",
+    "partition_engines",
+    "select_home_cell",
+    "select_home_engine",
     "rank_members",
 ]
 
@@ -33,13 +33,13 @@
 # coordinator to weigh them all for each request.
 CELL_ENGINES = 24
 # Data centres with fewer engines than this share their cells.
-LEAST_ENGINES = 6
+MIN_DATA_CENTRE_ENGINES = 6
 # Shared parts of so many tokens are worth the way to another data centre: one engine
 # of all reads them, instead of one in each data centre.
-FAR_TOKENS = 2000
+REMOTE_PREFIX_TOKENS = 2000
 # A gateway with twice the processor coordinates eight times as often: the work of a
 # coordinator is a large part of what a small one has.
-CORES_POWER = 3
+CORES_EXPONENT = 3
 
 
 class Cell(msgspec.Struct, array_like=True, frozen=True):
@@ -72,28 +72,33 @@
     cores: float = 1.0
 
 
-def divide(records: Sequence[UpstreamRecord]) -> dict[Cell, list[UpstreamRecord]]:
+def partition_engines(
+    records: Sequence[UpstreamRecord],
+) -> dict[Cell, list[UpstreamRecord]]:
     """
     Divide a service's engines into cells of about equal size.
 
     One engine more or less moves at most one engine over each border.
     """
-    by_centre: dict[DataCentre, list[UpstreamRecord]] = {}
+    by_data_centre: dict[DataCentre, list[UpstreamRecord]] = {}
     for record in records:
-        by_centre.setdefault(record.data_centre, []).append(record)
-    if min((len(group) for group in by_centre.values()), default=0) < LEAST_ENGINES:
-        by_centre = {DataCentre(""): list(records)} if records else {}
+        by_data_centre.setdefault(record.data_centre, []).append(record)
+    if (
+        min((len(group) for group in by_data_centre.values()), default=0)
+        < MIN_DATA_CENTRE_ENGINES
+    ):
+        by_data_centre = {DataCentre(""): list(records)} if records else {}
     cells: dict[Cell, list[UpstreamRecord]] = {}
-    for centre, group in by_centre.items():
+    for data_centre, group in by_data_centre.items():
         group.sort(key=lambda item: stable_hash("cell", item.instance))
         count = max(1, round(len(group) / CELL_ENGINES))
         for number in range(count):
             begin, end = (len(group) * step // count for step in (number, number + 1))
-            cells[Cell(group[0].service, centre, number)] = group[begin:end]
+            cells[Cell(group[0].service, data_centre, number)] = group[begin:end]
     return cells
 
 
-def home_cell(
+def select_home_cell(
     cells: Iterable[Cell], call: Call, data_centre: DataCentre
 ) -> Cell | None:
     """
@@ -102,18 +107,20 @@
     Short shared parts are read in each data centre; requests without any are spread.
     """
     cells = list(cells)
-    near = [cell for cell in cells if cell.data_centre == data_centre]
+    local_cells = [cell for cell in cells if cell.data_centre == data_centre]
     shared = call.head.prompt[:-1]
     key = shared[-1].key if shared else call.id
-    far = sum(part.tokens for part in shared) >= FAR_TOKENS
+    across_data_centres = sum(part.tokens for part in shared) >= REMOTE_PREFIX_TOKENS
     return max(
-        cells if far else near or cells,
+        cells if across_data_centres else local_cells or cells,
         key=lambda cell: stable_hash(key, cell.data_centre, str(cell.number)),
         default=None,
     )
 
 
-def home_engine(records: Iterable[UpstreamRecord], key: str) -> UpstreamRecord | None:
+def select_home_engine(
+    records: Iterable[UpstreamRecord], key: str
+) -> UpstreamRecord | None:
     """Return the engine of a cell that a new shared part is sent to first."""
     return max(records, key=lambda item: stable_hash(key, item.instance), default=None)
 
@@ -125,10 +132,10 @@
     Rendezvous hashing, weighted so that those with more processor coordinate more.
     """
 
-    def order(member: Member) -> tuple[bool, float]:
-        far = bool(cell.data_centre) and member.data_centre != cell.data_centre
-        name = (cell.service, cell.data_centre, str(cell.number), member.instance)
-        point = (stable_hash(*name) + 1) / 2**64
-        return far, -math.log(point) / member.cores**CORES_POWER
+    def sort_key(member: Member) -> tuple[bool, float]:
+        is_remote = bool(cell.data_centre) and member.data_centre != cell.data_centre
+        hash_key = (cell.service, cell.data_centre, str(cell.number), member.instance)
+        uniform = (stable_hash(*hash_key) + 1) / 2**64
+        return is_remote, -math.log(uniform) / member.cores**CORES_EXPONENT
 
-    return [member.instance for member in sorted(members, key=order)]
+    return [member.instance for member in sorted(members, key=sort_key)]
--- a/damasklead/gateway/coordination/coordinator.py
+++ b/damasklead/gateway/coordination/coordinator.py
@@ -16,59 +16,59 @@
 
 from damasklead.clock import Clock
 from damasklead.failures import Failure
-from damasklead.gateway.admission import Admission, Admit, Decision
+from damasklead.gateway.admission import AdmissionController, Admit, Decision
 from damasklead.gateway.calls import Call, CallHead, UpstreamRecord
 from damasklead.gateway.coordination.cells import Cell
 from damasklead.gateway.coordination.messages import (
-    Answer,
-    Ask,
-    Ended,
+    AssignmentRequest,
+    AssignmentResponse,
     Grant,
-    Queued,
-    Read,
-    Refused,
-    Running,
+    PrefillDone,
+    RequestEnded,
+    RequestQueued,
+    RequestRejected,
+    RunningRequests,
 )
 from damasklead.gateway.placements import EnginePlacement, Placement
 from damasklead.gateway.routing import Route, ServiceSpec
 from damasklead.ids import AttemptId, InstanceId
 
-__all__ = ["Coordinator", "Reply"]
+__all__ = ["AddressedResponse", "Coordinator"]
 
 # Askers are told so often that their request still waits.
-QUEUED_SECONDS = 0.2
+QUEUED_INTERVAL_SECONDS = 0.2
 # What a gateway doesn't list as running is dropped when it is older than this: the
 # list may have crossed the grant.
-CROSSED_SECONDS = 0.4
+REPORT_GRACE_SECONDS = 0.4
 # What the cell has to do is summed up so often.
-WEIGH_SECONDS = 0.05
+BACKLOG_INTERVAL_SECONDS = 0.05
 # Decisions taken at one look at what waits.
-DECISIONS_PER_TICK = 16
+MAX_DECISIONS_PER_PASS = 16
 # A cell that nobody has asked about for so long is forgotten.
-IDLE_SECONDS = 20.0
+IDLE_TIMEOUT_SECONDS = 20.0
 # Answers are remembered for repeated asks for so long.
-REMEMBER_SECONDS = 1.0
+DUPLICATE_WINDOW_SECONDS = 1.0
 
 
 _FAILURES = {failure.value: failure for failure in Failure}
 
 
-class Reply(msgspec.Struct, frozen=True):
+class AddressedResponse(msgspec.Struct, frozen=True):
     """An answer and the gateway that it goes to."""
 
-    to: str
-    answer: Answer
+    recipient: str
+    response: AssignmentResponse
 
 
-class _Work(msgspec.Struct, kw_only=True):
+class _TrackedRequest(msgspec.Struct, kw_only=True):
     call: Call
-    asker: str
-    at: float
+    requester: str
+    changed_at: float
     excluded: frozenset[InstanceId]
     source: str | None = None
     queued_at: float = 0.0
     instance: InstanceId | None = None
-    answer: Grant | None = None
+    grant: Grant | None = None
 
 
 class Coordinator:
@@ -97,211 +97,250 @@
     ) -> None:
         self._cell = cell
         self._clock = clock
-        self._asked_at = clock.now()
+        self._last_request_at = clock.now()
         self._placement = placement(
             service=service, clock=clock, data_centre=cell.data_centre
         )
-        self._admission = Admission(
+        self._admission = AdmissionController(
             clock=clock,
-            has_room=self._placement.has_room,
+            has_capacity=self._placement.has_room,
             is_urgent=self._placement.is_urgent,
-            any_room=self._placement.any_room,
-            seconds_of=self._placement.seconds_of,
-            reading_of=self._placement.reading_of,
+            has_any_capacity=self._placement.any_room,
+            estimate_seconds=self._placement.seconds_of,
+            estimate_prefill_seconds=self._placement.reading_of,
         )
         self._backlog = 0.0
-        self._weighed_at = -math.inf
+        self._backlog_at = -math.inf
         self._routes: dict[str, Route] = {}
-        self._works: dict[AttemptId, _Work] = {}
+        self._requests: dict[AttemptId, _TrackedRequest] = {}
         self.configure(service, routes)
 
     @property
-    def idle(self) -> bool:
+    def is_idle(self) -> bool:
         """Whether nobody has asked for long and nothing runs."""
-        asked = self._clock.now() - self._asked_at < IDLE_SECONDS
-        return not asked and not self._works
+        recently_used = self._clock.now() - self._last_request_at < IDLE_TIMEOUT_SECONDS
+        return not recently_used and not self._requests
 
     @property
     def backlog(self) -> float:
         """Seconds that the cell's engines have to read, on average, what waits too."""
         now = self._clock.now()
-        if now - self._weighed_at >= WEIGH_SECONDS:
-            self._weighed_at = now
-            waiting = sum(map(self._placement.seconds_of, self._admission.calls))
-            self._backlog = self._placement.mean_backlog + waiting
+        if now - self._backlog_at >= BACKLOG_INTERVAL_SECONDS:
+            self._backlog_at = now
+            queued_seconds = sum(
+                map(self._placement.seconds_of, self._admission.queued_calls)
+            )
+            self._backlog = self._placement.mean_backlog + queued_seconds
         return self._backlog
 
     @property
-    def waiting(self) -> int:
+    def queue_length(self) -> int:
         """How many requests wait."""
-        return self._admission.waiting
+        return self._admission.queue_length
 
     @property
-    def requests(self) -> int:
+    def request_count(self) -> int:
         """How many requests run or wait."""
-        return len(self._works)
+        return len(self._requests)
 
     def configure(self, service: ServiceSpec, routes: list[Route]) -> None:
         """Take the service and its routes in force."""
         self._routes = {route.name: route for route in routes}
         self._placement.configure(service, routes)
 
-    def retain(self, records: list[UpstreamRecord]) -> None:
+    def set_engines(self, records: list[UpstreamRecord]) -> None:
         """Take the cell's engines."""
         self._placement.retain(records)
 
-    def ask(self, ask: Ask) -> list[Reply]:
+    def handle_assignment_request(
+        self, request: AssignmentRequest
+    ) -> list[AddressedResponse]:
         """Take in a request; returns the answer, unless it has to come later."""
-        self._asked_at = self._clock.now()
-        before = self._works.get(ask.attempt)
-        if before is not None and before.asker == ask.asker:
-            again = self._repeat(before, ask)
-            if again is not None:
-                return [again]
-        route = self._routes.get(ask.route)
+        self._last_request_at = self._clock.now()
+        existing_entry = self._requests.get(request.attempt)
+        if existing_entry is not None and existing_entry.requester == request.requester:
+            repeated_response = self._replay_response(existing_entry, request)
+            if repeated_response is not None:
+                return [repeated_response]
+        route = self._routes.get(request.route)
         if route is None:
-            return [Reply(ask.asker, Refused(ask.attempt, None, self.backlog))]
-        work = self._new_work(ask, route)
-        self._works[ask.attempt] = work
-        if not ask.first:
-            return [self._grant(work)]
-        decision = self._admission.submit(work.call)
+            return [
+                AddressedResponse(
+                    request.requester,
+                    RequestRejected(request.attempt, None, self.backlog),
+                )
+            ]
+        entry = self._make_entry(request, route)
+        self._requests[request.attempt] = entry
+        if not request.first_offer:
+            return [self._assign(entry)]
+        decision = self._admission.submit(entry.call)
         if decision is not None:
-            return [self._carry_out(decision)]
-        work.queued_at = self._clock.now()
-        return [Reply(ask.asker, Queued(ask.attempt))]
+            return [self._apply_decision(decision)]
+        entry.queued_at = self._clock.now()
+        return [AddressedResponse(request.requester, RequestQueued(request.attempt))]
 
-    def read(self, message: Read) -> None:
+    def handle_prefill_done(self, message: PrefillDone) -> None:
         """Take in that a request's prompt was read."""
-        work = self._works.get(message.attempt)
-        if work is not None and work.instance is not None:
-            self._placement.heard(work.instance, message.load)
-            self._placement.progressed(work.instance, work.call)
+        entry = self._requests.get(message.attempt)
+        if entry is not None and entry.instance is not None:
+            self._placement.heard(entry.instance, message.load)
+            self._placement.progressed(entry.instance, entry.call)
 
-    def ended(self, message: Ended) -> None:
+    def handle_request_ended(self, message: RequestEnded) -> None:
         """Take in that a request is at its replica no more."""
-        work = self._works.get(message.attempt)
-        if work is None or work.asker != message.asker:
+        entry = self._requests.get(message.attempt)
+        if entry is None or entry.requester != message.requester:
             return
-        del self._works[message.attempt]
-        self._admission.withdraw(work.call)
-        if work.instance is None:
+        del self._requests[message.attempt]
+        self._admission.withdraw(entry.call)
+        if entry.instance is None:
             return
         if message.outcome == "whole":
-            self._placement.finished(work.instance, work.call)
+            self._placement.finished(entry.instance, entry.call)
         elif message.outcome in _FAILURES:
             failure = _FAILURES[message.outcome]
-            self._placement.failed(work.instance, work.call, failure)
+            self._placement.failed(entry.instance, entry.call, failure)
         else:
-            self._placement.withdrawn(work.instance, work.call)
+            self._placement.withdrawn(entry.instance, entry.call)
 
-    def running(self, message: Running) -> None:
+    def handle_running_requests(self, message: RunningRequests) -> None:
         """Take in what a gateway runs at the cell's engines; the rest has ended."""
         now = self._clock.now()
         listed = {attempt for attempt, _, _ in message.requests}
-        for attempt, work in list(self._works.items()):
-            stale = work.instance is not None and now - work.at > CROSSED_SECONDS
-            if work.asker == message.asker and stale and attempt not in listed:
-                self._drop(work)
-        for attempt, instance, unread in message.requests:
-            if attempt not in self._works:
-                self._adopt(message.asker, attempt, instance, unread)
-
-    def tick(self) -> list[Reply]:
+        for attempt, entry in list(self._requests.items()):
+            is_settled = (
+                entry.instance is not None
+                and now - entry.changed_at > REPORT_GRACE_SECONDS
+            )
+            if (
+                entry.requester == message.requester
+                and is_settled
+                and attempt not in listed
+            ):
+                self._drop_request(entry)
+        for attempt, instance, pending_tokens in message.requests:
+            if attempt not in self._requests:
+                self._adopt_request(
+                    message.requester, attempt, instance, pending_tokens
+                )
+
+    def process_queue(self) -> list[AddressedResponse]:
         """Decide about requests that wait, and tell the askers of the others."""
-        replies: list[Reply] = []
-        for _ in range(DECISIONS_PER_TICK):
-            decision = self._admission.next() if self._admission.waiting else None
+        responses: list[AddressedResponse] = []
+        for _ in range(MAX_DECISIONS_PER_PASS):
+            decision = (
+                self._admission.decide_next() if self._admission.queue_length else None
+            )
             if decision is None:
                 break
-            replies.append(self._carry_out(decision))
+            responses.append(self._apply_decision(decision))
         now = self._clock.now()
-        for work in list(self._works.values()):
-            if now > work.call.deadline + CROSSED_SECONDS:
-                self._drop(work)
-            elif work.instance is None and now - work.queued_at >= QUEUED_SECONDS:
-                work.queued_at = now
-                replies.append(Reply(work.asker, Queued(work.call.id)))
-        return replies
-
-    def _repeat(self, work: _Work, ask: Ask) -> Reply | None:
+        for entry in list(self._requests.values()):
+            if now > entry.call.deadline + REPORT_GRACE_SECONDS:
+                self._drop_request(entry)
+            elif (
+                entry.instance is None
+                and now - entry.queued_at >= QUEUED_INTERVAL_SECONDS
+            ):
+                entry.queued_at = now
+                responses.append(
+                    AddressedResponse(entry.requester, RequestQueued(entry.call.id))
+                )
+        return responses
+
+    def _replay_response(
+        self, entry: _TrackedRequest, request: AssignmentRequest
+    ) -> AddressedResponse | None:
         """Answer an ask that came before; ``None`` when it is for another replica."""
-        if work.instance is None:
-            return Reply(work.asker, Queued(ask.attempt))
-        fresh = self._clock.now() - work.at < REMEMBER_SECONDS
-        if work.answer is not None and fresh and work.instance not in ask.excluded:
-            return Reply(work.asker, work.answer)
-        self._drop(work)
+        if entry.instance is None:
+            return AddressedResponse(entry.requester, RequestQueued(request.attempt))
+        is_recent = self._clock.now() - entry.changed_at < DUPLICATE_WINDOW_SECONDS
+        if (
+            entry.grant is not None
+            and is_recent
+            and entry.instance not in request.excluded
+        ):
+            return AddressedResponse(entry.requester, entry.grant)
+        self._drop_request(entry)
         return None
 
-    def _new_work(self, ask: Ask, route: Route) -> _Work:
+    def _make_entry(self, request: AssignmentRequest, route: Route) -> _TrackedRequest:
         now = self._clock.now()
         head = CallHead(
             method="",
             target="",
             host="",
-            attempt=ask.attempt,
+            attempt=request.attempt,
             patience=None,
             key=None,
-            prompt=ask.prompt,
-            prompt_tokens=ask.prompt_tokens,
+            prompt=request.prompt,
+            prompt_tokens=request.prompt_tokens,
         )
         call = Call(
             head=head,
             route=route,
             service=self._cell.service,
             workspace=None,
-            arrival=now - ask.age,
-            deadline=now + ask.left,
-            caller_deadline=now + ask.caller_left,
-            tier=ask.tier,
+            arrival=now - request.age_seconds,
+            deadline=now + request.seconds_left,
+            caller_deadline=now + request.caller_seconds_left,
+            tier=request.tier,
         )
-        return _Work(
+        return _TrackedRequest(
             call=call,
-            asker=ask.asker,
-            at=now,
-            excluded=frozenset(ask.excluded),
-            source=ask.source,
+            requester=request.requester,
+            changed_at=now,
+            excluded=frozenset(request.excluded),
+            source=request.source,
         )
 
-    def _carry_out(self, decision: Decision) -> Reply:
-        work = self._works[decision.call.id]
+    def _apply_decision(self, decision: Decision) -> AddressedResponse:
+        entry = self._requests[decision.call.id]
         if isinstance(decision, Admit):
-            return self._grant(work)
-        del self._works[decision.call.id]
-        turned = Refused(decision.call.id, decision.retry_after, self.backlog)
-        return Reply(work.asker, turned)
-
-    def _grant(self, work: _Work) -> Reply:
-        call = work.call
-        record = self._placement.choose(call, excluded=work.excluded)
+            return self._assign(entry)
+        del self._requests[decision.call.id]
+        rejection = RequestRejected(
+            decision.call.id, decision.retry_after, self.backlog
+        )
+        return AddressedResponse(entry.requester, rejection)
+
+    def _assign(self, entry: _TrackedRequest) -> AddressedResponse:
+        call = entry.call
+        record = self._placement.choose(call, excluded=entry.excluded)
         if record is None:
-            del self._works[call.id]
-            return Reply(work.asker, Refused(call.id, None, self.backlog))
-        source = self._placement.copy_source(record.instance, call) or work.source
+            del self._requests[call.id]
+            return AddressedResponse(
+                entry.requester, RequestRejected(call.id, None, self.backlog)
+            )
+        source = self._placement.copy_source(record.instance, call) or entry.source
         self._placement.sent(record.instance, call)
-        work.instance, work.at = record.instance, self._clock.now()
-        work.answer = Grant(call.id, record.instance, source, self.backlog)
-        return Reply(work.asker, work.answer)
+        entry.instance, entry.changed_at = record.instance, self._clock.now()
+        entry.grant = Grant(call.id, record.instance, source, self.backlog)
+        return AddressedResponse(entry.requester, entry.grant)
 
-    def _adopt(
-        self, asker: str, attempt: AttemptId, instance: InstanceId, unread: int
+    def _adopt_request(
+        self,
+        requester: str,
+        attempt: AttemptId,
+        instance: InstanceId,
+        pending_tokens: int,
     ) -> None:
         """Count a request that another coordinator, or none, has placed."""
         route = next(iter(self._routes.values()), None)
         if route is None:
             return
-        ask = Ask(
-            asker, attempt, self._cell, route.name, route.tier, route.timeout,
-            route.timeout, 0.0, unread, (), (), False,
+        request = AssignmentRequest(
+            requester, attempt, self._cell, route.name, route.tier, route.timeout,
+            route.timeout, 0.0, pending_tokens, (), (), False,
         )  # fmt: skip
-        work = self._new_work(ask, route)
-        work.instance = instance
-        self._works[attempt] = work
-        self._placement.sent(instance, work.call)
-
-    def _drop(self, work: _Work) -> None:
-        del self._works[work.call.id]
-        self._admission.withdraw(work.call)
-        if work.instance is not None:
-            self._placement.withdrawn(work.instance, work.call)
+        entry = self._make_entry(request, route)
+        entry.instance = instance
+        self._requests[attempt] = entry
+        self._placement.sent(instance, entry.call)
+
+    def _drop_request(self, entry: _TrackedRequest) -> None:
+        del self._requests[entry.call.id]
+        self._admission.withdraw(entry.call)
+        if entry.instance is not None:
+            self._placement.withdrawn(entry.instance, entry.call)
--- a/damasklead/gateway/coordination/coordinators.py
+++ b/damasklead/gateway/coordination/coordinators.py
@@ -11,14 +11,14 @@
 from damasklead.clock import Clock
 from damasklead.gateway.coordination.cellmap import CellMap
 from damasklead.gateway.coordination.cells import Cell
-from damasklead.gateway.coordination.coordinator import Coordinator, Reply
+from damasklead.gateway.coordination.coordinator import AddressedResponse, Coordinator
 from damasklead.gateway.coordination.messages import (
-    Answer,
-    Ask,
-    Ended,
-    Read,
-    Refused,
-    Running,
+    AssignmentRequest,
+    AssignmentResponse,
+    PrefillDone,
+    RequestEnded,
+    RequestRejected,
+    RunningRequests,
 )
 from damasklead.gateway.placements import EnginePlacement, Placement
 from damasklead.gateway.routing import RoutingTable
@@ -48,67 +48,73 @@
         clock: Clock,
         cells: CellMap,
         table: Callable[[], RoutingTable | None],
-        answer: Callable[[str, Answer], None],
+        send_response: Callable[[str, AssignmentResponse], None],
         placement: type[Placement] = EnginePlacement,
     ) -> None:
         self._placement = placement
         self._clock = clock
         self._cells = cells
         self._table = table
-        self._answer = answer
+        self._send_response = send_response
         self._coordinators: dict[Cell, Coordinator] = {}
 
     @property
-    def waiting(self) -> bool:
+    def has_queued(self) -> bool:
         """Whether a request waits at a coordinator."""
-        return any(item.waiting for item in self._coordinators.values())
+        return any(item.queue_length for item in self._coordinators.values())
 
     @property
     def state(self) -> dict[str, object]:
         """What operators are shown."""
         return {
-            f"{cell.service}/{cell.data_centre}/{cell.number}": item.requests
+            f"{cell.service}/{cell.data_centre}/{cell.number}": item.request_count
             for cell, item in self._coordinators.items()
         }
 
-    def arrange(self) -> None:
+    def apply_configuration(self) -> None:
         """Take in the configuration and the engines in force."""
         table = self._table()
         for cell, coordinator in list(self._coordinators.items()):
             spec = None if table is None else table.services.get(cell.service)
-            if table is None or spec is None or coordinator.idle:
+            if table is None or spec is None or coordinator.is_idle:
                 del self._coordinators[cell]
                 continue
             coordinator.configure(spec, table.routes_to(cell.service))
-            coordinator.retain(self._cells.engines(cell))
+            coordinator.set_engines(self._cells.get_engines(cell))
 
-    def take(self, message: Ask | Read | Ended | Running) -> None:
+    def handle_message(
+        self, message: AssignmentRequest | PrefillDone | RequestEnded | RunningRequests
+    ) -> None:
         """Take in a gateway's message."""
         coordinator = self._coordinators.get(message.cell)
-        if coordinator is None and isinstance(message, (Ask, Running)):
-            coordinator = self._open(message.cell)
-        if isinstance(message, Ask):
+        if coordinator is None and isinstance(
+            message, (AssignmentRequest, RunningRequests)
+        ):
+            coordinator = self._create_coordinator(message.cell)
+        if isinstance(message, AssignmentRequest):
             if coordinator is None:
-                self._answer(message.asker, Refused(message.attempt, None, 0.0))
+                self._send_response(
+                    message.requester, RequestRejected(message.attempt, None, 0.0)
+                )
             else:
-                self._send(coordinator.ask(message))
+                self._send_responses(coordinator.handle_assignment_request(message))
         elif coordinator is not None:
-            if isinstance(message, Read):
-                coordinator.read(message)
-            elif isinstance(message, Ended):
-                coordinator.ended(message)
+            if isinstance(message, PrefillDone):
+                coordinator.handle_prefill_done(message)
+            elif isinstance(message, RequestEnded):
+                coordinator.handle_request_ended(message)
             else:
-                coordinator.running(message)
+                coordinator.handle_running_requests(message)
 
-    def tick(self) -> None:
+    def process_queues(self) -> None:
         """Let the coordinators decide about what waits."""
         for coordinator in list(self._coordinators.values()):
-            self._send(coordinator.tick())
+            self._send_responses(coordinator.process_queue())
 
-    def _open(self, cell: Cell) -> Coordinator | None:
+    def _create_coordinator(self, cell: Cell) -> Coordinator | None:
         table = self._table()
         spec = None if table is None else table.services.get(cell.service)
-        engines = self._cells.engines(cell)
+        engines = self._cells.get_engines(cell)
         if table is None or spec is None or spec.engine is None or not engines:
             return None
         coordinator = self._coordinators[cell] = Coordinator(
@@ -118,9 +124,9 @@
             routes=table.routes_to(cell.service),
             placement=self._placement,
         )
-        coordinator.retain(engines)
+        coordinator.set_engines(engines)
         return coordinator
 
-    def _send(self, replies: list[Reply]) -> None:
-        for reply in replies:
-            self._answer(reply.to, reply.answer)
+    def _send_responses(self, responses: list[AddressedResponse]) -> None:
+        for response in responses:
+            self._send_response(response.recipient, response.response)
--- a/damasklead/gateway/coordination/messages.py
+++ b/damasklead/gateway/coordination/messages.py
@@ -12,10 +12,19 @@
 from damasklead.gateway.coordination.cells import Cell
 from damasklead.ids import AttemptId, InstanceId
 
-__all__ = ["Answer", "Ask", "Ended", "Grant", "Queued", "Read", "Running", "Refused"]
-
-
-class Ask(msgspec.Struct, array_like=True, frozen=True, tag=1):
+__all__ = [
+    "AssignmentRequest",
+    "AssignmentResponse",
+    "Grant",
+    "PrefillDone",
+    "RequestEnded",
+    "RequestQueued",
+    "RequestRejected",
+    "RunningRequests",
+]
+
+
+class AssignmentRequest(msgspec.Struct, array_like=True, frozen=True, tag=1):
     """
     Asks where a request goes.
 
@@ -37,22 +46,22 @@
         Address of a replica of another cell that is likely to have the shared parts.
     """
 
-    asker: str
+    requester: str
     attempt: AttemptId
     cell: Cell
     route: str
     tier: int
-    left: float
-    caller_left: float
-    age: float
+    seconds_left: float
+    caller_seconds_left: float
+    age_seconds: float
     prompt_tokens: int
     prompt: tuple[PromptPart, ...]
     excluded: tuple[InstanceId, ...]
-    first: bool
+    first_offer: bool
     source: str | None = None
 
 
-class Queued(msgspec.Struct, array_like=True, frozen=True, tag=2):
+class RequestQueued(msgspec.Struct, array_like=True, frozen=True, tag=2):
     """The request waits at the coordinator."""
 
     attempt: AttemptId
@@ -76,7 +85,7 @@
     backlog: float
 
 
-class Refused(msgspec.Struct, array_like=True, frozen=True, tag=4):
+class RequestRejected(msgspec.Struct, array_like=True, frozen=True, tag=4):
     """
     The request has no place.
 
@@ -92,16 +101,16 @@
     backlog: float
 
 
-class Read(msgspec.Struct, array_like=True, frozen=True, tag=5):
+class PrefillDone(msgspec.Struct, array_like=True, frozen=True, tag=5):
     """The request's first event came: its prompt was read."""
 
-    asker: str
+    requester: str
     cell: Cell
     attempt: AttemptId
     load: LoadHint | None
 
 
-class Ended(msgspec.Struct, array_like=True, frozen=True, tag=6):
+class RequestEnded(msgspec.Struct, array_like=True, frozen=True, tag=6):
     """
     The request is at its replica no more.
 
@@ -111,13 +120,13 @@
         ``whole``, ``withdrawn``, or the value of a failure.
     """
 
-    asker: str
+    requester: str
     cell: Cell
     attempt: AttemptId
     outcome: str
 
 
-class Running(msgspec.Struct, array_like=True, frozen=True, tag=7):
+class RunningRequests(msgspec.Struct, array_like=True, frozen=True, tag=7):
     """
     All requests of a gateway at a cell's engines.
 
@@ -127,9 +136,9 @@
         Attempt, replica, and prompt tokens that the replica has not read.
     """
 
-    asker: str
+    requester: str
     cell: Cell
     requests: tuple[tuple[AttemptId, InstanceId, int], ...]
 
 
-Answer = Queued | Grant | Refused
+AssignmentResponse = RequestQueued | Grant | RequestRejected
--- a/damasklead/gateway/coordination/service.py
+++ b/damasklead/gateway/coordination/service.py
@@ -11,19 +11,19 @@
 from gevent.event import Event
 
 from damasklead.clock import Clock
-from damasklead.gateway.coordination.asking import Asker
+from damasklead.gateway.coordination.asking import AssignmentClient
 from damasklead.gateway.coordination.cellmap import CellMap
 from damasklead.gateway.coordination.cells import Member
 from damasklead.gateway.coordination.coordinators import Coordinators
 from damasklead.gateway.coordination.messages import (
-    Answer,
-    Ask,
-    Ended,
+    AssignmentRequest,
+    AssignmentResponse,
     Grant,
-    Queued,
-    Read,
-    Refused,
-    Running,
+    PrefillDone,
+    RequestEnded,
+    RequestQueued,
+    RequestRejected,
+    RunningRequests,
 )
 from damasklead.gateway.journal import Journal
 from damasklead.gateway.peers import Peers
@@ -32,14 +32,14 @@
 __all__ = ["Coordination"]
 
 # What waits is looked at so often, and only while something does.
-DECIDE_SECONDS = 0.01
+QUEUE_INTERVAL_SECONDS = 0.01
 # What runs is told so often, and only while something does.
-RUNNING_SECONDS = 1.0
+REPORT_INTERVAL_SECONDS = 1.0
 # Silent coordinators are looked at so often.
-PING_SECONDS = 0.25
+PING_CHECK_SECONDS = 0.25
 
-_COORDINATOR_KINDS = (Ask, Read, Ended, Running)
-_ASKER_KINDS = (Grant, Queued, Refused)
+_COORDINATOR_MESSAGES = (AssignmentRequest, PrefillDone, RequestEnded, RunningRequests)
+_CLIENT_MESSAGES = (Grant, RequestQueued, RequestRejected)
 
 
 class Coordination:
@@ -75,10 +75,12 @@
         self._own = own.instance
         self._peers = peers
         self._journal = journal
-        self._waiting = Event()
-        self._members_changed = True
-        self.cells = CellMap(clock=clock, own=own, refresh=self._take_members)
-        self.asker = Asker(
+        self._queue_active = Event()
+        self._members_stale = True
+        self.cells = CellMap(
+            clock=clock, own=own, refresh_members=self._refresh_members
+        )
+        self.client = AssignmentClient(
             own=own.instance,
             clock=clock,
             cells=self.cells,
@@ -86,68 +88,71 @@
             journal=journal,
         )
         self.coordinators = Coordinators(
-            clock=clock, cells=self.cells, table=table, answer=self._answer
+            clock=clock,
+            cells=self.cells,
+            table=table,
+            send_response=self._send_response,
         )
         if peers is not None:
-            for work in _COORDINATOR_KINDS:
-                peers.register_handler(work, self._take_work)
-            for answer in _ASKER_KINDS:
-                peers.register_handler(answer, self.asker.take)
+            for kind in _COORDINATOR_MESSAGES:
+                peers.register_handler(kind, self._handle_message)
+            for response_kind in _CLIENT_MESSAGES:
+                peers.register_handler(response_kind, self.client.handle_response)
 
-    def heard(self, name: str) -> None:
+    def record_contact(self, name: str) -> None:
         """Take in that a gateway was heard."""
-        if self.cells.heard(name):
+        if self.cells.clear_suspicion(name):
             self._journal.event("coordinator-back", peer=name)
 
-    def members_changed(self) -> None:
+    def invalidate_members(self) -> None:
         """Take in that the gateways have changed; they are looked at when needed."""
-        self._members_changed = True
+        self._members_stale = True
 
-    def _take_members(self) -> None:
-        if self._peers is not None and self._members_changed:
-            self._members_changed = False
-            self.cells.take_members(
+    def _refresh_members(self) -> None:
+        if self._peers is not None and self._members_stale:
+            self._members_stale = False
+            self.cells.set_members(
                 Member(entry.instance, entry.data_centre, entry.cores)
                 for entry in self._peers.members
             )
 
-    def run_decisions(self) -> None:
+    def run_queue_loop(self) -> None:
         """Decide about what waits here, forever."""
         while True:
-            self._waiting.wait()
-            gevent.sleep(DECIDE_SECONDS)
-            self.coordinators.tick()
-            if not self.coordinators.waiting:
-                self._waiting.clear()
+            self._queue_active.wait()
+            gevent.sleep(QUEUE_INTERVAL_SECONDS)
+            self.coordinators.process_queues()
+            if not self.coordinators.has_queued:
+                self._queue_active.clear()
 
-    def run_reports(self) -> None:
+    def run_report_loop(self) -> None:
         """Tell coordinators what runs, and look for silent ones, forever."""
-        since = 0.0
+        elapsed = 0.0
         while True:
-            gevent.sleep(PING_SECONDS)
-            since += PING_SECONDS
+            gevent.sleep(PING_CHECK_SECONDS)
+            elapsed += PING_CHECK_SECONDS
             if self._peers is not None:
-                for name in self.cells.to_ping():
+                for name in self.cells.collect_due_pings():
                     self._peers.ping(name)
-            if since >= RUNNING_SECONDS:
-                since = 0.0
-                self.asker.tell_running()
-                self.coordinators.tick()
+            if elapsed >= REPORT_INTERVAL_SECONDS:
+                elapsed = 0.0
+                self.client.report_running_requests()
+                self.coordinators.process_queues()
 
     def _send(self, name: str, message: object) -> None:
         if name == self._own:
-            self._take_work(message, name)
+            self._handle_message(message, name)
         elif self._peers is not None:
             self._peers.send(name, message)
 
-    def _take_work(self, message: object, _sender: str) -> None:
-        assert isinstance(message, _COORDINATOR_KINDS)
-        self.coordinators.take(message)
+    def _handle_message(self, message: object, _sender: str) -> None:
+        assert isinstance(message, _COORDINATOR_MESSAGES)
+        self.coordinators.handle_message(message)
 
-    def _answer(self, name: str, answer: Answer) -> None:
-        if isinstance(answer, Queued):
-            self._waiting.set()
+    def _send_response(self, name: str, response: AssignmentResponse) -> None:
+        if isinstance(response, RequestQueued):
+            self._queue_active.set()
         if name == self._own:
-            self.asker.take(answer, name)
+            self.client.handle_response(response, name)
         elif self._peers is not None:
-            self._peers.send(name, answer)
+            self._peers.send(name, response)
--- a/damasklead/gateway/fleet.py
+++ b/damasklead/gateway/fleet.py
@@ -188,8 +188,8 @@
             ),
             TaskChild(name="configuration", function=self._follow_configuration),
             TaskChild(name="replicas", function=self._follow_upstreams),
-            TaskChild(name="decisions", function=self.coordination.run_decisions),
-            TaskChild(name="running", function=self.coordination.run_reports),
+            TaskChild(name="decisions", function=self.coordination.run_queue_loop),
+            TaskChild(name="running", function=self.coordination.run_report_loop),
         ]
         if self._peers is not None and self._broadcasts is not None:
             self._peers.listen()
@@ -203,7 +203,7 @@
 
     def announce_leave(self) -> None:
         """Coordinate nothing any more, since this gateway stops."""
-        self.coordination.cells.retire()
+        self.coordination.cells.resign_coordination()
         if self._peers is not None:
             self._peers.say_goodbye()
 
@@ -268,7 +268,7 @@
 
     def _configure(self, table: RoutingTable) -> None:
         self._on_configuration(table)
-        self.coordination.cells.forget(lambda name: name not in table.services)
+        self.coordination.cells.remove_services(lambda name: name not in table.services)
         self._arrange()
 
     def _arrange(self) -> None:
@@ -278,8 +278,8 @@
         table = self.configuration.table
         for name, spec in ({} if table is None else table.services).items():
             if spec.engine is not None:
-                self.coordination.cells.take_engines(name, self._directory.usable(name))
-        self.coordination.coordinators.arrange()
+                self.coordination.cells.set_engines(name, self._directory.usable(name))
+        self.coordination.coordinators.apply_configuration()
         self._on_replicas_changed()
         if self._broadcasts is not None:
             self._broadcasts.schedule_update()
@@ -299,7 +299,7 @@
             self._arrange()
 
     def _take_members(self) -> None:
-        self.coordination.members_changed()
+        self.coordination.invalidate_members()
         if self._broadcasts is not None:
             self._broadcasts.invalidate_ranking()
 
@@ -331,7 +331,7 @@
             ),
             directory=lambda: self._link().peers,
             changed=self._take_members,
-            heard=lambda name: self.coordination.heard(name),
+            heard=lambda name: self.coordination.record_contact(name),
             clock=self._clock,
             journal=self._journal,
         )
--- a/damasklead/gateway/inbox.py
+++ b/damasklead/gateway/inbox.py
@@ -11,7 +11,7 @@
 
 from typing import Generic, TypeVar
 
-from damasklead.gateway.coordination.messages import Ask
+from damasklead.gateway.coordination.messages import AssignmentRequest
 
 __all__ = ["Inbox"]
 
@@ -31,7 +31,7 @@
     Examples
     --------
     >>> inbox = Inbox()
-    >>> inbox.put(Ask, "ask")
+    >>> inbox.put(AssignmentRequest, "ask")
     >>> inbox.put(str, "news")
     >>> inbox.take()
     ['news', 'ask']
@@ -53,7 +53,7 @@
 
     def put(self, kind: type, message: T) -> None:
         """Add a message of a kind."""
-        (self._asks if kind is Ask else self._others).append(message)
+        (self._asks if kind is AssignmentRequest else self._others).append(message)
 
     def take(self) -> list[T]:
         """Return what is to be handled, in order."""
--- a/damasklead/gateway/peers.py
+++ b/damasklead/gateway/peers.py
@@ -16,13 +16,13 @@
 
 from damasklead.clock import Clock
 from damasklead.gateway.coordination.messages import (
-    Ask,
-    Ended,
+    AssignmentRequest,
     Grant,
-    Queued,
-    Read,
-    Refused,
-    Running,
+    PrefillDone,
+    RequestEnded,
+    RequestQueued,
+    RequestRejected,
+    RunningRequests,
 )
 from damasklead.gateway.dialect import FeedError, PeerDirectory, PeerEntry
 from damasklead.gateway.inbox import Inbox
@@ -58,7 +58,8 @@
 
 _Address = tuple[str, int]
 _Message = (
-    Ask | Queued | Grant | Refused | Read | Ended | Running
+    AssignmentRequest | RequestQueued | Grant | RequestRejected | PrefillDone
+    | RequestEnded | RunningRequests
     | Announcement | LeaveNotice | Ping | Broadcast | PeerReport
 )  # fmt: skip
 
--- a/damasklead/gateway/process.py
+++ b/damasklead/gateway/process.py
@@ -111,7 +111,7 @@
                 clock=self._clock,
                 connections=self._connections,
                 budget=self._budget,
-                asker=self._fleet.coordination.asker,
+                assignment_client=self._fleet.coordination.client,
                 containment=self._fleet.containment,
                 journal=self._journal,
                 on_replica_left=self._note_left,
@@ -291,7 +291,7 @@
         metrics = self._metrics
         metrics.active_requests.set_function(lambda: self._forwarder.active_requests)
         metrics.waiting_requests.set_function(
-            lambda: self._fleet.coordination.asker.waiting
+            lambda: self._fleet.coordination.client.pending_requests
         )
         metrics.connections_opened.set_function(lambda: self._connections.opened_count)
         metrics.store_restores.set_function(lambda: self._fleet.restore_count)
--- a/damasklead/gateway/runparts.py
+++ b/damasklead/gateway/runparts.py
@@ -13,7 +13,7 @@
 from damasklead.gateway.budget import SharedRetryBudget
 from damasklead.gateway.calls import UpstreamRecord
 from damasklead.gateway.containment import Containment
-from damasklead.gateway.coordination.asking import Asker
+from damasklead.gateway.coordination.asking import AssignmentClient
 from damasklead.gateway.dialect import Dialect
 from damasklead.gateway.journal import Journal
 from damasklead.gateway.upstream_http import ConnectionPool, ResponseMemoryBudget
@@ -48,7 +48,7 @@
     clock: Clock
     connections: ConnectionPool
     budget: SharedRetryBudget
-    asker: Asker
+    assignment_client: AssignmentClient
     containment: Containment
     journal: Journal
     on_replica_left: Callable[[UpstreamRecord, str], None]
--- a/tests/gatewaykit.py
+++ b/tests/gatewaykit.py
@@ -14,7 +14,7 @@
 from damasklead.gateway.budget import SharedRetryBudget
 from damasklead.gateway.calls import UpstreamRecord, UpstreamState
 from damasklead.gateway.containment import Containment
-from damasklead.gateway.coordination.asking import Asker
+from damasklead.gateway.coordination.asking import AssignmentClient
 from damasklead.gateway.coordination.cells import Member
 from damasklead.gateway.coordination.service import Coordination
 from damasklead.gateway.forwarding import Forwarder
@@ -213,7 +213,7 @@
                 clock=self.clock,
                 connections=connections or ConnectionPool(clock=self.clock),
                 budget=self.budget,
-                asker=self._make_asker(),
+                assignment_client=self._make_assignment_client(),
                 containment=self.containment,
                 journal=self.journal,
                 on_replica_left=self._note_left,
@@ -233,7 +233,7 @@
         )
         self.listener.start()
 
-    def _make_asker(self) -> Asker:
+    def _make_assignment_client(self) -> AssignmentClient:
         """Return what finds places for requests to engines, alone in the fleet."""
         return Coordination(
             own=Member(InstanceId("gateway-1"), DataCentre("hout")),
@@ -241,7 +241,7 @@
             table=lambda: self.table,
             peers=None,
             journal=self.journal,
-        ).asker
+        ).client
 
     def connect(self) -> socket.socket:
         """Open a caller's connection."""
--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -205,8 +205,8 @@
     ("module", "changes"),
     [
         (cells, {"CELL_ENGINES": 8}),
-        (admission, {"READING_WEIGHT": 0.0}),
-        (admission, {"MOST_WAITING": 100}),
+        (admission, {"PREFILL_WEIGHT": 0.0}),
+        (admission, {"MAX_QUEUE_LENGTH": 100}),
     ],
 )
 def test_each_decision_serves_a_burst_about_many_subjects_better(
--- a/tests/test_gateway_admission.py
+++ b/tests/test_gateway_admission.py
@@ -7,10 +7,10 @@
 
 from damasklead.clock import ManualClock
 from damasklead.gateway.admission import (
-    MOST_READING_SHARE,
-    MOST_WAITING,
-    WEIGH_SECONDS,
-    Admission,
+    MAX_PREFILL_FRACTION,
+    MAX_QUEUE_LENGTH,
+    PREFILL_ESTIMATE_SECONDS,
+    AdmissionController,
     Admit,
     Reject,
 )
@@ -42,11 +42,11 @@
         self.clock = ManualClock(start=100.0)
         self.room = room
         self.reading: dict[str, float] = {}
-        self.admission = Admission(
+        self.admission = AdmissionController(
             clock=self.clock,
-            has_room=lambda call: self.room > 0,
+            has_capacity=lambda call: self.room > 0,
             is_urgent=lambda call: call.route is CHAT,
-            reading_of=lambda call: self.reading.get(call.id, 0.0),
+            estimate_prefill_seconds=lambda call: self.reading.get(call.id, 0.0),
         )
         self.admitted: list[str] = []
         self.rejected: dict[str, Reject] = {}
@@ -70,7 +70,7 @@
         self.decide()
 
     def decide(self) -> None:
-        while (decision := self.admission.next()) is not None:
+        while (decision := self.admission.decide_next()) is not None:
             self._take(decision)
 
     def _take(self, decision: Admit | Reject | None) -> None:
@@ -85,14 +85,14 @@
     scene = Scene(room=40)
     for number in range(40):
         scene.submit(f"r{number}", REVIEW)
-    assert len(scene.admitted) == 40 and scene.admission.waiting == 0
+    assert len(scene.admitted) == 40 and scene.admission.queue_length == 0
 
 
 def test_a_burst_waits_for_room_and_nothing_is_lost() -> None:
     scene = Scene(room=4)
     for number in range(30):
         scene.submit(f"r{number}", REVIEW)
-    assert len(scene.admitted) == 4 and scene.admission.waiting == 26
+    assert len(scene.admitted) == 4 and scene.admission.queue_length == 26
     for _ in range(13):
         scene.clock.advance(0.1)
         scene.make_room(2)
@@ -166,7 +166,7 @@
 
 def test_a_queue_that_is_too_long_refuses_at_once() -> None:
     scene = Scene(room=0)
-    for number in range(MOST_WAITING + 3):
+    for number in range(MAX_QUEUE_LENGTH + 3):
         scene.submit(f"r{number}", REVIEW)
     assert len(scene.rejected) == 3
 
@@ -197,7 +197,7 @@
         scene = Scene(room=0)
         scene.reading["long"] = 60.0
         scene.submit("long", REVIEW)
-        scene.clock.advance(MOST_READING_SHARE * REVIEW.target + 0.01)
+        scene.clock.advance(MAX_PREFILL_FRACTION * REVIEW.target + 0.01)
         scene.submit("short", REVIEW)
         scene.make_room(1)
         assert scene.admitted == ["long"]
@@ -210,6 +210,6 @@
         scene.submit("second", REVIEW)
         scene.decide()
         scene.reading["first"] = 0.0
-        scene.clock.advance(1.1 * WEIGH_SECONDS)
+        scene.clock.advance(1.1 * PREFILL_ESTIMATE_SECONDS)
         scene.make_room(1)
         assert scene.admitted == ["first"]
--- a/tests/test_gateway_coordination.py
+++ b/tests/test_gateway_coordination.py
@@ -15,37 +15,41 @@
 from damasklead.clock import ManualClock
 from damasklead.failures import Failure
 from damasklead.gateway.calls import Call, LoadHint, PromptPart, UpstreamRecord
-from damasklead.gateway.coordination.asking import Asker, Assignment, make_ask
+from damasklead.gateway.coordination.asking import (
+    Assignment,
+    AssignmentClient,
+    make_assignment_request,
+)
 from damasklead.gateway.coordination.cellmap import (
-    MAX_PING_SECONDS,
-    SPILL_SECONDS,
+    MAX_PING_INTERVAL_SECONDS,
+    SPILLOVER_SECONDS,
     CellMap,
 )
 from damasklead.gateway.coordination.cells import (
     CELL_ENGINES,
     Cell,
     Member,
-    divide,
-    home_cell,
+    partition_engines,
     rank_members,
+    select_home_cell,
 )
 from damasklead.gateway.coordination.coordinator import (
-    CROSSED_SECONDS,
-    IDLE_SECONDS,
-    QUEUED_SECONDS,
+    IDLE_TIMEOUT_SECONDS,
+    QUEUED_INTERVAL_SECONDS,
+    REPORT_GRACE_SECONDS,
+    AddressedResponse,
     Coordinator,
-    Reply,
 )
 from damasklead.gateway.coordination.coordinators import Coordinators
 from damasklead.gateway.coordination.messages import (
-    Answer,
-    Ask,
-    Ended,
+    AssignmentRequest,
+    AssignmentResponse,
     Grant,
-    Queued,
-    Read,
-    Refused,
-    Running,
+    PrefillDone,
+    RequestEnded,
+    RequestQueued,
+    RequestRejected,
+    RunningRequests,
 )
 from damasklead.gateway.journal import Journal
 from damasklead.gateway.routing import EngineSpec, ServiceSpec
@@ -89,36 +93,46 @@
         self.coordinator = Coordinator(
             cell=CELL, clock=self.clock, service=SPEC, routes=[CHAT, QUOTE, LATER]
         )
-        self.coordinator.retain(engines(count))
-        self.told: dict[str, list[Answer]] = {}
-
-    def ask(self, call: Call, gateway: str = "g1", **options: object) -> list[Answer]:
-        content: dict = {"now": 0.0, "excluded": (), "first": True} | options
-        return self.note(self.coordinator.ask(make_ask(gateway, call, CELL, **content)))
+        self.coordinator.set_engines(engines(count))
+        self.responses: dict[str, list[AssignmentResponse]] = {}
+
+    def ask(
+        self, call: Call, gateway: str = "g1", **options: object
+    ) -> list[AssignmentResponse]:
+        content: dict = {"now": 0.0, "excluded": (), "first_offer": True} | options
+        return self.note(
+            self.coordinator.handle_assignment_request(
+                make_assignment_request(gateway, call, CELL, **content)
+            )
+        )
 
-    def tick(self) -> list[Answer]:
-        return self.note(self.coordinator.tick())
+    def tick(self) -> list[AssignmentResponse]:
+        return self.note(self.coordinator.process_queue())
 
-    def note(self, replies: list[Reply]) -> list[Answer]:
+    def note(self, replies: list[AddressedResponse]) -> list[AssignmentResponse]:
         for reply in replies:
-            self.told.setdefault(reply.answer.attempt, []).append(reply.answer)
-        return [reply.answer for reply in replies]
+            self.responses.setdefault(reply.response.attempt, []).append(reply.response)
+        return [reply.response for reply in replies]
 
     def read(self, call: Call, gateway: str = "g1") -> None:
-        self.coordinator.read(Read(gateway, CELL, call.id, LoadHint(1, 0, 64)))
+        self.coordinator.handle_prefill_done(
+            PrefillDone(gateway, CELL, call.id, LoadHint(1, 0, 64))
+        )
 
     def end(self, call: Call, outcome: str = "whole", gateway: str = "g1") -> None:
-        self.coordinator.ended(Ended(gateway, CELL, call.id, outcome))
+        self.coordinator.handle_request_ended(
+            RequestEnded(gateway, CELL, call.id, outcome)
+        )
 
 
 class TestCells:
     def test_a_small_service_is_one_cell_over_its_data_centres(self) -> None:
-        cells = divide(engines(9, "hout", "mossel", "saldanha"))
+        cells = partition_engines(engines(9, "hout", "mossel", "saldanha"))
         assert list(cells) == [Cell(SERVICE, DataCentre(""), 0)]
         assert len(cells[Cell(SERVICE, DataCentre(""), 0)]) == 9
 
     def test_a_large_one_has_cells_of_its_own_in_each_data_centre(self) -> None:
-        cells = divide(engines(200, "hout", "mossel"))
+        cells = partition_engines(engines(200, "hout", "mossel"))
         assert len(cells) == 2 * round(100 / CELL_ENGINES)
         for cell, group in cells.items():
             assert {item.data_centre for item in group} == {cell.data_centre}
@@ -129,7 +143,7 @@
         def places(records: list[UpstreamRecord]) -> dict[str, Cell]:
             return {
                 item.instance: cell
-                for cell, group in divide(records).items()
+                for cell, group in partition_engines(records).items()
                 for item in group
             }
 
@@ -141,31 +155,31 @@
             assert len(moved) <= len(set(before.values()))
 
     def test_nothing_is_divided_into_nothing(self) -> None:
-        assert divide([]) == {}
-        assert home_cell([], review("r"), DataCentre("hout")) is None
+        assert partition_engines([]) == {}
+        assert select_home_cell([], review("r"), DataCentre("hout")) is None
 
     def test_the_same_subject_has_the_same_cell_at_every_gateway(self) -> None:
-        cells = list(divide(engines(100)))
+        cells = list(partition_engines(engines(100)))
         homes = {
-            home_cell(order, review(f"r{number}"), DataCentre("hout"))
+            select_home_cell(order, review(f"r{number}"), DataCentre("hout"))
             for number, order in enumerate((cells, cells[::-1], sorted(cells, key=str)))
         }
         assert len(homes) == 1
 
     def test_requests_with_short_shared_parts_stay_in_their_data_centre(self) -> None:
-        cells = divide(engines(100, "hout", "mossel"))
+        cells = partition_engines(engines(100, "hout", "mossel"))
         for number in range(20):
             parts = (PromptPart(f"s{number}", 500), PromptPart("own", 1800))
             call = make_call(f"q{number}", QUOTE, parts=parts, tokens=2300)
-            home = home_cell(cells, call, DataCentre("mossel"))
+            home = select_home_cell(cells, call, DataCentre("mossel"))
             assert home is not None and home.data_centre == "mossel"
 
     def test_a_long_shared_part_has_one_home_for_all_data_centres(self) -> None:
-        cells = divide(engines(100, "hout", "mossel"))
+        cells = partition_engines(engines(100, "hout", "mossel"))
         for number in range(20):
             call = review("r", f"s{number}")
             homes = {
-                home_cell(cells, call, DataCentre(centre))
+                select_home_cell(cells, call, DataCentre(centre))
                 for centre in ("hout", "mossel")
             }
             assert len(homes) == 1
@@ -214,7 +228,7 @@
             call = make_call(f"q{number}", QUOTE, tokens=1800)
             (answer,) = scene.ask(call, f"g{number}")
             assert isinstance(answer, Grant)
-        granted = Counter(answers[0].instance for answers in scene.told.values())
+        granted = Counter(answers[0].instance for answers in scene.responses.values())
         shared = [granted[name] for name in granted]
         assert max(shared) <= 8 and len(shared) >= 7
 
@@ -236,9 +250,13 @@
         calls = [review(f"r{number}", f"s{number}") for number in range(30)]
         for number, call in enumerate(calls):
             scene.ask(call, f"g{number}")
-        waiting = [call for call in calls if isinstance(scene.told[call.id][0], Queued)]
-        assert 15 <= len(waiting) == scene.coordinator.waiting
-        scene.clock.advance(QUEUED_SECONDS)
+        waiting = [
+            call
+            for call in calls
+            if isinstance(scene.responses[call.id][0], RequestQueued)
+        ]
+        assert 15 <= len(waiting) == scene.coordinator.queue_length
+        scene.clock.advance(QUEUED_INTERVAL_SECONDS)
         assert {item.attempt for item in scene.tick()} == {call.id for call in waiting}
         for call in calls[:6]:
             scene.read(call, f"g{call.id[1:]}")
@@ -258,7 +276,7 @@
             scene.ask(review(f"r{number}", f"s{number}"))
         scene.clock.advance(4.95)
         refused = [item for _ in range(5) for item in scene.tick()]
-        refused = [item for item in refused if isinstance(item, Refused)]
+        refused = [item for item in refused if isinstance(item, RequestRejected)]
         assert refused
         assert all(item.retry_after is not None for item in refused)
 
@@ -266,14 +284,14 @@
         scene = Scene()
         call = review("r")
         assert scene.ask(call) == scene.ask(call)
-        assert scene.coordinator.requests == 1
+        assert scene.coordinator.request_count == 1
 
     def test_a_request_from_another_cell_copies_from_its_home(self) -> None:
         scene = Scene()
         call = review("r")
         (answer,) = scene.ask(call, source="127.0.0.1:99")
         assert isinstance(answer, Grant) and answer.source == "127.0.0.1:99"
-        (known,) = scene.ask(review("r2"), source="127.0.0.1:99", first=False)
+        (known,) = scene.ask(review("r2"), source="127.0.0.1:99", first_offer=False)
         assert known.instance == answer.instance or known.source != "127.0.0.1:99"
 
     def test_a_retry_gets_another_place(self) -> None:
@@ -281,47 +299,49 @@
         call = review("r")
         (first,) = scene.ask(call)
         scene.end(call, Failure.BROKEN.value)
-        (second,) = scene.ask(call, excluded=(first.instance,), first=False)
+        (second,) = scene.ask(call, excluded=(first.instance,), first_offer=False)
         assert isinstance(second, Grant) and second.instance != first.instance
 
     def test_a_retry_whose_end_was_lost_gets_another_place(self) -> None:
         scene = Scene()
         call = review("r")
         (first,) = scene.ask(call)
-        (second,) = scene.ask(call, excluded=(first.instance,), first=False)
+        (second,) = scene.ask(call, excluded=(first.instance,), first_offer=False)
         assert isinstance(second, Grant) and second.instance != first.instance
-        assert scene.coordinator.requests == 1
+        assert scene.coordinator.request_count == 1
 
     def test_without_a_replica_the_gateway_is_told_to_choose_itself(self) -> None:
         scene = Scene(0)
         (answer,) = scene.ask(make_call("c", CHAT))
-        assert answer == Refused(AttemptId("c"), None, 0.0)
-        assert scene.coordinator.requests == 0
+        assert answer == RequestRejected(AttemptId("c"), None, 0.0)
+        assert scene.coordinator.request_count == 0
 
     def test_an_unknown_route_is_left_to_the_gateway(self) -> None:
         scene = Scene()
         strange = msgspec.structs.replace(CHAT, name="strange")
         (answer,) = scene.ask(make_call("c", strange))
-        assert isinstance(answer, Refused) and answer.retry_after is None
+        assert isinstance(answer, RequestRejected) and answer.retry_after is None
 
     def test_a_successor_learns_what_runs_and_forgets_what_has_ended(self) -> None:
         scene = Scene(2)
         running = tuple(
             (AttemptId(f"x{number}"), InstanceId("e0"), 30_000) for number in range(3)
         )
-        scene.coordinator.running(Running("g7", CELL, running))
-        assert scene.coordinator.requests == 3 and scene.coordinator.backlog > 0
+        scene.coordinator.handle_running_requests(RunningRequests("g7", CELL, running))
+        assert scene.coordinator.request_count == 3 and scene.coordinator.backlog > 0
         (answer,) = scene.ask(make_call("q", QUOTE, tokens=1800))
         assert isinstance(answer, Grant) and answer.instance == "e1"
-        scene.clock.advance(CROSSED_SECONDS + 0.01)
-        scene.coordinator.running(Running("g7", CELL, running[:1]))
-        assert scene.coordinator.requests == 2
+        scene.clock.advance(REPORT_GRACE_SECONDS + 0.01)
+        scene.coordinator.handle_running_requests(
+            RunningRequests("g7", CELL, running[:1])
+        )
+        assert scene.coordinator.request_count == 2
 
     def test_a_list_that_crossed_a_grant_does_not_end_it(self) -> None:
         scene = Scene()
         scene.ask(review("r"))
-        scene.coordinator.running(Running("g1", CELL, ()))
-        assert scene.coordinator.requests == 1
+        scene.coordinator.handle_running_requests(RunningRequests("g1", CELL, ()))
+        assert scene.coordinator.request_count == 1
 
     def test_what_ends_or_runs_out_is_counted_no_more(self) -> None:
         scene = Scene(1)
@@ -330,16 +350,18 @@
             scene.ask(call)
         for call in calls[:6]:
             scene.end(call, "withdrawn")
-        assert scene.coordinator.requests == 6
+        assert scene.coordinator.request_count == 6
         scene.end(calls[7], gateway="another")
-        assert scene.coordinator.requests == 6
-        scene.clock.advance(5.0 + CROSSED_SECONDS + 0.1)
+        assert scene.coordinator.request_count == 6
+        scene.clock.advance(5.0 + REPORT_GRACE_SECONDS + 0.1)
         for _ in range(10):
             scene.tick()
-        assert scene.coordinator.requests == 0 and scene.coordinator.waiting == 0
-        assert not scene.coordinator.idle
-        scene.clock.advance(IDLE_SECONDS)
-        assert scene.coordinator.idle
+        assert (
+            scene.coordinator.request_count == 0 and scene.coordinator.queue_length == 0
+        )
+        assert not scene.coordinator.is_idle
+        scene.clock.advance(IDLE_TIMEOUT_SECONDS)
+        assert scene.coordinator.is_idle
 
     def test_one_gateways_trouble_with_a_replica_helps_all(self) -> None:
         scene = Scene(2)
@@ -354,71 +376,75 @@
 class TestCellMap:
     def cell_map(self, clock: ManualClock, gateways: int = 8) -> CellMap:
         cells = CellMap(clock=clock, own=Member(InstanceId("g0"), DataCentre("hout")))
-        cells.take_members(
+        cells.set_members(
             Member(InstanceId(f"g{number}"), DataCentre("hout"))
             for number in range(1, gateways)
         )
-        cells.take_engines(SERVICE, engines(8 * CELL_ENGINES, "hout", "mossel"))
+        cells.set_engines(SERVICE, engines(8 * CELL_ENGINES, "hout", "mossel"))
         return cells
 
     def test_the_last_one_asked_is_this_gateway(self) -> None:
         cells = self.cell_map(ManualClock())
         for cell in cells.cells:
-            names = cells.coordinators(cell, most=2)
+            names = cells.list_coordinators(cell, limit=2)
             assert names[-1] == "g0" and len(names) <= 3
 
     def test_a_silent_gateway_is_passed_over_until_it_is_heard(self) -> None:
         clock = ManualClock()
         cells = self.cell_map(clock)
         cell = next(
-            item for item in cells.cells if cells.coordinators(item, most=1)[0] != "g0"
+            item
+            for item in cells.cells
+            if cells.list_coordinators(item, limit=1)[0] != "g0"
         )
-        first = cells.coordinators(cell, most=1)[0]
-        assert cells.suspect(first) and not cells.suspect(first)
-        assert cells.coordinators(cell, most=1)[0] != first
+        first = cells.list_coordinators(cell, limit=1)[0]
+        assert cells.suspect_gateway(first) and not cells.suspect_gateway(first)
+        assert cells.list_coordinators(cell, limit=1)[0] != first
         pings = 0
         for _ in range(200):
             clock.advance(0.1)
-            pings += len(cells.to_ping())
-        assert 4 <= pings <= 4 + 20 / MAX_PING_SECONDS
-        assert cells.heard(first) and not cells.heard(first)
-        assert cells.coordinators(cell, most=1)[0] == first
+            pings += len(cells.collect_due_pings())
+        assert 4 <= pings <= 4 + 20 / MAX_PING_INTERVAL_SECONDS
+        assert cells.clear_suspicion(first) and not cells.clear_suspicion(first)
+        assert cells.list_coordinators(cell, limit=1)[0] == first
 
     def test_a_full_cell_is_left_for_one_that_has_much_less_to_do(self) -> None:
         clock = ManualClock()
         cells = self.cell_map(clock)
         calls = [review(f"r{number}", f"s{number}") for number in range(40)]
-        home = cells.home(calls[0])
+        home = cells.find_home_cell(calls[0])
         assert home is not None
-        here = [call for call in calls if cells.home(call) == home]
-        cells.note_load(home, SPILL_SECONDS / 2)
-        assert {cells.choose(call, first=True) for call in here} == {home}
+        here = [call for call in calls if cells.find_home_cell(call) == home]
+        cells.record_load(home, SPILLOVER_SECONDS / 2)
+        assert {cells.select_cell(call, first_offer=True) for call in here} == {home}
         for cell in cells.cells:
-            cells.note_load(cell, 2 * SPILL_SECONDS if cell == home else 0.0)
-        chosen = {cells.choose(call, first=True) for call in here}
+            cells.record_load(cell, 2 * SPILLOVER_SECONDS if cell == home else 0.0)
+        chosen = {cells.select_cell(call, first_offer=True) for call in here}
         assert home not in chosen
         assert all(cell and cell.data_centre == home.data_centre for cell in chosen)
-        assert cells.choose(here[0], first=False) == home
+        assert cells.select_cell(here[0], first_offer=False) == home
         clock.advance(1.5)
-        assert {cells.choose(call, first=True) for call in here} == {home}
+        assert {cells.select_cell(call, first_offer=True) for call in here} == {home}
 
     def test_the_source_is_the_home_of_a_request_that_goes_elsewhere(self) -> None:
         cells = self.cell_map(ManualClock())
         call = review("r")
-        home = cells.home(call)
-        assert home is not None and cells.source_for(call, home) is None
+        home = cells.find_home_cell(call)
+        assert home is not None and cells.find_copy_source(call, home) is None
         other = next(cell for cell in cells.cells if cell != home)
-        source = cells.source_for(call, other)
-        assert source in {item.address for item in cells.engines(home)}
-        assert cells.source_for(make_call("c", CHAT), other) is None
+        source = cells.find_copy_source(call, other)
+        assert source in {item.address for item in cells.get_engines(home)}
+        assert cells.find_copy_source(make_call("c", CHAT), other) is None
 
     def test_few_look_at_a_cell_that_is_not_known(self) -> None:
         cells = self.cell_map(ManualClock())
         calls = [review(f"r{number}", "s") for number in range(200)]
-        home = cells.home(calls[0])
+        home = cells.find_home_cell(calls[0])
         assert home is not None
-        cells.note_load(home, 5.0)
-        away = [call for call in calls if cells.choose(call, first=True) != home]
+        cells.record_load(home, 5.0)
+        away = [
+            call for call in calls if cells.select_cell(call, first_offer=True) != home
+        ]
         assert 20 <= len(away) <= 90
 
 
@@ -430,23 +456,23 @@
         self.cells = CellMap(
             clock=self.clock, own=Member(InstanceId("g0"), DataCentre("hout"))
         )
-        self.cells.take_members(
+        self.cells.set_members(
             Member(InstanceId(f"g{number}"), DataCentre("hout")) for number in (1, 2)
         )
-        self.cells.take_engines(SERVICE, engines(9))
+        self.cells.set_engines(SERVICE, engines(9))
         table = make_table(services=[SPEC], routes=[CHAT, QUOTE, LATER])
-        self.hosts = {
+        self.coordinators = {
             name: Coordinators(
                 clock=self.clock,
                 cells=self.cells,
                 table=lambda: table,
-                answer=lambda _to, answer, name=name: self.answer(name, answer),
+                send_response=lambda _to, answer, name=name: self.answer(name, answer),
             )
             for name in ("g0", "g1", "g2")
         }
-        self.silent: set[str] = set()
+        self.unresponsive: set[str] = set()
         self.sent: list[tuple[str, object]] = []
-        self.asker = Asker(
+        self.client = AssignmentClient(
             own="g0",
             clock=self.clock,
             cells=self.cells,
@@ -457,20 +483,22 @@
 
     def send(self, name: str, message: object) -> None:
         self.sent.append((name, message))
-        assert isinstance(message, (Ask, Read, Ended, Running))
-        if name not in self.silent:
-            self.hosts[name].take(message)
+        assert isinstance(
+            message, (AssignmentRequest, PrefillDone, RequestEnded, RunningRequests)
+        )
+        if name not in self.unresponsive:
+            self.coordinators[name].handle_message(message)
 
-    def answer(self, name: str, answer: Answer) -> None:
-        gevent.spawn(self.asker.take, answer, name)
+    def answer(self, name: str, answer: AssignmentResponse) -> None:
+        gevent.spawn(self.client.handle_response, answer, name)
 
     def find(self, call: Call) -> Assignment:
-        found = self.asker.find(call, excluded=(), first=True)
+        found = self.client.request_assignment(call, excluded=(), first_offer=True)
         assert isinstance(found, Assignment)
         return found
 
     def ranked(self) -> list[str]:
-        return self.cells.coordinators(self.cell, most=3)
+        return self.cells.list_coordinators(self.cell, limit=3)
 
 
 def live_call(name: str, clock: LoopClock) -> Call:
@@ -480,35 +508,35 @@
     return call
 
 
-class TestAsker:
+class TestAssignmentClient:
     def test_a_silent_coordinator_costs_one_request_a_moment(self) -> None:
         world = World()
         first = world.ranked()[0]
-        world.silent = {"g1", "g2"} if first == "g0" else {first}
+        world.unresponsive = {"g1", "g2"} if first == "g0" else {first}
         began = world.clock.now()
         assignment = world.find(live_call("c1", world.clock))
         assert world.clock.now() - began < 0.5
-        assert assignment.coordinator not in world.silent
+        assert assignment.coordinator not in world.unresponsive
         began = world.clock.now()
         world.find(live_call("c2", world.clock))
         assert world.clock.now() - began < 0.05
 
     def test_when_all_are_silent_this_gateway_decides(self) -> None:
         world = World()
-        world.silent = {"g1", "g2"}
+        world.unresponsive = {"g1", "g2"}
         assert world.find(live_call("c1", world.clock)).coordinator == "g0"
 
     def test_a_place_that_comes_too_late_is_given_back(self) -> None:
         world = World()
         grant = Grant(AttemptId("old"), InstanceId("e1"), None, 0.0)
-        world.asker.take(grant, "g1")
+        world.client.handle_response(grant, "g1")
         name, message = world.sent[-1]
         assert name == "g1"
-        assert message == Ended("g0", world.cell, AttemptId("old"), "withdrawn")
+        assert message == RequestEnded("g0", world.cell, AttemptId("old"), "withdrawn")
 
     def test_a_request_that_waits_is_withdrawn_when_its_caller_goes(self) -> None:
         world = World()
-        world.hosts = dict.fromkeys(world.hosts, world.hosts["g0"])
+        world.coordinators = dict.fromkeys(world.coordinators, world.coordinators["g0"])
         calls = [review(f"r{number}", f"s{number}") for number in range(60)]
         for call in calls:
             call.arrival = world.clock.now()
@@ -516,41 +544,49 @@
         finders = [gevent.spawn(world.find, call) for call in calls]
         gevent.sleep(0.05)
         waiting = [finder for finder in finders if not finder.ready()]
-        assert waiting and world.hosts["g0"].waiting
+        assert waiting and world.coordinators["g0"].has_queued
         gevent.killall(waiting)
-        assert not world.hosts["g0"].waiting
+        assert not world.coordinators["g0"].has_queued
 
     def test_what_runs_is_told_until_it_ends(self) -> None:
         world = World()
         call = live_call("c1", world.clock)
         assignment = world.find(call)
         world.sent.clear()
-        world.asker.tell_running()
-        (running,) = [item for _, item in world.sent if isinstance(item, Running)]
+        world.client.report_running_requests()
+        (running,) = [
+            item for _, item in world.sent if isinstance(item, RunningRequests)
+        ]
         assert running.requests == ((call.id, assignment.instance, 700),)
-        world.asker.read(assignment, call, None)
+        world.client.report_prefill_done(assignment, call, None)
         world.sent.clear()
-        world.asker.tell_running()
+        world.client.report_running_requests()
         assert world.sent[-1][1].requests == ((call.id, assignment.instance, 0),)
-        world.asker.ended(assignment, call, "whole")
+        world.client.report_request_ended(assignment, call, "whole")
         world.sent.clear()
-        world.asker.tell_running()
+        world.client.report_running_requests()
         assert not world.sent
 
     def test_a_refusal_that_says_when_to_come_back_is_final(self) -> None:
         """Another coordinator would place what the first one has no room for."""
         world = World()
-        world.asker._cells.suspect("g0")
+        world.client._cells.suspect_gateway("g0")
         first = world.ranked()[0]
-        refusal = Refused(AttemptId("c1"), 1.5, 3.0)
+        refusal = RequestRejected(AttemptId("c1"), 1.5, 3.0)
 
         def refuse(name: str, message: object) -> None:
             world.sent.append((name, message))
-            if isinstance(message, Ask):
+            if isinstance(message, AssignmentRequest):
                 world.answer(name, refusal)
 
-        world.asker._send = refuse
-        found = world.asker.find(live_call("c1", world.clock), excluded=(), first=True)
+        world.client._send = refuse
+        found = world.client.request_assignment(
+            live_call("c1", world.clock), excluded=(), first_offer=True
+        )
         assert found == refusal
-        asked = {name for name, message in world.sent if isinstance(message, Ask)}
+        asked = {
+            name
+            for name, message in world.sent
+            if isinstance(message, AssignmentRequest)
+        }
         assert asked == {first}
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -12,7 +12,7 @@
 
 from damasklead.clock import ManualClock
 from damasklead.gateway import peers as module
-from damasklead.gateway.coordination.messages import Ask
+from damasklead.gateway.coordination.messages import AssignmentRequest
 from damasklead.gateway.dialect import FeedError, FeedFault, PeerDirectory, PeerEntry
 from damasklead.gateway.inbox import MOST_ASKS, MOST_MESSAGES, Inbox
 from damasklead.gateway.journal import Journal
@@ -98,7 +98,7 @@
 def test_news_goes_before_asks_and_old_asks_are_passed_over() -> None:
     inbox: Inbox[int] = Inbox()
     for number in range(MOST_MESSAGES):
-        inbox.put(Ask if number % 2 else PeerReport, number)
+        inbox.put(AssignmentRequest if number % 2 else PeerReport, number)
     assert inbox.full
     taken = inbox.take()
     news = [number for number in range(MOST_MESSAGES) if number % 2 == 0]
