--- a/damasklead/gateway/attempts.py
+++ b/damasklead/gateway/attempts.py
@@ -43,7 +43,7 @@
 MIN_RESPONSE_TIMEOUT_SECONDS = 0.25
 # Retry-After when no replica is known or all are full.
 RETRY_AFTER_SECONDS = 0.4
-# Retry-After for a request that crashes replicas; only an operator can release it.
+# Retry-After for a request that crashes replicas, which operators have to look into.
 QUARANTINED_RETRY_AFTER_SECONDS = 60.0
 # Largest delay added to Retry-After when all replicas pause, so that callers don't
 # retry at the same instant.
@@ -310,13 +310,13 @@
             raise SendError(Failure.BROKEN, reply.detail)
 
     def _relay_response(self, upstream: Connection, reply: ReplyHead) -> None:
-        whole = self._call.route.kind is not RouteKind.STREAM
-        if whole or not 200 <= reply.status < 300:
-            self._relay_whole_response(upstream, reply)
+        is_buffered = self._call.route.kind is not RouteKind.STREAM
+        if is_buffered or not 200 <= reply.status < 300:
+            self._relay_buffered_response(upstream, reply)
         else:
             self._relay_stream(upstream, reply)
 
-    def _relay_whole_response(self, upstream: Connection, reply: ReplyHead) -> None:
+    def _relay_buffered_response(self, upstream: Connection, reply: ReplyHead) -> None:
         self._body_pending = True
         body = upstream.read_body(
             limit=MAX_BODY_BYTES, memory=self._context.response_memory
@@ -342,18 +342,18 @@
         )
         upstream.set_read_timeout(progress.event_timeout)
         while data := upstream.read_body_data():
-            whole = splitter.feed(data)
+            complete_events = splitter.feed(data)
             progress.record_data(
-                events=bool(whole), buffered_bytes=splitter.buffered_bytes
+                events=bool(complete_events), buffered_bytes=splitter.buffered_bytes
             )
-            if not whole:
+            if not complete_events:
                 continue
             if splitter.last_id is not None:
                 self._last_event_id = splitter.last_id
             if not self.event_count:
                 self._selector.report_prefill_done(reply.load)
             self._placement.progressed(self.replica, self._call)
-            self._send_events(reply, whole)
+            self._send_events(reply, complete_events)
             self.event_count += splitter.take_event_count()
         if splitter.has_partial_event:
             raise SendError(Failure.BROKEN, "the stream ended within an event")
--- a/damasklead/gateway/forwarding.py
+++ b/damasklead/gateway/forwarding.py
@@ -114,7 +114,7 @@
         workspace = table.workspace_of(head.key) if head.key is not None else None
         if workspace is None and table.needs_keys and not route.public:
             return Refusal(reason=Reason.UNKNOWN_KEY, attempt=head.attempt)
-        patience = route.timeout if head.patience is None else head.patience
+        caller_timeout = route.timeout if head.patience is None else head.patience
         tier = route.tier
         if workspace is not None and workspace.tier is not None:
             tier = workspace.tier
@@ -124,8 +124,8 @@
             service=route.service_for(head.attempt),
             workspace=workspace,
             arrival=request.arrival,
-            deadline=request.arrival + min(patience, route.timeout),
-            caller_deadline=request.arrival + patience,
+            deadline=request.arrival + min(caller_timeout, route.timeout),
+            caller_deadline=request.arrival + caller_timeout,
             tier=tier,
             body=request.body,
         )
@@ -141,8 +141,8 @@
             placement=self._placement_of(call.service),
             caller=connection,
         )
-        left = call.deadline - self._context.clock.now()
-        timer = gevent.Timeout(max(0.0, left), _DeadlineExceeded())
+        remaining_seconds = call.deadline - self._context.clock.now()
+        timer = gevent.Timeout(max(0.0, remaining_seconds), _DeadlineExceeded())
         timer.start()
         try:
             refusal = proxied_request.forward()
--- a/damasklead/gateway/metrics.py
+++ b/damasklead/gateway/metrics.py
@@ -18,7 +18,7 @@
 
 __all__ = ["GatewayMetrics"]
 
-FIRST_BYTE_BUCKETS = (0.02, 0.05, 0.125, 0.25, 0.5, 1.0, 1.5, 3.0, 5.0, 15.0)
+FIRST_BYTE_BUCKETS_SECONDS = (0.02, 0.05, 0.125, 0.25, 0.5, 1.0, 1.5, 3.0, 5.0, 15.0)
 
 
 class GatewayMetrics:
@@ -26,7 +26,7 @@
 
     def __init__(self) -> None:
         self.registry = CollectorRegistry()
-        self._answers = Counter(
+        self._responses = Counter(
             "damasklead_answers",
             "Answers of replicas by service, route kind and status",
             ["service", "kind", "status"],
@@ -38,7 +38,7 @@
             ["service", "reason"],
             registry=self.registry,
         )
-        self._gone = Counter(
+        self._disconnects = Counter(
             "damasklead_callers_gone",
             "Requests whose caller left before the answer's end",
             ["service"],
@@ -49,7 +49,7 @@
             "Seconds from a request's head to its answer's first byte",
             ["service", "kind"],
             registry=self.registry,
-            buckets=FIRST_BYTE_BUCKETS,
+            buckets=FIRST_BYTE_BUCKETS_SECONDS,
         )
         self.configuration_version = Gauge(
             "damasklead_configuration_version",
@@ -94,7 +94,9 @@
             registry=self.registry,
         )
 
-    def count_response(self, call: Call, status: int, first_byte: float) -> None:
+    def count_response(
+        self, call: Call, status: int, first_byte_seconds: float
+    ) -> None:
         """
         Count a response that a replica gave.
 
@@ -103,12 +105,12 @@
         call : Call
         status : int
             HTTP status that was sent to the caller.
-        first_byte : float
+        first_byte_seconds : float
             Seconds from the request's head to the first byte of the response.
         """
         kind = call.route.kind.value
-        self._answers.labels(call.service, kind, str(status)).inc()
-        self._first_byte.labels(call.service, kind).observe(first_byte)
+        self._responses.labels(call.service, kind, str(status)).inc()
+        self._first_byte.labels(call.service, kind).observe(first_byte_seconds)
 
     def count_refusal(self, call: Call | None, refusal: Refusal) -> None:
         """Count a refusal by the gateway; ``call`` is ``None`` without a route."""
@@ -117,7 +119,7 @@
 
     def count_disconnect(self, call: Call) -> None:
         """Count a request whose caller disconnected before the response's end."""
-        self._gone.labels(call.service).inc()
+        self._disconnects.labels(call.service).inc()
 
     def render(self) -> bytes:
         """Return the metrics in Prometheus' text exposition format."""
--- a/damasklead/gateway/settings.py
+++ b/damasklead/gateway/settings.py
@@ -88,8 +88,8 @@
     seeds : list
         Operators' addresses of some gateways to start from; any of them may be down.
     cores : float
-        Processor cores that the gateway may use; gateways with more cores coordinate
-        more of the requests.
+        Processor cores that the gateway may use; those with more coordinate a larger
+        share of the requests.
     bounds : OperationalLimits
         Limits that operators set for all gateways.
     """
--- a/damasklead/gateway/upstream_http.py
+++ b/damasklead/gateway/upstream_http.py
@@ -23,7 +23,7 @@
 
 RECEIVE_BYTES = 65_536
 # Connect timeout; replicas are on the same network and accept within milliseconds.
-CONNECT_SECONDS = 0.3
+CONNECT_TIMEOUT_SECONDS = 0.3
 # Longer request bodies are sent in a greenlet of their own while the response is read:
 # a replica may respond early and leave the rest of the body unread.
 MAX_BLOCKING_SEND_BYTES = 4096
@@ -32,6 +32,7 @@
 DEFAULT_KEEP_ALIVE_SECONDS = 0.4
 # An idle connection is reused within this fraction of the replica's keep-alive timeout.
 KEEP_ALIVE_FRACTION = 0.6
+# Idle connections to one address; fewer when many gateways share a replica.
 MAX_IDLE_CONNECTIONS = 16
 # Interim (1xx) responses that are accepted before the final one.
 MAX_INTERIM_RESPONSES = 8
@@ -180,7 +181,7 @@
         Raises
         ------
         SendError
-            ``BROKEN`` when the connection ends before the body.
+            ``BROKEN`` when the connection ends before the body does.
         """
         while True:
             event = self._next_event()
@@ -206,7 +207,7 @@
         Raises
         ------
         SendError
-            ``BROKEN`` when the body is too long or the connection ends before it.
+            ``BROKEN`` when the body is too long or the connection ends before it does.
         """
         parts: list[bytes] = []
         size = 0
@@ -369,7 +370,7 @@
                 return connection
             connection.close()
         try:
-            raw = connect(address, timeout=CONNECT_SECONDS)
+            raw = connect(address, timeout=CONNECT_TIMEOUT_SECONDS)
         except OSError as error:
             raise SendError(Failure.NOT_SENT, f"connect: {error}") from error
         self._opened += 1
