--- a/damasklead/gateway/admission.py
+++ b/damasklead/gateway/admission.py
@@ -2,18 +2,22 @@
 Admission
 =========
 
-Decides when a request to an engine may be sent, and which go first when not all can.
-
-Load pattern: more prompts arrive than the engines can read.  If all are sent, they wait
-in the engines, where first come is first served: soon each is late.  So requests of the
-least urgent tier wait here until some engine has little left to read: those that can
-still be in time go first, then tiers, then the earliest due.  One whose shared parts
-have to be read takes an engine several times as long as one that finds them cached, so
-it goes as if it were due later, within a bound: more of all are served, and those that
-follow about the same subject find it read.  More urgent ones are sent at once; the
-engines' own order by tier holds over all gateways.
-
-No I/O: requests and the clock come in, decisions go out.
+Decides when a request may be sent to an engine, and in which order queued requests are
+sent.
+
+Load pattern: more prompts arrive than the engines can prefill.  If all were sent, they
+would queue in the engines, which serve them first in, first out, and soon each would
+miss its target.  Therefore requests of the least urgent tier are queued here until an
+engine has little prefill work left.  Requests that can still meet their target go
+first, then those of a more urgent tier, then those with the earliest due time.
+
+A request whose shared prefix is not cached takes an engine several times as long as one
+that hits the cache.  It is ordered as if it were due later, by a bounded delay: more
+requests are served in total, and later ones with the same prefix hit the cache.
+
+More urgent requests are sent at once; the engines order them by tier over all gateways.
+
+No I/O: the inputs are requests and the time, the outputs are decisions.
 """
 
 import heapq
@@ -30,24 +34,27 @@
 
 __all__ = ["AdmissionController", "Admit", "Decision", "Reject"]
 
-# How far returns are spread, so that they don't come together.
+# Jitter of the retry time, as a fraction of it, so that rejected callers don't retry at
+# the same time.
 RETRY_JITTER = 0.5
-# Callers honour at most a third of the time that they have left.
+# Maximum retry time as a fraction of the time until the caller's deadline: callers
+# honour at most a third of it.
 MAX_RETRY_FRACTION = 0.33
-# Requests that a coordinator keeps back at most; the rest is refused at once.
+# Maximum number of queued requests of a coordinator; further ones are rejected.
 MAX_QUEUE_LENGTH = 200
-# Requests that are weighed at one look, the first by rank: whoever can't be placed
-# waits for an engine with cached parts, and the next may use another one.
+# Number of requests at the head of the queue that are tried for one decision.  While a
+# request waits for the engine that has its prefix cached, the next one may use another
+# engine.
 MAX_CANDIDATES = 8
-# What waits is looked through for requests without hope so often.
+# Interval between searches of the queue for requests that can't be served in time.
 EXPIRY_SCAN_SECONDS = 0.05
-# Seconds by which a request counts as due later for each second that an engine has to
-# read for it, and the most, as a part of its target.
+# Seconds by which the due time used for the order is delayed per second of uncached
+# prefill, and the maximum of that delay as a fraction of the request's target.
 PREFILL_WEIGHT = 3.0
 MAX_PREFILL_FRACTION = 0.75
-# What has to be read for a request that waits is worked out so often.
+# Interval between estimates of a queued request's uncached prefill.
 PREFILL_ESTIMATE_SECONDS = 0.1
-# A first event can't come sooner than this after sending.
+# Minimum time from sending a request to its first event.
 MIN_FIRST_EVENT_SECONDS = 0.1
 
 
@@ -58,7 +65,7 @@
 
 
 class Reject(msgspec.Struct, kw_only=True, frozen=True):
-    """The request is refused; ``retry_after`` is in seconds."""
+    """The request is rejected; the caller may retry after ``retry_after`` seconds."""
 
     call: Call
     reason: Reason
@@ -69,7 +76,17 @@
 
 
 class _QueuedCall(msgspec.Struct, kw_only=True):
-    """A request that is kept back, and the delay by which it counts as due later."""
+    """
+    A queued request.
+
+    Attributes
+    ----------
+    call : Call
+    delay : float
+        Seconds that are added to the request's due time for the order.
+    estimated_at : float
+        Clock reading of the last estimate of ``delay``.
+    """
 
     call: Call
     delay: float = 0.0
@@ -78,21 +95,23 @@
 
 class AdmissionController:
     """
-    The requests of one gateway to one service's engines.
+    Admission control and the queue for the engines of one cell.
 
     Parameters
     ----------
     clock : Clock
-    has_room : callable
-        Whether the engine that a request would go to has little left to read.
+    has_capacity : callable
+        Returns whether the engine that would be chosen for a request has little prefill
+        work pending.
     is_urgent : callable
-        Whether a request is sent at once, room or not.
-    any_room : callable
-        Whether any engine has room; asked first, since it costs less.
-    seconds_of : callable
-        How long all engines together need to read a request.
-    reading_of : callable
-        How long one engine needs to read what none has cached of a request.
+        Returns whether a request is sent at once, even without capacity.
+    has_any_capacity : callable
+        Returns whether any engine has capacity; checked first, since it is cheaper.
+    estimate_seconds : callable
+        Returns the seconds that all engines together need to prefill a request.
+    estimate_prefill_seconds : callable
+        Returns the seconds that one engine needs to prefill the part of a request that
+        no engine has cached.
     """
 
     def __init__(
@@ -117,16 +136,16 @@
 
     @property
     def queue_length(self) -> int:
-        """How many requests are kept back."""
+        """Number of queued requests."""
         return len(self._queue)
 
     @property
     def queued_calls(self) -> Collection[Call]:
-        """The requests that are kept back."""
+        """The queued requests."""
         return [item.call for item in self._queue.values()]
 
     def submit(self, call: Call) -> Decision | None:
-        """Take in a request; ``None`` when it has to wait."""
+        """Return the decision on a new request; ``None`` if it is queued."""
         if self._is_urgent(call):
             return Admit(call=call)
         if not self._queue and self._has_capacity(call):
@@ -137,14 +156,15 @@
         return None
 
     def withdraw(self, call: Call) -> None:
-        """Take in that a request that waits has ended."""
+        """Remove a request from the queue, if it is there."""
         self._queue.pop(call.id, None)
 
     def decide_next(self) -> Decision | None:
         """
-        Return a decision about a request that waits, ``None`` when there is none.
+        Return a decision on a queued request, ``None`` if none can be made now.
 
-        What is sent changes what has room, so each is carried out before the next.
+        The caller must carry out each decision before it calls this again, since an
+        admitted request uses capacity.
         """
         now = self._clock.now()
         if now - self._scanned_at >= EXPIRY_SCAN_SECONDS:
@@ -170,7 +190,7 @@
         """
         Return the requests whose first event would come too late to be of use.
 
-        They are refused at once: their callers may still be served elsewhere or later.
+        They are rejected at once, so that their callers can still retry.
         """
         queue_seconds = MIN_FIRST_EVENT_SECONDS
         expired_calls: list[Call] = []
@@ -192,7 +212,7 @@
         return Reject(call=call, reason=Reason.OVERLOADED, retry_after=seconds)
 
     def _sort_key(self, item: _QueuedCall, now: float) -> tuple[bool, int, float]:
-        """Return what the lowest goes first by."""
+        """Return the sort key of a queued request; the lowest is served first."""
         call = item.call
         if now - item.estimated_at >= PREFILL_ESTIMATE_SECONDS:
             item.estimated_at = now
--- a/damasklead/gateway/assigning.py
+++ b/damasklead/gateway/assigning.py
@@ -1,9 +1,9 @@
 """
-Assigning replicas
-==================
+Replica selection
+=================
 
-Finds a replica for each attempt of one request: by a coordinator where the service has
-them, otherwise by this gateway's own choice.
+Selects the replica for each attempt of a request: the coordinator of a cell assigns it
+if the service is coordinated, otherwise this gateway chooses it.
 """
 
 from collections.abc import Collection
@@ -17,18 +17,18 @@
 
 __all__ = ["ReplicaSelector"]
 
-# Places that a coordinator may give before this gateway chooses by itself: its list of
-# replicas may differ from this gateway's.
+# Number of assignments to unusable replicas after which this gateway chooses itself.
+# The coordinator's list of replicas may be older or newer than this gateway's.
 MAX_ASSIGNMENTS = 3
 
 
 class ReplicaSelector:
     """
-    The place of one request.
+    Selects the replicas of one request and reports its progress to the coordinator.
 
     Parameters
     ----------
-    asker : Asker
+    client : AssignmentClient
     placement : Placement
     call : Call
     """
@@ -43,14 +43,14 @@
 
     @property
     def copy_source(self) -> str | None:
-        """Address of a replica from which prompt parts are copied."""
+        """Address of a replica from which cached prompt parts are copied, if any."""
         source = None if self._assignment is None else self._assignment.source
         if source is None or not self._placement.has_address(source):
-            return None  # none, or one that leaves, as this gateway knows by now
+            return None  # no source, or one that has left in this gateway's list
         return source
 
     def explain(self) -> dict[str, object]:
-        """Return what decided, for the log."""
+        """Return the values that are logged with the request."""
         return {} if self._assignment is None else self._assignment.explain()
 
     def select_replica(
@@ -61,10 +61,11 @@
 
         Parameters
         ----------
-        excluded : collection
+        excluded : collection of InstanceId
             Replicas on which the request failed.
-        first : bool
-            Whether the request may be made to wait or be refused.
+        first_offer : bool
+            Whether the request has not been offered to a replica yet; only then may it
+            be queued or rejected.
         """
         if not self._placement.coordinated:
             return self._placement.choose(self._call, excluded=excluded)
@@ -85,18 +86,18 @@
             if record is not None and self._placement.accepts(result.instance):
                 self._assignment = result
                 return record
-            # The coordinator's list is older or newer than this gateway's.
+            # The coordinator's list of replicas is older or newer than this gateway's.
             self._client.report_request_ended(result, self._call, "withdrawn")
             skipped_replicas.add(result.instance)
         return self._placement.choose(self._call, excluded=excluded)
 
     def report_prefill_done(self, load: LoadHint | None) -> None:
-        """Tell the coordinator that the request's first event came."""
+        """Report to the coordinator that the request's prefill is complete."""
         if self._assignment is not None:
             self._client.report_prefill_done(self._assignment, self._call, load)
 
     def end_assignment(self, outcome: str) -> None:
-        """Tell the coordinator that the request is at its replica no more."""
+        """Report to the coordinator that the request has ended at its replica."""
         assignment, self._assignment = self._assignment, None
         if assignment is not None:
             self._client.report_request_ended(assignment, self._call, outcome)
--- a/damasklead/gateway/coordination/__init__.py
+++ b/damasklead/gateway/coordination/__init__.py
@@ -2,9 +2,11 @@
 Coordination
 ============
 
-Engines are divided into cells.  One gateway of each cell is its coordinator: the others
-ask it where a request goes, so it sees all of the cell's work as it happens.  All of
-its state is soft: it is rebuilt from what the gateways run.
+Engines are partitioned into cells.  For each cell one gateway is the coordinator: the
+other gateways request an assignment to an engine from it, so that it knows all requests
+of the cell as they arrive.  Its state is soft state: a new coordinator rebuilds it from
+the gateways' reports of their running requests.
 
-``cells`` and ``coordinator`` decide and hold no I/O; ``asking`` is the gateway's side.
+``cells`` and ``coordinator`` make the decisions and do no I/O; ``asking`` is the client
+of the coordinators in a gateway.
 """
--- a/damasklead/gateway/coordination/asking.py
+++ b/damasklead/gateway/coordination/asking.py
@@ -1,13 +1,14 @@
 """
-Asking
-======
+Assignment client
+=================
 
-The gateway's side of coordination: asks a cell's coordinator where a request goes,
-tells it what became of the request, and asks the next one when it is silent.
+The client of the coordinators in a gateway: requests assignments from a cell's
+coordinator, reports the progress of the assigned requests to it, and fails over to the
+next coordinator if it does not respond.
 
-Load pattern: a coordinator that is killed, frozen or cut off with requests of all
-gateways under way; each gateway finds out with one request and passes it over until it
-is heard again.
+Load pattern: a coordinator crashes, hangs or is partitioned while it has requests of
+all gateways.  Each gateway detects the failure with one request and skips the
+coordinator until it receives a message from it again.
 """
 
 from collections.abc import Callable, Collection
@@ -35,28 +36,31 @@
 
 __all__ = ["Assignment", "AssignmentClient", "make_assignment_request"]
 
-# A coordinator answers within a few milliseconds; a lost datagram is made up for by a
-# second ask.
+# A coordinator responds within a few milliseconds.  One retransmission covers a lost
+# datagram.
 FIRST_REQUEST_TIMEOUT_SECONDS = 0.04
 SECOND_REQUEST_TIMEOUT_SECONDS = 0.06
-# A coordinator repeats every 0.2 s that a request waits.
+# Timeout for the next message on a queued request; a coordinator sends one every 0.2 s.
 QUEUED_TIMEOUT_SECONDS = 0.65
-# Coordinators that are asked before this gateway decides by itself.
+# Number of coordinators to try before this gateway decides itself.
 MAX_COORDINATORS = 2
 
 
 class Assignment(msgspec.Struct, kw_only=True, frozen=True):
     """
-    A place of a request at a replica.
+    The assignment of a request to a replica.
 
     Attributes
     ----------
+    cell : Cell
     coordinator : str
-        The gateway that gave it.
+        Id of the gateway that made the assignment.
+    instance : InstanceId
+        The assigned replica.
     source : str or None
-        Address of a replica from which prompt parts are copied.
+        Address of a replica from which cached prompt parts are copied.
     backlog : float
-        Seconds that the cell's engines had to read, on average.
+        Mean seconds of prefill work that the cell's engines had pending.
     """
 
     cell: Cell
@@ -66,7 +70,7 @@
     backlog: float = 0.0
 
     def explain(self) -> dict[str, object]:
-        """Return what decided, for the log."""
+        """Return the values that are logged with the request."""
         return {
             "coordinator": self.coordinator,
             "cell": f"{self.cell.data_centre}/{self.cell.number}",
@@ -77,12 +81,12 @@
 
 class AssignmentClient:
     """
-    Finds places for one gateway's requests to engines.
+    Requests assignments for one gateway's requests to engines.
 
     Parameters
     ----------
     own : str
-        This gateway's id.
+        Id of this gateway.
     clock : Clock
     cells : CellMap
     send : callable
@@ -109,21 +113,24 @@
 
     @property
     def pending_requests(self) -> int:
-        """How many requests wait for a place."""
+        """Number of requests that wait for an assignment."""
         return len(self._pending)
 
     def request_assignment(
         self, call: Call, *, excluded: Collection[InstanceId], first_offer: bool
     ) -> Assignment | RequestRejected | None:
         """
-        Return a place for a request, its refusal, or ``None`` when there is no replica.
+        Return the assignment or rejection of a request, or ``None`` if no coordinator
+        decides.
 
         Parameters
         ----------
-        excluded : collection
-            Replicas that are passed over.
-        first : bool
-            Whether the request may be made to wait or be refused.
+        call : Call
+        excluded : collection of InstanceId
+            Replicas that the request must not be assigned to.
+        first_offer : bool
+            Whether the request has not been offered to a replica yet; only then may it
+            be queued or rejected.
         """
         cell = self._cells.select_cell(call, first_offer=first_offer)
         if cell is None:
@@ -142,12 +149,13 @@
         return None
 
     def handle_response(self, response: AssignmentResponse, sender: str) -> None:
-        """Take in a coordinator's answer."""
+        """Pass a coordinator's response to the request that waits for it."""
         result = self._pending.get(response.attempt)
         if result is not None:
             result.set(response)
         elif isinstance(response, Grant) and response.attempt not in self._assignments:
-            # It comes too late: another coordinator was asked, or the caller has gone.
+            # The grant is late: another coordinator was tried, or the caller has
+            # disconnected.
             cell = self._cells.find_cell(response.instance)
             if cell is not None:
                 withdrawal = RequestEnded(
@@ -158,7 +166,7 @@
     def report_prefill_done(
         self, assignment: Assignment, call: Call, load: LoadHint | None
     ) -> None:
-        """Take in that a request's first event came."""
+        """Report to the coordinator that the prefill of a request is complete."""
         self._assignments[call.id] = (assignment, 0)
         self._send(
             assignment.coordinator,
@@ -168,7 +176,7 @@
     def report_request_ended(
         self, assignment: Assignment, call: Call, outcome: str
     ) -> None:
-        """Take in that a request has left its place."""
+        """Report to the coordinator that a request has ended at its replica."""
         self._assignments.pop(call.id, None)
         self._send(
             assignment.coordinator,
@@ -176,7 +184,7 @@
         )
 
     def report_running_requests(self) -> None:
-        """Tell the coordinators what runs at their engines."""
+        """Report to the coordinators the requests that run on their engines."""
         by_cell: dict[Cell, list[tuple[AttemptId, InstanceId, int]]] = {}
         for attempt, (assignment, pending_tokens) in self._assignments.items():
             by_cell.setdefault(assignment.cell, []).append(
@@ -194,7 +202,7 @@
         excluded: Collection[InstanceId],
         first_offer: bool,
     ) -> Grant | RequestRejected | None:
-        """Ask one coordinator; ``None`` when it is silent."""
+        """Return one coordinator's decision, ``None`` if it does not respond."""
         has_response = False
         try:
             response = self._send_with_retry(
@@ -273,7 +281,24 @@
     first_offer: bool,
     source: str | None = None,
 ) -> AssignmentRequest:
-    """Return what a coordinator has to know of a request."""
+    """
+    Return the assignment request for a call.
+
+    Parameters
+    ----------
+    own : str
+        Id of this gateway.
+    call : Call
+    cell : Cell
+    now : float
+        Clock reading in seconds.
+    excluded : collection of InstanceId
+        Replicas that the request must not be assigned to.
+    first_offer : bool
+        Whether the request has not been offered to a replica yet.
+    source : str or None
+        Address of a replica of another cell that is likely to have the shared prefix.
+    """
     return AssignmentRequest(
         own,
         call.id,
--- a/damasklead/gateway/coordination/cellmap.py
+++ b/damasklead/gateway/coordination/cellmap.py
@@ -2,8 +2,8 @@
 Cell map
 ========
 
-The cells of all services as one gateway sees them, which gateways coordinate them, and
-which of these are silent.  No I/O.
+One gateway's view of the cells of all services, of the gateways that coordinate them
+and of those that are suspected to have failed.  No I/O.
 """
 
 import math
@@ -24,31 +24,35 @@
 
 __all__ = ["CellMap"]
 
-# Ranked gateways that are remembered for a cell: more are never passed over at once.
+# Length of the cached ranking of a cell; it only has to exceed the number of gateways
+# that are suspected at the same time.
 MAX_RANKED_MEMBERS = 12
-# A silent coordinator is asked whether it is back after so long, doubled each time.
+# Interval between pings to a suspected gateway; it doubles with each ping.
 MIN_PING_INTERVAL_SECONDS = 0.3
 MAX_PING_INTERVAL_SECONDS = 5.0
-# A cell's load is known for so long.
+# A reported load of a cell is ignored when it is older.
 LOAD_TTL_SECONDS = 1.0
-# A request leaves its home cell when that has so many seconds more to read than
-# another one: its shared parts are read again there, which takes from everybody.
+# A request spills over from its home cell to another one whose backlog is shorter by
+# more than this.  Each spillover costs capacity, since the other cell has to prefill
+# the shared prefix again.
 SPILLOVER_SECONDS = 2.0
-# Part of the requests beyond that which look at a cell whose load is not known.
+# Fraction of the requests of an overloaded home cell that go to another cell whose load
+# is unknown, which learns its load.
 PROBE_FRACTION = 0.25
 
 
 class CellMap:
     """
-    Cells, coordinators and suspicions.
+    The cells, their coordinators and the suspected gateways.
 
     Parameters
     ----------
     clock : Clock
     own : Member
         This gateway.
-    refresh : callable
-        Called before gateways are ranked, to take in others if they have changed.
+    refresh_members : callable
+        Called before coordinators are listed; calls ``set_members`` if the gateways
+        have changed.
     """
 
     def __init__(
@@ -71,23 +75,23 @@
 
     @property
     def cells(self) -> list[Cell]:
-        """All cells."""
+        """The cells of all services."""
         return [cell for cells in self._cells.values() for cell in cells]
 
     def resign_coordination(self) -> None:
-        """Let others coordinate from now on: this gateway stops."""
+        """Exclude this gateway from the ranking of coordinators, since it stops."""
         self._has_resigned = True
         self._ranked.clear()
 
     def set_members(self, members: Iterable[Member]) -> None:
-        """Take in which gateways there are besides this one."""
+        """Set the gateways that may coordinate besides this one."""
         members = {self._own, *members}
         if members != self._members:
             self._members = members
             self._ranked.clear()
 
     def set_engines(self, service: ServiceName, records: list[UpstreamRecord]) -> None:
-        """Take in a service's engines that take new work."""
+        """Set the engines of a service that accept new requests."""
         self._cells[service] = partition_engines(records)
         self._cell_of = {
             record.instance: cell
@@ -97,29 +101,31 @@
         }
 
     def remove_services(self, keep: Callable[[ServiceName], bool]) -> None:
-        """Forget services that there are no more."""
+        """Remove the cells of the services for which ``keep`` is false."""
         self._cells = {name: item for name, item in self._cells.items() if keep(name)}
 
     def get_engines(self, cell: Cell) -> list[UpstreamRecord]:
-        """Return a cell's engines."""
+        """Return a cell's engines, none for an unknown cell."""
         return self._cells.get(cell.service, {}).get(cell, [])
 
     def find_cell(self, instance: InstanceId) -> Cell | None:
-        """Return the cell of an engine."""
+        """Return the cell that an engine belongs to."""
         return self._cell_of.get(instance)
 
     def record_load(self, cell: Cell, load: float) -> None:
-        """Take in how many seconds a cell's engines have to read, on average."""
+        """Record a cell's load: its mean backlog of prefill work in seconds."""
         self._loads[cell] = (load, self._clock.now())
 
     def select_cell(self, call: Call, *, first_offer: bool) -> Cell | None:
         """
-        Return the cell of a request: its home, or one that has much less to do.
+        Return the cell for a request: its home cell, or one with a much lower load.
 
         Parameters
         ----------
-        first : bool
-            Whether the request has not been offered to a replica yet.
+        call : Call
+        first_offer : bool
+            Whether the request has not been offered to a replica yet; later attempts
+            stay in the home cell.
         """
         home = self.find_home_cell(call)
         if home is None or not first_offer:
@@ -137,14 +143,14 @@
         return other if other_load + SPILLOVER_SECONDS < load else home
 
     def find_home_cell(self, call: Call) -> Cell | None:
-        """Return the home cell of a request."""
+        """Return the home cell of a request, ``None`` if its service has no cell."""
         cells = self._cells.get(call.service, {})
         return select_home_cell(cells, call, self._own.data_centre)
 
     def find_copy_source(self, call: Call, cell: Cell) -> str | None:
         """
         Return the address of the engine that is likely to have a request's shared
-        parts, for a cell that is not the request's home.
+        prefix in its cache, if ``cell`` is not the request's home cell.
         """
         home = self.find_home_cell(call)
         shared = call.head.prompt[:-1]
@@ -159,13 +165,14 @@
 
     def _select_spillover_cell(self, home: Cell) -> Cell | None:
         """
-        Return a cell to which requests go when their home has too much to do.
+        Return the cell to which requests of an overloaded home cell spill over.
 
-        It is another one in each data centre's turn, near ones first.
+        Prefers cells in the home cell's data centre.  The choice depends on a hash of
+        this gateway's id and of the current second.
         """
         others = [cell for cell in self._cells.get(home.service, {}) if cell != home]
         local_cells = [cell for cell in others if cell.data_centre == home.data_centre]
-        # Changes every second, so that all cells are looked at.
+        # The choice changes every second, so that the loads of all cells get known.
         second = str(int(self._clock.now()))
         return max(
             local_cells or others,
@@ -176,7 +183,17 @@
         )
 
     def list_coordinators(self, cell: Cell, *, limit: int) -> list[str]:
-        """Return the gateways to ask, the first first; the last one is this one."""
+        """
+        Return the gateways to send a request of a cell to, in the order of preference.
+
+        Skips suspected gateways.  The list ends with this gateway, as the fallback.
+
+        Parameters
+        ----------
+        cell : Cell
+        limit : int
+            Maximum number of ranked gateways to return.
+        """
         self._refresh_members()
         ranked = self._ranked.get(cell)
         if ranked is None:
@@ -194,7 +211,7 @@
         return [*candidates, self._own.instance]
 
     def suspect_gateway(self, name: str) -> bool:
-        """Take in that a gateway is silent; returns whether that is new."""
+        """Suspect an unresponsive gateway; returns whether it was not suspected yet."""
         if name in self._suspects:
             return False
         ping_at = self._clock.now() + MIN_PING_INTERVAL_SECONDS
@@ -202,11 +219,11 @@
         return True
 
     def clear_suspicion(self, name: str) -> bool:
-        """Take in that a gateway was heard; returns whether it was a suspect."""
+        """Stop suspecting a gateway; returns whether it was suspected."""
         return self._suspects.pop(name, None) is not None
 
     def collect_due_pings(self) -> list[str]:
-        """Return the silent gateways that are to be asked now whether they are back."""
+        """Return the suspected gateways to ping now, and schedule their next pings."""
         now = self._clock.now()
         due_names: list[str] = []
         for name, (ping_at, interval) in list(self._suspects.items()):
--- a/damasklead/gateway/coordination/cells.py
+++ b/damasklead/gateway/coordination/cells.py
@@ -2,12 +2,14 @@
 Cells
 =====
 
-Divides a service's engines into cells and finds the cell of a request and the
-coordinators of a cell.  Every gateway finds the same from the same lists; where lists
-differ for a moment, two coordinators use the same engines for that moment.
-
-Load pattern: hundreds of gateways with a request or two a second each, before tens or
-hundreds of engines, of which each gateway alone knows next to nothing.
+Partitions a service's engines into cells and selects the cell of a request and the
+coordinators of a cell.  The results depend only on the lists of engines and gateways,
+so that all gateways agree.  While their lists differ, two coordinators may assign
+requests to the same engines.
+
+Load pattern: hundreds of gateways with one or two requests per second each, in front of
+tens or hundreds of engines.  The traffic of a single gateway says almost nothing about
+the load of the engines.
 """
 
 import math
@@ -28,28 +30,33 @@
     "rank_members",
 ]
 
-# Engines of one cell: enough that cells get about equal parts of the subjects, to keep
-# some apart for tight streams and to let a hot subject spread; few enough for one
-# coordinator to weigh them all for each request.
+# Target number of engines per cell.  It has to be large enough to distribute shared
+# prefixes evenly over cells, to reserve engines for streams with short targets and to
+# replicate a hot prefix, and small enough for one coordinator to score every engine for
+# each request.
 CELL_ENGINES = 24
-# Data centres with fewer engines than this share their cells.
+# If any data centre has fewer engines of a service than this, the service's cells span
+# data centres.
 MIN_DATA_CENTRE_ENGINES = 6
-# Shared parts of so many tokens are worth the way to another data centre: one engine
-# of all reads them, instead of one in each data centre.
+# Shared prefixes of at least this many tokens have one home cell over all data centres:
+# one prefill in total saves more than the network delay to another data centre costs.
 REMOTE_PREFIX_TOKENS = 2000
-# A gateway with twice the processor coordinates eight times as often: the work of a
-# coordinator is a large part of what a small one has.
+# A gateway with twice the CPU cores coordinates eight times as many cells, because a
+# coordinator needs a large part of the CPU time of a small gateway.
 CORES_EXPONENT = 3
 
 
 class Cell(msgspec.Struct, array_like=True, frozen=True):
     """
-    A cell's name.
+    The identifier of a cell.
 
     Attributes
     ----------
+    service : ServiceName
     data_centre : DataCentre
-        Empty for a cell whose engines are in several.
+        Empty for a cell that spans data centres.
+    number : int
+        Index of the cell among those of its service and data centre, from 0.
     """
 
     service: ServiceName
@@ -59,12 +66,14 @@
 
 class Member(msgspec.Struct, frozen=True):
     """
-    A gateway that may coordinate.
+    A gateway that may coordinate cells.
 
     Attributes
     ----------
+    instance : InstanceId
+    data_centre : DataCentre
     cores : float
-        Processor that it may use.
+        CPU cores that the gateway may use.
     """
 
     instance: InstanceId
@@ -76,9 +85,10 @@
     records: Sequence[UpstreamRecord],
 ) -> dict[Cell, list[UpstreamRecord]]:
     """
-    Divide a service's engines into cells of about equal size.
+    Partition a service's engines into cells of about equal size.
 
-    One engine more or less moves at most one engine over each border.
+    While the number of cells stays the same, adding or removing one engine moves at
+    most one other engine across each boundary between cells.
     """
     by_data_centre: dict[DataCentre, list[UpstreamRecord]] = {}
     for record in records:
@@ -102,9 +112,10 @@
     cells: Iterable[Cell], call: Call, data_centre: DataCentre
 ) -> Cell | None:
     """
-    Return the cell where a request's shared parts are most likely cached.
+    Return the cell where a request's shared prefix is most likely cached.
 
-    Short shared parts are read in each data centre; requests without any are spread.
+    A short shared prefix has a home cell in each data centre.  Requests without a
+    shared prefix are distributed over the cells by the hash of their id.
     """
     cells = list(cells)
     local_cells = [cell for cell in cells if cell.data_centre == data_centre]
@@ -121,15 +132,16 @@
 def select_home_engine(
     records: Iterable[UpstreamRecord], key: str
 ) -> UpstreamRecord | None:
-    """Return the engine of a cell that a new shared part is sent to first."""
+    """Return the engine of a cell that first gets a shared prefix with this key."""
     return max(records, key=lambda item: stable_hash(key, item.instance), default=None)
 
 
 def rank_members(cell: Cell, members: Iterable[Member]) -> list[InstanceId]:
     """
-    Return the gateways that may coordinate a cell, the first to be asked first.
+    Return the gateways that may coordinate a cell in the order of preference.
 
-    Rendezvous hashing, weighted so that those with more processor coordinate more.
+    Uses rendezvous hashing weighted by CPU cores.  Gateways in the cell's data centre
+    rank before those in others.
     """
 
     def sort_key(member: Member) -> tuple[bool, float]:
--- a/damasklead/gateway/coordination/coordinator.py
+++ b/damasklead/gateway/coordination/coordinator.py
@@ -2,12 +2,12 @@
 Coordinator
 ===========
 
-Decides for all gateways where requests to one cell's engines go, which wait and which
-are refused.  No I/O: messages and the clock come in, answers go out.
+Assigns the requests of all gateways to one cell's engines, queues and rejects them.  No
+I/O: the inputs are messages and the time, the outputs are responses.
 
 Load pattern: many gateways send a few requests each to the same engines.  The
-coordinator sees all of them as they happen, so that a burst fills the engines evenly,
-a shared part is read once, and what waits is in one order.
+coordinator knows all of them as they arrive, so that it distributes a burst evenly, has
+a shared prefix prefilled once and keeps a single queue.
 """
 
 import math
@@ -35,18 +35,18 @@
 
 __all__ = ["AddressedResponse", "Coordinator"]
 
-# Askers are told so often that their request still waits.
+# Interval between ``RequestQueued`` messages for a request that stays queued.
 QUEUED_INTERVAL_SECONDS = 0.2
-# What a gateway doesn't list as running is dropped when it is older than this: the
-# list may have crossed the grant.
+# An assignment that its gateway doesn't list as running is dropped only when it is
+# older than this: the gateway may have sent the list before it received the grant.
 REPORT_GRACE_SECONDS = 0.4
-# What the cell has to do is summed up so often.
+# Minimum interval between computations of the cell's backlog.
 BACKLOG_INTERVAL_SECONDS = 0.05
-# Decisions taken at one look at what waits.
+# Maximum number of admission decisions in one ``process_queue`` call.
 MAX_DECISIONS_PER_PASS = 16
-# A cell that nobody has asked about for so long is forgotten.
+# A coordinator without requests is removed this long after the last assignment request.
 IDLE_TIMEOUT_SECONDS = 20.0
-# Answers are remembered for repeated asks for so long.
+# A duplicate of an assignment request gets the same grant for this long.
 DUPLICATE_WINDOW_SECONDS = 1.0
 
 
@@ -54,13 +54,28 @@
 
 
 class AddressedResponse(msgspec.Struct, frozen=True):
-    """An answer and the gateway that it goes to."""
+    """A response and the id of the gateway that receives it."""
 
     recipient: str
     response: AssignmentResponse
 
 
 class _TrackedRequest(msgspec.Struct, kw_only=True):
+    """
+    A queued or running request.
+
+    Attributes
+    ----------
+    changed_at : float
+        Clock reading when the request arrived, or was assigned.
+    queued_at : float
+        Clock reading of the last ``RequestQueued`` for the request.
+    instance : InstanceId or None
+        The assigned replica; ``None`` while the request is queued.
+    grant : Grant or None
+        The response; ``None`` if the request is queued or was not assigned here.
+    """
+
     call: Call
     requester: str
     changed_at: float
@@ -81,9 +96,9 @@
     clock : Clock
     service : ServiceSpec
     routes : list of Route
-        Those that lead to the service.
+        The routes whose requests may go to the service.
     placement : type
-        Chooses among the engines.
+        The placement that chooses among the engines.
     """
 
     def __init__(
@@ -117,13 +132,16 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether nobody has asked for long and nothing runs."""
+        """Whether there are no requests and none has arrived for a while."""
         recently_used = self._clock.now() - self._last_request_at < IDLE_TIMEOUT_SECONDS
         return not recently_used and not self._requests
 
     @property
     def backlog(self) -> float:
-        """Seconds that the cell's engines have to read, on average, what waits too."""
+        """
+        Mean seconds of prefill work that the cell's engines have pending, including
+        that of queued requests.
+        """
         now = self._clock.now()
         if now - self._backlog_at >= BACKLOG_INTERVAL_SECONDS:
             self._backlog_at = now
@@ -135,27 +153,27 @@
 
     @property
     def queue_length(self) -> int:
-        """How many requests wait."""
+        """Number of queued requests."""
         return self._admission.queue_length
 
     @property
     def request_count(self) -> int:
-        """How many requests run or wait."""
+        """Number of running and queued requests."""
         return len(self._requests)
 
     def configure(self, service: ServiceSpec, routes: list[Route]) -> None:
-        """Take the service and its routes in force."""
+        """Apply the current specification of the service and its routes."""
         self._routes = {route.name: route for route in routes}
         self._placement.configure(service, routes)
 
     def set_engines(self, records: list[UpstreamRecord]) -> None:
-        """Take the cell's engines."""
+        """Set the cell's engines."""
         self._placement.retain(records)
 
     def handle_assignment_request(
         self, request: AssignmentRequest
     ) -> list[AddressedResponse]:
-        """Take in a request; returns the answer, unless it has to come later."""
+        """Assign, queue or reject a request; returns the response to send."""
         self._last_request_at = self._clock.now()
         existing_entry = self._requests.get(request.attempt)
         if existing_entry is not None and existing_entry.requester == request.requester:
@@ -181,14 +199,14 @@
         return [AddressedResponse(request.requester, RequestQueued(request.attempt))]
 
     def handle_prefill_done(self, message: PrefillDone) -> None:
-        """Take in that a request's prompt was read."""
+        """Record that the prefill of a request is complete."""
         entry = self._requests.get(message.attempt)
         if entry is not None and entry.instance is not None:
             self._placement.heard(entry.instance, message.load)
             self._placement.progressed(entry.instance, entry.call)
 
     def handle_request_ended(self, message: RequestEnded) -> None:
-        """Take in that a request is at its replica no more."""
+        """Remove a request and record its outcome at its replica."""
         entry = self._requests.get(message.attempt)
         if entry is None or entry.requester != message.requester:
             return
@@ -205,7 +223,10 @@
             self._placement.withdrawn(entry.instance, entry.call)
 
     def handle_running_requests(self, message: RunningRequests) -> None:
-        """Take in what a gateway runs at the cell's engines; the rest has ended."""
+        """
+        Drop the requests that a gateway no longer lists as running, and record those
+        that are not known yet.
+        """
         now = self._clock.now()
         listed = {attempt for attempt, _, _ in message.requests}
         for attempt, entry in list(self._requests.items()):
@@ -226,7 +247,7 @@
                 )
 
     def process_queue(self) -> list[AddressedResponse]:
-        """Decide about requests that wait, and tell the askers of the others."""
+        """Decide on queued requests, and notify the requesters of those that stay."""
         responses: list[AddressedResponse] = []
         for _ in range(MAX_DECISIONS_PER_PASS):
             decision = (
@@ -252,7 +273,7 @@
     def _replay_response(
         self, entry: _TrackedRequest, request: AssignmentRequest
     ) -> AddressedResponse | None:
-        """Answer an ask that came before; ``None`` when it is for another replica."""
+        """Return the response to a duplicate; ``None`` if a new assignment is due."""
         if entry.instance is None:
             return AddressedResponse(entry.requester, RequestQueued(request.attempt))
         is_recent = self._clock.now() - entry.changed_at < DUPLICATE_WINDOW_SECONDS
@@ -326,7 +347,7 @@
         instance: InstanceId,
         pending_tokens: int,
     ) -> None:
-        """Count a request that another coordinator, or none, has placed."""
+        """Record a running request that this coordinator did not assign."""
         route = next(iter(self._routes.values()), None)
         if route is None:
             return
--- a/damasklead/gateway/coordination/coordinators.py
+++ b/damasklead/gateway/coordination/coordinators.py
@@ -2,8 +2,8 @@
 Coordinators
 ============
 
-Carries out this gateway's part as a coordinator: hands messages to the coordinators of
-its cells and sends their answers.
+Runs the coordinators of this gateway: dispatches messages to them by cell and sends
+their responses.
 """
 
 from collections.abc import Callable
@@ -28,18 +28,18 @@
 
 class Coordinators:
     """
-    The coordinators of one gateway, made when the first request asks for them.
+    The coordinators of one gateway, each created by the first message for its cell.
 
     Parameters
     ----------
     clock : Clock
     cells : CellMap
     table : callable
-        Returns the configuration in force.
-    answer : callable
-        Sends an answer to a gateway, which may be this one.
+        Returns the current configuration.
+    send_response : callable
+        Sends a response to a gateway, which may be this one.
     placement : type
-        Chooses among a cell's engines.
+        The placement that chooses among a cell's engines.
     """
 
     def __init__(
@@ -60,19 +60,19 @@
 
     @property
     def has_queued(self) -> bool:
-        """Whether a request waits at a coordinator."""
+        """Whether a coordinator has queued requests."""
         return any(item.queue_length for item in self._coordinators.values())
 
     @property
     def state(self) -> dict[str, object]:
-        """What operators are shown."""
+        """Number of requests of each cell, for operators."""
         return {
             f"{cell.service}/{cell.data_centre}/{cell.number}": item.request_count
             for cell, item in self._coordinators.items()
         }
 
     def apply_configuration(self) -> None:
-        """Take in the configuration and the engines in force."""
+        """Apply the current configuration and engines; remove idle coordinators."""
         table = self._table()
         for cell, coordinator in list(self._coordinators.items()):
             spec = None if table is None else table.services.get(cell.service)
@@ -85,7 +85,7 @@
     def handle_message(
         self, message: AssignmentRequest | PrefillDone | RequestEnded | RunningRequests
     ) -> None:
-        """Take in a gateway's message."""
+        """Pass a gateway's message to the coordinator of its cell."""
         coordinator = self._coordinators.get(message.cell)
         if coordinator is None and isinstance(
             message, (AssignmentRequest, RunningRequests)
@@ -107,7 +107,7 @@
                 coordinator.handle_running_requests(message)
 
     def process_queues(self) -> None:
-        """Let the coordinators decide about what waits."""
+        """Let each coordinator decide on its queued requests."""
         for coordinator in list(self._coordinators.values()):
             self._send_responses(coordinator.process_queue())
 
--- a/damasklead/gateway/coordination/messages.py
+++ b/damasklead/gateway/coordination/messages.py
@@ -1,9 +1,10 @@
 """
-Messages of coordination
-========================
+Coordination messages
+=====================
 
-What gateways and coordinators send each other.  Each message may get lost or come
-twice: an ask is repeated, and ``Running`` corrects what the others missed.
+Messages between gateways and coordinators.  Each may be lost or duplicated: a gateway
+retransmits an ``AssignmentRequest`` that is not answered, and the periodic
+``RunningRequests`` corrects the coordinator's state after other losses.
 """
 
 import msgspec
@@ -26,24 +27,33 @@
 
 class AssignmentRequest(msgspec.Struct, array_like=True, frozen=True, tag=1):
     """
-    Asks where a request goes.
+    Requests the assignment of a request to a replica.
 
     Attributes
     ----------
-    asker : str
-        The gateway to answer.
+    requester : str
+        Id of the gateway to which the response is sent.
+    attempt : AttemptId
+    cell : Cell
     route : str
+        Name of the request's route.
     tier : int
-    left, caller_left : float
-        Seconds until the final answer is due, and until the caller gives up.
-    age : float
-        Seconds since the request arrived.
-    excluded : tuple
-        Replicas that this request or this gateway passes over.
-    first : bool
-        Whether the request may be made to wait or be refused.
+        Priority of the request; 0 is the highest.
+    seconds_left, caller_seconds_left : float
+        Seconds until the final response is due, and until the caller gives up.
+    age_seconds : float
+        Seconds since the request arrived at the gateway.
+    prompt_tokens : int
+        Length of the whole prompt.
+    prompt : tuple of PromptPart
+    excluded : tuple of InstanceId
+        Replicas on which the request failed or from which the gateway backs off.
+    first_offer : bool
+        Whether the request has not been offered to a replica yet; only then may it be
+        queued or rejected.
     source : str or None
-        Address of a replica of another cell that is likely to have the shared parts.
+        Address of a replica of another cell that is likely to have the shared prefix in
+        its cache.
     """
 
     requester: str
@@ -62,21 +72,24 @@
 
 
 class RequestQueued(msgspec.Struct, array_like=True, frozen=True, tag=2):
-    """The request waits at the coordinator."""
+    """The request is queued at the coordinator."""
 
     attempt: AttemptId
 
 
 class Grant(msgspec.Struct, array_like=True, frozen=True, tag=3):
     """
-    The request goes to a replica.
+    Assigns the request to a replica.
 
     Attributes
     ----------
+    attempt : AttemptId
+    instance : InstanceId
+        The assigned replica.
     source : str or None
-        Address of a replica from which prompt parts are copied.
+        Address of a replica from which cached prompt parts are copied.
     backlog : float
-        Seconds that the cell's engines have to read, on average.
+        Mean seconds of prefill work that the cell's engines have pending.
     """
 
     attempt: AttemptId
@@ -87,13 +100,16 @@
 
 class RequestRejected(msgspec.Struct, array_like=True, frozen=True, tag=4):
     """
-    The request has no place.
+    The request is not assigned to a replica.
 
     Attributes
     ----------
+    attempt : AttemptId
     retry_after : float or None
-        Seconds after which the caller should come back; ``None`` when the coordinator
-        knows of no replica, so that the gateway decides by itself.
+        Seconds after which the caller should retry; ``None`` if the coordinator doesn't
+        know the route or a usable replica, so that the gateway chooses one itself.
+    backlog : float
+        Mean seconds of prefill work that the cell's engines have pending.
     """
 
     attempt: AttemptId
@@ -102,7 +118,7 @@
 
 
 class PrefillDone(msgspec.Struct, array_like=True, frozen=True, tag=5):
-    """The request's first event came: its prompt was read."""
+    """The replica sent the request's first event: prefill is complete."""
 
     requester: str
     cell: Cell
@@ -112,12 +128,16 @@
 
 class RequestEnded(msgspec.Struct, array_like=True, frozen=True, tag=6):
     """
-    The request is at its replica no more.
+    The request no longer runs at its replica or is no longer to be queued.
 
     Attributes
     ----------
+    requester : str
+        Id of the gateway that requested the assignment.
+    cell : Cell
+    attempt : AttemptId
     outcome : str
-        ``whole``, ``withdrawn``, or the value of a failure.
+        ``whole`` for a complete response, ``withdrawn``, or the value of a ``Failure``.
     """
 
     requester: str
@@ -128,12 +148,15 @@
 
 class RunningRequests(msgspec.Struct, array_like=True, frozen=True, tag=7):
     """
-    All requests of a gateway at a cell's engines.
+    Lists all requests of a gateway that run on a cell's engines.
 
     Attributes
     ----------
+    requester : str
+        Id of the reporting gateway.
+    cell : Cell
     requests : tuple
-        Attempt, replica, and prompt tokens that the replica has not read.
+        Attempt, replica and number of pending prefill tokens of each request.
     """
 
     requester: str
--- a/damasklead/gateway/coordination/service.py
+++ b/damasklead/gateway/coordination/service.py
@@ -2,7 +2,7 @@
 Coordination of one gateway
 ===========================
 
-Ties together what this gateway asks of coordinators and what it decides as one.
+Connects the assignment client and the coordinators of a gateway with its peers.
 """
 
 from collections.abc import Callable
@@ -31,11 +31,11 @@
 
 __all__ = ["Coordination"]
 
-# What waits is looked at so often, and only while something does.
+# Interval between decisions on queued requests, while there are any.
 QUEUE_INTERVAL_SECONDS = 0.01
-# What runs is told so often, and only while something does.
+# Interval between reports of running requests, while there are any.
 REPORT_INTERVAL_SECONDS = 1.0
-# Silent coordinators are looked at so often.
+# Interval between checks for suspected gateways that are due for a ping.
 PING_CHECK_SECONDS = 0.25
 
 _COORDINATOR_MESSAGES = (AssignmentRequest, PrefillDone, RequestEnded, RunningRequests)
@@ -44,22 +44,23 @@
 
 class Coordination:
     """
-    The asker and the coordinators of one gateway.
+    The assignment client and the coordinators of one gateway.
 
     Parameters
     ----------
     own : Member
+        This gateway.
     clock : Clock
     table : callable
-        Returns the configuration in force.
+        Returns the current configuration.
     peers : Peers or None
-        ``None`` for a gateway without others.
+        ``None`` for a gateway without peers.
     journal : Journal
 
     Attributes
     ----------
     cells : CellMap
-    asker : Asker
+    client : AssignmentClient
     coordinators : Coordinators
     """
 
@@ -100,12 +101,12 @@
                 peers.register_handler(response_kind, self.client.handle_response)
 
     def record_contact(self, name: str) -> None:
-        """Take in that a gateway was heard."""
+        """Record that a message of a gateway was received."""
         if self.cells.clear_suspicion(name):
             self._journal.event("coordinator-back", peer=name)
 
     def invalidate_members(self) -> None:
-        """Take in that the gateways have changed; they are looked at when needed."""
+        """Mark the members as outdated, so that they are refreshed at the next use."""
         self._members_stale = True
 
     def _refresh_members(self) -> None:
@@ -117,7 +118,7 @@
             )
 
     def run_queue_loop(self) -> None:
-        """Decide about what waits here, forever."""
+        """Decide on the requests queued in this gateway, forever."""
         while True:
             self._queue_active.wait()
             gevent.sleep(QUEUE_INTERVAL_SECONDS)
@@ -126,7 +127,7 @@
                 self._queue_active.clear()
 
     def run_report_loop(self) -> None:
-        """Tell coordinators what runs, and look for silent ones, forever."""
+        """Report running requests and ping suspected gateways, forever."""
         elapsed = 0.0
         while True:
             gevent.sleep(PING_CHECK_SECONDS)
