--- a/damasklead/earlylistener.py
+++ b/damasklead/earlylistener.py
@@ -12,13 +12,13 @@
 import socket
 from contextlib import suppress
 
-__all__ = ["BACKLOG", "open_early"]
+__all__ = ["BACKLOG", "open_listening_socket"]
 
 # New connections that wait for the loop; more are opened again a second later.
 BACKLOG = 2048
 
 
-def open_early(address: str) -> socket.socket | None:
+def open_listening_socket(address: str) -> socket.socket | None:
     """
     Listen at ``ip:port``.
 
@@ -29,7 +29,7 @@
 
     Examples
     --------
-    >>> open_early("") is None
+    >>> open_listening_socket("") is None
     True
     """
     host, _, port = address.rpartition(":")
--- a/damasklead/gateway/attempts.py
+++ b/damasklead/gateway/attempts.py
@@ -209,7 +209,7 @@
             **self._selector.explain(),
         )
         self._placement.sent(record.instance, call)
-        headers = self._context.dialect.upstream_headers(
+        headers = self._context.dialect.build_upstream_headers(
             call,
             SendPlan(
                 instance=record.instance,
@@ -252,7 +252,7 @@
         try:
             for _ in range(MAX_STRAY_RESPONSES):
                 head = upstream.read_head()
-                reply = self._context.dialect.judge_reply(
+                reply = self._context.dialect.classify_response(
                     status=head.status_code,
                     headers=[(bytes(n), bytes(v)) for n, v in head.headers.raw_items()],
                     attempt=self._call.id,
--- a/damasklead/gateway/dialect.py
+++ b/damasklead/gateway/dialect.py
@@ -20,7 +20,7 @@
 from damasklead.ids import AttemptId, DataCentre, InstanceId
 
 __all__ = [
-    "BadHead",
+    "RequestHeadError",
     "Changes",
     "Dialect",
     "Feed",
@@ -36,7 +36,7 @@
 T = TypeVar("T")
 
 
-class BadHead(Exception):
+class RequestHeadError(Exception):
     """A request's head that can't be forwarded; the text says why."""
 
 
@@ -77,22 +77,22 @@
 
         Raises
         ------
-        BadHead
+        RequestHeadError
             When it can't be forwarded as it is.
         """
 
     @abstractmethod
-    def upstream_headers(self, call: Call, plan: SendPlan) -> list[Header]:
+    def build_upstream_headers(self, call: Call, plan: SendPlan) -> list[Header]:
         """Return the headers of an attempt, without those that frame its body."""
 
     @abstractmethod
-    def judge_reply(
+    def classify_response(
         self, *, status: int, headers: Sequence[Header], attempt: AttemptId
     ) -> ReplyHead:
         """Judge the head of an answer; its headers are those that go to the caller."""
 
     @abstractmethod
-    def own_headers(
+    def build_response_headers(
         self, *, attempt: AttemptId | None, retry_after: float | None
     ) -> list[Header]:
         """Return the headers of an answer of the gateway's own."""
@@ -155,7 +155,7 @@
         """Read the whole list."""
 
     @abstractmethod
-    def follow(self, cursor: Position, *, wait: float) -> Changes[T]:
+    def poll_changes(self, cursor: Position, *, wait: float) -> Changes[T]:
         """Return the changes since a cursor, waiting some seconds for the first."""
 
 
--- a/damasklead/gateway/following.py
+++ b/damasklead/gateway/following.py
@@ -205,7 +205,7 @@
         feed = self._feed()
         if self._cursor is None:
             return feed.read()
-        return feed.follow(self._cursor, wait=wait)
+        return feed.poll_changes(self._cursor, wait=wait)
 
     def _handle_error(self, error: FeedError) -> float:
         if error.fault in _RESYNC_FAULTS:
--- a/damasklead/gateway/forwarding.py
+++ b/damasklead/gateway/forwarding.py
@@ -18,7 +18,7 @@
     RequestHandler,
 )
 from damasklead.gateway.calls import Call
-from damasklead.gateway.dialect import BadHead
+from damasklead.gateway.dialect import RequestHeadError
 from damasklead.gateway.metrics import GatewayMetrics
 from damasklead.gateway.placements import Placement
 from damasklead.gateway.refusals import Reason, Refusal
@@ -99,7 +99,7 @@
             head = self._context.dialect.decode_head(
                 method=request.method, target=request.target, headers=request.headers
             )
-        except BadHead as error:
+        except RequestHeadError as error:
             return Refusal(reason=Reason.BAD_REQUEST, detail=str(error))
         table = self._table()
         if table is None:
@@ -232,7 +232,7 @@
         self._send_refusal(refusal, connection)
 
     def _send_refusal(self, refusal: Refusal, connection: CallerConnection) -> None:
-        headers = self._context.dialect.own_headers(
+        headers = self._context.dialect.build_response_headers(
             attempt=refusal.attempt, retry_after=refusal.retry_after
         )
         connection.send_response(refusal.status, headers, refusal.reason.value.encode())
--- a/damasklead/gateway/listeners.py
+++ b/damasklead/gateway/listeners.py
@@ -43,7 +43,7 @@
     clock : Clock
     stopping : callable
         Whether the process stops.
-    listening : socket or None
+    listening_socket : socket or None
         Listens at the address already.
     """
 
@@ -54,10 +54,10 @@
         handler: RequestHandler,
         clock: Clock,
         stopping: Callable[[], bool],
-        listening: standard_socket.socket | None = None,
+        listening_socket: standard_socket.socket | None = None,
     ) -> None:
         self._address = address
-        self._listening = listening
+        self._listening_socket = listening_socket
         self._handler = handler
         self._clock = clock
         self._stopping = stopping
@@ -65,7 +65,7 @@
         self._connections: set[CallerConnection] = set()
 
     @property
-    def open(self) -> int:
+    def connection_count(self) -> int:
         """Connections that have not ended."""
         return len(self._connections)
 
@@ -114,7 +114,7 @@
 
     def _take_early(self) -> socket.socket | None:
         """Return the socket that listens already, if it does so at the address."""
-        early, self._listening = self._listening, None
+        early, self._listening_socket = self._listening_socket, None
         if early is None:
             return None
         if early.getsockname()[:2] != split_address(self._address):
@@ -139,14 +139,14 @@
 class ReadyHandler(RequestHandler):
     """Says whether the process can take requests."""
 
-    def __init__(self, *, ready: Callable[[], bool]) -> None:
-        self._ready = ready
+    def __init__(self, *, is_ready: Callable[[], bool]) -> None:
+        self._is_ready = is_ready
 
     def handle(self, request: RawRequest, connection: CallerConnection) -> None:
         """Answer 200 or 503."""
-        ready = self._ready()
+        is_ready = self._is_ready()
         connection.send_response(
-            200 if ready else 503, [], b"ready" if ready else b"not ready"
+            200 if is_ready else 503, [], b"ready" if is_ready else b"not ready"
         )
 
     def limits(self) -> CallerLimits:
--- a/damasklead/gateway/process.py
+++ b/damasklead/gateway/process.py
@@ -60,7 +60,7 @@
     dialect : Dialect
     open_link : callable
         Opens the link to the platform at an address.
-    callers : socket or None
+    caller_socket : socket or None
         Listens for callers already.
     """
 
@@ -71,7 +71,7 @@
         settings: GatewaySettings,
         dialect: Dialect,
         open_link: Callable[[str], PlatformLink],
-        callers: socket.socket | None = None,
+        caller_socket: socket.socket | None = None,
     ) -> None:
         self._open_link = open_link
         self._clock = LoopClock()
@@ -122,7 +122,7 @@
             gate=self._gate,
         )
         self._callers = self._listener(
-            settings.listen.callers, self._forwarder, listening=callers
+            settings.listen.callers, self._forwarder, listening_socket=caller_socket
         )
         self._tree = self._build_tree()
         self._observe()
@@ -132,7 +132,7 @@
         return self._file.settings
 
     @property
-    def ready(self) -> bool:
+    def is_ready(self) -> bool:
         """Whether the process can take requests."""
         listed = (
             self._fleet.upstreams.last_read_at is not None or not self._directory.empty
@@ -173,7 +173,7 @@
         self._callers.drain(seconds=deadline - self._clock.now())
         self._journal.event(
             "stopped",
-            cut_off=self._callers.open,
+            cut_off=self._callers.connection_count,
             seconds=self._clock.now() - began,
         )
         self._tree.stop()
@@ -230,7 +230,7 @@
 
     def _arrange(self) -> None:
         """Let the placements see the replicas that may take new work."""
-        if self.ready:
+        if self.is_ready:
             self._gate.open()
         for name, placement in self._placements.items():
             usable = self._directory.usable(name)
@@ -260,10 +260,10 @@
         address: str,
         handler: RequestHandler,
         *,
-        listening: socket.socket | None = None,
+        listening_socket: socket.socket | None = None,
     ) -> Listener:
         return Listener(
-            listening=listening,
+            listening_socket=listening_socket,
             address=address,
             handler=handler,
             clock=self._clock,
@@ -275,7 +275,7 @@
         table = self._fleet.configuration.table
         return {
             "instance": self._settings.instance,
-            "ready": self.ready,
+            "ready": self.is_ready,
             "configuration": None if table is None else table.version,
             "active": self._forwarder.active_requests,
             "gateways": self._fleet.gateway_count,
@@ -301,7 +301,9 @@
 
     def _build_tree(self) -> Supervisor:
         listen = self._settings.listen
-        ready = self._listener(listen.ready, ReadyHandler(ready=lambda: self.ready))
+        ready = self._listener(
+            listen.ready, ReadyHandler(is_ready=lambda: self.is_ready)
+        )
         status = StatusHandler(
             metrics=self._metrics.render,
             state=self._state,
--- a/damasklead/platform/__main__.py
+++ b/damasklead/platform/__main__.py
@@ -10,7 +10,7 @@
 import signal
 import sys
 
-from damasklead.earlylistener import open_early
+from damasklead.earlylistener import open_listening_socket
 
 SETTINGS_VARIABLE = "DAMASKLEAD_SETTINGS"
 CALLERS_VARIABLE = "DAMASKLEAD_CALLERS"
@@ -21,12 +21,12 @@
     # A reload that is asked for while the process starts would end it: the handler is
     # installed after the imports, and the settings are read after this line anyway.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    callers = open_early(os.environ.get(CALLERS_VARIABLE, ""))
+    caller_socket = open_listening_socket(os.environ.get(CALLERS_VARIABLE, ""))
     from pathlib import Path
 
     from damasklead.platform.start import run_gateway
 
-    return run_gateway(Path(os.environ[SETTINGS_VARIABLE]), callers=callers)
+    return run_gateway(Path(os.environ[SETTINGS_VARIABLE]), caller_socket=caller_socket)
 
 
 if __name__ == "__main__":
--- a/damasklead/platform/headers.py
+++ b/damasklead/platform/headers.py
@@ -16,7 +16,7 @@
     ReplyHead,
     ReplyKind,
 )
-from damasklead.gateway.dialect import BadHead, Dialect, SendPlan, join_headers
+from damasklead.gateway.dialect import Dialect, RequestHeadError, SendPlan, join_headers
 from damasklead.gateway.routing import ApiKey
 from damasklead.ids import AttemptId
 
@@ -73,11 +73,11 @@
     def decode_head(
         self, *, method: str, target: str, headers: Sequence[Header]
     ) -> CallHead:
-        """Decode the head of a request; raises ``BadHead``."""
+        """Decode the head of a request; raises ``RequestHeadError``."""
         values = join_headers(headers)
         attempt = values.get(ATTEMPT, b"")
         if not attempt or b"," in attempt:
-            raise BadHead("the request has no single attempt id")
+            raise RequestHeadError("the request has no single attempt id")
         prompt_tokens, output_tokens = _token_counts(values.get(TOKENS, b""))
         dropped = _ONE_CONNECTION | _OURS | (_named_in_connection(values) - _KEPT)
         return CallHead(
@@ -96,7 +96,7 @@
             ),
         )
 
-    def upstream_headers(self, call: Call, plan: SendPlan) -> list[Header]:
+    def build_upstream_headers(self, call: Call, plan: SendPlan) -> list[Header]:
         """Return the headers of an attempt, without those that frame its body."""
         headers = list(call.head.forwarded)
         if plan.resume_after is not None:
@@ -113,7 +113,7 @@
             headers.append((b"Kv-Fetch", plan.copy_from.encode("latin-1")))
         return headers
 
-    def judge_reply(
+    def classify_response(
         self, *, status: int, headers: Sequence[Header], attempt: AttemptId
     ) -> ReplyHead:
         """Judge the head of an answer."""
@@ -136,7 +136,7 @@
             else None,
         )
 
-    def own_headers(
+    def build_response_headers(
         self, *, attempt: AttemptId | None, retry_after: float | None
     ) -> list[Header]:
         """Return the headers of an answer of the gateway's own."""
--- a/damasklead/platform/start.py
+++ b/damasklead/platform/start.py
@@ -22,14 +22,16 @@
 WRONG_SETTINGS = 2
 
 
-def run_gateway(settings_file: Path, *, callers: socket.socket | None = None) -> int:
+def run_gateway(
+    settings_file: Path, *, caller_socket: socket.socket | None = None
+) -> int:
     """
     Run a gateway until SIGTERM; returns the exit code.
 
     Parameters
     ----------
     settings_file : Path
-    callers : socket or None
+    caller_socket : socket or None
         Listens for callers already.
     """
     logs.to_standard_output()
@@ -44,6 +46,6 @@
         settings_file=settings_file,
         settings=settings,
         dialect=PlatformDialect(),
-        callers=callers,
+        caller_socket=caller_socket,
         open_link=lambda address: StoreLink(address=address, clock=LoopClock()),
     ).run()
--- a/damasklead/platform/store.py
+++ b/damasklead/platform/store.py
@@ -53,7 +53,7 @@
 MAX_ERA_DIGITS = 18
 # A store that names no era and whose versions stay lower for so long has come back from
 # an older copy; one that is only behind itself catches up sooner.
-STALE_SECONDS = 3.0
+MAX_STALE_SECONDS = 3.0
 # The server keeps idle connections longer than the time between two calls.
 KEEP_ALIVE_SECONDS = 10.0
 
@@ -143,7 +143,7 @@
         items = self._decode(rows, cursor.era)
         return Changes(items=items, whole=True, cursor=cursor)
 
-    def follow(self, cursor: Position, *, wait: float) -> Changes[T]:
+    def poll_changes(self, cursor: Position, *, wait: float) -> Changes[T]:
         """Return the changes since a cursor, waiting some seconds for the first."""
         query: dict[str, object] = {
             "table": self._table,
@@ -170,7 +170,7 @@
         now = self._clock.now()
         if self._stale_since is None:
             self._stale_since = now
-        if position.era or now - self._stale_since < STALE_SECONDS:
+        if position.era or now - self._stale_since < MAX_STALE_SECONDS:
             raise FeedError(FeedFault.STALE, f"{position} after {newest}")
         self._newest = position
         self._stale_since = None
--- a/tests/test_gateway_broadcasts.py
+++ b/tests/test_gateway_broadcasts.py
@@ -110,7 +110,7 @@
         present = [item for item in newest.values() if item.record is not None]
         return Changes(items=present, whole=True, cursor=changes.cursor)
 
-    def follow(self, cursor: Position, *, wait: float) -> Changes:
+    def poll_changes(self, cursor: Position, *, wait: float) -> Changes:
         if cursor.era != self._store.era or cursor.version > self._store.version:
             self._call()
             raise FeedError(FeedFault.RESTORED, "test")
--- a/tests/test_gateway_callers.py
+++ b/tests/test_gateway_callers.py
@@ -211,7 +211,7 @@
         gevent.sleep(0)
     world.stopping = True
     world.listener.drain(seconds=3.0)
-    assert world.forwarder.active_requests == 0 and world.listener.open == 0
+    assert world.forwarder.active_requests == 0 and world.listener.connection_count == 0
     answered = sum(b"for a" in read_all(caller) for caller in callers)
     assert answered == len(world.replicas[0].requests)
     for caller in callers:
--- a/tests/test_gateway_fuzz.py
+++ b/tests/test_gateway_fuzz.py
@@ -15,7 +15,7 @@
 
 from damasklead.clock import ManualClock
 from damasklead.gateway.calls import ReplyKind, UpstreamRecord, UpstreamState
-from damasklead.gateway.dialect import BadHead
+from damasklead.gateway.dialect import RequestHeadError
 from damasklead.gateway.directory import (
     LAPSE_DOUBT_SECONDS,
     LAPSE_GRACE_SECONDS,
@@ -204,7 +204,7 @@
 def test_any_head_is_decoded_or_refused(headers: list[tuple[bytes, bytes]]) -> None:
     try:
         head = PlatformDialect().decode_head(method="GET", target="/", headers=headers)
-    except BadHead:
+    except RequestHeadError:
         return
     names = [name.lower() for name, _ in head.forwarded]
     assert names.count(b"attempt-id") == 1
@@ -233,7 +233,7 @@
 def test_only_a_signed_answer_to_the_request_is_one(
     status: int, headers: list[tuple[bytes, bytes]]
 ) -> None:
-    reply = PlatformDialect().judge_reply(
+    reply = PlatformDialect().classify_response(
         status=status, headers=headers, attempt=AttemptId("a1")
     )
     names = {name for name, _ in headers}
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -176,7 +176,7 @@
         self.calls.append("read")
         return self._next()
 
-    def follow(self, cursor: Position, *, wait: float) -> Changes:
+    def poll_changes(self, cursor: Position, *, wait: float) -> Changes:
         self.calls.append(cursor.version)
         return self._next()
 
--- a/tests/test_gateway_starting.py
+++ b/tests/test_gateway_starting.py
@@ -12,7 +12,7 @@
 import pytest
 from gevent import socket
 
-from damasklead.earlylistener import open_early
+from damasklead.earlylistener import open_listening_socket
 from damasklead.gateway import starting
 from damasklead.gateway.listeners import Listener
 from damasklead.gateway.starting import StartGate
@@ -90,14 +90,14 @@
             handler=world.forwarder,
             clock=world.clock,
             stopping=lambda: False,
-            listening=early_socket,  # type: ignore[arg-type]
+            listening_socket=early_socket,  # type: ignore[arg-type]
         )
 
     def test_callers_that_connected_before_the_program_was_loaded_are_served(
         self, world: World
     ) -> None:
         (port,) = free_ports(1)
-        early_socket = open_early(f"127.0.0.1:{port}")
+        early_socket = open_listening_socket(f"127.0.0.1:{port}")
         with socket.create_connection(("127.0.0.1", port), timeout=5) as caller:
             caller.sendall(request("/read/1", close=True))
             listener = self.listener(world, port, early_socket)
@@ -110,7 +110,7 @@
     ) -> None:
         early_port, settings_port = free_ports(2)
         listener = self.listener(
-            world, settings_port, open_early(f"127.0.0.1:{early_port}")
+            world, settings_port, open_listening_socket(f"127.0.0.1:{early_port}")
         )
         listener.start()
         with socket.create_connection(
@@ -126,4 +126,4 @@
     def test_an_invalid_or_foreign_address_opens_no_early_listener(
         self, address: str
     ) -> None:
-        assert open_early(address) is None
+        assert open_listening_socket(address) is None
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -17,10 +17,10 @@
 from damasklead.findings import Findings
 from damasklead.gateway.calls import Call, ReplyKind, UpstreamState
 from damasklead.gateway.dialect import (
-    BadHead,
     FeedError,
     FeedFault,
     PeerEntry,
+    RequestHeadError,
     SendPlan,
 )
 from damasklead.gateway.routing import RouteKind, Workspace
@@ -29,7 +29,7 @@
 from damasklead.loop import LoopClock
 from damasklead.platform.documents import decode_configuration, decode_upstream
 from damasklead.platform.headers import PlatformDialect
-from damasklead.platform.store import STALE_SECONDS, StoreLink
+from damasklead.platform.store import MAX_STALE_SECONDS, StoreLink
 from tests.gatewaykit import ONCE, at, read_request
 
 CONFIGURATION = {
@@ -119,7 +119,7 @@
 
     @pytest.mark.parametrize("attempt", ["", "a1, a2"])
     def test_a_request_needs_one_attempt_id(self, attempt: str) -> None:
-        with pytest.raises(BadHead):
+        with pytest.raises(RequestHeadError):
             PlatformDialect().decode_head(
                 method="GET", target="/", headers=headers(host="h", attempt_id=attempt)
             )
@@ -134,7 +134,7 @@
             instance=InstanceId("i-1"), seconds_left=0.4321, urgency=12,
             resume_after=b"9", copy_from="127.0.0.1:7",
         )  # fmt: skip
-        sent = dict(PlatformDialect().upstream_headers(call, plan))
+        sent = dict(PlatformDialect().build_upstream_headers(call, plan))
         assert sent[b"Deadline-Ms"] == b"432" and sent[b"Expected-Instance"] == b"i-1"
         assert sent[b"Tenant"] == b"w" and sent[b"Request-Priority"] == b"9"
         assert sent[b"Kv-Fetch"] == b"127.0.0.1:7"
@@ -158,13 +158,13 @@
     def test_a_reply_is_judged(
         self, status: int, values: dict, kind: ReplyKind
     ) -> None:
-        reply = PlatformDialect().judge_reply(
+        reply = PlatformDialect().classify_response(
             status=status, headers=headers(**values), attempt=AttemptId("a1")
         )
         assert reply.kind is kind
 
     def test_a_reply_tells_load_and_how_long_it_keeps_the_connection(self) -> None:
-        reply = PlatformDialect().judge_reply(
+        reply = PlatformDialect().classify_response(
             status=200,
             headers=headers(
                 attempt_id="a1", response_signature="s", backend_load="3,1,8",
@@ -305,7 +305,7 @@
             ),
         ]
         assert link.routing.read().items[0].version == 7
-        changes = link.upstreams.follow(at(9), wait=0.5)
+        changes = link.upstreams.poll_changes(at(9), wait=0.5)
         assert changes.items[0].record is None and changes.cursor == at(12)
         assert "since_revision=9&wait_ms=500" in store.targets[1]
 
@@ -318,14 +318,16 @@
             (200, page(version=20)), (200, page(version=19)), (200, page(broken, version=21)),
         ]  # fmt: skip
         feed = link.routing
-        found = [fault_of(lambda: feed.follow(at(5), wait=0.1)) for _ in range(5)]
+        found = [fault_of(lambda: feed.poll_changes(at(5), wait=0.1)) for _ in range(5)]
         assert found == [
             FeedFault.HISTORY_LOST, FeedFault.REFUSED, FeedFault.REFUSED,
             FeedFault.UNREACHABLE, FeedFault.UNREADABLE,
         ]  # fmt: skip
-        feed.follow(at(5), wait=0.1)
-        assert fault_of(lambda: feed.follow(at(5), wait=0.1)) is FeedFault.STALE
-        assert fault_of(lambda: feed.follow(at(5), wait=0.1)) is FeedFault.UNREADABLE
+        feed.poll_changes(at(5), wait=0.1)
+        assert fault_of(lambda: feed.poll_changes(at(5), wait=0.1)) is FeedFault.STALE
+        assert (
+            fault_of(lambda: feed.poll_changes(at(5), wait=0.1)) is FeedFault.UNREADABLE
+        )
 
     def test_versions_are_compared_inside_an_era(
         self, store: StoreStandin, link: StoreLink
@@ -341,7 +343,7 @@
         assert feed.read().cursor == at(1000, era=4)
         assert fault_of(feed.read) is FeedFault.STALE
         assert feed.read().cursor == at(900, era=5)
-        restored = fault_of(lambda: feed.follow(at(1000, era=4), wait=0.1))
+        restored = fault_of(lambda: feed.poll_changes(at(1000, era=4), wait=0.1))
         assert restored is FeedFault.RESTORED
         assert fault_of(feed.read) is FeedFault.STALE
 
@@ -384,7 +386,7 @@
         feed = link.routing
         feed.read()
         assert fault_of(feed.read) is FeedFault.STALE
-        clock.advance(STALE_SECONDS)
+        clock.advance(MAX_STALE_SECONDS)
         assert fault_of(feed.read) is FeedFault.RESTORED
         assert feed.read().cursor == at(81)
         link.close()
