--- a/bench/coordination.py
+++ b/bench/coordination.py
@@ -83,7 +83,7 @@
     )
     head = CallHead(
         method="POST", target="/", host="h", attempt=AttemptId(f"{number:016x}"),
-        patience=5.0, key=None, prompt=parts, prompt_tokens=9190,
+        caller_timeout=5.0, key=None, prompt=parts, prompt_tokens=9190,
     )  # fmt: skip
     return Call(
         head=head, route=ROUTE, service=SERVICE, workspace=None, arrival=0.0,
--- a/damasklead/experiment/callers.py
+++ b/damasklead/experiment/callers.py
@@ -75,7 +75,7 @@
             target=self._route.prefix,
             host=self._route.host,
             attempt=AttemptId(f"{self._arrival.number}-{self._tries}"),
-            patience=self._left,
+            caller_timeout=self._left,
             key=None,
             prompt=prompt,
             prompt_tokens=sum(part.tokens for part in prompt),
--- a/damasklead/experiment/policies.py
+++ b/damasklead/experiment/policies.py
@@ -13,7 +13,7 @@
 from damasklead.gateway.calls import Call
 from damasklead.gateway.placements import EnginePlacement, Placement
 from damasklead.gateway.placements.base import tie_breaker
-from damasklead.gateway.placements.engine import READ_TOKENS_PER_SECOND
+from damasklead.gateway.placements.engine import PREFILL_TOKENS_PER_SECOND
 from damasklead.gateway.replicastate import ReplicaState
 from damasklead.ids import InstanceId
 
@@ -41,8 +41,12 @@
 
 
 class _Least(Placement):
-    def _cost(self, state: ReplicaState, call: Call, now: float) -> float:
-        return state.own + self._others(state, now) + tie_breaker(state, call)
+    def _compute_cost(self, state: ReplicaState, call: Call, now: float) -> float:
+        return (
+            state.own_requests
+            + self._estimate_other_requests(state, now)
+            + tie_breaker(state, call)
+        )
 
 
 class LeastOutstanding(Policy):
@@ -60,17 +64,17 @@
 
     engines: Mapping[InstanceId, Engine] = {}
 
-    def _backlog(self, state: ReplicaState) -> float:
+    def _compute_backlog_seconds(self, state: ReplicaState) -> float:
         engine = self.engines[state.record.instance]
-        return engine.unread_tokens() * engine.speed / READ_TOKENS_PER_SECOND
+        return engine.unread_tokens() * engine.speed / PREFILL_TOKENS_PER_SECOND
 
-    def _expected_unread(self, state: ReplicaState, call: Call) -> float:
+    def _estimate_prefill_tokens(self, state: ReplicaState, call: Call) -> float:
         engine = self.engines[state.record.instance]
         return engine.missing_tokens(call.head.prompt) * engine.speed
 
-    def _others(self, state: ReplicaState, now: float) -> float:
+    def _estimate_other_requests(self, state: ReplicaState, now: float) -> float:
         hint = self.engines[state.record.instance].hint
-        return hint.running + hint.waiting - state.own
+        return hint.running + hint.waiting - state.own_requests
 
 
 class Clairvoyant(Policy):
--- a/damasklead/gateway/admission.py
+++ b/damasklead/gateway/admission.py
@@ -199,7 +199,7 @@
         ):
             call = item.call
             seconds = self._estimate_seconds(call)
-            if now + queue_seconds + seconds > call.useful_until:
+            if now + queue_seconds + seconds > call.first_event_deadline:
                 expired_calls.append(call)
             else:
                 queue_seconds += seconds
@@ -220,4 +220,8 @@
             item.delay = min(
                 PREFILL_WEIGHT * self._estimate_prefill_seconds(call), max_delay
             )
-        return (now > call.due, call.tier, call.due + item.delay)
+        return (
+            now > call.target_deadline,
+            call.tier,
+            call.target_deadline + item.delay,
+        )
--- a/damasklead/gateway/assigning.py
+++ b/damasklead/gateway/assigning.py
@@ -67,9 +67,9 @@
             Whether the request has not been offered to a replica yet; only then may it
             be queued or rejected.
         """
-        if not self._placement.coordinated:
-            return self._placement.choose(self._call, excluded=excluded)
-        skipped_replicas = set(excluded) | self._placement.paused_replicas()
+        if not self._placement.is_coordinated:
+            return self._placement.choose_replica(self._call, excluded=excluded)
+        skipped_replicas = set(excluded) | self._placement.find_paused_replicas()
         for _ in range(MAX_ASSIGNMENTS):
             result = self._client.request_assignment(
                 self._call, excluded=skipped_replicas, first_offer=first_offer
@@ -82,14 +82,14 @@
                     detail=f"the cell has {result.backlog:.2f} s to read",
                     retry_after=result.retry_after,
                 )
-            record = self._placement.record(result.instance)
-            if record is not None and self._placement.accepts(result.instance):
+            record = self._placement.get_record(result.instance)
+            if record is not None and self._placement.accepts_requests(result.instance):
                 self._assignment = result
                 return record
             # The coordinator's list of replicas is older or newer than this gateway's.
             self._client.report_request_ended(result, self._call, "withdrawn")
             skipped_replicas.add(result.instance)
-        return self._placement.choose(self._call, excluded=excluded)
+        return self._placement.choose_replica(self._call, excluded=excluded)
 
     def report_prefill_done(self, load: LoadHint | None) -> None:
         """Report to the coordinator that the request's prefill is complete."""
--- a/damasklead/gateway/attempts.py
+++ b/damasklead/gateway/attempts.py
@@ -14,7 +14,7 @@
 from damasklead.gateway.dialect import SendPlan
 from damasklead.gateway.events import EventSplitter
 from damasklead.gateway.placements import Placement
-from damasklead.gateway.refusals import Reason, Refusal, reason_for
+from damasklead.gateway.refusals import Reason, Refusal, get_refusal_reason
 from damasklead.gateway.routing import RouteKind
 from damasklead.gateway.runparts import GatewayContext
 from damasklead.gateway.streamprogress import StreamProgress
@@ -121,7 +121,7 @@
         Refusal or None
             ``None`` when a replica's complete response was sent to the caller.
         """
-        if self._context.containment.refuses(self._call):
+        if self._context.containment.should_refuse(self._call):
             return Refusal(
                 reason=Reason.QUARANTINED,
                 detail="crashes replicas",
@@ -143,7 +143,7 @@
                 self._record_failure(record, error)
                 if not self._may_retry(error.failure):
                     return self._refuse_or_send_error(
-                        reason_for(error.failure), str(error)
+                        get_refusal_reason(error.failure), str(error)
                     )
 
     def handle_timeout(self) -> Refusal | None:
@@ -152,7 +152,7 @@
             return Refusal(reason=Reason.TOO_LATE, detail="not sent in time")
         if self._body_pending:
             # The response body was being read, which counts against the replica.
-            self._placement.failed(self.replica, self._call, Failure.TIMED_OUT)
+            self._placement.record_failure(self.replica, self._call, Failure.TIMED_OUT)
         return self._refuse_or_send_error(Reason.TIMED_OUT, "no whole answer in time")
 
     def close(self) -> None:
@@ -161,12 +161,12 @@
         if upstream is not None:
             upstream.close()
         # A request that ends while it is connecting was already counted there.
-        self._placement.withdrawn(self.replica, self._call)
+        self._placement.record_cancellation(self.replica, self._call)
         self._selector.end_assignment("withdrawn")
 
     def _refuse_without_replica(self) -> Refusal | None:
         """Return the refusal for a request that no replica can take."""
-        pause = self._placement.pause_left()
+        pause = self._placement.get_remaining_pause()
         if pause is None:
             return self._refuse_or_send_error(
                 Reason.NO_REPLICA, "no replica is left to try"
@@ -188,7 +188,7 @@
         self.replica = record.instance
         self.attempt_count += 1
         self._upstream = self._context.connections.acquire(record.address)
-        if self._placement.accepts(record.instance):
+        if self._placement.accepts_requests(record.instance):
             return True
         self._context.connections.release(self._upstream, keep_alive=None)
         self._upstream = None
@@ -205,10 +205,10 @@
             request=call.id,
             replica=record.instance,
             offer=self.attempt_count,
-            **self._placement.explain(record.instance, call),
+            **self._placement.explain_choice(record.instance, call),
             **self._selector.explain(),
         )
-        self._placement.sent(record.instance, call)
+        self._placement.record_sent(record.instance, call)
         headers = self._context.dialect.build_upstream_headers(
             call,
             SendPlan(
@@ -227,13 +227,13 @@
             body=call.body,
         )
         reply = self._read_response_head(upstream, record)
-        self._placement.heard(record.instance, reply.load)
+        self._placement.record_response_head(record.instance, reply.load)
         self._record_replica_state(reply, record)
         self._check_response(reply, record)
         self._relay_response(upstream, reply)
-        self._placement.finished(record.instance, call)
+        self._placement.record_success(record.instance, call)
         self._selector.end_assignment("whole")
-        self._context.containment.ended_well(call)
+        self._context.containment.record_success(call)
         self._upstream = None
         self._context.connections.release(
             upstream,
@@ -289,13 +289,13 @@
             self._context.on_replica_left(record, "another replica has the address")
         elif reply.leaving:
             self._context.on_replica_left(record, "its answer says that it leaves")
-        if reply.pause is not None:
-            granted = self._placement.paused(record.instance, reply.pause)
+        if reply.retry_after is not None:
+            granted = self._placement.pause_replica(record.instance, reply.retry_after)
             self._context.journal.event(
                 "replica-paused",
                 request=self._call.id,
                 replica=record.instance,
-                asked=reply.pause,
+                asked=reply.retry_after,
                 seconds=granted,
             )
 
@@ -304,7 +304,7 @@
         if reply.kind is ReplyKind.MISPLACED:
             raise SendError(Failure.REFUSED, "another replica has the address")
         if reply.kind is ReplyKind.REFUSED:
-            failure = Failure.REFUSED if reply.pause is None else Failure.PAUSED
+            failure = Failure.REFUSED if reply.retry_after is None else Failure.PAUSED
             raise SendError(failure, f"status {reply.status}, not run")
         if reply.kind is ReplyKind.INVALID:
             raise SendError(Failure.BROKEN, reply.detail)
@@ -352,7 +352,7 @@
                 self._last_event_id = splitter.last_id
             if not self.event_count:
                 self._selector.report_prefill_done(reply.load)
-            self._placement.progressed(self.replica, self._call)
+            self._placement.record_stream_event(self.replica, self._call)
             self._send_events(reply, complete_events)
             self.event_count += splitter.take_event_count()
         if splitter.has_partial_event:
@@ -363,7 +363,7 @@
 
     def _compute_event_timeout(self) -> float:
         """Return the seconds that a stream may go without a complete event."""
-        route, seconds = self._call.route, self._call.event_patience
+        route, seconds = self._call.route, self._call.stream_idle_timeout
         if route.may_repeat and self._possible_executions + 1 < route.max_attempts:
             seconds *= RESUME_TIMEOUT_FRACTION
         return seconds
@@ -386,13 +386,13 @@
         if upstream is not None:
             upstream.close()
         self._request_sent = self._body_pending = False
-        self._placement.failed(record.instance, self._call, failure)
+        self._placement.record_failure(record.instance, self._call, failure)
         self._selector.end_assignment(failure.value)
         self._excluded_replicas.add(record.instance)
         if failure is Failure.NOT_SENT:
-            self._context.containment.unreachable(record)
+            self._context.containment.record_connection_failure(record)
         elif failure is Failure.BROKEN:
-            self._context.containment.broke(record, self._call)
+            self._context.containment.record_broken_response(record, self._call)
         if not failure.surely_unrun:
             self._possible_executions += 1
         self._context.journal.event(
@@ -412,11 +412,11 @@
                 return False
         elif not route.may_repeat or self._possible_executions >= route.max_attempts:
             return False
-        if self._context.containment.refuses(self._call):
+        if self._context.containment.should_refuse(self._call):
             return False
         # A failed connection brings no request to a replica, so the retry after it is
         # not charged to the budget.
-        return failure is Failure.NOT_SENT or self._context.budget.take(
+        return failure is Failure.NOT_SENT or self._context.budget.acquire_retry(
             self._call.service
         )
 
--- a/damasklead/gateway/broadcasts.py
+++ b/damasklead/gateway/broadcasts.py
@@ -289,7 +289,7 @@
             self._broadcaster_position = message.lists[ListName.ROUTING].last_change
         if precedes:
             self._last_broadcast_at = self._clock.now()
-        self._containment.take(message.crashes)
+        self._containment.apply_notes(message.crashes)
         self._apply_departures(message.departures)
         if message.routing:
             self._apply_routing(message.routing)
@@ -330,7 +330,7 @@
         for event in events:
             has_new_events = has_new_events or event not in self._events
             self._events.setdefault(event, _EventState(first_seen_at=now))
-        self._containment.take(message.crashes)
+        self._containment.apply_notes(message.crashes)
         self._apply_departures(message.departures)
         if has_new_events:
             self.schedule_update()
--- a/damasklead/gateway/budget.py
+++ b/damasklead/gateway/budget.py
@@ -42,13 +42,13 @@
     >>> from damasklead.clock import ManualClock
     >>> clock = ManualClock()
     >>> budget = SharedRetryBudget(
-    ...     clock=clock, ratio=0.2, allowance=16.0, window=10.0, used=1.0)
+    ...     clock=clock, ratio=0.2, allowance=16.0, window=10.0, used_fraction=1.0)
     >>> llm = ServiceName("llm")
-    >>> budget.take(llm), budget.take(llm)
+    >>> budget.acquire_retry(llm), budget.acquire_retry(llm)
     (True, False)
     >>> for _ in range(5):
-    ...     budget.record_first(llm)
-    >>> budget.take(llm), budget.take(llm)
+    ...     budget.record_first_attempt(llm)
+    >>> budget.acquire_retry(llm), budget.acquire_retry(llm)
     (True, False)
     """
 
@@ -59,40 +59,40 @@
         ratio: float,
         allowance: float,
         window: float,
-        used: float = USED_FRACTION,
+        used_fraction: float = USED_FRACTION,
     ) -> None:
         self._clock = clock
-        self._used = used
+        self._used_fraction = used_fraction
         self.configure(ratio=ratio, allowance=allowance, window=window)
-        self._gateways = ASSUMED_GATEWAYS
-        self._firsts: dict[ServiceName, deque[float]] = {}
+        self._gateway_count = ASSUMED_GATEWAYS
+        self._first_attempts: dict[ServiceName, deque[float]] = {}
         self._retries: dict[ServiceName, deque[float]] = {}
 
     def configure(self, *, ratio: float, allowance: float, window: float) -> None:
         """Take the operators' bounds in force."""
-        self._ratio = ratio * self._used
-        self._allowance = allowance * self._used
+        self._ratio = ratio * self._used_fraction
+        self._allowance = allowance * self._used_fraction
         self._window = window
 
-    def set_gateways(self, count: int) -> None:
+    def set_gateway_count(self, count: int) -> None:
         """Take in how many gateways share the allowance."""
-        self._gateways = max(1, count)
+        self._gateway_count = max(1, count)
 
-    def record_first(self, service: ServiceName) -> None:
+    def record_first_attempt(self, service: ServiceName) -> None:
         """Count a request's first attempt."""
-        self._recent(self._firsts, service).append(self._clock.now())
+        self._get_recent(self._first_attempts, service).append(self._clock.now())
 
-    def take(self, service: ServiceName) -> bool:
+    def acquire_retry(self, service: ServiceName) -> bool:
         """Take one retry; returns whether there was one."""
-        firsts = len(self._recent(self._firsts, service))
-        retries = self._recent(self._retries, service)
-        allowed = self._ratio * firsts + self._allowance / self._gateways
+        firsts = len(self._get_recent(self._first_attempts, service))
+        retries = self._get_recent(self._retries, service)
+        allowed = self._ratio * firsts + self._allowance / self._gateway_count
         if len(retries) + 1 > allowed:
             return False
         retries.append(self._clock.now())
         return True
 
-    def _recent(
+    def _get_recent(
         self, times: dict[ServiceName, deque[float]], service: ServiceName
     ) -> deque[float]:
         """Return a service's times within the window."""
--- a/damasklead/gateway/calls.py
+++ b/damasklead/gateway/calls.py
@@ -28,9 +28,9 @@
 
 # Callers abandon a stream that is silent for the longest of these: seconds, targets
 # and allowed pauses.
-LEAST_STREAM_PATIENCE = 2.0
-TARGETS_OF_PATIENCE = 4.0
-GAPS_OF_PATIENCE = 8.0
+MIN_STREAM_IDLE_SECONDS = 2.0
+STREAM_IDLE_TARGETS = 4.0
+STREAM_IDLE_GAPS = 8.0
 # Ranks that routes have within a workspace's tier.
 ROUTE_TIERS = 3
 
@@ -66,7 +66,7 @@
     target: str
     host: str
     attempt: AttemptId
-    patience: float | None
+    caller_timeout: float | None
     key: ApiKey | None
     prompt: tuple[PromptPart, ...] = ()
     prompt_tokens: int = 0
@@ -112,7 +112,7 @@
         return self.tier * ROUTE_TIERS + min(self.route.tier, ROUTE_TIERS - 1)
 
     @property
-    def due(self) -> float:
+    def target_deadline(self) -> float:
         """
         Clock reading at which the answer, or a stream's first event, is due.
 
@@ -122,20 +122,20 @@
         return self.arrival + self.route.target - spent
 
     @property
-    def event_patience(self) -> float:
+    def stream_idle_timeout(self) -> float:
         """Seconds after which a caller abandons a stream that brings no event."""
         return max(
-            LEAST_STREAM_PATIENCE,
-            TARGETS_OF_PATIENCE * self.route.target,
-            GAPS_OF_PATIENCE * (self.route.event_gap or 0.0),
+            MIN_STREAM_IDLE_SECONDS,
+            STREAM_IDLE_TARGETS * self.route.target,
+            STREAM_IDLE_GAPS * (self.route.event_gap or 0.0),
         )
 
     @property
-    def useful_until(self) -> float:
+    def first_event_deadline(self) -> float:
         """Clock reading until which a first event is of use to the caller."""
         if self.route.event_gap is None:
             return self.deadline
-        return min(self.deadline, self.arrival + self.event_patience)
+        return min(self.deadline, self.arrival + self.stream_idle_timeout)
 
     @property
     def id(self) -> AttemptId:
@@ -187,7 +187,7 @@
     closing: bool = False
     leaving: bool = False
     keep_alive: float | None = None
-    pause: float | None = None
+    retry_after: float | None = None
     detail: str = ""
 
 
--- a/damasklead/gateway/coordination/coordinator.py
+++ b/damasklead/gateway/coordination/coordinator.py
@@ -118,11 +118,11 @@
         )
         self._admission = AdmissionController(
             clock=clock,
-            has_capacity=self._placement.has_room,
-            is_urgent=self._placement.is_urgent,
-            has_any_capacity=self._placement.any_room,
-            estimate_seconds=self._placement.seconds_of,
-            estimate_prefill_seconds=self._placement.reading_of,
+            has_capacity=self._placement.has_capacity_for,
+            is_urgent=self._placement.bypasses_queue,
+            has_any_capacity=self._placement.has_any_capacity,
+            estimate_seconds=self._placement.estimate_pool_prefill_seconds,
+            estimate_prefill_seconds=self._placement.estimate_prefill_seconds,
         )
         self._backlog = 0.0
         self._backlog_at = -math.inf
@@ -146,7 +146,10 @@
         if now - self._backlog_at >= BACKLOG_INTERVAL_SECONDS:
             self._backlog_at = now
             queued_seconds = sum(
-                map(self._placement.seconds_of, self._admission.queued_calls)
+                map(
+                    self._placement.estimate_pool_prefill_seconds,
+                    self._admission.queued_calls,
+                )
             )
             self._backlog = self._placement.mean_backlog + queued_seconds
         return self._backlog
@@ -168,7 +171,7 @@
 
     def set_engines(self, records: list[UpstreamRecord]) -> None:
         """Set the cell's engines."""
-        self._placement.retain(records)
+        self._placement.update_replicas(records)
 
     def handle_assignment_request(
         self, request: AssignmentRequest
@@ -202,8 +205,8 @@
         """Record that the prefill of a request is complete."""
         entry = self._requests.get(message.attempt)
         if entry is not None and entry.instance is not None:
-            self._placement.heard(entry.instance, message.load)
-            self._placement.progressed(entry.instance, entry.call)
+            self._placement.record_response_head(entry.instance, message.load)
+            self._placement.record_stream_event(entry.instance, entry.call)
 
     def handle_request_ended(self, message: RequestEnded) -> None:
         """Remove a request and record its outcome at its replica."""
@@ -215,12 +218,12 @@
         if entry.instance is None:
             return
         if message.outcome == "whole":
-            self._placement.finished(entry.instance, entry.call)
+            self._placement.record_success(entry.instance, entry.call)
         elif message.outcome in _FAILURES:
             failure = _FAILURES[message.outcome]
-            self._placement.failed(entry.instance, entry.call, failure)
+            self._placement.record_failure(entry.instance, entry.call, failure)
         else:
-            self._placement.withdrawn(entry.instance, entry.call)
+            self._placement.record_cancellation(entry.instance, entry.call)
 
     def handle_running_requests(self, message: RunningRequests) -> None:
         """
@@ -293,7 +296,7 @@
             target="",
             host="",
             attempt=request.attempt,
-            patience=None,
+            caller_timeout=None,
             key=None,
             prompt=request.prompt,
             prompt_tokens=request.prompt_tokens,
@@ -328,14 +331,14 @@
 
     def _assign(self, entry: _TrackedRequest) -> AddressedResponse:
         call = entry.call
-        record = self._placement.choose(call, excluded=entry.excluded)
+        record = self._placement.choose_replica(call, excluded=entry.excluded)
         if record is None:
             del self._requests[call.id]
             return AddressedResponse(
                 entry.requester, RequestRejected(call.id, None, self.backlog)
             )
-        source = self._placement.copy_source(record.instance, call) or entry.source
-        self._placement.sent(record.instance, call)
+        source = self._placement.find_copy_source(record.instance, call) or entry.source
+        self._placement.record_sent(record.instance, call)
         entry.instance, entry.changed_at = record.instance, self._clock.now()
         entry.grant = Grant(call.id, record.instance, source, self.backlog)
         return AddressedResponse(entry.requester, entry.grant)
@@ -358,10 +361,10 @@
         entry = self._make_entry(request, route)
         entry.instance = instance
         self._requests[attempt] = entry
-        self._placement.sent(instance, entry.call)
+        self._placement.record_sent(instance, entry.call)
 
     def _drop_request(self, entry: _TrackedRequest) -> None:
         del self._requests[entry.call.id]
         self._admission.withdraw(entry.call)
         if entry.instance is not None:
-            self._placement.withdrawn(entry.instance, entry.call)
+            self._placement.record_cancellation(entry.instance, entry.call)
--- a/damasklead/gateway/coordination/coordinators.py
+++ b/damasklead/gateway/coordination/coordinators.py
@@ -79,7 +79,7 @@
             if table is None or spec is None or coordinator.is_idle:
                 del self._coordinators[cell]
                 continue
-            coordinator.configure(spec, table.routes_to(cell.service))
+            coordinator.configure(spec, table.find_routes(cell.service))
             coordinator.set_engines(self._cells.get_engines(cell))
 
     def handle_message(
@@ -121,7 +121,7 @@
             cell=cell,
             clock=self._clock,
             service=spec,
-            routes=table.routes_to(cell.service),
+            routes=table.find_routes(cell.service),
             placement=self._placement,
         )
         coordinator.set_engines(engines)
--- a/damasklead/gateway/fleet.py
+++ b/damasklead/gateway/fleet.py
@@ -98,7 +98,7 @@
         self._departures = DepartureLog(clock=clock)
         self._reports = ListReports(clock=clock)
         self._plans = [self._read_plan(name) for name in ListName]
-        self.containment = Containment(clock=clock, named=self._note_named)
+        self.containment = Containment(clock=clock, on_quarantine=self._note_named)
         self.configuration = ConfigurationFollower(
             feed=lambda: link().routing,
             plan=self._plans[ListName.ROUTING],
@@ -168,14 +168,14 @@
             return None
         return Snapshot(
             routing=table.content,
-            upstreams=self._directory.rows(),
+            upstreams=self._directory.list_rows(),
             peers=[] if self._peers is None else self._peers.entries,
             cursor=self.upstreams.cursor,
         )
 
     def record_departure(self, record: UpstreamRecord, sign: str) -> None:
         """Give a replica nothing more, and tell the other gateways."""
-        if self._directory.mark_left(record.instance, record.incarnation):
+        if self._directory.mark_departed(record.instance, record.incarnation):
             self._journal.event("replica-left", replica=record.instance, sign=sign)
             self._departures.record(record.instance, record.incarnation)
             self._arrange()
@@ -273,12 +273,16 @@
 
     def _arrange(self) -> None:
         """Let all see the replicas that may take new work."""
-        rows = (row.record for row in self._directory.rows())
-        self.containment.retain([record for record in rows if record is not None])
+        rows = (row.record for row in self._directory.list_rows())
+        self.containment.update_replicas(
+            [record for record in rows if record is not None]
+        )
         table = self.configuration.table
         for name, spec in ({} if table is None else table.services).items():
             if spec.engine is not None:
-                self.coordination.cells.set_engines(name, self._directory.usable(name))
+                self.coordination.cells.set_engines(
+                    name, self._directory.get_eligible_records(name)
+                )
         self.coordination.coordinators.apply_configuration()
         self._on_replicas_changed()
         if self._broadcasts is not None:
@@ -289,7 +293,7 @@
         news = [
             note
             for note in notes
-            if self._directory.mark_left(note.instance, note.incarnation)
+            if self._directory.mark_departed(note.instance, note.incarnation)
         ]
         for note in news:
             self._journal.event(
--- a/damasklead/gateway/forwarding.py
+++ b/damasklead/gateway/forwarding.py
@@ -108,20 +108,22 @@
                 attempt=head.attempt,
                 retry_after=NO_CONFIGURATION_RETRY_SECONDS,
             )
-        route = table.match(head.host, head.target)
+        route = table.match_route(head.host, head.target)
         if route is None:
             return Refusal(reason=Reason.NO_ROUTE, attempt=head.attempt)
-        workspace = table.workspace_of(head.key) if head.key is not None else None
-        if workspace is None and table.needs_keys and not route.public:
+        workspace = table.find_workspace(head.key) if head.key is not None else None
+        if workspace is None and table.requires_keys and not route.public:
             return Refusal(reason=Reason.UNKNOWN_KEY, attempt=head.attempt)
-        caller_timeout = route.timeout if head.patience is None else head.patience
+        caller_timeout = (
+            route.timeout if head.caller_timeout is None else head.caller_timeout
+        )
         tier = route.tier
         if workspace is not None and workspace.tier is not None:
             tier = workspace.tier
         return Call(
             head=head,
             route=route,
-            service=route.service_for(head.attempt),
+            service=route.select_service(head.attempt),
             workspace=workspace,
             arrival=request.arrival,
             deadline=request.arrival + min(caller_timeout, route.timeout),
@@ -134,7 +136,7 @@
         # A request that may be executed only once goes on when its caller half-closes:
         # it can't be undone, and the caller may still read the response.
         connection.cancel_on_disconnect = call.route.kind is not RouteKind.ONCE
-        self._context.budget.record_first(call.service)
+        self._context.budget.record_first_attempt(call.service)
         proxied_request = ProxiedRequest(
             context=self._context,
             call=call,
@@ -187,7 +189,7 @@
             events=proxied_request.event_count,
             offers=proxied_request.attempt_count,
             first=proxied_request.first_byte_seconds,
-            target=call.due - call.arrival,
+            target=call.target_deadline - call.arrival,
             seconds=seconds,
         )
 
--- a/damasklead/gateway/partplaces.py
+++ b/damasklead/gateway/partplaces.py
@@ -15,17 +15,17 @@
 from damasklead.ids import InstanceId
 from damasklead.util import short_key
 
-__all__ = ["PartPlaces"]
+__all__ = ["PartLocations"]
 
 # Smaller parts are read sooner than they are copied.
-LEAST_TOKENS = 200
+MIN_TOKENS = 200
 # Replicas remembered for one part: the newest; older ones will have dropped it first.
-MOST_PLACES = 8
+MAX_REPLICAS_PER_PART = 8
 # Parts remembered, about 300 bytes each.
-MOST_PARTS = 10_000
+MAX_PARTS = 10_000
 
 
-class PartPlaces:
+class PartLocations:
     """
     Where parts are, as far as is known here.
 
@@ -36,28 +36,28 @@
 
     def __init__(self, *, clock: Clock) -> None:
         self._clock = clock
-        self._places: OrderedDict[int, dict[int, float]] = OrderedDict()
+        self._locations: OrderedDict[int, dict[int, float]] = OrderedDict()
 
-    def sent(self, name: str, tokens: int, instance: InstanceId) -> None:
+    def record_sent(self, name: str, tokens: int, instance: InstanceId) -> None:
         """Note that a part was sent to a replica."""
-        if tokens < LEAST_TOKENS:
+        if tokens < MIN_TOKENS:
             return
         part, replica = short_key(name), short_key(instance)
-        places = self._places.setdefault(part, {})
-        self._places.move_to_end(part)
+        places = self._locations.setdefault(part, {})
+        self._locations.move_to_end(part)
         places.pop(replica, None)
         places[replica] = self._clock.now()
-        if len(places) > MOST_PLACES:
+        if len(places) > MAX_REPLICAS_PER_PART:
             del places[next(iter(places))]
-        if len(self._places) > MOST_PARTS:
-            self._places.popitem(last=False)
+        if len(self._locations) > MAX_PARTS:
+            self._locations.popitem(last=False)
 
-    def replicas(self, name: str) -> dict[int, float]:
+    def find_replicas(self, name: str) -> dict[int, float]:
         """Return the short keys of the replicas that have a part, and since when."""
-        return self._places.get(short_key(name), {})
+        return self._locations.get(short_key(name), {})
 
-    def forget(self, instance: InstanceId) -> None:
+    def remove_replica(self, instance: InstanceId) -> None:
         """Take in that a replica has started again and keeps nothing."""
         key = short_key(instance)
-        for places in self._places.values():
+        for places in self._locations.values():
             places.pop(key, None)
--- a/damasklead/gateway/placements/engine.py
+++ b/damasklead/gateway/placements/engine.py
@@ -21,51 +21,51 @@
 
 # Prompt tokens that an engine reads in a second, to compare costs; the order of
 # magnitude is enough.
-READ_TOKENS_PER_SECOND = 38_000.0
+PREFILL_TOKENS_PER_SECOND = 38_000.0
 # A request that can wait is sent when its engine can read what it has in this part of
 # the shortest target of the requests that share the engines, so that these are in time.
-ROOM_SHARE = 0.5
+BACKLOG_LIMIT_SHARE = 0.5
 # Weight of reading against waiting: what is read twice is taken from everybody.
-UNREAD_WEIGHT = 12.0
+PREFILL_WEIGHT = 12.0
 # Weight of copying a part from another engine: a ninth of reading it again, what the
 # operators count for both.
 COPY_WEIGHT = 4.0
 # An engine that has more to read than the others by this part of a request's target
 # holds a hot subject, which is then read again elsewhere.  When all have much to read,
 # reading again helps nobody.
-HOT_SHARE = 0.6
+HOT_BACKLOG_SHARE = 0.6
 HOT_WEIGHT = 40.0
 # Time that one running request adds to each of another one's tokens, over its stream.
-RUNNING_COST = 0.004
+RUNNING_REQUEST_SECONDS = 0.004
 # About how long a request waits for a slot of an engine that has none left.
-FULL_SECONDS = 0.5
+FULL_ENGINE_SECONDS = 0.5
 # Cost in seconds of leaving the data centre, and for each byte of a prompt, since bytes
 # between data centres are dear.
-OTHER_CENTRE_SECONDS = 0.01
-OTHER_CENTRE_SECONDS_PER_BYTE = 0.000005
+REMOTE_CENTRE_SECONDS = 0.01
+REMOTE_CENTRE_SECONDS_PER_BYTE = 0.000005
 # Probability that a part is cached at its home replica though it was not sent there
 # from here: another coordinator may have been before this one.
-HOME_CACHED = 0.1
+HOME_CACHED_PROBABILITY = 0.1
 # Homes remembered between two changes of the replicas: each is asked for once for
 # every candidate of every choice.
-MOST_HOMES = 10_000
+MAX_HOMES = 10_000
 # Part of the shortest allowed pause for which an engine may read prompts between two
 # events of a stream; the rest is for the tokens' own steps, and for slower engines.
-BESIDE_SHARE = 0.5
+INTERLEAVED_PREFILL_SHARE = 0.5
 # Least share of engines kept for the streams with the shortest allowed pause.
-TIGHT_SHARE = 0.22
+MIN_RESERVED_SHARE = 0.22
 # Largest one: the other classes must make progress.
-MOST_TIGHT_SHARE = 0.6
+MAX_RESERVED_SHARE = 0.6
 # One engine more is kept when those that are kept use more of their slots: beyond,
 # reading the streams' own prompts stretches their tokens until the slots run out.
-TIGHT_GROW_LOAD = 0.45
+RESERVED_GROW_LOAD = 0.45
 # One engine fewer is kept when the rest would use less of their slots.
-TIGHT_SHRINK_LOAD = 0.2
+RESERVED_SHRINK_LOAD = 0.2
 # Seconds between two changes: new requests need about as long to spread.
-TIGHT_GROW_SECONDS = 0.5
-TIGHT_SHRINK_SECONDS = 3.0
+RESERVED_GROW_SECONDS = 0.5
+RESERVED_SHRINK_SECONDS = 3.0
 # Streams are kept apart from others whose allowed pause is so many times longer.
-TIGHT_RATIO = 1.3
+RESERVED_GAP_RATIO = 1.3
 
 
 class EnginePlacement(Placement):
@@ -85,27 +85,30 @@
         data_centre: DataCentre,
     ) -> None:
         super().__init__(service=service, clock=clock, data_centre=data_centre)
-        self._last_tier = 0
+        self._lowest_priority_tier = 0
         self._mean_backlog = 0.0
-        self._least_target = 0.0
-        self._tight_gap: float | None = None
-        self._tight: frozenset[InstanceId] = frozenset()
+        self._shortest_target = 0.0
+        self._reserved_event_gap: float | None = None
+        self._reserved: frozenset[InstanceId] = frozenset()
         self._homes: dict[tuple[str, bool], InstanceId | None] = {}
-        self._shared_of: tuple[AttemptId, float] | None = None
+        self._shared_parts_key: tuple[AttemptId, float] | None = None
         self._shared_parts: SharedParts | None = None
-        self._weighed: SharedParts | None = None
-        self._extra = 0
+        self._choice_parts: SharedParts | None = None
+        self._extra_reserved = 0
         self._resized_at = clock.now()
 
     @property
-    def tight(self) -> frozenset[InstanceId]:
+    def reserved_instances(self) -> frozenset[InstanceId]:
         """The replicas kept for the streams with the shortest allowed pause."""
-        return self._tight
+        return self._reserved
 
     @property
     def mean_backlog(self) -> float:
         """Seconds that the engines have to read, on average."""
-        backlogs = [self._backlog(state) for state in self._usable.values()]
+        backlogs = [
+            self._compute_backlog_seconds(state)
+            for state in self._eligible_replicas.values()
+        ]
         return sum(backlogs) / len(backlogs) if backlogs else 0.0
 
     def configure(self, service: ServiceSpec, routes: Iterable[Route]) -> None:
@@ -113,259 +116,291 @@
         routes = list(routes)
         super().configure(service, routes)
         gaps = sorted({route.event_gap for route in routes if route.event_gap})
-        apart = len(gaps) > 1 and gaps[1] >= TIGHT_RATIO * gaps[0]
-        self._tight_gap = gaps[0] if apart else None
-        self._last_tier = max((item.tier for item in routes), default=0)
-        self._least_target = min(
-            (item.target for item in routes if not self._is_tight(item)), default=0.0
+        apart = len(gaps) > 1 and gaps[1] >= RESERVED_GAP_RATIO * gaps[0]
+        self._reserved_event_gap = gaps[0] if apart else None
+        self._lowest_priority_tier = max((item.tier for item in routes), default=0)
+        self._shortest_target = min(
+            (item.target for item in routes if not self._uses_reserved_engines(item)),
+            default=0.0,
         )
-        self._arrange()
+        self._select_reserved_engines()
 
-    def retain(self, records: Iterable[UpstreamRecord]) -> None:
+    def update_replicas(self, records: Iterable[UpstreamRecord]) -> None:
         """Take the replicas that may take new work from now on."""
-        super().retain(records)
-        self._arrange()
+        super().update_replicas(records)
+        self._select_reserved_engines()
 
-    def choose(
+    def choose_replica(
         self, call: Call, *, excluded: Collection[InstanceId] = ()
     ) -> UpstreamRecord | None:
         """Return the engine for a request, or ``None`` when there is none."""
         # Nothing changes while one choice is made, though the clock goes on: where the
         # parts are is looked up once, not for each engine that is weighed.
-        self._weighed = self._shared(call)
+        self._choice_parts = self._locate_shared_parts(call)
         try:
-            return super().choose(call, excluded=excluded)
+            return super().choose_replica(call, excluded=excluded)
         finally:
-            self._weighed = None
+            self._choice_parts = None
 
-    def copy_source(self, instance: InstanceId, call: Call) -> str | None:
+    def find_copy_source(self, instance: InstanceId, call: Call) -> str | None:
         """Return the address of the engine that has most of a prompt's shared parts."""
-        shared = self._shared(call)
+        shared = self._locate_shared_parts(call)
         state = self._replicas[instance]
-        if shared.holder is not None and shared.best > shared.at(state):
+        if (
+            shared.holder is not None
+            and shared.max_cached_tokens > shared.count_cached_tokens(state)
+        ):
             return shared.holder.record.address
         return None
 
-    def has_room(self, call: Call) -> bool:
+    def has_capacity_for(self, call: Call) -> bool:
         """Tell whether the engine that a request would go to has little to read."""
-        states = list(self._usable.values())
+        states = list(self._eligible_replicas.values())
         roomy = {
             state.record.instance
-            for state in self._preferred(call, states, self._clock.now())
-            if self._roomy(state)
+            for state in self._filter_candidates(call, states, self._clock.now())
+            if self._has_capacity(state)
         }
         if not roomy:
             return not states
         # Of those with much to read only one that has its parts can be the better one.
         passed_over = {
             item
-            for item, state in self._usable.items()
-            if item not in roomy and not self._may_hold(state, call)
+            for item, state in self._eligible_replicas.items()
+            if item not in roomy and not self._may_cache_shared_parts(state, call)
         }
-        record = self.choose(call, excluded=passed_over)
+        record = self.choose_replica(call, excluded=passed_over)
         return record is None or record.instance in roomy
 
-    def any_room(self) -> bool:
+    def has_any_capacity(self) -> bool:
         """Tell whether any engine has little to read."""
-        return not self._usable or any(map(self._roomy, self._usable.values()))
+        return not self._eligible_replicas or any(
+            map(self._has_capacity, self._eligible_replicas.values())
+        )
 
-    def seconds_of(self, call: Call) -> float:
+    def estimate_pool_prefill_seconds(self, call: Call) -> float:
         """
         Return how long all engines that are not kept for tight streams need together
         to read a request, shared parts taken to be cached.
         """
-        engines = max(1, len(self._usable) - len(self._tight))
+        engines = max(1, len(self._eligible_replicas) - len(self._reserved))
         parts = call.head.prompt
         tokens = parts[-1].tokens if parts else call.head.prompt_tokens
-        return tokens / (engines * READ_TOKENS_PER_SECOND)
+        return tokens / (engines * PREFILL_TOKENS_PER_SECOND)
 
-    def reading_of(self, call: Call) -> float:
+    def estimate_prefill_seconds(self, call: Call) -> float:
         """Return how long an engine reads what none has cached of a request."""
         cached = tokens = 0
         for part in call.head.prompt[:-1]:
             tokens += part.tokens
-            if not self._keys.isdisjoint(self._parts.replicas(part.key)):
+            if not self._eligible_keys.isdisjoint(
+                self._part_locations.find_replicas(part.key)
+            ):
                 cached = tokens
-        return (call.head.prompt_tokens - cached) / READ_TOKENS_PER_SECOND
+        return (call.head.prompt_tokens - cached) / PREFILL_TOKENS_PER_SECOND
 
-    def _may_hold(self, state: ReplicaState, call: Call) -> bool:
+    def _may_cache_shared_parts(self, state: ReplicaState, call: Call) -> bool:
         """Tell whether an engine may have all shared parts of a prompt."""
         parts = call.head.prompt[:-1]
         if not parts:
             return False
         last = parts[-1].key
-        held = last in state.parts or state.key in self._parts.replicas(last)
-        return held or self._home(last, call) == state.record.instance
+        held = (
+            last in state.cached_parts
+            or state.key in self._part_locations.find_replicas(last)
+        )
+        return held or self._find_home(last, call) == state.record.instance
 
-    def _roomy(self, state: ReplicaState) -> bool:
+    def _has_capacity(self, state: ReplicaState) -> bool:
         """Tell whether an engine has little to read and a free slot."""
-        little = self._backlog(state) <= ROOM_SHARE * self._least_target
+        little = (
+            self._compute_backlog_seconds(state)
+            <= BACKLOG_LIMIT_SHARE * self._shortest_target
+        )
         return little and not self._is_full(state)
 
     def _is_full(self, state: ReplicaState) -> bool:
         engine = self._service.engine
-        return engine is not None and state.own >= engine.slots
+        return engine is not None and state.own_requests >= engine.slots
 
-    def is_urgent(self, call: Call) -> bool:
+    def bypasses_queue(self, call: Call) -> bool:
         """
         Tell whether a request is sent at once: all but the least urgent routes' are,
         whatever their workspace's tier, so that none starves behind longer prompts.
         """
-        tight = bool(self._tight) and self._is_tight(call.route)
-        return tight or call.route.tier < self._last_tier
+        tight = bool(self._reserved) and self._uses_reserved_engines(call.route)
+        return tight or call.route.tier < self._lowest_priority_tier
 
-    def heard(self, instance: InstanceId, hint: LoadHint | None) -> None:
+    def record_response_head(self, instance: InstanceId, hint: LoadHint | None) -> None:
         """Take in the head of an answer; the kept engines follow their load."""
-        super().heard(instance, hint)
-        if instance in self._tight:
-            self._resize()
+        super().record_response_head(instance, hint)
+        if instance in self._reserved:
+            self._resize_reservation()
 
-    def _is_tight(self, route: Route) -> bool:
+    def _uses_reserved_engines(self, route: Route) -> bool:
         """Tell whether a route's streams are to be kept apart."""
-        return self._tight_gap is not None and route.event_gap == self._tight_gap
+        return (
+            self._reserved_event_gap is not None
+            and route.event_gap == self._reserved_event_gap
+        )
 
-    def _backlog(self, state: ReplicaState) -> float:
+    def _compute_backlog_seconds(self, state: ReplicaState) -> float:
         """Return the seconds that an engine needs to read what was sent to it."""
-        return state.unread_tokens / READ_TOKENS_PER_SECOND
+        return state.pending_prefill_tokens / PREFILL_TOKENS_PER_SECOND
 
-    def _resize(self) -> None:
+    def _resize_reservation(self) -> None:
         """Keep more or fewer engines apart, as the load of those kept asks."""
         engine = self._service.engine
         if engine is None:
             return
         now = self._clock.now()
         since = now - self._resized_at
-        slots = float(engine.slots * len(self._tight))
-        states = [self._replicas[item] for item in self._tight]
-        load = sum(state.own + self._others(state, now) for state in states)
-        if load > TIGHT_GROW_LOAD * slots and since >= TIGHT_GROW_SECONDS:
-            most = int(MOST_TIGHT_SHARE * len(self._usable))
-            if len(self._tight) < most:
-                self._change_extra(1)
+        slots = float(engine.slots * len(self._reserved))
+        states = [self._replicas[item] for item in self._reserved]
+        load = sum(
+            state.own_requests + self._estimate_other_requests(state, now)
+            for state in states
+        )
+        if load > RESERVED_GROW_LOAD * slots and since >= RESERVED_GROW_SECONDS:
+            most = int(MAX_RESERVED_SHARE * len(self._eligible_replicas))
+            if len(self._reserved) < most:
+                self._change_extra_reserved(1)
             return
-        idle = load < TIGHT_SHRINK_LOAD * (slots - engine.slots)
-        if self._extra and idle and since >= TIGHT_SHRINK_SECONDS:
-            self._change_extra(-1)
+        idle = load < RESERVED_SHRINK_LOAD * (slots - engine.slots)
+        if self._extra_reserved and idle and since >= RESERVED_SHRINK_SECONDS:
+            self._change_extra_reserved(-1)
 
-    def _change_extra(self, change: int) -> None:
-        self._extra += change
+    def _change_extra_reserved(self, change: int) -> None:
+        self._extra_reserved += change
         self._resized_at = self._clock.now()
-        self._arrange()
+        self._select_reserved_engines()
 
-    def _arrange(self) -> None:
+    def _select_reserved_engines(self) -> None:
         self._homes.clear()
-        least = max(1, int(TIGHT_SHARE * len(self._usable) + 0.5))
-        count = least + self._extra
-        if self._tight_gap is None or len(self._usable) <= count:
-            self._tight = frozenset()
+        least = max(1, int(MIN_RESERVED_SHARE * len(self._eligible_replicas) + 0.5))
+        count = least + self._extra_reserved
+        if self._reserved_event_gap is None or len(self._eligible_replicas) <= count:
+            self._reserved = frozenset()
             return
         ranked = sorted(
-            self._usable, key=lambda item: stable_hash(self._service.name, item)
+            self._eligible_replicas,
+            key=lambda item: stable_hash(self._service.name, item),
         )
-        self._tight = frozenset(ranked[:count])
+        self._reserved = frozenset(ranked[:count])
 
-    def _preferred(
+    def _filter_candidates(
         self, call: Call, candidates: list[ReplicaState], now: float
     ) -> list[ReplicaState]:
         self._mean_backlog = self.mean_backlog
-        if not self._tight:
+        if not self._reserved:
             return candidates
-        tight = self._is_tight(call.route)
+        tight = self._uses_reserved_engines(call.route)
         own = [
             state
             for state in candidates
-            if (state.record.instance in self._tight) is tight
-            or (not tight and self._fits_beside(state, call))
+            if (state.record.instance in self._reserved) is tight
+            or (not tight and self._fits_between_events(state, call))
         ]
         return own or candidates
 
-    def _fits_beside(self, state: ReplicaState, call: Call) -> bool:
+    def _fits_between_events(self, state: ReplicaState, call: Call) -> bool:
         """
         Tell whether an engine kept for tight streams can read a prompt without
         breaking their pauses.
         """
-        gap = self._tight_gap or 0.0
-        reading = self._expected_unread(state, call) / READ_TOKENS_PER_SECOND
-        return self._backlog(state) + reading <= BESIDE_SHARE * gap
+        gap = self._reserved_event_gap or 0.0
+        reading = self._estimate_prefill_tokens(state, call) / PREFILL_TOKENS_PER_SECOND
+        return (
+            self._compute_backlog_seconds(state) + reading
+            <= INTERLEAVED_PREFILL_SHARE * gap
+        )
 
-    def _unread_tokens(self, state: ReplicaState, call: Call) -> int:
-        return int(self._expected_unread(state, call))
+    def _count_prefill_tokens(self, state: ReplicaState, call: Call) -> int:
+        return int(self._estimate_prefill_tokens(state, call))
 
-    def _expected_unread(self, state: ReplicaState, call: Call) -> float:
+    def _estimate_prefill_tokens(self, state: ReplicaState, call: Call) -> float:
         """Estimate the tokens to read: a part is cached only with all before it."""
         total = call.head.prompt_tokens
         parts = call.head.prompt[:-1]
         if not parts:
             return total
-        shared = self._shared(call)
-        known = float(shared.best)
+        shared = self._locate_shared_parts(call)
+        known = float(shared.max_cached_tokens)
         if (
-            not shared.known
-            and self._home(parts[-1].key, call) == state.record.instance
+            not shared.is_fully_cached
+            and self._find_home(parts[-1].key, call) == state.record.instance
         ):
-            known = max(known, HOME_CACHED * shared.tokens)
+            known = max(known, HOME_CACHED_PROBABILITY * shared.total_tokens)
         return max(0.0, total - known)
 
-    def _copied(self, state: ReplicaState, call: Call) -> int:
+    def _count_copied_tokens(self, state: ReplicaState, call: Call) -> int:
         """Return the tokens that would be copied from another engine."""
-        shared = self._shared(call)
-        return max(0, shared.best - shared.at(state))
+        shared = self._locate_shared_parts(call)
+        return max(0, shared.max_cached_tokens - shared.count_cached_tokens(state))
 
-    def _shared(self, call: Call) -> SharedParts:
+    def _locate_shared_parts(self, call: Call) -> SharedParts:
         """Return where the shared parts of a prompt are at this instant."""
-        if self._weighed is not None:
-            return self._weighed
+        if self._choice_parts is not None:
+            return self._choice_parts
         key = (call.id, self._clock.now())
-        if self._shared_of != key or self._shared_parts is None:
-            self._shared_of = key
+        if self._shared_parts_key != key or self._shared_parts is None:
+            self._shared_parts_key = key
             self._shared_parts = SharedParts(
                 parts=call.head.prompt[:-1],
-                places=self._parts,
-                replicas=self._usable.values(),
+                places=self._part_locations,
+                replicas=self._eligible_replicas.values(),
             )
         return self._shared_parts
 
-    def _home(self, key: str, call: Call) -> InstanceId | None:
+    def _find_home(self, key: str, call: Call) -> InstanceId | None:
         """
         Return the replica for a part that no replica is known to have.
 
         All coordinators of a cell choose the same one, so that a successor finds what
         the one before it has placed.
         """
-        tight = self._is_tight(call.route)
+        tight = self._uses_reserved_engines(call.route)
         if (key, tight) not in self._homes:
-            if len(self._homes) >= MOST_HOMES:
+            if len(self._homes) >= MAX_HOMES:
                 self._homes.clear()
             self._homes[key, tight] = max(
-                self._group(tight=tight),
+                self._find_home_candidates(tight=tight),
                 key=lambda item: stable_hash(key, item),
                 default=None,
             )
         return self._homes[key, tight]
 
-    def _group(self, *, tight: bool) -> list[InstanceId]:
+    def _find_home_candidates(self, *, tight: bool) -> list[InstanceId]:
         """Return the replicas among which a home is chosen, near ones if it can be."""
         group = [
-            item for item in self._usable if (item in self._tight) is tight
-        ] or list(self._usable)
+            item
+            for item in self._eligible_replicas
+            if (item in self._reserved) is tight
+        ] or list(self._eligible_replicas)
         return [
             item
             for item in group
-            if self._usable[item].record.data_centre == self._data_centre
+            if self._eligible_replicas[item].record.data_centre == self._data_centre
         ] or group
 
-    def _cost(self, state: ReplicaState, call: Call, now: float) -> float:
-        unread = self._expected_unread(state, call)
-        reading = unread / READ_TOKENS_PER_SECOND
-        backlog = self._backlog(state)
-        cost = UNREAD_WEIGHT * reading + backlog
-        cost += COPY_WEIGHT * self._copied(state, call) / READ_TOKENS_PER_SECOND
-        hot = backlog - self._mean_backlog - HOT_SHARE * call.route.target
+    def _compute_cost(self, state: ReplicaState, call: Call, now: float) -> float:
+        unread = self._estimate_prefill_tokens(state, call)
+        reading = unread / PREFILL_TOKENS_PER_SECOND
+        backlog = self._compute_backlog_seconds(state)
+        cost = PREFILL_WEIGHT * reading + backlog
+        cost += (
+            COPY_WEIGHT
+            * self._count_copied_tokens(state, call)
+            / PREFILL_TOKENS_PER_SECOND
+        )
+        hot = backlog - self._mean_backlog - HOT_BACKLOG_SHARE * call.route.target
         cost += HOT_WEIGHT * max(0.0, hot)
-        cost += RUNNING_COST * (state.own + self._others(state, now))
+        cost += RUNNING_REQUEST_SECONDS * (
+            state.own_requests + self._estimate_other_requests(state, now)
+        )
         if state.record.data_centre != self._data_centre:
-            cost += OTHER_CENTRE_SECONDS
-            cost += OTHER_CENTRE_SECONDS_PER_BYTE * len(call.body)
-        cost += FAILURE_COST * RUNNING_COST * state.failure_rate
-        cost += FULL_SECONDS if self._is_full(state) else 0.0
-        return cost + RUNNING_COST * tie_breaker(state, call)
+            cost += REMOTE_CENTRE_SECONDS
+            cost += REMOTE_CENTRE_SECONDS_PER_BYTE * len(call.body)
+        cost += FAILURE_COST * RUNNING_REQUEST_SECONDS * state.failure_rate
+        cost += FULL_ENGINE_SECONDS if self._is_full(state) else 0.0
+        return cost + RUNNING_REQUEST_SECONDS * tie_breaker(state, call)
--- a/damasklead/gateway/placements/plain.py
+++ b/damasklead/gateway/placements/plain.py
@@ -12,9 +12,9 @@
 __all__ = ["PlainPlacement"]
 
 # Requests of advantage for a replica in this gateway's data centre.
-SAME_CENTRE_BONUS = 0.5
+REMOTE_CENTRE_REQUESTS = 0.5
 # Weight of other gateways' requests: every gateway has the same late figures.
-OTHERS_WEIGHT = 0.5
+OTHER_REQUESTS_WEIGHT = 0.5
 
 
 class PlainPlacement(Placement):
@@ -25,9 +25,12 @@
     own, where a request that waits behind another one is late.
     """
 
-    def _cost(self, state: ReplicaState, call: Call, now: float) -> float:
-        cost = state.own + OTHERS_WEIGHT * self._others(state, now)
+    def _compute_cost(self, state: ReplicaState, call: Call, now: float) -> float:
+        cost = (
+            state.own_requests
+            + OTHER_REQUESTS_WEIGHT * self._estimate_other_requests(state, now)
+        )
         if state.record.data_centre != self._data_centre:
-            cost += SAME_CENTRE_BONUS
+            cost += REMOTE_CENTRE_REQUESTS
         cost += FAILURE_COST * state.failure_rate
         return cost + tie_breaker(state, call)
--- a/damasklead/gateway/placements/prefixes.py
+++ b/damasklead/gateway/placements/prefixes.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable
 
 from damasklead.gateway.calls import PromptPart
-from damasklead.gateway.partplaces import PartPlaces
+from damasklead.gateway.partplaces import PartLocations
 from damasklead.gateway.replicastate import ReplicaState
 
 __all__ = ["SharedParts"]
@@ -23,7 +23,7 @@
     Parameters
     ----------
     parts : tuple of PromptPart
-    places : PartPlaces
+    places : PartLocations
     replicas : iterable of ReplicaState
         Those from which parts may be copied.
     """
@@ -32,27 +32,27 @@
         self,
         *,
         parts: tuple[PromptPart, ...],
-        places: PartPlaces,
+        places: PartLocations,
         replicas: Iterable[ReplicaState],
     ) -> None:
         self._parts = parts
-        self._places = [places.replicas(part.key) for part in parts]
-        self._best = 0
+        self._locations = [places.find_replicas(part.key) for part in parts]
+        self._max_cached_tokens = 0
         self._holder: ReplicaState | None = None
         for state in replicas:
-            tokens = self.at(state)
-            if tokens > self._best:
-                self._best, self._holder = tokens, state
+            tokens = self.count_cached_tokens(state)
+            if tokens > self._max_cached_tokens:
+                self._max_cached_tokens, self._holder = tokens, state
 
     @property
-    def tokens(self) -> int:
+    def total_tokens(self) -> int:
         """All tokens of the shared parts."""
         return sum(part.tokens for part in self._parts)
 
     @property
-    def known(self) -> bool:
+    def is_fully_cached(self) -> bool:
         """Whether some replica has all of them."""
-        return bool(self._parts) and self._best == self.tokens
+        return bool(self._parts) and self._max_cached_tokens == self.total_tokens
 
     @property
     def holder(self) -> ReplicaState | None:
@@ -60,15 +60,15 @@
         return self._holder
 
     @property
-    def best(self) -> int:
+    def max_cached_tokens(self) -> int:
         """How many tokens that replica has."""
-        return self._best
+        return self._max_cached_tokens
 
-    def at(self, state: ReplicaState) -> int:
+    def count_cached_tokens(self, state: ReplicaState) -> int:
         """Return how many tokens a replica has."""
         found = tokens = 0
-        for part, places in zip(self._parts, self._places, strict=True):
+        for part, places in zip(self._parts, self._locations, strict=True):
             tokens += part.tokens
-            if state.key in places or part.key in state.parts:
+            if state.key in places or part.key in state.cached_parts:
                 found = tokens
         return found
--- a/damasklead/gateway/process.py
+++ b/damasklead/gateway/process.py
@@ -135,7 +135,8 @@
     def is_ready(self) -> bool:
         """Whether the process can take requests."""
         listed = (
-            self._fleet.upstreams.last_read_at is not None or not self._directory.empty
+            self._fleet.upstreams.last_read_at is not None
+            or not self._directory.is_empty
         )
         known = self._fleet.configuration.table is not None and listed
         return known and not self._stopping
@@ -210,7 +211,7 @@
 
     def _share_among(self, gateways: int) -> None:
         """Take this gateway's share of what all have together."""
-        self._budget.set_gateways(gateways)
+        self._budget.set_gateway_count(gateways)
         table = self._fleet.configuration.table
         if table is not None and table.services:
             self._connections.set_idle_limit(
@@ -226,15 +227,15 @@
             del self._placements[name]
         for service in table.services.values():
             placement = self._placement_of(service.name)
-            placement.configure(service, table.routes_to(service.name))
+            placement.configure(service, table.find_routes(service.name))
 
     def _arrange(self) -> None:
         """Let the placements see the replicas that may take new work."""
         if self.is_ready:
             self._gate.open()
         for name, placement in self._placements.items():
-            usable = self._directory.usable(name)
-            placement.retain(usable)
+            usable = self._directory.get_eligible_records(name)
+            placement.update_replicas(usable)
             self._metrics.replicas.labels(name).set(len(usable))
 
     def _placement_of(self, name: ServiceName) -> Placement:
@@ -247,7 +248,7 @@
                 clock=self._clock,
                 data_centre=DataCentre(self._settings.data_centre),
             )
-            placement.retain(self._directory.usable(name))
+            placement.update_replicas(self._directory.get_eligible_records(name))
             self._placements[name] = placement
         return placement
 
@@ -281,7 +282,7 @@
             "gateways": self._fleet.gateway_count,
             "cells": self._fleet.coordination.coordinators.state,
             "replicas": {
-                name: sorted(placement.usable)
+                name: sorted(placement.eligible_instances)
                 for name, placement in self._placements.items()
             },
         }
--- a/damasklead/gateway/refusals.py
+++ b/damasklead/gateway/refusals.py
@@ -13,7 +13,7 @@
 from damasklead.failures import Failure
 from damasklead.ids import AttemptId
 
-__all__ = ["Reason", "Refusal", "reason_for"]
+__all__ = ["Reason", "Refusal", "get_refusal_reason"]
 
 
 class Reason(Enum):
@@ -75,7 +75,7 @@
         return _STATUS[self.reason]
 
 
-def reason_for(failure: Failure) -> Reason:
+def get_refusal_reason(failure: Failure) -> Reason:
     """Return why there is no answer, after the last attempt."""
     if failure in (Failure.REFUSED, Failure.PAUSED):
         return Reason.REPLICAS_FULL
--- a/damasklead/gateway/replicafollowing.py
+++ b/damasklead/gateway/replicafollowing.py
@@ -68,10 +68,12 @@
             self._log_full_read(changes)
         else:
             changed_rows = [
-                row for row in changes.items if self._directory.differs(row)
+                row for row in changes.items if self._directory.affects_placement(row)
             ]
             self.change_log.append(changed_rows, changes.cursor)
-        self._report_changes(self._directory.apply(changes.items, whole=changes.whole))
+        self._report_changes(
+            self._directory.apply_rows(changes.items, whole=changes.whole)
+        )
 
     def _log_full_read(self, changes: Changes[ListedRow]) -> None:
         """
@@ -85,10 +87,12 @@
             self.change_log.reset(changes.cursor)
             return
         present = {row.instance for row in changes.items}
-        changed_rows = [row for row in changes.items if self._directory.differs(row)]
+        changed_rows = [
+            row for row in changes.items if self._directory.affects_placement(row)
+        ]
         changed_rows += [
             ListedRow(instance=row.instance, position=changes.cursor, record=None)
-            for row in self._directory.rows()
+            for row in self._directory.list_rows()
             if row.instance not in present
         ]
         self.change_log.append_diff(changed_rows, changes.cursor)
@@ -106,7 +110,7 @@
             self._plan.record_peer_update(
                 last_change=_last_change(rows), complete_up_to=cursor
             )
-        self._report_changes(self._directory.apply(rows, whole=False))
+        self._report_changes(self._directory.apply_rows(rows, whole=False))
 
     def apply_peer_changes(
         self,
@@ -141,7 +145,7 @@
         self._plan.record_peer_update(
             last_change=_last_change(rows), complete_up_to=cursor
         )
-        self._report_changes(self._directory.apply(changed_rows, whole=False))
+        self._report_changes(self._directory.apply_rows(changed_rows, whole=False))
 
     @property
     def cursor(self) -> Position:
@@ -150,19 +154,19 @@
 
     def handle_restore(self, cursor: Position) -> None:
         """Pass on that the store was restored: the list may lack newer entries."""
-        self._directory.list_restored(cursor)
+        self._directory.mark_store_restored(cursor)
 
     def handle_outage(self) -> None:
         """Pass on that the list can't be read: removals may be expired entries."""
-        self._directory.list_lost()
+        self._directory.mark_list_unreachable()
 
     def handle_recovery(self) -> None:
         """Pass on that the list can be read again."""
-        self._directory.list_back()
+        self._directory.mark_list_reachable()
 
     def expire(self) -> None:
         """Remove replicas that haven't renewed their entry in time after an outage."""
-        self._report_changes(self._directory.expire())
+        self._report_changes(self._directory.drop_expired())
 
     def _report_changes(self, changes: list[str]) -> None:
         if changes:
--- a/damasklead/gateway/routing.py
+++ b/damasklead/gateway/routing.py
@@ -128,7 +128,7 @@
             return self.resumable
         return self.kind is RouteKind.IDEMPOTENT
 
-    def service_for(self, seed: str) -> ServiceName:
+    def select_service(self, seed: str) -> ServiceName:
         """
         Return the service for a request, by weight.
 
@@ -191,9 +191,9 @@
     >>> table = RoutingTable(content=RoutingContent(
     ...     version=3, routes=[route], services=[], workspaces=None,
     ...     limits=CallerLimits()))
-    >>> table.match("ICE.example:80", "/chat/7?x=/").name
+    >>> table.match_route("ICE.example:80", "/chat/7?x=/").name
     'chat'
-    >>> table.match("ice.example", "/chatter") is None
+    >>> table.match_route("ice.example", "/chatter") is None
     True
     """
 
@@ -225,7 +225,7 @@
         return self._content.limits
 
     @property
-    def needs_keys(self) -> bool:
+    def requires_keys(self) -> bool:
         """Whether requests on routes that are not public need a key."""
         return self._content.workspaces is not None
 
@@ -239,7 +239,7 @@
         """All routes."""
         return self._content.routes
 
-    def routes_to(self, service: ServiceName) -> list[Route]:
+    def find_routes(self, service: ServiceName) -> list[Route]:
         """Return the routes that lead to a service."""
         return [
             route
@@ -247,9 +247,9 @@
             if any(name == service for name, _ in route.split)
         ]
 
-    def match(self, host: str, target: str) -> Route | None:
+    def match_route(self, host: str, target: str) -> Route | None:
         """Return the route with the longest prefix of a request's path."""
-        prefixes = self._by_host.get(_bare_host(host))
+        prefixes = self._by_host.get(_strip_port(host))
         if not prefixes:
             return None
         path = target.partition("?")[0]
@@ -261,11 +261,11 @@
             end = path.rfind("/", 0, end)
         return None
 
-    def workspace_of(self, key: ApiKey) -> Workspace | None:
+    def find_workspace(self, key: ApiKey) -> Workspace | None:
         """Return the workspace that holds a key."""
         return self._by_key.get(key)
 
 
-def _bare_host(host: str) -> str:
+def _strip_port(host: str) -> str:
     name, colon, port = host.rpartition(":")
     return (name if colon and port.isdigit() else host).lower()
--- a/damasklead/platform/headers.py
+++ b/damasklead/platform/headers.py
@@ -85,7 +85,7 @@
             target=target,
             host=values.get(b"host", b"").decode("latin-1"),
             attempt=AttemptId(attempt.decode("latin-1")),
-            patience=_milliseconds(values.get(DEADLINE)),
+            caller_timeout=_milliseconds(values.get(DEADLINE)),
             key=_api_key(values.get(AUTHORIZATION)),
             prompt=_prompt_parts(values.get(PREFIX, b"")),
             prompt_tokens=prompt_tokens,
@@ -131,7 +131,7 @@
             closing=b"close" in values.get(b"connection", b"").lower(),
             leaving=values.get(LEAVING, b"0").strip() not in (b"", b"0"),
             keep_alive=_keep_alive(values.get(b"keep-alive", b"")),
-            pause=_seconds(values.get(RETRY_AFTER))
+            retry_after=_seconds(values.get(RETRY_AFTER))
             if status == UNAVAILABLE_STATUS
             else None,
         )
--- a/tests/gatewaykit.py
+++ b/tests/gatewaykit.py
@@ -198,12 +198,14 @@
             clock=self.clock,
             data_centre=DataCentre("hout"),
         )
-        self.placement.retain(replica.record for replica in replicas)
+        self.placement.update_replicas(replica.record for replica in replicas)
         self.budget = SharedRetryBudget(
             clock=self.clock, ratio=0.2, allowance=100.0, window=10.0
         )
         self.quarantined: list[Fingerprint] = []
-        self.containment = Containment(clock=self.clock, named=self.quarantined.append)
+        self.containment = Containment(
+            clock=self.clock, on_quarantine=self.quarantined.append
+        )
         self.journal = Journal(instance="gateway-1")
         self.gate = StartGate()
         self.gate.open()
@@ -259,7 +261,7 @@
 
     def _note_left(self, record: UpstreamRecord, sign: str) -> None:
         self.left.append(record.instance)
-        self.placement.retain(
+        self.placement.update_replicas(
             replica.record
             for replica in self.replicas
             if replica.record.instance not in self.left
--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -74,7 +74,11 @@
 
 @pytest.mark.parametrize(
     ("constant", "without"),
-    [("COPY_WEIGHT", 0.0), ("BESIDE_SHARE", 0.0), ("TIGHT_SHARE", 0.0)],
+    [
+        ("COPY_WEIGHT", 0.0),
+        ("INTERLEAVED_PREFILL_SHARE", 0.0),
+        ("MIN_RESERVED_SHARE", 0.0),
+    ],
 )
 def test_each_part_of_the_placement_serves_the_burst_better(
     experiment: Experiment,
@@ -93,7 +97,7 @@
 ) -> None:
     with_copies = [replay(experiment, seed=seed) for seed in SEEDS]
     monkeypatch.setattr(
-        engine_placement.EnginePlacement, "copy_source", lambda *_: None
+        engine_placement.EnginePlacement, "find_copy_source", lambda *_: None
     )
     without = [replay(experiment, seed=seed) for seed in SEEDS]
     again = sum(tally.read_again for tally in with_copies)
--- a/tests/test_gateway_admission.py
+++ b/tests/test_gateway_admission.py
@@ -56,7 +56,7 @@
         patience = kind.timeout if patience is None else patience
         head = CallHead(
             method="POST", target="/", host="h", attempt=AttemptId(name),
-            patience=patience, key=None,
+            caller_timeout=patience, key=None,
         )  # fmt: skip
         call = Call(
             head=head, route=kind, service=LLM, workspace=None, arrival=now,
--- a/tests/test_gateway_broadcasts.py
+++ b/tests/test_gateway_broadcasts.py
@@ -168,7 +168,7 @@
         self.down = False
         self.directory = UpstreamDirectory(clock=clock)
         self.departures = DepartureLog(clock=clock)
-        self.containment = Containment(clock=clock, named=lambda _name: None)
+        self.containment = Containment(clock=clock, on_quarantine=lambda _name: None)
         reports = ListReports(clock=clock)
         self.plans = [
             ReadPlan(
@@ -217,7 +217,7 @@
 
     @property
     def replicas(self) -> list[str]:
-        return [item.instance for item in self.directory.usable(SERVICE)]
+        return [item.instance for item in self.directory.get_eligible_records(SERVICE)]
 
     @property
     def version(self) -> int:
@@ -226,7 +226,7 @@
 
     def apply_departures(self, notes: list[Departure]) -> None:
         for note in notes:
-            self.directory.mark_left(note.instance, note.incarnation)
+            self.directory.mark_departed(note.instance, note.incarnation)
 
     def copy_configuration(self, name: str) -> None:
         """Take another gateway's configuration, as its snapshot holds it."""
@@ -444,15 +444,15 @@
     fleet.store.away = True
     fleet.run(3.0)
     told = next(item for item in fleet.up if item is not fleet.first)
-    told.directory.mark_left(InstanceId("r1"), 1)
+    told.directory.mark_departed(InstanceId("r1"), 1)
     told.departures.record(InstanceId("r1"), 1)
     before = fleet.datagrams
     fleet.run(1.0)
     assert all("r1" not in gateway.replicas for gateway in fleet.up)
     assert fleet.datagrams - before < 8 * 40
     newcomer = UpstreamDirectory(clock=fleet.clock)
-    newcomer.apply(fleet.first.directory.rows(), whole=False)
-    left = [item for item in newcomer.rows() if item.instance == "r1"]
+    newcomer.apply_rows(fleet.first.directory.list_rows(), whole=False)
+    left = [item for item in newcomer.list_rows() if item.instance == "r1"]
     assert left[0].record.state is UpstreamState.LEAVING
 
 
@@ -461,7 +461,7 @@
     fleet.run(4.0)
     seen: dict[str, list[CrashNote]] = {name: [] for name in fleet.gateways}
     for name, gateway in fleet.gateways.items():
-        gateway.containment.take = seen[name].extend
+        gateway.containment.apply_notes = seen[name].extend
     note = CrashNote(InstanceId("r1"), 1, (Fingerprint("f"),))
     told = next(item for item in fleet.up if item is not fleet.first)
     fleet.deliver(told.name, fleet.first.name, PeerReport(told.name, [note], []))
--- a/tests/test_gateway_callers.py
+++ b/tests/test_gateway_callers.py
@@ -149,7 +149,9 @@
         if cause == "time is over":
             assert read_answer(caller, b"too-late").startswith(b"HTTP/1.1 503")
     wait_until(lambda: created_world.forwarder.active_requests == 0)
-    assert [state.own for state in created_world.placement._replicas.values()] == [0]
+    assert [
+        state.own_requests for state in created_world.placement._replicas.values()
+    ] == [0]
     created_world.stop()
 
 
--- a/tests/test_gateway_containment.py
+++ b/tests/test_gateway_containment.py
@@ -9,11 +9,11 @@
 from damasklead.clock import ManualClock
 from damasklead.gateway.calls import Call, CallHead, UpstreamRecord, UpstreamState
 from damasklead.gateway.containment import (
-    CONFIRM_SECONDS,
+    CRASH_CONFIRM_SECONDS,
     CRASHES_TO_REFUSE,
     Containment,
     CrashNote,
-    fingerprint_of,
+    compute_fingerprint,
 )
 from damasklead.gateway.messages import PeerReport
 from damasklead.ids import AttemptId, DataCentre, Fingerprint, InstanceId
@@ -30,7 +30,7 @@
             target=path,
             host="koue.example",
             attempt=AttemptId(f"a{number}"),
-            patience=None,
+            caller_timeout=None,
             key=None,
         ),
         route=IDEMPOTENT,
@@ -61,7 +61,7 @@
         self.clock = ManualClock()
         self.named: list[Fingerprint] = []
         self.gateways = [
-            Containment(clock=self.clock, named=self.named.append)
+            Containment(clock=self.clock, on_quarantine=self.named.append)
             for _ in range(gateways)
         ]
 
@@ -69,14 +69,14 @@
         """Let a replica crash that ran these calls of each gateway."""
         for gateway, own in zip(self.gateways, calls, strict=True):
             for item in own:
-                gateway.broke(record, item)
-            gateway.unreachable(record)
+                gateway.record_broken_response(record, item)
+            gateway.record_connection_failure(record)
 
     def exchange(self) -> None:
         """Let all tell their notes, and a second pass."""
         for gateway in self.gateways:
             for other in self.gateways:
-                other.take(gateway.notes)
+                other.apply_notes(gateway.notes)
         self.clock.advance(1.1)
         for gateway in self.gateways:
             gateway.tick()
@@ -87,7 +87,7 @@
     poison, runs = call("/poison"), 0
     for number in range(12):
         gateway = number % 8
-        if fleet.gateways[gateway].refuses(poison):
+        if fleet.gateways[gateway].should_refuse(poison):
             continue
         runs += 1
         calls = [[call(f"/{number}/{index}")] for index in range(8)]
@@ -95,15 +95,15 @@
         fleet.crash(replica(f"r{number}"), calls)
         fleet.exchange()
     assert runs <= CRASHES_TO_REFUSE + MOST_LATER_RETRIES
-    assert all(gateway.refuses(poison) for gateway in fleet.gateways)
-    assert not fleet.gateways[0].refuses(call("/0/0"))
+    assert all(gateway.should_refuse(poison) for gateway in fleet.gateways)
+    assert not fleet.gateways[0].should_refuse(call("/0/0"))
 
 
 def test_a_common_request_is_not_blamed_for_crashes_that_it_was_near() -> None:
     fleet = Fleet(2)
     for number in range(9):
         for gateway in fleet.gateways:
-            gateway.ended_well(call("/stock"))
+            gateway.record_success(call("/stock"))
         fleet.crash(replica(f"r{number}"), [[call("/stock")], [call("/stock")]])
         fleet.exchange()
     assert not fleet.named
@@ -115,7 +115,7 @@
         fleet.crash(replica(f"r{number}"), [[call("/stock")]])
         fleet.exchange()
         if number == CRASHES_TO_REFUSE - 2:
-            fleet.gateways[0].ended_well(call("/stock"))
+            fleet.gateways[0].record_success(call("/stock"))
             break
     fleet.clock.advance(120.0)
     fleet.crash(replica("r10"), [[call("/stock")]])
@@ -128,12 +128,12 @@
     (gateway,) = fleet.gateways
     records = [replica(f"r{number}") for number in range(9)]
     for record in records:
-        gateway.broke(record, call("/reset"))
-        gateway.retain(records)
+        gateway.record_broken_response(record, call("/reset"))
+        gateway.update_replicas(records)
         fleet.exchange()
-    fleet.clock.advance(CONFIRM_SECONDS)
+    fleet.clock.advance(CRASH_CONFIRM_SECONDS)
     gateway.tick()
-    gateway.retain([])
+    gateway.update_replicas([])
     fleet.exchange()
     assert not fleet.named
     assert not gateway.notes
@@ -143,10 +143,10 @@
     fleet = Fleet(1)
     (gateway,) = fleet.gateways
     for number in range(CRASHES_TO_REFUSE):
-        gateway.broke(replica("r1", number), call("/poison"))
-        gateway.retain([replica("r1", number + 1)])
+        gateway.record_broken_response(replica("r1", number), call("/poison"))
+        gateway.update_replicas([replica("r1", number + 1)])
         fleet.exchange()
-    assert fleet.named == [fingerprint_of(call("/poison"))]
+    assert fleet.named == [compute_fingerprint(call("/poison"))]
 
 
 def test_notes_go_through_a_datagram() -> None:
@@ -168,7 +168,7 @@
         answers = []
         for _ in range(9):
             answers.append(world.ask("/read/1"))
-            world.containment.retain([])
+            world.containment.update_replicas([])
             gevent.sleep(1.1)
             world.containment.tick()
         runs = sum(len(item.requests) for item in world.replicas)
--- a/tests/test_gateway_fuzz.py
+++ b/tests/test_gateway_fuzz.py
@@ -17,8 +17,8 @@
 from damasklead.gateway.calls import ReplyKind, UpstreamRecord, UpstreamState
 from damasklead.gateway.dialect import RequestHeadError
 from damasklead.gateway.directory import (
-    LAPSE_DOUBT_SECONDS,
     LAPSE_GRACE_SECONDS,
+    LAPSE_WINDOW_SECONDS,
     ListedRow,
     UpstreamDirectory,
 )
@@ -109,26 +109,26 @@
     @rule()
     def list_goes(self) -> None:
         self.reachable = False
-        self.directory.list_lost()
+        self.directory.mark_list_unreachable()
 
     @rule()
     def list_returns(self) -> None:
         if not self.reachable:
             self.reachable = True
             self.outage_ended = self.clock.now()
-            self.directory.list_back()
+            self.directory.mark_list_reachable()
             self._read()
 
     @rule(whole=st.booleans())
     def is_read(self, whole: bool) -> None:
         if self.reachable:
-            self.directory.list_back()
+            self.directory.mark_list_reachable()
             self._read(whole=whole)
 
     @rule(seconds=st.sampled_from([0.2, 1.0, 3.0]))
     def time_passes(self, seconds: float) -> None:
         self.clock.advance(seconds)
-        self.directory.expire()
+        self.directory.drop_expired()
 
     def _read(self, *, whole: bool = False) -> None:
         rows = self.unread
@@ -145,21 +145,23 @@
                 for name, truth in self.truth.items()
                 if truth.listed
             ]
-        self.directory.apply(rows, whole=whole)
+        self.directory.apply_rows(rows, whole=whole)
         self.unread = []
 
     @invariant()
     def what_left_gets_no_work_once_it_was_read(self) -> None:
         if self.unread or not self.reachable:
             return
-        usable = {item.instance for item in self.directory.usable(SERVICE)}
+        usable = {
+            item.instance for item in self.directory.get_eligible_records(SERVICE)
+        }
         now = self.clock.now()
         for name, truth in self.truth.items():
             if truth.listed:
                 assert (name in usable) is not truth.leaving
             elif name in usable:
                 # Only a removal around an outage may be a lapse, and not for long.
-                limit = LAPSE_DOUBT_SECONDS + LAPSE_GRACE_SECONDS
+                limit = LAPSE_WINDOW_SECONDS + LAPSE_GRACE_SECONDS
                 assert now - self.outage_ended <= limit
 
 
--- a/tests/test_gateway_partplaces.py
+++ b/tests/test_gateway_partplaces.py
@@ -8,10 +8,10 @@
 from damasklead.clock import ManualClock
 from damasklead.gateway.calls import Call, PromptPart
 from damasklead.gateway.partplaces import (
-    LEAST_TOKENS,
-    MOST_PARTS,
-    MOST_PLACES,
-    PartPlaces,
+    MAX_PARTS,
+    MAX_REPLICAS_PER_PART,
+    MIN_TOKENS,
+    PartLocations,
 )
 from damasklead.gateway.placements import EnginePlacement
 from damasklead.gateway.routing import EngineSpec, ServiceSpec
@@ -46,17 +46,17 @@
             service=service, clock=clock, data_centre=DataCentre(centre)
         )
         self.placement.configure(service, [CHAT, REVIEW])
-        self.placement.retain(
+        self.placement.update_replicas(
             record(f"e{number}", address=f"127.0.0.1:{number + 1}")
             for number in range(9)
         )
 
     def send(self, call: Call) -> tuple[InstanceId, str | None]:
         """Place a request; returns the engine and from where it copies."""
-        chosen = self.placement.choose(call)
+        chosen = self.placement.choose_replica(call)
         assert chosen is not None
-        source = self.placement.copy_source(chosen.instance, call)
-        self.placement.sent(chosen.instance, call)
+        source = self.placement.find_copy_source(chosen.instance, call)
+        self.placement.record_sent(chosen.instance, call)
         return chosen.instance, source
 
 
@@ -72,7 +72,7 @@
     engine, _ = cell.send(review("r1"))
     long = tuple(PromptPart(f"long{number}", 40_000) for number in range(2))
     for number in range(4):
-        cell.placement.sent(engine, review(f"x{number}", long))
+        cell.placement.record_sent(engine, review(f"x{number}", long))
     chosen, source = cell.send(review("r3"))
     assert chosen != engine
     assert source == f"127.0.0.1:{int(engine[1:]) + 1}"
@@ -95,16 +95,16 @@
         )
         for number in range(9)
     ]
-    gateway.placement.retain(records)
+    gateway.placement.update_replicas(records)
     for item in records:
-        assert gateway.placement.copy_source(item.instance, review("r2")) is None
+        assert gateway.placement.find_copy_source(item.instance, review("r2")) is None
 
 
 def test_an_engine_that_left_is_no_source() -> None:
     clock = ManualClock()
     gateway = Cell(clock)
     engine, _ = gateway.send(review("r1"))
-    gateway.placement.retain(
+    gateway.placement.update_replicas(
         record(f"e{number}") for number in range(9) if f"e{number}" != engine
     )
     chosen, source = gateway.send(review("r2"))
@@ -112,9 +112,9 @@
 
 
 def test_small_parts_are_not_remembered() -> None:
-    places = PartPlaces(clock=ManualClock())
-    places.sent("small", LEAST_TOKENS - 1, InstanceId("e1"))
-    assert not places.replicas("small")
+    places = PartLocations(clock=ManualClock())
+    places.record_sent("small", MIN_TOKENS - 1, InstanceId("e1"))
+    assert not places.find_replicas("small")
 
 
 class MovingClock(ManualClock):
@@ -130,32 +130,32 @@
 ) -> None:
     gateway = Cell(MovingClock())
     looks: list[str] = []
-    replicas = PartPlaces.replicas
+    replicas = PartLocations.find_replicas
 
-    def look(places: PartPlaces, name: str) -> dict[int, float]:
+    def look(places: PartLocations, name: str) -> dict[int, float]:
         looks.append(name)
         return replicas(places, name)
 
-    monkeypatch.setattr(PartPlaces, "replicas", look)
-    assert gateway.placement.choose(review("r1")) is not None
+    monkeypatch.setattr(PartLocations, "find_replicas", look)
+    assert gateway.placement.choose_replica(review("r1")) is not None
     assert looks == ["contract", "subject"]
 
 
 def test_what_is_remembered_is_bounded() -> None:
-    places = PartPlaces(clock=ManualClock())
-    for number in range(2 * MOST_PLACES):
-        places.sent("hot", LEAST_TOKENS, InstanceId(f"e{number}"))
-    assert len(places.replicas("hot")) == MOST_PLACES
-    assert short_key(f"e{2 * MOST_PLACES - 1}") in places.replicas("hot")
-    for number in range(MOST_PARTS + 1):
-        places.sent(f"p{number}", LEAST_TOKENS, InstanceId("e1"))
-    assert not places.replicas("hot")
+    places = PartLocations(clock=ManualClock())
+    for number in range(2 * MAX_REPLICAS_PER_PART):
+        places.record_sent("hot", MIN_TOKENS, InstanceId(f"e{number}"))
+    assert len(places.find_replicas("hot")) == MAX_REPLICAS_PER_PART
+    assert short_key(f"e{2 * MAX_REPLICAS_PER_PART - 1}") in places.find_replicas("hot")
+    for number in range(MAX_PARTS + 1):
+        places.record_sent(f"p{number}", MIN_TOKENS, InstanceId("e1"))
+    assert not places.find_replicas("hot")
 
 
 def test_a_first_request_stays_in_its_data_centre() -> None:
     clock = ManualClock()
     gateway = Cell(clock, centre=str(HERE))
-    gateway.placement.retain(
+    gateway.placement.update_replicas(
         record(f"e{number}", data_centre=DataCentre(("hout", "mossel")[number % 2]))
         for number in range(10)
     )
@@ -164,7 +164,7 @@
         parts = (PromptPart(f"s{number}", 3000), PromptPart(f"o{number}", 3000))
         call = review(f"r{number}", parts)
         call.body = bytes(12_000)
-        chosen = gateway.placement.choose(call)
+        chosen = gateway.placement.choose_replica(call)
         assert chosen is not None
         centres.add(chosen.data_centre)
     assert centres == {HERE}
@@ -172,10 +172,10 @@
 
 def test_what_some_engine_has_need_not_be_read_before_a_request_is_weighed() -> None:
     cell = Cell(ManualClock())
-    alone = cell.placement.reading_of(review("r1"))
+    alone = cell.placement.estimate_prefill_seconds(review("r1"))
     engine, _ = cell.send(review("r1"))
-    assert cell.placement.reading_of(review("r2")) < alone / 2
-    cell.placement.retain(
+    assert cell.placement.estimate_prefill_seconds(review("r2")) < alone / 2
+    cell.placement.update_replicas(
         record(f"e{number}") for number in range(9) if f"e{number}" != engine
     )
-    assert cell.placement.reading_of(review("r3")) == alone
+    assert cell.placement.estimate_prefill_seconds(review("r3")) == alone
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -19,7 +19,7 @@
 )
 from damasklead.gateway.dialect import Changes, Feed, FeedError, FeedFault
 from damasklead.gateway.directory import (
-    MOST_VERSIONS,
+    MAX_REMEMBERED_REPLICAS,
     ListedRow,
     UpstreamDirectory,
 )
@@ -69,90 +69,90 @@
 
 
 def names(directory: UpstreamDirectory) -> list[str]:
-    return [item.instance for item in directory.usable(SERVICE)]
+    return [item.instance for item in directory.get_eligible_records(SERVICE)]
 
 
 class TestDirectory:
     def test_leaving_and_removed_replicas_get_no_work(self) -> None:
         directory = UpstreamDirectory(clock=ManualClock())
-        directory.apply([row("a", 1), row("b", 2), row("c", 3)], whole=True)
-        directory.apply([row("a", 4, state=UpstreamState.LEAVING)], whole=False)
-        directory.apply([gone("b", 5)], whole=False)
+        directory.apply_rows([row("a", 1), row("b", 2), row("c", 3)], whole=True)
+        directory.apply_rows([row("a", 4, state=UpstreamState.LEAVING)], whole=False)
+        directory.apply_rows([gone("b", 5)], whole=False)
         assert names(directory) == ["c"]
 
     def test_leaving_is_final_until_the_replica_starts_again(self) -> None:
         directory = UpstreamDirectory(clock=ManualClock())
-        directory.apply([row("a", 1, state=UpstreamState.LEAVING)], whole=True)
-        directory.apply([row("a", 2)], whole=False)
+        directory.apply_rows([row("a", 1, state=UpstreamState.LEAVING)], whole=True)
+        directory.apply_rows([row("a", 2)], whole=False)
         assert names(directory) == []
-        directory.apply([row("a", 3, incarnation=2)], whole=False)
+        directory.apply_rows([row("a", 3, incarnation=2)], whole=False)
         assert names(directory) == ["a"]
 
     def test_an_older_entry_does_not_replace_a_newer_one(self) -> None:
         directory = UpstreamDirectory(clock=ManualClock())
-        directory.apply([row("a", 7, address="127.0.0.1:7")], whole=True)
-        directory.apply([row("a", 6, address="127.0.0.1:6")], whole=False)
-        assert directory.usable(SERVICE)[0].address == "127.0.0.1:7"
+        directory.apply_rows([row("a", 7, address="127.0.0.1:7")], whole=True)
+        directory.apply_rows([row("a", 6, address="127.0.0.1:6")], whole=False)
+        assert directory.get_eligible_records(SERVICE)[0].address == "127.0.0.1:7"
 
     def test_entries_that_lapsed_in_an_outage_are_kept_until_they_may_be_back(
         self,
     ) -> None:
         clock = ManualClock()
         directory = UpstreamDirectory(clock=clock)
-        directory.apply([row("a", 1), row("b", 2)], whole=True)
-        directory.list_lost()
+        directory.apply_rows([row("a", 1), row("b", 2)], whole=True)
+        directory.mark_list_unreachable()
         clock.advance(5.0)
-        directory.list_back()
-        directory.apply([gone("a", 3), gone("b", 4)], whole=False)
+        directory.mark_list_reachable()
+        directory.apply_rows([gone("a", 3), gone("b", 4)], whole=False)
         assert names(directory) == ["a", "b"]
         clock.advance(1.0)
-        directory.apply([row("a", 5)], whole=False)
+        directory.apply_rows([row("a", 5)], whole=False)
         clock.advance(1.5)
-        directory.expire()
+        directory.drop_expired()
         assert names(directory) == ["a"]
 
     def test_a_removal_long_after_an_outage_counts_at_once(self) -> None:
         clock = ManualClock()
         directory = UpstreamDirectory(clock=clock)
-        directory.apply([row("a", 1), row("b", 2)], whole=True)
-        directory.list_lost()
-        directory.list_back()
+        directory.apply_rows([row("a", 1), row("b", 2)], whole=True)
+        directory.mark_list_unreachable()
+        directory.mark_list_reachable()
         clock.advance(3.0)
-        directory.apply([gone("a", 3)], whole=False)
+        directory.apply_rows([gone("a", 3)], whole=False)
         assert names(directory) == ["b"]
 
     def test_a_drain_during_an_outage_counts_at_once(self) -> None:
         directory = UpstreamDirectory(clock=ManualClock())
-        directory.apply([row("a", 1), row("b", 2)], whole=True)
-        directory.list_lost()
-        directory.list_back()
+        directory.apply_rows([row("a", 1), row("b", 2)], whole=True)
+        directory.mark_list_unreachable()
+        directory.mark_list_reachable()
         rows = [row("a", 3, state=UpstreamState.LEAVING), row("b", 2)]
-        directory.apply(rows, whole=True)
+        directory.apply_rows(rows, whole=True)
         assert names(directory) == ["b"]
 
     def test_replicas_that_are_gone_are_forgotten_in_the_end(self) -> None:
         directory = UpstreamDirectory(clock=ManualClock())
-        directory.apply([row("a", 1)], whole=True)
-        for number in range(MOST_VERSIONS + 10):
-            directory.apply([row(f"x{number}", 2 * number + 2)], whole=False)
-            directory.apply([gone(f"x{number}", 2 * number + 3)], whole=False)
-        assert len(directory._positions) <= MOST_VERSIONS + 1
-        assert len(directory._removals) <= MOST_VERSIONS
+        directory.apply_rows([row("a", 1)], whole=True)
+        for number in range(MAX_REMEMBERED_REPLICAS + 10):
+            directory.apply_rows([row(f"x{number}", 2 * number + 2)], whole=False)
+            directory.apply_rows([gone(f"x{number}", 2 * number + 3)], whole=False)
+        assert len(directory._positions) <= MAX_REMEMBERED_REPLICAS + 1
+        assert len(directory._removals) <= MAX_REMEMBERED_REPLICAS
         assert names(directory) == ["a"]
 
     def test_so_are_those_that_were_listed_as_leaving(self) -> None:
         directory = UpstreamDirectory(clock=ManualClock())
-        for number in range(MOST_VERSIONS + 10):
+        for number in range(MAX_REMEMBERED_REPLICAS + 10):
             leaving = row(f"x{number}", 2 * number, state=UpstreamState.LEAVING)
-            directory.apply([leaving], whole=False)
-            directory.apply([gone(f"x{number}", 2 * number + 1)], whole=False)
-        assert len(directory._left) <= MOST_VERSIONS
+            directory.apply_rows([leaving], whole=False)
+            directory.apply_rows([gone(f"x{number}", 2 * number + 1)], whole=False)
+        assert len(directory._departed) <= MAX_REMEMBERED_REPLICAS
 
     def test_a_replica_whose_address_another_one_has_gets_no_work(self) -> None:
         directory = UpstreamDirectory(clock=ManualClock())
-        directory.apply([row("a", 1)], whole=True)
-        assert directory.mark_left(InstanceId("a"), 1)
-        assert not directory.mark_left(InstanceId("a"), 1)
+        directory.apply_rows([row("a", 1)], whole=True)
+        assert directory.mark_departed(InstanceId("a"), 1)
+        assert not directory.mark_departed(InstanceId("a"), 1)
         assert names(directory) == []
 
 
@@ -281,17 +281,21 @@
         taken = 0
         for number in range(1200):
             budget = budgets[number % 12]
-            budget.record_first(SERVICE)
-            taken += budget.take(SERVICE) + budget.take(SERVICE)
+            budget.record_first_attempt(SERVICE)
+            taken += budget.acquire_retry(SERVICE) + budget.acquire_retry(SERVICE)
             clock.advance(0.008)
         assert 0.1 * 1200 < taken <= 0.2 * 1200 + 56
 
     def test_services_have_budgets_of_their_own(self) -> None:
         budget = SharedRetryBudget(
-            clock=ManualClock(), ratio=0.2, allowance=16.0, window=10.0, used=1.0
+            clock=ManualClock(),
+            ratio=0.2,
+            allowance=16.0,
+            window=10.0,
+            used_fraction=1.0,
         )
-        assert budget.take(SERVICE) and not budget.take(SERVICE)
-        assert budget.take(ServiceName("other"))
+        assert budget.acquire_retry(SERVICE) and not budget.acquire_retry(SERVICE)
+        assert budget.acquire_retry(ServiceName("other"))
 
 
 class TestEvents:
@@ -319,7 +323,7 @@
 
 def make_call(name: str, route: Route, *, parts: tuple = (), tokens: int = 0) -> Call:
     head = CallHead(
-        method="POST", target="/", host="", attempt=AttemptId(name), patience=5.0,
+        method="POST", target="/", host="", attempt=AttemptId(name), caller_timeout=5.0,
         key=None, prompt=parts, prompt_tokens=tokens,
     )  # fmt: skip
     return Call(
@@ -357,7 +361,7 @@
             clock=self.clock,
             data_centre=HERE,
         )
-        placement.retain(records)
+        placement.update_replicas(records)
         return placement
 
     def test_requests_spread_over_near_replicas_first(self) -> None:
@@ -368,9 +372,9 @@
         chosen = []
         for number in range(3):
             call = make_call(f"q{number}", IDEMPOTENT)
-            found = placement.choose(call)
+            found = placement.choose_replica(call)
             assert found is not None
-            placement.sent(found.instance, call)
+            placement.record_sent(found.instance, call)
             chosen.append(found.instance)
         assert sorted(chosen[:2]) == ["a", "b"] and chosen[2] == "c"
 
@@ -378,40 +382,44 @@
         placement = self.placement(record("a"), record("b"))
         call = make_call("q", IDEMPOTENT)
         for _ in range(3):
-            placement.failed(InstanceId("a"), call, Failure.BROKEN)
-        found = [placement.choose(make_call(f"r{n}", IDEMPOTENT)) for n in range(9)]
+            placement.record_failure(InstanceId("a"), call, Failure.BROKEN)
+        found = [
+            placement.choose_replica(make_call(f"r{n}", IDEMPOTENT)) for n in range(9)
+        ]
         assert {item.instance for item in found if item} == {"b"}
 
     def test_a_replica_that_fails_for_very_long_is_still_counted(self) -> None:
         placement = self.placement(record("a"))
         for _ in range(1200):
-            placement.failed(
+            placement.record_failure(
                 InstanceId("a"), make_call("q", IDEMPOTENT), Failure.BROKEN
             )
         self.clock.advance(5.0)
-        assert placement.choose(make_call("r", IDEMPOTENT)) is not None
+        assert placement.choose_replica(make_call("r", IDEMPOTENT)) is not None
 
     def test_a_silent_replica_is_avoided(self) -> None:
         placement = self.placement(record("a"), record("b"))
         for number in range(4):
-            placement.sent(InstanceId("a"), make_call(f"q{number}", IDEMPOTENT))
+            placement.record_sent(InstanceId("a"), make_call(f"q{number}", IDEMPOTENT))
         for number in range(9):
-            placement.sent(InstanceId("b"), make_call(f"r{number}", IDEMPOTENT))
+            placement.record_sent(InstanceId("b"), make_call(f"r{number}", IDEMPOTENT))
         self.clock.advance(1.0)
-        placement.heard(InstanceId("b"), None)
-        found = placement.choose(make_call("s", IDEMPOTENT))
+        placement.record_response_head(InstanceId("b"), None)
+        found = placement.choose_replica(make_call("s", IDEMPOTENT))
         assert found is not None and found.instance == "b"
 
     def test_other_gateways_requests_count_by_the_replicas_own_word(self) -> None:
         placement = self.placement(record("a"), record("b"))
-        placement.heard(InstanceId("a"), LoadHint(6, 4, 6))
-        found = placement.choose(make_call("s", IDEMPOTENT))
+        placement.record_response_head(InstanceId("a"), LoadHint(6, 4, 6))
+        found = placement.choose_replica(make_call("s", IDEMPOTENT))
         assert found is not None and found.instance == "b"
 
 
 def load(placement: EnginePlacement, instance: InstanceId, tokens: int) -> None:
     """Give an engine a prompt to read."""
-    placement.sent(instance, make_call(f"x-{instance}-{tokens}", REVIEW, tokens=tokens))
+    placement.record_sent(
+        instance, make_call(f"x-{instance}-{tokens}", REVIEW, tokens=tokens)
+    )
 
 
 class TestEnginePlacement:
@@ -424,19 +432,26 @@
         )
         placement = EnginePlacement(service=service, clock=self.clock, data_centre=HERE)
         placement.configure(service, [CHAT, REVIEW])
-        placement.retain(record(f"e{number}") for number in range(count))
+        placement.update_replicas(record(f"e{number}") for number in range(count))
         return placement
 
     def test_tight_streams_run_apart_from_long_prompts(self) -> None:
         placement = self.placement()
         for number in range(40):
-            chat = placement.choose(make_call(f"c{number}", CHAT, tokens=700))
-            review = placement.choose(make_call(f"r{number}", REVIEW, tokens=9000))
-            assert chat is not None and chat.instance in placement.tight
-            assert review is not None and review.instance not in placement.tight
+            chat = placement.choose_replica(make_call(f"c{number}", CHAT, tokens=700))
+            review = placement.choose_replica(
+                make_call(f"r{number}", REVIEW, tokens=9000)
+            )
+            assert chat is not None and chat.instance in placement.reserved_instances
+            assert (
+                review is not None
+                and review.instance not in placement.reserved_instances
+            )
 
     def test_all_gateways_keep_the_same_engines_apart(self) -> None:
-        assert self.placement().tight == self.placement().tight
+        assert (
+            self.placement().reserved_instances == self.placement().reserved_instances
+        )
 
     def test_the_same_subject_goes_to_the_same_engine_at_every_gateway(self) -> None:
         parts = (
@@ -447,7 +462,7 @@
         found = set()
         for number in range(8):
             call = make_call(f"r{number}", REVIEW, parts=parts, tokens=9100)
-            chosen = self.placement().choose(call)
+            chosen = self.placement().choose_replica(call)
             assert chosen is not None
             found.add(chosen.instance)
         assert len(found) == 1
@@ -462,9 +477,9 @@
         found = []
         for number in range(12):
             call = make_call(f"r{number}", REVIEW, parts=parts, tokens=9100)
-            chosen = placement.choose(call)
+            chosen = placement.choose_replica(call)
             assert chosen is not None
-            placement.sent(chosen.instance, call)
+            placement.record_sent(chosen.instance, call)
             found.append(chosen.instance)
         assert len(set(found)) >= 3
 
@@ -472,34 +487,37 @@
         self,
     ) -> None:
         placement = self.placement()
-        before = placement.tight
+        before = placement.reserved_instances
         for _ in range(4):
-            for instance in placement.tight:
-                placement.heard(instance, LoadHint(50, 0, 64))
+            for instance in placement.reserved_instances:
+                placement.record_response_head(instance, LoadHint(50, 0, 64))
             self.clock.advance(0.6)
-        assert before < placement.tight and len(placement.tight) == 5
+        assert (
+            before < placement.reserved_instances
+            and len(placement.reserved_instances) == 5
+        )
         for _ in range(6):
             self.clock.advance(3.1)
-            for instance in placement.tight:
-                placement.heard(instance, LoadHint(2, 0, 64))
-        assert placement.tight == before
+            for instance in placement.reserved_instances:
+                placement.record_response_head(instance, LoadHint(2, 0, 64))
+        assert placement.reserved_instances == before
 
     def test_gateways_that_differ_by_one_engine_agree_on_the_others(self) -> None:
         here, there = self.placement(), self.placement()
-        there.heard(min(there.tight), LoadHint(64, 90, 64))
-        assert here.tight <= there.tight
+        there.record_response_head(min(there.reserved_instances), LoadHint(64, 90, 64))
+        assert here.reserved_instances <= there.reserved_instances
 
     def test_what_was_sent_before_counts(self) -> None:
         placement = self.placement()
         call = make_call("r", REVIEW, tokens=9000)
-        first = placement.choose(call)
-        assert first is not None and placement.has_room(call)
-        for instance in placement.usable:
-            if instance not in placement.tight:
+        first = placement.choose_replica(call)
+        assert first is not None and placement.has_capacity_for(call)
+        for instance in placement.eligible_instances:
+            if instance not in placement.reserved_instances:
                 load(placement, instance, 38_000)
-        assert not placement.has_room(call)
+        assert not placement.has_capacity_for(call)
         load(placement, first.instance, 58_000)
-        other = placement.choose(call)
+        other = placement.choose_replica(call)
         assert other is not None and other.instance != first.instance
 
     def test_only_the_least_urgent_routes_wait_for_room(self) -> None:
@@ -508,41 +526,41 @@
         review = msgspec.structs.replace(REVIEW, target=1.5, tier=2)
         placement = self.placement()
         placement.configure(placement.service, [CHAT, quote, review])
-        for instance in placement.usable:
+        for instance in placement.eligible_instances:
             load(placement, instance, 19_200)
         late_quote = make_call("q", quote, tokens=1800)
         self.clock.advance(1.0)
-        assert placement.is_urgent(late_quote)
-        assert not placement.is_urgent(make_call("r", review, tokens=1800))
-        assert not placement.has_room(make_call("r", review, tokens=1800))
+        assert placement.bypasses_queue(late_quote)
+        assert not placement.bypasses_queue(make_call("r", review, tokens=1800))
+        assert not placement.has_capacity_for(make_call("r", review, tokens=1800))
 
     def test_routes_without_an_allowed_pause_wait_for_room_like_others(self) -> None:
         plain = msgspec.structs.replace(REVIEW, event_gap=None, target=1.0)
         placement = self.placement()
         placement.configure(placement.service, [plain])
-        assert not placement.tight
-        for instance in placement.usable:
+        assert not placement.reserved_instances
+        for instance in placement.eligible_instances:
             load(placement, instance, 6400)
-        assert placement.has_room(make_call("r", plain, tokens=1800))
+        assert placement.has_capacity_for(make_call("r", plain, tokens=1800))
 
 
 def test_a_short_prompt_goes_to_an_engine_of_tight_streams_that_has_little_to_read() -> (
     None
 ):
     placement = TestEnginePlacement().placement()
-    others = [f"e{n}" for n in range(9) if f"e{n}" not in placement.tight]
+    others = [f"e{n}" for n in range(9) if f"e{n}" not in placement.reserved_instances]
     for number, name in enumerate(others):
         busy = make_call(f"b{number}", REVIEW, tokens=9000)
-        placement.sent(InstanceId(name), busy)
+        placement.record_sent(InstanceId(name), busy)
     short, long = (
         make_call(f"s{tokens}", REVIEW, tokens=tokens) for tokens in (1500, 6000)
     )
-    chosen = placement.choose(short)
-    assert chosen is not None and chosen.instance in placement.tight
-    placement.sent(chosen.instance, short)
-    second = placement.choose(long)
-    assert second is not None and second.instance not in placement.tight
-    for name in placement.tight:
-        placement.sent(name, make_call(f"full-{name}", CHAT, tokens=2500))
-    third = placement.choose(make_call("third", REVIEW, tokens=1500))
-    assert third is not None and third.instance not in placement.tight
+    chosen = placement.choose_replica(short)
+    assert chosen is not None and chosen.instance in placement.reserved_instances
+    placement.record_sent(chosen.instance, short)
+    second = placement.choose_replica(long)
+    assert second is not None and second.instance not in placement.reserved_instances
+    for name in placement.reserved_instances:
+        placement.record_sent(name, make_call(f"full-{name}", CHAT, tokens=2500))
+    third = placement.choose_replica(make_call("third", REVIEW, tokens=1500))
+    assert third is not None and third.instance not in placement.reserved_instances
--- a/tests/test_gateway_replica_trouble.py
+++ b/tests/test_gateway_replica_trouble.py
@@ -118,22 +118,22 @@
 
     def test_leaving_persists_when_the_list_entry_is_removed_and_added(self) -> None:
         directory = UpstreamDirectory(clock=ManualClock())
-        directory.apply([row("a", 1), row("b", 2)], whole=True)
-        assert directory.mark_left(InstanceId("a"), 1)
-        directory.apply([gone("a", 3)], whole=False)
-        directory.apply([row("a", 4)], whole=False)
+        directory.apply_rows([row("a", 1), row("b", 2)], whole=True)
+        assert directory.mark_departed(InstanceId("a"), 1)
+        directory.apply_rows([gone("a", 3)], whole=False)
+        directory.apply_rows([row("a", 4)], whole=False)
         assert names(directory) == ["b"]
-        directory.apply([row("a", 5, incarnation=2)], whole=False)
+        directory.apply_rows([row("a", 5, incarnation=2)], whole=False)
         assert names(directory) == ["a", "b"]
 
     def test_leaving_is_reported_to_a_starting_gateway(self) -> None:
         directory = UpstreamDirectory(clock=ManualClock())
-        directory.apply([row("a", 1), row("b", 2)], whole=True)
-        directory.mark_left(InstanceId("a"), 1)
+        directory.apply_rows([row("a", 1), row("b", 2)], whole=True)
+        directory.mark_departed(InstanceId("a"), 1)
         other_directory = UpstreamDirectory(clock=ManualClock())
-        other_directory.apply(directory.rows(), whole=False)
+        other_directory.apply_rows(directory.list_rows(), whole=False)
         assert names(other_directory) == ["b"]
-        assert other_directory.rows()[0].record.state is UpstreamState.LEAVING
+        assert other_directory.list_rows()[0].record.state is UpstreamState.LEAVING
 
     def test_departures_are_reported_to_other_gateways_for_a_time(self) -> None:
         clock = ManualClock()
@@ -188,8 +188,8 @@
         self, worlds: list[World], asked: float, least: float, most: float
     ) -> None:
         world = make_world(worlds, respond)
-        assert least <= world.placement.paused(InstanceId("r0"), asked) <= most
-        assert world.placement.accepts(InstanceId("r0")) is (most == 0.0)
+        assert least <= world.placement.pause_replica(InstanceId("r0"), asked) <= most
+        assert world.placement.accepts_requests(InstanceId("r0")) is (most == 0.0)
 
     def test_a_pause_is_logged(self, worlds: list[World]) -> None:
         world = make_world(worlds, make_pausing_script("nan"), respond)
@@ -202,25 +202,25 @@
     ) -> None:
         world = make_world(worlds, respond)
         record = world.replicas[0].record
-        world.placement.paused(record.instance, 30.0)
-        world.placement.retain([])
-        world.placement.retain([record])
-        assert world.placement.pause_left() is not None
+        world.placement.pause_replica(record.instance, 30.0)
+        world.placement.update_replicas([])
+        world.placement.update_replicas([record])
+        assert world.placement.get_remaining_pause() is not None
         restarted = type(record)(
             **{name: getattr(record, name) for name in record.__struct_fields__}
             | {"incarnation": 2}
         )
-        world.placement.retain([restarted])
-        assert world.placement.pause_left() is None
+        world.placement.update_replicas([restarted])
+        assert world.placement.get_remaining_pause() is None
 
     def test_a_shorter_pause_does_not_replace_a_longer_one(
         self, worlds: list[World]
     ) -> None:
         world = make_world(worlds, respond)
         name = InstanceId("r0")
-        world.placement.paused(name, 30.0)
-        world.placement.paused(name, 0.1)
-        left = world.placement.pause_left()
+        world.placement.pause_replica(name, 30.0)
+        world.placement.pause_replica(name, 0.1)
+        left = world.placement.get_remaining_pause()
         assert left is not None and left > 29.0
 
 
@@ -456,17 +456,17 @@
     ) -> None:
         world = make_world(worlds, respond, respond)
         calls: list = []
-        world.placement.heard(InstanceId("r1"), LoadHint(5, 0, 8))
-        choose = world.placement.choose
+        world.placement.record_response_head(InstanceId("r1"), LoadHint(5, 0, 8))
+        choose = world.placement.choose_replica
 
         def record_call(call: object, **options: object) -> object:
             calls.append(call)
             return choose(call, **options)
 
-        world.placement.choose = record_call
+        world.placement.choose_replica = record_call
         world.ask("/read/1", attempt="a0")
         assert list_request_counts(world) == [1, 0]
-        world.placement.failed(InstanceId("r0"), calls[0], Failure.BROKEN)
+        world.placement.record_failure(InstanceId("r0"), calls[0], Failure.BROKEN)
         world.ask("/read/1", attempt="a1")
         assert list_request_counts(world) == [1, 1]
 
--- a/tests/test_gateway_restored_store.py
+++ b/tests/test_gateway_restored_store.py
@@ -12,9 +12,9 @@
 from damasklead.clock import ManualClock
 from damasklead.gateway.calls import UpstreamState
 from damasklead.gateway.directory import (
-    LAPSE_DOUBT_SECONDS,
     LAPSE_GRACE_SECONDS,
-    RESTORED_DOUBT_SECONDS,
+    LAPSE_WINDOW_SECONDS,
+    UNCONFIRMED_SECONDS,
     UpstreamDirectory,
 )
 from damasklead.gateway.reading import ListName
@@ -50,7 +50,7 @@
     fleet.run(1.0)
     restore_store(fleet)
     # Removals right after an outage may be expired entries and take effect later.
-    fleet.run(LAPSE_DOUBT_SECONDS + 1.0)
+    fleet.run(LAPSE_WINDOW_SECONDS + 1.0)
     fleet.store.remove("r0")
     fleet.store.write("r1", state=UpstreamState.LEAVING)
     version = fleet.store.configure()
@@ -159,14 +159,14 @@
     def directory(self) -> tuple[UpstreamDirectory, ManualClock]:
         clock = ManualClock(start=50.0)
         directory = UpstreamDirectory(clock=clock)
-        directory.apply([row("a", 10, era=1), row("b", 20, era=1)], whole=True)
+        directory.apply_rows([row("a", 10, era=1), row("b", 20, era=1)], whole=True)
         return directory, clock
 
     def test_a_lower_version_of_a_newer_era_counts(self) -> None:
         directory, _ = self.directory()
-        directory.list_restored(at(12, era=2))
+        directory.mark_store_restored(at(12, era=2))
         leaving = row("b", 13, era=2, state=UpstreamState.LEAVING)
-        directory.apply([leaving], whole=False)
+        directory.apply_rows([leaving], whole=False)
         assert names(directory) == ["a"]
 
     def test_a_removed_replica_that_was_leaving_is_not_used_although_the_backup_has_it(
@@ -174,44 +174,44 @@
     ) -> None:
         directory, clock = self.directory()
         leaving = row("a", 30, era=1, state=UpstreamState.LEAVING)
-        directory.apply([leaving], whole=False)
-        directory.apply([gone("a", 31, era=1)], whole=False)
-        directory.list_restored(at(25, era=2))
+        directory.apply_rows([leaving], whole=False)
+        directory.apply_rows([gone("a", 31, era=1)], whole=False)
+        directory.mark_store_restored(at(25, era=2))
         rows = [row("a", 10, era=2), row("b", 20, era=2)]
-        directory.apply(rows, whole=True)
-        clock.advance(2 * RESTORED_DOUBT_SECONDS)
-        directory.expire()
+        directory.apply_rows(rows, whole=True)
+        clock.advance(2 * UNCONFIRMED_SECONDS)
+        directory.drop_expired()
         assert names(directory) == ["b"]
-        directory.apply([row("a", 40, era=2, incarnation=2)], whole=False)
+        directory.apply_rows([row("a", 40, era=2, incarnation=2)], whole=False)
         assert names(directory) == ["a", "b"]
 
     def test_a_removed_replica_is_not_used_before_it_has_registered_again(self) -> None:
         directory, _ = self.directory()
-        directory.apply([gone("a", 30, era=1)], whole=False)
-        directory.list_restored(at(25, era=2))
-        directory.apply([row("a", 10, era=2), row("b", 20, era=2)], whole=True)
+        directory.apply_rows([gone("a", 30, era=1)], whole=False)
+        directory.mark_store_restored(at(25, era=2))
+        directory.apply_rows([row("a", 10, era=2), row("b", 20, era=2)], whole=True)
         assert names(directory) == ["b"]
-        directory.apply([row("a", 26, era=2)], whole=False)
+        directory.apply_rows([row("a", 26, era=2)], whole=False)
         assert names(directory) == ["a", "b"]
 
     def test_a_removed_replica_that_stays_listed_is_used_again(self) -> None:
         """The platform removes entries that aren't renewed, so this one was renewed."""
         directory, clock = self.directory()
-        directory.apply([gone("a", 30, era=1)], whole=False)
-        directory.list_restored(at(25, era=2))
-        directory.apply([row("a", 10, era=2), row("b", 20, era=2)], whole=True)
-        clock.advance(RESTORED_DOUBT_SECONDS)
-        directory.expire()
+        directory.apply_rows([gone("a", 30, era=1)], whole=False)
+        directory.mark_store_restored(at(25, era=2))
+        directory.apply_rows([row("a", 10, era=2), row("b", 20, era=2)], whole=True)
+        clock.advance(UNCONFIRMED_SECONDS)
+        directory.drop_expired()
         assert names(directory) == ["a", "b"]
 
     def test_a_removed_replica_that_is_removed_again_is_not_used(self) -> None:
         directory, clock = self.directory()
-        directory.apply([gone("a", 30, era=1)], whole=False)
-        directory.list_restored(at(25, era=2))
-        directory.apply([row("a", 10, era=2), row("b", 20, era=2)], whole=True)
-        directory.apply([gone("a", 27, era=2)], whole=False)
-        clock.advance(RESTORED_DOUBT_SECONDS)
-        directory.expire()
+        directory.apply_rows([gone("a", 30, era=1)], whole=False)
+        directory.mark_store_restored(at(25, era=2))
+        directory.apply_rows([row("a", 10, era=2), row("b", 20, era=2)], whole=True)
+        directory.apply_rows([gone("a", 27, era=2)], whole=False)
+        clock.advance(UNCONFIRMED_SECONDS)
+        directory.drop_expired()
         assert names(directory) == ["b"]
 
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -91,7 +91,7 @@
             deadline_ms="1500", authorization="Token k1", token_usage="1460,80",
             prefix_hash="5c1e:800,91bd:410,e440:250", last_event_id="7",
         )  # fmt: skip
-        assert head.attempt == "a1" and head.patience == 1.5 and head.key == "k1"
+        assert head.attempt == "a1" and head.caller_timeout == 1.5 and head.key == "k1"
         assert (head.prompt_tokens, head.output_tokens) == (1460, 80)
         assert [part.tokens for part in head.prompt] == [800, 410, 250]
         assert head.last_event == b"7"
@@ -99,7 +99,11 @@
     @pytest.mark.parametrize("value", ["", "x", "1", "5:x", "a:1,,b:2"])
     def test_unreadable_hints_are_no_hints(self, value: str) -> None:
         head = self.decode(token_usage=value, prefix_hash=value, deadline_ms="soon")
-        assert head.prompt_tokens == 0 and head.prompt == () and head.patience is None
+        assert (
+            head.prompt_tokens == 0
+            and head.prompt == ()
+            and head.caller_timeout is None
+        )
 
     def test_what_the_gateway_sets_can_not_be_forged(self) -> None:
         forged = {
@@ -182,15 +186,18 @@
 class TestDocuments:
     def test_the_configuration_is_decoded(self) -> None:
         table = decode_configuration(json.dumps(CONFIGURATION).encode())
-        route = table.match("ficu95.example", "/lohu930/2f")
+        route = table.match_route("ficu95.example", "/lohu930/2f")
         assert route is not None and route.kind is RouteKind.STREAM
         assert (route.timeout, route.target, route.event_gap) == (5.0, 1.5, 0.6)
-        assert {route.service_for(f"a{n}") for n in range(99)} == {"huvo11a", "wuno96b"}
-        order = table.match("ficu95.example", "/puxa403/x")
+        assert {route.select_service(f"a{n}") for n in range(99)} == {
+            "huvo11a",
+            "wuno96b",
+        }
+        order = table.match_route("ficu95.example", "/puxa403/x")
         assert order is not None and order.kind is RouteKind.ONCE and order.public
         engine = table.services[ServiceName("huvo11a")].engine
         assert engine is not None and engine.memory_tokens == 245097
-        workspace = table.workspace_of("k2")
+        workspace = table.find_workspace("k2")
         assert workspace is not None and workspace.tier == 1
         assert table.limits.idle_seconds == 15.0
 
