--- a/damasklead/gateway/fleet.py
+++ b/damasklead/gateway/fleet.py
@@ -154,7 +154,7 @@
     @property
     def is_gateway_count_known(self) -> bool:
         """Whether the gateways were looked up."""
-        return self._peers is None or self._peers.looked_up
+        return self._peers is None or self._peers.is_discovery_complete
 
     @property
     def restore_count(self) -> int:
@@ -196,7 +196,7 @@
             tasks += [
                 TaskChild(name="broadcasts", function=self._broadcasts.run),
                 TaskChild(name="peer-receiver", function=self._peers.run_receiver),
-                TaskChild(name="peer-look-up", function=self._peers.run_look_up),
+                TaskChild(name="peer-look-up", function=self._peers.run_discovery),
                 TaskChild(name="peer-check", function=self._check_forever),
             ]
         return tasks
@@ -205,7 +205,7 @@
         """Coordinate nothing any more, since this gateway stops."""
         self.coordination.cells.resign_coordination()
         if self._peers is not None:
-            self._peers.say_goodbye()
+            self._peers.send_leave_notice()
 
     def close(self) -> None:
         """Leave the directory of gateways."""
@@ -226,7 +226,7 @@
             gevent.sleep(CHECK_SECONDS)
             try:
                 if self._broadcasts.is_broadcaster:
-                    self._peers.check_silent()
+                    self._peers.check_liveness()
             except FeedError as error:
                 self._journal.event("withdrawal-failed", cause=str(error))
 
@@ -236,7 +236,7 @@
             RoutingTable(content=snapshot.routing)
         )
         if self._peers is not None:
-            self._peers.offer(snapshot.peers)
+            self._peers.apply_snapshot(snapshot.peers)
 
     def _take_newer_routing(self, snapshot: Snapshot) -> None:
         self.configuration.apply_peer_configuration(
@@ -246,7 +246,7 @@
     def _request_routing(self, peer: str) -> None:
         """Get the configuration from a gateway that has a newer one than the store."""
         assert self._peers is not None
-        self._configuration_recovery.fetch_from(self._peers.address_of(peer))
+        self._configuration_recovery.fetch_from(self._peers.get_operators_address(peer))
 
     def _note_restored(self, before: Position, after: Position) -> None:
         """Take in, once for both lists, that the store came back from a copy."""
@@ -264,7 +264,7 @@
             configuration=0 if table is None else table.version,
         )
         if self._peers is not None:
-            self._peers.list_restored()
+            self._peers.handle_restore()
 
     def _configure(self, table: RoutingTable) -> None:
         self._on_configuration(table)
@@ -302,7 +302,7 @@
         if news:
             self._arrange()
 
-    def _take_members(self) -> None:
+    def _handle_members_changed(self) -> None:
         self.coordination.invalidate_members()
         if self._broadcasts is not None:
             self._broadcasts.invalidate_ranking()
@@ -325,7 +325,7 @@
             return None
         host = self._settings.listen.callers.rpartition(":")[0]
         return Peers(
-            own=PeerEntry(
+            local_entry=PeerEntry(
                 instance=self._own.instance,
                 address=f"{host}:{ports[0]}",
                 incarnation=incarnation,
@@ -334,8 +334,8 @@
                 operators=self._settings.listen.operators or "",
             ),
             directory=lambda: self._link().peers,
-            changed=self._take_members,
-            heard=lambda name: self.coordination.record_contact(name),
+            on_members_changed=self._handle_members_changed,
+            on_message=lambda name: self.coordination.record_contact(name),
             clock=self._clock,
             journal=self._journal,
         )
--- a/damasklead/gateway/peers.py
+++ b/damasklead/gateway/peers.py
@@ -2,7 +2,7 @@
 Peers
 =====
 
-The other gateways, and the datagrams to and from them.
+Discovery of the other gateways, and the datagrams to and from them.
 """
 
 import random
@@ -39,22 +39,27 @@
 
 __all__ = ["Peers"]
 
-# Gateways say where they are when they start, so a look-up only finds what was missed:
-# soon after the start, when others have started as well, and then seldom.
-SECOND_LOOK_UP_SECONDS = 3.0
-LOOK_UP_SECONDS = 20.0
-LOOK_UP_SECONDS_PER_GATEWAY = 0.5
-RETRY_SECONDS = 0.7
-# Entries of gateways that stay silent when they are asked for so long are removed.
-FORGET_SECONDS = 60.0
-PING_SECONDS = 15.0
-RECEIVE_BYTES = 65_536
-# What was written longer ago than this is in the copy from which a store comes back.
-MAX_RESTORE_SECONDS = 30.0
-# Look-ups after that are spread over so long for each gateway.
-RESTORED_SECONDS_PER_GATEWAY = 0.3
-# Gateways that said goodbye are remembered up to so many.
-MOST_GONE = 1_000
+# Gateways announce themselves to each other when they start, so that a read of the
+# directory only finds what was missed.  The second one follows soon, when gateways that
+# started at the same time have their entries; later ones are rare.
+SECOND_DISCOVERY_SECONDS = 3.0
+# Interval of later reads: the larger of a constant and a time for each other gateway.
+DISCOVERY_INTERVAL_SECONDS = 20.0
+DISCOVERY_SECONDS_PER_GATEWAY = 0.5
+# Least pause after a failed read, before jitter.
+MIN_RETRY_SECONDS = 0.7
+# A gateway that sends nothing for this long, though it is pinged, is removed together
+# with its directory entry.
+REMOVAL_TIMEOUT_SECONDS = 60.0
+# A gateway that sends nothing for this long is pinged.
+PING_TIMEOUT_SECONDS = 15.0
+MAX_DATAGRAM_BYTES = 65_536
+# An entry older than this is contained in the backup from which a store is restored.
+MAX_BACKUP_AGE_SECONDS = 30.0
+# Reads after a restore are spread over this time for each gateway of the fleet.
+RESTORE_JITTER_SECONDS_PER_GATEWAY = 0.3
+# Gateways whose leave notice is remembered.
+MAX_DEPARTED_PEERS = 1_000
 
 _Address = tuple[str, int]
 _Message = (
@@ -66,18 +71,18 @@
 
 class Peers:
     """
-    Sends messages to other gateways and hands theirs to the modules they are for.
+    Keeps the list of other gateways, sends messages to them and dispatches theirs.
 
     Parameters
     ----------
-    own : PeerEntry
-        Under which this gateway announces itself.
+    local_entry : PeerEntry
+        Directory entry of this gateway.
     directory : callable
-        Returns the directory of gateways.
-    changed : callable
-        Called when the gateways that are known have changed.
-    heard : callable
-        Called with the name of each gateway that is heard.
+        Returns the active directory of gateways.
+    on_members_changed : callable
+        Called after the known gateways have changed.
+    on_message : callable
+        Called with the sender's name for each message of a known gateway.
     clock : Clock
     journal : Journal
     """
@@ -85,64 +90,67 @@
     def __init__(
         self,
         *,
-        own: PeerEntry,
+        local_entry: PeerEntry,
         directory: Callable[[], PeerDirectory],
-        changed: Callable[[], None],
-        heard: Callable[[str], None],
+        on_members_changed: Callable[[], None],
+        on_message: Callable[[str], None],
         clock: Clock,
         journal: Journal,
     ) -> None:
-        self._own = own
+        self._local_entry = local_entry
         self._directory = directory
-        self._changed = changed
-        self._heard = heard
+        self._on_members_changed = on_members_changed
+        self._on_message = on_message
         self._clock = clock
         self._journal = journal
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._members: dict[str, PeerEntry] = {}
         self._addresses: dict[str, tuple[str, int]] = {}
         self._names: dict[tuple[str, int], str] = {}
-        self._heard_at: dict[str, float] = {}
+        self._last_received_at: dict[str, float] = {}
         self._handlers: dict[type, Callable[[Any, str], None]] = {}
-        self._looked_up = False
-        self._said_goodbye = False
-        self._announced_at: float | None = None
-        self._look_up_now = Event()
-        # Incarnations that said goodbye, whatever the directory's copy shows.
-        self._gone: dict[str, int] = {}
-        self._returned: dict[str, PeerEntry] = {}
+        self._is_discovery_complete = False
+        self._is_leaving = False
+        self._entry_written_at: float | None = None
+        self._discovery_due = Event()
+        # Incarnations that sent a leave notice, by gateway.  A restored directory may
+        # list them again.
+        self._departed: dict[str, int] = {}
+        self._restored_entries: dict[str, PeerEntry] = {}
 
     @property
     def members(self) -> list[PeerEntry]:
-        """The other gateways."""
+        """The entries of the other gateways."""
         return list(self._members.values())
 
     @property
-    def looked_up(self) -> bool:
-        """Whether the other gateways were looked up, or told by one of them."""
-        return self._looked_up
+    def is_discovery_complete(self) -> bool:
+        """Whether the directory, or another gateway's copy of it, has been read."""
+        return self._is_discovery_complete
 
     @property
     def entries(self) -> list[PeerEntry]:
-        """All gateways, this one included."""
-        return [self._own, *self._members.values()]
+        """The entries of all gateways, this one included."""
+        return [self._local_entry, *self._members.values()]
 
-    def register_handler(self, kind: type, handler: Callable[[Any, str], None]) -> None:
-        """Hand messages of a kind, and their sender's name, to a handler."""
-        self._handlers[kind] = handler
+    def register_handler(
+        self, message_type: type, handler: Callable[[Any, str], None]
+    ) -> None:
+        """Set the handler that gets messages of a type and their sender's name."""
+        self._handlers[message_type] = handler
 
-    def offer(self, entries: list[PeerEntry]) -> None:
-        """Take in the gateways that another one knows."""
-        self._looked_up = True
-        self._add(entries)
-        self._say_hello()
+    def apply_snapshot(self, entries: list[PeerEntry]) -> None:
+        """Add the gateways that a snapshot of another gateway lists."""
+        self._is_discovery_complete = True
+        self._merge_members(entries)
+        self._send_announcement()
 
     def listen(self) -> None:
-        """Bind the port to which the others send."""
-        self._socket.bind(split_address(self._own.address))
+        """Bind the port on which this gateway receives datagrams."""
+        self._socket.bind(split_address(self._local_entry.address))
 
     def send(self, name: str, message: object) -> None:
-        """Send a message to a gateway; to an unknown one it is lost."""
+        """Send a message to a gateway; drop it if the gateway is unknown."""
         address = self._addresses.get(name)
         if address is not None:
             self._send_data(msgspec.msgpack.encode(message), name, address)
@@ -154,11 +162,11 @@
             self._send_data(data, name, address)
 
     def run_receiver(self) -> None:
-        """Hear the others, forever."""
+        """Receive and handle messages, forever."""
         decoder = msgspec.msgpack.Decoder(_Message)
         while True:
             inbox: Inbox[tuple[Any, _Address]] = Inbox()
-            data, address = self._socket.recvfrom(RECEIVE_BYTES)
+            data, address = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
             while data is not None:
                 try:
                     message = decoder.decode(data)
@@ -166,101 +174,106 @@
                     self._journal.event("peer-message-unreadable", cause=str(error))
                 else:
                     inbox.put(type(message), (message, address))
-                data, address = self._receive_more(full=inbox.full)
+                data, address = self._receive_pending(full=inbox.full)
             for message, sender in inbox.take():
-                self._take_message(message, sender)
+                self._handle_message(message, sender)
             if inbox.dropped:
                 self._journal.event("asks-dropped", asks=inbox.dropped)
-            # Requests of this gateway's own callers get their turn.
+            # Lets the greenlets of this gateway's own callers run.
             gevent.sleep(0)
 
-    def _receive_more(self, *, full: bool) -> tuple[bytes | None, _Address]:
-        """Return a datagram that has arrived already, ``None`` without one."""
+    def _receive_pending(self, *, full: bool) -> tuple[bytes | None, _Address]:
+        """Return a datagram that has already arrived, ``None`` without one."""
         if full:
             return None, ("", 0)
         self._socket.settimeout(0.0)
         try:
-            data, address = self._socket.recvfrom(RECEIVE_BYTES)
+            data, address = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
         except BlockingIOError:
             return None, ("", 0)
         finally:
             self._socket.settimeout(None)
         return data, address
 
-    def _take_message(self, message: object, address: _Address) -> None:
+    def _handle_message(self, message: object, address: _Address) -> None:
         name = self._names.get(address)
         if isinstance(message, Announcement):
-            self._take_hello(message)
+            self._handle_announcement(message)
         elif isinstance(message, LeaveNotice):
-            self._take_goodbye(message)
+            self._handle_leave_notice(message)
             return
         elif isinstance(message, Ping):
-            self._take_ping(address)
+            self._handle_ping(address)
         elif name is None:
-            # One that started while no datagram of its own arrived.
+            # The announcement of an unknown sender was lost.
             self._send_data(msgspec.msgpack.encode(Ping()), str(address), address)
             return
         if name is not None:
-            self._heard_at[name] = self._clock.now()
-            self._heard(name)
+            self._last_received_at[name] = self._clock.now()
+            self._on_message(name)
             handler = self._handlers.get(type(message))
             if handler is not None:
                 handler(message, name)
 
-    def address_of(self, name: str) -> str:
-        """Return where a gateway tells what it knows, empty when that is not known."""
+    def get_operators_address(self, name: str) -> str:
+        """Return a gateway's operators' address, empty when there is none."""
         entry = self._members.get(name)
         return "" if entry is None else entry.operators
 
-    def list_restored(self) -> None:
+    def handle_restore(self) -> None:
         """
-        Take in that the directory has come back from an older copy.
+        Schedule a read of a directory that was restored from a backup.
 
-        A gateway that announced itself not long before looks for its own entry soon; it
-        may be the only one that knows of it.
+        A gateway checks its own entry if it wrote it so recently that the backup may
+        lack it; no other gateway may know of the loss.
         """
-        if self._announced_at is None:
+        if self._entry_written_at is None:
             return
-        if self._clock.now() - self._announced_at < MAX_RESTORE_SECONDS:
-            self._look_up_now.set()
+        if self._clock.now() - self._entry_written_at < MAX_BACKUP_AGE_SECONDS:
+            self._discovery_due.set()
 
-    def run_look_up(self) -> None:
-        """Announce this gateway and find the others, forever."""
-        pause = SECOND_LOOK_UP_SECONDS
+    def run_discovery(self) -> None:
+        """Write this gateway's directory entry and find the other gateways, forever."""
+        interval = SECOND_DISCOVERY_SECONDS
         while True:
             try:
-                self._look_up()
+                self._discover_peers()
             except FeedError as error:
                 self._journal.event("peers-not-found", cause=str(error))
-                most = max(RETRY_SECONDS, 0.01 * len(self._members))
-                gevent.sleep(most * random.uniform(0.7, 1.3))
+                retry_seconds = max(MIN_RETRY_SECONDS, 0.01 * len(self._members))
+                gevent.sleep(retry_seconds * random.uniform(0.7, 1.3))
                 continue
-            if self._look_up_now.wait(timeout=pause * random.uniform(0.8, 1.2)):
-                self._look_up_now.clear()
-                spread = RESTORED_SECONDS_PER_GATEWAY * (len(self._members) + 1)
-                gevent.sleep(random.uniform(0.0, spread))
-            pause = max(
-                LOOK_UP_SECONDS, LOOK_UP_SECONDS_PER_GATEWAY * len(self._members)
+            if self._discovery_due.wait(timeout=interval * random.uniform(0.8, 1.2)):
+                self._discovery_due.clear()
+                max_delay = RESTORE_JITTER_SECONDS_PER_GATEWAY * (
+                    len(self._members) + 1
+                )
+                gevent.sleep(random.uniform(0.0, max_delay))
+            interval = max(
+                DISCOVERY_INTERVAL_SECONDS,
+                DISCOVERY_SECONDS_PER_GATEWAY * len(self._members),
             )
 
-    def _look_up(self) -> None:
-        """Find the others, and announce this gateway where its entry is missing."""
-        if self._announced_at is None:
-            self._announce()
+    def _discover_peers(self) -> None:
+        """Read the directory; write this gateway's entry if it is missing."""
+        if self._entry_written_at is None:
+            self._write_entry()
         entries = self._directory().read()
-        self._take(entries)
-        own = next((e for e in entries if e.instance == self._own.instance), None)
-        if own is None or own.incarnation < self._own.incarnation:
-            self._journal.event("announcement-missing", peer=self._own.instance)
-            self._announce()
+        self._apply_directory(entries)
+        own = next(
+            (e for e in entries if e.instance == self._local_entry.instance), None
+        )
+        if own is None or own.incarnation < self._local_entry.incarnation:
+            self._journal.event("announcement-missing", peer=self._local_entry.instance)
+            self._write_entry()
 
-    def _announce(self) -> None:
-        self._directory().announce(self._own)
-        self._announced_at = self._clock.now()
+    def _write_entry(self) -> None:
+        self._directory().announce(self._local_entry)
+        self._entry_written_at = self._clock.now()
 
-    def check_silent(self) -> None:
+    def check_liveness(self) -> None:
         """
-        Ask gateways that were not heard for long, and remove those that are gone.
+        Ping silent gateways, and remove those that have been silent for too long.
 
         Raises
         ------
@@ -268,31 +281,33 @@
             When the directory can't be changed.
         """
         now = self._clock.now()
-        for entry in list(self._returned.values()):
+        for entry in list(self._restored_entries.values()):
             self._directory().withdraw(entry)
-            del self._returned[entry.instance]
+            del self._restored_entries[entry.instance]
         for entry in self.members:
-            silent = now - self._heard_at.setdefault(entry.instance, now)
-            if silent > FORGET_SECONDS:
+            silence = now - self._last_received_at.setdefault(entry.instance, now)
+            if silence > REMOVAL_TIMEOUT_SECONDS:
                 self._directory().withdraw(entry)
-                self._remove(entry.instance)
+                self._remove_member(entry.instance)
                 self._journal.event("peer-forgotten", peer=entry.instance)
-            elif silent > PING_SECONDS:
+            elif silence > PING_TIMEOUT_SECONDS:
                 self.ping(entry.instance)
 
     def ping(self, name: str) -> None:
-        """Ask a gateway whether it is there."""
+        """Request a gateway's announcement."""
         self.send(name, Ping())
 
-    def say_goodbye(self) -> None:
-        """Tell the others that this gateway stops."""
-        self._said_goodbye = True
-        self.send_all(LeaveNotice(self._own.instance, self._own.incarnation))
+    def send_leave_notice(self) -> None:
+        """Announce to the others that this gateway stops."""
+        self._is_leaving = True
+        self.send_all(
+            LeaveNotice(self._local_entry.instance, self._local_entry.incarnation)
+        )
 
     def close(self) -> None:
-        """Withdraw the announcement and close the socket."""
+        """Remove this gateway's directory entry and close the socket."""
         try:
-            self._directory().withdraw(self._own)
+            self._directory().withdraw(self._local_entry)
         except FeedError as error:
             self._journal.event("withdrawal-failed", cause=str(error))
         self._socket.close()
@@ -303,12 +318,12 @@
         except OSError as error:
             self._journal.event("peer-unreachable", peer=name, cause=str(error))
 
-    def _say_hello(self) -> None:
-        if not self._said_goodbye:
-            self.send_all(self._hello())
+    def _send_announcement(self) -> None:
+        if not self._is_leaving:
+            self.send_all(self._build_announcement())
 
-    def _hello(self) -> Announcement:
-        own = self._own
+    def _build_announcement(self) -> Announcement:
+        own = self._local_entry
         return Announcement(
             own.instance,
             own.address,
@@ -318,7 +333,7 @@
             own.operators,
         )
 
-    def _take_hello(self, message: Announcement) -> None:
+    def _handle_announcement(self, message: Announcement) -> None:
         entry = PeerEntry(
             instance=InstanceId(message.instance),
             address=message.address,
@@ -327,68 +342,68 @@
             cores=message.cores,
             operators=message.operators,
         )
-        self._add([entry])
-        self._heard_at[entry.instance] = self._clock.now()
-        self._heard(entry.instance)
+        self._merge_members([entry])
+        self._last_received_at[entry.instance] = self._clock.now()
+        self._on_message(entry.instance)
 
-    def _take_goodbye(self, message: LeaveNotice) -> None:
+    def _handle_leave_notice(self, message: LeaveNotice) -> None:
         known = self._members.get(message.instance)
         if known is not None and known.incarnation <= message.incarnation:
-            self._gone[message.instance] = message.incarnation
-            while len(self._gone) > MOST_GONE:
-                del self._gone[next(iter(self._gone))]
-            self._remove(message.instance)
+            self._departed[message.instance] = message.incarnation
+            while len(self._departed) > MAX_DEPARTED_PEERS:
+                del self._departed[next(iter(self._departed))]
+            self._remove_member(message.instance)
 
-    def _take_ping(self, address: tuple[str, int]) -> None:
-        if self._said_goodbye:
+    def _handle_ping(self, address: tuple[str, int]) -> None:
+        if self._is_leaving:
             return
-        data = msgspec.msgpack.encode(self._hello())
+        data = msgspec.msgpack.encode(self._build_announcement())
         self._send_data(data, str(address), address)
 
-    def _take(self, entries: list[PeerEntry]) -> None:
-        """Take in the directory's entries; the others are gone."""
-        self._looked_up = True
+    def _apply_directory(self, entries: list[PeerEntry]) -> None:
+        """Apply the directory's entries and remove gateways without one."""
+        self._is_discovery_complete = True
         listed = {entry.instance for entry in entries}
         now = self._clock.now()
         for name in [item for item in self._members if item not in listed]:
-            # It may have started after the entries were read.
-            if now - self._heard_at.get(name, 0.0) > SECOND_LOOK_UP_SECONDS:
-                self._remove(name)
-        before = set(self._members)
-        # A copy of the directory may hold what was withdrawn since.
-        self._returned = {
+            # A gateway that was in contact just now may have started after the read.
+            if now - self._last_received_at.get(name, 0.0) > SECOND_DISCOVERY_SECONDS:
+                self._remove_member(name)
+        known = set(self._members)
+        # A restored directory may hold entries that were withdrawn after the backup.
+        self._restored_entries = {
             entry.instance: entry
             for entry in entries
-            if entry.incarnation == self._gone.get(entry.instance)
+            if entry.incarnation == self._departed.get(entry.instance)
         }
-        self._add(entries)
-        if set(self._members) - before:
-            self._say_hello()
+        self._merge_members(entries)
+        if set(self._members) - known:
+            self._send_announcement()
 
-    def _add(self, entries: list[PeerEntry]) -> None:
-        news = False
+    def _merge_members(self, entries: list[PeerEntry]) -> None:
+        has_new_members = False
         for entry in entries:
             known = self._members.get(entry.instance)
-            if entry.instance == self._own.instance:
+            if entry.instance == self._local_entry.instance:
                 continue
             if known is not None and known.incarnation >= entry.incarnation:
                 continue
-            if entry.incarnation == self._gone.get(entry.instance):
+            if entry.incarnation == self._departed.get(entry.instance):
                 continue
             self._members[entry.instance] = entry
             address = split_address(entry.address)
             self._addresses[entry.instance] = address
             self._names[address] = entry.instance
             self._journal.event("peer-found", peer=entry.instance)
-            news = True
-        if news:
-            self._changed()
+            has_new_members = True
+        if has_new_members:
+            self._on_members_changed()
 
-    def _remove(self, name: str) -> None:
+    def _remove_member(self, name: str) -> None:
         self._members.pop(name, None)
-        self._heard_at.pop(name, None)
+        self._last_received_at.pop(name, None)
         address = self._addresses.pop(name, None)
         if address is not None:
             self._names.pop(address, None)
         self._journal.event("peer-gone", peer=name)
-        self._changed()
+        self._on_members_changed()
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -17,7 +17,11 @@
 from damasklead.gateway.inbox import MOST_ASKS, MOST_MESSAGES, Inbox
 from damasklead.gateway.journal import Journal
 from damasklead.gateway.messages import PeerReport
-from damasklead.gateway.peers import FORGET_SECONDS, PING_SECONDS, Peers
+from damasklead.gateway.peers import (
+    PING_TIMEOUT_SECONDS,
+    REMOVAL_TIMEOUT_SECONDS,
+    Peers,
+)
 from damasklead.ids import DataCentre, InstanceId
 from tests.gatewaykit import at, free_ports, wait_until
 
@@ -59,15 +63,15 @@
 
     def start(self, name: str, *, incarnation: int = 1, look_up: bool = True) -> Peers:
         peers = Peers(
-            own=PeerEntry(
+            local_entry=PeerEntry(
                 instance=InstanceId(name),
                 address=f"127.0.0.1:{next(self.ports)}",
                 incarnation=incarnation,
                 data_centre=DataCentre("hout"),
             ),
             directory=lambda: self.directory,
-            changed=lambda: None,
-            heard=lambda other: self.heard.append((name, other)),
+            on_members_changed=lambda: None,
+            on_message=lambda other: self.heard.append((name, other)),
             clock=self.clock,
             journal=Journal(instance=name),
         )
@@ -75,7 +79,7 @@
         self.peers[name] = peers
         self._tasks.append(gevent.spawn(peers.run_receiver))
         if look_up:
-            self._tasks.append(gevent.spawn(peers.run_look_up))
+            self._tasks.append(gevent.spawn(peers.run_discovery))
         return peers
 
     def known(self, name: str) -> set[str]:
@@ -110,7 +114,7 @@
 def test_who_starts_says_hello_to_those_it_finds(site: Site) -> None:
     first = site.start("g1")
     wait_until(lambda: "g1" in site.directory.entries)
-    assert first.looked_up
+    assert first.is_discovery_complete
     site.start("g2")
     # The first one looks up again only much later.
     wait_until(lambda: site.known("g1") == {"g2"} and site.known("g2") == {"g1"})
@@ -132,7 +136,7 @@
     wait_until(lambda: "g1" in site.directory.entries)
     second = site.start("g2")
     wait_until(lambda: site.known("g1") == {"g2"})
-    second.say_goodbye()
+    second.send_leave_notice()
     wait_until(lambda: site.known("g1") == set())
     site.peers["g1"].ping("g2")
     gevent.sleep(0.05)
@@ -158,7 +162,7 @@
 def test_one_that_is_not_known_is_asked_who_it_is(site: Site) -> None:
     site.start("g1", look_up=False)
     second = site.start("g2", look_up=False)
-    second._add(site.peers["g1"].entries)
+    second._merge_members(site.peers["g1"].entries)
     second.send("g1", PeerReport("g2", [], []))
     wait_until(lambda: site.known("g1") == {"g2"})
 
@@ -169,9 +173,9 @@
     site.directory.away = True
     first = site.start("g1")
     second = site.start("g2")
-    assert not second.looked_up
-    second.offer(first.entries)
-    assert second.looked_up
+    assert not second.is_discovery_complete
+    second.apply_snapshot(first.entries)
+    assert second.is_discovery_complete
     wait_until(lambda: site.known("g1") == {"g2"})
 
 
@@ -184,33 +188,33 @@
         instance=InstanceId("g9"), address="127.0.0.1:9", incarnation=1, position=at(1)
     )
     site.directory.entries["g9"] = ghost
-    site.peers["g1"]._add([ghost])
+    site.peers["g1"]._merge_members([ghost])
     first = site.peers["g1"]
-    first.check_silent()
+    first.check_liveness()
     for _ in range(8):
-        site.clock.advance(FORGET_SECONDS / 6)
-        first.check_silent()
+        site.clock.advance(REMOVAL_TIMEOUT_SECONDS / 6)
+        first.check_liveness()
         gevent.sleep(0.05)
     assert site.known("g1") == {"g2"}
     assert "g9" not in site.directory.entries
-    assert PING_SECONDS < FORGET_SECONDS / 3
+    assert PING_TIMEOUT_SECONDS < REMOVAL_TIMEOUT_SECONDS / 3
 
 
 def test_a_withdrawal_that_a_copy_of_the_directory_undid_is_made_again(
     site: Site, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(module, "SECOND_LOOK_UP_SECONDS", 0.2)
+    monkeypatch.setattr(module, "SECOND_DISCOVERY_SECONDS", 0.2)
     first = site.start("g1")
     second = site.start("g2")
     wait_until(lambda: site.known("g1") == {"g2"} and site.known("g2") == {"g1"})
     copy = dict(site.directory.entries)
-    second.say_goodbye()
+    second.send_leave_notice()
     wait_until(lambda: site.known("g1") == set())
     site.directory.entries = copy
-    first.list_restored()
-    wait_until(lambda: bool(first._returned))
+    first.handle_restore()
+    wait_until(lambda: bool(first._restored_entries))
     assert site.known("g1") == set()
-    first.check_silent()
+    first.check_liveness()
     assert "g2" not in site.directory.entries
 
 
@@ -219,7 +223,7 @@
     site.start("g1")
     second = site.start("g2", incarnation=9)
     wait_until(lambda: site.known("g1") == {"g2"})
-    second.say_goodbye()
+    second.send_leave_notice()
     wait_until(lambda: site.known("g1") == set())
     site.start("g2", incarnation=8)
     wait_until(lambda: site.known("g1") == {"g2"})
@@ -228,10 +232,10 @@
 def test_an_announcement_that_the_directory_has_forgotten_is_made_again(
     site: Site, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(module, "RESTORED_SECONDS_PER_GATEWAY", 0.05)
+    monkeypatch.setattr(module, "RESTORE_JITTER_SECONDS_PER_GATEWAY", 0.05)
     peers = site.start("g1")
     wait_until(lambda: "g1" in site.directory.entries)
     gevent.sleep(0.05)
     site.directory.entries.clear()
-    peers.list_restored()
+    peers.handle_restore()
     wait_until(lambda: "g1" in site.directory.entries)
