--- a/damasklead/gateway/fleet.py
+++ b/damasklead/gateway/fleet.py
@@ -2,8 +2,8 @@
 Fleet
 =====
 
-One gateway's part in the fleet: what it follows, what it tells the other gateways and
-hears from them, and coordination.
+A gateway's connection to the platform and to the other gateways: the lists that it
+follows, peer messages and the coordination of requests.
 """
 
 from collections.abc import Callable
@@ -35,38 +35,44 @@
 
 __all__ = ["Fleet"]
 
-# Silent gateways are looked for so often.
-CHECK_SECONDS = 5.0
+LIVENESS_CHECK_INTERVAL_SECONDS = 5.0
 
 
 class Fleet:
     """
-    The lists that a gateway follows and its ties to the others.
+    The followed lists, peer messages and coordination of one gateway.
 
     Parameters
     ----------
     settings : GatewaySettings
     clock : Clock
     incarnation : int
-        Start of the process in milliseconds.
+        Start of the process in milliseconds of Unix time.
     journal : Journal
     link : callable
-        Returns the link to the platform in force.
+        Returns the active link to the platform.
     directory : UpstreamDirectory
+        The known replicas.
     connections : ConnectionPool
+        Connections for snapshots of other gateways.
     on_configuration : callable
-        Told of each configuration that comes into force.
+        Called with each configuration that becomes active.
     on_replicas_changed : callable
-        Told that the replicas have changed.
+        Called after the known replicas have changed.
     on_unavailable : callable
-        Told that neither the platform nor another gateway has told the configuration.
+        Called when the configuration can't be read from the platform; at the start,
+        other gateways have been asked before.
 
     Attributes
     ----------
     configuration : ConfigurationFollower
+        Follows the configuration.
     upstreams : UpstreamFollower
+        Follows the list of replicas.
     containment : Containment
+        Rejects requests that crash replicas.
     coordination : Coordination
+        Assigns requests to replicas together with the other gateways.
     """
 
     def __init__(
@@ -90,23 +96,23 @@
         self._directory = directory
         self._on_configuration = on_configuration
         self._on_replicas_changed = on_replicas_changed
-        self._own = Member(
+        self._local_member = Member(
             InstanceId(settings.instance),
             DataCentre(settings.data_centre),
             settings.cores,
         )
         self._departures = DepartureLog(clock=clock)
         self._reports = ListReports(clock=clock)
-        self._plans = [self._read_plan(name) for name in ListName]
-        self.containment = Containment(clock=clock, on_quarantine=self._note_named)
+        self._plans = [self._make_read_plan(name) for name in ListName]
+        self.containment = Containment(clock=clock, on_quarantine=self._log_quarantine)
         self.configuration = ConfigurationFollower(
             feed=lambda: link().routing,
             plan=self._plans[ListName.ROUTING],
             clock=clock,
             journal=journal,
-            on_change=self._configure,
+            on_change=self._apply_configuration,
             gateway_count=lambda: self.gateway_count,
-            on_restore=self._note_restored,
+            on_restore=self._record_restore,
             on_unavailable=on_unavailable,
         )
         self.upstreams = UpstreamFollower(
@@ -115,15 +121,15 @@
             clock=clock,
             journal=journal,
             directory=directory,
-            on_change=self._arrange,
+            on_change=self._handle_replicas_changed,
             gateway_count=lambda: self.gateway_count,
-            on_restore=self._note_restored,
+            on_restore=self._record_restore,
         )
         self._era = StoreEra(0)
         self._restore_count = 0
         self._peers = self._make_peers(incarnation)
         self.coordination = Coordination(
-            own=self._own,
+            own=self._local_member,
             clock=clock,
             table=lambda: self.configuration.table,
             peers=self._peers,
@@ -131,7 +137,7 @@
         )
         self._broadcasts = self._make_broadcasts(incarnation)
         self._configuration_recovery = ConfigurationRecovery(
-            apply_snapshot=self._take_newer_routing,
+            apply_snapshot=self._apply_newer_routing,
             connections=connections,
             clock=clock,
             journal=journal,
@@ -141,28 +147,28 @@
                 seed for seed in settings.seeds if seed != settings.listen.operators
             ],
             is_configured=lambda: self.configuration.table is not None,
-            apply_snapshot=self._take_snapshot,
+            apply_snapshot=self._apply_snapshot,
             connections=connections,
             journal=journal,
         )
 
     @property
     def gateway_count(self) -> int:
-        """How many gateways are known, this one included."""
+        """The number of known gateways, this one included."""
         return 1 if self._peers is None else len(self._peers.members) + 1
 
     @property
     def is_gateway_count_known(self) -> bool:
-        """Whether the gateways were looked up."""
+        """Whether the other gateways have been discovered."""
         return self._peers is None or self._peers.is_discovery_complete
 
     @property
     def restore_count(self) -> int:
-        """How often the platform's store was seen to come back from an older copy."""
+        """How often the platform's store was restored from a backup."""
         return self._restore_count
 
     def build_snapshot(self) -> Snapshot | None:
-        """Return what this gateway knows, for one that starts."""
+        """Return this gateway's state for another one, ``None`` when unconfigured."""
         table = self.configuration.table
         if table is None:
             return None
@@ -174,14 +180,14 @@
         )
 
     def record_departure(self, record: UpstreamRecord, sign: str) -> None:
-        """Give a replica nothing more, and tell the other gateways."""
+        """Stop sending requests to a replica, and report it to the other gateways."""
         if self._directory.mark_departed(record.instance, record.incarnation):
             self._journal.event("replica-left", replica=record.instance, sign=sign)
             self._departures.record(record.instance, record.incarnation)
-            self._arrange()
+            self._handle_replicas_changed()
 
     def create_tasks(self) -> list[Child]:
-        """Return the tasks, to be supervised."""
+        """Open the port for peer messages; return the tasks to supervise."""
         tasks: list[Child] = [
             TaskChild(
                 name="seeds", function=self._bootstrap.run, restart=Restart.TRANSIENT
@@ -197,18 +203,18 @@
                 TaskChild(name="broadcasts", function=self._broadcasts.run),
                 TaskChild(name="peer-receiver", function=self._peers.run_receiver),
                 TaskChild(name="peer-look-up", function=self._peers.run_discovery),
-                TaskChild(name="peer-check", function=self._check_forever),
+                TaskChild(name="peer-check", function=self._run_liveness_checks),
             ]
         return tasks
 
     def announce_leave(self) -> None:
-        """Coordinate nothing any more, since this gateway stops."""
+        """Stop coordinating requests, and announce it to the other gateways."""
         self.coordination.cells.resign_coordination()
         if self._peers is not None:
             self._peers.send_leave_notice()
 
     def close(self) -> None:
-        """Leave the directory of gateways."""
+        """Remove this gateway from the directory of gateways."""
         if self._peers is not None:
             self._peers.close()
 
@@ -220,17 +226,17 @@
         self._bootstrap.wait_for_seeds()
         self.upstreams.run()
 
-    def _check_forever(self) -> None:
+    def _run_liveness_checks(self) -> None:
         assert self._peers is not None and self._broadcasts is not None
         while True:
-            gevent.sleep(CHECK_SECONDS)
+            gevent.sleep(LIVENESS_CHECK_INTERVAL_SECONDS)
             try:
                 if self._broadcasts.is_broadcaster:
                     self._peers.check_liveness()
             except FeedError as error:
                 self._journal.event("withdrawal-failed", cause=str(error))
 
-    def _take_snapshot(self, snapshot: Snapshot) -> None:
+    def _apply_snapshot(self, snapshot: Snapshot) -> None:
         self.upstreams.apply_snapshot(snapshot.upstreams, snapshot.cursor)
         self.configuration.apply_peer_configuration(
             RoutingTable(content=snapshot.routing)
@@ -238,18 +244,18 @@
         if self._peers is not None:
             self._peers.apply_snapshot(snapshot.peers)
 
-    def _take_newer_routing(self, snapshot: Snapshot) -> None:
+    def _apply_newer_routing(self, snapshot: Snapshot) -> None:
         self.configuration.apply_peer_configuration(
             RoutingTable(content=snapshot.routing)
         )
 
     def _request_routing(self, peer: str) -> None:
-        """Get the configuration from a gateway that has a newer one than the store."""
+        """Fetch the configuration from a gateway with a newer one than the store."""
         assert self._peers is not None
         self._configuration_recovery.fetch_from(self._peers.get_operators_address(peer))
 
-    def _note_restored(self, before: Position, after: Position) -> None:
-        """Take in, once for both lists, that the store came back from a copy."""
+    def _record_restore(self, before: Position, after: Position) -> None:
+        """Record, once for both lists, that the store was restored from a backup."""
         if after.era <= self._era:
             return
         self._era = after.era
@@ -266,13 +272,13 @@
         if self._peers is not None:
             self._peers.handle_restore()
 
-    def _configure(self, table: RoutingTable) -> None:
+    def _apply_configuration(self, table: RoutingTable) -> None:
         self._on_configuration(table)
         self.coordination.cells.remove_services(lambda name: name not in table.services)
-        self._arrange()
+        self._handle_replicas_changed()
 
-    def _arrange(self) -> None:
-        """Let all see the replicas that may take new work."""
+    def _handle_replicas_changed(self) -> None:
+        """Update whatever depends on the replicas that accept new requests."""
         rows = (row.record for row in self._directory.list_rows())
         self.containment.update_replicas(
             [record for record in rows if record is not None]
@@ -288,29 +294,29 @@
         if self._broadcasts is not None:
             self._broadcasts.schedule_update()
 
-    def _apply_departures(self, notes: list[Departure]) -> None:
-        """Take in which replicas other gateways know to leave."""
-        news = [
-            note
-            for note in notes
-            if self._directory.mark_departed(note.instance, note.incarnation)
+    def _apply_departures(self, departures: list[Departure]) -> None:
+        """Apply departures that other gateways observed."""
+        new_departures = [
+            departure
+            for departure in departures
+            if self._directory.mark_departed(departure.instance, departure.incarnation)
         ]
-        for note in news:
+        for departure in new_departures:
             self._journal.event(
-                "replica-left", replica=note.instance, sign="another gateway tells"
+                "replica-left", replica=departure.instance, sign="another gateway tells"
             )
-        if news:
-            self._arrange()
+        if new_departures:
+            self._handle_replicas_changed()
 
     def _handle_members_changed(self) -> None:
         self.coordination.invalidate_members()
         if self._broadcasts is not None:
             self._broadcasts.invalidate_ranking()
 
-    def _note_named(self, fingerprint: Fingerprint) -> None:
+    def _log_quarantine(self, fingerprint: Fingerprint) -> None:
         self._journal.event("request-quarantined", fingerprint=fingerprint)
 
-    def _read_plan(self, name: ListName) -> ReadPlan:
+    def _make_read_plan(self, name: ListName) -> ReadPlan:
         return ReadPlan(
             name=name,
             clock=self._clock,
@@ -319,18 +325,18 @@
         )
 
     def _make_peers(self, incarnation: int) -> Peers | None:
-        """Return the ties to other gateways, if a port is there for them."""
+        """Return the peers, ``None`` when the settings name no port for them."""
         ports = self._settings.peer_ports
         if ports is None:
             return None
         host = self._settings.listen.callers.rpartition(":")[0]
         return Peers(
             local_entry=PeerEntry(
-                instance=self._own.instance,
+                instance=self._local_member.instance,
                 address=f"{host}:{ports[0]}",
                 incarnation=incarnation,
-                data_centre=self._own.data_centre,
-                cores=self._own.cores,
+                data_centre=self._local_member.data_centre,
+                cores=self._local_member.cores,
                 operators=self._settings.listen.operators or "",
             ),
             directory=lambda: self._link().peers,
@@ -354,7 +360,7 @@
             apply_departures=self._apply_departures,
             request_routing=self._request_routing,
             clock=self._clock,
-            instance=self._own.instance,
-            cores=self._own.cores,
+            instance=self._local_member.instance,
+            cores=self._local_member.cores,
             incarnation=incarnation,
         )
