--- a/damasklead/gateway/inbox.py
+++ b/damasklead/gateway/inbox.py
@@ -2,59 +2,61 @@
 Inbox
 =====
 
-Orders the datagrams that have arrived together.  No I/O.
+Orders the datagrams that are read from the socket in one batch.  No I/O.
 
-Load pattern: a coordinator that gets more asks than it can answer.  What the others
-tell of lists and of requests that have ended must not wait behind them, and an ask that
-has waited for long is not answered: its gateway has asked elsewhere by then.
+Load pattern: a coordinator that receives more assignment requests than it can answer.
+Broadcasts and reports of ended requests must not wait behind them, and the oldest
+requests are dropped: their gateways have timed out and asked other coordinators.
 """
 
 from typing import Generic, TypeVar
 
 from damasklead.gateway.coordination.messages import AssignmentRequest
 
-__all__ = ["Inbox"]
+__all__ = ["MessageBatch"]
 
 T = TypeVar("T")
 
-# Datagrams that are read together at most.
-MOST_MESSAGES = 256
-# Asks that are answered of these, the newest; at about a millisecond each they take
-# less than a gateway waits for an answer.
-MOST_ASKS = 32
+# Datagrams in one batch.
+MAX_BATCH_MESSAGES = 256
+# Assignment requests of a batch that are answered, the newest ones; at about a
+# millisecond each they take less time than a gateway waits for an answer.
+MAX_BATCH_REQUESTS = 32
 
 
-class Inbox(Generic[T]):
+class MessageBatch(Generic[T]):
     """
-    Messages of one look at the socket.
+    The messages of one batch.
 
     Examples
     --------
-    >>> inbox = Inbox()
-    >>> inbox.put(AssignmentRequest, "ask")
-    >>> inbox.put(str, "news")
-    >>> inbox.take()
-    ['news', 'ask']
+    >>> batch = MessageBatch()
+    >>> batch.add(AssignmentRequest, "request")
+    >>> batch.add(str, "broadcast")
+    >>> batch.select_messages()
+    ['broadcast', 'request']
     """
 
     def __init__(self) -> None:
-        self._asks: list[T] = []
+        self._requests: list[T] = []
         self._others: list[T] = []
 
     @property
-    def full(self) -> bool:
-        """Whether no more is to be read before these are taken."""
-        return len(self._asks) + len(self._others) >= MOST_MESSAGES
+    def is_full(self) -> bool:
+        """Whether the batch has to be handled before more messages are read."""
+        return len(self._requests) + len(self._others) >= MAX_BATCH_MESSAGES
 
     @property
-    def dropped(self) -> int:
-        """How many asks are passed over."""
-        return max(0, len(self._asks) - MOST_ASKS)
-
-    def put(self, kind: type, message: T) -> None:
-        """Add a message of a kind."""
-        (self._asks if kind is AssignmentRequest else self._others).append(message)
-
-    def take(self) -> list[T]:
-        """Return what is to be handled, in order."""
-        return [*self._others, *self._asks[-MOST_ASKS:]]
+    def dropped_count(self) -> int:
+        """The number of assignment requests that ``select_messages`` leaves out."""
+        return max(0, len(self._requests) - MAX_BATCH_REQUESTS)
+
+    def add(self, message_type: type, message: T) -> None:
+        """Add a message of a type."""
+        (self._requests if message_type is AssignmentRequest else self._others).append(
+            message
+        )
+
+    def select_messages(self) -> list[T]:
+        """Return the messages to handle, assignment requests after all others."""
+        return [*self._others, *self._requests[-MAX_BATCH_REQUESTS:]]
--- a/damasklead/gateway/journal.py
+++ b/damasklead/gateway/journal.py
@@ -2,8 +2,9 @@
 Event journal
 =============
 
-Structured log lines that never hold up the loop: lines are buffered within a bound,
-written by a task of their own, and counted when they have to be dropped.
+Structured log lines that never block the event loop.  Lines are kept in a bounded
+buffer and written by a task of their own; lines that find the buffer full are dropped
+and counted.
 """
 
 import os
@@ -17,45 +18,44 @@
 
 __all__ = ["Journal"]
 
-FLUSH_SECONDS = 0.2
-# Lines kept while standard output takes none; about 1 MB.
+FLUSH_INTERVAL_SECONDS = 0.2
+# Lines that are buffered while standard output is blocked; about 1 MB.
 MAX_BUFFERED_LINES = 4000
-# Lines in one write.
-LINES_A_WRITE = 200
+MAX_LINES_PER_WRITE = 200
 
 
 class Journal:
     """
-    The lines of one process on standard output.
+    Writes the log lines of one process to standard output.
 
     Parameters
     ----------
     instance : str
-        Repeated on each line.
+        Name of the gateway, repeated on each line.
     """
 
     def __init__(self, *, instance: str) -> None:
         self._instance = instance
         self._lines: deque[str] = deque()
-        self._rest = b""
-        self._dropped = 0
-        self._lost = 0
+        self._unwritten = b""
+        self._dropped_count = 0
+        self._unreported_drops = 0
 
     @property
     def pending_lines(self) -> list[str]:
-        """The lines that are not written yet."""
+        """The lines that are buffered."""
         return list(self._lines)
 
     @property
     def dropped_count(self) -> int:
-        """How many lines were dropped since the start."""
-        return self._dropped
+        """The number of lines dropped since the start."""
+        return self._dropped_count
 
     def event(self, name: str, **pairs: object) -> None:
-        """Add a line of key=value pairs."""
+        """Buffer a line of key=value pairs; drop it when the buffer is full."""
         if len(self._lines) >= MAX_BUFFERED_LINES:
-            self._dropped += 1
-            self._lost += 1
+            self._dropped_count += 1
+            self._unreported_drops += 1
             return
         line = logs.format_event(
             name, unix_ms=int(time.time() * 1000), at=self._instance, **pairs
@@ -63,26 +63,26 @@
         self._lines.append(line)
 
     def run(self) -> None:
-        """Write lines as they come, forever."""
+        """Write buffered lines at each interval, forever."""
         os.set_blocking(sys.stdout.fileno(), False)
         while True:
-            gevent.sleep(FLUSH_SECONDS)
+            gevent.sleep(FLUSH_INTERVAL_SECONDS)
             self.flush()
 
     def flush(self) -> None:
-        """Write buffered lines as far as standard output takes them."""
-        if self._lost:
-            lost, self._lost = self._lost, 0
+        """Write buffered lines until standard output would block."""
+        if self._unreported_drops:
+            dropped, self._unreported_drops = self._unreported_drops, 0
             self._lines.append(
-                logs.format_event("log-lines-dropped", at=self._instance, count=lost)
+                logs.format_event("log-lines-dropped", at=self._instance, count=dropped)
             )
-        while self._rest or self._lines:
-            count = min(LINES_A_WRITE, len(self._lines))
+        while self._unwritten or self._lines:
+            count = min(MAX_LINES_PER_WRITE, len(self._lines))
             lines = "".join(self._lines.popleft() + "\n" for _ in range(count))
-            data = self._rest + lines.encode()
+            data = self._unwritten + lines.encode()
             try:
-                self._rest = data[os.write(sys.stdout.fileno(), data) :]
+                self._unwritten = data[os.write(sys.stdout.fileno(), data) :]
             except BlockingIOError:
-                self._rest = data
-            if self._rest:
+                self._unwritten = data
+            if self._unwritten:
                 return
--- a/damasklead/gateway/peers.py
+++ b/damasklead/gateway/peers.py
@@ -25,7 +25,7 @@
     RunningRequests,
 )
 from damasklead.gateway.dialect import FeedError, PeerDirectory, PeerEntry
-from damasklead.gateway.inbox import Inbox
+from damasklead.gateway.inbox import MessageBatch
 from damasklead.gateway.journal import Journal
 from damasklead.gateway.messages import (
     Announcement,
@@ -165,7 +165,7 @@
         """Receive and handle messages, forever."""
         decoder = msgspec.msgpack.Decoder(_Message)
         while True:
-            inbox: Inbox[tuple[Any, _Address]] = Inbox()
+            batch: MessageBatch[tuple[Any, _Address]] = MessageBatch()
             data, address = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
             while data is not None:
                 try:
@@ -173,12 +173,12 @@
                 except msgspec.DecodeError as error:
                     self._journal.event("peer-message-unreadable", cause=str(error))
                 else:
-                    inbox.put(type(message), (message, address))
-                data, address = self._receive_pending(full=inbox.full)
-            for message, sender in inbox.take():
+                    batch.add(type(message), (message, address))
+                data, address = self._receive_pending(full=batch.is_full)
+            for message, sender in batch.select_messages():
                 self._handle_message(message, sender)
-            if inbox.dropped:
-                self._journal.event("asks-dropped", asks=inbox.dropped)
+            if batch.dropped_count:
+                self._journal.event("asks-dropped", asks=batch.dropped_count)
             # Lets the greenlets of this gateway's own callers run.
             gevent.sleep(0)
 
--- a/damasklead/gateway/sockets.py
+++ b/damasklead/gateway/sockets.py
@@ -2,7 +2,8 @@
 Sockets
 =======
 
-Options that let a dead or unreachable peer show itself.
+TCP connections with options that make a dead or unreachable peer fail the connection
+within seconds.
 """
 
 import socket as std_socket
@@ -13,10 +14,10 @@
 
 __all__ = ["connect", "set_tcp_options", "is_readable"]
 
-# Unacknowledged data fails a connection after this long; a lost packet is sent again
-# within a second.
-UNACKNOWLEDGED_MILLISECONDS = 2500
-# A silent connection is probed after a second, three times a second apart.
+# A connection fails when sent data is not acknowledged for this long; a lost packet is
+# retransmitted within a second.
+UNACKNOWLEDGED_TIMEOUT_MS = 2500
+# An idle connection is probed after one second, three times at intervals of one second.
 KEEPALIVE_IDLE_SECONDS = 1
 KEEPALIVE_INTERVAL_SECONDS = 1
 KEEPALIVE_PROBES = 3
@@ -27,18 +28,32 @@
     (std_socket.IPPROTO_TCP, std_socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS),
     (std_socket.IPPROTO_TCP, std_socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS),
     (std_socket.IPPROTO_TCP, std_socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-    (std_socket.IPPROTO_TCP, std_socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MILLISECONDS),
+    (std_socket.IPPROTO_TCP, std_socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS),
 )
 
 
 def set_tcp_options(connection: socket.socket) -> None:
-    """Set the options of a TCP connection."""
+    """Set keepalive, no-delay and timeout options on a TCP connection."""
     for level, option, value in _OPTIONS:
         connection.setsockopt(level, option, value)
 
 
 def connect(address: str, *, timeout: float) -> socket.socket:
-    """Open a TCP connection to ``ip:port``; raises ``OSError``."""
+    """
+    Open a TCP connection.
+
+    Parameters
+    ----------
+    address : str
+        ``ip:port`` of the server.
+    timeout : float
+        Seconds for the connection to be established.
+
+    Raises
+    ------
+    OSError
+        When the server can't be reached or refuses the connection.
+    """
     connection = socket.create_connection(split_address(address), timeout=timeout)
     connection.settimeout(None)
     set_tcp_options(connection)
@@ -46,7 +61,7 @@
 
 
 def is_readable(connection: socket.socket) -> bool:
-    """Tell whether a connection has data or its end waiting."""
+    """Tell whether a connection has data to read, was closed or has failed."""
     connection.settimeout(0.0)
     try:
         connection.recv(1, socket.MSG_PEEK)
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -14,7 +14,11 @@
 from damasklead.gateway import peers as module
 from damasklead.gateway.coordination.messages import AssignmentRequest
 from damasklead.gateway.dialect import FeedError, FeedFault, PeerDirectory, PeerEntry
-from damasklead.gateway.inbox import MOST_ASKS, MOST_MESSAGES, Inbox
+from damasklead.gateway.inbox import (
+    MAX_BATCH_MESSAGES,
+    MAX_BATCH_REQUESTS,
+    MessageBatch,
+)
 from damasklead.gateway.journal import Journal
 from damasklead.gateway.messages import PeerReport
 from damasklead.gateway.peers import (
@@ -100,15 +104,18 @@
 
 
 def test_news_goes_before_asks_and_old_asks_are_passed_over() -> None:
-    inbox: Inbox[int] = Inbox()
-    for number in range(MOST_MESSAGES):
-        inbox.put(AssignmentRequest if number % 2 else PeerReport, number)
-    assert inbox.full
-    taken = inbox.take()
-    news = [number for number in range(MOST_MESSAGES) if number % 2 == 0]
+    batch: MessageBatch[int] = MessageBatch()
+    for number in range(MAX_BATCH_MESSAGES):
+        batch.add(AssignmentRequest if number % 2 else PeerReport, number)
+    assert batch.is_full
+    taken = batch.select_messages()
+    news = [number for number in range(MAX_BATCH_MESSAGES) if number % 2 == 0]
     assert taken[: len(news)] == news
-    assert taken[len(news) :] == list(range(1, MOST_MESSAGES, 2))[-MOST_ASKS:]
-    assert inbox.dropped == MOST_MESSAGES // 2 - MOST_ASKS
+    assert (
+        taken[len(news) :]
+        == list(range(1, MAX_BATCH_MESSAGES, 2))[-MAX_BATCH_REQUESTS:]
+    )
+    assert batch.dropped_count == MAX_BATCH_MESSAGES // 2 - MAX_BATCH_REQUESTS
 
 
 def test_who_starts_says_hello_to_those_it_finds(site: Site) -> None:
