--- a/damasklead/gateway/calls.py
+++ b/damasklead/gateway/calls.py
@@ -2,7 +2,8 @@
 Calls
 =====
 
-What the gateway knows of a request from its head, and what a replica's answer says.
+Data types of proxied requests, of the response heads of replicas, and of the replicas
+that the platform lists.
 """
 
 from enum import Enum
@@ -26,17 +27,26 @@
 
 Header = tuple[bytes, bytes]
 
-# Callers abandon a stream that is silent for the longest of these: seconds, targets
-# and allowed pauses.
+# Callers abandon a stream that sends no event for the longest of these times: seconds,
+# multiples of the route's target, and multiples of its event gap target.
 MIN_STREAM_IDLE_SECONDS = 2.0
 STREAM_IDLE_TARGETS = 4.0
 STREAM_IDLE_GAPS = 8.0
-# Ranks that routes have within a workspace's tier.
+# Number of route tiers that are distinguished within one workspace tier.
 ROUTE_TIERS = 3
 
 
 class PromptPart(msgspec.Struct, frozen=True):
-    """A part of a prompt that other prompts may share, and its length in tokens."""
+    """
+    A part of a prompt that other prompts may share, in the order of the prompt.
+
+    Attributes
+    ----------
+    key : str
+        Hash of the part's content.
+    tokens : int
+        Length of the part in tokens.
+    """
 
     key: str
     tokens: int
@@ -49,17 +59,21 @@
     Attributes
     ----------
     attempt : AttemptId
-        The caller's id of this attempt; replicas repeat it in their answers.
-    patience : float or None
-        Seconds that the caller will wait, from when it sent the request.
+        The caller's id of this attempt; replicas return it in their responses.
+    caller_timeout : float or None
+        Seconds after which the caller gives up, counted from when it sent the request.
     key : ApiKey or None
-        The key that the request carries.
+        The API key of the request.
+    prompt : tuple of PromptPart
+        The parts of the prompt; all but the last may be shared with other prompts.
+    prompt_tokens : int
+        Length of the whole prompt in tokens.
     output_tokens : int
-        Upper bound of the answer's length.
+        Upper bound of the response's length in tokens.
     last_event : bytes or None
-        The id after which a caller resumes a stream.
+        The id of the event after which the caller resumes a stream.
     forwarded : tuple
-        The headers that go on to the replica as they are.
+        The headers that are forwarded to the replica unchanged.
     """
 
     method: str
@@ -82,13 +96,13 @@
     Attributes
     ----------
     arrival : float
-        Clock reading in seconds when the head was complete.
+        Clock time in seconds at which the head was complete.
     deadline : float
-        Clock reading at which the final answer is due.
-    caller_deadline : float or None
-        Clock reading until which the caller waits.
+        Clock time in seconds by which the response must be complete.
+    caller_deadline : float
+        Clock time in seconds at which the caller gives up.
     tier : int
-        Rank; 0 goes first.
+        Priority of the request; 0 is the most urgent.
     """
 
     head: CallHead
@@ -104,26 +118,29 @@
     @property
     def urgency(self) -> int:
         """
-        Rank at an engine; 0 goes first.
+        Priority at an engine; 0 is served first.
 
-        The workspace's tier goes before the route's; among requests with the same one
-        the route's decides, so that short targets don't wait behind long prompts.
+        The workspace's tier takes precedence over the route's.  Within one workspace
+        tier the route's tier decides, so that requests with short targets don't wait
+        behind long prompts.
         """
         return self.tier * ROUTE_TIERS + min(self.route.tier, ROUTE_TIERS - 1)
 
     @property
     def target_deadline(self) -> float:
         """
-        Clock reading at which the answer, or a stream's first event, is due.
+        Clock time in seconds by which the response, or a stream's first event, must
+        arrive to meet the route's target.
 
-        A caller that has less patience than its route allows has been here before.
+        A caller timeout below the route's timeout means that the caller has already
+        spent the difference on earlier attempts; it counts against the target.
         """
         spent = max(0.0, self.arrival + self.route.timeout - self.caller_deadline)
         return self.arrival + self.route.target - spent
 
     @property
     def stream_idle_timeout(self) -> float:
-        """Seconds after which a caller abandons a stream that brings no event."""
+        """Seconds without an event after which a caller abandons a stream."""
         return max(
             MIN_STREAM_IDLE_SECONDS,
             STREAM_IDLE_TARGETS * self.route.target,
@@ -132,7 +149,11 @@
 
     @property
     def first_event_deadline(self) -> float:
-        """Clock reading until which a first event is of use to the caller."""
+        """
+        Clock time in seconds after which the caller no longer accepts a first event.
+
+        For requests that are not streamed it is the deadline.
+        """
         if self.route.event_gap is None:
             return self.deadline
         return min(self.deadline, self.arrival + self.stream_idle_timeout)
@@ -144,7 +165,7 @@
 
 
 class ReplyKind(Enum):
-    """What the head of an answer from a replica says."""
+    """How a replica handled a request, according to its response head."""
 
     ANSWER = "answer"
     REFUSED = "refused"
@@ -154,7 +175,18 @@
 
 
 class LoadHint(msgspec.Struct, frozen=True):
-    """A replica's own counts: requests that run, requests that wait, and slots."""
+    """
+    Load that a replica reports of itself, over the requests of all gateways.
+
+    Attributes
+    ----------
+    running : int
+        Requests that are executed at present.
+    waiting : int
+        Requests in the replica's queue.
+    slots : int
+        Requests that the replica can execute at once.
+    """
 
     running: int
     waiting: int
@@ -163,21 +195,29 @@
 
 class ReplyHead(msgspec.Struct, kw_only=True, frozen=True):
     """
-    The judged head of a replica's answer.
+    The parsed and classified head of a replica's response.
 
     Attributes
     ----------
+    status : int
+        HTTP status code.
     kind : ReplyKind
-        ``REFUSED`` and ``MISPLACED`` mean that the replica did not run the request;
-        ``STRAY`` is the answer to another request.
+        ``REFUSED`` and ``MISPLACED`` mean that the replica did not execute the request;
+        ``STRAY`` is the response to another request; ``INVALID`` violates the protocol.
+    headers : tuple
+        The headers that are forwarded to the caller.
+    load : LoadHint or None
+        The load that the replica reports.
     closing : bool
-        Whether the replica closes the connection after this answer.
+        Whether the replica closes the connection after this response.
     leaving : bool
-        Whether the replica says that it leaves and takes no new work.
+        Whether the replica announces that it leaves and accepts no new requests.
     keep_alive : float or None
-        Seconds that the replica keeps an idle connection open, where it says so.
-    pause : float or None
-        Seconds for which the replica wants no request from this gateway.
+        Seconds for which the replica keeps an idle connection open, if it states them.
+    retry_after : float or None
+        Seconds for which the replica accepts no request from this gateway.
+    detail : str
+        Reason for the classification, for the log.
     """
 
     status: int
@@ -192,7 +232,7 @@
 
 
 class UpstreamState(Enum):
-    """Whether a replica takes new work."""
+    """Whether a replica accepts new requests."""
 
     LIVE = "live"
     LEAVING = "leaving"
@@ -204,10 +244,15 @@
 
     Attributes
     ----------
+    address : str
+        Host and port.
+    slots : int
+        Requests that the replica can execute at once.
     incarnation : int
-        Start of the replica in milliseconds; differs when an id is used again.
+        Start time of the replica in milliseconds; tells apart replicas that use the
+        same id one after the other.
     warm_up : float
-        Seconds for which the replica is still slow.
+        Seconds until the replica reaches its full speed.
     """
 
     instance: InstanceId
--- a/damasklead/gateway/placements/__init__.py
+++ b/damasklead/gateway/placements/__init__.py
@@ -2,7 +2,8 @@
 Placements
 ==========
 
-How a replica is chosen, one class for each kind of service.
+Placement policies, which choose the replica for a request: one class for each kind of
+service.
 """
 
 from damasklead.clock import Clock
@@ -32,6 +33,6 @@
     clock: Clock,
     data_centre: DataCentre,
 ) -> Placement:
-    """Return the placement for a kind of service."""
+    """Return a placement of the class for the service's kind."""
     kind = "plain" if service.engine is None else "engine"
     return PLACEMENTS[kind](service=service, clock=clock, data_centre=data_centre)
--- a/damasklead/gateway/placements/base.py
+++ b/damasklead/gateway/placements/base.py
@@ -2,8 +2,9 @@
 Base of placements
 ==================
 
-Decides which replica gets a request.  No I/O: what is known comes in as calls with the
-clock's time, a choice goes out.
+Base class of the placement policies, which choose the replica for a request.
+
+No I/O: the inputs are records of events and the time, the output is the chosen replica.
 """
 
 from abc import ABC, abstractmethod
@@ -20,24 +21,26 @@
 
 __all__ = ["FAILURE_COST", "Placement", "tie_breaker"]
 
-# A replica that has not said a word for so many targets is passed over.
+# A replica is unhealthy after a stall of this many multiples of the request's target.
 STALL_TARGETS = 3.0
-# Shortest silence that counts, in seconds: a lost packet is sent again after 0.2 s.
+# Minimum of that time: TCP retransmits a lost packet after 0.2 s, which is no stall.
 MIN_STALL_SECONDS = 0.5
-# Requests that a certain failure is worth in the comparison of replicas.
+# Cost of a failure rate of 1, in units of the cost of one active request.
 FAILURE_COST = 6.0
 
 
 class Placement(ABC):
     """
-    The replicas of one service as one gateway sees them.
+    Chooses among the replicas of one service, from the state that is known here.
+
+    Each gateway has a placement of its own, and so has each coordinator of a cell.
 
     Parameters
     ----------
     service : ServiceSpec
     clock : Clock
     data_centre : DataCentre
-        Where this gateway is.
+        Data centre whose replicas are preferred.
     """
 
     def __init__(
@@ -57,7 +60,7 @@
 
     @property
     def service(self) -> ServiceSpec:
-        """The service."""
+        """Specification of the service in the configuration in force."""
         return self._service
 
     @property
@@ -66,19 +69,19 @@
         return self._service.engine is not None
 
     def get_record(self, instance: InstanceId) -> UpstreamRecord | None:
-        """Return the entry of a replica that may take new work."""
+        """Return the list's entry of an eligible replica; ``None`` for others."""
         state = self._eligible_replicas.get(instance)
         return None if state is None else state.record
 
     def has_address(self, address: str) -> bool:
-        """Tell whether a replica that may take new work has an address."""
+        """Return whether an eligible replica has this address."""
         return any(
             state.record.address == address
             for state in self._eligible_replicas.values()
         )
 
     def find_paused_replicas(self) -> frozenset[InstanceId]:
-        """Return the replicas that want no request just now."""
+        """Return the eligible replicas that have asked for a pause in requests."""
         now = self._clock.now()
         return frozenset(
             item
@@ -88,12 +91,17 @@
 
     @property
     def eligible_instances(self) -> Collection[InstanceId]:
-        """The replicas that may take new work."""
+        """The eligible replicas: those that may be sent new requests."""
         return self._eligible_replicas.keys()
 
     def update_replicas(self, records: Iterable[UpstreamRecord]) -> None:
-        """Take the replicas that may take new work from now on."""
-        usable: dict[InstanceId, ReplicaState] = {}
+        """
+        Replace the eligible replicas.
+
+        The state of a replica that is no longer eligible is kept while it has requests
+        of this gateway or is paused, so that both still count if it is listed again.
+        """
+        eligible: dict[InstanceId, ReplicaState] = {}
         for record in records:
             state = self._replicas.get(record.instance)
             if state is None:
@@ -103,29 +111,43 @@
                 self._replicas[record.instance] = state
             elif state.update_record(record):
                 self._part_locations.remove_replica(record.instance)
-            usable[record.instance] = state
-        self._eligible_replicas = usable
-        self._eligible_keys = frozenset(state.key for state in usable.values())
+            eligible[record.instance] = state
+        self._eligible_replicas = eligible
+        self._eligible_keys = frozenset(state.key for state in eligible.values())
         now = self._clock.now()
-        for instance in [item for item in self._replicas if item not in usable]:
+        for instance in [item for item in self._replicas if item not in eligible]:
             state = self._replicas[instance]
             if not state.own_requests and state.paused_until <= now:
                 del self._replicas[instance]
 
     def configure(self, service: ServiceSpec, routes: Iterable[Route]) -> None:
-        """Take the service's specification in force and the routes that lead to it."""
+        """
+        Apply a configuration.
+
+        Parameters
+        ----------
+        service : ServiceSpec
+        routes : iterable of Route
+            The routes that send requests to the service.
+        """
         self._service = service
 
     def choose_replica(
         self, call: Call, *, excluded: Collection[InstanceId] = ()
     ) -> UpstreamRecord | None:
         """
-        Return the replica for a request, or ``None`` when there is none.
+        Return the replica for a request.
 
         Parameters
         ----------
-        excluded : collection
-            Replicas on which the request failed; they come last.
+        excluded : collection of InstanceId
+            Replicas that are not chosen, for example those on which the request failed.
+
+        Returns
+        -------
+        UpstreamRecord or None
+            The replica with the lowest cost, healthy ones first; ``None`` when all
+            eligible replicas are excluded or paused.
         """
         now = self._clock.now()
         candidates = [
@@ -135,33 +157,40 @@
         ]
         if not candidates:
             return None
-        sound = [item for item in candidates if self._is_healthy(item, call, now)]
+        healthy = [item for item in candidates if self._is_healthy(item, call, now)]
         best = min(
-            self._filter_candidates(call, sound or candidates, now),
+            self._filter_candidates(call, healthy or candidates, now),
             key=lambda state: self._compute_cost(state, call, now),
         )
         return best.record
 
     def accepts_requests(self, instance: InstanceId) -> bool:
-        """Tell whether a replica may be sent a request at this instant."""
+        """Return whether a replica is eligible and not paused."""
         state = self._eligible_replicas.get(instance)
         return state is not None and state.paused_until <= self._clock.now()
 
     def get_remaining_pause(self) -> float | None:
         """
-        Return the seconds until the first replica takes requests again, ``None`` when
-        some replica does or there is none.
+        Return the seconds until the first replica's pause ends.
+
+        ``None`` when some replica is not paused, or when there is no eligible replica.
         """
         if not self._eligible_replicas:
             return None
-        first = min(state.paused_until for state in self._eligible_replicas.values())
-        left = first - self._clock.now()
-        return left if left > 0 else None
+        first_end = min(
+            state.paused_until for state in self._eligible_replicas.values()
+        )
+        remaining = first_end - self._clock.now()
+        return remaining if remaining > 0 else None
 
     def pause_replica(self, instance: InstanceId, seconds: float) -> float:
         """
-        Take in that a replica wants no request for some seconds; returns the seconds
-        that it gets.
+        Pause requests to a replica for the seconds that it asked for.
+
+        Returns
+        -------
+        float
+            Seconds for which requests are paused; 0 for an unknown replica.
         """
         state = self._replicas.get(instance)
         return (
@@ -171,7 +200,12 @@
         )
 
     def explain_choice(self, instance: InstanceId, call: Call) -> dict[str, object]:
-        """Return what is known of a chosen replica, for the log."""
+        """
+        Return the known state of a chosen replica as fields of a log line.
+
+        ``unread`` are the tokens of the request to prefill, ``backlog`` those of this
+        gateway's other requests there.
+        """
         state = self._replicas[instance]
         now = self._clock.now()
         return {
@@ -185,7 +219,7 @@
         }
 
     def record_sent(self, instance: InstanceId, call: Call) -> None:
-        """Count a request that is being sent to a replica."""
+        """Record that a request is being sent to a replica."""
         state = self._replicas.get(instance)
         if state is not None:
             for part in call.head.prompt[:-1]:
@@ -197,19 +231,19 @@
             )
 
     def record_response_head(self, instance: InstanceId, hint: LoadHint | None) -> None:
-        """Take in the head of an answer."""
+        """Record a response head of a replica and the load that it reports, if any."""
         state = self._replicas.get(instance)
         if state is not None:
             state.record_response_head(hint, now=self._clock.now())
 
     def record_stream_event(self, instance: InstanceId, call: Call) -> None:
-        """Take in an event of a request's stream."""
+        """Record an event of a request's stream."""
         state = self._replicas.get(instance)
         if state is not None:
             state.record_stream_event(call, now=self._clock.now())
 
     def record_success(self, instance: InstanceId, call: Call) -> None:
-        """Take in that a request has its whole answer."""
+        """Record that a request received its complete response."""
         state = self._replicas.get(instance)
         if state is not None:
             state.remove_request(call)
@@ -218,59 +252,72 @@
     def record_failure(
         self, instance: InstanceId, call: Call, failure: Failure
     ) -> None:
-        """Take in that an attempt ended without a whole answer."""
+        """Record that an attempt ended without a complete response."""
         state = self._replicas.get(instance)
         if state is not None:
             state.remove_request(call)
             state.record_failure(failure, now=self._clock.now())
 
     def record_cancellation(self, instance: InstanceId, call: Call) -> None:
-        """Take in that an attempt was cancelled; that says nothing of the replica."""
+        """Record that an attempt was cancelled, which is no failure of the replica."""
         state = self._replicas.get(instance)
         if state is not None:
             state.remove_request(call)
 
     def find_copy_source(self, instance: InstanceId, call: Call) -> str | None:
-        """Return from where a replica may copy prompt parts; ``None`` for nowhere."""
+        """
+        Return the address of a replica whose cached prompt parts can be copied.
+
+        ``None`` when the chosen replica has them or nobody else does.
+        """
         return None
 
     @property
     def mean_backlog(self) -> float:
-        """Seconds that the replicas have to read, on average."""
+        """Seconds of pending prefill per replica, on average."""
         return 0.0
 
     def has_any_capacity(self) -> bool:
-        """Tell whether any replica has little left to do."""
+        """Return whether any replica can start a further request soon."""
         return True
 
     def estimate_pool_prefill_seconds(self, call: Call) -> float:
-        """Return how long all replicas together need to read a request."""
+        """
+        Return the seconds that all replicas together need to prefill a request.
+        """
         return 0.0
 
     def estimate_prefill_seconds(self, call: Call) -> float:
-        """Return how long a replica reads what none has cached of a request."""
+        """
+        Return the seconds that one replica needs to prefill the part of a request that
+        no replica has cached.
+        """
         return 0.0
 
     def has_capacity_for(self, call: Call) -> bool:
-        """Tell whether the replica that a request would go to has little left to do."""
+        """Return whether the replica chosen for a request can start it soon."""
         return True
 
     def bypasses_queue(self, call: Call) -> bool:
-        """Tell whether a request is sent at once, room or not."""
+        """Return whether a request is sent at once, whatever the capacity."""
         return True
 
     @abstractmethod
     def _compute_cost(self, state: ReplicaState, call: Call, now: float) -> float:
-        """Return the cost of a request at a replica; the lowest is chosen."""
+        """
+        Return the cost of a request at a replica; the lowest cost is chosen.
+
+        The unit is that of the subclass: active requests or seconds.
+        """
 
     def _filter_candidates(
         self, call: Call, candidates: list[ReplicaState], now: float
     ) -> list[ReplicaState]:
-        """Return those among which the cost decides."""
+        """Return the candidates that are compared by cost."""
         return candidates
 
     def _count_prefill_tokens(self, state: ReplicaState, call: Call) -> int:
-        """Return the prompt tokens that the replica will have to read."""
+        """Return the prompt tokens that a replica has to prefill for a request."""
         return 0
 
     def _get_memory_tokens(self) -> int:
@@ -278,17 +325,21 @@
         return 0 if engine is None else engine.memory_tokens
 
     def _estimate_other_requests(self, state: ReplicaState, now: float) -> float:
-        """Estimate the requests of other gateways at a replica."""
+        """Estimate the number of other gateways' requests at a replica."""
         return state.estimate_other_requests(now)
 
     def _is_healthy(self, state: ReplicaState, call: Call, now: float) -> bool:
-        """Tell whether nothing speaks against a replica just now."""
+        """Return whether a replica has neither a penalty nor a stalled request."""
         if now < state.penalty_until:
             return False
-        patience = max(MIN_STALL_SECONDS, STALL_TARGETS * call.route.target)
-        return state.compute_stall_seconds(now) < patience
+        max_stall = max(MIN_STALL_SECONDS, STALL_TARGETS * call.route.target)
+        return state.compute_stall_seconds(now) < max_stall
 
 
 def tie_breaker(state: ReplicaState, call: Call) -> float:
-    """Return a small figure by which equal replicas differ for each request."""
+    """
+    Return a cost below 0.01 that differs by request and replica.
+
+    Replicas of equal cost thus receive about the same number of requests.
+    """
     return stable_hash(call.id, state.record.instance) / 2**64 * 0.01
--- a/damasklead/gateway/replicastate.py
+++ b/damasklead/gateway/replicastate.py
@@ -2,8 +2,8 @@
 State of a replica
 ==================
 
-What one gateway knows of one replica: its own requests there, the replica's load
-answers, and failures.
+What one gateway knows of one replica: its own active requests there, the load that the
+replica reports, and recent failures.
 """
 
 from collections import OrderedDict
@@ -17,33 +17,38 @@
 
 __all__ = ["PartCacheModel", "ReplicaState"]
 
-# First pause after a failed connection or a broken answer, and the longest one.
+# First and maximum penalty after a failed connection or a broken response; it doubles
+# with each further failure.
 MIN_PENALTY_SECONDS = 0.5
 MAX_PENALTY_SECONDS = 4.0
-# Longest pause that a replica is granted; a longer one is a mistake of the replica's.
+# Upper bound of the pause that a replica can ask for; a longer one is an error of the
+# replica.
 MAX_PAUSE_SECONDS = 60.0
-# A replica that says that it is full is full for about a request's time.
+# Penalty of a replica that reports that it is full: about the duration of a request.
 FULL_PENALTY_SECONDS = 0.1
-# Half-life of what a load answer says: requests last about a second.
+# Half-life of the load that a replica has reported: requests last about a second.
 LOAD_HINT_HALF_LIFE_SECONDS = 0.7
-# Weight of the newest outcome in the share of failures.
+# Weight of the newest outcome in the moving average of the failure rate.
 FAILURE_RATE_WEIGHT = 0.1
 
 
 class PartCacheModel:
     """
-    Prompt parts that were lately sent to a replica, the least recently used dropped.
+    Estimate of the prompt parts in a replica's prefix cache.
+
+    The parts that were sent to the replica are assumed to be cached and to be evicted
+    in LRU order.
 
     Parameters
     ----------
     capacity : int
-        Tokens that the replica can keep.
+        Capacity of the replica's cache in tokens.
 
     Examples
     --------
-    >>> memory = PartCacheModel(capacity=100)
-    >>> memory.add("a", 60); memory.add("b", 60)
-    >>> "a" in memory, "b" in memory
+    >>> cache = PartCacheModel(capacity=100)
+    >>> cache.add("a", 60); cache.add("b", 60)
+    >>> "a" in cache, "b" in cache
     (False, True)
     """
 
@@ -56,20 +61,20 @@
         return key in self._parts
 
     def add(self, key: str, tokens: int) -> None:
-        """Note that a part was sent."""
+        """Add a part that was sent, and evict the least recently used ones."""
         self._tokens += tokens - self._parts.pop(key, 0)
         self._parts[key] = tokens
         while self._tokens > self._capacity and len(self._parts) > 1:
             self._tokens -= self._parts.popitem(last=False)[1]
 
     def clear(self) -> None:
-        """Forget everything, as the replica did when it started again."""
+        """Remove all parts: the replica has restarted with an empty cache."""
         self._parts.clear()
         self._tokens = 0
 
 
 class _ActiveRequest(msgspec.Struct, kw_only=True):
-    """A request that runs or waits at a replica, and what of its prompt is unread."""
+    """A request of this gateway that is queued or executed at a replica."""
 
     sent_at: float
     pending_prefill_tokens: int
@@ -83,15 +88,15 @@
     Attributes
     ----------
     record : UpstreamRecord
-        The list's entry.
+        The replica's entry in the platform's list.
     key : int
-        Short key of the replica.
-    parts : PartCacheModel
-        Prompt parts sent there.
-    avoid_until : float
-        Clock reading until which others go first.
+        Short hash of the replica's id.
+    cached_parts : PartCacheModel
+        Prompt parts that the replica probably has in its prefix cache.
+    penalty_until : float
+        Clock time in seconds until which other replicas are preferred.
     paused_until : float
-        Clock reading until which the replica gets nothing from this gateway.
+        Clock time in seconds until which this gateway sends the replica no request.
     """
 
     def __init__(self, *, record: UpstreamRecord, memory_tokens: int) -> None:
@@ -103,34 +108,34 @@
         self._active_requests: dict[AttemptId, _ActiveRequest] = {}
         self._pending_prefill_tokens = 0
         self._hint: LoadHint | None = None
-        self._hint_at = 0.0
+        self._hint_received_at = 0.0
         self._last_response_at = 0.0
         self._penalty_seconds = 0.0
         self._failure_rate = 0.0
 
     @property
     def own_requests(self) -> int:
-        """Requests of this gateway there."""
+        """Number of this gateway's requests at the replica."""
         return len(self._active_requests)
 
     @property
     def pending_prefill_tokens(self) -> int:
-        """Prompt tokens of own requests that the replica has not read yet."""
+        """Prompt tokens of this gateway's requests that are not prefilled yet."""
         return self._pending_prefill_tokens
 
     @property
     def failure_rate(self) -> float:
-        """Recent share of attempts that failed."""
+        """Moving average of the fraction of attempts that failed."""
         return self._failure_rate
 
     def update_record(self, record: UpstreamRecord) -> bool:
         """
-        Take the list's newer entry; a new incarnation begins without a past.
+        Replace the entry of the list; a new incarnation resets the state.
 
         Returns
         -------
         bool
-            Whether it is a new incarnation.
+            Whether the entry is of a new incarnation.
         """
         restarted = record.incarnation != self.record.incarnation
         if record.incarnation != self.record.incarnation:
@@ -144,7 +149,16 @@
         return restarted
 
     def record_sent(self, call: Call, *, prefill_tokens: int, now: float) -> None:
-        """Count a request that is being sent."""
+        """
+        Record that a request is being sent.
+
+        Parameters
+        ----------
+        prefill_tokens : int
+            Prompt tokens that the replica has to prefill.
+        now : float
+            Clock time in seconds.
+        """
         self.remove_request(call)
         self._active_requests[call.id] = _ActiveRequest(
             sent_at=now, pending_prefill_tokens=prefill_tokens
@@ -154,44 +168,50 @@
             self.cached_parts.add(part.key, part.tokens)
 
     def record_stream_event(self, call: Call, *, now: float) -> None:
-        """Take in an event of a stream: its prompt was read."""
+        """Record an event of a request's stream: its prompt is prefilled."""
         self._last_response_at = now
-        sent = self._active_requests.get(call.id)
-        if sent is not None:
-            self._pending_prefill_tokens -= sent.pending_prefill_tokens
-            sent.pending_prefill_tokens = 0
-            sent.events += 1
+        request = self._active_requests.get(call.id)
+        if request is not None:
+            self._pending_prefill_tokens -= request.pending_prefill_tokens
+            request.pending_prefill_tokens = 0
+            request.events += 1
 
     def remove_request(self, call: Call) -> None:
-        """Count a request as ended."""
-        sent = self._active_requests.pop(call.id, None)
-        if sent is not None:
-            self._pending_prefill_tokens -= sent.pending_prefill_tokens
+        """Remove a request that has ended."""
+        request = self._active_requests.pop(call.id, None)
+        if request is not None:
+            self._pending_prefill_tokens -= request.pending_prefill_tokens
 
     def record_response_head(self, hint: LoadHint | None, *, now: float) -> None:
-        """Take in the head of an answer."""
+        """Record a response head and the load that it reports, if any."""
         self._last_response_at = now
         if hint is not None:
-            self._hint, self._hint_at = hint, now
+            self._hint, self._hint_received_at = hint, now
 
     def pause_requests(self, seconds: float, *, now: float) -> float:
         """
-        Take in that the replica wants no request for some time; returns the seconds
-        that it gets.  A shorter request for a pause does not end a longer one.
+        Pause requests to the replica for a time that it asked for.
+
+        A shorter pause doesn't end a longer one that has begun before.
+
+        Returns
+        -------
+        float
+            Seconds for which requests are paused, within the upper bound.
         """
-        # A comparison with NaN is false, so it gets none.
+        # Comparisons with NaN are false, so NaN is treated as no pause.
         granted = min(seconds, MAX_PAUSE_SECONDS) if seconds > 0 else 0.0
         self.paused_until = max(self.paused_until, now + granted)
         return granted
 
     def record_success(self) -> None:
-        """Take in a whole answer."""
+        """Record a complete response, which ends the penalty."""
         self._penalty_seconds = 0.0
         self.penalty_until = 0.0
         self._failure_rate *= 1 - FAILURE_RATE_WEIGHT
 
     def record_failure(self, failure: Failure, *, now: float) -> None:
-        """Take in a failed attempt: others go first for a while."""
+        """Record a failed attempt and extend the penalty."""
         if failure in (Failure.REFUSED, Failure.PAUSED):
             self.penalty_until = max(self.penalty_until, now + FULL_PENALTY_SECONDS)
             return
@@ -202,27 +222,37 @@
         self.penalty_until = now + self._penalty_seconds
 
     def estimate_other_requests(self, now: float) -> float:
-        """Estimate the requests of other gateways that run or wait there."""
+        """
+        Estimate the number of other gateways' requests at the replica.
+
+        It is taken from the load that the replica last reported and decays
+        exponentially with the age of that report.
+        """
         if self._hint is None:
             return 0.0
-        fresh = 0.5 ** ((now - self._hint_at) / LOAD_HINT_HALF_LIFE_SECONDS)
+        decay = 0.5 ** ((now - self._hint_received_at) / LOAD_HINT_HALF_LIFE_SECONDS)
         return (
             max(0.0, self._hint.running + self._hint.waiting - self.own_requests)
-            * fresh
+            * decay
         )
 
     def compute_hint_age(self, now: float) -> float:
-        """Return the age of the replica's load answer in seconds; -1 without one."""
-        return -1.0 if self._hint is None else now - self._hint_at
+        """Return the age of the reported load in seconds; -1 when there is none."""
+        return -1.0 if self._hint is None else now - self._hint_received_at
 
     def compute_stall_seconds(self, now: float) -> float:
         """
-        Return the seconds since the replica was heard while a request there waits for
-        its first byte; 0 when none does.
+        Return for how many seconds the replica has not responded to a request.
+
+        The time counts from its last response, or from when the oldest request without
+        a response was sent if that is later; it is 0 when no request waits for its
+        first byte.
         """
-        waiting = [
-            item.sent_at for item in self._active_requests.values() if not item.events
+        sent_times = [
+            request.sent_at
+            for request in self._active_requests.values()
+            if not request.events
         ]
-        if not waiting:
+        if not sent_times:
             return 0.0
-        return now - max(min(waiting), self._last_response_at)
+        return now - max(min(sent_times), self._last_response_at)
--- a/damasklead/gateway/routing.py
+++ b/damasklead/gateway/routing.py
@@ -2,8 +2,8 @@
 Routing
 =======
 
-The configuration that a gateway serves by: routes, services, workspaces and limits, as
-one immutable table of a version.
+The configuration of a gateway: routes, services, workspaces and limits of one version,
+in an immutable table.
 """
 
 from enum import Enum
@@ -32,7 +32,12 @@
 
 
 class RouteKind(Enum):
-    """What a route's requests are and how often one may run."""
+    """
+    How a route's requests may be retried.
+
+    ``IDEMPOTENT`` requests may be executed more than once, ``ONCE`` requests may not;
+    the response to a ``STREAM`` request is an event stream.
+    """
 
     IDEMPOTENT = "idempotent"
     ONCE = "once"
@@ -41,14 +46,15 @@
 
 class CallerLimits(msgspec.Struct, kw_only=True, frozen=True):
     """
-    Bounds on what a caller may send and on how long it may take or stay idle.
+    Limits on the size of a caller's requests and on the time between their bytes.
 
     Attributes
     ----------
     head_bytes, body_bytes : int
-        The longest head and body of a request.
+        Maximum length of a request's head and body.
     head_seconds, idle_seconds : float
-        The longest time for a head to arrive, and between two requests.
+        Maximum time in which a head must arrive, and for which a connection may be idle
+        between two requests.
     """
 
     head_bytes: int = 16_384
@@ -59,14 +65,15 @@
 
 class EngineSpec(msgspec.Struct, kw_only=True, frozen=True):
     """
-    What the replicas of a model service can hold.
+    Capacity of the replicas of a model service.
 
     Attributes
     ----------
     slots : int
-        Requests that a replica decodes at once.
+        Requests that a replica decodes in one batch.
     memory_tokens : int
-        Tokens that running requests and cached prompt parts share.
+        Capacity of the KV cache in tokens, for running requests and cached prompt
+        parts together.
     tokens_per_event : int
         Tokens in one event of a stream.
     """
@@ -77,7 +84,16 @@
 
 
 class ServiceSpec(msgspec.Struct, kw_only=True, frozen=True):
-    """A service that routes lead to; ``engine`` is ``None`` for a plain service."""
+    """
+    A service that routes send requests to.
+
+    Attributes
+    ----------
+    max_connections : int
+        Connections that a replica accepts from all gateways together.
+    engine : EngineSpec or None
+        ``None`` for a service that runs no model.
+    """
 
     name: ServiceName
     max_connections: int
@@ -86,26 +102,27 @@
 
 class Route(msgspec.Struct, kw_only=True, frozen=True):
     """
-    Requests of one host whose path begins with a prefix.
+    Matches requests to one host whose path begins with a prefix.
 
     Attributes
     ----------
     timeout : float
-        Seconds after which a request must have its final answer.
+        Seconds within which the response to a request must be complete.
     target : float
-        Seconds to a whole answer, or to a stream's first event, that are in time.
+        Latency target in seconds, to the complete response or to the first event of a
+        stream.
     event_gap : float or None
-        Longest pause in seconds between a stream's events that is in time.
+        Target for the longest time in seconds between two events of a stream.
     tier : int
-        Rank of the requests; 0 goes first.
+        Priority of the requests; 0 is the most urgent.
     split : tuple
         The services with their weights.
     max_attempts : int
-        Replicas that may run one request.
+        Maximum number of replicas that may execute one request.
     resumable : bool
-        Whether a stream may go on at another replica after its last whole event.
+        Whether a stream may continue at another replica after its last complete event.
     public : bool
-        Whether requests need no key.
+        Whether requests need no API key.
     """
 
     name: RouteName
@@ -123,19 +140,19 @@
 
     @property
     def may_repeat(self) -> bool:
-        """Whether a request may run again after it may have run."""
+        """Whether a request that may have been executed may be sent again."""
         if self.kind is RouteKind.STREAM:
             return self.resumable
         return self.kind is RouteKind.IDEMPOTENT
 
     def select_service(self, seed: str) -> ServiceName:
         """
-        Return the service for a request, by weight.
+        Return the service for a request, chosen at random by weight.
 
         Parameters
         ----------
         seed : str
-            Decides among the services; the same seed gives the same service.
+            Determines the choice; the same seed gives the same service.
         """
         if len(self.split) == 1:
             return self.split[0][0]
@@ -149,7 +166,16 @@
 
 
 class Workspace(msgspec.Struct, kw_only=True, frozen=True):
-    """A customer; ``tier`` goes before the routes' tiers where it is set."""
+    """
+    A customer.
+
+    Attributes
+    ----------
+    keys : tuple of ApiKey
+        API keys of the customer's requests.
+    tier : int or None
+        Priority that replaces the tier of the routes; ``None`` keeps theirs.
+    """
 
     name: WorkspaceId
     keys: tuple[ApiKey, ...]
@@ -158,12 +184,14 @@
 
 class RoutingContent(msgspec.Struct, kw_only=True, frozen=True):
     """
-    One version of the configuration as it goes over a wire.
+    One version of the configuration, as it is transmitted and stored.
 
     Attributes
     ----------
+    version : int
+        Version number at the platform.
     workspaces : list or None
-        ``None`` when requests need no keys at all.
+        ``None`` when no request needs an API key.
     """
 
     version: int
@@ -175,7 +203,7 @@
 
 class RoutingTable:
     """
-    One version of the configuration, indexed for look-ups.
+    One version of the configuration with indexes by host, API key and service.
 
     Parameters
     ----------
@@ -216,12 +244,12 @@
 
     @property
     def content(self) -> RoutingContent:
-        """The version as it goes over a wire."""
+        """The content, as it is transmitted and stored."""
         return self._content
 
     @property
     def limits(self) -> CallerLimits:
-        """What callers may send."""
+        """The limits on callers' requests."""
         return self._content.limits
 
     @property
@@ -240,7 +268,7 @@
         return self._content.routes
 
     def find_routes(self, service: ServiceName) -> list[Route]:
-        """Return the routes that lead to a service."""
+        """Return the routes that send requests to a service."""
         return [
             route
             for route in self.routes
@@ -248,7 +276,21 @@
         ]
 
     def match_route(self, host: str, target: str) -> Route | None:
-        """Return the route with the longest prefix of a request's path."""
+        """
+        Return the route with the longest prefix of a request's path.
+
+        Parameters
+        ----------
+        host : str
+            Host header of the request, with or without a port.
+        target : str
+            Path of the request, with or without a query.
+
+        Returns
+        -------
+        Route or None
+            ``None`` when no route matches.
+        """
         prefixes = self._by_host.get(_strip_port(host))
         if not prefixes:
             return None
@@ -262,7 +304,7 @@
         return None
 
     def find_workspace(self, key: ApiKey) -> Workspace | None:
-        """Return the workspace that holds a key."""
+        """Return the workspace that an API key belongs to."""
         return self._by_key.get(key)
 
 
