--- a/bench/coordination.py
+++ b/bench/coordination.py
@@ -97,7 +97,7 @@
     call = make_call(1, 10)
     name, instance = "edge-centre-1-17", InstanceId("i-7f3a91c2d4")
     ask = make_assignment_request(
-        name, call, cell, now=0.1, excluded=(), first_offer=True
+        name, call, cell, now=0.1, excluded=(), is_first_attempt=True
     )
     row = ListedRow(
         instance=instance, position=Position(version=123_456), record=make_records(1)[0]
@@ -132,7 +132,7 @@
         call = make_call(10_000 + number, 200)
         coordinator.handle_assignment_request(
             make_assignment_request(
-                "g", call, cell, now=0.0, excluded=(), first_offer=True
+                "g", call, cell, now=0.0, excluded=(), is_first_attempt=True
             )
         )
     begin = time.process_time()
@@ -141,7 +141,7 @@
         clock.advance(0.001)
         coordinator.handle_assignment_request(
             make_assignment_request(
-                "g", call, cell, now=0.0, excluded=(), first_offer=False
+                "g", call, cell, now=0.0, excluded=(), is_first_attempt=False
             )
         )
         coordinator.handle_prefill_done(
--- a/damasklead/experiment/gateways.py
+++ b/damasklead/experiment/gateways.py
@@ -177,7 +177,7 @@
             self._send_far(self, name, message)
 
     def _find(self, work: _Work) -> None:
-        work.cell = self._cells.select_cell(work.call, first_offer=not work.offers)
+        work.cell = self._cells.select_cell(work.call, is_first_attempt=not work.offers)
         if work.cell is None or work.offers >= MAX_REPLICA_ATTEMPTS:
             self._refuse(work, RETRY_AFTER_SECONDS)
             return
@@ -200,7 +200,7 @@
             work.cell,
             now=self._driver.clock.now(),
             excluded=work.excluded,
-            first_offer=not work.offers,
+            is_first_attempt=not work.offers,
             source=self._cells.find_copy_source(work.call, work.cell),
         )
         self._send(work.coordinator, ask)
--- a/damasklead/gateway/admission.py
+++ b/damasklead/gateway/admission.py
@@ -9,11 +9,11 @@
 would queue in the engines, which serve them first in, first out, and soon each would
 miss its target.  Therefore requests of the least urgent tier are queued here until an
 engine has little prefill work left.  Requests that can still meet their target go
-first, then those of a more urgent tier, then those with the earliest due time.
+first, then those of a more urgent tier, then those whose target is due earliest.
 
 A request whose shared prefix is not cached takes an engine several times as long as one
-that hits the cache.  It is ordered as if it were due later, by a bounded delay: more
-requests are served in total, and later ones with the same prefix hit the cache.
+that hits the cache.  It is ordered as if its target were due later, by a bounded delay:
+more requests are served in total, and later ones with the same prefix hit the cache.
 
 More urgent requests are sent at once; the engines order them by tier over all gateways.
 
@@ -47,13 +47,13 @@
 # engine.
 MAX_CANDIDATES = 8
 # Interval between searches of the queue for requests that can't be served in time.
-EXPIRY_SCAN_SECONDS = 0.05
-# Seconds by which the due time used for the order is delayed per second of uncached
-# prefill, and the maximum of that delay as a fraction of the request's target.
-PREFILL_WEIGHT = 3.0
-MAX_PREFILL_FRACTION = 0.75
+EXPIRY_SCAN_INTERVAL_SECONDS = 0.05
+# Seconds of delay, in the order of the queue, per second of uncached prefill, and the
+# maximum delay as a fraction of the request's target.
+PREFILL_DELAY_FACTOR = 3.0
+MAX_DELAY_FRACTION = 0.75
 # Interval between estimates of a queued request's uncached prefill.
-PREFILL_ESTIMATE_SECONDS = 0.1
+PREFILL_ESTIMATE_INTERVAL_SECONDS = 0.1
 # Minimum time from sending a request to its first event.
 MIN_FIRST_EVENT_SECONDS = 0.1
 
@@ -83,7 +83,7 @@
     ----------
     call : Call
     delay : float
-        Seconds that are added to the request's due time for the order.
+        Seconds by which the request is ordered as if its target were due later.
     estimated_at : float
         Clock reading of the last estimate of ``delay``.
     """
@@ -100,14 +100,15 @@
     Parameters
     ----------
     clock : Clock
-    has_capacity : callable
+    has_capacity_for : callable
         Returns whether the engine that would be chosen for a request has little prefill
-        work pending.
-    is_urgent : callable
-        Returns whether a request is sent at once, even without capacity.
+        work pending and a free slot.
+    bypasses_queue : callable
+        Returns whether a request is urgent, so that it is sent at once, even without
+        capacity.
     has_any_capacity : callable
         Returns whether any engine has capacity; checked first, since it is cheaper.
-    estimate_seconds : callable
+    estimate_pool_prefill_seconds : callable
         Returns the seconds that all engines together need to prefill a request.
     estimate_prefill_seconds : callable
         Returns the seconds that one engine needs to prefill the part of a request that
@@ -118,20 +119,20 @@
         self,
         *,
         clock: Clock,
-        has_capacity: Callable[[Call], bool],
-        is_urgent: Callable[[Call], bool],
+        has_capacity_for: Callable[[Call], bool],
+        bypasses_queue: Callable[[Call], bool],
         has_any_capacity: Callable[[], bool] = lambda: True,
-        estimate_seconds: Callable[[Call], float] = lambda _call: 0.0,
+        estimate_pool_prefill_seconds: Callable[[Call], float] = lambda _call: 0.0,
         estimate_prefill_seconds: Callable[[Call], float] = lambda _call: 0.0,
     ) -> None:
         self._has_any_capacity = has_any_capacity
-        self._estimate_seconds = estimate_seconds
+        self._estimate_pool_prefill_seconds = estimate_pool_prefill_seconds
         self._estimate_prefill_seconds = estimate_prefill_seconds
         self._scanned_at = 0.0
         self._expired_calls: list[Call] = []
         self._clock = clock
-        self._has_capacity = has_capacity
-        self._is_urgent = is_urgent
+        self._has_capacity_for = has_capacity_for
+        self._bypasses_queue = bypasses_queue
         self._queue: dict[AttemptId, _QueuedCall] = {}
 
     @property
@@ -144,18 +145,18 @@
         """The queued requests."""
         return [item.call for item in self._queue.values()]
 
-    def submit(self, call: Call) -> Decision | None:
+    def submit_call(self, call: Call) -> Decision | None:
         """Return the decision on a new request; ``None`` if it is queued."""
-        if self._is_urgent(call):
+        if self._bypasses_queue(call):
             return Admit(call=call)
-        if not self._queue and self._has_capacity(call):
+        if not self._queue and self._has_capacity_for(call):
             return Admit(call=call)
         if len(self._queue) >= MAX_QUEUE_LENGTH:
             return self._reject(call)
         self._queue[call.id] = _QueuedCall(call=call)
         return None
 
-    def withdraw(self, call: Call) -> None:
+    def remove_call(self, call: Call) -> None:
         """Remove a request from the queue, if it is there."""
         self._queue.pop(call.id, None)
 
@@ -167,7 +168,7 @@
         admitted request uses capacity.
         """
         now = self._clock.now()
-        if now - self._scanned_at >= EXPIRY_SCAN_SECONDS:
+        if now - self._scanned_at >= EXPIRY_SCAN_INTERVAL_SECONDS:
             self._scanned_at = now
             self._expired_calls = self._find_expired(now)
         while self._expired_calls:
@@ -181,7 +182,7 @@
             self._queue.values(),
             key=lambda item: self._sort_key(item, now),
         ):
-            if self._has_capacity(item.call):
+            if self._has_capacity_for(item.call):
                 del self._queue[item.call.id]
                 return Admit(call=item.call)
         return None
@@ -198,7 +199,7 @@
             self._queue.values(), key=lambda item: self._sort_key(item, now)
         ):
             call = item.call
-            seconds = self._estimate_seconds(call)
+            seconds = self._estimate_pool_prefill_seconds(call)
             if now + queue_seconds + seconds > call.first_event_deadline:
                 expired_calls.append(call)
             else:
@@ -214,11 +215,11 @@
     def _sort_key(self, item: _QueuedCall, now: float) -> tuple[bool, int, float]:
         """Return the sort key of a queued request; the lowest is served first."""
         call = item.call
-        if now - item.estimated_at >= PREFILL_ESTIMATE_SECONDS:
+        if now - item.estimated_at >= PREFILL_ESTIMATE_INTERVAL_SECONDS:
             item.estimated_at = now
-            max_delay = MAX_PREFILL_FRACTION * call.route.target
+            max_delay = MAX_DELAY_FRACTION * call.route.target
             item.delay = min(
-                PREFILL_WEIGHT * self._estimate_prefill_seconds(call), max_delay
+                PREFILL_DELAY_FACTOR * self._estimate_prefill_seconds(call), max_delay
             )
         return (
             now > call.target_deadline,
--- a/damasklead/gateway/assigning.py
+++ b/damasklead/gateway/assigning.py
@@ -49,12 +49,12 @@
             return None  # no source, or one that has left in this gateway's list
         return source
 
-    def explain(self) -> dict[str, object]:
+    def get_log_fields(self) -> dict[str, object]:
         """Return the values that are logged with the request."""
-        return {} if self._assignment is None else self._assignment.explain()
+        return {} if self._assignment is None else self._assignment.get_log_fields()
 
     def select_replica(
-        self, *, excluded: Collection[InstanceId], first_offer: bool
+        self, *, excluded: Collection[InstanceId], is_first_attempt: bool
     ) -> UpstreamRecord | Refusal | None:
         """
         Return the replica to try next, a refusal, or ``None`` when there is none.
@@ -63,8 +63,8 @@
         ----------
         excluded : collection of InstanceId
             Replicas on which the request failed.
-        first_offer : bool
-            Whether the request has not been offered to a replica yet; only then may it
+        is_first_attempt : bool
+            Whether the request has not been tried at a replica yet; only then may it
             be queued or rejected.
         """
         if not self._placement.is_coordinated:
@@ -72,7 +72,7 @@
         skipped_replicas = set(excluded) | self._placement.find_paused_replicas()
         for _ in range(MAX_ASSIGNMENTS):
             result = self._client.request_assignment(
-                self._call, excluded=skipped_replicas, first_offer=first_offer
+                self._call, excluded=skipped_replicas, is_first_attempt=is_first_attempt
             )
             if result is None:
                 break
--- a/damasklead/gateway/attempts.py
+++ b/damasklead/gateway/attempts.py
@@ -129,7 +129,8 @@
             )
         while True:
             record = self._selector.select_replica(
-                excluded=self._excluded_replicas, first_offer=not self.attempt_count
+                excluded=self._excluded_replicas,
+                is_first_attempt=not self.attempt_count,
             )
             if record is None:
                 return self._refuse_without_replica()
@@ -206,7 +207,7 @@
             replica=record.instance,
             offer=self.attempt_count,
             **self._placement.explain_choice(record.instance, call),
-            **self._selector.explain(),
+            **self._selector.get_log_fields(),
         )
         self._placement.record_sent(record.instance, call)
         headers = self._context.dialect.build_upstream_headers(
--- a/damasklead/gateway/coordination/asking.py
+++ b/damasklead/gateway/coordination/asking.py
@@ -42,7 +42,7 @@
 SECOND_REQUEST_TIMEOUT_SECONDS = 0.06
 # Timeout for the next message on a queued request; a coordinator sends one every 0.2 s.
 QUEUED_TIMEOUT_SECONDS = 0.65
-# Number of coordinators to try before this gateway decides itself.
+# Number of coordinators to try before this gateway's own coordinator decides.
 MAX_COORDINATORS = 2
 
 
@@ -69,7 +69,7 @@
     source: str | None
     backlog: float = 0.0
 
-    def explain(self) -> dict[str, object]:
+    def get_log_fields(self) -> dict[str, object]:
         """Return the values that are logged with the request."""
         return {
             "coordinator": self.coordinator,
@@ -117,27 +117,27 @@
         return len(self._pending)
 
     def request_assignment(
-        self, call: Call, *, excluded: Collection[InstanceId], first_offer: bool
+        self, call: Call, *, excluded: Collection[InstanceId], is_first_attempt: bool
     ) -> Assignment | RequestRejected | None:
         """
-        Return the assignment or rejection of a request, or ``None`` if no coordinator
-        decides.
+        Return the assignment or rejection of a request, or ``None`` if the gateway has
+        to choose a replica itself.
 
         Parameters
         ----------
         call : Call
         excluded : collection of InstanceId
             Replicas that the request must not be assigned to.
-        first_offer : bool
-            Whether the request has not been offered to a replica yet; only then may it
+        is_first_attempt : bool
+            Whether the request has not been tried at a replica yet; only then may it
             be queued or rejected.
         """
-        cell = self._cells.select_cell(call, first_offer=first_offer)
+        cell = self._cells.select_cell(call, is_first_attempt=is_first_attempt)
         if cell is None:
             return None
         for coordinator in self._cells.list_coordinators(cell, limit=MAX_COORDINATORS):
             response = self._query_coordinator(
-                call, cell, coordinator, excluded, first_offer
+                call, cell, coordinator, excluded, is_first_attempt
             )
             if isinstance(response, Grant):
                 return self._record_assignment(call, cell, coordinator, response)
@@ -200,7 +200,7 @@
         cell: Cell,
         coordinator: str,
         excluded: Collection[InstanceId],
-        first_offer: bool,
+        is_first_attempt: bool,
     ) -> Grant | RequestRejected | None:
         """Return one coordinator's decision, ``None`` if it does not respond."""
         has_response = False
@@ -215,7 +215,7 @@
                     cell,
                     now=self._clock.now(),
                     excluded=excluded,
-                    first_offer=first_offer,
+                    is_first_attempt=is_first_attempt,
                     source=self._cells.find_copy_source(call, cell),
                 ),
             )
@@ -278,7 +278,7 @@
     *,
     now: float,
     excluded: Collection[InstanceId],
-    first_offer: bool,
+    is_first_attempt: bool,
     source: str | None = None,
 ) -> AssignmentRequest:
     """
@@ -294,8 +294,8 @@
         Clock reading in seconds.
     excluded : collection of InstanceId
         Replicas that the request must not be assigned to.
-    first_offer : bool
-        Whether the request has not been offered to a replica yet.
+    is_first_attempt : bool
+        Whether the request has not been tried at a replica yet.
     source : str or None
         Address of a replica of another cell that is likely to have the shared prefix.
     """
@@ -311,6 +311,6 @@
         call.head.prompt_tokens,
         call.head.prompt,
         tuple(excluded),
-        first_offer,
+        is_first_attempt,
         source,
     )
--- a/damasklead/gateway/coordination/cellmap.py
+++ b/damasklead/gateway/coordination/cellmap.py
@@ -30,14 +30,14 @@
 # Interval between pings to a suspected gateway; it doubles with each ping.
 MIN_PING_INTERVAL_SECONDS = 0.3
 MAX_PING_INTERVAL_SECONDS = 5.0
-# A reported load of a cell is ignored when it is older.
+# Age at which the last known load of a cell is ignored.
 LOAD_TTL_SECONDS = 1.0
 # A request spills over from its home cell to another one whose backlog is shorter by
 # more than this.  Each spillover costs capacity, since the other cell has to prefill
 # the shared prefix again.
-SPILLOVER_SECONDS = 2.0
-# Fraction of the requests of an overloaded home cell that go to another cell whose load
-# is unknown, which learns its load.
+SPILLOVER_THRESHOLD_SECONDS = 2.0
+# Fraction of the requests of an overloaded home cell that probe a cell of unknown load:
+# they are sent there, and the responses tell its load.
 PROBE_FRACTION = 0.25
 
 
@@ -68,8 +68,8 @@
         self._members: set[Member] = {own}
         self._has_resigned = False
         self._cells: dict[ServiceName, dict[Cell, list[UpstreamRecord]]] = {}
-        self._cell_of: dict[InstanceId, Cell] = {}
-        self._ranked: dict[Cell, list[InstanceId]] = {}
+        self._cells_by_engine: dict[InstanceId, Cell] = {}
+        self._rankings: dict[Cell, list[InstanceId]] = {}
         self._suspects: dict[str, tuple[float, float]] = {}
         self._loads: dict[Cell, tuple[float, float]] = {}
 
@@ -81,19 +81,19 @@
     def resign_coordination(self) -> None:
         """Exclude this gateway from the ranking of coordinators, since it stops."""
         self._has_resigned = True
-        self._ranked.clear()
+        self._rankings.clear()
 
     def set_members(self, members: Iterable[Member]) -> None:
         """Set the gateways that may coordinate besides this one."""
         members = {self._own, *members}
         if members != self._members:
             self._members = members
-            self._ranked.clear()
+            self._rankings.clear()
 
     def set_engines(self, service: ServiceName, records: list[UpstreamRecord]) -> None:
         """Set the engines of a service that accept new requests."""
         self._cells[service] = partition_engines(records)
-        self._cell_of = {
+        self._cells_by_engine = {
             record.instance: cell
             for cells in self._cells.values()
             for cell, group in cells.items()
@@ -110,28 +110,28 @@
 
     def find_cell(self, instance: InstanceId) -> Cell | None:
         """Return the cell that an engine belongs to."""
-        return self._cell_of.get(instance)
+        return self._cells_by_engine.get(instance)
 
     def record_load(self, cell: Cell, load: float) -> None:
         """Record a cell's load: its mean backlog of prefill work in seconds."""
         self._loads[cell] = (load, self._clock.now())
 
-    def select_cell(self, call: Call, *, first_offer: bool) -> Cell | None:
+    def select_cell(self, call: Call, *, is_first_attempt: bool) -> Cell | None:
         """
         Return the cell for a request: its home cell, or one with a much lower load.
 
         Parameters
         ----------
         call : Call
-        first_offer : bool
-            Whether the request has not been offered to a replica yet; later attempts
+        is_first_attempt : bool
+            Whether the request has not been tried at a replica yet; later attempts
             stay in the home cell.
         """
         home = self.find_home_cell(call)
-        if home is None or not first_offer:
+        if home is None or not is_first_attempt:
             return home
         load = self._get_fresh_load(home)
-        if load is None or load <= SPILLOVER_SECONDS:
+        if load is None or load <= SPILLOVER_THRESHOLD_SECONDS:
             return home
         other = self._select_spillover_cell(home)
         if other is None:
@@ -140,7 +140,7 @@
         if other_load is None:
             is_probe = stable_hash("look", call.id) < PROBE_FRACTION * 2**64
             return other if is_probe else home
-        return other if other_load + SPILLOVER_SECONDS < load else home
+        return other if other_load + SPILLOVER_THRESHOLD_SECONDS < load else home
 
     def find_home_cell(self, call: Call) -> Cell | None:
         """Return the home cell of a request, ``None`` if its service has no cell."""
@@ -195,13 +195,13 @@
             Maximum number of ranked gateways to return.
         """
         self._refresh_members()
-        ranked = self._ranked.get(cell)
+        ranked = self._rankings.get(cell)
         if ranked is None:
             members = (
                 self._members - {self._own} if self._has_resigned else self._members
             )
             ranked = rank_members(cell, members)[:MAX_RANKED_MEMBERS]
-            self._ranked[cell] = ranked
+            self._rankings[cell] = ranked
         candidates = [name for name in ranked if name not in self._suspects][:limit]
         if self._own.instance in candidates:
             return [
--- a/damasklead/gateway/coordination/cells.py
+++ b/damasklead/gateway/coordination/cells.py
@@ -31,9 +31,9 @@
 ]
 
 # Target number of engines per cell.  It has to be large enough to distribute shared
-# prefixes evenly over cells, to reserve engines for streams with short targets and to
-# replicate a hot prefix, and small enough for one coordinator to score every engine for
-# each request.
+# prefixes evenly over cells, to reserve engines for streams with a short event gap
+# target and to replicate a hot prefix, and small enough for one coordinator to compute
+# the cost of every engine for each request.
 CELL_ENGINES = 24
 # If any data centre has fewer engines of a service than this, the service's cells span
 # data centres.
--- a/damasklead/gateway/coordination/coordinator.py
+++ b/damasklead/gateway/coordination/coordinator.py
@@ -118,10 +118,10 @@
         )
         self._admission = AdmissionController(
             clock=clock,
-            has_capacity=self._placement.has_capacity_for,
-            is_urgent=self._placement.bypasses_queue,
+            has_capacity_for=self._placement.has_capacity_for,
+            bypasses_queue=self._placement.bypasses_queue,
             has_any_capacity=self._placement.has_any_capacity,
-            estimate_seconds=self._placement.estimate_pool_prefill_seconds,
+            estimate_pool_prefill_seconds=self._placement.estimate_pool_prefill_seconds,
             estimate_prefill_seconds=self._placement.estimate_prefill_seconds,
         )
         self._backlog = 0.0
@@ -133,8 +133,10 @@
     @property
     def is_idle(self) -> bool:
         """Whether there are no requests and none has arrived for a while."""
-        recently_used = self._clock.now() - self._last_request_at < IDLE_TIMEOUT_SECONDS
-        return not recently_used and not self._requests
+        has_recent_request = (
+            self._clock.now() - self._last_request_at < IDLE_TIMEOUT_SECONDS
+        )
+        return not has_recent_request and not self._requests
 
     @property
     def backlog(self) -> float:
@@ -193,9 +195,9 @@
             ]
         entry = self._make_entry(request, route)
         self._requests[request.attempt] = entry
-        if not request.first_offer:
-            return [self._assign(entry)]
-        decision = self._admission.submit(entry.call)
+        if not request.is_first_attempt:
+            return [self._assign_replica(entry)]
+        decision = self._admission.submit_call(entry.call)
         if decision is not None:
             return [self._apply_decision(decision)]
         entry.queued_at = self._clock.now()
@@ -214,7 +216,7 @@
         if entry is None or entry.requester != message.requester:
             return
         del self._requests[message.attempt]
-        self._admission.withdraw(entry.call)
+        self._admission.remove_call(entry.call)
         if entry.instance is None:
             return
         if message.outcome == "whole":
@@ -231,7 +233,7 @@
         that are not known yet.
         """
         now = self._clock.now()
-        listed = {attempt for attempt, _, _ in message.requests}
+        listed_attempts = {attempt for attempt, _, _ in message.requests}
         for attempt, entry in list(self._requests.items()):
             is_settled = (
                 entry.instance is not None
@@ -240,7 +242,7 @@
             if (
                 entry.requester == message.requester
                 and is_settled
-                and attempt not in listed
+                and attempt not in listed_attempts
             ):
                 self._drop_request(entry)
         for attempt, instance, pending_tokens in message.requests:
@@ -322,14 +324,14 @@
     def _apply_decision(self, decision: Decision) -> AddressedResponse:
         entry = self._requests[decision.call.id]
         if isinstance(decision, Admit):
-            return self._assign(entry)
+            return self._assign_replica(entry)
         del self._requests[decision.call.id]
         rejection = RequestRejected(
             decision.call.id, decision.retry_after, self.backlog
         )
         return AddressedResponse(entry.requester, rejection)
 
-    def _assign(self, entry: _TrackedRequest) -> AddressedResponse:
+    def _assign_replica(self, entry: _TrackedRequest) -> AddressedResponse:
         call = entry.call
         record = self._placement.choose_replica(call, excluded=entry.excluded)
         if record is None:
@@ -365,6 +367,6 @@
 
     def _drop_request(self, entry: _TrackedRequest) -> None:
         del self._requests[entry.call.id]
-        self._admission.withdraw(entry.call)
+        self._admission.remove_call(entry.call)
         if entry.instance is not None:
             self._placement.record_cancellation(entry.instance, entry.call)
--- a/damasklead/gateway/coordination/messages.py
+++ b/damasklead/gateway/coordination/messages.py
@@ -48,8 +48,8 @@
     prompt : tuple of PromptPart
     excluded : tuple of InstanceId
         Replicas on which the request failed or from which the gateway backs off.
-    first_offer : bool
-        Whether the request has not been offered to a replica yet; only then may it be
+    is_first_attempt : bool
+        Whether the request has not been tried at a replica yet; only then may it be
         queued or rejected.
     source : str or None
         Address of a replica of another cell that is likely to have the shared prefix in
@@ -67,7 +67,7 @@
     prompt_tokens: int
     prompt: tuple[PromptPart, ...]
     excluded: tuple[InstanceId, ...]
-    first_offer: bool
+    is_first_attempt: bool
     source: str | None = None
 
 
--- a/damasklead/gateway/coordination/service.py
+++ b/damasklead/gateway/coordination/service.py
@@ -36,7 +36,7 @@
 # Interval between reports of running requests, while there are any.
 REPORT_INTERVAL_SECONDS = 1.0
 # Interval between checks for suspected gateways that are due for a ping.
-PING_CHECK_SECONDS = 0.25
+PING_CHECK_INTERVAL_SECONDS = 0.25
 
 _COORDINATOR_MESSAGES = (AssignmentRequest, PrefillDone, RequestEnded, RunningRequests)
 _CLIENT_MESSAGES = (Grant, RequestQueued, RequestRejected)
@@ -130,8 +130,8 @@
         """Report running requests and ping suspected gateways, forever."""
         elapsed = 0.0
         while True:
-            gevent.sleep(PING_CHECK_SECONDS)
-            elapsed += PING_CHECK_SECONDS
+            gevent.sleep(PING_CHECK_INTERVAL_SECONDS)
+            elapsed += PING_CHECK_INTERVAL_SECONDS
             if self._peers is not None:
                 for name in self.cells.collect_due_pings():
                     self._peers.ping(name)
--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -209,7 +209,7 @@
     ("module", "changes"),
     [
         (cells, {"CELL_ENGINES": 8}),
-        (admission, {"PREFILL_WEIGHT": 0.0}),
+        (admission, {"PREFILL_DELAY_FACTOR": 0.0}),
         (admission, {"MAX_QUEUE_LENGTH": 100}),
     ],
 )
--- a/tests/test_gateway_admission.py
+++ b/tests/test_gateway_admission.py
@@ -7,9 +7,9 @@
 
 from damasklead.clock import ManualClock
 from damasklead.gateway.admission import (
-    MAX_PREFILL_FRACTION,
+    MAX_DELAY_FRACTION,
     MAX_QUEUE_LENGTH,
-    PREFILL_ESTIMATE_SECONDS,
+    PREFILL_ESTIMATE_INTERVAL_SECONDS,
     AdmissionController,
     Admit,
     Reject,
@@ -44,8 +44,8 @@
         self.reading: dict[str, float] = {}
         self.admission = AdmissionController(
             clock=self.clock,
-            has_capacity=lambda call: self.room > 0,
-            is_urgent=lambda call: call.route is CHAT,
+            has_capacity_for=lambda call: self.room > 0,
+            bypasses_queue=lambda call: call.route is CHAT,
             estimate_prefill_seconds=lambda call: self.reading.get(call.id, 0.0),
         )
         self.admitted: list[str] = []
@@ -63,7 +63,7 @@
             deadline=now + min(patience, kind.timeout), caller_deadline=now + patience,
             tier=kind.tier,
         )  # fmt: skip
-        self._take(self.admission.submit(call))
+        self._take(self.admission.submit_call(call))
 
     def make_room(self, places: int) -> None:
         self.room += places
@@ -197,7 +197,7 @@
         scene = Scene(room=0)
         scene.reading["long"] = 60.0
         scene.submit("long", REVIEW)
-        scene.clock.advance(MAX_PREFILL_FRACTION * REVIEW.target + 0.01)
+        scene.clock.advance(MAX_DELAY_FRACTION * REVIEW.target + 0.01)
         scene.submit("short", REVIEW)
         scene.make_room(1)
         assert scene.admitted == ["long"]
@@ -210,6 +210,6 @@
         scene.submit("second", REVIEW)
         scene.decide()
         scene.reading["first"] = 0.0
-        scene.clock.advance(1.1 * PREFILL_ESTIMATE_SECONDS)
+        scene.clock.advance(1.1 * PREFILL_ESTIMATE_INTERVAL_SECONDS)
         scene.make_room(1)
         assert scene.admitted == ["first"]
--- a/tests/test_gateway_coordination.py
+++ b/tests/test_gateway_coordination.py
@@ -22,7 +22,7 @@
 )
 from damasklead.gateway.coordination.cellmap import (
     MAX_PING_INTERVAL_SECONDS,
-    SPILLOVER_SECONDS,
+    SPILLOVER_THRESHOLD_SECONDS,
     CellMap,
 )
 from damasklead.gateway.coordination.cells import (
@@ -99,7 +99,7 @@
     def ask(
         self, call: Call, gateway: str = "g1", **options: object
     ) -> list[AssignmentResponse]:
-        content: dict = {"now": 0.0, "excluded": (), "first_offer": True} | options
+        content: dict = {"now": 0.0, "excluded": (), "is_first_attempt": True} | options
         return self.note(
             self.coordinator.handle_assignment_request(
                 make_assignment_request(gateway, call, CELL, **content)
@@ -291,7 +291,9 @@
         call = review("r")
         (answer,) = scene.ask(call, source="127.0.0.1:99")
         assert isinstance(answer, Grant) and answer.source == "127.0.0.1:99"
-        (known,) = scene.ask(review("r2"), source="127.0.0.1:99", first_offer=False)
+        (known,) = scene.ask(
+            review("r2"), source="127.0.0.1:99", is_first_attempt=False
+        )
         assert known.instance == answer.instance or known.source != "127.0.0.1:99"
 
     def test_a_retry_gets_another_place(self) -> None:
@@ -299,14 +301,14 @@
         call = review("r")
         (first,) = scene.ask(call)
         scene.end(call, Failure.BROKEN.value)
-        (second,) = scene.ask(call, excluded=(first.instance,), first_offer=False)
+        (second,) = scene.ask(call, excluded=(first.instance,), is_first_attempt=False)
         assert isinstance(second, Grant) and second.instance != first.instance
 
     def test_a_retry_whose_end_was_lost_gets_another_place(self) -> None:
         scene = Scene()
         call = review("r")
         (first,) = scene.ask(call)
-        (second,) = scene.ask(call, excluded=(first.instance,), first_offer=False)
+        (second,) = scene.ask(call, excluded=(first.instance,), is_first_attempt=False)
         assert isinstance(second, Grant) and second.instance != first.instance
         assert scene.coordinator.request_count == 1
 
@@ -415,16 +417,22 @@
         home = cells.find_home_cell(calls[0])
         assert home is not None
         here = [call for call in calls if cells.find_home_cell(call) == home]
-        cells.record_load(home, SPILLOVER_SECONDS / 2)
-        assert {cells.select_cell(call, first_offer=True) for call in here} == {home}
+        cells.record_load(home, SPILLOVER_THRESHOLD_SECONDS / 2)
+        assert {cells.select_cell(call, is_first_attempt=True) for call in here} == {
+            home
+        }
         for cell in cells.cells:
-            cells.record_load(cell, 2 * SPILLOVER_SECONDS if cell == home else 0.0)
-        chosen = {cells.select_cell(call, first_offer=True) for call in here}
+            cells.record_load(
+                cell, 2 * SPILLOVER_THRESHOLD_SECONDS if cell == home else 0.0
+            )
+        chosen = {cells.select_cell(call, is_first_attempt=True) for call in here}
         assert home not in chosen
         assert all(cell and cell.data_centre == home.data_centre for cell in chosen)
-        assert cells.select_cell(here[0], first_offer=False) == home
+        assert cells.select_cell(here[0], is_first_attempt=False) == home
         clock.advance(1.5)
-        assert {cells.select_cell(call, first_offer=True) for call in here} == {home}
+        assert {cells.select_cell(call, is_first_attempt=True) for call in here} == {
+            home
+        }
 
     def test_the_source_is_the_home_of_a_request_that_goes_elsewhere(self) -> None:
         cells = self.cell_map(ManualClock())
@@ -443,7 +451,9 @@
         assert home is not None
         cells.record_load(home, 5.0)
         away = [
-            call for call in calls if cells.select_cell(call, first_offer=True) != home
+            call
+            for call in calls
+            if cells.select_cell(call, is_first_attempt=True) != home
         ]
         assert 20 <= len(away) <= 90
 
@@ -493,7 +503,7 @@
         gevent.spawn(self.client.handle_response, answer, name)
 
     def find(self, call: Call) -> Assignment:
-        found = self.client.request_assignment(call, excluded=(), first_offer=True)
+        found = self.client.request_assignment(call, excluded=(), is_first_attempt=True)
         assert isinstance(found, Assignment)
         return found
 
@@ -581,7 +591,7 @@
 
         world.client._send = refuse
         found = world.client.request_assignment(
-            live_call("c1", world.clock), excluded=(), first_offer=True
+            live_call("c1", world.clock), excluded=(), is_first_attempt=True
         )
         assert found == refusal
         asked = {
