--- a/damasklead/gateway/partplaces.py
+++ b/damasklead/gateway/partplaces.py
@@ -1,12 +1,13 @@
 """
-Where prompt parts are
-======================
+Locations of prompt parts
+=========================
 
-Which replicas have read which prompt parts, from what was sent to them.  No I/O.
+Tracks which replicas have prompt parts cached, from the requests that were sent to
+them.  No I/O.
 
-Load pattern: many subjects, each asked for a few times by callers of different
-gateways; a part that one replica has read can be copied by the others for a twentieth
-of the time that reading takes, if it is known where it is.
+Load pattern: many shared parts, each used by a few requests of different gateways.
+Other replicas can copy a part from a replica that has prefilled it in a twentieth of
+the time of a prefill, if its location is known.
 """
 
 from collections import OrderedDict
@@ -17,17 +18,18 @@
 
 __all__ = ["PartLocations"]
 
-# Smaller parts are read sooner than they are copied.
+# Parts of fewer tokens are faster to prefill than to copy.
 MIN_TOKENS = 200
-# Replicas remembered for one part: the newest; older ones will have dropped it first.
+# Maximum number of replicas recorded per part.  The oldest record is dropped, since
+# that replica is the first to evict the part.
 MAX_REPLICAS_PER_PART = 8
-# Parts remembered, about 300 bytes each.
+# Maximum number of recorded parts, of about 300 bytes each; LRU.
 MAX_PARTS = 10_000
 
 
 class PartLocations:
     """
-    Where parts are, as far as is known here.
+    The replicas that prompt parts were sent to.
 
     Parameters
     ----------
@@ -39,25 +41,43 @@
         self._locations: OrderedDict[int, dict[int, float]] = OrderedDict()
 
     def record_sent(self, name: str, tokens: int, instance: InstanceId) -> None:
-        """Note that a part was sent to a replica."""
+        """
+        Record that a part was sent to a replica.
+
+        Parameters
+        ----------
+        name : str
+            Key of the part.
+        tokens : int
+            Length of the part; short parts are not recorded.
+        instance : InstanceId
+        """
         if tokens < MIN_TOKENS:
             return
         part, replica = short_key(name), short_key(instance)
-        places = self._locations.setdefault(part, {})
+        replicas = self._locations.setdefault(part, {})
         self._locations.move_to_end(part)
-        places.pop(replica, None)
-        places[replica] = self._clock.now()
-        if len(places) > MAX_REPLICAS_PER_PART:
-            del places[next(iter(places))]
+        replicas.pop(replica, None)
+        replicas[replica] = self._clock.now()
+        if len(replicas) > MAX_REPLICAS_PER_PART:
+            del replicas[next(iter(replicas))]
         if len(self._locations) > MAX_PARTS:
             self._locations.popitem(last=False)
 
     def find_replicas(self, name: str) -> dict[int, float]:
-        """Return the short keys of the replicas that have a part, and since when."""
+        """
+        Return the replicas that have a part.
+
+        Returns
+        -------
+        dict
+            Short hashes of the replicas' ids, with the clock time in seconds at which
+            the part was last sent there.
+        """
         return self._locations.get(short_key(name), {})
 
     def remove_replica(self, instance: InstanceId) -> None:
-        """Take in that a replica has started again and keeps nothing."""
+        """Remove a replica that has restarted with an empty cache."""
         key = short_key(instance)
-        for places in self._locations.values():
-            places.pop(key, None)
+        for replicas in self._locations.values():
+            replicas.pop(key, None)
--- a/damasklead/gateway/placements/engine.py
+++ b/damasklead/gateway/placements/engine.py
@@ -2,8 +2,8 @@
 Placement on engines
 ====================
 
-Chooses among model engines: cached prompt parts, what is still to be read, and engines
-kept apart for streams with a short allowed pause.
+Chooses among model engines by prefix cache hits and pending prefill, and reserves
+engines for streams with a short event gap target.
 """
 
 from collections.abc import Collection, Iterable
@@ -19,62 +19,73 @@
 
 __all__ = ["EnginePlacement"]
 
-# Prompt tokens that an engine reads in a second, to compare costs; the order of
-# magnitude is enough.
+# Prefill rate of an engine in tokens per second.  Costs are compared by it, so that the
+# order of magnitude is enough.
 PREFILL_TOKENS_PER_SECOND = 38_000.0
-# A request that can wait is sent when its engine can read what it has in this part of
-# the shortest target of the requests that share the engines, so that these are in time.
+# Maximum prefill backlog of an engine with capacity, as a fraction of the shortest
+# latency target of the requests that share the engines, so that these meet it.
 BACKLOG_LIMIT_SHARE = 0.5
-# Weight of reading against waiting: what is read twice is taken from everybody.
+# Weight of prefill against queueing delay: tokens that are prefilled a second time take
+# capacity from all requests.
 PREFILL_WEIGHT = 12.0
-# Weight of copying a part from another engine: a ninth of reading it again, what the
-# operators count for both.
+# Weight of a part that is copied from another engine, per second that its prefill would
+# take: the operators count a copy as a ninth of prefilling the part again.
 COPY_WEIGHT = 4.0
-# An engine that has more to read than the others by this part of a request's target
-# holds a hot subject, which is then read again elsewhere.  When all have much to read,
-# reading again helps nobody.
+# An engine is a hot spot if its prefill backlog exceeds the mean of all engines by this
+# fraction of the request's target; beyond that, the shared parts are prefilled again on
+# another engine.  When the backlog of all engines is long, a second prefill gains
+# nothing, hence the comparison with the mean.
 HOT_BACKLOG_SHARE = 0.6
+# Weight of the backlog beyond that limit.
 HOT_WEIGHT = 40.0
-# Time that one running request adds to each of another one's tokens, over its stream.
+# Time by which one running request delays another one, over the tokens of its stream.
 RUNNING_REQUEST_SECONDS = 0.004
-# About how long a request waits for a slot of an engine that has none left.
+# Approximate time for which a request waits for a slot of a full engine.
 FULL_ENGINE_SECONDS = 0.5
-# Cost in seconds of leaving the data centre, and for each byte of a prompt, since bytes
-# between data centres are dear.
+# Cost in seconds of sending a request to another data centre, and per byte of its body,
+# since traffic between data centres is expensive.
 REMOTE_CENTRE_SECONDS = 0.01
 REMOTE_CENTRE_SECONDS_PER_BYTE = 0.000005
-# Probability that a part is cached at its home replica though it was not sent there
-# from here: another coordinator may have been before this one.
+# Probability that the home replica of a part has it cached although this placement
+# didn't send it there: a preceding coordinator of the cell may have.
 HOME_CACHED_PROBABILITY = 0.1
-# Homes remembered between two changes of the replicas: each is asked for once for
-# every candidate of every choice.
+# Maximum number of cached homes.  A choice looks the home up once per candidate; the
+# cache is cleared when the replicas change.
 MAX_HOMES = 10_000
-# Part of the shortest allowed pause for which an engine may read prompts between two
-# events of a stream; the rest is for the tokens' own steps, and for slower engines.
+# Fraction of the shortest event gap target for which an engine may prefill prompts
+# between two events of a stream; the rest is left for the decoding steps, and for
+# engines that are slower than others.
 INTERLEAVED_PREFILL_SHARE = 0.5
-# Least share of engines kept for the streams with the shortest allowed pause.
+# Minimum fraction of the engines that is reserved for the streams with the shortest
+# event gap target.
 MIN_RESERVED_SHARE = 0.22
-# Largest one: the other classes must make progress.
+# Maximum fraction of reserved engines: other requests must make progress too.
 MAX_RESERVED_SHARE = 0.6
-# One engine more is kept when those that are kept use more of their slots: beyond,
-# reading the streams' own prompts stretches their tokens until the slots run out.
+# One engine more is reserved when the reserved ones use more than this fraction of
+# their slots: above it, the prefill of the streams' own prompts slows down decoding so
+# much that the slots run out.
 RESERVED_GROW_LOAD = 0.45
-# One engine fewer is kept when the rest would use less of their slots.
+# One engine fewer is reserved when the remaining ones would use less than this fraction
+# of their slots.
 RESERVED_SHRINK_LOAD = 0.2
-# Seconds between two changes: new requests need about as long to spread.
+# Minimum time since the last change before an engine is added or removed: new requests
+# need about that long to spread over the engines.
 RESERVED_GROW_SECONDS = 0.5
 RESERVED_SHRINK_SECONDS = 3.0
-# Streams are kept apart from others whose allowed pause is so many times longer.
+# Engines are reserved if the second shortest event gap target is at least this many
+# times the shortest one.
 RESERVED_GAP_RATIO = 1.3
 
 
 class EnginePlacement(Placement):
     """
-    Where the prompt's parts are cached, unless others would be much sooner; streams
-    with the shortest allowed pause run on engines of their own.
+    Prefers the engines that have the prompt's parts cached, unless others would start
+    the request much earlier; streams with the shortest event gap target run on reserved
+    engines.
 
-    Load pattern: long prompts with shared parts that fit the pool's memory once, beside
-    long streams whose pauses are broken by the reading of other requests' prompts.
+    Load pattern: long prompts with shared parts, of which the memory of all engines
+    holds one copy, beside long streams that miss their event gap target when engines
+    prefill the prompts of other requests.
     """
 
     def __init__(
@@ -99,12 +110,12 @@
 
     @property
     def reserved_instances(self) -> frozenset[InstanceId]:
-        """The replicas kept for the streams with the shortest allowed pause."""
+        """Engines reserved for the streams with the shortest event gap target."""
         return self._reserved
 
     @property
     def mean_backlog(self) -> float:
-        """Seconds that the engines have to read, on average."""
+        """Seconds of pending prefill per engine, on average."""
         backlogs = [
             self._compute_backlog_seconds(state)
             for state in self._eligible_replicas.values()
@@ -112,12 +123,12 @@
         return sum(backlogs) / len(backlogs) if backlogs else 0.0
 
     def configure(self, service: ServiceSpec, routes: Iterable[Route]) -> None:
-        """Find the shortest allowed pause, if it is clearly shorter than others."""
+        """Apply a configuration and determine which streams get reserved engines."""
         routes = list(routes)
         super().configure(service, routes)
         gaps = sorted({route.event_gap for route in routes if route.event_gap})
-        apart = len(gaps) > 1 and gaps[1] >= RESERVED_GAP_RATIO * gaps[0]
-        self._reserved_event_gap = gaps[0] if apart else None
+        is_distinct = len(gaps) > 1 and gaps[1] >= RESERVED_GAP_RATIO * gaps[0]
+        self._reserved_event_gap = gaps[0] if is_distinct else None
         self._lowest_priority_tier = max((item.tier for item in routes), default=0)
         self._shortest_target = min(
             (item.target for item in routes if not self._uses_reserved_engines(item)),
@@ -126,7 +137,7 @@
         self._select_reserved_engines()
 
     def update_replicas(self, records: Iterable[UpstreamRecord]) -> None:
-        """Take the replicas that may take new work from now on."""
+        """Replace the eligible replicas and select the reserved engines anew."""
         super().update_replicas(records)
         self._select_reserved_engines()
 
@@ -134,8 +145,8 @@
         self, call: Call, *, excluded: Collection[InstanceId] = ()
     ) -> UpstreamRecord | None:
         """Return the engine for a request, or ``None`` when there is none."""
-        # Nothing changes while one choice is made, though the clock goes on: where the
-        # parts are is looked up once, not for each engine that is weighed.
+        # The state doesn't change during a choice, though the clock advances, so the
+        # locations of the parts are looked up once and not for each candidate.
         self._choice_parts = self._locate_shared_parts(call)
         try:
             return super().choose_replica(call, excluded=excluded)
@@ -143,7 +154,10 @@
             self._choice_parts = None
 
     def find_copy_source(self, instance: InstanceId, call: Call) -> str | None:
-        """Return the address of the engine that has most of a prompt's shared parts."""
+        """
+        Return the address of the engine that has cached most of a prompt's shared
+        parts; ``None`` when the chosen engine has cached as much.
+        """
         shared = self._locate_shared_parts(call)
         state = self._replicas[instance]
         if (
@@ -154,34 +168,35 @@
         return None
 
     def has_capacity_for(self, call: Call) -> bool:
-        """Tell whether the engine that a request would go to has little to read."""
+        """Return whether the engine chosen for a request has capacity."""
         states = list(self._eligible_replicas.values())
-        roomy = {
+        available = {
             state.record.instance
             for state in self._filter_candidates(call, states, self._clock.now())
             if self._has_capacity(state)
         }
-        if not roomy:
+        if not available:
             return not states
-        # Of those with much to read only one that has its parts can be the better one.
-        passed_over = {
+        # An engine without capacity can have a lower cost only if it has the parts
+        # cached.
+        skipped = {
             item
             for item, state in self._eligible_replicas.items()
-            if item not in roomy and not self._may_cache_shared_parts(state, call)
+            if item not in available and not self._may_cache_shared_parts(state, call)
         }
-        record = self.choose_replica(call, excluded=passed_over)
-        return record is None or record.instance in roomy
+        record = self.choose_replica(call, excluded=skipped)
+        return record is None or record.instance in available
 
     def has_any_capacity(self) -> bool:
-        """Tell whether any engine has little to read."""
+        """Return whether any engine has capacity."""
         return not self._eligible_replicas or any(
             map(self._has_capacity, self._eligible_replicas.values())
         )
 
     def estimate_pool_prefill_seconds(self, call: Call) -> float:
         """
-        Return how long all engines that are not kept for tight streams need together
-        to read a request, shared parts taken to be cached.
+        Return the seconds that all engines that are not reserved need together to
+        prefill a request, under the assumption that its shared parts are cached.
         """
         engines = max(1, len(self._eligible_replicas) - len(self._reserved))
         parts = call.head.prompt
@@ -189,7 +204,10 @@
         return tokens / (engines * PREFILL_TOKENS_PER_SECOND)
 
     def estimate_prefill_seconds(self, call: Call) -> float:
-        """Return how long an engine reads what none has cached of a request."""
+        """
+        Return the seconds that one engine needs to prefill the part of a request that
+        no engine has cached.
+        """
         cached = tokens = 0
         for part in call.head.prompt[:-1]:
             tokens += part.tokens
@@ -200,24 +218,24 @@
         return (call.head.prompt_tokens - cached) / PREFILL_TOKENS_PER_SECOND
 
     def _may_cache_shared_parts(self, state: ReplicaState, call: Call) -> bool:
-        """Tell whether an engine may have all shared parts of a prompt."""
+        """Return whether an engine may have cached all shared parts of a prompt."""
         parts = call.head.prompt[:-1]
         if not parts:
             return False
         last = parts[-1].key
-        held = (
+        cached = (
             last in state.cached_parts
             or state.key in self._part_locations.find_replicas(last)
         )
-        return held or self._find_home(last, call) == state.record.instance
+        return cached or self._find_home(last, call) == state.record.instance
 
     def _has_capacity(self, state: ReplicaState) -> bool:
-        """Tell whether an engine has little to read and a free slot."""
-        little = (
+        """Return whether an engine has a short prefill backlog and a free slot."""
+        is_short = (
             self._compute_backlog_seconds(state)
             <= BACKLOG_LIMIT_SHARE * self._shortest_target
         )
-        return little and not self._is_full(state)
+        return is_short and not self._is_full(state)
 
     def _is_full(self, state: ReplicaState) -> bool:
         engine = self._service.engine
@@ -225,49 +243,51 @@
 
     def bypasses_queue(self, call: Call) -> bool:
         """
-        Tell whether a request is sent at once: all but the least urgent routes' are,
-        whatever their workspace's tier, so that none starves behind longer prompts.
+        Return whether a request is sent at once.
+
+        All requests are but those of the routes with the least urgent tier, whatever
+        the tier of their workspace, so that they don't starve behind long prompts.
         """
-        tight = bool(self._reserved) and self._uses_reserved_engines(call.route)
-        return tight or call.route.tier < self._lowest_priority_tier
+        reserved = bool(self._reserved) and self._uses_reserved_engines(call.route)
+        return reserved or call.route.tier < self._lowest_priority_tier
 
     def record_response_head(self, instance: InstanceId, hint: LoadHint | None) -> None:
-        """Take in the head of an answer; the kept engines follow their load."""
+        """Record a response head, and adapt the reserved engines to their load."""
         super().record_response_head(instance, hint)
         if instance in self._reserved:
             self._resize_reservation()
 
     def _uses_reserved_engines(self, route: Route) -> bool:
-        """Tell whether a route's streams are to be kept apart."""
+        """Return whether a route's streams run on reserved engines."""
         return (
             self._reserved_event_gap is not None
             and route.event_gap == self._reserved_event_gap
         )
 
     def _compute_backlog_seconds(self, state: ReplicaState) -> float:
-        """Return the seconds that an engine needs to read what was sent to it."""
+        """Return the seconds that an engine needs for its pending prefill."""
         return state.pending_prefill_tokens / PREFILL_TOKENS_PER_SECOND
 
     def _resize_reservation(self) -> None:
-        """Keep more or fewer engines apart, as the load of those kept asks."""
+        """Reserve one engine more or one fewer if the load of the reserved asks it."""
         engine = self._service.engine
         if engine is None:
             return
         now = self._clock.now()
-        since = now - self._resized_at
+        elapsed = now - self._resized_at
         slots = float(engine.slots * len(self._reserved))
         states = [self._replicas[item] for item in self._reserved]
         load = sum(
             state.own_requests + self._estimate_other_requests(state, now)
             for state in states
         )
-        if load > RESERVED_GROW_LOAD * slots and since >= RESERVED_GROW_SECONDS:
-            most = int(MAX_RESERVED_SHARE * len(self._eligible_replicas))
-            if len(self._reserved) < most:
+        if load > RESERVED_GROW_LOAD * slots and elapsed >= RESERVED_GROW_SECONDS:
+            limit = int(MAX_RESERVED_SHARE * len(self._eligible_replicas))
+            if len(self._reserved) < limit:
                 self._change_extra_reserved(1)
             return
         idle = load < RESERVED_SHRINK_LOAD * (slots - engine.slots)
-        if self._extra_reserved and idle and since >= RESERVED_SHRINK_SECONDS:
+        if self._extra_reserved and idle and elapsed >= RESERVED_SHRINK_SECONDS:
             self._change_extra_reserved(-1)
 
     def _change_extra_reserved(self, change: int) -> None:
@@ -277,8 +297,8 @@
 
     def _select_reserved_engines(self) -> None:
         self._homes.clear()
-        least = max(1, int(MIN_RESERVED_SHARE * len(self._eligible_replicas) + 0.5))
-        count = least + self._extra_reserved
+        base = max(1, int(MIN_RESERVED_SHARE * len(self._eligible_replicas) + 0.5))
+        count = base + self._extra_reserved
         if self._reserved_event_gap is None or len(self._eligible_replicas) <= count:
             self._reserved = frozenset()
             return
@@ -294,24 +314,24 @@
         self._mean_backlog = self.mean_backlog
         if not self._reserved:
             return candidates
-        tight = self._uses_reserved_engines(call.route)
-        own = [
+        reserved = self._uses_reserved_engines(call.route)
+        matching = [
             state
             for state in candidates
-            if (state.record.instance in self._reserved) is tight
-            or (not tight and self._fits_between_events(state, call))
+            if (state.record.instance in self._reserved) is reserved
+            or (not reserved and self._fits_between_events(state, call))
         ]
-        return own or candidates
+        return matching or candidates
 
     def _fits_between_events(self, state: ReplicaState, call: Call) -> bool:
         """
-        Tell whether an engine kept for tight streams can read a prompt without
-        breaking their pauses.
+        Return whether a reserved engine can prefill a prompt within the event gap
+        target of its streams.
         """
         gap = self._reserved_event_gap or 0.0
-        reading = self._estimate_prefill_tokens(state, call) / PREFILL_TOKENS_PER_SECOND
+        prefill = self._estimate_prefill_tokens(state, call) / PREFILL_TOKENS_PER_SECOND
         return (
-            self._compute_backlog_seconds(state) + reading
+            self._compute_backlog_seconds(state) + prefill
             <= INTERLEAVED_PREFILL_SHARE * gap
         )
 
@@ -319,27 +339,31 @@
         return int(self._estimate_prefill_tokens(state, call))
 
     def _estimate_prefill_tokens(self, state: ReplicaState, call: Call) -> float:
-        """Estimate the tokens to read: a part is cached only with all before it."""
+        """
+        Estimate the prompt tokens that are neither cached nor copied.
+
+        A part counts as cached only if all parts before it are.
+        """
         total = call.head.prompt_tokens
         parts = call.head.prompt[:-1]
         if not parts:
             return total
         shared = self._locate_shared_parts(call)
-        known = float(shared.max_cached_tokens)
+        cached = float(shared.max_cached_tokens)
         if (
             not shared.is_fully_cached
             and self._find_home(parts[-1].key, call) == state.record.instance
         ):
-            known = max(known, HOME_CACHED_PROBABILITY * shared.total_tokens)
-        return max(0.0, total - known)
+            cached = max(cached, HOME_CACHED_PROBABILITY * shared.total_tokens)
+        return max(0.0, total - cached)
 
     def _count_copied_tokens(self, state: ReplicaState, call: Call) -> int:
-        """Return the tokens that would be copied from another engine."""
+        """Return the number of tokens that would be copied from another engine."""
         shared = self._locate_shared_parts(call)
         return max(0, shared.max_cached_tokens - shared.count_cached_tokens(state))
 
     def _locate_shared_parts(self, call: Call) -> SharedParts:
-        """Return where the shared parts of a prompt are at this instant."""
+        """Return the locations of a prompt's shared parts at this time."""
         if self._choice_parts is not None:
             return self._choice_parts
         key = (call.id, self._clock.now())
@@ -347,35 +371,39 @@
             self._shared_parts_key = key
             self._shared_parts = SharedParts(
                 parts=call.head.prompt[:-1],
-                places=self._part_locations,
+                locations=self._part_locations,
                 replicas=self._eligible_replicas.values(),
             )
         return self._shared_parts
 
     def _find_home(self, key: str, call: Call) -> InstanceId | None:
         """
-        Return the replica for a part that no replica is known to have.
+        Return the home of a part, which is used when no replica is known to have it.
 
-        All coordinators of a cell choose the same one, so that a successor finds what
-        the one before it has placed.
+        It is chosen by rendezvous hashing: all coordinators of a cell choose the same
+        replica, so that a part placed by one coordinator is found by its successor.
         """
-        tight = self._uses_reserved_engines(call.route)
-        if (key, tight) not in self._homes:
+        reserved = self._uses_reserved_engines(call.route)
+        if (key, reserved) not in self._homes:
             if len(self._homes) >= MAX_HOMES:
                 self._homes.clear()
-            self._homes[key, tight] = max(
-                self._find_home_candidates(tight=tight),
+            self._homes[key, reserved] = max(
+                self._find_home_candidates(reserved=reserved),
                 key=lambda item: stable_hash(key, item),
                 default=None,
             )
-        return self._homes[key, tight]
+        return self._homes[key, reserved]
 
-    def _find_home_candidates(self, *, tight: bool) -> list[InstanceId]:
-        """Return the replicas among which a home is chosen, near ones if it can be."""
+    def _find_home_candidates(self, *, reserved: bool) -> list[InstanceId]:
+        """
+        Return the replicas among which a home is chosen.
+
+        They are those of this data centre, unless it has none in the group.
+        """
         group = [
             item
             for item in self._eligible_replicas
-            if (item in self._reserved) is tight
+            if (item in self._reserved) is reserved
         ] or list(self._eligible_replicas)
         return [
             item
@@ -384,17 +412,17 @@
         ] or group
 
     def _compute_cost(self, state: ReplicaState, call: Call, now: float) -> float:
-        unread = self._estimate_prefill_tokens(state, call)
-        reading = unread / PREFILL_TOKENS_PER_SECOND
+        prefill_tokens = self._estimate_prefill_tokens(state, call)
+        prefill = prefill_tokens / PREFILL_TOKENS_PER_SECOND
         backlog = self._compute_backlog_seconds(state)
-        cost = PREFILL_WEIGHT * reading + backlog
+        cost = PREFILL_WEIGHT * prefill + backlog
         cost += (
             COPY_WEIGHT
             * self._count_copied_tokens(state, call)
             / PREFILL_TOKENS_PER_SECOND
         )
-        hot = backlog - self._mean_backlog - HOT_BACKLOG_SHARE * call.route.target
-        cost += HOT_WEIGHT * max(0.0, hot)
+        excess = backlog - self._mean_backlog - HOT_BACKLOG_SHARE * call.route.target
+        cost += HOT_WEIGHT * max(0.0, excess)
         cost += RUNNING_REQUEST_SECONDS * (
             state.own_requests + self._estimate_other_requests(state, now)
         )
--- a/damasklead/gateway/placements/plain.py
+++ b/damasklead/gateway/placements/plain.py
@@ -2,7 +2,7 @@
 Placement of plain requests
 ===========================
 
-Chooses among replicas that run a few short requests at once.
+Chooses among replicas of services that run no model: those with the fewest requests.
 """
 
 from damasklead.gateway.calls import Call
@@ -11,18 +11,19 @@
 
 __all__ = ["PlainPlacement"]
 
-# Requests of advantage for a replica in this gateway's data centre.
+# Cost of a replica in another data centre, in active requests.
 REMOTE_CENTRE_REQUESTS = 0.5
-# Weight of other gateways' requests: every gateway has the same late figures.
+# Weight of other gateways' requests: their number is a late figure that is the same for
+# all gateways, which would therefore all choose the same replica.
 OTHER_REQUESTS_WEIGHT = 0.5
 
 
 class PlainPlacement(Placement):
     """
-    The fewest requests, near ones first.
+    Least outstanding requests, with a preference for this data centre.
 
-    Load pattern: short requests on replicas with few slots and a short queue of their
-    own, where a request that waits behind another one is late.
+    Load pattern: short requests on replicas with few slots and a short queue, where a
+    request that is queued behind another one misses its target.
     """
 
     def _compute_cost(self, state: ReplicaState, call: Call, now: float) -> float:
--- a/damasklead/gateway/placements/prefixes.py
+++ b/damasklead/gateway/placements/prefixes.py
@@ -2,7 +2,7 @@
 Shared parts of a prompt
 ========================
 
-Where the shared parts of one prompt are, over all replicas that may take it.
+Finds how much of one prompt's shared prefix each replica has cached.
 """
 
 from collections.abc import Iterable
@@ -16,27 +16,29 @@
 
 class SharedParts:
     """
-    The shared parts of one prompt.
+    The shared parts of one prompt and the replicas that have them cached.
 
-    A replica that has a part also has all parts before it: it was sent them together.
+    A replica that has a part also has all parts before it, since the parts of a prompt
+    are sent together.
 
     Parameters
     ----------
     parts : tuple of PromptPart
-    places : PartLocations
+        The shared parts in the order of the prompt.
+    locations : PartLocations
     replicas : iterable of ReplicaState
-        Those from which parts may be copied.
+        The replicas from which parts may be copied.
     """
 
     def __init__(
         self,
         *,
         parts: tuple[PromptPart, ...],
-        places: PartLocations,
+        locations: PartLocations,
         replicas: Iterable[ReplicaState],
     ) -> None:
         self._parts = parts
-        self._locations = [places.find_replicas(part.key) for part in parts]
+        self._locations = [locations.find_replicas(part.key) for part in parts]
         self._max_cached_tokens = 0
         self._holder: ReplicaState | None = None
         for state in replicas:
@@ -46,29 +48,29 @@
 
     @property
     def total_tokens(self) -> int:
-        """All tokens of the shared parts."""
+        """Number of tokens of all shared parts."""
         return sum(part.tokens for part in self._parts)
 
     @property
     def is_fully_cached(self) -> bool:
-        """Whether some replica has all of them."""
+        """Whether some replica has cached all shared parts."""
         return bool(self._parts) and self._max_cached_tokens == self.total_tokens
 
     @property
     def holder(self) -> ReplicaState | None:
-        """The replica that has most of them; ``None`` when none has any."""
+        """The replica with the most cached tokens; ``None`` when none has any."""
         return self._holder
 
     @property
     def max_cached_tokens(self) -> int:
-        """How many tokens that replica has."""
+        """Number of cached tokens of the replica that has most of them."""
         return self._max_cached_tokens
 
     def count_cached_tokens(self, state: ReplicaState) -> int:
-        """Return how many tokens a replica has."""
-        found = tokens = 0
-        for part, places in zip(self._parts, self._locations, strict=True):
+        """Return the number of tokens that a replica has cached."""
+        cached = tokens = 0
+        for part, replicas in zip(self._parts, self._locations, strict=True):
             tokens += part.tokens
-            if state.key in places or part.key in state.cached_parts:
-                found = tokens
-        return found
+            if state.key in replicas or part.key in state.cached_parts:
+                cached = tokens
+        return cached
