--- a/tests/test_gateway_restored_store.py
+++ b/tests/test_gateway_restored_store.py
@@ -38,7 +38,7 @@
     backup_age : float
         Age of the backup in seconds at the start of the outage.
     """
-    fleet.store.away = True
+    fleet.store.is_down = True
     fleet.run(OUTAGE_SECONDS)
     fleet.store.restore(backup_age + OUTAGE_SECONDS)
 
@@ -53,9 +53,9 @@
     fleet.run(LAPSE_WINDOW_SECONDS + 1.0)
     fleet.store.remove("r0")
     fleet.store.write("r1", state=UpstreamState.LEAVING)
-    version = fleet.store.configure()
+    version = fleet.store.publish_configuration()
     fleet.run(MAX_PROPAGATION_SECONDS)
-    for gateway in fleet.up:
+    for gateway in fleet.running_gateways:
         assert "r0" not in gateway.replicas and "r1" not in gateway.replicas
         assert gateway.version == version
 
@@ -70,7 +70,7 @@
         fleet.run(6.0)
     fleet.store.write("new")
     fleet.run(MAX_PROPAGATION_SECONDS)
-    for gateway in fleet.up:
+    for gateway in fleet.running_gateways:
         assert "new" in gateway.replicas and "lost-0" not in gateway.replicas
 
 
@@ -87,7 +87,7 @@
     fleet.run(5.0)
     calls = fleet.store.calls - before
     assert calls / (OUTAGE_SECONDS + 10.0) <= MAX_CALLS_PER_SECOND
-    assert all("lost" in gateway.replicas for gateway in fleet.up)
+    assert all("lost" in gateway.replicas for gateway in fleet.running_gateways)
 
 
 # Long polls of two lists by one gateway are 3.3 calls per second.
@@ -97,26 +97,26 @@
 def test_the_newest_configuration_stays_active() -> None:
     fleet = Fleet(8)
     fleet.run(4.0)
-    version = fleet.store.configure()
+    version = fleet.store.publish_configuration()
     fleet.run(1.0)
     restore_store(fleet)
     for _ in range(10):
         fleet.run(0.5)
-        assert {gateway.version for gateway in fleet.up} == {version}
+        assert {gateway.version for gateway in fleet.running_gateways} == {version}
 
 
 def test_a_gateway_that_starts_after_the_restore_gets_the_lost_configuration() -> None:
     fleet = Fleet(8)
     late_gateway = fleet.gateways["g7"]
-    late_gateway.down = True
+    late_gateway.is_down = True
     fleet.run(4.0)
-    version = fleet.store.configure()
+    version = fleet.store.publish_configuration()
     fleet.run(1.0)
     restore_store(fleet)
-    late_gateway.down = False
+    late_gateway.is_down = False
     fleet.run(MAX_PROPAGATION_SECONDS)
     assert late_gateway.version == version
-    assert fleet.snapshots < 5
+    assert fleet.snapshot_count < 5
 
 
 def test_a_replica_that_the_backup_lacks_is_kept_until_it_registers_again() -> None:
@@ -128,10 +128,10 @@
     restore_store(fleet)
     for _ in range(4):
         fleet.run(0.4)
-        assert all("new" in gateway.replicas for gateway in fleet.up)
+        assert all("new" in gateway.replicas for gateway in fleet.running_gateways)
     fleet.store.write("new")
     fleet.run(LAPSE_GRACE_SECONDS + 1.0)
-    for gateway in fleet.up:
+    for gateway in fleet.running_gateways:
         assert "new" in gateway.replicas and "gone" not in gateway.replicas
 
 
@@ -144,13 +144,15 @@
     """
     fleet = Fleet(3)
     fleet.run(4.0)
-    ahead_gateway = next(item for item in fleet.up if item is not fleet.first)
-    fleet.deaf = {item for item in fleet.gateways if item != ahead_gateway.name}
+    ahead_gateway = next(
+        item for item in fleet.running_gateways if item is not fleet.first_ranked
+    )
+    fleet.unreceiving = {item for item in fleet.gateways if item != ahead_gateway.name}
     fleet.store.write("ghost")
     ahead_gateway.upstreams.poll_once(wait=0.0)
     assert "ghost" in ahead_gateway.replicas
     fleet.store.restore(0.5)
-    fleet.deaf.clear()
+    fleet.unreceiving.clear()
     fleet.run(LAPSE_GRACE_SECONDS + 2.0)
     assert "ghost" not in ahead_gateway.replicas
 
@@ -222,5 +224,5 @@
     fleet.run(1.0)
     restore_store(fleet)
     fleet.run(3.0)
-    plans = [gateway.plans[ListName.UPSTREAMS] for gateway in fleet.up]
+    plans = [gateway.plans[ListName.UPSTREAMS] for gateway in fleet.running_gateways]
     assert all(plan.is_caught_up for plan in plans)
