--- a/tests/test_gateway_coordination.py
+++ b/tests/test_gateway_coordination.py
@@ -2,8 +2,8 @@
 Tests of cells and their coordinators
 =====================================
 
-Each replays the load that a decision answers, on a paused clock; the last ones ask over
-the real loop, with coordinators that are silent.
+Most tests replay the load pattern that a decision is made for, on a manual clock.  Those
+of the assignment client run on the gevent loop, with unresponsive coordinators.
 """
 
 from collections import Counter
@@ -59,7 +59,7 @@
 from tests.test_gateway_parts import CHAT, REVIEW, make_call, record
 
 QUOTE = msgspec.structs.replace(REVIEW, name="quote", tier=1, target=0.5)
-LATER = msgspec.structs.replace(REVIEW, tier=2, target=1.5, timeout=5.0)
+LOW_PRIORITY = msgspec.structs.replace(REVIEW, tier=2, target=1.5, timeout=5.0)
 SPEC = ServiceSpec(
     name=SERVICE,
     max_connections=1000,
@@ -68,123 +68,134 @@
 CELL = Cell(SERVICE, DataCentre("hout"), 0)
 
 
-def engines(count: int, *centres: str) -> list[UpstreamRecord]:
-    centres = centres or ("hout",)
+def make_engines(count: int, *data_centres: str) -> list[UpstreamRecord]:
+    data_centres = data_centres or ("hout",)
     return [
         record(
             f"e{number}",
             address=f"127.0.0.1:{number + 1}",
-            data_centre=DataCentre(centres[number % len(centres)]),
+            data_centre=DataCentre(data_centres[number % len(data_centres)]),
         )
         for number in range(count)
     ]
 
 
-def review(name: str, subject: str = "s", tokens: int = 3000) -> Call:
+def make_review_call(name: str, subject: str = "s", tokens: int = 3000) -> Call:
     parts = (PromptPart(subject, 6000), PromptPart(f"own-{name}", tokens))
-    return make_call(name, LATER, parts=parts, tokens=6000 + tokens)
+    return make_call(name, LOW_PRIORITY, parts=parts, tokens=6000 + tokens)
 
 
-class Scene:
-    """One coordinator, the gateways that ask it, and what they were told."""
+class CoordinatorHarness:
+    """A coordinator with the gateways that send it requests, and its responses."""
 
     def __init__(self, count: int = 9) -> None:
         self.clock = ManualClock(start=100.0)
         self.coordinator = Coordinator(
-            cell=CELL, clock=self.clock, service=SPEC, routes=[CHAT, QUOTE, LATER]
+            cell=CELL,
+            clock=self.clock,
+            service=SPEC,
+            routes=[CHAT, QUOTE, LOW_PRIORITY],
         )
-        self.coordinator.set_engines(engines(count))
+        self.coordinator.set_engines(make_engines(count))
         self.responses: dict[str, list[AssignmentResponse]] = {}
 
-    def ask(
+    def request_assignment(
         self, call: Call, gateway: str = "g1", **options: object
     ) -> list[AssignmentResponse]:
         content: dict = {"now": 0.0, "excluded": (), "is_first_attempt": True} | options
-        return self.note(
+        return self.record_responses(
             self.coordinator.handle_assignment_request(
                 make_assignment_request(gateway, call, CELL, **content)
             )
         )
 
-    def tick(self) -> list[AssignmentResponse]:
-        return self.note(self.coordinator.process_queue())
+    def process_queue(self) -> list[AssignmentResponse]:
+        return self.record_responses(self.coordinator.process_queue())
 
-    def note(self, replies: list[AddressedResponse]) -> list[AssignmentResponse]:
-        for reply in replies:
-            self.responses.setdefault(reply.response.attempt, []).append(reply.response)
-        return [reply.response for reply in replies]
+    def record_responses(
+        self, responses: list[AddressedResponse]
+    ) -> list[AssignmentResponse]:
+        for addressed in responses:
+            self.responses.setdefault(addressed.response.attempt, []).append(
+                addressed.response
+            )
+        return [addressed.response for addressed in responses]
 
-    def read(self, call: Call, gateway: str = "g1") -> None:
+    def complete_prefill(self, call: Call, gateway: str = "g1") -> None:
         self.coordinator.handle_prefill_done(
             PrefillDone(gateway, CELL, call.id, LoadHint(1, 0, 64))
         )
 
-    def end(self, call: Call, outcome: str = "whole", gateway: str = "g1") -> None:
+    def end_request(
+        self, call: Call, outcome: str = "whole", gateway: str = "g1"
+    ) -> None:
         self.coordinator.handle_request_ended(
             RequestEnded(gateway, CELL, call.id, outcome)
         )
 
 
 class TestCells:
-    def test_a_small_service_is_one_cell_over_its_data_centres(self) -> None:
-        cells = partition_engines(engines(9, "hout", "mossel", "saldanha"))
+    def test_a_small_service_has_one_cell_across_data_centres(self) -> None:
+        cells = partition_engines(make_engines(9, "hout", "mossel", "saldanha"))
         assert list(cells) == [Cell(SERVICE, DataCentre(""), 0)]
         assert len(cells[Cell(SERVICE, DataCentre(""), 0)]) == 9
 
-    def test_a_large_one_has_cells_of_its_own_in_each_data_centre(self) -> None:
-        cells = partition_engines(engines(200, "hout", "mossel"))
+    def test_a_large_service_has_separate_cells_in_each_data_centre(self) -> None:
+        cells = partition_engines(make_engines(200, "hout", "mossel"))
         assert len(cells) == 2 * round(100 / CELL_ENGINES)
         for cell, group in cells.items():
             assert {item.data_centre for item in group} == {cell.data_centre}
             assert 0.6 * CELL_ENGINES <= len(group) <= 1.4 * CELL_ENGINES
 
     @pytest.mark.parametrize("count", [13, 24, 78, 220])
-    def test_an_engine_more_or_less_moves_few_others(self, count: int) -> None:
-        def places(records: list[UpstreamRecord]) -> dict[str, Cell]:
+    def test_removing_an_engine_moves_few_others(self, count: int) -> None:
+        def map_engines_to_cells(records: list[UpstreamRecord]) -> dict[str, Cell]:
             return {
                 item.instance: cell
                 for cell, group in partition_engines(records).items()
                 for item in group
             }
 
-        records = engines(count)
-        before = places(records)
-        after = places(records[:-1])
+        records = make_engines(count)
+        before = map_engines_to_cells(records)
+        after = map_engines_to_cells(records[:-1])
         if len(set(before.values())) == len(set(after.values())):
             moved = [name for name in after if after[name] != before[name]]
             assert len(moved) <= len(set(before.values()))
 
-    def test_nothing_is_divided_into_nothing(self) -> None:
+    def test_a_service_without_engines_has_no_cells(self) -> None:
         assert partition_engines([]) == {}
-        assert select_home_cell([], review("r"), DataCentre("hout")) is None
+        assert select_home_cell([], make_review_call("r"), DataCentre("hout")) is None
 
-    def test_the_same_subject_has_the_same_cell_at_every_gateway(self) -> None:
-        cells = list(partition_engines(engines(100)))
+    def test_a_shared_prefix_has_the_same_home_cell_at_every_gateway(self) -> None:
+        cells = list(partition_engines(make_engines(100)))
         homes = {
-            select_home_cell(order, review(f"r{number}"), DataCentre("hout"))
+            select_home_cell(order, make_review_call(f"r{number}"), DataCentre("hout"))
             for number, order in enumerate((cells, cells[::-1], sorted(cells, key=str)))
         }
         assert len(homes) == 1
 
-    def test_requests_with_short_shared_parts_stay_in_their_data_centre(self) -> None:
-        cells = partition_engines(engines(100, "hout", "mossel"))
+    def test_requests_with_a_short_shared_prefix_stay_in_their_data_centre(
+        self,
+    ) -> None:
+        cells = partition_engines(make_engines(100, "hout", "mossel"))
         for number in range(20):
             parts = (PromptPart(f"s{number}", 500), PromptPart("own", 1800))
             call = make_call(f"q{number}", QUOTE, parts=parts, tokens=2300)
             home = select_home_cell(cells, call, DataCentre("mossel"))
             assert home is not None and home.data_centre == "mossel"
 
-    def test_a_long_shared_part_has_one_home_for_all_data_centres(self) -> None:
-        cells = partition_engines(engines(100, "hout", "mossel"))
+    def test_a_long_shared_prefix_has_one_home_cell_for_all_data_centres(self) -> None:
+        cells = partition_engines(make_engines(100, "hout", "mossel"))
         for number in range(20):
-            call = review("r", f"s{number}")
+            call = make_review_call("r", f"s{number}")
             homes = {
-                select_home_cell(cells, call, DataCentre(centre))
-                for centre in ("hout", "mossel")
+                select_home_cell(cells, call, DataCentre(data_centre))
+                for data_centre in ("hout", "mossel")
             }
             assert len(homes) == 1
 
-    def test_cells_are_spread_over_gateways_near_ones_first(self) -> None:
+    def test_cells_are_distributed_over_the_gateways_of_their_data_centre(self) -> None:
         members = [
             Member(InstanceId(f"g{number}"), DataCentre(("hout", "mossel")[number % 2]))
             for number in range(40)
@@ -196,7 +207,7 @@
             first[ranked[0]] += 1
         assert len(first) >= 10
 
-    def test_gateways_with_more_processor_coordinate_more(self) -> None:
+    def test_gateways_with_more_cores_coordinate_more_cells(self) -> None:
         members = [
             Member(InstanceId(f"g{number}"), DataCentre("hout"), cores)
             for number, cores in enumerate([0.25] * 8 + [1.0] * 4)
@@ -205,11 +216,11 @@
             rank_members(Cell(SERVICE, DataCentre("hout"), number), members)[0]
             for number in range(200)
         ]
-        strong = [name for name in firsts if int(name[1:]) >= 8]
-        assert len(strong) >= 180
-        assert len(set(strong)) == 4
+        large = [name for name in firsts if int(name[1:]) >= 8]
+        assert len(large) >= 180
+        assert len(set(large)) == 4
 
-    def test_a_gateway_that_goes_moves_only_its_own_cells(self) -> None:
+    def test_removing_a_gateway_moves_only_its_own_cells(self) -> None:
         members = [
             Member(InstanceId(f"g{number}"), DataCentre("hout")) for number in range(8)
         ]
@@ -221,179 +232,202 @@
 
 
 class TestCoordinator:
-    def test_a_burst_from_many_gateways_fills_the_engines_evenly(self) -> None:
-        """Each alone would know of a request or two."""
-        scene = Scene(9)
+    def test_a_burst_from_many_gateways_is_distributed_evenly(self) -> None:
+        """A gateway that assigned its own requests would know of one or two of them."""
+        harness = CoordinatorHarness(9)
         for number in range(36):
             call = make_call(f"q{number}", QUOTE, tokens=1800)
-            (answer,) = scene.ask(call, f"g{number}")
-            assert isinstance(answer, Grant)
-        granted = Counter(answers[0].instance for answers in scene.responses.values())
+            (response,) = harness.request_assignment(call, f"g{number}")
+            assert isinstance(response, Grant)
+        granted = Counter(
+            responses[0].instance for responses in harness.responses.values()
+        )
         shared = [granted[name] for name in granted]
         assert max(shared) <= 8 and len(shared) >= 7
 
-    def test_a_part_that_many_gateways_ask_for_is_read_once(self) -> None:
-        scene = Scene()
-        found = []
+    def test_a_prefix_requested_by_many_gateways_is_prefilled_once(self) -> None:
+        harness = CoordinatorHarness()
+        grants = []
         for number in range(6):
-            call = review(f"r{number}")
-            (answer,) = scene.ask(call, f"g{number}")
-            assert isinstance(answer, Grant)
-            found.append(answer)
-            scene.read(call, f"g{number}")
-            scene.clock.advance(0.1)
-        first = found[0].instance
-        assert all(item.instance == first or item.source for item in found)
-
-    def test_the_least_urgent_wait_in_one_order_and_are_told_so(self) -> None:
-        scene = Scene(3)
-        calls = [review(f"r{number}", f"s{number}") for number in range(30)]
+            call = make_review_call(f"r{number}")
+            (response,) = harness.request_assignment(call, f"g{number}")
+            assert isinstance(response, Grant)
+            grants.append(response)
+            harness.complete_prefill(call, f"g{number}")
+            harness.clock.advance(0.1)
+        first = grants[0].instance
+        assert all(item.instance == first or item.source for item in grants)
+
+    def test_the_least_urgent_requests_share_one_queue_and_are_notified(self) -> None:
+        harness = CoordinatorHarness(3)
+        calls = [make_review_call(f"r{number}", f"s{number}") for number in range(30)]
         for number, call in enumerate(calls):
-            scene.ask(call, f"g{number}")
-        waiting = [
+            harness.request_assignment(call, f"g{number}")
+        queued = [
             call
             for call in calls
-            if isinstance(scene.responses[call.id][0], RequestQueued)
+            if isinstance(harness.responses[call.id][0], RequestQueued)
         ]
-        assert 15 <= len(waiting) == scene.coordinator.queue_length
-        scene.clock.advance(QUEUED_INTERVAL_SECONDS)
-        assert {item.attempt for item in scene.tick()} == {call.id for call in waiting}
+        assert 15 <= len(queued) == harness.coordinator.queue_length
+        harness.clock.advance(QUEUED_INTERVAL_SECONDS)
+        assert {item.attempt for item in harness.process_queue()} == {
+            call.id for call in queued
+        }
         for call in calls[:6]:
-            scene.read(call, f"g{call.id[1:]}")
-        granted = [item.attempt for item in scene.tick() if isinstance(item, Grant)]
-        assert granted == [call.id for call in waiting[: len(granted)]] and granted
+            harness.complete_prefill(call, f"g{call.id[1:]}")
+        granted = [
+            item.attempt for item in harness.process_queue() if isinstance(item, Grant)
+        ]
+        assert granted == [call.id for call in queued[: len(granted)]] and granted
 
-    def test_more_urgent_ones_go_at_once(self) -> None:
-        scene = Scene(3)
+    def test_more_urgent_requests_are_assigned_at_once(self) -> None:
+        harness = CoordinatorHarness(3)
         for number in range(30):
-            scene.ask(review(f"r{number}", f"s{number}"))
-        (answer,) = scene.ask(make_call("c", CHAT, tokens=700), "g2")
-        assert isinstance(answer, Grant)
+            harness.request_assignment(make_review_call(f"r{number}", f"s{number}"))
+        (response,) = harness.request_assignment(make_call("c", CHAT, tokens=700), "g2")
+        assert isinstance(response, Grant)
 
-    def test_what_waits_too_long_is_refused_with_a_time_to_return(self) -> None:
-        scene = Scene(1)
+    def test_expired_requests_are_rejected_with_a_retry_time(self) -> None:
+        harness = CoordinatorHarness(1)
         for number in range(40):
-            scene.ask(review(f"r{number}", f"s{number}"))
-        scene.clock.advance(4.95)
-        refused = [item for _ in range(5) for item in scene.tick()]
-        refused = [item for item in refused if isinstance(item, RequestRejected)]
-        assert refused
-        assert all(item.retry_after is not None for item in refused)
-
-    def test_an_ask_that_comes_twice_gets_the_same_place(self) -> None:
-        scene = Scene()
-        call = review("r")
-        assert scene.ask(call) == scene.ask(call)
-        assert scene.coordinator.request_count == 1
-
-    def test_a_request_from_another_cell_copies_from_its_home(self) -> None:
-        scene = Scene()
-        call = review("r")
-        (answer,) = scene.ask(call, source="127.0.0.1:99")
-        assert isinstance(answer, Grant) and answer.source == "127.0.0.1:99"
-        (known,) = scene.ask(
-            review("r2"), source="127.0.0.1:99", is_first_attempt=False
+            harness.request_assignment(make_review_call(f"r{number}", f"s{number}"))
+        harness.clock.advance(4.95)
+        rejected = [item for _ in range(5) for item in harness.process_queue()]
+        rejected = [item for item in rejected if isinstance(item, RequestRejected)]
+        assert rejected
+        assert all(item.retry_after is not None for item in rejected)
+
+    def test_a_duplicate_assignment_request_gets_the_same_response(self) -> None:
+        harness = CoordinatorHarness()
+        call = make_review_call("r")
+        assert harness.request_assignment(call) == harness.request_assignment(call)
+        assert harness.coordinator.request_count == 1
+
+    def test_a_request_from_another_cell_copies_from_its_home_cell(self) -> None:
+        harness = CoordinatorHarness()
+        call = make_review_call("r")
+        (response,) = harness.request_assignment(call, source="127.0.0.1:99")
+        assert isinstance(response, Grant) and response.source == "127.0.0.1:99"
+        (second,) = harness.request_assignment(
+            make_review_call("r2"), source="127.0.0.1:99", is_first_attempt=False
+        )
+        assert second.instance == response.instance or second.source != "127.0.0.1:99"
+
+    def test_a_retry_is_assigned_to_another_replica(self) -> None:
+        harness = CoordinatorHarness()
+        call = make_review_call("r")
+        (first,) = harness.request_assignment(call)
+        harness.end_request(call, Failure.BROKEN.value)
+        (second,) = harness.request_assignment(
+            call, excluded=(first.instance,), is_first_attempt=False
         )
-        assert known.instance == answer.instance or known.source != "127.0.0.1:99"
-
-    def test_a_retry_gets_another_place(self) -> None:
-        scene = Scene()
-        call = review("r")
-        (first,) = scene.ask(call)
-        scene.end(call, Failure.BROKEN.value)
-        (second,) = scene.ask(call, excluded=(first.instance,), is_first_attempt=False)
         assert isinstance(second, Grant) and second.instance != first.instance
 
-    def test_a_retry_whose_end_was_lost_gets_another_place(self) -> None:
-        scene = Scene()
-        call = review("r")
-        (first,) = scene.ask(call)
-        (second,) = scene.ask(call, excluded=(first.instance,), is_first_attempt=False)
+    def test_a_retry_after_a_lost_end_message_is_assigned_to_another_replica(
+        self,
+    ) -> None:
+        harness = CoordinatorHarness()
+        call = make_review_call("r")
+        (first,) = harness.request_assignment(call)
+        (second,) = harness.request_assignment(
+            call, excluded=(first.instance,), is_first_attempt=False
+        )
         assert isinstance(second, Grant) and second.instance != first.instance
-        assert scene.coordinator.request_count == 1
+        assert harness.coordinator.request_count == 1
 
-    def test_without_a_replica_the_gateway_is_told_to_choose_itself(self) -> None:
-        scene = Scene(0)
-        (answer,) = scene.ask(make_call("c", CHAT))
-        assert answer == RequestRejected(AttemptId("c"), None, 0.0)
-        assert scene.coordinator.request_count == 0
+    def test_without_a_replica_the_choice_is_left_to_the_gateway(self) -> None:
+        harness = CoordinatorHarness(0)
+        (response,) = harness.request_assignment(make_call("c", CHAT))
+        assert response == RequestRejected(AttemptId("c"), None, 0.0)
+        assert harness.coordinator.request_count == 0
 
     def test_an_unknown_route_is_left_to_the_gateway(self) -> None:
-        scene = Scene()
+        harness = CoordinatorHarness()
         strange = msgspec.structs.replace(CHAT, name="strange")
-        (answer,) = scene.ask(make_call("c", strange))
-        assert isinstance(answer, RequestRejected) and answer.retry_after is None
+        (response,) = harness.request_assignment(make_call("c", strange))
+        assert isinstance(response, RequestRejected) and response.retry_after is None
 
-    def test_a_successor_learns_what_runs_and_forgets_what_has_ended(self) -> None:
-        scene = Scene(2)
+    def test_a_new_coordinator_adopts_running_requests_and_drops_ended_ones(
+        self,
+    ) -> None:
+        harness = CoordinatorHarness(2)
         running = tuple(
             (AttemptId(f"x{number}"), InstanceId("e0"), 30_000) for number in range(3)
         )
-        scene.coordinator.handle_running_requests(RunningRequests("g7", CELL, running))
-        assert scene.coordinator.request_count == 3 and scene.coordinator.backlog > 0
-        (answer,) = scene.ask(make_call("q", QUOTE, tokens=1800))
-        assert isinstance(answer, Grant) and answer.instance == "e1"
-        scene.clock.advance(REPORT_GRACE_SECONDS + 0.01)
-        scene.coordinator.handle_running_requests(
+        harness.coordinator.handle_running_requests(
+            RunningRequests("g7", CELL, running)
+        )
+        assert (
+            harness.coordinator.request_count == 3 and harness.coordinator.backlog > 0
+        )
+        (response,) = harness.request_assignment(make_call("q", QUOTE, tokens=1800))
+        assert isinstance(response, Grant) and response.instance == "e1"
+        harness.clock.advance(REPORT_GRACE_SECONDS + 0.01)
+        harness.coordinator.handle_running_requests(
             RunningRequests("g7", CELL, running[:1])
         )
-        assert scene.coordinator.request_count == 2
-
-    def test_a_list_that_crossed_a_grant_does_not_end_it(self) -> None:
-        scene = Scene()
-        scene.ask(review("r"))
-        scene.coordinator.handle_running_requests(RunningRequests("g1", CELL, ()))
-        assert scene.coordinator.request_count == 1
-
-    def test_what_ends_or_runs_out_is_counted_no_more(self) -> None:
-        scene = Scene(1)
-        calls = [review(f"r{number}", f"s{number}") for number in range(12)]
+        assert harness.coordinator.request_count == 2
+
+    def test_a_report_sent_before_the_grant_arrived_does_not_drop_the_assignment(
+        self,
+    ) -> None:
+        harness = CoordinatorHarness()
+        harness.request_assignment(make_review_call("r"))
+        harness.coordinator.handle_running_requests(RunningRequests("g1", CELL, ()))
+        assert harness.coordinator.request_count == 1
+
+    def test_ended_and_expired_requests_are_removed(self) -> None:
+        harness = CoordinatorHarness(1)
+        calls = [make_review_call(f"r{number}", f"s{number}") for number in range(12)]
         for call in calls:
-            scene.ask(call)
+            harness.request_assignment(call)
         for call in calls[:6]:
-            scene.end(call, "withdrawn")
-        assert scene.coordinator.request_count == 6
-        scene.end(calls[7], gateway="another")
-        assert scene.coordinator.request_count == 6
-        scene.clock.advance(5.0 + REPORT_GRACE_SECONDS + 0.1)
+            harness.end_request(call, "withdrawn")
+        assert harness.coordinator.request_count == 6
+        harness.end_request(calls[7], gateway="another")
+        assert harness.coordinator.request_count == 6
+        harness.clock.advance(5.0 + REPORT_GRACE_SECONDS + 0.1)
         for _ in range(10):
-            scene.tick()
+            harness.process_queue()
         assert (
-            scene.coordinator.request_count == 0 and scene.coordinator.queue_length == 0
+            harness.coordinator.request_count == 0
+            and harness.coordinator.queue_length == 0
         )
-        assert not scene.coordinator.is_idle
-        scene.clock.advance(IDLE_TIMEOUT_SECONDS)
-        assert scene.coordinator.is_idle
+        assert not harness.coordinator.is_idle
+        harness.clock.advance(IDLE_TIMEOUT_SECONDS)
+        assert harness.coordinator.is_idle
 
-    def test_one_gateways_trouble_with_a_replica_helps_all(self) -> None:
-        scene = Scene(2)
+    def test_a_failure_reported_by_one_gateway_is_used_for_all(self) -> None:
+        harness = CoordinatorHarness(2)
         call = make_call("q0", QUOTE, tokens=1800)
-        (answer,) = scene.ask(call)
-        scene.end(call, Failure.BROKEN.value)
+        (response,) = harness.request_assignment(call)
+        harness.end_request(call, Failure.BROKEN.value)
         for number in range(4):
-            (other,) = scene.ask(make_call(f"c{number}", QUOTE, tokens=1800), "g2")
-            assert other.instance != answer.instance
+            (other,) = harness.request_assignment(
+                make_call(f"c{number}", QUOTE, tokens=1800), "g2"
+            )
+            assert other.instance != response.instance
 
 
 class TestCellMap:
-    def cell_map(self, clock: ManualClock, gateways: int = 8) -> CellMap:
+    def make_cell_map(self, clock: ManualClock, gateways: int = 8) -> CellMap:
         cells = CellMap(clock=clock, own=Member(InstanceId("g0"), DataCentre("hout")))
         cells.set_members(
             Member(InstanceId(f"g{number}"), DataCentre("hout"))
             for number in range(1, gateways)
         )
-        cells.set_engines(SERVICE, engines(8 * CELL_ENGINES, "hout", "mossel"))
+        cells.set_engines(SERVICE, make_engines(8 * CELL_ENGINES, "hout", "mossel"))
         return cells
 
-    def test_the_last_one_asked_is_this_gateway(self) -> None:
-        cells = self.cell_map(ManualClock())
+    def test_the_last_coordinator_is_this_gateway(self) -> None:
+        cells = self.make_cell_map(ManualClock())
         for cell in cells.cells:
             names = cells.list_coordinators(cell, limit=2)
             assert names[-1] == "g0" and len(names) <= 3
 
-    def test_a_silent_gateway_is_passed_over_until_it_is_heard(self) -> None:
+    def test_a_suspected_gateway_is_skipped_until_it_is_cleared(self) -> None:
         clock = ManualClock()
-        cells = self.cell_map(clock)
+        cells = self.make_cell_map(clock)
         cell = next(
             item
             for item in cells.cells
@@ -410,33 +444,33 @@
         assert cells.clear_suspicion(first) and not cells.clear_suspicion(first)
         assert cells.list_coordinators(cell, limit=1)[0] == first
 
-    def test_a_full_cell_is_left_for_one_that_has_much_less_to_do(self) -> None:
+    def test_requests_spill_over_to_a_cell_with_a_much_lower_load(self) -> None:
         clock = ManualClock()
-        cells = self.cell_map(clock)
-        calls = [review(f"r{number}", f"s{number}") for number in range(40)]
+        cells = self.make_cell_map(clock)
+        calls = [make_review_call(f"r{number}", f"s{number}") for number in range(40)]
         home = cells.find_home_cell(calls[0])
         assert home is not None
-        here = [call for call in calls if cells.find_home_cell(call) == home]
+        home_calls = [call for call in calls if cells.find_home_cell(call) == home]
         cells.record_load(home, SPILLOVER_THRESHOLD_SECONDS / 2)
-        assert {cells.select_cell(call, is_first_attempt=True) for call in here} == {
-            home
-        }
+        assert {
+            cells.select_cell(call, is_first_attempt=True) for call in home_calls
+        } == {home}
         for cell in cells.cells:
             cells.record_load(
                 cell, 2 * SPILLOVER_THRESHOLD_SECONDS if cell == home else 0.0
             )
-        chosen = {cells.select_cell(call, is_first_attempt=True) for call in here}
+        chosen = {cells.select_cell(call, is_first_attempt=True) for call in home_calls}
         assert home not in chosen
         assert all(cell and cell.data_centre == home.data_centre for cell in chosen)
-        assert cells.select_cell(here[0], is_first_attempt=False) == home
+        assert cells.select_cell(home_calls[0], is_first_attempt=False) == home
         clock.advance(1.5)
-        assert {cells.select_cell(call, is_first_attempt=True) for call in here} == {
-            home
-        }
+        assert {
+            cells.select_cell(call, is_first_attempt=True) for call in home_calls
+        } == {home}
 
-    def test_the_source_is_the_home_of_a_request_that_goes_elsewhere(self) -> None:
-        cells = self.cell_map(ManualClock())
-        call = review("r")
+    def test_the_copy_source_of_a_spilled_request_is_in_its_home_cell(self) -> None:
+        cells = self.make_cell_map(ManualClock())
+        call = make_review_call("r")
         home = cells.find_home_cell(call)
         assert home is not None and cells.find_copy_source(call, home) is None
         other = next(cell for cell in cells.cells if cell != home)
@@ -444,22 +478,22 @@
         assert source in {item.address for item in cells.get_engines(home)}
         assert cells.find_copy_source(make_call("c", CHAT), other) is None
 
-    def test_few_look_at_a_cell_that_is_not_known(self) -> None:
-        cells = self.cell_map(ManualClock())
-        calls = [review(f"r{number}", "s") for number in range(200)]
+    def test_a_fraction_of_the_requests_probes_a_cell_of_unknown_load(self) -> None:
+        cells = self.make_cell_map(ManualClock())
+        calls = [make_review_call(f"r{number}", "s") for number in range(200)]
         home = cells.find_home_cell(calls[0])
         assert home is not None
         cells.record_load(home, 5.0)
-        away = [
+        spilled_calls = [
             call
             for call in calls
             if cells.select_cell(call, is_first_attempt=True) != home
         ]
-        assert 20 <= len(away) <= 90
+        assert 20 <= len(spilled_calls) <= 90
 
 
-class World:
-    """An asker and its coordinators, with coordinators that may be silent."""
+class ClientHarness:
+    """An assignment client with its coordinators, which may be unresponsive."""
 
     def __init__(self) -> None:
         self.clock = LoopClock()
@@ -469,18 +503,20 @@
         self.cells.set_members(
             Member(InstanceId(f"g{number}"), DataCentre("hout")) for number in (1, 2)
         )
-        self.cells.set_engines(SERVICE, engines(9))
-        table = make_table(services=[SPEC], routes=[CHAT, QUOTE, LATER])
+        self.cells.set_engines(SERVICE, make_engines(9))
+        table = make_table(services=[SPEC], routes=[CHAT, QUOTE, LOW_PRIORITY])
         self.coordinators = {
             name: Coordinators(
                 clock=self.clock,
                 cells=self.cells,
                 table=lambda: table,
-                send_response=lambda _to, answer, name=name: self.answer(name, answer),
+                send_response=lambda _to, response, name=name: self.deliver_response(
+                    name, response
+                ),
             )
             for name in ("g0", "g1", "g2")
         }
-        self.unresponsive: set[str] = set()
+        self.unresponsive_gateways: set[str] = set()
         self.sent: list[tuple[str, object]] = []
         self.client = AssignmentClient(
             own="g0",
@@ -496,22 +532,24 @@
         assert isinstance(
             message, (AssignmentRequest, PrefillDone, RequestEnded, RunningRequests)
         )
-        if name not in self.unresponsive:
+        if name not in self.unresponsive_gateways:
             self.coordinators[name].handle_message(message)
 
-    def answer(self, name: str, answer: AssignmentResponse) -> None:
-        gevent.spawn(self.client.handle_response, answer, name)
+    def deliver_response(self, name: str, response: AssignmentResponse) -> None:
+        gevent.spawn(self.client.handle_response, response, name)
 
-    def find(self, call: Call) -> Assignment:
-        found = self.client.request_assignment(call, excluded=(), is_first_attempt=True)
-        assert isinstance(found, Assignment)
-        return found
+    def request_assignment(self, call: Call) -> Assignment:
+        assignment = self.client.request_assignment(
+            call, excluded=(), is_first_attempt=True
+        )
+        assert isinstance(assignment, Assignment)
+        return assignment
 
-    def ranked(self) -> list[str]:
+    def list_coordinators(self) -> list[str]:
         return self.cells.list_coordinators(self.cell, limit=3)
 
 
-def live_call(name: str, clock: LoopClock) -> Call:
+def make_live_call(name: str, clock: LoopClock) -> Call:
     call = make_call(name, CHAT, tokens=700)
     call.arrival = clock.now()
     call.deadline = call.caller_deadline = call.arrival + 5.0
@@ -519,84 +557,94 @@
 
 
 class TestAssignmentClient:
-    def test_a_silent_coordinator_costs_one_request_a_moment(self) -> None:
-        world = World()
-        first = world.ranked()[0]
-        world.unresponsive = {"g1", "g2"} if first == "g0" else {first}
-        began = world.clock.now()
-        assignment = world.find(live_call("c1", world.clock))
-        assert world.clock.now() - began < 0.5
-        assert assignment.coordinator not in world.unresponsive
-        began = world.clock.now()
-        world.find(live_call("c2", world.clock))
-        assert world.clock.now() - began < 0.05
-
-    def test_when_all_are_silent_this_gateway_decides(self) -> None:
-        world = World()
-        world.unresponsive = {"g1", "g2"}
-        assert world.find(live_call("c1", world.clock)).coordinator == "g0"
-
-    def test_a_place_that_comes_too_late_is_given_back(self) -> None:
-        world = World()
+    def test_an_unresponsive_coordinator_delays_only_one_request(self) -> None:
+        harness = ClientHarness()
+        first = harness.list_coordinators()[0]
+        harness.unresponsive_gateways = {"g1", "g2"} if first == "g0" else {first}
+        started_at = harness.clock.now()
+        assignment = harness.request_assignment(make_live_call("c1", harness.clock))
+        assert harness.clock.now() - started_at < 0.5
+        assert assignment.coordinator not in harness.unresponsive_gateways
+        started_at = harness.clock.now()
+        harness.request_assignment(make_live_call("c2", harness.clock))
+        assert harness.clock.now() - started_at < 0.05
+
+    def test_when_all_are_unresponsive_this_gateway_decides(self) -> None:
+        harness = ClientHarness()
+        harness.unresponsive_gateways = {"g1", "g2"}
+        assert (
+            harness.request_assignment(make_live_call("c1", harness.clock)).coordinator
+            == "g0"
+        )
+
+    def test_a_late_grant_is_withdrawn(self) -> None:
+        harness = ClientHarness()
         grant = Grant(AttemptId("old"), InstanceId("e1"), None, 0.0)
-        world.client.handle_response(grant, "g1")
-        name, message = world.sent[-1]
+        harness.client.handle_response(grant, "g1")
+        name, message = harness.sent[-1]
         assert name == "g1"
-        assert message == RequestEnded("g0", world.cell, AttemptId("old"), "withdrawn")
+        assert message == RequestEnded(
+            "g0", harness.cell, AttemptId("old"), "withdrawn"
+        )
 
-    def test_a_request_that_waits_is_withdrawn_when_its_caller_goes(self) -> None:
-        world = World()
-        world.coordinators = dict.fromkeys(world.coordinators, world.coordinators["g0"])
-        calls = [review(f"r{number}", f"s{number}") for number in range(60)]
+    def test_a_queued_request_is_withdrawn_when_its_caller_disconnects(self) -> None:
+        harness = ClientHarness()
+        harness.coordinators = dict.fromkeys(
+            harness.coordinators, harness.coordinators["g0"]
+        )
+        calls = [make_review_call(f"r{number}", f"s{number}") for number in range(60)]
         for call in calls:
-            call.arrival = world.clock.now()
+            call.arrival = harness.clock.now()
             call.deadline = call.caller_deadline = call.arrival + 5.0
-        finders = [gevent.spawn(world.find, call) for call in calls]
+        waiters = [gevent.spawn(harness.request_assignment, call) for call in calls]
         gevent.sleep(0.05)
-        waiting = [finder for finder in finders if not finder.ready()]
-        assert waiting and world.coordinators["g0"].has_queued
-        gevent.killall(waiting)
-        assert not world.coordinators["g0"].has_queued
-
-    def test_what_runs_is_told_until_it_ends(self) -> None:
-        world = World()
-        call = live_call("c1", world.clock)
-        assignment = world.find(call)
-        world.sent.clear()
-        world.client.report_running_requests()
+        queued = [waiter for waiter in waiters if not waiter.ready()]
+        assert queued and harness.coordinators["g0"].has_queued
+        gevent.killall(queued)
+        assert not harness.coordinators["g0"].has_queued
+
+    def test_running_requests_are_reported_until_they_end(self) -> None:
+        harness = ClientHarness()
+        call = make_live_call("c1", harness.clock)
+        assignment = harness.request_assignment(call)
+        harness.sent.clear()
+        harness.client.report_running_requests()
         (running,) = [
-            item for _, item in world.sent if isinstance(item, RunningRequests)
+            item for _, item in harness.sent if isinstance(item, RunningRequests)
         ]
         assert running.requests == ((call.id, assignment.instance, 700),)
-        world.client.report_prefill_done(assignment, call, None)
-        world.sent.clear()
-        world.client.report_running_requests()
-        assert world.sent[-1][1].requests == ((call.id, assignment.instance, 0),)
-        world.client.report_request_ended(assignment, call, "whole")
-        world.sent.clear()
-        world.client.report_running_requests()
-        assert not world.sent
-
-    def test_a_refusal_that_says_when_to_come_back_is_final(self) -> None:
-        """Another coordinator would place what the first one has no room for."""
-        world = World()
-        world.client._cells.suspect_gateway("g0")
-        first = world.ranked()[0]
-        refusal = RequestRejected(AttemptId("c1"), 1.5, 3.0)
-
-        def refuse(name: str, message: object) -> None:
-            world.sent.append((name, message))
+        harness.client.report_prefill_done(assignment, call, None)
+        harness.sent.clear()
+        harness.client.report_running_requests()
+        assert harness.sent[-1][1].requests == ((call.id, assignment.instance, 0),)
+        harness.client.report_request_ended(assignment, call, "whole")
+        harness.sent.clear()
+        harness.client.report_running_requests()
+        assert not harness.sent
+
+    def test_a_rejection_with_a_retry_time_is_final(self) -> None:
+        """
+        Another coordinator would assign the request, although the first one has no
+        capacity for it.
+        """
+        harness = ClientHarness()
+        harness.client._cells.suspect_gateway("g0")
+        first = harness.list_coordinators()[0]
+        rejection = RequestRejected(AttemptId("c1"), 1.5, 3.0)
+
+        def reject(name: str, message: object) -> None:
+            harness.sent.append((name, message))
             if isinstance(message, AssignmentRequest):
-                world.answer(name, refusal)
+                harness.deliver_response(name, rejection)
 
-        world.client._send = refuse
-        found = world.client.request_assignment(
-            live_call("c1", world.clock), excluded=(), is_first_attempt=True
+        harness.client._send = reject
+        result = harness.client.request_assignment(
+            make_live_call("c1", harness.clock), excluded=(), is_first_attempt=True
         )
-        assert found == refusal
+        assert result == rejection
         asked = {
             name
-            for name, message in world.sent
+            for name, message in harness.sent
             if isinstance(message, AssignmentRequest)
         }
         assert asked == {first}
