--- a/damasklead/gateway/broadcasts.py
+++ b/damasklead/gateway/broadcasts.py
@@ -20,7 +20,7 @@
 from gevent.event import Event
 
 from damasklead.clock import Clock
-from damasklead.gateway.containment import Containment, CrashNote
+from damasklead.gateway.containment import Containment, CrashReport
 from damasklead.gateway.departures import Departure, DepartureLog
 from damasklead.gateway.following import ConfigurationFollower
 from damasklead.gateway.messages import Broadcast, PeerReport
@@ -59,7 +59,7 @@
 MAX_ROUTING_BYTES = 8_192
 
 
-_FleetEvent = CrashNote | Departure
+_FleetEvent = CrashReport | Departure
 
 
 class _EventState(msgspec.Struct, kw_only=True):
@@ -216,7 +216,7 @@
     def _send_report(self) -> None:
         """Send the broadcaster what it may not know, if there is anything."""
         crashes, departures = (
-            self._containment.notes,
+            self._containment.recent_crashes,
             self._departures.recent_departures,
         )
         known = self._plans[ListName.ROUTING].report.last_change
@@ -231,7 +231,7 @@
         self._sequence_number += 1
         now = self._clock.now()
         observed: list[_FleetEvent] = [
-            *self._containment.notes,
+            *self._containment.recent_crashes,
             *self._departures.recent_departures,
         ]
         for event in observed:
@@ -258,7 +258,7 @@
             change_log.cursor,
             change_log.rows,
             self._encode_new_routing(),
-            [event for event in pending if isinstance(event, CrashNote)],
+            [event for event in pending if isinstance(event, CrashReport)],
             [event for event in pending if isinstance(event, Departure)],
         )
 
@@ -289,7 +289,7 @@
             self._broadcaster_position = message.lists[ListName.ROUTING].last_change
         if precedes:
             self._last_broadcast_at = self._clock.now()
-        self._containment.apply_notes(message.crashes)
+        self._containment.record_crash_reports(message.crashes)
         self._apply_departures(message.departures)
         if message.routing:
             self._apply_routing(message.routing)
@@ -330,7 +330,7 @@
         for event in events:
             has_new_events = has_new_events or event not in self._events
             self._events.setdefault(event, _EventState(first_seen_at=now))
-        self._containment.apply_notes(message.crashes)
+        self._containment.record_crash_reports(message.crashes)
         self._apply_departures(message.departures)
         if has_new_events:
             self.schedule_update()
--- a/damasklead/gateway/containment.py
+++ b/damasklead/gateway/containment.py
@@ -2,12 +2,12 @@
 Containment
 ===========
 
-Keeps a request that crashes each replica that runs it from taking down one after the
-other.  No I/O: broken attempts, failed connections and notes of other gateways come in;
-which requests are refused goes out.
+Finds requests that crash each replica that executes them, and refuses them before they
+crash all replicas.  No I/O: the inputs are broken responses, failed connections and
+crash reports of other gateways, the outputs are the fingerprints of refused requests.
 
-Load pattern: one request that its caller repeats at any gateway, among many others that
-are cut off by the same crashes and are not to blame.
+Load pattern: one request that its caller retries at any gateway, among many other
+requests that the same crashes interrupt but that don't cause them.
 """
 
 from collections import OrderedDict
@@ -21,23 +21,36 @@
 from damasklead.quarantine import Quarantine
 from damasklead.util import stable_hash
 
-__all__ = ["Containment", "CrashNote", "compute_fingerprint"]
+__all__ = ["Containment", "CrashReport", "compute_fingerprint"]
 
-# A broken answer is a crash if its replica is found to be gone within this time; the
-# platform's list drops a silent replica after some heartbeats of about a second.
+# A broken response is attributed to a crash if its replica is found to be gone within
+# this time; the platform's list drops a replica after some missing heartbeats, which
+# are sent about every second.
 CRASH_CONFIRM_SECONDS = 8.0
-# A crash is told to other gateways for so long; lost datagrams are made up for.
-NOTE_REPEAT_SECONDS = 10.0
-# A request that ended well so recently is not suspected: others like it are common.
-SUCCESS_MEMORY_SECONDS = 60.0
-# Requests that ended well are remembered up to this number, about 200 bytes each.
+# Time for which a crash is reported to other gateways; the report is sent repeatedly
+# since datagrams may be lost.
+CRASH_REPORT_SECONDS = 10.0
+# Time for which a request that succeeded is not suspected: frequent requests are often
+# interrupted by crashes that others cause.
+SUCCESS_TTL_SECONDS = 60.0
+# Maximum number of remembered successful requests, of about 200 bytes each; LRU.
 MAX_SUCCESSES = 4_000
-# Crashes before a request is refused; fewer would blame requests that were only near.
+# Number of crashes after which a request is refused; with fewer, requests that were
+# only active at the same replica would be blamed.
 CRASHES_TO_REFUSE = 3
 
 
-class CrashNote(msgspec.Struct, array_like=True, frozen=True):
-    """A replica's crash and the requests that one gateway had there."""
+class CrashReport(msgspec.Struct, array_like=True, frozen=True):
+    """
+    A replica's crash, reported by one gateway.
+
+    Attributes
+    ----------
+    incarnation : int
+        Start time of the crashed replica in milliseconds.
+    fingerprints : tuple of Fingerprint
+        The gateway's requests that the crash interrupted.
+    """
 
     instance: InstanceId
     incarnation: int
@@ -45,12 +58,25 @@
 
 
 class _BrokenResponses(msgspec.Struct, kw_only=True):
-    at: float
+    """
+    Requests whose responses one replica broke off, and when it last did so.
+
+    Attributes
+    ----------
+    broken_at : float
+        Clock time in seconds.
+    """
+
+    broken_at: float
     fingerprints: set[Fingerprint]
 
 
 def compute_fingerprint(call: Call) -> Fingerprint:
-    """Return what a repeated request has in common: caller, path and body."""
+    """
+    Return a hash of the workspace, target and body of a request.
+
+    It is the same for all retries of a request and at all gateways.
+    """
     workspace = "" if call.workspace is None else call.workspace.name
     body = call.body.decode("latin-1")
     return Fingerprint(f"{stable_hash(workspace, call.head.target, body):016x}")
@@ -64,7 +90,7 @@
     ----------
     clock : Clock
     on_quarantine : callable
-        Told of each fingerprint that is refused from now on.
+        Called with each fingerprint that is refused from now on.
     """
 
     def __init__(
@@ -74,65 +100,67 @@
         self._on_quarantine = on_quarantine
         self._quarantine = Quarantine(clock=clock, least_crashes=CRASHES_TO_REFUSE)
         self._broken_responses: dict[tuple[InstanceId, int], _BrokenResponses] = {}
-        self._notes: dict[CrashNote, float] = {}
+        self._recent_crashes: dict[CrashReport, float] = {}
         self._successes: OrderedDict[int, float] = OrderedDict()
 
     @property
-    def notes(self) -> list[CrashNote]:
-        """What the other gateways are to be told."""
-        return list(self._notes)
+    def recent_crashes(self) -> list[CrashReport]:
+        """The crashes to report to other gateways."""
+        return list(self._recent_crashes)
 
     def should_refuse(self, call: Call) -> bool:
-        """Tell whether a request is refused."""
+        """Return whether a request is refused."""
         return bool(self._quarantine.named) and self._quarantine.is_named(
             compute_fingerprint(call)
         )
 
     def record_success(self, call: Call) -> None:
-        """Take in that a replica answered a request in full."""
-        mark = _compute_local_fingerprint(call)
-        self._successes.pop(mark, None)
-        self._successes[mark] = self._clock.now()
+        """Record that a replica sent a complete response to a request."""
+        fingerprint = _hash_request(call)
+        self._successes.pop(fingerprint, None)
+        self._successes[fingerprint] = self._clock.now()
         if len(self._successes) > MAX_SUCCESSES:
             self._successes.popitem(last=False)
         if self._quarantine.has_suspects:
             self._quarantine.clear(compute_fingerprint(call))
 
     def record_broken_response(self, record: UpstreamRecord, call: Call) -> None:
-        """Take in that a replica's answer broke off."""
+        """Record that a replica broke off its response to a request."""
         now = self._clock.now()
         if (
-            now
-            - self._successes.get(
-                _compute_local_fingerprint(call), -SUCCESS_MEMORY_SECONDS
-            )
-            < SUCCESS_MEMORY_SECONDS
+            now - self._successes.get(_hash_request(call), -SUCCESS_TTL_SECONDS)
+            < SUCCESS_TTL_SECONDS
         ):
             return
         key = (record.instance, record.incarnation)
         broken = self._broken_responses.setdefault(
-            key, _BrokenResponses(at=now, fingerprints=set())
+            key, _BrokenResponses(broken_at=now, fingerprints=set())
         )
-        broken.at = now
+        broken.broken_at = now
         broken.fingerprints.add(compute_fingerprint(call))
 
     def record_connection_failure(self, record: UpstreamRecord) -> None:
-        """Take in that a replica takes no connection."""
+        """Record that a replica refuses connections, which confirms a crash."""
         self._confirm_crash((record.instance, record.incarnation))
 
     def update_replicas(self, records: list[UpstreamRecord]) -> None:
-        """Take in which replicas are listed; others have crashed or left."""
+        """
+        Replace the listed replicas.
+
+        Replicas that are no longer listed in the same incarnation and have broken off
+        responses count as crashed.
+        """
         listed = {(record.instance, record.incarnation) for record in records}
         for key in [item for item in self._broken_responses if item not in listed]:
             self._confirm_crash(key)
 
-    def apply_notes(self, notes: list[CrashNote]) -> None:
-        """Take in crashes that another gateway has seen."""
-        for note in notes:
-            self._observe_crash(note)
+    def record_crash_reports(self, reports: list[CrashReport]) -> None:
+        """Record the crashes that another gateway has reported."""
+        for report in reports:
+            self._observe_crash(report)
 
-    def tick(self) -> None:
-        """Decide which requests to refuse, and forget what is old."""
+    def update_quarantine(self) -> None:
+        """Decide which requests to refuse, and drop expired records."""
         now = self._clock.now()
         for fingerprint in self._quarantine.decide():
             if self._quarantine.name(fingerprint):
@@ -140,29 +168,31 @@
         self._broken_responses = {
             key: broken
             for key, broken in self._broken_responses.items()
-            if now - broken.at < CRASH_CONFIRM_SECONDS
+            if now - broken.broken_at < CRASH_CONFIRM_SECONDS
         }
-        self._notes = {
-            note: at
-            for note, at in self._notes.items()
-            if now - at < NOTE_REPEAT_SECONDS
+        self._recent_crashes = {
+            report: at
+            for report, at in self._recent_crashes.items()
+            if now - at < CRASH_REPORT_SECONDS
         }
 
     def _confirm_crash(self, key: tuple[InstanceId, int]) -> None:
         broken = self._broken_responses.pop(key, None)
         if broken is None:
             return
-        note = CrashNote(*key, tuple(sorted(broken.fingerprints)))
-        self._notes[note] = self._clock.now()
-        self._observe_crash(note)
+        report = CrashReport(*key, tuple(sorted(broken.fingerprints)))
+        self._recent_crashes[report] = self._clock.now()
+        self._observe_crash(report)
 
-    def _observe_crash(self, note: CrashNote) -> None:
+    def _observe_crash(self, report: CrashReport) -> None:
         self._quarantine.observe_crash(
-            note.instance, Incarnation(note.incarnation), frozenset(note.fingerprints)
+            report.instance,
+            Incarnation(report.incarnation),
+            frozenset(report.fingerprints),
         )
 
 
-def _compute_local_fingerprint(call: Call) -> int:
-    """Return a quick fingerprint that holds in this process only."""
+def _hash_request(call: Call) -> int:
+    """Return a hash of a request that is fast but valid in this process only."""
     workspace = "" if call.workspace is None else call.workspace.name
     return hash((workspace, call.head.target, call.body))
--- a/damasklead/gateway/messages.py
+++ b/damasklead/gateway/messages.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from damasklead.gateway.containment import CrashNote
+from damasklead.gateway.containment import CrashReport
 from damasklead.gateway.departures import Departure
 from damasklead.gateway.directory import ListedRow
 from damasklead.gateway.positions import INITIAL_POSITION, Position
@@ -92,7 +92,7 @@
     cursor: Position
     rows: list[ListedRow]
     routing: bytes
-    crashes: list[CrashNote]
+    crashes: list[CrashReport]
     departures: list[Departure]
 
 
@@ -114,6 +114,6 @@
     """
 
     sender: str
-    crashes: list[CrashNote]
+    crashes: list[CrashReport]
     departures: list[Departure]
     routing: Position = INITIAL_POSITION
--- a/damasklead/gateway/process.py
+++ b/damasklead/gateway/process.py
@@ -203,7 +203,7 @@
             gevent.sleep(TICK_SECONDS)
             self._fleet.upstreams.expire()
             self._connections.close_expired()
-            self._fleet.containment.tick()
+            self._fleet.containment.update_quarantine()
             if self._fleet.is_gateway_count_known:
                 self._share_among(self._fleet.gateway_count)
             if self._file.has_changed:
--- a/tests/test_gateway_broadcasts.py
+++ b/tests/test_gateway_broadcasts.py
@@ -19,7 +19,7 @@
     Broadcasts,
 )
 from damasklead.gateway.calls import UpstreamState
-from damasklead.gateway.containment import Containment, CrashNote
+from damasklead.gateway.containment import Containment, CrashReport
 from damasklead.gateway.departures import Departure, DepartureLog
 from damasklead.gateway.dialect import Changes, Feed, FeedError, FeedFault, PeerEntry
 from damasklead.gateway.directory import ListedRow, UpstreamDirectory
@@ -502,10 +502,10 @@
 def test_a_reported_crash_reaches_all_gateways() -> None:
     fleet = Fleet(12)
     fleet.run(4.0)
-    seen: dict[str, list[CrashNote]] = {name: [] for name in fleet.gateways}
+    seen: dict[str, list[CrashReport]] = {name: [] for name in fleet.gateways}
     for name, gateway in fleet.gateways.items():
-        gateway.containment.apply_notes = seen[name].extend
-    note = CrashNote(InstanceId("r1"), 1, (Fingerprint("f"),))
+        gateway.containment.record_crash_reports = seen[name].extend
+    note = CrashReport(InstanceId("r1"), 1, (Fingerprint("f"),))
     reporter = next(
         item for item in fleet.running_gateways if item is not fleet.first_ranked
     )
--- a/tests/test_gateway_containment.py
+++ b/tests/test_gateway_containment.py
@@ -12,15 +12,15 @@
     CRASH_CONFIRM_SECONDS,
     CRASHES_TO_REFUSE,
     Containment,
-    CrashNote,
+    CrashReport,
     compute_fingerprint,
 )
 from damasklead.gateway.messages import PeerReport
 from damasklead.ids import AttemptId, DataCentre, Fingerprint, InstanceId
 from tests.gatewaykit import IDEMPOTENT, SERVICE, ScriptedReplica, World
 
-# Retries that may still reach replicas after the third crash.
-MOST_LATER_RETRIES = 3
+# Retries that may still be sent to replicas after the third crash.
+MAX_LATE_RETRIES = 3
 
 
 def call(path: str, number: int = 0) -> Call:
@@ -55,31 +55,31 @@
 
 
 class Fleet:
-    """Gateways that hear of each other's crashes."""
+    """Gateways that report crashes to each other."""
 
     def __init__(self, gateways: int) -> None:
         self.clock = ManualClock()
-        self.named: list[Fingerprint] = []
+        self.quarantined: list[Fingerprint] = []
         self.gateways = [
-            Containment(clock=self.clock, on_quarantine=self.named.append)
+            Containment(clock=self.clock, on_quarantine=self.quarantined.append)
             for _ in range(gateways)
         ]
 
     def crash(self, record: UpstreamRecord, calls: list[list[Call]]) -> None:
-        """Let a replica crash that ran these calls of each gateway."""
+        """Simulate the crash of a replica that executed these calls of each gateway."""
         for gateway, own in zip(self.gateways, calls, strict=True):
             for item in own:
                 gateway.record_broken_response(record, item)
             gateway.record_connection_failure(record)
 
     def exchange(self) -> None:
-        """Let all tell their notes, and a second pass."""
+        """Exchange all crash reports and advance the clock by 1.1 s."""
         for gateway in self.gateways:
             for other in self.gateways:
-                other.apply_notes(gateway.notes)
+                other.record_crash_reports(gateway.recent_crashes)
         self.clock.advance(1.1)
         for gateway in self.gateways:
-            gateway.tick()
+            gateway.update_quarantine()
 
 
 def test_a_request_that_crashes_replicas_is_refused_by_all_gateways() -> None:
@@ -94,19 +94,19 @@
         calls[gateway].append(poison)
         fleet.crash(replica(f"r{number}"), calls)
         fleet.exchange()
-    assert runs <= CRASHES_TO_REFUSE + MOST_LATER_RETRIES
+    assert runs <= CRASHES_TO_REFUSE + MAX_LATE_RETRIES
     assert all(gateway.should_refuse(poison) for gateway in fleet.gateways)
     assert not fleet.gateways[0].should_refuse(call("/0/0"))
 
 
-def test_a_common_request_is_not_blamed_for_crashes_that_it_was_near() -> None:
+def test_a_frequent_request_is_not_blamed_for_crashes_of_others() -> None:
     fleet = Fleet(2)
     for number in range(9):
         for gateway in fleet.gateways:
             gateway.record_success(call("/stock"))
         fleet.crash(replica(f"r{number}"), [[call("/stock")], [call("/stock")]])
         fleet.exchange()
-    assert not fleet.named
+    assert not fleet.quarantined
 
 
 def test_a_success_after_crashes_clears_a_request() -> None:
@@ -120,10 +120,10 @@
     fleet.clock.advance(120.0)
     fleet.crash(replica("r10"), [[call("/stock")]])
     fleet.exchange()
-    assert not fleet.named
+    assert not fleet.quarantined
 
 
-def test_resets_by_replicas_that_stay_are_no_crashes() -> None:
+def test_resets_by_listed_replicas_are_no_crashes() -> None:
     fleet = Fleet(1)
     (gateway,) = fleet.gateways
     records = [replica(f"r{number}") for number in range(9)]
@@ -132,32 +132,32 @@
         gateway.update_replicas(records)
         fleet.exchange()
     fleet.clock.advance(CRASH_CONFIRM_SECONDS)
-    gateway.tick()
+    gateway.update_quarantine()
     gateway.update_replicas([])
     fleet.exchange()
-    assert not fleet.named
-    assert not gateway.notes
+    assert not fleet.quarantined
+    assert not gateway.recent_crashes
 
 
-def test_a_replica_that_comes_back_under_its_id_has_crashed() -> None:
+def test_a_replica_listed_in_a_new_incarnation_has_crashed() -> None:
     fleet = Fleet(1)
     (gateway,) = fleet.gateways
     for number in range(CRASHES_TO_REFUSE):
         gateway.record_broken_response(replica("r1", number), call("/poison"))
         gateway.update_replicas([replica("r1", number + 1)])
         fleet.exchange()
-    assert fleet.named == [compute_fingerprint(call("/poison"))]
+    assert fleet.quarantined == [compute_fingerprint(call("/poison"))]
 
 
-def test_notes_go_through_a_datagram() -> None:
-    note = CrashNote(InstanceId("r1"), 7, (Fingerprint("f"),))
-    message = PeerReport("gateway-1", [note], [])
+def test_crash_reports_are_encoded_in_datagrams() -> None:
+    report = CrashReport(InstanceId("r1"), 7, (Fingerprint("f"),))
+    message = PeerReport("gateway-1", [report], [])
     data = msgspec.msgpack.encode(message)
     assert msgspec.msgpack.decode(data, type=PeerReport) == message
 
 
 def test_a_gateway_stops_sending_a_request_that_crashes_replicas() -> None:
-    """Each replica that reads it closes its connections and its listener."""
+    """Each replica that reads the request closes its connections and its listener."""
 
     def crash(this: ScriptedReplica, connection: object) -> None:
         this.next_request(connection)
@@ -170,9 +170,9 @@
             answers.append(world.ask("/read/1"))
             world.containment.update_replicas([])
             gevent.sleep(1.1)
-            world.containment.tick()
+            world.containment.update_quarantine()
         runs = sum(len(item.requests) for item in world.replicas)
-        assert CRASHES_TO_REFUSE <= runs <= CRASHES_TO_REFUSE + MOST_LATER_RETRIES
+        assert CRASHES_TO_REFUSE <= runs <= CRASHES_TO_REFUSE + MAX_LATE_RETRIES
         assert answers[-1].startswith(b"HTTP/1.1 503")
         assert b"retry-after" in answers[-1].lower()
         assert world.quarantined
