--- a/damasklead/gateway/broadcasts.py
+++ b/damasklead/gateway/broadcasts.py
@@ -38,20 +38,21 @@
 
 __all__ = ["Broadcasts"]
 
-# Time between two broadcasts, or two reports, when there is nothing new.
+# Interval of broadcasts while there is nothing new.
 BROADCAST_INTERVAL_SECONDS = 0.3
-# Least time between two of them, so that several events share a datagram.
+# Least time between two broadcasts or reports, so that events share a datagram.
 MIN_UPDATE_INTERVAL_SECONDS = 0.15
-# Broadcasts that repeat an event, since datagrams may be lost.
+# Each event is in this number of broadcasts, since datagrams may be lost.
 MAX_TRANSMISSIONS = 2
-# Without a broadcast for this long the gateway of rank 1 takes over; each further rank
-# waits longer by a delay that is added for at most so many ranks.
+# A gateway takes over when it has received no broadcast from a lower rank for the
+# timeout and a delay for each of these ranks, up to a maximum number of ranks.
 TAKEOVER_TIMEOUT_SECONDS = 1.0
 TAKEOVER_RANK_DELAY_SECONDS = 0.1
 MAX_DELAYED_RANKS = 10
-# A gateway broadcasts at any rank if it alone has read the lists within this time.
+# A gateway of any rank broadcasts if it has read the lists within this time and no
+# other gateway has confirmed them, which would make its own broadcast needless.
 SOLE_READER_WINDOW_SECONDS = 0.6
-# A broadcast replaces a poll of one's own if its sender polled at most so long before.
+# A broadcast replaces a poll of the store if its sender polled less than this before.
 MAX_CONFIRMATION_AGE_MS = 1_000
 # Events are remembered for this long, so that they are not broadcast again.
 EVENT_RETENTION_SECONDS = 30.0
@@ -146,7 +147,7 @@
         self._last_broadcast_at = clock.now()
         self._broadcaster: str | None = None
         self._broadcaster_position = INITIAL_POSITION
-        self._last_sequence: dict[str, tuple[int, int]] = {}
+        self._last_sequences: dict[str, tuple[int, int]] = {}
         self._events: dict[_FleetEvent, _EventState] = {}
         # Version, compressed content and transmissions of the last configuration.
         self._routing = (0, b"", 0)
@@ -203,7 +204,7 @@
         return self._ranking
 
     def _is_sole_reader(self) -> bool:
-        """Tell whether this gateway reads the lists and no other is known to."""
+        """Tell whether this gateway reads the lists and no other is known to do so."""
         now = self._clock.now()
         ages = [plan.report.age_ms for plan in self._plans]
         if not all(0 <= age < SOLE_READER_WINDOW_SECONDS * 1000 for age in ages):
@@ -214,7 +215,7 @@
         return now - confirmed_at > SOLE_READER_WINDOW_SECONDS
 
     def _send_report(self) -> None:
-        """Send the broadcaster what it may not know, if there is anything."""
+        """Report crashes, departures or a newer configuration to the broadcaster."""
         crashes, departures = (
             self._containment.recent_crashes,
             self._departures.recent_departures,
@@ -280,9 +281,9 @@
 
     def _handle_broadcast(self, message: Broadcast, sender: str) -> None:
         sequence = (message.incarnation, message.sequence_number)
-        if sequence <= self._last_sequence.get(sender, (0, 0)):
+        if sequence <= self._last_sequences.get(sender, (0, 0)):
             return
-        self._last_sequence[sender] = sequence
+        self._last_sequences[sender] = sequence
         precedes = sender in self._rank_peers()[0]
         if precedes or not self.is_broadcaster:
             self._broadcaster = sender
--- a/damasklead/gateway/changelog.py
+++ b/damasklead/gateway/changelog.py
@@ -109,7 +109,7 @@
 
     def append_diff(self, rows: list[T], cursor: Position) -> None:
         """
-        Append the difference between a list that was read anew and the list before.
+        Append the difference between a list that was read again and its previous state.
 
         When the store's era has changed, earlier changes are dropped: the difference
         is valid only from the last position of the old era.
--- a/damasklead/gateway/inbox.py
+++ b/damasklead/gateway/inbox.py
@@ -1,6 +1,6 @@
 """
-Inbox
-=====
+Message batches
+===============
 
 Orders the datagrams that are read from the socket in one batch.  No I/O.
 
--- a/damasklead/gateway/peers.py
+++ b/damasklead/gateway/peers.py
@@ -40,8 +40,8 @@
 __all__ = ["Peers"]
 
 # Gateways announce themselves to each other when they start, so that a read of the
-# directory only finds what was missed.  The second one follows soon, when gateways that
-# started at the same time have their entries; later ones are rare.
+# directory only finds what was missed.  The second read follows soon, when gateways
+# that started at the same time have written their entries; later ones are rare.
 SECOND_DISCOVERY_SECONDS = 3.0
 # Interval of later reads: the larger of a constant and a time for each other gateway.
 DISCOVERY_INTERVAL_SECONDS = 20.0
@@ -224,8 +224,8 @@
         """
         Schedule a read of a directory that was restored from a backup.
 
-        A gateway checks its own entry if it wrote it so recently that the backup may
-        lack it; no other gateway may know of the loss.
+        The read is needed only if this gateway wrote its entry so recently that the
+        backup may lack it; possibly no other gateway has a copy of the entry.
         """
         if self._entry_written_at is None:
             return
