--- a/damasklead/gateway/budget.py
+++ b/damasklead/gateway/budget.py
@@ -2,12 +2,12 @@
 Shared retry budget
 ===================
 
-Bounds the retries of all gateways together without a message for each of them.
+Limits the retries of all gateways together, without a message per retry.
 
-Each gateway may repeat a fraction of its own recent requests, and a fixed part of the
-common allowance.  The fractions add up whatever the number of gateways is; the
-allowance is divided by the number of gateways known, and by a cautious one before any
-is known.
+Each gateway may retry a fraction of its own recent requests, plus its share of a common
+allowance.  The fractions add up to the limit whatever the number of gateways is; the
+allowance is divided by the known number of gateways, or by a high assumed number before
+any other gateway is known.
 """
 
 from collections import deque
@@ -17,25 +17,28 @@
 
 __all__ = ["SharedRetryBudget"]
 
-# Part of the operators' bound that is used, since windows of gateways don't coincide.
+# Fraction of the configured limits that is used, since the sliding windows of gateways
+# don't coincide.
 USED_FRACTION = 0.7
-# Gateways assumed before any others are known.
+# Number of gateways that is assumed before any others are known.
 ASSUMED_GATEWAYS = 16
 
 
 class SharedRetryBudget:
     """
-    The retries that one gateway may send.
+    The retries that one gateway may send, counted per service in a sliding window.
 
     Parameters
     ----------
     clock : Clock
     ratio : float
-        Retries for each first attempt, over all gateways.
+        Maximum number of retries per first attempt, over all gateways.
     allowance : float
-        Retries in a window beyond the ratio, over all gateways.
+        Retries per window in addition to the ratio, over all gateways.
     window : float
-        Seconds.
+        Length of the sliding window in seconds.
+    used_fraction : float
+        Fraction of ``ratio`` and ``allowance`` that is used.
 
     Examples
     --------
@@ -69,24 +72,24 @@
         self._retries: dict[ServiceName, deque[float]] = {}
 
     def configure(self, *, ratio: float, allowance: float, window: float) -> None:
-        """Take the operators' bounds in force."""
+        """Apply the configured limits."""
         self._ratio = ratio * self._used_fraction
         self._allowance = allowance * self._used_fraction
         self._window = window
 
     def set_gateway_count(self, count: int) -> None:
-        """Take in how many gateways share the allowance."""
+        """Set the number of gateways that share the allowance."""
         self._gateway_count = max(1, count)
 
     def record_first_attempt(self, service: ServiceName) -> None:
-        """Count a request's first attempt."""
+        """Count the first attempt of a request."""
         self._get_recent(self._first_attempts, service).append(self._clock.now())
 
     def acquire_retry(self, service: ServiceName) -> bool:
-        """Take one retry; returns whether there was one."""
-        firsts = len(self._get_recent(self._first_attempts, service))
+        """Count a retry if the budget allows it; return whether it does."""
+        first_attempts = len(self._get_recent(self._first_attempts, service))
         retries = self._get_recent(self._retries, service)
-        allowed = self._ratio * firsts + self._allowance / self._gateway_count
+        allowed = self._ratio * first_attempts + self._allowance / self._gateway_count
         if len(retries) + 1 > allowed:
             return False
         retries.append(self._clock.now())
@@ -95,9 +98,9 @@
     def _get_recent(
         self, times: dict[ServiceName, deque[float]], service: ServiceName
     ) -> deque[float]:
-        """Return a service's times within the window."""
+        """Return the clock times of a service that lie within the window."""
         recent = times.setdefault(service, deque())
-        begin = self._clock.now() - self._window
-        while recent and recent[0] < begin:
+        window_start = self._clock.now() - self._window
+        while recent and recent[0] < window_start:
             recent.popleft()
         return recent
--- a/damasklead/gateway/directory.py
+++ b/damasklead/gateway/directory.py
@@ -2,8 +2,8 @@
 Directory of upstreams
 ======================
 
-What this process believes about the replicas: which may take new work, while the list
-lags, stops or forgets.
+Determines which replicas may be sent new requests, although the platform's list may be
+stale, unreachable or restored from a backup.
 """
 
 import msgspec
@@ -15,23 +15,30 @@
 
 __all__ = ["ListedRow", "UpstreamDirectory"]
 
-# Entries that lapsed during an outage are listed again within about 2 s of its end, if
-# their replicas live.
+# Entries that expired during an outage are listed again within about 2 s of its end if
+# their replicas are live.
 LAPSE_GRACE_SECONDS = 2.3
-# For so long after an outage a removal may be a lapse.
+# Time after an outage in which a removed entry may have expired because of the outage.
 LAPSE_WINDOW_SECONDS = 1.5
-# The platform removes silent entries after three heartbeats of about a second, so one
-# that a restored store still lists after so long has been written again.
+# The platform removes an entry after three missing heartbeats, which are sent about
+# every second.  So an entry that a restored store still lists after this time has been
+# renewed by its replica.
 UNCONFIRMED_SECONDS = 8.0
-# Versions of replicas that are gone are forgotten beyond so many: ids are new at each
-# start, and a process may run for months.
+# Maximum number of removed replicas whose history is kept: ids are new at each start of
+# a replica, and a process may run for months.
 MAX_REMEMBERED_REPLICAS = 10_000
 
 
 class ListedRow(msgspec.Struct, kw_only=True, frozen=True, array_like=True):
     """
-    One entry of the list at one version; ``record`` is ``None`` when the entry was
-    removed or names no replica to use.
+    An entry of the list at one position in the store's history.
+
+    Attributes
+    ----------
+    position : Position
+        Position of the entry's last change.
+    record : UpstreamRecord or None
+        ``None`` when the entry was removed or can't be used.
     """
 
     instance: InstanceId
@@ -39,15 +46,32 @@
     record: UpstreamRecord | None
 
 
-class _Removal(msgspec.Struct, kw_only=True, frozen=True):
-    """An entry that was seen to go."""
+class _RemovedEntry(msgspec.Struct, kw_only=True, frozen=True):
+    """
+    An entry that was removed from the list.
+
+    Attributes
+    ----------
+    incarnation : int
+        Start time of the replica in milliseconds.
+    era : StoreEra
+        Era of the entry's last change.
+    """
 
     incarnation: int
     era: StoreEra
 
 
 class _UnconfirmedEntry(msgspec.Struct, kw_only=True, frozen=True):
-    """An entry of a restored copy whose replica was seen to go; not used before."""
+    """
+    An entry of a restored store whose replica had been removed before the restore.
+
+    Attributes
+    ----------
+    record : UpstreamRecord
+    until : float
+        Clock time in seconds from which the entry is used if it is still listed.
+    """
 
     record: UpstreamRecord
     until: float
@@ -55,14 +79,14 @@
 
 class UpstreamDirectory:
     """
-    The replicas that may take new work.
+    The replicas that may be sent new requests.
 
-    A replica that is known to leave stays so until it starts again.  A removal counts
-    at once, unless the list was out of reach just before: then the entry may have
-    lapsed only because its replica could not renew it, and the replica is kept for a
-    short time.  Entries that are missing after the store came back from an older copy
-    are kept likewise; those that only the copy has are not used before they are written
-    again.
+    A replica that leaves is not used again in the same incarnation.  A removed entry
+    takes effect at once, unless the list was unreachable shortly before: the entry may
+    have expired only because its replica could not renew it, so the replica is kept for
+    a grace time.  Entries that are missing after the store was restored from a backup
+    are kept likewise.  Entries that had been removed before the restore and that the
+    backup contains are not used until they are confirmed by a renewal.
 
     Parameters
     ----------
@@ -73,7 +97,7 @@
         self._clock = clock
         self._records: dict[InstanceId, UpstreamRecord] = {}
         self._positions: dict[InstanceId, Position] = {}
-        self._removals: dict[InstanceId, _Removal] = {}
+        self._removals: dict[InstanceId, _RemovedEntry] = {}
         self._unconfirmed: dict[InstanceId, _UnconfirmedEntry] = {}
         self._restored_position = INITIAL_POSITION
         self._grace_until: dict[InstanceId, float] = {}
@@ -84,11 +108,16 @@
 
     @property
     def is_empty(self) -> bool:
-        """Whether no replica is known."""
+        """Whether the directory has no entry."""
         return not self._records
 
     def list_rows(self) -> list[ListedRow]:
-        """Return all entries, for another gateway; what leaves is told as leaving."""
+        """
+        Return all entries, for another gateway.
+
+        Replicas that have announced that they leave have the state ``LEAVING``, even if
+        the list doesn't show it yet.
+        """
         return [
             ListedRow(
                 instance=item,
@@ -99,14 +128,15 @@
         ]
 
     def get_eligible_records(self, service: ServiceName) -> list[UpstreamRecord]:
-        """Return the replicas of a service that may take new work."""
+        """Return the replicas of a service that may be sent new requests."""
         return self._by_service.get(service, [])
 
     def affects_placement(self, row: ListedRow) -> bool:
         """
-        Tell whether an entry says anything that matters for placing requests.
+        Return whether an entry changes anything that matters for placing requests.
 
-        A replica that warms up changes its entry with each heartbeat.
+        A change of the remaining warm-up time doesn't: a replica that warms up changes
+        it with each heartbeat.
         """
         before = self._records.get(row.instance)
         if row.record is None or before is None or row.instance in self._grace_until:
@@ -114,27 +144,31 @@
         return before != msgspec.structs.replace(row.record, warm_up=before.warm_up)
 
     def mark_list_unreachable(self) -> bool:
-        """Take in that the list can't be read; returns whether that is new."""
-        news, self._list_unreachable = not self._list_unreachable, True
-        return news
+        """Record that the list can't be read; return whether it could be before."""
+        is_new, self._list_unreachable = not self._list_unreachable, True
+        return is_new
 
     def mark_list_reachable(self) -> bool:
-        """Take in that the list can be read; returns whether that is new."""
-        news, self._list_unreachable = self._list_unreachable, False
-        if news:
+        """
+        Record that the list can be read; return whether it could not be before.
+
+        The grace time of missing entries starts anew.
+        """
+        is_new, self._list_unreachable = self._list_unreachable, False
+        if is_new:
             self._reachable_since = self._clock.now()
             until = self._reachable_since + LAPSE_GRACE_SECONDS
             self._grace_until = dict.fromkeys(self._grace_until, until)
-        return news
+        return is_new
 
     def mark_store_restored(self, position: Position) -> None:
         """
-        Take in that the store has come back from an older copy.
+        Record that the store was restored from a backup.
 
         Parameters
         ----------
         position : Position
-            Up to where entries may be the copy's.
+            Position up to which entries may be from the backup.
         """
         self._restored_position = position
         self._unconfirmed.clear()
@@ -143,17 +177,19 @@
 
     def apply_rows(self, rows: list[ListedRow], *, whole: bool) -> list[str]:
         """
-        Take in entries of the list.
+        Apply entries of the list.
 
         Parameters
         ----------
+        rows : list of ListedRow
         whole : bool
-            Whether ``rows`` are all entries, so that those missing were removed.
+            Whether ``rows`` are all entries of the list, so that missing ones were
+            removed.
 
         Returns
         -------
         list of str
-            What changed, for the log.
+            The changes, for the log.
         """
         changes: list[str] = []
         if whole:
@@ -176,18 +212,23 @@
         return changes
 
     def _trim_history(self) -> None:
-        """Keep what is remembered of replicas that are gone within its bound."""
+        """Limit the history of replicas that are no longer listed."""
         if len(self._positions) > MAX_REMEMBERED_REPLICAS:
             self._positions = {
                 item: self._positions.get(item, INITIAL_POSITION)
                 for item in self._records
             }
-        for remembered in (self._removals, self._departed):
-            while len(remembered) > MAX_REMEMBERED_REPLICAS:
-                del remembered[next(iter(remembered))]
+        for history in (self._removals, self._departed):
+            while len(history) > MAX_REMEMBERED_REPLICAS:
+                del history[next(iter(history))]
 
     def _needs_confirmation(self, record: UpstreamRecord, position: Position) -> bool:
-        """Tell whether only the store's copy may say that a replica is there."""
+        """
+        Return whether an entry may only be listed because of the restored backup.
+
+        That is so if its replica was removed in an earlier era and the entry has not
+        changed since the restore.
+        """
         removal = self._removals.get(record.instance)
         return (
             removal is not None
@@ -198,35 +239,50 @@
 
     def _hold_unconfirmed(self, record: UpstreamRecord) -> list[str]:
         until = self._clock.now() + UNCONFIRMED_SECONDS
-        known = self._unconfirmed.get(record.instance)
-        if known is not None:
-            until = known.until
+        held = self._unconfirmed.get(record.instance)
+        if held is not None:
+            until = held.until
         self._unconfirmed[record.instance] = _UnconfirmedEntry(
             record=record, until=until
         )
-        return [] if known is not None else [f"{record.instance} doubtful"]
+        return [] if held is not None else [f"{record.instance} doubtful"]
 
     def mark_departed(self, instance: InstanceId, incarnation: int) -> bool:
         """
-        Take in that a replica itself said that it leaves or is gone, or that another
-        one has its address; returns whether that is new.
+        Record that a replica leaves or is gone before the list shows it.
+
+        The replica announced it itself, or another one uses its address.
+
+        Returns
+        -------
+        bool
+            Whether this was not known before.
         """
         if self._departed.get(instance) == incarnation:
             return False
-        # Kept when the entry is removed: it may be listed again while it leaves.
+        # This is kept when the entry is removed, since the replica may be listed again
+        # while it leaves.
         self._departed[instance] = incarnation
         self._trim_history()
         self._rebuild_index()
         return True
 
     def drop_expired(self) -> list[str]:
-        """Let time pass: drop entries that have not come back after an outage."""
+        """
+        Drop the missing entries whose grace time is over, and use the unconfirmed ones
+        that are still listed.
+
+        Returns
+        -------
+        list of str
+            The changes, for the log.
+        """
         now = self._clock.now()
-        gone = [item for item, until in self._grace_until.items() if now >= until]
+        expired = [item for item, until in self._grace_until.items() if now >= until]
         changes: list[str] = []
         if self._list_unreachable:
             return changes
-        for instance in gone:
+        for instance in expired:
             changes.extend(self._drop_record(instance, why="has not come back"))
         for instance in [
             i for i, item in self._unconfirmed.items() if now >= item.until
@@ -248,7 +304,7 @@
         if before is None or before.incarnation != record.incarnation:
             return [f"{instance} {record.state.value}"]
         if before.state is UpstreamState.LEAVING:
-            # An older report may arrive late; leaving is final for one incarnation.
+            # Reports may arrive out of order; leaving is final for an incarnation.
             self._records[instance] = msgspec.structs.replace(
                 record, state=UpstreamState.LEAVING
             )
@@ -286,13 +342,15 @@
         self._grace_until.pop(instance, None)
         if record is not None:
             era = self._positions.get(instance, INITIAL_POSITION).era
-            self._removals[instance] = _Removal(incarnation=record.incarnation, era=era)
+            self._removals[instance] = _RemovedEntry(
+                incarnation=record.incarnation, era=era
+            )
             if record.state is UpstreamState.LEAVING:
                 self._departed[instance] = record.incarnation
         return [f"{instance} {why}"]
 
     def _with_departure(self, record: UpstreamRecord) -> UpstreamRecord:
-        """Return a record with what its replica itself has said."""
+        """Return a record with the state that its replica has announced."""
         if self._departed.get(record.instance) != record.incarnation:
             return record
         return msgspec.structs.replace(record, state=UpstreamState.LEAVING)
@@ -301,7 +359,7 @@
         by_service: dict[ServiceName, list[UpstreamRecord]] = {}
         for instance in sorted(self._records):
             record = self._records[instance]
-            left = self._departed.get(instance) == record.incarnation
-            if record.state is UpstreamState.LIVE and not left:
+            departed = self._departed.get(instance) == record.incarnation
+            if record.state is UpstreamState.LIVE and not departed:
                 by_service.setdefault(record.service, []).append(record)
         self._by_service = by_service
--- a/damasklead/gateway/placements/engine.py
+++ b/damasklead/gateway/placements/engine.py
@@ -19,8 +19,8 @@
 
 __all__ = ["EnginePlacement"]
 
-# Prefill rate of an engine in tokens per second.  Costs are compared by it, so that the
-# order of magnitude is enough.
+# Prefill rate of an engine in tokens per second.  It is only used to compare costs, for
+# which the order of magnitude is enough.
 PREFILL_TOKENS_PER_SECOND = 38_000.0
 # Maximum prefill backlog of an engine with capacity, as a fraction of the shortest
 # latency target of the requests that share the engines, so that these meet it.
@@ -28,8 +28,8 @@
 # Weight of prefill against queueing delay: tokens that are prefilled a second time take
 # capacity from all requests.
 PREFILL_WEIGHT = 12.0
-# Weight of a part that is copied from another engine, per second that its prefill would
-# take: the operators count a copy as a ninth of prefilling the part again.
+# Weight of the copy of a part from another engine, per second that its prefill would
+# take.  The operators count a copy as a ninth of prefilling the part again.
 COPY_WEIGHT = 4.0
 # An engine is a hot spot if its prefill backlog exceeds the mean of all engines by this
 # fraction of the request's target; beyond that, the shared parts are prefilled again on
@@ -269,7 +269,7 @@
         return state.pending_prefill_tokens / PREFILL_TOKENS_PER_SECOND
 
     def _resize_reservation(self) -> None:
-        """Reserve one engine more or one fewer if the load of the reserved asks it."""
+        """Reserve one engine more or one fewer, according to their load."""
         engine = self._service.engine
         if engine is None:
             return
--- a/damasklead/gateway/placements/plain.py
+++ b/damasklead/gateway/placements/plain.py
@@ -13,8 +13,8 @@
 
 # Cost of a replica in another data centre, in active requests.
 REMOTE_CENTRE_REQUESTS = 0.5
-# Weight of other gateways' requests: their number is a late figure that is the same for
-# all gateways, which would therefore all choose the same replica.
+# Weight of other gateways' requests, which are known late: all gateways see the same
+# numbers and would choose the same replica until the next report.
 OTHER_REQUESTS_WEIGHT = 0.5
 
 
--- a/damasklead/gateway/refusals.py
+++ b/damasklead/gateway/refusals.py
@@ -2,8 +2,8 @@
 Refusals
 ========
 
-Why a request gets an answer of the gateway's own, which status says so, and when it
-helps to come back.
+Responses that a gateway generates itself: the reason, the HTTP status and the time
+after which the caller may retry.
 """
 
 from enum import Enum
@@ -17,7 +17,7 @@
 
 
 class Reason(Enum):
-    """Why there is no answer of a replica."""
+    """Why the caller gets no response of a replica."""
 
     BAD_REQUEST = "bad-request"
     NO_CONFIGURATION = "no-configuration"
@@ -53,15 +53,20 @@
 
 class Refusal(msgspec.Struct, kw_only=True, frozen=True):
     """
-    An answer of the gateway's own.
+    A response that the gateway generates itself.
 
-    A status of 503 says that the request has not run and will not run, so reasons with
-    that status are given only where no replica can have run it.
+    A status of 503 states that the request was not and will not be executed, so reasons
+    with that status are used only if no replica can have executed it.
 
     Attributes
     ----------
+    reason : Reason
+    detail : str
+        Description of the cause, for the log.
+    attempt : AttemptId or None
+        The caller's id of the attempt, if the request has a valid one.
     retry_after : float or None
-        Seconds after which it helps to come back.
+        Seconds after which the caller may retry; ``None`` to state no time.
     """
 
     reason: Reason
@@ -71,12 +76,12 @@
 
     @property
     def status(self) -> int:
-        """The HTTP status."""
+        """HTTP status code of the response."""
         return _STATUS[self.reason]
 
 
 def get_refusal_reason(failure: Failure) -> Reason:
-    """Return why there is no answer, after the last attempt."""
+    """Return the reason for a refusal after the last attempt has failed."""
     if failure in (Failure.REFUSED, Failure.PAUSED):
         return Reason.REPLICAS_FULL
     if failure is Failure.NOT_SENT:
--- a/damasklead/gateway/replicastate.py
+++ b/damasklead/gateway/replicastate.py
@@ -74,7 +74,18 @@
 
 
 class _ActiveRequest(msgspec.Struct, kw_only=True):
-    """A request of this gateway that is queued or executed at a replica."""
+    """
+    A request of this gateway that is queued or executed at a replica.
+
+    Attributes
+    ----------
+    sent_at : float
+        Clock time in seconds.
+    pending_prefill_tokens : int
+        Prompt tokens that the replica has still to prefill.
+    events : int
+        Number of events of the response stream received so far.
+    """
 
     sent_at: float
     pending_prefill_tokens: int
@@ -83,7 +94,7 @@
 
 class ReplicaState:
     """
-    One replica as this gateway sees it.
+    State of one replica, from what this gateway has sent to it and received from it.
 
     Attributes
     ----------
--- a/tests/test_gateway_partplaces.py
+++ b/tests/test_gateway_partplaces.py
@@ -1,6 +1,6 @@
 """
-Tests of where prompt parts are
-===============================
+Tests of the locations of cached prompt parts
+=============================================
 """
 
 import pytest
@@ -52,7 +52,7 @@
         )
 
     def send(self, call: Call) -> tuple[InstanceId, str | None]:
-        """Place a request; returns the engine and from where it copies."""
+        """Send a request; return its engine and the address that it copies from."""
         chosen = self.placement.choose_replica(call)
         assert chosen is not None
         source = self.placement.find_copy_source(chosen.instance, call)
@@ -60,14 +60,14 @@
         return chosen.instance, source
 
 
-def test_a_part_that_was_sent_before_is_found_there() -> None:
+def test_requests_go_to_the_engine_that_has_their_parts_cached() -> None:
     cell = Cell(ManualClock())
     engine, source = cell.send(review("r1"))
     assert source is None
     assert cell.send(review("r2")) == (engine, None)
 
 
-def test_what_an_engine_with_much_to_read_has_is_copied() -> None:
+def test_parts_of_an_engine_with_a_long_backlog_are_copied() -> None:
     cell = Cell(ManualClock())
     engine, _ = cell.send(review("r1"))
     long = tuple(PromptPart(f"long{number}", 40_000) for number in range(2))
@@ -78,15 +78,15 @@
     assert source == f"127.0.0.1:{int(engine[1:]) + 1}"
 
 
-def test_every_coordinator_sends_a_new_subject_to_the_same_engine() -> None:
+def test_all_coordinators_send_an_unknown_part_to_the_same_engine() -> None:
     found = {Cell(ManualClock()).send(review("r"))[0] for _ in range(8)}
     assert len(found) == 1
 
 
-def test_an_engine_that_started_again_is_no_source() -> None:
+def test_nothing_is_copied_from_a_restarted_engine() -> None:
     clock = ManualClock()
-    gateway = Cell(clock)
-    engine, _ = gateway.send(review("r1"))
+    cell = Cell(clock)
+    engine, _ = cell.send(review("r1"))
     records = [
         record(
             f"e{number}",
@@ -95,67 +95,69 @@
         )
         for number in range(9)
     ]
-    gateway.placement.update_replicas(records)
+    cell.placement.update_replicas(records)
     for item in records:
-        assert gateway.placement.find_copy_source(item.instance, review("r2")) is None
+        assert cell.placement.find_copy_source(item.instance, review("r2")) is None
 
 
-def test_an_engine_that_left_is_no_source() -> None:
+def test_nothing_is_copied_from_an_engine_that_left() -> None:
     clock = ManualClock()
-    gateway = Cell(clock)
-    engine, _ = gateway.send(review("r1"))
-    gateway.placement.update_replicas(
+    cell = Cell(clock)
+    engine, _ = cell.send(review("r1"))
+    cell.placement.update_replicas(
         record(f"e{number}") for number in range(9) if f"e{number}" != engine
     )
-    chosen, source = gateway.send(review("r2"))
+    chosen, source = cell.send(review("r2"))
     assert chosen != engine and source is None
 
 
-def test_small_parts_are_not_remembered() -> None:
-    places = PartLocations(clock=ManualClock())
-    places.record_sent("small", MIN_TOKENS - 1, InstanceId("e1"))
-    assert not places.find_replicas("small")
+def test_short_parts_are_not_recorded() -> None:
+    locations = PartLocations(clock=ManualClock())
+    locations.record_sent("small", MIN_TOKENS - 1, InstanceId("e1"))
+    assert not locations.find_replicas("small")
 
 
-class MovingClock(ManualClock):
-    """Goes on between any two looks, as a real one does."""
+class AdvancingClock(ManualClock):
+    """A clock that advances with each reading, as a real one does."""
 
     def now(self) -> float:
         self.advance(1e-6)
         return super().now()
 
 
-def test_one_choice_looks_once_where_the_parts_are(
+def test_a_choice_looks_up_each_part_once(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    gateway = Cell(MovingClock())
-    looks: list[str] = []
-    replicas = PartLocations.find_replicas
+    cell = Cell(AdvancingClock())
+    lookups: list[str] = []
+    find_replicas = PartLocations.find_replicas
 
-    def look(places: PartLocations, name: str) -> dict[int, float]:
-        looks.append(name)
-        return replicas(places, name)
+    def record_lookup(locations: PartLocations, name: str) -> dict[int, float]:
+        lookups.append(name)
+        return find_replicas(locations, name)
 
-    monkeypatch.setattr(PartLocations, "find_replicas", look)
-    assert gateway.placement.choose_replica(review("r1")) is not None
-    assert looks == ["contract", "subject"]
+    monkeypatch.setattr(PartLocations, "find_replicas", record_lookup)
+    assert cell.placement.choose_replica(review("r1")) is not None
+    assert lookups == ["contract", "subject"]
 
 
-def test_what_is_remembered_is_bounded() -> None:
-    places = PartLocations(clock=ManualClock())
+def test_the_number_of_records_is_limited() -> None:
+    locations = PartLocations(clock=ManualClock())
     for number in range(2 * MAX_REPLICAS_PER_PART):
-        places.record_sent("hot", MIN_TOKENS, InstanceId(f"e{number}"))
-    assert len(places.find_replicas("hot")) == MAX_REPLICAS_PER_PART
-    assert short_key(f"e{2 * MAX_REPLICAS_PER_PART - 1}") in places.find_replicas("hot")
+        locations.record_sent("hot", MIN_TOKENS, InstanceId(f"e{number}"))
+    assert len(locations.find_replicas("hot")) == MAX_REPLICAS_PER_PART
+    assert short_key(f"e{2 * MAX_REPLICAS_PER_PART - 1}") in locations.find_replicas(
+        "hot"
+    )
     for number in range(MAX_PARTS + 1):
-        places.record_sent(f"p{number}", MIN_TOKENS, InstanceId("e1"))
-    assert not places.find_replicas("hot")
+        locations.record_sent(f"p{number}", MIN_TOKENS, InstanceId("e1"))
+    assert not locations.find_replicas("hot")
 
 
-def test_a_first_request_stays_in_its_data_centre() -> None:
+def test_a_request_with_unknown_parts_stays_in_its_data_centre() -> None:
     clock = ManualClock()
-    gateway = Cell(clock, centre=str(HERE))
-    gateway.placement.update_replicas(
+    cell = Cell(clock, centre=str(HERE))
+    cell.placement.update_replicas(
         record(f"e{number}", data_centre=DataCentre(("hout", "mossel")[number % 2]))
         for number in range(10)
     )
@@ -164,18 +166,18 @@
         parts = (PromptPart(f"s{number}", 3000), PromptPart(f"o{number}", 3000))
         call = review(f"r{number}", parts)
         call.body = bytes(12_000)
-        chosen = gateway.placement.choose_replica(call)
+        chosen = cell.placement.choose_replica(call)
         assert chosen is not None
         centres.add(chosen.data_centre)
     assert centres == {HERE}
 
 
-def test_what_some_engine_has_need_not_be_read_before_a_request_is_weighed() -> None:
+def test_the_prefill_estimate_excludes_parts_that_any_engine_has_cached() -> None:
     cell = Cell(ManualClock())
-    alone = cell.placement.estimate_prefill_seconds(review("r1"))
+    uncached = cell.placement.estimate_prefill_seconds(review("r1"))
     engine, _ = cell.send(review("r1"))
-    assert cell.placement.estimate_prefill_seconds(review("r2")) < alone / 2
+    assert cell.placement.estimate_prefill_seconds(review("r2")) < uncached / 2
     cell.placement.update_replicas(
         record(f"e{number}") for number in range(9) if f"e{number}" != engine
     )
-    assert cell.placement.estimate_prefill_seconds(review("r3")) == alone
+    assert cell.placement.estimate_prefill_seconds(review("r3")) == uncached
