--- a/damasklead/experiment/gateways.py
+++ b/damasklead/experiment/gateways.py
@@ -126,7 +126,7 @@
         self._records: dict[InstanceId, UpstreamRecord] = {}
         self._delay_to = delay_to
         self._send_far = send
-        self._cells = CellMap(clock=driver.clock, own=self.member)
+        self._cells = CellMap(clock=driver.clock, local_member=self.member)
         self._coordinators = Coordinators(
             clock=driver.clock,
             cells=self._cells,
--- a/damasklead/gateway/admission.py
+++ b/damasklead/gateway/admission.py
@@ -6,8 +6,8 @@
 sent.
 
 Load pattern: more prompts arrive than the engines can prefill.  If all were sent, they
-would queue in the engines, which serve them first in, first out, and soon each would
-miss its target.  Therefore requests of the least urgent tier are queued here until an
+would queue in the engines, first in, first out within a tier, and soon each would miss
+its target.  Therefore requests of the least urgent tier are queued here until an
 engine has little prefill work left.  Requests that can still meet their target go
 first, then those of a more urgent tier, then those whose target is due earliest.
 
--- a/damasklead/gateway/coordination/asking.py
+++ b/damasklead/gateway/coordination/asking.py
@@ -85,7 +85,7 @@
 
     Parameters
     ----------
-    own : str
+    instance : str
         Id of this gateway.
     clock : Clock
     cells : CellMap
@@ -97,13 +97,13 @@
     def __init__(
         self,
         *,
-        own: str,
+        instance: str,
         clock: Clock,
         cells: CellMap,
         send: Callable[[str, object], None],
         journal: Journal,
     ) -> None:
-        self._own = own
+        self._instance = instance
         self._clock = clock
         self._cells = cells
         self._send = send
@@ -159,7 +159,7 @@
             cell = self._cells.find_cell(response.instance)
             if cell is not None:
                 withdrawal = RequestEnded(
-                    self._own, cell, response.attempt, "withdrawn"
+                    self._instance, cell, response.attempt, "withdrawn"
                 )
                 self._send(sender, withdrawal)
 
@@ -170,7 +170,7 @@
         self._assignments[call.id] = (assignment, 0)
         self._send(
             assignment.coordinator,
-            PrefillDone(self._own, assignment.cell, call.id, load),
+            PrefillDone(self._instance, assignment.cell, call.id, load),
         )
 
     def report_request_ended(
@@ -180,7 +180,7 @@
         self._assignments.pop(call.id, None)
         self._send(
             assignment.coordinator,
-            RequestEnded(self._own, assignment.cell, call.id, outcome),
+            RequestEnded(self._instance, assignment.cell, call.id, outcome),
         )
 
     def report_running_requests(self) -> None:
@@ -192,7 +192,9 @@
             )
         for cell, requests in by_cell.items():
             coordinator = self._cells.list_coordinators(cell, limit=1)[0]
-            self._send(coordinator, RunningRequests(self._own, cell, tuple(requests)))
+            self._send(
+                coordinator, RunningRequests(self._instance, cell, tuple(requests))
+            )
 
     def _query_coordinator(
         self,
@@ -210,7 +212,7 @@
                 cell,
                 coordinator,
                 make_assignment_request(
-                    self._own,
+                    self._instance,
                     call,
                     cell,
                     now=self._clock.now(),
@@ -223,7 +225,7 @@
             return response
         finally:
             if not has_response:
-                withdrawal = RequestEnded(self._own, cell, call.id, "withdrawn")
+                withdrawal = RequestEnded(self._instance, cell, call.id, "withdrawn")
                 self._send(coordinator, withdrawal)
 
     def _send_with_retry(
@@ -244,7 +246,7 @@
                 timeout = SECOND_REQUEST_TIMEOUT_SECONDS
         finally:
             self._pending.pop(call.id, None)
-        if coordinator != self._own and self._cells.suspect_gateway(coordinator):
+        if coordinator != self._instance and self._cells.suspect_gateway(coordinator):
             self._journal.event("coordinator-silent", peer=coordinator, request=call.id)
         return None
 
@@ -272,7 +274,7 @@
 
 
 def make_assignment_request(
-    own: str,
+    instance: str,
     call: Call,
     cell: Cell,
     *,
@@ -286,7 +288,7 @@
 
     Parameters
     ----------
-    own : str
+    instance : str
         Id of this gateway.
     call : Call
     cell : Cell
@@ -300,7 +302,7 @@
         Address of a replica of another cell that is likely to have the shared prefix.
     """
     return AssignmentRequest(
-        own,
+        instance,
         call.id,
         cell,
         call.route.name,
--- a/damasklead/gateway/coordination/cellmap.py
+++ b/damasklead/gateway/coordination/cellmap.py
@@ -37,7 +37,7 @@
 # the shared prefix again.
 SPILLOVER_THRESHOLD_SECONDS = 2.0
 # Fraction of the requests of an overloaded home cell that probe a cell of unknown load:
-# they are sent there, and the responses tell its load.
+# they are sent there, and the responses report its load.
 PROBE_FRACTION = 0.25
 
 
@@ -48,7 +48,7 @@
     Parameters
     ----------
     clock : Clock
-    own : Member
+    local_member : Member
         This gateway.
     refresh_members : callable
         Called before coordinators are listed; calls ``set_members`` if the gateways
@@ -59,13 +59,13 @@
         self,
         *,
         clock: Clock,
-        own: Member,
+        local_member: Member,
         refresh_members: Callable[[], None] = lambda: None,
     ) -> None:
         self._refresh_members = refresh_members
         self._clock = clock
-        self._own = own
-        self._members: set[Member] = {own}
+        self._local_member = local_member
+        self._members: set[Member] = {local_member}
         self._has_resigned = False
         self._cells: dict[ServiceName, dict[Cell, list[UpstreamRecord]]] = {}
         self._cells_by_engine: dict[InstanceId, Cell] = {}
@@ -85,7 +85,7 @@
 
     def set_members(self, members: Iterable[Member]) -> None:
         """Set the gateways that may coordinate besides this one."""
-        members = {self._own, *members}
+        members = {self._local_member, *members}
         if members != self._members:
             self._members = members
             self._rankings.clear()
@@ -145,7 +145,7 @@
     def find_home_cell(self, call: Call) -> Cell | None:
         """Return the home cell of a request, ``None`` if its service has no cell."""
         cells = self._cells.get(call.service, {})
-        return select_home_cell(cells, call, self._own.data_centre)
+        return select_home_cell(cells, call, self._local_member.data_centre)
 
     def find_copy_source(self, call: Call, cell: Cell) -> str | None:
         """
@@ -172,12 +172,12 @@
         """
         others = [cell for cell in self._cells.get(home.service, {}) if cell != home]
         local_cells = [cell for cell in others if cell.data_centre == home.data_centre]
-        # The choice changes every second, so that the loads of all cells get known.
+        # The choice changes every second, so that the loads of all cells become known.
         second = str(int(self._clock.now()))
         return max(
             local_cells or others,
             key=lambda cell: stable_hash(
-                second, self._own.instance, cell.data_centre, str(cell.number)
+                second, self._local_member.instance, cell.data_centre, str(cell.number)
             ),
             default=None,
         )
@@ -198,17 +198,19 @@
         ranked = self._rankings.get(cell)
         if ranked is None:
             members = (
-                self._members - {self._own} if self._has_resigned else self._members
+                self._members - {self._local_member}
+                if self._has_resigned
+                else self._members
             )
             ranked = rank_members(cell, members)[:MAX_RANKED_MEMBERS]
             self._rankings[cell] = ranked
         candidates = [name for name in ranked if name not in self._suspects][:limit]
-        if self._own.instance in candidates:
+        if self._local_member.instance in candidates:
             return [
-                *candidates[: candidates.index(self._own.instance)],
-                self._own.instance,
+                *candidates[: candidates.index(self._local_member.instance)],
+                self._local_member.instance,
             ]
-        return [*candidates, self._own.instance]
+        return [*candidates, self._local_member.instance]
 
     def suspect_gateway(self, name: str) -> bool:
         """Suspect an unresponsive gateway; returns whether it was not suspected yet."""
--- a/damasklead/gateway/coordination/cells.py
+++ b/damasklead/gateway/coordination/cells.py
@@ -132,7 +132,7 @@
 def select_home_engine(
     records: Iterable[UpstreamRecord], key: str
 ) -> UpstreamRecord | None:
-    """Return the engine of a cell that first gets a shared prefix with this key."""
+    """Return the engine of a cell that requests with a new shared prefix go to."""
     return max(records, key=lambda item: stable_hash(key, item.instance), default=None)
 
 
--- a/damasklead/gateway/coordination/service.py
+++ b/damasklead/gateway/coordination/service.py
@@ -48,7 +48,7 @@
 
     Parameters
     ----------
-    own : Member
+    local_member : Member
         This gateway.
     clock : Clock
     table : callable
@@ -67,22 +67,24 @@
     def __init__(
         self,
         *,
-        own: Member,
+        local_member: Member,
         clock: Clock,
         table: Callable[[], RoutingTable | None],
         peers: Peers | None,
         journal: Journal,
     ) -> None:
-        self._own = own.instance
+        self._instance = local_member.instance
         self._peers = peers
         self._journal = journal
         self._queue_active = Event()
         self._members_stale = True
         self.cells = CellMap(
-            clock=clock, own=own, refresh_members=self._refresh_members
+            clock=clock,
+            local_member=local_member,
+            refresh_members=self._refresh_members,
         )
         self.client = AssignmentClient(
-            own=own.instance,
+            instance=local_member.instance,
             clock=clock,
             cells=self.cells,
             send=self._send,
@@ -141,7 +143,7 @@
                 self.coordinators.process_queues()
 
     def _send(self, name: str, message: object) -> None:
-        if name == self._own:
+        if name == self._instance:
             self._handle_message(message, name)
         elif self._peers is not None:
             self._peers.send(name, message)
@@ -153,7 +155,7 @@
     def _send_response(self, name: str, response: AssignmentResponse) -> None:
         if isinstance(response, RequestQueued):
             self._queue_active.set()
-        if name == self._own:
+        if name == self._instance:
             self.client.handle_response(response, name)
         elif self._peers is not None:
             self._peers.send(name, response)
--- a/damasklead/gateway/fleet.py
+++ b/damasklead/gateway/fleet.py
@@ -129,7 +129,7 @@
         self._restore_count = 0
         self._peers = self._make_peers(incarnation)
         self.coordination = Coordination(
-            own=self._local_member,
+            local_member=self._local_member,
             clock=clock,
             table=lambda: self.configuration.table,
             peers=self._peers,
--- a/tests/gatewaykit.py
+++ b/tests/gatewaykit.py
@@ -238,7 +238,7 @@
     def _make_assignment_client(self) -> AssignmentClient:
         """Return what finds places for requests to engines, alone in the fleet."""
         return Coordination(
-            own=Member(InstanceId("gateway-1"), DataCentre("hout")),
+            local_member=Member(InstanceId("gateway-1"), DataCentre("hout")),
             clock=self.clock,
             table=lambda: self.table,
             peers=None,
--- a/tests/test_gateway_coordination.py
+++ b/tests/test_gateway_coordination.py
@@ -411,7 +411,9 @@
 
 class TestCellMap:
     def make_cell_map(self, clock: ManualClock, gateways: int = 8) -> CellMap:
-        cells = CellMap(clock=clock, own=Member(InstanceId("g0"), DataCentre("hout")))
+        cells = CellMap(
+            clock=clock, local_member=Member(InstanceId("g0"), DataCentre("hout"))
+        )
         cells.set_members(
             Member(InstanceId(f"g{number}"), DataCentre("hout"))
             for number in range(1, gateways)
@@ -498,7 +500,7 @@
     def __init__(self) -> None:
         self.clock = LoopClock()
         self.cells = CellMap(
-            clock=self.clock, own=Member(InstanceId("g0"), DataCentre("hout"))
+            clock=self.clock, local_member=Member(InstanceId("g0"), DataCentre("hout"))
         )
         self.cells.set_members(
             Member(InstanceId(f"g{number}"), DataCentre("hout")) for number in (1, 2)
@@ -519,7 +521,7 @@
         self.unresponsive_gateways: set[str] = set()
         self.sent: list[tuple[str, object]] = []
         self.client = AssignmentClient(
-            own="g0",
+            instance="g0",
             clock=self.clock,
             cells=self.cells,
             send=self.send,
@@ -642,9 +644,9 @@
             make_live_call("c1", harness.clock), excluded=(), is_first_attempt=True
         )
         assert result == rejection
-        asked = {
+        requested_gateways = {
             name
             for name, message in harness.sent
             if isinstance(message, AssignmentRequest)
         }
-        assert asked == {first}
+        assert requested_gateways == {first}
