--- a/damasklead/gateway/attempts.py
+++ b/damasklead/gateway/attempts.py
@@ -10,7 +10,7 @@
 from damasklead.failures import Failure
 from damasklead.gateway.assigning import ReplicaSelector
 from damasklead.gateway.callers import CallerConnection
-from damasklead.gateway.calls import Call, ReplyHead, ReplyKind, UpstreamRecord
+from damasklead.gateway.calls import Call, ResponseHead, ResponseKind, UpstreamRecord
 from damasklead.gateway.dialect import SendPlan
 from damasklead.gateway.events import EventSplitter
 from damasklead.gateway.placements import Placement
@@ -100,7 +100,7 @@
         self._request_sent = False
         self._body_pending = False
         self._last_event_id: bytes | None = None
-        self._error_response: tuple[ReplyHead, bytes] | None = None
+        self._error_response: tuple[ResponseHead, bytes] | None = None
         self.replica = InstanceId("")
         self.status = 0
         self.attempt_count = 0
@@ -243,7 +243,7 @@
 
     def _read_response_head(
         self, upstream: Connection, record: UpstreamRecord
-    ) -> ReplyHead:
+    ) -> ResponseHead:
         """Return the head of this request's response; skips stray responses."""
         timeout_error = SendError(Failure.TIMED_OUT, "no response within the timeout")
         seconds = self._compute_response_timeout()
@@ -258,7 +258,7 @@
                     headers=[(bytes(n), bytes(v)) for n, v in head.headers.raw_items()],
                     attempt=self._call.id,
                 )
-                if reply.kind is not ReplyKind.STRAY:
+                if reply.kind is not ResponseKind.STRAY:
                     return reply
                 # A late response to another request still shows the replica's state.
                 self._record_replica_state(reply, record)
@@ -284,9 +284,11 @@
             MIN_RESPONSE_TIMEOUT_SECONDS, RESPONSE_TIMEOUT_TARGETS * route.target
         )
 
-    def _record_replica_state(self, reply: ReplyHead, record: UpstreamRecord) -> None:
+    def _record_replica_state(
+        self, reply: ResponseHead, record: UpstreamRecord
+    ) -> None:
         """Record that a replica leaves or pauses, as its response head says."""
-        if reply.kind is ReplyKind.MISPLACED:
+        if reply.kind is ResponseKind.MISPLACED:
             self._context.on_replica_left(record, "another replica has the address")
         elif reply.leaving:
             self._context.on_replica_left(record, "its answer says that it leaves")
@@ -300,24 +302,26 @@
                 seconds=granted,
             )
 
-    def _check_response(self, reply: ReplyHead, record: UpstreamRecord) -> None:
+    def _check_response(self, reply: ResponseHead, record: UpstreamRecord) -> None:
         """Raise ``SendError`` unless the reply is a valid response to the request."""
-        if reply.kind is ReplyKind.MISPLACED:
+        if reply.kind is ResponseKind.MISPLACED:
             raise SendError(Failure.REFUSED, "another replica has the address")
-        if reply.kind is ReplyKind.REFUSED:
+        if reply.kind is ResponseKind.REFUSED:
             failure = Failure.REFUSED if reply.retry_after is None else Failure.PAUSED
             raise SendError(failure, f"status {reply.status}, not run")
-        if reply.kind is ReplyKind.INVALID:
+        if reply.kind is ResponseKind.INVALID:
             raise SendError(Failure.BROKEN, reply.detail)
 
-    def _relay_response(self, upstream: Connection, reply: ReplyHead) -> None:
+    def _relay_response(self, upstream: Connection, reply: ResponseHead) -> None:
         is_buffered = self._call.route.kind is not RouteKind.STREAM
         if is_buffered or not 200 <= reply.status < 300:
             self._relay_buffered_response(upstream, reply)
         else:
             self._relay_stream(upstream, reply)
 
-    def _relay_buffered_response(self, upstream: Connection, reply: ReplyHead) -> None:
+    def _relay_buffered_response(
+        self, upstream: Connection, reply: ResponseHead
+    ) -> None:
         self._body_pending = True
         body = upstream.read_body(
             limit=MAX_BODY_BYTES, memory=self._context.response_memory
@@ -328,7 +332,7 @@
             raise SendError(Failure.BROKEN, f"status {reply.status}")
         self._send_response(reply, body)
 
-    def _send_response(self, reply: ReplyHead, body: bytes) -> None:
+    def _send_response(self, reply: ResponseHead, body: bytes) -> None:
         if self._caller.head_sent:
             raise SendError(
                 Failure.BROKEN, f"status {reply.status} after the stream began"
@@ -336,7 +340,7 @@
         self._record_response_start(reply.status)
         self._caller.send_response(reply.status, reply.headers, body)
 
-    def _relay_stream(self, upstream: Connection, reply: ReplyHead) -> None:
+    def _relay_stream(self, upstream: Connection, reply: ResponseHead) -> None:
         splitter = EventSplitter()
         progress = StreamProgress(
             clock=self._context.clock, event_timeout=self._compute_event_timeout()
@@ -369,7 +373,7 @@
             seconds *= RESUME_TIMEOUT_FRACTION
         return seconds
 
-    def _send_events(self, reply: ReplyHead, data: bytes) -> None:
+    def _send_events(self, reply: ResponseHead, data: bytes) -> None:
         if self._caller.head_sent:
             self._caller.send_body_data(data)
             return
--- a/damasklead/gateway/calls.py
+++ b/damasklead/gateway/calls.py
@@ -19,8 +19,8 @@
     "Header",
     "LoadHint",
     "PromptPart",
-    "ReplyHead",
-    "ReplyKind",
+    "ResponseHead",
+    "ResponseKind",
     "UpstreamRecord",
     "UpstreamState",
 ]
@@ -164,7 +164,7 @@
         return self.head.attempt
 
 
-class ReplyKind(Enum):
+class ResponseKind(Enum):
     """How a replica handled a request, according to its response head."""
 
     ANSWER = "answer"
@@ -193,7 +193,7 @@
     slots: int
 
 
-class ReplyHead(msgspec.Struct, kw_only=True, frozen=True):
+class ResponseHead(msgspec.Struct, kw_only=True, frozen=True):
     """
     The parsed and classified head of a replica's response.
 
@@ -201,7 +201,7 @@
     ----------
     status : int
         HTTP status code.
-    kind : ReplyKind
+    kind : ResponseKind
         ``REFUSED`` and ``MISPLACED`` mean that the replica did not execute the request;
         ``STRAY`` is the response to another request; ``INVALID`` violates the protocol.
     headers : tuple
@@ -221,7 +221,7 @@
     """
 
     status: int
-    kind: ReplyKind
+    kind: ResponseKind
     headers: tuple[Header, ...]
     load: LoadHint | None = None
     closing: bool = False
--- a/damasklead/gateway/dialect.py
+++ b/damasklead/gateway/dialect.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from damasklead.gateway.calls import Call, CallHead, Header, ReplyHead
+from damasklead.gateway.calls import Call, CallHead, Header, ResponseHead
 from damasklead.gateway.directory import ListedRow
 from damasklead.gateway.positions import INITIAL_POSITION, Position
 from damasklead.gateway.routing import RoutingTable
@@ -88,7 +88,7 @@
     @abstractmethod
     def classify_response(
         self, *, status: int, headers: Sequence[Header], attempt: AttemptId
-    ) -> ReplyHead:
+    ) -> ResponseHead:
         """Judge the head of an answer; its headers are those that go to the caller."""
 
     @abstractmethod
--- a/damasklead/gateway/placements/engine.py
+++ b/damasklead/gateway/placements/engine.py
@@ -24,7 +24,7 @@
 PREFILL_TOKENS_PER_SECOND = 38_000.0
 # Maximum prefill backlog of an engine with capacity, as a fraction of the shortest
 # latency target of the requests that share the engines, so that these meet it.
-BACKLOG_LIMIT_SHARE = 0.5
+BACKLOG_LIMIT_FRACTION = 0.5
 # Weight of prefill against queueing delay: tokens that are prefilled a second time take
 # capacity from all requests.
 PREFILL_WEIGHT = 12.0
@@ -35,7 +35,7 @@
 # fraction of the request's target; beyond that, the shared parts are prefilled again on
 # another engine.  When the backlog of all engines is long, a second prefill gains
 # nothing, hence the comparison with the mean.
-HOT_BACKLOG_SHARE = 0.6
+HOT_BACKLOG_FRACTION = 0.6
 # Weight of the backlog beyond that limit.
 HOT_WEIGHT = 40.0
 # Time by which one running request delays another one, over the tokens of its stream.
@@ -55,12 +55,12 @@
 # Fraction of the shortest event gap target for which an engine may prefill prompts
 # between two events of a stream; the rest is left for the decoding steps, and for
 # engines that are slower than others.
-INTERLEAVED_PREFILL_SHARE = 0.5
+INTERLEAVED_PREFILL_FRACTION = 0.5
 # Minimum fraction of the engines that is reserved for the streams with the shortest
 # event gap target.
-MIN_RESERVED_SHARE = 0.22
+MIN_RESERVED_FRACTION = 0.22
 # Maximum fraction of reserved engines: other requests must make progress too.
-MAX_RESERVED_SHARE = 0.6
+MAX_RESERVED_FRACTION = 0.6
 # One engine more is reserved when the reserved ones use more than this fraction of
 # their slots: above it, the prefill of the streams' own prompts slows down decoding so
 # much that the slots run out.
@@ -233,7 +233,7 @@
         """Return whether an engine has a short prefill backlog and a free slot."""
         is_short = (
             self._compute_backlog_seconds(state)
-            <= BACKLOG_LIMIT_SHARE * self._shortest_target
+            <= BACKLOG_LIMIT_FRACTION * self._shortest_target
         )
         return is_short and not self._is_full(state)
 
@@ -282,7 +282,7 @@
             for state in states
         )
         if load > RESERVED_GROW_LOAD * slots and elapsed >= RESERVED_GROW_SECONDS:
-            limit = int(MAX_RESERVED_SHARE * len(self._eligible_replicas))
+            limit = int(MAX_RESERVED_FRACTION * len(self._eligible_replicas))
             if len(self._reserved) < limit:
                 self._change_extra_reserved(1)
             return
@@ -297,7 +297,7 @@
 
     def _select_reserved_engines(self) -> None:
         self._homes.clear()
-        base = max(1, int(MIN_RESERVED_SHARE * len(self._eligible_replicas) + 0.5))
+        base = max(1, int(MIN_RESERVED_FRACTION * len(self._eligible_replicas) + 0.5))
         count = base + self._extra_reserved
         if self._reserved_event_gap is None or len(self._eligible_replicas) <= count:
             self._reserved = frozenset()
@@ -332,7 +332,7 @@
         prefill = self._estimate_prefill_tokens(state, call) / PREFILL_TOKENS_PER_SECOND
         return (
             self._compute_backlog_seconds(state) + prefill
-            <= INTERLEAVED_PREFILL_SHARE * gap
+            <= INTERLEAVED_PREFILL_FRACTION * gap
         )
 
     def _count_prefill_tokens(self, state: ReplicaState, call: Call) -> int:
@@ -421,7 +421,7 @@
             * self._count_copied_tokens(state, call)
             / PREFILL_TOKENS_PER_SECOND
         )
-        excess = backlog - self._mean_backlog - HOT_BACKLOG_SHARE * call.route.target
+        excess = backlog - self._mean_backlog - HOT_BACKLOG_FRACTION * call.route.target
         cost += HOT_WEIGHT * max(0.0, excess)
         cost += RUNNING_REQUEST_SECONDS * (
             state.own_requests + self._estimate_other_requests(state, now)
--- a/damasklead/platform/headers.py
+++ b/damasklead/platform/headers.py
@@ -13,8 +13,8 @@
     Header,
     LoadHint,
     PromptPart,
-    ReplyHead,
-    ReplyKind,
+    ResponseHead,
+    ResponseKind,
 )
 from damasklead.gateway.dialect import Dialect, RequestHeadError, SendPlan, join_headers
 from damasklead.gateway.routing import ApiKey
@@ -115,12 +115,12 @@
 
     def classify_response(
         self, *, status: int, headers: Sequence[Header], attempt: AttemptId
-    ) -> ReplyHead:
+    ) -> ResponseHead:
         """Judge the head of an answer."""
         values = join_headers(headers)
         kind, detail = _judge(status, values, attempt)
         dropped = _ONE_CONNECTION | _named_in_connection(values)
-        return ReplyHead(
+        return ResponseHead(
             status=status,
             kind=kind,
             detail=detail,
@@ -150,23 +150,23 @@
 
 def _judge(
     status: int, values: dict[bytes, bytes], attempt: AttemptId
-) -> tuple[ReplyKind, str]:
+) -> tuple[ResponseKind, str]:
     answered = values.get(ATTEMPT)
     if answered is not None and answered != attempt.encode("latin-1"):
-        return ReplyKind.STRAY, "answer to another request"
+        return ResponseKind.STRAY, "answer to another request"
     if status == MISPLACED_STATUS:
-        return ReplyKind.MISPLACED, "another instance"
+        return ResponseKind.MISPLACED, "another instance"
     if NOT_RUN in values:
-        return ReplyKind.REFUSED, "not run"
+        return ResponseKind.REFUSED, "not run"
     if answered is None:
-        return ReplyKind.INVALID, f"status {status} without an attempt id"
+        return ResponseKind.INVALID, f"status {status} without an attempt id"
     if b"content-encoding" in values:
-        return ReplyKind.INVALID, "encoded body"
+        return ResponseKind.INVALID, "encoded body"
     if SIGNATURE not in values and 200 <= status < 300:
-        return ReplyKind.INVALID, f"status {status} without a signature"
+        return ResponseKind.INVALID, f"status {status} without a signature"
     if status in PROMISING_STATUSES:
-        return ReplyKind.INVALID, f"status {status} that does not say it has not run"
-    return ReplyKind.ANSWER, ""
+        return ResponseKind.INVALID, f"status {status} that does not say it has not run"
+    return ResponseKind.ANSWER, ""
 
 
 def _named_in_connection(values: dict[bytes, bytes]) -> frozenset[bytes]:
--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -76,8 +76,8 @@
     ("constant", "without"),
     [
         ("COPY_WEIGHT", 0.0),
-        ("INTERLEAVED_PREFILL_SHARE", 0.0),
-        ("MIN_RESERVED_SHARE", 0.0),
+        ("INTERLEAVED_PREFILL_FRACTION", 0.0),
+        ("MIN_RESERVED_FRACTION", 0.0),
     ],
 )
 def test_each_part_of_the_placement_serves_the_burst_better(
--- a/tests/test_gateway_fuzz.py
+++ b/tests/test_gateway_fuzz.py
@@ -14,7 +14,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from damasklead.clock import ManualClock
-from damasklead.gateway.calls import ReplyKind, UpstreamRecord, UpstreamState
+from damasklead.gateway.calls import ResponseKind, UpstreamRecord, UpstreamState
 from damasklead.gateway.dialect import RequestHeadError
 from damasklead.gateway.directory import (
     LAPSE_GRACE_SECONDS,
@@ -239,8 +239,8 @@
         status=status, headers=headers, attempt=AttemptId("a1")
     )
     names = {name for name, _ in headers}
-    if reply.kind is ReplyKind.ANSWER:
+    if reply.kind is ResponseKind.ANSWER:
         assert b"Attempt-Id" in names and status not in (421, 429, 503)
         assert status >= 300 or b"Response-Signature" in names
-    if reply.kind is ReplyKind.REFUSED:
+    if reply.kind is ResponseKind.REFUSED:
         assert b"Not-Executed" in names
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -15,7 +15,7 @@
 from damasklead.clock import ManualClock
 from damasklead.cmdline import main
 from damasklead.findings import Findings
-from damasklead.gateway.calls import Call, ReplyKind, UpstreamState
+from damasklead.gateway.calls import Call, ResponseKind, UpstreamState
 from damasklead.gateway.dialect import (
     FeedError,
     FeedFault,
@@ -147,20 +147,24 @@
     @pytest.mark.parametrize(
         ("status", "values", "kind"),
         [
-            (200, {"attempt_id": "a1", "response_signature": "s"}, ReplyKind.ANSWER),
-            (500, {"attempt_id": "a1", "response_signature": "s"}, ReplyKind.ANSWER),
-            (200, {"attempt_id": "a2", "response_signature": "s"}, ReplyKind.STRAY),
-            (503, {"attempt_id": "a2", "not_executed": "1"}, ReplyKind.STRAY),
-            (503, {"not_executed": "1"}, ReplyKind.REFUSED),
-            (429, {"attempt_id": "a1"}, ReplyKind.INVALID),
-            (503, {"attempt_id": "a1", "response_signature": "s"}, ReplyKind.INVALID),
-            (421, {"instance_id": "i-2"}, ReplyKind.MISPLACED),
-            (200, {"attempt_id": "a1"}, ReplyKind.INVALID),
-            (200, {"response_signature": "s"}, ReplyKind.INVALID),
+            (200, {"attempt_id": "a1", "response_signature": "s"}, ResponseKind.ANSWER),
+            (500, {"attempt_id": "a1", "response_signature": "s"}, ResponseKind.ANSWER),
+            (200, {"attempt_id": "a2", "response_signature": "s"}, ResponseKind.STRAY),
+            (503, {"attempt_id": "a2", "not_executed": "1"}, ResponseKind.STRAY),
+            (503, {"not_executed": "1"}, ResponseKind.REFUSED),
+            (429, {"attempt_id": "a1"}, ResponseKind.INVALID),
+            (
+                503,
+                {"attempt_id": "a1", "response_signature": "s"},
+                ResponseKind.INVALID,
+            ),
+            (421, {"instance_id": "i-2"}, ResponseKind.MISPLACED),
+            (200, {"attempt_id": "a1"}, ResponseKind.INVALID),
+            (200, {"response_signature": "s"}, ResponseKind.INVALID),
         ],
     )
     def test_a_reply_is_judged(
-        self, status: int, values: dict, kind: ReplyKind
+        self, status: int, values: dict, kind: ResponseKind
     ) -> None:
         reply = PlatformDialect().classify_response(
             status=status, headers=headers(**values), attempt=AttemptId("a1")
