--- a/tests/test_gateway_broadcasts.py
+++ b/tests/test_gateway_broadcasts.py
@@ -225,9 +225,9 @@
         table = self.configuration.table
         return 0 if table is None else table.version
 
-    def apply_departures(self, notes: list[Departure]) -> None:
-        for note in notes:
-            self.directory.mark_departed(note.instance, note.incarnation)
+    def apply_departures(self, departures: list[Departure]) -> None:
+        for departure in departures:
+            self.directory.mark_departed(departure.instance, departure.incarnation)
 
     def copy_configuration(self, name: str) -> None:
         """Apply another gateway's configuration, as from its snapshot."""
@@ -505,15 +505,17 @@
     seen: dict[str, list[CrashReport]] = {name: [] for name in fleet.gateways}
     for name, gateway in fleet.gateways.items():
         gateway.containment.record_crash_reports = seen[name].extend
-    note = CrashReport(InstanceId("r1"), 1, (Fingerprint("f"),))
+    crash = CrashReport(InstanceId("r1"), 1, (Fingerprint("f"),))
     reporter = next(
         item for item in fleet.running_gateways if item is not fleet.first_ranked
     )
     fleet.deliver(
-        reporter.name, fleet.first_ranked.name, PeerReport(reporter.name, [note], [])
+        reporter.name, fleet.first_ranked.name, PeerReport(reporter.name, [crash], [])
     )
     fleet.run(1.0)
-    assert all(note in notes for name, notes in seen.items() if name != reporter.name)
+    assert all(
+        crash in crashes for name, crashes in seen.items() if name != reporter.name
+    )
 
 
 def test_a_removal_applies_at_once_after_an_outage_for_one_gateway() -> None:
