--- a/soak/callers.py
+++ b/soak/callers.py
@@ -13,7 +13,7 @@
 import msgspec
 from gevent import select, socket
 
-from tests.gatewaykit import request
+from tests.gatewaykit import make_request
 
 __all__ = ["AnswerNote", "Caller"]
 
@@ -95,7 +95,7 @@
             gateway=gateway,
         )
         method = "GET" if path.startswith("/read/") else "POST"
-        data = request(path, method=method, body="x", attempt=note.attempt)
+        data = make_request(path, method=method, body="x", attempt=note.attempt)
         try:
             # A kept connection is used until the gateway has closed it.
             connection = self._connections.pop(gateway, None)
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -12,7 +12,7 @@
 from soak.callers import AnswerNote
 from soak.replicas import EVENTS, RunNote
 from soak.site import STOP_SECONDS, GatewayNote
-from tests.gatewaykit import event
+from tests.gatewaykit import make_event
 
 __all__ = ["Breach", "judge", "judge_recovery"]
 
@@ -96,7 +96,7 @@
 
 
 def _judge_stream(note: AnswerNote) -> list[Breach]:
-    expected = b"".join(event(number) for number in range(1, EVENTS + 1))
+    expected = b"".join(make_event(number) for number in range(1, EVENTS + 1))
     if note.whole and note.body != expected:
         return [
             Breach(promise="a stream that ends is whole", attempt=note.attempt,
--- a/soak/replicas.py
+++ b/soak/replicas.py
@@ -12,7 +12,13 @@
 import msgspec
 from gevent import socket
 
-from tests.gatewaykit import ScriptedReplica, answer, chunk, event, stream_head
+from tests.gatewaykit import (
+    ScriptedReplica,
+    make_chunk,
+    make_event,
+    make_response,
+    make_stream_head,
+)
 
 __all__ = ["EVENTS", "Replica", "RunNote"]
 
@@ -86,7 +92,7 @@
                     self._stream(connection, attempt)
                 else:
                     gevent.sleep(self._random.uniform(0.005, 0.04))
-                    connection.sendall(answer(attempt, attempt.encode()))
+                    connection.sendall(make_response(attempt, attempt.encode()))
         finally:
             self._open.discard(connection)
 
@@ -97,8 +103,8 @@
         )
 
     def _stream(self, connection: socket.socket, attempt: str) -> None:
-        connection.sendall(stream_head(attempt))
+        connection.sendall(make_stream_head(attempt))
         for number in range(1, EVENTS + 1):
-            connection.sendall(chunk(event(number)))
+            connection.sendall(make_chunk(make_event(number)))
             gevent.sleep(EVENT_SECONDS)
-        connection.sendall(chunk(b""))
+        connection.sendall(make_chunk(b""))
--- a/tests/gatewaykit.py
+++ b/tests/gatewaykit.py
@@ -84,7 +84,7 @@
     return RoutingTable(content=RoutingContent(**(content | changes)))
 
 
-def at(version: int, *, era: int = 0) -> Position:
+def make_position(version: int, *, era: int = 0) -> Position:
     """Return a position in the platform's store."""
     return Position(StoreEra(era), version)
 
@@ -108,7 +108,7 @@
     return lines[0], headers, body
 
 
-def answer(
+def make_response(
     attempt: str, body: bytes = b"done", *, status: str = "200 OK", extra: str = ""
 ) -> bytes:
     """Return a signed answer of a replica."""
@@ -118,17 +118,17 @@
     ).encode() + body
 
 
-def event(number: int) -> bytes:
+def make_event(number: int) -> bytes:
     """Return one event of a stream."""
     return f"id: {number}\ndata: piece {number}\n\n".encode()
 
 
-def chunk(data: bytes) -> bytes:
+def make_chunk(data: bytes) -> bytes:
     """Return a chunk of a chunked body."""
     return b"%x\r\n" % len(data) + data + b"\r\n"
 
 
-def stream_head(attempt: str) -> bytes:
+def make_stream_head(attempt: str) -> bytes:
     """Return the head of a stream."""
     return (
         f"HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nResponse-Signature: s\r\n"
@@ -178,7 +178,7 @@
             connection.close()
 
 
-class World:
+class ForwarderHarness:
     """A forwarder behind a listener, with scripted replicas."""
 
     def __init__(
@@ -249,13 +249,13 @@
         """Open a caller's connection."""
         return socket.create_connection(("127.0.0.1", self._port), timeout=5)
 
-    def ask(self, path: str, **options: str) -> bytes:
+    def send_request(self, path: str, **options: str) -> bytes:
         """Send one request and return all that comes until the connection ends."""
         with self.connect() as connection:
-            connection.sendall(request(path, close=True, **options))
+            connection.sendall(make_request(path, close=True, **options))
             return read_all(connection)
 
-    def lines(self, name: str) -> list[str]:
+    def get_log_lines(self, name: str) -> list[str]:
         """Return the log lines of an event."""
         return [line for line in self.journal.pending_lines if f"event={name} " in line]
 
@@ -274,7 +274,7 @@
             replica.stop()
 
 
-def request(
+def make_request(
     path: str,
     *,
     method: str = "GET",
--- a/tests/test_gateway_broadcasts.py
+++ b/tests/test_gateway_broadcasts.py
@@ -31,7 +31,7 @@
 from damasklead.gateway.replicafollowing import UpstreamFollower
 from damasklead.gateway.routing import Route, RouteName, RoutingTable
 from damasklead.ids import Fingerprint, InstanceId
-from tests.gatewaykit import SERVICE, at, make_table
+from tests.gatewaykit import SERVICE, make_position, make_table
 from tests.test_gateway_parts import gone, row
 
 STEP_SECONDS = 0.05
@@ -84,7 +84,7 @@
         """Return the entries written after a version, in the current era."""
         return [
             msgspec.structs.replace(
-                item, position=at(item.position.version, era=self.era)
+                item, position=make_position(item.position.version, era=self.era)
             )
             for item in self.rows
             if item.position.version > since
@@ -122,7 +122,7 @@
         items: list = [table for count, table in self._store.tables if count > version]
         if self._name is ListName.UPSTREAMS:
             items = list(self._store.list_changes(version))
-        cursor = at(self._store.version, era=self._store.era)
+        cursor = make_position(self._store.version, era=self._store.era)
         return Changes(items=items, whole=whole, cursor=cursor)
 
     def _count_call(self) -> None:
--- a/tests/test_gateway_connections.py
+++ b/tests/test_gateway_connections.py
@@ -10,7 +10,7 @@
 
 from damasklead.gateway.upstream_http import MAX_IDLE_CONNECTIONS, ConnectionPool
 from damasklead.loop import LoopClock
-from tests.gatewaykit import answer, read_request
+from tests.gatewaykit import make_response, read_request
 
 
 @pytest.fixture
@@ -21,7 +21,7 @@
                 _, headers, _ = read_request(connection)
             except (EOFError, OSError):
                 return
-            connection.sendall(answer(headers["attempt-id"]))
+            connection.sendall(make_response(headers["attempt-id"]))
 
     server = StreamServer(("127.0.0.1", 0), serve)
     server.start()
--- a/tests/test_gateway_containment.py
+++ b/tests/test_gateway_containment.py
@@ -17,7 +17,7 @@
 )
 from damasklead.gateway.messages import PeerReport
 from damasklead.ids import AttemptId, DataCentre, Fingerprint, InstanceId
-from tests.gatewaykit import IDEMPOTENT, SERVICE, ScriptedReplica, World
+from tests.gatewaykit import IDEMPOTENT, SERVICE, ForwarderHarness, ScriptedReplica
 
 # Retries that may still be sent to replicas after the third crash.
 MAX_LATE_RETRIES = 3
@@ -163,18 +163,20 @@
         this.next_request(connection)
         this.stop()
 
-    world = World([ScriptedReplica(f"r{number}", crash) for number in range(9)])
+    harness = ForwarderHarness(
+        [ScriptedReplica(f"r{number}", crash) for number in range(9)]
+    )
     try:
         answers = []
         for _ in range(9):
-            answers.append(world.ask("/read/1"))
-            world.containment.update_replicas([])
+            answers.append(harness.send_request("/read/1"))
+            harness.containment.update_replicas([])
             gevent.sleep(1.1)
-            world.containment.update_quarantine()
-        runs = sum(len(item.requests) for item in world.replicas)
+            harness.containment.update_quarantine()
+        runs = sum(len(item.requests) for item in harness.replicas)
         assert CRASHES_TO_REFUSE <= runs <= CRASHES_TO_REFUSE + MAX_LATE_RETRIES
         assert answers[-1].startswith(b"HTTP/1.1 503")
         assert b"retry-after" in answers[-1].lower()
-        assert world.quarantined
+        assert harness.quarantined
     finally:
-        world.stop()
+        harness.stop()
--- a/tests/test_gateway_fuzz.py
+++ b/tests/test_gateway_fuzz.py
@@ -25,7 +25,7 @@
 from damasklead.gateway.events import EventSplitter
 from damasklead.ids import AttemptId, DataCentre, InstanceId, ServiceName
 from damasklead.platform.headers import PlatformDialect
-from tests.gatewaykit import at
+from tests.gatewaykit import make_position
 
 EXAMPLES = int(os.environ.get("FUZZ_EXAMPLES", "100"))
 STEPS = int(os.environ.get("FUZZ_STEPS", "40"))
@@ -80,7 +80,7 @@
         self.version += 1
         row = ListedRow(
             instance=InstanceId(name),
-            position=at(self.version),
+            position=make_position(self.version),
             record=self._record(name),
         )
         self.unread.append(row)
@@ -139,7 +139,7 @@
                     instance=InstanceId(name),
                     position=newest[InstanceId(name)].position
                     if name in newest
-                    else at(1),
+                    else make_position(1),
                     record=self._record(name),
                 )
                 for name, truth in self.truth.items()
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -38,7 +38,7 @@
     ServiceSpec,
 )
 from damasklead.ids import AttemptId, DataCentre, InstanceId, ServiceName
-from tests.gatewaykit import IDEMPOTENT, SERVICE, at, make_table
+from tests.gatewaykit import IDEMPOTENT, SERVICE, make_position, make_table
 
 HERE = DataCentre("hout")
 
@@ -58,13 +58,13 @@
 def row(name: str, version: int, *, era: int = 0, **changes: object) -> ListedRow:
     return ListedRow(
         instance=InstanceId(name),
-        position=at(version, era=era),
+        position=make_position(version, era=era),
         record=record(name, **changes),
     )
 
 
 def gone(name: str, version: int, *, era: int = 0) -> ListedRow:
-    position = at(version, era=era)
+    position = make_position(version, era=era)
     return ListedRow(instance=InstanceId(name), position=position, record=None)
 
 
@@ -188,7 +188,9 @@
 
 
 def changes(*items: object, cursor: int, whole: bool = False, era: int = 0) -> Changes:
-    return Changes(items=list(items), whole=whole, cursor=at(cursor, era=era))
+    return Changes(
+        items=list(items), whole=whole, cursor=make_position(cursor, era=era)
+    )
 
 
 class TestFollowing:
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -27,7 +27,7 @@
     Peers,
 )
 from damasklead.ids import DataCentre, InstanceId
-from tests.gatewaykit import at, free_ports, wait_until
+from tests.gatewaykit import free_ports, make_position, wait_until
 
 
 class MemoryDirectory(PeerDirectory):
@@ -204,7 +204,10 @@
     group.start("g2")
     wait_until(lambda: group.member_names("g1") == {"g2"})
     unreachable = PeerEntry(
-        instance=InstanceId("g9"), address="127.0.0.1:9", incarnation=1, position=at(1)
+        instance=InstanceId("g9"),
+        address="127.0.0.1:9",
+        incarnation=1,
+        position=make_position(1),
     )
     group.directory.entries["g9"] = unreachable
     group.peers["g1"]._merge_members([unreachable])
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -20,13 +20,13 @@
 
 from tests.gatewaykit import (
     ScriptedReplica,
-    answer,
-    chunk,
-    event,
     free_ports,
+    make_chunk,
+    make_event,
+    make_request,
+    make_response,
+    make_stream_head,
     read_all,
-    request,
-    stream_head,
     wait_until,
 )
 from tests.platformstandin import StoreStandin, configuration, upstream
@@ -36,13 +36,13 @@
     while True:
         attempt = replica.next_request(connection)
         if "/chat/" in replica.requests[-1][0]:
-            connection.sendall(stream_head(attempt))
+            connection.sendall(make_stream_head(attempt))
             for number in range(1, 31):
-                connection.sendall(chunk(event(number)))
+                connection.sendall(make_chunk(make_event(number)))
                 gevent.sleep(0.1)
-            connection.sendall(chunk(b""))
+            connection.sendall(make_chunk(b""))
         else:
-            connection.sendall(answer(attempt, replica.name.encode()))
+            connection.sendall(make_response(attempt, replica.name.encode()))
 
 
 class Site:
@@ -136,7 +136,7 @@
         """Send an order."""
         return self.ask(
             "callers",
-            request(path, method="POST", body="x", attempt=attempt, close=True),
+            make_request(path, method="POST", body="x", attempt=attempt, close=True),
         )
 
     def is_ready(self) -> bool:
@@ -169,14 +169,14 @@
     site.fill_store()
     site.start()
     wait_until(site.is_ready, seconds=10)
-    data = request("/chat/1", method="POST", body="x", close=True)
+    data = make_request("/chat/1", method="POST", body="x", close=True)
     stream = gevent.spawn(site.ask, "callers", data)
     wait_until(lambda: any(item.requests for item in site.replicas))
     site.signal(signal.SIGTERM)
     wait_until(lambda: not site.is_ready())
     assert site.order().startswith(b"HTTP/1.1 200")
     said = stream.get(timeout=10)
-    assert event(30) in said and said.endswith(b"0\r\n\r\n")
+    assert make_event(30) in said and said.endswith(b"0\r\n\r\n")
     assert site.exit_code() == 0
     assert site.logged("event=stopped") and site.logged("cut_off=0")
 
--- a/tests/test_gateway_reading.py
+++ b/tests/test_gateway_reading.py
@@ -21,7 +21,7 @@
     ReadPlan,
     reader_score,
 )
-from tests.gatewaykit import at
+from tests.gatewaykit import make_position
 
 STEP_SECONDS = 0.01
 # Time within which a change must be in force at every gateway.
@@ -54,10 +54,10 @@
             reports=self.reports,
             rank=lambda: fleet.rank(name),
         )
-        self.version = at(0)
+        self.version = make_position(0)
         self.calls = 0
         self.sent_at = 0.0
-        self.sent_version = at(0)
+        self.sent_version = make_position(0)
         self.call: tuple[float, Position] | None = None
         self.cut_off = False
         self.frozen = False
@@ -100,7 +100,7 @@
 
     def __init__(self, count: int, *, seed: int = 1, loss: float = 0.0) -> None:
         self.clock = ManualClock(start=50.0)
-        self.version = at(1)
+        self.version = make_position(1)
         self.written_at = self.clock.now()
         self.gateways = [Gateway(self, f"g{number}") for number in range(count)]
         self._random = random.Random(seed)
@@ -113,7 +113,7 @@
                 receiver.reports.record_reports([report])
 
     def write(self) -> None:
-        self.version = at(self.version.version + 1)
+        self.version = make_position(self.version.version + 1)
         self.written_at = self.clock.now()
 
     def run(self, seconds: float) -> None:
@@ -197,10 +197,14 @@
     plan = ReadPlan(
         name=ListName.UPSTREAMS, clock=clock, reports=reports, rank=lambda: 3
     )
-    plan.record_response(reported=at(0), last_change=at(3))
-    reports.record_reports([ListReport(at(0), 0), ListReport(at(9), 0)])
+    plan.record_response(reported=make_position(0), last_change=make_position(3))
+    reports.record_reports(
+        [ListReport(make_position(0), 0), ListReport(make_position(9), 0)]
+    )
     assert plan.next_step().should_poll
-    plan.record_response(reported=plan.get_reported_change(), last_change=at(3))
+    plan.record_response(
+        reported=plan.get_reported_change(), last_change=make_position(3)
+    )
     assert not plan.next_step().should_poll
     clock.advance(CONFIRMATION_TTL_SECONDS + 3 * RANK_DELAY_SECONDS + 0.01)
     assert plan.next_step().should_poll
--- a/tests/test_gateway_replica_trouble.py
+++ b/tests/test_gateway_replica_trouble.py
@@ -27,39 +27,39 @@
 from damasklead.ids import InstanceId
 from tests.gatewaykit import (
     ROUTES,
+    ForwarderHarness,
     ScriptedReplica,
-    World,
-    answer,
-    chunk,
-    event,
+    make_chunk,
+    make_event,
+    make_request,
+    make_response,
+    make_stream_head,
     make_table,
     read_all,
-    request,
-    stream_head,
     wait_until,
 )
-from tests.test_gateway_answers import make_world, respond
+from tests.test_gateway_answers import make_harness, respond
 from tests.test_gateway_parts import gone, names, row
 
 ReplicaScript = Callable[[ScriptedReplica, object], None]
 
 
 @pytest.fixture
-def worlds() -> Iterator[list[World]]:
-    created_worlds: list[World] = []
-    yield created_worlds
-    for world in created_worlds:
-        world.stop()
+def harnesses() -> Iterator[list[ForwarderHarness]]:
+    created_harnesses: list[ForwarderHarness] = []
+    yield created_harnesses
+    for harness in created_harnesses:
+        harness.stop()
 
 
-def list_request_counts(world: World) -> list[int]:
-    return [len(replica.requests) for replica in world.replicas]
+def list_request_counts(harness: ForwarderHarness) -> list[int]:
+    return [len(replica.requests) for replica in harness.replicas]
 
 
 def respond_as_leaving(replica: ScriptedReplica, connection: object) -> None:
     while True:
         attempt = replica.next_request(connection)
-        connection.sendall(answer(attempt, extra="Server-Leaving: 1\r\n"))
+        connection.sendall(make_response(attempt, extra="Server-Leaving: 1\r\n"))
 
 
 def make_pausing_script(seconds: str) -> ReplicaScript:
@@ -76,16 +76,18 @@
 
 class TestLeavingReplicas:
     def test_a_replica_that_announces_leaving_gets_no_more_requests(
-        self, worlds: list[World]
+        self, harnesses: list[ForwarderHarness]
     ) -> None:
-        world = make_world(worlds, respond_as_leaving, respond)
+        harness = make_harness(harnesses, respond_as_leaving, respond)
         for number in range(12):
-            response = world.ask("/read/1", attempt=f"a{number}")
+            response = harness.send_request("/read/1", attempt=f"a{number}")
             assert response.startswith(b"HTTP/1.1 200")
-        assert list_request_counts(world)[0] == 1
-        assert world.left == ["r0"]
+        assert list_request_counts(harness)[0] == 1
+        assert harness.left == ["r0"]
 
-    def test_a_refusal_may_announce_leaving(self, worlds: list[World]) -> None:
+    def test_a_refusal_may_announce_leaving(
+        self, harnesses: list[ForwarderHarness]
+    ) -> None:
         def refuse_as_leaving(replica: ScriptedReplica, connection: object) -> None:
             replica.next_request(connection)
             connection.sendall(
@@ -93,28 +95,28 @@
                 b"Content-Length: 0\r\n\r\n"
             )
 
-        world = make_world(worlds, refuse_as_leaving, respond)
+        harness = make_harness(harnesses, refuse_as_leaving, respond)
         for number in range(6):
-            response = world.ask(
+            response = harness.send_request(
                 "/order/1", method="POST", body="x", attempt=f"a{number}"
             )
             assert response.startswith(b"HTTP/1.1 200")
-        assert list_request_counts(world)[0] <= 1
+        assert list_request_counts(harness)[0] <= 1
 
     def test_a_stream_is_not_resumed_on_a_leaving_replica(
-        self, worlds: list[World]
+        self, harnesses: list[ForwarderHarness]
     ) -> None:
         def send_partial_stream(replica: ScriptedReplica, connection: object) -> None:
             attempt = replica.next_request(connection)
-            head = stream_head(attempt).replace(
+            head = make_stream_head(attempt).replace(
                 b"\r\n\r\n", b"\r\nServer-Leaving: 1\r\n\r\n"
             )
-            connection.sendall(head + chunk(event(1)))
+            connection.sendall(head + make_chunk(make_event(1)))
 
-        world = make_world(worlds, send_partial_stream)
-        response = world.ask("/draft/1", method="POST", body="x")
-        assert event(1) in response and not response.endswith(b"0\r\n\r\n")
-        assert list_request_counts(world) == [1]
+        harness = make_harness(harnesses, send_partial_stream)
+        response = harness.send_request("/draft/1", method="POST", body="x")
+        assert make_event(1) in response and not response.endswith(b"0\r\n\r\n")
+        assert list_request_counts(harness) == [1]
 
     def test_leaving_persists_when_the_list_entry_is_removed_and_added(self) -> None:
         directory = UpstreamDirectory(clock=ManualClock())
@@ -146,32 +148,36 @@
 
 class TestPausedReplicas:
     def test_a_paused_replica_gets_no_requests_until_the_pause_ends(
-        self, worlds: list[World]
+        self, harnesses: list[ForwarderHarness]
     ) -> None:
-        world = make_world(worlds, make_pausing_script("0.6"), respond)
+        harness = make_harness(harnesses, make_pausing_script("0.6"), respond)
         for number in range(12):
-            response = world.ask(
+            response = harness.send_request(
                 "/order/1", method="POST", body="x", attempt=f"a{number}"
             )
             assert response.startswith(b"HTTP/1.1 200")
-        assert list_request_counts(world)[0] == 1
+        assert list_request_counts(harness)[0] == 1
         gevent.sleep(0.65)
         for number in range(12):
-            world.ask("/read/1", attempt=f"b{number}")
-        assert list_request_counts(world)[0] == 2
+            harness.send_request("/read/1", attempt=f"b{number}")
+        assert list_request_counts(harness)[0] == 2
 
     def test_when_all_pause_the_caller_gets_the_first_end_as_retry_after(
-        self, worlds: list[World]
+        self, harnesses: list[ForwarderHarness]
     ) -> None:
-        world = make_world(worlds, make_pausing_script("5"), make_pausing_script("2"))
-        world.ask("/read/1", attempt="a0")
-        started_at = world.clock.now()
-        response = world.ask("/order/1", method="POST", body="x", attempt="a1")
-        assert world.clock.now() - started_at < 0.3
+        harness = make_harness(
+            harnesses, make_pausing_script("5"), make_pausing_script("2")
+        )
+        harness.send_request("/read/1", attempt="a0")
+        started_at = harness.clock.now()
+        response = harness.send_request(
+            "/order/1", method="POST", body="x", attempt="a1"
+        )
+        assert harness.clock.now() - started_at < 0.3
         assert response.startswith(b"HTTP/1.1 503")
         seconds = float(response.partition(b"Retry-After: ")[2].partition(b"\r\n")[0])
         assert 1.5 < seconds <= 2.5
-        assert list_request_counts(world) == [1, 1]
+        assert list_request_counts(harness) == [1, 1]
 
     @pytest.mark.parametrize(
         ("asked", "least", "most"),
@@ -185,92 +191,100 @@
         ],
     )
     def test_pause_durations_are_clamped(
-        self, worlds: list[World], asked: float, least: float, most: float
+        self, harnesses: list[ForwarderHarness], asked: float, least: float, most: float
     ) -> None:
-        world = make_world(worlds, respond)
-        assert least <= world.placement.pause_replica(InstanceId("r0"), asked) <= most
-        assert world.placement.accepts_requests(InstanceId("r0")) is (most == 0.0)
+        harness = make_harness(harnesses, respond)
+        assert least <= harness.placement.pause_replica(InstanceId("r0"), asked) <= most
+        assert harness.placement.accepts_requests(InstanceId("r0")) is (most == 0.0)
 
-    def test_a_pause_is_logged(self, worlds: list[World]) -> None:
-        world = make_world(worlds, make_pausing_script("nan"), respond)
+    def test_a_pause_is_logged(self, harnesses: list[ForwarderHarness]) -> None:
+        harness = make_harness(harnesses, make_pausing_script("nan"), respond)
         for number in range(4):
-            world.ask("/read/1", attempt=f"a{number}")
-        assert world.lines("replica-paused")
+            harness.send_request("/read/1", attempt=f"a{number}")
+        assert harness.get_log_lines("replica-paused")
 
     def test_a_pause_belongs_to_the_incarnation_not_to_the_list_entry(
-        self, worlds: list[World]
+        self, harnesses: list[ForwarderHarness]
     ) -> None:
-        world = make_world(worlds, respond)
-        record = world.replicas[0].record
-        world.placement.pause_replica(record.instance, 30.0)
-        world.placement.update_replicas([])
-        world.placement.update_replicas([record])
-        assert world.placement.get_remaining_pause() is not None
+        harness = make_harness(harnesses, respond)
+        record = harness.replicas[0].record
+        harness.placement.pause_replica(record.instance, 30.0)
+        harness.placement.update_replicas([])
+        harness.placement.update_replicas([record])
+        assert harness.placement.get_remaining_pause() is not None
         restarted = type(record)(
             **{name: getattr(record, name) for name in record.__struct_fields__}
             | {"incarnation": 2}
         )
-        world.placement.update_replicas([restarted])
-        assert world.placement.get_remaining_pause() is None
+        harness.placement.update_replicas([restarted])
+        assert harness.placement.get_remaining_pause() is None
 
     def test_a_shorter_pause_does_not_replace_a_longer_one(
-        self, worlds: list[World]
+        self, harnesses: list[ForwarderHarness]
     ) -> None:
-        world = make_world(worlds, respond)
+        harness = make_harness(harnesses, respond)
         name = InstanceId("r0")
-        world.placement.pause_replica(name, 30.0)
-        world.placement.pause_replica(name, 0.1)
-        left = world.placement.get_remaining_pause()
+        harness.placement.pause_replica(name, 30.0)
+        harness.placement.pause_replica(name, 0.1)
+        left = harness.placement.get_remaining_pause()
         assert left is not None and left > 29.0
 
 
 class TestEndlessResponses:
-    def test_an_endless_head_is_aborted(self, worlds: list[World]) -> None:
+    def test_an_endless_head_is_aborted(
+        self, harnesses: list[ForwarderHarness]
+    ) -> None:
         def send_endlessly(replica: ScriptedReplica, connection: object) -> None:
             replica.next_request(connection)
             connection.sendall(b"HTTP/1.1 200 OK\r\n")
             while True:
                 connection.sendall(b"X-Filler: " + b"x" * 1000 + b"\r\n")
 
-        world = make_world(worlds, send_endlessly)
-        response = world.ask("/order/1", method="POST", body="x")
+        harness = make_harness(harnesses, send_endlessly)
+        response = harness.send_request("/order/1", method="POST", body="x")
         assert response.startswith(b"HTTP/1.1 502")
-        wait_until(lambda: world.replicas[0].closed_by_gateway == 1)
+        wait_until(lambda: harness.replicas[0].closed_by_gateway == 1)
 
-    def test_endless_interim_responses_are_aborted(self, worlds: list[World]) -> None:
+    def test_endless_interim_responses_are_aborted(
+        self, harnesses: list[ForwarderHarness]
+    ) -> None:
         def send_endlessly(replica: ScriptedReplica, connection: object) -> None:
             replica.next_request(connection)
             while True:
                 connection.sendall(b"HTTP/1.1 103 Early Hints\r\n\r\n")
                 gevent.sleep(0.001)
 
-        world = make_world(worlds, send_endlessly)
-        assert world.ask("/order/1", method="POST", body="x").startswith(
+        harness = make_harness(harnesses, send_endlessly)
+        assert harness.send_request("/order/1", method="POST", body="x").startswith(
             b"HTTP/1.1 502"
         )
 
-    def test_endless_bodies_share_a_memory_budget(self, worlds: list[World]) -> None:
+    def test_endless_bodies_share_a_memory_budget(
+        self, harnesses: list[ForwarderHarness]
+    ) -> None:
         memory_samples: list[int] = []
 
         def send_endlessly(replica: ScriptedReplica, connection: object) -> None:
             attempt = replica.next_request(connection)
-            connection.sendall(stream_head(attempt))
+            connection.sendall(make_stream_head(attempt))
             while True:
-                connection.sendall(chunk(b"x" * 50_000))
-                memory_samples.append(world.memory.used_bytes)
+                connection.sendall(make_chunk(b"x" * 50_000))
+                memory_samples.append(harness.memory.used_bytes)
 
         def run_one(number: int) -> bytes:
-            return world.ask("/order/1", method="POST", body="x", attempt=f"a{number}")
+            return harness.send_request(
+                "/order/1", method="POST", body="x", attempt=f"a{number}"
+            )
 
-        world = make_world(worlds, *[send_endlessly] * 50)
-        world.memory.limit_bytes = 4_000_000
+        harness = make_harness(harnesses, *[send_endlessly] * 50)
+        harness.memory.limit_bytes = 4_000_000
         callers = [gevent.spawn(run_one, number) for number in range(50)]
         gevent.joinall(callers, timeout=20, raise_error=True)
         for caller in callers:
             assert caller.value.startswith((b"HTTP/1.1 502", b"HTTP/1.1 504"))
         slack = 50 * 400_000  # one small body and one received block for each response
         assert max(memory_samples) <= 4_000_000 + slack
-        assert world.memory.used_bytes == 0
+        assert harness.memory.used_bytes == 0
 
     def test_small_responses_are_exempt_from_the_memory_budget(self) -> None:
         memory = ResponseMemoryBudget(limit_bytes=1000)
@@ -279,35 +293,41 @@
         assert memory.must_drop(1_000_000)
 
     def test_an_endless_body_counts_as_failure_of_its_replica(
-        self, worlds: list[World]
+        self, harnesses: list[ForwarderHarness]
     ) -> None:
         def send_slowly_without_end(
             replica: ScriptedReplica, connection: object
         ) -> None:
             attempt = replica.next_request(connection)
-            connection.sendall(stream_head(attempt))
+            connection.sendall(make_stream_head(attempt))
             while True:
-                connection.sendall(chunk(b"x"))
+                connection.sendall(make_chunk(b"x"))
                 gevent.sleep(0.05)
 
-        world = make_world(worlds, send_slowly_without_end, respond)
+        harness = make_harness(harnesses, send_slowly_without_end, respond)
         responses = [
-            world.ask("/order/1", method="POST", body="x", attempt=f"a{number}")
+            harness.send_request(
+                "/order/1", method="POST", body="x", attempt=f"a{number}"
+            )
             for number in range(4)
         ]
         assert sum(item.startswith(b"HTTP/1.1 504") for item in responses) == 1
-        assert list_request_counts(world)[0] == 1
+        assert list_request_counts(harness)[0] == 1
 
-    def test_an_endless_event_is_aborted(self, worlds: list[World]) -> None:
+    def test_an_endless_event_is_aborted(
+        self, harnesses: list[ForwarderHarness]
+    ) -> None:
         def send_endlessly(replica: ScriptedReplica, connection: object) -> None:
             attempt = replica.next_request(connection)
-            connection.sendall(stream_head(attempt) + chunk(event(1) + b"data: "))
+            connection.sendall(
+                make_stream_head(attempt) + make_chunk(make_event(1) + b"data: ")
+            )
             while True:
-                connection.sendall(chunk(b"x" * 60_000))
+                connection.sendall(make_chunk(b"x" * 60_000))
 
-        world = make_world(worlds, send_endlessly)
-        response = world.ask("/chat/1", method="POST", body="x")
-        assert event(1) in response and not response.endswith(b"0\r\n\r\n")
+        harness = make_harness(harnesses, send_endlessly)
+        response = harness.send_request("/chat/1", method="POST", body="x")
+        assert make_event(1) in response and not response.endswith(b"0\r\n\r\n")
         assert len(response) < 1000
 
 
@@ -324,24 +344,24 @@
 
 class TestStalledStreams:
     def test_a_stream_of_bytes_without_events_is_aborted(
-        self, worlds: list[World]
+        self, harnesses: list[ForwarderHarness]
     ) -> None:
         def send_comments_only(replica: ScriptedReplica, connection: object) -> None:
             attempt = replica.next_request(connection)
-            connection.sendall(stream_head(attempt) + chunk(event(1)))
+            connection.sendall(make_stream_head(attempt) + make_chunk(make_event(1)))
             while True:
                 gevent.sleep(0.1)
-                connection.sendall(chunk(b":"))
+                connection.sendall(make_chunk(b":"))
 
-        world = make_world(worlds, send_comments_only)
-        world.table = make_table(routes=make_long_timeout_routes())
-        started_at = world.clock.now()
-        response = world.ask("/chat/1", method="POST", body="x")
-        assert 1.9 < world.clock.now() - started_at < 3.0
-        assert event(1) in response and not response.endswith(b"0\r\n\r\n")
+        harness = make_harness(harnesses, send_comments_only)
+        harness.table = make_table(routes=make_long_timeout_routes())
+        started_at = harness.clock.now()
+        response = harness.send_request("/chat/1", method="POST", body="x")
+        assert 1.9 < harness.clock.now() - started_at < 3.0
+        assert make_event(1) in response and not response.endswith(b"0\r\n\r\n")
 
     def test_a_stalled_resumable_stream_is_resumed_elsewhere(
-        self, worlds: list[World]
+        self, harnesses: list[ForwarderHarness]
     ) -> None:
         def stall_after_first_event(
             replica: ScriptedReplica, connection: object
@@ -349,45 +369,55 @@
             attempt = replica.next_request(connection)
             after = int(replica.requests[-1][1].get("last-event-id", 0))
             if after:
-                connection.sendall(stream_head(attempt) + chunk(event(2)) + chunk(b""))
+                connection.sendall(
+                    make_stream_head(attempt)
+                    + make_chunk(make_event(2))
+                    + make_chunk(b"")
+                )
                 return
-            connection.sendall(stream_head(attempt) + chunk(event(1)))
+            connection.sendall(make_stream_head(attempt) + make_chunk(make_event(1)))
             connection.recv(1)
 
-        world = make_world(worlds, stall_after_first_event, stall_after_first_event)
-        world.table = make_table(routes=make_long_timeout_routes())
-        started_at = world.clock.now()
-        response = world.ask("/draft/1", method="POST", body="x")
-        assert world.clock.now() - started_at < 1.6
-        assert response.count(event(1)) == response.count(event(2)) == 1
+        harness = make_harness(
+            harnesses, stall_after_first_event, stall_after_first_event
+        )
+        harness.table = make_table(routes=make_long_timeout_routes())
+        started_at = harness.clock.now()
+        response = harness.send_request("/draft/1", method="POST", body="x")
+        assert harness.clock.now() - started_at < 1.6
+        assert response.count(make_event(1)) == response.count(make_event(2)) == 1
         assert response.endswith(b"0\r\n\r\n")
 
-    def test_a_slow_stream_is_not_aborted(self, worlds: list[World]) -> None:
+    def test_a_slow_stream_is_not_aborted(
+        self, harnesses: list[ForwarderHarness]
+    ) -> None:
         def stream_slowly(replica: ScriptedReplica, connection: object) -> None:
             attempt = replica.next_request(connection)
-            connection.sendall(stream_head(attempt))
+            connection.sendall(make_stream_head(attempt))
             for number in range(1, 4):
                 gevent.sleep(1.2)
-                connection.sendall(chunk(event(number)))
-            connection.sendall(chunk(b""))
+                connection.sendall(make_chunk(make_event(number)))
+            connection.sendall(make_chunk(b""))
 
-        world = make_world(worlds, stream_slowly)
-        world.table = make_table(routes=make_long_timeout_routes())
-        response = world.ask("/chat/1", method="POST", body="x")
-        assert event(3) in response and response.endswith(b"0\r\n\r\n")
+        harness = make_harness(harnesses, stream_slowly)
+        harness.table = make_table(routes=make_long_timeout_routes())
+        response = harness.send_request("/chat/1", method="POST", body="x")
+        assert make_event(3) in response and response.endswith(b"0\r\n\r\n")
 
 
 class TestGuarantees:
     def test_non_repeatable_requests_are_executed_once_despite_max_attempts(
-        self, worlds: list[World]
+        self, harnesses: list[ForwarderHarness]
     ) -> None:
         def close_without_response(
             replica: ScriptedReplica, connection: object
         ) -> None:
             replica.next_request(connection)
 
-        world = make_world(worlds, close_without_response, close_without_response)
-        world.table = make_table(
+        harness = make_harness(
+            harnesses, close_without_response, close_without_response
+        )
+        harness.table = make_table(
             routes=[
                 type(route)(
                     **{name: getattr(route, name) for name in route.__struct_fields__}
@@ -397,38 +427,40 @@
             ]
         )
         for path in ("/order/1", "/chat/1"):
-            before = sum(list_request_counts(world))
-            world.ask(path, method="POST", body="x", attempt=path.replace("/", "-"))
-            assert sum(list_request_counts(world)) - before == 1
+            before = sum(list_request_counts(harness))
+            harness.send_request(
+                path, method="POST", body="x", attempt=path.replace("/", "-")
+            )
+            assert sum(list_request_counts(harness)) - before == 1
 
     def test_connection_failures_are_limited_to_max_replica_attempts(
-        self, worlds: list[World]
+        self, harnesses: list[ForwarderHarness]
     ) -> None:
-        world = make_world(worlds, *[respond] * 9)
-        for replica in world.replicas:
+        harness = make_harness(harnesses, *[respond] * 9)
+        for replica in harness.replicas:
             replica.stop()
-        response = world.ask("/order/1", method="POST", body="x")
+        response = harness.send_request("/order/1", method="POST", body="x")
         assert response.startswith(b"HTTP/1.1 503")
-        assert len(world.lines("attempt-failed")) == MAX_REPLICA_ATTEMPTS
+        assert len(harness.get_log_lines("attempt-failed")) == MAX_REPLICA_ATTEMPTS
 
     def test_the_routes_timeout_bounds_a_longer_caller_deadline(
-        self, worlds: list[World]
+        self, harnesses: list[ForwarderHarness]
     ) -> None:
         def never_respond(replica: ScriptedReplica, connection: object) -> None:
             replica.next_request(connection)
             connection.recv(1)
 
-        world = make_world(worlds, never_respond)
-        started_at = world.clock.now()
-        response = world.ask(
+        harness = make_harness(harnesses, never_respond)
+        started_at = harness.clock.now()
+        response = harness.send_request(
             "/order/1", method="POST", body="x", extra="Deadline-Ms: 5000\r\n"
         )
         assert response.startswith(b"HTTP/1.1 504")
-        assert 0.7 < world.clock.now() - started_at < 1.4
-        assert int(world.replicas[0].requests[0][1]["deadline-ms"]) <= 800
+        assert 0.7 < harness.clock.now() - started_at < 1.4
+        assert int(harness.replicas[0].requests[0][1]["deadline-ms"]) <= 800
 
     def test_a_connection_that_the_replica_closes_is_not_reused(
-        self, worlds: list[World]
+        self, harnesses: list[ForwarderHarness]
     ) -> None:
         request_counts: list[int] = []
 
@@ -441,48 +473,54 @@
                 attempt = replica.next_request(connection)
                 request_counts[number] += 1
                 connection.sendall(
-                    answer(
+                    make_response(
                         attempt, extra="Connection: close\r\nKeep-Alive: timeout=9\r\n"
                     )
                 )
 
-        world = make_world(worlds, respond_and_announce_close)
+        harness = make_harness(harnesses, respond_and_announce_close)
         for number in range(3):
-            world.ask("/order/1", method="POST", body="x", attempt=f"a{number}")
+            harness.send_request(
+                "/order/1", method="POST", body="x", attempt=f"a{number}"
+            )
         assert request_counts == [1, 1, 1]
 
     def test_a_replica_that_just_failed_is_ranked_below_a_busier_one(
-        self, worlds: list[World]
+        self, harnesses: list[ForwarderHarness]
     ) -> None:
-        world = make_world(worlds, respond, respond)
+        harness = make_harness(harnesses, respond, respond)
         calls: list = []
-        world.placement.record_response_head(InstanceId("r1"), LoadHint(5, 0, 8))
-        choose = world.placement.choose_replica
+        harness.placement.record_response_head(InstanceId("r1"), LoadHint(5, 0, 8))
+        choose = harness.placement.choose_replica
 
         def record_call(call: object, **options: object) -> object:
             calls.append(call)
             return choose(call, **options)
 
-        world.placement.choose_replica = record_call
-        world.ask("/read/1", attempt="a0")
-        assert list_request_counts(world) == [1, 0]
-        world.placement.record_failure(InstanceId("r0"), calls[0], Failure.BROKEN)
-        world.ask("/read/1", attempt="a1")
-        assert list_request_counts(world) == [1, 1]
+        harness.placement.choose_replica = record_call
+        harness.send_request("/read/1", attempt="a0")
+        assert list_request_counts(harness) == [1, 0]
+        harness.placement.record_failure(InstanceId("r0"), calls[0], Failure.BROKEN)
+        harness.send_request("/read/1", attempt="a1")
+        assert list_request_counts(harness) == [1, 1]
 
-    def test_a_late_second_response_is_not_relayed(self, worlds: list[World]) -> None:
+    def test_a_late_second_response_is_not_relayed(
+        self, harnesses: list[ForwarderHarness]
+    ) -> None:
         def respond_twice(replica: ScriptedReplica, connection: object) -> None:
             while True:
                 attempt = replica.next_request(connection)
-                connection.sendall(answer(attempt, b"first"))
+                connection.sendall(make_response(attempt, b"first"))
                 gevent.sleep(0.05)
-                connection.sendall(answer(attempt, b"again"))
+                connection.sendall(make_response(attempt, b"again"))
 
-        world = make_world(worlds, respond_twice)
-        with world.connect() as caller:
+        harness = make_harness(harnesses, respond_twice)
+        with harness.connect() as caller:
             for number in range(4):
                 caller.sendall(
-                    request("/order/1", method="POST", body="x", attempt=f"a{number}")
+                    make_request(
+                        "/order/1", method="POST", body="x", attempt=f"a{number}"
+                    )
                 )
                 response = b""
                 while not response.endswith(b"first"):
@@ -492,7 +530,7 @@
                 gevent.sleep(0.02 * number)
 
     def test_an_unframed_response_that_is_reset_is_a_failure(
-        self, worlds: list[World]
+        self, harnesses: list[ForwarderHarness]
     ) -> None:
         def reset_within_body(replica: ScriptedReplica, connection: object) -> None:
             attempt = replica.next_request(connection)
@@ -506,26 +544,26 @@
                 gevent.socket.SOL_SOCKET, gevent.socket.SO_LINGER, linger
             )
 
-        world = make_world(worlds, reset_within_body)
-        response = world.ask("/order/1", method="POST", body="x")
+        harness = make_harness(harnesses, reset_within_body)
+        response = harness.send_request("/order/1", method="POST", body="x")
         assert response.startswith(b"HTTP/1.1 502") and b"half" not in response
 
     def test_requests_read_before_a_stop_are_answered(
-        self, worlds: list[World]
+        self, harnesses: list[ForwarderHarness]
     ) -> None:
         def respond_slowly(replica: ScriptedReplica, connection: object) -> None:
             attempt = replica.next_request(connection)
             gevent.sleep(0.2)
-            connection.sendall(answer(attempt))
+            connection.sendall(make_response(attempt))
 
-        world = make_world(worlds, *[respond_slowly] * 3)
-        callers = [world.connect() for _ in range(3)]
+        harness = make_harness(harnesses, *[respond_slowly] * 3)
+        callers = [harness.connect() for _ in range(3)]
         for number, caller in enumerate(callers):
             caller.sendall(
-                request("/order/1", method="POST", body="x", attempt=f"a{number}")
+                make_request("/order/1", method="POST", body="x", attempt=f"a{number}")
             )
-        world.stopping = True
-        world.listener.drain(seconds=2.0)
+        harness.stopping = True
+        harness.listener.drain(seconds=2.0)
         for caller in callers:
             response = read_all(caller)
             assert (
--- a/tests/test_gateway_restored_store.py
+++ b/tests/test_gateway_restored_store.py
@@ -18,7 +18,7 @@
     UpstreamDirectory,
 )
 from damasklead.gateway.reading import ListName
-from tests.gatewaykit import at
+from tests.gatewaykit import make_position
 from tests.test_gateway_broadcasts import Fleet
 from tests.test_gateway_parts import gone, names, row
 
@@ -166,7 +166,7 @@
 
     def test_a_lower_version_of_a_newer_era_counts(self) -> None:
         directory, _ = self.directory()
-        directory.mark_store_restored(at(12, era=2))
+        directory.mark_store_restored(make_position(12, era=2))
         leaving = row("b", 13, era=2, state=UpstreamState.LEAVING)
         directory.apply_rows([leaving], whole=False)
         assert names(directory) == ["a"]
@@ -178,7 +178,7 @@
         leaving = row("a", 30, era=1, state=UpstreamState.LEAVING)
         directory.apply_rows([leaving], whole=False)
         directory.apply_rows([gone("a", 31, era=1)], whole=False)
-        directory.mark_store_restored(at(25, era=2))
+        directory.mark_store_restored(make_position(25, era=2))
         rows = [row("a", 10, era=2), row("b", 20, era=2)]
         directory.apply_rows(rows, whole=True)
         clock.advance(2 * UNCONFIRMED_SECONDS)
@@ -190,7 +190,7 @@
     def test_a_removed_replica_is_not_used_before_it_has_registered_again(self) -> None:
         directory, _ = self.directory()
         directory.apply_rows([gone("a", 30, era=1)], whole=False)
-        directory.mark_store_restored(at(25, era=2))
+        directory.mark_store_restored(make_position(25, era=2))
         directory.apply_rows([row("a", 10, era=2), row("b", 20, era=2)], whole=True)
         assert names(directory) == ["b"]
         directory.apply_rows([row("a", 26, era=2)], whole=False)
@@ -200,7 +200,7 @@
         """The platform removes entries that aren't renewed, so this one was renewed."""
         directory, clock = self.directory()
         directory.apply_rows([gone("a", 30, era=1)], whole=False)
-        directory.mark_store_restored(at(25, era=2))
+        directory.mark_store_restored(make_position(25, era=2))
         directory.apply_rows([row("a", 10, era=2), row("b", 20, era=2)], whole=True)
         clock.advance(UNCONFIRMED_SECONDS)
         directory.drop_expired()
@@ -209,7 +209,7 @@
     def test_a_removed_replica_that_is_removed_again_is_not_used(self) -> None:
         directory, clock = self.directory()
         directory.apply_rows([gone("a", 30, era=1)], whole=False)
-        directory.mark_store_restored(at(25, era=2))
+        directory.mark_store_restored(make_position(25, era=2))
         directory.apply_rows([row("a", 10, era=2), row("b", 20, era=2)], whole=True)
         directory.apply_rows([gone("a", 27, era=2)], whole=False)
         clock.advance(UNCONFIRMED_SECONDS)
--- a/tests/test_gateway_starting.py
+++ b/tests/test_gateway_starting.py
@@ -17,57 +17,60 @@
 from damasklead.gateway.listeners import Listener
 from damasklead.gateway.starting import StartGate
 from tests.gatewaykit import (
+    ForwarderHarness,
     ScriptedReplica,
-    World,
-    answer,
     free_ports,
+    make_request,
+    make_response,
     read_all,
-    request,
 )
 
 
 def serve(replica: ScriptedReplica, connection: socket.socket) -> None:
     while True:
-        connection.sendall(answer(replica.next_request(connection), b"served"))
+        connection.sendall(make_response(replica.next_request(connection), b"served"))
 
 
 @pytest.fixture
-def world() -> Iterator[World]:
-    new_world = World([ScriptedReplica("r0", serve)])
-    yield new_world
-    new_world.stop()
+def harness() -> Iterator[ForwarderHarness]:
+    created_harness = ForwarderHarness([ScriptedReplica("r0", serve)])
+    yield created_harness
+    created_harness.stop()
 
 
-def close_gate(world: World) -> StartGate:
-    gate = world.gate = world.forwarder._gate = StartGate()
+def close_gate(harness: ForwarderHarness) -> StartGate:
+    gate = harness.gate = harness.forwarder._gate = StartGate()
     return gate
 
 
 def test_callers_that_connect_before_the_configuration_is_read_are_served(
-    world: World,
+    harness: ForwarderHarness,
 ) -> None:
     """
     Guards against refusals in the moment between listening and the first configuration.
 
     After a power failure each such caller was refused and retried half a second later.
     """
-    gate = close_gate(world)
-    table, world.table = world.table, None
-    callers = [gevent.spawn(world.ask, "/read/1", attempt=f"a{n}") for n in range(20)]
+    gate = close_gate(harness)
+    table, harness.table = harness.table, None
+    callers = [
+        gevent.spawn(harness.send_request, "/read/1", attempt=f"a{n}")
+        for n in range(20)
+    ]
     gevent.sleep(0.1)
-    world.table = table
+    harness.table = table
     gate.open()
     gevent.joinall(callers, timeout=5)
     assert all(caller.value.startswith(b"HTTP/1.1 200") for caller in callers)
-    assert not world.lines("refused")
+    assert not harness.get_log_lines("refused")
 
 
 def test_held_callers_are_refused_once_the_gate_opens_without_configuration(
-    world: World,
+    harness: ForwarderHarness,
 ) -> None:
-    gate = close_gate(world)
-    world.table = None
-    caller = gevent.spawn(world.ask, "/read/1")
+    gate = close_gate(harness)
+    harness.table = None
+    caller = gevent.spawn(harness.send_request, "/read/1")
     gevent.sleep(0.05)
     assert not caller.ready()
     gate.open()
@@ -75,48 +78,50 @@
 
 
 def test_callers_are_held_no_longer_than_the_limit(
-    world: World, monkeypatch: pytest.MonkeyPatch
+    harness: ForwarderHarness, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     monkeypatch.setattr(starting, "MAX_HOLD_SECONDS", 0.05)
-    close_gate(world)
-    world.table = None
-    assert b" 503 " in world.ask("/read/1")
+    close_gate(harness)
+    harness.table = None
+    assert b" 503 " in harness.send_request("/read/1")
 
 
 class TestEarlyListener:
-    def listener(self, world: World, port: int, early_socket: object) -> Listener:
+    def listener(
+        self, harness: ForwarderHarness, port: int, early_socket: object
+    ) -> Listener:
         return Listener(
             address=f"127.0.0.1:{port}",
-            handler=world.forwarder,
-            clock=world.clock,
+            handler=harness.forwarder,
+            clock=harness.clock,
             stopping=lambda: False,
             listening_socket=early_socket,  # type: ignore[arg-type]
         )
 
     def test_callers_that_connected_before_the_program_was_loaded_are_served(
-        self, world: World
+        self, harness: ForwarderHarness
     ) -> None:
         (port,) = free_ports(1)
         early_socket = open_listening_socket(f"127.0.0.1:{port}")
         with socket.create_connection(("127.0.0.1", port), timeout=5) as caller:
-            caller.sendall(request("/read/1", close=True))
-            listener = self.listener(world, port, early_socket)
+            caller.sendall(make_request("/read/1", close=True))
+            listener = self.listener(harness, port, early_socket)
             listener.start()
             assert read_all(caller).startswith(b"HTTP/1.1 200")
         listener.stop()
 
     def test_the_settings_address_overrides_the_early_listener(
-        self, world: World
+        self, harness: ForwarderHarness
     ) -> None:
         early_port, settings_port = free_ports(2)
         listener = self.listener(
-            world, settings_port, open_listening_socket(f"127.0.0.1:{early_port}")
+            harness, settings_port, open_listening_socket(f"127.0.0.1:{early_port}")
         )
         listener.start()
         with socket.create_connection(
             ("127.0.0.1", settings_port), timeout=5
         ) as caller:
-            caller.sendall(request("/read/1", close=True))
+            caller.sendall(make_request("/read/1", close=True))
             assert read_all(caller).startswith(b"HTTP/1.1 200")
         with pytest.raises(OSError):
             socket.create_connection(("127.0.0.1", early_port), timeout=5)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -30,7 +30,7 @@
 from damasklead.platform.documents import decode_configuration, decode_upstream
 from damasklead.platform.headers import PlatformDialect
 from damasklead.platform.store import MAX_STALE_SECONDS, StoreLink
-from tests.gatewaykit import ONCE, at, read_request
+from tests.gatewaykit import ONCE, make_position, read_request
 
 CONFIGURATION = {
     "version": 7,
@@ -304,7 +304,7 @@
         ]
         changes = link.upstreams.read()
         assert [item.instance for item in changes.items] == ["i-1", "i-2"]
-        assert changes.whole and changes.cursor == at(9)
+        assert changes.whole and changes.cursor == make_position(9)
         assert "range_start=i-1%00" in store.targets[1]
 
     def test_changes_are_followed(self, store: StoreStandin, link: StoreLink) -> None:
@@ -316,8 +316,8 @@
             ),
         ]
         assert link.routing.read().items[0].version == 7
-        changes = link.upstreams.poll_changes(at(9), wait=0.5)
-        assert changes.items[0].record is None and changes.cursor == at(12)
+        changes = link.upstreams.poll_changes(make_position(9), wait=0.5)
+        assert changes.items[0].record is None and changes.cursor == make_position(12)
         assert "since_revision=9&wait_ms=500" in store.targets[1]
 
     def test_each_kind_of_trouble_has_its_name(
@@ -329,15 +329,22 @@
             (200, page(version=20)), (200, page(version=19)), (200, page(broken, version=21)),
         ]  # fmt: skip
         feed = link.routing
-        found = [fault_of(lambda: feed.poll_changes(at(5), wait=0.1)) for _ in range(5)]
+        found = [
+            fault_of(lambda: feed.poll_changes(make_position(5), wait=0.1))
+            for _ in range(5)
+        ]
         assert found == [
             FeedFault.HISTORY_LOST, FeedFault.REFUSED, FeedFault.REFUSED,
             FeedFault.UNREACHABLE, FeedFault.UNREADABLE,
         ]  # fmt: skip
-        feed.poll_changes(at(5), wait=0.1)
-        assert fault_of(lambda: feed.poll_changes(at(5), wait=0.1)) is FeedFault.STALE
+        feed.poll_changes(make_position(5), wait=0.1)
+        assert (
+            fault_of(lambda: feed.poll_changes(make_position(5), wait=0.1))
+            is FeedFault.STALE
+        )
         assert (
-            fault_of(lambda: feed.poll_changes(at(5), wait=0.1)) is FeedFault.UNREADABLE
+            fault_of(lambda: feed.poll_changes(make_position(5), wait=0.1))
+            is FeedFault.UNREADABLE
         )
 
     def test_versions_are_compared_inside_an_era(
@@ -351,10 +358,12 @@
             (200, page(version=950) | {"era": 4}),
         ]
         feed = link.routing
-        assert feed.read().cursor == at(1000, era=4)
+        assert feed.read().cursor == make_position(1000, era=4)
         assert fault_of(feed.read) is FeedFault.STALE
-        assert feed.read().cursor == at(900, era=5)
-        restored = fault_of(lambda: feed.poll_changes(at(1000, era=4), wait=0.1))
+        assert feed.read().cursor == make_position(900, era=5)
+        restored = fault_of(
+            lambda: feed.poll_changes(make_position(1000, era=4), wait=0.1)
+        )
         assert restored is FeedFault.RESTORED
         assert fault_of(feed.read) is FeedFault.STALE
 
@@ -369,7 +378,7 @@
         ]
         fault_of(link.routing.read)
         assert fault_of(link.upstreams.read) is FeedFault.STALE
-        assert link.upstreams.read().cursor == at(9, era=7)
+        assert link.upstreams.read().cursor == make_position(9, era=7)
 
     @pytest.mark.parametrize("era", ["", "x", "-1", "1e3", "9" * 30])
     def test_an_era_that_is_none_is_refused(
@@ -399,7 +408,7 @@
         assert fault_of(feed.read) is FeedFault.STALE
         clock.advance(MAX_STALE_SECONDS)
         assert fault_of(feed.read) is FeedFault.RESTORED
-        assert feed.read().cursor == at(81)
+        assert feed.read().cursor == make_position(81)
         link.close()
 
     def test_no_condition_of_an_older_era_is_sent(
@@ -428,7 +437,7 @@
         ]
         link.peers.announce(own)
         (entry,) = link.peers.read()
-        assert entry.address == own.address and entry.position == at(3)
+        assert entry.address == own.address and entry.position == make_position(3)
         assert fault_of(lambda: link.peers.withdraw(entry)) is FeedFault.REFUSED
         assert [target.split("?")[0] for target in store.targets] == [
             "/-/rows-tx", "/-/rows-get", "/-/rows-tx",
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -15,13 +15,13 @@
 from soak.replicas import EVENTS, Replica, RunNote
 from soak.run import run
 from soak.site import GatewayNote
-from tests.gatewaykit import event, read_all, request
+from tests.gatewaykit import make_event, make_request, read_all
 
 # Seeds that once failed, each with its cause; they stay clean.
 REGRESSIONS = {
     19: "a reload while a gateway started ended it: the handler came after the imports",
 }
-STREAM = b"".join(event(number) for number in range(1, EVENTS + 1))
+STREAM = b"".join(make_event(number) for number in range(1, EVENTS + 1))
 
 
 def note(path: str, status: int, body: bytes = b"a1", whole: bool = True) -> AnswerNote:
@@ -49,7 +49,7 @@
         (note("/chat/1", 429), [ran("/chat/1")], "a refusal is true"),
         (note("/read/1", 200, b"a2"), [ran("/read/1")], "an answer is the replica's"),
         (note("/chat/1", 200, STREAM[:-9]), [], "a stream that ends is whole"),
-        (note("/chat/1", 200, event(1) + event(3), whole=False), [],
+        (note("/chat/1", 200, make_event(1) + make_event(3), whole=False), [],
          "a stream is in order"),
     ],
 )  # fmt: skip
@@ -66,7 +66,7 @@
         note("/order/1", 504),
         note("/order/1", 0, b"", whole=False),
         note("/chat/1", 200, STREAM),
-        note("/chat/1", 200, event(1), whole=False),
+        note("/chat/1", 200, make_event(1), whole=False),
     ],
 )
 def test_what_is_allowed_is_no_breach(answer: AnswerNote) -> None:
@@ -120,7 +120,7 @@
     host, _, port = proxy.address.partition(":")
     try:
         with socket.create_connection((host, int(port)), timeout=0.5) as connection:
-            connection.sendall(request("/read/1"))
+            connection.sendall(make_request("/read/1"))
             connection.settimeout(0.5)
             said = connection.recv(1000)
     except OSError:
@@ -135,7 +135,7 @@
     replica = Replica(name="r1", notes=[], seed=1)
     host, _, port = replica.address.partition(":")
     with socket.create_connection((host, int(port)), timeout=2) as connection:
-        connection.sendall(request("/chat/1", method="POST", body="x"))
+        connection.sendall(make_request("/chat/1", method="POST", body="x"))
         connection.recv(1000)
         replica.crash()
         assert not read_all(connection).endswith(b"0\r\n\r\n")
