--- a/bench/policies.py
+++ b/bench/policies.py
@@ -20,7 +20,7 @@
 from damasklead.ids import AttemptId, Fingerprint, Incarnation, InstanceId, PoolId
 from damasklead.learning import CostModel
 from damasklead.messages import PeerMessage, encode_message
-from damasklead.preempting import Options
+from damasklead.preempting import DispatchOptions
 from damasklead.quarantine import Quarantine
 from damasklead.replicas import ReplicaInfo
 from damasklead.requests import (
@@ -31,7 +31,7 @@
     Request,
     Start,
 )
-from damasklead.sharing import Coordinator, choose_coordinator, share_interval
+from damasklead.sharing import Coordinator, choose_coordinator, compute_share_interval
 
 MESSAGE_DELAY = 0.001  # seconds
 REPORT_LAG = 0.5  # seconds
@@ -104,7 +104,7 @@
     """The decision objects of the daemon at eight entries."""
 
     name = "ours"
-    options = Options()
+    options = DispatchOptions()
 
     def start(self) -> None:
         """Build the entries and begin their periodic work."""
@@ -113,7 +113,7 @@
         self.quarantines = [
             Quarantine(
                 clock=self.driver.clock,
-                notice_seconds=NOTICE_INTERVALS * share_interval(ENTRIES),
+                notice_seconds=NOTICE_INTERVALS * compute_share_interval(ENTRIES),
             )
             for _ in self.names
         ]
@@ -129,10 +129,10 @@
                 gaps[item.tier] = item.token_gap
             shares[item.tier] = shares.get(item.tier, 0.0) + item.minimum_share
         for coordinator in self.coordinators.values():
-            coordinator.configure(gap_targets=gaps, min_shares=shares)
+            coordinator.set_targets(gap_targets=gaps, min_shares=shares)
         for number in range(ENTRIES):
             self.driver.at(self.random.random() * TICK, self._tick, number)
-            delay = self.random.random() * share_interval(ENTRIES)
+            delay = self.random.random() * compute_share_interval(ENTRIES)
             self.driver.at(delay, self._demand, number)
         self.driver.at(0.0, self._coordinate)
 
@@ -141,7 +141,7 @@
         entry = self.entries[arrival.entry]
         self._act(
             arrival.entry,
-            lambda: entry.submit(arrival.request, preemptable=True),
+            lambda: entry.submit_request(arrival.request, is_preemptable=True),
         )
 
     def _entry(self, number: int) -> PoolDispatcher:
@@ -160,7 +160,7 @@
             ReplicaInfo(instance=name, data_centre=self.deployment.centre(index))
             for index, name in enumerate(self.engines)
         ]
-        dispatcher.set_replicas(infos, entries=ENTRIES)
+        dispatcher.set_replicas(infos, entry_count=ENTRIES)
         return dispatcher
 
     def _act(self, number: int, call: Callable[[], list[Action]]) -> None:
@@ -187,23 +187,27 @@
                 self.wasted += count
                 return
             self.count(request, count)
-            self._act(number, lambda: entry.progress(action.attempt, events=count))
+            self._act(
+                number, lambda: entry.record_events(action.attempt, event_count=count)
+            )
 
         def end(whole: bool) -> None:
             if action.attempt not in entry.attempts:
                 return
             if whole:
                 self.finished(request)
-                self._act(number, lambda: entry.finish(action.attempt))
+                self._act(number, lambda: entry.complete_attempt(action.attempt))
             elif run.refused:
-                self._act(number, lambda: entry.fail(action.attempt, Failure.NOT_SENT))
+                self._act(
+                    number, lambda: entry.fail_attempt(action.attempt, Failure.NOT_SENT)
+                )
             else:
                 self._broken(number, action)
 
         run = Run(
             request=request,
             attempt=action.attempt,
-            length=arrival.tokens - request.generated,
+            length=arrival.tokens - request.generated_tokens,
             priority=request.tier,
             on_tokens=tokens,
             on_end=end,
@@ -221,7 +225,7 @@
             if attempt.replica == action.replica
         )
         self._crash_seen(number, action.replica, incarnation, running)
-        self._act(number, lambda: entry.fail(action.attempt, Failure.BROKEN))
+        self._act(number, lambda: entry.fail_attempt(action.attempt, Failure.BROKEN))
 
     def _crash_seen(
         self,
@@ -234,7 +238,7 @@
         self.quarantines[number].observe_crash(replica, incarnation, running)
         for quarantine in self.quarantines:
             self.driver.at(
-                share_interval(ENTRIES),
+                compute_share_interval(ENTRIES),
                 quarantine.observe_crash,
                 replica,
                 incarnation,
@@ -245,21 +249,21 @@
         for fingerprint in self.quarantines[number].decide():
             for quarantine in self.quarantines:
                 quarantine.name(fingerprint)
-        self._act(number, self.entries[number].tick)
+        self._act(number, self.entries[number].process_timeouts)
         self.driver.at(TICK, lambda: self._tick(number))
 
     def _demand(self, number: int) -> None:
         coordinator = self._coordinator()
         if coordinator is not None:
-            demand = self.entries[number].demand()
+            demand = self.entries[number].build_demand()
             self._count_message(demand)
             self.driver.at(
                 MESSAGE_DELAY,
-                lambda: self.coordinators[coordinator].demand(
+                lambda: self.coordinators[coordinator].record_demand(
                     self.names[number], demand
                 ),
             )
-        self.driver.at(share_interval(ENTRIES), lambda: self._demand(number))
+        self.driver.at(compute_share_interval(ENTRIES), lambda: self._demand(number))
 
     def _coordinate(self) -> None:
         """Let the coordinator poll lagging reports and send grants."""
@@ -269,19 +273,21 @@
             for engine in self.engines.values():
                 self._report(coordinator, engine)
             before = time.process_time()
-            grants = coordinator.allocate()
+            grants = coordinator.allocate_slots()
             self.cpu += time.process_time() - before
             for entry, grant in grants.items():
                 self._count_message(grant)
                 number = self.names.index(entry)
-                take = self.entries[number].take_grant
+                take = self.entries[number].apply_grant
                 self.driver.at(MESSAGE_DELAY, self._act, number, partial(take, grant))
-        self.driver.at(share_interval(ENTRIES), self._coordinate)
+        self.driver.at(compute_share_interval(ENTRIES), self._coordinate)
 
     def _report(self, coordinator: Coordinator, engine: Engine) -> None:
         if engine.alive and not self._silent():
             report = engine.report()
-            self.driver.at(REPORT_LAG, lambda: coordinator.report(engine.name, report))
+            self.driver.at(
+                REPORT_LAG, lambda: coordinator.record_report(engine.name, report)
+            )
 
     def _coordinator(self) -> InstanceId | None:
         if self._silent():
@@ -305,7 +311,7 @@
         message = PeerMessage(
             sender=self.names[0],
             incarnation=Incarnation(1),
-            configuration=1,
+            configuration_version=1,
             body=(body,),  # type: ignore[arg-type]
         )
         self.control_bytes += len(encode_message(message))
@@ -315,7 +321,7 @@
     """Ours without preemption."""
 
     name = "ours, no preemption"
-    options = Options(preempt=False)
+    options = DispatchOptions(allow_preemption=False)
 
 
 class RoundRobin(Policy):
@@ -469,7 +475,7 @@
 
         def tokens(count: int) -> None:
             self.count(request, count)
-            request.generated += count
+            request.generated_tokens += count
 
         def end(whole: bool) -> None:
             if self._running.pop(attempt, None) is None:
@@ -483,7 +489,7 @@
         run = Run(
             request=request,
             attempt=attempt,
-            length=arrival.tokens - request.generated,
+            length=arrival.tokens - request.generated_tokens,
             priority=request.tier,
             on_tokens=tokens,
             on_end=end,
--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -177,7 +177,7 @@
     def _missing_tokens(self, run: Run) -> float:
         """Return the prompt tokens to compute, and let the cache hold the prefix."""
         request = run.request
-        whole = float(request.prompt_tokens + request.generated)
+        whole = float(request.prompt_tokens + request.generated_tokens)
         cached = request.prefix in self._cache
         self._cache[request.prefix] = None
         self._cache.move_to_end(request.prefix)
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -100,15 +100,15 @@
 def make_coordinator(*, entries: int, replicas: int) -> Coordinator:
     """Return a coordinator with demands and reports."""
     coordinator = Coordinator(pool=POOL, clock=ManualClock())
-    coordinator.configure(gap_targets={1: 0.026, 2: 0.04}, min_shares={5: 0.02})
+    coordinator.set_targets(gap_targets={1: 0.026, 2: 0.04}, min_shares={5: 0.02})
     for number in range(replicas):
         report = LoadReport(running=70, waiting=3, slots=96, token_gap=0.021)
-        coordinator.report(name("replica", number), report)
+        coordinator.record_report(name("replica", number), report)
     source = random.Random(1)
     for number in range(entries):
         counts = tuple(source.randrange(5) for _ in range(5))
         demand = Demand(pool=POOL, running=counts, waiting=counts)
-        coordinator.demand(name("entry", number), demand)
+        coordinator.record_demand(name("entry", number), demand)
     return coordinator
 
 
@@ -117,7 +117,7 @@
     message = PeerMessage(
         sender=name("entry", 1),
         incarnation=Incarnation(1_790_000_000_000),
-        configuration=6000,
+        configuration_version=6000,
         body=(body,),  # type: ignore[arg-type]
     )
     return len(encode_message(message))
@@ -130,31 +130,33 @@
     print(f"demand message [bytes]: {size}")
     points: list[tuple[float, float]] = []
     for replicas in (3, 7, 18, 36):
-        grants = make_coordinator(entries=8, replicas=replicas).allocate()
+        grants = make_coordinator(entries=8, replicas=replicas).allocate_slots()
         points.append((replicas, message_bytes(next(iter(grants.values())))))
     show("grant message by replicas of the pool", "bytes", points)
     points = []
     for entries in (8, 36, 72, 180):
         coordinator = make_coordinator(entries=entries, replicas=7)
-        points.append((entries, timed(coordinator.allocate, times=20)))
+        points.append((entries, timed(coordinator.allocate_slots, times=20)))
     show("allocation by entries, 7 replicas", "us", points)
     points = []
     for replicas in (3, 7, 18, 36):
         coordinator = make_coordinator(entries=72, replicas=replicas)
-        points.append((replicas, timed(coordinator.allocate, times=20)))
+        points.append((replicas, timed(coordinator.allocate_slots, times=20)))
     show("allocation by replicas, 72 entries", "us", points)
     content = encode_message(
         PeerMessage(
             sender=name("entry", 1),
             incarnation=Incarnation(1),
-            configuration=1,
+            configuration_version=1,
             body=(demand,),
         )
     )
     print(
         f"decode a demand [us]: {timed(lambda: decode_message(content), times=2000):.2f}"
     )
-    grant = next(iter(make_coordinator(entries=8, replicas=7).allocate().values()))
+    grant = next(
+        iter(make_coordinator(entries=8, replicas=7).allocate_slots().values())
+    )
     took = timed(lambda: message_bytes(grant), times=500)
     print(f"encode a grant of 7 replicas [us]: {took:.2f}")
     points = []
@@ -185,9 +187,9 @@
         ReplicaInfo(instance=name("replica", n), data_centre=DataCentre("x"))
         for n in range(replicas)
     ]
-    dispatcher.set_replicas(infos, entries=72)
-    grants = make_coordinator(entries=8, replicas=replicas).allocate()
-    dispatcher.take_grant(next(iter(grants.values())))
+    dispatcher.set_replicas(infos, entry_count=72)
+    grants = make_coordinator(entries=8, replicas=replicas).allocate_slots()
+    dispatcher.apply_grant(next(iter(grants.values())))
     return dispatcher, service.classes[0]
 
 
@@ -215,18 +217,20 @@
                 prefix=f"p{number % 50}",
                 fingerprint=Fingerprint(str(number)),
             )
-            (start,) = dispatcher.submit(request)
+            (start,) = dispatcher.submit_request(request)
             assert isinstance(start, Start)
-            dispatcher.progress(start.attempt, events=300)
-            dispatcher.finish(start.attempt)
+            dispatcher.record_events(start.attempt, event_count=300)
+            dispatcher.complete_attempt(start.attempt)
             clock.advance(0.01)
 
         points.append((replicas, timed(one, times=300)))
         grant = next(
-            iter(make_coordinator(entries=8, replicas=replicas).allocate().values())
+            iter(
+                make_coordinator(entries=8, replicas=replicas).allocate_slots().values()
+            )
         )
         grants.append(
-            (replicas, timed(partial(dispatcher.take_grant, grant), times=300))
+            (replicas, timed(partial(dispatcher.apply_grant, grant), times=300))
         )
     show("decisions about a request by replicas of the pool", "us", points)
     show("taking a grant by replicas of the pool", "us", grants)
@@ -245,8 +249,8 @@
                 request_class=request_class,
                 arrival=clock.now(),
             )
-            dispatcher.submit(request)
-        points.append((running, timed(dispatcher.tick, times=500)))
+            dispatcher.submit_request(request)
+        points.append((running, timed(dispatcher.process_timeouts, times=500)))
     show("a pool's tick by its running requests", "us", points)
 
 
@@ -330,13 +334,13 @@
             for n in range(members)
         )
         membership = Membership(clock=ManualClock())
-        membership.observe_list(records)
-        took = timed(partial(membership.observe_list, records), times=3)
+        membership.merge_list(records)
+        took = timed(partial(membership.merge_list, records), times=3)
         points.append((members, took / 1000))
 
         def make(records: tuple[InstanceRecord, ...] = records) -> Membership:
             made = Membership(clock=ManualClock())
-            made.observe_list(records)
+            made.merge_list(records)
             return made
 
         memory.append((members, allocated(make)))
--- a/bench/store.py
+++ b/bench/store.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from damasklead.ids import InstanceId, PoolId
-from damasklead.sharing import choose_coordinator, share_interval
+from damasklead.sharing import choose_coordinator, compute_share_interval
 from tests.processes import Deployment
 
 IDLE_SECONDS = 15.0
@@ -91,7 +91,7 @@
     index = {name: number for number, name in enumerate(names)}
     pools = [PoolId(f"pool-{number}") for number in range(POOLS_PER_CENTRE)]
     coordinators = [choose_coordinator(pool, names) for pool in pools]
-    interval = share_interval(ENTRIES_PER_CENTRE)
+    interval = compute_share_interval(ENTRIES_PER_CENTRE)
     events: list[tuple[float, int, int]] = []
     for entry in range(ENTRIES_PER_CENTRE):
         events.append((source.uniform(0, POLL_SECONDS), entry, entry))
--- a/damasklead/daemon/crashes.py
+++ b/damasklead/daemon/crashes.py
@@ -85,7 +85,7 @@
     def _name(self, fingerprint: Fingerprint, *, why: str) -> None:
         """Refuse a fingerprint at every entry."""
         if self._quarantine.name(fingerprint):
-            self._gossip.add(QuarantineNotice(fingerprint=fingerprint))
+            self._gossip.add_item(QuarantineNotice(fingerprint=fingerprint))
             row = QuarantineRow(
                 fingerprint=fingerprint,
                 number=self._quarantine.release_number(fingerprint) + 1,
@@ -107,7 +107,7 @@
         if status is not None and status.incarnation == notice.incarnation:
             self._quarantine.retract(notice.instance, notice.incarnation)
             return
-        if self._gossip.add(notice):
+        if self._gossip.add_item(notice):
             self._record(
                 "crash", notice.instance, after=f"{len(notice.fingerprints)} suspects"
             )
--- a/damasklead/daemon/entry.py
+++ b/damasklead/daemon/entry.py
@@ -55,7 +55,7 @@
     Start,
 )
 from damasklead.settings import Settings
-from damasklead.sharing import choose_coordinators, share_interval
+from damasklead.sharing import choose_coordinators, compute_share_interval
 from damasklead.stores import Platform
 from damasklead.stores.base import Put
 from damasklead.upstreams import UPSTREAMS, ConnectionPool, UpstreamError
@@ -162,7 +162,9 @@
     def arrange_members(self) -> None:
         """Let the pools see the present members."""
         entries = self.live_entries()
-        self.quarantine.set_notice(NOTICE_INTERVALS * share_interval(len(entries)))
+        self.quarantine.set_notice(
+            NOTICE_INTERVALS * compute_share_interval(len(entries))
+        )
         heard = [entry for entry in entries if entry.instance not in self._silent]
         for scope in PoolScope:
             peers = [item.instance for item in heard if self._in_scope(item, scope)]
@@ -175,11 +177,11 @@
         The list may show an entry long after it has gone.
         """
         now = self.clock.now()
-        patience = SILENT_INTERVALS * share_interval(len(self.live_entries()))
+        patience = SILENT_INTERVALS * compute_share_interval(len(self.live_entries()))
         before = set(self._silent)
         for pool in self.pools.values():
             own = pool.coordinator in (None, self.instance)
-            if own or pool.dispatcher.share.granted:
+            if own or pool.dispatcher.share.has_grant:
                 pool.granted_at = now
             elif now - pool.granted_at > patience:
                 assert pool.coordinator is not None
@@ -197,14 +199,14 @@
 
     def live_entries(self) -> list[Member]:
         """Return the live entries, this one included."""
-        return self.membership.live(ENTRY_SERVICE)
+        return self.membership.find_live_members(ENTRY_SERVICE)
 
     def pool_members(self, service: Service) -> list[Member]:
         """
         Return the upstreams in this entry's scope, or the nearest others when it has
         none.
         """
-        members = self.membership.live(service.name)
+        members = self.membership.find_live_members(service.name)
         own = [
             member for member in members if self._in_scope(member, service.pool_scope)
         ]
@@ -228,7 +230,7 @@
 
     def address_of(self, instance: InstanceId) -> str | None:
         """Return an instance's address."""
-        member = self.membership.get(instance)
+        member = self.membership.get_member(instance)
         return None if member is None else member.address
 
     def mark_leaving(
@@ -236,14 +238,16 @@
     ) -> None:
         """Take in that an upstream or entry is leaving, and tell the others."""
         if self.membership.mark_leaving(instance, incarnation):
-            self.gossip.add(LeavingNotice(instance=instance, incarnation=incarnation))
+            self.gossip.add_item(
+                LeavingNotice(instance=instance, incarnation=incarnation)
+            )
             self.record("leaving", instance, before="live", after=f"leaving: {why}")
             self.arrange_members()
 
     def hear(self, items: Iterable[GossipItem]) -> None:
         """Take in gossip from a peer."""
         for item in items:
-            if not self.gossip.add(item):
+            if not self.gossip.add_item(item):
                 continue
             match item:
                 case LeavingNotice():
@@ -260,7 +264,9 @@
         """Let the pool's dispatcher take in an exchange's request."""
         request = exchange.request
         self._exchanges[request.id] = exchange
-        actions = pool.dispatcher.submit(request, preemptable=exchange.preemptable)
+        actions = pool.dispatcher.submit_request(
+            request, is_preemptable=exchange.preemptable
+        )
         self.apply(pool, actions)
 
     def forget(self, pool: Pool, exchange: Exchange, *, finished: bool) -> None:
@@ -270,8 +276,8 @@
         if not finished:
             request = exchange.request
             name = request.request_class.name
-            self.metrics.wasted_tokens.labels(name).inc(request.generated)
-            actions = pool.dispatcher.abandon(exchange.request.id)
+            self.metrics.wasted_tokens.labels(name).inc(request.generated_tokens)
+            actions = pool.dispatcher.cancel_request(exchange.request.id)
             for action in actions:
                 if isinstance(action, Cancel):
                     exchange.deliver(action)
@@ -282,13 +288,13 @@
         refuse = Refuse(
             request=exchange.request, reason=Reason.CALLER_GONE, outcome=Outcome.UNKNOWN
         )
-        actions = exchange.pool.dispatcher.abandon(exchange.request.id)
+        actions = exchange.pool.dispatcher.cancel_request(exchange.request.id)
         self.apply(exchange.pool, actions)
         exchange.deliver(refuse)
 
     def withdraw(self, pool: Pool, exchange: Exchange) -> None:
         """Take a request back whose attempt is not to be sent."""
-        self.apply(pool, pool.dispatcher.abandon(exchange.request.id))
+        self.apply(pool, pool.dispatcher.cancel_request(exchange.request.id))
 
     def apply(self, pool: Pool, actions: list[Action]) -> None:
         """Carry out a dispatcher's actions."""
@@ -298,13 +304,13 @@
             if exchange is not None:
                 exchange.deliver(action)
             elif isinstance(action, Start):
-                late = pool.dispatcher.abandon(action.request.id)
+                late = pool.dispatcher.cancel_request(action.request.id)
                 gevent.spawn(self.apply, pool, late)
 
     def attempt_finished(self, pool: Pool, exchange: Exchange, start: Start) -> None:
         """Take in that an attempt's answer is whole."""
         self.metrics.attempts.labels(pool.service.name, "finished").inc()
-        self.apply(pool, pool.dispatcher.finish(start.attempt))
+        self.apply(pool, pool.dispatcher.complete_attempt(start.attempt))
 
     def attempt_failed(self, pool: Pool, start: Start, error: UpstreamError) -> None:
         """Take in that an attempt failed."""
@@ -317,14 +323,14 @@
             detail=str(error),
         )
         self.metrics.attempts.labels(pool.service.name, error.failure.value).inc()
-        member = self.membership.get(start.replica)
+        member = self.membership.get_member(start.replica)
         if error.leaving and member is not None:
             self.mark_leaving(
                 member.instance, member.incarnation, why="it refused work"
             )
         if error.failure is Failure.BROKEN and pool.service.kind is ServiceKind.ENGINE:
             self.crashes.suspect(pool, start, member)
-        self.apply(pool, pool.dispatcher.fail(start.attempt, error.failure))
+        self.apply(pool, pool.dispatcher.fail_attempt(start.attempt, error.failure))
 
     def first_event(self, exchange: Exchange) -> None:
         """Count the time to a request's first event."""
@@ -343,7 +349,7 @@
         """Let time pass in all pools."""
         self.crashes.tick()
         for pool in self.pools.values():
-            self.apply(pool, pool.dispatcher.tick())
+            self.apply(pool, pool.dispatcher.process_timeouts())
 
     def new_attempt_id(self) -> AttemptId:
         """Return an id that no other attempt has."""
@@ -361,7 +367,7 @@
                 self.pools[ServiceName(name)] = self._new_pool(service)
             else:
                 pool.service = service
-                pool.dispatcher.configure(service)
+                pool.dispatcher.update_service(service)
         for name in list(self.pools):
             if (
                 name not in configuration.services
@@ -385,7 +391,9 @@
                 ReplicaInfo(instance=member.instance, data_centre=member.data_centre)
                 for member in self.pool_members(pool.service)
             ]
-            self.apply(pool, pool.dispatcher.set_replicas(infos, entries=len(peers)))
+            self.apply(
+                pool, pool.dispatcher.set_replicas(infos, entry_count=len(peers))
+            )
 
     def _new_pool(self, service: Service) -> Pool:
         dispatcher = PoolDispatcher(
@@ -413,7 +421,7 @@
             self.metrics.requests.labels(name, action.outcome.value).inc()
         elif isinstance(action, Finish):
             self._count_finish(action)
-        elif isinstance(action, Start) and action.request.started == 1:
+        elif isinstance(action, Start) and action.request.start_count == 1:
             waited = self.clock.now() - action.request.arrival
             self.metrics.queue_wait.labels(name).observe(waited)
 
--- a/damasklead/daemon/exchange.py
+++ b/damasklead/daemon/exchange.py
@@ -251,9 +251,9 @@
             raise UpstreamError(Failure.NOT_SENT, "the upstream is gone")
         call = msgspec.structs.replace(self._call, attempt=start.attempt)
         previous, self._last_start = self._last_start, start
-        received = self.request.generated - self._before_attempt
-        self._before_attempt = self.request.generated
-        if self.request.generated and self._document is not None:
+        received = self.request.generated_tokens - self._before_attempt
+        self._before_attempt = self.request.generated_tokens
+        if self.request.generated_tokens and self._document is not None:
             upstream = self.pool.upstream
             if previous is not None and previous.replica == start.replica:
                 assert isinstance(upstream, EngineUpstream)
@@ -282,7 +282,7 @@
             yield Head(status=200, headers=end_to_end(answer), whole=False)
         held = b""
         ended = False
-        progress = self.pool.dispatcher.progress
+        progress = self.pool.dispatcher.record_events
         while chunk := answer.read_chunk():
             if self._current != start.attempt:
                 # What was buffered when the attempt was taken back is not counted, so
@@ -298,9 +298,9 @@
             ended = whole.endswith(DONE_EVENT)
             events = whole.count(EVENT_END) - ended
             self._keep(whole)
-            if self.request.generated == 0:
+            if self.request.generated_tokens == 0:
                 self._entry.first_event(self)
-            progress(start.attempt, events=events)
+            progress(start.attempt, event_count=events)
             if ended:
                 self._complete(start)
             yield whole
@@ -309,7 +309,7 @@
 
     def _pass_whole(self, answer: Answer, start: Start) -> Iterator[Piece]:
         body = answer.read_all(limit=self._entry.settings.limits.answer_bytes)
-        self.pool.dispatcher.progress(start.attempt, events=1)
+        self.pool.dispatcher.record_events(start.attempt, event_count=1)
         headers = [*end_to_end(answer), ("Content-Length", str(len(body)))]
         self._record_answer(answer, body)
         self._complete(start)
@@ -378,6 +378,6 @@
         document = dict(self._document)
         if isinstance(document.get("max_tokens"), int):
             document["max_tokens"] = max(
-                1, document["max_tokens"] - self.request.generated
+                1, document["max_tokens"] - self.request.generated_tokens
             )
         return continuation_body(document, self._text)
--- a/damasklead/daemon/operators.py
+++ b/damasklead/daemon/operators.py
@@ -77,9 +77,9 @@
                 PoolStatus(
                     pool=pool.dispatcher.pool,
                     coordinator=pool.coordinator or "",
-                    granted=pool.dispatcher.share.granted,
-                    running=list(pool.dispatcher.demand().running),
-                    waiting=list(pool.dispatcher.demand().waiting),
+                    granted=pool.dispatcher.share.has_grant,
+                    running=list(pool.dispatcher.build_demand().running),
+                    waiting=list(pool.dispatcher.build_demand().waiting),
                     replicas=sorted(pool.dispatcher.replicas.instances),
                 )
                 for pool in entry.pools.values()
--- a/damasklead/daemon/peers.py
+++ b/damasklead/daemon/peers.py
@@ -14,8 +14,8 @@
 from damasklead.ids import InstanceId
 from damasklead.messages import (
     Body,
-    ConfigurationAnswer,
     ConfigurationQuery,
+    ConfigurationResponse,
     Demand,
     Grant,
     PeerMessage,
@@ -81,7 +81,7 @@
 
     def send(self, peer: InstanceId, *body: Body) -> None:
         """Send to a peer; a message that can't be sent at once is dropped."""
-        member = self._entry.membership.get(peer)
+        member = self._entry.membership.get_member(peer)
         if member is not None:
             self.send_to(peer, member.address, *body)
 
@@ -90,8 +90,8 @@
         message = PeerMessage(
             sender=self._entry.instance,
             incarnation=self._entry.incarnation,
-            configuration=self._entry.holder.version,
-            gossip=self._entry.gossip.take_for(peer),
+            configuration_version=self._entry.holder.version,
+            gossip=self._entry.gossip.select_items(peer),
             body=body,
         )
         content = encode_message(message)
@@ -122,27 +122,27 @@
             case Demand():
                 coordinator = self._coordinators.get(body.pool)
                 if coordinator is not None:
-                    coordinator.demand(sender, body)
+                    coordinator.record_demand(sender, body)
             case Grant():
                 self._take_grant(body)
             case ConfigurationQuery():
                 holder = self._entry.holder
-                if holder.version > body.have:
-                    answer = ConfigurationAnswer(
+                if holder.version > body.known_version:
+                    answer = ConfigurationResponse(
                         version=holder.version,
                         files=holder.files,
-                        members=self._entry.membership.records(),
+                        members=self._entry.membership.build_records(),
                     )
                     self.send_to(sender, body.reply_to, answer)
-            case ConfigurationAnswer():
-                self._entry.membership.observe_peer(body.members)
+            case ConfigurationResponse():
+                self._entry.membership.merge_peer_records(body.members)
                 self._entry.take_configuration(body.files, version=body.version)
 
     def _take(self, message: PeerMessage) -> None:
-        if message.configuration > max(
+        if message.configuration_version > max(
             self._entry.holder.version, self.newer_version[0]
         ):
-            self.newer_version = (message.configuration, message.sender)
+            self.newer_version = (message.configuration_version, message.sender)
         self._entry.heard_from(message.sender)
         self._entry.hear(message.gossip)
         for body in message.body:
@@ -151,7 +151,7 @@
     def _take_grant(self, grant: Grant) -> None:
         for pool in self._entry.pools.values():
             if pool.dispatcher.pool == grant.pool:
-                self._entry.apply(pool, pool.dispatcher.take_grant(grant))
+                self._entry.apply(pool, pool.dispatcher.apply_grant(grant))
 
     def _link(self, peer: InstanceId, address: str) -> zmq.Socket:
         link = self._links.get(peer)
--- a/damasklead/daemon/sharetasks.py
+++ b/damasklead/daemon/sharetasks.py
@@ -16,7 +16,7 @@
 from damasklead.daemon.peers import Peers
 from damasklead.daemon.pools import Pool
 from damasklead.membership import Member
-from damasklead.sharing import Coordinator, share_interval
+from damasklead.sharing import Coordinator, compute_share_interval
 from damasklead.upstreams import UpstreamError
 
 __all__ = ["ShareTasks"]
@@ -56,12 +56,12 @@
                     self._coordinators.pop(pool.dispatcher.pool, None)
 
     def _pause(self) -> None:
-        interval = share_interval(len(self._entry.live_entries()))
+        interval = compute_share_interval(len(self._entry.live_entries()))
         self._entry.clock.sleep(interval * (1 + self._random.uniform(-JITTER, JITTER)))
 
     def _send_demand(self, pool: Pool) -> None:
         coordinator = pool.coordinator
-        demand = pool.dispatcher.demand()
+        demand = pool.dispatcher.build_demand()
         if coordinator == self._entry.instance:
             self._peers.take_body(self._entry.instance, demand)
         elif coordinator is not None:
@@ -74,16 +74,16 @@
                 pool=pool.dispatcher.pool, clock=self._entry.clock
             )
             self._coordinators[pool.dispatcher.pool] = coordinator
-        coordinator.configure(
+        coordinator.set_targets(
             gap_targets=_gap_targets(pool.service), min_shares=_min_shares(pool.service)
         )
         members = self._entry.pool_members(pool.service)
-        coordinator.retain(member.instance for member in members)
+        coordinator.update_replicas(member.instance for member in members)
         polls = [
             gevent.spawn(self._poll, pool, coordinator, member) for member in members
         ]
         gevent.joinall(polls, timeout=POLL_TIMEOUT)
-        for entry, grant in coordinator.allocate().items():
+        for entry, grant in coordinator.allocate_slots().items():
             if entry == self._entry.instance:
                 self._peers.take_body(entry, grant)
             else:
@@ -94,14 +94,14 @@
             status = pool.upstream.status(member.address)
         except UpstreamError:
             return
-        self._entry.membership.observe_incarnation(member.instance, status.incarnation)
+        self._entry.membership.record_incarnation(member.instance, status.incarnation)
         if status.leaving:
             self._entry.mark_leaving(
                 member.instance, status.incarnation, why="its report says so"
             )
         elif status.load is not None:
             report = msgspec.structs.replace(status.load, models=_loaded(status.models))
-            coordinator.report(member.instance, report)
+            coordinator.record_report(member.instance, report)
 
 
 def _loaded(names: tuple[str, ...]) -> tuple[str, ...]:
--- a/damasklead/daemon/watchers.py
+++ b/damasklead/daemon/watchers.py
@@ -148,7 +148,9 @@
         """Ask peers for their configuration while the platform is out."""
         version, sender = self._peers.newer_version
         own = self._entry.settings.listen.peers
-        query = ConfigurationQuery(have=self._entry.holder.version, reply_to=own)
+        query = ConfigurationQuery(
+            known_version=self._entry.holder.version, reply_to=own
+        )
         if version > self._entry.holder.version:
             self._peers.send(sender, query)
         elif self._entry.holder.version == 0:
@@ -196,7 +198,7 @@
         if listing.records is not None:
             self._list_version = listing.version
             self._listed = listing.records
-        self._entry.membership.observe_list(self._listed)
+        self._entry.membership.merge_list(self._listed)
 
     def _wait(self, wake: Callable[[], bool]) -> None:
         entries = max(1, len(self._entry.live_entries()))
--- a/damasklead/demo/run.py
+++ b/damasklead/demo/run.py
@@ -122,7 +122,7 @@
     def _wait_until_ready(self) -> None:
         for _ in range(200):
             pools = self._service.entry.pools.values()
-            if pools and all(pool.dispatcher.share.granted for pool in pools):
+            if pools and all(pool.dispatcher.share.has_grant for pool in pools):
                 return
             self._clock.sleep(0.05)
         raise RuntimeError("the entry did not become ready within 10 s")
--- a/damasklead/dispatching.py
+++ b/damasklead/dispatching.py
@@ -19,7 +19,7 @@
 from damasklead.messages import Demand, Grant
 from damasklead.preempting import (
     Attempt,
-    Options,
+    DispatchOptions,
     choose_victims,
     may_preempt,
     overdue,
@@ -37,8 +37,8 @@
     Request,
     Start,
 )
-from damasklead.retrying import BURST, RetryBudget
-from damasklead.sharing import TIERS, ShareHolder
+from damasklead.retrying import BURST_RETRIES, RetryBudget
+from damasklead.sharing import TIER_COUNT, ShareHolder
 
 __all__ = ["PoolDispatcher"]
 
@@ -70,7 +70,7 @@
     quarantine : Quarantine
     new_attempt_id : callable
         Returns ids that no other attempt of any entry has.
-    options : Options
+    options : DispatchOptions
     """
 
     def __init__(
@@ -84,7 +84,7 @@
         costs: CostModel,
         quarantine: Quarantine,
         new_attempt_id: Callable[[], AttemptId],
-        options: Options | None = None,
+        options: DispatchOptions | None = None,
     ) -> None:
         self.pool = pool
         self.share = ShareHolder(clock=clock)
@@ -96,15 +96,15 @@
         self._costs = costs
         self._quarantine = quarantine
         self._new_attempt_id = new_attempt_id
-        self._options = options or Options()
+        self._options = options or DispatchOptions()
         self._queue = PoolQueue(clock=clock, costs=costs)
         self._budget = RetryBudget()
         self._attempts: dict[AttemptId, Attempt] = {}
-        self._running = [0] * (TIERS + 1)
-        self._entries = 1
+        self._running = [0] * (TIER_COUNT + 1)
+        self._entry_count = 1
         self._replica_seen_at = clock.now()
         self._preemptable: set[RequestId] = set()
-        self.configure(service)
+        self.update_service(service)
 
     @property
     def attempts(self) -> dict[AttemptId, Attempt]:
@@ -112,52 +112,54 @@
         return self._attempts
 
     @property
-    def queued(self) -> int:
+    def queue_length(self) -> int:
         """How many requests wait."""
         return len(self._queue)
 
-    def configure(self, service: Service) -> None:
+    def update_service(self, service: Service) -> None:
         """Take the service's classes in force."""
         self._service = service
-        self._queue.configure(service.classes)
+        self._queue.update_classes(service.classes)
 
     def set_replicas(
-        self, replicas: Iterable[ReplicaInfo], *, entries: int
+        self, replicas: Iterable[ReplicaInfo], *, entry_count: int
     ) -> list[Action]:
         """Take the replicas that may take new work and the number of entries."""
-        self._entries = max(1, entries)
-        self.replicas.retain(replicas, entries=self._entries)
+        self._entry_count = max(1, entry_count)
+        self.replicas.update_replicas(replicas, entry_count=self._entry_count)
         self._resize_budget()
         return self._fill()
 
-    def take_grant(self, grant: Grant) -> list[Action]:
+    def apply_grant(self, grant: Grant) -> list[Action]:
         """Take a share from the coordinator."""
-        self.share.take(grant)
-        ejected = self.replicas.observe_loads(grant.replicas)
+        self.share.apply_grant(grant)
+        ejected = self.replicas.record_loads(grant.replicas)
         self._resize_budget()
         return [*self._leave_stragglers(ejected), *self._fill(), *self._yield_share()]
 
-    def demand(self) -> Demand:
+    def build_demand(self) -> Demand:
         """Return what to tell the coordinator."""
-        waiting = self._queue.waiting_by_tier()
+        waiting = self._queue.count_by_tier()
         return Demand(
             pool=self.pool,
             running=tuple(self._running[1:]),
-            waiting=tuple(waiting.get(tier, 0) for tier in range(1, TIERS + 1)),
+            waiting=tuple(waiting.get(tier, 0) for tier in range(1, TIER_COUNT + 1)),
         )
 
-    def submit(self, request: Request, *, preemptable: bool = False) -> list[Action]:
+    def submit_request(
+        self, request: Request, *, is_preemptable: bool = False
+    ) -> list[Action]:
         """
         Take in a request.
 
         Parameters
         ----------
-        preemptable : bool
+        is_preemptable : bool
             Whether the request can be cancelled and go on later without loss.
         """
         if self._quarantine.is_named(request.fingerprint):
             return [_refuse(request, Reason.QUARANTINED, retry_after=None)]
-        if preemptable:
+        if is_preemptable:
             self._preemptable.add(request.id)
         actions: list[Action] = list(self._queue.push(request))
         actions.extend(self._fill())
@@ -165,7 +167,7 @@
             actions.extend(self._make_room(request))
         return actions
 
-    def abandon(self, request_id: RequestId) -> list[Action]:
+    def cancel_request(self, request_id: RequestId) -> list[Action]:
         """Take in that the caller has gone."""
         if self._queue.remove(request_id):
             self._preemptable.discard(request_id)
@@ -183,23 +185,25 @@
                 return [cancel, *self._fill()]
         return []
 
-    def progress(self, attempt_id: AttemptId, *, events: int) -> list[Action]:
+    def record_events(self, attempt_id: AttemptId, *, event_count: int) -> list[Action]:
         """
-        Take in that ``events`` more events of an attempt's answer have reached the
+        Take in that ``event_count`` more events of an attempt's answer have reached the
         caller.
         """
         attempt = self._attempts.get(attempt_id)
-        if attempt is None or events <= 0:
+        if attempt is None or event_count <= 0:
             return []
         if attempt.first_token_at is None:
             attempt.first_token_at = self._clock.now()
-            self.replicas.observe_answer(attempt.replica)
-            self.share.observe_latency(attempt.first_token_at - attempt.started_at)
-        attempt.events += events
-        attempt.request.generated += events
+            self.replicas.record_response(attempt.replica)
+            self.share.record_first_token_latency(
+                attempt.first_token_at - attempt.started_at
+            )
+        attempt.event_count += event_count
+        attempt.request.generated_tokens += event_count
         return []
 
-    def finish(self, attempt_id: AttemptId) -> list[Action]:
+    def complete_attempt(self, attempt_id: AttemptId) -> list[Action]:
         """Take in that an attempt's answer is whole."""
         attempt = self._attempts.get(attempt_id)
         if attempt is None:
@@ -208,21 +212,21 @@
         request = attempt.request
         self._preemptable.discard(request.id)
         now = self._clock.now()
-        self._costs.learn(
+        self._costs.record_completion(
             request.request_class.name,
             request.workspace,
-            tokens=request.generated,
+            tokens=request.generated_tokens,
             seconds=now - attempt.started_at
-            if attempt.events == request.generated
+            if attempt.event_count == request.generated_tokens
             else 0.0,
         )
-        self._queue.correct(request)
+        self._queue.settle_charge(request)
         self._quarantine.clear(request.fingerprint)
         ejected = self._observe_gap(attempt, now)
-        done = Finish(request=request, tokens=request.generated)
+        done = Finish(request=request, tokens=request.generated_tokens)
         return [done, *self._leave_stragglers(ejected), *self._fill()]
 
-    def fail(self, attempt_id: AttemptId, failure: Failure) -> list[Action]:
+    def fail_attempt(self, attempt_id: AttemptId, failure: Failure) -> list[Action]:
         """Take in that an attempt ended without a whole answer."""
         attempt = self._attempts.get(attempt_id)
         if attempt is None:
@@ -230,20 +234,20 @@
         self._end(attempt)
         request = attempt.request
         unreachable = failure is Failure.NOT_SENT
-        request.failures += not unreachable
-        request.tried.append(attempt.replica)
-        request.may_have_run |= not failure.surely_unrun
+        request.failure_count += not unreachable
+        request.tried_replicas.append(attempt.replica)
+        request.may_have_executed |= not failure.surely_unrun
         avoid = (
             REFUSED_AVOID_SECONDS
             if failure is Failure.REFUSED
             else BROKEN_AVOID_SECONDS
         )
-        self.replicas.observe_failure(
+        self.replicas.record_failure(
             attempt.replica, seconds=avoid, unreachable=unreachable
         )
         return [*self._after_failure(request, failure), *self._fill()]
 
-    def tick(self) -> list[Action]:
+    def process_timeouts(self) -> list[Action]:
         """
         Let time pass: refuse what waited too long, give up on silent attempts, start
         more.
@@ -251,7 +255,7 @@
         if not self._attempts and not len(self._queue):
             self._replica_seen_at = self._clock.now()
             return []
-        actions: list[Action] = list(self._queue.expire())
+        actions: list[Action] = list(self._queue.expire_requests())
         for refused in actions:
             self._preemptable.discard(refused.request.id)
         actions.extend(self._check_patience())
@@ -261,14 +265,14 @@
 
     def _resize_budget(self) -> None:
         """Let the budget cover the crash of a replica with all that runs there."""
-        self._budget.resize(max(BURST, float(self.replicas.capacity)))
+        self._budget.resize(max(BURST_RETRIES, float(self.replicas.capacity)))
 
     def _after_failure(self, request: Request, failure: Failure) -> list[Action]:
         if self._quarantine.is_named(request.fingerprint):
             return [self._final(request, Reason.QUARANTINED)]
         if not failure.surely_unrun and not request.request_class.may_repeat:
             return [self._final(request, Reason.UPSTREAM_FAILED)]
-        if request.failures >= MAX_FAILURES or not self._may_retry(failure):
+        if request.failure_count >= MAX_FAILURES or not self._may_retry(failure):
             return [self._final(request, Reason.RETRIES_EXHAUSTED)]
         self._queue.requeue(request)
         return []
@@ -277,7 +281,7 @@
         """
         Tell whether a retry may follow; one that reached no upstream adds no load.
         """
-        return failure is Failure.NOT_SENT or self._budget.take()
+        return failure is Failure.NOT_SENT or self._budget.acquire_retry()
 
     def _final(self, request: Request, reason: Reason) -> Refuse:
         self._preemptable.discard(request.id)
@@ -311,8 +315,8 @@
 
     def _place(self, request: Request) -> InstanceId | None:
         beyond = self._is_urgent(request)
-        return self.replicas.choose(
-            request, beyond_limit=beyond, among=self._among(request)
+        return self.replicas.choose_replica(
+            request, use_hard_limit=beyond, candidates=self._among(request)
         )
 
     def _among(self, request: Request) -> frozenset[InstanceId]:
@@ -325,7 +329,7 @@
         """
         Tell whether a request may go beyond share and limit, up to the hard limit.
         """
-        if not self._options.top_tier_beyond_share:
+        if not self._options.allow_top_tier_burst:
             return False
         if request.tier == TOP_TIER:
             return True
@@ -340,24 +344,26 @@
             request=request,
             replica=replica,
             started_at=now,
-            preemptable=request.id in self._preemptable,
+            is_preemptable=request.id in self._preemptable,
         )
-        if not request.started:
-            self._budget.record_first()
-        request.started += 1
+        if not request.start_count:
+            self._budget.record_first_attempt()
+        request.start_count += 1
         self._attempts[attempt.id] = attempt
         self._running[request.tier] += 1
-        self.replicas.started(replica, attempt.id)
+        self.replicas.add_attempt(replica, attempt.id)
         return Start(request=request, attempt=attempt.id, replica=replica)
 
     def _end(self, attempt: Attempt) -> None:
         """Count an attempt as ended."""
         del self._attempts[attempt.id]
         self._running[attempt.request.tier] -= 1
-        self.replicas.ended(attempt.replica, attempt.id)
+        self.replicas.remove_attempt(attempt.replica, attempt.id)
 
     def _slots(self) -> tuple[int, ...]:
-        return self.share.slots(capacity=self.replicas.capacity, entries=self._entries)
+        return self.share.compute_slots(
+            capacity=self.replicas.capacity, entry_count=self._entry_count
+        )
 
     def _admitted_tier(self, slots: tuple[int, ...]) -> int:
         """
@@ -366,7 +372,7 @@
         admitted = self._urgent_tier()
         if sum(self._running) >= sum(slots):
             return admitted
-        for tier in range(1, TIERS + 1):
+        for tier in range(1, TIER_COUNT + 1):
             if sum(self._running[tier:]) >= sum(slots[tier - 1 :]):
                 break
             admitted = max(admitted, tier)
@@ -374,10 +380,10 @@
 
     def _urgent_tier(self) -> int:
         """Return the lowest tier whose next request may go beyond the share."""
-        if not self._options.top_tier_beyond_share:
+        if not self._options.allow_top_tier_burst:
             return 0
         for tier in range(URGENT_TIER, TOP_TIER, -1):
-            head = self._queue.earliest(tier)
+            head = self._queue.find_earliest(tier)
             if head is not None and self._is_urgent(head):
                 return tier
         return TOP_TIER
@@ -386,8 +392,8 @@
         """
         Preempt running requests below a tier that waits somewhere, down to the grant.
         """
-        pressed = self.share.pressed_tier
-        if not pressed or not self._options.preempt:
+        pressed = self.share.preempting_tier
+        if not pressed or not self._options.allow_preemption:
             return []
         pressed = min(pressed, PREEMPTING_TIER)
         slots = self._slots()
@@ -396,7 +402,7 @@
 
     def _make_room(self, request: Request) -> list[Action]:
         """Preempt one lower request of this entry for one that found no slot."""
-        if not self._options.preempt or request.tier > PREEMPTING_TIER:
+        if not self._options.allow_preemption or request.tier > PREEMPTING_TIER:
             return []
         preempted = self._preempt(below=request.tier, count=1)
         return [*preempted, *self._fill()] if preempted else []
@@ -411,8 +417,8 @@
 
     def _requeue_running(self, attempt: Attempt) -> Cancel:
         self._end(attempt)
-        attempt.request.preemptions += 1
-        attempt.request.may_have_run = True
+        attempt.request.preemption_count += 1
+        attempt.request.may_have_executed = True
         self._queue.requeue(attempt.request)
         return Cancel(
             request=attempt.request,
@@ -423,7 +429,7 @@
 
     def _leave_stragglers(self, ejected: list[InstanceId]) -> list[Action]:
         """Let requests on ejected replicas go on elsewhere."""
-        if not ejected or not self._options.move_from_stragglers:
+        if not ejected or not self._options.migrate_from_stragglers:
             return []
         moved = [
             attempt
@@ -438,15 +444,15 @@
             return []
         actions: list[Action] = []
         for attempt in overdue(self._attempts.values(), self._clock.now()):
-            if self._budget.take():
-                attempt.request.tried.append(attempt.replica)
+            if self._budget.acquire_retry():
+                attempt.request.tried_replicas.append(attempt.replica)
                 actions.append(self._requeue_running(attempt))
         return actions
 
     def _check_upstreams(self) -> list[Action]:
         """Refuse what waits while there has been no replica for some seconds."""
         now = self._clock.now()
-        if self.replicas.reachable or not len(self._queue):
+        if self.replicas.has_reachable_replica or not len(self._queue):
             self._replica_seen_at = now
             return []
         if now - self._replica_seen_at < NO_UPSTREAM_SECONDS:
@@ -458,10 +464,10 @@
         return _refuse(request, Reason.NO_UPSTREAM, retry_after=NO_UPSTREAM_SECONDS)
 
     def _observe_gap(self, attempt: Attempt, now: float) -> list[InstanceId]:
-        if attempt.first_token_at is None or attempt.events < 2:
+        if attempt.first_token_at is None or attempt.event_count < 2:
             return []
-        gap = (now - attempt.first_token_at) / (attempt.events - 1)
-        return self.replicas.observe_gap(attempt.replica, gap)
+        gap = (now - attempt.first_token_at) / (attempt.event_count - 1)
+        return self.replicas.record_token_gap(attempt.replica, gap)
 
 
 def _refuse(request: Request, reason: Reason, *, retry_after: float | None) -> Refuse:
--- a/damasklead/gossip.py
+++ b/damasklead/gossip.py
@@ -11,7 +11,7 @@
 
 __all__ = ["GossipBuffer"]
 
-RIDE_SECONDS = 30.0
+ITEM_TTL_SECONDS = 30.0
 MAX_ITEMS = 256
 MAX_ITEMS_PER_MESSAGE = 16
 
@@ -23,17 +23,17 @@
     Parameters
     ----------
     clock : Clock
-    ride_seconds : float
+    ttl_seconds : float
         How long an item rides after it was learnt.
     """
 
-    def __init__(self, *, clock: Clock, ride_seconds: float = RIDE_SECONDS) -> None:
+    def __init__(self, *, clock: Clock, ttl_seconds: float = ITEM_TTL_SECONDS) -> None:
         self._clock = clock
-        self._ride_seconds = ride_seconds
+        self._ttl_seconds = ttl_seconds
         self._learnt: dict[GossipItem, float] = {}
         self._sent: dict[GossipItem, set[InstanceId]] = {}
 
-    def add(self, item: GossipItem) -> bool:
+    def add_item(self, item: GossipItem) -> bool:
         """Take in one item; returns whether it is new."""
         if item in self._learnt:
             return False
@@ -43,11 +43,11 @@
         self._sent[item] = set()
         return True
 
-    def take_for(self, peer: InstanceId) -> tuple[GossipItem, ...]:
+    def select_items(self, peer: InstanceId) -> tuple[GossipItem, ...]:
         """
         Return the fresh items that this peer was not sent yet, and count them as sent.
         """
-        horizon = self._clock.now() - self._ride_seconds
+        horizon = self._clock.now() - self._ttl_seconds
         for item in [item for item, at in self._learnt.items() if at < horizon]:
             self._drop(item)
         items = [item for item in self._learnt if peer not in self._sent[item]]
--- a/damasklead/learning.py
+++ b/damasklead/learning.py
@@ -32,19 +32,19 @@
     Examples
     --------
     >>> average = MovingAverage(value=0.0)
-    >>> average.add(10.0); average.add(20.0)
+    >>> average.add_sample(10.0); average.add_sample(20.0)
     >>> average.value
     15.0
     """
 
     value: float
     count: int = 0
-    rate: float = LEARNING_RATE
+    smoothing_factor: float = LEARNING_RATE
 
-    def add(self, sample: float) -> None:
+    def add_sample(self, sample: float) -> None:
         """Take in one sample."""
         self.count += 1
-        weight = max(self.rate, 1.0 / self.count)
+        weight = max(self.smoothing_factor, 1.0 / self.count)
         self.value += weight * (sample - self.value)
 
 
@@ -59,7 +59,7 @@
         self._by_workspace: dict[tuple[ClassName, WorkspaceId], MovingAverage] = {}
         self._token_seconds = MovingAverage(value=DEFAULT_TOKEN_SECONDS)
 
-    def learn(
+    def record_completion(
         self, name: ClassName, workspace: WorkspaceId, *, tokens: int, seconds: float
     ) -> None:
         """Take in one finished request."""
@@ -69,11 +69,11 @@
                 (name, workspace), MovingAverage(value=DEFAULT_TOKENS)
             ),
         ):
-            average.add(tokens)
+            average.add_sample(tokens)
         if tokens > 0:
-            self._token_seconds.add(seconds / tokens)
+            self._token_seconds.add_sample(seconds / tokens)
 
-    def tokens(self, name: ClassName, workspace: WorkspaceId) -> float:
+    def estimate_tokens(self, name: ClassName, workspace: WorkspaceId) -> float:
         """Return the expected answer length in tokens."""
         own = self._by_workspace.get((name, workspace))
         if own is not None and own.count >= 5:
@@ -81,9 +81,9 @@
         shared = self._by_class.get(name)
         return DEFAULT_TOKENS if shared is None else shared.value
 
-    def slot_seconds(self, name: ClassName, workspace: WorkspaceId) -> float:
+    def estimate_slot_seconds(self, name: ClassName, workspace: WorkspaceId) -> float:
         """Return for how many seconds a request is expected to hold a slot."""
-        return self.tokens(name, workspace) * self._token_seconds.value
+        return self.estimate_tokens(name, workspace) * self._token_seconds.value
 
 
 class BatchLimit:
@@ -96,7 +96,7 @@
     Examples
     --------
     >>> limit = BatchLimit(slots=32)
-    >>> limit.observe(token_gap=0.030, target=0.026, batch=32.0)
+    >>> limit.update_limit(token_gap=0.030, target=0.026, batch=32.0)
     >>> limit.value < 32
     True
     """
@@ -110,7 +110,9 @@
         """The limit."""
         return max(1, int(self._value))
 
-    def observe(self, *, token_gap: float, target: float | None, batch: float) -> None:
+    def update_limit(
+        self, *, token_gap: float, target: float | None, batch: float
+    ) -> None:
         """
         Take in the present seconds between tokens.
 
--- a/damasklead/membership.py
+++ b/damasklead/membership.py
@@ -18,7 +18,7 @@
 
 __all__ = ["Member", "MemberState", "Membership"]
 
-ABSENT_GRACE = 5.0  # seconds
+ABSENCE_GRACE_SECONDS = 5.0  # seconds
 FORGET_AFTER = 3600.0  # seconds
 
 
@@ -66,18 +66,18 @@
         self._members: dict[InstanceId, Member] = {}
         self._ended: dict[InstanceId, tuple[Incarnation, MemberState, float]] = {}
 
-    def observe_list(self, records: tuple[InstanceRecord, ...]) -> None:
+    def merge_list(self, records: tuple[InstanceRecord, ...]) -> None:
         """Merge a reading of the instance list."""
         for record in records:
             self._observe(record)
         self._observe_absence({record.instance for record in records})
 
-    def observe_peer(self, records: tuple[InstanceRecord, ...]) -> None:
+    def merge_peer_records(self, records: tuple[InstanceRecord, ...]) -> None:
         """Merge what a peer knows; it says nothing about who is absent."""
         for record in records:
             self._observe(record)
 
-    def records(self) -> tuple[InstanceRecord, ...]:
+    def build_records(self) -> tuple[InstanceRecord, ...]:
         """Return what is known here, for a peer."""
         return tuple(
             InstanceRecord(
@@ -104,7 +104,7 @@
             self.generation += 1
         return True
 
-    def observe_incarnation(
+    def record_incarnation(
         self, instance: InstanceId, incarnation: Incarnation
     ) -> bool:
         """
@@ -118,11 +118,11 @@
         self.generation += 1
         return True
 
-    def get(self, instance: InstanceId) -> Member | None:
+    def get_member(self, instance: InstanceId) -> Member | None:
         """Return an instance, whatever its state."""
         return self._members.get(instance)
 
-    def live(self, service: ServiceName) -> list[Member]:
+    def find_live_members(self, service: ServiceName) -> list[Member]:
         """Return the live instances of a service, in the order of their ids."""
         found = [
             member
@@ -172,7 +172,7 @@
                 continue
             if member.absent_since is None:
                 member.absent_since = now
-            elif now - member.absent_since >= ABSENT_GRACE:
+            elif now - member.absent_since >= ABSENCE_GRACE_SECONDS:
                 del self._members[member.instance]
                 self.generation += 1
         for instance, (_, _, at) in list(self._ended.items()):
--- a/damasklead/messages.py
+++ b/damasklead/messages.py
@@ -14,7 +14,7 @@
 from damasklead.stores.base import InstanceRecord
 
 __all__ = [
-    "ConfigurationAnswer",
+    "ConfigurationResponse",
     "ConfigurationQuery",
     "CrashNotice",
     "Demand",
@@ -48,7 +48,7 @@
         ``short_key`` of the replica's id.
     load, limit, hard_limit : int
         Requests that run or wait there, may run within targets, and may run at all.
-    gap_us : int
+    token_gap_us : int
         Microseconds between tokens, 0 when unknown.
     models : tuple of int
         ``short_key`` of each loaded model, empty when the replica runs any.
@@ -58,7 +58,7 @@
     load: int
     limit: int
     hard_limit: int
-    gap_us: int
+    token_gap_us: int
     models: tuple[int, ...] = ()
 
 
@@ -72,7 +72,7 @@
         Slots by tier; a tier may use those of all lower tiers too.
     ttl_ms : int
         How long the grant holds.
-    pressed_tier : int
+    preempting_tier : int
         The lowest tier that must wait somewhere, 0 when none does: running requests of
         tiers below it are preempted down to the grant.
     """
@@ -80,7 +80,7 @@
     pool: PoolId
     slots: tuple[int, ...]
     ttl_ms: int
-    pressed_tier: int
+    preempting_tier: int
     replicas: tuple[ReplicaLoad, ...]
 
 
@@ -88,16 +88,16 @@
     msgspec.Struct, kw_only=True, frozen=True, array_like=True, tag=3
 ):
     """
-    Asks a peer for its configuration if it is newer than ``have``.
+    Asks a peer for its configuration if it is newer than ``known_version``.
 
     ``reply_to`` is the asker's peers' address, which the peer may not know.
     """
 
-    have: int
+    known_version: int
     reply_to: str
 
 
-class ConfigurationAnswer(
+class ConfigurationResponse(
     msgspec.Struct, kw_only=True, frozen=True, array_like=True, tag=4
 ):
     """A configuration's files by name, and the members that the peer knows."""
@@ -140,7 +140,7 @@
 
 
 GossipItem = LeavingNotice | CrashNotice | QuarantineNotice | ReleaseNotice
-Body = Demand | Grant | ConfigurationQuery | ConfigurationAnswer
+Body = Demand | Grant | ConfigurationQuery | ConfigurationResponse
 
 
 class PeerMessage(msgspec.Struct, kw_only=True, frozen=True, array_like=True):
@@ -148,7 +148,7 @@
 
     sender: InstanceId
     incarnation: Incarnation
-    configuration: int
+    configuration_version: int
     gossip: tuple[GossipItem, ...] = ()
     body: tuple[Body, ...] = ()
 
--- a/damasklead/preempting.py
+++ b/damasklead/preempting.py
@@ -12,30 +12,30 @@
 from damasklead.ids import AttemptId, InstanceId
 from damasklead.requests import Request
 
-__all__ = ["Attempt", "Options", "choose_victims", "may_preempt", "overdue"]
+__all__ = ["Attempt", "DispatchOptions", "choose_victims", "may_preempt", "overdue"]
 
 MAX_PREEMPTIONS = 3
 FIRST_TOKEN_PATIENCE = 4.0  # multiples of the first-token target
 
 
-class Options(msgspec.Struct, kw_only=True, frozen=True):
+class DispatchOptions(msgspec.Struct, kw_only=True, frozen=True):
     """
     Parts of the policy that a bench can switch off.
 
     Attributes
     ----------
-    preempt : bool
+    allow_preemption : bool
         Whether running requests of lower tiers give way to waiting ones of higher
         tiers.
-    move_from_stragglers : bool
+    migrate_from_stragglers : bool
         Whether requests on an ejected replica go on elsewhere.
-    top_tier_beyond_share : bool
+    allow_top_tier_burst : bool
         Whether the top tier may go beyond its share up to a replica's hard limit.
     """
 
-    preempt: bool = True
-    move_from_stragglers: bool = True
-    top_tier_beyond_share: bool = True
+    allow_preemption: bool = True
+    migrate_from_stragglers: bool = True
+    allow_top_tier_burst: bool = True
 
 
 class Attempt(msgspec.Struct, kw_only=True):
@@ -44,7 +44,7 @@
 
     Attributes
     ----------
-    preemptable : bool
+    is_preemptable : bool
         Whether it can be cancelled and go on later without losing what was generated.
     """
 
@@ -52,17 +52,17 @@
     request: Request
     replica: InstanceId
     started_at: float
-    preemptable: bool
+    is_preemptable: bool
     first_token_at: float | None = None
-    events: int = 0
+    event_count: int = 0
 
 
 def may_preempt(attempt: Attempt, below: int) -> bool:
     """Tell whether an attempt of a tier below one may be cancelled and go on later."""
     request = attempt.request
-    if request.tier <= below or not attempt.preemptable:
+    if request.tier <= below or not attempt.is_preemptable:
         return False
-    return request.preemptions < MAX_PREEMPTIONS
+    return request.preemption_count < MAX_PREEMPTIONS
 
 
 def choose_victims(
@@ -73,7 +73,7 @@
         return []
     victims = sorted(
         (item for item in attempts if may_preempt(item, below)),
-        key=lambda item: (-item.request.tier, item.request.generated),
+        key=lambda item: (-item.request.tier, item.request.generated_tokens),
     )
     return victims[:count]
 
--- a/damasklead/problems.py
+++ b/damasklead/problems.py
@@ -17,7 +17,7 @@
     Reason.QUEUE_FULL: (503, "The queue of this class is full"),
     Reason.SHED: (503, "The request gave way to a higher tier"),
     Reason.WAITED_TOO_LONG: (503, "The request waited too long"),
-    Reason.LATE: (504, "The answer cannot be in time"),
+    Reason.DEADLINE_EXCEEDED: (504, "The answer cannot be in time"),
     Reason.NO_UPSTREAM: (503, "No upstream can take the request"),
     Reason.QUARANTINED: (422, "This request has crashed upstreams and is refused"),
     Reason.RETRIES_EXHAUSTED: (502, "Every attempt failed"),
--- a/damasklead/queueing.py
+++ b/damasklead/queueing.py
@@ -7,14 +7,15 @@
 
 Three properties hold and are tested:
 
-* A request is refused for lack of room only if no request of a lower tier waits here.
-* A class with a minimum share gets a start at the latest when its credit, which grows
-by
-  ``minimum_share * slots`` a second while it waits, has reached the slot-seconds of its
-  head.
-* Inside a tier, requests that can still be in time go before those that cannot, but at
-most
-  ``LATE_EVERY - 1`` starts of the tier in a row pass over one that is already late.
+* A request is refused because the queue is full only if no request of a lower tier is
+  queued here.
+* A class with a minimum share starts a request at the latest when its credit has
+  reached the slot-seconds that its first request is expected to use.  The credit grows
+  by ``minimum_share * slots`` slot-seconds a second while the class has a request
+  queued.
+* Inside a tier, requests that can still meet their deadline start before those that
+  cannot, but a request past its deadline is skipped by at most
+  ``LATE_START_INTERVAL - 1`` starts of the tier in a row.
 """
 
 import heapq
@@ -31,7 +32,7 @@
 
 __all__ = ["PoolQueue"]
 
-LATE_EVERY = 8
+LATE_START_INTERVAL = 8
 RETRY_AFTER_FULL = 1.0  # seconds
 
 
@@ -113,7 +114,7 @@
     def __contains__(self, request_id: RequestId) -> bool:
         return request_id in self._waiting
 
-    def configure(self, classes: tuple[RequestClass, ...]) -> None:
+    def update_classes(self, classes: tuple[RequestClass, ...]) -> None:
         """
         Take the classes in force; classes that are gone drain what they still hold.
         """
@@ -127,7 +128,7 @@
                 line.request_class = item
         self._room = sum(item.queue_bound for item in classes)
 
-    def waiting_by_tier(self) -> dict[int, int]:
+    def count_by_tier(self) -> dict[int, int]:
         """Return how many requests wait in each tier."""
         counts: dict[int, int] = {}
         for line in self._lines.values():
@@ -136,7 +137,7 @@
                 counts[tier] = counts.get(tier, 0) + len(line.waiting)
         return counts
 
-    def earliest(self, tier: int) -> Request | None:
+    def find_earliest(self, tier: int) -> Request | None:
         """Return the waiting request of a tier that arrived first of its class."""
         heads = [
             next(iter(line.waiting.values()))
@@ -171,7 +172,7 @@
 
     def requeue(self, request: Request) -> None:
         """Let a request wait again that was admitted before; it always has room."""
-        self.correct(request)
+        self.settle_charge(request)
         self._insert(request, self._line(request.request_class))
 
     def remove(self, request_id: RequestId) -> bool:
@@ -184,7 +185,7 @@
             tier.late.pop(request_id, None)
         return True
 
-    def expire(self) -> list[Refuse]:
+    def expire_requests(self) -> list[Refuse]:
         """
         Refuse what waited too long or can't be in time for a class that needs it so.
         """
@@ -194,7 +195,10 @@
             useless = request.request_class.late_useless and now > request.deadline
             self.remove(request.id)
             expired.append(
-                _refuse(request, Reason.LATE if useless else Reason.WAITED_TOO_LONG)
+                _refuse(
+                    request,
+                    Reason.DEADLINE_EXCEEDED if useless else Reason.WAITED_TOO_LONG,
+                )
             )
         return expired
 
@@ -226,16 +230,16 @@
         self._charge(request)
         return request
 
-    def correct(self, request: Request) -> None:
+    def settle_charge(self, request: Request) -> None:
         """Replace the expected cost that a request was charged by what it came to."""
         tier = self._tiers.get(request.tier)
-        if tier is not None and request.charged:
-            actual = request.generated - request.billed
+        if tier is not None and request.charged_tokens:
+            actual = request.generated_tokens - request.settled_tokens
             served = tier.served.get(request.workspace, 0.0)
-            served += (actual - request.charged) / request.weight
+            served += (actual - request.charged_tokens) / request.weight
             tier.served[request.workspace] = max(0.0, served)
-        request.charged = 0.0
-        request.billed = request.generated
+        request.charged_tokens = 0.0
+        request.settled_tokens = request.generated_tokens
 
     def _line(self, request_class: RequestClass) -> _ClassLine:
         line = self._lines.get(request_class.name)
@@ -269,7 +273,7 @@
             if line.waiting and line.request_class.tier == max(tiers)
         ]
         candidates = [next(reversed(line.waiting.values())) for line in lines]
-        fresh = [item for item in candidates if not item.generated]
+        fresh = [item for item in candidates if not item.generated_tokens]
         return max(fresh or candidates, key=lambda item: item.arrival)
 
     def _overdue(self, now: float) -> Iterator[Request]:
@@ -282,7 +286,7 @@
                 else max_wait
             )
             for request in list(line.waiting.values()):
-                if now - request.arrival > bound and not request.may_have_run:
+                if now - request.arrival > bound and not request.may_have_executed:
                     yield request
 
     def _grow_credit(self, slots: float) -> None:
@@ -325,7 +329,7 @@
             if (head := lane.head(self._waiting)) is not None
             and head.id not in tier.late
         }
-        if tier.late and (not heads or tier.since_late >= LATE_EVERY - 1):
+        if tier.late and (not heads or tier.since_late >= LATE_START_INTERVAL - 1):
             tier.since_late = 0
             return next(iter(tier.late.values()))
         if not heads:
@@ -354,15 +358,19 @@
 
     def _charge(self, request: Request) -> None:
         request_class = request.request_class
-        request.charged = self._costs.tokens(request_class.name, request.workspace)
+        request.charged_tokens = self._costs.estimate_tokens(
+            request_class.name, request.workspace
+        )
         tier = self._tiers[request.tier]
         start = tier.virtual_time(request.workspace)
-        tier.served[request.workspace] = start + request.charged / request.weight
+        tier.served[request.workspace] = start + request.charged_tokens / request.weight
         line = self._lines[request_class.name]
         line.credit = max(0.0, line.credit - self._cost(request))
 
     def _cost(self, request: Request) -> float:
-        return self._costs.slot_seconds(request.request_class.name, request.workspace)
+        return self._costs.estimate_slot_seconds(
+            request.request_class.name, request.workspace
+        )
 
 
 def _refuse(request: Request, reason: Reason) -> Refuse:
--- a/damasklead/replicas.py
+++ b/damasklead/replicas.py
@@ -52,10 +52,10 @@
     limit: int = DEFAULT_LIMIT
     hard_limit: int = DEFAULT_LIMIT
     others: MovingAverage = msgspec.field(
-        default_factory=lambda: MovingAverage(value=0.0, rate=OTHERS_RATE)
+        default_factory=lambda: MovingAverage(value=0.0, smoothing_factor=OTHERS_RATE)
     )
     gap: MovingAverage = msgspec.field(
-        default_factory=lambda: MovingAverage(value=0.0, rate=GAP_RATE)
+        default_factory=lambda: MovingAverage(value=0.0, smoothing_factor=GAP_RATE)
     )
     slow_since: float | None = None
     models: tuple[int, ...] = ()
@@ -96,7 +96,7 @@
         self._data_centre = data_centre
         self._random = random_source
         self._replicas: dict[InstanceId, _Replica] = {}
-        self._entries = 1
+        self._entry_count = 1
 
     @property
     def capacity(self) -> int:
@@ -104,7 +104,7 @@
         return sum(replica.limit for replica in self._replicas.values())
 
     @property
-    def reachable(self) -> bool:
+    def has_reachable_replica(self) -> bool:
         """Whether some replica is not known to be out of reach."""
         return any(not replica.unreachable for replica in self._replicas.values())
 
@@ -113,16 +113,18 @@
         """The replicas that may take work."""
         return list(self._replicas)
 
-    def retain(self, replicas: Iterable[ReplicaInfo], *, entries: int = 1) -> None:
+    def update_replicas(
+        self, replicas: Iterable[ReplicaInfo], *, entry_count: int = 1
+    ) -> None:
         """
         Take the replicas that may take new work; others take none from now on.
 
         Parameters
         ----------
-        entries : int
+        entry_count : int
             How many entries send to them.
         """
-        self._entries = entries
+        self._entry_count = entry_count
         known = self._replicas
         self._replicas = {}
         for info in replicas:
@@ -132,31 +134,33 @@
             replica.info = info
             self._replicas[info.instance] = replica
 
-    def observe_loads(self, loads: Iterable[ReplicaLoad]) -> list[InstanceId]:
+    def record_loads(self, loads: Iterable[ReplicaLoad]) -> list[InstanceId]:
         """Take in reported loads; returns the replicas that are ejected by them."""
         by_key = {replica.key: replica for replica in self._replicas.values()}
         for load in loads:
             replica = by_key.get(load.key)
             if replica is None:
                 continue
-            replica.others.add(max(0, load.load - len(replica.own)))
+            replica.others.add_sample(max(0, load.load - len(replica.own)))
             replica.limit = max(1, load.limit)
             replica.hard_limit = max(1, load.hard_limit)
             replica.models = load.models
-            if load.gap_us:
-                replica.gap.add(load.gap_us / MICROSECONDS)
+            if load.token_gap_us:
+                replica.gap.add_sample(load.token_gap_us / MICROSECONDS)
         return self._eject_stragglers()
 
-    def observe_gap(self, instance: InstanceId, seconds: float) -> list[InstanceId]:
+    def record_token_gap(
+        self, instance: InstanceId, seconds: float
+    ) -> list[InstanceId]:
         """
         Take in a measured time between tokens; returns the replicas that are ejected.
         """
         replica = self._replicas.get(instance)
         if replica is not None and seconds > 0:
-            replica.gap.add(seconds)
+            replica.gap.add_sample(seconds)
         return self._eject_stragglers()
 
-    def observe_failure(
+    def record_failure(
         self, instance: InstanceId, *, seconds: float, unreachable: bool = False
     ) -> None:
         """
@@ -172,46 +176,47 @@
             replica.broken_until = self._clock.now() + seconds
             replica.unreachable = unreachable
 
-    def observe_answer(self, instance: InstanceId) -> None:
+    def record_response(self, instance: InstanceId) -> None:
         """Take in that a replica answers."""
         replica = self._replicas.get(instance)
         if replica is not None:
             replica.unreachable = False
 
-    def started(self, instance: InstanceId, attempt: AttemptId) -> None:
+    def add_attempt(self, instance: InstanceId, attempt: AttemptId) -> None:
         """Count an attempt as running."""
         replica = self._replicas.get(instance)
         if replica is not None:
             replica.own.add(attempt)
 
-    def ended(self, instance: InstanceId, attempt: AttemptId) -> None:
+    def remove_attempt(self, instance: InstanceId, attempt: AttemptId) -> None:
         """Count an attempt as ended."""
         replica = self._replicas.get(instance)
         if replica is not None:
             replica.own.discard(attempt)
 
-    def choose(
+    def choose_replica(
         self,
         request: Request,
         *,
-        beyond_limit: bool,
-        among: frozenset[InstanceId],
+        use_hard_limit: bool,
+        candidates: frozenset[InstanceId],
     ) -> InstanceId | None:
         """
         Return the replica for a request, or ``None`` when none has room.
 
         Parameters
         ----------
-        beyond_limit : bool
+        use_hard_limit : bool
             Whether the request may go beyond the limit for targets, up to the hard
             limit.
-        among : frozenset
+        candidates : frozenset
             The replicas that may take this request.
         """
         open_replicas = [
             replica
             for instance, replica in self._replicas.items()
-            if instance in among and self._has_room(replica, request, beyond_limit)
+            if instance in candidates
+            and self._has_room(replica, request, use_hard_limit)
         ]
         if not open_replicas:
             return None
@@ -221,7 +226,7 @@
         return best.info.instance
 
     def _has_room(
-        self, replica: _Replica, request: Request, beyond_limit: bool
+        self, replica: _Replica, request: Request, use_hard_limit: bool
     ) -> bool:
         now = self._clock.now()
         if now < replica.broken_until or now < replica.ejected_until:
@@ -230,7 +235,7 @@
             return False
         if replica.probing:
             return request.tier > 1 and not replica.own
-        return replica.load < (replica.hard_limit if beyond_limit else replica.limit)
+        return replica.load < (replica.hard_limit if use_hard_limit else replica.limit)
 
     def _sample(self, replicas: list[_Replica], request: Request) -> list[_Replica]:
         if len(replicas) <= SAMPLED:
@@ -254,13 +259,15 @@
     def _score(
         self, replica: _Replica, request: Request, favourites: frozenset[InstanceId]
     ) -> float:
-        seen = len(replica.own) + OTHERS_WEIGHT * replica.others.value / self._entries
+        seen = (
+            len(replica.own) + OTHERS_WEIGHT * replica.others.value / self._entry_count
+        )
         score = (seen + 1.0) * self._slowness(replica)
         if replica.info.data_centre != self._data_centre:
             score += OTHER_CENTRE_COST
         if replica.info.instance in favourites:
             score -= PREFIX_BONUS
-        if replica.info.instance in request.tried:
+        if replica.info.instance in request.tried_replicas:
             score += TRIED_COST
         return score + self._random.random() * 0.01
 
@@ -296,7 +303,7 @@
                 replica.ejected_until = now + EJECT_SECONDS * replica.ejections
                 replica.probing = True
                 replica.slow_since = None
-                replica.gap = MovingAverage(value=0.0, rate=GAP_RATE)
+                replica.gap = MovingAverage(value=0.0, smoothing_factor=GAP_RATE)
                 newly.append(instance)
         return newly
 
--- a/damasklead/requests.py
+++ b/damasklead/requests.py
@@ -40,7 +40,7 @@
     QUEUE_FULL = "queue-full"
     SHED = "shed-for-higher-tier"
     WAITED_TOO_LONG = "waited-too-long"
-    LATE = "cannot-be-in-time"
+    DEADLINE_EXCEEDED = "cannot-be-in-time"
     NO_UPSTREAM = "no-upstream"
     QUARANTINED = "quarantined"
     RETRIES_EXHAUSTED = "retries-exhausted"
@@ -63,17 +63,17 @@
         prefix.
     fingerprint : str
         Digest of the content, the same each time the request is sent.
-    generated : int
+    generated_tokens : int
         Events of the answer that the caller already has.
-    started, failures, preemptions : int
+    start_count, failure_count, preemption_count : int
         How often the request was started, failed and was preempted.
-    charged : float
+    charged_tokens : float
         Tokens that the workspace was charged in advance for the present start.
-    billed : int
+    settled_tokens : int
         Tokens that it was charged for good.
-    may_have_run : bool
+    may_have_executed : bool
         Whether an upstream may have run the request, wholly or in part.
-    tried : list
+    tried_replicas : list
         Replicas on which an attempt failed.
     """
 
@@ -86,14 +86,14 @@
     fingerprint: Fingerprint = Fingerprint("")
     model: str = ""
     weight: float = 1.0
-    generated: int = 0
-    started: int = 0
-    failures: int = 0
-    preemptions: int = 0
-    charged: float = 0.0
-    billed: int = 0
-    may_have_run: bool = False
-    tried: list[InstanceId] = msgspec.field(default_factory=list)
+    generated_tokens: int = 0
+    start_count: int = 0
+    failure_count: int = 0
+    preemption_count: int = 0
+    charged_tokens: float = 0.0
+    settled_tokens: int = 0
+    may_have_executed: bool = False
+    tried_replicas: list[InstanceId] = msgspec.field(default_factory=list)
 
     @property
     def deadline(self) -> float:
@@ -103,7 +103,7 @@
     @property
     def unanswered_outcome(self) -> Outcome:
         """What its caller may be told when the request gets no answer."""
-        return Outcome.UNKNOWN if self.may_have_run else Outcome.NOT_RUN
+        return Outcome.UNKNOWN if self.may_have_executed else Outcome.NOT_RUN
 
     @property
     def tier(self) -> int:
--- a/damasklead/retrying.py
+++ b/damasklead/retrying.py
@@ -8,7 +8,7 @@
 __all__ = ["RetryBudget"]
 
 RETRY_FRACTION = 0.1
-BURST = 20.0  # retries
+BURST_RETRIES = 20.0  # retries
 
 
 class RetryBudget:
@@ -18,15 +18,15 @@
     Examples
     --------
     >>> budget = RetryBudget(fraction=0.5, burst=1.0)
-    >>> budget.take(), budget.take()
+    >>> budget.acquire_retry(), budget.acquire_retry()
     (True, False)
-    >>> budget.record_first(); budget.record_first()
-    >>> budget.take()
+    >>> budget.record_first_attempt(); budget.record_first_attempt()
+    >>> budget.acquire_retry()
     True
     """
 
     def __init__(
-        self, *, fraction: float = RETRY_FRACTION, burst: float = BURST
+        self, *, fraction: float = RETRY_FRACTION, burst: float = BURST_RETRIES
     ) -> None:
         self._fraction = fraction
         self._burst = burst
@@ -41,11 +41,11 @@
         self._burst = burst
         self._tokens = min(self._tokens, burst)
 
-    def record_first(self) -> None:
+    def record_first_attempt(self) -> None:
         """Count a first attempt."""
         self._tokens = min(self._burst, self._tokens + self._fraction)
 
-    def take(self) -> bool:
+    def acquire_retry(self) -> bool:
         """Take one retry; returns whether there was one."""
         if self._tokens < 1.0:
             return False
--- a/damasklead/sharing.py
+++ b/damasklead/sharing.py
@@ -20,17 +20,17 @@
 from damasklead.util import short_key, stable_hash
 
 __all__ = [
-    "TIERS",
+    "TIER_COUNT",
     "Coordinator",
     "LoadReport",
     "ShareHolder",
     "choose_coordinator",
     "choose_coordinators",
-    "divide",
-    "share_interval",
+    "allocate_max_min",
+    "compute_share_interval",
 ]
 
-TIERS = 5
+TIER_COUNT = 5
 MIN_INTERVAL = 0.5  # seconds
 INTERVAL_PER_ENTRY = 1 / 6  # seconds
 TTL_INTERVALS = 4
@@ -118,28 +118,28 @@
     return chosen
 
 
-def share_interval(entries: int) -> float:
+def compute_share_interval(entry_count: int) -> float:
     """
     Return the seconds between an entry's demands, so that a coordinator's load stays
     bounded.
 
     Examples
     --------
-    >>> round(share_interval(8), 2), round(share_interval(72), 2)
+    >>> round(compute_share_interval(8), 2), round(compute_share_interval(72), 2)
     (1.33, 12.0)
     """
-    return max(MIN_INTERVAL, entries * INTERVAL_PER_ENTRY)
+    return max(MIN_INTERVAL, entry_count * INTERVAL_PER_ENTRY)
 
 
-def divide(amount: int, wants: Sequence[int]) -> list[int]:
+def allocate_max_min(amount: int, wants: Sequence[int]) -> list[int]:
     """
     Divide an amount max-min fairly among wants.
 
     Examples
     --------
-    >>> divide(10, [2, 9, 9])
+    >>> allocate_max_min(10, [2, 9, 9])
     [2, 4, 4]
-    >>> divide(3, [5, 5])
+    >>> allocate_max_min(3, [5, 5])
     [2, 1]
     """
     shares = [0] * len(wants)
@@ -188,29 +188,29 @@
         self._gap_targets: dict[int, float] = {}
         self._min_shares: dict[int, float] = {}
 
-    def configure(
+    def set_targets(
         self, *, gap_targets: dict[int, float], min_shares: dict[int, float]
     ) -> None:
         """Take the targets between tokens (seconds) and the minimum shares by tier."""
         self._gap_targets = gap_targets
         self._min_shares = min_shares
 
-    def report(self, replica: InstanceId, report: LoadReport) -> None:
+    def record_report(self, replica: InstanceId, report: LoadReport) -> None:
         """Take in a replica's report."""
         self._replicas[replica] = _Replica(report=report, at=self._clock.now())
 
-    def retain(self, replicas: Iterable[InstanceId]) -> None:
+    def update_replicas(self, replicas: Iterable[InstanceId]) -> None:
         """Forget all replicas but these."""
         kept = set(replicas)
         for instance in list(self._replicas):
             if instance not in kept:
                 del self._replicas[instance]
 
-    def demand(self, entry: InstanceId, demand: Demand) -> None:
+    def record_demand(self, entry: InstanceId, demand: Demand) -> None:
         """Take in an entry's demand."""
         self._demands[entry] = _EntryDemand(demand=demand, at=self._clock.now())
 
-    def allocate(self) -> dict[InstanceId, Grant]:
+    def allocate_slots(self) -> dict[InstanceId, Grant]:
         """Return the present grant of every entry that asked lately."""
         self._forget_silent()
         entries = sorted(self._demands)
@@ -219,20 +219,20 @@
         loads = self._loads()
         slots = self._slots(entries, sum(load.limit for load in loads))
         pressed = self._pressed_tier(entries, slots)
-        ttl = TTL_INTERVALS * share_interval(len(entries))
+        ttl = TTL_INTERVALS * compute_share_interval(len(entries))
         return {
             entry: Grant(
                 pool=self._pool,
                 slots=tuple(slots[entry]),
                 ttl_ms=int(ttl * 1000),
-                pressed_tier=pressed,
+                preempting_tier=pressed,
                 replicas=loads,
             )
             for entry in entries
         }
 
     def _forget_silent(self) -> None:
-        horizon = FORGET_INTERVALS * share_interval(len(self._demands))
+        horizon = FORGET_INTERVALS * compute_share_interval(len(self._demands))
         for entry, known in list(self._demands.items()):
             if self._clock.now() - known.at > horizon:
                 del self._demands[entry]
@@ -254,7 +254,7 @@
                     load=report.running + report.waiting,
                     limit=min(limit, report.slots),
                     hard_limit=report.slots,
-                    gap_us=int(report.token_gap * MICROSECONDS),
+                    token_gap_us=int(report.token_gap * MICROSECONDS),
                     models=tuple(short_key(model) for model in report.models),
                 )
             )
@@ -275,7 +275,7 @@
         ]
         if busy:
             mean = sum(report.running for report in reports) / len(reports)
-            self._limit.observe(
+            self._limit.update_limit(
                 token_gap=statistics.median(report.token_gap for report in busy),
                 target=self._gap_target(),
                 batch=mean,
@@ -293,26 +293,26 @@
     def _slots(
         self, entries: list[InstanceId], capacity: int
     ) -> dict[InstanceId, list[int]]:
-        slots = {entry: [0] * TIERS for entry in entries}
+        slots = {entry: [0] * TIER_COUNT for entry in entries}
         reserved = self._reserved(capacity)
         left = capacity
-        for tier in range(1, TIERS + 1):
-            kept = sum(reserved[lower] for lower in range(tier + 1, TIERS + 1))
+        for tier in range(1, TIER_COUNT + 1):
+            kept = sum(reserved[lower] for lower in range(tier + 1, TIER_COUNT + 1))
             wants = [_want(self._demands[entry].demand, tier) for entry in entries]
-            shares = divide(max(0, left - kept), wants)
+            shares = allocate_max_min(max(0, left - kept), wants)
             for entry, share in zip(entries, shares, strict=True):
                 slots[entry][tier - 1] = share
             left -= sum(shares)
         for entry, spare in zip(
-            entries, divide(left, [left] * len(entries)), strict=True
+            entries, allocate_max_min(left, [left] * len(entries)), strict=True
         ):
-            slots[entry][TIERS - 1] += spare
+            slots[entry][TIER_COUNT - 1] += spare
         return slots
 
     def _reserved(self, capacity: int) -> dict[int, int]:
         """Return the slots kept for the minimum shares of tiers that ask for any."""
         reserved = {}
-        for tier in range(1, TIERS + 1):
+        for tier in range(1, TIER_COUNT + 1):
             want = sum(_want(known.demand, tier) for known in self._demands.values())
             reserved[tier] = min(want, int(self._min_shares.get(tier, 0.0) * capacity))
         return reserved
@@ -324,7 +324,7 @@
         Return the lowest tier (largest number) below which work must give way, or 0.
         """
         pressed = 0
-        for tier in range(1, TIERS):
+        for tier in range(1, TIER_COUNT):
             if any(self._demands[entry].demand.waiting[tier - 1] for entry in entries):
                 lower = sum(
                     sum(self._demands[entry].demand.running[tier:])
@@ -358,24 +358,26 @@
         self._latency = MovingAverage(value=0.0)
 
     @property
-    def granted(self) -> bool:
+    def has_grant(self) -> bool:
         """Whether a grant holds."""
         return self._grant is not None and self._clock.now() < self._expires
 
     @property
-    def pressed_tier(self) -> int:
+    def preempting_tier(self) -> int:
         """The lowest tier that waits somewhere in the pool, 0 when none does."""
         return (
-            self._grant.pressed_tier if self._grant is not None and self.granted else 0
+            self._grant.preempting_tier
+            if self._grant is not None and self.has_grant
+            else 0
         )
 
-    def take(self, grant: Grant) -> None:
+    def apply_grant(self, grant: Grant) -> None:
         """Take a grant in place of the one before."""
         self._grant = grant
         self._expires = self._clock.now() + grant.ttl_ms / 1000
         self._factor = 1.0
 
-    def observe_latency(self, seconds: float) -> None:
+    def record_first_token_latency(self, seconds: float) -> None:
         """
         Take in the time to a first token, by which the fallback adapts.
 
@@ -385,15 +387,15 @@
         best = self._best_latency
         best = seconds if best is None else min(best * LATENCY_DRIFT, seconds)
         self._best_latency = best
-        self._latency.add(seconds)
-        if self.granted:
+        self._latency.add_sample(seconds)
+        if self.has_grant:
             return
         if self._latency.value > LATENCY_TOLERANCE * best:
             self._factor = max(MIN_FALLBACK_FACTOR, self._factor * FALLBACK_DECREASE)
         else:
             self._factor = min(MAX_FALLBACK_FACTOR, self._factor + FALLBACK_INCREASE)
 
-    def slots(self, *, capacity: int, entries: int) -> tuple[int, ...]:
+    def compute_slots(self, *, capacity: int, entry_count: int) -> tuple[int, ...]:
         """
         Return the slots by tier.
 
@@ -401,10 +403,10 @@
         ----------
         capacity : int
             The pool's slots as far as this entry knows, for the fallback.
-        entries : int
+        entry_count : int
             The number of entries last known.
         """
-        if self._grant is not None and self.granted:
+        if self._grant is not None and self.has_grant:
             return self._grant.slots
-        part = max(1, int(self._factor * capacity / max(1, entries)))
-        return (0,) * (TIERS - 1) + (part,)
+        part = max(1, int(self._factor * capacity / max(1, entry_count)))
+        return (0,) * (TIER_COUNT - 1) + (part,)
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -83,7 +83,7 @@
         assert isinstance(run(publish(publication), self.platform), Published)
         self.service.start()
         self.until(
-            lambda: all(p.dispatcher.share.granted for p in self.pools) and self.pools
+            lambda: all(p.dispatcher.share.has_grant for p in self.pools) and self.pools
         )
 
     def stop(self) -> None:
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -52,9 +52,9 @@
         self.attempts = {AttemptId("a1"), AttemptId("a2")}
         self._request = request
 
-    def progress(self, attempt: AttemptId, *, events: int) -> None:
+    def record_events(self, attempt: AttemptId, *, event_count: int) -> None:
         if attempt in self.attempts:
-            self._request.generated += events
+            self._request.generated_tokens += event_count
 
 
 class Host:
@@ -77,7 +77,7 @@
         self.request: Any = None
 
     def send(self, address: str, call: Any, **_options: Any) -> Answers:
-        begin = self.request.generated
+        begin = self.request.generated_tokens
         self.sent.append(begin)
         pieces = [event(number) for number in range(begin, 4)]
         return Answers([*pieces, DONE_EVENT])
@@ -90,7 +90,7 @@
     """The caller had words twice: they were passed on and not counted."""
     monkeypatch.setattr(Exchange, "_continuation", lambda self: b"")
     request: Any = SimpleNamespace(
-        generated=0, request_class=SimpleNamespace(may_repeat=True)
+        generated_tokens=0, request_class=SimpleNamespace(may_repeat=True)
     )
     upstream, dispatcher = Upstream(), Dispatcher(request)
     upstream.request = request
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -7,7 +7,7 @@
 
 from damasklead.clock import ManualClock
 from damasklead.ids import DataCentre, Incarnation, InstanceId, ServiceName
-from damasklead.membership import ABSENT_GRACE, Membership, MemberState
+from damasklead.membership import ABSENCE_GRACE_SECONDS, Membership, MemberState
 from damasklead.stores.base import InstanceRecord, InstanceState
 
 PROPERTY = settings(max_examples=200, derandomize=True, deadline=None, database=None)
@@ -52,10 +52,10 @@
     left: dict[str, int] = {}
     for kind, value in calls:
         if kind == "list":
-            membership.observe_list(tuple(value))
+            membership.merge_list(tuple(value))
             records = value
         elif kind == "peer":
-            membership.observe_peer((value,))
+            membership.merge_peer_records((value,))
             records = [value]
         elif kind == "sign":
             membership.mark_leaving(value.instance, value.incarnation)
@@ -65,38 +65,40 @@
             clock.advance(value)
             records = []
         for item in records:
-            known = membership.get(item.instance)
+            known = membership.get_member(item.instance)
             accepted = known is not None and known.incarnation == item.incarnation
             if item.state is InstanceState.LEAVING and accepted:
                 left[item.instance] = max(left.get(item.instance, 0), item.incarnation)
-        for member in membership.live(ServiceName("s")):
+        for member in membership.find_live_members(ServiceName("s")):
             assert member.incarnation > left.get(member.instance, 0)
 
 
 def test_a_higher_incarnation_is_live_again() -> None:
     membership = Membership(clock=ManualClock())
-    membership.observe_list((record("a", 1),))
+    membership.merge_list((record("a", 1),))
     assert membership.mark_leaving(InstanceId("a"), Incarnation(1))
     assert not membership.mark_leaving(InstanceId("a"), Incarnation(1))
-    assert membership.live(ServiceName("s")) == []
-    membership.observe_list((record("a", 2),))
-    assert [item.instance for item in membership.live(ServiceName("s"))] == ["a"]
+    assert membership.find_live_members(ServiceName("s")) == []
+    membership.merge_list((record("a", 2),))
+    assert [
+        item.instance for item in membership.find_live_members(ServiceName("s"))
+    ] == ["a"]
 
 
 def test_an_instance_missing_from_the_list_stays_for_a_grace() -> None:
     clock = ManualClock()
     membership = Membership(clock=clock)
-    membership.observe_list((record("a", 1),))
-    membership.observe_list(())
-    assert len(membership.live(ServiceName("s"))) == 1
-    clock.advance(ABSENT_GRACE + 0.1)
-    membership.observe_list(())
-    assert membership.live(ServiceName("s")) == []
+    membership.merge_list((record("a", 1),))
+    membership.merge_list(())
+    assert len(membership.find_live_members(ServiceName("s"))) == 1
+    clock.advance(ABSENCE_GRACE_SECONDS + 0.1)
+    membership.merge_list(())
+    assert membership.find_live_members(ServiceName("s")) == []
 
 
 def test_a_leaving_member_is_told_to_peers_as_leaving() -> None:
     membership = Membership(clock=ManualClock())
-    membership.observe_list((record("a", 1),))
+    membership.merge_list((record("a", 1),))
     membership.mark_leaving(InstanceId("a"), Incarnation(1))
-    assert membership.get(InstanceId("a")).state is MemberState.LEAVING  # type: ignore[union-attr]
-    assert membership.records()[0].state is InstanceState.LEAVING
+    assert membership.get_member(InstanceId("a")).state is MemberState.LEAVING  # type: ignore[union-attr]
+    assert membership.build_records()[0].state is InstanceState.LEAVING
--- a/tests/test_queueing.py
+++ b/tests/test_queueing.py
@@ -13,7 +13,7 @@
 from damasklead.configuration import RequestClass
 from damasklead.ids import ClassName, RequestId, ServiceName, WorkspaceId
 from damasklead.learning import CostModel
-from damasklead.queueing import LATE_EVERY, PoolQueue
+from damasklead.queueing import LATE_START_INTERVAL, PoolQueue
 from damasklead.requests import Outcome, Reason, Request
 
 PROPERTY = settings(max_examples=150, derandomize=True, deadline=None, database=None)
@@ -38,7 +38,7 @@
         self.costs = CostModel()
         self.classes = {tier: make_class(tier, **more) for tier in range(1, 6)}
         self.queue = PoolQueue(clock=self.clock, costs=self.costs)
-        self.queue.configure(tuple(self.classes.values()))
+        self.queue.update_classes(tuple(self.classes.values()))
         self.made = 0
 
     def request(self, tier: int, workspace: str = "w") -> Request:
@@ -84,8 +84,8 @@
     world = World(queue_bound=1000)
     low = make_class(5, minimum_share=share, queue_bound=1000)
     world.classes[5] = low
-    world.queue.configure(tuple(world.classes.values()))
-    cost = world.costs.slot_seconds(low.name, WorkspaceId("w"))
+    world.queue.update_classes(tuple(world.classes.values()))
+    cost = world.costs.estimate_slot_seconds(low.name, WorkspaceId("w"))
     bound = cost / (share * slots)
     step = 0.1
     world.queue.push(world.request(5))
@@ -112,7 +112,7 @@
     tokens = {"long": 0, "short": 0}
     for name in lengths:
         for _ in range(30):
-            world.costs.learn(
+            world.costs.record_completion(
                 world.classes[1].name,
                 WorkspaceId(name),
                 tokens=lengths[name],
@@ -124,9 +124,11 @@
     for _ in range(600):
         request = world.queue.pop(slots=8.0, admitted_tier=ALL_TIERS)
         assert request is not None
-        request.generated = int(lengths[request.workspace] * source.uniform(0.5, 1.5))
-        tokens[request.workspace] += request.generated
-        world.queue.correct(request)
+        request.generated_tokens = int(
+            lengths[request.workspace] * source.uniform(0.5, 1.5)
+        )
+        tokens[request.workspace] += request.generated_tokens
+        world.queue.settle_charge(request)
     ratio = tokens["long"] / tokens["short"]
     assert 0.8 < ratio < 1.25
 
@@ -137,7 +139,7 @@
     hasty = RequestClass(
         name=ClassName("hasty"), service=hasty.service, tier=1, first_token=0.2
     )
-    world.queue.configure((*world.classes.values(), hasty))
+    world.queue.update_classes((*world.classes.values(), hasty))
     slow = world.request(1)
     world.queue.push(slow)
     fast = world.request(1)
@@ -152,9 +154,9 @@
     world.queue.push(late)
     world.clock.advance(2.0)
     order = []
-    for _ in range(LATE_EVERY):
+    for _ in range(LATE_START_INTERVAL):
         world.queue.push(world.request(1))
-    for _ in range(LATE_EVERY):
+    for _ in range(LATE_START_INTERVAL):
         order.append(world.queue.pop(slots=1.0, admitted_tier=1))
     assert order[0] is not late
     assert late in order
@@ -163,8 +165,11 @@
 def test_late_answers_that_are_useless_are_refused_unrun() -> None:
     world = World(late_useless=True)
     world.queue.push(world.request(2))
-    assert world.queue.expire() == []
+    assert world.queue.expire_requests() == []
     world.clock.advance(1.1)
-    (refused,) = world.queue.expire()
-    assert (refused.reason, refused.outcome) == (Reason.LATE, Outcome.NOT_RUN)
+    (refused,) = world.queue.expire_requests()
+    assert (refused.reason, refused.outcome) == (
+        Reason.DEADLINE_EXCEEDED,
+        Outcome.NOT_RUN,
+    )
     assert len(world.queue) == 0
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -9,17 +9,17 @@
 from damasklead.ids import InstanceId, PoolId
 from damasklead.messages import Demand
 from damasklead.sharing import (
-    TIERS,
+    TIER_COUNT,
     Coordinator,
     LoadReport,
     ShareHolder,
+    allocate_max_min,
     choose_coordinator,
-    divide,
-    share_interval,
+    compute_share_interval,
 )
 
 PROPERTY = settings(max_examples=200, derandomize=True, deadline=None, database=None)
-COUNTS = st.lists(st.integers(0, 20), min_size=TIERS, max_size=TIERS)
+COUNTS = st.lists(st.integers(0, 20), min_size=TIER_COUNT, max_size=TIER_COUNT)
 POOL = PoolId("p")
 
 
@@ -27,14 +27,14 @@
     coordinator = Coordinator(pool=POOL, clock=clock)
     for number in range(replicas):
         report = LoadReport(running=0, waiting=0, slots=slots)
-        coordinator.report(InstanceId(f"r{number}"), report)
+        coordinator.record_report(InstanceId(f"r{number}"), report)
     return coordinator
 
 
 @PROPERTY
 @given(st.integers(0, 100), st.lists(st.integers(0, 30), min_size=1, max_size=8))
 def test_division_is_max_min_fair(amount: int, wants: list[int]) -> None:
-    shares = divide(amount, wants)
+    shares = allocate_max_min(amount, wants)
     assert sum(shares) == min(amount, sum(wants))
     assert all(share <= want for share, want in zip(shares, wants, strict=True))
     for share, want in zip(shares, wants, strict=True):
@@ -50,12 +50,12 @@
     coordinator = make_coordinator(ManualClock(), replicas=replicas, slots=8)
     for number, (running, waiting) in enumerate(demands):
         demand = Demand(pool=POOL, running=tuple(running), waiting=tuple(waiting))
-        coordinator.demand(InstanceId(f"e{number}"), demand)
-    grants = coordinator.allocate()
+        coordinator.record_demand(InstanceId(f"e{number}"), demand)
+    grants = coordinator.allocate_slots()
     capacity = sum(load.limit for load in next(iter(grants.values())).replicas)
     assert sum(sum(grant.slots) for grant in grants.values()) == capacity
     left = capacity
-    for tier in range(TIERS - 1):
+    for tier in range(TIER_COUNT - 1):
         want = sum(running[tier] + waiting[tier] for running, waiting in demands)
         given_slots = sum(grant.slots[tier] for grant in grants.values())
         assert given_slots == min(want, left)
@@ -64,10 +64,10 @@
 
 def test_a_minimum_share_is_kept_for_a_tier_that_asks() -> None:
     coordinator = make_coordinator(ManualClock(), replicas=10, slots=10)
-    coordinator.configure(gap_targets={}, min_shares={5: 0.1})
+    coordinator.set_targets(gap_targets={}, min_shares={5: 0.1})
     flood = Demand(pool=POOL, running=(500, 0, 0, 0, 0), waiting=(0, 0, 0, 0, 50))
-    coordinator.demand(InstanceId("e"), flood)
-    slots = coordinator.allocate()[InstanceId("e")].slots
+    coordinator.record_demand(InstanceId("e"), flood)
+    slots = coordinator.allocate_slots()[InstanceId("e")].slots
     capacity = sum(slots)
     assert slots[4] == int(0.1 * capacity)
 
@@ -76,13 +76,13 @@
     clock = ManualClock()
     coordinator = make_coordinator(clock, replicas=1, slots=10)
     demand = Demand(pool=POOL, running=(9, 0, 0, 0, 0), waiting=(9, 0, 0, 0, 0))
-    coordinator.demand(InstanceId("a"), demand)
-    coordinator.demand(InstanceId("b"), demand)
-    before = sum(coordinator.allocate()[InstanceId("b")].slots)
+    coordinator.record_demand(InstanceId("a"), demand)
+    coordinator.record_demand(InstanceId("b"), demand)
+    before = sum(coordinator.allocate_slots()[InstanceId("b")].slots)
     for _ in range(20):
-        clock.advance(share_interval(2))
-        coordinator.demand(InstanceId("b"), demand)
-    grants = coordinator.allocate()
+        clock.advance(compute_share_interval(2))
+        coordinator.record_demand(InstanceId("b"), demand)
+    grants = coordinator.allocate_slots()
     assert InstanceId("a") not in grants
     assert sum(grants[InstanceId("b")].slots) > before
 
@@ -103,9 +103,9 @@
 def test_without_a_grant_an_entry_keeps_to_its_part() -> None:
     clock = ManualClock()
     share = ShareHolder(clock=clock)
-    assert sum(share.slots(capacity=80, entries=8)) == 10
+    assert sum(share.compute_slots(capacity=80, entry_count=8)) == 10
     for _ in range(50):
-        share.observe_latency(0.05)
+        share.record_first_token_latency(0.05)
     for _ in range(200):
-        share.observe_latency(1.0)
-    assert sum(share.slots(capacity=80, entries=8)) < 10
+        share.record_first_token_latency(1.0)
+    assert sum(share.compute_slots(capacity=80, entry_count=8)) < 10
