--- a/damasklead/messages.py
+++ b/damasklead/messages.py
@@ -2,9 +2,9 @@
 Messages between entries
 ========================
 
-What entries tell one another, as MessagePack arrays.
+Messages that entries exchange, encoded as MessagePack arrays.
 
-Every message carries the sender's configuration version and the latest gossip, so that
+Every message carries the sender's configuration version and recent gossip, so that
 neither needs messages of its own.
 """
 
@@ -31,7 +31,14 @@
 
 
 class Demand(msgspec.Struct, kw_only=True, frozen=True, array_like=True, tag=1):
-    """Requests that run and wait at an entry for one pool, by tier from 1 up."""
+    """
+    Load of an entry on one pool.
+
+    Attributes
+    ----------
+    running, waiting : tuple of int
+        Number of running and of queued requests in each tier, from tier 1.
+    """
 
     pool: PoolId
     running: tuple[int, ...]
@@ -40,18 +47,22 @@
 
 class ReplicaLoad(msgspec.Struct, kw_only=True, frozen=True, array_like=True):
     """
-    A replica's load as its coordinator last saw it.
+    Load of a replica by its latest report to the pool's coordinator.
 
     Attributes
     ----------
     key : int
         ``short_key`` of the replica's id.
-    load, limit, hard_limit : int
-        Requests that run or wait there, may run within targets, and may run at all.
+    load : int
+        Number of requests that run or are queued at the replica.
+    limit : int
+        Number of requests that it can run within the latency targets.
+    hard_limit : int
+        Number of requests that it can run at all.
     token_gap_us : int
-        Microseconds between tokens, 0 when unknown.
+        Microseconds between the tokens of a response, 0 when unknown.
     models : tuple of int
-        ``short_key`` of each loaded model, empty when the replica runs any.
+        ``short_key`` of each loaded model, empty when the replica serves any model.
     """
 
     key: int
@@ -69,12 +80,16 @@
     Attributes
     ----------
     slots : tuple of int
-        Slots by tier; a tier may use those of all lower tiers too.
+        Number of requests that the entry may run in each tier, from tier 1; a tier may
+        also use the slots of all lower tiers.
     ttl_ms : int
-        How long the grant holds.
+        Milliseconds for which the grant is valid.
     preempting_tier : int
-        The lowest tier that must wait somewhere, 0 when none does: running requests of
-        tiers below it are preempted down to the grant.
+        The lowest tier with queued requests at any entry while lower tiers use more
+        than their slots, 0 when there is none.  Entries preempt running requests of
+        the tiers below it until they use no more than the granted slots.
+    replicas : tuple of ReplicaLoad
+        Load of the pool's replicas.
     """
 
     pool: PoolId
@@ -88,9 +103,10 @@
     msgspec.Struct, kw_only=True, frozen=True, array_like=True, tag=3
 ):
     """
-    Asks a peer for its configuration if it is newer than ``known_version``.
+    Request for a peer's configuration if it is newer than ``known_version``.
 
-    ``reply_to`` is the asker's peers' address, which the peer may not know.
+    ``reply_to`` is the sender's address for messages of peers.  The peer may not know
+    it yet.
     """
 
     known_version: int
@@ -100,7 +116,7 @@
 class ConfigurationResponse(
     msgspec.Struct, kw_only=True, frozen=True, array_like=True, tag=4
 ):
-    """A configuration's files by name, and the members that the peer knows."""
+    """The files of a configuration by name, and the members that the sender knows."""
 
     version: int
     files: dict[str, str]
@@ -108,14 +124,14 @@
 
 
 class LeavingNotice(msgspec.Struct, kw_only=True, frozen=True, array_like=True, tag=11):
-    """An instance is leaving; final for this incarnation."""
+    """An instance is leaving; this is final for the incarnation."""
 
     instance: InstanceId
     incarnation: Incarnation
 
 
 class CrashNotice(msgspec.Struct, kw_only=True, frozen=True, array_like=True, tag=12):
-    """A replica crashed while it ran requests with these fingerprints."""
+    """A replica crashed while it executed requests with these fingerprints."""
 
     instance: InstanceId
     incarnation: Incarnation
@@ -125,14 +141,19 @@
 class QuarantineNotice(
     msgspec.Struct, kw_only=True, frozen=True, array_like=True, tag=13
 ):
-    """Requests with this fingerprint crash upstreams and are refused."""
+    """Requests with this fingerprint crash upstreams and must be refused."""
 
     fingerprint: Fingerprint
 
 
 class ReleaseNotice(msgspec.Struct, kw_only=True, frozen=True, array_like=True, tag=14):
     """
-    An operator lifted a quarantine; ``number`` tells releases of one fingerprint apart.
+    An operator lifted a quarantine.
+
+    Attributes
+    ----------
+    number : int
+        Rises with each release of the same fingerprint.
     """
 
     fingerprint: Fingerprint
@@ -144,7 +165,22 @@
 
 
 class PeerMessage(msgspec.Struct, kw_only=True, frozen=True, array_like=True):
-    """One message between entries."""
+    """
+    One message between entries.
+
+    Attributes
+    ----------
+    sender : str
+        Id of the sending instance.
+    incarnation : int
+        Incarnation of the sender.
+    configuration_version : int
+        Version of the configuration that the sender has.
+    gossip : tuple
+        Gossip items that the sender has not sent to this peer before.
+    body : tuple
+        The demands, grants, queries and responses that the message carries.
+    """
 
     sender: InstanceId
     incarnation: Incarnation
@@ -158,17 +194,17 @@
 
 
 def encode_message(message: PeerMessage) -> bytes:
-    """Return a message's bytes."""
+    """Return the encoded message."""
     return _ENCODER.encode(message)
 
 
 def decode_message(content: bytes) -> PeerMessage:
     """
-    Return the message in ``content``.
+    Return the message that ``content`` encodes.
 
     Raises
     ------
     msgspec.DecodeError
-        When the bytes are not a message.
+        When ``content`` is not a valid message.
     """
     return _DECODER.decode(content)
--- a/damasklead/queueing.py
+++ b/damasklead/queueing.py
@@ -2,8 +2,9 @@
 Queue of one pool at one entry
 ==============================
 
-Tiers strictly first, workspaces fair by token cost inside a tier, deadlines inside a
-workspace.
+Orders requests by strict priority of their tiers, by weighted fair queueing of
+workspaces inside a tier (the cost is in tokens), and by earliest deadline first inside
+a workspace.
 
 Three properties hold and are tested:
 
@@ -32,170 +33,210 @@
 
 __all__ = ["PoolQueue"]
 
-LATE_START_INTERVAL = 8
-RETRY_AFTER_FULL = 1.0  # seconds
+LATE_START_INTERVAL = 8  # starts in a tier, one of them of a late request
+RETRY_AFTER_SECONDS = 1.0
 
 
-class _ClassLine(msgspec.Struct, kw_only=True):
+class _ClassQueue(msgspec.Struct, kw_only=True):
     """
-    The requests of one class in order of arrival, with the class's credit in slot-
-    seconds.
+    The queued requests of one class in order of arrival.
+
+    Attributes
+    ----------
+    credit : float
+        Slot-seconds accrued for the minimum share of the class.
     """
 
     request_class: RequestClass
-    waiting: OrderedDict[RequestId, Request]
+    requests: OrderedDict[RequestId, Request]
     credit: float = 0.0
 
 
-class _Lane:
-    """The waiting requests of one workspace in one tier, by deadline."""
+class _WorkspaceQueue:
+    """The queued requests of one workspace in one tier, earliest deadline first."""
 
     def __init__(self) -> None:
         self._heap: list[tuple[float, int, Request]] = []
 
-    def push(self, request: Request, sequence: int) -> None:
-        heapq.heappush(self._heap, (request.deadline, sequence, request))
+    def push(self, request: Request, sequence_number: int) -> None:
+        heapq.heappush(self._heap, (request.deadline, sequence_number, request))
+
+    def peek(self, sequence_numbers: dict[RequestId, int]) -> Request | None:
+        """
+        Return the first request that is still queued, dropping those that are not.
 
-    def head(self, waiting: dict[RequestId, int]) -> Request | None:
-        """Return the earliest request that still waits, dropping those that do not."""
+        Parameters
+        ----------
+        sequence_numbers : dict
+            Sequence number of each queued request.  An entry of the heap with another
+            number is stale: its request was removed, and perhaps queued again.
+        """
         while self._heap:
-            _, sequence, request = self._heap[0]
-            if waiting.get(request.id) == sequence:
+            _, sequence_number, request = self._heap[0]
+            if sequence_numbers.get(request.id) == sequence_number:
                 return request
             heapq.heappop(self._heap)
         return None
 
-    def drop_head(self) -> None:
-        """Remove the request that ``head`` returned."""
+    def pop_head(self) -> None:
+        """Remove the request that ``peek`` returned."""
         heapq.heappop(self._heap)
 
 
-class _Tier:
-    """One tier: a lane for each workspace, and those that are late already."""
+class _TierQueues:
+    """
+    The queued requests of one tier.
+
+    Attributes
+    ----------
+    workspace_queues : dict
+        Requests that can still meet their deadline.
+    late_requests : OrderedDict
+        Requests past their deadline, in the order in which they were found late.
+    served_tokens : dict
+        Virtual time of each workspace: the tokens charged to it, divided by its weight.
+    min_virtual_time : float
+        Virtual time in weighted tokens of the workspace chosen last, before its request
+        was charged.  A workspace that was idle continues from here, so that it has no
+        advantage from the idle time.
+    starts_since_late : int
+        Number of starts since the last one of a late request, while any is queued.
+    """
 
     def __init__(self) -> None:
-        self.lanes: dict[WorkspaceId, _Lane] = {}
-        self.late: OrderedDict[RequestId, Request] = OrderedDict()
-        self.served: dict[WorkspaceId, float] = {}
-        self.floor = 0.0
-        self.since_late = 0
+        self.workspace_queues: dict[WorkspaceId, _WorkspaceQueue] = {}
+        self.late_requests: OrderedDict[RequestId, Request] = OrderedDict()
+        self.served_tokens: dict[WorkspaceId, float] = {}
+        self.min_virtual_time = 0.0
+        self.starts_since_late = 0
 
-    def virtual_time(self, workspace: WorkspaceId) -> float:
+    def get_virtual_time(self, workspace: WorkspaceId) -> float:
         """
-        Return the workspace's service so far in weighted tokens, never below the floor.
+        Return the workspace's virtual time in weighted tokens, at least the minimum.
         """
-        return max(self.served.get(workspace, 0.0), self.floor)
+        return max(self.served_tokens.get(workspace, 0.0), self.min_virtual_time)
 
 
 class PoolQueue:
     """
-    The requests that wait at this entry for one pool.
+    The requests that are queued at this entry for one pool.
 
     Parameters
     ----------
     clock : Clock
     costs : CostModel
-        Expected lengths; shared with the dispatcher that corrects them.
+        Estimates of response lengths, shared with the dispatcher, which updates them.
     """
 
     def __init__(self, *, clock: Clock, costs: CostModel) -> None:
         self._clock = clock
         self._costs = costs
-        self._lines: dict[ClassName, _ClassLine] = {}
-        self._tiers: dict[int, _Tier] = {}
-        self._waiting: dict[RequestId, int] = {}
-        self._room = 0
-        self._sequence = 0
-        self._credited_at = clock.now()
+        self._class_queues: dict[ClassName, _ClassQueue] = {}
+        self._tiers: dict[int, _TierQueues] = {}
+        self._sequence_numbers: dict[RequestId, int] = {}
+        self._capacity = 0
+        self._last_sequence_number = 0
+        self._last_accrual_at = clock.now()
 
     def __len__(self) -> int:
-        return len(self._waiting)
+        return len(self._sequence_numbers)
 
     def __contains__(self, request_id: RequestId) -> bool:
-        return request_id in self._waiting
+        return request_id in self._sequence_numbers
 
     def update_classes(self, classes: tuple[RequestClass, ...]) -> None:
         """
-        Take the classes in force; classes that are gone drain what they still hold.
+        Apply the configured classes.
+
+        Queued requests of a removed class stay queued until they start or expire.
         """
         for item in classes:
-            line = self._lines.get(item.name)
-            if line is None:
-                self._lines[item.name] = _ClassLine(
-                    request_class=item, waiting=OrderedDict()
+            class_queue = self._class_queues.get(item.name)
+            if class_queue is None:
+                self._class_queues[item.name] = _ClassQueue(
+                    request_class=item, requests=OrderedDict()
                 )
             else:
-                line.request_class = item
-        self._room = sum(item.queue_bound for item in classes)
+                class_queue.request_class = item
+        self._capacity = sum(item.queue_bound for item in classes)
 
     def count_by_tier(self) -> dict[int, int]:
-        """Return how many requests wait in each tier."""
+        """Return the number of queued requests in each tier that has any."""
         counts: dict[int, int] = {}
-        for line in self._lines.values():
-            if line.waiting:
-                tier = line.request_class.tier
-                counts[tier] = counts.get(tier, 0) + len(line.waiting)
+        for class_queue in self._class_queues.values():
+            if class_queue.requests:
+                tier = class_queue.request_class.tier
+                counts[tier] = counts.get(tier, 0) + len(class_queue.requests)
         return counts
 
     def find_earliest(self, tier: int) -> Request | None:
-        """Return the waiting request of a tier that arrived first of its class."""
+        """
+        Return a tier's queued request with the earliest deadline.
+
+        Only the request that was queued first in each class is considered.
+        """
         heads = [
-            next(iter(line.waiting.values()))
-            for line in self._lines.values()
-            if line.waiting and line.request_class.tier == tier
+            next(iter(class_queue.requests.values()))
+            for class_queue in self._class_queues.values()
+            if class_queue.requests and class_queue.request_class.tier == tier
         ]
         return min(heads, key=lambda item: item.deadline, default=None)
 
     def push(self, request: Request) -> list[Refuse]:
         """
-        Let a request wait; what has no room is refused as not run.
+        Queue a request, or refuse one when the queue is full.
 
         Returns
         -------
         list of Refuse
-            The request itself, or one of a lower tier in whose place it waits.
+            The refusal of this request, or of one of a lower tier that it replaces;
+            empty when the queue was not full.
         """
-        line = self._line(request.request_class)
+        class_queue = self._get_class_queue(request.request_class)
         full = (
-            len(line.waiting) >= line.request_class.queue_bound
-            or len(self) >= self._room
+            len(class_queue.requests) >= class_queue.request_class.queue_bound
+            or len(self) >= self._capacity
         )
         refused: list[Refuse] = []
         if full:
-            victim = self._lowest(below=request.tier)
+            victim = self._find_shed_candidate(below=request.tier)
             if victim is None:
-                return [_refuse(request, Reason.QUEUE_FULL)]
+                return [_make_refusal(request, Reason.QUEUE_FULL)]
             self.remove(victim.id)
-            refused.append(_refuse(victim, Reason.SHED))
-        self._insert(request, line)
+            refused.append(_make_refusal(victim, Reason.SHED))
+        self._enqueue(request, class_queue)
         return refused
 
     def requeue(self, request: Request) -> None:
-        """Let a request wait again that was admitted before; it always has room."""
+        """Queue a request that was started before, even when the queue is full."""
         self.settle_charge(request)
-        self._insert(request, self._line(request.request_class))
+        self._enqueue(request, self._get_class_queue(request.request_class))
 
     def remove(self, request_id: RequestId) -> bool:
-        """Take a request out; returns whether it waited."""
-        if self._waiting.pop(request_id, None) is None:
+        """Remove a request from the queue; returns whether it was queued."""
+        if self._sequence_numbers.pop(request_id, None) is None:
             return False
-        for line in self._lines.values():
-            line.waiting.pop(request_id, None)
+        for class_queue in self._class_queues.values():
+            class_queue.requests.pop(request_id, None)
         for tier in self._tiers.values():
-            tier.late.pop(request_id, None)
+            tier.late_requests.pop(request_id, None)
         return True
 
     def expire_requests(self) -> list[Refuse]:
         """
-        Refuse what waited too long or can't be in time for a class that needs it so.
+        Remove and refuse requests that were queued for too long.
+
+        The limit is the maximum wait of the class, and also the deadline if a late
+        response has no value to the caller.  Requests that an upstream may have
+        executed are kept.
         """
         now = self._clock.now()
         expired: list[Refuse] = []
-        for request in self._overdue(now):
+        for request in self._find_expired(now):
             useless = request.request_class.late_useless and now > request.deadline
             self.remove(request.id)
             expired.append(
-                _refuse(
+                _make_refusal(
                     request,
                     Reason.DEADLINE_EXCEEDED if useless else Reason.WAITED_TOO_LONG,
                 )
@@ -203,9 +244,11 @@
         return expired
 
     def drain(self) -> list[Request]:
-        """Take out everything that waits."""
+        """Remove and return all queued requests."""
         requests = [
-            item for line in self._lines.values() for item in line.waiting.values()
+            item
+            for class_queue in self._class_queues.values()
+            for item in class_queue.requests.values()
         ]
         for request in requests:
             self.remove(request.id)
@@ -213,170 +256,188 @@
 
     def pop(self, *, slots: float, admitted_tier: int) -> Request | None:
         """
-        Take the next request to start.
+        Remove and return the next request to start, ``None`` when none may start.
 
         Parameters
         ----------
         slots : float
-            The entry's slots, from which the credit of minimum shares grows.
+            Number of slots of this entry, by which the credit of minimum shares grows.
         admitted_tier : int
-            The lowest tier (largest number) that may start now.
+            The lowest tier (largest number) that may start now.  A class with enough
+            credit for its minimum share may start whatever its tier.
         """
-        self._grow_credit(slots)
-        request = self._by_credit() or self._by_tier(admitted_tier)
+        self._accrue_credit(slots)
+        request = self._select_by_credit() or self._select_by_tier(admitted_tier)
         if request is None:
             return None
         self.remove(request.id)
-        self._charge(request)
+        self._charge_workspace(request)
         return request
 
     def settle_charge(self, request: Request) -> None:
-        """Replace the expected cost that a request was charged by what it came to."""
+        """Replace a request's estimated charge by the tokens generated since then."""
         tier = self._tiers.get(request.tier)
         if tier is not None and request.charged_tokens:
             actual = request.generated_tokens - request.settled_tokens
-            served = tier.served.get(request.workspace, 0.0)
+            served = tier.served_tokens.get(request.workspace, 0.0)
             served += (actual - request.charged_tokens) / request.weight
-            tier.served[request.workspace] = max(0.0, served)
+            tier.served_tokens[request.workspace] = max(0.0, served)
         request.charged_tokens = 0.0
         request.settled_tokens = request.generated_tokens
 
-    def _line(self, request_class: RequestClass) -> _ClassLine:
-        line = self._lines.get(request_class.name)
-        if line is None:
-            line = _ClassLine(request_class=request_class, waiting=OrderedDict())
-            self._lines[request_class.name] = line
-            self._room += request_class.queue_bound
-        return line
-
-    def _insert(self, request: Request, line: _ClassLine) -> None:
-        self._sequence += 1
-        self._waiting[request.id] = self._sequence
-        line.waiting[request.id] = request
-        tier = self._tiers.setdefault(request.tier, _Tier())
-        tier.lanes.setdefault(request.workspace, _Lane()).push(request, self._sequence)
-
-    def _lowest(self, *, below: int) -> Request | None:
+    def _get_class_queue(self, request_class: RequestClass) -> _ClassQueue:
+        class_queue = self._class_queues.get(request_class.name)
+        if class_queue is None:
+            class_queue = _ClassQueue(
+                request_class=request_class, requests=OrderedDict()
+            )
+            self._class_queues[request_class.name] = class_queue
+            self._capacity += request_class.queue_bound
+        return class_queue
+
+    def _enqueue(self, request: Request, class_queue: _ClassQueue) -> None:
+        self._last_sequence_number += 1
+        self._sequence_numbers[request.id] = self._last_sequence_number
+        class_queue.requests[request.id] = request
+        tier = self._tiers.setdefault(request.tier, _TierQueues())
+        tier.workspace_queues.setdefault(request.workspace, _WorkspaceQueue()).push(
+            request, self._last_sequence_number
+        )
+
+    def _find_shed_candidate(self, *, below: int) -> Request | None:
         """
-        Return the request to give up first: of the lowest tier, the last to arrive.
+        Return the request to shed: the newest of the lowest tier below a given one.
+
+        Requests without any generated tokens are preferred.
         """
         tiers = [
-            line.request_class.tier
-            for line in self._lines.values()
-            if line.waiting and line.request_class.tier > below
+            class_queue.request_class.tier
+            for class_queue in self._class_queues.values()
+            if class_queue.requests and class_queue.request_class.tier > below
         ]
         if not tiers:
             return None
-        lines = [
-            line
-            for line in self._lines.values()
-            if line.waiting and line.request_class.tier == max(tiers)
+        class_queues = [
+            class_queue
+            for class_queue in self._class_queues.values()
+            if class_queue.requests and class_queue.request_class.tier == max(tiers)
+        ]
+        candidates = [
+            next(reversed(class_queue.requests.values()))
+            for class_queue in class_queues
         ]
-        candidates = [next(reversed(line.waiting.values())) for line in lines]
         fresh = [item for item in candidates if not item.generated_tokens]
         return max(fresh or candidates, key=lambda item: item.arrival)
 
-    def _overdue(self, now: float) -> Iterator[Request]:
-        for line in self._lines.values():
-            max_wait = line.request_class.max_wait
-            useless_after = line.request_class.start_target
+    def _find_expired(self, now: float) -> Iterator[Request]:
+        for class_queue in self._class_queues.values():
+            max_wait = class_queue.request_class.max_wait
+            useless_after = class_queue.request_class.start_target
             bound = (
                 min(max_wait, useless_after)
-                if line.request_class.late_useless
+                if class_queue.request_class.late_useless
                 else max_wait
             )
-            for request in list(line.waiting.values()):
+            for request in list(class_queue.requests.values()):
                 if now - request.arrival > bound and not request.may_have_executed:
                     yield request
 
-    def _grow_credit(self, slots: float) -> None:
+    def _accrue_credit(self, slots: float) -> None:
         now = self._clock.now()
-        elapsed = now - self._credited_at
-        self._credited_at = now
+        elapsed = now - self._last_accrual_at
+        self._last_accrual_at = now
         if elapsed <= 0:
             return
-        for line in self._lines.values():
-            share = line.request_class.minimum_share
-            if line.waiting and share:
-                head = next(iter(line.waiting.values()))
-                limit = self._cost(head)
-                line.credit = min(limit, line.credit + elapsed * share * slots)
-
-    def _by_credit(self) -> Request | None:
-        for line in sorted(
-            self._lines.values(), key=lambda item: item.request_class.tier
+        for class_queue in self._class_queues.values():
+            share = class_queue.request_class.minimum_share
+            if class_queue.requests and share:
+                head = next(iter(class_queue.requests.values()))
+                limit = self._estimate_cost(head)
+                class_queue.credit = min(
+                    limit, class_queue.credit + elapsed * share * slots
+                )
+
+    def _select_by_credit(self) -> Request | None:
+        for class_queue in sorted(
+            self._class_queues.values(), key=lambda item: item.request_class.tier
         ):
-            if line.waiting and line.request_class.minimum_share:
-                head = next(iter(line.waiting.values()))
-                if line.credit >= self._cost(head):
+            if class_queue.requests and class_queue.request_class.minimum_share:
+                head = next(iter(class_queue.requests.values()))
+                if class_queue.credit >= self._estimate_cost(head):
                     return head
         return None
 
-    def _by_tier(self, admitted_tier: int) -> Request | None:
+    def _select_by_tier(self, admitted_tier: int) -> Request | None:
         for number in sorted(self._tiers):
             if number > admitted_tier:
                 return None
-            request = self._pick(self._tiers[number])
+            request = self._select_in_tier(self._tiers[number])
             if request is not None:
                 return request
         return None
 
-    def _pick(self, tier: _Tier) -> Request | None:
-        self._move_late(tier)
+    def _select_in_tier(self, tier: _TierQueues) -> Request | None:
+        self._move_late_requests(tier)
         heads = {
             workspace: head
-            for workspace, lane in tier.lanes.items()
-            if (head := lane.head(self._waiting)) is not None
-            and head.id not in tier.late
+            for workspace, workspace_queue in tier.workspace_queues.items()
+            if (head := workspace_queue.peek(self._sequence_numbers)) is not None
+            and head.id not in tier.late_requests
         }
-        if tier.late and (not heads or tier.since_late >= LATE_START_INTERVAL - 1):
-            tier.since_late = 0
-            return next(iter(tier.late.values()))
+        if tier.late_requests and (
+            not heads or tier.starts_since_late >= LATE_START_INTERVAL - 1
+        ):
+            tier.starts_since_late = 0
+            return next(iter(tier.late_requests.values()))
         if not heads:
             return None
-        tier.since_late += 1 if tier.late else 0
+        tier.starts_since_late += 1 if tier.late_requests else 0
         chosen = min(
-            heads, key=lambda name: (tier.virtual_time(name), heads[name].deadline)
+            heads, key=lambda name: (tier.get_virtual_time(name), heads[name].deadline)
+        )
+        tier.min_virtual_time = max(
+            tier.min_virtual_time, tier.get_virtual_time(chosen)
         )
-        tier.floor = max(tier.floor, tier.virtual_time(chosen))
         return heads[chosen]
 
-    def _move_late(self, tier: _Tier) -> None:
+    def _move_late_requests(self, tier: _TierQueues) -> None:
         """
-        Move the heads whose deadline has passed from their lanes to the late ones.
+        Move requests whose deadline has passed from their workspaces to the late ones.
         """
         now = self._clock.now()
-        for workspace in list(tier.lanes):
-            lane = tier.lanes[workspace]
-            head = lane.head(self._waiting)
+        for workspace in list(tier.workspace_queues):
+            workspace_queue = tier.workspace_queues[workspace]
+            head = workspace_queue.peek(self._sequence_numbers)
             while head is not None and now > head.deadline:
-                tier.late[head.id] = head
-                lane.drop_head()
-                head = lane.head(self._waiting)
+                tier.late_requests[head.id] = head
+                workspace_queue.pop_head()
+                head = workspace_queue.peek(self._sequence_numbers)
             if head is None:
-                del tier.lanes[workspace]
+                del tier.workspace_queues[workspace]
 
-    def _charge(self, request: Request) -> None:
+    def _charge_workspace(self, request: Request) -> None:
         request_class = request.request_class
         request.charged_tokens = self._costs.estimate_tokens(
             request_class.name, request.workspace
         )
         tier = self._tiers[request.tier]
-        start = tier.virtual_time(request.workspace)
-        tier.served[request.workspace] = start + request.charged_tokens / request.weight
-        line = self._lines[request_class.name]
-        line.credit = max(0.0, line.credit - self._cost(request))
+        start = tier.get_virtual_time(request.workspace)
+        tier.served_tokens[request.workspace] = (
+            start + request.charged_tokens / request.weight
+        )
+        class_queue = self._class_queues[request_class.name]
+        class_queue.credit = max(0.0, class_queue.credit - self._estimate_cost(request))
 
-    def _cost(self, request: Request) -> float:
+    def _estimate_cost(self, request: Request) -> float:
         return self._costs.estimate_slot_seconds(
             request.request_class.name, request.workspace
         )
 
 
-def _refuse(request: Request, reason: Reason) -> Refuse:
+def _make_refusal(request: Request, reason: Reason) -> Refuse:
     return Refuse(
         request=request,
         reason=reason,
         outcome=request.unanswered_outcome,
-        retry_after=RETRY_AFTER_FULL,
+        retry_after=RETRY_AFTER_SECONDS,
     )
--- a/damasklead/requests.py
+++ b/damasklead/requests.py
@@ -2,7 +2,7 @@
 Requests and attempts
 =====================
 
-The typed values that the decisions about a request take in and give out.
+The state of a request, and the actions that a dispatcher returns for its requests.
 """
 
 from enum import Enum
@@ -27,7 +27,7 @@
 
 
 class Outcome(Enum):
-    """What an answer tells its caller about the request."""
+    """Whether a request was executed, as its response tells the caller."""
 
     ANSWERED = "answered"
     NOT_RUN = "not-run"
@@ -35,7 +35,7 @@
 
 
 class Reason(Enum):
-    """Why a request is refused or fails; the value is part of the problem's type."""
+    """Why a request is refused or fails; the value is part of the problem type URN."""
 
     QUEUE_FULL = "queue-full"
     SHED = "shed-for-higher-tier"
@@ -55,26 +55,30 @@
     Attributes
     ----------
     arrival : float
-        Clock reading in seconds when the request was complete.
+        Clock reading in seconds when the request had been received completely.
     prompt_tokens : int
         Estimated length of the prompt in tokens.
     prefix : str
-        Digest of the prompt's beginning, the same for prompts that share a cached
-        prefix.
+        Digest of the beginning of the prompt, equal for prompts that can share a prefix
+        cache entry.
     fingerprint : str
-        Digest of the content, the same each time the request is sent.
+        Digest of the content, equal for each repetition of the request.
+    model : str
+        Name of the requested model, empty for a service without models.
+    weight : float
+        Weight of the workspace in fair queueing.
     generated_tokens : int
-        Events of the answer that the caller already has.
+        Tokens of the response that the caller has received, one for each event.
     start_count, failure_count, preemption_count : int
-        How often the request was started, failed and was preempted.
+        Number of attempts started, failed and preempted.
     charged_tokens : float
-        Tokens that the workspace was charged in advance for the present start.
+        Estimated tokens charged to the workspace when the current attempt started.
     settled_tokens : int
-        Tokens that it was charged for good.
+        Generated tokens that earlier corrections of the charge have accounted for.
     may_have_executed : bool
-        Whether an upstream may have run the request, wholly or in part.
+        Whether an upstream may have executed the request, wholly or in part.
     tried_replicas : list
-        Replicas on which an attempt failed.
+        Replicas on which an attempt failed or produced no first token in time.
     """
 
     id: RequestId
@@ -97,23 +101,28 @@
 
     @property
     def deadline(self) -> float:
-        """Clock reading in seconds at which the answer should begin."""
+        """Clock reading in seconds by which the response should begin."""
         return self.arrival + self.request_class.start_target
 
     @property
     def unanswered_outcome(self) -> Outcome:
-        """What its caller may be told when the request gets no answer."""
+        """Outcome to report to the caller when no upstream responds to the request."""
         return Outcome.UNKNOWN if self.may_have_executed else Outcome.NOT_RUN
 
     @property
     def tier(self) -> int:
-        """The tier of the request's class."""
+        """Priority tier of the request's class, 1 for the highest priority."""
         return self.request_class.tier
 
 
 class Start(msgspec.Struct, kw_only=True, frozen=True):
     """
-    Send the request to a replica; ``resume`` asks it to go on with its own earlier run.
+    Send the request to a replica.
+
+    Attributes
+    ----------
+    resume : bool
+        Whether the replica should continue its own earlier execution of the request.
     """
 
     request: Request
@@ -123,7 +132,7 @@
 
 
 class Cancel(msgspec.Struct, kw_only=True, frozen=True):
-    """Cancel an attempt; the request waits again when ``requeued``."""
+    """Cancel an attempt; with ``requeued``, the request is back in the queue."""
 
     request: Request
     attempt: AttemptId
@@ -132,7 +141,14 @@
 
 
 class Refuse(msgspec.Struct, kw_only=True, frozen=True):
-    """Give the request its final answer; ``retry_after`` is in seconds, or ``None``."""
+    """
+    End the request with an error response.
+
+    Attributes
+    ----------
+    retry_after : float or None
+        Seconds after which the caller may try again, or ``None`` to give no time.
+    """
 
     request: Request
     reason: Reason
@@ -141,7 +157,14 @@
 
 
 class Finish(msgspec.Struct, kw_only=True, frozen=True):
-    """The request has its whole answer."""
+    """
+    The request has its complete response.
+
+    Attributes
+    ----------
+    tokens : int
+        Length of the response in tokens.
+    """
 
     request: Request
     tokens: int
