--- a/damasklead/dispatching.py
+++ b/damasklead/dispatching.py
@@ -21,8 +21,8 @@
     Attempt,
     DispatchOptions,
     choose_victims,
+    find_overdue,
     may_preempt,
-    overdue,
 )
 from damasklead.quarantine import Quarantine
 from damasklead.queueing import PoolQueue
@@ -243,7 +243,7 @@
             else BROKEN_AVOID_SECONDS
         )
         self.replicas.record_failure(
-            attempt.replica, seconds=avoid, unreachable=unreachable
+            attempt.replica, seconds=avoid, is_unreachable=unreachable
         )
         return [*self._after_failure(request, failure), *self._fill()]
 
@@ -443,7 +443,7 @@
         if self._service.kind is not ServiceKind.ENGINE:
             return []
         actions: list[Action] = []
-        for attempt in overdue(self._attempts.values(), self._clock.now()):
+        for attempt in find_overdue(self._attempts.values(), self._clock.now()):
             if self._budget.acquire_retry():
                 attempt.request.tried_replicas.append(attempt.replica)
                 actions.append(self._requeue_running(attempt))
--- a/damasklead/preempting.py
+++ b/damasklead/preempting.py
@@ -2,7 +2,8 @@
 Preempting
 ==========
 
-Which running requests give way, or start anew elsewhere.
+Selects running requests to preempt for requests of higher tiers, or to restart on
+another replica.
 """
 
 from collections.abc import Iterable
@@ -12,25 +13,32 @@
 from damasklead.ids import AttemptId, InstanceId
 from damasklead.requests import Request
 
-__all__ = ["Attempt", "DispatchOptions", "choose_victims", "may_preempt", "overdue"]
+__all__ = [
+    "Attempt",
+    "DispatchOptions",
+    "choose_victims",
+    "may_preempt",
+    "find_overdue",
+]
 
 MAX_PREEMPTIONS = 3
-FIRST_TOKEN_PATIENCE = 4.0  # multiples of the first-token target
+FIRST_TOKEN_TIMEOUT_FACTOR = 4.0  # multiples of the first-token target
 
 
 class DispatchOptions(msgspec.Struct, kw_only=True, frozen=True):
     """
-    Parts of the policy that a bench can switch off.
+    Parts of the dispatch policy that a benchmark can switch off.
 
     Attributes
     ----------
     allow_preemption : bool
-        Whether running requests of lower tiers give way to waiting ones of higher
-        tiers.
+        Whether running requests of lower tiers are preempted for queued requests of
+        higher tiers.
     migrate_from_stragglers : bool
-        Whether requests on an ejected replica go on elsewhere.
+        Whether running requests are moved from an ejected replica to others.
     allow_top_tier_burst : bool
-        Whether the top tier may go beyond its share up to a replica's hard limit.
+        Whether urgent requests, among them all of the top tier, may exceed the entry's
+        share of the pool, up to a replica's hard limit.
     """
 
     allow_preemption: bool = True
@@ -40,12 +48,19 @@
 
 class Attempt(msgspec.Struct, kw_only=True):
     """
-    A request that runs on a replica.
+    An attempt of a request that runs on a replica.
 
     Attributes
     ----------
+    started_at : float
+        Clock reading in seconds at the start of the attempt.
     is_preemptable : bool
-        Whether it can be cancelled and go on later without losing what was generated.
+        Whether the request can be cancelled and continued later without losing the
+        generated tokens.
+    first_token_at : float or None
+        Clock reading in seconds at the first event of the response.
+    event_count : int
+        Number of events that the caller has received from this attempt.
     """
 
     id: AttemptId
@@ -58,7 +73,15 @@
 
 
 def may_preempt(attempt: Attempt, below: int) -> bool:
-    """Tell whether an attempt of a tier below one may be cancelled and go on later."""
+    """
+    Return whether an attempt may be preempted and continued later.
+
+    Parameters
+    ----------
+    attempt : Attempt
+    below : int
+        Only attempts of tiers below this one (larger numbers) may be preempted.
+    """
     request = attempt.request
     if request.tier <= below or not attempt.is_preemptable:
         return False
@@ -68,7 +91,12 @@
 def choose_victims(
     attempts: Iterable[Attempt], *, below: int, count: int
 ) -> list[Attempt]:
-    """Return up to ``count`` attempts to preempt, those that lose least first."""
+    """
+    Return up to ``count`` attempts to preempt.
+
+    Those of the lowest tier come first, inside a tier those with the fewest generated
+    tokens.
+    """
     if count <= 0:
         return []
     victims = sorted(
@@ -78,14 +106,14 @@
     return victims[:count]
 
 
-def overdue(attempts: Iterable[Attempt], now: float) -> list[Attempt]:
-    """Return what had no first token for long and may be repeated."""
-    found = []
+def find_overdue(attempts: Iterable[Attempt], now: float) -> list[Attempt]:
+    """Return the preemptable attempts whose first token is overdue at ``now``."""
+    overdue = []
     for attempt in attempts:
         target = attempt.request.request_class.first_token
         if target is None or attempt.first_token_at is not None:
             continue
-        late = now - attempt.started_at > FIRST_TOKEN_PATIENCE * target
-        if late and may_preempt(attempt, 0):
-            found.append(attempt)
-    return found
+        is_overdue = now - attempt.started_at > FIRST_TOKEN_TIMEOUT_FACTOR * target
+        if is_overdue and may_preempt(attempt, 0):
+            overdue.append(attempt)
+    return overdue
--- a/damasklead/replicas.py
+++ b/damasklead/replicas.py
@@ -2,8 +2,8 @@
 Choice of a replica
 ===================
 
-Scores the replicas of a pool by load, speed, prefix cache and distance, and ejects
-stragglers.
+Scores the replicas of a pool by load, speed, prefix cache affinity and data centre, and
+ejects stragglers (outlier detection).
 """
 
 import random
@@ -21,59 +21,94 @@
 
 __all__ = ["ReplicaChooser", "ReplicaInfo"]
 
-DEFAULT_LIMIT = 16
-SAMPLED = 32
-PREFIX_FAVOURITES = 2
-PREFIX_BONUS = 1.0  # requests
-OTHER_CENTRE_COST = 0.1  # requests
-TRIED_COST = 1000.0  # requests
-OTHERS_WEIGHT = 0.5
-STRAGGLER_RATIO = 2.5
+DEFAULT_LIMIT = 16  # requests, until the first report
+MAX_SCORED_REPLICAS = 32  # without those that are preferred for a prefix
+PREFERRED_REPLICAS_PER_PREFIX = 2
+PREFIX_BONUS_REQUESTS = 1.0
+REMOTE_PENALTY_REQUESTS = 0.1  # for a replica in another data centre
+TRIED_PENALTY_REQUESTS = 1000.0
+OTHER_REQUESTS_WEIGHT = 0.5  # of a request of this entry
+STRAGGLER_RATIO = 2.5  # multiples of the median token gap
 MAX_EJECTED_FRACTION = 0.34
-EJECT_SECONDS = 10.0
-SLOW_SECONDS = 1.0
-MAX_EJECTIONS = 6
-MIN_GAP_SAMPLES = 3
-MICROSECONDS = 1_000_000
-GAP_RATE = 0.3
-OTHERS_RATE = 0.2
+EJECTION_SECONDS = 10.0  # times the number of ejections in a row
+MIN_STRAGGLING_SECONDS = 1.0
+MAX_EJECTION_COUNT = 6  # bounds the length of an ejection
+MIN_TOKEN_GAP_SAMPLES = 3
+MICROSECONDS_PER_SECOND = 1_000_000
+TOKEN_GAP_SMOOTHING_FACTOR = 0.3
+OTHER_REQUESTS_SMOOTHING_FACTOR = 0.2
 
 
 class ReplicaInfo(msgspec.Struct, kw_only=True, frozen=True):
-    """A replica that may take work: its id and place."""
+    """Id and data centre of a replica that may take new requests."""
 
     instance: InstanceId
     data_centre: DataCentre
 
 
 class _Replica(msgspec.Struct, kw_only=True):
+    """
+    What this entry knows about a replica.
+
+    Attributes
+    ----------
+    key : int
+        ``short_key`` of the replica's id, as in the load reports.
+    limit, hard_limit : int
+        Number of requests that it can run within the latency targets, and at all.
+    other_requests : MovingAverage
+        Number of requests there that this entry did not send.
+    token_gap : MovingAverage
+        Seconds between the tokens of a response.
+    slow_since : float or None
+        Clock reading in seconds since when the replica has been a straggler.
+    models : tuple of int
+        ``short_key`` of each loaded model, empty when the replica serves any model.
+    ejected_until, penalty_until : float
+        Clock readings in seconds until which the replica gets no requests, after an
+        ejection and after a failure.
+    ejection_count : int
+        Number of ejections in a row.
+    is_probed : bool
+        Whether the replica has been ejected and not yet been found fast again.  After
+        the ejection it gets one request at a time, none of them of tier 1.
+    is_unreachable : bool
+        Whether the last connection attempt failed.
+    own_attempts : set
+        Attempts of this entry that run there.
+    """
+
     info: ReplicaInfo
     key: int
     limit: int = DEFAULT_LIMIT
     hard_limit: int = DEFAULT_LIMIT
-    others: MovingAverage = msgspec.field(
-        default_factory=lambda: MovingAverage(value=0.0, smoothing_factor=OTHERS_RATE)
+    other_requests: MovingAverage = msgspec.field(
+        default_factory=lambda: MovingAverage(
+            value=0.0, smoothing_factor=OTHER_REQUESTS_SMOOTHING_FACTOR
+        )
     )
-    gap: MovingAverage = msgspec.field(
-        default_factory=lambda: MovingAverage(value=0.0, smoothing_factor=GAP_RATE)
+    token_gap: MovingAverage = msgspec.field(
+        default_factory=lambda: MovingAverage(
+            value=0.0, smoothing_factor=TOKEN_GAP_SMOOTHING_FACTOR
+        )
     )
     slow_since: float | None = None
     models: tuple[int, ...] = ()
     ejected_until: float = 0.0
-    ejections: int = 0
-    probing: bool = False
-    broken_until: float = 0.0
-    unreachable: bool = False
-    own: set[AttemptId] = msgspec.field(default_factory=set)
-
-    def runs(self, model: str) -> bool:
-        """Tell whether the replica can run a model, as far as its report says."""
+    ejection_count: int = 0
+    is_probed: bool = False
+    penalty_until: float = 0.0
+    is_unreachable: bool = False
+    own_attempts: set[AttemptId] = msgspec.field(default_factory=set)
+
+    def can_serve(self, model: str) -> bool:
+        """Return whether the replica can serve a model according to its last report."""
         return not self.models or not model or short_key(model) in self.models
 
     @property
     def load(self) -> float:
-        """Estimated requests there: our own, and those of others by the reports."""
-        return len(self.own) + self.others.value
+        """Estimated number of requests there, those of other entries included."""
+        return len(self.own_attempts) + self.other_requests.value
 
 
 class ReplicaChooser:
@@ -84,9 +119,10 @@
     ----------
     clock : Clock
     data_centre : DataCentre
-        Where this entry is; replicas there are preferred.
+        The data centre of this entry, whose replicas are preferred.
     random_source : random.Random
-        Differs between entries, so that they do not all follow the same stale report.
+        Source of random numbers, seeded differently in each entry, so that entries with
+        the same stale report do not all choose the same replica.
     """
 
     def __init__(
@@ -100,99 +136,107 @@
 
     @property
     def capacity(self) -> int:
-        """The slots of all replicas, as far as known."""
+        """Number of requests that all replicas can run within the latency targets."""
         return sum(replica.limit for replica in self._replicas.values())
 
     @property
     def has_reachable_replica(self) -> bool:
-        """Whether some replica is not known to be out of reach."""
-        return any(not replica.unreachable for replica in self._replicas.values())
+        """Whether at least one replica is not marked as unreachable."""
+        return any(not replica.is_unreachable for replica in self._replicas.values())
 
     @property
     def instances(self) -> list[InstanceId]:
-        """The replicas that may take work."""
+        """Ids of the replicas that may take new requests."""
         return list(self._replicas)
 
     def update_replicas(
         self, replicas: Iterable[ReplicaInfo], *, entry_count: int = 1
     ) -> None:
         """
-        Take the replicas that may take new work; others take none from now on.
+        Set the replicas that may take new requests, in place of the present ones.
 
         Parameters
         ----------
+        replicas : iterable of ReplicaInfo
         entry_count : int
-            How many entries send to them.
+            Number of entries that send requests to these replicas.
         """
         self._entry_count = entry_count
-        known = self._replicas
+        known_replicas = self._replicas
         self._replicas = {}
         for info in replicas:
-            replica = known.get(info.instance) or _Replica(
+            replica = known_replicas.get(info.instance) or _Replica(
                 info=info, key=short_key(info.instance)
             )
             replica.info = info
             self._replicas[info.instance] = replica
 
     def record_loads(self, loads: Iterable[ReplicaLoad]) -> list[InstanceId]:
-        """Take in reported loads; returns the replicas that are ejected by them."""
-        by_key = {replica.key: replica for replica in self._replicas.values()}
+        """Record reported loads and return the replicas that are ejected by them."""
+        replicas_by_key = {replica.key: replica for replica in self._replicas.values()}
         for load in loads:
-            replica = by_key.get(load.key)
+            replica = replicas_by_key.get(load.key)
             if replica is None:
                 continue
-            replica.others.add_sample(max(0, load.load - len(replica.own)))
+            replica.other_requests.add_sample(
+                max(0, load.load - len(replica.own_attempts))
+            )
             replica.limit = max(1, load.limit)
             replica.hard_limit = max(1, load.hard_limit)
             replica.models = load.models
             if load.token_gap_us:
-                replica.gap.add_sample(load.token_gap_us / MICROSECONDS)
+                replica.token_gap.add_sample(
+                    load.token_gap_us / MICROSECONDS_PER_SECOND
+                )
         return self._eject_stragglers()
 
     def record_token_gap(
         self, instance: InstanceId, seconds: float
     ) -> list[InstanceId]:
         """
-        Take in a measured time between tokens; returns the replicas that are ejected.
+        Record a measured token gap in seconds and return the replicas ejected by it.
         """
         replica = self._replicas.get(instance)
         if replica is not None and seconds > 0:
-            replica.gap.add_sample(seconds)
+            replica.token_gap.add_sample(seconds)
         return self._eject_stragglers()
 
     def record_failure(
-        self, instance: InstanceId, *, seconds: float, unreachable: bool = False
+        self, instance: InstanceId, *, seconds: float, is_unreachable: bool = False
     ) -> None:
         """
-        Avoid a replica that failed for some seconds.
+        Record a failure and send the replica no requests for some seconds.
 
         Parameters
         ----------
-        unreachable : bool
-            Whether no connection could be made.
+        instance : str
+        seconds : float
+            Seconds for which the replica gets no requests.
+        is_unreachable : bool
+            Whether the connection could not be established.
         """
         replica = self._replicas.get(instance)
         if replica is not None:
-            replica.broken_until = self._clock.now() + seconds
-            replica.unreachable = unreachable
+            replica.penalty_until = self._clock.now() + seconds
+            replica.is_unreachable = is_unreachable
 
     def record_response(self, instance: InstanceId) -> None:
-        """Take in that a replica answers."""
+        """Record that a replica responds."""
         replica = self._replicas.get(instance)
         if replica is not None:
-            replica.unreachable = False
+            replica.is_unreachable = False
 
     def add_attempt(self, instance: InstanceId, attempt: AttemptId) -> None:
-        """Count an attempt as running."""
+        """Add an attempt to those that run on a replica."""
         replica = self._replicas.get(instance)
         if replica is not None:
-            replica.own.add(attempt)
+            replica.own_attempts.add(attempt)
 
     def remove_attempt(self, instance: InstanceId, attempt: AttemptId) -> None:
-        """Count an attempt as ended."""
+        """Remove an attempt that has ended."""
         replica = self._replicas.get(instance)
         if replica is not None:
-            replica.own.discard(attempt)
+            replica.own_attempts.discard(attempt)
 
     def choose_replica(
         self,
@@ -202,51 +246,56 @@
         candidates: frozenset[InstanceId],
     ) -> InstanceId | None:
         """
-        Return the replica for a request, or ``None`` when none has room.
+        Return the replica for a request, or ``None`` when none is available.
 
         Parameters
         ----------
+        request : Request
         use_hard_limit : bool
-            Whether the request may go beyond the limit for targets, up to the hard
-            limit.
+            Whether a replica's load may exceed the limit for the latency targets, up to
+            the hard limit.
         candidates : frozenset
-            The replicas that may take this request.
+            Ids of the replicas that may execute this request.
         """
-        open_replicas = [
+        available = [
             replica
             for instance, replica in self._replicas.items()
             if instance in candidates
-            and self._has_room(replica, request, use_hard_limit)
+            and self._is_available(replica, request, use_hard_limit)
         ]
-        if not open_replicas:
+        if not available:
             return None
-        sampled = self._sample(open_replicas, request)
-        favourites = self._favourites(request)
-        best = min(sampled, key=lambda item: self._score(item, request, favourites))
+        sampled = self._sample_replicas(available, request)
+        preferred = self._find_preferred_replicas(request)
+        best = min(
+            sampled, key=lambda item: self._compute_score(item, request, preferred)
+        )
         return best.info.instance
 
-    def _has_room(
+    def _is_available(
         self, replica: _Replica, request: Request, use_hard_limit: bool
     ) -> bool:
         now = self._clock.now()
-        if now < replica.broken_until or now < replica.ejected_until:
+        if now < replica.penalty_until or now < replica.ejected_until:
             return False
-        if not replica.runs(request.model):
+        if not replica.can_serve(request.model):
             return False
-        if replica.probing:
-            return request.tier > 1 and not replica.own
+        if replica.is_probed:
+            return request.tier > 1 and not replica.own_attempts
         return replica.load < (replica.hard_limit if use_hard_limit else replica.limit)
 
-    def _sample(self, replicas: list[_Replica], request: Request) -> list[_Replica]:
-        if len(replicas) <= SAMPLED:
+    def _sample_replicas(
+        self, replicas: list[_Replica], request: Request
+    ) -> list[_Replica]:
+        if len(replicas) <= MAX_SCORED_REPLICAS:
             return replicas
-        chosen = self._random.sample(replicas, SAMPLED)
-        favourites = self._favourites(request)
-        chosen.extend(item for item in replicas if item.info.instance in favourites)
+        chosen = self._random.sample(replicas, MAX_SCORED_REPLICAS)
+        preferred = self._find_preferred_replicas(request)
+        chosen.extend(item for item in replicas if item.info.instance in preferred)
         return chosen
 
-    def _favourites(self, request: Request) -> frozenset[InstanceId]:
-        """Return the replicas that all entries prefer for the request's prefix."""
+    def _find_preferred_replicas(self, request: Request) -> frozenset[InstanceId]:
+        """Return the replicas with the highest rendezvous hash of the prompt prefix."""
         if not request.prefix:
             return frozenset()
         ranked = sorted(
@@ -254,70 +303,79 @@
             key=lambda item: stable_hash(request.prefix, item),
             reverse=True,
         )
-        return frozenset(ranked[:PREFIX_FAVOURITES])
+        return frozenset(ranked[:PREFERRED_REPLICAS_PER_PREFIX])
 
-    def _score(
-        self, replica: _Replica, request: Request, favourites: frozenset[InstanceId]
+    def _compute_score(
+        self, replica: _Replica, request: Request, preferred: frozenset[InstanceId]
     ) -> float:
-        seen = (
-            len(replica.own) + OTHERS_WEIGHT * replica.others.value / self._entry_count
+        request_estimate = (
+            len(replica.own_attempts)
+            + OTHER_REQUESTS_WEIGHT * replica.other_requests.value / self._entry_count
         )
-        score = (seen + 1.0) * self._slowness(replica)
+        score = (request_estimate + 1.0) * self._compute_slowness(replica)
         if replica.info.data_centre != self._data_centre:
-            score += OTHER_CENTRE_COST
-        if replica.info.instance in favourites:
-            score -= PREFIX_BONUS
+            score += REMOTE_PENALTY_REQUESTS
+        if replica.info.instance in preferred:
+            score -= PREFIX_BONUS_REQUESTS
         if replica.info.instance in request.tried_replicas:
-            score += TRIED_COST
+            score += TRIED_PENALTY_REQUESTS
         return score + self._random.random() * 0.01
 
-    def _slowness(self, replica: _Replica) -> float:
-        median = self._median_gap()
-        if median <= 0 or replica.gap.count < MIN_GAP_SAMPLES:
+    def _compute_slowness(self, replica: _Replica) -> float:
+        median = self._compute_median_token_gap()
+        if median <= 0 or replica.token_gap.count < MIN_TOKEN_GAP_SAMPLES:
             return 1.0
-        return max(0.5, replica.gap.value / median)
+        return max(0.5, replica.token_gap.value / median)
 
-    def _median_gap(self) -> float:
-        gaps = [
-            replica.gap.value
+    def _compute_median_token_gap(self) -> float:
+        token_gaps = [
+            replica.token_gap.value
             for replica in self._replicas.values()
-            if replica.gap.count >= MIN_GAP_SAMPLES
+            if replica.token_gap.count >= MIN_TOKEN_GAP_SAMPLES
         ]
-        return statistics.median(gaps) if len(gaps) >= 2 else 0.0
+        return statistics.median(token_gaps) if len(token_gaps) >= 2 else 0.0
 
     def _eject_stragglers(self) -> list[InstanceId]:
-        median = self._median_gap()
+        median = self._compute_median_token_gap()
         if median <= 0:
             return []
         now = self._clock.now()
-        allowed = int(MAX_EJECTED_FRACTION * len(self._replicas))
-        ejected = sum(
+        max_ejected = int(MAX_EJECTED_FRACTION * len(self._replicas))
+        ejected_count = sum(
             1 for replica in self._replicas.values() if now < replica.ejected_until
         )
-        newly: list[InstanceId] = []
+        newly_ejected: list[InstanceId] = []
         for instance, replica in self._replicas.items():
-            if now < replica.ejected_until or not self._slow_for_long(replica, median):
+            if now < replica.ejected_until or not self._update_straggler_state(
+                replica, median
+            ):
                 continue
-            if ejected + len(newly) < allowed:
-                replica.ejections = min(replica.ejections + 1, MAX_EJECTIONS)
-                replica.ejected_until = now + EJECT_SECONDS * replica.ejections
-                replica.probing = True
+            if ejected_count + len(newly_ejected) < max_ejected:
+                replica.ejection_count = min(
+                    replica.ejection_count + 1, MAX_EJECTION_COUNT
+                )
+                replica.ejected_until = now + EJECTION_SECONDS * replica.ejection_count
+                replica.is_probed = True
                 replica.slow_since = None
-                replica.gap = MovingAverage(value=0.0, smoothing_factor=GAP_RATE)
-                newly.append(instance)
-        return newly
+                replica.token_gap = MovingAverage(
+                    value=0.0, smoothing_factor=TOKEN_GAP_SMOOTHING_FACTOR
+                )
+                newly_ejected.append(instance)
+        return newly_ejected
 
-    def _slow_for_long(self, replica: _Replica, median: float) -> bool:
-        """Note since when a replica is slower than its peers; tell if for long."""
+    def _update_straggler_state(self, replica: _Replica, median: float) -> bool:
+        """
+        Update since when a replica is a straggler; return whether to eject it now.
+        """
         now = self._clock.now()
-        slow = replica.gap.value > STRAGGLER_RATIO * median
-        if replica.gap.count < MIN_GAP_SAMPLES:
+        slow = replica.token_gap.value > STRAGGLER_RATIO * median
+        if replica.token_gap.count < MIN_TOKEN_GAP_SAMPLES:
             return False
         if not slow:
             replica.slow_since = None
-            replica.probing = False
-            replica.ejections = 0
+            replica.is_probed = False
+            replica.ejection_count = 0
             return False
         if replica.slow_since is None:
             replica.slow_since = now
-        return now - replica.slow_since >= SLOW_SECONDS
+        return now - replica.slow_since >= MIN_STRAGGLING_SECONDS
