--- a/damasklead/gateway/dialect.py
+++ b/damasklead/gateway/dialect.py
@@ -85,7 +85,7 @@
 
     @abstractmethod
     def build_upstream_headers(self, call: Call, plan: SendPlan) -> list[Header]:
-        """Return the headers of an attempt without those for the framing of its body."""
+        """Return the headers of an attempt without those that frame the body."""
 
     @abstractmethod
     def classify_response(
@@ -105,7 +105,7 @@
 
         Returns
         -------
-        ReplyHead
+        ResponseHead
             Its ``headers`` are those that are relayed to the caller.
         """
 
--- a/damasklead/platform/headers.py
+++ b/damasklead/platform/headers.py
@@ -2,7 +2,8 @@
 Headers
 =======
 
-The headers that callers, replicas and the gateway exchange on the users' platform.
+Translation of the headers that callers, replicas and the gateway exchange on the
+platform.  Constants of header names are in lowercase, as ``join_headers`` returns them.
 """
 
 from collections.abc import Sequence
@@ -22,93 +23,105 @@
 
 __all__ = ["PlatformDialect"]
 
-ATTEMPT = b"attempt-id"
-# Milliseconds that the caller waits, counted from when it sent the request.
-DEADLINE = b"deadline-ms"
+ATTEMPT_ID = b"attempt-id"
+# Milliseconds that the caller waits for a response, counted from sending the request.
+DEADLINE_MS = b"deadline-ms"
 AUTHORIZATION = b"authorization"
 TOKEN_SCHEME = b"token "
-# Prompt tokens and the greatest number of output tokens, despite its name: nothing has
-# been used yet.
-TOKENS = b"token-usage"
-PREFIX = b"prefix-hash"
-RESUME = b"last-event-id"
-# The workspace that holds the key.
-WORKSPACE = b"tenant"
-EXPECTED = b"expected-instance"
-URGENCY = b"request-priority"
-SIGNATURE = b"response-signature"
-NOT_RUN = b"not-executed"
-LOAD = b"backend-load"
-LEAVING = b"server-leaving"
+# Number of prompt tokens and maximum number of output tokens of the request, despite
+# the header's name.
+TOKEN_USAGE = b"token-usage"
+PREFIX_HASH = b"prefix-hash"
+LAST_EVENT_ID = b"last-event-id"
+# Name of the workspace to which the API key belongs.
+TENANT = b"tenant"
+EXPECTED_INSTANCE = b"expected-instance"
+REQUEST_PRIORITY = b"request-priority"
+RESPONSE_SIGNATURE = b"response-signature"
+NOT_EXECUTED = b"not-executed"
+BACKEND_LOAD = b"backend-load"
+SERVER_LEAVING = b"server-leaving"
 RETRY_AFTER = b"retry-after"
 
-MOST_URGENT, LEAST_URGENT = 0, 9
-MISPLACED_STATUS = 421
-# With a time to return it asks for a pause of all that this gateway sends.
-UNAVAILABLE_STATUS = 503
-# Statuses that promise a caller that its request has not run.
-PROMISING_STATUSES = frozenset({408, 421, 429, 503})
-
-# Set by the gateway alone, whatever a caller sends.
-_OURS = frozenset(
+# Range of REQUEST_PRIORITY; 0 is served first.
+MIN_PRIORITY_VALUE, MAX_PRIORITY_VALUE = 0, 9
+MISDIRECTED_REQUEST_STATUS = 421
+# A replica's response with this status and a Retry-After header asks the gateway to
+# send no requests to the replica for that time.
+SERVICE_UNAVAILABLE_STATUS = 503
+# Statuses that guarantee to the caller that its request has not been executed.
+NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
+
+# Headers that only the gateway may set; they are removed from callers' requests.
+_GATEWAY_HEADERS = frozenset(
     {
-        AUTHORIZATION, DEADLINE, WORKSPACE, EXPECTED, URGENCY, b"expected-version",
-        b"retain", b"pin-ms", b"kv-backup", b"kv-from", b"kv-fetch", b"wait-ms",
+        AUTHORIZATION, DEADLINE_MS, TENANT, EXPECTED_INSTANCE, REQUEST_PRIORITY,
+        b"expected-version", b"retain", b"pin-ms", b"kv-backup", b"kv-from",
+        b"kv-fetch", b"wait-ms",
     }
 )  # fmt: skip
-_ONE_CONNECTION = frozenset(
+_HOP_BY_HOP_HEADERS = frozenset(
     {
         b"connection", b"keep-alive", b"proxy-authenticate", b"proxy-authorization",
         b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
         b"content-length", b"expect",
     }
 )  # fmt: skip
-# A caller can't have these dropped by naming them in its Connection header.
-_KEPT = frozenset({ATTEMPT, b"host", b"model", TOKENS, PREFIX, RESUME, b"length-hint"})
+# Headers that are forwarded even if a caller names them in its Connection header.
+_PROTECTED_HEADERS = frozenset(
+    {
+        ATTEMPT_ID, b"host", b"model", TOKEN_USAGE, PREFIX_HASH, LAST_EVENT_ID,
+        b"length-hint",
+    }
+)  # fmt: skip
 
 
 class PlatformDialect(Dialect):
-    """The headers of the users' platform."""
+    """Translates the platform's headers."""
 
     def decode_head(
         self, *, method: str, target: str, headers: Sequence[Header]
     ) -> CallHead:
         """Decode the head of a request; raises ``RequestHeadError``."""
         values = join_headers(headers)
-        attempt = values.get(ATTEMPT, b"")
+        attempt = values.get(ATTEMPT_ID, b"")
         if not attempt or b"," in attempt:
-            raise RequestHeadError("the request has no single attempt id")
-        prompt_tokens, output_tokens = _token_counts(values.get(TOKENS, b""))
-        dropped = _ONE_CONNECTION | _OURS | (_named_in_connection(values) - _KEPT)
+            raise RequestHeadError("the request must have exactly one attempt id")
+        prompt_tokens, output_tokens = _parse_token_counts(values.get(TOKEN_USAGE, b""))
+        dropped = (
+            _HOP_BY_HOP_HEADERS
+            | _GATEWAY_HEADERS
+            | (_parse_connection_options(values) - _PROTECTED_HEADERS)
+        )
         return CallHead(
             method=method,
             target=target,
             host=values.get(b"host", b"").decode("latin-1"),
             attempt=AttemptId(attempt.decode("latin-1")),
-            caller_timeout=_milliseconds(values.get(DEADLINE)),
-            key=_api_key(values.get(AUTHORIZATION)),
-            prompt=_prompt_parts(values.get(PREFIX, b"")),
+            caller_timeout=_parse_milliseconds(values.get(DEADLINE_MS)),
+            key=_parse_api_key(values.get(AUTHORIZATION)),
+            prompt=_parse_prompt_parts(values.get(PREFIX_HASH, b"")),
             prompt_tokens=prompt_tokens,
             output_tokens=output_tokens,
-            last_event=values.get(RESUME),
+            last_event=values.get(LAST_EVENT_ID),
             forwarded=tuple(
                 (name, value) for name, value in headers if name.lower() not in dropped
             ),
         )
 
     def build_upstream_headers(self, call: Call, plan: SendPlan) -> list[Header]:
-        """Return the headers of an attempt, without those that frame its body."""
+        """Return the headers of an attempt without those that frame the body."""
         headers = list(call.head.forwarded)
         if plan.resume_after is not None:
-            headers = [item for item in headers if item[0].lower() != RESUME]
+            headers = [item for item in headers if item[0].lower() != LAST_EVENT_ID]
             headers.append((b"Last-Event-Id", plan.resume_after))
-        left = max(1, int(plan.seconds_left * 1000))
-        headers.append((b"Deadline-Ms", b"%d" % left))
+        milliseconds_left = max(1, int(plan.seconds_left * 1000))
+        headers.append((b"Deadline-Ms", b"%d" % milliseconds_left))
         headers.append((b"Expected-Instance", plan.instance.encode("latin-1")))
         if call.workspace is not None:
             headers.append((b"Tenant", call.workspace.name.encode("latin-1")))
-        urgency = min(max(plan.urgency, MOST_URGENT), LEAST_URGENT)
-        headers.append((b"Request-Priority", b"%d" % urgency))
+        priority = min(max(plan.urgency, MIN_PRIORITY_VALUE), MAX_PRIORITY_VALUE)
+        headers.append((b"Request-Priority", b"%d" % priority))
         if plan.copy_from is not None:
             headers.append((b"Kv-Fetch", plan.copy_from.encode("latin-1")))
         return headers
@@ -116,10 +129,10 @@
     def classify_response(
         self, *, status: int, headers: Sequence[Header], attempt: AttemptId
     ) -> ResponseHead:
-        """Judge the head of an answer."""
+        """Classify the head of a replica's response."""
         values = join_headers(headers)
-        kind, detail = _judge(status, values, attempt)
-        dropped = _ONE_CONNECTION | _named_in_connection(values)
+        kind, detail = _classify(status, values, attempt)
+        dropped = _HOP_BY_HOP_HEADERS | _parse_connection_options(values)
         return ResponseHead(
             status=status,
             kind=kind,
@@ -127,19 +140,19 @@
             headers=tuple(
                 (name, value) for name, value in headers if name.lower() not in dropped
             ),
-            load=_load(values.get(LOAD)),
+            load=_parse_load(values.get(BACKEND_LOAD)),
             closing=b"close" in values.get(b"connection", b"").lower(),
-            leaving=values.get(LEAVING, b"0").strip() not in (b"", b"0"),
-            keep_alive=_keep_alive(values.get(b"keep-alive", b"")),
-            retry_after=_seconds(values.get(RETRY_AFTER))
-            if status == UNAVAILABLE_STATUS
+            leaving=values.get(SERVER_LEAVING, b"0").strip() not in (b"", b"0"),
+            keep_alive=_parse_keep_alive(values.get(b"keep-alive", b"")),
+            retry_after=_parse_seconds(values.get(RETRY_AFTER))
+            if status == SERVICE_UNAVAILABLE_STATUS
             else None,
         )
 
     def build_response_headers(
         self, *, attempt: AttemptId | None, retry_after: float | None
     ) -> list[Header]:
-        """Return the headers of an answer of the gateway's own."""
+        """Return the headers of a response that the gateway itself generates."""
         headers: list[Header] = [(b"Content-Type", b"text/plain")]
         if attempt is not None:
             headers.append((b"Attempt-Id", attempt.encode("latin-1")))
@@ -148,56 +161,64 @@
         return headers
 
 
-def _judge(
+def _classify(
     status: int, values: dict[bytes, bytes], attempt: AttemptId
 ) -> tuple[ResponseKind, str]:
-    answered = values.get(ATTEMPT)
-    if answered is not None and answered != attempt.encode("latin-1"):
-        return ResponseKind.STRAY, "answer to another request"
-    if status == MISPLACED_STATUS:
-        return ResponseKind.MISPLACED, "another instance"
-    if NOT_RUN in values:
-        return ResponseKind.REFUSED, "not run"
-    if answered is None:
+    response_attempt = values.get(ATTEMPT_ID)
+    if response_attempt is not None and response_attempt != attempt.encode("latin-1"):
+        return ResponseKind.STRAY, "response to another request"
+    if status == MISDIRECTED_REQUEST_STATUS:
+        return ResponseKind.MISPLACED, "another instance at this address"
+    if NOT_EXECUTED in values:
+        return ResponseKind.REFUSED, "not executed"
+    if response_attempt is None:
         return ResponseKind.INVALID, f"status {status} without an attempt id"
     if b"content-encoding" in values:
-        return ResponseKind.INVALID, "encoded body"
-    if SIGNATURE not in values and 200 <= status < 300:
+        return ResponseKind.INVALID, "unsupported content encoding"
+    if RESPONSE_SIGNATURE not in values and 200 <= status < 300:
         return ResponseKind.INVALID, f"status {status} without a signature"
-    if status in PROMISING_STATUSES:
-        return ResponseKind.INVALID, f"status {status} that does not say it has not run"
+    if status in NOT_EXECUTED_STATUSES:
+        return ResponseKind.INVALID, f"status {status} without a not-executed header"
     return ResponseKind.ANSWER, ""
 
 
-def _named_in_connection(values: dict[bytes, bytes]) -> frozenset[bytes]:
+def _parse_connection_options(values: dict[bytes, bytes]) -> frozenset[bytes]:
     names = values.get(b"connection", b"").lower().split(b",")
     return frozenset(name.strip() for name in names)
 
 
-def _milliseconds(value: bytes | None) -> float | None:
-    """Return seconds; ``None`` when there is no sound number."""
+def _parse_milliseconds(value: bytes | None) -> float | None:
+    """
+    Convert milliseconds to seconds; ``None`` if the value is absent or invalid.
+
+    Negative values count as 0.
+    """
     try:
         return max(0.0, float(value)) / 1000 if value is not None else None
     except ValueError:
         return None
 
 
-def _seconds(value: bytes | None) -> float | None:
-    """Return a number of seconds, sensible or not; ``None`` when it is no number."""
+def _parse_seconds(value: bytes | None) -> float | None:
+    """
+    Parse a number of seconds; ``None`` if the value is absent or not a number.
+
+    The result may be negative, infinite or NaN; its range is checked where it is used.
+    """
     try:
         return float(value) if value is not None else None
     except ValueError:
         return None
 
 
-def _api_key(value: bytes | None) -> ApiKey | None:
+def _parse_api_key(value: bytes | None) -> ApiKey | None:
     if value is None or not value.lower().startswith(TOKEN_SCHEME):
         return None
     return ApiKey(value[len(TOKEN_SCHEME) :].strip().decode("latin-1"))
 
 
-def _token_counts(value: bytes) -> tuple[int, int]:
-    """Return prompt tokens and the bound on output tokens; zeros if unreadable."""
+def _parse_token_counts(value: bytes) -> tuple[int, int]:
+    """Return the prompt tokens and the maximum output tokens; zeros if invalid."""
     prompt, _, output = value.partition(b",")
     try:
         return int(prompt), int(output)
@@ -205,8 +226,8 @@
         return 0, 0
 
 
-def _prompt_parts(value: bytes) -> tuple[PromptPart, ...]:
-    """Return a prompt's parts in order; none if unreadable."""
+def _parse_prompt_parts(value: bytes) -> tuple[PromptPart, ...]:
+    """Return a prompt's parts in order; an empty tuple if the value is invalid."""
     parts: list[PromptPart] = []
     for entry in value.split(b",") if value else ():
         key, _, tokens = entry.strip().partition(b":")
@@ -216,7 +237,7 @@
     return tuple(parts)
 
 
-def _load(value: bytes | None) -> LoadHint | None:
+def _parse_load(value: bytes | None) -> LoadHint | None:
     try:
         running, waiting, slots = (int(item) for item in (value or b"").split(b","))
     except ValueError:
@@ -224,8 +245,8 @@
     return LoadHint(running, waiting, slots)
 
 
-def _keep_alive(value: bytes) -> float | None:
-    """Return the seconds that an idle connection is kept, where they are named."""
+def _parse_keep_alive(value: bytes) -> float | None:
+    """Return the idle timeout of the connection in seconds, if there is one."""
     for item in value.lower().split(b","):
         name, _, seconds = item.strip().partition(b"=")
         if name == b"timeout" and seconds.isdigit():
