--- a/damasklead/gateway/directory.py
+++ b/damasklead/gateway/directory.py
@@ -81,12 +81,12 @@
     """
     The replicas that may be sent new requests.
 
-    A replica that leaves is not used again in the same incarnation.  A removed entry
-    takes effect at once, unless the list was unreachable shortly before: the entry may
-    have expired only because its replica could not renew it, so the replica is kept for
-    a grace time.  Entries that are missing after the store was restored from a backup
-    are kept likewise.  Entries that had been removed before the restore and that the
-    backup contains are not used until they are confirmed by a renewal.
+    A replica that leaves is not used again in the same incarnation.  The removal of an
+    entry takes effect at once, unless the list was unreachable shortly before: the
+    entry may have expired only because its replica could not renew it, so the replica
+    is kept for a grace time.  Entries that are missing after the store was restored
+    from a backup are kept likewise.  Entries that had been removed before the restore
+    and that the backup contains are not used until they are renewed.
 
     Parameters
     ----------
@@ -177,7 +177,7 @@
 
     def apply_rows(self, rows: list[ListedRow], *, whole: bool) -> list[str]:
         """
-        Apply entries of the list.
+        Apply entries of the list; those older than the known ones are ignored.
 
         Parameters
         ----------
