--- a/damasklead/gateway/calls.py
+++ b/damasklead/gateway/calls.py
@@ -152,7 +152,7 @@
         """
         Clock time in seconds after which the caller no longer accepts a first event.
 
-        For requests that are not streamed it is the deadline.
+        It is the deadline on routes without an event gap target.
         """
         if self.route.event_gap is None:
             return self.deadline
--- a/damasklead/gateway/placements/engine.py
+++ b/damasklead/gateway/placements/engine.py
@@ -248,8 +248,8 @@
         All requests are but those of the routes with the least urgent tier, whatever
         the tier of their workspace, so that they don't starve behind long prompts.
         """
-        reserved = bool(self._reserved) and self._uses_reserved_engines(call.route)
-        return reserved or call.route.tier < self._lowest_priority_tier
+        uses_reserved = bool(self._reserved) and self._uses_reserved_engines(call.route)
+        return uses_reserved or call.route.tier < self._lowest_priority_tier
 
     def record_response_head(self, instance: InstanceId, hint: LoadHint | None) -> None:
         """Record a response head, and adapt the reserved engines to their load."""
@@ -314,12 +314,12 @@
         self._mean_backlog = self.mean_backlog
         if not self._reserved:
             return candidates
-        reserved = self._uses_reserved_engines(call.route)
+        uses_reserved = self._uses_reserved_engines(call.route)
         matching = [
             state
             for state in candidates
-            if (state.record.instance in self._reserved) is reserved
-            or (not reserved and self._fits_between_events(state, call))
+            if (state.record.instance in self._reserved) is uses_reserved
+            or (not uses_reserved and self._fits_between_events(state, call))
         ]
         return matching or candidates
 
@@ -383,16 +383,16 @@
         It is chosen by rendezvous hashing: all coordinators of a cell choose the same
         replica, so that a part placed by one coordinator is found by its successor.
         """
-        reserved = self._uses_reserved_engines(call.route)
-        if (key, reserved) not in self._homes:
+        uses_reserved = self._uses_reserved_engines(call.route)
+        if (key, uses_reserved) not in self._homes:
             if len(self._homes) >= MAX_HOMES:
                 self._homes.clear()
-            self._homes[key, reserved] = max(
-                self._find_home_candidates(reserved=reserved),
+            self._homes[key, uses_reserved] = max(
+                self._find_home_candidates(reserved=uses_reserved),
                 key=lambda item: stable_hash(key, item),
                 default=None,
             )
-        return self._homes[key, reserved]
+        return self._homes[key, uses_reserved]
 
     def _find_home_candidates(self, *, reserved: bool) -> list[InstanceId]:
         """
