--- a/damasklead/gossip.py
+++ b/damasklead/gossip.py
@@ -2,7 +2,7 @@
 Gossip
 ======
 
-News that rides on the messages between entries for a while.
+Spreads recent events among entries as part of the messages that they exchange anyway.
 """
 
 from damasklead.clock import Clock
@@ -18,44 +18,44 @@
 
 class GossipBuffer:
     """
-    News learnt here or from a peer, sent once to each peer while it is fresh.
+    Recent gossip items, each sent once to each peer.
 
     Parameters
     ----------
     clock : Clock
     ttl_seconds : float
-        How long an item rides after it was learnt.
+        Seconds after which an item is no longer sent.
     """
 
     def __init__(self, *, clock: Clock, ttl_seconds: float = ITEM_TTL_SECONDS) -> None:
         self._clock = clock
         self._ttl_seconds = ttl_seconds
-        self._learnt: dict[GossipItem, float] = {}
-        self._sent: dict[GossipItem, set[InstanceId]] = {}
+        self._added_at: dict[GossipItem, float] = {}
+        self._recipients: dict[GossipItem, set[InstanceId]] = {}
 
     def add_item(self, item: GossipItem) -> bool:
-        """Take in one item; returns whether it is new."""
-        if item in self._learnt:
+        """Add an item of this entry or of a peer; returns whether it is new."""
+        if item in self._added_at:
             return False
-        if len(self._learnt) >= MAX_ITEMS:
-            self._drop(min(self._learnt, key=self._learnt.__getitem__))
-        self._learnt[item] = self._clock.now()
-        self._sent[item] = set()
+        if len(self._added_at) >= MAX_ITEMS:
+            self._remove_item(min(self._added_at, key=self._added_at.__getitem__))
+        self._added_at[item] = self._clock.now()
+        self._recipients[item] = set()
         return True
 
     def select_items(self, peer: InstanceId) -> tuple[GossipItem, ...]:
         """
-        Return the fresh items that this peer was not sent yet, and count them as sent.
+        Return items that were not sent to a peer yet, and mark them as sent to it.
         """
-        horizon = self._clock.now() - self._ttl_seconds
-        for item in [item for item, at in self._learnt.items() if at < horizon]:
-            self._drop(item)
-        items = [item for item in self._learnt if peer not in self._sent[item]]
-        chosen = tuple(items[:MAX_ITEMS_PER_MESSAGE])
+        oldest = self._clock.now() - self._ttl_seconds
+        for item in [item for item, at in self._added_at.items() if at < oldest]:
+            self._remove_item(item)
+        unsent = [item for item in self._added_at if peer not in self._recipients[item]]
+        chosen = tuple(unsent[:MAX_ITEMS_PER_MESSAGE])
         for item in chosen:
-            self._sent[item].add(peer)
+            self._recipients[item].add(peer)
         return chosen
 
-    def _drop(self, item: GossipItem) -> None:
-        del self._learnt[item]
-        del self._sent[item]
+    def _remove_item(self, item: GossipItem) -> None:
+        del self._added_at[item]
+        del self._recipients[item]
--- a/damasklead/learning.py
+++ b/damasklead/learning.py
@@ -1,9 +1,9 @@
 """
-Learnt costs
-============
+Cost estimates and batch limits
+===============================
 
-Moving averages of what requests cost, by class and workspace, and of what a batch costs
-a replica.
+Moving averages of the cost of requests by class and workspace, and an adaptive limit of
+the batch size of replicas.
 """
 
 import msgspec
@@ -12,22 +12,31 @@
 
 __all__ = ["BatchLimit", "CostModel", "MovingAverage"]
 
-DEFAULT_TOKENS = 200.0
-DEFAULT_TOKEN_SECONDS = 0.02
-LEARNING_RATE = 0.1
-GAP_HIGH = 0.85  # of the target
-GAP_LOW = 0.8  # of the target
-MAX_LIMIT_DECREASE = 0.92
-LIMIT_INCREASE = 0.25
-IN_USE_FRACTION = 0.8
-IN_FORCE_FRACTION = 1.25
-START_FRACTION = 0.75
-MIN_LIMIT_FRACTION = 0.4
+DEFAULT_RESPONSE_TOKENS = 200.0
+DEFAULT_SECONDS_PER_TOKEN = 0.02
+DEFAULT_SMOOTHING_FACTOR = 0.1
+DECREASE_GAP_FRACTION = 0.85  # of the token gap target
+INCREASE_GAP_FRACTION = 0.8  # of the token gap target
+MIN_DECREASE_FACTOR = 0.92
+INCREASE_STEP = 0.25  # requests
+IN_USE_FRACTION = 0.8  # of the limit
+IN_FORCE_FRACTION = 1.25  # of the limit
+INITIAL_LIMIT_FRACTION = 0.75  # of the slots
+MIN_LIMIT_FRACTION = 0.4  # of the slots
 
 
 class MovingAverage(msgspec.Struct, kw_only=True):
     """
-    An exponentially weighted average that starts as a plain one.
+    An exponentially weighted moving average that starts as an arithmetic mean.
+
+    Attributes
+    ----------
+    value : float
+        The average, or the initial value before the first sample.
+    count : int
+        Number of samples.
+    smoothing_factor : float
+        Weight of a new sample once there are many.
 
     Examples
     --------
@@ -39,10 +48,10 @@
 
     value: float
     count: int = 0
-    smoothing_factor: float = LEARNING_RATE
+    smoothing_factor: float = DEFAULT_SMOOTHING_FACTOR
 
     def add_sample(self, sample: float) -> None:
-        """Take in one sample."""
+        """Add a sample."""
         self.count += 1
         weight = max(self.smoothing_factor, 1.0 / self.count)
         self.value += weight * (sample - self.value)
@@ -50,48 +59,69 @@
 
 class CostModel:
     """
-    Expected answer length in tokens and seconds per token, learnt from finished
-    requests.
+    Estimates of response lengths in tokens and of seconds per token.
+
+    They are moving averages over completed requests.
     """
 
     def __init__(self) -> None:
         self._by_class: dict[ClassName, MovingAverage] = {}
         self._by_workspace: dict[tuple[ClassName, WorkspaceId], MovingAverage] = {}
-        self._token_seconds = MovingAverage(value=DEFAULT_TOKEN_SECONDS)
+        self._seconds_per_token = MovingAverage(value=DEFAULT_SECONDS_PER_TOKEN)
 
     def record_completion(
         self, name: ClassName, workspace: WorkspaceId, *, tokens: int, seconds: float
     ) -> None:
-        """Take in one finished request."""
+        """
+        Record a completed request.
+
+        Parameters
+        ----------
+        name : str
+            Name of the request's class.
+        workspace : str
+        tokens : int
+            Length of the response in tokens.
+        seconds : float
+            Seconds that the request held a slot.
+        """
         for average in (
-            self._by_class.setdefault(name, MovingAverage(value=DEFAULT_TOKENS)),
+            self._by_class.setdefault(
+                name, MovingAverage(value=DEFAULT_RESPONSE_TOKENS)
+            ),
             self._by_workspace.setdefault(
-                (name, workspace), MovingAverage(value=DEFAULT_TOKENS)
+                (name, workspace), MovingAverage(value=DEFAULT_RESPONSE_TOKENS)
             ),
         ):
             average.add_sample(tokens)
         if tokens > 0:
-            self._token_seconds.add_sample(seconds / tokens)
+            self._seconds_per_token.add_sample(seconds / tokens)
 
     def estimate_tokens(self, name: ClassName, workspace: WorkspaceId) -> float:
-        """Return the expected answer length in tokens."""
-        own = self._by_workspace.get((name, workspace))
-        if own is not None and own.count >= 5:
-            return own.value
-        shared = self._by_class.get(name)
-        return DEFAULT_TOKENS if shared is None else shared.value
+        """Return the expected length in tokens of a response."""
+        workspace_average = self._by_workspace.get((name, workspace))
+        if workspace_average is not None and workspace_average.count >= 5:
+            return workspace_average.value
+        class_average = self._by_class.get(name)
+        return DEFAULT_RESPONSE_TOKENS if class_average is None else class_average.value
 
     def estimate_slot_seconds(self, name: ClassName, workspace: WorkspaceId) -> float:
-        """Return for how many seconds a request is expected to hold a slot."""
-        return self.estimate_tokens(name, workspace) * self._token_seconds.value
+        """Return the seconds for which a request is expected to hold a slot."""
+        return self.estimate_tokens(name, workspace) * self._seconds_per_token.value
 
 
 class BatchLimit:
     """
-    How many requests a replica may run at once within a target between tokens.
+    Number of requests that a replica may run at once within a token gap target.
+
+    The limit is multiplied by a factor below 1 while tokens come too slowly and raised
+    by a step while they come fast enough (AIMD), so that it needs no performance model
+    of the engine.
 
-    It falls by a factor while tokens come too slowly and rises by a step while they
-    come fast enough, so that it needs no model of the engine.
+    Parameters
+    ----------
+    slots : int
+        Upper bound of the limit.
 
     Examples
     --------
@@ -103,35 +133,39 @@
 
     def __init__(self, *, slots: int) -> None:
         self._slots = float(slots)
-        self._value = START_FRACTION * slots
+        self._value = INITIAL_LIMIT_FRACTION * slots
 
     @property
     def value(self) -> int:
-        """The limit."""
+        """The limit in requests, at least 1."""
         return max(1, int(self._value))
 
     def update_limit(
         self, *, token_gap: float, target: float | None, batch: float
     ) -> None:
         """
-        Take in the present seconds between tokens.
+        Update the limit by the present token gap.
 
         Parameters
         ----------
+        token_gap : float
+            Seconds between the tokens of a response.
         target : float or None
-            ``None`` when no class now asked for has one.
+            Token gap target in seconds, ``None`` when no class with demand has one.
         batch : float
-            How many requests the replicas run on average; the limit falls only while it
-            is in force, and rises only while it is in use.
+            Average number of requests that run on a replica.  The limit falls only
+            while replicas adhere to it, and rises only while they use it.
         """
-        too_slow = target is not None and token_gap > GAP_HIGH * target
-        if target is not None and too_slow:
+        is_too_slow = target is not None and token_gap > DECREASE_GAP_FRACTION * target
+        if target is not None and is_too_slow:
             if batch > IN_FORCE_FRACTION * self._value:
                 return
-            lowest = MIN_LIMIT_FRACTION * self._slots
-            factor = max(MAX_LIMIT_DECREASE, GAP_HIGH * target / token_gap)
-            self._value = max(lowest, self._value * factor)
+            min_limit = MIN_LIMIT_FRACTION * self._slots
+            factor = max(
+                MIN_DECREASE_FACTOR, DECREASE_GAP_FRACTION * target / token_gap
+            )
+            self._value = max(min_limit, self._value * factor)
         elif batch >= IN_USE_FRACTION * self._value and (
-            target is None or token_gap < GAP_LOW * target
+            target is None or token_gap < INCREASE_GAP_FRACTION * target
         ):
-            self._value = min(self._slots, self._value + LIMIT_INCREASE)
+            self._value = min(self._slots, self._value + INCREASE_STEP)
--- a/damasklead/membership.py
+++ b/damasklead/membership.py
@@ -2,10 +2,11 @@
 Membership
 ==========
 
-Which instances there are, from the lagging list, their own signs and what peers say.
+The known instances, merged from the instance list, which may be stale, from what the
+instances report about themselves, and from the records of peers.
 
 For one incarnation the state only moves forward: live, leaving, gone.  A stale list
-can't bring a leaving instance back; only a higher incarnation can.
+cannot make a leaving instance live again; only a higher incarnation can.
 """
 
 from enum import Enum
@@ -18,19 +19,19 @@
 
 __all__ = ["Member", "MemberState", "Membership"]
 
-ABSENCE_GRACE_SECONDS = 5.0  # seconds
-FORGET_AFTER = 3600.0  # seconds
+ABSENCE_GRACE_SECONDS = 5.0
+TOMBSTONE_TTL_SECONDS = 3600.0
 
 
 class MemberState(Enum):
-    """How far an incarnation has come."""
+    """State of one incarnation of an instance; the values rise as it moves forward."""
 
     LIVE = 0
     LEAVING = 1
     GONE = 2
 
 
-_LISTED_STATES = {
+_INSTANCE_STATES = {
     MemberState.LIVE: InstanceState.LIVE,
     MemberState.LEAVING: InstanceState.LEAVING,
     MemberState.GONE: InstanceState.LEAVING,
@@ -44,7 +45,7 @@
     Attributes
     ----------
     absent_since : float or None
-        Clock reading at which the list first did not show it.
+        Clock reading in seconds since when the instance has been missing from the list.
     """
 
     instance: InstanceId
@@ -58,27 +59,39 @@
 
 
 class Membership:
-    """The merged view of one process; ``generation`` grows with every change."""
+    """
+    The view of the membership that one process has.
+
+    Attributes
+    ----------
+    generation : int
+        Number of changes of the view so far.
+    """
 
     def __init__(self, *, clock: Clock) -> None:
         self.generation = 0
         self._clock = clock
         self._members: dict[InstanceId, Member] = {}
-        self._ended: dict[InstanceId, tuple[Incarnation, MemberState, float]] = {}
+        # The latest incarnation known to leave, its state, and the time of the record.
+        self._tombstones: dict[InstanceId, tuple[Incarnation, MemberState, float]] = {}
 
     def merge_list(self, records: tuple[InstanceRecord, ...]) -> None:
-        """Merge a reading of the instance list."""
+        """
+        Merge the complete instance list.
+
+        Removes instances that have been missing from it for the grace period.
+        """
         for record in records:
-            self._observe(record)
-        self._observe_absence({record.instance for record in records})
+            self._merge_record(record)
+        self._record_absences({record.instance for record in records})
 
     def merge_peer_records(self, records: tuple[InstanceRecord, ...]) -> None:
-        """Merge what a peer knows; it says nothing about who is absent."""
+        """Merge records of a peer, which may lack instances that are still there."""
         for record in records:
-            self._observe(record)
+            self._merge_record(record)
 
     def build_records(self) -> tuple[InstanceRecord, ...]:
-        """Return what is known here, for a peer."""
+        """Return the records of all known instances, to be sent to a peer."""
         return tuple(
             InstanceRecord(
                 instance=member.instance,
@@ -87,17 +100,21 @@
                 address=member.address,
                 data_centre=member.data_centre,
                 region=member.region,
-                state=_LISTED_STATES[member.state],
+                state=_INSTANCE_STATES[member.state],
             )
             for member in self._members.values()
         )
 
     def mark_leaving(self, instance: InstanceId, incarnation: Incarnation) -> bool:
-        """Take in a sign that an incarnation is leaving; returns whether it is news."""
-        ended = self._ended.get(instance)
-        if ended is not None and ended[0] >= incarnation:
+        """Record that an incarnation is leaving; returns whether that is new."""
+        tombstone = self._tombstones.get(instance)
+        if tombstone is not None and tombstone[0] >= incarnation:
             return False
-        self._ended[instance] = (incarnation, MemberState.LEAVING, self._clock.now())
+        self._tombstones[instance] = (
+            incarnation,
+            MemberState.LEAVING,
+            self._clock.now(),
+        )
         member = self._members.get(instance)
         if member is not None and member.incarnation <= incarnation:
             member.state = MemberState.LEAVING
@@ -108,38 +125,38 @@
         self, instance: InstanceId, incarnation: Incarnation
     ) -> bool:
         """
-        Take in an instance's own word on its incarnation; returns whether it is newer.
+        Record the incarnation that an instance reports; returns whether it is newer.
         """
         member = self._members.get(instance)
         if member is None or incarnation <= member.incarnation:
             return False
         member.incarnation = incarnation
-        member.state = self._ceiling(instance, incarnation)
+        member.state = self._get_reached_state(instance, incarnation)
         self.generation += 1
         return True
 
     def get_member(self, instance: InstanceId) -> Member | None:
-        """Return an instance, whatever its state."""
+        """Return an instance in any state, ``None`` when it is unknown."""
         return self._members.get(instance)
 
     def find_live_members(self, service: ServiceName) -> list[Member]:
-        """Return the live instances of a service, in the order of their ids."""
-        found = [
+        """Return the live instances of a service, sorted by id."""
+        live_members = [
             member
             for member in self._members.values()
             if member.service == service and member.state is MemberState.LIVE
         ]
-        return sorted(found, key=lambda member: member.instance)
+        return sorted(live_members, key=lambda member: member.instance)
 
-    def _observe(self, record: InstanceRecord) -> None:
+    def _merge_record(self, record: InstanceRecord) -> None:
         known = self._members.get(record.instance)
         if known is not None and record.incarnation < known.incarnation:
             return
-        ceiling = self._ceiling(record.instance, record.incarnation)
-        listed = MemberState.LIVE
+        reached_state = self._get_reached_state(record.instance, record.incarnation)
+        listed_state = MemberState.LIVE
         if record.state is InstanceState.LEAVING:
-            listed = MemberState.LEAVING
-        state = max(ceiling, listed, key=lambda item: item.value)
+            listed_state = MemberState.LEAVING
+        state = max(reached_state, listed_state, key=lambda item: item.value)
         if known is not None and record.incarnation == known.incarnation:
             known.absent_since = None
             if (known.state, known.address) == (state, record.address):
@@ -154,27 +171,29 @@
             state=state,
         )
         self.generation += 1
-        if listed is not MemberState.LIVE and ceiling is MemberState.LIVE:
-            ended = (record.incarnation, state, self._clock.now())
-            self._ended[record.instance] = ended
-
-    def _ceiling(self, instance: InstanceId, incarnation: Incarnation) -> MemberState:
-        """Return the furthest state that this incarnation is known to have reached."""
-        ended = self._ended.get(instance)
-        if ended is None or ended[0] < incarnation:
+        if listed_state is not MemberState.LIVE and reached_state is MemberState.LIVE:
+            tombstone = (record.incarnation, state, self._clock.now())
+            self._tombstones[record.instance] = tombstone
+
+    def _get_reached_state(
+        self, instance: InstanceId, incarnation: Incarnation
+    ) -> MemberState:
+        """Return the latest state that an incarnation is known to have reached."""
+        tombstone = self._tombstones.get(instance)
+        if tombstone is None or tombstone[0] < incarnation:
             return MemberState.LIVE
-        return ended[1]
+        return tombstone[1]
 
-    def _observe_absence(self, listed: set[InstanceId]) -> None:
+    def _record_absences(self, listed_instances: set[InstanceId]) -> None:
         now = self._clock.now()
         for member in list(self._members.values()):
-            if member.instance in listed:
+            if member.instance in listed_instances:
                 continue
             if member.absent_since is None:
                 member.absent_since = now
             elif now - member.absent_since >= ABSENCE_GRACE_SECONDS:
                 del self._members[member.instance]
                 self.generation += 1
-        for instance, (_, _, at) in list(self._ended.items()):
-            if instance not in self._members and now - at > FORGET_AFTER:
-                del self._ended[instance]
+        for instance, (_, _, left_at) in list(self._tombstones.items()):
+            if instance not in self._members and now - left_at > TOMBSTONE_TTL_SECONDS:
+                del self._tombstones[instance]
--- a/damasklead/retrying.py
+++ b/damasklead/retrying.py
@@ -2,19 +2,26 @@
 Retry budget
 ============
 
-Bounds retries to a fraction of first attempts, so that retries can't feed an overload.
+Limits retries to a fraction of first attempts, so that they cannot amplify an overload.
 """
 
 __all__ = ["RetryBudget"]
 
-RETRY_FRACTION = 0.1
-BURST_RETRIES = 20.0  # retries
+RETRY_FRACTION = 0.1  # of first attempts
+BURST_RETRIES = 20.0
 
 
 class RetryBudget:
     """
     A token bucket that first attempts fill and retries empty.
 
+    Parameters
+    ----------
+    fraction : float
+        Retries allowed for each first attempt.
+    burst : float
+        Retries allowed at once: the capacity of the bucket, which starts full.
+
     Examples
     --------
     >>> budget = RetryBudget(fraction=0.5, burst=1.0)
@@ -34,7 +41,9 @@
 
     def resize(self, burst: float) -> None:
         """
-        Change how many retries may come at once, such as after the crash of a replica.
+        Change how many retries are allowed at once, such as after a replica's crash.
+
+        A larger burst is available at once.
         """
         if burst > self._burst:
             self._tokens += burst - self._burst
@@ -42,11 +51,11 @@
         self._tokens = min(self._tokens, burst)
 
     def record_first_attempt(self) -> None:
-        """Count a first attempt."""
+        """Add the retries that a first attempt allows."""
         self._tokens = min(self._burst, self._tokens + self._fraction)
 
     def acquire_retry(self) -> bool:
-        """Take one retry; returns whether there was one."""
+        """Take one retry from the budget; returns whether there was one."""
         if self._tokens < 1.0:
             return False
         self._tokens -= 1.0
--- a/damasklead/sharing.py
+++ b/damasklead/sharing.py
@@ -3,9 +3,9 @@
 =======================================
 
 One live entry, chosen by rendezvous hashing, is the coordinator of a pool.  It holds
-soft state only: what entries ask for and what replicas report.  Two coordinators at
-once, or none, cost efficiency and never a promise, since a share only says how many
-requests an entry starts.
+soft state only: the demands of the entries and the load reports of the replicas.  Two
+coordinators at once, or none, reduce efficiency but violate no guarantee, since a share
+only limits how many requests an entry starts.
 """
 
 import statistics
@@ -31,35 +31,35 @@
 ]
 
 TIER_COUNT = 5
-MIN_INTERVAL = 0.5  # seconds
-INTERVAL_PER_ENTRY = 1 / 6  # seconds
-TTL_INTERVALS = 4
-FORGET_INTERVALS = 6
-BUSY_FRACTION = 0.3
-STRAGGLER_RATIO = 2.5
-MICROSECONDS = 1_000_000
-FALLBACK_DECREASE = 0.95
-FALLBACK_INCREASE = 0.02
-MIN_FALLBACK_FACTOR = 0.25
+MIN_INTERVAL_SECONDS = 0.5
+INTERVAL_SECONDS_PER_ENTRY = 1 / 6
+GRANT_TTL_INTERVALS = 4  # share intervals
+DEMAND_TTL_INTERVALS = 6  # share intervals
+BUSY_FRACTION = 0.3  # of the largest batch
+STRAGGLER_RATIO = 2.5  # multiples of the median token gap
+MICROSECONDS_PER_SECOND = 1_000_000
+FALLBACK_DECREASE_FACTOR = 0.95
+FALLBACK_INCREASE_STEP = 0.02
+MIN_FALLBACK_FACTOR = 0.25  # of an equal part of the capacity
 MAX_FALLBACK_FACTOR = 1.5
-LATENCY_TOLERANCE = 4.0  # multiples of the best latency
-LATENCY_DRIFT = 1.001  # by which the best latency is forgotten with each sample
+MAX_LATENCY_RATIO = 4.0  # multiples of the best latency
+BEST_LATENCY_GROWTH = 1.001  # factor for each sample, so that an old best expires
 
 
 class LoadReport(msgspec.Struct, kw_only=True, frozen=True):
     """
-    What a replica reports of itself.
+    A replica's report of its load.
 
     Attributes
     ----------
     running, waiting : int
-        Requests in its batch and in its queue.
+        Number of requests in its batch and in its queue.
     slots : int
-        The largest batch it runs.
+        Number of requests in the largest batch that it can run.
     token_gap : float
-        Seconds between the tokens of one request at present, 0 when idle.
+        Seconds between the tokens of one response at present, 0 when idle.
     models : tuple of str
-        The models that it has loaded, empty when it runs any of its service.
+        Names of the loaded models, empty when it serves any model of its service.
     """
 
     running: int
@@ -73,7 +73,7 @@
     pool: PoolId, entries: Iterable[InstanceId]
 ) -> InstanceId | None:
     """
-    Return the entry that coordinates a pool: the highest rendezvous hash.
+    Return the entry that coordinates a pool: the one with the highest rendezvous hash.
 
     Examples
     --------
@@ -92,9 +92,10 @@
     """
     Return each pool's coordinator, with the pools spread evenly over the entries.
 
-    Each pool goes to its highest rendezvous hash among the entries that have room left
-    (bounded loads).  Entries that know other members choose otherwise for a while,
-    which costs efficiency only.
+    Each pool goes to its highest rendezvous hash among the entries that coordinate
+    fewer pools than the bound (consistent hashing with bounded loads).  Entries with
+    different views of the membership choose differently for a while, which only
+    reduces efficiency.
 
     Examples
     --------
@@ -107,33 +108,35 @@
     if not entries:
         return {}
     bound = -(-len(ordered) // len(entries))
-    taken = dict.fromkeys(entries, 0)
+    pool_counts = dict.fromkeys(entries, 0)
     chosen: dict[PoolId, InstanceId] = {}
     for pool in ordered:
-        open_entries = [entry for entry in entries if taken[entry] < bound]
+        open_entries = [entry for entry in entries if pool_counts[entry] < bound]
         coordinator = choose_coordinator(pool, open_entries)
         assert coordinator is not None
-        taken[coordinator] += 1
+        pool_counts[coordinator] += 1
         chosen[pool] = coordinator
     return chosen
 
 
 def compute_share_interval(entry_count: int) -> float:
     """
-    Return the seconds between an entry's demands, so that a coordinator's load stays
-    bounded.
+    Return the seconds between two demands of an entry.
+
+    The interval grows with the number of entries, so that the rate of demands at a
+    coordinator stays bounded.
 
     Examples
     --------
     >>> round(compute_share_interval(8), 2), round(compute_share_interval(72), 2)
     (1.33, 12.0)
     """
-    return max(MIN_INTERVAL, entry_count * INTERVAL_PER_ENTRY)
+    return max(MIN_INTERVAL_SECONDS, entry_count * INTERVAL_SECONDS_PER_ENTRY)
 
 
-def allocate_max_min(amount: int, wants: Sequence[int]) -> list[int]:
+def allocate_max_min(amount: int, demands: Sequence[int]) -> list[int]:
     """
-    Divide an amount max-min fairly among wants.
+    Return each demand's share of an amount by max-min fairness.
 
     Examples
     --------
@@ -142,36 +145,38 @@
     >>> allocate_max_min(3, [5, 5])
     [2, 1]
     """
-    shares = [0] * len(wants)
-    left = min(amount, sum(wants))
-    open_indexes = [index for index, want in enumerate(wants) if want > 0]
-    while left > 0:
-        part = max(1, left // len(open_indexes))
-        for index in sorted(open_indexes, key=shares.__getitem__)[:left]:
-            given = min(wants[index] - shares[index], part)
-            shares[index] += given
-            left -= given
-        open_indexes = [index for index in open_indexes if shares[index] < wants[index]]
+    shares = [0] * len(demands)
+    remaining = min(amount, sum(demands))
+    open_indexes = [index for index, demand in enumerate(demands) if demand > 0]
+    while remaining > 0:
+        share = max(1, remaining // len(open_indexes))
+        for index in sorted(open_indexes, key=shares.__getitem__)[:remaining]:
+            increase = min(demands[index] - shares[index], share)
+            shares[index] += increase
+            remaining -= increase
+        open_indexes = [
+            index for index in open_indexes if shares[index] < demands[index]
+        ]
     return shares
 
 
-class _Replica(msgspec.Struct, kw_only=True):
-    """A replica's latest report."""
+class _ReplicaReport(msgspec.Struct, kw_only=True):
+    """A replica's latest report and the clock reading in seconds at its receipt."""
 
     report: LoadReport
-    at: float
+    received_at: float
 
 
 class _EntryDemand(msgspec.Struct, kw_only=True):
-    """An entry's latest demand."""
+    """An entry's latest demand and the clock reading in seconds at its receipt."""
 
     demand: Demand
-    at: float
+    received_at: float
 
 
 class Coordinator:
     """
-    Divides one pool's slots among the entries that ask.
+    Divides the slots of one pool among the entries that report demand.
 
     Parameters
     ----------
@@ -182,70 +187,85 @@
     def __init__(self, *, pool: PoolId, clock: Clock) -> None:
         self._pool = pool
         self._clock = clock
-        self._replicas: dict[InstanceId, _Replica] = {}
+        self._reports: dict[InstanceId, _ReplicaReport] = {}
         self._demands: dict[InstanceId, _EntryDemand] = {}
-        self._limit: BatchLimit | None = None
+        self._batch_limit: BatchLimit | None = None
         self._gap_targets: dict[int, float] = {}
         self._min_shares: dict[int, float] = {}
 
     def set_targets(
         self, *, gap_targets: dict[int, float], min_shares: dict[int, float]
     ) -> None:
-        """Take the targets between tokens (seconds) and the minimum shares by tier."""
+        """
+        Set the configured targets.
+
+        Parameters
+        ----------
+        gap_targets : dict
+            Longest token gap in seconds by tier, for tiers that have such a target.
+        min_shares : dict
+            Minimum share by tier, as a fraction of the pool's capacity.
+        """
         self._gap_targets = gap_targets
         self._min_shares = min_shares
 
     def record_report(self, replica: InstanceId, report: LoadReport) -> None:
-        """Take in a replica's report."""
-        self._replicas[replica] = _Replica(report=report, at=self._clock.now())
+        """Record a replica's latest report."""
+        self._reports[replica] = _ReplicaReport(
+            report=report, received_at=self._clock.now()
+        )
 
     def update_replicas(self, replicas: Iterable[InstanceId]) -> None:
-        """Forget all replicas but these."""
-        kept = set(replicas)
-        for instance in list(self._replicas):
-            if instance not in kept:
-                del self._replicas[instance]
+        """Remove all replicas except these."""
+        kept_instances = set(replicas)
+        for instance in list(self._reports):
+            if instance not in kept_instances:
+                del self._reports[instance]
 
     def record_demand(self, entry: InstanceId, demand: Demand) -> None:
-        """Take in an entry's demand."""
-        self._demands[entry] = _EntryDemand(demand=demand, at=self._clock.now())
+        """Record an entry's latest demand."""
+        self._demands[entry] = _EntryDemand(
+            demand=demand, received_at=self._clock.now()
+        )
 
     def allocate_slots(self) -> dict[InstanceId, Grant]:
-        """Return the present grant of every entry that asked lately."""
-        self._forget_silent()
+        """Return the present grant of each entry with a recent demand."""
+        self._drop_expired_demands()
         entries = sorted(self._demands)
         if not entries:
             return {}
-        loads = self._loads()
-        slots = self._slots(entries, sum(load.limit for load in loads))
-        pressed = self._pressed_tier(entries, slots)
-        ttl = TTL_INTERVALS * compute_share_interval(len(entries))
+        loads = self._build_loads()
+        slots = self._divide_slots(entries, sum(load.limit for load in loads))
+        preempting_tier = self._find_preempting_tier(entries, slots)
+        ttl = GRANT_TTL_INTERVALS * compute_share_interval(len(entries))
         return {
             entry: Grant(
                 pool=self._pool,
                 slots=tuple(slots[entry]),
                 ttl_ms=int(ttl * 1000),
-                preempting_tier=pressed,
+                preempting_tier=preempting_tier,
                 replicas=loads,
             )
             for entry in entries
         }
 
-    def _forget_silent(self) -> None:
-        horizon = FORGET_INTERVALS * compute_share_interval(len(self._demands))
+    def _drop_expired_demands(self) -> None:
+        ttl = DEMAND_TTL_INTERVALS * compute_share_interval(len(self._demands))
         for entry, known in list(self._demands.items()):
-            if self._clock.now() - known.at > horizon:
+            if self._clock.now() - known.received_at > ttl:
                 del self._demands[entry]
 
-    def _loads(self) -> tuple[ReplicaLoad, ...]:
-        self._adapt_limit()
-        reports = [known.report for known in self._replicas.values()]
+    def _build_loads(self) -> tuple[ReplicaLoad, ...]:
+        self._update_batch_limit()
+        reports = [known.report for known in self._reports.values()]
         gaps = [report.token_gap for report in reports if report.token_gap > 0]
         median = statistics.median(gaps) if gaps else 0.0
         loads = []
-        for instance in sorted(self._replicas):
-            report = self._replicas[instance].report
-            limit = report.slots if self._limit is None else self._limit.value
+        for instance in sorted(self._reports):
+            report = self._reports[instance].report
+            limit = (
+                report.slots if self._batch_limit is None else self._batch_limit.value
+            )
             if report.token_gap > STRAGGLER_RATIO * median > 0:
                 limit = max(1, int(limit * median / report.token_gap))
             loads.append(
@@ -254,95 +274,107 @@
                     load=report.running + report.waiting,
                     limit=min(limit, report.slots),
                     hard_limit=report.slots,
-                    token_gap_us=int(report.token_gap * MICROSECONDS),
+                    token_gap_us=int(report.token_gap * MICROSECONDS_PER_SECOND),
                     models=tuple(short_key(model) for model in report.models),
                 )
             )
         return tuple(loads)
 
-    def _adapt_limit(self) -> None:
-        """Adapt the batch limit to the time between tokens on the busy replicas."""
-        reports = [known.report for known in self._replicas.values()]
+    def _update_batch_limit(self) -> None:
+        """Update the batch limit by the median token gap of the busy replicas."""
+        reports = [known.report for known in self._reports.values()]
         if not reports:
             return
         slots = max(report.slots for report in reports)
-        if self._limit is None:
-            self._limit = BatchLimit(slots=slots)
+        if self._batch_limit is None:
+            self._batch_limit = BatchLimit(slots=slots)
         busy = [
             report
             for report in reports
             if report.token_gap > 0 and report.running >= BUSY_FRACTION * slots
         ]
         if busy:
-            mean = sum(report.running for report in reports) / len(reports)
-            self._limit.update_limit(
+            mean_batch = sum(report.running for report in reports) / len(reports)
+            self._batch_limit.update_limit(
                 token_gap=statistics.median(report.token_gap for report in busy),
-                target=self._gap_target(),
-                batch=mean,
+                target=self._find_gap_target(),
+                batch=mean_batch,
             )
 
-    def _gap_target(self) -> float | None:
-        """Return the tightest target between tokens among the tiers that ask now."""
+    def _find_gap_target(self) -> float | None:
+        """Return the shortest token gap target of the tiers that have demand."""
         targets = [
             target
             for tier, target in self._gap_targets.items()
-            if any(_want(known.demand, tier) for known in self._demands.values())
+            if any(
+                _count_requests(known.demand, tier) for known in self._demands.values()
+            )
         ]
         return min(targets, default=None)
 
-    def _slots(
+    def _divide_slots(
         self, entries: list[InstanceId], capacity: int
     ) -> dict[InstanceId, list[int]]:
         slots = {entry: [0] * TIER_COUNT for entry in entries}
-        reserved = self._reserved(capacity)
-        left = capacity
+        reserved = self._compute_reserved_slots(capacity)
+        remaining = capacity
         for tier in range(1, TIER_COUNT + 1):
-            kept = sum(reserved[lower] for lower in range(tier + 1, TIER_COUNT + 1))
-            wants = [_want(self._demands[entry].demand, tier) for entry in entries]
-            shares = allocate_max_min(max(0, left - kept), wants)
+            reserved_below = sum(
+                reserved[lower] for lower in range(tier + 1, TIER_COUNT + 1)
+            )
+            demands = [
+                _count_requests(self._demands[entry].demand, tier) for entry in entries
+            ]
+            shares = allocate_max_min(max(0, remaining - reserved_below), demands)
             for entry, share in zip(entries, shares, strict=True):
                 slots[entry][tier - 1] = share
-            left -= sum(shares)
-        for entry, spare in zip(
-            entries, allocate_max_min(left, [left] * len(entries)), strict=True
+            remaining -= sum(shares)
+        for entry, extra in zip(
+            entries,
+            allocate_max_min(remaining, [remaining] * len(entries)),
+            strict=True,
         ):
-            slots[entry][TIER_COUNT - 1] += spare
+            slots[entry][TIER_COUNT - 1] += extra
         return slots
 
-    def _reserved(self, capacity: int) -> dict[int, int]:
-        """Return the slots kept for the minimum shares of tiers that ask for any."""
+    def _compute_reserved_slots(self, capacity: int) -> dict[int, int]:
+        """Return the slots reserved by tier for minimum shares, up to the demand."""
         reserved = {}
         for tier in range(1, TIER_COUNT + 1):
-            want = sum(_want(known.demand, tier) for known in self._demands.values())
-            reserved[tier] = min(want, int(self._min_shares.get(tier, 0.0) * capacity))
+            demand = sum(
+                _count_requests(known.demand, tier) for known in self._demands.values()
+            )
+            reserved[tier] = min(
+                demand, int(self._min_shares.get(tier, 0.0) * capacity)
+            )
         return reserved
 
-    def _pressed_tier(
+    def _find_preempting_tier(
         self, entries: list[InstanceId], slots: dict[InstanceId, list[int]]
     ) -> int:
         """
-        Return the lowest tier (largest number) below which work must give way, or 0.
+        Return the lowest tier for which requests of others must be preempted, or 0.
         """
-        pressed = 0
+        preempting_tier = 0
         for tier in range(1, TIER_COUNT):
             if any(self._demands[entry].demand.waiting[tier - 1] for entry in entries):
-                lower = sum(
+                excess_count = sum(
                     sum(self._demands[entry].demand.running[tier:])
                     - sum(slots[entry][tier:])
                     for entry in entries
                 )
-                if lower > 0:
-                    pressed = tier
-        return pressed
+                if excess_count > 0:
+                    preempting_tier = tier
+        return preempting_tier
 
 
-def _want(demand: Demand, tier: int) -> int:
+def _count_requests(demand: Demand, tier: int) -> int:
     return demand.running[tier - 1] + demand.waiting[tier - 1]
 
 
 class ShareHolder:
     """
-    An entry's share of one pool, with a fallback for when no grant holds.
+    An entry's share of one pool, with a local estimate while no grant is valid.
 
     Parameters
     ----------
@@ -352,19 +384,19 @@
     def __init__(self, *, clock: Clock) -> None:
         self._clock = clock
         self._grant: Grant | None = None
-        self._expires = 0.0
-        self._factor = 1.0
+        self._grant_expires_at = 0.0
+        self._fallback_factor = 1.0
         self._best_latency: float | None = None
-        self._latency = MovingAverage(value=0.0)
+        self._average_latency = MovingAverage(value=0.0)
 
     @property
     def has_grant(self) -> bool:
-        """Whether a grant holds."""
-        return self._grant is not None and self._clock.now() < self._expires
+        """Whether there is a grant that has not expired."""
+        return self._grant is not None and self._clock.now() < self._grant_expires_at
 
     @property
     def preempting_tier(self) -> int:
-        """The lowest tier that waits somewhere in the pool, 0 when none does."""
+        """The lowest tier for which requests of others must be preempted, or 0."""
         return (
             self._grant.preempting_tier
             if self._grant is not None and self.has_grant
@@ -372,41 +404,49 @@
         )
 
     def apply_grant(self, grant: Grant) -> None:
-        """Take a grant in place of the one before."""
+        """Replace the previous grant."""
         self._grant = grant
-        self._expires = self._clock.now() + grant.ttl_ms / 1000
-        self._factor = 1.0
+        self._grant_expires_at = self._clock.now() + grant.ttl_ms / 1000
+        self._fallback_factor = 1.0
 
     def record_first_token_latency(self, seconds: float) -> None:
         """
-        Take in the time to a first token, by which the fallback adapts.
+        Record the time to a first token in seconds, and adapt the fallback to it.
 
-        The factor follows the ratio of the best latency to the present one (latency
-        gradient).
+        While no grant is valid, the fallback share shrinks by a factor when the average
+        latency exceeds a multiple of the best one, and grows by a step otherwise
+        (latency gradient).
         """
         best = self._best_latency
-        best = seconds if best is None else min(best * LATENCY_DRIFT, seconds)
+        best = seconds if best is None else min(best * BEST_LATENCY_GROWTH, seconds)
         self._best_latency = best
-        self._latency.add_sample(seconds)
+        self._average_latency.add_sample(seconds)
         if self.has_grant:
             return
-        if self._latency.value > LATENCY_TOLERANCE * best:
-            self._factor = max(MIN_FALLBACK_FACTOR, self._factor * FALLBACK_DECREASE)
+        if self._average_latency.value > MAX_LATENCY_RATIO * best:
+            self._fallback_factor = max(
+                MIN_FALLBACK_FACTOR, self._fallback_factor * FALLBACK_DECREASE_FACTOR
+            )
         else:
-            self._factor = min(MAX_FALLBACK_FACTOR, self._factor + FALLBACK_INCREASE)
+            self._fallback_factor = min(
+                MAX_FALLBACK_FACTOR, self._fallback_factor + FALLBACK_INCREASE_STEP
+            )
 
     def compute_slots(self, *, capacity: int, entry_count: int) -> tuple[int, ...]:
         """
-        Return the slots by tier.
+        Return the number of slots in each tier, from tier 1.
+
+        Without a valid grant, this is an equal part of the capacity times the fallback
+        factor, in the lowest tier, whose slots all tiers may use.
 
         Parameters
         ----------
         capacity : int
             The pool's slots as far as this entry knows, for the fallback.
         entry_count : int
-            The number of entries last known.
+            The latest known number of entries, for the fallback.
         """
         if self._grant is not None and self.has_grant:
             return self._grant.slots
-        part = max(1, int(self._factor * capacity / max(1, entry_count)))
-        return (0,) * (TIER_COUNT - 1) + (part,)
+        share = max(1, int(self._fallback_factor * capacity / max(1, entry_count)))
+        return (0,) * (TIER_COUNT - 1) + (share,)
