--- a/damasklead/checking.py
+++ b/damasklead/checking.py
@@ -1,8 +1,8 @@
 """
-Checked documents
-=================
+Validation of files
+===================
 
-Validates parsed files against their models and turns every error into a finding.
+Validates files against ``pydantic`` models and reports each error as a finding.
 """
 
 from typing import Any, TypeVar
@@ -11,7 +11,7 @@
 from pydantic_core import ErrorDetails
 
 from damasklead import jsonc
-from damasklead.findings import Findings, nearest
+from damasklead.findings import Findings, find_closest_match
 
 __all__ = ["CheckedModel", "check_text"]
 
@@ -19,7 +19,7 @@
 
 
 class CheckedModel(pydantic.BaseModel):
-    """Base of every model of a file: immutable, strict, without unknown keys."""
+    """Base of the models of files: immutable, strict, rejecting unknown keys."""
 
     model_config = pydantic.ConfigDict(extra="forbid", frozen=True, strict=True)
 
@@ -33,18 +33,19 @@
     Parameters
     ----------
     model : type
-        The model of the file.
+        Model that the file must satisfy.
     text : str
-        The file's content.
+        Content of the file.
     file : str
-        The name to report.
+        Name of the file, for findings.
     findings : Findings
-        Where all problems are added.
+        Receives all problems of the file.
 
     Returns
     -------
     tuple or None
-        The validated model and the parsed document, or ``None`` when anything is wrong.
+        The validated model and the parsed document, or ``None`` when the file has a
+        finding.
     """
     before = len(findings)
     document = jsonc.parse(text, file=file, findings=findings)
@@ -54,25 +55,30 @@
         value = model.model_validate(document.value)
     except pydantic.ValidationError as error:
         for detail in error.errors():
-            path, message = _describe(model, detail, document.value)
-            findings.add(document.finding(path, message))
+            path, message = _format_error(model, detail, document.value)
+            findings.add(document.make_finding(path, message))
         return None
     return (value, document) if len(findings) == before else None
 
 
-def _describe(
+def _format_error(
     model: type[pydantic.BaseModel], detail: ErrorDetails, value: Any
 ) -> tuple[jsonc.Path, str]:
-    path = _document_path(detail["loc"], value)
+    path = _strip_union_members(detail["loc"], value)
     if detail["type"] != "extra_forbidden":
         return path, detail["msg"]
-    known = _known_keys(model, path[:-1])
-    hint = nearest(str(path[-1]), known)
+    known = _find_known_keys(model, path[:-1])
+    hint = find_closest_match(str(path[-1]), known)
     return path, "unknown key" + (f"; did you mean {hint!r}?" if hint else "")
 
 
-def _document_path(loc: tuple[int | str, ...], value: Any) -> jsonc.Path:
-    """Drop the parts of an error's location that name a union member, not a key."""
+def _strip_union_members(loc: tuple[int | str, ...], value: Any) -> jsonc.Path:
+    """
+    Return the path of an error in the document.
+
+    The location that ``pydantic`` gives also names members of unions; these are left
+    out.
+    """
     path: list[str | int] = []
     for position, part in enumerate(loc):
         last = position == len(loc) - 1
@@ -85,24 +91,26 @@
     return tuple(path)
 
 
-def _known_keys(model: type[pydantic.BaseModel], path: jsonc.Path) -> list[str]:
-    """Return the keys that the object at ``path`` may have."""
+def _find_known_keys(model: type[pydantic.BaseModel], path: jsonc.Path) -> list[str]:
+    """Return the keys that the model allows for the object at ``path``."""
     found = [model]
     for part in path:
         if isinstance(part, str):
-            found = [inner for outer in found for inner in _models_of(outer, part)]
+            found = [
+                inner for outer in found for inner in _find_key_models(outer, part)
+            ]
     return [key for item in found for key in item.model_fields]
 
 
-def _models_of(
+def _find_key_models(
     model: type[pydantic.BaseModel], key: str
 ) -> list[type[pydantic.BaseModel]]:
     field = model.model_fields.get(key)
-    return _models_in(field.annotation) if field is not None else []
+    return _find_models(field.annotation) if field is not None else []
 
 
-def _models_in(annotation: Any) -> list[type[pydantic.BaseModel]]:
+def _find_models(annotation: Any) -> list[type[pydantic.BaseModel]]:
     if isinstance(annotation, type) and issubclass(annotation, pydantic.BaseModel):
         return [annotation]
     arguments = getattr(annotation, "__args__", ())
-    return [model for argument in arguments for model in _models_in(argument)]
+    return [model for argument in arguments for model in _find_models(argument)]
--- a/damasklead/clock.py
+++ b/damasklead/clock.py
@@ -2,7 +2,8 @@
 Clock
 =====
 
-The source of time for every decision, and a clock that tests pause and advance.
+The interface of the clock that all decisions read, and a clock for tests that is
+advanced by hand.
 """
 
 from abc import ABC, abstractmethod
@@ -15,7 +16,7 @@
 
     @abstractmethod
     def now(self) -> float:
-        """Return the monotonic time in seconds from an arbitrary origin."""
+        """Return the monotonic time in seconds since an arbitrary origin."""
 
 
 class ManualClock(Clock):
@@ -25,7 +26,7 @@
     Parameters
     ----------
     start : float
-        The first reading in seconds.
+        The initial time in seconds.
 
     Examples
     --------
@@ -39,18 +40,23 @@
         self._now = start
 
     def now(self) -> float:
-        """Return the current reading in seconds."""
+        """Return the current time in seconds."""
         return self._now
 
     def advance(self, seconds: float) -> None:
         """
-        Move the clock forward.
+        Advance the clock.
 
         Parameters
         ----------
         seconds : float
-            The distance; a negative value raises ``ValueError``.
+            Seconds to add to the time.
+
+        Raises
+        ------
+        ValueError
+            When ``seconds`` is negative.
         """
         if seconds < 0:
-            raise ValueError(f"a clock cannot go back by {-seconds} s")
+            raise ValueError(f"a monotonic clock cannot go back by {-seconds} s")
         self._now += seconds
--- a/damasklead/configuration.py
+++ b/damasklead/configuration.py
@@ -21,7 +21,7 @@
     ServiceKind,
     WorkspacesDocument,
 )
-from damasklead.findings import Findings, nearest
+from damasklead.findings import Findings, find_closest_match
 from damasklead.ids import ClassName, ServiceName, WorkspaceId
 
 __all__ = [
@@ -221,7 +221,9 @@
     builder.check_references()
     if not builder.services and len(findings) == before:
         findings.add(
-            jsonc.Document(file="-", value=None, places={}).finding((), "no service")
+            jsonc.Document(file="-", value=None, locations={}).make_finding(
+                (), "no service"
+            )
         )
     if len(findings) > before:
         return None
@@ -290,16 +292,16 @@
     ) -> None:
         for index, name in enumerate(names):
             if name not in known:
-                hint = nearest(name, known)
+                hint = find_closest_match(name, known)
                 message = f"unknown {kind} {name!r}" + (
                     f"; did you mean {hint!r}?" if hint else ""
                 )
-                self._findings.add(document.finding((*path, index), message))
+                self._findings.add(document.make_finding((*path, index), message))
 
     def _add_service(self, content: ServiceDocument, document: jsonc.Document) -> None:
         if content.service in self.services:
             message = f"service {content.service!r} is declared in another file too"
-            self._findings.add(document.finding(("service",), message))
+            self._findings.add(document.make_finding(("service",), message))
             return
         self._check_service(content, document)
         name = ServiceName(content.service)
@@ -325,27 +327,27 @@
             owner = self._models.setdefault(model, content.service)
             if owner != content.service:
                 message = f"model {model!r} is offered by service {owner!r} too"
-                self._findings.add(document.finding(("models", index), message))
+                self._findings.add(document.make_finding(("models", index), message))
         if content.kind == "engine" and not content.models:
             self._findings.add(
-                document.finding(("models",), "an engine service needs a model")
+                document.make_finding(("models",), "an engine service needs a model")
             )
         if sum(item.minimum_share for item in content.classes) > 0.5:
             message = (
                 "the minimum shares of a service's classes add up to more than 0.5"
             )
-            self._findings.add(document.finding(("classes",), message))
+            self._findings.add(document.make_finding(("classes",), message))
         seen: set[str] = set()
         for index, item in enumerate(content.classes):
             if item.name in seen:
                 message = f"class {item.name!r} is declared twice"
                 self._findings.add(
-                    document.finding(("classes", index, "name"), message)
+                    document.make_finding(("classes", index, "name"), message)
                 )
             seen.add(item.name)
             if item.first_token_ms is None and item.answer_ms is None:
                 message = "a class needs first_token_ms or answer_ms"
-                self._findings.add(document.finding(("classes", index), message))
+                self._findings.add(document.make_finding(("classes", index), message))
 
     def _add_workspaces(
         self, content: WorkspacesDocument, document: jsonc.Document
@@ -354,7 +356,7 @@
             if item.name in self.workspaces:
                 message = f"workspace {item.name!r} is declared twice"
                 self._findings.add(
-                    document.finding(("workspaces", index, "name"), message)
+                    document.make_finding(("workspaces", index, "name"), message)
                 )
                 continue
             self.workspaces[item.name] = Workspace(
--- a/damasklead/daemon/callers.py
+++ b/damasklead/daemon/callers.py
@@ -307,12 +307,12 @@
     if problem.retry_after is not None:
         headers.append(("Retry-After", str(max(1, round(problem.retry_after)))))
     start_response(f"{problem.status} Problem", headers)
-    return [problem.document()]
+    return [problem.encode()]
 
 
 def _error_event(problem: Problem) -> bytes:
     """Return the event that ends a stream which can't be completed."""
-    return b"event: error\ndata: " + problem.document() + b"\n\n"
+    return b"event: error\ndata: " + problem.encode() + b"\n\n"
 
 
 def _authenticate(configuration: Configuration, environ: Environ) -> Workspace:
--- a/damasklead/daemon/callerserver.py
+++ b/damasklead/daemon/callerserver.py
@@ -42,7 +42,7 @@
         if not isinstance(result, tuple):
             return result
         problem = Problem(status=int(result[0]), kind="head", title="Not a valid head")
-        body = problem.document()
+        body = problem.encode()
         head = (
             f"HTTP/1.1 {problem.status} Problem\r\nConnection: close\r\n"
             f"Content-Type: application/problem+json\r\n"
@@ -128,7 +128,7 @@
     def write(self, text: str) -> None:
         """Log a line, without what the caller sent."""
         last = text.strip().splitlines()[-1:] or [""]
-        logs.problem("caller-connection", detail=last[0][:200])
+        logs.warning("caller-connection", detail=last[0][:200])
 
     def flush(self) -> None:
         """Do nothing; events are written at once."""
--- a/damasklead/daemon/claimkeeper.py
+++ b/damasklead/daemon/claimkeeper.py
@@ -73,7 +73,7 @@
         self._pending[pending.claim.attempt] = pending
         if len(self._pending) > MAX_PENDING:
             _, dropped = self._pending.popitem(last=False)
-            logs.problem(
+            logs.warning(
                 "claim-unsettled",
                 key=dropped.claim.key,
                 state=dropped.claim.state.value,
--- a/damasklead/daemon/dutytask.py
+++ b/damasklead/daemon/dutytask.py
@@ -190,7 +190,7 @@
     def _lease_event(self, duty: str, before: str) -> AuditEvent:
         return AuditEvent(
             id=new_id(),
-            at=self._entry.clock.wall(),
+            at=self._entry.clock.get_unix_time(),
             who=self._entry.instance,
             action="lease",
             subject=duty,
--- a/damasklead/daemon/entry.py
+++ b/damasklead/daemon/entry.py
@@ -88,7 +88,7 @@
         self.platform = platform
         self.clock = clock
         self.instance = InstanceId(settings.instance)
-        self.incarnation = Incarnation(int(clock.wall() * 1000))
+        self.incarnation = Incarnation(int(clock.get_unix_time() * 1000))
         self.holder = ConfigurationHolder()
         self.membership = Membership(clock=clock)
         self.gossip = GossipBuffer(clock=clock)
@@ -140,7 +140,7 @@
         logs.event("change", action=action, subject=subject, before=before, after=after)
         event = AuditEvent(
             id=new_id(),
-            at=self.clock.wall(),
+            at=self.clock.get_unix_time(),
             who=self.instance,
             action=action,
             subject=subject,
@@ -314,7 +314,7 @@
 
     def attempt_failed(self, pool: Pool, start: Start, error: UpstreamError) -> None:
         """Take in that an attempt failed."""
-        logs.problem(
+        logs.warning(
             "attempt-failed",
             attempt=start.attempt,
             request=start.request.id,
--- a/damasklead/daemon/exchange.py
+++ b/damasklead/daemon/exchange.py
@@ -42,7 +42,7 @@
 )
 from damasklead.ids import AttemptId, InstanceId
 from damasklead.loop import LoopClock
-from damasklead.problems import problem_for
+from damasklead.problems import make_problem
 from damasklead.protocol import Steps, T
 from damasklead.requests import (
     Action,
@@ -205,7 +205,9 @@
                 action = self._mailbox.get()
                 if isinstance(action, Refuse):
                     self._release_claim(action.outcome)
-                    yield problem_for(action.reason, action.outcome, action.retry_after)
+                    yield make_problem(
+                        action.reason, action.outcome, action.retry_after
+                    )
                     return
                 assert isinstance(action, Start)
                 yield from self._attempt(action)
--- a/damasklead/daemon/peers.py
+++ b/damasklead/daemon/peers.py
@@ -73,7 +73,7 @@
                 try:
                     message = decode_message(frames[-1])
                 except msgspec.DecodeError as error:
-                    logs.problem("peer-message", detail=str(error))
+                    logs.warning("peer-message", detail=str(error))
                     continue
                 self._take(message)
         finally:
@@ -98,7 +98,7 @@
         try:
             self._link(peer, address).send(content, zmq.NOBLOCK)
         except zmq.ZMQError as error:
-            logs.problem("peer-send", peer=peer, detail=str(error))
+            logs.warning("peer-send", peer=peer, detail=str(error))
             return
         self._entry.metrics.peer_bytes.labels("out").inc(len(content))
 
--- a/damasklead/daemon/watchers.py
+++ b/damasklead/daemon/watchers.py
@@ -129,7 +129,7 @@
         )
         result = self._entry.platform.instances.announce(record)
         if isinstance(result, Err):
-            logs.problem("announce", result=result.err_value.value)
+            logs.warning("announce", result=result.err_value.value)
 
     def _follow_configuration(self) -> None:
         entry = self._entry
--- a/damasklead/demo/run.py
+++ b/damasklead/demo/run.py
@@ -114,7 +114,7 @@
             id=AttemptId(new_id()),
             who="demo",
             files=configuration_files(),
-            at=self._clock.wall(),
+            at=self._clock.get_unix_time(),
         )
         result = run_protocol(publish(publication), self._platform)
         assert isinstance(result, Published), result
--- a/damasklead/dispatching.py
+++ b/damasklead/dispatching.py
@@ -249,7 +249,7 @@
         is_unreachable = failure is Failure.NOT_SENT
         request.failure_count += not is_unreachable
         request.tried_replicas.append(attempt.replica)
-        request.may_have_executed |= not failure.surely_unrun
+        request.may_have_executed |= not failure.rules_out_execution
         penalty_seconds = (
             REFUSAL_PENALTY_SECONDS
             if failure is Failure.REFUSED
@@ -285,7 +285,7 @@
     def _handle_failure(self, request: Request, failure: Failure) -> list[Action]:
         if self._quarantine.is_named(request.fingerprint):
             return [self._refuse_after_attempt(request, Reason.QUARANTINED)]
-        if not failure.surely_unrun and not request.request_class.may_repeat:
+        if not failure.rules_out_execution and not request.request_class.may_repeat:
             return [self._refuse_after_attempt(request, Reason.UPSTREAM_FAILED)]
         if request.failure_count >= MAX_FAILURES or not self._acquire_retry(failure):
             return [self._refuse_after_attempt(request, Reason.RETRIES_EXHAUSTED)]
--- a/damasklead/experiment/gateways.py
+++ b/damasklead/experiment/gateways.py
@@ -321,7 +321,7 @@
         work.replica = None
         self._tell_ended(work, failure.value)
         route = work.call.route
-        if failure.surely_unrun or (
+        if failure.rules_out_execution or (
             route.may_repeat and work.runs < route.max_attempts
         ):
             self._find(work)
--- a/damasklead/failures.py
+++ b/damasklead/failures.py
@@ -2,7 +2,7 @@
 Failures
 ========
 
-How an attempt at an upstream can end without a whole answer.
+The ways in which an attempt at an upstream can fail.
 """
 
 from enum import Enum
@@ -12,20 +12,33 @@
 
 class Failure(Enum):
     """
-    How an attempt ended without a whole answer.
-
-    ``NOT_SENT``, ``REFUSED`` and ``PAUSED`` are sure signs that the upstream did not
-    run the request; ``PAUSED`` means that it takes nothing more for some time.
+    Why an attempt ended without a complete response.
+
+    Attributes
+    ----------
+    NOT_SENT
+        No byte of the request was sent.
+    REFUSED
+        The upstream rejected the request without executing it.
+    BROKEN
+        The connection ended early, or the response was malformed or an error.
+    TIMED_OUT
+        No data or event arrived within the timeout.
+    MISMATCHED
+        The response belonged to another request.
+    PAUSED
+        The upstream rejected the request without executing it and accepts no other
+        for some time.
     """
 
     NOT_SENT = "not-sent"
     REFUSED = "refused"
     BROKEN = "broken"
     TIMED_OUT = "timed-out"
-    CROSSED = "crossed"
+    MISMATCHED = "crossed"
     PAUSED = "paused"
 
     @property
-    def surely_unrun(self) -> bool:
-        """Whether the upstream certainly did not run the request."""
+    def rules_out_execution(self) -> bool:
+        """Whether the upstream certainly did not execute the request."""
         return self in (Failure.NOT_SENT, Failure.REFUSED, Failure.PAUSED)
--- a/damasklead/findings.py
+++ b/damasklead/findings.py
@@ -2,7 +2,7 @@
 Findings
 ========
 
-Problems found in files, collected with their place and reported together.
+Problems in files, each with its location, collected to be reported together.
 """
 
 import difflib
@@ -10,23 +10,24 @@
 
 import msgspec
 
-__all__ = ["Finding", "Findings", "nearest"]
+__all__ = ["Finding", "Findings", "find_closest_match"]
 
 
 class Finding(msgspec.Struct, kw_only=True, frozen=True, order=True):
     """
-    One problem at one place.
+    One problem at one location of a file.
 
     Attributes
     ----------
     file : str
-        The file's name as it was given.
+        Name of the file as the caller gave it.
     line, column : int
-        The place, both counted from 1.
+        Location in the text, both counted from 1.
     path : str
-        The place inside the document, such as ``classes[0].tier``.
+        Location in the document, such as ``classes[0].tier``; empty for the whole
+        document.
     message : str
-        What is wrong.
+        Description of the problem.
     """
 
     file: str
@@ -36,16 +37,16 @@
     message: str
 
     def __str__(self) -> str:
-        where = f"{self.file}:{self.line}:{self.column}"
+        location = f"{self.file}:{self.line}:{self.column}"
         return (
-            f"{where}: {self.path}: {self.message}"
+            f"{location}: {self.path}: {self.message}"
             if self.path
-            else f"{where}: {self.message}"
+            else f"{location}: {self.message}"
         )
 
 
 class Findings:
-    """A growing list of findings over any number of files."""
+    """The findings of any number of files, in the order of their locations."""
 
     def __init__(self) -> None:
         self._items: list[Finding] = []
@@ -65,15 +66,15 @@
         self._items.extend(findings)
 
 
-def nearest(word: str, known: Iterable[str]) -> str | None:
+def find_closest_match(word: str, known: Iterable[str]) -> str | None:
     """
-    Return the known word that is closest to a misspelt one.
+    Return the known word that is most similar to a misspelt one, if any is similar.
 
     Examples
     --------
-    >>> nearest("teir", ["name", "tier"])
+    >>> find_closest_match("teir", ["name", "tier"])
     'tier'
-    >>> nearest("zzz", ["name", "tier"]) is None
+    >>> find_closest_match("zzz", ["name", "tier"]) is None
     True
     """
     matches = difflib.get_close_matches(word, list(known), n=1)
--- a/damasklead/gateway/attempts.py
+++ b/damasklead/gateway/attempts.py
@@ -266,7 +266,7 @@
         finally:
             if timer is not None:
                 timer.close()
-        raise SendError(Failure.CROSSED, "received only responses to other requests")
+        raise SendError(Failure.MISMATCHED, "received only responses to other requests")
 
     def _compute_response_timeout(self) -> float | None:
         """
@@ -398,7 +398,7 @@
             self._context.containment.record_connection_failure(record)
         elif failure is Failure.BROKEN:
             self._context.containment.record_broken_response(record, self._call)
-        if not failure.surely_unrun:
+        if not failure.rules_out_execution:
             self._possible_executions += 1
         self._context.journal.event(
             "attempt-failed",
@@ -412,7 +412,7 @@
 
     def _may_retry(self, failure: Failure) -> bool:
         route = self._call.route
-        if failure.surely_unrun:
+        if failure.rules_out_execution:
             if self.attempt_count >= MAX_REPLICA_ATTEMPTS:
                 return False
         elif not route.may_repeat or self._possible_executions >= route.max_attempts:
--- a/damasklead/gateway/partplaces.py
+++ b/damasklead/gateway/partplaces.py
@@ -14,7 +14,7 @@
 
 from damasklead.clock import Clock
 from damasklead.ids import InstanceId
-from damasklead.util import short_key
+from damasklead.util import hash_name
 
 __all__ = ["PartLocations"]
 
@@ -54,7 +54,7 @@
         """
         if tokens < MIN_TOKENS:
             return
-        part, replica = short_key(name), short_key(instance)
+        part, replica = hash_name(name), hash_name(instance)
         replicas = self._locations.setdefault(part, {})
         self._locations.move_to_end(part)
         replicas.pop(replica, None)
@@ -74,10 +74,10 @@
             Short hashes of the replicas' ids, with the clock time in seconds at which
             the part was last sent there.
         """
-        return self._locations.get(short_key(name), {})
+        return self._locations.get(hash_name(name), {})
 
     def remove_replica(self, instance: InstanceId) -> None:
         """Remove a replica that has restarted with an empty cache."""
-        key = short_key(instance)
+        key = hash_name(instance)
         for replicas in self._locations.values():
             replicas.pop(key, None)
--- a/damasklead/gateway/process.py
+++ b/damasklead/gateway/process.py
@@ -96,7 +96,7 @@
         self._fleet = Fleet(
             settings=settings,
             clock=self._clock,
-            incarnation=int(self._clock.wall() * 1000),
+            incarnation=int(self._clock.get_unix_time() * 1000),
             journal=self._journal,
             link=lambda: self._link,
             directory=self._directory,
--- a/damasklead/gateway/replicastate.py
+++ b/damasklead/gateway/replicastate.py
@@ -13,7 +13,7 @@
 from damasklead.failures import Failure
 from damasklead.gateway.calls import Call, LoadHint, UpstreamRecord
 from damasklead.ids import AttemptId
-from damasklead.util import short_key
+from damasklead.util import hash_name
 
 __all__ = ["PartCacheModel", "ReplicaState"]
 
@@ -112,7 +112,7 @@
 
     def __init__(self, *, record: UpstreamRecord, memory_tokens: int) -> None:
         self.record = record
-        self.key = short_key(record.instance)
+        self.key = hash_name(record.instance)
         self.cached_parts = PartCacheModel(capacity=memory_tokens)
         self.penalty_until = 0.0
         self.paused_until = 0.0
--- a/damasklead/gateway/upstream_http.py
+++ b/damasklead/gateway/upstream_http.py
@@ -232,7 +232,7 @@
         Raises
         ------
         SendError
-            ``CROSSED`` when no further response can follow on this connection.
+            ``MISMATCHED`` when no further response can follow on this connection.
         """
         assert self._request is not None
         size = 0
@@ -240,11 +240,11 @@
             size += len(data)
             if size > MAX_STRAY_BODY_BYTES:
                 raise SendError(
-                    Failure.CROSSED, "a response to another request is too long"
+                    Failure.MISMATCHED, "a response to another request is too long"
                 )
         if self._http.their_state is not h11.DONE:
             raise SendError(
-                Failure.CROSSED, "received only a response to another request"
+                Failure.MISMATCHED, "received only a response to another request"
             )
         remaining_data, ended = self._http.trailing_data
         self._http = h11.Connection(h11.CLIENT)
--- a/damasklead/ids.py
+++ b/damasklead/ids.py
@@ -31,5 +31,5 @@
 AttemptId = NewType("AttemptId", str)
 PoolId = NewType("PoolId", str)
 Fingerprint = NewType("Fingerprint", str)
-# Rises each time the platform's store comes back from an older copy.
+# Increases each time the platform's store is restored from a backup.
 StoreEra = NewType("StoreEra", int)
--- a/damasklead/jsonc.py
+++ b/damasklead/jsonc.py
@@ -2,7 +2,7 @@
 JSON with comments
 ==================
 
-Parses JSON that may hold comments and keeps the place of every value.
+Parses JSON with comments and records the location of every value.
 """
 
 import json
@@ -30,24 +30,28 @@
     Attributes
     ----------
     file : str
-        The file's name.
+        Name of the file, for findings.
     value : Any
-        The plain Python value.
-    places : dict
-        Line and column of each path, counted from 1; a key's place stands for its
-        value.
+        Content as dictionaries, lists and scalars.
+    locations : dict
+        Line and column of each path, counted from 1. A member of an object has the
+        location of its key.
     """
 
     file: str
     value: Any
-    places: dict[Path, tuple[int, int]]
-
-    def finding(self, path: Path, message: str) -> Finding:
-        """Return a finding at a path, or at its nearest parent with a known place."""
-        known = path
-        while known and known not in self.places:
-            known = known[:-1]
-        line, column = self.places.get(known, (1, 1))
+    locations: dict[Path, tuple[int, int]]
+
+    def make_finding(self, path: Path, message: str) -> Finding:
+        """
+        Return a finding at a path.
+
+        The location is that of the path or of its closest ancestor in the file.
+        """
+        ancestor = path
+        while ancestor and ancestor not in self.locations:
+            ancestor = ancestor[:-1]
+        line, column = self.locations.get(ancestor, (1, 1))
         return Finding(
             file=self.file,
             line=line,
@@ -59,7 +63,7 @@
 
 def format_path(path: Path) -> str:
     """
-    Write a path as operators read it.
+    Format a path for findings.
 
     Examples
     --------
@@ -82,40 +86,54 @@
     Parameters
     ----------
     text : str
-        The file's content.
+        Content of the file.
     file : str
-        The name to report.
+        Name of the file, for findings.
     findings : Findings
-        Where syntax errors and repeated keys are added.
+        Receives syntax errors and repeated keys.
 
     Returns
     -------
     Document or None
-        ``None`` when the text is not valid JSON with comments.
+        ``None`` unless the text holds exactly one valid value. A document with
+        repeated keys is returned.
     """
     root = _PARSER.parse(text.encode()).root_node
-    reader = _Reader(file=file, findings=findings)
+    reader = _SyntaxTreeReader(file=file, findings=findings)
     if root.has_error:
-        reader.report_syntax(root)
+        reader.report_syntax_errors(root)
         return None
     values = [node for node in root.named_children if node.type != "comment"]
     if len(values) != 1:
         findings.add(
-            reader.finding(root, (), f"expected one JSON value, found {len(values)}")
+            reader.make_finding(
+                root, (), f"expected one JSON value, found {len(values)}"
+            )
         )
         return None
-    value = reader.read(values[0], ())
-    return Document(file=file, value=value, places=reader.places)
+    value = reader.read_value(values[0], ())
+    return Document(file=file, value=value, locations=reader.locations)
 
 
 def convert(text: str, kind: type[T], *, file: str, findings: Findings) -> T | None:
     """
-    Parse one document into a type of ``msgspec``.
+    Parse one document and convert it to a type that ``msgspec`` supports.
+
+    Parameters
+    ----------
+    text : str
+        Content of the file.
+    kind : type
+        Type of the result.
+    file : str
+        Name of the file, for findings.
+    findings : Findings
+        Receives syntax errors, repeated keys and the first value of a wrong type.
 
     Returns
     -------
     object or None
-        ``None`` when anything is wrong, which is added to ``findings``.
+        ``None`` when the text is not valid or a value has the wrong type.
     """
     document = parse(text, file=file, findings=findings)
     if document is None:
@@ -123,21 +141,21 @@
     try:
         return msgspec.convert(document.value, kind)
     except msgspec.ValidationError as error:
-        message, _, where = str(error).partition(" - at `$")
-        path = tuple(part for part in where.rstrip("`").split(".") if part)
-        findings.add(document.finding(path, message))
+        message, _, location = str(error).partition(" - at `$")
+        path = tuple(part for part in location.rstrip("`").split(".") if part)
+        findings.add(document.make_finding(path, message))
         return None
 
 
-class _Reader:
-    """Turns syntax nodes into values and remembers their places."""
+class _SyntaxTreeReader:
+    """Converts the nodes of a syntax tree to values and records their locations."""
 
     def __init__(self, *, file: str, findings: Findings) -> None:
-        self.places: dict[Path, tuple[int, int]] = {}
+        self.locations: dict[Path, tuple[int, int]] = {}
         self._file = file
         self._findings = findings
 
-    def finding(self, node: tree_sitter.Node, path: Path, message: str) -> Finding:
+    def make_finding(self, node: tree_sitter.Node, path: Path, message: str) -> Finding:
         """Return a finding at a syntax node."""
         row, column = node.start_point
         return Finding(
@@ -148,31 +166,32 @@
             message=message,
         )
 
-    def report_syntax(self, node: tree_sitter.Node) -> None:
-        """Report every error node below ``node``."""
+    def report_syntax_errors(self, node: tree_sitter.Node) -> None:
+        """Add a finding for each syntax error at or below ``node``."""
         if node.is_missing:
-            self._findings.add(self.finding(node, (), f"missing {node.type!r}"))
+            self._findings.add(self.make_finding(node, (), f"missing {node.type!r}"))
             return
         if node.is_error:
-            sample = (node.text or b"").decode(errors="replace").split("\n")[0][:40]
+            excerpt = (node.text or b"").decode(errors="replace").split("\n")[0][:40]
             self._findings.add(
-                self.finding(node, (), f"not valid JSON near {sample!r}")
+                self.make_finding(node, (), f"not valid JSON near {excerpt!r}")
             )
             return
         for child in node.children:
             if child.has_error or child.is_missing:
-                self.report_syntax(child)
+                self.report_syntax_errors(child)
 
-    def read(self, node: tree_sitter.Node, path: Path) -> Any:
-        """Return the value of a node."""
+    def read_value(self, node: tree_sitter.Node, path: Path) -> Any:
+        """Return the value of a node, and record the locations in it."""
         row, column = node.start_point
-        self.places.setdefault(path, (row + 1, column + 1))
+        self.locations.setdefault(path, (row + 1, column + 1))
         if node.type == "object":
             return self._read_object(node, path)
         if node.type == "array":
             items = [child for child in node.named_children if child.type != "comment"]
             return [
-                self.read(child, (*path, index)) for index, child in enumerate(items)
+                self.read_value(child, (*path, index))
+                for index, child in enumerate(items)
             ]
         if node.type in _CONSTANTS:
             return _CONSTANTS[node.type]
@@ -190,9 +209,9 @@
             child_path = (*path, key)
             if key in result:
                 self._findings.add(
-                    self.finding(key_node, child_path, "this key is repeated")
+                    self.make_finding(key_node, child_path, "this key is repeated")
                 )
             row, column = key_node.start_point
-            self.places[child_path] = (row + 1, column + 1)
-            result[key] = self.read(value_node, child_path)
+            self.locations[child_path] = (row + 1, column + 1)
+            result[key] = self.read_value(value_node, child_path)
         return result
--- a/damasklead/logs.py
+++ b/damasklead/logs.py
@@ -2,7 +2,8 @@
 Logs
 ====
 
-One line of key=value pairs an event, through ``absl.logging``.
+Structured log lines: one line of key=value pairs for each event, written through
+``absl.logging``.
 """
 
 import json
@@ -11,13 +12,14 @@
 
 from absl import logging
 
-__all__ = ["event", "format_event", "problem", "to_standard_output"]
+__all__ = ["event", "format_event", "log_to_stdout", "warning"]
 
 
 def format_event(name: str, **pairs: object) -> str:
     r"""
-    Return the line of an event; text is quoted so that a value can't forge a pair or a
-    line.
+    Return the log line of an event.
+
+    Texts are quoted and escaped, so that a value cannot forge another pair or line.
 
     Examples
     --------
@@ -37,8 +39,12 @@
     return " ".join(parts)
 
 
-def to_standard_output() -> None:
-    """Write bare lines to standard output, for daemons whose output is collected."""
+def log_to_stdout() -> None:
+    """
+    Write log lines without a prefix to standard output.
+
+    For daemons whose output the platform collects.
+    """
     logging.use_absl_handler()
     logging.set_verbosity(logging.INFO)
     handler = logging.get_absl_handler()
@@ -47,10 +53,10 @@
 
 
 def event(name: str, **pairs: object) -> None:
-    """Log an ordinary event."""
+    """Log an event at level INFO."""
     logging.info("%s", format_event(name, **pairs))
 
 
-def problem(name: str, **pairs: object) -> None:
-    """Log an event that an operator should see."""
+def warning(name: str, **pairs: object) -> None:
+    """Log an event that needs an operator's attention, at level WARNING."""
     logging.warning("%s", format_event(name, **pairs))
--- a/damasklead/loop.py
+++ b/damasklead/loop.py
@@ -2,7 +2,7 @@
 Event loop
 ==========
 
-The clock of gevent's loop.
+The clock of processes that run gevent's event loop.
 """
 
 import time
@@ -15,19 +15,20 @@
 
 
 class LoopClock(Clock):
-    """Monotonic time, and waiting that lets other greenlets run."""
+    """The system's clocks, with a sleep that yields to other greenlets."""
 
     def now(self) -> float:
-        """Return seconds that also count while the machine is suspended."""
+        """Return monotonic seconds, which also count while the machine is suspended."""
         return time.clock_gettime(time.CLOCK_BOOTTIME)
 
-    def wall(self) -> float:
+    def get_unix_time(self) -> float:
         """
-        Return seconds since 1970, for records that people read; nothing is decided by
-        it.
+        Return the wall-clock time in seconds since 1970.
+
+        It dates records and numbers incarnations. Decisions use ``now``.
         """
         return time.time()
 
     def sleep(self, seconds: float) -> None:
-        """Let other greenlets run for some seconds."""
+        """Suspend the current greenlet for a number of seconds."""
         gevent.sleep(seconds)
--- a/damasklead/messages.py
+++ b/damasklead/messages.py
@@ -52,7 +52,7 @@
     Attributes
     ----------
     key : int
-        ``short_key`` of the replica's id.
+        ``hash_name`` of the replica's id.
     load : int
         Number of requests that run or are queued at the replica.
     limit : int
@@ -62,7 +62,7 @@
     token_gap_us : int
         Microseconds between the tokens of a response, 0 when unknown.
     models : tuple of int
-        ``short_key`` of each loaded model, empty when the replica serves any model.
+        ``hash_name`` of each loaded model, empty when the replica serves any model.
     """
 
     key: int
--- a/damasklead/platform/start.py
+++ b/damasklead/platform/start.py
@@ -35,7 +35,7 @@
     caller_socket : socket or None
         Socket that already listens at the callers' address.
     """
-    logs.to_standard_output()
+    logs.log_to_stdout()
     findings = Findings()
     settings = check_gateway_settings(
         settings_file.read_text(), file=str(settings_file), findings=findings
--- a/damasklead/problems.py
+++ b/damasklead/problems.py
@@ -2,18 +2,18 @@
 Problem documents
 =================
 
-Errors as callers see them: RFC 9457 problem documents with a stable type.
+Error responses to callers: RFC 9457 problem documents with stable types.
 """
 
 import msgspec
 
 from damasklead.requests import Outcome, Reason
 
-__all__ = ["Problem", "problem_for"]
+__all__ = ["Problem", "make_problem"]
 
 TYPE_PREFIX = "urn:damasklead:problem:"
 
-_STATUS = {
+_STATUS_AND_TITLE = {
     Reason.QUEUE_FULL: (503, "The queue of this class is full"),
     Reason.SHED: (503, "The request gave way to a higher tier"),
     Reason.WAITED_TOO_LONG: (503, "The request waited too long"),
@@ -28,20 +28,22 @@
 
 class Problem(Exception):
     """
-    An error answer.
+    An error response.
 
     Parameters
     ----------
     status : int
-        The HTTP status.
+        HTTP status of the response.
     kind : str
-        The last part of the problem's type.
+        Last part of the problem type, after ``urn:damasklead:problem:``.
+    title : str
+        Summary for people.
     outcome : Outcome
-        What is known of the request.
+        Whether the request was executed, as far as is known.
     field : str
-        The part of the request at fault, if one is.
+        Part of the request that is invalid; empty when none is.
     retry_after : float or None
-        Seconds after which it helps to try again.
+        Seconds after which a retry may succeed; ``None`` when that is not known.
     """
 
     def __init__(
@@ -62,8 +64,8 @@
         self.field = field
         self.retry_after = retry_after
 
-    def document(self) -> bytes:
-        """Return the JSON document."""
+    def encode(self) -> bytes:
+        """Encode the problem as a JSON document."""
         content: dict[str, object] = {
             "type": TYPE_PREFIX + self.kind,
             "title": self.title,
@@ -77,9 +79,11 @@
         return msgspec.json.encode(content)
 
 
-def problem_for(reason: Reason, outcome: Outcome, retry_after: float | None) -> Problem:
-    """Return the problem of a request that was refused or failed."""
-    status, title = _STATUS[reason]
+def make_problem(
+    reason: Reason, outcome: Outcome, retry_after: float | None
+) -> Problem:
+    """Return the problem document of a request that was rejected or failed."""
+    status, title = _STATUS_AND_TITLE[reason]
     return Problem(
         status=status,
         kind=reason.value,
--- a/damasklead/replicas.py
+++ b/damasklead/replicas.py
@@ -17,7 +17,7 @@
 from damasklead.learning import MovingAverage
 from damasklead.messages import ReplicaLoad
 from damasklead.requests import Request
-from damasklead.util import short_key, stable_hash
+from damasklead.util import hash_name, stable_hash
 
 __all__ = ["ReplicaChooser", "ReplicaInfo"]
 
@@ -53,7 +53,7 @@
     Attributes
     ----------
     key : int
-        ``short_key`` of the replica's id, as in the load reports.
+        ``hash_name`` of the replica's id, as in the load reports.
     limit, hard_limit : int
         Number of requests that it can run within the latency targets, and at all.
     other_requests : MovingAverage
@@ -63,7 +63,7 @@
     slow_since : float or None
         Clock reading in seconds since when the replica has been a straggler.
     models : tuple of int
-        ``short_key`` of each loaded model, empty when the replica serves any model.
+        ``hash_name`` of each loaded model, empty when the replica serves any model.
     ejected_until, penalty_until : float
         Clock readings in seconds until which the replica gets no requests, after an
         ejection and after a failure.
@@ -103,7 +103,7 @@
 
     def can_serve(self, model: str) -> bool:
         """Return whether the replica can serve a model according to its last report."""
-        return not self.models or not model or short_key(model) in self.models
+        return not self.models or not model or hash_name(model) in self.models
 
     @property
     def load(self) -> float:
@@ -166,7 +166,7 @@
         self._replicas = {}
         for info in replicas:
             replica = known_replicas.get(info.instance) or _Replica(
-                info=info, key=short_key(info.instance)
+                info=info, key=hash_name(info.instance)
             )
             replica.info = info
             self._replicas[info.instance] = replica
--- a/damasklead/settings.py
+++ b/damasklead/settings.py
@@ -104,7 +104,7 @@
     settings, document = checked
     if settings.platform.kind == "http" and settings.platform.address is None:
         findings.add(
-            document.finding(
+            document.make_finding(
                 ("platform", "address"), "an http platform needs an address"
             )
         )
--- a/damasklead/sharing.py
+++ b/damasklead/sharing.py
@@ -17,7 +17,7 @@
 from damasklead.ids import InstanceId, PoolId
 from damasklead.learning import BatchLimit, MovingAverage
 from damasklead.messages import Demand, Grant, ReplicaLoad
-from damasklead.util import short_key, stable_hash
+from damasklead.util import hash_name, stable_hash
 
 __all__ = [
     "TIER_COUNT",
@@ -270,12 +270,12 @@
                 limit = max(1, int(limit * median / report.token_gap))
             loads.append(
                 ReplicaLoad(
-                    key=short_key(instance),
+                    key=hash_name(instance),
                     load=report.running + report.waiting,
                     limit=min(limit, report.slots),
                     hard_limit=report.slots,
                     token_gap_us=int(report.token_gap * MICROSECONDS_PER_SECOND),
-                    models=tuple(short_key(model) for model in report.models),
+                    models=tuple(hash_name(model) for model in report.models),
                 )
             )
         return tuple(loads)
--- a/damasklead/supervision.py
+++ b/damasklead/supervision.py
@@ -169,7 +169,7 @@
             return
         if cause is None and child.restart is Restart.TRANSIENT:
             return
-        logs.problem(
+        logs.warning(
             "child-ended",
             supervisor=self.name,
             child=child.name,
@@ -188,7 +188,7 @@
         return len(self._restarts) > self._max_restarts
 
     def _give_up(self, child: Child) -> None:
-        logs.problem("supervisor-failed", supervisor=self.name, child=child.name)
+        logs.warning("supervisor-failed", supervisor=self.name, child=child.name)
         self._failed.set()
         on_exit = self._on_exit
         gevent.spawn(self._stop_and_report, on_exit)
--- a/damasklead/upstreams/engine.py
+++ b/damasklead/upstreams/engine.py
@@ -39,7 +39,7 @@
                 raise UpstreamError(
                     Failure.BROKEN, f"status {answer.status} without a request id"
                 )
-            raise UpstreamError(Failure.CROSSED, "the answer is another request's")
+            raise UpstreamError(Failure.MISMATCHED, "the answer is another request's")
         if answer.status == REFUSING_STATUS:
             leaving = bool(answer.header(LEAVING_HEADER))
             answer.close()
--- a/damasklead/upstreams/plain.py
+++ b/damasklead/upstreams/plain.py
@@ -29,7 +29,7 @@
         """
         if answer.header("X-Request-ID") not in ("", call.attempt):
             answer.close()
-            raise UpstreamError(Failure.CROSSED, "the answer is another request's")
+            raise UpstreamError(Failure.MISMATCHED, "the answer is another request's")
         if answer.status == REFUSING_STATUS and answer.header(NOT_RUN_HEADER):
             leaving = bool(answer.header(LEAVING_HEADER))
             answer.close()
--- a/damasklead/util.py
+++ b/damasklead/util.py
@@ -2,22 +2,22 @@
 Utilities
 =========
 
-Small functions that several modules use.
+Functions for addresses, hashes and identifiers.
 """
 
 import hashlib
 import uuid
 from functools import lru_cache
 
-__all__ = ["new_id", "short_key", "split_address", "stable_hash"]
+__all__ = ["new_id", "hash_name", "split_address", "stable_hash"]
 
-# Names of replicas and prompt parts come again and again; about 150 bytes each.
-KEPT_KEYS = 4_096
+# The names of replicas and prompt parts recur; an entry takes about 150 bytes.
+HASH_CACHE_SIZE = 4_096
 
 
 def split_address(address: str) -> tuple[str, int]:
     """
-    Split ``ip:port``.
+    Split ``ip:port`` into the host and the port.
 
     Examples
     --------
@@ -31,14 +31,23 @@
 
 
 def stable_hash(*parts: str) -> int:
-    """Return a 64-bit hash that is the same in every process."""
+    """
+    Return a 64-bit hash of some texts.
+
+    Unlike ``hash``, it is the same in every process.
+    """
     digest = hashlib.blake2b("\x00".join(parts).encode(), digest_size=8).digest()
     return int.from_bytes(digest, "big")
 
 
-@lru_cache(maxsize=KEPT_KEYS)
-def short_key(name: str) -> int:
-    """Return 32 bits that stand for a replica or model where a name is too long."""
+@lru_cache(maxsize=HASH_CACHE_SIZE)
+def hash_name(name: str) -> int:
+    """
+    Return the 32-bit hash of a name.
+
+    Messages and tables hold it instead of the longer name of a replica, model or
+    prompt part.
+    """
     return stable_hash(name) & 0xFFFF_FFFF
 
 
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -38,7 +38,7 @@
     Request,
     Start,
 )
-from damasklead.util import short_key
+from damasklead.util import hash_name
 
 PROPERTY = settings(max_examples=150, derandomize=True, deadline=None, database=None)
 POOL = PoolId("p")
@@ -90,7 +90,7 @@
     def grant(self, *, lowest: int, pressed: int = 0, hard: int = 6) -> list[Action]:
         loads = tuple(
             ReplicaLoad(
-                key=short_key(InstanceId(name)),
+                key=hash_name(InstanceId(name)),
                 load=0,
                 limit=4,
                 hard_limit=hard,
@@ -227,9 +227,9 @@
         (Failure.REFUSED, False, True, None),
         (Failure.BROKEN, False, False, Outcome.UNKNOWN),
         (Failure.TIMED_OUT, False, False, Outcome.UNKNOWN),
-        (Failure.CROSSED, False, False, Outcome.UNKNOWN),
+        (Failure.MISMATCHED, False, False, Outcome.UNKNOWN),
         (Failure.BROKEN, True, True, None),
-        (Failure.CROSSED, True, True, None),
+        (Failure.MISMATCHED, True, True, None),
     ],
 )
 def test_only_what_may_repeat_or_surely_never_ran_is_tried_again(
@@ -295,12 +295,12 @@
     bench = Bench()
     loads = tuple(
         ReplicaLoad(
-            key=short_key(InstanceId(name)),
+            key=hash_name(InstanceId(name)),
             load=0,
             limit=4,
             hard_limit=6,
             token_gap_us=0,
-            models=(short_key(model),),
+            models=(hash_name(model),),
         )
         for name, model in (("r1", "other"), ("r2", "m"))
     )
--- a/tests/test_gateway_partplaces.py
+++ b/tests/test_gateway_partplaces.py
@@ -16,7 +16,7 @@
 from damasklead.gateway.placements import EnginePlacement
 from damasklead.gateway.routing import EngineSpec, ServiceSpec
 from damasklead.ids import DataCentre, InstanceId
-from damasklead.util import short_key
+from damasklead.util import hash_name
 from tests.gatewaykit import SERVICE
 from tests.test_gateway_parts import CHAT, HERE, REVIEW, make_call, record
 
@@ -146,7 +146,7 @@
     for number in range(2 * MAX_REPLICAS_PER_PART):
         locations.record_sent("hot", MIN_TOKENS, InstanceId(f"e{number}"))
     assert len(locations.find_replicas("hot")) == MAX_REPLICAS_PER_PART
-    assert short_key(f"e{2 * MAX_REPLICAS_PER_PART - 1}") in locations.find_replicas(
+    assert hash_name(f"e{2 * MAX_REPLICAS_PER_PART - 1}") in locations.find_replicas(
         "hot"
     )
     for number in range(MAX_PARTS + 1):
--- a/tests/test_jsonc.py
+++ b/tests/test_jsonc.py
@@ -15,8 +15,8 @@
     document = parse(text, file="x", findings=findings)
     assert document is not None
     assert document.value == {"a": [1, 2.5], "b": None}
-    assert document.places[("a",)] == (3, 3)
-    assert document.places[("a", 1)] == (3, 22)
+    assert document.locations[("a",)] == (3, 3)
+    assert document.locations[("a", 1)] == (3, 22)
     assert len(findings) == 0
 
 
