--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -14,7 +14,7 @@
 NAMES = ("a", "b")
 
 
-def record(
+def make_record(
     name: str, incarnation: int, state: InstanceState = InstanceState.LIVE
 ) -> InstanceRecord:
     return InstanceRecord(
@@ -29,7 +29,10 @@
 
 
 RECORDS = st.builds(
-    record, st.sampled_from(NAMES), st.integers(1, 3), st.sampled_from(InstanceState)
+    make_record,
+    st.sampled_from(NAMES),
+    st.integers(1, 3),
+    st.sampled_from(InstanceState),
 )
 
 
@@ -38,57 +41,61 @@
     st.lists(
         st.one_of(
             st.tuples(st.just("list"), st.lists(RECORDS, max_size=3)),
-            st.tuples(st.just("sign"), RECORDS),
+            st.tuples(st.just("leaving"), RECORDS),
             st.tuples(st.just("peer"), RECORDS),
             st.tuples(st.just("time"), st.floats(0.1, 10.0)),
         ),
         max_size=30,
     )
 )
-def test_leaving_is_never_undone_for_one_incarnation(calls: list) -> None:  # type: ignore[type-arg]
-    """Stale lists, peers and signs come in any order."""
+def test_leaving_incarnation_never_becomes_live_again(steps: list) -> None:  # type: ignore[type-arg]
+    """Stale lists, records of peers and leaving notices come in any order."""
     clock = ManualClock()
     membership = Membership(clock=clock)
-    left: dict[str, int] = {}
-    for kind, value in calls:
+    left_incarnations: dict[str, int] = {}
+    for kind, value in steps:
         if kind == "list":
             membership.merge_list(tuple(value))
             records = value
         elif kind == "peer":
             membership.merge_peer_records((value,))
             records = [value]
-        elif kind == "sign":
+        elif kind == "leaving":
             membership.mark_leaving(value.instance, value.incarnation)
-            left[value.instance] = max(left.get(value.instance, 0), value.incarnation)
+            left_incarnations[value.instance] = max(
+                left_incarnations.get(value.instance, 0), value.incarnation
+            )
             records = []
         else:
             clock.advance(value)
             records = []
         for item in records:
             known = membership.get_member(item.instance)
-            accepted = known is not None and known.incarnation == item.incarnation
-            if item.state is InstanceState.LEAVING and accepted:
-                left[item.instance] = max(left.get(item.instance, 0), item.incarnation)
+            is_accepted = known is not None and known.incarnation == item.incarnation
+            if item.state is InstanceState.LEAVING and is_accepted:
+                left_incarnations[item.instance] = max(
+                    left_incarnations.get(item.instance, 0), item.incarnation
+                )
         for member in membership.find_live_members(ServiceName("s")):
-            assert member.incarnation > left.get(member.instance, 0)
+            assert member.incarnation > left_incarnations.get(member.instance, 0)
 
 
-def test_a_higher_incarnation_is_live_again() -> None:
+def test_higher_incarnation_is_live_again() -> None:
     membership = Membership(clock=ManualClock())
-    membership.merge_list((record("a", 1),))
+    membership.merge_list((make_record("a", 1),))
     assert membership.mark_leaving(InstanceId("a"), Incarnation(1))
     assert not membership.mark_leaving(InstanceId("a"), Incarnation(1))
     assert membership.find_live_members(ServiceName("s")) == []
-    membership.merge_list((record("a", 2),))
+    membership.merge_list((make_record("a", 2),))
     assert [
         item.instance for item in membership.find_live_members(ServiceName("s"))
     ] == ["a"]
 
 
-def test_an_instance_missing_from_the_list_stays_for_a_grace() -> None:
+def test_instance_missing_from_the_list_stays_for_the_grace_period() -> None:
     clock = ManualClock()
     membership = Membership(clock=clock)
-    membership.merge_list((record("a", 1),))
+    membership.merge_list((make_record("a", 1),))
     membership.merge_list(())
     assert len(membership.find_live_members(ServiceName("s"))) == 1
     clock.advance(ABSENCE_GRACE_SECONDS + 0.1)
@@ -96,9 +103,9 @@
     assert membership.find_live_members(ServiceName("s")) == []
 
 
-def test_a_leaving_member_is_told_to_peers_as_leaving() -> None:
+def test_leaving_member_is_reported_to_peers_as_leaving() -> None:
     membership = Membership(clock=ManualClock())
-    membership.merge_list((record("a", 1),))
+    membership.merge_list((make_record("a", 1),))
     membership.mark_leaving(InstanceId("a"), Incarnation(1))
     assert membership.get_member(InstanceId("a")).state is MemberState.LEAVING  # type: ignore[union-attr]
     assert membership.build_records()[0].state is InstanceState.LEAVING
--- a/tests/test_queueing.py
+++ b/tests/test_queueing.py
@@ -2,7 +2,8 @@
 Tests of the queue
 ==================
 
-The three properties that its module states, by random sequences of calls.
+Checks the three properties that the docstring of ``damasklead.queueing`` states, with
+random sequences of calls.
 """
 
 import random
@@ -17,11 +18,11 @@
 from damasklead.requests import Outcome, Reason, Request
 
 PROPERTY = settings(max_examples=150, derandomize=True, deadline=None, database=None)
-ALL_TIERS = 5
+LOWEST_TIER = 5
 
 
-def make_class(tier: int, **more: object) -> RequestClass:
-    values = {"queue_bound": 5, "first_token": 1.0, **more}
+def make_class(tier: int, **overrides: object) -> RequestClass:
+    values = {"queue_bound": 5, "first_token": 1.0, **overrides}
     return RequestClass(
         name=ClassName(f"t{tier}"),
         service=ServiceName("s"),
@@ -30,21 +31,21 @@
     )
 
 
-class World:
+class QueueHarness:
     """A queue with a class in each tier."""
 
-    def __init__(self, **more: object) -> None:
+    def __init__(self, **overrides: object) -> None:
         self.clock = ManualClock()
         self.costs = CostModel()
-        self.classes = {tier: make_class(tier, **more) for tier in range(1, 6)}
+        self.classes = {tier: make_class(tier, **overrides) for tier in range(1, 6)}
         self.queue = PoolQueue(clock=self.clock, costs=self.costs)
         self.queue.update_classes(tuple(self.classes.values()))
-        self.made = 0
+        self._request_count = 0
 
-    def request(self, tier: int, workspace: str = "w") -> Request:
-        self.made += 1
+    def make_request(self, tier: int, workspace: str = "w") -> Request:
+        self._request_count += 1
         return Request(
-            id=RequestId(f"r{self.made}"),
+            id=RequestId(f"r{self._request_count}"),
             workspace=WorkspaceId(workspace),
             request_class=self.classes[tier],
             arrival=self.clock.now(),
@@ -53,123 +54,124 @@
 
 @PROPERTY
 @given(st.lists(st.tuples(st.integers(1, 5), st.booleans()), max_size=80))
-def test_nothing_is_refused_while_a_lower_tier_waits(
-    calls: list[tuple[int, bool]],
+def test_no_request_is_refused_while_a_lower_tier_is_queued(
+    steps: list[tuple[int, bool]],
 ) -> None:
-    world = World()
-    waiting: dict[str, int] = {}
-    for tier, pop in calls:
-        if pop:
-            request = world.queue.pop(slots=10.0, admitted_tier=ALL_TIERS)
+    harness = QueueHarness()
+    queued: dict[str, int] = {}
+    for tier, is_pop in steps:
+        if is_pop:
+            request = harness.queue.pop(slots=10.0, admitted_tier=LOWEST_TIER)
             if request is not None:
-                assert request.tier == min(waiting.values())
-                del waiting[request.id]
+                assert request.tier == min(queued.values())
+                del queued[request.id]
             continue
-        request = world.request(tier)
-        waiting[request.id] = tier
-        for refused in world.queue.push(request):
-            assert refused.outcome is Outcome.NOT_RUN
-            del waiting[refused.request.id]
-            lower = [item for item in waiting.values() if item > refused.request.tier]
+        request = harness.make_request(tier)
+        queued[request.id] = tier
+        for refusal in harness.queue.push(request):
+            assert refusal.outcome is Outcome.NOT_RUN
+            del queued[refusal.request.id]
+            lower = [item for item in queued.values() if item > refusal.request.tier]
             assert not lower
-    assert len(world.queue) == len(waiting)
+    assert len(harness.queue) == len(queued)
 
 
 @PROPERTY
 @given(st.floats(0.01, 0.1), st.integers(2, 40))
-def test_a_minimum_share_bounds_the_wait_under_a_flood_of_higher_tiers(
+def test_minimum_share_bounds_the_wait_under_load_of_higher_tiers(
     share: float, slots: int
 ) -> None:
-    """The bound of the module: head's slot-seconds / (share * slots), and one step."""
-    world = World(queue_bound=1000)
-    low = make_class(5, minimum_share=share, queue_bound=1000)
-    world.classes[5] = low
-    world.queue.update_classes(tuple(world.classes.values()))
-    cost = world.costs.estimate_slot_seconds(low.name, WorkspaceId("w"))
-    bound = cost / (share * slots)
-    step = 0.1
-    world.queue.push(world.request(5))
-    waited = 0.0
+    """The bound is the first request's slot-seconds / (share * slots), plus clock steps."""
+    harness = QueueHarness(queue_bound=1000)
+    low_class = make_class(5, minimum_share=share, queue_bound=1000)
+    harness.classes[5] = low_class
+    harness.queue.update_classes(tuple(harness.classes.values()))
+    cost = harness.costs.estimate_slot_seconds(low_class.name, WorkspaceId("w"))
+    max_wait_seconds = cost / (share * slots)
+    step_seconds = 0.1
+    harness.queue.push(harness.make_request(5))
+    waited_seconds = 0.0
     while True:
-        world.queue.push(world.request(1))
-        request = world.queue.pop(slots=float(slots), admitted_tier=1)
+        harness.queue.push(harness.make_request(1))
+        request = harness.queue.pop(slots=float(slots), admitted_tier=1)
         if request is not None and request.tier == 5:
             break
-        world.clock.advance(step)
-        waited += step
-        assert waited <= bound + 2 * step
+        harness.clock.advance(step_seconds)
+        waited_seconds += step_seconds
+        assert waited_seconds <= max_wait_seconds + 2 * step_seconds
 
 
 @PROPERTY
 @given(st.integers(0, 10_000))
 def test_workspaces_of_a_tier_get_equal_shares_of_tokens(seed: int) -> None:
     """
-    One floods with long requests, one has short ones; both always have some waiting.
+    One workspace has long responses, the other short ones; both always have requests
+    queued.
     """
     source = random.Random(seed)
-    world = World(queue_bound=10_000, first_token=1e6)
+    harness = QueueHarness(queue_bound=10_000, first_token=1e6)
     lengths = {"long": 400, "short": 50}
     tokens = {"long": 0, "short": 0}
     for name in lengths:
         for _ in range(30):
-            world.costs.record_completion(
-                world.classes[1].name,
+            harness.costs.record_completion(
+                harness.classes[1].name,
                 WorkspaceId(name),
                 tokens=lengths[name],
                 seconds=1.0,
             )
     for _ in range(2000):
         for name in lengths:
-            world.queue.push(world.request(1, name))
+            harness.queue.push(harness.make_request(1, name))
     for _ in range(600):
-        request = world.queue.pop(slots=8.0, admitted_tier=ALL_TIERS)
+        request = harness.queue.pop(slots=8.0, admitted_tier=LOWEST_TIER)
         assert request is not None
         request.generated_tokens = int(
             lengths[request.workspace] * source.uniform(0.5, 1.5)
         )
         tokens[request.workspace] += request.generated_tokens
-        world.queue.settle_charge(request)
+        harness.queue.settle_charge(request)
     ratio = tokens["long"] / tokens["short"]
     assert 0.8 < ratio < 1.25
 
 
-def test_inside_a_workspace_the_earliest_deadline_goes_first() -> None:
-    world = World(queue_bound=100)
-    hasty = make_class(1, first_token=0.2)
-    hasty = RequestClass(
-        name=ClassName("hasty"), service=hasty.service, tier=1, first_token=0.2
+def test_earliest_deadline_goes_first_inside_a_workspace() -> None:
+    harness = QueueHarness(queue_bound=100)
+    urgent_class = make_class(1, first_token=0.2)
+    urgent_class = RequestClass(
+        name=ClassName("urgent"), service=urgent_class.service, tier=1, first_token=0.2
     )
-    world.queue.update_classes((*world.classes.values(), hasty))
-    slow = world.request(1)
-    world.queue.push(slow)
-    fast = world.request(1)
-    fast.request_class = hasty
-    world.queue.push(fast)
-    assert world.queue.pop(slots=1.0, admitted_tier=1) is fast
-
-
-def test_requests_that_are_late_go_last_but_not_never() -> None:
-    world = World(queue_bound=100)
-    late = world.request(1)
-    world.queue.push(late)
-    world.clock.advance(2.0)
+    harness.queue.update_classes((*harness.classes.values(), urgent_class))
+    regular_request = harness.make_request(1)
+    harness.queue.push(regular_request)
+    urgent_request = harness.make_request(1)
+    urgent_request.request_class = urgent_class
+    harness.queue.push(urgent_request)
+    assert harness.queue.pop(slots=1.0, admitted_tier=1) is urgent_request
+
+
+def test_late_requests_go_last_but_are_not_starved() -> None:
+    harness = QueueHarness(queue_bound=100)
+    late_request = harness.make_request(1)
+    harness.queue.push(late_request)
+    harness.clock.advance(2.0)
     order = []
     for _ in range(LATE_START_INTERVAL):
-        world.queue.push(world.request(1))
+        harness.queue.push(harness.make_request(1))
     for _ in range(LATE_START_INTERVAL):
-        order.append(world.queue.pop(slots=1.0, admitted_tier=1))
-    assert order[0] is not late
-    assert late in order
-
-
-def test_late_answers_that_are_useless_are_refused_unrun() -> None:
-    world = World(late_useless=True)
-    world.queue.push(world.request(2))
-    assert world.queue.expire_requests() == []
-    world.clock.advance(1.1)
-    (refused,) = world.queue.expire_requests()
-    assert (refused.reason, refused.outcome) == (
+        order.append(harness.queue.pop(slots=1.0, admitted_tier=1))
+    assert order[0] is not late_request
+    assert late_request in order
+
+
+def test_requests_whose_late_response_is_useless_are_refused() -> None:
+    harness = QueueHarness(late_useless=True)
+    harness.queue.push(harness.make_request(2))
+    assert harness.queue.expire_requests() == []
+    harness.clock.advance(1.1)
+    (refusal,) = harness.queue.expire_requests()
+    assert (refusal.reason, refusal.outcome) == (
         Reason.DEADLINE_EXCEEDED,
         Outcome.NOT_RUN,
     )
-    assert len(world.queue) == 0
+    assert len(harness.queue) == 0
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -33,12 +33,12 @@
 
 @PROPERTY
 @given(st.integers(0, 100), st.lists(st.integers(0, 30), min_size=1, max_size=8))
-def test_division_is_max_min_fair(amount: int, wants: list[int]) -> None:
-    shares = allocate_max_min(amount, wants)
-    assert sum(shares) == min(amount, sum(wants))
-    assert all(share <= want for share, want in zip(shares, wants, strict=True))
-    for share, want in zip(shares, wants, strict=True):
-        if share < want:
+def test_allocation_is_max_min_fair(amount: int, demands: list[int]) -> None:
+    shares = allocate_max_min(amount, demands)
+    assert sum(shares) == min(amount, sum(demands))
+    assert all(share <= demand for share, demand in zip(shares, demands, strict=True))
+    for share, demand in zip(shares, demands, strict=True):
+        if share < demand:
             assert share >= max(shares) - 1
 
 
@@ -54,25 +54,25 @@
     grants = coordinator.allocate_slots()
     capacity = sum(load.limit for load in next(iter(grants.values())).replicas)
     assert sum(sum(grant.slots) for grant in grants.values()) == capacity
-    left = capacity
+    remaining = capacity
     for tier in range(TIER_COUNT - 1):
-        want = sum(running[tier] + waiting[tier] for running, waiting in demands)
-        given_slots = sum(grant.slots[tier] for grant in grants.values())
-        assert given_slots == min(want, left)
-        left -= given_slots
+        tier_demand = sum(running[tier] + waiting[tier] for running, waiting in demands)
+        granted_slots = sum(grant.slots[tier] for grant in grants.values())
+        assert granted_slots == min(tier_demand, remaining)
+        remaining -= granted_slots
 
 
-def test_a_minimum_share_is_kept_for_a_tier_that_asks() -> None:
+def test_minimum_share_is_reserved_for_a_tier_with_demand() -> None:
     coordinator = make_coordinator(ManualClock(), replicas=10, slots=10)
     coordinator.set_targets(gap_targets={}, min_shares={5: 0.1})
-    flood = Demand(pool=POOL, running=(500, 0, 0, 0, 0), waiting=(0, 0, 0, 0, 50))
-    coordinator.record_demand(InstanceId("e"), flood)
+    demand = Demand(pool=POOL, running=(500, 0, 0, 0, 0), waiting=(0, 0, 0, 0, 50))
+    coordinator.record_demand(InstanceId("e"), demand)
     slots = coordinator.allocate_slots()[InstanceId("e")].slots
     capacity = sum(slots)
     assert slots[4] == int(0.1 * capacity)
 
 
-def test_an_entry_that_falls_silent_gives_its_slots_back() -> None:
+def test_slots_of_an_entry_without_recent_demand_are_reassigned() -> None:
     clock = ManualClock()
     coordinator = make_coordinator(clock, replicas=1, slots=10)
     demand = Demand(pool=POOL, running=(9, 0, 0, 0, 0), waiting=(9, 0, 0, 0, 0))
@@ -87,7 +87,7 @@
     assert sum(grants[InstanceId("b")].slots) > before
 
 
-def test_a_lost_coordinator_moves_only_its_own_pools() -> None:
+def test_only_the_pools_of_a_lost_coordinator_move() -> None:
     entries = [InstanceId(f"e{number}") for number in range(8)]
     pools = [PoolId(f"p{number}") for number in range(200)]
     before = {pool: choose_coordinator(pool, entries) for pool in pools}
@@ -96,11 +96,11 @@
     for pool in pools:
         after = choose_coordinator(pool, rest)
         assert after == before[pool] or before[pool] == lost
-    most = max(list(before.values()).count(entry) for entry in entries)
-    assert most <= 2 * len(pools) / len(entries)
+    max_pools = max(list(before.values()).count(entry) for entry in entries)
+    assert max_pools <= 2 * len(pools) / len(entries)
 
 
-def test_without_a_grant_an_entry_keeps_to_its_part() -> None:
+def test_entry_without_a_grant_falls_back_to_an_equal_share() -> None:
     clock = ManualClock()
     share = ShareHolder(clock=clock)
     assert sum(share.compute_slots(capacity=80, entry_count=8)) == 10
