--- a/damasklead/gateway/listeners.py
+++ b/damasklead/gateway/listeners.py
@@ -2,7 +2,8 @@
 Listeners
 =========
 
-The gateway's listening sockets, and the answers of the ports that serve no callers.
+The gateway's listening sockets, and the request handlers of its readiness, operators'
+and metrics ports.
 """
 
 import socket as standard_socket
@@ -26,9 +27,9 @@
 
 __all__ = ["Listener", "ReadyHandler", "StatusHandler"]
 
-POLL_SECONDS = 0.05
-# Polls without an open connection after which none is to come any more.
-QUIET_POLLS = 2
+DRAIN_POLL_SECONDS = 0.05
+# Consecutive polls without an open connection after which a drain is complete.
+REQUIRED_IDLE_POLLS = 2
 
 
 class Listener:
@@ -38,13 +39,14 @@
     Parameters
     ----------
     address : str
-        ``ip:port``.
+        Address to listen at as ``ip:port``.
     handler : RequestHandler
+        Serves the requests.
     clock : Clock
     stopping : callable
-        Whether the process stops.
+        Returns whether the process is stopping.
     listening_socket : socket or None
-        Listens at the address already.
+        Socket that already listens; it is used if it is bound to the address.
     """
 
     def __init__(
@@ -66,61 +68,72 @@
 
     @property
     def connection_count(self) -> int:
-        """Connections that have not ended."""
+        """Number of open connections."""
         return len(self._connections)
 
     def start(self) -> None:
-        """Listen."""
-        early = self._take_early()
-        if early is None:
+        """Start to accept connections."""
+        listening_socket = self._take_listening_socket()
+        if listening_socket is None:
             address = split_address(self._address)
             self._server = StreamServer(address, self._serve, backlog=BACKLOG)
         else:
-            self._server = StreamServer(early, self._serve)
+            self._server = StreamServer(listening_socket, self._serve)
         self._server.start()
 
     def stop(self) -> None:
-        """Take no further connections; those that are open go on."""
+        """Stop accepting connections; open ones continue."""
         server, self._server = self._server, None
         if server is not None:
             server.stop(timeout=0)
 
     def drain(self, *, seconds: float) -> None:
         """
-        Take no further connections, and wait until those that are open have ended.
+        Stop accepting connections, and wait until the open ones have ended.
 
-        One that was just accepted, or whose request has just arrived, looks idle for a
-        moment, so the end counts only when nothing has been open for some polls.
+        A connection may be missing from the open ones for a moment after it was
+        accepted, and looks idle for a moment after a request has arrived.  The drain is
+        therefore complete only after ``REQUIRED_IDLE_POLLS`` polls without an open
+        connection.
 
         Parameters
         ----------
         seconds : float
-            The longest time to wait.
+            Maximum time to wait in seconds.
         """
         deadline = self._clock.now() + seconds
-        # Connections that wait to be accepted would be reset by the end of listening.
-        gevent.sleep(POLL_SECONDS)
+        # Closing the socket would reset the connections in its accept queue, so the
+        # server first gets the time to accept them.
+        gevent.sleep(DRAIN_POLL_SECONDS)
         self.stop()
-        quiet = 0
-        while quiet < QUIET_POLLS and self._clock.now() < deadline:
+        idle_polls = 0
+        while idle_polls < REQUIRED_IDLE_POLLS and self._clock.now() < deadline:
             self.close_idle()
-            gevent.sleep(POLL_SECONDS)
-            quiet = 0 if self._connections else quiet + 1
+            gevent.sleep(DRAIN_POLL_SECONDS)
+            idle_polls = 0 if self._connections else idle_polls + 1
 
     def close_idle(self) -> None:
-        """Close the connections on which no request is under way."""
+        """Close the connections that have no request in progress."""
         for connection in list(self._connections):
             connection.close_if_idle()
 
-    def _take_early(self) -> socket.socket | None:
-        """Return the socket that listens already, if it does so at the address."""
-        early, self._listening_socket = self._listening_socket, None
-        if early is None:
+    def _take_listening_socket(self) -> socket.socket | None:
+        """
+        Return the socket that already listens, if it is bound to the address.
+
+        A socket that is bound to another address is closed.
+        """
+        listening_socket, self._listening_socket = self._listening_socket, None
+        if listening_socket is None:
             return None
-        if early.getsockname()[:2] != split_address(self._address):
-            early.close()
+        if listening_socket.getsockname()[:2] != split_address(self._address):
+            listening_socket.close()
             return None
-        return socket.socket(early.family, early.type, fileno=early.detach())
+        return socket.socket(
+            listening_socket.family,
+            listening_socket.type,
+            fileno=listening_socket.detach(),
+        )
 
     def _serve(self, raw: socket.socket, _peer: object) -> None:
         connection = CallerConnection(
@@ -137,13 +150,20 @@
 
 
 class ReadyHandler(RequestHandler):
-    """Says whether the process can take requests."""
+    """
+    Serves the readiness probe of the load balancer.
+
+    Parameters
+    ----------
+    is_ready : callable
+        Returns whether the process can serve requests.
+    """
 
     def __init__(self, *, is_ready: Callable[[], bool]) -> None:
         self._is_ready = is_ready
 
     def handle(self, request: RawRequest, connection: CallerConnection) -> None:
-        """Answer 200 or 503."""
+        """Send status 200 if the process is ready, and 503 otherwise."""
         is_ready = self._is_ready()
         connection.send_response(
             200 if is_ready else 503, [], b"ready" if is_ready else b"not ready"
@@ -156,17 +176,17 @@
 
 class StatusHandler(RequestHandler):
     """
-    Shows operators the metrics at ``/metrics`` and the state anywhere else, and other
-    gateways what this one knows.
+    Serves metrics at ``/metrics``, snapshots for other gateways at ``/snapshot``, and
+    the gateway's state at any other path.
 
     Parameters
     ----------
     metrics : callable
-        Returns the exposition text.
+        Returns the metrics in the Prometheus text format.
     state : callable
-        Returns what operators are shown.
+        Returns the gateway's state, which is sent as JSON.
     snapshot : callable
-        Returns what this gateway knows; ``None`` while that is nothing.
+        Returns the snapshot; ``None`` before this gateway has a configuration.
     """
 
     def __init__(
@@ -181,17 +201,17 @@
         self._snapshot = snapshot
 
     def handle(self, request: RawRequest, connection: CallerConnection) -> None:
-        """Answer a question of an operator."""
+        """Send metrics, a snapshot or the state, depending on the path."""
         if request.target == SNAPSHOT_PATH:
-            self._answer_snapshot(connection)
+            self._send_snapshot(connection)
             return
         if request.target.startswith("/metrics"):
-            kind, body = b"text/plain; version=0.0.4", self._metrics()
+            content_type, body = b"text/plain; version=0.0.4", self._metrics()
         else:
-            kind, body = b"application/json", msgspec.json.encode(self._state())
-        connection.send_response(200, [(b"Content-Type", kind)], body)
+            content_type, body = b"application/json", msgspec.json.encode(self._state())
+        connection.send_response(200, [(b"Content-Type", content_type)], body)
 
-    def _answer_snapshot(self, connection: CallerConnection) -> None:
+    def _send_snapshot(self, connection: CallerConnection) -> None:
         snapshot = self._snapshot()
         if snapshot is None:
             connection.send_response(503, [], b"nothing is known yet")
