--- a/damasklead/gateway/process.py
+++ b/damasklead/gateway/process.py
@@ -2,7 +2,7 @@
 Gateway process
 ===============
 
-One gateway: its supervisor tree, its start, its settings as they change, and its
+A gateway as a process: its supervisor tree, start, reloads of its settings, and
 graceful stop.
 """
 
@@ -38,30 +38,33 @@
 
 __all__ = ["GatewayProcess"]
 
-TICK_SECONDS = 0.25
-# Requests that wait are looked at so often, one of each service.
-ADMIT_SECONDS = 0.01
-# The balancer asks once a second and needs two misses, so new connections come for so
-# long after a gateway says that it is not ready.
-UNROUTED_SECONDS = 2.4
-# Kept before the process is killed, to close what is left in order.
+MAINTENANCE_INTERVAL_SECONDS = 0.25
+# Interval at which queued requests are considered, one of each service.
+ADMISSION_INTERVAL_SECONDS = 0.01
+# The load balancer probes readiness once a second and removes a gateway after two
+# failures, so new connections arrive for this long after a gateway becomes not ready.
+DEREGISTRATION_DELAY_SECONDS = 2.4
+# The platform kills the process when the stop timeout ends; this part of the timeout is
+# reserved for an orderly close after the drain.
 STOP_MARGIN_SECONDS = 0.4
 
 
 class GatewayProcess:
     """
-    A gateway with its tree of tasks and listeners.
+    A gateway with its supervisor tree of tasks and listeners.
 
     Parameters
     ----------
     settings_file : Path
+        Path of the settings, from which they are reloaded.
     settings : GatewaySettings
-        As read from the file at the start.
+        The settings as read at the start.
     dialect : Dialect
+        Translates the platform's headers.
     open_link : callable
-        Opens the link to the platform at an address.
+        Opens the connection to the platform at an address.
     caller_socket : socket or None
-        Listens for callers already.
+        Socket that already listens at the callers' address.
     """
 
     def __init__(
@@ -76,13 +79,13 @@
         self._open_link = open_link
         self._clock = LoopClock()
         self._journal = Journal(instance=settings.instance)
-        self._file = SettingsFile(
+        self._settings_file = SettingsFile(
             path=settings_file, settings=settings, journal=self._journal
         )
         self._metrics = GatewayMetrics()
         self._gate = StartGate()
         self._stopping = False
-        self._stop_asked = Event()
+        self._stop_requested = Event()
         self._link = open_link(settings.platform)
         self._directory = UpstreamDirectory(clock=self._clock)
         self._placements: dict[ServiceName, Placement] = {}
@@ -101,8 +104,8 @@
             link=lambda: self._link,
             directory=self._directory,
             connections=self._connections,
-            on_configuration=self._configure,
-            on_replicas_changed=self._arrange,
+            on_configuration=self._apply_configuration,
+            on_replicas_changed=self._update_placements,
             on_unavailable=self._gate.open,
         )
         self._forwarder = Forwarder(
@@ -114,32 +117,36 @@
                 assignment_client=self._fleet.coordination.client,
                 containment=self._fleet.containment,
                 journal=self._journal,
-                on_replica_left=self._note_left,
+                on_replica_left=self._handle_departure,
             ),
-            placement_of=self._placement_of,
+            placement_of=self._get_placement,
             table=lambda: self._fleet.configuration.table,
             metrics=self._metrics,
             gate=self._gate,
         )
-        self._callers = self._listener(
+        self._caller_listener = self._create_listener(
             settings.listen.callers, self._forwarder, listening_socket=caller_socket
         )
         self._tree = self._build_tree()
-        self._observe()
+        self._bind_gauges()
 
     @property
     def _settings(self) -> GatewaySettings:
-        return self._file.settings
+        return self._settings_file.settings
 
     @property
     def is_ready(self) -> bool:
-        """Whether the process can take requests."""
-        listed = (
+        """
+        Whether the gateway can serve requests.
+
+        It has a configuration and the list of replicas, and is not stopping.
+        """
+        has_replica_list = (
             self._fleet.upstreams.last_read_at is not None
             or not self._directory.is_empty
         )
-        known = self._fleet.configuration.table is not None and listed
-        return known and not self._stopping
+        has_lists = self._fleet.configuration.table is not None and has_replica_list
+        return has_lists and not self._stopping
 
     @property
     def tree(self) -> Supervisor:
@@ -149,33 +156,33 @@
     def run(self) -> int:
         """Run until SIGTERM or SIGINT and stop gracefully; returns the exit code."""
         for number in (signal.SIGTERM, signal.SIGINT):
-            gevent.signal_handler(number, self._stop_asked.set)
+            gevent.signal_handler(number, self._stop_requested.set)
         gevent.signal_handler(signal.SIGHUP, self.reload)
         self.start()
-        self._stop_asked.wait()
+        self._stop_requested.wait()
         self.stop()
         return 1 if self._tree.failed.is_set() else 0
 
     def start(self) -> None:
-        """Start everything; returns at once."""
-        self._tree.start(lambda _child, _cause: self._stop_asked.set())
+        """Start the supervisor tree; returns without waiting for readiness."""
+        self._tree.start(lambda _child, _cause: self._stop_requested.set())
         self._journal.event(
             "started", data_centre=self._settings.data_centre, pid=os.getpid()
         )
 
     def stop(self) -> None:
-        """Invite no further requests, let those under way end, and stop."""
-        began = self._clock.now()
+        """Become not ready, let the requests in progress end, and stop."""
+        started_at = self._clock.now()
         self._stopping = True
         self._journal.event("stopping", requests=self._forwarder.active_requests)
         self._fleet.announce_leave()
-        deadline = began + self._settings.bounds.stop_seconds - STOP_MARGIN_SECONDS
-        gevent.sleep(UNROUTED_SECONDS)
-        self._callers.drain(seconds=deadline - self._clock.now())
+        deadline = started_at + self._settings.bounds.stop_seconds - STOP_MARGIN_SECONDS
+        gevent.sleep(DEREGISTRATION_DELAY_SECONDS)
+        self._caller_listener.drain(seconds=deadline - self._clock.now())
         self._journal.event(
             "stopped",
-            cut_off=self._callers.connection_count,
-            seconds=self._clock.now() - began,
+            cut_off=self._caller_listener.connection_count,
+            seconds=self._clock.now() - started_at,
         )
         self._tree.stop()
         self._fleet.close()
@@ -184,61 +191,61 @@
         self._journal.flush()
 
     def reload(self) -> None:
-        """Read the settings file again; what is wrong leaves the old ones in force."""
+        """Reload the settings file; invalid settings leave the old ones in force."""
         before = self._settings
-        if not self._file.reload():
+        if not self._settings_file.reload():
             return
         settings = self._settings
         if settings.platform != before.platform:
-            old, self._link = self._link, self._open_link(settings.platform)
-            old.close()
+            old_link, self._link = self._link, self._open_link(settings.platform)
+            old_link.close()
         self._budget.configure(
             ratio=settings.bounds.retry_ratio,
             allowance=settings.bounds.retry_allowance,
             window=settings.bounds.retry_window_seconds,
         )
 
-    def _tick_forever(self) -> None:
+    def _run_maintenance(self) -> None:
         while True:
-            gevent.sleep(TICK_SECONDS)
+            gevent.sleep(MAINTENANCE_INTERVAL_SECONDS)
             self._fleet.upstreams.expire()
             self._connections.close_expired()
             self._fleet.containment.update_quarantine()
             if self._fleet.is_gateway_count_known:
-                self._share_among(self._fleet.gateway_count)
-            if self._file.has_changed:
+                self._apply_gateway_count(self._fleet.gateway_count)
+            if self._settings_file.has_changed:
                 self.reload()
 
-    def _share_among(self, gateways: int) -> None:
-        """Take this gateway's share of what all have together."""
-        self._budget.set_gateway_count(gateways)
+    def _apply_gateway_count(self, gateway_count: int) -> None:
+        """Set this gateway's share of the limits that all gateways have in common."""
+        self._budget.set_gateway_count(gateway_count)
         table = self._fleet.configuration.table
         if table is not None and table.services:
             self._connections.set_idle_limit(
                 max_connections=min(
                     item.max_connections for item in table.services.values()
                 ),
-                gateways=gateways,
+                gateways=gateway_count,
             )
 
-    def _configure(self, table: RoutingTable) -> None:
+    def _apply_configuration(self, table: RoutingTable) -> None:
         self._metrics.configuration_version.set(table.version)
         for name in [item for item in self._placements if item not in table.services]:
             del self._placements[name]
         for service in table.services.values():
-            placement = self._placement_of(service.name)
+            placement = self._get_placement(service.name)
             placement.configure(service, table.find_routes(service.name))
 
-    def _arrange(self) -> None:
-        """Let the placements see the replicas that may take new work."""
+    def _update_placements(self) -> None:
+        """Pass the replicas that accept new requests to the placements."""
         if self.is_ready:
             self._gate.open()
         for name, placement in self._placements.items():
-            usable = self._directory.get_eligible_records(name)
-            placement.update_replicas(usable)
-            self._metrics.replicas.labels(name).set(len(usable))
+            records = self._directory.get_eligible_records(name)
+            placement.update_replicas(records)
+            self._metrics.replicas.labels(name).set(len(records))
 
-    def _placement_of(self, name: ServiceName) -> Placement:
+    def _get_placement(self, name: ServiceName) -> Placement:
         placement = self._placements.get(name)
         if placement is None:
             table = self._fleet.configuration.table
@@ -252,11 +259,11 @@
             self._placements[name] = placement
         return placement
 
-    def _note_left(self, record: UpstreamRecord, sign: str) -> None:
+    def _handle_departure(self, record: UpstreamRecord, sign: str) -> None:
         self._connections.close_idle(record.address)
         self._fleet.record_departure(record, sign)
 
-    def _listener(
+    def _create_listener(
         self,
         address: str,
         handler: RequestHandler,
@@ -271,8 +278,8 @@
             stopping=lambda: self._stopping,
         )
 
-    def _state(self) -> dict[str, object]:
-        """Return what operators are shown."""
+    def _build_state(self) -> dict[str, object]:
+        """Return the gateway's state for operators."""
         table = self._fleet.configuration.table
         return {
             "instance": self._settings.instance,
@@ -287,8 +294,8 @@
             },
         }
 
-    def _observe(self) -> None:
-        """Let the gauges read the process's state."""
+    def _bind_gauges(self) -> None:
+        """Set the functions from which the gauges read their values."""
         metrics = self._metrics
         metrics.active_requests.set_function(lambda: self._forwarder.active_requests)
         metrics.waiting_requests.set_function(
@@ -302,24 +309,26 @@
 
     def _build_tree(self) -> Supervisor:
         listen = self._settings.listen
-        ready = self._listener(
+        ready_listener = self._create_listener(
             listen.ready, ReadyHandler(is_ready=lambda: self.is_ready)
         )
-        status = StatusHandler(
+        status_handler = StatusHandler(
             metrics=self._metrics.render,
-            state=self._state,
+            state=self._build_state,
             snapshot=self._fleet.build_snapshot,
         )
-        servers = {"callers": self._callers, "ready": ready}
+        servers = {"callers": self._caller_listener, "ready": ready_listener}
         if listen.operators is not None:
-            servers["operators"] = self._listener(listen.operators, status)
+            servers["operators"] = self._create_listener(
+                listen.operators, status_handler
+            )
         if listen.metrics_port is not None:
             host = listen.callers.rpartition(":")[0]
             address = f"{host}:{listen.metrics_port}"
-            servers["metrics"] = self._listener(address, status)
+            servers["metrics"] = self._create_listener(address, status_handler)
         tasks: list[Child] = [
             TaskChild(name="journal", function=self._journal.run),
-            TaskChild(name="ticks", function=self._tick_forever),
+            TaskChild(name="ticks", function=self._run_maintenance),
             *self._fleet.create_tasks(),
         ]
         listeners: list[Child] = [
