--- a/bench/policies.py
+++ b/bench/policies.py
@@ -125,8 +125,8 @@
         gaps: dict[int, float] = {}
         shares: dict[int, float] = {}
         for item in self.deployment.service.classes:
-            if item.token_gap:
-                gaps[item.tier] = item.token_gap
+            if item.token_gap_target:
+                gaps[item.tier] = item.token_gap_target
             shares[item.tier] = shares.get(item.tier, 0.0) + item.minimum_share
         for coordinator in self.coordinators.values():
             coordinator.set_targets(gap_targets=gaps, min_shares=shares)
--- a/bench/policy.py
+++ b/bench/policy.py
@@ -130,19 +130,19 @@
     end = HORIZON + DRAIN_SECONDS
     if seen.refused:
         return False
-    if request_class.first_token is not None:
+    if request_class.first_token_target is not None:
         if seen.first is None:
-            return None if end - at <= request_class.first_token else False
-        if seen.first - at > request_class.first_token:
+            return None if end - at <= request_class.first_token_target else False
+        if seen.first - at > request_class.first_token_target:
             return False
-        if seen.last is not None and request_class.token_gap and seen.tokens > 1:
+        if seen.last is not None and request_class.token_gap_target and seen.tokens > 1:
             gap = (seen.last - seen.first) / (seen.tokens - 1)
-            return gap <= request_class.token_gap
+            return gap <= request_class.token_gap_target
         return None
-    assert request_class.answer is not None
+    assert request_class.response_target is not None
     if seen.last is not None:
-        return seen.last - at <= request_class.answer
-    return False if end - at > request_class.answer else None
+        return seen.last - at <= request_class.response_target
+    return False if end - at > request_class.response_target else None
 
 
 def main() -> None:
--- a/bench/workload.py
+++ b/bench/workload.py
@@ -105,19 +105,27 @@
     centres=("saldanha", "hout", "mossel"),
     loads=(
         Load(
-            request_class=_class("dispatch-query", 1, first_token=0.34, token_gap=0.026),
+            request_class=_class(
+                "dispatch-query", 1, first_token_target=0.34, token_gap_target=0.026
+            ),
             rate=10.0, tokens=120.0, prompt=600,
         ),
         Load(
-            request_class=_class("transcript", 2, first_token=1.0, token_gap=0.04),
+            request_class=_class(
+                "transcript", 2, first_token_target=1.0, token_gap_target=0.04
+            ),
             rate=5.0, tokens=200.0, prompt=900,
         ),
         Load(
-            request_class=_class("quotation", 3, answer=30.0, minimum_share=0.03),
+            request_class=_class(
+                "quotation", 3, response_target=30.0, minimum_share=0.03
+            ),
             rate=5.0, tokens=300.0, prompt=800,
         ),
         Load(
-            request_class=_class("contract-reading", 5, answer=500.0, minimum_share=0.02),
+            request_class=_class(
+                "contract-reading", 5, response_target=500.0, minimum_share=0.02
+            ),
             rate=5.0, tokens=800.0, prompt=2000,
         ),
     ),
@@ -128,15 +136,21 @@
     centres=("dar-a", "dar-b", "dar-c"),
     loads=(
         Load(
-            request_class=_class("folder-guidance", 1, first_token=0.34, token_gap=0.026),
+            request_class=_class(
+                "folder-guidance", 1, first_token_target=0.34, token_gap_target=0.026
+            ),
             rate=5.0, tokens=150.0, prompt=500,
         ),
         Load(
-            request_class=_class("quick-question", 2, first_token=1.0, token_gap=0.04),
+            request_class=_class(
+                "quick-question", 2, first_token_target=1.0, token_gap_target=0.04
+            ),
             rate=5.0, tokens=150.0, prompt=400,
         ),
         Load(
-            request_class=_class("overnight-review", 5, answer=900.0, minimum_share=0.02),
+            request_class=_class(
+                "overnight-review", 5, response_target=900.0, minimum_share=0.02
+            ),
             rate=2.0, tokens=1500.0, prompt=3000,
         ),
     ),
--- a/damasklead/__init__.py
+++ b/damasklead/__init__.py
@@ -3,10 +3,10 @@
 ==========
 
 A router for language-model traffic with service levels and priorities, and the
-coordination parts that it is made of.
+coordination components that it is built from.
 
-The names below hold no I/O and load no network library.  Each is imported when it is
-first used, so that a daemon loads only the parts that it runs.
+The public names do no I/O and load no network library. Each is imported on first use,
+so that a daemon loads only the modules that it runs.
 """
 
 from importlib import import_module
@@ -54,7 +54,7 @@
 
 __version__ = "0.1.0"
 
-_HOMES = {
+_NAMES_BY_MODULE = {
     "claims": ("Claim", "ClaimState", "abandon", "acquire", "settle"),
     "clock": ("Clock", "ManualClock"),
     "gossip": ("GossipBuffer",),
@@ -65,12 +65,14 @@
     "quarantine": ("Quarantine",),
     "sharing": ("Coordinator", "ShareHolder", "choose_coordinator"),
 }
-_HOME = {name: module for module, names in _HOMES.items() for name in names}
+_MODULE_BY_NAME = {
+    name: module for module, names in _NAMES_BY_MODULE.items() for name in names
+}
 
 
 def __getattr__(name: str) -> Any:
     """Import a public name from its module on first use."""
-    module = _HOME.get(name)
+    module = _MODULE_BY_NAME.get(name)
     if module is None:
         raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
     value = getattr(import_module(f"{__name__}.{module}"), name)
--- a/damasklead/cmdline.py
+++ b/damasklead/cmdline.py
@@ -2,8 +2,8 @@
 Command line
 ============
 
-The ``damasklead`` command.  Exit codes: 0 done, 1 failed, 2 findings or wrong use, 3
-conflict.
+The ``damasklead`` command. Exit codes: 0 success, 1 failure, 2 findings or wrong usage,
+3 conflict.
 """
 
 from dataclasses import dataclass
@@ -37,7 +37,7 @@
 )
 @dataclass(kw_only=True)
 class Damasklead:
-    """The whole command."""
+    """The ``damasklead`` command with its subcommands."""
 
     command: cappa.Subcommands[
         Serve
--- a/damasklead/configuration.py
+++ b/damasklead/configuration.py
@@ -2,8 +2,8 @@
 Configuration
 =============
 
-What operators publish: services with their classes of requests, and workspaces with
-their keys.
+The published configuration in force: services with their classes of requests, and
+workspaces with their keys.
 """
 
 import hashlib
@@ -42,34 +42,42 @@
 
 class RequestClass(msgspec.Struct, kw_only=True, frozen=True):
     """
-    A class of requests in force.
+    A class of requests.
 
     Attributes
     ----------
+    name : str
+        Unique in the service.
+    service : str
+        The service that has the class.
     tier : int
         Priority from 1, the highest, to 5.
-    first_token, token_gap, answer : float or None
-        Targets in seconds: to the first token, between tokens, for the whole answer.
+    first_token_target, token_gap_target, response_target : float or None
+        Targets in seconds: to the first token, between tokens, and for the whole
+        response.
     may_repeat : bool
-        Whether running a request twice does no harm (idempotent).
-    late_useless : bool
-        Whether an answer after its target has no value to the caller.
+        Whether requests are idempotent, so that executing one twice does no harm.
+    useless_after_deadline : bool
+        Whether a response after its target has no value to the caller.
     minimum_share : float
-        The fraction of capacity in slot-seconds that the class gets while it waits.
+        Fraction of the capacity in slot-seconds that the class gets while it has
+        queued requests.
     queue_bound : int
-        How many requests of the class may wait at one entry.
+        Largest number of queued requests of the class at one entry.
     max_wait : float
-        Seconds in the queue after which a request is refused as not run.
+        Seconds in the queue after which a request is refused as not executed.
+    methods, path_prefix, workspaces
+        Requests that belong to the class; empty ones match all.
     """
 
     name: ClassName
     service: ServiceName
     tier: int
-    first_token: float | None = None
-    token_gap: float | None = None
-    answer: float | None = None
+    first_token_target: float | None = None
+    token_gap_target: float | None = None
+    response_target: float | None = None
     may_repeat: bool = True
-    late_useless: bool = False
+    useless_after_deadline: bool = False
     minimum_share: float = 0.0
     queue_bound: int = 1000
     max_wait: float = 600.0
@@ -80,12 +88,17 @@
     @property
     def start_target(self) -> float:
         """
-        Seconds from arrival within which the answer should begin or, failing that, end.
+        Seconds from a request's arrival within which its response should begin.
+
+        A class without a target to the first token has the target for the whole
+        response instead.
         """
-        return self.first_token or self.answer or self.max_wait
+        return self.first_token_target or self.response_target or self.max_wait
 
-    def admits(self, *, workspace: WorkspaceId, method: str, path: str) -> bool:
-        """Tell whether a request may fall into this class."""
+    def matches_request(
+        self, *, workspace: WorkspaceId, method: str, path: str
+    ) -> bool:
+        """Return whether a request may belong to this class."""
         if self.workspaces and workspace not in self.workspaces:
             return False
         if self.methods and method not in self.methods:
@@ -94,7 +107,7 @@
 
 
 class WantedModel(msgspec.Struct, kw_only=True, frozen=True):
-    """A model version that ``replicas`` upstreams of a service should have loaded."""
+    """A model version that ``replicas`` upstreams of the service should have loaded."""
 
     model: str
     version: str
@@ -102,7 +115,26 @@
 
 
 class Service(msgspec.Struct, kw_only=True, frozen=True):
-    """A service in force; ``classes`` are in the order of its file."""
+    """
+    A service.
+
+    Attributes
+    ----------
+    name : str
+        Unique in the deployment.
+    kind : ServiceKind
+        Kind of its upstreams.
+    models : tuple of str
+        Models that an engine service offers.
+    pool_scope : PoolScope
+        Extent of its pools.
+    checks_fencing : bool
+        Whether its upstreams reject orders with an outdated fencing number.
+    classes : tuple of RequestClass
+        In the order of the file; a request belongs to the first that matches it.
+    wanted_models : tuple of WantedModel
+        Models that duties keep loaded.
+    """
 
     name: ServiceName
     kind: ServiceKind
@@ -114,22 +146,35 @@
 
 
 class Workspace(msgspec.Struct, kw_only=True, frozen=True):
-    """A workspace in force; digests are ``salt:sha256`` in hexadecimal."""
+    """
+    A workspace.
+
+    Attributes
+    ----------
+    name : str
+        First part of each of its keys.
+    key_digests : tuple of str
+        Digests of its bearer keys, ``salt:sha256`` in hexadecimal.
+    weight : float
+        Relative share in weighted fair queueing among workspaces.
+    selectable_classes : tuple of str
+        Classes that its requests may name.
+    """
 
     name: WorkspaceId
     key_digests: tuple[str, ...]
     weight: float
-    may_choose: tuple[str, ...]
+    selectable_classes: tuple[str, ...]
 
 
 class Configuration(msgspec.Struct, kw_only=True, frozen=True):
-    """Everything in force at one version."""
+    """The configuration of one version; services and workspaces are keyed by name."""
 
     version: int
     services: dict[str, Service]
     workspaces: dict[str, Workspace]
 
-    def service_of_model(self, model: str) -> Service | None:
+    def find_service_by_model(self, model: str) -> Service | None:
         """Return the engine service that offers a model."""
         for service in self.services.values():
             if model in service.models:
@@ -138,7 +183,7 @@
 
     def authenticate(self, key: str) -> Workspace | None:
         """
-        Return the workspace of a bearer key.
+        Return the workspace of a bearer key, or ``None`` for an unknown key.
 
         Parameters
         ----------
@@ -162,22 +207,25 @@
         workspace: Workspace,
         method: str,
         path: str,
-        wanted: str | None,
+        requested_class: str | None,
     ) -> RequestClass | None:
         """
-        Return the class of a request, or ``None`` when no class admits it.
+        Return the class of a request, or ``None`` when no class matches it.
 
         Parameters
         ----------
-        wanted : str or None
-            The class that the caller names; it must be one its workspace may choose.
+        requested_class : str or None
+            Class that the caller names, which its workspace must be allowed to name.
         """
         for item in service.classes:
-            if wanted is not None and item.name != wanted:
+            if requested_class is not None and item.name != requested_class:
                 continue
-            if wanted is not None and wanted not in workspace.may_choose:
+            if (
+                requested_class is not None
+                and requested_class not in workspace.selectable_classes
+            ):
                 return None
-            if item.admits(workspace=workspace.name, method=method, path=path):
+            if item.matches_request(workspace=workspace.name, method=method, path=path):
                 return item
         return None
 
@@ -198,16 +246,17 @@
     files: Mapping[str, str], *, version: int, findings: Findings
 ) -> Configuration | None:
     """
-    Check a set of files as a whole.
+    Check a set of files and build the configuration that they define.
 
     Parameters
     ----------
     files : mapping
-        Content by file name; a file with the key ``workspaces`` lists workspaces.
+        Content by file name. A file with the key ``workspaces`` lists workspaces; any
+        other defines a service.
     version : int
-        The version that the configuration gets.
+        Version number of the configuration.
     findings : Findings
-        Where all problems of all files are added.
+        Receives all problems of all files.
 
     Returns
     -------
@@ -215,7 +264,7 @@
         ``None`` when there is any finding.
     """
     before = len(findings)
-    builder = _Builder(findings=findings)
+    builder = _ConfigurationBuilder(findings=findings)
     for name in sorted(files):
         builder.add_file(name, files[name])
     builder.check_references()
@@ -232,8 +281,8 @@
     )
 
 
-class _Builder:
-    """Collects services and workspaces and checks what one file says of another."""
+class _ConfigurationBuilder:
+    """Collects services and workspaces, and checks references between files."""
 
     def __init__(self, *, findings: Findings) -> None:
         self.services: dict[str, Service] = {}
@@ -245,13 +294,13 @@
         self._models: dict[str, str] = {}
 
     def add_file(self, name: str, text: str) -> None:
-        """Check one file and keep what it declares."""
+        """Validate one file and add its service or workspaces."""
         document = jsonc.parse(text, file=name, findings=Findings())
         value = document.value if document else None
-        is_list = (
+        is_workspaces_file = (
             isinstance(value, dict) and "workspaces" in value and "service" not in value
         )
-        model = WorkspacesDocument if is_list else ServiceDocument
+        model = WorkspacesDocument if is_workspaces_file else ServiceDocument
         checked = check_text(model, text, file=name, findings=self._findings)
         if checked is None:
             return
@@ -264,7 +313,7 @@
             self._add_workspaces(content, document)
 
     def check_references(self) -> None:
-        """Report names that no file declares."""
+        """Add a finding for each name that no file declares."""
         classes = {
             item.name for service in self.services.values() for item in service.classes
         }
@@ -311,7 +360,7 @@
             models=tuple(content.models),
             pool_scope=PoolScope(content.pool_scope),
             checks_fencing=content.checks_fencing,
-            classes=tuple(_request_class(item, name) for item in content.classes),
+            classes=tuple(_build_request_class(item, name) for item in content.classes),
             wanted_models=tuple(
                 WantedModel(
                     model=item.model, version=item.version, replicas=item.replicas
@@ -337,14 +386,14 @@
                 "the minimum shares of a service's classes add up to more than 0.5"
             )
             self._findings.add(document.make_finding(("classes",), message))
-        seen: set[str] = set()
+        declared: set[str] = set()
         for index, item in enumerate(content.classes):
-            if item.name in seen:
+            if item.name in declared:
                 message = f"class {item.name!r} is declared twice"
                 self._findings.add(
                     document.make_finding(("classes", index, "name"), message)
                 )
-            seen.add(item.name)
+            declared.add(item.name)
             if item.first_token_ms is None and item.answer_ms is None:
                 message = "a class needs first_token_ms or answer_ms"
                 self._findings.add(document.make_finding(("classes", index), message))
@@ -363,20 +412,20 @@
                 name=WorkspaceId(item.name),
                 key_digests=tuple(item.key_digests),
                 weight=item.weight,
-                may_choose=tuple(item.may_choose_classes),
+                selectable_classes=tuple(item.may_choose_classes),
             )
 
 
-def _request_class(item: ClassDocument, service: ServiceName) -> RequestClass:
+def _build_request_class(item: ClassDocument, service: ServiceName) -> RequestClass:
     return RequestClass(
         name=ClassName(item.name),
         service=service,
         tier=item.tier,
-        first_token=_seconds(item.first_token_ms),
-        token_gap=_seconds(item.token_gap_ms),
-        answer=_seconds(item.answer_ms),
+        first_token_target=_convert_to_seconds(item.first_token_ms),
+        token_gap_target=_convert_to_seconds(item.token_gap_ms),
+        response_target=_convert_to_seconds(item.answer_ms),
         may_repeat=item.may_repeat,
-        late_useless=item.late_answers == "useless",
+        useless_after_deadline=item.late_answers == "useless",
         minimum_share=item.minimum_share,
         queue_bound=item.queue_bound,
         max_wait=item.max_wait_ms / MILLISECONDS_PER_SECOND,
@@ -386,5 +435,5 @@
     )
 
 
-def _seconds(milliseconds: float | None) -> float | None:
+def _convert_to_seconds(milliseconds: float | None) -> float | None:
     return None if milliseconds is None else milliseconds / MILLISECONDS_PER_SECOND
--- a/damasklead/configuration_files.py
+++ b/damasklead/configuration_files.py
@@ -1,8 +1,9 @@
 """
-Configuration documents
-=======================
+Configuration files
+===================
 
-The form of operators' files, as it is checked.
+Models of the files that operators publish: services with their classes of requests, and
+workspaces.
 """
 
 from enum import Enum
@@ -22,31 +23,56 @@
     "WorkspacesDocument",
 ]
 
-TIERS = 5
+TIER_COUNT = 5
 
 Name = Annotated[str, pydantic.Field(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
 Milliseconds = Annotated[float, pydantic.Field(gt=0, le=86_400_000)]
 
 
 class ServiceKind(Enum):
-    """What stands behind a service."""
+    """Kind of the upstreams of a service."""
 
     ENGINE = "engine"
     PLAIN = "plain"
 
 
 class PoolScope(Enum):
-    """Which upstreams of a service share their capacity through one coordinator."""
+    """Extent of a pool: the upstreams whose capacity one coordinator shares out."""
 
     REGION = "region"
     DATA_CENTRE = "data-centre"
 
 
 class ClassDocument(CheckedModel):
-    """A class of requests in a service's file."""
+    """
+    A class of requests of a service.
+
+    Attributes
+    ----------
+    name : str
+        Unique in the service.
+    tier : int
+        Priority from 1, the highest, to 5.
+    first_token_ms, token_gap_ms, answer_ms : float or None
+        Targets in milliseconds: to the first token, between tokens, and for the whole
+        response. One of the first and the last is required.
+    may_repeat : bool
+        Whether requests are idempotent, so that executing one twice does no harm.
+    late_answers : str
+        Whether a response after its target has a value to the caller.
+    minimum_share : float
+        Fraction of the capacity in slot-seconds that the class gets while it has
+        queued requests.
+    queue_bound : int
+        Largest number of queued requests of the class at one entry.
+    max_wait_ms : float
+        Milliseconds in the queue after which a request is refused.
+    methods, path_prefix, workspaces
+        Requests that belong to the class; empty ones match all.
+    """
 
     name: Name
-    tier: Annotated[int, pydantic.Field(ge=1, le=TIERS)]
+    tier: Annotated[int, pydantic.Field(ge=1, le=TIER_COUNT)]
     first_token_ms: Milliseconds | None = None
     token_gap_ms: Milliseconds | None = None
     answer_ms: Milliseconds | None = None
@@ -61,7 +87,16 @@
 
 
 class WantedModelDocument(CheckedModel):
-    """A model that a number of the service's upstreams should have loaded."""
+    """
+    A model version that some upstreams of the service should have loaded.
+
+    Attributes
+    ----------
+    model, version : str
+        Together the ``model@version`` that upstreams report.
+    replicas : int
+        Number of upstreams that should have it loaded.
+    """
 
     model: Name
     version: Annotated[str, pydantic.Field(min_length=1, max_length=64)]
@@ -69,7 +104,26 @@
 
 
 class ServiceDocument(CheckedModel):
-    """The file that a service keeps beside its code."""
+    """
+    The configuration file of a service.
+
+    Attributes
+    ----------
+    service : str
+        Unique in the deployment.
+    kind : str
+        Value of ``ServiceKind``.
+    models : list of str
+        Models that an engine service offers; each belongs to one service only.
+    pool_scope : str
+        Value of ``PoolScope``.
+    checks_fencing : bool
+        Whether the upstreams reject orders with an outdated fencing number.
+    classes : list of ClassDocument
+        Classes of requests; a request belongs to the first that matches it.
+    wanted_models : list of WantedModelDocument
+        Models that duties keep loaded.
+    """
 
     service: Name
     kind: Literal["engine", "plain"]
@@ -81,7 +135,20 @@
 
 
 class WorkspaceDocument(CheckedModel):
-    """A customer of the deployment with the digests of its keys."""
+    """
+    A customer of the deployment.
+
+    Attributes
+    ----------
+    name : str
+        First part of each of its keys.
+    key_digests : list of str
+        Digests of its bearer keys, ``salt:sha256`` in hexadecimal.
+    weight : float
+        Relative share in weighted fair queueing among workspaces.
+    may_choose_classes : list of str
+        Classes that its requests may name.
+    """
 
     name: Name
     key_digests: Annotated[
@@ -93,6 +160,6 @@
 
 
 class WorkspacesDocument(CheckedModel):
-    """The file that lists workspaces."""
+    """The configuration file of the workspaces."""
 
     workspaces: Annotated[list[WorkspaceDocument], pydantic.Field(min_length=1)]
--- a/damasklead/daemon/callers.py
+++ b/damasklead/daemon/callers.py
@@ -114,7 +114,7 @@
     ) -> Exchange:
         body = self._read_body(environ)
         document = _completion_document(body)
-        service = configuration.service_of_model(document["model"])
+        service = configuration.find_service_by_model(document["model"])
         if service is None:
             raise _bad(
                 "unknown-model", "No service offers this model", "model", status=404
@@ -332,13 +332,13 @@
     environ: Environ,
     path: str,
 ) -> RequestClass:
-    wanted = environ.get("HTTP_X_REQUEST_CLASS")
+    requested_class = environ.get("HTTP_X_REQUEST_CLASS")
     found = configuration.classify(
         service,
         workspace=workspace,
         method=environ["REQUEST_METHOD"],
         path=path,
-        wanted=wanted,
+        requested_class=requested_class,
     )
     if found is None:
         raise _bad(
--- a/damasklead/daemon/entry.py
+++ b/damasklead/daemon/entry.py
@@ -430,6 +430,9 @@
         name = request_class.name
         self.metrics.requests.labels(name, Outcome.ANSWERED.value).inc()
         took = self.clock.now() - finish.request.arrival
-        if request_class.answer is None or took <= request_class.answer:
+        if (
+            request_class.response_target is None
+            or took <= request_class.response_target
+        ):
             self.metrics.on_time.labels(name).inc()
             self.metrics.good_tokens.labels(name).inc(finish.tokens)
--- a/damasklead/daemon/service.py
+++ b/damasklead/daemon/service.py
@@ -135,13 +135,13 @@
                         ),
                         ServerChild(
                             name="operators",
-                            begin=self._operators.start,
-                            end=self._operators.stop,
+                            start_server=self._operators.start,
+                            stop_server=self._operators.stop,
                         ),
                         ServerChild(
                             name="callers",
-                            begin=self._callers.start,
-                            end=self._callers.stop,
+                            start_server=self._callers.start,
+                            stop_server=self._callers.stop,
                         ),
                     ],
                 ),
--- a/damasklead/daemon/sharetasks.py
+++ b/damasklead/daemon/sharetasks.py
@@ -117,9 +117,9 @@
     """Return the tightest target between tokens in each tier, in seconds."""
     targets: dict[int, float] = {}
     for item in service.classes:
-        if item.token_gap is not None:
+        if item.token_gap_target is not None:
             targets[item.tier] = min(
-                item.token_gap, targets.get(item.tier, item.token_gap)
+                item.token_gap_target, targets.get(item.tier, item.token_gap_target)
             )
     return targets
 
--- a/damasklead/gateway/fleet.py
+++ b/damasklead/gateway/fleet.py
@@ -31,7 +31,7 @@
 from damasklead.gateway.snapshot import Snapshot
 from damasklead.gateway.upstream_http import ConnectionPool
 from damasklead.ids import DataCentre, Fingerprint, InstanceId, StoreEra
-from damasklead.supervision import Child, Restart, TaskChild
+from damasklead.supervision import Child, RestartPolicy, TaskChild
 
 __all__ = ["Fleet"]
 
@@ -190,7 +190,9 @@
         """Open the port for peer messages; return the tasks to supervise."""
         tasks: list[Child] = [
             TaskChild(
-                name="seeds", function=self._bootstrap.run, restart=Restart.TRANSIENT
+                name="seeds",
+                function=self._bootstrap.run,
+                restart_policy=RestartPolicy.TRANSIENT,
             ),
             TaskChild(name="configuration", function=self._follow_configuration),
             TaskChild(name="replicas", function=self._follow_upstreams),
--- a/damasklead/gateway/process.py
+++ b/damasklead/gateway/process.py
@@ -332,7 +332,7 @@
             *self._fleet.create_tasks(),
         ]
         listeners: list[Child] = [
-            ServerChild(name=name, begin=server.start, end=server.stop)
+            ServerChild(name=name, start_server=server.start, stop_server=server.stop)
             for name, server in servers.items()
         ]
         return Supervisor(
--- a/damasklead/preempting.py
+++ b/damasklead/preempting.py
@@ -110,7 +110,7 @@
     """Return the preemptable attempts whose first token is overdue at ``now``."""
     overdue = []
     for attempt in attempts:
-        target = attempt.request.request_class.first_token
+        target = attempt.request.request_class.first_token_target
         if target is None or attempt.first_token_at is not None:
             continue
         is_overdue = now - attempt.started_at > FIRST_TOKEN_TIMEOUT_FACTOR * target
--- a/damasklead/queueing.py
+++ b/damasklead/queueing.py
@@ -233,7 +233,9 @@
         now = self._clock.now()
         expired: list[Refuse] = []
         for request in self._find_expired(now):
-            useless = request.request_class.late_useless and now > request.deadline
+            useless = (
+                request.request_class.useless_after_deadline and now > request.deadline
+            )
             self.remove(request.id)
             expired.append(
                 _make_refusal(
@@ -335,7 +337,7 @@
             useless_after = class_queue.request_class.start_target
             bound = (
                 min(max_wait, useless_after)
-                if class_queue.request_class.late_useless
+                if class_queue.request_class.useless_after_deadline
                 else max_wait
             )
             for request in list(class_queue.requests.values()):
--- a/damasklead/settings.py
+++ b/damasklead/settings.py
@@ -2,7 +2,7 @@
 Settings
 ========
 
-What one process is told about itself: its addresses, its data centre and its platform.
+The settings file of an entry: its addresses, its data centre and its platform.
 """
 
 from typing import Annotated, Literal
@@ -27,7 +27,7 @@
 
 
 class TlsSettings(CheckedModel):
-    """The certificate and private key of the callers' listener, as file names."""
+    """File names of the certificate and private key of the callers' listener."""
 
     certificate: str
     key: str
@@ -35,7 +35,16 @@
 
 class ListenSettings(CheckedModel):
     """
-    Where the process listens; ``peers`` is for other entries, ``operators`` for people.
+    Addresses on which the entry listens.
+
+    Attributes
+    ----------
+    callers : str
+        For requests.
+    operators : str
+        For state, metrics and probes.
+    peers : str
+        For messages of other entries.
     """
 
     callers: Address
@@ -44,7 +53,18 @@
 
 
 class PlatformSettings(CheckedModel):
-    """Where the table service, the object store and the instance list are."""
+    """
+    Where the table service, the object store and the instance list are.
+
+    Attributes
+    ----------
+    kind : str
+        ``http`` for a platform at ``address``, ``memory`` for one in the process.
+    address : str or None
+        Required for ``http``.
+    announce : bool
+        Whether the entry adds itself to the instance list.
+    """
 
     kind: Literal["http", "memory"]
     address: Address | None = None
@@ -52,7 +72,24 @@
 
 
 class Limits(CheckedModel):
-    """Bounds on what callers may send."""
+    """
+    Bounds on requests, responses and connections.
+
+    Attributes
+    ----------
+    connections : int
+        Largest number of connections of callers.
+    header_bytes, body_bytes : int
+        Largest head and body of a request.
+    answer_bytes : int
+        Largest response that is buffered as a whole.
+    idle_seconds : float
+        Time without data after which a caller's connection is closed.
+    upstream_idle_seconds : float
+        Time without data after which an attempt at an upstream fails.
+    stop_seconds : float
+        Time that running requests get to end when the entry stops.
+    """
 
     connections: Annotated[int, pydantic.Field(ge=1)] = 1000
     header_bytes: Annotated[int, pydantic.Field(ge=1024)] = 16_384
@@ -64,7 +101,7 @@
 
 
 class PeerKeys(CheckedModel):
-    """The CURVE key pair that all entries of a deployment share, in Z85."""
+    """The CURVE key pair that all entries of a deployment share, in Z85 encoding."""
 
     public_key: Annotated[str, pydantic.Field(min_length=40, max_length=40)]
     secret_key: Annotated[str, pydantic.Field(min_length=40, max_length=40)]
@@ -74,8 +111,25 @@
     """
     The settings of an entry.
 
-    ``seeds`` are peers' addresses to ask for the configuration while the platform is
-    out; any few that are likely to be up will do.
+    Attributes
+    ----------
+    instance : str
+        Unique name of the entry.
+    data_centre, region : str
+        Where the entry runs.
+    listen : ListenSettings
+        Addresses on which it listens.
+    platform : PlatformSettings
+        Address and kind of the platform.
+    tls : TlsSettings or None
+        TLS for callers; ``None`` for plain HTTP.
+    peer_keys : PeerKeys or None
+        Encryption between entries; ``None`` for none.
+    seeds : list of str
+        Peers' addresses from which the configuration is fetched while the platform is
+        unavailable. A few that are likely to be up suffice.
+    limits : Limits
+        Bounds on requests, responses and connections.
     """
 
     instance: Annotated[str, pydantic.Field(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
@@ -93,10 +147,19 @@
     """
     Check a settings file; every problem is added to ``findings``.
 
+    Parameters
+    ----------
+    text : str
+        Content of the file.
+    file : str
+        Name of the file, for findings.
+    findings : Findings
+        Receives all problems of the file.
+
     Returns
     -------
     Settings or None
-        ``None`` when anything is wrong.
+        ``None`` when the file has a finding.
     """
     checked = check_text(Settings, text, file=file, findings=findings)
     if checked is None:
--- a/damasklead/supervision.py
+++ b/damasklead/supervision.py
@@ -2,8 +2,8 @@
 Supervisor tree
 ===============
 
-Starts children in order, restarts those that fail within a restart intensity, and stops
-them in reverse order.
+Supervisors start their children in order, restart those that end, and stop them in
+reverse order. A supervisor whose children need too many restarts in a time fails.
 """
 
 from abc import ABC, abstractmethod
@@ -17,15 +17,24 @@
 from damasklead import logs
 from damasklead.clock import Clock
 
-__all__ = ["Child", "Restart", "ServerChild", "Supervisor", "TaskChild"]
+__all__ = ["Child", "RestartPolicy", "ServerChild", "Supervisor", "TaskChild"]
 
 MAX_RESTARTS = 5
-RESTART_WINDOW = 10.0  # seconds
-STOP_TIMEOUT = 5.0  # seconds
+RESTART_WINDOW_SECONDS = 10.0
+STOP_TIMEOUT_SECONDS = 5.0
 
 
-class Restart(Enum):
-    """When a child that ended is started again."""
+class RestartPolicy(Enum):
+    """
+    When a child that ended is restarted.
+
+    Attributes
+    ----------
+    PERMANENT
+        Always.
+    TRANSIENT
+        Only when it ended with an exception.
+    """
 
     PERMANENT = "permanent"
     TRANSIENT = "transient"
@@ -33,40 +42,50 @@
 
 class Child(ABC):
     """
-    Something that a supervisor keeps running.
+    A task, server or supervisor that a supervisor runs.
 
     Attributes
     ----------
     name : str
-        For logs.
-    restart : Restart
-        ``TRANSIENT`` children are restarted only when they fail.
+        Name in logs.
+    restart_policy : RestartPolicy
+        When the child is restarted after it ended.
     """
 
-    def __init__(self, *, name: str, restart: Restart = Restart.PERMANENT) -> None:
+    def __init__(
+        self, *, name: str, restart_policy: RestartPolicy = RestartPolicy.PERMANENT
+    ) -> None:
         self.name = name
-        self.restart = restart
+        self.restart_policy = restart_policy
 
     @abstractmethod
     def start(self, on_exit: Callable[["Child", BaseException | None], None]) -> None:
-        """Start; ``on_exit`` is called with the cause when the child ends by itself."""
+        """
+        Start the child.
+
+        Parameters
+        ----------
+        on_exit : callable
+            Called when the child ends by itself, with the child and the exception that
+            ended it, ``None`` when it returned.
+        """
 
     @abstractmethod
     def stop(self) -> None:
-        """Stop and wait until the child has ended."""
+        """Stop the child and wait until it has ended."""
 
 
 class TaskChild(Child):
-    """A function in a greenlet of its own."""
+    """A child that runs a function in a greenlet."""
 
     def __init__(
         self,
         *,
         name: str,
         function: Callable[[], None],
-        restart: Restart = Restart.PERMANENT,
+        restart_policy: RestartPolicy = RestartPolicy.PERMANENT,
     ) -> None:
-        super().__init__(name=name, restart=restart)
+        super().__init__(name=name, restart_policy=restart_policy)
         self._function = function
         self._greenlet: gevent.Greenlet | None = None
 
@@ -79,40 +98,54 @@
         greenlet.start()
 
     def stop(self) -> None:
-        """Kill the greenlet."""
+        """Kill the greenlet, and wait ``STOP_TIMEOUT_SECONDS`` at most for its end."""
         greenlet, self._greenlet = self._greenlet, None
         if greenlet is not None:
             greenlet.unlink_all()
-            greenlet.kill(timeout=STOP_TIMEOUT)
+            greenlet.kill(timeout=STOP_TIMEOUT_SECONDS)
 
 
 class ServerChild(Child):
-    """A server with ``start`` and ``stop`` that runs by callbacks of the loop."""
+    """A server that the event loop runs by callbacks; it never ends by itself."""
 
     def __init__(
-        self, *, name: str, begin: Callable[[], None], end: Callable[[], None]
+        self,
+        *,
+        name: str,
+        start_server: Callable[[], None],
+        stop_server: Callable[[], None],
     ) -> None:
         super().__init__(name=name)
-        self._begin = begin
-        self._end = end
+        self._start_server = start_server
+        self._stop_server = stop_server
 
     def start(self, on_exit: Callable[[Child, BaseException | None], None]) -> None:
         """Start the server."""
-        self._begin()
+        self._start_server()
 
     def stop(self) -> None:
         """Stop the server."""
-        self._end()
+        self._stop_server()
 
 
 class Supervisor(Child):
     """
-    A child that has children; it fails when they fail too often.
+    A child that runs other children.
+
+    It fails, after it has stopped its children, when they need too many restarts.
 
     Parameters
     ----------
-    max_restarts, window
-        More restarts than this within so many seconds make the supervisor fail.
+    name : str
+        Name in logs.
+    children : list of Child
+        Children in the order in which they are started.
+    clock : Clock
+        Clock of the restarts.
+    max_restarts : int
+        Largest number of restarts within the window.
+    window_seconds : float
+        Length of the window.
     """
 
     def __init__(
@@ -122,13 +155,13 @@
         children: list[Child],
         clock: Clock,
         max_restarts: int = MAX_RESTARTS,
-        window: float = RESTART_WINDOW,
+        window_seconds: float = RESTART_WINDOW_SECONDS,
     ) -> None:
         super().__init__(name=name)
         self._children = children
         self._clock = clock
         self._max_restarts = max_restarts
-        self._window = window
+        self._window_seconds = window_seconds
         self._restarts: deque[float] = deque()
         self._on_exit: Callable[[Child, BaseException | None], None] | None = None
         self._stopping = False
@@ -136,7 +169,7 @@
 
     @property
     def failed(self) -> Event:
-        """Set when the supervisor gave up."""
+        """Event that is set when the supervisor has failed."""
         return self._failed
 
     def start(self, on_exit: Callable[[Child, BaseException | None], None]) -> None:
@@ -149,17 +182,17 @@
             child.start(self._child_exited)
 
     def stop(self) -> None:
-        """Stop all children, the last started first."""
+        """Stop all children in reverse order."""
         self._stopping = True
         for child in reversed(self._children):
             child.stop()
 
-    def tree(self, indent: int = 0) -> list[str]:
-        """Return the tree's shape, one name a line."""
+    def format_tree(self, indent: int = 0) -> list[str]:
+        """Return the names of the tree, one a line, indented by depth."""
         lines = ["  " * indent + self.name]
         for child in self._children:
             if isinstance(child, Supervisor):
-                lines.extend(child.tree(indent + 1))
+                lines.extend(child.format_tree(indent + 1))
             else:
                 lines.append("  " * (indent + 1) + child.name)
         return lines
@@ -167,7 +200,7 @@
     def _child_exited(self, child: Child, cause: BaseException | None) -> None:
         if self._stopping:
             return
-        if cause is None and child.restart is Restart.TRANSIENT:
+        if cause is None and child.restart_policy is RestartPolicy.TRANSIENT:
             return
         logs.warning(
             "child-ended",
@@ -175,19 +208,19 @@
             child=child.name,
             cause=repr(cause) if cause is not None else "returned",
         )
-        if self._too_many_restarts():
-            self._give_up(child)
+        if self._exceeds_restart_intensity():
+            self._fail(child)
             return
         gevent.spawn(child.start, self._child_exited)
 
-    def _too_many_restarts(self) -> bool:
+    def _exceeds_restart_intensity(self) -> bool:
         now = self._clock.now()
         self._restarts.append(now)
-        while self._restarts and now - self._restarts[0] > self._window:
+        while self._restarts and now - self._restarts[0] > self._window_seconds:
             self._restarts.popleft()
         return len(self._restarts) > self._max_restarts
 
-    def _give_up(self, child: Child) -> None:
+    def _fail(self, child: Child) -> None:
         logs.warning("supervisor-failed", supervisor=self.name, child=child.name)
         self._failed.set()
         on_exit = self._on_exit
@@ -198,4 +231,4 @@
     ) -> None:
         self.stop()
         if on_exit is not None:
-            on_exit(self, RuntimeError(f"supervisor {self.name} gave up"))
+            on_exit(self, RuntimeError(f"supervisor {self.name} failed"))
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -42,7 +42,7 @@
     assert findings == []
     assert configuration is not None and configuration.version == 3
     fast = configuration.services["llm"].classes[0]
-    assert fast.first_token == 0.34 and fast.start_target == 0.34
+    assert fast.first_token_target == 0.34 and fast.start_target == 0.34
 
 
 def test_keys_open_their_own_workspace_only() -> None:
@@ -59,11 +59,15 @@
     assert configuration is not None
     service = configuration.services["llm"]
 
-    def classify(key: str, wanted: str | None) -> str | None:
+    def classify(key: str, requested_class: str | None) -> str | None:
         workspace = configuration.authenticate(key)
         assert workspace is not None
         found = configuration.classify(
-            service, workspace=workspace, method="POST", path="/x", wanted=wanted
+            service,
+            workspace=workspace,
+            method="POST",
+            path="/x",
+            requested_class=requested_class,
         )
         return None if found is None else found.name
 
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -55,7 +55,7 @@
                 name=ClassName(f"t{tier}"),
                 service=ServiceName("s"),
                 tier=tier,
-                first_token=1.0,
+                first_token_target=1.0,
                 may_repeat=may_repeat,
                 queue_bound=50,
             )
--- a/tests/test_queueing.py
+++ b/tests/test_queueing.py
@@ -22,7 +22,7 @@
 
 
 def make_class(tier: int, **overrides: object) -> RequestClass:
-    values = {"queue_bound": 5, "first_token": 1.0, **overrides}
+    values = {"queue_bound": 5, "first_token_target": 1.0, **overrides}
     return RequestClass(
         name=ClassName(f"t{tier}"),
         service=ServiceName("s"),
@@ -109,7 +109,7 @@
     queued.
     """
     source = random.Random(seed)
-    harness = QueueHarness(queue_bound=10_000, first_token=1e6)
+    harness = QueueHarness(queue_bound=10_000, first_token_target=1e6)
     lengths = {"long": 400, "short": 50}
     tokens = {"long": 0, "short": 0}
     for name in lengths:
@@ -137,9 +137,12 @@
 
 def test_earliest_deadline_goes_first_inside_a_workspace() -> None:
     harness = QueueHarness(queue_bound=100)
-    urgent_class = make_class(1, first_token=0.2)
+    urgent_class = make_class(1, first_token_target=0.2)
     urgent_class = RequestClass(
-        name=ClassName("urgent"), service=urgent_class.service, tier=1, first_token=0.2
+        name=ClassName("urgent"),
+        service=urgent_class.service,
+        tier=1,
+        first_token_target=0.2,
     )
     harness.queue.update_classes((*harness.classes.values(), urgent_class))
     regular_request = harness.make_request(1)
@@ -165,7 +168,7 @@
 
 
 def test_requests_whose_late_response_is_useless_are_refused() -> None:
-    harness = QueueHarness(late_useless=True)
+    harness = QueueHarness(useless_after_deadline=True)
     harness.queue.push(harness.make_request(2))
     assert harness.queue.expire_requests() == []
     harness.clock.advance(1.1)
