--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -1,6 +1,8 @@
 """
-Tests of the platform's adapter
-===============================
+Tests of the platform adapter
+=============================
+
+Headers, documents, the store's client and the gateway's settings file.
 """
 
 import base64
@@ -71,7 +73,7 @@
 }  # fmt: skip
 
 
-def headers(**values: str) -> list[tuple[bytes, bytes]]:
+def make_headers(**values: str) -> list[tuple[bytes, bytes]]:
     return [
         (name.replace("_", "-").title().encode(), value.encode())
         for name, value in values.items()
@@ -83,10 +85,10 @@
         return PlatformDialect().decode_head(
             method="POST",
             target="/a",
-            headers=headers(host="h.example", attempt_id="a1", **values),
+            headers=make_headers(host="h.example", attempt_id="a1", **values),
         )
 
-    def test_a_request_is_decoded(self) -> None:
+    def test_a_request_head_is_decoded(self) -> None:
         head = self.decode(
             deadline_ms="1500", authorization="Token k1", token_usage="1460,80",
             prefix_hash="5c1e:800,91bd:410,e440:250", last_event_id="7",
@@ -97,7 +99,7 @@
         assert head.last_event == b"7"
 
     @pytest.mark.parametrize("value", ["", "x", "1", "5:x", "a:1,,b:2"])
-    def test_unreadable_hints_are_no_hints(self, value: str) -> None:
+    def test_invalid_hints_are_ignored(self, value: str) -> None:
         head = self.decode(token_usage=value, prefix_hash=value, deadline_ms="soon")
         assert (
             head.prompt_tokens == 0
@@ -105,30 +107,32 @@
             and head.caller_timeout is None
         )
 
-    def test_what_the_gateway_sets_can_not_be_forged(self) -> None:
-        forged = {
+    def test_headers_that_the_gateway_sets_cannot_be_forged(self) -> None:
+        forged_headers = {
             "tenant": "x", "request_priority": "0", "expected_instance": "x",
             "expected_version": "1", "retain": "1", "pin_ms": "1", "kv_from": "x",
             "kv_backup": "x", "kv_fetch": "x", "authorization": "Token k1",
             "deadline_ms": "99999", "upgrade": "x", "proxy_connection": "x",
         }  # fmt: skip
-        head = self.decode(**forged, x_note="kept", model="m")
+        head = self.decode(**forged_headers, x_note="kept", model="m")
         names = {name.lower() for name, _ in head.forwarded}
         assert names == {b"host", b"attempt-id", b"x-note", b"model"}
 
-    def test_a_connection_header_drops_its_names_but_not_what_is_needed(self) -> None:
+    def test_connection_options_are_dropped_except_protected_headers(self) -> None:
         head = self.decode(connection="X-Hop, Attempt-Id, Model", x_hop="1", model="m")
         names = {name.lower() for name, _ in head.forwarded}
         assert names == {b"host", b"attempt-id", b"model"}
 
     @pytest.mark.parametrize("attempt", ["", "a1, a2"])
-    def test_a_request_needs_one_attempt_id(self, attempt: str) -> None:
+    def test_a_request_needs_exactly_one_attempt_id(self, attempt: str) -> None:
         with pytest.raises(RequestHeadError):
             PlatformDialect().decode_head(
-                method="GET", target="/", headers=headers(host="h", attempt_id=attempt)
+                method="GET",
+                target="/",
+                headers=make_headers(host="h", attempt_id=attempt),
             )
 
-    def test_an_attempt_names_its_replica_its_rank_and_the_time_left(self) -> None:
+    def test_upstream_headers_hold_replica_priority_and_remaining_time(self) -> None:
         call = Call(
             head=self.decode(last_event_id="3"), route=ONCE, service=ServiceName("s"),
             workspace=Workspace(name=WorkspaceId("w"), keys=()), arrival=0.0,
@@ -163,26 +167,26 @@
             (200, {"response_signature": "s"}, ResponseKind.INVALID),
         ],
     )
-    def test_a_reply_is_judged(
+    def test_a_response_is_classified(
         self, status: int, values: dict, kind: ResponseKind
     ) -> None:
-        reply = PlatformDialect().classify_response(
-            status=status, headers=headers(**values), attempt=AttemptId("a1")
+        response = PlatformDialect().classify_response(
+            status=status, headers=make_headers(**values), attempt=AttemptId("a1")
         )
-        assert reply.kind is kind
+        assert response.kind is kind
 
-    def test_a_reply_tells_load_and_how_long_it_keeps_the_connection(self) -> None:
-        reply = PlatformDialect().classify_response(
+    def test_load_and_idle_timeout_of_a_response_are_decoded(self) -> None:
+        response = PlatformDialect().classify_response(
             status=200,
-            headers=headers(
+            headers=make_headers(
                 attempt_id="a1", response_signature="s", backend_load="3,1,8",
                 keep_alive="timeout=2, max=100", connection="close",
             ),
             attempt=AttemptId("a1"),
         )  # fmt: skip
-        assert reply.load is not None and reply.load.waiting == 1
-        assert reply.keep_alive == 2.0 and reply.closing
-        assert {name for name, _ in reply.headers} == {
+        assert response.load is not None and response.load.waiting == 1
+        assert response.keep_alive == 2.0 and response.closing
+        assert {name for name, _ in response.headers} == {
             b"Attempt-Id", b"Response-Signature", b"Backend-Load",
         }  # fmt: skip
 
@@ -197,8 +201,12 @@
             "huvo11a",
             "wuno96b",
         }
-        order = table.match_route("ficu95.example", "/puxa403/x")
-        assert order is not None and order.kind is RouteKind.ONCE and order.public
+        once_route = table.match_route("ficu95.example", "/puxa403/x")
+        assert (
+            once_route is not None
+            and once_route.kind is RouteKind.ONCE
+            and once_route.public
+        )
         engine = table.services[ServiceName("huvo11a")].engine
         assert engine is not None and engine.memory_tokens == 245097
         workspace = table.find_workspace("k2")
@@ -217,19 +225,19 @@
             {"born": 1.5}, {"service": None}, {"zone": []},
         ],
     )  # fmt: skip
-    def test_an_entry_of_another_writer_names_no_replica(self, change: dict) -> None:
+    def test_an_invalid_entry_yields_no_replica(self, change: dict) -> None:
         assert decode_upstream("i-1", json.dumps(UPSTREAM | change).encode()) is None
 
     @pytest.mark.parametrize("data", [b"", b"\xff\x00", b"[]", b"{}"])
-    def test_unreadable_bytes_name_no_replica(self, data: bytes) -> None:
+    def test_undecodable_bytes_yield_no_replica(self, data: bytes) -> None:
         assert decode_upstream("i-1", data) is None
 
 
 class StoreStandin:
-    """Answers each call of the store with what a test put in."""
+    """Sends the scripted responses, one for each call of the store."""
 
     def __init__(self) -> None:
-        self.answers: list[tuple[int, dict]] = []
+        self.responses: list[tuple[int, dict]] = []
         self.targets: list[str] = []
         self._server = StreamServer(("127.0.0.1", 0), self._serve)
         self._server.start()
@@ -243,16 +251,16 @@
             while True:
                 line, _, _ = read_request(connection)
                 self.targets.append(line.split()[1])
-                status, content = self.answers.pop(0)
+                status, content = self.responses.pop(0)
                 era = content.pop("era", None)
-                named = "" if era is None else f"Store-Era: {era}\r\n"
+                era_header = "" if era is None else f"Store-Era: {era}\r\n"
                 if not status:
                     connection.close()
                     return
                 body = json.dumps(content).encode()
                 connection.sendall(
                     b"HTTP/1.1 %d X\r\n%sContent-Length: %d\r\n\r\n"
-                    % (status, named.encode(), len(body))
+                    % (status, era_header.encode(), len(body))
                     + body
                 )
         except (EOFError, OSError):
@@ -261,9 +269,9 @@
 
 @pytest.fixture
 def store() -> Iterator[StoreStandin]:
-    standin = StoreStandin()
-    yield standin
-    standin.stop()
+    store_standin = StoreStandin()
+    yield store_standin
+    store_standin.stop()
 
 
 @pytest.fixture
@@ -273,11 +281,11 @@
     link.close()
 
 
-def page(*rows: dict, version: int, more: bool = False) -> dict:
+def make_page(*rows: dict, version: int, more: bool = False) -> dict:
     return {"rows": list(rows), "schema_version": version, "has_more": more}
 
 
-def store_row(key: str, version: int, content: dict) -> dict:
+def make_store_row(key: str, version: int, content: dict) -> dict:
     data = base64.b64encode(json.dumps(content).encode()).decode()
     return {
         "table": "t",
@@ -288,7 +296,7 @@
     }
 
 
-def fault_of(call: Callable) -> FeedFault:
+def get_fault(call: Callable) -> FeedFault:
     with pytest.raises(FeedError) as caught:
         call()
     return caught.value.fault
@@ -298,21 +306,23 @@
     def test_a_table_is_read_page_by_page(
         self, store: StoreStandin, link: StoreLink
     ) -> None:
-        store.answers = [
-            (200, page(store_row("i-1", 3, UPSTREAM), version=9, more=True)),
-            (200, page(store_row("i-2", 4, UPSTREAM), version=10)),
+        store.responses = [
+            (200, make_page(make_store_row("i-1", 3, UPSTREAM), version=9, more=True)),
+            (200, make_page(make_store_row("i-2", 4, UPSTREAM), version=10)),
         ]
         changes = link.upstreams.read()
         assert [item.instance for item in changes.items] == ["i-1", "i-2"]
         assert changes.whole and changes.cursor == make_position(9)
         assert "range_start=i-1%00" in store.targets[1]
 
-    def test_changes_are_followed(self, store: StoreStandin, link: StoreLink) -> None:
-        store.answers = [
-            (200, page(store_row("config", 3, CONFIGURATION), version=9)),
+    def test_changes_are_polled(self, store: StoreStandin, link: StoreLink) -> None:
+        store.responses = [
+            (200, make_page(make_store_row("config", 3, CONFIGURATION), version=9)),
             (
                 200,
-                page({"key": "i-1", "schema_version": 12, "deleted": True}, version=12),
+                make_page(
+                    {"key": "i-1", "schema_version": 12, "deleted": True}, version=12
+                ),
             ),
         ]
         assert link.routing.read().items[0].version == 7
@@ -320,134 +330,137 @@
         assert changes.items[0].record is None and changes.cursor == make_position(12)
         assert "since_revision=9&wait_ms=500" in store.targets[1]
 
-    def test_each_kind_of_trouble_has_its_name(
+    def test_each_kind_of_failure_has_its_fault(
         self, store: StoreStandin, link: StoreLink
     ) -> None:
-        broken = {"key": "config", "schema_version": 20, "data": "e30="}
-        store.answers = [
+        invalid_row = {"key": "config", "schema_version": 20, "data": "e30="}
+        store.responses = [
             (410, {}), (429, {}), (503, {}), (0, {}), (200, {"x": 1}),
-            (200, page(version=20)), (200, page(version=19)), (200, page(broken, version=21)),
+            (200, make_page(version=20)), (200, make_page(version=19)),
+            (200, make_page(invalid_row, version=21)),
         ]  # fmt: skip
         feed = link.routing
-        found = [
-            fault_of(lambda: feed.poll_changes(make_position(5), wait=0.1))
+        faults = [
+            get_fault(lambda: feed.poll_changes(make_position(5), wait=0.1))
             for _ in range(5)
         ]
-        assert found == [
+        assert faults == [
             FeedFault.HISTORY_LOST, FeedFault.REFUSED, FeedFault.REFUSED,
             FeedFault.UNREACHABLE, FeedFault.UNREADABLE,
         ]  # fmt: skip
         feed.poll_changes(make_position(5), wait=0.1)
         assert (
-            fault_of(lambda: feed.poll_changes(make_position(5), wait=0.1))
+            get_fault(lambda: feed.poll_changes(make_position(5), wait=0.1))
             is FeedFault.STALE
         )
         assert (
-            fault_of(lambda: feed.poll_changes(make_position(5), wait=0.1))
+            get_fault(lambda: feed.poll_changes(make_position(5), wait=0.1))
             is FeedFault.UNREADABLE
         )
 
-    def test_versions_are_compared_inside_an_era(
+    def test_versions_are_compared_within_an_era(
         self, store: StoreStandin, link: StoreLink
     ) -> None:
-        store.answers = [
-            (200, page(version=1000) | {"era": 4}),
-            (200, page(version=900) | {"era": 4}),
-            (200, page(version=900) | {"era": 5}),
-            (200, page(version=900) | {"era": 5}),
-            (200, page(version=950) | {"era": 4}),
+        store.responses = [
+            (200, make_page(version=1000) | {"era": 4}),
+            (200, make_page(version=900) | {"era": 4}),
+            (200, make_page(version=900) | {"era": 5}),
+            (200, make_page(version=900) | {"era": 5}),
+            (200, make_page(version=950) | {"era": 4}),
         ]
         feed = link.routing
         assert feed.read().cursor == make_position(1000, era=4)
-        assert fault_of(feed.read) is FeedFault.STALE
+        assert get_fault(feed.read) is FeedFault.STALE
         assert feed.read().cursor == make_position(900, era=5)
-        restored = fault_of(
+        fault = get_fault(
             lambda: feed.poll_changes(make_position(1000, era=4), wait=0.1)
         )
-        assert restored is FeedFault.RESTORED
-        assert fault_of(feed.read) is FeedFault.STALE
+        assert fault is FeedFault.RESTORED
+        assert get_fault(feed.read) is FeedFault.STALE
 
     @pytest.mark.parametrize("status", [410, 429, 503])
-    def test_any_answer_tells_the_era(
+    def test_error_responses_update_the_era(
         self, store: StoreStandin, link: StoreLink, status: int
     ) -> None:
-        store.answers = [
+        store.responses = [
             (status, {"era": 7}),
-            (200, page(version=9) | {"era": 6}),
-            (200, page(version=9)),
+            (200, make_page(version=9) | {"era": 6}),
+            (200, make_page(version=9)),
         ]
-        fault_of(link.routing.read)
-        assert fault_of(link.upstreams.read) is FeedFault.STALE
+        get_fault(link.routing.read)
+        assert get_fault(link.upstreams.read) is FeedFault.STALE
         assert link.upstreams.read().cursor == make_position(9, era=7)
 
     @pytest.mark.parametrize("era", ["", "x", "-1", "1e3", "9" * 30])
-    def test_an_era_that_is_none_is_refused(
+    def test_an_invalid_era_is_rejected(
         self, store: StoreStandin, link: StoreLink, era: str
     ) -> None:
-        store.answers = [(200, page(version=9) | {"era": era})]
-        assert fault_of(link.routing.read) is FeedFault.UNREADABLE
+        store.responses = [(200, make_page(version=9) | {"era": era})]
+        assert get_fault(link.routing.read) is FeedFault.UNREADABLE
 
-    def test_pages_of_two_eras_are_not_joined(
+    def test_pages_of_two_eras_are_not_combined(
         self, store: StoreStandin, link: StoreLink
     ) -> None:
-        store.answers = [
-            (200, page(store_row("i-1", 3, UPSTREAM), version=9, more=True)
+        store.responses = [
+            (200, make_page(make_store_row("i-1", 3, UPSTREAM), version=9, more=True)
              | {"era": 1}),
-            (200, page(store_row("i-2", 4, UPSTREAM), version=9) | {"era": 2}),
+            (200, make_page(make_store_row("i-2", 4, UPSTREAM), version=9) | {"era": 2}),
         ]  # fmt: skip
-        assert fault_of(link.upstreams.read) is FeedFault.RESTORED
+        assert get_fault(link.upstreams.read) is FeedFault.RESTORED
 
-    def test_a_store_without_eras_that_stays_behind_was_restored(
+    def test_lower_versions_for_long_mean_a_restore_in_a_store_without_eras(
         self, store: StoreStandin
     ) -> None:
         clock = ManualClock(start=50.0)
         link = StoreLink(address=store.address, clock=clock)
-        store.answers = [(200, page(version=version)) for version in (90, 80, 80, 81)]
+        store.responses = [
+            (200, make_page(version=version)) for version in (90, 80, 80, 81)
+        ]
         feed = link.routing
         feed.read()
-        assert fault_of(feed.read) is FeedFault.STALE
+        assert get_fault(feed.read) is FeedFault.STALE
         clock.advance(MAX_STALE_SECONDS)
-        assert fault_of(feed.read) is FeedFault.RESTORED
+        assert get_fault(feed.read) is FeedFault.RESTORED
         assert feed.read().cursor == make_position(81)
         link.close()
 
-    def test_no_condition_of_an_older_era_is_sent(
+    def test_no_precondition_of_an_earlier_era_is_sent(
         self, store: StoreStandin, link: StoreLink
     ) -> None:
         content = {"address": "10.0.0.1:7", "incarnation": 5}
-        store.answers = [
-            (200, page(store_row("g2", 3, content), version=4) | {"era": 1}),
+        store.responses = [
+            (200, make_page(make_store_row("g2", 3, content), version=4) | {"era": 1}),
             (503, {"era": 2}),
         ]
         (entry,) = link.peers.read()
-        fault_of(link.routing.read)
-        assert fault_of(lambda: link.peers.withdraw(entry)) is FeedFault.RESTORED
+        get_fault(link.routing.read)
+        assert get_fault(lambda: link.peers.withdraw(entry)) is FeedFault.RESTORED
         assert len(store.targets) == 2
 
-    def test_gateways_find_each_other(
+    def test_peer_entries_are_written_read_and_withdrawn(
         self, store: StoreStandin, link: StoreLink
     ) -> None:
         own = PeerEntry(instance=InstanceId("g1"), address="10.0.0.1:7", incarnation=5)
         other = {"key": "g2", "schema_version": 4, "data": "bm8="}
         content = {"address": "10.0.0.1:7", "incarnation": 5}
-        store.answers = [
+        store.responses = [
             (200, {"schema_version": 3, "now_ms": 1}),
-            (200, page(store_row("g1", 3, content), other, version=4)),
+            (200, make_page(make_store_row("g1", 3, content), other, version=4)),
             (412, {"rows": [], "schema_version": 9}),
         ]
         link.peers.announce(own)
         (entry,) = link.peers.read()
         assert entry.address == own.address and entry.position == make_position(3)
-        assert fault_of(lambda: link.peers.withdraw(entry)) is FeedFault.REFUSED
+        assert get_fault(lambda: link.peers.withdraw(entry)) is FeedFault.REFUSED
         assert [target.split("?")[0] for target in store.targets] == [
             "/-/rows-tx", "/-/rows-get", "/-/rows-tx",
         ]  # fmt: skip
 
-    def test_a_store_that_is_gone_is_unreachable(
+    def test_a_stopped_store_is_unreachable(
         self, store: StoreStandin, link: StoreLink
     ) -> None:
         store.stop()
-        assert fault_of(link.upstreams.read) is FeedFault.UNREACHABLE
+        assert get_fault(link.upstreams.read) is FeedFault.UNREACHABLE
 
 
 SETTINGS = """{
@@ -459,17 +472,23 @@
 }"""
 
 
-def test_settings_are_checked_with_their_place() -> None:
+def test_findings_in_settings_have_line_and_path() -> None:
     findings = Findings()
-    good = check_gateway_settings(SETTINGS, file="s.json", findings=findings)
-    assert good is not None and good.bounds.retry_allowance == 56 and not len(findings)
-    wrong = SETTINGS.replace('"10.0.0.1:81"', '"ten:81"')
-    assert check_gateway_settings(wrong, file="s.json", findings=findings) is None
+    settings = check_gateway_settings(SETTINGS, file="s.json", findings=findings)
+    assert (
+        settings is not None
+        and settings.bounds.retry_allowance == 56
+        and not len(findings)
+    )
+    invalid_text = SETTINGS.replace('"10.0.0.1:81"', '"ten:81"')
+    assert (
+        check_gateway_settings(invalid_text, file="s.json", findings=findings) is None
+    )
     (finding,) = findings
     assert finding.line == 4 and finding.path == "listen.ready"
 
 
-def test_the_command_line_checks_a_gateways_settings(tmp_path: Path) -> None:
+def test_the_command_line_checks_gateway_settings(tmp_path: Path) -> None:
     file = tmp_path / "gateway.json"
     file.write_text(SETTINGS)
     assert main(["check", "--gateway", str(file)]) == 0
@@ -477,7 +496,7 @@
     assert main(["check", "--gateway", str(file)]) == 2
 
 
-def test_the_template_gives_settings_that_pass_the_check() -> None:
+def test_the_settings_template_yields_valid_settings() -> None:
     values = {
         "node_name": "edge-1", "zone": "hout", "listen.http": "10.0.0.1:80",
         "listen.ready": "10.0.0.1:81", "listen.admin": "10.0.0.1:82",
@@ -489,15 +508,15 @@
     root = Path(__file__).parent.parent
     text = (root / "deploy" / "settings.json.template").read_text()
     for name in ("listen.admin", "limits.cpu_quota"):
-        for mark in ("{{#" + name + "}}", "{{/" + name + "}}"):
-            text = text.replace(mark, "")
+        for tag in ("{{#" + name + "}}", "{{/" + name + "}}"):
+            text = text.replace(tag, "")
     for name, value in values.items():
         text = text.replace("{{" + name + "|json}}", json.dumps(value))
     findings = Findings()
     assert check_gateway_settings(text, file="t", findings=findings), list(findings)
 
 
-WIRE_WORDS = (
+PLATFORM_NAMES = (
     "attempt-id", "deadline-ms", "token-usage", "prefix-hash", "response-signature",
     "not-executed", "expected-instance", "backend-load", "request-priority", "kv-from",
     "kv-fetch", "kv-backup", "rows-tx", "rows-get", "rows-feed", "itl_target_ms",
@@ -506,14 +525,14 @@
 )  # fmt: skip
 
 
-def test_no_name_of_the_wire_stands_outside_the_adapter() -> None:
+def test_platform_names_occur_only_in_the_adapter() -> None:
     root = Path(__file__).parent.parent
-    found = [
-        f"{path.relative_to(root)}: {word}"
+    violations = [
+        f"{path.relative_to(root)}: {name}"
         for folder in ("damasklead", "bench", "models")
         for path in (root / folder).rglob("*.py")
         if "platform" not in path.relative_to(root).parts
-        for word in WIRE_WORDS
-        if word in path.read_text().lower().replace("kv_", "kv-")
+        for name in PLATFORM_NAMES
+        if name in path.read_text().lower().replace("kv_", "kv-")
     ]
-    assert found == []
+    assert violations == []
