--- a/bench/policies.py
+++ b/bench/policies.py
@@ -113,7 +113,7 @@
         self.quarantines = [
             Quarantine(
                 clock=self.driver.clock,
-                notice_seconds=NOTICE_INTERVALS * compute_share_interval(ENTRIES),
+                propagation_seconds=NOTICE_INTERVALS * compute_share_interval(ENTRIES),
             )
             for _ in self.names
         ]
@@ -235,20 +235,20 @@
         running: frozenset[Fingerprint],
     ) -> None:
         """Let one entry see a crash at once, and the others when gossip reaches them."""
-        self.quarantines[number].observe_crash(replica, incarnation, running)
+        self.quarantines[number].record_crash(replica, incarnation, running)
         for quarantine in self.quarantines:
             self.driver.at(
                 compute_share_interval(ENTRIES),
-                quarantine.observe_crash,
+                quarantine.record_crash,
                 replica,
                 incarnation,
                 running,
             )
 
     def _tick(self, number: int) -> None:
-        for fingerprint in self.quarantines[number].decide():
+        for fingerprint in self.quarantines[number].identify_culprits():
             for quarantine in self.quarantines:
-                quarantine.name(fingerprint)
+                quarantine.add_fingerprint(fingerprint)
         self._act(number, self.entries[number].process_timeouts)
         self.driver.at(TICK, lambda: self._tick(number))
 
--- a/damasklead/audit.py
+++ b/damasklead/audit.py
@@ -16,11 +16,17 @@
 from damasklead.protocol import Steps
 from damasklead.stores.base import ABSENT, Commit, Condition, Put, Row
 
-__all__ = ["AUDIT_TABLE", "AuditBuffer", "AuditEvent", "audit_put", "decode_event"]
+__all__ = [
+    "AUDIT_TABLE",
+    "AuditBuffer",
+    "AuditEvent",
+    "make_audit_write",
+    "decode_audit_event",
+]
 
 AUDIT_TABLE = "audit"
-MAX_BUFFERED = 1000
-MILLISECONDS = 1000
+MAX_BUFFERED_EVENTS = 1000
+MILLISECONDS_PER_SECOND = 1000
 
 
 class AuditEvent(msgspec.Struct, kw_only=True, frozen=True):
@@ -51,15 +57,15 @@
     after: str = ""
 
 
-def audit_put(event: AuditEvent) -> Put:
+def make_audit_write(event: AuditEvent) -> Put:
     """
     Return the write that stores an event, to be part of the commit that it describes.
     """
-    key = f"{int(event.at * MILLISECONDS):015d}-{event.id}"
+    key = f"{int(event.at * MILLISECONDS_PER_SECOND):015d}-{event.id}"
     return Put(table=AUDIT_TABLE, key=key, value=msgspec.json.encode(event))
 
 
-def decode_event(row: Row) -> AuditEvent:
+def decode_audit_event(row: Row) -> AuditEvent:
     """Return the event in a row."""
     return msgspec.json.decode(row.value, type=AuditEvent)
 
@@ -67,31 +73,31 @@
 class AuditBuffer:
     """Events of one entry that are not stored yet."""
 
-    def __init__(self, *, bound: int = MAX_BUFFERED) -> None:
-        self.dropped = 0
-        self._bound = bound
+    def __init__(self, *, max_events: int = MAX_BUFFERED_EVENTS) -> None:
+        self.dropped_count = 0
+        self._max_events = max_events
         self._events: deque[tuple[AuditEvent, tuple[Put, ...]]] = deque()
 
     def __len__(self) -> int:
         return len(self._events)
 
-    def add(self, event: AuditEvent, *writes: Put) -> None:
+    def add_event(self, event: AuditEvent, *writes: Put) -> None:
         """
         Keep an event with the writes that belong to it, to be stored together.
 
         The oldest is dropped and counted when there is no room.
         """
-        if len(self._events) >= self._bound:
+        if len(self._events) >= self._max_events:
             self._events.popleft()
-            self.dropped += 1
+            self.dropped_count += 1
         self._events.append((event, writes))
 
-    def flush(self) -> Steps[int]:
+    def flush_events(self) -> Steps[int]:
         """Store what is kept, one commit an event; returns how many were stored."""
         stored = 0
         while self._events:
             first = self._events[0]
-            result = yield self._commit(*first)
+            result = yield self._make_commit(*first)
             if isinstance(result, Err):
                 return stored
             if self._events and self._events[0] is first:
@@ -99,7 +105,7 @@
             stored += 1
         return stored
 
-    def _commit(self, event: AuditEvent, writes: tuple[Put, ...]) -> Commit:
-        put = audit_put(event)
+    def _make_commit(self, event: AuditEvent, writes: tuple[Put, ...]) -> Commit:
+        put = make_audit_write(event)
         condition = Condition(table=put.table, key=put.key, version=ABSENT)
         return Commit(conditions=(condition,), writes=(put, *writes))
--- a/damasklead/claims.py
+++ b/damasklead/claims.py
@@ -15,7 +15,7 @@
 import msgspec
 from result import Err, Ok
 
-from damasklead.audit import AuditEvent, audit_put
+from damasklead.audit import AuditEvent, make_audit_write
 from damasklead.ids import AttemptId, Incarnation, InstanceId, WorkspaceId
 from damasklead.protocol import ReadRows, Steps
 from damasklead.stores.base import (
@@ -31,23 +31,23 @@
 
 __all__ = [
     "CLAIMS_TABLE",
-    "Acquired",
-    "Answer",
-    "BodyDiffers",
+    "ClaimAcquired",
+    "RecordedResponse",
+    "BodyMismatch",
     "Claim",
     "ClaimState",
-    "Held",
-    "StoreDown",
+    "ClaimHeld",
+    "ClaimUnconfirmed",
     "abandon",
     "acquire",
-    "claim_key",
+    "make_claim_key",
     "decode_claim",
     "resolve",
     "settle",
 ]
 
 CLAIMS_TABLE = "claims"
-MAX_TRIES = 3
+MAX_WRITE_ATTEMPTS = 3
 
 
 class ClaimState(Enum):
@@ -64,7 +64,7 @@
     RELEASED = "released"
 
 
-class Answer(msgspec.Struct, kw_only=True, frozen=True):
+class RecordedResponse(msgspec.Struct, kw_only=True, frozen=True):
     """A recorded answer; ``body`` is ``None`` when it was too large to keep."""
 
     status: int
@@ -98,27 +98,27 @@
     incarnation: Incarnation
     generation: int = 0
     state: ClaimState = ClaimState.CLAIMED
-    answer: Answer | None = None
+    answer: RecordedResponse | None = None
     note: str = ""
 
 
-class Acquired(msgspec.Struct, kw_only=True, frozen=True):
+class ClaimAcquired(msgspec.Struct, kw_only=True, frozen=True):
     """The attempt holds the key at this row version and may send."""
 
     version: int
 
 
-class Held(msgspec.Struct, kw_only=True, frozen=True):
+class ClaimHeld(msgspec.Struct, kw_only=True, frozen=True):
     """An earlier attempt holds the key; ``claim.state`` says how far it came."""
 
     claim: Claim
 
 
-class BodyDiffers(msgspec.Struct, kw_only=True, frozen=True):
+class BodyMismatch(msgspec.Struct, kw_only=True, frozen=True):
     """The key belongs to a request with another body."""
 
 
-class StoreDown(msgspec.Struct, kw_only=True, frozen=True):
+class ClaimUnconfirmed(msgspec.Struct, kw_only=True, frozen=True):
     """
     The claim could not be confirmed; nothing may be sent.
 
@@ -131,10 +131,10 @@
     maybe_written: bool
 
 
-AcquireResult = Acquired | Held | BodyDiffers | StoreDown
+AcquireResult = ClaimAcquired | ClaimHeld | BodyMismatch | ClaimUnconfirmed
 
 
-def claim_key(workspace: WorkspaceId, key: str) -> str:
+def make_claim_key(workspace: WorkspaceId, key: str) -> str:
     """Return the row key of an idempotency key."""
     return f"{workspace}/{key}"
 
@@ -155,27 +155,27 @@
     """
     version = ABSENT
     maybe_written = False
-    for _ in range(MAX_TRIES):
-        result = yield _put(claim, version)
+    for _ in range(MAX_WRITE_ATTEMPTS):
+        result = yield _make_write(claim, version)
         if isinstance(result, Ok) and isinstance(result.ok_value, Committed):
-            return Acquired(version=result.ok_value.version)
+            return ClaimAcquired(version=result.ok_value.version)
         if isinstance(result, Ok):
             conflict: Conflict = result.ok_value
             row = conflict.rows[0] if conflict.rows else None
         else:
             maybe_written |= result.err_value is StoreError.UNKNOWN
-            result = yield _read(claim)
+            result = yield _make_read(claim)
             if isinstance(result, Err):
                 continue
             row = result.ok_value[0] if result.ok_value else None
         if row is None:
             version = ABSENT
             continue
-        decided = _decide(claim, row)
-        if decided is not None:
-            return decided
+        outcome = _interpret_row(claim, row)
+        if outcome is not None:
+            return outcome
         version = row.version
-    return StoreDown(maybe_written=maybe_written)
+    return ClaimUnconfirmed(maybe_written=maybe_written)
 
 
 def settle(claim: Claim, *, version: int) -> Steps[bool]:
@@ -194,10 +194,10 @@
     bool
         ``False`` when the store could not be reached; the same call may be made again.
     """
-    result = yield _put(claim, version)
+    result = yield _make_write(claim, version)
     if isinstance(result, Ok):
         return True
-    result = yield _read(claim)
+    result = yield _make_read(claim)
     if isinstance(result, Err):
         return False
     rows: tuple[Row, ...] = result.ok_value
@@ -218,21 +218,21 @@
         ``False`` when the store could not be reached; the same call may be made again.
     """
     released = msgspec.structs.replace(claim, state=ClaimState.RELEASED, answer=None)
-    for _ in range(MAX_TRIES):
-        result = yield _read(claim)
+    for _ in range(MAX_WRITE_ATTEMPTS):
+        result = yield _make_read(claim)
         if isinstance(result, Err):
             return False
         row = result.ok_value[0] if result.ok_value else None
-        if row is not None and not _is_open_to(claim, row):
+        if row is not None and not _could_acquire(claim, row):
             return True
-        result = yield _put(released, ABSENT if row is None else row.version)
+        result = yield _make_write(released, ABSENT if row is None else row.version)
         if isinstance(result, Ok) and isinstance(result.ok_value, Committed):
             return True
     return False
 
 
 def resolve(
-    key: str, *, ran: bool, event: AuditEvent, force: bool = False
+    key: str, *, executed: bool, event: AuditEvent, force: bool = False
 ) -> Steps[str]:
     """
     Settle an order whose outcome is not known, as an operator says.
@@ -264,7 +264,7 @@
         return f"the order is {claim.state.value} already"
     if claim.state is ClaimState.CLAIMED and not force:
         return "its attempt may still run; wait, or use --force when its entry is gone"
-    state = ClaimState.ANSWERED if ran else ClaimState.RELEASED
+    state = ClaimState.ANSWERED if executed else ClaimState.RELEASED
     settled = msgspec.structs.replace(
         claim, state=state, note=f"settled by {event.who}"
     )
@@ -272,7 +272,7 @@
         conditions=(Condition(table=CLAIMS_TABLE, key=key, version=row.version),),
         writes=(
             Put(table=CLAIMS_TABLE, key=key, value=msgspec.json.encode(settled)),
-            audit_put(event),
+            make_audit_write(event),
         ),
     )
     result = yield commit
@@ -285,21 +285,21 @@
     return "the platform did not answer; look again before you repeat this"
 
 
-def _decide(claim: Claim, row: Row) -> AcquireResult | None:
+def _interpret_row(claim: Claim, row: Row) -> AcquireResult | None:
     """
     Return what a row means for an attempt, or ``None`` when the key is free again.
     """
     held = decode_claim(row)
     if held.attempt == claim.attempt and held.state is ClaimState.CLAIMED:
-        return Acquired(version=row.version)
+        return ClaimAcquired(version=row.version)
     if held.state is ClaimState.RELEASED:
         return None
     if held.body_digest != claim.body_digest:
-        return BodyDiffers()
-    return Held(claim=held)
+        return BodyMismatch()
+    return ClaimHeld(claim=held)
 
 
-def _is_open_to(claim: Claim, row: Row) -> bool:
+def _could_acquire(claim: Claim, row: Row) -> bool:
     """
     Tell whether a late write of this claim could still make the attempt hold the key.
     """
@@ -309,13 +309,15 @@
     return held.state is ClaimState.RELEASED
 
 
-def _put(claim: Claim, version: int) -> Commit:
-    key = claim_key(claim.workspace, claim.key)
+def _make_write(claim: Claim, version: int) -> Commit:
+    key = make_claim_key(claim.workspace, claim.key)
     return Commit(
         conditions=(Condition(table=CLAIMS_TABLE, key=key, version=version),),
         writes=(Put(table=CLAIMS_TABLE, key=key, value=msgspec.json.encode(claim)),),
     )
 
 
-def _read(claim: Claim) -> ReadRows:
-    return ReadRows(table=CLAIMS_TABLE, keys=(claim_key(claim.workspace, claim.key),))
+def _make_read(claim: Claim) -> ReadRows:
+    return ReadRows(
+        table=CLAIMS_TABLE, keys=(make_claim_key(claim.workspace, claim.key),)
+    )
--- a/damasklead/commands/changing.py
+++ b/damasklead/commands/changing.py
@@ -25,7 +25,7 @@
     print_findings,
     user_name,
 )
-from damasklead.drains import Drain, drain_commit
+from damasklead.drains import Drain, make_drain_commit
 from damasklead.ids import (
     AttemptId,
     InstanceId,
@@ -33,9 +33,9 @@
 from damasklead.manifest import (
     Publication,
     PublishConflict,
-    Published,
     PublishFailed,
     PublishRefused,
+    PublishSucceeded,
     publish,
     read_versions,
 )
@@ -98,7 +98,7 @@
             case PublishFailed(maybe_published=maybe):
                 print("failed: the platform did not answer;", _doubt(maybe))
                 return FAILED
-            case Published(version=version):
+            case PublishSucceeded(version=version):
                 print(f"version {version} is published")
                 return _wait_for_entries(platform, version, self.wait)
 
@@ -115,7 +115,7 @@
     def __call__(self) -> int:
         """Run the command; returns the exit code."""
         platform = http_platform(address=self.platform)
-        listed = platform.instances.list()
+        listed = platform.instances.list_instances()
         if isinstance(listed, Err):
             return no_platform()
         records = [
@@ -133,7 +133,7 @@
             who=who,
         )
         event = new_event(who, "drain", self.instance, before="live", after="leaving")
-        result = platform.tables.commit(drain_commit(drain, event=event))
+        result = platform.tables.commit(make_drain_commit(drain, event=event))
         if isinstance(result, Err):
             return no_platform()
         print(f"{self.instance} gets no new work")
@@ -163,7 +163,7 @@
 
 
 def _late_entries(platform: Platform, version: int) -> list[str] | None:
-    listed = platform.instances.list()
+    listed = platform.instances.list_instances()
     if isinstance(listed, Err):
         return None
     entries = [
--- a/damasklead/commands/inspecting.py
+++ b/damasklead/commands/inspecting.py
@@ -13,7 +13,7 @@
 import msgspec
 from geventhttpclient import HTTPClient
 
-from damasklead.audit import AUDIT_TABLE, AuditEvent, decode_event
+from damasklead.audit import AUDIT_TABLE, AuditEvent, decode_audit_event
 from damasklead.commands import DONE, FAILED, Json, Where, no_platform, scan
 from damasklead.stores.http import http_platform
 from damasklead.util import split_address
@@ -67,7 +67,9 @@
 
     def __call__(self) -> int:
         """Run the command; returns the exit code."""
-        events = scan(http_platform(address=self.platform), AUDIT_TABLE, decode_event)
+        events = scan(
+            http_platform(address=self.platform), AUDIT_TABLE, decode_audit_event
+        )
         if events is None:
             return no_platform()
         chosen = [item for item in events if self._matches(item)][-self.limit :]
--- a/damasklead/commands/orders.py
+++ b/damasklead/commands/orders.py
@@ -11,7 +11,13 @@
 import cappa
 import msgspec
 
-from damasklead.claims import CLAIMS_TABLE, ClaimState, claim_key, decode_claim, resolve
+from damasklead.claims import (
+    CLAIMS_TABLE,
+    ClaimState,
+    decode_claim,
+    make_claim_key,
+    resolve,
+)
 from damasklead.commands import (
     DONE,
     FAILED,
@@ -80,11 +86,13 @@
         """Run the command; returns the exit code."""
         platform = http_platform(address=self.platform)
         who = self.who or user_name()
-        key = claim_key(WorkspaceId(self.workspace), self.key)
+        key = make_claim_key(WorkspaceId(self.workspace), self.key)
         event = new_event(
             who, "resolve-order", key, before="unknown", after=self.outcome
         )
-        steps = resolve(key, ran=self.outcome == "ran", event=event, force=self.force)
+        steps = resolve(
+            key, executed=self.outcome == "ran", event=event, force=self.force
+        )
         problem = run(steps, platform)
         if problem:
             print(f"failed: {problem}")
--- a/damasklead/commands/quarantine.py
+++ b/damasklead/commands/quarantine.py
@@ -22,7 +22,11 @@
     scan,
     user_name,
 )
-from damasklead.quarantine_rows import QUARANTINE_TABLE, decode_row, release_commit
+from damasklead.quarantine_rows import (
+    QUARANTINE_TABLE,
+    decode_quarantine_row,
+    make_release_commit,
+)
 from damasklead.stores.http import http_platform
 
 __all__ = ["QuarantineList", "QuarantineRelease", "QuarantineGroup"]
@@ -39,7 +43,7 @@
     def __call__(self) -> int:
         """Run the command; returns the exit code."""
         platform = http_platform(address=self.platform)
-        rows = scan(platform, QUARANTINE_TABLE, decode_row)
+        rows = scan(platform, QUARANTINE_TABLE, decode_quarantine_row)
         if rows is None:
             return no_platform()
         if self.json:
@@ -63,7 +67,7 @@
     def __call__(self) -> int:
         """Run the command; returns the exit code."""
         platform = http_platform(address=self.platform)
-        rows = scan(platform, QUARANTINE_TABLE, decode_row)
+        rows = scan(platform, QUARANTINE_TABLE, decode_quarantine_row)
         if rows is None:
             return no_platform()
         found = [row for row in rows if row.fingerprint == self.fingerprint]
@@ -77,7 +81,7 @@
             before="refused",
             after="lifted",
         )
-        commit = release_commit(found[0], event=event)
+        commit = make_release_commit(found[0], event=event)
         if isinstance(platform.tables.commit(commit), Err):
             return no_platform()
         print(f"{self.fingerprint} is lifted")
--- a/damasklead/daemon/crashes.py
+++ b/damasklead/daemon/crashes.py
@@ -16,7 +16,7 @@
 from damasklead.membership import Member
 from damasklead.messages import CrashNotice, QuarantineNotice
 from damasklead.quarantine import Quarantine
-from damasklead.quarantine_rows import QuarantineRow, row_put
+from damasklead.quarantine_rows import QuarantineRow, make_quarantine_write
 from damasklead.requests import Start
 from damasklead.upstreams import UpstreamError
 
@@ -52,7 +52,7 @@
 
     def tick(self) -> None:
         """Refuse what is found guilty."""
-        for fingerprint in self._quarantine.decide():
+        for fingerprint in self._quarantine.identify_culprits():
             self._name(fingerprint, why="it crashed upstreams again")
 
     def suspect(self, pool: Pool, start: Start, member: Member | None) -> None:
@@ -78,22 +78,26 @@
 
     def observe(self, notice: CrashNotice) -> None:
         """Take in a notice of a crash, an own one or another entry's."""
-        self._quarantine.observe_crash(
+        self._quarantine.record_crash(
             notice.instance, notice.incarnation, frozenset(notice.fingerprints)
         )
 
     def _name(self, fingerprint: Fingerprint, *, why: str) -> None:
         """Refuse a fingerprint at every entry."""
-        if self._quarantine.name(fingerprint):
+        if self._quarantine.add_fingerprint(fingerprint):
             self._gossip.add_item(QuarantineNotice(fingerprint=fingerprint))
             row = QuarantineRow(
                 fingerprint=fingerprint,
-                number=self._quarantine.release_number(fingerprint) + 1,
+                number=self._quarantine.get_release_number(fingerprint) + 1,
                 released=False,
                 who=self._instance,
             )
             self._record(
-                "quarantine", fingerprint, row_put(row), before="suspect", after=why
+                "quarantine",
+                fingerprint,
+                make_quarantine_write(row),
+                before="suspect",
+                after=why,
             )
 
     def _confirm(self, pool: Pool, address: str, notice: CrashNotice) -> None:
@@ -105,7 +109,7 @@
         except UpstreamError:
             status = None
         if status is not None and status.incarnation == notice.incarnation:
-            self._quarantine.retract(notice.instance, notice.incarnation)
+            self._quarantine.retract_crash(notice.instance, notice.incarnation)
             return
         if self._gossip.add_item(notice):
             self._record(
--- a/damasklead/daemon/dutytask.py
+++ b/damasklead/daemon/dutytask.py
@@ -17,13 +17,13 @@
 from damasklead.daemon.pools import Pool
 from damasklead.duties import (
     GENERATION_SECONDS,
-    LoadOrder,
-    LoadState,
+    ModelLoadCommand,
+    ModelLoadState,
     advance_generation,
+    delete_claims,
+    find_expired_claims,
     plan_loads,
     read_generation,
-    stale_claims,
-    sweep,
 )
 from damasklead.ids import InstanceId, PoolId
 from damasklead.leases import LeaseKeeper
@@ -102,7 +102,7 @@
             keeper = self._new_keeper(duty)
             self._keepers[duty] = keeper
         self._entry.run_protocol(keeper.poll())
-        if keeper.fencing is None:
+        if keeper.fencing_token is None:
             return
         if self._rounds % ROUNDS_PER_WORK:
             return
@@ -122,32 +122,35 @@
         )
 
     def _order_loads(self, keeper: LeaseKeeper, pool: Pool) -> None:
-        fencing = keeper.fencing
-        if fencing is None:
+        fencing_token = keeper.fencing_token
+        if fencing_token is None:
             return
         states = self._load_states(pool)
         orders = plan_loads(
-            pool.service, states, fencing=fencing, held_for=keeper.held_for
+            pool.service,
+            states,
+            fencing_token=fencing_token,
+            held_seconds=keeper.held_seconds,
         )
         for order in orders:
             # The lease is looked at again just before each order is sent.
-            if keeper.fencing != order.fencing:
+            if keeper.fencing_token != order.fencing:
                 return
             self._send(pool, order)
 
-    def _load_states(self, pool: Pool) -> dict[InstanceId, LoadState]:
+    def _load_states(self, pool: Pool) -> dict[InstanceId, ModelLoadState]:
         states = {}
         for member in self._entry.pool_members(pool.service):
             try:
                 status = pool.upstream.status(member.address)
             except UpstreamError:
                 continue
-            states[member.instance] = LoadState(
+            states[member.instance] = ModelLoadState(
                 loaded=status.models, loading=status.loading
             )
         return states
 
-    def _send(self, pool: Pool, order: LoadOrder) -> None:
+    def _send(self, pool: Pool, order: ModelLoadCommand) -> None:
         address = self._entry.address_of(order.instance)
         if address is None:
             return
@@ -185,7 +188,9 @@
             return
         rows = result.ok_value
         self._sweep_after = rows[-1].key if len(rows) == SWEEP_ROWS else ""
-        self._entry.run_protocol(sweep(stale_claims(rows, self._entry.generation)))
+        self._entry.run_protocol(
+            delete_claims(find_expired_claims(rows, self._entry.generation))
+        )
 
     def _lease_event(self, duty: str, before: str) -> AuditEvent:
         return AuditEvent(
--- a/damasklead/daemon/entry.py
+++ b/damasklead/daemon/entry.py
@@ -147,12 +147,12 @@
             before=before,
             after=after,
         )
-        self.audit.add(event, *writes)
+        self.audit.add_event(event, *writes)
 
     def take_configuration(self, files: dict[str, str], *, version: int) -> bool:
         """Put a configuration into force if it is newer than the present one."""
         before = self.holder.version
-        if not self.holder.offer(files, version=version):
+        if not self.holder.activate_if_newer(files, version=version):
             return False
         logs.event("configuration", before=before, version=version)
         self.metrics.configuration_version.set(version)
@@ -162,7 +162,7 @@
     def arrange_members(self) -> None:
         """Let the pools see the present members."""
         entries = self.live_entries()
-        self.quarantine.set_notice(
+        self.quarantine.set_propagation_time(
             NOTICE_INTERVALS * compute_share_interval(len(entries))
         )
         heard = [entry for entry in entries if entry.instance not in self._silent]
@@ -256,9 +256,11 @@
                 case CrashNotice():
                     self.crashes.observe(item)
                 case QuarantineNotice():
-                    self.quarantine.name(item.fingerprint)
+                    self.quarantine.add_fingerprint(item.fingerprint)
                 case ReleaseNotice():
-                    self.quarantine.release(item.fingerprint, number=item.number)
+                    self.quarantine.release_fingerprint(
+                        item.fingerprint, number=item.number
+                    )
 
     def submit(self, pool: Pool, exchange: Exchange) -> None:
         """Let the pool's dispatcher take in an exchange's request."""
--- a/damasklead/daemon/exchange.py
+++ b/damasklead/daemon/exchange.py
@@ -16,13 +16,13 @@
 from gevent.queue import SimpleQueue
 
 from damasklead.claims import (
-    Acquired,
-    Answer as RecordedAnswer,
-    BodyDiffers,
+    BodyMismatch,
     Claim,
+    ClaimAcquired,
+    ClaimHeld,
     ClaimState,
-    Held,
-    StoreDown,
+    ClaimUnconfirmed,
+    RecordedResponse,
     acquire,
 )
 from damasklead.daemon.claimkeeper import ClaimKeeper
@@ -328,22 +328,22 @@
         assert self.claim is not None
         self.claim = msgspec.structs.replace(self.claim, attempt=start.attempt)
         result = self._entry.run_protocol(acquire(self.claim))
-        if isinstance(result, Acquired):
+        if isinstance(result, ClaimAcquired):
             self._claim_version = result.version
             return None
-        if isinstance(result, StoreDown):
+        if isinstance(result, ClaimUnconfirmed):
             if result.maybe_written:
                 self._entry.claims.abandon(self.claim)
             return [store_down()]
-        if isinstance(result, BodyDiffers):
+        if isinstance(result, BodyMismatch):
             return [body_differs()]
-        assert isinstance(result, Held)
+        assert isinstance(result, ClaimHeld)
         return replay_claim(result.claim)
 
     def _record_answer(self, answer: Answer, body: bytes) -> None:
         if self.claim is None or self._claim_version is None:
             return
-        kept = RecordedAnswer(
+        kept = RecordedResponse(
             status=answer.status,
             content_type=answer.header("Content-Type"),
             body=body if len(body) <= MAX_KEPT_ANSWER else None,
@@ -356,7 +356,7 @@
             unrun = outcome is Outcome.NOT_RUN
             self._settle(ClaimState.RELEASED if unrun else ClaimState.FAILED, None)
 
-    def _settle(self, state: ClaimState, answer: RecordedAnswer | None) -> None:
+    def _settle(self, state: ClaimState, answer: RecordedResponse | None) -> None:
         assert self.claim is not None and self._claim_version is not None
         settled = msgspec.structs.replace(self.claim, state=state, answer=answer)
         self._entry.claims.settle(settled, version=self._claim_version)
--- a/damasklead/daemon/operators.py
+++ b/damasklead/daemon/operators.py
@@ -85,10 +85,10 @@
                 for pool in entry.pools.values()
             ],
             requests=len(entry.exchanges),
-            quarantined=list(entry.quarantine.named),
+            quarantined=list(entry.quarantine.quarantined_fingerprints),
             claims_pending=len(entry.claims),
             audit_pending=len(entry.audit),
-            audit_dropped=entry.audit.dropped,
+            audit_dropped=entry.audit.dropped_count,
         )
 
     def _answer(
--- a/damasklead/daemon/service.py
+++ b/damasklead/daemon/service.py
@@ -87,7 +87,7 @@
         while entry.exchanges and self._clock.now() < deadline:
             self._clock.sleep(POLL_SECONDS)
         self._duties.release()
-        entry.run_protocol(entry.audit.flush())
+        entry.run_protocol(entry.audit.flush_events())
         self.tree.stop()
         self._peers.close()
         entry.connections.close()
--- a/damasklead/daemon/watchers.py
+++ b/damasklead/daemon/watchers.py
@@ -27,7 +27,11 @@
     report_version,
 )
 from damasklead.messages import ConfigurationQuery
-from damasklead.quarantine_rows import QUARANTINE_TABLE, apply_row, decode_row
+from damasklead.quarantine_rows import (
+    QUARANTINE_TABLE,
+    apply_quarantine_row,
+    decode_quarantine_row,
+)
 from damasklead.stores.base import (
     InstanceRecord,
     InstanceState,
@@ -110,7 +114,7 @@
             self._entry.claims.retry()
             pending = len(self._entry.audit)
             if pending:
-                stored = self._entry.run_protocol(self._entry.audit.flush())
+                stored = self._entry.run_protocol(self._entry.audit.flush_events())
                 self._failures = 0 if stored else self._failures + 1
 
     def announce(self, state: InstanceState = InstanceState.LIVE) -> None:
@@ -127,7 +131,7 @@
             region=settings.region,
             state=state,
         )
-        result = self._entry.platform.instances.announce(record)
+        result = self._entry.platform.instances.register_instance(record)
         if isinstance(result, Err):
             logs.warning("announce", result=result.err_value.value)
 
@@ -137,7 +141,9 @@
         if isinstance(row, Row):
             manifest = decode_manifest(row)
             if manifest.version > entry.holder.version:
-                files = entry.run_protocol(fetch(manifest, known=entry.holder.known()))
+                files = entry.run_protocol(
+                    fetch(manifest, texts_by_digest=entry.holder.get_texts_by_digest())
+                )
                 if files is not None:
                     entry.take_configuration(files, version=manifest.version)
         if isinstance(row, StoreError):
@@ -172,7 +178,9 @@
     def _follow_members(self) -> None:
         entry = self._entry
         before = entry.membership.generation
-        result = entry.platform.instances.list(known=self._list_version)
+        result = entry.platform.instances.list_instances(
+            known_version=self._list_version
+        )
         if isinstance(result, Ok):
             entry.platform_seen_at = entry.clock.now()
             self._take_listing(result.ok_value)
@@ -189,7 +197,7 @@
         named = entry.platform.tables.scan(QUARANTINE_TABLE, limit=1000)
         if isinstance(named, Ok):
             for row in named.ok_value:
-                apply_row(decode_row(row), entry.quarantine)
+                apply_quarantine_row(decode_quarantine_row(row), entry.quarantine)
         if entry.membership.generation != before:
             entry.arrange_members()
 
--- a/damasklead/demo/run.py
+++ b/damasklead/demo/run.py
@@ -24,7 +24,7 @@
 from damasklead.findings import Findings
 from damasklead.ids import AttemptId
 from damasklead.loop import LoopClock
-from damasklead.manifest import Publication, Published, publish
+from damasklead.manifest import Publication, PublishSucceeded, publish
 from damasklead.protocol import run as run_protocol
 from damasklead.settings import check_settings
 from damasklead.standins import EngineStandin, PlainStandin
@@ -117,7 +117,7 @@
             at=self._clock.get_unix_time(),
         )
         result = run_protocol(publish(publication), self._platform)
-        assert isinstance(result, Published), result
+        assert isinstance(result, PublishSucceeded), result
 
     def _wait_until_ready(self) -> None:
         for _ in range(200):
--- a/damasklead/dispatching.py
+++ b/damasklead/dispatching.py
@@ -165,7 +165,7 @@
             Whether the request can be cancelled and continued later without losing the
             generated tokens.
         """
-        if self._quarantine.is_named(request.fingerprint):
+        if self._quarantine.is_quarantined(request.fingerprint):
             return [_make_refusal(request, Reason.QUARANTINED, retry_after=None)]
         if is_preemptable:
             self._preemptable_ids.add(request.id)
@@ -234,7 +234,7 @@
             else 0.0,
         )
         self._queue.settle_charge(request)
-        self._quarantine.clear(request.fingerprint)
+        self._quarantine.record_success(request.fingerprint)
         ejected = self._record_token_gap(attempt, now)
         finish = Finish(request=request, tokens=request.generated_tokens)
         return [finish, *self._migrate_from(ejected), *self._start_queued()]
@@ -283,7 +283,7 @@
         self._budget.resize(max(BURST_RETRIES, float(self.replicas.capacity)))
 
     def _handle_failure(self, request: Request, failure: Failure) -> list[Action]:
-        if self._quarantine.is_named(request.fingerprint):
+        if self._quarantine.is_quarantined(request.fingerprint):
             return [self._refuse_after_attempt(request, Reason.QUARANTINED)]
         if not failure.rules_out_execution and not request.request_class.may_repeat:
             return [self._refuse_after_attempt(request, Reason.UPSTREAM_FAILED)]
@@ -318,7 +318,7 @@
             request = self._queue.pop(slots=slot_count, admitted_tier=admitted_tier)
             if request is None:
                 break
-            if self._quarantine.is_named(request.fingerprint):
+            if self._quarantine.is_quarantined(request.fingerprint):
                 actions.append(
                     _make_refusal(request, Reason.QUARANTINED, retry_after=None)
                 )
@@ -342,7 +342,7 @@
 
     def _find_candidates(self, request: Request) -> frozenset[InstanceId]:
         """Return the replicas on which the quarantine lets a request run."""
-        return self._quarantine.may_run_on(
+        return self._quarantine.get_allowed_replicas(
             request.fingerprint, sorted(self.replicas.instances)
         )
 
--- a/damasklead/drains.py
+++ b/damasklead/drains.py
@@ -7,11 +7,11 @@
 
 import msgspec
 
-from damasklead.audit import AuditEvent, audit_put
+from damasklead.audit import AuditEvent, make_audit_write
 from damasklead.ids import Incarnation, InstanceId
 from damasklead.stores.base import Commit, Put
 
-__all__ = ["DRAINS_TABLE", "Drain", "drain_commit"]
+__all__ = ["DRAINS_TABLE", "Drain", "make_drain_commit"]
 
 DRAINS_TABLE = "drains"
 
@@ -24,7 +24,7 @@
     who: str
 
 
-def drain_commit(drain: Drain, *, event: AuditEvent) -> Commit:
+def make_drain_commit(drain: Drain, *, event: AuditEvent) -> Commit:
     """Return the commit that drains an instance and records it in the audit trail."""
     row = Put(table=DRAINS_TABLE, key=drain.instance, value=msgspec.json.encode(drain))
-    return Commit(conditions=(), writes=(row, audit_put(event)))
+    return Commit(conditions=(), writes=(row, make_audit_write(event)))
--- a/damasklead/duties.py
+++ b/damasklead/duties.py
@@ -4,7 +4,7 @@
 
 What the holders of leases do: they order model loads and sweep old claims.
 
-An order states the wanted end state and carries the fencing number.  Where engines do
+An order states the target end state and carries the fencing number.  Where engines do
 not check it, a new holder first waits out the old one and then orders from what the
 engines report.
 """
@@ -22,22 +22,22 @@
 from damasklead.stores.base import ABSENT, Commit, Condition, Delete, Put, Row
 
 __all__ = [
-    "LoadOrder",
+    "ModelLoadCommand",
     "advance_generation",
     "plan_loads",
     "read_generation",
-    "stale_claims",
-    "sweep",
+    "find_expired_claims",
+    "delete_claims",
 ]
 
-MAX_LOADS = 2  # orders under way at once, within the weight store's rate
+MAX_CONCURRENT_LOADS = 2  # orders under way at once, within the weight store's rate
 GENERATION_SECONDS = 3600.0
-KEPT_GENERATIONS = 24
+RETAINED_GENERATIONS = 24
 GENERATION_TABLE = "generations"
 GENERATION_KEY = "claims"
 
 
-class LoadOrder(msgspec.Struct, kw_only=True, frozen=True):
+class ModelLoadCommand(msgspec.Struct, kw_only=True, frozen=True):
     """
     Have a model version loaded at an upstream; ``fencing`` is the orderer's number.
     """
@@ -48,25 +48,25 @@
     fencing: int
 
 
-class LoadState(msgspec.Struct, kw_only=True, frozen=True):
+class ModelLoadState(msgspec.Struct, kw_only=True, frozen=True):
     """What an upstream reports: ``model@version`` texts loaded, and being loaded."""
 
     loaded: tuple[str, ...] = ()
     loading: tuple[str, ...] = ()
 
     @property
-    def size(self) -> int:
+    def version_count(self) -> int:
         """How many model versions it holds or will hold."""
         return len(self.loaded) + len(self.loading)
 
 
 def plan_loads(
     service: Service,
-    states: Mapping[InstanceId, LoadState],
+    states: Mapping[InstanceId, ModelLoadState],
     *,
-    fencing: int,
-    held_for: float,
-) -> list[LoadOrder]:
+    fencing_token: int,
+    held_seconds: float,
+) -> list[ModelLoadCommand]:
     """
     Return the orders to give now.
 
@@ -74,37 +74,37 @@
     ----------
     states : mapping
         The reports of the service's live upstreams.
-    held_for : float
+    held_seconds : float
         Seconds since the lease was acquired; a service whose upstreams do not check the
         fencing number gets no order before the old holder's can have arrived.
     """
-    if not service.checks_fencing and held_for < EXPIRY:
+    if not service.checks_fencing and held_seconds < EXPIRY:
         return []
-    under_way = sum(len(state.loading) for state in states.values())
-    orders: list[LoadOrder] = []
-    for wanted in service.wanted_models:
-        name = f"{wanted.model}@{wanted.version}"
-        having = [item for item, state in states.items() if _has(state, name)]
-        missing = wanted.replicas - len(having)
+    loading_count = sum(len(state.loading) for state in states.values())
+    commands: list[ModelLoadCommand] = []
+    for target in service.wanted_models:
+        name = f"{target.model}@{target.version}"
+        present = [item for item, state in states.items() if _has_model(state, name)]
+        missing = target.replicas - len(present)
         candidates = sorted(
-            (item for item in states if item not in having),
+            (item for item in states if item not in present),
             key=lambda item: (
                 len(states[item].loaded) + len(states[item].loading),
                 item,
             ),
         )
         for instance in candidates[: max(0, missing)]:
-            if under_way + len(orders) >= MAX_LOADS:
-                return orders
-            orders.append(
-                LoadOrder(
+            if loading_count + len(commands) >= MAX_CONCURRENT_LOADS:
+                return commands
+            commands.append(
+                ModelLoadCommand(
                     instance=instance,
-                    model=wanted.model,
-                    version=wanted.version,
-                    fencing=fencing,
+                    model=target.model,
+                    version=target.version,
+                    fencing=fencing_token,
                 )
             )
-    return orders
+    return commands
 
 
 def read_generation() -> Steps[tuple[int, int] | None]:
@@ -132,18 +132,18 @@
     return isinstance(result, Ok)
 
 
-def stale_claims(rows: Iterable[Row], generation: int) -> list[Row]:
+def find_expired_claims(rows: Iterable[Row], generation: int) -> list[Row]:
     """Return the rows of settled claims that are older than is kept."""
-    stale = []
+    expired = []
     for row in rows:
         claim = decode_claim(row)
         settled = claim.state in (ClaimState.ANSWERED, ClaimState.RELEASED)
-        if settled and generation - claim.generation > KEPT_GENERATIONS:
-            stale.append(row)
-    return stale
+        if settled and generation - claim.generation > RETAINED_GENERATIONS:
+            expired.append(row)
+    return expired
 
 
-def sweep(rows: Iterable[Row]) -> Steps[int]:
+def delete_claims(rows: Iterable[Row]) -> Steps[int]:
     """Delete rows that have not changed since they were read; returns how many."""
     deleted = 0
     for row in rows:
@@ -156,5 +156,5 @@
     return deleted
 
 
-def _has(state: LoadState, name: str) -> bool:
+def _has_model(state: ModelLoadState, name: str) -> bool:
     return name in state.loaded or name in state.loading
--- a/damasklead/gateway/containment.py
+++ b/damasklead/gateway/containment.py
@@ -98,7 +98,7 @@
     ) -> None:
         self._clock = clock
         self._on_quarantine = on_quarantine
-        self._quarantine = Quarantine(clock=clock, least_crashes=CRASHES_TO_REFUSE)
+        self._quarantine = Quarantine(clock=clock, min_crashes=CRASHES_TO_REFUSE)
         self._broken_responses: dict[tuple[InstanceId, int], _BrokenResponses] = {}
         self._recent_crashes: dict[CrashReport, float] = {}
         self._successes: OrderedDict[int, float] = OrderedDict()
@@ -110,9 +110,9 @@
 
     def should_refuse(self, call: Call) -> bool:
         """Return whether a request is refused."""
-        return bool(self._quarantine.named) and self._quarantine.is_named(
-            compute_fingerprint(call)
-        )
+        return bool(
+            self._quarantine.quarantined_fingerprints
+        ) and self._quarantine.is_quarantined(compute_fingerprint(call))
 
     def record_success(self, call: Call) -> None:
         """Record that a replica sent a complete response to a request."""
@@ -122,7 +122,7 @@
         if len(self._successes) > MAX_SUCCESSES:
             self._successes.popitem(last=False)
         if self._quarantine.has_suspects:
-            self._quarantine.clear(compute_fingerprint(call))
+            self._quarantine.record_success(compute_fingerprint(call))
 
     def record_broken_response(self, record: UpstreamRecord, call: Call) -> None:
         """Record that a replica broke off its response to a request."""
@@ -162,8 +162,8 @@
     def update_quarantine(self) -> None:
         """Decide which requests to refuse, and drop expired records."""
         now = self._clock.now()
-        for fingerprint in self._quarantine.decide():
-            if self._quarantine.name(fingerprint):
+        for fingerprint in self._quarantine.identify_culprits():
+            if self._quarantine.add_fingerprint(fingerprint):
                 self._on_quarantine(fingerprint)
         self._broken_responses = {
             key: broken
@@ -185,7 +185,7 @@
         self._observe_crash(report)
 
     def _observe_crash(self, report: CrashReport) -> None:
-        self._quarantine.observe_crash(
+        self._quarantine.record_crash(
             report.instance,
             Incarnation(report.incarnation),
             frozenset(report.fingerprints),
--- a/damasklead/leases.py
+++ b/damasklead/leases.py
@@ -2,14 +2,16 @@
 Leases
 ======
 
-A duty that one instance at a time should do, kept as a row of the table service.
-
-No clock is agreed on.  A watcher takes a lease over only after it has seen the row
-unchanged for ``EXPIRY`` by its own clock; the holder stops by itself ``HOLD`` after it
-began the last write that is known to have taken effect.  Since ``HOLD`` is shorter, a
-holder that runs has stopped before another starts.  One that was paused in between may
-still act on what it decided before; the fencing number, which grows with each holder,
-lets upstreams refuse that.
+A lease elects the one instance that performs a duty, a task for one instance at a time.
+It is kept as a row of the table service under the duty's name.
+
+The instances share no clock.  A candidate takes a lease over only after it has seen the
+row unchanged for ``EXPIRY`` by its own clock; the holder considers the lease lost
+``RENEW_DEADLINE_SECONDS`` after the start of the last write that is known to have taken
+effect.  Since the renew deadline is the shorter of the two, a holder that runs has
+stopped before another instance starts.  A holder that was paused in between may still
+act on an earlier decision; the fencing token, which grows with each holder, lets
+upstreams reject such commands.
 """
 
 from collections.abc import Callable
@@ -17,7 +19,7 @@
 import msgspec
 from result import Err, Ok
 
-from damasklead.audit import AuditEvent, audit_put
+from damasklead.audit import AuditEvent, make_audit_write
 from damasklead.clock import Clock
 from damasklead.ids import Incarnation, InstanceId
 from damasklead.protocol import ReadRows, Steps
@@ -31,10 +33,10 @@
     Row,
 )
 
-__all__ = ["EXPIRY", "HOLD", "LEASES_TABLE", "Lease", "LeaseKeeper"]
+__all__ = ["EXPIRY", "RENEW_DEADLINE_SECONDS", "LEASES_TABLE", "Lease", "LeaseKeeper"]
 
 LEASES_TABLE = "leases"
-HOLD = 10.0  # seconds
+RENEW_DEADLINE_SECONDS = 10.0
 EXPIRY = 15.0  # seconds
 
 
@@ -89,20 +91,20 @@
         self._row_version = ABSENT
         self._valid_until = 0.0
         self._held_since = 0.0
-        self._watched: tuple[int, float] | None = None
-        self._first_try: tuple[Lease, float] | None = None
+        self._observed_change: tuple[int, float] | None = None
+        self._first_write: tuple[Lease, float] | None = None
 
     @property
-    def fencing(self) -> int | None:
+    def fencing_token(self) -> int | None:
         """The fencing number while the lease is held, ``None`` otherwise."""
         if self._held is None or self._clock.now() >= self._valid_until:
             return None
         return self._held.fencing
 
     @property
-    def held_for(self) -> float:
+    def held_seconds(self) -> float:
         """Seconds since this holder acquired the lease, 0 when it is not held."""
-        held = self.fencing is not None
+        held = self.fencing_token is not None
         return self._clock.now() - self._held_since if held else 0.0
 
     def poll(self) -> Steps[None]:
@@ -124,19 +126,19 @@
         held, self._held = self._held, None
         if held is None:
             return
-        given_back = msgspec.structs.replace(
+        released = msgspec.structs.replace(
             held, holder=InstanceId(""), beat=held.beat + 1
         )
-        yield self._commit(given_back, self._row_version, ())
+        yield self._make_commit(released, self._row_version, ())
 
     def _is_free(self, row: Row | None) -> bool:
-        """Tell whether the row may be taken, from how long it has not changed."""
+        """Tell whether the lease is free or its row is unchanged for ``EXPIRY``."""
         if row is None or not decode_lease(row).holder:
             return True
         now = self._clock.now()
-        if self._watched is None or self._watched[0] != row.version:
-            self._watched = (row.version, now)
-        return now - self._watched[1] >= EXPIRY
+        if self._observed_change is None or self._observed_change[0] != row.version:
+            self._observed_change = (row.version, now)
+        return now - self._observed_change[1] >= EXPIRY
 
     def _acquire(self, row: Row | None) -> Steps[None]:
         before = None if row is None else decode_lease(row)
@@ -148,45 +150,45 @@
         )
         event = self._new_event(self._duty, "" if before is None else before.holder)
         version = ABSENT if row is None else row.version
-        began = self._began(lease)
-        result = yield self._commit(lease, version, (audit_put(event),))
-        confirmed = yield from self._confirm(lease, result)
+        started_at = self._get_first_write_time(lease)
+        result = yield self._make_commit(lease, version, (make_audit_write(event),))
+        confirmed = yield from self._confirm_write(lease, result)
         if confirmed is not None:
             self._held_since = self._clock.now()
-            self._hold(lease, confirmed, began)
+            self._set_held(lease, confirmed, started_at)
 
     def _renew(self, held: Lease) -> Steps[None]:
         renewed = msgspec.structs.replace(held, beat=held.beat + 1)
-        began = self._began(renewed)
-        result = yield self._commit(renewed, self._row_version, ())
-        confirmed = yield from self._confirm(renewed, result)
+        started_at = self._get_first_write_time(renewed)
+        result = yield self._make_commit(renewed, self._row_version, ())
+        confirmed = yield from self._confirm_write(renewed, result)
         if confirmed is not None:
-            self._hold(renewed, confirmed, began)
-        elif isinstance(result, Ok) or self.fencing is None:
-            self._lose()
+            self._set_held(renewed, confirmed, started_at)
+        elif isinstance(result, Ok) or self.fencing_token is None:
+            self._clear_held()
 
-    def _began(self, lease: Lease) -> float:
+    def _get_first_write_time(self, lease: Lease) -> float:
         """
         Return when the first write of this lease began.
 
         A write whose answer was lost may have taken effect long before it is seen, and
         watchers count from then.
         """
-        if self._first_try is None or self._first_try[0] != lease:
-            self._first_try = (lease, self._clock.now())
-        return self._first_try[1]
+        if self._first_write is None or self._first_write[0] != lease:
+            self._first_write = (lease, self._clock.now())
+        return self._first_write[1]
 
-    def _hold(self, lease: Lease, version: int, began: float) -> None:
+    def _set_held(self, lease: Lease, version: int, started_at: float) -> None:
         self._held = lease
         self._row_version = version
-        self._valid_until = began + HOLD
-        self._watched = None
+        self._valid_until = started_at + RENEW_DEADLINE_SECONDS
+        self._observed_change = None
 
-    def _lose(self) -> None:
+    def _clear_held(self) -> None:
         self._held = None
         self._valid_until = 0.0
 
-    def _confirm(self, lease: Lease, result: object) -> Steps[int | None]:
+    def _confirm_write(self, lease: Lease, result: object) -> Steps[int | None]:
         """
         Return the row version at which a write took effect, reading back if need be.
         """
@@ -194,14 +196,16 @@
             return result.ok_value.version
         if isinstance(result, Ok):
             conflict: Conflict = result.ok_value
-            return _version_of(lease, conflict.rows)
+            return _find_version(lease, conflict.rows)
         read = yield ReadRows(table=LEASES_TABLE, keys=(self._duty,))
-        return None if isinstance(read, Err) else _version_of(lease, read.ok_value)
+        return None if isinstance(read, Err) else _find_version(lease, read.ok_value)
 
-    def _commit(self, lease: Lease, version: int, more: tuple[Put, ...]) -> Commit:
+    def _make_commit(
+        self, lease: Lease, version: int, extra_writes: tuple[Put, ...]
+    ) -> Commit:
         row = Put(table=LEASES_TABLE, key=self._duty, value=msgspec.json.encode(lease))
         condition = Condition(table=LEASES_TABLE, key=self._duty, version=version)
-        return Commit(conditions=(condition,), writes=(row, *more))
+        return Commit(conditions=(condition,), writes=(row, *extra_writes))
 
 
 def decode_lease(row: Row) -> Lease:
@@ -209,7 +213,7 @@
     return msgspec.json.decode(row.value, type=Lease)
 
 
-def _version_of(lease: Lease, rows: tuple[Row, ...]) -> int | None:
+def _find_version(lease: Lease, rows: tuple[Row, ...]) -> int | None:
     """Return the version of the row if it is just this write's."""
     for row in rows:
         if decode_lease(row) == lease:
--- a/damasklead/manifest.py
+++ b/damasklead/manifest.py
@@ -15,7 +15,7 @@
 import msgspec
 from result import Err, Ok
 
-from damasklead.audit import AuditEvent, audit_put
+from damasklead.audit import AuditEvent, make_audit_write
 from damasklead.configuration import Configuration, build_configuration
 from damasklead.findings import Findings
 from damasklead.ids import AttemptId, Incarnation, InstanceId
@@ -34,7 +34,7 @@
     "CONFIGURATION_TABLE",
     "ConfigurationHolder",
     "Manifest",
-    "Published",
+    "PublishSucceeded",
     "PublishConflict",
     "PublishFailed",
     "PublishRefused",
@@ -51,7 +51,7 @@
 CONFIGURATION_TABLE = "configuration"
 REPORTS_TABLE = "configuration-reports"
 MANIFEST_KEY = "manifest"
-READ_BACKS = 5
+MAX_READ_BACKS = 5
 
 
 class Manifest(msgspec.Struct, kw_only=True, frozen=True):
@@ -101,7 +101,7 @@
     at: float = 0.0
 
 
-class Published(msgspec.Struct, kw_only=True, frozen=True):
+class PublishSucceeded(msgspec.Struct, kw_only=True, frozen=True):
     """The publication is in force as ``version``."""
 
     version: int
@@ -129,7 +129,7 @@
     maybe_published: bool
 
 
-PublishResult = Published | PublishConflict | PublishRefused | PublishFailed
+PublishResult = PublishSucceeded | PublishConflict | PublishRefused | PublishFailed
 Bundle = dict[str, str]
 
 
@@ -147,13 +147,15 @@
     return msgspec.json.decode(row.value, type=Manifest)
 
 
-def fetch(manifest: Manifest, *, known: Mapping[str, str]) -> Steps[Bundle | None]:
+def fetch(
+    manifest: Manifest, *, texts_by_digest: Mapping[str, str]
+) -> Steps[Bundle | None]:
     """
     Fetch the files of a manifest.
 
     Parameters
     ----------
-    known : mapping
+    texts_by_digest : mapping
         Content by digest of files that need not be fetched again.
 
     Returns
@@ -163,7 +165,7 @@
     """
     files: Bundle = {}
     for name, digest in manifest.files.items():
-        text = known.get(digest)
+        text = texts_by_digest.get(digest)
         if text is None:
             result = yield GetObject(name=digest)
             if isinstance(result, Err) or result.ok_value is None:
@@ -186,7 +188,7 @@
         return PublishConflict(
             version=base_version, who="" if base is None else base.who
         )
-    merged = yield from _merge(publication, base)
+    merged = yield from _merge_files(publication, base)
     if merged is None:
         return PublishFailed(maybe_published=False)
     findings = Findings()
@@ -200,14 +202,14 @@
     )
     if not (yield from _store_files(merged)):
         return PublishFailed(maybe_published=False)
-    result = yield _move(
+    result = yield _make_publish_commit(
         manifest, ABSENT if row is None else row.version, base, publication
     )
     if isinstance(result, Ok) and isinstance(result.ok_value, Committed):
-        return Published(version=manifest.version)
+        return PublishSucceeded(version=manifest.version)
     if result == Err(StoreError.UNAVAILABLE):
         return PublishFailed(maybe_published=False)
-    return (yield from _read_back(manifest))
+    return (yield from _confirm_publication(manifest))
 
 
 class VersionReport(msgspec.Struct, kw_only=True, frozen=True):
@@ -267,11 +269,11 @@
         """The files in force by name."""
         return self._files
 
-    def known(self) -> dict[str, str]:
+    def get_texts_by_digest(self) -> dict[str, str]:
         """Return the files in force by digest."""
         return {digest_text(text): text for text in self._files.values()}
 
-    def offer(self, files: Bundle, *, version: int) -> bool:
+    def activate_if_newer(self, files: Bundle, *, version: int) -> bool:
         """
         Take a version if it is higher than the one in force; returns whether it was
         taken.
@@ -291,7 +293,9 @@
     return hashlib.sha256(text.encode()).hexdigest()
 
 
-def _merge(publication: Publication, base: Manifest | None) -> Steps[Bundle | None]:
+def _merge_files(
+    publication: Publication, base: Manifest | None
+) -> Steps[Bundle | None]:
     """
     Return the files after the change, or ``None`` when the present ones can't be had.
     """
@@ -302,7 +306,9 @@
             for name, digest in base.files.items()
             if name not in publication.files and name not in publication.removed
         }
-        present = yield from fetch(msgspec.structs.replace(base, files=kept), known={})
+        present = yield from fetch(
+            msgspec.structs.replace(base, files=kept), texts_by_digest={}
+        )
         if present is None:
             return None
         merged.update(present)
@@ -318,7 +324,7 @@
     return True
 
 
-def _move(
+def _make_publish_commit(
     manifest: Manifest,
     row_version: int,
     base: Manifest | None,
@@ -348,18 +354,18 @@
             Put(table=CONFIGURATION_TABLE, key=MANIFEST_KEY, value=content),
             Put(
                 table=CONFIGURATION_TABLE,
-                key=_history_key(manifest.version),
+                key=_make_history_key(manifest.version),
                 value=content,
             ),
-            audit_put(event),
+            make_audit_write(event),
         ),
     )
 
 
-def _read_back(manifest: Manifest) -> Steps[PublishResult]:
+def _confirm_publication(manifest: Manifest) -> Steps[PublishResult]:
     """Find out by the history row of the version whether a move took effect."""
-    history_key = _history_key(manifest.version)
-    for _ in range(READ_BACKS):
+    history_key = _make_history_key(manifest.version)
+    for _ in range(MAX_READ_BACKS):
         result = yield ReadRows(table=CONFIGURATION_TABLE, keys=(history_key,))
         if isinstance(result, Err):
             continue
@@ -367,10 +373,10 @@
             continue
         found = decode_manifest(result.ok_value[0])
         if found.publication == manifest.publication:
-            return Published(version=manifest.version)
+            return PublishSucceeded(version=manifest.version)
         return PublishConflict(version=found.version, who=found.who)
     return PublishFailed(maybe_published=True)
 
 
-def _history_key(version: int) -> str:
+def _make_history_key(version: int) -> str:
     return f"history/{version:012d}"
--- a/damasklead/quarantine.py
+++ b/damasklead/quarantine.py
@@ -22,18 +22,18 @@
 __all__ = ["MAX_CRASHES", "Quarantine"]
 
 MAX_CRASHES = 4
-SPREAD_CRASHES = 2
-SUSPECT_SECONDS = 3600.0
+MIN_ISOLATION_CRASHES = 2
+SUSPICION_TTL_SECONDS = 3600.0
 QUARANTINE_SECONDS = 86_400.0
-MAX_TRACKED = 10_000
-NOTICE_SECONDS = 1.0
+MAX_TRACKED_ITEMS = 10_000
+PROPAGATION_SECONDS = 1.0
 # Of a single suspect; the first crash of several requests blames nobody.
-LEAST_CRASHES = 2
+MIN_CRASHES = 2
 
 
 class _Suspect(msgspec.Struct, kw_only=True):
     crashes: set[tuple[InstanceId, Incarnation]]
-    at: float
+    last_crash_at: float
 
 
 class Quarantine:
@@ -43,9 +43,9 @@
     Parameters
     ----------
     clock : Clock
-    notice_seconds : float
+    propagation_seconds : float
         How long all entries may take to tell of a crash.
-    least_crashes : int
+    min_crashes : int
         A fingerprint is named after so many crashes at the earliest.
     """
 
@@ -53,43 +53,50 @@
         self,
         *,
         clock: Clock,
-        notice_seconds: float = NOTICE_SECONDS,
-        least_crashes: int = LEAST_CRASHES,
+        propagation_seconds: float = PROPAGATION_SECONDS,
+        min_crashes: int = MIN_CRASHES,
     ) -> None:
         self._clock = clock
-        self._least_crashes = least_crashes
-        self._notice_seconds = notice_seconds
-        self._undecided: dict[tuple[InstanceId, Incarnation], float] = {}
+        self._least_crashes = min_crashes
+        self._notice_seconds = propagation_seconds
+        self._pending_crashes: dict[tuple[InstanceId, Incarnation], float] = {}
         self._suspects: OrderedDict[Fingerprint, _Suspect] = OrderedDict()
-        self._named: dict[Fingerprint, float] = {}
-        self._seen: dict[tuple[InstanceId, Incarnation], set[Fingerprint]] = {}
-        self._releases: dict[Fingerprint, int] = {}
+        self._quarantined_until: dict[Fingerprint, float] = {}
+        self._crash_fingerprints: dict[
+            tuple[InstanceId, Incarnation], set[Fingerprint]
+        ] = {}
+        self._release_numbers: dict[Fingerprint, int] = {}
 
-    def set_notice(self, seconds: float) -> None:
+    def set_propagation_time(self, seconds: float) -> None:
         """Change how long all entries may take to tell of a crash."""
         self._notice_seconds = seconds
 
     @property
-    def named(self) -> list[Fingerprint]:
+    def quarantined_fingerprints(self) -> list[Fingerprint]:
         """The fingerprints that are refused at present."""
         now = self._clock.now()
-        return sorted(item for item, until in self._named.items() if now < until)
+        return sorted(
+            item for item, until in self._quarantined_until.items() if now < until
+        )
 
     @property
     def has_suspects(self) -> bool:
         """Whether any fingerprint was in a crash and has not ended well since."""
         return bool(self._suspects)
 
-    def is_named(self, fingerprint: Fingerprint) -> bool:
+    def is_quarantined(self, fingerprint: Fingerprint) -> bool:
         """Tell whether requests with this fingerprint are refused."""
-        return self._clock.now() < self._named.get(fingerprint, 0.0)
+        return self._clock.now() < self._quarantined_until.get(fingerprint, 0.0)
 
     def is_suspect(self, fingerprint: Fingerprint) -> bool:
         """Tell whether a fingerprint was in a crash and has not ended well since."""
         suspect = self._suspects.get(fingerprint)
-        return suspect is not None and self._clock.now() - suspect.at < SUSPECT_SECONDS
+        return (
+            suspect is not None
+            and self._clock.now() - suspect.last_crash_at < SUSPICION_TTL_SECONDS
+        )
 
-    def crashes(self, fingerprint: Fingerprint) -> int:
+    def count_crashes(self, fingerprint: Fingerprint) -> int:
         """Return in how many crashes a fingerprint was and has not ended well since."""
         return (
             len(self._suspects[fingerprint].crashes)
@@ -97,7 +104,7 @@
             else 0
         )
 
-    def observe_crash(
+    def record_crash(
         self,
         instance: InstanceId,
         incarnation: Incarnation,
@@ -109,29 +116,29 @@
         Several notices of one crash, from several entries, count as one crash.
         """
         crash = (instance, incarnation)
-        seen = self._seen.setdefault(crash, set())
-        self._undecided.setdefault(crash, self._clock.now())
+        seen = self._crash_fingerprints.setdefault(crash, set())
+        self._pending_crashes.setdefault(crash, self._clock.now())
         for fingerprint in fingerprints - seen:
-            self._suspect(fingerprint, crash)
+            self._add_suspect(fingerprint, crash)
         seen |= fingerprints
 
-    def decide(self) -> list[Fingerprint]:
+    def identify_culprits(self) -> list[Fingerprint]:
         """
         Return the fingerprints to name, once all entries had time to tell of a crash.
         """
         now = self._clock.now()
         due = [
             crash
-            for crash, at in self._undecided.items()
+            for crash, at in self._pending_crashes.items()
             if now - at >= self._notice_seconds
         ]
-        named: list[Fingerprint] = []
+        culprits: list[Fingerprint] = []
         for crash in due:
-            del self._undecided[crash]
-            named.extend(self._guilty(crash))
-        return named
+            del self._pending_crashes[crash]
+            culprits.extend(self._find_culprits(crash))
+        return culprits
 
-    def may_run_on(
+    def get_allowed_replicas(
         self, fingerprint: Fingerprint, replicas: Sequence[InstanceId]
     ) -> frozenset[InstanceId]:
         """
@@ -145,74 +152,78 @@
         replicas : sequence
             All replicas in use, in the same order at all entries.
         """
-        if self.crashes(fingerprint) < SPREAD_CRASHES or not replicas:
+        if self.count_crashes(fingerprint) < MIN_ISOLATION_CRASHES or not replicas:
             return frozenset(replicas)
-        waited = self._clock.now() - self._suspects[fingerprint].at
+        waited = self._clock.now() - self._suspects[fingerprint].last_crash_at
         if waited < self._notice_seconds:
             return frozenset()
-        spread = sorted(
-            item for item in self._suspects if self.crashes(item) >= SPREAD_CRASHES
+        isolated = sorted(
+            item
+            for item in self._suspects
+            if self.count_crashes(item) >= MIN_ISOLATION_CRASHES
         )
-        return frozenset((replicas[spread.index(fingerprint) % len(replicas)],))
+        return frozenset((replicas[isolated.index(fingerprint) % len(replicas)],))
 
-    def name(self, fingerprint: Fingerprint) -> bool:
+    def add_fingerprint(self, fingerprint: Fingerprint) -> bool:
         """Refuse a fingerprint from now on; returns whether that is news."""
-        if self.is_named(fingerprint):
+        if self.is_quarantined(fingerprint):
             return False
-        self._named[fingerprint] = self._clock.now() + QUARANTINE_SECONDS
+        self._quarantined_until[fingerprint] = self._clock.now() + QUARANTINE_SECONDS
         self._suspects.pop(fingerprint, None)
         return True
 
-    def release(self, fingerprint: Fingerprint, *, number: int = 0) -> bool:
+    def release_fingerprint(self, fingerprint: Fingerprint, *, number: int = 0) -> bool:
         """Lift a quarantine; returns whether this release is news."""
-        if number and number <= self._releases.get(fingerprint, 0):
+        if number and number <= self._release_numbers.get(fingerprint, 0):
             return False
-        self._releases[fingerprint] = number
+        self._release_numbers[fingerprint] = number
         self._suspects.pop(fingerprint, None)
-        return self._named.pop(fingerprint, None) is not None
+        return self._quarantined_until.pop(fingerprint, None) is not None
 
-    def release_number(self, fingerprint: Fingerprint) -> int:
+    def get_release_number(self, fingerprint: Fingerprint) -> int:
         """Return the number of the last release of a fingerprint, 0 before any."""
-        return self._releases.get(fingerprint, 0)
+        return self._release_numbers.get(fingerprint, 0)
 
-    def clear(self, fingerprint: Fingerprint) -> None:
+    def record_success(self, fingerprint: Fingerprint) -> None:
         """Take in that a request with this fingerprint ended well."""
         self._suspects.pop(fingerprint, None)
 
-    def retract(self, instance: InstanceId, incarnation: Incarnation) -> None:
+    def retract_crash(self, instance: InstanceId, incarnation: Incarnation) -> None:
         """
         Take back a crash that was none: the replica still runs in the same incarnation.
         """
         crash = (instance, incarnation)
-        self._undecided.pop(crash, None)
-        for fingerprint in self._seen.pop(crash, set()):
+        self._pending_crashes.pop(crash, None)
+        for fingerprint in self._crash_fingerprints.pop(crash, set()):
             suspect = self._suspects.get(fingerprint)
             if suspect is not None:
                 suspect.crashes.discard(crash)
                 if not suspect.crashes:
                     del self._suspects[fingerprint]
 
-    def _suspect(
+    def _add_suspect(
         self, fingerprint: Fingerprint, crash: tuple[InstanceId, Incarnation]
     ) -> None:
         suspect = self._suspects.setdefault(
-            fingerprint, _Suspect(crashes=set(), at=0.0)
+            fingerprint, _Suspect(crashes=set(), last_crash_at=0.0)
         )
         suspect.crashes.add(crash)
-        suspect.at = self._clock.now()
+        suspect.last_crash_at = self._clock.now()
         self._suspects.move_to_end(fingerprint)
-        if len(self._suspects) > MAX_TRACKED:
+        if len(self._suspects) > MAX_TRACKED_ITEMS:
             self._suspects.popitem(last=False)
-        if len(self._seen) > MAX_TRACKED:
-            del self._seen[next(iter(self._seen))]
+        if len(self._crash_fingerprints) > MAX_TRACKED_ITEMS:
+            del self._crash_fingerprints[next(iter(self._crash_fingerprints))]
 
-    def _guilty(self, crash: tuple[InstanceId, Incarnation]) -> list[Fingerprint]:
+    def _find_culprits(
+        self, crash: tuple[InstanceId, Incarnation]
+    ) -> list[Fingerprint]:
         """Return those that were in an earlier crash too, if it can only be they."""
         repeated = [
             item
-            for item in sorted(self._seen.get(crash, ()))
-            if self.crashes(item) >= self._least_crashes
+            for item in sorted(self._crash_fingerprints.get(crash, ()))
+            if self.count_crashes(item) >= self._least_crashes
         ]
         if len(repeated) == 1:
             return repeated
-        return [item for item in repeated if self.crashes(item) >= MAX_CRASHES]
+        return [item for item in repeated if self.count_crashes(item) >= MAX_CRASHES]
--- a/damasklead/quarantine_rows.py
+++ b/damasklead/quarantine_rows.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from damasklead.audit import AuditEvent, audit_put
+from damasklead.audit import AuditEvent, make_audit_write
 from damasklead.ids import Fingerprint
 from damasklead.quarantine import Quarantine
 from damasklead.stores.base import Commit, Put, Row
@@ -16,10 +16,10 @@
 __all__ = [
     "QUARANTINE_TABLE",
     "QuarantineRow",
-    "apply_row",
-    "decode_row",
-    "release_commit",
-    "row_put",
+    "apply_quarantine_row",
+    "decode_quarantine_row",
+    "make_release_commit",
+    "make_quarantine_write",
 ]
 
 QUARANTINE_TABLE = "quarantine"
@@ -43,26 +43,28 @@
     who: str
 
 
-def row_put(row: QuarantineRow) -> Put:
+def make_quarantine_write(row: QuarantineRow) -> Put:
     """Return the write of a row."""
     content = msgspec.json.encode(row)
     return Put(table=QUARANTINE_TABLE, key=row.fingerprint, value=content)
 
 
-def decode_row(row: Row) -> QuarantineRow:
+def decode_quarantine_row(row: Row) -> QuarantineRow:
     """Return the decision in a row."""
     return msgspec.json.decode(row.value, type=QuarantineRow)
 
 
-def release_commit(row: QuarantineRow, *, event: AuditEvent) -> Commit:
+def make_release_commit(row: QuarantineRow, *, event: AuditEvent) -> Commit:
     """Return the commit that lifts a quarantine and records it in the audit trail."""
     released = msgspec.structs.replace(row, released=True, who=event.who)
-    return Commit(conditions=(), writes=(row_put(released), audit_put(event)))
+    return Commit(
+        conditions=(), writes=(make_quarantine_write(released), make_audit_write(event))
+    )
 
 
-def apply_row(row: QuarantineRow, quarantine: Quarantine) -> None:
+def apply_quarantine_row(row: QuarantineRow, quarantine: Quarantine) -> None:
     """Take in a row, which may be read any number of times."""
     if row.released:
-        quarantine.release(row.fingerprint, number=row.number)
-    elif row.number > quarantine.release_number(row.fingerprint):
-        quarantine.name(row.fingerprint)
+        quarantine.release_fingerprint(row.fingerprint, number=row.number)
+    elif row.number > quarantine.get_release_number(row.fingerprint):
+        quarantine.add_fingerprint(row.fingerprint)
--- a/damasklead/standins/base.py
+++ b/damasklead/standins/base.py
@@ -126,7 +126,7 @@
         )
         self._server.start()
         if self._platform is not None:
-            self._platform.instances.announce(self.record)
+            self._platform.instances.register_instance(self.record)
 
     def stop(self) -> None:
         """Stop at once, closing every connection."""
--- a/damasklead/standins/engine.py
+++ b/damasklead/standins/engine.py
@@ -15,7 +15,7 @@
 import msgspec
 from gevent.event import Event
 
-from damasklead.duties import LoadOrder
+from damasklead.duties import ModelLoadCommand
 from damasklead.sharing import LoadReport
 from damasklead.standins.base import Call, Reply, StandinServer, json_reply
 from damasklead.stores.base import InstanceRecord, Platform
@@ -69,7 +69,7 @@
         self.requests: list[str] = []
         self.checks_fencing = True
         self.highest_fencing = 0
-        self.orders: list[LoadOrder] = []
+        self.orders: list[ModelLoadCommand] = []
         self.models: list[str] = []
         self.loading: list[str] = []
         self._slots = slots
@@ -118,7 +118,7 @@
 
     def _load_model(self, call: Call) -> Reply:
         """Begin to load a model, unless the order carries an old fencing number."""
-        order = msgspec.json.decode(call.body, type=LoadOrder)
+        order = msgspec.json.decode(call.body, type=ModelLoadCommand)
         self.orders.append(order)
         if self.checks_fencing and order.fencing < self.highest_fencing:
             return json_reply({"error": "old fencing number"}, status=409)
--- a/damasklead/standins/platform.py
+++ b/damasklead/standins/platform.py
@@ -86,9 +86,9 @@
             case GetCall():
                 return services.objects.get(call.name)
             case ListCall():
-                return services.instances.list(known=call.known)
+                return services.instances.list_instances(known_version=call.known)
             case AnnounceCall():
-                return services.instances.announce(call.record)
+                return services.instances.register_instance(call.record)
             case WithdrawCall():
-                return services.instances.withdraw(call.instance)
+                return services.instances.deregister_instance(call.instance)
         return Err(StoreError.UNAVAILABLE)
--- a/damasklead/stores/__init__.py
+++ b/damasklead/stores/__init__.py
@@ -16,7 +16,7 @@
 
 def open_platform(settings: PlatformSettings) -> Platform:
     """Return the platform that the settings name."""
-    return _KINDS[settings.kind](settings)
+    return _OPENERS[settings.kind](settings)
 
 
 def _open_memory(settings: PlatformSettings) -> Platform:
@@ -32,4 +32,4 @@
     return http_platform(address=settings.address)
 
 
-_KINDS = {"memory": _open_memory, "http": _open_http}
+_OPENERS = {"memory": _open_memory, "http": _open_http}
--- a/damasklead/stores/base.py
+++ b/damasklead/stores/base.py
@@ -181,24 +181,24 @@
     """The platform's lagging list of instances."""
 
     @abstractmethod
-    def list(self, *, known: str = "") -> Result[Listing, StoreError]:
+    def list_instances(self, *, known_version: str = "") -> Result[Listing, StoreError]:
         """
         Return all instances that the platform believes live or leaving.
 
         Parameters
         ----------
-        known : str
+        known_version : str
             The version that the reader has; if it is the present one, no records come.
         """
 
     @abstractmethod
-    def announce(self, record: InstanceRecord) -> Result[None, StoreError]:
+    def register_instance(self, record: InstanceRecord) -> Result[None, StoreError]:
         """
         Enter or update an instance, for platforms that do not do so by themselves.
         """
 
     @abstractmethod
-    def withdraw(self, instance: InstanceId) -> Result[None, StoreError]:
+    def deregister_instance(self, instance: InstanceId) -> Result[None, StoreError]:
         """Remove an instance, for platforms that do not do so by themselves."""
 
 
--- a/damasklead/stores/http.py
+++ b/damasklead/stores/http.py
@@ -40,9 +40,9 @@
     "http_platform",
 ]
 
-CONNECT_TIMEOUT = 0.5  # seconds
-ANSWER_TIMEOUT = 2.0  # seconds
-CONNECTIONS = 8
+CONNECT_TIMEOUT_SECONDS = 0.5  # seconds
+RESPONSE_TIMEOUT_SECONDS = 2.0  # seconds
+MAX_CONNECTIONS = 8
 T = TypeVar("T")
 
 
@@ -126,12 +126,12 @@
         self._client = HTTPClient(
             host,
             port,
-            concurrency=CONNECTIONS,
-            connection_timeout=CONNECT_TIMEOUT,
-            network_timeout=ANSWER_TIMEOUT,
+            concurrency=MAX_CONNECTIONS,
+            connection_timeout=CONNECT_TIMEOUT_SECONDS,
+            network_timeout=RESPONSE_TIMEOUT_SECONDS,
         )
 
-    def call(self, call: Call, answer_type: Any) -> Result[Any, StoreError]:
+    def post_call(self, call: Call, response_type: Any) -> Result[Any, StoreError]:
         """
         Post one call.
 
@@ -154,7 +154,7 @@
         if response.status_code != 200:
             return Err(StoreError.UNKNOWN)
         try:
-            return Ok(msgspec.json.decode(content, type=answer_type))
+            return Ok(msgspec.json.decode(content, type=response_type))
         except msgspec.DecodeError:
             return Err(StoreError.UNKNOWN)
 
@@ -169,18 +169,18 @@
         self, table: str, keys: tuple[str, ...]
     ) -> Result[tuple[Row, ...], StoreError]:
         """Return the rows that exist among ``keys``."""
-        return self._client.call(ReadCall(table=table, keys=keys), tuple[Row, ...])
+        return self._client.post_call(ReadCall(table=table, keys=keys), tuple[Row, ...])
 
     def scan(
         self, table: str, *, prefix: str = "", after: str = "", limit: int = 100
     ) -> Result[tuple[Row, ...], StoreError]:
         """Return up to ``limit`` rows in key order whose key starts with ``prefix``."""
         call = ScanCall(table=table, prefix=prefix, after=after, limit=limit)
-        return self._client.call(call, tuple[Row, ...])
+        return self._client.post_call(call, tuple[Row, ...])
 
     def commit(self, commit: Commit) -> Result[Committed | Conflict, StoreError]:
         """Apply a commit."""
-        return self._client.call(CommitCall(commit=commit), Committed | Conflict)
+        return self._client.post_call(CommitCall(commit=commit), Committed | Conflict)
 
 
 class HttpObjectStore(ObjectStore):
@@ -191,11 +191,11 @@
 
     def put(self, name: str, content: bytes) -> Result[None, StoreError]:
         """Store an object."""
-        return self._client.call(PutCall(name=name, content=content), None)
+        return self._client.post_call(PutCall(name=name, content=content), None)
 
     def get(self, name: str) -> Result[bytes | None, StoreError]:
         """Return an object's content, or ``None`` when there is none."""
-        return self._client.call(GetCall(name=name), bytes | None)
+        return self._client.post_call(GetCall(name=name), bytes | None)
 
 
 class HttpInstanceList(InstanceList):
@@ -204,17 +204,17 @@
     def __init__(self, *, client: HttpPlatformClient) -> None:
         self._client = client
 
-    def list(self, *, known: str = "") -> Result[Listing, StoreError]:
+    def list_instances(self, *, known_version: str = "") -> Result[Listing, StoreError]:
         """Return all instances, unless the reader knows the present version."""
-        return self._client.call(ListCall(known=known), Listing)
+        return self._client.post_call(ListCall(known=known_version), Listing)
 
-    def announce(self, record: InstanceRecord) -> Result[None, StoreError]:
+    def register_instance(self, record: InstanceRecord) -> Result[None, StoreError]:
         """Enter or update an instance."""
-        return self._client.call(AnnounceCall(record=record), None)
+        return self._client.post_call(AnnounceCall(record=record), None)
 
-    def withdraw(self, instance: InstanceId) -> Result[None, StoreError]:
+    def deregister_instance(self, instance: InstanceId) -> Result[None, StoreError]:
         """Remove an instance."""
-        return self._client.call(WithdrawCall(instance=instance), None)
+        return self._client.post_call(WithdrawCall(instance=instance), None)
 
 
 def http_platform(*, address: str) -> Platform:
--- a/damasklead/stores/memory.py
+++ b/damasklead/stores/memory.py
@@ -64,8 +64,8 @@
     """Tables in memory; ``reads`` and ``writes`` count the calls that arrived."""
 
     def __init__(self, *, faults: Faults) -> None:
-        self.reads = 0
-        self.writes = 0
+        self.read_count = 0
+        self.commit_count = 0
         self._faults = faults
         self._tables: dict[str, dict[str, Row]] = {}
         self._keys: dict[str, list[str]] = {}
@@ -75,7 +75,7 @@
         self, table: str, keys: tuple[str, ...]
     ) -> Result[tuple[Row, ...], StoreError]:
         """Return the rows that exist among ``keys``."""
-        self.reads += 1
+        self.read_count += 1
         if self._faults.down:
             return Err(StoreError.UNAVAILABLE)
         rows = self._tables.get(table, {})
@@ -85,7 +85,7 @@
         self, table: str, *, prefix: str = "", after: str = "", limit: int = 100
     ) -> Result[tuple[Row, ...], StoreError]:
         """Return up to ``limit`` rows in key order whose key starts with ``prefix``."""
-        self.reads += 1
+        self.read_count += 1
         if self._faults.down:
             return Err(StoreError.UNAVAILABLE)
         keys = self._keys.get(table, [])
@@ -102,7 +102,7 @@
 
     def commit(self, commit: Commit) -> Result[Committed | Conflict, StoreError]:
         """Apply a commit, or lose its answer when told to."""
-        self.writes += 1
+        self.commit_count += 1
         if self._faults.down:
             return Err(StoreError.UNAVAILABLE)
         outcome = self._apply(commit)
@@ -112,8 +112,10 @@
         return Ok(outcome)
 
     def _apply(self, commit: Commit) -> Committed | Conflict:
-        if not all(self._holds(condition) for condition in commit.conditions):
-            current = (self._row(item.table, item.key) for item in commit.conditions)
+        if not all(self._is_met(condition) for condition in commit.conditions):
+            current = (
+                self._get_row(item.table, item.key) for item in commit.conditions
+            )
             return Conflict(rows=tuple(row for row in current if row is not None))
         self._version += 1
         for write in commit.writes:
@@ -133,11 +135,11 @@
             )
         return Committed(version=self._version)
 
-    def _holds(self, condition: Condition) -> bool:
-        row = self._row(condition.table, condition.key)
+    def _is_met(self, condition: Condition) -> bool:
+        row = self._get_row(condition.table, condition.key)
         return condition.version == (ABSENT if row is None else row.version)
 
-    def _row(self, table: str, key: str) -> Row | None:
+    def _get_row(self, table: str, key: str) -> Row | None:
         return self._tables.get(table, {}).get(key)
 
 
@@ -168,23 +170,26 @@
     def __init__(self, *, faults: Faults) -> None:
         self._faults = faults
         self._records: dict[InstanceId, InstanceRecord] = {}
-        self._shown: tuple[InstanceRecord, ...] = ()
+        self._listed_records: tuple[InstanceRecord, ...] = ()
         self._version = 1
-        self._shown_version = 0
+        self._listed_version = 0
 
-    def list(self, *, known: str = "") -> Result[Listing, StoreError]:
+    def list_instances(self, *, known_version: str = "") -> Result[Listing, StoreError]:
         """Return all instances, as they were when the list was frozen if it is."""
         if self._faults.down:
             return Err(StoreError.UNAVAILABLE)
         if not self._faults.list_frozen:
-            self._shown = tuple(self._records.values())
-            self._shown_version = self._version
-        version = str(self._shown_version)
+            self._listed_records = tuple(self._records.values())
+            self._listed_version = self._version
+        version = str(self._listed_version)
         return Ok(
-            Listing(version=version, records=None if version == known else self._shown)
+            Listing(
+                version=version,
+                records=None if version == known_version else self._listed_records,
+            )
         )
 
-    def announce(self, record: InstanceRecord) -> Result[None, StoreError]:
+    def register_instance(self, record: InstanceRecord) -> Result[None, StoreError]:
         """Enter or update an instance."""
         if self._faults.down:
             return Err(StoreError.UNAVAILABLE)
@@ -192,7 +197,7 @@
         self._version += 1
         return Ok(None)
 
-    def withdraw(self, instance: InstanceId) -> Result[None, StoreError]:
+    def deregister_instance(self, instance: InstanceId) -> Result[None, StoreError]:
         """Remove an instance."""
         if self._faults.down:
             return Err(StoreError.UNAVAILABLE)
--- a/tests/faulty.py
+++ b/tests/faulty.py
@@ -32,7 +32,7 @@
 
     def __init__(self) -> None:
         self.platform: Platform = memory_platform()
-        self.late: list[Commit] = []
+        self.late_commits: list[Commit] = []
 
     def perform(self, call: PlatformCall, fault: Fault) -> Result[Any, StoreError]:
         """Carry out a call with a fault."""
@@ -43,7 +43,7 @@
         if not isinstance(call, Commit):
             return Err(StoreError.UNKNOWN)
         if fault is Fault.LATE:
-            self.late.append(call)
+            self.late_commits.append(call)
             return Err(StoreError.UNKNOWN)
         if fault is Fault.LOST_BEFORE:
             return Err(StoreError.UNKNOWN)
@@ -52,9 +52,9 @@
             return perform(self.platform, call)
         return Err(StoreError.UNKNOWN)
 
-    def land(self, index: int) -> None:
+    def apply_late_commit(self, index: int) -> None:
         """Let a late commit take effect."""
-        perform(self.platform, self.late.pop(index % len(self.late)))
+        perform(self.platform, self.late_commits.pop(index % len(self.late_commits)))
 
 
 class Task:
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -26,7 +26,7 @@
 from damasklead.ids import (
     AttemptId,
 )
-from damasklead.manifest import Publication, Published, publish
+from damasklead.manifest import Publication, PublishSucceeded, publish
 from damasklead.protocol import run
 from damasklead.settings import check_settings
 from damasklead.standins import EngineStandin, PlainStandin
@@ -80,7 +80,7 @@
         publication = Publication(
             id=AttemptId(new_id()), who="t", files=configuration_files()
         )
-        assert isinstance(run(publish(publication), self.platform), Published)
+        assert isinstance(run(publish(publication), self.platform), PublishSucceeded)
         self.service.start()
         self.until(
             lambda: all(p.dispatcher.share.has_grant for p in self.pools) and self.pools
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -295,7 +295,7 @@
 
 def test_quarantined_request_is_refused_without_queueing() -> None:
     harness = DispatcherHarness()
-    harness.quarantine.name(Fingerprint("f3"))
+    harness.quarantine.add_fingerprint(Fingerprint("f3"))
     (refusal,) = harness.submit_request(3)
     assert isinstance(refusal, Refuse)
     assert (refusal.reason, refusal.retry_after) == (Reason.QUARANTINED, None)
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -14,14 +14,14 @@
     WantedModel,
 )
 from damasklead.duties import (
-    KEPT_GENERATIONS,
-    MAX_LOADS,
-    LoadState,
+    MAX_CONCURRENT_LOADS,
+    RETAINED_GENERATIONS,
+    ModelLoadState,
     advance_generation,
+    delete_claims,
+    find_expired_claims,
     plan_loads,
     read_generation,
-    stale_claims,
-    sweep,
 )
 from damasklead.ids import (
     AttemptId,
@@ -50,36 +50,43 @@
     )
 
 
-def states(**loaded: str) -> dict[InstanceId, LoadState]:
+def states(**loaded: str) -> dict[InstanceId, ModelLoadState]:
     return {
-        InstanceId(name): LoadState(loaded=(model,) if model else ())
+        InstanceId(name): ModelLoadState(loaded=(model,) if model else ())
         for name, model in loaded.items()
     }
 
 
 def test_only_what_is_missing_is_ordered() -> None:
     known = states(a="m@2", b="", c="m@1")
-    orders = plan_loads(make_service(replicas=2), known, fencing=7, held_for=0.0)
+    orders = plan_loads(
+        make_service(replicas=2), known, fencing_token=7, held_seconds=0.0
+    )
     assert [(order.instance, order.fencing) for order in orders] == [("b", 7)]
-    done = plan_loads(make_service(replicas=1), known, fencing=7, held_for=0.0)
+    done = plan_loads(
+        make_service(replicas=1), known, fencing_token=7, held_seconds=0.0
+    )
     assert done == []
 
 
 def test_orders_under_way_are_bounded() -> None:
     known = states(**{f"e{number}": "" for number in range(8)})
     service = make_service(replicas=8)
-    assert len(plan_loads(service, known, fencing=1, held_for=0.0)) == MAX_LOADS
-    known[InstanceId("e0")] = LoadState(loading=("m@2",))
-    orders = plan_loads(service, known, fencing=1, held_for=0.0)
-    assert len(orders) == MAX_LOADS - 1
+    assert (
+        len(plan_loads(service, known, fencing_token=1, held_seconds=0.0))
+        == MAX_CONCURRENT_LOADS
+    )
+    known[InstanceId("e0")] = ModelLoadState(loading=("m@2",))
+    orders = plan_loads(service, known, fencing_token=1, held_seconds=0.0)
+    assert len(orders) == MAX_CONCURRENT_LOADS - 1
     assert all(order.instance != "e0" for order in orders)
 
 
 def test_without_fencing_a_new_holder_waits_the_old_one_out() -> None:
     service = make_service(replicas=1, checks_fencing=False)
     known = states(a="")
-    assert plan_loads(service, known, fencing=2, held_for=EXPIRY - 0.1) == []
-    assert len(plan_loads(service, known, fencing=2, held_for=EXPIRY)) == 1
+    assert plan_loads(service, known, fencing_token=2, held_seconds=EXPIRY - 0.1) == []
+    assert len(plan_loads(service, known, fencing_token=2, held_seconds=EXPIRY)) == 1
 
 
 def test_settled_claims_are_swept_after_their_generations() -> None:
@@ -103,8 +110,8 @@
         put = Put(table=CLAIMS_TABLE, key=f"w/{key}", value=msgspec.json.encode(claim))
         platform.tables.commit(Commit(conditions=(), writes=(put,)))
     rows = platform.tables.scan(CLAIMS_TABLE).unwrap()
-    stale = stale_claims(rows, KEPT_GENERATIONS + 1)
-    assert run(sweep(stale), platform) == 1
+    stale = find_expired_claims(rows, RETAINED_GENERATIONS + 1)
+    assert run(delete_claims(stale), platform) == 1
     left = [row.key for row in platform.tables.scan(CLAIMS_TABLE).unwrap()]
     assert left == ["w/open", "w/running", "w/young"]
 
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -16,10 +16,10 @@
 
 from damasklead.audit import AuditEvent
 from damasklead.claims import (
-    Acquired,
     Claim,
+    ClaimAcquired,
     ClaimState,
-    StoreDown,
+    ClaimUnconfirmed,
     abandon,
     acquire,
     resolve,
@@ -33,7 +33,7 @@
     ConfigurationHolder,
     Publication,
     PublishConflict,
-    Published,
+    PublishSucceeded,
     decode_manifest,
     fetch,
     publish,
@@ -104,13 +104,13 @@
 
     def _finish(self, attempt: Attempt, result: object) -> None:
         attempt.task = None
-        if attempt.phase == "acquiring" and isinstance(result, Acquired):
+        if attempt.phase == "acquiring" and isinstance(result, ClaimAcquired):
             attempt.phase, attempt.version = "holding", result.version
         elif attempt.phase == "acquiring":
             # No upstream has seen it, whatever the store says later.
-            attempt.told_not_run = isinstance(result, StoreDown)
+            attempt.told_not_run = isinstance(result, ClaimUnconfirmed)
             attempt.phase = "ended"
-            if isinstance(result, StoreDown) and result.maybe_written:
+            if isinstance(result, ClaimUnconfirmed) and result.maybe_written:
                 attempt.phase = "abandoning"
                 attempt.task = Task(abandon(attempt.claim))
         elif result is False and attempt.phase == "abandoning":
@@ -142,15 +142,15 @@
         attempt = self.attempts[index % len(self.attempts)]
         attempt.task, attempt.phase = None, "ended"
 
-    @precondition(lambda self: self.store.late)
+    @precondition(lambda self: self.store.late_commits)
     @rule(index=st.integers(0, 1000))
     def land(self, index: int) -> None:
-        self.store.land(index)
+        self.store.apply_late_commit(index)
 
     @rule(key=st.sampled_from(KEYS))
     def operator_settles_what_ran(self, key: str) -> None:
         event = AuditEvent(id="e", at=0.0, who="op", action="resolve", subject=key)
-        run(resolve(f"w/{key}", ran=True, event=event), self.store.platform)
+        run(resolve(f"w/{key}", executed=True, event=event), self.store.platform)
 
     @invariant()
     def runs_at_most_once(self) -> None:
@@ -165,8 +165,8 @@
 
     def teardown(self) -> None:
         """Whoever was told not-run can have the order run once the store is well."""
-        while self.store.late:
-            self.store.land(0)
+        while self.store.late_commits:
+            self.store.apply_late_commit(0)
         for attempt in self._open("abandoning"):
             assert run(abandon(attempt.claim), self.store.platform)
         for attempt in self._open("settling"):
@@ -215,17 +215,17 @@
     def advance(self, seconds: float) -> None:
         self.clock.advance(seconds)
 
-    @precondition(lambda self: self.store.late)
+    @precondition(lambda self: self.store.late_commits)
     @rule(index=st.integers(0, 1000))
     def land(self, index: int) -> None:
-        self.store.land(index)
+        self.store.apply_late_commit(index)
 
     @invariant()
     def one_holder(self) -> None:
         held = [
-            (number, keeper.fencing)
+            (number, keeper.fencing_token)
             for number, keeper in enumerate(self.keepers)
-            if keeper.fencing is not None
+            if keeper.fencing_token is not None
         ]
         assert len(held) <= 1, held
         for number, fencing in held:
@@ -293,24 +293,24 @@
         if self.tasks[name].done:
             self.results[name] = self.tasks[name].result
 
-    @precondition(lambda self: self.store.late)
+    @precondition(lambda self: self.store.late_commits)
     @rule(index=st.integers(0, 1000))
     def land(self, index: int) -> None:
-        self.store.land(index)
+        self.store.apply_late_commit(index)
 
     @rule(number=st.integers(0, 1))
     def follow(self, number: int) -> None:
         row = run(read_manifest(), self.store.platform)
         if isinstance(row, Row):
             manifest = decode_manifest(row)
-            files = run(fetch(manifest, known={}), self.store.platform)
+            files = run(fetch(manifest, texts_by_digest={}), self.store.platform)
             assert files is not None
-            self.holders[number].offer(files, version=manifest.version)
+            self.holders[number].activate_if_newer(files, version=manifest.version)
 
     @rule(number=st.integers(0, 1))
     def hear_peer(self, number: int) -> None:
         peer = self.holders[1 - number]
-        self.holders[number].offer(peer.files, version=peer.version)
+        self.holders[number].activate_if_newer(peer.files, version=peer.version)
 
     @rule(number=st.integers(0, 1))
     def restart(self, number: int) -> None:
@@ -330,7 +330,7 @@
         published = [item.publication for item in history]
         assert len(set(published)) == len(published)
         for name, result in self.results.items():
-            if isinstance(result, Published):
+            if isinstance(result, PublishSucceeded):
                 assert published[result.version - 1] == name
             if isinstance(result, PublishConflict):
                 assert name not in published
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -8,7 +8,7 @@
 from damasklead.audit import AuditEvent
 from damasklead.clock import ManualClock
 from damasklead.ids import Incarnation, InstanceId
-from damasklead.leases import EXPIRY, HOLD, LeaseKeeper
+from damasklead.leases import EXPIRY, RENEW_DEADLINE_SECONDS, LeaseKeeper
 from damasklead.protocol import run
 from tests.faulty import Fault, FaultyStore, Task
 
@@ -43,15 +43,17 @@
 ) -> None:
     first, second = make_keeper("a", clock), make_keeper("b", clock)
     run(first.poll(), store.platform)
-    assert first.fencing == 1
+    assert first.fencing_token == 1
     run(second.poll(), store.platform)
     clock.advance(EXPIRY - 0.1)
     run(second.poll(), store.platform)
-    assert second.fencing is None
-    assert first.fencing is None, "the holder stops by itself before it is followed"
+    assert second.fencing_token is None
+    assert first.fencing_token is None, (
+        "the holder stops by itself before it is followed"
+    )
     clock.advance(0.2)
     run(second.poll(), store.platform)
-    assert second.fencing == 2
+    assert second.fencing_token == 2
 
 
 def test_a_lease_given_back_is_free_at_once(
@@ -60,9 +62,9 @@
     first, second = make_keeper("a", clock), make_keeper("b", clock)
     run(first.poll(), store.platform)
     run(first.release(), store.platform)
-    assert first.fencing is None
+    assert first.fencing_token is None
     run(second.poll(), store.platform)
-    assert second.fencing == 2
+    assert second.fencing_token == 2
 
 
 def test_a_renewal_that_landed_unseen_counts_from_its_first_try(
@@ -76,11 +78,11 @@
     renewal.step(store, Fault.LOST_AFTER)
     renewal.step(store, Fault.DOWN)
     run(second.poll(), store.platform)
-    clock.advance(HOLD - 1.5)
+    clock.advance(RENEW_DEADLINE_SECONDS - 1.5)
     run(first.poll(), store.platform)
-    clock.advance(EXPIRY - HOLD + 2.0)
+    clock.advance(EXPIRY - RENEW_DEADLINE_SECONDS + 2.0)
     run(second.poll(), store.platform)
-    assert first.fencing is None or second.fencing is None
+    assert first.fencing_token is None or second.fencing_token is None
 
 
 @pytest.mark.parametrize("fault", [Fault.LOST_AFTER, Fault.TWICE])
@@ -93,4 +95,4 @@
     task.step(store, fault)
     while not task.done:
         task.step(store, Fault.NONE)
-    assert keeper.fencing == 1
+    assert keeper.fencing_token == 1
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -9,7 +9,7 @@
 
 from damasklead.clock import ManualClock
 from damasklead.ids import Fingerprint, Incarnation, InstanceId
-from damasklead.quarantine import MAX_CRASHES, NOTICE_SECONDS, Quarantine
+from damasklead.quarantine import MAX_CRASHES, PROPAGATION_SECONDS, Quarantine
 
 POISON = Fingerprint("poison")
 
@@ -32,7 +32,9 @@
         self.random = random.Random(seed)
 
     def choose(self, entry: int, fingerprint: Fingerprint) -> InstanceId | None:
-        allowed = self.quarantines[entry].may_run_on(fingerprint, self.replicas)
+        allowed = self.quarantines[entry].get_allowed_replicas(
+            fingerprint, self.replicas
+        )
         return self.random.choice(sorted(allowed)) if allowed else None
 
     def run_poison(self, entry: int, beside: int) -> bool:
@@ -53,17 +55,19 @@
             if number == entry:
                 own.add(POISON)
             for other in self.quarantines:
-                other.observe_crash(replica, incarnation, frozenset(own))
+                other.record_crash(replica, incarnation, frozenset(own))
         return True
 
     def pass_time(self) -> None:
-        self.clock.advance(NOTICE_SECONDS)
+        self.clock.advance(PROPAGATION_SECONDS)
         named = {
-            item for quarantine in self.quarantines for item in quarantine.decide()
+            item
+            for quarantine in self.quarantines
+            for item in quarantine.identify_culprits()
         }
         for quarantine in self.quarantines:
             for item in named:
-                quarantine.name(item)
+                quarantine.add_fingerprint(item)
 
 
 @pytest.mark.parametrize("seed", range(30))
@@ -72,48 +76,48 @@
     fleet = Fleet(entries=8, replicas=6, seed=seed)
     for _ in range(20):
         entry = fleet.random.randrange(8)
-        if fleet.quarantines[entry].is_named(POISON):
+        if fleet.quarantines[entry].is_quarantined(POISON):
             break
         fleet.run_poison(entry, beside=10)
         fleet.pass_time()
-    assert all(quarantine.is_named(POISON) for quarantine in fleet.quarantines)
+    assert all(quarantine.is_quarantined(POISON) for quarantine in fleet.quarantines)
     assert fleet.crashes <= MAX_CRASHES
 
 
 def test_one_that_ends_well_is_no_suspect() -> None:
     quarantine = Quarantine(clock=ManualClock())
-    quarantine.observe_crash(InstanceId("r"), Incarnation(1), fingerprints("a", "b"))
-    quarantine.clear(Fingerprint("a"))
+    quarantine.record_crash(InstanceId("r"), Incarnation(1), fingerprints("a", "b"))
+    quarantine.record_success(Fingerprint("a"))
     assert not quarantine.is_suspect(Fingerprint("a"))
     assert quarantine.is_suspect(Fingerprint("b"))
 
 
 def test_a_crash_that_was_none_is_taken_back() -> None:
     quarantine = Quarantine(clock=ManualClock())
-    quarantine.observe_crash(InstanceId("r"), Incarnation(1), fingerprints("a"))
-    quarantine.retract(InstanceId("r"), Incarnation(1))
+    quarantine.record_crash(InstanceId("r"), Incarnation(1), fingerprints("a"))
+    quarantine.retract_crash(InstanceId("r"), Incarnation(1))
     assert not quarantine.is_suspect(Fingerprint("a"))
 
 
 def test_a_release_is_taken_once() -> None:
     quarantine = Quarantine(clock=ManualClock())
-    assert quarantine.name(POISON)
-    assert quarantine.release(POISON, number=1)
-    quarantine.name(POISON)
-    assert not quarantine.release(POISON, number=1)
-    assert quarantine.is_named(POISON)
+    assert quarantine.add_fingerprint(POISON)
+    assert quarantine.release_fingerprint(POISON, number=1)
+    quarantine.add_fingerprint(POISON)
+    assert not quarantine.release_fingerprint(POISON, number=1)
+    assert quarantine.is_quarantined(POISON)
 
 
 def test_naming_waits_until_all_entries_have_told() -> None:
     clock = ManualClock()
     quarantine = Quarantine(clock=clock)
     crash = (InstanceId("r"), Incarnation(1))
-    quarantine.observe_crash(*crash, fingerprints("a", "poison"))
-    clock.advance(NOTICE_SECONDS)
-    assert quarantine.decide() == []
+    quarantine.record_crash(*crash, fingerprints("a", "poison"))
+    clock.advance(PROPAGATION_SECONDS)
+    assert quarantine.identify_culprits() == []
     again = (InstanceId("s"), Incarnation(1))
-    quarantine.observe_crash(*again, fingerprints("a"))
-    assert quarantine.decide() == []
-    quarantine.observe_crash(*again, fingerprints("poison"))
-    clock.advance(NOTICE_SECONDS)
-    assert quarantine.decide() == [], "two suspects are not told apart yet"
+    quarantine.record_crash(*again, fingerprints("a"))
+    assert quarantine.identify_culprits() == []
+    quarantine.record_crash(*again, fingerprints("poison"))
+    clock.advance(PROPAGATION_SECONDS)
+    assert quarantine.identify_culprits() == [], "two suspects are not told apart yet"
