--- a/tests/test_gateway_broadcasts.py
+++ b/tests/test_gateway_broadcasts.py
@@ -32,7 +32,7 @@
 from damasklead.gateway.routing import Route, RouteName, RoutingTable
 from damasklead.ids import Fingerprint, InstanceId
 from tests.gatewaykit import SERVICE, make_position, make_table
-from tests.test_gateway_parts import gone, row
+from tests.test_gateway_parts import make_removed_row, make_row
 
 STEP_SECONDS = 0.05
 # Time within which a change must be in force at every gateway.
@@ -55,11 +55,11 @@
 
     def write(self, instance: str, **changes: object) -> None:
         self._increment_version()
-        self.rows.append(row(instance, self.version, **changes))
+        self.rows.append(make_row(instance, self.version, **changes))
 
     def remove(self, instance: str) -> None:
         self._increment_version()
-        self.rows.append(gone(instance, self.version))
+        self.rows.append(make_removed_row(instance, self.version))
 
     def publish_configuration(self, **changes: object) -> int:
         self._increment_version()
--- a/tests/test_gateway_coordination.py
+++ b/tests/test_gateway_coordination.py
@@ -56,7 +56,7 @@
 from damasklead.ids import AttemptId, DataCentre, InstanceId
 from damasklead.loop import LoopClock
 from tests.gatewaykit import SERVICE, make_table
-from tests.test_gateway_parts import CHAT, REVIEW, make_call, record
+from tests.test_gateway_parts import CHAT, REVIEW, make_call, make_record
 
 QUOTE = msgspec.structs.replace(REVIEW, name="quote", tier=1, target=0.5)
 LOW_PRIORITY = msgspec.structs.replace(REVIEW, tier=2, target=1.5, timeout=5.0)
@@ -71,7 +71,7 @@
 def make_engines(count: int, *data_centres: str) -> list[UpstreamRecord]:
     data_centres = data_centres or ("hout",)
     return [
-        record(
+        make_record(
             f"e{number}",
             address=f"127.0.0.1:{number + 1}",
             data_centre=DataCentre(data_centres[number % len(data_centres)]),
--- a/tests/test_gateway_partplaces.py
+++ b/tests/test_gateway_partplaces.py
@@ -18,7 +18,13 @@
 from damasklead.ids import DataCentre, InstanceId
 from damasklead.util import hash_name
 from tests.gatewaykit import SERVICE
-from tests.test_gateway_parts import CHAT, HERE, REVIEW, make_call, record
+from tests.test_gateway_parts import (
+    CHAT,
+    LOCAL_DATA_CENTRE,
+    REVIEW,
+    make_call,
+    make_record,
+)
 
 PARTS = (
     PromptPart("contract", 2500),
@@ -47,7 +53,7 @@
         )
         self.placement.configure(service, [CHAT, REVIEW])
         self.placement.update_replicas(
-            record(f"e{number}", address=f"127.0.0.1:{number + 1}")
+            make_record(f"e{number}", address=f"127.0.0.1:{number + 1}")
             for number in range(9)
         )
 
@@ -88,7 +94,7 @@
     cell = Cell(clock)
     engine, _ = cell.send(review("r1"))
     records = [
-        record(
+        make_record(
             f"e{number}",
             address=f"127.0.0.1:{number + 1}",
             incarnation=2 if f"e{number}" == engine else 1,
@@ -105,7 +111,7 @@
     cell = Cell(clock)
     engine, _ = cell.send(review("r1"))
     cell.placement.update_replicas(
-        record(f"e{number}") for number in range(9) if f"e{number}" != engine
+        make_record(f"e{number}") for number in range(9) if f"e{number}" != engine
     )
     chosen, source = cell.send(review("r2"))
     assert chosen != engine and source is None
@@ -156,9 +162,11 @@
 
 def test_a_request_with_unknown_parts_stays_in_its_data_centre() -> None:
     clock = ManualClock()
-    cell = Cell(clock, centre=str(HERE))
+    cell = Cell(clock, centre=str(LOCAL_DATA_CENTRE))
     cell.placement.update_replicas(
-        record(f"e{number}", data_centre=DataCentre(("hout", "mossel")[number % 2]))
+        make_record(
+            f"e{number}", data_centre=DataCentre(("hout", "mossel")[number % 2])
+        )
         for number in range(10)
     )
     centres = set()
@@ -169,7 +177,7 @@
         chosen = cell.placement.choose_replica(call)
         assert chosen is not None
         centres.add(chosen.data_centre)
-    assert centres == {HERE}
+    assert centres == {LOCAL_DATA_CENTRE}
 
 
 def test_the_prefill_estimate_excludes_parts_that_any_engine_has_cached() -> None:
@@ -178,6 +186,6 @@
     engine, _ = cell.send(review("r1"))
     assert cell.placement.estimate_prefill_seconds(review("r2")) < uncached / 2
     cell.placement.update_replicas(
-        record(f"e{number}") for number in range(9) if f"e{number}" != engine
+        make_record(f"e{number}") for number in range(9) if f"e{number}" != engine
     )
     assert cell.placement.estimate_prefill_seconds(review("r3")) == uncached
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -40,58 +40,64 @@
 from damasklead.ids import AttemptId, DataCentre, InstanceId, ServiceName
 from tests.gatewaykit import IDEMPOTENT, SERVICE, make_position, make_table
 
-HERE = DataCentre("hout")
+LOCAL_DATA_CENTRE = DataCentre("hout")
 
 
-def record(name: str, **changes: object) -> UpstreamRecord:
+def make_record(name: str, **changes: object) -> UpstreamRecord:
     content: dict = {
         "instance": InstanceId(name),
         "service": SERVICE,
         "address": "127.0.0.1:1",
-        "data_centre": HERE,
+        "data_centre": LOCAL_DATA_CENTRE,
         "state": UpstreamState.LIVE,
         "incarnation": 1,
     }
     return UpstreamRecord(**(content | changes))
 
 
-def row(name: str, version: int, *, era: int = 0, **changes: object) -> ListedRow:
+def make_row(name: str, version: int, *, era: int = 0, **changes: object) -> ListedRow:
     return ListedRow(
         instance=InstanceId(name),
         position=make_position(version, era=era),
-        record=record(name, **changes),
+        record=make_record(name, **changes),
     )
 
 
-def gone(name: str, version: int, *, era: int = 0) -> ListedRow:
+def make_removed_row(name: str, version: int, *, era: int = 0) -> ListedRow:
     position = make_position(version, era=era)
     return ListedRow(instance=InstanceId(name), position=position, record=None)
 
 
-def names(directory: UpstreamDirectory) -> list[str]:
+def get_eligible_names(directory: UpstreamDirectory) -> list[str]:
     return [item.instance for item in directory.get_eligible_records(SERVICE)]
 
 
 class TestDirectory:
     def test_leaving_and_removed_replicas_get_no_work(self) -> None:
         directory = UpstreamDirectory(clock=ManualClock())
-        directory.apply_rows([row("a", 1), row("b", 2), row("c", 3)], whole=True)
-        directory.apply_rows([row("a", 4, state=UpstreamState.LEAVING)], whole=False)
-        directory.apply_rows([gone("b", 5)], whole=False)
-        assert names(directory) == ["c"]
+        directory.apply_rows(
+            [make_row("a", 1), make_row("b", 2), make_row("c", 3)], whole=True
+        )
+        directory.apply_rows(
+            [make_row("a", 4, state=UpstreamState.LEAVING)], whole=False
+        )
+        directory.apply_rows([make_removed_row("b", 5)], whole=False)
+        assert get_eligible_names(directory) == ["c"]
 
     def test_leaving_is_final_until_the_replica_starts_again(self) -> None:
         directory = UpstreamDirectory(clock=ManualClock())
-        directory.apply_rows([row("a", 1, state=UpstreamState.LEAVING)], whole=True)
-        directory.apply_rows([row("a", 2)], whole=False)
-        assert names(directory) == []
-        directory.apply_rows([row("a", 3, incarnation=2)], whole=False)
-        assert names(directory) == ["a"]
+        directory.apply_rows(
+            [make_row("a", 1, state=UpstreamState.LEAVING)], whole=True
+        )
+        directory.apply_rows([make_row("a", 2)], whole=False)
+        assert get_eligible_names(directory) == []
+        directory.apply_rows([make_row("a", 3, incarnation=2)], whole=False)
+        assert get_eligible_names(directory) == ["a"]
 
     def test_an_older_entry_does_not_replace_a_newer_one(self) -> None:
         directory = UpstreamDirectory(clock=ManualClock())
-        directory.apply_rows([row("a", 7, address="127.0.0.1:7")], whole=True)
-        directory.apply_rows([row("a", 6, address="127.0.0.1:6")], whole=False)
+        directory.apply_rows([make_row("a", 7, address="127.0.0.1:7")], whole=True)
+        directory.apply_rows([make_row("a", 6, address="127.0.0.1:6")], whole=False)
         assert directory.get_eligible_records(SERVICE)[0].address == "127.0.0.1:7"
 
     def test_entries_that_lapsed_in_an_outage_are_kept_until_they_may_be_back(
@@ -99,64 +105,70 @@
     ) -> None:
         clock = ManualClock()
         directory = UpstreamDirectory(clock=clock)
-        directory.apply_rows([row("a", 1), row("b", 2)], whole=True)
+        directory.apply_rows([make_row("a", 1), make_row("b", 2)], whole=True)
         directory.mark_list_unreachable()
         clock.advance(5.0)
         directory.mark_list_reachable()
-        directory.apply_rows([gone("a", 3), gone("b", 4)], whole=False)
-        assert names(directory) == ["a", "b"]
+        directory.apply_rows(
+            [make_removed_row("a", 3), make_removed_row("b", 4)], whole=False
+        )
+        assert get_eligible_names(directory) == ["a", "b"]
         clock.advance(1.0)
-        directory.apply_rows([row("a", 5)], whole=False)
+        directory.apply_rows([make_row("a", 5)], whole=False)
         clock.advance(1.5)
         directory.drop_expired()
-        assert names(directory) == ["a"]
+        assert get_eligible_names(directory) == ["a"]
 
     def test_a_removal_long_after_an_outage_counts_at_once(self) -> None:
         clock = ManualClock()
         directory = UpstreamDirectory(clock=clock)
-        directory.apply_rows([row("a", 1), row("b", 2)], whole=True)
+        directory.apply_rows([make_row("a", 1), make_row("b", 2)], whole=True)
         directory.mark_list_unreachable()
         directory.mark_list_reachable()
         clock.advance(3.0)
-        directory.apply_rows([gone("a", 3)], whole=False)
-        assert names(directory) == ["b"]
+        directory.apply_rows([make_removed_row("a", 3)], whole=False)
+        assert get_eligible_names(directory) == ["b"]
 
     def test_a_drain_during_an_outage_counts_at_once(self) -> None:
         directory = UpstreamDirectory(clock=ManualClock())
-        directory.apply_rows([row("a", 1), row("b", 2)], whole=True)
+        directory.apply_rows([make_row("a", 1), make_row("b", 2)], whole=True)
         directory.mark_list_unreachable()
         directory.mark_list_reachable()
-        rows = [row("a", 3, state=UpstreamState.LEAVING), row("b", 2)]
+        rows = [make_row("a", 3, state=UpstreamState.LEAVING), make_row("b", 2)]
         directory.apply_rows(rows, whole=True)
-        assert names(directory) == ["b"]
+        assert get_eligible_names(directory) == ["b"]
 
     def test_replicas_that_are_gone_are_forgotten_in_the_end(self) -> None:
         directory = UpstreamDirectory(clock=ManualClock())
-        directory.apply_rows([row("a", 1)], whole=True)
+        directory.apply_rows([make_row("a", 1)], whole=True)
         for number in range(MAX_REMEMBERED_REPLICAS + 10):
-            directory.apply_rows([row(f"x{number}", 2 * number + 2)], whole=False)
-            directory.apply_rows([gone(f"x{number}", 2 * number + 3)], whole=False)
+            directory.apply_rows([make_row(f"x{number}", 2 * number + 2)], whole=False)
+            directory.apply_rows(
+                [make_removed_row(f"x{number}", 2 * number + 3)], whole=False
+            )
         assert len(directory._positions) <= MAX_REMEMBERED_REPLICAS + 1
         assert len(directory._removals) <= MAX_REMEMBERED_REPLICAS
-        assert names(directory) == ["a"]
+        assert get_eligible_names(directory) == ["a"]
 
     def test_so_are_those_that_were_listed_as_leaving(self) -> None:
         directory = UpstreamDirectory(clock=ManualClock())
         for number in range(MAX_REMEMBERED_REPLICAS + 10):
-            leaving = row(f"x{number}", 2 * number, state=UpstreamState.LEAVING)
+            leaving = make_row(f"x{number}", 2 * number, state=UpstreamState.LEAVING)
             directory.apply_rows([leaving], whole=False)
-            directory.apply_rows([gone(f"x{number}", 2 * number + 1)], whole=False)
+            directory.apply_rows(
+                [make_removed_row(f"x{number}", 2 * number + 1)], whole=False
+            )
         assert len(directory._departed) <= MAX_REMEMBERED_REPLICAS
 
     def test_a_replica_whose_address_another_one_has_gets_no_work(self) -> None:
         directory = UpstreamDirectory(clock=ManualClock())
-        directory.apply_rows([row("a", 1)], whole=True)
+        directory.apply_rows([make_row("a", 1)], whole=True)
         assert directory.mark_departed(InstanceId("a"), 1)
         assert not directory.mark_departed(InstanceId("a"), 1)
-        assert names(directory) == []
+        assert get_eligible_names(directory) == []
 
 
-def read_plan(clock: ManualClock) -> ReadPlan:
+def make_read_plan(clock: ManualClock) -> ReadPlan:
     return ReadPlan(
         name=ListName.ROUTING,
         clock=clock,
@@ -187,7 +199,9 @@
         return result
 
 
-def changes(*items: object, cursor: int, whole: bool = False, era: int = 0) -> Changes:
+def make_changes(
+    *items: object, cursor: int, whole: bool = False, era: int = 0
+) -> Changes:
     return Changes(
         items=list(items), whole=whole, cursor=make_position(cursor, era=era)
     )
@@ -198,7 +212,7 @@
         feed = ScriptedFeed(*results)
         follower = ConfigurationFollower(
             feed=lambda: feed,
-            plan=read_plan(ManualClock()),
+            plan=make_read_plan(ManualClock()),
             clock=ManualClock(),
             journal=Journal(instance="g"),
             on_change=lambda table: None,
@@ -207,9 +221,9 @@
 
     def test_versions_only_go_up(self) -> None:
         follower, _ = self.follower(
-            changes(make_table(5), cursor=10, whole=True),
-            changes(make_table(3), cursor=11),
-            changes(make_table(8), make_table(7), cursor=12),
+            make_changes(make_table(5), cursor=10, whole=True),
+            make_changes(make_table(3), cursor=11),
+            make_changes(make_table(8), make_table(7), cursor=12),
         )
         versions = []
         for _ in range(3):
@@ -225,10 +239,10 @@
         self, fault: FeedFault
     ) -> None:
         follower, feed = self.follower(
-            changes(make_table(5), cursor=10, whole=True),
+            make_changes(make_table(5), cursor=10, whole=True),
             FeedError(fault, "test"),
-            changes(make_table(6), cursor=30, whole=True),
-            changes(cursor=31),
+            make_changes(make_table(6), cursor=30, whole=True),
+            make_changes(cursor=31),
         )
         for _ in range(4):
             follower.poll_once()
@@ -238,10 +252,10 @@
     def test_an_outage_keeps_the_configuration_and_the_place(self) -> None:
         lost = FeedError(FeedFault.UNREACHABLE, "test")
         follower, feed = self.follower(
-            changes(make_table(5), cursor=10, whole=True),
+            make_changes(make_table(5), cursor=10, whole=True),
             lost,
             lost,
-            changes(cursor=11),
+            make_changes(cursor=11),
         )
         pauses = [follower.poll_once() for _ in range(4)]
         assert feed.calls == ["read", 10, 10, 10]
@@ -252,22 +266,22 @@
         clock = ManualClock()
         directory = UpstreamDirectory(clock=clock)
         feed = ScriptedFeed(
-            changes(row("a", 1), cursor=1, whole=True),
+            make_changes(make_row("a", 1), cursor=1, whole=True),
             FeedError(FeedFault.REFUSED, "test"),
-            changes(gone("a", 2), cursor=2),
+            make_changes(make_removed_row("a", 2), cursor=2),
         )
         heard: list[int] = []
         follower = UpstreamFollower(
             feed=lambda: feed,
-            plan=read_plan(clock),
+            plan=make_read_plan(clock),
             clock=clock,
             journal=Journal(instance="g"),
             directory=directory,
-            on_change=lambda: heard.append(len(names(directory))),
+            on_change=lambda: heard.append(len(get_eligible_names(directory))),
         )
         for _ in range(3):
             follower.poll_once()
-        assert names(directory) == ["a"]
+        assert get_eligible_names(directory) == ["a"]
         clock.advance(3.0)
         follower.expire()
         assert heard[-1] == 0
@@ -361,7 +375,7 @@
         placement = PlainPlacement(
             service=ServiceSpec(name=SERVICE, max_connections=10),
             clock=self.clock,
-            data_centre=HERE,
+            data_centre=LOCAL_DATA_CENTRE,
         )
         placement.update_replicas(records)
         return placement
@@ -369,7 +383,7 @@
     def test_requests_spread_over_near_replicas_first(self) -> None:
         far = DataCentre("mossel")
         placement = self.placement(
-            record("a"), record("b"), record("c", data_centre=far)
+            make_record("a"), make_record("b"), make_record("c", data_centre=far)
         )
         chosen = []
         for number in range(3):
@@ -381,7 +395,7 @@
         assert sorted(chosen[:2]) == ["a", "b"] and chosen[2] == "c"
 
     def test_a_failed_replica_is_avoided_for_a_while(self) -> None:
-        placement = self.placement(record("a"), record("b"))
+        placement = self.placement(make_record("a"), make_record("b"))
         call = make_call("q", IDEMPOTENT)
         for _ in range(3):
             placement.record_failure(InstanceId("a"), call, Failure.BROKEN)
@@ -391,7 +405,7 @@
         assert {item.instance for item in found if item} == {"b"}
 
     def test_a_replica_that_fails_for_very_long_is_still_counted(self) -> None:
-        placement = self.placement(record("a"))
+        placement = self.placement(make_record("a"))
         for _ in range(1200):
             placement.record_failure(
                 InstanceId("a"), make_call("q", IDEMPOTENT), Failure.BROKEN
@@ -400,7 +414,7 @@
         assert placement.choose_replica(make_call("r", IDEMPOTENT)) is not None
 
     def test_a_silent_replica_is_avoided(self) -> None:
-        placement = self.placement(record("a"), record("b"))
+        placement = self.placement(make_record("a"), make_record("b"))
         for number in range(4):
             placement.record_sent(InstanceId("a"), make_call(f"q{number}", IDEMPOTENT))
         for number in range(9):
@@ -411,13 +425,13 @@
         assert found is not None and found.instance == "b"
 
     def test_other_gateways_requests_count_by_the_replicas_own_word(self) -> None:
-        placement = self.placement(record("a"), record("b"))
+        placement = self.placement(make_record("a"), make_record("b"))
         placement.record_response_head(InstanceId("a"), LoadHint(6, 4, 6))
         found = placement.choose_replica(make_call("s", IDEMPOTENT))
         assert found is not None and found.instance == "b"
 
 
-def load(placement: EnginePlacement, instance: InstanceId, tokens: int) -> None:
+def add_prefill(placement: EnginePlacement, instance: InstanceId, tokens: int) -> None:
     """Give an engine a prompt to read."""
     placement.record_sent(
         instance, make_call(f"x-{instance}-{tokens}", REVIEW, tokens=tokens)
@@ -432,9 +446,11 @@
             max_connections=100,
             engine=EngineSpec(slots=64, memory_tokens=100_000, tokens_per_event=4),
         )
-        placement = EnginePlacement(service=service, clock=self.clock, data_centre=HERE)
+        placement = EnginePlacement(
+            service=service, clock=self.clock, data_centre=LOCAL_DATA_CENTRE
+        )
         placement.configure(service, [CHAT, REVIEW])
-        placement.update_replicas(record(f"e{number}") for number in range(count))
+        placement.update_replicas(make_record(f"e{number}") for number in range(count))
         return placement
 
     def test_tight_streams_run_apart_from_long_prompts(self) -> None:
@@ -516,9 +532,9 @@
         assert first is not None and placement.has_capacity_for(call)
         for instance in placement.eligible_instances:
             if instance not in placement.reserved_instances:
-                load(placement, instance, 38_000)
+                add_prefill(placement, instance, 38_000)
         assert not placement.has_capacity_for(call)
-        load(placement, first.instance, 58_000)
+        add_prefill(placement, first.instance, 58_000)
         other = placement.choose_replica(call)
         assert other is not None and other.instance != first.instance
 
@@ -529,7 +545,7 @@
         placement = self.placement()
         placement.configure(placement.service, [CHAT, quote, review])
         for instance in placement.eligible_instances:
-            load(placement, instance, 19_200)
+            add_prefill(placement, instance, 19_200)
         late_quote = make_call("q", quote, tokens=1800)
         self.clock.advance(1.0)
         assert placement.bypasses_queue(late_quote)
@@ -542,7 +558,7 @@
         placement.configure(placement.service, [plain])
         assert not placement.reserved_instances
         for instance in placement.eligible_instances:
-            load(placement, instance, 6400)
+            add_prefill(placement, instance, 6400)
         assert placement.has_capacity_for(make_call("r", plain, tokens=1800))
 
 
--- a/tests/test_gateway_replica_trouble.py
+++ b/tests/test_gateway_replica_trouble.py
@@ -39,7 +39,7 @@
     wait_until,
 )
 from tests.test_gateway_answers import make_harness, respond
-from tests.test_gateway_parts import gone, names, row
+from tests.test_gateway_parts import get_eligible_names, make_removed_row, make_row
 
 ReplicaScript = Callable[[ScriptedReplica, object], None]
 
@@ -120,21 +120,21 @@
 
     def test_leaving_persists_when_the_list_entry_is_removed_and_added(self) -> None:
         directory = UpstreamDirectory(clock=ManualClock())
-        directory.apply_rows([row("a", 1), row("b", 2)], whole=True)
+        directory.apply_rows([make_row("a", 1), make_row("b", 2)], whole=True)
         assert directory.mark_departed(InstanceId("a"), 1)
-        directory.apply_rows([gone("a", 3)], whole=False)
-        directory.apply_rows([row("a", 4)], whole=False)
-        assert names(directory) == ["b"]
-        directory.apply_rows([row("a", 5, incarnation=2)], whole=False)
-        assert names(directory) == ["a", "b"]
+        directory.apply_rows([make_removed_row("a", 3)], whole=False)
+        directory.apply_rows([make_row("a", 4)], whole=False)
+        assert get_eligible_names(directory) == ["b"]
+        directory.apply_rows([make_row("a", 5, incarnation=2)], whole=False)
+        assert get_eligible_names(directory) == ["a", "b"]
 
     def test_leaving_is_reported_to_a_starting_gateway(self) -> None:
         directory = UpstreamDirectory(clock=ManualClock())
-        directory.apply_rows([row("a", 1), row("b", 2)], whole=True)
+        directory.apply_rows([make_row("a", 1), make_row("b", 2)], whole=True)
         directory.mark_departed(InstanceId("a"), 1)
         other_directory = UpstreamDirectory(clock=ManualClock())
         other_directory.apply_rows(directory.list_rows(), whole=False)
-        assert names(other_directory) == ["b"]
+        assert get_eligible_names(other_directory) == ["b"]
         assert other_directory.list_rows()[0].record.state is UpstreamState.LEAVING
 
     def test_departures_are_reported_to_other_gateways_for_a_time(self) -> None:
--- a/tests/test_gateway_restored_store.py
+++ b/tests/test_gateway_restored_store.py
@@ -20,7 +20,7 @@
 from damasklead.gateway.reading import ListName
 from tests.gatewaykit import make_position
 from tests.test_gateway_broadcasts import Fleet
-from tests.test_gateway_parts import gone, names, row
+from tests.test_gateway_parts import get_eligible_names, make_removed_row, make_row
 
 BACKUP_AGE_SECONDS = 3.0
 # How long the store is unreachable before it is restored.
@@ -161,60 +161,68 @@
     def directory(self) -> tuple[UpstreamDirectory, ManualClock]:
         clock = ManualClock(start=50.0)
         directory = UpstreamDirectory(clock=clock)
-        directory.apply_rows([row("a", 10, era=1), row("b", 20, era=1)], whole=True)
+        directory.apply_rows(
+            [make_row("a", 10, era=1), make_row("b", 20, era=1)], whole=True
+        )
         return directory, clock
 
     def test_a_lower_version_of_a_newer_era_counts(self) -> None:
         directory, _ = self.directory()
         directory.mark_store_restored(make_position(12, era=2))
-        leaving = row("b", 13, era=2, state=UpstreamState.LEAVING)
+        leaving = make_row("b", 13, era=2, state=UpstreamState.LEAVING)
         directory.apply_rows([leaving], whole=False)
-        assert names(directory) == ["a"]
+        assert get_eligible_names(directory) == ["a"]
 
     def test_a_removed_replica_that_was_leaving_is_not_used_although_the_backup_has_it(
         self,
     ) -> None:
         directory, clock = self.directory()
-        leaving = row("a", 30, era=1, state=UpstreamState.LEAVING)
+        leaving = make_row("a", 30, era=1, state=UpstreamState.LEAVING)
         directory.apply_rows([leaving], whole=False)
-        directory.apply_rows([gone("a", 31, era=1)], whole=False)
+        directory.apply_rows([make_removed_row("a", 31, era=1)], whole=False)
         directory.mark_store_restored(make_position(25, era=2))
-        rows = [row("a", 10, era=2), row("b", 20, era=2)]
+        rows = [make_row("a", 10, era=2), make_row("b", 20, era=2)]
         directory.apply_rows(rows, whole=True)
         clock.advance(2 * UNCONFIRMED_SECONDS)
         directory.drop_expired()
-        assert names(directory) == ["b"]
-        directory.apply_rows([row("a", 40, era=2, incarnation=2)], whole=False)
-        assert names(directory) == ["a", "b"]
+        assert get_eligible_names(directory) == ["b"]
+        directory.apply_rows([make_row("a", 40, era=2, incarnation=2)], whole=False)
+        assert get_eligible_names(directory) == ["a", "b"]
 
     def test_a_removed_replica_is_not_used_before_it_has_registered_again(self) -> None:
         directory, _ = self.directory()
-        directory.apply_rows([gone("a", 30, era=1)], whole=False)
+        directory.apply_rows([make_removed_row("a", 30, era=1)], whole=False)
         directory.mark_store_restored(make_position(25, era=2))
-        directory.apply_rows([row("a", 10, era=2), row("b", 20, era=2)], whole=True)
-        assert names(directory) == ["b"]
-        directory.apply_rows([row("a", 26, era=2)], whole=False)
-        assert names(directory) == ["a", "b"]
+        directory.apply_rows(
+            [make_row("a", 10, era=2), make_row("b", 20, era=2)], whole=True
+        )
+        assert get_eligible_names(directory) == ["b"]
+        directory.apply_rows([make_row("a", 26, era=2)], whole=False)
+        assert get_eligible_names(directory) == ["a", "b"]
 
     def test_a_removed_replica_that_stays_listed_is_used_again(self) -> None:
         """The platform removes entries that aren't renewed, so this one was renewed."""
         directory, clock = self.directory()
-        directory.apply_rows([gone("a", 30, era=1)], whole=False)
+        directory.apply_rows([make_removed_row("a", 30, era=1)], whole=False)
         directory.mark_store_restored(make_position(25, era=2))
-        directory.apply_rows([row("a", 10, era=2), row("b", 20, era=2)], whole=True)
+        directory.apply_rows(
+            [make_row("a", 10, era=2), make_row("b", 20, era=2)], whole=True
+        )
         clock.advance(UNCONFIRMED_SECONDS)
         directory.drop_expired()
-        assert names(directory) == ["a", "b"]
+        assert get_eligible_names(directory) == ["a", "b"]
 
     def test_a_removed_replica_that_is_removed_again_is_not_used(self) -> None:
         directory, clock = self.directory()
-        directory.apply_rows([gone("a", 30, era=1)], whole=False)
+        directory.apply_rows([make_removed_row("a", 30, era=1)], whole=False)
         directory.mark_store_restored(make_position(25, era=2))
-        directory.apply_rows([row("a", 10, era=2), row("b", 20, era=2)], whole=True)
-        directory.apply_rows([gone("a", 27, era=2)], whole=False)
+        directory.apply_rows(
+            [make_row("a", 10, era=2), make_row("b", 20, era=2)], whole=True
+        )
+        directory.apply_rows([make_removed_row("a", 27, era=2)], whole=False)
         clock.advance(UNCONFIRMED_SECONDS)
         directory.drop_expired()
-        assert names(directory) == ["b"]
+        assert get_eligible_names(directory) == ["b"]
 
 
 def test_changes_of_an_older_era_cause_no_polls() -> None:
