--- a/bench/policies.py
+++ b/bench/policies.py
@@ -129,7 +129,7 @@
                 gaps[item.tier] = item.token_gap_target
             shares[item.tier] = shares.get(item.tier, 0.0) + item.minimum_share
         for coordinator in self.coordinators.values():
-            coordinator.set_targets(gap_targets=gaps, min_shares=shares)
+            coordinator.set_targets(token_gap_targets=gaps, min_shares=shares)
         for number in range(ENTRIES):
             self.driver.at(self.random.random() * TICK, self._tick, number)
             delay = self.random.random() * compute_share_interval(ENTRIES)
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -100,7 +100,7 @@
 def make_coordinator(*, entries: int, replicas: int) -> Coordinator:
     """Return a coordinator with demands and reports."""
     coordinator = Coordinator(pool=POOL, clock=ManualClock())
-    coordinator.set_targets(gap_targets={1: 0.026, 2: 0.04}, min_shares={5: 0.02})
+    coordinator.set_targets(token_gap_targets={1: 0.026, 2: 0.04}, min_shares={5: 0.02})
     for number in range(replicas):
         report = LoadReport(running=70, waiting=3, slots=96, token_gap=0.021)
         coordinator.record_report(name("replica", number), report)
--- a/damasklead/daemon/sharetasks.py
+++ b/damasklead/daemon/sharetasks.py
@@ -75,7 +75,8 @@
             )
             self._coordinators[pool.dispatcher.pool] = coordinator
         coordinator.set_targets(
-            gap_targets=_gap_targets(pool.service), min_shares=_min_shares(pool.service)
+            token_gap_targets=_gap_targets(pool.service),
+            min_shares=_min_shares(pool.service),
         )
         members = self._entry.pool_members(pool.service)
         coordinator.update_replicas(member.instance for member in members)
--- a/damasklead/messages.py
+++ b/damasklead/messages.py
@@ -14,8 +14,8 @@
 from damasklead.stores.base import InstanceRecord
 
 __all__ = [
-    "ConfigurationResponse",
     "ConfigurationQuery",
+    "ConfigurationResponse",
     "CrashNotice",
     "Demand",
     "GossipItem",
--- a/damasklead/queueing.py
+++ b/damasklead/queueing.py
@@ -193,19 +193,19 @@
             empty when the queue was not full.
         """
         class_queue = self._get_class_queue(request.request_class)
-        full = (
+        is_full = (
             len(class_queue.requests) >= class_queue.request_class.queue_bound
             or len(self) >= self._capacity
         )
-        refused: list[Refuse] = []
-        if full:
+        refusals: list[Refuse] = []
+        if is_full:
             victim = self._find_shed_candidate(below=request.tier)
             if victim is None:
                 return [_make_refusal(request, Reason.QUEUE_FULL)]
             self.remove(victim.id)
-            refused.append(_make_refusal(victim, Reason.SHED))
+            refusals.append(_make_refusal(victim, Reason.SHED))
         self._enqueue(request, class_queue)
-        return refused
+        return refusals
 
     def requeue(self, request: Request) -> None:
         """Queue a request that was started before, even when the queue is full."""
@@ -231,19 +231,19 @@
         executed are kept.
         """
         now = self._clock.now()
-        expired: list[Refuse] = []
+        refusals: list[Refuse] = []
         for request in self._find_expired(now):
-            useless = (
+            is_useless = (
                 request.request_class.useless_after_deadline and now > request.deadline
             )
             self.remove(request.id)
-            expired.append(
+            refusals.append(
                 _make_refusal(
                     request,
-                    Reason.DEADLINE_EXCEEDED if useless else Reason.WAITED_TOO_LONG,
+                    Reason.DEADLINE_EXCEEDED if is_useless else Reason.WAITED_TOO_LONG,
                 )
             )
-        return expired
+        return refusals
 
     def drain(self) -> list[Request]:
         """Remove and return all queued requests."""
@@ -280,10 +280,10 @@
         """Replace a request's estimated charge by the tokens generated since then."""
         tier = self._tiers.get(request.tier)
         if tier is not None and request.charged_tokens:
-            actual = request.generated_tokens - request.settled_tokens
-            served = tier.served_tokens.get(request.workspace, 0.0)
-            served += (actual - request.charged_tokens) / request.weight
-            tier.served_tokens[request.workspace] = max(0.0, served)
+            actual_tokens = request.generated_tokens - request.settled_tokens
+            served_tokens = tier.served_tokens.get(request.workspace, 0.0)
+            served_tokens += (actual_tokens - request.charged_tokens) / request.weight
+            tier.served_tokens[request.workspace] = max(0.0, served_tokens)
         request.charged_tokens = 0.0
         request.settled_tokens = request.generated_tokens
 
@@ -328,20 +328,23 @@
             next(reversed(class_queue.requests.values()))
             for class_queue in class_queues
         ]
-        fresh = [item for item in candidates if not item.generated_tokens]
-        return max(fresh or candidates, key=lambda item: item.arrival)
+        without_tokens = [item for item in candidates if not item.generated_tokens]
+        return max(without_tokens or candidates, key=lambda item: item.arrival)
 
     def _find_expired(self, now: float) -> Iterator[Request]:
         for class_queue in self._class_queues.values():
             max_wait = class_queue.request_class.max_wait
             useless_after = class_queue.request_class.start_target
-            bound = (
+            max_seconds = (
                 min(max_wait, useless_after)
                 if class_queue.request_class.useless_after_deadline
                 else max_wait
             )
             for request in list(class_queue.requests.values()):
-                if now - request.arrival > bound and not request.may_have_executed:
+                if (
+                    now - request.arrival > max_seconds
+                    and not request.may_have_executed
+                ):
                     yield request
 
     def _accrue_credit(self, slots: float) -> None:
@@ -360,6 +363,7 @@
                 )
 
     def _select_by_credit(self) -> Request | None:
+        """Return the first request of a class whose credit covers its expected cost."""
         for class_queue in sorted(
             self._class_queues.values(), key=lambda item: item.request_class.tier
         ):
@@ -370,6 +374,7 @@
         return None
 
     def _select_by_tier(self, admitted_tier: int) -> Request | None:
+        """Return the next request of the highest tier that has one and is admitted."""
         for number in sorted(self._tiers):
             if number > admitted_tier:
                 return None
@@ -379,6 +384,7 @@
         return None
 
     def _select_in_tier(self, tier: _TierQueues) -> Request | None:
+        """Return the next request of a tier: of the least served workspace, or late."""
         self._move_late_requests(tier)
         heads = {
             workspace: head
@@ -423,9 +429,9 @@
             request_class.name, request.workspace
         )
         tier = self._tiers[request.tier]
-        start = tier.get_virtual_time(request.workspace)
+        virtual_start = tier.get_virtual_time(request.workspace)
         tier.served_tokens[request.workspace] = (
-            start + request.charged_tokens / request.weight
+            virtual_start + request.charged_tokens / request.weight
         )
         class_queue = self._class_queues[request_class.name]
         class_queue.credit = max(0.0, class_queue.credit - self._estimate_cost(request))
--- a/damasklead/sharing.py
+++ b/damasklead/sharing.py
@@ -24,15 +24,15 @@
     "Coordinator",
     "LoadReport",
     "ShareHolder",
+    "allocate_max_min",
     "choose_coordinator",
     "choose_coordinators",
-    "allocate_max_min",
     "compute_share_interval",
 ]
 
 TIER_COUNT = 5
-MIN_INTERVAL_SECONDS = 0.5
-INTERVAL_SECONDS_PER_ENTRY = 1 / 6
+MIN_SHARE_INTERVAL_SECONDS = 0.5
+SHARE_INTERVAL_SECONDS_PER_ENTRY = 1 / 6
 GRANT_TTL_INTERVALS = 4  # share intervals
 DEMAND_TTL_INTERVALS = 6  # share intervals
 BUSY_FRACTION = 0.3  # of the largest batch
@@ -93,9 +93,9 @@
     Return each pool's coordinator, with the pools spread evenly over the entries.
 
     Each pool goes to its highest rendezvous hash among the entries that coordinate
-    fewer pools than the bound (consistent hashing with bounded loads).  Entries with
-    different views of the membership choose differently for a while, which only
-    reduces efficiency.
+    fewer pools than the average, rounded up (consistent hashing with bounded loads).
+    Entries with different views of the membership choose differently for a while, which
+    only reduces efficiency.
 
     Examples
     --------
@@ -104,15 +104,17 @@
     >>> sorted(chosen.values())
     ['a', 'a', 'b', 'b', 'c', 'c']
     """
-    ordered = sorted(pools)
+    sorted_pools = sorted(pools)
     if not entries:
         return {}
-    bound = -(-len(ordered) // len(entries))
+    max_pools = -(-len(sorted_pools) // len(entries))
     pool_counts = dict.fromkeys(entries, 0)
     chosen: dict[PoolId, InstanceId] = {}
-    for pool in ordered:
-        open_entries = [entry for entry in entries if pool_counts[entry] < bound]
-        coordinator = choose_coordinator(pool, open_entries)
+    for pool in sorted_pools:
+        available_entries = [
+            entry for entry in entries if pool_counts[entry] < max_pools
+        ]
+        coordinator = choose_coordinator(pool, available_entries)
         assert coordinator is not None
         pool_counts[coordinator] += 1
         chosen[pool] = coordinator
@@ -131,7 +133,9 @@
     >>> round(compute_share_interval(8), 2), round(compute_share_interval(72), 2)
     (1.33, 12.0)
     """
-    return max(MIN_INTERVAL_SECONDS, entry_count * INTERVAL_SECONDS_PER_ENTRY)
+    return max(
+        MIN_SHARE_INTERVAL_SECONDS, entry_count * SHARE_INTERVAL_SECONDS_PER_ENTRY
+    )
 
 
 def allocate_max_min(amount: int, demands: Sequence[int]) -> list[int]:
@@ -190,23 +194,23 @@
         self._reports: dict[InstanceId, _ReplicaReport] = {}
         self._demands: dict[InstanceId, _EntryDemand] = {}
         self._batch_limit: BatchLimit | None = None
-        self._gap_targets: dict[int, float] = {}
+        self._token_gap_targets: dict[int, float] = {}
         self._min_shares: dict[int, float] = {}
 
     def set_targets(
-        self, *, gap_targets: dict[int, float], min_shares: dict[int, float]
+        self, *, token_gap_targets: dict[int, float], min_shares: dict[int, float]
     ) -> None:
         """
         Set the configured targets.
 
         Parameters
         ----------
-        gap_targets : dict
+        token_gap_targets : dict
             Longest token gap in seconds by tier, for tiers that have such a target.
         min_shares : dict
             Minimum share by tier, as a fraction of the pool's capacity.
         """
-        self._gap_targets = gap_targets
+        self._token_gap_targets = token_gap_targets
         self._min_shares = min_shares
 
     def record_report(self, replica: InstanceId, report: LoadReport) -> None:
@@ -216,7 +220,7 @@
         )
 
     def update_replicas(self, replicas: Iterable[InstanceId]) -> None:
-        """Remove all replicas except these."""
+        """Remove the reports of all replicas except these."""
         kept_instances = set(replicas)
         for instance in list(self._reports):
             if instance not in kept_instances:
@@ -237,12 +241,12 @@
         loads = self._build_loads()
         slots = self._divide_slots(entries, sum(load.limit for load in loads))
         preempting_tier = self._find_preempting_tier(entries, slots)
-        ttl = GRANT_TTL_INTERVALS * compute_share_interval(len(entries))
+        ttl_seconds = GRANT_TTL_INTERVALS * compute_share_interval(len(entries))
         return {
             entry: Grant(
                 pool=self._pool,
                 slots=tuple(slots[entry]),
-                ttl_ms=int(ttl * 1000),
+                ttl_ms=int(ttl_seconds * 1000),
                 preempting_tier=preempting_tier,
                 replicas=loads,
             )
@@ -250,16 +254,16 @@
         }
 
     def _drop_expired_demands(self) -> None:
-        ttl = DEMAND_TTL_INTERVALS * compute_share_interval(len(self._demands))
-        for entry, known in list(self._demands.items()):
-            if self._clock.now() - known.received_at > ttl:
+        ttl_seconds = DEMAND_TTL_INTERVALS * compute_share_interval(len(self._demands))
+        for entry, latest in list(self._demands.items()):
+            if self._clock.now() - latest.received_at > ttl_seconds:
                 del self._demands[entry]
 
     def _build_loads(self) -> tuple[ReplicaLoad, ...]:
         self._update_batch_limit()
-        reports = [known.report for known in self._reports.values()]
-        gaps = [report.token_gap for report in reports if report.token_gap > 0]
-        median = statistics.median(gaps) if gaps else 0.0
+        reports = [latest.report for latest in self._reports.values()]
+        token_gaps = [report.token_gap for report in reports if report.token_gap > 0]
+        median = statistics.median(token_gaps) if token_gaps else 0.0
         loads = []
         for instance in sorted(self._reports):
             report = self._reports[instance].report
@@ -282,32 +286,35 @@
 
     def _update_batch_limit(self) -> None:
         """Update the batch limit by the median token gap of the busy replicas."""
-        reports = [known.report for known in self._reports.values()]
+        reports = [latest.report for latest in self._reports.values()]
         if not reports:
             return
         slots = max(report.slots for report in reports)
         if self._batch_limit is None:
             self._batch_limit = BatchLimit(slots=slots)
-        busy = [
+        busy_reports = [
             report
             for report in reports
             if report.token_gap > 0 and report.running >= BUSY_FRACTION * slots
         ]
-        if busy:
+        if busy_reports:
             mean_batch = sum(report.running for report in reports) / len(reports)
             self._batch_limit.update_limit(
-                token_gap=statistics.median(report.token_gap for report in busy),
-                target=self._find_gap_target(),
+                token_gap=statistics.median(
+                    report.token_gap for report in busy_reports
+                ),
+                target=self._find_token_gap_target(),
                 batch=mean_batch,
             )
 
-    def _find_gap_target(self) -> float | None:
+    def _find_token_gap_target(self) -> float | None:
         """Return the shortest token gap target of the tiers that have demand."""
         targets = [
             target
-            for tier, target in self._gap_targets.items()
+            for tier, target in self._token_gap_targets.items()
             if any(
-                _count_requests(known.demand, tier) for known in self._demands.values()
+                _count_requests(latest.demand, tier)
+                for latest in self._demands.values()
             )
         ]
         return min(targets, default=None)
@@ -315,6 +322,13 @@
     def _divide_slots(
         self, entries: list[InstanceId], capacity: int
     ) -> dict[InstanceId, list[int]]:
+        """
+        Return the slots of each entry by tier.
+
+        Tiers are served in strict priority, except for reserved slots, and entries by
+        max-min fairness inside a tier.  Slots without demand are added to the lowest
+        tier, in equal parts.
+        """
         slots = {entry: [0] * TIER_COUNT for entry in entries}
         reserved = self._compute_reserved_slots(capacity)
         remaining = capacity
@@ -342,7 +356,8 @@
         reserved = {}
         for tier in range(1, TIER_COUNT + 1):
             demand = sum(
-                _count_requests(known.demand, tier) for known in self._demands.values()
+                _count_requests(latest.demand, tier)
+                for latest in self._demands.values()
             )
             reserved[tier] = min(
                 demand, int(self._min_shares.get(tier, 0.0) * capacity)
@@ -353,7 +368,9 @@
         self, entries: list[InstanceId], slots: dict[InstanceId, list[int]]
     ) -> int:
         """
-        Return the lowest tier for which requests of others must be preempted, or 0.
+        Return the lowest tier with queued requests while tiers below exceed their slots.
+
+        Zero when there is none.
         """
         preempting_tier = 0
         for tier in range(1, TIER_COUNT):
@@ -396,7 +413,7 @@
 
     @property
     def preempting_tier(self) -> int:
-        """The lowest tier for which requests of others must be preempted, or 0."""
+        """The preempting tier of the grant, 0 when there is none or no valid grant."""
         return (
             self._grant.preempting_tier
             if self._grant is not None and self.has_grant
@@ -444,7 +461,7 @@
         capacity : int
             The pool's slots as far as this entry knows, for the fallback.
         entry_count : int
-            The latest known number of entries, for the fallback.
+            The latest latest number of entries, for the fallback.
         """
         if self._grant is not None and self.has_grant:
             return self._grant.slots
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -64,7 +64,7 @@
 
 def test_minimum_share_is_reserved_for_a_tier_with_demand() -> None:
     coordinator = make_coordinator(ManualClock(), replicas=10, slots=10)
-    coordinator.set_targets(gap_targets={}, min_shares={5: 0.1})
+    coordinator.set_targets(token_gap_targets={}, min_shares={5: 0.1})
     demand = Demand(pool=POOL, running=(500, 0, 0, 0, 0), waiting=(0, 0, 0, 0, 50))
     coordinator.record_demand(InstanceId("e"), demand)
     slots = coordinator.allocate_slots()[InstanceId("e")].slots
