--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -1,6 +1,8 @@
 """
 Tests of the gateway's decisions
 ================================
+
+Directory of replicas, list followers, retry budget, journal, and placements.
 """
 
 import msgspec
@@ -73,7 +75,7 @@
 
 
 class TestDirectory:
-    def test_leaving_and_removed_replicas_get_no_work(self) -> None:
+    def test_leaving_and_removed_replicas_get_no_requests(self) -> None:
         directory = UpstreamDirectory(clock=ManualClock())
         directory.apply_rows(
             [make_row("a", 1), make_row("b", 2), make_row("c", 3)], whole=True
@@ -84,7 +86,7 @@
         directory.apply_rows([make_removed_row("b", 5)], whole=False)
         assert get_eligible_names(directory) == ["c"]
 
-    def test_leaving_is_final_until_the_replica_starts_again(self) -> None:
+    def test_a_leaving_replica_stays_so_until_it_restarts(self) -> None:
         directory = UpstreamDirectory(clock=ManualClock())
         directory.apply_rows(
             [make_row("a", 1, state=UpstreamState.LEAVING)], whole=True
@@ -100,7 +102,7 @@
         directory.apply_rows([make_row("a", 6, address="127.0.0.1:6")], whole=False)
         assert directory.get_eligible_records(SERVICE)[0].address == "127.0.0.1:7"
 
-    def test_entries_that_lapsed_in_an_outage_are_kept_until_they_may_be_back(
+    def test_entries_that_lapse_in_an_outage_are_kept_for_a_grace_period(
         self,
     ) -> None:
         clock = ManualClock()
@@ -119,7 +121,7 @@
         directory.drop_expired()
         assert get_eligible_names(directory) == ["a"]
 
-    def test_a_removal_long_after_an_outage_counts_at_once(self) -> None:
+    def test_a_removal_long_after_an_outage_takes_effect_at_once(self) -> None:
         clock = ManualClock()
         directory = UpstreamDirectory(clock=clock)
         directory.apply_rows([make_row("a", 1), make_row("b", 2)], whole=True)
@@ -129,7 +131,7 @@
         directory.apply_rows([make_removed_row("a", 3)], whole=False)
         assert get_eligible_names(directory) == ["b"]
 
-    def test_a_drain_during_an_outage_counts_at_once(self) -> None:
+    def test_a_drain_during_an_outage_takes_effect_at_once(self) -> None:
         directory = UpstreamDirectory(clock=ManualClock())
         directory.apply_rows([make_row("a", 1), make_row("b", 2)], whole=True)
         directory.mark_list_unreachable()
@@ -138,7 +140,7 @@
         directory.apply_rows(rows, whole=True)
         assert get_eligible_names(directory) == ["b"]
 
-    def test_replicas_that_are_gone_are_forgotten_in_the_end(self) -> None:
+    def test_memory_of_removed_replicas_is_bounded(self) -> None:
         directory = UpstreamDirectory(clock=ManualClock())
         directory.apply_rows([make_row("a", 1)], whole=True)
         for number in range(MAX_REMEMBERED_REPLICAS + 10):
@@ -150,7 +152,7 @@
         assert len(directory._removals) <= MAX_REMEMBERED_REPLICAS
         assert get_eligible_names(directory) == ["a"]
 
-    def test_so_are_those_that_were_listed_as_leaving(self) -> None:
+    def test_memory_of_removed_leaving_replicas_is_bounded(self) -> None:
         directory = UpstreamDirectory(clock=ManualClock())
         for number in range(MAX_REMEMBERED_REPLICAS + 10):
             leaving = make_row(f"x{number}", 2 * number, state=UpstreamState.LEAVING)
@@ -160,7 +162,7 @@
             )
         assert len(directory._departed) <= MAX_REMEMBERED_REPLICAS
 
-    def test_a_replica_whose_address_another_one_has_gets_no_work(self) -> None:
+    def test_a_departed_replica_gets_no_requests(self) -> None:
         directory = UpstreamDirectory(clock=ManualClock())
         directory.apply_rows([make_row("a", 1)], whole=True)
         assert directory.mark_departed(InstanceId("a"), 1)
@@ -178,7 +180,7 @@
 
 
 class ScriptedFeed(Feed):
-    """Gives what a test put in, one a call."""
+    """Returns or raises the scripted results, one for each call."""
 
     def __init__(self, *results: object) -> None:
         self.results = list(results)
@@ -186,13 +188,13 @@
 
     def read(self) -> Changes:
         self.calls.append("read")
-        return self._next()
+        return self._take_result()
 
     def poll_changes(self, cursor: Position, *, wait: float) -> Changes:
         self.calls.append(cursor.version)
-        return self._next()
+        return self._take_result()
 
-    def _next(self) -> Changes:
+    def _take_result(self) -> Changes:
         result = self.results.pop(0)
         if isinstance(result, FeedError):
             raise result
@@ -208,7 +210,9 @@
 
 
 class TestFollowing:
-    def follower(self, *results: object) -> tuple[ConfigurationFollower, ScriptedFeed]:
+    def make_follower(
+        self, *results: object
+    ) -> tuple[ConfigurationFollower, ScriptedFeed]:
         feed = ScriptedFeed(*results)
         follower = ConfigurationFollower(
             feed=lambda: feed,
@@ -219,8 +223,8 @@
         )
         return follower, feed
 
-    def test_versions_only_go_up(self) -> None:
-        follower, _ = self.follower(
+    def test_older_versions_of_the_configuration_are_ignored(self) -> None:
+        follower, _ = self.make_follower(
             make_changes(make_table(5), cursor=10, whole=True),
             make_changes(make_table(3), cursor=11),
             make_changes(make_table(8), make_table(7), cursor=12),
@@ -235,10 +239,10 @@
     @pytest.mark.parametrize(
         "fault", [FeedFault.HISTORY_LOST, FeedFault.STALE, FeedFault.RESTORED]
     )
-    def test_a_lost_history_or_a_stale_answer_means_reading_anew(
+    def test_a_lost_history_or_a_stale_response_causes_a_full_read(
         self, fault: FeedFault
     ) -> None:
-        follower, feed = self.follower(
+        follower, feed = self.make_follower(
             make_changes(make_table(5), cursor=10, whole=True),
             FeedError(fault, "test"),
             make_changes(make_table(6), cursor=30, whole=True),
@@ -249,12 +253,12 @@
         assert feed.calls == ["read", 10, "read", 30]
         assert follower.table is not None and follower.table.version == 6
 
-    def test_an_outage_keeps_the_configuration_and_the_place(self) -> None:
-        lost = FeedError(FeedFault.UNREACHABLE, "test")
-        follower, feed = self.follower(
+    def test_an_outage_keeps_the_configuration_and_the_cursor(self) -> None:
+        outage = FeedError(FeedFault.UNREACHABLE, "test")
+        follower, feed = self.make_follower(
             make_changes(make_table(5), cursor=10, whole=True),
-            lost,
-            lost,
+            outage,
+            outage,
             make_changes(cursor=11),
         )
         pauses = [follower.poll_once() for _ in range(4)]
@@ -262,7 +266,7 @@
         assert follower.table is not None and follower.table.version == 5
         assert 0 < pauses[1] <= 0.1 and 0 < pauses[2] <= 0.2
 
-    def test_the_directory_hears_of_the_outage(self) -> None:
+    def test_an_outage_of_the_list_is_passed_to_the_directory(self) -> None:
         clock = ManualClock()
         directory = UpstreamDirectory(clock=clock)
         feed = ScriptedFeed(
@@ -270,39 +274,41 @@
             FeedError(FeedFault.REFUSED, "test"),
             make_changes(make_removed_row("a", 2), cursor=2),
         )
-        heard: list[int] = []
+        eligible_counts: list[int] = []
         follower = UpstreamFollower(
             feed=lambda: feed,
             plan=make_read_plan(clock),
             clock=clock,
             journal=Journal(instance="g"),
             directory=directory,
-            on_change=lambda: heard.append(len(get_eligible_names(directory))),
+            on_change=lambda: eligible_counts.append(
+                len(get_eligible_names(directory))
+            ),
         )
         for _ in range(3):
             follower.poll_once()
         assert get_eligible_names(directory) == ["a"]
         clock.advance(3.0)
         follower.expire()
-        assert heard[-1] == 0
+        assert eligible_counts[-1] == 0
 
 
 class TestBudget:
-    def test_all_gateways_together_keep_the_bound(self) -> None:
+    def test_all_gateways_together_stay_within_the_retry_ratio(self) -> None:
         clock = ManualClock()
         budgets = [
             SharedRetryBudget(clock=clock, ratio=0.2, allowance=56.0, window=10.0)
             for _ in range(12)
         ]
-        taken = 0
+        retry_count = 0
         for number in range(1200):
             budget = budgets[number % 12]
             budget.record_first_attempt(SERVICE)
-            taken += budget.acquire_retry(SERVICE) + budget.acquire_retry(SERVICE)
+            retry_count += budget.acquire_retry(SERVICE) + budget.acquire_retry(SERVICE)
             clock.advance(0.008)
-        assert 0.1 * 1200 < taken <= 0.2 * 1200 + 56
+        assert 0.1 * 1200 < retry_count <= 0.2 * 1200 + 56
 
-    def test_services_have_budgets_of_their_own(self) -> None:
+    def test_each_service_has_its_own_budget(self) -> None:
         budget = SharedRetryBudget(
             clock=ManualClock(),
             ratio=0.2,
@@ -316,19 +322,19 @@
 
 class TestEvents:
     @pytest.mark.parametrize("ending", [b"\n\n", b"\r\n\r\n"])
-    def test_any_cut_gives_the_same_events(self, ending: bytes) -> None:
-        whole = b"".join(b"id: %d\ndata: x%s" % (n, ending) for n in range(5))
-        for cut in range(len(whole)):
+    def test_events_do_not_depend_on_segment_boundaries(self, ending: bytes) -> None:
+        stream = b"".join(b"id: %d\ndata: x%s" % (n, ending) for n in range(5))
+        for cut in range(len(stream)):
             splitter = EventSplitter()
-            out = splitter.feed(whole[:cut]) + splitter.feed(whole[cut:])
+            output = splitter.feed(stream[:cut]) + splitter.feed(stream[cut:])
             assert (
-                out == whole
+                output == stream
                 and splitter.last_id == b"4"
                 and not splitter.has_partial_event
             )
 
 
-def test_a_journal_drops_lines_rather_than_grow() -> None:
+def test_a_full_journal_drops_lines() -> None:
     journal = Journal(instance="g")
     for number in range(MAX_BUFFERED_LINES + 5):
         journal.event("tested", number=number)
@@ -348,20 +354,20 @@
     )  # fmt: skip
 
 
-def stream_route(name: str, gap: float) -> Route:
+def make_stream_route(name: str, gap: float) -> Route:
     return Route(
         name=RouteName(name), host="h", prefix=f"/{name}/", kind=RouteKind.STREAM,
         timeout=5.0, target=0.5, tier=0, split=((SERVICE, 1.0),), event_gap=gap,
     )  # fmt: skip
 
 
-CHAT, REVIEW = stream_route("chat", 0.15), stream_route("review", 0.6)
+CHAT, REVIEW = make_stream_route("chat", 0.15), make_stream_route("review", 0.6)
 
 
 @pytest.mark.parametrize(
     ("tier", "route_tier", "urgency"), [(0, 0, 0), (0, 2, 2), (1, 1, 4), (1, 7, 5)]
 )
-def test_a_workspaces_tier_goes_first_and_then_the_routes(
+def test_urgency_orders_by_the_workspaces_tier_and_then_by_the_routes(
     tier: int, route_tier: int, urgency: int
 ) -> None:
     call = make_call("q", msgspec.structs.replace(CHAT, tier=route_tier))
@@ -370,7 +376,7 @@
 
 
 class TestPlainPlacement:
-    def placement(self, *records: UpstreamRecord) -> PlainPlacement:
+    def make_placement(self, *records: UpstreamRecord) -> PlainPlacement:
         self.clock = ManualClock()
         placement = PlainPlacement(
             service=ServiceSpec(name=SERVICE, max_connections=10),
@@ -380,32 +386,32 @@
         placement.update_replicas(records)
         return placement
 
-    def test_requests_spread_over_near_replicas_first(self) -> None:
+    def test_requests_spread_over_local_replicas_first(self) -> None:
         far = DataCentre("mossel")
-        placement = self.placement(
+        placement = self.make_placement(
             make_record("a"), make_record("b"), make_record("c", data_centre=far)
         )
-        chosen = []
+        chosen_instances = []
         for number in range(3):
             call = make_call(f"q{number}", IDEMPOTENT)
-            found = placement.choose_replica(call)
-            assert found is not None
-            placement.record_sent(found.instance, call)
-            chosen.append(found.instance)
-        assert sorted(chosen[:2]) == ["a", "b"] and chosen[2] == "c"
-
-    def test_a_failed_replica_is_avoided_for_a_while(self) -> None:
-        placement = self.placement(make_record("a"), make_record("b"))
+            replica = placement.choose_replica(call)
+            assert replica is not None
+            placement.record_sent(replica.instance, call)
+            chosen_instances.append(replica.instance)
+        assert sorted(chosen_instances[:2]) == ["a", "b"] and chosen_instances[2] == "c"
+
+    def test_a_failing_replica_is_avoided_for_a_time(self) -> None:
+        placement = self.make_placement(make_record("a"), make_record("b"))
         call = make_call("q", IDEMPOTENT)
         for _ in range(3):
             placement.record_failure(InstanceId("a"), call, Failure.BROKEN)
-        found = [
+        replicas = [
             placement.choose_replica(make_call(f"r{n}", IDEMPOTENT)) for n in range(9)
         ]
-        assert {item.instance for item in found if item} == {"b"}
+        assert {item.instance for item in replicas if item} == {"b"}
 
-    def test_a_replica_that_fails_for_very_long_is_still_counted(self) -> None:
-        placement = self.placement(make_record("a"))
+    def test_a_replica_that_has_failed_very_often_is_tried_again(self) -> None:
+        placement = self.make_placement(make_record("a"))
         for _ in range(1200):
             placement.record_failure(
                 InstanceId("a"), make_call("q", IDEMPOTENT), Failure.BROKEN
@@ -413,33 +419,33 @@
         self.clock.advance(5.0)
         assert placement.choose_replica(make_call("r", IDEMPOTENT)) is not None
 
-    def test_a_silent_replica_is_avoided(self) -> None:
-        placement = self.placement(make_record("a"), make_record("b"))
+    def test_a_stalled_replica_is_avoided(self) -> None:
+        placement = self.make_placement(make_record("a"), make_record("b"))
         for number in range(4):
             placement.record_sent(InstanceId("a"), make_call(f"q{number}", IDEMPOTENT))
         for number in range(9):
             placement.record_sent(InstanceId("b"), make_call(f"r{number}", IDEMPOTENT))
         self.clock.advance(1.0)
         placement.record_response_head(InstanceId("b"), None)
-        found = placement.choose_replica(make_call("s", IDEMPOTENT))
-        assert found is not None and found.instance == "b"
+        replica = placement.choose_replica(make_call("s", IDEMPOTENT))
+        assert replica is not None and replica.instance == "b"
 
-    def test_other_gateways_requests_count_by_the_replicas_own_word(self) -> None:
-        placement = self.placement(make_record("a"), make_record("b"))
+    def test_requests_of_other_gateways_count_by_the_load_hint(self) -> None:
+        placement = self.make_placement(make_record("a"), make_record("b"))
         placement.record_response_head(InstanceId("a"), LoadHint(6, 4, 6))
-        found = placement.choose_replica(make_call("s", IDEMPOTENT))
-        assert found is not None and found.instance == "b"
+        replica = placement.choose_replica(make_call("s", IDEMPOTENT))
+        assert replica is not None and replica.instance == "b"
 
 
 def add_prefill(placement: EnginePlacement, instance: InstanceId, tokens: int) -> None:
-    """Give an engine a prompt to read."""
+    """Record a request that adds to an engine's prefill backlog."""
     placement.record_sent(
         instance, make_call(f"x-{instance}-{tokens}", REVIEW, tokens=tokens)
     )
 
 
 class TestEnginePlacement:
-    def placement(self, count: int = 9) -> EnginePlacement:
+    def make_placement(self, count: int = 9) -> EnginePlacement:
         self.clock = ManualClock()
         service = ServiceSpec(
             name=SERVICE,
@@ -453,8 +459,8 @@
         placement.update_replicas(make_record(f"e{number}") for number in range(count))
         return placement
 
-    def test_tight_streams_run_apart_from_long_prompts(self) -> None:
-        placement = self.placement()
+    def test_streams_with_short_event_gaps_have_reserved_engines(self) -> None:
+        placement = self.make_placement()
         for number in range(40):
             chat = placement.choose_replica(make_call(f"c{number}", CHAT, tokens=700))
             review = placement.choose_replica(
@@ -466,45 +472,46 @@
                 and review.instance not in placement.reserved_instances
             )
 
-    def test_all_gateways_keep_the_same_engines_apart(self) -> None:
+    def test_all_gateways_reserve_the_same_engines(self) -> None:
         assert (
-            self.placement().reserved_instances == self.placement().reserved_instances
+            self.make_placement().reserved_instances
+            == self.make_placement().reserved_instances
         )
 
-    def test_the_same_subject_goes_to_the_same_engine_at_every_gateway(self) -> None:
+    def test_a_shared_prefix_goes_to_the_same_engine_at_every_gateway(self) -> None:
         parts = (
             PromptPart("contract", 2500),
             PromptPart("subject", 3700),
             PromptPart("own", 2900),
         )
-        found = set()
+        chosen_instances = set()
         for number in range(8):
             call = make_call(f"r{number}", REVIEW, parts=parts, tokens=9100)
-            chosen = self.placement().choose_replica(call)
+            chosen = self.make_placement().choose_replica(call)
             assert chosen is not None
-            found.add(chosen.instance)
-        assert len(found) == 1
+            chosen_instances.add(chosen.instance)
+        assert len(chosen_instances) == 1
 
-    def test_a_hot_subject_spreads_before_it_queues(self) -> None:
+    def test_a_hot_prefix_spreads_over_engines_before_it_queues(self) -> None:
         parts = (
             PromptPart("contract", 2500),
             PromptPart("hot", 3700),
             PromptPart("own", 2900),
         )
-        placement = self.placement()
-        found = []
+        placement = self.make_placement()
+        chosen_instances = []
         for number in range(12):
             call = make_call(f"r{number}", REVIEW, parts=parts, tokens=9100)
             chosen = placement.choose_replica(call)
             assert chosen is not None
             placement.record_sent(chosen.instance, call)
-            found.append(chosen.instance)
-        assert len(set(found)) >= 3
+            chosen_instances.append(chosen.instance)
+        assert len(set(chosen_instances)) >= 3
 
-    def test_a_burst_of_tight_streams_gets_more_engines_and_gives_them_back(
+    def test_a_burst_of_short_gap_streams_reserves_more_engines_for_a_time(
         self,
     ) -> None:
-        placement = self.placement()
+        placement = self.make_placement()
         before = placement.reserved_instances
         for _ in range(4):
             for instance in placement.reserved_instances:
@@ -521,12 +528,14 @@
         assert placement.reserved_instances == before
 
     def test_gateways_that_differ_by_one_engine_agree_on_the_others(self) -> None:
-        here, there = self.placement(), self.placement()
-        there.record_response_head(min(there.reserved_instances), LoadHint(64, 90, 64))
-        assert here.reserved_instances <= there.reserved_instances
+        first, second = self.make_placement(), self.make_placement()
+        second.record_response_head(
+            min(second.reserved_instances), LoadHint(64, 90, 64)
+        )
+        assert first.reserved_instances <= second.reserved_instances
 
-    def test_what_was_sent_before_counts(self) -> None:
-        placement = self.placement()
+    def test_requests_sent_earlier_count_as_prefill_backlog(self) -> None:
+        placement = self.make_placement()
         call = make_call("r", REVIEW, tokens=9000)
         first = placement.choose_replica(call)
         assert first is not None and placement.has_capacity_for(call)
@@ -538,11 +547,15 @@
         other = placement.choose_replica(call)
         assert other is not None and other.instance != first.instance
 
-    def test_only_the_least_urgent_routes_wait_for_room(self) -> None:
-        """Short prompts starved while longer, less urgent ones began."""
-        quote = msgspec.structs.replace(stream_route("quote", 0.25), tier=1)
+    def test_only_the_least_urgent_routes_queue_for_capacity(self) -> None:
+        """
+        Guards against starvation of short urgent prompts.
+
+        They used to queue while longer, less urgent prompts started.
+        """
+        quote = msgspec.structs.replace(make_stream_route("quote", 0.25), tier=1)
         review = msgspec.structs.replace(REVIEW, target=1.5, tier=2)
-        placement = self.placement()
+        placement = self.make_placement()
         placement.configure(placement.service, [CHAT, quote, review])
         for instance in placement.eligible_instances:
             add_prefill(placement, instance, 19_200)
@@ -552,9 +565,9 @@
         assert not placement.bypasses_queue(make_call("r", review, tokens=1800))
         assert not placement.has_capacity_for(make_call("r", review, tokens=1800))
 
-    def test_routes_without_an_allowed_pause_wait_for_room_like_others(self) -> None:
+    def test_routes_without_an_event_gap_target_use_unreserved_capacity(self) -> None:
         plain = msgspec.structs.replace(REVIEW, event_gap=None, target=1.0)
-        placement = self.placement()
+        placement = self.make_placement()
         placement.configure(placement.service, [plain])
         assert not placement.reserved_instances
         for instance in placement.eligible_instances:
@@ -562,10 +575,8 @@
         assert placement.has_capacity_for(make_call("r", plain, tokens=1800))
 
 
-def test_a_short_prompt_goes_to_an_engine_of_tight_streams_that_has_little_to_read() -> (
-    None
-):
-    placement = TestEnginePlacement().placement()
+def test_short_prompts_may_use_reserved_engines_with_a_short_backlog() -> None:
+    placement = TestEnginePlacement().make_placement()
     others = [f"e{n}" for n in range(9) if f"e{n}" not in placement.reserved_instances]
     for number, name in enumerate(others):
         busy = make_call(f"b{number}", REVIEW, tokens=9000)
