--- a/damasklead/replicas.py
+++ b/damasklead/replicas.py
@@ -22,7 +22,7 @@
 __all__ = ["ReplicaChooser", "ReplicaInfo"]
 
 DEFAULT_LIMIT = 16  # requests, until the first report
-MAX_SCORED_REPLICAS = 32  # without those that are preferred for a prefix
+MAX_SCORED_REPLICAS = 32  # chosen at random, besides those preferred for the prefix
 PREFERRED_REPLICAS_PER_PREFIX = 2
 PREFIX_BONUS_REQUESTS = 1.0
 REMOTE_PENALTY_REQUESTS = 0.1  # for a replica in another data centre
@@ -257,20 +257,21 @@
         candidates : frozenset
             Ids of the replicas that may execute this request.
         """
-        available = [
+        available_replicas = [
             replica
             for instance, replica in self._replicas.items()
             if instance in candidates
             and self._is_available(replica, request, use_hard_limit)
         ]
-        if not available:
+        if not available_replicas:
             return None
-        sampled = self._sample_replicas(available, request)
-        preferred = self._find_preferred_replicas(request)
-        best = min(
-            sampled, key=lambda item: self._compute_score(item, request, preferred)
+        scored_replicas = self._sample_replicas(available_replicas, request)
+        preferred_replicas = self._find_preferred_replicas(request)
+        best_replica = min(
+            scored_replicas,
+            key=lambda item: self._compute_score(item, request, preferred_replicas),
         )
-        return best.info.instance
+        return best_replica.info.instance
 
     def _is_available(
         self, replica: _Replica, request: Request, use_hard_limit: bool
@@ -290,8 +291,10 @@
         if len(replicas) <= MAX_SCORED_REPLICAS:
             return replicas
         chosen = self._random.sample(replicas, MAX_SCORED_REPLICAS)
-        preferred = self._find_preferred_replicas(request)
-        chosen.extend(item for item in replicas if item.info.instance in preferred)
+        preferred_replicas = self._find_preferred_replicas(request)
+        chosen.extend(
+            item for item in replicas if item.info.instance in preferred_replicas
+        )
         return chosen
 
     def _find_preferred_replicas(self, request: Request) -> frozenset[InstanceId]:
@@ -306,8 +309,17 @@
         return frozenset(ranked[:PREFERRED_REPLICAS_PER_PREFIX])
 
     def _compute_score(
-        self, replica: _Replica, request: Request, preferred: frozenset[InstanceId]
+        self,
+        replica: _Replica,
+        request: Request,
+        preferred_replicas: frozenset[InstanceId],
     ) -> float:
+        """
+        Return the score of a replica for a request, in requests; the lowest is best.
+
+        The load, one more request included, is scaled by the replica's token gap
+        relative to the median.
+        """
         request_estimate = (
             len(replica.own_attempts)
             + OTHER_REQUESTS_WEIGHT * replica.other_requests.value / self._entry_count
@@ -315,7 +327,7 @@
         score = (request_estimate + 1.0) * self._compute_slowness(replica)
         if replica.info.data_centre != self._data_centre:
             score += REMOTE_PENALTY_REQUESTS
-        if replica.info.instance in preferred:
+        if replica.info.instance in preferred_replicas:
             score -= PREFIX_BONUS_REQUESTS
         if replica.info.instance in request.tried_replicas:
             score += TRIED_PENALTY_REQUESTS
--- a/damasklead/sharing.py
+++ b/damasklead/sharing.py
@@ -368,9 +368,9 @@
         self, entries: list[InstanceId], slots: dict[InstanceId, list[int]]
     ) -> int:
         """
-        Return the lowest tier with queued requests while tiers below exceed their slots.
+        Return the lowest tier that may preempt the tiers below it, 0 when there is none.
 
-        Zero when there is none.
+        It has queued requests, while those tiers run more requests than their slots.
         """
         preempting_tier = 0
         for tier in range(1, TIER_COUNT):
