--- a/damasklead/dispatching.py
+++ b/damasklead/dispatching.py
@@ -513,6 +513,6 @@
     return Refuse(
         request=request,
         reason=reason,
-        outcome=request.unanswered_outcome,
+        outcome=request.outcome_without_response,
         retry_after=retry_after,
     )
--- a/damasklead/queueing.py
+++ b/damasklead/queueing.py
@@ -446,6 +446,6 @@
     return Refuse(
         request=request,
         reason=reason,
-        outcome=request.unanswered_outcome,
+        outcome=request.outcome_without_response,
         retry_after=RETRY_AFTER_SECONDS,
     )
--- a/damasklead/requests.py
+++ b/damasklead/requests.py
@@ -105,7 +105,7 @@
         return self.arrival + self.request_class.start_target
 
     @property
-    def unanswered_outcome(self) -> Outcome:
+    def outcome_without_response(self) -> Outcome:
         """Outcome to report to the caller when no upstream responds to the request."""
         return Outcome.UNKNOWN if self.may_have_executed else Outcome.NOT_RUN
 
--- a/damasklead/sharing.py
+++ b/damasklead/sharing.py
@@ -368,7 +368,7 @@
         self, entries: list[InstanceId], slots: dict[InstanceId, list[int]]
     ) -> int:
         """
-        Return the lowest tier that may preempt the tiers below it, 0 when there is none.
+        Return the lowest tier that may preempt the tiers below it, 0 for none.
 
         It has queued requests, while those tiers run more requests than their slots.
         """
