--- a/damasklead/dispatching.py
+++ b/damasklead/dispatching.py
@@ -352,7 +352,7 @@
 
         Replicas still run no more requests than their hard limits.
         """
-        if not self._options.allow_top_tier_burst:
+        if not self._options.allow_urgent_burst:
             return False
         if request.tier == TOP_TIER:
             return True
@@ -408,7 +408,7 @@
 
     def _find_urgent_tier(self) -> int:
         """Return the lowest tier whose next request may exceed the share, or 0."""
-        if not self._options.allow_top_tier_burst:
+        if not self._options.allow_urgent_burst:
             return 0
         for tier in range(LOWEST_URGENT_TIER, TOP_TIER, -1):
             head = self._queue.find_earliest(tier)
--- a/damasklead/preempting.py
+++ b/damasklead/preempting.py
@@ -17,8 +17,8 @@
     "Attempt",
     "DispatchOptions",
     "choose_victims",
-    "may_preempt",
     "find_overdue",
+    "may_preempt",
 ]
 
 MAX_PREEMPTIONS = 3
@@ -36,14 +36,14 @@
         higher tiers.
     migrate_from_stragglers : bool
         Whether running requests are moved from an ejected replica to others.
-    allow_top_tier_burst : bool
+    allow_urgent_burst : bool
         Whether urgent requests, among them all of the top tier, may exceed the entry's
         share of the pool, up to a replica's hard limit.
     """
 
     allow_preemption: bool = True
     migrate_from_stragglers: bool = True
-    allow_top_tier_burst: bool = True
+    allow_urgent_burst: bool = True
 
 
 class Attempt(msgspec.Struct, kw_only=True):
