--- a/bench/datapath.py
+++ b/bench/datapath.py
@@ -17,7 +17,7 @@
 
 from damasklead.demo.local import KEYS
 from damasklead.upstreams import ConnectionPool
-from damasklead.upstreams.transport import exchange
+from damasklead.upstreams.transport import send_request
 from tests.processes import Deployment
 
 STREAMS = 300
@@ -51,14 +51,14 @@
             ("X-Request-ID", f"bench-{number}"),
         )
         began = time.perf_counter()
-        answer = exchange(
+        answer = send_request(
             self.pool,
             self.address,
             method="POST",
             path=PATH,
             headers=headers,
             body=msgspec.json.encode(document),
-            silence=60.0,
+            read_timeout=60.0,
         )
         first = 0.0
         while answer.read_chunk():
--- a/damasklead/daemon/callers.py
+++ b/damasklead/daemon/callers.py
@@ -27,7 +27,7 @@
 from damasklead.ids import AttemptId, Fingerprint, RequestId, ServiceName
 from damasklead.problems import Problem
 from damasklead.requests import Outcome, Request
-from damasklead.upstreams import OutgoingCall
+from damasklead.upstreams import UpstreamRequest
 from damasklead.util import new_id
 
 __all__ = ["OUTCOME_HEADER", "CallerApplication"]
@@ -184,15 +184,15 @@
         document: dict[str, Any] | None = None,
     ) -> Exchange:
         method = environ["REQUEST_METHOD"]
-        call = OutgoingCall(
+        call = UpstreamRequest(
             attempt=AttemptId(""),
             method=method,
             path=path,
             headers=_passed_headers(environ),
             body=body,
             priority=request.tier,
-            repeatable=request.request_class.may_repeat,
-            silence=self._entry.settings.limits.upstream_idle_seconds,
+            is_idempotent=request.request_class.may_repeat,
+            read_timeout=self._entry.settings.limits.upstream_idle_seconds,
         )
         exchange = Exchange(
             entry=self._entry,
--- a/damasklead/daemon/crashes.py
+++ b/damasklead/daemon/crashes.py
@@ -105,7 +105,7 @@
         Ask a replica for its incarnation: only if it is gone or new was there a crash.
         """
         try:
-            status = pool.upstream.status(address)
+            status = pool.upstream.fetch_status(address)
         except UpstreamError:
             status = None
         if status is not None and status.incarnation == notice.incarnation:
--- a/damasklead/daemon/dutytask.py
+++ b/damasklead/daemon/dutytask.py
@@ -142,7 +142,7 @@
         states = {}
         for member in self._entry.pool_members(pool.service):
             try:
-                status = pool.upstream.status(member.address)
+                status = pool.upstream.fetch_status(member.address)
             except UpstreamError:
                 continue
             states[member.instance] = ModelLoadState(
@@ -156,7 +156,7 @@
             return
         body = msgspec.json.encode(order)
         try:
-            pool.upstream.control(address, "POST", "/v1/models/load", body)
+            pool.upstream.send_control_request(address, "POST", "/v1/models/load", body)
             result = "ordered"
         except UpstreamError as error:
             result = f"refused: {error}"
--- a/damasklead/daemon/entry.py
+++ b/damasklead/daemon/entry.py
@@ -345,7 +345,7 @@
         """Tell an upstream that an attempt's answer is not wanted any more."""
         address = self.address_of(cancel.replica)
         if address is not None:
-            pool.upstream.cancel(address, cancel.attempt)
+            pool.upstream.cancel_attempt(address, cancel.attempt)
 
     def tick(self) -> None:
         """Let time pass in all pools."""
--- a/damasklead/daemon/exchange.py
+++ b/damasklead/daemon/exchange.py
@@ -55,8 +55,8 @@
     Start,
 )
 from damasklead.settings import Settings
-from damasklead.upstreams import Answer, OutgoingCall, UpstreamError
-from damasklead.upstreams.engine import EngineUpstream, continuation_body
+from damasklead.upstreams import UpstreamError, UpstreamRequest, UpstreamResponse
+from damasklead.upstreams.engine import EngineUpstream, build_continuation_body
 
 __all__ = ["Exchange", "ExchangeHost"]
 
@@ -123,7 +123,7 @@
     pool : Pool
         Where the request goes.
     request : Request
-    call : OutgoingCall
+    call : UpstreamRequest
         What is sent; the attempt id is filled in for each attempt.
     stream : bool
         Whether the answer is passed on as it arrives.
@@ -139,7 +139,7 @@
         entry: "ExchangeHost",
         pool: Pool,
         request: Request,
-        call: OutgoingCall,
+        call: UpstreamRequest,
         stream: bool,
         document: dict[str, Any] | None = None,
         claim: Claim | None = None,
@@ -158,7 +158,7 @@
         self._current: AttemptId | None = None
         self._connection: socket.socket | None = None
         self._last_start: Start | None = None
-        self._answer: Answer | None = None
+        self._answer: UpstreamResponse | None = None
         self._heard: tuple[int, float] = (0, 0.0)
         self._before_attempt = 0
         self._raw: list[bytes] = []
@@ -189,9 +189,9 @@
         if answer is None or self._current is None:
             return
         now = self._entry.clock.now()
-        if answer.chunks != self._heard[0]:
-            self._heard = (answer.chunks, now)
-        elif now - self._heard[1] > self._call.silence:
+        if answer.receive_count != self._heard[0]:
+            self._heard = (answer.receive_count, now)
+        elif now - self._heard[1] > self._call.read_timeout:
             self._answer = None
             answer.interrupt(Failure.TIMED_OUT)
 
@@ -247,7 +247,7 @@
                 self._current = None
                 self._entry.attempt_failed(self.pool, start, error)
 
-    def _send(self, start: Start) -> Answer:
+    def _send(self, start: Start) -> UpstreamResponse:
         address = self._entry.address_of(start.replica)
         if address is None:
             raise UpstreamError(Failure.NOT_SENT, "the upstream is gone")
@@ -260,24 +260,26 @@
             if previous is not None and previous.replica == start.replica:
                 assert isinstance(upstream, EngineUpstream)
                 try:
-                    return upstream.resume(
+                    return upstream.resume_stream(
                         address,
                         call,
-                        original=previous.attempt,
-                        event=received,
+                        original_attempt=previous.attempt,
+                        event_count=received,
                     )
                 except UpstreamError as error:
                     if error.failure is not Failure.REFUSED:
                         raise
             call = msgspec.structs.replace(call, body=self._continuation())
-        return self.pool.upstream.send(address, call, on_connect=self._set_connection)
+        return self.pool.upstream.send_attempt(
+            address, call, on_connect=self._set_connection
+        )
 
     def _set_connection(self, connection: socket.socket) -> None:
         self._connection = connection
 
-    def _relay(self, answer: Answer, start: Start) -> Iterator[Piece]:
+    def _relay(self, answer: UpstreamResponse, start: Start) -> Iterator[Piece]:
         """Pass a stream on in whole events, as they arrive."""
-        answer.stream()
+        answer.disable_read_timeout()
         self._answer = answer
         if not self.streaming:
             self.streaming = True
@@ -309,8 +311,8 @@
         if not ended:
             raise UpstreamError(Failure.BROKEN, "the stream ended early")
 
-    def _pass_whole(self, answer: Answer, start: Start) -> Iterator[Piece]:
-        body = answer.read_all(limit=self._entry.settings.limits.answer_bytes)
+    def _pass_whole(self, answer: UpstreamResponse, start: Start) -> Iterator[Piece]:
+        body = answer.read_body(limit=self._entry.settings.limits.answer_bytes)
         self.pool.dispatcher.record_events(start.attempt, event_count=1)
         headers = [*end_to_end(answer), ("Content-Length", str(len(body)))]
         self._record_answer(answer, body)
@@ -340,12 +342,12 @@
         assert isinstance(result, ClaimHeld)
         return replay_claim(result.claim)
 
-    def _record_answer(self, answer: Answer, body: bytes) -> None:
+    def _record_answer(self, answer: UpstreamResponse, body: bytes) -> None:
         if self.claim is None or self._claim_version is None:
             return
         kept = RecordedResponse(
             status=answer.status,
-            content_type=answer.header("Content-Type"),
+            content_type=answer.get_header("Content-Type"),
             body=body if len(body) <= MAX_KEPT_ANSWER else None,
         )
         self._settle(ClaimState.ANSWERED, kept)
@@ -382,4 +384,4 @@
             document["max_tokens"] = max(
                 1, document["max_tokens"] - self.request.generated_tokens
             )
-        return continuation_body(document, self._text)
+        return build_continuation_body(document, self._text)
--- a/damasklead/daemon/replies.py
+++ b/damasklead/daemon/replies.py
@@ -12,7 +12,7 @@
 from damasklead.claims import Claim, ClaimState
 from damasklead.problems import Problem
 from damasklead.requests import Outcome
-from damasklead.upstreams import Answer
+from damasklead.upstreams import UpstreamResponse
 
 __all__ = [
     "DONE_EVENT",
@@ -80,9 +80,9 @@
     return text
 
 
-def end_to_end(answer: Answer) -> list[tuple[str, str]]:
+def end_to_end(answer: UpstreamResponse) -> list[tuple[str, str]]:
     """Return the headers that go on to the caller."""
-    return [pair for pair in answer.headers() if pair[0].lower() not in HOP_BY_HOP]
+    return [pair for pair in answer.get_headers() if pair[0].lower() not in HOP_BY_HOP]
 
 
 def replay_claim(claim: Claim) -> list[Piece]:
--- a/damasklead/daemon/sharetasks.py
+++ b/damasklead/daemon/sharetasks.py
@@ -92,7 +92,7 @@
 
     def _poll(self, pool: Pool, coordinator: Coordinator, member: Member) -> None:
         try:
-            status = pool.upstream.status(member.address)
+            status = pool.upstream.fetch_status(member.address)
         except UpstreamError:
             return
         self._entry.membership.record_incarnation(member.instance, status.incarnation)
--- a/damasklead/demo/traffic.py
+++ b/damasklead/demo/traffic.py
@@ -13,7 +13,7 @@
 from damasklead.requests import Outcome
 from damasklead.standins.engine import expected_text
 from damasklead.upstreams import ConnectionPool, UpstreamError
-from damasklead.upstreams.transport import exchange
+from damasklead.upstreams.transport import send_request
 
 __all__ = ["Caller", "Received", "Verdict"]
 
@@ -110,15 +110,15 @@
             name=name, verdict=Verdict.LOST, first=0.0, last=0.0, status=0, body=b""
         )
         try:
-            answer = exchange(
+            answer = send_request(
                 self._pool,
                 address,
                 method=method,
                 path=path,
                 headers=headers,
                 body=body,
-                silence=SILENCE_SECONDS,
-                fresh=True,
+                read_timeout=SILENCE_SECONDS,
+                force_new_connection=True,
             )
             received.status = answer.status
             while chunk := answer.read_chunk():
@@ -126,7 +126,7 @@
                 received.body += chunk
             received.last = self._now() - began
             received.verdict = _verdict(
-                answer.status, answer.header("X-Damasklead-Outcome")
+                answer.status, answer.get_header("X-Damasklead-Outcome")
             )
             if b"event: error" in received.body:
                 received.verdict = Verdict.UNKNOWN
--- a/damasklead/upstreams/__init__.py
+++ b/damasklead/upstreams/__init__.py
@@ -2,21 +2,26 @@
 Upstreams
 =========
 
-What requests are sent to, one module for each kind, with a table of kinds by name.
+Clients of the kinds of upstreams that entries send requests to, one module for each
+kind, with a table of the kinds by name.
 """
 
-from damasklead.upstreams.base import OutgoingCall, Upstream, UpstreamStatus
+from damasklead.upstreams.base import Upstream, UpstreamRequest, UpstreamStatus
 from damasklead.upstreams.engine import EngineUpstream
 from damasklead.upstreams.plain import PlainUpstream
-from damasklead.upstreams.transport import Answer, ConnectionPool, UpstreamError
+from damasklead.upstreams.transport import (
+    ConnectionPool,
+    UpstreamError,
+    UpstreamResponse,
+)
 
 __all__ = [
     "UPSTREAMS",
-    "Answer",
     "ConnectionPool",
-    "OutgoingCall",
     "Upstream",
     "UpstreamError",
+    "UpstreamRequest",
+    "UpstreamResponse",
     "UpstreamStatus",
 ]
 
--- a/damasklead/upstreams/base.py
+++ b/damasklead/upstreams/base.py
@@ -2,7 +2,7 @@
 Upstream interface
 ==================
 
-What the entry asks of an upstream, whatever kind it is.
+The operations that an entry uses on upstreams of every kind.
 """
 
 from abc import ABC, abstractmethod
@@ -15,32 +15,41 @@
 from damasklead.requests import Failure
 from damasklead.sharing import LoadReport
 from damasklead.upstreams.transport import (
-    Answer,
     ConnectionPool,
     UpstreamError,
-    exchange,
+    UpstreamResponse,
+    send_request,
 )
 
-__all__ = ["LEAVING_HEADER", "OutgoingCall", "Upstream", "UpstreamStatus"]
+__all__ = ["LEAVING_HEADER", "Upstream", "UpstreamRequest", "UpstreamStatus"]
 
 LEAVING_HEADER = "X-Leaving"
 
-CONTROL_SILENCE = 1.0  # seconds
+CONTROL_TIMEOUT_SECONDS = 1.0
 
 
-class OutgoingCall(msgspec.Struct, kw_only=True, frozen=True):
+class UpstreamRequest(msgspec.Struct, kw_only=True, frozen=True):
     """
-    One attempt as it goes to an upstream.
+    One attempt's request as it is sent to an upstream.
 
     Attributes
     ----------
     attempt : str
-        Sent as the request id; the answer must carry the same.
+        Sent as the request id. A response with another id belongs to another request.
+    method, path : str
+        Request line.
+    headers : tuple of (str, str)
+        Headers besides those that the upstream's kind adds.
+    body : bytes
+        Content.
     priority : int
-        The tier; smaller goes first.
-    repeatable : bool
-        Whether the call may use a kept connection, whose early end leaves the outcome
-        open.
+        Tier of the request; 1 is the highest priority.
+    is_idempotent : bool
+        Whether the request may be executed twice. Only then does it go over a pooled
+        connection: when the upstream closes that, it is unknown whether the request
+        was executed.
+    read_timeout : float
+        Seconds without data after which the attempt fails.
     """
 
     attempt: AttemptId
@@ -49,15 +58,24 @@
     headers: tuple[tuple[str, str], ...]
     body: bytes
     priority: int
-    repeatable: bool
-    silence: float
+    is_idempotent: bool
+    read_timeout: float
 
 
 class UpstreamStatus(msgspec.Struct, kw_only=True, frozen=True):
     """
-    An upstream's own word on itself.
+    The state that an upstream reports of itself.
 
-    ``models`` and ``loading`` are ``model@version`` texts, for engines.
+    Attributes
+    ----------
+    incarnation : int
+        Increases with each start of the upstream.
+    leaving : bool
+        Whether it accepts no new requests because it is to stop.
+    load : LoadReport or None
+        Its load, if it reports one.
+    models, loading : tuple of str
+        For engines, the loaded models and those being loaded, as ``model@version``.
     """
 
     incarnation: Incarnation
@@ -68,7 +86,21 @@
 
 
 class Upstream(ABC):
-    """One kind of upstream."""
+    """
+    Client of one kind of upstream.
+
+    Parameters
+    ----------
+    pool : ConnectionPool
+        Connections to upstreams of all kinds.
+
+    Attributes
+    ----------
+    name : str
+        Name of the kind in configuration files.
+    aliases : tuple of str
+        Other names of the kind.
+    """
 
     name: str
     aliases: tuple[str, ...] = ()
@@ -76,81 +108,101 @@
     def __init__(self, *, pool: ConnectionPool) -> None:
         self._pool = pool
 
-    def send(
+    def send_attempt(
         self,
         address: str,
-        call: OutgoingCall,
+        request: UpstreamRequest,
         *,
         on_connect: Callable[[socket.socket], None] | None = None,
-    ) -> Answer:
+    ) -> UpstreamResponse:
         """
-        Send an attempt.
+        Send an attempt's request and wait for the head of the response.
 
         Parameters
         ----------
+        address : str
+            Address of the upstream, ``ip:port``.
+        request : UpstreamRequest
+            Request of the attempt.
         on_connect : callable, optional
-            Is given the connection before anything is sent; closing it interrupts the
-            call.
+            Called with the connection before anything is sent. Closing the connection
+            interrupts the attempt.
 
         Raises
         ------
         UpstreamError
-            When there is no answer, or the upstream refused the request unrun.
+            When there is no response, it belongs to another request, or the upstream
+            refused the request without executing it.
         """
         headers = (
-            *call.headers,
-            ("X-Request-ID", call.attempt),
-            *self.extra_headers(call),
+            *request.headers,
+            ("X-Request-ID", request.attempt),
+            *self.build_extra_headers(request),
         )
-        answer = exchange(
+        response = send_request(
             self._pool,
             address,
-            method=call.method,
-            path=call.path,
+            method=request.method,
+            path=request.path,
             headers=headers,
-            body=call.body,
-            silence=call.silence,
-            fresh=not call.repeatable,
+            body=request.body,
+            read_timeout=request.read_timeout,
+            force_new_connection=not request.is_idempotent,
             on_connect=on_connect,
         )
-        self.check(answer, call)
-        return answer
+        self.check_response(response, request)
+        return response
 
-    def extra_headers(self, call: OutgoingCall) -> tuple[tuple[str, str], ...]:
-        """Return the headers that this kind of upstream takes besides."""
+    def build_extra_headers(
+        self, request: UpstreamRequest
+    ) -> tuple[tuple[str, str], ...]:
+        """Return the headers that only this kind of upstream reads."""
         return ()
 
     @abstractmethod
-    def check(self, answer: Answer, call: OutgoingCall) -> None:
-        """Raise ``UpstreamError`` when the answer is a refusal or another request's."""
+    def check_response(
+        self, response: UpstreamResponse, request: UpstreamRequest
+    ) -> None:
+        """
+        Raise ``UpstreamError`` for a refusal or for the response to another request.
+        """
 
-    def status(self, address: str) -> UpstreamStatus:
-        """Return the upstream's load report; raises ``UpstreamError``."""
+    def fetch_status(self, address: str) -> UpstreamStatus:
+        """Return the state that an upstream reports; raises ``UpstreamError``."""
         try:
             return msgspec.json.decode(
-                self.control(address, "GET", "/load"), type=UpstreamStatus
+                self.send_control_request(address, "GET", "/load"), type=UpstreamStatus
             )
         except msgspec.DecodeError as error:
             raise UpstreamError(Failure.BROKEN, f"load report: {error}") from error
 
-    def cancel(self, address: str, attempt: AttemptId) -> None:
-        """Tell the upstream that an answer is not wanted, where it can be told."""
+    def cancel_attempt(self, address: str, attempt: AttemptId) -> None:
+        """Cancel an attempt, on kinds of upstreams that support it."""
         return
 
-    def control(self, address: str, method: str, path: str, body: bytes = b"") -> bytes:
+    def send_control_request(
+        self, address: str, method: str, path: str, body: bytes = b""
+    ) -> bytes:
         """
-        Send a control call and return its answer's body; raises ``UpstreamError``.
+        Send a control request and return the body of the response.
+
+        Raises
+        ------
+        UpstreamError
+            When there is no response or its status is an error.
         """
-        answer = exchange(
+        response = send_request(
             self._pool,
             address,
             method=method,
             path=path,
             headers=(("Content-Type", "application/json"),),
             body=body,
-            silence=CONTROL_SILENCE,
+            read_timeout=CONTROL_TIMEOUT_SECONDS,
         )
-        content = answer.read_all(limit=1_000_000)
-        if answer.status >= 400:
-            raise UpstreamError(Failure.REFUSED, f"control call: {answer.status}")
+        content = response.read_body(limit=1_000_000)
+        if response.status >= 400:
+            raise UpstreamError(
+                Failure.REFUSED, f"control request: status {response.status}"
+            )
         return content
--- a/damasklead/upstreams/engine.py
+++ b/damasklead/upstreams/engine.py
@@ -2,8 +2,8 @@
 Model engines
 =============
 
-Upstreams that take the OpenAI form, with priority, cancel, resume, load report and
-health.
+Upstreams with the OpenAI interface, extended by priorities, cancellation, resumption of
+streams, and load reports.
 """
 
 from typing import Any
@@ -12,90 +12,113 @@
 
 from damasklead.ids import AttemptId
 from damasklead.requests import Failure
-from damasklead.upstreams.base import LEAVING_HEADER, OutgoingCall, Upstream
-from damasklead.upstreams.transport import Answer, UpstreamError
+from damasklead.upstreams.base import LEAVING_HEADER, Upstream, UpstreamRequest
+from damasklead.upstreams.transport import UpstreamError, UpstreamResponse
 
-__all__ = ["EngineUpstream", "continuation_body"]
+__all__ = ["EngineUpstream", "build_continuation_body"]
 
-REFUSING_STATUS = 503
+REFUSAL_STATUS = 503
 
 
 class EngineUpstream(Upstream):
-    """An engine with continuous batching."""
+    """Client of an engine with continuous batching."""
 
     name = "engine"
     aliases = ("model", "llm")
 
-    def extra_headers(self, call: OutgoingCall) -> tuple[tuple[str, str], ...]:
+    def build_extra_headers(
+        self, request: UpstreamRequest
+    ) -> tuple[tuple[str, str], ...]:
         """Return the priority header."""
-        return (("X-Priority", str(call.priority)),)
-
-    def check(self, answer: Answer, call: OutgoingCall) -> None:
-        """Refuse another request's answer, and take 503 as a refusal without a run."""
-        answered = answer.header("X-Request-ID")
-        if answered != call.attempt:
-            answer.close()
-            if not answered:
+        return (("X-Priority", str(request.priority)),)
+
+    def check_response(
+        self, response: UpstreamResponse, request: UpstreamRequest
+    ) -> None:
+        """
+        Raise ``UpstreamError`` for a refusal or for the response to another request.
+
+        An engine responds with 503 only if it has not executed the request.
+        """
+        response_id = response.get_header("X-Request-ID")
+        if response_id != request.attempt:
+            response.close()
+            if not response_id:
                 raise UpstreamError(
-                    Failure.BROKEN, f"status {answer.status} without a request id"
+                    Failure.BROKEN, f"status {response.status} without a request id"
                 )
-            raise UpstreamError(Failure.MISMATCHED, "the answer is another request's")
-        if answer.status == REFUSING_STATUS:
-            leaving = bool(answer.header(LEAVING_HEADER))
-            answer.close()
+            raise UpstreamError(
+                Failure.MISMATCHED, "the response belongs to another request"
+            )
+        if response.status == REFUSAL_STATUS:
+            leaving = bool(response.get_header(LEAVING_HEADER))
+            response.close()
             raise UpstreamError(
                 Failure.REFUSED, "the upstream refused the request", leaving=leaving
             )
 
-    def cancel(self, address: str, attempt: AttemptId) -> None:
+    def cancel_attempt(self, address: str, attempt: AttemptId) -> None:
         """
-        Cancel an attempt; an engine that can't be reached runs it no longer or to its
-        end.
+        Cancel an attempt.
+
+        Errors are ignored: an engine that cannot be reached has stopped, or executes
+        the attempt to its end.
         """
         try:
-            self.control(address, "POST", f"/v1/requests/{attempt}/cancel")
+            self.send_control_request(address, "POST", f"/v1/requests/{attempt}/cancel")
         except UpstreamError:
             return
 
-    def resume(
-        self, address: str, call: OutgoingCall, *, original: AttemptId, event: int
-    ) -> Answer:
+    def resume_stream(
+        self,
+        address: str,
+        request: UpstreamRequest,
+        *,
+        original_attempt: AttemptId,
+        event_count: int,
+    ) -> UpstreamResponse:
         """
-        Go on with a stream that this engine ran, from an event on.
+        Resume the stream of an earlier attempt on the same engine.
 
         Parameters
         ----------
-        original : str
-            The attempt whose stream it was.
-        event : int
-            How many events of that attempt's stream have been received.
+        address : str
+            Address of the engine, ``ip:port``.
+        request : UpstreamRequest
+            Request of the new attempt.
+        original_attempt : str
+            Attempt whose stream is resumed.
+        event_count : int
+            Number of events received of that stream; the next one is sent first.
 
         Raises
         ------
         UpstreamError
-            When the engine can't go on with it.
+            When the engine cannot resume it.
         """
-        path = f"/v1/requests/{original}/resume?from={event}"
-        again = msgspec.structs.replace(call, method="POST", path=path, body=b"")
-        answer = self.send(address, again)
-        if answer.status != 200:
-            answer.close()
-            raise UpstreamError(Failure.REFUSED, "the engine can't resume the stream")
-        return answer
-
-
-def continuation_body(body: dict[str, Any], text: str) -> bytes:
+        path = f"/v1/requests/{original_attempt}/resume?from={event_count}"
+        resumption = msgspec.structs.replace(
+            request, method="POST", path=path, body=b""
+        )
+        response = self.send_attempt(address, resumption)
+        if response.status != 200:
+            response.close()
+            raise UpstreamError(Failure.REFUSED, "the engine cannot resume the stream")
+        return response
+
+
+def build_continuation_body(body: dict[str, Any], text: str) -> bytes:
     """
-    Return the body that asks an engine to go on after ``text``.
+    Return the body of a request that continues a response after ``text``.
 
-    The form is the common one of engines with the OpenAI interface: the text so far as
-    the last message of the assistant, marked as unfinished.
+    It is the form that engines with the OpenAI interface share: the text so far is the
+    last message, by the assistant, and is marked as unfinished.
     """
     messages = [*body["messages"], {"role": "assistant", "content": text}]
-    changed = {
+    continuation = {
         **body,
         "messages": messages,
         "continue_final_message": True,
         "add_generation_prompt": False,
     }
-    return msgspec.json.encode(changed)
+    return msgspec.json.encode(continuation)
--- a/damasklead/upstreams/transport.py
+++ b/damasklead/upstreams/transport.py
@@ -2,11 +2,12 @@
 Connections to upstreams
 ========================
 
-Sends one request over one connection and hands out the answer's body in the chunks it
-arrives in.
+Sends requests over pooled HTTP connections and reads the bodies of responses in chunks
+as they arrive.
 
-The parser is geventhttpclient's.  Its client is not used here, because it sends a
-request again by itself when a pooled connection turns out to be closed.
+The parser is that of ``geventhttpclient``. Its client is not used, because it sends a
+request again when a pooled connection turns out to be closed, which could execute the
+request twice.
 """
 
 from collections import deque
@@ -18,23 +19,23 @@
 from damasklead.requests import Failure
 from damasklead.util import split_address
 
-__all__ = ["Answer", "ConnectionPool", "UpstreamError", "exchange"]
+__all__ = ["ConnectionPool", "UpstreamError", "UpstreamResponse", "send_request"]
 
-CONNECT_TIMEOUT = 0.5  # seconds
+CONNECT_TIMEOUT_SECONDS = 0.5
 RECEIVE_BYTES = 65_536
 MAX_IDLE_CONNECTIONS = 64
 
 
 class UpstreamError(Exception):
     """
-    An attempt that ended without a whole answer.
+    An attempt that ended without a complete response.
 
     Attributes
     ----------
     failure : Failure
-        How it ended.
+        Why it ended.
     leaving : bool
-        Whether the upstream said that it is leaving.
+        Whether the upstream reported that it is leaving.
     """
 
     def __init__(
@@ -45,64 +46,70 @@
         self.leaving = leaving
 
 
-class _Parser(HTTPResponse):
-    """Collects body bytes as they are parsed."""
+class _ResponseParser(HTTPResponse):
+    """Buffers the data of the body as it is parsed."""
 
     def __init__(self, *, method: str) -> None:
         super().__init__(method)
-        self.parts: list[bytes] = []
+        self.body_parts: list[bytes] = []
 
     def _on_body(self, buf: bytearray) -> None:
-        self.parts.append(bytes(buf))
+        self.body_parts.append(bytes(buf))
 
-    def take(self) -> bytes:
-        """Return the body bytes parsed since the last call."""
-        if len(self.parts) == 1:
-            part = self.parts[0]
+    def take_body_data(self) -> bytes:
+        """Return the body data that was parsed since the last call."""
+        if len(self.body_parts) == 1:
+            part = self.body_parts[0]
         else:
-            part = b"".join(self.parts)
-        self.parts = []
+            part = b"".join(self.body_parts)
+        self.body_parts = []
         return part
 
 
 class ConnectionPool:
-    """Idle connections by address."""
+    """Idle connections, by address and in the order of their last use."""
 
     def __init__(self) -> None:
         self._idle: dict[str, deque[socket.socket]] = {}
 
-    def take(self, address: str, *, fresh: bool) -> socket.socket:
+    def acquire(self, address: str, *, force_new_connection: bool) -> socket.socket:
         """
-        Return a connection.
+        Return an idle or new connection.
 
         Parameters
         ----------
-        fresh : bool
-            Whether to open a new one: an idle one may be closing, which would leave
-            open whether the request was run.
+        address : str
+            Address of the upstream, ``ip:port``.
+        force_new_connection : bool
+            Whether to open a new connection. The upstream may be closing an idle one,
+            and then it is unknown whether the request was executed.
 
         Raises
         ------
         UpstreamError
-            With ``NOT_SENT`` when the upstream can't be reached.
+            ``NOT_SENT`` when the upstream cannot be reached.
         """
         idle = self._idle.get(address)
-        while idle and not fresh:
+        while idle and not force_new_connection:
             connection = idle.pop()
             if _is_open(connection):
                 return connection
             connection.close()
         try:
             connection = socket.create_connection(
-                split_address(address), timeout=CONNECT_TIMEOUT
+                split_address(address), timeout=CONNECT_TIMEOUT_SECONDS
             )
         except OSError as error:
             raise UpstreamError(Failure.NOT_SENT, f"connect: {error}") from error
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         return connection
 
-    def give_back(self, address: str, connection: socket.socket) -> None:
-        """Keep a connection for later."""
+    def release(self, address: str, connection: socket.socket) -> None:
+        """
+        Return a connection to the pool.
+
+        If the pool is full for the address, the oldest idle connection is closed.
+        """
         idle = self._idle.setdefault(address, deque())
         if len(idle) >= MAX_IDLE_CONNECTIONS:
             idle.popleft().close()
@@ -116,22 +123,22 @@
         self._idle.clear()
 
 
-class Answer:
+class UpstreamResponse:
     """
-    An answer whose head has arrived.
+    A response whose head has arrived.
 
     Attributes
     ----------
     status : int
-        The HTTP status.
-    chunks : int
-        How often something arrived.
+        HTTP status.
+    receive_count : int
+        Number of reads that received data after the head.
     """
 
     def __init__(
         self,
         *,
-        parser: _Parser,
+        parser: _ResponseParser,
         connection: socket.socket,
         address: str,
         pool: ConnectionPool,
@@ -142,55 +149,63 @@
         self._address = address
         self._pool = pool
         self._interrupted: Failure | None = None
-        self.chunks = 0
+        self.receive_count = 0
 
-    def stream(self) -> None:
+    def disable_read_timeout(self) -> None:
         """
-        Read without a timer for each chunk, which costs more than the chunk.
+        Read without a timer for each chunk, since a timer costs more than the read.
 
-        Whoever calls this must call ``interrupt`` when the upstream is silent for long;
-        ``chunks`` tells how much has come.
+        The caller must call ``interrupt`` when ``receive_count`` has not changed for
+        the read timeout.
         """
         if self._connection is not None:
             self._connection.settimeout(None)
 
     def interrupt(self, failure: Failure) -> None:
-        """End the call; its reader gets this failure."""
+        """Close the connection; the reader gets an ``UpstreamError`` of the failure."""
         self._interrupted = failure
         self.close()
 
-    def header(self, name: str) -> str:
-        """Return a header's value, empty when there is none."""
+    def get_header(self, name: str) -> str:
+        """Return the value of a header, empty if the response lacks it."""
         value = self._parser.get(name, "")
         return value if isinstance(value, str) else ", ".join(value or ())
 
-    def headers(self) -> list[tuple[str, str]]:
+    def get_headers(self) -> list[tuple[str, str]]:
         """Return all headers."""
         return [(str(name), str(value)) for name, value in self._parser.items()]
 
     def read_chunk(self) -> bytes:
         """
-        Return the bytes that arrived since the last call, empty at the end of the
-        answer.
+        Return the data that arrived since the last call, empty at the end of the body.
 
         Raises
         ------
         UpstreamError
-            ``BROKEN`` when the connection ends early, ``TIMED_OUT`` when it stays
-            silent.
+            ``BROKEN`` when the connection ends early, ``TIMED_OUT`` when no data
+            arrives within the read timeout.
         """
         while True:
-            if self._parser.parts:
-                return self._parser.take()
+            if self._parser.body_parts:
+                return self._parser.take_body_data()
             if self._parser.message_complete:
                 self._finish()
                 return b""
             self._receive()
 
-    def read_all(self, *, limit: int) -> bytes:
+    def read_body(self, *, limit: int) -> bytes:
         """
-        Return the whole body; raises ``UpstreamError`` when it is longer than
-        ``limit``.
+        Return the complete body.
+
+        Parameters
+        ----------
+        limit : int
+            Largest length in bytes.
+
+        Raises
+        ------
+        UpstreamError
+            ``BROKEN`` when the body is longer, and as ``read_chunk``.
         """
         parts: list[bytes] = []
         size = 0
@@ -199,7 +214,7 @@
             if size > limit:
                 self.close()
                 raise UpstreamError(
-                    Failure.BROKEN, f"the answer is longer than {limit} bytes"
+                    Failure.BROKEN, f"the response is longer than {limit} bytes"
                 )
             parts.append(part)
         return b"".join(parts)
@@ -214,24 +229,24 @@
         if self._connection is None:
             raise UpstreamError(self._interrupted or Failure.BROKEN, "interrupted")
         try:
-            _receive(self._connection, self._parser)
+            _receive_data(self._connection, self._parser)
         except UpstreamError as error:
             if self._interrupted is not None:
                 raise UpstreamError(self._interrupted, "interrupted") from error
             raise
-        self.chunks += 1
+        self.receive_count += 1
 
     def _finish(self) -> None:
         connection, self._connection = self._connection, None
         if connection is None:
             return
         if self._parser.should_keep_alive():
-            self._pool.give_back(self._address, connection)
+            self._pool.release(self._address, connection)
         else:
             connection.close()
 
 
-def exchange(
+def send_request(
     pool: ConnectionPool,
     address: str,
     *,
@@ -239,46 +254,59 @@
     path: str,
     headers: Iterable[tuple[str, str]],
     body: bytes,
-    silence: float,
-    fresh: bool = False,
+    read_timeout: float,
+    force_new_connection: bool = False,
     on_connect: Callable[[socket.socket], None] | None = None,
-) -> Answer:
+) -> UpstreamResponse:
     """
-    Send a request and wait for the head of its answer.
+    Send a request and wait for the head of the response.
 
     Parameters
     ----------
-    silence : float
-        Seconds without a byte after which the attempt counts as timed out.
-    fresh : bool
+    pool : ConnectionPool
+        Connections to use.
+    address : str
+        Address of the upstream, ``ip:port``.
+    method, path : str
+        Request line.
+    headers : iterable of (str, str)
+        Headers besides ``Host`` and ``Content-Length``.
+    body : bytes
+        Content.
+    read_timeout : float
+        Seconds without data after which the attempt fails as timed out.
+    force_new_connection : bool
         Whether the request must go over a new connection.
     on_connect : callable, optional
-        Is given the connection before anything is sent; closing it interrupts the call.
+        Called with the connection before anything is sent. Closing the connection
+        interrupts the attempt.
 
     Raises
     ------
     UpstreamError
-        ``NOT_SENT`` only when no byte of the request was given to the connection.
+        ``NOT_SENT`` only when no byte of the request was written to a connection.
     """
-    connection = pool.take(address, fresh=fresh)
+    connection = pool.acquire(address, force_new_connection=force_new_connection)
     if on_connect is not None:
         on_connect(connection)
-    connection.settimeout(silence)
-    parser = _Parser(method=method)
+    connection.settimeout(read_timeout)
+    parser = _ResponseParser(method=method)
     try:
-        connection.sendall(_render(address, method, path, headers, body))
+        connection.sendall(_encode_request(address, method, path, headers, body))
         while not parser.headers_complete:
-            _receive(connection, parser)
+            _receive_data(connection, parser)
     except UpstreamError:
         connection.close()
         raise
     except OSError as error:
         connection.close()
         raise UpstreamError(Failure.BROKEN, f"send: {error}") from error
-    return Answer(parser=parser, connection=connection, address=address, pool=pool)
+    return UpstreamResponse(
+        parser=parser, connection=connection, address=address, pool=pool
+    )
 
 
-def _render(
+def _encode_request(
     address: str,
     method: str,
     path: str,
@@ -291,12 +319,14 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
 
 
-def _receive(connection: socket.socket, parser: _Parser) -> None:
-    """Read once from the connection into the parser."""
+def _receive_data(connection: socket.socket, parser: _ResponseParser) -> None:
+    """Read once from the connection and feed the parser."""
     try:
         data = connection.recv(RECEIVE_BYTES)
     except TimeoutError as error:
-        raise UpstreamError(Failure.TIMED_OUT, "the upstream is silent") from error
+        raise UpstreamError(
+            Failure.TIMED_OUT, "no data within the read timeout"
+        ) from error
     except OSError as error:
         raise UpstreamError(Failure.BROKEN, f"receive: {error}") from error
     if not data:
@@ -308,7 +338,7 @@
 
 
 def _is_open(connection: socket.socket) -> bool:
-    """Tell whether an idle connection has neither data nor an end waiting."""
+    """Return whether an idle connection is open and has no unread data."""
     connection.settimeout(0.0)
     try:
         connection.recv(1, socket.MSG_PEEK)
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -29,7 +29,7 @@
 from damasklead.stores.http import http_platform
 from damasklead.stores.memory import Faults
 from damasklead.upstreams import ConnectionPool, UpstreamError
-from damasklead.upstreams.transport import exchange
+from damasklead.upstreams.transport import send_request
 
 REGION = "local"
 START_SECONDS = 30.0
@@ -151,17 +151,17 @@
     def get(self, address: str, path: str, *, body: bytes | None = None) -> Any:
         """Return a JSON answer or ``None``; a body makes it a POST."""
         try:
-            answer = exchange(
+            answer = send_request(
                 self._pool,
                 address,
                 method="GET" if body is None else "POST",
                 path=path,
                 headers=(),
                 body=body or b"",
-                silence=5.0,
-                fresh=True,
+                read_timeout=5.0,
+                force_new_connection=True,
             )
-            content = answer.read_all(limit=10_000_000)
+            content = answer.read_body(limit=10_000_000)
             return msgspec.json.decode(content) if answer.status == 200 else None
         except (UpstreamError, msgspec.DecodeError):
             return None
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -33,8 +33,8 @@
 from damasklead.standins.base import Call, Reply, json_reply
 from damasklead.standins.engine import expected_text
 from damasklead.stores.memory import Faults, memory_platform
-from damasklead.upstreams import Answer, ConnectionPool, UpstreamError
-from damasklead.upstreams.transport import exchange
+from damasklead.upstreams import ConnectionPool, UpstreamError, UpstreamResponse
+from damasklead.upstreams.transport import send_request
 from damasklead.util import new_id, split_address
 
 MODEL = "demo-7b"
@@ -109,17 +109,17 @@
         body: bytes = b"",
         key: str = "skippers",
         **headers: str,
-    ) -> Answer:
+    ) -> UpstreamResponse:
         pairs = [("Authorization", f"Bearer {KEYS.get(key, key)}")]
         pairs += [(name.replace("_", "-"), value) for name, value in headers.items()]
-        return exchange(
+        return send_request(
             self.pool, self.address, method=method, path=path, headers=pairs, body=body,
-            silence=20.0, fresh=True,
+            read_timeout=20.0, force_new_connection=True,
         )  # fmt: skip
 
     def ask(
         self, prompt: str, *, tokens: int = 30, stream: bool = True
-    ) -> tuple[Answer, dict[str, Any]]:
+    ) -> tuple[UpstreamResponse, dict[str, Any]]:
         document = {
             "model": MODEL,
             "messages": [{"role": "user", "content": prompt}],
@@ -137,8 +137,8 @@
     world.stop()
 
 
-def text_of(answer: Answer) -> str:
-    body = answer.read_all(limit=1_000_000)
+def text_of(answer: UpstreamResponse) -> str:
+    body = answer.read_body(limit=1_000_000)
     assert body.endswith(b"data: [DONE]\n\n"), body[-200:]
     events = [event for event in body.split(b"\n\n") if event.startswith(b"data: {")]
     words = [
@@ -147,9 +147,9 @@
     return "".join(words).strip()
 
 
-def problem_of(answer: Answer) -> dict[str, Any]:
-    assert answer.header("Content-Type") == "application/problem+json"
-    document: dict[str, Any] = msgspec.json.decode(answer.read_all(limit=100_000))
+def problem_of(answer: UpstreamResponse) -> dict[str, Any]:
+    assert answer.get_header("Content-Type") == "application/problem+json"
+    document: dict[str, Any] = msgspec.json.decode(answer.read_body(limit=100_000))
     assert document["status"] == answer.status
     return document
 
@@ -184,7 +184,7 @@
 ) -> None:
     answer = running.send(method, path, body, key=key)
     assert answer.status == status
-    assert answer.header("X-Damasklead-Outcome") == "not-run"
+    assert answer.get_header("X-Damasklead-Outcome") == "not-run"
     document = problem_of(answer)
     assert document.get("field") == field
     assert document["type"].startswith("urn:damasklead:problem:")
@@ -223,8 +223,8 @@
 
 def test_the_request_id_comes_back(running: Running) -> None:
     answer = running.send("GET", "/v1/models", X_Request_ID="my-id-7")
-    assert answer.header("X-Request-ID") == "my-id-7"
-    assert b"demo-7b" in answer.read_all(limit=10_000)
+    assert answer.get_header("X-Request-ID") == "my-id-7"
+    assert b"demo-7b" in answer.read_body(limit=10_000)
 
 
 def test_whole_and_streamed_answers_are_the_callers_own(running: Running) -> None:
@@ -233,7 +233,7 @@
         if number % 2 == 0:
             assert text_of(answer) == expected_text(document)
             return
-        content = msgspec.json.decode(answer.read_all(limit=100_000))
+        content = msgspec.json.decode(answer.read_body(limit=100_000))
         assert content["choices"][0]["message"]["content"] == expected_text(document)
 
     greenlets = [gevent.spawn(check, number) for number in range(40)]
@@ -257,7 +257,7 @@
     monkeypatch.setattr(first, "handle", handle)
     for number in range(10):
         answer, document = running.ask(f"crossed {number}", stream=False)
-        content = msgspec.json.decode(answer.read_all(limit=100_000))
+        content = msgspec.json.decode(answer.read_body(limit=100_000))
         assert content["choices"][0]["message"]["content"] == expected_text(document)
 
 
@@ -288,7 +288,7 @@
     assert answer.read_chunk()
     for engine in running.engines:
         engine.stop()
-    body = answer.read_all(limit=1_000_000)
+    body = answer.read_body(limit=1_000_000)
     assert b"event: error\n" in body
     assert b'"outcome":"unknown"' in body
     assert b"[DONE]" not in body
@@ -325,8 +325,8 @@
     first = running.send("POST", path, body, Idempotency_Key="k1")
     again = running.send("POST", path, body, Idempotency_Key="k1")
     assert first.status == again.status == 200
-    assert again.header("X-Damasklead-Replayed") == "true"
-    assert first.read_all(limit=1000) == again.read_all(limit=1000)
+    assert again.get_header("X-Damasklead-Replayed") == "true"
+    assert first.read_body(limit=1000) == again.read_body(limit=1000)
     assert running.shop.orders == ["once"]
     other = running.send("POST", path, b'{"reference": "x"}', Idempotency_Key="k1")
     assert problem_of(other)["type"].endswith("idempotency-key-reused")
@@ -338,7 +338,7 @@
 ) -> None:
     path = "/services/demo-app/orders"
 
-    def send() -> Answer:
+    def send() -> UpstreamResponse:
         return running.send("POST", path, b'{"reference": "x"}', Idempotency_Key="k")
 
     def break_off(call: Call) -> Reply:
@@ -349,13 +349,16 @@
 
     running.shop._order = break_off  # type: ignore[method-assign]
     answer = send()
-    assert (answer.status, answer.header("X-Damasklead-Outcome")) == (502, "unknown")
+    assert (answer.status, answer.get_header("X-Damasklead-Outcome")) == (
+        502,
+        "unknown",
+    )
     answer.close()
     del running.shop._order
     running.shop.start()
     gevent.sleep(1.2)
     again = send()
-    assert again.header("X-Damasklead-Outcome") == "unknown"
+    assert again.get_header("X-Damasklead-Outcome") == "unknown"
     assert problem_of(again)["type"].endswith("order-outcome-unknown")
     assert running.shop.orders == ["x"]
 
@@ -365,27 +368,30 @@
     path = "/services/demo-app/orders"
     body = b'{"reference": "later"}'
     answer = running.send("POST", path, body, Idempotency_Key="k")
-    assert (answer.status, answer.header("X-Damasklead-Outcome")) == (503, "not-run")
-    assert answer.header("Retry-After")
+    assert (answer.status, answer.get_header("X-Damasklead-Outcome")) == (
+        503,
+        "not-run",
+    )
+    assert answer.get_header("Retry-After")
     running.faults.down = False
     assert running.send("POST", path, body, Idempotency_Key="k").status == 200
     assert running.shop.orders == ["later"]
 
 
 def test_operators_see_health_metrics_and_status(running: Running) -> None:
-    running.ask("metrics")[0].read_all(limit=100_000)
+    running.ask("metrics")[0].read_body(limit=100_000)
 
     def get(path: str) -> tuple[int, bytes]:
-        answer = exchange(
+        answer = send_request(
             running.pool,
             running.operators,
             method="GET",
             path=path,
             headers=(),
             body=b"",
-            silence=5.0,
+            read_timeout=5.0,
         )
-        return answer.status, answer.read_all(limit=1_000_000)
+        return answer.status, answer.read_body(limit=1_000_000)
 
     assert get("/healthz")[0] == 200 and get("/readyz")[0] == 200
     metrics = get("/metrics")[1].decode()
@@ -396,14 +402,14 @@
     status = msgspec.json.decode(get("/status")[1])
     assert status["configuration"] == 1 and status["ready"]
     with pytest.raises(UpstreamError):
-        exchange(
+        send_request(
             running.pool,
             "127.0.0.1:1",
             method="GET",
             path="/",
             headers=(),
             body=b"",
-            silence=1.0,
+            read_timeout=1.0,
         )
 
 
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -12,11 +12,11 @@
 from damasklead.daemon.replies import DONE_EVENT, Head
 from damasklead.ids import AttemptId, InstanceId
 from damasklead.requests import Cancel, Start
-from damasklead.upstreams import OutgoingCall
+from damasklead.upstreams import UpstreamRequest
 
-CALL = OutgoingCall(
+CALL = UpstreamRequest(
     attempt=AttemptId(""), method="POST", path="/", headers=(), body=b"", priority=3,
-    repeatable=True, silence=5.0,
+    is_idempotent=True, read_timeout=5.0,
 )  # fmt: skip
 
 
@@ -31,17 +31,17 @@
     status = 200
 
     def __init__(self, chunks: list[bytes]) -> None:
-        self.chunks = 0
+        self.receive_count = 0
         self._chunks = chunks
 
-    def stream(self) -> None:
+    def disable_read_timeout(self) -> None:
         """Nothing is to be prepared."""
 
-    def headers(self) -> list[tuple[str, str]]:
+    def get_headers(self) -> list[tuple[str, str]]:
         return [("Content-Type", "text/event-stream")]
 
     def read_chunk(self) -> bytes:
-        self.chunks += 1
+        self.receive_count += 1
         return self._chunks.pop(0) if self._chunks else b""
 
 
@@ -76,7 +76,7 @@
         self.sent: list[int] = []
         self.request: Any = None
 
-    def send(self, address: str, call: Any, **_options: Any) -> Answers:
+    def send_attempt(self, address: str, call: Any, **_options: Any) -> Answers:
         begin = self.request.generated_tokens
         self.sent.append(begin)
         pieces = [event(number) for number in range(begin, 4)]
