--- a/damasklead/audit.py
+++ b/damasklead/audit.py
@@ -2,10 +2,10 @@
 Audit trail
 ===========
 
-Who changed what and when, as rows of the table service.
+Records who changed what and when, as rows of the table service.
 
-Entries keep events in memory while the store is out, up to a bound; what the bound
-drops is counted and reported in the next event that is written.
+Entries buffer a limited number of events in memory while the store is unavailable; the
+events that are dropped at the limit are counted in the entry's status.
 """
 
 from collections import deque
@@ -31,21 +31,21 @@
 
 class AuditEvent(msgspec.Struct, kw_only=True, frozen=True):
     """
-    One change.
+    One recorded change.
 
     Attributes
     ----------
     id : str
-        Unique, so that writing the event twice stores it once.
+        Unique id, by which an event that is written twice is stored once.
     at : float
-        Wall-clock time in seconds since 1970, for people to read; nothing is decided by
-        it.
+        Wall-clock time in seconds since 1970, for readers and the order of the rows
+        only.
     who : str
-        The operator or the instance.
+        The operator or instance that made the change.
     action, subject : str
-        What was done, to what.
+        What was done, and to what.
     before, after : str
-        The state on both sides of the change.
+        The state before and after the change.
     """
 
     id: str
@@ -59,7 +59,7 @@
 
 def make_audit_write(event: AuditEvent) -> Put:
     """
-    Return the write that stores an event, to be part of the commit that it describes.
+    Return the write that stores an event, to be added to the commit that it describes.
     """
     key = f"{int(event.at * MILLISECONDS_PER_SECOND):015d}-{event.id}"
     return Put(table=AUDIT_TABLE, key=key, value=msgspec.json.encode(event))
@@ -71,7 +71,19 @@
 
 
 class AuditBuffer:
-    """Events of one entry that are not stored yet."""
+    """
+    Buffers the events of one entry until they are stored.
+
+    Parameters
+    ----------
+    max_events : int
+        Number of events that are buffered at most.
+
+    Attributes
+    ----------
+    dropped_count : int
+        Number of events that were dropped.
+    """
 
     def __init__(self, *, max_events: int = MAX_BUFFERED_EVENTS) -> None:
         self.dropped_count = 0
@@ -83,9 +95,9 @@
 
     def add_event(self, event: AuditEvent, *writes: Put) -> None:
         """
-        Keep an event with the writes that belong to it, to be stored together.
+        Buffer an event and the writes that are to be stored in the same commit.
 
-        The oldest is dropped and counted when there is no room.
+        If the buffer is full, its oldest event is dropped with its writes.
         """
         if len(self._events) >= self._max_events:
             self._events.popleft()
@@ -93,7 +105,7 @@
         self._events.append((event, writes))
 
     def flush_events(self) -> Steps[int]:
-        """Store what is kept, one commit an event; returns how many were stored."""
+        """Store the buffered events, one commit each; returns the number stored."""
         stored = 0
         while self._events:
             first = self._events[0]
--- a/damasklead/claims.py
+++ b/damasklead/claims.py
@@ -1,13 +1,13 @@
 """
-Claims of requests that may not be repeated
-===========================================
+Claims of requests that may be executed only once
+=================================================
 
-A conditional write claims an idempotency key for one attempt before the first byte goes
-upstream.
+Before the first byte of such a request is sent upstream, a conditional write claims its
+idempotency key for one attempt.
 
-A claim is never taken over while its attempt may have sent anything.  An attempt whose
-claim could not be confirmed sends nothing, and its claim is released as soon as the
-store answers.
+No other attempt acquires the key while the holder may have sent anything.  An attempt
+whose claim could not be confirmed sends nothing, and its claim is released as soon as
+the store responds.
 """
 
 from enum import Enum
@@ -31,17 +31,17 @@
 
 __all__ = [
     "CLAIMS_TABLE",
-    "ClaimAcquired",
-    "RecordedResponse",
     "BodyMismatch",
     "Claim",
-    "ClaimState",
+    "ClaimAcquired",
     "ClaimHeld",
+    "ClaimState",
     "ClaimUnconfirmed",
+    "RecordedResponse",
     "abandon",
     "acquire",
-    "make_claim_key",
     "decode_claim",
+    "make_claim_key",
     "resolve",
     "settle",
 ]
@@ -52,10 +52,11 @@
 
 class ClaimState(Enum):
     """
-    What is known of the attempt that holds a key.
+    The state of the attempt that claimed a key.
 
-    ``RELEASED`` says that the attempt surely did not run; the next one may claim the
-    key.
+    A ``CLAIMED`` attempt may still run, an ``ANSWERED`` one was executed, and whether a
+    ``FAILED`` one was executed is unknown.  A ``RELEASED`` attempt was certainly not
+    executed, and another attempt may claim the key.
     """
 
     CLAIMED = "claimed"
@@ -65,7 +66,7 @@
 
 
 class RecordedResponse(msgspec.Struct, kw_only=True, frozen=True):
-    """A recorded answer; ``body`` is ``None`` when it was too large to keep."""
+    """A recorded response; ``body`` is ``None`` if it was too large to be stored."""
 
     status: int
     content_type: str
@@ -74,20 +75,24 @@
 
 class Claim(msgspec.Struct, kw_only=True, frozen=True):
     """
-    The row of one idempotency key.
+    The row of one idempotency key, which one attempt holds at a time.
 
     Attributes
     ----------
     attempt : str
         The attempt that holds the key.
     body_digest : str
-        Digest of the request, so that another request under the same key is refused.
+        Digest of the request's body; a request with another body under the same key is
+        refused.
     holder, incarnation
-        The entry that runs the attempt.
+        The entry that makes the attempt.
     generation : int
-        The sweeper's hour count when the claim was made.
+        The claims' generation, about one an hour, at the time of the claim; expired
+        claims are found by it.
+    answer : RecordedResponse or None
+        The response to replay to later requests with the key, if one was recorded.
     note : str
-        Who settled the claim, when an operator did.
+        The operator who settled the claim, if one did.
     """
 
     workspace: WorkspaceId
@@ -103,29 +108,29 @@
 
 
 class ClaimAcquired(msgspec.Struct, kw_only=True, frozen=True):
-    """The attempt holds the key at this row version and may send."""
+    """The attempt holds the key at this row version and may send the request."""
 
     version: int
 
 
 class ClaimHeld(msgspec.Struct, kw_only=True, frozen=True):
-    """An earlier attempt holds the key; ``claim.state`` says how far it came."""
+    """An earlier attempt holds the key, in the state ``claim.state``."""
 
     claim: Claim
 
 
 class BodyMismatch(msgspec.Struct, kw_only=True, frozen=True):
-    """The key belongs to a request with another body."""
+    """The key was claimed for a request with another body."""
 
 
 class ClaimUnconfirmed(msgspec.Struct, kw_only=True, frozen=True):
     """
-    The claim could not be confirmed; nothing may be sent.
+    The claim could not be confirmed; the request must not be sent.
 
     Attributes
     ----------
     maybe_written : bool
-        Whether the claim may stand all the same; then ``abandon`` must follow.
+        Whether the claim may have been written; if so, ``abandon`` must follow.
     """
 
     maybe_written: bool
@@ -135,7 +140,7 @@
 
 
 def make_claim_key(workspace: WorkspaceId, key: str) -> str:
-    """Return the row key of an idempotency key."""
+    """Return the key of the row that holds the claim of an idempotency key."""
     return f"{workspace}/{key}"
 
 
@@ -151,7 +156,7 @@
     Parameters
     ----------
     claim : Claim
-        In the state ``CLAIMED``, with an attempt id that is used nowhere else.
+        The claim to write, in the state ``CLAIMED`` and with a unique attempt id.
     """
     version = ABSENT
     maybe_written = False
@@ -180,19 +185,19 @@
 
 def settle(claim: Claim, *, version: int) -> Steps[bool]:
     """
-    Record what became of an acquired claim.
+    Record the outcome of an acquired claim.
 
     Parameters
     ----------
     claim : Claim
-        With its new state.
+        The claim with its new state.
     version : int
         The row version at which it was acquired.
 
     Returns
     -------
     bool
-        ``False`` when the store could not be reached; the same call may be made again.
+        ``False`` if the store was unreachable; the call may then be repeated.
     """
     result = yield _make_write(claim, version)
     if isinstance(result, Ok):
@@ -206,16 +211,15 @@
 
 def abandon(claim: Claim) -> Steps[bool]:
     """
-    Make sure that an unconfirmed claim of an attempt that sent nothing holds the key no
-    longer.
+    Release the unconfirmed claim of an attempt that sent nothing.
 
-    A released row is written even where there is none, so that a claim that is still on
-    its way to the store finds its condition broken when it arrives.
+    A released row is written even if there is no row, so that the condition of a claim
+    write that reaches the store later fails.
 
     Returns
     -------
     bool
-        ``False`` when the store could not be reached; the same call may be made again.
+        ``False`` if the store was unreachable; the call may then be repeated.
     """
     released = msgspec.structs.replace(claim, state=ClaimState.RELEASED, answer=None)
     for _ in range(MAX_WRITE_ATTEMPTS):
@@ -235,23 +239,24 @@
     key: str, *, executed: bool, event: AuditEvent, force: bool = False
 ) -> Steps[str]:
     """
-    Settle an order whose outcome is not known, as an operator says.
+    Settle an order (a request that may be executed only once) whose outcome is unknown.
 
     Parameters
     ----------
     key : str
         The row key, ``workspace/key``.
-    ran : bool
-        Whether the order ran; if not, its key is free for another sending.
+    executed : bool
+        Whether the order was executed, as the operator found out; if not, its key is
+        released for another attempt.
     event : AuditEvent
-        Stored in the same commit.
+        The audit event, which is stored in the same commit.
     force : bool
         Whether to settle a claim whose attempt may still run.
 
     Returns
     -------
     str
-        Why nothing was settled, empty when it was.
+        Why the order was not settled; empty if it was.
     """
     result = yield ReadRows(table=CLAIMS_TABLE, keys=(key,))
     if isinstance(result, Err):
@@ -286,9 +291,7 @@
 
 
 def _interpret_row(claim: Claim, row: Row) -> AcquireResult | None:
-    """
-    Return what a row means for an attempt, or ``None`` when the key is free again.
-    """
+    """Return the outcome of an attempt to claim, or ``None`` if the key is released."""
     held = decode_claim(row)
     if held.attempt == claim.attempt and held.state is ClaimState.CLAIMED:
         return ClaimAcquired(version=row.version)
@@ -300,9 +303,7 @@
 
 
 def _could_acquire(claim: Claim, row: Row) -> bool:
-    """
-    Tell whether a late write of this claim could still make the attempt hold the key.
-    """
+    """Tell whether the attempt holds the key or a late write of its claim may."""
     held = decode_claim(row)
     if held.attempt == claim.attempt:
         return held.state is ClaimState.CLAIMED
--- a/damasklead/drains.py
+++ b/damasklead/drains.py
@@ -2,7 +2,8 @@
 Drains
 ======
 
-An operator's word that an upstream or entry is leaving, as a row of the table service.
+An operator's request to drain an upstream or entry is kept as a row of the table
+service.
 """
 
 import msgspec
@@ -17,7 +18,16 @@
 
 
 class Drain(msgspec.Struct, kw_only=True, frozen=True):
-    """An incarnation that must get no new work."""
+    """
+    The row of an instance that must get no new requests.
+
+    Attributes
+    ----------
+    instance, incarnation
+        The instance; a later incarnation gets requests again.
+    who : str
+        The operator who drained it.
+    """
 
     instance: InstanceId
     incarnation: Incarnation
@@ -25,6 +35,6 @@
 
 
 def make_drain_commit(drain: Drain, *, event: AuditEvent) -> Commit:
-    """Return the commit that drains an instance and records it in the audit trail."""
+    """Return the commit that drains an instance and adds an audit event."""
     row = Put(table=DRAINS_TABLE, key=drain.instance, value=msgspec.json.encode(drain))
     return Commit(conditions=(), writes=(row, make_audit_write(event)))
--- a/damasklead/duties.py
+++ b/damasklead/duties.py
@@ -2,11 +2,13 @@
 Duties
 ======
 
-What the holders of leases do: they order model loads and sweep old claims.
+The work of the instances that hold leases: to load models on engines and to delete
+expired claims.
 
-An order states the target end state and carries the fencing number.  Where engines do
-not check it, a new holder first waits out the old one and then orders from what the
-engines report.
+A load command states the desired state and carries the fencing token of the lease.  If
+the engines do not check the token, a new holder waits until the commands of the
+previous one must have arrived, and then sends commands according to what the engines
+report.
 """
 
 from collections.abc import Iterable, Mapping
@@ -24,13 +26,13 @@
 __all__ = [
     "ModelLoadCommand",
     "advance_generation",
+    "delete_claims",
+    "find_expired_claims",
     "plan_loads",
     "read_generation",
-    "find_expired_claims",
-    "delete_claims",
 ]
 
-MAX_CONCURRENT_LOADS = 2  # orders under way at once, within the weight store's rate
+MAX_CONCURRENT_LOADS = 2  # per pool, to stay within the weight store's rate
 GENERATION_SECONDS = 3600.0
 RETAINED_GENERATIONS = 24
 GENERATION_TABLE = "generations"
@@ -39,7 +41,14 @@
 
 class ModelLoadCommand(msgspec.Struct, kw_only=True, frozen=True):
     """
-    Have a model version loaded at an upstream; ``fencing`` is the orderer's number.
+    Tells an engine to load a version of a model.
+
+    Attributes
+    ----------
+    instance : str
+        The engine.
+    fencing : int
+        Fencing token of the sender's lease.
     """
 
     instance: InstanceId
@@ -49,14 +58,14 @@
 
 
 class ModelLoadState(msgspec.Struct, kw_only=True, frozen=True):
-    """What an upstream reports: ``model@version`` texts loaded, and being loaded."""
+    """The models that an engine reports as loaded and loading, as ``model@version``."""
 
     loaded: tuple[str, ...] = ()
     loading: tuple[str, ...] = ()
 
     @property
     def version_count(self) -> int:
-        """How many model versions it holds or will hold."""
+        """Number of model versions that are loaded or loading."""
         return len(self.loaded) + len(self.loading)
 
 
@@ -68,15 +77,20 @@
     held_seconds: float,
 ) -> list[ModelLoadCommand]:
     """
-    Return the orders to give now.
+    Return the load commands to send now.
 
     Parameters
     ----------
+    service : Service
+        The service, with the number of replicas that each model should have.
     states : mapping
-        The reports of the service's live upstreams.
+        The reports of the service's live engines.
+    fencing_token : int
+        Fencing token of the lease.
     held_seconds : float
-        Seconds since the lease was acquired; a service whose upstreams do not check the
-        fencing number gets no order before the old holder's can have arrived.
+        Seconds since the lease was acquired.  If the service's engines do not check the
+        fencing token, nothing is sent to them until the previous holder's commands must
+        have arrived, ``EXPIRY`` after the acquisition.
     """
     if not service.checks_fencing and held_seconds < EXPIRY:
         return []
@@ -109,7 +123,7 @@
 
 def read_generation() -> Steps[tuple[int, int] | None]:
     """
-    Return the claims' generation and its row version, or ``None`` without the store.
+    Return the claims' generation and its row version, ``None`` if the read failed.
     """
     result = yield ReadRows(table=GENERATION_TABLE, keys=(GENERATION_KEY,))
     if isinstance(result, Err):
@@ -122,7 +136,15 @@
 
 def advance_generation(generation: int, version: int) -> Steps[bool]:
     """
-    Begin the next generation, about an hour after the last; returns whether it did.
+    Start the next generation of claims; returns whether the store responded.
+
+    Generations start about once an hour.  If another instance has started one since
+    ``version`` was read, the write has no effect.
+
+    Parameters
+    ----------
+    generation, version : int
+        The generation and its row version as they were read.
     """
     condition = Condition(table=GENERATION_TABLE, key=GENERATION_KEY, version=version)
     row = Put(
@@ -133,7 +155,7 @@
 
 
 def find_expired_claims(rows: Iterable[Row], generation: int) -> list[Row]:
-    """Return the rows of settled claims that are older than is kept."""
+    """Return the rows of settled claims whose retention period is over."""
     expired = []
     for row in rows:
         claim = decode_claim(row)
@@ -144,7 +166,14 @@
 
 
 def delete_claims(rows: Iterable[Row]) -> Steps[int]:
-    """Delete rows that have not changed since they were read; returns how many."""
+    """
+    Delete claims whose rows have not changed since they were read.
+
+    Returns
+    -------
+    int
+        Number of deletions that the store responded to.
+    """
     deleted = 0
     for row in rows:
         condition = Condition(table=CLAIMS_TABLE, key=row.key, version=row.version)
--- a/damasklead/leases.py
+++ b/damasklead/leases.py
@@ -33,7 +33,7 @@
     Row,
 )
 
-__all__ = ["EXPIRY", "RENEW_DEADLINE_SECONDS", "LEASES_TABLE", "Lease", "LeaseKeeper"]
+__all__ = ["EXPIRY", "LEASES_TABLE", "RENEW_DEADLINE_SECONDS", "Lease", "LeaseKeeper"]
 
 LEASES_TABLE = "leases"
 RENEW_DEADLINE_SECONDS = 10.0
@@ -42,16 +42,19 @@
 
 class Lease(msgspec.Struct, kw_only=True, frozen=True):
     """
-    The row of a duty.
+    The row of a lease.
 
     Attributes
     ----------
     holder : str
-        Empty when the last holder gave the lease back.
+        The instance that holds the lease; empty after the last holder released it.
+    incarnation : int
+        The holder's incarnation.
     fencing : int
-        Grows each time the lease changes hands.
+        The fencing token, which grows by one with each acquisition.
     beat : int
-        Grows with each renewal.
+        Heartbeat counter, which grows by one with each renewal and restarts at 0 with
+        each acquisition.
     """
 
     holder: InstanceId
@@ -62,15 +65,19 @@
 
 class LeaseKeeper:
     """
-    One instance's side of one lease.
+    Acquires, renews and releases one lease for one instance.
 
     Parameters
     ----------
     duty : str
-        The row's key.
+        Name of the duty that the lease guards, the key of its row.
+    instance, incarnation
+        The instance that the lease is held for.
     clock : Clock
+        Local monotonic clock for expiry and renewal.
     new_event : callable
-        Makes the audit event of a change from one holder to another.
+        Returns the audit event of an acquisition, given the duty and the previous
+        holder (empty if there is none).
     """
 
     def __init__(
@@ -91,25 +98,25 @@
         self._row_version = ABSENT
         self._valid_until = 0.0
         self._held_since = 0.0
-        self._observed_change: tuple[int, float] | None = None
+        self._observed_version: tuple[int, float] | None = None
         self._first_write: tuple[Lease, float] | None = None
 
     @property
     def fencing_token(self) -> int | None:
-        """The fencing number while the lease is held, ``None`` otherwise."""
+        """The fencing token while the lease is held, ``None`` otherwise."""
         if self._held is None or self._clock.now() >= self._valid_until:
             return None
         return self._held.fencing
 
     @property
     def held_seconds(self) -> float:
-        """Seconds since this holder acquired the lease, 0 when it is not held."""
+        """Seconds since this instance acquired the lease, 0 if it does not hold it."""
         held = self.fencing_token is not None
         return self._clock.now() - self._held_since if held else 0.0
 
     def poll(self) -> Steps[None]:
         """
-        Renew the lease if it is held, else watch it and take it over when it is free.
+        Renew the lease if it is held; otherwise read it and acquire it if it is free.
         """
         if self._held is not None:
             yield from self._renew(self._held)
@@ -122,7 +129,7 @@
             yield from self._acquire(row)
 
     def release(self) -> Steps[None]:
-        """Give the lease back, so that the next holder need not wait."""
+        """Release the lease, so that the next holder need not wait for its expiry."""
         held, self._held = self._held, None
         if held is None:
             return
@@ -132,47 +139,47 @@
         yield self._make_commit(released, self._row_version, ())
 
     def _is_free(self, row: Row | None) -> bool:
-        """Tell whether the lease is free or its row is unchanged for ``EXPIRY``."""
+        """Tell whether the lease is released or its row unchanged for ``EXPIRY``."""
         if row is None or not decode_lease(row).holder:
             return True
         now = self._clock.now()
-        if self._observed_change is None or self._observed_change[0] != row.version:
-            self._observed_change = (row.version, now)
-        return now - self._observed_change[1] >= EXPIRY
+        if self._observed_version is None or self._observed_version[0] != row.version:
+            self._observed_version = (row.version, now)
+        return now - self._observed_version[1] >= EXPIRY
 
     def _acquire(self, row: Row | None) -> Steps[None]:
-        before = None if row is None else decode_lease(row)
+        previous = None if row is None else decode_lease(row)
         lease = Lease(
             holder=self._instance,
             incarnation=self._incarnation,
-            fencing=1 if before is None else before.fencing + 1,
+            fencing=1 if previous is None else previous.fencing + 1,
             beat=0,
         )
-        event = self._new_event(self._duty, "" if before is None else before.holder)
+        event = self._new_event(self._duty, "" if previous is None else previous.holder)
         version = ABSENT if row is None else row.version
         started_at = self._get_first_write_time(lease)
         result = yield self._make_commit(lease, version, (make_audit_write(event),))
-        confirmed = yield from self._confirm_write(lease, result)
-        if confirmed is not None:
+        confirmed_version = yield from self._confirm_write(lease, result)
+        if confirmed_version is not None:
             self._held_since = self._clock.now()
-            self._set_held(lease, confirmed, started_at)
+            self._set_held(lease, confirmed_version, started_at)
 
     def _renew(self, held: Lease) -> Steps[None]:
         renewed = msgspec.structs.replace(held, beat=held.beat + 1)
         started_at = self._get_first_write_time(renewed)
         result = yield self._make_commit(renewed, self._row_version, ())
-        confirmed = yield from self._confirm_write(renewed, result)
-        if confirmed is not None:
-            self._set_held(renewed, confirmed, started_at)
+        confirmed_version = yield from self._confirm_write(renewed, result)
+        if confirmed_version is not None:
+            self._set_held(renewed, confirmed_version, started_at)
         elif isinstance(result, Ok) or self.fencing_token is None:
             self._clear_held()
 
     def _get_first_write_time(self, lease: Lease) -> float:
         """
-        Return when the first write of this lease began.
+        Return the clock's time at the start of the first write of this lease.
 
-        A write whose answer was lost may have taken effect long before it is seen, and
-        watchers count from then.
+        A write whose response was lost may have taken effect long before it is read
+        back, and other instances count the expiry from that moment.
         """
         if self._first_write is None or self._first_write[0] != lease:
             self._first_write = (lease, self._clock.now())
@@ -182,7 +189,7 @@
         self._held = lease
         self._row_version = version
         self._valid_until = started_at + RENEW_DEADLINE_SECONDS
-        self._observed_change = None
+        self._observed_version = None
 
     def _clear_held(self) -> None:
         self._held = None
@@ -190,7 +197,9 @@
 
     def _confirm_write(self, lease: Lease, result: object) -> Steps[int | None]:
         """
-        Return the row version at which a write took effect, reading back if need be.
+        Return the row version at which a write took effect, ``None`` if it did not.
+
+        If the response of the write was lost, the row is read back.
         """
         if isinstance(result, Ok) and isinstance(result.ok_value, Committed):
             return result.ok_value.version
@@ -214,7 +223,7 @@
 
 
 def _find_version(lease: Lease, rows: tuple[Row, ...]) -> int | None:
-    """Return the version of the row if it is just this write's."""
+    """Return the version of the row that equals this lease, ``None`` if none does."""
     for row in rows:
         if decode_lease(row) == lease:
             return row.version
--- a/damasklead/manifest.py
+++ b/damasklead/manifest.py
@@ -2,11 +2,11 @@
 Published configuration
 =======================
 
-A manifest row names the version in force and the digests of its files in the object
-store.
+The manifest, a row of the table service, holds the number of the active version and the
+digests of its files, which are kept in the object store.
 
-A publisher moves the manifest by a conditional write on the version it was based on.  A
-follower only ever takes a higher version.
+A publisher replaces the manifest by a conditional write on the version that the change
+is based on.  A follower only activates a higher version than its own.
 """
 
 import hashlib
@@ -56,16 +56,18 @@
 
 class Manifest(msgspec.Struct, kw_only=True, frozen=True):
     """
-    The configuration in force.
+    The active version of the configuration.
 
     Attributes
     ----------
     version : int
-        Grows by one with each publication.
+        Number of the version, which grows by one with each publication.
     files : dict
-        SHA-256 in hexadecimal, the object's name, by file name.
+        SHA-256 digest in hexadecimal, which is the object's name, by file name.
     publication : str
-        The id of the publication that made it.
+        Id of the publication that created the version.
+    who : str
+        The operator who published it.
     """
 
     version: int
@@ -76,21 +78,23 @@
 
 class Publication(msgspec.Struct, kw_only=True, frozen=True):
     """
-    A change that an operator asks for.
+    A change of the configuration that an operator requests.
 
     Attributes
     ----------
     id : str
-        Unique to this publication.
+        Unique id of the publication.
+    who : str
+        The operator.
     files : dict
-        Content by file name, to be added or replaced.
+        Contents of the files to add or replace, by file name.
     removed : tuple of str
-        Names of files to be removed.
+        Names of the files to remove.
     based_on : int or None
-        The version that the operator saw; ``None`` takes the version found at the
-        start.
+        The version that the operator edited; ``None`` stands for the version that is
+        active when the publication starts.
     at : float
-        Wall-clock seconds for the audit trail.
+        Wall-clock time in seconds since 1970, for the audit trail.
     """
 
     id: AttemptId
@@ -102,28 +106,41 @@
 
 
 class PublishSucceeded(msgspec.Struct, kw_only=True, frozen=True):
-    """The publication is in force as ``version``."""
+    """The change was published as ``version``."""
 
     version: int
 
 
 class PublishConflict(msgspec.Struct, kw_only=True, frozen=True):
-    """Another publication came first; nothing was changed."""
+    """
+    Nothing was changed, since the change is not based on the active version.
+
+    Attributes
+    ----------
+    version : int
+        The active version.
+    who : str
+        The operator who published it; empty before the first publication.
+    """
 
     version: int
     who: str
 
 
 class PublishRefused(msgspec.Struct, kw_only=True):
-    """The whole has findings; nothing was changed."""
+    """Nothing was changed, since the resulting configuration is invalid."""
 
     findings: Findings
 
 
 class PublishFailed(msgspec.Struct, kw_only=True, frozen=True):
     """
-    The store failed; ``maybe_published`` tells whether the change may have taken
-    effect.
+    The store failed.
+
+    Attributes
+    ----------
+    maybe_published : bool
+        Whether the change may have taken effect.
     """
 
     maybe_published: bool
@@ -134,7 +151,7 @@
 
 
 def read_manifest() -> Steps[Row | StoreError | None]:
-    """Read the manifest's row; ``None`` when nothing was published yet."""
+    """Read the manifest's row, which is ``None`` before the first publication."""
     result = yield ReadRows(table=CONFIGURATION_TABLE, keys=(MANIFEST_KEY,))
     if isinstance(result, Err):
         return result.err_value
@@ -155,13 +172,16 @@
 
     Parameters
     ----------
+    manifest : Manifest
+        The version to fetch.
     texts_by_digest : mapping
-        Content by digest of files that need not be fetched again.
+        Contents, by digest, of files that are already at hand.
 
     Returns
     -------
     dict or None
-        Content by file name, or ``None`` when an object could not be had whole.
+        Contents by file name, or ``None`` if an object is missing, could not be fetched
+        or does not match its digest.
     """
     files: Bundle = {}
     for name, digest in manifest.files.items():
@@ -178,7 +198,7 @@
 
 
 def publish(publication: Publication) -> Steps[PublishResult]:
-    """Put a change into force, or say why not."""
+    """Publish a change if it applies to the active version and is valid."""
     row = yield from read_manifest()
     if isinstance(row, StoreError):
         return PublishFailed(maybe_published=False)
@@ -213,7 +233,7 @@
 
 
 class VersionReport(msgspec.Struct, kw_only=True, frozen=True):
-    """The version that an entry has in force."""
+    """The version that is active at an entry."""
 
     instance: InstanceId
     incarnation: Incarnation
@@ -224,7 +244,7 @@
     instance: InstanceId, incarnation: Incarnation, version: int
 ) -> Steps[bool]:
     """
-    Store which version an entry has in force; returns whether that surely took effect.
+    Store which version is active at an entry; returns whether the write was confirmed.
     """
     report = VersionReport(instance=instance, incarnation=incarnation, version=version)
     write = Put(table=REPORTS_TABLE, key=instance, value=msgspec.json.encode(report))
@@ -236,7 +256,7 @@
     instances: Iterable[InstanceId],
 ) -> Steps[dict[InstanceId, int] | None]:
     """
-    Return the reported version by entry, or ``None`` when the store does not answer.
+    Return the version that each entry reported, or ``None`` if the store call failed.
     """
     result = yield ReadRows(table=REPORTS_TABLE, keys=tuple(instances))
     if isinstance(result, Err):
@@ -248,7 +268,7 @@
 
 
 class ConfigurationHolder:
-    """The configuration in force in one process; its version never goes back."""
+    """The active configuration of one process; its version never decreases."""
 
     def __init__(self) -> None:
         self._configuration: Configuration | None = None
@@ -256,27 +276,31 @@
 
     @property
     def version(self) -> int:
-        """The version in force, 0 when there is none yet."""
+        """The active version, 0 before the first one."""
         return 0 if self._configuration is None else self._configuration.version
 
     @property
     def configuration(self) -> Configuration | None:
-        """The configuration in force."""
+        """The active configuration, ``None`` before the first one."""
         return self._configuration
 
     @property
     def files(self) -> Bundle:
-        """The files in force by name."""
+        """The contents of the active version's files by name."""
         return self._files
 
     def get_texts_by_digest(self) -> dict[str, str]:
-        """Return the files in force by digest."""
+        """Return the contents of the active version's files by digest."""
         return {digest_text(text): text for text in self._files.values()}
 
     def activate_if_newer(self, files: Bundle, *, version: int) -> bool:
         """
-        Take a version if it is higher than the one in force; returns whether it was
-        taken.
+        Activate a version if it is valid and higher than the active one.
+
+        Returns
+        -------
+        bool
+            Whether the version was activated.
         """
         if version <= self.version:
             return False
@@ -289,7 +313,7 @@
 
 
 def digest_text(text: str) -> str:
-    """Return the name of a file's object: its SHA-256 in hexadecimal."""
+    """Return the SHA-256 digest of a file in hexadecimal, the name of its object."""
     return hashlib.sha256(text.encode()).hexdigest()
 
 
@@ -297,7 +321,7 @@
     publication: Publication, base: Manifest | None
 ) -> Steps[Bundle | None]:
     """
-    Return the files after the change, or ``None`` when the present ones can't be had.
+    Return the files after the change, or ``None`` if the base could not be fetched.
     """
     merged: Bundle = {}
     if base is not None:
@@ -331,7 +355,7 @@
     publication: Publication,
 ) -> Commit:
     """
-    Return the commit that moves the manifest and records it in history and audit trail.
+    Return the commit that replaces the manifest and adds it to history and audit trail.
     """
     content = msgspec.json.encode(manifest)
     before = "nothing" if base is None else f"version {base.version}"
@@ -363,7 +387,7 @@
 
 
 def _confirm_publication(manifest: Manifest) -> Steps[PublishResult]:
-    """Find out by the history row of the version whether a move took effect."""
+    """Determine from the history row of the version whether the commit took effect."""
     history_key = _make_history_key(manifest.version)
     for _ in range(MAX_READ_BACKS):
         result = yield ReadRows(table=CONFIGURATION_TABLE, keys=(history_key,))
--- a/damasklead/protocol.py
+++ b/damasklead/protocol.py
@@ -2,8 +2,9 @@
 Protocols as generators
 =======================
 
-A protocol yields calls to the platform and is sent their results, so that it holds no
-I/O: the daemon, the model tests and the fuzzer drive the same code.
+A protocol is a generator that yields calls to the platform and receives their results.
+It does no I/O itself (sans-I/O), so that the daemon, the model tests and the fuzzer
+drive the same code.
 """
 
 from collections.abc import Generator
@@ -28,21 +29,21 @@
 
 
 class ReadRows(msgspec.Struct, kw_only=True, frozen=True):
-    """Read rows of one table."""
+    """A call that reads the rows with these keys from one table."""
 
     table: str
     keys: tuple[str, ...]
 
 
 class PutObject(msgspec.Struct, kw_only=True, frozen=True):
-    """Store an object."""
+    """A call that stores an object."""
 
     name: str
     content: bytes
 
 
 class GetObject(msgspec.Struct, kw_only=True, frozen=True):
-    """Fetch an object."""
+    """A call that fetches an object."""
 
     name: str
 
@@ -52,7 +53,7 @@
 
 
 def perform(platform: Platform, call: PlatformCall) -> Result[Any, StoreError]:
-    """Carry out one call."""
+    """Execute one call on a platform and return its result."""
     match call:
         case ReadRows(table=table, keys=keys):
             return platform.tables.read(table, keys)
@@ -65,7 +66,7 @@
 
 
 def run(steps: Steps[T], platform: Platform) -> T:
-    """Drive a protocol to its end against a platform and return its result."""
+    """Run a protocol to completion on a platform and return its result."""
     try:
         call = next(steps)
         while True:
--- a/damasklead/quarantine.py
+++ b/damasklead/quarantine.py
@@ -2,13 +2,16 @@
 Quarantine of requests that crash upstreams
 ===========================================
 
-Finds the one request that crashes each upstream that runs it, and has it refused.
+Identifies a request that crashes each upstream that executes it, to have it refused.
 
-After a crash all requests that ran there are suspects; they run again on the other
-replicas.  Suspects of two crashes wait until all entries have heard of the crash and
-are then spread, no two on one replica.  A request is named when it alone was in an
-earlier crash too, and at the latest after ``MAX_CRASHES`` crashes.  One that ends well
-is cleared.
+After a crash all requests that ran on the replica are suspects and are retried on other
+replicas.  Suspects of ``MIN_ISOLATION_CRASHES`` crashes are held until all entries have
+the report of the last one, and are then isolated: no two of them go to one replica.  A
+request is quarantined when it is the only one of a crash that was in an earlier crash
+too, and at the latest after ``MAX_CRASHES`` crashes.  A suspect that completes is
+cleared.
+
+Requests are told apart by fingerprints, which are equal for all attempts of a request.
 """
 
 from collections import OrderedDict
@@ -27,7 +30,7 @@
 QUARANTINE_SECONDS = 86_400.0
 MAX_TRACKED_ITEMS = 10_000
 PROPAGATION_SECONDS = 1.0
-# Of a single suspect; the first crash of several requests blames nobody.
+# The first crash does not show which of the requests on the replica caused it.
 MIN_CRASHES = 2
 
 
@@ -38,15 +41,15 @@
 
 class Quarantine:
     """
-    Suspects and quarantined fingerprints as one entry knows them.
+    The suspects and quarantined fingerprints that are known to one entry.
 
     Parameters
     ----------
     clock : Clock
     propagation_seconds : float
-        How long all entries may take to tell of a crash.
+        Seconds within which the reports of a crash by all entries arrive.
     min_crashes : int
-        A fingerprint is named after so many crashes at the earliest.
+        Number of crashes that a fingerprint must have been in to be quarantined.
     """
 
     def __init__(
@@ -57,8 +60,8 @@
         min_crashes: int = MIN_CRASHES,
     ) -> None:
         self._clock = clock
-        self._least_crashes = min_crashes
-        self._notice_seconds = propagation_seconds
+        self._min_crashes = min_crashes
+        self._propagation_seconds = propagation_seconds
         self._pending_crashes: dict[tuple[InstanceId, Incarnation], float] = {}
         self._suspects: OrderedDict[Fingerprint, _Suspect] = OrderedDict()
         self._quarantined_until: dict[Fingerprint, float] = {}
@@ -68,12 +71,12 @@
         self._release_numbers: dict[Fingerprint, int] = {}
 
     def set_propagation_time(self, seconds: float) -> None:
-        """Change how long all entries may take to tell of a crash."""
-        self._notice_seconds = seconds
+        """Set the seconds within which the reports of a crash by all entries arrive."""
+        self._propagation_seconds = seconds
 
     @property
     def quarantined_fingerprints(self) -> list[Fingerprint]:
-        """The fingerprints that are refused at present."""
+        """The fingerprints whose requests are refused, in sorted order."""
         now = self._clock.now()
         return sorted(
             item for item, until in self._quarantined_until.items() if now < until
@@ -81,7 +84,7 @@
 
     @property
     def has_suspects(self) -> bool:
-        """Whether any fingerprint was in a crash and has not ended well since."""
+        """Whether any fingerprint was in a crash and has not completed since."""
         return bool(self._suspects)
 
     def is_quarantined(self, fingerprint: Fingerprint) -> bool:
@@ -89,7 +92,9 @@
         return self._clock.now() < self._quarantined_until.get(fingerprint, 0.0)
 
     def is_suspect(self, fingerprint: Fingerprint) -> bool:
-        """Tell whether a fingerprint was in a crash and has not ended well since."""
+        """
+        Tell whether a fingerprint was in a recent crash and has not completed since.
+        """
         suspect = self._suspects.get(fingerprint)
         return (
             suspect is not None
@@ -97,7 +102,7 @@
         )
 
     def count_crashes(self, fingerprint: Fingerprint) -> int:
-        """Return in how many crashes a fingerprint was and has not ended well since."""
+        """Return the number of crashes a fingerprint was in since it last completed."""
         return (
             len(self._suspects[fingerprint].crashes)
             if self.is_suspect(fingerprint)
@@ -111,29 +116,38 @@
         fingerprints: frozenset[Fingerprint],
     ) -> None:
         """
-        Take in that a replica crashed while it ran these.
+        Record the crash of a replica that was executing these requests.
+
+        Several reports of one crash, from several entries, count as one crash.
 
-        Several notices of one crash, from several entries, count as one crash.
+        Parameters
+        ----------
+        instance, incarnation
+            The replica that crashed.
+        fingerprints : frozenset
+            Fingerprints of the reporting entry's requests on the replica.
         """
         crash = (instance, incarnation)
-        seen = self._crash_fingerprints.setdefault(crash, set())
+        known_fingerprints = self._crash_fingerprints.setdefault(crash, set())
         self._pending_crashes.setdefault(crash, self._clock.now())
-        for fingerprint in fingerprints - seen:
-            self._add_suspect(fingerprint, crash)
-        seen |= fingerprints
+        for fingerprint in fingerprints - known_fingerprints:
+            self._record_suspect(fingerprint, crash)
+        known_fingerprints |= fingerprints
 
     def identify_culprits(self) -> list[Fingerprint]:
         """
-        Return the fingerprints to name, once all entries had time to tell of a crash.
+        Return the fingerprints to quarantine after crashes that are fully reported.
+
+        Each crash is judged once, ``propagation_seconds`` after its first report.
         """
         now = self._clock.now()
-        due = [
+        due_crashes = [
             crash
             for crash, at in self._pending_crashes.items()
-            if now - at >= self._notice_seconds
+            if now - at >= self._propagation_seconds
         ]
         culprits: list[Fingerprint] = []
-        for crash in due:
+        for crash in due_crashes:
             del self._pending_crashes[crash]
             culprits.extend(self._find_culprits(crash))
         return culprits
@@ -142,30 +156,35 @@
         self, fingerprint: Fingerprint, replicas: Sequence[InstanceId]
     ) -> frozenset[InstanceId]:
         """
-        Return the replicas that may run a request; none while it has to wait.
+        Return the replicas that may execute a request, none while it is held.
 
-        Suspects of several crashes are spread over the replicas in the same way by all
-        entries, so that no two of them meet and the next crash names one.
+        All entries assign the suspects of several crashes to replicas in the same way,
+        so that no two of them run on one replica and the next crash identifies its
+        cause.
 
         Parameters
         ----------
+        fingerprint : str
+            Fingerprint of the request.
         replicas : sequence
             All replicas in use, in the same order at all entries.
         """
         if self.count_crashes(fingerprint) < MIN_ISOLATION_CRASHES or not replicas:
             return frozenset(replicas)
-        waited = self._clock.now() - self._suspects[fingerprint].last_crash_at
-        if waited < self._notice_seconds:
+        elapsed = self._clock.now() - self._suspects[fingerprint].last_crash_at
+        if elapsed < self._propagation_seconds:
             return frozenset()
-        isolated = sorted(
+        isolated_suspects = sorted(
             item
             for item in self._suspects
             if self.count_crashes(item) >= MIN_ISOLATION_CRASHES
         )
-        return frozenset((replicas[isolated.index(fingerprint) % len(replicas)],))
+        return frozenset(
+            (replicas[isolated_suspects.index(fingerprint) % len(replicas)],)
+        )
 
     def add_fingerprint(self, fingerprint: Fingerprint) -> bool:
-        """Refuse a fingerprint from now on; returns whether that is news."""
+        """Quarantine a fingerprint; returns whether it was not quarantined before."""
         if self.is_quarantined(fingerprint):
             return False
         self._quarantined_until[fingerprint] = self._clock.now() + QUARANTINE_SECONDS
@@ -173,7 +192,22 @@
         return True
 
     def release_fingerprint(self, fingerprint: Fingerprint, *, number: int = 0) -> bool:
-        """Lift a quarantine; returns whether this release is news."""
+        """
+        Release a fingerprint from quarantine.
+
+        Parameters
+        ----------
+        fingerprint : str
+            The fingerprint to release.
+        number : int
+            Sequence number of the release; 0 for a release without one.  A release
+            whose number is not above the last one's has no effect.
+
+        Returns
+        -------
+        bool
+            Whether the fingerprint was quarantined and is not any more.
+        """
         if number and number <= self._release_numbers.get(fingerprint, 0):
             return False
         self._release_numbers[fingerprint] = number
@@ -181,16 +215,16 @@
         return self._quarantined_until.pop(fingerprint, None) is not None
 
     def get_release_number(self, fingerprint: Fingerprint) -> int:
-        """Return the number of the last release of a fingerprint, 0 before any."""
+        """Return the sequence number of a fingerprint's last release, 0 before any."""
         return self._release_numbers.get(fingerprint, 0)
 
     def record_success(self, fingerprint: Fingerprint) -> None:
-        """Take in that a request with this fingerprint ended well."""
+        """Record that a request with this fingerprint completed on a replica."""
         self._suspects.pop(fingerprint, None)
 
     def retract_crash(self, instance: InstanceId, incarnation: Incarnation) -> None:
         """
-        Take back a crash that was none: the replica still runs in the same incarnation.
+        Discard a crash report, since the replica still runs in the same incarnation.
         """
         crash = (instance, incarnation)
         self._pending_crashes.pop(crash, None)
@@ -201,7 +235,7 @@
                 if not suspect.crashes:
                     del self._suspects[fingerprint]
 
-    def _add_suspect(
+    def _record_suspect(
         self, fingerprint: Fingerprint, crash: tuple[InstanceId, Incarnation]
     ) -> None:
         suspect = self._suspects.setdefault(
@@ -218,11 +252,16 @@
     def _find_culprits(
         self, crash: tuple[InstanceId, Incarnation]
     ) -> list[Fingerprint]:
-        """Return those that were in an earlier crash too, if it can only be they."""
+        """
+        Return the fingerprints that are held to have caused a crash.
+
+        If several of the crash were in ``min_crashes`` crashes, these are the ones that
+        were in ``MAX_CRASHES`` crashes; if a single one was, it is that.
+        """
         repeated = [
             item
             for item in sorted(self._crash_fingerprints.get(crash, ()))
-            if self.count_crashes(item) >= self._least_crashes
+            if self.count_crashes(item) >= self._min_crashes
         ]
         if len(repeated) == 1:
             return repeated
--- a/damasklead/quarantine_rows.py
+++ b/damasklead/quarantine_rows.py
@@ -2,8 +2,8 @@
 Rows of the quarantine
 ======================
 
-Named fingerprints as rows of the table service, so that entries which start later know
-them and operators can lift them.
+Quarantined fingerprints are kept as rows of the table service, so that entries which
+start later know them and operators can release them.
 """
 
 import msgspec
@@ -27,14 +27,17 @@
 
 class QuarantineRow(msgspec.Struct, kw_only=True, frozen=True):
     """
-    What is decided about a fingerprint.
+    The row of a fingerprint that was quarantined.
 
     Attributes
     ----------
     number : int
-        Grows each time the fingerprint is named after a release.
+        Sequence number of the quarantine; a quarantine after a release has a higher
+        number than the release.
     released : bool
-        Whether an operator has lifted it.
+        Whether an operator has released the fingerprint.
+    who : str
+        The entry or operator that wrote the row.
     """
 
     fingerprint: Fingerprint
@@ -44,18 +47,18 @@
 
 
 def make_quarantine_write(row: QuarantineRow) -> Put:
-    """Return the write of a row."""
+    """Return the write that stores a row."""
     content = msgspec.json.encode(row)
     return Put(table=QUARANTINE_TABLE, key=row.fingerprint, value=content)
 
 
 def decode_quarantine_row(row: Row) -> QuarantineRow:
-    """Return the decision in a row."""
+    """Return the quarantine row in a row of the table service."""
     return msgspec.json.decode(row.value, type=QuarantineRow)
 
 
 def make_release_commit(row: QuarantineRow, *, event: AuditEvent) -> Commit:
-    """Return the commit that lifts a quarantine and records it in the audit trail."""
+    """Return the commit that releases a fingerprint and adds an audit event."""
     released = msgspec.structs.replace(row, released=True, who=event.who)
     return Commit(
         conditions=(), writes=(make_quarantine_write(released), make_audit_write(event))
@@ -63,7 +66,7 @@
 
 
 def apply_quarantine_row(row: QuarantineRow, quarantine: Quarantine) -> None:
-    """Take in a row, which may be read any number of times."""
+    """Apply a row to a quarantine; applying the same row again has no effect."""
     if row.released:
         quarantine.release_fingerprint(row.fingerprint, number=row.number)
     elif row.number > quarantine.get_release_number(row.fingerprint):
--- a/damasklead/stores/__init__.py
+++ b/damasklead/stores/__init__.py
@@ -2,8 +2,8 @@
 Stores
 ======
 
-The services of a platform that the entries keep their state in, behind abstract base
-classes, with a table of implementations by name.
+Interfaces and implementations of the platform services in which entries keep their
+state, and the function that opens the configured implementation.
 
 Importing this package loads no network library; opening a platform over HTTP does.
 """
@@ -15,7 +15,7 @@
 
 
 def open_platform(settings: PlatformSettings) -> Platform:
-    """Return the platform that the settings name."""
+    """Return the platform of the kind and at the address in the settings."""
     return _OPENERS[settings.kind](settings)
 
 
--- a/damasklead/stores/base.py
+++ b/damasklead/stores/base.py
@@ -2,11 +2,11 @@
 Platform interfaces
 ===================
 
-The services of the platform that hold whatever must last: tables, objects and the
-instance list.
+The platform's services for durable state (tables and objects) and for service
+discovery (the instance list).
 
-Every call returns a ``Result``.  A failed commit says whether the write surely had no
-effect (``UNAVAILABLE``) or may have had one (``UNKNOWN``).
+Every call returns a ``Result``.  The error of a failed commit tells whether it
+certainly had no effect (``UNAVAILABLE``) or may have had one (``UNKNOWN``).
 """
 
 from abc import ABC, abstractmethod
@@ -40,14 +40,26 @@
 
 
 class StoreError(Enum):
-    """Why a call to the platform failed."""
+    """
+    Reason why a call to the platform failed.
+
+    ``UNAVAILABLE`` calls had no effect; ``UNKNOWN`` ones may have had one.
+    """
 
     UNAVAILABLE = "unavailable"
     UNKNOWN = "unknown"
 
 
 class Row(msgspec.Struct, kw_only=True, frozen=True):
-    """A stored row; ``version`` grows with every write of the table service."""
+    """
+    A stored row.
+
+    Attributes
+    ----------
+    version : int
+        Version of the table service at the row's last write; it grows with every commit
+        to any table.
+    """
 
     table: str
     key: str
@@ -57,7 +69,7 @@
 
 class Condition(msgspec.Struct, kw_only=True, frozen=True):
     """
-    A row's version that a commit requires; ``ABSENT`` requires that there is no row.
+    A version that a commit requires of a row; ``ABSENT`` requires that there is no row.
     """
 
     table: str
@@ -66,7 +78,7 @@
 
 
 class Put(msgspec.Struct, kw_only=True, frozen=True, tag="put"):
-    """A row to write."""
+    """A write that inserts or replaces a row."""
 
     table: str
     key: str
@@ -74,35 +86,35 @@
 
 
 class Delete(msgspec.Struct, kw_only=True, frozen=True, tag="delete"):
-    """A row to remove."""
+    """A write that deletes a row if there is one."""
 
     table: str
     key: str
 
 
 class Commit(msgspec.Struct, kw_only=True, frozen=True):
-    """Writes that take effect together if all conditions hold."""
+    """A transaction: writes that take effect together if all conditions are met."""
 
     conditions: tuple[Condition, ...]
     writes: tuple[Put | Delete, ...]
 
 
 class Committed(msgspec.Struct, kw_only=True, frozen=True, tag="committed"):
-    """The commit took effect at ``version``."""
+    """The commit took effect; ``version`` is the version of the rows it wrote."""
 
     version: int
 
 
 class Conflict(msgspec.Struct, kw_only=True, frozen=True, tag="conflict"):
     """
-    A condition did not hold; ``rows`` are the present rows of the conditions' keys.
+    A condition was not met; ``rows`` are the current rows of the conditions' keys.
     """
 
     rows: tuple[Row, ...]
 
 
 class InstanceState(Enum):
-    """What the instance list says of an instance."""
+    """State of an instance in the instance list."""
 
     LIVE = "live"
     LEAVING = "leaving"
@@ -110,14 +122,16 @@
 
 class InstanceRecord(msgspec.Struct, kw_only=True, frozen=True):
     """
-    One entry of the instance list.
+    The record of an instance (a replica or an entry) in the instance list.
 
     Attributes
     ----------
     incarnation : int
-        Grows each time the instance starts anew.
+        Number that grows each time the instance starts.
+    service : str
+        The service to which the instance belongs.
     address : str
-        ``ip:port``; for an entry the address of its peers' listener.
+        ``ip:port``; for an entry the address at which it listens for its peers.
     """
 
     instance: InstanceId
@@ -131,14 +145,14 @@
 
 class Listing(msgspec.Struct, kw_only=True, frozen=True):
     """
-    A reading of the instance list.
+    The response to a read of the instance list.
 
     Attributes
     ----------
     version : str
-        Names this state of the list, like an entity tag.
+        Opaque identifier of the list's state, like an entity tag.
     records : tuple or None
-        ``None`` when the list still has the version that the reader knows.
+        The instances, ``None`` if the list still has the version known to the reader.
     """
 
     version: str
@@ -146,7 +160,7 @@
 
 
 class TableService(ABC):
-    """Transactional tables."""
+    """Tables of versioned rows with conditional, atomic commits."""
 
     @abstractmethod
     def read(
@@ -162,15 +176,15 @@
 
     @abstractmethod
     def commit(self, commit: Commit) -> Result[Committed | Conflict, StoreError]:
-        """Apply a commit; ``Err(UNKNOWN)`` leaves open whether it took effect."""
+        """Apply a commit; after ``Err(UNKNOWN)`` it may have taken effect."""
 
 
 class ObjectStore(ABC):
-    """Immutable objects by name."""
+    """Storage of immutable objects by name."""
 
     @abstractmethod
     def put(self, name: str, content: bytes) -> Result[None, StoreError]:
-        """Store an object; writing the same object again does no harm."""
+        """Store an object; storing the same object again is allowed."""
 
     @abstractmethod
     def get(self, name: str) -> Result[bytes | None, StoreError]:
@@ -178,32 +192,34 @@
 
 
 class InstanceList(ABC):
-    """The platform's lagging list of instances."""
+    """The platform's list of instances, which lags behind their actual state."""
 
     @abstractmethod
     def list_instances(self, *, known_version: str = "") -> Result[Listing, StoreError]:
         """
-        Return all instances that the platform believes live or leaving.
+        Return all instances that the platform considers live or leaving.
 
         Parameters
         ----------
         known_version : str
-            The version that the reader has; if it is the present one, no records come.
+            The version that the reader has, empty if none; if the list still has this
+            version, the records are left out.
         """
 
     @abstractmethod
     def register_instance(self, record: InstanceRecord) -> Result[None, StoreError]:
         """
-        Enter or update an instance, for platforms that do not do so by themselves.
+        Add or update an instance, for platforms that do not register instances
+        themselves.
         """
 
     @abstractmethod
     def deregister_instance(self, instance: InstanceId) -> Result[None, StoreError]:
-        """Remove an instance, for platforms that do not do so by themselves."""
+        """Remove an instance, for platforms that do not remove instances themselves."""
 
 
 class Platform(msgspec.Struct, kw_only=True):
-    """The three services of one platform."""
+    """The services of one platform."""
 
     tables: TableService
     objects: ObjectStore
--- a/damasklead/stores/http.py
+++ b/damasklead/stores/http.py
@@ -2,7 +2,7 @@
 Platform over HTTP
 ==================
 
-The platform's services as JSON documents posted over HTTP.
+A client of the platform's services, which posts each call as a JSON document.
 """
 
 from typing import Any, TypeVar
@@ -40,8 +40,8 @@
     "http_platform",
 ]
 
-CONNECT_TIMEOUT_SECONDS = 0.5  # seconds
-RESPONSE_TIMEOUT_SECONDS = 2.0  # seconds
+CONNECT_TIMEOUT_SECONDS = 0.5
+RESPONSE_TIMEOUT_SECONDS = 2.0
 MAX_CONNECTIONS = 8
 T = TypeVar("T")
 
@@ -113,7 +113,7 @@
 
 class HttpPlatformClient:
     """
-    Posts calls to the platform.
+    Posts calls to the platform over pooled connections.
 
     Parameters
     ----------
@@ -135,11 +135,18 @@
         """
         Post one call.
 
+        Parameters
+        ----------
+        call : Call
+            The call.
+        response_type : type
+            Type as which the JSON response is decoded.
+
         Returns
         -------
         Result
-            ``Err(UNAVAILABLE)`` when no connection could be made or the platform
-            refused; ``Err(UNKNOWN)`` when the answer was lost.
+            ``Err(UNAVAILABLE)`` if the connection was refused or the platform responded
+            with status 503; ``Err(UNKNOWN)`` if the call failed in any other way.
         """
         body = msgspec.json.encode(call)
         try:
@@ -205,11 +212,11 @@
         self._client = client
 
     def list_instances(self, *, known_version: str = "") -> Result[Listing, StoreError]:
-        """Return all instances, unless the reader knows the present version."""
+        """Return all instances, unless the list still has the known version."""
         return self._client.post_call(ListCall(known=known_version), Listing)
 
     def register_instance(self, record: InstanceRecord) -> Result[None, StoreError]:
-        """Enter or update an instance."""
+        """Add or update an instance."""
         return self._client.post_call(AnnounceCall(record=record), None)
 
     def deregister_instance(self, instance: InstanceId) -> Result[None, StoreError]:
@@ -218,7 +225,7 @@
 
 
 def http_platform(*, address: str) -> Platform:
-    """Return the platform at ``address``."""
+    """Return the platform at ``address``, given as ``ip:port``."""
     client = HttpPlatformClient(address=address)
     return Platform(
         tables=HttpTableService(client=client),
--- a/damasklead/stores/memory.py
+++ b/damasklead/stores/memory.py
@@ -2,8 +2,8 @@
 In-memory platform
 ==================
 
-The embedded default and the store behind the platform stand-in, with faults to be
-switched on.
+The platform of a single process, with injectable faults; the platform stand-in and the
+tests use it too.
 """
 
 import bisect
@@ -40,18 +40,18 @@
 
 class Faults(msgspec.Struct, kw_only=True):
     """
-    What is wrong with a platform at the moment.
+    The faults that are injected into a platform.
 
     Attributes
     ----------
     down : bool
-        Every call fails without effect.
+        Whether every call fails without effect.
     lose_answers : int
-        How many of the next commits take effect although their answer is lost.
+        Number of next commits that take effect but whose response is lost.
     list_frozen : bool
-        The instance list shows what it showed when the fault began.
+        Whether the instance list stays as it was at its last read before the fault.
     delay : float
-        Seconds by which the stand-in process delays each answer.
+        Seconds by which the stand-in process delays each response.
     """
 
     down: bool = False
@@ -61,7 +61,14 @@
 
 
 class MemoryTableService(TableService):
-    """Tables in memory; ``reads`` and ``writes`` count the calls that arrived."""
+    """
+    Tables in memory.
+
+    Attributes
+    ----------
+    read_count, commit_count : int
+        Number of reads and scans, and of commits, including those that failed.
+    """
 
     def __init__(self, *, faults: Faults) -> None:
         self.read_count = 0
@@ -101,7 +108,7 @@
         return Ok(tuple(found))
 
     def commit(self, commit: Commit) -> Result[Committed | Conflict, StoreError]:
-        """Apply a commit, or lose its answer when told to."""
+        """Apply a commit, unless the platform is down; its response may be lost."""
         self.commit_count += 1
         if self._faults.down:
             return Err(StoreError.UNAVAILABLE)
@@ -165,7 +172,7 @@
 
 
 class MemoryInstanceList(InstanceList):
-    """An instance list in memory that can be frozen."""
+    """An instance list in memory that can be frozen by a fault."""
 
     def __init__(self, *, faults: Faults) -> None:
         self._faults = faults
@@ -175,7 +182,7 @@
         self._listed_version = 0
 
     def list_instances(self, *, known_version: str = "") -> Result[Listing, StoreError]:
-        """Return all instances, as they were when the list was frozen if it is."""
+        """Return all instances, or those of the last read if the list is frozen."""
         if self._faults.down:
             return Err(StoreError.UNAVAILABLE)
         if not self._faults.list_frozen:
@@ -190,7 +197,7 @@
         )
 
     def register_instance(self, record: InstanceRecord) -> Result[None, StoreError]:
-        """Enter or update an instance."""
+        """Add or update an instance."""
         if self._faults.down:
             return Err(StoreError.UNAVAILABLE)
         self._records[record.instance] = record
@@ -207,7 +214,7 @@
 
 
 def memory_platform(*, faults: Faults | None = None) -> Platform:
-    """Return a platform whose services share one set of faults."""
+    """Return a platform in memory whose services share one set of faults."""
     shared = faults or Faults()
     return Platform(
         tables=MemoryTableService(faults=shared),
