--- a/damasklead/queueing.py
+++ b/damasklead/queueing.py
@@ -39,7 +39,7 @@
 
 class _ClassQueue(msgspec.Struct, kw_only=True):
     """
-    The queued requests of one class in order of arrival.
+    The queued requests of one class, in the order in which they were queued.
 
     Attributes
     ----------
