--- a/tests/faulty.py
+++ b/tests/faulty.py
@@ -1,6 +1,6 @@
 """
-A store whose answers fail step by step
-=======================================
+A platform with a fault for each call
+=====================================
 """
 
 from collections.abc import Generator
@@ -17,7 +17,7 @@
 
 
 class Fault(Enum):
-    """What happens to one call."""
+    """The fault that is injected into one call."""
 
     NONE = "none"
     DOWN = "down"
@@ -28,14 +28,23 @@
 
 
 class FaultyStore:
-    """A platform in memory; late commits wait until ``land`` is called."""
+    """
+    A platform in memory with a chosen fault for each call.
+
+    Attributes
+    ----------
+    platform : Platform
+        The platform, for calls without a fault.
+    late_commits : list of Commit
+        Commits with the fault ``LATE`` that were not yet applied.
+    """
 
     def __init__(self) -> None:
         self.platform: Platform = memory_platform()
         self.late_commits: list[Commit] = []
 
     def perform(self, call: PlatformCall, fault: Fault) -> Result[Any, StoreError]:
-        """Carry out a call with a fault."""
+        """Execute a call with a fault."""
         if fault is Fault.NONE:
             return perform(self.platform, call)
         if fault is Fault.DOWN:
@@ -53,12 +62,12 @@
         return Err(StoreError.UNKNOWN)
 
     def apply_late_commit(self, index: int) -> None:
-        """Let a late commit take effect."""
+        """Remove and apply a late commit; indexes beyond the last one wrap around."""
         perform(self.platform, self.late_commits.pop(index % len(self.late_commits)))
 
 
 class Task:
-    """A protocol that is driven one call at a time, so that others run in between."""
+    """A protocol that is run call by call, so that others can be interleaved."""
 
     def __init__(self, steps: Generator[PlatformCall, Any, Any]) -> None:
         self._steps = steps
@@ -68,7 +77,7 @@
         self._advance(None)
 
     def step(self, store: FaultyStore, fault: Fault) -> None:
-        """Carry out the present call and go on to the next."""
+        """Execute the pending call and run the protocol up to its next call."""
         assert self._call is not None
         self._advance(store.perform(self._call, fault))
 
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -1,6 +1,6 @@
 """
-Tests of claims
-===============
+Tests of the claims of idempotency keys
+=======================================
 """
 
 from typing import Any
@@ -42,7 +42,7 @@
     )
 
 
-def state_of(platform: Platform) -> ClaimState | None:
+def read_state(platform: Platform) -> ClaimState | None:
     rows = platform.tables.read(CLAIMS_TABLE, ("quay/order-1",)).unwrap()
     return decode_claim(rows[0]).state if rows else None
 
@@ -57,34 +57,34 @@
     return memory_platform(faults=faults)
 
 
-def test_the_second_sending_is_held_until_answered(platform: Platform) -> None:
+def test_repeated_request_gets_the_recorded_response(platform: Platform) -> None:
     first = run(acquire(make_claim("a")), platform)
     assert isinstance(first, ClaimAcquired)
     second = run(acquire(make_claim("b")), platform)
     assert isinstance(second, ClaimHeld) and second.claim.state is ClaimState.CLAIMED
-    answer = RecordedResponse(status=200, content_type="text/plain", body=b"sold")
+    response = RecordedResponse(status=200, content_type="text/plain", body=b"sold")
     answered = msgspec.structs.replace(
-        make_claim("a"), state=ClaimState.ANSWERED, answer=answer
+        make_claim("a"), state=ClaimState.ANSWERED, answer=response
     )
     assert run(settle(answered, version=first.version), platform)
     third = run(acquire(make_claim("c")), platform)
-    assert isinstance(third, ClaimHeld) and third.claim.answer == answer
+    assert isinstance(third, ClaimHeld) and third.claim.answer == response
 
 
-def test_another_body_under_the_key_is_refused(platform: Platform) -> None:
+def test_key_is_refused_to_a_request_with_another_body(platform: Platform) -> None:
     run(acquire(make_claim("a")), platform)
     result = run(acquire(make_claim("b", body="other")), platform)
     assert isinstance(result, BodyMismatch)
 
 
-def test_a_lost_answer_is_settled_by_reading_back(
+def test_claim_with_a_lost_response_is_confirmed_by_reading_back(
     platform: Platform, faults: Faults
 ) -> None:
     faults.lose_answers = 1
     assert isinstance(run(acquire(make_claim("a")), platform), ClaimAcquired)
 
 
-def test_the_attempt_that_won_is_told_apart_after_lost_answers(
+def test_reading_back_finds_the_claim_of_another_attempt(
     platform: Platform, faults: Faults
 ) -> None:
     assert isinstance(run(acquire(make_claim("a")), platform), ClaimAcquired)
@@ -93,7 +93,7 @@
     assert isinstance(result, ClaimHeld) and result.claim.attempt == "a"
 
 
-def test_a_store_that_is_down_gives_no_claim(
+def test_claim_is_unconfirmed_while_the_store_is_down(
     platform: Platform, faults: Faults
 ) -> None:
     faults.down = True
@@ -102,51 +102,64 @@
     assert not run(abandon(make_claim("a")), platform)
 
 
-def test_an_abandoned_claim_frees_the_key(platform: Platform, faults: Faults) -> None:
+def test_key_of_an_abandoned_claim_can_be_acquired(
+    platform: Platform, faults: Faults
+) -> None:
     assert isinstance(run(acquire(make_claim("a")), platform), ClaimAcquired)
     assert run(abandon(make_claim("a")), platform)
-    assert state_of(platform) is ClaimState.RELEASED
+    assert read_state(platform) is ClaimState.RELEASED
     assert isinstance(run(acquire(make_claim("b")), platform), ClaimAcquired)
 
 
 @pytest.mark.parametrize("released_by_other", [False, True])
-def test_a_claim_that_lands_after_its_abandonment_holds_nothing(
+def test_claim_written_after_its_abandonment_fails(
     platform: Platform, released_by_other: bool
 ) -> None:
-    """The write of an abandoned claim arrives at the store late."""
+    """The write of a claim must not take effect after the claim was abandoned."""
     if released_by_other:
         run(acquire(make_claim("x")), platform)
         run(abandon(make_claim("x")), platform)
-    late = collect_commit(acquire(make_claim("a")), platform, released_by_other)
+    late_commit = capture_commit(acquire(make_claim("a")), platform, released_by_other)
     assert run(abandon(make_claim("a")), platform)
-    perform(platform, late)
-    assert state_of(platform) is ClaimState.RELEASED
+    perform(platform, late_commit)
+    assert read_state(platform) is ClaimState.RELEASED
     assert isinstance(run(acquire(make_claim("b")), platform), ClaimAcquired)
 
 
-def collect_commit(steps: Steps[Any], platform: Platform, second: bool) -> Commit:
-    """Return the claim's write as it leaves the entry, without carrying it out."""
+def capture_commit(
+    steps: Steps[Any], platform: Platform, after_conflict: bool
+) -> Commit:
+    """
+    Return the claim's write without executing it; the protocol sees a lost response.
+
+    Parameters
+    ----------
+    after_conflict : bool
+        Whether to return the second write, which follows a conflict.
+    """
     call = next(steps)
-    if second:
+    if after_conflict:
         call = steps.send(perform(platform, call))
     assert isinstance(call, Commit)
     steps.send(Err(StoreError.UNKNOWN))
     return call
 
 
-def test_abandoning_never_frees_the_claim_of_another(platform: Platform) -> None:
+def test_abandoning_does_not_release_the_claim_of_another_attempt(
+    platform: Platform,
+) -> None:
     assert isinstance(run(acquire(make_claim("a")), platform), ClaimAcquired)
     assert run(abandon(make_claim("b")), platform)
-    assert state_of(platform) is ClaimState.CLAIMED
+    assert read_state(platform) is ClaimState.CLAIMED
 
 
-def test_an_operator_settles_an_unknown_order(platform: Platform) -> None:
+def test_operator_settles_an_order_with_unknown_outcome(platform: Platform) -> None:
     acquired = run(acquire(make_claim("a")), platform)
     assert isinstance(acquired, ClaimAcquired)
     event = AuditEvent(id="e", at=1.0, who="op", action="resolve-order", subject="k")
     key = "quay/order-1"
-    refused = run(resolve(key, executed=False, event=event), platform)
-    assert "may still run" in refused
+    reason = run(resolve(key, executed=False, event=event), platform)
+    assert "may still run" in reason
     failed = msgspec.structs.replace(make_claim("a"), state=ClaimState.FAILED)
     assert run(settle(failed, version=acquired.version), platform)
     assert run(resolve(key, executed=False, event=event), platform) == ""
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -1,6 +1,6 @@
 """
-Tests of duties
-===============
+Tests of the duties of lease holders
+====================================
 """
 
 import msgspec
@@ -50,46 +50,46 @@
     )
 
 
-def states(**loaded: str) -> dict[InstanceId, ModelLoadState]:
+def make_states(**loaded: str) -> dict[InstanceId, ModelLoadState]:
     return {
         InstanceId(name): ModelLoadState(loaded=(model,) if model else ())
         for name, model in loaded.items()
     }
 
 
-def test_only_what_is_missing_is_ordered() -> None:
-    known = states(a="m@2", b="", c="m@1")
-    orders = plan_loads(
-        make_service(replicas=2), known, fencing_token=7, held_seconds=0.0
+def test_only_missing_replicas_of_a_model_are_loaded() -> None:
+    states = make_states(a="m@2", b="", c="m@1")
+    commands = plan_loads(
+        make_service(replicas=2), states, fencing_token=7, held_seconds=0.0
     )
-    assert [(order.instance, order.fencing) for order in orders] == [("b", 7)]
-    done = plan_loads(
-        make_service(replicas=1), known, fencing_token=7, held_seconds=0.0
+    assert [(command.instance, command.fencing) for command in commands] == [("b", 7)]
+    no_commands = plan_loads(
+        make_service(replicas=1), states, fencing_token=7, held_seconds=0.0
     )
-    assert done == []
+    assert no_commands == []
 
 
-def test_orders_under_way_are_bounded() -> None:
-    known = states(**{f"e{number}": "" for number in range(8)})
+def test_concurrent_loads_are_limited() -> None:
+    states = make_states(**{f"e{number}": "" for number in range(8)})
     service = make_service(replicas=8)
     assert (
-        len(plan_loads(service, known, fencing_token=1, held_seconds=0.0))
+        len(plan_loads(service, states, fencing_token=1, held_seconds=0.0))
         == MAX_CONCURRENT_LOADS
     )
-    known[InstanceId("e0")] = ModelLoadState(loading=("m@2",))
-    orders = plan_loads(service, known, fencing_token=1, held_seconds=0.0)
-    assert len(orders) == MAX_CONCURRENT_LOADS - 1
-    assert all(order.instance != "e0" for order in orders)
+    states[InstanceId("e0")] = ModelLoadState(loading=("m@2",))
+    commands = plan_loads(service, states, fencing_token=1, held_seconds=0.0)
+    assert len(commands) == MAX_CONCURRENT_LOADS - 1
+    assert all(command.instance != "e0" for command in commands)
 
 
-def test_without_fencing_a_new_holder_waits_the_old_one_out() -> None:
+def test_new_holder_waits_for_expiry_if_engines_do_not_check_the_token() -> None:
     service = make_service(replicas=1, checks_fencing=False)
-    known = states(a="")
-    assert plan_loads(service, known, fencing_token=2, held_seconds=EXPIRY - 0.1) == []
-    assert len(plan_loads(service, known, fencing_token=2, held_seconds=EXPIRY)) == 1
+    states = make_states(a="")
+    assert plan_loads(service, states, fencing_token=2, held_seconds=EXPIRY - 0.1) == []
+    assert len(plan_loads(service, states, fencing_token=2, held_seconds=EXPIRY)) == 1
 
 
-def test_settled_claims_are_swept_after_their_generations() -> None:
+def test_settled_claims_are_deleted_after_the_retention_period() -> None:
     platform = memory_platform()
     for key, state, generation in (
         ("old", ClaimState.ANSWERED, 0),
@@ -110,17 +110,17 @@
         put = Put(table=CLAIMS_TABLE, key=f"w/{key}", value=msgspec.json.encode(claim))
         platform.tables.commit(Commit(conditions=(), writes=(put,)))
     rows = platform.tables.scan(CLAIMS_TABLE).unwrap()
-    stale = find_expired_claims(rows, RETAINED_GENERATIONS + 1)
-    assert run(delete_claims(stale), platform) == 1
-    left = [row.key for row in platform.tables.scan(CLAIMS_TABLE).unwrap()]
-    assert left == ["w/open", "w/running", "w/young"]
+    expired = find_expired_claims(rows, RETAINED_GENERATIONS + 1)
+    assert run(delete_claims(expired), platform) == 1
+    remaining = [row.key for row in platform.tables.scan(CLAIMS_TABLE).unwrap()]
+    assert remaining == ["w/open", "w/running", "w/young"]
 
 
-def test_a_generation_begins_once_whoever_asks() -> None:
+def test_concurrent_advances_start_one_generation() -> None:
     platform = memory_platform()
-    known = run(read_generation(), platform)
-    assert known is not None and known[0] == 0
-    assert run(advance_generation(*known), platform)
-    run(advance_generation(*known), platform)
-    again = run(read_generation(), platform)
-    assert again is not None and again[0] == 1
+    first_read = run(read_generation(), platform)
+    assert first_read is not None and first_read[0] == 0
+    assert run(advance_generation(*first_read), platform)
+    run(advance_generation(*first_read), platform)
+    second_read = run(read_generation(), platform)
+    assert second_read is not None and second_read[0] == 1
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -23,8 +23,8 @@
     return FaultyStore()
 
 
-def make_keeper(name: str, clock: ManualClock) -> LeaseKeeper:
-    def event(duty: str, before: str) -> AuditEvent:
+def make_lease_keeper(name: str, clock: ManualClock) -> LeaseKeeper:
+    def make_event(duty: str, previous_holder: str) -> AuditEvent:
         return AuditEvent(
             id=f"{name}-{clock.now()}", at=0.0, who=name, action="lease", subject=duty
         )
@@ -34,14 +34,14 @@
         instance=InstanceId(name),
         incarnation=Incarnation(1),
         clock=clock,
-        new_event=event,
+        new_event=make_event,
     )
 
 
-def test_a_dead_holder_is_followed_after_expiry(
+def test_lease_of_a_stopped_holder_is_acquired_after_expiry(
     clock: ManualClock, store: FaultyStore
 ) -> None:
-    first, second = make_keeper("a", clock), make_keeper("b", clock)
+    first, second = make_lease_keeper("a", clock), make_lease_keeper("b", clock)
     run(first.poll(), store.platform)
     assert first.fencing_token == 1
     run(second.poll(), store.platform)
@@ -49,17 +49,17 @@
     run(second.poll(), store.platform)
     assert second.fencing_token is None
     assert first.fencing_token is None, (
-        "the holder stops by itself before it is followed"
+        "the holder must stop before the next one starts"
     )
     clock.advance(0.2)
     run(second.poll(), store.platform)
     assert second.fencing_token == 2
 
 
-def test_a_lease_given_back_is_free_at_once(
+def test_released_lease_is_acquired_at_once(
     clock: ManualClock, store: FaultyStore
 ) -> None:
-    first, second = make_keeper("a", clock), make_keeper("b", clock)
+    first, second = make_lease_keeper("a", clock), make_lease_keeper("b", clock)
     run(first.poll(), store.platform)
     run(first.release(), store.platform)
     assert first.fencing_token is None
@@ -67,11 +67,15 @@
     assert second.fencing_token == 2
 
 
-def test_a_renewal_that_landed_unseen_counts_from_its_first_try(
+def test_renewal_with_a_lost_response_counts_from_its_first_write(
     clock: ManualClock, store: FaultyStore
 ) -> None:
-    """Its answer was lost; seen again after a pause it must not extend the lease."""
-    first, second = make_keeper("a", clock), make_keeper("b", clock)
+    """
+    The renewal took effect, but its response was lost and reading it back failed.  Its
+    confirmation after a pause must not extend the lease, since the other instance counts
+    the expiry from the first write.
+    """
+    first, second = make_lease_keeper("a", clock), make_lease_keeper("b", clock)
     run(first.poll(), store.platform)
     clock.advance(1.0)
     renewal = Task(first.poll())
@@ -86,10 +90,10 @@
 
 
 @pytest.mark.parametrize("fault", [Fault.LOST_AFTER, Fault.TWICE])
-def test_a_lost_answer_is_settled_by_reading_back(
+def test_acquisition_with_a_lost_response_is_confirmed_by_reading_back(
     clock: ManualClock, store: FaultyStore, fault: Fault
 ) -> None:
-    keeper = make_keeper("a", clock)
+    keeper = make_lease_keeper("a", clock)
     task = Task(keeper.poll())
     task.step(store, Fault.NONE)
     task.step(store, fault)
