--- a/soak/faults.py
+++ b/soak/faults.py
@@ -132,17 +132,17 @@
 
 
 def _store_away(site: Site, fault: Fault) -> None:
-    site.store.refusing = True
+    site.store.is_unavailable = True
     gevent.sleep(fault.seconds)
-    site.store.refusing = False
+    site.store.is_unavailable = False
 
 
 def _restore_store(site: Site, fault: Fault) -> None:
     """Play the drill: the store is away and comes back from an older copy."""
-    site.store.refusing = True
+    site.store.is_unavailable = True
     gevent.sleep(fault.seconds)
-    site.store.restore(fault.seconds + fault.pick % RESTORE_SECONDS)
-    site.store.refusing = False
+    site.store.restore_backup(fault.seconds + fault.pick % RESTORE_SECONDS)
+    site.store.is_unavailable = False
     gevent.sleep(REWRITE_SECONDS)
     site.write_again()
 
--- a/soak/replicas.py
+++ b/soak/replicas.py
@@ -79,7 +79,7 @@
         self._open.add(connection)
         try:
             while self.alive:
-                attempt = served.next_request(connection)
+                attempt = served.receive_request(connection)
                 path = served.requests[-1][0].split()[1]
                 if self.failing and self._random.random() < FAIL_SHARE:
                     self._refuse(connection, attempt)
--- a/soak/site.py
+++ b/soak/site.py
@@ -20,7 +20,7 @@
 from soak.proxy import Proxy
 from soak.replicas import Replica, RunNote
 from tests.gatewaykit import free_ports
-from tests.platformstandin import StoreStandin, configuration, upstream
+from tests.platformstandin import StoreStandin, make_configuration, make_upstream_entry
 
 __all__ = ["GatewayNote", "Site"]
 
@@ -99,8 +99,8 @@
 
     def configure(self) -> None:
         """Write the next version of the configuration."""
-        content = configuration(self.version, timeout=int(ROUTE_SECONDS * 1000))
-        self.store.put("op", "config", content)
+        content = make_configuration(self.version, timeout=int(ROUTE_SECONDS * 1000))
+        self.store.write_row("op", "config", content)
         self.version += 1
 
     def write_again(self) -> None:
@@ -109,7 +109,7 @@
         self.configure()
         for name, replica in self.replicas.items():
             if name in self._removed:
-                self.store.drop("servers", name)
+                self.store.delete_row("servers", name)
             elif replica.alive:
                 self.list_replica(name, state=self._states[name])
 
@@ -128,15 +128,17 @@
     def list_replica(self, name: str, *, state: str) -> None:
         """Write a replica's entry."""
         self._states[name] = state
-        self.store.put(
-            "servers", name, upstream(self.proxies[name].address, state=state)
+        self.store.write_row(
+            "servers",
+            name,
+            make_upstream_entry(self.proxies[name].address, state=state),
         )
 
     def remove_replica(self, name: str) -> None:
         """End a replica and remove its entry."""
         self.replicas[name].crash()
         self._removed.add(name)
-        self.store.drop("servers", name)
+        self.store.delete_row("servers", name)
         self.proxies[name].close()
 
     def start(self, name: str) -> None:
--- a/tests/gatewaykit.py
+++ b/tests/gatewaykit.py
@@ -144,7 +144,7 @@
     def __init__(self, name: str, serve: Callable) -> None:
         self.name = name
         self.requests: list[tuple[str, dict[str, str], bytes]] = []
-        self.closed_by_gateway = 0
+        self.closed_by_gateway_count = 0
         self._serve = serve
         self._server = StreamServer(("127.0.0.1", 0), self._handle)
         self._server.start()
@@ -160,7 +160,7 @@
             state=UpstreamState.LIVE,
         )
 
-    def next_request(self, connection: socket.socket) -> str:
+    def receive_request(self, connection: socket.socket) -> str:
         """Read a request and note it; returns its attempt id."""
         self.requests.append(read_request(connection))
         return self.requests[-1][1].get("attempt-id", "")
@@ -173,7 +173,7 @@
         try:
             self._serve(self, connection)
         except (EOFError, OSError):
-            self.closed_by_gateway += 1
+            self.closed_by_gateway_count += 1
         finally:
             connection.close()
 
--- a/tests/platformstandin.py
+++ b/tests/platformstandin.py
@@ -21,7 +21,9 @@
 SERVICE = "shop"
 
 
-def configuration(version: int, *, prefix: str = "/order/", timeout: int = 800) -> dict:
+def make_configuration(
+    version: int, *, prefix: str = "/order/", timeout: int = 800
+) -> dict:
     """Return a configuration with an order route, a read route and a stream."""
 
     def route(name: str, path: str, kind: str, **more: object) -> dict:
@@ -44,7 +46,7 @@
     }
 
 
-def upstream(address: str, *, state: str = "ready", born: int = 1) -> dict:
+def make_upstream_entry(address: str, *, state: str = "ready", born: int = 1) -> dict:
     """Return a replica's entry."""
     return {
         "service": SERVICE, "address": address, "zone": "hout", "version": "v1",
@@ -59,8 +61,8 @@
     """
 
     def __init__(self) -> None:
-        self.refusing = False
-        self.calls = 0
+        self.is_unavailable = False
+        self.call_count = 0
         self.era = 1
         self._version = 1
         self._rows: dict[tuple[str, str], dict] = {}
@@ -74,16 +76,16 @@
         """Where it listens."""
         return f"127.0.0.1:{self._server.server_port}"
 
-    def put(self, table: str, key: str, content: dict) -> None:
+    def write_row(self, table: str, key: str, content: dict) -> None:
         """Write a row."""
         data = base64.b64encode(json.dumps(content).encode()).decode()
         self._write(table, key, {"data": data})
 
-    def drop(self, table: str, key: str) -> None:
+    def delete_row(self, table: str, key: str) -> None:
         """Remove a row."""
         self._write(table, key, {"deleted": True})
 
-    def restore(self, seconds: float) -> None:
+    def restore_backup(self, seconds: float) -> None:
         """Come back from a copy so many seconds old, in a new era."""
         begin = time.monotonic() - seconds
         self._written = [item for item in self._written if item[0] <= begin]
@@ -112,7 +114,7 @@
         try:
             while True:
                 line, _, body = read_request(connection)
-                self.calls += 1
+                self.call_count += 1
                 status, content = self._answer(line.split()[1], body)
                 data = json.dumps(content).encode()
                 head = (
@@ -123,7 +125,7 @@
         except (EOFError, OSError):
             connection.close()
 
-    def live_rows(self, table: str) -> list[str]:
+    def list_keys(self, table: str) -> list[str]:
         """Return the keys of a table's rows."""
         return [
             key
@@ -143,7 +145,7 @@
         return 200, {"schema_version": self._version}
 
     def _answer(self, target: str, body: bytes) -> tuple[int, dict]:
-        if self.refusing:
+        if self.is_unavailable:
             return 503, {}
         parts = urlsplit(target)
         if parts.path.endswith("rows-tx"):
--- a/tests/test_gateway_answers.py
+++ b/tests/test_gateway_answers.py
@@ -46,31 +46,31 @@
 
 def respond(replica: ScriptedReplica, connection: object) -> None:
     while True:
-        connection.sendall(make_response(replica.next_request(connection)))
+        connection.sendall(make_response(replica.receive_request(connection)))
 
 
 def respond_with_error(replica: ScriptedReplica, connection: object) -> None:
     while True:
-        attempt = replica.next_request(connection)
+        attempt = replica.receive_request(connection)
         connection.sendall(make_response(attempt, b"oops", status="500 Failed"))
 
 
 def refuse_as_full(replica: ScriptedReplica, connection: object) -> None:
     while True:
-        replica.next_request(connection)
+        replica.receive_request(connection)
         connection.sendall(
             b"HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
         )
 
 
 def close_without_response(replica: ScriptedReplica, connection: object) -> None:
-    replica.next_request(connection)
+    replica.receive_request(connection)
 
 
 def never_respond(replica: ScriptedReplica, connection: object) -> None:
-    replica.next_request(connection)
+    replica.receive_request(connection)
     connection.recv(1)
-    replica.closed_by_gateway += 1
+    replica.closed_by_gateway_count += 1
 
 
 def test_a_response_is_relayed_unchanged(harnesses: list[ForwarderHarness]) -> None:
@@ -131,7 +131,7 @@
     harnesses: list[ForwarderHarness],
 ) -> None:
     def respond_unavailable(replica: ScriptedReplica, connection: object) -> None:
-        attempt = replica.next_request(connection)
+        attempt = replica.receive_request(connection)
         connection.sendall(make_response(attempt, b"", status="503 Busy"))
 
     harness = make_harness(harnesses, respond_unavailable)
@@ -150,7 +150,9 @@
     )
     assert 0.7 < harness.clock.now() - started_at < 1.3
     assert count_requests(harness) == 1
-    wait_until(lambda: sum(item.closed_by_gateway for item in harness.replicas) == 1)
+    wait_until(
+        lambda: sum(item.closed_by_gateway_count for item in harness.replicas) == 1
+    )
 
 
 def test_an_idempotent_request_is_retried_when_a_replica_is_unresponsive(
@@ -167,7 +169,7 @@
     harnesses: list[ForwarderHarness],
 ) -> None:
     def respond_to_another_first(replica: ScriptedReplica, connection: object) -> None:
-        attempt = replica.next_request(connection)
+        attempt = replica.receive_request(connection)
         connection.sendall(
             make_response("other", b"not yours") + make_response(attempt, b"yours")
         )
@@ -194,7 +196,7 @@
     harnesses: list[ForwarderHarness], invalid_response: bytes
 ) -> None:
     def respond_invalidly(replica: ScriptedReplica, connection: object) -> None:
-        replica.next_request(connection)
+        replica.receive_request(connection)
         connection.sendall(invalid_response)
 
     harness = make_harness(harnesses, respond_invalidly)
@@ -207,7 +209,7 @@
 ) -> None:
     def respond_twice(replica: ScriptedReplica, connection: object) -> None:
         while True:
-            attempt = replica.next_request(connection)
+            attempt = replica.receive_request(connection)
             connection.sendall(
                 make_response(attempt) + make_response(attempt, b"again")
             )
@@ -224,7 +226,7 @@
     harnesses: list[ForwarderHarness],
 ) -> None:
     def respond_without_length(replica: ScriptedReplica, connection: object) -> None:
-        attempt = replica.next_request(connection)
+        attempt = replica.receive_request(connection)
         connection.sendall(
             f"HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\n"
             "Response-Signature: s\r\n\r\nall of it".encode()
@@ -255,7 +257,7 @@
     send_rest = gevent.event.Event()
 
     def send_stream(replica: ScriptedReplica, connection: object) -> None:
-        attempt = replica.next_request(connection)
+        attempt = replica.receive_request(connection)
         connection.sendall(
             make_stream_head(attempt) + make_chunk(make_event(1) + make_event(2)[:5])
         )
@@ -278,7 +280,7 @@
     harnesses: list[ForwarderHarness],
 ) -> None:
     def send_partial_stream(replica: ScriptedReplica, connection: object) -> None:
-        attempt = replica.next_request(connection)
+        attempt = replica.receive_request(connection)
         connection.sendall(make_stream_head(attempt) + make_chunk(make_event(1)))
 
     harness = make_harness(harnesses, send_partial_stream, send_partial_stream)
@@ -291,7 +293,7 @@
     harnesses: list[ForwarderHarness],
 ) -> None:
     def send_partial_stream(replica: ScriptedReplica, connection: object) -> None:
-        attempt = replica.next_request(connection)
+        attempt = replica.receive_request(connection)
         body = (
             make_chunk(make_event(1)) + make_chunk(make_event(2)[:6]) + make_chunk(b"")
         )
@@ -306,7 +308,7 @@
     harnesses: list[ForwarderHarness],
 ) -> None:
     def stream_from_last_event(replica: ScriptedReplica, connection: object) -> None:
-        attempt = replica.next_request(connection)
+        attempt = replica.receive_request(connection)
         after = int(replica.requests[-1][1].get("last-event-id", 0))
         if after:
             rest = b"".join(
@@ -328,7 +330,7 @@
     harnesses: list[ForwarderHarness],
 ) -> None:
     def respond_misdirected(replica: ScriptedReplica, connection: object) -> None:
-        replica.next_request(connection)
+        replica.receive_request(connection)
         connection.sendall(
             b"HTTP/1.1 421 Misdirected\r\nInstance-Id: i9\r\nContent-Length: 0\r\n\r\n"
         )
--- a/tests/test_gateway_callers.py
+++ b/tests/test_gateway_callers.py
@@ -26,11 +26,11 @@
 
 def serve_requests(replica: ScriptedReplica, connection: socket.socket) -> None:
     while True:
-        attempt = replica.next_request(connection)
+        attempt = replica.receive_request(connection)
         if "/chat/slow" in replica.requests[-1][0]:
             connection.sendall(make_stream_head(attempt) + make_chunk(make_event(1)))
             connection.recv(1)
-            replica.closed_by_gateway += 1
+            replica.closed_by_gateway_count += 1
             return
         if "/order/slow" in replica.requests[-1][0]:
             gevent.sleep(0.2)
@@ -123,7 +123,7 @@
     with harness.connect() as caller:
         caller.sendall(make_request("/chat/slow", method="POST", body="x"))
         read_answer(caller, b"piece 1\n\n\r\n")
-    wait_until(lambda: harness.replicas[0].closed_by_gateway == 1)
+    wait_until(lambda: harness.replicas[0].closed_by_gateway_count == 1)
     wait_until(lambda: harness.forwarder.active_requests == 0)
     assert len(harness.get_log_lines("caller-gone")) == 1
 
--- a/tests/test_gateway_containment.py
+++ b/tests/test_gateway_containment.py
@@ -160,7 +160,7 @@
     """Each replica that reads the request closes its connections and its listener."""
 
     def crash(this: ScriptedReplica, connection: object) -> None:
-        this.next_request(connection)
+        this.receive_request(connection)
         this.stop()
 
     harness = ForwarderHarness(
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -29,12 +29,12 @@
     read_all,
     wait_until,
 )
-from tests.platformstandin import StoreStandin, configuration, upstream
+from tests.platformstandin import StoreStandin, make_configuration, make_upstream_entry
 
 
 def serve(replica: ScriptedReplica, connection: socket.socket) -> None:
     while True:
-        attempt = replica.next_request(connection)
+        attempt = replica.receive_request(connection)
         if "/chat/" in replica.requests[-1][0]:
             connection.sendall(make_stream_head(attempt))
             for number in range(1, 31):
@@ -80,9 +80,11 @@
 
     def fill_store(self) -> None:
         """Write a configuration and the replicas' entries."""
-        self.store.put("op", "config", configuration(1))
+        self.store.write_row("op", "config", make_configuration(1))
         for replica in self.replicas:
-            self.store.put("servers", replica.name, upstream(replica.record.address))
+            self.store.write_row(
+                "servers", replica.name, make_upstream_entry(replica.record.address)
+            )
 
     def start(self, *, early: bool = False) -> None:
         """Start the gateway; ``early`` opens the callers' port before the rest."""
@@ -185,16 +187,16 @@
     site: Site,
 ) -> None:
     site.fill_store()
-    site.store.refusing = True
+    site.store.is_unavailable = True
     site.start()
     wait_until(lambda: site.order().startswith(b"HTTP/1.1 503"), seconds=10)
     assert not site.is_ready()
-    site.store.refusing = False
+    site.store.is_unavailable = False
     wait_until(site.is_ready, seconds=10)
-    site.store.refusing = True
+    site.store.is_unavailable = True
     wait_until(lambda: site.logged("event=dependency-lost"), seconds=10)
     assert site.order().startswith(b"HTTP/1.1 200") and site.is_ready()
-    site.store.refusing = False
+    site.store.is_unavailable = False
     wait_until(lambda: site.logged("event=dependency-regained"), seconds=10)
 
 
@@ -207,15 +209,17 @@
     (tmp_path / "second").mkdir()
     second = Site(tmp_path / "second")
     try:
-        second.store.refusing = True
+        second.store.is_unavailable = True
         second.write_settings(seeds=["127.0.0.1:1", site.operators])
         second.start()
         wait_until(second.is_ready, seconds=15)
         assert second.order().startswith(b"HTTP/1.1 200")
         wait_until(lambda: second.logged("event=snapshot-taken"))
-        second.store.refusing = False
+        second.store.is_unavailable = False
         second.fill_store()
-        second.store.put("op", "config", configuration(5, prefix="/booking/"))
+        second.store.write_row(
+            "op", "config", make_configuration(5, prefix="/booking/")
+        )
         wait_until(lambda: second.logged("version=5"), seconds=10)
     finally:
         second.close()
@@ -234,12 +238,12 @@
         wait_until(lambda: site.is_ready() and second.is_ready(), seconds=10)
         wait_until(lambda: site.logged('peer="gateway-2"'), seconds=10)
         wait_until(lambda: second.logged('peer="gateway-1"'), seconds=10)
-        site.store.put("op", "config", configuration(7, prefix="/booking/"))
+        site.store.write_row("op", "config", make_configuration(7, prefix="/booking/"))
         wait_until(lambda: site.logged("version=7") and second.logged("version=7"))
         for gateway in (site, second):
             gateway.signal(signal.SIGTERM)
             assert gateway.exit_code() == 0
-        assert not site.store.live_rows("damasklead-gateways")
+        assert not site.store.list_keys("damasklead-gateways")
     finally:
         second.close()
 
@@ -248,11 +252,13 @@
     site.fill_store()
     site.start()
     wait_until(site.is_ready, seconds=10)
-    site.store.put("op", "config", configuration(4, prefix="/booking/"))
+    site.store.write_row("op", "config", make_configuration(4, prefix="/booking/"))
     wait_until(lambda: site.order(path="/booking/1").startswith(b"HTTP/1.1 200"))
     assert site.order().startswith(b"HTTP/1.1 404")
     address = site.replicas[0].record.address
-    site.store.put("servers", "r0", upstream(address, state="draining"))
+    site.store.write_row(
+        "servers", "r0", make_upstream_entry(address, state="draining")
+    )
     wait_until(lambda: site.logged("r0 leaving"))
     answers = {site.order(f"b{n}", "/booking/1")[-2:] for n in range(6)}
     assert answers == {b"r1"}
@@ -323,14 +329,14 @@
     wait_until(site.is_ready, seconds=10)
     assert site.order("a1").startswith(b"HTTP/1.1 200")
     gevent.sleep(1.5)
-    site.store.put("op", "config", configuration(2, prefix="/new/"))
+    site.store.write_row("op", "config", make_configuration(2, prefix="/new/"))
     wait_until(lambda: site.logged("version=2"), seconds=4)
-    site.store.restore(1.0)
+    site.store.restore_backup(1.0)
     wait_until(lambda: site.logged("event=store-restored"), seconds=4)
     # What was in force stays so, and what is written again is followed.
     assert site.order("a2", path="/new/1").startswith(b"HTTP/1.1 200")
     assert site.order("a3").startswith(b"HTTP/1.1 404")
-    site.store.put("op", "config", configuration(3))
+    site.store.write_row("op", "config", make_configuration(3))
     wait_until(lambda: site.logged("version=3"), seconds=2)
     assert site.order("a4").startswith(b"HTTP/1.1 200")
 
@@ -340,10 +346,10 @@
     gevent.sleep(1.2)
     site.start()
     wait_until(site.is_ready, seconds=10)
-    wait_until(lambda: site.store.live_rows("damasklead-gateways"), seconds=4)
-    site.store.restore(1.0)
-    assert not site.store.live_rows("damasklead-gateways")
-    wait_until(lambda: site.store.live_rows("damasklead-gateways"), seconds=4)
+    wait_until(lambda: site.store.list_keys("damasklead-gateways"), seconds=4)
+    site.store.restore_backup(1.0)
+    assert not site.store.list_keys("damasklead-gateways")
+    wait_until(lambda: site.store.list_keys("damasklead-gateways"), seconds=4)
 
 
 def test_a_process_serves_whoever_connects_while_it_is_loaded(site: Site) -> None:
--- a/tests/test_gateway_replica_trouble.py
+++ b/tests/test_gateway_replica_trouble.py
@@ -58,14 +58,14 @@
 
 def respond_as_leaving(replica: ScriptedReplica, connection: object) -> None:
     while True:
-        attempt = replica.next_request(connection)
+        attempt = replica.receive_request(connection)
         connection.sendall(make_response(attempt, extra="Server-Leaving: 1\r\n"))
 
 
 def make_pausing_script(seconds: str) -> ReplicaScript:
     def serve(replica: ScriptedReplica, connection: object) -> None:
         while True:
-            replica.next_request(connection)
+            replica.receive_request(connection)
             connection.sendall(
                 b"HTTP/1.1 503 Full\r\nNot-Executed: 1\r\n"
                 b"Retry-After: " + seconds.encode() + b"\r\nContent-Length: 0\r\n\r\n"
@@ -89,7 +89,7 @@
         self, harnesses: list[ForwarderHarness]
     ) -> None:
         def refuse_as_leaving(replica: ScriptedReplica, connection: object) -> None:
-            replica.next_request(connection)
+            replica.receive_request(connection)
             connection.sendall(
                 b"HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nServer-Leaving: 1\r\n"
                 b"Content-Length: 0\r\n\r\n"
@@ -107,7 +107,7 @@
         self, harnesses: list[ForwarderHarness]
     ) -> None:
         def send_partial_stream(replica: ScriptedReplica, connection: object) -> None:
-            attempt = replica.next_request(connection)
+            attempt = replica.receive_request(connection)
             head = make_stream_head(attempt).replace(
                 b"\r\n\r\n", b"\r\nServer-Leaving: 1\r\n\r\n"
             )
@@ -235,7 +235,7 @@
         self, harnesses: list[ForwarderHarness]
     ) -> None:
         def send_endlessly(replica: ScriptedReplica, connection: object) -> None:
-            replica.next_request(connection)
+            replica.receive_request(connection)
             connection.sendall(b"HTTP/1.1 200 OK\r\n")
             while True:
                 connection.sendall(b"X-Filler: " + b"x" * 1000 + b"\r\n")
@@ -243,13 +243,13 @@
         harness = make_harness(harnesses, send_endlessly)
         response = harness.send_request("/order/1", method="POST", body="x")
         assert response.startswith(b"HTTP/1.1 502")
-        wait_until(lambda: harness.replicas[0].closed_by_gateway == 1)
+        wait_until(lambda: harness.replicas[0].closed_by_gateway_count == 1)
 
     def test_endless_interim_responses_are_aborted(
         self, harnesses: list[ForwarderHarness]
     ) -> None:
         def send_endlessly(replica: ScriptedReplica, connection: object) -> None:
-            replica.next_request(connection)
+            replica.receive_request(connection)
             while True:
                 connection.sendall(b"HTTP/1.1 103 Early Hints\r\n\r\n")
                 gevent.sleep(0.001)
@@ -265,7 +265,7 @@
         memory_samples: list[int] = []
 
         def send_endlessly(replica: ScriptedReplica, connection: object) -> None:
-            attempt = replica.next_request(connection)
+            attempt = replica.receive_request(connection)
             connection.sendall(make_stream_head(attempt))
             while True:
                 connection.sendall(make_chunk(b"x" * 50_000))
@@ -298,7 +298,7 @@
         def send_slowly_without_end(
             replica: ScriptedReplica, connection: object
         ) -> None:
-            attempt = replica.next_request(connection)
+            attempt = replica.receive_request(connection)
             connection.sendall(make_stream_head(attempt))
             while True:
                 connection.sendall(make_chunk(b"x"))
@@ -318,7 +318,7 @@
         self, harnesses: list[ForwarderHarness]
     ) -> None:
         def send_endlessly(replica: ScriptedReplica, connection: object) -> None:
-            attempt = replica.next_request(connection)
+            attempt = replica.receive_request(connection)
             connection.sendall(
                 make_stream_head(attempt) + make_chunk(make_event(1) + b"data: ")
             )
@@ -347,7 +347,7 @@
         self, harnesses: list[ForwarderHarness]
     ) -> None:
         def send_comments_only(replica: ScriptedReplica, connection: object) -> None:
-            attempt = replica.next_request(connection)
+            attempt = replica.receive_request(connection)
             connection.sendall(make_stream_head(attempt) + make_chunk(make_event(1)))
             while True:
                 gevent.sleep(0.1)
@@ -366,7 +366,7 @@
         def stall_after_first_event(
             replica: ScriptedReplica, connection: object
         ) -> None:
-            attempt = replica.next_request(connection)
+            attempt = replica.receive_request(connection)
             after = int(replica.requests[-1][1].get("last-event-id", 0))
             if after:
                 connection.sendall(
@@ -392,7 +392,7 @@
         self, harnesses: list[ForwarderHarness]
     ) -> None:
         def stream_slowly(replica: ScriptedReplica, connection: object) -> None:
-            attempt = replica.next_request(connection)
+            attempt = replica.receive_request(connection)
             connection.sendall(make_stream_head(attempt))
             for number in range(1, 4):
                 gevent.sleep(1.2)
@@ -412,7 +412,7 @@
         def close_without_response(
             replica: ScriptedReplica, connection: object
         ) -> None:
-            replica.next_request(connection)
+            replica.receive_request(connection)
 
         harness = make_harness(
             harnesses, close_without_response, close_without_response
@@ -447,7 +447,7 @@
         self, harnesses: list[ForwarderHarness]
     ) -> None:
         def never_respond(replica: ScriptedReplica, connection: object) -> None:
-            replica.next_request(connection)
+            replica.receive_request(connection)
             connection.recv(1)
 
         harness = make_harness(harnesses, never_respond)
@@ -470,7 +470,7 @@
             number = len(request_counts)
             request_counts.append(0)
             while True:
-                attempt = replica.next_request(connection)
+                attempt = replica.receive_request(connection)
                 request_counts[number] += 1
                 connection.sendall(
                     make_response(
@@ -509,7 +509,7 @@
     ) -> None:
         def respond_twice(replica: ScriptedReplica, connection: object) -> None:
             while True:
-                attempt = replica.next_request(connection)
+                attempt = replica.receive_request(connection)
                 connection.sendall(make_response(attempt, b"first"))
                 gevent.sleep(0.05)
                 connection.sendall(make_response(attempt, b"again"))
@@ -533,7 +533,7 @@
         self, harnesses: list[ForwarderHarness]
     ) -> None:
         def reset_within_body(replica: ScriptedReplica, connection: object) -> None:
-            attempt = replica.next_request(connection)
+            attempt = replica.receive_request(connection)
             connection.sendall(
                 f"HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\n"
                 "Response-Signature: s\r\n\r\nhalf".encode()
@@ -552,7 +552,7 @@
         self, harnesses: list[ForwarderHarness]
     ) -> None:
         def respond_slowly(replica: ScriptedReplica, connection: object) -> None:
-            attempt = replica.next_request(connection)
+            attempt = replica.receive_request(connection)
             gevent.sleep(0.2)
             connection.sendall(make_response(attempt))
 
--- a/tests/test_gateway_starting.py
+++ b/tests/test_gateway_starting.py
@@ -28,7 +28,9 @@
 
 def serve(replica: ScriptedReplica, connection: socket.socket) -> None:
     while True:
-        connection.sendall(make_response(replica.next_request(connection), b"served"))
+        connection.sendall(
+            make_response(replica.receive_request(connection), b"served")
+        )
 
 
 @pytest.fixture
