--- a/damasklead/audit.py
+++ b/damasklead/audit.py
@@ -20,8 +20,8 @@
     "AUDIT_TABLE",
     "AuditBuffer",
     "AuditEvent",
-    "make_audit_write",
     "decode_audit_event",
+    "make_audit_write",
 ]
 
 AUDIT_TABLE = "audit"
--- a/damasklead/claims.py
+++ b/damasklead/claims.py
@@ -87,8 +87,8 @@
     holder, incarnation
         The entry that makes the attempt.
     generation : int
-        The claims' generation, about one an hour, at the time of the claim; expired
-        claims are found by it.
+        Number of the generation, a period of about an hour, in which the claim was
+        made; it determines when the claim expires.
     answer : RecordedResponse or None
         The response to replay to later requests with the key, if one was recorded.
     note : str
--- a/damasklead/leases.py
+++ b/damasklead/leases.py
@@ -2,8 +2,8 @@
 Leases
 ======
 
-A lease elects the one instance that performs a duty, a task for one instance at a time.
-It is kept as a row of the table service under the duty's name.
+A lease assigns a duty, a task for one instance at a time, to the instance that performs
+it.  It is kept as a row of the table service under the duty's name.
 
 The instances share no clock.  A candidate takes a lease over only after it has seen the
 row unchanged for ``EXPIRY`` by its own clock; the holder considers the lease lost
--- a/damasklead/manifest.py
+++ b/damasklead/manifest.py
@@ -34,10 +34,10 @@
     "CONFIGURATION_TABLE",
     "ConfigurationHolder",
     "Manifest",
-    "PublishSucceeded",
     "PublishConflict",
     "PublishFailed",
     "PublishRefused",
+    "PublishSucceeded",
     "Publication",
     "decode_manifest",
     "digest_text",
@@ -113,7 +113,7 @@
 
 class PublishConflict(msgspec.Struct, kw_only=True, frozen=True):
     """
-    Nothing was changed, since the change is not based on the active version.
+    Nothing was changed: the change is not based on the active version.
 
     Attributes
     ----------
@@ -128,7 +128,7 @@
 
 
 class PublishRefused(msgspec.Struct, kw_only=True):
-    """Nothing was changed, since the resulting configuration is invalid."""
+    """Nothing was changed: the resulting configuration is invalid."""
 
     findings: Findings
 
@@ -147,7 +147,7 @@
 
 
 PublishResult = PublishSucceeded | PublishConflict | PublishRefused | PublishFailed
-Bundle = dict[str, str]
+Bundle = dict[str, str]  # file contents by file name
 
 
 def read_manifest() -> Steps[Row | StoreError | None]:
--- a/damasklead/quarantine.py
+++ b/damasklead/quarantine.py
@@ -5,11 +5,11 @@
 Identifies a request that crashes each upstream that executes it, to have it refused.
 
 After a crash all requests that ran on the replica are suspects and are retried on other
-replicas.  Suspects of ``MIN_ISOLATION_CRASHES`` crashes are held until all entries have
-the report of the last one, and are then isolated: no two of them go to one replica.  A
-request is quarantined when it is the only one of a crash that was in an earlier crash
-too, and at the latest after ``MAX_CRASHES`` crashes.  A suspect that completes is
-cleared.
+replicas.  Suspects of ``MIN_ISOLATION_CRASHES`` crashes are held back until all entries
+have the report of the last one, and are then isolated: no two of them go to one
+replica.  A request is quarantined when it is the only one of a crash that was in an
+earlier crash too, and at the latest after ``MAX_CRASHES`` crashes.  A request that
+completes is no longer a suspect.
 
 Requests are told apart by fingerprints, which are equal for all attempts of a request.
 """
@@ -28,7 +28,7 @@
 MIN_ISOLATION_CRASHES = 2
 SUSPICION_TTL_SECONDS = 3600.0
 QUARANTINE_SECONDS = 86_400.0
-MAX_TRACKED_ITEMS = 10_000
+MAX_TRACKED_ITEMS = 10_000  # for suspects and for crashes
 PROPAGATION_SECONDS = 1.0
 # The first crash does not show which of the requests on the replica caused it.
 MIN_CRASHES = 2
@@ -47,7 +47,7 @@
     ----------
     clock : Clock
     propagation_seconds : float
-        Seconds within which the reports of a crash by all entries arrive.
+        Seconds after the first report of a crash until all entries' reports are in.
     min_crashes : int
         Number of crashes that a fingerprint must have been in to be quarantined.
     """
@@ -71,7 +71,7 @@
         self._release_numbers: dict[Fingerprint, int] = {}
 
     def set_propagation_time(self, seconds: float) -> None:
-        """Set the seconds within which the reports of a crash by all entries arrive."""
+        """Set the seconds from the first report of a crash until all reports are in."""
         self._propagation_seconds = seconds
 
     @property
@@ -156,7 +156,7 @@
         self, fingerprint: Fingerprint, replicas: Sequence[InstanceId]
     ) -> frozenset[InstanceId]:
         """
-        Return the replicas that may execute a request, none while it is held.
+        Return the replicas that may execute a request, none while it is held back.
 
         All entries assign the suspects of several crashes to replicas in the same way,
         so that no two of them run on one replica and the next crash identifies its
@@ -253,10 +253,10 @@
         self, crash: tuple[InstanceId, Incarnation]
     ) -> list[Fingerprint]:
         """
-        Return the fingerprints that are held to have caused a crash.
+        Return the fingerprints to quarantine for a crash.
 
-        If several of the crash were in ``min_crashes`` crashes, these are the ones that
-        were in ``MAX_CRASHES`` crashes; if a single one was, it is that.
+        If only one of them was in ``min_crashes`` crashes, it is that one; otherwise
+        those that were in ``MAX_CRASHES`` crashes.
         """
         repeated = [
             item
--- a/damasklead/quarantine_rows.py
+++ b/damasklead/quarantine_rows.py
@@ -18,8 +18,8 @@
     "QuarantineRow",
     "apply_quarantine_row",
     "decode_quarantine_row",
-    "make_release_commit",
     "make_quarantine_write",
+    "make_release_commit",
 ]
 
 QUARANTINE_TABLE = "quarantine"
--- a/damasklead/stores/http.py
+++ b/damasklead/stores/http.py
@@ -82,19 +82,19 @@
 
 
 class ListCall(msgspec.Struct, kw_only=True, tag="list-instances"):
-    """Arguments of ``InstanceList.list``."""
+    """Arguments of ``InstanceList.list_instances``."""
 
     known: str = ""
 
 
 class AnnounceCall(msgspec.Struct, kw_only=True, tag="announce"):
-    """Arguments of ``InstanceList.announce``."""
+    """Arguments of ``InstanceList.register_instance``."""
 
     record: InstanceRecord
 
 
 class WithdrawCall(msgspec.Struct, kw_only=True, tag="withdraw"):
-    """Arguments of ``InstanceList.withdraw``."""
+    """Arguments of ``InstanceList.deregister_instance``."""
 
     instance: InstanceId
 
--- a/damasklead/stores/memory.py
+++ b/damasklead/stores/memory.py
@@ -47,7 +47,7 @@
     down : bool
         Whether every call fails without effect.
     lose_answers : int
-        Number of next commits that take effect but whose response is lost.
+        Number of the next commits that take effect although their response is lost.
     list_frozen : bool
         Whether the instance list stays as it was at its last read before the fault.
     delay : float
