--- a/damasklead/commands/changing.py
+++ b/damasklead/commands/changing.py
@@ -42,7 +42,7 @@
 from damasklead.protocol import run
 from damasklead.stores import Platform
 from damasklead.stores.base import InstanceState
-from damasklead.stores.http import http_platform
+from damasklead.stores.http import make_http_platform
 from damasklead.util import new_id
 
 __all__ = ["Publish", "DrainInstance"]
@@ -79,7 +79,7 @@
 
     def __call__(self) -> int:
         """Run the command; returns the exit code."""
-        platform = http_platform(address=self.platform)
+        platform = make_http_platform(address=self.platform)
         publication = Publication(
             id=AttemptId(new_id()),
             who=self.who or user_name(),
@@ -114,7 +114,7 @@
 
     def __call__(self) -> int:
         """Run the command; returns the exit code."""
-        platform = http_platform(address=self.platform)
+        platform = make_http_platform(address=self.platform)
         listed = platform.instances.list_instances()
         if isinstance(listed, Err):
             return no_platform()
--- a/damasklead/commands/inspecting.py
+++ b/damasklead/commands/inspecting.py
@@ -15,7 +15,7 @@
 
 from damasklead.audit import AUDIT_TABLE, AuditEvent, decode_audit_event
 from damasklead.commands import DONE, FAILED, Json, Where, no_platform, scan
-from damasklead.stores.http import http_platform
+from damasklead.stores.http import make_http_platform
 from damasklead.util import split_address
 
 __all__ = ["ShowStatus", "Audit"]
@@ -68,7 +68,7 @@
     def __call__(self) -> int:
         """Run the command; returns the exit code."""
         events = scan(
-            http_platform(address=self.platform), AUDIT_TABLE, decode_audit_event
+            make_http_platform(address=self.platform), AUDIT_TABLE, decode_audit_event
         )
         if events is None:
             return no_platform()
--- a/damasklead/commands/orders.py
+++ b/damasklead/commands/orders.py
@@ -33,7 +33,7 @@
     WorkspaceId,
 )
 from damasklead.protocol import run
-from damasklead.stores.http import http_platform
+from damasklead.stores.http import make_http_platform
 
 __all__ = ["OrdersList", "OrdersResolve", "Orders"]
 
@@ -49,7 +49,9 @@
 
     def __call__(self) -> int:
         """Run the command; returns the exit code."""
-        claims = scan(http_platform(address=self.platform), CLAIMS_TABLE, decode_claim)
+        claims = scan(
+            make_http_platform(address=self.platform), CLAIMS_TABLE, decode_claim
+        )
         if claims is None:
             return no_platform()
         open_states = (ClaimState.CLAIMED, ClaimState.FAILED)
@@ -84,7 +86,7 @@
 
     def __call__(self) -> int:
         """Run the command; returns the exit code."""
-        platform = http_platform(address=self.platform)
+        platform = make_http_platform(address=self.platform)
         who = self.who or user_name()
         key = make_claim_key(WorkspaceId(self.workspace), self.key)
         event = new_event(
--- a/damasklead/commands/quarantine.py
+++ b/damasklead/commands/quarantine.py
@@ -27,7 +27,7 @@
     decode_quarantine_row,
     make_release_commit,
 )
-from damasklead.stores.http import http_platform
+from damasklead.stores.http import make_http_platform
 
 __all__ = ["QuarantineList", "QuarantineRelease", "QuarantineGroup"]
 
@@ -42,7 +42,7 @@
 
     def __call__(self) -> int:
         """Run the command; returns the exit code."""
-        platform = http_platform(address=self.platform)
+        platform = make_http_platform(address=self.platform)
         rows = scan(platform, QUARANTINE_TABLE, decode_quarantine_row)
         if rows is None:
             return no_platform()
@@ -66,7 +66,7 @@
 
     def __call__(self) -> int:
         """Run the command; returns the exit code."""
-        platform = http_platform(address=self.platform)
+        platform = make_http_platform(address=self.platform)
         rows = scan(platform, QUARANTINE_TABLE, decode_quarantine_row)
         if rows is None:
             return no_platform()
--- a/damasklead/demo/run.py
+++ b/damasklead/demo/run.py
@@ -28,7 +28,7 @@
 from damasklead.protocol import run as run_protocol
 from damasklead.settings import check_settings
 from damasklead.standins import EngineStandin, PlainStandin
-from damasklead.stores.memory import Faults, memory_platform
+from damasklead.stores.memory import Faults, make_memory_platform
 from damasklead.util import new_id
 
 __all__ = ["Demonstration", "run_demo"]
@@ -66,7 +66,7 @@
     def __init__(self) -> None:
         self._clock = LoopClock()
         self._faults = Faults()
-        self._platform = memory_platform(faults=self._faults)
+        self._platform = make_memory_platform(faults=self._faults)
         self._engines = [self._engine(number) for number in (1, 2)]
         self._shop = PlainStandin(
             record=local_record("shop-1", "demo-app"), platform=self._platform
--- a/damasklead/standins/__init__.py
+++ b/damasklead/standins/__init__.py
@@ -16,7 +16,7 @@
 from damasklead.standins.plain import PlainStandin
 from damasklead.standins.platform import PlatformStandin
 from damasklead.stores.base import InstanceRecord
-from damasklead.stores.http import http_platform
+from damasklead.stores.http import make_http_platform
 
 __all__ = ["EngineStandin", "PlainStandin", "PlatformStandin", "run_standin"]
 
@@ -34,7 +34,9 @@
     if kind == "platform":
         standin = PlatformStandin(record=record)
     else:
-        platform = http_platform(address=platform_address) if platform_address else None
+        platform = (
+            make_http_platform(address=platform_address) if platform_address else None
+        )
         standin = KINDS[kind](record=record, platform=platform, exits_on_crash=True)
     stopped = Event()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/damasklead/standins/platform.py
+++ b/damasklead/standins/platform.py
@@ -24,7 +24,7 @@
     ScanCall,
     WithdrawCall,
 )
-from damasklead.stores.memory import Faults, memory_platform
+from damasklead.stores.memory import Faults, make_memory_platform
 
 __all__ = ["PlatformStandin"]
 
@@ -43,7 +43,7 @@
         super().__init__(record=record)
         self.faults = Faults()
         self.calls: dict[str, int] = {}
-        self._platform_services: Platform = memory_platform(faults=self.faults)
+        self._platform_services: Platform = make_memory_platform(faults=self.faults)
 
     def handle(self, call: Call) -> Reply:
         """Answer a call."""
--- a/damasklead/stores/__init__.py
+++ b/damasklead/stores/__init__.py
@@ -20,16 +20,16 @@
 
 
 def _open_memory(settings: PlatformSettings) -> Platform:
-    from damasklead.stores.memory import memory_platform
+    from damasklead.stores.memory import make_memory_platform
 
-    return memory_platform()
+    return make_memory_platform()
 
 
 def _open_http(settings: PlatformSettings) -> Platform:
-    from damasklead.stores.http import http_platform
+    from damasklead.stores.http import make_http_platform
 
     assert settings.address is not None
-    return http_platform(address=settings.address)
+    return make_http_platform(address=settings.address)
 
 
 _OPENERS = {"memory": _open_memory, "http": _open_http}
--- a/damasklead/stores/http.py
+++ b/damasklead/stores/http.py
@@ -37,7 +37,7 @@
     "ReadCall",
     "ScanCall",
     "WithdrawCall",
-    "http_platform",
+    "make_http_platform",
 ]
 
 CONNECT_TIMEOUT_SECONDS = 0.5
@@ -224,7 +224,7 @@
         return self._client.post_call(WithdrawCall(instance=instance), None)
 
 
-def http_platform(*, address: str) -> Platform:
+def make_http_platform(*, address: str) -> Platform:
     """Return the platform at ``address``, given as ``ip:port``."""
     client = HttpPlatformClient(address=address)
     return Platform(
--- a/damasklead/stores/memory.py
+++ b/damasklead/stores/memory.py
@@ -34,7 +34,7 @@
     "MemoryInstanceList",
     "MemoryObjectStore",
     "MemoryTableService",
-    "memory_platform",
+    "make_memory_platform",
 ]
 
 
@@ -213,7 +213,7 @@
         return Ok(None)
 
 
-def memory_platform(*, faults: Faults | None = None) -> Platform:
+def make_memory_platform(*, faults: Faults | None = None) -> Platform:
     """Return a platform in memory whose services share one set of faults."""
     shared = faults or Faults()
     return Platform(
--- a/tests/faulty.py
+++ b/tests/faulty.py
@@ -11,7 +11,7 @@
 
 from damasklead.protocol import PlatformCall, perform
 from damasklead.stores.base import Commit, Platform, StoreError
-from damasklead.stores.memory import memory_platform
+from damasklead.stores.memory import make_memory_platform
 
 __all__ = ["Fault", "FaultyStore", "Task"]
 
@@ -40,7 +40,7 @@
     """
 
     def __init__(self) -> None:
-        self.platform: Platform = memory_platform()
+        self.platform: Platform = make_memory_platform()
         self.late_commits: list[Commit] = []
 
     def perform(self, call: PlatformCall, fault: Fault) -> Result[Any, StoreError]:
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -26,7 +26,7 @@
 )
 from damasklead.demo.traffic import Caller
 from damasklead.stores import Platform
-from damasklead.stores.http import http_platform
+from damasklead.stores.http import make_http_platform
 from damasklead.stores.memory import Faults
 from damasklead.upstreams import ConnectionPool, UpstreamError
 from damasklead.upstreams.transport import send_request
@@ -91,7 +91,7 @@
     @property
     def platform(self) -> Platform:
         """A client of the platform."""
-        return http_platform(address=self.platform_address)
+        return make_http_platform(address=self.platform_address)
 
     def caller(self, workspace: str, *entries: str) -> Caller:
         """Return a caller of some entries, of all by default."""
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -28,7 +28,7 @@
 from damasklead.ids import AttemptId, Incarnation, InstanceId, WorkspaceId
 from damasklead.protocol import Steps, perform, run
 from damasklead.stores.base import Commit, Platform, StoreError
-from damasklead.stores.memory import Faults, memory_platform
+from damasklead.stores.memory import Faults, make_memory_platform
 
 
 def make_claim(attempt: str, *, body: str = "body") -> Claim:
@@ -54,7 +54,7 @@
 
 @pytest.fixture
 def platform(faults: Faults) -> Platform:
-    return memory_platform(faults=faults)
+    return make_memory_platform(faults=faults)
 
 
 def test_repeated_request_gets_the_recorded_response(platform: Platform) -> None:
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -32,7 +32,7 @@
 from damasklead.standins import EngineStandin, PlainStandin
 from damasklead.standins.base import Call, Reply, json_reply
 from damasklead.standins.engine import expected_text
-from damasklead.stores.memory import Faults, memory_platform
+from damasklead.stores.memory import Faults, make_memory_platform
 from damasklead.upstreams import ConnectionPool, UpstreamError, UpstreamResponse
 from damasklead.upstreams.transport import send_request
 from damasklead.util import new_id, split_address
@@ -47,7 +47,7 @@
     def __init__(self) -> None:
         logging.set_verbosity(logging.ERROR)
         self.faults = Faults()
-        self.platform = memory_platform(faults=self.faults)
+        self.platform = make_memory_platform(faults=self.faults)
         self.engines = [
             EngineStandin(
                 record=local_record(f"engine-{n}", "demo-llm"), platform=self.platform
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -34,7 +34,7 @@
 from damasklead.leases import EXPIRY
 from damasklead.protocol import run
 from damasklead.stores.base import Commit, Put
-from damasklead.stores.memory import memory_platform
+from damasklead.stores.memory import make_memory_platform
 
 
 def make_service(*, replicas: int, checks_fencing: bool = True) -> Service:
@@ -90,7 +90,7 @@
 
 
 def test_settled_claims_are_deleted_after_the_retention_period() -> None:
-    platform = memory_platform()
+    platform = make_memory_platform()
     for key, state, generation in (
         ("old", ClaimState.ANSWERED, 0),
         ("open", ClaimState.FAILED, 0),
@@ -117,7 +117,7 @@
 
 
 def test_concurrent_advances_start_one_generation() -> None:
-    platform = memory_platform()
+    platform = make_memory_platform()
     first_read = run(read_generation(), platform)
     assert first_read is not None and first_read[0] == 0
     assert run(advance_generation(*first_read), platform)
