--- a/damasklead/quarantine.py
+++ b/damasklead/quarantine.py
@@ -11,7 +11,8 @@
 earlier crash too, and at the latest after ``MAX_CRASHES`` crashes.  A request that
 completes is no longer a suspect.
 
-Requests are told apart by fingerprints, which are equal for all attempts of a request.
+Requests are told apart by fingerprints, hashes of their contents, which are equal for
+all attempts of a request.
 """
 
 from collections import OrderedDict
