--- a/tests/platformstandin.py
+++ b/tests/platformstandin.py
@@ -2,7 +2,8 @@
 Stand-in of the platform's store
 ================================
 
-Serves the rows of the operators' and the replicas' tables, with feeds, from memory.
+Serves the tables of the operators, of the replicas and of the gateways from memory,
+with reads, long polls and transactions.
 """
 
 import base64
@@ -24,21 +25,34 @@
 def make_configuration(
     version: int, *, prefix: str = "/order/", timeout: int = 800
 ) -> dict:
-    """Return a configuration with an order route, a read route and a stream."""
+    """
+    Return a configuration with one route of each type.
+
+    Parameters
+    ----------
+    version : int
+        Version of the configuration.
+    prefix : str
+        Path prefix of the route whose requests may be executed only once.
+    timeout : int
+        Timeout of that route and of the idempotent one in milliseconds.
+    """
 
-    def route(name: str, path: str, kind: str, **more: object) -> dict:
+    def make_route(name: str, path: str, kind: str, **changes: object) -> dict:
         return {
             "name": name, "host": HOST, "prefix": path, "type": kind,
             "timeout_ms": timeout, "slo_ms": 100, "priority": 1, "service": SERVICE,
-            "max_attempts": 1, "public": False, **more,
+            "max_attempts": 1, "public": False, **changes,
         }  # fmt: skip
 
     return {
         "version": version,
         "routes": [
-            route("order", prefix, "non_idempotent"),
-            route("read", "/read/", "idempotent", max_attempts=2),
-            route("chat", "/chat/", "streaming", timeout_ms=5000, itl_target_ms=200),
+            make_route("order", prefix, "non_idempotent"),
+            make_route("read", "/read/", "idempotent", max_attempts=2),
+            make_route(
+                "chat", "/chat/", "streaming", timeout_ms=5000, itl_target_ms=200
+            ),
         ],
         "services": [{"name": SERVICE, "max_connections": 100}],
         "limits": {"header_timeout_ms": 1000, "idle_timeout_ms": 5000},
@@ -47,7 +61,7 @@
 
 
 def make_upstream_entry(address: str, *, state: str = "ready", born: int = 1) -> dict:
-    """Return a replica's entry."""
+    """Return the content of a replica's row."""
     return {
         "service": SERVICE, "address": address, "zone": "hout", "version": "v1",
         "slots": 6, "state": state, "warmup_left_ms": 0, "sequence": 1, "born": born,
@@ -56,8 +70,16 @@
 
 class StoreStandin:
     """
-    Two tables with feeds; ``refusing`` makes every call a 503, and ``restore`` brings
-    back an older copy.
+    An in-memory store behind an HTTP server.
+
+    Attributes
+    ----------
+    is_unavailable : bool
+        Whether every call gets status 503.
+    call_count : int
+        Number of calls received.
+    era : int
+        Number that rises with each restore.
     """
 
     def __init__(self) -> None:
@@ -66,14 +88,14 @@
         self.era = 1
         self._version = 1
         self._rows: dict[tuple[str, str], dict] = {}
-        self._written: list[tuple[float, dict]] = []
+        self._history: list[tuple[float, dict]] = []
         self._changed = Event()
         self._server = StreamServer(("127.0.0.1", 0), self._serve)
         self._server.start()
 
     @property
     def address(self) -> str:
-        """Where it listens."""
+        """Address of the server as ``ip:port``."""
         return f"127.0.0.1:{self._server.server_port}"
 
     def write_row(self, table: str, key: str, content: dict) -> None:
@@ -82,28 +104,28 @@
         self._write(table, key, {"data": data})
 
     def delete_row(self, table: str, key: str) -> None:
-        """Remove a row."""
+        """Mark a row as deleted."""
         self._write(table, key, {"deleted": True})
 
     def restore_backup(self, seconds: float) -> None:
-        """Come back from a copy so many seconds old, in a new era."""
-        begin = time.monotonic() - seconds
-        self._written = [item for item in self._written if item[0] <= begin]
-        self._rows = {(row["table"], row["key"]): row for _, row in self._written}
-        versions = [row["schema_version"] for _, row in self._written]
+        """Restore the state of some seconds ago, and begin a new era."""
+        cutoff = time.monotonic() - seconds
+        self._history = [item for item in self._history if item[0] <= cutoff]
+        self._rows = {(row["table"], row["key"]): row for _, row in self._history}
+        versions = [row["schema_version"] for _, row in self._history]
         self._version = max(versions, default=1)
         self.era += 1
         self._notify()
 
     def stop(self) -> None:
-        """Listen no more."""
+        """Stop accepting connections."""
         self._server.stop(timeout=0)
 
     def _write(self, table: str, key: str, content: dict) -> None:
         self._version += 1
         row = {"table": table, "part": "", "key": key, "schema_version": self._version}
         self._rows[table, key] = row | content
-        self._written.append((time.monotonic(), row | content))
+        self._history.append((time.monotonic(), row | content))
         self._notify()
 
     def _notify(self) -> None:
@@ -115,7 +137,7 @@
             while True:
                 line, _, body = read_request(connection)
                 self.call_count += 1
-                status, content = self._answer(line.split()[1], body)
+                status, content = self._respond(line.split()[1], body)
                 data = json.dumps(content).encode()
                 head = (
                     f"HTTP/1.1 {status} X\r\nStore-Era: {self.era}\r\n"
@@ -126,17 +148,17 @@
             connection.close()
 
     def list_keys(self, table: str) -> list[str]:
-        """Return the keys of a table's rows."""
+        """Return the keys of a table's rows that are not deleted."""
         return [
             key
             for (name, key), row in self._rows.items()
             if name == table and not row.get("deleted")
         ]
 
-    def _transact(self, change: dict) -> tuple[int, dict]:
+    def _apply_transaction(self, change: dict) -> tuple[int, dict]:
         for row in change["precondition"]:
-            present = self._rows.get((row["table"], row["key"]), {})
-            if present.get("schema_version", 0) != row["schema_version"]:
+            current_row = self._rows.get((row["table"], row["key"]), {})
+            if current_row.get("schema_version", 0) != row["schema_version"]:
                 return 412, {"rows": [], "schema_version": self._version}
         for row in change["write"]:
             self._write(row["table"], row["key"], {"data": row["data"]})
@@ -144,29 +166,29 @@
             self._write(row["table"], row["key"], {"deleted": True})
         return 200, {"schema_version": self._version}
 
-    def _answer(self, target: str, body: bytes) -> tuple[int, dict]:
+    def _respond(self, target: str, body: bytes) -> tuple[int, dict]:
         if self.is_unavailable:
             return 503, {}
         parts = urlsplit(target)
         if parts.path.endswith("rows-tx"):
-            return self._transact(json.loads(body))
+            return self._apply_transaction(json.loads(body))
         query = {name: values[0] for name, values in parse_qs(parts.query).items()}
         since = int(query.get("since_revision", 0))
         if since > self._version:
             return 410, {}
-        rows = self._since(query["table"], since)
+        rows = self._find_rows_since(query["table"], since)
         if not rows and parts.path.endswith("rows-feed"):
             self._changed.wait(timeout=int(query["wait_ms"]) / 1000)
             gevent.sleep(0)
-            rows = self._since(query["table"], since)
+            rows = self._find_rows_since(query["table"], since)
         if not since:
             rows = [row for row in rows if not row.get("deleted")]
         return 200, {"rows": rows, "has_more": False, "schema_version": self._version}
 
-    def _since(self, table: str, version: int) -> list[dict]:
-        found = [
+    def _find_rows_since(self, table: str, version: int) -> list[dict]:
+        rows = [
             row
             for (name, _), row in self._rows.items()
             if name == table and row["schema_version"] > version
         ]
-        return sorted(found, key=lambda row: row["schema_version"])
+        return sorted(rows, key=lambda row: row["schema_version"])
