--- a/soak/site.py
+++ b/soak/site.py
@@ -19,7 +19,7 @@
 
 from soak.proxy import Proxy
 from soak.replicas import Replica, RunNote
-from tests.gatewaykit import free_ports
+from tests.gatewaykit import find_free_ports
 from tests.platformstandin import StoreStandin, make_configuration, make_upstream_entry
 
 __all__ = ["GatewayNote", "Site"]
@@ -77,7 +77,7 @@
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
         self._asked_to_end: dict[str, float] = {}
         names = [f"gateway-{number}" for number in range(1, gateways + 1)]
-        ports = iter(free_ports(len(PORTS) * gateways))
+        ports = iter(find_free_ports(len(PORTS) * gateways))
         self._ports = {name: {port: next(ports) for port in PORTS} for name in names}
         self.store_proxies = {name: Proxy(target=self.store.address) for name in names}
         self.configure()
--- a/tests/gatewaykit.py
+++ b/tests/gatewaykit.py
@@ -1,8 +1,9 @@
 """
-Parts of gateway tests
-======================
+Test kit of the gateway
+=======================
 
-A scripted replica, callers on sockets, and a forwarder between them.
+Scripted replicas, a forwarder in front of them, and builders of the messages that
+callers and replicas send.
 """
 
 from collections.abc import Callable, Sequence
@@ -73,7 +74,7 @@
 
 
 def make_table(version: int = 1, **changes: object) -> RoutingTable:
-    """Return a configuration with a route of each kind."""
+    """Return a configuration with a route of each kind; ``changes`` replace fields."""
     content: dict = {
         "version": version,
         "routes": list(ROUTES),
@@ -90,13 +91,25 @@
 
 
 def read_request(connection: socket.socket) -> tuple[str, dict[str, str], bytes]:
-    """Return the request line, the headers by lowercase name and the body."""
+    """
+    Read a request.
+
+    Returns
+    -------
+    tuple
+        The request line, the headers by lowercase name, and the body.
+
+    Raises
+    ------
+    EOFError
+        If the connection is closed before the head is complete.
+    """
     data = b""
     while b"\r\n\r\n" not in data:
-        more = connection.recv(65536)
-        if not more:
+        received = connection.recv(65536)
+        if not received:
             raise EOFError
-        data += more
+        data += received
     head, _, body = data.partition(b"\r\n\r\n")
     lines = head.decode().split("\r\n")
     headers = {
@@ -109,17 +122,21 @@
 
 
 def make_response(
-    attempt: str, body: bytes = b"done", *, status: str = "200 OK", extra: str = ""
+    attempt: str,
+    body: bytes = b"done",
+    *,
+    status: str = "200 OK",
+    extra_headers: str = "",
 ) -> bytes:
-    """Return a signed answer of a replica."""
+    """Return a replica's signed response to an attempt."""
     return (
         f"HTTP/1.1 {status}\r\nAttempt-Id: {attempt}\r\nResponse-Signature: s\r\n"
-        f"{extra}Content-Length: {len(body)}\r\n\r\n"
+        f"{extra_headers}Content-Length: {len(body)}\r\n\r\n"
     ).encode() + body
 
 
 def make_event(number: int) -> bytes:
-    """Return one event of a stream."""
+    """Return a server-sent event whose id is the number."""
     return f"id: {number}\ndata: piece {number}\n\n".encode()
 
 
@@ -129,7 +146,7 @@
 
 
 def make_stream_head(attempt: str) -> bytes:
-    """Return the head of a stream."""
+    """Return the response head of an event stream."""
     return (
         f"HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nResponse-Signature: s\r\n"
         "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -138,7 +155,21 @@
 
 class ScriptedReplica:
     """
-    Serves each connection by a function that is given the connection and this replica.
+    A replica whose behaviour is given by a function.
+
+    Parameters
+    ----------
+    name : str
+        Instance id.
+    serve : callable
+        Serves one connection; called with this replica and the connection.
+
+    Attributes
+    ----------
+    requests : list
+        The requests received: request line, headers and body of each.
+    closed_by_gateway_count : int
+        Number of connections that ended because the gateway closed or reset them.
     """
 
     def __init__(self, name: str, serve: Callable) -> None:
@@ -151,7 +182,7 @@
 
     @property
     def record(self) -> UpstreamRecord:
-        """The replica's entry in the list."""
+        """The replica's entry in the list of replicas."""
         return UpstreamRecord(
             instance=InstanceId(self.name),
             service=SERVICE,
@@ -161,12 +192,12 @@
         )
 
     def receive_request(self, connection: socket.socket) -> str:
-        """Read a request and note it; returns its attempt id."""
+        """Read a request and append it to ``requests``; returns its attempt id."""
         self.requests.append(read_request(connection))
         return self.requests[-1][1].get("attempt-id", "")
 
     def stop(self) -> None:
-        """Listen no more."""
+        """Stop accepting connections."""
         self._server.stop(timeout=0)
 
     def _handle(self, connection: socket.socket, _peer: object) -> None:
@@ -179,7 +210,16 @@
 
 
 class ForwarderHarness:
-    """A forwarder behind a listener, with scripted replicas."""
+    """
+    A forwarder behind a listener, with scripted replicas.
+
+    Parameters
+    ----------
+    replicas : sequence
+        The scripted replicas.
+    connections : ConnectionPool or None
+        Pool of the connections to them; by default a new one.
+    """
 
     def __init__(
         self,
@@ -191,8 +231,8 @@
         self.replicas = list(replicas)
         self.table: RoutingTable | None = make_table()
         self.stopping = False
-        self.left: list[InstanceId] = []
-        self.memory = ResponseMemoryBudget()
+        self.departed_instances: list[InstanceId] = []
+        self.response_memory = ResponseMemoryBudget()
         self.placement: Placement = new_placement(
             service=ServiceSpec(name=SERVICE, max_connections=100),
             clock=self.clock,
@@ -218,15 +258,15 @@
                 assignment_client=self._make_assignment_client(),
                 containment=self.containment,
                 journal=self.journal,
-                on_replica_left=self._note_left,
-                response_memory=self.memory,
+                on_replica_left=self._handle_departure,
+                response_memory=self.response_memory,
             ),
             placement_of=lambda name: self.placement,
             table=lambda: self.table,
             metrics=GatewayMetrics(),
             gate=self.gate,
         )
-        (self._port,) = free_ports(1)
+        (self._port,) = find_free_ports(1)
         self.listener = Listener(
             address=f"127.0.0.1:{self._port}",
             handler=self.forwarder,
@@ -236,7 +276,7 @@
         self.listener.start()
 
     def _make_assignment_client(self) -> AssignmentClient:
-        """Return what finds places for requests to engines, alone in the fleet."""
+        """Return the assignment client of a fleet of one gateway."""
         return Coordination(
             local_member=Member(InstanceId("gateway-1"), DataCentre("hout")),
             clock=self.clock,
@@ -250,7 +290,7 @@
         return socket.create_connection(("127.0.0.1", self._port), timeout=5)
 
     def send_request(self, path: str, **options: str) -> bytes:
-        """Send one request and return all that comes until the connection ends."""
+        """Send a request; returns everything received until the connection closes."""
         with self.connect() as connection:
             connection.sendall(make_request(path, close=True, **options))
             return read_all(connection)
@@ -259,16 +299,16 @@
         """Return the log lines of an event."""
         return [line for line in self.journal.pending_lines if f"event={name} " in line]
 
-    def _note_left(self, record: UpstreamRecord, sign: str) -> None:
-        self.left.append(record.instance)
+    def _handle_departure(self, record: UpstreamRecord, sign: str) -> None:
+        self.departed_instances.append(record.instance)
         self.placement.update_replicas(
             replica.record
             for replica in self.replicas
-            if replica.record.instance not in self.left
+            if replica.record.instance not in self.departed_instances
         )
 
     def stop(self) -> None:
-        """Stop listening."""
+        """Stop the listener and the replicas."""
         self.listener.stop()
         for replica in self.replicas:
             replica.stop()
@@ -281,20 +321,20 @@
     attempt: str = "a1",
     body: str = "",
     key: str = KEY,
-    extra: str = "",
+    extra_headers: str = "",
     close: bool = False,
 ) -> bytes:
     """Return a caller's request."""
-    framing = f"Content-Length: {len(body)}\r\n" if body else ""
-    ending = "Connection: close\r\n" if close else ""
+    length_header = f"Content-Length: {len(body)}\r\n" if body else ""
+    connection_header = "Connection: close\r\n" if close else ""
     return (
         f"{method} {path} HTTP/1.1\r\nHost: ice.example\r\nAttempt-Id: {attempt}\r\n"
-        f"Authorization: Token {key}\r\n{framing}{ending}{extra}\r\n{body}"
+        f"Authorization: Token {key}\r\n{length_header}{connection_header}{extra_headers}\r\n{body}"
     ).encode()
 
 
 def read_all(connection: socket.socket) -> bytes:
-    """Return all that comes until the connection ends."""
+    """Return everything received until the connection is closed or reset."""
     parts: list[bytes] = []
     try:
         while data := connection.recv(65536):
@@ -305,17 +345,18 @@
 
 
 def wait_until(condition: Callable[[], bool], *, seconds: float = 5.0) -> None:
-    """Wait until something holds; fails if it does not come to hold."""
+    """Wait until a condition holds; raises ``gevent.Timeout`` after some seconds."""
     with gevent.Timeout(seconds):
         while not condition():
             gevent.sleep(0.005)
 
 
-def free_ports(count: int) -> list[int]:
+def find_free_ports(count: int) -> list[int]:
     """
-    Return different ports of the loopback address that nobody listens on.
+    Return distinct free ports of the loopback address.
 
-    All are held until the last is found: the system may give the same one twice.
+    All sockets stay bound until the last port is found, since the system may otherwise
+    assign the same port twice.
     """
     probes = [socket.socket() for _ in range(count)]
     try:
--- a/tests/test_gateway_answers.py
+++ b/tests/test_gateway_answers.py
@@ -339,7 +339,7 @@
     assert harness.send_request("/order/1", method="POST", body="x").startswith(
         b"HTTP/1.1 503"
     )
-    assert harness.left == ["r0"]
+    assert harness.departed_instances == ["r0"]
 
 
 def test_requests_get_503_before_the_first_configuration(
--- a/tests/test_gateway_bootstrap.py
+++ b/tests/test_gateway_bootstrap.py
@@ -13,7 +13,7 @@
 from damasklead.gateway.snapshot import Snapshot
 from damasklead.gateway.upstream_http import ConnectionPool
 from damasklead.loop import LoopClock
-from tests.gatewaykit import free_ports
+from tests.gatewaykit import find_free_ports
 
 # Shortest response time target of a route in the users' deployments.
 SHORTEST_TARGET_SECONDS = 0.1
@@ -38,7 +38,7 @@
     After a power failure all gateways start at once, and none has a snapshot to serve.
     """
     monkeypatch.setattr(bootstrap, "MAX_SEED_WAIT_SECONDS", 60.0)
-    search = make_bootstrap([f"127.0.0.1:{port}" for port in free_ports(3)], [])
+    search = make_bootstrap([f"127.0.0.1:{port}" for port in find_free_ports(3)], [])
     search_task = gevent.spawn(search.run)
     with gevent.Timeout(10):
         search.wait_for_seeds()
--- a/tests/test_gateway_callers.py
+++ b/tests/test_gateway_callers.py
@@ -78,7 +78,7 @@
             make_request(
                 "/order/1",
                 method="POST",
-                extra="Transfer-Encoding: chunked\r\n",
+                extra_headers="Transfer-Encoding: chunked\r\n",
                 close=True,
             )
             + make_chunk(b"hello ")
@@ -106,7 +106,7 @@
     smuggled_request = "0\r\n\r\nGET /read/hidden HTTP/1.1\r\nHost: ice.example\r\n\r\n"
     with harness.connect() as caller:
         caller.sendall(
-            make_request("/order/1", method="POST", extra=head)
+            make_request("/order/1", method="POST", extra_headers=head)
             + smuggled_request.encode()
         )
         response = read_all(caller)
@@ -238,7 +238,7 @@
             make_request(
                 "/order/1",
                 method="POST",
-                extra="Expect: 100-continue\r\nContent-Length: 2\r\n",
+                extra_headers="Expect: 100-continue\r\nContent-Length: 2\r\n",
             )
         )
         assert caller.recv(65536).startswith(b"HTTP/1.1 100")
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -27,7 +27,7 @@
     Peers,
 )
 from damasklead.ids import DataCentre, InstanceId
-from tests.gatewaykit import free_ports, make_position, wait_until
+from tests.gatewaykit import find_free_ports, make_position, wait_until
 
 
 class MemoryDirectory(PeerDirectory):
@@ -60,7 +60,7 @@
     def __init__(self) -> None:
         self.clock = ManualClock(start=10.0)
         self.directory = MemoryDirectory()
-        self.ports = iter(free_ports(6))
+        self.ports = iter(find_free_ports(6))
         self.peers: dict[str, Peers] = {}
         self.contacts: list[tuple[str, str]] = []
         self._tasks: list[gevent.Greenlet] = []
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -20,7 +20,7 @@
 
 from tests.gatewaykit import (
     ScriptedReplica,
-    free_ports,
+    find_free_ports,
     make_chunk,
     make_event,
     make_request,
@@ -54,7 +54,7 @@
         self.settings_file = folder / "settings.json"
         self.log_file = folder / "log"
         names = ("callers", "ready", "operators", "peers")
-        self._ports = dict(zip(names, free_ports(len(names)), strict=True))
+        self._ports = dict(zip(names, find_free_ports(len(names)), strict=True))
         self.write_settings()
         self._process: subprocess.Popen | None = None
 
--- a/tests/test_gateway_replica_trouble.py
+++ b/tests/test_gateway_replica_trouble.py
@@ -59,7 +59,9 @@
 def respond_as_leaving(replica: ScriptedReplica, connection: object) -> None:
     while True:
         attempt = replica.receive_request(connection)
-        connection.sendall(make_response(attempt, extra="Server-Leaving: 1\r\n"))
+        connection.sendall(
+            make_response(attempt, extra_headers="Server-Leaving: 1\r\n")
+        )
 
 
 def make_pausing_script(seconds: str) -> ReplicaScript:
@@ -83,7 +85,7 @@
             response = harness.send_request("/read/1", attempt=f"a{number}")
             assert response.startswith(b"HTTP/1.1 200")
         assert list_request_counts(harness)[0] == 1
-        assert harness.left == ["r0"]
+        assert harness.departed_instances == ["r0"]
 
     def test_a_refusal_may_announce_leaving(
         self, harnesses: list[ForwarderHarness]
@@ -269,7 +271,7 @@
             connection.sendall(make_stream_head(attempt))
             while True:
                 connection.sendall(make_chunk(b"x" * 50_000))
-                memory_samples.append(harness.memory.used_bytes)
+                memory_samples.append(harness.response_memory.used_bytes)
 
         def run_one(number: int) -> bytes:
             return harness.send_request(
@@ -277,14 +279,14 @@
             )
 
         harness = make_harness(harnesses, *[send_endlessly] * 50)
-        harness.memory.limit_bytes = 4_000_000
+        harness.response_memory.limit_bytes = 4_000_000
         callers = [gevent.spawn(run_one, number) for number in range(50)]
         gevent.joinall(callers, timeout=20, raise_error=True)
         for caller in callers:
             assert caller.value.startswith((b"HTTP/1.1 502", b"HTTP/1.1 504"))
         slack = 50 * 400_000  # one small body and one received block for each response
         assert max(memory_samples) <= 4_000_000 + slack
-        assert harness.memory.used_bytes == 0
+        assert harness.response_memory.used_bytes == 0
 
     def test_small_responses_are_exempt_from_the_memory_budget(self) -> None:
         memory = ResponseMemoryBudget(limit_bytes=1000)
@@ -453,7 +455,7 @@
         harness = make_harness(harnesses, never_respond)
         started_at = harness.clock.now()
         response = harness.send_request(
-            "/order/1", method="POST", body="x", extra="Deadline-Ms: 5000\r\n"
+            "/order/1", method="POST", body="x", extra_headers="Deadline-Ms: 5000\r\n"
         )
         assert response.startswith(b"HTTP/1.1 504")
         assert 0.7 < harness.clock.now() - started_at < 1.4
@@ -474,7 +476,8 @@
                 request_counts[number] += 1
                 connection.sendall(
                     make_response(
-                        attempt, extra="Connection: close\r\nKeep-Alive: timeout=9\r\n"
+                        attempt,
+                        extra_headers="Connection: close\r\nKeep-Alive: timeout=9\r\n",
                     )
                 )
 
--- a/tests/test_gateway_starting.py
+++ b/tests/test_gateway_starting.py
@@ -19,7 +19,7 @@
 from tests.gatewaykit import (
     ForwarderHarness,
     ScriptedReplica,
-    free_ports,
+    find_free_ports,
     make_request,
     make_response,
     read_all,
@@ -103,7 +103,7 @@
     def test_callers_that_connected_before_the_program_was_loaded_are_served(
         self, harness: ForwarderHarness
     ) -> None:
-        (port,) = free_ports(1)
+        (port,) = find_free_ports(1)
         early_socket = open_listening_socket(f"127.0.0.1:{port}")
         with socket.create_connection(("127.0.0.1", port), timeout=5) as caller:
             caller.sendall(make_request("/read/1", close=True))
@@ -115,7 +115,7 @@
     def test_the_settings_address_overrides_the_early_listener(
         self, harness: ForwarderHarness
     ) -> None:
-        early_port, settings_port = free_ports(2)
+        early_port, settings_port = find_free_ports(2)
         listener = self.listener(
             harness, settings_port, open_listening_socket(f"127.0.0.1:{early_port}")
         )
