--- a/damasklead/daemon/callers.py
+++ b/damasklead/daemon/callers.py
@@ -23,7 +23,7 @@
 from damasklead.daemon.entry import Entry
 from damasklead.daemon.exchange import Exchange
 from damasklead.daemon.pools import Pool
-from damasklead.daemon.replies import Head, digest_body
+from damasklead.daemon.replies import ResponseHead, digest_request
 from damasklead.ids import AttemptId, Fingerprint, RequestId, ServiceName
 from damasklead.problems import Problem
 from damasklead.requests import Outcome, Request
@@ -41,7 +41,7 @@
 PREFIX_BYTES = 1024
 ID_PATTERN = re.compile(r"^[A-Za-z0-9._:-]{1,128}$")
 KEY_PATTERN = re.compile(r"^[\x21-\x7e]{1,128}$")
-PASSED_HEADERS = {
+FORWARDED_HEADERS = {
     "HTTP_ACCEPT": "Accept",
     "HTTP_ACCEPT_LANGUAGE": "Accept-Language",
     "CONTENT_TYPE": "Content-Type",
@@ -70,21 +70,24 @@
         """Answer one request."""
         request_id = _request_id(environ)
         try:
-            exchange = self._open(environ)
+            exchange = self._open_exchange(environ)
         except Problem as problem:
             return _send_problem(problem, request_id, start_response)
         if isinstance(exchange, bytes):
-            headers = [("Content-Type", "application/json"), *_common(request_id)]
+            headers = [
+                ("Content-Type", "application/json"),
+                *_make_common_headers(request_id),
+            ]
             start_response("200 OK", headers)
             return [exchange]
-        return _AnswerBody(
+        return _ResponseBody(
             exchange=exchange, start_response=start_response, request_id=request_id
         )
 
-    def _open(self, environ: Environ) -> Exchange | bytes:
+    def _open_exchange(self, environ: Environ) -> Exchange | bytes:
         """Check a request and return its exchange, or the body of a direct answer."""
-        configuration = self._entry.holder.configuration
-        if configuration is None or not self._entry.ready:
+        configuration = self._entry.configuration_holder.configuration
+        if configuration is None or not self._entry.is_ready:
             raise Problem(
                 status=503,
                 kind="not-ready",
@@ -95,7 +98,7 @@
         path = environ["PATH_INFO"]
         method = environ["REQUEST_METHOD"]
         if path == MODELS_PATH and method == "GET":
-            return _models(configuration)
+            return _encode_models(configuration)
         if path == COMPLETIONS_PATH:
             if method != "POST":
                 raise Problem(status=405, kind="method", title="POST is needed here")
@@ -113,10 +116,10 @@
         workspace: Workspace,
     ) -> Exchange:
         body = self._read_body(environ)
-        document = _completion_document(body)
+        document = _parse_completion(body)
         service = configuration.find_service_by_model(document["model"])
         if service is None:
-            raise _bad(
+            raise _make_problem(
                 "unknown-model", "No service offers this model", "model", status=404
             )
         request_class = _classify(
@@ -134,7 +137,7 @@
             model=document["model"],
             weight=workspace.weight,
         )
-        return self._exchange(
+        return self._make_exchange(
             environ,
             service,
             request,
@@ -168,11 +171,11 @@
         )
         query = environ.get("QUERY_STRING", "")
         target = f"{path}?{query}" if query else path
-        return self._exchange(
+        return self._make_exchange(
             environ, service, request, path=target, body=body, stream=False
         )
 
-    def _exchange(
+    def _make_exchange(
         self,
         environ: Environ,
         service: Service,
@@ -184,11 +187,11 @@
         document: dict[str, Any] | None = None,
     ) -> Exchange:
         method = environ["REQUEST_METHOD"]
-        call = UpstreamRequest(
+        upstream_request = UpstreamRequest(
             attempt=AttemptId(""),
             method=method,
             path=path,
-            headers=_passed_headers(environ),
+            headers=_select_forwarded_headers(environ),
             body=body,
             priority=request.tier,
             is_idempotent=request.request_class.may_repeat,
@@ -196,26 +199,30 @@
         )
         exchange = Exchange(
             entry=self._entry,
-            pool=self._pool(service),
+            pool=self._get_pool(service),
             request=request,
-            call=call,
+            upstream_request=upstream_request,
             stream=stream,
             document=document,
-            claim=self._claim(environ, request, digest_body(method, path, body)),
+            claim=self._make_claim(
+                environ, request, digest_request(method, path, body)
+            ),
         )
-        exchange.caller = environ.get("damasklead.socket")
+        exchange.caller_socket = environ.get("damasklead.socket")
         return exchange
 
-    def _pool(self, service: Service) -> Pool:
+    def _get_pool(self, service: Service) -> Pool:
         return self._entry.pools[ServiceName(service.name)]
 
-    def _claim(self, environ: Environ, request: Request, digest: str) -> Claim | None:
+    def _make_claim(
+        self, environ: Environ, request: Request, digest: str
+    ) -> Claim | None:
         """Return the claim that a request needs which may not be repeated."""
         if request.request_class.may_repeat:
             return None
         key = environ.get("HTTP_IDEMPOTENCY_KEY", "")
         if not KEY_PATTERN.match(key):
-            raise _bad(
+            raise _make_problem(
                 "idempotency-key",
                 "A request of this class needs a key of 1 to 128 printable characters",
                 "Idempotency-Key",
@@ -234,21 +241,23 @@
         limit = self._entry.settings.limits.body_bytes
         declared = environ.get("CONTENT_LENGTH") or "0"
         if not declared.isdigit():
-            raise _bad("content-length", "The length is not a number", "Content-Length")
+            raise _make_problem(
+                "content-length", "The length is not a number", "Content-Length"
+            )
         if int(declared) > limit:
-            raise _too_large(limit)
+            raise _make_too_large_problem(limit)
         body: bytes = environ["wsgi.input"].read(limit + 1)
         if len(body) > limit:
-            raise _too_large(limit)
+            raise _make_too_large_problem(limit)
         if len(body) < int(declared):
-            raise _bad(
+            raise _make_problem(
                 "body", "The body is shorter than its length says", "Content-Length"
             )
         return body
 
 
-class _AnswerBody:
-    """The body of an answer; the head is sent when the first piece is known."""
+class _ResponseBody:
+    """The body of an answer; the head is sent when the first part is known."""
 
     def __init__(
         self,
@@ -257,30 +266,30 @@
         start_response: StartResponse,
         request_id: RequestId,
     ) -> None:
-        self._pieces = exchange.run()
+        self._parts = exchange.generate_response()
         self._start_response = start_response
         self._request_id = request_id
 
     def __iter__(self) -> Iterator[bytes]:
         started = False
-        for piece in self._pieces:
-            if isinstance(piece, Head):
+        for part in self._parts:
+            if isinstance(part, ResponseHead):
                 started = True
-                self._send_head(piece)
-            elif isinstance(piece, bytes):
-                yield piece
+                self._send_head(part)
+            elif isinstance(part, bytes):
+                yield part
             elif started:
-                yield _error_event(piece)
+                yield _error_event(part)
             else:
-                yield from _send_problem(piece, self._request_id, self._start_response)
+                yield from _send_problem(part, self._request_id, self._start_response)
 
     def close(self) -> None:
         """
         Give up the request if it is not finished; called when the caller has gone.
         """
-        self._pieces.close()
+        self._parts.close()
 
-    def _send_head(self, head: Head) -> None:
+    def _send_head(self, head: ResponseHead) -> None:
         outcome = (OUTCOME_HEADER, Outcome.ANSWERED.value)
         headers = [*head.headers, ("X-Request-ID", self._request_id), outcome]
         self._start_response(f"{head.status} Answer", headers)
@@ -292,7 +301,7 @@
     return RequestId(given if ID_PATTERN.match(given) else new_id())
 
 
-def _common(request_id: RequestId) -> list[tuple[str, str]]:
+def _make_common_headers(request_id: RequestId) -> list[tuple[str, str]]:
     return [("X-Request-ID", request_id), (OUTCOME_HEADER, Outcome.ANSWERED.value)]
 
 
@@ -321,7 +330,9 @@
         configuration.authenticate(key.strip()) if scheme.lower() == "bearer" else None
     )
     if workspace is None:
-        raise _bad("key", "A valid bearer key is needed", "Authorization", status=401)
+        raise _make_problem(
+            "key", "A valid bearer key is needed", "Authorization", status=401
+        )
     return workspace
 
 
@@ -341,32 +352,32 @@
         requested_class=requested_class,
     )
     if found is None:
-        raise _bad(
+        raise _make_problem(
             "class", "No class admits this request", "X-Request-Class", status=403
         )
     return found
 
 
-def _completion_document(body: bytes) -> dict[str, Any]:
+def _parse_completion(body: bytes) -> dict[str, Any]:
     try:
         document = msgspec.json.decode(body)
     except msgspec.DecodeError as error:
-        raise _bad("json", "The body is not valid JSON", "body") from error
+        raise _make_problem("json", "The body is not valid JSON", "body") from error
     if not isinstance(document, dict):
-        raise _bad("json", "The body is not a JSON object", "body")
+        raise _make_problem("json", "The body is not a JSON object", "body")
     if not isinstance(document.get("model"), str):
-        raise _bad("field", "The model's name is missing", "model")
+        raise _make_problem("field", "The model's name is missing", "model")
     messages = document.get("messages")
     if not isinstance(messages, list) or not messages:
-        raise _bad("field", "A list of messages is needed", "messages")
+        raise _make_problem("field", "A list of messages is needed", "messages")
     if not all(isinstance(message, dict) for message in messages):
-        raise _bad("field", "Each message must be an object", "messages")
+        raise _make_problem("field", "Each message must be an object", "messages")
     if not isinstance(document.get("stream", False), bool):
-        raise _bad("field", "stream must be true or false", "stream")
+        raise _make_problem("field", "stream must be true or false", "stream")
     return document
 
 
-def _models(configuration: Configuration) -> bytes:
+def _encode_models(configuration: Configuration) -> bytes:
     names = sorted(
         model for service in configuration.services.values() for model in service.models
     )
@@ -374,17 +385,19 @@
     return msgspec.json.encode({"object": "list", "data": data})
 
 
-def _passed_headers(environ: Environ) -> tuple[tuple[str, str], ...]:
+def _select_forwarded_headers(environ: Environ) -> tuple[tuple[str, str], ...]:
     return tuple(
-        (name, environ[key]) for key, name in PASSED_HEADERS.items() if environ.get(key)
+        (name, environ[key])
+        for key, name in FORWARDED_HEADERS.items()
+        if environ.get(key)
     )
 
 
-def _bad(kind: str, title: str, field: str, *, status: int = 400) -> Problem:
+def _make_problem(kind: str, title: str, field: str, *, status: int = 400) -> Problem:
     return Problem(status=status, kind=kind, title=title, field=field)
 
 
-def _too_large(limit: int) -> Problem:
-    return _bad(
+def _make_too_large_problem(limit: int) -> Problem:
+    return _make_problem(
         "too-large", f"The body is longer than {limit} bytes", "body", status=413
     )
--- a/damasklead/daemon/callerserver.py
+++ b/damasklead/daemon/callerserver.py
@@ -24,16 +24,16 @@
 class _Handler(pywsgi.WSGIHandler):
     """Refuses ambiguous framing and gives the application the caller's socket."""
 
-    limits_header_bytes = 16_384
+    max_header_bytes = 16_384
 
     def read_request(self, raw_requestline: str) -> Any:
         """Read a request's head; returns whether it can be served."""
-        return super().read_request(raw_requestline) and not self._ambiguous
+        return super().read_request(raw_requestline) and not self._has_ambiguous_framing
 
     def MessageClass(self, *arguments: Any) -> Any:  # noqa: N802
         """Parse the headers; the server drops some of those that contradict."""
         headers = super().MessageClass(*arguments)
-        self._ambiguous = self._is_ambiguous(headers)
+        self._has_ambiguous_framing = self._is_ambiguous(headers)
         return headers
 
     def handle_one_request(self) -> Any:
@@ -81,7 +81,7 @@
             or len(encodings) > 1
             or any(item.strip().lower() != "chunked" for item in encodings)
             or any(not item.strip().isdigit() for item in lengths)
-            or size > self.limits_header_bytes
+            or size > self.max_header_bytes
         )
 
 
@@ -97,7 +97,7 @@
     def __init__(self, *, entry: Entry) -> None:
         limits = entry.settings.limits
         handler = type(
-            "Handler", (_Handler,), {"limits_header_bytes": limits.header_bytes}
+            "Handler", (_Handler,), {"max_header_bytes": limits.header_bytes}
         )
         options: dict[str, Any] = {}
         if entry.settings.tls is not None:
--- a/damasklead/daemon/claimkeeper.py
+++ b/damasklead/daemon/claimkeeper.py
@@ -18,8 +18,8 @@
 
 __all__ = ["ClaimKeeper"]
 
-MAX_PENDING = 1000
-MAX_PER_ROUND = 50
+MAX_PENDING_CLAIMS = 1000
+MAX_RETRIES_PER_ROUND = 50
 
 
 class _Pending(msgspec.Struct, kw_only=True):
@@ -33,45 +33,47 @@
 
     Parameters
     ----------
-    run : callable
+    run_protocol : callable
         Drives a protocol against the platform.
     """
 
-    def __init__(self, *, run: Callable[[Steps[bool]], bool], clock: Clock) -> None:
-        self._run = run
+    def __init__(
+        self, *, run_protocol: Callable[[Steps[bool]], bool], clock: Clock
+    ) -> None:
+        self._run_protocol = run_protocol
         self._clock = clock
         self._pending: OrderedDict[AttemptId, _Pending] = OrderedDict()
 
     def __len__(self) -> int:
         return len(self._pending)
 
-    def settle(self, claim: Claim, *, version: int) -> None:
+    def settle_claim(self, claim: Claim, *, version: int) -> None:
         """Record the end of an acquired claim, later if need be."""
-        self._finish(_Pending(claim=claim, version=version))
+        self._try_write(_Pending(claim=claim, version=version))
 
-    def abandon(self, claim: Claim) -> None:
+    def abandon_claim(self, claim: Claim) -> None:
         """Release a claim that could not be confirmed, later if need be."""
-        self._finish(_Pending(claim=claim, version=None))
+        self._try_write(_Pending(claim=claim, version=None))
 
-    def retry(self) -> None:
+    def retry_pending(self) -> None:
         """Try again what is pending, as long as the store answers."""
-        for attempt in list(self._pending)[:MAX_PER_ROUND]:
+        for attempt in list(self._pending)[:MAX_RETRIES_PER_ROUND]:
             pending = self._pending.pop(attempt)
-            if not self._finish(pending):
+            if not self._try_write(pending):
                 return
 
-    def _finish(self, pending: _Pending) -> bool:
+    def _try_write(self, pending: _Pending) -> bool:
         if pending.version is None:
-            done = self._run(abandon(pending.claim))
+            done = self._run_protocol(abandon(pending.claim))
         else:
-            done = self._run(settle(pending.claim, version=pending.version))
+            done = self._run_protocol(settle(pending.claim, version=pending.version))
         if not done:
-            self._keep(pending)
+            self._add_pending(pending)
         return done
 
-    def _keep(self, pending: _Pending) -> None:
+    def _add_pending(self, pending: _Pending) -> None:
         self._pending[pending.claim.attempt] = pending
-        if len(self._pending) > MAX_PENDING:
+        if len(self._pending) > MAX_PENDING_CLAIMS:
             _, dropped = self._pending.popitem(last=False)
             logs.warning(
                 "claim-unsettled",
--- a/damasklead/daemon/crashes.py
+++ b/damasklead/daemon/crashes.py
@@ -20,10 +20,10 @@
 from damasklead.requests import Start
 from damasklead.upstreams import UpstreamError
 
-__all__ = ["CrashWatch"]
+__all__ = ["CrashDetector"]
 
 
-class CrashWatch:
+class CrashDetector:
     """
     The crashes of replicas as one entry sees them.
 
@@ -33,7 +33,7 @@
         This entry.
     quarantine : Quarantine
     gossip : GossipBuffer
-    record : callable
+    record_change : callable
         Adds a change to the audit trail.
     """
 
@@ -43,19 +43,21 @@
         instance: InstanceId,
         quarantine: Quarantine,
         gossip: GossipBuffer,
-        record: Callable[..., None],
+        record_change: Callable[..., None],
     ) -> None:
         self._instance = instance
         self._quarantine = quarantine
         self._gossip = gossip
-        self._record = record
+        self._record_change = record_change
 
-    def tick(self) -> None:
+    def quarantine_culprits(self) -> None:
         """Refuse what is found guilty."""
         for fingerprint in self._quarantine.identify_culprits():
-            self._name(fingerprint, why="it crashed upstreams again")
+            self._quarantine_fingerprint(fingerprint, why="it crashed upstreams again")
 
-    def suspect(self, pool: Pool, start: Start, member: Member | None) -> None:
+    def record_broken_connection(
+        self, pool: Pool, start: Start, member: Member | None
+    ) -> None:
         """
         Take all requests on a replica whose connection broke as suspects of a crash.
         """
@@ -73,16 +75,16 @@
             incarnation=member.incarnation,
             fingerprints=tuple(sorted(fingerprints)),
         )
-        self.observe(notice)
-        gevent.spawn(self._confirm, pool, member.address, notice)
+        self.record_crash_notice(notice)
+        gevent.spawn(self._confirm_crash, pool, member.address, notice)
 
-    def observe(self, notice: CrashNotice) -> None:
+    def record_crash_notice(self, notice: CrashNotice) -> None:
         """Take in a notice of a crash, an own one or another entry's."""
         self._quarantine.record_crash(
             notice.instance, notice.incarnation, frozenset(notice.fingerprints)
         )
 
-    def _name(self, fingerprint: Fingerprint, *, why: str) -> None:
+    def _quarantine_fingerprint(self, fingerprint: Fingerprint, *, why: str) -> None:
         """Refuse a fingerprint at every entry."""
         if self._quarantine.add_fingerprint(fingerprint):
             self._gossip.add_item(QuarantineNotice(fingerprint=fingerprint))
@@ -92,7 +94,7 @@
                 released=False,
                 who=self._instance,
             )
-            self._record(
+            self._record_change(
                 "quarantine",
                 fingerprint,
                 make_quarantine_write(row),
@@ -100,7 +102,7 @@
                 after=why,
             )
 
-    def _confirm(self, pool: Pool, address: str, notice: CrashNotice) -> None:
+    def _confirm_crash(self, pool: Pool, address: str, notice: CrashNotice) -> None:
         """
         Ask a replica for its incarnation: only if it is gone or new was there a crash.
         """
@@ -112,6 +114,6 @@
             self._quarantine.retract_crash(notice.instance, notice.incarnation)
             return
         if self._gossip.add_item(notice):
-            self._record(
+            self._record_change(
                 "crash", notice.instance, after=f"{len(notice.fingerprints)} suspects"
             )
--- a/damasklead/daemon/dutytask.py
+++ b/damasklead/daemon/dutytask.py
@@ -2,8 +2,8 @@
 Duty task
 =========
 
-Contends for the duties' lease and, while it is held, orders model loads and sweeps old
-claims.
+Contends for the leases of duties and performs the duties whose leases it holds: model
+loads of a pool and the deletion of expired claims.
 """
 
 import random
@@ -33,9 +33,9 @@
 
 __all__ = ["DutyTask"]
 
-POLL_SECONDS = 3.0
-SWEEP_ROWS = 20
-ROUNDS_PER_WORK = 4
+POLL_INTERVAL_SECONDS = 3.0
+SWEEP_BATCH_ROWS = 20
+POLLS_PER_EXECUTION = 4
 SWEEP_DUTY = PoolId("sweep")
 
 
@@ -58,24 +58,26 @@
         self._keepers: dict[str, LeaseKeeper] = {}
         self._generation: int | None = None
         self._generation_since = entry.clock.now()
-        self._sweep_after = ""
-        self._rounds = 0
+        self._last_swept_key = ""
+        self._poll_count = 0
 
     def run(self) -> None:
         """Contend for leases and do the duties until the task is stopped."""
         while True:
-            self._entry.clock.sleep(POLL_SECONDS * self._random.uniform(0.8, 1.2))
-            self._rounds += 1
-            pools = self._duties()
-            self._give_up(set(pools))
+            self._entry.clock.sleep(
+                POLL_INTERVAL_SECONDS * self._random.uniform(0.8, 1.2)
+            )
+            self._poll_count += 1
+            pools = self._find_own_duties()
+            self._release_others(set(pools))
             for duty, pool in pools.items():
-                self._serve(duty, pool)
+                self._perform_duty(duty, pool)
 
-    def release(self) -> None:
+    def release_leases(self) -> None:
         """Give all leases back at a graceful stop."""
-        self._give_up(set())
+        self._release_others(set())
 
-    def _duties(self) -> dict[str, Pool | None]:
+    def _find_own_duties(self) -> dict[str, Pool | None]:
         """
         Return the duties that fall to this entry, with the pool of each that has one.
         """
@@ -84,63 +86,63 @@
         for pool in self._entry.pools.values():
             if pool.coordinator == own and pool.service.wanted_models:
                 duties[f"loads/{pool.dispatcher.pool}"] = pool
-        entries = [member.instance for member in self._entry.live_entries()]
+        entries = [member.instance for member in self._entry.find_live_entries()]
         if choose_coordinator(SWEEP_DUTY, entries) == own:
             duties[SWEEP_DUTY] = None
         return duties
 
-    def _give_up(self, kept: set[str]) -> None:
+    def _release_others(self, kept: set[str]) -> None:
         """Give back the leases of duties that fall to others now."""
         for duty in [duty for duty in self._keepers if duty not in kept]:
             self._entry.run_protocol(self._keepers.pop(duty).release())
             if duty == SWEEP_DUTY:
                 self._generation = None
 
-    def _serve(self, duty: str, pool: Pool | None) -> None:
+    def _perform_duty(self, duty: str, pool: Pool | None) -> None:
         keeper = self._keepers.get(duty)
         if keeper is None:
-            keeper = self._new_keeper(duty)
+            keeper = self._make_keeper(duty)
             self._keepers[duty] = keeper
         self._entry.run_protocol(keeper.poll())
         if keeper.fencing_token is None:
             return
-        if self._rounds % ROUNDS_PER_WORK:
+        if self._poll_count % POLLS_PER_EXECUTION:
             return
         if pool is None:
-            self._follow_generation()
-            self._sweep_claims()
+            self._advance_generation()
+            self._delete_expired_claims()
         else:
-            self._order_loads(keeper, pool)
+            self._send_load_commands(keeper, pool)
 
-    def _new_keeper(self, duty: str) -> LeaseKeeper:
+    def _make_keeper(self, duty: str) -> LeaseKeeper:
         return LeaseKeeper(
             duty=duty,
             instance=self._entry.instance,
             incarnation=self._entry.incarnation,
             clock=self._entry.clock,
-            new_event=self._lease_event,
+            new_event=self._make_lease_event,
         )
 
-    def _order_loads(self, keeper: LeaseKeeper, pool: Pool) -> None:
+    def _send_load_commands(self, keeper: LeaseKeeper, pool: Pool) -> None:
         fencing_token = keeper.fencing_token
         if fencing_token is None:
             return
-        states = self._load_states(pool)
-        orders = plan_loads(
+        states = self._fetch_load_states(pool)
+        commands = plan_loads(
             pool.service,
             states,
             fencing_token=fencing_token,
             held_seconds=keeper.held_seconds,
         )
-        for order in orders:
-            # The lease is looked at again just before each order is sent.
-            if keeper.fencing_token != order.fencing:
+        for command in commands:
+            # The lease is looked at again just before each command is sent.
+            if keeper.fencing_token != command.fencing:
                 return
-            self._send(pool, order)
+            self._send_load_command(pool, command)
 
-    def _load_states(self, pool: Pool) -> dict[InstanceId, ModelLoadState]:
+    def _fetch_load_states(self, pool: Pool) -> dict[InstanceId, ModelLoadState]:
         states = {}
-        for member in self._entry.pool_members(pool.service):
+        for member in self._entry.find_pool_members(pool.service):
             try:
                 status = pool.upstream.fetch_status(member.address)
             except UpstreamError:
@@ -150,24 +152,26 @@
             )
         return states
 
-    def _send(self, pool: Pool, order: ModelLoadCommand) -> None:
-        address = self._entry.address_of(order.instance)
+    def _send_load_command(self, pool: Pool, command: ModelLoadCommand) -> None:
+        address = self._entry.get_address(command.instance)
         if address is None:
             return
-        body = msgspec.json.encode(order)
+        body = msgspec.json.encode(command)
         try:
             pool.upstream.send_control_request(address, "POST", "/v1/models/load", body)
             result = "ordered"
         except UpstreamError as error:
             result = f"refused: {error}"
-        self._entry.record(
+        self._entry.record_change(
             "load-model",
-            order.instance,
+            command.instance,
             before="not loaded",
-            after=f"{order.model}@{order.version} {result}, fencing {order.fencing}",
+            after=(
+                f"{command.model}@{command.version} {result}, fencing {command.fencing}"
+            ),
         )
 
-    def _follow_generation(self) -> None:
+    def _advance_generation(self) -> None:
         """Begin the claims' next generation after an hour."""
         known = self._entry.run_protocol(read_generation())
         if known is None:
@@ -179,20 +183,20 @@
         if self._entry.clock.now() - self._generation_since > GENERATION_SECONDS:
             self._entry.run_protocol(advance_generation(generation, version))
 
-    def _sweep_claims(self) -> None:
+    def _delete_expired_claims(self) -> None:
         """Look at some rows in each round and delete those that are too old."""
         result = self._entry.platform.tables.scan(
-            CLAIMS_TABLE, after=self._sweep_after, limit=SWEEP_ROWS
+            CLAIMS_TABLE, after=self._last_swept_key, limit=SWEEP_BATCH_ROWS
         )
         if not isinstance(result, Ok):
             return
         rows = result.ok_value
-        self._sweep_after = rows[-1].key if len(rows) == SWEEP_ROWS else ""
+        self._last_swept_key = rows[-1].key if len(rows) == SWEEP_BATCH_ROWS else ""
         self._entry.run_protocol(
             delete_claims(find_expired_claims(rows, self._entry.generation))
         )
 
-    def _lease_event(self, duty: str, before: str) -> AuditEvent:
+    def _make_lease_event(self, duty: str, before: str) -> AuditEvent:
         return AuditEvent(
             id=new_id(),
             at=self._entry.clock.get_unix_time(),
--- a/damasklead/daemon/entry.py
+++ b/damasklead/daemon/entry.py
@@ -15,7 +15,7 @@
 from damasklead.audit import AuditBuffer, AuditEvent
 from damasklead.configuration import PoolScope, Service, ServiceKind
 from damasklead.daemon.claimkeeper import ClaimKeeper
-from damasklead.daemon.crashes import CrashWatch
+from damasklead.daemon.crashes import CrashDetector
 from damasklead.daemon.exchange import Exchange, ExchangeHost
 from damasklead.daemon.metrics import Metrics
 from damasklead.daemon.pools import Pool
@@ -65,9 +65,11 @@
 
 ENTRY_SERVICE = ServiceName("damasklead")
 
-NOTICE_INTERVALS = 2.5  # share intervals that gossip may take to reach all entries
-SILENT_INTERVALS = 4  # share intervals without a grant after which it is passed over
-SILENT_SECONDS = 60.0  # for which it is passed over unless it is heard
+PROPAGATION_INTERVALS = 2.5  # share intervals that gossip may take to reach all entries
+GRANT_TIMEOUT_INTERVALS = (
+    4  # share intervals without a grant after which it is passed over
+)
+SUSPICION_TTL_SECONDS = 60.0  # for which it is passed over unless it is heard
 
 
 class Entry(ExchangeHost):
@@ -89,22 +91,22 @@
         self.clock = clock
         self.instance = InstanceId(settings.instance)
         self.incarnation = Incarnation(int(clock.get_unix_time() * 1000))
-        self.holder = ConfigurationHolder()
+        self.configuration_holder = ConfigurationHolder()
         self.membership = Membership(clock=clock)
         self.gossip = GossipBuffer(clock=clock)
         self.quarantine = Quarantine(clock=clock)
         self.audit = AuditBuffer()
-        self.crashes = CrashWatch(
+        self.crash_detector = CrashDetector(
             instance=self.instance,
             quarantine=self.quarantine,
             gossip=self.gossip,
-            record=self.record,
+            record_change=self.record_change,
         )
         self.metrics = Metrics()
-        self.claims = ClaimKeeper(run=self.run_protocol, clock=clock)
+        self.claims = ClaimKeeper(run_protocol=self.run_protocol, clock=clock)
         self.connections = ConnectionPool()
         self.pools: dict[ServiceName, Pool] = {}
-        self.stopping = False
+        self.is_stopping = False
         self.generation = 0
         self.reported_version = 0
         self._costs = CostModel()
@@ -113,10 +115,10 @@
         )
         self._exchanges: dict[RequestId, Exchange] = {}
         self._attempt_number = 0
-        self._silent: dict[InstanceId, float] = {}
-        self.platform_seen_at = clock.now()
+        self._suspected_until: dict[InstanceId, float] = {}
+        self.platform_last_read_at = clock.now()
         self.metrics.platform_age.set_function(
-            lambda: clock.now() - self.platform_seen_at
+            lambda: clock.now() - self.platform_last_read_at
         )
 
     @property
@@ -125,15 +127,17 @@
         return self._exchanges
 
     @property
-    def ready(self) -> bool:
+    def is_ready(self) -> bool:
         """Whether the entry can take requests."""
-        return self.holder.configuration is not None and not self.stopping
+        return (
+            self.configuration_holder.configuration is not None and not self.is_stopping
+        )
 
     def run_protocol(self, steps: Steps[T]) -> T:
         """Drive a protocol against the platform."""
         return run(steps, self.platform)
 
-    def record(
+    def record_change(
         self, action: str, subject: str, *writes: Put, before: str = "", after: str = ""
     ) -> None:
         """Add a change to the audit trail, with the writes that belong to it."""
@@ -149,26 +153,28 @@
         )
         self.audit.add_event(event, *writes)
 
-    def take_configuration(self, files: dict[str, str], *, version: int) -> bool:
+    def activate_configuration(self, files: dict[str, str], *, version: int) -> bool:
         """Put a configuration into force if it is newer than the present one."""
-        before = self.holder.version
-        if not self.holder.activate_if_newer(files, version=version):
+        before = self.configuration_holder.version
+        if not self.configuration_holder.activate_if_newer(files, version=version):
             return False
         logs.event("configuration", before=before, version=version)
         self.metrics.configuration_version.set(version)
-        self._arrange_pools()
+        self._update_pools()
         return True
 
-    def arrange_members(self) -> None:
+    def update_members(self) -> None:
         """Let the pools see the present members."""
-        entries = self.live_entries()
+        entries = self.find_live_entries()
         self.quarantine.set_propagation_time(
-            NOTICE_INTERVALS * compute_share_interval(len(entries))
+            PROPAGATION_INTERVALS * compute_share_interval(len(entries))
         )
-        heard = [entry for entry in entries if entry.instance not in self._silent]
+        heard = [
+            entry for entry in entries if entry.instance not in self._suspected_until
+        ]
         for scope in PoolScope:
-            peers = [item.instance for item in heard if self._in_scope(item, scope)]
-            self._arrange_scope(scope, peers)
+            peers = [item.instance for item in heard if self._is_in_scope(item, scope)]
+            self._update_scope(scope, peers)
 
     def check_coordinators(self) -> None:
         """
@@ -177,38 +183,46 @@
         The list may show an entry long after it has gone.
         """
         now = self.clock.now()
-        patience = SILENT_INTERVALS * compute_share_interval(len(self.live_entries()))
-        before = set(self._silent)
+        patience = GRANT_TIMEOUT_INTERVALS * compute_share_interval(
+            len(self.find_live_entries())
+        )
+        before = set(self._suspected_until)
         for pool in self.pools.values():
             own = pool.coordinator in (None, self.instance)
             if own or pool.dispatcher.share.has_grant:
                 pool.granted_at = now
             elif now - pool.granted_at > patience:
                 assert pool.coordinator is not None
-                self._silent[pool.coordinator] = now + SILENT_SECONDS
-        for instance in [item for item, until in self._silent.items() if until < now]:
-            del self._silent[instance]
-        if set(self._silent) != before:
-            logs.event("silent-coordinators", entries=", ".join(sorted(self._silent)))
-            self.arrange_members()
-
-    def heard_from(self, instance: InstanceId) -> None:
+                self._suspected_until[pool.coordinator] = now + SUSPICION_TTL_SECONDS
+        for instance in [
+            item for item, until in self._suspected_until.items() if until < now
+        ]:
+            del self._suspected_until[instance]
+        if set(self._suspected_until) != before:
+            logs.event(
+                "silent-coordinators", entries=", ".join(sorted(self._suspected_until))
+            )
+            self.update_members()
+
+    def record_contact(self, instance: InstanceId) -> None:
         """Take in that a peer has sent something."""
-        if self._silent.pop(instance, None) is not None:
-            self.arrange_members()
+        if self._suspected_until.pop(instance, None) is not None:
+            self.update_members()
 
-    def live_entries(self) -> list[Member]:
+    def find_live_entries(self) -> list[Member]:
         """Return the live entries, this one included."""
         return self.membership.find_live_members(ENTRY_SERVICE)
 
-    def pool_members(self, service: Service) -> list[Member]:
+    def find_pool_members(self, service: Service) -> list[Member]:
         """
         Return the upstreams in this entry's scope, or the nearest others when it has
         none.
         """
         members = self.membership.find_live_members(service.name)
         own = [
-            member for member in members if self._in_scope(member, service.pool_scope)
+            member
+            for member in members
+            if self._is_in_scope(member, service.pool_scope)
         ]
         if own:
             return own
@@ -217,18 +231,18 @@
         centres = {member.data_centre for member in candidates}
         nearest = max(
             centres,
-            key=lambda item: stable_hash(self.pool_id(service), item),
+            key=lambda item: stable_hash(self.make_pool_id(service), item),
             default="",
         )
         return [member for member in candidates if member.data_centre == nearest]
 
-    def pool_id(self, service: Service) -> PoolId:
+    def make_pool_id(self, service: Service) -> PoolId:
         """Return the id of the pool from which this entry serves a service."""
         in_region = service.pool_scope is PoolScope.REGION
         place = self.settings.region if in_region else self.settings.data_centre
         return PoolId(f"{service.name}@{place}")
 
-    def address_of(self, instance: InstanceId) -> str | None:
+    def get_address(self, instance: InstanceId) -> str | None:
         """Return an instance's address."""
         member = self.membership.get_member(instance)
         return None if member is None else member.address
@@ -241,10 +255,12 @@
             self.gossip.add_item(
                 LeavingNotice(instance=instance, incarnation=incarnation)
             )
-            self.record("leaving", instance, before="live", after=f"leaving: {why}")
-            self.arrange_members()
+            self.record_change(
+                "leaving", instance, before="live", after=f"leaving: {why}"
+            )
+            self.update_members()
 
-    def hear(self, items: Iterable[GossipItem]) -> None:
+    def apply_gossip(self, items: Iterable[GossipItem]) -> None:
         """Take in gossip from a peer."""
         for item in items:
             if not self.gossip.add_item(item):
@@ -252,9 +268,9 @@
             match item:
                 case LeavingNotice():
                     if self.membership.mark_leaving(item.instance, item.incarnation):
-                        self.arrange_members()
+                        self.update_members()
                 case CrashNotice():
-                    self.crashes.observe(item)
+                    self.crash_detector.record_crash_notice(item)
                 case QuarantineNotice():
                     self.quarantine.add_fingerprint(item.fingerprint)
                 case ReleaseNotice():
@@ -262,59 +278,61 @@
                         item.fingerprint, number=item.number
                     )
 
-    def submit(self, pool: Pool, exchange: Exchange) -> None:
+    def submit_exchange(self, pool: Pool, exchange: Exchange) -> None:
         """Let the pool's dispatcher take in an exchange's request."""
         request = exchange.request
         self._exchanges[request.id] = exchange
         actions = pool.dispatcher.submit_request(
-            request, is_preemptable=exchange.preemptable
+            request, is_preemptable=exchange.is_preemptable
         )
-        self.apply(pool, actions)
+        self.apply_actions(pool, actions)
 
-    def forget(self, pool: Pool, exchange: Exchange, *, finished: bool) -> None:
+    def remove_exchange(
+        self, pool: Pool, exchange: Exchange, *, is_complete: bool
+    ) -> None:
         """Drop an exchange whose caller has its final answer or has gone."""
         if self._exchanges.pop(exchange.request.id, None) is None:
             return
-        if not finished:
+        if not is_complete:
             request = exchange.request
             name = request.request_class.name
             self.metrics.wasted_tokens.labels(name).inc(request.generated_tokens)
             actions = pool.dispatcher.cancel_request(exchange.request.id)
             for action in actions:
                 if isinstance(action, Cancel):
-                    exchange.deliver(action)
-            self.apply(pool, actions)
+                    exchange.handle_action(action)
+            self.apply_actions(pool, actions)
 
-    def caller_gone(self, exchange: Exchange) -> None:
+    def handle_caller_disconnect(self, exchange: Exchange) -> None:
         """Give up a request whose caller has gone."""
         refuse = Refuse(
             request=exchange.request, reason=Reason.CALLER_GONE, outcome=Outcome.UNKNOWN
         )
         actions = exchange.pool.dispatcher.cancel_request(exchange.request.id)
-        self.apply(exchange.pool, actions)
-        exchange.deliver(refuse)
+        self.apply_actions(exchange.pool, actions)
+        exchange.handle_action(refuse)
 
-    def withdraw(self, pool: Pool, exchange: Exchange) -> None:
+    def cancel_request(self, pool: Pool, exchange: Exchange) -> None:
         """Take a request back whose attempt is not to be sent."""
-        self.apply(pool, pool.dispatcher.cancel_request(exchange.request.id))
+        self.apply_actions(pool, pool.dispatcher.cancel_request(exchange.request.id))
 
-    def apply(self, pool: Pool, actions: list[Action]) -> None:
+    def apply_actions(self, pool: Pool, actions: list[Action]) -> None:
         """Carry out a dispatcher's actions."""
         for action in actions:
             exchange = self._exchanges.get(action.request.id)
-            self._count(action)
+            self._count_action(action)
             if exchange is not None:
-                exchange.deliver(action)
+                exchange.handle_action(action)
             elif isinstance(action, Start):
                 late = pool.dispatcher.cancel_request(action.request.id)
-                gevent.spawn(self.apply, pool, late)
+                gevent.spawn(self.apply_actions, pool, late)
 
-    def attempt_finished(self, pool: Pool, exchange: Exchange, start: Start) -> None:
+    def complete_attempt(self, pool: Pool, exchange: Exchange, start: Start) -> None:
         """Take in that an attempt's answer is whole."""
         self.metrics.attempts.labels(pool.service.name, "finished").inc()
-        self.apply(pool, pool.dispatcher.complete_attempt(start.attempt))
+        self.apply_actions(pool, pool.dispatcher.complete_attempt(start.attempt))
 
-    def attempt_failed(self, pool: Pool, start: Start, error: UpstreamError) -> None:
+    def fail_attempt(self, pool: Pool, start: Start, error: UpstreamError) -> None:
         """Take in that an attempt failed."""
         logs.warning(
             "attempt-failed",
@@ -331,10 +349,12 @@
                 member.instance, member.incarnation, why="it refused work"
             )
         if error.failure is Failure.BROKEN and pool.service.kind is ServiceKind.ENGINE:
-            self.crashes.suspect(pool, start, member)
-        self.apply(pool, pool.dispatcher.fail_attempt(start.attempt, error.failure))
+            self.crash_detector.record_broken_connection(pool, start, member)
+        self.apply_actions(
+            pool, pool.dispatcher.fail_attempt(start.attempt, error.failure)
+        )
 
-    def first_event(self, exchange: Exchange) -> None:
+    def record_first_event(self, exchange: Exchange) -> None:
         """Count the time to a request's first event."""
         waited = self.clock.now() - exchange.request.arrival
         self.metrics.first_token.labels(exchange.request.request_class.name).observe(
@@ -343,15 +363,15 @@
 
     def cancel_attempt(self, pool: Pool, cancel: Cancel) -> None:
         """Tell an upstream that an attempt's answer is not wanted any more."""
-        address = self.address_of(cancel.replica)
+        address = self.get_address(cancel.replica)
         if address is not None:
             pool.upstream.cancel_attempt(address, cancel.attempt)
 
-    def tick(self) -> None:
+    def process_timeouts(self) -> None:
         """Let time pass in all pools."""
-        self.crashes.tick()
+        self.crash_detector.quarantine_culprits()
         for pool in self.pools.values():
-            self.apply(pool, pool.dispatcher.process_timeouts())
+            self.apply_actions(pool, pool.dispatcher.process_timeouts())
 
     def new_attempt_id(self) -> AttemptId:
         """Return an id that no other attempt has."""
@@ -360,13 +380,13 @@
             f"{self.instance}-{self.incarnation:x}-{self._attempt_number:x}"
         )
 
-    def _arrange_pools(self) -> None:
-        configuration = self.holder.configuration
+    def _update_pools(self) -> None:
+        configuration = self.configuration_holder.configuration
         assert configuration is not None
         for name, service in configuration.services.items():
             pool = self.pools.get(ServiceName(name))
             if pool is None:
-                self.pools[ServiceName(name)] = self._new_pool(service)
+                self.pools[ServiceName(name)] = self._make_pool(service)
             else:
                 pool.service = service
                 pool.dispatcher.update_service(service)
@@ -376,9 +396,9 @@
                 and not self.pools[name].dispatcher.attempts
             ):
                 del self.pools[name]
-        self.arrange_members()
+        self.update_members()
 
-    def _arrange_scope(self, scope: PoolScope, peers: list[InstanceId]) -> None:
+    def _update_scope(self, scope: PoolScope, peers: list[InstanceId]) -> None:
         """Let the pools of one scope see their coordinators and upstreams."""
         pools = [
             pool for pool in self.pools.values() if pool.service.pool_scope is scope
@@ -391,15 +411,15 @@
             pool.coordinator = coordinator
             infos = [
                 ReplicaInfo(instance=member.instance, data_centre=member.data_centre)
-                for member in self.pool_members(pool.service)
+                for member in self.find_pool_members(pool.service)
             ]
-            self.apply(
+            self.apply_actions(
                 pool, pool.dispatcher.set_replicas(infos, entry_count=len(peers))
             )
 
-    def _new_pool(self, service: Service) -> Pool:
+    def _make_pool(self, service: Service) -> Pool:
         dispatcher = PoolDispatcher(
-            pool=self.pool_id(service),
+            pool=self.make_pool_id(service),
             service=service,
             clock=self.clock,
             data_centre=DataCentre(self.settings.data_centre),
@@ -411,23 +431,23 @@
         upstream = UPSTREAMS[service.kind.value](pool=self.connections)
         return Pool(service=service, dispatcher=dispatcher, upstream=upstream)
 
-    def _in_scope(self, member: Member, scope: PoolScope) -> bool:
+    def _is_in_scope(self, member: Member, scope: PoolScope) -> bool:
         if scope is PoolScope.DATA_CENTRE:
             return member.data_centre == self.settings.data_centre
         return member.region == self.settings.region
 
-    def _count(self, action: Action) -> None:
+    def _count_action(self, action: Action) -> None:
         name = action.request.request_class.name
         if isinstance(action, Refuse):
             self.metrics.refusals.labels(name, action.reason.value).inc()
             self.metrics.requests.labels(name, action.outcome.value).inc()
         elif isinstance(action, Finish):
-            self._count_finish(action)
+            self._count_completion(action)
         elif isinstance(action, Start) and action.request.start_count == 1:
             waited = self.clock.now() - action.request.arrival
             self.metrics.queue_wait.labels(name).observe(waited)
 
-    def _count_finish(self, finish: Finish) -> None:
+    def _count_completion(self, finish: Finish) -> None:
         request_class = finish.request.request_class
         name = request_class.name
         self.metrics.requests.labels(name, Outcome.ANSWERED.value).inc()
--- a/damasklead/daemon/exchange.py
+++ b/damasklead/daemon/exchange.py
@@ -2,8 +2,8 @@
 Exchange
 ========
 
-One caller's request from its submission to its final answer, over as many attempts as
-it takes.
+One request of a caller: submits it to its pool's dispatcher, sends each attempt that
+the dispatcher starts to an upstream, and relays the response.
 """
 
 from abc import ABC, abstractmethod
@@ -32,13 +32,13 @@
     EVENT_END,
     MAX_KEPT_ANSWER,
     MAX_RAW_BYTES,
-    Head,
-    Piece,
-    body_differs,
-    end_to_end,
-    replay_claim,
-    store_down,
-    text_of,
+    ResponseHead,
+    ResponsePart,
+    extract_text,
+    make_body_mismatch_problem,
+    make_replayed_response,
+    make_store_unavailable_problem,
+    select_end_to_end_headers,
 )
 from damasklead.ids import AttemptId, InstanceId
 from damasklead.loop import LoopClock
@@ -63,13 +63,16 @@
 
 class ExchangeHost(ABC):
     """
-    What an exchange asks of the entry that it belongs to.
+    Interface of the entry that an exchange belongs to.
 
     Attributes
     ----------
     clock : LoopClock
+        Clock of the entry.
     settings : Settings
+        Settings of the entry.
     claims : ClaimKeeper
+        Settles and abandons the claims of idempotency keys.
     """
 
     clock: LoopClock
@@ -77,60 +80,76 @@
     claims: ClaimKeeper
 
     @abstractmethod
-    def submit(self, pool: Pool, exchange: "Exchange") -> None:
-        """Let the pool's dispatcher take in an exchange's request."""
+    def submit_exchange(self, pool: Pool, exchange: "Exchange") -> None:
+        """Submit an exchange's request to the pool's dispatcher."""
 
     @abstractmethod
-    def forget(self, pool: Pool, exchange: "Exchange", *, finished: bool) -> None:
-        """Drop an exchange whose caller has its final answer or has gone."""
+    def remove_exchange(
+        self, pool: Pool, exchange: "Exchange", *, is_complete: bool
+    ) -> None:
+        """
+        Remove an exchange that has ended; its request is cancelled unless the response
+        is complete.
+        """
 
     @abstractmethod
-    def withdraw(self, pool: Pool, exchange: "Exchange") -> None:
-        """Take a request back whose attempt is not to be sent."""
+    def cancel_request(self, pool: Pool, exchange: "Exchange") -> None:
+        """Cancel the request of an exchange, including an attempt that is not sent."""
 
     @abstractmethod
     def cancel_attempt(self, pool: Pool, cancel: Cancel) -> None:
-        """Tell an upstream that an attempt's answer is not wanted any more."""
+        """Cancel an attempt at its upstream."""
 
     @abstractmethod
-    def attempt_failed(self, pool: Pool, start: Start, error: UpstreamError) -> None:
-        """Take in that an attempt failed."""
+    def fail_attempt(self, pool: Pool, start: Start, error: UpstreamError) -> None:
+        """Log a failed attempt and report it to the pool's dispatcher."""
 
     @abstractmethod
-    def attempt_finished(self, pool: Pool, exchange: "Exchange", start: Start) -> None:
-        """Take in that an attempt's answer is whole."""
+    def complete_attempt(self, pool: Pool, exchange: "Exchange", start: Start) -> None:
+        """Report to the pool's dispatcher that an attempt's response is complete."""
 
     @abstractmethod
-    def first_event(self, exchange: "Exchange") -> None:
-        """Count the time to a request's first event."""
+    def record_first_event(self, exchange: "Exchange") -> None:
+        """Record the time from arrival to the first event in the metrics."""
 
     @abstractmethod
-    def address_of(self, instance: InstanceId) -> str | None:
-        """Return an instance's address."""
+    def get_address(self, instance: InstanceId) -> str | None:
+        """Return an instance's address, ``None`` when the instance is unknown."""
 
     @abstractmethod
     def run_protocol(self, steps: Steps[T]) -> T:
-        """Drive a protocol against the platform."""
+        """Run a protocol against the platform and return its result."""
 
 
 class Exchange:
     """
-    A request with its caller on one side and its attempts on the other.
+    A request of a caller with its attempts and its response.
 
     Parameters
     ----------
     entry : ExchangeHost
+        The entry that received the request.
     pool : Pool
-        Where the request goes.
+        The upstreams of the requested service.
     request : Request
-    call : UpstreamRequest
-        What is sent; the attempt id is filled in for each attempt.
+        The request as the dispatcher queues it.
+    upstream_request : UpstreamRequest
+        Request to be sent; each attempt fills in its own attempt id.
     stream : bool
-        Whether the answer is passed on as it arrives.
+        Whether the response is relayed event by event as it arrives. The response to a
+        request with a claim is always read completely first.
     document : dict, optional
-        The parsed body of an engine request, for continuing it elsewhere.
+        The decoded body of an engine request, from which the body for continuing the
+        response at another replica is made.
     claim : Claim, optional
-        The claim to make before the first byte is sent.
+        Claim of the request's idempotency key, acquired before the first attempt.
+
+    Attributes
+    ----------
+    is_streaming : bool
+        Whether the relay of a stream has begun.
+    caller_socket : socket or None
+        The caller's connection, checked for a disconnect until the response begins.
     """
 
     def __init__(
@@ -139,122 +158,139 @@
         entry: "ExchangeHost",
         pool: Pool,
         request: Request,
-        call: UpstreamRequest,
+        upstream_request: UpstreamRequest,
         stream: bool,
         document: dict[str, Any] | None = None,
         claim: Claim | None = None,
     ) -> None:
         self.request = request
         self.claim = claim
-        self.streaming = False
-        self.caller: socket.socket | None = None
+        self.is_streaming = False
+        self.caller_socket: socket.socket | None = None
         self._entry = entry
         self.pool = pool
-        self._call = call
+        self._upstream_request = upstream_request
         self._stream = stream and claim is None
         self._document = document
         self._claim_version: int | None = None
-        self._mailbox: SimpleQueue[Action] = SimpleQueue()
-        self._current: AttemptId | None = None
-        self._connection: socket.socket | None = None
+        self._pending_actions: SimpleQueue[Action] = SimpleQueue()
+        self._current_attempt: AttemptId | None = None
+        self._upstream_socket: socket.socket | None = None
         self._last_start: Start | None = None
-        self._answer: UpstreamResponse | None = None
-        self._heard: tuple[int, float] = (0, 0.0)
-        self._before_attempt = 0
-        self._raw: list[bytes] = []
-        self._raw_size = 0
-        self._text = ""
-        self._done = False
+        self._response: UpstreamResponse | None = None
+        self._last_receive: tuple[int, float] = (0, 0.0)
+        self._tokens_before_attempt = 0
+        self._sent_events: list[bytes] = []
+        self._sent_bytes = 0
+        self._sent_text = ""
+        self._is_complete = False
 
     @property
-    def preemptable(self) -> bool:
-        """Whether an attempt can be cancelled and go on later without loss."""
+    def is_preemptable(self) -> bool:
+        """Whether an attempt can be cancelled and continued later without loss."""
         return self._stream and self.request.request_class.may_repeat
 
     @property
-    def sent(self) -> bool:
-        """Whether an attempt is under way."""
-        return self._current is not None
+    def has_active_attempt(self) -> bool:
+        """Whether an attempt has started and not ended."""
+        return self._current_attempt is not None
 
-    def deliver(self, action: Action) -> None:
-        """Take an action of the dispatcher."""
+    def handle_action(self, action: Action) -> None:
+        """
+        Handle an action of the dispatcher.
+
+        A ``Cancel`` takes effect at once; ``Start`` and ``Refuse`` are queued for
+        ``generate_response``.
+        """
         if isinstance(action, Cancel):
-            self._interrupt(action)
+            self._cancel_attempt(action)
         elif not isinstance(action, Finish):
-            self._mailbox.put(action)
+            self._pending_actions.put(action)
 
-    def check_silence(self) -> None:
-        """End the attempt if its stream has been silent for too long."""
-        answer = self._answer
-        if answer is None or self._current is None:
+    def check_read_timeout(self) -> None:
+        """Fail the attempt if its stream has sent no data for the read timeout."""
+        response = self._response
+        if response is None or self._current_attempt is None:
             return
         now = self._entry.clock.now()
-        if answer.receive_count != self._heard[0]:
-            self._heard = (answer.receive_count, now)
-        elif now - self._heard[1] > self._call.read_timeout:
-            self._answer = None
-            answer.interrupt(Failure.TIMED_OUT)
+        if response.receive_count != self._last_receive[0]:
+            self._last_receive = (response.receive_count, now)
+        elif now - self._last_receive[1] > self._upstream_request.read_timeout:
+            self._response = None
+            response.interrupt(Failure.TIMED_OUT)
 
-    def run(self) -> Generator[Piece, None, None]:
+    def generate_response(self) -> Generator[ResponsePart, None, None]:
         """
-        Yield the answer: a head and its body, or a problem, which may follow a head.
+        Yield the parts of the response: a head and its body, or a problem.
+
+        A problem after the head of a stream ends the stream.
         """
-        self._entry.submit(self.pool, self)
+        self._entry.submit_exchange(self.pool, self)
         try:
             while True:
-                action = self._mailbox.get()
+                action = self._pending_actions.get()
                 if isinstance(action, Refuse):
-                    self._release_claim(action.outcome)
+                    self._settle_claim_without_response(action.outcome)
                     yield make_problem(
                         action.reason, action.outcome, action.retry_after
                     )
                     return
                 assert isinstance(action, Start)
-                yield from self._attempt(action)
-                if self._done:
+                yield from self._run_attempt(action)
+                if self._is_complete:
                     return
         finally:
-            self._entry.forget(self.pool, self, finished=self._done)
-
-    def _interrupt(self, cancel: Cancel) -> None:
-        """Stop an attempt that the dispatcher took back."""
-        if self._current == cancel.attempt:
-            self._current = None
-            if self._connection is not None:
-                self._connection.close()
+            self._entry.remove_exchange(self.pool, self, is_complete=self._is_complete)
+
+    def _cancel_attempt(self, cancel: Cancel) -> None:
+        """Cancel an attempt here and at its upstream."""
+        if self._current_attempt == cancel.attempt:
+            self._current_attempt = None
+            if self._upstream_socket is not None:
+                self._upstream_socket.close()
         if self._last_start is not None and self._last_start.attempt == cancel.attempt:
             gevent.spawn(self._entry.cancel_attempt, self.pool, cancel)
 
-    def _attempt(self, start: Start) -> Iterator[Piece]:
+    def _run_attempt(self, start: Start) -> Iterator[ResponsePart]:
+        """Send an attempt, after the claim if there is one, and yield its response."""
         if self.claim is not None and self._claim_version is None:
-            refused = self._acquire_claim(start)
-            if refused is not None:
-                self._done = True
-                self._entry.withdraw(self.pool, self)
-                yield from refused
+            refusal = self._acquire_claim(start)
+            if refusal is not None:
+                self._is_complete = True
+                self._entry.cancel_request(self.pool, self)
+                yield from refusal
                 return
-        self._current = start.attempt
-        self._answer = None
-        self._heard = (-1, self._entry.clock.now())
+        self._current_attempt = start.attempt
+        self._response = None
+        self._last_receive = (-1, self._entry.clock.now())
         try:
-            answer = self._send(start)
-            if self._stream and answer.status == 200:
-                yield from self._relay(answer, start)
+            response = self._send_attempt(start)
+            if self._stream and response.status == 200:
+                yield from self._relay_stream(response, start)
             else:
-                yield from self._pass_whole(answer, start)
+                yield from self._relay_complete_response(response, start)
         except UpstreamError as error:
-            if self._current == start.attempt:
-                self._current = None
-                self._entry.attempt_failed(self.pool, start, error)
+            if self._current_attempt == start.attempt:
+                self._current_attempt = None
+                self._entry.fail_attempt(self.pool, start, error)
 
-    def _send(self, start: Start) -> UpstreamResponse:
-        address = self._entry.address_of(start.replica)
+    def _send_attempt(self, start: Start) -> UpstreamResponse:
+        """
+        Send an attempt and return its response.
+
+        When part of a stream was sent to the caller already, a replica that made the
+        last attempt too is asked to resume it; otherwise, or when it refuses to, the
+        attempt continues from the text sent so far.
+        """
+        address = self._entry.get_address(start.replica)
         if address is None:
-            raise UpstreamError(Failure.NOT_SENT, "the upstream is gone")
-        call = msgspec.structs.replace(self._call, attempt=start.attempt)
+            raise UpstreamError(Failure.NOT_SENT, "the replica has no known address")
+        upstream_request = msgspec.structs.replace(
+            self._upstream_request, attempt=start.attempt
+        )
         previous, self._last_start = self._last_start, start
-        received = self.request.generated_tokens - self._before_attempt
-        self._before_attempt = self.request.generated_tokens
+        received_count = self.request.generated_tokens - self._tokens_before_attempt
+        self._tokens_before_attempt = self.request.generated_tokens
         if self.request.generated_tokens and self._document is not None:
             upstream = self.pool.upstream
             if previous is not None and previous.replica == start.replica:
@@ -262,71 +298,92 @@
                 try:
                     return upstream.resume_stream(
                         address,
-                        call,
+                        upstream_request,
                         original_attempt=previous.attempt,
-                        event_count=received,
+                        event_count=received_count,
                     )
                 except UpstreamError as error:
                     if error.failure is not Failure.REFUSED:
                         raise
-            call = msgspec.structs.replace(call, body=self._continuation())
+            upstream_request = msgspec.structs.replace(
+                upstream_request, body=self._make_continuation_body()
+            )
         return self.pool.upstream.send_attempt(
-            address, call, on_connect=self._set_connection
+            address, upstream_request, on_connect=self._set_upstream_socket
         )
 
-    def _set_connection(self, connection: socket.socket) -> None:
-        self._connection = connection
-
-    def _relay(self, answer: UpstreamResponse, start: Start) -> Iterator[Piece]:
-        """Pass a stream on in whole events, as they arrive."""
-        answer.disable_read_timeout()
-        self._answer = answer
-        if not self.streaming:
-            self.streaming = True
-            yield Head(status=200, headers=end_to_end(answer), whole=False)
-        held = b""
-        ended = False
-        progress = self.pool.dispatcher.record_events
-        while chunk := answer.read_chunk():
-            if self._current != start.attempt:
-                # What was buffered when the attempt was taken back is not counted, so
-                # the next attempt generates it again.
-                raise UpstreamError(Failure.BROKEN, "the attempt was taken back")
-            data = held + chunk if held else chunk
-            cut = data.rfind(EVENT_END) + len(EVENT_END)
-            if cut < len(EVENT_END):
-                held = data
+    def _set_upstream_socket(self, connection: socket.socket) -> None:
+        self._upstream_socket = connection
+
+    def _relay_stream(
+        self, response: UpstreamResponse, start: Start
+    ) -> Iterator[ResponsePart]:
+        """Relay the complete events of a stream as they arrive."""
+        response.disable_read_timeout()
+        self._response = response
+        if not self.is_streaming:
+            self.is_streaming = True
+            yield ResponseHead(
+                status=200,
+                headers=select_end_to_end_headers(response),
+                is_complete=False,
+            )
+        partial_event = b""
+        is_done = False
+        record_events = self.pool.dispatcher.record_events
+        while chunk := response.read_chunk():
+            if self._current_attempt != start.attempt:
+                # Data still buffered when the attempt was cancelled is dropped: its
+                # events were not counted, so the next attempt generates them again.
+                raise UpstreamError(Failure.BROKEN, "the attempt was cancelled")
+            data = partial_event + chunk if partial_event else chunk
+            end = data.rfind(EVENT_END) + len(EVENT_END)
+            if end < len(EVENT_END):
+                partial_event = data
                 continue
-            held = data[cut:] if cut < len(data) else b""
-            whole = data if not held else data[:cut]
-            ended = whole.endswith(DONE_EVENT)
-            events = whole.count(EVENT_END) - ended
-            self._keep(whole)
+            partial_event = data[end:] if end < len(data) else b""
+            events = data if not partial_event else data[:end]
+            is_done = events.endswith(DONE_EVENT)
+            event_count = events.count(EVENT_END) - is_done
+            self._record_sent_events(events)
             if self.request.generated_tokens == 0:
-                self._entry.first_event(self)
-            progress(start.attempt, event_count=events)
-            if ended:
-                self._complete(start)
-            yield whole
-        if not ended:
-            raise UpstreamError(Failure.BROKEN, "the stream ended early")
-
-    def _pass_whole(self, answer: UpstreamResponse, start: Start) -> Iterator[Piece]:
-        body = answer.read_body(limit=self._entry.settings.limits.answer_bytes)
+                self._entry.record_first_event(self)
+            record_events(start.attempt, event_count=event_count)
+            if is_done:
+                self._complete_attempt(start)
+            yield events
+        if not is_done:
+            raise UpstreamError(
+                Failure.BROKEN, "the stream ended before its final event"
+            )
+
+    def _relay_complete_response(
+        self, response: UpstreamResponse, start: Start
+    ) -> Iterator[ResponsePart]:
+        """Read a response completely, record it in the claim and relay it."""
+        body = response.read_body(limit=self._entry.settings.limits.answer_bytes)
         self.pool.dispatcher.record_events(start.attempt, event_count=1)
-        headers = [*end_to_end(answer), ("Content-Length", str(len(body)))]
-        self._record_answer(answer, body)
-        self._complete(start)
-        yield Head(status=answer.status, headers=headers, whole=True)
+        headers = [
+            *select_end_to_end_headers(response),
+            ("Content-Length", str(len(body))),
+        ]
+        self._record_response(response, body)
+        self._complete_attempt(start)
+        yield ResponseHead(status=response.status, headers=headers, is_complete=True)
         yield body
 
-    def _complete(self, start: Start) -> None:
-        self._done = True
-        self._current = None
-        self._entry.attempt_finished(self.pool, self, start)
+    def _complete_attempt(self, start: Start) -> None:
+        self._is_complete = True
+        self._current_attempt = None
+        self._entry.complete_attempt(self.pool, self, start)
+
+    def _acquire_claim(self, start: Start) -> list[ResponsePart] | None:
+        """
+        Acquire the claim of the idempotency key for an attempt.
 
-    def _acquire_claim(self, start: Start) -> list[Piece] | None:
-        """Claim the key for this exchange; returns the answer to give if that fails."""
+        Returns ``None`` when this exchange holds the claim, otherwise the response to
+        the caller.
+        """
         assert self.claim is not None
         self.claim = msgspec.structs.replace(self.claim, attempt=start.attempt)
         result = self._entry.run_protocol(acquire(self.claim))
@@ -335,53 +392,63 @@
             return None
         if isinstance(result, ClaimUnconfirmed):
             if result.maybe_written:
-                self._entry.claims.abandon(self.claim)
-            return [store_down()]
+                self._entry.claims.abandon_claim(self.claim)
+            return [make_store_unavailable_problem()]
         if isinstance(result, BodyMismatch):
-            return [body_differs()]
+            return [make_body_mismatch_problem()]
         assert isinstance(result, ClaimHeld)
-        return replay_claim(result.claim)
+        return make_replayed_response(result.claim)
 
-    def _record_answer(self, answer: UpstreamResponse, body: bytes) -> None:
+    def _record_response(self, response: UpstreamResponse, body: bytes) -> None:
         if self.claim is None or self._claim_version is None:
             return
-        kept = RecordedResponse(
-            status=answer.status,
-            content_type=answer.get_header("Content-Type"),
+        recorded = RecordedResponse(
+            status=response.status,
+            content_type=response.get_header("Content-Type"),
             body=body if len(body) <= MAX_KEPT_ANSWER else None,
         )
-        self._settle(ClaimState.ANSWERED, kept)
+        self._settle_claim(ClaimState.ANSWERED, recorded)
+
+    def _settle_claim_without_response(self, outcome: Outcome) -> None:
+        """
+        Settle an acquired claim of a request that has no response.
 
-    def _release_claim(self, outcome: Outcome) -> None:
-        """Record that an acquired claim did not run, or that nobody knows."""
+        The claim is released when the request was not executed, and failed when it may
+        have been.
+        """
         if self._claim_version is not None:
-            unrun = outcome is Outcome.NOT_RUN
-            self._settle(ClaimState.RELEASED if unrun else ClaimState.FAILED, None)
+            not_executed = outcome is Outcome.NOT_RUN
+            self._settle_claim(
+                ClaimState.RELEASED if not_executed else ClaimState.FAILED, None
+            )
 
-    def _settle(self, state: ClaimState, answer: RecordedResponse | None) -> None:
+    def _settle_claim(
+        self, state: ClaimState, response: RecordedResponse | None
+    ) -> None:
         assert self.claim is not None and self._claim_version is not None
-        settled = msgspec.structs.replace(self.claim, state=state, answer=answer)
-        self._entry.claims.settle(settled, version=self._claim_version)
-
-    def _keep(self, whole: bytes) -> None:
-        """Keep what was sent, so that the stream can be continued elsewhere."""
-        self._raw.append(whole)
-        self._raw_size += len(whole)
-        if self._raw_size > MAX_RAW_BYTES:
-            self._compact()
-
-    def _compact(self) -> None:
-        """Reduce the kept events to their text."""
-        self._text += text_of(b"".join(self._raw))
-        self._raw = []
-        self._raw_size = 0
-
-    def _continuation(self) -> bytes:
+        settled = msgspec.structs.replace(self.claim, state=state, answer=response)
+        self._entry.claims.settle_claim(settled, version=self._claim_version)
+
+    def _record_sent_events(self, events: bytes) -> None:
+        """Keep events sent to the caller, for continuing the stream elsewhere."""
+        self._sent_events.append(events)
+        self._sent_bytes += len(events)
+        if self._sent_bytes > MAX_RAW_BYTES:
+            self._compact_sent_events()
+
+    def _compact_sent_events(self) -> None:
+        """Replace the kept events by their generated text, which takes less memory."""
+        self._sent_text += extract_text(b"".join(self._sent_events))
+        self._sent_events = []
+        self._sent_bytes = 0
+
+    def _make_continuation_body(self) -> bytes:
+        """Return the body that asks a replica for the rest of the response."""
         assert self._document is not None
-        self._compact()
+        self._compact_sent_events()
         document = dict(self._document)
         if isinstance(document.get("max_tokens"), int):
             document["max_tokens"] = max(
                 1, document["max_tokens"] - self.request.generated_tokens
             )
-        return build_continuation_body(document, self._text)
+        return build_continuation_body(document, self._sent_text)
--- a/damasklead/daemon/metrics.py
+++ b/damasklead/daemon/metrics.py
@@ -15,7 +15,7 @@
 
 __all__ = ["Metrics"]
 
-WAIT_BUCKETS = (
+LATENCY_BUCKETS_SECONDS = (
     0.005,
     0.02,
     0.05,
@@ -72,14 +72,14 @@
             "Seconds from arrival to the first start",
             ["class"],
             registry=self.registry,
-            buckets=WAIT_BUCKETS,
+            buckets=LATENCY_BUCKETS_SECONDS,
         )
         self.first_token = Histogram(
             "damasklead_first_token_seconds",
             "Seconds from arrival to the first event",
             ["class"],
             registry=self.registry,
-            buckets=WAIT_BUCKETS,
+            buckets=LATENCY_BUCKETS_SECONDS,
         )
         self.attempts = Counter(
             "damasklead_attempts",
--- a/damasklead/daemon/operators.py
+++ b/damasklead/daemon/operators.py
@@ -58,21 +58,21 @@
         self._entry = entry
         super().__init__(
             split_address(entry.settings.listen.operators),
-            self._answer,
+            self._handle_request,
             log=None,
             error_log=None,
         )
 
-    def status(self) -> Status:
+    def get_status(self) -> Status:
         """Return the entry's state."""
         entry = self._entry
         return Status(
             instance=entry.instance,
             incarnation=entry.incarnation,
-            ready=entry.ready,
-            stopping=entry.stopping,
-            configuration=entry.holder.version,
-            entries=[member.instance for member in entry.live_entries()],
+            ready=entry.is_ready,
+            stopping=entry.is_stopping,
+            configuration=entry.configuration_holder.version,
+            entries=[member.instance for member in entry.find_live_entries()],
             pools=[
                 PoolStatus(
                     pool=pool.dispatcher.pool,
@@ -91,26 +91,28 @@
             audit_dropped=entry.audit.dropped_count,
         )
 
-    def _answer(
+    def _handle_request(
         self, environ: dict[str, Any], start_response: Callable[..., Any]
     ) -> Iterable[bytes]:
         path = environ["PATH_INFO"]
         if path == "/healthz":
-            return _text(start_response, "200 OK", b"ok\n")
+            return _send_text(start_response, "200 OK", b"ok\n")
         if path == "/readyz":
-            ready = self._entry.ready
+            ready = self._entry.is_ready
             status = "200 OK" if ready else "503 Not Ready"
-            return _text(
+            return _send_text(
                 start_response, status, b"ready\n" if ready else b"not ready\n"
             )
         if path == "/metrics":
-            return _text(start_response, "200 OK", self._entry.metrics.render())
+            return _send_text(start_response, "200 OK", self._entry.metrics.render())
         if path == "/status":
             start_response("200 OK", [("Content-Type", "application/json")])
-            return [msgspec.json.encode(self.status())]
-        return _text(start_response, "404 Not Found", b"not found\n")
+            return [msgspec.json.encode(self.get_status())]
+        return _send_text(start_response, "404 Not Found", b"not found\n")
 
 
-def _text(start_response: Callable[..., Any], status: str, body: bytes) -> list[bytes]:
+def _send_text(
+    start_response: Callable[..., Any], status: str, body: bytes
+) -> list[bytes]:
     start_response(status, [("Content-Type", "text/plain; charset=utf-8")])
     return [body]
--- a/damasklead/daemon/peers.py
+++ b/damasklead/daemon/peers.py
@@ -27,12 +27,12 @@
 
 __all__ = ["Peers"]
 
-SEND_QUEUE = 100  # messages
+MAX_QUEUED_MESSAGES = 100  # messages
 MAX_MESSAGE_BYTES = 4_194_304
-IDLE_SECONDS = 60.0
+IDLE_TIMEOUT_SECONDS = 60.0
 
 
-class _Link(msgspec.Struct, kw_only=True):
+class _PeerConnection(msgspec.Struct, kw_only=True):
     """The way to one incarnation of a peer."""
 
     socket: zmq.Socket
@@ -56,15 +56,15 @@
         self._coordinators = coordinators
         self._context = zmq.Context()
         self._receiver: zmq.Socket | None = None
-        self._links: dict[InstanceId, _Link] = {}
-        self.newer_version: tuple[int, InstanceId] = (0, InstanceId(""))
+        self._connections: dict[InstanceId, _PeerConnection] = {}
+        self.newest_configuration: tuple[int, InstanceId] = (0, InstanceId(""))
 
-    def receive_forever(self) -> None:
+    def run_receive_loop(self) -> None:
         """Receive messages until the task is stopped."""
         receiver = self._context.socket(zmq.ROUTER)
         receiver.setsockopt(zmq.LINGER, 0)
         receiver.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
-        self._serve_curve(receiver)
+        self._enable_curve_server(receiver)
         receiver.bind(f"tcp://{self._entry.settings.listen.peers}")
         try:
             while True:
@@ -75,48 +75,50 @@
                 except msgspec.DecodeError as error:
                     logs.warning("peer-message", detail=str(error))
                     continue
-                self._take(message)
+                self._handle_message(message)
         finally:
             receiver.close()
 
-    def send(self, peer: InstanceId, *body: Body) -> None:
+    def send_message(self, peer: InstanceId, *body: Body) -> None:
         """Send to a peer; a message that can't be sent at once is dropped."""
         member = self._entry.membership.get_member(peer)
         if member is not None:
-            self.send_to(peer, member.address, *body)
+            self.send_message_to_address(peer, member.address, *body)
 
-    def send_to(self, peer: InstanceId, address: str, *body: Body) -> None:
+    def send_message_to_address(
+        self, peer: InstanceId, address: str, *body: Body
+    ) -> None:
         """Send to a peer at an address; as ``send`` otherwise."""
         message = PeerMessage(
             sender=self._entry.instance,
             incarnation=self._entry.incarnation,
-            configuration_version=self._entry.holder.version,
+            configuration_version=self._entry.configuration_holder.version,
             gossip=self._entry.gossip.select_items(peer),
             body=body,
         )
         content = encode_message(message)
         try:
-            self._link(peer, address).send(content, zmq.NOBLOCK)
+            self._get_socket(peer, address).send(content, zmq.NOBLOCK)
         except zmq.ZMQError as error:
             logs.warning("peer-send", peer=peer, detail=str(error))
             return
         self._entry.metrics.peer_bytes.labels("out").inc(len(content))
 
-    def close_idle(self) -> None:
+    def close_idle_connections(self) -> None:
         """Close links that were not used lately."""
-        horizon = self._entry.clock.now() - IDLE_SECONDS
-        for peer, link in list(self._links.items()):
-            if link.used_at < horizon:
-                link.socket.close()
-                del self._links[peer]
+        horizon = self._entry.clock.now() - IDLE_TIMEOUT_SECONDS
+        for peer, connection in list(self._connections.items()):
+            if connection.used_at < horizon:
+                connection.socket.close()
+                del self._connections[peer]
 
     def close(self) -> None:
         """Close all links."""
-        for link in self._links.values():
-            link.socket.close()
-        self._links.clear()
+        for connection in self._connections.values():
+            connection.socket.close()
+        self._connections.clear()
 
-    def take_body(self, sender: InstanceId, body: Body) -> None:
+    def handle_body(self, sender: InstanceId, body: Body) -> None:
         """Take in one part of a message, from a peer or from this entry itself."""
         match body:
             case Demand():
@@ -124,56 +126,56 @@
                 if coordinator is not None:
                     coordinator.record_demand(sender, body)
             case Grant():
-                self._take_grant(body)
+                self._apply_grant(body)
             case ConfigurationQuery():
-                holder = self._entry.holder
+                holder = self._entry.configuration_holder
                 if holder.version > body.known_version:
-                    answer = ConfigurationResponse(
+                    response = ConfigurationResponse(
                         version=holder.version,
                         files=holder.files,
                         members=self._entry.membership.build_records(),
                     )
-                    self.send_to(sender, body.reply_to, answer)
+                    self.send_message_to_address(sender, body.reply_to, response)
             case ConfigurationResponse():
                 self._entry.membership.merge_peer_records(body.members)
-                self._entry.take_configuration(body.files, version=body.version)
+                self._entry.activate_configuration(body.files, version=body.version)
 
-    def _take(self, message: PeerMessage) -> None:
+    def _handle_message(self, message: PeerMessage) -> None:
         if message.configuration_version > max(
-            self._entry.holder.version, self.newer_version[0]
+            self._entry.configuration_holder.version, self.newest_configuration[0]
         ):
-            self.newer_version = (message.configuration_version, message.sender)
-        self._entry.heard_from(message.sender)
-        self._entry.hear(message.gossip)
+            self.newest_configuration = (message.configuration_version, message.sender)
+        self._entry.record_contact(message.sender)
+        self._entry.apply_gossip(message.gossip)
         for body in message.body:
-            self.take_body(message.sender, body)
+            self.handle_body(message.sender, body)
 
-    def _take_grant(self, grant: Grant) -> None:
+    def _apply_grant(self, grant: Grant) -> None:
         for pool in self._entry.pools.values():
             if pool.dispatcher.pool == grant.pool:
-                self._entry.apply(pool, pool.dispatcher.apply_grant(grant))
-
-    def _link(self, peer: InstanceId, address: str) -> zmq.Socket:
-        link = self._links.get(peer)
-        if link is not None and link.address != address:
-            link.socket.close()
-            link = None
-        if link is None:
-            link = self._connect(address)
-            self._links[peer] = link
-        link.used_at = self._entry.clock.now()
-        return link.socket
-
-    def _connect(self, address: str) -> _Link:
+                self._entry.apply_actions(pool, pool.dispatcher.apply_grant(grant))
+
+    def _get_socket(self, peer: InstanceId, address: str) -> zmq.Socket:
+        connection = self._connections.get(peer)
+        if connection is not None and connection.address != address:
+            connection.socket.close()
+            connection = None
+        if connection is None:
+            connection = self._connect(address)
+            self._connections[peer] = connection
+        connection.used_at = self._entry.clock.now()
+        return connection.socket
+
+    def _connect(self, address: str) -> _PeerConnection:
         sender = self._context.socket(zmq.DEALER)
         sender.setsockopt(zmq.LINGER, 0)
-        sender.setsockopt(zmq.SNDHWM, SEND_QUEUE)
+        sender.setsockopt(zmq.SNDHWM, MAX_QUEUED_MESSAGES)
         sender.setsockopt(zmq.IMMEDIATE, 0)
-        self._use_curve(sender)
+        self._enable_curve_client(sender)
         sender.connect(f"tcp://{address}")
-        return _Link(socket=sender, address=address, used_at=0.0)
+        return _PeerConnection(socket=sender, address=address, used_at=0.0)
 
-    def _serve_curve(self, receiver: zmq.Socket) -> None:
+    def _enable_curve_server(self, receiver: zmq.Socket) -> None:
         """Let in only peers that hold the deployment's key."""
         keys = self._entry.settings.peer_keys
         if keys is not None:
@@ -181,7 +183,7 @@
             receiver.curve_publickey = keys.public_key.encode()
             receiver.curve_server = True
 
-    def _use_curve(self, sender: zmq.Socket) -> None:
+    def _enable_curve_client(self, sender: zmq.Socket) -> None:
         keys: PeerKeys | None = self._entry.settings.peer_keys
         if keys is not None:
             sender.curve_secretkey = keys.secret_key.encode()
--- a/damasklead/daemon/replies.py
+++ b/damasklead/daemon/replies.py
@@ -19,21 +19,21 @@
     "EVENT_END",
     "MAX_KEPT_ANSWER",
     "MAX_RAW_BYTES",
-    "Head",
-    "Piece",
-    "body_differs",
-    "digest_body",
-    "end_to_end",
-    "replay_claim",
-    "store_down",
-    "text_of",
+    "ResponseHead",
+    "ResponsePart",
+    "make_body_mismatch_problem",
+    "digest_request",
+    "select_end_to_end_headers",
+    "make_replayed_response",
+    "make_store_unavailable_problem",
+    "extract_text",
 ]
 
 EVENT_END = b"\n\n"
 DONE_EVENT = b"data: [DONE]\n\n"
 MAX_RAW_BYTES = 65_536
 MAX_KEPT_ANSWER = 262_144  # bytes
-HOP_BY_HOP = frozenset(
+EXCLUDED_HEADERS = frozenset(
     (
         "connection",
         "keep-alive",
@@ -51,25 +51,25 @@
 )
 
 
-class Head(msgspec.Struct, kw_only=True):
+class ResponseHead(msgspec.Struct, kw_only=True):
     """
     The head of an answer to the caller; ``whole`` says that one piece of body follows.
     """
 
     status: int
     headers: list[tuple[str, str]]
-    whole: bool
+    is_complete: bool
 
 
-Piece = Head | bytes | Problem
+ResponsePart = ResponseHead | bytes | Problem
 
 
-def digest_body(method: str, path: str, body: bytes) -> str:
+def digest_request(method: str, path: str, body: bytes) -> str:
     """Return the digest by which two sendings of one order are recognised."""
     return hashlib.sha256(f"{method} {path}\n".encode() + body).hexdigest()
 
 
-def text_of(events: bytes) -> str:
+def extract_text(events: bytes) -> str:
     """Return the generated text in a run of server-sent events."""
     text = ""
     for event in events.split(EVENT_END):
@@ -80,12 +80,16 @@
     return text
 
 
-def end_to_end(answer: UpstreamResponse) -> list[tuple[str, str]]:
+def select_end_to_end_headers(response: UpstreamResponse) -> list[tuple[str, str]]:
     """Return the headers that go on to the caller."""
-    return [pair for pair in answer.get_headers() if pair[0].lower() not in HOP_BY_HOP]
+    return [
+        pair
+        for pair in response.get_headers()
+        if pair[0].lower() not in EXCLUDED_HEADERS
+    ]
 
 
-def replay_claim(claim: Claim) -> list[Piece]:
+def make_replayed_response(claim: Claim) -> list[ResponsePart]:
     """Return the answer to a second sending."""
     if claim.state is ClaimState.CLAIMED:
         return [
@@ -112,19 +116,19 @@
             )
         ]
     if claim.answer.body is None:
-        return replay_claim(msgspec.structs.replace(claim, answer=None))
+        return make_replayed_response(msgspec.structs.replace(claim, answer=None))
     headers = [
         ("Content-Type", claim.answer.content_type),
         ("X-Damasklead-Replayed", "true"),
         ("Content-Length", str(len(claim.answer.body))),
     ]
     return [
-        Head(status=claim.answer.status, headers=headers, whole=True),
+        ResponseHead(status=claim.answer.status, headers=headers, is_complete=True),
         claim.answer.body,
     ]
 
 
-def store_down() -> Problem:
+def make_store_unavailable_problem() -> Problem:
     """Return the problem of a claim that could not be recorded."""
     return Problem(
         status=503,
@@ -134,7 +138,7 @@
     )
 
 
-def body_differs() -> Problem:
+def make_body_mismatch_problem() -> Problem:
     """Return the problem of a key that was used for another body."""
     return Problem(
         status=422,
--- a/damasklead/daemon/service.py
+++ b/damasklead/daemon/service.py
@@ -27,8 +27,8 @@
 
 __all__ = ["EntryService"]
 
-POLL_SECONDS = 0.05
-LEAVING_SECONDS = 1.0
+POLL_INTERVAL_SECONDS = 0.05
+LEAVE_PROPAGATION_SECONDS = 1.0
 
 
 class EntryService:
@@ -54,13 +54,13 @@
         self._callers = CallerServer(entry=self.entry)
         self._operators = OperatorServer(entry=self.entry)
         self._clock = clock
-        self._stop_asked = Event()
+        self._stop_requested = Event()
         self.tree = self._build_tree()
 
     def start(self) -> None:
         """Start everything; returns at once."""
-        self._watchers.announce()
-        self.tree.start(self._tree_failed)
+        self._watchers.register_entry()
+        self.tree.start(self._handle_tree_failure)
         logs.event(
             "started", instance=self.entry.instance, incarnation=self.entry.incarnation
         )
@@ -68,33 +68,33 @@
     def run(self) -> int:
         """Run until SIGTERM or SIGINT and stop gracefully; returns the exit code."""
         for number in (signal.SIGTERM, signal.SIGINT):
-            gevent.signal_handler(number, self._stop_asked.set)
+            gevent.signal_handler(number, self._stop_requested.set)
         self.start()
-        self._stop_asked.wait()
+        self._stop_requested.wait()
         self.stop()
         return 1 if self.tree.failed.is_set() else 0
 
     def stop(self) -> None:
         """Say that this entry leaves, let requests in progress end, and stop."""
         entry = self.entry
-        entry.stopping = True
+        entry.is_stopping = True
         logs.event("stopping", requests=len(entry.exchanges))
-        self._watchers.announce(InstanceState.LEAVING)
+        self._watchers.register_entry(InstanceState.LEAVING)
         entry.mark_leaving(entry.instance, entry.incarnation, why="it was told to stop")
-        self._clock.sleep(LEAVING_SECONDS)
+        self._clock.sleep(LEAVE_PROPAGATION_SECONDS)
         self._callers.stop_accepting()
         deadline = self._clock.now() + entry.settings.limits.stop_seconds
         while entry.exchanges and self._clock.now() < deadline:
-            self._clock.sleep(POLL_SECONDS)
-        self._duties.release()
+            self._clock.sleep(POLL_INTERVAL_SECONDS)
+        self._duties.release_leases()
         entry.run_protocol(entry.audit.flush_events())
         self.tree.stop()
         self._peers.close()
         entry.connections.close()
         logs.event("stopped", instance=entry.instance, cut_off=len(entry.exchanges))
 
-    def _tree_failed(self, child: Child, cause: BaseException | None) -> None:
-        self._stop_asked.set()
+    def _handle_tree_failure(self, child: Child, cause: BaseException | None) -> None:
+        self._stop_requested.set()
 
     def _build_tree(self) -> Supervisor:
         return Supervisor(
@@ -105,12 +105,16 @@
                     name="platform",
                     clock=self._clock,
                     children=[
-                        TaskChild(name="members", function=self._watchers.run_members),
+                        TaskChild(
+                            name="members", function=self._watchers.run_member_loop
+                        ),
                         TaskChild(
                             name="configuration",
-                            function=self._watchers.run_configuration,
+                            function=self._watchers.run_configuration_loop,
+                        ),
+                        TaskChild(
+                            name="records", function=self._watchers.run_record_loop
                         ),
-                        TaskChild(name="records", function=self._watchers.run_records),
                         TaskChild(name="duties", function=self._duties.run),
                     ],
                 ),
@@ -118,20 +122,26 @@
                     name="sharing",
                     clock=self._clock,
                     children=[
-                        TaskChild(name="peers", function=self._peers.receive_forever),
+                        TaskChild(name="peers", function=self._peers.run_receive_loop),
                         TaskChild(
-                            name="coordinator", function=self._shares.run_coordinator
+                            name="coordinator",
+                            function=self._shares.run_coordinator_loop,
+                        ),
+                        TaskChild(
+                            name="demands", function=self._shares.run_demand_loop
                         ),
-                        TaskChild(name="demands", function=self._shares.run_demands),
                     ],
                 ),
                 Supervisor(
                     name="traffic",
                     clock=self._clock,
                     children=[
-                        TaskChild(name="ticks", function=self._watchers.run_ticks),
                         TaskChild(
-                            name="callers-gone", function=self._watchers.run_callers
+                            name="ticks", function=self._watchers.run_timeout_loop
+                        ),
+                        TaskChild(
+                            name="callers-gone",
+                            function=self._watchers.run_caller_check_loop,
                         ),
                         ServerChild(
                             name="operators",
--- a/damasklead/daemon/sharetasks.py
+++ b/damasklead/daemon/sharetasks.py
@@ -21,8 +21,8 @@
 
 __all__ = ["ShareTasks"]
 
-JITTER = 0.1
-POLL_TIMEOUT = 1.0  # seconds
+JITTER_FRACTION = 0.1
+POLL_TIMEOUT_SECONDS = 1.0
 
 
 class ShareTasks:
@@ -36,38 +36,40 @@
         self._coordinators = coordinators
         self._random = random.Random(entry.instance)
 
-    def run_demands(self) -> None:
+    def run_demand_loop(self) -> None:
         """Send this entry's demands until the task is stopped."""
         while True:
-            self._pause()
+            self._sleep_interval()
             for pool in list(self._entry.pools.values()):
                 self._send_demand(pool)
-            self._peers.close_idle()
+            self._peers.close_idle_connections()
             self._entry.check_coordinators()
 
-    def run_coordinator(self) -> None:
+    def run_coordinator_loop(self) -> None:
         """Serve the pools that this entry coordinates until the task is stopped."""
         while True:
-            self._pause()
+            self._sleep_interval()
             for pool in list(self._entry.pools.values()):
                 if pool.coordinator == self._entry.instance:
-                    self._serve(pool)
+                    self._coordinate_pool(pool)
                 else:
                     self._coordinators.pop(pool.dispatcher.pool, None)
 
-    def _pause(self) -> None:
-        interval = compute_share_interval(len(self._entry.live_entries()))
-        self._entry.clock.sleep(interval * (1 + self._random.uniform(-JITTER, JITTER)))
+    def _sleep_interval(self) -> None:
+        interval = compute_share_interval(len(self._entry.find_live_entries()))
+        self._entry.clock.sleep(
+            interval * (1 + self._random.uniform(-JITTER_FRACTION, JITTER_FRACTION))
+        )
 
     def _send_demand(self, pool: Pool) -> None:
         coordinator = pool.coordinator
         demand = pool.dispatcher.build_demand()
         if coordinator == self._entry.instance:
-            self._peers.take_body(self._entry.instance, demand)
+            self._peers.handle_body(self._entry.instance, demand)
         elif coordinator is not None:
-            self._peers.send(coordinator, demand)
+            self._peers.send_message(coordinator, demand)
 
-    def _serve(self, pool: Pool) -> None:
+    def _coordinate_pool(self, pool: Pool) -> None:
         coordinator = self._coordinators.get(pool.dispatcher.pool)
         if coordinator is None:
             coordinator = Coordinator(
@@ -75,22 +77,25 @@
             )
             self._coordinators[pool.dispatcher.pool] = coordinator
         coordinator.set_targets(
-            token_gap_targets=_gap_targets(pool.service),
-            min_shares=_min_shares(pool.service),
+            token_gap_targets=_get_token_gap_targets(pool.service),
+            min_shares=_sum_minimum_shares(pool.service),
         )
-        members = self._entry.pool_members(pool.service)
+        members = self._entry.find_pool_members(pool.service)
         coordinator.update_replicas(member.instance for member in members)
         polls = [
-            gevent.spawn(self._poll, pool, coordinator, member) for member in members
+            gevent.spawn(self._poll_replica, pool, coordinator, member)
+            for member in members
         ]
-        gevent.joinall(polls, timeout=POLL_TIMEOUT)
+        gevent.joinall(polls, timeout=POLL_TIMEOUT_SECONDS)
         for entry, grant in coordinator.allocate_slots().items():
             if entry == self._entry.instance:
-                self._peers.take_body(entry, grant)
+                self._peers.handle_body(entry, grant)
             else:
-                self._peers.send(entry, grant)
+                self._peers.send_message(entry, grant)
 
-    def _poll(self, pool: Pool, coordinator: Coordinator, member: Member) -> None:
+    def _poll_replica(
+        self, pool: Pool, coordinator: Coordinator, member: Member
+    ) -> None:
         try:
             status = pool.upstream.fetch_status(member.address)
         except UpstreamError:
@@ -101,11 +106,13 @@
                 member.instance, status.incarnation, why="its report says so"
             )
         elif status.load is not None:
-            report = msgspec.structs.replace(status.load, models=_loaded(status.models))
+            report = msgspec.structs.replace(
+                status.load, models=_get_model_names(status.models)
+            )
             coordinator.record_report(member.instance, report)
 
 
-def _loaded(names: tuple[str, ...]) -> tuple[str, ...]:
+def _get_model_names(names: tuple[str, ...]) -> tuple[str, ...]:
     """
     Return the models among ``model@version`` texts, whatever their version.
 
@@ -114,7 +121,7 @@
     return tuple(sorted({name.partition("@")[0] for name in names}))
 
 
-def _gap_targets(service: Service) -> dict[int, float]:
+def _get_token_gap_targets(service: Service) -> dict[int, float]:
     """Return the tightest target between tokens in each tier, in seconds."""
     targets: dict[int, float] = {}
     for item in service.classes:
@@ -125,7 +132,7 @@
     return targets
 
 
-def _min_shares(service: Service) -> dict[int, float]:
+def _sum_minimum_shares(service: Service) -> dict[int, float]:
     """Return the sum of the minimum shares in each tier."""
     shares: dict[int, float] = {}
     for item in service.classes:
--- a/damasklead/daemon/watchers.py
+++ b/damasklead/daemon/watchers.py
@@ -42,13 +42,13 @@
 
 __all__ = ["Watchers"]
 
-TICK_SECONDS = 0.05
-WAKE_SECONDS = 0.2
-CALLER_CHECK_SECONDS = 0.25
-MIN_POLL_SECONDS = 1.0
-READS_PER_SECOND = 20.0  # of all entries together, for each polled thing
-AUDIT_SECONDS = 1.0
-BACK_OFF_LIMIT = 30.0  # seconds
+TIMEOUT_CHECK_INTERVAL_SECONDS = 0.05
+WAKE_CHECK_INTERVAL_SECONDS = 0.2
+CALLER_CHECK_INTERVAL_SECONDS = 0.25
+MIN_POLL_INTERVAL_SECONDS = 1.0
+MAX_READS_PER_SECOND = 20.0  # of all entries together, for each polled thing
+RECORD_INTERVAL_SECONDS = 1.0
+MAX_BACKOFF_SECONDS = 30.0
 
 
 class Watchers:
@@ -65,59 +65,66 @@
         self._entry = entry
         self._peers = peers
         self._random = random.Random(entry.instance)
-        self._failures = 0
+        self._failure_count = 0
         self._list_version = ""
-        self._listed: tuple[InstanceRecord, ...] = ()
+        self._listed_records: tuple[InstanceRecord, ...] = ()
 
-    def run_ticks(self) -> None:
+    def run_timeout_loop(self) -> None:
         """Let time pass in the pools."""
         while True:
-            self._entry.clock.sleep(TICK_SECONDS)
-            self._entry.tick()
+            self._entry.clock.sleep(TIMEOUT_CHECK_INTERVAL_SECONDS)
+            self._entry.process_timeouts()
 
-    def run_configuration(self) -> None:
+    def run_configuration_loop(self) -> None:
         """Follow the published configuration."""
         while True:
-            self._follow_configuration()
-            self._wait(
-                lambda: self._peers.newer_version[0] > self._entry.holder.version
+            self._update_configuration()
+            self._wait_for_poll(
+                lambda: (
+                    self._peers.newest_configuration[0]
+                    > self._entry.configuration_holder.version
+                )
             )
 
-    def run_members(self) -> None:
+    def run_member_loop(self) -> None:
         """Follow the instance list and the drains that operators ask for."""
         while True:
-            self._follow_members()
-            self._wait(lambda: False)
+            self._update_members()
+            self._wait_for_poll(lambda: False)
 
-    def run_callers(self) -> None:
+    def run_caller_check_loop(self) -> None:
         """
         Give up requests whose caller has gone before the answer began, and attempts
         whose upstream is silent.
         """
         while True:
-            self._entry.clock.sleep(CALLER_CHECK_SECONDS)
+            self._entry.clock.sleep(CALLER_CHECK_INTERVAL_SECONDS)
             for exchange in list(self._entry.exchanges.values()):
-                exchange.check_silence()
-                waits = not exchange.streaming and not (
-                    exchange.claim and exchange.sent
+                exchange.check_read_timeout()
+                waits = not exchange.is_streaming and not (
+                    exchange.claim and exchange.has_active_attempt
                 )
-                if waits and exchange.caller is not None and _has_gone(exchange.caller):
-                    exchange.caller = None
-                    self._entry.caller_gone(exchange)
-
-    def run_records(self) -> None:
+                if (
+                    waits
+                    and exchange.caller_socket is not None
+                    and _is_disconnected(exchange.caller_socket)
+                ):
+                    exchange.caller_socket = None
+                    self._entry.handle_caller_disconnect(exchange)
+
+    def run_record_loop(self) -> None:
         """
         Store audit events and the ends of claims, with back-off while the store is out.
         """
         while True:
-            self._entry.clock.sleep(self._back_off(AUDIT_SECONDS))
-            self._entry.claims.retry()
+            self._entry.clock.sleep(self._get_delay(RECORD_INTERVAL_SECONDS))
+            self._entry.claims.retry_pending()
             pending = len(self._entry.audit)
             if pending:
                 stored = self._entry.run_protocol(self._entry.audit.flush_events())
-                self._failures = 0 if stored else self._failures + 1
+                self._failure_count = 0 if stored else self._failure_count + 1
 
-    def announce(self, state: InstanceState = InstanceState.LIVE) -> None:
+    def register_entry(self, state: InstanceState = InstanceState.LIVE) -> None:
         """Enter this process into the instance list, for platforms that need that."""
         settings = self._entry.settings
         if not settings.platform.announce:
@@ -135,55 +142,62 @@
         if isinstance(result, Err):
             logs.warning("announce", result=result.err_value.value)
 
-    def _follow_configuration(self) -> None:
+    def _update_configuration(self) -> None:
         entry = self._entry
         row = entry.run_protocol(read_manifest())
         if isinstance(row, Row):
             manifest = decode_manifest(row)
-            if manifest.version > entry.holder.version:
+            if manifest.version > entry.configuration_holder.version:
                 files = entry.run_protocol(
-                    fetch(manifest, texts_by_digest=entry.holder.get_texts_by_digest())
+                    fetch(
+                        manifest,
+                        texts_by_digest=entry.configuration_holder.get_texts_by_digest(),
+                    )
                 )
                 if files is not None:
-                    entry.take_configuration(files, version=manifest.version)
+                    entry.activate_configuration(files, version=manifest.version)
         if isinstance(row, StoreError):
-            self._ask_peers()
+            self._request_configuration()
         self._report_version()
 
-    def _ask_peers(self) -> None:
+    def _request_configuration(self) -> None:
         """Ask peers for their configuration while the platform is out."""
-        version, sender = self._peers.newer_version
+        version, sender = self._peers.newest_configuration
         own = self._entry.settings.listen.peers
         query = ConfigurationQuery(
-            known_version=self._entry.holder.version, reply_to=own
+            known_version=self._entry.configuration_holder.version, reply_to=own
         )
-        if version > self._entry.holder.version:
-            self._peers.send(sender, query)
-        elif self._entry.holder.version == 0:
-            known = {item.instance: item.address for item in self._entry.live_entries()}
+        if version > self._entry.configuration_holder.version:
+            self._peers.send_message(sender, query)
+        elif self._entry.configuration_holder.version == 0:
+            known = {
+                item.instance: item.address for item in self._entry.find_live_entries()
+            }
             seeds = {InstanceId(seed): seed for seed in self._entry.settings.seeds}
             for peer, address in (known or seeds).items():
                 if address != own:
-                    self._peers.send_to(peer, address, query)
+                    self._peers.send_message_to_address(peer, address, query)
 
     def _report_version(self) -> None:
         """Tell publishers which version this entry has in force."""
         entry = self._entry
-        if entry.holder.version == entry.reported_version:
+        if entry.configuration_holder.version == entry.reported_version:
             return
-        report = report_version(entry.instance, entry.incarnation, entry.holder.version)
+        report = report_version(
+            entry.instance, entry.incarnation, entry.configuration_holder.version
+        )
         if entry.run_protocol(report):
-            entry.reported_version = entry.holder.version
+            entry.reported_version = entry.configuration_holder.version
 
-    def _follow_members(self) -> None:
+    def _update_members(self) -> None:
         entry = self._entry
         before = entry.membership.generation
         result = entry.platform.instances.list_instances(
             known_version=self._list_version
         )
         if isinstance(result, Ok):
-            entry.platform_seen_at = entry.clock.now()
-            self._take_listing(result.ok_value)
+            entry.platform_last_read_at = entry.clock.now()
+            self._apply_listing(result.ok_value)
         drains = entry.platform.tables.scan(DRAINS_TABLE, limit=1000)
         if isinstance(drains, Ok):
             for row in drains.ok_value:
@@ -199,30 +213,30 @@
             for row in named.ok_value:
                 apply_quarantine_row(decode_quarantine_row(row), entry.quarantine)
         if entry.membership.generation != before:
-            entry.arrange_members()
+            entry.update_members()
 
-    def _take_listing(self, listing: Listing) -> None:
+    def _apply_listing(self, listing: Listing) -> None:
         """Merge a reading of the instance list; one without news repeats the last."""
         if listing.records is not None:
             self._list_version = listing.version
-            self._listed = listing.records
-        self._entry.membership.merge_list(self._listed)
+            self._listed_records = listing.records
+        self._entry.membership.merge_list(self._listed_records)
 
-    def _wait(self, wake: Callable[[], bool]) -> None:
-        entries = max(1, len(self._entry.live_entries()))
-        period = max(MIN_POLL_SECONDS, entries / READS_PER_SECOND)
+    def _wait_for_poll(self, should_poll: Callable[[], bool]) -> None:
+        entries = max(1, len(self._entry.find_live_entries()))
+        period = max(MIN_POLL_INTERVAL_SECONDS, entries / MAX_READS_PER_SECOND)
         deadline = self._entry.clock.now() + period * self._random.uniform(0.8, 1.2)
         while self._entry.clock.now() < deadline:
-            self._entry.clock.sleep(WAKE_SECONDS)
-            if wake():
+            self._entry.clock.sleep(WAKE_CHECK_INTERVAL_SECONDS)
+            if should_poll():
                 return
 
-    def _back_off(self, base: float) -> float:
-        grown = min(BACK_OFF_LIMIT, base * 2.0 ** min(self._failures, 6))
-        return grown * self._random.uniform(0.5, 1.0) if self._failures else base
+    def _get_delay(self, base: float) -> float:
+        grown = min(MAX_BACKOFF_SECONDS, base * 2.0 ** min(self._failure_count, 6))
+        return grown * self._random.uniform(0.5, 1.0) if self._failure_count else base
 
 
-def _has_gone(caller: socket.socket) -> bool:
+def _is_disconnected(caller: socket.socket) -> bool:
     """Tell whether the caller closed its connection."""
     try:
         if not select([caller], [], [], 0)[0]:
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -41,7 +41,7 @@
 COMPLETIONS = "/v1/chat/completions"
 
 
-class Running:
+class EntryHarness:
     """An entry with two engines and a plain service."""
 
     def __init__(self) -> None:
@@ -82,7 +82,7 @@
         )
         assert isinstance(run(publish(publication), self.platform), PublishSucceeded)
         self.service.start()
-        self.until(
+        self.wait_until(
             lambda: all(p.dispatcher.share.has_grant for p in self.pools) and self.pools
         )
 
@@ -95,7 +95,7 @@
     def pools(self) -> list[Any]:
         return list(self.service.entry.pools.values())
 
-    def until(self, condition: Any, seconds: float = 30.0) -> None:
+    def wait_until(self, condition: Any, seconds: float = 30.0) -> None:
         for _ in range(int(seconds / 0.02)):
             if condition():
                 return
@@ -117,7 +117,7 @@
             read_timeout=20.0, force_new_connection=True,
         )  # fmt: skip
 
-    def ask(
+    def send_completion(
         self, prompt: str, *, tokens: int = 30, stream: bool = True
     ) -> tuple[UpstreamResponse, dict[str, Any]]:
         document = {
@@ -130,15 +130,15 @@
 
 
 @pytest.fixture
-def running() -> Iterator[Running]:
-    world = Running()
-    world.start()
-    yield world
-    world.stop()
+def harness() -> Iterator[EntryHarness]:
+    harness = EntryHarness()
+    harness.start()
+    yield harness
+    harness.stop()
 
 
-def text_of(answer: UpstreamResponse) -> str:
-    body = answer.read_body(limit=1_000_000)
+def extract_text(response: UpstreamResponse) -> str:
+    body = response.read_body(limit=1_000_000)
     assert body.endswith(b"data: [DONE]\n\n"), body[-200:]
     events = [event for event in body.split(b"\n\n") if event.startswith(b"data: {")]
     words = [
@@ -147,10 +147,10 @@
     return "".join(words).strip()
 
 
-def problem_of(answer: UpstreamResponse) -> dict[str, Any]:
-    assert answer.get_header("Content-Type") == "application/problem+json"
-    document: dict[str, Any] = msgspec.json.decode(answer.read_body(limit=100_000))
-    assert document["status"] == answer.status
+def decode_problem(response: UpstreamResponse) -> dict[str, Any]:
+    assert response.get_header("Content-Type") == "application/problem+json"
+    document: dict[str, Any] = msgspec.json.decode(response.read_body(limit=100_000))
+    assert document["status"] == response.status
     return document
 
 
@@ -174,7 +174,7 @@
     ],
 )  # fmt: skip
 def test_bad_requests_are_told_what_is_at_fault(
-    running: Running,
+    harness: EntryHarness,
     method: str,
     path: str,
     body: bytes,
@@ -182,10 +182,10 @@
     status: int,
     field: str | None,
 ) -> None:
-    answer = running.send(method, path, body, key=key)
-    assert answer.status == status
-    assert answer.get_header("X-Damasklead-Outcome") == "not-run"
-    document = problem_of(answer)
+    response = harness.send(method, path, body, key=key)
+    assert response.status == status
+    assert response.get_header("X-Damasklead-Outcome") == "not-run"
+    document = decode_problem(response)
     assert document.get("field") == field
     assert document["type"].startswith("urn:damasklead:problem:")
 
@@ -201,8 +201,8 @@
         b"X-Large: " + b"x" * 20_000 + b"\r\n",
     ],
 )
-def test_ambiguous_framing_is_refused(running: Running, head: bytes) -> None:
-    connection = socket.create_connection(split_address(running.address))
+def test_ambiguous_framing_is_refused(harness: EntryHarness, head: bytes) -> None:
+    connection = socket.create_connection(split_address(harness.address))
     request = b"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n" + head + b"\r\n"
     connection.sendall(request + b"0\r\n\r\nGET /v1/models HTTP/1.1\r\n\r\n")
     connection.settimeout(5.0)
@@ -213,27 +213,29 @@
     assert received.count(b"HTTP/1.1") == 1
 
 
-def test_a_silent_connection_is_closed(running: Running) -> None:
-    connection = socket.create_connection(split_address(running.address))
+def test_a_silent_connection_is_closed(harness: EntryHarness) -> None:
+    connection = socket.create_connection(split_address(harness.address))
     connection.sendall(b"POST /v1/chat/completions HTTP/1.1\r\n")
     connection.settimeout(5.0)
     while connection.recv(1000):
         continue
 
 
-def test_the_request_id_comes_back(running: Running) -> None:
-    answer = running.send("GET", "/v1/models", X_Request_ID="my-id-7")
-    assert answer.get_header("X-Request-ID") == "my-id-7"
-    assert b"demo-7b" in answer.read_body(limit=10_000)
+def test_the_request_id_comes_back(harness: EntryHarness) -> None:
+    response = harness.send("GET", "/v1/models", X_Request_ID="my-id-7")
+    assert response.get_header("X-Request-ID") == "my-id-7"
+    assert b"demo-7b" in response.read_body(limit=10_000)
 
 
-def test_whole_and_streamed_answers_are_the_callers_own(running: Running) -> None:
+def test_whole_and_streamed_answers_are_the_callers_own(harness: EntryHarness) -> None:
     def check(number: int) -> None:
-        answer, document = running.ask(f"prompt {number}", stream=number % 2 == 0)
+        response, document = harness.send_completion(
+            f"prompt {number}", stream=number % 2 == 0
+        )
         if number % 2 == 0:
-            assert text_of(answer) == expected_text(document)
+            assert extract_text(response) == expected_text(document)
             return
-        content = msgspec.json.decode(answer.read_body(limit=100_000))
+        content = msgspec.json.decode(response.read_body(limit=100_000))
         assert content["choices"][0]["message"]["content"] == expected_text(document)
 
     greenlets = [gevent.spawn(check, number) for number in range(40)]
@@ -241,10 +243,10 @@
 
 
 def test_a_crossed_answer_never_reaches_the_wrong_caller(
-    running: Running, monkeypatch: pytest.MonkeyPatch
+    harness: EntryHarness, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """One engine answers with another request's id; the other answers well."""
-    first = running.engines[0]
+    first = harness.engines[0]
     original = first.handle
 
     def handle(call: Call) -> Reply:
@@ -256,19 +258,21 @@
 
     monkeypatch.setattr(first, "handle", handle)
     for number in range(10):
-        answer, document = running.ask(f"crossed {number}", stream=False)
-        content = msgspec.json.decode(answer.read_body(limit=100_000))
+        response, document = harness.send_completion(f"crossed {number}", stream=False)
+        content = msgspec.json.decode(response.read_body(limit=100_000))
         assert content["choices"][0]["message"]["content"] == expected_text(document)
 
 
 @pytest.mark.parametrize("keeps_its_streams", [True, False])
 def test_a_cut_stream_goes_on_at_the_exact_event(
-    running: Running, keeps_its_streams: bool
+    harness: EntryHarness, keeps_its_streams: bool
 ) -> None:
     """The connections break; the engine can resume, or has restarted with nothing."""
-    greenlets = [gevent.spawn(running.ask, f"cut {n}", tokens=200) for n in range(12)]
+    greenlets = [
+        gevent.spawn(harness.send_completion, f"cut {n}", tokens=200) for n in range(12)
+    ]
     gevent.sleep(0.4)
-    for engine in running.engines:
+    for engine in harness.engines:
         runs = dict(engine._runs)
         engine.stop()
         engine.start()
@@ -279,119 +283,127 @@
         engine._running = 0
     gevent.joinall(greenlets, raise_error=True)
     for greenlet in greenlets:
-        answer, document = greenlet.value
-        assert text_of(answer) == expected_text(document)
+        response, document = greenlet.value
+        assert extract_text(response) == expected_text(document)
 
 
-def test_a_stream_that_cannot_go_on_ends_with_an_error_event(running: Running) -> None:
-    answer, _ = running.ask("hopeless", tokens=400)
-    assert answer.read_chunk()
-    for engine in running.engines:
+def test_a_stream_that_cannot_go_on_ends_with_an_error_event(
+    harness: EntryHarness,
+) -> None:
+    response, _ = harness.send_completion("hopeless", tokens=400)
+    assert response.read_chunk()
+    for engine in harness.engines:
         engine.stop()
-    body = answer.read_body(limit=1_000_000)
+    body = response.read_body(limit=1_000_000)
     assert b"event: error\n" in body
     assert b'"outcome":"unknown"' in body
     assert b"[DONE]" not in body
 
 
-def test_a_caller_that_goes_away_is_cancelled_at_the_engine(running: Running) -> None:
-    answer, _ = running.ask("gone", tokens=2000)
-    assert answer.read_chunk()
-    answer.close()
-    running.until(lambda: not running.service.entry.exchanges)
+def test_a_caller_that_goes_away_is_cancelled_at_the_engine(
+    harness: EntryHarness,
+) -> None:
+    response, _ = harness.send_completion("gone", tokens=2000)
+    assert response.read_chunk()
+    response.close()
+    harness.wait_until(lambda: not harness.service.entry.exchanges)
     wasted = 'damasklead_wasted_tokens_total{class="dispatch-query"}'
-    lines = running.service.entry.metrics.render().decode().splitlines()
+    lines = harness.service.entry.metrics.render().decode().splitlines()
     counted = [float(line.split()[1]) for line in lines if line.startswith(wasted)]
     assert counted and counted[0] >= 1.0
-    running.until(lambda: all(engine._running == 0 for engine in running.engines))
+    harness.wait_until(lambda: all(engine._running == 0 for engine in harness.engines))
 
 
-def test_a_caller_that_goes_away_before_the_answer_is_noticed(running: Running) -> None:
-    for engine in running.engines:
+def test_a_caller_that_goes_away_before_the_answer_is_noticed(
+    harness: EntryHarness,
+) -> None:
+    for engine in harness.engines:
         engine.slow_factor = 50.0
-    connection = socket.create_connection(split_address(running.address))
+    connection = socket.create_connection(split_address(harness.address))
     body = b'{"model": "demo-7b", "messages": [{"role": "user", "content": "x"}]}'
     head = f"POST {COMPLETIONS} HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n"
     head += f"Authorization: Bearer {KEYS['skippers']}\r\n\r\n"
     connection.sendall(head.encode() + body)
-    running.until(lambda: len(running.service.entry.exchanges) == 1)
+    harness.wait_until(lambda: len(harness.service.entry.exchanges) == 1)
     connection.close()
-    running.until(lambda: not running.service.entry.exchanges, seconds=3.0)
+    harness.wait_until(lambda: not harness.service.entry.exchanges, seconds=3.0)
 
 
-def test_a_second_sending_gets_the_recorded_answer(running: Running) -> None:
+def test_a_second_sending_gets_the_recorded_answer(harness: EntryHarness) -> None:
     body = b'{"reference": "once"}'
     path = "/services/demo-app/orders"
-    first = running.send("POST", path, body, Idempotency_Key="k1")
-    again = running.send("POST", path, body, Idempotency_Key="k1")
+    first = harness.send("POST", path, body, Idempotency_Key="k1")
+    again = harness.send("POST", path, body, Idempotency_Key="k1")
     assert first.status == again.status == 200
     assert again.get_header("X-Damasklead-Replayed") == "true"
     assert first.read_body(limit=1000) == again.read_body(limit=1000)
-    assert running.shop.orders == ["once"]
-    other = running.send("POST", path, b'{"reference": "x"}', Idempotency_Key="k1")
-    assert problem_of(other)["type"].endswith("idempotency-key-reused")
-    assert running.shop.orders == ["once"]
+    assert harness.shop.orders == ["once"]
+    other = harness.send("POST", path, b'{"reference": "x"}', Idempotency_Key="k1")
+    assert decode_problem(other)["type"].endswith("idempotency-key-reused")
+    assert harness.shop.orders == ["once"]
 
 
 def test_an_order_whose_upstream_breaks_is_unknown_and_stays_so(
-    running: Running,
+    harness: EntryHarness,
 ) -> None:
     path = "/services/demo-app/orders"
 
     def send() -> UpstreamResponse:
-        return running.send("POST", path, b'{"reference": "x"}', Idempotency_Key="k")
+        return harness.send("POST", path, b'{"reference": "x"}', Idempotency_Key="k")
 
     def break_off(call: Call) -> Reply:
-        running.shop.orders.append("x")
-        running.shop.crash()
+        harness.shop.orders.append("x")
+        harness.shop.crash()
         gevent.sleep(5.0)
         return Reply()
 
-    running.shop._order = break_off  # type: ignore[method-assign]
-    answer = send()
-    assert (answer.status, answer.get_header("X-Damasklead-Outcome")) == (
+    harness.shop._order = break_off  # type: ignore[method-assign]
+    response = send()
+    assert (response.status, response.get_header("X-Damasklead-Outcome")) == (
         502,
         "unknown",
     )
-    answer.close()
-    del running.shop._order
-    running.shop.start()
+    response.close()
+    del harness.shop._order
+    harness.shop.start()
     gevent.sleep(1.2)
     again = send()
     assert again.get_header("X-Damasklead-Outcome") == "unknown"
-    assert problem_of(again)["type"].endswith("order-outcome-unknown")
-    assert running.shop.orders == ["x"]
+    assert decode_problem(again)["type"].endswith("order-outcome-unknown")
+    assert harness.shop.orders == ["x"]
 
 
-def test_an_order_is_refused_unrun_while_the_store_is_out(running: Running) -> None:
-    running.faults.down = True
+def test_an_order_is_refused_unrun_while_the_store_is_out(
+    harness: EntryHarness,
+) -> None:
+    harness.faults.down = True
     path = "/services/demo-app/orders"
     body = b'{"reference": "later"}'
-    answer = running.send("POST", path, body, Idempotency_Key="k")
-    assert (answer.status, answer.get_header("X-Damasklead-Outcome")) == (
+    response = harness.send("POST", path, body, Idempotency_Key="k")
+    assert (response.status, response.get_header("X-Damasklead-Outcome")) == (
         503,
         "not-run",
     )
-    assert answer.get_header("Retry-After")
-    running.faults.down = False
-    assert running.send("POST", path, body, Idempotency_Key="k").status == 200
-    assert running.shop.orders == ["later"]
+    assert response.get_header("Retry-After")
+    harness.faults.down = False
+    assert harness.send("POST", path, body, Idempotency_Key="k").status == 200
+    assert harness.shop.orders == ["later"]
 
 
-def test_operators_see_health_metrics_and_status(running: Running) -> None:
-    running.ask("metrics")[0].read_body(limit=100_000)
+def test_operators_see_health_metrics_and_status(harness: EntryHarness) -> None:
+    harness.send_completion("metrics")[0].read_body(limit=100_000)
 
     def get(path: str) -> tuple[int, bytes]:
-        answer = send_request(
-            running.pool,
-            running.operators,
+        response = send_request(
+            harness.pool,
+            harness.operators,
             method="GET",
             path=path,
             headers=(),
             body=b"",
             read_timeout=5.0,
         )
-        return answer.status, answer.read_body(limit=1_000_000)
+        return response.status, response.read_body(limit=1_000_000)
 
     assert get("/healthz")[0] == 200 and get("/readyz")[0] == 200
     metrics = get("/metrics")[1].decode()
@@ -403,7 +415,7 @@
     assert status["configuration"] == 1 and status["ready"]
     with pytest.raises(UpstreamError):
         send_request(
-            running.pool,
+            harness.pool,
             "127.0.0.1:1",
             method="GET",
             path="/",
@@ -413,6 +425,6 @@
         )
 
 
-def test_the_listener_of_callers_has_no_operators_paths(running: Running) -> None:
+def test_the_listener_of_callers_has_no_operators_paths(harness: EntryHarness) -> None:
     for path in ("/status", "/metrics", "/healthz"):
-        assert running.send("GET", path).status == 404
+        assert harness.send("GET", path).status == 404
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -9,12 +9,12 @@
 import pytest
 
 from damasklead.daemon.exchange import Exchange
-from damasklead.daemon.replies import DONE_EVENT, Head
+from damasklead.daemon.replies import DONE_EVENT, ResponseHead
 from damasklead.ids import AttemptId, InstanceId
 from damasklead.requests import Cancel, Start
 from damasklead.upstreams import UpstreamRequest
 
-CALL = UpstreamRequest(
+UPSTREAM_REQUEST = UpstreamRequest(
     attempt=AttemptId(""), method="POST", path="/", headers=(), body=b"", priority=3,
     is_idempotent=True, read_timeout=5.0,
 )  # fmt: skip
@@ -62,7 +62,7 @@
 
     clock = SimpleNamespace(now=lambda: 0.0)
 
-    def address_of(self, instance: InstanceId) -> str:
+    def get_address(self, instance: InstanceId) -> str:
         return "127.0.0.1:1"
 
     def __getattr__(self, name: str) -> Any:
@@ -88,7 +88,7 @@
     taken_back_after: int, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """The caller had words twice: they were passed on and not counted."""
-    monkeypatch.setattr(Exchange, "_continuation", lambda self: b"")
+    monkeypatch.setattr(Exchange, "_make_continuation_body", lambda self: b"")
     request: Any = SimpleNamespace(
         generated_tokens=0, request_class=SimpleNamespace(may_repeat=True)
     )
@@ -98,7 +98,7 @@
         entry=Host(),  # type: ignore[arg-type]
         pool=SimpleNamespace(dispatcher=dispatcher, upstream=upstream),  # type: ignore[arg-type]
         request=request,
-        call=CALL,
+        upstream_request=UPSTREAM_REQUEST,
         stream=True,
         document={"messages": []},
     )
@@ -106,11 +106,11 @@
         Start(request=request, attempt=AttemptId(f"a{n}"), replica=InstanceId(f"r{n}"))
         for n in (1, 2)
     ]
-    exchange.deliver(starts[0])
+    exchange.handle_action(starts[0])
     body = b""
     pieces = 0
-    for piece in exchange.run():
-        if isinstance(piece, Head):
+    for piece in exchange.generate_response():
+        if isinstance(piece, ResponseHead):
             continue
         assert isinstance(piece, bytes)
         body += piece
@@ -118,7 +118,7 @@
         if pieces == taken_back_after:
             # The dispatcher takes the attempt back while the caller is written to.
             dispatcher.attempts.discard(AttemptId("a1"))
-            exchange.deliver(
+            exchange.handle_action(
                 Cancel(
                     request=request,
                     attempt=AttemptId("a1"),
@@ -126,6 +126,6 @@
                     requeued=True,
                 )
             )
-            exchange.deliver(starts[1])
+            exchange.handle_action(starts[1])
     assert body == b"".join(event(number) for number in range(4)) + DONE_EVENT
     assert upstream.sent == [0, taken_back_after]
