--- a/damasklead/commands/__init__.py
+++ b/damasklead/commands/__init__.py
@@ -2,7 +2,8 @@
 Commands
 ========
 
-What the commands share: exit codes, arguments and small helpers.  One module a family.
+Exit codes, options and helper functions that the subcommands share. Each module defines
+one group of subcommands.
 """
 
 import getpass
@@ -25,37 +26,37 @@
     "DONE",
     "FAILED",
     "FINDINGS",
-    "Json",
-    "Where",
-    "Who",
-    "collect",
-    "new_event",
-    "no_platform",
+    "JsonOption",
+    "PlatformOption",
+    "UserOption",
+    "get_user_name",
+    "make_audit_event",
     "print_findings",
-    "scan",
-    "user_name",
+    "read_configuration_files",
+    "report_platform_unavailable",
+    "scan_table",
 ]
 
 DONE, FAILED, FINDINGS, CONFLICT = 0, 1, 2, 3
-SCAN_LIMIT = 500
+SCAN_PAGE_ROWS = 500
 T = TypeVar("T")
 
-Where = Annotated[
+PlatformOption = Annotated[
     str, cappa.Arg(long="--platform", help="Address of the platform, ip:port.")
 ]
-Json = Annotated[bool, cappa.Arg(long="--json", help="Print data as JSON.")]
-Who = Annotated[
+JsonOption = Annotated[bool, cappa.Arg(long="--json", help="Print data as JSON.")]
+UserOption = Annotated[
     str, cappa.Arg(long="--who", help="Who makes the change, for the audit trail.")
 ]
 
 
-def user_name() -> str:
-    """Return who runs the command, for the audit trail."""
+def get_user_name() -> str:
+    """Return the name of the user who runs the command, for the audit trail."""
     return getpass.getuser()
 
 
-def collect(folders: list[Path]) -> dict[str, str]:
-    """Return the content of all configuration files below some folders by name."""
+def read_configuration_files(folders: list[Path]) -> dict[str, str]:
+    """Return the configuration files below some folders: the content by file name."""
     found = [
         path for folder in folders for path in sorted(folder.rglob(f"*{FILE_SUFFIX}"))
     ]
@@ -70,32 +71,34 @@
     return FINDINGS
 
 
-def no_platform() -> int:
-    """Say that the platform does not answer and return the exit code."""
-    print("failed: the platform does not answer")
+def report_platform_unavailable() -> int:
+    """Print that the platform does not respond and return the exit code."""
+    print("failed: the platform does not respond")
     return FAILED
 
 
-def scan(platform: Platform, table: str, decode: Callable[[Row], T]) -> list[T] | None:
+def scan_table(
+    platform: Platform, table: str, decode: Callable[[Row], T]
+) -> list[T] | None:
     """
-    Return all decoded rows of a table, or ``None`` when the platform does not answer.
+    Return all decoded rows of a table, or ``None`` when the platform does not respond.
     """
-    items: list[T] = []
+    decoded: list[T] = []
     after = ""
     while True:
-        result = platform.tables.scan(table, after=after, limit=SCAN_LIMIT)
+        result = platform.tables.scan(table, after=after, limit=SCAN_PAGE_ROWS)
         if not isinstance(result, Ok):
             return None
-        items.extend(decode(row) for row in result.ok_value)
-        if len(result.ok_value) < SCAN_LIMIT:
-            return items
+        decoded.extend(decode(row) for row in result.ok_value)
+        if len(result.ok_value) < SCAN_PAGE_ROWS:
+            return decoded
         after = result.ok_value[-1].key
 
 
-def new_event(
+def make_audit_event(
     who: str, action: str, subject: str, *, before: str, after: str
 ) -> AuditEvent:
-    """Return an audit event of now."""
+    """Return an audit event with the current time."""
     return AuditEvent(
         id=new_id(),
         at=time.time(),
--- a/damasklead/commands/changing.py
+++ b/damasklead/commands/changing.py
@@ -1,8 +1,8 @@
 """
-Changing
-========
+Publish and drain
+=================
 
-Commands that change what is in force: publications and drains.
+Commands that publish configuration files and drain upstreams.
 """
 
 import time
@@ -17,13 +17,13 @@
     CONFLICT,
     DONE,
     FAILED,
-    Where,
-    Who,
-    collect,
-    new_event,
-    no_platform,
+    PlatformOption,
+    UserOption,
+    get_user_name,
+    make_audit_event,
     print_findings,
-    user_name,
+    read_configuration_files,
+    report_platform_unavailable,
 )
 from damasklead.drains import Drain, make_drain_commit
 from damasklead.ids import (
@@ -45,36 +45,41 @@
 from damasklead.stores.http import make_http_platform
 from damasklead.util import new_id
 
-__all__ = ["Publish", "DrainInstance"]
+__all__ = ["DrainInstance", "Publish"]
 
-WAIT_STEP_SECONDS = 0.2
+POLL_INTERVAL_SECONDS = 0.2
 ENTRY_SERVICE = "damasklead"
-LOOK_AGAIN = "look at it and publish again"
+CONFLICT_ADVICE = "review it and publish again"
 
 
 @cappa.command(
-    name="publish", help="Put the files of some folders into force everywhere."
+    name="publish",
+    help="Publish the configuration files of some folders to all entries.",
 )
 @dataclass(kw_only=True)
 class Publish:
     """
-    Add or replace files; a bad file changes nothing. Undo by publishing the older
-    files.
+    Add or replace configuration files.
+
+    Nothing changes if a file has a finding. To undo a publication, publish the older
+    files again.
     """
 
-    folders: Annotated[list[Path], cappa.Arg(help="Folders to collect files from.")]
-    platform: Where
-    who: Who = ""
+    folders: Annotated[list[Path], cappa.Arg(help="Folders with configuration files.")]
+    platform: PlatformOption
+    who: UserOption = ""
     remove: Annotated[
         list[str], cappa.Arg(long="--remove", help="Name of a file to remove.")
     ] = field(default_factory=list)
     based_on: Annotated[
         int | None,
-        cappa.Arg(long="--based-on", help="Refuse if another version is in force."),
+        cappa.Arg(long="--based-on", help="Refuse unless this version is in force."),
     ] = None
     wait: Annotated[
         float,
-        cappa.Arg(long="--wait", help="Seconds to wait until every entry has it."),
+        cappa.Arg(
+            long="--wait", help="Seconds to wait until it is in force at every entry."
+        ),
     ] = 15.0
 
     def __call__(self) -> int:
@@ -82,8 +87,8 @@
         platform = make_http_platform(address=self.platform)
         publication = Publication(
             id=AttemptId(new_id()),
-            who=self.who or user_name(),
-            files=collect(self.folders),
+            who=self.who or get_user_name(),
+            files=read_configuration_files(self.folders),
             removed=tuple(self.remove),
             based_on=self.based_on,
             at=time.time(),
@@ -93,10 +98,16 @@
             case PublishRefused(findings=findings):
                 return print_findings(findings)
             case PublishConflict(version=version, who=who):
-                print(f"conflict: version {version} by {who} is in force;", LOOK_AGAIN)
+                print(
+                    f"conflict: version {version} by {who} is in force;",
+                    CONFLICT_ADVICE,
+                )
                 return CONFLICT
-            case PublishFailed(maybe_published=maybe):
-                print("failed: the platform did not answer;", _doubt(maybe))
+            case PublishFailed(maybe_published=may_be_published):
+                print(
+                    "failed: the platform did not respond;",
+                    _describe_uncertainty(may_be_published),
+                )
                 return FAILED
             case PublishSucceeded(version=version):
                 print(f"version {version} is published")
@@ -106,18 +117,18 @@
 @cappa.command(name="drain", help="Give an upstream no new work.")
 @dataclass(kw_only=True)
 class DrainInstance:
-    """Final for the instance's present incarnation."""
+    """Stop sending requests to an instance, for the rest of its incarnation."""
 
     instance: Annotated[str, cappa.Arg(help="The instance's id.")]
-    platform: Where
-    who: Who = ""
+    platform: PlatformOption
+    who: UserOption = ""
 
     def __call__(self) -> int:
         """Run the command; returns the exit code."""
         platform = make_http_platform(address=self.platform)
         listed = platform.instances.list_instances()
         if isinstance(listed, Err):
-            return no_platform()
+            return report_platform_unavailable()
         records = [
             item
             for item in listed.ok_value.records or ()
@@ -126,43 +137,60 @@
         if not records:
             print(f"failed: the platform lists no instance {self.instance!r}")
             return FAILED
-        who = self.who or user_name()
+        who = self.who or get_user_name()
         drain = Drain(
             instance=InstanceId(self.instance),
             incarnation=records[0].incarnation,
             who=who,
         )
-        event = new_event(who, "drain", self.instance, before="live", after="leaving")
+        event = make_audit_event(
+            who, "drain", self.instance, before="live", after="leaving"
+        )
         result = platform.tables.commit(make_drain_commit(drain, event=event))
         if isinstance(result, Err):
-            return no_platform()
+            return report_platform_unavailable()
         print(f"{self.instance} gets no new work")
         return DONE
 
 
-def _doubt(maybe: bool) -> str:
-    if maybe:
-        return "the change may be in force; look at the audit trail before you repeat"
+def _describe_uncertainty(may_be_published: bool) -> str:
+    if may_be_published:
+        return (
+            "the change may be in force; look at the audit trail before you try again"
+        )
     return "nothing was changed"
 
 
 def _wait_for_entries(platform: Platform, version: int, seconds: float) -> int:
-    """Wait until every live entry reports a version, and name those that do not."""
+    """
+    Wait until a version is in force at every live entry.
+
+    Prints the entries where it is not, and returns the exit code.
+    """
     deadline = time.monotonic() + seconds
     while True:
-        late = _late_entries(platform, version)
-        if late == []:
+        outdated = _find_outdated_entries(platform, version)
+        if outdated == []:
             print(f"version {version} is in force at every entry")
             return DONE
         if time.monotonic() >= deadline:
             break
-        time.sleep(WAIT_STEP_SECONDS)
-    names = "unknown, the platform does not answer" if late is None else ", ".join(late)
+        time.sleep(POLL_INTERVAL_SECONDS)
+    names = (
+        "unknown, the platform does not respond"
+        if outdated is None
+        else ", ".join(outdated)
+    )
     print(f"not in force after {seconds:g} s at: {names}")
     return FAILED
 
 
-def _late_entries(platform: Platform, version: int) -> list[str] | None:
+def _find_outdated_entries(platform: Platform, version: int) -> list[str] | None:
+    """
+    Return the live entries that do not report a version or a later one.
+
+    Returns ``None`` when the platform does not respond.
+    """
     listed = platform.instances.list_instances()
     if isinstance(listed, Err):
         return None
--- a/damasklead/commands/experimenting.py
+++ b/damasklead/commands/experimenting.py
@@ -2,7 +2,7 @@
 Experiments
 ===========
 
-Replays a load to the gateways' decisions and to others.
+The command that simulates a load under the gateways' decisions and other policies.
 """
 
 from concurrent.futures import ProcessPoolExecutor
@@ -24,22 +24,28 @@
 
 @cappa.command(
     name="experiment",
-    help="Replay a load to the gateways' decisions, engines and callers modelled.",
+    help="Simulate a load on gateways' decisions with modelled engines and callers.",
 )
 @dataclass(kw_only=True)
 class RunExperiment:
-    """Print medians over seeds, by policy and kind of request."""
+    """Print the medians over all seeds, by policy and kind of request."""
 
-    file: Annotated[Path, cappa.Arg(help="The load, engines and troubles.")]
+    file: Annotated[
+        Path, cappa.Arg(help="Description of the load, engines and faults.")
+    ]
     policy: Annotated[
         list[str],
         cappa.Arg(long=True, help=f"One of {', '.join(POLICIES)}; all if left out."),
     ] = field(default_factory=list)
-    seeds: Annotated[int, cappa.Arg(long=True, help="How many runs.")] = 3
-    first_seed: Annotated[int, cappa.Arg(long=True, help="The first run's seed.")] = 1
-    jobs: Annotated[int, cappa.Arg(long=True, help="Runs at the same time.")] = 1
+    seeds: Annotated[
+        int, cappa.Arg(long=True, help="Number of runs for each policy.")
+    ] = 3
+    first_seed: Annotated[int, cappa.Arg(long=True, help="Seed of the first run.")] = 1
+    jobs: Annotated[
+        int, cappa.Arg(long=True, help="Number of runs at the same time.")
+    ] = 1
     plot: Annotated[
-        Path | None, cappa.Arg(long=True, help="Draw the first run to this file.")
+        Path | None, cappa.Arg(long=True, help="File for a plot of the first run.")
     ] = None
 
     def __call__(self) -> int:
@@ -76,7 +82,7 @@
 
 
 def _run_one(task: tuple[Experiment, str, int]) -> Tally:
-    # Loads the whole gateway, which no other command needs.
+    # Imported late: it loads the gateway's modules, which no other command needs.
     from damasklead.experiment.fleet import run
 
     experiment, name, seed = task
--- a/damasklead/commands/explaining.py
+++ b/damasklead/commands/explaining.py
@@ -2,7 +2,7 @@
 Explaining
 ==========
 
-The command that tells from logs what happened to requests.
+The command that explains from gateways' logs what happened to requests.
 """
 
 from collections.abc import Iterator
@@ -21,11 +21,11 @@
 
 
 @cappa.command(
-    name="explain", help="Tell from gateways' logs what happened to requests."
+    name="explain", help="Explain from gateways' logs what happened to requests."
 )
 @dataclass(kw_only=True)
 class Explain:
-    """The story of one request, or what was lost by cause."""
+    """Print what happened to single requests, or the lost requests by cause."""
 
     logs: Annotated[
         list[Path], cappa.Arg(help="Log files, or folders of files named *.log.")
--- a/damasklead/commands/inspecting.py
+++ b/damasklead/commands/inspecting.py
@@ -1,8 +1,8 @@
 """
-Inspecting
-==========
+Status and audit
+================
 
-Commands that show the state of an entry and the audit trail.
+Commands that print the state of an entry and the audit trail.
 """
 
 import time
@@ -14,20 +14,29 @@
 from geventhttpclient import HTTPClient
 
 from damasklead.audit import AUDIT_TABLE, AuditEvent, decode_audit_event
-from damasklead.commands import DONE, FAILED, Json, Where, no_platform, scan
+from damasklead.commands import (
+    DONE,
+    FAILED,
+    JsonOption,
+    PlatformOption,
+    report_platform_unavailable,
+    scan_table,
+)
 from damasklead.stores.http import make_http_platform
 from damasklead.util import split_address
 
-__all__ = ["ShowStatus", "Audit"]
+__all__ = ["Audit", "ShowStatus"]
 
 
 @cappa.command(name="status", help="Print an entry's state.")
 @dataclass(kw_only=True)
 class ShowStatus:
-    """Ask an entry's operators' listener."""
+    """Fetch the state from an entry's listener for operators."""
 
-    entry: Annotated[str, cappa.Arg(help="The entry's operators' address, ip:port.")]
-    json: Json = False
+    entry: Annotated[
+        str, cappa.Arg(help="Address of the entry's listener for operators, ip:port.")
+    ]
+    json: JsonOption = False
 
     def __call__(self) -> int:
         """Run the command; returns the exit code."""
@@ -51,32 +60,32 @@
         return DONE
 
 
-@cappa.command(name="audit", help="Print the audit trail, the newest last.")
+@cappa.command(name="audit", help="Print the audit trail, newest events last.")
 @dataclass(kw_only=True)
 class Audit:
-    """Filter by who, action and subject."""
+    """Print events, filtered by user, action and part of the subject."""
 
-    platform: Where
+    platform: PlatformOption
     who: Annotated[str, cappa.Arg(long="--who")] = ""
     action: Annotated[str, cappa.Arg(long="--action")] = ""
     subject: Annotated[str, cappa.Arg(long="--subject")] = ""
-    limit: Annotated[int, cappa.Arg(long="--limit", help="How many of the newest.")] = (
-        100
-    )
-    json: Json = False
+    limit: Annotated[
+        int, cappa.Arg(long="--limit", help="Number of newest events.")
+    ] = 100
+    json: JsonOption = False
 
     def __call__(self) -> int:
         """Run the command; returns the exit code."""
-        events = scan(
+        events = scan_table(
             make_http_platform(address=self.platform), AUDIT_TABLE, decode_audit_event
         )
         if events is None:
-            return no_platform()
-        chosen = [item for item in events if self._matches(item)][-self.limit :]
+            return report_platform_unavailable()
+        matching = [item for item in events if self._matches(item)][-self.limit :]
         if self.json:
-            print(msgspec.json.encode(chosen).decode())
+            print(msgspec.json.encode(matching).decode())
             return DONE
-        for event in chosen:
+        for event in matching:
             at = time.strftime("%Y-%m-%d %H:%M:%S", time.gmtime(event.at))
             change = f"{event.before} -> {event.after}" if event.before else event.after
             print(f"{at}  {event.who:16} {event.action:12} {event.subject}: {change}")
--- a/damasklead/commands/orders.py
+++ b/damasklead/commands/orders.py
@@ -2,7 +2,7 @@
 Orders
 ======
 
-Commands about orders that may not be repeated.
+Commands on the claims of orders, which may be executed only once.
 """
 
 from dataclasses import dataclass
@@ -21,13 +21,13 @@
 from damasklead.commands import (
     DONE,
     FAILED,
-    Json,
-    Where,
-    Who,
-    new_event,
-    no_platform,
-    scan,
-    user_name,
+    JsonOption,
+    PlatformOption,
+    UserOption,
+    get_user_name,
+    make_audit_event,
+    report_platform_unavailable,
+    scan_table,
 )
 from damasklead.ids import (
     WorkspaceId,
@@ -35,31 +35,33 @@
 from damasklead.protocol import run
 from damasklead.stores.http import make_http_platform
 
-__all__ = ["OrdersList", "OrdersResolve", "Orders"]
+__all__ = ["Orders", "OrdersList", "OrdersResolve"]
 
 
 @cappa.command(name="list", help="List claims of orders.")
 @dataclass(kw_only=True)
 class OrdersList:
-    """By default those whose outcome is open."""
+    """Print claims of orders, by default those whose outcome is not known."""
 
-    platform: Where
+    platform: PlatformOption
     all: Annotated[bool, cappa.Arg(long="--all", help="List settled ones too.")] = False
-    json: Json = False
+    json: JsonOption = False
 
     def __call__(self) -> int:
         """Run the command; returns the exit code."""
-        claims = scan(
+        claims = scan_table(
             make_http_platform(address=self.platform), CLAIMS_TABLE, decode_claim
         )
         if claims is None:
-            return no_platform()
-        open_states = (ClaimState.CLAIMED, ClaimState.FAILED)
-        chosen = [claim for claim in claims if self.all or claim.state in open_states]
+            return report_platform_unavailable()
+        unsettled_states = (ClaimState.CLAIMED, ClaimState.FAILED)
+        selected = [
+            claim for claim in claims if self.all or claim.state in unsettled_states
+        ]
         if self.json:
-            print(msgspec.json.encode(chosen).decode())
+            print(msgspec.json.encode(selected).decode())
             return DONE
-        for claim in chosen:
+        for claim in selected:
             print(
                 f"{claim.workspace}/{claim.key}  {claim.state.value}  "
                 f"held by {claim.holder}"
@@ -70,26 +72,28 @@
 @cappa.command(name="resolve", help="Settle an order whose outcome is not known.")
 @dataclass(kw_only=True)
 class OrdersResolve:
-    """After looking at the service's own records, say whether the order ran."""
+    """Record whether an order was executed, according to the service's own records."""
 
     workspace: str
     key: str
     outcome: Annotated[
-        Literal["ran", "not-run"], cappa.Arg(help="What the records say.")
+        Literal["ran", "not-run"], cappa.Arg(help="What the service's records show.")
     ]
-    platform: Where
-    who: Who = ""
+    platform: PlatformOption
+    who: UserOption = ""
     force: Annotated[
         bool,
-        cappa.Arg(long="--force", help="Settle a claim whose attempt may still run."),
+        cappa.Arg(
+            long="--force", help="Settle a claim whose attempt may still be running."
+        ),
     ] = False
 
     def __call__(self) -> int:
         """Run the command; returns the exit code."""
         platform = make_http_platform(address=self.platform)
-        who = self.who or user_name()
+        who = self.who or get_user_name()
         key = make_claim_key(WorkspaceId(self.workspace), self.key)
-        event = new_event(
+        event = make_audit_event(
             who, "resolve-order", key, before="unknown", after=self.outcome
         )
         steps = resolve(
@@ -108,6 +112,6 @@
 )
 @dataclass(kw_only=True)
 class Orders:
-    """Orders that may not be repeated."""
+    """The group of commands on orders that may be executed only once."""
 
     command: cappa.Subcommands[OrdersList | OrdersResolve]
--- a/damasklead/commands/quarantine.py
+++ b/damasklead/commands/quarantine.py
@@ -2,7 +2,7 @@
 Quarantine
 ==========
 
-Commands about requests that crash upstreams.
+Commands on the quarantine of requests that crash upstreams.
 """
 
 from dataclasses import dataclass
@@ -14,13 +14,13 @@
 from damasklead.commands import (
     DONE,
     FAILED,
-    Json,
-    Where,
-    Who,
-    new_event,
-    no_platform,
-    scan,
-    user_name,
+    JsonOption,
+    PlatformOption,
+    UserOption,
+    get_user_name,
+    make_audit_event,
+    report_platform_unavailable,
+    scan_table,
 )
 from damasklead.quarantine_rows import (
     QUARANTINE_TABLE,
@@ -29,23 +29,23 @@
 )
 from damasklead.stores.http import make_http_platform
 
-__all__ = ["QuarantineList", "QuarantineRelease", "QuarantineGroup"]
+__all__ = ["QuarantineGroup", "QuarantineList", "QuarantineRelease"]
 
 
 @cappa.command(name="list", help="List quarantined fingerprints.")
 @dataclass(kw_only=True)
 class QuarantineList:
-    """Those that entries refuse, and those that operators have lifted."""
+    """Print the fingerprints that entries refuse and those that operators released."""
 
-    platform: Where
-    json: Json = False
+    platform: PlatformOption
+    json: JsonOption = False
 
     def __call__(self) -> int:
         """Run the command; returns the exit code."""
         platform = make_http_platform(address=self.platform)
-        rows = scan(platform, QUARANTINE_TABLE, decode_quarantine_row)
+        rows = scan_table(platform, QUARANTINE_TABLE, decode_quarantine_row)
         if rows is None:
-            return no_platform()
+            return report_platform_unavailable()
         if self.json:
             print(msgspec.json.encode(rows).decode())
             return DONE
@@ -58,24 +58,24 @@
 @cappa.command(name="release", help="Lift a quarantine at every entry.")
 @dataclass(kw_only=True)
 class QuarantineRelease:
-    """Do so when the engines have been mended or the naming was wrong."""
+    """Use it when the engines are repaired or the quarantine was wrong."""
 
     fingerprint: str
-    platform: Where
-    who: Who = ""
+    platform: PlatformOption
+    who: UserOption = ""
 
     def __call__(self) -> int:
         """Run the command; returns the exit code."""
         platform = make_http_platform(address=self.platform)
-        rows = scan(platform, QUARANTINE_TABLE, decode_quarantine_row)
+        rows = scan_table(platform, QUARANTINE_TABLE, decode_quarantine_row)
         if rows is None:
-            return no_platform()
+            return report_platform_unavailable()
         found = [row for row in rows if row.fingerprint == self.fingerprint]
         if not found:
             print(f"failed: {self.fingerprint} is not quarantined")
             return FAILED
-        event = new_event(
-            self.who or user_name(),
+        event = make_audit_event(
+            self.who or get_user_name(),
             "release-quarantine",
             self.fingerprint,
             before="refused",
@@ -83,7 +83,7 @@
         )
         commit = make_release_commit(found[0], event=event)
         if isinstance(platform.tables.commit(commit), Err):
-            return no_platform()
+            return report_platform_unavailable()
         print(f"{self.fingerprint} is lifted")
         return DONE
 
@@ -91,6 +91,6 @@
 @cappa.command(name="quarantine", help="List and lift quarantined requests.")
 @dataclass(kw_only=True)
 class QuarantineGroup:
-    """Requests that crash upstreams."""
+    """The group of commands on quarantined requests."""
 
     command: cappa.Subcommands[QuarantineList | QuarantineRelease]
--- a/damasklead/commands/running.py
+++ b/damasklead/commands/running.py
@@ -1,8 +1,9 @@
 """
-Running
-=======
+Services and tools
+==================
 
-Commands that run something: an entry, a check, the demonstration, a stand-in.
+Commands that run an entry, a gateway, the demonstration or a stand-in, check files, and
+make keys.
 """
 
 import hashlib
@@ -15,7 +16,7 @@
 import cappa
 from absl import logging
 
-from damasklead.commands import DONE, collect, print_findings
+from damasklead.commands import DONE, print_findings, read_configuration_files
 from damasklead.configuration import FILE_SUFFIX, build_configuration, digest_key
 from damasklead.findings import Findings
 from damasklead.gateway.settings import check_gateway_settings
@@ -29,13 +30,13 @@
 from damasklead.stores import open_platform
 from damasklead.stores.base import InstanceRecord, InstanceState
 
-__all__ = ["Serve", "Gateway", "Check", "MakeKey", "Demo", "Standin"]
+__all__ = ["Check", "Demo", "Gateway", "MakeKey", "Serve", "Standin"]
 
 
 @cappa.command(name="serve", help="Run an entry with a settings file.")
 @dataclass(kw_only=True)
 class Serve:
-    """Run an entry until SIGTERM, then stop without cutting off a request."""
+    """Run an entry until SIGTERM, then let running requests end before it stops."""
 
     settings: Annotated[Path, cappa.Arg(help="The settings file.")]
 
@@ -58,7 +59,7 @@
 )
 @dataclass(kw_only=True)
 class Gateway:
-    """Run a gateway until SIGTERM, then stop without cutting off a request."""
+    """Run a gateway until SIGTERM, then let running requests end before it stops."""
 
     settings: Annotated[Path, cappa.Arg(help="The gateway's settings file.")]
 
@@ -74,7 +75,7 @@
 )
 @dataclass(kw_only=True)
 class Check:
-    """Print all findings of all files together; exit code 2 when there are any."""
+    """Print the findings of all files; the exit code is 2 if there are any."""
 
     paths: Annotated[
         list[Path],
@@ -93,7 +94,7 @@
             if not path.is_dir():
                 check = check_gateway_settings if self.gateway else check_settings
                 check(path.read_text(), file=str(path), findings=findings)
-        files = collect(folders)
+        files = read_configuration_files(folders)
         if folders:
             build_configuration(files, version=1, findings=findings)
         if len(findings):
@@ -107,7 +108,7 @@
 )
 @dataclass(kw_only=True)
 class MakeKey:
-    """The digest goes into the workspaces file, the key to the caller."""
+    """Print a new key, for the caller, and its digest, for the workspaces file."""
 
     workspace: str
 
@@ -119,10 +120,12 @@
         return DONE
 
 
-@cappa.command(name="demo", help="Show the whole path in one process, with faults.")
+@cappa.command(
+    name="demo", help="Demonstrate the system in one process, with injected faults."
+)
 @dataclass(kw_only=True)
 class Demo:
-    """Exit code 0 only if every promise held."""
+    """Run the demonstration; the exit code is 0 only if every guarantee was kept."""
 
     verbose: Annotated[
         bool, cappa.Arg(long="--verbose", help="Print the logs too.")
@@ -142,11 +145,11 @@
 )
 @dataclass(kw_only=True)
 class Standin:
-    """For trials on one machine."""
+    """Run a stand-in, for tests on one machine."""
 
     kind: Literal["engine", "service", "platform"]
     listen: Annotated[
-        str, cappa.Arg(long="--listen", help="Where it listens, ip:port.")
+        str, cappa.Arg(long="--listen", help="Listening address, ip:port.")
     ]
     name: Annotated[str, cappa.Arg(long="--name")] = "standin"
     service: Annotated[str, cappa.Arg(long="--service")] = "standin"
--- a/tests/test_jsonc.py
+++ b/tests/test_jsonc.py
@@ -1,6 +1,6 @@
 """
-Tests of JSON with comments
-===========================
+Tests of parsing JSON with comments
+===================================
 """
 
 import pytest
@@ -9,7 +9,7 @@
 from damasklead.jsonc import parse
 
 
-def test_comments_and_places() -> None:
+def test_comments_are_skipped_and_locations_recorded() -> None:
     findings = Findings()
     text = '{\n  // a comment\n  "a": [1, /* two */ 2.5],\n  "b": null\n}'
     document = parse(text, file="x", findings=findings)
@@ -21,7 +21,7 @@
 
 
 @pytest.mark.parametrize(
-    ("text", "place"),
+    ("text", "location"),
     [
         ('{"a": }', (1, 5)),
         ('{\n"a": 1,\n}', (2, 7)),
@@ -29,10 +29,10 @@
         ('{"a": 1, "a": 2}', (1, 10)),
     ],
 )
-def test_faults_have_a_place(text: str, place: tuple[int, int]) -> None:
+def test_errors_have_a_location(text: str, location: tuple[int, int]) -> None:
     findings = Findings()
     parse(text, file="x", findings=findings)
-    found = [(finding.line, finding.column) for finding in findings]
-    assert found, "a fault must be found"
-    assert all(line >= 1 and column >= 1 for line, column in found)
-    assert found[0][0] == place[0]
+    locations = [(finding.line, finding.column) for finding in findings]
+    assert locations, "no error was found"
+    assert all(line >= 1 and column >= 1 for line, column in locations)
+    assert locations[0][0] == location[0]
--- a/tests/test_package.py
+++ b/tests/test_package.py
@@ -1,6 +1,6 @@
 """
-Tests of the package's shape
-============================
+Tests of the imports of modules, and of the examples
+====================================================
 """
 
 import ast
@@ -11,24 +11,27 @@
 import pytest
 
 PACKAGE = Path(__file__).parent.parent / "damasklead"
-DECISIONS = (
+# Modules that decide only: their callers do the I/O and pass them a clock.
+DECISION_MODULES = (
     "claims", "configuration", "dispatching", "duties", "gossip", "leases", "learning",
     "manifest", "membership", "protocol", "quarantine", "queueing", "replicas",
     "retrying", "sharing",
 )  # fmt: skip
-FORBIDDEN = {"gevent", "geventhttpclient", "zmq", "time", "socket"}
+IO_AND_CLOCK_MODULES = {"gevent", "geventhttpclient", "zmq", "time", "socket"}
 
 
-def test_the_public_names_load_no_network_library() -> None:
+def test_importing_the_package_loads_no_network_library() -> None:
     code = (
         "import sys, damasklead; print('gevent' in sys.modules, 'zmq' in sys.modules)"
     )
-    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True)
-    assert done.stdout.split() == ["False", "False"], done.stderr
+    completed = subprocess.run(
+        [sys.executable, "-c", code], capture_output=True, text=True
+    )
+    assert completed.stdout.split() == ["False", "False"], completed.stderr
 
 
-@pytest.mark.parametrize("module", DECISIONS)
-def test_decisions_import_neither_io_nor_clocks(module: str) -> None:
+@pytest.mark.parametrize("module", DECISION_MODULES)
+def test_decision_modules_import_neither_io_nor_clocks(module: str) -> None:
     tree = ast.parse((PACKAGE / f"{module}.py").read_text())
     imported: set[str] = set()
     for node in ast.walk(tree):
@@ -36,13 +39,15 @@
             imported |= {alias.name.split(".")[0] for alias in node.names}
         elif isinstance(node, ast.ImportFrom) and node.module:
             imported.add(node.module.split(".")[0])
-    assert not imported & FORBIDDEN
+    assert not imported & IO_AND_CLOCK_MODULES
 
 
-def test_the_examples_pass_the_check() -> None:
+def test_examples_pass_the_check() -> None:
     examples = PACKAGE.parent / "examples"
     for folder in examples.iterdir():
-        entries = [str(path) for path in sorted((folder / "entries").glob("*.json"))]
+        settings_files = [
+            str(path) for path in sorted((folder / "entries").glob("*.json"))
+        ]
         command = [
             sys.executable,
             "-m",
@@ -50,8 +55,10 @@
             "check",
             str(folder / "services"),
         ]
-        done = subprocess.run([*command, *entries], capture_output=True, text=True)
-        assert done.returncode == 0, done.stdout
+        completed = subprocess.run(
+            [*command, *settings_files], capture_output=True, text=True
+        )
+        assert completed.returncode == 0, completed.stdout
 
 
 def test_no_two_modules_import_each_other() -> None:
@@ -76,7 +83,7 @@
     assert mutual == []
 
 
-GATEWAY_DECISIONS = (
+GATEWAY_DECISION_MODULES = (
     "admission", "budget", "calls", "changelog", "containment", "departures",
     "directory", "events", "inbox", "partplaces", "reading", "refusals", "replicastate",
     "routing", "coordination/cellmap", "coordination/cells", "coordination/coordinator",
@@ -85,8 +92,8 @@
 )  # fmt: skip
 
 
-@pytest.mark.parametrize("module", GATEWAY_DECISIONS)
-def test_decisions_of_the_gateway_import_neither_io_nor_clocks(module: str) -> None:
+@pytest.mark.parametrize("module", GATEWAY_DECISION_MODULES)
+def test_gateway_decision_modules_import_neither_io_nor_clocks(module: str) -> None:
     tree = ast.parse((PACKAGE / "gateway" / f"{module}.py").read_text())
     imported = {
         name.split(".")[0]
@@ -99,4 +106,4 @@
             else []
         )
     }
-    assert not imported & (FORBIDDEN | {"h11"})
+    assert not imported & (IO_AND_CLOCK_MODULES | {"h11"})
