--- a/tests/test_gateway_fuzz.py
+++ b/tests/test_gateway_fuzz.py
@@ -1,9 +1,10 @@
 """
-Fuzzing the gateway's decisions
-===============================
+Fuzz tests of the gateway's decisions
+=====================================
 
-Random histories of the replica list against an oracle that knows the truth, random cuts
-of streams, random heads of requests and answers.
+Random changes of the list of replicas compared with a model, streams cut at random
+places, and random heads of requests and responses.  ``FUZZ_EXAMPLES`` and
+``FUZZ_STEPS`` set the number of examples and of steps in each.
 """
 
 import itertools
@@ -41,128 +42,142 @@
 NAMES = st.sampled_from(["a", "b", "c"])
 
 
-class Truth(msgspec.Struct, kw_only=True):
-    """What really holds of one replica."""
+class ReplicaModel(msgspec.Struct, kw_only=True):
+    """
+    Actual state of one replica.
+
+    Attributes
+    ----------
+    listed : bool
+        Whether the list has an entry of the replica.
+    leaving : bool
+        Whether the replica is leaving.
+    incarnation : int
+        Number of its starts.
+    removed_at : float or None
+        Clock reading of the removal of its entry.
+    """
 
     listed: bool = False
     leaving: bool = False
     incarnation: int = 1
-    gone_since: float | None = None
+    removed_at: float | None = None
 
 
 class DirectoryMachine(RuleBasedStateMachine):
-    """A list that is written, lost, read in parts and read whole."""
+    """Random writes and outages of the list, and reads of its changes or all rows."""
 
     def __init__(self) -> None:
         super().__init__()
         self.clock = ManualClock(start=100.0)
         self.directory = UpstreamDirectory(clock=self.clock)
-        self.truth = {name: Truth() for name in ("a", "b", "c")}
+        self.models = {name: ReplicaModel() for name in ("a", "b", "c")}
         self.version = 1
-        self.unread: list[ListedRow] = []
-        self.reachable = True
-        self.outage_ended = float("-inf")
+        self.unread_rows: list[ListedRow] = []
+        self.list_reachable = True
+        self.outage_ended_at = float("-inf")
 
-    def _record(self, name: str) -> UpstreamRecord | None:
-        truth = self.truth[name]
-        if not truth.listed:
+    def _make_record(self, name: str) -> UpstreamRecord | None:
+        model = self.models[name]
+        if not model.listed:
             return None
         return UpstreamRecord(
             instance=InstanceId(name),
             service=SERVICE,
             address="127.0.0.1:1",
             data_centre=DataCentre("x"),
-            state=UpstreamState.LEAVING if truth.leaving else UpstreamState.LIVE,
-            incarnation=truth.incarnation,
+            state=UpstreamState.LEAVING if model.leaving else UpstreamState.LIVE,
+            incarnation=model.incarnation,
         )
 
-    def _write(self, name: str) -> None:
+    def _write_row(self, name: str) -> None:
         self.version += 1
         row = ListedRow(
             instance=InstanceId(name),
             position=make_position(self.version),
-            record=self._record(name),
+            record=self._make_record(name),
         )
-        self.unread.append(row)
+        self.unread_rows.append(row)
 
     @rule(name=NAMES)
-    def starts(self, name: str) -> None:
-        truth = self.truth[name]
-        if not truth.listed:
-            truth.incarnation += 1
-            truth.listed, truth.leaving, truth.gone_since = True, False, None
-            self._write(name)
+    def start_replica(self, name: str) -> None:
+        model = self.models[name]
+        if not model.listed:
+            model.incarnation += 1
+            model.listed, model.leaving, model.removed_at = True, False, None
+            self._write_row(name)
 
     @rule(name=NAMES)
-    def leaves(self, name: str) -> None:
-        if self.truth[name].listed:
-            self.truth[name].leaving = True
-            self._write(name)
+    def drain_replica(self, name: str) -> None:
+        if self.models[name].listed:
+            self.models[name].leaving = True
+            self._write_row(name)
 
     @rule(name=NAMES)
-    def is_removed(self, name: str) -> None:
-        truth = self.truth[name]
-        if truth.listed:
-            truth.listed, truth.gone_since = False, self.clock.now()
-            self._write(name)
+    def remove_entry(self, name: str) -> None:
+        model = self.models[name]
+        if model.listed:
+            model.listed, model.removed_at = False, self.clock.now()
+            self._write_row(name)
 
     @rule()
-    def list_goes(self) -> None:
-        self.reachable = False
+    def lose_list(self) -> None:
+        self.list_reachable = False
         self.directory.mark_list_unreachable()
 
     @rule()
-    def list_returns(self) -> None:
-        if not self.reachable:
-            self.reachable = True
-            self.outage_ended = self.clock.now()
+    def recover_list(self) -> None:
+        if not self.list_reachable:
+            self.list_reachable = True
+            self.outage_ended_at = self.clock.now()
             self.directory.mark_list_reachable()
-            self._read()
+            self._apply_rows()
 
     @rule(whole=st.booleans())
-    def is_read(self, whole: bool) -> None:
-        if self.reachable:
+    def read_list(self, whole: bool) -> None:
+        if self.list_reachable:
             self.directory.mark_list_reachable()
-            self._read(whole=whole)
+            self._apply_rows(whole=whole)
 
     @rule(seconds=st.sampled_from([0.2, 1.0, 3.0]))
-    def time_passes(self, seconds: float) -> None:
+    def advance_clock(self, seconds: float) -> None:
         self.clock.advance(seconds)
         self.directory.drop_expired()
 
-    def _read(self, *, whole: bool = False) -> None:
-        rows = self.unread
+    def _apply_rows(self, *, whole: bool = False) -> None:
+        rows = self.unread_rows
         if whole:
-            newest = {row.instance: row for row in self.unread}
+            newest = {row.instance: row for row in self.unread_rows}
             rows = [
                 ListedRow(
                     instance=InstanceId(name),
                     position=newest[InstanceId(name)].position
                     if name in newest
                     else make_position(1),
-                    record=self._record(name),
+                    record=self._make_record(name),
                 )
-                for name, truth in self.truth.items()
-                if truth.listed
+                for name, model in self.models.items()
+                if model.listed
             ]
         self.directory.apply_rows(rows, whole=whole)
-        self.unread = []
+        self.unread_rows = []
 
     @invariant()
-    def what_left_gets_no_work_once_it_was_read(self) -> None:
-        if self.unread or not self.reachable:
+    def eligible_replicas_match_the_model(self) -> None:
+        if self.unread_rows or not self.list_reachable:
             return
-        usable = {
+        eligible_instances = {
             item.instance for item in self.directory.get_eligible_records(SERVICE)
         }
         now = self.clock.now()
-        for name, truth in self.truth.items():
-            if truth.listed:
-                assert (name in usable) is not truth.leaving
-            elif name in usable:
-                # Only a removal around an outage may be a lapse, and not for long.
-                limit = LAPSE_WINDOW_SECONDS + LAPSE_GRACE_SECONDS
-                assert now - self.outage_ended <= limit
+        for name, model in self.models.items():
+            if model.listed:
+                assert (name in eligible_instances) is not model.leaving
+            elif name in eligible_instances:
+                # A removed replica is eligible only for a short time after an outage,
+                # during which its entry may have expired without a removal.
+                max_age = LAPSE_WINDOW_SECONDS + LAPSE_GRACE_SECONDS
+                assert now - self.outage_ended_at <= max_age
 
 
 TestDirectory = DirectoryMachine.TestCase
@@ -175,15 +190,19 @@
     ending=st.sampled_from([b"\n\n", b"\r\n\r\n"]),
     cuts=st.lists(st.integers(0, 200), max_size=8),
 )
-def test_events_survive_any_cuts(count: int, ending: bytes, cuts: list[int]) -> None:
-    whole = b"".join(b"id: %d\ndata: piece %d%s" % (n, n, ending) for n in range(count))
+def test_events_do_not_depend_on_segment_boundaries(
+    count: int, ending: bytes, cuts: list[int]
+) -> None:
+    stream = b"".join(
+        b"id: %d\ndata: piece %d%s" % (n, n, ending) for n in range(count)
+    )
     splitter = EventSplitter()
-    places = sorted({min(cut, len(whole)) for cut in cuts} | {0, len(whole)})
-    out = b""
-    for start, end in itertools.pairwise(places):
-        out += splitter.feed(whole[start:end])
-        assert whole.startswith(out) and (not out or out.endswith(ending))
-    assert out == whole and not splitter.has_partial_event
+    boundaries = sorted({min(cut, len(stream)) for cut in cuts} | {0, len(stream)})
+    output = b""
+    for start, end in itertools.pairwise(boundaries):
+        output += splitter.feed(stream[start:end])
+        assert stream.startswith(output) and (not output or output.endswith(ending))
+    assert output == stream and not splitter.has_partial_event
 
 
 VALUES = st.binary(max_size=30).map(lambda data: data.replace(b"\r", b"").strip())
@@ -203,7 +222,9 @@
 
 @FUZZ
 @given(headers=HEADERS)
-def test_any_head_is_decoded_or_refused(headers: list[tuple[bytes, bytes]]) -> None:
+def test_any_request_head_is_decoded_or_rejected(
+    headers: list[tuple[bytes, bytes]],
+) -> None:
     try:
         head = PlatformDialect().decode_head(method="GET", target="/", headers=headers)
     except RequestHeadError:
@@ -214,7 +235,7 @@
     assert all(part.tokens >= 0 for part in head.prompt)
 
 
-ANSWER_HEADERS = st.lists(
+RESPONSE_HEADERS = st.lists(
     st.tuples(
         st.sampled_from(
             [
@@ -230,17 +251,18 @@
 
 @FUZZ
 @given(
-    status=st.sampled_from([200, 204, 400, 421, 429, 500, 503]), headers=ANSWER_HEADERS
+    status=st.sampled_from([200, 204, 400, 421, 429, 500, 503]),
+    headers=RESPONSE_HEADERS,
 )
-def test_only_a_signed_answer_to_the_request_is_one(
+def test_only_a_signed_response_to_the_request_is_accepted(
     status: int, headers: list[tuple[bytes, bytes]]
 ) -> None:
-    reply = PlatformDialect().classify_response(
+    response = PlatformDialect().classify_response(
         status=status, headers=headers, attempt=AttemptId("a1")
     )
     names = {name for name, _ in headers}
-    if reply.kind is ResponseKind.ANSWER:
+    if response.kind is ResponseKind.ANSWER:
         assert b"Attempt-Id" in names and status not in (421, 429, 503)
         assert status >= 300 or b"Response-Signature" in names
-    if reply.kind is ResponseKind.REFUSED:
+    if response.kind is ResponseKind.REFUSED:
         assert b"Not-Executed" in names
--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -1,8 +1,8 @@
 """
-Tests of protected listeners
+Tests of encrypted listeners
 ============================
 
-TLS towards callers, and CURVE between entries.
+TLS for callers, and CURVE between entries.
 """
 
 from pathlib import Path
@@ -38,35 +38,37 @@
     return received
 
 
-def test_callers_speak_tls_with_the_certificate_of_the_settings() -> None:
-    with Deployment(entries=1, engines=1, services=1, settings={"tls": TLS}) as running:
-        address = split_address(running.callers["entry-0"])
+def test_callers_are_served_over_tls_only() -> None:
+    with Deployment(
+        entries=1, engines=1, services=1, settings={"tls": TLS}
+    ) as deployment:
+        address = split_address(deployment.callers["entry-0"])
         context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
         context.load_verify_locations(CERTIFICATE)
         context.check_hostname = False
-        plain = socket.create_connection(address)
-        answer = read_models(context.wrap_socket(plain))
-        assert answer.startswith(b"HTTP/1.1 200")
-        assert b"demo-7b" in answer
+        connection = socket.create_connection(address)
+        response = read_models(context.wrap_socket(connection))
+        assert response.startswith(b"HTTP/1.1 200")
+        assert b"demo-7b" in response
         try:
-            without = read_models(socket.create_connection(address))
+            plain_response = read_models(socket.create_connection(address))
         except OSError:
-            without = b""
-        assert b"demo-7b" not in without
+            plain_response = b""
+        assert b"demo-7b" not in plain_response
 
 
-def test_entries_hear_only_peers_with_the_deployments_key() -> None:
+def test_messages_of_peers_with_another_key_are_ignored() -> None:
     keys = {"peer_keys": PEER_KEYS}
-    with Deployment(entries=2, engines=1, services=1, settings=keys) as running:
+    with Deployment(entries=2, engines=1, services=1, settings=keys) as deployment:
         coordinators = {
             pool["coordinator"]
-            for name in running.operators
-            for pool in running.status(name)["pools"]
+            for name in deployment.operators
+            for pool in deployment.status(name)["pools"]
         }
         assert coordinators == {"entry-0", "entry-1"}
-        running.settings = {"peer_keys": OTHER_KEYS}
-        running.start_entry("stranger")
-        running.until(lambda: bool(running.status("stranger").get("ready")))
+        deployment.settings = {"peer_keys": OTHER_KEYS}
+        deployment.start_entry("stranger")
+        deployment.until(lambda: bool(deployment.status("stranger").get("ready")))
         gevent.sleep(3.0)
-        for pool in running.status("stranger")["pools"]:
+        for pool in deployment.status("stranger")["pools"]:
             assert pool["coordinator"] == "stranger" or not pool["granted"]
