--- a/damasklead/checking.py
+++ b/damasklead/checking.py
@@ -81,8 +81,8 @@
     """
     path: list[str | int] = []
     for position, part in enumerate(loc):
-        last = position == len(loc) - 1
-        if isinstance(value, dict) and (part in value or last):
+        is_last = position == len(loc) - 1
+        if isinstance(value, dict) and (part in value or is_last):
             path.append(part)
             value = value.get(part)
         elif isinstance(value, list) and isinstance(part, int) and part < len(value):
--- a/damasklead/commands/changing.py
+++ b/damasklead/commands/changing.py
@@ -114,10 +114,10 @@
                 return _wait_for_entries(platform, version, self.wait)
 
 
-@cappa.command(name="drain", help="Give an upstream no new work.")
+@cappa.command(name="drain", help="Stop sending new requests to an upstream.")
 @dataclass(kw_only=True)
 class DrainInstance:
-    """Stop sending requests to an instance, for the rest of its incarnation."""
+    """Drain an instance for the rest of its present incarnation."""
 
     instance: Annotated[str, cappa.Arg(help="The instance's id.")]
     platform: PlatformOption
--- a/damasklead/commands/explaining.py
+++ b/damasklead/commands/explaining.py
@@ -36,7 +36,7 @@
 
     def __call__(self) -> int:
         """Run the command; returns the exit code."""
-        stories = collect_stories(self._read())
+        stories = collect_stories(self._read_lines())
         if not self.request:
             found = list(stories.values())
             print(*format_causes(found), "", *format_windows(found), sep="\n")
@@ -49,7 +49,7 @@
             print(f"no line mentions request {name}")
         return FAILED if missing else DONE
 
-    def _read(self) -> Iterator[LogLine]:
+    def _read_lines(self) -> Iterator[LogLine]:
         for path in self.logs:
             files = sorted(path.glob("*.log")) if path.is_dir() else [path]
             for file in files:
--- a/damasklead/commands/quarantine.py
+++ b/damasklead/commands/quarantine.py
@@ -50,7 +50,7 @@
             print(msgspec.json.encode(rows).decode())
             return DONE
         for row in rows:
-            state = "lifted by" if row.released else "named by"
+            state = "lifted by" if row.released else "quarantined by"
             print(f"{row.fingerprint}  {state} {row.who}")
         return DONE
 
--- a/damasklead/configuration.py
+++ b/damasklead/configuration.py
@@ -129,11 +129,11 @@
     pool_scope : PoolScope
         Extent of its pools.
     checks_fencing : bool
-        Whether its upstreams reject orders with an outdated fencing number.
+        Whether its engines reject load commands with an outdated fencing token.
     classes : tuple of RequestClass
         In the order of the file; a request belongs to the first that matches it.
     wanted_models : tuple of WantedModel
-        Models that duties keep loaded.
+        Models that the lease holder of the pool keeps loaded.
     """
 
     name: ServiceName
--- a/damasklead/configuration_files.py
+++ b/damasklead/configuration_files.py
@@ -55,11 +55,11 @@
         Priority from 1, the highest, to 5.
     first_token_ms, token_gap_ms, answer_ms : float or None
         Targets in milliseconds: to the first token, between tokens, and for the whole
-        response. One of the first and the last is required.
+        response. ``first_token_ms`` or ``answer_ms`` is required.
     may_repeat : bool
         Whether requests are idempotent, so that executing one twice does no harm.
     late_answers : str
-        Whether a response after its target has a value to the caller.
+        ``useless`` if a response after its target has no value to the caller.
     minimum_share : float
         Fraction of the capacity in slot-seconds that the class gets while it has
         queued requests.
@@ -118,11 +118,11 @@
     pool_scope : str
         Value of ``PoolScope``.
     checks_fencing : bool
-        Whether the upstreams reject orders with an outdated fencing number.
+        Whether the engines reject load commands with an outdated fencing token.
     classes : list of ClassDocument
         Classes of requests; a request belongs to the first that matches it.
     wanted_models : list of WantedModelDocument
-        Models that duties keep loaded.
+        Models that the lease holder of the pool keeps loaded.
     """
 
     service: Name
--- a/damasklead/ids.py
+++ b/damasklead/ids.py
@@ -22,6 +22,7 @@
 ]
 
 InstanceId = NewType("InstanceId", str)
+# Increases with each start of an instance; entries use milliseconds since 1970.
 Incarnation = NewType("Incarnation", int)
 DataCentre = NewType("DataCentre", str)
 ServiceName = NewType("ServiceName", str)
@@ -29,7 +30,9 @@
 ClassName = NewType("ClassName", str)
 RequestId = NewType("RequestId", str)
 AttemptId = NewType("AttemptId", str)
+# The upstreams of a service in one region or data centre, ``service@place``.
 PoolId = NewType("PoolId", str)
+# Hash of the content of a request, by which the quarantine recognizes repetitions.
 Fingerprint = NewType("Fingerprint", str)
 # Increases each time the platform's store is restored from a backup.
 StoreEra = NewType("StoreEra", int)
--- a/damasklead/supervision.py
+++ b/damasklead/supervision.py
@@ -141,7 +141,7 @@
     children : list of Child
         Children in the order in which they are started.
     clock : Clock
-        Clock of the restarts.
+        Clock that times the restarts.
     max_restarts : int
         Largest number of restarts within the window.
     window_seconds : float
@@ -179,7 +179,7 @@
         self._failed.clear()
         self._restarts.clear()
         for child in self._children:
-            child.start(self._child_exited)
+            child.start(self._handle_child_exit)
 
     def stop(self) -> None:
         """Stop all children in reverse order."""
@@ -197,7 +197,7 @@
                 lines.append("  " * (indent + 1) + child.name)
         return lines
 
-    def _child_exited(self, child: Child, cause: BaseException | None) -> None:
+    def _handle_child_exit(self, child: Child, cause: BaseException | None) -> None:
         if self._stopping:
             return
         if cause is None and child.restart_policy is RestartPolicy.TRANSIENT:
@@ -211,7 +211,7 @@
         if self._exceeds_restart_intensity():
             self._fail(child)
             return
-        gevent.spawn(child.start, self._child_exited)
+        gevent.spawn(child.start, self._handle_child_exit)
 
     def _exceeds_restart_intensity(self) -> bool:
         now = self._clock.now()
