--- a/damasklead/gateway/callers.py
+++ b/damasklead/gateway/callers.py
@@ -98,7 +98,7 @@
     handler : RequestHandler
         Serves the requests.
     clock : Clock
-    stopping : callable
+    is_stopping : callable
         Returns whether the process is stopping; responses then close the connection.
 
     Attributes
@@ -114,12 +114,12 @@
         raw: socket.socket,
         handler: RequestHandler,
         clock: Clock,
-        stopping: Callable[[], bool],
+        is_stopping: Callable[[], bool],
     ) -> None:
         self._socket = raw
         self._handler = handler
         self._clock = clock
-        self._stopping = stopping
+        self._is_stopping = is_stopping
         self._http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=handler.limits().head_bytes
         )
@@ -200,7 +200,7 @@
         self, status: int, headers: Sequence[Header], *, close: bool
     ) -> bytes:
         all_headers = list(headers)
-        if close or self._stopping():
+        if close or self._is_stopping():
             all_headers.append((b"Connection", b"close"))
         self._head_sent = True
         return (
@@ -238,7 +238,7 @@
     def _prepare_next_request(self) -> bool:
         if self._half_closed or self._http.our_state is not h11.DONE:
             return False
-        if self._http.their_state is not h11.DONE or self._stopping():
+        if self._http.their_state is not h11.DONE or self._is_stopping():
             return False
         self._http.start_next_cycle()
         self._state = ConnectionState.IDLE
--- a/damasklead/gateway/dialect.py
+++ b/damasklead/gateway/dialect.py
@@ -21,7 +21,6 @@
 from damasklead.ids import AttemptId, DataCentre, InstanceId
 
 __all__ = [
-    "RequestHeadError",
     "Changes",
     "Dialect",
     "Feed",
@@ -30,6 +29,7 @@
     "PeerDirectory",
     "PeerEntry",
     "PlatformLink",
+    "RequestHeadError",
     "SendPlan",
     "join_headers",
 ]
@@ -77,6 +77,15 @@
         """
         Decode the head of a request.
 
+        Parameters
+        ----------
+        method : str
+            HTTP method.
+        target : str
+            Request target: path and query.
+        headers : sequence
+            Headers as received.
+
         Raises
         ------
         RequestHeadError
@@ -167,14 +176,14 @@
     ----------
     items : list
         The entries of the list, or those that have changed since the given cursor.
-    whole : bool
+    is_complete : bool
         Whether ``items`` is the complete list.
     cursor : Position
-        Position from which the next changes are to be polled.
+        Position after these entries, from which the next changes are polled.
     """
 
     items: list[T]
-    whole: bool
+    is_complete: bool
     cursor: Position
 
 
--- a/damasklead/gateway/directory.py
+++ b/damasklead/gateway/directory.py
@@ -175,14 +175,14 @@
         self._list_unreachable = True
         self.mark_list_reachable()
 
-    def apply_rows(self, rows: list[ListedRow], *, whole: bool) -> list[str]:
+    def apply_rows(self, rows: list[ListedRow], *, is_complete: bool) -> list[str]:
         """
         Apply entries of the list; those older than the known ones are ignored.
 
         Parameters
         ----------
         rows : list of ListedRow
-        whole : bool
+        is_complete : bool
             Whether ``rows`` are all entries of the list, so that missing ones were
             removed.
 
@@ -192,7 +192,7 @@
             The changes, for the log.
         """
         changes: list[str] = []
-        if whole:
+        if is_complete:
             present = {row.instance for row in rows}
             for instance in [item for item in self._records if item not in present]:
                 changes.extend(self._remove_record(instance))
--- a/damasklead/gateway/following.py
+++ b/damasklead/gateway/following.py
@@ -152,7 +152,9 @@
         self._advance_to(changes.cursor)
         # Changes that a peer sent during the call may be newer than the response.
         before = (
-            INITIAL_POSITION if changes.whole or self._cursor is None else self._cursor
+            INITIAL_POSITION
+            if changes.is_complete or self._cursor is None
+            else self._cursor
         )
         self._cursor = max(before, changes.cursor)
         self.apply_changes(changes)
--- a/damasklead/gateway/listeners.py
+++ b/damasklead/gateway/listeners.py
@@ -43,7 +43,7 @@
     handler : RequestHandler
         Serves the requests.
     clock : Clock
-    stopping : callable
+    is_stopping : callable
         Returns whether the process is stopping.
     listening_socket : socket or None
         Socket that already listens; it is used if it is bound to the address.
@@ -55,14 +55,14 @@
         address: str,
         handler: RequestHandler,
         clock: Clock,
-        stopping: Callable[[], bool],
+        is_stopping: Callable[[], bool],
         listening_socket: standard_socket.socket | None = None,
     ) -> None:
         self._address = address
         self._listening_socket = listening_socket
         self._handler = handler
         self._clock = clock
-        self._stopping = stopping
+        self._is_stopping = is_stopping
         self._server: StreamServer | None = None
         self._connections: set[CallerConnection] = set()
 
@@ -140,7 +140,7 @@
             raw=raw,
             handler=self._handler,
             clock=self._clock,
-            stopping=self._stopping,
+            is_stopping=self._is_stopping,
         )
         self._connections.add(connection)
         try:
--- a/damasklead/gateway/process.py
+++ b/damasklead/gateway/process.py
@@ -84,7 +84,7 @@
         )
         self._metrics = GatewayMetrics()
         self._gate = StartGate()
-        self._stopping = False
+        self._is_stopping = False
         self._stop_requested = Event()
         self._link = open_link(settings.platform)
         self._directory = UpstreamDirectory(clock=self._clock)
@@ -146,7 +146,7 @@
             or not self._directory.is_empty
         )
         has_lists = self._fleet.configuration.table is not None and has_replica_list
-        return has_lists and not self._stopping
+        return has_lists and not self._is_stopping
 
     @property
     def tree(self) -> Supervisor:
@@ -173,7 +173,7 @@
     def stop(self) -> None:
         """Become not ready, let the requests in progress end, and stop."""
         started_at = self._clock.now()
-        self._stopping = True
+        self._is_stopping = True
         self._journal.event("stopping", requests=self._forwarder.active_requests)
         self._fleet.announce_leave()
         deadline = started_at + self._settings.bounds.stop_seconds - STOP_MARGIN_SECONDS
@@ -275,7 +275,7 @@
             address=address,
             handler=handler,
             clock=self._clock,
-            stopping=lambda: self._stopping,
+            is_stopping=lambda: self._is_stopping,
         )
 
     def _build_state(self) -> dict[str, object]:
--- a/damasklead/gateway/replicafollowing.py
+++ b/damasklead/gateway/replicafollowing.py
@@ -64,7 +64,7 @@
 
     def apply_changes(self, changes: Changes[ListedRow]) -> None:
         """Apply the entries of a response to the directory and the change log."""
-        if changes.whole:
+        if changes.is_complete:
             self._log_full_read(changes)
         else:
             changed_rows = [
@@ -72,7 +72,7 @@
             ]
             self.change_log.append(changed_rows, changes.cursor)
         self._report_changes(
-            self._directory.apply_rows(changes.items, whole=changes.whole)
+            self._directory.apply_rows(changes.items, is_complete=changes.is_complete)
         )
 
     def _log_full_read(self, changes: Changes[ListedRow]) -> None:
@@ -110,7 +110,7 @@
             self._plan.record_peer_update(
                 last_change=_last_change(rows), complete_up_to=cursor
             )
-        self._report_changes(self._directory.apply_rows(rows, whole=False))
+        self._report_changes(self._directory.apply_rows(rows, is_complete=False))
 
     def apply_peer_changes(
         self,
@@ -145,7 +145,9 @@
         self._plan.record_peer_update(
             last_change=_last_change(rows), complete_up_to=cursor
         )
-        self._report_changes(self._directory.apply_rows(changed_rows, whole=False))
+        self._report_changes(
+            self._directory.apply_rows(changed_rows, is_complete=False)
+        )
 
     @property
     def cursor(self) -> Position:
--- a/damasklead/platform/store.py
+++ b/damasklead/platform/store.py
@@ -145,7 +145,7 @@
             start_key = page.rows[-1].key + "\0"
         cursor = cursor or INITIAL_POSITION
         items = self._decode(rows, cursor.era)
-        return Changes(items=items, whole=True, cursor=cursor)
+        return Changes(items=items, is_complete=True, cursor=cursor)
 
     def poll_changes(self, cursor: Position, *, wait: float) -> Changes[T]:
         """Return the changes since a cursor; waits up to ``wait`` seconds for one."""
@@ -160,7 +160,7 @@
         _check_era(page, cursor)
         return Changes(
             items=self._decode(page.rows, page.era),
-            whole=False,
+            is_complete=False,
             cursor=max(cursor, page.position),
         )
 
--- a/tests/gatewaykit.py
+++ b/tests/gatewaykit.py
@@ -230,7 +230,7 @@
         self.clock = LoopClock()
         self.replicas = list(replicas)
         self.table: RoutingTable | None = make_table()
-        self.stopping = False
+        self.is_stopping = False
         self.departed_instances: list[InstanceId] = []
         self.response_memory = ResponseMemoryBudget()
         self.placement: Placement = new_placement(
@@ -271,7 +271,7 @@
             address=f"127.0.0.1:{self._port}",
             handler=self.forwarder,
             clock=self.clock,
-            stopping=lambda: self.stopping,
+            is_stopping=lambda: self.is_stopping,
         )
         self.listener.start()
 
--- a/tests/test_gateway_broadcasts.py
+++ b/tests/test_gateway_broadcasts.py
@@ -105,11 +105,11 @@
 
     def read(self) -> Changes:
         if self._name is ListName.ROUTING:
-            return self._read_since(0, whole=True)
-        changes = self._read_since(0, whole=True)
+            return self._read_since(0, is_complete=True)
+        changes = self._read_since(0, is_complete=True)
         newest = {item.instance: item for item in changes.items}
         present = [item for item in newest.values() if item.record is not None]
-        return Changes(items=present, whole=True, cursor=changes.cursor)
+        return Changes(items=present, is_complete=True, cursor=changes.cursor)
 
     def poll_changes(self, cursor: Position, *, wait: float) -> Changes:
         if cursor.era != self._store.era or cursor.version > self._store.version:
@@ -117,13 +117,13 @@
             raise FeedError(FeedFault.RESTORED, "test")
         return self._read_since(cursor.version)
 
-    def _read_since(self, version: int, *, whole: bool = False) -> Changes:
+    def _read_since(self, version: int, *, is_complete: bool = False) -> Changes:
         self._count_call()
         items: list = [table for count, table in self._store.tables if count > version]
         if self._name is ListName.UPSTREAMS:
             items = list(self._store.list_changes(version))
         cursor = make_position(self._store.version, era=self._store.era)
-        return Changes(items=items, whole=whole, cursor=cursor)
+        return Changes(items=items, is_complete=is_complete, cursor=cursor)
 
     def _count_call(self) -> None:
         self._store.calls += 1
@@ -494,7 +494,9 @@
     assert all("r1" not in gateway.replicas for gateway in fleet.running_gateways)
     assert fleet.datagram_count - before < 8 * 40
     new_directory = UpstreamDirectory(clock=fleet.clock)
-    new_directory.apply_rows(fleet.first_ranked.directory.list_rows(), whole=False)
+    new_directory.apply_rows(
+        fleet.first_ranked.directory.list_rows(), is_complete=False
+    )
     leaving = [item for item in new_directory.list_rows() if item.instance == "r1"]
     assert leaving[0].record.state is UpstreamState.LEAVING
 
--- a/tests/test_gateway_callers.py
+++ b/tests/test_gateway_callers.py
@@ -183,7 +183,7 @@
     with harness.connect() as caller:
         caller.sendall(make_request("/order/slow", method="POST", body="x"))
         wait_until(lambda: harness.forwarder.active_requests == 1)
-        harness.stopping = True
+        harness.is_stopping = True
         harness.listener.close_idle()
         response = read_all(caller)
     assert b"connection: close" in response.lower() and response.endswith(b"for a1")
@@ -195,7 +195,7 @@
     with harness.connect() as caller:
         caller.sendall(make_request("/read/1", attempt="a1"))
         read_answer(caller, b"for a1")
-        harness.stopping = True
+        harness.is_stopping = True
         caller.sendall(make_request("/order/1", method="POST", body="x", attempt="a2"))
         harness.listener.close_idle()
         assert read_all(caller).endswith(b"for a2")
@@ -220,7 +220,7 @@
         )
     for _ in range(yields):
         gevent.sleep(0)
-    harness.stopping = True
+    harness.is_stopping = True
     harness.listener.drain(seconds=3.0)
     assert (
         harness.forwarder.active_requests == 0
--- a/tests/test_gateway_fuzz.py
+++ b/tests/test_gateway_fuzz.py
@@ -133,20 +133,20 @@
             self.directory.mark_list_reachable()
             self._apply_rows()
 
-    @rule(whole=st.booleans())
-    def read_list(self, whole: bool) -> None:
+    @rule(is_complete=st.booleans())
+    def read_list(self, is_complete: bool) -> None:
         if self.list_reachable:
             self.directory.mark_list_reachable()
-            self._apply_rows(whole=whole)
+            self._apply_rows(is_complete=is_complete)
 
     @rule(seconds=st.sampled_from([0.2, 1.0, 3.0]))
     def advance_clock(self, seconds: float) -> None:
         self.clock.advance(seconds)
         self.directory.drop_expired()
 
-    def _apply_rows(self, *, whole: bool = False) -> None:
+    def _apply_rows(self, *, is_complete: bool = False) -> None:
         rows = self.unread_rows
-        if whole:
+        if is_complete:
             newest = {row.instance: row for row in self.unread_rows}
             rows = [
                 ListedRow(
@@ -159,7 +159,7 @@
                 for name, model in self.models.items()
                 if model.listed
             ]
-        self.directory.apply_rows(rows, whole=whole)
+        self.directory.apply_rows(rows, is_complete=is_complete)
         self.unread_rows = []
 
     @invariant()
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -78,28 +78,32 @@
     def test_leaving_and_removed_replicas_get_no_requests(self) -> None:
         directory = UpstreamDirectory(clock=ManualClock())
         directory.apply_rows(
-            [make_row("a", 1), make_row("b", 2), make_row("c", 3)], whole=True
+            [make_row("a", 1), make_row("b", 2), make_row("c", 3)], is_complete=True
         )
         directory.apply_rows(
-            [make_row("a", 4, state=UpstreamState.LEAVING)], whole=False
+            [make_row("a", 4, state=UpstreamState.LEAVING)], is_complete=False
         )
-        directory.apply_rows([make_removed_row("b", 5)], whole=False)
+        directory.apply_rows([make_removed_row("b", 5)], is_complete=False)
         assert get_eligible_names(directory) == ["c"]
 
     def test_a_leaving_replica_stays_so_until_it_restarts(self) -> None:
         directory = UpstreamDirectory(clock=ManualClock())
         directory.apply_rows(
-            [make_row("a", 1, state=UpstreamState.LEAVING)], whole=True
+            [make_row("a", 1, state=UpstreamState.LEAVING)], is_complete=True
         )
-        directory.apply_rows([make_row("a", 2)], whole=False)
+        directory.apply_rows([make_row("a", 2)], is_complete=False)
         assert get_eligible_names(directory) == []
-        directory.apply_rows([make_row("a", 3, incarnation=2)], whole=False)
+        directory.apply_rows([make_row("a", 3, incarnation=2)], is_complete=False)
         assert get_eligible_names(directory) == ["a"]
 
     def test_an_older_entry_does_not_replace_a_newer_one(self) -> None:
         directory = UpstreamDirectory(clock=ManualClock())
-        directory.apply_rows([make_row("a", 7, address="127.0.0.1:7")], whole=True)
-        directory.apply_rows([make_row("a", 6, address="127.0.0.1:6")], whole=False)
+        directory.apply_rows(
+            [make_row("a", 7, address="127.0.0.1:7")], is_complete=True
+        )
+        directory.apply_rows(
+            [make_row("a", 6, address="127.0.0.1:6")], is_complete=False
+        )
         assert directory.get_eligible_records(SERVICE)[0].address == "127.0.0.1:7"
 
     def test_entries_that_lapse_in_an_outage_are_kept_for_a_grace_period(
@@ -107,16 +111,16 @@
     ) -> None:
         clock = ManualClock()
         directory = UpstreamDirectory(clock=clock)
-        directory.apply_rows([make_row("a", 1), make_row("b", 2)], whole=True)
+        directory.apply_rows([make_row("a", 1), make_row("b", 2)], is_complete=True)
         directory.mark_list_unreachable()
         clock.advance(5.0)
         directory.mark_list_reachable()
         directory.apply_rows(
-            [make_removed_row("a", 3), make_removed_row("b", 4)], whole=False
+            [make_removed_row("a", 3), make_removed_row("b", 4)], is_complete=False
         )
         assert get_eligible_names(directory) == ["a", "b"]
         clock.advance(1.0)
-        directory.apply_rows([make_row("a", 5)], whole=False)
+        directory.apply_rows([make_row("a", 5)], is_complete=False)
         clock.advance(1.5)
         directory.drop_expired()
         assert get_eligible_names(directory) == ["a"]
@@ -124,29 +128,31 @@
     def test_a_removal_long_after_an_outage_takes_effect_at_once(self) -> None:
         clock = ManualClock()
         directory = UpstreamDirectory(clock=clock)
-        directory.apply_rows([make_row("a", 1), make_row("b", 2)], whole=True)
+        directory.apply_rows([make_row("a", 1), make_row("b", 2)], is_complete=True)
         directory.mark_list_unreachable()
         directory.mark_list_reachable()
         clock.advance(3.0)
-        directory.apply_rows([make_removed_row("a", 3)], whole=False)
+        directory.apply_rows([make_removed_row("a", 3)], is_complete=False)
         assert get_eligible_names(directory) == ["b"]
 
     def test_a_drain_during_an_outage_takes_effect_at_once(self) -> None:
         directory = UpstreamDirectory(clock=ManualClock())
-        directory.apply_rows([make_row("a", 1), make_row("b", 2)], whole=True)
+        directory.apply_rows([make_row("a", 1), make_row("b", 2)], is_complete=True)
         directory.mark_list_unreachable()
         directory.mark_list_reachable()
         rows = [make_row("a", 3, state=UpstreamState.LEAVING), make_row("b", 2)]
-        directory.apply_rows(rows, whole=True)
+        directory.apply_rows(rows, is_complete=True)
         assert get_eligible_names(directory) == ["b"]
 
     def test_memory_of_removed_replicas_is_bounded(self) -> None:
         directory = UpstreamDirectory(clock=ManualClock())
-        directory.apply_rows([make_row("a", 1)], whole=True)
+        directory.apply_rows([make_row("a", 1)], is_complete=True)
         for number in range(MAX_REMEMBERED_REPLICAS + 10):
-            directory.apply_rows([make_row(f"x{number}", 2 * number + 2)], whole=False)
             directory.apply_rows(
-                [make_removed_row(f"x{number}", 2 * number + 3)], whole=False
+                [make_row(f"x{number}", 2 * number + 2)], is_complete=False
+            )
+            directory.apply_rows(
+                [make_removed_row(f"x{number}", 2 * number + 3)], is_complete=False
             )
         assert len(directory._positions) <= MAX_REMEMBERED_REPLICAS + 1
         assert len(directory._removals) <= MAX_REMEMBERED_REPLICAS
@@ -156,15 +162,15 @@
         directory = UpstreamDirectory(clock=ManualClock())
         for number in range(MAX_REMEMBERED_REPLICAS + 10):
             leaving = make_row(f"x{number}", 2 * number, state=UpstreamState.LEAVING)
-            directory.apply_rows([leaving], whole=False)
+            directory.apply_rows([leaving], is_complete=False)
             directory.apply_rows(
-                [make_removed_row(f"x{number}", 2 * number + 1)], whole=False
+                [make_removed_row(f"x{number}", 2 * number + 1)], is_complete=False
             )
         assert len(directory._departed) <= MAX_REMEMBERED_REPLICAS
 
     def test_a_departed_replica_gets_no_requests(self) -> None:
         directory = UpstreamDirectory(clock=ManualClock())
-        directory.apply_rows([make_row("a", 1)], whole=True)
+        directory.apply_rows([make_row("a", 1)], is_complete=True)
         assert directory.mark_departed(InstanceId("a"), 1)
         assert not directory.mark_departed(InstanceId("a"), 1)
         assert get_eligible_names(directory) == []
@@ -202,10 +208,12 @@
 
 
 def make_changes(
-    *items: object, cursor: int, whole: bool = False, era: int = 0
+    *items: object, cursor: int, is_complete: bool = False, era: int = 0
 ) -> Changes:
     return Changes(
-        items=list(items), whole=whole, cursor=make_position(cursor, era=era)
+        items=list(items),
+        is_complete=is_complete,
+        cursor=make_position(cursor, era=era),
     )
 
 
@@ -225,7 +233,7 @@
 
     def test_older_versions_of_the_configuration_are_ignored(self) -> None:
         follower, _ = self.make_follower(
-            make_changes(make_table(5), cursor=10, whole=True),
+            make_changes(make_table(5), cursor=10, is_complete=True),
             make_changes(make_table(3), cursor=11),
             make_changes(make_table(8), make_table(7), cursor=12),
         )
@@ -243,9 +251,9 @@
         self, fault: FeedFault
     ) -> None:
         follower, feed = self.make_follower(
-            make_changes(make_table(5), cursor=10, whole=True),
+            make_changes(make_table(5), cursor=10, is_complete=True),
             FeedError(fault, "test"),
-            make_changes(make_table(6), cursor=30, whole=True),
+            make_changes(make_table(6), cursor=30, is_complete=True),
             make_changes(cursor=31),
         )
         for _ in range(4):
@@ -256,7 +264,7 @@
     def test_an_outage_keeps_the_configuration_and_the_cursor(self) -> None:
         outage = FeedError(FeedFault.UNREACHABLE, "test")
         follower, feed = self.make_follower(
-            make_changes(make_table(5), cursor=10, whole=True),
+            make_changes(make_table(5), cursor=10, is_complete=True),
             outage,
             outage,
             make_changes(cursor=11),
@@ -270,7 +278,7 @@
         clock = ManualClock()
         directory = UpstreamDirectory(clock=clock)
         feed = ScriptedFeed(
-            make_changes(make_row("a", 1), cursor=1, whole=True),
+            make_changes(make_row("a", 1), cursor=1, is_complete=True),
             FeedError(FeedFault.REFUSED, "test"),
             make_changes(make_removed_row("a", 2), cursor=2),
         )
--- a/tests/test_gateway_replica_trouble.py
+++ b/tests/test_gateway_replica_trouble.py
@@ -122,20 +122,20 @@
 
     def test_leaving_persists_when_the_list_entry_is_removed_and_added(self) -> None:
         directory = UpstreamDirectory(clock=ManualClock())
-        directory.apply_rows([make_row("a", 1), make_row("b", 2)], whole=True)
+        directory.apply_rows([make_row("a", 1), make_row("b", 2)], is_complete=True)
         assert directory.mark_departed(InstanceId("a"), 1)
-        directory.apply_rows([make_removed_row("a", 3)], whole=False)
-        directory.apply_rows([make_row("a", 4)], whole=False)
+        directory.apply_rows([make_removed_row("a", 3)], is_complete=False)
+        directory.apply_rows([make_row("a", 4)], is_complete=False)
         assert get_eligible_names(directory) == ["b"]
-        directory.apply_rows([make_row("a", 5, incarnation=2)], whole=False)
+        directory.apply_rows([make_row("a", 5, incarnation=2)], is_complete=False)
         assert get_eligible_names(directory) == ["a", "b"]
 
     def test_leaving_is_reported_to_a_starting_gateway(self) -> None:
         directory = UpstreamDirectory(clock=ManualClock())
-        directory.apply_rows([make_row("a", 1), make_row("b", 2)], whole=True)
+        directory.apply_rows([make_row("a", 1), make_row("b", 2)], is_complete=True)
         directory.mark_departed(InstanceId("a"), 1)
         other_directory = UpstreamDirectory(clock=ManualClock())
-        other_directory.apply_rows(directory.list_rows(), whole=False)
+        other_directory.apply_rows(directory.list_rows(), is_complete=False)
         assert get_eligible_names(other_directory) == ["b"]
         assert other_directory.list_rows()[0].record.state is UpstreamState.LEAVING
 
@@ -565,7 +565,7 @@
             caller.sendall(
                 make_request("/order/1", method="POST", body="x", attempt=f"a{number}")
             )
-        harness.stopping = True
+        harness.is_stopping = True
         harness.listener.drain(seconds=2.0)
         for caller in callers:
             response = read_all(caller)
--- a/tests/test_gateway_restored_store.py
+++ b/tests/test_gateway_restored_store.py
@@ -162,7 +162,7 @@
         clock = ManualClock(start=50.0)
         directory = UpstreamDirectory(clock=clock)
         directory.apply_rows(
-            [make_row("a", 10, era=1), make_row("b", 20, era=1)], whole=True
+            [make_row("a", 10, era=1), make_row("b", 20, era=1)], is_complete=True
         )
         return directory, clock
 
@@ -170,7 +170,7 @@
         directory, _ = self.directory()
         directory.mark_store_restored(make_position(12, era=2))
         leaving = make_row("b", 13, era=2, state=UpstreamState.LEAVING)
-        directory.apply_rows([leaving], whole=False)
+        directory.apply_rows([leaving], is_complete=False)
         assert get_eligible_names(directory) == ["a"]
 
     def test_a_removed_replica_that_was_leaving_is_not_used_although_the_backup_has_it(
@@ -178,35 +178,37 @@
     ) -> None:
         directory, clock = self.directory()
         leaving = make_row("a", 30, era=1, state=UpstreamState.LEAVING)
-        directory.apply_rows([leaving], whole=False)
-        directory.apply_rows([make_removed_row("a", 31, era=1)], whole=False)
+        directory.apply_rows([leaving], is_complete=False)
+        directory.apply_rows([make_removed_row("a", 31, era=1)], is_complete=False)
         directory.mark_store_restored(make_position(25, era=2))
         rows = [make_row("a", 10, era=2), make_row("b", 20, era=2)]
-        directory.apply_rows(rows, whole=True)
+        directory.apply_rows(rows, is_complete=True)
         clock.advance(2 * UNCONFIRMED_SECONDS)
         directory.drop_expired()
         assert get_eligible_names(directory) == ["b"]
-        directory.apply_rows([make_row("a", 40, era=2, incarnation=2)], whole=False)
+        directory.apply_rows(
+            [make_row("a", 40, era=2, incarnation=2)], is_complete=False
+        )
         assert get_eligible_names(directory) == ["a", "b"]
 
     def test_a_removed_replica_is_not_used_before_it_has_registered_again(self) -> None:
         directory, _ = self.directory()
-        directory.apply_rows([make_removed_row("a", 30, era=1)], whole=False)
+        directory.apply_rows([make_removed_row("a", 30, era=1)], is_complete=False)
         directory.mark_store_restored(make_position(25, era=2))
         directory.apply_rows(
-            [make_row("a", 10, era=2), make_row("b", 20, era=2)], whole=True
+            [make_row("a", 10, era=2), make_row("b", 20, era=2)], is_complete=True
         )
         assert get_eligible_names(directory) == ["b"]
-        directory.apply_rows([make_row("a", 26, era=2)], whole=False)
+        directory.apply_rows([make_row("a", 26, era=2)], is_complete=False)
         assert get_eligible_names(directory) == ["a", "b"]
 
     def test_a_removed_replica_that_stays_listed_is_used_again(self) -> None:
         """The platform removes entries that aren't renewed, so this one was renewed."""
         directory, clock = self.directory()
-        directory.apply_rows([make_removed_row("a", 30, era=1)], whole=False)
+        directory.apply_rows([make_removed_row("a", 30, era=1)], is_complete=False)
         directory.mark_store_restored(make_position(25, era=2))
         directory.apply_rows(
-            [make_row("a", 10, era=2), make_row("b", 20, era=2)], whole=True
+            [make_row("a", 10, era=2), make_row("b", 20, era=2)], is_complete=True
         )
         clock.advance(UNCONFIRMED_SECONDS)
         directory.drop_expired()
@@ -214,12 +216,12 @@
 
     def test_a_removed_replica_that_is_removed_again_is_not_used(self) -> None:
         directory, clock = self.directory()
-        directory.apply_rows([make_removed_row("a", 30, era=1)], whole=False)
+        directory.apply_rows([make_removed_row("a", 30, era=1)], is_complete=False)
         directory.mark_store_restored(make_position(25, era=2))
         directory.apply_rows(
-            [make_row("a", 10, era=2), make_row("b", 20, era=2)], whole=True
+            [make_row("a", 10, era=2), make_row("b", 20, era=2)], is_complete=True
         )
-        directory.apply_rows([make_removed_row("a", 27, era=2)], whole=False)
+        directory.apply_rows([make_removed_row("a", 27, era=2)], is_complete=False)
         clock.advance(UNCONFIRMED_SECONDS)
         directory.drop_expired()
         assert get_eligible_names(directory) == ["b"]
--- a/tests/test_gateway_starting.py
+++ b/tests/test_gateway_starting.py
@@ -96,7 +96,7 @@
             address=f"127.0.0.1:{port}",
             handler=harness.forwarder,
             clock=harness.clock,
-            stopping=lambda: False,
+            is_stopping=lambda: False,
             listening_socket=early_socket,  # type: ignore[arg-type]
         )
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -312,7 +312,7 @@
         ]
         changes = link.upstreams.read()
         assert [item.instance for item in changes.items] == ["i-1", "i-2"]
-        assert changes.whole and changes.cursor == make_position(9)
+        assert changes.is_complete and changes.cursor == make_position(9)
         assert "range_start=i-1%00" in store.targets[1]
 
     def test_changes_are_polled(self, store: StoreStandin, link: StoreLink) -> None:
