--- a/damasklead/daemon/__init__.py
+++ b/damasklead/daemon/__init__.py
@@ -2,7 +2,7 @@
 Daemon
 ======
 
-The entry process: listeners, tasks and the supervisor tree that keeps them running.
+The entry process: listeners, periodic tasks and the supervisor tree that restarts them.
 """
 
 from damasklead.daemon.service import EntryService
--- a/damasklead/daemon/callers.py
+++ b/damasklead/daemon/callers.py
@@ -36,9 +36,9 @@
 MODELS_PATH = "/v1/models"
 SERVICES_PREFIX = "/services/"
 OUTCOME_HEADER = "X-Damasklead-Outcome"
-BYTES_PER_TOKEN = 4
+BYTES_PER_TOKEN = 4  # of the encoded messages, for estimating the prompt's tokens
 BACKLOG = 1024  # connections
-PREFIX_BYTES = 1024
+PREFIX_BYTES = 1024  # of the encoded messages, for finding a shared prefix
 ID_PATTERN = re.compile(r"^[A-Za-z0-9._:-]{1,128}$")
 KEY_PATTERN = re.compile(r"^[\x21-\x7e]{1,128}$")
 FORWARDED_HEADERS = {
@@ -54,11 +54,12 @@
 
 class CallerApplication:
     """
-    The WSGI application.
+    The WSGI application that serves callers.
 
     Parameters
     ----------
     entry : Entry
+        State of this entry.
     """
 
     def __init__(self, *, entry: Entry) -> None:
@@ -67,7 +68,7 @@
     def __call__(
         self, environ: Environ, start_response: StartResponse
     ) -> Iterable[bytes]:
-        """Answer one request."""
+        """Serve one request."""
         request_id = _request_id(environ)
         try:
             exchange = self._open_exchange(environ)
@@ -85,7 +86,14 @@
         )
 
     def _open_exchange(self, environ: Environ) -> Exchange | bytes:
-        """Check a request and return its exchange, or the body of a direct answer."""
+        """
+        Check a request and return its exchange, or the list of models as JSON.
+
+        Raises
+        ------
+        Problem
+            When the request is invalid or can't be served.
+        """
         configuration = self._entry.configuration_holder.configuration
         if configuration is None or not self._entry.is_ready:
             raise Problem(
@@ -115,6 +123,7 @@
         configuration: Configuration,
         workspace: Workspace,
     ) -> Exchange:
+        """Return the exchange of a request for a completion by a model."""
         body = self._read_body(environ)
         document = _parse_completion(body)
         service = configuration.find_service_by_model(document["model"])
@@ -153,6 +162,7 @@
         configuration: Configuration,
         workspace: Workspace,
     ) -> Exchange:
+        """Return the exchange of a request to a service without models."""
         name, _, rest = environ["PATH_INFO"][len(SERVICES_PREFIX) :].partition("/")
         service = configuration.services.get(name)
         if service is None or service.kind is not ServiceKind.PLAIN:
@@ -186,6 +196,7 @@
         stream: bool,
         document: dict[str, Any] | None = None,
     ) -> Exchange:
+        """Return the exchange of a checked request."""
         method = environ["REQUEST_METHOD"]
         upstream_request = UpstreamRequest(
             attempt=AttemptId(""),
@@ -217,7 +228,7 @@
     def _make_claim(
         self, environ: Environ, request: Request, digest: str
     ) -> Claim | None:
-        """Return the claim that a request needs which may not be repeated."""
+        """Return the claim of a request that may be executed only once."""
         if request.request_class.may_repeat:
             return None
         key = environ.get("HTTP_IDEMPOTENCY_KEY", "")
@@ -238,18 +249,19 @@
         )
 
     def _read_body(self, environ: Environ) -> bytes:
+        """Read the request's body and check its length."""
         limit = self._entry.settings.limits.body_bytes
-        declared = environ.get("CONTENT_LENGTH") or "0"
-        if not declared.isdigit():
+        content_length = environ.get("CONTENT_LENGTH") or "0"
+        if not content_length.isdigit():
             raise _make_problem(
                 "content-length", "The length is not a number", "Content-Length"
             )
-        if int(declared) > limit:
+        if int(content_length) > limit:
             raise _make_too_large_problem(limit)
         body: bytes = environ["wsgi.input"].read(limit + 1)
         if len(body) > limit:
             raise _make_too_large_problem(limit)
-        if len(body) < int(declared):
+        if len(body) < int(content_length):
             raise _make_problem(
                 "body", "The body is shorter than its length says", "Content-Length"
             )
@@ -257,7 +269,20 @@
 
 
 class _ResponseBody:
-    """The body of an answer; the head is sent when the first part is known."""
+    """
+    The body of a response as an iterable for the WSGI server.
+
+    The head is sent when the first part of the response is available.
+
+    Parameters
+    ----------
+    exchange : Exchange
+        The exchange that yields the response.
+    start_response : callable
+        The WSGI server's function that sends the head.
+    request_id : str
+        Id for the ``X-Request-ID`` header of the response.
+    """
 
     def __init__(
         self,
@@ -271,21 +296,24 @@
         self._request_id = request_id
 
     def __iter__(self) -> Iterator[bytes]:
-        started = False
+        has_sent_head = False
         for part in self._parts:
             if isinstance(part, ResponseHead):
-                started = True
+                has_sent_head = True
                 self._send_head(part)
             elif isinstance(part, bytes):
                 yield part
-            elif started:
-                yield _error_event(part)
+            elif has_sent_head:
+                yield _make_error_event(part)
             else:
                 yield from _send_problem(part, self._request_id, self._start_response)
 
     def close(self) -> None:
         """
-        Give up the request if it is not finished; called when the caller has gone.
+        Cancel the request if its response is not complete.
+
+        The WSGI server calls this at the end of the response and when the caller has
+        disconnected.
         """
         self._parts.close()
 
@@ -296,9 +324,13 @@
 
 
 def _request_id(environ: Environ) -> RequestId:
-    """Return the caller's id for its request, or a new one; it need not be unique."""
-    given = environ.get("HTTP_X_REQUEST_ID", "")
-    return RequestId(given if ID_PATTERN.match(given) else new_id())
+    """
+    Return the caller's id of the request, or a new one.
+
+    The caller's ids need not be unique.
+    """
+    caller_id = environ.get("HTTP_X_REQUEST_ID", "")
+    return RequestId(caller_id if ID_PATTERN.match(caller_id) else new_id())
 
 
 def _make_common_headers(request_id: RequestId) -> list[tuple[str, str]]:
@@ -319,12 +351,13 @@
     return [problem.encode()]
 
 
-def _error_event(problem: Problem) -> bytes:
-    """Return the event that ends a stream which can't be completed."""
+def _make_error_event(problem: Problem) -> bytes:
+    """Return the event that ends a stream that can't be completed."""
     return b"event: error\ndata: " + problem.encode() + b"\n\n"
 
 
 def _authenticate(configuration: Configuration, environ: Environ) -> Workspace:
+    """Return the workspace of the request's bearer key."""
     scheme, _, key = environ.get("HTTP_AUTHORIZATION", "").partition(" ")
     workspace = (
         configuration.authenticate(key.strip()) if scheme.lower() == "bearer" else None
@@ -344,21 +377,22 @@
     path: str,
 ) -> RequestClass:
     requested_class = environ.get("HTTP_X_REQUEST_CLASS")
-    found = configuration.classify(
+    request_class = configuration.classify(
         service,
         workspace=workspace,
         method=environ["REQUEST_METHOD"],
         path=path,
         requested_class=requested_class,
     )
-    if found is None:
+    if request_class is None:
         raise _make_problem(
             "class", "No class admits this request", "X-Request-Class", status=403
         )
-    return found
+    return request_class
 
 
 def _parse_completion(body: bytes) -> dict[str, Any]:
+    """Decode the body of a completion request and check the fields that are used."""
     try:
         document = msgspec.json.decode(body)
     except msgspec.DecodeError as error:
@@ -378,6 +412,7 @@
 
 
 def _encode_models(configuration: Configuration) -> bytes:
+    """Return the list of models as JSON."""
     names = sorted(
         model for service in configuration.services.values() for model in service.models
     )
@@ -386,6 +421,7 @@
 
 
 def _select_forwarded_headers(environ: Environ) -> tuple[tuple[str, str], ...]:
+    """Return the caller's headers that are sent to the upstream."""
     return tuple(
         (name, environ[key])
         for key, name in FORWARDED_HEADERS.items()
--- a/damasklead/daemon/callerserver.py
+++ b/damasklead/daemon/callerserver.py
@@ -2,7 +2,7 @@
 Callers' server
 ===============
 
-gevent's WSGI server, made strict about how requests are framed.
+gevent's WSGI server with stricter checks of the framing of requests.
 """
 
 from typing import Any
@@ -22,22 +22,41 @@
 
 
 class _Handler(pywsgi.WSGIHandler):
-    """Refuses ambiguous framing and gives the application the caller's socket."""
+    """
+    Handles a connection of a caller.
+
+    Requests with ambiguous framing are refused, since servers that frame them
+    differently allow request smuggling. The application gets the caller's socket as
+    ``damasklead.socket``.
+
+    Attributes
+    ----------
+    max_header_bytes : int
+        Largest total length of the names and values of a request's headers.
+    """
 
     max_header_bytes = 16_384
 
     def read_request(self, raw_requestline: str) -> Any:
-        """Read a request's head; returns whether it can be served."""
+        """Read a request's head; returns whether it is valid and not ambiguous."""
         return super().read_request(raw_requestline) and not self._has_ambiguous_framing
 
     def MessageClass(self, *arguments: Any) -> Any:  # noqa: N802
-        """Parse the headers; the server drops some of those that contradict."""
+        """
+        Parse the headers and check the framing.
+
+        It is checked here since the server later drops some contradictory headers.
+        """
         headers = super().MessageClass(*arguments)
         self._has_ambiguous_framing = self._is_ambiguous(headers)
         return headers
 
     def handle_one_request(self) -> Any:
-        """Handle one request; a head that can't be served is told as not run."""
+        """
+        Handle one request.
+
+        The response to an invalid head says that the request was not executed.
+        """
         result = super().handle_one_request()
         if not isinstance(result, tuple):
             return result
@@ -58,7 +77,7 @@
         return environ
 
     def _sendall(self, data: bytes) -> None:
-        """Send with one call where that is enough, as it is for a chunk of a stream."""
+        """Send data, with a single system call if that takes all of it."""
         try:
             sent = self.socket.send(data)
             if sent < len(data):
@@ -69,9 +88,10 @@
         self.response_length += len(data)
 
     def log_request(self) -> None:
-        """Leave requests out of the server's own log."""
+        """Do nothing; the server's log of requests is not used."""
 
     def _is_ambiguous(self, headers: Any) -> bool:
+        """Return whether the framing is ambiguous or the headers are too long."""
         lengths = headers.get_all("Content-Length") or []
         encodings = headers.get_all("Transfer-Encoding") or []
         size = sum(len(name) + len(value) for name, value in headers.items())
@@ -92,6 +112,7 @@
     Parameters
     ----------
     entry : Entry
+        State of this entry.
     """
 
     def __init__(self, *, entry: Entry) -> None:
@@ -116,19 +137,23 @@
         self._idle_seconds = limits.idle_seconds
 
     def handle(self, client_socket: socket.socket, address: Any) -> None:
-        """Serve one connection, which may be silent for so long only."""
+        """Serve one connection, closed when it sends nothing for ``idle_seconds``."""
         client_socket.settimeout(self._idle_seconds)
         client_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         super().handle(client_socket, address)
 
 
 class _ErrorLog:
-    """Turns the server's error lines into log events."""
+    """File-like object that turns the server's error messages into log events."""
 
     def write(self, text: str) -> None:
-        """Log a line, without what the caller sent."""
+        """
+        Log the last line of a message, cut to 200 characters.
+
+        The lines before it are left out since they may show what the caller sent.
+        """
         last = text.strip().splitlines()[-1:] or [""]
         logs.warning("caller-connection", detail=last[0][:200])
 
     def flush(self) -> None:
-        """Do nothing; events are written at once."""
+        """Do nothing; log events are not buffered here."""
--- a/damasklead/daemon/claimkeeper.py
+++ b/damasklead/daemon/claimkeeper.py
@@ -2,7 +2,7 @@
 Keeper of claims
 ================
 
-Settles and releases claims, again and again while the store is out.
+Settles and abandons claims, and retries this while the store is unavailable.
 """
 
 from collections import OrderedDict
@@ -23,18 +23,34 @@
 
 
 class _Pending(msgspec.Struct, kw_only=True):
+    """
+    A claim whose end is still to be written.
+
+    Attributes
+    ----------
+    claim : Claim
+        The claim in its final state, or as it was to be acquired.
+    version : int or None
+        Version of the claim's row; ``None`` for a claim that is abandoned because the
+        store did not confirm it.
+    """
+
     claim: Claim
     version: int | None
 
 
 class ClaimKeeper:
     """
-    Claims of one entry whose end the store does not hold yet.
+    Writes the ends of one entry's claims to the store.
+
+    Its length is the number of claims whose end is still to be written.
 
     Parameters
     ----------
     run_protocol : callable
-        Drives a protocol against the platform.
+        Runs a protocol against the platform and returns its result.
+    clock : Clock
+        Clock of the entry.
     """
 
     def __init__(
@@ -48,30 +64,45 @@
         return len(self._pending)
 
     def settle_claim(self, claim: Claim, *, version: int) -> None:
-        """Record the end of an acquired claim, later if need be."""
+        """
+        Write the final state of an acquired claim, later if the store is unavailable.
+
+        Parameters
+        ----------
+        claim : Claim
+            The claim in its final state.
+        version : int
+            Version of the claim's row.
+        """
         self._try_write(_Pending(claim=claim, version=version))
 
     def abandon_claim(self, claim: Claim) -> None:
-        """Release a claim that could not be confirmed, later if need be."""
+        """
+        Abandon a claim that the store did not confirm, later if it is unavailable.
+        """
         self._try_write(_Pending(claim=claim, version=None))
 
     def retry_pending(self) -> None:
-        """Try again what is pending, as long as the store answers."""
+        """Retry some pending claims, the oldest first, until one fails again."""
         for attempt in list(self._pending)[:MAX_RETRIES_PER_ROUND]:
             pending = self._pending.pop(attempt)
             if not self._try_write(pending):
                 return
 
     def _try_write(self, pending: _Pending) -> bool:
+        """Write a claim's end; a claim whose write fails becomes pending again."""
         if pending.version is None:
-            done = self._run_protocol(abandon(pending.claim))
+            is_written = self._run_protocol(abandon(pending.claim))
         else:
-            done = self._run_protocol(settle(pending.claim, version=pending.version))
-        if not done:
+            is_written = self._run_protocol(
+                settle(pending.claim, version=pending.version)
+            )
+        if not is_written:
             self._add_pending(pending)
-        return done
+        return is_written
 
     def _add_pending(self, pending: _Pending) -> None:
+        """Add a pending claim; the oldest is dropped when there are too many."""
         self._pending[pending.claim.attempt] = pending
         if len(self._pending) > MAX_PENDING_CLAIMS:
             _, dropped = self._pending.popitem(last=False)
--- a/damasklead/daemon/crashes.py
+++ b/damasklead/daemon/crashes.py
@@ -2,8 +2,9 @@
 Crashes
 =======
 
-Takes the requests on a replica whose connection broke as suspects, confirms the crash,
-and has guilty requests refused at every entry.
+When a connection to a replica breaks, the requests that the replica was executing
+become suspects of a crash.  A confirmed crash is spread to the other entries by gossip.
+Requests that are found to cause crashes are quarantined at every entry.
 """
 
 from collections.abc import Callable
@@ -25,14 +26,16 @@
 
 class CrashDetector:
     """
-    The crashes of replicas as one entry sees them.
+    Detects crashes of replicas and quarantines the requests that cause them.
 
     Parameters
     ----------
     instance : InstanceId
         This entry.
     quarantine : Quarantine
+        Suspects and quarantined requests, by fingerprint.
     gossip : GossipBuffer
+        Spreads crashes and quarantined fingerprints to the other entries.
     record_change : callable
         Adds a change to the audit trail.
     """
@@ -51,7 +54,7 @@
         self._record_change = record_change
 
     def quarantine_culprits(self) -> None:
-        """Refuse what is found guilty."""
+        """Quarantine the fingerprints that are identified as causes of crashes."""
         for fingerprint in self._quarantine.identify_culprits():
             self._quarantine_fingerprint(fingerprint, why="it crashed upstreams again")
 
@@ -59,7 +62,19 @@
         self, pool: Pool, start: Start, member: Member | None
     ) -> None:
         """
-        Take all requests on a replica whose connection broke as suspects of a crash.
+        Treat a broken connection as a possible crash of the replica.
+
+        The requests that this entry runs on the replica become suspects. The crash is
+        confirmed in the background.
+
+        Parameters
+        ----------
+        pool : Pool
+            The replica's pool.
+        start : Start
+            The attempt whose connection broke.
+        member : Member or None
+            The replica, ``None`` when it is unknown.
         """
         if member is None:
             return
@@ -79,13 +94,13 @@
         gevent.spawn(self._confirm_crash, pool, member.address, notice)
 
     def record_crash_notice(self, notice: CrashNotice) -> None:
-        """Take in a notice of a crash, an own one or another entry's."""
+        """Record the suspects of a crash that this or another entry noticed."""
         self._quarantine.record_crash(
             notice.instance, notice.incarnation, frozenset(notice.fingerprints)
         )
 
     def _quarantine_fingerprint(self, fingerprint: Fingerprint, *, why: str) -> None:
-        """Refuse a fingerprint at every entry."""
+        """Quarantine a fingerprint at every entry and store this for operators."""
         if self._quarantine.add_fingerprint(fingerprint):
             self._gossip.add_item(QuarantineNotice(fingerprint=fingerprint))
             row = QuarantineRow(
@@ -104,7 +119,9 @@
 
     def _confirm_crash(self, pool: Pool, address: str, notice: CrashNotice) -> None:
         """
-        Ask a replica for its incarnation: only if it is gone or new was there a crash.
+        Spread a crash by gossip if it is confirmed, and retract it otherwise.
+
+        A replica that still reports the same incarnation has not crashed.
         """
         try:
             status = pool.upstream.fetch_status(address)
--- a/damasklead/daemon/dutytask.py
+++ b/damasklead/daemon/dutytask.py
@@ -35,7 +35,7 @@
 
 POLL_INTERVAL_SECONDS = 3.0
 SWEEP_BATCH_ROWS = 20
-POLLS_PER_EXECUTION = 4
+POLLS_PER_EXECUTION = 4  # polls of the lease for each execution of its duty
 SWEEP_DUTY = PoolId("sweep")
 
 
@@ -43,13 +43,14 @@
     """
     The duties of one entry.
 
-    A pool's coordinator contends for the lease of its loads, and one entry, chosen in
-    the same way, for that of the sweeping; the leases hold where two believe to be
-    chosen.
+    A pool's coordinator contends for the lease of the pool's model loads, and one
+    entry, chosen in the same way, for that of the deletion of expired claims. The lease
+    allows only one when several entries consider themselves chosen.
 
     Parameters
     ----------
     entry : Entry
+        State of this entry.
     """
 
     def __init__(self, *, entry: Entry) -> None:
@@ -62,7 +63,7 @@
         self._poll_count = 0
 
     def run(self) -> None:
-        """Contend for leases and do the duties until the task is stopped."""
+        """Contend for leases and perform duties until the task is stopped."""
         while True:
             self._entry.clock.sleep(
                 POLL_INTERVAL_SECONDS * self._random.uniform(0.8, 1.2)
@@ -74,31 +75,34 @@
                 self._perform_duty(duty, pool)
 
     def release_leases(self) -> None:
-        """Give all leases back at a graceful stop."""
+        """Release all leases at a graceful stop."""
         self._release_others(set())
 
     def _find_own_duties(self) -> dict[str, Pool | None]:
         """
-        Return the duties that fall to this entry, with the pool of each that has one.
+        Return the duties for which this entry is chosen, with their pools.
+
+        The deletion of expired claims has no pool.
         """
-        own = self._entry.instance
+        own_instance = self._entry.instance
         duties: dict[str, Pool | None] = {}
         for pool in self._entry.pools.values():
-            if pool.coordinator == own and pool.service.wanted_models:
+            if pool.coordinator == own_instance and pool.service.wanted_models:
                 duties[f"loads/{pool.dispatcher.pool}"] = pool
         entries = [member.instance for member in self._entry.find_live_entries()]
-        if choose_coordinator(SWEEP_DUTY, entries) == own:
+        if choose_coordinator(SWEEP_DUTY, entries) == own_instance:
             duties[SWEEP_DUTY] = None
         return duties
 
     def _release_others(self, kept: set[str]) -> None:
-        """Give back the leases of duties that fall to others now."""
+        """Release the leases of all duties but those in ``kept``."""
         for duty in [duty for duty in self._keepers if duty not in kept]:
             self._entry.run_protocol(self._keepers.pop(duty).release())
             if duty == SWEEP_DUTY:
                 self._generation = None
 
     def _perform_duty(self, duty: str, pool: Pool | None) -> None:
+        """Contend for a duty's lease and perform the duty when it is held and due."""
         keeper = self._keepers.get(duty)
         if keeper is None:
             keeper = self._make_keeper(duty)
@@ -124,6 +128,7 @@
         )
 
     def _send_load_commands(self, keeper: LeaseKeeper, pool: Pool) -> None:
+        """Command the model loads that a pool's replicas need."""
         fencing_token = keeper.fencing_token
         if fencing_token is None:
             return
@@ -135,12 +140,13 @@
             held_seconds=keeper.held_seconds,
         )
         for command in commands:
-            # The lease is looked at again just before each command is sent.
+            # The lease may have been lost while the last command was sent.
             if keeper.fencing_token != command.fencing:
                 return
             self._send_load_command(pool, command)
 
     def _fetch_load_states(self, pool: Pool) -> dict[InstanceId, ModelLoadState]:
+        """Return the loaded and loading models of the replicas that respond."""
         states = {}
         for member in self._entry.find_pool_members(pool.service):
             try:
@@ -153,6 +159,7 @@
         return states
 
     def _send_load_command(self, pool: Pool, command: ModelLoadCommand) -> None:
+        """Send a load command and add its result to the audit trail."""
         address = self._entry.get_address(command.instance)
         if address is None:
             return
@@ -172,11 +179,11 @@
         )
 
     def _advance_generation(self) -> None:
-        """Begin the claims' next generation after an hour."""
-        known = self._entry.run_protocol(read_generation())
-        if known is None:
+        """Begin the next generation of claims after ``GENERATION_SECONDS``."""
+        generation_row = self._entry.run_protocol(read_generation())
+        if generation_row is None:
             return
-        generation, version = known
+        generation, version = generation_row
         if generation != self._generation:
             self._generation = generation
             self._generation_since = self._entry.clock.now()
@@ -184,7 +191,7 @@
             self._entry.run_protocol(advance_generation(generation, version))
 
     def _delete_expired_claims(self) -> None:
-        """Look at some rows in each round and delete those that are too old."""
+        """Scan the next batch of claims and delete those that have expired."""
         result = self._entry.platform.tables.scan(
             CLAIMS_TABLE, after=self._last_swept_key, limit=SWEEP_BATCH_ROWS
         )
@@ -197,6 +204,7 @@
         )
 
     def _make_lease_event(self, duty: str, before: str) -> AuditEvent:
+        """Return the audit event of a lease that changes to this entry."""
         return AuditEvent(
             id=new_id(),
             at=self._entry.clock.get_unix_time(),
--- a/damasklead/daemon/entry.py
+++ b/damasklead/daemon/entry.py
@@ -2,8 +2,8 @@
 Entry
 =====
 
-The state of one entry process: configuration, members, pools and the exchanges in
-progress.
+The state of one entry process: its configuration, the known instances, its pools and
+the exchanges in progress.
 """
 
 import random
@@ -65,11 +65,12 @@
 
 ENTRY_SERVICE = ServiceName("damasklead")
 
-PROPAGATION_INTERVALS = 2.5  # share intervals that gossip may take to reach all entries
-GRANT_TIMEOUT_INTERVALS = (
-    4  # share intervals without a grant after which it is passed over
-)
-SUSPICION_TTL_SECONDS = 60.0  # for which it is passed over unless it is heard
+# Share intervals that gossip may take to reach all entries.
+PROPAGATION_INTERVALS = 2.5
+# Share intervals without a grant after which a coordinator is suspected.
+GRANT_TIMEOUT_INTERVALS = 4
+# Time for which a suspected coordinator is skipped unless it sends a message.
+SUSPICION_TTL_SECONDS = 60.0
 
 
 class Entry(ExchangeHost):
@@ -79,8 +80,25 @@
     Parameters
     ----------
     settings : Settings
+        Settings of the entry.
     platform : Platform
+        Table service, object store and instance list.
     clock : LoopClock
+        Clock of the process.
+
+    Attributes
+    ----------
+    incarnation : int
+        Start of the process in milliseconds since 1970, which distinguishes it from
+        earlier processes of the same instance.
+    is_stopping : bool
+        Whether a graceful stop has begun.
+    generation : int
+        Current generation of claims, by which expired claims are found.
+    reported_version : int
+        Configuration version that was last reported to the platform, 0 for none.
+    platform_last_read_at : float
+        Clock reading in seconds of the last successful read of the instance list.
     """
 
     def __init__(
@@ -123,24 +141,37 @@
 
     @property
     def exchanges(self) -> dict[RequestId, Exchange]:
-        """The requests in progress."""
+        """Exchanges in progress by request id."""
         return self._exchanges
 
     @property
     def is_ready(self) -> bool:
-        """Whether the entry can take requests."""
+        """Whether the entry has a configuration and is not stopping."""
         return (
             self.configuration_holder.configuration is not None and not self.is_stopping
         )
 
     def run_protocol(self, steps: Steps[T]) -> T:
-        """Drive a protocol against the platform."""
+        """Run a protocol against the platform and return its result."""
         return run(steps, self.platform)
 
     def record_change(
         self, action: str, subject: str, *writes: Put, before: str = "", after: str = ""
     ) -> None:
-        """Add a change to the audit trail, with the writes that belong to it."""
+        """
+        Log a change and add it to the audit trail.
+
+        Parameters
+        ----------
+        action : str
+            Name of the action.
+        subject : str
+            The instance, fingerprint or other object that is changed.
+        *writes : Put
+            Rows that are written in the same commit as the audit event.
+        before, after : str
+            State before and after the change, in words.
+        """
         logs.event("change", action=action, subject=subject, before=before, after=after)
         event = AuditEvent(
             id=new_id(),
@@ -154,7 +185,11 @@
         self.audit.add_event(event, *writes)
 
     def activate_configuration(self, files: dict[str, str], *, version: int) -> bool:
-        """Put a configuration into force if it is newer than the present one."""
+        """
+        Activate a configuration if it is newer than the active one.
+
+        Returns whether it was activated.
+        """
         before = self.configuration_holder.version
         if not self.configuration_holder.activate_if_newer(files, version=version):
             return False
@@ -164,34 +199,37 @@
         return True
 
     def update_members(self) -> None:
-        """Let the pools see the present members."""
+        """Update the coordinators and replicas of the pools from the membership."""
         entries = self.find_live_entries()
         self.quarantine.set_propagation_time(
             PROPAGATION_INTERVALS * compute_share_interval(len(entries))
         )
-        heard = [
+        trusted = [
             entry for entry in entries if entry.instance not in self._suspected_until
         ]
         for scope in PoolScope:
-            peers = [item.instance for item in heard if self._is_in_scope(item, scope)]
+            peers = [
+                item.instance for item in trusted if self._is_in_scope(item, scope)
+            ]
             self._update_scope(scope, peers)
 
     def check_coordinators(self) -> None:
         """
-        Pass over coordinators that have sent no grant for some intervals.
+        Suspect coordinators that have sent no grant for some share intervals.
 
-        The list may show an entry long after it has gone.
+        The pools of a suspected coordinator go to another entry. This matters since the
+        instance list may contain an entry long after it has stopped.
         """
         now = self.clock.now()
-        patience = GRANT_TIMEOUT_INTERVALS * compute_share_interval(
+        grant_timeout = GRANT_TIMEOUT_INTERVALS * compute_share_interval(
             len(self.find_live_entries())
         )
         before = set(self._suspected_until)
         for pool in self.pools.values():
-            own = pool.coordinator in (None, self.instance)
-            if own or pool.dispatcher.share.has_grant:
+            is_own = pool.coordinator in (None, self.instance)
+            if is_own or pool.dispatcher.share.has_grant:
                 pool.granted_at = now
-            elif now - pool.granted_at > patience:
+            elif now - pool.granted_at > grant_timeout:
                 assert pool.coordinator is not None
                 self._suspected_until[pool.coordinator] = now + SUSPICION_TTL_SECONDS
         for instance in [
@@ -205,7 +243,7 @@
             self.update_members()
 
     def record_contact(self, instance: InstanceId) -> None:
-        """Take in that a peer has sent something."""
+        """Record a message from a peer, which ends a suspicion."""
         if self._suspected_until.pop(instance, None) is not None:
             self.update_members()
 
@@ -215,42 +253,57 @@
 
     def find_pool_members(self, service: Service) -> list[Member]:
         """
-        Return the upstreams in this entry's scope, or the nearest others when it has
-        none.
+        Return the upstreams from which this entry serves a service.
+
+        These are the live ones in the pool's data centre or region. If there are none,
+        they are those of one other data centre, within the region if possible.
         """
         members = self.membership.find_live_members(service.name)
-        own = [
+        local_members = [
             member
             for member in members
             if self._is_in_scope(member, service.pool_scope)
         ]
-        if own:
-            return own
-        region = [member for member in members if member.region == self.settings.region]
-        candidates = region or members
-        centres = {member.data_centre for member in candidates}
-        nearest = max(
-            centres,
+        if local_members:
+            return local_members
+        region_members = [
+            member for member in members if member.region == self.settings.region
+        ]
+        candidates = region_members or members
+        data_centres = {member.data_centre for member in candidates}
+        chosen_data_centre = max(
+            data_centres,
             key=lambda item: stable_hash(self.make_pool_id(service), item),
             default="",
         )
-        return [member for member in candidates if member.data_centre == nearest]
+        return [
+            member for member in candidates if member.data_centre == chosen_data_centre
+        ]
 
     def make_pool_id(self, service: Service) -> PoolId:
-        """Return the id of the pool from which this entry serves a service."""
+        """Return the id of the pool: the service and its data centre or region."""
         in_region = service.pool_scope is PoolScope.REGION
-        place = self.settings.region if in_region else self.settings.data_centre
-        return PoolId(f"{service.name}@{place}")
+        location = self.settings.region if in_region else self.settings.data_centre
+        return PoolId(f"{service.name}@{location}")
 
     def get_address(self, instance: InstanceId) -> str | None:
-        """Return an instance's address."""
+        """Return an instance's address, ``None`` when the instance is unknown."""
         member = self.membership.get_member(instance)
         return None if member is None else member.address
 
     def mark_leaving(
         self, instance: InstanceId, incarnation: Incarnation, *, why: str
     ) -> None:
-        """Take in that an upstream or entry is leaving, and tell the others."""
+        """
+        Mark an upstream or entry as leaving, and spread this by gossip if it is new.
+
+        Parameters
+        ----------
+        instance, incarnation
+            The leaving process.
+        why : str
+            Reason for the audit trail.
+        """
         if self.membership.mark_leaving(instance, incarnation):
             self.gossip.add_item(
                 LeavingNotice(instance=instance, incarnation=incarnation)
@@ -261,7 +314,7 @@
             self.update_members()
 
     def apply_gossip(self, items: Iterable[GossipItem]) -> None:
-        """Take in gossip from a peer."""
+        """Apply the items of a peer's gossip that this entry has not seen yet."""
         for item in items:
             if not self.gossip.add_item(item):
                 continue
@@ -279,7 +332,7 @@
                     )
 
     def submit_exchange(self, pool: Pool, exchange: Exchange) -> None:
-        """Let the pool's dispatcher take in an exchange's request."""
+        """Submit an exchange's request to the pool's dispatcher."""
         request = exchange.request
         self._exchanges[request.id] = exchange
         actions = pool.dispatcher.submit_request(
@@ -290,7 +343,10 @@
     def remove_exchange(
         self, pool: Pool, exchange: Exchange, *, is_complete: bool
     ) -> None:
-        """Drop an exchange whose caller has its final answer or has gone."""
+        """
+        Remove an exchange that has ended; its request is cancelled unless the response
+        is complete.
+        """
         if self._exchanges.pop(exchange.request.id, None) is None:
             return
         if not is_complete:
@@ -304,7 +360,7 @@
             self.apply_actions(pool, actions)
 
     def handle_caller_disconnect(self, exchange: Exchange) -> None:
-        """Give up a request whose caller has gone."""
+        """Cancel a request whose caller disconnected before the response began."""
         refuse = Refuse(
             request=exchange.request, reason=Reason.CALLER_GONE, outcome=Outcome.UNKNOWN
         )
@@ -313,27 +369,36 @@
         exchange.handle_action(refuse)
 
     def cancel_request(self, pool: Pool, exchange: Exchange) -> None:
-        """Take a request back whose attempt is not to be sent."""
+        """Cancel the request of an exchange, including an attempt that is not sent."""
         self.apply_actions(pool, pool.dispatcher.cancel_request(exchange.request.id))
 
     def apply_actions(self, pool: Pool, actions: list[Action]) -> None:
-        """Carry out a dispatcher's actions."""
+        """
+        Pass a dispatcher's actions to the exchanges and count them.
+
+        An attempt whose exchange has been removed is cancelled.
+        """
         for action in actions:
             exchange = self._exchanges.get(action.request.id)
             self._count_action(action)
             if exchange is not None:
                 exchange.handle_action(action)
             elif isinstance(action, Start):
-                late = pool.dispatcher.cancel_request(action.request.id)
-                gevent.spawn(self.apply_actions, pool, late)
+                cancel_actions = pool.dispatcher.cancel_request(action.request.id)
+                gevent.spawn(self.apply_actions, pool, cancel_actions)
 
     def complete_attempt(self, pool: Pool, exchange: Exchange, start: Start) -> None:
-        """Take in that an attempt's answer is whole."""
+        """Report to the pool's dispatcher that an attempt's response is complete."""
         self.metrics.attempts.labels(pool.service.name, "finished").inc()
         self.apply_actions(pool, pool.dispatcher.complete_attempt(start.attempt))
 
     def fail_attempt(self, pool: Pool, start: Start, error: UpstreamError) -> None:
-        """Take in that an attempt failed."""
+        """
+        Log a failed attempt and report it to the pool's dispatcher.
+
+        The upstream is marked as leaving when its response says so, and a broken
+        connection to an engine is examined as a possible crash.
+        """
         logs.warning(
             "attempt-failed",
             attempt=start.attempt,
@@ -355,32 +420,38 @@
         )
 
     def record_first_event(self, exchange: Exchange) -> None:
-        """Count the time to a request's first event."""
-        waited = self.clock.now() - exchange.request.arrival
+        """Record the time from arrival to the first event in the metrics."""
+        latency = self.clock.now() - exchange.request.arrival
         self.metrics.first_token.labels(exchange.request.request_class.name).observe(
-            waited
+            latency
         )
 
     def cancel_attempt(self, pool: Pool, cancel: Cancel) -> None:
-        """Tell an upstream that an attempt's answer is not wanted any more."""
+        """Cancel an attempt at its upstream."""
         address = self.get_address(cancel.replica)
         if address is not None:
             pool.upstream.cancel_attempt(address, cancel.attempt)
 
     def process_timeouts(self) -> None:
-        """Let time pass in all pools."""
+        """Quarantine culprits of crashes and process the timeouts of all pools."""
         self.crash_detector.quarantine_culprits()
         for pool in self.pools.values():
             self.apply_actions(pool, pool.dispatcher.process_timeouts())
 
     def new_attempt_id(self) -> AttemptId:
-        """Return an id that no other attempt has."""
+        """Return an id that is unique among the attempts of all entries."""
         self._attempt_number += 1
         return AttemptId(
             f"{self.instance}-{self.incarnation:x}-{self._attempt_number:x}"
         )
 
     def _update_pools(self) -> None:
+        """
+        Add, update and remove pools after a change of the configuration.
+
+        The pool of a removed service stays while it has running attempts, until a later
+        change of the configuration.
+        """
         configuration = self.configuration_holder.configuration
         assert configuration is not None
         for name, service in configuration.services.items():
@@ -399,7 +470,7 @@
         self.update_members()
 
     def _update_scope(self, scope: PoolScope, peers: list[InstanceId]) -> None:
-        """Let the pools of one scope see their coordinators and upstreams."""
+        """Update the coordinators and replicas of the pools of one scope."""
         pools = [
             pool for pool in self.pools.values() if pool.service.pool_scope is scope
         ]
@@ -409,12 +480,12 @@
             if coordinator != pool.coordinator:
                 pool.granted_at = self.clock.now()
             pool.coordinator = coordinator
-            infos = [
+            replicas = [
                 ReplicaInfo(instance=member.instance, data_centre=member.data_centre)
                 for member in self.find_pool_members(pool.service)
             ]
             self.apply_actions(
-                pool, pool.dispatcher.set_replicas(infos, entry_count=len(peers))
+                pool, pool.dispatcher.set_replicas(replicas, entry_count=len(peers))
             )
 
     def _make_pool(self, service: Service) -> Pool:
@@ -437,6 +508,7 @@
         return member.region == self.settings.region
 
     def _count_action(self, action: Action) -> None:
+        """Record an action in the metrics."""
         name = action.request.request_class.name
         if isinstance(action, Refuse):
             self.metrics.refusals.labels(name, action.reason.value).inc()
@@ -444,17 +516,17 @@
         elif isinstance(action, Finish):
             self._count_completion(action)
         elif isinstance(action, Start) and action.request.start_count == 1:
-            waited = self.clock.now() - action.request.arrival
-            self.metrics.queue_wait.labels(name).observe(waited)
+            queue_seconds = self.clock.now() - action.request.arrival
+            self.metrics.queue_wait.labels(name).observe(queue_seconds)
 
     def _count_completion(self, finish: Finish) -> None:
         request_class = finish.request.request_class
         name = request_class.name
         self.metrics.requests.labels(name, Outcome.ANSWERED.value).inc()
-        took = self.clock.now() - finish.request.arrival
+        response_seconds = self.clock.now() - finish.request.arrival
         if (
             request_class.response_target is None
-            or took <= request_class.response_target
+            or response_seconds <= request_class.response_target
         ):
             self.metrics.on_time.labels(name).inc()
             self.metrics.good_tokens.labels(name).inc(finish.tokens)
--- a/damasklead/daemon/metrics.py
+++ b/damasklead/daemon/metrics.py
@@ -2,7 +2,7 @@
 Metrics
 =======
 
-What an entry counts, for ``/metrics``.
+The Prometheus metrics of an entry, served at ``/metrics``.
 """
 
 from prometheus_client import (
@@ -33,7 +33,7 @@
 
 
 class Metrics:
-    """The counters of one entry in a registry of their own."""
+    """The metrics of one entry, in a registry of their own."""
 
     def __init__(self) -> None:
         self.registry = CollectorRegistry()
@@ -105,5 +105,5 @@
         )
 
     def render(self) -> bytes:
-        """Return the exposition text."""
+        """Return the metrics in the Prometheus text format."""
         return generate_latest(self.registry)
--- a/damasklead/daemon/operators.py
+++ b/damasklead/daemon/operators.py
@@ -2,7 +2,8 @@
 Operators' listener
 ===================
 
-Health, readiness, metrics and status, on an address of its own without callers' keys.
+The HTTP interface for operators: health, readiness, metrics and status.  It has an
+address of its own and needs no caller's key.
 """
 
 from collections.abc import Callable, Iterable
@@ -18,7 +19,22 @@
 
 
 class PoolStatus(msgspec.Struct, kw_only=True):
-    """A pool as this entry sees it."""
+    """
+    State of one pool at this entry.
+
+    Attributes
+    ----------
+    pool : str
+        Pool id.
+    coordinator : str
+        The entry that divides the pool's capacity, empty when none is known.
+    granted : bool
+        Whether this entry has a valid grant.
+    running, waiting : list of int
+        Number of running and of queued requests in each tier, from tier 1.
+    replicas : list of str
+        Instance ids of the replicas.
+    """
 
     pool: str
     coordinator: str
@@ -29,7 +45,32 @@
 
 
 class Status(msgspec.Struct, kw_only=True):
-    """An entry's state for operators."""
+    """
+    State of an entry for operators.
+
+    Attributes
+    ----------
+    instance, incarnation
+        The entry's process.
+    ready : bool
+        Whether the entry has a configuration and is not stopping.
+    stopping : bool
+        Whether a graceful stop has begun.
+    configuration : int
+        Active configuration version, 0 for none.
+    entries : list of str
+        Instance ids of the live entries, this one included.
+    pools : list of PoolStatus
+        State of each service's pool.
+    requests : int
+        Number of requests in progress.
+    quarantined : list of str
+        Quarantined fingerprints.
+    claims_pending : int
+        Number of claims whose end is still to be written.
+    audit_pending, audit_dropped : int
+        Number of audit events that are still to be written, and of those dropped.
+    """
 
     instance: str
     incarnation: int
@@ -52,6 +93,7 @@
     Parameters
     ----------
     entry : Entry
+        State of this entry.
     """
 
     def __init__(self, *, entry: Entry) -> None:
@@ -64,7 +106,7 @@
         )
 
     def get_status(self) -> Status:
-        """Return the entry's state."""
+        """Return the state of the entry and its pools."""
         entry = self._entry
         return Status(
             instance=entry.instance,
--- a/damasklead/daemon/peers.py
+++ b/damasklead/daemon/peers.py
@@ -2,8 +2,8 @@
 Messages between entries
 ========================
 
-A pyzmq ROUTER socket that receives and one DEALER socket for each peer that is spoken
-to.
+A ZeroMQ ROUTER socket receives messages, and one DEALER socket for each peer sends
+them.
 """
 
 import msgspec
@@ -27,13 +27,24 @@
 
 __all__ = ["Peers"]
 
-MAX_QUEUED_MESSAGES = 100  # messages
+MAX_QUEUED_MESSAGES = 100  # for each peer
 MAX_MESSAGE_BYTES = 4_194_304
 IDLE_TIMEOUT_SECONDS = 60.0
 
 
 class _PeerConnection(msgspec.Struct, kw_only=True):
-    """The way to one incarnation of a peer."""
+    """
+    A socket for sending to a peer at one address.
+
+    Attributes
+    ----------
+    socket : zmq.Socket
+        The DEALER socket.
+    address : str
+        The peer's address, ``ip:port``.
+    used_at : float
+        Clock reading in seconds when a message was last sent.
+    """
 
     socket: zmq.Socket
     address: str
@@ -42,13 +53,19 @@
 
 class Peers:
     """
-    Sends to peers, receives from them and hands on what they say.
+    Sends messages to peers, and receives and handles those of peers.
 
     Parameters
     ----------
     entry : Entry
+        State of this entry.
     coordinators : dict
-        The pools that this entry coordinates.
+        Coordinators of the pools that this entry coordinates, by pool id.
+
+    Attributes
+    ----------
+    newest_configuration : tuple
+        Newest configuration version that a message mentioned, and the peer that has it.
     """
 
     def __init__(self, *, entry: Entry, coordinators: dict[str, Coordinator]) -> None:
@@ -60,7 +77,7 @@
         self.newest_configuration: tuple[int, InstanceId] = (0, InstanceId(""))
 
     def run_receive_loop(self) -> None:
-        """Receive messages until the task is stopped."""
+        """Receive and handle messages until the task is stopped."""
         receiver = self._context.socket(zmq.ROUTER)
         receiver.setsockopt(zmq.LINGER, 0)
         receiver.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
@@ -80,7 +97,18 @@
             receiver.close()
 
     def send_message(self, peer: InstanceId, *body: Body) -> None:
-        """Send to a peer; a message that can't be sent at once is dropped."""
+        """
+        Send a message to a peer.
+
+        It is dropped when the peer is unknown or the peer's send queue is full.
+
+        Parameters
+        ----------
+        peer : str
+            Instance id of the peer.
+        *body : Body
+            Parts of the message. Gossip and the configuration version are added.
+        """
         member = self._entry.membership.get_member(peer)
         if member is not None:
             self.send_message_to_address(peer, member.address, *body)
@@ -88,7 +116,7 @@
     def send_message_to_address(
         self, peer: InstanceId, address: str, *body: Body
     ) -> None:
-        """Send to a peer at an address; as ``send`` otherwise."""
+        """Send a message as ``send_message`` does, to a peer at a given address."""
         message = PeerMessage(
             sender=self._entry.instance,
             incarnation=self._entry.incarnation,
@@ -105,21 +133,21 @@
         self._entry.metrics.peer_bytes.labels("out").inc(len(content))
 
     def close_idle_connections(self) -> None:
-        """Close links that were not used lately."""
-        horizon = self._entry.clock.now() - IDLE_TIMEOUT_SECONDS
+        """Close connections that were not used for ``IDLE_TIMEOUT_SECONDS``."""
+        oldest_use = self._entry.clock.now() - IDLE_TIMEOUT_SECONDS
         for peer, connection in list(self._connections.items()):
-            if connection.used_at < horizon:
+            if connection.used_at < oldest_use:
                 connection.socket.close()
                 del self._connections[peer]
 
     def close(self) -> None:
-        """Close all links."""
+        """Close all connections for sending."""
         for connection in self._connections.values():
             connection.socket.close()
         self._connections.clear()
 
     def handle_body(self, sender: InstanceId, body: Body) -> None:
-        """Take in one part of a message, from a peer or from this entry itself."""
+        """Handle one part of a message from a peer or from this entry itself."""
         match body:
             case Demand():
                 coordinator = self._coordinators.get(body.pool)
@@ -141,6 +169,7 @@
                 self._entry.activate_configuration(body.files, version=body.version)
 
     def _handle_message(self, message: PeerMessage) -> None:
+        """Handle a message: its configuration version, gossip and parts."""
         if message.configuration_version > max(
             self._entry.configuration_holder.version, self.newest_configuration[0]
         ):
@@ -151,11 +180,13 @@
             self.handle_body(message.sender, body)
 
     def _apply_grant(self, grant: Grant) -> None:
+        """Apply a grant to its pool, if this entry has the pool."""
         for pool in self._entry.pools.values():
             if pool.dispatcher.pool == grant.pool:
                 self._entry.apply_actions(pool, pool.dispatcher.apply_grant(grant))
 
     def _get_socket(self, peer: InstanceId, address: str) -> zmq.Socket:
+        """Return the socket for a peer, connected to its present address."""
         connection = self._connections.get(peer)
         if connection is not None and connection.address != address:
             connection.socket.close()
@@ -176,7 +207,7 @@
         return _PeerConnection(socket=sender, address=address, used_at=0.0)
 
     def _enable_curve_server(self, receiver: zmq.Socket) -> None:
-        """Let in only peers that hold the deployment's key."""
+        """Accept only peers with the deployment's CURVE keys, if it has any."""
         keys = self._entry.settings.peer_keys
         if keys is not None:
             receiver.curve_secretkey = keys.secret_key.encode()
@@ -184,6 +215,7 @@
             receiver.curve_server = True
 
     def _enable_curve_client(self, sender: zmq.Socket) -> None:
+        """Encrypt messages with the deployment's CURVE keys, if it has any."""
         keys: PeerKeys | None = self._entry.settings.peer_keys
         if keys is not None:
             sender.curve_secretkey = keys.secret_key.encode()
--- a/damasklead/daemon/pools.py
+++ b/damasklead/daemon/pools.py
@@ -2,7 +2,7 @@
 Pools of an entry
 =================
 
-A service's upstreams together with what this entry decides and knows about them.
+The upstreams of a service with this entry's dispatcher and coordinator for them.
 """
 
 import msgspec
@@ -17,12 +17,21 @@
 
 class Pool(msgspec.Struct, kw_only=True):
     """
-    A service's upstreams with the dispatcher of this entry for them.
+    The upstreams from which an entry serves a service.
 
     Attributes
     ----------
+    service : Service
+        The service in the active configuration.
+    dispatcher : PoolDispatcher
+        Queues the entry's requests and assigns them to replicas.
+    upstream : Upstream
+        Client of the service's kind of upstream.
+    coordinator : str or None
+        The entry that divides the pool's capacity, ``None`` when none is known.
     granted_at : float
-        Clock reading when the pool last had a grant or a new coordinator.
+        Clock reading in seconds when the pool last had a valid grant or got a new
+        coordinator.
     """
 
     service: Service
--- a/damasklead/daemon/replies.py
+++ b/damasklead/daemon/replies.py
@@ -2,7 +2,8 @@
 Replies
 =======
 
-The pieces of an answer to a caller, and the answers that need no upstream.
+The parts of a response to a caller, and the responses to requests with an idempotency
+key that are not sent to an upstream.
 """
 
 import hashlib
@@ -31,8 +32,9 @@
 
 EVENT_END = b"\n\n"
 DONE_EVENT = b"data: [DONE]\n\n"
-MAX_RAW_BYTES = 65_536
-MAX_KEPT_ANSWER = 262_144  # bytes
+MAX_RAW_BYTES = 65_536  # of sent events, before they are replaced by their text
+MAX_KEPT_ANSWER = 262_144  # bytes of a response body that is recorded in a claim
+# Hop-by-hop headers, and headers that the entry or its server sets itself.
 EXCLUDED_HEADERS = frozenset(
     (
         "connection",
@@ -53,7 +55,16 @@
 
 class ResponseHead(msgspec.Struct, kw_only=True):
     """
-    The head of an answer to the caller; ``whole`` says that one piece of body follows.
+    The head of a response to the caller.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status.
+    headers : list of tuple
+        Names and values of the headers.
+    is_complete : bool
+        Whether the body follows as one part; otherwise it follows as a stream.
     """
 
     status: int
@@ -65,12 +76,12 @@
 
 
 def digest_request(method: str, path: str, body: bytes) -> str:
-    """Return the digest by which two sendings of one order are recognised."""
+    """Return the digest that two requests share if they are the same."""
     return hashlib.sha256(f"{method} {path}\n".encode() + body).hexdigest()
 
 
 def extract_text(events: bytes) -> str:
-    """Return the generated text in a run of server-sent events."""
+    """Return the generated text in a sequence of server-sent events."""
     text = ""
     for event in events.split(EVENT_END):
         if not event.startswith(b"data: {"):
@@ -81,7 +92,7 @@
 
 
 def select_end_to_end_headers(response: UpstreamResponse) -> list[tuple[str, str]]:
-    """Return the headers that go on to the caller."""
+    """Return the headers of an upstream's response that the caller receives."""
     return [
         pair
         for pair in response.get_headers()
@@ -90,7 +101,12 @@
 
 
 def make_replayed_response(claim: Claim) -> list[ResponsePart]:
-    """Return the answer to a second sending."""
+    """
+    Return the response to a request whose idempotency key is claimed.
+
+    This is the recorded response, or a problem if there is none: the earlier request is
+    still running, its outcome is unknown, or its response was not recorded.
+    """
     if claim.state is ClaimState.CLAIMED:
         return [
             Problem(
@@ -102,17 +118,19 @@
             )
         ]
     if claim.state is ClaimState.FAILED or claim.answer is None:
-        answered = claim.state is ClaimState.ANSWERED
+        is_answered = claim.state is ClaimState.ANSWERED
         return [
             Problem(
                 status=409,
-                kind="order-answer-not-kept" if answered else "order-outcome-unknown",
+                kind="order-answer-not-kept"
+                if is_answered
+                else "order-outcome-unknown",
                 title=(
                     "An earlier sending with this key ran; its answer is not kept"
-                    if answered
+                    if is_answered
                     else "Whether an earlier sending with this key ran is not known"
                 ),
-                outcome=Outcome.ANSWERED if answered else Outcome.UNKNOWN,
+                outcome=Outcome.ANSWERED if is_answered else Outcome.UNKNOWN,
             )
         ]
     if claim.answer.body is None:
@@ -129,7 +147,7 @@
 
 
 def make_store_unavailable_problem() -> Problem:
-    """Return the problem of a claim that could not be recorded."""
+    """Return the problem of a request whose claim the store could not confirm."""
     return Problem(
         status=503,
         kind="store-unavailable",
@@ -139,7 +157,7 @@
 
 
 def make_body_mismatch_problem() -> Problem:
-    """Return the problem of a key that was used for another body."""
+    """Return the problem of an idempotency key that was used for another request."""
     return Problem(
         status=422,
         kind="idempotency-key-reused",
--- a/damasklead/daemon/service.py
+++ b/damasklead/daemon/service.py
@@ -2,7 +2,7 @@
 Service
 =======
 
-One entry process: its supervisor tree, its start and its graceful stop.
+One entry process: its supervisor tree, start and graceful stop.
 """
 
 import signal
@@ -28,17 +28,27 @@
 __all__ = ["EntryService"]
 
 POLL_INTERVAL_SECONDS = 0.05
+# Time during which the entry still accepts connections after it is marked as leaving.
 LEAVE_PROPAGATION_SECONDS = 1.0
 
 
 class EntryService:
     """
-    An entry with its tree of tasks and listeners.
+    An entry with the supervisor tree of its tasks and listeners.
 
     Parameters
     ----------
     settings : Settings
+        Settings of the entry.
     platform : Platform
+        Table service, object store and instance list.
+
+    Attributes
+    ----------
+    entry : Entry
+        State of the entry.
+    tree : Supervisor
+        Root of the supervisor tree.
     """
 
     def __init__(self, *, settings: Settings, platform: Platform) -> None:
@@ -58,7 +68,7 @@
         self.tree = self._build_tree()
 
     def start(self) -> None:
-        """Start everything; returns at once."""
+        """Register the entry, start its tasks and listeners, and return."""
         self._watchers.register_entry()
         self.tree.start(self._handle_tree_failure)
         logs.event(
@@ -66,7 +76,11 @@
         )
 
     def run(self) -> int:
-        """Run until SIGTERM or SIGINT and stop gracefully; returns the exit code."""
+        """
+        Run until SIGTERM, SIGINT or a failure of the supervisor tree, then stop.
+
+        Returns the exit code, 1 after a failure.
+        """
         for number in (signal.SIGTERM, signal.SIGINT):
             gevent.signal_handler(number, self._stop_requested.set)
         self.start()
@@ -75,7 +89,12 @@
         return 1 if self.tree.failed.is_set() else 0
 
     def stop(self) -> None:
-        """Say that this entry leaves, let requests in progress end, and stop."""
+        """
+        Stop gracefully.
+
+        The entry is marked as leaving, stops accepting connections, waits up to
+        ``stop_seconds`` for the requests in progress, and then stops its tasks.
+        """
         entry = self.entry
         entry.is_stopping = True
         logs.event("stopping", requests=len(entry.exchanges))
@@ -94,9 +113,11 @@
         logs.event("stopped", instance=entry.instance, cut_off=len(entry.exchanges))
 
     def _handle_tree_failure(self, child: Child, cause: BaseException | None) -> None:
+        """Stop the process after the root supervisor has failed."""
         self._stop_requested.set()
 
     def _build_tree(self) -> Supervisor:
+        """Return the supervisor tree, the listener for callers last."""
         return Supervisor(
             name="entry",
             clock=self._clock,
--- a/damasklead/daemon/sharetasks.py
+++ b/damasklead/daemon/sharetasks.py
@@ -2,8 +2,8 @@
 Share tasks
 ===========
 
-Sends demands to the coordinators and, for the pools that this entry coordinates, polls
-the replicas' reports and sends grants.
+Sends this entry's demands to the coordinators of its pools and, for the pools that it
+coordinates, polls the replicas' load reports and sends grants.
 """
 
 import random
@@ -21,12 +21,23 @@
 
 __all__ = ["ShareTasks"]
 
-JITTER_FRACTION = 0.1
+JITTER_FRACTION = 0.1  # of the share interval
 POLL_TIMEOUT_SECONDS = 1.0
 
 
 class ShareTasks:
-    """The periodic work of sharing."""
+    """
+    The periodic tasks for sharing the capacity of pools among entries.
+
+    Parameters
+    ----------
+    entry : Entry
+        State of this entry.
+    peers : Peers
+        Connections to the other entries.
+    coordinators : dict
+        Coordinators of the pools that this entry coordinates, by pool id.
+    """
 
     def __init__(
         self, *, entry: Entry, peers: Peers, coordinators: dict[str, Coordinator]
@@ -37,7 +48,7 @@
         self._random = random.Random(entry.instance)
 
     def run_demand_loop(self) -> None:
-        """Send this entry's demands until the task is stopped."""
+        """Send demands in each share interval until the task is stopped."""
         while True:
             self._sleep_interval()
             for pool in list(self._entry.pools.values()):
@@ -46,7 +57,7 @@
             self._entry.check_coordinators()
 
     def run_coordinator_loop(self) -> None:
-        """Serve the pools that this entry coordinates until the task is stopped."""
+        """Send grants in each share interval until the task is stopped."""
         while True:
             self._sleep_interval()
             for pool in list(self._entry.pools.values()):
@@ -56,12 +67,14 @@
                     self._coordinators.pop(pool.dispatcher.pool, None)
 
     def _sleep_interval(self) -> None:
+        """Sleep for a share interval with jitter."""
         interval = compute_share_interval(len(self._entry.find_live_entries()))
         self._entry.clock.sleep(
             interval * (1 + self._random.uniform(-JITTER_FRACTION, JITTER_FRACTION))
         )
 
     def _send_demand(self, pool: Pool) -> None:
+        """Send the demand on a pool to its coordinator, which may be this entry."""
         coordinator = pool.coordinator
         demand = pool.dispatcher.build_demand()
         if coordinator == self._entry.instance:
@@ -70,6 +83,7 @@
             self._peers.send_message(coordinator, demand)
 
     def _coordinate_pool(self, pool: Pool) -> None:
+        """Poll the replicas of a pool and send the entries their grants."""
         coordinator = self._coordinators.get(pool.dispatcher.pool)
         if coordinator is None:
             coordinator = Coordinator(
@@ -96,6 +110,7 @@
     def _poll_replica(
         self, pool: Pool, coordinator: Coordinator, member: Member
     ) -> None:
+        """Record a replica's load report, or that it is leaving."""
         try:
             status = pool.upstream.fetch_status(member.address)
         except UpstreamError:
@@ -114,15 +129,20 @@
 
 def _get_model_names(names: tuple[str, ...]) -> tuple[str, ...]:
     """
-    Return the models among ``model@version`` texts, whatever their version.
+    Return the names of models without their versions.
+
+    While a version is being replaced, replicas with either version serve requests.
 
-    While a version is being replaced, replicas with either serve.
+    Parameters
+    ----------
+    names : tuple of str
+        Loaded models, each as ``model@version``.
     """
     return tuple(sorted({name.partition("@")[0] for name in names}))
 
 
 def _get_token_gap_targets(service: Service) -> dict[int, float]:
-    """Return the tightest target between tokens in each tier, in seconds."""
+    """Return the lowest token gap target of each tier, in seconds."""
     targets: dict[int, float] = {}
     for item in service.classes:
         if item.token_gap_target is not None:
@@ -133,7 +153,7 @@
 
 
 def _sum_minimum_shares(service: Service) -> dict[int, float]:
-    """Return the sum of the minimum shares in each tier."""
+    """Return the sum of the classes' minimum shares in each tier, as fractions."""
     shares: dict[int, float] = {}
     for item in service.classes:
         shares[item.tier] = shares.get(item.tier, 0.0) + item.minimum_share
--- a/damasklead/daemon/watchers.py
+++ b/damasklead/daemon/watchers.py
@@ -2,8 +2,9 @@
 Watchers
 ========
 
-Tasks that follow the platform: configuration, instance list, drains, quarantines and
-audit trail.
+Periodic tasks of an entry: they poll the platform for the configuration, the instance
+list, drains and the quarantine, write audit events and the ends of claims, and process
+timeouts and disconnects.
 """
 
 import random
@@ -46,7 +47,7 @@
 WAKE_CHECK_INTERVAL_SECONDS = 0.2
 CALLER_CHECK_INTERVAL_SECONDS = 0.25
 MIN_POLL_INTERVAL_SECONDS = 1.0
-MAX_READS_PER_SECOND = 20.0  # of all entries together, for each polled thing
+MAX_READS_PER_SECOND = 20.0  # of all entries together, for each kind of polled data
 RECORD_INTERVAL_SECONDS = 1.0
 MAX_BACKOFF_SECONDS = 30.0
 
@@ -58,7 +59,9 @@
     Parameters
     ----------
     entry : Entry
+        State of this entry.
     peers : Peers
+        Connections to the other entries.
     """
 
     def __init__(self, *, entry: Entry, peers: Peers) -> None:
@@ -70,13 +73,17 @@
         self._listed_records: tuple[InstanceRecord, ...] = ()
 
     def run_timeout_loop(self) -> None:
-        """Let time pass in the pools."""
+        """Process the timeouts of the pools until the task is stopped."""
         while True:
             self._entry.clock.sleep(TIMEOUT_CHECK_INTERVAL_SECONDS)
             self._entry.process_timeouts()
 
     def run_configuration_loop(self) -> None:
-        """Follow the published configuration."""
+        """
+        Poll the published configuration until the task is stopped.
+
+        It is polled early when a peer has a newer configuration.
+        """
         while True:
             self._update_configuration()
             self._wait_for_poll(
@@ -87,25 +94,28 @@
             )
 
     def run_member_loop(self) -> None:
-        """Follow the instance list and the drains that operators ask for."""
+        """Poll instances, drains and the quarantine until the task is stopped."""
         while True:
             self._update_members()
             self._wait_for_poll(lambda: False)
 
     def run_caller_check_loop(self) -> None:
         """
-        Give up requests whose caller has gone before the answer began, and attempts
-        whose upstream is silent.
+        Cancel requests whose caller disconnected before the response began, and fail
+        streams whose upstream sends nothing for the read timeout.
+
+        A request with a claim goes on while an attempt runs: it can't be undone, and
+        its response is recorded.
         """
         while True:
             self._entry.clock.sleep(CALLER_CHECK_INTERVAL_SECONDS)
             for exchange in list(self._entry.exchanges.values()):
                 exchange.check_read_timeout()
-                waits = not exchange.is_streaming and not (
+                is_cancellable = not exchange.is_streaming and not (
                     exchange.claim and exchange.has_active_attempt
                 )
                 if (
-                    waits
+                    is_cancellable
                     and exchange.caller_socket is not None
                     and _is_disconnected(exchange.caller_socket)
                 ):
@@ -114,18 +124,29 @@
 
     def run_record_loop(self) -> None:
         """
-        Store audit events and the ends of claims, with back-off while the store is out.
+        Write audit events and the ends of claims until the task is stopped.
+
+        The interval between writes grows while the store is unavailable.
         """
         while True:
             self._entry.clock.sleep(self._get_delay(RECORD_INTERVAL_SECONDS))
             self._entry.claims.retry_pending()
             pending = len(self._entry.audit)
             if pending:
-                stored = self._entry.run_protocol(self._entry.audit.flush_events())
-                self._failure_count = 0 if stored else self._failure_count + 1
+                stored_count = self._entry.run_protocol(
+                    self._entry.audit.flush_events()
+                )
+                self._failure_count = 0 if stored_count else self._failure_count + 1
 
     def register_entry(self, state: InstanceState = InstanceState.LIVE) -> None:
-        """Enter this process into the instance list, for platforms that need that."""
+        """
+        Add this process to the instance list if the platform's settings ask for it.
+
+        Parameters
+        ----------
+        state : InstanceState
+            State under which it is listed.
+        """
         settings = self._entry.settings
         if not settings.platform.announce:
             return
@@ -143,6 +164,7 @@
             logs.warning("announce", result=result.err_value.value)
 
     def _update_configuration(self) -> None:
+        """Activate a newly published configuration and report the active version."""
         entry = self._entry
         row = entry.run_protocol(read_manifest())
         if isinstance(row, Row):
@@ -161,25 +183,29 @@
         self._report_version()
 
     def _request_configuration(self) -> None:
-        """Ask peers for their configuration while the platform is out."""
-        version, sender = self._peers.newest_configuration
-        own = self._entry.settings.listen.peers
+        """
+        Request the configuration from peers while the platform is unavailable.
+
+        An entry without a configuration asks all known entries, or the seeds.
+        """
+        version, newest_peer = self._peers.newest_configuration
+        own_address = self._entry.settings.listen.peers
         query = ConfigurationQuery(
-            known_version=self._entry.configuration_holder.version, reply_to=own
+            known_version=self._entry.configuration_holder.version, reply_to=own_address
         )
         if version > self._entry.configuration_holder.version:
-            self._peers.send_message(sender, query)
+            self._peers.send_message(newest_peer, query)
         elif self._entry.configuration_holder.version == 0:
-            known = {
+            known_addresses = {
                 item.instance: item.address for item in self._entry.find_live_entries()
             }
             seeds = {InstanceId(seed): seed for seed in self._entry.settings.seeds}
-            for peer, address in (known or seeds).items():
-                if address != own:
+            for peer, address in (known_addresses or seeds).items():
+                if address != own_address:
                     self._peers.send_message_to_address(peer, address, query)
 
     def _report_version(self) -> None:
-        """Tell publishers which version this entry has in force."""
+        """Report the active version to the platform, where publishers wait for it."""
         entry = self._entry
         if entry.configuration_holder.version == entry.reported_version:
             return
@@ -190,6 +216,7 @@
             entry.reported_version = entry.configuration_holder.version
 
     def _update_members(self) -> None:
+        """Read the instance list, drains, the claims' generation and the quarantine."""
         entry = self._entry
         before = entry.membership.generation
         result = entry.platform.instances.list_instances(
@@ -208,36 +235,43 @@
         generation = entry.run_protocol(read_generation())
         if generation is not None:
             entry.generation = generation[0]
-        named = entry.platform.tables.scan(QUARANTINE_TABLE, limit=1000)
-        if isinstance(named, Ok):
-            for row in named.ok_value:
+        quarantined = entry.platform.tables.scan(QUARANTINE_TABLE, limit=1000)
+        if isinstance(quarantined, Ok):
+            for row in quarantined.ok_value:
                 apply_quarantine_row(decode_quarantine_row(row), entry.quarantine)
         if entry.membership.generation != before:
             entry.update_members()
 
     def _apply_listing(self, listing: Listing) -> None:
-        """Merge a reading of the instance list; one without news repeats the last."""
+        """Merge the instance list, with the last read records if it is unchanged."""
         if listing.records is not None:
             self._list_version = listing.version
             self._listed_records = listing.records
         self._entry.membership.merge_list(self._listed_records)
 
     def _wait_for_poll(self, should_poll: Callable[[], bool]) -> None:
-        entries = max(1, len(self._entry.find_live_entries()))
-        period = max(MIN_POLL_INTERVAL_SECONDS, entries / MAX_READS_PER_SECOND)
-        deadline = self._entry.clock.now() + period * self._random.uniform(0.8, 1.2)
+        """
+        Wait until the next poll is due or ``should_poll`` returns true.
+
+        The interval grows with the number of entries, which bounds the rate of reads of
+        all entries together.
+        """
+        entry_count = max(1, len(self._entry.find_live_entries()))
+        interval = max(MIN_POLL_INTERVAL_SECONDS, entry_count / MAX_READS_PER_SECOND)
+        deadline = self._entry.clock.now() + interval * self._random.uniform(0.8, 1.2)
         while self._entry.clock.now() < deadline:
             self._entry.clock.sleep(WAKE_CHECK_INTERVAL_SECONDS)
             if should_poll():
                 return
 
     def _get_delay(self, base: float) -> float:
-        grown = min(MAX_BACKOFF_SECONDS, base * 2.0 ** min(self._failure_count, 6))
-        return grown * self._random.uniform(0.5, 1.0) if self._failure_count else base
+        """Return the seconds to the next write, ``base`` unless writes have failed."""
+        backoff = min(MAX_BACKOFF_SECONDS, base * 2.0 ** min(self._failure_count, 6))
+        return backoff * self._random.uniform(0.5, 1.0) if self._failure_count else base
 
 
 def _is_disconnected(caller: socket.socket) -> bool:
-    """Tell whether the caller closed its connection."""
+    """Return whether a caller closed its connection."""
     try:
         if not select([caller], [], [], 0)[0]:
             return False
