--- a/damasklead/platform/documents.py
+++ b/damasklead/platform/documents.py
@@ -60,7 +60,9 @@
 
 class _Engine(msgspec.Struct):
     slots: int
+    # Capacity of the KV cache in tokens.
     kv_capacity: int
+    # Number of tokens in an event of a stream.
     stride: int = 1
 
 
@@ -98,6 +100,7 @@
     state: str
     slots: int = 1
     warmup_left_ms: float = 0.0
+    # Start time of the replica in Unix milliseconds, which identifies its incarnation.
     born: int = 0
 
 
