--- a/damasklead/daemon/entry.py
+++ b/damasklead/daemon/entry.py
@@ -369,7 +369,7 @@
         exchange.handle_action(refuse)
 
     def cancel_request(self, pool: Pool, exchange: Exchange) -> None:
-        """Cancel the request of an exchange, including an attempt that is not sent."""
+        """Cancel an exchange's request before its started attempt is sent."""
         self.apply_actions(pool, pool.dispatcher.cancel_request(exchange.request.id))
 
     def apply_actions(self, pool: Pool, actions: list[Action]) -> None:
--- a/damasklead/daemon/exchange.py
+++ b/damasklead/daemon/exchange.py
@@ -94,7 +94,7 @@
 
     @abstractmethod
     def cancel_request(self, pool: Pool, exchange: "Exchange") -> None:
-        """Cancel the request of an exchange, including an attempt that is not sent."""
+        """Cancel an exchange's request before its started attempt is sent."""
 
     @abstractmethod
     def cancel_attempt(self, pool: Pool, cancel: Cancel) -> None:
@@ -178,6 +178,7 @@
         self._upstream_socket: socket.socket | None = None
         self._last_start: Start | None = None
         self._response: UpstreamResponse | None = None
+        # Receive count of the response and the clock reading when it was first seen.
         self._last_receive: tuple[int, float] = (0, 0.0)
         self._tokens_before_attempt = 0
         self._sent_events: list[bytes] = []
@@ -278,9 +279,9 @@
         """
         Send an attempt and return its response.
 
-        When part of a stream was sent to the caller already, a replica that made the
-        last attempt too is asked to resume it; otherwise, or when it refuses to, the
-        attempt continues from the text sent so far.
+        When the caller has received a part of the response already, a replica that also
+        made the previous attempt is asked to resume it. Any other replica, and one that
+        refuses to resume, continues the response after the text sent so far.
         """
         address = self._entry.get_address(start.replica)
         if address is None:
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -1,8 +1,8 @@
 """
-Tests of the entry in one process
-=================================
+Tests of an entry in one process
+================================
 
-A real entry with stand-ins on loopback; the platform is in memory.
+A complete entry with stand-ins for upstreams on loopback and a platform in memory.
 """
 
 from collections.abc import Iterator
@@ -173,7 +173,7 @@
         ("DELETE", "/services/demo-app/orders", b"", "skippers", 403, "X-Request-Class"),
     ],
 )  # fmt: skip
-def test_bad_requests_are_told_what_is_at_fault(
+def test_invalid_request_gets_a_problem_that_names_the_field(
     harness: EntryHarness,
     method: str,
     path: str,
@@ -201,7 +201,7 @@
         b"X-Large: " + b"x" * 20_000 + b"\r\n",
     ],
 )
-def test_ambiguous_framing_is_refused(harness: EntryHarness, head: bytes) -> None:
+def test_ambiguous_framing_is_rejected(harness: EntryHarness, head: bytes) -> None:
     connection = socket.create_connection(split_address(harness.address))
     request = b"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n" + head + b"\r\n"
     connection.sendall(request + b"0\r\n\r\nGET /v1/models HTTP/1.1\r\n\r\n")
@@ -213,7 +213,7 @@
     assert received.count(b"HTTP/1.1") == 1
 
 
-def test_a_silent_connection_is_closed(harness: EntryHarness) -> None:
+def test_idle_connection_is_closed(harness: EntryHarness) -> None:
     connection = socket.create_connection(split_address(harness.address))
     connection.sendall(b"POST /v1/chat/completions HTTP/1.1\r\n")
     connection.settimeout(5.0)
@@ -221,13 +221,13 @@
         continue
 
 
-def test_the_request_id_comes_back(harness: EntryHarness) -> None:
+def test_request_id_is_returned(harness: EntryHarness) -> None:
     response = harness.send("GET", "/v1/models", X_Request_ID="my-id-7")
     assert response.get_header("X-Request-ID") == "my-id-7"
     assert b"demo-7b" in response.read_body(limit=10_000)
 
 
-def test_whole_and_streamed_answers_are_the_callers_own(harness: EntryHarness) -> None:
+def test_each_caller_receives_its_own_response(harness: EntryHarness) -> None:
     def check(number: int) -> None:
         response, document = harness.send_completion(
             f"prompt {number}", stream=number % 2 == 0
@@ -242,10 +242,10 @@
     gevent.joinall(greenlets, raise_error=True)
 
 
-def test_a_crossed_answer_never_reaches_the_wrong_caller(
+def test_mismatched_response_is_not_relayed(
     harness: EntryHarness, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """One engine answers with another request's id; the other answers well."""
+    """One engine responds with the id of another request, the other correctly."""
     first = harness.engines[0]
     original = first.handle
 
@@ -263,11 +263,11 @@
         assert content["choices"][0]["message"]["content"] == expected_text(document)
 
 
-@pytest.mark.parametrize("keeps_its_streams", [True, False])
-def test_a_cut_stream_goes_on_at_the_exact_event(
-    harness: EntryHarness, keeps_its_streams: bool
+@pytest.mark.parametrize("keeps_streams", [True, False])
+def test_broken_stream_continues_at_the_next_event(
+    harness: EntryHarness, keeps_streams: bool
 ) -> None:
-    """The connections break; the engine can resume, or has restarted with nothing."""
+    """Connections break; the engines can resume their streams or have lost them."""
     greenlets = [
         gevent.spawn(harness.send_completion, f"cut {n}", tokens=200) for n in range(12)
     ]
@@ -276,7 +276,7 @@
         runs = dict(engine._runs)
         engine.stop()
         engine.start()
-        if keeps_its_streams:
+        if keeps_streams:
             engine._runs = runs
         else:
             engine._runs = {}
@@ -287,7 +287,7 @@
         assert extract_text(response) == expected_text(document)
 
 
-def test_a_stream_that_cannot_go_on_ends_with_an_error_event(
+def test_stream_that_cannot_continue_ends_with_an_error_event(
     harness: EntryHarness,
 ) -> None:
     response, _ = harness.send_completion("hopeless", tokens=400)
@@ -300,7 +300,7 @@
     assert b"[DONE]" not in body
 
 
-def test_a_caller_that_goes_away_is_cancelled_at_the_engine(
+def test_disconnect_cancels_the_request_at_the_engine(
     harness: EntryHarness,
 ) -> None:
     response, _ = harness.send_completion("gone", tokens=2000)
@@ -314,7 +314,7 @@
     harness.wait_until(lambda: all(engine._running == 0 for engine in harness.engines))
 
 
-def test_a_caller_that_goes_away_before_the_answer_is_noticed(
+def test_disconnect_before_the_response_is_detected(
     harness: EntryHarness,
 ) -> None:
     for engine in harness.engines:
@@ -329,7 +329,7 @@
     harness.wait_until(lambda: not harness.service.entry.exchanges, seconds=3.0)
 
 
-def test_a_second_sending_gets_the_recorded_answer(harness: EntryHarness) -> None:
+def test_repeated_request_gets_the_recorded_response(harness: EntryHarness) -> None:
     body = b'{"reference": "once"}'
     path = "/services/demo-app/orders"
     first = harness.send("POST", path, body, Idempotency_Key="k1")
@@ -343,7 +343,7 @@
     assert harness.shop.orders == ["once"]
 
 
-def test_an_order_whose_upstream_breaks_is_unknown_and_stays_so(
+def test_outcome_stays_unknown_after_the_upstream_crashed(
     harness: EntryHarness,
 ) -> None:
     path = "/services/demo-app/orders"
@@ -351,13 +351,13 @@
     def send() -> UpstreamResponse:
         return harness.send("POST", path, b'{"reference": "x"}', Idempotency_Key="k")
 
-    def break_off(call: Call) -> Reply:
+    def crash_during_order(call: Call) -> Reply:
         harness.shop.orders.append("x")
         harness.shop.crash()
         gevent.sleep(5.0)
         return Reply()
 
-    harness.shop._order = break_off  # type: ignore[method-assign]
+    harness.shop._order = crash_during_order  # type: ignore[method-assign]
     response = send()
     assert (response.status, response.get_header("X-Damasklead-Outcome")) == (
         502,
@@ -373,7 +373,7 @@
     assert harness.shop.orders == ["x"]
 
 
-def test_an_order_is_refused_unrun_while_the_store_is_out(
+def test_request_with_a_key_is_not_executed_while_the_store_is_unavailable(
     harness: EntryHarness,
 ) -> None:
     harness.faults.down = True
@@ -390,7 +390,9 @@
     assert harness.shop.orders == ["later"]
 
 
-def test_operators_see_health_metrics_and_status(harness: EntryHarness) -> None:
+def test_operators_listener_serves_health_metrics_and_status(
+    harness: EntryHarness,
+) -> None:
     harness.send_completion("metrics")[0].read_body(limit=100_000)
 
     def get(path: str) -> tuple[int, bytes]:
@@ -425,6 +427,6 @@
         )
 
 
-def test_the_listener_of_callers_has_no_operators_paths(harness: EntryHarness) -> None:
+def test_callers_listener_has_no_operators_paths(harness: EntryHarness) -> None:
     for path in ("/status", "/metrics", "/healthz"):
         assert harness.send("GET", path).status == 404
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -1,6 +1,6 @@
 """
-Tests of one request's way over attempts that are taken back
-============================================================
+Tests of a response whose attempt is cancelled while it is relayed
+==================================================================
 """
 
 from types import SimpleNamespace
@@ -20,13 +20,13 @@
 )  # fmt: skip
 
 
-def event(number: int) -> bytes:
+def make_event(number: int) -> bytes:
     text = f'{{"choices": [{{"delta": {{"content": "w{number} "}}}}]}}'
     return f"data: {text}\n\n".encode()
 
 
-class Answers:
-    """An engine's answer that has more bytes buffered when it is taken back."""
+class BufferedResponse:
+    """A stream that still has data buffered when its attempt is cancelled."""
 
     status = 200
 
@@ -35,7 +35,7 @@
         self._chunks = chunks
 
     def disable_read_timeout(self) -> None:
-        """Nothing is to be prepared."""
+        """Do nothing, since no read blocks."""
 
     def get_headers(self) -> list[tuple[str, str]]:
         return [("Content-Type", "text/event-stream")]
@@ -45,8 +45,8 @@
         return self._chunks.pop(0) if self._chunks else b""
 
 
-class Dispatcher:
-    """Counts the events of attempts that it has not taken back, as the real one does."""
+class FakeDispatcher:
+    """Counts the events of attempts that it has not cancelled, as the real one does."""
 
     def __init__(self, request: Any) -> None:
         self.attempts = {AttemptId("a1"), AttemptId("a2")}
@@ -57,8 +57,8 @@
             self._request.generated_tokens += event_count
 
 
-class Host:
-    """Stands in for the entry; ignores what it is told."""
+class FakeEntry:
+    """An entry with one replica address that ignores all reports."""
 
     clock = SimpleNamespace(now=lambda: 0.0)
 
@@ -69,33 +69,38 @@
         return lambda *_args, **_options: None
 
 
-class Upstream:
-    """Sends what is left of an answer of four words."""
+class FakeUpstream:
+    """An engine that sends the rest of a response of four words."""
 
     def __init__(self) -> None:
-        self.sent: list[int] = []
+        self.first_events: list[int] = []
         self.request: Any = None
 
-    def send_attempt(self, address: str, call: Any, **_options: Any) -> Answers:
-        begin = self.request.generated_tokens
-        self.sent.append(begin)
-        pieces = [event(number) for number in range(begin, 4)]
-        return Answers([*pieces, DONE_EVENT])
+    def send_attempt(
+        self, address: str, request: Any, **_options: Any
+    ) -> BufferedResponse:
+        first_event = self.request.generated_tokens
+        self.first_events.append(first_event)
+        parts = [make_event(number) for number in range(first_event, 4)]
+        return BufferedResponse([*parts, DONE_EVENT])
 
 
-@pytest.mark.parametrize("taken_back_after", [1, 2, 3])
-def test_what_an_attempt_that_was_taken_back_still_holds_is_not_passed_on(
-    taken_back_after: int, monkeypatch: pytest.MonkeyPatch
+@pytest.mark.parametrize("cancelled_after", [1, 2, 3])
+def test_data_buffered_at_the_cancellation_of_an_attempt_is_not_relayed(
+    cancelled_after: int, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """The caller had words twice: they were passed on and not counted."""
+    """
+    The caller received events twice: buffered events of a cancelled attempt were
+    relayed but not counted, and the next attempt generated them again.
+    """
     monkeypatch.setattr(Exchange, "_make_continuation_body", lambda self: b"")
     request: Any = SimpleNamespace(
         generated_tokens=0, request_class=SimpleNamespace(may_repeat=True)
     )
-    upstream, dispatcher = Upstream(), Dispatcher(request)
+    upstream, dispatcher = FakeUpstream(), FakeDispatcher(request)
     upstream.request = request
     exchange = Exchange(
-        entry=Host(),  # type: ignore[arg-type]
+        entry=FakeEntry(),  # type: ignore[arg-type]
         pool=SimpleNamespace(dispatcher=dispatcher, upstream=upstream),  # type: ignore[arg-type]
         request=request,
         upstream_request=UPSTREAM_REQUEST,
@@ -108,15 +113,15 @@
     ]
     exchange.handle_action(starts[0])
     body = b""
-    pieces = 0
-    for piece in exchange.generate_response():
-        if isinstance(piece, ResponseHead):
+    part_count = 0
+    for part in exchange.generate_response():
+        if isinstance(part, ResponseHead):
             continue
-        assert isinstance(piece, bytes)
-        body += piece
-        pieces += 1
-        if pieces == taken_back_after:
-            # The dispatcher takes the attempt back while the caller is written to.
+        assert isinstance(part, bytes)
+        body += part
+        part_count += 1
+        if part_count == cancelled_after:
+            # The dispatcher cancels the attempt during a write to the caller.
             dispatcher.attempts.discard(AttemptId("a1"))
             exchange.handle_action(
                 Cancel(
@@ -127,5 +132,5 @@
                 )
             )
             exchange.handle_action(starts[1])
-    assert body == b"".join(event(number) for number in range(4)) + DONE_EVENT
-    assert upstream.sent == [0, taken_back_after]
+    assert body == b"".join(make_event(number) for number in range(4)) + DONE_EVENT
+    assert upstream.first_events == [0, cancelled_after]
