--- a/damasklead/commands/changing.py
+++ b/damasklead/commands/changing.py
@@ -83,7 +83,7 @@
     ] = 15.0
 
     def __call__(self) -> int:
-        """Run the command; returns the exit code."""
+        """Run the command and return the exit code."""
         platform = make_http_platform(address=self.platform)
         publication = Publication(
             id=AttemptId(new_id()),
@@ -124,7 +124,7 @@
     who: UserOption = ""
 
     def __call__(self) -> int:
-        """Run the command; returns the exit code."""
+        """Run the command and return the exit code."""
         platform = make_http_platform(address=self.platform)
         listed = platform.instances.list_instances()
         if isinstance(listed, Err):
--- a/damasklead/commands/experimenting.py
+++ b/damasklead/commands/experimenting.py
@@ -49,7 +49,7 @@
     ] = None
 
     def __call__(self) -> int:
-        """Run the command; returns the exit code."""
+        """Run the command and return the exit code."""
         findings = Findings()
         experiment = check_experiment(
             self.file.read_text(), file=str(self.file), findings=findings
--- a/damasklead/commands/explaining.py
+++ b/damasklead/commands/explaining.py
@@ -35,7 +35,7 @@
     ] = field(default_factory=list)
 
     def __call__(self) -> int:
-        """Run the command; returns the exit code."""
+        """Run the command and return the exit code."""
         stories = collect_stories(self._read_lines())
         if not self.request:
             found = list(stories.values())
--- a/damasklead/commands/inspecting.py
+++ b/damasklead/commands/inspecting.py
@@ -39,7 +39,7 @@
     json: JsonOption = False
 
     def __call__(self) -> int:
-        """Run the command; returns the exit code."""
+        """Run the command and return the exit code."""
         host, port = split_address(self.entry)
         try:
             content = bytes(HTTPClient(host, port).get("/status").read())
@@ -75,7 +75,7 @@
     json: JsonOption = False
 
     def __call__(self) -> int:
-        """Run the command; returns the exit code."""
+        """Run the command and return the exit code."""
         events = scan_table(
             make_http_platform(address=self.platform), AUDIT_TABLE, decode_audit_event
         )
--- a/damasklead/commands/orders.py
+++ b/damasklead/commands/orders.py
@@ -48,7 +48,7 @@
     json: JsonOption = False
 
     def __call__(self) -> int:
-        """Run the command; returns the exit code."""
+        """Run the command and return the exit code."""
         claims = scan_table(
             make_http_platform(address=self.platform), CLAIMS_TABLE, decode_claim
         )
@@ -89,7 +89,7 @@
     ] = False
 
     def __call__(self) -> int:
-        """Run the command; returns the exit code."""
+        """Run the command and return the exit code."""
         platform = make_http_platform(address=self.platform)
         who = self.who or get_user_name()
         key = make_claim_key(WorkspaceId(self.workspace), self.key)
--- a/damasklead/commands/quarantine.py
+++ b/damasklead/commands/quarantine.py
@@ -41,7 +41,7 @@
     json: JsonOption = False
 
     def __call__(self) -> int:
-        """Run the command; returns the exit code."""
+        """Run the command and return the exit code."""
         platform = make_http_platform(address=self.platform)
         rows = scan_table(platform, QUARANTINE_TABLE, decode_quarantine_row)
         if rows is None:
@@ -65,7 +65,7 @@
     who: UserOption = ""
 
     def __call__(self) -> int:
-        """Run the command; returns the exit code."""
+        """Run the command and return the exit code."""
         platform = make_http_platform(address=self.platform)
         rows = scan_table(platform, QUARANTINE_TABLE, decode_quarantine_row)
         if rows is None:
--- a/damasklead/commands/running.py
+++ b/damasklead/commands/running.py
@@ -41,7 +41,7 @@
     settings: Annotated[Path, cappa.Arg(help="The settings file.")]
 
     def __call__(self) -> int:
-        """Run the command; returns the exit code."""
+        """Run the command and return the exit code."""
         from damasklead.daemon import EntryService
 
         findings = Findings()
@@ -64,7 +64,7 @@
     settings: Annotated[Path, cappa.Arg(help="The gateway's settings file.")]
 
     def __call__(self) -> int:
-        """Run the command; returns the exit code."""
+        """Run the command and return the exit code."""
         from damasklead.platform.start import run_gateway
 
         return run_gateway(self.settings)
@@ -87,7 +87,7 @@
     ] = False
 
     def __call__(self) -> int:
-        """Run the command; returns the exit code."""
+        """Run the command and return the exit code."""
         findings = Findings()
         folders = [path for path in self.paths if path.is_dir()]
         for path in self.paths:
@@ -113,7 +113,7 @@
     workspace: str
 
     def __call__(self) -> int:
-        """Run the command; returns the exit code."""
+        """Run the command and return the exit code."""
         key = f"{self.workspace}.{secrets.token_urlsafe(24)}"
         salt = hashlib.sha256(secrets.token_bytes(16)).hexdigest()[:16]
         print(f"key:    {key}\ndigest: {digest_key(key, salt=salt)}")
@@ -132,7 +132,7 @@
     ] = False
 
     def __call__(self) -> int:
-        """Run the command; returns the exit code."""
+        """Run the command and return the exit code."""
         from damasklead.demo import run_demo
 
         if not self.verbose:
@@ -158,7 +158,7 @@
     platform: Annotated[str, cappa.Arg(long="--platform")] = ""
 
     def __call__(self) -> int:
-        """Run the command; returns the exit code."""
+        """Run the command and return the exit code."""
         from damasklead import standins
 
         record = InstanceRecord(
--- a/damasklead/util.py
+++ b/damasklead/util.py
@@ -9,7 +9,7 @@
 import uuid
 from functools import lru_cache
 
-__all__ = ["new_id", "hash_name", "split_address", "stable_hash"]
+__all__ = ["hash_name", "new_id", "split_address", "stable_hash"]
 
 # The names of replicas and prompt parts recur; an entry takes about 150 bytes.
 HASH_CACHE_SIZE = 4_096
