--- a/tests/faulty.py
+++ b/tests/faulty.py
@@ -22,7 +22,7 @@
     NONE = "none"
     DOWN = "down"
     LOST_BEFORE = "lost before it took effect"
-    LOST_AFTER = "answer lost after it took effect"
+    LOST_AFTER = "response lost after it took effect"
     LATE = "takes effect later"
     TWICE = "takes effect twice"
 
