--- a/bench/policies.py
+++ b/bench/policies.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from bench.simulation import HARD_BATCH, Driver, Engine, Run
+from bench.simulation import HARD_BATCH, Engine, Run, Simulator
 from bench.workload import ENTRIES, Arrival, Deployment, Fault, Scenario
 from damasklead.dispatching import PoolDispatcher
 from damasklead.ids import AttemptId, Fingerprint, Incarnation, InstanceId, PoolId
@@ -59,13 +59,13 @@
     def __init__(
         self,
         *,
-        driver: Driver,
+        simulator: Simulator,
         engines: dict[InstanceId, Engine],
         deployment: Deployment,
         scenario: Scenario,
         seed: int,
     ) -> None:
-        self.driver = driver
+        self.simulator = simulator
         self.engines = engines
         self.deployment = deployment
         self.scenario = scenario
@@ -92,12 +92,12 @@
         """Note that the caller of a request got tokens."""
         seen = self.seen[request.id]
         if seen.first is None:
-            seen.first = self.driver.clock.now()
+            seen.first = self.simulator.clock.now()
         seen.tokens += tokens
 
     def finished(self, request: Request) -> None:
         """Note that a caller has its whole answer."""
-        self.seen[request.id].last = self.driver.clock.now()
+        self.seen[request.id].last = self.simulator.clock.now()
 
 
 class Ours(Policy):
@@ -112,14 +112,14 @@
         self.names = [InstanceId(f"entry-{number}") for number in range(ENTRIES)]
         self.quarantines = [
             Quarantine(
-                clock=self.driver.clock,
+                clock=self.simulator.clock,
                 propagation_seconds=NOTICE_INTERVALS * compute_share_interval(ENTRIES),
             )
             for _ in self.names
         ]
         self.entries = [self._entry(number) for number in range(ENTRIES)]
         self.coordinators = {
-            name: Coordinator(pool=self.pool, clock=self.driver.clock)
+            name: Coordinator(pool=self.pool, clock=self.simulator.clock)
             for name in self.names
         }
         gaps: dict[int, float] = {}
@@ -131,10 +131,10 @@
         for coordinator in self.coordinators.values():
             coordinator.set_targets(token_gap_targets=gaps, min_shares=shares)
         for number in range(ENTRIES):
-            self.driver.at(self.random.random() * TICK, self._tick, number)
+            self.simulator.schedule(self.random.random() * TICK, self._tick, number)
             delay = self.random.random() * compute_share_interval(ENTRIES)
-            self.driver.at(delay, self._demand, number)
-        self.driver.at(0.0, self._coordinate)
+            self.simulator.schedule(delay, self._demand, number)
+        self.simulator.schedule(0.0, self._coordinate)
 
     def submit(self, arrival: Arrival) -> None:
         """Give a request to its entry."""
@@ -148,7 +148,7 @@
         dispatcher = PoolDispatcher(
             pool=self.pool,
             service=self.deployment.service,
-            clock=self.driver.clock,
+            clock=self.simulator.clock,
             data_centre=self.deployment.centre(number),
             random_source=random.Random(self.random.random()),
             costs=CostModel(),
@@ -173,7 +173,7 @@
             elif isinstance(action, Cancel):
                 engine = self.engines[action.replica]
                 attempt = action.attempt
-                self.driver.at(MESSAGE_DELAY, engine.cancel, attempt)
+                self.simulator.schedule(MESSAGE_DELAY, engine.cancel, attempt)
             elif isinstance(action, Refuse):
                 self.seen[action.request.id].refused = True
 
@@ -213,7 +213,7 @@
             on_end=end,
         )
         engine = self.engines[action.replica]
-        self.driver.at(MESSAGE_DELAY, lambda: engine.submit(run))
+        self.simulator.schedule(MESSAGE_DELAY, lambda: engine.submit(run))
 
     def _broken(self, number: int, action: Start) -> None:
         entry = self.entries[number]
@@ -237,7 +237,7 @@
         """Let one entry see a crash at once, and the others when gossip reaches them."""
         self.quarantines[number].record_crash(replica, incarnation, running)
         for quarantine in self.quarantines:
-            self.driver.at(
+            self.simulator.schedule(
                 compute_share_interval(ENTRIES),
                 quarantine.record_crash,
                 replica,
@@ -250,20 +250,22 @@
             for quarantine in self.quarantines:
                 quarantine.add_fingerprint(fingerprint)
         self._act(number, self.entries[number].process_timeouts)
-        self.driver.at(TICK, lambda: self._tick(number))
+        self.simulator.schedule(TICK, lambda: self._tick(number))
 
     def _demand(self, number: int) -> None:
         coordinator = self._coordinator()
         if coordinator is not None:
             demand = self.entries[number].build_demand()
             self._count_message(demand)
-            self.driver.at(
+            self.simulator.schedule(
                 MESSAGE_DELAY,
                 lambda: self.coordinators[coordinator].record_demand(
                     self.names[number], demand
                 ),
             )
-        self.driver.at(compute_share_interval(ENTRIES), lambda: self._demand(number))
+        self.simulator.schedule(
+            compute_share_interval(ENTRIES), lambda: self._demand(number)
+        )
 
     def _coordinate(self) -> None:
         """Let the coordinator poll lagging reports and send grants."""
@@ -279,13 +281,15 @@
                 self._count_message(grant)
                 number = self.names.index(entry)
                 take = self.entries[number].apply_grant
-                self.driver.at(MESSAGE_DELAY, self._act, number, partial(take, grant))
-        self.driver.at(compute_share_interval(ENTRIES), self._coordinate)
+                self.simulator.schedule(
+                    MESSAGE_DELAY, self._act, number, partial(take, grant)
+                )
+        self.simulator.schedule(compute_share_interval(ENTRIES), self._coordinate)
 
     def _report(self, coordinator: Coordinator, engine: Engine) -> None:
         if engine.alive and not self._silent():
             report = engine.report()
-            self.driver.at(
+            self.simulator.schedule(
                 REPORT_LAG, lambda: coordinator.record_report(engine.name, report)
             )
 
@@ -294,7 +298,7 @@
             return None
         alive = list(self.names)
         first = choose_coordinator(self.pool, alive)
-        now = self.driver.clock.now()
+        now = self.simulator.clock.now()
         if Fault.COORDINATOR in self.scenario.faults and now > OUTAGE[0] + 2.0:
             # Gone at the start of the burst; the others' list shows it 2 s later.
             alive.remove(first)  # type: ignore[arg-type]
@@ -304,7 +308,7 @@
         return first
 
     def _silent(self) -> bool:
-        now = self.driver.clock.now()
+        now = self.simulator.clock.now()
         return Fault.SILENCE in self.scenario.faults and now > OUTAGE[0]
 
     def _count_message(self, body: object) -> None:
@@ -347,7 +351,7 @@
 
     def _send(self, arrival: Arrival, tries: int) -> None:
         if not any(engine.alive for engine in self.engines.values()):
-            self.driver.at(TICK, lambda: self._send(arrival, tries))
+            self.simulator.schedule(TICK, lambda: self._send(arrival, tries))
             return
         engine = self.choose(arrival)
         request = arrival.request
@@ -366,7 +370,7 @@
             self.wasted += got
             self.seen[request.id].tokens = 0
             if tries < 3:
-                self.driver.at(0.1, lambda: self._send(arrival, tries + 1))
+                self.simulator.schedule(0.1, lambda: self._send(arrival, tries + 1))
 
         run = Run(
             request=request,
@@ -376,7 +380,7 @@
             on_tokens=tokens,
             on_end=end,
         )
-        self.driver.at(MESSAGE_DELAY, lambda: engine.submit(run))
+        self.simulator.schedule(MESSAGE_DELAY, lambda: engine.submit(run))
 
 
 class LeastOutstanding(RoundRobin):
@@ -414,7 +418,7 @@
         """Begin with an empty queue."""
         self._queue: list[tuple[int, float, int, Arrival]] = []
         self._running: dict[AttemptId, tuple[Arrival, Engine]] = {}
-        self.driver.at(TICK, self._tick)
+        self.simulator.schedule(TICK, self._tick)
 
     def submit(self, arrival: Arrival) -> None:
         """Queue a request and start what may start."""
@@ -433,7 +437,7 @@
 
     def _tick(self) -> None:
         self._fill()
-        self.driver.at(TICK, self._tick)
+        self.simulator.schedule(TICK, self._tick)
 
     def _fill(self) -> None:
         while self._queue:
--- a/bench/policy.py
+++ b/bench/policy.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from bench.policies import POLICIES, NoPreemption, Ours, Policy, Seen
-from bench.simulation import Driver, Engine
+from bench.simulation import Engine, Simulator
 from bench.workload import (
     BURST,
     DEPLOYMENTS,
@@ -60,13 +60,13 @@
 
 def run_job(job: Job) -> Result:
     """Run one policy through one scenario."""
-    driver = Driver()
+    simulator = Simulator()
     names = [
         InstanceId(f"engine-{number}") for number in range(job.deployment.replicas)
     ]
-    engines = {name: Engine(name=name, driver=driver) for name in names}
+    engines = {name: Engine(name=name, simulator=simulator) for name in names}
     policy = job.policy(
-        driver=driver,
+        simulator=simulator,
         engines=engines,
         deployment=job.deployment,
         scenario=job.scenario,
@@ -75,17 +75,21 @@
     policy.start()
     for arrival in arrivals(job.deployment, job.scenario, job.seed):
         policy.seen[arrival.request.id] = Seen(arrival=copy.copy(arrival))
-        driver.at(arrival.at, policy.submit, arrival)
-    _schedule_faults(driver, job.scenario, list(engines.values()))
-    driver.run_until(HORIZON + DRAIN_SECONDS)
+        simulator.schedule(arrival.at, policy.submit, arrival)
+    _schedule_faults(simulator, job.scenario, list(engines.values()))
+    simulator.run_until(HORIZON + DRAIN_SECONDS)
     return _result(job, policy, list(engines.values()))
 
 
-def _schedule_faults(driver: Driver, scenario: Scenario, engines: list[Engine]) -> None:
+def _schedule_faults(
+    simulator: Simulator, scenario: Scenario, engines: list[Engine]
+) -> None:
     if Fault.CRASH in scenario.faults:
-        driver.at(BURST[0] + 5.0, engines[1].crash)
+        simulator.schedule(BURST[0] + 5.0, engines[1].crash)
     if Fault.STRAGGLER in scenario.faults:
-        driver.at(BURST[0], lambda: setattr(engines[0], "slow_factor", SLOW_FACTOR))
+        simulator.schedule(
+            BURST[0], lambda: setattr(engines[0], "slow_factor", SLOW_FACTOR)
+        )
 
 
 def _result(job: Job, policy: Policy, engines: list[Engine]) -> Result:
--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from damasklead.experiment.driver import Driver
+from damasklead.experiment.driver import Simulator
 from damasklead.ids import AttemptId, InstanceId
 from damasklead.requests import Request
 from damasklead.sharing import LoadReport
@@ -59,14 +59,14 @@
         Tokens generated in all.
     """
 
-    def __init__(self, *, name: InstanceId, driver: Driver) -> None:
+    def __init__(self, *, name: InstanceId, simulator: Simulator) -> None:
         self.name = name
         self.slow_factor = 1.0
         self.generated = 0
         self.alive = True
         self.incarnation = 1
         self.crashes = 0
-        self._driver = driver
+        self._simulator = simulator
         self._running: dict[AttemptId, Run] = {}
         self._waiting: list[tuple[int, int, Run]] = []
         self._cancelled: set[AttemptId] = set()
@@ -119,7 +119,7 @@
             if run.attempt not in self._cancelled:
                 self._tell(run)
                 run.on_end(False)
-        self._driver.at(RESTART_SECONDS, self._restart)
+        self._simulator.schedule(RESTART_SECONDS, self._restart)
 
     def _restart(self) -> None:
         self.alive = True
@@ -146,7 +146,7 @@
         step = self.slow_factor * (step + PREFILL_SECONDS_PER_TOKEN * prefill)
         self._token_gap += GAP_RATE * (step - self._token_gap)
         incarnation = self.incarnation
-        self._driver.at(step, self._end_step, incarnation)
+        self._simulator.schedule(step, self._end_step, incarnation)
 
     def _end_step(self, incarnation: int) -> None:
         if not self.alive or incarnation != self.incarnation:
--- a/damasklead/experiment/callers.py
+++ b/damasklead/experiment/callers.py
@@ -8,7 +8,7 @@
 
 from collections.abc import Sequence
 
-from damasklead.experiment.driver import Driver
+from damasklead.experiment.driver import Simulator
 from damasklead.experiment.gateways import Answer, Gateway
 from damasklead.experiment.load import Arrival
 from damasklead.experiment.tally import Outcome, Result, Tally
@@ -34,7 +34,7 @@
     route : Route
     service : ServiceName
     gateways : sequence of Gateway
-    driver : Driver
+    simulator : Simulator
     tally : Tally
     """
 
@@ -45,16 +45,16 @@
         route: Route,
         service: ServiceName,
         gateways: Sequence[Gateway],
-        driver: Driver,
+        simulator: Simulator,
         tally: Tally,
     ) -> None:
         self._arrival = arrival
         self._route = route
         self._service = service
         self._gateways = gateways
-        self._driver = driver
+        self._simulator = simulator
         self._tally = tally
-        self._began = driver.clock.now()
+        self._began = simulator.clock.now()
         self._tries = 0
         self._refused = False
         self._first: float | None = None
@@ -63,12 +63,12 @@
 
     @property
     def _left(self) -> float:
-        return self._began + self._arrival.kind.timeout - self._driver.clock.now()
+        return self._began + self._arrival.kind.timeout - self._simulator.clock.now()
 
     def begin(self) -> None:
         """Send the request."""
         self._tries += 1
-        now = self._driver.clock.now()
+        now = self._simulator.clock.now()
         prompt = self._arrival.prompt
         head = CallHead(
             method="POST",
@@ -101,7 +101,7 @@
         gateway.submit(call, answer, tokens=self._arrival.answer)
 
     def _take_event(self) -> None:
-        now = self._driver.clock.now()
+        now = self._simulator.clock.now()
         if self._first is None:
             self._first = now - self._began
         else:
@@ -126,7 +126,7 @@
         self._refused = True
         honoured = retry_after <= MOST_RETRY_SHARE * self._left
         if self._tries <= RETRIES and honoured:
-            self._driver.at(retry_after, self.begin)
+            self._simulator.schedule(retry_after, self.begin)
         else:
             self._judge(Result.REFUSED)
 
--- a/damasklead/experiment/engines.py
+++ b/damasklead/experiment/engines.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from damasklead.experiment.description import Engines
-from damasklead.experiment.driver import Driver
+from damasklead.experiment.driver import Simulator
 from damasklead.gateway.calls import LoadHint, PromptPart
 from damasklead.ids import AttemptId
 
@@ -111,7 +111,7 @@
     """
 
     def __init__(
-        self, *, figures: Engines, driver: Driver, speed: float, known: set[str]
+        self, *, figures: Engines, simulator: Simulator, speed: float, known: set[str]
     ) -> None:
         self.alive = True
         self.incarnation = 1
@@ -120,7 +120,7 @@
         self.read_again = 0
         self.copied = 0
         self._figures = figures
-        self._driver = driver
+        self._simulator = simulator
         self._speed = speed
         self._known = known
         self._cache = PromptCache()
@@ -205,7 +205,7 @@
         self.alive = False
         for run in broken:
             run.on_end(False)
-        self._driver.at(seconds, self._restart)
+        self._simulator.schedule(seconds, self._restart)
 
     def _restart(self) -> None:
         self.alive = True
@@ -229,7 +229,7 @@
         seconds += figures.step_per_context_token * kept
         seconds += chunk / figures.read_rate + pairs * figures.pair_seconds
         incarnation = self.incarnation
-        self._driver.at(seconds * self.speed, self._end_step, incarnation)
+        self._simulator.schedule(seconds * self.speed, self._end_step, incarnation)
 
     def _read_chunk(self) -> tuple[int, float]:
         """Read prompts, the most urgent first; returns tokens and pairs of tokens."""
--- a/damasklead/experiment/fleet.py
+++ b/damasklead/experiment/fleet.py
@@ -9,7 +9,7 @@
 
 from damasklead.experiment.callers import Caller
 from damasklead.experiment.description import Experiment, Fault, FaultKind, Kind
-from damasklead.experiment.driver import Driver
+from damasklead.experiment.driver import Simulator
 from damasklead.experiment.engines import Engine
 from damasklead.experiment.gateways import Gateway
 from damasklead.experiment.load import Arrival, arrivals
@@ -64,7 +64,7 @@
 class _Fleet:
     def __init__(self, *, experiment: Experiment, policy: Policy, seed: int) -> None:
         self._experiment = experiment
-        self._driver = Driver()
+        self._simulator = Simulator()
         self._tally = Tally()
         self._seed = seed
         figures = experiment.engines
@@ -73,7 +73,7 @@
         self._engines = {
             record.instance: Engine(
                 figures=figures,
-                driver=self._driver,
+                simulator=self._simulator,
                 speed=figures.speeds[number % len(figures.speeds)],
                 known=known,
             )
@@ -95,13 +95,13 @@
         """Play the whole experiment."""
         self._list()
         for arrival in arrivals(self._experiment, self._seed):
-            self._driver.at(arrival.at, self._arrive, arrival)
+            self._simulator.schedule(arrival.at, self._arrive, arrival)
         for fault in self._experiment.faults:
-            self._driver.at(fault.at, self._strike, fault)
+            self._simulator.schedule(fault.at, self._strike, fault)
         for gateway in self._gateways:
-            self._driver.at(0.0, self._tick, gateway)
+            self._simulator.schedule(0.0, self._tick, gateway)
         longest = max(kind.timeout for kind in self._experiment.kinds)
-        self._driver.run_until(self._experiment.seconds + longest + 1.0)
+        self._simulator.run_until(self._experiment.seconds + longest + 1.0)
         self._tally.read = sum(item.read for item in self._engines.values())
         self._tally.read_again = sum(item.read_again for item in self._engines.values())
         self._tally.copied = sum(item.copied for item in self._engines.values())
@@ -142,7 +142,7 @@
         return Gateway(
             name=f"gateway-{number}",
             data_centre=DataCentre(centres[number % len(centres)]),
-            driver=self._driver,
+            simulator=self._simulator,
             table=self._table,
             placement=placement,
             engines=self._engines,
@@ -160,13 +160,13 @@
             route=self._routes[arrival.kind.name],
             service=SERVICE,
             gateways=self._gateways,
-            driver=self._driver,
+            simulator=self._simulator,
             tally=self._tally,
         ).begin()
 
     def _tick(self, gateway: Gateway) -> None:
         gateway.tick()
-        self._driver.at(QUEUE_INTERVAL_SECONDS, self._tick, gateway)
+        self._simulator.schedule(QUEUE_INTERVAL_SECONDS, self._tick, gateway)
 
     def _send(self, gateway: Gateway, name: str, message: object) -> None:
         """Take a message from one gateway to another, unless either is cut off."""
@@ -174,13 +174,13 @@
             return
         other = self._by_name[name]
         delay = self._delay(gateway.data_centre, other.data_centre)
-        self._driver.at(delay, other.take, message, gateway.name)
+        self._simulator.schedule(delay, other.take, message, gateway.name)
 
     def _strike(self, fault: Fault) -> None:
         if fault.kind is FaultKind.CUT:
             count = max(1, round(fault.share * len(self._gateways)))
             self._cut |= {item.name for item in self._gateways[:count]}
-            self._driver.at(fault.seconds, self._cut.clear)
+            self._simulator.schedule(fault.seconds, self._cut.clear)
             return
         count = max(1, round(fault.share * len(self._engines)))
         for engine in list(self._engines.values())[:count]:
@@ -188,10 +188,12 @@
                 engine.crash(fault.seconds)
             else:
                 engine.slow_factor = fault.factor
-                self._driver.at(fault.seconds, setattr, engine, "slow_factor", 1.0)
+                self._simulator.schedule(
+                    fault.seconds, setattr, engine, "slow_factor", 1.0
+                )
         if fault.kind is FaultKind.CRASH:
-            self._driver.at(min(LIST_SECONDS, fault.seconds), self._list)
-            self._driver.at(fault.seconds + LIST_SECONDS, self._list)
+            self._simulator.schedule(min(LIST_SECONDS, fault.seconds), self._list)
+            self._simulator.schedule(fault.seconds + LIST_SECONDS, self._list)
 
     def _list(self) -> None:
         """Let all gateways see which engines are listed."""
--- a/damasklead/experiment/gateways.py
+++ b/damasklead/experiment/gateways.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from damasklead.experiment.driver import Driver
+from damasklead.experiment.driver import Simulator
 from damasklead.experiment.engines import Engine, EngineRun
 from damasklead.failures import Failure
 from damasklead.gateway.attempts import MAX_REPLICA_ATTEMPTS, RETRY_AFTER_SECONDS
@@ -85,7 +85,7 @@
     ----------
     name : str
     data_centre : DataCentre
-    driver : Driver
+    simulator : Simulator
     table : RoutingTable
     placement : type
         Chooses among a cell's engines.
@@ -108,7 +108,7 @@
         *,
         name: str,
         data_centre: DataCentre,
-        driver: Driver,
+        simulator: Simulator,
         table: RoutingTable,
         placement: type[Placement],
         engines: Mapping[InstanceId, Engine],
@@ -120,15 +120,15 @@
         self.far_bytes = 0
         self.messages = 0
         self.member = Member(InstanceId(name), data_centre)
-        self._driver = driver
+        self._simulator = simulator
         self._engines = engines
         self._sources: dict[str, Engine] = {}
         self._records: dict[InstanceId, UpstreamRecord] = {}
         self._delay_to = delay_to
         self._send_far = send
-        self._cells = CellMap(clock=driver.clock, local_member=self.member)
+        self._cells = CellMap(clock=simulator.clock, local_member=self.member)
         self._coordinators = Coordinators(
-            clock=driver.clock,
+            clock=simulator.clock,
             cells=self._cells,
             table=lambda: table,
             send_response=self._send,
@@ -152,8 +152,8 @@
         """Take a request in; ``tokens`` is the length that its answer will have."""
         work = _Work(call=call, answer=answer, tokens=tokens, excluded=set())
         self._works[call.id] = work
-        left = call.deadline - self._driver.clock.now()
-        self._driver.at(left, self._expire, work)
+        left = call.deadline - self._simulator.clock.now()
+        self._simulator.schedule(left, self._expire, work)
         self._find(work)
 
     def tick(self) -> None:
@@ -198,7 +198,7 @@
             self.name,
             work.call,
             work.cell,
-            now=self._driver.clock.now(),
+            now=self._simulator.clock.now(),
             excluded=work.excluded,
             is_first_attempt=not work.offers,
             source=self._cells.find_copy_source(work.call, work.cell),
@@ -207,7 +207,7 @@
 
     def _await(self, work: _Work, seconds: float) -> None:
         work.asks += 1
-        self._driver.at(seconds, self._give_up_coordinator, work, work.asks)
+        self._simulator.schedule(seconds, self._give_up_coordinator, work, work.asks)
 
     def _give_up_coordinator(self, work: _Work, ask: int) -> None:
         if work.done or ask != work.asks or work.replica is not None:
@@ -261,7 +261,7 @@
         if record.data_centre != self.data_centre:
             self.far_bytes += len(work.call.body)
         delay = self._delay_to(self.data_centre, record.data_centre)
-        self._driver.at(delay, self._arrive, work, record, delay, grant.source)
+        self._simulator.schedule(delay, self._arrive, work, record, delay, grant.source)
 
     def _arrive(
         self, work: _Work, record: UpstreamRecord, delay: float, source: str | None
@@ -279,21 +279,21 @@
             on_end=partial(self._later, delay, self._take_end, work),
         )
         if not engine.alive:
-            self._driver.at(delay, self._fail, work, Failure.NOT_SENT)
+            self._simulator.schedule(delay, self._fail, work, Failure.NOT_SENT)
             return
         seconds = 0.0
         if source is not None and source in self._sources:
             seconds = engine.copy(self._sources[source], work.call.head.prompt)
-        self._driver.at(seconds, self._enter, work, engine, run, delay)
+        self._simulator.schedule(seconds, self._enter, work, engine, run, delay)
 
     def _enter(self, work: _Work, engine: Engine, run: EngineRun, delay: float) -> None:
         if not work.done and not engine.submit(run):
-            self._driver.at(delay, self._fail, work, Failure.REFUSED)
+            self._simulator.schedule(delay, self._fail, work, Failure.REFUSED)
 
     def _later(
         self, delay: float, take: Callable[..., None], work: _Work, content: object
     ) -> None:
-        self._driver.at(delay, take, work, content)
+        self._simulator.schedule(delay, take, work, content)
 
     def _take_event(self, work: _Work, hint: LoadHint) -> None:
         if work.done or work.replica is None or work.cell is None:
--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -20,7 +20,7 @@
     FaultKind,
     check_experiment,
 )
-from damasklead.experiment.driver import Driver
+from damasklead.experiment.driver import Simulator
 from damasklead.experiment.engines import Engine, EngineRun
 from damasklead.experiment.fleet import run
 from damasklead.experiment.policies import POLICIES
@@ -133,9 +133,9 @@
 
 
 def test_an_engine_reads_a_shared_part_once(experiment: Experiment) -> None:
-    driver = Driver()
+    simulator = Simulator()
     one, other = (
-        Engine(figures=experiment.engines, driver=driver, speed=1.0, known=set())
+        Engine(figures=experiment.engines, simulator=simulator, speed=1.0, known=set())
         for _ in range(2)
     )
     ended: list[bool] = []
@@ -152,7 +152,7 @@
                 on_end=ended.append,
             )
         )
-        driver.run_until(driver.clock.now() + 5.0)
+        simulator.run_until(simulator.clock.now() + 5.0)
 
     send(one, "a")
     assert one.read == 4500
