--- a/damasklead/daemon/callers.py
+++ b/damasklead/daemon/callers.py
@@ -69,7 +69,7 @@
         self, environ: Environ, start_response: StartResponse
     ) -> Iterable[bytes]:
         """Serve one request."""
-        request_id = _request_id(environ)
+        request_id = _get_request_id(environ)
         try:
             exchange = self._open_exchange(environ)
         except Problem as problem:
@@ -323,7 +323,7 @@
         self._start_response(f"{head.status} Answer", headers)
 
 
-def _request_id(environ: Environ) -> RequestId:
+def _get_request_id(environ: Environ) -> RequestId:
     """
     Return the caller's id of the request, or a new one.
 
--- a/damasklead/daemon/callerserver.py
+++ b/damasklead/daemon/callerserver.py
@@ -77,7 +77,7 @@
         return environ
 
     def _sendall(self, data: bytes) -> None:
-        """Send data, with a single system call if that takes all of it."""
+        """Send data, with one call where that suffices, as for events of a stream."""
         try:
             sent = self.socket.send(data)
             if sent < len(data):
--- a/damasklead/daemon/dutytask.py
+++ b/damasklead/daemon/dutytask.py
@@ -128,7 +128,7 @@
         )
 
     def _send_load_commands(self, keeper: LeaseKeeper, pool: Pool) -> None:
-        """Command the model loads that a pool's replicas need."""
+        """Send the commands for the model loads that a pool's replicas need."""
         fencing_token = keeper.fencing_token
         if fencing_token is None:
             return
--- a/damasklead/daemon/peers.py
+++ b/damasklead/daemon/peers.py
@@ -100,7 +100,7 @@
         """
         Send a message to a peer.
 
-        It is dropped when the peer is unknown or the peer's send queue is full.
+        It is dropped when the peer is unknown or the message can't be queued at once.
 
         Parameters
         ----------
--- a/damasklead/daemon/watchers.py
+++ b/damasklead/daemon/watchers.py
@@ -44,7 +44,7 @@
 __all__ = ["Watchers"]
 
 TIMEOUT_CHECK_INTERVAL_SECONDS = 0.05
-WAKE_CHECK_INTERVAL_SECONDS = 0.2
+EARLY_POLL_CHECK_INTERVAL_SECONDS = 0.2
 CALLER_CHECK_INTERVAL_SECONDS = 0.25
 MIN_POLL_INTERVAL_SECONDS = 1.0
 MAX_READS_PER_SECOND = 20.0  # of all entries together, for each kind of polled data
@@ -85,7 +85,7 @@
         It is polled early when a peer has a newer configuration.
         """
         while True:
-            self._update_configuration()
+            self._poll_configuration()
             self._wait_for_poll(
                 lambda: (
                     self._peers.newest_configuration[0]
@@ -96,7 +96,7 @@
     def run_member_loop(self) -> None:
         """Poll instances, drains and the quarantine until the task is stopped."""
         while True:
-            self._update_members()
+            self._poll_members()
             self._wait_for_poll(lambda: False)
 
     def run_caller_check_loop(self) -> None:
@@ -104,8 +104,8 @@
         Cancel requests whose caller disconnected before the response began, and fail
         streams whose upstream sends nothing for the read timeout.
 
-        A request with a claim goes on while an attempt runs: it can't be undone, and
-        its response is recorded.
+        A request with a claim, which may be executed only once, goes on while an
+        attempt runs: it can't be undone, and its response is recorded.
         """
         while True:
             self._entry.clock.sleep(CALLER_CHECK_INTERVAL_SECONDS)
@@ -163,8 +163,8 @@
         if isinstance(result, Err):
             logs.warning("announce", result=result.err_value.value)
 
-    def _update_configuration(self) -> None:
-        """Activate a newly published configuration and report the active version."""
+    def _poll_configuration(self) -> None:
+        """Activate a newer published configuration and report the active version."""
         entry = self._entry
         row = entry.run_protocol(read_manifest())
         if isinstance(row, Row):
@@ -215,7 +215,7 @@
         if entry.run_protocol(report):
             entry.reported_version = entry.configuration_holder.version
 
-    def _update_members(self) -> None:
+    def _poll_members(self) -> None:
         """Read the instance list, drains, the claims' generation and the quarantine."""
         entry = self._entry
         before = entry.membership.generation
@@ -260,7 +260,7 @@
         interval = max(MIN_POLL_INTERVAL_SECONDS, entry_count / MAX_READS_PER_SECOND)
         deadline = self._entry.clock.now() + interval * self._random.uniform(0.8, 1.2)
         while self._entry.clock.now() < deadline:
-            self._entry.clock.sleep(WAKE_CHECK_INTERVAL_SECONDS)
+            self._entry.clock.sleep(EARLY_POLL_CHECK_INTERVAL_SECONDS)
             if should_poll():
                 return
 
