--- a/damasklead/demo/run.py
+++ b/damasklead/demo/run.py
@@ -136,7 +136,7 @@
             10, self._ask("processors", "quotation", 60, stream=False)
         )
         self._clock.sleep(0.3)
-        self._engines[0].crash_after = CRASH_AFTER_TOKENS
+        self._engines[0].crash_after_tokens = CRASH_AFTER_TOKENS
         greenlets += self._spawn(
             30, self._ask("skippers", "dispatch-query", 40, stream=True)
         )
@@ -150,7 +150,7 @@
         greenlets += self._spawn(10, self._order)
         greenlets.append(gevent.spawn(self._order_twice))
         self._clock.sleep(1.5)
-        if not self._engines[0].running:
+        if not self._engines[0].is_running:
             self._engines[0].restart()
         gevent.joinall(greenlets, timeout=45)
 
@@ -199,14 +199,15 @@
             _count(rows[received.name], received)
         order = rows["ice-order"]
         order.doubled = sum(
-            1 for item in self._references if self._shop.orders.count(item) > 1
+            1 for item in self._references if self._shop.executed_orders.count(item) > 1
         )
         _print_table(list(rows.values()))
         held = all(row.lost == row.wrong == row.doubled == 0 for row in rows.values())
         held = held and all(row.whole == row.sent for row in rows.values())
-        crashed = sum(engine.crashes for engine in self._engines)
+        crashed = sum(engine.crash_count for engine in self._engines)
         print(
-            f"engine crashes: {crashed}; orders run: {len(self._shop.orders)}", end="; "
+            f"engine crashes: {crashed}; orders run: {len(self._shop.executed_orders)}",
+            end="; ",
         )
         print(f"distinct orders: {len(self._references)}")
         print("the promises held" if held and crashed else "A PROMISE WAS BROKEN")
--- a/damasklead/demo/traffic.py
+++ b/damasklead/demo/traffic.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from damasklead.requests import Outcome
-from damasklead.standins.engine import expected_text
+from damasklead.standins.engine import compute_expected_text
 from damasklead.upstreams import ConnectionPool, UpstreamError
 from damasklead.upstreams.transport import send_request
 
@@ -88,7 +88,7 @@
             text = (
                 _stream_text(received.body) if stream else _message_text(received.body)
             )
-            if text != expected_text(document):
+            if text != compute_expected_text(document):
                 received.verdict = Verdict.WRONG
         received.tokens = tokens
         return received
--- a/damasklead/standins/__init__.py
+++ b/damasklead/standins/__init__.py
@@ -2,8 +2,8 @@
 Stand-ins
 =========
 
-Small servers that take the place of engines, services and the platform in tests and
-trials.
+Small HTTP servers that replace engines, services and the platform in tests and
+experiments.
 """
 
 import signal
@@ -20,7 +20,7 @@
 
 __all__ = ["EngineStandin", "PlainStandin", "PlatformStandin", "run_standin"]
 
-KINDS: dict[str, type[EngineStandin] | type[PlainStandin]] = {
+STANDIN_CLASSES: dict[str, type[EngineStandin] | type[PlainStandin]] = {
     "engine": EngineStandin,
     "service": PlainStandin,
 }
@@ -29,7 +29,24 @@
 def run_standin(
     kind: str, *, record: InstanceRecord, platform_address: str = ""
 ) -> int:
-    """Run a stand-in until SIGTERM or SIGINT; returns the exit code."""
+    """
+    Run a stand-in until SIGTERM or SIGINT.
+
+    Parameters
+    ----------
+    kind : str
+        ``engine``, ``service`` or ``platform``.
+    record : InstanceRecord
+        The stand-in's entry in the instance list; it listens on the record's address.
+    platform_address : str
+        Address (``host:port``) of the platform where an engine or a service registers;
+        empty to register nowhere.
+
+    Returns
+    -------
+    int
+        The exit code of the process.
+    """
     standin: StandinServer
     if kind == "platform":
         standin = PlatformStandin(record=record)
@@ -37,11 +54,13 @@
         platform = (
             make_http_platform(address=platform_address) if platform_address else None
         )
-        standin = KINDS[kind](record=record, platform=platform, exits_on_crash=True)
-    stopped = Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal_handler(number, stopped.set)
+        standin = STANDIN_CLASSES[kind](
+            record=record, platform=platform, exits_on_crash=True
+        )
+    stop_requested = Event()
+    for signal_number in (signal.SIGTERM, signal.SIGINT):
+        signal_handler(signal_number, stop_requested.set)
     standin.start()
-    stopped.wait()
+    stop_requested.wait()
     standin.stop()
     return 0
--- a/damasklead/standins/base.py
+++ b/damasklead/standins/base.py
@@ -2,8 +2,8 @@
 Stand-in server
 ===============
 
-What the stand-ins share: a small HTTP server with routes, faults and a record of what
-was run.
+HTTP server that all stand-ins extend: it registers in the instance list, reports its
+status, and can be made to leave or crash.
 """
 
 import contextlib
@@ -20,11 +20,20 @@
 from damasklead.upstreams.base import LEAVING_HEADER, UpstreamStatus
 from damasklead.util import split_address
 
-__all__ = ["Call", "Reply", "StandinServer", "json_reply"]
+__all__ = ["HttpRequest", "HttpResponse", "StandinServer", "make_json_response"]
 
 
-class Call(msgspec.Struct, kw_only=True):
-    """A request that arrived at a stand-in."""
+class HttpRequest(msgspec.Struct, kw_only=True):
+    """
+    A request that a stand-in received.
+
+    Attributes
+    ----------
+    query : str
+        Query string of the URL, without the question mark.
+    headers : dict
+        Header values by name, in WSGI form (``X_REQUEST_ID``).
+    """
 
     method: str
     path: str
@@ -34,23 +43,30 @@
 
     @property
     def request_id(self) -> str:
-        """The id that the router gave the attempt."""
+        """Attempt id that the router set in ``X-Request-ID``; empty without one."""
         return self.headers.get("X_REQUEST_ID", "")
 
 
-class Reply(msgspec.Struct, kw_only=True):
-    """What a stand-in answers; ``parts`` are sent one by one."""
+class HttpResponse(msgspec.Struct, kw_only=True):
+    """
+    The response of a stand-in.
+
+    Attributes
+    ----------
+    parts : iterable of bytes
+        Chunks of the body, each sent as soon as it is produced.
+    """
 
     status: int = 200
     headers: list[tuple[str, str]] = msgspec.field(default_factory=list)
     parts: Iterable[bytes] = ()
 
 
-def json_reply(
+def make_json_response(
     content: object, *, status: int = 200, headers: tuple[Any, ...] = ()
-) -> Reply:
-    """Return a reply with a JSON body."""
-    return Reply(
+) -> HttpResponse:
+    """Return a response with a JSON body."""
+    return HttpResponse(
         status=status,
         headers=[("Content-Type", "application/json"), *headers],
         parts=[msgspec.json.encode(content)],
@@ -58,14 +74,14 @@
 
 
 class _Server(pywsgi.WSGIServer):
-    """Remembers its connections, so that a crash can break them all off."""
+    """WSGI server that tracks its connections, so that a crash can close them all."""
 
     def __init__(self, *arguments: Any, **options: Any) -> None:
         super().__init__(*arguments, **options)
         self._connections: set[socket.socket] = set()
 
     def handle(self, client_socket: socket.socket, address: Any) -> None:
-        """Serve one connection."""
+        """Serve one connection, without Nagle's delay."""
         client_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._connections.add(client_socket)
         try:
@@ -73,8 +89,8 @@
         finally:
             self._connections.discard(client_socket)
 
-    def break_off(self) -> None:
-        """End every connection without a word."""
+    def close_connections(self) -> None:
+        """Shut down every connection without completing its response."""
         for connection in self._connections:
             with contextlib.suppress(OSError):
                 connection.shutdown(socket.SHUT_RDWR)
@@ -82,16 +98,24 @@
 
 class StandinServer:
     """
-    A small HTTP server that can crash, leave and enter itself into the instance list.
+    An HTTP server that registers in the instance list and can leave or crash.
 
     Parameters
     ----------
     record : InstanceRecord
-        What it says of itself; its address is where it listens.
+        Its entry in the instance list; it listens on the record's address.
     platform : Platform or None
-        Where it announces itself.
+        Platform where it registers; ``None`` to register nowhere.
     exits_on_crash : bool
-        Whether a crash ends the process, or only closes every connection.
+        Whether a crash ends the process. Otherwise a crash stops only this server and
+        closes its connections.
+
+    Attributes
+    ----------
+    is_leaving : bool
+        Whether it refuses new requests because it is about to stop.
+    crash_count : int
+        Crashes so far.
     """
 
     def __init__(
@@ -102,20 +126,20 @@
         exits_on_crash: bool = False,
     ) -> None:
         self.record = record
-        self.leaving = False
-        self.crashes = 0
+        self.is_leaving = False
+        self.crash_count = 0
         self._platform = platform
         self._exits_on_crash = exits_on_crash
         self._server: _Server | None = None
         self._pool = Pool()
 
     @property
-    def running(self) -> bool:
-        """Whether the server listens."""
+    def is_running(self) -> bool:
+        """Whether the server accepts connections."""
         return self._server is not None
 
     def start(self) -> None:
-        """Listen, and announce the instance."""
+        """Start to listen, and register the instance with the platform."""
         self._pool = Pool()
         self._server = _Server(
             split_address(self.record.address),
@@ -129,16 +153,16 @@
             self._platform.instances.register_instance(self.record)
 
     def stop(self) -> None:
-        """Stop at once, closing every connection."""
+        """Stop at once and close every connection."""
         server, self._server = self._server, None
         if server is not None:
-            server.break_off()
+            server.close_connections()
             server.stop(timeout=0)
             self._pool.kill(block=False)
 
     def crash(self) -> None:
-        """End without a word: the process, or every connection of this server."""
-        self.crashes += 1
+        """Crash: end the process, or stop the server and close its connections."""
+        self.crash_count += 1
         if self._exits_on_crash:
             os._exit(3)
         gevent.spawn(self.stop)
@@ -146,37 +170,45 @@
     def restart(self) -> None:
         """Start again as a new incarnation."""
         self.stop()
-        self.leaving = False
+        self.is_leaving = False
         self.record = msgspec.structs.replace(
             self.record,
             incarnation=self.record.incarnation + 1,
         )
         self.start()
 
-    def handle(self, call: Call) -> Reply:
-        """Answer a call; stand-ins add their own paths."""
-        if call.path == "/load":
-            return json_reply(self.status())
-        if call.path == "/leave" and call.method == "POST":
-            self.leaving = True
-            return json_reply({"leaving": True})
-        if call.path == "/crash" and call.method == "POST":
+    def handle_request(self, request: HttpRequest) -> HttpResponse:
+        """
+        Return the response to a request.
+
+        Subclasses handle their own paths and pass all others on to this method.
+        """
+        if request.path == "/load":
+            return make_json_response(self.build_status())
+        if request.path == "/leave" and request.method == "POST":
+            self.is_leaving = True
+            return make_json_response({"leaving": True})
+        if request.path == "/crash" and request.method == "POST":
             self.crash()
-            return json_reply({"crashing": True})
-        return json_reply({"error": "there is nothing at this path"}, status=404)
+            return make_json_response({"crashing": True})
+        return make_json_response(
+            {"error": "there is nothing at this path"}, status=404
+        )
 
-    def status(self) -> UpstreamStatus:
-        """Return the stand-in's word on itself."""
-        return UpstreamStatus(incarnation=self.record.incarnation, leaving=self.leaving)
+    def build_status(self) -> UpstreamStatus:
+        """Return the status that the stand-in reports at ``/load``."""
+        return UpstreamStatus(
+            incarnation=self.record.incarnation, leaving=self.is_leaving
+        )
 
-    def refusal(self, call: Call) -> Reply:
-        """Return the answer of an upstream that is leaving: not run."""
+    def make_refusal(self, request: HttpRequest) -> HttpResponse:
+        """Return a 503 response which says that the request was not executed."""
         headers = (
-            ("X-Request-ID", call.request_id),
+            ("X-Request-ID", request.request_id),
             ("X-Not-Run", "leaving"),
             (LEAVING_HEADER, str(self.record.incarnation)),
         )
-        return json_reply({"error": "leaving"}, status=503, headers=headers)
+        return make_json_response({"error": "leaving"}, status=503, headers=headers)
 
     def _serve(
         self, environ: dict[str, Any], start_response: Callable[..., Any]
@@ -184,13 +216,13 @@
         headers = {
             key[5:]: value for key, value in environ.items() if key.startswith("HTTP_")
         }
-        call = Call(
+        request = HttpRequest(
             method=environ["REQUEST_METHOD"],
             path=environ["PATH_INFO"],
             query=environ.get("QUERY_STRING", ""),
             headers=headers,
             body=environ["wsgi.input"].read(),
         )
-        reply = self.handle(call)
-        start_response(f"{reply.status} Reply", reply.headers)
-        yield from reply.parts
+        response = self.handle_request(request)
+        start_response(f"{response.status} Reply", response.headers)
+        yield from response.parts
--- a/damasklead/standins/plain.py
+++ b/damasklead/standins/plain.py
@@ -2,31 +2,36 @@
 Stand-in for a plain service
 ============================
 
-Takes orders and answers stock checks, and keeps a record of each order that it ran.
+Accepts orders and stock queries, and records each execution of an order.
 """
 
 import gevent
 import msgspec
 
 from damasklead.sharing import LoadReport
-from damasklead.standins.base import Call, Reply, StandinServer, json_reply
+from damasklead.standins.base import (
+    HttpRequest,
+    HttpResponse,
+    StandinServer,
+    make_json_response,
+)
 from damasklead.stores.base import InstanceRecord, Platform
 from damasklead.upstreams.base import UpstreamStatus
 
 __all__ = ["PlainStandin"]
 
-WORK_SECONDS = 0.005
-SLOTS = 64
+PROCESSING_SECONDS = 0.005
+SLOT_COUNT = 64
 
 
 class PlainStandin(StandinServer):
     """
-    An ordinary service.
+    A stand-in for a plain HTTP service.
 
     Attributes
     ----------
-    orders : list of str
-        The references of the orders that were run, one for each run.
+    executed_orders : list of str
+        References of the executed orders, one for each execution.
     """
 
     def __init__(
@@ -39,39 +44,43 @@
         super().__init__(
             record=record, platform=platform, exits_on_crash=exits_on_crash
         )
-        self.orders: list[str] = []
-        self._running = 0
+        self.executed_orders: list[str] = []
+        self._running_count = 0
 
-    def handle(self, call: Call) -> Reply:
-        """Answer a call."""
-        if call.path == "/orders" and call.method == "POST":
-            return self._order(call)
-        if call.path == "/orders" and call.method == "GET":
-            return json_reply(self.orders)
-        if call.path.startswith("/stock/"):
-            return self._work(
-                call, {"item": call.path[len("/stock/") :], "in_stock": 7}
+    def handle_request(self, request: HttpRequest) -> HttpResponse:
+        """Return the response to a request."""
+        if request.path == "/orders" and request.method == "POST":
+            return self._handle_order(request)
+        if request.path == "/orders" and request.method == "GET":
+            return make_json_response(self.executed_orders)
+        if request.path.startswith("/stock/"):
+            return self._process_request(
+                request, {"item": request.path[len("/stock/") :], "in_stock": 7}
             )
-        return super().handle(call)
+        return super().handle_request(request)
 
-    def status(self) -> UpstreamStatus:
-        """Return the load report."""
-        load = LoadReport(running=self._running, waiting=0, slots=SLOTS)
+    def build_status(self) -> UpstreamStatus:
+        """Return the status with a load report."""
+        load = LoadReport(running=self._running_count, waiting=0, slots=SLOT_COUNT)
         return UpstreamStatus(
-            incarnation=self.record.incarnation, leaving=self.leaving, load=load
+            incarnation=self.record.incarnation, leaving=self.is_leaving, load=load
         )
 
-    def _order(self, call: Call) -> Reply:
-        if self.leaving:
-            return self.refusal(call)
-        reference = str(msgspec.json.decode(call.body)["reference"])
-        self.orders.append(reference)
-        return self._work(call, {"reference": reference, "accepted": True})
+    def _handle_order(self, request: HttpRequest) -> HttpResponse:
+        if self.is_leaving:
+            return self.make_refusal(request)
+        reference = str(msgspec.json.decode(request.body)["reference"])
+        self.executed_orders.append(reference)
+        return self._process_request(
+            request, {"reference": reference, "accepted": True}
+        )
 
-    def _work(self, call: Call, content: object) -> Reply:
-        if self.leaving:
-            return self.refusal(call)
-        self._running += 1
-        gevent.sleep(WORK_SECONDS)
-        self._running -= 1
-        return json_reply(content, headers=(("X-Request-ID", call.request_id),))
+    def _process_request(self, request: HttpRequest, content: object) -> HttpResponse:
+        if self.is_leaving:
+            return self.make_refusal(request)
+        self._running_count += 1
+        gevent.sleep(PROCESSING_SECONDS)
+        self._running_count -= 1
+        return make_json_response(
+            content, headers=(("X-Request-ID", request.request_id),)
+        )
--- a/damasklead/standins/platform.py
+++ b/damasklead/standins/platform.py
@@ -2,7 +2,7 @@
 Stand-in for the platform
 =========================
 
-Serves the in-memory platform over HTTP, with faults that can be switched on.
+Serves the in-memory platform over HTTP, with fault injection.
 """
 
 from typing import Any
@@ -11,7 +11,12 @@
 import msgspec
 from result import Err, Ok, Result
 
-from damasklead.standins.base import Call, Reply, StandinServer, json_reply
+from damasklead.standins.base import (
+    HttpRequest,
+    HttpResponse,
+    StandinServer,
+    make_json_response,
+)
 from damasklead.stores.base import InstanceRecord, Platform, StoreError
 from damasklead.stores.http import (
     AnnounceCall,
@@ -31,64 +36,71 @@
 
 class PlatformStandin(StandinServer):
     """
-    The platform in one process.
+    A stand-in for the platform.
 
     Attributes
     ----------
     faults : Faults
-        What is wrong at present; ``POST /faults`` replaces it.
+        Injected faults in effect; ``POST /faults`` replaces them.
+    call_counts : dict
+        Platform calls by the class name of the call, served at ``/counts``.
     """
 
     def __init__(self, *, record: InstanceRecord) -> None:
         super().__init__(record=record)
         self.faults = Faults()
-        self.calls: dict[str, int] = {}
-        self._platform_services: Platform = make_memory_platform(faults=self.faults)
+        self.call_counts: dict[str, int] = {}
+        self._services: Platform = make_memory_platform(faults=self.faults)
 
-    def handle(self, call: Call) -> Reply:
-        """Answer a call."""
-        if call.path == "/faults" and call.method == "POST":
-            return self._set_faults(call)
-        if call.path == "/counts":
-            return json_reply(self.calls)
-        if call.path != "/call":
-            return super().handle(call)
+    def handle_request(self, request: HttpRequest) -> HttpResponse:
+        """Return the response to a request."""
+        if request.path == "/faults" and request.method == "POST":
+            return self._set_faults(request)
+        if request.path == "/counts":
+            return make_json_response(self.call_counts)
+        if request.path != "/call":
+            return super().handle_request(request)
         if self.faults.delay:
             gevent.sleep(self.faults.delay)
-        request = msgspec.json.decode(call.body, type=PlatformCall)
-        name = type(request).__name__
-        self.calls[name] = self.calls.get(name, 0) + 1
-        result = self._perform(request)
+        platform_call = msgspec.json.decode(request.body, type=PlatformCall)
+        name = type(platform_call).__name__
+        self.call_counts[name] = self.call_counts.get(name, 0) + 1
+        result = self._execute_call(platform_call)
         if isinstance(result, Ok):
-            return json_reply(result.ok_value)
+            return make_json_response(result.ok_value)
         status = 503 if result.err_value is StoreError.UNAVAILABLE else 504
-        return json_reply({"error": result.err_value.value}, status=status)
+        return make_json_response({"error": result.err_value.value}, status=status)
 
-    def _set_faults(self, call: Call) -> Reply:
-        wanted = msgspec.json.decode(call.body, type=Faults)
+    def _set_faults(self, request: HttpRequest) -> HttpResponse:
+        requested = msgspec.json.decode(request.body, type=Faults)
         for field in Faults.__struct_fields__:
-            setattr(self.faults, field, getattr(wanted, field))
-        return json_reply(wanted)
+            setattr(self.faults, field, getattr(requested, field))
+        return make_json_response(requested)
 
-    def _perform(self, call: PlatformCall) -> Result[Any, StoreError]:
-        services = self._platform_services
-        match call:
+    def _execute_call(self, platform_call: PlatformCall) -> Result[Any, StoreError]:
+        services = self._services
+        match platform_call:
             case ReadCall():
-                return services.tables.read(call.table, call.keys)
+                return services.tables.read(platform_call.table, platform_call.keys)
             case ScanCall():
                 return services.tables.scan(
-                    call.table, prefix=call.prefix, after=call.after, limit=call.limit
+                    platform_call.table,
+                    prefix=platform_call.prefix,
+                    after=platform_call.after,
+                    limit=platform_call.limit,
                 )
             case CommitCall():
-                return services.tables.commit(call.commit)
+                return services.tables.commit(platform_call.commit)
             case PutCall():
-                return services.objects.put(call.name, call.content)
+                return services.objects.put(platform_call.name, platform_call.content)
             case GetCall():
-                return services.objects.get(call.name)
+                return services.objects.get(platform_call.name)
             case ListCall():
-                return services.instances.list_instances(known_version=call.known)
+                return services.instances.list_instances(
+                    known_version=platform_call.known
+                )
             case AnnounceCall():
-                return services.instances.register_instance(call.record)
+                return services.instances.register_instance(platform_call.record)
             case WithdrawCall():
-                return services.instances.deregister_instance(call.instance)
+                return services.instances.deregister_instance(platform_call.instance)
         return Err(StoreError.UNAVAILABLE)
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -30,8 +30,8 @@
 from damasklead.protocol import run
 from damasklead.settings import check_settings
 from damasklead.standins import EngineStandin, PlainStandin
-from damasklead.standins.base import Call, Reply, json_reply
-from damasklead.standins.engine import expected_text
+from damasklead.standins.base import HttpRequest, HttpResponse, make_json_response
+from damasklead.standins.engine import compute_expected_text
 from damasklead.stores.memory import Faults, make_memory_platform
 from damasklead.upstreams import ConnectionPool, UpstreamError, UpstreamResponse
 from damasklead.upstreams.transport import send_request
@@ -233,10 +233,12 @@
             f"prompt {number}", stream=number % 2 == 0
         )
         if number % 2 == 0:
-            assert extract_text(response) == expected_text(document)
+            assert extract_text(response) == compute_expected_text(document)
             return
         content = msgspec.json.decode(response.read_body(limit=100_000))
-        assert content["choices"][0]["message"]["content"] == expected_text(document)
+        assert content["choices"][0]["message"]["content"] == compute_expected_text(
+            document
+        )
 
     greenlets = [gevent.spawn(check, number) for number in range(40)]
     gevent.joinall(greenlets, raise_error=True)
@@ -247,20 +249,22 @@
 ) -> None:
     """One engine responds with the id of another request, the other correctly."""
     first = harness.engines[0]
-    original = first.handle
+    original = first.handle_request
 
-    def handle(call: Call) -> Reply:
+    def handle(call: HttpRequest) -> HttpResponse:
         if call.path != COMPLETIONS:
             return original(call)
         choice = {"message": {"content": "another's"}}
         headers = (("X-Request-ID", "another"),)
-        return json_reply({"choices": [choice]}, headers=headers)
+        return make_json_response({"choices": [choice]}, headers=headers)
 
-    monkeypatch.setattr(first, "handle", handle)
+    monkeypatch.setattr(first, "handle_request", handle)
     for number in range(10):
         response, document = harness.send_completion(f"crossed {number}", stream=False)
         content = msgspec.json.decode(response.read_body(limit=100_000))
-        assert content["choices"][0]["message"]["content"] == expected_text(document)
+        assert content["choices"][0]["message"]["content"] == compute_expected_text(
+            document
+        )
 
 
 @pytest.mark.parametrize("keeps_streams", [True, False])
@@ -273,18 +277,18 @@
     ]
     gevent.sleep(0.4)
     for engine in harness.engines:
-        runs = dict(engine._runs)
+        runs = dict(engine._generations)
         engine.stop()
         engine.start()
         if keeps_streams:
-            engine._runs = runs
+            engine._generations = runs
         else:
-            engine._runs = {}
-        engine._running = 0
+            engine._generations = {}
+        engine._running_count = 0
     gevent.joinall(greenlets, raise_error=True)
     for greenlet in greenlets:
         response, document = greenlet.value
-        assert extract_text(response) == expected_text(document)
+        assert extract_text(response) == compute_expected_text(document)
 
 
 def test_stream_that_cannot_continue_ends_with_an_error_event(
@@ -311,14 +315,16 @@
     lines = harness.service.entry.metrics.render().decode().splitlines()
     counted = [float(line.split()[1]) for line in lines if line.startswith(wasted)]
     assert counted and counted[0] >= 1.0
-    harness.wait_until(lambda: all(engine._running == 0 for engine in harness.engines))
+    harness.wait_until(
+        lambda: all(engine._running_count == 0 for engine in harness.engines)
+    )
 
 
 def test_disconnect_before_the_response_is_detected(
     harness: EntryHarness,
 ) -> None:
     for engine in harness.engines:
-        engine.slow_factor = 50.0
+        engine.slowdown_factor = 50.0
     connection = socket.create_connection(split_address(harness.address))
     body = b'{"model": "demo-7b", "messages": [{"role": "user", "content": "x"}]}'
     head = f"POST {COMPLETIONS} HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n"
@@ -337,10 +343,10 @@
     assert first.status == again.status == 200
     assert again.get_header("X-Damasklead-Replayed") == "true"
     assert first.read_body(limit=1000) == again.read_body(limit=1000)
-    assert harness.shop.orders == ["once"]
+    assert harness.shop.executed_orders == ["once"]
     other = harness.send("POST", path, b'{"reference": "x"}', Idempotency_Key="k1")
     assert decode_problem(other)["type"].endswith("idempotency-key-reused")
-    assert harness.shop.orders == ["once"]
+    assert harness.shop.executed_orders == ["once"]
 
 
 def test_outcome_stays_unknown_after_the_upstream_crashed(
@@ -351,26 +357,26 @@
     def send() -> UpstreamResponse:
         return harness.send("POST", path, b'{"reference": "x"}', Idempotency_Key="k")
 
-    def crash_during_order(call: Call) -> Reply:
-        harness.shop.orders.append("x")
+    def crash_during_order(call: HttpRequest) -> HttpResponse:
+        harness.shop.executed_orders.append("x")
         harness.shop.crash()
         gevent.sleep(5.0)
-        return Reply()
+        return HttpResponse()
 
-    harness.shop._order = crash_during_order  # type: ignore[method-assign]
+    harness.shop._handle_order = crash_during_order  # type: ignore[method-assign]
     response = send()
     assert (response.status, response.get_header("X-Damasklead-Outcome")) == (
         502,
         "unknown",
     )
     response.close()
-    del harness.shop._order
+    del harness.shop._handle_order
     harness.shop.start()
     gevent.sleep(1.2)
     again = send()
     assert again.get_header("X-Damasklead-Outcome") == "unknown"
     assert decode_problem(again)["type"].endswith("order-outcome-unknown")
-    assert harness.shop.orders == ["x"]
+    assert harness.shop.executed_orders == ["x"]
 
 
 def test_request_with_a_key_is_not_executed_while_the_store_is_unavailable(
@@ -387,7 +393,7 @@
     assert response.get_header("Retry-After")
     harness.faults.down = False
     assert harness.send("POST", path, body, Idempotency_Key="k").status == 200
-    assert harness.shop.orders == ["later"]
+    assert harness.shop.executed_orders == ["later"]
 
 
 def test_operators_listener_serves_health_metrics_and_status(
