--- a/soak/__init__.py
+++ b/soak/__init__.py
@@ -1,4 +1,4 @@
 """
-A randomized soak: real gateway processes between stand-ins, with faults injected from
-outside.  ``python -m soak --seed 1`` plays one run.
+Randomized soak test: real gateway processes between stand-ins of the store and of
+replicas, with faults injected from outside.  ``python -m soak --seed 1`` runs one seed.
 """
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -2,7 +2,7 @@
 Callers
 =======
 
-Callers that keep their connections and note what they were answered.
+Callers that reuse their connections and record the responses that they receive.
 """
 
 import random
@@ -15,25 +15,35 @@
 
 from tests.gatewaykit import make_request
 
-__all__ = ["AnswerNote", "Caller"]
+__all__ = ["Caller", "ObservedResponse"]
 
 PATHS = ("/order/1", "/read/1", "/chat/1")
-WEIGHTS = (0.4, 0.3, 0.3)
-# Longer than any route's time.
-PATIENCE_SECONDS = 8.0
-PAUSE_SECONDS = 0.05
+PATH_WEIGHTS = (0.4, 0.3, 0.3)
+# Longer than the timeout of every route.
+RESPONSE_TIMEOUT_SECONDS = 8.0
+MEAN_PAUSE_SECONDS = 0.05
 
 
-class AnswerNote(msgspec.Struct, kw_only=True):
+class ObservedResponse(msgspec.Struct, kw_only=True):
     """
-    What a caller was answered.
+    The response to one request as its caller saw it.
 
     Attributes
     ----------
+    sent_at : float
+        Time of the request, in seconds of the monotonic clock.
+    attempt : str
+        Attempt id of the request.
+    path : str
+        Path of the request, which selects the route.
+    gateway : str
+        Name of the gateway that got the request.
     status : int
-        0 when the connection ended before a whole head.
-    whole : bool
-        Whether the answer was complete as HTTP counts it.
+        HTTP status; 0 when the connection ended before a complete response head.
+    body : bytes
+        The bytes of the body received.
+    is_complete : bool
+        Whether the body was complete by its HTTP framing.
     """
 
     sent_at: float
@@ -42,22 +52,25 @@
     gateway: str
     status: int = 0
     body: bytes = b""
-    whole: bool = False
+    is_complete: bool = False
 
 
 class Caller:
     """
-    One caller, which sends one request after the other.
+    A caller that sends one request at a time.
 
     Parameters
     ----------
     name : str
+        Prefix of the attempt ids.
     ports : dict
-        The gateways' ports by name.
-    ready : callable
-        Returns the names of gateways that say they are ready.
-    notes : list of AnswerNote
+        The gateways' ports for callers, by gateway name.
+    list_ready_gateways : callable
+        Returns the names of the gateways that reported to be ready.
+    responses : list of ObservedResponse
+        Where all callers append their responses.
     seed : int
+        Seed of the pauses, of the choice of gateways and of the paths.
     """
 
     def __init__(
@@ -65,63 +78,64 @@
         *,
         name: str,
         ports: dict[str, int],
-        ready: Callable[[], list[str]],
-        notes: list[AnswerNote],
+        list_ready_gateways: Callable[[], list[str]],
+        responses: list[ObservedResponse],
         seed: int,
     ) -> None:
         self._name = name
         self._ports = ports
-        self._ready = ready
-        self._notes = notes
+        self._list_ready_gateways = list_ready_gateways
+        self._responses = responses
         self._random = random.Random(seed)
         self._connections: dict[str, socket.socket] = {}
-        self._sent = 0
+        self._request_count = 0
 
     def run(self) -> None:
-        """Send forever."""
+        """Send requests to ready gateways until the greenlet is killed."""
         while True:
-            gevent.sleep(self._random.expovariate(1 / PAUSE_SECONDS))
-            gateways = self._ready()
+            gevent.sleep(self._random.expovariate(1 / MEAN_PAUSE_SECONDS))
+            gateways = self._list_ready_gateways()
             if gateways:
-                self._ask(self._random.choice(gateways))
+                self._send_request(self._random.choice(gateways))
 
-    def _ask(self, gateway: str) -> None:
-        self._sent += 1
-        path = self._random.choices(PATHS, WEIGHTS)[0]
-        note = AnswerNote(
+    def _send_request(self, gateway: str) -> None:
+        self._request_count += 1
+        path = self._random.choices(PATHS, PATH_WEIGHTS)[0]
+        response = ObservedResponse(
             sent_at=time.monotonic(),
-            attempt=f"{self._name}-{self._sent}",
+            attempt=f"{self._name}-{self._request_count}",
             path=path,
             gateway=gateway,
         )
         method = "GET" if path.startswith("/read/") else "POST"
-        data = make_request(path, method=method, body="x", attempt=note.attempt)
+        data = make_request(path, method=method, body="x", attempt=response.attempt)
         try:
-            # A kept connection is used until the gateway has closed it.
+            # Idle connections are reused until the gateway closes them.
             connection = self._connections.pop(gateway, None)
             if connection is None or _is_closed(connection):
                 connection = socket.create_connection(
-                    ("127.0.0.1", self._ports[gateway]), timeout=PATIENCE_SECONDS
+                    ("127.0.0.1", self._ports[gateway]),
+                    timeout=RESPONSE_TIMEOUT_SECONDS,
                 )
             connection.sendall(data)
-            self._notes.append(note)
-            if _read_answer(connection, note):
+            self._responses.append(response)
+            if _read_response(connection, response):
                 self._connections[gateway] = connection
             else:
                 connection.close()
         except OSError:
-            # The note says what came until then.
+            # The record keeps what was received before the error.
             return
 
 
 def _is_closed(connection: socket.socket) -> bool:
-    """Tell whether the peer has closed an idle connection."""
+    """Return whether the peer has closed an idle connection."""
     readable, _, _ = select.select([connection], [], [], 0)
     return bool(readable)
 
 
-def _read_answer(connection: socket.socket, note: AnswerNote) -> bool:
-    """Read one answer into a note; returns whether the connection may be kept."""
+def _read_response(connection: socket.socket, response: ObservedResponse) -> bool:
+    """Read a response into its record; returns whether the connection is reusable."""
     stream = connection.makefile("rb")
     line = stream.readline()
     if not line.endswith(b"\r\n"):
@@ -130,25 +144,25 @@
     while (field := stream.readline()) not in (b"\r\n", b""):
         name, _, value = field.decode("latin-1").partition(":")
         headers[name.strip().lower()] = value.strip()
-    note.status = int(line.split()[1])
+    response.status = int(line.split()[1])
     if "content-length" in headers:
         length = int(headers["content-length"])
-        note.body = stream.read(length)
-        note.whole = len(note.body) == length
+        response.body = stream.read(length)
+        response.is_complete = len(response.body) == length
     elif headers.get("transfer-encoding", "").lower() == "chunked":
-        _read_chunks(stream, note)
+        _read_chunked_body(stream, response)
     else:
-        note.body = stream.read()
-    return note.whole and headers.get("connection", "").lower() != "close"
+        response.body = stream.read()
+    return response.is_complete and headers.get("connection", "").lower() != "close"
 
 
-def _read_chunks(stream: "socket.SocketIO", note: AnswerNote) -> None:
+def _read_chunked_body(stream: "socket.SocketIO", response: ObservedResponse) -> None:
     while size_line := stream.readline():
         size = int(size_line, 16)
         data = stream.read(size)
-        note.body += data
+        response.body += data
         if len(data) < size or stream.read(2) != b"\r\n":
             return
         if not size:
-            note.whole = True
+            response.is_complete = True
             return
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -2,7 +2,7 @@
 Faults
 ======
 
-The seeded schedule of a run: what goes wrong, when, and for how long.
+The seeded schedule of a run: which faults are injected, when, and for how long.
 """
 
 import random
@@ -12,185 +12,214 @@
 import gevent
 import msgspec
 
-from soak.proxy import Proxy, Trouble
-from soak.site import Site
+from soak.proxy import NetworkFault, Proxy
+from soak.site import Cluster
 
-__all__ = ["FAULTS", "Fault", "play", "schedule"]
+__all__ = ["FAULTS", "Fault", "make_schedule", "start_faults"]
 
-# Callers look at readiness before they stop sending, as a balancer does.
-RESTART_SECONDS = 0.5
-# A copy is up to so much older than the outage.
-RESTORE_SECONDS = 6
-# Replicas write again within about two seconds.
-REWRITE_SECONDS = 1.0
+# Callers, like a load balancer, see a gateway's readiness with a delay, so a gateway
+# that ended stays down for this time.
+RESTART_DELAY_SECONDS = 0.5
+# The backup is older than the start of the outage by less than this many seconds.
+MAX_EXTRA_BACKUP_AGE_SECONDS = 6
+# Time from the restore until replicas and operators write their rows again.  Replicas
+# write again within about two seconds.
+REWRITE_DELAY_SECONDS = 1.0
 STORE_RESTORED = "store comes back from a copy"
-# How often in a run that has any.
-RESTORES = 2
+# Restores in a run that has any.
+RESTORE_COUNT = 2
 
 
 class Fault(msgspec.Struct, kw_only=True, frozen=True):
-    """One fault of a schedule; ``pick`` chooses among what it may strike."""
-
-    at: float
+    """
+    One fault of a schedule.
+
+    Attributes
+    ----------
+    start_seconds : float
+        Start of the fault, in seconds from the start of the schedule.
+    kind : str
+        Key in ``FAULTS``.
+    target_number : int
+        Selects the gateway or replica, modulo their number.
+    duration_seconds : float
+        Duration of the fault in seconds.
+    """
+
+    start_seconds: float
     kind: str
-    pick: int
-    seconds: float
+    target_number: int
+    duration_seconds: float
 
 
-def schedule(seed: int, *, seconds: float, count: int) -> list[Fault]:
-    """Return the faults of a seed, in the order of their times; they may overlap."""
+def make_schedule(seed: int, *, seconds: float, count: int) -> list[Fault]:
+    """Return the faults of a seed by start time; faults may overlap."""
     kinds = sorted(FAULTS.keys() - {STORE_RESTORED})
-    faults = _draw(random.Random(seed), kinds, seconds=seconds, count=count)
-    # Drawn apart, so that the other faults of older seeds stay the same.
+    faults = _draw_faults(random.Random(seed), kinds, seconds=seconds, count=count)
+    # Restores have a random source of their own, so that the other faults of a seed are
+    # the same as before restores were added.
     source = random.Random(f"{STORE_RESTORED} {seed}")
-    drills = source.choice((0, RESTORES))
-    faults += _draw(source, [STORE_RESTORED], seconds=seconds, count=drills)
-    return sorted(faults, key=lambda fault: fault.at)
+    restore_count = source.choice((0, RESTORE_COUNT))
+    faults += _draw_faults(
+        source, [STORE_RESTORED], seconds=seconds, count=restore_count
+    )
+    return sorted(faults, key=lambda fault: fault.start_seconds)
 
 
-def _draw(
+def _draw_faults(
     source: random.Random, kinds: list[str], *, seconds: float, count: int
 ) -> list[Fault]:
     return [
         Fault(
-            at=source.uniform(0.0, 0.8 * seconds),
+            start_seconds=source.uniform(0.0, 0.8 * seconds),
             kind=source.choice(kinds),
-            pick=source.randrange(1000),
-            seconds=source.uniform(0.3, 2.5),
+            target_number=source.randrange(1000),
+            duration_seconds=source.uniform(0.3, 2.5),
         )
         for _ in range(count)
     ]
 
 
-def play(site: Site, faults: list[Fault]) -> list[gevent.Greenlet]:
-    """Begin all faults at their times; returns what plays them."""
+def start_faults(cluster: Cluster, faults: list[Fault]) -> list[gevent.Greenlet]:
+    """Schedule each fault at its start time; returns the greenlets that inject them."""
     return [
-        gevent.spawn_later(fault.at, FAULTS[fault.kind], site, fault)
+        gevent.spawn_later(fault.start_seconds, FAULTS[fault.kind], cluster, fault)
         for fault in faults
     ]
 
 
-def _gateway(site: Site, fault: Fault) -> str:
-    return site.gateways[fault.pick % len(site.gateways)]
+def _pick_gateway(cluster: Cluster, fault: Fault) -> str:
+    return cluster.gateways[fault.target_number % len(cluster.gateways)]
 
 
-def _replica(site: Site, fault: Fault) -> str:
-    alive = [name for name, replica in site.replicas.items() if replica.alive]
-    return alive[fault.pick % len(alive)]
+def _pick_replica(cluster: Cluster, fault: Fault) -> str:
+    running = [name for name, replica in cluster.replicas.items() if replica.is_running]
+    return running[fault.target_number % len(running)]
 
 
-def _stop(site: Site, fault: Fault) -> None:
-    name = _gateway(site, fault)
-    site.signal(name, signal.SIGTERM)
-    _start_again(site, name)
+def _stop_gateway(cluster: Cluster, fault: Fault) -> None:
+    name = _pick_gateway(cluster, fault)
+    cluster.send_signal(name, signal.SIGTERM)
+    _restart_gateway(cluster, name)
 
 
-def _kill(site: Site, fault: Fault) -> None:
-    name = _gateway(site, fault)
-    site.signal(name, signal.SIGKILL)
-    _start_again(site, name)
+def _kill_gateway(cluster: Cluster, fault: Fault) -> None:
+    name = _pick_gateway(cluster, fault)
+    cluster.send_signal(name, signal.SIGKILL)
+    _restart_gateway(cluster, name)
 
 
-def _start_again(site: Site, name: str) -> None:
-    while site.running(name):
+def _restart_gateway(cluster: Cluster, name: str) -> None:
+    while cluster.is_running(name):
         gevent.sleep(0.05)
-    gevent.sleep(RESTART_SECONDS)
-    # Two faults may have ended the same process.
-    if not site.running(name):
-        site.start(name)
+    gevent.sleep(RESTART_DELAY_SECONDS)
+    # Another fault that ended the same process may have restarted it.
+    if not cluster.is_running(name):
+        cluster.start_gateway(name)
 
 
-def _pause(site: Site, fault: Fault) -> None:
-    name = _gateway(site, fault)
-    site.signal(name, signal.SIGSTOP)
-    gevent.sleep(fault.seconds)
-    site.signal(name, signal.SIGCONT)
+def _pause_gateway(cluster: Cluster, fault: Fault) -> None:
+    name = _pick_gateway(cluster, fault)
+    cluster.send_signal(name, signal.SIGSTOP)
+    gevent.sleep(fault.duration_seconds)
+    cluster.send_signal(name, signal.SIGCONT)
 
 
-def _reload(site: Site, fault: Fault) -> None:
-    site.signal(_gateway(site, fault), signal.SIGHUP)
+def _reload_gateway(cluster: Cluster, fault: Fault) -> None:
+    cluster.send_signal(_pick_gateway(cluster, fault), signal.SIGHUP)
 
 
-def _replica_proxy(site: Site, fault: Fault) -> Proxy:
-    return site.proxies[_replica(site, fault)]
+def _pick_replica_proxy(cluster: Cluster, fault: Fault) -> Proxy:
+    return cluster.proxies[_pick_replica(cluster, fault)]
 
 
-def _store_proxy(site: Site, fault: Fault) -> Proxy:
-    return site.store_proxies[_gateway(site, fault)]
+def _pick_store_proxy(cluster: Cluster, fault: Fault) -> Proxy:
+    return cluster.store_proxies[_pick_gateway(cluster, fault)]
 
 
-def _trouble(
-    proxy_of: Callable[[Site, Fault], Proxy], trouble: Trouble
-) -> Callable[[Site, Fault], None]:
-    def strike(site: Site, fault: Fault) -> None:
-        proxy = proxy_of(site, fault)
-        proxy.trouble(trouble, seconds=fault.seconds / 10)
-        gevent.sleep(fault.seconds)
-        proxy.trouble(Trouble.NONE)
+def _make_network_fault(
+    pick_proxy: Callable[[Cluster, Fault], Proxy], network_fault: NetworkFault
+) -> Callable[[Cluster, Fault], None]:
+    def inject(cluster: Cluster, fault: Fault) -> None:
+        proxy = pick_proxy(cluster, fault)
+        proxy.set_fault(network_fault, delay_seconds=fault.duration_seconds / 10)
+        gevent.sleep(fault.duration_seconds)
+        proxy.set_fault(NetworkFault.NONE)
 
-    return strike
+    return inject
 
 
-def _store_away(site: Site, fault: Fault) -> None:
-    site.store.is_unavailable = True
-    gevent.sleep(fault.seconds)
-    site.store.is_unavailable = False
+def _stop_store(cluster: Cluster, fault: Fault) -> None:
+    cluster.store.is_unavailable = True
+    gevent.sleep(fault.duration_seconds)
+    cluster.store.is_unavailable = False
 
 
-def _restore_store(site: Site, fault: Fault) -> None:
-    """Play the drill: the store is away and comes back from an older copy."""
-    site.store.is_unavailable = True
-    gevent.sleep(fault.seconds)
-    site.store.restore_backup(fault.seconds + fault.pick % RESTORE_SECONDS)
-    site.store.is_unavailable = False
-    gevent.sleep(REWRITE_SECONDS)
-    site.write_again()
+def _restore_store(cluster: Cluster, fault: Fault) -> None:
+    """Make the store unavailable, then restore it from a backup."""
+    cluster.store.is_unavailable = True
+    gevent.sleep(fault.duration_seconds)
+    cluster.store.restore_backup(
+        fault.duration_seconds + fault.target_number % MAX_EXTRA_BACKUP_AGE_SECONDS
+    )
+    cluster.store.is_unavailable = False
+    gevent.sleep(REWRITE_DELAY_SECONDS)
+    cluster.rewrite_rows()
 
 
-def _crash_replica(site: Site, fault: Fault) -> None:
-    name = _replica(site, fault)
-    site.replicas[name].crash()
-    gevent.sleep(fault.seconds)
-    site.remove_replica(name)
-    site.add_replica()
+def _crash_replica(cluster: Cluster, fault: Fault) -> None:
+    name = _pick_replica(cluster, fault)
+    cluster.replicas[name].crash()
+    gevent.sleep(fault.duration_seconds)
+    cluster.remove_replica(name)
+    cluster.add_replica()
 
 
-def _drain_replica(site: Site, fault: Fault) -> None:
-    site.add_replica()
-    name = _replica(site, fault)
-    site.list_replica(name, state="draining")
-    gevent.sleep(3.0 + fault.seconds)
-    site.remove_replica(name)
+def _drain_replica(cluster: Cluster, fault: Fault) -> None:
+    cluster.add_replica()
+    name = _pick_replica(cluster, fault)
+    cluster.write_replica_entry(name, state="draining")
+    gevent.sleep(3.0 + fault.duration_seconds)
+    cluster.remove_replica(name)
 
 
-def _fail_replica(site: Site, fault: Fault) -> None:
-    replica = site.replicas[_replica(site, fault)]
-    replica.failing = True
-    gevent.sleep(fault.seconds)
-    replica.failing = False
+def _fail_replica(cluster: Cluster, fault: Fault) -> None:
+    replica = cluster.replicas[_pick_replica(cluster, fault)]
+    replica.is_rejecting = True
+    gevent.sleep(fault.duration_seconds)
+    replica.is_rejecting = False
 
 
-def _configure(site: Site, _fault: Fault) -> None:
-    site.configure()
+def _publish_configuration(cluster: Cluster, _fault: Fault) -> None:
+    cluster.publish_configuration()
 
 
-FAULTS: dict[str, Callable[[Site, Fault], None]] = {
-    "configuration changes": _configure,
-    "gateway is killed": _kill,
-    "gateway is paused": _pause,
-    "gateway is told to reload": _reload,
-    "gateway is told to stop": _stop,
+# The schedule of a seed depends on the order of these texts and on STORE_RESTORED.
+FAULTS: dict[str, Callable[[Cluster, Fault], None]] = {
+    "configuration changes": _publish_configuration,
+    "gateway is killed": _kill_gateway,
+    "gateway is paused": _pause_gateway,
+    "gateway is told to reload": _reload_gateway,
+    "gateway is told to stop": _stop_gateway,
     "replica crashes": _crash_replica,
     "replica drains": _drain_replica,
     "replica refuses": _fail_replica,
-    "replica's answers are cut": _trouble(_replica_proxy, Trouble.CUT_ANSWERS),
-    "replica's connections are reset": _trouble(_replica_proxy, Trouble.RESET),
-    "replica is slow": _trouble(_replica_proxy, Trouble.DELAY),
-    "replica is silent": _trouble(_replica_proxy, Trouble.SILENCE),
-    "store is away": _store_away,
+    "replica's answers are cut": _make_network_fault(
+        _pick_replica_proxy, NetworkFault.STALL_RESPONSES
+    ),
+    "replica's connections are reset": _make_network_fault(
+        _pick_replica_proxy, NetworkFault.RESET
+    ),
+    "replica is slow": _make_network_fault(_pick_replica_proxy, NetworkFault.DELAY),
+    "replica is silent": _make_network_fault(_pick_replica_proxy, NetworkFault.STALL),
+    "store is away": _stop_store,
     STORE_RESTORED: _restore_store,
-    "store is silent to one": _trouble(_store_proxy, Trouble.SILENCE),
-    "store is slow to one": _trouble(_store_proxy, Trouble.DELAY),
-    "store loses answers to one": _trouble(_store_proxy, Trouble.CUT_ANSWERS),
-    "store resets one": _trouble(_store_proxy, Trouble.RESET),
+    "store is silent to one": _make_network_fault(
+        _pick_store_proxy, NetworkFault.STALL
+    ),
+    "store is slow to one": _make_network_fault(_pick_store_proxy, NetworkFault.DELAY),
+    "store loses answers to one": _make_network_fault(
+        _pick_store_proxy, NetworkFault.STALL_RESPONSES
+    ),
+    "store resets one": _make_network_fault(_pick_store_proxy, NetworkFault.RESET),
 }
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -2,123 +2,183 @@
 Promises
 ========
 
-What must hold whatever goes wrong, judged by what callers and replicas saw.
+Guarantees that hold under every fault, checked on what callers and replicas observed.
 """
 
 from collections import Counter
 
 import msgspec
 
-from soak.callers import AnswerNote
-from soak.replicas import EVENTS, RunNote
-from soak.site import STOP_SECONDS, GatewayNote
+from soak.callers import ObservedResponse
+from soak.replicas import EVENT_COUNT, Execution
+from soak.site import STOP_TIMEOUT_SECONDS, ProcessExit
 from tests.gatewaykit import make_event
 
-__all__ = ["Breach", "judge", "judge_recovery"]
-
-# Statuses that promise that the request has not run and will not run.
-PROMISING = frozenset({408, 421, 429, 503})
-# The gateway's own word on a stop, and time to notice the end of the process.
-STOP_SLACK_SECONDS = 1.0
-# Part of the requests that is served once all faults are over.
-LEAST_SERVED = 0.95
-# Requests that are shown with their logs.
-MOST_SHOWN = 5
-
-
-class Breach(msgspec.Struct, kw_only=True, frozen=True):
-    """A promise that did not hold; ``attempt`` where a request shows it."""
-
-    promise: str
+__all__ = ["Violation", "check_recovery", "find_violations"]
+
+# Statuses that guarantee that the request was not and will not be executed.
+NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
+# Added to the gateway's stop timeout: the delay until the end of its process is
+# detected.
+STOP_TOLERANCE_SECONDS = 1.0
+# Of the requests sent after the end of all faults.
+MIN_SERVED_FRACTION = 0.95
+# Unserved requests that are listed one by one, with their log lines.
+MAX_REPORTED_REQUESTS = 5
+
+
+class Violation(msgspec.Struct, kw_only=True, frozen=True):
+    """
+    A guarantee that did not hold.
+
+    Attributes
+    ----------
+    guarantee : str
+        The guarantee in words.
+    detail : str
+        What was observed instead.
+    attempt : str
+        Attempt id of the request concerned; empty if the violation concerns no single
+        request.
+    """
+
+    guarantee: str
     detail: str
     attempt: str = ""
 
 
-def judge(
-    answers: list[AnswerNote], runs: list[RunNote], ends: list[GatewayNote]
-) -> list[Breach]:
-    """Return every breach of what holds at any time."""
-    ran = Counter(run.attempt for run in runs)
-    breaches = [
-        Breach(promise="an order runs once", detail=f"ran {ran[run.attempt]} times",
-               attempt=run.attempt)
-        for run in runs
-        if run.path.startswith("/order/") and ran[run.attempt] > 1
-    ]  # fmt: skip
-    sent = {note.attempt for note in answers}
-    breaches += [
-        Breach(promise="only what callers sent runs", detail=run.replica,
-               attempt=run.attempt)
-        for run in runs
-        if run.attempt not in sent
-    ]  # fmt: skip
-    for note in answers:
-        breaches += _judge_answer(note, ran[note.attempt])
-    for end in ends:
-        breaches += _judge_end(end)
-    return breaches
-
-
-def judge_recovery(answers: list[AnswerNote], *, since: float) -> list[Breach]:
-    """Return a breach unless requests sent after a time were served."""
-    late = [note for note in answers if note.sent_at >= since]
-    served = sum(note.status == 200 and note.whole for note in late)
-    if late and served >= LEAST_SERVED * len(late):
+def find_violations(
+    responses: list[ObservedResponse],
+    executions: list[Execution],
+    exits: list[ProcessExit],
+) -> list[Violation]:
+    """Return the violations of the guarantees that hold at any time."""
+    execution_counts = Counter(execution.attempt for execution in executions)
+    violations = [
+        Violation(
+            guarantee="an order runs once",
+            detail=f"ran {execution_counts[execution.attempt]} times",
+            attempt=execution.attempt,
+        )
+        for execution in executions
+        if execution.path.startswith("/order/")
+        and execution_counts[execution.attempt] > 1
+    ]
+    sent = {response.attempt for response in responses}
+    violations += [
+        Violation(
+            guarantee="only what callers sent runs",
+            detail=execution.replica,
+            attempt=execution.attempt,
+        )
+        for execution in executions
+        if execution.attempt not in sent
+    ]
+    for response in responses:
+        violations += _check_response(response, execution_counts[response.attempt])
+    for exit_ in exits:
+        violations += _check_exit(exit_)
+    return violations
+
+
+def check_recovery(
+    responses: list[ObservedResponse], *, since: float
+) -> list[Violation]:
+    """
+    Return violations unless the requests sent after a time were served.
+
+    Parameters
+    ----------
+    since : float
+        Time in seconds of the monotonic clock.
+    """
+    recent = [response for response in responses if response.sent_at >= since]
+    served = sum(response.status == 200 and response.is_complete for response in recent)
+    if recent and served >= MIN_SERVED_FRACTION * len(recent):
         return []
-    detail = f"{served} of {len(late)} served after the last fault"
-    unserved = [note for note in late if not (note.status == 200 and note.whole)]
-    return [Breach(promise="service recovers", detail=detail)] + [
-        Breach(
-            promise="service recovers",
-            detail=f"{note.path} at {note.gateway}: {note.status}",
-            attempt=note.attempt,
+    detail = f"{served} of {len(recent)} served after the last fault"
+    unserved = [
+        response
+        for response in recent
+        if not (response.status == 200 and response.is_complete)
+    ]
+    return [Violation(guarantee="service recovers", detail=detail)] + [
+        Violation(
+            guarantee="service recovers",
+            detail=f"{response.path} at {response.gateway}: {response.status}",
+            attempt=response.attempt,
         )
-        for note in unserved[:MOST_SHOWN]
+        for response in unserved[:MAX_REPORTED_REQUESTS]
     ]
 
 
-def _judge_answer(note: AnswerNote, ran: int) -> list[Breach]:
-    if note.status in PROMISING and ran and not note.path.startswith("/read/"):
+def _check_response(
+    response: ObservedResponse, execution_count: int
+) -> list[Violation]:
+    if (
+        response.status in NOT_EXECUTED_STATUSES
+        and execution_count
+        and not response.path.startswith("/read/")
+    ):
         return [
-            Breach(promise="a refusal is true", detail=f"{note.status}, but it ran",
-                   attempt=note.attempt)
-        ]  # fmt: skip
-    if note.status != 200:
+            Violation(
+                guarantee="a refusal is true",
+                detail=f"{response.status}, but it ran",
+                attempt=response.attempt,
+            )
+        ]
+    if response.status != 200:
         return []
-    if note.path.startswith("/chat/"):
-        return _judge_stream(note)
-    if note.whole and note.body != note.attempt.encode():
+    if response.path.startswith("/chat/"):
+        return _check_stream(response)
+    if response.is_complete and response.body != response.attempt.encode():
         return [
-            Breach(promise="an answer is the replica's", detail=repr(note.body[:80]),
-                   attempt=note.attempt)
-        ]  # fmt: skip
+            Violation(
+                guarantee="an answer is the replica's",
+                detail=repr(response.body[:80]),
+                attempt=response.attempt,
+            )
+        ]
     return []
 
 
-def _judge_stream(note: AnswerNote) -> list[Breach]:
-    expected = b"".join(make_event(number) for number in range(1, EVENTS + 1))
-    if note.whole and note.body != expected:
+def _check_stream(response: ObservedResponse) -> list[Violation]:
+    expected = b"".join(make_event(number) for number in range(1, EVENT_COUNT + 1))
+    if response.is_complete and response.body != expected:
         return [
-            Breach(promise="a stream that ends is whole", attempt=note.attempt,
-                   detail=f"{len(note.body)} of {len(expected)} bytes")
-        ]  # fmt: skip
-    if not expected.startswith(note.body):
+            Violation(
+                guarantee="a stream that ends is whole",
+                attempt=response.attempt,
+                detail=f"{len(response.body)} of {len(expected)} bytes",
+            )
+        ]
+    if not expected.startswith(response.body):
         return [
-            Breach(promise="a stream is in order", detail=repr(note.body[-80:]),
-                   attempt=note.attempt)
-        ]  # fmt: skip
+            Violation(
+                guarantee="a stream is in order",
+                detail=repr(response.body[-80:]),
+                attempt=response.attempt,
+            )
+        ]
     return []
 
 
-def _judge_end(end: GatewayNote) -> list[Breach]:
-    if not end.meant:
+def _check_exit(exit_: ProcessExit) -> list[Violation]:
+    if not exit_.is_expected:
         return [
-            Breach(promise="no process ends by itself",
-                   detail=f"{end.gateway} ended with {end.code}")
-        ]  # fmt: skip
-    if end.code == 0 and end.took > STOP_SECONDS + STOP_SLACK_SECONDS:
+            Violation(
+                guarantee="no process ends by itself",
+                detail=f"{exit_.gateway} ended with {exit_.exit_code}",
+            )
+        ]
+    if (
+        exit_.exit_code == 0
+        and exit_.stop_seconds > STOP_TIMEOUT_SECONDS + STOP_TOLERANCE_SECONDS
+    ):
         return [
-            Breach(promise="a stop is in time",
-                   detail=f"{end.gateway} took {end.took:.1f} s")
-        ]  # fmt: skip
+            Violation(
+                guarantee="a stop is in time",
+                detail=f"{exit_.gateway} took {exit_.stop_seconds:.1f} s",
+            )
+        ]
     return []
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -2,7 +2,8 @@
 Proxy
 =====
 
-A loopback proxy that delays, resets, cuts one way or silences what passes.
+A TCP proxy on the loopback interface that delays or holds back the bytes it forwards,
+or resets its connections.
 """
 
 from enum import Enum
@@ -13,117 +14,117 @@
 
 from damasklead.util import split_address
 
-__all__ = ["Proxy", "Trouble"]
+__all__ = ["NetworkFault", "Proxy"]
 
-PIECE_BYTES = 65_536
-# Looked at again while bytes are held back, in seconds.
-HOLD_SECONDS = 0.05
+MAX_READ_BYTES = 65_536
+# Interval of checks whether the bytes are still to be held back.
+STALL_POLL_SECONDS = 0.05
 
 
-class Trouble(Enum):
-    """What a proxy does to connections."""
+class NetworkFault(Enum):
+    """What a proxy does to its connections."""
 
     NONE = "none"
     DELAY = "delay"
     RESET = "reset"
-    CUT_ANSWERS = "cut answers"
-    SILENCE = "silence"
+    STALL_RESPONSES = "stall responses"
+    STALL = "stall"
 
 
 class Proxy:
     """
-    Stands between one gateway and one address.
+    A proxy in front of one address.
 
     Parameters
     ----------
     target : str
-        Where connections go.
+        Address that connections are forwarded to, as ``host:port``.
     """
 
     def __init__(self, *, target: str) -> None:
         self._target = split_address(target)
-        self._trouble = Trouble.NONE
-        self._seconds = 0.0
+        self._fault = NetworkFault.NONE
+        self._delay_seconds = 0.0
         self._open: set[socket.socket] = set()
         self._server = StreamServer(("127.0.0.1", 0), self._serve)
         self._server.start()
 
     @property
     def address(self) -> str:
-        """Where it listens."""
+        """Address that the proxy listens on, as ``host:port``."""
         return f"127.0.0.1:{self._server.server_port}"
 
-    def trouble(self, trouble: Trouble, *, seconds: float = 0.0) -> None:
+    def set_fault(self, fault: NetworkFault, *, delay_seconds: float = 0.0) -> None:
         """
-        Begin a trouble, or end it with ``NONE``.
+        Inject a fault, or end it with ``NONE``.
 
         Parameters
         ----------
-        seconds : float
-            The delay of each piece.
+        delay_seconds : float
+            Delay before the bytes of each read are forwarded, for ``DELAY``.
         """
-        self._trouble, self._seconds = trouble, seconds
-        if trouble is Trouble.RESET:
-            self.reset()
+        self._fault, self._delay_seconds = fault, delay_seconds
+        if fault is NetworkFault.RESET:
+            self.reset_connections()
 
-    def reset(self) -> None:
-        """Reset all connections that are open."""
+    def reset_connections(self) -> None:
+        """Reset all open connections."""
         for connection in list(self._open):
-            _reset(connection)
+            _reset_connection(connection)
 
     def close(self) -> None:
-        """Listen no more and reset what is open."""
+        """Stop listening and reset all open connections."""
         self._server.stop(timeout=0)
-        self.reset()
+        self.reset_connections()
 
-    def _serve(self, near: socket.socket, _peer: object) -> None:
-        if self._trouble is Trouble.RESET:
-            _reset(near)
+    def _serve(self, client: socket.socket, _peer: object) -> None:
+        if self._fault is NetworkFault.RESET:
+            _reset_connection(client)
             return
         try:
-            far = socket.create_connection(self._target, timeout=2)
+            upstream = socket.create_connection(self._target, timeout=2)
         except OSError:
-            _reset(near)
+            _reset_connection(client)
             return
-        far.settimeout(None)
-        self._open |= {near, far}
-        ways = [
-            gevent.spawn(self._pass, near, far, answers=False),
-            gevent.spawn(self._pass, far, near, answers=True),
+        upstream.settimeout(None)
+        self._open |= {client, upstream}
+        greenlets = [
+            gevent.spawn(self._forward_bytes, client, upstream, is_response=False),
+            gevent.spawn(self._forward_bytes, upstream, client, is_response=True),
         ]
-        gevent.joinall(ways, count=1)
-        gevent.killall(ways)
-        for connection in (near, far):
+        gevent.joinall(greenlets, count=1)
+        gevent.killall(greenlets)
+        for connection in (client, upstream):
             self._open.discard(connection)
             connection.close()
 
-    def _pass(
-        self, source: socket.socket, sink: socket.socket, *, answers: bool
+    def _forward_bytes(
+        self, source: socket.socket, sink: socket.socket, *, is_response: bool
     ) -> None:
         try:
-            while data := source.recv(PIECE_BYTES):
-                if self._trouble is Trouble.DELAY:
-                    gevent.sleep(self._seconds)
-                while self._holds(answers):
-                    gevent.sleep(HOLD_SECONDS)
+            while data := source.recv(MAX_READ_BYTES):
+                if self._fault is NetworkFault.DELAY:
+                    gevent.sleep(self._delay_seconds)
+                while self._is_stalled(is_response):
+                    gevent.sleep(STALL_POLL_SECONDS)
                 sink.sendall(data)
         except OSError:
-            # Either end broke the connection off; both are closed by the caller.
+            # Either end closed its connection; ``_serve`` closes both.
             return
 
-    def _holds(self, answers: bool) -> bool:
-        if self._trouble is Trouble.CUT_ANSWERS:
-            return answers
-        return self._trouble is Trouble.SILENCE
+    def _is_stalled(self, is_response: bool) -> bool:
+        if self._fault is NetworkFault.STALL_RESPONSES:
+            return is_response
+        return self._fault is NetworkFault.STALL
 
 
-def _reset(connection: socket.socket) -> None:
-    """Close a connection so that its peer sees a reset."""
+def _reset_connection(connection: socket.socket) -> None:
+    """Close a connection with a reset: a linger time of 0 makes the kernel send RST."""
     try:
         connection.setsockopt(
             socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\x00\x00\x00\x00\x00\x00\x00"
         )
         connection.close()
     except OSError:
-        # It was closed already.
+        # The connection was closed already.
         return
--- a/soak/replicas.py
+++ b/soak/replicas.py
@@ -2,7 +2,7 @@
 Replicas
 ========
 
-Replica stand-ins that note what they run, and crash, drain, fail or refuse.
+Replica stand-ins that record the requests they execute, and crash or reject requests.
 """
 
 import random
@@ -20,19 +20,32 @@
     make_stream_head,
 )
 
-__all__ = ["EVENTS", "Replica", "RunNote"]
+__all__ = ["EVENT_COUNT", "Execution", "Replica"]
 
-# Events of a stream, and seconds between them.
-EVENTS = 12
-EVENT_SECONDS = 0.05
-# What a troubled replica does to so many of its requests.
-FAIL_SHARE = 0.3
+# Events of a streamed response.
+EVENT_COUNT = 12
+EVENT_INTERVAL_SECONDS = 0.05
+# Fraction of its requests that a replica rejects while ``is_rejecting`` is set.
+REJECTION_FRACTION = 0.3
 
 
-class RunNote(msgspec.Struct, kw_only=True, frozen=True):
-    """A request that a replica began to run."""
+class Execution(msgspec.Struct, kw_only=True, frozen=True):
+    """
+    A request whose execution a replica started.
+
+    Attributes
+    ----------
+    started_at : float
+        Start of the execution, in seconds of the monotonic clock.
+    attempt : str
+        Attempt id of the request.
+    path : str
+        Path of the request.
+    replica : str
+        Name of the replica.
+    """
 
-    at: float
+    started_at: float
     attempt: str
     path: str
     replica: str
@@ -40,71 +53,83 @@
 
 class Replica:
     """
-    One replica.
+    A replica stand-in.
 
     Parameters
     ----------
     name : str
-    notes : list of RunNote
-        Where all replicas note what they run.
+        Instance id.
+    executions : list of Execution
+        Where all replicas append their executions.
     seed : int
+        Seed of the response times and of the choice of rejected requests.
+
+    Attributes
+    ----------
+    is_running : bool
+        False after a crash.
+    is_rejecting : bool
+        Whether the replica rejects a part of its requests.
     """
 
-    def __init__(self, *, name: str, notes: list[RunNote], seed: int) -> None:
+    def __init__(self, *, name: str, executions: list[Execution], seed: int) -> None:
         self.name = name
-        self.alive = True
-        self.failing = False
-        self._notes = notes
+        self.is_running = True
+        self.is_rejecting = False
+        self._executions = executions
         self._random = random.Random(seed)
         self._open: set[socket.socket] = set()
-        self._served = ScriptedReplica(name, self._serve)
+        self._server = ScriptedReplica(name, self._serve)
 
     @property
     def address(self) -> str:
-        """Where it listens."""
-        return self._served.record.address
+        """Address that the replica listens on, as ``host:port``."""
+        return self._server.record.address
 
     def crash(self) -> None:
-        """Break everything off and listen no more."""
-        self.alive = False
-        self._served.stop()
+        """Stop listening and close all connections."""
+        self.is_running = False
+        self._server.stop()
         for connection in list(self._open):
             connection.close()
 
     def stop(self) -> None:
-        """Listen no more."""
-        self._served.stop()
+        """Stop listening."""
+        self._server.stop()
 
-    def _serve(self, served: ScriptedReplica, connection: socket.socket) -> None:
+    def _serve(self, server: ScriptedReplica, connection: socket.socket) -> None:
         self._open.add(connection)
         try:
-            while self.alive:
-                attempt = served.receive_request(connection)
-                path = served.requests[-1][0].split()[1]
-                if self.failing and self._random.random() < FAIL_SHARE:
-                    self._refuse(connection, attempt)
+            while self.is_running:
+                attempt = server.receive_request(connection)
+                path = server.requests[-1][0].split()[1]
+                if self.is_rejecting and self._random.random() < REJECTION_FRACTION:
+                    self._reject(connection, attempt)
                     continue
-                note = RunNote(
-                    at=time.monotonic(), attempt=attempt, path=path, replica=self.name
+                execution = Execution(
+                    started_at=time.monotonic(),
+                    attempt=attempt,
+                    path=path,
+                    replica=self.name,
                 )
-                self._notes.append(note)
+                self._executions.append(execution)
                 if path.startswith("/chat/"):
-                    self._stream(connection, attempt)
+                    self._send_stream(connection, attempt)
                 else:
                     gevent.sleep(self._random.uniform(0.005, 0.04))
                     connection.sendall(make_response(attempt, attempt.encode()))
         finally:
             self._open.discard(connection)
 
-    def _refuse(self, connection: socket.socket, attempt: str) -> None:
+    def _reject(self, connection: socket.socket, attempt: str) -> None:
         connection.sendall(
             f"HTTP/1.1 503 Full\r\nAttempt-Id: {attempt}\r\nNot-Executed: 1\r\n"
             "Content-Length: 0\r\n\r\n".encode()
         )
 
-    def _stream(self, connection: socket.socket, attempt: str) -> None:
+    def _send_stream(self, connection: socket.socket, attempt: str) -> None:
         connection.sendall(make_stream_head(attempt))
-        for number in range(1, EVENTS + 1):
+        for number in range(1, EVENT_COUNT + 1):
             connection.sendall(make_chunk(make_event(number)))
-            gevent.sleep(EVENT_SECONDS)
+            gevent.sleep(EVENT_INTERVAL_SECONDS)
         connection.sendall(make_chunk(b""))
--- a/soak/run.py
+++ b/soak/run.py
@@ -2,7 +2,8 @@
 Run
 ===
 
-One run of a seed: the site, its callers, the faults, and the verdict.
+Runs one seed: starts the cluster and the callers, injects the faults and checks the
+guarantees.
 """
 
 import time
@@ -11,39 +12,47 @@
 import gevent
 import msgspec
 
-from soak.callers import AnswerNote, Caller
-from soak.faults import Fault, play, schedule
-from soak.promises import Breach, judge, judge_recovery
-from soak.site import Site
+from soak.callers import Caller, ObservedResponse
+from soak.faults import Fault, make_schedule, start_faults
+from soak.promises import Violation, check_recovery, find_violations
+from soak.site import Cluster
 
-__all__ = ["Verdict", "run"]
+__all__ = ["SoakResult", "run_seed"]
 
-START_SECONDS = 20.0
-# A process that was killed starts and reads the store within this time.
-RECOVERY_SECONDS = 10.0
-CALM_SECONDS = 3.0
+START_TIMEOUT_SECONDS = 20.0
+# A killed process restarts and reads the store within this time.
+RECOVERY_TIMEOUT_SECONDS = 10.0
+FAULT_FREE_SECONDS = 3.0
 
 
-class Verdict(msgspec.Struct, kw_only=True, frozen=True):
+class SoakResult(msgspec.Struct, kw_only=True, frozen=True):
     """
-    What a run showed.
+    The result of a run.
 
     Attributes
     ----------
-    counts : dict
-        Answers by status; 0 for connections that ended without.
+    seed : int
+        Seed of the run.
+    faults : list of Fault
+        The schedule of faults.
+    status_counts : dict
+        Number of responses by HTTP status; 0 stands for connections that ended before a
+        complete response head.
+    violations : list of Violation
+        The violated guarantees.
     logs : dict
-        By attempt, the gateways' lines of a request that shows a breach.
+        By attempt id, the gateways' log lines of each request with a violation; under
+        ``tracebacks``, the first lines of all tracebacks.
     """
 
     seed: int
     faults: list[Fault]
-    counts: dict[int, int]
-    breaches: list[Breach]
+    status_counts: dict[int, int]
+    violations: list[Violation]
     logs: dict[str, list[str]]
 
 
-def run(
+def run_seed(
     seed: int,
     *,
     folder: Path,
@@ -52,71 +61,86 @@
     callers: int = 12,
     seconds: float = 10.0,
     faults: int = 12,
-) -> Verdict:
+) -> SoakResult:
     """
-    Play one seed and return its verdict.
+    Run one seed and return its result.
 
     Parameters
     ----------
+    seed : int
+        Seed of the faults, of the callers and of the replicas.
     folder : Path
-        For settings and logs.
+        Where settings files and logs are written.
+    gateways, replicas, callers : int
+        Number of gateways, of replicas at the start, and of callers.
     seconds : float
-        For which faults begin.
+        Length of the schedule; faults start within its first 80 %.
     faults : int
-        How many.
+        Number of faults, not counting restores of the store.
     """
-    planned = schedule(seed, seconds=seconds, count=faults)
-    site = Site(folder=folder, gateways=gateways, replicas=replicas, seed=seed)
-    answers: list[AnswerNote] = []
-    tasks = [gevent.spawn(site.watch)]
+    schedule = make_schedule(seed, seconds=seconds, count=faults)
+    cluster = Cluster(folder=folder, gateways=gateways, replicas=replicas, seed=seed)
+    responses: list[ObservedResponse] = []
+    tasks = [gevent.spawn(cluster.monitor_gateways)]
     try:
-        for name in site.gateways:
-            site.start(name)
-        _wait_for(site, START_SECONDS)
+        for name in cluster.gateways:
+            cluster.start_gateway(name)
+        _wait_until_ready(cluster, START_TIMEOUT_SECONDS)
         tasks += [
             gevent.spawn(
                 Caller(
-                    name=f"caller-{number}", ports=site.ports(), ready=site.ready,
-                    notes=answers, seed=seed * 1000 + number,
+                    name=f"caller-{number}", ports=cluster.get_caller_ports(),
+                    list_ready_gateways=cluster.list_ready_gateways,
+                    responses=responses, seed=seed * 1000 + number,
                 ).run
             )
             for number in range(callers)
         ]  # fmt: skip
-        playing = play(site, planned)
+        fault_tasks = start_faults(cluster, schedule)
         gevent.sleep(seconds)
-        gevent.joinall(playing, timeout=START_SECONDS)
-        breaches = [
-            Breach(promise="the soak itself works", detail=repr(task.exception))
-            for task in playing
+        gevent.joinall(fault_tasks, timeout=START_TIMEOUT_SECONDS)
+        violations = [
+            Violation(guarantee="the soak itself works", detail=repr(task.exception))
+            for task in fault_tasks
             if task.exception is not None
         ]
-        breaches += _wait_for(site, RECOVERY_SECONDS)
-        calm = time.monotonic()
-        gevent.sleep(CALM_SECONDS)
-        until = time.monotonic()
+        violations += _wait_until_ready(cluster, RECOVERY_TIMEOUT_SECONDS)
+        faults_ended_at = time.monotonic()
+        gevent.sleep(FAULT_FREE_SECONDS)
+        callers_stopped_at = time.monotonic()
         gevent.killall(tasks[1:])
-        settled = [note for note in answers if note.sent_at < until - 2.0]
-        breaches += judge(answers, site.runs, site.ends)
-        breaches += judge_recovery(settled, since=calm)
-        logs = {item.attempt: site.logs(item.attempt) for item in breaches}
-        logs["tracebacks"] = site.logs("Traceback")
+        due_responses = [
+            response
+            for response in responses
+            if response.sent_at < callers_stopped_at - 2.0
+        ]
+        violations += find_violations(responses, cluster.executions, cluster.exits)
+        violations += check_recovery(due_responses, since=faults_ended_at)
+        logs = {
+            item.attempt: cluster.find_log_lines(item.attempt) for item in violations
+        }
+        logs["tracebacks"] = cluster.find_log_lines("Traceback")
     finally:
         gevent.killall(tasks)
-        site.close()
-    counts: dict[int, int] = {}
-    for note in answers:
-        counts[note.status] = counts.get(note.status, 0) + 1
-    return Verdict(
-        seed=seed, faults=planned, counts=counts, breaches=breaches, logs=logs
+        cluster.close()
+    status_counts: dict[int, int] = {}
+    for response in responses:
+        status_counts[response.status] = status_counts.get(response.status, 0) + 1
+    return SoakResult(
+        seed=seed,
+        faults=schedule,
+        status_counts=status_counts,
+        violations=violations,
+        logs=logs,
     )
 
 
-def _wait_for(site: Site, seconds: float) -> list[Breach]:
-    """Wait until all gateways are ready."""
+def _wait_until_ready(cluster: Cluster, seconds: float) -> list[Violation]:
+    """Wait until all gateways are ready; returns a violation after a timeout."""
     end = time.monotonic() + seconds
     while time.monotonic() < end:
-        if len(site.ready()) == len(site.gateways):
+        if len(cluster.list_ready_gateways()) == len(cluster.gateways):
             return []
         gevent.sleep(0.05)
-    missing = sorted(set(site.gateways) - set(site.ready()))
-    return [Breach(promise="service recovers", detail=f"not ready: {missing}")]
+    missing = sorted(set(cluster.gateways) - set(cluster.list_ready_gateways()))
+    return [Violation(guarantee="service recovers", detail=f"not ready: {missing}")]
--- a/soak/site.py
+++ b/soak/site.py
@@ -1,8 +1,8 @@
 """
-Site
-====
+Cluster
+=======
 
-Gateway processes, each behind its own proxy to the store, and replicas behind proxies.
+Gateway processes, each with its own proxy to the store, and replicas behind proxies.
 """
 
 import json
@@ -18,116 +18,143 @@
 from gevent import socket
 
 from soak.proxy import Proxy
-from soak.replicas import Replica, RunNote
+from soak.replicas import Execution, Replica
 from tests.gatewaykit import find_free_ports
 from tests.platformstandin import StoreStandin, make_configuration, make_upstream_entry
 
-__all__ = ["GatewayNote", "Site"]
+__all__ = ["Cluster", "ProcessExit"]
 
-ROUTE_SECONDS = 2.0
-STOP_SECONDS = 8
-ASK_SECONDS = 0.5
-PORTS = ("callers", "ready", "operators", "peers")
+ROUTE_TIMEOUT_SECONDS = 2.0
+STOP_TIMEOUT_SECONDS = 8
+PROBE_TIMEOUT_SECONDS = 0.5
+PORT_NAMES = ("callers", "ready", "operators", "peers")
 
 
-class GatewayNote(msgspec.Struct, kw_only=True, frozen=True):
+class ProcessExit(msgspec.Struct, kw_only=True, frozen=True):
     """
-    The end of a gateway process; ``meant`` when the soak ended it.
+    The exit of a gateway process.
 
     Attributes
     ----------
-    took : float
-        Seconds from the signal to the end.
+    gateway : str
+        Name of the gateway.
+    exit_code : int
+        Exit code; negative for the signal that ended the process.
+    is_expected : bool
+        Whether the soak test sent the process SIGTERM or SIGKILL.
+    stop_seconds : float
+        Seconds from that signal to the exit; 0 if there was none.
     """
 
     gateway: str
-    code: int
-    meant: bool
-    took: float
+    exit_code: int
+    is_expected: bool
+    stop_seconds: float
 
 
-class Site:
+class Cluster:
     """
-    Everything that one run starts.
+    The gateways, replicas, proxies and the store of one run.
 
     Parameters
     ----------
     folder : Path
-        For settings and logs.
+        Where settings files and logs are written.
     gateways, replicas : int
+        Number of gateways, and of replicas at the start.
     seed : int
+        Seed of the replicas.
+
+    Attributes
+    ----------
+    executions : list of Execution
+        The requests that replicas executed.
+    exits : list of ProcessExit
+        The exits of gateway processes.
+    next_version : int
+        Version of the configuration that is published next.
+    replicas, proxies : dict
+        All replicas, including stopped ones, and the proxies in front of them, by name.
+    store_proxies : dict
+        The proxy to the store of each gateway, by gateway name.
     """
 
     def __init__(
         self, *, folder: Path, gateways: int, replicas: int, seed: int
     ) -> None:
         self.store = StoreStandin()
-        self.runs: list[RunNote] = []
-        self.ends: list[GatewayNote] = []
-        self.version = 1
+        self.executions: list[Execution] = []
+        self.exits: list[ProcessExit] = []
+        self.next_version = 1
         self._folder = folder
         self._seed = seed
         self._next_replica = 0
-        # What replicas last wrote of themselves, and those that were removed.
-        self._states: dict[str, str] = {}
-        self._removed: set[str] = set()
+        # State in the last entry of each replica, and the names of removed replicas.
+        self._replica_states: dict[str, str] = {}
+        self._removed_replicas: set[str] = set()
         self.replicas: dict[str, Replica] = {}
         self.proxies: dict[str, Proxy] = {}
-        self._ready: dict[str, bool] = {}
+        self._readiness: dict[str, bool] = {}
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
-        self._asked_to_end: dict[str, float] = {}
+        self._signalled_at: dict[str, float] = {}
         names = [f"gateway-{number}" for number in range(1, gateways + 1)]
-        ports = iter(find_free_ports(len(PORTS) * gateways))
-        self._ports = {name: {port: next(ports) for port in PORTS} for name in names}
+        ports = iter(find_free_ports(len(PORT_NAMES) * gateways))
+        self._ports = {
+            name: {port: next(ports) for port in PORT_NAMES} for name in names
+        }
         self.store_proxies = {name: Proxy(target=self.store.address) for name in names}
-        self.configure()
+        self.publish_configuration()
         for _ in range(replicas):
             self.add_replica()
 
     @property
     def gateways(self) -> list[str]:
-        """All gateways' names."""
+        """Names of all gateways."""
         return list(self._ports)
 
-    def ports(self) -> dict[str, int]:
-        """Return the callers' port of each gateway."""
+    def get_caller_ports(self) -> dict[str, int]:
+        """Return the port for callers of each gateway, by name."""
         return {name: ports["callers"] for name, ports in self._ports.items()}
 
-    def ready(self) -> list[str]:
-        """Return the gateways that said they are ready when they were last asked."""
-        return [name for name, ready in self._ready.items() if ready]
+    def list_ready_gateways(self) -> list[str]:
+        """Return the names of the gateways whose last readiness probe succeeded."""
+        return [name for name, ready in self._readiness.items() if ready]
 
-    def configure(self) -> None:
-        """Write the next version of the configuration."""
-        content = make_configuration(self.version, timeout=int(ROUTE_SECONDS * 1000))
+    def publish_configuration(self) -> None:
+        """Publish the next version of the configuration."""
+        content = make_configuration(
+            self.next_version, timeout=int(ROUTE_TIMEOUT_SECONDS * 1000)
+        )
         self.store.write_row("op", "config", content)
-        self.version += 1
+        self.next_version += 1
 
-    def write_again(self) -> None:
-        """Let the operators and the replicas write what the store has forgotten."""
-        self.version = max(1, self.version - 1)
-        self.configure()
+    def rewrite_rows(self) -> None:
+        """Write again the rows that a restore of the store may have lost."""
+        self.next_version = max(1, self.next_version - 1)
+        self.publish_configuration()
         for name, replica in self.replicas.items():
-            if name in self._removed:
+            if name in self._removed_replicas:
                 self.store.delete_row("servers", name)
-            elif replica.alive:
-                self.list_replica(name, state=self._states[name])
+            elif replica.is_running:
+                self.write_replica_entry(name, state=self._replica_states[name])
 
     def add_replica(self) -> Replica:
-        """Start a replica and list it."""
+        """Start a replica and its proxy, and write its entry."""
         self._next_replica += 1
         name = f"replica-{self._next_replica}"
         replica = Replica(
-            name=name, notes=self.runs, seed=self._seed * 100 + self._next_replica
+            name=name,
+            executions=self.executions,
+            seed=self._seed * 100 + self._next_replica,
         )
         self.replicas[name] = replica
         self.proxies[name] = Proxy(target=replica.address)
-        self.list_replica(name, state="ready")
+        self.write_replica_entry(name, state="ready")
         return replica
 
-    def list_replica(self, name: str, *, state: str) -> None:
-        """Write a replica's entry."""
-        self._states[name] = state
+    def write_replica_entry(self, name: str, *, state: str) -> None:
+        """Write a replica's entry in the list of replicas."""
+        self._replica_states[name] = state
         self.store.write_row(
             "servers",
             name,
@@ -135,13 +162,13 @@
         )
 
     def remove_replica(self, name: str) -> None:
-        """End a replica and remove its entry."""
+        """Stop a replica and delete its entry."""
         self.replicas[name].crash()
-        self._removed.add(name)
+        self._removed_replicas.add(name)
         self.store.delete_row("servers", name)
         self.proxies[name].close()
 
-    def start(self, name: str) -> None:
+    def start_gateway(self, name: str) -> None:
         """Start a gateway process."""
         ports = self._ports[name]
         file = self._folder / f"{name}.json"
@@ -153,11 +180,11 @@
         settings = {
             "instance": name,
             "data_centre": "hout",
-            "listen": {port: f"127.0.0.1:{ports[port]}" for port in PORTS[:3]},
+            "listen": {port: f"127.0.0.1:{ports[port]}" for port in PORT_NAMES[:3]},
             "platform": self.store_proxies[name].address,
             "peer_ports": [ports["peers"], ports["peers"]],
             "seeds": seeds,
-            "bounds": {"stop_seconds": STOP_SECONDS},
+            "bounds": {"stop_seconds": STOP_TIMEOUT_SECONDS},
         }
         file.write_text(json.dumps(settings))
         environment = os.environ | {"DAMASKLEAD_SETTINGS": str(file)}
@@ -167,31 +194,31 @@
                 env=environment, stdout=log, stderr=log,
             )  # fmt: skip
 
-    def signal(self, name: str, number: signal.Signals) -> None:
-        """Send a gateway process a signal, if it runs."""
+    def send_signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a gateway's process if it runs."""
         process = self._processes.get(name)
         if process is None or process.poll() is not None:
             return
         if number in (signal.SIGTERM, signal.SIGKILL):
-            self._asked_to_end.setdefault(name, time.monotonic())
-        if number is signal.SIGHUP and not _minds_reload(process.pid):
+            self._signalled_at.setdefault(name, time.monotonic())
+        if number is signal.SIGHUP and not _handles_reload(process.pid):
             return
         process.send_signal(number)
 
-    def running(self, name: str) -> bool:
-        """Tell whether a gateway's process runs."""
+    def is_running(self, name: str) -> bool:
+        """Return whether a gateway's process runs."""
         return name in self._processes and self._processes[name].poll() is None
 
-    def watch(self) -> None:
-        """Ask gateways whether they are ready and note ends of processes, forever."""
+    def monitor_gateways(self) -> None:
+        """Probe readiness and record exits until the greenlet is killed."""
         while True:
             for name in self.gateways:
-                self._ready[name] = self._is_ready(name)
-                self._note_end(name)
+                self._readiness[name] = self._probe_readiness(name)
+                self._record_exit(name)
             gevent.sleep(0.1)
 
     def close(self) -> None:
-        """End everything that the run started."""
+        """Stop the gateways, the proxies, the replicas and the store."""
         for process in self._processes.values():
             if process.poll() is None:
                 process.send_signal(signal.SIGCONT)
@@ -203,8 +230,8 @@
             replica.stop()
         self.store.stop()
 
-    def logs(self, text: str) -> list[str]:
-        """Return the lines of all gateways' logs that hold a text."""
+    def find_log_lines(self, text: str) -> list[str]:
+        """Return the log lines of all gateways that contain a text."""
         return [
             f"{file.stem}: {line}"
             for file in sorted(self._folder.glob("*.log"))
@@ -212,45 +239,47 @@
             if text in line
         ]
 
-    def _is_ready(self, name: str) -> bool:
-        if not self.running(name):
+    def _probe_readiness(self, name: str) -> bool:
+        if not self.is_running(name):
             return False
-        question = b"GET /x HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+        probe = b"GET /x HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
         address = ("127.0.0.1", self._ports[name]["ready"])
         try:
-            with socket.create_connection(address, timeout=ASK_SECONDS) as connection:
-                connection.sendall(question)
+            with socket.create_connection(
+                address, timeout=PROBE_TIMEOUT_SECONDS
+            ) as connection:
+                connection.sendall(probe)
                 return connection.recv(64).startswith(b"HTTP/1.1 200")
         except OSError:
             return False
 
-    def _note_end(self, name: str) -> None:
+    def _record_exit(self, name: str) -> None:
         process = self._processes.get(name)
         if process is None or process.poll() is None:
             return
-        asked = self._asked_to_end.pop(name, None)
-        took = 0.0 if asked is None else time.monotonic() - asked
-        self.ends.append(
-            GatewayNote(
+        signalled_at = self._signalled_at.pop(name, None)
+        stop_seconds = 0.0 if signalled_at is None else time.monotonic() - signalled_at
+        self.exits.append(
+            ProcessExit(
                 gateway=name,
-                code=process.returncode,
-                meant=asked is not None,
-                took=took,
+                exit_code=process.returncode,
+                is_expected=signalled_at is not None,
+                stop_seconds=stop_seconds,
             )
         )
         del self._processes[name]
 
 
-def _minds_reload(pid: int) -> bool:
+def _handles_reload(pid: int) -> bool:
     """
-    Tell whether a process ignores or handles a request to reload.
+    Return whether a process ignores or handles SIGHUP, the signal to reload.
 
-    One that reaches the interpreter before the program's first line ends it; nothing in
-    the program can prevent that (seed 19).
+    SIGHUP ends a process whose interpreter has not run the program's first line yet,
+    and the program cannot prevent that (seen with seed 19).
     """
     masks = dict(
         line.split(":\t", 1)
         for line in Path(f"/proc/{pid}/status").read_text().splitlines()
     )
-    minded = int(masks["SigIgn"], 16) | int(masks["SigCgt"], 16)
-    return bool(minded >> (signal.SIGHUP - 1) & 1)
+    handled = int(masks["SigIgn"], 16) | int(masks["SigCgt"], 16)
+    return bool(handled >> (signal.SIGHUP - 1) & 1)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,6 +1,6 @@
 """
-Tests of the soak, and a short run of it
-========================================
+Tests of the soak test, and short runs of it
+============================================
 """
 
 from pathlib import Path
@@ -8,131 +8,182 @@
 import pytest
 from gevent import socket
 
-from soak.callers import AnswerNote
-from soak.faults import FAULTS, schedule
-from soak.promises import judge, judge_recovery
-from soak.proxy import Proxy, Trouble
-from soak.replicas import EVENTS, Replica, RunNote
-from soak.run import run
-from soak.site import GatewayNote
+from soak.callers import ObservedResponse
+from soak.faults import FAULTS, make_schedule
+from soak.promises import check_recovery, find_violations
+from soak.proxy import NetworkFault, Proxy
+from soak.replicas import EVENT_COUNT, Execution, Replica
+from soak.run import run_seed
+from soak.site import ProcessExit
 from tests.gatewaykit import make_event, make_request, read_all
 
-# Seeds that once failed, each with its cause; they stay clean.
+# Seeds that found a defect, with its cause.
 REGRESSIONS = {
-    19: "a reload while a gateway started ended it: the handler came after the imports",
+    19: "SIGHUP ended a gateway that started: the handler was set after the imports",
 }
-STREAM = b"".join(make_event(number) for number in range(1, EVENTS + 1))
+STREAM = b"".join(make_event(number) for number in range(1, EVENT_COUNT + 1))
 
 
-def note(path: str, status: int, body: bytes = b"a1", whole: bool = True) -> AnswerNote:
-    return AnswerNote(
-        sent_at=1.0, attempt="a1", path=path, gateway="g1", status=status, body=body,
-        whole=whole,
-    )  # fmt: skip
+def make_observed(
+    path: str, status: int, body: bytes = b"a1", is_complete: bool = True
+) -> ObservedResponse:
+    return ObservedResponse(
+        sent_at=1.0,
+        attempt="a1",
+        path=path,
+        gateway="g1",
+        status=status,
+        body=body,
+        is_complete=is_complete,
+    )
 
 
-def ran(path: str, attempt: str = "a1") -> RunNote:
-    return RunNote(at=1.0, attempt=attempt, path=path, replica="r1")
+def make_execution(path: str, attempt: str = "a1") -> Execution:
+    return Execution(started_at=1.0, attempt=attempt, path=path, replica="r1")
 
 
-def end(code: int, meant: bool, took: float) -> GatewayNote:
-    return GatewayNote(gateway="g1", code=code, meant=meant, took=took)
+def make_exit(exit_code: int, is_expected: bool, stop_seconds: float) -> ProcessExit:
+    return ProcessExit(
+        gateway="g1",
+        exit_code=exit_code,
+        is_expected=is_expected,
+        stop_seconds=stop_seconds,
+    )
 
 
 @pytest.mark.parametrize(
-    ("answer", "runs", "promise"),
+    ("response", "executions", "guarantee"),
     [
-        (note("/order/1", 200), [ran("/order/1")] * 2, "an order runs once"),
-        (note("/order/1", 200), [ran("/order/1"), ran("/read/1", "x")],
-         "only what callers sent runs"),
-        (note("/order/1", 503), [ran("/order/1")], "a refusal is true"),
-        (note("/chat/1", 429), [ran("/chat/1")], "a refusal is true"),
-        (note("/read/1", 200, b"a2"), [ran("/read/1")], "an answer is the replica's"),
-        (note("/chat/1", 200, STREAM[:-9]), [], "a stream that ends is whole"),
-        (note("/chat/1", 200, make_event(1) + make_event(3), whole=False), [],
-         "a stream is in order"),
+        (
+            make_observed("/order/1", 200),
+            [make_execution("/order/1")] * 2,
+            "an order runs once",
+        ),
+        (
+            make_observed("/order/1", 200),
+            [make_execution("/order/1"), make_execution("/read/1", "x")],
+            "only what callers sent runs",
+        ),
+        (
+            make_observed("/order/1", 503),
+            [make_execution("/order/1")],
+            "a refusal is true",
+        ),
+        (
+            make_observed("/chat/1", 429),
+            [make_execution("/chat/1")],
+            "a refusal is true",
+        ),
+        (
+            make_observed("/read/1", 200, b"a2"),
+            [make_execution("/read/1")],
+            "an answer is the replica's",
+        ),
+        (make_observed("/chat/1", 200, STREAM[:-9]), [], "a stream that ends is whole"),
+        (
+            make_observed(
+                "/chat/1", 200, make_event(1) + make_event(3), is_complete=False
+            ),
+            [],
+            "a stream is in order",
+        ),
     ],
-)  # fmt: skip
-def test_each_broken_promise_is_seen(
-    answer: AnswerNote, runs: list[RunNote], promise: str
+)
+def test_each_violated_guarantee_is_found(
+    response: ObservedResponse, executions: list[Execution], guarantee: str
 ) -> None:
-    assert [item.promise for item in judge([answer], runs, [])][:1] == [promise]
+    assert [item.guarantee for item in find_violations([response], executions, [])][
+        :1
+    ] == [guarantee]
 
 
 @pytest.mark.parametrize(
-    "answer",
+    "response",
     [
-        note("/order/1", 200),
-        note("/order/1", 504),
-        note("/order/1", 0, b"", whole=False),
-        note("/chat/1", 200, STREAM),
-        note("/chat/1", 200, make_event(1), whole=False),
+        make_observed("/order/1", 200),
+        make_observed("/order/1", 504),
+        make_observed("/order/1", 0, b"", is_complete=False),
+        make_observed("/chat/1", 200, STREAM),
+        make_observed("/chat/1", 200, make_event(1), is_complete=False),
     ],
 )
-def test_what_is_allowed_is_no_breach(answer: AnswerNote) -> None:
-    assert judge([answer], [ran(answer.path)], [end(0, True, 2.0)]) == []
+def test_allowed_responses_are_no_violation(response: ObservedResponse) -> None:
+    assert (
+        find_violations(
+            [response], [make_execution(response.path)], [make_exit(0, True, 2.0)]
+        )
+        == []
+    )
 
 
 @pytest.mark.parametrize(
-    ("noted", "promise"),
+    ("process_exit", "guarantee"),
     [
-        (end(1, False, 0.0), "no process ends by itself"),
-        (end(0, True, 30.0), "a stop is in time"),
+        (make_exit(1, False, 0.0), "no process ends by itself"),
+        (make_exit(0, True, 30.0), "a stop is in time"),
     ],
 )
-def test_ends_of_processes_are_judged(noted: GatewayNote, promise: str) -> None:
-    assert [item.promise for item in judge([], [], [noted])] == [promise]
+def test_exits_of_processes_are_checked(
+    process_exit: ProcessExit, guarantee: str
+) -> None:
+    assert [item.guarantee for item in find_violations([], [], [process_exit])] == [
+        guarantee
+    ]
 
 
-def test_recovery_needs_requests_that_are_served() -> None:
-    assert judge_recovery([note("/order/1", 200)], since=0.5) == []
-    assert judge_recovery([note("/order/1", 200)], since=2.0)
-    assert judge_recovery([note("/order/1", 503)], since=0.5)
+def test_recovery_requires_served_requests() -> None:
+    assert check_recovery([make_observed("/order/1", 200)], since=0.5) == []
+    assert check_recovery([make_observed("/order/1", 200)], since=2.0)
+    assert check_recovery([make_observed("/order/1", 503)], since=0.5)
 
 
-def test_a_seed_has_one_schedule_and_seeds_differ() -> None:
-    one = schedule(7, seconds=10.0, count=12)
-    assert one == schedule(7, seconds=10.0, count=12)
-    assert one != schedule(8, seconds=10.0, count=12)
+def test_schedules_depend_on_the_seed_alone() -> None:
+    one = make_schedule(7, seconds=10.0, count=12)
+    assert one == make_schedule(7, seconds=10.0, count=12)
+    assert one != make_schedule(8, seconds=10.0, count=12)
     kinds = {
         fault.kind
         for seed in range(50)
-        for fault in schedule(seed, seconds=9, count=12)
+        for fault in make_schedule(seed, seconds=9, count=12)
     }
     assert kinds == set(FAULTS)
 
 
 @pytest.mark.parametrize(
-    ("trouble", "answered"),
+    ("network_fault", "is_answered"),
     [
-        (Trouble.NONE, True),
-        (Trouble.DELAY, True),
-        (Trouble.RESET, False),
-        (Trouble.CUT_ANSWERS, False),
-        (Trouble.SILENCE, False),
+        (NetworkFault.NONE, True),
+        (NetworkFault.DELAY, True),
+        (NetworkFault.RESET, False),
+        (NetworkFault.STALL_RESPONSES, False),
+        (NetworkFault.STALL, False),
     ],
 )
-def test_a_proxy_does_what_its_trouble_says(trouble: Trouble, answered: bool) -> None:
-    runs: list[RunNote] = []
-    replica = Replica(name="r1", notes=runs, seed=1)
+def test_a_proxy_injects_its_fault(
+    network_fault: NetworkFault, is_answered: bool
+) -> None:
+    executions: list[Execution] = []
+    replica = Replica(name="r1", executions=executions, seed=1)
     proxy = Proxy(target=replica.address)
-    proxy.trouble(trouble, seconds=0.01)
+    proxy.set_fault(network_fault, delay_seconds=0.01)
     host, _, port = proxy.address.partition(":")
     try:
         with socket.create_connection((host, int(port)), timeout=0.5) as connection:
             connection.sendall(make_request("/read/1"))
             connection.settimeout(0.5)
-            said = connection.recv(1000)
+            received = connection.recv(1000)
     except OSError:
-        said = b""
-    assert said.startswith(b"HTTP/1.1 200") is answered
-    assert bool(runs) is (answered or trouble is Trouble.CUT_ANSWERS)
+        received = b""
+    assert received.startswith(b"HTTP/1.1 200") is is_answered
+    assert bool(executions) is (
+        is_answered or network_fault is NetworkFault.STALL_RESPONSES
+    )
     proxy.close()
     replica.stop()
 
 
-def test_a_crashed_replica_breaks_its_streams_off() -> None:
-    replica = Replica(name="r1", notes=[], seed=1)
+def test_a_crash_of_a_replica_ends_its_streams_early() -> None:
+    replica = Replica(name="r1", executions=[], seed=1)
     host, _, port = replica.address.partition(":")
     with socket.create_connection((host, int(port)), timeout=2) as connection:
         connection.sendall(make_request("/chat/1", method="POST", body="x"))
@@ -142,7 +193,7 @@
 
 
 @pytest.mark.parametrize("seed", [1, *REGRESSIONS])
-def test_a_run_keeps_every_promise(seed: int, tmp_path: Path) -> None:
-    verdict = run(seed, folder=tmp_path)
-    assert verdict.breaches == [], verdict.logs
-    assert verdict.counts[200] > 50
+def test_a_run_violates_no_guarantee(seed: int, tmp_path: Path) -> None:
+    result = run_seed(seed, folder=tmp_path)
+    assert result.violations == [], result.logs
+    assert result.status_counts[200] > 50
