--- a/bench/coordination.py
+++ b/bench/coordination.py
@@ -22,7 +22,7 @@
     UpstreamRecord,
     UpstreamState,
 )
-from damasklead.gateway.coordination.asking import make_assignment_request
+from damasklead.gateway.coordination.assignment_client import make_assignment_request
 from damasklead.gateway.coordination.cells import Cell, partition_engines
 from damasklead.gateway.coordination.coordinator import Coordinator
 from damasklead.gateway.coordination.messages import (
@@ -34,8 +34,7 @@
 )
 from damasklead.gateway.directory import ListedRow
 from damasklead.gateway.messages import Broadcast
-from damasklead.gateway.positions import Position
-from damasklead.gateway.reading import ListReport
+from damasklead.gateway.poll_schedule import ListReport
 from damasklead.gateway.routing import (
     EngineSpec,
     Route,
@@ -43,6 +42,7 @@
     RouteName,
     ServiceSpec,
 )
+from damasklead.gateway.store_positions import Position
 from damasklead.ids import AttemptId, DataCentre, InstanceId, ServiceName
 
 SERVICE = ServiceName("engines")
--- a/damasklead/experiment/gateways.py
+++ b/damasklead/experiment/gateways.py
@@ -14,9 +14,8 @@
 from damasklead.experiment.driver import Simulator
 from damasklead.experiment.engines import Engine, EngineRun
 from damasklead.failures import Failure
-from damasklead.gateway.attempts import MAX_REPLICA_ATTEMPTS, RETRY_AFTER_SECONDS
 from damasklead.gateway.calls import Call, LoadHint, UpstreamRecord
-from damasklead.gateway.coordination.asking import (
+from damasklead.gateway.coordination.assignment_client import (
     FIRST_REQUEST_TIMEOUT_SECONDS,
     MAX_COORDINATORS,
     QUEUED_TIMEOUT_SECONDS,
@@ -36,6 +35,7 @@
     RunningRequests,
 )
 from damasklead.gateway.placements import Placement
+from damasklead.gateway.proxied_request import MAX_REPLICA_ATTEMPTS, RETRY_AFTER_SECONDS
 from damasklead.gateway.routing import RoutingTable
 from damasklead.ids import DataCentre, InstanceId, ServiceName
 
--- a/damasklead/experiment/policies.py
+++ b/damasklead/experiment/policies.py
@@ -14,7 +14,7 @@
 from damasklead.gateway.placements import EnginePlacement, Placement
 from damasklead.gateway.placements.base import tie_breaker
 from damasklead.gateway.placements.engine import PREFILL_TOKENS_PER_SECOND
-from damasklead.gateway.replicastate import ReplicaState
+from damasklead.gateway.replica_state import ReplicaState
 from damasklead.ids import InstanceId
 
 __all__ = ["POLICIES", "Policy"]
--- a/damasklead/gateway/__init__.py
+++ b/damasklead/gateway/__init__.py
@@ -7,5 +7,5 @@
 unchanged.
 
 The decisions are in modules without I/O; ``callers``, ``upstream_http``,
-``forwarding``, ``following`` and ``process`` do the I/O.
+``forwarding``, ``list_follower`` and ``process`` do the I/O.
 """
--- a/damasklead/gateway/broadcasts.py
+++ b/damasklead/gateway/broadcasts.py
@@ -20,21 +20,21 @@
 from gevent.event import Event
 
 from damasklead.clock import Clock
-from damasklead.gateway.containment import Containment, CrashReport
+from damasklead.gateway.crash_containment import Containment, CrashReport
 from damasklead.gateway.departures import Departure, DepartureLog
-from damasklead.gateway.following import ConfigurationFollower
+from damasklead.gateway.list_follower import ConfigurationFollower
 from damasklead.gateway.messages import Broadcast, PeerReport
 from damasklead.gateway.peers import Peers
-from damasklead.gateway.positions import INITIAL_POSITION, Position
-from damasklead.gateway.reading import (
+from damasklead.gateway.poll_schedule import (
     ListName,
     ListReport,
     ListReports,
     ReadPlan,
     reader_score,
 )
-from damasklead.gateway.replicafollowing import UpstreamFollower
+from damasklead.gateway.replica_follower import UpstreamFollower
 from damasklead.gateway.routing import RoutingContent, RoutingTable
+from damasklead.gateway.store_positions import INITIAL_POSITION, Position
 
 __all__ = ["Broadcasts"]
 
--- a/damasklead/gateway/changelog.py
+++ b/damasklead/gateway/change_log.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from damasklead.clock import Clock
-from damasklead.gateway.positions import INITIAL_POSITION, Position
+from damasklead.gateway.store_positions import INITIAL_POSITION, Position
 
 __all__ = ["ChangeLog"]
 
--- a/damasklead/gateway/runparts.py
+++ b/damasklead/gateway/context.py
@@ -12,8 +12,8 @@
 from damasklead.clock import Clock
 from damasklead.gateway.budget import SharedRetryBudget
 from damasklead.gateway.calls import UpstreamRecord
-from damasklead.gateway.containment import Containment
-from damasklead.gateway.coordination.asking import AssignmentClient
+from damasklead.gateway.coordination.assignment_client import AssignmentClient
+from damasklead.gateway.crash_containment import Containment
 from damasklead.gateway.dialect import Dialect
 from damasklead.gateway.journal import Journal
 from damasklead.gateway.upstream_http import ConnectionPool, ResponseMemoryBudget
--- a/damasklead/gateway/coordination/__init__.py
+++ b/damasklead/gateway/coordination/__init__.py
@@ -7,6 +7,6 @@
 of the cell as they arrive.  Its state is soft state: a new coordinator rebuilds it from
 the gateways' reports of their running requests.
 
-``cells`` and ``coordinator`` make the decisions and do no I/O; ``asking`` is the client
-of the coordinators in a gateway.
+``cells`` and ``coordinator`` make the decisions and do no I/O; ``assignment_client`` is
+the client of the coordinators in a gateway.
 """
--- a/damasklead/gateway/coordination/service.py
+++ b/damasklead/gateway/coordination/service.py
@@ -11,7 +11,7 @@
 from gevent.event import Event
 
 from damasklead.clock import Clock
-from damasklead.gateway.coordination.asking import AssignmentClient
+from damasklead.gateway.coordination.assignment_client import AssignmentClient
 from damasklead.gateway.coordination.cellmap import CellMap
 from damasklead.gateway.coordination.cells import Member
 from damasklead.gateway.coordination.coordinators import Coordinators
--- a/damasklead/gateway/containment.py
+++ b/damasklead/gateway/crash_containment.py
@@ -1,6 +1,6 @@
 """
-Containment
-===========
+Crash containment
+=================
 
 Finds requests that crash each replica that executes them, and refuses them before they
 crash all replicas.  No I/O: the inputs are broken responses, failed connections and
--- a/damasklead/gateway/dialect.py
+++ b/damasklead/gateway/dialect.py
@@ -16,8 +16,8 @@
 
 from damasklead.gateway.calls import Call, CallHead, Header, ResponseHead
 from damasklead.gateway.directory import ListedRow
-from damasklead.gateway.positions import INITIAL_POSITION, Position
 from damasklead.gateway.routing import RoutingTable
+from damasklead.gateway.store_positions import INITIAL_POSITION, Position
 from damasklead.ids import AttemptId, DataCentre, InstanceId
 
 __all__ = [
--- a/damasklead/gateway/directory.py
+++ b/damasklead/gateway/directory.py
@@ -10,7 +10,7 @@
 
 from damasklead.clock import Clock
 from damasklead.gateway.calls import UpstreamRecord, UpstreamState
-from damasklead.gateway.positions import INITIAL_POSITION, Position
+from damasklead.gateway.store_positions import INITIAL_POSITION, Position
 from damasklead.ids import InstanceId, ServiceName, StoreEra
 
 __all__ = ["ListedRow", "UpstreamDirectory"]
--- a/damasklead/gateway/fleet.py
+++ b/damasklead/gateway/fleet.py
@@ -14,21 +14,21 @@
 from damasklead.gateway.bootstrap import Bootstrap, ConfigurationRecovery
 from damasklead.gateway.broadcasts import Broadcasts
 from damasklead.gateway.calls import UpstreamRecord
-from damasklead.gateway.containment import Containment
 from damasklead.gateway.coordination.cells import Member
 from damasklead.gateway.coordination.service import Coordination
+from damasklead.gateway.crash_containment import Containment
 from damasklead.gateway.departures import Departure, DepartureLog
 from damasklead.gateway.dialect import FeedError, PeerEntry, PlatformLink
 from damasklead.gateway.directory import UpstreamDirectory
-from damasklead.gateway.following import ConfigurationFollower
 from damasklead.gateway.journal import Journal
+from damasklead.gateway.list_follower import ConfigurationFollower
 from damasklead.gateway.peers import Peers
-from damasklead.gateway.positions import Position
-from damasklead.gateway.reading import ListName, ListReports, ReadPlan
-from damasklead.gateway.replicafollowing import UpstreamFollower
+from damasklead.gateway.poll_schedule import ListName, ListReports, ReadPlan
+from damasklead.gateway.replica_follower import UpstreamFollower
 from damasklead.gateway.routing import RoutingTable
 from damasklead.gateway.settings import GatewaySettings
 from damasklead.gateway.snapshot import Snapshot
+from damasklead.gateway.store_positions import Position
 from damasklead.gateway.upstream_http import ConnectionPool
 from damasklead.ids import DataCentre, Fingerprint, InstanceId, StoreEra
 from damasklead.supervision import Child, RestartPolicy, TaskChild
--- a/damasklead/gateway/forwarding.py
+++ b/damasklead/gateway/forwarding.py
@@ -10,7 +10,6 @@
 
 import gevent
 
-from damasklead.gateway.attempts import ProxiedRequest
 from damasklead.gateway.callers import (
     CallerConnection,
     CallerDisconnected,
@@ -18,13 +17,14 @@
     RequestHandler,
 )
 from damasklead.gateway.calls import Call
+from damasklead.gateway.context import GatewayContext
 from damasklead.gateway.dialect import RequestHeadError
 from damasklead.gateway.metrics import GatewayMetrics
 from damasklead.gateway.placements import Placement
+from damasklead.gateway.proxied_request import ProxiedRequest
 from damasklead.gateway.refusals import Reason, Refusal
 from damasklead.gateway.routing import CallerLimits, RouteKind, RoutingTable
-from damasklead.gateway.runparts import GatewayContext
-from damasklead.gateway.starting import StartGate
+from damasklead.gateway.start_gate import StartGate
 from damasklead.ids import ServiceName
 
 __all__ = ["Forwarder"]
--- a/damasklead/gateway/following.py
+++ b/damasklead/gateway/list_follower.py
@@ -4,7 +4,7 @@
 
 Keep the gateway's copy of a list of the platform up to date, and detect when the list
 can't be read.  The follower of the configuration is here, that of the replicas in
-``replicafollowing``.
+``replica_follower``.
 """
 
 import math
@@ -19,13 +19,13 @@
 from damasklead.clock import Clock
 from damasklead.gateway.dialect import Changes, Feed, FeedError, FeedFault
 from damasklead.gateway.journal import Journal
-from damasklead.gateway.positions import INITIAL_POSITION, Position
-from damasklead.gateway.reading import (
+from damasklead.gateway.poll_schedule import (
     CHANGE_BATCH_SECONDS,
     LONG_POLL_SECONDS,
     ReadPlan,
 )
 from damasklead.gateway.routing import RoutingTable
+from damasklead.gateway.store_positions import INITIAL_POSITION, Position
 
 __all__ = ["ConfigurationFollower", "Follower"]
 
--- a/damasklead/gateway/messages.py
+++ b/damasklead/gateway/messages.py
@@ -9,11 +9,11 @@
 
 import msgspec
 
-from damasklead.gateway.containment import CrashReport
+from damasklead.gateway.crash_containment import CrashReport
 from damasklead.gateway.departures import Departure
 from damasklead.gateway.directory import ListedRow
-from damasklead.gateway.positions import INITIAL_POSITION, Position
-from damasklead.gateway.reading import ListReport
+from damasklead.gateway.poll_schedule import ListReport
+from damasklead.gateway.store_positions import INITIAL_POSITION, Position
 
 __all__ = ["Announcement", "Broadcast", "LeaveNotice", "PeerReport", "Ping"]
 
--- a/damasklead/gateway/peers.py
+++ b/damasklead/gateway/peers.py
@@ -25,8 +25,8 @@
     RunningRequests,
 )
 from damasklead.gateway.dialect import FeedError, PeerDirectory, PeerEntry
-from damasklead.gateway.inbox import MessageBatch
 from damasklead.gateway.journal import Journal
+from damasklead.gateway.message_batch import MessageBatch
 from damasklead.gateway.messages import (
     Announcement,
     Broadcast,
--- a/damasklead/gateway/placements/base.py
+++ b/damasklead/gateway/placements/base.py
@@ -13,8 +13,8 @@
 from damasklead.clock import Clock
 from damasklead.failures import Failure
 from damasklead.gateway.calls import Call, LoadHint, UpstreamRecord
-from damasklead.gateway.partplaces import PartLocations
-from damasklead.gateway.replicastate import ReplicaState
+from damasklead.gateway.part_locations import PartLocations
+from damasklead.gateway.replica_state import ReplicaState
 from damasklead.gateway.routing import Route, ServiceSpec
 from damasklead.ids import DataCentre, InstanceId
 from damasklead.util import stable_hash
--- a/damasklead/gateway/placements/engine.py
+++ b/damasklead/gateway/placements/engine.py
@@ -11,8 +11,8 @@
 from damasklead.clock import Clock
 from damasklead.gateway.calls import Call, LoadHint, UpstreamRecord
 from damasklead.gateway.placements.base import FAILURE_COST, Placement, tie_breaker
-from damasklead.gateway.placements.prefixes import SharedParts
-from damasklead.gateway.replicastate import ReplicaState
+from damasklead.gateway.placements.shared_parts import SharedParts
+from damasklead.gateway.replica_state import ReplicaState
 from damasklead.gateway.routing import Route, ServiceSpec
 from damasklead.ids import AttemptId, DataCentre, InstanceId
 from damasklead.util import stable_hash
--- a/damasklead/gateway/placements/plain.py
+++ b/damasklead/gateway/placements/plain.py
@@ -7,7 +7,7 @@
 
 from damasklead.gateway.calls import Call
 from damasklead.gateway.placements.base import FAILURE_COST, Placement, tie_breaker
-from damasklead.gateway.replicastate import ReplicaState
+from damasklead.gateway.replica_state import ReplicaState
 
 __all__ = ["PlainPlacement"]
 
--- a/damasklead/gateway/placements/prefixes.py
+++ b/damasklead/gateway/placements/shared_parts.py
@@ -8,8 +8,8 @@
 from collections.abc import Iterable
 
 from damasklead.gateway.calls import PromptPart
-from damasklead.gateway.partplaces import PartLocations
-from damasklead.gateway.replicastate import ReplicaState
+from damasklead.gateway.part_locations import PartLocations
+from damasklead.gateway.replica_state import ReplicaState
 
 __all__ = ["SharedParts"]
 
--- a/damasklead/gateway/reading.py
+++ b/damasklead/gateway/poll_schedule.py
@@ -1,6 +1,6 @@
 """
-Scheduling of list reads
-========================
+Poll schedule
+=============
 
 Decides which gateway polls the platform's store for changes, and when the others do.
 
@@ -22,7 +22,7 @@
 import msgspec
 
 from damasklead.clock import Clock
-from damasklead.gateway.positions import INITIAL_POSITION, Position
+from damasklead.gateway.store_positions import INITIAL_POSITION, Position
 from damasklead.util import stable_hash
 
 __all__ = [
--- a/damasklead/gateway/process.py
+++ b/damasklead/gateway/process.py
@@ -18,6 +18,7 @@
 from damasklead.gateway.budget import SharedRetryBudget
 from damasklead.gateway.callers import RequestHandler
 from damasklead.gateway.calls import UpstreamRecord
+from damasklead.gateway.context import GatewayContext
 from damasklead.gateway.dialect import Dialect, PlatformLink
 from damasklead.gateway.directory import UpstreamDirectory
 from damasklead.gateway.fleet import Fleet
@@ -26,11 +27,10 @@
 from damasklead.gateway.listeners import Listener, ReadyHandler, StatusHandler
 from damasklead.gateway.metrics import GatewayMetrics
 from damasklead.gateway.placements import Placement, new_placement
-from damasklead.gateway.reloading import SettingsFile
 from damasklead.gateway.routing import RoutingTable, ServiceSpec
-from damasklead.gateway.runparts import GatewayContext
 from damasklead.gateway.settings import GatewaySettings
-from damasklead.gateway.starting import StartGate
+from damasklead.gateway.settings_file import SettingsFile
+from damasklead.gateway.start_gate import StartGate
 from damasklead.gateway.upstream_http import ConnectionPool
 from damasklead.ids import DataCentre, ServiceName
 from damasklead.loop import LoopClock
--- a/damasklead/gateway/attempts.py
+++ b/damasklead/gateway/proxied_request.py
@@ -1,6 +1,6 @@
 """
-Attempts
-========
+Proxied request
+===============
 
 Forwards one request to replicas, with retries, and relays the response to its caller.
 """
@@ -8,16 +8,16 @@
 import gevent
 
 from damasklead.failures import Failure
-from damasklead.gateway.assigning import ReplicaSelector
 from damasklead.gateway.callers import CallerConnection
 from damasklead.gateway.calls import Call, ResponseHead, ResponseKind, UpstreamRecord
+from damasklead.gateway.context import GatewayContext
 from damasklead.gateway.dialect import SendPlan
 from damasklead.gateway.events import EventSplitter
 from damasklead.gateway.placements import Placement
 from damasklead.gateway.refusals import Reason, Refusal, get_refusal_reason
+from damasklead.gateway.replica_selection import ReplicaSelector
 from damasklead.gateway.routing import RouteKind
-from damasklead.gateway.runparts import GatewayContext
-from damasklead.gateway.streamprogress import StreamProgress
+from damasklead.gateway.stream_progress import StreamProgress
 from damasklead.gateway.upstream_http import (
     Connection,
     SendError,
--- a/damasklead/gateway/replicafollowing.py
+++ b/damasklead/gateway/replica_follower.py
@@ -9,13 +9,13 @@
 from collections.abc import Callable
 
 from damasklead.clock import Clock
-from damasklead.gateway.changelog import ChangeLog
+from damasklead.gateway.change_log import ChangeLog
 from damasklead.gateway.dialect import Changes, Feed
 from damasklead.gateway.directory import ListedRow, UpstreamDirectory
-from damasklead.gateway.following import Follower
 from damasklead.gateway.journal import Journal
-from damasklead.gateway.positions import INITIAL_POSITION, Position
-from damasklead.gateway.reading import ReadPlan
+from damasklead.gateway.list_follower import Follower
+from damasklead.gateway.poll_schedule import ReadPlan
+from damasklead.gateway.store_positions import INITIAL_POSITION, Position
 
 __all__ = ["UpstreamFollower"]
 
--- a/damasklead/gateway/assigning.py
+++ b/damasklead/gateway/replica_selection.py
@@ -9,7 +9,10 @@
 from collections.abc import Collection
 
 from damasklead.gateway.calls import Call, LoadHint, UpstreamRecord
-from damasklead.gateway.coordination.asking import Assignment, AssignmentClient
+from damasklead.gateway.coordination.assignment_client import (
+    Assignment,
+    AssignmentClient,
+)
 from damasklead.gateway.coordination.messages import RequestRejected
 from damasklead.gateway.placements import Placement
 from damasklead.gateway.refusals import Reason, Refusal
--- a/damasklead/gateway/reloading.py
+++ b/damasklead/gateway/settings_file.py
@@ -1,6 +1,6 @@
 """
-Reloading of settings
-=====================
+Settings file
+=============
 
 The settings file of a gateway, which is reloaded on a signal and whenever it has
 changed.
--- a/damasklead/gateway/snapshot.py
+++ b/damasklead/gateway/snapshot.py
@@ -11,8 +11,8 @@
 
 from damasklead.gateway.dialect import PeerEntry
 from damasklead.gateway.directory import ListedRow
-from damasklead.gateway.positions import INITIAL_POSITION, Position
 from damasklead.gateway.routing import RoutingContent
+from damasklead.gateway.store_positions import INITIAL_POSITION, Position
 from damasklead.gateway.upstream_http import ConnectionPool, SendError
 
 __all__ = ["SNAPSHOT_PATH", "Snapshot", "SnapshotError", "fetch_snapshot"]
--- a/damasklead/gateway/positions.py
+++ b/damasklead/gateway/store_positions.py
@@ -1,6 +1,6 @@
 """
-Positions
-=========
+Store positions
+===============
 
 Positions in the change history of the platform's store.
 
--- a/damasklead/platform/store.py
+++ b/damasklead/platform/store.py
@@ -29,8 +29,8 @@
     join_headers,
 )
 from damasklead.gateway.directory import ListedRow
-from damasklead.gateway.positions import INITIAL_POSITION, Position
 from damasklead.gateway.routing import RoutingTable
+from damasklead.gateway.store_positions import INITIAL_POSITION, Position
 from damasklead.gateway.upstream_http import Connection, ConnectionPool, SendError
 from damasklead.ids import DataCentre, InstanceId, StoreEra
 from damasklead.platform.documents import decode_configuration, decode_upstream
--- a/tests/gatewaykit.py
+++ b/tests/gatewaykit.py
@@ -14,16 +14,16 @@
 
 from damasklead.gateway.budget import SharedRetryBudget
 from damasklead.gateway.calls import UpstreamRecord, UpstreamState
-from damasklead.gateway.containment import Containment
-from damasklead.gateway.coordination.asking import AssignmentClient
+from damasklead.gateway.context import GatewayContext
+from damasklead.gateway.coordination.assignment_client import AssignmentClient
 from damasklead.gateway.coordination.cells import Member
 from damasklead.gateway.coordination.service import Coordination
+from damasklead.gateway.crash_containment import Containment
 from damasklead.gateway.forwarding import Forwarder
 from damasklead.gateway.journal import Journal
 from damasklead.gateway.listeners import Listener
 from damasklead.gateway.metrics import GatewayMetrics
 from damasklead.gateway.placements import Placement, new_placement
-from damasklead.gateway.positions import Position
 from damasklead.gateway.routing import (
     ApiKey,
     CallerLimits,
@@ -35,8 +35,8 @@
     ServiceSpec,
     Workspace,
 )
-from damasklead.gateway.runparts import GatewayContext
-from damasklead.gateway.starting import StartGate
+from damasklead.gateway.start_gate import StartGate
+from damasklead.gateway.store_positions import Position
 from damasklead.gateway.upstream_http import ConnectionPool, ResponseMemoryBudget
 from damasklead.ids import (
     DataCentre,
--- a/tests/test_gateway_broadcasts.py
+++ b/tests/test_gateway_broadcasts.py
@@ -19,17 +19,22 @@
     Broadcasts,
 )
 from damasklead.gateway.calls import UpstreamState
-from damasklead.gateway.containment import Containment, CrashReport
+from damasklead.gateway.crash_containment import Containment, CrashReport
 from damasklead.gateway.departures import Departure, DepartureLog
 from damasklead.gateway.dialect import Changes, Feed, FeedError, FeedFault, PeerEntry
 from damasklead.gateway.directory import ListedRow, UpstreamDirectory
-from damasklead.gateway.following import ConfigurationFollower
 from damasklead.gateway.journal import Journal
+from damasklead.gateway.list_follower import ConfigurationFollower
 from damasklead.gateway.messages import Broadcast, PeerReport
-from damasklead.gateway.positions import Position
-from damasklead.gateway.reading import ListName, ListReports, ReadPlan, reader_score
-from damasklead.gateway.replicafollowing import UpstreamFollower
+from damasklead.gateway.poll_schedule import (
+    ListName,
+    ListReports,
+    ReadPlan,
+    reader_score,
+)
+from damasklead.gateway.replica_follower import UpstreamFollower
 from damasklead.gateway.routing import Route, RouteName, RoutingTable
+from damasklead.gateway.store_positions import Position
 from damasklead.ids import Fingerprint, InstanceId
 from tests.gatewaykit import SERVICE, make_position, make_table
 from tests.test_gateway_parts import make_removed_row, make_row
--- a/tests/test_gateway_containment.py
+++ b/tests/test_gateway_containment.py
@@ -8,7 +8,7 @@
 
 from damasklead.clock import ManualClock
 from damasklead.gateway.calls import Call, CallHead, UpstreamRecord, UpstreamState
-from damasklead.gateway.containment import (
+from damasklead.gateway.crash_containment import (
     CRASH_CONFIRM_SECONDS,
     CRASHES_TO_REFUSE,
     Containment,
--- a/tests/test_gateway_coordination.py
+++ b/tests/test_gateway_coordination.py
@@ -15,7 +15,7 @@
 from damasklead.clock import ManualClock
 from damasklead.failures import Failure
 from damasklead.gateway.calls import Call, LoadHint, PromptPart, UpstreamRecord
-from damasklead.gateway.coordination.asking import (
+from damasklead.gateway.coordination.assignment_client import (
     Assignment,
     AssignmentClient,
     make_assignment_request,
--- a/tests/test_gateway_partplaces.py
+++ b/tests/test_gateway_partplaces.py
@@ -7,7 +7,7 @@
 
 from damasklead.clock import ManualClock
 from damasklead.gateway.calls import Call, PromptPart
-from damasklead.gateway.partplaces import (
+from damasklead.gateway.part_locations import (
     MAX_PARTS,
     MAX_REPLICAS_PER_PART,
     MIN_TOKENS,
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -26,12 +26,11 @@
     UpstreamDirectory,
 )
 from damasklead.gateway.events import EventSplitter
-from damasklead.gateway.following import ConfigurationFollower
 from damasklead.gateway.journal import MAX_BUFFERED_LINES, Journal
+from damasklead.gateway.list_follower import ConfigurationFollower
 from damasklead.gateway.placements import EnginePlacement, PlainPlacement
-from damasklead.gateway.positions import Position
-from damasklead.gateway.reading import ListName, ListReports, ReadPlan
-from damasklead.gateway.replicafollowing import UpstreamFollower
+from damasklead.gateway.poll_schedule import ListName, ListReports, ReadPlan
+from damasklead.gateway.replica_follower import UpstreamFollower
 from damasklead.gateway.routing import (
     EngineSpec,
     Route,
@@ -39,6 +38,7 @@
     RouteName,
     ServiceSpec,
 )
+from damasklead.gateway.store_positions import Position
 from damasklead.ids import AttemptId, DataCentre, InstanceId, ServiceName
 from tests.gatewaykit import IDEMPOTENT, SERVICE, make_position, make_table
 
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -14,12 +14,12 @@
 from damasklead.gateway import peers as peers_module
 from damasklead.gateway.coordination.messages import AssignmentRequest
 from damasklead.gateway.dialect import FeedError, FeedFault, PeerDirectory, PeerEntry
-from damasklead.gateway.inbox import (
+from damasklead.gateway.journal import Journal
+from damasklead.gateway.message_batch import (
     MAX_BATCH_MESSAGES,
     MAX_BATCH_REQUESTS,
     MessageBatch,
 )
-from damasklead.gateway.journal import Journal
 from damasklead.gateway.messages import PeerReport
 from damasklead.gateway.peers import (
     PING_TIMEOUT_SECONDS,
--- a/tests/test_gateway_reading.py
+++ b/tests/test_gateway_reading.py
@@ -11,8 +11,7 @@
 import pytest
 
 from damasklead.clock import ManualClock
-from damasklead.gateway.positions import Position
-from damasklead.gateway.reading import (
+from damasklead.gateway.poll_schedule import (
     CONFIRMATION_TTL_SECONDS,
     RANK_DELAY_SECONDS,
     ListName,
@@ -21,6 +20,7 @@
     ReadPlan,
     reader_score,
 )
+from damasklead.gateway.store_positions import Position
 from tests.gatewaykit import make_position
 
 STEP_SECONDS = 0.01
--- a/tests/test_gateway_replica_trouble.py
+++ b/tests/test_gateway_replica_trouble.py
@@ -14,7 +14,6 @@
 
 from damasklead.clock import ManualClock
 from damasklead.failures import Failure
-from damasklead.gateway.attempts import MAX_REPLICA_ATTEMPTS
 from damasklead.gateway.calls import LoadHint, UpstreamState
 from damasklead.gateway.departures import (
     DEPARTURE_REPORT_SECONDS,
@@ -22,7 +21,8 @@
     DepartureLog,
 )
 from damasklead.gateway.directory import UpstreamDirectory
-from damasklead.gateway.replicastate import MAX_PAUSE_SECONDS
+from damasklead.gateway.proxied_request import MAX_REPLICA_ATTEMPTS
+from damasklead.gateway.replica_state import MAX_PAUSE_SECONDS
 from damasklead.gateway.upstream_http import ResponseMemoryBudget
 from damasklead.ids import InstanceId
 from tests.gatewaykit import (
--- a/tests/test_gateway_restored_store.py
+++ b/tests/test_gateway_restored_store.py
@@ -17,7 +17,7 @@
     UNCONFIRMED_SECONDS,
     UpstreamDirectory,
 )
-from damasklead.gateway.reading import ListName
+from damasklead.gateway.poll_schedule import ListName
 from tests.gatewaykit import make_position
 from tests.test_gateway_broadcasts import Fleet
 from tests.test_gateway_parts import get_eligible_names, make_removed_row, make_row
--- a/tests/test_gateway_starting.py
+++ b/tests/test_gateway_starting.py
@@ -13,9 +13,9 @@
 from gevent import socket
 
 from damasklead.earlylistener import open_listening_socket
-from damasklead.gateway import starting
+from damasklead.gateway import start_gate
 from damasklead.gateway.listeners import Listener
-from damasklead.gateway.starting import StartGate
+from damasklead.gateway.start_gate import StartGate
 from tests.gatewaykit import (
     ForwarderHarness,
     ScriptedReplica,
@@ -82,7 +82,7 @@
 def test_callers_are_held_no_longer_than_the_limit(
     harness: ForwarderHarness, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(starting, "MAX_HOLD_SECONDS", 0.05)
+    monkeypatch.setattr(start_gate, "MAX_HOLD_SECONDS", 0.05)
     close_gate(harness)
     harness.table = None
     assert b" 503 " in harness.send_request("/read/1")
--- a/tests/test_package.py
+++ b/tests/test_package.py
@@ -84,11 +84,11 @@
 
 
 GATEWAY_DECISION_MODULES = (
-    "admission", "budget", "calls", "changelog", "containment", "departures",
-    "directory", "events", "inbox", "partplaces", "reading", "refusals", "replicastate",
-    "routing", "coordination/cellmap", "coordination/cells", "coordination/coordinator",
-    "coordination/coordinators", "coordination/messages",
-    "placements/base", "placements/engine", "placements/plain", "placements/prefixes",
+    "admission", "budget", "calls", "change_log", "crash_containment", "departures",
+    "directory", "events", "message_batch", "part_locations", "poll_schedule", "refusals",
+    "replica_state", "routing", "coordination/cellmap", "coordination/cells",
+    "coordination/coordinator", "coordination/coordinators", "coordination/messages",
+    "placements/base", "placements/engine", "placements/plain", "placements/shared_parts",
 )  # fmt: skip
 
 
