--- a/bench/policies.py
+++ b/bench/policies.py
@@ -2,7 +2,8 @@
 Policies
 ========
 
-Ours, made of the daemon's decision objects, and three others in the same world.
+Routing policies that are compared in the same simulation: Damasklead's, made of the
+daemon's decision objects, and three others.
 """
 
 import heapq
@@ -14,7 +15,7 @@
 
 import msgspec
 
-from bench.simulation import HARD_BATCH, Engine, Run, Simulator
+from bench.simulation import MAX_BATCH_SIZE, Engine, EngineRun, Simulator
 from bench.workload import ENTRIES, Arrival, Deployment, Fault, Scenario
 from damasklead.dispatching import PoolDispatcher
 from damasklead.ids import AttemptId, Fingerprint, Incarnation, InstanceId, PoolId
@@ -33,26 +34,54 @@
 )
 from damasklead.sharing import Coordinator, choose_coordinator, compute_share_interval
 
-MESSAGE_DELAY = 0.001  # seconds
-REPORT_LAG = 0.5  # seconds
-TICK = 0.05  # seconds
-NOTICE_INTERVALS = 2.5  # share intervals until all entries know of a crash
-OUTAGE = (30.0, 45.0)
-TARGET_BATCH = 16
-
-
-class Seen(msgspec.Struct, kw_only=True):
-    """What the caller of one request saw."""
+MESSAGE_DELAY_SECONDS = 0.001
+REPORT_DELAY_SECONDS = 0.5  # of load reports
+TICK_SECONDS = 0.05  # between checks of timeouts and queues
+PROPAGATION_INTERVALS = 2.5  # share intervals until all entries know a crash
+OUTAGE_SECONDS = (30.0, 45.0)  # start and end
+TARGET_BATCH_SIZE = 16
+
+
+class RequestRecord(msgspec.Struct, kw_only=True):
+    """
+    A request as its caller saw it.
+
+    Attributes
+    ----------
+    arrival : Arrival
+        The arrival of the request.
+    first_token_at, completed_at : float or None
+        Time of the first token, and of the end of the complete response, in seconds.
+    received_tokens : int
+        Number of tokens received.
+    is_refused : bool
+        Whether the request was refused.
+    """
 
     arrival: Arrival
-    first: float | None = None
-    last: float | None = None
-    tokens: int = 0
-    refused: bool = False
+    first_token_at: float | None = None
+    completed_at: float | None = None
+    received_tokens: int = 0
+    is_refused: bool = False
 
 
 class Policy(ABC):
-    """A way to route; ``wasted`` counts tokens generated that no caller got."""
+    """
+    A routing policy.
+
+    Attributes
+    ----------
+    name : str
+        Name in the results.
+    records : dict
+        The record of each request, by request id.
+    wasted_tokens : int
+        Tokens generated that no caller received.
+    control_bytes : int
+        Bytes of the messages between entries.
+    cpu_seconds : float
+        Processor time of the policy's decisions.
+    """
 
     name: str
 
@@ -70,152 +99,161 @@
         self.deployment = deployment
         self.scenario = scenario
         self.random = random.Random(seed)
-        self.seen: dict[str, Seen] = {}
-        self.wasted = 0
+        self.records: dict[str, RequestRecord] = {}
+        self.wasted_tokens = 0
         self.control_bytes = 0
-        self.cpu = 0.0
-        self._attempts = 0
+        self.cpu_seconds = 0.0
+        self._attempt_count = 0
 
     @abstractmethod
     def submit(self, arrival: Arrival) -> None:
-        """Take in a request."""
+        """Handle the arrival of a request."""
 
     def start(self) -> None:
-        """Begin periodic work."""
+        """Start periodic work."""
 
-    def new_attempt(self) -> AttemptId:
-        """Return a fresh id."""
-        self._attempts += 1
-        return AttemptId(str(self._attempts))
+    def make_attempt_id(self) -> AttemptId:
+        """Return a new attempt id."""
+        self._attempt_count += 1
+        return AttemptId(str(self._attempt_count))
 
-    def count(self, request: Request, tokens: int) -> None:
-        """Note that the caller of a request got tokens."""
-        seen = self.seen[request.id]
-        if seen.first is None:
-            seen.first = self.simulator.clock.now()
-        seen.tokens += tokens
+    def record_tokens(self, request: Request, tokens: int) -> None:
+        """Record that the caller of a request received tokens."""
+        record = self.records[request.id]
+        if record.first_token_at is None:
+            record.first_token_at = self.simulator.clock.now()
+        record.received_tokens += tokens
 
-    def finished(self, request: Request) -> None:
-        """Note that a caller has its whole answer."""
-        self.seen[request.id].last = self.simulator.clock.now()
+    def record_completion(self, request: Request) -> None:
+        """Record that a caller received its complete response."""
+        self.records[request.id].completed_at = self.simulator.clock.now()
 
 
-class Ours(Policy):
-    """The decision objects of the daemon at eight entries."""
+class DamaskleadPolicy(Policy):
+    """The daemon's decision objects at eight entries."""
 
     name = "ours"
     options = DispatchOptions()
 
     def start(self) -> None:
-        """Build the entries and begin their periodic work."""
+        """Build the entries and start their periodic work."""
         self.pool = PoolId("pool")
         self.names = [InstanceId(f"entry-{number}") for number in range(ENTRIES)]
         self.quarantines = [
             Quarantine(
                 clock=self.simulator.clock,
-                propagation_seconds=NOTICE_INTERVALS * compute_share_interval(ENTRIES),
+                propagation_seconds=PROPAGATION_INTERVALS
+                * compute_share_interval(ENTRIES),
             )
             for _ in self.names
         ]
-        self.entries = [self._entry(number) for number in range(ENTRIES)]
+        self.entries = [self._make_dispatcher(number) for number in range(ENTRIES)]
         self.coordinators = {
             name: Coordinator(pool=self.pool, clock=self.simulator.clock)
             for name in self.names
         }
-        gaps: dict[int, float] = {}
-        shares: dict[int, float] = {}
+        token_gap_targets: dict[int, float] = {}
+        min_shares: dict[int, float] = {}
         for item in self.deployment.service.classes:
             if item.token_gap_target:
-                gaps[item.tier] = item.token_gap_target
-            shares[item.tier] = shares.get(item.tier, 0.0) + item.minimum_share
+                token_gap_targets[item.tier] = item.token_gap_target
+            min_shares[item.tier] = min_shares.get(item.tier, 0.0) + item.minimum_share
         for coordinator in self.coordinators.values():
-            coordinator.set_targets(token_gap_targets=gaps, min_shares=shares)
+            coordinator.set_targets(
+                token_gap_targets=token_gap_targets, min_shares=min_shares
+            )
         for number in range(ENTRIES):
-            self.simulator.schedule(self.random.random() * TICK, self._tick, number)
+            self.simulator.schedule(
+                self.random.random() * TICK_SECONDS, self._process_timeouts, number
+            )
             delay = self.random.random() * compute_share_interval(ENTRIES)
-            self.simulator.schedule(delay, self._demand, number)
-        self.simulator.schedule(0.0, self._coordinate)
+            self.simulator.schedule(delay, self._send_demand, number)
+        self.simulator.schedule(0.0, self._run_coordinator)
 
     def submit(self, arrival: Arrival) -> None:
-        """Give a request to its entry."""
+        """Submit a request to its entry."""
         entry = self.entries[arrival.entry]
-        self._act(
+        self._run_decision(
             arrival.entry,
             lambda: entry.submit_request(arrival.request, is_preemptable=True),
         )
 
-    def _entry(self, number: int) -> PoolDispatcher:
+    def _make_dispatcher(self, number: int) -> PoolDispatcher:
         dispatcher = PoolDispatcher(
             pool=self.pool,
             service=self.deployment.service,
             clock=self.simulator.clock,
-            data_centre=self.deployment.centre(number),
+            data_centre=self.deployment.get_data_centre(number),
             random_source=random.Random(self.random.random()),
             costs=CostModel(),
             quarantine=self.quarantines[number],
-            new_attempt_id=self.new_attempt,
+            new_attempt_id=self.make_attempt_id,
             options=self.options,
         )
         infos = [
-            ReplicaInfo(instance=name, data_centre=self.deployment.centre(index))
+            ReplicaInfo(
+                instance=name, data_centre=self.deployment.get_data_centre(index)
+            )
             for index, name in enumerate(self.engines)
         ]
         dispatcher.set_replicas(infos, entry_count=ENTRIES)
         return dispatcher
 
-    def _act(self, number: int, call: Callable[[], list[Action]]) -> None:
-        before = time.process_time()
-        actions = call()
-        self.cpu += time.process_time() - before
+    def _run_decision(self, number: int, decide: Callable[[], list[Action]]) -> None:
+        start = time.process_time()
+        actions = decide()
+        self.cpu_seconds += time.process_time() - start
         for action in actions:
             if isinstance(action, Start):
-                self._start(number, action)
+                self._start_attempt(number, action)
             elif isinstance(action, Cancel):
                 engine = self.engines[action.replica]
                 attempt = action.attempt
-                self.simulator.schedule(MESSAGE_DELAY, engine.cancel, attempt)
+                self.simulator.schedule(MESSAGE_DELAY_SECONDS, engine.cancel, attempt)
             elif isinstance(action, Refuse):
-                self.seen[action.request.id].refused = True
+                self.records[action.request.id].is_refused = True
 
-    def _start(self, number: int, action: Start) -> None:
+    def _start_attempt(self, number: int, action: Start) -> None:
         entry = self.entries[number]
         request = action.request
-        arrival = self.seen[request.id].arrival
+        arrival = self.records[request.id].arrival
 
-        def tokens(count: int) -> None:
+        def on_tokens(count: int) -> None:
             if action.attempt not in entry.attempts:
-                self.wasted += count
+                self.wasted_tokens += count
                 return
-            self.count(request, count)
-            self._act(
+            self.record_tokens(request, count)
+            self._run_decision(
                 number, lambda: entry.record_events(action.attempt, event_count=count)
             )
 
-        def end(whole: bool) -> None:
+        def on_end(is_complete: bool) -> None:
             if action.attempt not in entry.attempts:
                 return
-            if whole:
-                self.finished(request)
-                self._act(number, lambda: entry.complete_attempt(action.attempt))
-            elif run.refused:
-                self._act(
+            if is_complete:
+                self.record_completion(request)
+                self._run_decision(
+                    number, lambda: entry.complete_attempt(action.attempt)
+                )
+            elif run.is_rejected:
+                self._run_decision(
                     number, lambda: entry.fail_attempt(action.attempt, Failure.NOT_SENT)
                 )
             else:
-                self._broken(number, action)
+                self._handle_broken_connection(number, action)
 
-        run = Run(
+        run = EngineRun(
             request=request,
             attempt=action.attempt,
-            length=arrival.tokens - request.generated_tokens,
+            remaining_tokens=arrival.response_tokens - request.generated_tokens,
             priority=request.tier,
-            on_tokens=tokens,
-            on_end=end,
+            on_tokens=on_tokens,
+            on_end=on_end,
         )
         engine = self.engines[action.replica]
-        self.simulator.schedule(MESSAGE_DELAY, lambda: engine.submit(run))
+        self.simulator.schedule(MESSAGE_DELAY_SECONDS, lambda: engine.submit(run))
 
-    def _broken(self, number: int, action: Start) -> None:
+    def _handle_broken_connection(self, number: int, action: Start) -> None:
         entry = self.entries[number]
         engine = self.engines[action.replica]
         incarnation = Incarnation(engine.incarnation)
@@ -224,17 +262,19 @@
             for attempt in entry.attempts.values()
             if attempt.replica == action.replica
         )
-        self._crash_seen(number, action.replica, incarnation, running)
-        self._act(number, lambda: entry.fail_attempt(action.attempt, Failure.BROKEN))
+        self._record_crash(number, action.replica, incarnation, running)
+        self._run_decision(
+            number, lambda: entry.fail_attempt(action.attempt, Failure.BROKEN)
+        )
 
-    def _crash_seen(
+    def _record_crash(
         self,
         number: int,
         replica: InstanceId,
         incarnation: Incarnation,
         running: frozenset[Fingerprint],
     ) -> None:
-        """Let one entry see a crash at once, and the others when gossip reaches them."""
+        """Record a crash at one entry at once, and at all after a share interval."""
         self.quarantines[number].record_crash(replica, incarnation, running)
         for quarantine in self.quarantines:
             self.simulator.schedule(
@@ -245,73 +285,81 @@
                 running,
             )
 
-    def _tick(self, number: int) -> None:
+    def _process_timeouts(self, number: int) -> None:
         for fingerprint in self.quarantines[number].identify_culprits():
             for quarantine in self.quarantines:
                 quarantine.add_fingerprint(fingerprint)
-        self._act(number, self.entries[number].process_timeouts)
-        self.simulator.schedule(TICK, lambda: self._tick(number))
+        self._run_decision(number, self.entries[number].process_timeouts)
+        self.simulator.schedule(TICK_SECONDS, lambda: self._process_timeouts(number))
 
-    def _demand(self, number: int) -> None:
-        coordinator = self._coordinator()
+    def _send_demand(self, number: int) -> None:
+        coordinator = self._find_coordinator()
         if coordinator is not None:
             demand = self.entries[number].build_demand()
-            self._count_message(demand)
+            self._count_control_bytes(demand)
             self.simulator.schedule(
-                MESSAGE_DELAY,
+                MESSAGE_DELAY_SECONDS,
                 lambda: self.coordinators[coordinator].record_demand(
                     self.names[number], demand
                 ),
             )
         self.simulator.schedule(
-            compute_share_interval(ENTRIES), lambda: self._demand(number)
+            compute_share_interval(ENTRIES), lambda: self._send_demand(number)
         )
 
-    def _coordinate(self) -> None:
-        """Let the coordinator poll lagging reports and send grants."""
-        name = self._coordinator()
+    def _run_coordinator(self) -> None:
+        """Send load reports to the coordinator after a delay, and its grants to entries."""
+        name = self._find_coordinator()
         if name is not None:
             coordinator = self.coordinators[name]
             for engine in self.engines.values():
-                self._report(coordinator, engine)
-            before = time.process_time()
+                self._send_load_report(coordinator, engine)
+            start = time.process_time()
             grants = coordinator.allocate_slots()
-            self.cpu += time.process_time() - before
+            self.cpu_seconds += time.process_time() - start
             for entry, grant in grants.items():
-                self._count_message(grant)
+                self._count_control_bytes(grant)
                 number = self.names.index(entry)
-                take = self.entries[number].apply_grant
+                apply_grant = self.entries[number].apply_grant
                 self.simulator.schedule(
-                    MESSAGE_DELAY, self._act, number, partial(take, grant)
+                    MESSAGE_DELAY_SECONDS,
+                    self._run_decision,
+                    number,
+                    partial(apply_grant, grant),
                 )
-        self.simulator.schedule(compute_share_interval(ENTRIES), self._coordinate)
+        self.simulator.schedule(compute_share_interval(ENTRIES), self._run_coordinator)
 
-    def _report(self, coordinator: Coordinator, engine: Engine) -> None:
-        if engine.alive and not self._silent():
-            report = engine.report()
+    def _send_load_report(self, coordinator: Coordinator, engine: Engine) -> None:
+        if engine.is_running and not self._are_reports_lost():
+            report = engine.build_load_report()
             self.simulator.schedule(
-                REPORT_LAG, lambda: coordinator.record_report(engine.name, report)
+                REPORT_DELAY_SECONDS,
+                lambda: coordinator.record_report(engine.name, report),
             )
 
-    def _coordinator(self) -> InstanceId | None:
-        if self._silent():
+    def _find_coordinator(self) -> InstanceId | None:
+        if self._are_reports_lost():
             return None
-        alive = list(self.names)
-        first = choose_coordinator(self.pool, alive)
+        live_entries = list(self.names)
+        first = choose_coordinator(self.pool, live_entries)
         now = self.simulator.clock.now()
-        if Fault.COORDINATOR in self.scenario.faults and now > OUTAGE[0] + 2.0:
-            # Gone at the start of the burst; the others' list shows it 2 s later.
-            alive.remove(first)  # type: ignore[arg-type]
-            return choose_coordinator(self.pool, alive)
-        if Fault.COORDINATOR in self.scenario.faults and now > OUTAGE[0]:
+        if (
+            Fault.COORDINATOR_LOSS in self.scenario.faults
+            and now > OUTAGE_SECONDS[0] + 2.0
+        ):
+            # The coordinator is lost at the start of the burst; the other entries'
+            # instance list shows this 2 s later.
+            live_entries.remove(first)  # type: ignore[arg-type]
+            return choose_coordinator(self.pool, live_entries)
+        if Fault.COORDINATOR_LOSS in self.scenario.faults and now > OUTAGE_SECONDS[0]:
             return None
         return first
 
-    def _silent(self) -> bool:
+    def _are_reports_lost(self) -> bool:
         now = self.simulator.clock.now()
-        return Fault.SILENCE in self.scenario.faults and now > OUTAGE[0]
+        return Fault.REPORT_LOSS in self.scenario.faults and now > OUTAGE_SECONDS[0]
 
-    def _count_message(self, body: object) -> None:
+    def _count_control_bytes(self, body: object) -> None:
         message = PeerMessage(
             sender=self.names[0],
             incarnation=Incarnation(1),
@@ -321,144 +369,160 @@
         self.control_bytes += len(encode_message(message))
 
 
-class NoPreemption(Ours):
-    """Ours without preemption."""
+class NoPreemption(DamaskleadPolicy):
+    """Damasklead's policy without preemption."""
 
     name = "ours, no preemption"
     options = DispatchOptions(allow_preemption=False)
 
 
 class RoundRobin(Policy):
-    """Each entry sends at once to the next engine; engines go first come, first served."""
+    """Each entry sends to the next engine at once; engines have FIFO queues."""
 
     name = "round-robin FIFO"
 
     def submit(self, arrival: Arrival) -> None:
         """Send a request to the next engine."""
-        self._send(arrival, 0)
+        self._send_attempt(arrival, 0)
 
-    def choose(self, arrival: Arrival) -> Engine:
-        """Return the next engine that answers."""
-        alive = [engine for engine in self.engines.values() if engine.alive]
-        return alive[self._attempts % len(alive)]
+    def choose_engine(self, arrival: Arrival) -> Engine:
+        """Return the next running engine."""
+        running = [engine for engine in self.engines.values() if engine.is_running]
+        return running[self._attempt_count % len(running)]
 
-    def priority(self, arrival: Arrival) -> int:
-        """Return the priority for the engine."""
+    def get_priority(self, arrival: Arrival) -> int:
+        """Return the priority in the engine's queue."""
         return 1
 
-    def ended(self, engine: Engine, arrival: Arrival) -> None:
-        """Note that an attempt ended."""
+    def record_attempt_end(self, engine: Engine, arrival: Arrival) -> None:
+        """Record the end of an attempt."""
 
-    def _send(self, arrival: Arrival, tries: int) -> None:
-        if not any(engine.alive for engine in self.engines.values()):
-            self.simulator.schedule(TICK, lambda: self._send(arrival, tries))
+    def _send_attempt(self, arrival: Arrival, retry_count: int) -> None:
+        if not any(engine.is_running for engine in self.engines.values()):
+            self.simulator.schedule(
+                TICK_SECONDS, lambda: self._send_attempt(arrival, retry_count)
+            )
             return
-        engine = self.choose(arrival)
+        engine = self.choose_engine(arrival)
         request = arrival.request
-        got = 0
+        received_tokens = 0
 
-        def tokens(count: int) -> None:
-            nonlocal got
-            got += count
-            self.count(request, count)
+        def on_tokens(count: int) -> None:
+            nonlocal received_tokens
+            received_tokens += count
+            self.record_tokens(request, count)
 
-        def end(whole: bool) -> None:
-            self.ended(engine, arrival)
-            if whole:
-                self.finished(request)
+        def on_end(is_complete: bool) -> None:
+            self.record_attempt_end(engine, arrival)
+            if is_complete:
+                self.record_completion(request)
                 return
-            self.wasted += got
-            self.seen[request.id].tokens = 0
-            if tries < 3:
-                self.simulator.schedule(0.1, lambda: self._send(arrival, tries + 1))
+            self.wasted_tokens += received_tokens
+            self.records[request.id].received_tokens = 0
+            if retry_count < 3:
+                self.simulator.schedule(
+                    0.1, lambda: self._send_attempt(arrival, retry_count + 1)
+                )
 
-        run = Run(
+        run = EngineRun(
             request=request,
-            attempt=self.new_attempt(),
-            length=arrival.tokens,
-            priority=self.priority(arrival),
-            on_tokens=tokens,
-            on_end=end,
+            attempt=self.make_attempt_id(),
+            remaining_tokens=arrival.response_tokens,
+            priority=self.get_priority(arrival),
+            on_tokens=on_tokens,
+            on_end=on_end,
         )
-        self.simulator.schedule(MESSAGE_DELAY, lambda: engine.submit(run))
+        self.simulator.schedule(MESSAGE_DELAY_SECONDS, lambda: engine.submit(run))
 
 
 class LeastOutstanding(RoundRobin):
-    """Each entry sends to the engine with its fewest requests; engines honour the tier."""
+    """
+    Each entry sends to the engine with the fewest of its own outstanding requests.
+
+    Engines queue requests by tier.
+    """
 
     name = "least outstanding"
 
     def start(self) -> None:
-        """Begin with no requests outstanding."""
-        self.outstanding = [dict.fromkeys(self.engines, 0) for _ in range(ENTRIES)]
-
-    def choose(self, arrival: Arrival) -> Engine:
-        """Return the engine with the fewest requests of this entry."""
-        own = self.outstanding[arrival.entry]
-        alive = [name for name, engine in self.engines.items() if engine.alive]
-        best = min(alive, key=lambda name: (own[name], self.random.random()))
-        own[best] += 1
-        return self.engines[best]
-
-    def priority(self, arrival: Arrival) -> int:
-        """Return the tier."""
+        """Start with no outstanding requests."""
+        self.request_counts = [dict.fromkeys(self.engines, 0) for _ in range(ENTRIES)]
+
+    def choose_engine(self, arrival: Arrival) -> Engine:
+        """Return the engine with the fewest outstanding requests of the entry."""
+        request_counts = self.request_counts[arrival.entry]
+        running = [name for name, engine in self.engines.items() if engine.is_running]
+        chosen = min(
+            running, key=lambda name: (request_counts[name], self.random.random())
+        )
+        request_counts[chosen] += 1
+        return self.engines[chosen]
+
+    def get_priority(self, arrival: Arrival) -> int:
+        """Return the tier of the request."""
         return arrival.request.tier
 
-    def ended(self, engine: Engine, arrival: Arrival) -> None:
-        """Count a request less."""
-        self.outstanding[arrival.entry][engine.name] -= 1
+    def record_attempt_end(self, engine: Engine, arrival: Arrival) -> None:
+        """Count one outstanding request less."""
+        self.request_counts[arrival.entry][engine.name] -= 1
 
 
 class Clairvoyant(Policy):
-    """One queue that sees every engine at once, knows the lengths and loses nothing."""
+    """
+    One queue with the current state of all engines.
+
+    It refuses culprits, and keeps the tokens of attempts that were preempted or lost.
+    """
 
     name = "clairvoyant"
 
     def start(self) -> None:
-        """Begin with an empty queue."""
+        """Start with an empty queue."""
         self._queue: list[tuple[int, float, int, Arrival]] = []
         self._running: dict[AttemptId, tuple[Arrival, Engine]] = {}
-        self.simulator.schedule(TICK, self._tick)
+        self.simulator.schedule(TICK_SECONDS, self._process_queue)
 
     def submit(self, arrival: Arrival) -> None:
-        """Queue a request and start what may start."""
+        """Queue a request, and start requests for which there is capacity."""
         if arrival.request.fingerprint.startswith("poison"):
-            self.seen[arrival.request.id].refused = True
+            self.records[arrival.request.id].is_refused = True
             return
-        self._push(arrival)
-        self._fill()
+        self._enqueue(arrival)
+        self._start_queued_requests()
 
-    def _push(self, arrival: Arrival) -> None:
+    def _enqueue(self, arrival: Arrival) -> None:
         request = arrival.request
         heapq.heappush(
-            self._queue, (request.tier, request.deadline, self._attempts, arrival)
+            self._queue, (request.tier, request.deadline, self._attempt_count, arrival)
         )
-        self._attempts += 1
+        self._attempt_count += 1
 
-    def _tick(self) -> None:
-        self._fill()
-        self.simulator.schedule(TICK, self._tick)
+    def _process_queue(self) -> None:
+        self._start_queued_requests()
+        self.simulator.schedule(TICK_SECONDS, self._process_queue)
 
-    def _fill(self) -> None:
+    def _start_queued_requests(self) -> None:
         while self._queue:
-            engine = self._best_engine()
-            if engine is None and not self._make_room(self._queue[0][0]):
+            engine = self._find_engine()
+            if engine is None and not self._preempt_request(self._queue[0][0]):
                 return
             if engine is not None:
-                self._send(heapq.heappop(self._queue)[3], engine)
+                self._send_attempt(heapq.heappop(self._queue)[3], engine)
 
-    def _best_engine(self) -> Engine | None:
-        open_engines = [
+    def _find_engine(self) -> Engine | None:
+        available_engines = [
             engine
             for engine in self.engines.values()
-            if engine.alive
-            and engine.load < TARGET_BATCH
-            and (engine.slow_factor < 2.0 or self._queue[0][0] == 5)
+            if engine.is_running
+            and engine.request_count < TARGET_BATCH_SIZE
+            and (engine.slowdown_factor < 2.0 or self._queue[0][0] == 5)
         ]
-        return min(open_engines, key=lambda engine: engine.load, default=None)
+        return min(
+            available_engines, key=lambda engine: engine.request_count, default=None
+        )
 
-    def _make_room(self, tier: int) -> bool:
-        """Take the lowest running request back, keeping what it has."""
+    def _preempt_request(self, tier: int) -> bool:
+        """Preempt a running request of the lowest tier, which keeps its tokens."""
         lower = [
             (arrival.request.tier, attempt)
             for attempt, (arrival, _) in self._running.items()
@@ -469,37 +533,42 @@
         _, attempt = max(lower)
         arrival, engine = self._running.pop(attempt)
         engine.cancel(attempt)
-        self._push(arrival)
+        self._enqueue(arrival)
         return True
 
-    def _send(self, arrival: Arrival, engine: Engine) -> None:
+    def _send_attempt(self, arrival: Arrival, engine: Engine) -> None:
         request = arrival.request
-        attempt = self.new_attempt()
+        attempt = self.make_attempt_id()
         self._running[attempt] = (arrival, engine)
 
-        def tokens(count: int) -> None:
-            self.count(request, count)
+        def on_tokens(count: int) -> None:
+            self.record_tokens(request, count)
             request.generated_tokens += count
 
-        def end(whole: bool) -> None:
+        def on_end(is_complete: bool) -> None:
             if self._running.pop(attempt, None) is None:
                 return
-            if whole:
-                self.finished(request)
+            if is_complete:
+                self.record_completion(request)
             else:
-                self._push(arrival)
-            self._fill()
+                self._enqueue(arrival)
+            self._start_queued_requests()
 
-        run = Run(
+        run = EngineRun(
             request=request,
             attempt=attempt,
-            length=arrival.tokens - request.generated_tokens,
+            remaining_tokens=arrival.response_tokens - request.generated_tokens,
             priority=request.tier,
-            on_tokens=tokens,
-            on_end=end,
+            on_tokens=on_tokens,
+            on_end=on_end,
         )
         engine.submit(run)
 
 
-POLICIES: tuple[type[Policy], ...] = (Ours, RoundRobin, LeastOutstanding, Clairvoyant)
-assert TARGET_BATCH <= HARD_BATCH
+POLICIES: tuple[type[Policy], ...] = (
+    DamaskleadPolicy,
+    RoundRobin,
+    LeastOutstanding,
+    Clairvoyant,
+)
+assert TARGET_BATCH_SIZE <= MAX_BATCH_SIZE
--- a/bench/policy.py
+++ b/bench/policy.py
@@ -1,8 +1,9 @@
 """
-Bench of the policy
-===================
+Benchmark of routing policies
+=============================
 
-Runs every scenario for every policy and prints attainment, goodput, wasted work and control cost.
+Simulates every scenario with every policy, and prints attainment of targets, goodput,
+wasted tokens and the cost of control messages.
 
 Use: ``python -m bench.policy [--seeds 1,2,3] [--only NAME] [--variants]``.
 """
@@ -14,27 +15,56 @@
 
 import msgspec
 
-from bench.policies import POLICIES, NoPreemption, Ours, Policy, Seen
+from bench.policies import (
+    POLICIES,
+    DamaskleadPolicy,
+    NoPreemption,
+    Policy,
+    RequestRecord,
+)
 from bench.simulation import Engine, Simulator
 from bench.workload import (
-    BURST,
+    BURST_SECONDS,
     DEPLOYMENTS,
     ENTRIES,
-    HORIZON,
+    HORIZON_SECONDS,
     SCENARIOS,
     Deployment,
     Fault,
     Scenario,
-    arrivals,
+    generate_arrivals,
 )
 from damasklead.ids import InstanceId
 
-SLOW_FACTOR = 5.0
-DRAIN_SECONDS = 5.0
+SLOWDOWN_FACTOR = 5.0  # of a straggler
+DRAIN_SECONDS = 5.0  # after the last arrival
 
 
 class Result(msgspec.Struct, kw_only=True):
-    """The figures of one run; attainment in % by class, waits in seconds by class."""
+    """
+    The result of one run.
+
+    Attributes
+    ----------
+    policy, deployment, scenario : str
+        Names of what was simulated.
+    seed : int
+        Seed of the arrivals and of the policy.
+    attainment : dict
+        Requests that met their targets, in % of those decided by the end, by class.
+    goodput : float
+        Tokens per second of requests that did not miss their targets.
+    wasted_percent : float
+        Tokens that no caller received, in % of all generated tokens.
+    longest_wait_seconds : dict
+        Longest time to the first token in seconds, by class.
+    bytes_per_second : float
+        Bytes of control messages per second and entry.
+    cpu_percent : float
+        Processor time of the decisions per entry, in % of a core.
+    crash_count : int
+        Number of engine crashes.
+    """
 
     policy: str
     deployment: str
@@ -42,15 +72,15 @@
     seed: int
     attainment: dict[str, float]
     goodput: float
-    wasted: float
-    longest_wait: dict[str, float]
+    wasted_percent: float
+    longest_wait_seconds: dict[str, float]
     bytes_per_second: float
     cpu_percent: float
-    crashes: int
+    crash_count: int
 
 
 class Job(msgspec.Struct, kw_only=True):
-    """One run to make."""
+    """The parameters of one run."""
 
     policy: type[Policy]
     deployment: Deployment
@@ -59,7 +89,7 @@
 
 
 def run_job(job: Job) -> Result:
-    """Run one policy through one scenario."""
+    """Simulate one policy in one scenario."""
     simulator = Simulator()
     names = [
         InstanceId(f"engine-{number}") for number in range(job.deployment.replicas)
@@ -73,93 +103,111 @@
         seed=job.seed,
     )
     policy.start()
-    for arrival in arrivals(job.deployment, job.scenario, job.seed):
-        policy.seen[arrival.request.id] = Seen(arrival=copy.copy(arrival))
-        simulator.schedule(arrival.at, policy.submit, arrival)
+    for arrival in generate_arrivals(job.deployment, job.scenario, job.seed):
+        policy.records[arrival.request.id] = RequestRecord(arrival=copy.copy(arrival))
+        simulator.schedule(arrival.arrival_time, policy.submit, arrival)
     _schedule_faults(simulator, job.scenario, list(engines.values()))
-    simulator.run_until(HORIZON + DRAIN_SECONDS)
-    return _result(job, policy, list(engines.values()))
+    simulator.run_until(HORIZON_SECONDS + DRAIN_SECONDS)
+    return _make_result(job, policy, list(engines.values()))
 
 
 def _schedule_faults(
     simulator: Simulator, scenario: Scenario, engines: list[Engine]
 ) -> None:
     if Fault.CRASH in scenario.faults:
-        simulator.schedule(BURST[0] + 5.0, engines[1].crash)
+        simulator.schedule(BURST_SECONDS[0] + 5.0, engines[1].crash)
     if Fault.STRAGGLER in scenario.faults:
         simulator.schedule(
-            BURST[0], lambda: setattr(engines[0], "slow_factor", SLOW_FACTOR)
+            BURST_SECONDS[0],
+            lambda: setattr(engines[0], "slowdown_factor", SLOWDOWN_FACTOR),
         )
 
 
-def _result(job: Job, policy: Policy, engines: list[Engine]) -> Result:
+def _make_result(job: Job, policy: Policy, engines: list[Engine]) -> Result:
     attainment: dict[str, list[bool]] = {}
     waits: dict[str, float] = {}
-    good = 0
-    for seen in policy.seen.values():
-        if seen.arrival.request.fingerprint.startswith("poison"):
+    good_tokens = 0
+    for record in policy.records.values():
+        if record.arrival.request.fingerprint.startswith("poison"):
             continue
-        name = seen.arrival.request.request_class.name
-        judged = _judge(seen)
-        if judged is not None:
-            attainment.setdefault(name, []).append(judged)
-        if judged is not False:
-            good += seen.tokens
-        if not seen.refused:
-            first = HORIZON + DRAIN_SECONDS if seen.first is None else seen.first
-            waits[name] = max(waits.get(name, 0.0), first - seen.arrival.at)
-    generated = sum(engine.generated for engine in engines)
-    seconds = HORIZON + DRAIN_SECONDS
+        name = record.arrival.request.request_class.name
+        meets_targets = _meets_targets(record)
+        if meets_targets is not None:
+            attainment.setdefault(name, []).append(meets_targets)
+        if meets_targets is not False:
+            good_tokens += record.received_tokens
+        if not record.is_refused:
+            first_token_at = (
+                HORIZON_SECONDS + DRAIN_SECONDS
+                if record.first_token_at is None
+                else record.first_token_at
+            )
+            waits[name] = max(
+                waits.get(name, 0.0), first_token_at - record.arrival.arrival_time
+            )
+    generated_tokens = sum(engine.generated_tokens for engine in engines)
+    seconds = HORIZON_SECONDS + DRAIN_SECONDS
     return Result(
         policy=job.policy.name,
         deployment=job.deployment.name,
         scenario=job.scenario.name,
         seed=job.seed,
         attainment={
-            name: 100.0 * sum(marks) / len(marks) for name, marks in attainment.items()
+            name: 100.0 * sum(results) / len(results)
+            for name, results in attainment.items()
         },
-        goodput=good / seconds,
-        wasted=100.0 * policy.wasted / max(1, generated),
-        longest_wait=waits,
+        goodput=good_tokens / seconds,
+        wasted_percent=100.0 * policy.wasted_tokens / max(1, generated_tokens),
+        longest_wait_seconds=waits,
         bytes_per_second=policy.control_bytes / seconds / ENTRIES,
-        cpu_percent=100.0 * policy.cpu / seconds / ENTRIES,
-        crashes=sum(engine.crashes for engine in engines),
+        cpu_percent=100.0 * policy.cpu_seconds / seconds / ENTRIES,
+        crash_count=sum(engine.crash_count for engine in engines),
     )
 
 
-def _judge(seen: Seen) -> bool | None:
-    """Return whether an answer was in time, ``None`` while that is open at the end."""
-    request_class = seen.arrival.request.request_class
-    at = seen.arrival.at
-    end = HORIZON + DRAIN_SECONDS
-    if seen.refused:
+def _meets_targets(record: RequestRecord) -> bool | None:
+    """Return whether a response met its targets; ``None`` if undecided at the end."""
+    request_class = record.arrival.request.request_class
+    arrival_time = record.arrival.arrival_time
+    end = HORIZON_SECONDS + DRAIN_SECONDS
+    if record.is_refused:
         return False
     if request_class.first_token_target is not None:
-        if seen.first is None:
-            return None if end - at <= request_class.first_token_target else False
-        if seen.first - at > request_class.first_token_target:
+        if record.first_token_at is None:
+            return (
+                None
+                if end - arrival_time <= request_class.first_token_target
+                else False
+            )
+        if record.first_token_at - arrival_time > request_class.first_token_target:
             return False
-        if seen.last is not None and request_class.token_gap_target and seen.tokens > 1:
-            gap = (seen.last - seen.first) / (seen.tokens - 1)
+        if (
+            record.completed_at is not None
+            and request_class.token_gap_target
+            and record.received_tokens > 1
+        ):
+            gap = (record.completed_at - record.first_token_at) / (
+                record.received_tokens - 1
+            )
             return gap <= request_class.token_gap_target
         return None
     assert request_class.response_target is not None
-    if seen.last is not None:
-        return seen.last - at <= request_class.response_target
-    return False if end - at > request_class.response_target else None
+    if record.completed_at is not None:
+        return record.completed_at - arrival_time <= request_class.response_target
+    return False if end - arrival_time > request_class.response_target else None
 
 
 def main() -> None:
-    """Run the bench and print its table."""
+    """Run the benchmark and print its table."""
     parser = argparse.ArgumentParser(
-        description="Compare policies on the paused clock."
+        description="Compare routing policies in a simulation."
     )
     parser.add_argument("--seeds", default="1,2,3")
     parser.add_argument("--only", default="")
     parser.add_argument("--processes", type=int, default=5)
     parser.add_argument("--variants", action="store_true")
     options = parser.parse_args()
-    policies = (Ours, NoPreemption) if options.variants else POLICIES
+    policies = (DamaskleadPolicy, NoPreemption) if options.variants else POLICIES
     jobs = [
         Job(policy=policy, deployment=deployment, scenario=scenario, seed=int(seed))
         for deployment in DEPLOYMENTS
@@ -174,7 +222,7 @@
 
 
 def print_table(results: list[Result]) -> None:
-    """Print medians over the seeds, a line for each scenario and policy."""
+    """Print medians over the seeds, one line for each scenario and policy."""
     keys = list(dict.fromkeys((r.deployment, r.scenario, r.policy) for r in results))
     for deployment, scenario, policy in keys:
         rows = [
@@ -190,22 +238,22 @@
         ]
         goodput = statistics.median(row.goodput for row in rows)
         share = f"{100 * goodput / statistics.median(best):5.1f}%" if best else ""
-        marks = " ".join(
+        attainments = " ".join(
             f"{name}={_median([r.attainment.get(name, 100.0) for r in rows]):.1f}"
             for name in rows[0].attainment
         )
         waits = " ".join(
-            f"{_median([r.longest_wait.get(name, 0.0) for r in rows]):.1f}"
+            f"{_median([r.longest_wait_seconds.get(name, 0.0) for r in rows]):.1f}"
             for name in rows[0].attainment
         )
         print(
-            f"{deployment:12} {scenario:24} {policy:20} {marks}"
+            f"{deployment:12} {scenario:24} {policy:20} {attainments}"
             f" | goodput {goodput:7.0f} {share}"
-            f" | wasted {_median([r.wasted for r in rows]):4.1f}%"
+            f" | wasted {_median([r.wasted_percent for r in rows]):4.1f}%"
             f" | waits {waits}"
             f" | {_median([r.bytes_per_second for r in rows]):5.0f} B/s"
             f" {_median([r.cpu_percent for r in rows]):4.2f}% CPU"
-            f" | crashes {max(r.crashes for r in rows)}"
+            f" | crashes {max(r.crash_count for r in rows)}"
         )
 
 
--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -1,9 +1,9 @@
 """
-Fake engines
-============
+Simulated engines
+=================
 
-Engines with continuous batching whose step grows with the
-batch and with the prompt tokens that the prefix cache does not hold.
+Engines with continuous batching.  The time of a step grows with the batch size and with
+the prompt tokens that are not in the prefix cache.
 """
 
 import heapq
@@ -20,167 +20,204 @@
 STEP_SECONDS = 0.012
 STEP_SECONDS_PER_REQUEST = 0.0005
 PREFILL_SECONDS_PER_TOKEN = 0.00002
-CACHED_FRACTION = 0.8
-CACHE_PREFIXES = 6
-HARD_BATCH = 32
-GAP_RATE = 0.1  # weight of the latest step in the reported time between tokens
-TELL_EVERY = 8  # tokens
+PREFIX_FRACTION = 0.8  # part of a prompt that its prefix makes up
+MAX_CACHED_PREFIXES = 6
+MAX_BATCH_SIZE = 32
+TOKEN_GAP_SMOOTHING_FACTOR = 0.1  # weight of the latest step in the token gap
+REPORT_INTERVAL_TOKENS = 8  # between reports of generated tokens
 RESTART_SECONDS = 20.0
 
 
-class Run(msgspec.Struct, kw_only=True):
+class EngineRun(msgspec.Struct, kw_only=True):
     """
-    An attempt on an engine; ``told`` of the ``made`` tokens are reported.
+    An attempt at an engine.
 
-    ``refused`` says that the engine was dead already, so that the attempt never ran.
+    Attributes
+    ----------
+    request : Request
+        The request.
+    attempt : AttemptId
+        Id of the attempt.
+    remaining_tokens : int
+        Tokens that this attempt has to generate.
+    priority : int
+        Priority in the engine's queue; lower values run first.
+    on_tokens : callable
+        Called with the number of tokens generated since the last call.
+    on_end : callable
+        Called at the end, with whether the response is complete.
+    generated_tokens, reported_tokens : int
+        Tokens generated, and those passed to ``on_tokens`` so far.
+    is_rejected : bool
+        Whether the engine was down already, so that the attempt was never executed.
+    prefill_tokens : float
+        Not used.
     """
 
     request: Request
     attempt: AttemptId
-    length: int
+    remaining_tokens: int
     priority: int
     on_tokens: Callable[[int], None]
     on_end: Callable[[bool], None]
-    made: int = 0
-    told: int = 0
-    refused: bool = False
-    to_prefill: float = 0.0
+    generated_tokens: int = 0
+    reported_tokens: int = 0
+    is_rejected: bool = False
+    prefill_tokens: float = 0.0
 
 
 class Engine:
     """
-    A fake engine.
+    A simulated engine.
 
     Attributes
     ----------
-    slow_factor : float
-        Multiplies the time of each step.
-    generated : int
-        Tokens generated in all.
+    slowdown_factor : float
+        Factor on the time of each step; 1 is the normal speed.
+    generated_tokens : int
+        Total number of tokens generated.
+    is_running : bool
+        False from a crash until the restart.
+    incarnation : int
+        Number of the current start, from 1.
+    crash_count : int
+        Number of crashes.
     """
 
     def __init__(self, *, name: InstanceId, simulator: Simulator) -> None:
         self.name = name
-        self.slow_factor = 1.0
-        self.generated = 0
-        self.alive = True
+        self.slowdown_factor = 1.0
+        self.generated_tokens = 0
+        self.is_running = True
         self.incarnation = 1
-        self.crashes = 0
+        self.crash_count = 0
         self._simulator = simulator
-        self._running: dict[AttemptId, Run] = {}
-        self._waiting: list[tuple[int, int, Run]] = []
+        self._running: dict[AttemptId, EngineRun] = {}
+        self._waiting: list[tuple[int, int, EngineRun]] = []
         self._cancelled: set[AttemptId] = set()
         self._cache: OrderedDict[str, None] = OrderedDict()
         self._sequence = 0
-        self._stepping = False
+        self._is_stepping = False
         self._token_gap = 0.0
 
     @property
-    def load(self) -> int:
-        """Requests that run or wait."""
+    def request_count(self) -> int:
+        """Number of running and queued requests."""
         return len(self._running) + len(self._waiting)
 
-    def report(self) -> LoadReport:
-        """Return the load report."""
+    def build_load_report(self) -> LoadReport:
+        """Return the load report of this moment."""
         return LoadReport(
             running=len(self._running),
             waiting=len(self._waiting),
-            slots=HARD_BATCH,
+            slots=MAX_BATCH_SIZE,
             token_gap=self._token_gap if self._running else 0.0,
         )
 
-    def submit(self, run: Run) -> None:
-        """Take a request in; a dead engine breaks it off at once."""
-        if not self.alive:
-            run.refused = True
+    def submit(self, run: EngineRun) -> None:
+        """Queue an attempt; an engine that is down rejects it at once."""
+        if not self.is_running:
+            run.is_rejected = True
             run.on_end(False)
             return
         self._sequence += 1
         heapq.heappush(self._waiting, (run.priority, self._sequence, run))
-        self._step_soon()
+        self._start_stepping()
 
     def cancel(self, attempt: AttemptId) -> None:
-        """Stop a request without a word."""
+        """Cancel an attempt without a call of its ``on_end``."""
         run = self._running.pop(attempt, None)
         if run is not None:
-            self._tell(run)
+            self._report_tokens(run)
             return
         self._cancelled.add(attempt)
 
     def crash(self) -> None:
-        """Break everything off and come back after some time."""
+        """End all attempts as incomplete, and restart after ``RESTART_SECONDS``."""
         broken = [*self._running.values(), *(item[2] for item in self._waiting)]
         self._running.clear()
         self._waiting.clear()
         self._cache.clear()
-        self.alive = False
-        self.crashes += 1
+        self.is_running = False
+        self.crash_count += 1
         for run in broken:
             if run.attempt not in self._cancelled:
-                self._tell(run)
+                self._report_tokens(run)
                 run.on_end(False)
         self._simulator.schedule(RESTART_SECONDS, self._restart)
 
     def _restart(self) -> None:
-        self.alive = True
+        self.is_running = True
         self.incarnation += 1
 
-    def _step_soon(self) -> None:
-        if not self._stepping:
-            self._stepping = True
+    def _start_stepping(self) -> None:
+        if not self._is_stepping:
+            self._is_stepping = True
             self._begin_step()
 
     def _begin_step(self) -> None:
-        prefill = 0.0
-        while self._waiting and len(self._running) < HARD_BATCH:
+        prefill_tokens = 0.0
+        while self._waiting and len(self._running) < MAX_BATCH_SIZE:
             run = heapq.heappop(self._waiting)[2]
             if run.attempt in self._cancelled:
                 self._cancelled.discard(run.attempt)
                 continue
             self._running[run.attempt] = run
-            prefill += self._missing_tokens(run)
+            prefill_tokens += self._compute_prefill_tokens(run)
         if not self._running:
-            self._stepping = False
+            self._is_stepping = False
             return
         step = STEP_SECONDS + STEP_SECONDS_PER_REQUEST * len(self._running)
-        step = self.slow_factor * (step + PREFILL_SECONDS_PER_TOKEN * prefill)
-        self._token_gap += GAP_RATE * (step - self._token_gap)
+        step = self.slowdown_factor * (
+            step + PREFILL_SECONDS_PER_TOKEN * prefill_tokens
+        )
+        self._token_gap += TOKEN_GAP_SMOOTHING_FACTOR * (step - self._token_gap)
         incarnation = self.incarnation
         self._simulator.schedule(step, self._end_step, incarnation)
 
     def _end_step(self, incarnation: int) -> None:
-        if not self.alive or incarnation != self.incarnation:
-            self._stepping = False
+        if not self.is_running or incarnation != self.incarnation:
+            self._is_stepping = False
             return
         for run in list(self._running.values()):
             if run.attempt not in self._running:
                 continue
             if run.request.fingerprint.startswith("poison"):
-                self._stepping = False
+                self._is_stepping = False
                 self.crash()
                 return
-            run.made += 1
-            self.generated += 1
-            if run.made >= run.length:
+            run.generated_tokens += 1
+            self.generated_tokens += 1
+            if run.generated_tokens >= run.remaining_tokens:
                 del self._running[run.attempt]
-                self._tell(run)
+                self._report_tokens(run)
                 run.on_end(True)
-            elif run.made == 1 or run.made % TELL_EVERY == 0:
-                self._tell(run)
+            elif (
+                run.generated_tokens == 1
+                or run.generated_tokens % REPORT_INTERVAL_TOKENS == 0
+            ):
+                self._report_tokens(run)
         self._begin_step()
 
-    def _tell(self, run: Run) -> None:
-        fresh, run.told = run.made - run.told, run.made
-        if fresh:
-            run.on_tokens(fresh)
+    def _report_tokens(self, run: EngineRun) -> None:
+        new_tokens, run.reported_tokens = (
+            run.generated_tokens - run.reported_tokens,
+            run.generated_tokens,
+        )
+        if new_tokens:
+            run.on_tokens(new_tokens)
 
-    def _missing_tokens(self, run: Run) -> float:
-        """Return the prompt tokens to compute, and let the cache hold the prefix."""
+    def _compute_prefill_tokens(self, run: EngineRun) -> float:
+        """Return the tokens to prefill, and add the prefix to the cache."""
         request = run.request
-        whole = float(request.prompt_tokens + request.generated_tokens)
+        context_tokens = float(request.prompt_tokens + request.generated_tokens)
         cached = request.prefix in self._cache
         self._cache[request.prefix] = None
         self._cache.move_to_end(request.prefix)
-        if len(self._cache) > CACHE_PREFIXES:
+        if len(self._cache) > MAX_CACHED_PREFIXES:
             self._cache.popitem(last=False)
-        return whole - CACHED_FRACTION * request.prompt_tokens if cached else whole
+        return (
+            context_tokens - PREFIX_FRACTION * request.prompt_tokens
+            if cached
+            else context_tokens
+        )
--- a/bench/workload.py
+++ b/bench/workload.py
@@ -2,7 +2,7 @@
 Workloads
 =========
 
-Arrivals of both deployments and the scenarios that the policies meet.
+Arrivals of both deployments, and the scenarios that the policies are compared in.
 """
 
 import random
@@ -21,45 +21,72 @@
 )
 from damasklead.requests import Request
 
-HORIZON = 120.0  # seconds
-BURST = (30.0, 60.0)
+HORIZON_SECONDS = 120.0  # end of the arrivals
+BURST_SECONDS = (30.0, 60.0)  # start and end of the burst
 ENTRIES = 8
 WORKSPACES = 10
-POISON_EVERY = 15.0  # seconds
+# A culprit is a request that crashes each replica that executes it.
+CULPRIT_INTERVAL_SECONDS = 15.0
 PREFIXES_PER_WORKSPACE = 3
 
 
 class Fault(Enum):
-    """What goes wrong in a scenario."""
+    """A fault of a scenario."""
 
     STRAGGLER = "straggler"
     CRASH = "crash"
-    COORDINATOR = "coordinator lost"
-    SILENCE = "reports silent"
-    POISON = "poison"
+    COORDINATOR_LOSS = "coordinator lost"
+    REPORT_LOSS = "reports silent"
+    CULPRIT = "poison"
     SKEW = "skew"
 
 
-class Load(msgspec.Struct, kw_only=True, frozen=True):
-    """A class's mean rate in requests/s and mean lengths in tokens."""
+class ClassLoad(msgspec.Struct, kw_only=True, frozen=True):
+    """
+    The load of one request class.
+
+    Attributes
+    ----------
+    request_class : RequestClass
+        The class.
+    rate : float
+        Mean rate in requests/s.
+    mean_response_tokens : float
+        Mean length of the responses in tokens.
+    mean_prompt_tokens : int
+        Mean length of the prompts in tokens.
+    """
 
     request_class: RequestClass
     rate: float
-    tokens: float
-    prompt: int
+    mean_response_tokens: float
+    mean_prompt_tokens: int
 
 
 class Deployment(msgspec.Struct, kw_only=True, frozen=True):
-    """One cooperative's model service."""
+    """
+    A model service and its load.
+
+    Attributes
+    ----------
+    name : str
+        Name of the service.
+    replicas : int
+        Number of replicas.
+    data_centres : tuple of str
+        Data centres, to which entries and replicas are assigned in turn.
+    loads : tuple of ClassLoad
+        The load of each request class.
+    """
 
     name: str
     replicas: int
-    centres: tuple[str, ...]
-    loads: tuple[Load, ...]
+    data_centres: tuple[str, ...]
+    loads: tuple[ClassLoad, ...]
 
     @property
     def service(self) -> Service:
-        """The service with its classes."""
+        """Configuration of the service with its request classes."""
         return Service(
             name=ServiceName(self.name),
             kind=ServiceKind.ENGINE,
@@ -69,150 +96,179 @@
             classes=tuple(load.request_class for load in self.loads),
         )
 
-    def centre(self, number: int) -> DataCentre:
-        """Return the data centre of an entry or replica."""
-        return DataCentre(self.centres[number % len(self.centres)])
+    def get_data_centre(self, number: int) -> DataCentre:
+        """Return the data centre of the entry or replica of this number."""
+        return DataCentre(self.data_centres[number % len(self.data_centres)])
 
 
 class Scenario(msgspec.Struct, kw_only=True, frozen=True):
     """
-    A shape of demand with faults.
+    A variation of the load, with faults.
 
     Attributes
     ----------
-    factors : dict
-        By tier, what the rate is multiplied by during the burst.
-    base : dict
-        By tier, what the rate is multiplied by all the time.
+    name : str
+        Name in the results; it also seeds the arrivals.
+    burst_factors : dict
+        Factor on the arrival rate during the burst, by tier; 1 where none is given.
+    base_factors : dict
+        Factor on the arrival rate at all times, by tier; 1 where none is given.
+    faults : tuple of Fault
+        The faults that are injected.
     """
 
     name: str
-    factors: dict[int, float] = msgspec.field(default_factory=dict)
-    base: dict[int, float] = msgspec.field(default_factory=dict)
+    burst_factors: dict[int, float] = msgspec.field(default_factory=dict)
+    base_factors: dict[int, float] = msgspec.field(default_factory=dict)
     faults: tuple[Fault, ...] = ()
 
 
-def _class(name: str, tier: int, **targets: float) -> RequestClass:
+def _make_request_class(name: str, tier: int, **targets: float) -> RequestClass:
     values = {"queue_bound": 2000, "max_wait": 600.0, **targets}
     return msgspec.convert(
         {"name": name, "service": "s", "tier": tier, **values}, RequestClass
     )
 
 
-KOUE = Deployment(
+SKILFER_LLM = Deployment(
     name="skilfer-llm",
     replicas=10,
-    centres=("saldanha", "hout", "mossel"),
+    data_centres=("saldanha", "hout", "mossel"),
     loads=(
-        Load(
-            request_class=_class(
+        ClassLoad(
+            request_class=_make_request_class(
                 "dispatch-query", 1, first_token_target=0.34, token_gap_target=0.026
             ),
-            rate=10.0, tokens=120.0, prompt=600,
+            rate=10.0, mean_response_tokens=120.0, mean_prompt_tokens=600,
         ),
-        Load(
-            request_class=_class(
+        ClassLoad(
+            request_class=_make_request_class(
                 "transcript", 2, first_token_target=1.0, token_gap_target=0.04
             ),
-            rate=5.0, tokens=200.0, prompt=900,
+            rate=5.0, mean_response_tokens=200.0, mean_prompt_tokens=900,
         ),
-        Load(
-            request_class=_class(
+        ClassLoad(
+            request_class=_make_request_class(
                 "quotation", 3, response_target=30.0, minimum_share=0.03
             ),
-            rate=5.0, tokens=300.0, prompt=800,
+            rate=5.0, mean_response_tokens=300.0, mean_prompt_tokens=800,
         ),
-        Load(
-            request_class=_class(
+        ClassLoad(
+            request_class=_make_request_class(
                 "contract-reading", 5, response_target=500.0, minimum_share=0.02
             ),
-            rate=5.0, tokens=800.0, prompt=2000,
+            rate=5.0, mean_response_tokens=800.0, mean_prompt_tokens=2000,
         ),
     ),
 )  # fmt: skip
-MWENGE = Deployment(
+LEAD_MODELS = Deployment(
     name="lead-models",
     replicas=6,
-    centres=("dar-a", "dar-b", "dar-c"),
+    data_centres=("dar-a", "dar-b", "dar-c"),
     loads=(
-        Load(
-            request_class=_class(
+        ClassLoad(
+            request_class=_make_request_class(
                 "folder-guidance", 1, first_token_target=0.34, token_gap_target=0.026
             ),
-            rate=5.0, tokens=150.0, prompt=500,
+            rate=5.0, mean_response_tokens=150.0, mean_prompt_tokens=500,
         ),
-        Load(
-            request_class=_class(
+        ClassLoad(
+            request_class=_make_request_class(
                 "quick-question", 2, first_token_target=1.0, token_gap_target=0.04
             ),
-            rate=5.0, tokens=150.0, prompt=400,
+            rate=5.0, mean_response_tokens=150.0, mean_prompt_tokens=400,
         ),
-        Load(
-            request_class=_class(
+        ClassLoad(
+            request_class=_make_request_class(
                 "overnight-review", 5, response_target=900.0, minimum_share=0.02
             ),
-            rate=2.0, tokens=1500.0, prompt=3000,
+            rate=2.0, mean_response_tokens=1500.0, mean_prompt_tokens=3000,
         ),
     ),
 )  # fmt: skip
-DEPLOYMENTS = (KOUE, MWENGE)
+DEPLOYMENTS = (SKILFER_LLM, LEAD_MODELS)
 SCENARIOS = (
     Scenario(name="steady"),
-    Scenario(name="whole fleet landing", factors={1: 4.0}),
-    Scenario(name="all shifts start", factors={1: 2.0, 2: 2.0, 3: 2.0}),
-    Scenario(name="reviews fill, burst", factors={1: 4.0}, base={5: 3.0}),
+    Scenario(name="whole fleet landing", burst_factors={1: 4.0}),
+    Scenario(name="all shifts start", burst_factors={1: 2.0, 2: 2.0, 3: 2.0}),
+    Scenario(name="reviews fill, burst", burst_factors={1: 4.0}, base_factors={5: 3.0}),
     Scenario(name="straggler", faults=(Fault.STRAGGLER,)),
     Scenario(name="crash", faults=(Fault.CRASH,)),
-    Scenario(name="coordinator lost", factors={1: 4.0}, faults=(Fault.COORDINATOR,)),
-    Scenario(name="reports silent", factors={1: 2.0}, faults=(Fault.SILENCE,)),
-    Scenario(name="one entry gets 60 %", factors={1: 2.0}, faults=(Fault.SKEW,)),
-    Scenario(name="poison re-sent", faults=(Fault.POISON,)),
+    Scenario(
+        name="coordinator lost",
+        burst_factors={1: 4.0},
+        faults=(Fault.COORDINATOR_LOSS,),
+    ),
+    Scenario(
+        name="reports silent", burst_factors={1: 2.0}, faults=(Fault.REPORT_LOSS,)
+    ),
+    Scenario(name="one entry gets 60 %", burst_factors={1: 2.0}, faults=(Fault.SKEW,)),
+    Scenario(name="poison re-sent", faults=(Fault.CULPRIT,)),
     Scenario(
         name="burst, crash, straggler",
-        factors={1: 3.0},
+        burst_factors={1: 3.0},
         faults=(Fault.CRASH, Fault.STRAGGLER),
     ),
 )
 
 
 class Arrival(msgspec.Struct, kw_only=True):
-    """A request at an entry, with the answer length that only the engine knows."""
+    """
+    The arrival of a request at an entry.
+
+    Attributes
+    ----------
+    arrival_time : float
+        Time of the arrival, in seconds from the start of the run.
+    entry : int
+        Number of the entry.
+    request : Request
+        The request.
+    response_tokens : int
+        Length of the response in tokens, which only the engine knows in advance.
+    """
 
-    at: float
+    arrival_time: float
     entry: int
     request: Request
-    tokens: int
+    response_tokens: int
 
 
-def arrivals(
+def generate_arrivals(
     deployment: Deployment, scenario: Scenario, seed: int
 ) -> Iterator[Arrival]:
-    """Yield the arrivals of one run; the same for every policy."""
+    """Yield the arrivals of one run, which are the same for every policy."""
     source = random.Random(f"{deployment.name} {scenario.name} {seed}")
     number = 0
     for load in deployment.loads:
-        at = 0.0
+        arrival_time = 0.0
         while True:
-            rate = load.rate * _factor(scenario, load.request_class.tier, at)
-            at += source.expovariate(rate)
-            if at >= HORIZON:
+            rate = load.rate * _compute_rate_factor(
+                scenario, load.request_class.tier, arrival_time
+            )
+            arrival_time += source.expovariate(rate)
+            if arrival_time >= HORIZON_SECONDS:
                 break
             number += 1
-            yield _arrival(source, scenario, load, at, number)
-    if Fault.POISON in scenario.faults:
-        for step in range(1, int(HORIZON / POISON_EVERY)):
-            yield _poison(source, scenario, deployment, step)
+            yield _make_arrival(source, scenario, load, arrival_time, number)
+    if Fault.CULPRIT in scenario.faults:
+        for index in range(1, int(HORIZON_SECONDS / CULPRIT_INTERVAL_SECONDS)):
+            yield _make_culprit_arrival(source, scenario, deployment, index)
 
 
-def _factor(scenario: Scenario, tier: int, at: float) -> float:
-    factor = scenario.base.get(tier, 1.0)
-    if BURST[0] <= at < BURST[1]:
-        factor *= scenario.factors.get(tier, 1.0)
-    return factor
+def _compute_rate_factor(scenario: Scenario, tier: int, arrival_time: float) -> float:
+    rate_factor = scenario.base_factors.get(tier, 1.0)
+    if BURST_SECONDS[0] <= arrival_time < BURST_SECONDS[1]:
+        rate_factor *= scenario.burst_factors.get(tier, 1.0)
+    return rate_factor
 
 
-def _arrival(
-    source: random.Random, scenario: Scenario, load: Load, at: float, number: int
+def _make_arrival(
+    source: random.Random,
+    scenario: Scenario,
+    load: ClassLoad,
+    arrival_time: float,
+    number: int,
 ) -> Arrival:
     workspace = min(int(source.expovariate(0.5)), WORKSPACES - 1)
     prefix = source.randrange(PREFIXES_PER_WORKSPACE)
@@ -220,27 +276,34 @@
         id=RequestId(f"r{number}"),
         workspace=WorkspaceId(f"w{workspace}"),
         request_class=load.request_class,
-        arrival=at,
-        prompt_tokens=int(load.prompt * source.uniform(0.5, 1.5)),
+        arrival=arrival_time,
+        prompt_tokens=int(load.mean_prompt_tokens * source.uniform(0.5, 1.5)),
         prefix=f"{load.request_class.name}-{workspace}-{prefix}",
         fingerprint=Fingerprint(f"f{number}"),
     )
-    tokens = max(5, int(source.lognormvariate(0.0, 0.6) * load.tokens * 0.835))
+    response_tokens = max(
+        5, int(source.lognormvariate(0.0, 0.6) * load.mean_response_tokens * 0.835)
+    )
     return Arrival(
-        at=at, entry=_entry(source, scenario), request=request, tokens=tokens
+        arrival_time=arrival_time,
+        entry=_choose_entry(source, scenario),
+        request=request,
+        response_tokens=response_tokens,
     )
 
 
-def _poison(
-    source: random.Random, scenario: Scenario, deployment: Deployment, step: int
+def _make_culprit_arrival(
+    source: random.Random, scenario: Scenario, deployment: Deployment, index: int
 ) -> Arrival:
     load = deployment.loads[0]
-    arrival = _arrival(source, scenario, load, step * POISON_EVERY, -step)
+    arrival = _make_arrival(
+        source, scenario, load, index * CULPRIT_INTERVAL_SECONDS, -index
+    )
     arrival.request.fingerprint = Fingerprint("poison")
     return arrival
 
 
-def _entry(source: random.Random, scenario: Scenario) -> int:
+def _choose_entry(source: random.Random, scenario: Scenario) -> int:
     if Fault.SKEW in scenario.faults and source.random() < 0.6:
         return 0
     return source.randrange(ENTRIES)
