--- a/damasklead/commands/experimenting.py
+++ b/damasklead/commands/experimenting.py
@@ -83,7 +83,7 @@
 
 def _run_one(task: tuple[Experiment, str, int]) -> Tally:
     # Imported late: it loads the gateway's modules, which no other command needs.
-    from damasklead.experiment.fleet import run
+    from damasklead.experiment.fleet import run_experiment
 
     experiment, name, seed = task
-    return run(experiment, POLICIES[name], seed)
+    return run_experiment(experiment, POLICIES[name], seed)
--- a/damasklead/experiment/__init__.py
+++ b/damasklead/experiment/__init__.py
@@ -1,4 +1,4 @@
 """
-Experiments: the gateways' decisions on the paused clock, against modelled engines and
-callers.  ``damasklead experiment FILE`` runs one.
+Experiments: a discrete-event simulation of the gateways' decisions against modelled
+engines and callers.  ``damasklead experiment FILE`` runs one.
 """
--- a/damasklead/experiment/description.py
+++ b/damasklead/experiment/description.py
@@ -2,8 +2,8 @@
 Description of an experiment
 ============================
 
-The engines, the callers and the troubles of one experiment, from a file of JSON with
-comments.  Times are in seconds.
+The engines, requests and faults of one experiment, from a file of JSON with comments.
+Times are in seconds, also those since the start of the run.
 """
 
 from enum import Enum
@@ -15,62 +15,85 @@
 
 __all__ = [
     "Burst",
-    "Engines",
+    "EngineParameters",
     "Experiment",
     "Fault",
     "FaultKind",
-    "Kind",
-    "Part",
-    "Size",
+    "LogNormal",
+    "RequestKind",
+    "SharedPart",
     "check_experiment",
 ]
 
 
-class Size(msgspec.Struct, kw_only=True, frozen=True, forbid_unknown_fields=True):
-    """A log-normal number: its mean, the deviation of its logarithm, its maximum."""
+class LogNormal(msgspec.Struct, kw_only=True, frozen=True, forbid_unknown_fields=True):
+    """
+    Log-normal distribution of a number of tokens.
+
+    Attributes
+    ----------
+    mean : float
+    spread : float
+        Standard deviation of the logarithm.
+    most : float
+        Maximum; greater draws are reduced to it.
+    """
 
     mean: float
     spread: float = 0.0
     most: float = float("inf")
 
 
-class Part(msgspec.Struct, kw_only=True, frozen=True, forbid_unknown_fields=True):
+class SharedPart(msgspec.Struct, kw_only=True, frozen=True, forbid_unknown_fields=True):
     """
-    A prompt part that prompts share.
+    A level of prompt parts that requests share.
 
     Attributes
     ----------
+    tokens : LogNormal
+        Length of a part.
     subjects : int
-        How many different ones there are.
+        Number of different parts on this level.
     skew : float
-        The n-th subject's share falls with n to this power.
+        Exponent of the Zipf distribution of subjects: the n-th one's weight is n to the
+        power of minus this.
     """
 
-    tokens: Size
+    tokens: LogNormal
     subjects: int
     skew: float = 0.0
 
 
-class Kind(msgspec.Struct, kw_only=True, frozen=True, forbid_unknown_fields=True):
+class RequestKind(
+    msgspec.Struct, kw_only=True, frozen=True, forbid_unknown_fields=True
+):
     """
     A kind of request.
 
     Attributes
     ----------
+    name : str
+        Also the name of its route.
     rate : float
-        Requests a second over all gateways.
+        Requests per second over all gateways.
     tier : int
-        Rank of its route; 0 goes first.
-    target, event_gap : float
-        Longest time to the first event and pause between events that are in time.
+        Priority of its route; tier 0 is served first.
+    target : float
+        Seconds within which the first event is in time.
+    event_gap : float
+        Longest gap in seconds between events of a response that is in time.
     timeout : float
-        Time until which the caller waits.
+        Seconds from arrival after which the caller gives up.
     value, late_value : float
-        What an answer is worth, in time and late.
-    shared : list
-        Parts of the prompt that others may have, from the first on.
-    prompt, answer : Size
-        Tokens of the prompt's own part, and of the answer.
+        Value of a response that is in time, and of one that is late.
+    shared : list of SharedPart
+        Levels of shared prompt parts, from the start of the prompt on.
+    prompt : LogNormal
+        Tokens of the part that only this request has.
+    answer : LogNormal
+        Tokens of the response.
+    resumable : bool
+        Whether an interrupted response may be continued by another attempt.
     """
 
     name: str
@@ -81,30 +104,43 @@
     timeout: float
     value: float
     late_value: float
-    shared: list[Part]
-    prompt: Size
-    answer: Size
+    shared: list[SharedPart]
+    prompt: LogNormal
+    answer: LogNormal
     resumable: bool = False
 
 
-class Engines(msgspec.Struct, kw_only=True, frozen=True, forbid_unknown_fields=True):
+class EngineParameters(
+    msgspec.Struct, kw_only=True, frozen=True, forbid_unknown_fields=True
+):
     """
-    The engines.
+    Number and performance model of the engines.
 
     Attributes
     ----------
+    count : int
+        Number of engines.
+    slots : int
+        Requests that an engine runs at the same time.
+    queue : int
+        Requests that an engine queues beyond its slots before it refuses.
+    memory_tokens : int
+        Tokens that fit in an engine's memory, of running requests and cached parts.
     step, step_per_request, step_per_context_token : float
-        Time of a step, and what each running request and token in memory adds.
+        Seconds of a step, and what each running request and each token of its context
+        adds.
     read_rate : float
-        Prompt tokens read in a second, at most ``chunk`` in a step.
+        Prompt tokens prefilled per second, at most ``chunk`` in a step.
     pair_seconds : float
-        Added for each pair of a read token and a token before it.
-    queue : int
-        Requests that wait in an engine beyond its slots before it refuses.
+        Seconds added for each pair of a prefilled token and a token before it.
+    chunk : int
+        Most prompt tokens that are prefilled in one step.
+    tokens_per_event : int
+        Tokens in one event of a stream.
     copy_setup, copy_token : float
-        Time to copy prompt parts from another engine, and what each token adds.
-    speeds : list
-        Factors of the time of all steps, by turns.
+        Seconds to copy prompt parts from another engine, and what each token adds.
+    speeds : tuple of float
+        Factors of the time of all steps, assigned to the engines in turn.
     """
 
     count: int
@@ -124,7 +160,18 @@
 
 
 class Burst(msgspec.Struct, kw_only=True, frozen=True, forbid_unknown_fields=True):
-    """A multiple of the usual rate of one kind, or of all."""
+    """
+    A time of increased arrivals.
+
+    Attributes
+    ----------
+    at, seconds : float
+        Start and duration.
+    factor : float
+        Multiplies the arrival rate.
+    kind : str or None
+        Name of the kind of request; ``None`` for all kinds.
+    """
 
     at: float
     seconds: float
@@ -133,7 +180,7 @@
 
 
 class FaultKind(Enum):
-    """What goes wrong."""
+    """Crash of engines, slow engines, or gateways partitioned from each other."""
 
     CRASH = "crash"
     SLOW = "slow"
@@ -142,14 +189,17 @@
 
 class Fault(msgspec.Struct, kw_only=True, frozen=True, forbid_unknown_fields=True):
     """
-    A trouble: engines that crash or are slow, gateways that don't hear each other.
+    A fault of some engines or gateways.
 
     Attributes
     ----------
+    kind : FaultKind
+    at, seconds : float
+        Start and duration.
     share : float
-        Part of the engines or gateways.
+        Fraction of the engines or gateways that are affected, at least one.
     factor : float
-        How many times slower.
+        Factor of the time of steps of slow engines.
     """
 
     kind: FaultKind
@@ -165,10 +215,21 @@
 
     Attributes
     ----------
+    name : str
+    seconds : float
+        Time during which requests arrive.
+    gateways : int
+        Number of gateways.
+    data_centres : list of str
+        Names of the data centres, which gateways and engines are assigned to in turn.
     delay, far_delay : float
-        One way, within a data centre and between two.
+        One-way network delay in seconds within a data centre and between two.
+    engines : EngineParameters
+    kinds : list of RequestKind
     clump : float
-        Mean number of requests that arrive together.
+        Mean number of requests that arrive as a group.
+    bursts : list of Burst
+    faults : list of Fault
     """
 
     name: str
@@ -177,8 +238,8 @@
     data_centres: list[str]
     delay: float
     far_delay: float
-    engines: Engines
-    kinds: list[Kind]
+    engines: EngineParameters
+    kinds: list[RequestKind]
     clump: float = 1.0
     bursts: list[Burst] = []
     faults: list[Fault] = []
@@ -186,11 +247,20 @@
 
 def check_experiment(text: str, *, file: str, findings: Findings) -> Experiment | None:
     """
-    Check a file; every problem is added to ``findings``.
+    Parse and check the description of an experiment.
+
+    Parameters
+    ----------
+    text : str
+        JSON with comments.
+    file : str
+        Name of the file in the findings.
+    findings : Findings
+        Receives each problem.
 
     Returns
     -------
     Experiment or None
-        ``None`` when anything is wrong.
+        ``None`` when there are findings.
     """
     return jsonc.convert(text, Experiment, file=file, findings=findings)
--- a/damasklead/experiment/engines.py
+++ b/damasklead/experiment/engines.py
@@ -2,8 +2,9 @@
 Modelled engines
 ================
 
-An engine with continuous batching: prompts are read in chunks between the tokens of
-running requests, prompt parts are cached, the least recently used dropped.
+An engine with continuous batching and chunked prefill: each step prefills a chunk of
+prompt tokens and generates a token for each request whose prompt is complete.  A prefix
+cache keeps the shared prompt parts in memory.
 """
 
 import heapq
@@ -12,56 +13,63 @@
 
 import msgspec
 
-from damasklead.experiment.description import Engines
+from damasklead.experiment.description import EngineParameters
 from damasklead.experiment.driver import Simulator
 from damasklead.gateway.calls import LoadHint, PromptPart
 from damasklead.ids import AttemptId
 
-__all__ = ["Engine", "EngineRun", "PromptCache"]
+__all__ = ["Engine", "EngineRequest", "PrefixCache"]
 
 
-class EngineRun(msgspec.Struct, kw_only=True):
+class EngineRequest(msgspec.Struct, kw_only=True):
     """
     A request at an engine.
 
     Attributes
     ----------
+    attempt : AttemptId
+    prompt : tuple of PromptPart
+        Shared parts first, then the request's own part.
     urgency : int
-        0 goes first.
-    answer : int
+        Requests with lower numbers are scheduled first.
+    output_tokens : int
         Tokens to generate.
-    on_event, on_end : callable
-        Told of each event, and of the end: whether the answer is whole.
-    unread : int
-        Prompt tokens still to read; -1 before reading began.
+    on_event : callable
+        Called with the engine's load at each event.
+    on_end : callable
+        Called at the end with whether the response is complete.
+    pending_prefill_tokens : int
+        Prompt tokens to prefill; -1 before the prefill starts.
+    generated_tokens : int
+        Tokens generated so far.
     """
 
     attempt: AttemptId
     prompt: tuple[PromptPart, ...]
     urgency: int
-    answer: int
+    output_tokens: int
     on_event: Callable[[LoadHint], None]
     on_end: Callable[[bool], None]
-    unread: int = -1
-    made: int = 0
+    pending_prefill_tokens: int = -1
+    generated_tokens: int = 0
 
     @property
-    def tokens(self) -> int:
-        """The tokens that it keeps in memory at present."""
-        return sum(part.tokens for part in self.prompt) + self.made
+    def context_tokens(self) -> int:
+        """Tokens of the prompt and of the response so far."""
+        return sum(part.tokens for part in self.prompt) + self.generated_tokens
 
 
-class PromptCache:
+class PrefixCache:
     """
-    Prompt parts in an engine's memory, the least recently used dropped first.
+    An engine's cached prompt parts; the least recently used are evicted first.
 
     Examples
     --------
-    >>> cache = PromptCache()
+    >>> cache = PrefixCache()
     >>> a, b = PromptPart("a", 60), PromptPart("b", 60)
-    >>> cache.keep((a, b)); cache.cached((a, b)), cache.cached((b,))
+    >>> cache.add_parts((a, b)); cache.match_prefix((a, b)), cache.match_prefix((b,))
     (120, 60)
-    >>> cache.shrink(100); cache.cached((a, b))
+    >>> cache.evict_parts(100); cache.match_prefix((a, b))
     0
     """
 
@@ -69,8 +77,8 @@
         self._parts: OrderedDict[str, int] = OrderedDict()
         self._tokens = 0
 
-    def cached(self, parts: tuple[PromptPart, ...]) -> int:
-        """Return the tokens that need not be read: a part counts after all before."""
+    def match_prefix(self, parts: tuple[PromptPart, ...]) -> int:
+        """Return the tokens of the longest cached prefix, and mark it as used."""
         found = 0
         for part in parts:
             if part.key not in self._parts:
@@ -79,19 +87,19 @@
             found += part.tokens
         return found
 
-    def keep(self, parts: tuple[PromptPart, ...]) -> None:
-        """Note that parts were read."""
+    def add_parts(self, parts: tuple[PromptPart, ...]) -> None:
+        """Add parts whose prefill is complete."""
         for part in parts:
             self._tokens += part.tokens - self._parts.pop(part.key, 0)
             self._parts[part.key] = part.tokens
 
-    def shrink(self, most: int) -> None:
-        """Drop parts beyond a number of tokens."""
-        while self._tokens > most and self._parts:
+    def evict_parts(self, max_tokens: int) -> None:
+        """Evict parts until at most ``max_tokens`` tokens are cached."""
+        while self._tokens > max_tokens and self._parts:
             self._tokens -= self._parts.popitem(last=False)[1]
 
     def clear(self) -> None:
-        """Drop all."""
+        """Remove all parts."""
         self._parts.clear()
         self._tokens = 0
 
@@ -100,177 +108,222 @@
     """
     One engine.
 
+    Parameters
+    ----------
+    parameters : EngineParameters
+    simulator : Simulator
+    step_time_factor : float
+        Multiplies the time of all steps.
+    known_parts : set of str
+        Keys of the shared parts that some engine of the run has prefilled; all engines
+        of the run have the same set.
+
     Attributes
     ----------
-    alive : bool
+    is_alive : bool
+        ``False`` from a crash to the restart.
+    incarnation : int
+        Rises at each restart.
     slow_factor : float
-        Multiplies the time of all steps.
-    read, read_again, copied : int
-        Prompt tokens read, those of shared parts that some engine had read before, and
-        those copied from other engines.
+        Multiplies the time of all steps during a fault; 1 otherwise.
+    prefilled_tokens, recomputed_tokens, copied_tokens : int
+        Prompt tokens prefilled, those of shared parts that some engine had prefilled
+        before, and those copied from other engines.
     """
 
     def __init__(
-        self, *, figures: Engines, simulator: Simulator, speed: float, known: set[str]
+        self,
+        *,
+        parameters: EngineParameters,
+        simulator: Simulator,
+        step_time_factor: float,
+        known_parts: set[str],
     ) -> None:
-        self.alive = True
+        self.is_alive = True
         self.incarnation = 1
         self.slow_factor = 1.0
-        self.read = 0
-        self.read_again = 0
-        self.copied = 0
-        self._figures = figures
+        self.prefilled_tokens = 0
+        self.recomputed_tokens = 0
+        self.copied_tokens = 0
+        self._parameters = parameters
         self._simulator = simulator
-        self._speed = speed
-        self._known = known
-        self._cache = PromptCache()
-        self._waiting: list[tuple[int, int, EngineRun]] = []
-        self._running: dict[AttemptId, EngineRun] = {}
+        self._step_time_factor = step_time_factor
+        self._known_parts = known_parts
+        self._cache = PrefixCache()
+        self._queue: list[tuple[int, int, EngineRequest]] = []
+        self._running: dict[AttemptId, EngineRequest] = {}
         self._sequence = 0
-        self._stepping = False
+        self._is_stepping = False
 
     @property
-    def event_tokens(self) -> int:
-        """Tokens in one event of a stream."""
-        return self._figures.tokens_per_event
+    def tokens_per_event(self) -> int:
+        """Number of tokens in one event of a stream."""
+        return self._parameters.tokens_per_event
 
     @property
-    def hint(self) -> LoadHint:
-        """What the engine tells of its load."""
+    def load_hint(self) -> LoadHint:
+        """The load that the engine reports with each event."""
         return LoadHint(
             running=len(self._running),
-            waiting=len(self._waiting),
-            slots=self._figures.slots,
+            waiting=len(self._queue),
+            slots=self._parameters.slots,
         )
 
     @property
-    def speed(self) -> float:
-        """How many times as long as usual a step takes at present."""
-        return self._speed * self.slow_factor
+    def step_time_factor(self) -> float:
+        """Factor of the time of a step at present, including a fault's."""
+        return self._step_time_factor * self.slow_factor
 
-    def unread_tokens(self) -> int:
-        """Return the prompt tokens still to read."""
-        waiting = (item[2] for item in self._waiting)
+    def count_pending_prefill_tokens(self) -> int:
+        """Return the prompt tokens that running and queued requests have to prefill."""
+        queued = (item[2] for item in self._queue)
         return sum(
-            self.missing_tokens(run.prompt) if run.unread < 0 else run.unread
-            for run in (*self._running.values(), *waiting)
+            self.count_uncached_tokens(request.prompt)
+            if request.pending_prefill_tokens < 0
+            else request.pending_prefill_tokens
+            for request in (*self._running.values(), *queued)
         )
 
-    def missing_tokens(self, prompt: tuple[PromptPart, ...]) -> int:
-        """Return what would have to be read of a prompt."""
-        return sum(part.tokens for part in prompt) - self.cached_tokens(prompt)
+    def count_uncached_tokens(self, prompt: tuple[PromptPart, ...]) -> int:
+        """Return the tokens of a prompt that have to be prefilled."""
+        return sum(part.tokens for part in prompt) - self.count_cached_tokens(prompt)
 
-    def submit(self, run: EngineRun) -> bool:
-        """Take a request in; returns ``False`` when the engine is full."""
-        room = self._figures.slots + self._figures.queue
-        if len(self._running) + len(self._waiting) >= room:
+    def submit_request(self, request: EngineRequest) -> bool:
+        """Queue a request; returns ``False`` when slots and queue are full."""
+        capacity = self._parameters.slots + self._parameters.queue
+        if len(self._running) + len(self._queue) >= capacity:
             return False
         self._sequence += 1
-        heapq.heappush(self._waiting, (run.urgency, self._sequence, run))
-        if not self._stepping:
-            self._stepping = True
+        heapq.heappush(self._queue, (request.urgency, self._sequence, request))
+        if not self._is_stepping:
+            self._is_stepping = True
             self._begin_step()
         return True
 
-    def copy(self, source: "Engine", prompt: tuple[PromptPart, ...]) -> float:
-        """Copy the shared parts of a prompt; returns the seconds that it takes."""
-        there = source.cached_tokens(prompt)
-        tokens = there - self.cached_tokens(prompt)
-        if tokens <= 0 or not source.alive:
+    def copy_prefix(self, source: "Engine", prompt: tuple[PromptPart, ...]) -> float:
+        """Copy cached parts from another engine; returns the seconds that it takes."""
+        source_tokens = source.count_cached_tokens(prompt)
+        tokens = source_tokens - self.count_cached_tokens(prompt)
+        if tokens <= 0 or not source.is_alive:
             return 0.0
-        kept: list[PromptPart] = []
+        parts: list[PromptPart] = []
         for part in prompt[:-1]:
-            if sum(item.tokens for item in kept) < there:
-                kept.append(part)
-        self._cache.keep(tuple(kept))
-        self.copied += tokens
-        return self._figures.copy_setup + tokens * self._figures.copy_token
-
-    def cached_tokens(self, prompt: tuple[PromptPart, ...]) -> int:
-        """Return the tokens of a prompt's shared parts in memory."""
-        return self._cache.cached(prompt[:-1])
-
-    def cancel(self, attempt: AttemptId) -> None:
-        """Stop a request without a word."""
+            if sum(item.tokens for item in parts) < source_tokens:
+                parts.append(part)
+        self._cache.add_parts(tuple(parts))
+        self.copied_tokens += tokens
+        return self._parameters.copy_setup + tokens * self._parameters.copy_token
+
+    def count_cached_tokens(self, prompt: tuple[PromptPart, ...]) -> int:
+        """Return the tokens of a prompt's shared parts that are cached."""
+        return self._cache.match_prefix(prompt[:-1])
+
+    def cancel_request(self, attempt: AttemptId) -> None:
+        """Remove a request without calling its ``on_end``."""
         if self._running.pop(attempt, None) is None:
-            self._waiting = [x for x in self._waiting if x[2].attempt != attempt]
-            heapq.heapify(self._waiting)
+            self._queue = [x for x in self._queue if x[2].attempt != attempt]
+            heapq.heapify(self._queue)
 
     def crash(self, seconds: float) -> None:
-        """Break everything off and come back after some time."""
-        broken = [*self._running.values(), *(item[2] for item in self._waiting)]
+        """Interrupt all requests, lose the cache, and restart after some seconds."""
+        broken = [*self._running.values(), *(item[2] for item in self._queue)]
         self._running.clear()
-        self._waiting.clear()
+        self._queue.clear()
         self._cache.clear()
-        self.alive = False
-        for run in broken:
-            run.on_end(False)
+        self.is_alive = False
+        for request in broken:
+            request.on_end(False)
         self._simulator.schedule(seconds, self._restart)
 
     def _restart(self) -> None:
-        self.alive = True
+        self.is_alive = True
         self.incarnation += 1
 
-    def _admit(self) -> None:
-        while self._waiting and len(self._running) < self._figures.slots:
-            run = heapq.heappop(self._waiting)[2]
-            self._running[run.attempt] = run
+    def _start_queued_requests(self) -> None:
+        while self._queue and len(self._running) < self._parameters.slots:
+            request = heapq.heappop(self._queue)[2]
+            self._running[request.attempt] = request
 
     def _begin_step(self) -> None:
-        self._admit()
+        self._start_queued_requests()
         if not self._running:
-            self._stepping = False
+            self._is_stepping = False
             return
-        figures = self._figures
-        chunk, pairs = self._read_chunk()
-        kept = sum(run.tokens for run in self._running.values())
-        self._cache.shrink(max(0, figures.memory_tokens - kept))
-        seconds = figures.step + figures.step_per_request * len(self._running)
-        seconds += figures.step_per_context_token * kept
-        seconds += chunk / figures.read_rate + pairs * figures.pair_seconds
+        parameters = self._parameters
+        chunk, pairs = self._prefill_chunk()
+        context_tokens = sum(
+            request.context_tokens for request in self._running.values()
+        )
+        self._cache.evict_parts(max(0, parameters.memory_tokens - context_tokens))
+        seconds = parameters.step + parameters.step_per_request * len(self._running)
+        seconds += parameters.step_per_context_token * context_tokens
+        seconds += chunk / parameters.read_rate + pairs * parameters.pair_seconds
         incarnation = self.incarnation
-        self._simulator.schedule(seconds * self.speed, self._end_step, incarnation)
-
-    def _read_chunk(self) -> tuple[int, float]:
-        """Read prompts, the most urgent first; returns tokens and pairs of tokens."""
-        left, pairs = self._figures.chunk, 0.0
-        reading = [run for run in self._running.values() if run.unread]
-        for run in sorted(reading, key=lambda item: item.urgency):
-            if run.unread < 0:
-                run.unread = self.missing_tokens(run.prompt)
-                self._note_read(run)
-            tokens = min(left, run.unread)
-            pairs += tokens * (run.tokens - run.unread + tokens / 2)
-            run.unread -= tokens
+        self._simulator.schedule(
+            seconds * self.step_time_factor, self._end_step, incarnation
+        )
+
+    def _prefill_chunk(self) -> tuple[int, float]:
+        """
+        Prefill a chunk, the most urgent prompts first.
+
+        Returns
+        -------
+        tuple of int and float
+            Tokens prefilled, and pairs of such a token and one before it, to which the
+            time of attention is proportional.
+        """
+        left, pairs = self._parameters.chunk, 0.0
+        prefilling = [
+            request
+            for request in self._running.values()
+            if request.pending_prefill_tokens
+        ]
+        for request in sorted(prefilling, key=lambda item: item.urgency):
+            if request.pending_prefill_tokens < 0:
+                request.pending_prefill_tokens = self.count_uncached_tokens(
+                    request.prompt
+                )
+                self._record_prefill(request)
+            tokens = min(left, request.pending_prefill_tokens)
+            pairs += tokens * (
+                request.context_tokens - request.pending_prefill_tokens + tokens / 2
+            )
+            request.pending_prefill_tokens -= tokens
             left -= tokens
-            if not run.unread:
-                self._cache.keep(run.prompt[:-1])
+            if not request.pending_prefill_tokens:
+                self._cache.add_parts(request.prompt[:-1])
             if not left:
                 break
-        return self._figures.chunk - left, pairs
+        return self._parameters.chunk - left, pairs
 
-    def _note_read(self, run: EngineRun) -> None:
-        """Count what is read, and what of it some engine had read before."""
-        self.read += run.unread
-        skipped = sum(part.tokens for part in run.prompt) - run.unread
-        for part in run.prompt[:-1]:
+    def _record_prefill(self, request: EngineRequest) -> None:
+        """Count the tokens to prefill, and those that some engine prefilled before."""
+        self.prefilled_tokens += request.pending_prefill_tokens
+        skipped = (
+            sum(part.tokens for part in request.prompt) - request.pending_prefill_tokens
+        )
+        for part in request.prompt[:-1]:
             if skipped >= part.tokens:
                 skipped -= part.tokens
-            elif part.key in self._known:
-                self.read_again += part.tokens
-            self._known.add(part.key)
+            elif part.key in self._known_parts:
+                self.recomputed_tokens += part.tokens
+            self._known_parts.add(part.key)
 
     def _end_step(self, incarnation: int) -> None:
-        if not self.alive or incarnation != self.incarnation:
-            self._stepping = False
+        if not self.is_alive or incarnation != self.incarnation:
+            self._is_stepping = False
             return
-        for run in list(self._running.values()):
-            if run.unread or run.attempt not in self._running:
+        for request in list(self._running.values()):
+            if request.pending_prefill_tokens or request.attempt not in self._running:
                 continue
-            run.made += 1
-            whole = run.made >= run.answer
-            if whole or run.made % self._figures.tokens_per_event == 0:
-                run.on_event(self.hint)
-            if whole and self._running.pop(run.attempt, None) is not None:
-                run.on_end(True)
+            request.generated_tokens += 1
+            is_complete = request.generated_tokens >= request.output_tokens
+            if (
+                is_complete
+                or request.generated_tokens % self._parameters.tokens_per_event == 0
+            ):
+                request.on_event(self.load_hint)
+            if is_complete and self._running.pop(request.attempt, None) is not None:
+                request.on_end(True)
         self._begin_step()
--- a/damasklead/experiment/fleet.py
+++ b/damasklead/experiment/fleet.py
@@ -2,17 +2,17 @@
 Fleet of an experiment
 ======================
 
-All gateways, engines and callers of one run, with its troubles.
+All gateways, engines and callers of one run, and its faults.
 """
 
 import msgspec
 
 from damasklead.experiment.callers import Caller
-from damasklead.experiment.description import Experiment, Fault, FaultKind, Kind
+from damasklead.experiment.description import Experiment, Fault, FaultKind, RequestKind
 from damasklead.experiment.driver import Simulator
 from damasklead.experiment.engines import Engine
 from damasklead.experiment.gateways import Gateway
-from damasklead.experiment.load import Arrival, arrivals
+from damasklead.experiment.load import Arrival, generate_arrivals
 from damasklead.experiment.policies import Policy
 from damasklead.experiment.tally import Tally
 from damasklead.gateway.calls import UpstreamRecord, UpstreamState
@@ -30,21 +30,35 @@
 )
 from damasklead.ids import DataCentre, InstanceId, ServiceName
 
-__all__ = ["run"]
+__all__ = ["run_experiment"]
 
 SERVICE = ServiceName("engines")
-# The list shows a crashed engine so much later, and one that is back.
-LIST_SECONDS = 3.0
-# Runs of a request that may be repeated.
-MOST_RUNS = 2
-
-
-def run(experiment: Experiment, policy: Policy, seed: int) -> Tally:
-    """Run an experiment once and return what its callers got."""
+# Delay until the list of engines shows that one crashed or restarted.
+LIST_DELAY_SECONDS = 3.0
+# Attempts of a request that may be executed more than once.
+MAX_ATTEMPTS = 2
+
+
+def run_experiment(experiment: Experiment, policy: Policy, seed: int) -> Tally:
+    """
+    Run an experiment once.
+
+    Parameters
+    ----------
+    experiment : Experiment
+    policy : Policy
+    seed : int
+        Seed of the random draws.
+
+    Returns
+    -------
+    Tally
+        The outcomes of all requests.
+    """
     return _Fleet(experiment=experiment, policy=policy, seed=seed).run()
 
 
-def route_of(kind: Kind) -> Route:
+def make_route(kind: RequestKind) -> Route:
     """Return the route of a kind of request."""
     return Route(
         name=RouteName(kind.name),
@@ -56,7 +70,7 @@
         tier=kind.tier,
         event_gap=kind.event_gap,
         resumable=kind.resumable,
-        max_attempts=MOST_RUNS if kind.resumable else 1,
+        max_attempts=MAX_ATTEMPTS if kind.resumable else 1,
         split=((SERVICE, 1.0),),
     )
 
@@ -67,48 +81,59 @@
         self._simulator = Simulator()
         self._tally = Tally()
         self._seed = seed
-        figures = experiment.engines
-        known: set[str] = set()
-        self._records = [self._record(number) for number in range(figures.count)]
+        parameters = experiment.engines
+        known_parts: set[str] = set()
+        self._records = [
+            self._make_record(number) for number in range(parameters.count)
+        ]
         self._engines = {
             record.instance: Engine(
-                figures=figures,
+                parameters=parameters,
                 simulator=self._simulator,
-                speed=figures.speeds[number % len(figures.speeds)],
-                known=known,
+                step_time_factor=parameters.speeds[number % len(parameters.speeds)],
+                known_parts=known_parts,
             )
             for number, record in enumerate(self._records)
         }
-        self._routes = {kind.name: route_of(kind) for kind in experiment.kinds}
+        self._routes = {kind.name: make_route(kind) for kind in experiment.kinds}
         self._table = self._make_table()
-        placement = policy.placement(self._engines)
+        placement = policy.get_placement_class(self._engines)
         self._gateways = [
-            self._gateway(number, placement) for number in range(experiment.gateways)
+            self._make_gateway(number, placement)
+            for number in range(experiment.gateways)
         ]
         self._by_name = {gateway.name: gateway for gateway in self._gateways}
         members = [gateway.member for gateway in self._gateways]
         for gateway in self._gateways:
-            gateway.meet(members)
-        self._cut: set[str] = set()
+            gateway.update_members(members)
+        self._partitioned: set[str] = set()
 
     def run(self) -> Tally:
-        """Play the whole experiment."""
-        self._list()
-        for arrival in arrivals(self._experiment, self._seed):
-            self._simulator.schedule(arrival.at, self._arrive, arrival)
+        """Run the experiment until the last request's timeout has passed."""
+        self._update_listed_engines()
+        for arrival in generate_arrivals(self._experiment, self._seed):
+            self._simulator.schedule(arrival.arrived_at, self._start_caller, arrival)
         for fault in self._experiment.faults:
-            self._simulator.schedule(fault.at, self._strike, fault)
+            self._simulator.schedule(fault.at, self._inject_fault, fault)
         for gateway in self._gateways:
-            self._simulator.schedule(0.0, self._tick, gateway)
+            self._simulator.schedule(0.0, self._process_queues, gateway)
         longest = max(kind.timeout for kind in self._experiment.kinds)
         self._simulator.run_until(self._experiment.seconds + longest + 1.0)
-        self._tally.read = sum(item.read for item in self._engines.values())
-        self._tally.read_again = sum(item.read_again for item in self._engines.values())
-        self._tally.copied = sum(item.copied for item in self._engines.values())
-        self._tally.far_bytes = sum(item.far_bytes for item in self._gateways)
+        self._tally.prefilled_tokens = sum(
+            item.prefilled_tokens for item in self._engines.values()
+        )
+        self._tally.recomputed_tokens = sum(
+            item.recomputed_tokens for item in self._engines.values()
+        )
+        self._tally.copied_tokens = sum(
+            item.copied_tokens for item in self._engines.values()
+        )
+        self._tally.cross_data_centre_bytes = sum(
+            item.cross_data_centre_bytes for item in self._gateways
+        )
         return self._tally
 
-    def _record(self, number: int) -> UpstreamRecord:
+    def _make_record(self, number: int) -> UpstreamRecord:
         centres = self._experiment.data_centres
         return UpstreamRecord(
             instance=InstanceId(f"engine-{self._seed}-{number}"),
@@ -121,11 +146,11 @@
         )
 
     def _make_table(self) -> RoutingTable:
-        figures = self._experiment.engines
+        parameters = self._experiment.engines
         spec = EngineSpec(
-            slots=figures.slots,
-            memory_tokens=figures.memory_tokens,
-            tokens_per_event=figures.tokens_per_event,
+            slots=parameters.slots,
+            memory_tokens=parameters.memory_tokens,
+            tokens_per_event=parameters.tokens_per_event,
         )
         return RoutingTable(
             content=RoutingContent(
@@ -137,7 +162,7 @@
             )
         )
 
-    def _gateway(self, number: int, placement: type[Placement]) -> Gateway:
+    def _make_gateway(self, number: int, placement: type[Placement]) -> Gateway:
         centres = self._experiment.data_centres
         return Gateway(
             name=f"gateway-{number}",
@@ -146,15 +171,15 @@
             table=self._table,
             placement=placement,
             engines=self._engines,
-            delay_to=self._delay,
-            send=self._send,
+            compute_delay=self._compute_delay,
+            send_message=self._send_message,
         )
 
-    def _delay(self, here: DataCentre, there: DataCentre) -> float:
-        near = here == there
-        return self._experiment.delay if near else self._experiment.far_delay
+    def _compute_delay(self, source: DataCentre, destination: DataCentre) -> float:
+        is_local = source == destination
+        return self._experiment.delay if is_local else self._experiment.far_delay
 
-    def _arrive(self, arrival: Arrival) -> None:
+    def _start_caller(self, arrival: Arrival) -> None:
         Caller(
             arrival=arrival,
             route=self._routes[arrival.kind.name],
@@ -162,25 +187,25 @@
             gateways=self._gateways,
             simulator=self._simulator,
             tally=self._tally,
-        ).begin()
+        ).send_request()
 
-    def _tick(self, gateway: Gateway) -> None:
-        gateway.tick()
-        self._simulator.schedule(QUEUE_INTERVAL_SECONDS, self._tick, gateway)
+    def _process_queues(self, gateway: Gateway) -> None:
+        gateway.process_queued_requests()
+        self._simulator.schedule(QUEUE_INTERVAL_SECONDS, self._process_queues, gateway)
 
-    def _send(self, gateway: Gateway, name: str, message: object) -> None:
-        """Take a message from one gateway to another, unless either is cut off."""
-        if gateway.name in self._cut or name in self._cut:
+    def _send_message(self, gateway: Gateway, name: str, message: object) -> None:
+        """Deliver a message to another gateway unless one of the two is partitioned."""
+        if gateway.name in self._partitioned or name in self._partitioned:
             return
-        other = self._by_name[name]
-        delay = self._delay(gateway.data_centre, other.data_centre)
-        self._simulator.schedule(delay, other.take, message, gateway.name)
+        receiver = self._by_name[name]
+        delay = self._compute_delay(gateway.data_centre, receiver.data_centre)
+        self._simulator.schedule(delay, receiver.receive_message, message, gateway.name)
 
-    def _strike(self, fault: Fault) -> None:
+    def _inject_fault(self, fault: Fault) -> None:
         if fault.kind is FaultKind.CUT:
             count = max(1, round(fault.share * len(self._gateways)))
-            self._cut |= {item.name for item in self._gateways[:count]}
-            self._simulator.schedule(fault.seconds, self._cut.clear)
+            self._partitioned |= {item.name for item in self._gateways[:count]}
+            self._simulator.schedule(fault.seconds, self._partitioned.clear)
             return
         count = max(1, round(fault.share * len(self._engines)))
         for engine in list(self._engines.values())[:count]:
@@ -192,17 +217,21 @@
                     fault.seconds, setattr, engine, "slow_factor", 1.0
                 )
         if fault.kind is FaultKind.CRASH:
-            self._simulator.schedule(min(LIST_SECONDS, fault.seconds), self._list)
-            self._simulator.schedule(fault.seconds + LIST_SECONDS, self._list)
+            self._simulator.schedule(
+                min(LIST_DELAY_SECONDS, fault.seconds), self._update_listed_engines
+            )
+            self._simulator.schedule(
+                fault.seconds + LIST_DELAY_SECONDS, self._update_listed_engines
+            )
 
-    def _list(self) -> None:
-        """Let all gateways see which engines are listed."""
+    def _update_listed_engines(self) -> None:
+        """Give all gateways the list of the engines that are alive."""
         listed = [
             msgspec.structs.replace(
                 record, incarnation=self._engines[record.instance].incarnation
             )
             for record in self._records
-            if self._engines[record.instance].alive
+            if self._engines[record.instance].is_alive
         ]
         for gateway in self._gateways:
-            gateway.retain(SERVICE, listed)
+            gateway.update_replicas(SERVICE, listed)
--- a/damasklead/experiment/gateways.py
+++ b/damasklead/experiment/gateways.py
@@ -2,8 +2,8 @@
 Modelled gateways
 =================
 
-One gateway: the real cells, coordinators, placement and admission, with the ways to
-callers, to engines and between gateways modelled as delays.
+A gateway with the real cells, coordinators, placement and admission.  The connections
+to callers, to engines and between gateways are modelled as delays.
 """
 
 from collections.abc import Callable, Mapping
@@ -12,7 +12,7 @@
 import msgspec
 
 from damasklead.experiment.driver import Simulator
-from damasklead.experiment.engines import Engine, EngineRun
+from damasklead.experiment.engines import Engine, EngineRequest
 from damasklead.failures import Failure
 from damasklead.gateway.calls import Call, LoadHint, UpstreamRecord
 from damasklead.gateway.coordination.assignment_client import (
@@ -39,21 +39,21 @@
 from damasklead.gateway.routing import RoutingTable
 from damasklead.ids import DataCentre, InstanceId, ServiceName
 
-__all__ = ["Answer", "Gateway"]
+__all__ = ["Gateway", "ResponseCallbacks"]
 
 
-class Answer(msgspec.Struct, kw_only=True):
+class ResponseCallbacks(msgspec.Struct, kw_only=True):
     """
-    What the caller's side is told of a request.
+    Callbacks for the response to a request.
 
     Attributes
     ----------
     on_event : callable
-        An event came.
+        Called at each event of the stream.
     on_end : callable
-        The answer is whole, or was cut.
+        Called at the end of the response with whether it is complete.
     on_refusal : callable
-        Refused; when to come back, in seconds.
+        Called when the gateway refuses the request, with the seconds of Retry-After.
     """
 
     on_event: Callable[[], None]
@@ -61,20 +61,21 @@
     on_refusal: Callable[[float], None]
 
 
-class _Work(msgspec.Struct, kw_only=True):
+class _PendingCall(msgspec.Struct, kw_only=True):
     call: Call
-    answer: Answer
-    tokens: int
+    callbacks: ResponseCallbacks
+    output_tokens: int
     excluded: set[InstanceId]
-    offers: int = 0
-    runs: int = 0
-    events: int = 0
+    attempt_count: int = 0
+    execution_count: int = 0
+    event_count: int = 0
     cell: Cell | None = None
     coordinators: list[str] = []
     coordinator: str = ""
-    asks: int = 0
+    # Number of the timeout that is running; earlier ones have no effect.
+    timeout_number: int = 0
     replica: InstanceId | None = None
-    done: bool = False
+    is_done: bool = False
 
 
 class Gateway:
@@ -88,19 +89,20 @@
     simulator : Simulator
     table : RoutingTable
     placement : type
-        Chooses among a cell's engines.
+        Class of placement that chooses among a cell's engines.
     engines : Mapping
-    delay_to : callable
-        Returns the seconds from a data centre to another.
-    send : callable
-        Takes a message to another gateway, by name.
+        Engines by instance.
+    compute_delay : callable
+        Returns the one-way delay in seconds from a data centre to another.
+    send_message : callable
+        Sends a message of this gateway to another, by name.
 
     Attributes
     ----------
-    far_bytes : int
+    cross_data_centre_bytes : int
         Bytes of prompts sent to other data centres.
-    messages : int
-        Messages sent to other gateways.
+    message_count : int
+        Number of messages sent to other gateways.
     """
 
     def __init__(
@@ -112,243 +114,296 @@
         table: RoutingTable,
         placement: type[Placement],
         engines: Mapping[InstanceId, Engine],
-        delay_to: Callable[[DataCentre, DataCentre], float],
-        send: Callable[["Gateway", str, object], None],
+        compute_delay: Callable[[DataCentre, DataCentre], float],
+        send_message: Callable[["Gateway", str, object], None],
     ) -> None:
         self.name = name
         self.data_centre = data_centre
-        self.far_bytes = 0
-        self.messages = 0
+        self.cross_data_centre_bytes = 0
+        self.message_count = 0
         self.member = Member(InstanceId(name), data_centre)
         self._simulator = simulator
         self._engines = engines
-        self._sources: dict[str, Engine] = {}
+        self._engines_by_address: dict[str, Engine] = {}
         self._records: dict[InstanceId, UpstreamRecord] = {}
-        self._delay_to = delay_to
-        self._send_far = send
+        self._compute_delay = compute_delay
+        self._send_remote_message = send_message
         self._cells = CellMap(clock=simulator.clock, local_member=self.member)
         self._coordinators = Coordinators(
             clock=simulator.clock,
             cells=self._cells,
             table=lambda: table,
-            send_response=self._send,
+            send_response=self._send_message,
             placement=placement,
         )
-        self._works: dict[str, _Work] = {}
+        self._pending_calls: dict[str, _PendingCall] = {}
 
-    def meet(self, members: list[Member]) -> None:
-        """Take in which gateways there are."""
+    def update_members(self, members: list[Member]) -> None:
+        """Set the gateways of the experiment."""
         self._cells.set_members(members)
 
-    def retain(self, service: ServiceName, records: list[UpstreamRecord]) -> None:
-        """Take the replicas that are listed."""
+    def update_replicas(
+        self, service: ServiceName, records: list[UpstreamRecord]
+    ) -> None:
+        """Set the listed replicas of a service."""
         self._records = {record.instance: record for record in records}
         for record in records:
-            self._sources[record.address] = self._engines[record.instance]
+            self._engines_by_address[record.address] = self._engines[record.instance]
         self._cells.set_engines(service, records)
         self._coordinators.apply_configuration()
 
-    def submit(self, call: Call, answer: Answer, *, tokens: int) -> None:
-        """Take a request in; ``tokens`` is the length that its answer will have."""
-        work = _Work(call=call, answer=answer, tokens=tokens, excluded=set())
-        self._works[call.id] = work
-        left = call.deadline - self._simulator.clock.now()
-        self._simulator.schedule(left, self._expire, work)
-        self._find(work)
+    def submit_call(
+        self, call: Call, callbacks: ResponseCallbacks, *, output_tokens: int
+    ) -> None:
+        """
+        Forward a request.
+
+        Parameters
+        ----------
+        call : Call
+        callbacks : ResponseCallbacks
+        output_tokens : int
+            Length of the response, which only the engine uses.
+        """
+        pending = _PendingCall(
+            call=call, callbacks=callbacks, output_tokens=output_tokens, excluded=set()
+        )
+        self._pending_calls[call.id] = pending
+        remaining_seconds = call.deadline - self._simulator.clock.now()
+        self._simulator.schedule(remaining_seconds, self._handle_deadline, pending)
+        self._start_assignment(pending)
 
-    def tick(self) -> None:
-        """Let the coordinators here decide about what waits."""
+    def process_queued_requests(self) -> None:
+        """Let this gateway's coordinators decide on their queued requests."""
         self._coordinators.process_queues()
 
-    def take(self, message: object, sender: str) -> None:
-        """Take in a message of a gateway."""
+    def receive_message(self, message: object, sender: str) -> None:
+        """Handle a message of a gateway, which may be this one."""
         if isinstance(
             message, (AssignmentRequest, PrefillDone, RequestEnded, RunningRequests)
         ):
             self._coordinators.handle_message(message)
         elif isinstance(message, (Grant, RequestQueued, RequestRejected)):
-            self._take_answer(message, sender)
+            self._handle_assignment_response(message, sender)
 
-    def _send(self, name: str, message: object) -> None:
+    def _send_message(self, name: str, message: object) -> None:
         if name == self.name:
-            self.take(message, name)
+            self.receive_message(message, name)
         else:
-            self.messages += 1
-            self._send_far(self, name, message)
+            self.message_count += 1
+            self._send_remote_message(self, name, message)
 
-    def _find(self, work: _Work) -> None:
-        work.cell = self._cells.select_cell(work.call, is_first_attempt=not work.offers)
-        if work.cell is None or work.offers >= MAX_REPLICA_ATTEMPTS:
-            self._refuse(work, RETRY_AFTER_SECONDS)
+    def _start_assignment(self, pending: _PendingCall) -> None:
+        pending.cell = self._cells.select_cell(
+            pending.call, is_first_attempt=not pending.attempt_count
+        )
+        if pending.cell is None or pending.attempt_count >= MAX_REPLICA_ATTEMPTS:
+            self._refuse_call(pending, RETRY_AFTER_SECONDS)
             return
-        work.coordinators = self._cells.list_coordinators(
-            work.cell, limit=MAX_COORDINATORS
+        pending.coordinators = self._cells.list_coordinators(
+            pending.cell, limit=MAX_COORDINATORS
         )
-        self._ask(work)
+        self._send_assignment_request(pending)
 
-    def _ask(self, work: _Work) -> None:
-        if work.cell is None or not work.coordinators:
-            self._refuse(work, RETRY_AFTER_SECONDS)
+    def _send_assignment_request(self, pending: _PendingCall) -> None:
+        if pending.cell is None or not pending.coordinators:
+            self._refuse_call(pending, RETRY_AFTER_SECONDS)
             return
-        work.coordinator = work.coordinators.pop(0)
-        self._await(
-            work, FIRST_REQUEST_TIMEOUT_SECONDS + SECOND_REQUEST_TIMEOUT_SECONDS
+        pending.coordinator = pending.coordinators.pop(0)
+        self._start_response_timeout(
+            pending, FIRST_REQUEST_TIMEOUT_SECONDS + SECOND_REQUEST_TIMEOUT_SECONDS
         )
-        ask = make_assignment_request(
+        request = make_assignment_request(
             self.name,
-            work.call,
-            work.cell,
+            pending.call,
+            pending.cell,
             now=self._simulator.clock.now(),
-            excluded=work.excluded,
-            is_first_attempt=not work.offers,
-            source=self._cells.find_copy_source(work.call, work.cell),
+            excluded=pending.excluded,
+            is_first_attempt=not pending.attempt_count,
+            source=self._cells.find_copy_source(pending.call, pending.cell),
         )
-        self._send(work.coordinator, ask)
+        self._send_message(pending.coordinator, request)
 
-    def _await(self, work: _Work, seconds: float) -> None:
-        work.asks += 1
-        self._simulator.schedule(seconds, self._give_up_coordinator, work, work.asks)
+    def _start_response_timeout(self, pending: _PendingCall, seconds: float) -> None:
+        pending.timeout_number += 1
+        self._simulator.schedule(
+            seconds, self._handle_response_timeout, pending, pending.timeout_number
+        )
 
-    def _give_up_coordinator(self, work: _Work, ask: int) -> None:
-        if work.done or ask != work.asks or work.replica is not None:
+    def _handle_response_timeout(self, pending: _PendingCall, number: int) -> None:
+        if (
+            pending.is_done
+            or number != pending.timeout_number
+            or pending.replica is not None
+        ):
             return
-        if work.coordinator != self.name:
-            self._cells.suspect_gateway(work.coordinator)
-        self._ask(work)
+        if pending.coordinator != self.name:
+            self._cells.suspect_gateway(pending.coordinator)
+        self._send_assignment_request(pending)
 
-    def _take_answer(
-        self, answer: Grant | RequestQueued | RequestRejected, sender: str
+    def _handle_assignment_response(
+        self, response: Grant | RequestQueued | RequestRejected, sender: str
     ) -> None:
         self._cells.clear_suspicion(sender)
-        work = self._works.get(answer.attempt)
-        wanted = work is not None and sender == work.coordinator and not work.replica
-        if work is None or not wanted:
-            self._give_back(answer, sender)
+        pending = self._pending_calls.get(response.attempt)
+        is_expected = (
+            pending is not None
+            and sender == pending.coordinator
+            and not pending.replica
+        )
+        if pending is None or not is_expected:
+            self._return_grant(response, sender)
             return
-        if isinstance(answer, RequestQueued):
-            self._await(work, QUEUED_TIMEOUT_SECONDS)
+        if isinstance(response, RequestQueued):
+            self._start_response_timeout(pending, QUEUED_TIMEOUT_SECONDS)
             return
-        work.asks += 1
-        if work.cell is not None:
-            self._cells.record_load(work.cell, answer.backlog)
-        if isinstance(answer, RequestRejected):
-            self._refuse(work, answer.retry_after or RETRY_AFTER_SECONDS)
+        pending.timeout_number += 1
+        if pending.cell is not None:
+            self._cells.record_load(pending.cell, response.backlog)
+        if isinstance(response, RequestRejected):
+            self._refuse_call(pending, response.retry_after or RETRY_AFTER_SECONDS)
         else:
-            self._offer(work, answer)
+            self._send_to_engine(pending, response)
 
-    def _give_back(
-        self, answer: Grant | RequestQueued | RequestRejected, sender: str
+    def _return_grant(
+        self, response: Grant | RequestQueued | RequestRejected, sender: str
     ) -> None:
-        """Tell a coordinator that its place comes too late."""
+        """End an assignment whose request no longer waits for this coordinator."""
         cell = (
-            self._cells.find_cell(answer.instance)
-            if isinstance(answer, Grant)
+            self._cells.find_cell(response.instance)
+            if isinstance(response, Grant)
             else None
         )
         if cell is not None:
-            self._send(
-                sender, RequestEnded(self.name, cell, answer.attempt, "withdrawn")
+            self._send_message(
+                sender, RequestEnded(self.name, cell, response.attempt, "withdrawn")
             )
 
-    def _offer(self, work: _Work, grant: Grant) -> None:
+    def _send_to_engine(self, pending: _PendingCall, grant: Grant) -> None:
         record = self._records.get(grant.instance)
         if record is None:
-            self._end(work, "withdrawn")
-            work.answer.on_refusal(RETRY_AFTER_SECONDS)
+            self._finish_call(pending, "withdrawn")
+            pending.callbacks.on_refusal(RETRY_AFTER_SECONDS)
             return
-        work.offers += 1
-        work.replica = record.instance
+        pending.attempt_count += 1
+        pending.replica = record.instance
         if record.data_centre != self.data_centre:
-            self.far_bytes += len(work.call.body)
-        delay = self._delay_to(self.data_centre, record.data_centre)
-        self._simulator.schedule(delay, self._arrive, work, record, delay, grant.source)
+            self.cross_data_centre_bytes += len(pending.call.body)
+        delay = self._compute_delay(self.data_centre, record.data_centre)
+        self._simulator.schedule(
+            delay, self._reach_engine, pending, record, delay, grant.source
+        )
 
-    def _arrive(
-        self, work: _Work, record: UpstreamRecord, delay: float, source: str | None
+    def _reach_engine(
+        self,
+        pending: _PendingCall,
+        record: UpstreamRecord,
+        delay: float,
+        source: str | None,
     ) -> None:
-        if work.done:
+        if pending.is_done:
             return
         engine = self._engines[record.instance]
-        spent = work.events * engine.event_tokens
-        run = EngineRun(
-            attempt=work.call.id,
-            prompt=work.call.head.prompt,
-            urgency=work.call.urgency,
-            answer=max(1, work.tokens - spent),
-            on_event=partial(self._later, delay, self._take_event, work),
-            on_end=partial(self._later, delay, self._take_end, work),
+        streamed_tokens = pending.event_count * engine.tokens_per_event
+        request = EngineRequest(
+            attempt=pending.call.id,
+            prompt=pending.call.head.prompt,
+            urgency=pending.call.urgency,
+            output_tokens=max(1, pending.output_tokens - streamed_tokens),
+            on_event=partial(
+                self._schedule_callback, delay, self._handle_event, pending
+            ),
+            on_end=partial(self._schedule_callback, delay, self._handle_end, pending),
         )
-        if not engine.alive:
-            self._simulator.schedule(delay, self._fail, work, Failure.NOT_SENT)
+        if not engine.is_alive:
+            self._simulator.schedule(
+                delay, self._handle_failure, pending, Failure.NOT_SENT
+            )
             return
         seconds = 0.0
-        if source is not None and source in self._sources:
-            seconds = engine.copy(self._sources[source], work.call.head.prompt)
-        self._simulator.schedule(seconds, self._enter, work, engine, run, delay)
+        if source is not None and source in self._engines_by_address:
+            seconds = engine.copy_prefix(
+                self._engines_by_address[source], pending.call.head.prompt
+            )
+        self._simulator.schedule(
+            seconds, self._submit_to_engine, pending, engine, request, delay
+        )
 
-    def _enter(self, work: _Work, engine: Engine, run: EngineRun, delay: float) -> None:
-        if not work.done and not engine.submit(run):
-            self._simulator.schedule(delay, self._fail, work, Failure.REFUSED)
+    def _submit_to_engine(
+        self,
+        pending: _PendingCall,
+        engine: Engine,
+        request: EngineRequest,
+        delay: float,
+    ) -> None:
+        if not pending.is_done and not engine.submit_request(request):
+            self._simulator.schedule(
+                delay, self._handle_failure, pending, Failure.REFUSED
+            )
 
-    def _later(
-        self, delay: float, take: Callable[..., None], work: _Work, content: object
+    def _schedule_callback(
+        self,
+        delay: float,
+        callback: Callable[..., None],
+        pending: _PendingCall,
+        content: object,
     ) -> None:
-        self._simulator.schedule(delay, take, work, content)
+        self._simulator.schedule(delay, callback, pending, content)
 
-    def _take_event(self, work: _Work, hint: LoadHint) -> None:
-        if work.done or work.replica is None or work.cell is None:
+    def _handle_event(self, pending: _PendingCall, hint: LoadHint) -> None:
+        if pending.is_done or pending.replica is None or pending.cell is None:
             return
-        work.events += 1
-        if work.events == 1:
-            read = PrefillDone(self.name, work.cell, work.call.id, hint)
-            self._send(work.coordinator, read)
-        work.answer.on_event()
-
-    def _take_end(self, work: _Work, whole: bool) -> None:
-        if work.done or work.replica is None:
+        pending.event_count += 1
+        if pending.event_count == 1:
+            report = PrefillDone(self.name, pending.cell, pending.call.id, hint)
+            self._send_message(pending.coordinator, report)
+        pending.callbacks.on_event()
+
+    def _handle_end(self, pending: _PendingCall, is_complete: bool) -> None:
+        if pending.is_done or pending.replica is None:
             return
-        if not whole:
-            work.runs += 1
-            self._fail(work, Failure.BROKEN)
+        if not is_complete:
+            pending.execution_count += 1
+            self._handle_failure(pending, Failure.BROKEN)
             return
-        self._end(work, "whole")
-        work.answer.on_end(True)
+        self._finish_call(pending, "whole")
+        pending.callbacks.on_end(True)
 
-    def _fail(self, work: _Work, failure: Failure) -> None:
-        if work.done or work.replica is None:
+    def _handle_failure(self, pending: _PendingCall, failure: Failure) -> None:
+        if pending.is_done or pending.replica is None:
             return
-        work.excluded.add(work.replica)
-        work.replica = None
-        self._tell_ended(work, failure.value)
-        route = work.call.route
+        pending.excluded.add(pending.replica)
+        pending.replica = None
+        self._report_ended(pending, failure.value)
+        route = pending.call.route
         if failure.rules_out_execution or (
-            route.may_repeat and work.runs < route.max_attempts
+            route.may_repeat and pending.execution_count < route.max_attempts
         ):
-            self._find(work)
+            self._start_assignment(pending)
             return
-        self._end(work, failure.value)
-        work.answer.on_end(False)
+        self._finish_call(pending, failure.value)
+        pending.callbacks.on_end(False)
 
-    def _refuse(self, work: _Work, retry_after: float) -> None:
-        work.done = True
-        self._works.pop(work.call.id, None)
-        work.answer.on_refusal(retry_after)
+    def _refuse_call(self, pending: _PendingCall, retry_after: float) -> None:
+        pending.is_done = True
+        self._pending_calls.pop(pending.call.id, None)
+        pending.callbacks.on_refusal(retry_after)
 
-    def _expire(self, work: _Work) -> None:
-        """Cancel a request whose time is over."""
-        if work.done:
+    def _handle_deadline(self, pending: _PendingCall) -> None:
+        """Cancel a request whose deadline passed."""
+        if pending.is_done:
             return
-        if work.replica is not None:
-            self._engines[work.replica].cancel(work.call.id)
-        self._end(work, "withdrawn")
-        work.answer.on_end(False)
-
-    def _end(self, work: _Work, outcome: str) -> None:
-        work.done = True
-        self._works.pop(work.call.id, None)
-        self._tell_ended(work, outcome)
-
-    def _tell_ended(self, work: _Work, outcome: str) -> None:
-        if work.cell is not None and work.coordinator:
-            ended = RequestEnded(self.name, work.cell, work.call.id, outcome)
-            self._send(work.coordinator, ended)
+        if pending.replica is not None:
+            self._engines[pending.replica].cancel_request(pending.call.id)
+        self._finish_call(pending, "withdrawn")
+        pending.callbacks.on_end(False)
+
+    def _finish_call(self, pending: _PendingCall, outcome: str) -> None:
+        pending.is_done = True
+        self._pending_calls.pop(pending.call.id, None)
+        self._report_ended(pending, outcome)
+
+    def _report_ended(self, pending: _PendingCall, outcome: str) -> None:
+        if pending.cell is not None and pending.coordinator:
+            ended = RequestEnded(self.name, pending.cell, pending.call.id, outcome)
+            self._send_message(pending.coordinator, ended)
--- a/damasklead/experiment/policies.py
+++ b/damasklead/experiment/policies.py
@@ -2,7 +2,7 @@
 Policies of experiments
 =======================
 
-The shipped decisions, and others to compare them with.
+The gateways' own placement, and others to compare it with.
 """
 
 from abc import ABC, abstractmethod
@@ -21,26 +21,37 @@
 
 
 class Policy(ABC):
-    """How the coordinators of one experiment choose among their engines."""
+    """
+    Provides the placement by which coordinators choose among engines.
+
+    Attributes
+    ----------
+    summary : str
+        Description in one line.
+    """
 
     summary: ClassVar[str]
 
     @abstractmethod
-    def placement(self, engines: Mapping[InstanceId, Engine]) -> type[Placement]:
-        """Return the placement's class; the clairvoyant one sees the engines."""
+    def get_placement_class(
+        self, engines: Mapping[InstanceId, Engine]
+    ) -> type[Placement]:
+        """Return the class of placement; only the clairvoyant one uses ``engines``."""
 
 
-class Shipped(Policy):
-    """What the gateways run."""
+class ShippedPolicy(Policy):
+    """The placement that the gateways use."""
 
     summary = "the gateways' own placement and admission"
 
-    def placement(self, engines: Mapping[InstanceId, Engine]) -> type[Placement]:
-        """Return the placement's class."""
+    def get_placement_class(
+        self, engines: Mapping[InstanceId, Engine]
+    ) -> type[Placement]:
+        """Return the class of placement."""
         return EnginePlacement
 
 
-class _Least(Placement):
+class _LeastOutstandingPlacement(Placement):
     def _compute_cost(self, state: ReplicaState, call: Call, now: float) -> float:
         return (
             state.own_requests
@@ -49,50 +60,63 @@
         )
 
 
-class LeastOutstanding(Policy):
-    """The fewest requests; engines rank them by urgency."""
+class LeastOutstandingPolicy(Policy):
+    """
+    Least outstanding requests.
+
+    Coordinators queue no request; the engines schedule them by urgency.
+    """
 
-    summary = "the replica with the fewest requests, none waits"
+    summary = "the replica with the fewest requests, without a queue"
 
-    def placement(self, engines: Mapping[InstanceId, Engine]) -> type[Placement]:
-        """Return the placement's class."""
-        return _Least
+    def get_placement_class(
+        self, engines: Mapping[InstanceId, Engine]
+    ) -> type[Placement]:
+        """Return the class of placement."""
+        return _LeastOutstandingPlacement
 
 
-class _Clairvoyant(EnginePlacement):
-    """Knows what each engine has cached and what it has to do, this instant."""
+class _ClairvoyantPlacement(EnginePlacement):
+    """Reads cache, pending prefill and load from the engines, without delay."""
 
     engines: Mapping[InstanceId, Engine] = {}
 
     def _compute_backlog_seconds(self, state: ReplicaState) -> float:
         engine = self.engines[state.record.instance]
-        return engine.unread_tokens() * engine.speed / PREFILL_TOKENS_PER_SECOND
+        return (
+            engine.count_pending_prefill_tokens()
+            * engine.step_time_factor
+            / PREFILL_TOKENS_PER_SECOND
+        )
 
     def _estimate_prefill_tokens(self, state: ReplicaState, call: Call) -> float:
         engine = self.engines[state.record.instance]
-        return engine.missing_tokens(call.head.prompt) * engine.speed
+        return engine.count_uncached_tokens(call.head.prompt) * engine.step_time_factor
 
     def _estimate_other_requests(self, state: ReplicaState, now: float) -> float:
-        hint = self.engines[state.record.instance].hint
+        hint = self.engines[state.record.instance].load_hint
         return hint.running + hint.waiting - state.own_requests
 
 
-class Clairvoyant(Policy):
+class ClairvoyantPolicy(Policy):
     """
-    The shipped rules with the engines' true state instead of beliefs.
+    The gateways' placement with the engines' true state instead of estimates.
 
-    A bound only for what better knowledge gives; other rules may do better.
+    It bounds what better knowledge of the engines can gain under these rules; other
+    rules may achieve more.
     """
 
-    summary = "the shipped rules with the engines' true state"
+    summary = "the gateways' placement with the engines' true state"
 
-    def placement(self, engines: Mapping[InstanceId, Engine]) -> type[Placement]:
-        """Return the placement's class."""
-        return type("Clairvoyant", (_Clairvoyant,), {"engines": engines})
+    def get_placement_class(
+        self, engines: Mapping[InstanceId, Engine]
+    ) -> type[Placement]:
+        """Return the class of placement."""
+        return type("Clairvoyant", (_ClairvoyantPlacement,), {"engines": engines})
 
 
 POLICIES: dict[str, Policy] = {
-    "shipped": Shipped(),
-    "least": LeastOutstanding(),
-    "clairvoyant": Clairvoyant(),
+    "shipped": ShippedPolicy(),
+    "least": LeastOutstandingPolicy(),
+    "clairvoyant": ClairvoyantPolicy(),
 }
--- a/damasklead/experiment/tally.py
+++ b/damasklead/experiment/tally.py
@@ -2,7 +2,8 @@
 Tally of an experiment
 ======================
 
-What callers got, by kind of request and by second.
+Outcomes of requests, summarized by kind of request and by time window.  Attainment is
+the fraction of the value of all requests that the responses earned.
 """
 
 from collections.abc import Sequence
@@ -10,20 +11,22 @@
 
 import msgspec
 
-from damasklead.experiment.description import Kind
+from damasklead.experiment.description import RequestKind
 
-__all__ = ["KindTally", "Outcome", "Result", "Tally"]
+__all__ = ["KindTally", "RequestOutcome", "Result", "Tally"]
 
-# The worst windows are the worst seconds of a day, two of this length.
+# Attainment is reported for the worst WORST_WINDOW_COUNT windows of this length.
 WINDOW_SECONDS = 2.0
-WORST_WINDOWS = 2
-# A request is worth this much of its kind's mean whatever its size, the rest by size.
-FLAT_VALUE = 0.3
-MOST_VALUE = 4.0
+WORST_WINDOW_COUNT = 2
+# Fraction of a kind's value that each request has regardless of its length; the rest
+# grows with its prompt's length relative to the kind's mean.
+FIXED_VALUE_FRACTION = 0.3
+# A request has at most this multiple of its kind's value.
+MAX_VALUE_FACTOR = 4.0
 
 
 class Result(Enum):
-    """How a request ended for its caller."""
+    """Result of a request for its caller."""
 
     IN_TIME = "in time"
     LATE = "late"
@@ -31,18 +34,30 @@
     FAILED = "failed"
 
 
-class Outcome(msgspec.Struct, kw_only=True, frozen=True):
-    """One request's end; ``size`` are its prompt's tokens, ``waited`` seconds."""
+class RequestOutcome(msgspec.Struct, kw_only=True, frozen=True):
+    """
+    The outcome of one request.
+
+    Attributes
+    ----------
+    kind : RequestKind
+    arrived_at : float
+        Seconds since the start of the run.
+    prompt_tokens : int
+    result : Result
+    first_event_seconds : float
+        Seconds from arrival to the first event, 0 without one.
+    """
 
-    kind: Kind
-    at: float
-    size: int
+    kind: RequestKind
+    arrived_at: float
+    prompt_tokens: int
     result: Result
-    waited: float = 0.0
+    first_event_seconds: float = 0.0
 
     @property
-    def earned(self) -> float:
-        """The part of its value that it earned."""
+    def earned_fraction(self) -> float:
+        """Fraction of the request's value that its response earned."""
         if self.result is Result.IN_TIME:
             return 1.0
         late = self.kind.late_value / self.kind.value
@@ -50,11 +65,22 @@
 
 
 class KindTally(msgspec.Struct, kw_only=True, frozen=True):
-    """The results of one kind of request."""
+    """
+    The results of one kind of request.
+
+    Attributes
+    ----------
+    counts : dict
+        Number of requests by result.
+    attainment : float
+        Fraction of the requests' value that was earned.
+    max_first_event_seconds : float
+        Longest time from arrival to the first event.
+    """
 
     counts: dict[Result, int]
-    earned: float
-    longest_wait: float
+    attainment: float
+    max_first_event_seconds: float
 
 
 class Tally:
@@ -63,72 +89,96 @@
 
     Attributes
     ----------
-    read, read_again, copied : int
-        Prompt tokens that the engines read, those of shared parts read again, and those
-        copied between engines.
-    far_bytes : int
+    prefilled_tokens, recomputed_tokens, copied_tokens : int
+        Prompt tokens that the engines prefilled, those of shared parts that some engine
+        had prefilled before, and those copied between engines.
+    cross_data_centre_bytes : int
         Bytes of prompts sent to other data centres.
     """
 
     def __init__(self) -> None:
-        self.read = 0
-        self.read_again = 0
-        self.copied = 0
-        self.far_bytes = 0
-        self._outcomes: list[Outcome] = []
-
-    def add(self, outcome: Outcome) -> None:
-        """Take in how a request ended."""
+        self.prefilled_tokens = 0
+        self.recomputed_tokens = 0
+        self.copied_tokens = 0
+        self.cross_data_centre_bytes = 0
+        self._outcomes: list[RequestOutcome] = []
+
+    def record_outcome(self, outcome: RequestOutcome) -> None:
+        """Add the outcome of a request."""
         self._outcomes.append(outcome)
 
-    def kinds(self) -> dict[str, KindTally]:
-        """Return the results by kind."""
+    def summarize_by_kind(self) -> dict[str, KindTally]:
+        """Return the results by name of the kind."""
         names = sorted({item.kind.name for item in self._outcomes})
         return {
-            name: _tally([x for x in self._outcomes if x.kind.name == name])
+            name: _summarize_outcomes(
+                [x for x in self._outcomes if x.kind.name == name]
+            )
             for name in names
         }
 
-    def attainment(self) -> float:
-        """Return the earned part of what all requests were worth."""
-        return _earned(self._outcomes)
-
-    def by_second(self, seconds: float = WINDOW_SECONDS) -> list[tuple[float, float]]:
-        """Return the begin of each window of the day and the part earned in it."""
-        windows: dict[int, list[Outcome]] = {}
+    def compute_attainment(self) -> float:
+        """Return the fraction of the value of all requests that was earned."""
+        return _compute_attainment(self._outcomes)
+
+    def compute_window_attainment(
+        self, seconds: float = WINDOW_SECONDS
+    ) -> list[tuple[float, float]]:
+        """
+        Return the attainment by time window of arrival.
+
+        Parameters
+        ----------
+        seconds : float
+            Length of a window.
+
+        Returns
+        -------
+        list of tuple
+            Start of each window, in seconds since the start of the run, and attainment.
+        """
+        windows: dict[int, list[RequestOutcome]] = {}
         for item in self._outcomes:
-            windows.setdefault(int(item.at / seconds), []).append(item)
-        return [(number * seconds, _earned(items)) for number, items in windows.items()]
-
-    def worst(self) -> tuple[float, float]:
-        """Return what was earned in the worst windows, and by the worst kind."""
-        windows = sorted(earned for _, earned in self.by_second())[:WORST_WINDOWS]
-        kinds = [item.earned for item in self.kinds().values()]
+            windows.setdefault(int(item.arrived_at / seconds), []).append(item)
+        return [
+            (number * seconds, _compute_attainment(items))
+            for number, items in windows.items()
+        ]
+
+    def compute_worst_attainment(self) -> tuple[float, float]:
+        """Return the mean attainment of the worst windows and of the worst kind."""
+        windows = sorted(value for _, value in self.compute_window_attainment())[
+            :WORST_WINDOW_COUNT
+        ]
+        kinds = [item.attainment for item in self.summarize_by_kind().values()]
         return sum(windows) / max(1, len(windows)), min(kinds, default=1.0)
 
 
-def _tally(outcomes: Sequence[Outcome]) -> KindTally:
+def _summarize_outcomes(outcomes: Sequence[RequestOutcome]) -> KindTally:
     return KindTally(
         counts={
             result: sum(item.result is result for item in outcomes) for result in Result
         },
-        earned=_earned(outcomes),
-        longest_wait=max(item.waited for item in outcomes),
+        attainment=_compute_attainment(outcomes),
+        max_first_event_seconds=max(item.first_event_seconds for item in outcomes),
     )
 
 
-def _earned(outcomes: Sequence[Outcome]) -> float:
-    """Return the earned part, each request weighed by its value and size."""
+def _compute_attainment(outcomes: Sequence[RequestOutcome]) -> float:
+    """Return the earned fraction, weighting requests by value and prompt length."""
     if not outcomes:
         return 1.0
     sizes: dict[str, list[int]] = {}
     for item in outcomes:
-        sizes.setdefault(item.kind.name, []).append(item.size)
+        sizes.setdefault(item.kind.name, []).append(item.prompt_tokens)
     means = {name: sum(values) / len(values) for name, values in sizes.items()}
-    owed = earned = 0.0
+    total_value = earned = 0.0
     for item in outcomes:
-        share = FLAT_VALUE + (1 - FLAT_VALUE) * item.size / means[item.kind.name]
-        value = item.kind.value * min(MOST_VALUE, share)
-        owed += value
-        earned += value * item.earned
-    return earned / owed
+        factor = (
+            FIXED_VALUE_FRACTION
+            + (1 - FIXED_VALUE_FRACTION) * item.prompt_tokens / means[item.kind.name]
+        )
+        value = item.kind.value * min(MAX_VALUE_FACTOR, factor)
+        total_value += value
+        earned += value * item.earned_fraction
+    return earned / total_value
--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -21,8 +21,8 @@
     check_experiment,
 )
 from damasklead.experiment.driver import Simulator
-from damasklead.experiment.engines import Engine, EngineRun
-from damasklead.experiment.fleet import run
+from damasklead.experiment.engines import Engine, EngineRequest
+from damasklead.experiment.fleet import run_experiment
 from damasklead.experiment.policies import POLICIES
 from damasklead.experiment.tally import Result, Tally
 from damasklead.findings import Findings
@@ -51,25 +51,25 @@
 
 
 def replay(experiment: Experiment, policy: str = "shipped", seed: int = 1) -> Tally:
-    return run(experiment, POLICIES[policy], seed)
+    return run_experiment(experiment, POLICIES[policy], seed)
 
 
 def attainment(tallies: list[Tally]) -> float:
-    return sum(tally.attainment() for tally in tallies) / len(tallies)
+    return sum(tally.compute_attainment() for tally in tallies) / len(tallies)
 
 
 def test_the_same_seed_gives_the_same_run(experiment: Experiment) -> None:
     first, second = replay(experiment), replay(experiment)
-    assert first.attainment() == second.attainment()
-    assert first.read == second.read
+    assert first.compute_attainment() == second.compute_attainment()
+    assert first.prefilled_tokens == second.prefilled_tokens
 
 
 def test_the_shipped_decisions_serve_better_than_least_outstanding(
     experiment: Experiment,
 ) -> None:
     shipped, least = replay(experiment), replay(experiment, "least")
-    assert shipped.attainment() > least.attainment() + 0.1
-    assert shipped.read_again < least.read_again / 2
+    assert shipped.compute_attainment() > least.compute_attainment() + 0.1
+    assert shipped.recomputed_tokens < least.recomputed_tokens / 2
 
 
 @pytest.mark.parametrize(
@@ -100,8 +100,8 @@
         engine_placement.EnginePlacement, "find_copy_source", lambda *_: None
     )
     without = [replay(experiment, seed=seed) for seed in SEEDS]
-    again = sum(tally.read_again for tally in with_copies)
-    assert again < sum(tally.read_again for tally in without) / 2
+    again = sum(tally.recomputed_tokens for tally in with_copies)
+    assert again < sum(tally.recomputed_tokens for tally in without) / 2
     assert attainment(with_copies) > attainment(without)
 
 
@@ -109,8 +109,12 @@
     fault = Fault(kind=FaultKind.CRASH, at=4.0, seconds=3.0, share=0.2)
     calm = msgspec.structs.replace(experiment, bursts=[])
     tally = replay(msgspec.structs.replace(calm, faults=[fault]))
-    failed = sum(kind.counts[Result.FAILED] for kind in tally.kinds().values())
-    asked = sum(sum(kind.counts.values()) for kind in tally.kinds().values())
+    failed = sum(
+        kind.counts[Result.FAILED] for kind in tally.summarize_by_kind().values()
+    )
+    asked = sum(
+        sum(kind.counts.values()) for kind in tally.summarize_by_kind().values()
+    )
     assert asked > 200
     assert failed <= 0.05 * asked
 
@@ -120,13 +124,15 @@
 ) -> None:
     cut = Fault(kind=FaultKind.CUT, at=0.0, seconds=SECONDS, share=1.0)
     alone = replay(msgspec.structs.replace(experiment, faults=[cut]))
-    assert alone.attainment() > 0.7 * replay(experiment).attainment()
+    assert alone.compute_attainment() > 0.7 * replay(experiment).compute_attainment()
 
 
 def test_a_burst_makes_more_requests(experiment: Experiment) -> None:
     def asked(bursts: list[Burst]) -> int:
         tally = replay(msgspec.structs.replace(experiment, bursts=bursts), "least")
-        return sum(sum(kind.counts.values()) for kind in tally.kinds().values())
+        return sum(
+            sum(kind.counts.values()) for kind in tally.summarize_by_kind().values()
+        )
 
     burst = Burst(at=0.0, seconds=SECONDS, factor=3.0)
     assert asked([burst]) > 2 * asked([])
@@ -135,19 +141,24 @@
 def test_an_engine_reads_a_shared_part_once(experiment: Experiment) -> None:
     simulator = Simulator()
     one, other = (
-        Engine(figures=experiment.engines, simulator=simulator, speed=1.0, known=set())
+        Engine(
+            parameters=experiment.engines,
+            simulator=simulator,
+            step_time_factor=1.0,
+            known_parts=set(),
+        )
         for _ in range(2)
     )
     ended: list[bool] = []
 
     def send(engine: Engine, name: str) -> None:
         parts = (PromptPart("shared", 4000), PromptPart(f"own-{name}", 500))
-        assert engine.submit(
-            EngineRun(
+        assert engine.submit_request(
+            EngineRequest(
                 attempt=AttemptId(name),
                 prompt=parts,
                 urgency=0,
-                answer=8,
+                output_tokens=8,
                 on_event=lambda _hint: None,
                 on_end=ended.append,
             )
@@ -155,13 +166,13 @@
         simulator.run_until(simulator.clock.now() + 5.0)
 
     send(one, "a")
-    assert one.read == 4500
+    assert one.prefilled_tokens == 4500
     send(one, "b")
-    assert one.read == 5000
-    seconds = other.copy(one, (PromptPart("shared", 4000), PromptPart("x", 1)))
+    assert one.prefilled_tokens == 5000
+    seconds = other.copy_prefix(one, (PromptPart("shared", 4000), PromptPart("x", 1)))
     assert 0 < seconds < 0.02
     send(other, "c")
-    assert other.read == 500
+    assert other.prefilled_tokens == 500
     assert ended == [True, True, True]
 
 
@@ -222,4 +233,7 @@
 ) -> None:
     for constant, value in changes.items():
         monkeypatch.setattr(module, constant, value)
-    assert many_subjects_shipped.attainment() > replay(many_subjects).attainment()
+    assert (
+        many_subjects_shipped.compute_attainment()
+        > replay(many_subjects).compute_attainment()
+    )
