--- a/bench/policies.py
+++ b/bench/policies.py
@@ -17,11 +17,11 @@
 
 from bench.simulation import MAX_BATCH_SIZE, Engine, EngineRun, Simulator
 from bench.workload import ENTRIES, Arrival, Deployment, Fault, Scenario
+from damasklead.cost_model import CostModel
 from damasklead.dispatching import PoolDispatcher
 from damasklead.ids import AttemptId, Fingerprint, Incarnation, InstanceId, PoolId
-from damasklead.learning import CostModel
 from damasklead.messages import PeerMessage, encode_message
-from damasklead.preempting import DispatchOptions
+from damasklead.preemption import DispatchOptions
 from damasklead.quarantine import Quarantine
 from damasklead.replicas import ReplicaInfo
 from damasklead.requests import (
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -24,6 +24,7 @@
     build_configuration,
     digest_key,
 )
+from damasklead.cost_model import CostModel
 from damasklead.dispatching import PoolDispatcher
 from damasklead.findings import Findings
 from damasklead.ids import (
@@ -37,7 +38,6 @@
     ServiceName,
     WorkspaceId,
 )
-from damasklead.learning import CostModel
 from damasklead.membership import Membership
 from damasklead.messages import Demand, PeerMessage, decode_message, encode_message
 from damasklead.quarantine import Quarantine
--- a/damasklead/daemon/entry.py
+++ b/damasklead/daemon/entry.py
@@ -14,6 +14,7 @@
 from damasklead import logs
 from damasklead.audit import AuditBuffer, AuditEvent
 from damasklead.configuration import PoolScope, Service, ServiceKind
+from damasklead.cost_model import CostModel
 from damasklead.daemon.claimkeeper import ClaimKeeper
 from damasklead.daemon.crashes import CrashDetector
 from damasklead.daemon.exchange import Exchange, ExchangeHost
@@ -30,7 +31,6 @@
     RequestId,
     ServiceName,
 )
-from damasklead.learning import CostModel
 from damasklead.loop import LoopClock
 from damasklead.manifest import ConfigurationHolder
 from damasklead.membership import Member, Membership
--- a/damasklead/dispatching.py
+++ b/damasklead/dispatching.py
@@ -15,10 +15,10 @@
 
 from damasklead.clock import Clock
 from damasklead.configuration import Service, ServiceKind
+from damasklead.cost_model import CostModel
 from damasklead.ids import AttemptId, DataCentre, InstanceId, PoolId, RequestId
-from damasklead.learning import CostModel
 from damasklead.messages import Demand, Grant
-from damasklead.preempting import (
+from damasklead.preemption import (
     Attempt,
     DispatchOptions,
     choose_victims,
@@ -38,7 +38,7 @@
     Request,
     Start,
 )
-from damasklead.retrying import BURST_RETRIES, RetryBudget
+from damasklead.retry_budget import BURST_RETRIES, RetryBudget
 from damasklead.sharing import TIER_COUNT, ShareHolder
 
 __all__ = ["PoolDispatcher"]
--- a/damasklead/gateway/listeners.py
+++ b/damasklead/gateway/listeners.py
@@ -15,7 +15,6 @@
 from gevent.server import StreamServer
 
 from damasklead.clock import Clock
-from damasklead.earlylistener import BACKLOG
 from damasklead.gateway.callers import (
     CallerConnection,
     RawRequest,
@@ -23,6 +22,7 @@
 )
 from damasklead.gateway.routing import CallerLimits
 from damasklead.gateway.snapshot import SNAPSHOT_PATH, Snapshot
+from damasklead.listening_socket import BACKLOG
 from damasklead.util import split_address
 
 __all__ = ["Listener", "ReadyHandler", "StatusHandler"]
--- a/damasklead/earlylistener.py
+++ b/damasklead/listening_socket.py
@@ -1,6 +1,6 @@
 """
-Early listener
-==============
+Listening socket
+================
 
 Listens at the callers' port before the rest of the program is imported, so that
 connections made during the start wait in the kernel's accept queue instead of being
--- a/damasklead/platform/__main__.py
+++ b/damasklead/platform/__main__.py
@@ -11,7 +11,7 @@
 import signal
 import sys
 
-from damasklead.earlylistener import open_listening_socket
+from damasklead.listening_socket import open_listening_socket
 
 SETTINGS_VARIABLE = "DAMASKLEAD_SETTINGS"
 CALLERS_VARIABLE = "DAMASKLEAD_CALLERS"
--- a/damasklead/preempting.py
+++ b/damasklead/preemption.py
@@ -1,5 +1,5 @@
 """
-Preempting
+Preemption
 ==========
 
 Selects running requests to preempt for requests of higher tiers, or to restart on
--- a/damasklead/queueing.py
+++ b/damasklead/queueing.py
@@ -27,8 +27,8 @@
 
 from damasklead.clock import Clock
 from damasklead.configuration import RequestClass
+from damasklead.cost_model import CostModel
 from damasklead.ids import ClassName, RequestId, WorkspaceId
-from damasklead.learning import CostModel
 from damasklead.requests import Reason, Refuse, Request
 
 __all__ = ["PoolQueue"]
--- a/damasklead/replicas.py
+++ b/damasklead/replicas.py
@@ -13,8 +13,8 @@
 import msgspec
 
 from damasklead.clock import Clock
+from damasklead.cost_model import MovingAverage
 from damasklead.ids import AttemptId, DataCentre, InstanceId
-from damasklead.learning import MovingAverage
 from damasklead.messages import ReplicaLoad
 from damasklead.requests import Request
 from damasklead.util import hash_name, stable_hash
--- a/damasklead/sharing.py
+++ b/damasklead/sharing.py
@@ -14,8 +14,8 @@
 import msgspec
 
 from damasklead.clock import Clock
+from damasklead.cost_model import BatchLimit, MovingAverage
 from damasklead.ids import InstanceId, PoolId
-from damasklead.learning import BatchLimit, MovingAverage
 from damasklead.messages import Demand, Grant, ReplicaLoad
 from damasklead.util import hash_name, stable_hash
 
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -11,6 +11,7 @@
 
 from damasklead.clock import ManualClock
 from damasklead.configuration import PoolScope, RequestClass, Service, ServiceKind
+from damasklead.cost_model import CostModel
 from damasklead.dispatching import MAX_FAILURES, PoolDispatcher
 from damasklead.ids import (
     AttemptId,
@@ -23,7 +24,6 @@
     ServiceName,
     WorkspaceId,
 )
-from damasklead.learning import CostModel
 from damasklead.messages import Grant, ReplicaLoad
 from damasklead.quarantine import Quarantine
 from damasklead.replicas import ReplicaInfo
--- a/tests/test_gateway_starting.py
+++ b/tests/test_gateway_starting.py
@@ -12,10 +12,10 @@
 import pytest
 from gevent import socket
 
-from damasklead.earlylistener import open_listening_socket
 from damasklead.gateway import start_gate
 from damasklead.gateway.listeners import Listener
 from damasklead.gateway.start_gate import StartGate
+from damasklead.listening_socket import open_listening_socket
 from tests.gatewaykit import (
     ForwarderHarness,
     ScriptedReplica,
--- a/tests/test_package.py
+++ b/tests/test_package.py
@@ -13,9 +13,9 @@
 PACKAGE = Path(__file__).parent.parent / "damasklead"
 # Modules that decide only: their callers do the I/O and pass them a clock.
 DECISION_MODULES = (
-    "claims", "configuration", "dispatching", "duties", "gossip", "leases", "learning",
+    "claims", "configuration", "cost_model", "dispatching", "duties", "gossip", "leases",
     "manifest", "membership", "protocol", "quarantine", "queueing", "replicas",
-    "retrying", "sharing",
+    "retry_budget", "sharing",
 )  # fmt: skip
 IO_AND_CLOCK_MODULES = {"gevent", "geventhttpclient", "zmq", "time", "socket"}
 
--- a/tests/test_queueing.py
+++ b/tests/test_queueing.py
@@ -12,8 +12,8 @@
 
 from damasklead.clock import ManualClock
 from damasklead.configuration import RequestClass
+from damasklead.cost_model import CostModel
 from damasklead.ids import ClassName, RequestId, ServiceName, WorkspaceId
-from damasklead.learning import CostModel
 from damasklead.queueing import LATE_START_INTERVAL, PoolQueue
 from damasklead.requests import Outcome, Reason, Request
 
