--- a/damasklead/daemon/entry.py
+++ b/damasklead/daemon/entry.py
@@ -15,7 +15,7 @@
 from damasklead.audit import AuditBuffer, AuditEvent
 from damasklead.configuration import PoolScope, Service, ServiceKind
 from damasklead.cost_model import CostModel
-from damasklead.daemon.claimkeeper import ClaimKeeper
+from damasklead.daemon.claim_keeper import ClaimKeeper
 from damasklead.daemon.crashes import CrashDetector
 from damasklead.daemon.exchange import Exchange, ExchangeHost
 from damasklead.daemon.metrics import Metrics
--- a/damasklead/daemon/exchange.py
+++ b/damasklead/daemon/exchange.py
@@ -25,7 +25,7 @@
     RecordedResponse,
     acquire,
 )
-from damasklead.daemon.claimkeeper import ClaimKeeper
+from damasklead.daemon.claim_keeper import ClaimKeeper
 from damasklead.daemon.pools import Pool
 from damasklead.daemon.replies import (
     DONE_EVENT,
--- a/damasklead/daemon/service.py
+++ b/damasklead/daemon/service.py
@@ -11,12 +11,12 @@
 from gevent.event import Event
 
 from damasklead import logs
-from damasklead.daemon.callerserver import CallerServer
-from damasklead.daemon.dutytask import DutyTask
+from damasklead.daemon.caller_server import CallerServer
+from damasklead.daemon.duty_task import DutyTask
 from damasklead.daemon.entry import Entry
 from damasklead.daemon.operators import OperatorServer
 from damasklead.daemon.peers import Peers
-from damasklead.daemon.sharetasks import ShareTasks
+from damasklead.daemon.share_tasks import ShareTasks
 from damasklead.daemon.watchers import Watchers
 from damasklead.loop import LoopClock
 from damasklead.settings import Settings
