--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,6 +1,7 @@
 """
-Benches
-=======
+Benchmarks
+==========
 
-Measurements of the policy, the data path and the slopes of the capacity page.
+Measurements of routing policies, of the data path, and of the costs that the capacity
+page is based on.
 """
--- a/bench/coordination.py
+++ b/bench/coordination.py
@@ -2,8 +2,8 @@
 Cost of coordination
 ====================
 
-Sizes of the messages between gateways, and the processor time of a coordinator for one
-request, by the number of engines and of requests that wait.
+Measures the sizes of the messages between gateways, and the processor time that one
+request takes at its coordinator, by the number of engines and of queued requests.
 
 Run with ``python -m bench.coordination``.
 """
@@ -46,9 +46,9 @@
 from damasklead.ids import AttemptId, DataCentre, InstanceId, ServiceName
 
 SERVICE = ServiceName("engines")
-CENTRES = 5
-REQUESTS = 400
-SPEC = ServiceSpec(
+DATA_CENTRE_COUNT = 5
+REQUEST_COUNT = 400
+SERVICE_SPEC = ServiceSpec(
     name=SERVICE,
     max_connections=1000,
     engine=EngineSpec(slots=16, memory_tokens=250_000, tokens_per_event=4),
@@ -60,13 +60,13 @@
 
 
 def make_records(count: int) -> list[UpstreamRecord]:
-    """Return engines in several data centres."""
+    """Return the records of engines in several data centres."""
     return [
         UpstreamRecord(
             instance=InstanceId(f"i-{number:010x}"),
             service=SERVICE,
-            address=f"10.{number % CENTRES}.64.{number % 250}:8364",
-            data_centre=DataCentre(f"centre-{number % CENTRES}"),
+            address=f"10.{number % DATA_CENTRE_COUNT}.64.{number % 250}:8364",
+            data_centre=DataCentre(f"centre-{number % DATA_CENTRE_COUNT}"),
             state=UpstreamState.LIVE,
             incarnation=1_783_222_000_000,
         )
@@ -74,11 +74,11 @@
     ]
 
 
-def make_call(number: int, subjects: int) -> Call:
-    """Return a request with shared parts."""
+def make_call(number: int, prefix_count: int) -> Call:
+    """Return a request whose prompt starts with parts that other requests share."""
     parts = (
         PromptPart("0d1e07a2", 2520),
-        PromptPart(f"{number % subjects:08x}", 3780),
+        PromptPart(f"{number % prefix_count:08x}", 3780),
         PromptPart(f"{number:08x}", 2890),
     )
     head = CallHead(
@@ -91,12 +91,12 @@
     )  # fmt: skip
 
 
-def sizes() -> Iterator[tuple[str, int]]:
-    """Yield the bytes of each kind of message."""
+def measure_message_sizes() -> Iterator[tuple[str, int]]:
+    """Yield the encoded size of each kind of message in bytes."""
     cell = Cell(SERVICE, DataCentre("centre-1"), 1)
     call = make_call(1, 10)
     name, instance = "edge-centre-1-17", InstanceId("i-7f3a91c2d4")
-    ask = make_assignment_request(
+    assignment_request = make_assignment_request(
         name, call, cell, now=0.1, excluded=(), is_first_attempt=True
     )
     row = ListedRow(
@@ -105,7 +105,7 @@
     reports = [ListReport(Position(version=123_456), 120)] * 2
     base, cursor = Position(version=123_450), Position(version=123_456)
     messages = {
-        "ask": ask,
+        "ask": assignment_request,
         "held": RequestQueued(call.id),
         "grant": Grant(call.id, instance, "10.1.64.25:8364", 0.2),
         "read": PrefillDone(name, cell, call.id, LoadHint(12, 0, 16)),
@@ -122,21 +122,23 @@
         yield kind, len(msgspec.msgpack.encode(message))
 
 
-def seconds_per_request(engines: int, waiting: int) -> float:
-    """Return the processor time of one request at its coordinator."""
+def measure_request_seconds(engine_count: int, queue_length: int) -> float:
+    """Return the processor time in seconds of one request at its coordinator."""
     clock = ManualClock(start=100.0)
-    cell, records = next(iter(partition_engines(make_records(engines)).items()))
-    coordinator = Coordinator(cell=cell, clock=clock, service=SPEC, routes=[ROUTE])
+    cell, records = next(iter(partition_engines(make_records(engine_count)).items()))
+    coordinator = Coordinator(
+        cell=cell, clock=clock, service=SERVICE_SPEC, routes=[ROUTE]
+    )
     coordinator.set_engines(records)
-    for number in range(waiting + 2 * len(records)):
+    for number in range(queue_length + 2 * len(records)):
         call = make_call(10_000 + number, 200)
         coordinator.handle_assignment_request(
             make_assignment_request(
                 "g", call, cell, now=0.0, excluded=(), is_first_attempt=True
             )
         )
-    begin = time.process_time()
-    for number in range(REQUESTS):
+    start = time.process_time()
+    for number in range(REQUEST_COUNT):
         call = make_call(number, 200)
         clock.advance(0.001)
         coordinator.handle_assignment_request(
@@ -150,22 +152,25 @@
         coordinator.handle_request_ended(RequestEnded("g", cell, call.id, "whole"))
         if number % 10 == 0:
             coordinator.process_queue()
-    return (time.process_time() - begin) / REQUESTS
+    return (time.process_time() - start) / REQUEST_COUNT
 
 
 def main() -> None:
-    """Print both tables."""
+    """Print message sizes and processor times."""
     print("bytes of a message")
-    for kind, size in sizes():
+    for kind, size in measure_message_sizes():
         print(f"  {kind:20} {size:6}")
     print("processor time of a request at its coordinator, in us")
     print("  engines   cells  of cell   none waits   100 wait")
-    for engines in (8, 78, 300, 1100):
-        cells = partition_engines(make_records(engines))
-        idle, busy = (seconds_per_request(engines, count) for count in (0, 100))
+    for engine_count in (8, 78, 300, 1100):
+        cells = partition_engines(make_records(engine_count))
+        without_queue, with_queue = (
+            measure_request_seconds(engine_count, count) for count in (0, 100)
+        )
         size = len(next(iter(cells.values())))
         print(
-            f"  {engines:7} {len(cells):7} {size:8} {idle * 1e6:12.0f} {busy * 1e6:10.0f}"
+            f"  {engine_count:7} {len(cells):7} {size:8} {without_queue * 1e6:12.0f}"
+            f" {with_queue * 1e6:10.0f}"
         )
 
 
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -16,7 +16,7 @@
 import msgspec
 
 from bench.simulation import MAX_BATCH_SIZE, Engine, EngineRun, Simulator
-from bench.workload import ENTRIES, Arrival, Deployment, Fault, Scenario
+from bench.workload import ENTRY_COUNT, Arrival, Deployment, Fault, Scenario
 from damasklead.cost_model import CostModel
 from damasklead.dispatching import PoolDispatcher
 from damasklead.ids import AttemptId, Fingerprint, Incarnation, InstanceId, PoolId
@@ -138,16 +138,16 @@
     def start(self) -> None:
         """Build the entries and start their periodic work."""
         self.pool = PoolId("pool")
-        self.names = [InstanceId(f"entry-{number}") for number in range(ENTRIES)]
+        self.names = [InstanceId(f"entry-{number}") for number in range(ENTRY_COUNT)]
         self.quarantines = [
             Quarantine(
                 clock=self.simulator.clock,
                 propagation_seconds=PROPAGATION_INTERVALS
-                * compute_share_interval(ENTRIES),
+                * compute_share_interval(ENTRY_COUNT),
             )
             for _ in self.names
         ]
-        self.entries = [self._make_dispatcher(number) for number in range(ENTRIES)]
+        self.entries = [self._make_dispatcher(number) for number in range(ENTRY_COUNT)]
         self.coordinators = {
             name: Coordinator(pool=self.pool, clock=self.simulator.clock)
             for name in self.names
@@ -162,11 +162,11 @@
             coordinator.set_targets(
                 token_gap_targets=token_gap_targets, min_shares=min_shares
             )
-        for number in range(ENTRIES):
+        for number in range(ENTRY_COUNT):
             self.simulator.schedule(
                 self.random.random() * TICK_SECONDS, self._process_timeouts, number
             )
-            delay = self.random.random() * compute_share_interval(ENTRIES)
+            delay = self.random.random() * compute_share_interval(ENTRY_COUNT)
             self.simulator.schedule(delay, self._send_demand, number)
         self.simulator.schedule(0.0, self._run_coordinator)
 
@@ -196,7 +196,7 @@
             )
             for index, name in enumerate(self.engines)
         ]
-        dispatcher.set_replicas(infos, entry_count=ENTRIES)
+        dispatcher.set_replicas(infos, entry_count=ENTRY_COUNT)
         return dispatcher
 
     def _run_decision(self, number: int, decide: Callable[[], list[Action]]) -> None:
@@ -278,7 +278,7 @@
         self.quarantines[number].record_crash(replica, incarnation, running)
         for quarantine in self.quarantines:
             self.simulator.schedule(
-                compute_share_interval(ENTRIES),
+                compute_share_interval(ENTRY_COUNT),
                 quarantine.record_crash,
                 replica,
                 incarnation,
@@ -304,11 +304,11 @@
                 ),
             )
         self.simulator.schedule(
-            compute_share_interval(ENTRIES), lambda: self._send_demand(number)
+            compute_share_interval(ENTRY_COUNT), lambda: self._send_demand(number)
         )
 
     def _run_coordinator(self) -> None:
-        """Send load reports to the coordinator after a delay, and its grants to entries."""
+        """Send load reports to the coordinator and its grants to the entries."""
         name = self._find_coordinator()
         if name is not None:
             coordinator = self.coordinators[name]
@@ -327,7 +327,9 @@
                     number,
                     partial(apply_grant, grant),
                 )
-        self.simulator.schedule(compute_share_interval(ENTRIES), self._run_coordinator)
+        self.simulator.schedule(
+            compute_share_interval(ENTRY_COUNT), self._run_coordinator
+        )
 
     def _send_load_report(self, coordinator: Coordinator, engine: Engine) -> None:
         if engine.is_running and not self._are_reports_lost():
@@ -446,7 +448,9 @@
 
     def start(self) -> None:
         """Start with no outstanding requests."""
-        self.request_counts = [dict.fromkeys(self.engines, 0) for _ in range(ENTRIES)]
+        self.request_counts = [
+            dict.fromkeys(self.engines, 0) for _ in range(ENTRY_COUNT)
+        ]
 
     def choose_engine(self, arrival: Arrival) -> Engine:
         """Return the engine with the fewest outstanding requests of the entry."""
--- a/bench/policy.py
+++ b/bench/policy.py
@@ -26,7 +26,7 @@
 from bench.workload import (
     BURST_SECONDS,
     DEPLOYMENTS,
-    ENTRIES,
+    ENTRY_COUNT,
     HORIZON_SECONDS,
     SCENARIOS,
     Deployment,
@@ -159,8 +159,8 @@
         goodput=good_tokens / seconds,
         wasted_percent=100.0 * policy.wasted_tokens / max(1, generated_tokens),
         longest_wait_seconds=waits,
-        bytes_per_second=policy.control_bytes / seconds / ENTRIES,
-        cpu_percent=100.0 * policy.cpu_seconds / seconds / ENTRIES,
+        bytes_per_second=policy.control_bytes / seconds / ENTRY_COUNT,
+        cpu_percent=100.0 * policy.cpu_seconds / seconds / ENTRY_COUNT,
         crash_count=sum(engine.crash_count for engine in engines),
     )
 
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -1,9 +1,10 @@
 """
-Bench among processes
-=====================
+Benchmark with processes
+========================
 
-Three entries, three engines, a plain service and the platform as processes: long reviews fill the
-engines, then a burst of the top tier comes, with and without the kill of an engine or an entry.
+Measures the attainment of the highest tier with three entries, three engines, a plain
+service and the platform as processes.  Long reviews fill the engines before a burst of
+the highest tier, and an engine, an entry or no process is killed.
 
 Use: ``python -m bench.processes``.
 """
@@ -16,28 +17,28 @@
 from damasklead.demo.traffic import Received, Verdict
 from tests.processes import Deployment
 
-REVIEWS = 120
+REVIEW_COUNT = 120
 REVIEW_TOKENS = 400
-QUERIES = 150
+QUERY_COUNT = 150
 QUERY_TOKENS = 40
 BURST_SECONDS = 5.0
-FIRST_TOKEN_TARGET = 0.34  # seconds
+FIRST_TOKEN_TARGET_SECONDS = 0.34
 MODEL = "demo-7b"
 SEED = 1
 
 
 def main() -> None:
-    """Run each case and print a line for it."""
-    measure("no fault", lambda deployment: None)
-    measure("an engine killed", lambda deployment: deployment.kill("engine-1"))
-    measure("an entry killed", lambda deployment: deployment.kill("entry-2"))
+    """Run each case and print its result."""
+    measure_case("no fault", lambda deployment: None)
+    measure_case("an engine killed", lambda deployment: deployment.kill("engine-1"))
+    measure_case("an entry killed", lambda deployment: deployment.kill("entry-2"))
 
 
-def measure(name: str, fault: Callable[[Deployment], None]) -> None:
-    """Print the attainment of the top tier and what became of the reviews."""
+def measure_case(name: str, inject_fault: Callable[[Deployment], None]) -> None:
+    """Run one case and print its result."""
     source = random.Random(SEED)
     with Deployment(entries=3, engines=3, services=1) as deployment:
-        # The killed entry's callers are not counted: the balancer would move them.
+        # No caller uses the killed entry: a load balancer would move its callers.
         planning = deployment.caller("planning", "entry-0", "entry-1")
         skippers = deployment.caller("skippers", "entry-0", "entry-1")
 
@@ -54,25 +55,27 @@
                 "query", prompt, tokens=QUERY_TOKENS, stream=True, model=MODEL
             )
 
-        reviews = [gevent.spawn(review, number) for number in range(REVIEWS)]
+        reviews = [gevent.spawn(review, number) for number in range(REVIEW_COUNT)]
         gevent.sleep(2.0)
-        queries = [gevent.spawn(query, number) for number in range(QUERIES)]
+        queries = [gevent.spawn(query, number) for number in range(QUERY_COUNT)]
         gevent.sleep(BURST_SECONDS / 2)
-        fault(deployment)
+        inject_fault(deployment)
         gevent.joinall([*queries, *reviews], timeout=120)
-        report(name, [item.value for item in queries], [item.value for item in reviews])
+        print_result(
+            name, [item.value for item in queries], [item.value for item in reviews]
+        )
 
 
-def report(name: str, queries: list[Received], reviews: list[Received]) -> None:
-    """Print one line."""
-    whole = [item for item in queries if item.verdict is Verdict.WHOLE]
-    on_time = sum(item.first <= FIRST_TOKEN_TARGET for item in whole)
-    slowest = max(item.first for item in whole)
-    reviewed = sum(item.verdict is Verdict.WHOLE for item in reviews)
+def print_result(name: str, queries: list[Received], reviews: list[Received]) -> None:
+    """Print the attainment of the highest tier and the number of complete reviews."""
+    complete = [item for item in queries if item.verdict is Verdict.WHOLE]
+    in_time_count = sum(item.first <= FIRST_TOKEN_TARGET_SECONDS for item in complete)
+    slowest_seconds = max(item.first for item in complete)
+    complete_reviews = sum(item.verdict is Verdict.WHOLE for item in reviews)
     print(
-        f"{name}: queries {len(queries)}, whole {len(whole)}, first token in time "
-        f"{100 * on_time / len(queries):.1f} %, slowest {slowest:.2f} s; "
-        f"reviews {len(reviews)}, whole {reviewed}"
+        f"{name}: queries {len(queries)}, whole {len(complete)}, first token in time "
+        f"{100 * in_time_count / len(queries):.1f} %, slowest {slowest_seconds:.2f} s; "
+        f"reviews {len(reviews)}, whole {complete_reviews}"
     )
 
 
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -2,8 +2,8 @@
 Slopes of the capacity page
 ===========================
 
-Measures how messages, processor time and memory of the control parts grow with the number of
-entries, replicas, workspaces, models and members, and fits a line to each.
+Measures how message sizes, processor time and memory of the control plane grow with the
+number of entries, replicas, workspaces, models and members, and fits a line to each.
 
 Use: ``python -m bench.slopes``.
 """
@@ -46,76 +46,79 @@
 from damasklead.sharing import Coordinator, LoadReport, choose_coordinator
 from damasklead.stores.base import InstanceRecord
 
-REPEATS = 5
+REPEAT_COUNT = 5
 POOL = PoolId("service-00@data-centre-0")
-MICROSECONDS = 1e6
+MICROSECONDS_PER_SECOND = 1e6
 
 
-def fit(points: Sequence[tuple[float, float]]) -> tuple[float, float, float]:
-    """Return intercept, slope and the largest residual as a fraction of the largest value."""
+def fit_line(points: Sequence[tuple[float, float]]) -> tuple[float, float, float]:
+    """Return intercept, slope, and largest residual relative to the largest value."""
     slope, intercept = statistics.linear_regression(
         [x for x, _ in points], [y for _, y in points]
     )
-    largest = max(abs(y) for _, y in points) or 1.0
-    residual = max(abs(y - intercept - slope * x) for x, y in points) / largest
+    largest_value = max(abs(y) for _, y in points) or 1.0
+    residual = max(abs(y - intercept - slope * x) for x, y in points) / largest_value
     return intercept, slope, residual
 
 
-def show(name: str, unit: str, points: Sequence[tuple[float, float]]) -> None:
-    """Print the points and their line."""
-    intercept, slope, residual = fit(points)
+def print_fit(name: str, unit: str, points: Sequence[tuple[float, float]]) -> None:
+    """Print the points and the line fitted to them."""
+    intercept, slope, residual = fit_line(points)
     values = ", ".join(f"{x:g}: {y:.4g}" for x, y in points)
     print(f"{name} [{unit}]: {values}")
     print(
-        f"    = {intercept:.4g} + {slope:.4g} x, largest residual {100 * residual:.1f} %"
+        f"    = {intercept:.4g} + {slope:.4g} x, "
+        f"largest residual {100 * residual:.1f} %"
     )
 
 
-def timed(call: Callable[[], object], *, times: int) -> float:
-    """Return the median processor time of a call in microseconds."""
+def measure_microseconds(call: Callable[[], object], *, call_count: int) -> float:
+    """Return the median processor time of one call in microseconds."""
     samples = []
-    for _ in range(REPEATS):
-        began = time.process_time()
-        for _ in range(times):
+    for _ in range(REPEAT_COUNT):
+        start = time.process_time()
+        for _ in range(call_count):
             call()
-        samples.append(MICROSECONDS * (time.process_time() - began) / times)
+        samples.append(
+            MICROSECONDS_PER_SECOND * (time.process_time() - start) / call_count
+        )
     return statistics.median(samples)
 
 
-def allocated(make: Callable[[], object]) -> float:
-    """Return the kilobytes that a made object holds."""
+def measure_kilobytes(make: Callable[[], object]) -> float:
+    """Return the memory of a new object in kilobytes."""
     tracemalloc.start()
-    kept = make()
+    created = make()
     size = tracemalloc.get_traced_memory()[0]
     tracemalloc.stop()
-    del kept
+    del created
     return size / 1024
 
 
-def name(kind: str, number: int) -> InstanceId:
-    """Return an instance's id of a usual length."""
+def make_instance_id(kind: str, number: int) -> InstanceId:
+    """Return an instance id of typical length."""
     return InstanceId(f"{kind}-{number:04d}")
 
 
 def make_coordinator(*, entries: int, replicas: int) -> Coordinator:
-    """Return a coordinator with demands and reports."""
+    """Return a coordinator with demands of entries and load reports of replicas."""
     coordinator = Coordinator(pool=POOL, clock=ManualClock())
     coordinator.set_targets(token_gap_targets={1: 0.026, 2: 0.04}, min_shares={5: 0.02})
     for number in range(replicas):
         report = LoadReport(running=70, waiting=3, slots=96, token_gap=0.021)
-        coordinator.record_report(name("replica", number), report)
+        coordinator.record_report(make_instance_id("replica", number), report)
     source = random.Random(1)
     for number in range(entries):
         counts = tuple(source.randrange(5) for _ in range(5))
         demand = Demand(pool=POOL, running=counts, waiting=counts)
-        coordinator.record_demand(name("entry", number), demand)
+        coordinator.record_demand(make_instance_id("entry", number), demand)
     return coordinator
 
 
-def message_bytes(body: object) -> int:
-    """Return the size of a message between entries with one body."""
+def compute_message_bytes(body: object) -> int:
+    """Return the encoded size in bytes of a message between entries."""
     message = PeerMessage(
-        sender=name("entry", 1),
+        sender=make_instance_id("entry", 1),
         incarnation=Incarnation(1_790_000_000_000),
         configuration_version=6000,
         body=(body,),  # type: ignore[arg-type]
@@ -124,52 +127,61 @@
 
 
 def measure_sharing() -> None:
-    """Print sizes and times of demands and grants."""
+    """Print sizes and processor times of demands and grants, and coordinator memory."""
     demand = Demand(pool=POOL, running=(1, 2, 3, 4, 5), waiting=(0, 0, 1, 2, 30))
-    size = message_bytes(demand)
+    size = compute_message_bytes(demand)
     print(f"demand message [bytes]: {size}")
     points: list[tuple[float, float]] = []
     for replicas in (3, 7, 18, 36):
         grants = make_coordinator(entries=8, replicas=replicas).allocate_slots()
-        points.append((replicas, message_bytes(next(iter(grants.values())))))
-    show("grant message by replicas of the pool", "bytes", points)
+        points.append((replicas, compute_message_bytes(next(iter(grants.values())))))
+    print_fit("grant message by replicas of the pool", "bytes", points)
     points = []
     for entries in (8, 36, 72, 180):
         coordinator = make_coordinator(entries=entries, replicas=7)
-        points.append((entries, timed(coordinator.allocate_slots, times=20)))
-    show("allocation by entries, 7 replicas", "us", points)
+        points.append(
+            (entries, measure_microseconds(coordinator.allocate_slots, call_count=20))
+        )
+    print_fit("allocation by entries, 7 replicas", "us", points)
     points = []
     for replicas in (3, 7, 18, 36):
         coordinator = make_coordinator(entries=72, replicas=replicas)
-        points.append((replicas, timed(coordinator.allocate_slots, times=20)))
-    show("allocation by replicas, 72 entries", "us", points)
+        points.append(
+            (replicas, measure_microseconds(coordinator.allocate_slots, call_count=20))
+        )
+    print_fit("allocation by replicas, 72 entries", "us", points)
     content = encode_message(
         PeerMessage(
-            sender=name("entry", 1),
+            sender=make_instance_id("entry", 1),
             incarnation=Incarnation(1),
             configuration_version=1,
             body=(demand,),
         )
     )
     print(
-        f"decode a demand [us]: {timed(lambda: decode_message(content), times=2000):.2f}"
+        "decode a demand [us]: "
+        f"{measure_microseconds(lambda: decode_message(content), call_count=2000):.2f}"
     )
     grant = next(
         iter(make_coordinator(entries=8, replicas=7).allocate_slots().values())
     )
-    took = timed(lambda: message_bytes(grant), times=500)
-    print(f"encode a grant of 7 replicas [us]: {took:.2f}")
+    microseconds = measure_microseconds(
+        lambda: compute_message_bytes(grant), call_count=500
+    )
+    print(f"encode a grant of 7 replicas [us]: {microseconds:.2f}")
     points = []
     for entries in (8, 72, 180, 360):
-        made = allocated(partial(make_coordinator, entries=entries, replicas=7))
-        points.append((entries, made))
-    show("coordinator's memory by entries", "KB", points)
+        kilobytes = measure_kilobytes(
+            partial(make_coordinator, entries=entries, replicas=7)
+        )
+        points.append((entries, kilobytes))
+    print_fit("coordinator's memory by entries", "KB", points)
 
 
 def make_dispatcher(
     replicas: int, clock: ManualClock
 ) -> tuple[PoolDispatcher, RequestClass]:
-    """Return a dispatcher and the class of its requests."""
+    """Return a dispatcher with a grant, and the class of its requests."""
     configuration = make_configuration(models=1, workspaces=2)
     service = configuration.services["service-00"]
     numbers = iter(range(10**9))
@@ -184,7 +196,9 @@
         new_attempt_id=lambda: AttemptId(str(next(numbers))),
     )
     infos = [
-        ReplicaInfo(instance=name("replica", n), data_centre=DataCentre("x"))
+        ReplicaInfo(
+            instance=make_instance_id("replica", n), data_centre=DataCentre("x")
+        )
         for n in range(replicas)
     ]
     dispatcher.set_replicas(infos, entry_count=72)
@@ -194,7 +208,7 @@
 
 
 def measure_decisions() -> None:
-    """Print the time of the decisions about one request, and of taking a grant."""
+    """Print the processor time of one request's decisions and of applying a grant."""
     points: list[tuple[float, float]] = []
     grants: list[tuple[float, float]] = []
     for replicas in (3, 7, 18, 36):
@@ -202,7 +216,7 @@
         dispatcher, request_class = make_dispatcher(replicas, clock)
         numbers = iter(range(10**9))
 
-        def one(
+        def handle_request(
             dispatcher: PoolDispatcher = dispatcher,
             request_class: RequestClass = request_class,
             clock: ManualClock = clock,
@@ -223,21 +237,26 @@
             dispatcher.complete_attempt(start.attempt)
             clock.advance(0.01)
 
-        points.append((replicas, timed(one, times=300)))
+        points.append((replicas, measure_microseconds(handle_request, call_count=300)))
         grant = next(
             iter(
                 make_coordinator(entries=8, replicas=replicas).allocate_slots().values()
             )
         )
         grants.append(
-            (replicas, timed(partial(dispatcher.apply_grant, grant), times=300))
+            (
+                replicas,
+                measure_microseconds(
+                    partial(dispatcher.apply_grant, grant), call_count=300
+                ),
+            )
         )
-    show("decisions about a request by replicas of the pool", "us", points)
-    show("taking a grant by replicas of the pool", "us", grants)
+    print_fit("decisions about a request by replicas of the pool", "us", points)
+    print_fit("taking a grant by replicas of the pool", "us", grants)
 
 
-def measure_ticks() -> None:
-    """Print the time of a pool's tick by the requests that run."""
+def measure_timeouts() -> None:
+    """Print the processor time of a check of timeouts by the running requests."""
     points: list[tuple[float, float]] = []
     for running in (1, 7, 20, 60):
         clock = ManualClock()
@@ -250,8 +269,10 @@
                 arrival=clock.now(),
             )
             dispatcher.submit_request(request)
-        points.append((running, timed(dispatcher.process_timeouts, times=500)))
-    show("a pool's tick by its running requests", "us", points)
+        points.append(
+            (running, measure_microseconds(dispatcher.process_timeouts, call_count=500))
+        )
+    print_fit("a pool's tick by its running requests", "us", points)
 
 
 def make_files(*, models: int, workspaces: int) -> dict[str, str]:
@@ -286,7 +307,7 @@
 
 
 def make_configuration(*, models: int, workspaces: int) -> Configuration:
-    """Return a configuration with so many models and workspaces."""
+    """Return a configuration with these numbers of models and workspaces."""
     files = make_files(models=models, workspaces=workspaces)
     configuration = build_configuration(files, version=1, findings=Findings())
     assert configuration is not None
@@ -294,37 +315,41 @@
 
 
 def measure_configuration() -> None:
-    """Print time, memory and size of a configuration."""
+    """Print processor time, memory and file size of a configuration."""
     points: list[tuple[float, float]] = []
     memory: list[tuple[float, float]] = []
     sizes: list[tuple[float, float]] = []
     for workspaces in (10, 100, 280):
         files = make_files(models=31, workspaces=workspaces)
-        took = timed(
+        microseconds = measure_microseconds(
             partial(build_configuration, files, version=1, findings=Findings()),
-            times=1,
+            call_count=1,
+        )
+        points.append((workspaces, microseconds / 1000))
+        kilobytes = measure_kilobytes(
+            partial(make_configuration, models=31, workspaces=workspaces)
         )
-        points.append((workspaces, took / 1000))
-        kept = allocated(partial(make_configuration, models=31, workspaces=workspaces))
-        memory.append((workspaces, kept))
+        memory.append((workspaces, kilobytes))
         sizes.append((workspaces, sum(map(len, files.values())) / 1024))
-    show("check of a configuration of 31 models by workspaces", "ms", points)
-    show("a configuration's memory by workspaces", "KB", memory)
-    show("a configuration's files by workspaces", "KB", sizes)
+    print_fit("check of a configuration of 31 models by workspaces", "ms", points)
+    print_fit("a configuration's memory by workspaces", "KB", memory)
+    print_fit("a configuration's files by workspaces", "KB", sizes)
     configuration = make_configuration(models=31, workspaces=280)
-    took = timed(lambda: configuration.authenticate("workspace-100.k"), times=500)
-    print(f"authentication among 280 workspaces [us]: {took:.2f}")
+    microseconds = measure_microseconds(
+        lambda: configuration.authenticate("workspace-100.k"), call_count=500
+    )
+    print(f"authentication among 280 workspaces [us]: {microseconds:.2f}")
 
 
 def measure_members() -> None:
-    """Print time and memory of the membership, and of the choice of coordinators."""
+    """Print time and memory of the membership, and the time to choose a coordinator."""
     points: list[tuple[float, float]] = []
     memory: list[tuple[float, float]] = []
-    hashes: list[tuple[float, float]] = []
+    choices: list[tuple[float, float]] = []
     for members in (30, 365, 1460):
         records = tuple(
             InstanceRecord(
-                instance=name("member", n),
+                instance=make_instance_id("member", n),
                 incarnation=Incarnation(1),
                 service=ServiceName(f"service-{n % 31:02d}"),
                 address="10.0.0.1:8080",
@@ -335,30 +360,39 @@
         )
         membership = Membership(clock=ManualClock())
         membership.merge_list(records)
-        took = timed(partial(membership.merge_list, records), times=3)
-        points.append((members, took / 1000))
+        microseconds = measure_microseconds(
+            partial(membership.merge_list, records), call_count=3
+        )
+        points.append((members, microseconds / 1000))
 
-        def make(records: tuple[InstanceRecord, ...] = records) -> Membership:
-            made = Membership(clock=ManualClock())
-            made.merge_list(records)
-            return made
+        def make_membership(
+            records: tuple[InstanceRecord, ...] = records,
+        ) -> Membership:
+            membership = Membership(clock=ManualClock())
+            membership.merge_list(records)
+            return membership
 
-        memory.append((members, allocated(make)))
+        memory.append((members, measure_kilobytes(make_membership)))
     for entries in (8, 72, 360):
-        names = [name("entry", n) for n in range(entries)]
-        hashes.append(
-            (entries, timed(partial(choose_coordinator, POOL, names), times=50))
+        names = [make_instance_id("entry", n) for n in range(entries)]
+        choices.append(
+            (
+                entries,
+                measure_microseconds(
+                    partial(choose_coordinator, POOL, names), call_count=50
+                ),
+            )
         )
-    show("merging the instance list by members", "ms", points)
-    show("membership's memory by members", "KB", memory)
-    show("choice of a pool's coordinator by entries", "us", hashes)
+    print_fit("merging the instance list by members", "ms", points)
+    print_fit("membership's memory by members", "KB", memory)
+    print_fit("choice of a pool's coordinator by entries", "us", choices)
 
 
 def main() -> None:
-    """Measure everything."""
+    """Run all measurements and print the results."""
     measure_sharing()
     measure_decisions()
-    measure_ticks()
+    measure_timeouts()
     measure_configuration()
     measure_members()
 
--- a/bench/workload.py
+++ b/bench/workload.py
@@ -23,8 +23,8 @@
 
 HORIZON_SECONDS = 120.0  # end of the arrivals
 BURST_SECONDS = (30.0, 60.0)  # start and end of the burst
-ENTRIES = 8
-WORKSPACES = 10
+ENTRY_COUNT = 8
+WORKSPACE_COUNT = 10
 # A culprit is a request that crashes each replica that executes it.
 CULPRIT_INTERVAL_SECONDS = 15.0
 PREFIXES_PER_WORKSPACE = 3
@@ -270,7 +270,7 @@
     arrival_time: float,
     number: int,
 ) -> Arrival:
-    workspace = min(int(source.expovariate(0.5)), WORKSPACES - 1)
+    workspace = min(int(source.expovariate(0.5)), WORKSPACE_COUNT - 1)
     prefix = source.randrange(PREFIXES_PER_WORKSPACE)
     request = Request(
         id=RequestId(f"r{number}"),
@@ -306,4 +306,4 @@
 def _choose_entry(source: random.Random, scenario: Scenario) -> int:
     if Fault.SKEW in scenario.faults and source.random() < 0.6:
         return 0
-    return source.randrange(ENTRIES)
+    return source.randrange(ENTRY_COUNT)
