--- a/damasklead/experiment/callers.py
+++ b/damasklead/experiment/callers.py
@@ -139,7 +139,7 @@
         self._tally.record_outcome(
             RequestOutcome(
                 kind=self._arrival.kind,
-                arrived_at=self._arrival.arrived_at,
+                arrival_time=self._arrival.arrival_time,
                 prompt_tokens=sum(part.tokens for part in self._arrival.prompt),
                 result=result,
                 first_event_seconds=0.0
--- a/damasklead/experiment/engines.py
+++ b/damasklead/experiment/engines.py
@@ -120,11 +120,11 @@
 
     Attributes
     ----------
-    is_alive : bool
+    is_running : bool
         ``False`` from a crash to the restart.
     incarnation : int
         Rises at each restart.
-    slow_factor : float
+    slowdown_factor : float
         Multiplies the time of all steps during a fault; 1 otherwise.
     prefilled_tokens, recomputed_tokens, copied_tokens : int
         Prompt tokens prefilled, those of shared parts that some engine had prefilled
@@ -139,9 +139,9 @@
         step_time_factor: float,
         known_parts: set[str],
     ) -> None:
-        self.is_alive = True
+        self.is_running = True
         self.incarnation = 1
-        self.slow_factor = 1.0
+        self.slowdown_factor = 1.0
         self.prefilled_tokens = 0
         self.recomputed_tokens = 0
         self.copied_tokens = 0
@@ -172,7 +172,7 @@
     @property
     def step_time_factor(self) -> float:
         """Factor of the time of a step at present, including a fault's."""
-        return self._step_time_factor * self.slow_factor
+        return self._step_time_factor * self.slowdown_factor
 
     def count_pending_prefill_tokens(self) -> int:
         """Return the prompt tokens that running and queued requests have to prefill."""
@@ -204,7 +204,7 @@
         """Copy cached parts from another engine; returns the seconds that it takes."""
         source_tokens = source.count_cached_tokens(prompt)
         tokens = source_tokens - self.count_cached_tokens(prompt)
-        if tokens <= 0 or not source.is_alive:
+        if tokens <= 0 or not source.is_running:
             return 0.0
         parts: list[PromptPart] = []
         for part in prompt[:-1]:
@@ -230,13 +230,13 @@
         self._running.clear()
         self._queue.clear()
         self._cache.clear()
-        self.is_alive = False
+        self.is_running = False
         for request in broken:
             request.on_end(False)
         self._simulator.schedule(seconds, self._restart)
 
     def _restart(self) -> None:
-        self.is_alive = True
+        self.is_running = True
         self.incarnation += 1
 
     def _start_queued_requests(self) -> None:
@@ -311,7 +311,7 @@
             self._known_parts.add(part.key)
 
     def _end_step(self, incarnation: int) -> None:
-        if not self.is_alive or incarnation != self.incarnation:
+        if not self.is_running or incarnation != self.incarnation:
             self._is_stepping = False
             return
         for request in list(self._running.values()):
--- a/damasklead/experiment/fleet.py
+++ b/damasklead/experiment/fleet.py
@@ -112,7 +112,7 @@
         """Run the experiment until the last request's timeout has passed."""
         self._update_listed_engines()
         for arrival in generate_arrivals(self._experiment, self._seed):
-            self._simulator.schedule(arrival.arrived_at, self._start_caller, arrival)
+            self._simulator.schedule(arrival.arrival_time, self._start_caller, arrival)
         for fault in self._experiment.faults:
             self._simulator.schedule(fault.at, self._inject_fault, fault)
         for gateway in self._gateways:
@@ -212,9 +212,9 @@
             if fault.kind is FaultKind.CRASH:
                 engine.crash(fault.seconds)
             else:
-                engine.slow_factor = fault.factor
+                engine.slowdown_factor = fault.factor
                 self._simulator.schedule(
-                    fault.seconds, setattr, engine, "slow_factor", 1.0
+                    fault.seconds, setattr, engine, "slowdown_factor", 1.0
                 )
         if fault.kind is FaultKind.CRASH:
             self._simulator.schedule(
@@ -225,13 +225,13 @@
             )
 
     def _update_listed_engines(self) -> None:
-        """Give all gateways the list of the engines that are alive."""
+        """Give all gateways the list of the running engines."""
         listed = [
             msgspec.structs.replace(
                 record, incarnation=self._engines[record.instance].incarnation
             )
             for record in self._records
-            if self._engines[record.instance].is_alive
+            if self._engines[record.instance].is_running
         ]
         for gateway in self._gateways:
             gateway.update_replicas(SERVICE, listed)
--- a/damasklead/experiment/gateways.py
+++ b/damasklead/experiment/gateways.py
@@ -315,7 +315,7 @@
             ),
             on_end=partial(self._schedule_callback, delay, self._handle_end, pending),
         )
-        if not engine.is_alive:
+        if not engine.is_running:
             self._simulator.schedule(
                 delay, self._handle_failure, pending, Failure.NOT_SENT
             )
--- a/damasklead/experiment/load.py
+++ b/damasklead/experiment/load.py
@@ -30,7 +30,7 @@
     ----------
     number : int
         Number of the request in its run, from 1 on.
-    arrived_at : float
+    arrival_time : float
         Seconds since the start of the run.
     gateway_index : int
         Index of the gateway among those of the experiment.
@@ -42,7 +42,7 @@
     """
 
     number: int
-    arrived_at: float
+    arrival_time: float
     gateway_index: int
     kind: RequestKind
     prompt: tuple[PromptPart, ...]
@@ -55,17 +55,19 @@
     for kind in experiment.kinds:
         rng = random.Random(f"{experiment.name} {kind.name} {seed}")
         prompts = _PromptGenerator(kind=kind)
-        arrived_at = 0.0
+        arrival_time = 0.0
         while True:
-            rate = kind.rate * _compute_rate_factor(experiment.bursts, kind, arrived_at)
-            arrived_at += rng.expovariate(rate / experiment.clump)
-            if arrived_at >= experiment.seconds:
+            rate = kind.rate * _compute_rate_factor(
+                experiment.bursts, kind, arrival_time
+            )
+            arrival_time += rng.expovariate(rate / experiment.clump)
+            if arrival_time >= experiment.seconds:
                 break
             for _ in range(_draw_group_size(rng, experiment.clump)):
                 number += 1
                 yield Arrival(
                     number=number,
-                    arrived_at=arrived_at + rng.uniform(0, GROUP_SPREAD_SECONDS),
+                    arrival_time=arrival_time + rng.uniform(0, GROUP_SPREAD_SECONDS),
                     gateway_index=rng.randrange(experiment.gateways),
                     kind=kind,
                     prompt=prompts.generate_prompt(rng, number),
--- a/damasklead/experiment/tally.py
+++ b/damasklead/experiment/tally.py
@@ -41,7 +41,7 @@
     Attributes
     ----------
     kind : RequestKind
-    arrived_at : float
+    arrival_time : float
         Seconds since the start of the run.
     prompt_tokens : int
     result : Result
@@ -50,7 +50,7 @@
     """
 
     kind: RequestKind
-    arrived_at: float
+    arrival_time: float
     prompt_tokens: int
     result: Result
     first_event_seconds: float = 0.0
@@ -139,7 +139,7 @@
         """
         windows: dict[int, list[RequestOutcome]] = {}
         for item in self._outcomes:
-            windows.setdefault(int(item.arrived_at / seconds), []).append(item)
+            windows.setdefault(int(item.arrival_time / seconds), []).append(item)
         return [
             (number * seconds, _compute_attainment(items))
             for number, items in windows.items()
--- a/models/__init__.py
+++ b/models/__init__.py
@@ -2,5 +2,6 @@
 Models
 ======
 
-Small specifications of the core protocols, checked exhaustively.
+Small formal models of the core protocols, checked exhaustively by explicit-state model
+checking.
 """
--- a/models/__main__.py
+++ b/models/__main__.py
@@ -2,10 +2,11 @@
 Model checks
 ============
 
-Checks each specification, and that each seeded mistake is found in it.
+Checks safety and liveness of each specification, and that each of its mutants violates
+a property.
 
-Use: ``python -m models``.  Exit code 0 when every specification holds and every mistake
-is found.
+Use: ``python -m models``.  The exit code is 0 when every specification holds and every
+mutant is detected.
 """
 
 import sys
@@ -19,52 +20,58 @@
 
 
 def main() -> int:
-    """Check everything and print what was explored."""
+    """Check all specifications and mutants, and print the results."""
     specifications: list[tuple[Callable[..., Protocol], tuple[str, ...]]] = [
-        (claim.build, claim.MISTAKES),
-        (lease.build, lease.MISTAKES),
-        (manifest.build, manifest.MISTAKES),
-        (following.build, following.MISTAKES),
-        (leaving.build, leaving.MISTAKES),
+        (claim.build_protocol, claim.MUTATIONS),
+        (lease.build_protocol, lease.MUTATIONS),
+        (manifest.build_protocol, manifest.MUTATIONS),
+        (following.build_protocol, following.MUTATIONS),
+        (leaving.build_protocol, leaving.MUTATIONS),
     ]
-    good = check_whole(lease.build("", engine_checks=False))
-    for build, mistakes in specifications:
-        good = check_whole(build("")) and good
-        for mistake in mistakes:
-            good = check_mistake(build, mistake) and good
-    print("every specification holds" if good else "A SPECIFICATION FAILED")
-    return 0 if good else 1
+    all_passed = check_specification(
+        lease.build_protocol("", engine_checks_token=False)
+    )
+    for build_protocol, mutations in specifications:
+        all_passed = check_specification(build_protocol("")) and all_passed
+        for mutation in mutations:
+            all_passed = check_mutation(build_protocol, mutation) and all_passed
+    print("every specification holds" if all_passed else "A SPECIFICATION FAILED")
+    return 0 if all_passed else 1
 
 
-def check_whole(protocol: Protocol) -> bool:
-    """Check safety and liveness of a specification without mistake."""
+def check_specification(protocol: Protocol) -> bool:
+    """Check safety and liveness of a specification."""
     safety = check_safety(protocol, max_states=MAX_STATES)
-    live = check_liveness(protocol)
+    liveness = check_liveness(protocol)
     print(f"{protocol.name}: {safety['reachable_states']} states")
     for name, result in safety["properties"].items():
         print(f"  {name}: {result['holds']}")
         if not result["holds"]:
             print(f"    {result['counterexample']}")
-    print(f"  an end can always be reached: {live['holds']}")
-    held = all(result["holds"] is True for result in safety["properties"].values())
-    return held and live["holds"] is True
+    print(f"  a goal state is always reachable: {liveness['holds']}")
+    is_safe = all(result["holds"] is True for result in safety["properties"].values())
+    return is_safe and liveness["holds"] is True
 
 
-def check_mistake(build: Callable[..., Protocol], mistake: str) -> bool:
-    """Check that a seeded mistake breaks a property."""
-    options = {"engine_checks": False} if mistake == "no wait" else {}
-    protocol = build(mistake, **options)
+def check_mutation(build_protocol: Callable[..., Protocol], mutation: str) -> bool:
+    """Check that a mutant violates a safety property."""
+    options = (
+        {"engine_checks_token": False}
+        if mutation == "no wait before the first command"
+        else {}
+    )
+    protocol = build_protocol(mutation, **options)
     safety = check_safety(protocol, max_states=MAX_STATES)
-    broken = [
+    violations = [
         (name, len(result["counterexample"]) - 1)
         for name, result in safety["properties"].items()
         if result["holds"] is False
     ]
-    for name, steps in broken:
-        print(f"  mistake '{mistake}' breaks '{name}' in {steps} steps")
-    if not broken:
-        print(f"  MISTAKE '{mistake}' IS NOT FOUND")
-    return bool(broken)
+    for name, steps in violations:
+        print(f"  mutation '{mutation}' violates '{name}' in {steps} steps")
+    if not violations:
+        print(f"  MUTATION '{mutation}' IS NOT DETECTED")
+    return bool(violations)
 
 
 if __name__ == "__main__":
--- a/models/claim.py
+++ b/models/claim.py
@@ -1,20 +1,20 @@
 """
-Model of the order claim
-========================
+Model of claims
+===============
 
-One key, two sendings by the caller through two entries, a store that loses answers and
-lets a write land late, and entries that crash.  The claim's row goes through the states
-of ``damasklead.claims``.
+A caller sends a request with one idempotency key through two entries, ``a`` and ``b``.
+The store may lose responses and commit a write late, and entries may crash.  The
+claim's row takes the states of ``damasklead.claims``.
 
-State: the row, then for each attempt its phase, whether its claim write is on its way,
-and how often the order ran.
+State variables: the claim's row, and for each attempt its phase, whether its claim
+write is in flight, and how often the request was executed.
 """
 
 from collections.abc import Iterator
 
 from minicheck import Protocol
 
-# Rows: who holds the key in which state.
+# States of the claim's row: absent, claimed by an attempt, or with an outcome.
 FREE, HELD_A, HELD_B, DONE, FAILED, RELEASED = (
     "free",
     "a",
@@ -24,12 +24,12 @@
     "released",
 )
 # Phases of an attempt.
-IDLE, WRITING, UNSURE, HOLDS, SENT, CRASHED, REFUSED, ANSWERED, NOT_RUN = (
-    "idle", "writing", "unsure", "holds", "sent",
+IDLE, WRITING, UNCONFIRMED, HOLDING, SENT, CRASHED, REFUSED, ANSWERED, NOT_RUN = (
+    "idle", "writing", "unconfirmed", "holding", "sent",
     "crashed", "refused", "answered", "not-run",
 )  # fmt: skip
-OWN = {"a": HELD_A, "b": HELD_B}
-MISTAKES = (
+OWN_ROWS = {"a": HELD_A, "b": HELD_B}
+MUTATIONS = (
     "take over a claim",
     "read back by key",
     "abandon without a row",
@@ -37,118 +37,151 @@
 )
 
 State = tuple[str, str, str, bool, bool, int, int]
-Steps = Iterator[tuple[str, State]]
+Transitions = Iterator[tuple[str, State]]
 
 
-def build(mistake: str = "") -> Protocol:
+def build_protocol(mutation: str = "") -> Protocol:
     """
-    Return the protocol, with a seeded mistake or without.
+    Return the specification, or a mutant of it.
 
     Parameters
     ----------
-    mistake : str
-        One of ``MISTAKES``, or empty.
+    mutation : str
+        One of ``MUTATIONS``; empty for the specification itself.
     """
     return Protocol(
-        name=f"order claim {mistake}".strip(),
+        name=f"claim {mutation}".strip(),
         candidate=False,
-        fields=("row", "phase_a", "phase_b", "late_a", "late_b", "runs_a", "runs_b"),
+        fields=(
+            "row",
+            "phase_a",
+            "phase_b",
+            "in_flight_a",
+            "in_flight_b",
+            "executions_a",
+            "executions_b",
+        ),
         initial=(FREE, IDLE, IDLE, False, False, 0, 0),
-        transitions=lambda state: list(_transitions(state, mistake)),
+        transitions=lambda state: list(_transitions(state, mutation)),
         invariants={
-            "runs at most once": lambda d: d["runs_a"] + d["runs_b"] <= 1,
-            "not-run is true": lambda d: (
-                (d["phase_a"] != NOT_RUN or d["runs_a"] == 0)
-                and (d["phase_b"] != NOT_RUN or d["runs_b"] == 0)
+            "executed at most once": lambda d: (
+                d["executions_a"] + d["executions_b"] <= 1
             ),
-            "no key is stuck after not-run": lambda d: (
-                not (d["phase_a"] == NOT_RUN and d["row"] == HELD_A and not d["late_a"])
+            "the outcome not-run implies no execution": lambda d: (
+                (d["phase_a"] != NOT_RUN or d["executions_a"] == 0)
+                and (d["phase_b"] != NOT_RUN or d["executions_b"] == 0)
+            ),
+            "no claim remains after the outcome not-run": lambda d: (
+                not (
+                    d["phase_a"] == NOT_RUN
+                    and d["row"] == HELD_A
+                    and not d["in_flight_a"]
+                )
             ),
         },
-        goal=lambda d: d["phase_a"] in _ENDS and d["phase_b"] in _ENDS,
+        goal=lambda d: d["phase_a"] in _FINAL_PHASES and d["phase_b"] in _FINAL_PHASES,
     )
 
 
-_ENDS = (CRASHED, REFUSED, ANSWERED, NOT_RUN)
+_FINAL_PHASES = (CRASHED, REFUSED, ANSWERED, NOT_RUN)
 
 
-def _transitions(state: State, mistake: str) -> Steps:
-    row, phase_a, phase_b, late_a, late_b, runs_a, runs_b = state
-    for label, (new_row, phase, late, runs) in _steps(
-        "a", row, phase_a, late_a, runs_a, mistake
+def _transitions(state: State, mutation: str) -> Transitions:
+    row, phase_a, phase_b, in_flight_a, in_flight_b, executions_a, executions_b = state
+    for label, (new_row, phase, in_flight, executions) in _attempt_transitions(
+        "a", row, phase_a, in_flight_a, executions_a, mutation
     ):
-        yield f"a {label}", (new_row, phase, phase_b, late, late_b, runs, runs_b)
-    for label, (new_row, phase, late, runs) in _steps(
-        "b", row, phase_b, late_b, runs_b, mistake
+        yield (
+            f"a {label}",
+            (new_row, phase, phase_b, in_flight, in_flight_b, executions, executions_b),
+        )
+    for label, (new_row, phase, in_flight, executions) in _attempt_transitions(
+        "b", row, phase_b, in_flight_b, executions_b, mutation
     ):
-        yield f"b {label}", (new_row, phase_a, phase, late_a, late, runs_a, runs)
+        yield (
+            f"b {label}",
+            (new_row, phase_a, phase, in_flight_a, in_flight, executions_a, executions),
+        )
 
 
-Own = tuple[str, str, bool, int]
+AttemptState = tuple[str, str, bool, int]
 
 
-def _steps(
-    name: str, row: str, phase: str, late: bool, runs: int, mistake: str
-) -> Iterator[tuple[str, Own]]:
-    """Yield what one attempt, or the store on its behalf, may do."""
-    own = OWN[name]
-    yield from _landings(own, row, phase, late, runs)
+def _attempt_transitions(
+    attempt: str, row: str, phase: str, in_flight: bool, executions: int, mutation: str
+) -> Iterator[tuple[str, AttemptState]]:
+    """Yield the transitions of one attempt and of the store for its claim write."""
+    own_row = OWN_ROWS[attempt]
+    yield from _write_transitions(own_row, row, phase, in_flight, executions)
     if phase == IDLE:
-        yield "claims", (row, WRITING, True, runs)
-    if phase in (WRITING, UNSURE):
-        yield "loses the answer", (row, UNSURE, late, runs)
-        yield "crashes", (row, CRASHED, late, runs)
-    if phase == UNSURE:
-        yield from _read_back(own, row, late, runs, mistake)
-        yield from _abandon(own, row, late, runs, mistake)
-    if phase == HOLDS:
-        yield "sends", (row, SENT, late, runs + 1)
-        yield "crashes", (row, CRASHED, late, runs)
+        yield "writes its claim", (row, WRITING, True, executions)
+    if phase in (WRITING, UNCONFIRMED):
+        yield "loses the store's response", (row, UNCONFIRMED, in_flight, executions)
+        yield "crashes", (row, CRASHED, in_flight, executions)
+    if phase == UNCONFIRMED:
+        yield from _read_back_transitions(own_row, row, in_flight, executions, mutation)
+        yield from _abandon_transitions(own_row, row, in_flight, executions, mutation)
+    if phase == HOLDING:
+        yield "sends the request", (row, SENT, in_flight, executions + 1)
+        yield "crashes", (row, CRASHED, in_flight, executions)
     if phase == SENT:
-        yield "answers", (DONE if row == own else row, ANSWERED, late, runs)
-        yield "fails", (FAILED if row == own else row, REFUSED, late, runs)
-        yield "crashes", (row, CRASHED, late, runs)
-        if mistake == "release after sending" and row == own:
-            yield "releases", (RELEASED, NOT_RUN, late, runs)
-
-
-def _landings(
-    own: str, row: str, phase: str, late: bool, runs: int
-) -> Iterator[tuple[str, Own]]:
-    """Let a claim write that is on its way reach the store, or be answered."""
-    if not late:
+        yield (
+            "receives the response",
+            (DONE if row == own_row else row, ANSWERED, in_flight, executions),
+        )
+        yield (
+            "fails with unknown outcome",
+            (FAILED if row == own_row else row, REFUSED, in_flight, executions),
+        )
+        yield "crashes", (row, CRASHED, in_flight, executions)
+        if mutation == "release after sending" and row == own_row:
+            yield "releases the claim", (RELEASED, NOT_RUN, in_flight, executions)
+
+
+def _write_transitions(
+    own_row: str, row: str, phase: str, in_flight: bool, executions: int
+) -> Iterator[tuple[str, AttemptState]]:
+    """Yield the outcomes of a claim write that is in flight."""
+    if not in_flight:
         return
-    open_row = row in (FREE, RELEASED)
-    if phase == WRITING and open_row:
-        yield "claim lands", (own, HOLDS, False, runs)
+    is_claimable = row in (FREE, RELEASED)
+    if phase == WRITING and is_claimable:
+        yield "claim is committed", (own_row, HOLDING, False, executions)
     elif phase == WRITING:
-        yield "claim conflicts", (row, REFUSED, False, runs)
+        yield "claim conflicts", (row, REFUSED, False, executions)
     elif row == FREE:
-        # Only the condition that the row is absent can still hold for a late write.
-        yield "claim lands late", (own, phase, False, runs)
+        # A late write is committed only if its condition still holds: that the row is
+        # absent.
+        yield "late claim is committed", (own_row, phase, False, executions)
     else:
-        yield "late claim conflicts", (row, phase, False, runs)
+        yield "late claim conflicts", (row, phase, False, executions)
 
 
-def _read_back(
-    own: str, row: str, late: bool, runs: int, mistake: str
-) -> Iterator[tuple[str, Own]]:
-    if row == own:
-        yield "reads its own claim", (row, HOLDS, late, runs)
+def _read_back_transitions(
+    own_row: str, row: str, in_flight: bool, executions: int, mutation: str
+) -> Iterator[tuple[str, AttemptState]]:
+    if row == own_row:
+        yield "reads its own claim", (row, HOLDING, in_flight, executions)
     elif row in (HELD_A, HELD_B, DONE, FAILED):
-        if mistake == "read back by key":
-            yield "takes another's claim for its own", (row, HOLDS, late, runs)
-        elif mistake == "take over a claim" and row != DONE:
-            yield "takes the claim over", (own, HOLDS, late, runs)
+        if mutation == "read back by key":
+            yield (
+                "mistakes another's claim for its own",
+                (row, HOLDING, in_flight, executions),
+            )
+        elif mutation == "take over a claim" and row != DONE:
+            yield (
+                "takes over another's claim",
+                (own_row, HOLDING, in_flight, executions),
+            )
         else:
-            yield "reads another's claim", (row, REFUSED, late, runs)
+            yield "reads another's claim", (row, REFUSED, in_flight, executions)
 
 
-def _abandon(
-    own: str, row: str, late: bool, runs: int, mistake: str
-) -> Iterator[tuple[str, Own]]:
-    """Give up: leave a released row so that a late claim finds its condition broken."""
-    if mistake == "abandon without a row" and row in (FREE, own):
-        yield "abandons", (FREE, NOT_RUN, late, runs)
-    elif row in (FREE, own, RELEASED):
-        yield "abandons", (RELEASED, NOT_RUN, late, runs)
+def _abandon_transitions(
+    own_row: str, row: str, in_flight: bool, executions: int, mutation: str
+) -> Iterator[tuple[str, AttemptState]]:
+    """Yield the release of an unconfirmed claim; its row makes a late write fail."""
+    if mutation == "abandon without a row" and row in (FREE, own_row):
+        yield "abandons its claim", (FREE, NOT_RUN, in_flight, executions)
+    elif row in (FREE, own_row, RELEASED):
+        yield "abandons its claim", (RELEASED, NOT_RUN, in_flight, executions)
--- a/models/following.py
+++ b/models/following.py
@@ -1,83 +1,141 @@
 """
-Model of following a list
-=========================
+Model of the broadcast of a list
+================================
 
-One gateway reads a list at the store and tells another in datagrams that may be lost;
-the reader may be cut off from the store or freeze at any time.
+One gateway, the reader, polls a list at the store and sends updates to another, the
+follower, in datagrams that may be lost.  The reader may be partitioned from the store
+or be paused at any time.  A follower whose last confirmation expired polls the store
+itself.
 
-State, in ticks of half a second: ticks since the list changed (-1 before), the versions
-that reader and follower have in force, the reader's trouble, the ticks since the store
-answered the reader, and since the follower's newest confirmation.
+State variables, with times in ticks of half a second: the ticks since the list changed
+(-1 before), the versions that are active at reader and follower, the reader's status,
+the ticks since the store last responded to the reader, and the age of the follower's
+newest confirmation.
 """
 
 from collections.abc import Iterator
 
 from minicheck import Protocol
 
-TRUST = 2  # ticks that a confirmation counts
-BOUND = 4  # ticks within which a change has to be in force
-WELL, CUT, FROZEN = "well", "cut", "frozen"
-MISTAKES = ("a heartbeat confirms", "trust without end", "notices are not looked at")
+CONFIRMATION_TTL_TICKS = 2  # a confirmation is valid for this long
+MAX_DELAY_TICKS = 4  # a change has to be active at the follower within this time
+HEALTHY, PARTITIONED, PAUSED = "healthy", "partitioned", "paused"
+MUTATIONS = (
+    "every datagram confirms",
+    "confirmations never expire",
+    "updates are ignored",
+)
 
 State = tuple[int, int, int, str, int, int]
 
 
-def build(mistake: str = "") -> Protocol:
+def build_protocol(mutation: str = "") -> Protocol:
     """
-    Return the protocol.
+    Return the specification, or a mutant of it.
 
     Parameters
     ----------
-    mistake : str
-        One of ``MISTAKES``, or empty.
+    mutation : str
+        One of ``MUTATIONS``; empty for the specification itself.
     """
     return Protocol(
-        name=f"following {mistake}".strip(),
+        name=f"following {mutation}".strip(),
         candidate=False,
-        fields=("since", "reader", "follower", "trouble", "asked", "confirmed"),
-        initial=(-1, 0, 0, WELL, 0, 0),
-        transitions=lambda state: list(_transitions(state, mistake)),
+        fields=(
+            "ticks_since_change",
+            "reader_version",
+            "follower_version",
+            "reader_status",
+            "store_age",
+            "confirmation_age",
+        ),
+        initial=(-1, 0, 0, HEALTHY, 0, 0),
+        transitions=lambda state: list(_transitions(state, mutation)),
         invariants={
-            "a change is in force in time": lambda d: (
-                d["since"] < BOUND or d["follower"] == 1
+            "a change is active in time": lambda d: (
+                d["ticks_since_change"] < MAX_DELAY_TICKS or d["follower_version"] == 1
             ),
-            "nobody is ahead of the store": lambda d: (
-                d["since"] >= 0 or (d["reader"], d["follower"]) == (0, 0)
+            "no gateway is ahead of the store": lambda d: (
+                d["ticks_since_change"] >= 0
+                or (d["reader_version"], d["follower_version"]) == (0, 0)
             ),
         },
-        goal=lambda d: d["follower"] == 1,
+        goal=lambda d: d["follower_version"] == 1,
     )
 
 
-def _transitions(state: State, mistake: str) -> Iterator[tuple[str, State]]:
-    since, reader, follower, trouble, asked, confirmed = state
-    if since < 0:
-        yield "the list changes", (0, reader, follower, trouble, asked, confirmed)
-    if trouble == WELL:
-        for news in (CUT, FROZEN):
-            yield f"the reader is {news}", (
-                since, reader, follower, news, asked, confirmed,
+def _transitions(state: State, mutation: str) -> Iterator[tuple[str, State]]:
+    (
+        ticks_since_change,
+        reader_version,
+        follower_version,
+        reader_status,
+        store_age,
+        confirmation_age,
+    ) = state
+    if ticks_since_change < 0:
+        yield (
+            "the list changes",
+            (
+                0,
+                reader_version,
+                follower_version,
+                reader_status,
+                store_age,
+                confirmation_age,
+            ),
+        )
+    if reader_status == HEALTHY:
+        for status in (PARTITIONED, PAUSED):
+            yield f"the reader is {status}", (
+                ticks_since_change, reader_version, follower_version, status,
+                store_age, confirmation_age,
             )  # fmt: skip
-    for lost in (False, True):
-        yield _tick(state, lost, mistake)
+    for is_lost in (False, True):
+        yield _tick(state, is_lost, mutation)
 
 
-def _tick(state: State, lost: bool, mistake: str) -> tuple[str, State]:
-    """Let half a second pass; each does what it has to do in that time."""
-    since, reader, follower, trouble, asked, confirmed = state
-    store = int(since >= 0)
-    since = min(since + 1, BOUND) if since >= 0 else since
-    asked = min(asked + 1, TRUST + 1)
-    confirmed = min(confirmed + 1, TRUST + 1)
-    if trouble == WELL:
-        reader, asked = store, 0
-    told = trouble != FROZEN and not lost
-    if told:
-        age = 0 if mistake == "a heartbeat confirms" else asked
-        confirmed = min(confirmed, age)
-    notice = told and reader > follower and mistake != "notices are not looked at"
-    doubt = confirmed > TRUST - 1 and mistake != "trust without end"
-    if notice or doubt:
-        follower, confirmed = store, 0
-    label = "half a second passes" + (", a datagram is lost" if lost else "")
-    return label, (since, reader, follower, trouble, asked, confirmed)
+def _tick(state: State, is_lost: bool, mutation: str) -> tuple[str, State]:
+    """Advance time by a tick, in which the reader polls and the follower checks."""
+    (
+        ticks_since_change,
+        reader_version,
+        follower_version,
+        reader_status,
+        store_age,
+        confirmation_age,
+    ) = state
+    store_version = int(ticks_since_change >= 0)
+    ticks_since_change = (
+        min(ticks_since_change + 1, MAX_DELAY_TICKS)
+        if ticks_since_change >= 0
+        else ticks_since_change
+    )
+    store_age = min(store_age + 1, CONFIRMATION_TTL_TICKS + 1)
+    confirmation_age = min(confirmation_age + 1, CONFIRMATION_TTL_TICKS + 1)
+    if reader_status == HEALTHY:
+        reader_version, store_age = store_version, 0
+    is_received = reader_status != PAUSED and not is_lost
+    if is_received:
+        age = 0 if mutation == "every datagram confirms" else store_age
+        confirmation_age = min(confirmation_age, age)
+    has_update = (
+        is_received
+        and reader_version > follower_version
+        and mutation != "updates are ignored"
+    )
+    is_unconfirmed = (
+        confirmation_age > CONFIRMATION_TTL_TICKS - 1
+        and mutation != "confirmations never expire"
+    )
+    if has_update or is_unconfirmed:
+        follower_version, confirmation_age = store_version, 0
+    label = "half a second passes" + (", a datagram is lost" if is_lost else "")
+    return label, (
+        ticks_since_change,
+        reader_version,
+        follower_version,
+        reader_status,
+        store_age,
+        confirmation_age,
+    )
--- a/models/lease.py
+++ b/models/lease.py
@@ -2,153 +2,220 @@
 Model of the lease
 ==================
 
-Two contenders with drifting polls, pauses between decision and order, and engines that
-check the fencing number or do not.
-
-Time passes in ticks.  A holder stops by itself after ``HOLD`` ticks, a watcher takes
-over after ``EXPIRY`` ticks without a change.  State: the row's holder and fencing,
-ticks since the holder's last renewal, each contender's belief, an order on its way with
-its number, the engine's state.
+Two candidates whose polls drift and which may be paused between a decision and the load
+command that follows from it, and an engine that checks the fencing token or does not.
+
+Time passes in ticks.  A holder stops ``RENEW_DEADLINE_TICKS`` after its last renewal, a
+candidate takes over after ``EXPIRY`` ticks without a change.  State variables: the
+row's fencing token; the ticks since the last renewal; for each candidate the ticks
+until its renew deadline and its fencing token; the token of the load command in flight
+(0 for none) and the ticks since it was sent; and the highest token of a command that
+the engine executed (0 for none), or -1 after it executed an older command.
 """
 
 from collections.abc import Iterator
 
 from minicheck import Protocol
 
-HOLD = 2  # ticks
+RENEW_DEADLINE_TICKS = 2
 EXPIRY = 3  # ticks
-MAX_FENCING = 3
+MAX_FENCING_TOKEN = 3
 NOBODY = 0
-MISTAKES = (
+MUTATIONS = (
     "holder does not stop",
     "take over early",
-    "engine ignores the number",
-    "no wait",
+    "engine ignores the token",
+    "no wait before the first command",
 )
 
 State = tuple[int, int, int, int, int, int, int, int, int]
 
 
-def build(mistake: str = "", *, engine_checks: bool = True) -> Protocol:
+def build_protocol(mutation: str = "", *, engine_checks_token: bool = True) -> Protocol:
     """
-    Return the protocol.
+    Return the specification, or a mutant of it.
 
     Parameters
     ----------
-    mistake : str
-        One of ``MISTAKES``, or empty.
-    engine_checks : bool
-        Whether the engine refuses an old number; if not, the new holder waits before it
-        orders, and only an order that was paused in flight for longer is left possible.
+    mutation : str
+        One of ``MUTATIONS``; empty for the specification itself.
+    engine_checks_token : bool
+        Whether the engine rejects commands with an older fencing token.  If not, a new
+        holder waits before its first command, so that only a command that is delayed
+        for longer than the wait can arrive after it; the model excludes such delays.
     """
-    checks = engine_checks and mistake != "engine ignores the number"
-    waits = not engine_checks and mistake != "no wait"
-    kind = "fencing" if engine_checks else "non-fencing"
+    engine_rejects = engine_checks_token and mutation != "engine ignores the token"
+    holder_waits = (
+        not engine_checks_token and mutation != "no wait before the first command"
+    )
+    engine_kind = "fencing" if engine_checks_token else "non-fencing"
     return Protocol(
-        name=f"lease, {kind} engine {mistake}".strip(),
+        name=f"lease, {engine_kind} engine {mutation}".strip(),
         candidate=False,
         fields=(
-            "fencing", "age", "valid_1", "valid_2", "number_1", "number_2",
-            "flight", "flight_age", "engine",
+            "row_token", "renewal_age", "remaining_1", "remaining_2",
+            "token_1", "token_2", "in_flight_token", "in_flight_age", "engine_token",
         ),
-        initial=(1, 0, HOLD, 0, 1, 0, 0, 0, 0),
+        initial=(1, 0, RENEW_DEADLINE_TICKS, 0, 1, 0, 0, 0, 0),
         transitions=lambda state: list(
-            _transitions(state, mistake, checks, waits, not engine_checks)
+            _transitions(
+                state, mutation, engine_rejects, holder_waits, not engine_checks_token
+            )
         ),
         invariants={
             "one holder at a time": lambda d: not (
-                _acts(d["valid_1"], mistake, d["number_1"])
-                and _acts(d["valid_2"], mistake, d["number_2"])
-                and d["number_1"] != d["number_2"]
-                and d["number_1"] > 0
-                and d["number_2"] > 0
+                _may_command(d["remaining_1"], mutation, d["token_1"])
+                and _may_command(d["remaining_2"], mutation, d["token_2"])
+                and d["token_1"] != d["token_2"]
+                and d["token_1"] > 0
+                and d["token_2"] > 0
             ),
-            "an old order never follows a newer one": lambda d: d["engine"] >= 0,
+            "no older command after a newer one": lambda d: d["engine_token"] >= 0,
         },
-        goal=lambda d: d["engine"] > 0 or d["fencing"] == MAX_FENCING,
+        goal=lambda d: d["engine_token"] > 0 or d["row_token"] == MAX_FENCING_TOKEN,
     )  # fmt: skip
 
 
-def _acts(valid: int, mistake: str, number: int) -> bool:
-    return number > 0 and (valid > 0 or mistake == "holder does not stop")
+def _may_command(remaining: int, mutation: str, token: int) -> bool:
+    return token > 0 and (remaining > 0 or mutation == "holder does not stop")
 
 
 def _transitions(
-    state: State, mistake: str, checks: bool, waits: bool, bounded: bool
+    state: State,
+    mutation: str,
+    engine_rejects: bool,
+    holder_waits: bool,
+    is_delay_bounded: bool,
 ) -> Iterator[tuple[str, State]]:
-    yield from _time(state, bounded)
-    for who in (1, 2):
-        yield from _contend(state, who, mistake)
-        yield from _order(state, who, mistake, waits)
-    yield from _arrive(state, checks)
+    yield from _tick_transitions(state, is_delay_bounded)
+    for candidate in (1, 2):
+        yield from _candidate_transitions(state, candidate, mutation)
+        yield from _command_transitions(state, candidate, mutation, holder_waits)
+    yield from _arrival_transitions(state, engine_rejects)
 
 
-def _time(state: State, bounded: bool) -> Iterator[tuple[str, State]]:
-    fencing, age, valid_1, valid_2, number_1, number_2, flight, flight_age, engine = (
-        state
-    )
-    # Without fencing, an order is assumed to arrive within EXPIRY of being sent.
-    if flight and bounded and flight_age >= EXPIRY:
+def _tick_transitions(
+    state: State, is_delay_bounded: bool
+) -> Iterator[tuple[str, State]]:
+    (
+        row_token,
+        renewal_age,
+        remaining_1,
+        remaining_2,
+        token_1,
+        token_2,
+        in_flight_token,
+        in_flight_age,
+        engine_token,
+    ) = state
+    # Without fencing, a command is assumed to arrive within EXPIRY of being sent.
+    if in_flight_token and is_delay_bounded and in_flight_age >= EXPIRY:
         return
-    aged = min(flight_age + 1, EXPIRY) if flight else 0
+    new_in_flight_age = min(in_flight_age + 1, EXPIRY) if in_flight_token else 0
     yield "tick", (
-        fencing, min(age + 1, 2 * EXPIRY), max(0, valid_1 - 1), max(0, valid_2 - 1),
-        number_1, number_2, flight, aged, engine,
+        row_token, min(renewal_age + 1, 2 * EXPIRY),
+        max(0, remaining_1 - 1), max(0, remaining_2 - 1),
+        token_1, token_2, in_flight_token, new_in_flight_age, engine_token,
     )  # fmt: skip
 
 
-def _contend(state: State, who: int, mistake: str) -> Iterator[tuple[str, State]]:
-    fencing, age, valid_1, valid_2, number_1, number_2, flight, flight_age, engine = (
-        state
-    )
-    number = (number_1, number_2)[who - 1]
-    valid = (valid_1, valid_2)[who - 1]
-    if number == fencing and _acts(valid, mistake, number):
-        new = (HOLD, valid_2) if who == 1 else (valid_1, HOLD)
-        yield f"{who} renews", (
-            fencing, 0, *new, number_1, number_2, flight, flight_age, engine,
+def _candidate_transitions(
+    state: State, candidate: int, mutation: str
+) -> Iterator[tuple[str, State]]:
+    (
+        row_token,
+        renewal_age,
+        remaining_1,
+        remaining_2,
+        token_1,
+        token_2,
+        in_flight_token,
+        in_flight_age,
+        engine_token,
+    ) = state
+    token = (token_1, token_2)[candidate - 1]
+    remaining = (remaining_1, remaining_2)[candidate - 1]
+    if token == row_token and _may_command(remaining, mutation, token):
+        remaining_ticks = (
+            (RENEW_DEADLINE_TICKS, remaining_2)
+            if candidate == 1
+            else (remaining_1, RENEW_DEADLINE_TICKS)
+        )
+        yield f"{candidate} renews", (
+            row_token, 0, *remaining_ticks, token_1, token_2, in_flight_token,
+            in_flight_age, engine_token,
         )  # fmt: skip
-    early = 1 if mistake == "take over early" else EXPIRY
-    if number != fencing and age >= early and fencing < MAX_FENCING:
-        new = (HOLD, valid_2) if who == 1 else (valid_1, HOLD)
-        numbers = (fencing + 1, number_2) if who == 1 else (number_1, fencing + 1)
-        yield f"{who} takes over", (
-            fencing + 1, 0, *new, *numbers, flight, flight_age, engine,
+    min_age = 1 if mutation == "take over early" else EXPIRY
+    if token != row_token and renewal_age >= min_age and row_token < MAX_FENCING_TOKEN:
+        remaining_ticks = (
+            (RENEW_DEADLINE_TICKS, remaining_2)
+            if candidate == 1
+            else (remaining_1, RENEW_DEADLINE_TICKS)
+        )
+        tokens = (
+            (row_token + 1, token_2) if candidate == 1 else (token_1, row_token + 1)
+        )
+        yield f"{candidate} takes over", (
+            row_token + 1, 0, *remaining_ticks, *tokens, in_flight_token,
+            in_flight_age, engine_token,
         )  # fmt: skip
 
 
-def _order(
-    state: State, who: int, mistake: str, waits: bool
+def _command_transitions(
+    state: State, candidate: int, mutation: str, holder_waits: bool
 ) -> Iterator[tuple[str, State]]:
-    """Send an order; it may be paused on its way."""
-    fencing, age, valid_1, valid_2, number_1, number_2, flight, flight_age, engine = (
-        state
-    )
-    number = (number_1, number_2)[who - 1]
-    valid = (valid_1, valid_2)[who - 1]
-    if not _acts(valid, mistake, number):
+    """Yield the sending of a load command, which may be delayed in flight."""
+    (
+        row_token,
+        renewal_age,
+        remaining_1,
+        remaining_2,
+        token_1,
+        token_2,
+        in_flight_token,
+        in_flight_age,
+        engine_token,
+    ) = state
+    token = (token_1, token_2)[candidate - 1]
+    remaining = (remaining_1, remaining_2)[candidate - 1]
+    if not _may_command(remaining, mutation, token):
         return
-    if not flight:
-        yield f"{who} orders", (
-            fencing, age, valid_1, valid_2, number_1, number_2, number, 0, engine,
+    if not in_flight_token:
+        yield f"{candidate} sends a command", (
+            row_token, renewal_age, remaining_1, remaining_2, token_1, token_2, token,
+            0, engine_token,
         )  # fmt: skip
-    # Without fencing the new holder's first order comes only after a wait, by which the
-    # old holder's has arrived; with it, both may be under way and the engine tells.
-    if not waits:
-        yield f"{who} orders and it arrives first", (
-            fencing, age, valid_1, valid_2, number_1, number_2, flight, flight_age,
-            max(number, engine),
+    # Without fencing, a new holder sends its first command after a wait, by the end of
+    # which the old holder's command has arrived.  With fencing, both commands may be in
+    # flight, and the engine rejects the older one.
+    if not holder_waits:
+        yield f"{candidate} sends a command that arrives first", (
+            row_token, renewal_age, remaining_1, remaining_2, token_1, token_2,
+            in_flight_token, in_flight_age, max(token, engine_token),
         )  # fmt: skip
 
 
-def _arrive(state: State, checks: bool) -> Iterator[tuple[str, State]]:
-    fencing, age, valid_1, valid_2, number_1, number_2, flight, _, engine = state
-    if not flight:
+def _arrival_transitions(
+    state: State, engine_rejects: bool
+) -> Iterator[tuple[str, State]]:
+    (
+        row_token,
+        renewal_age,
+        remaining_1,
+        remaining_2,
+        token_1,
+        token_2,
+        in_flight_token,
+        _,
+        engine_token,
+    ) = state
+    if not in_flight_token:
         return
-    if flight >= engine:
-        after = flight
+    if in_flight_token >= engine_token:
+        new_engine_token = in_flight_token
     else:
-        after = engine if checks else -1
-    yield "order arrives", (
-        fencing, age, valid_1, valid_2, number_1, number_2, 0, 0, after,
+        new_engine_token = engine_token if engine_rejects else -1
+    yield "the command in flight arrives", (
+        row_token, renewal_age, remaining_1, remaining_2, token_1, token_2, 0, 0,
+        new_engine_token,
     )  # fmt: skip
--- a/models/manifest.py
+++ b/models/manifest.py
@@ -2,11 +2,13 @@
 Model of the manifest
 =====================
 
-Two publishers that race with a store that loses answers, and two entries, one of which
-restarts.
+Two publishers that race at a store that may lose writes and responses, and two entries,
+one of which restarts.
 
-State: the manifest's version and last publication, each publisher's base, phase and
-version, and the versions in force at the entries.
+State variables: the history, each publisher's phase and the version that its
+publication is based on, and for each entry the active version and the highest one that
+it had before.  The history holds the names of the publications in the order of
+versions; ``!`` marks one that was overwritten.
 """
 
 from collections.abc import Iterator
@@ -14,128 +16,157 @@
 from minicheck import Protocol
 
 MAX_VERSION = 3
-IDLE, READ, UNSURE, TOLD_DONE, TOLD_CONFLICT = (
+IDLE, READ, UNCONFIRMED, SUCCEEDED, CONFLICTED = (
     "idle",
     "read",
-    "unsure",
+    "unconfirmed",
     "done",
     "conflict",
 )
-MISTAKES = (
-    "no condition",
+MUTATIONS = (
+    "write without a condition",
     "read back the manifest",
-    "take any version",
-    "repeat blindly",
+    "activate any version",
+    "repeat without reading back",
 )
 
 State = tuple[tuple[str, ...], str, str, int, int, int, int, int, int]
 
 
-def build(mistake: str = "") -> Protocol:
+def build_protocol(mutation: str = "") -> Protocol:
     """
-    Return the protocol; history is the list of publications in the order of versions.
+    Return the specification, or a mutant of it.
 
     Parameters
     ----------
-    mistake : str
-        One of ``MISTAKES``, or empty.
+    mutation : str
+        One of ``MUTATIONS``; empty for the specification itself.
     """
     return Protocol(
-        name=f"manifest {mistake}".strip(),
+        name=f"manifest {mutation}".strip(),
         candidate=False,
         fields=(
-            "history", "phase_1", "phase_2", "base_1", "base_2",
-            "entry_1", "entry_2", "peak_1", "peak_2",
+            "history", "phase_1", "phase_2", "base_version_1", "base_version_2",
+            "entry_version_1", "entry_version_2", "max_version_1", "max_version_2",
         ),
         initial=((), IDLE, IDLE, 0, 0, 0, 0, 0, 0),
-        transitions=lambda state: list(_transitions(state, mistake)),
+        transitions=lambda state: list(_transitions(state, mutation)),
         invariants={
-            "told done is in the history": lambda d: all(
-                phase != TOLD_DONE or name in d["history"]
+            "a reported success is in the history": lambda d: all(
+                phase != SUCCEEDED or name in d["history"]
                 for name, phase in (("1", d["phase_1"]), ("2", d["phase_2"]))
             ),
-            "told conflict changed nothing": lambda d: all(
-                phase != TOLD_CONFLICT or name not in d["history"]
+            "a reported conflict is not in the history": lambda d: all(
+                phase != CONFLICTED or name not in d["history"]
                 for name, phase in (("1", d["phase_1"]), ("2", d["phase_2"]))
             ),
-            "each publication once": lambda d: len(set(d["history"]))
+            "each publication has one version": lambda d: len(set(d["history"]))
             == len(d["history"]),
-            "no publication is overwritten unseen": lambda d: "!" not in d["history"],
-            "no entry goes back": lambda d: d["entry_1"] >= d["peak_1"]
-            and d["entry_2"] >= d["peak_2"],
+            "no publication is overwritten": lambda d: "!" not in d["history"],
+            "no entry activates an older version": lambda d: d["entry_version_1"]
+            >= d["max_version_1"]
+            and d["entry_version_2"] >= d["max_version_2"],
         },
-        goal=lambda d: d["phase_1"] in _ENDS and d["phase_2"] in _ENDS,
+        goal=lambda d: d["phase_1"] in _FINAL_PHASES and d["phase_2"] in _FINAL_PHASES,
     )  # fmt: skip
 
 
-_ENDS = (TOLD_DONE, TOLD_CONFLICT)
+_FINAL_PHASES = (SUCCEEDED, CONFLICTED)
 
 
-def _transitions(state: State, mistake: str) -> Iterator[tuple[str, State]]:
-    history, phase_1, phase_2, base_1, base_2, *entries = state
-    for label, new_history, phase, base in _publish(
-        "1", history, phase_1, base_1, mistake
+def _transitions(state: State, mutation: str) -> Iterator[tuple[str, State]]:
+    history, phase_1, phase_2, base_version_1, base_version_2, *entries = state
+    for label, new_history, phase, base_version in _publisher_transitions(
+        "1", history, phase_1, base_version_1, mutation
     ):
-        yield f"1 {label}", (new_history, phase, phase_2, base, base_2, *entries)  # type: ignore[misc]
-    for label, new_history, phase, base in _publish(
-        "2", history, phase_2, base_2, mistake
+        yield (
+            f"1 {label}",
+            (new_history, phase, phase_2, base_version, base_version_2, *entries),
+        )  # type: ignore[misc]
+    for label, new_history, phase, base_version in _publisher_transitions(
+        "2", history, phase_2, base_version_2, mutation
     ):
-        yield f"2 {label}", (new_history, phase_1, phase, base_1, base, *entries)  # type: ignore[misc]
-    yield from _entries(state, mistake)
+        yield (
+            f"2 {label}",
+            (new_history, phase_1, phase, base_version_1, base_version, *entries),
+        )  # type: ignore[misc]
+    yield from _entry_transitions(state, mutation)
 
 
-def _publish(
-    name: str, history: tuple[str, ...], phase: str, base: int, mistake: str
+def _publisher_transitions(
+    name: str, history: tuple[str, ...], phase: str, base_version: int, mutation: str
 ) -> Iterator[tuple[str, tuple[str, ...], str, int]]:
     if phase == IDLE:
         yield "reads", history, READ, len(history)
     if phase == READ:
-        moved = (*history, name)
-        if base != len(history) and mistake == "no condition":
-            moved = (*history[:base], "!", name)
-        if base == len(history) or mistake == "no condition":
-            yield "moves", moved, TOLD_DONE, base
-            yield "moves, answer lost", moved, UNSURE, base
+        new_history = (*history, name)
+        if base_version != len(history) and mutation == "write without a condition":
+            new_history = (*history[:base_version], "!", name)
+        if base_version == len(history) or mutation == "write without a condition":
+            yield "publishes", new_history, SUCCEEDED, base_version
+            yield "publishes, response lost", new_history, UNCONFIRMED, base_version
         else:
-            yield "conflicts", history, TOLD_CONFLICT, base
-        yield "write lost", history, UNSURE, base
-    if phase == UNSURE:
-        yield from _read_back(name, history, base, mistake)
+            yield "conflicts", history, CONFLICTED, base_version
+        yield "write lost", history, UNCONFIRMED, base_version
+    if phase == UNCONFIRMED:
+        yield from _read_back_transitions(name, history, base_version, mutation)
 
 
-def _read_back(
-    name: str, history: tuple[str, ...], base: int, mistake: str
+def _read_back_transitions(
+    name: str, history: tuple[str, ...], base_version: int, mutation: str
 ) -> Iterator[tuple[str, tuple[str, ...], str, int]]:
-    """Look at the history's row of the version that the move would have made."""
-    if mistake == "repeat blindly" and len(history) < MAX_VERSION:
-        yield "repeats", (*history, name), TOLD_DONE, base
-    elif mistake == "read back the manifest" and history:
-        done = history[-1] == name
-        yield "reads back", history, TOLD_DONE if done else TOLD_CONFLICT, base
-    elif len(history) > base:
-        done = history[base] == name
-        yield "reads back", history, TOLD_DONE if done else TOLD_CONFLICT, base
+    """Read the history's row of the version that the publication would have made."""
+    if mutation == "repeat without reading back" and len(history) < MAX_VERSION:
+        yield "repeats", (*history, name), SUCCEEDED, base_version
+    elif mutation == "read back the manifest" and history:
+        succeeded = history[-1] == name
+        yield (
+            "reads back",
+            history,
+            SUCCEEDED if succeeded else CONFLICTED,
+            base_version,
+        )
+    elif len(history) > base_version:
+        succeeded = history[base_version] == name
+        yield (
+            "reads back",
+            history,
+            SUCCEEDED if succeeded else CONFLICTED,
+            base_version,
+        )
     else:
-        yield "tries again", history, READ, base
-
-
-def _entries(state: State, mistake: str) -> Iterator[tuple[str, State]]:
-    history, phase_1, phase_2, base_1, base_2, entry_1, entry_2, peak_1, peak_2 = state
-    head = (history, phase_1, phase_2, base_1, base_2)
-    offers_1 = {len(history), entry_2}
-    offers_2 = {len(history), entry_1}
-    # A reading of the store may be old: any version up to the present one.
-    offers_1 |= set(range(len(history) + 1))
-    offers_2 |= set(range(len(history) + 1))
-    for offer in offers_1:
-        if offer > entry_1 or mistake == "take any version":
-            yield f"entry 1 takes {offer}", (
-                *head, offer, entry_2, max(peak_1, entry_1), peak_2,
+        yield "tries again", history, READ, base_version
+
+
+def _entry_transitions(state: State, mutation: str) -> Iterator[tuple[str, State]]:
+    (
+        history,
+        phase_1,
+        phase_2,
+        base_version_1,
+        base_version_2,
+        entry_version_1,
+        entry_version_2,
+        max_version_1,
+        max_version_2,
+    ) = state
+    publisher_state = (history, phase_1, phase_2, base_version_1, base_version_2)
+    readable_versions_1 = {len(history), entry_version_2}
+    readable_versions_2 = {len(history), entry_version_1}
+    # A read may be stale and return any version up to the current one.
+    readable_versions_1 |= set(range(len(history) + 1))
+    readable_versions_2 |= set(range(len(history) + 1))
+    for version in readable_versions_1:
+        if version > entry_version_1 or mutation == "activate any version":
+            yield f"entry 1 activates {version}", (
+                *publisher_state, version, entry_version_2,
+                max(max_version_1, entry_version_1), max_version_2,
             )  # fmt: skip
-    for offer in offers_2:
-        if offer > entry_2 or mistake == "take any version":
-            yield f"entry 2 takes {offer}", (
-                *head, entry_1, offer, peak_1, max(peak_2, entry_2),
+    for version in readable_versions_2:
+        if version > entry_version_2 or mutation == "activate any version":
+            yield f"entry 2 activates {version}", (
+                *publisher_state, entry_version_1, version, max_version_1,
+                max(max_version_2, entry_version_2),
             )  # fmt: skip
-    # A restarted entry has nothing and serves nothing until it takes a version.
-    yield "entry 2 restarts", (*head, entry_1, 0, peak_1, 0)
+    # A restarted entry has no version, and serves no requests until it activates one.
+    yield "entry 2 restarts", (*publisher_state, entry_version_1, 0, max_version_1, 0)
