--- a/bench/policies.py
+++ b/bench/policies.py
@@ -15,7 +15,7 @@
 
 import msgspec
 
-from bench.simulation import MAX_BATCH_SIZE, Engine, EngineRun, Simulator
+from bench.simulation import MAX_BATCH_SIZE, Engine, EngineRequest, Simulator
 from bench.workload import ENTRY_COUNT, Arrival, Deployment, Fault, Scenario
 from damasklead.cost_model import CostModel
 from damasklead.dispatching import PoolDispatcher
@@ -209,7 +209,9 @@
             elif isinstance(action, Cancel):
                 engine = self.engines[action.replica]
                 attempt = action.attempt
-                self.simulator.schedule(MESSAGE_DELAY_SECONDS, engine.cancel, attempt)
+                self.simulator.schedule(
+                    MESSAGE_DELAY_SECONDS, engine.cancel_request, attempt
+                )
             elif isinstance(action, Refuse):
                 self.records[action.request.id].is_refused = True
 
@@ -235,23 +237,25 @@
                 self._run_decision(
                     number, lambda: entry.complete_attempt(action.attempt)
                 )
-            elif run.is_rejected:
+            elif engine_request.is_rejected:
                 self._run_decision(
                     number, lambda: entry.fail_attempt(action.attempt, Failure.NOT_SENT)
                 )
             else:
                 self._handle_broken_connection(number, action)
 
-        run = EngineRun(
+        engine_request = EngineRequest(
             request=request,
             attempt=action.attempt,
-            remaining_tokens=arrival.response_tokens - request.generated_tokens,
+            remaining_tokens=arrival.output_tokens - request.generated_tokens,
             priority=request.tier,
             on_tokens=on_tokens,
             on_end=on_end,
         )
         engine = self.engines[action.replica]
-        self.simulator.schedule(MESSAGE_DELAY_SECONDS, lambda: engine.submit(run))
+        self.simulator.schedule(
+            MESSAGE_DELAY_SECONDS, lambda: engine.submit_request(engine_request)
+        )
 
     def _handle_broken_connection(self, number: int, action: Start) -> None:
         entry = self.entries[number]
@@ -332,7 +336,7 @@
         )
 
     def _send_load_report(self, coordinator: Coordinator, engine: Engine) -> None:
-        if engine.is_running and not self._are_reports_lost():
+        if engine.is_alive and not self._are_reports_lost():
             report = engine.build_load_report()
             self.simulator.schedule(
                 REPORT_DELAY_SECONDS,
@@ -389,8 +393,8 @@
 
     def choose_engine(self, arrival: Arrival) -> Engine:
         """Return the next running engine."""
-        running = [engine for engine in self.engines.values() if engine.is_running]
-        return running[self._attempt_count % len(running)]
+        alive_engines = [engine for engine in self.engines.values() if engine.is_alive]
+        return alive_engines[self._attempt_count % len(alive_engines)]
 
     def get_priority(self, arrival: Arrival) -> int:
         """Return the priority in the engine's queue."""
@@ -400,7 +404,7 @@
         """Record the end of an attempt."""
 
     def _send_attempt(self, arrival: Arrival, retry_count: int) -> None:
-        if not any(engine.is_running for engine in self.engines.values()):
+        if not any(engine.is_alive for engine in self.engines.values()):
             self.simulator.schedule(
                 TICK_SECONDS, lambda: self._send_attempt(arrival, retry_count)
             )
@@ -426,15 +430,17 @@
                     0.1, lambda: self._send_attempt(arrival, retry_count + 1)
                 )
 
-        run = EngineRun(
+        engine_request = EngineRequest(
             request=request,
             attempt=self.make_attempt_id(),
-            remaining_tokens=arrival.response_tokens,
+            remaining_tokens=arrival.output_tokens,
             priority=self.get_priority(arrival),
             on_tokens=on_tokens,
             on_end=on_end,
         )
-        self.simulator.schedule(MESSAGE_DELAY_SECONDS, lambda: engine.submit(run))
+        self.simulator.schedule(
+            MESSAGE_DELAY_SECONDS, lambda: engine.submit_request(engine_request)
+        )
 
 
 class LeastOutstanding(RoundRobin):
@@ -455,9 +461,11 @@
     def choose_engine(self, arrival: Arrival) -> Engine:
         """Return the engine with the fewest outstanding requests of the entry."""
         request_counts = self.request_counts[arrival.entry]
-        running = [name for name, engine in self.engines.items() if engine.is_running]
+        alive_engines = [
+            name for name, engine in self.engines.items() if engine.is_alive
+        ]
         chosen = min(
-            running, key=lambda name: (request_counts[name], self.random.random())
+            alive_engines, key=lambda name: (request_counts[name], self.random.random())
         )
         request_counts[chosen] += 1
         return self.engines[chosen]
@@ -517,7 +525,7 @@
         available_engines = [
             engine
             for engine in self.engines.values()
-            if engine.is_running
+            if engine.is_alive
             and engine.request_count < TARGET_BATCH_SIZE
             and (engine.slowdown_factor < 2.0 or self._queue[0][0] == 5)
         ]
@@ -536,7 +544,7 @@
             return False
         _, attempt = max(lower)
         arrival, engine = self._running.pop(attempt)
-        engine.cancel(attempt)
+        engine.cancel_request(attempt)
         self._enqueue(arrival)
         return True
 
@@ -558,15 +566,15 @@
                 self._enqueue(arrival)
             self._start_queued_requests()
 
-        run = EngineRun(
+        engine_request = EngineRequest(
             request=request,
             attempt=attempt,
-            remaining_tokens=arrival.response_tokens - request.generated_tokens,
+            remaining_tokens=arrival.output_tokens - request.generated_tokens,
             priority=request.tier,
             on_tokens=on_tokens,
             on_end=on_end,
         )
-        engine.submit(run)
+        engine.submit_request(engine_request)
 
 
 POLICIES: tuple[type[Policy], ...] = (
--- a/bench/policy.py
+++ b/bench/policy.py
@@ -105,7 +105,7 @@
     policy.start()
     for arrival in generate_arrivals(job.deployment, job.scenario, job.seed):
         policy.records[arrival.request.id] = RequestRecord(arrival=copy.copy(arrival))
-        simulator.schedule(arrival.arrival_time, policy.submit, arrival)
+        simulator.schedule(arrival.arrived_at, policy.submit, arrival)
     _schedule_faults(simulator, job.scenario, list(engines.values()))
     simulator.run_until(HORIZON_SECONDS + DRAIN_SECONDS)
     return _make_result(job, policy, list(engines.values()))
@@ -143,7 +143,7 @@
                 else record.first_token_at
             )
             waits[name] = max(
-                waits.get(name, 0.0), first_token_at - record.arrival.arrival_time
+                waits.get(name, 0.0), first_token_at - record.arrival.arrived_at
             )
     generated_tokens = sum(engine.generated_tokens for engine in engines)
     seconds = HORIZON_SECONDS + DRAIN_SECONDS
@@ -168,18 +168,16 @@
 def _meets_targets(record: RequestRecord) -> bool | None:
     """Return whether a response met its targets; ``None`` if undecided at the end."""
     request_class = record.arrival.request.request_class
-    arrival_time = record.arrival.arrival_time
+    arrived_at = record.arrival.arrived_at
     end = HORIZON_SECONDS + DRAIN_SECONDS
     if record.is_refused:
         return False
     if request_class.first_token_target is not None:
         if record.first_token_at is None:
             return (
-                None
-                if end - arrival_time <= request_class.first_token_target
-                else False
+                None if end - arrived_at <= request_class.first_token_target else False
             )
-        if record.first_token_at - arrival_time > request_class.first_token_target:
+        if record.first_token_at - arrived_at > request_class.first_token_target:
             return False
         if (
             record.completed_at is not None
@@ -193,8 +191,8 @@
         return None
     assert request_class.response_target is not None
     if record.completed_at is not None:
-        return record.completed_at - arrival_time <= request_class.response_target
-    return False if end - arrival_time > request_class.response_target else None
+        return record.completed_at - arrived_at <= request_class.response_target
+    return False if end - arrived_at > request_class.response_target else None
 
 
 def main() -> None:
--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -28,7 +28,7 @@
 RESTART_SECONDS = 20.0
 
 
-class EngineRun(msgspec.Struct, kw_only=True):
+class EngineRequest(msgspec.Struct, kw_only=True):
     """
     An attempt at an engine.
 
@@ -76,7 +76,7 @@
         Factor on the time of each step; 1 is the normal speed.
     generated_tokens : int
         Total number of tokens generated.
-    is_running : bool
+    is_alive : bool
         False from a crash until the restart.
     incarnation : int
         Number of the current start, from 1.
@@ -88,12 +88,12 @@
         self.name = name
         self.slowdown_factor = 1.0
         self.generated_tokens = 0
-        self.is_running = True
+        self.is_alive = True
         self.incarnation = 1
         self.crash_count = 0
         self._simulator = simulator
-        self._running: dict[AttemptId, EngineRun] = {}
-        self._waiting: list[tuple[int, int, EngineRun]] = []
+        self._running: dict[AttemptId, EngineRequest] = {}
+        self._waiting: list[tuple[int, int, EngineRequest]] = []
         self._cancelled: set[AttemptId] = set()
         self._cache: OrderedDict[str, None] = OrderedDict()
         self._sequence = 0
@@ -114,21 +114,23 @@
             token_gap=self._token_gap if self._running else 0.0,
         )
 
-    def submit(self, run: EngineRun) -> None:
+    def submit_request(self, engine_request: EngineRequest) -> None:
         """Queue an attempt; an engine that is down rejects it at once."""
-        if not self.is_running:
-            run.is_rejected = True
-            run.on_end(False)
+        if not self.is_alive:
+            engine_request.is_rejected = True
+            engine_request.on_end(False)
             return
         self._sequence += 1
-        heapq.heappush(self._waiting, (run.priority, self._sequence, run))
+        heapq.heappush(
+            self._waiting, (engine_request.priority, self._sequence, engine_request)
+        )
         self._start_stepping()
 
-    def cancel(self, attempt: AttemptId) -> None:
+    def cancel_request(self, attempt: AttemptId) -> None:
         """Cancel an attempt without a call of its ``on_end``."""
-        run = self._running.pop(attempt, None)
-        if run is not None:
-            self._report_tokens(run)
+        engine_request = self._running.pop(attempt, None)
+        if engine_request is not None:
+            self._report_tokens(engine_request)
             return
         self._cancelled.add(attempt)
 
@@ -138,16 +140,16 @@
         self._running.clear()
         self._waiting.clear()
         self._cache.clear()
-        self.is_running = False
+        self.is_alive = False
         self.crash_count += 1
-        for run in broken:
-            if run.attempt not in self._cancelled:
-                self._report_tokens(run)
-                run.on_end(False)
+        for engine_request in broken:
+            if engine_request.attempt not in self._cancelled:
+                self._report_tokens(engine_request)
+                engine_request.on_end(False)
         self._simulator.schedule(RESTART_SECONDS, self._restart)
 
     def _restart(self) -> None:
-        self.is_running = True
+        self.is_alive = True
         self.incarnation += 1
 
     def _start_stepping(self) -> None:
@@ -158,12 +160,12 @@
     def _begin_step(self) -> None:
         prefill_tokens = 0.0
         while self._waiting and len(self._running) < MAX_BATCH_SIZE:
-            run = heapq.heappop(self._waiting)[2]
-            if run.attempt in self._cancelled:
-                self._cancelled.discard(run.attempt)
+            engine_request = heapq.heappop(self._waiting)[2]
+            if engine_request.attempt in self._cancelled:
+                self._cancelled.discard(engine_request.attempt)
                 continue
-            self._running[run.attempt] = run
-            prefill_tokens += self._compute_prefill_tokens(run)
+            self._running[engine_request.attempt] = engine_request
+            prefill_tokens += self._compute_prefill_tokens(engine_request)
         if not self._running:
             self._is_stepping = False
             return
@@ -176,40 +178,40 @@
         self._simulator.schedule(step, self._end_step, incarnation)
 
     def _end_step(self, incarnation: int) -> None:
-        if not self.is_running or incarnation != self.incarnation:
+        if not self.is_alive or incarnation != self.incarnation:
             self._is_stepping = False
             return
-        for run in list(self._running.values()):
-            if run.attempt not in self._running:
+        for engine_request in list(self._running.values()):
+            if engine_request.attempt not in self._running:
                 continue
-            if run.request.fingerprint.startswith("poison"):
+            if engine_request.request.fingerprint.startswith("poison"):
                 self._is_stepping = False
                 self.crash()
                 return
-            run.generated_tokens += 1
+            engine_request.generated_tokens += 1
             self.generated_tokens += 1
-            if run.generated_tokens >= run.remaining_tokens:
-                del self._running[run.attempt]
-                self._report_tokens(run)
-                run.on_end(True)
+            if engine_request.generated_tokens >= engine_request.remaining_tokens:
+                del self._running[engine_request.attempt]
+                self._report_tokens(engine_request)
+                engine_request.on_end(True)
             elif (
-                run.generated_tokens == 1
-                or run.generated_tokens % REPORT_INTERVAL_TOKENS == 0
+                engine_request.generated_tokens == 1
+                or engine_request.generated_tokens % REPORT_INTERVAL_TOKENS == 0
             ):
-                self._report_tokens(run)
+                self._report_tokens(engine_request)
         self._begin_step()
 
-    def _report_tokens(self, run: EngineRun) -> None:
-        new_tokens, run.reported_tokens = (
-            run.generated_tokens - run.reported_tokens,
-            run.generated_tokens,
+    def _report_tokens(self, engine_request: EngineRequest) -> None:
+        new_tokens, engine_request.reported_tokens = (
+            engine_request.generated_tokens - engine_request.reported_tokens,
+            engine_request.generated_tokens,
         )
         if new_tokens:
-            run.on_tokens(new_tokens)
+            engine_request.on_tokens(new_tokens)
 
-    def _compute_prefill_tokens(self, run: EngineRun) -> float:
+    def _compute_prefill_tokens(self, engine_request: EngineRequest) -> float:
         """Return the tokens to prefill, and add the prefix to the cache."""
-        request = run.request
+        request = engine_request.request
         context_tokens = float(request.prompt_tokens + request.generated_tokens)
         cached = request.prefix in self._cache
         self._cache[request.prefix] = None
--- a/bench/workload.py
+++ b/bench/workload.py
@@ -51,7 +51,7 @@
         The class.
     rate : float
         Mean rate in requests/s.
-    mean_response_tokens : float
+    mean_output_tokens : float
         Mean length of the responses in tokens.
     mean_prompt_tokens : int
         Mean length of the prompts in tokens.
@@ -59,7 +59,7 @@
 
     request_class: RequestClass
     rate: float
-    mean_response_tokens: float
+    mean_output_tokens: float
     mean_prompt_tokens: int
 
 
@@ -139,25 +139,25 @@
             request_class=_make_request_class(
                 "dispatch-query", 1, first_token_target=0.34, token_gap_target=0.026
             ),
-            rate=10.0, mean_response_tokens=120.0, mean_prompt_tokens=600,
+            rate=10.0, mean_output_tokens=120.0, mean_prompt_tokens=600,
         ),
         ClassLoad(
             request_class=_make_request_class(
                 "transcript", 2, first_token_target=1.0, token_gap_target=0.04
             ),
-            rate=5.0, mean_response_tokens=200.0, mean_prompt_tokens=900,
+            rate=5.0, mean_output_tokens=200.0, mean_prompt_tokens=900,
         ),
         ClassLoad(
             request_class=_make_request_class(
                 "quotation", 3, response_target=30.0, minimum_share=0.03
             ),
-            rate=5.0, mean_response_tokens=300.0, mean_prompt_tokens=800,
+            rate=5.0, mean_output_tokens=300.0, mean_prompt_tokens=800,
         ),
         ClassLoad(
             request_class=_make_request_class(
                 "contract-reading", 5, response_target=500.0, minimum_share=0.02
             ),
-            rate=5.0, mean_response_tokens=800.0, mean_prompt_tokens=2000,
+            rate=5.0, mean_output_tokens=800.0, mean_prompt_tokens=2000,
         ),
     ),
 )  # fmt: skip
@@ -170,19 +170,19 @@
             request_class=_make_request_class(
                 "folder-guidance", 1, first_token_target=0.34, token_gap_target=0.026
             ),
-            rate=5.0, mean_response_tokens=150.0, mean_prompt_tokens=500,
+            rate=5.0, mean_output_tokens=150.0, mean_prompt_tokens=500,
         ),
         ClassLoad(
             request_class=_make_request_class(
                 "quick-question", 2, first_token_target=1.0, token_gap_target=0.04
             ),
-            rate=5.0, mean_response_tokens=150.0, mean_prompt_tokens=400,
+            rate=5.0, mean_output_tokens=150.0, mean_prompt_tokens=400,
         ),
         ClassLoad(
             request_class=_make_request_class(
                 "overnight-review", 5, response_target=900.0, minimum_share=0.02
             ),
-            rate=2.0, mean_response_tokens=1500.0, mean_prompt_tokens=3000,
+            rate=2.0, mean_output_tokens=1500.0, mean_prompt_tokens=3000,
         ),
     ),
 )  # fmt: skip
@@ -218,20 +218,20 @@
 
     Attributes
     ----------
-    arrival_time : float
+    arrived_at : float
         Time of the arrival, in seconds from the start of the run.
     entry : int
         Number of the entry.
     request : Request
         The request.
-    response_tokens : int
+    output_tokens : int
         Length of the response in tokens, which only the engine knows in advance.
     """
 
-    arrival_time: float
+    arrived_at: float
     entry: int
     request: Request
-    response_tokens: int
+    output_tokens: int
 
 
 def generate_arrivals(
@@ -241,24 +241,24 @@
     source = random.Random(f"{deployment.name} {scenario.name} {seed}")
     number = 0
     for load in deployment.loads:
-        arrival_time = 0.0
+        arrived_at = 0.0
         while True:
             rate = load.rate * _compute_rate_factor(
-                scenario, load.request_class.tier, arrival_time
+                scenario, load.request_class.tier, arrived_at
             )
-            arrival_time += source.expovariate(rate)
-            if arrival_time >= HORIZON_SECONDS:
+            arrived_at += source.expovariate(rate)
+            if arrived_at >= HORIZON_SECONDS:
                 break
             number += 1
-            yield _make_arrival(source, scenario, load, arrival_time, number)
+            yield _make_arrival(source, scenario, load, arrived_at, number)
     if Fault.CULPRIT in scenario.faults:
         for index in range(1, int(HORIZON_SECONDS / CULPRIT_INTERVAL_SECONDS)):
             yield _make_culprit_arrival(source, scenario, deployment, index)
 
 
-def _compute_rate_factor(scenario: Scenario, tier: int, arrival_time: float) -> float:
+def _compute_rate_factor(scenario: Scenario, tier: int, arrived_at: float) -> float:
     rate_factor = scenario.base_factors.get(tier, 1.0)
-    if BURST_SECONDS[0] <= arrival_time < BURST_SECONDS[1]:
+    if BURST_SECONDS[0] <= arrived_at < BURST_SECONDS[1]:
         rate_factor *= scenario.burst_factors.get(tier, 1.0)
     return rate_factor
 
@@ -267,7 +267,7 @@
     source: random.Random,
     scenario: Scenario,
     load: ClassLoad,
-    arrival_time: float,
+    arrived_at: float,
     number: int,
 ) -> Arrival:
     workspace = min(int(source.expovariate(0.5)), WORKSPACE_COUNT - 1)
@@ -276,19 +276,19 @@
         id=RequestId(f"r{number}"),
         workspace=WorkspaceId(f"w{workspace}"),
         request_class=load.request_class,
-        arrival=arrival_time,
+        arrival=arrived_at,
         prompt_tokens=int(load.mean_prompt_tokens * source.uniform(0.5, 1.5)),
         prefix=f"{load.request_class.name}-{workspace}-{prefix}",
         fingerprint=Fingerprint(f"f{number}"),
     )
-    response_tokens = max(
-        5, int(source.lognormvariate(0.0, 0.6) * load.mean_response_tokens * 0.835)
+    output_tokens = max(
+        5, int(source.lognormvariate(0.0, 0.6) * load.mean_output_tokens * 0.835)
     )
     return Arrival(
-        arrival_time=arrival_time,
+        arrived_at=arrived_at,
         entry=_choose_entry(source, scenario),
         request=request,
-        response_tokens=response_tokens,
+        output_tokens=output_tokens,
     )
 
 
