--- a/bench/datapath.py
+++ b/bench/datapath.py
@@ -16,7 +16,7 @@
 import gevent
 import msgspec
 
-from damasklead.demo.local import KEYS
+from damasklead.demo.local import WORKSPACE_KEYS
 from damasklead.upstreams import ConnectionPool
 from damasklead.upstreams.transport import send_request
 from tests.processes import Deployment
@@ -48,7 +48,7 @@
             "stream": stream,
         }
         headers = (
-            ("Authorization", f"Bearer {KEYS['skippers']}"),
+            ("Authorization", f"Bearer {WORKSPACE_KEYS['skippers']}"),
             ("X-Request-ID", f"bench-{number}"),
         )
         started_at = time.perf_counter()
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -14,7 +14,7 @@
 
 import gevent
 
-from damasklead.demo.traffic import Received, Verdict
+from damasklead.demo.traffic import ReceivedResponse, Verdict
 from tests.processes import Deployment
 
 REVIEW_COUNT = 120
@@ -42,17 +42,17 @@
         planning = deployment.caller("planning", "entry-0", "entry-1")
         skippers = deployment.caller("skippers", "entry-0", "entry-1")
 
-        def review(number: int) -> Received:
+        def review(number: int) -> ReceivedResponse:
             prompt = f"review {number}"
-            return planning.complete(
-                "review", prompt, tokens=REVIEW_TOKENS, stream=True, model=MODEL
+            return planning.send_completion(
+                "review", prompt, max_tokens=REVIEW_TOKENS, stream=True, model=MODEL
             )
 
-        def query(number: int) -> Received:
+        def query(number: int) -> ReceivedResponse:
             gevent.sleep(source.uniform(0, BURST_SECONDS))
             prompt = f"query {number}"
-            return skippers.complete(
-                "query", prompt, tokens=QUERY_TOKENS, stream=True, model=MODEL
+            return skippers.send_completion(
+                "query", prompt, max_tokens=QUERY_TOKENS, stream=True, model=MODEL
             )
 
         reviews = [gevent.spawn(review, number) for number in range(REVIEW_COUNT)]
@@ -66,12 +66,16 @@
         )
 
 
-def print_result(name: str, queries: list[Received], reviews: list[Received]) -> None:
+def print_result(
+    name: str, queries: list[ReceivedResponse], reviews: list[ReceivedResponse]
+) -> None:
     """Print the attainment of the highest tier and the number of complete reviews."""
-    complete = [item for item in queries if item.verdict is Verdict.WHOLE]
-    in_time_count = sum(item.first <= FIRST_TOKEN_TARGET_SECONDS for item in complete)
-    slowest_seconds = max(item.first for item in complete)
-    complete_reviews = sum(item.verdict is Verdict.WHOLE for item in reviews)
+    complete = [item for item in queries if item.verdict is Verdict.COMPLETE]
+    in_time_count = sum(
+        item.first_byte_seconds <= FIRST_TOKEN_TARGET_SECONDS for item in complete
+    )
+    slowest_seconds = max(item.first_byte_seconds for item in complete)
+    complete_reviews = sum(item.verdict is Verdict.COMPLETE for item in reviews)
     print(
         f"{name}: queries {len(queries)}, whole {len(complete)}, first token in time "
         f"{100 * in_time_count / len(queries):.1f} %, slowest {slowest_seconds:.2f} s; "
--- a/bench/store.py
+++ b/bench/store.py
@@ -63,8 +63,12 @@
     before = fetch_call_counts(deployment).get("CommitCall", 0)
     for number in range(ORDER_COUNT):
         body = msgspec.json.encode({"reference": f"o{number}"})
-        caller.send(
-            "o", "POST", "/services/demo-app/orders", body=body, key=f"k{number}"
+        caller.perform_request(
+            "o",
+            "POST",
+            "/services/demo-app/orders",
+            body=body,
+            idempotency_key=f"k{number}",
         )
     gevent.sleep(1.0)
     commits = fetch_call_counts(deployment).get("CommitCall", 0) - before
--- a/damasklead/demo/__init__.py
+++ b/damasklead/demo/__init__.py
@@ -2,8 +2,8 @@
 Demonstration
 =============
 
-The whole path in one process, with stand-ins, faults and callers that check what they
-get.
+Sends traffic through an entry to stand-ins, all in one process, with injected faults
+and callers that check the responses.
 """
 
 from damasklead.demo.run import run_demo
--- a/damasklead/demo/local.py
+++ b/damasklead/demo/local.py
@@ -1,8 +1,8 @@
 """
-A deployment on this machine
-============================
+Local deployment
+================
 
-Addresses, records, settings and configuration for trials on loopback.
+Addresses, instance records, settings and configuration for deployments on loopback.
 """
 
 import itertools
@@ -18,79 +18,97 @@
 from damasklead.stores.base import InstanceRecord
 
 __all__ = [
-    "KEYS",
-    "configuration_files",
-    "free_address",
-    "local_record",
-    "settings_text",
+    "WORKSPACE_KEYS",
+    "make_configuration_files",
+    "find_free_address",
+    "make_local_record",
+    "make_settings_text",
 ]
 
-KEYS = {
+WORKSPACE_KEYS = {  # bearer keys by workspace
     "skippers": "skippers.quay",
     "gumming-line": "gumming-line.folder",
     "processors": "processors.fish",
     "planning": "planning.paper",
 }
-SALT = "00" * 8
-PLACE = "local"
+KEY_SALT = "00" * 8
+LOCATION = "local"
 SERVICE_FILES = ("demo-llm.damasklead.json", "demo-app.damasklead.json")
 FIRST_PORT = 12_000
-PORTS = 10_000
+PORT_COUNT = 10_000
 
-_PORTS = itertools.cycle(
-    range(FIRST_PORT + os.getpid() * 50 % PORTS, FIRST_PORT + 2 * PORTS)
+_CANDIDATE_PORTS = itertools.cycle(
+    range(FIRST_PORT + os.getpid() * 50 % PORT_COUNT, FIRST_PORT + 2 * PORT_COUNT)
 )
 
 
-def local_record(name: str, service: str) -> InstanceRecord:
-    """Return the record of an upstream at a free address."""
+def make_local_record(name: str, service: str) -> InstanceRecord:
+    """Return the instance record of an upstream, with a free loopback address."""
     return InstanceRecord(
         instance=InstanceId(name),
         incarnation=Incarnation(1),
         service=ServiceName(service),
-        address=free_address(),
-        data_centre=DataCentre(PLACE),
-        region=PLACE,
+        address=find_free_address(),
+        data_centre=DataCentre(LOCATION),
+        region=LOCATION,
     )
 
 
-def settings_text(
-    name: str, listen: dict[str, str], platform: dict[str, Any], **more: Any
+def make_settings_text(
+    name: str, listen: dict[str, str], platform: dict[str, Any], **more_settings: Any
 ) -> str:
-    """Return the settings of an entry that announces itself."""
+    """
+    Return the settings file of an entry that registers in the instance list.
+
+    Parameters
+    ----------
+    name : str
+        Name of the entry.
+    listen : dict
+        Listening addresses (``host:port``) by kind: callers, operators, peers.
+    platform : dict
+        Where the platform is, as in the settings file.
+    **more_settings
+        Further settings at the top level of the file.
+
+    Returns
+    -------
+    str
+        The settings as JSON.
+    """
     settings = {
         "instance": name,
-        "data_centre": PLACE,
-        "region": PLACE,
+        "data_centre": LOCATION,
+        "region": LOCATION,
         "listen": listen,
         "platform": {**platform, "announce": True},
-        **more,
+        **more_settings,
     }
     return msgspec.json.encode(settings).decode()
 
 
-def configuration_files() -> dict[str, str]:
-    """Return the demonstration's files by name, its workspaces among them."""
+def make_configuration_files() -> dict[str, str]:
+    """Return the texts of the demonstration's configuration files by file name."""
     folder = resources.files("damasklead.demo")
     files = {name: (folder / name).read_text() for name in SERVICE_FILES}
     workspaces = [
-        {"name": name, "key_digests": [digest_key(key, salt=SALT)]}
-        for name, key in KEYS.items()
+        {"name": name, "key_digests": [digest_key(key, salt=KEY_SALT)]}
+        for name, key in WORKSPACE_KEYS.items()
     ]
     content = msgspec.json.encode({"workspaces": workspaces})
     files["workspaces.damasklead.json"] = content.decode()
     return files
 
 
-def free_address() -> str:
+def find_free_address() -> str:
     """
     Return a loopback address whose port is free at the moment.
 
-    The ports are below those that the system gives to outgoing connections, so that
-    none of these takes one before its server listens.
+    The ports lie below the range of ephemeral ports, so that no outgoing connection
+    takes one before its server listens.
     """
     while True:
-        port = next(_PORTS)
+        port = next(_CANDIDATE_PORTS)
         with socket.socket() as listener:
             try:
                 listener.bind(("127.0.0.1", port))
--- a/damasklead/demo/run.py
+++ b/damasklead/demo/run.py
@@ -2,8 +2,8 @@
 Demonstration
 =============
 
-Runs the whole path in one process with a few faults, and judges it by what callers and
-stand-ins saw.
+Runs an entry, stand-ins and callers in one process, injects faults, and checks the
+guarantees by the responses that callers got and the requests that stand-ins executed.
 """
 
 import sys
@@ -14,13 +14,13 @@
 
 from damasklead.daemon import EntryService
 from damasklead.demo.local import (
-    KEYS,
-    configuration_files,
-    free_address,
-    local_record,
-    settings_text,
+    WORKSPACE_KEYS,
+    find_free_address,
+    make_configuration_files,
+    make_local_record,
+    make_settings_text,
 )
-from damasklead.demo.traffic import Caller, Received, Verdict
+from damasklead.demo.traffic import Caller, ReceivedResponse, Verdict
 from damasklead.findings import Findings
 from damasklead.ids import AttemptId
 from damasklead.loop import LoopClock
@@ -33,7 +33,8 @@
 
 __all__ = ["Demonstration", "run_demo"]
 
-TARGETS = {  # seconds to the first byte, or to the last
+# Seconds to the first and to the last byte by class; None for no target.
+CLASS_TARGETS = {
     "dispatch-query": (0.34, None),
     "folder-guidance": (0.34, None),
     "quotation": (None, 10.0),
@@ -46,74 +47,91 @@
 SLOTS = 64
 
 
-class Row(msgspec.Struct, kw_only=True):
-    """One line of the table."""
-
-    name: str
-    sent: int = 0
-    whole: int = 0
-    on_time: int = 0
-    not_run: int = 0
-    unknown: int = 0
-    doubled: int = 0
-    lost: int = 0
-    wrong: int = 0
+class ClassResults(msgspec.Struct, kw_only=True):
+    """
+    Results of one request class, a row of the table.
+
+    Attributes
+    ----------
+    complete_count : int
+        Requests with a complete and correct response.
+    on_time_count : int
+        Complete responses within the targets of the class.
+    not_run_count, unknown_count : int
+        Requests reported as not executed, and those with an unknown outcome.
+    duplicate_count : int
+        Orders that were executed more than once.
+    lost_count : int
+        Requests without any response, as the connection failed.
+    wrong_count : int
+        Responses whose text is wrong or incomplete.
+    """
+
+    request_class: str
+    sent_count: int = 0
+    complete_count: int = 0
+    on_time_count: int = 0
+    not_run_count: int = 0
+    unknown_count: int = 0
+    duplicate_count: int = 0
+    lost_count: int = 0
+    wrong_count: int = 0
 
 
 class Demonstration:
-    """The stand-ins, the entry and the callers of one run."""
+    """One run of the demonstration with its stand-ins, entry and callers."""
 
     def __init__(self) -> None:
         self._clock = LoopClock()
         self._faults = Faults()
         self._platform = make_memory_platform(faults=self._faults)
-        self._engines = [self._engine(number) for number in (1, 2)]
-        self._shop = PlainStandin(
-            record=local_record("shop-1", "demo-app"), platform=self._platform
+        self._engines = [self._make_engine(number) for number in (1, 2)]
+        self._order_service = PlainStandin(
+            record=make_local_record("shop-1", "demo-app"), platform=self._platform
         )
-        self._address = free_address()
-        self._service = self._entry()
+        self._address = find_free_address()
+        self._entry_service = self._make_entry_service()
         self._callers = {
             name: Caller(addresses=[self._address], key=key, now=self._clock.now)
-            for name, key in KEYS.items()
+            for name, key in WORKSPACE_KEYS.items()
         }
-        self._received: list[Received] = []
-        self._references: list[str] = []
+        self._responses: list[ReceivedResponse] = []
+        self._order_references: list[str] = []
 
     def run(self) -> bool:
-        """Run it all and print the table; returns whether the promises held."""
-        for standin in (*self._engines, self._shop):
+        """Run the demonstration and print its results; tell if all guarantees held."""
+        for standin in (*self._engines, self._order_service):
             standin.start()
-        self._publish()
-        self._service.start()
+        self._publish_configuration()
+        self._entry_service.start()
         self._wait_until_ready()
         self._send_traffic()
-        self._service.stop()
-        return self._report()
+        self._entry_service.stop()
+        return self._report_results()
 
-    def _engine(self, number: int) -> EngineStandin:
-        record = local_record(f"engine-{number}", "demo-llm")
+    def _make_engine(self, number: int) -> EngineStandin:
+        record = make_local_record(f"engine-{number}", "demo-llm")
         return EngineStandin(record=record, platform=self._platform, slots=SLOTS)
 
-    def _entry(self) -> EntryService:
+    def _make_entry_service(self) -> EntryService:
         listen = {
             "callers": self._address,
-            "operators": free_address(),
-            "peers": free_address(),
+            "operators": find_free_address(),
+            "peers": find_free_address(),
         }
-        text = settings_text("entry-1", listen, {"kind": "memory"})
+        text = make_settings_text("entry-1", listen, {"kind": "memory"})
         findings = Findings()
         settings = check_settings(text, file="demo", findings=findings)
         assert settings is not None, list(findings)
         return EntryService(settings=settings, platform=self._platform)
 
-    def _publish(self) -> None:
-        """Publish the configuration, with the answer of the commit lost on the way."""
+    def _publish_configuration(self) -> None:
+        """Publish the configuration while the platform loses the commit's response."""
         self._faults.lose_answers = 1
         publication = Publication(
             id=AttemptId(new_id()),
             who="demo",
-            files=configuration_files(),
+            files=make_configuration_files(),
             at=self._clock.get_unix_time(),
         )
         result = run_protocol(publish(publication), self._platform)
@@ -121,7 +139,7 @@
 
     def _wait_until_ready(self) -> None:
         for _ in range(200):
-            pools = self._service.entry.pools.values()
+            pools = self._entry_service.entry.pools.values()
             if pools and all(pool.dispatcher.share.has_grant for pool in pools):
                 return
             self._clock.sleep(0.05)
@@ -129,87 +147,105 @@
 
     def _send_traffic(self) -> None:
         greenlets = []
-        greenlets += self._spawn(
-            24, self._ask("planning", "overnight-review", 200, stream=True)
+        greenlets += self._spawn_senders(
+            24,
+            self._make_completion_sender(
+                "planning", "overnight-review", 200, stream=True
+            ),
         )
-        greenlets += self._spawn(
-            10, self._ask("processors", "quotation", 60, stream=False)
+        greenlets += self._spawn_senders(
+            10,
+            self._make_completion_sender("processors", "quotation", 60, stream=False),
         )
         self._clock.sleep(0.3)
         self._engines[0].crash_after_tokens = CRASH_AFTER_TOKENS
-        greenlets += self._spawn(
-            30, self._ask("skippers", "dispatch-query", 40, stream=True)
+        greenlets += self._spawn_senders(
+            30,
+            self._make_completion_sender("skippers", "dispatch-query", 40, stream=True),
         )
-        greenlets += self._spawn(
-            20, self._ask("gumming-line", "folder-guidance", 60, stream=True)
+        greenlets += self._spawn_senders(
+            20,
+            self._make_completion_sender(
+                "gumming-line", "folder-guidance", 60, stream=True
+            ),
         )
-        greenlets += self._spawn(20, self._check_stock)
-        greenlets += self._spawn(10, self._order)
+        greenlets += self._spawn_senders(20, self._query_stock)
+        greenlets += self._spawn_senders(10, self._send_new_order)
         self._clock.sleep(0.2)
         self._faults.lose_answers = 1
-        greenlets += self._spawn(10, self._order)
-        greenlets.append(gevent.spawn(self._order_twice))
+        greenlets += self._spawn_senders(10, self._send_new_order)
+        greenlets.append(gevent.spawn(self._send_duplicate_order))
         self._clock.sleep(1.5)
         if not self._engines[0].is_running:
             self._engines[0].restart()
         gevent.joinall(greenlets, timeout=45)
 
-    def _spawn(self, count: int, call: Callable[[int], None]) -> list[gevent.Greenlet]:
-        return [gevent.spawn_later(0.01 * index, call, index) for index in range(count)]
+    def _spawn_senders(
+        self, count: int, send: Callable[[int], None]
+    ) -> list[gevent.Greenlet]:
+        return [gevent.spawn_later(0.01 * index, send, index) for index in range(count)]
 
-    def _ask(
-        self, workspace: str, name: str, tokens: int, *, stream: bool
+    def _make_completion_sender(
+        self, workspace: str, request_class: str, max_tokens: int, *, stream: bool
     ) -> Callable[[int], None]:
-        def ask(index: int) -> None:
-            prompt = f"{name} number {index}"
-            received = self._callers[workspace].complete(
-                name, prompt, tokens=tokens, stream=stream, model=MODEL
+        def send_completion(index: int) -> None:
+            prompt = f"{request_class} number {index}"
+            received = self._callers[workspace].send_completion(
+                request_class, prompt, max_tokens=max_tokens, stream=stream, model=MODEL
             )
-            self._received.append(received)
+            self._responses.append(received)
 
-        return ask
+        return send_completion
 
-    def _check_stock(self, index: int) -> None:
+    def _query_stock(self, index: int) -> None:
         path = f"/services/demo-app/stock/kraft-{index}"
-        self._received.append(
-            self._callers["planning"].send("stock-check", "GET", path)
+        self._responses.append(
+            self._callers["planning"].perform_request("stock-check", "GET", path)
         )
 
-    def _order(self, index: int) -> None:
+    def _send_new_order(self, index: int) -> None:
         reference = new_id()
-        self._references.append(reference)
-        self._received.append(self._send_order(reference))
+        self._order_references.append(reference)
+        self._responses.append(self._send_order(reference))
 
-    def _order_twice(self) -> None:
+    def _send_duplicate_order(self) -> None:
         reference = new_id()
-        self._references.append(reference)
+        self._order_references.append(reference)
         for _ in range(2):
-            self._received.append(self._send_order(reference))
+            self._responses.append(self._send_order(reference))
 
-    def _send_order(self, reference: str) -> Received:
+    def _send_order(self, reference: str) -> ReceivedResponse:
         body = msgspec.json.encode({"reference": reference, "tonnes": 4})
         path = "/services/demo-app/orders"
-        return self._callers["skippers"].send(
-            "ice-order", "POST", path, body=body, key=reference
+        return self._callers["skippers"].perform_request(
+            "ice-order", "POST", path, body=body, idempotency_key=reference
         )
 
-    def _report(self) -> bool:
-        rows = {name: Row(name=name) for name in TARGETS}
-        for received in self._received:
-            _count(rows[received.name], received)
-        order = rows["ice-order"]
-        order.doubled = sum(
-            1 for item in self._references if self._shop.executed_orders.count(item) > 1
+    def _report_results(self) -> bool:
+        rows = {name: ClassResults(request_class=name) for name in CLASS_TARGETS}
+        for received in self._responses:
+            _count_response(rows[received.request_class], received)
+        order_row = rows["ice-order"]
+        order_row.duplicate_count = sum(
+            1
+            for item in self._order_references
+            if self._order_service.executed_orders.count(item) > 1
         )
         _print_table(list(rows.values()))
-        held = all(row.lost == row.wrong == row.doubled == 0 for row in rows.values())
-        held = held and all(row.whole == row.sent for row in rows.values())
+        held = all(
+            row.lost_count == row.wrong_count == row.duplicate_count == 0
+            for row in rows.values()
+        )
+        held = held and all(
+            row.complete_count == row.sent_count for row in rows.values()
+        )
         crashed = sum(engine.crash_count for engine in self._engines)
         print(
-            f"engine crashes: {crashed}; orders run: {len(self._shop.executed_orders)}",
+            f"engine crashes: {crashed}; "
+            f"orders run: {len(self._order_service.executed_orders)}",
             end="; ",
         )
-        print(f"distinct orders: {len(self._references)}")
+        print(f"distinct orders: {len(self._order_references)}")
         print("the promises held" if held and crashed else "A PROMISE WAS BROKEN")
         return held and crashed > 0
 
@@ -220,26 +256,30 @@
     return 0 if Demonstration().run() else 1
 
 
-def _count(row: Row, received: Received) -> None:
-    row.sent += 1
-    first_target, last_target = TARGETS[row.name]
-    if received.verdict is Verdict.WHOLE:
-        row.whole += 1
-        in_first = first_target is None or received.first <= first_target
-        in_last = last_target is None or received.last <= last_target
-        row.on_time += in_first and in_last
+def _count_response(row: ClassResults, received: ReceivedResponse) -> None:
+    row.sent_count += 1
+    first_target, last_target = CLASS_TARGETS[row.request_class]
+    if received.verdict is Verdict.COMPLETE:
+        row.complete_count += 1
+        first_byte_in_time = (
+            first_target is None or received.first_byte_seconds <= first_target
+        )
+        last_byte_in_time = (
+            last_target is None or received.last_byte_seconds <= last_target
+        )
+        row.on_time_count += first_byte_in_time and last_byte_in_time
     elif received.verdict is Verdict.NOT_RUN:
-        row.not_run += 1
+        row.not_run_count += 1
     elif received.verdict is Verdict.UNKNOWN:
-        row.unknown += 1
+        row.unknown_count += 1
     elif received.verdict is Verdict.WRONG:
-        row.wrong += 1
+        row.wrong_count += 1
     else:
-        row.lost += 1
+        row.lost_count += 1
 
 
-def _print_table(rows: list[Row]) -> None:
-    heads = (
+def _print_table(rows: list[ClassResults]) -> None:
+    column_names = (
         "sent",
         "whole",
         "attainment %",
@@ -249,10 +289,20 @@
         "lost",
         "wrong",
     )
-    print(f"{'class':18}" + "".join(f"{head:>14}" for head in heads))
+    print(f"{'class':18}" + "".join(f"{column:>14}" for column in column_names))
     for row in rows:
-        attainment = 100.0 * row.on_time / max(1, row.sent)
-        numbers = (row.not_run, row.unknown, row.doubled, row.lost, row.wrong)
-        cells = [f"{row.sent:>14}", f"{row.whole:>14}", f"{attainment:>14.1f}"]
-        cells.extend(f"{number:>14}" for number in numbers)
-        print(f"{row.name:18}" + "".join(cells))
+        attainment = 100.0 * row.on_time_count / max(1, row.sent_count)
+        failure_counts = (
+            row.not_run_count,
+            row.unknown_count,
+            row.duplicate_count,
+            row.lost_count,
+            row.wrong_count,
+        )
+        cells = [
+            f"{row.sent_count:>14}",
+            f"{row.complete_count:>14}",
+            f"{attainment:>14.1f}",
+        ]
+        cells.extend(f"{number:>14}" for number in failure_counts)
+        print(f"{row.request_class:18}" + "".join(cells))
--- a/damasklead/demo/traffic.py
+++ b/damasklead/demo/traffic.py
@@ -2,7 +2,7 @@
 Demonstration traffic
 =====================
 
-Callers that send requests and check on their own what they got.
+Callers that send requests and check the responses against the expected ones.
 """
 
 from collections.abc import Callable
@@ -15,52 +15,54 @@
 from damasklead.upstreams import ConnectionPool, UpstreamError
 from damasklead.upstreams.transport import send_request
 
-__all__ = ["Caller", "Received", "Verdict"]
+__all__ = ["Caller", "ReceivedResponse", "Verdict"]
 
-SILENCE_SECONDS = 30.0
+READ_TIMEOUT_SECONDS = 30.0
 
 
 class Verdict(Enum):
-    """What a caller got."""
+    """How a caller classifies the response to a request."""
 
-    WHOLE = "answered whole"
+    COMPLETE = "answered whole"
     WRONG = "wrong or cut"
     NOT_RUN = "not run"
     UNKNOWN = "unknown"
     LOST = "lost"
 
 
-class Received(msgspec.Struct, kw_only=True):
+class ReceivedResponse(msgspec.Struct, kw_only=True):
     """
-    One answer as the caller saw it.
+    A response as its caller received it.
 
     Attributes
     ----------
-    first, last : float
-        Seconds from sending to the first and to the last byte of the body.
+    first_byte_seconds, last_byte_seconds : float
+        Seconds from sending the request to the first and to the last byte of the body.
+    max_tokens : int
+        Length of the requested completion in tokens; 0 for other requests.
     """
 
-    name: str
+    request_class: str
     verdict: Verdict
-    first: float
-    last: float
+    first_byte_seconds: float
+    last_byte_seconds: float
     status: int
     body: bytes
-    tokens: int = 0
+    max_tokens: int = 0
 
 
 class Caller:
     """
-    Sends requests of one workspace to one of several entries in turn.
+    Sends the requests of one workspace to several entries in turn.
 
     Parameters
     ----------
     addresses : list of str
-        The entries' callers' addresses.
+        Addresses (``host:port``) at which the entries listen for callers.
     key : str
-        The bearer key.
+        The bearer key of the workspace.
     now : callable
-        Returns monotonic seconds.
+        Returns the time of a monotonic clock in seconds.
     """
 
     def __init__(
@@ -69,82 +71,105 @@
         self._addresses = addresses
         self._key = key
         self._now = now
-        self._turn = 0
+        self._request_count = 0
         self._pool = ConnectionPool()
 
-    def complete(
-        self, name: str, prompt: str, *, tokens: int, stream: bool, model: str
-    ) -> Received:
-        """Ask a model and check the text of its answer."""
+    def send_completion(
+        self,
+        request_class: str,
+        prompt: str,
+        *,
+        max_tokens: int,
+        stream: bool,
+        model: str,
+    ) -> ReceivedResponse:
+        """Request a completion and compare its text with the expected one."""
         document = {
             "model": model,
             "messages": [{"role": "user", "content": prompt}],
-            "max_tokens": tokens,
+            "max_tokens": max_tokens,
             "stream": stream,
         }
         body = msgspec.json.encode(document)
-        received = self.send(name, "POST", "/v1/chat/completions", body=body)
-        if received.verdict is Verdict.WHOLE:
+        received = self.perform_request(
+            request_class, "POST", "/v1/chat/completions", body=body
+        )
+        if received.verdict is Verdict.COMPLETE:
             text = (
-                _stream_text(received.body) if stream else _message_text(received.body)
+                _extract_stream_text(received.body)
+                if stream
+                else _extract_message_text(received.body)
             )
             if text != compute_expected_text(document):
                 received.verdict = Verdict.WRONG
-        received.tokens = tokens
+        received.max_tokens = max_tokens
         return received
 
-    def send(
-        self, name: str, method: str, path: str, *, body: bytes = b"", key: str = ""
-    ) -> Received:
-        """Send a request; ``key`` is its idempotency key."""
+    def perform_request(
+        self,
+        request_class: str,
+        method: str,
+        path: str,
+        *,
+        body: bytes = b"",
+        idempotency_key: str = "",
+    ) -> ReceivedResponse:
+        """Send a request and return the response; connection errors count as lost."""
         headers = [
             ("Authorization", f"Bearer {self._key}"),
             ("Content-Type", "application/json"),
         ]
-        if key:
-            headers.append(("Idempotency-Key", key))
-        self._turn += 1
-        address = self._addresses[self._turn % len(self._addresses)]
-        began = self._now()
-        received = Received(
-            name=name, verdict=Verdict.LOST, first=0.0, last=0.0, status=0, body=b""
+        if idempotency_key:
+            headers.append(("Idempotency-Key", idempotency_key))
+        self._request_count += 1
+        address = self._addresses[self._request_count % len(self._addresses)]
+        sent_at = self._now()
+        received = ReceivedResponse(
+            request_class=request_class,
+            verdict=Verdict.LOST,
+            first_byte_seconds=0.0,
+            last_byte_seconds=0.0,
+            status=0,
+            body=b"",
         )
         try:
-            answer = send_request(
+            response = send_request(
                 self._pool,
                 address,
                 method=method,
                 path=path,
                 headers=headers,
                 body=body,
-                read_timeout=SILENCE_SECONDS,
+                read_timeout=READ_TIMEOUT_SECONDS,
                 force_new_connection=True,
             )
-            received.status = answer.status
-            while chunk := answer.read_chunk():
-                received.first = received.first or self._now() - began
+            received.status = response.status
+            while chunk := response.read_chunk():
+                received.first_byte_seconds = (
+                    received.first_byte_seconds or self._now() - sent_at
+                )
                 received.body += chunk
-            received.last = self._now() - began
-            received.verdict = _verdict(
-                answer.status, answer.get_header("X-Damasklead-Outcome")
+            received.last_byte_seconds = self._now() - sent_at
+            received.verdict = _classify_response(
+                response.status, response.get_header("X-Damasklead-Outcome")
             )
             if b"event: error" in received.body:
                 received.verdict = Verdict.UNKNOWN
         except UpstreamError:
-            received.last = self._now() - began
+            received.last_byte_seconds = self._now() - sent_at
         return received
 
 
-def _verdict(status: int, outcome: str) -> Verdict:
+def _classify_response(status: int, outcome: str) -> Verdict:
     if outcome == Outcome.ANSWERED.value and status < 400:
-        return Verdict.WHOLE
+        return Verdict.COMPLETE
     if outcome == Outcome.NOT_RUN.value:
         return Verdict.NOT_RUN
     return Verdict.UNKNOWN
 
 
-def _stream_text(body: bytes) -> str:
-    """Return a stream's text, empty when its end is missing."""
+def _extract_stream_text(body: bytes) -> str:
+    """Return the text of a stream; empty if the final event is missing."""
     if not body.endswith(b"data: [DONE]\n\n"):
         return ""
     words = []
@@ -156,6 +181,6 @@
     return "".join(words).strip()
 
 
-def _message_text(body: bytes) -> str:
+def _extract_message_text(body: bytes) -> str:
     text: str = msgspec.json.decode(body)["choices"][0]["message"]["content"]
     return text
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -19,10 +19,10 @@
 import msgspec
 
 from damasklead.demo.local import (
-    KEYS,
-    configuration_files,
-    free_address,
-    settings_text,
+    WORKSPACE_KEYS,
+    find_free_address,
+    make_configuration_files,
+    make_settings_text,
 )
 from damasklead.demo.traffic import Caller
 from damasklead.stores import Platform
@@ -50,7 +50,7 @@
     ) -> None:
         self.settings = settings or {}
         self.folder = Path(tempfile.mkdtemp(prefix="damasklead-test-"))
-        self.platform_address = free_address()
+        self.platform_address = find_free_address()
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.commands: dict[str, list[str]] = {}
         self.callers: dict[str, str] = {}
@@ -97,16 +97,18 @@
         """Return a caller of some entries, of all by default."""
         names = entries or tuple(self.callers)
         addresses = [self.callers[name] for name in names]
-        return Caller(addresses=addresses, key=KEYS[workspace], now=time.monotonic)
+        return Caller(
+            addresses=addresses, key=WORKSPACE_KEYS[workspace], now=time.monotonic
+        )
 
     def start_entry(self, name: str) -> None:
         """Start an entry, or start it again at the same addresses."""
         if name not in self.commands:
             addresses = {
-                kind: free_address() for kind in ("callers", "operators", "peers")
+                kind: find_free_address() for kind in ("callers", "operators", "peers")
             }
             platform = {"kind": "http", "address": self.platform_address}
-            text = settings_text(
+            text = make_settings_text(
                 name,
                 addresses,
                 platform,
@@ -198,7 +200,7 @@
             gevent.sleep(STEP_SECONDS)
 
     def _start_upstream(self, name: str, kind: str, service: str) -> None:
-        self.upstreams[name] = free_address()
+        self.upstreams[name] = find_free_address()
         self._start_standin(name, kind, service, self.upstreams[name])
 
     def _start_standin(self, name: str, kind: str, service: str, address: str) -> None:
@@ -209,5 +211,5 @@
         self.start(name)
 
     def _write_configuration(self) -> None:
-        for name, text in configuration_files().items():
+        for name, text in make_configuration_files().items():
             (self.folder / name).write_text(text)
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -16,11 +16,11 @@
 
 from damasklead.daemon import EntryService
 from damasklead.demo.local import (
-    KEYS,
-    configuration_files,
-    free_address,
-    local_record,
-    settings_text,
+    WORKSPACE_KEYS,
+    find_free_address,
+    make_configuration_files,
+    make_local_record,
+    make_settings_text,
 )
 from damasklead.findings import Findings
 from damasklead.ids import (
@@ -50,15 +50,16 @@
         self.platform = make_memory_platform(faults=self.faults)
         self.engines = [
             EngineStandin(
-                record=local_record(f"engine-{n}", "demo-llm"), platform=self.platform
+                record=make_local_record(f"engine-{n}", "demo-llm"),
+                platform=self.platform,
             )
             for n in range(2)
         ]
         self.shop = PlainStandin(
-            record=local_record("shop", "demo-app"), platform=self.platform
+            record=make_local_record("shop", "demo-app"), platform=self.platform
         )
-        self.address = free_address()
-        self.operators = free_address()
+        self.address = find_free_address()
+        self.operators = find_free_address()
         self.service = self._service()
         self.pool = ConnectionPool()
 
@@ -66,10 +67,10 @@
         listen = {
             "callers": self.address,
             "operators": self.operators,
-            "peers": free_address(),
+            "peers": find_free_address(),
         }
         limits = {"body_bytes": 2048, "idle_seconds": 1.0}
-        text = settings_text("entry", listen, {"kind": "memory"}, limits=limits)
+        text = make_settings_text("entry", listen, {"kind": "memory"}, limits=limits)
         settings = check_settings(text, file="t", findings=Findings())
         assert settings is not None
         return EntryService(settings=settings, platform=self.platform)
@@ -78,7 +79,7 @@
         for standin in (*self.engines, self.shop):
             standin.start()
         publication = Publication(
-            id=AttemptId(new_id()), who="t", files=configuration_files()
+            id=AttemptId(new_id()), who="t", files=make_configuration_files()
         )
         assert isinstance(run(publish(publication), self.platform), PublishSucceeded)
         self.service.start()
@@ -110,7 +111,7 @@
         key: str = "skippers",
         **headers: str,
     ) -> UpstreamResponse:
-        pairs = [("Authorization", f"Bearer {KEYS.get(key, key)}")]
+        pairs = [("Authorization", f"Bearer {WORKSPACE_KEYS.get(key, key)}")]
         pairs += [(name.replace("_", "-"), value) for name, value in headers.items()]
         return send_request(
             self.pool, self.address, method=method, path=path, headers=pairs, body=body,
@@ -328,7 +329,7 @@
     connection = socket.create_connection(split_address(harness.address))
     body = b'{"model": "demo-7b", "messages": [{"role": "user", "content": "x"}]}'
     head = f"POST {COMPLETIONS} HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n"
-    head += f"Authorization: Bearer {KEYS['skippers']}\r\n\r\n"
+    head += f"Authorization: Bearer {WORKSPACE_KEYS['skippers']}\r\n\r\n"
     connection.sendall(head.encode() + body)
     harness.wait_until(lambda: len(harness.service.entry.exchanges) == 1)
     connection.close()
--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -10,7 +10,7 @@
 import gevent
 from gevent import socket, ssl
 
-from damasklead.demo.local import KEYS
+from damasklead.demo.local import WORKSPACE_KEYS
 from damasklead.util import split_address
 from tests.processes import Deployment
 
@@ -28,7 +28,7 @@
 
 
 def read_models(connection: socket.socket) -> bytes:
-    key = KEYS["skippers"]
+    key = WORKSPACE_KEYS["skippers"]
     head = f"GET /v1/models HTTP/1.0\r\nAuthorization: Bearer {key}\r\n\r\n"
     connection.settimeout(10.0)
     connection.sendall(head.encode())
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -14,7 +14,7 @@
 import msgspec
 import pytest
 
-from damasklead.demo.traffic import Caller, Received, Verdict
+from damasklead.demo.traffic import Caller, ReceivedResponse, Verdict
 from damasklead.quarantine import MAX_CRASHES
 from damasklead.util import new_id
 from tests.processes import Deployment
@@ -29,18 +29,22 @@
         yield running
 
 
-def ask(caller: Caller, number: int, *, tokens: int = 60) -> Received:
+def ask(caller: Caller, number: int, *, max_tokens: int = 60) -> ReceivedResponse:
     prompt = f"query {number}"
-    return caller.complete("q", prompt, tokens=tokens, stream=True, model=MODEL)
+    return caller.send_completion(
+        "q", prompt, max_tokens=max_tokens, stream=True, model=MODEL
+    )
 
 
-def order(caller: Caller, reference: str) -> Received:
+def order(caller: Caller, reference: str) -> ReceivedResponse:
     body = msgspec.json.encode({"reference": reference})
     path = "/services/demo-app/orders"
-    return caller.send("order", "POST", path, body=body, key=reference)
+    return caller.perform_request(
+        "order", "POST", path, body=body, idempotency_key=reference
+    )
 
 
-def results(greenlets: list[gevent.Greenlet]) -> list[Received]:
+def results(greenlets: list[gevent.Greenlet]) -> list[ReceivedResponse]:
     gevent.joinall(greenlets, timeout=90)
     return [greenlet.value for greenlet in greenlets]
 
@@ -50,31 +54,35 @@
 ) -> None:
     caller = deployment.caller("skippers", "entry-0", "entry-1")
     spectator = deployment.caller("gumming-line", "entry-2")
-    streams = [gevent.spawn(ask, caller, number, tokens=150) for number in range(40)]
-    cut = [gevent.spawn(ask, spectator, number, tokens=150) for number in range(10)]
+    streams = [
+        gevent.spawn(ask, caller, number, max_tokens=150) for number in range(40)
+    ]
+    cut = [gevent.spawn(ask, spectator, number, max_tokens=150) for number in range(10)]
     gevent.sleep(0.3)
     deployment.kill("engine-0")
     deployment.kill("entry-2")
     received = results(streams)
-    assert Counter(item.verdict for item in received) == {Verdict.WHOLE: 40}
+    assert Counter(item.verdict for item in received) == {Verdict.COMPLETE: 40}
     # Callers of the killed entry see that their answers are not whole.
-    assert all(item.verdict is not Verdict.WHOLE for item in results(cut))
+    assert all(item.verdict is not Verdict.COMPLETE for item in results(cut))
     deployment.start("engine-0")
     deployment.start_entry("entry-2")
     deployment.until(lambda: deployment.is_serving("entry-2"))
     again = results([gevent.spawn(ask, spectator, number) for number in range(10)])
-    assert all(item.verdict is Verdict.WHOLE for item in again)
+    assert all(item.verdict is Verdict.COMPLETE for item in again)
 
 
 def test_a_graceful_stop_cuts_off_nothing(deployment: Deployment) -> None:
     caller = deployment.caller("skippers", "entry-0")
-    streams = [gevent.spawn(ask, caller, number, tokens=300) for number in range(20)]
+    streams = [
+        gevent.spawn(ask, caller, number, max_tokens=300) for number in range(20)
+    ]
     gevent.sleep(0.5)
     deployment.signal("entry-0", signal.SIGTERM)
     gevent.sleep(0.2)
     assert deployment.get(deployment.operators["entry-0"], "/readyz") is None
     received = results(streams)
-    assert Counter(item.verdict for item in received) == {Verdict.WHOLE: 20}
+    assert Counter(item.verdict for item in received) == {Verdict.COMPLETE: 20}
     deployment.until(lambda: deployment.processes["entry-0"].poll() is not None)
     assert deployment.processes["entry-0"].returncode == 0
 
@@ -107,12 +115,12 @@
     runs = Counter(deployment.orders())
     assert max(runs.values()) == 1
     for reference, verdicts in outcomes.items():
-        told = Verdict.WHOLE in verdicts
+        told = Verdict.COMPLETE in verdicts
         if told:
             assert runs[reference] == 1, f"{reference} is lost"
         if verdicts == [Verdict.NOT_RUN, Verdict.NOT_RUN]:
             assert runs[reference] == 0, f"{reference} ran although told not to have"
-    assert sum(Verdict.WHOLE in item for item in outcomes.values()) > ORDERS * 0.9
+    assert sum(Verdict.COMPLETE in item for item in outcomes.values()) > ORDERS * 0.9
 
 
 def test_an_order_told_as_not_run_can_be_sent_again(deployment: Deployment) -> None:
@@ -122,7 +130,7 @@
     assert first.verdict is Verdict.NOT_RUN
     assert b"store-unavailable" in first.body
     deployment.set_faults()
-    assert order(caller, "patience").verdict is Verdict.WHOLE
+    assert order(caller, "patience").verdict is Verdict.COMPLETE
     assert deployment.orders() == ["patience"]
 
 
@@ -170,7 +178,7 @@
         )
     caller = deployment.caller("skippers")
     received = results([gevent.spawn(ask, caller, number) for number in range(20)])
-    assert all(item.verdict is Verdict.WHOLE for item in received)
+    assert all(item.verdict is Verdict.COMPLETE for item in received)
 
 
 def test_a_drained_upstream_is_in_the_audit_trail(deployment: Deployment) -> None:
@@ -192,12 +200,12 @@
     deployment.set_faults(down=True)
     caller = deployment.caller("skippers", "entry-0", "entry-1")
     received = results([gevent.spawn(ask, caller, number) for number in range(10)])
-    assert all(item.verdict is Verdict.WHOLE for item in received)
+    assert all(item.verdict is Verdict.COMPLETE for item in received)
     deployment.start_entry("entry-2")
     deployment.until(lambda: bool(deployment.status("entry-2").get("ready")))
     late = deployment.caller("skippers", "entry-2")
     received = results([gevent.spawn(ask, late, number) for number in range(10)])
-    assert all(item.verdict is Verdict.WHOLE for item in received)
+    assert all(item.verdict is Verdict.COMPLETE for item in received)
 
 
 def test_an_entry_that_no_one_tells_a_configuration_stays_unready(
@@ -248,13 +256,15 @@
     caller = deployment.caller("skippers")
     prompt = "POISON " + new_id()
 
-    def send() -> Received:
-        return caller.complete("poison", prompt, tokens=10, stream=True, model=MODEL)
+    def send() -> ReceivedResponse:
+        return caller.send_completion(
+            "poison", prompt, max_tokens=10, stream=True, model=MODEL
+        )
 
     refused = 0
     for _ in range(30):
         received = send()
-        assert received.verdict is not Verdict.WHOLE
+        assert received.verdict is not Verdict.COMPLETE
         refused = refused + 1 if b"quarantined" in received.body else 0
         if refused == 2 * len(deployment.operators):
             break
@@ -264,14 +274,16 @@
     deployment.until(lambda: all(map(deployment.is_serving, deployment.operators)))
     gevent.sleep(2.0)
     innocent = results([gevent.spawn(ask, caller, number) for number in range(20)])
-    assert all(item.verdict is Verdict.WHOLE for item in innocent)
+    assert all(item.verdict is Verdict.COMPLETE for item in innocent)
     assert "quarantine" in deployment.command("audit").stdout
     # An entry that starts later refuses it too, until an operator lifts it.
     deployment.kill("entry-1")
     deployment.start_entry("entry-1")
     deployment.until(lambda: deployment.is_serving("entry-1"))
     late = deployment.caller("skippers", "entry-1")
-    refusal = late.complete("poison", prompt, tokens=5, stream=True, model=MODEL)
+    refusal = late.send_completion(
+        "poison", prompt, max_tokens=5, stream=True, model=MODEL
+    )
     assert b"quarantined" in refusal.body
     listed = deployment.command("quarantine", "list", "--json").stdout
     fingerprint = msgspec.json.decode(listed)[0]["fingerprint"]
@@ -316,4 +328,4 @@
     assert orders() == 2
     caller = deployment.caller("skippers")
     received = results([gevent.spawn(ask, caller, number) for number in range(10)])
-    assert all(item.verdict is Verdict.WHOLE for item in received)
+    assert all(item.verdict is Verdict.COMPLETE for item in received)
