--- a/damasklead/commands/explaining.py
+++ b/damasklead/commands/explaining.py
@@ -14,8 +14,8 @@
 
 from damasklead.commands import DONE, FAILED
 from damasklead.explaining.lines import LogLine, parse_lines
-from damasklead.explaining.stories import collect_stories, format_story
-from damasklead.explaining.tables import format_causes, format_windows
+from damasklead.explaining.stories import collect_traces, format_trace
+from damasklead.explaining.tables import format_cause_table, format_window_table
 
 __all__ = ["Explain"]
 
@@ -36,15 +36,15 @@
 
     def __call__(self) -> int:
         """Run the command and return the exit code."""
-        stories = collect_stories(self._read_lines())
+        traces = collect_traces(self._read_lines())
         if not self.request:
-            found = list(stories.values())
-            print(*format_causes(found), "", *format_windows(found), sep="\n")
+            found = list(traces.values())
+            print(*format_cause_table(found), "", *format_window_table(found), sep="\n")
             return DONE
-        missing = [name for name in self.request if name not in stories]
+        missing = [name for name in self.request if name not in traces]
         for name in self.request:
-            if name in stories:
-                print(f"request {name}", *format_story(stories[name]), sep="\n")
+            if name in traces:
+                print(f"request {name}", *format_trace(traces[name]), sep="\n")
         for name in missing:
             print(f"no line mentions request {name}")
         return FAILED if missing else DONE
--- a/damasklead/explaining/__init__.py
+++ b/damasklead/explaining/__init__.py
@@ -2,6 +2,6 @@
 Explaining
 ==========
 
-What happened to requests, from the structured logs of any number of gateways: the story
-of one request, and a table of what was lost by cause.
+Explains from the structured logs of any number of gateways what happened to requests:
+the trace of one request, and tables of the requests that were lost or late by cause.
 """
--- a/damasklead/explaining/stories.py
+++ b/damasklead/explaining/stories.py
@@ -1,8 +1,8 @@
 """
-Stories
-=======
+Request traces
+==============
 
-What happened to each request, put together from the lines of all gateways.
+The log lines of each request from all gateways, and the cause of its outcome.
 """
 
 from collections.abc import Iterable
@@ -12,123 +12,137 @@
 
 from damasklead.explaining.lines import LogLine
 
-__all__ = ["Cause", "Story", "cause_of", "collect_stories", "format_story"]
+__all__ = ["Cause", "RequestTrace", "determine_cause", "collect_traces", "format_trace"]
 
-# A stream whose first event took longer than this part of the route's target is late.
-ON_TIME_SHARE = 1.0
+# A response is late if its first event took longer than this fraction of the target.
+ON_TIME_FRACTION = 1.0
 
 
 class Cause(Enum):
-    """What a request lost by, the worst that its lines show."""
+    """Why a request was lost or late; ``SERVED`` for a response within its target."""
 
     SERVED = "served"
-    LATE_WAITING = "late: waited for a place"
-    LATE_FIRST_EVENT = "late: first event after sending"
+    LATE_QUEUED = "late: waited for a place"
+    LATE_AFTER_DISPATCH = "late: first event after sending"
     REFUSED = "refused"
-    REFUSED_UNKNOWN = "refused: not in the configuration"
+    REFUSED_UNCONFIGURED = "refused: not in the configuration"
     FAILED_BY_REPLICA = "failed by the replica itself"
-    CUT_OFF = "cut off by a replica"
-    TIMED_OUT_WAITING = "timed out before a first event"
-    TIMED_OUT_AMID = "timed out amid its answer"
-    CALLER_LEFT = "its caller left"
-    NO_END = "no end: its gateway was lost"
+    INTERRUPTED = "cut off by a replica"
+    TIMED_OUT_BEFORE_EVENT = "timed out before a first event"
+    TIMED_OUT_MID_STREAM = "timed out amid its answer"
+    CALLER_DISCONNECTED = "its caller left"
+    NO_FINAL_EVENT = "no end: its gateway was lost"
 
 
-_UNKNOWN = frozenset({"no-route", "unknown-key", "bad-request"})
+_UNCONFIGURED_REASONS = frozenset({"no-route", "unknown-key", "bad-request"})
 
 
-class Story(msgspec.Struct, kw_only=True):
+class RequestTrace(msgspec.Struct, kw_only=True):
     """
-    The lines of one request, in order.
+    The log lines of one request.
 
     Attributes
     ----------
+    request_id : str
+        Attempt id of the request.
     lines : list of LogLine
+        The lines in the order of their time.
     """
 
-    request: str
+    request_id: str
     lines: list[LogLine]
 
     @property
-    def began_at(self) -> float:
-        """When the request's head was read, in milliseconds since 1970."""
-        end = self.end
-        if end is None:
-            return self.lines[0].at
-        return end.at - 1000 * end.number("seconds")
+    def started_unix_ms(self) -> float:
+        """Time at which the request head was read, milliseconds since 1970."""
+        final_line = self.final_line
+        if final_line is None:
+            return self.lines[0].unix_ms
+        return final_line.unix_ms - 1000 * final_line.get_number("seconds")
 
     @property
-    def end(self) -> LogLine | None:
-        """The line that says how it ended."""
-        ends = [line for line in self.lines if line.event in _ENDS]
-        return ends[-1] if ends else None
+    def final_line(self) -> LogLine | None:
+        """The line with the outcome; ``None`` if no gateway logged one."""
+        final_lines = [line for line in self.lines if line.event in _FINAL_EVENTS]
+        return final_lines[-1] if final_lines else None
 
     @property
     def route(self) -> str:
-        """The route's name, empty where no line says it."""
-        names = [line.pairs["route"] for line in self.lines if "route" in line.pairs]
+        """Name of the route; empty if no line has it."""
+        names = [line.fields["route"] for line in self.lines if "route" in line.fields]
         return names[-1] if names else ""
 
     @property
-    def waited(self) -> float:
-        """Seconds until the request was first offered to a replica."""
-        offers = [line.at for line in self.lines if line.event == "offered"]
-        return max(0.0, (offers[0] - self.began_at) / 1000) if offers else 0.0
-
-
-_ENDS = frozenset({"answered", "refused", "caller-gone"})
-
-
-def collect_stories(lines: Iterable[LogLine]) -> dict[str, Story]:
-    """Return the stories by request, in the order in which they began."""
-    stories: dict[str, Story] = {}
-    for line in sorted(lines, key=lambda item: item.at):
-        if line.request:
-            story = stories.get(line.request)
-            if story is None:
-                story = stories[line.request] = Story(request=line.request, lines=[])
-            story.lines.append(line)
-    return stories
-
-
-def cause_of(story: Story) -> Cause:
-    """Return the one cause under which a request's outcome falls."""
-    end = story.end
-    if end is None:
-        return Cause.NO_END
-    if end.event == "caller-gone":
-        return Cause.CALLER_LEFT
-    if end.event == "answered":
-        return _cause_of_answer(story, end)
-    reason = end.pairs.get("reason", "")
-    if reason in _UNKNOWN:
-        return Cause.REFUSED_UNKNOWN
+    def queued_seconds(self) -> float:
+        """Seconds from the request head to the first attempt; 0 without attempts."""
+        dispatch_times = [
+            line.unix_ms for line in self.lines if line.event == "offered"
+        ]
+        return (
+            max(0.0, (dispatch_times[0] - self.started_unix_ms) / 1000)
+            if dispatch_times
+            else 0.0
+        )
+
+
+_FINAL_EVENTS = frozenset({"answered", "refused", "caller-gone"})
+
+
+def collect_traces(lines: Iterable[LogLine]) -> dict[str, RequestTrace]:
+    """Return the traces by attempt id, in the order of their first lines."""
+    traces: dict[str, RequestTrace] = {}
+    for line in sorted(lines, key=lambda item: item.unix_ms):
+        if line.request_id:
+            trace = traces.get(line.request_id)
+            if trace is None:
+                trace = traces[line.request_id] = RequestTrace(
+                    request_id=line.request_id, lines=[]
+                )
+            trace.lines.append(line)
+    return traces
+
+
+def determine_cause(trace: RequestTrace) -> Cause:
+    """Return the cause of a request's outcome."""
+    final_line = trace.final_line
+    if final_line is None:
+        return Cause.NO_FINAL_EVENT
+    if final_line.event == "caller-gone":
+        return Cause.CALLER_DISCONNECTED
+    if final_line.event == "answered":
+        return _determine_response_cause(trace, final_line)
+    reason = final_line.fields.get("reason", "")
+    if reason in _UNCONFIGURED_REASONS:
+        return Cause.REFUSED_UNCONFIGURED
     if reason == "timed-out":
-        amid = end.number("events") > 0
-        return Cause.TIMED_OUT_AMID if amid else Cause.TIMED_OUT_WAITING
-    return Cause.CUT_OFF if reason == "upstream-failed" else Cause.REFUSED
-
-
-def format_story(story: Story) -> list[str]:
-    """Return a request's lines, with milliseconds since its beginning."""
-    began = story.began_at
-    shown: list[str] = []
-    for line in story.lines:
-        pairs = " ".join(
-            f"{key}={value}" for key, value in line.pairs.items() if key != "request"
+        has_events = final_line.get_number("events") > 0
+        return (
+            Cause.TIMED_OUT_MID_STREAM if has_events else Cause.TIMED_OUT_BEFORE_EVENT
+        )
+    return Cause.INTERRUPTED if reason == "upstream-failed" else Cause.REFUSED
+
+
+def format_trace(trace: RequestTrace) -> list[str]:
+    """Return the lines of a request with their time in ms since it began."""
+    start = trace.started_unix_ms
+    rows: list[str] = []
+    for line in trace.lines:
+        fields = " ".join(
+            f"{key}={value}" for key, value in line.fields.items() if key != "request"
         )
-        shown.append(
-            f"{line.at - began:9.0f} ms  {line.instance:16} {line.event:16} {pairs}"
+        rows.append(
+            f"{line.unix_ms - start:9.0f} ms  {line.instance:16} {line.event:16} "
+            f"{fields}"
         )
-    shown.append(f"{'':14}{cause_of(story).value}")
-    return shown
+    rows.append(f"{'':14}{determine_cause(trace).value}")
+    return rows
 
 
-def _cause_of_answer(story: Story, end: LogLine) -> Cause:
-    if end.number("status") >= 500:
+def _determine_response_cause(trace: RequestTrace, final_line: LogLine) -> Cause:
+    if final_line.get_number("status") >= 500:
         return Cause.FAILED_BY_REPLICA
-    target = end.number("target")
-    if not target or end.number("first") <= ON_TIME_SHARE * target:
+    target = final_line.get_number("target")
+    if not target or final_line.get_number("first") <= ON_TIME_FRACTION * target:
         return Cause.SERVED
-    waited_most = story.waited > end.number("first") / 2
-    return Cause.LATE_WAITING if waited_most else Cause.LATE_FIRST_EVENT
+    was_mostly_queued = trace.queued_seconds > final_line.get_number("first") / 2
+    return Cause.LATE_QUEUED if was_mostly_queued else Cause.LATE_AFTER_DISPATCH
