--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -1,9 +1,9 @@
 """
-Tests of experiments: loads replayed to the gateways' decisions
-===============================================================
+Tests of experiments: the gateways' decisions under simulated loads
+===================================================================
 
-Each gain in how prompts are placed has the load that it answers replayed with and
-without it.
+Each part of placement and admission that is meant to raise attainment is checked by
+simulating the load that it is made for with and without it.
 """
 
 from pathlib import Path
@@ -32,44 +32,46 @@
 from damasklead.gateway.placements import engine as engine_placement
 from damasklead.ids import AttemptId
 
-# The burst's first half: what it loses is decided there.
+# The first half of the burst, which decides its attainment.
 BURST_SECONDS = 5.0
-LOADS = Path(__file__).parent.parent / "experiments"
-FILE = LOADS / "bursts.jsonc"
-HISTORIES = LOADS / "long-histories.jsonc"
-# Long enough for a burst of reviews, short enough for a test.
-SECONDS = 12.0
+EXPERIMENTS = Path(__file__).parent.parent / "experiments"
+BURSTS_FILE = EXPERIMENTS / "bursts.jsonc"
+HISTORIES_FILE = EXPERIMENTS / "long-histories.jsonc"
+# Long enough to contain a burst of reviews.
+EXPERIMENT_SECONDS = 12.0
 SEEDS = (1, 2, 3)
 
 
 @pytest.fixture(scope="module")
 def experiment() -> Experiment:
     findings = Findings()
-    found = check_experiment(FILE.read_text(), file=str(FILE), findings=findings)
+    found = check_experiment(
+        BURSTS_FILE.read_text(), file=str(BURSTS_FILE), findings=findings
+    )
     assert found is not None, list(findings)
-    return msgspec.structs.replace(found, seconds=SECONDS, faults=[])
+    return msgspec.structs.replace(found, seconds=EXPERIMENT_SECONDS, faults=[])
 
 
-def replay(experiment: Experiment, policy: str = "shipped", seed: int = 1) -> Tally:
+def run_policy(experiment: Experiment, policy: str = "shipped", seed: int = 1) -> Tally:
     return run_experiment(experiment, POLICIES[policy], seed)
 
 
-def attainment(tallies: list[Tally]) -> float:
+def compute_mean_attainment(tallies: list[Tally]) -> float:
     return sum(tally.compute_attainment() for tally in tallies) / len(tallies)
 
 
 def test_the_same_seed_gives_the_same_run(experiment: Experiment) -> None:
-    first, second = replay(experiment), replay(experiment)
+    first, second = run_policy(experiment), run_policy(experiment)
     assert first.compute_attainment() == second.compute_attainment()
     assert first.prefilled_tokens == second.prefilled_tokens
 
 
-def test_the_shipped_decisions_serve_better_than_least_outstanding(
+def test_the_gateways_placement_attains_more_than_least_outstanding(
     experiment: Experiment,
 ) -> None:
-    shipped, least = replay(experiment), replay(experiment, "least")
-    assert shipped.compute_attainment() > least.compute_attainment() + 0.1
-    assert shipped.recomputed_tokens < least.recomputed_tokens / 2
+    shipped, least_outstanding = run_policy(experiment), run_policy(experiment, "least")
+    assert shipped.compute_attainment() > least_outstanding.compute_attainment() + 0.1
+    assert shipped.recomputed_tokens < least_outstanding.recomputed_tokens / 2
 
 
 @pytest.mark.parametrize(
@@ -80,67 +82,74 @@
         ("MIN_RESERVED_FRACTION", 0.0),
     ],
 )
-def test_each_part_of_the_placement_serves_the_burst_better(
+def test_each_part_of_the_placement_raises_attainment_in_a_burst(
     experiment: Experiment,
     monkeypatch: pytest.MonkeyPatch,
     constant: str,
     without: float,
 ) -> None:
-    whole = attainment([replay(experiment, seed=seed) for seed in SEEDS])
+    with_part = compute_mean_attainment(
+        [run_policy(experiment, seed=seed) for seed in SEEDS]
+    )
     monkeypatch.setattr(engine_placement, constant, without)
-    less = attainment([replay(experiment, seed=seed) for seed in SEEDS])
-    assert whole > less
+    without_part = compute_mean_attainment(
+        [run_policy(experiment, seed=seed) for seed in SEEDS]
+    )
+    assert with_part > without_part
 
 
-def test_prompts_are_read_again_far_less_when_engines_copy(
+def test_copies_between_engines_avoid_recomputed_prefill(
     experiment: Experiment, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    with_copies = [replay(experiment, seed=seed) for seed in SEEDS]
+    with_copies = [run_policy(experiment, seed=seed) for seed in SEEDS]
     monkeypatch.setattr(
         engine_placement.EnginePlacement, "find_copy_source", lambda *_: None
     )
-    without = [replay(experiment, seed=seed) for seed in SEEDS]
-    again = sum(tally.recomputed_tokens for tally in with_copies)
-    assert again < sum(tally.recomputed_tokens for tally in without) / 2
-    assert attainment(with_copies) > attainment(without)
+    without = [run_policy(experiment, seed=seed) for seed in SEEDS]
+    recomputed = sum(tally.recomputed_tokens for tally in with_copies)
+    assert recomputed < sum(tally.recomputed_tokens for tally in without) / 2
+    assert compute_mean_attainment(with_copies) > compute_mean_attainment(without)
 
 
-def test_a_crash_is_survived_by_those_that_come_back(experiment: Experiment) -> None:
+def test_few_requests_fail_when_engines_crash(experiment: Experiment) -> None:
     fault = Fault(kind=FaultKind.CRASH, at=4.0, seconds=3.0, share=0.2)
-    calm = msgspec.structs.replace(experiment, bursts=[])
-    tally = replay(msgspec.structs.replace(calm, faults=[fault]))
-    failed = sum(
+    without_bursts = msgspec.structs.replace(experiment, bursts=[])
+    tally = run_policy(msgspec.structs.replace(without_bursts, faults=[fault]))
+    failure_count = sum(
         kind.counts[Result.FAILED] for kind in tally.summarize_by_kind().values()
     )
-    asked = sum(
+    request_count = sum(
         sum(kind.counts.values()) for kind in tally.summarize_by_kind().values()
     )
-    assert asked > 200
-    assert failed <= 0.05 * asked
+    assert request_count > 200
+    assert failure_count <= 0.05 * request_count
 
 
-def test_gateways_that_do_not_hear_each_other_still_serve(
+def test_partitioned_gateways_serve_requests(
     experiment: Experiment,
 ) -> None:
-    cut = Fault(kind=FaultKind.CUT, at=0.0, seconds=SECONDS, share=1.0)
-    alone = replay(msgspec.structs.replace(experiment, faults=[cut]))
-    assert alone.compute_attainment() > 0.7 * replay(experiment).compute_attainment()
+    partition = Fault(kind=FaultKind.CUT, at=0.0, seconds=EXPERIMENT_SECONDS, share=1.0)
+    partitioned = run_policy(msgspec.structs.replace(experiment, faults=[partition]))
+    assert (
+        partitioned.compute_attainment()
+        > 0.7 * run_policy(experiment).compute_attainment()
+    )
 
 
-def test_a_burst_makes_more_requests(experiment: Experiment) -> None:
-    def asked(bursts: list[Burst]) -> int:
-        tally = replay(msgspec.structs.replace(experiment, bursts=bursts), "least")
+def test_a_burst_raises_the_arrival_rate(experiment: Experiment) -> None:
+    def count_requests(bursts: list[Burst]) -> int:
+        tally = run_policy(msgspec.structs.replace(experiment, bursts=bursts), "least")
         return sum(
             sum(kind.counts.values()) for kind in tally.summarize_by_kind().values()
         )
 
-    burst = Burst(at=0.0, seconds=SECONDS, factor=3.0)
-    assert asked([burst]) > 2 * asked([])
+    burst = Burst(at=0.0, seconds=EXPERIMENT_SECONDS, factor=3.0)
+    assert count_requests([burst]) > 2 * count_requests([])
 
 
-def test_an_engine_reads_a_shared_part_once(experiment: Experiment) -> None:
+def test_an_engine_prefills_a_shared_part_once(experiment: Experiment) -> None:
     simulator = Simulator()
-    one, other = (
+    first, second = (
         Engine(
             parameters=experiment.engines,
             simulator=simulator,
@@ -165,21 +174,23 @@
         )
         simulator.run_until(simulator.clock.now() + 5.0)
 
-    send(one, "a")
-    assert one.prefilled_tokens == 4500
-    send(one, "b")
-    assert one.prefilled_tokens == 5000
-    seconds = other.copy_prefix(one, (PromptPart("shared", 4000), PromptPart("x", 1)))
+    send(first, "a")
+    assert first.prefilled_tokens == 4500
+    send(first, "b")
+    assert first.prefilled_tokens == 5000
+    seconds = second.copy_prefix(
+        first, (PromptPart("shared", 4000), PromptPart("x", 1))
+    )
     assert 0 < seconds < 0.02
-    send(other, "c")
-    assert other.prefilled_tokens == 500
+    send(second, "c")
+    assert second.prefilled_tokens == 500
     assert ended == [True, True, True]
 
 
 def test_the_command_prints_a_table_and_draws_a_plot(
     tmp_path: Path, capsys: pytest.CaptureFixture[str]
 ) -> None:
-    text = FILE.read_text().replace('"seconds": 34', '"seconds": 3')
+    text = BURSTS_FILE.read_text().replace('"seconds": 34', '"seconds": 3')
     file, plot = tmp_path / "short.jsonc", tmp_path / "day.png"
     file.write_text(text)
     options = ["--policy", "shipped", "--policy", "least", "--seeds", "1"]
@@ -193,9 +204,9 @@
     assert main(["experiment", str(file)]) == 2
 
 
-def test_a_wrong_file_is_reported_with_its_place() -> None:
+def test_a_wrong_value_is_reported_with_its_location() -> None:
     findings = Findings()
-    text = FILE.read_text().replace('"gateways": 8', '"gateways": "many"')
+    text = BURSTS_FILE.read_text().replace('"gateways": 8', '"gateways": "many"')
     assert check_experiment(text, file="f.jsonc", findings=findings) is None
     (finding,) = findings
     assert finding.path == "gateways" and finding.line == 6
@@ -203,17 +214,17 @@
 
 @pytest.fixture(scope="module")
 def many_subjects() -> Experiment:
-    """Return a burst about more subjects than its first seconds can read."""
+    """Return a burst with more subjects than engines can prefill in its first seconds."""
     findings = Findings()
-    text = HISTORIES.read_text()
-    found = check_experiment(text, file=str(HISTORIES), findings=findings)
+    text = HISTORIES_FILE.read_text()
+    found = check_experiment(text, file=str(HISTORIES_FILE), findings=findings)
     assert found is not None, list(findings)
     return msgspec.structs.replace(found, seconds=BURST_SECONDS, faults=[])
 
 
 @pytest.fixture(scope="module")
 def many_subjects_shipped(many_subjects: Experiment) -> Tally:
-    return replay(many_subjects)
+    return run_policy(many_subjects)
 
 
 @pytest.mark.parametrize(
@@ -224,7 +235,7 @@
         (admission, {"MAX_QUEUE_LENGTH": 100}),
     ],
 )
-def test_each_decision_serves_a_burst_about_many_subjects_better(
+def test_each_decision_raises_attainment_in_a_burst_of_many_subjects(
     many_subjects: Experiment,
     many_subjects_shipped: Tally,
     monkeypatch: pytest.MonkeyPatch,
@@ -235,5 +246,5 @@
         monkeypatch.setattr(module, constant, value)
     assert (
         many_subjects_shipped.compute_attainment()
-        > replay(many_subjects).compute_attainment()
+        > run_policy(many_subjects).compute_attainment()
     )
