--- a/damasklead/experiment/description.py
+++ b/damasklead/experiment/description.py
@@ -183,8 +183,8 @@
     """Crash of engines, slow engines, or gateways partitioned from each other."""
 
     CRASH = "crash"
-    SLOW = "slow"
-    CUT = "cut"
+    SLOWDOWN = "slow"
+    PARTITION = "cut"
 
 
 class Fault(msgspec.Struct, kw_only=True, frozen=True, forbid_unknown_fields=True):
--- a/damasklead/experiment/engines.py
+++ b/damasklead/experiment/engines.py
@@ -79,13 +79,13 @@
 
     def match_prefix(self, parts: tuple[PromptPart, ...]) -> int:
         """Return the tokens of the longest cached prefix, and mark it as used."""
-        found = 0
+        matched_tokens = 0
         for part in parts:
             if part.key not in self._parts:
                 break
             self._parts.move_to_end(part.key)
-            found += part.tokens
-        return found
+            matched_tokens += part.tokens
+        return matched_tokens
 
     def add_parts(self, parts: tuple[PromptPart, ...]) -> None:
         """Add parts whose prefill is complete."""
@@ -226,12 +226,12 @@
 
     def crash(self, seconds: float) -> None:
         """Interrupt all requests, lose the cache, and restart after some seconds."""
-        broken = [*self._running.values(), *(item[2] for item in self._queue)]
+        interrupted = [*self._running.values(), *(item[2] for item in self._queue)]
         self._running.clear()
         self._queue.clear()
         self._cache.clear()
         self.is_running = False
-        for request in broken:
+        for request in interrupted:
             request.on_end(False)
         self._simulator.schedule(seconds, self._restart)
 
@@ -273,7 +273,7 @@
             Tokens prefilled, and pairs of such a token and one before it, to which the
             time of attention is proportional.
         """
-        left, pairs = self._parameters.chunk, 0.0
+        remaining_tokens, pairs = self._parameters.chunk, 0.0
         prefilling = [
             request
             for request in self._running.values()
@@ -285,17 +285,17 @@
                     request.prompt
                 )
                 self._record_prefill(request)
-            tokens = min(left, request.pending_prefill_tokens)
+            tokens = min(remaining_tokens, request.pending_prefill_tokens)
             pairs += tokens * (
                 request.context_tokens - request.pending_prefill_tokens + tokens / 2
             )
             request.pending_prefill_tokens -= tokens
-            left -= tokens
+            remaining_tokens -= tokens
             if not request.pending_prefill_tokens:
                 self._cache.add_parts(request.prompt[:-1])
-            if not left:
+            if not remaining_tokens:
                 break
-        return self._parameters.chunk - left, pairs
+        return self._parameters.chunk - remaining_tokens, pairs
 
     def _record_prefill(self, request: EngineRequest) -> None:
         """Count the tokens to prefill, and those that some engine prefilled before."""
--- a/damasklead/experiment/fleet.py
+++ b/damasklead/experiment/fleet.py
@@ -96,13 +96,13 @@
             for number, record in enumerate(self._records)
         }
         self._routes = {kind.name: make_route(kind) for kind in experiment.kinds}
-        self._table = self._make_table()
+        self._routing_table = self._make_routing_table()
         placement = policy.get_placement_class(self._engines)
         self._gateways = [
             self._make_gateway(number, placement)
             for number in range(experiment.gateways)
         ]
-        self._by_name = {gateway.name: gateway for gateway in self._gateways}
+        self._gateways_by_name = {gateway.name: gateway for gateway in self._gateways}
         members = [gateway.member for gateway in self._gateways]
         for gateway in self._gateways:
             gateway.update_members(members)
@@ -117,8 +117,8 @@
             self._simulator.schedule(fault.at, self._inject_fault, fault)
         for gateway in self._gateways:
             self._simulator.schedule(0.0, self._process_queues, gateway)
-        longest = max(kind.timeout for kind in self._experiment.kinds)
-        self._simulator.run_until(self._experiment.seconds + longest + 1.0)
+        max_timeout = max(kind.timeout for kind in self._experiment.kinds)
+        self._simulator.run_until(self._experiment.seconds + max_timeout + 1.0)
         self._tally.prefilled_tokens = sum(
             item.prefilled_tokens for item in self._engines.values()
         )
@@ -145,7 +145,7 @@
             incarnation=1,
         )
 
-    def _make_table(self) -> RoutingTable:
+    def _make_routing_table(self) -> RoutingTable:
         parameters = self._experiment.engines
         spec = EngineSpec(
             slots=parameters.slots,
@@ -168,7 +168,7 @@
             name=f"gateway-{number}",
             data_centre=DataCentre(centres[number % len(centres)]),
             simulator=self._simulator,
-            table=self._table,
+            table=self._routing_table,
             placement=placement,
             engines=self._engines,
             compute_delay=self._compute_delay,
@@ -197,12 +197,12 @@
         """Deliver a message to another gateway unless one of the two is partitioned."""
         if gateway.name in self._partitioned or name in self._partitioned:
             return
-        receiver = self._by_name[name]
+        receiver = self._gateways_by_name[name]
         delay = self._compute_delay(gateway.data_centre, receiver.data_centre)
         self._simulator.schedule(delay, receiver.receive_message, message, gateway.name)
 
     def _inject_fault(self, fault: Fault) -> None:
-        if fault.kind is FaultKind.CUT:
+        if fault.kind is FaultKind.PARTITION:
             count = max(1, round(fault.share * len(self._gateways)))
             self._partitioned |= {item.name for item in self._gateways[:count]}
             self._simulator.schedule(fault.seconds, self._partitioned.clear)
--- a/damasklead/experiment/load.py
+++ b/damasklead/experiment/load.py
@@ -80,7 +80,7 @@
     Draws the prompts of one kind of request.
 
     The shared parts form a tree: each subject of a level belongs to one subject of the
-    level before it, such as a conversation to a system prompt.
+    level before it, and all prompts of a subject start with the same parts.
     """
 
     def __init__(self, *, kind: RequestKind) -> None:
--- a/damasklead/experiment/tally.py
+++ b/damasklead/experiment/tally.py
@@ -168,15 +168,19 @@
     """Return the earned fraction, weighting requests by value and prompt length."""
     if not outcomes:
         return 1.0
-    sizes: dict[str, list[int]] = {}
+    prompt_tokens: dict[str, list[int]] = {}
     for item in outcomes:
-        sizes.setdefault(item.kind.name, []).append(item.prompt_tokens)
-    means = {name: sum(values) / len(values) for name, values in sizes.items()}
+        prompt_tokens.setdefault(item.kind.name, []).append(item.prompt_tokens)
+    mean_prompt_tokens = {
+        name: sum(values) / len(values) for name, values in prompt_tokens.items()
+    }
     total_value = earned = 0.0
     for item in outcomes:
         factor = (
             FIXED_VALUE_FRACTION
-            + (1 - FIXED_VALUE_FRACTION) * item.prompt_tokens / means[item.kind.name]
+            + (1 - FIXED_VALUE_FRACTION)
+            * item.prompt_tokens
+            / mean_prompt_tokens[item.kind.name]
         )
         value = item.kind.value * min(MAX_VALUE_FACTOR, factor)
         total_value += value
--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -128,7 +128,9 @@
 def test_partitioned_gateways_serve_requests(
     experiment: Experiment,
 ) -> None:
-    partition = Fault(kind=FaultKind.CUT, at=0.0, seconds=EXPERIMENT_SECONDS, share=1.0)
+    partition = Fault(
+        kind=FaultKind.PARTITION, at=0.0, seconds=EXPERIMENT_SECONDS, share=1.0
+    )
     partitioned = run_policy(msgspec.structs.replace(experiment, faults=[partition]))
     assert (
         partitioned.compute_attainment()
