--- a/models/lease.py
+++ b/models/lease.py
@@ -10,7 +10,7 @@
 row's fencing token; the ticks since the last renewal; for each candidate the ticks
 until its renew deadline and its fencing token; the token of the load command in flight
 (0 for none) and the ticks since it was sent; and the highest token of a command that
-the engine executed (0 for none), or -1 after it executed an older command.
+the engine executed (0 for none), or -1 after it executed an older command later.
 """
 
 from collections.abc import Iterator
