--- a/bench/policies.py
+++ b/bench/policies.py
@@ -138,7 +138,9 @@
     def start(self) -> None:
         """Build the entries and start their periodic work."""
         self.pool = PoolId("pool")
-        self.names = [InstanceId(f"entry-{number}") for number in range(ENTRY_COUNT)]
+        self.names = [
+            InstanceId(f"entry-{entry_index}") for entry_index in range(ENTRY_COUNT)
+        ]
         self.quarantines = [
             Quarantine(
                 clock=self.simulator.clock,
@@ -147,7 +149,9 @@
             )
             for _ in self.names
         ]
-        self.entries = [self._make_dispatcher(number) for number in range(ENTRY_COUNT)]
+        self.entries = [
+            self._make_dispatcher(entry_index) for entry_index in range(ENTRY_COUNT)
+        ]
         self.coordinators = {
             name: Coordinator(pool=self.pool, clock=self.simulator.clock)
             for name in self.names
@@ -162,31 +166,31 @@
             coordinator.set_targets(
                 token_gap_targets=token_gap_targets, min_shares=min_shares
             )
-        for number in range(ENTRY_COUNT):
+        for entry_index in range(ENTRY_COUNT):
             self.simulator.schedule(
-                self.random.random() * TICK_SECONDS, self._process_timeouts, number
+                self.random.random() * TICK_SECONDS, self._process_timeouts, entry_index
             )
             delay = self.random.random() * compute_share_interval(ENTRY_COUNT)
-            self.simulator.schedule(delay, self._send_demand, number)
+            self.simulator.schedule(delay, self._send_demand, entry_index)
         self.simulator.schedule(0.0, self._run_coordinator)
 
     def submit(self, arrival: Arrival) -> None:
         """Submit a request to its entry."""
-        entry = self.entries[arrival.entry]
+        entry = self.entries[arrival.entry_index]
         self._run_decision(
-            arrival.entry,
+            arrival.entry_index,
             lambda: entry.submit_request(arrival.request, is_preemptable=True),
         )
 
-    def _make_dispatcher(self, number: int) -> PoolDispatcher:
+    def _make_dispatcher(self, entry_index: int) -> PoolDispatcher:
         dispatcher = PoolDispatcher(
             pool=self.pool,
             service=self.deployment.service,
             clock=self.simulator.clock,
-            data_centre=self.deployment.get_data_centre(number),
+            data_centre=self.deployment.get_data_centre(entry_index),
             random_source=random.Random(self.random.random()),
             costs=CostModel(),
-            quarantine=self.quarantines[number],
+            quarantine=self.quarantines[entry_index],
             new_attempt_id=self.make_attempt_id,
             options=self.options,
         )
@@ -199,13 +203,15 @@
         dispatcher.set_replicas(infos, entry_count=ENTRY_COUNT)
         return dispatcher
 
-    def _run_decision(self, number: int, decide: Callable[[], list[Action]]) -> None:
+    def _run_decision(
+        self, entry_index: int, decide: Callable[[], list[Action]]
+    ) -> None:
         start = time.process_time()
         actions = decide()
         self.cpu_seconds += time.process_time() - start
         for action in actions:
             if isinstance(action, Start):
-                self._start_attempt(number, action)
+                self._start_attempt(entry_index, action)
             elif isinstance(action, Cancel):
                 engine = self.engines[action.replica]
                 attempt = action.attempt
@@ -215,8 +221,8 @@
             elif isinstance(action, Refuse):
                 self.records[action.request.id].is_refused = True
 
-    def _start_attempt(self, number: int, action: Start) -> None:
-        entry = self.entries[number]
+    def _start_attempt(self, entry_index: int, action: Start) -> None:
+        entry = self.entries[entry_index]
         request = action.request
         arrival = self.records[request.id].arrival
 
@@ -226,7 +232,8 @@
                 return
             self.record_tokens(request, count)
             self._run_decision(
-                number, lambda: entry.record_events(action.attempt, event_count=count)
+                entry_index,
+                lambda: entry.record_events(action.attempt, event_count=count),
             )
 
         def on_end(is_complete: bool) -> None:
@@ -235,14 +242,15 @@
             if is_complete:
                 self.record_completion(request)
                 self._run_decision(
-                    number, lambda: entry.complete_attempt(action.attempt)
+                    entry_index, lambda: entry.complete_attempt(action.attempt)
                 )
             elif engine_request.is_rejected:
                 self._run_decision(
-                    number, lambda: entry.fail_attempt(action.attempt, Failure.NOT_SENT)
+                    entry_index,
+                    lambda: entry.fail_attempt(action.attempt, Failure.NOT_SENT),
                 )
             else:
-                self._handle_broken_connection(number, action)
+                self._handle_broken_connection(entry_index, action)
 
         engine_request = EngineRequest(
             request=request,
@@ -257,8 +265,8 @@
             MESSAGE_DELAY_SECONDS, lambda: engine.submit_request(engine_request)
         )
 
-    def _handle_broken_connection(self, number: int, action: Start) -> None:
-        entry = self.entries[number]
+    def _handle_broken_connection(self, entry_index: int, action: Start) -> None:
+        entry = self.entries[entry_index]
         engine = self.engines[action.replica]
         incarnation = Incarnation(engine.incarnation)
         running = frozenset(
@@ -266,20 +274,20 @@
             for attempt in entry.attempts.values()
             if attempt.replica == action.replica
         )
-        self._record_crash(number, action.replica, incarnation, running)
+        self._record_crash(entry_index, action.replica, incarnation, running)
         self._run_decision(
-            number, lambda: entry.fail_attempt(action.attempt, Failure.BROKEN)
+            entry_index, lambda: entry.fail_attempt(action.attempt, Failure.BROKEN)
         )
 
     def _record_crash(
         self,
-        number: int,
+        entry_index: int,
         replica: InstanceId,
         incarnation: Incarnation,
         running: frozenset[Fingerprint],
     ) -> None:
         """Record a crash at one entry at once, and at all after a share interval."""
-        self.quarantines[number].record_crash(replica, incarnation, running)
+        self.quarantines[entry_index].record_crash(replica, incarnation, running)
         for quarantine in self.quarantines:
             self.simulator.schedule(
                 compute_share_interval(ENTRY_COUNT),
@@ -289,26 +297,28 @@
                 running,
             )
 
-    def _process_timeouts(self, number: int) -> None:
-        for fingerprint in self.quarantines[number].identify_culprits():
+    def _process_timeouts(self, entry_index: int) -> None:
+        for fingerprint in self.quarantines[entry_index].identify_culprits():
             for quarantine in self.quarantines:
                 quarantine.add_fingerprint(fingerprint)
-        self._run_decision(number, self.entries[number].process_timeouts)
-        self.simulator.schedule(TICK_SECONDS, lambda: self._process_timeouts(number))
+        self._run_decision(entry_index, self.entries[entry_index].process_timeouts)
+        self.simulator.schedule(
+            TICK_SECONDS, lambda: self._process_timeouts(entry_index)
+        )
 
-    def _send_demand(self, number: int) -> None:
+    def _send_demand(self, entry_index: int) -> None:
         coordinator = self._find_coordinator()
         if coordinator is not None:
-            demand = self.entries[number].build_demand()
+            demand = self.entries[entry_index].build_demand()
             self._count_control_bytes(demand)
             self.simulator.schedule(
                 MESSAGE_DELAY_SECONDS,
                 lambda: self.coordinators[coordinator].record_demand(
-                    self.names[number], demand
+                    self.names[entry_index], demand
                 ),
             )
         self.simulator.schedule(
-            compute_share_interval(ENTRY_COUNT), lambda: self._send_demand(number)
+            compute_share_interval(ENTRY_COUNT), lambda: self._send_demand(entry_index)
         )
 
     def _run_coordinator(self) -> None:
@@ -323,12 +333,12 @@
             self.cpu_seconds += time.process_time() - start
             for entry, grant in grants.items():
                 self._count_control_bytes(grant)
-                number = self.names.index(entry)
-                apply_grant = self.entries[number].apply_grant
+                entry_index = self.names.index(entry)
+                apply_grant = self.entries[entry_index].apply_grant
                 self.simulator.schedule(
                     MESSAGE_DELAY_SECONDS,
                     self._run_decision,
-                    number,
+                    entry_index,
                     partial(apply_grant, grant),
                 )
         self.simulator.schedule(
@@ -347,7 +357,7 @@
         if self._are_reports_lost():
             return None
         live_entries = list(self.names)
-        first = choose_coordinator(self.pool, live_entries)
+        coordinator = choose_coordinator(self.pool, live_entries)
         now = self.simulator.clock.now()
         if (
             Fault.COORDINATOR_LOSS in self.scenario.faults
@@ -355,11 +365,11 @@
         ):
             # The coordinator is lost at the start of the burst; the other entries'
             # instance list shows this 2 s later.
-            live_entries.remove(first)  # type: ignore[arg-type]
+            live_entries.remove(coordinator)  # type: ignore[arg-type]
             return choose_coordinator(self.pool, live_entries)
         if Fault.COORDINATOR_LOSS in self.scenario.faults and now > OUTAGE_SECONDS[0]:
             return None
-        return first
+        return coordinator
 
     def _are_reports_lost(self) -> bool:
         now = self.simulator.clock.now()
@@ -460,7 +470,7 @@
 
     def choose_engine(self, arrival: Arrival) -> Engine:
         """Return the engine with the fewest outstanding requests of the entry."""
-        request_counts = self.request_counts[arrival.entry]
+        request_counts = self.request_counts[arrival.entry_index]
         alive_engines = [
             name for name, engine in self.engines.items() if engine.is_alive
         ]
@@ -476,7 +486,7 @@
 
     def record_attempt_end(self, engine: Engine, arrival: Arrival) -> None:
         """Count one outstanding request less."""
-        self.request_counts[arrival.entry][engine.name] -= 1
+        self.request_counts[arrival.entry_index][engine.name] -= 1
 
 
 class Clairvoyant(Policy):
--- a/bench/workload.py
+++ b/bench/workload.py
@@ -220,8 +220,8 @@
     ----------
     arrived_at : float
         Time of the arrival, in seconds from the start of the run.
-    entry : int
-        Number of the entry.
+    entry_index : int
+        Index of the entry, from 0.
     request : Request
         The request.
     output_tokens : int
@@ -229,7 +229,7 @@
     """
 
     arrived_at: float
-    entry: int
+    entry_index: int
     request: Request
     output_tokens: int
 
@@ -286,7 +286,7 @@
     )
     return Arrival(
         arrived_at=arrived_at,
-        entry=_choose_entry(source, scenario),
+        entry_index=_choose_entry(source, scenario),
         request=request,
         output_tokens=output_tokens,
     )
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -26,7 +26,7 @@
 # write again within about two seconds.
 REWRITE_DELAY_SECONDS = 1.0
 STORE_RESTORED = "store comes back from a copy"
-# Restores in a run that has any.
+# Restores of the store in a run that has any.
 RESTORE_COUNT = 2
 
 
@@ -149,7 +149,7 @@
     return inject
 
 
-def _stop_store(cluster: Cluster, fault: Fault) -> None:
+def _make_store_unavailable(cluster: Cluster, fault: Fault) -> None:
     cluster.store.is_unavailable = True
     gevent.sleep(fault.duration_seconds)
     cluster.store.is_unavailable = False
@@ -212,7 +212,7 @@
     ),
     "replica is slow": _make_network_fault(_pick_replica_proxy, NetworkFault.DELAY),
     "replica is silent": _make_network_fault(_pick_replica_proxy, NetworkFault.STALL),
-    "store is away": _stop_store,
+    "store is away": _make_store_unavailable,
     STORE_RESTORED: _restore_store,
     "store is silent to one": _make_network_fault(
         _pick_store_proxy, NetworkFault.STALL
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -22,7 +22,11 @@
 
 
 class NetworkFault(Enum):
-    """What a proxy does to its connections."""
+    """
+    What a proxy does to its connections.
+
+    A stall holds back the bytes of both directions, or of responses, until it ends.
+    """
 
     NONE = "none"
     DELAY = "delay"
--- a/soak/run.py
+++ b/soak/run.py
@@ -109,6 +109,7 @@
         gevent.sleep(FAULT_FREE_SECONDS)
         callers_stopped_at = time.monotonic()
         gevent.killall(tasks[1:])
+        # Later requests may not have been completed when the callers were stopped.
         due_responses = [
             response
             for response in responses
