--- a/bench/datapath.py
+++ b/bench/datapath.py
@@ -88,8 +88,8 @@
     """Run all measurements and print the results."""
     with Deployment(entries=1, engines=6, services=0) as deployment:
         pid = deployment.processes["entry-0"].pid
-        client = Client(address=deployment.callers["entry-0"])
-        direct_client = Client(address=deployment.upstreams["engine-0"])
+        client = Client(address=deployment.caller_addresses["entry-0"])
+        direct_client = Client(address=deployment.upstream_addresses["engine-0"])
         idle_cpu_fraction = measure_idle(pid)
         measure_streams(pid, client, idle_cpu_fraction)
         measure_requests(pid, client, idle_cpu_fraction)
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -30,8 +30,12 @@
 def main() -> None:
     """Run each case and print its result."""
     measure_case("no fault", lambda deployment: None)
-    measure_case("an engine killed", lambda deployment: deployment.kill("engine-1"))
-    measure_case("an entry killed", lambda deployment: deployment.kill("entry-2"))
+    measure_case(
+        "an engine killed", lambda deployment: deployment.kill_process("engine-1")
+    )
+    measure_case(
+        "an entry killed", lambda deployment: deployment.kill_process("entry-2")
+    )
 
 
 def measure_case(name: str, inject_fault: Callable[[Deployment], None]) -> None:
@@ -39,8 +43,8 @@
     source = random.Random(SEED)
     with Deployment(entries=3, engines=3, services=1) as deployment:
         # No caller uses the killed entry: a load balancer would move its callers.
-        planning = deployment.caller("planning", "entry-0", "entry-1")
-        skippers = deployment.caller("skippers", "entry-0", "entry-1")
+        planning = deployment.make_caller("planning", "entry-0", "entry-1")
+        skippers = deployment.make_caller("skippers", "entry-0", "entry-1")
 
         def review(number: int) -> ReceivedResponse:
             prompt = f"review {number}"
--- a/bench/store.py
+++ b/bench/store.py
@@ -39,7 +39,9 @@
 
 def fetch_call_counts(deployment: Deployment) -> dict[str, int]:
     """Return the number of calls that the platform received, by kind."""
-    call_counts: dict[str, int] = deployment.get(deployment.platform_address, "/counts")
+    call_counts: dict[str, int] = deployment.fetch_json(
+        deployment.platform_address, "/counts"
+    )
     return call_counts
 
 
@@ -59,7 +61,7 @@
 
 def measure_orders(deployment: Deployment) -> None:
     """Print the number of commits for each order."""
-    caller = deployment.caller("skippers")
+    caller = deployment.make_caller("skippers")
     before = fetch_call_counts(deployment).get("CommitCall", 0)
     for number in range(ORDER_COUNT):
         body = msgspec.json.encode({"reference": f"o{number}"})
--- a/tests/__init__.py
+++ b/tests/__init__.py
@@ -2,5 +2,5 @@
 Tests
 =====
 
-They mirror the package, one module for each of its modules.
+The test modules mirror the modules of the package.
 """
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -8,6 +8,6 @@
 from damasklead.demo import run_demo
 
 
-def test_every_promise_holds_in_the_demonstration() -> None:
+def test_all_guarantees_hold_in_the_demonstration() -> None:
     logging.set_verbosity(logging.ERROR)
     assert run_demo() == 0
--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -40,9 +40,9 @@
 
 def test_callers_are_served_over_tls_only() -> None:
     with Deployment(
-        entries=1, engines=1, services=1, settings={"tls": TLS}
+        entries=1, engines=1, services=1, entry_settings={"tls": TLS}
     ) as deployment:
-        address = split_address(deployment.callers["entry-0"])
+        address = split_address(deployment.caller_addresses["entry-0"])
         context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
         context.load_verify_locations(CERTIFICATE)
         context.check_hostname = False
@@ -59,16 +59,20 @@
 
 def test_messages_of_peers_with_another_key_are_ignored() -> None:
     keys = {"peer_keys": PEER_KEYS}
-    with Deployment(entries=2, engines=1, services=1, settings=keys) as deployment:
+    with Deployment(
+        entries=2, engines=1, services=1, entry_settings=keys
+    ) as deployment:
         coordinators = {
             pool["coordinator"]
-            for name in deployment.operators
-            for pool in deployment.status(name)["pools"]
+            for name in deployment.operator_addresses
+            for pool in deployment.fetch_status(name)["pools"]
         }
         assert coordinators == {"entry-0", "entry-1"}
-        deployment.settings = {"peer_keys": OTHER_KEYS}
+        deployment.entry_settings = {"peer_keys": OTHER_KEYS}
         deployment.start_entry("stranger")
-        deployment.until(lambda: bool(deployment.status("stranger").get("ready")))
+        deployment.wait_until(
+            lambda: bool(deployment.fetch_status("stranger").get("ready"))
+        )
         gevent.sleep(3.0)
-        for pool in deployment.status("stranger")["pools"]:
+        for pool in deployment.fetch_status("stranger")["pools"]:
             assert pool["coordinator"] == "stranger" or not pool["granted"]
