--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# Every target sets up its own virtual environment with pinned and hashed packages.
+# Every target sets up a virtual environment with pinned and hashed packages.
 PYTHON ?= python3
 VENV := .venv
 RUN := $(VENV)/bin/python
