--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -1,10 +1,10 @@
 """
-Stateful fuzzing of the protocols
-=================================
+Stateful fuzz tests of the protocols
+====================================
 
-The real protocol objects, driven call by call with faults, against simple oracles.
-``make fuzz`` runs longer: the profile ``long`` and the number of steps come from the
-environment.
+Hypothesis executes the platform calls of the protocols one by one, interleaves them and
+injects faults, and checks invariants after each step.  ``FUZZ_EXAMPLES`` and
+``FUZZ_STEPS`` set the numbers of examples and steps; ``make fuzz`` runs more of them.
 """
 
 import os
@@ -43,11 +43,11 @@
 from damasklead.stores.base import Row
 from tests.faulty import Fault, FaultyStore, Task
 
-EXAMPLES = int(os.environ.get("FUZZ_EXAMPLES", "150"))
-STEPS = int(os.environ.get("FUZZ_STEPS", "60"))
+EXAMPLE_COUNT = int(os.environ.get("FUZZ_EXAMPLES", "150"))
+STEP_COUNT = int(os.environ.get("FUZZ_STEPS", "60"))
 SETTINGS = settings(
-    max_examples=EXAMPLES,
-    stateful_step_count=STEPS,
+    max_examples=EXAMPLE_COUNT,
+    stateful_step_count=STEP_COUNT,
     derandomize="FUZZ_EXAMPLES" not in os.environ,
     deadline=None,
     database=None,
@@ -59,29 +59,44 @@
 
 
 class Attempt(msgspec.Struct, kw_only=True):
-    """An attempt of the claim machine."""
+    """
+    An attempt at a request with an idempotency key.
+
+    Attributes
+    ----------
+    task : Task or None
+        The protocol that is in progress.
+    phase : str
+        ``acquiring``, ``holding``, ``settling``, ``abandoning`` or ``ended``.
+    version : int
+        Version of the acquired claim in the store.
+    execution_count : int
+        How often an upstream executed the request.
+    reported_not_run : bool
+        Whether the caller was told that the request was not executed.
+    """
 
     claim: Claim
     task: Task | None
     phase: str = "acquiring"
     version: int = 0
-    ran: int = 0
-    told_not_run: bool = False
+    execution_count: int = 0
+    reported_not_run: bool = False
 
 
 class ClaimMachine(RuleBasedStateMachine):
-    """Callers that send orders again and again through entries that crash."""
+    """Callers that repeat requests with the same keys through entries that crash."""
 
     def __init__(self) -> None:
         super().__init__()
         self.store = FaultyStore()
         self.attempts: list[Attempt] = []
 
-    def _open(self, phase: str) -> list[Attempt]:
+    def _find_attempts(self, phase: str) -> list[Attempt]:
         return [item for item in self.attempts if item.phase == phase]
 
     @rule(key=st.sampled_from(KEYS), body=st.sampled_from(("x", "x", "x", "y")))
-    def send(self, key: str, body: str) -> None:
+    def send_request(self, key: str, body: str) -> None:
         claim = Claim(
             workspace=WorkspaceId("w"),
             key=key,
@@ -94,21 +109,21 @@
 
     @precondition(lambda self: any(item.task for item in self.attempts))
     @rule(index=st.integers(0, 1000), fault=FAULTS)
-    def step(self, index: int, fault: Fault) -> None:
+    def execute_step(self, index: int, fault: Fault) -> None:
         running = [item for item in self.attempts if item.task is not None]
         attempt = running[index % len(running)]
         assert attempt.task is not None
         attempt.task.step(self.store, fault)
         if attempt.task.done:
-            self._finish(attempt, attempt.task.result)
+            self._complete_task(attempt, attempt.task.result)
 
-    def _finish(self, attempt: Attempt, result: object) -> None:
+    def _complete_task(self, attempt: Attempt, result: object) -> None:
         attempt.task = None
         if attempt.phase == "acquiring" and isinstance(result, ClaimAcquired):
             attempt.phase, attempt.version = "holding", result.version
         elif attempt.phase == "acquiring":
-            # No upstream has seen it, whatever the store says later.
-            attempt.told_not_run = isinstance(result, ClaimUnconfirmed)
+            # No upstream received the request, whatever state the claim gets later.
+            attempt.reported_not_run = isinstance(result, ClaimUnconfirmed)
             attempt.phase = "ended"
             if isinstance(result, ClaimUnconfirmed) and result.maybe_written:
                 attempt.phase = "abandoning"
@@ -120,73 +135,79 @@
         else:
             attempt.phase = "ended"
 
-    @precondition(lambda self: self._open("holding"))
+    @precondition(lambda self: self._find_attempts("holding"))
     @rule(index=st.integers(0, 1000), end=st.sampled_from(("answer", "fail", "unrun")))
-    def run_order(self, index: int, end: str) -> None:
-        holding = self._open("holding")
+    def execute_request(self, index: int, end: str) -> None:
+        holding = self._find_attempts("holding")
         attempt = holding[index % len(holding)]
         states = {
             "answer": ClaimState.ANSWERED,
             "fail": ClaimState.FAILED,
             "unrun": ClaimState.RELEASED,
         }
-        attempt.ran += end != "unrun"
-        attempt.told_not_run = end == "unrun"
+        attempt.execution_count += end != "unrun"
+        attempt.reported_not_run = end == "unrun"
         attempt.claim = msgspec.structs.replace(attempt.claim, state=states[end])
         attempt.phase = "settling"
         attempt.task = Task(settle(attempt.claim, version=attempt.version))
 
     @precondition(lambda self: self.attempts)
     @rule(index=st.integers(0, 1000))
-    def crash(self, index: int) -> None:
+    def crash_entry(self, index: int) -> None:
         attempt = self.attempts[index % len(self.attempts)]
         attempt.task, attempt.phase = None, "ended"
 
     @precondition(lambda self: self.store.late_commits)
     @rule(index=st.integers(0, 1000))
-    def land(self, index: int) -> None:
+    def apply_late_commit(self, index: int) -> None:
         self.store.apply_late_commit(index)
 
     @rule(key=st.sampled_from(KEYS))
-    def operator_settles_what_ran(self, key: str) -> None:
+    def resolve_as_executed(self, key: str) -> None:
         event = AuditEvent(id="e", at=0.0, who="op", action="resolve", subject=key)
         run(resolve(f"w/{key}", executed=True, event=event), self.store.platform)
 
     @invariant()
-    def runs_at_most_once(self) -> None:
-        runs: Counter[str] = Counter()
+    def executes_at_most_once(self) -> None:
+        execution_counts: Counter[str] = Counter()
         for attempt in self.attempts:
-            runs[attempt.claim.key] += attempt.ran
-        assert all(count <= 1 for count in runs.values())
+            execution_counts[attempt.claim.key] += attempt.execution_count
+        assert all(count <= 1 for count in execution_counts.values())
 
     @invariant()
-    def not_run_is_true(self) -> None:
-        assert not any(item.told_not_run and item.ran for item in self.attempts)
+    def reported_not_run_is_not_executed(self) -> None:
+        assert not any(
+            item.reported_not_run and item.execution_count for item in self.attempts
+        )
 
     def teardown(self) -> None:
-        """Whoever was told not-run can have the order run once the store is well."""
+        """
+        Check that unfinished claims can be ended once the store has no faults.
+
+        A request that was reported as not executed can then be sent again.
+        """
         while self.store.late_commits:
             self.store.apply_late_commit(0)
-        for attempt in self._open("abandoning"):
+        for attempt in self._find_attempts("abandoning"):
             assert run(abandon(attempt.claim), self.store.platform)
-        for attempt in self._open("settling"):
+        for attempt in self._find_attempts("settling"):
             steps = settle(attempt.claim, version=attempt.version)
             assert run(steps, self.store.platform)
 
 
 class LeaseMachine(RuleBasedStateMachine):
-    """Three contenders that are paused between any two calls."""
+    """Three candidates for a lease that may be paused between any two calls."""
 
     def __init__(self) -> None:
         super().__init__()
         self.store = FaultyStore()
         self.clock = ManualClock()
-        self.numbers: dict[int, int] = {}
-        self.keepers = [self._keeper(number) for number in range(3)]
+        self.holder_by_fencing_token: dict[int, int] = {}
+        self.keepers = [self._make_keeper(number) for number in range(3)]
         self.tasks: list[Task | None] = [None] * 3
 
-    def _keeper(self, number: int) -> LeaseKeeper:
-        def event(duty: str, before: str) -> AuditEvent:
+    def _make_keeper(self, number: int) -> LeaseKeeper:
+        def make_event(duty: str, before: str) -> AuditEvent:
             return AuditEvent(
                 id=f"{number}-{self.clock.now()}", at=0.0, who="", action="", subject=""
             )
@@ -196,44 +217,46 @@
             instance=InstanceId(f"e{number}"),
             incarnation=Incarnation(1),
             clock=self.clock,
-            new_event=event,
+            new_event=make_event,
         )
 
     @rule(number=st.integers(0, 2), fault=FAULTS)
-    def step(self, number: int, fault: Fault) -> None:
+    def execute_step(self, number: int, fault: Fault) -> None:
         task = self.tasks[number] or Task(self.keepers[number].poll())
         if not task.done:
             task.step(self.store, fault)
         self.tasks[number] = None if task.done else task
 
     @rule(number=st.integers(0, 2))
-    def poll_well(self, number: int) -> None:
+    def poll_without_faults(self, number: int) -> None:
         if self.tasks[number] is None:
             run(self.keepers[number].poll(), self.store.platform)
 
     @rule(seconds=st.sampled_from((0.5, 3.0, 5.0, 9.0, 16.0)))
-    def advance(self, seconds: float) -> None:
+    def advance_clock(self, seconds: float) -> None:
         self.clock.advance(seconds)
 
     @precondition(lambda self: self.store.late_commits)
     @rule(index=st.integers(0, 1000))
-    def land(self, index: int) -> None:
+    def apply_late_commit(self, index: int) -> None:
         self.store.apply_late_commit(index)
 
     @invariant()
-    def one_holder(self) -> None:
+    def has_at_most_one_holder(self) -> None:
         held = [
             (number, keeper.fencing_token)
             for number, keeper in enumerate(self.keepers)
             if keeper.fencing_token is not None
         ]
         assert len(held) <= 1, held
-        for number, fencing in held:
-            assert self.numbers.setdefault(fencing, number) == number
-            assert fencing == max(self.numbers)
+        for number, fencing_token in held:
+            assert (
+                self.holder_by_fencing_token.setdefault(fencing_token, number) == number
+            )
+            assert fencing_token == max(self.holder_by_fencing_token)
 
 
-WORKSPACES = msgspec.json.encode(
+WORKSPACES_FILE = msgspec.json.encode(
     {
         "workspaces": [
             {"name": "w", "key_digests": [digest_key("w.k", salt="00" * 8)]},
@@ -242,7 +265,7 @@
 ).decode()
 
 
-def service_file(target: int) -> str:
+def make_service_file(target: int) -> str:
     return msgspec.json.encode(
         {
             "service": "s",
@@ -253,7 +276,7 @@
 
 
 class ManifestMachine(RuleBasedStateMachine):
-    """Publishers that race, and entries that restart and read old versions."""
+    """Concurrent publishers, and entries that restart and may read old versions."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -261,24 +284,24 @@
         self.tasks: dict[str, Task] = {}
         self.results: dict[str, object] = {}
         self.holders = [ConfigurationHolder() for _ in range(2)]
-        self.peaks = [0, 0]
+        self.highest_versions = [0, 0]
 
     @rule()
-    def begin(self) -> None:
+    def start_publication(self) -> None:
         number = len(self.tasks) + 1
         publication = Publication(
             id=AttemptId(f"p{number}"),
             who="op",
             files={
-                "s.damasklead.json": service_file(number),
-                "w.damasklead.json": WORKSPACES,
+                "s.damasklead.json": make_service_file(number),
+                "w.damasklead.json": WORKSPACES_FILE,
             },
         )
         self.tasks[publication.id] = Task(publish(publication))
 
     @rule()
-    def publish_at_once(self) -> None:
-        self.begin()
+    def publish_without_faults(self) -> None:
+        self.start_publication()
         name = f"p{len(self.tasks)}"
         while not self.tasks[name].done:
             self.tasks[name].step(self.store, Fault.NONE)
@@ -286,7 +309,7 @@
 
     @precondition(lambda self: any(not task.done for task in self.tasks.values()))
     @rule(index=st.integers(0, 1000), fault=FAULTS)
-    def step(self, index: int, fault: Fault) -> None:
+    def execute_step(self, index: int, fault: Fault) -> None:
         running = [name for name, task in self.tasks.items() if not task.done]
         name = running[index % len(running)]
         self.tasks[name].step(self.store, fault)
@@ -295,11 +318,11 @@
 
     @precondition(lambda self: self.store.late_commits)
     @rule(index=st.integers(0, 1000))
-    def land(self, index: int) -> None:
+    def apply_late_commit(self, index: int) -> None:
         self.store.apply_late_commit(index)
 
     @rule(number=st.integers(0, 1))
-    def follow(self, number: int) -> None:
+    def activate_published(self, number: int) -> None:
         row = run(read_manifest(), self.store.platform)
         if isinstance(row, Row):
             manifest = decode_manifest(row)
@@ -308,24 +331,24 @@
             self.holders[number].activate_if_newer(files, version=manifest.version)
 
     @rule(number=st.integers(0, 1))
-    def hear_peer(self, number: int) -> None:
+    def activate_from_peer(self, number: int) -> None:
         peer = self.holders[1 - number]
         self.holders[number].activate_if_newer(peer.files, version=peer.version)
 
     @rule(number=st.integers(0, 1))
-    def restart(self, number: int) -> None:
+    def restart_entry(self, number: int) -> None:
         self.holders[number] = ConfigurationHolder()
-        self.peaks[number] = 0
+        self.highest_versions[number] = 0
 
     @invariant()
-    def versions_never_go_back(self) -> None:
+    def versions_never_decrease(self) -> None:
         for number, holder in enumerate(self.holders):
-            assert holder.version >= self.peaks[number]
-            self.peaks[number] = holder.version
+            assert holder.version >= self.highest_versions[number]
+            self.highest_versions[number] = holder.version
 
     @invariant()
-    def results_are_true(self) -> None:
-        history = self._history()
+    def results_match_the_history(self) -> None:
+        history = self._read_history()
         assert [item.version for item in history] == list(range(1, len(history) + 1))
         published = [item.publication for item in history]
         assert len(set(published)) == len(published)
@@ -335,7 +358,7 @@
             if isinstance(result, PublishConflict):
                 assert name not in published
 
-    def _history(self) -> list:  # type: ignore[type-arg]
+    def _read_history(self) -> list:  # type: ignore[type-arg]
         rows = self.store.platform.tables.scan("configuration", prefix="history/")
         return [decode_manifest(row) for row in rows.unwrap()]
 
