--- a/soak/callers.py
+++ b/soak/callers.py
@@ -13,7 +13,7 @@
 import msgspec
 from gevent import select, socket
 
-from tests.gatewaykit import make_request
+from tests.gateway_kit import make_request
 
 __all__ = ["Caller", "ObservedResponse"]
 
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -12,7 +12,7 @@
 from soak.callers import ObservedResponse
 from soak.replicas import EVENT_COUNT, Execution
 from soak.site import STOP_TIMEOUT_SECONDS, ProcessExit
-from tests.gatewaykit import make_event
+from tests.gateway_kit import make_event
 
 __all__ = ["Violation", "check_recovery", "find_violations"]
 
--- a/soak/replicas.py
+++ b/soak/replicas.py
@@ -12,7 +12,7 @@
 import msgspec
 from gevent import socket
 
-from tests.gatewaykit import (
+from tests.gateway_kit import (
     ScriptedReplica,
     make_chunk,
     make_event,
--- a/soak/site.py
+++ b/soak/site.py
@@ -19,8 +19,8 @@
 
 from soak.proxy import Proxy
 from soak.replicas import Execution, Replica
-from tests.gatewaykit import find_free_ports
-from tests.platformstandin import StoreStandin, make_configuration, make_upstream_entry
+from tests.gateway_kit import find_free_ports
+from tests.platform_standin import StoreStandin, make_configuration, make_upstream_entry
 
 __all__ = ["Cluster", "ProcessExit"]
 
--- a/tests/platformstandin.py
+++ b/tests/platform_standin.py
@@ -16,7 +16,7 @@
 from gevent.event import Event
 from gevent.server import StreamServer
 
-from tests.gatewaykit import KEY, read_request
+from tests.gateway_kit import KEY, read_request
 
 HOST = "ice.example"
 SERVICE = "shop"
--- a/tests/test_gateway_bootstrap.py
+++ b/tests/test_gateway_bootstrap.py
@@ -13,7 +13,7 @@
 from damasklead.gateway.snapshot import Snapshot
 from damasklead.gateway.upstream_http import ConnectionPool
 from damasklead.loop import LoopClock
-from tests.gatewaykit import find_free_ports
+from tests.gateway_kit import find_free_ports
 
 # Shortest response time target of a route in the users' deployments.
 SHORTEST_TARGET_SECONDS = 0.1
--- a/tests/test_gateway_broadcasts.py
+++ b/tests/test_gateway_broadcasts.py
@@ -36,8 +36,8 @@
 from damasklead.gateway.routing import Route, RouteName, RoutingTable
 from damasklead.gateway.store_positions import Position
 from damasklead.ids import Fingerprint, InstanceId
-from tests.gatewaykit import SERVICE, make_position, make_table
-from tests.test_gateway_parts import make_removed_row, make_row
+from tests.gateway_kit import SERVICE, make_position, make_table
+from tests.test_gateway_decisions import make_removed_row, make_row
 
 STEP_SECONDS = 0.05
 # Time within which a change must be in force at every gateway.
--- a/tests/test_gateway_callers.py
+++ b/tests/test_gateway_callers.py
@@ -11,7 +11,7 @@
 
 from damasklead.gateway.upstream_http import Connection, ConnectionPool
 from damasklead.loop import LoopClock
-from tests.gatewaykit import (
+from tests.gateway_kit import (
     ForwarderHarness,
     ScriptedReplica,
     make_chunk,
--- a/tests/test_gateway_connections.py
+++ b/tests/test_gateway_connections.py
@@ -10,7 +10,7 @@
 
 from damasklead.gateway.upstream_http import MAX_IDLE_CONNECTIONS, ConnectionPool
 from damasklead.loop import LoopClock
-from tests.gatewaykit import make_response, read_request
+from tests.gateway_kit import make_response, read_request
 
 
 @pytest.fixture
--- a/tests/test_gateway_coordination.py
+++ b/tests/test_gateway_coordination.py
@@ -55,8 +55,8 @@
 from damasklead.gateway.routing import EngineSpec, ServiceSpec
 from damasklead.ids import AttemptId, DataCentre, InstanceId
 from damasklead.loop import LoopClock
-from tests.gatewaykit import SERVICE, make_table
-from tests.test_gateway_parts import CHAT, REVIEW, make_call, make_record
+from tests.gateway_kit import SERVICE, make_table
+from tests.test_gateway_decisions import CHAT, REVIEW, make_call, make_record
 
 QUOTE = msgspec.structs.replace(REVIEW, name="quote", tier=1, target=0.5)
 LOW_PRIORITY = msgspec.structs.replace(REVIEW, tier=2, target=1.5, timeout=5.0)
--- a/tests/test_gateway_containment.py
+++ b/tests/test_gateway_crash_containment.py
@@ -17,7 +17,7 @@
 )
 from damasklead.gateway.messages import PeerReport
 from damasklead.ids import AttemptId, DataCentre, Fingerprint, InstanceId
-from tests.gatewaykit import IDEMPOTENT, SERVICE, ForwarderHarness, ScriptedReplica
+from tests.gateway_kit import IDEMPOTENT, SERVICE, ForwarderHarness, ScriptedReplica
 
 # Retries that may still be sent to replicas after the third crash.
 MAX_LATE_RETRIES = 3
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_decisions.py
@@ -40,7 +40,7 @@
 )
 from damasklead.gateway.store_positions import Position
 from damasklead.ids import AttemptId, DataCentre, InstanceId, ServiceName
-from tests.gatewaykit import IDEMPOTENT, SERVICE, make_position, make_table
+from tests.gateway_kit import IDEMPOTENT, SERVICE, make_position, make_table
 
 LOCAL_DATA_CENTRE = DataCentre("hout")
 
--- a/tests/test_gateway_replica_trouble.py
+++ b/tests/test_gateway_faulty_replicas.py
@@ -25,7 +25,7 @@
 from damasklead.gateway.replica_state import MAX_PAUSE_SECONDS
 from damasklead.gateway.upstream_http import ResponseMemoryBudget
 from damasklead.ids import InstanceId
-from tests.gatewaykit import (
+from tests.gateway_kit import (
     ROUTES,
     ForwarderHarness,
     ScriptedReplica,
@@ -38,8 +38,8 @@
     read_all,
     wait_until,
 )
-from tests.test_gateway_answers import make_harness, respond
-from tests.test_gateway_parts import get_eligible_names, make_removed_row, make_row
+from tests.test_gateway_decisions import get_eligible_names, make_removed_row, make_row
+from tests.test_gateway_responses import make_harness, respond
 
 ReplicaScript = Callable[[ScriptedReplica, object], None]
 
--- a/tests/test_gateway_fuzz.py
+++ b/tests/test_gateway_fuzz.py
@@ -26,7 +26,7 @@
 from damasklead.gateway.events import EventSplitter
 from damasklead.ids import AttemptId, DataCentre, InstanceId, ServiceName
 from damasklead.platform.headers import PlatformDialect
-from tests.gatewaykit import make_position
+from tests.gateway_kit import make_position
 
 EXAMPLES = int(os.environ.get("FUZZ_EXAMPLES", "100"))
 STEPS = int(os.environ.get("FUZZ_STEPS", "40"))
--- a/tests/test_gateway_partplaces.py
+++ b/tests/test_gateway_part_locations.py
@@ -17,8 +17,8 @@
 from damasklead.gateway.routing import EngineSpec, ServiceSpec
 from damasklead.ids import DataCentre, InstanceId
 from damasklead.util import hash_name
-from tests.gatewaykit import SERVICE
-from tests.test_gateway_parts import (
+from tests.gateway_kit import SERVICE
+from tests.test_gateway_decisions import (
     CHAT,
     LOCAL_DATA_CENTRE,
     REVIEW,
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -27,7 +27,7 @@
     Peers,
 )
 from damasklead.ids import DataCentre, InstanceId
-from tests.gatewaykit import find_free_ports, make_position, wait_until
+from tests.gateway_kit import find_free_ports, make_position, wait_until
 
 
 class MemoryDirectory(PeerDirectory):
--- a/tests/test_gateway_reading.py
+++ b/tests/test_gateway_poll_schedule.py
@@ -21,7 +21,7 @@
     reader_score,
 )
 from damasklead.gateway.store_positions import Position
-from tests.gatewaykit import make_position
+from tests.gateway_kit import make_position
 
 STEP_SECONDS = 0.01
 # Time within which a change must be in force at every gateway.
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -18,7 +18,7 @@
 import pytest
 from gevent import socket
 
-from tests.gatewaykit import (
+from tests.gateway_kit import (
     ScriptedReplica,
     find_free_ports,
     make_chunk,
@@ -29,7 +29,7 @@
     read_all,
     wait_until,
 )
-from tests.platformstandin import StoreStandin, make_configuration, make_upstream_entry
+from tests.platform_standin import StoreStandin, make_configuration, make_upstream_entry
 
 
 def serve_requests(replica: ScriptedReplica, connection: socket.socket) -> None:
--- a/tests/test_gateway_answers.py
+++ b/tests/test_gateway_responses.py
@@ -11,7 +11,7 @@
 import gevent
 import pytest
 
-from tests.gatewaykit import (
+from tests.gateway_kit import (
     ForwarderHarness,
     ScriptedReplica,
     make_chunk,
--- a/tests/test_gateway_restored_store.py
+++ b/tests/test_gateway_restored_store.py
@@ -18,9 +18,9 @@
     UpstreamDirectory,
 )
 from damasklead.gateway.poll_schedule import ListName
-from tests.gatewaykit import make_position
+from tests.gateway_kit import make_position
 from tests.test_gateway_broadcasts import Fleet
-from tests.test_gateway_parts import get_eligible_names, make_removed_row, make_row
+from tests.test_gateway_decisions import get_eligible_names, make_removed_row, make_row
 
 BACKUP_AGE_SECONDS = 3.0
 # How long the store is unreachable before it is restored.
--- a/tests/test_gateway_starting.py
+++ b/tests/test_gateway_start_gate.py
@@ -16,7 +16,7 @@
 from damasklead.gateway.listeners import Listener
 from damasklead.gateway.start_gate import StartGate
 from damasklead.listening_socket import open_listening_socket
-from tests.gatewaykit import (
+from tests.gateway_kit import (
     ForwarderHarness,
     ScriptedReplica,
     find_free_ports,
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -32,7 +32,7 @@
 from damasklead.platform.documents import decode_configuration, decode_upstream
 from damasklead.platform.headers import PlatformDialect
 from damasklead.platform.store import MAX_STALE_SECONDS, StoreLink
-from tests.gatewaykit import ONCE, make_position, read_request
+from tests.gateway_kit import ONCE, make_position, read_request
 
 CONFIGURATION = {
     "version": 7,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -15,7 +15,7 @@
 from soak.replicas import EVENT_COUNT, Execution, Replica
 from soak.run import run_seed
 from soak.site import ProcessExit
-from tests.gatewaykit import make_event, make_request, read_all
+from tests.gateway_kit import make_event, make_request, read_all
 
 # Seeds that found a defect, with its cause.
 REGRESSIONS = {
