--- a/damasklead/demo/run.py
+++ b/damasklead/demo/run.py
@@ -44,7 +44,7 @@
 }
 MODEL = "demo-7b"
 CRASH_AFTER_TOKENS = 300
-SLOTS = 64
+ENGINE_SLOTS = 64
 
 
 class ClassResults(msgspec.Struct, kw_only=True):
@@ -53,18 +53,22 @@
 
     Attributes
     ----------
+    request_class : str
+        Name of the class.
+    sent_count : int
+        Requests sent.
     complete_count : int
         Requests with a complete and correct response.
     on_time_count : int
         Complete responses within the targets of the class.
     not_run_count, unknown_count : int
-        Requests reported as not executed, and those with an unknown outcome.
+        Requests reported as not executed, and requests with any other outcome.
     duplicate_count : int
         Orders that were executed more than once.
     lost_count : int
-        Requests without any response, as the connection failed.
+        Requests whose connection failed before the end of the response.
     wrong_count : int
-        Responses whose text is wrong or incomplete.
+        Completions whose text is wrong or incomplete.
     """
 
     request_class: str
@@ -86,7 +90,7 @@
         self._faults = Faults()
         self._platform = make_memory_platform(faults=self._faults)
         self._engines = [self._make_engine(number) for number in (1, 2)]
-        self._order_service = PlainStandin(
+        self._plain_service = PlainStandin(
             record=make_local_record("shop-1", "demo-app"), platform=self._platform
         )
         self._address = find_free_address()
@@ -99,8 +103,8 @@
         self._order_references: list[str] = []
 
     def run(self) -> bool:
-        """Run the demonstration and print its results; tell if all guarantees held."""
-        for standin in (*self._engines, self._order_service):
+        """Run and print the results; returns whether all guarantees held."""
+        for standin in (*self._engines, self._plain_service):
             standin.start()
         self._publish_configuration()
         self._entry_service.start()
@@ -111,7 +115,7 @@
 
     def _make_engine(self, number: int) -> EngineStandin:
         record = make_local_record(f"engine-{number}", "demo-llm")
-        return EngineStandin(record=record, platform=self._platform, slots=SLOTS)
+        return EngineStandin(record=record, platform=self._platform, slots=ENGINE_SLOTS)
 
     def _make_entry_service(self) -> EntryService:
         listen = {
@@ -229,7 +233,7 @@
         order_row.duplicate_count = sum(
             1
             for item in self._order_references
-            if self._order_service.executed_orders.count(item) > 1
+            if self._plain_service.executed_orders.count(item) > 1
         )
         _print_table(list(rows.values()))
         held = all(
@@ -242,7 +246,7 @@
         crashed = sum(engine.crash_count for engine in self._engines)
         print(
             f"engine crashes: {crashed}; "
-            f"orders run: {len(self._order_service.executed_orders)}",
+            f"orders run: {len(self._plain_service.executed_orders)}",
             end="; ",
         )
         print(f"distinct orders: {len(self._order_references)}")
--- a/damasklead/demo/traffic.py
+++ b/damasklead/demo/traffic.py
@@ -21,7 +21,22 @@
 
 
 class Verdict(Enum):
-    """How a caller classifies the response to a request."""
+    """
+    How a caller classifies the response to a request.
+
+    Attributes
+    ----------
+    COMPLETE
+        A complete response; of a completion also with the expected text.
+    WRONG
+        A completion whose text is wrong or incomplete.
+    NOT_RUN
+        The request was reported as not executed.
+    UNKNOWN
+        Any other outcome: it may have been executed, or the service reported an error.
+    LOST
+        The connection failed before the end of the response.
+    """
 
     COMPLETE = "answered whole"
     WRONG = "wrong or cut"
@@ -36,6 +51,8 @@
 
     Attributes
     ----------
+    request_class : str
+        Name under which the result is counted; it isn't sent.
     first_byte_seconds, last_byte_seconds : float
         Seconds from sending the request to the first and to the last byte of the body.
     max_tokens : int
--- a/damasklead/standins/base.py
+++ b/damasklead/standins/base.py
@@ -143,7 +143,7 @@
         self._pool = Pool()
         self._server = _Server(
             split_address(self.record.address),
-            self._serve,
+            self._serve_request,
             spawn=self._pool,
             log=None,
             error_log=None,
@@ -168,7 +168,7 @@
         gevent.spawn(self.stop)
 
     def restart(self) -> None:
-        """Start again as a new incarnation."""
+        """Stop, and start as a new incarnation."""
         self.stop()
         self.is_leaving = False
         self.record = msgspec.structs.replace(
@@ -210,7 +210,7 @@
         )
         return make_json_response({"error": "leaving"}, status=503, headers=headers)
 
-    def _serve(
+    def _serve_request(
         self, environ: dict[str, Any], start_response: Callable[..., Any]
     ) -> Iterator[bytes]:
         headers = {
--- a/damasklead/standins/engine.py
+++ b/damasklead/standins/engine.py
@@ -30,7 +30,7 @@
 
 DEFAULT_TOKENS = 40
 BASE_TOKEN_SECONDS = 0.004
-TOKEN_SECONDS_PER_REQUEST = 0.0003
+TOKEN_SECONDS_PER_REQUEST = 0.0003  # added to each token by a concurrent request
 PREFILL_SECONDS = 0.01
 DEFAULT_SLOTS = 32
 MODEL_LOAD_SECONDS = 0.2
@@ -113,7 +113,7 @@
         self._slots = slots
         self._running_count = 0
         self._queue: list[tuple[int, int, Event]] = []
-        self._sequence = 0
+        self._queue_sequence = 0
         self._generations: dict[str, _Generation] = {}
 
     def handle_request(self, request: HttpRequest) -> HttpResponse:
@@ -121,11 +121,11 @@
         if request.path == "/v1/chat/completions" and request.method == "POST":
             return self._handle_completion(request)
         if request.path.startswith("/v1/requests/"):
-            name, _, verb = request.path[len("/v1/requests/") :].partition("/")
+            request_id, _, verb = request.path[len("/v1/requests/") :].partition("/")
             if verb == "cancel":
-                return self._cancel_generation(name)
+                return self._cancel_generation(request_id)
             if verb == "resume":
-                return self._resume_generation(request, name)
+                return self._resume_generation(request, request_id)
         if request.path == "/v1/models/load" and request.method == "POST":
             return self._load_model(request)
         return super().handle_request(request)
@@ -136,7 +136,7 @@
             running=self._running_count,
             waiting=len(self._queue),
             slots=self._slots,
-            token_gap=self._token_seconds() if self._running_count else 0.0,
+            token_gap=self._compute_token_seconds() if self._running_count else 0.0,
         )
         return UpstreamStatus(
             incarnation=self.record.incarnation,
@@ -195,14 +195,14 @@
             {"id": request.request_id, "choices": [choice]}, headers=headers
         )
 
-    def _cancel_generation(self, name: str) -> HttpResponse:
-        generation = self._generations.get(name)
+    def _cancel_generation(self, request_id: str) -> HttpResponse:
+        generation = self._generations.get(request_id)
         if generation is not None:
             generation.is_cancelled = True
         return make_json_response({"cancelled": generation is not None})
 
-    def _resume_generation(self, request: HttpRequest, name: str) -> HttpResponse:
-        generation = self._generations.get(name)
+    def _resume_generation(self, request: HttpRequest, request_id: str) -> HttpResponse:
+        generation = self._generations.get(request_id)
         if generation is None:
             return self._make_unknown_request_response(request)
         position = int(request.query.partition("from=")[2] or "0")
@@ -251,7 +251,7 @@
             for word in generation.words:
                 if generation.is_cancelled:
                     return
-                gevent.sleep(self._token_seconds())
+                gevent.sleep(self._compute_token_seconds())
                 self._record_token()
                 generation.position += 1
                 yield word
@@ -266,16 +266,16 @@
                 self.crash_after_tokens = None
                 self.crash()
 
-    def _token_seconds(self) -> float:
+    def _compute_token_seconds(self) -> float:
         return self.slowdown_factor * (
             BASE_TOKEN_SECONDS + TOKEN_SECONDS_PER_REQUEST * self._running_count
         )
 
     def _acquire_slot(self, priority: int) -> None:
         if self._running_count >= self._slots:
-            self._sequence += 1
+            self._queue_sequence += 1
             event = Event()
-            heapq.heappush(self._queue, (priority, self._sequence, event))
+            heapq.heappush(self._queue, (priority, self._queue_sequence, event))
             event.wait()
             return
         self._running_count += 1
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -229,9 +229,9 @@
     assert all(item.verdict is Verdict.COMPLETE for item in received)
     deployment.start_entry("entry-2")
     deployment.wait_until(lambda: bool(deployment.fetch_status("entry-2").get("ready")))
-    late = deployment.make_caller("skippers", "entry-2")
+    late_caller = deployment.make_caller("skippers", "entry-2")
     received = collect_responses(
-        [gevent.spawn(send_completion, late, number) for number in range(10)]
+        [gevent.spawn(send_completion, late_caller, number) for number in range(10)]
     )
     assert all(item.verdict is Verdict.COMPLETE for item in received)
 
@@ -314,8 +314,8 @@
     deployment.kill_process("entry-1")
     deployment.start_entry("entry-1")
     deployment.wait_until(lambda: deployment.is_serving("entry-1"))
-    late = deployment.make_caller("skippers", "entry-1")
-    refusal = late.send_completion(
+    late_caller = deployment.make_caller("skippers", "entry-1")
+    refusal = late_caller.send_completion(
         "poison", prompt, max_tokens=5, stream=True, model=MODEL
     )
     assert b"quarantined" in refusal.body
