Name the simulator's module after its class, and reword doc comments

experiment.driver holds only Simulator and becomes experiment.simulator. Constants without a unit get one: INCREASE_STEP_REQUESTS, RETRY_JITTER_FRACTION, SCORE_CACHE_ENTRIES and HASH_CACHE_ENTRIES. The doc entries of GatewayContext equal its fields.

--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from damasklead.experiment.driver import Simulator
+from damasklead.experiment.simulator import Simulator
 from damasklead.ids import AttemptId, InstanceId
 from damasklead.requests import Request
 from damasklead.sharing import LoadReport
--- a/damasklead/claims.py
+++ b/damasklead/claims.py
@@ -303,7 +303,7 @@
 
 
 def _could_acquire(claim: Claim, row: Row) -> bool:
-    """Tell whether the attempt holds the key or a late write of its claim may."""
+    """Return whether the attempt holds the key or a late write of its claim may."""
     held = decode_claim(row)
     if held.attempt == claim.attempt:
         return held.state is ClaimState.CLAIMED
--- a/damasklead/cost_model.py
+++ b/damasklead/cost_model.py
@@ -18,7 +18,7 @@
 DECREASE_GAP_FRACTION = 0.85  # of the token gap target
 INCREASE_GAP_FRACTION = 0.8  # of the token gap target
 MIN_DECREASE_FACTOR = 0.92
-INCREASE_STEP = 0.25  # requests
+INCREASE_STEP_REQUESTS = 0.25
 IN_USE_FRACTION = 0.8  # of the limit
 IN_FORCE_FRACTION = 1.25  # of the limit
 INITIAL_LIMIT_FRACTION = 0.75  # of the slots
@@ -168,4 +168,4 @@
         elif batch >= IN_USE_FRACTION * self._value and (
             target is None or token_gap < INCREASE_GAP_FRACTION * target
         ):
-            self._value = min(self._slots, self._value + INCREASE_STEP)
+            self._value = min(self._slots, self._value + INCREASE_STEP_REQUESTS)
--- a/damasklead/daemon/caller_server.py
+++ b/damasklead/daemon/caller_server.py
@@ -55,7 +55,7 @@
         """
         Handle one request.
 
-        The response to an invalid head says that the request was not executed.
+        The response to an invalid head states that the request was not executed.
         """
         result = super().handle_one_request()
         if not isinstance(result, tuple):
--- a/damasklead/daemon/entry.py
+++ b/damasklead/daemon/entry.py
@@ -396,7 +396,7 @@
         """
         Log a failed attempt and report it to the pool's dispatcher.
 
-        The upstream is marked as leaving when its response says so, and a broken
+        The upstream is marked as leaving when its response indicates this, and a broken
         connection to an engine is examined as a possible crash.
         """
         logs.warning(
--- a/damasklead/duties.py
+++ b/damasklead/duties.py
@@ -41,7 +41,7 @@
 
 class ModelLoadCommand(msgspec.Struct, kw_only=True, frozen=True):
     """
-    Tells an engine to load a version of a model.
+    Command to an engine to load a version of a model.
 
     Attributes
     ----------
--- a/damasklead/experiment/callers.py
+++ b/damasklead/experiment/callers.py
@@ -8,9 +8,9 @@
 
 from collections.abc import Sequence
 
-from damasklead.experiment.driver import Simulator
 from damasklead.experiment.gateways import Gateway, ResponseCallbacks
 from damasklead.experiment.load import Arrival
+from damasklead.experiment.simulator import Simulator
 from damasklead.experiment.tally import RequestOutcome, Result, Tally
 from damasklead.gateway.calls import Call, CallHead
 from damasklead.gateway.routing import Route
--- a/damasklead/experiment/engines.py
+++ b/damasklead/experiment/engines.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from damasklead.experiment.description import EngineParameters
-from damasklead.experiment.driver import Simulator
+from damasklead.experiment.simulator import Simulator
 from damasklead.gateway.calls import LoadHint, PromptPart
 from damasklead.ids import AttemptId
 
--- a/damasklead/experiment/fleet.py
+++ b/damasklead/experiment/fleet.py
@@ -9,11 +9,11 @@
 
 from damasklead.experiment.callers import Caller
 from damasklead.experiment.description import Experiment, Fault, FaultKind, RequestKind
-from damasklead.experiment.driver import Simulator
 from damasklead.experiment.engines import Engine
 from damasklead.experiment.gateways import Gateway
 from damasklead.experiment.load import Arrival, generate_arrivals
 from damasklead.experiment.policies import Policy
+from damasklead.experiment.simulator import Simulator
 from damasklead.experiment.tally import Tally
 from damasklead.gateway.calls import UpstreamRecord, UpstreamState
 from damasklead.gateway.coordination.service import QUEUE_INTERVAL_SECONDS
--- a/damasklead/experiment/gateways.py
+++ b/damasklead/experiment/gateways.py
@@ -11,8 +11,8 @@
 
 import msgspec
 
-from damasklead.experiment.driver import Simulator
 from damasklead.experiment.engines import Engine, EngineRequest
+from damasklead.experiment.simulator import Simulator
 from damasklead.failures import Failure
 from damasklead.gateway.calls import Call, LoadHint, UpstreamRecord
 from damasklead.gateway.coordination.assignment_client import (
--- a/damasklead/gateway/admission.py
+++ b/damasklead/gateway/admission.py
@@ -36,7 +36,7 @@
 
 # Jitter of the retry time, as a fraction of it, so that rejected callers don't retry at
 # the same time.
-RETRY_JITTER = 0.5
+RETRY_JITTER_FRACTION = 0.5
 # Maximum retry time as a fraction of the time until the caller's deadline: callers
 # honour at most a third of it.
 MAX_RETRY_FRACTION = 0.33
@@ -208,7 +208,7 @@
 
     def _reject(self, call: Call) -> Reject:
         seconds_left = call.caller_deadline - self._clock.now()
-        jitter = 1 - RETRY_JITTER * stable_hash(call.id) / 2**64
+        jitter = 1 - RETRY_JITTER_FRACTION * stable_hash(call.id) / 2**64
         seconds = max(0.0, MAX_RETRY_FRACTION * seconds_left * jitter)
         return Reject(call=call, reason=Reason.OVERLOADED, retry_after=seconds)
 
--- a/damasklead/gateway/broadcasts.py
+++ b/damasklead/gateway/broadcasts.py
@@ -204,7 +204,7 @@
         return self._ranking
 
     def _is_sole_reader(self) -> bool:
-        """Tell whether this gateway reads the lists and no other is known to do so."""
+        """Return whether this gateway, and no other known one, reads the lists."""
         now = self._clock.now()
         ages = [plan.report.age_ms for plan in self._plans]
         if not all(0 <= age < SOLE_READER_WINDOW_SECONDS * 1000 for age in ages):
--- a/damasklead/gateway/calls.py
+++ b/damasklead/gateway/calls.py
@@ -249,7 +249,7 @@
     slots : int
         Requests that the replica can execute at once.
     incarnation : int
-        Start time of the replica in milliseconds; tells apart replicas that use the
+        Start time of the replica in milliseconds; distinguishes replicas that use the
         same id one after the other.
     warm_up : float
         Seconds until the replica reaches its full speed.
--- a/damasklead/gateway/change_log.py
+++ b/damasklead/gateway/change_log.py
@@ -18,8 +18,8 @@
 
 T = TypeVar("T")
 
-# A change is dropped at this age or after so many transmissions; a gateway that has
-# missed it polls the store.
+# A change is dropped when it is RETENTION_SECONDS old or was in MAX_TRANSMISSIONS
+# broadcasts; a gateway that has missed it polls the store.
 RETENTION_SECONDS = 2.0
 MAX_TRANSMISSIONS = 2
 # Limits the size of a broadcast, at about 100 bytes for each changed row.
--- a/damasklead/gateway/context.py
+++ b/damasklead/gateway/context.py
@@ -29,17 +29,20 @@
     ----------
     dialect : Dialect
         Translates the headers of the platform.
+    clock : Clock
     connections : ConnectionPool
         Connections to replicas.
     budget : SharedRetryBudget
         Limits the retries of all requests together.
-    asker : Asker
+    assignment_client : AssignmentClient
         Requests replicas from the coordinators.
     containment : Containment
         Refuses requests that have crashed replicas.
+    journal : Journal
+        Records the events of the gateway.
     on_replica_left : callable
-        Called with a replica that is leaving or gone, and a text that says how this was
-        detected.
+        Called with a replica that is leaving or gone, and a text that describes how
+        this was detected.
     response_memory : ResponseMemoryBudget
         Limits the total size of the response bodies that are being read.
     """
--- a/damasklead/gateway/coordination/cells.py
+++ b/damasklead/gateway/coordination/cells.py
@@ -8,8 +8,8 @@
 requests to the same engines.
 
 Load pattern: hundreds of gateways with one or two requests per second each, in front of
-tens or hundreds of engines.  The traffic of a single gateway says almost nothing about
-the load of the engines.
+tens or hundreds of engines.  The traffic of a single gateway indicates almost nothing
+about the load of the engines.
 """
 
 import math
--- a/damasklead/gateway/dialect.py
+++ b/damasklead/gateway/dialect.py
@@ -38,7 +38,7 @@
 
 
 class RequestHeadError(Exception):
-    """The head of a request can't be forwarded; the message says why."""
+    """The head of a request can't be forwarded; the message gives the reason."""
 
 
 class SendPlan(msgspec.Struct, kw_only=True, frozen=True):
--- a/damasklead/gateway/placements/base.py
+++ b/damasklead/gateway/placements/base.py
@@ -268,7 +268,7 @@
         """
         Return the address of a replica whose cached prompt parts can be copied.
 
-        ``None`` when the chosen replica has them or nobody else does.
+        ``None`` when the chosen replica has them or no other replica does.
         """
         return None
 
--- a/damasklead/gateway/poll_schedule.py
+++ b/damasklead/gateway/poll_schedule.py
@@ -62,7 +62,7 @@
 # all others is a heavy load on a small machine.
 CORES_EXPONENT = 3
 # Maximum number of cached scores.
-SCORE_CACHE_SIZE = 1_024
+SCORE_CACHE_ENTRIES = 1_024
 # Pause after a poll that returned changes, so that the next one reads several at once.
 CHANGE_BATCH_SECONDS = 0.25
 
@@ -161,7 +161,7 @@
         return self._confirmation_times[name]
 
 
-@lru_cache(maxsize=SCORE_CACHE_SIZE)
+@lru_cache(maxsize=SCORE_CACHE_ENTRIES)
 def reader_score(name: str, cores: float = 1.0) -> float:
     """
     Return a gateway's weighted rendezvous hashing score; the lowest has rank 0.
--- a/damasklead/gateway/proxied_request.py
+++ b/damasklead/gateway/proxied_request.py
@@ -287,7 +287,7 @@
     def _record_replica_state(
         self, reply: ResponseHead, record: UpstreamRecord
     ) -> None:
-        """Record that a replica leaves or pauses, as its response head says."""
+        """Record that a replica leaves or pauses, according to its response head."""
         if reply.kind is ResponseKind.MISPLACED:
             self._context.on_replica_left(record, "another replica has the address")
         elif reply.leaving:
@@ -432,7 +432,8 @@
         Send the caller the error response of a replica if there is one and return
         ``None``; otherwise return the refusal.
 
-        A request that a replica may have executed gets no status that says otherwise.
+        A request that a replica may have executed never gets a status which states
+        that it was not executed.
         """
         if self._error_response is not None and not self._caller.head_sent:
             reply, body = self._error_response
--- a/damasklead/gateway/sockets.py
+++ b/damasklead/gateway/sockets.py
@@ -61,7 +61,7 @@
 
 
 def is_readable(connection: socket.socket) -> bool:
-    """Tell whether a connection has data to read, was closed or has failed."""
+    """Return whether a connection has data to read, was closed or has failed."""
     connection.settimeout(0.0)
     try:
         connection.recv(1, socket.MSG_PEEK)
--- a/damasklead/gateway/store_positions.py
+++ b/damasklead/gateway/store_positions.py
@@ -6,7 +6,7 @@
 
 The store numbers its changes.  After a restore from a backup it continues from the
 backup's last number, so that one number may stand for two changes; the era, which the
-store increments at each restore, tells them apart.  No I/O.
+store increments at each restore, distinguishes them.  No I/O.
 """
 
 import msgspec
--- a/damasklead/leases.py
+++ b/damasklead/leases.py
@@ -139,7 +139,7 @@
         yield self._make_commit(released, self._row_version, ())
 
     def _is_free(self, row: Row | None) -> bool:
-        """Tell whether the lease is released or its row unchanged for ``EXPIRY``."""
+        """Return whether the lease is released or its row unchanged for ``EXPIRY``."""
         if row is None or not decode_lease(row).holder:
             return True
         now = self._clock.now()
--- a/damasklead/quarantine.py
+++ b/damasklead/quarantine.py
@@ -11,8 +11,8 @@
 earlier crash too, and at the latest after ``MAX_CRASHES`` crashes.  A request that
 completes is no longer a suspect.
 
-Requests are told apart by fingerprints, hashes of their contents, which are equal for
-all attempts of a request.
+Requests are distinguished by fingerprints, hashes of their contents, which are equal
+for all attempts of a request.
 """
 
 from collections import OrderedDict
@@ -89,12 +89,12 @@
         return bool(self._suspects)
 
     def is_quarantined(self, fingerprint: Fingerprint) -> bool:
-        """Tell whether requests with this fingerprint are refused."""
+        """Return whether requests with this fingerprint are refused."""
         return self._clock.now() < self._quarantined_until.get(fingerprint, 0.0)
 
     def is_suspect(self, fingerprint: Fingerprint) -> bool:
         """
-        Tell whether a fingerprint was in a recent crash and has not completed since.
+        Return whether a fingerprint was in a recent crash and has not completed since.
         """
         suspect = self._suspects.get(fingerprint)
         return (
--- a/damasklead/requests.py
+++ b/damasklead/requests.py
@@ -27,7 +27,7 @@
 
 
 class Outcome(Enum):
-    """Whether a request was executed, as its response tells the caller."""
+    """Whether a request was executed, as its response states to the caller."""
 
     ANSWERED = "answered"
     NOT_RUN = "not-run"
--- a/damasklead/standins/base.py
+++ b/damasklead/standins/base.py
@@ -202,7 +202,7 @@
         )
 
     def make_refusal(self, request: HttpRequest) -> HttpResponse:
-        """Return a 503 response which says that the request was not executed."""
+        """Return a 503 response which states that the request was not executed."""
         headers = (
             ("X-Request-ID", request.request_id),
             ("X-Not-Run", "leaving"),
--- a/damasklead/stores/base.py
+++ b/damasklead/stores/base.py
@@ -5,7 +5,7 @@
 The platform's services for durable state (tables and objects) and for service
 discovery (the instance list).
 
-Every call returns a ``Result``.  The error of a failed commit tells whether it
+Every call returns a ``Result``.  The error of a failed commit indicates whether it
 certainly had no effect (``UNAVAILABLE``) or may have had one (``UNKNOWN``).
 """
 
--- a/damasklead/util.py
+++ b/damasklead/util.py
@@ -12,7 +12,7 @@
 __all__ = ["hash_name", "new_id", "split_address", "stable_hash"]
 
 # The names of replicas and prompt parts recur; an entry takes about 150 bytes.
-HASH_CACHE_SIZE = 4_096
+HASH_CACHE_ENTRIES = 4_096
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -40,7 +40,7 @@
     return int.from_bytes(digest, "big")
 
 
-@lru_cache(maxsize=HASH_CACHE_SIZE)
+@lru_cache(maxsize=HASH_CACHE_ENTRIES)
 def hash_name(name: str) -> int:
     """
     Return the 32-bit hash of a name.
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -212,7 +212,7 @@
         return content or {}
 
     def is_serving(self, entry: str) -> bool:
-        """Tell whether an entry is ready and has a grant of slots for each pool."""
+        """Return whether an entry is ready and has a grant of slots for each pool."""
         status = self.fetch_status(entry)
         pools = status.get("pools", [])
         return bool(
--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -20,10 +20,10 @@
     FaultKind,
     check_experiment,
 )
-from damasklead.experiment.driver import Simulator
 from damasklead.experiment.engines import Engine, EngineRequest
 from damasklead.experiment.fleet import run_experiment
 from damasklead.experiment.policies import POLICIES
+from damasklead.experiment.simulator import Simulator
 from damasklead.experiment.tally import Result, Tally
 from damasklead.findings import Findings
 from damasklead.gateway import admission
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -73,7 +73,7 @@
     execution_count : int
         How often an upstream executed the request.
     reported_not_run : bool
-        Whether the caller was told that the request was not executed.
+        Whether the caller was informed that the request was not executed.
     """
 
     claim: Claim
