--- a/damasklead/gateway/calls.py
+++ b/damasklead/gateway/calls.py
@@ -88,6 +88,11 @@
     last_event: bytes | None = None
     forwarded: tuple[Header, ...] = ()
 
+    @property
+    def shared_parts(self) -> tuple[PromptPart, ...]:
+        """The parts of the prompt that other requests may have in common."""
+        return self.prompt[:-1]
+
 
 class Call(msgspec.Struct, kw_only=True):
     """
--- a/damasklead/gateway/crash_containment.py
+++ b/damasklead/gateway/crash_containment.py
@@ -12,6 +12,7 @@
 
 from collections import OrderedDict
 from collections.abc import Callable
+from enum import Enum
 
 import msgspec
 
@@ -21,7 +22,13 @@
 from damasklead.quarantine import Quarantine
 from damasklead.util import stable_hash
 
-__all__ = ["Containment", "CrashReport", "compute_fingerprint"]
+__all__ = [
+    "Containment",
+    "CrashReport",
+    "CrashSign",
+    "ObservedCrash",
+    "compute_fingerprint",
+]
 
 # A broken response is attributed to a crash if its replica is found to be gone within
 # this time; the platform's list drops a replica after some missing heartbeats, which
@@ -57,6 +64,36 @@
     fingerprints: tuple[Fingerprint, ...]
 
 
+class CrashSign(Enum):
+    """How a gateway found out about a crash."""
+
+    CONNECTION_FAILED = "connection-failed"
+    UNLISTED = "unlisted"
+    REPORTED = "reported"
+
+
+class ObservedCrash(msgspec.Struct, kw_only=True, frozen=True):
+    """
+    A crash as one gateway observed it, for its log.
+
+    Attributes
+    ----------
+    report : CrashReport
+        The crash with the requests that it interrupted.
+    sign : CrashSign
+        How the gateway found out.
+    seconds_since_broken : float
+        Time from the last broken response of the replica; 0 for a reported crash.
+    max_crash_count : int
+        Crashes that the gateway has counted for one of the requests at most.
+    """
+
+    report: CrashReport
+    sign: CrashSign
+    seconds_since_broken: float
+    max_crash_count: int
+
+
 class _BrokenResponses(msgspec.Struct, kw_only=True):
     """
     Requests whose responses one replica broke off, and when it last did so.
@@ -91,13 +128,20 @@
     clock : Clock
     on_quarantine : callable
         Called with each fingerprint that is refused from now on.
+    on_crash : callable
+        Called once with each crash that is confirmed or reported.
     """
 
     def __init__(
-        self, *, clock: Clock, on_quarantine: Callable[[Fingerprint], None]
+        self,
+        *,
+        clock: Clock,
+        on_quarantine: Callable[[Fingerprint], None],
+        on_crash: Callable[[ObservedCrash], None] = lambda _: None,
     ) -> None:
         self._clock = clock
         self._on_quarantine = on_quarantine
+        self._on_crash = on_crash
         self._quarantine = Quarantine(clock=clock, min_crashes=CRASHES_TO_REFUSE)
         self._broken_responses: dict[tuple[InstanceId, int], _BrokenResponses] = {}
         self._recent_crashes: dict[CrashReport, float] = {}
@@ -141,7 +185,9 @@
 
     def record_connection_failure(self, record: UpstreamRecord) -> None:
         """Record that a replica refuses connections, which confirms a crash."""
-        self._confirm_crash((record.instance, record.incarnation))
+        self._confirm_crash(
+            (record.instance, record.incarnation), CrashSign.CONNECTION_FAILED
+        )
 
     def update_replicas(self, records: list[UpstreamRecord]) -> None:
         """
@@ -152,12 +198,12 @@
         """
         listed = {(record.instance, record.incarnation) for record in records}
         for key in [item for item in self._broken_responses if item not in listed]:
-            self._confirm_crash(key)
+            self._confirm_crash(key, CrashSign.UNLISTED)
 
     def record_crash_reports(self, reports: list[CrashReport]) -> None:
         """Record the crashes that another gateway has reported."""
         for report in reports:
-            self._observe_crash(report)
+            self._observe_crash(report, CrashSign.REPORTED)
 
     def update_quarantine(self) -> None:
         """Decide which requests to refuse, and drop expired records."""
@@ -176,20 +222,33 @@
             if now - at < CRASH_REPORT_SECONDS
         }
 
-    def _confirm_crash(self, key: tuple[InstanceId, int]) -> None:
+    def _confirm_crash(self, key: tuple[InstanceId, int], sign: CrashSign) -> None:
         broken = self._broken_responses.pop(key, None)
         if broken is None:
             return
+        now = self._clock.now()
         report = CrashReport(*key, tuple(sorted(broken.fingerprints)))
-        self._recent_crashes[report] = self._clock.now()
-        self._observe_crash(report)
-
-    def _observe_crash(self, report: CrashReport) -> None:
-        self._quarantine.record_crash(
-            report.instance,
-            Incarnation(report.incarnation),
-            frozenset(report.fingerprints),
+        self._recent_crashes[report] = now
+        self._observe_crash(report, sign, seconds_since_broken=now - broken.broken_at)
+
+    def _observe_crash(
+        self, report: CrashReport, sign: CrashSign, *, seconds_since_broken: float = 0.0
+    ) -> None:
+        incarnation = Incarnation(report.incarnation)
+        fingerprints = frozenset(report.fingerprints)
+        is_new = self._quarantine.record_crash(
+            report.instance, incarnation, fingerprints
         )
+        if is_new:
+            counts = map(self._quarantine.count_crashes, fingerprints)
+            self._on_crash(
+                ObservedCrash(
+                    report=report,
+                    sign=sign,
+                    seconds_since_broken=seconds_since_broken,
+                    max_crash_count=max(counts, default=0),
+                )
+            )
 
 
 def _hash_request(call: Call) -> int:
--- a/damasklead/gateway/fleet.py
+++ b/damasklead/gateway/fleet.py
@@ -16,7 +16,7 @@
 from damasklead.gateway.calls import UpstreamRecord
 from damasklead.gateway.coordination.cells import Member
 from damasklead.gateway.coordination.service import Coordination
-from damasklead.gateway.crash_containment import Containment
+from damasklead.gateway.crash_containment import Containment, ObservedCrash
 from damasklead.gateway.departures import Departure, DepartureLog
 from damasklead.gateway.dialect import FeedError, PeerEntry, PlatformLink
 from damasklead.gateway.directory import UpstreamDirectory
@@ -112,7 +112,9 @@
         )
         self._reports = ListReports(clock=clock)
         self._plans = [self._make_read_plan(name) for name in ListName]
-        self.containment = Containment(clock=clock, on_quarantine=self._log_quarantine)
+        self.containment = Containment(
+            clock=clock, on_quarantine=self._log_quarantine, on_crash=self._log_crash
+        )
         self.configuration = ConfigurationFollower(
             feed=lambda: link().routing,
             plan=self._plans[ListName.ROUTING],
@@ -347,6 +349,17 @@
     def _log_quarantine(self, fingerprint: Fingerprint) -> None:
         self._journal.event("request-quarantined", fingerprint=fingerprint)
 
+    def _log_crash(self, crash: ObservedCrash) -> None:
+        self._journal.event(
+            "crash-observed",
+            replica=crash.report.instance,
+            incarnation=crash.report.incarnation,
+            sign=crash.sign.value,
+            after=crash.seconds_since_broken,
+            requests=len(crash.report.fingerprints),
+            most_crashes=crash.max_crash_count,
+        )
+
     def _make_read_plan(self, name: ListName) -> ReadPlan:
         return ReadPlan(
             name=name,
--- a/damasklead/gateway/proxied_request.py
+++ b/damasklead/gateway/proxied_request.py
@@ -421,6 +421,7 @@
             detail=str(error),
             events=self.event_count,
             runs=self._possible_executions,
+            parts=",".join(part.key for part in self._call.head.shared_parts),
         )
 
     def _may_retry(self, failure: Failure) -> bool:
--- a/damasklead/quarantine.py
+++ b/damasklead/quarantine.py
@@ -115,7 +115,7 @@
         instance: InstanceId,
         incarnation: Incarnation,
         fingerprints: frozenset[Fingerprint],
-    ) -> None:
+    ) -> bool:
         """
         Record the crash of a replica that was executing these requests.
 
@@ -127,13 +127,20 @@
             The replica that crashed.
         fingerprints : frozenset
             Fingerprints of the reporting entry's requests on the replica.
+
+        Returns
+        -------
+        bool
+            Whether the report names requests that earlier ones of the crash did not.
         """
         crash = (instance, incarnation)
         known_fingerprints = self._crash_fingerprints.setdefault(crash, set())
         self._pending_crashes.setdefault(crash, self._clock.now())
-        for fingerprint in fingerprints - known_fingerprints:
+        new_fingerprints = fingerprints - known_fingerprints
+        for fingerprint in new_fingerprints:
             self._record_suspect(fingerprint, crash)
         known_fingerprints |= fingerprints
+        return bool(new_fingerprints)
 
     def identify_culprits(self) -> list[Fingerprint]:
         """
--- a/tests/test_gateway_crash_containment.py
+++ b/tests/test_gateway_crash_containment.py
@@ -13,6 +13,8 @@
     CRASHES_TO_REFUSE,
     Containment,
     CrashReport,
+    CrashSign,
+    ObservedCrash,
     compute_fingerprint,
 )
 from damasklead.gateway.messages import PeerReport
@@ -149,6 +151,22 @@
     assert fleet.quarantined == [compute_fingerprint(call("/poison"))]
 
 
+def test_the_log_tells_how_late_a_crash_is_confirmed_and_what_it_counts() -> None:
+    observed: list[ObservedCrash] = []
+    clock = ManualClock()
+    gateway = Containment(
+        clock=clock, on_quarantine=lambda _: None, on_crash=observed.append
+    )
+    for number in range(2):
+        gateway.record_broken_response(replica(f"r{number}"), call("/poison"))
+        clock.advance(0.5)
+        gateway.record_connection_failure(replica(f"r{number}"))
+        gateway.record_crash_reports(gateway.recent_crashes)
+    assert [crash.sign for crash in observed] == [CrashSign.CONNECTION_FAILED] * 2
+    assert [crash.seconds_since_broken for crash in observed] == [0.5, 0.5]
+    assert [crash.max_crash_count for crash in observed] == [1, 2]
+
+
 def test_crash_reports_are_encoded_in_datagrams() -> None:
     report = CrashReport(InstanceId("r1"), 7, (Fingerprint("f"),))
     message = PeerReport("gateway-1", [report], [])
