--- a/tests/gateway_kit.py
+++ b/tests/gateway_kit.py
@@ -12,6 +12,7 @@
 from gevent import socket
 from gevent.server import StreamServer
 
+from damasklead.clock import Clock
 from damasklead.demo.local import find_free_address
 from damasklead.gateway.budget import SharedRetryBudget
 from damasklead.gateway.calls import UpstreamRecord, UpstreamState
@@ -225,6 +226,8 @@
         The scripted replicas.
     connections : ConnectionPool or None
         Pool of the connections to them; by default a new one.
+    containment_clock : Clock or None
+        Clock of the crash containment; by default that of the forwarder.
     """
 
     def __init__(
@@ -232,6 +235,7 @@
         replicas: Sequence[ScriptedReplica],
         *,
         connections: ConnectionPool | None = None,
+        containment_clock: Clock | None = None,
     ) -> None:
         self.clock = LoopClock()
         self.replicas = list(replicas)
@@ -254,7 +258,8 @@
         )
         self.quarantined: list[Fingerprint] = []
         self.containment = Containment(
-            clock=self.clock, on_quarantine=self.quarantined.append
+            clock=containment_clock or self.clock,
+            on_quarantine=self.quarantined.append,
         )
         self.journal = Journal(instance="gateway-1")
         self.gate = StartGate()
