Quarantine prompt parts that crash engines behind entries, too

Same cause as at gateways: suspects of a crash were whole requests. All messages of a prompt but the last are its shared parts; crash notices carry them, and a success at any entry clears them at all. A part is quarantined like a request: its row is read by entries that start, and operators can release it. complete_attempt of an exchange's host says whether the response is an error.

--- a/damasklead/crash_attribution.py
+++ b/damasklead/crash_attribution.py
@@ -25,7 +25,13 @@
 from damasklead.ids import Fingerprint, Incarnation, InstanceId
 from damasklead.util import stable_hash
 
-__all__ = ["CrashAttribution", "InterruptedRequest", "make_part_fingerprint"]
+__all__ = [
+    "MAX_SUSPECT_EVENTS",
+    "CrashAttribution",
+    "InterruptedRequest",
+    "is_part",
+    "make_part_fingerprint",
+]
 
 # Crashes that a cause has to explain.  A suspect that was sound before has to explain
 # more: it is often interrupted by crashes that others cause.
@@ -47,6 +53,9 @@
 MAX_KEY_CHARACTERS = 40
 # A request is a more specific suspect than any part of its prompt.
 _REQUEST_DEPTH = MAX_PARTS
+# A stream that has sent this number of events did not crash its replica when it began.
+MAX_SUSPECT_EVENTS = 2
+_PART_PREFIX = "part:"
 
 _Crash = tuple[InstanceId, Incarnation]
 
@@ -100,7 +109,12 @@
     """
     if len(key) > MAX_KEY_CHARACTERS:
         key = f"{stable_hash(key):016x}"
-    return Fingerprint(f"part:{key}")
+    return Fingerprint(f"{_PART_PREFIX}{key}")
+
+
+def is_part(fingerprint: Fingerprint) -> bool:
+    """Return whether a fingerprint is that of a prompt part, not of a request."""
+    return fingerprint.startswith(_PART_PREFIX)
 
 
 class CrashAttribution:
--- a/damasklead/daemon/callers.py
+++ b/damasklead/daemon/callers.py
@@ -20,6 +20,7 @@
     ServiceKind,
     Workspace,
 )
+from damasklead.crash_attribution import make_part_fingerprint
 from damasklead.daemon.entry import Entry
 from damasklead.daemon.exchange import Exchange
 from damasklead.daemon.pools import Pool
@@ -142,6 +143,7 @@
             prompt_tokens=len(messages) // BYTES_PER_TOKEN,
             prefix=hashlib.sha256(messages[:PREFIX_BYTES]).hexdigest()[:16],
             fingerprint=Fingerprint(hashlib.sha256(messages).hexdigest()[:24]),
+            prompt_parts=_fingerprint_parts(document["messages"]),
             model=document["model"],
             weight=workspace.weight,
         )
@@ -390,6 +392,16 @@
     return request_class
 
 
+def _fingerprint_parts(messages: list[Any]) -> tuple[Fingerprint, ...]:
+    """Return the fingerprints of all messages but the last, which others may share."""
+    return tuple(
+        make_part_fingerprint(
+            hashlib.sha256(msgspec.json.encode(message)).hexdigest()[:16]
+        )
+        for message in messages[:-1]
+    )
+
+
 def _parse_completion(body: bytes) -> dict[str, Any]:
     """Decode the body of a completion request and check the fields that are used."""
     try:
--- a/damasklead/daemon/crashes.py
+++ b/damasklead/daemon/crashes.py
@@ -11,14 +11,15 @@
 
 import gevent
 
+from damasklead.crash_attribution import MAX_SUSPECT_EVENTS, InterruptedRequest
 from damasklead.daemon.pools import Pool
 from damasklead.gossip import GossipBuffer
 from damasklead.ids import Fingerprint, InstanceId
 from damasklead.membership import Member
-from damasklead.messages import CrashNotice, QuarantineNotice
+from damasklead.messages import CrashNotice, QuarantineNotice, SoundPartNotice
 from damasklead.quarantine import Quarantine
 from damasklead.quarantine_rows import QuarantineRow, make_quarantine_write
-from damasklead.requests import Start
+from damasklead.requests import Request, Start
 from damasklead.upstreams import UpstreamError
 
 __all__ = ["CrashDetector"]
@@ -52,6 +53,7 @@
         self._quarantine = quarantine
         self._gossip = gossip
         self._record_change = record_change
+        self._notice_number = 0
 
     def quarantine_culprits(self) -> None:
         """Quarantine the fingerprints that are identified as causes of crashes."""
@@ -78,17 +80,20 @@
         """
         if member is None:
             return
-        fingerprints = frozenset(
-            attempt.request.fingerprint
+        prompts = {
+            attempt.request.fingerprint: attempt.request.prompt_parts
+            if attempt.event_count < MAX_SUSPECT_EVENTS
+            else ()
             for attempt in pool.dispatcher.attempts.values()
             if attempt.replica == start.replica and attempt.request.fingerprint
-        )
-        if not fingerprints:
+        }
+        if not prompts:
             return
         notice = CrashNotice(
             instance=member.instance,
             incarnation=member.incarnation,
-            fingerprints=tuple(sorted(fingerprints)),
+            fingerprints=tuple(sorted(prompts)),
+            prompts=tuple(prompts[item] for item in sorted(prompts)),
         )
         self.record_crash_notice(notice)
         gevent.spawn(self._confirm_crash, pool, member.address, notice)
@@ -96,9 +101,27 @@
     def record_crash_notice(self, notice: CrashNotice) -> None:
         """Record the suspects of a crash that this or another entry noticed."""
         self._quarantine.record_crash(
-            notice.instance, notice.incarnation, frozenset(notice.fingerprints)
+            notice.instance,
+            notice.incarnation,
+            frozenset(notice.fingerprints),
+            [
+                InterruptedRequest(fingerprint, parts)
+                for fingerprint, parts in zip(
+                    notice.fingerprints, notice.prompts, strict=False
+                )
+            ],
         )
 
+    def record_success(self, request: Request) -> None:
+        """Clear the prompt parts of a request at all entries, since it succeeded."""
+        for part in self._quarantine.record_sound_parts(request.prompt_parts):
+            self._notice_number += 1
+            self._gossip.add_item(
+                SoundPartNotice(
+                    part=part, sender=self._instance, number=self._notice_number
+                )
+            )
+
     def _quarantine_fingerprint(self, fingerprint: Fingerprint, *, why: str) -> None:
         """Quarantine a fingerprint at every entry and store this for operators."""
         if self._quarantine.add_fingerprint(fingerprint):
--- a/damasklead/daemon/entry.py
+++ b/damasklead/daemon/entry.py
@@ -42,6 +42,7 @@
     LeavingNotice,
     QuarantineNotice,
     ReleaseNotice,
+    SoundPartNotice,
 )
 from damasklead.protocol import Steps, T, run
 from damasklead.quarantine import Quarantine
@@ -337,6 +338,8 @@
                     self.crash_detector.record_crash_notice(item)
                 case QuarantineNotice():
                     self.quarantine.add_fingerprint(item.fingerprint)
+                case SoundPartNotice():
+                    self.quarantine.record_sound_parts([item.part])
                 case ReleaseNotice():
                     self.quarantine.release_fingerprint(
                         item.fingerprint, number=item.number
@@ -398,9 +401,13 @@
                 cancel_actions = pool.dispatcher.cancel_request(action.request.id)
                 gevent.spawn(self.apply_actions, pool, cancel_actions)
 
-    def complete_attempt(self, pool: Pool, exchange: Exchange, start: Start) -> None:
+    def complete_attempt(
+        self, pool: Pool, start: Start, *, is_successful: bool
+    ) -> None:
         """Report to the pool's dispatcher that an attempt's response is complete."""
         self.metrics.attempts.labels(pool.service.name, "finished").inc()
+        if is_successful:
+            self.crash_detector.record_success(start.request)
         self.apply_actions(pool, pool.dispatcher.complete_attempt(start.attempt))
 
     def fail_attempt(self, pool: Pool, start: Start, error: UpstreamError) -> None:
--- a/damasklead/daemon/exchange.py
+++ b/damasklead/daemon/exchange.py
@@ -105,8 +105,17 @@
         """Log a failed attempt and report it to the pool's dispatcher."""
 
     @abstractmethod
-    def complete_attempt(self, pool: Pool, exchange: "Exchange", start: Start) -> None:
-        """Report to the pool's dispatcher that an attempt's response is complete."""
+    def complete_attempt(
+        self, pool: Pool, start: Start, *, is_successful: bool
+    ) -> None:
+        """
+        Report to the pool's dispatcher that an attempt's response is complete.
+
+        Parameters
+        ----------
+        is_successful : bool
+            Whether the status of the response is no error.
+        """
 
     @abstractmethod
     def record_rate_limit(self, start: Start, limit: float | None) -> None:
@@ -356,7 +365,7 @@
                 self._entry.record_first_event(self)
             record_events(start.attempt, event_count=event_count)
             if is_done:
-                self._complete_attempt(start)
+                self._complete_attempt(start, is_successful=True)
             yield events
         if not is_done:
             raise UpstreamError(
@@ -374,14 +383,14 @@
             ("Content-Length", str(len(body))),
         ]
         self._record_response(response, body)
-        self._complete_attempt(start)
+        self._complete_attempt(start, is_successful=response.status < 400)
         yield ResponseHead(status=response.status, headers=headers, is_complete=True)
         yield body
 
-    def _complete_attempt(self, start: Start) -> None:
+    def _complete_attempt(self, start: Start, *, is_successful: bool) -> None:
         self._is_complete = True
         self._current_attempt = None
-        self._entry.complete_attempt(self.pool, self, start)
+        self._entry.complete_attempt(self.pool, start, is_successful=is_successful)
 
     def _acquire_claim(self, start: Start) -> list[ResponsePart] | None:
         """
--- a/damasklead/dispatching.py
+++ b/damasklead/dispatching.py
@@ -172,7 +172,7 @@
             Whether the request can be cancelled and continued later without losing the
             generated tokens.
         """
-        if self._quarantine.is_quarantined(request.fingerprint):
+        if self._quarantine.is_any_quarantined(request.all_fingerprints):
             return [_make_refusal(request, Reason.QUARANTINED, retry_after=None)]
         if is_preemptable:
             self._preemptable_ids.add(request.id)
@@ -289,7 +289,7 @@
         self._budget.resize(max(BURST_RETRIES, float(self.replicas.capacity)))
 
     def _handle_failure(self, request: Request, failure: Failure) -> list[Action]:
-        if self._quarantine.is_quarantined(request.fingerprint):
+        if self._quarantine.is_any_quarantined(request.all_fingerprints):
             return [self._refuse_after_attempt(request, Reason.QUARANTINED)]
         if not failure.rules_out_execution and not request.request_class.may_repeat:
             return [self._refuse_after_attempt(request, Reason.UPSTREAM_FAILED)]
@@ -324,7 +324,7 @@
             request = self._queue.pop(slots=slot_count, admitted_tier=admitted_tier)
             if request is None:
                 break
-            if self._quarantine.is_quarantined(request.fingerprint):
+            if self._quarantine.is_any_quarantined(request.all_fingerprints):
                 actions.append(
                     _make_refusal(request, Reason.QUARANTINED, retry_after=None)
                 )
--- a/damasklead/gateway/crash_containment.py
+++ b/damasklead/gateway/crash_containment.py
@@ -21,6 +21,7 @@
 from damasklead.clock import Clock
 from damasklead.crash_attribution import (
     EXPLAINED_TTL_SECONDS,
+    MAX_SUSPECT_EVENTS,
     CrashAttribution,
     InterruptedRequest,
     make_part_fingerprint,
@@ -47,8 +48,6 @@
 SUCCESS_TTL_SECONDS = 60.0
 # Maximum number of remembered successful requests, of about 200 bytes each; LRU.
 MAX_SUCCESSES = 4_000
-# A stream that has sent this number of events did not crash its replica when it began.
-MAX_SUSPECT_EVENTS = 2
 # Exonerations whose repeated reports are recognized.
 MAX_KNOWN_EXONERATIONS = 4_096
 # Causes that are reported at once.
--- a/damasklead/messages.py
+++ b/damasklead/messages.py
@@ -25,6 +25,7 @@
     "PeerMessage",
     "QuarantineNotice",
     "ReleaseNotice",
+    "SoundPartNotice",
     "ReplicaLoad",
     "decode_message",
     "encode_message",
@@ -132,11 +133,19 @@
 
 
 class CrashNotice(msgspec.Struct, kw_only=True, frozen=True, array_like=True, tag=12):
-    """A replica crashed while it executed requests with these fingerprints."""
+    """
+    A replica crashed while it executed requests with these fingerprints.
+
+    Attributes
+    ----------
+    prompts : tuple
+        For each of these requests the shared parts of its prompt.
+    """
 
     instance: InstanceId
     incarnation: Incarnation
     fingerprints: tuple[Fingerprint, ...]
+    prompts: tuple[tuple[Fingerprint, ...], ...] = ()
 
 
 class QuarantineNotice(
@@ -161,7 +170,26 @@
     number: int
 
 
-GossipItem = LeavingNotice | CrashNotice | QuarantineNotice | ReleaseNotice
+class SoundPartNotice(
+    msgspec.Struct, kw_only=True, frozen=True, array_like=True, tag=15
+):
+    """
+    A replica responded completely to a request with a part that crashes had.
+
+    Attributes
+    ----------
+    number : int
+        Distinguishes the notices of an entry.
+    """
+
+    part: Fingerprint
+    sender: InstanceId
+    number: int
+
+
+GossipItem = (
+    LeavingNotice | CrashNotice | QuarantineNotice | ReleaseNotice | SoundPartNotice
+)
 Body = Demand | Grant | ConfigurationQuery | ConfigurationResponse
 
 
--- a/damasklead/quarantine.py
+++ b/damasklead/quarantine.py
@@ -12,15 +12,17 @@
 completes is no longer a suspect.
 
 Requests are distinguished by fingerprints, hashes of their contents, which are equal
-for all attempts of a request.
+for all attempts of a request.  Parts of prompts that different requests share have
+fingerprints too; ``crash_attribution`` finds those that crash upstreams.
 """
 
 from collections import OrderedDict
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
 import msgspec
 
 from damasklead.clock import Clock
+from damasklead.crash_attribution import CrashAttribution, InterruptedRequest, is_part
 from damasklead.ids import Fingerprint, Incarnation, InstanceId
 
 __all__ = ["MAX_CRASHES", "Quarantine"]
@@ -70,10 +72,14 @@
             tuple[InstanceId, Incarnation], set[Fingerprint]
         ] = {}
         self._release_numbers: dict[Fingerprint, int] = {}
+        self._attribution = CrashAttribution(
+            clock=clock, propagation_seconds=propagation_seconds
+        )
 
     def set_propagation_time(self, seconds: float) -> None:
         """Set the seconds from the first report of a crash until all reports are in."""
         self._propagation_seconds = seconds
+        self._attribution.set_propagation_time(seconds)
 
     @property
     def quarantined_fingerprints(self) -> list[Fingerprint]:
@@ -92,6 +98,12 @@
         """Return whether requests with this fingerprint are refused."""
         return self._clock.now() < self._quarantined_until.get(fingerprint, 0.0)
 
+    def is_any_quarantined(self, fingerprints: Iterable[Fingerprint]) -> bool:
+        """Return whether a request with any of these fingerprints is refused."""
+        return bool(self._quarantined_until) and any(
+            self.is_quarantined(item) for item in fingerprints
+        )
+
     def is_suspect(self, fingerprint: Fingerprint) -> bool:
         """
         Return whether a fingerprint was in a recent crash and has not completed since.
@@ -115,6 +127,7 @@
         instance: InstanceId,
         incarnation: Incarnation,
         fingerprints: frozenset[Fingerprint],
+        prompts: Iterable[InterruptedRequest] = (),
     ) -> bool:
         """
         Record the crash of a replica that was executing these requests.
@@ -127,6 +140,8 @@
             The replica that crashed.
         fingerprints : frozenset
             Fingerprints of the reporting entry's requests on the replica.
+        prompts : iterable of InterruptedRequest
+            These requests with the shared parts of their prompts.
 
         Returns
         -------
@@ -134,6 +149,7 @@
             Whether the report names requests that earlier ones of the crash did not.
         """
         crash = (instance, incarnation)
+        self._attribution.record_crash(instance, incarnation, prompts)
         known_fingerprints = self._crash_fingerprints.setdefault(crash, set())
         self._pending_crashes.setdefault(crash, self._clock.now())
         new_fingerprints = fingerprints - known_fingerprints
@@ -158,6 +174,11 @@
         for crash in due_crashes:
             del self._pending_crashes[crash]
             culprits.extend(self._find_culprits(crash))
+        culprits.extend(
+            cause
+            for cause in self._attribution.find_causes()
+            if is_part(cause) and not self.is_quarantined(cause)
+        )
         return culprits
 
     def get_allowed_replicas(
@@ -219,6 +240,7 @@
         if number and number <= self._release_numbers.get(fingerprint, 0):
             return False
         self._release_numbers[fingerprint] = number
+        self._attribution.record_success([fingerprint])
         self._suspects.pop(fingerprint, None)
         return self._quarantined_until.pop(fingerprint, None) is not None
 
@@ -230,11 +252,23 @@
         """Record that a request with this fingerprint completed on a replica."""
         self._suspects.pop(fingerprint, None)
 
+    def record_sound_parts(self, parts: Iterable[Fingerprint]) -> list[Fingerprint]:
+        """
+        Record the prompt parts of a request to which a replica responded completely.
+
+        Returns
+        -------
+        list of Fingerprint
+            Those that were suspects of crashes until now.
+        """
+        return self._attribution.record_success(parts)
+
     def retract_crash(self, instance: InstanceId, incarnation: Incarnation) -> None:
         """
         Discard a crash report, since the replica still runs in the same incarnation.
         """
         crash = (instance, incarnation)
+        self._attribution.retract_crash(instance, incarnation)
         self._pending_crashes.pop(crash, None)
         for fingerprint in self._crash_fingerprints.pop(crash, set()):
             suspect = self._suspects.get(fingerprint)
--- a/damasklead/requests.py
+++ b/damasklead/requests.py
@@ -63,6 +63,8 @@
         cache entry.
     fingerprint : str
         Digest of the content, equal for each repetition of the request.
+    prompt_parts : tuple of Fingerprint
+        Fingerprints of the parts of the prompt that other requests may share.
     model : str
         Name of the requested model, empty for a service without models.
     weight : float
@@ -88,6 +90,7 @@
     prompt_tokens: int = 0
     prefix: str = ""
     fingerprint: Fingerprint = Fingerprint("")
+    prompt_parts: tuple[Fingerprint, ...] = ()
     model: str = ""
     weight: float = 1.0
     generated_tokens: int = 0
@@ -104,6 +107,11 @@
         """Clock reading in seconds by which the response should begin."""
         return self.arrival + self.request_class.start_target
 
+    @property
+    def all_fingerprints(self) -> tuple[Fingerprint, ...]:
+        """Its own fingerprint and those of the shared parts of its prompt."""
+        return (self.fingerprint, *self.prompt_parts)
+
     @property
     def outcome_without_response(self) -> Outcome:
         """Outcome to report to the caller when no upstream responds to the request."""
