Don't believe a refusal that may belong to an earlier request

A faulty replica wrote an earlier refusal once more on a kept connection, and callers were told that a request had not run which the replica was running. A refusal without an attempt id on a connection that had earlier requests is now an uncertain end.

--- a/damasklead/gateway/calls.py
+++ b/damasklead/gateway/calls.py
@@ -211,6 +211,8 @@
         ``STRAY`` is the response to another request; ``INVALID`` violates the protocol.
     headers : tuple
         The headers that are forwarded to the caller.
+    identified : bool
+        Whether the response names the request that it belongs to.
     load : LoadHint or None
         The load that the replica reports.
     closing : bool
@@ -231,6 +233,7 @@
     status: int
     kind: ResponseKind
     headers: tuple[Header, ...]
+    identified: bool = True
     load: LoadHint | None = None
     closing: bool = False
     leaving: bool = False
--- a/damasklead/gateway/proxied_request.py
+++ b/damasklead/gateway/proxied_request.py
@@ -275,6 +275,7 @@
                     attempt=self._call.id,
                 )
                 if reply.kind is not ResponseKind.STRAY:
+                    _check_attribution(reply, upstream)
                     return reply
                 # A late response to another request still shows the replica's state.
                 self._record_replica_state(reply, record)
@@ -489,3 +490,16 @@
         if reason is not Reason.TIMED_OUT:
             reason = Reason.UPSTREAM_FAILED
         return Refusal(reason=reason, detail=detail)
+
+
+def _check_attribution(reply: ResponseHead, upstream: Connection) -> None:
+    """
+    Raise ``SendError`` for a refusal that may belong to an earlier request.
+
+    A faulty replica may repeat one on a kept connection while it executes this request.
+    """
+    is_refusal = reply.kind in (ResponseKind.REFUSED, ResponseKind.MISPLACED)
+    if is_refusal and not reply.identified and upstream.is_reused:
+        raise SendError(
+            Failure.MISMATCHED, f"status {reply.status} may belong to another request"
+        )
--- a/damasklead/gateway/upstream_http.py
+++ b/damasklead/gateway/upstream_http.py
@@ -113,6 +113,7 @@
         self._closed = False
         self._has_ended = False
         self._is_unframed = False
+        self._is_reused = False
 
     @property
     def address(self) -> str:
@@ -129,6 +130,11 @@
         """Whether the replica has closed or reset the connection."""
         return self._has_ended
 
+    @property
+    def is_reused(self) -> bool:
+        """Whether earlier requests were sent on this connection."""
+        return self._is_reused
+
     @property
     def is_unframed(self) -> bool:
         """Whether only the end of the connection delimits the response's body."""
@@ -282,6 +288,7 @@
         self.set_read_timeout(None)
         if self._http.our_state is not h11.IDLE:
             self._http.start_next_cycle()
+            self._is_reused = True
         self._writer = None
 
     def close(self) -> None:
--- a/damasklead/platform/headers.py
+++ b/damasklead/platform/headers.py
@@ -143,6 +143,7 @@
             headers=tuple(
                 (name, value) for name, value in headers if name.lower() not in dropped
             ),
+            identified=ATTEMPT_ID in values,
             load=_parse_load(values.get(BACKEND_LOAD)),
             closing=b"close" in values.get(b"connection", b"").lower(),
             leaving=values.get(SERVER_LEAVING, b"0").strip() not in (b"", b"0"),
