Join only a right continuation to a stream that has begun

After a stream had broken off, the next replica's error could reach the caller within the stream when it came as a success: with another type, without ids, from the first event on again, or with an event missing; and a success without any event ended the stream as complete.

--- a/damasklead/gateway/events.py
+++ b/damasklead/gateway/events.py
@@ -2,13 +2,16 @@
 Events of a stream
 ==================
 
-Splits the bytes of a ``text/event-stream`` into complete events and keeps the last
-event id, so that another replica can resume the stream without lost or repeated events.
+Splits the bytes of a ``text/event-stream`` into complete events and keeps the event
+ids, so that another replica can resume the stream without lost or repeated events.
 """
 
-__all__ = ["EventSplitter"]
+import re
+
+__all__ = ["EventSplitter", "continues_after"]
 
 _EVENT_DELIMITERS = (b"\n\n", b"\r\n\r\n", b"\r\r")
+_BLANK_LINE = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 
 
 class EventSplitter:
@@ -26,18 +29,38 @@
     b'id: 2\ndata: b\n\n'
     >>> splitter.last_id, splitter.has_partial_event, splitter.take_event_count()
     (b'2', False, 2)
+    >>> splitter.first_id, splitter.has_contiguous_ids
+    (b'1', True)
     """
 
     def __init__(self) -> None:
         self._buffer = b""
+        self._first_id: bytes | None = None
         self._last_id: bytes | None = None
+        self._has_events = False
+        self._has_contiguous_ids = True
         self._event_count = 0
 
+    @property
+    def has_events(self) -> bool:
+        """Whether any event was complete; comments are none."""
+        return self._has_events
+
+    @property
+    def first_id(self) -> bytes | None:
+        """The id of the first complete event, ``None`` if it carries none."""
+        return self._first_id
+
     @property
     def last_id(self) -> bytes | None:
         """The id of the last complete event that carries one."""
         return self._last_id
 
+    @property
+    def has_contiguous_ids(self) -> bool:
+        """Whether the ids of all events so far increase by one."""
+        return self._has_contiguous_ids
+
     @property
     def buffered_bytes(self) -> int:
         """Length in bytes of the incomplete event that is buffered."""
@@ -60,14 +83,70 @@
             default=0,
         )
         complete, self._buffer = data[:end], data[end:]
-        for line in complete.splitlines():
-            if line.startswith(b"id:"):
-                self._last_id = line[3:].strip()
-            elif line.startswith(b"data:"):
-                self._event_count += 1
+        for event in _BLANK_LINE.split(complete) if complete else ():
+            self._record_event(event)
         return complete
 
     def take_event_count(self) -> int:
         """Return the number of complete events since the last call, and reset it."""
         count, self._event_count = self._event_count, 0
         return count
+
+    def _record_event(self, event: bytes) -> None:
+        event_id: bytes | None = None
+        has_fields = False
+        for line in event.splitlines():
+            has_fields = has_fields or (bool(line) and not line.startswith(b":"))
+            if line.startswith(b"id:"):
+                event_id = line[3:].strip()
+            elif line.startswith(b"data:"):
+                self._event_count += 1
+        if not has_fields:
+            return
+        if not self._has_events:
+            self._has_events = True
+            self._first_id = event_id
+        elif event_id is not None or self._last_id is None:
+            self._has_contiguous_ids = self._has_contiguous_ids and (
+                _parse_id(event_id) is not None
+                and _parse_id(event_id) == (_parse_id(self._last_id) or 0) + 1
+            )
+        if event_id is not None:
+            self._last_id = event_id
+
+
+def continues_after(
+    event_id: bytes | None, last_id: bytes | None, *, contiguous: bool
+) -> bool:
+    """
+    Return whether an event may follow another one in a resumed stream.
+
+    Parameters
+    ----------
+    event_id : bytes or None
+        Id of the event, if it carries one.
+    last_id : bytes or None
+        Id of the last event before.
+    contiguous : bool
+        Whether the ids of the stream increase by one.
+
+    Examples
+    --------
+    >>> continues_after(b"3", b"2", contiguous=True)
+    True
+    >>> continues_after(b"4", b"2", contiguous=True)
+    False
+    >>> continues_after(b"8", b"4", contiguous=False)
+    True
+    >>> continues_after(None, b"2", contiguous=True)
+    False
+    """
+    number, last_number = _parse_id(event_id), _parse_id(last_id)
+    if number is None or last_number is None:
+        # Ids that are no numbers have no order that could be checked.
+        return event_id is not None and event_id != last_id
+    return number == last_number + 1 if contiguous else number > last_number
+
+
+def _parse_id(event_id: bytes | None) -> int | None:
+    return int(event_id) if event_id is not None and event_id.isdigit() else None
--- a/damasklead/gateway/proxied_request.py
+++ b/damasklead/gateway/proxied_request.py
@@ -12,7 +12,7 @@
 from damasklead.gateway.calls import Call, ResponseHead, ResponseKind, UpstreamRecord
 from damasklead.gateway.context import GatewayContext
 from damasklead.gateway.dialect import SendPlan
-from damasklead.gateway.events import EventSplitter
+from damasklead.gateway.events import EventSplitter, continues_after
 from damasklead.gateway.placements import Placement
 from damasklead.gateway.refusals import Reason, Refusal, get_refusal_reason
 from damasklead.gateway.replica_probe import Liveness
@@ -33,6 +33,8 @@
 MAX_REPLICA_ATTEMPTS = 4
 # Responses to other requests that are skipped on one connection.
 MAX_STRAY_RESPONSES = 3
+# Status of a replica that resumes a stream.
+RESUMED_STREAM_STATUS = 200
 # Longest body of a response that is not streamed.
 MAX_BODY_BYTES = 16_777_216
 # A resumable stream moves to another replica after this fraction of the time that its
@@ -103,6 +105,7 @@
         self._request_sent = False
         self._body_pending = False
         self._last_event_id: bytes | None = None
+        self._has_contiguous_ids = False
         self._error_response: tuple[ResponseHead, bytes] | None = None
         self.replica = InstanceId("")
         self.status = 0
@@ -338,6 +341,10 @@
     def _relay_response(
         self, upstream: Connection, reply: ResponseHead, record: UpstreamRecord
     ) -> None:
+        if self._caller.head_sent and reply.status != RESUMED_STREAM_STATUS:
+            raise SendError(
+                Failure.BROKEN, f"status {reply.status} after the stream began"
+            )
         is_buffered = self._call.route.kind is not RouteKind.STREAM
         if is_buffered or not 200 <= reply.status < 300:
             self._relay_buffered_response(upstream, reply, record)
@@ -369,10 +376,6 @@
         self._send_response(reply, body)
 
     def _send_response(self, reply: ResponseHead, body: bytes) -> None:
-        if self._caller.head_sent:
-            raise SendError(
-                Failure.BROKEN, f"status {reply.status} after the stream began"
-            )
         self._record_response_start(reply.status)
         self._caller.send_response(reply.status, reply.headers, body)
 
@@ -380,6 +383,7 @@
         self, upstream: Connection, reply: ResponseHead, record: UpstreamRecord
     ) -> None:
         splitter = EventSplitter()
+        is_continuation, is_joined = self._caller.head_sent, False
         progress = StreamProgress(
             clock=self._context.clock, event_timeout=self._compute_event_timeout()
         )
@@ -391,6 +395,11 @@
             )
             if not complete_events:
                 continue
+            if not is_continuation:
+                self._has_contiguous_ids = splitter.has_contiguous_ids
+            elif splitter.has_events and not is_joined:
+                self._check_continuation(splitter)
+                is_joined = True
             if splitter.last_id is not None:
                 self._last_event_id = splitter.last_id
             if not self.event_count:
@@ -400,13 +409,27 @@
             self.event_count += splitter.take_event_count()
         if splitter.has_partial_event:
             raise SendError(Failure.BROKEN, "the stream ended within an event")
-        if upstream.is_unframed and not self.event_count:
+        if not splitter.has_events and (upstream.is_unframed or is_continuation):
             raise SendError(Failure.BROKEN, "the stream ended before its first event")
         self._check_unframed_end(upstream, record)
         if not self._caller.head_sent:
             self._send_events(reply, b"")
         self._caller.end_response()
 
+    def _check_continuation(self, splitter: EventSplitter) -> None:
+        """
+        Raise ``SendError`` unless the first event of a resumed stream follows the last
+        one that was sent to the caller.
+        """
+        if not continues_after(
+            splitter.first_id,
+            self._last_event_id,
+            contiguous=self._has_contiguous_ids,
+        ):
+            raise SendError(
+                Failure.BROKEN, f"the stream resumes at event {splitter.first_id!r}"
+            )
+
     def _compute_event_timeout(self) -> float:
         """Return the seconds that a stream may go without a complete event."""
         route, seconds = self._call.route, self._call.stream_idle_timeout
--- a/tests/test_gateway_response_forms.py
+++ b/tests/test_gateway_response_forms.py
@@ -16,7 +16,9 @@
     ForwarderHarness,
     ScriptedReplica,
     make_chunk,
+    make_event,
     make_response,
+    make_stream_head,
 )
 from tests.test_gateway_responses import make_harness
 
@@ -81,3 +83,128 @@
     assert len(replica.requests) == 2
     assert response[9:12] in (b"502", b"504")
     assert not harness.departed_instances
+
+
+EVENT_STREAM = "Content-Type: text/event-stream"
+SIGNED = "Response-Signature: s"
+# Statuses, headers besides the id, and bodies that do not continue after event 2.
+WRONG_CONTINUATIONS = {
+    "error": ("500 Failed", [SIGNED], b"engine error"),
+    "not found": ("404 Not Found", [SIGNED], b"no such model"),
+    "bad request": ("400 Bad Request", [], b"bad request"),
+    "unsigned": ("200 OK", [EVENT_STREAM], make_event(3)),
+    "error as success": ("200 OK", [SIGNED, "Content-Type: text/plain"], b"oops\n\n"),
+    "untyped error": ("200 OK", [SIGNED], b"oops\n\n"),
+    "error event": ("200 OK", [SIGNED, EVENT_STREAM], b"data: oops\n\n"),
+    "accepted": ("202 Accepted", [SIGNED, EVENT_STREAM], make_event(3)),
+    "no content": ("204 No Content", [SIGNED], b""),
+    "no events": ("200 OK", [SIGNED, EVENT_STREAM], b""),
+    "from the start": ("200 OK", [SIGNED, EVENT_STREAM], make_event(1) + make_event(2)),
+    "repeated event": ("200 OK", [SIGNED, EVENT_STREAM], make_event(2) + make_event(3)),
+    "missing event": ("200 OK", [SIGNED, EVENT_STREAM], make_event(4)),
+}
+
+
+def make_broken_stream(attempt: str, framing: str) -> bytes:
+    """Return two events and a part of the third, as its sender breaks off."""
+    sent = make_event(1) + make_event(2) + make_event(3)[:7]
+    head = make_stream_head(attempt)
+    if framing == "chunks":
+        return head + make_chunk(sent)
+    length = b"Content-Length: 900" if framing == "length" else b"X-Framing: none"
+    return head.replace(b"Transfer-Encoding: chunked", length) + sent
+
+
+@pytest.mark.parametrize("identified", [True, False])
+@pytest.mark.parametrize("framing", FRAMINGS)
+@pytest.mark.parametrize("continuation", WRONG_CONTINUATIONS)
+def test_a_wrong_continuation_is_not_joined_to_a_stream(
+    harnesses: list[ForwarderHarness],
+    continuation: str,
+    framing: str,
+    identified: bool,
+) -> None:
+    """Callers found the text of an error, or a complete end, within their stream."""
+    status, headers, body = WRONG_CONTINUATIONS[continuation]
+
+    def serve(replica: ScriptedReplica, connection: object) -> None:
+        attempt = replica.receive_request(connection)
+        if "last-event-id" not in replica.requests[-1][1]:
+            connection.sendall(make_broken_stream(attempt, framing))
+            return
+        id_headers = [f"Attempt-Id: {attempt}"] if identified else []
+        connection.sendall(
+            make_framed(body, *id_headers, *headers, framing=framing, status=status)
+        )
+
+    harness = make_harness(harnesses, serve, serve)
+    response = harness.send_request("/draft/1", method="POST", body="x")
+    head, _, rest = response.partition(b"\r\n\r\n")
+    assert b" 200 " in head.splitlines()[0]
+    events = make_event(1) + make_event(2)
+    assert _decode_chunks(rest) == events
+    assert not rest.endswith(b"0\r\n\r\n")
+
+
+@pytest.mark.parametrize("framing", FRAMINGS)
+def test_a_right_continuation_is_joined_to_a_stream(
+    harnesses: list[ForwarderHarness], framing: str
+) -> None:
+    def serve(replica: ScriptedReplica, connection: object) -> None:
+        attempt = replica.receive_request(connection)
+        if "last-event-id" not in replica.requests[-1][1]:
+            connection.sendall(make_broken_stream(attempt, framing))
+            return
+        connection.sendall(
+            make_framed(
+                make_event(3) + make_event(4),
+                f"Attempt-Id: {attempt}",
+                SIGNED,
+                EVENT_STREAM,
+                framing=framing,
+            )
+        )
+
+    harness = make_harness(harnesses, serve, serve)
+    response = harness.send_request("/draft/1", method="POST", body="x")
+    rest = response.partition(b"\r\n\r\n")[2]
+    assert _decode_chunks(rest) == b"".join(make_event(n) for n in range(1, 5))
+    assert rest.endswith(b"0\r\n\r\n")
+
+
+def _decode_chunks(data: bytes) -> bytes:
+    """Return the content of the complete chunks."""
+    content = b""
+    while data:
+        size, _, data = data.partition(b"\r\n")
+        content += data[: int(size, 16)]
+        data = data[int(size, 16) + 2 :]
+    return content
+
+
+COMPLETE_HEAD = (
+    "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nResponse-Signature: s\r\n{framing}\r\n"
+)
+HEAD_FRAMINGS = {
+    "length": "Content-Length: 4\r\n",
+    "chunks": "Transfer-Encoding: chunked\r\n",
+    "connection": "",
+}
+
+
+@pytest.mark.parametrize("path", ["/read/1", "/order/1", "/chat/1", "/draft/1"])
+@pytest.mark.parametrize("framing", FRAMINGS)
+@pytest.mark.parametrize("fraction", [0.1, 0.3, 0.5, 0.7, 0.9, 0.99])
+def test_a_response_whose_head_breaks_off_is_no_success(
+    harnesses: list[ForwarderHarness], fraction: float, framing: str, path: str
+) -> None:
+    """Callers got a success with an empty or short body that was framed as complete."""
+
+    def stop_within_head(replica: ScriptedReplica, connection: object) -> None:
+        attempt = replica.receive_request(connection)
+        head = COMPLETE_HEAD.format(attempt=attempt, framing=HEAD_FRAMINGS[framing])
+        connection.sendall(head[: int(len(head) * fraction)].encode())
+
+    harness = make_harness(harnesses, stop_within_head, stop_within_head)
+    response = harness.send_request(path, method="POST", body="x")
+    assert response.startswith(b"HTTP/1.1 502")
