--- a/damasklead/daemon/exchange.py
+++ b/damasklead/daemon/exchange.py
@@ -60,6 +60,9 @@
 
 __all__ = ["Exchange", "ExchangeHost"]
 
+# What an event of a stream, or a comment, begins with.
+EVENT_FIELDS = (b"data:", b"event:", b"id:", b"retry:", b":")
+
 
 class ExchangeHost(ABC):
     """
@@ -282,6 +285,11 @@
             self._entry.record_rate_limit(start, response.rate_limit)
             if self._stream and response.status == 200:
                 yield from self._relay_stream(response, start)
+            elif self.is_streaming:
+                response.close()
+                raise UpstreamError(
+                    Failure.BROKEN, f"status {response.status} after the stream began"
+                )
             else:
                 yield from self._relay_complete_response(response, start)
         except UpstreamError as error:
@@ -358,6 +366,9 @@
                 continue
             partial_event = data[end:] if end < len(data) else b""
             events = data if not partial_event else data[:end]
+            if not _are_events(events):
+                response.close()
+                raise UpstreamError(Failure.BROKEN, "data that are no events")
             is_done = events.endswith(DONE_EVENT)
             event_count = events.count(EVENT_END) - is_done
             self._record_sent_events(events)
@@ -467,3 +478,9 @@
                 1, document["max_tokens"] - self.request.generated_tokens
             )
         return build_continuation_body(document, self._sent_text)
+
+
+def _are_events(data: bytes) -> bool:
+    """Return whether complete blocks of a stream are server-sent events."""
+    blocks = data.removesuffix(EVENT_END).split(EVENT_END)
+    return all(block.startswith(EVENT_FIELDS) for block in blocks)
--- /dev/null
+++ b/tests/test_entry_response_forms.py
@@ -0,0 +1,189 @@
+"""
+Tests of responses in every form, behind an entry
+=================================================
+
+Upstreams that write the bytes of their responses themselves, delimited by a length, by
+chunks, or by the end of the connection.
+"""
+
+from collections.abc import Callable, Iterator
+
+import msgspec
+import pytest
+from gevent import socket
+from gevent.server import StreamServer
+
+from damasklead.daemon.replies import DONE_EVENT
+from damasklead.sharing import LoadReport
+from damasklead.standins.base import StandinServer
+from damasklead.stores.base import InstanceRecord
+from damasklead.upstreams import UpstreamError, UpstreamResponse, UpstreamStatus
+from damasklead.util import split_address
+from tests.gateway_kit import make_chunk, read_request
+from tests.test_daemon import EntryHarness
+from tests.test_gateway_response_forms import FRAMINGS, make_framed
+
+SLOTS = 8
+Serve = Callable[["RawUpstream", socket.socket, str, int], None]
+
+
+class RawUpstream:
+    """An upstream whose responses are given by a function."""
+
+    def __init__(self, standin: StandinServer, serve: Serve) -> None:
+        self.record: InstanceRecord = standin.record
+        self._platform = standin._platform
+        self._serve = serve
+        self._server: StreamServer | None = None
+        self.request_count = 0
+
+    def start(self) -> None:
+        self._server = StreamServer(split_address(self.record.address), self._handle)
+        self._server.start()
+        assert self._platform is not None
+        self._platform.instances.register_instance(self.record)
+
+    def stop(self) -> None:
+        assert self._server is not None
+        self._server.stop(timeout=0)
+
+    def _handle(self, connection: socket.socket, _peer: object) -> None:
+        try:
+            while True:
+                line, headers, _ = read_request(connection)
+                if line.split()[1] == "/load":
+                    load = LoadReport(running=0, waiting=0, slots=SLOTS)
+                    status = UpstreamStatus(
+                        incarnation=self.record.incarnation, load=load
+                    )
+                    body = msgspec.json.encode(status)
+                    connection.sendall(make_framed(body, framing="length"))
+                    continue
+                self.request_count += 1
+                self._serve(
+                    self, connection, headers["x-request-id"], self.request_count
+                )
+        except (EOFError, OSError, KeyError):
+            pass
+        finally:
+            connection.close()
+
+
+class Close(EOFError):
+    """Raised by a script to close its connection."""
+
+
+@pytest.fixture
+def make_entry() -> Iterator[Callable[..., EntryHarness]]:
+    created: list[EntryHarness] = []
+
+    def make(*, engine: Serve | None = None, shop: Serve | None = None) -> EntryHarness:
+        harness = EntryHarness()
+        if engine is not None:
+            harness.engines = [RawUpstream(item, engine) for item in harness.engines]  # type: ignore[misc]
+        if shop is not None:
+            harness.shop = RawUpstream(harness.shop, shop)  # type: ignore[assignment]
+        created.append(harness)
+        harness.start()
+        return harness
+
+    yield make
+    for harness in created:
+        harness.stop()
+
+
+def read(response: UpstreamResponse) -> bytes:
+    """Return the body, or what came of it before it broke off."""
+    parts: list[bytes] = []
+    try:
+        while part := response.read_chunk():
+            parts.append(part)
+    except UpstreamError:
+        parts.append(b"<broken off>")
+    return b"".join(parts)
+
+
+def make_word(number: int) -> bytes:
+    return (b'data: {"choices": [{"delta": {"content": "w%d "}}]}' % number) + b"\n\n"
+
+
+def send_response(
+    connection: socket.socket, attempt: str, body: bytes, framing: str, **options: str
+) -> None:
+    connection.sendall(
+        make_framed(body, f"X-Request-ID: {attempt}", framing=framing, **options)
+    )
+    if framing == "connection":
+        raise Close
+
+
+WRONG_CONTINUATIONS = {
+    "error": ("500 Failed", b"oops"),
+    "bad request": ("400 Bad Request", b"oops"),
+    "not found": ("404 Not Found", b"oops"),
+    "accepted": ("202 Accepted", b"oops"),
+    "no content": ("204 No Content", b""),
+    "error as success": ("200 OK", b"oops\n\n"),
+    "no events": ("200 OK", b""),
+}
+
+
+@pytest.mark.parametrize("identified", [True, False])
+@pytest.mark.parametrize("framing", FRAMINGS)
+@pytest.mark.parametrize("continuation", WRONG_CONTINUATIONS)
+def test_a_wrong_continuation_is_not_joined_to_a_stream(
+    make_entry: Callable[..., EntryHarness],
+    continuation: str,
+    framing: str,
+    identified: bool,
+) -> None:
+    """Callers found the text of an error, or a complete end, within their stream."""
+    status, body = WRONG_CONTINUATIONS[continuation]
+    begun: list[str] = []
+
+    def serve(
+        _upstream: RawUpstream, connection: socket.socket, attempt: str, _count: int
+    ) -> None:
+        if not begun:
+            begun.append(attempt)
+            head = make_framed(
+                b"", f"X-Request-ID: {attempt}", framing="connection"
+            ).replace(b"\r\n\r\n", b"\r\nTransfer-Encoding: chunked\r\n\r\n")
+            connection.sendall(head + make_chunk(make_word(1) + make_word(2)[:9]))
+            raise Close
+        headers = [f"X-Request-ID: {attempt}"] if identified else []
+        connection.sendall(make_framed(body, *headers, framing=framing, status=status))
+        if framing == "connection":
+            raise Close
+
+    harness = make_entry(engine=serve)
+    response, _ = harness.send_completion("x")
+    content = read(response)
+    assert response.status == 200
+    assert content.startswith(make_word(1))
+    assert b"oops" not in content and b"HTTP/1.1" not in content
+    assert DONE_EVENT not in content
+
+
+@pytest.mark.parametrize("kind", ["stream", "completion", "plain"])
+@pytest.mark.parametrize("framing", FRAMINGS)
+@pytest.mark.parametrize("fraction", [0.3, 0.99])
+def test_a_response_whose_head_breaks_off_is_no_success(
+    make_entry: Callable[..., EntryHarness], fraction: float, framing: str, kind: str
+) -> None:
+    """Callers got a success with an empty or short body that was framed as complete."""
+
+    def serve(
+        _upstream: RawUpstream, connection: socket.socket, attempt: str, _count: int
+    ) -> None:
+        response = make_framed(b"x", f"X-Request-ID: {attempt}", framing=framing)
+        head = response.partition(b"\r\n\r\n")[0] + b"\r\n\r\n"
+        connection.sendall(head[: int(len(head) * fraction)])
+        raise Close
+
+    harness = make_entry(engine=serve, shop=serve)
+    if kind == "plain":
+        response = harness.send("GET", "/services/demo-app/stock/ice")
+    else:
+        response, _ = harness.send_completion("x", stream=kind == "stream")
+    assert response.status != 200
