Relay responses that end with their connection from upstreams of entries

An entry took every end of a connection as a failure, so that a response with neither a length nor chunks never reached its caller: completions and plain responses got 502 in the test before. The end of the connection now ends such a response, unless the upstream refuses connections right after: a crash ends it in the same way.

--- a/damasklead/daemon/exchange.py
+++ b/damasklead/daemon/exchange.py
@@ -388,6 +388,9 @@
     ) -> Iterator[ResponsePart]:
         """Read a response completely, record it in the claim and relay it."""
         body = response.read_body(limit=self._entry.settings.limits.answer_bytes)
+        address = self._entry.get_address(start.replica)
+        if address is not None:
+            self.pool.upstream.check_unframed_end(address, response)
         self.pool.dispatcher.record_events(start.attempt, event_count=1)
         headers = [
             *select_end_to_end_headers(response),
--- a/damasklead/upstreams/base.py
+++ b/damasklead/upstreams/base.py
@@ -180,6 +180,28 @@
         except msgspec.DecodeError as error:
             raise UpstreamError(Failure.BROKEN, f"load report: {error}") from error
 
+    def check_unframed_end(self, address: str, response: UpstreamResponse) -> None:
+        """
+        Check that the end of the connection, if it delimits a response, was not the end
+        of the upstream, which would cut off the response in the same way.
+
+        Raises
+        ------
+        UpstreamError
+            ``BROKEN`` when the upstream refuses connections.
+        """
+        if not response.is_unframed:
+            return
+        try:
+            connection = self._pool.acquire(address, force_new_connection=True)
+        except UpstreamError as error:
+            if isinstance(error.__cause__, ConnectionRefusedError):
+                raise UpstreamError(
+                    Failure.BROKEN, "the upstream ended with the connection"
+                ) from error
+            return
+        self._pool.release(address, connection)
+
     def cancel_attempt(self, address: str, attempt: AttemptId) -> None:
         """Cancel an attempt, on kinds of upstreams that support it."""
         return
--- a/damasklead/upstreams/transport.py
+++ b/damasklead/upstreams/transport.py
@@ -67,6 +67,19 @@
     def _on_body(self, buf: bytearray) -> None:
         self.body_parts.append(bytes(buf))
 
+    @property
+    def is_unframed(self) -> bool:
+        """Whether only the end of the connection delimits the body."""
+        return (
+            self.headers_complete
+            and "Content-Length" not in self
+            and "Transfer-Encoding" not in self
+        )
+
+    def end_with_connection(self) -> None:
+        """Take the end of the connection as the end of the body."""
+        self.message_complete = True
+
     def take_body_data(self) -> bytes:
         """Return the body data that was parsed since the last call."""
         if len(self.body_parts) == 1:
@@ -177,6 +190,11 @@
         self._interrupted = failure
         self.close()
 
+    @property
+    def is_unframed(self) -> bool:
+        """Whether only the end of the connection delimits the body."""
+        return self._parser.is_unframed
+
     def get_header(self, name: str) -> str:
         """Return the value of a header, empty if the response lacks it."""
         value = self._parser.get(name, "")
@@ -256,7 +274,7 @@
         connection, self._connection = self._connection, None
         if connection is None:
             return
-        if self._parser.should_keep_alive():
+        if self._parser.should_keep_alive() and not self._parser.is_unframed:
             self._pool.release(self._address, connection)
         else:
             connection.close()
@@ -346,6 +364,9 @@
     except OSError as error:
         raise UpstreamError(Failure.BROKEN, f"receive: {error}") from error
     if not data:
+        if parser.is_unframed:
+            parser.end_with_connection()
+            return
         raise UpstreamError(Failure.BROKEN, "the upstream closed the connection")
     try:
         parser.feed(data)
--- a/tests/test_entry_response_forms.py
+++ b/tests/test_entry_response_forms.py
@@ -117,6 +117,53 @@
         raise Close
 
 
+@pytest.mark.parametrize("framing", FRAMINGS)
+@pytest.mark.parametrize("kind", ["stream", "completion", "plain"])
+def test_a_complete_response_is_relayed(
+    make_entry: Callable[..., EntryHarness], kind: str, framing: str
+) -> None:
+    """Responses that end with their connection were failures."""
+    bodies = {
+        "stream": make_word(1) + make_word(2) + DONE_EVENT,
+        "completion": b'{"choices": []}',
+        "plain": b'{"in_stock": 7}',
+    }
+
+    def serve(
+        _upstream: RawUpstream, connection: socket.socket, attempt: str, _count: int
+    ) -> None:
+        send_response(connection, attempt, bodies[kind], framing)
+
+    harness = make_entry(engine=serve, shop=serve)
+    if kind == "plain":
+        response = harness.send("GET", "/services/demo-app/stock/ice")
+    else:
+        response, _ = harness.send_completion("x", stream=kind == "stream")
+    assert response.status == 200
+    assert read(response) == bodies[kind]
+
+
+@pytest.mark.parametrize("kind", ["stream", "completion", "plain"])
+def test_an_unframed_response_of_an_upstream_that_ends_is_no_success(
+    make_entry: Callable[..., EntryHarness], kind: str
+) -> None:
+    def serve(
+        upstream: RawUpstream, connection: socket.socket, attempt: str, _count: int
+    ) -> None:
+        upstream.stop()
+        body = make_word(1) if kind == "stream" else b'{"in_'
+        send_response(connection, attempt, body, "connection")
+
+    harness = make_entry(engine=serve, shop=serve)
+    if kind == "plain":
+        response = harness.send("GET", "/services/demo-app/stock/ice")
+        assert response.status != 200
+        return
+    response, _ = harness.send_completion("x", stream=kind == "stream")
+    body = read(response)
+    assert response.status != 200 or (kind == "stream" and DONE_EVENT not in body)
+
+
 WRONG_CONTINUATIONS = {
     "error": ("500 Failed", b"oops"),
     "bad request": ("400 Bad Request", b"oops"),
