--- a/damasklead/upstreams/plain.py
+++ b/damasklead/upstreams/plain.py
@@ -19,7 +19,9 @@
     """
     Client of an HTTP service.
 
-    Its responses need not carry the request id, but must not carry another one.
+    Its responses need not carry the request id, but must not carry another one.  A
+    connection on which one carried none is not used again, since the service may repeat
+    it later.
     """
 
     name = "plain"
@@ -34,12 +36,19 @@
         A 503 is a refusal only with the ``X-Not-Run`` header; without it the service
         may have executed the request.
         """
-        if response.get_header("X-Request-ID") not in ("", request.attempt):
+        response_id = response.get_header("X-Request-ID")
+        is_refusal = response.status == REFUSAL_STATUS and bool(
+            response.get_header(NOT_RUN_HEADER)
+        )
+        may_be_earlier = not response_id and is_refusal and response.is_reused
+        if response_id not in ("", request.attempt) or may_be_earlier:
             response.close()
             raise UpstreamError(
                 Failure.MISMATCHED, "the response belongs to another request"
             )
-        if response.status == REFUSAL_STATUS and response.get_header(NOT_RUN_HEADER):
+        if not response_id:
+            response.forbid_reuse()
+        if is_refusal:
             leaving = bool(response.get_header(LEAVING_HEADER))
             response.close()
             raise UpstreamError(
--- a/damasklead/upstreams/transport.py
+++ b/damasklead/upstreams/transport.py
@@ -10,6 +10,7 @@
 request twice.
 """
 
+import weakref
 from collections import deque
 from collections.abc import Callable, Iterable
 
@@ -95,6 +96,11 @@
 
     def __init__(self) -> None:
         self._idle: dict[str, deque[socket.socket]] = {}
+        self._used: weakref.WeakSet[socket.socket] = weakref.WeakSet()
+
+    def was_used(self, connection: socket.socket) -> bool:
+        """Return whether earlier requests were sent on a connection."""
+        return connection in self._used
 
     def acquire(self, address: str, *, force_new_connection: bool) -> socket.socket:
         """
@@ -137,6 +143,7 @@
         idle = self._idle.setdefault(address, deque())
         if len(idle) >= MAX_IDLE_CONNECTIONS:
             idle.popleft().close()
+        self._used.add(connection)
         idle.append(connection)
 
     def close(self) -> None:
@@ -155,6 +162,8 @@
     ----------
     status : int
         HTTP status.
+    is_reused : bool
+        Whether earlier requests were sent on its connection.
     receive_count : int
         Number of reads that received data after the head.
     """
@@ -173,6 +182,8 @@
         self._address = address
         self._pool = pool
         self._interrupted: Failure | None = None
+        self._may_reuse = True
+        self.is_reused = pool.was_used(connection)
         self.receive_count = 0
 
     def disable_read_timeout(self) -> None:
@@ -195,6 +206,10 @@
         """Whether only the end of the connection delimits the body."""
         return self._parser.is_unframed
 
+    def forbid_reuse(self) -> None:
+        """Close the connection after this response, though it could be kept."""
+        self._may_reuse = False
+
     def get_header(self, name: str) -> str:
         """Return the value of a header, empty if the response lacks it."""
         value = self._parser.get(name, "")
@@ -274,7 +289,11 @@
         connection, self._connection = self._connection, None
         if connection is None:
             return
-        if self._parser.should_keep_alive() and not self._parser.is_unframed:
+        if (
+            self._may_reuse
+            and self._parser.should_keep_alive()
+            and not self._parser.is_unframed
+        ):
             self._pool.release(self._address, connection)
         else:
             connection.close()
--- a/tests/test_entry_response_forms.py
+++ b/tests/test_entry_response_forms.py
@@ -8,11 +8,13 @@
 
 from collections.abc import Callable, Iterator
 
+import gevent
 import msgspec
 import pytest
 from gevent import socket
 from gevent.server import StreamServer
 
+from damasklead.daemon.callers import OUTCOME_HEADER
 from damasklead.daemon.replies import DONE_EVENT
 from damasklead.sharing import LoadReport
 from damasklead.standins.base import StandinServer
@@ -164,6 +166,51 @@
     assert response.status != 200 or (kind == "stream" and DONE_EVENT not in body)
 
 
+@pytest.mark.parametrize("framing", FRAMINGS)
+def test_an_earlier_refusal_on_a_kept_connection_is_not_believed(
+    make_entry: Callable[..., EntryHarness], framing: str
+) -> None:
+    """Callers were told that a request had not run which its upstream was running."""
+
+    def serve(
+        _upstream: RawUpstream, connection: socket.socket, attempt: str, count: int
+    ) -> None:
+        if count == 1:
+            send_response(connection, attempt, b"{}", "length")
+            return
+        refusal = ("X-Not-Run: full",)
+        connection.sendall(
+            make_framed(b"no", *refusal, framing=framing, status="503 Full")
+        )
+        if framing == "connection":
+            raise Close
+        gevent.sleep(0.2)
+
+    harness = make_entry(shop=serve)
+    assert harness.send("GET", "/services/demo-app/stock/ice").status == 200
+    response = harness.send("GET", "/services/demo-app/stock/ice")
+    assert response.status != 200
+    assert response.get_header(OUTCOME_HEADER) == "unknown"
+
+
+def test_connections_whose_responses_carry_no_id_are_not_kept(
+    make_entry: Callable[..., EntryHarness],
+) -> None:
+    connections: list[socket.socket] = []
+
+    def serve(
+        _upstream: RawUpstream, connection: socket.socket, _attempt: str, _count: int
+    ) -> None:
+        connections.append(connection)
+        connection.sendall(make_framed(b"{}", framing="length"))
+        gevent.sleep(0.5)
+
+    harness = make_entry(shop=serve)
+    for _ in range(3):
+        assert harness.send("GET", "/services/demo-app/stock/ice").status == 200
+    assert len(set(connections)) == 3
+
+
 WRONG_CONTINUATIONS = {
     "error": ("500 Failed", b"oops"),
     "bad request": ("400 Bad Request", b"oops"),
