--- a/soak/callers.py
+++ b/soak/callers.py
@@ -13,6 +13,7 @@
 import msgspec
 from gevent import select, socket
 
+from soak.replicas import CRASHING_PART
 from tests.gateway_kit import make_request
 
 __all__ = ["Caller", "ObservedResponse"]
@@ -22,6 +23,8 @@
 # Longer than the timeout of every route.
 RESPONSE_TIMEOUT_SECONDS = 8.0
 MEAN_PAUSE_SECONDS = 0.05
+# The same between requests that crash replicas.
+CRASHING_PAUSE_SECONDS = 0.3
 
 
 class ObservedResponse(msgspec.Struct, kw_only=True):
@@ -44,6 +47,8 @@
         The bytes of the body received.
     is_complete : bool
         Whether the body was complete by its HTTP framing.
+    has_crashing_part : bool
+        Whether the request's prompt has the part that crashes replicas.
     """
 
     sent_at: float
@@ -53,6 +58,7 @@
     status: int = 0
     body: bytes = b""
     is_complete: bool = False
+    has_crashing_part: bool = False
 
 
 class Caller:
@@ -71,6 +77,9 @@
         Where all callers append their responses.
     seed : int
         Seed of the pauses, of the choice of gateways and of the paths.
+    has_crashing_part : bool
+        Whether all prompts have the part that crashes replicas; otherwise they share
+        only their first part with those that have it.
     """
 
     def __init__(
@@ -81,7 +90,9 @@
         list_ready_gateways: Callable[[], list[str]],
         responses: list[ObservedResponse],
         seed: int,
+        has_crashing_part: bool = False,
     ) -> None:
+        self._has_crashing_part = has_crashing_part
         self._name = name
         self._ports = ports
         self._list_ready_gateways = list_ready_gateways
@@ -93,7 +104,12 @@
     def run(self) -> None:
         """Send requests to ready gateways until the greenlet is killed."""
         while True:
-            gevent.sleep(self._random.expovariate(1 / MEAN_PAUSE_SECONDS))
+            pause = (
+                CRASHING_PAUSE_SECONDS
+                if self._has_crashing_part
+                else MEAN_PAUSE_SECONDS
+            )
+            gevent.sleep(self._random.expovariate(1 / pause))
             gateways = self._list_ready_gateways()
             if gateways:
                 self._send_request(self._random.choice(gateways))
@@ -106,9 +122,21 @@
             attempt=f"{self._name}-{self._request_count}",
             path=path,
             gateway=gateway,
+            has_crashing_part=self._has_crashing_part,
         )
         method = "GET" if path.startswith("/read/") else "POST"
-        data = make_request(path, method=method, body="x", attempt=response.attempt)
+        second = (
+            CRASHING_PART if self._has_crashing_part else f"s{self._request_count % 5}"
+        )
+        data = make_request(
+            path,
+            method=method,
+            body=response.attempt if method == "POST" else "",
+            attempt=response.attempt,
+            extra_headers=(
+                f"Prefix-Hash: first:800,{second}:90,{response.attempt}:20\r\n"
+            ),
+        )
         try:
             # Idle connections are reused until the gateway closes them.
             connection = self._connections.pop(gateway, None)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -17,7 +17,13 @@
 from soak.replicas import NamedLimit
 from soak.site import Cluster
 
-__all__ = ["FAULTS", "Fault", "make_schedule", "start_faults"]
+__all__ = [
+    "FAULTS",
+    "Fault",
+    "has_crashing_requests",
+    "make_schedule",
+    "start_faults",
+]
 
 # Callers, like a load balancer, see a gateway's readiness with a delay, so a gateway
 # that ended stays down for this time.
@@ -83,6 +89,11 @@
     return sorted(faults, key=lambda fault: fault.start_seconds)
 
 
+def has_crashing_requests(seed: int) -> bool:
+    """Return whether requests of a seed's run crash the replicas that execute them."""
+    return random.Random(f"crashing requests {seed}").choice((False, True))
+
+
 def _draw_faults(
     source: random.Random, kinds: list[str], *, seconds: float, count: int
 ) -> list[Fault]:
@@ -109,8 +120,14 @@
     return cluster.gateways[fault.target_number % len(cluster.gateways)]
 
 
+def _list_running(cluster: Cluster) -> list[str]:
+    return [name for name, replica in cluster.replicas.items() if replica.is_running]
+
+
 def _pick_replica(cluster: Cluster, fault: Fault) -> str:
-    running = [name for name, replica in cluster.replicas.items() if replica.is_running]
+    # Requests may have crashed all of them.
+    while not (running := _list_running(cluster)):
+        gevent.sleep(0.05)
     return running[fault.target_number % len(running)]
 
 
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -15,7 +15,7 @@
 from soak.site import STOP_TIMEOUT_SECONDS, ProcessExit
 from tests.gateway_kit import make_event
 
-__all__ = ["Violation", "check_recovery", "find_violations"]
+__all__ = ["Violation", "check_containment", "check_recovery", "find_violations"]
 
 # Statuses that guarantee that the request was not and will not be executed.
 NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
@@ -30,6 +30,10 @@
 LIMIT_WINDOW_SECONDS = 4.0
 MAX_LIMIT_FACTOR = 1.5
 MAX_REQUESTS_BEYOND_LIMIT = 5
+# Requests with a crashing part that may be executed from the stable time after this
+# number of crashes, and after the last fault, on.
+COUNTED_CRASHES = 5
+MAX_LATE_CRASHES = 3
 # Unserved requests that are listed one by one, with their log lines.
 MAX_REPORTED_REQUESTS = 5
 
@@ -102,7 +106,11 @@
     since : float
         Time in seconds of the monotonic clock.
     """
-    recent = [response for response in responses if response.sent_at >= since]
+    recent = [
+        response
+        for response in responses
+        if response.sent_at >= since and not response.has_crashing_part
+    ]
     served = sum(response.status == 200 and response.is_complete for response in recent)
     if recent and served >= MIN_SERVED_FRACTION * len(recent):
         return []
@@ -122,6 +130,30 @@
     ]
 
 
+def check_containment(executions: list[Execution], *, since: float) -> list[Violation]:
+    """
+    Return a violation if requests with a crashing part go on being executed.
+
+    Parameters
+    ----------
+    since : float
+        End of the last fault in seconds of the monotonic clock.
+    """
+    crashes = [item.started_at for item in executions if item.is_crashing]
+    if len(crashes) < COUNTED_CRASHES:
+        return []
+    stable_at = max(sorted(crashes)[COUNTED_CRASHES - 1], since) + STABLE_SECONDS
+    late = sum(at > stable_at for at in crashes)
+    if late <= MAX_LATE_CRASHES:
+        return []
+    return [
+        Violation(
+            guarantee="a crashing part is contained",
+            detail=f"{late} of {len(crashes)} crashes when gateways were stable",
+        )
+    ]
+
+
 def _check_response(
     response: ObservedResponse, execution_count: int
 ) -> list[Violation]:
--- a/soak/replicas.py
+++ b/soak/replicas.py
@@ -8,6 +8,7 @@
 import math
 import random
 import time
+from collections.abc import Callable
 
 import gevent
 import msgspec
@@ -21,11 +22,13 @@
     make_stream_head,
 )
 
-__all__ = ["EVENT_COUNT", "Execution", "NamedLimit", "Replica"]
+__all__ = ["CRASHING_PART", "EVENT_COUNT", "Execution", "NamedLimit", "Replica"]
 
 # Events of a streamed response.
 EVENT_COUNT = 12
 EVENT_INTERVAL_SECONDS = 0.05
+# A replica crashes when it begins to respond to a prompt with this part.
+CRASHING_PART = "dead"
 # Fraction of its requests that a replica rejects while ``is_rejecting`` is set.
 REJECTION_FRACTION = 0.3
 
@@ -44,12 +47,15 @@
         Path of the request.
     replica : str
         Name of the replica.
+    is_crashing : bool
+        Whether it crashed the replica.
     """
 
     started_at: float
     attempt: str
     path: str
     replica: str
+    is_crashing: bool = False
 
 
 class NamedLimit(msgspec.Struct, kw_only=True):
@@ -88,6 +94,8 @@
         Where all replicas append their executions.
     seed : int
         Seed of the response times and of the choice of rejected requests.
+    on_crashing_part : callable
+        Called when a request with the crashing part begins, to crash this replica.
 
     Attributes
     ----------
@@ -99,12 +107,20 @@
         The limit that its responses name at present.
     """
 
-    def __init__(self, *, name: str, executions: list[Execution], seed: int) -> None:
+    def __init__(
+        self,
+        *,
+        name: str,
+        executions: list[Execution],
+        seed: int,
+        on_crashing_part: Callable[[], None] = lambda: None,
+    ) -> None:
         self.name = name
         self.is_running = True
         self.is_rejecting = False
         self.limit: NamedLimit | None = None
         self._executions = executions
+        self._on_crashing_part = on_crashing_part
         self._random = random.Random(seed)
         self._open: set[socket.socket] = set()
         self._server = ScriptedReplica(name, self._serve)
@@ -130,7 +146,9 @@
         try:
             while self.is_running:
                 attempt = server.receive_request(connection)
-                path = server.requests[-1][0].split()[1]
+                line, headers, _ = server.requests[-1]
+                path = line.split()[1]
+                is_crashing = f"{CRASHING_PART}:" in headers.get("prefix-hash", "")
                 if self.limit is not None:
                     self.limit.arrivals.append(time.monotonic())
                 if self.is_rejecting and self._random.random() < REJECTION_FRACTION:
@@ -141,8 +159,13 @@
                     attempt=attempt,
                     path=path,
                     replica=self.name,
+                    is_crashing=is_crashing,
                 )
                 self._executions.append(execution)
+                if is_crashing:
+                    connection.sendall(self._make_cut_response(attempt))
+                    self._on_crashing_part()
+                    return
                 if path.startswith("/chat/"):
                     self._send_stream(connection, attempt)
                 else:
@@ -152,6 +175,17 @@
         finally:
             self._open.discard(connection)
 
+    def _make_cut_response(self, attempt: str) -> bytes:
+        """Return what a crash leaves of a response, which takes one of three forms."""
+        framing = self._random.choice(
+            ("Content-Length: 90\r\n", "Transfer-Encoding: chunked\r\n", "")
+        )
+        head = (
+            f"HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nResponse-Signature: s\r\n"
+            f"{framing}\r\n"
+        )
+        return head.encode()[: self._random.choice((0, 40, None))]
+
     def _add_limit(self, response: bytes) -> bytes:
         """Return a response whose head names the limit, if there is one."""
         if self.limit is None:
--- a/soak/run.py
+++ b/soak/run.py
@@ -13,8 +13,18 @@
 import msgspec
 
 from soak.callers import Caller, ObservedResponse
-from soak.faults import Fault, make_schedule, start_faults
-from soak.guarantees import Violation, check_recovery, find_violations
+from soak.faults import (
+    Fault,
+    has_crashing_requests,
+    make_schedule,
+    start_faults,
+)
+from soak.guarantees import (
+    Violation,
+    check_containment,
+    check_recovery,
+    find_violations,
+)
 from soak.site import Cluster
 
 __all__ = ["SoakResult", "run_seed"]
@@ -23,6 +33,8 @@
 # A killed process restarts and reads the store within this time.
 RECOVERY_TIMEOUT_SECONDS = 10.0
 FAULT_FREE_SECONDS = 3.0
+# The same while requests crash replicas, until gateways are stable and some more.
+CRASHING_FAULT_FREE_SECONDS = 7.0
 
 
 class SoakResult(msgspec.Struct, kw_only=True, frozen=True):
@@ -96,6 +108,13 @@
             )
             for number in range(callers)
         ]  # fmt: skip
+        if has_crashing_requests(seed):
+            caller = Caller(
+                name="crashing", ports=cluster.get_caller_ports(),
+                list_ready_gateways=cluster.list_ready_gateways,
+                responses=responses, seed=seed, has_crashing_part=True,
+            )  # fmt: skip
+            tasks.append(gevent.spawn(caller.run))
         fault_tasks = start_faults(cluster, schedule)
         gevent.sleep(seconds)
         gevent.joinall(fault_tasks, timeout=START_TIMEOUT_SECONDS)
@@ -106,7 +125,11 @@
         ]
         violations += _wait_until_ready(cluster, RECOVERY_TIMEOUT_SECONDS)
         faults_ended_at = time.monotonic()
-        gevent.sleep(FAULT_FREE_SECONDS)
+        gevent.sleep(
+            CRASHING_FAULT_FREE_SECONDS
+            if has_crashing_requests(seed)
+            else FAULT_FREE_SECONDS
+        )
         callers_stopped_at = time.monotonic()
         gevent.killall(tasks[1:])
         # Later requests may not have been completed when the callers were stopped.
@@ -119,6 +142,7 @@
             responses, cluster.executions, cluster.exits, cluster.limits
         )
         violations += check_recovery(due_responses, since=faults_ended_at)
+        violations += check_containment(cluster.executions, since=faults_ended_at)
         logs = {
             item.attempt: cluster.find_log_lines(item.attempt) for item in violations
         }
--- a/soak/site.py
+++ b/soak/site.py
@@ -27,6 +27,8 @@
 ROUTE_TIMEOUT_SECONDS = 2.0
 STOP_TIMEOUT_SECONDS = 8
 PROBE_TIMEOUT_SECONDS = 0.5
+# Time from the crash of a replica until another one takes its place.
+REPLACEMENT_SECONDS = 1.0
 PORT_NAMES = ("callers", "ready", "operators", "peers")
 
 
@@ -149,12 +151,24 @@
             name=name,
             executions=self.executions,
             seed=self._seed * 100 + self._next_replica,
+            on_crashing_part=lambda: self._crash_replica(name),
         )
         self.replicas[name] = replica
         self.proxies[name] = Proxy(target=replica.address)
         self.write_replica_entry(name, state="ready")
         return replica
 
+    def _crash_replica(self, name: str) -> None:
+        """Crash a replica so that its address refuses connections, and replace it."""
+        self.replicas[name].crash()
+        self.proxies[name].close()
+        gevent.spawn_later(REPLACEMENT_SECONDS, self._replace_replica, name)
+
+    def _replace_replica(self, name: str) -> None:
+        if name not in self._removed_replicas:
+            self.remove_replica(name)
+            self.add_replica()
+
     def write_replica_entry(self, name: str, *, state: str) -> None:
         """Write a replica's entry in the list of replicas."""
         self._replica_states[name] = state
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,7 +10,7 @@
 
 from soak.callers import ObservedResponse
 from soak.faults import FAULTS, make_schedule
-from soak.guarantees import check_recovery, find_violations
+from soak.guarantees import check_containment, check_recovery, find_violations
 from soak.proxy import NetworkFault, Proxy
 from soak.replicas import EVENT_COUNT, Execution, NamedLimit, Replica
 from soak.run import run_seed
@@ -149,6 +149,23 @@
     assert check_recovery([make_observed("/order/1", 503)], since=0.5)
 
 
+def test_crashes_of_stable_gateways_are_counted() -> None:
+    crashes = [
+        Execution(
+            started_at=float(second),
+            attempt=f"a{second}",
+            path="/chat/1",
+            replica="r1",
+            is_crashing=True,
+        )
+        for second in range(12)
+    ]
+    # Seconds 8 to 11 are more than 3 s after the fifth crash.
+    assert check_containment(crashes, since=0.0)
+    assert check_containment(crashes[:-1], since=0.0) == []
+    assert check_containment(crashes, since=5.0) == []
+
+
 def test_schedules_depend_on_the_seed_alone() -> None:
     one = make_schedule(7, seconds=10.0, count=12)
     assert one == make_schedule(7, seconds=10.0, count=12)
