--- a/damasklead/gateway/metrics.py
+++ b/damasklead/gateway/metrics.py
@@ -93,6 +93,11 @@
             "Replicas that name a limit on requests per second",
             registry=self.registry,
         )
+        self.crash_causes = Gauge(
+            "damasklead_crash_causes",
+            "Requests and prompt parts that are refused since they crash replicas",
+            registry=self.registry,
+        )
         self.log_lines_dropped = Gauge(
             "damasklead_log_lines_dropped",
             "Log lines dropped since the start",
--- a/damasklead/gateway/process.py
+++ b/damasklead/gateway/process.py
@@ -310,6 +310,9 @@
         metrics.limited_replicas.set_function(
             lambda: self._fleet.rate_limits.limited_count
         )
+        metrics.crash_causes.set_function(
+            lambda: len(self._fleet.containment.refused_fingerprints)
+        )
         metrics.log_lines_dropped.set_function(lambda: self._journal.dropped_count)
         for follower in (self._fleet.configuration, self._fleet.upstreams):
             metrics.feed_age.labels(follower.name).set_function(follower.get_age)
