--- a/damasklead/gateway/crash_containment.py
+++ b/damasklead/gateway/crash_containment.py
@@ -14,7 +14,6 @@
 
 from collections import OrderedDict
 from collections.abc import Callable, Iterable
-from enum import Enum
 
 import msgspec
 
@@ -27,11 +26,17 @@
     make_part_fingerprint,
 )
 from damasklead.gateway.calls import Call, UpstreamRecord
-from damasklead.gateway.crash_reports import CrashCause, CrashReport, Exoneration
+from damasklead.gateway.crash_reports import (
+    CrashCause,
+    CrashReport,
+    CrashSign,
+    Exoneration,
+    ObservedCrash,
+)
 from damasklead.ids import Fingerprint, Incarnation, InstanceId
 from damasklead.util import stable_hash
 
-__all__ = ["Containment", "CrashSign", "ObservedCrash", "compute_fingerprint"]
+__all__ = ["Containment", "compute_fingerprint"]
 
 # A broken response is attributed to a crash if its replica is found to be gone within
 # this time; the platform's list drops a replica after some missing heartbeats, which
@@ -55,36 +60,6 @@
 _UNNAMED = InstanceId("")
 
 
-class CrashSign(Enum):
-    """How a gateway found out about a crash."""
-
-    CONNECTION_FAILED = "connection-failed"
-    UNLISTED = "unlisted"
-    REPORTED = "reported"
-
-
-class ObservedCrash(msgspec.Struct, kw_only=True, frozen=True):
-    """
-    A crash as one gateway observed it, for its log.
-
-    Attributes
-    ----------
-    report : CrashReport
-        The crash with the requests that it interrupted.
-    sign : CrashSign
-        How the gateway found out.
-    seconds_since_broken : float
-        Time from the last broken response of the replica; 0 for a reported crash.
-    max_crash_count : int
-        Crashes that the gateway has counted for one of the suspects at most.
-    """
-
-    report: CrashReport
-    sign: CrashSign
-    seconds_since_broken: float
-    max_crash_count: int
-
-
 class _BrokenResponses(msgspec.Struct, kw_only=True):
     """
     Requests whose responses one replica broke off, and when it last did so.
@@ -194,13 +169,6 @@
             return True
         return compute_fingerprint(call) in self._refused
 
-    def is_suspect(self, call: Call) -> bool:
-        """Return whether a request has parts that were in a crash since sound."""
-        return self._attribution.has_suspects and any(
-            self._attribution.is_suspect(item)
-            for item in (*_list_parts(call), compute_fingerprint(call))
-        )
-
     def record_success(self, call: Call) -> None:
         """Record that a replica sent a complete, successful response to a request."""
         request_hash = _hash_request(call)
--- a/damasklead/gateway/crash_reports.py
+++ b/damasklead/gateway/crash_reports.py
@@ -2,15 +2,23 @@
 Crash reports
 =============
 
-What gateways tell each other about crashes of replicas and their causes.
+What gateways record, and tell each other, about crashes of replicas and their causes.
 """
 
+from enum import Enum
+
 import msgspec
 
 from damasklead.crash_attribution import InterruptedRequest
 from damasklead.ids import Fingerprint, InstanceId
 
-__all__ = ["CrashCause", "CrashReport", "Exoneration"]
+__all__ = [
+    "CrashCause",
+    "CrashReport",
+    "CrashSign",
+    "Exoneration",
+    "ObservedCrash",
+]
 
 
 class CrashReport(msgspec.Struct, array_like=True, frozen=True):
@@ -72,3 +80,33 @@
 
     fingerprint: Fingerprint
     seconds_left: float
+
+
+class CrashSign(Enum):
+    """How a gateway found out about a crash."""
+
+    CONNECTION_FAILED = "connection-failed"
+    UNLISTED = "unlisted"
+    REPORTED = "reported"
+
+
+class ObservedCrash(msgspec.Struct, kw_only=True, frozen=True):
+    """
+    A crash as one gateway observed it, for its log.
+
+    Attributes
+    ----------
+    report : CrashReport
+        The crash with the requests that it interrupted.
+    sign : CrashSign
+        How the gateway found out.
+    seconds_since_broken : float
+        Time from the last broken response of the replica; 0 for a reported crash.
+    max_crash_count : int
+        Crashes that the gateway has counted for one of the suspects at most.
+    """
+
+    report: CrashReport
+    sign: CrashSign
+    seconds_since_broken: float
+    max_crash_count: int
--- a/damasklead/gateway/fleet.py
+++ b/damasklead/gateway/fleet.py
@@ -16,7 +16,8 @@
 from damasklead.gateway.calls import UpstreamRecord
 from damasklead.gateway.coordination.cells import Member
 from damasklead.gateway.coordination.service import Coordination
-from damasklead.gateway.crash_containment import Containment, ObservedCrash
+from damasklead.gateway.crash_containment import Containment
+from damasklead.gateway.crash_reports import ObservedCrash
 from damasklead.gateway.departures import Departure, DepartureLog
 from damasklead.gateway.dialect import FeedError, PeerEntry, PlatformLink
 from damasklead.gateway.directory import UpstreamDirectory
--- a/tests/test_gateway_crash_containment.py
+++ b/tests/test_gateway_crash_containment.py
@@ -12,11 +12,9 @@
 from damasklead.gateway.crash_containment import (
     CRASH_CONFIRM_SECONDS,
     Containment,
-    CrashSign,
-    ObservedCrash,
     compute_fingerprint,
 )
-from damasklead.gateway.crash_reports import CrashReport
+from damasklead.gateway.crash_reports import CrashReport, CrashSign, ObservedCrash
 from damasklead.gateway.messages import PeerReport
 from damasklead.ids import AttemptId, DataCentre, Fingerprint, InstanceId
 from tests.gateway_kit import IDEMPOTENT, SERVICE, ForwarderHarness, ScriptedReplica
