Don't take a response without a body for an unframed one

A 204 with neither a length nor chunks was followed by a needless connection to the replica, and an entry closed its connection. Only a response that the end of its connection did delimit is unframed. The test opened a second connection before.

--- a/damasklead/gateway/upstream_http.py
+++ b/damasklead/gateway/upstream_http.py
@@ -137,8 +137,8 @@
 
     @property
     def is_unframed(self) -> bool:
-        """Whether only the end of the connection delimits the response's body."""
-        return self._is_unframed
+        """Whether the end of the connection delimited the response's body."""
+        return self._is_unframed and self._has_ended
 
     @property
     def is_reusable(self) -> bool:
--- a/damasklead/upstreams/transport.py
+++ b/damasklead/upstreams/transport.py
@@ -64,22 +64,28 @@
     def __init__(self, *, method: str) -> None:
         super().__init__(method)
         self.body_parts: list[bytes] = []
+        self._is_unframed = False
 
     def _on_body(self, buf: bytearray) -> None:
         self.body_parts.append(bytes(buf))
 
     @property
     def is_unframed(self) -> bool:
-        """Whether only the end of the connection delimits the body."""
-        return (
+        """Whether the end of the connection delimited the body."""
+        return self._is_unframed
+
+    def end_with_connection(self) -> bool:
+        """
+        Take the end of the connection as the end of the body, and return whether
+        nothing else delimits it.
+        """
+        self._is_unframed = (
             self.headers_complete
             and "Content-Length" not in self
             and "Transfer-Encoding" not in self
         )
-
-    def end_with_connection(self) -> None:
-        """Take the end of the connection as the end of the body."""
-        self.message_complete = True
+        self.message_complete = self.message_complete or self._is_unframed
+        return self._is_unframed
 
     def take_body_data(self) -> bytes:
         """Return the body data that was parsed since the last call."""
@@ -203,7 +209,7 @@
 
     @property
     def is_unframed(self) -> bool:
-        """Whether only the end of the connection delimits the body."""
+        """Whether the end of the connection delimited the body."""
         return self._parser.is_unframed
 
     def forbid_reuse(self) -> None:
@@ -383,8 +389,7 @@
     except OSError as error:
         raise UpstreamError(Failure.BROKEN, f"receive: {error}") from error
     if not data:
-        if parser.is_unframed:
-            parser.end_with_connection()
+        if parser.end_with_connection():
             return
         raise UpstreamError(Failure.BROKEN, "the upstream closed the connection")
     try:
--- a/tests/test_gateway_response_forms.py
+++ b/tests/test_gateway_response_forms.py
@@ -85,6 +85,24 @@
     assert not harness.departed_instances
 
 
+def test_a_response_that_has_no_body_keeps_its_connection(
+    harnesses: list[ForwarderHarness],
+) -> None:
+    def respond_without_content(replica: ScriptedReplica, connection: object) -> None:
+        while True:
+            attempt = replica.receive_request(connection)
+            connection.sendall(
+                f"HTTP/1.1 204 No Content\r\nAttempt-Id: {attempt}\r\n"
+                "Response-Signature: s\r\nKeep-Alive: timeout=9\r\n\r\n".encode()
+            )
+
+    harness = make_harness(harnesses, respond_without_content)
+    for number in range(3):
+        response = harness.send_request("/read/1", attempt=f"a{number}")
+        assert response.startswith(b"HTTP/1.1 204")
+    assert harness.connections.opened_count == 1
+
+
 EVENT_STREAM = "Content-Type: text/event-stream"
 SIGNED = "Response-Signature: s"
 # Statuses, headers besides the id, and bodies that do not continue after event 2.
