Test several crashing parts at once, and continuations with the id of another request

Tests only; the new cases pass on the code as it is: fleets of 8 and 77 gateways with two crashing parts, and continuations that carry another request's id, in each framing, at gateways and entries.

--- a/tests/test_entry_response_forms.py
+++ b/tests/test_entry_response_forms.py
@@ -222,14 +222,14 @@
 }
 
 
-@pytest.mark.parametrize("identified", [True, False])
+@pytest.mark.parametrize("response_id", ["own", "missing", "other"])
 @pytest.mark.parametrize("framing", FRAMINGS)
 @pytest.mark.parametrize("continuation", WRONG_CONTINUATIONS)
 def test_a_wrong_continuation_is_not_joined_to_a_stream(
     make_entry: Callable[..., EntryHarness],
     continuation: str,
     framing: str,
-    identified: bool,
+    response_id: str,
 ) -> None:
     """Callers found the text of an error, or a complete end, within their stream."""
     status, body = WRONG_CONTINUATIONS[continuation]
@@ -245,7 +245,11 @@
             ).replace(b"\r\n\r\n", b"\r\nTransfer-Encoding: chunked\r\n\r\n")
             connection.sendall(head + make_chunk(make_word(1) + make_word(2)[:9]))
             raise Close
-        headers = [f"X-Request-ID: {attempt}"] if identified else []
+        headers = {
+            "own": [f"X-Request-ID: {attempt}"],
+            "missing": [],
+            "other": ["X-Request-ID: another"],
+        }[response_id]
         connection.sendall(make_framed(body, *headers, framing=framing, status=status))
         if framing == "connection":
             raise Close
--- a/tests/test_gateway_crash_broadcasts.py
+++ b/tests/test_gateway_crash_broadcasts.py
@@ -51,9 +51,14 @@
     fleet : Fleet
     seed : int
         Seed of the gateways that requests reach and of the sound requests' parts.
+    parts : tuple of str
+        Parts that crash replicas; each request has one of them.
     """
 
-    def __init__(self, fleet: Fleet, seed: int) -> None:
+    def __init__(
+        self, fleet: Fleet, seed: int, *, parts: tuple[str, ...] = ("dead",)
+    ) -> None:
+        self._parts = parts
         self.fleet = fleet
         self.crash_times: list[float] = []
         self._random = random.Random(seed)
@@ -93,7 +98,8 @@
 
     def _send_crashing_request(self) -> None:
         self._number += 1
-        poison = make_prompt_call(self._number, "first", "dead")
+        part = self._random.choice(self._parts)
+        poison = make_prompt_call(self._number, "first", part)
         gateway = self._pick_gateway().containment
         if gateway.should_refuse(poison):
             return
@@ -135,6 +141,26 @@
     assert not requests.refuses_sound_requests()
 
 
+@pytest.mark.parametrize("interval", [1.0, 0.1])
+@pytest.mark.parametrize("count", [8, 77])
+def test_several_crashing_parts_are_refused(count: int, interval: float) -> None:
+    fleet = Fleet(count, loss=0.05)
+    requests = CrashingRequests(fleet, seed=count, parts=("dead", "fatal"))
+    requests.run(seconds=16.0, interval=interval)
+    for part in ("dead", "fatal"):
+        poison = make_prompt_call(0, "other", part)
+        assert all(
+            gateway.containment.should_refuse(poison)
+            for gateway in fleet.running_gateways
+        )
+    assert not requests.refuses_sound_requests()
+    # Prompts without any known parts are not affected.
+    assert not any(
+        gateway.containment.should_refuse(call("/chat/1", 1))
+        for gateway in fleet.running_gateways
+    )
+
+
 @pytest.mark.parametrize("is_first_ranked", [True, False])
 def test_a_gateway_that_starts_anew_learns_the_causes(is_first_ranked: bool) -> None:
     """Its broadcasts, if it has the first rank, must not make others forget them."""
--- a/tests/test_gateway_response_forms.py
+++ b/tests/test_gateway_response_forms.py
@@ -133,14 +133,14 @@
     return head.replace(b"Transfer-Encoding: chunked", length) + sent
 
 
-@pytest.mark.parametrize("identified", [True, False])
+@pytest.mark.parametrize("response_id", ["own", "missing", "other"])
 @pytest.mark.parametrize("framing", FRAMINGS)
 @pytest.mark.parametrize("continuation", WRONG_CONTINUATIONS)
 def test_a_wrong_continuation_is_not_joined_to_a_stream(
     harnesses: list[ForwarderHarness],
     continuation: str,
     framing: str,
-    identified: bool,
+    response_id: str,
 ) -> None:
     """Callers found the text of an error, or a complete end, within their stream."""
     status, headers, body = WRONG_CONTINUATIONS[continuation]
@@ -150,7 +150,11 @@
         if "last-event-id" not in replica.requests[-1][1]:
             connection.sendall(make_broken_stream(attempt, framing))
             return
-        id_headers = [f"Attempt-Id: {attempt}"] if identified else []
+        id_headers = {
+            "own": [f"Attempt-Id: {attempt}"],
+            "missing": [],
+            "other": ["Attempt-Id: another"],
+        }[response_id]
         connection.sendall(
             make_framed(body, *id_headers, *headers, framing=framing, status=status)
         )
