--- a/damasklead/gateway/budget.py
+++ b/damasklead/gateway/budget.py
@@ -81,6 +81,19 @@
         """Set the number of gateways that share the allowance."""
         self._gateway_count = max(1, count)
 
+    def get_log_fields(self, service: ServiceName) -> dict[str, object]:
+        """
+        Return what the budget of a service rests on, for a log line.
+
+        ``firsts`` and ``retries`` are the attempts of this process within the window,
+        ``gateways`` the number of gateways that the allowance is divided by.
+        """
+        return {
+            "firsts": len(self._get_recent(self._first_attempts, service)),
+            "retries": len(self._get_recent(self._retries, service)),
+            "gateways": self._gateway_count,
+        }
+
     def record_first_attempt(self, service: ServiceName) -> None:
         """Count the first attempt of a request."""
         self._get_recent(self._first_attempts, service).append(self._clock.now())
--- a/damasklead/gateway/proxied_request.py
+++ b/damasklead/gateway/proxied_request.py
@@ -311,7 +311,7 @@
         Record that a replica leaves, pauses or limits requests, according to a head.
         """
         if reply.kind in (ResponseKind.ANSWER, ResponseKind.REFUSED):
-            self._context.rate_limits.record_response(record, reply.rate_limit)
+            self._record_rate_limit(reply, record)
         if reply.kind is ResponseKind.MISPLACED:
             self._context.on_replica_left(record, "another replica has the address")
         elif reply.leaving:
@@ -328,6 +328,23 @@
                 seconds=granted,
             )
 
+    def _record_rate_limit(self, reply: ResponseHead, record: UpstreamRecord) -> None:
+        """Record the limit that a response names, or that it names none."""
+        rate_limits = self._context.rate_limits
+        before = rate_limits.get_limit(record)
+        rate_limits.record_response(record, reply.rate_limit)
+        after = rate_limits.get_limit(record)
+        if after != before:
+            self._context.journal.event(
+                "limit-observed",
+                request=self._call.id,
+                replica=record.instance,
+                status=reply.status,
+                executed=reply.kind is ResponseKind.ANSWER,
+                before=before or 0.0,
+                per_second=after or 0.0,
+            )
+
     def _check_response(self, reply: ResponseHead, record: UpstreamRecord) -> None:
         """Raise ``SendError`` unless the reply is a valid response to the request."""
         if reply.kind is ResponseKind.MISPLACED:
@@ -477,6 +494,7 @@
             events=self.event_count,
             runs=self._possible_executions,
             parts=",".join(part.key for part in self._call.head.shared_parts),
+            **self._context.budget.get_log_fields(self._call.service),
         )
 
     def _may_retry(self, failure: Failure) -> bool:
