Count the retries of processes that have ended, and of gateways that are away

Cause: each process had the gateway's whole share of the allowance, whatever the one before it had spent in the same window, and shares grew at once when others left, or before any were known. A process has no share in its first window or while the number of gateways is unknown, and the number only falls after three windows.

--- a/damasklead/gateway/budget.py
+++ b/damasklead/gateway/budget.py
@@ -5,9 +5,18 @@
 Limits the retries of all gateways together, without a message per retry.
 
 Each gateway may retry a fraction of its own recent requests, plus its share of a common
-allowance.  The fractions add up to the limit whatever the number of gateways is; the
-allowance is divided by the known number of gateways, or by a high assumed number before
-any other gateway is known.
+allowance.  The fractions add up to the limit whatever the number of gateways is.  The
+allowance is divided by the number of gateways, so that three things must not enlarge the
+sum of the shares:
+
+* A process that starts: the one before it may have spent the gateway's share in the same
+  window.  It retries only in proportion to its own requests for the first window.
+* Gateways that are no longer known: what they have spent still counts, and they may only
+  be out of reach.  The divisor falls after ``COUNT_WINDOWS`` windows.
+* A gateway that has not discovered the others yet: it has no share.
+
+Load pattern: most requests fail at their replicas while gateways are killed and started
+again, one after the other or all at once, several times within a window.
 """
 
 from collections import deque
@@ -20,8 +29,8 @@
 # Fraction of the configured limits that is used, since the sliding windows of gateways
 # don't coincide.
 USED_FRACTION = 0.7
-# Number of gateways that is assumed before any others are known.
-ASSUMED_GATEWAYS = 16
+# The allowance is divided by the largest number of gateways within this many windows.
+COUNT_WINDOWS = 3.0
 
 
 class SharedRetryBudget:
@@ -47,6 +56,10 @@
     >>> budget = SharedRetryBudget(
     ...     clock=clock, ratio=0.2, allowance=16.0, window=10.0, used_fraction=1.0)
     >>> llm = ServiceName("llm")
+    >>> budget.acquire_retry(llm)
+    False
+    >>> budget.set_gateway_count(16)
+    >>> clock.advance(10.0)
     >>> budget.acquire_retry(llm), budget.acquire_retry(llm)
     (True, False)
     >>> for _ in range(5):
@@ -67,7 +80,9 @@
         self._clock = clock
         self._used_fraction = used_fraction
         self.configure(ratio=ratio, allowance=allowance, window=window)
-        self._gateway_count = ASSUMED_GATEWAYS
+        self._started_at = clock.now()
+        # Clock times and numbers of gateways; the numbers decrease.
+        self._counts: deque[tuple[float, int]] = deque()
         self._first_attempts: dict[ServiceName, deque[float]] = {}
         self._retries: dict[ServiceName, deque[float]] = {}
 
@@ -79,19 +94,25 @@
 
     def set_gateway_count(self, count: int) -> None:
         """Set the number of gateways that share the allowance."""
-        self._gateway_count = max(1, count)
+        now = self._clock.now()
+        while self._counts and self._counts[-1][1] <= count:
+            self._counts.pop()
+        self._counts.append((now, max(1, count)))
+        while self._counts[0][0] < now - COUNT_WINDOWS * self._window:
+            self._counts.popleft()
 
     def get_log_fields(self, service: ServiceName) -> dict[str, object]:
         """
         Return what the budget of a service rests on, for a log line.
 
         ``firsts`` and ``retries`` are the attempts of this process within the window,
-        ``gateways`` the number of gateways that the allowance is divided by.
+        ``gateways`` the number of gateways that the allowance is divided by; 0 before
+        it is known.
         """
         return {
             "firsts": len(self._get_recent(self._first_attempts, service)),
             "retries": len(self._get_recent(self._retries, service)),
-            "gateways": self._gateway_count,
+            "gateways": self._get_divisor(),
         }
 
     def record_first_attempt(self, service: ServiceName) -> None:
@@ -102,12 +123,22 @@
         """Count a retry if the budget allows it; return whether it does."""
         first_attempts = len(self._get_recent(self._first_attempts, service))
         retries = self._get_recent(self._retries, service)
-        allowed = self._ratio * first_attempts + self._allowance / self._gateway_count
+        allowed = self._ratio * first_attempts + self._compute_share()
         if len(retries) + 1 > allowed:
             return False
         retries.append(self._clock.now())
         return True
 
+    def _get_divisor(self) -> int:
+        """Return the number of gateways that share the allowance; 0 if unknown."""
+        return self._counts[0][1] if self._counts else 0
+
+    def _compute_share(self) -> float:
+        """Return this gateway's share of the allowance."""
+        divisor = self._get_divisor()
+        is_new = self._clock.now() - self._started_at < self._window
+        return 0.0 if is_new or not divisor else self._allowance / divisor
+
     def _get_recent(
         self, times: dict[ServiceName, deque[float]], service: ServiceName
     ) -> deque[float]:
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -369,6 +369,9 @@
             SharedRetryBudget(clock=clock, ratio=0.2, allowance=56.0, window=10.0)
             for _ in range(12)
         ]
+        for budget in budgets:
+            budget.set_gateway_count(12)
+        clock.advance(10.0)
         retry_count = 0
         for number in range(1200):
             budget = budgets[number % 12]
@@ -378,13 +381,12 @@
         assert 0.1 * 1200 < retry_count <= 0.2 * 1200 + 56
 
     def test_each_service_has_its_own_budget(self) -> None:
+        clock = ManualClock()
         budget = SharedRetryBudget(
-            clock=ManualClock(),
-            ratio=0.2,
-            allowance=16.0,
-            window=10.0,
-            used_fraction=1.0,
+            clock=clock, ratio=0.2, allowance=16.0, window=10.0, used_fraction=1.0
         )
+        budget.set_gateway_count(16)
+        clock.advance(10.0)
         assert budget.acquire_retry(SERVICE) and not budget.acquire_retry(SERVICE)
         assert budget.acquire_retry(ServiceName("other"))
 
