--- a/damasklead/gateway/fleet.py
+++ b/damasklead/gateway/fleet.py
@@ -196,6 +196,7 @@
             cursor=self.upstreams.cursor,
             rate_limits=self.rate_limits.known_limits,
             causes=self.containment.causes,
+            has_all_peers=self.is_gateway_count_known,
         )
 
     def record_departure(self, record: UpstreamRecord, sign: str) -> None:
@@ -265,7 +266,9 @@
             RoutingTable(content=snapshot.routing)
         )
         if self._peers is not None:
-            self._peers.apply_snapshot(snapshot.peers)
+            self._peers.apply_snapshot(
+                snapshot.peers, is_complete=snapshot.has_all_peers
+            )
 
     def _apply_newer_routing(self, snapshot: Snapshot) -> None:
         self.configuration.apply_peer_configuration(
--- a/damasklead/gateway/peers.py
+++ b/damasklead/gateway/peers.py
@@ -139,9 +139,17 @@
         """Set the handler that gets messages of a type and their sender's name."""
         self._handlers[message_type] = handler
 
-    def apply_snapshot(self, entries: list[PeerEntry]) -> None:
-        """Add the gateways that a snapshot of another gateway lists."""
-        self._is_discovery_complete = True
+    def apply_snapshot(self, entries: list[PeerEntry], *, is_complete: bool) -> None:
+        """
+        Add the gateways that a snapshot of another gateway lists.
+
+        Parameters
+        ----------
+        entries : list of PeerEntry
+        is_complete : bool
+            Whether these are all gateways.
+        """
+        self._is_discovery_complete = self._is_discovery_complete or is_complete
         self._merge_members(entries)
         self._send_announcement()
 
--- a/damasklead/gateway/snapshot.py
+++ b/damasklead/gateway/snapshot.py
@@ -38,6 +38,9 @@
         The entries of the replicas.
     peers : list of PeerEntry
         The gateways that it knows, itself included.
+    has_all_peers : bool
+        Whether these are all gateways: it has read their directory, or has got them
+        from one that has.
     cursor : Position
         Position up to which the list of replicas was read.
     rate_limits : list of RateLimit
@@ -52,6 +55,7 @@
     cursor: Position = INITIAL_POSITION
     rate_limits: list[RateLimit] = []
     causes: list[CrashCause] = []
+    has_all_peers: bool = True
 
 
 class SnapshotError(Exception):
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -191,7 +191,11 @@
     first = group.start("g1")
     second = group.start("g2")
     assert not second.is_discovery_complete
-    second.apply_snapshot(first.entries)
+    second.apply_snapshot(first.entries, is_complete=False)
+    assert not second.is_discovery_complete
+    second.apply_snapshot(first.entries, is_complete=True)
+    assert second.is_discovery_complete
+    second.apply_snapshot(first.entries, is_complete=False)
     assert second.is_discovery_complete
     wait_until(lambda: group.member_names("g1") == {"g2"})
 
