Don't let errors and refusals end the limit that a replica names

A replica that had named a limit got up to 62 requests in 4 s where 22.4 are allowed (LIMIT, simulated fleets of 8 and 77 gateways). Cause: any response without the header ended the limit, errors and refusals too, and the change went to all gateways; the next response restored it, and so on. Only a success ends a limit now, at gateways and entries.

--- a/damasklead/daemon/entry.py
+++ b/damasklead/daemon/entry.py
@@ -427,7 +427,7 @@
         )
         self.metrics.attempts.labels(pool.service.name, error.failure.value).inc()
         if error.failure is Failure.REFUSED:
-            self.record_rate_limit(start, error.rate_limit)
+            self.record_rate_limit(start, error.rate_limit, is_success=False)
         member = self.membership.get_member(start.replica)
         if error.leaving and member is not None:
             self.mark_leaving(
@@ -439,9 +439,11 @@
             pool, pool.dispatcher.fail_attempt(start.attempt, error.failure)
         )
 
-    def record_rate_limit(self, start: Start, limit: float | None) -> None:
+    def record_rate_limit(
+        self, start: Start, limit: float | None, *, is_success: bool
+    ) -> None:
         """Record the limit that an upstream's response names, ``None`` without one."""
-        self.rate_limits.record_response(start.replica, limit)
+        self.rate_limits.record_response(start.replica, limit, is_success=is_success)
 
     def record_first_event(self, exchange: Exchange) -> None:
         """Record the time from arrival to the first event in the metrics."""
--- a/damasklead/daemon/exchange.py
+++ b/damasklead/daemon/exchange.py
@@ -121,7 +121,9 @@
         """
 
     @abstractmethod
-    def record_rate_limit(self, start: Start, limit: float | None) -> None:
+    def record_rate_limit(
+        self, start: Start, limit: float | None, *, is_success: bool
+    ) -> None:
         """Record the limit that an upstream's response names, ``None`` without one."""
 
     @abstractmethod
@@ -282,7 +284,9 @@
         self._last_receive = (-1, self._entry.clock.now())
         try:
             response = self._send_attempt(start)
-            self._entry.record_rate_limit(start, response.rate_limit)
+            self._entry.record_rate_limit(
+                start, response.rate_limit, is_success=response.status < 500
+            )
             if self._stream and response.status == 200:
                 yield from self._relay_stream(response, start)
             elif self.is_streaming:
--- a/damasklead/daemon/rate_limit_keeper.py
+++ b/damasklead/daemon/rate_limit_keeper.py
@@ -66,11 +66,17 @@
         member = self._membership.get_member(instance)
         return None if member is None else self._limits.get_share(member, group=service)
 
-    def record_response(self, instance: InstanceId, limit: float | None) -> None:
-        """Record the limit that an upstream's response names, ``None`` without one."""
+    def record_response(
+        self, instance: InstanceId, limit: float | None, *, is_success: bool
+    ) -> None:
+        """
+        Record the limit that an upstream's response names, ``None`` without one.
+
+        Only a success without a limit ends one.
+        """
         member = self._membership.get_member(instance)
         if member is not None:
-            self._limits.record_response(member, limit)
+            self._limits.record_response(member, limit, is_success=is_success)
 
     def apply_reports(self, reports: Iterable[RateLimit]) -> None:
         """Apply changes that other entries observed."""
--- a/damasklead/gateway/budget.py
+++ b/damasklead/gateway/budget.py
@@ -6,13 +6,13 @@
 
 Each gateway may retry a fraction of its own recent requests, plus its share of a common
 allowance.  The fractions add up to the limit whatever the number of gateways is.  The
-allowance is divided by the number of gateways, so that three things must not enlarge the
-sum of the shares:
+allowance is divided by the number of gateways; three cases must not enlarge the sum of
+the shares:
 
-* A process that starts: the one before it may have spent the gateway's share in the same
-  window.  It retries only in proportion to its own requests for the first window.
-* Gateways that are no longer known: what they have spent still counts, and they may only
-  be out of reach.  The divisor falls after ``COUNT_WINDOWS`` windows.
+* A process that starts: the one before it may have spent the gateway's share in the
+  same window.  During its first window it retries only in proportion to its requests.
+* Gateways that are no longer known: their retries still count, and they may only be out
+  of reach.  The divisor falls after ``COUNT_WINDOWS`` windows.
 * A gateway that has not discovered the others yet: it has no share.
 
 Load pattern: most requests fail at their replicas while gateways are killed and started
--- a/damasklead/gateway/coordination/coordinator.py
+++ b/damasklead/gateway/coordination/coordinator.py
@@ -291,7 +291,7 @@
     ) -> None:
         record = self._placement.get_record(instance)
         if record is not None and rate_limit != UNKNOWN_RATE_LIMIT:
-            self._rate_limits.record_response(record, rate_limit)
+            self._rate_limits.record_response(record, rate_limit, is_success=True)
 
     def _replay_response(
         self, entry: _TrackedRequest, request: AssignmentRequest
--- a/damasklead/gateway/proxied_request.py
+++ b/damasklead/gateway/proxied_request.py
@@ -332,7 +332,11 @@
         """Record the limit that a response names, or that it names none."""
         rate_limits = self._context.rate_limits
         before = rate_limits.get_limit(record)
-        rate_limits.record_response(record, reply.rate_limit)
+        rate_limits.record_response(
+            record,
+            reply.rate_limit,
+            is_success=reply.kind is ResponseKind.ANSWER and reply.status < 500,
+        )
         after = rate_limits.get_limit(record)
         if after != before:
             self._context.journal.event(
--- a/damasklead/rate_limits.py
+++ b/damasklead/rate_limits.py
@@ -171,7 +171,9 @@
             self._senders[group] = members
             self._shares.clear()
 
-    def record_response(self, replica: Replica, limit: float | None) -> None:
+    def record_response(
+        self, replica: Replica, limit: float | None, *, is_success: bool
+    ) -> None:
         """
         Record the limit that a replica's response names.
 
@@ -180,7 +182,12 @@
         replica : Replica
         limit : float or None
             Requests per second; ``None`` when the response names no limit.
+        is_success : bool
+            Whether the request was executed without an error.  Refusals and errors may
+            lack the limit while it holds, so that they don't end it.
         """
+        if limit is None and not is_success:
+            return
         rate = UNLIMITED if limit is None else max(limit, MIN_REQUESTS_PER_SECOND)
         newest = self._limits.get(replica.instance)
         if newest is not None and newest.incarnation > replica.incarnation:
--- a/tests/test_entry_rate_limits.py
+++ b/tests/test_entry_rate_limits.py
@@ -124,7 +124,9 @@
             self.choosers[index].remove_attempt(replica, attempt)
             if replica == "r0":
                 self.sent_at.append(self.clock.now())
-                self.keepers[index].record_response(replica, self.limit)
+                self.keepers[index].record_response(
+                    replica, self.limit, is_success=True
+                )
             self._spread_gossip(index)
 
     def _spread_gossip(self, sender: int) -> None:
@@ -171,7 +173,7 @@
 
 def test_a_report_is_spread_once_and_stays_out_of_older_entries_gossip() -> None:
     entries = LimitedEntries(2)
-    entries.keepers[0].record_response(InstanceId("r0"), LIMIT)
+    entries.keepers[0].record_response(InstanceId("r0"), LIMIT, is_success=True)
     items = entries.gossip[0].select_items(InstanceId("e1"))
     assert items == (RateLimit(InstanceId("r0"), 1, LIMIT, 1),)
     assert entries.gossip[0].select_items(InstanceId("e1")) == ()
--- a/tests/test_gateway_broadcasts.py
+++ b/tests/test_gateway_broadcasts.py
@@ -168,7 +168,7 @@
 class Gateway:
     """The followers and broadcasts of one gateway."""
 
-    def __init__(self, fleet: "Fleet", name: str) -> None:
+    def __init__(self, fleet: "Fleet", name: str, *, incarnation: int = 1) -> None:
         clock = fleet.clock
         journal = Journal(instance=name)
         self.name = name
@@ -226,8 +226,9 @@
             clock=clock,
             instance=name,
             cores=1.0,
-            incarnation=1,
+            incarnation=incarnation,
         )
+        self.incarnation = incarnation
         self._next_poll_at = [0.0, 0.0]
         self._updated_at = 0.0
 
@@ -316,6 +317,24 @@
     def running_gateways(self) -> list[Gateway]:
         return [item for item in self.gateways.values() if not item.is_down]
 
+    def restart(self, name: str, *, seed: str | None) -> None:
+        """
+        Replace a gateway by one that knows nothing but another one's snapshot.
+
+        Parameters
+        ----------
+        name : str
+        seed : str or None
+            The gateway that gives the snapshot; ``None`` when none does.
+        """
+        incarnation = self.gateways[name].incarnation + 1
+        gateway = Gateway(self, name, incarnation=incarnation)
+        self.gateways[name] = gateway
+        if seed is not None:
+            source = self.gateways[seed]
+            gateway.rate_limits.apply_reports(source.rate_limits.known_limits)
+            gateway.containment.adopt_causes(source.containment.causes)
+
     def deliver(self, sender: str, name: str, message: object) -> None:
         self.datagram_count += 1
         self.sent_messages.append(message)
@@ -527,7 +546,7 @@
         row.record for row in first.directory.list_rows() if row.record is not None
     )
     for gateway, limit in ((first, 1.3), (second, None), (first, 2.0)):
-        gateway.rate_limits.record_response(record, limit)
+        gateway.rate_limits.record_response(record, limit, is_success=True)
         fleet.run(1.0)
         assert {
             item.rate_limits.get_limit(record) for item in fleet.running_gateways
--- a/tests/test_gateway_rate_limits.py
+++ b/tests/test_gateway_rate_limits.py
@@ -97,7 +97,7 @@
         for name in names:
             limits = self.make_limits(clock, name)
             limits.set_senders(names)
-            limits.record_response(make_record(1), limit)
+            limits.record_response(make_record(1), limit, is_success=True)
             shares.append(limits.get_share(make_record(1)) or 0.0)
         expected = max(limit, MIN_REQUESTS_PER_SECOND)
         assert sum(shares) == pytest.approx(expected)
@@ -106,27 +106,39 @@
 
     def test_a_response_without_a_limit_ends_it(self, clock: ManualClock) -> None:
         limits = self.make_limits(clock)
-        limits.record_response(make_record(1), LIMIT)
+        limits.record_response(make_record(1), LIMIT, is_success=True)
         assert limits.get_limit(make_record(1)) == LIMIT and limits.limited_count == 1
-        limits.record_response(make_record(1), None)
+        limits.record_response(make_record(1), None, is_success=True)
         assert limits.get_limit(make_record(1)) is None and limits.limited_count == 0
 
+    def test_an_error_or_refusal_without_a_limit_does_not_end_it(
+        self, clock: ManualClock
+    ) -> None:
+        limits = self.make_limits(clock)
+        limits.record_response(make_record(1), LIMIT, is_success=True)
+        limits.record_response(make_record(1), None, is_success=False)
+        assert limits.get_limit(make_record(1)) == LIMIT
+        limits.record_response(make_record(1), 0.5, is_success=False)
+        assert limits.get_limit(make_record(1)) == 0.5
+
     def test_a_limit_ends_with_the_incarnation(self, clock: ManualClock) -> None:
         limits = self.make_limits(clock)
-        limits.record_response(make_record(1), LIMIT)
+        limits.record_response(make_record(1), LIMIT, is_success=True)
         restarted = make_record(1, incarnation=2)
         assert limits.get_limit(restarted) is None
-        limits.record_response(restarted, 5.0)
-        limits.record_response(make_record(1), LIMIT)
+        limits.record_response(restarted, 5.0, is_success=True)
+        limits.record_response(make_record(1), LIMIT, is_success=True)
         assert limits.get_limit(restarted) == 5.0
 
     def test_only_changes_are_reported_and_not_forever(
         self, clock: ManualClock
     ) -> None:
         limits = self.make_limits(clock)
-        limits.record_response(make_record(2), None)
+        limits.record_response(make_record(2), None, is_success=True)
         for number in range(50):
-            limits.record_response(make_record(1), 10.0 + 0.001 * number)
+            limits.record_response(
+                make_record(1), 10.0 + 0.001 * number, is_success=True
+            )
         assert limits.recent_changes == [RateLimit(InstanceId("r1"), 1, 10.0, 1)]
         clock.advance(60.0)
         assert limits.recent_changes == []
@@ -212,11 +224,11 @@
         placement.record_sent(record.instance, call)
         placement.record_success(record.instance, call)
         if record.instance != "r0":
-            limits.record_response(record, None)
+            limits.record_response(record, None, is_success=True)
             return
         self.sent_at.append(self.clock.now())
         known = limits.recent_changes
-        limits.record_response(record, self.limit)
+        limits.record_response(record, self.limit, is_success=True)
         for change in limits.recent_changes:
             if change not in known:
                 self._pending_reports.append((self.clock.now() + 0.3, change))
