--- a/damasklead/gateway/coordination/assignment_client.py
+++ b/damasklead/gateway/coordination/assignment_client.py
@@ -11,6 +11,7 @@
 coordinator until it receives a message from it again.
 """
 
+import math
 from collections.abc import Callable, Collection
 
 import gevent
@@ -33,6 +34,7 @@
 )
 from damasklead.gateway.journal import Journal
 from damasklead.ids import AttemptId, InstanceId
+from damasklead.rate_limits import RateLimit, RateLimits
 
 __all__ = ["Assignment", "AssignmentClient", "make_assignment_request"]
 
@@ -42,6 +44,11 @@
 SECOND_REQUEST_TIMEOUT_SECONDS = 0.06
 # Timeout for the next message on a queued request; a coordinator sends one every 0.2 s.
 QUEUED_TIMEOUT_SECONDS = 0.65
+# Interval at which a coordinator is told the limits that its engines name.  A process
+# that starts anew under the name takes longer than this.
+RATE_LIMITS_INTERVAL_SECONDS = 0.25
+# Number of coordinators and cells for which the last time is remembered.
+MAX_TOLD_COORDINATORS = 1_000
 # Number of coordinators to try before this gateway's own coordinator decides.
 MAX_COORDINATORS = 2
 
@@ -92,6 +99,8 @@
     send : callable
         Sends a message to a gateway, which may be this one.
     journal : Journal
+    rate_limits : RateLimits
+        The limits that engines name in their responses.
     """
 
     def __init__(
@@ -102,7 +111,10 @@
         cells: CellMap,
         send: Callable[[str, object], None],
         journal: Journal,
+        rate_limits: RateLimits,
     ) -> None:
+        self._rate_limits = rate_limits
+        self._rate_limits_sent_at: dict[tuple[str, Cell], float] = {}
         self._instance = instance
         self._clock = clock
         self._cells = cells
@@ -223,6 +235,7 @@
                     excluded=excluded,
                     is_first_attempt=is_first_attempt,
                     source=self._cells.find_copy_source(call, cell),
+                    rate_limits=self._select_rate_limits(cell, coordinator),
                 ),
             )
             has_response = response is not None
@@ -232,6 +245,21 @@
                 withdrawal = RequestEnded(self._instance, cell, call.id, "withdrawn")
                 self._send(coordinator, withdrawal)
 
+    def _select_rate_limits(
+        self, cell: Cell, coordinator: str
+    ) -> tuple[RateLimit, ...]:
+        """Return the limits of a cell's engines if they are due at its coordinator."""
+        now = self._clock.now()
+        sent_at = self._rate_limits_sent_at.get((coordinator, cell), -math.inf)
+        if now - sent_at < RATE_LIMITS_INTERVAL_SECONDS:
+            return ()
+        limits = self._rate_limits.find_reports(self._cells.get_engines(cell))
+        if limits:
+            if len(self._rate_limits_sent_at) >= MAX_TOLD_COORDINATORS:
+                self._rate_limits_sent_at.clear()
+            self._rate_limits_sent_at[coordinator, cell] = now
+        return tuple(limits)
+
     def _send_with_retry(
         self, call: Call, cell: Cell, coordinator: str, request: AssignmentRequest
     ) -> Grant | RequestRejected | None:
@@ -286,6 +314,7 @@
     excluded: Collection[InstanceId],
     is_first_attempt: bool,
     source: str | None = None,
+    rate_limits: tuple[RateLimit, ...] = (),
 ) -> AssignmentRequest:
     """
     Return the assignment request for a call.
@@ -304,6 +333,8 @@
         Whether the request has not been tried at a replica yet.
     source : str or None
         Address of a replica of another cell that is likely to have the shared prefix.
+    rate_limits : tuple of RateLimit
+        Limits to tell the coordinator.
     """
     return AssignmentRequest(
         instance,
@@ -319,4 +350,5 @@
         tuple(excluded),
         is_first_attempt,
         source,
+        rate_limits,
     )
--- a/damasklead/gateway/coordination/coordinator.py
+++ b/damasklead/gateway/coordination/coordinator.py
@@ -190,6 +190,7 @@
     ) -> list[AddressedResponse]:
         """Assign, queue or reject a request; returns the response to send."""
         self._last_request_at = self._clock.now()
+        self._rate_limits.apply_reports(request.rate_limits)
         existing_entry = self._requests.get(request.attempt)
         if existing_entry is not None and existing_entry.requester == request.requester:
             repeated_response = self._replay_response(existing_entry, request)
--- a/damasklead/gateway/coordination/messages.py
+++ b/damasklead/gateway/coordination/messages.py
@@ -12,6 +12,7 @@
 from damasklead.gateway.calls import LoadHint, PromptPart
 from damasklead.gateway.coordination.cells import Cell
 from damasklead.ids import AttemptId, InstanceId
+from damasklead.rate_limits import RateLimit
 
 __all__ = [
     "UNKNOWN_RATE_LIMIT",
@@ -58,6 +59,9 @@
     source : str or None
         Address of a replica of another cell that is likely to have the shared prefix in
         its cache.
+    rate_limits : tuple of RateLimit
+        Limits of the cell's engines that the requester knows and has not told this
+        coordinator recently.
     """
 
     requester: str
@@ -73,6 +77,7 @@
     excluded: tuple[InstanceId, ...]
     is_first_attempt: bool
     source: str | None = None
+    rate_limits: tuple[RateLimit, ...] = ()
 
 
 class RequestQueued(msgspec.Struct, array_like=True, frozen=True, tag=2):
--- a/damasklead/gateway/coordination/service.py
+++ b/damasklead/gateway/coordination/service.py
@@ -93,6 +93,7 @@
             cells=self.cells,
             send=self._send,
             journal=journal,
+            rate_limits=rate_limits,
         )
         self.coordinators = Coordinators(
             clock=clock,
--- a/damasklead/rate_limits.py
+++ b/damasklead/rate_limits.py
@@ -208,6 +208,17 @@
             if known is None or report.replaces(known):
                 self._apply(report)
 
+    def find_reports(self, replicas: Iterable[Replica]) -> list[RateLimit]:
+        """Return the limits that some of the replicas have named last."""
+        if not self.limited_count:
+            return []
+        limits = (self._find_limit(replica) for replica in replicas)
+        return [
+            limit
+            for limit in limits
+            if limit is not None and limit.requests_per_second != UNLIMITED
+        ]
+
     def get_limit(self, replica: Replica) -> float | None:
         """Return a replica's limit in requests per second, ``None`` without one."""
         known = self._find_limit(replica)
--- a/tests/test_gateway_coordination.py
+++ b/tests/test_gateway_coordination.py
@@ -16,6 +16,7 @@
 from damasklead.failures import Failure
 from damasklead.gateway.calls import Call, LoadHint, PromptPart, UpstreamRecord
 from damasklead.gateway.coordination.assignment_client import (
+    RATE_LIMITS_INTERVAL_SECONDS,
     Assignment,
     AssignmentClient,
     make_assignment_request,
@@ -534,12 +535,14 @@
         }
         self.unresponsive_gateways: set[str] = set()
         self.sent: list[tuple[str, object]] = []
+        self.rate_limits = RateLimits(clock=self.clock, instance=InstanceId("g0"))
         self.client = AssignmentClient(
             instance="g0",
             clock=self.clock,
             cells=self.cells,
             send=self.send,
             journal=Journal(instance="g0"),
+            rate_limits=self.rate_limits,
         )
         (self.cell,) = self.cells.cells
 
@@ -585,6 +588,26 @@
         harness.request_assignment(make_live_call("c2", harness.clock))
         assert harness.clock.now() - started_at < 0.05
 
+    def test_a_coordinator_is_told_the_limits_of_its_engines_at_intervals(self) -> None:
+        harness = ClientHarness()
+        engine = harness.cells.get_engines(harness.cell)[0]
+        for limited in (engine, make_engines(40)[-1]):
+            harness.rate_limits.record_response(limited, 1.5, is_success=True)
+        told = []
+        for name in ("c1", "c2", "c3"):
+            harness.request_assignment(make_live_call(name, harness.clock))
+            told.append(
+                [
+                    [item.instance for item in message.rate_limits]
+                    for _, message in harness.sent
+                    if isinstance(message, AssignmentRequest)
+                    and message.attempt == name
+                ]
+            )
+            if name == "c2":
+                gevent.sleep(1.1 * RATE_LIMITS_INTERVAL_SECONDS)
+        assert told == [[[engine.instance]], [[]], [[engine.instance]]]
+
     def test_when_all_are_unresponsive_this_gateway_decides(self) -> None:
         harness = ClientHarness()
         harness.unresponsive_gateways = {"g1", "g2"}
--- a/tests/test_gateway_fleet_rate_limits.py
+++ b/tests/test_gateway_fleet_rate_limits.py
@@ -108,7 +108,13 @@
         coordinator = self._get_coordinator()
         call = make_call(f"a{len(self._streams)}-{now}", self._route, now)
         request = make_assignment_request(
-            gateway.name, call, self._cell, now=now, excluded=(), is_first_attempt=True
+            gateway.name,
+            call,
+            self._cell,
+            now=now,
+            excluded=(),
+            is_first_attempt=True,
+            rate_limits=tuple(gateway.rate_limits.find_reports([self._record])),
         )
         (response,) = coordinator.handle_assignment_request(request)
         grant = response.response
