Limit what gateways assign beside the coordinator of a cell

Cause: when the first coordinators don't respond, as after a loss of many gateways, each gateway coordinates its own requests, at the full rate; gateways that choose by themselves shared the full rate once more. Only the first gateway of a cell's ranking that responds uses the full rate; all others share a quarter of it.

--- a/bench/coordination.py
+++ b/bench/coordination.py
@@ -133,6 +133,7 @@
         service=SERVICE_SPEC,
         routes=[ROUTE],
         rate_limits=RateLimits(clock=clock, instance=InstanceId("g")),
+        is_in_charge=lambda: True,
     )
     coordinator.set_engines(records)
     for number in range(queue_length + 2 * len(records)):
--- a/damasklead/gateway/coordination/cellmap.py
+++ b/damasklead/gateway/coordination/cellmap.py
@@ -200,6 +200,25 @@
         limit : int
             Maximum number of ranked gateways to return.
         """
+        candidates = self._list_candidates(cell)[:limit]
+        if self._local_member.instance in candidates:
+            return [
+                *candidates[: candidates.index(self._local_member.instance)],
+                self._local_member.instance,
+            ]
+        return [*candidates, self._local_member.instance]
+
+    def is_coordinator(self, cell: Cell) -> bool:
+        """
+        Return whether this gateway coordinates a cell for all gateways.
+
+        Otherwise it may still do so for its own requests, or for a gateway that
+        doesn't reach the first one.
+        """
+        return self._list_candidates(cell)[:1] == [self._local_member.instance]
+
+    def _list_candidates(self, cell: Cell) -> list[InstanceId]:
+        """Return the ranked gateways of a cell that are not suspected."""
         self._refresh_members()
         ranked = self._rankings.get(cell)
         if ranked is None:
@@ -210,13 +229,7 @@
             )
             ranked = rank_members(cell, members)[:MAX_RANKED_MEMBERS]
             self._rankings[cell] = ranked
-        candidates = [name for name in ranked if name not in self._suspects][:limit]
-        if self._local_member.instance in candidates:
-            return [
-                *candidates[: candidates.index(self._local_member.instance)],
-                self._local_member.instance,
-            ]
-        return [*candidates, self._local_member.instance]
+        return [name for name in ranked if name not in self._suspects]
 
     def suspect_gateway(self, name: str) -> bool:
         """Suspect an unresponsive gateway; returns whether it was not suspected yet."""
--- a/damasklead/gateway/coordination/coordinator.py
+++ b/damasklead/gateway/coordination/coordinator.py
@@ -11,6 +11,7 @@
 """
 
 import math
+from collections.abc import Callable
 
 import msgspec
 
@@ -102,8 +103,10 @@
     placement : type
         The placement that chooses among the engines.
     rate_limits : RateLimits
-        The limits that engines name in their responses; the coordinator assigns
-        requests at the full rate.
+        The limits that engines name in their responses.
+    is_in_charge : callable
+        Returns whether this is the coordinator of all gateways, which assigns requests
+        at the full rate; otherwise it uses this gateway's share of what is left.
     """
 
     def __init__(
@@ -115,8 +118,10 @@
         routes: list[Route],
         placement: type[Placement] = EnginePlacement,
         rate_limits: RateLimits,
+        is_in_charge: Callable[[], bool],
     ) -> None:
         self._rate_limits = rate_limits
+        self._is_in_charge = is_in_charge
         self._cell = cell
         self._clock = clock
         self._last_request_at = clock.now()
@@ -124,7 +129,7 @@
             service=service,
             clock=clock,
             data_centre=cell.data_centre,
-            get_request_rate=rate_limits.get_limit,
+            get_request_rate=self._get_request_rate,
         )
         self._admission = AdmissionController(
             clock=clock,
@@ -287,6 +292,14 @@
                 )
         return responses
 
+    def _get_request_rate(self, record: UpstreamRecord) -> float | None:
+        """Return the rate at which requests may be assigned to an engine."""
+        if self._rate_limits.get_limit(record) is None:
+            return None
+        if self._is_in_charge():
+            return self._rate_limits.get_limit(record)
+        return self._rate_limits.get_uncoordinated_share(record)
+
     def _record_rate_limit(
         self, instance: InstanceId, rate_limit: float | None
     ) -> None:
--- a/damasklead/gateway/coordination/coordinators.py
+++ b/damasklead/gateway/coordination/coordinators.py
@@ -129,6 +129,7 @@
             routes=table.find_routes(cell.service),
             placement=self._placement,
             rate_limits=self._rate_limits,
+            is_in_charge=lambda: self._cells.is_coordinator(cell),
         )
         coordinator.set_engines(engines)
         return coordinator
--- a/damasklead/gateway/process.py
+++ b/damasklead/gateway/process.py
@@ -257,12 +257,19 @@
                 service=spec or ServiceSpec(name=name, max_connections=1),
                 clock=self._clock,
                 data_centre=DataCentre(self._settings.data_centre),
-                get_request_rate=self._fleet.rate_limits.get_share,
+                get_request_rate=self._get_request_rate,
             )
             placement.update_replicas(self._directory.get_eligible_records(name))
             self._placements[name] = placement
         return placement
 
+    def _get_request_rate(self, record: UpstreamRecord) -> float | None:
+        """Return the rate at which this gateway may send a replica requests itself."""
+        placement = self._placements.get(record.service)
+        if placement is not None and placement.is_coordinated:
+            return self._fleet.rate_limits.get_uncoordinated_share(record)
+        return self._fleet.rate_limits.get_share(record)
+
     def _handle_departure(self, record: UpstreamRecord, sign: str) -> None:
         self._connections.close_idle(record.address)
         self._fleet.record_departure(record, sign)
--- a/damasklead/rate_limits.py
+++ b/damasklead/rate_limits.py
@@ -41,6 +41,9 @@
 # Number of replicas whose limits are remembered.  Those of replicas that are no longer
 # listed are kept too, since an entry may come back after the list was unreadable.
 MAX_REMEMBERED_LIMITS = 2_000
+# Part of a limit that gateways use in sum beside the coordinator of a cell, while it
+# doesn't respond to them or has no engine left.
+UNCOORDINATED_FRACTION = 0.25
 # Rate of a replica that names no limit.
 UNLIMITED = 0.0
 
@@ -131,7 +134,7 @@
         self._senders: dict[str, frozenset[InstanceId]] = {}
         self._limits: dict[InstanceId, RateLimit] = {}
         self._observed_at: dict[RateLimit, float] = {}
-        self._shares: dict[tuple[str, InstanceId], float] = {}
+        self._shares: dict[tuple[str, InstanceId, float], float] = {}
 
     @property
     def limited_count(self) -> int:
@@ -226,17 +229,35 @@
             return None
         return known.requests_per_second
 
-    def get_share(self, replica: Replica, *, group: str = "") -> float | None:
+    def get_uncoordinated_share(self, replica: Replica) -> float | None:
+        """
+        Return this gateway's share of the part of a limit that is left for requests
+        which the coordinator of the replica's cell doesn't assign.
+        """
+        return self.get_share(replica, fraction=UNCOORDINATED_FRACTION)
+
+    def get_share(
+        self, replica: Replica, *, group: str = "", fraction: float = 1.0
+    ) -> float | None:
         """
         Return this sender's share of a replica's limit in requests per second.
 
         It is 0 for senders that are not among the replica's owners, and ``None``
         without a limit.
+
+        Parameters
+        ----------
+        replica : Replica
+        group : str
+            The senders that share the limit.
+        fraction : float
+            Part of the limit that is shared.
         """
         limit = self.get_limit(replica)
         if limit is None:
             return None
-        key = (group, replica.instance)
+        limit *= fraction
+        key = (group, replica.instance, fraction)
         share = self._shares.get(key)
         if share is None:
             senders = self._senders.get(group, frozenset({self._instance}))
--- a/tests/test_gateway_coordination.py
+++ b/tests/test_gateway_coordination.py
@@ -98,6 +98,7 @@
             service=SPEC,
             routes=[CHAT, QUOTE, LOW_PRIORITY],
             rate_limits=RateLimits(clock=self.clock, instance=InstanceId("g1")),
+            is_in_charge=lambda: True,
         )
         self.coordinator.set_engines(make_engines(count))
         self.responses: dict[str, list[AssignmentResponse]] = {}
@@ -608,6 +609,17 @@
                 gevent.sleep(1.1 * RATE_LIMITS_INTERVAL_SECONDS)
         assert told == [[[engine.instance]], [[]], [[engine.instance]]]
 
+    def test_only_the_first_gateway_that_responds_coordinates_for_all(self) -> None:
+        harness = ClientHarness()
+        ranked = harness.list_coordinators()
+        assert harness.cells.is_coordinator(harness.cell) == (ranked[0] == "g0")
+        for name in ("g1", "g2"):
+            harness.cells.suspect_gateway(name)
+        assert harness.cells.is_coordinator(harness.cell)
+        harness.cells.resign_coordination()
+        assert not harness.cells.is_coordinator(harness.cell)
+        assert harness.list_coordinators() == ["g0"]
+
     def test_when_all_are_unresponsive_this_gateway_decides(self) -> None:
         harness = ClientHarness()
         harness.unresponsive_gateways = {"g1", "g2"}
--- a/tests/test_gateway_fleet_rate_limits.py
+++ b/tests/test_gateway_fleet_rate_limits.py
@@ -11,12 +11,20 @@
 import msgspec
 import pytest
 
+from damasklead.gateway.calls import Call
 from damasklead.gateway.coordination.assignment_client import make_assignment_request
 from damasklead.gateway.coordination.cells import Cell
 from damasklead.gateway.coordination.coordinator import Coordinator
-from damasklead.gateway.coordination.messages import Grant, PrefillDone, RequestEnded
+from damasklead.gateway.coordination.messages import (
+    AssignmentResponse,
+    Grant,
+    PrefillDone,
+    RequestEnded,
+    RequestQueued,
+)
+from damasklead.gateway.placements import Placement, new_placement
 from damasklead.gateway.routing import EngineSpec, RouteKind, ServiceSpec
-from damasklead.ids import AttemptId
+from damasklead.ids import AttemptId, InstanceId
 from tests.test_gateway_broadcasts import STEP_SECONDS, Fleet, Gateway
 from tests.test_gateway_rate_limits import (
     DATA_CENTRE,
@@ -36,6 +44,13 @@
 STREAM_SECONDS = 1.0
 
 
+ENGINES = ServiceSpec(
+    name=SERVICE,
+    max_connections=100,
+    engine=EngineSpec(slots=64, memory_tokens=100_000, tokens_per_event=4),
+)
+
+
 class _Stream(msgspec.Struct, kw_only=True):
     """A stream that was assigned to the limited engine or to another one."""
 
@@ -58,21 +73,37 @@
         The limit in requests per second.
     bare_fraction : float
         Fraction of its responses that are errors without the header.
+    engine_count : int
     """
 
     def __init__(
-        self, fleet: Fleet, *, limit: float, bare_fraction: float = 0.0
+        self,
+        fleet: Fleet,
+        *,
+        limit: float,
+        bare_fraction: float = 0.0,
+        engine_count: int = 3,
     ) -> None:
         self.fleet = fleet
         self.limit = limit
         self.sent_at: list[float] = []
+        # All requests to the engine, also from gateways that were not told.
+        self.limited_count = 0
         self._bare_fraction = bare_fraction
+        self._engines = [make_record(number) for number in range(engine_count)]
+        self._own_placements: dict[tuple[str, int], Placement] = {}
+        # Whether the coordinators of the first ranks don't respond to the gateways.
+        self.is_first_coordinator_silent = False
+        for gateway in fleet.gateways.values():
+            gateway.rate_limits.set_senders(InstanceId(name) for name in fleet.gateways)
         self._cell = Cell(SERVICE, DATA_CENTRE, 0)
         self._route = make_route(RouteKind.STREAM)
         self._random = random.Random(len(fleet.gateways))
         self._coordinators: dict[tuple[str, int], Coordinator] = {}
         self._told_at: dict[tuple[str, int], float] = {}
         self._streams: list[_Stream] = []
+        self._request_count = 0
+        self._waiting: dict[AttemptId, tuple[Gateway, Call]] = {}
         self._record = make_record(0)
         self.limited_since = fleet.clock.now()
 
@@ -84,6 +115,9 @@
             while due >= 1.0:
                 due -= 1.0
                 self._send_stream()
+            for coordinator in list(self._coordinators.values()):
+                for response in coordinator.process_queue():
+                    self._handle_response(coordinator, response.response)
             self._continue_streams()
             self.fleet.run(STEP_SECONDS)
 
@@ -105,8 +139,9 @@
     def _send_stream(self) -> None:
         now = self.fleet.clock.now()
         gateway = self._random.choice(self.fleet.running_gateways)
-        coordinator = self._get_coordinator()
-        call = make_call(f"a{len(self._streams)}-{now}", self._route, now)
+        coordinator = self._get_coordinator(gateway)
+        self._request_count += 1
+        call = make_call(f"a{self._request_count}", self._route, now)
         request = make_assignment_request(
             gateway.name,
             call,
@@ -116,10 +151,34 @@
             is_first_attempt=True,
             rate_limits=tuple(gateway.rate_limits.find_reports([self._record])),
         )
+        self._waiting[call.id] = gateway, call
         (response,) = coordinator.handle_assignment_request(request)
-        grant = response.response
-        assert isinstance(grant, Grant)
-        is_limited = grant.instance == self._record.instance
+        self._handle_response(coordinator, response.response)
+
+    def _handle_response(
+        self, coordinator: Coordinator, response: AssignmentResponse
+    ) -> None:
+        if isinstance(response, RequestQueued):
+            return
+        gateway, call = self._waiting.pop(response.attempt)
+        if isinstance(response, Grant):
+            self._start_stream(gateway, coordinator, call, response.instance)
+        elif response.retry_after is None:
+            placement = self._get_own_placement(gateway)
+            record = placement.choose_replica(call)
+            if record is not None:
+                placement.record_sent(record.instance, call)
+                self._start_stream(gateway, coordinator, call, record.instance)
+
+    def _start_stream(
+        self,
+        gateway: Gateway,
+        coordinator: Coordinator,
+        call: Call,
+        instance: InstanceId,
+    ) -> None:
+        now = self.fleet.clock.now()
+        is_limited = instance == self._record.instance
         self._streams.append(
             _Stream(
                 gateway=gateway,
@@ -129,6 +188,7 @@
                 is_limited=is_limited,
             )
         )
+        self.limited_count += is_limited
         told_at = self._told_at.get((gateway.name, gateway.incarnation), now)
         if is_limited and now - told_at >= TOLD_SECONDS:
             self.sent_at.append(now)
@@ -166,25 +226,36 @@
             PrefillDone(gateway.name, self._cell, stream.attempt, None, limit)
         )
 
-    def _get_coordinator(self) -> Coordinator:
-        """Return the coordinator at the first gateway that runs."""
+    def _get_own_placement(self, gateway: Gateway) -> Placement:
+        """Return the placement by which a gateway chooses engines by itself."""
+        identity = (gateway.name, gateway.incarnation)
+        if identity not in self._own_placements:
+            placement = new_placement(
+                service=ENGINES,
+                clock=self.fleet.clock,
+                data_centre=DATA_CENTRE,
+                get_request_rate=gateway.rate_limits.get_uncoordinated_share,
+            )
+            placement.update_replicas(self._engines)
+            self._own_placements[identity] = placement
+        return self._own_placements[identity]
+
+    def _get_coordinator(self, requester: Gateway) -> Coordinator:
+        """Return the coordinator that responds to a gateway's request."""
         gateway = self.fleet.running_gateways[0]
+        if self.is_first_coordinator_silent:
+            gateway = requester
         identity = (gateway.name, gateway.incarnation)
         if identity not in self._coordinators:
             coordinator = Coordinator(
                 cell=self._cell,
                 clock=self.fleet.clock,
-                service=ServiceSpec(
-                    name=SERVICE,
-                    max_connections=100,
-                    engine=EngineSpec(
-                        slots=64, memory_tokens=100_000, tokens_per_event=4
-                    ),
-                ),
+                service=ENGINES,
                 routes=[self._route],
                 rate_limits=gateway.rate_limits,
+                is_in_charge=lambda: gateway is self.fleet.running_gateways[0],
             )
-            coordinator.set_engines([make_record(number) for number in range(3)])
+            coordinator.set_engines(self._engines)
             self._coordinators[identity] = coordinator
         return self._coordinators[identity]
 
@@ -241,3 +312,30 @@
     load = make_load(count, limit, rate, bare_fraction=0.4)
     load.run(10.0, rate=rate)
     assert load.count_most_in_window() <= load.bound
+
+
+@SIZES
+@RATES
+@LIMITS
+def test_a_limit_holds_while_gateways_coordinate_their_own_requests(
+    count: int, rate: float, limit: float
+) -> None:
+    load = make_load(count, limit, rate)
+    for _ in range(3):
+        load.is_first_coordinator_silent = True
+        load.run(1.0, rate=rate)
+        load.is_first_coordinator_silent = False
+        load.run(1.0, rate=rate)
+    assert load.count_most_in_window() <= load.bound
+
+
+@SIZES
+@RATES
+@LIMITS
+def test_a_limit_holds_when_no_other_engine_is_left(
+    count: int, rate: float, limit: float
+) -> None:
+    load = make_load(count, limit, rate, engine_count=1)
+    load.run(10.0, rate=rate)
+    assert load.count_most_in_window() <= load.bound
+    assert load.limited_count >= 0.5 * limit * 16.0
--- a/tests/test_gateway_rate_limits.py
+++ b/tests/test_gateway_rate_limits.py
@@ -287,6 +287,7 @@
             service=self.ENGINES,
             routes=[self.route],
             rate_limits=limits,
+            is_in_charge=lambda: True,
         )
         coordinator.set_engines([make_record(number) for number in range(3)])
         return coordinator
