--- a/tests/gateway_kit.py
+++ b/tests/gateway_kit.py
@@ -12,7 +12,7 @@
 from gevent import socket
 from gevent.server import StreamServer
 
-from damasklead.clock import Clock
+from damasklead.clock import Clock, ManualClock
 from damasklead.demo.local import find_free_address
 from damasklead.gateway.budget import SharedRetryBudget
 from damasklead.gateway.calls import UpstreamRecord, UpstreamState
@@ -254,9 +254,13 @@
             get_request_rate=self.rate_limits.get_share,
         )
         self.placement.update_replicas(replica.record for replica in replicas)
+        budget_clock = ManualClock()
         self.budget = SharedRetryBudget(
-            clock=self.clock, ratio=0.2, allowance=100.0, window=10.0
+            clock=budget_clock, ratio=0.2, allowance=100.0, window=10.0
         )
+        # A process has no share of the allowance in its first window.
+        self.budget.set_gateway_count(1)
+        budget_clock.advance(10.0)
         self.quarantined: list[Fingerprint] = []
         self.containment = Containment(
             clock=containment_clock or self.clock,
