--- a/damasklead/gateway/calls.py
+++ b/damasklead/gateway/calls.py
@@ -11,9 +11,16 @@
 import msgspec
 
 from damasklead.gateway.routing import ApiKey, Route, Workspace
-from damasklead.ids import AttemptId, DataCentre, InstanceId, ServiceName
+from damasklead.ids import (
+    AttemptId,
+    DataCentre,
+    InstanceId,
+    ServiceName,
+    SoftwareVersion,
+)
 
 __all__ = [
+    "UNKNOWN_VERSION",
     "Call",
     "CallHead",
     "Header",
@@ -32,6 +39,8 @@
 MIN_STREAM_IDLE_SECONDS = 2.0
 STREAM_IDLE_TARGETS = 4.0
 STREAM_IDLE_GAPS = 8.0
+# Version of a replica whose entry doesn't name one.  It equals no version.
+UNKNOWN_VERSION = SoftwareVersion("")
 # Number of route tiers that are distinguished within one workspace tier.
 ROUTE_TIERS = 3
 
@@ -72,6 +81,8 @@
         Upper bound of the response's length in tokens.
     last_event : bytes or None
         The id of the event after which the caller resumes a stream.
+    resumed_attempt : AttemptId or None
+        The caller's attempt that brought the first event of the stream that it resumes.
     forwarded : tuple
         The headers that are forwarded to the replica unchanged.
     """
@@ -86,6 +97,7 @@
     prompt_tokens: int = 0
     output_tokens: int = 0
     last_event: bytes | None = None
+    resumed_attempt: AttemptId | None = None
     forwarded: tuple[Header, ...] = ()
 
     @property
@@ -265,6 +277,8 @@
         same id one after the other.
     warm_up : float
         Seconds until the replica reaches its full speed.
+    version : SoftwareVersion
+        ``UNKNOWN_VERSION`` if the entry has none.
     """
 
     instance: InstanceId
@@ -275,3 +289,4 @@
     slots: int = 1
     incarnation: int = 0
     warm_up: float = 0.0
+    version: SoftwareVersion = UNKNOWN_VERSION
--- a/damasklead/gateway/proxied_request.py
+++ b/damasklead/gateway/proxied_request.py
@@ -44,6 +44,8 @@
 # multiple of the route's latency target, but not before the minimum.
 RESPONSE_TIMEOUT_TARGETS = 2.5
 MIN_RESPONSE_TIMEOUT_SECONDS = 0.25
+# Longest part of an event's id in a log line.
+MAX_LOGGED_ID_BYTES = 40
 # Retry-After when no replica is known or all are full.
 RETRY_AFTER_SECONDS = 0.4
 # Retry-After for a request that crashes replicas, which operators have to look into.
@@ -224,6 +226,10 @@
             request=call.id,
             replica=record.instance,
             offer=self.attempt_count,
+            version=record.version,
+            incarnation=record.incarnation,
+            after_event=_decode_event_id(self._last_event_id or call.head.last_event),
+            resumes=call.head.resumed_attempt or "",
             **self._placement.explain_choice(record.instance, call),
             **self._selector.get_log_fields(),
         )
@@ -537,6 +543,11 @@
         return Refusal(reason=reason, detail=detail)
 
 
+def _decode_event_id(event_id: bytes | None) -> str:
+    """Return an event's id for the log, empty without one."""
+    return "" if event_id is None else event_id[:MAX_LOGGED_ID_BYTES].decode("latin-1")
+
+
 def _check_attribution(reply: ResponseHead, upstream: Connection) -> None:
     """
     Raise ``SendError`` for a refusal that may belong to an earlier request.
--- a/damasklead/ids.py
+++ b/damasklead/ids.py
@@ -17,6 +17,7 @@
     "PoolId",
     "RequestId",
     "ServiceName",
+    "SoftwareVersion",
     "StoreEra",
     "WorkspaceId",
 ]
@@ -32,6 +33,8 @@
 AttemptId = NewType("AttemptId", str)
 # The upstreams of a service in one region or data centre, ``service@place``.
 PoolId = NewType("PoolId", str)
+# Version of a replica's software; versions have no order.
+SoftwareVersion = NewType("SoftwareVersion", str)
 # Hash of the content of a request, by which the quarantine recognizes repetitions.
 Fingerprint = NewType("Fingerprint", str)
 # Increases each time the platform's store is restored from a backup.
--- a/damasklead/platform/documents.py
+++ b/damasklead/platform/documents.py
@@ -21,7 +21,13 @@
     ServiceSpec,
     Workspace,
 )
-from damasklead.ids import DataCentre, InstanceId, ServiceName, WorkspaceId
+from damasklead.ids import (
+    DataCentre,
+    InstanceId,
+    ServiceName,
+    SoftwareVersion,
+    WorkspaceId,
+)
 
 __all__ = ["decode_configuration", "decode_upstream"]
 
@@ -100,6 +106,8 @@
     state: str
     slots: int = 1
     warmup_left_ms: float = 0.0
+    # Version of the replica's software; that of its weights is in ``models``.
+    version: str = ""
     # Start time of the replica in Unix milliseconds, which identifies its incarnation.
     born: int = 0
 
@@ -166,6 +174,7 @@
         slots=entry.slots,
         incarnation=entry.born,
         warm_up=entry.warmup_left_ms / MILLISECONDS_PER_SECOND,
+        version=SoftwareVersion(entry.version),
     )
 
 
--- a/damasklead/platform/headers.py
+++ b/damasklead/platform/headers.py
@@ -34,6 +34,9 @@
 TOKEN_USAGE = b"token-usage"
 PREFIX_HASH = b"prefix-hash"
 LAST_EVENT_ID = b"last-event-id"
+# Attempt id of the caller's attempt that brought the first event of the stream that the
+# request resumes.
+RESUMES = b"resumes"
 # Name of the workspace to which the API key belongs.
 TENANT = b"tenant"
 EXPECTED_INSTANCE = b"expected-instance"
@@ -46,6 +49,8 @@
 SERVER_LIMIT = b"server-limit"
 RETRY_AFTER = b"retry-after"
 
+# Longest id of another attempt that a request may name.
+MAX_ATTEMPT_ID_BYTES = 64
 # Range of REQUEST_PRIORITY; 0 is served first.
 MIN_PRIORITY_VALUE, MAX_PRIORITY_VALUE = 0, 9
 MISDIRECTED_REQUEST_STATUS = 421
@@ -73,7 +78,7 @@
 # Headers that are forwarded even if a caller names them in its Connection header.
 _PROTECTED_HEADERS = frozenset(
     {
-        ATTEMPT_ID, b"host", b"model", TOKEN_USAGE, PREFIX_HASH, LAST_EVENT_ID,
+        ATTEMPT_ID, b"host", b"model", TOKEN_USAGE, PREFIX_HASH, LAST_EVENT_ID, RESUMES,
         b"length-hint",
     }
 )  # fmt: skip
@@ -107,6 +112,7 @@
             prompt_tokens=prompt_tokens,
             output_tokens=output_tokens,
             last_event=values.get(LAST_EVENT_ID),
+            resumed_attempt=_parse_attempt_id(values.get(RESUMES)),
             forwarded=tuple(
                 (name, value) for name, value in headers if name.lower() not in dropped
             ),
@@ -216,6 +222,13 @@
         return None
 
 
+def _parse_attempt_id(value: bytes | None) -> AttemptId | None:
+    """Return an attempt id; ``None`` if it is absent, empty, repeated or too long."""
+    if value is None or not 0 < len(value) <= MAX_ATTEMPT_ID_BYTES or b"," in value:
+        return None
+    return AttemptId(value.decode("latin-1"))
+
+
 def _parse_api_key(value: bytes | None) -> ApiKey | None:
     if value is None or not value.lower().startswith(TOKEN_SCHEME):
         return None
