Continue a stream only at replicas of the version that began it

Cause: the gateway chose any replica for the rest of a stream. From its first event on a request names its version; placements, coordinators and cells choose among the replicas of that version only, and a replica whose entry has none continues nothing.

Streams that callers take up are another fault and still go to any replica.

--- a/damasklead/gateway/calls.py
+++ b/damasklead/gateway/calls.py
@@ -120,6 +120,9 @@
         Clock time in seconds at which the caller gives up.
     tier : int
         Priority of the request; 0 is the most urgent.
+    version : SoftwareVersion or None
+        Version of the replicas that may execute the request, since a part of its stream
+        was written by one of them; ``None`` if any may.
     """
 
     head: CallHead
@@ -131,6 +134,13 @@
     caller_deadline: float
     tier: int
     body: bytes = b""
+    version: SoftwareVersion | None = None
+
+    def accepts_version(self, version: SoftwareVersion) -> bool:
+        """Return whether a replica of a version may execute the request."""
+        if self.version is None:
+            return True
+        return version == self.version != UNKNOWN_VERSION
 
     @property
     def urgency(self) -> int:
--- a/damasklead/gateway/coordination/assignment_client.py
+++ b/damasklead/gateway/coordination/assignment_client.py
@@ -351,4 +351,5 @@
         is_first_attempt,
         source,
         rate_limits,
+        call.version,
     )
--- a/damasklead/gateway/coordination/cellmap.py
+++ b/damasklead/gateway/coordination/cellmap.py
@@ -123,10 +123,10 @@
         call : Call
         is_first_attempt : bool
             Whether the request has not been tried at a replica yet; later attempts
-            stay in the home cell.
+            stay in the home cell, and so do requests for one version of replicas.
         """
         home = self.find_home_cell(call)
-        if home is None or not is_first_attempt:
+        if home is None or not is_first_attempt or call.version is not None:
             return home
         load = self._get_fresh_load(home)
         if load is None or load <= SPILLOVER_THRESHOLD_SECONDS:
@@ -141,8 +141,17 @@
         return other if other_load + SPILLOVER_THRESHOLD_SECONDS < load else home
 
     def find_home_cell(self, call: Call) -> Cell | None:
-        """Return the home cell of a request, ``None`` if its service has no cell."""
-        cells = self._cells.get(call.service, {})
+        """
+        Return the home cell of a request.
+
+        ``None`` if its service has no cell with an engine that may execute it.
+        """
+        cells = [
+            cell
+            for cell, engines in self._cells.get(call.service, {}).items()
+            if call.version is None
+            or any(call.accepts_version(engine.version) for engine in engines)
+        ]
         return select_home_cell(cells, call, self._local_member.data_centre)
 
     def find_copy_source(self, call: Call, cell: Cell) -> str | None:
--- a/damasklead/gateway/coordination/coordinator.py
+++ b/damasklead/gateway/coordination/coordinator.py
@@ -344,6 +344,7 @@
             deadline=now + request.seconds_left,
             caller_deadline=now + request.caller_seconds_left,
             tier=request.tier,
+            version=request.version,
         )
         return _TrackedRequest(
             call=call,
--- a/damasklead/gateway/coordination/messages.py
+++ b/damasklead/gateway/coordination/messages.py
@@ -11,7 +11,7 @@
 
 from damasklead.gateway.calls import LoadHint, PromptPart
 from damasklead.gateway.coordination.cells import Cell
-from damasklead.ids import AttemptId, InstanceId
+from damasklead.ids import AttemptId, InstanceId, SoftwareVersion
 from damasklead.rate_limits import RateLimit
 
 __all__ = [
@@ -62,6 +62,8 @@
     rate_limits : tuple of RateLimit
         Limits of the cell's engines that the requester knows and has not told this
         coordinator recently.
+    version : SoftwareVersion or None
+        Version of the replicas that may execute the request; ``None`` if any may.
     """
 
     requester: str
@@ -78,6 +80,7 @@
     is_first_attempt: bool
     source: str | None = None
     rate_limits: tuple[RateLimit, ...] = ()
+    version: SoftwareVersion | None = None
 
 
 class RequestQueued(msgspec.Struct, array_like=True, frozen=True, tag=2):
--- a/damasklead/gateway/placements/base.py
+++ b/damasklead/gateway/placements/base.py
@@ -162,7 +162,9 @@
         candidates = [
             state
             for item, state in self._eligible_replicas.items()
-            if item not in excluded and self._get_available_at(state, now) <= now
+            if item not in excluded
+            and call.accepts_version(state.record.version)
+            and self._get_available_at(state, now) <= now
         ]
         if not candidates:
             return None
--- a/damasklead/gateway/placements/engine.py
+++ b/damasklead/gateway/placements/engine.py
@@ -175,7 +175,11 @@
 
     def has_capacity_for(self, call: Call) -> bool:
         """Return whether the engine chosen for a request has capacity."""
-        states = list(self._eligible_replicas.values())
+        states = [
+            state
+            for state in self._eligible_replicas.values()
+            if call.accepts_version(state.record.version)
+        ]
         available = {
             state.record.instance
             for state in self._filter_candidates(call, states, self._clock.now())
--- a/damasklead/gateway/proxied_request.py
+++ b/damasklead/gateway/proxied_request.py
@@ -146,6 +146,7 @@
                 if self._context.containment.should_refuse(self._call):
                     return self._refuse_quarantined()
                 if is_connected:
+                    self._check_version(record)
                     self._forward_to(record)
                     return None
             except SendError as error:
@@ -216,6 +217,11 @@
         self._selector.end_assignment("withdrawn")
         return False
 
+    def _check_version(self, record: UpstreamRecord) -> None:
+        """Raise ``SendError`` unless the replica may execute the request."""
+        if not self._call.accepts_version(record.version):
+            raise SendError(Failure.REFUSED, f"version {record.version!r}")
+
     def _forward_to(self, record: UpstreamRecord) -> None:
         """Send the request to a replica and relay its response."""
         call = self._call
@@ -430,6 +436,8 @@
             if splitter.last_id is not None:
                 self._last_event_id = splitter.last_id
             if not self.event_count:
+                # What another version writes doesn't fit to the events sent so far.
+                self._call.version = record.version
                 self._selector.report_prefill_done(reply.load, reply.rate_limit)
             self._placement.record_stream_event(self.replica, self._call)
             self._send_events(reply, complete_events)
--- a/tests/gateway_kit.py
+++ b/tests/gateway_kit.py
@@ -46,6 +46,7 @@
     Fingerprint,
     InstanceId,
     ServiceName,
+    SoftwareVersion,
     StoreEra,
     WorkspaceId,
 )
@@ -171,6 +172,8 @@
 
     Attributes
     ----------
+    version : SoftwareVersion
+        Version in the entry.
     requests : list
         The requests received: request line, headers and body of each.
     extra_headers : str
@@ -181,6 +184,7 @@
 
     def __init__(self, name: str, serve: Callable) -> None:
         self.name = name
+        self.version = SoftwareVersion("v1")
         self.requests: list[tuple[str, dict[str, str], bytes]] = []
         self.extra_headers = ""
         self.closed_by_gateway_count = 0
@@ -197,6 +201,7 @@
             address=f"127.0.0.1:{self._server.server_port}",
             data_centre=DataCentre("hout"),
             state=UpstreamState.LIVE,
+            version=self.version,
         )
 
     def receive_request(self, connection: socket.socket) -> str:
