Let a stream that a caller takes up go on only at the version that began it

Cause: requests with Last-Event-Id went to any replica; no gateway knew what another one, or the process before it, had sent. The origin of a stream, the version of the replica that sent its first event, goes to three gateways before that event reaches the caller, and within 0.2 s to the platform's store. A gateway asks those, then the store; without an origin of the same request it refuses with 503.

--- a/damasklead/gateway/context.py
+++ b/damasklead/gateway/context.py
@@ -17,6 +17,7 @@
 from damasklead.gateway.dialect import Dialect
 from damasklead.gateway.journal import Journal
 from damasklead.gateway.replica_probe import ReplicaProbe
+from damasklead.gateway.stream_origins.registry import OriginRegistry
 from damasklead.gateway.upstream_http import ConnectionPool, ResponseMemoryBudget
 from damasklead.rate_limits import RateLimits
 
@@ -46,6 +47,8 @@
         Records the events of the gateway.
     rate_limits : RateLimits
         The limits that replicas name in their responses.
+    origins : OriginRegistry
+        The versions that began the streams which callers take up.
     on_replica_left : callable
         Called with a replica that is leaving or gone, and a text that describes how
         this was detected.
@@ -62,6 +65,7 @@
     probe: ReplicaProbe
     journal: Journal
     rate_limits: RateLimits
+    origins: OriginRegistry
     on_replica_left: Callable[[UpstreamRecord, str], None]
     response_memory: ResponseMemoryBudget = msgspec.field(
         default_factory=ResponseMemoryBudget
--- a/damasklead/gateway/dialect.py
+++ b/damasklead/gateway/dialect.py
@@ -18,6 +18,7 @@
 from damasklead.gateway.directory import ListedRow
 from damasklead.gateway.routing import RoutingTable
 from damasklead.gateway.store_positions import INITIAL_POSITION, Position
+from damasklead.gateway.stream_origins.origins import StreamOrigin
 from damasklead.ids import AttemptId, DataCentre, InstanceId
 
 __all__ = [
@@ -26,6 +27,7 @@
     "Feed",
     "FeedError",
     "FeedFault",
+    "OriginStore",
     "PeerDirectory",
     "PeerEntry",
     "PlatformLink",
@@ -265,6 +267,28 @@
         """Return all entries."""
 
 
+class OriginStore(ABC):
+    """
+    Origins of streams in the platform's store, for gateways that start.
+
+    All methods raise ``FeedError`` if the call fails.
+    """
+
+    @abstractmethod
+    def write(
+        self, origins: Sequence[StreamOrigin], removed: Sequence[AttemptId]
+    ) -> None:
+        """Write origins and remove those of other attempts, at most 100 together."""
+
+    @abstractmethod
+    def read(self, attempt: AttemptId) -> StreamOrigin | None:
+        """Return the origin of an attempt's stream, ``None`` if there is none."""
+
+    @abstractmethod
+    def sample(self) -> list[StreamOrigin]:
+        """Return some of the origins, others with each call."""
+
+
 class PlatformLink(ABC):
     """A gateway's connection to its platform."""
 
@@ -283,6 +307,11 @@
     def peers(self) -> PeerDirectory:
         """Directory of gateways."""
 
+    @property
+    @abstractmethod
+    def origins(self) -> OriginStore:
+        """Origins of streams."""
+
     @abstractmethod
     def close(self) -> None:
         """Close the connections."""
--- a/damasklead/gateway/fleet.py
+++ b/damasklead/gateway/fleet.py
@@ -30,6 +30,7 @@
 from damasklead.gateway.settings import GatewaySettings
 from damasklead.gateway.snapshot import Snapshot
 from damasklead.gateway.store_positions import Position
+from damasklead.gateway.stream_origins.registry import OriginRegistry
 from damasklead.gateway.upstream_http import ConnectionPool
 from damasklead.ids import DataCentre, Fingerprint, InstanceId, StoreEra
 from damasklead.rate_limits import RateLimit, RateLimits
@@ -48,6 +49,8 @@
     ----------
     settings : GatewaySettings
     clock : Clock
+    get_unix_time : callable
+        Returns the wall-clock time in seconds.
     incarnation : int
         Start of the process in milliseconds of Unix time.
     journal : Journal
@@ -77,6 +80,8 @@
         Assigns requests to replicas together with the other gateways.
     rate_limits : RateLimits
         The limits that replicas name in their responses.
+    origins : OriginRegistry
+        The versions that began the streams which callers take up.
     """
 
     def __init__(
@@ -84,6 +89,7 @@
         *,
         settings: GatewaySettings,
         clock: Clock,
+        get_unix_time: Callable[[], float],
         incarnation: int,
         journal: Journal,
         link: Callable[[], PlatformLink],
@@ -153,6 +159,15 @@
             rate_limits=self.rate_limits,
         )
         self._broadcasts = self._make_broadcasts(incarnation)
+        self.origins = OriginRegistry(
+            instance=self._local_member.instance,
+            peers=self._peers,
+            store=lambda: link().origins,
+            is_sweeper=lambda: self._broadcasts is None or self._broadcasts.rank == 0,
+            clock=clock,
+            get_unix_time=get_unix_time,
+            journal=journal,
+        )
         self._configuration_recovery = ConfigurationRecovery(
             apply_snapshot=self._apply_newer_routing,
             connections=connections,
@@ -218,6 +233,7 @@
             TaskChild(name="replicas", function=self._follow_upstreams),
             TaskChild(name="decisions", function=self.coordination.run_queue_loop),
             TaskChild(name="running", function=self.coordination.run_report_loop),
+            TaskChild(name="origins", function=self.origins.writer.run),
         ]
         if self._peers is not None and self._broadcasts is not None:
             self._peers.listen()
@@ -352,6 +368,7 @@
                 entry.instance for entry in self._peers.members
             )
         self.coordination.invalidate_members()
+        self.origins.invalidate_members()
         if self._broadcasts is not None:
             self._broadcasts.invalidate_ranking()
 
--- a/damasklead/gateway/peers.py
+++ b/damasklead/gateway/peers.py
@@ -34,6 +34,11 @@
     PeerReport,
     Ping,
 )
+from damasklead.gateway.stream_origins.messages import (
+    OriginQuery,
+    OriginReply,
+    OriginReport,
+)
 from damasklead.ids import DataCentre, InstanceId
 from damasklead.util import split_address
 
@@ -66,6 +71,7 @@
     AssignmentRequest | RequestQueued | Grant | RequestRejected | PrefillDone
     | RequestEnded | RunningRequests
     | Announcement | LeaveNotice | Ping | Broadcast | PeerReport
+    | OriginReport | OriginQuery | OriginReply
 )  # fmt: skip
 
 
--- a/damasklead/gateway/process.py
+++ b/damasklead/gateway/process.py
@@ -98,6 +98,7 @@
         self._fleet = Fleet(
             settings=settings,
             clock=self._clock,
+            get_unix_time=self._clock.get_unix_time,
             incarnation=int(self._clock.get_unix_time() * 1000),
             journal=self._journal,
             link=lambda: self._link,
@@ -120,6 +121,7 @@
                 ),
                 journal=self._journal,
                 rate_limits=self._fleet.rate_limits,
+                origins=self._fleet.origins,
                 on_replica_left=self._handle_departure,
             ),
             placement_of=self._get_placement,
--- a/damasklead/gateway/proxied_request.py
+++ b/damasklead/gateway/proxied_request.py
@@ -132,6 +132,9 @@
         """
         if self._context.containment.should_refuse(self._call):
             return self._refuse_quarantined()
+        refusal = self._context.origins.resolve(self._call)
+        if refusal is not None:
+            return refusal
         while True:
             record = self._selector.select_replica(
                 excluded=self._excluded_replicas,
@@ -438,6 +441,7 @@
             if not self.event_count:
                 # What another version writes doesn't fit to the events sent so far.
                 self._call.version = record.version
+                self._context.origins.record(self._call, record)
                 self._selector.report_prefill_done(reply.load, reply.rate_limit)
             self._placement.record_stream_event(self.replica, self._call)
             self._send_events(reply, complete_events)
--- a/damasklead/gateway/refusals.py
+++ b/damasklead/gateway/refusals.py
@@ -30,6 +30,7 @@
     OVERLOADED = "overloaded"
     UNREACHABLE = "unreachable"
     QUARANTINED = "quarantined"
+    UNKNOWN_ORIGIN = "unknown-origin"
     UPSTREAM_FAILED = "upstream-failed"
     TIMED_OUT = "timed-out"
 
@@ -46,6 +47,7 @@
     Reason.OVERLOADED: 503,
     Reason.UNREACHABLE: 503,
     Reason.QUARANTINED: 503,
+    Reason.UNKNOWN_ORIGIN: 503,
     Reason.UPSTREAM_FAILED: 502,
     Reason.TIMED_OUT: 504,
 }
--- a/damasklead/platform/store.py
+++ b/damasklead/platform/store.py
@@ -23,6 +23,7 @@
     Feed,
     FeedError,
     FeedFault,
+    OriginStore,
     PeerDirectory,
     PeerEntry,
     PlatformLink,
@@ -34,13 +35,13 @@
 from damasklead.gateway.upstream_http import Connection, ConnectionPool, SendError
 from damasklead.ids import DataCentre, InstanceId, StoreEra
 from damasklead.platform.documents import decode_configuration, decode_upstream
+from damasklead.platform.origin_table import OriginTable
+from damasklead.platform.rows import CALL_TIMEOUT_SECONDS, Row, Rows, StoreCall, commit
 
 __all__ = ["StoreLink"]
 
 T = TypeVar("T")
 
-# A call normally takes 4 to 8 ms; the timeout tolerates a far slower store.
-CALL_TIMEOUT_SECONDS = 1.0
 # Time that a long poll may take in addition to its wait.
 LONG_POLL_MARGIN_SECONDS = 0.7
 MAX_RESPONSE_BYTES = 16_777_216
@@ -59,28 +60,6 @@
 KEEP_ALIVE_SECONDS = 10.0
 
 
-class _Row(msgspec.Struct):
-    key: str
-    # Version of the row: the store's transaction number at its last write, despite the
-    # field's name.
-    schema_version: int
-    data: str = ""
-    deleted: bool = False
-
-
-class _Rows(msgspec.Struct):
-    # Number of the newest transaction of the store.
-    schema_version: int
-    rows: list[_Row] = []
-    has_more: bool = False
-    # Era of the store; sent as a header of all responses, not in the body.
-    era: StoreEra = StoreEra(0)
-
-    @property
-    def position(self) -> Position:
-        return Position(self.era, self.schema_version)
-
-
 class _Peer(msgspec.Struct):
     address: str
     incarnation: int
@@ -89,11 +68,6 @@
     operators: str = ""
 
 
-# Function that makes a call of the store: method, path with query, content, and timeout
-# in seconds.
-_StoreCall = Callable[[str, str, dict[str, object] | None, float], _Rows]
-
-
 class _TableFeed(Feed[T], Generic[T]):
     """
     Feed of the rows of one table.
@@ -112,9 +86,9 @@
     def __init__(
         self,
         *,
-        call: _StoreCall,
+        call: StoreCall,
         table: str,
-        decode: Callable[[list[_Row], StoreEra], list[T]],
+        decode: Callable[[list[Row], StoreEra], list[T]],
         clock: Clock,
     ) -> None:
         self._call = call
@@ -126,7 +100,7 @@
 
     def read(self) -> Changes[T]:
         """Read the complete table page by page."""
-        rows: list[_Row] = []
+        rows: list[Row] = []
         cursor: Position | None = None
         start_key = ""
         for _ in range(MAX_PAGES):
@@ -164,7 +138,7 @@
             cursor=max(cursor, page.position),
         )
 
-    def _check_not_stale(self, page: _Rows) -> None:
+    def _check_not_stale(self, page: Rows) -> None:
         """
         Raise ``FeedError`` if a response is older than an earlier one.
 
@@ -200,7 +174,7 @@
         Returns the era of the store's latest response.
     """
 
-    def __init__(self, *, call: _StoreCall, era: Callable[[], StoreEra]) -> None:
+    def __init__(self, *, call: StoreCall, era: Callable[[], StoreEra]) -> None:
         self._call = call
         self._era = era
 
@@ -216,7 +190,7 @@
             )
         )
         data = base64.b64encode(content).decode()
-        self._commit({"write": [_make_row_key(entry) | {"data": data}]})
+        commit(self._call, {"write": [_make_row_key(entry) | {"data": data}]})
 
     def withdraw(self, entry: PeerEntry) -> None:
         """
@@ -233,7 +207,7 @@
                 )
             version = {"schema_version": entry.position.version}
             change["precondition"] = [_make_row_key(entry) | version]
-        self._commit(change)
+        commit(self._call, change)
 
     def read(self) -> list[PeerEntry]:
         """Return all entries."""
@@ -260,10 +234,6 @@
             )
         return entries
 
-    def _commit(self, change: dict[str, object]) -> None:
-        empty: dict[str, object] = {"precondition": [], "write": [], "remove": []}
-        self._call("POST", "/-/rows-tx", empty | change, CALL_TIMEOUT_SECONDS)
-
 
 def _make_row_key(entry: PeerEntry) -> dict[str, object]:
     return {"table": PEER_TABLE, "part": "", "key": entry.instance}
@@ -288,6 +258,7 @@
             call=self._call, table="op", decode=_decode_configurations, clock=clock
         )
         self._peers = _PeerTable(call=self._call, era=lambda: self._era)
+        self._origins = OriginTable(call=self._call)
         self._upstreams = _TableFeed(
             call=self._call, table="servers", decode=_decode_upstreams, clock=clock
         )
@@ -307,6 +278,11 @@
         """Directory of gateways."""
         return self._peers
 
+    @property
+    def origins(self) -> OriginStore:
+        """Origins of streams."""
+        return self._origins
+
     def close(self) -> None:
         """Close the connections."""
         self._connections.close()
@@ -317,7 +293,7 @@
         target: str,
         content: dict[str, object] | None,
         timeout_seconds: float,
-    ) -> _Rows:
+    ) -> Rows:
         """Make one call of the store; raises ``FeedError`` if it fails."""
         timeout_error = FeedError(
             FeedFault.UNREACHABLE, f"no response in {timeout_seconds} s"
@@ -370,13 +346,13 @@
     return StoreEra(int(value))
 
 
-def _check_era(page: _Rows, cursor: Position) -> None:
+def _check_era(page: Rows, cursor: Position) -> None:
     """Raise ``FeedError`` if a response is of another era than the cursor."""
     if page.era != cursor.era:
         raise FeedError(FeedFault.RESTORED, f"era {page.era} after {cursor.era}")
 
 
-def _decode_response(status: int, body: bytes) -> _Rows:
+def _decode_response(status: int, body: bytes) -> Rows:
     if status == HISTORY_LOST_STATUS:
         raise FeedError(
             FeedFault.HISTORY_LOST,
@@ -385,12 +361,12 @@
     if status != 200:
         raise FeedError(FeedFault.REFUSED, f"status {status}")
     try:
-        return msgspec.json.decode(body, type=_Rows)
+        return msgspec.json.decode(body, type=Rows)
     except msgspec.DecodeError as error:
         raise FeedError(FeedFault.UNREADABLE, str(error)) from error
 
 
-def _decode_configurations(rows: list[_Row], _era: StoreEra) -> list[RoutingTable]:
+def _decode_configurations(rows: list[Row], _era: StoreEra) -> list[RoutingTable]:
     try:
         return [
             decode_configuration(base64.b64decode(row.data))
@@ -401,7 +377,7 @@
         raise FeedError(FeedFault.UNREADABLE, f"configuration: {error}") from error
 
 
-def _decode_upstreams(rows: list[_Row], era: StoreEra) -> list[ListedRow]:
+def _decode_upstreams(rows: list[Row], era: StoreEra) -> list[ListedRow]:
     listed: list[ListedRow] = []
     for row in rows:
         record = None
--- a/tests/gateway_kit.py
+++ b/tests/gateway_kit.py
@@ -21,6 +21,7 @@
 from damasklead.gateway.coordination.cells import Member
 from damasklead.gateway.coordination.service import Coordination
 from damasklead.gateway.crash_containment import Containment
+from damasklead.gateway.dialect import FeedError, FeedFault, OriginStore
 from damasklead.gateway.forwarding import Forwarder
 from damasklead.gateway.journal import Journal
 from damasklead.gateway.listeners import Listener
@@ -40,8 +41,11 @@
 )
 from damasklead.gateway.start_gate import StartGate
 from damasklead.gateway.store_positions import Position
+from damasklead.gateway.stream_origins.origins import StreamOrigin
+from damasklead.gateway.stream_origins.registry import OriginRegistry
 from damasklead.gateway.upstream_http import ConnectionPool, ResponseMemoryBudget
 from damasklead.ids import (
+    AttemptId,
     DataCentre,
     Fingerprint,
     InstanceId,
@@ -222,6 +226,48 @@
             connection.close()
 
 
+class MemoryOriginStore(OriginStore):
+    """
+    Origins of streams in memory.
+
+    Attributes
+    ----------
+    is_down : bool
+        Makes all calls fail.
+    origins : dict
+        The origins by attempt.
+    calls : int
+        Number of calls.
+    """
+
+    def __init__(self) -> None:
+        self.is_down = False
+        self.origins: dict[AttemptId, StreamOrigin] = {}
+        self.calls = 0
+
+    def write(
+        self, origins: Sequence[StreamOrigin], removed: Sequence[AttemptId]
+    ) -> None:
+        self._count_call()
+        assert len(origins) + len(removed) <= 100
+        for attempt in removed:
+            self.origins.pop(attempt, None)
+        self.origins.update({origin.attempt: origin for origin in origins})
+
+    def read(self, attempt: AttemptId) -> StreamOrigin | None:
+        self._count_call()
+        return self.origins.get(attempt)
+
+    def sample(self) -> list[StreamOrigin]:
+        self._count_call()
+        return list(self.origins.values())
+
+    def _count_call(self) -> None:
+        self.calls += 1
+        if self.is_down:
+            raise FeedError(FeedFault.UNREACHABLE, "away")
+
+
 class ForwarderHarness:
     """
     A forwarder behind a listener, with scripted replicas.
@@ -234,6 +280,8 @@
         Pool of the connections to them; by default a new one.
     containment_clock : Clock or None
         Clock of the crash containment; by default that of the forwarder.
+    origin_store : MemoryOriginStore or None
+        Store of the origins of streams; by default a new one.
     """
 
     def __init__(
@@ -242,6 +290,7 @@
         *,
         connections: ConnectionPool | None = None,
         containment_clock: Clock | None = None,
+        origin_store: "MemoryOriginStore | None" = None,
     ) -> None:
         self.clock = LoopClock()
         self.replicas = list(replicas)
@@ -275,6 +324,16 @@
         self.journal = Journal(instance="gateway-1")
         self.gate = StartGate()
         self.gate.open()
+        self.origin_store = origin_store or MemoryOriginStore()
+        self.origins = OriginRegistry(
+            instance="gateway-1",
+            peers=None,
+            store=lambda: self.origin_store,
+            is_sweeper=lambda: True,
+            clock=self.clock,
+            get_unix_time=self.clock.get_unix_time,
+            journal=self.journal,
+        )
         self.forwarder = Forwarder(
             context=GatewayContext(
                 dialect=PlatformDialect(),
@@ -288,6 +347,7 @@
                 ),
                 journal=self.journal,
                 rate_limits=self.rate_limits,
+                origins=self.origins,
                 on_replica_left=self._handle_departure,
                 response_memory=self.response_memory,
             ),
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -181,7 +181,16 @@
             self._changed.wait(timeout=int(query["wait_ms"]) / 1000)
             gevent.sleep(0)
             rows = self._find_rows_since(query["table"], since)
-        if not since:
+        if parts.path.endswith("rows-get"):
+            first, end = query.get("range_start", ""), query.get("to")
+            rows = [
+                row
+                for row in sorted(rows, key=lambda row: row["key"])
+                if not row.get("deleted")
+                and row["key"] >= first
+                and (end is None or row["key"] < end)
+            ][: int(query.get("limit", 500))]
+        elif not since:
             rows = [row for row in rows if not row.get("deleted")]
         return 200, {"rows": rows, "has_more": False, "schema_version": self._version}
 
