--- a/damasklead/gateway/stream_origins/registry.py
+++ b/damasklead/gateway/stream_origins/registry.py
@@ -6,7 +6,7 @@
 and finds it again when a caller takes a stream up.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from enum import Enum
 
 import gevent
@@ -61,6 +61,34 @@
     STORE_UNAVAILABLE = "store-unavailable"
 
 
+class _Query:
+    """
+    A query that waits for the reply of a keeper which knows the origin.
+
+    Parameters
+    ----------
+    names : iterable of str
+        The keepers that are asked.
+
+    Attributes
+    ----------
+    result : AsyncResult
+        The reply; ``None`` when all keepers have replied that they don't know it.
+    """
+
+    def __init__(self, names: Iterable[str]) -> None:
+        self.result = AsyncResult()
+        self._silent = set(names)
+
+    def record_reply(self, reply: OriginReply, sender: str) -> None:
+        """Record a keeper's reply."""
+        self._silent.discard(sender)
+        if reply.origin is not None or reply.is_ambiguous:
+            self.result.set(reply)
+        elif not self._silent and not self.result.ready():
+            self.result.set(None)
+
+
 class OriginRegistry:
     """
     Records and finds the origins of streams for one gateway.
@@ -103,7 +131,7 @@
         self._journal = journal
         self._origins = StreamOrigins(clock=clock)
         self._keepers: list[str] | None = None
-        self._pending: dict[AttemptId, list[AsyncResult]] = {}
+        self._pending: dict[AttemptId, list[_Query]] = {}
         self.writer = OriginWriter(
             store=store,
             is_sweeper=is_sweeper,
@@ -214,22 +242,22 @@
         ]
         if self._peers is None or not names:
             return None
-        result = AsyncResult()
-        waiting = self._pending.setdefault(attempt, [])
-        waiting.append(result)
+        query = _Query(names)
+        queries = self._pending.setdefault(attempt, [])
+        queries.append(query)
         try:
             for timeout in QUERY_TIMEOUTS_SECONDS:
                 for name in names:
                     self._peers.send(name, OriginQuery(attempt))
                 try:
-                    reply: OriginReply = result.get(timeout=timeout)
+                    reply: OriginReply | None = query.result.get(timeout=timeout)
                 except gevent.Timeout:
                     continue
                 return reply
             return None
         finally:
-            waiting.remove(result)
-            if not waiting:
+            queries.remove(query)
+            if not queries:
                 self._pending.pop(attempt, None)
 
     def _rank_keepers(self, attempt: AttemptId) -> list[str]:
@@ -260,8 +288,6 @@
         )
         self._peers.send(sender, reply)
 
-    def _handle_reply(self, message: OriginReply, _sender: str) -> None:
-        if message.origin is None and not message.is_ambiguous:
-            return
-        for result in self._pending.get(message.attempt, ()):
-            result.set(message)
+    def _handle_reply(self, message: OriginReply, sender: str) -> None:
+        for query in self._pending.get(message.attempt, ()):
+            query.record_reply(message, sender)
--- a/tests/test_gateway_stream_origins.py
+++ b/tests/test_gateway_stream_origins.py
@@ -23,7 +23,11 @@
     StreamOrigins,
     select_keepers,
 )
-from damasklead.gateway.stream_origins.registry import COPIES, OriginRegistry
+from damasklead.gateway.stream_origins.registry import (
+    ASKED_KEEPERS,
+    COPIES,
+    OriginRegistry,
+)
 from damasklead.gateway.stream_origins.writer import (
     MAX_PENDING_ORIGINS,
     SWEEP_INTERVAL_SECONDS,
@@ -279,6 +283,17 @@
 
 
 class TestCost:
+    def test_the_store_is_read_as_soon_as_all_keepers_have_replied(self) -> None:
+        fleet = OriginFleet(8)
+        call = fleet.begin(0, make_record("r", "v1"))
+        fleet.write_all()
+        for name in fleet.names:
+            fleet.start(name)
+        before = fleet.datagram_count
+        assert fleet.take_up(call, "g3") is None
+        # One query and one reply for each of them, and none again after a timeout.
+        assert fleet.datagram_count - before <= 2 * ASKED_KEEPERS
+
     @pytest.mark.parametrize("count", [8, 302])
     def test_streams_cost_few_datagrams_and_store_calls(self, count: int) -> None:
         fleet = OriginFleet(count)
