Join no stream to a replica that has started again under its id

Before a stream goes on, the replica is asked for its start on the same connection; an origin is not used if its replica is listed with a later start and another version that may precede the stream. New streams cost nothing more.

--- a/damasklead/gateway/dialect.py
+++ b/damasklead/gateway/dialect.py
@@ -120,6 +120,19 @@
             Its ``headers`` are those that are relayed to the caller.
         """
 
+    @property
+    @abstractmethod
+    def report_target(self) -> str:
+        """Request target at which a replica reports on itself, without a slot."""
+
+    @abstractmethod
+    def parse_reported_incarnation(self, body: bytes) -> int | None:
+        """
+        Return the start of the replica from its report on itself.
+
+        ``None`` if the report doesn't have it.
+        """
+
     @abstractmethod
     def build_response_headers(
         self, *, attempt: AttemptId | None, retry_after: float | None
--- a/damasklead/gateway/directory.py
+++ b/damasklead/gateway/directory.py
@@ -132,6 +132,10 @@
             for item, record in self._records.items()
         ]
 
+    def get_record(self, instance: InstanceId) -> UpstreamRecord | None:
+        """Return the entry of a replica, ``None`` if it is not listed."""
+        return self._records.get(instance)
+
     def get_eligible_records(self, service: ServiceName) -> list[UpstreamRecord]:
         """Return the replicas of a service that may be sent new requests."""
         return self._by_service.get(service, [])
--- a/damasklead/gateway/fleet.py
+++ b/damasklead/gateway/fleet.py
@@ -167,6 +167,7 @@
             clock=clock,
             get_unix_time=get_unix_time,
             journal=journal,
+            get_record=directory.get_record,
         )
         self._configuration_recovery = ConfigurationRecovery(
             apply_snapshot=self._apply_newer_routing,
--- a/damasklead/gateway/proxied_request.py
+++ b/damasklead/gateway/proxied_request.py
@@ -15,6 +15,7 @@
 from damasklead.gateway.events import EventSplitter, continues_after
 from damasklead.gateway.placements import Placement
 from damasklead.gateway.refusals import Reason, Refusal, get_refusal_reason
+from damasklead.gateway.replica_identity import check_incarnation
 from damasklead.gateway.replica_probe import Liveness
 from damasklead.gateway.replica_selection import ReplicaSelector
 from damasklead.gateway.routing import RouteKind
@@ -221,9 +222,15 @@
         return False
 
     def _check_version(self, record: UpstreamRecord) -> None:
-        """Raise ``SendError`` unless the replica may execute the request."""
+        """
+        Raise ``SendError`` unless the replica has the version that the request needs.
+        """
+        if self._call.version is None:
+            return
         if not self._call.accepts_version(record.version):
             raise SendError(Failure.REFUSED, f"version {record.version!r}")
+        assert self._upstream is not None
+        check_incarnation(self._upstream, record, self._context.dialect)
 
     def _forward_to(self, record: UpstreamRecord) -> None:
         """Send the request to a replica and relay its response."""
@@ -528,6 +535,8 @@
             return False
         if self._context.containment.should_refuse(self._call):
             return False
+        if self._caller.head_sent and self._context.origins.is_doubtful(self._call.id):
+            return False
         # A failed connection brings no request to a replica, so the retry after it is
         # not charged to the budget.
         return failure is Failure.NOT_SENT or self._context.budget.acquire_retry(
--- a/damasklead/gateway/stream_origins/registry.py
+++ b/damasklead/gateway/stream_origins/registry.py
@@ -32,7 +32,7 @@
     select_keepers,
 )
 from damasklead.gateway.stream_origins.writer import OriginWriter
-from damasklead.ids import AttemptId, Incarnation
+from damasklead.ids import AttemptId, Incarnation, InstanceId
 
 __all__ = ["OriginRegistry", "OriginSource"]
 
@@ -44,6 +44,8 @@
 # Time for the replies of keepers, which take a few milliseconds, before they are asked
 # once more, and then before the store is read.
 QUERY_TIMEOUTS_SECONDS = (0.04, 0.06)
+# The clocks of a replica and a gateway may differ by this much.
+CLOCK_TOLERANCE_MS = 5_000
 # Retry-After when neither the keepers nor the store could be asked.
 RETRY_AFTER_SECONDS = 0.4
 
@@ -58,6 +60,7 @@
     NOT_FOUND = "not-found"
     AMBIGUOUS = "ambiguous"
     OTHER_REQUEST = "other-request"
+    REPLACED = "replaced"
     STORE_UNAVAILABLE = "store-unavailable"
 
 
@@ -110,6 +113,8 @@
     get_unix_time : callable
         Returns the wall-clock time in seconds.
     journal : Journal
+    get_record : callable
+        Returns the entry of a replica in the list, ``None`` if it is not listed.
     """
 
     def __init__(
@@ -122,7 +127,9 @@
         clock: Clock,
         get_unix_time: Callable[[], float],
         journal: Journal,
+        get_record: Callable[[InstanceId], UpstreamRecord | None],
     ) -> None:
+        self._get_record = get_record
         self._instance = instance
         self._peers = peers
         self._store = store
@@ -202,6 +209,27 @@
             retry_after=RETRY_AFTER_SECONDS if is_transient else None,
         )
 
+    def is_doubtful(self, attempt: AttemptId) -> bool:
+        """
+        Return whether the stream of this gateway's attempt may have begun at another
+        version than that of the replica's entry in the list at that time.
+        """
+        origin = self._origins.find(attempt)
+        return origin is None or self._may_be_replaced(origin)
+
+    def _may_be_replaced(self, origin: StreamOrigin) -> bool:
+        """
+        Return whether the replica had started again, with another version, before the
+        stream began, though the list didn't say so yet.
+        """
+        record = self._get_record(origin.instance)
+        return (
+            record is not None
+            and record.incarnation != origin.incarnation
+            and record.version != origin.version
+            and record.incarnation <= origin.began_ms + CLOCK_TOLERANCE_MS
+        )
+
     def _find(self, call: Call) -> tuple[StreamOrigin | None, OriginSource]:
         attempt = call.head.resumed_attempt
         if attempt is None:
@@ -230,6 +258,8 @@
             or origin.service != call.service
         ):
             return None, OriginSource.OTHER_REQUEST
+        if self._may_be_replaced(origin):
+            return None, OriginSource.REPLACED
         self._origins.add(origin)
         return origin, source
 
--- a/damasklead/platform/documents.py
+++ b/damasklead/platform/documents.py
@@ -29,7 +29,7 @@
     WorkspaceId,
 )
 
-__all__ = ["decode_configuration", "decode_upstream"]
+__all__ = ["decode_configuration", "decode_reported_start", "decode_upstream"]
 
 _ROUTE_KINDS = {
     "idempotent": RouteKind.IDEMPOTENT,
@@ -112,6 +112,11 @@
     born: int = 0
 
 
+class _Report(msgspec.Struct):
+    # Start time as in the replica's entry.
+    born: int
+
+
 def decode_configuration(data: bytes) -> RoutingTable:
     """
     Decode a version of the configuration; routes of unknown types are left out.
@@ -178,6 +183,21 @@
     )
 
 
+def decode_reported_start(data: bytes) -> int | None:
+    """
+    Decode when a replica was started from its report on itself.
+
+    Returns
+    -------
+    int or None
+        Milliseconds of Unix time; ``None`` if the report is invalid or lacks it.
+    """
+    try:
+        return msgspec.json.decode(data, type=_Report).born
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return None
+
+
 def _build_route(document: _Route) -> Route:
     shares = [(ServiceName(share.service), share.weight) for share in document.split]
     event_gap_ms = document.itl_target_ms
--- a/damasklead/platform/headers.py
+++ b/damasklead/platform/headers.py
@@ -20,6 +20,7 @@
 from damasklead.gateway.dialect import Dialect, RequestHeadError, SendPlan, join_headers
 from damasklead.gateway.routing import ApiKey
 from damasklead.ids import AttemptId
+from damasklead.platform.documents import decode_reported_start
 from damasklead.rate_limits import parse_rate_limit
 
 __all__ = ["PlatformDialect"]
@@ -160,6 +161,15 @@
             rate_limit=parse_rate_limit(values.get(SERVER_LIMIT)),
         )
 
+    @property
+    def report_target(self) -> str:
+        """Request target at which a replica reports on itself, without a slot."""
+        return "/-/report"
+
+    def parse_reported_incarnation(self, body: bytes) -> int | None:
+        """Return the start of the replica from its report on itself."""
+        return decode_reported_start(body)
+
     def build_response_headers(
         self, *, attempt: AttemptId | None, retry_after: float | None
     ) -> list[Header]:
--- a/tests/gateway_kit.py
+++ b/tests/gateway_kit.py
@@ -178,6 +178,12 @@
     ----------
     version : SoftwareVersion
         Version in the entry.
+    incarnation : int
+        Start of the replica in the entry.
+    born : int
+        Start of the replica in its report on itself.
+    report_count : int
+        Number of reports that it gave.
     requests : list
         The requests received: request line, headers and body of each.
     extra_headers : str
@@ -189,6 +195,8 @@
     def __init__(self, name: str, serve: Callable) -> None:
         self.name = name
         self.version = SoftwareVersion("v1")
+        self.incarnation = self.born = 1
+        self.report_count = 0
         self.requests: list[tuple[str, dict[str, str], bytes]] = []
         self.extra_headers = ""
         self.closed_by_gateway_count = 0
@@ -205,13 +213,24 @@
             address=f"127.0.0.1:{self._server.server_port}",
             data_centre=DataCentre("hout"),
             state=UpstreamState.LIVE,
+            incarnation=self.incarnation,
             version=self.version,
         )
 
     def receive_request(self, connection: socket.socket) -> str:
-        """Read a request and append it to ``requests``; returns its attempt id."""
-        self.requests.append(read_request(connection))
-        return self.requests[-1][1].get("attempt-id", "")
+        """
+        Read a request and append it to ``requests``; returns its attempt id.
+
+        Requests for the replica's report on itself are answered before.
+        """
+        while (request := read_request(connection))[0].split()[1] == "/-/report":
+            self.report_count += 1
+            report = b'{"phase":"unified","born":%d}' % self.born
+            connection.sendall(
+                b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(report) + report
+            )
+        self.requests.append(request)
+        return request[1].get("attempt-id", "")
 
     def stop(self) -> None:
         """Stop accepting connections."""
@@ -324,6 +343,9 @@
         self.journal = Journal(instance="gateway-1")
         self.gate = StartGate()
         self.gate.open()
+        self.listed_records = {
+            replica.record.instance: replica.record for replica in replicas
+        }
         self.origin_store = origin_store or MemoryOriginStore()
         self.origins = OriginRegistry(
             instance="gateway-1",
@@ -333,6 +355,7 @@
             clock=self.clock,
             get_unix_time=self.clock.get_unix_time,
             journal=self.journal,
+            get_record=lambda instance: self.listed_records.get(instance),
         )
         self.forwarder = Forwarder(
             context=GatewayContext(
--- a/tests/test_gateway_stream_origins.py
+++ b/tests/test_gateway_stream_origins.py
@@ -89,6 +89,7 @@
         self.names = [f"g{number}" for number in range(count)]
         self.lost: set[str] = set()
         self.datagram_count = 0
+        self.records: dict[InstanceId, UpstreamRecord] = {}
         self.peers: dict[str, OriginPeers] = {}
         self.gateways: dict[str, OriginRegistry] = {}
         for name in self.names:
@@ -106,6 +107,7 @@
             clock=self.clock,
             get_unix_time=lambda: 1e9 + self.clock.now(),
             journal=Journal(instance=name),
+            get_record=self.records.get,
         )
 
     def begin(self, number: int, record: UpstreamRecord) -> Call:
@@ -282,6 +284,37 @@
             assert call.version is None
 
 
+class TestReplicasThatStartAgainUnderTheirId:
+    """The list shows the new start, and its version, after a stream has begun."""
+
+    def resolve(self, version: str, *, started_ms: int) -> Refusal | None:
+        fleet = OriginFleet(8)
+        record = make_record("r", "v1")
+        call = fleet.begin(0, record)
+        gevent.sleep(0)
+        began_ms = int((1e9 + fleet.clock.now()) * 1000)
+        fleet.records[record.instance] = msgspec.structs.replace(
+            record,
+            version=SoftwareVersion(version),
+            incarnation=began_ms + started_ms,
+        )
+        refusals = [fleet.take_up(call, name) for name in ("g0", "g5")]
+        assert (refusals[0] is None) == (refusals[1] is None)
+        return refusals[0]
+
+    def test_before_the_stream_with_another_version(self) -> None:
+        expect_refusal(self.resolve("v2", started_ms=-500), "replaced")
+
+    def test_at_the_same_time_by_clocks_that_differ(self) -> None:
+        expect_refusal(self.resolve("v2", started_ms=2_000), "replaced")
+
+    def test_before_the_stream_with_the_same_version(self) -> None:
+        assert self.resolve("v1", started_ms=-500) is None
+
+    def test_well_after_the_stream(self) -> None:
+        assert self.resolve("v2", started_ms=30_000) is None
+
+
 class TestCost:
     def test_the_store_is_read_as_soon_as_all_keepers_have_replied(self) -> None:
         fleet = OriginFleet(8)
@@ -426,6 +459,30 @@
         assert response.startswith(b"HTTP/1.1 503")
         assert len(harness.versions_asked) == 1
 
+    def test_a_replica_that_started_again_gets_no_stream_that_is_taken_up(
+        self, harness: VersionHarness
+    ) -> None:
+        harness.prefer(0)
+        harness.send_request("/draft/1", method="POST", body="x", attempt="first")
+        # Both replicas of the version have started again; the list doesn't show it.
+        for replica in harness.replicas:
+            replica.born = 2
+        harness.list_all()
+        response = self.take_up(harness, "Resumes: first\r\n")
+        assert response.startswith(b"HTTP/1.1 503")
+        assert len(harness.versions_asked) == 1
+        harness.replicas[1].born = 1
+        response = self.take_up(harness, "Resumes: first\r\n")
+        assert response.startswith(b"HTTP/1.1 200")
+        assert len(harness.replicas[1].requests) == 1
+
+    def test_new_streams_ask_for_no_report(self, harness: VersionHarness) -> None:
+        for number in range(8):
+            harness.send_request(
+                "/draft/1", method="POST", body="x", attempt=f"a{number}"
+            )
+        assert not sum(replica.report_count for replica in harness.replicas)
+
     def test_events_of_a_stream_that_is_taken_up_follow(
         self, harness: VersionHarness
     ) -> None:
--- a/tests/test_gateway_stream_versions.py
+++ b/tests/test_gateway_stream_versions.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Callable, Iterator
 
+import msgspec
 import pytest
 
 from damasklead.clock import ManualClock
@@ -163,6 +164,24 @@
         assert harness.versions_asked == ["v1", "v2"]
         assert response.endswith(WHOLE + b"0\r\n\r\n")
 
+    @pytest.mark.parametrize("change", ["target", "origin"])
+    def test_a_stream_does_not_go_on_after_an_unlisted_start(
+        self, harnesses: list, change: str
+    ) -> None:
+        harness = make_harness(
+            harnesses, ("v1", make_breaking_script(2)), ("v1", send_whole_stream)
+        )
+        first, second = harness.replicas
+        if change == "target":
+            second.born = 2
+        else:
+            harness.listed_records[first.record.instance] = msgspec.structs.replace(
+                first.record, incarnation=2, version=SoftwareVersion("v2")
+            )
+        response = self.send_to_breaking_replica(harness)
+        assert not response.endswith(b"0\r\n\r\n")
+        assert not second.requests
+
     def test_replicas_without_a_version_do_not_continue_each_other(
         self, harnesses: list
     ) -> None:
