--- a/damasklead/gateway/stream_origins/origins.py
+++ b/damasklead/gateway/stream_origins/origins.py
@@ -97,7 +97,7 @@
     Examples
     --------
     >>> rank_keepers(AttemptId("a1"), ["g1", "g2", "g3"])
-    ['g2', 'g1', 'g3']
+    ['g2', 'g3', 'g1']
     """
     return sorted(keepers, key=lambda name: stable_hash(attempt, name))
 
