Leave out odd entries of the platform's lists and tables, and odd datagrams

A gateway ended, or no longer followed the list, when another writer left an odd entry: RecursionError for deep nesting escaped the decoder; numbers of more than 64 bits were accepted and failed when they were sent to other gateways; ports out of range and host names failed or were looked up when a request was sent there; ids with line breaks can't stand in a header. damasklead/decoding.py lets only DecodeError escape and has bounded numbers; ids and addresses are checked; the receiver of datagrams survives messages that can't be applied. Header values are bounded, too.

--- a/damasklead/gateway/peers.py
+++ b/damasklead/gateway/peers.py
@@ -15,6 +15,7 @@
 from gevent.event import Event
 
 from damasklead.clock import Clock
+from damasklead.decoding import decode_msgpack, is_ip_address, is_token
 from damasklead.gateway.coordination.messages import (
     AssignmentRequest,
     Grant,
@@ -74,6 +75,8 @@
     | OriginReport | OriginQuery | OriginReply
 )  # fmt: skip
 
+_DECODER = msgspec.msgpack.Decoder(_Message)
+
 
 class Peers:
     """
@@ -177,25 +180,49 @@
 
     def run_receiver(self) -> None:
         """Receive and handle messages, forever."""
-        decoder = msgspec.msgpack.Decoder(_Message)
         while True:
             batch: MessageBatch[tuple[Any, _Address]] = MessageBatch()
             data, address = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
             while data is not None:
-                try:
-                    message = decoder.decode(data)
-                except msgspec.DecodeError as error:
-                    self._journal.event("peer-message-unreadable", cause=str(error))
-                else:
+                message = self._decode_datagram(data)
+                if message is not None:
                     batch.add(type(message), (message, address))
                 data, address = self._receive_pending(full=batch.is_full)
             for message, sender in batch.select_messages():
-                self._handle_message(message, sender)
+                self._handle_safely(message, sender)
             if batch.dropped_count:
                 self._journal.event("asks-dropped", asks=batch.dropped_count)
             # Lets the greenlets of this gateway's own callers run.
             gevent.sleep(0)
 
+    def handle_datagram(self, data: bytes, address: _Address) -> None:
+        """Handle a datagram by itself, whatever it contains."""
+        message = self._decode_datagram(data)
+        if message is not None:
+            self._handle_safely(message, address)
+
+    def _decode_datagram(self, data: bytes) -> object | None:
+        """Return the message of a datagram, ``None`` if it has none."""
+        try:
+            message: object = decode_msgpack(data, decoder=_DECODER)
+        except msgspec.DecodeError as error:
+            self._journal.event("peer-message-unreadable", cause=str(error))
+            return None
+        return message
+
+    def _handle_safely(self, message: object, address: _Address) -> None:
+        """Handle a message; one that can't be handled must not end the receiver."""
+        try:
+            self._handle_message(message, address)
+        except Exception as error:
+            # Anybody may send a datagram that decodes as a message of a gateway.
+            self._journal.event(
+                "peer-message-failed",
+                peer=str(address),
+                message=type(message).__name__,
+                cause=repr(error),
+            )
+
     def _receive_pending(self, *, full: bool) -> tuple[bytes | None, _Address]:
         """Return a datagram that has already arrived, ``None`` without one."""
         if full:
@@ -348,6 +375,11 @@
         )
 
     def _handle_announcement(self, message: Announcement) -> None:
+        if not (is_token(message.instance) and is_ip_address(message.address)):
+            self._journal.event(
+                "peer-message-unreadable", cause=f"address {message.address!r}"
+            )
+            return
         entry = PeerEntry(
             instance=InstanceId(message.instance),
             address=message.address,
--- a/damasklead/gateway/snapshot.py
+++ b/damasklead/gateway/snapshot.py
@@ -9,6 +9,7 @@
 import gevent
 import msgspec
 
+from damasklead.decoding import decode_msgpack
 from damasklead.gateway.crash_reports import CrashCause
 from damasklead.gateway.dialect import PeerEntry
 from damasklead.gateway.directory import ListedRow
@@ -58,6 +59,9 @@
     has_all_peers: bool = True
 
 
+_DECODER = msgspec.msgpack.Decoder(Snapshot)
+
+
 class SnapshotError(Exception):
     """Fetching a snapshot failed; the text gives the reason."""
 
@@ -97,6 +101,7 @@
     if status != 200:
         raise SnapshotError(f"status {status}")
     try:
-        return msgspec.msgpack.decode(body, type=Snapshot)
+        snapshot: Snapshot = decode_msgpack(body, decoder=_DECODER)
     except msgspec.DecodeError as error:
         raise SnapshotError(f"invalid snapshot: {error}") from error
+    return snapshot
--- a/damasklead/platform/documents.py
+++ b/damasklead/platform/documents.py
@@ -8,6 +8,15 @@
 
 import msgspec
 
+from damasklead.decoding import (
+    Count,
+    Milliseconds,
+    PositiveCount,
+    UnixMilliseconds,
+    decode_json,
+    is_ip_address,
+    is_token,
+)
 from damasklead.gateway.calls import UpstreamRecord, UpstreamState
 from damasklead.gateway.routing import (
     ApiKey,
@@ -50,49 +59,49 @@
     host: str
     prefix: str
     type: str
-    timeout_ms: float
+    timeout_ms: Milliseconds
     # Target time to the complete response, or to a stream's first event.
-    slo_ms: float
+    slo_ms: Milliseconds
     service: str = ""
     split: list[_Share] = []
-    priority: int = 5
-    max_attempts: int = 1
+    priority: Count = 5
+    max_attempts: Count = 1
     public: bool = False
     resumable: bool = False
     # Target for the longest gap between two events.  "itl" stands for inter-token
     # latency, but an event holds several tokens.
-    itl_target_ms: float | None = None
+    itl_target_ms: Milliseconds | None = None
 
 
 class _Engine(msgspec.Struct):
-    slots: int
+    slots: Count
     # Capacity of the KV cache in tokens.
-    kv_capacity: int
+    kv_capacity: UnixMilliseconds
     # Number of tokens in an event of a stream.
-    stride: int = 1
+    stride: Count = 1
 
 
 class _Service(msgspec.Struct):
     name: str
-    max_connections: int = 100
+    max_connections: Count = 100
     engine: _Engine | None = None
 
 
 class _Limits(msgspec.Struct):
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 4_194_304
-    header_timeout_ms: float = 3000.0
-    idle_timeout_ms: float = 15_000.0
+    max_header_bytes: Count = 16_384
+    max_body_bytes: Count = 4_194_304
+    header_timeout_ms: Milliseconds = 3000.0
+    idle_timeout_ms: Milliseconds = 15_000.0
 
 
 class _Tenant(msgspec.Struct):
     name: str
     api_keys: list[str] = []
-    priority: int | None = None
+    priority: Count | None = None
 
 
 class _Configuration(msgspec.Struct):
-    version: int
+    version: UnixMilliseconds
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -104,17 +113,17 @@
     address: str
     zone: str
     state: str
-    slots: int = 1
-    warmup_left_ms: float = 0.0
+    slots: PositiveCount = 1
+    warmup_left_ms: Milliseconds = 0.0
     # Version of the replica's software; that of its weights is in ``models``.
     version: str = ""
     # Start time of the replica in Unix milliseconds, which identifies its incarnation.
-    born: int = 0
+    born: UnixMilliseconds = 0
 
 
 class _Report(msgspec.Struct):
     # Start time as in the replica's entry.
-    born: int
+    born: UnixMilliseconds
 
 
 def decode_configuration(data: bytes) -> RoutingTable:
@@ -126,7 +135,7 @@
     msgspec.DecodeError
         If the data is not a valid configuration.
     """
-    document = msgspec.json.decode(data, type=_Configuration)
+    document = decode_json(data, type=_Configuration)
     limits = document.limits
     content = RoutingContent(
         version=document.version,
@@ -156,18 +165,17 @@
     Returns
     -------
     UpstreamRecord or None
-        ``None`` if the entry is invalid or its state is neither ready nor draining.
+        ``None`` if the entry or its id is invalid, or its state is neither ready nor
+        draining.
     """
     try:
-        entry = msgspec.json.decode(data, type=_Upstream)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+        entry = decode_json(data, type=_Upstream)
+    except msgspec.DecodeError:
         return None
-    host, colon, port = entry.address.rpartition(":")
     if (
         entry.state not in _REPLICA_STATES
-        or not colon
-        or not port.isdigit()
-        or not host
+        or not is_token(instance)
+        or not is_ip_address(entry.address)
     ):
         return None
     return UpstreamRecord(
@@ -193,8 +201,8 @@
         Milliseconds of Unix time; ``None`` if the report is invalid or lacks it.
     """
     try:
-        return msgspec.json.decode(data, type=_Report).born
-    except (msgspec.DecodeError, UnicodeDecodeError):
+        return decode_json(data, type=_Report).born
+    except msgspec.DecodeError:
         return None
 
 
--- a/damasklead/platform/headers.py
+++ b/damasklead/platform/headers.py
@@ -50,6 +50,9 @@
 SERVER_LIMIT = b"server-limit"
 RETRY_AFTER = b"retry-after"
 
+# Largest number of tokens or requests that a header may name.
+MAX_COUNT_DIGITS = 9
+MAX_COUNT = 10**MAX_COUNT_DIGITS - 1
 # Longest id of another attempt that a request may name.
 MAX_ATTEMPT_ID_BYTES = 64
 # Range of REQUEST_PRIORITY; 0 is served first.
@@ -249,9 +252,10 @@
     """Return the prompt tokens and the maximum output tokens; zeros if invalid."""
     prompt, _, output = value.partition(b",")
     try:
-        return int(prompt), int(output)
+        counts = int(prompt), int(output)
     except ValueError:
         return 0, 0
+    return counts if min(counts) >= 0 and max(counts) <= MAX_COUNT else (0, 0)
 
 
 def _parse_prompt_parts(value: bytes) -> tuple[PromptPart, ...]:
@@ -259,7 +263,7 @@
     parts: list[PromptPart] = []
     for entry in value.split(b",") if value else ():
         key, _, tokens = entry.strip().partition(b":")
-        if not key or not tokens.isdigit():
+        if not key or not tokens.isdigit() or len(tokens) > MAX_COUNT_DIGITS:
             return ()
         parts.append(PromptPart(key.decode("latin-1"), int(tokens)))
     return tuple(parts)
@@ -270,6 +274,13 @@
         running, waiting, slots = (int(item) for item in (value or b"").split(b","))
     except ValueError:
         return None
+    if (
+        not 0
+        <= min(running, waiting, slots)
+        <= max(running, waiting, slots)
+        <= MAX_COUNT
+    ):
+        return None
     return LoadHint(running, waiting, slots)
 
 
--- a/damasklead/platform/origin_table.py
+++ b/damasklead/platform/origin_table.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from damasklead.decoding import decode_msgpack
 from damasklead.gateway.dialect import OriginStore
 from damasklead.gateway.stream_origins.origins import StreamOrigin
 from damasklead.ids import AttemptId
@@ -22,6 +23,7 @@
 __all__ = ["OriginTable"]
 
 ORIGIN_TABLE = "damasklead-streams"
+_DECODER = msgspec.msgpack.Decoder(StreamOrigin)
 # Rows of one sample.
 SAMPLE_ROWS = 200
 
@@ -90,6 +92,6 @@
     for row in rows:
         try:
             data = base64.b64decode(row.data)
-            yield msgspec.msgpack.decode(data, type=StreamOrigin)
+            yield decode_msgpack(data, decoder=_DECODER)
         except (msgspec.DecodeError, binascii.Error):
             continue  # written by an incompatible version of the gateway
--- a/damasklead/platform/store.py
+++ b/damasklead/platform/store.py
@@ -10,13 +10,14 @@
 import base64
 import binascii
 from collections.abc import Callable, Iterable
-from typing import Generic, TypeVar
+from typing import Annotated, Generic, TypeVar
 from urllib.parse import urlencode
 
 import gevent
 import msgspec
 
 from damasklead.clock import Clock
+from damasklead.decoding import UnixMilliseconds, decode_json, is_ip_address, is_token
 from damasklead.gateway.calls import Header
 from damasklead.gateway.dialect import (
     Changes,
@@ -62,9 +63,9 @@
 
 class _Peer(msgspec.Struct):
     address: str
-    incarnation: int
+    incarnation: UnixMilliseconds
     data_centre: str = ""
-    cores: float = 1.0
+    cores: Annotated[float, msgspec.Meta(gt=0, le=100_000)] = 1.0
     operators: str = ""
 
 
@@ -218,9 +219,11 @@
         entries: list[PeerEntry] = []
         for row in page.rows:
             try:
-                content = msgspec.json.decode(base64.b64decode(row.data), type=_Peer)
+                content = decode_json(base64.b64decode(row.data), type=_Peer)
             except (msgspec.DecodeError, binascii.Error):
                 continue  # written by an incompatible version of the gateway
+            if not (is_token(row.key) and is_ip_address(content.address)):
+                continue  # not written by a gateway
             entries.append(
                 PeerEntry(
                     instance=InstanceId(row.key),
@@ -361,7 +364,7 @@
     if status != 200:
         raise FeedError(FeedFault.REFUSED, f"status {status}")
     try:
-        return msgspec.json.decode(body, type=Rows)
+        return decode_json(body, type=Rows)
     except msgspec.DecodeError as error:
         raise FeedError(FeedFault.UNREADABLE, str(error)) from error
 
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -103,6 +103,10 @@
         data = base64.b64encode(json.dumps(content).encode()).decode()
         self._write(table, key, {"data": data})
 
+    def write_bytes(self, table: str, key: str, content: bytes) -> None:
+        """Write a row whose content need not be JSON."""
+        self._write(table, key, {"data": base64.b64encode(content).decode()})
+
     def delete_row(self, table: str, key: str) -> None:
         """Mark a row as deleted."""
         self._write(table, key, {"deleted": True})
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -30,6 +30,7 @@
     read_all,
     wait_until,
 )
+from tests.odd_values import ODD_DOCUMENTS
 from tests.platform_standin import StoreStandin, make_configuration, make_upstream_entry
 
 
@@ -406,3 +407,36 @@
     site.start(open_early=True)
     wait_until(lambda: site.is_port_open("callers"), seconds=10)
     assert site.post_order("a1").startswith(b"HTTP/1.1 200")
+
+
+@pytest.mark.parametrize("is_early", [True, False], ids=["at-start", "later"])
+def test_odd_entries_neither_end_the_process_nor_stop_the_list(
+    site: Site, is_early: bool
+) -> None:
+    def write_odd_entries() -> None:
+        address = site.replicas[0].record.address
+        large = make_upstream_entry(address) | {"slots": 10**30, "born": 10**30}
+        site.store.write_row("servers", "odd-number", large)
+        site.store.write_row(
+            "servers", "odd-port", make_upstream_entry("127.0.0.1:99999")
+        )
+        for number, data in enumerate(ODD_DOCUMENTS):
+            for table in ("servers", "damasklead-gateways", "damasklead-streams"):
+                site.store.write_bytes(table, f"odd-{number}", data)
+
+    if is_early:
+        write_odd_entries()
+    site.populate_store()
+    site.start()
+    wait_until(site.is_ready, seconds=10)
+    write_odd_entries()
+    late = ScriptedReplica("late", serve_requests)
+    site.replicas.append(late)
+    site.store.write_row("servers", "late", make_upstream_entry(late.record.address))
+    wait_until(lambda: site.has_logged("late live"))
+    for number in range(12):
+        response = site.post_order(f"a{number}")
+        assert response.startswith(b"HTTP/1.1 200")
+    assert late.requests and not site.has_logged("Traceback")
+    site.send_signal(signal.SIGTERM)
+    assert site.wait_for_exit() == 0
