Leave out odd instances and rows at entries, too

An entry no longer followed the instance list when another writer left an odd record: one undecodable record failed the whole list, a drain that can't be decoded ended the poll before the list was applied, and addresses and numbers out of range reached its peers. Lists are decoded record by record, also those that nest too deeply for the decoder; rows of drains and quarantine that can't be decoded are left out with a log line.

--- a/damasklead/audit.py
+++ b/damasklead/audit.py
@@ -13,6 +13,7 @@
 import msgspec
 from result import Err
 
+from damasklead.decoding import decode_json
 from damasklead.protocol import Steps
 from damasklead.stores.base import ABSENT, Commit, Condition, Put, Row
 
@@ -67,7 +68,7 @@
 
 def decode_audit_event(row: Row) -> AuditEvent:
     """Return the event in a row."""
-    return msgspec.json.decode(row.value, type=AuditEvent)
+    return decode_json(row.value, type=AuditEvent)
 
 
 class AuditBuffer:
--- a/damasklead/claims.py
+++ b/damasklead/claims.py
@@ -16,6 +16,7 @@
 from result import Err, Ok
 
 from damasklead.audit import AuditEvent, make_audit_write
+from damasklead.decoding import decode_json
 from damasklead.ids import AttemptId, Incarnation, InstanceId, WorkspaceId
 from damasklead.protocol import ReadRows, Steps
 from damasklead.stores.base import (
@@ -146,7 +147,7 @@
 
 def decode_claim(row: Row) -> Claim:
     """Return the claim in a row."""
-    return msgspec.json.decode(row.value, type=Claim)
+    return decode_json(row.value, type=Claim)
 
 
 def acquire(claim: Claim) -> Steps[AcquireResult]:
--- a/damasklead/daemon/watchers.py
+++ b/damasklead/daemon/watchers.py
@@ -8,7 +8,8 @@
 """
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Iterator
+from typing import TypeVar
 
 import msgspec
 from gevent import socket
@@ -18,6 +19,7 @@
 from damasklead import logs
 from damasklead.daemon.entry import ENTRY_SERVICE, Entry
 from damasklead.daemon.peers import Peers
+from damasklead.decoding import decode_json
 from damasklead.drains import DRAINS_TABLE, Drain
 from damasklead.duties import read_generation
 from damasklead.ids import DataCentre, InstanceId
@@ -43,6 +45,8 @@
 
 __all__ = ["Watchers"]
 
+T = TypeVar("T")
+
 TIMEOUT_CHECK_INTERVAL_SECONDS = 0.05
 EARLY_POLL_CHECK_INTERVAL_SECONDS = 0.2
 CALLER_CHECK_INTERVAL_SECONDS = 0.25
@@ -50,6 +54,8 @@
 MAX_READS_PER_SECOND = 20.0  # of all entries together, for each kind of polled data
 RECORD_INTERVAL_SECONDS = 1.0
 MAX_BACKOFF_SECONDS = 30.0
+# Longest list of ids in a log line.
+MAX_LOGGED_CHARACTERS = 500
 
 
 class Watchers:
@@ -85,7 +91,7 @@
         It is polled early when a peer has a newer configuration.
         """
         while True:
-            self._poll_configuration()
+            self._run_poll(self._poll_configuration)
             self._wait_for_poll(
                 lambda: (
                     self._peers.newest_configuration[0]
@@ -96,9 +102,16 @@
     def run_member_loop(self) -> None:
         """Poll instances, drains and the quarantine until the task is stopped."""
         while True:
-            self._poll_members()
+            self._run_poll(self._poll_members)
             self._wait_for_poll(lambda: False)
 
+    def _run_poll(self, poll: Callable[[], None]) -> None:
+        """Poll once; a row that can't be decoded must not end the process."""
+        try:
+            poll()
+        except msgspec.DecodeError as error:
+            logs.warning("odd-row", detail=str(error))
+
     def run_caller_check_loop(self) -> None:
         """
         Cancel requests whose caller disconnected before the response began, and fail
@@ -227,8 +240,9 @@
             self._apply_listing(result.ok_value)
         drains = entry.platform.tables.scan(DRAINS_TABLE, limit=1000)
         if isinstance(drains, Ok):
-            for row in drains.ok_value:
-                drain = msgspec.json.decode(row.value, type=Drain)
+            for drain in _decode_rows(
+                drains.ok_value, lambda row: decode_json(row.value, type=Drain)
+            ):
                 entry.mark_leaving(
                     drain.instance, drain.incarnation, why="an operator drains it"
                 )
@@ -237,8 +251,8 @@
             entry.generation = generation[0]
         quarantined = entry.platform.tables.scan(QUARANTINE_TABLE, limit=1000)
         if isinstance(quarantined, Ok):
-            for row in quarantined.ok_value:
-                apply_quarantine_row(decode_quarantine_row(row), entry.quarantine)
+            for item in _decode_rows(quarantined.ok_value, decode_quarantine_row):
+                apply_quarantine_row(item, entry.quarantine)
         if entry.membership.generation != before:
             entry.update_members()
 
@@ -247,7 +261,11 @@
         if listing.records is not None:
             self._list_version = listing.version
             self._listed_records = listing.records
-        self._entry.membership.merge_list(self._listed_records)
+        odd = self._entry.membership.merge_list(self._listed_records)
+        if odd:
+            logs.warning(
+                "odd-instances", instances=",".join(odd)[:MAX_LOGGED_CHARACTERS]
+            )
 
     def _wait_for_poll(self, should_poll: Callable[[], bool]) -> None:
         """
@@ -279,3 +297,12 @@
     except OSError:
         return True
     return not data
+
+
+def _decode_rows(rows: Iterable[Row], decode: Callable[[Row], T]) -> Iterator[T]:
+    """Yield what rows contain; those that another writer has left are left out."""
+    for row in rows:
+        try:
+            yield decode(row)
+        except msgspec.DecodeError as error:
+            logs.warning("odd-row", key=row.key, detail=str(error))
--- a/damasklead/leases.py
+++ b/damasklead/leases.py
@@ -26,6 +26,7 @@
 
 from damasklead.audit import AuditEvent, make_audit_write
 from damasklead.clock import Clock
+from damasklead.decoding import decode_json
 from damasklead.ids import Incarnation, InstanceId, StoreEra
 from damasklead.protocol import ReadRows, Steps
 from damasklead.stores.base import (
@@ -256,7 +257,7 @@
 
 def decode_lease(row: Row) -> Lease:
     """Return the lease in a row."""
-    return msgspec.json.decode(row.value, type=Lease)
+    return decode_json(row.value, type=Lease)
 
 
 def _find_version(lease: Lease, rows: tuple[Row, ...]) -> int | None:
--- a/damasklead/manifest.py
+++ b/damasklead/manifest.py
@@ -17,6 +17,7 @@
 
 from damasklead.audit import AuditEvent, make_audit_write
 from damasklead.configuration import Configuration, build_configuration
+from damasklead.decoding import decode_json
 from damasklead.findings import Findings
 from damasklead.ids import AttemptId, Incarnation, InstanceId
 from damasklead.protocol import GetObject, PutObject, ReadRows, Steps
@@ -161,7 +162,7 @@
 
 def decode_manifest(row: Row) -> Manifest:
     """Return the manifest in a row."""
-    return msgspec.json.decode(row.value, type=Manifest)
+    return decode_json(row.value, type=Manifest)
 
 
 def fetch(
@@ -261,9 +262,7 @@
     result = yield ReadRows(table=REPORTS_TABLE, keys=tuple(instances))
     if isinstance(result, Err):
         return None
-    reports = [
-        msgspec.json.decode(row.value, type=VersionReport) for row in result.ok_value
-    ]
+    reports = [decode_json(row.value, type=VersionReport) for row in result.ok_value]
     return {report.instance: report.version for report in reports}
 
 
--- a/damasklead/membership.py
+++ b/damasklead/membership.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from damasklead.clock import Clock
+from damasklead.decoding import is_ip_address, is_token
 from damasklead.ids import DataCentre, Incarnation, InstanceId, ServiceName
 from damasklead.stores.base import InstanceRecord, InstanceState
 
@@ -21,6 +22,8 @@
 
 ABSENCE_GRACE_SECONDS = 5.0
 TOMBSTONE_TTL_SECONDS = 3600.0
+# Messages between entries hold numbers of 64 bits.
+MAX_INCARNATION = 2**63 - 1
 
 
 class MemberState(Enum):
@@ -58,6 +61,15 @@
     absent_since: float | None = None
 
 
+def _is_usable(record: InstanceRecord) -> bool:
+    """Return whether a record names an instance to which one can connect."""
+    return (
+        is_token(record.instance)
+        and is_ip_address(record.address)
+        and 0 <= record.incarnation <= MAX_INCARNATION
+    )
+
+
 class Membership:
     """
     The view of the membership that one process has.
@@ -75,20 +87,39 @@
         # The latest incarnation known to leave, its state, and the time of the record.
         self._tombstones: dict[InstanceId, tuple[Incarnation, MemberState, float]] = {}
 
-    def merge_list(self, records: tuple[InstanceRecord, ...]) -> None:
+    def merge_list(self, records: tuple[InstanceRecord, ...]) -> list[InstanceId]:
         """
         Merge the complete instance list.
 
         Removes instances that have been missing from it for the grace period.
+
+        Returns
+        -------
+        list of InstanceId
+            The records that were left out since they name no usable instance.
         """
-        for record in records:
-            self._merge_record(record)
-        self._record_absences({record.instance for record in records})
+        odd = self.merge_peer_records(records)
+        self._record_absences({record.instance for record in records}.difference(odd))
+        return odd
 
-    def merge_peer_records(self, records: tuple[InstanceRecord, ...]) -> None:
-        """Merge records of a peer, which may lack instances that are still there."""
+    def merge_peer_records(
+        self, records: tuple[InstanceRecord, ...]
+    ) -> list[InstanceId]:
+        """
+        Merge records of a peer, which may lack instances that are still there.
+
+        Returns
+        -------
+        list of InstanceId
+            The records that were left out since they name no usable instance.
+        """
+        odd: list[InstanceId] = []
         for record in records:
-            self._merge_record(record)
+            if _is_usable(record):
+                self._merge_record(record)
+            else:
+                odd.append(record.instance)
+        return odd
 
     def build_records(self) -> tuple[InstanceRecord, ...]:
         """Return the records of all known instances, to be sent to a peer."""
--- a/damasklead/messages.py
+++ b/damasklead/messages.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from damasklead.decoding import decode_msgpack
 from damasklead.ids import Fingerprint, Incarnation, InstanceId, PoolId
 from damasklead.rate_limits import RateLimit
 from damasklead.stores.base import InstanceRecord
@@ -240,4 +241,5 @@
     msgspec.DecodeError
         When ``content`` is not a valid message.
     """
-    return _DECODER.decode(content)
+    message: PeerMessage = decode_msgpack(content, decoder=_DECODER)
+    return message
--- a/damasklead/quarantine_rows.py
+++ b/damasklead/quarantine_rows.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from damasklead.audit import AuditEvent, make_audit_write
+from damasklead.decoding import decode_json
 from damasklead.ids import Fingerprint
 from damasklead.quarantine import Quarantine
 from damasklead.stores.base import Commit, Put, Row
@@ -54,7 +55,7 @@
 
 def decode_quarantine_row(row: Row) -> QuarantineRow:
     """Return the quarantine row in a row of the table service."""
-    return msgspec.json.decode(row.value, type=QuarantineRow)
+    return decode_json(row.value, type=QuarantineRow)
 
 
 def make_release_commit(row: QuarantineRow, *, event: AuditEvent) -> Commit:
--- a/damasklead/stores/http.py
+++ b/damasklead/stores/http.py
@@ -5,12 +5,14 @@
 A client of the platform's services, which posts each call as a JSON document.
 """
 
+from collections.abc import Callable
 from typing import Any, TypeVar
 
 import msgspec
 from geventhttpclient import HTTPClient
 from result import Err, Ok, Result
 
+from damasklead.decoding import decode_json
 from damasklead.ids import InstanceId, StoreEra
 from damasklead.stores.base import (
     Commit,
@@ -25,6 +27,7 @@
     StoreError,
     TableService,
 )
+from damasklead.stores.listings import decode_listing
 from damasklead.util import split_address
 
 __all__ = [
@@ -140,7 +143,13 @@
         """The highest era that a response has named; 0 before."""
         return self._era
 
-    def post_call(self, call: Call, response_type: Any) -> Result[Any, StoreError]:
+    def post_call(
+        self,
+        call: Call,
+        response_type: Any,
+        *,
+        decode: Callable[[bytes], Any] | None = None,
+    ) -> Result[Any, StoreError]:
         """
         Post one call.
 
@@ -150,6 +159,8 @@
             The call.
         response_type : type
             Type as which the JSON response is decoded.
+        decode : callable, optional
+            Decodes the response instead; raises ``msgspec.DecodeError``.
 
         Returns
         -------
@@ -171,7 +182,9 @@
         if response.status_code != 200:
             return Err(StoreError.UNKNOWN)
         try:
-            return Ok(msgspec.json.decode(content, type=response_type))
+            if decode is not None:
+                return Ok(decode(content))
+            return Ok(decode_json(content, type=response_type))
         except msgspec.DecodeError:
             return Err(StoreError.UNKNOWN)
 
@@ -232,7 +245,8 @@
 
     def list_instances(self, *, known_version: str = "") -> Result[Listing, StoreError]:
         """Return all instances, unless the list still has the known version."""
-        return self._client.post_call(ListCall(known=known_version), Listing)
+        call = ListCall(known=known_version)
+        return self._client.post_call(call, Listing, decode=decode_listing)
 
     def register_instance(self, record: InstanceRecord) -> Result[None, StoreError]:
         """Add or update an instance."""
