Answer or refuse requests that come late in a planned stop

Callers' requests that came late in the grace period were passed on and cut without an answer when the process ended, also requests that may run only once (LOST). Cause: a gateway took requests for as long as it accepted connections, whatever time they had, and closed the connections of all that were left. While it stops it takes a request only if it can end in time, by its deadline or by what requests of its route took lately; the others get 503, not run.

--- a/damasklead/gateway/context.py
+++ b/damasklead/gateway/context.py
@@ -17,6 +17,7 @@
 from damasklead.gateway.dialect import Dialect
 from damasklead.gateway.journal import Journal
 from damasklead.gateway.replica_probe import ReplicaProbe
+from damasklead.gateway.stop_schedule import StopSchedule
 from damasklead.gateway.stream_origins.registry import OriginRegistry
 from damasklead.gateway.upstream_http import ConnectionPool, ResponseMemoryBudget
 from damasklead.rate_limits import RateLimits
@@ -49,6 +50,8 @@
         The limits that replicas name in their responses.
     origins : OriginRegistry
         The versions that began the streams which callers take up.
+    stop_schedule : StopSchedule
+        Decides which requests are still taken while the gateway stops.
     on_replica_left : callable
         Called with a replica that is leaving or gone, and a text that describes how
         this was detected.
@@ -66,6 +69,7 @@
     journal: Journal
     rate_limits: RateLimits
     origins: OriginRegistry
+    stop_schedule: StopSchedule
     on_replica_left: Callable[[UpstreamRecord, str], None]
     response_memory: ResponseMemoryBudget = msgspec.field(
         default_factory=ResponseMemoryBudget
--- a/damasklead/gateway/forwarding.py
+++ b/damasklead/gateway/forwarding.py
@@ -31,6 +31,8 @@
 
 # Retry-After before the first configuration is read, which takes about this long.
 NO_CONFIGURATION_RETRY_SECONDS = 0.5
+# Retry-After while this gateway stops: another one takes the request.
+STOPPING_RETRY_SECONDS = 0.05
 
 
 class _DeadlineExceeded(BaseException):
@@ -69,6 +71,7 @@
         self._metrics = metrics
         self._gate = gate
         self._active_requests = 0
+        self._timers: dict[gevent.Timeout, gevent.Greenlet] = {}
 
     @property
     def active_requests(self) -> int:
@@ -93,6 +96,20 @@
         finally:
             self._active_requests -= 1
 
+    def end_requests(self) -> int:
+        """
+        Let all requests in progress end now, each with an answer where none has begun.
+
+        Returns
+        -------
+        int
+            Number of these requests.
+        """
+        timers = dict(self._timers)
+        for timer, greenlet in timers.items():
+            gevent.kill(greenlet, timer.exception)
+        return len(timers)
+
     def _build_call(self, request: RawRequest) -> Call | Refusal:
         """Decode a request and find its route, workspace and deadline."""
         try:
@@ -136,6 +153,9 @@
         # A request that may run only once continues when its caller half-closes:
         # it can't be undone, and the caller may still read the response.
         connection.cancel_on_disconnect = call.route.kind is not RouteKind.ONCE
+        if not self._context.stop_schedule.accepts(call):
+            self._refuse_while_stopping(call, connection)
+            return
         self._context.budget.record_first_attempt(call.service)
         proxied_request = ProxiedRequest(
             context=self._context,
@@ -146,6 +166,7 @@
         remaining_seconds = call.deadline - self._context.clock.now()
         timer = gevent.Timeout(max(0.0, remaining_seconds), _DeadlineExceeded())
         timer.start()
+        self._timers[timer] = gevent.getcurrent()
         try:
             refusal = proxied_request.forward()
         except _DeadlineExceeded:
@@ -155,12 +176,31 @@
             raise
         finally:
             timer.close()
+            del self._timers[timer]
             proxied_request.close()
         if refusal is None:
             self._record_response(call, proxied_request)
         else:
             self._refuse_call(call, proxied_request, refusal, connection)
 
+    def _refuse_while_stopping(self, call: Call, connection: CallerConnection) -> None:
+        """Refuse a request that might not end before the process does."""
+        refusal = Refusal(
+            reason=Reason.STOPPING,
+            attempt=call.id,
+            retry_after=STOPPING_RETRY_SECONDS,
+        )
+        self._metrics.count_refusal(call, refusal)
+        self._context.journal.event(
+            "refused",
+            request=call.id,
+            route=call.route.name,
+            reason=refusal.reason.value,
+            status=refusal.status,
+            retry_after=refusal.retry_after or 0.0,
+        )
+        self._send_refusal(refusal, connection)
+
     def _record_disconnect(
         self, call: Call, proxied_request: ProxiedRequest, error: BaseException
     ) -> None:
@@ -178,6 +218,7 @@
 
     def _record_response(self, call: Call, proxied_request: ProxiedRequest) -> None:
         seconds = self._context.clock.now() - call.arrival
+        self._context.stop_schedule.record_duration(call)
         self._metrics.count_response(
             call, proxied_request.status, proxied_request.first_byte_seconds
         )
--- a/damasklead/gateway/process.py
+++ b/damasklead/gateway/process.py
@@ -32,6 +32,7 @@
 from damasklead.gateway.settings import GatewaySettings
 from damasklead.gateway.settings_file import SettingsFile
 from damasklead.gateway.start_gate import StartGate
+from damasklead.gateway.stop_schedule import StopSchedule
 from damasklead.gateway.upstream_http import ConnectionPool
 from damasklead.ids import DataCentre, ServiceName
 from damasklead.loop import LoopClock
@@ -83,6 +84,7 @@
         )
         self._metrics = GatewayMetrics()
         self._gate = StartGate()
+        self._stop_schedule = StopSchedule(clock=self._clock)
         self._is_stopping = False
         self._stop_requested = Event()
         self._link = open_link(settings.platform)
@@ -122,6 +124,7 @@
                 journal=self._journal,
                 rate_limits=self._fleet.rate_limits,
                 origins=self._fleet.origins,
+                stop_schedule=self._stop_schedule,
                 on_replica_left=self._handle_departure,
             ),
             placement_of=self._get_placement,
@@ -181,11 +184,18 @@
         self._is_stopping = True
         self._journal.event("stopping", requests=self._forwarder.active_requests)
         self._fleet.announce_leave()
-        deadline = started_at + self._settings.bounds.stop_seconds - STOP_MARGIN_SECONDS
+        stop_seconds = self._settings.bounds.stop_seconds - STOP_MARGIN_SECONDS
+        self._stop_schedule.begin(seconds=stop_seconds)
         gevent.sleep(DEREGISTRATION_DELAY_SECONDS)
-        self._caller_listener.drain(seconds=deadline - self._clock.now())
+        self._caller_listener.drain(
+            seconds=self._stop_schedule.remaining_seconds or 0.0
+        )
+        ended_count = self._forwarder.end_requests()
+        if ended_count:
+            gevent.sleep(max(0.0, started_at + stop_seconds - self._clock.now()))
         self._journal.event(
             "stopped",
+            ended=ended_count,
             cut_off=self._caller_listener.connection_count,
             seconds=self._clock.now() - started_at,
         )
@@ -240,6 +250,7 @@
         for service in table.services.values():
             placement = self._get_placement(service.name)
             placement.configure(service, table.find_routes(service.name))
+        self._stop_schedule.retain_routes({route.name for route in table.routes})
 
     def _update_placements(self) -> None:
         """Pass the replicas that accept new requests to the placements."""
--- a/damasklead/gateway/refusals.py
+++ b/damasklead/gateway/refusals.py
@@ -31,6 +31,7 @@
     UNREACHABLE = "unreachable"
     QUARANTINED = "quarantined"
     UNKNOWN_ORIGIN = "unknown-origin"
+    STOPPING = "stopping"
     UPSTREAM_FAILED = "upstream-failed"
     TIMED_OUT = "timed-out"
 
@@ -48,6 +49,7 @@
     Reason.UNREACHABLE: 503,
     Reason.QUARANTINED: 503,
     Reason.UNKNOWN_ORIGIN: 503,
+    Reason.STOPPING: 503,
     Reason.UPSTREAM_FAILED: 502,
     Reason.TIMED_OUT: 504,
 }
--- a/tests/gateway_kit.py
+++ b/tests/gateway_kit.py
@@ -40,6 +40,7 @@
     Workspace,
 )
 from damasklead.gateway.start_gate import StartGate
+from damasklead.gateway.stop_schedule import StopSchedule
 from damasklead.gateway.store_positions import Position
 from damasklead.gateway.stream_origins.origins import StreamOrigin
 from damasklead.gateway.stream_origins.registry import OriginRegistry
@@ -343,6 +344,7 @@
         self.journal = Journal(instance="gateway-1")
         self.gate = StartGate()
         self.gate.open()
+        self.stop_schedule = StopSchedule(clock=self.clock)
         self.listed_records = {
             replica.record.instance: replica.record for replica in replicas
         }
@@ -371,6 +373,7 @@
                 journal=self.journal,
                 rate_limits=self.rate_limits,
                 origins=self.origins,
+                stop_schedule=self.stop_schedule,
                 on_replica_left=self._handle_departure,
                 response_memory=self.response_memory,
             ),
