Answer requests that have not ended when an entry stops

Callers of an entry that stopped got no answer for requests that had not ended within its stop time. Their connections were cut with the process; they get a final answer 0.2 s before: not run if no attempt was sent, else unknown.

--- a/damasklead/daemon/entry.py
+++ b/damasklead/daemon/entry.py
@@ -382,6 +382,18 @@
         self.apply_actions(exchange.pool, actions)
         exchange.handle_action(refuse)
 
+    def end_exchange(self, exchange: Exchange) -> None:
+        """Give a request its final answer, since this entry stops."""
+        if exchange.was_attempted:
+            reason, outcome = Reason.STOPPING, Outcome.UNKNOWN
+        else:
+            reason, outcome = Reason.WAITED_TOO_LONG, Outcome.NOT_RUN
+        actions = exchange.pool.dispatcher.cancel_request(exchange.request.id)
+        self.apply_actions(exchange.pool, actions)
+        exchange.handle_action(
+            Refuse(request=exchange.request, reason=reason, outcome=outcome)
+        )
+
     def cancel_request(self, pool: Pool, exchange: Exchange) -> None:
         """Cancel an exchange's request before its started attempt is sent."""
         self.apply_actions(pool, pool.dispatcher.cancel_request(exchange.request.id))
--- a/damasklead/daemon/exchange.py
+++ b/damasklead/daemon/exchange.py
@@ -209,6 +209,11 @@
         """Whether an attempt can be cancelled and continued later without loss."""
         return self._stream and self.request.request_class.may_repeat
 
+    @property
+    def was_attempted(self) -> bool:
+        """Whether an attempt has been sent."""
+        return self._last_start is not None
+
     @property
     def has_active_attempt(self) -> bool:
         """Whether an attempt has started and not ended."""
--- a/damasklead/daemon/service.py
+++ b/damasklead/daemon/service.py
@@ -27,6 +27,8 @@
 
 __all__ = ["EntryService"]
 
+# Time for the final answers of the requests that have not ended in a stop.
+ANSWER_SECONDS = 0.2
 POLL_INTERVAL_SECONDS = 0.05
 # Time during which the entry still accepts connections after it is marked as leaving.
 LEAVE_PROPAGATION_SECONDS = 1.0
@@ -94,6 +96,7 @@
 
         The entry is marked as leaving, stops accepting connections, waits up to
         ``stop_seconds`` for the requests in progress, and then stops its tasks.
+        Requests that have not ended by then get their final answer.
         """
         entry = self.entry
         entry.is_stopping = True
@@ -105,14 +108,24 @@
         self._clock.sleep(LEAVE_PROPAGATION_SECONDS)
         self._callers.stop_accepting()
         deadline = self._clock.now() + entry.settings.limits.stop_seconds
-        while entry.exchanges and self._clock.now() < deadline:
+        while entry.exchanges and self._clock.now() < deadline - ANSWER_SECONDS:
             self._clock.sleep(POLL_INTERVAL_SECONDS)
+        unfinished = list(entry.exchanges.values())
+        for exchange in unfinished:
+            entry.end_exchange(exchange)
+        if unfinished:
+            self._clock.sleep(ANSWER_SECONDS)
         self._duties.release_leases()
         entry.run_protocol(entry.audit.flush_events())
         self.tree.stop()
         self._peers.close()
         entry.connections.close()
-        logs.event("stopped", instance=entry.instance, cut_off=len(entry.exchanges))
+        logs.event(
+            "stopped",
+            instance=entry.instance,
+            ended=len(unfinished),
+            cut_off=len(entry.exchanges),
+        )
 
     def _handle_tree_failure(self, child: Child, cause: BaseException | None) -> None:
         """Stop the process after the root supervisor has failed."""
--- a/damasklead/problems.py
+++ b/damasklead/problems.py
@@ -23,6 +23,7 @@
     Reason.RETRIES_EXHAUSTED: (502, "Every attempt failed"),
     Reason.UPSTREAM_FAILED: (502, "The upstream failed while it ran the request"),
     Reason.CALLER_GONE: (499, "The caller has gone"),
+    Reason.STOPPING: (502, "The entry stopped before the answer came"),
 }
 
 
--- a/damasklead/requests.py
+++ b/damasklead/requests.py
@@ -46,6 +46,7 @@
     RETRIES_EXHAUSTED = "retries-exhausted"
     UPSTREAM_FAILED = "upstream-failed"
     CALLER_GONE = "caller-gone"
+    STOPPING = "stopping"
 
 
 class Request(msgspec.Struct, kw_only=True):
