Let the soak's replicas have two versions, and its callers take streams up

Callers take streams that break off up at other gateways, with the attempt that brought the first event; the events of all attempts must be in order and of one version.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -18,8 +18,11 @@
 
 __all__ = ["Caller", "ObservedResponse"]
 
-PATHS = ("/order/1", "/read/1", "/chat/1")
-PATH_WEIGHTS = (0.4, 0.3, 0.3)
+RESUMABLE_PATH = "/draft/1"
+PATHS = ("/order/1", "/read/1", "/chat/1", RESUMABLE_PATH)
+PATH_WEIGHTS = (0.35, 0.25, 0.2, 0.2)
+# How often a stream that broke off is taken up.
+MAX_RESUMPTIONS = 2
 # Longer than the timeout of every route.
 RESPONSE_TIMEOUT_SECONDS = 8.0
 MEAN_PAUSE_SECONDS = 0.05
@@ -49,6 +52,8 @@
         Whether the body was complete by its HTTP framing.
     has_crashing_part : bool
         Whether the request's prompt has the part that crashes replicas.
+    events_before : bytes
+        The complete events that earlier attempts at the stream have brought.
     """
 
     sent_at: float
@@ -59,6 +64,12 @@
     body: bytes = b""
     is_complete: bool = False
     has_crashing_part: bool = False
+    events_before: bytes = b""
+
+    @property
+    def events(self) -> bytes:
+        """The complete events that all attempts at the stream have brought."""
+        return self.events_before + self.body[: self.body.rfind(b"\n\n") + 2]
 
 
 class Caller:
@@ -100,6 +111,8 @@
         self._random = random.Random(seed)
         self._connections: dict[str, socket.socket] = {}
         self._request_count = 0
+        # Second prompt part of the latest stream, by its first attempt.
+        self._second_parts: dict[str, str] = {}
 
     def run(self) -> None:
         """Send requests to ready gateways until the greenlet is killed."""
@@ -112,30 +125,61 @@
             gevent.sleep(self._random.expovariate(1 / pause))
             gateways = self._list_ready_gateways()
             if gateways:
-                self._send_request(self._random.choice(gateways))
+                path = self._random.choices(PATHS, PATH_WEIGHTS)[0]
+                response = self._send_request(self._random.choice(gateways), path)
+                if path == RESUMABLE_PATH:
+                    self._complete_stream(response)
+
+    def _complete_stream(self, first: ObservedResponse) -> None:
+        """Take a stream up at other gateways while it breaks off."""
+        response = first
+        for _ in range(MAX_RESUMPTIONS):
+            gateways = self._list_ready_gateways()
+            if response.is_complete or not response.events or not gateways:
+                return
+            response = self._send_request(
+                self._random.choice(gateways),
+                first.path,
+                resumes=first.attempt,
+                events_before=response.events,
+            )
 
-    def _send_request(self, gateway: str) -> None:
+    def _send_request(
+        self,
+        gateway: str,
+        path: str,
+        *,
+        resumes: str = "",
+        events_before: bytes = b"",
+    ) -> ObservedResponse:
         self._request_count += 1
-        path = self._random.choices(PATHS, PATH_WEIGHTS)[0]
         response = ObservedResponse(
             sent_at=time.monotonic(),
             attempt=f"{self._name}-{self._request_count}",
             path=path,
             gateway=gateway,
             has_crashing_part=self._has_crashing_part,
+            events_before=events_before,
         )
         method = "GET" if path.startswith("/read/") else "POST"
         second = (
             CRASHING_PART if self._has_crashing_part else f"s{self._request_count % 5}"
         )
+        # Attempts at one stream have the same content.
+        content = resumes or response.attempt
+        if resumes:
+            second = self._second_parts[resumes]
+        self._second_parts = {content: second}
+        extra_headers = f"Prefix-Hash: first:800,{second}:90,{content}:20\r\n"
+        if resumes:
+            last_id = events_before.count(b"id: ")
+            extra_headers += f"Resumes: {resumes}\r\nLast-Event-Id: {last_id}\r\n"
         data = make_request(
             path,
             method=method,
-            body=response.attempt if method == "POST" else "",
+            body=content if method == "POST" else "",
             attempt=response.attempt,
-            extra_headers=(
-                f"Prefix-Hash: first:800,{second}:90,{response.attempt}:20\r\n"
-            ),
+            extra_headers=extra_headers,
         )
         try:
             # Idle connections are reused until the gateway closes them.
@@ -153,7 +197,8 @@
                 connection.close()
         except OSError:
             # The record keeps what was received before the error.
-            return
+            return response
+        return response
 
 
 def _is_closed(connection: socket.socket) -> bool:
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -11,8 +11,8 @@
 import msgspec
 
 from soak.callers import ObservedResponse
-from soak.replicas import EVENT_COUNT, Execution, NamedLimit
-from soak.site import STOP_TIMEOUT_SECONDS, ProcessExit
+from soak.replicas import EVENT_COUNT, Execution, NamedLimit, make_versioned_event
+from soak.site import STOP_TIMEOUT_SECONDS, VERSIONS, ProcessExit
 from tests.gateway_kit import make_event
 
 __all__ = ["Violation", "check_containment", "check_recovery", "find_violations"]
@@ -173,6 +173,8 @@
         return []
     if response.path.startswith("/chat/"):
         return _check_stream(response)
+    if response.path.startswith("/draft/"):
+        return _check_resumable_stream(response)
     if response.is_complete and response.body != response.attempt.encode():
         return [
             Violation(
@@ -205,6 +207,32 @@
     return []
 
 
+def _check_resumable_stream(response: ObservedResponse) -> list[Violation]:
+    """Check a stream over all attempts until this one."""
+    expected = [
+        b"".join(make_versioned_event(number, item) for number in range(1, end + 1))
+        for item in VERSIONS
+        for end in (response.events.count(b"id: "),)
+    ]
+    if response.events not in expected:
+        return [
+            Violation(
+                guarantee="a stream is in order and of one version",
+                detail=repr(response.events[-120:]),
+                attempt=response.attempt,
+            )
+        ]
+    if response.is_complete and response.events.count(b"id: ") != EVENT_COUNT:
+        return [
+            Violation(
+                guarantee="a stream that ends is whole",
+                detail=f"{response.events.count(b'id: ')} of {EVENT_COUNT} events",
+                attempt=response.attempt,
+            )
+        ]
+    return []
+
+
 def _check_limit(limit: NamedLimit) -> list[Violation]:
     first = limit.named_at + STABLE_SECONDS
     arrivals = [at for at in limit.arrivals if first <= at < limit.ended_at]
--- a/soak/replicas.py
+++ b/soak/replicas.py
@@ -22,7 +22,14 @@
     make_stream_head,
 )
 
-__all__ = ["CRASHING_PART", "EVENT_COUNT", "Execution", "NamedLimit", "Replica"]
+__all__ = [
+    "CRASHING_PART",
+    "EVENT_COUNT",
+    "Execution",
+    "NamedLimit",
+    "Replica",
+    "make_versioned_event",
+]
 
 # Events of a streamed response.
 EVENT_COUNT = 12
@@ -82,6 +89,11 @@
     arrivals: list[float] = []
 
 
+def make_versioned_event(number: int, version: str) -> bytes:
+    """Return an event that names the version of the replica that sent it."""
+    return f"id: {number}\ndata: {version}\n\n".encode()
+
+
 class Replica:
     """
     A replica stand-in.
@@ -96,6 +108,8 @@
         Seed of the response times and of the choice of rejected requests.
     on_crashing_part : callable
         Called when a request with the crashing part begins, to crash this replica.
+    version : str
+        Version of the replica's software, which its events of resumable streams name.
 
     Attributes
     ----------
@@ -114,7 +128,9 @@
         executions: list[Execution],
         seed: int,
         on_crashing_part: Callable[[], None] = lambda: None,
+        version: str = "v1",
     ) -> None:
+        self.version = version
         self.name = name
         self.is_running = True
         self.is_rejecting = False
@@ -168,6 +184,9 @@
                     return
                 if path.startswith("/chat/"):
                     self._send_stream(connection, attempt)
+                elif path.startswith("/draft/"):
+                    after = int(headers.get("last-event-id", 0))
+                    self._send_stream(connection, attempt, after, self.version)
                 else:
                     gevent.sleep(self._random.uniform(0.005, 0.04))
                     response = make_response(attempt, attempt.encode())
@@ -200,9 +219,19 @@
         )
         connection.sendall(self._add_limit(response.encode()))
 
-    def _send_stream(self, connection: socket.socket, attempt: str) -> None:
+    def _send_stream(
+        self,
+        connection: socket.socket,
+        attempt: str,
+        after: int = 0,
+        version: str | None = None,
+    ) -> None:
+        """Send the events after one, which name a version if it is given."""
         connection.sendall(self._add_limit(make_stream_head(attempt)))
-        for number in range(1, EVENT_COUNT + 1):
-            connection.sendall(make_chunk(make_event(number)))
+        for number in range(after + 1, EVENT_COUNT + 1):
+            event = make_event(number)
+            if version is not None:
+                event = make_versioned_event(number, version)
+            connection.sendall(make_chunk(event))
             gevent.sleep(EVENT_INTERVAL_SECONDS)
         connection.sendall(make_chunk(b""))
--- a/soak/site.py
+++ b/soak/site.py
@@ -29,6 +29,8 @@
 PROBE_TIMEOUT_SECONDS = 0.5
 # Time from the crash of a replica until another one takes its place.
 REPLACEMENT_SECONDS = 1.0
+# Versions of the replicas' software, which serve side by side.
+VERSIONS = ("v1", "v2")
 PORT_NAMES = ("callers", "ready", "operators", "peers")
 
 
@@ -130,6 +132,12 @@
         content = make_configuration(
             self.next_version, timeout=int(ROUTE_TIMEOUT_SECONDS * 1000)
         )
+        chat = next(route for route in content["routes"] if route["name"] == "chat")
+        content["routes"].append(
+            chat
+            | {"name": "draft", "prefix": "/draft/", "resumable": True}
+            | {"max_attempts": 2}
+        )
         self.store.write_row("op", "config", content)
         self.next_version += 1
 
@@ -152,6 +160,7 @@
             executions=self.executions,
             seed=self._seed * 100 + self._next_replica,
             on_crashing_part=lambda: self._crash_replica(name),
+            version=VERSIONS[self._next_replica % len(VERSIONS)],
         )
         self.replicas[name] = replica
         self.proxies[name] = Proxy(target=replica.address)
@@ -175,7 +184,8 @@
         self.store.write_row(
             "servers",
             name,
-            make_upstream_entry(self.proxies[name].address, state=state),
+            make_upstream_entry(self.proxies[name].address, state=state)
+            | {"version": self.replicas[name].version},
         )
 
     def remove_replica(self, name: str) -> None:
