Continue a response at entries only at the version that began it

Cause: as at gateways, records of instances had no version. From the first event on a request names it; a response whose version is gone ends at once, one that waits for its version delays no others. Upstreams without a version no longer continue each other's responses; the stand-ins have one.

--- a/bench/policies.py
+++ b/bench/policies.py
@@ -19,7 +19,14 @@
 from bench.workload import ENTRY_COUNT, Arrival, Deployment, Fault, Scenario
 from damasklead.cost_model import CostModel
 from damasklead.dispatching import PoolDispatcher
-from damasklead.ids import AttemptId, Fingerprint, Incarnation, InstanceId, PoolId
+from damasklead.ids import (
+    AttemptId,
+    Fingerprint,
+    Incarnation,
+    InstanceId,
+    PoolId,
+    SoftwareVersion,
+)
 from damasklead.messages import PeerMessage, encode_message
 from damasklead.preemption import DispatchOptions
 from damasklead.quarantine import Quarantine
@@ -196,7 +203,9 @@
         )
         infos = [
             ReplicaInfo(
-                instance=name, data_centre=self.deployment.get_data_centre(index)
+                instance=name,
+                data_centre=self.deployment.get_data_centre(index),
+                version=SoftwareVersion("1"),
             )
             for index, name in enumerate(self.engines)
         ]
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -36,6 +36,7 @@
     PoolId,
     RequestId,
     ServiceName,
+    SoftwareVersion,
     WorkspaceId,
 )
 from damasklead.membership import Membership
@@ -197,7 +198,9 @@
     )
     infos = [
         ReplicaInfo(
-            instance=make_instance_id("replica", n), data_centre=DataCentre("x")
+            instance=make_instance_id("replica", n),
+            data_centre=DataCentre("x"),
+            version=SoftwareVersion("1"),
         )
         for n in range(replicas)
     ]
--- a/damasklead/commands/running.py
+++ b/damasklead/commands/running.py
@@ -25,6 +25,7 @@
     Incarnation,
     InstanceId,
     ServiceName,
+    SoftwareVersion,
 )
 from damasklead.settings import check_settings
 from damasklead.stores import open_platform
@@ -155,6 +156,7 @@
     service: Annotated[str, cappa.Arg(long="--service")] = "standin"
     data_centre: Annotated[str, cappa.Arg(long="--data-centre")] = "local"
     region: Annotated[str, cappa.Arg(long="--region")] = "local"
+    version: Annotated[str, cappa.Arg(long="--software-version")] = "1"
     platform: Annotated[str, cappa.Arg(long="--platform")] = ""
 
     def __call__(self) -> int:
@@ -169,6 +171,7 @@
             data_centre=DataCentre(self.data_centre),
             region=self.region,
             state=InstanceState.LIVE,
+            version=SoftwareVersion(self.version),
         )
         return standins.run_standin(
             self.kind, record=record, platform_address=self.platform
--- a/damasklead/daemon/entry.py
+++ b/damasklead/daemon/entry.py
@@ -520,7 +520,11 @@
             pool.coordinator = coordinator
             self.rate_limits.set_entries(pool.service.name, peers)
             replicas = [
-                ReplicaInfo(instance=member.instance, data_centre=member.data_centre)
+                ReplicaInfo(
+                    instance=member.instance,
+                    data_centre=member.data_centre,
+                    version=member.version,
+                )
                 for member in self.find_pool_members(pool.service)
             ]
             self.apply_actions(
--- a/damasklead/demo/local.py
+++ b/damasklead/demo/local.py
@@ -14,7 +14,13 @@
 from gevent import socket
 
 from damasklead.configuration import digest_key
-from damasklead.ids import DataCentre, Incarnation, InstanceId, ServiceName
+from damasklead.ids import (
+    DataCentre,
+    Incarnation,
+    InstanceId,
+    ServiceName,
+    SoftwareVersion,
+)
 from damasklead.stores.base import InstanceRecord
 
 __all__ = [
@@ -86,6 +92,7 @@
         address=find_free_address(),
         data_centre=DataCentre(LOCATION),
         region=LOCATION,
+        version=SoftwareVersion("1"),
     )
 
 
--- a/damasklead/dispatching.py
+++ b/damasklead/dispatching.py
@@ -219,6 +219,9 @@
             self.share.record_first_token_latency(
                 attempt.first_token_at - attempt.started_at
             )
+        if attempt.request.version is None:
+            # What another version generates doesn't fit to these events.
+            attempt.request.version = self.replicas.get_version(attempt.replica)
         attempt.event_count += event_count
         attempt.request.generated_tokens += event_count
         return []
@@ -293,6 +296,8 @@
             return [self._refuse_after_attempt(request, Reason.QUARANTINED)]
         if not failure.rules_out_execution and not request.request_class.may_repeat:
             return [self._refuse_after_attempt(request, Reason.UPSTREAM_FAILED)]
+        if not self.replicas.has_version_for(request):
+            return [self._refuse_after_attempt(request, Reason.UPSTREAM_FAILED)]
         if request.failure_count >= MAX_FAILURES or not self._acquire_retry(failure):
             return [self._refuse_after_attempt(request, Reason.RETRIES_EXHAUSTED)]
         self._queue.requeue(request)
@@ -329,12 +334,19 @@
                     _make_refusal(request, Reason.QUARANTINED, retry_after=None)
                 )
                 continue
+            if not self.replicas.has_version_for(request):
+                refusal = self._refuse_after_attempt(request, Reason.UPSTREAM_FAILED)
+                actions.append(refusal)
+                continue
             replica = self._choose_replica(request)
             if replica is not None:
                 actions.append(self._start_attempt(request, replica))
                 continue
             unplaced.append(request)
-            if not self._quarantine.is_suspect(request.fingerprint):
+            # A request for one version must not delay the others.
+            if request.version is None and not self._quarantine.is_suspect(
+                request.fingerprint
+            ):
                 break
         for request in unplaced:
             self._queue.requeue(request)
--- a/damasklead/gateway/calls.py
+++ b/damasklead/gateway/calls.py
@@ -12,6 +12,7 @@
 
 from damasklead.gateway.routing import ApiKey, Route, Workspace
 from damasklead.ids import (
+    UNKNOWN_VERSION,
     AttemptId,
     DataCentre,
     InstanceId,
@@ -20,7 +21,6 @@
 )
 
 __all__ = [
-    "UNKNOWN_VERSION",
     "Call",
     "CallHead",
     "Header",
@@ -39,8 +39,6 @@
 MIN_STREAM_IDLE_SECONDS = 2.0
 STREAM_IDLE_TARGETS = 4.0
 STREAM_IDLE_GAPS = 8.0
-# Version of a replica whose entry doesn't name one.  It equals no version.
-UNKNOWN_VERSION = SoftwareVersion("")
 # Number of route tiers that are distinguished within one workspace tier.
 ROUTE_TIERS = 3
 
--- a/damasklead/gateway/stream_origins/registry.py
+++ b/damasklead/gateway/stream_origins/registry.py
@@ -13,7 +13,7 @@
 from gevent.event import AsyncResult
 
 from damasklead.clock import Clock
-from damasklead.gateway.calls import UNKNOWN_VERSION, Call, UpstreamRecord
+from damasklead.gateway.calls import Call, UpstreamRecord
 from damasklead.gateway.dialect import FeedError, OriginStore
 from damasklead.gateway.journal import Journal
 from damasklead.gateway.peers import Peers
@@ -32,7 +32,7 @@
     select_keepers,
 )
 from damasklead.gateway.stream_origins.writer import OriginWriter
-from damasklead.ids import AttemptId, Incarnation, InstanceId
+from damasklead.ids import UNKNOWN_VERSION, AttemptId, Incarnation, InstanceId
 
 __all__ = ["OriginRegistry", "OriginSource"]
 
--- a/damasklead/ids.py
+++ b/damasklead/ids.py
@@ -8,6 +8,7 @@
 from typing import NewType
 
 __all__ = [
+    "UNKNOWN_VERSION",
     "AttemptId",
     "ClassName",
     "DataCentre",
@@ -35,6 +36,8 @@
 PoolId = NewType("PoolId", str)
 # Version of a replica's software; versions have no order.
 SoftwareVersion = NewType("SoftwareVersion", str)
+# Version of an instance that doesn't name one.  It equals no version.
+UNKNOWN_VERSION = SoftwareVersion("")
 # Hash of the content of a request, by which the quarantine recognizes repetitions.
 Fingerprint = NewType("Fingerprint", str)
 # Increases each time the platform's store is restored from a backup.
--- a/damasklead/membership.py
+++ b/damasklead/membership.py
@@ -15,7 +15,13 @@
 
 from damasklead.clock import Clock
 from damasklead.decoding import is_ip_address, is_token
-from damasklead.ids import DataCentre, Incarnation, InstanceId, ServiceName
+from damasklead.ids import (
+    DataCentre,
+    Incarnation,
+    InstanceId,
+    ServiceName,
+    SoftwareVersion,
+)
 from damasklead.stores.base import InstanceRecord, InstanceState
 
 __all__ = ["Member", "MemberState", "Membership"]
@@ -58,6 +64,7 @@
     data_centre: DataCentre
     region: str
     state: MemberState
+    version: SoftwareVersion
     absent_since: float | None = None
 
 
@@ -132,6 +139,7 @@
                 data_centre=member.data_centre,
                 region=member.region,
                 state=_INSTANCE_STATES[member.state],
+                version=member.version,
             )
             for member in self._members.values()
         )
@@ -200,6 +208,7 @@
             data_centre=record.data_centre,
             region=record.region,
             state=state,
+            version=record.version,
         )
         self.generation += 1
         if listed_state is not MemberState.LIVE and reached_state is MemberState.LIVE:
--- a/damasklead/replicas.py
+++ b/damasklead/replicas.py
@@ -15,7 +15,13 @@
 
 from damasklead.clock import Clock
 from damasklead.cost_model import MovingAverage
-from damasklead.ids import AttemptId, DataCentre, InstanceId
+from damasklead.ids import (
+    UNKNOWN_VERSION,
+    AttemptId,
+    DataCentre,
+    InstanceId,
+    SoftwareVersion,
+)
 from damasklead.messages import ReplicaLoad
 from damasklead.requests import Request
 from damasklead.util import hash_name, stable_hash
@@ -45,6 +51,7 @@
 
     instance: InstanceId
     data_centre: DataCentre
+    version: SoftwareVersion = UNKNOWN_VERSION
 
 
 class _Replica(msgspec.Struct, kw_only=True):
@@ -252,6 +259,18 @@
         if replica is not None:
             replica.own_attempts.discard(attempt)
 
+    def get_version(self, instance: InstanceId) -> SoftwareVersion:
+        """Return a replica's version; ``UNKNOWN_VERSION`` if it is not listed."""
+        replica = self._replicas.get(instance)
+        return UNKNOWN_VERSION if replica is None else replica.info.version
+
+    def has_version_for(self, request: Request) -> bool:
+        """Return whether some replica may execute a request by its version."""
+        return request.version is None or any(
+            request.accepts_version(replica.info.version)
+            for replica in self._replicas.values()
+        )
+
     def choose_replica(
         self,
         request: Request,
@@ -295,6 +314,8 @@
             return False
         if not replica.can_serve(request.model) or self._is_rate_limited(replica, now):
             return False
+        if not request.accepts_version(replica.info.version):
+            return False
         if replica.is_probed:
             return request.tier > 1 and not replica.own_attempts
         return replica.load < (replica.hard_limit if use_hard_limit else replica.limit)
--- a/damasklead/requests.py
+++ b/damasklead/requests.py
@@ -11,7 +11,15 @@
 
 from damasklead.configuration import RequestClass
 from damasklead.failures import Failure
-from damasklead.ids import AttemptId, Fingerprint, InstanceId, RequestId, WorkspaceId
+from damasklead.ids import (
+    UNKNOWN_VERSION,
+    AttemptId,
+    Fingerprint,
+    InstanceId,
+    RequestId,
+    SoftwareVersion,
+    WorkspaceId,
+)
 
 __all__ = [
     "Action",
@@ -80,6 +88,9 @@
         Generated tokens that earlier corrections of the charge have accounted for.
     may_have_executed : bool
         Whether an upstream may have executed the request, wholly or in part.
+    version : SoftwareVersion or None
+        Version of the replicas that may execute the request, since the caller has a
+        part of its response from one of them; ``None`` if any may.
     tried_replicas : list
         Replicas on which an attempt failed or produced no first token in time.
     """
@@ -102,6 +113,13 @@
     settled_tokens: int = 0
     may_have_executed: bool = False
     tried_replicas: list[InstanceId] = msgspec.field(default_factory=list)
+    version: SoftwareVersion | None = None
+
+    def accepts_version(self, version: SoftwareVersion) -> bool:
+        """Return whether a replica of a version may execute the request."""
+        if self.version is None:
+            return True
+        return version == self.version != UNKNOWN_VERSION
 
     @property
     def deadline(self) -> float:
--- a/damasklead/stores/base.py
+++ b/damasklead/stores/base.py
@@ -16,10 +16,12 @@
 from result import Result
 
 from damasklead.ids import (
+    UNKNOWN_VERSION,
     DataCentre,
     Incarnation,
     InstanceId,
     ServiceName,
+    SoftwareVersion,
     StoreEra,
 )
 
@@ -138,6 +140,8 @@
         The service to which the instance belongs.
     address : str
         ``ip:port``; for an entry the address at which it listens for its peers.
+    version : SoftwareVersion
+        Version of its software; ``UNKNOWN_VERSION`` if the record has none.
     """
 
     instance: InstanceId
@@ -147,6 +151,7 @@
     data_centre: DataCentre
     region: str
     state: InstanceState = InstanceState.LIVE
+    version: SoftwareVersion = UNKNOWN_VERSION
 
 
 class Listing(msgspec.Struct, kw_only=True, frozen=True):
--- a/tests/test_dispatching.py
+++ b/tests/test_dispatching.py
@@ -22,6 +22,7 @@
     PoolId,
     RequestId,
     ServiceName,
+    SoftwareVersion,
     WorkspaceId,
 )
 from damasklead.messages import Grant, ReplicaLoad
@@ -83,7 +84,11 @@
         self.costs = costs
         self._request_numbers = itertools.count(1)
         infos = [
-            ReplicaInfo(instance=InstanceId(name), data_centre=DataCentre("x"))
+            ReplicaInfo(
+                instance=InstanceId(name),
+                data_centre=DataCentre("x"),
+                version=SoftwareVersion("1"),
+            )
             for name in ("r1", "r2")
         ]
         self.dispatcher.set_replicas(infos, entry_count=1)
--- a/tests/test_entry_rate_limits.py
+++ b/tests/test_entry_rate_limits.py
@@ -21,6 +21,7 @@
     InstanceId,
     RequestId,
     ServiceName,
+    SoftwareVersion,
     WorkspaceId,
 )
 from damasklead.membership import Membership
@@ -105,7 +106,11 @@
             get_request_rate=lambda item: keeper.get_request_rate(SERVICE, item),
         )
         chooser.update_replicas(
-            ReplicaInfo(instance=InstanceId(name), data_centre=DataCentre("x"))
+            ReplicaInfo(
+                instance=InstanceId(name),
+                data_centre=DataCentre("x"),
+                version=SoftwareVersion("1"),
+            )
             for name in sorted(REPLICAS)
         )
         return chooser
--- a/tests/test_gateway_stream_versions.py
+++ b/tests/test_gateway_stream_versions.py
@@ -13,7 +13,6 @@
 
 from damasklead.clock import ManualClock
 from damasklead.gateway.calls import (
-    UNKNOWN_VERSION,
     Call,
     UpstreamRecord,
     UpstreamState,
@@ -22,7 +21,7 @@
 from damasklead.gateway.coordination.cells import Member
 from damasklead.gateway.placements import Placement, new_placement
 from damasklead.gateway.routing import EngineSpec, ServiceSpec
-from damasklead.ids import DataCentre, InstanceId, SoftwareVersion
+from damasklead.ids import UNKNOWN_VERSION, DataCentre, InstanceId, SoftwareVersion
 from tests.gateway_kit import (
     RESUMABLE,
     SERVICE,
