--- a/damasklead/gateway/proxied_request.py
+++ b/damasklead/gateway/proxied_request.py
@@ -18,6 +18,7 @@
 from damasklead.gateway.replica_identity import check_incarnation
 from damasklead.gateway.replica_probe import Liveness
 from damasklead.gateway.replica_selection import ReplicaSelector
+from damasklead.gateway.replica_signals import ReplicaSignals
 from damasklead.gateway.routing import RouteKind
 from damasklead.gateway.stream_progress import StreamProgress
 from damasklead.gateway.upstream_http import (
@@ -103,6 +104,9 @@
         self._selector = ReplicaSelector(
             client=context.assignment_client, placement=placement, call=call
         )
+        self._signals = ReplicaSignals(
+            context=context, placement=placement, request=call.id
+        )
         self._excluded_replicas: set[InstanceId] = set()
         self._possible_executions = 0
         self._request_sent = False
@@ -269,7 +273,7 @@
         )
         reply = self._read_response_head(upstream, record)
         self._placement.record_response_head(record.instance, reply.load)
-        self._record_replica_state(reply, record)
+        self._signals.record_head(reply, record)
         self._check_response(reply, record)
         self._relay_response(upstream, reply, record)
         self._placement.record_success(record.instance, call)
@@ -303,7 +307,7 @@
                     _check_attribution(reply, upstream)
                     return reply
                 # A late response to another request still shows the replica's state.
-                self._record_replica_state(reply, record)
+                self._signals.record_head(reply, record)
                 upstream.skip_stray_response()
         finally:
             if timer is not None:
@@ -326,51 +330,6 @@
             MIN_RESPONSE_TIMEOUT_SECONDS, RESPONSE_TIMEOUT_TARGETS * route.target
         )
 
-    def _record_replica_state(
-        self, reply: ResponseHead, record: UpstreamRecord
-    ) -> None:
-        """
-        Record that a replica leaves, pauses or limits requests, according to a head.
-        """
-        if reply.kind in (ResponseKind.ANSWER, ResponseKind.REFUSED):
-            self._record_rate_limit(reply, record)
-        if reply.kind is ResponseKind.MISPLACED:
-            self._context.on_replica_left(record, "another replica has the address")
-        elif reply.leaving:
-            self._context.on_replica_left(
-                record, "its response announces that it leaves"
-            )
-        if reply.retry_after is not None:
-            granted = self._placement.pause_replica(record.instance, reply.retry_after)
-            self._context.journal.event(
-                "replica-paused",
-                request=self._call.id,
-                replica=record.instance,
-                asked=reply.retry_after,
-                seconds=granted,
-            )
-
-    def _record_rate_limit(self, reply: ResponseHead, record: UpstreamRecord) -> None:
-        """Record the limit that a response names, or that it names none."""
-        rate_limits = self._context.rate_limits
-        before = rate_limits.get_limit(record)
-        rate_limits.record_response(
-            record,
-            reply.rate_limit,
-            is_success=reply.kind is ResponseKind.ANSWER and reply.status < 500,
-        )
-        after = rate_limits.get_limit(record)
-        if after != before:
-            self._context.journal.event(
-                "limit-observed",
-                request=self._call.id,
-                replica=record.instance,
-                status=reply.status,
-                executed=reply.kind is ResponseKind.ANSWER,
-                before=before or 0.0,
-                per_second=after or 0.0,
-            )
-
     def _check_response(self, reply: ResponseHead, record: UpstreamRecord) -> None:
         """Raise ``SendError`` unless the reply is a valid response to the request."""
         if reply.kind is ResponseKind.MISPLACED:
