Check the retry budget over all gateways in the soak

Replicas record what reaches them, refused requests too; repeats within any window must stay within the default bounds, counted over gateways that have ended as well.

--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -5,17 +5,31 @@
 Guarantees that hold under every fault, checked on what callers and replicas observed.
 """
 
+from bisect import bisect_left, bisect_right
 from collections import Counter
 from collections.abc import Sequence
 
 import msgspec
 
+from damasklead.gateway.settings import OperationalLimits
 from soak.callers import ObservedResponse
-from soak.replicas import EVENT_COUNT, Execution, NamedLimit, make_versioned_event
+from soak.replicas import (
+    EVENT_COUNT,
+    Arrival,
+    Execution,
+    NamedLimit,
+    make_versioned_event,
+)
 from soak.site import STOP_TIMEOUT_SECONDS, VERSIONS, ProcessExit
 from tests.gateway_kit import make_event
 
-__all__ = ["Violation", "check_containment", "check_recovery", "find_violations"]
+__all__ = [
+    "Violation",
+    "check_containment",
+    "check_recovery",
+    "check_retry_budget",
+    "find_violations",
+]
 
 # Statuses that guarantee that the request was not and will not be executed.
 NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
@@ -154,6 +168,46 @@
     ]
 
 
+def check_retry_budget(
+    responses: Sequence[ObservedResponse], arrivals: Sequence[Arrival]
+) -> list[Violation]:
+    """
+    Return a violation if too many requests reach replicas again within some window.
+
+    All gateways count together, also those that have ended.  The requests are those of
+    the window, of the one before it or of the one half a window before it.
+    """
+    bounds = OperationalLimits()
+    window = bounds.retry_window_seconds
+    sent = sorted(response.sent_at for response in responses)
+    seen: set[str] = set()
+    repeats: list[float] = []
+    for arrival in sorted(arrivals, key=lambda item: item.at):
+        if arrival.attempt in seen:
+            repeats.append(arrival.at)
+        seen.add(arrival.attempt)
+    for start in repeats:
+        requests = max(
+            _count_between(sent, start - shift * window, window)
+            for shift in (0.0, 0.5, 1.0)
+        )
+        allowed = bounds.retry_ratio * requests + bounds.retry_allowance
+        count = _count_between(repeats, start, window)
+        if count > allowed:
+            return [
+                Violation(
+                    guarantee="the retry budget is kept",
+                    detail=f"{count} repeats in {window} s, {allowed:.0f} allowed",
+                )
+            ]
+    return []
+
+
+def _count_between(times: Sequence[float], start: float, seconds: float) -> int:
+    """Return the number of sorted times within a window."""
+    return bisect_right(times, start + seconds) - bisect_left(times, start)
+
+
 def _check_response(
     response: ObservedResponse, execution_count: int
 ) -> list[Violation]:
--- a/soak/replicas.py
+++ b/soak/replicas.py
@@ -25,6 +25,7 @@
 __all__ = [
     "CRASHING_PART",
     "EVENT_COUNT",
+    "Arrival",
     "Execution",
     "NamedLimit",
     "Replica",
@@ -65,6 +66,22 @@
     is_crashing: bool = False
 
 
+class Arrival(msgspec.Struct, kw_only=True, frozen=True):
+    """
+    A request that reached a replica, executed or not.
+
+    Attributes
+    ----------
+    at : float
+        When it came, in seconds of the monotonic clock.
+    attempt : str
+        Attempt id of the request.
+    """
+
+    at: float
+    attempt: str
+
+
 class NamedLimit(msgspec.Struct, kw_only=True):
     """
     A limit that a replica named in its responses.
@@ -104,6 +121,8 @@
         Instance id.
     executions : list of Execution
         Where all replicas append their executions.
+    arrivals : list of Arrival
+        Where all replicas append the requests that reach them.
     seed : int
         Seed of the response times and of the choice of rejected requests.
     on_crashing_part : callable
@@ -126,6 +145,7 @@
         *,
         name: str,
         executions: list[Execution],
+        arrivals: list[Arrival],
         seed: int,
         on_crashing_part: Callable[[], None] = lambda: None,
         version: str = "v1",
@@ -136,6 +156,7 @@
         self.is_rejecting = False
         self.limit: NamedLimit | None = None
         self._executions = executions
+        self._arrivals = arrivals
         self._on_crashing_part = on_crashing_part
         self._random = random.Random(seed)
         self._open: set[socket.socket] = set()
@@ -162,6 +183,7 @@
         try:
             while self.is_running:
                 attempt = server.receive_request(connection)
+                self._arrivals.append(Arrival(at=time.monotonic(), attempt=attempt))
                 line, headers, _ = server.requests[-1]
                 path = line.split()[1]
                 is_crashing = f"{CRASHING_PART}:" in headers.get("prefix-hash", "")
--- a/soak/run.py
+++ b/soak/run.py
@@ -23,6 +23,7 @@
     Violation,
     check_containment,
     check_recovery,
+    check_retry_budget,
     find_violations,
 )
 from soak.site import Cluster
@@ -142,6 +143,7 @@
             responses, cluster.executions, cluster.exits, cluster.limits
         )
         violations += check_recovery(due_responses, since=faults_ended_at)
+        violations += check_retry_budget(responses, cluster.arrivals)
         violations += check_containment(cluster.executions, since=faults_ended_at)
         logs = {
             item.attempt: cluster.find_log_lines(item.attempt) for item in violations
--- a/soak/site.py
+++ b/soak/site.py
@@ -18,7 +18,7 @@
 from gevent import socket
 
 from soak.proxy import Proxy
-from soak.replicas import Execution, NamedLimit, Replica
+from soak.replicas import Arrival, Execution, NamedLimit, Replica
 from tests.gateway_kit import find_free_ports
 from tests.platform_standin import StoreStandin, make_configuration, make_upstream_entry
 
@@ -75,6 +75,8 @@
         The limits that replicas have named.
     executions : list of Execution
         The requests that replicas executed.
+    arrivals : list of Arrival
+        The requests that reached replicas.
     exits : list of ProcessExit
         The exits of gateway processes.
     next_version : int
@@ -90,6 +92,7 @@
     ) -> None:
         self.store = StoreStandin()
         self.executions: list[Execution] = []
+        self.arrivals: list[Arrival] = []
         self.limits: list[NamedLimit] = []
         self.exits: list[ProcessExit] = []
         self.next_version = 1
@@ -158,6 +161,7 @@
         replica = Replica(
             name=name,
             executions=self.executions,
+            arrivals=self.arrivals,
             seed=self._seed * 100 + self._next_replica,
             on_crashing_part=lambda: self._crash_replica(name),
             version=VERSIONS[self._next_replica % len(VERSIONS)],
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,9 +10,21 @@
 
 from soak.callers import ObservedResponse
 from soak.faults import FAULTS, make_schedule
-from soak.guarantees import check_containment, check_recovery, find_violations
+from soak.guarantees import (
+    check_containment,
+    check_recovery,
+    check_retry_budget,
+    find_violations,
+)
 from soak.proxy import NetworkFault, Proxy
-from soak.replicas import EVENT_COUNT, Execution, NamedLimit, Replica
+from soak.replicas import (
+    EVENT_COUNT,
+    Arrival,
+    Execution,
+    NamedLimit,
+    Replica,
+    make_versioned_event,
+)
 from soak.run import run_seed
 from soak.site import ProcessExit
 from tests.gateway_kit import make_event, make_request, read_all
@@ -192,7 +204,7 @@
     network_fault: NetworkFault, is_answered: bool
 ) -> None:
     executions: list[Execution] = []
-    replica = Replica(name="r1", executions=executions, seed=1)
+    replica = Replica(name="r1", executions=executions, arrivals=[], seed=1)
     proxy = Proxy(target=replica.address)
     proxy.set_fault(network_fault, delay_seconds=0.01)
     host, _, port = proxy.address.partition(":")
@@ -212,7 +224,7 @@
 
 
 def test_a_crash_of_a_replica_ends_its_streams_early() -> None:
-    replica = Replica(name="r1", executions=[], seed=1)
+    replica = Replica(name="r1", executions=[], arrivals=[], seed=1)
     host, _, port = replica.address.partition(":")
     with socket.create_connection((host, int(port)), timeout=2) as connection:
         connection.sendall(make_request("/chat/1", method="POST", body="x"))
@@ -226,3 +238,40 @@
     result = run_seed(seed, folder=tmp_path)
     assert result.violations == [], result.logs
     assert result.status_counts[200] > 50
+
+
+@pytest.mark.parametrize(("repeats", "is_kept"), [(24, True), (26, False)])
+def test_repeats_beyond_the_retry_budget_are_found(repeats: int, is_kept: bool) -> None:
+    # 50 requests in the window allow 5 repeats, beside the 20 that are always allowed.
+    responses = [
+        ObservedResponse(sent_at=n / 10, attempt=f"a{n}", path="/read/1", gateway="g")
+        for n in range(50)
+    ]
+    arrivals = [
+        Arrival(at=5.0 + n / 100, attempt=f"a{n % 50}") for n in range(50 + repeats)
+    ]
+    assert (not check_retry_budget(responses, arrivals)) == is_kept
+
+
+@pytest.mark.parametrize(
+    ("events", "is_sound"),
+    [
+        ((("v1", 1), ("v1", 2), ("v1", 3)), True),
+        ((("v1", 1), ("v2", 2), ("v2", 3)), False),
+        ((("v1", 1), ("v1", 3)), False),
+        ((("v1", 1), ("v1", 1)), False),
+    ],
+)
+def test_streams_of_two_versions_are_found(events: tuple, is_sound: bool) -> None:
+    before, *after = [make_versioned_event(number, item) for item, number in events]
+    response = ObservedResponse(
+        sent_at=1.0,
+        attempt="a",
+        path="/draft/1",
+        gateway="g",
+        status=200,
+        body=b"".join(after),
+        events_before=before,
+    )
+    execution = Execution(started_at=1.0, attempt="a", path="/draft/1", replica="r")
+    assert (not find_violations([response], [execution], [])) == is_sound
