--- a/damasklead/gateway/stream_origins/writer.py
+++ b/damasklead/gateway/stream_origins/writer.py
@@ -122,7 +122,7 @@
             self._written.popleft()
         while len(self._written) > MAX_REMEMBERED_REMOVALS:
             self._written.popleft()
-        if not self._pending:
+        if not self._pending and len(removable) < MAX_BATCH_REMOVALS:
             self._has_pending.clear()
 
     def _list_removable(self) -> list[AttemptId]:
--- a/tests/test_gateway_stream_origins.py
+++ b/tests/test_gateway_stream_origins.py
@@ -370,6 +370,17 @@
         gateway.writer.write_batch()
         assert len(fleet.store.origins) == 1
 
+    def test_many_old_origins_are_removed_without_new_ones(self) -> None:
+        fleet = OriginFleet(1)
+        for number in range(150):
+            fleet.begin(number, make_record("r", "v1"))
+        fleet.write_all()
+        fleet.clock.advance(ORIGIN_TTL_SECONDS + 1)
+        writer = fleet.gateways["g0"].writer
+        for _ in range(4):
+            writer.write_batch()
+        assert not fleet.store.origins
+
     def test_origins_of_lost_gateways_are_removed(self) -> None:
         fleet = OriginFleet(8)
         for number in range(5):
