Don't count a replica's failed report as a failed connection

A replica that gave no valid report before a stream went on was recorded as one that refuses connections, which confirms a crash; and a refusal without an id after the report was not believed, so that its caller got 502 although nothing had run. A failed report counts as a refusal, and does not make its connection a reused one. The test of the refusal fails without the second change.

--- a/damasklead/gateway/replica_identity.py
+++ b/damasklead/gateway/replica_identity.py
@@ -31,9 +31,9 @@
     Raises
     ------
     SendError
-        ``NOT_SENT`` if it is not the incarnation of the record, or doesn't say so.
+        ``REFUSED`` if it is not the incarnation of the record, or doesn't say so.
     """
-    timeout_error = SendError(Failure.NOT_SENT, "no report within the timeout")
+    timeout_error = SendError(Failure.REFUSED, "no report within the timeout")
     try:
         with gevent.Timeout(REPORT_TIMEOUT_SECONDS, timeout_error):
             connection.send_request(
@@ -45,13 +45,13 @@
             status = connection.read_head().status_code
             body = connection.read_body(limit=MAX_REPORT_BYTES)
     except SendError as error:
-        raise SendError(Failure.NOT_SENT, f"report: {error}") from error
+        raise SendError(Failure.REFUSED, f"report: {error}") from error
     incarnation = dialect.parse_reported_incarnation(body) if status == 200 else None
     if incarnation != record.incarnation:
         raise SendError(
-            Failure.NOT_SENT,
+            Failure.REFUSED,
             f"start {incarnation}, {record.incarnation} in the list",
         )
     if not connection.is_reusable:
-        raise SendError(Failure.NOT_SENT, "the replica closes the connection")
-    connection.prepare_next_request()
+        raise SendError(Failure.REFUSED, "the replica closes the connection")
+    connection.prepare_next_request(is_reuse=False)
--- a/damasklead/gateway/upstream_http.py
+++ b/damasklead/gateway/upstream_http.py
@@ -283,12 +283,20 @@
         if ended:
             self._http.receive_data(b"")
 
-    def prepare_next_request(self) -> None:
-        """Reset the connection's state for another request."""
+    def prepare_next_request(self, *, is_reuse: bool = True) -> None:
+        """
+        Reset the connection's state for another request.
+
+        Parameters
+        ----------
+        is_reuse : bool
+            Whether a late response to the request before could be taken for that of
+            the next one.
+        """
         self.set_read_timeout(None)
         if self._http.our_state is not h11.IDLE:
             self._http.start_next_cycle()
-            self._is_reused = True
+            self._is_reused = self._is_reused or is_reuse
         self._writer = None
 
     def close(self) -> None:
--- a/tests/test_gateway_stream_origins.py
+++ b/tests/test_gateway_stream_origins.py
@@ -34,7 +34,12 @@
     WRITE_DELAY_SECONDS,
 )
 from damasklead.ids import AttemptId, InstanceId, SoftwareVersion
-from tests.gateway_kit import RESUMABLE, STREAM, MemoryOriginStore
+from tests.gateway_kit import (
+    RESUMABLE,
+    STREAM,
+    MemoryOriginStore,
+    ScriptedReplica,
+)
 from tests.test_gateway_stream_versions import (
     EVENT_COUNT,
     VersionHarness,
@@ -487,6 +492,26 @@
         assert response.startswith(b"HTTP/1.1 200")
         assert len(harness.replicas[1].requests) == 1
 
+    def test_a_refusal_after_the_report_is_believed(
+        self, harness: VersionHarness
+    ) -> None:
+        def refuse(replica: ScriptedReplica, connection: object) -> None:
+            replica.receive_request(connection)
+            connection.sendall(
+                b"HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+            )
+
+        harness.prefer(0)
+        harness.send_request("/draft/1", method="POST", body="x", attempt="first")
+        harness.connections.close()
+        harness.list_all()
+        for replica in harness.replicas:
+            replica._serve = refuse
+        response = self.take_up(harness, "Resumes: first\r\n")
+        # 503 states that no replica has executed it.
+        assert response.startswith(b"HTTP/1.1 503")
+        assert set(harness.versions_asked) == {"v1"}
+
     def test_new_streams_ask_for_no_report(self, harness: VersionHarness) -> None:
         for number in range(8):
             harness.send_request(
