--- a/review/standins.py
+++ b/review/standins.py
@@ -342,14 +342,18 @@
 def make_configuration(
     routes: list[dict[str, Any]], *, version: int = 1, engine: bool = False
 ) -> dict[str, Any]:
-    """Return a configuration with one service and one tenant."""
-    service: dict[str, Any] = {"name": "shop", "max_connections": 110}
+    """Return a configuration with the services of the routes and one tenant."""
+    names = sorted({str(route["service"]) for route in routes})
+    services: list[dict[str, Any]] = [
+        {"name": name, "max_connections": 110} for name in names
+    ]
     if engine:
-        service["engine"] = {"slots": 64, "kv_capacity": 245_097, "stride": 4}
+        for service in services:
+            service["engine"] = {"slots": 64, "kv_capacity": 245_097, "stride": 4}
     return {
         "version": version,
         "routes": routes,
-        "services": [service],
+        "services": services,
         "limits": {
             "max_header_bytes": 16_384, "max_body_bytes": 4_194_304,
             "header_timeout_ms": 3000, "idle_timeout_ms": 15_000,
