--- a/review/standins.py
+++ b/review/standins.py
@@ -391,7 +391,9 @@
         self._folder = Path(tempfile.mkdtemp(prefix="review-"))
         self._store = store
         self._processes: dict[int, subprocess.Popen[bytes]] = {}
-        self._ports = [_find_free_port() for _ in range(4)]
+        # Loopback addresses of their own, since the template names a fixed port.
+        self._network = f"127.{1 + os.getpid() % 200}.{os.getpid() // 200 % 250}"
+        self._ports = [_find_free_port(f"{self._network}.1") for _ in range(4)]
         self._count = count
         deploy = tomllib.loads((REPOSITORY / "deploy/system.toml").read_text())
         self._role = deploy["roles"]["gateway"]
@@ -404,7 +406,7 @@
 
     def get_address(self, number: int, port: int = 0) -> str:
         """Return an address of a gateway, that for callers if no port is given."""
-        return f"127.0.1.{number + 1}:{port or self._ports[0]}"
+        return f"{self._network}.{number + 1}:{port or self._ports[0]}"
 
     def is_running(self, number: int) -> bool:
         """Return whether a gateway's process runs."""
@@ -467,6 +469,11 @@
             await asyncio.sleep(0.1)
         return False
 
+    def get_memory_mb(self, number: int) -> int:
+        """Return the resident memory of a gateway's process."""
+        status = Path(f"/proc/{self._processes[number].pid}/status").read_text()
+        return int(status.split("VmRSS:")[1].split()[0]) // 1024
+
     def find_log_lines(self, text: str) -> list[str]:
         """Return the log lines of all gateways that contain a text."""
         return [
@@ -544,7 +551,10 @@
             response.is_whole = True
             return
         while True:
-            size = int((await self.reader.readline()).split(b";")[0], 16)
+            line = await self.reader.readline()
+            if not line:
+                return
+            size = int(line.split(b";")[0], 16)
             response.body += await self.reader.readexactly(size)
             await self.reader.readexactly(2)
             if not size:
@@ -595,7 +605,7 @@
     sys.exit(code)
 
 
-def _find_free_port() -> int:
+def _find_free_port(host: str) -> int:
     with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
+        probe.bind((host, 0))
         return int(probe.getsockname()[1])
