--- a/review/2/case.py
+++ b/review/2/case.py
@@ -28,10 +28,11 @@
     run_case,
 )
 
-BODY = b"b" * 2_000_000
+BODY = b"b" * 4_000_000
 # What the replica reads of the body before it answers, and after its first event.
 READ_BEFORE_ANSWER = 65_536
-READ_AFTER_ANSWER = 262_144
+READ_AFTER_ANSWER = 524_288
+PAUSE_BEFORE_READING_SECONDS = 0.2
 # The replica reads no more of the body while it sends the events.
 EVENT_COUNT = 20
 EVENT_INTERVAL_SECONDS = 0.1
@@ -77,6 +78,7 @@
         writer.write(head.encode())
         await writer.drain()
         if rest:
+            await asyncio.sleep(PAUSE_BEFORE_READING_SECONDS)
             await reader.readexactly(READ_AFTER_ANSWER)
             rest -= READ_AFTER_ANSWER
         for number in range(1, EVENT_COUNT + 1):
--- a/review/standins.py
+++ b/review/standins.py
@@ -12,6 +12,7 @@
 import json
 import os
 import re
+import shutil
 import signal
 import socket
 import subprocess
@@ -474,22 +475,14 @@
         status = Path(f"/proc/{self._processes[number].pid}/status").read_text()
         return int(status.split("VmRSS:")[1].split()[0]) // 1024
 
-    def find_log_lines(self, text: str) -> list[str]:
-        """Return the log lines of all gateways that contain a text."""
-        return [
-            f"{file.stem}: {line}"
-            for file in sorted(self._folder.glob("*.log"))
-            for line in file.read_text(errors="replace").splitlines()
-            if text in line
-        ]
-
     def close(self) -> None:
-        """End all processes."""
+        """End all processes, and remove their settings and logs."""
         for process in self._processes.values():
             if process.poll() is None:
                 process.send_signal(signal.SIGCONT)
                 process.kill()
             process.wait()
+        shutil.rmtree(self._folder, ignore_errors=True)
 
 
 class Response:
