--- a/review/3/case.py
+++ b/review/3/case.py
@@ -2,45 +2,26 @@
 Case 3
 ======
 
-A request for a stream crashes each replica that runs it, some events after it began,
-and its caller sends it again, at any gateway.
+A replica in trouble answers a stream with bytes that are no events and never end.
 """
 
-import asyncio
-import os
 from pathlib import Path
 
-from poison import CrashCase, CrashingReplicas
+from stall import EndlessReplica, run_stall
 from standins import Record, run_case
 
-# Events after which the request crashes its replica.
-EVENTS_BEFORE_CRASH = int(os.environ.get("EVENTS", "2"))
-ATTEMPT_COUNT = 14
-ATTEMPT_INTERVAL_SECONDS = 2.5
-
-
-async def send_again_and_again(case: CrashCase) -> None:
-    """Send the request at intervals."""
-    for _ in range(ATTEMPT_COUNT):
-        await case.send_crashing()
-        await asyncio.sleep(ATTEMPT_INTERVAL_SECONDS)
-
-
-async def run(record: Record) -> int:
-    """Play the case."""
-    case = CrashCase(
-        record=record,
-        kind="streaming",
-        route={"timeout_ms": 5000, "slo_ms": 250, "itl_target_ms": 150},
-        replicas=lambda store: CrashingReplicas(
-            record=record,
-            store=store,
-            count=5,
-            is_stream=True,
-            events_before_crash=EVENTS_BEFORE_CRASH,
-        ),
+# Short lines with blank lines between them: 64 KB a piece.
+PIECE = (b"x" * 6 + b"\n\n") * 8_192
+
+
+async def case(record: Record) -> int:
+    """Send orders while a stream gets bytes without end."""
+    endless = EndlessReplica(
+        head="Content-Type: text/event-stream\r\nConnection: close\r\n",
+        piece=PIECE,
+        sound_body=b"id: 1\ndata: x\n\n",
     )
-    return await case.run(send_again_and_again)
+    return await run_stall(record, kind="streaming", endless=endless)
 
 
-run_case(run, Path(__file__).resolve().parent)
+run_case(case, Path(__file__).resolve().parent)
--- a/review/poison.py
+++ b/review/poison.py
@@ -58,6 +58,9 @@
     work_before_crash : float
         Seconds from the beginning of a plain request to the crash, which comes even if
         the connection has been closed.
+    must_crash : bool or None
+        Whether the request crashes replicas; ``None`` for whether the case runs with
+        its disruption.
 
     Attributes
     ----------
@@ -75,6 +78,7 @@
         is_stream: bool,
         events_before_crash: int = 0,
         work_before_crash: float = 0.0,
+        must_crash: bool | None = None,
     ) -> None:
         self.arrivals: list[float] = []
         self.crashes: list[float] = []
@@ -82,6 +86,7 @@
         self._is_stream = is_stream
         self._events_before_crash = events_before_crash
         self._work_before_crash = work_before_crash
+        self._must_crash = is_troubled() if must_crash is None else must_crash
         self._tasks: set[asyncio.Task[None]] = set()
         self._replicas = [
             Replica(name=f"i-{number}", store=store, handler=self._serve)
@@ -105,7 +110,7 @@
         if is_crashing:
             self.arrivals.append(self._record.now)
             self._record.write(f"{replica.name}: begins {request.attempt}")
-        must_crash = is_crashing and is_troubled()
+        must_crash = is_crashing and self._must_crash
         if self._is_stream:
             return await self._send_stream(replica, request, writer, must_crash)
         if must_crash:
@@ -211,6 +216,7 @@
 
     Attributes
     ----------
+    record : Record
     gateways : Gateways
     attempt_count : int
         Attempts at the crashing request so far.
@@ -225,7 +231,7 @@
         replicas: Callable[[Store], CrashingReplicas],
         gateway_count: int = 2,
     ) -> None:
-        self._record = record
+        self.record = record
         self._store = Store()
         self._is_engine = kind == "streaming"
         self._route = make_route("work", "/work/", kind, **route)
@@ -244,7 +250,7 @@
             if not await self.start_gateways():
                 return NOT_RUN
             bystanders = [
-                Bystander(f"sound{number}", self._get_address(number), self._record)
+                Bystander(f"sound{number}", self._get_address(number), self.record)
                 for number in range(BYSTANDER_COUNT)
             ]
             tasks = [asyncio.create_task(item.run()) for item in bystanders]
@@ -261,10 +267,10 @@
             self.gateways.start(number)
         for number in self.gateways.numbers:
             if not await self.gateways.wait_until_ready(number):
-                self._record.write("a gateway isn't ready")
+                self.record.write("a gateway isn't ready")
                 return False
         await asyncio.sleep(STABLE_SECONDS + 0.5)
-        self._record.write("all gateways are in touch")
+        self.record.write("all gateways are in touch")
         return True
 
     async def send_crashing(self) -> None:
@@ -274,7 +280,7 @@
         response = await send_request(
             self._get_address(number), f"crash-{number}", CRASHING_BODY
         )
-        self._record.write(
+        self.record.write(
             f"client: attempt {number}: status {response.status}, "
             f"whole {response.is_whole}"
         )
@@ -287,7 +293,7 @@
         if len(crashes) >= CRASHES_BEFORE_BOUND:
             bound = crashes[CRASHES_BEFORE_BOUND - 1] + STABLE_SECONDS
             late_count = sum(at > bound for at in self._replicas.arrivals)
-        self._record.write(
+        self.record.write(
             f"BUDGET: {len(crashes)} crashes; {late_count} retries reached replicas "
             f"later than {STABLE_SECONDS} s after the third; "
             f"{cut_count} sound requests had no whole answer"
--- a/review/stall.py
+++ b/review/stall.py
@@ -27,8 +27,8 @@
     request_once,
 )
 
-# The link of a machine of the site carries 1,000 Mbit/s.
-LINK_BYTES_PER_SECOND = 125_000_000
+# A tenth of what the link of a machine of the site carries (1,000 Mbit/s).
+MAX_BYTES_PER_SECOND = 12_500_000
 # The time that the caller of the endless answer gives, and its route.
 ENDLESS_TIMEOUT_MS = 8_000
 ORDER_TIMEOUT_MS = 1_500
@@ -36,6 +36,7 @@
 SLACK_SECONDS = 0.5
 ORDER_COUNT = 40
 ORDER_INTERVAL_SECONDS = 0.1
+PROBE_SECONDS = 2.0
 
 
 async def serve_order(
@@ -94,7 +95,7 @@
             writer.write(self._piece)
             await writer.drain()
             sent += len(self._piece)
-            ahead = sent / LINK_BYTES_PER_SECOND - (time.monotonic() - started_at)
+            ahead = sent / MAX_BYTES_PER_SECOND - (time.monotonic() - started_at)
             await asyncio.sleep(max(0.0, ahead))
 
 
@@ -177,9 +178,11 @@
         for number in range(ORDER_COUNT):
             tasks.append(asyncio.create_task(orders.send(number)))
             await asyncio.sleep(ORDER_INTERVAL_SECONDS)
+        is_ready = await gateways.wait_until_ready(0, PROBE_SECONDS)
+        record.write(f"readiness probe while the answer goes on: {is_ready}")
         await asyncio.gather(*tasks)
         await stream
-        is_ready = await gateways.wait_until_ready(0, 2.0)
+        is_ready = await gateways.wait_until_ready(0, PROBE_SECONDS)
         record.write(
             f"readiness probe after the caller has left: {is_ready}; "
             f"memory {gateways.get_memory_mb(0)} MB"
