--- a/review/poison.py
+++ b/review/poison.py
@@ -23,14 +23,12 @@
     is_troubled,
     make_chunk,
     make_configuration,
-    make_response,
     make_route,
     request_once,
 )
 
 EVENT_COUNT = 12
 EVENT_INTERVAL_SECONDS = 0.05
-WORK_SECONDS = 0.02
 DOWN_SECONDS = 2.0
 CRASHING_BODY = b"a request that crashes replicas"
 BYSTANDER_COUNT = 6
@@ -43,7 +41,7 @@
 
 class CrashingReplicas:
     """
-    Replicas that crash when they run one certain request.
+    Replicas that answer with streams and crash when they run one certain request.
 
     Parameters
     ----------
@@ -51,13 +49,8 @@
     store : Store
     count : int
         Number of replicas.
-    is_stream : bool
-        Whether they answer with streams.
     events_before_crash : int
-        Events of a stream that are sent before the crash.
-    work_before_crash : float
-        Seconds from the beginning of a plain request to the crash, which comes even if
-        the connection has been closed.
+        Events of its stream that are sent before the crash.
     must_crash : bool or None
         Whether the request crashes replicas; ``None`` for whether the case runs with
         its disruption.
@@ -75,19 +68,15 @@
         record: Record,
         store: Store,
         count: int,
-        is_stream: bool,
         events_before_crash: int = 0,
-        work_before_crash: float = 0.0,
         must_crash: bool | None = None,
     ) -> None:
         self.arrivals: list[float] = []
         self.crashes: list[float] = []
         self._record = record
-        self._is_stream = is_stream
         self._events_before_crash = events_before_crash
-        self._work_before_crash = work_before_crash
         self._must_crash = is_troubled() if must_crash is None else must_crash
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._restarts: set[asyncio.Task[None]] = set()
         self._replicas = [
             Replica(name=f"i-{number}", store=store, handler=self._serve)
             for number in range(1, count + 1)
@@ -111,57 +100,39 @@
             self.arrivals.append(self._record.now)
             self._record.write(f"{replica.name}: begins {request.attempt}")
         must_crash = is_crashing and self._must_crash
-        if self._is_stream:
-            return await self._send_stream(replica, request, writer, must_crash)
-        if must_crash:
-            # A task of its own: this replica doesn't stop when the connection closes.
-            self._spawn(self._work_and_crash(replica))
-            await asyncio.sleep(self._work_before_crash + 1.0)
-            return False
-        await asyncio.sleep(WORK_SECONDS)
-        headers = {"Attempt-Id": request.attempt, "Response-Signature": "s"}
-        writer.write(make_response(200, headers, b"done"))
-        await writer.drain()
-        return True
+        await self._send_stream(replica, writer, request.attempt, must_crash)
+        return replica.is_up
 
     async def _send_stream(
         self,
         replica: Replica,
-        request: Request,
         writer: asyncio.StreamWriter,
+        attempt: str,
         must_crash: bool,
-    ) -> bool:
+    ) -> None:
         head = (
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-            f"Attempt-Id: {request.attempt}\r\nResponse-Signature: s\r\n"
+            f"Attempt-Id: {attempt}\r\nResponse-Signature: s\r\n"
             "Transfer-Encoding: chunked\r\n\r\n"
         )
         writer.write(head.encode())
         for number in range(EVENT_COUNT):
             if must_crash and number == self._events_before_crash:
                 await self._crash(replica)
-                return False
+                return
             event = f"id: {number + 1}\ndata: x\n\n".encode()
             writer.write(make_chunk(event))
             await writer.drain()
             await asyncio.sleep(EVENT_INTERVAL_SECONDS)
         writer.write(make_chunk(b""))
         await writer.drain()
-        return True
-
-    async def _work_and_crash(self, replica: Replica) -> None:
-        await asyncio.sleep(self._work_before_crash)
-        if replica.is_up:
-            await self._crash(replica)
 
     async def _crash(self, replica: Replica) -> None:
         self.crashes.append(self._record.now)
         self._record.write(f"{replica.name}: crashes")
         await replica.crash()
-        self._spawn(replica.restart_after(DOWN_SECONDS))
-
-    def _spawn(self, work: Any) -> None:
-        self._tasks.add(asyncio.create_task(work))
+        restart = asyncio.create_task(replica.restart_after(DOWN_SECONDS))
+        self._restarts.add(restart)
 
 
 class Bystander:
@@ -209,7 +180,7 @@
     ----------
     record : Record
     route : dict
-        What differs from the usual route.
+        What differs from the usual route.  It is one for streams.
     replicas : callable
         Makes the replicas.
     gateway_count : int
@@ -226,15 +197,13 @@
         self,
         *,
         record: Record,
-        kind: str,
         route: dict[str, Any],
         replicas: Callable[[Store], CrashingReplicas],
         gateway_count: int = 2,
     ) -> None:
         self.record = record
         self._store = Store()
-        self._is_engine = kind == "streaming"
-        self._route = make_route("work", "/work/", kind, **route)
+        self._route = make_route("work", "/work/", "streaming", **route)
         self._replicas = replicas(self._store)
         self._gateway_count = gateway_count
         self.attempt_count = 0
@@ -242,7 +211,7 @@
     async def run(self, scenario: Callable[["CrashCase"], Awaitable[None]]) -> int:
         """Play a scenario beside sound requests; return the exit code."""
         await self._store.start()
-        configuration = make_configuration([self._route], engine=self._is_engine)
+        configuration = make_configuration([self._route], engine=True)
         self._store.write("op", "config", configuration)
         await self._replicas.start()
         self.gateways = Gateways(store=self._store, count=self._gateway_count)
