Give way to the event loop while a response is read

Cause: Connection read event after event. A receive call of a gevent socket switches to the event loop only when it has to wait, and it never has to while a replica sends faster than h11 parses. No timer fired, so neither the deadline nor the caller's departure could end the loop. Each chunk was also kept as an object of its own, some 60 bytes for a byte.

Connection spends a piece for each step of the parser, in heads, bodies, trailers and stray responses. A body grows in one buffer.

gevent.sleep(0) isn't enough: gevent runs up to 50 such callbacks before it polls sockets and timers again.

--- a/damasklead/gateway/upstream_http.py
+++ b/damasklead/gateway/upstream_http.py
@@ -18,6 +18,7 @@
 from damasklead.failures import Failure
 from damasklead.gateway.calls import Header
 from damasklead.gateway.sockets import connect, is_readable
+from damasklead.turns import TurnBudget
 
 __all__ = ["Connection", "ConnectionPool", "ResponseMemoryBudget", "SendError"]
 
@@ -108,6 +109,8 @@
         self._address = address
         self._socket = raw
         self._http = h11.Connection(h11.CLIENT)
+        self._turn = TurnBudget()
+        self._unread_data = b""
         self._writer: gevent.Greenlet | None = None
         self._request: h11.Request | None = None
         self._closed = False
@@ -197,22 +200,31 @@
         """Make reads fail with ``TIMED_OUT`` after some seconds without any data."""
         self._socket.settimeout(seconds)
 
-    def read_body_data(self) -> bytes:
+    def read_body_data(self, *, max_bytes: int = RECEIVE_BYTES) -> bytes:
         """
         Return the next bytes of the body; empty at its end.
 
+        Parameters
+        ----------
+        max_bytes : int
+            Largest number of bytes to return.
+
         Raises
         ------
         SendError
             ``BROKEN`` when the connection ends before the body does.
         """
-        while True:
-            event = self._next_event()
-            if isinstance(event, h11.Data):
-                return bytes(event.data)
-            if isinstance(event, h11.EndOfMessage):
-                return b""
-            raise SendError(Failure.BROKEN, f"unexpected {type(event).__name__}")
+        data = self._unread_data or self._receive_body_data()
+        self._unread_data = data[max_bytes:]
+        return data[:max_bytes]
+
+    def _receive_body_data(self) -> bytes:
+        event = self._next_event()
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        if isinstance(event, h11.EndOfMessage):
+            return b""
+        raise SendError(Failure.BROKEN, f"unexpected {type(event).__name__}")
 
     def read_body(
         self, *, limit: int, memory: "ResponseMemoryBudget | None" = None
@@ -232,20 +244,19 @@
         SendError
             ``BROKEN`` when the body is too long or the connection ends before it does.
         """
-        parts: list[bytes] = []
-        size = 0
+        body = bytearray()
         try:
             while data := self.read_body_data():
-                parts.append(data)
-                size += len(data)
+                body += data
                 if memory is not None:
                     memory.used_bytes += len(data)
+                size = len(body)
                 if size > limit or (memory is not None and memory.must_drop(size)):
                     raise SendError(Failure.BROKEN, f"body of {size} bytes is too long")
-            return b"".join(parts)
+            return bytes(body)
         finally:
             if memory is not None:
-                memory.used_bytes -= size
+                memory.used_bytes -= len(body)
 
     def skip_stray_response(self) -> None:
         """
@@ -308,7 +319,9 @@
             self._socket.close()
 
     def _next_event(self) -> h11.Event:
+        received_bytes = 0
         while True:
+            self._turn.spend(size=received_bytes)
             try:
                 event = self._http.next_event()
             except h11.RemoteProtocolError as error:
@@ -317,9 +330,10 @@
                 raise SendError(Failure.BROKEN, "closed before the end of the response")
             if isinstance(event, h11.Event):
                 return event
-            self._receive()
+            received_bytes = self._receive()
 
-    def _receive(self) -> None:
+    def _receive(self) -> int:
+        """Receive data once and pass it to the parser; returns its length."""
         try:
             data = self._socket.recv(RECEIVE_BYTES)
         except TimeoutError as error:
@@ -334,6 +348,7 @@
             self._http.receive_data(data)
         except RuntimeError as error:
             raise SendError(Failure.BROKEN, f"receive: {error}") from error
+        return len(data)
 
     def _send_all(self, data: bytes) -> None:
         try:
