Give way to the event loop while a stream is split and relayed

Cause: the relay read, split and forwarded without ever giving way to the event loop. Besides, one received piece may hold tens of thousands of blank lines, which were split in one go, and an event that came in small pieces was copied and searched anew with each of them.

Change: the relay takes at most 4,096 bytes at once and spends its budget by the events in them.

--- a/damasklead/gateway/proxied_request.py
+++ b/damasklead/gateway/proxied_request.py
@@ -26,6 +26,7 @@
     SendError,
 )
 from damasklead.ids import InstanceId
+from damasklead.turns import TurnBudget
 from damasklead.util import stable_hash
 
 __all__ = ["ProxiedRequest"]
@@ -39,6 +40,8 @@
 RESUMED_STREAM_STATUS = 200
 # Longest body of a response that is not streamed.
 MAX_BODY_BYTES = 16_777_216
+# Bytes of a stream that are split into events at once.
+MAX_SPLIT_BYTES = 4_096
 # A resumable stream moves to another replica after this fraction of the time that its
 # caller waits for the next event.
 RESUME_TIMEOUT_FRACTION = 0.5
@@ -390,8 +393,10 @@
             clock=self._context.clock, event_timeout=self._compute_event_timeout()
         )
         upstream.set_read_timeout(progress.event_timeout)
-        while data := upstream.read_body_data():
+        turn = TurnBudget()
+        while data := upstream.read_body_data(max_bytes=MAX_SPLIT_BYTES):
             complete_events = splitter.feed(data)
+            turn.spend(size=len(data), pieces=splitter.block_count)
             progress.record_data(
                 events=bool(complete_events), buffered_bytes=splitter.buffered_bytes
             )
--- a/tests/test_gateway_floods.py
+++ b/tests/test_gateway_floods.py
@@ -6,17 +6,30 @@
 Requests on other connections must still be answered at their timeouts.
 """
 
+from collections.abc import Iterator
+
 import gevent
 import pytest
+from hypothesis import given, settings, strategies as st
 
+from damasklead.gateway.events import EventSplitter
+from damasklead.gateway.proxied_request import MAX_SPLIT_BYTES
 from damasklead.gateway.upstream_http import (
     Connection,
+    ConnectionPool,
     ResponseMemoryBudget,
     SendError,
 )
+from damasklead.loop import LoopClock
 from damasklead.turns import PIECES_PER_TURN
 from tests.floods import FloodSocket, LoopWatch
-from tests.gateway_kit import make_chunk
+from tests.gateway_kit import (
+    ForwarderHarness,
+    ScriptedReplica,
+    make_chunk,
+    make_event,
+    make_stream_head,
+)
 
 FLOOD_COUNT = 3_000
 CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -116,3 +129,95 @@
         first, *later = [step for step in watch.steps if step]
         assert first <= len(floods) * MAX_STEP
         assert max(later) <= MAX_STEP
+
+
+class FloodPool(ConnectionPool):
+    """A pool whose connections receive a flood."""
+
+    def __init__(self, flood: FloodSocket) -> None:
+        super().__init__(clock=LoopClock())
+        self._flood = flood
+
+    def acquire(self, address: str) -> Connection:
+        return Connection(address=address, raw=self._flood)
+
+
+@pytest.fixture
+def replica() -> Iterator[ScriptedReplica]:
+    replica = ScriptedReplica("r1", lambda _replica, _connection: None)
+    yield replica
+    replica.stop()
+
+
+class TestStreamsOfReplicas:
+    def send_stream_request(
+        self, replica: ScriptedReplica, flood: FloodSocket
+    ) -> bytes:
+        harness = ForwarderHarness([replica], connections=FloodPool(flood))
+        try:
+            return harness.send_request("/chat/1", method="POST", body="x")
+        finally:
+            harness.stop()
+
+    @pytest.mark.parametrize(
+        "piece",
+        [make_chunk(make_event(1)), make_chunk(b"\n\n"), make_chunk(b":")],
+        ids=["events", "blank lines", "an endless event"],
+    )
+    def test_an_endless_stream_does_not_stop_the_event_loop(
+        self, replica: ScriptedReplica, piece: bytes
+    ) -> None:
+        flood = FloodSocket(head=make_stream_head("a1"), piece=piece, count=FLOOD_COUNT)
+        with LoopWatch(lambda: flood.receive_count) as watch:
+            self.send_stream_request(replica, flood)
+        assert flood.receive_count > PIECES_PER_TURN
+        assert watch.largest_step <= MAX_STEP
+
+    def test_events_that_arrive_together_do_not_stop_the_event_loop(
+        self, replica: ScriptedReplica, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        block_count = 0
+        feed = EventSplitter.feed
+
+        def count_blocks(splitter: EventSplitter, data: bytes) -> bytes:
+            nonlocal block_count
+            complete = feed(splitter, data)
+            block_count += complete.count(b"\n\n")
+            return complete
+
+        monkeypatch.setattr(EventSplitter, "feed", count_blocks)
+        flood = FloodSocket(
+            head=make_stream_head("a1"), piece=make_chunk(b"\n" * 60_000), count=20
+        )
+        with LoopWatch(lambda: block_count) as watch:
+            self.send_stream_request(replica, flood)
+        assert watch.largest_step <= MAX_SPLIT_BYTES // 2 + PIECES_PER_TURN
+
+    def test_an_endless_stream_ends_at_its_deadline(
+        self, replica: ScriptedReplica
+    ) -> None:
+        flood = FloodSocket(
+            head=make_stream_head("a1"),
+            piece=make_chunk(make_event(1)),
+            count=1_000_000,
+        )
+        response = self.send_stream_request(replica, flood)
+        assert flood.is_closed and flood.receive_count < 1_000_000
+        assert not response.endswith(b"0\r\n\r\n")
+
+
+@settings(derandomize=True, deadline=None, database=None)
+@given(lines=st.lists(st.sampled_from(["", "id: 1", "id: 2", "data: x", ":"])))
+@pytest.mark.parametrize("line_end", ["\n", "\r\n"])
+def test_events_do_not_depend_on_the_pieces_in_which_they_arrive(
+    line_end: str, lines: list[str]
+) -> None:
+    data = "".join(line + line_end for line in lines).encode()
+    whole, by_byte = EventSplitter(), EventSplitter()
+    complete = whole.feed(data)
+    pieces = [by_byte.feed(data[at : at + 1]) for at in range(len(data))]
+    assert b"".join(pieces).rstrip() == complete.rstrip()
+    assert by_byte.buffered_bytes == len(data) - len(b"".join(pieces))
+    assert by_byte.has_partial_event == whole.has_partial_event
+    assert by_byte.last_id == whole.last_id
+    assert by_byte.take_event_count() == whole.take_event_count()
