Give way to the event loop while a caller's request is read

Same cause as with responses: the loop never gave way to the event loop.

Besides, nothing limited what all callers together made a gateway buffer: bodies, and 128 KB of pipelined requests anew with each request. Bodies and pipelined requests are charged to a budget of the listener (memory_budget.py, taken out of upstream_http.py); a request that finds no memory gets 503 with Retry-After, and is not run.

Evidence: five tests in tests/test_gateway_floods.py fail when loops don't give way; the tests of memory have no budget to look at before this change.

--- a/damasklead/gateway/callers.py
+++ b/damasklead/gateway/callers.py
@@ -17,20 +17,30 @@
 
 from damasklead.clock import Clock
 from damasklead.gateway.calls import Header
+from damasklead.gateway.memory_budget import MemoryBudget, MemoryCharge
 from damasklead.gateway.routing import CallerLimits
 from damasklead.gateway.sockets import is_readable, set_tcp_options
+from damasklead.turns import TurnBudget
 
 __all__ = ["CallerConnection", "CallerDisconnected", "RawRequest", "RequestHandler"]
 
 RECEIVE_BYTES = 65_536
 # Bytes of pipelined requests that are buffered while a request is being answered.
 MAX_PIPELINED_BYTES = 131_072
+# The same while the requests of all callers exceed their budget.
+MAX_SCARCE_PIPELINED_BYTES = 4_096
+# Retry-After of a request that found no memory for its body.
+OUT_OF_MEMORY_RETRY_SECONDS = 0.5
 
 
 class CallerDisconnected(BaseException):
     """The caller closed its connection; raised in the greenlet that serves it."""
 
 
+class _OutOfMemory(Exception):
+    """The bodies of all callers exceed their budget."""
+
+
 class _IdleConnectionClosed(BaseException):
     """The process closes an idle connection; ends the wait for its next request."""
 
@@ -100,6 +110,8 @@
     clock : Clock
     is_stopping : callable
         Returns whether the process is stopping; responses then close the connection.
+    memory : MemoryBudget
+        Budget of the requests on all connections, from their bodies to their responses.
 
     Attributes
     ----------
@@ -115,7 +127,9 @@
         handler: RequestHandler,
         clock: Clock,
         is_stopping: Callable[[], bool],
+        memory: MemoryBudget,
     ) -> None:
+        self._memory = memory
         self._socket = raw
         self._handler = handler
         self._clock = clock
@@ -123,6 +137,7 @@
         self._http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=handler.limits().head_bytes
         )
+        self._turn = TurnBudget()
         self._state = ConnectionState.IDLE
         self._idle_watcher: Any = None
         self._half_closed = False
@@ -212,8 +227,12 @@
         """Read and serve one request; returns whether another may follow."""
         self._head_sent = False
         self.cancel_on_disconnect = True
+        with MemoryCharge(budget=self._memory) as charge:
+            return self._read_and_handle(charge)
+
+    def _read_and_handle(self, charge: MemoryCharge) -> bool:
         try:
-            request = self._read_request()
+            request = self._read_request(charge)
         except h11.RemoteProtocolError as error:
             self._send_error(error.error_status_hint, str(error))
             return False
@@ -221,11 +240,16 @@
             if self._state is ConnectionState.READING:
                 self._send_error(408, "the request did not arrive in time")
             return False
+        except _OutOfMemory:
+            self._send_error(
+                503, "too many large requests", retry_after=OUT_OF_MEMORY_RETRY_SECONDS
+            )
+            return False
         if request is None:
             return False
         self._state = ConnectionState.ANSWERING
         disconnect_watcher = gevent.spawn(
-            self._watch_for_disconnect, gevent.getcurrent()
+            self._watch_for_disconnect, gevent.getcurrent(), charge
         )
         try:
             self._handler.handle(request, self)
@@ -244,7 +268,7 @@
         self._state = ConnectionState.IDLE
         return True
 
-    def _read_request(self) -> RawRequest | None:
+    def _read_request(self, charge: MemoryCharge) -> RawRequest | None:
         """Read a request; returns ``None`` if the connection ended before one."""
         limits = self._handler.limits()
         if not self._http.trailing_data[0] and not self._wait_for_request(
@@ -261,7 +285,7 @@
             (bytes(name), bytes(value)) for name, value in event.headers.raw_items()
         ]
         _check_framing(event.headers)
-        body = self._read_body(limits)
+        body = self._read_body(limits, charge)
         self._socket.settimeout(None)
         return RawRequest(
             method=event.method.decode("ascii"),
@@ -285,27 +309,29 @@
             watcher.close()
         return True
 
-    def _read_body(self, limits: CallerLimits) -> bytes:
+    def _read_body(self, limits: CallerLimits, charge: MemoryCharge) -> bytes:
         if self._http.they_are_waiting_for_100_continue:
             continue_response = h11.InformationalResponse(status_code=100, headers=[])
             self._socket.sendall(self._http.send(continue_response) or b"")
-        parts: list[bytes] = []
-        size = 0
+        body = bytearray()
         self._socket.settimeout(limits.idle_seconds)
         while True:
             event = self._next_event(limits)
             if isinstance(event, h11.EndOfMessage):
-                return b"".join(parts)
+                return bytes(body)
             if not isinstance(event, h11.Data):
                 raise CallerDisconnected
-            parts.append(bytes(event.data))
-            size += len(event.data)
-            if size > limits.body_bytes:
+            body += event.data
+            if len(body) > limits.body_bytes:
                 raise h11.RemoteProtocolError("body is too long", 413)
+            if not charge.add(len(event.data)):
+                raise _OutOfMemory
 
     def _next_event(self, limits: CallerLimits) -> h11.Event:
         started_at: float | None = None
+        received_bytes = 0
         while True:
+            self._turn.spend(size=received_bytes)
             event = self._http.next_event()
             if event is h11.PAUSED:
                 raise CallerDisconnected
@@ -322,23 +348,33 @@
             if started_at is None and data and self._http.their_state is h11.IDLE:
                 started_at = self._start_reading(limits)
             self._http.receive_data(data)
+            received_bytes = len(data)
 
     def _start_reading(self, limits: CallerLimits) -> float:
         self._state = ConnectionState.READING
         return self._clock.now()
 
-    def _send_error(self, status: int, detail: str) -> None:
-        """Reject an invalid request, if a response can still be sent."""
+    def _send_error(
+        self, status: int, detail: str, *, retry_after: float | None = None
+    ) -> None:
+        """Reject a request that was not read, if a response can still be sent."""
         if self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
-        self.send_response(
-            status, [(b"Content-Type", b"text/plain")], detail.encode(), close=True
-        )
+        headers = [(b"Content-Type", b"text/plain")]
+        if retry_after is not None:
+            headers.append((b"Retry-After", b"%.1f" % retry_after))
+        self.send_response(status, headers, detail.encode(), close=True)
 
-    def _watch_for_disconnect(self, serving_greenlet: gevent.Greenlet) -> None:
+    def _watch_for_disconnect(
+        self, serving_greenlet: gevent.Greenlet, charge: MemoryCharge
+    ) -> None:
         """Cancel the request when its caller disconnects; buffer pipelined ones."""
-        pipelined_bytes = 0
-        while pipelined_bytes < MAX_PIPELINED_BYTES:
+        turn = TurnBudget()
+        pipelined_bytes = len(self._http.trailing_data[0])
+        has_memory = charge.add(pipelined_bytes)
+        while pipelined_bytes < (
+            MAX_PIPELINED_BYTES if has_memory else MAX_SCARCE_PIPELINED_BYTES
+        ):
             try:
                 data = self._socket.recv(RECEIVE_BYTES)
             except OSError:
@@ -349,7 +385,9 @@
                     gevent.kill(serving_greenlet, CallerDisconnected())
                 return
             pipelined_bytes += len(data)
+            has_memory = charge.add(len(data))
             self._http.receive_data(data)
+            turn.spend(size=len(data))
 
 
 def _check_framing(headers: Iterable[Header]) -> None:
--- a/damasklead/gateway/context.py
+++ b/damasklead/gateway/context.py
@@ -16,10 +16,11 @@
 from damasklead.gateway.crash_containment import Containment
 from damasklead.gateway.dialect import Dialect
 from damasklead.gateway.journal import Journal
+from damasklead.gateway.memory_budget import MemoryBudget
 from damasklead.gateway.replica_probe import ReplicaProbe
 from damasklead.gateway.stop_schedule import StopSchedule
 from damasklead.gateway.stream_origins.registry import OriginRegistry
-from damasklead.gateway.upstream_http import ConnectionPool, ResponseMemoryBudget
+from damasklead.gateway.upstream_http import ConnectionPool
 from damasklead.rate_limits import RateLimits
 
 __all__ = ["GatewayContext"]
@@ -55,7 +56,7 @@
     on_replica_left : callable
         Called with a replica that is leaving or gone, and a text that describes how
         this was detected.
-    response_memory : ResponseMemoryBudget
+    response_memory : MemoryBudget
         Limits the total size of the response bodies that are being read.
     """
 
@@ -71,6 +72,4 @@
     origins: OriginRegistry
     stop_schedule: StopSchedule
     on_replica_left: Callable[[UpstreamRecord, str], None]
-    response_memory: ResponseMemoryBudget = msgspec.field(
-        default_factory=ResponseMemoryBudget
-    )
+    response_memory: MemoryBudget = msgspec.field(default_factory=MemoryBudget)
--- a/damasklead/gateway/listeners.py
+++ b/damasklead/gateway/listeners.py
@@ -20,6 +20,7 @@
     RawRequest,
     RequestHandler,
 )
+from damasklead.gateway.memory_budget import MemoryBudget
 from damasklead.gateway.routing import CallerLimits
 from damasklead.gateway.snapshot import SNAPSHOT_PATH, Snapshot
 from damasklead.listening_socket import BACKLOG
@@ -28,6 +29,8 @@
 __all__ = ["Listener", "ReadyHandler", "StatusHandler"]
 
 DRAIN_POLL_SECONDS = 0.05
+# Memory for the bodies of all callers' requests, however small these are.
+REQUEST_MEMORY_BYTES = 33_554_432
 # Consecutive polls without an open connection after which a drain is complete.
 REQUIRED_IDLE_POLLS = 2
 
@@ -65,6 +68,7 @@
         self._is_stopping = is_stopping
         self._server: StreamServer | None = None
         self._connections: set[CallerConnection] = set()
+        self._memory = MemoryBudget(hard_limit_bytes=REQUEST_MEMORY_BYTES)
 
     @property
     def connection_count(self) -> int:
@@ -141,6 +145,7 @@
             handler=self._handler,
             clock=self._clock,
             is_stopping=self._is_stopping,
+            memory=self._memory,
         )
         self._connections.add(connection)
         try:
--- a/damasklead/gateway/upstream_http.py
+++ b/damasklead/gateway/upstream_http.py
@@ -17,10 +17,11 @@
 from damasklead.clock import Clock
 from damasklead.failures import Failure
 from damasklead.gateway.calls import Header
+from damasklead.gateway.memory_budget import MemoryBudget, MemoryCharge
 from damasklead.gateway.sockets import connect, is_readable
 from damasklead.turns import TurnBudget
 
-__all__ = ["Connection", "ConnectionPool", "ResponseMemoryBudget", "SendError"]
+__all__ = ["Connection", "ConnectionPool", "SendError"]
 
 RECEIVE_BYTES = 65_536
 # Connect timeout; replicas are on the same network and accept within milliseconds.
@@ -39,10 +40,6 @@
 MAX_INTERIM_RESPONSES = 8
 # Longest body of a response to another request that is skipped.
 MAX_STRAY_BODY_BYTES = 1_048_576
-# Memory for all response bodies that are being read, and the size up to which a body
-# may still grow when they exceed it.
-RESPONSE_MEMORY_BYTES = 25_165_824
-SMALL_BODY_BYTES = 262_144
 _FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
 # Fraction of a replica's connection limit that all gateways together may keep idle; the
 # rest is for connections in use.
@@ -64,35 +61,6 @@
         self.failure = failure
 
 
-class ResponseMemoryBudget:
-    """
-    Memory budget for the response bodies that are being read.
-
-    Load pattern: many faulty replicas send endless bodies at the same time; small
-    responses of healthy replicas must still succeed.
-
-    Parameters
-    ----------
-    limit_bytes : int
-        Budget for all bodies together.
-
-    Attributes
-    ----------
-    limit_bytes : int
-        Budget for all bodies together.
-    used_bytes : int
-        Bytes that the bodies being read hold at present.
-    """
-
-    def __init__(self, *, limit_bytes: int = RESPONSE_MEMORY_BYTES) -> None:
-        self.limit_bytes = limit_bytes
-        self.used_bytes = 0
-
-    def must_drop(self, size: int) -> bool:
-        """Return whether a body that has grown to ``size`` bytes must be dropped."""
-        return self.used_bytes > self.limit_bytes and size > SMALL_BODY_BYTES
-
-
 class Connection:
     """
     A connection to a replica, for one request at a time.
@@ -226,9 +194,7 @@
             return b""
         raise SendError(Failure.BROKEN, f"unexpected {type(event).__name__}")
 
-    def read_body(
-        self, *, limit: int, memory: "ResponseMemoryBudget | None" = None
-    ) -> bytes:
+    def read_body(self, *, limit: int, memory: MemoryBudget | None = None) -> bytes:
         """
         Return the complete body.
 
@@ -236,7 +202,7 @@
         ----------
         limit : int
             Longest body in bytes.
-        memory : ResponseMemoryBudget or None
+        memory : MemoryBudget or None
             Budget that the body is charged to while it is being read.
 
         Raises
@@ -245,18 +211,14 @@
             ``BROKEN`` when the body is too long or the connection ends before it does.
         """
         body = bytearray()
-        try:
+        with MemoryCharge(budget=memory or MemoryBudget()) as charge:
             while data := self.read_body_data():
                 body += data
-                if memory is not None:
-                    memory.used_bytes += len(data)
-                size = len(body)
-                if size > limit or (memory is not None and memory.must_drop(size)):
-                    raise SendError(Failure.BROKEN, f"body of {size} bytes is too long")
+                if not charge.add(len(data)) or len(body) > limit:
+                    raise SendError(
+                        Failure.BROKEN, f"body of {len(body)} bytes is too long"
+                    )
             return bytes(body)
-        finally:
-            if memory is not None:
-                memory.used_bytes -= len(body)
 
     def skip_stray_response(self) -> None:
         """
--- a/tests/floods.py
+++ b/tests/floods.py
@@ -11,6 +11,7 @@
 from types import TracebackType
 
 import gevent
+from gevent import socket
 
 __all__ = ["FloodSocket", "LoopWatch"]
 
@@ -42,6 +43,9 @@
         self.sent = bytearray()
         self.is_closed = False
         self._pieces = self._make_pieces(head, piece, count)
+        # Its descriptor is readable, for waits on this socket.
+        self._readable, self._other_end = socket.socketpair()
+        self._other_end.close()
 
     @staticmethod
     def _make_pieces(head: bytes, piece: bytes, count: int) -> Iterator[bytes]:
@@ -49,6 +53,9 @@
             yield head
         yield from repeat(piece, count)
 
+    def fileno(self) -> int:
+        return self._readable.fileno()
+
     def recv(self, size: int, _flags: int = 0) -> bytes:
         if self.is_closed:
             raise OSError("closed")
@@ -70,6 +77,7 @@
 
     def close(self) -> None:
         self.is_closed = True
+        self._readable.close()
 
 
 class LoopWatch:
--- a/tests/gateway_kit.py
+++ b/tests/gateway_kit.py
@@ -25,6 +25,7 @@
 from damasklead.gateway.forwarding import Forwarder
 from damasklead.gateway.journal import Journal
 from damasklead.gateway.listeners import Listener
+from damasklead.gateway.memory_budget import MemoryBudget
 from damasklead.gateway.metrics import GatewayMetrics
 from damasklead.gateway.placements import Placement, new_placement
 from damasklead.gateway.replica_probe import ReplicaProbe
@@ -44,7 +45,7 @@
 from damasklead.gateway.store_positions import Position
 from damasklead.gateway.stream_origins.origins import StreamOrigin
 from damasklead.gateway.stream_origins.registry import OriginRegistry
-from damasklead.gateway.upstream_http import ConnectionPool, ResponseMemoryBudget
+from damasklead.gateway.upstream_http import ConnectionPool
 from damasklead.ids import (
     AttemptId,
     DataCentre,
@@ -317,7 +318,7 @@
         self.table: RoutingTable | None = make_table()
         self.is_stopping = False
         self.departed_instances: list[InstanceId] = []
-        self.response_memory = ResponseMemoryBudget()
+        self.response_memory = MemoryBudget()
         self.rate_limits = RateLimits(
             clock=self.clock, instance=InstanceId("gateway-1")
         )
--- a/tests/test_gateway_faulty_replicas.py
+++ b/tests/test_gateway_faulty_replicas.py
@@ -21,9 +21,9 @@
     DepartureLog,
 )
 from damasklead.gateway.directory import UpstreamDirectory
+from damasklead.gateway.memory_budget import MemoryBudget
 from damasklead.gateway.proxied_request import MAX_REPLICA_ATTEMPTS
 from damasklead.gateway.replica_state import MAX_PAUSE_SECONDS
-from damasklead.gateway.upstream_http import ResponseMemoryBudget
 from damasklead.ids import InstanceId
 from tests.gateway_kit import (
     ROUTES,
@@ -292,7 +292,7 @@
         assert harness.response_memory.used_bytes == 0
 
     def test_small_responses_are_exempt_from_the_memory_budget(self) -> None:
-        memory = ResponseMemoryBudget(limit_bytes=1000)
+        memory = MemoryBudget(limit_bytes=1000)
         memory.used_bytes = 5000
         assert not memory.must_drop(800)
         assert memory.must_drop(1_000_000)
--- a/tests/test_gateway_floods.py
+++ b/tests/test_gateway_floods.py
@@ -12,12 +12,19 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
+from damasklead.gateway.callers import (
+    MAX_PIPELINED_BYTES,
+    CallerConnection,
+    RawRequest,
+    RequestHandler,
+)
 from damasklead.gateway.events import EventSplitter
+from damasklead.gateway.memory_budget import MemoryBudget
 from damasklead.gateway.proxied_request import MAX_SPLIT_BYTES
+from damasklead.gateway.routing import CallerLimits
 from damasklead.gateway.upstream_http import (
     Connection,
     ConnectionPool,
-    ResponseMemoryBudget,
     SendError,
 )
 from damasklead.loop import LoopClock
@@ -74,7 +81,7 @@
         )
         connection = make_connection(flood)
         connection.read_head()
-        memory = ResponseMemoryBudget()
+        memory = MemoryBudget()
         with LoopWatch(lambda: memory.used_bytes) as watch, pytest.raises(SendError):
             connection.read_body(limit=10**9, memory=memory)
         assert watch.largest_step <= MAX_STEP
@@ -206,6 +213,121 @@
         assert not response.endswith(b"0\r\n\r\n")
 
 
+class RecordingHandler(RequestHandler):
+    """
+    Answers each request at once.
+
+    Attributes
+    ----------
+    requests : list of RawRequest
+        The requests that were read.
+    """
+
+    def __init__(self) -> None:
+        self.requests: list[RawRequest] = []
+
+    def handle(self, request: RawRequest, connection: CallerConnection) -> None:
+        self.requests.append(request)
+        connection.send_response(401, [], b"")
+
+    def limits(self) -> CallerLimits:
+        return CallerLimits()
+
+
+def make_caller_connection(
+    flood: FloodSocket, handler: RequestHandler, memory: MemoryBudget
+) -> CallerConnection:
+    return CallerConnection(
+        raw=flood,
+        handler=handler,
+        clock=LoopClock(),
+        is_stopping=lambda: False,
+        memory=memory,
+    )
+
+
+CHUNKED_REQUEST = (
+    b"POST /read/1 HTTP/1.1\r\nHost: ice.example\r\nTransfer-Encoding: chunked\r\n\r\n"
+)
+SMALL_REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+
+
+class TestRequestsOfCallers:
+    """No caller here has a key."""
+
+    @pytest.mark.parametrize(
+        ("head", "piece"),
+        [
+            (b"GET /", b"a"),
+            (SMALL_REQUEST[:-2], b"a: b\r\n"),
+            (CHUNKED_REQUEST, make_chunk(b"x")),
+            (CHUNKED_REQUEST + b"0\r\n", b"a:b\r\n"),
+        ],
+        ids=["request line", "headers", "chunks", "trailers"],
+    )
+    def test_an_endless_request_does_not_stop_the_event_loop(
+        self, head: bytes, piece: bytes
+    ) -> None:
+        flood = FloodSocket(head=head, piece=piece, count=FLOOD_COUNT)
+        connection = make_caller_connection(flood, RecordingHandler(), MemoryBudget())
+        with LoopWatch(lambda: flood.receive_count) as watch:
+            connection.serve()
+        assert flood.receive_count > PIECES_PER_TURN
+        assert watch.largest_step <= MAX_STEP
+
+    def test_pipelined_requests_do_not_stop_the_event_loop(self) -> None:
+        flood = FloodSocket(piece=SMALL_REQUEST, count=FLOOD_COUNT)
+        handler = RecordingHandler()
+        connection = make_caller_connection(flood, handler, MemoryBudget())
+        with LoopWatch(lambda: flood.receive_count) as watch:
+            connection.serve()
+        assert handler.requests
+        # The request's reader and the watch for its caller's departure.
+        assert watch.largest_step <= 2 * MAX_STEP
+
+    def test_pipelined_requests_take_a_limited_memory(self) -> None:
+        memory = MemoryBudget()
+        charges: list[int] = []
+
+        class SlowHandler(RecordingHandler):
+            def handle(self, request: RawRequest, connection: CallerConnection) -> None:
+                gevent.sleep(0.001)
+                charges.append(memory.used_bytes)
+                super().handle(request, connection)
+                if len(self.requests) == 20:
+                    connection.abort()
+
+        flood = FloodSocket(piece=SMALL_REQUEST * 2_000, count=100)
+        make_caller_connection(flood, SlowHandler(), memory).serve()
+        assert max(charges) > MAX_PIPELINED_BYTES
+        # The limit, and what one call received beyond it.
+        assert (
+            flood.receive_count * 2_000 * len(SMALL_REQUEST)
+            <= MAX_PIPELINED_BYTES + 65_536
+        )
+        assert memory.used_bytes == 0
+
+    def test_bodies_of_many_callers_take_a_limited_memory(self) -> None:
+        limit = 100_000
+        memory = MemoryBudget(limit_bytes=limit, hard_limit_bytes=limit)
+        handler = RecordingHandler()
+        floods = [
+            FloodSocket(head=CHUNKED_REQUEST, piece=make_chunk(b"x" * 100), count=900)
+            for _ in range(20)
+        ]
+        connections = [make_caller_connection(f, handler, memory) for f in floods]
+        serving = [gevent.spawn(connection.serve) for connection in connections]
+        largest = 0
+        while not all(greenlet.ready() for greenlet in serving):
+            gevent.sleep(0)
+            largest = max(largest, memory.used_bytes)
+        assert 0.9 * limit < largest <= limit + len(floods) * 100
+        refused = [flood.sent for flood in floods if flood.sent]
+        assert all(b" 503 " in sent and b"Retry-After: " in sent for sent in refused)
+        assert refused and not handler.requests
+        assert memory.used_bytes == 0
+
+
 @settings(derandomize=True, deadline=None, database=None)
 @given(lines=st.lists(st.sampled_from(["", "id: 1", "id: 2", "data: x", ":"])))
 @pytest.mark.parametrize("line_end", ["\n", "\r\n"])
