Reuse a connection only after its request was sent to its end

Cause: a long body is sent by a greenlet whose socket calls have the timeout that the relay sets for its reads. When the replica read nothing for that long, the greenlet ended with TimeoutError, and is_reusable took a greenlet that has ended for a request that was sent.

Change: Connection records that the last byte was passed to the socket, and only then may serve again. The sender goes on after the reader's timeout: nothing was sent by that call, and the replica may read on later.

--- a/damasklead/gateway/upstream_http.py
+++ b/damasklead/gateway/upstream_http.py
@@ -6,7 +6,6 @@
 yields the response as it arrives.  Parsing is done by h11, I/O by gevent's sockets.
 """
 
-import contextlib
 from collections import deque
 from collections.abc import Sequence
 
@@ -29,6 +28,8 @@
 # Longer request bodies are sent in a greenlet of their own while the response is read:
 # a replica may respond early and leave the rest of the body unread.
 MAX_BLOCKING_SEND_BYTES = 4096
+# Bytes of a long body that are passed to the system at once.
+MAX_SEND_BYTES = 65_536
 # Assumed keep-alive timeout of a replica that states none.  The header has whole
 # seconds, so a replica that omits it may use less than one.
 DEFAULT_KEEP_ALIVE_SECONDS = 0.4
@@ -81,6 +82,7 @@
         self._unread_data = b""
         self._writer: gevent.Greenlet | None = None
         self._request: h11.Request | None = None
+        self._is_sent = True
         self._closed = False
         self._has_ended = False
         self._is_unframed = False
@@ -113,8 +115,13 @@
 
     @property
     def is_reusable(self) -> bool:
-        """Whether another request may be sent on this connection."""
-        if self._closed or (self._writer is not None and not self._writer.ready()):
+        """
+        Whether another request may be sent on this connection.
+
+        The replica may have responded before it has read the request to its end, and
+        would read the next one as the rest of it.
+        """
+        if self._closed or not self._is_sent:
             return False
         states = self._http.our_state, self._http.their_state
         if states == (h11.IDLE, h11.IDLE):
@@ -140,6 +147,7 @@
         head = self._http.send(request) or b""
         self._http.send(h11.Data(data=body))
         self._http.send(h11.EndOfMessage())
+        self._is_sent = False
         if len(body) <= MAX_BLOCKING_SEND_BYTES:
             self._send_all(head + body)
         else:
@@ -318,11 +326,24 @@
         except OSError as error:
             self._has_ended = True
             raise SendError(Failure.BROKEN, f"send: {error}") from error
+        self._is_sent = True
 
     def _send_in_background(self, data: bytes) -> None:
-        # The reader reports a failure, since an early response may still arrive.
-        with contextlib.suppress(OSError):
-            self._socket.sendall(data)
+        turn = TurnBudget()
+        unsent = memoryview(data)
+        while unsent:
+            try:
+                sent_bytes = self._socket.send(unsent[:MAX_SEND_BYTES])
+            except TimeoutError:
+                # The timeout is that of the reader, and nothing was sent.
+                continue
+            except OSError:
+                # The reader reports a failure, since an early response may still
+                # arrive.
+                return
+            unsent = unsent[sent_bytes:]
+            turn.spend(size=sent_bytes)
+        self._is_sent = True
 
 
 class ConnectionPool:
