Give way to the event loop while rows and datagrams are read

Rows of a table were decoded in one go after all pages had been kept; the receiver of datagrams read up to 256 in one go; a datagram with thousands of departures rebuilt the index of replicas once for each (0.5 ms at 1,100 replicas); and the compressed configuration of a broadcast expanded without a limit.

Change: budgets of turns for rows and datagrams, pages decoded as they come, one rebuild for all departures of a message, and 1 MB for an expanded configuration.

Evidence: six tests fail without the change: the receiver with odd, empty and sound datagrams, and rows of the store, sound or odd.

--- a/damasklead/gateway/broadcasts.py
+++ b/damasklead/gateway/broadcasts.py
@@ -63,6 +63,8 @@
 CAUSES_INTERVAL_SECONDS = 0.9
 # Largest compressed configuration in a broadcast; a larger one is read from the store.
 MAX_ROUTING_BYTES = 8_192
+# Largest configuration that a broadcast may hold, before compression.
+MAX_ENCODED_ROUTING_BYTES = 1_048_576
 
 
 _FleetEvent = CrashReport | Departure | RateLimit | Exoneration
@@ -319,8 +321,10 @@
             return b""
         version, data, transmissions = self._routing
         if version != table.version:
-            compressed = zlib.compress(msgspec.msgpack.encode(table.content), 1)
-            data = compressed if len(compressed) <= MAX_ROUTING_BYTES else b""
+            encoded = msgspec.msgpack.encode(table.content)
+            compressed = zlib.compress(encoded, 1)
+            fits = len(encoded) <= MAX_ENCODED_ROUTING_BYTES
+            data = compressed if fits and len(compressed) <= MAX_ROUTING_BYTES else b""
             transmissions = 0
         self._routing = (table.version, data, transmissions + 1)
         return data if transmissions < MAX_TRANSMISSIONS else b""
@@ -364,7 +368,8 @@
             self._upstreams.record_peer_confirmation()
 
     def _apply_routing(self, data: bytes) -> None:
-        content = msgspec.msgpack.decode(zlib.decompress(data), type=RoutingContent)
+        encoded = zlib.decompressobj().decompress(data, MAX_ENCODED_ROUTING_BYTES)
+        content = msgspec.msgpack.decode(encoded, type=RoutingContent)
         self._configuration.apply_peer_configuration(RoutingTable(content=content))
 
     def _request_newer_routing(self, sender: str, position: Position) -> None:
--- a/damasklead/gateway/directory.py
+++ b/damasklead/gateway/directory.py
@@ -6,6 +6,8 @@
 stale, unreachable or restored from a backup.
 """
 
+from collections.abc import Iterable
+
 import msgspec
 
 from damasklead.clock import Clock
@@ -271,14 +273,30 @@
         bool
             Whether this was not known before.
         """
-        if self._departed.get(instance) == incarnation:
-            return False
-        # This is kept when the entry is removed, since the replica may be listed again
-        # while it leaves.
-        self._departed[instance] = incarnation
-        self._trim_history()
-        self._rebuild_index()
-        return True
+        return bool(self.mark_all_departed([(instance, incarnation)]))
+
+    def mark_all_departed(
+        self, departures: Iterable[tuple[InstanceId, int]]
+    ) -> list[tuple[InstanceId, int]]:
+        """
+        Record several replicas as ``mark_departed`` does; returns the new departures.
+
+        Parameters
+        ----------
+        departures : iterable
+            Id and incarnation of each replica.
+        """
+        new = []
+        for instance, incarnation in departures:
+            if self._departed.get(instance) != incarnation:
+                # This is kept when the entry is removed, since the replica may be
+                # listed again while it leaves.
+                self._departed[instance] = incarnation
+                new.append((instance, incarnation))
+        if new:
+            self._trim_history()
+            self._rebuild_index()
+        return new
 
     def drop_expired(self) -> list[str]:
         """
--- a/damasklead/gateway/fleet.py
+++ b/damasklead/gateway/fleet.py
@@ -340,16 +340,12 @@
 
     def _apply_departures(self, departures: list[Departure]) -> None:
         """Apply departures that other gateways observed."""
-        new_departures = [
-            departure
-            for departure in departures
-            if self._directory.mark_departed(departure.instance, departure.incarnation)
-        ]
-        for departure in new_departures:
+        new_departures = self._directory.mark_all_departed(
+            (departure.instance, departure.incarnation) for departure in departures
+        )
+        for instance, _ in new_departures:
             self._journal.event(
-                "replica-left",
-                replica=departure.instance,
-                sign="reported by another gateway",
+                "replica-left", replica=instance, sign="reported by another gateway"
             )
         if new_departures:
             self._handle_replicas_changed()
--- a/damasklead/gateway/peers.py
+++ b/damasklead/gateway/peers.py
@@ -41,6 +41,7 @@
     OriginReport,
 )
 from damasklead.ids import DataCentre, InstanceId
+from damasklead.turns import TurnBudget
 from damasklead.util import split_address
 
 __all__ = ["Peers"]
@@ -180,15 +181,18 @@
 
     def run_receiver(self) -> None:
         """Receive and handle messages, forever."""
+        turn = TurnBudget()
         while True:
             batch: MessageBatch[tuple[Any, _Address]] = MessageBatch()
             data, address = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
             while data is not None:
+                turn.spend(size=len(data))
                 message = self._decode_datagram(data)
                 if message is not None:
                     batch.add(type(message), (message, address))
                 data, address = self._receive_pending(full=batch.is_full)
             for message, sender in batch.select_messages():
+                turn.spend(size=0)
                 self._handle_safely(message, sender)
             if batch.dropped_count:
                 self._journal.event("asks-dropped", asks=batch.dropped_count)
--- a/damasklead/platform/origin_table.py
+++ b/damasklead/platform/origin_table.py
@@ -18,6 +18,7 @@
 from damasklead.gateway.stream_origins.origins import StreamOrigin
 from damasklead.ids import AttemptId
 from damasklead.platform.rows import CALL_TIMEOUT_SECONDS, Row, StoreCall, commit
+from damasklead.turns import TurnBudget
 from damasklead.util import stable_hash
 
 __all__ = ["OriginTable"]
@@ -89,7 +90,9 @@
 
 
 def _decode_rows(rows: Iterable[Row]) -> Iterable[StreamOrigin]:
+    turn = TurnBudget()
     for row in rows:
+        turn.spend(size=len(row.data))
         try:
             data = base64.b64decode(row.data)
             yield decode_msgpack(data, decoder=_DECODER)
--- a/damasklead/platform/store.py
+++ b/damasklead/platform/store.py
@@ -38,6 +38,7 @@
 from damasklead.platform.documents import decode_configuration, decode_upstream
 from damasklead.platform.origin_table import OriginTable
 from damasklead.platform.rows import CALL_TIMEOUT_SECONDS, Row, Rows, StoreCall, commit
+from damasklead.turns import TurnBudget
 
 __all__ = ["StoreLink"]
 
@@ -101,7 +102,7 @@
 
     def read(self) -> Changes[T]:
         """Read the complete table page by page."""
-        rows: list[Row] = []
+        items: list[T] = []
         cursor: Position | None = None
         start_key = ""
         for _ in range(MAX_PAGES):
@@ -114,13 +115,11 @@
             self._check_not_stale(page)
             cursor = page.position if cursor is None else cursor
             _check_era(page, cursor)
-            rows.extend(page.rows)
+            items.extend(self._decode(page.rows, cursor.era))
             if not page.has_more or not page.rows:
                 break
             start_key = page.rows[-1].key + "\0"
-        cursor = cursor or INITIAL_POSITION
-        items = self._decode(rows, cursor.era)
-        return Changes(items=items, is_complete=True, cursor=cursor)
+        return Changes(items=items, is_complete=True, cursor=cursor or INITIAL_POSITION)
 
     def poll_changes(self, cursor: Position, *, wait: float) -> Changes[T]:
         """Return the changes since a cursor; waits up to ``wait`` seconds for one."""
@@ -217,7 +216,9 @@
             "GET", f"/-/rows-get?{urlencode(query)}", None, CALL_TIMEOUT_SECONDS
         )
         entries: list[PeerEntry] = []
+        turn = TurnBudget()
         for row in page.rows:
+            turn.spend(size=len(row.data))
             try:
                 content = decode_json(base64.b64decode(row.data), type=_Peer)
             except (msgspec.DecodeError, binascii.Error):
@@ -370,19 +371,23 @@
 
 
 def _decode_configurations(rows: list[Row], _era: StoreEra) -> list[RoutingTable]:
+    tables: list[RoutingTable] = []
+    turn = TurnBudget()
     try:
-        return [
-            decode_configuration(base64.b64decode(row.data))
-            for row in rows
-            if row.key == "config" and not row.deleted
-        ]
+        for row in rows:
+            turn.spend(size=len(row.data))
+            if row.key == "config" and not row.deleted:
+                tables.append(decode_configuration(base64.b64decode(row.data)))
+        return tables
     except (msgspec.DecodeError, binascii.Error) as error:
         raise FeedError(FeedFault.UNREADABLE, f"configuration: {error}") from error
 
 
 def _decode_upstreams(rows: list[Row], era: StoreEra) -> list[ListedRow]:
     listed: list[ListedRow] = []
+    turn = TurnBudget()
     for row in rows:
+        turn.spend(size=len(row.data))
         record = None
         if not row.deleted:
             try:
--- a/tests/floods.py
+++ b/tests/floods.py
@@ -13,7 +13,7 @@
 import gevent
 from gevent import socket
 
-__all__ = ["FloodSocket", "LoopWatch"]
+__all__ = ["DatagramFlood", "FloodSocket", "LoopWatch"]
 
 
 class FloodSocket:
@@ -80,6 +80,44 @@
         self._readable.close()
 
 
+class DatagramFlood:
+    """
+    A datagram socket on which a datagram is always available.
+
+    Parameters
+    ----------
+    data : bytes
+        Each datagram.
+    sender : tuple
+        Its sender's address.
+    count : int
+        Number of datagrams.
+
+    Attributes
+    ----------
+    receive_count : int
+        Number of datagrams that were received.
+    """
+
+    def __init__(self, *, data: bytes, sender: tuple[str, int], count: int) -> None:
+        self.receive_count = 0
+        self._data = data
+        self._sender = sender
+        self._count = count
+
+    def recvfrom(self, _size: int) -> tuple[bytes, tuple[str, int]]:
+        if self.receive_count == self._count:
+            raise EOFError
+        self.receive_count += 1
+        return self._data, self._sender
+
+    def sendto(self, data: bytes, address: tuple[str, int]) -> None:
+        pass
+
+    def settimeout(self, seconds: float | None) -> None:
+        pass
+
+
 class LoopWatch:
     """
     A context manager that records how much work is done between two iterations of the
--- a/tests/test_gateway_broadcasts.py
+++ b/tests/test_gateway_broadcasts.py
@@ -7,6 +7,8 @@
 """
 
 import random
+import tracemalloc
+import zlib
 
 import msgspec
 import pytest
@@ -14,6 +16,7 @@
 from damasklead.clock import ManualClock
 from damasklead.gateway.broadcasts import (
     BROADCAST_INTERVAL_SECONDS,
+    MAX_ENCODED_ROUTING_BYTES,
     MAX_ROUTING_BYTES,
     TAKEOVER_TIMEOUT_SECONDS,
     Broadcasts,
@@ -650,3 +653,17 @@
     for gateway in fleet.running_gateways:
         gateway.upstreams.expire()
         assert "r1" in gateway.replicas
+
+
+def test_a_compressed_configuration_does_not_expand_without_limit() -> None:
+    fleet = Fleet(2)
+    fleet.run(2.0)
+    gateway = fleet.running_gateways[0]
+    data = zlib.compress(bytes(64 * MAX_ENCODED_ROUTING_BYTES))
+    tracemalloc.start()
+    try:
+        with pytest.raises(msgspec.DecodeError):
+            gateway.broadcasts._apply_routing(data)
+        assert tracemalloc.get_traced_memory()[1] < 4 * MAX_ENCODED_ROUTING_BYTES
+    finally:
+        tracemalloc.stop()
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -664,3 +664,22 @@
         placement.record_sent(name, make_call(f"full-{name}", CHAT, tokens=2500))
     third = placement.choose_replica(make_call("third", REVIEW, tokens=1500))
     assert third is not None and third.instance not in placement.reserved_instances
+
+
+# A datagram may list thousands of departures.
+def test_departures_that_arrive_together_are_indexed_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    directory = UpstreamDirectory(clock=ManualClock())
+    directory.apply_rows([make_row("r1", 1), make_row("r2", 2)], is_complete=True)
+    rebuild, calls = UpstreamDirectory._rebuild_index, []
+    monkeypatch.setattr(
+        UpstreamDirectory,
+        "_rebuild_index",
+        lambda directory: calls.append(rebuild(directory)),
+    )
+    departures = [(InstanceId("r1"), number) for number in range(1, 500)]
+    assert directory.mark_all_departed(departures) == departures
+    assert len(calls) == 1
+    assert not directory.mark_all_departed(departures[-1:])
+    assert len(calls) == 1
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterator
 
 import gevent
+import msgspec
 import pytest
 
 from damasklead.clock import ManualClock
@@ -20,15 +21,21 @@
     MAX_BATCH_REQUESTS,
     MessageBatch,
 )
-from damasklead.gateway.messages import PeerReport
+from damasklead.gateway.messages import PeerReport, Ping
 from damasklead.gateway.peers import (
     PING_TIMEOUT_SECONDS,
     REMOVAL_TIMEOUT_SECONDS,
     Peers,
 )
 from damasklead.ids import DataCentre, InstanceId
+from damasklead.turns import PIECES_PER_TURN
+from damasklead.util import split_address
+from tests.floods import DatagramFlood, LoopWatch
 from tests.gateway_kit import find_free_ports, make_position, wait_until
 
+REPORT = PeerReport(sender="b", crashes=[], departures=[])
+OTHER = PeerEntry(instance=InstanceId("b"), address="127.0.0.1:9", incarnation=1)
+
 
 class MemoryDirectory(PeerDirectory):
     """Entries in memory; ``is_down`` makes all calls fail."""
@@ -54,6 +61,20 @@
             raise FeedError(FeedFault.UNREACHABLE, "away")
 
 
+def make_peers(name: InstanceId) -> Peers:
+    """Return the peers of a gateway that has not begun to listen."""
+    return Peers(
+        local_entry=PeerEntry(
+            instance=name, address="127.0.0.1:8", incarnation=1, cores=1.0
+        ),
+        directory=MemoryDirectory,
+        on_members_changed=lambda: None,
+        on_message=lambda _other: None,
+        clock=ManualClock(start=10.0),
+        journal=Journal(instance=name),
+    )
+
+
 class PeerGroup:
     """Gateways that discover each other by the directory or by announcements."""
 
@@ -271,3 +292,23 @@
     group.directory.entries.clear()
     peers.handle_restore()
     wait_until(lambda: "g1" in group.directory.entries)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [b"", b"odd", msgspec.msgpack.encode(Ping()), msgspec.msgpack.encode(REPORT)],
+    ids=["empty", "odd", "pings", "reports"],
+)
+def test_datagrams_without_end_do_not_stop_the_event_loop(data: bytes) -> None:
+    handled: list[PeerReport] = []
+    peers = make_peers(InstanceId("a"))
+    peers.apply_snapshot([OTHER], is_complete=True)
+    peers.register_handler(PeerReport, lambda report, _sender: handled.append(report))
+    flood = DatagramFlood(data=data, sender=split_address(OTHER.address), count=3_000)
+    peers._socket = flood
+    with (
+        LoopWatch(lambda: flood.receive_count + len(handled)) as watch,
+        pytest.raises(EOFError),
+    ):
+        peers.run_receiver()
+    assert watch.largest_step <= 2 * PIECES_PER_TURN
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -17,7 +17,12 @@
 from damasklead.clock import ManualClock
 from damasklead.cmdline import main
 from damasklead.findings import Findings
-from damasklead.gateway.calls import Call, ResponseKind, UpstreamState
+from damasklead.gateway.calls import (
+    Call,
+    ResponseKind,
+    UpstreamRecord,
+    UpstreamState,
+)
 from damasklead.gateway.dialect import (
     FeedError,
     FeedFault,
@@ -29,9 +34,12 @@
 from damasklead.gateway.settings import check_gateway_settings
 from damasklead.ids import AttemptId, InstanceId, ServiceName, WorkspaceId
 from damasklead.loop import LoopClock
+from damasklead.platform import store as store_module
 from damasklead.platform.documents import decode_configuration, decode_upstream
 from damasklead.platform.headers import PlatformDialect
 from damasklead.platform.store import MAX_STALE_SECONDS, StoreLink
+from damasklead.turns import PIECES_PER_TURN
+from tests.floods import LoopWatch
 from tests.gateway_kit import ONCE, make_position, read_request
 
 CONFIGURATION = {
@@ -337,6 +345,30 @@
         assert changes.is_complete and changes.cursor == make_position(9)
         assert "range_start=i-1%00" in store.targets[1]
 
+    @pytest.mark.parametrize("is_odd", [False, True])
+    def test_many_rows_do_not_stop_the_event_loop(
+        self,
+        store: StoreStandin,
+        link: StoreLink,
+        monkeypatch: pytest.MonkeyPatch,
+        is_odd: bool,
+    ) -> None:
+        decoded_count = 0
+
+        def count_decoded(key: str, data: bytes) -> UpstreamRecord | None:
+            nonlocal decoded_count
+            decoded_count += 1
+            return decode_upstream(key, data)
+
+        monkeypatch.setattr(store_module, "decode_upstream", count_decoded)
+        content = {"odd": 1} if is_odd else UPSTREAM
+        rows = [make_store_row(f"i-{n}", 3, content) for n in range(1_000)]
+        store.responses = [(200, make_page(*rows, version=9))]
+        with LoopWatch(lambda: decoded_count) as watch:
+            link.upstreams.read()
+        assert decoded_count == len(rows)
+        assert watch.largest_step <= PIECES_PER_TURN
+
     def test_changes_are_polled(self, store: StoreStandin, link: StoreLink) -> None:
         store.responses = [
             (200, make_page(make_store_row("config", 3, CONFIGURATION), version=9)),
