Give way to the event loop while entries read foreign bytes

Responses of upstreams and of the store, requests of callers (also those that are answered before their body is read) and messages of peers were read in loops that never gave way while data was there. Heads and trailers of upstreams, and an event that doesn't end, were kept without a limit; the rest of a chunked body was discarded without one.

Change: the same budgets of turns. upstreams/transport.py parses 8 KB at once and ends heads and trailers at 64 KB; the store's client uses it, with a limit, in place of a client that reads everything at once. daemon/paced_wsgi.py paces the WSGI server and limits heads and discarded bodies. event_buffer.py is the one buffer for incomplete events, at gateways and entries.

--- a/damasklead/daemon/caller_server.py
+++ b/damasklead/daemon/caller_server.py
@@ -13,6 +13,7 @@
 from damasklead import logs
 from damasklead.daemon.callers import OUTCOME_HEADER, CallerApplication, Environ
 from damasklead.daemon.entry import Entry
+from damasklead.daemon.paced_wsgi import PacedHandler
 from damasklead.problems import Problem
 from damasklead.util import split_address
 
@@ -21,22 +22,15 @@
 BACKLOG = 1024  # connections
 
 
-class _Handler(pywsgi.WSGIHandler):
+class _Handler(PacedHandler):
     """
     Handles a connection of a caller.
 
     Requests with ambiguous framing are refused, since servers that frame them
     differently allow request smuggling. The application gets the caller's socket as
     ``damasklead.socket``.
-
-    Attributes
-    ----------
-    max_header_bytes : int
-        Largest total length of the names and values of a request's headers.
     """
 
-    max_header_bytes = 16_384
-
     def read_request(self, raw_requestline: str) -> Any:
         """Read a request's head; returns whether it is valid and not ambiguous."""
         return super().read_request(raw_requestline) and not self._has_ambiguous_framing
@@ -118,7 +112,12 @@
     def __init__(self, *, entry: Entry) -> None:
         limits = entry.settings.limits
         handler = type(
-            "Handler", (_Handler,), {"max_header_bytes": limits.header_bytes}
+            "Handler",
+            (_Handler,),
+            {
+                "max_header_bytes": limits.header_bytes,
+                "max_discarded_bytes": limits.body_bytes,
+            },
         )
         options: dict[str, Any] = {}
         if entry.settings.tls is not None:
--- a/damasklead/daemon/exchange.py
+++ b/damasklead/daemon/exchange.py
@@ -40,6 +40,7 @@
     make_store_unavailable_problem,
     select_end_to_end_headers,
 )
+from damasklead.event_buffer import MAX_EVENT_BYTES, EventBuffer
 from damasklead.ids import AttemptId, InstanceId
 from damasklead.loop import LoopClock
 from damasklead.problems import make_problem
@@ -360,7 +361,7 @@
                 headers=select_end_to_end_headers(response),
                 is_complete=False,
             )
-        partial_event = b""
+        buffer = EventBuffer(delimiters=(EVENT_END,))
         is_done = False
         record_events = self.pool.dispatcher.record_events
         while chunk := response.read_chunk():
@@ -368,13 +369,12 @@
                 # Data still buffered when the attempt was cancelled is dropped: its
                 # events were not counted, so the next attempt generates them again.
                 raise UpstreamError(Failure.BROKEN, "the attempt was cancelled")
-            data = partial_event + chunk if partial_event else chunk
-            end = data.rfind(EVENT_END) + len(EVENT_END)
-            if end < len(EVENT_END):
-                partial_event = data
+            events = buffer.feed(chunk)
+            if len(buffer) > MAX_EVENT_BYTES:
+                response.close()
+                raise UpstreamError(Failure.BROKEN, "an event is too long")
+            if not events:
                 continue
-            partial_event = data[end:] if end < len(data) else b""
-            events = data if not partial_event else data[:end]
             if not _are_events(events):
                 response.close()
                 raise UpstreamError(Failure.BROKEN, "data that are no events")
--- a/damasklead/daemon/operators.py
+++ b/damasklead/daemon/operators.py
@@ -13,6 +13,7 @@
 from gevent import pywsgi
 
 from damasklead.daemon.entry import Entry
+from damasklead.daemon.paced_wsgi import PacedHandler
 from damasklead.util import split_address
 
 __all__ = ["OperatorServer", "PoolStatus", "Status"]
@@ -101,6 +102,7 @@
         super().__init__(
             split_address(entry.settings.listen.operators),
             self._handle_request,
+            handler_class=PacedHandler,
             log=None,
             error_log=None,
         )
--- /dev/null
+++ b/damasklead/daemon/paced_wsgi.py
@@ -0,0 +1,149 @@
+"""
+Paced WSGI handler
+==================
+
+gevent's WSGI handler, which gives way to the event loop while it reads a request or
+discards the rest of one, and limits both.
+"""
+
+from typing import Any, BinaryIO
+
+from gevent import pywsgi
+
+from damasklead.turns import TurnBudget
+
+__all__ = ["PacedHandler"]
+
+# Bytes that are read from the connection at once.
+MAX_READ_BYTES = 16_384
+
+
+class _PacedFile:
+    """
+    The bytes that a caller sends.
+
+    Parameters
+    ----------
+    raw : file
+        The connection's file.
+    """
+
+    def __init__(self, raw: BinaryIO) -> None:
+        self._raw = raw
+        self._turn = TurnBudget()
+        self._remaining_line_bytes: int | None = None
+
+    @property
+    def closed(self) -> bool:
+        """Whether the file was closed."""
+        return self._raw.closed
+
+    def limit_lines(self, size: int | None) -> None:
+        """Let further lines have this many bytes together; ``None`` for no limit."""
+        self._remaining_line_bytes = size
+
+    def read(self, size: int = -1) -> bytes:
+        """Return ``size`` bytes, fewer only at the end of the connection."""
+        if size <= MAX_READ_BYTES:
+            return self._record(self._raw.read(size))
+        data = bytearray()
+        while len(data) < size:
+            piece = self._raw.read(min(MAX_READ_BYTES, size - len(data)))
+            if not piece:
+                break
+            data += self._record(piece)
+        return bytes(data)
+
+    def readline(self, size: int = -1) -> bytes:
+        """
+        Return the next line.
+
+        Raises
+        ------
+        ValueError
+            If the lines exceed their limit.
+        """
+        line = self._record(self._raw.readline(size))
+        if self._remaining_line_bytes is not None:
+            self._remaining_line_bytes -= len(line)
+            if self._remaining_line_bytes < 0:
+                raise ValueError("the head is too long")
+        return line
+
+    def close(self) -> None:
+        """Close the file."""
+        self._raw.close()
+
+    def _record(self, data: bytes) -> bytes:
+        self._turn.spend(size=len(data))
+        return data
+
+
+class _Input(pywsgi.Input):
+    """
+    The body of a request.
+
+    Attributes
+    ----------
+    max_discarded_bytes : int
+        Longest rest of a body that is read after the response; a caller that still
+        sends one would not see the response if the connection was closed before.
+    """
+
+    max_discarded_bytes = 0
+    _chunked_input_error: bool
+
+    def _discard(self) -> None:
+        if self._chunked_input_error:
+            return
+        self.send_100_continue_enabled = False
+        discarded_bytes = 0
+        while data := self.read(MAX_READ_BYTES):
+            discarded_bytes += len(data)
+            if discarded_bytes > self.max_discarded_bytes:
+                self._chunked_input_error = True
+                raise pywsgi._InvalidClientInput("the body is too long to discard")
+        self.send_100_continue_enabled = True
+
+
+class PacedHandler(pywsgi.WSGIHandler):
+    """
+    Handles a connection.
+
+    Attributes
+    ----------
+    max_header_bytes : int
+        Largest total length of the names and values of a request's headers.
+    max_discarded_bytes : int
+        Longest rest of a body that is read after the response.
+    """
+
+    max_header_bytes = 16_384
+    max_discarded_bytes = 65_536
+    rfile: Any
+    wsgi_input: Any
+
+    def __init__(self, *arguments: Any, **options: Any) -> None:
+        super().__init__(*arguments, **options)
+        self.rfile = _PacedFile(self.rfile)
+
+    def MessageClass(self, *arguments: Any) -> Any:  # noqa: N802
+        """Parse the headers, which may be twice as long as what counts of them."""
+        self.rfile.limit_lines(2 * self.max_header_bytes)
+        headers = super().MessageClass(*arguments)
+        self.rfile.limit_lines(None)
+        return headers
+
+    def get_environ(self) -> dict[str, Any]:
+        """Return the WSGI environment with a body that is discarded up to a limit."""
+        environ: dict[str, Any] = super().get_environ()
+        body = self.wsgi_input
+        # Has slots only, and no state before the first read.
+        limited = _Input(
+            body.rfile, body.content_length, body.socket, body.chunked_input
+        )
+        limited.max_discarded_bytes = self.max_discarded_bytes
+        self.wsgi_input = limited
+        if environ["wsgi.input"] is body:
+            environ["wsgi.input"] = limited
+        return environ
--- a/damasklead/daemon/peers.py
+++ b/damasklead/daemon/peers.py
@@ -25,6 +25,7 @@
 from damasklead.rate_limits import RateLimit
 from damasklead.settings import PeerKeys
 from damasklead.sharing import Coordinator
+from damasklead.turns import TurnBudget
 
 __all__ = ["Peers"]
 
@@ -84,9 +85,11 @@
         receiver.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
         self._enable_curve_server(receiver)
         receiver.bind(f"tcp://{self._entry.settings.listen.peers}")
+        turn = TurnBudget()
         try:
             while True:
                 frames = receiver.recv_multipart()
+                turn.spend(size=len(frames[-1]), pieces=len(frames))
                 self._entry.metrics.peer_bytes.labels("in").inc(len(frames[-1]))
                 try:
                     message = decode_message(frames[-1])
--- a/damasklead/daemon/replies.py
+++ b/damasklead/daemon/replies.py
@@ -32,7 +32,7 @@
 
 EVENT_END = b"\n\n"
 DONE_EVENT = b"data: [DONE]\n\n"
-MAX_RAW_BYTES = 65_536  # of sent events, before they are replaced by their text
+MAX_RAW_BYTES = 16_384  # of sent events, before they are replaced by their text
 MAX_KEPT_ANSWER = 262_144  # bytes of a response body that is recorded in a claim
 # Hop-by-hop headers, and headers that the entry or its server sets itself.
 EXCLUDED_HEADERS = frozenset(
--- a/damasklead/gateway/events.py
+++ b/damasklead/gateway/events.py
@@ -8,12 +8,12 @@
 
 import re
 
+from damasklead.event_buffer import EventBuffer
+
 __all__ = ["EventSplitter", "continues_after"]
 
 _EVENT_DELIMITERS = (b"\n\n", b"\r\n\r\n", b"\r\r")
 _BLANK_LINE = re.compile(rb"\r\n\r\n|\n\n|\r\r")
-# Bytes of a delimiter that may have come before the data that completes it.
-_MAX_PARTIAL_DELIMITER = max(map(len, _EVENT_DELIMITERS)) - 1
 
 
 class EventSplitter:
@@ -36,7 +36,7 @@
     """
 
     def __init__(self) -> None:
-        self._buffer = bytearray()
+        self._buffer = EventBuffer(delimiters=_EVENT_DELIMITERS)
         self._first_id: bytes | None = None
         self._last_id: bytes | None = None
         self._has_events = False
@@ -72,31 +72,22 @@
     @property
     def has_partial_event(self) -> bool:
         """Whether an incomplete event is buffered."""
-        return bool(self._buffer.strip())
+        return not self._buffer.is_blank
+
+    @property
+    def block_count(self) -> int:
+        """Number of events and comments that the last call of ``feed`` completed."""
+        return self._block_count
 
     def feed(self, data: bytes) -> bytes:
         """Add bytes of the stream; returns all complete events, unchanged."""
-        # A delimiter before this would have completed the event.
-        start = max(0, len(self._buffer) - _MAX_PARTIAL_DELIMITER)
-        self._buffer += data
-        ends = (
-            (self._buffer.rfind(delimiter, start), len(delimiter))
-            for delimiter in _EVENT_DELIMITERS
-        )
-        end = max(at + length if at >= 0 else 0 for at, length in ends)
-        complete = bytes(self._buffer[:end])
-        del self._buffer[:end]
+        complete = self._buffer.feed(data)
         events = _BLANK_LINE.split(complete) if complete else []
         for event in events:
             self._record_event(event)
         self._block_count = len(events)
         return complete
 
-    @property
-    def block_count(self) -> int:
-        """Number of events and comments that the last call of ``feed`` completed."""
-        return self._block_count
-
     def take_event_count(self) -> int:
         """Return the number of complete events since the last call, and reset it."""
         count, self._event_count = self._event_count, 0
--- a/damasklead/gateway/stream_progress.py
+++ b/damasklead/gateway/stream_progress.py
@@ -11,14 +11,12 @@
 """
 
 from damasklead.clock import Clock
+from damasklead.event_buffer import MAX_EVENT_BYTES
 from damasklead.failures import Failure
 from damasklead.gateway.upstream_http import SendError
 
 __all__ = ["StreamProgress"]
 
-# Longest incomplete event that is buffered.
-MAX_EVENT_BYTES = 262_144
-
 
 class StreamProgress:
     """
--- a/damasklead/stores/http.py
+++ b/damasklead/stores/http.py
@@ -9,7 +9,6 @@
 from typing import Any, TypeVar
 
 import msgspec
-from geventhttpclient import HTTPClient
 from result import Err, Ok, Result
 
 from damasklead.decoding import decode_json
@@ -28,7 +27,11 @@
     TableService,
 )
 from damasklead.stores.listings import decode_listing
-from damasklead.util import split_address
+from damasklead.upstreams.transport import (
+    ConnectionPool,
+    UpstreamError,
+    send_request,
+)
 
 __all__ = [
     "ERA_HEADER",
@@ -44,9 +47,8 @@
     "make_http_platform",
 ]
 
-CONNECT_TIMEOUT_SECONDS = 0.5
 RESPONSE_TIMEOUT_SECONDS = 2.0
-MAX_CONNECTIONS = 8
+MAX_RESPONSE_BYTES = 67_108_864
 # Response header with the number of the tables' restores from a backup.
 ERA_HEADER = "X-Store-Era"
 T = TypeVar("T")
@@ -128,14 +130,8 @@
     """
 
     def __init__(self, *, address: str) -> None:
-        host, port = split_address(address)
-        self._client = HTTPClient(
-            host,
-            port,
-            concurrency=MAX_CONNECTIONS,
-            connection_timeout=CONNECT_TIMEOUT_SECONDS,
-            network_timeout=RESPONSE_TIMEOUT_SECONDS,
-        )
+        self._address = address
+        self._pool = ConnectionPool()
         self._era = StoreEra(0)
 
     @property
@@ -170,16 +166,24 @@
         """
         body = msgspec.json.encode(call)
         try:
-            response = self._client.post("/call", body=body)
-            content = bytes(response.read())
-        except ConnectionRefusedError:
-            return Err(StoreError.UNAVAILABLE)
-        except Exception:
+            response = send_request(
+                self._pool,
+                self._address,
+                method="POST",
+                path="/call",
+                headers=(("Content-Type", "application/json"),),
+                body=body,
+                read_timeout=RESPONSE_TIMEOUT_SECONDS,
+            )
+            content = response.read_body(limit=MAX_RESPONSE_BYTES)
+        except UpstreamError as error:
+            if isinstance(error.__cause__, ConnectionRefusedError):
+                return Err(StoreError.UNAVAILABLE)
             return Err(StoreError.UNKNOWN)
-        self._record_era(response.get(ERA_HEADER))
-        if response.status_code == 503:
+        self._record_era(response.get_header(ERA_HEADER))
+        if response.status == 503:
             return Err(StoreError.UNAVAILABLE)
-        if response.status_code != 200:
+        if response.status != 200:
             return Err(StoreError.UNKNOWN)
         try:
             if decode is not None:
@@ -188,8 +192,8 @@
         except msgspec.DecodeError:
             return Err(StoreError.UNKNOWN)
 
-    def _record_era(self, value: object) -> None:
-        if isinstance(value, str) and value.isdecimal():
+    def _record_era(self, value: str) -> None:
+        if value.isdecimal():
             self._era = StoreEra(max(self._era, int(value)))
 
 
--- a/damasklead/upstreams/transport.py
+++ b/damasklead/upstreams/transport.py
@@ -19,6 +19,7 @@
 
 from damasklead.rate_limits import parse_rate_limit
 from damasklead.requests import Failure
+from damasklead.turns import TurnBudget
 from damasklead.util import split_address
 
 __all__ = [
@@ -31,6 +32,10 @@
 
 CONNECT_TIMEOUT_SECONDS = 0.5
 RECEIVE_BYTES = 65_536
+# Received bytes that are parsed at once.
+MAX_PARSED_BYTES = 8_192
+# Longest head, and longest run of chunk headers and trailers between data of a body.
+MAX_FRAMING_BYTES = 65_536
 RATE_LIMIT_HEADER = "X-Rate-Limit"
 MAX_IDLE_CONNECTIONS = 64
 
@@ -160,6 +165,72 @@
         self._idle.clear()
 
 
+class _Receiver:
+    """
+    Receives a response and passes it to its parser.
+
+    Parameters
+    ----------
+    connection : socket
+    parser : _ResponseParser
+    """
+
+    def __init__(self, *, connection: socket.socket, parser: _ResponseParser) -> None:
+        self._connection = connection
+        self._parser = parser
+        self._turn = TurnBudget()
+        self._unparsed = b""
+        self._framing_bytes = 0
+
+    @property
+    def has_unparsed_data(self) -> bool:
+        """Whether data was received that is not parsed yet."""
+        return bool(self._unparsed)
+
+    def receive(self) -> None:
+        """
+        Parse the next piece of the response, and receive it if necessary.
+
+        Raises
+        ------
+        UpstreamError
+            ``BROKEN`` when the connection ends early or the data is no HTTP response,
+            ``TIMED_OUT`` when no data arrives within the socket's timeout.
+        """
+        data = self._unparsed or self._receive_data()
+        piece, self._unparsed = data[:MAX_PARSED_BYTES], data[MAX_PARSED_BYTES:]
+        if not piece:
+            if self._parser.end_with_connection():
+                return
+            raise UpstreamError(Failure.BROKEN, "the upstream closed the connection")
+        parts_before = len(self._parser.body_parts)
+        try:
+            self._parser.feed(piece)
+        except Exception as error:
+            raise UpstreamError(Failure.BROKEN, f"not HTTP: {error}") from error
+        part_count = len(self._parser.body_parts) - parts_before
+        self._check_framing(len(piece), has_body_data=part_count > 0)
+        self._turn.spend(size=len(piece), pieces=1 + part_count)
+
+    def _receive_data(self) -> bytes:
+        try:
+            return self._connection.recv(RECEIVE_BYTES)
+        except TimeoutError as error:
+            raise UpstreamError(
+                Failure.TIMED_OUT, "no data within the read timeout"
+            ) from error
+        except OSError as error:
+            raise UpstreamError(Failure.BROKEN, f"receive: {error}") from error
+
+    def _check_framing(self, size: int, *, has_body_data: bool) -> None:
+        """Raise ``UpstreamError`` for a head or trailers that don't end."""
+        self._framing_bytes = 0 if has_body_data else self._framing_bytes + size
+        if self._framing_bytes > MAX_FRAMING_BYTES:
+            raise UpstreamError(
+                Failure.BROKEN, f"{self._framing_bytes} bytes without data of a body"
+            )
+
+
 class UpstreamResponse:
     """
     A response whose head has arrived.
@@ -178,10 +249,12 @@
         self,
         *,
         parser: _ResponseParser,
+        receiver: _Receiver,
         connection: socket.socket,
         address: str,
         pool: ConnectionPool,
     ) -> None:
+        self._receiver = receiver
         self.status: int = parser.get_code()
         self._parser = parser
         self._connection: socket.socket | None = connection
@@ -262,17 +335,15 @@
         UpstreamError
             ``BROKEN`` when the body is longer, and as ``read_chunk``.
         """
-        parts: list[bytes] = []
-        size = 0
+        body = bytearray()
         while part := self.read_chunk():
-            size += len(part)
-            if size > limit:
+            body += part
+            if len(body) > limit:
                 self.close()
                 raise UpstreamError(
                     Failure.BROKEN, f"the response is longer than {limit} bytes"
                 )
-            parts.append(part)
-        return b"".join(parts)
+        return bytes(body)
 
     def close(self) -> None:
         """Close the connection; a reader in another greenlet gets ``BROKEN``."""
@@ -284,7 +355,7 @@
         if self._connection is None:
             raise UpstreamError(self._interrupted or Failure.BROKEN, "interrupted")
         try:
-            _receive_data(self._connection, self._parser)
+            self._receiver.receive()
         except UpstreamError as error:
             if self._interrupted is not None:
                 raise UpstreamError(self._interrupted, "interrupted") from error
@@ -297,6 +368,7 @@
             return
         if (
             self._may_reuse
+            and not self._receiver.has_unparsed_data
             and self._parser.should_keep_alive()
             and not self._parser.is_unframed
         ):
@@ -350,10 +422,11 @@
         on_connect(connection)
     connection.settimeout(read_timeout)
     parser = _ResponseParser(method=method)
+    receiver = _Receiver(connection=connection, parser=parser)
     try:
         connection.sendall(_encode_request(address, method, path, headers, body))
         while not parser.headers_complete:
-            _receive_data(connection, parser)
+            receiver.receive()
     except UpstreamError:
         connection.close()
         raise
@@ -361,7 +434,11 @@
         connection.close()
         raise UpstreamError(Failure.BROKEN, f"send: {error}") from error
     return UpstreamResponse(
-        parser=parser, connection=connection, address=address, pool=pool
+        parser=parser,
+        receiver=receiver,
+        connection=connection,
+        address=address,
+        pool=pool,
     )
 
 
@@ -378,26 +455,6 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
 
 
-def _receive_data(connection: socket.socket, parser: _ResponseParser) -> None:
-    """Read once from the connection and feed the parser."""
-    try:
-        data = connection.recv(RECEIVE_BYTES)
-    except TimeoutError as error:
-        raise UpstreamError(
-            Failure.TIMED_OUT, "no data within the read timeout"
-        ) from error
-    except OSError as error:
-        raise UpstreamError(Failure.BROKEN, f"receive: {error}") from error
-    if not data:
-        if parser.end_with_connection():
-            return
-        raise UpstreamError(Failure.BROKEN, "the upstream closed the connection")
-    try:
-        parser.feed(data)
-    except Exception as error:
-        raise UpstreamError(Failure.BROKEN, f"not HTTP: {error}") from error
-
-
 def _is_open(connection: socket.socket) -> bool:
     """Return whether an idle connection is open and has no unread data."""
     connection.settimeout(0.0)
