Ask a replica for its start before a stream that may go on elsewhere

The list shows a new start only after the replica's next heartbeat, and to a gateway that is paused or cut off from the store only seconds later.

Cause: the origin of a stream named the version of the replica's entry in the list of the gateway where it began, which nobody had checked. Only replicas at which a stream goes on were asked for their start. A gateway where a stream is taken up suspected such an origin only if its own list showed the new start by then.

Change: a gateway asks a replica for its start once on each connection that it uses for a resumable stream; a connection ends with its process. An origin is the start that was reported on the stream's connection, with a version only if the entry is of this start; else the version is that of the entry of this start when one is listed, and the stream is refused, to be tried again, until then. A replica that doesn't report in 0.1 s serves the stream, but it won't go on. Origins need no doubts by clocks any more: a start after the stream doesn't stop it. Log: "offered" has the reported start, "replica-not-identified" the reason.

Evidence: nine of the tests failed before. test_new_streams_ask_for_no_report was wrong: without a report the version isn't known. Two tests take its place: one report a connection, and none for streams that can't be resumed. Two tests of origins in doubt by the clock are replaced by tests with reported starts.

--- a/damasklead/gateway/calls.py
+++ b/damasklead/gateway/calls.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from damasklead.gateway.routing import ApiKey, Route, Workspace
+from damasklead.gateway.routing import ApiKey, Route, RouteKind, Workspace
 from damasklead.ids import (
     UNKNOWN_VERSION,
     AttemptId,
@@ -140,6 +140,11 @@
             return True
         return version == self.version != UNKNOWN_VERSION
 
+    @property
+    def is_resumable_stream(self) -> bool:
+        """Whether the response is a stream that another replica may continue."""
+        return self.route.kind is RouteKind.STREAM and self.route.may_repeat
+
     @property
     def urgency(self) -> int:
         """
--- a/damasklead/gateway/proxied_request.py
+++ b/damasklead/gateway/proxied_request.py
@@ -15,7 +15,7 @@
 from damasklead.gateway.events import EventSplitter, continues_after
 from damasklead.gateway.placements import Placement
 from damasklead.gateway.refusals import Reason, Refusal, get_refusal_reason
-from damasklead.gateway.replica_identity import check_incarnation
+from damasklead.gateway.replica_identity import check_incarnation, identify_replica
 from damasklead.gateway.replica_probe import Liveness
 from damasklead.gateway.replica_selection import ReplicaSelector
 from damasklead.gateway.replica_signals import ReplicaSignals
@@ -25,7 +25,7 @@
     Connection,
     SendError,
 )
-from damasklead.ids import InstanceId
+from damasklead.ids import UNKNOWN_VERSION, InstanceId
 from damasklead.turns import TurnBudget
 from damasklead.util import stable_hash
 
@@ -157,7 +157,6 @@
                 if self._context.containment.should_refuse(self._call):
                     return self._refuse_quarantined()
                 if is_connected:
-                    self._check_version(record)
                     self._forward_to(record)
                     return None
             except SendError as error:
@@ -212,7 +211,8 @@
         Raises
         ------
         SendError
-            ``NOT_SENT`` when the connection fails.
+            ``NOT_SENT`` when the connection fails, ``REFUSED`` if the replica hasn't
+            the version that the request needs.
         """
         self.replica = record.instance
         self.attempt_count += 1
@@ -221,6 +221,10 @@
                 self._context.clock.now() - self._call.arrival
             )
         self._upstream = self._context.connections.acquire(record.address)
+        if self._call.version is not None:
+            self._check_version(self._upstream, record)
+        elif self._call.is_resumable_stream and record.version != UNKNOWN_VERSION:
+            self._identify(self._upstream, record)
         if self._selector.may_send_to(record.instance):
             return True
         self._context.connections.release(self._upstream, keep_alive=None)
@@ -228,16 +232,34 @@
         self._selector.end_assignment("withdrawn")
         return False
 
-    def _check_version(self, record: UpstreamRecord) -> None:
+    def _check_version(self, upstream: Connection, record: UpstreamRecord) -> None:
         """
         Raise ``SendError`` unless the replica has the version that the request needs.
         """
-        if self._call.version is None:
-            return
         if not self._call.accepts_version(record.version):
             raise SendError(Failure.REFUSED, f"version {record.version!r}")
-        assert self._upstream is not None
-        check_incarnation(self._upstream, record, self._context.dialect)
+        check_incarnation(upstream, record, self._context.dialect)
+
+    def _identify(self, upstream: Connection, record: UpstreamRecord) -> None:
+        """
+        Ask the replica for its start, so that its stream can go on elsewhere.
+
+        Raises
+        ------
+        SendError
+            ``NOT_SENT`` when it didn't report, nor accepts another connection.
+        """
+        try:
+            identify_replica(upstream, record, self._context.dialect)
+        except SendError as error:
+            self._context.journal.event(
+                "replica-not-identified",
+                request=self._call.id,
+                replica=record.instance,
+                cause=str(error),
+            )
+            upstream.close()
+            self._upstream = self._context.connections.acquire(record.address)
 
     def _forward_to(self, record: UpstreamRecord) -> None:
         """Send the request to a replica and relay its response."""
@@ -251,6 +273,7 @@
             offer=self.attempt_count,
             version=record.version,
             incarnation=record.incarnation,
+            reported=upstream.incarnation or 0,
             after_event=_decode_event_id(self._last_event_id or call.head.last_event),
             resumes=call.head.resumed_attempt or "",
             **self._placement.explain_choice(record.instance, call),
@@ -411,8 +434,9 @@
                 self._last_event_id = splitter.last_id
             if not self.event_count:
                 # What another version writes doesn't fit to the events sent so far.
-                self._call.version = record.version
-                self._context.origins.record(self._call, record)
+                self._call.version = self._context.origins.record(
+                    self._call, record, incarnation=upstream.incarnation
+                )
                 self._selector.report_prefill_done(reply.load, reply.rate_limit)
             self._placement.record_stream_event(self.replica, self._call)
             self._send_events(reply, complete_events)
@@ -499,8 +523,10 @@
             return False
         if self._context.containment.should_refuse(self._call):
             return False
-        if self._caller.head_sent and self._context.origins.is_doubtful(self._call.id):
-            return False
+        if self._caller.head_sent:
+            self._call.version = self._context.origins.find_version(self._call.id)
+            if self._call.version == UNKNOWN_VERSION:
+                return False
         # A failed connection brings no request to a replica, so the retry after it is
         # not charged to the budget.
         return failure is Failure.NOT_SENT or self._context.budget.acquire_retry(
--- a/damasklead/gateway/replica_identity.py
+++ b/damasklead/gateway/replica_identity.py
@@ -2,10 +2,12 @@
 Identity of a replica
 =====================
 
-Checks that the process at the other end of a connection is the one in the list.
+Finds out which start of a replica a connection leads to.
 
 A replica may start again under its id and at its address, with another version of its
-software, before its entry in the list changes.
+software, before its entry in the list changes, or before this gateway learns of the
+change.  Its own report on the same connection is what can be relied on: a connection
+ends with the process at its other end.
 """
 
 import gevent
@@ -15,10 +17,12 @@
 from damasklead.gateway.dialect import Dialect
 from damasklead.gateway.upstream_http import Connection, SendError
 
-__all__ = ["check_incarnation"]
+__all__ = ["check_incarnation", "identify_replica"]
 
 # A replica reports on itself within a few milliseconds.
 REPORT_TIMEOUT_SECONDS = 0.3
+# The same before a new stream, which may begin without a report.
+OPTIONAL_REPORT_TIMEOUT_SECONDS = 0.1
 MAX_REPORT_BYTES = 262_144
 
 
@@ -26,16 +30,62 @@
     connection: Connection, record: UpstreamRecord, dialect: Dialect
 ) -> None:
     """
-    Ask a replica on a connection for its start, and leave the connection usable.
+    Check that a connection leads to the incarnation of a record, and leave it usable.
 
     Raises
     ------
     SendError
         ``REFUSED`` if it is not the incarnation of the record, or doesn't say so.
     """
+    incarnation = identify_replica(
+        connection, record, dialect, timeout=REPORT_TIMEOUT_SECONDS
+    )
+    if incarnation != record.incarnation:
+        raise SendError(
+            Failure.REFUSED,
+            f"start {incarnation}, {record.incarnation} in the list",
+        )
+
+
+def identify_replica(
+    connection: Connection,
+    record: UpstreamRecord,
+    dialect: Dialect,
+    *,
+    timeout: float = OPTIONAL_REPORT_TIMEOUT_SECONDS,
+) -> int:
+    """
+    Return the incarnation that a connection leads to, and leave it usable.
+
+    The replica is asked once for each connection.
+
+    Parameters
+    ----------
+    connection : Connection
+    record : UpstreamRecord
+        The replica's entry in the list.
+    dialect : Dialect
+    timeout : float
+        Seconds until the replica must have reported.
+
+    Raises
+    ------
+    SendError
+        ``REFUSED`` if the replica doesn't report; the connection can't be used then.
+    """
+    if connection.incarnation is None:
+        connection.incarnation = _request_incarnation(
+            connection, record, dialect, timeout
+        )
+    return connection.incarnation
+
+
+def _request_incarnation(
+    connection: Connection, record: UpstreamRecord, dialect: Dialect, timeout: float
+) -> int:
     timeout_error = SendError(Failure.REFUSED, "no report within the timeout")
     try:
-        with gevent.Timeout(REPORT_TIMEOUT_SECONDS, timeout_error):
+        with gevent.Timeout(timeout, timeout_error):
             connection.send_request(
                 method="GET",
                 target=dialect.report_target,
@@ -47,11 +97,9 @@
     except SendError as error:
         raise SendError(Failure.REFUSED, f"report: {error}") from error
     incarnation = dialect.parse_reported_incarnation(body) if status == 200 else None
-    if incarnation != record.incarnation:
-        raise SendError(
-            Failure.REFUSED,
-            f"start {incarnation}, {record.incarnation} in the list",
-        )
+    if incarnation is None:
+        raise SendError(Failure.REFUSED, f"no start in a report, status {status}")
     if not connection.is_reusable:
         raise SendError(Failure.REFUSED, "the replica closes the connection")
     connection.prepare_next_request(is_reuse=False)
+    return incarnation
--- a/damasklead/gateway/stream_origins/origins.py
+++ b/damasklead/gateway/stream_origins/origins.py
@@ -16,6 +16,7 @@
 from damasklead.clock import Clock
 from damasklead.gateway.calls import Call
 from damasklead.ids import (
+    UNKNOWN_VERSION,
     AttemptId,
     Incarnation,
     InstanceId,
@@ -57,11 +58,13 @@
         Hash of what all attempts at the request have in common.
     service : ServiceName
     version : SoftwareVersion
-        Version of the replica's software.
+        Version of the replica's software; ``UNKNOWN_VERSION`` if the replica had
+        started again and its new entry was not known yet.
     instance : InstanceId
         The replica.
     incarnation : Incarnation
-        Start of the replica in milliseconds of Unix time, as the list had it.
+        Start of the replica in milliseconds of Unix time, as it has reported it on the
+        stream's connection.
     began_ms : int
         Milliseconds of Unix time of the first event, by the gateway's clock.
     """
@@ -155,5 +158,12 @@
             del self._origins[attempt]
 
 
-def _get_identity(origin: StreamOrigin) -> tuple[int, ServiceName, SoftwareVersion]:
-    return origin.request_key, origin.service, origin.version
+def _get_identity(origin: StreamOrigin) -> tuple[int, ServiceName, str, int]:
+    # A version that isn't known is that of the replica's start.
+    known = origin.version != UNKNOWN_VERSION
+    return (
+        origin.request_key,
+        origin.service,
+        origin.version if known else origin.instance,
+        0 if known else origin.incarnation,
+    )
--- a/damasklead/gateway/stream_origins/registry.py
+++ b/damasklead/gateway/stream_origins/registry.py
@@ -32,7 +32,13 @@
     select_keepers,
 )
 from damasklead.gateway.stream_origins.writer import OriginWriter
-from damasklead.ids import UNKNOWN_VERSION, AttemptId, Incarnation, InstanceId
+from damasklead.ids import (
+    UNKNOWN_VERSION,
+    AttemptId,
+    Incarnation,
+    InstanceId,
+    SoftwareVersion,
+)
 
 __all__ = ["OriginRegistry", "OriginSource"]
 
@@ -44,8 +50,6 @@
 # Time for the replies of keepers, which take a few milliseconds, before they are asked
 # once more, and then before the store is read.
 QUERY_TIMEOUTS_SECONDS = (0.04, 0.06)
-# The clocks of a replica and a gateway may differ by this much.
-CLOCK_TOLERANCE_MS = 5_000
 # Retry-After when neither the keepers nor the store could be asked.
 RETRY_AFTER_SECONDS = 0.4
 
@@ -60,10 +64,14 @@
     NOT_FOUND = "not-found"
     AMBIGUOUS = "ambiguous"
     OTHER_REQUEST = "other-request"
-    REPLACED = "replaced"
+    UNLISTED = "unlisted"
     STORE_UNAVAILABLE = "store-unavailable"
 
 
+# The store answers again, or the replica's new entry is read.
+_TRANSIENT_SOURCES = frozenset({OriginSource.STORE_UNAVAILABLE, OriginSource.UNLISTED})
+
+
 class _Query:
     """
     A query that waits for the reply of a keeper which knows the origin.
@@ -160,22 +168,44 @@
         """Select the keepers anew at the next use."""
         self._keepers = None
 
-    def record(self, call: Call, record: UpstreamRecord) -> None:
-        """Record that a replica sends the first event of a request's stream."""
-        if not call.route.may_repeat or record.version == UNKNOWN_VERSION:
-            return
+    def record(
+        self, call: Call, record: UpstreamRecord, *, incarnation: int | None
+    ) -> SoftwareVersion:
+        """
+        Record that a replica sends the first event of a request's stream.
+
+        Parameters
+        ----------
+        call : Call
+        record : UpstreamRecord
+            The replica's entry in the list.
+        incarnation : int or None
+            The start that the replica has reported on the stream's connection;
+            ``None`` if it has not.
+
+        Returns
+        -------
+        SoftwareVersion
+            The version that began the stream; ``UNKNOWN_VERSION`` if it is not known.
+        """
+        if not call.is_resumable_stream or incarnation is None:
+            return UNKNOWN_VERSION
         origin = StreamOrigin(
             attempt=call.id,
             request_key=compute_request_key(call),
             service=call.service,
-            version=record.version,
+            # The entry is of another start: this gateway doesn't know the new one yet.
+            version=record.version
+            if incarnation == record.incarnation
+            else UNKNOWN_VERSION,
             instance=record.instance,
-            incarnation=Incarnation(record.incarnation),
+            incarnation=Incarnation(incarnation),
             began_ms=int(self._get_unix_time() * 1000),
         )
         self._origins.add(origin)
         for rank, name in enumerate(self._rank_keepers(call.id)[:COPIES]):
             self._report(name, OriginReport(origin, is_writer=rank < WRITERS))
+        return origin.version
 
     def resolve(self, call: Call) -> Refusal | None:
         """
@@ -200,35 +230,31 @@
             seconds=self._clock.now() - started_at,
         )
         if origin is not None:
-            call.version = origin.version
+            call.version = self._get_version(origin)
             return None
-        is_transient = source is OriginSource.STORE_UNAVAILABLE
+        is_transient = source in _TRANSIENT_SOURCES
         return Refusal(
             reason=Reason.UNKNOWN_ORIGIN,
             detail=source.value,
             retry_after=RETRY_AFTER_SECONDS if is_transient else None,
         )
 
-    def is_doubtful(self, attempt: AttemptId) -> bool:
+    def find_version(self, attempt: AttemptId) -> SoftwareVersion:
         """
-        Return whether the stream of this gateway's attempt may have begun at another
-        version than that of the replica's entry in the list at that time.
+        Return the version that began the stream of this gateway's attempt;
+        ``UNKNOWN_VERSION`` if it is not known.
         """
         origin = self._origins.find(attempt)
-        return origin is None or self._may_be_replaced(origin)
+        return UNKNOWN_VERSION if origin is None else self._get_version(origin)
 
-    def _may_be_replaced(self, origin: StreamOrigin) -> bool:
-        """
-        Return whether the replica had started again, with another version, before the
-        stream began, though the list didn't say so yet.
-        """
+    def _get_version(self, origin: StreamOrigin) -> SoftwareVersion:
+        """Return an origin's version, which may have been listed since it began."""
+        if origin.version != UNKNOWN_VERSION:
+            return origin.version
         record = self._get_record(origin.instance)
-        return (
-            record is not None
-            and record.incarnation != origin.incarnation
-            and record.version != origin.version
-            and record.incarnation <= origin.began_ms + CLOCK_TOLERANCE_MS
-        )
+        if record is None or record.incarnation != origin.incarnation:
+            return UNKNOWN_VERSION
+        return record.version
 
     def _find(self, call: Call) -> tuple[StreamOrigin | None, OriginSource]:
         attempt = call.head.resumed_attempt
@@ -258,8 +284,8 @@
             or origin.service != call.service
         ):
             return None, OriginSource.OTHER_REQUEST
-        if self._may_be_replaced(origin):
-            return None, OriginSource.REPLACED
+        if self._get_version(origin) == UNKNOWN_VERSION:
+            return None, OriginSource.UNLISTED
         self._origins.add(origin)
         return origin, source
 
--- a/damasklead/gateway/upstream_http.py
+++ b/damasklead/gateway/upstream_http.py
@@ -72,9 +72,16 @@
         ``ip:port`` of the replica.
     raw : socket
         The open TCP connection.
+
+    Attributes
+    ----------
+    incarnation : int or None
+        Start of the replica at the other end, in milliseconds of Unix time, as it has
+        reported it on this connection; ``None`` if it was not asked.
     """
 
     def __init__(self, *, address: str, raw: socket.socket) -> None:
+        self.incarnation: int | None = None
         self._address = address
         self._socket = raw
         self._http = h11.Connection(h11.CLIENT)
--- a/tests/test_gateway_stream_origins.py
+++ b/tests/test_gateway_stream_origins.py
@@ -11,6 +11,7 @@
 import gevent
 import msgspec
 import pytest
+from gevent import socket
 
 from damasklead.clock import ManualClock
 from damasklead.gateway.calls import Call, UpstreamRecord
@@ -46,6 +47,7 @@
     make_record,
     make_version_call,
     send_whole_stream,
+    send_whole_streams,
 )
 
 
@@ -86,6 +88,8 @@
     ----------
     lost : set of str
         Gateways that neither send nor receive datagrams.
+    stale : set of str
+        Gateways that have not read ``records``.
     """
 
     def __init__(self, count: int) -> None:
@@ -93,6 +97,7 @@
         self.store = MemoryOriginStore()
         self.names = [f"g{number}" for number in range(count)]
         self.lost: set[str] = set()
+        self.stale: set[str] = set()
         self.datagram_count = 0
         self.records: dict[InstanceId, UpstreamRecord] = {}
         self.peers: dict[str, OriginPeers] = {}
@@ -112,13 +117,18 @@
             clock=self.clock,
             get_unix_time=lambda: 1e9 + self.clock.now(),
             journal=Journal(instance=name),
-            get_record=self.records.get,
+            get_record=lambda instance: (
+                None if name in self.stale else self.records.get(instance)
+            ),
         )
 
-    def begin(self, number: int, record: UpstreamRecord) -> Call:
-        """Let a stream begin at a gateway."""
+    def begin(
+        self, number: int, record: UpstreamRecord, *, reported: int | None = 0
+    ) -> Call:
+        """Let a stream begin at a gateway, whose replica reports a start."""
         call = make_version_call(number, None)
-        self.gateways[self.names[number % len(self.names)]].record(call, record)
+        gateway = self.gateways[self.names[number % len(self.names)]]
+        gateway.record(call, record, incarnation=reported)
         return call
 
     def write_all(self) -> None:
@@ -271,13 +281,13 @@
         fleet = OriginFleet(8)
         call = fleet.begin(0, make_record("r", ""))
         gevent.sleep(0)
-        expect_refusal(fleet.take_up(call, "g0"), "not-found")
+        expect_refusal(fleet.take_up(call, "g0"), "unlisted")
 
     def test_a_route_whose_streams_may_not_be_resumed(self) -> None:
         fleet = OriginFleet(8)
         call = make_version_call(0, None)
         call.route = STREAM
-        fleet.gateways["g0"].record(call, make_record("r", "v1"))
+        fleet.gateways["g0"].record(call, make_record("r", "v1"), incarnation=0)
         gevent.sleep(0)
         expect_refusal(fleet.take_up(call, "g0"), "not-found")
 
@@ -290,34 +300,70 @@
 
 
 class TestReplicasThatStartAgainUnderTheirId:
-    """The list shows the new start, and its version, after a stream has begun."""
+    """A stream begins at a replica whose new start the gateway's list doesn't show."""
+
+    BEFORE = make_record("r", "v1")
+    AFTER = msgspec.structs.replace(
+        BEFORE, version=SoftwareVersion("v2"), incarnation=7
+    )
 
-    def resolve(self, version: str, *, started_ms: int) -> Refusal | None:
+    @pytest.mark.parametrize("name", ["g0", "g5"])
+    def test_a_stream_goes_on_at_no_version_before_the_new_one_is_listed(
+        self, name: str
+    ) -> None:
         fleet = OriginFleet(8)
-        record = make_record("r", "v1")
-        call = fleet.begin(0, record)
-        gevent.sleep(0)
-        began_ms = int((1e9 + fleet.clock.now()) * 1000)
-        fleet.records[record.instance] = msgspec.structs.replace(
-            record,
-            version=SoftwareVersion(version),
-            incarnation=began_ms + started_ms,
-        )
-        refusals = [fleet.take_up(call, name) for name in ("g0", "g5")]
-        assert (refusals[0] is None) == (refusals[1] is None)
-        return refusals[0]
+        fleet.records[self.BEFORE.instance] = self.BEFORE
+        call = fleet.begin(0, self.BEFORE, reported=7)
+        fleet.write_all()
+        refusal = expect_refusal(fleet.take_up(call, name), "unlisted")
+        assert refusal.retry_after
+        fleet.records[self.BEFORE.instance] = self.AFTER
+        assert fleet.take_up(call, name) is None
+        assert fleet.last_version == "v2"
 
-    def test_before_the_stream_with_another_version(self) -> None:
-        expect_refusal(self.resolve("v2", started_ms=-500), "replaced")
+    def test_a_gateway_that_has_not_read_the_new_entry_joins_nothing(self) -> None:
+        fleet = OriginFleet(8)
+        fleet.records[self.BEFORE.instance] = self.AFTER
+        fleet.stale = {"g0", "g5"}
+        # The first gateway has still the old entry, the second one has none.
+        call = fleet.begin(0, self.BEFORE, reported=7)
+        fleet.write_all()
+        expect_refusal(fleet.take_up(call, "g5"), "unlisted")
+        expect_refusal(fleet.take_up(call, "g0"), "unlisted")
+        assert fleet.take_up(call, "g3") is None
+        assert fleet.last_version == "v2"
 
-    def test_at_the_same_time_by_clocks_that_differ(self) -> None:
-        expect_refusal(self.resolve("v2", started_ms=2_000), "replaced")
+    def test_a_gateway_without_the_entry_learns_the_version_from_the_origin(
+        self,
+    ) -> None:
+        fleet = OriginFleet(8)
+        fleet.stale = {"g5"}
+        call = fleet.begin(0, self.AFTER, reported=7)
+        gevent.sleep(0)
+        assert fleet.take_up(call, "g5") is None
+        assert fleet.last_version == "v2"
 
-    def test_before_the_stream_with_the_same_version(self) -> None:
-        assert self.resolve("v1", started_ms=-500) is None
+    @pytest.mark.parametrize("name", ["g0", "g5"])
+    def test_a_start_after_the_stream_changes_nothing(self, name: str) -> None:
+        fleet = OriginFleet(8)
+        call = fleet.begin(0, self.BEFORE)
+        gevent.sleep(0)
+        fleet.records[self.BEFORE.instance] = self.AFTER
+        assert fleet.take_up(call, name) is None
+        assert fleet.last_version == "v1"
 
-    def test_well_after_the_stream(self) -> None:
-        assert self.resolve("v2", started_ms=30_000) is None
+    def test_two_starts_that_are_not_listed_are_two_origins(self) -> None:
+        fleet = OriginFleet(8)
+        for reported in (7, 8):
+            call = fleet.begin(0, self.BEFORE, reported=reported)
+            gevent.sleep(0)
+        expect_refusal(fleet.take_up(call, "g0"), "ambiguous")
+
+    def test_a_replica_that_has_not_reported_is_no_origin(self) -> None:
+        fleet = OriginFleet(8)
+        call = fleet.begin(0, self.BEFORE, reported=None)
+        gevent.sleep(0)
+        expect_refusal(fleet.take_up(call, "g0"), "not-found")
 
 
 class TestCost:
@@ -354,7 +400,8 @@
         fleet = OriginFleet(1)
         gateway = fleet.gateways["g0"]
         for number in range(MAX_ORIGINS + 10):
-            gateway.record(make_version_call(number, None), make_record("r", "v1"))
+            call = make_version_call(number, None)
+            gateway.record(call, make_record("r", "v1"), incarnation=0)
         assert gateway.remembered_count == MAX_ORIGINS
         assert gateway.writer.pending_count == MAX_PENDING_ORIGINS
         fleet.clock.advance(ORIGIN_TTL_SECONDS + 1)
@@ -512,13 +559,88 @@
         assert response.startswith(b"HTTP/1.1 503")
         assert set(harness.versions_asked) == {"v1"}
 
-    def test_new_streams_ask_for_no_report(self, harness: VersionHarness) -> None:
+    # A gateway can't know otherwise what the stream begins at; the platform charges
+    # for each report.
+    def test_new_streams_ask_for_one_report_a_connection(
+        self, harness: VersionHarness
+    ) -> None:
+        harness.prefer(0)
+        replica = harness.replicas[0]
+        replica._serve = send_whole_streams
         for number in range(8):
             harness.send_request(
                 "/draft/1", method="POST", body="x", attempt=f"a{number}"
             )
+        assert len(replica.requests) == 8
+        assert replica.report_count == harness.connections.opened_count == 1
+
+    def test_streams_that_are_not_resumable_ask_for_no_report(
+        self, harness: VersionHarness
+    ) -> None:
+        for number in range(8):
+            harness.send_request(
+                "/chat/1", method="POST", body="x", attempt=f"a{number}"
+            )
         assert not sum(replica.report_count for replica in harness.replicas)
 
+    def test_a_stream_of_an_unlisted_start_goes_on_at_no_other_version(
+        self, harness: VersionHarness
+    ) -> None:
+        harness.prefer(0)
+        first = harness.replicas[0]
+        first.born = 2
+        response = harness.send_request(
+            "/draft/1", method="POST", body="x", attempt="first"
+        )
+        assert response.startswith(b"HTTP/1.1 200")
+        harness.list_all()
+        response = self.take_up(harness, "Resumes: first\r\n")
+        assert response.startswith(b"HTTP/1.1 503") and b"Retry-After: " in response
+        assert len(harness.versions_asked) == 1
+        # Its entry shows the new start and the version.
+        harness.listed_records[first.record.instance] = msgspec.structs.replace(
+            first.record, incarnation=2, version=SoftwareVersion("v2")
+        )
+        response = self.take_up(harness, "Resumes: first\r\n")
+        assert response.startswith(b"HTTP/1.1 200")
+        assert harness.versions_asked[1:] == ["v2"]
+
+    @pytest.mark.parametrize(
+        "report",
+        [
+            b"",
+            b"odd",
+            b"HTTP/1.1 404 X\r\nContent-Length: 0\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
+            b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 10\r\n\r\n"
+            b'{"born":1}',
+        ],
+        ids=["none", "odd", "unknown", "without start", "closing"],
+    )
+    def test_a_replica_that_does_not_report_serves_streams_that_can_not_go_on(
+        self, harness: VersionHarness, report: bytes
+    ) -> None:
+        def serve(replica: ScriptedReplica, connection: object) -> None:
+            data = connection.recv(65_536, socket.MSG_PEEK)
+            if data.startswith(b"GET /-/report"):
+                connection.recv(len(data))
+                connection.sendall(report)
+                connection.recv(1)
+            else:
+                send_whole_stream(replica, connection)
+
+        harness.prefer(0)
+        harness.replicas[0]._serve = serve
+        response = harness.send_request(
+            "/draft/1", method="POST", body="x", attempt="first"
+        )
+        assert response.startswith(b"HTTP/1.1 200")
+        assert f"id: {EVENT_COUNT}\n".encode() in response
+        assert harness.get_log_lines("replica-not-identified")
+        response = self.take_up(harness, "Resumes: first\r\n")
+        assert response.startswith(b"HTTP/1.1 503")
+        assert len(harness.versions_asked) == 1
+
     def test_events_of_a_stream_that_is_taken_up_follow(
         self, harness: VersionHarness
     ) -> None:
--- a/tests/test_gateway_stream_versions.py
+++ b/tests/test_gateway_stream_versions.py
@@ -52,6 +52,12 @@
     connection.sendall(b"0\r\n\r\n")
 
 
+def send_whole_streams(replica: ScriptedReplica, connection: object) -> None:
+    """Send a whole stream for each request on the connection."""
+    while True:
+        send_whole_stream(replica, connection)
+
+
 def make_breaking_script(event_count: int) -> Callable:
     """Return a script that closes the connection after some events."""
 
@@ -171,16 +177,43 @@
             harnesses, ("v1", make_breaking_script(2)), ("v1", send_whole_stream)
         )
         first, second = harness.replicas
-        if change == "target":
-            second.born = 2
-        else:
-            harness.listed_records[first.record.instance] = msgspec.structs.replace(
-                first.record, incarnation=2, version=SoftwareVersion("v2")
-            )
+        (second if change == "target" else first).born = 2
         response = self.send_to_breaking_replica(harness)
         assert not response.endswith(b"0\r\n\r\n")
         assert not second.requests
 
+    @pytest.mark.parametrize("version", ["v1", "v2"])
+    def test_a_stream_goes_on_at_the_version_that_is_listed_meanwhile(
+        self, harnesses: list, version: str
+    ) -> None:
+        harness = make_harness(
+            harnesses,
+            ("v1", make_breaking_script(2)),
+            ("v1", send_whole_stream),
+            ("v2", send_whole_stream),
+        )
+        first = harness.replicas[0]
+        first.born = 2
+        harness.listed_records[first.record.instance] = msgspec.structs.replace(
+            first.record, incarnation=2, version=SoftwareVersion(version)
+        )
+        response = self.send_to_breaking_replica(harness)
+        assert harness.versions_asked[1:] == [version]
+        assert response.endswith(WHOLE + b"0\r\n\r\n")
+
+    def test_a_stream_goes_on_after_its_replica_has_started_again(
+        self, harnesses: list
+    ) -> None:
+        harness = make_harness(
+            harnesses, ("v1", make_breaking_script(2)), ("v1", send_whole_stream)
+        )
+        first = harness.replicas[0]
+        harness.listed_records[first.record.instance] = msgspec.structs.replace(
+            first.record, incarnation=2, version=SoftwareVersion("v2")
+        )
+        response = self.send_to_breaking_replica(harness)
+        assert response.endswith(WHOLE + b"0\r\n\r\n")
+
     def test_replicas_without_a_version_do_not_continue_each_other(
         self, harnesses: list
     ) -> None:
