Take event ids of many digits for names

By reading: an id of more than 4,300 digits raised ValueError in the relay of a stream, so that the caller's connection ended without a line in the log. The test failed before.

--- a/damasklead/gateway/events.py
+++ b/damasklead/gateway/events.py
@@ -13,6 +13,8 @@
 __all__ = ["EventSplitter", "continues_after"]
 
 _EVENT_DELIMITERS = (b"\n\n", b"\r\n\r\n", b"\r\r")
+# Longer ids are no numbers; Python refuses to convert very long ones.
+MAX_ID_DIGITS = 100
 _BLANK_LINE = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 
 
@@ -150,4 +152,6 @@
 
 
 def _parse_id(event_id: bytes | None) -> int | None:
-    return int(event_id) if event_id is not None and event_id.isdigit() else None
+    if event_id is None or len(event_id) > MAX_ID_DIGITS or not event_id.isdigit():
+        return None
+    return int(event_id)
--- a/tests/test_gateway_floods.py
+++ b/tests/test_gateway_floods.py
@@ -200,6 +200,17 @@
             self.send_stream_request(replica, flood)
         assert watch.largest_step <= MAX_SPLIT_BYTES // 2 + PIECES_PER_TURN
 
+    # int() raises ValueError for more than 4,300 digits.
+    def test_an_id_of_many_digits_is_no_number(self, replica: ScriptedReplica) -> None:
+        events = b"".join(b"id: %s\ndata: x\n\n" % (b"1" * 5_000) for _ in range(2))
+        flood = FloodSocket(
+            head=make_stream_head("a1") + make_chunk(events) + make_chunk(b""),
+            piece=b"",
+            count=0,
+        )
+        response = self.send_stream_request(replica, flood)
+        assert response.endswith(b"0\r\n\r\n")
+
     def test_an_endless_stream_ends_at_its_deadline(
         self, replica: ScriptedReplica
     ) -> None:
