Test streams of restarted replicas over all gateways

The soak has such starts too, in half of the seeds; they have a random source of their own, so that the other faults of a seed stay the same.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -7,7 +7,7 @@
 
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import gevent
 import msgspec
@@ -91,6 +91,8 @@
     has_crashing_part : bool
         Whether all prompts have the part that crashes replicas; otherwise they share
         only their first part with those that have it.
+    path_weights : sequence of float
+        How often each of ``PATHS`` is requested.
     """
 
     def __init__(
@@ -102,7 +104,9 @@
         responses: list[ObservedResponse],
         seed: int,
         has_crashing_part: bool = False,
+        path_weights: Sequence[float] = PATH_WEIGHTS,
     ) -> None:
+        self._path_weights = path_weights
         self._has_crashing_part = has_crashing_part
         self._name = name
         self._ports = ports
@@ -125,7 +129,7 @@
             gevent.sleep(self._random.expovariate(1 / pause))
             gateways = self._list_ready_gateways()
             if gateways:
-                path = self._random.choices(PATHS, PATH_WEIGHTS)[0]
+                path = self._random.choices(PATHS, self._path_weights)[0]
                 response = self._send_request(self._random.choice(gateways), path)
                 if path == RESUMABLE_PATH:
                     self._complete_stream(response)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -37,6 +37,9 @@
 # Restores of the store in a run that has any.
 RESTORE_COUNT = 2
 LIMIT_NAMED = "replica names a limit"
+REPLICA_RESTARTED = "replica starts again before its entry shows it"
+# Such starts in a run that has any.
+REPLICA_RESTART_COUNT = 3
 # A limit is named from the first part of the schedule on, and for long enough that all
 # gateways must have reduced their requests.
 LATEST_LIMIT_START_FRACTION = 0.2
@@ -67,7 +70,7 @@
 
 def make_schedule(seed: int, *, seconds: float, count: int) -> list[Fault]:
     """Return the faults of a seed by start time; faults may overlap."""
-    kinds = sorted(FAULTS.keys() - {STORE_RESTORED, LIMIT_NAMED})
+    kinds = sorted(FAULTS.keys() - {STORE_RESTORED, LIMIT_NAMED, REPLICA_RESTARTED})
     faults = _draw_faults(random.Random(seed), kinds, seconds=seconds, count=count)
     # Restores have a random source of their own, so that the other faults of a seed are
     # the same as before restores were added.
@@ -76,6 +79,11 @@
     faults += _draw_faults(
         source, [STORE_RESTORED], seconds=seconds, count=restore_count
     )
+    source = random.Random(f"{REPLICA_RESTARTED} {seed}")
+    restart_count = source.choice((0, REPLICA_RESTART_COUNT))
+    faults += _draw_faults(
+        source, [REPLICA_RESTARTED], seconds=seconds, count=restart_count
+    )
     source = random.Random(f"{LIMIT_NAMED} {seed}")
     if source.choice((False, True)):
         faults.append(
@@ -238,12 +246,18 @@
     limit.ended_at = time.monotonic()
 
 
+def _restart_replica(cluster: Cluster, fault: Fault) -> None:
+    cluster.restart_replica(
+        _pick_replica(cluster, fault), unlisted_seconds=fault.duration_seconds
+    )
+
+
 def _publish_configuration(cluster: Cluster, _fault: Fault) -> None:
     cluster.publish_configuration()
 
 
-# The schedule of a seed depends on the order of these texts, but for STORE_RESTORED
-# and LIMIT_NAMED.
+# The schedule of a seed depends on the order of these texts, but for STORE_RESTORED,
+# LIMIT_NAMED and REPLICA_RESTARTED.
 FAULTS: dict[str, Callable[[Cluster, Fault], None]] = {
     "configuration changes": _publish_configuration,
     "gateway is killed": _kill_gateway,
@@ -254,6 +268,7 @@
     "replica crashes": _crash_replica,
     "replica drains": _drain_replica,
     "replica refuses": _fail_replica,
+    REPLICA_RESTARTED: _restart_replica,
     "replica's answers are cut": _make_network_fault(
         _pick_replica_proxy, NetworkFault.STALL_RESPONSES
     ),
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -71,6 +71,10 @@
         if fault is NetworkFault.RESET:
             self.reset_connections()
 
+    def set_target(self, target: str) -> None:
+        """Forward new connections to another address."""
+        self._target = split_address(target)
+
     def reset_connections(self) -> None:
         """Reset all open connections."""
         for connection in list(self._open):
--- a/soak/replicas.py
+++ b/soak/replicas.py
@@ -129,6 +129,8 @@
         Called when a request with the crashing part begins, to crash this replica.
     version : str
         Version of the replica's software, which its events of resumable streams name.
+    born : int
+        Start of the replica, which distinguishes the starts under one id.
 
     Attributes
     ----------
@@ -149,8 +151,10 @@
         seed: int,
         on_crashing_part: Callable[[], None] = lambda: None,
         version: str = "v1",
+        born: int = 1,
     ) -> None:
         self.version = version
+        self.born = born
         self.name = name
         self.is_running = True
         self.is_rejecting = False
@@ -161,6 +165,7 @@
         self._random = random.Random(seed)
         self._open: set[socket.socket] = set()
         self._server = ScriptedReplica(name, self._serve)
+        self._server.born = born
 
     @property
     def address(self) -> str:
--- a/soak/site.py
+++ b/soak/site.py
@@ -29,6 +29,10 @@
 PROBE_TIMEOUT_SECONDS = 0.5
 # Time from the crash of a replica until another one takes its place.
 REPLACEMENT_SECONDS = 1.0
+# Time that a replica takes to start again, and how often its connections are reset
+# until its entry shows the new start.
+RESTART_SECONDS = 0.1
+RESETS_BEFORE_ENTRY = 4
 # Versions of the replicas' software, which serve side by side.
 VERSIONS = ("v1", "v2")
 PORT_NAMES = ("callers", "ready", "operators", "peers")
@@ -182,13 +186,47 @@
             self.remove_replica(name)
             self.add_replica()
 
+    def restart_replica(self, name: str, *, unlisted_seconds: float) -> None:
+        """
+        Start a replica again under its id and address, with another version.
+
+        Its entry shows the new start some seconds later.  Meanwhile its connections are
+        reset, so that streams which have begun there are taken up elsewhere.
+        """
+        before = self.replicas[name]
+        before.crash()
+        self.proxies[name].reset_connections()
+        gevent.sleep(RESTART_SECONDS)
+        other = (VERSIONS.index(before.version) + 1) % len(VERSIONS)
+        replica = Replica(
+            name=name,
+            executions=self.executions,
+            arrivals=self.arrivals,
+            seed=self._seed * 100 + before.born,
+            on_crashing_part=lambda: self._crash_replica(name),
+            version=VERSIONS[other],
+            born=before.born + 1,
+        )
+        if name in self._removed_replicas:
+            replica.stop()
+            return
+        self.replicas[name] = replica
+        self.proxies[name].set_target(replica.address)
+        for _ in range(RESETS_BEFORE_ENTRY):
+            gevent.sleep(unlisted_seconds / RESETS_BEFORE_ENTRY)
+            self.proxies[name].reset_connections()
+        if replica.is_running and name not in self._removed_replicas:
+            self.write_replica_entry(name, state=self._replica_states[name])
+
     def write_replica_entry(self, name: str, *, state: str) -> None:
         """Write a replica's entry in the list of replicas."""
         self._replica_states[name] = state
         self.store.write_row(
             "servers",
             name,
-            make_upstream_entry(self.proxies[name].address, state=state)
+            make_upstream_entry(
+                self.proxies[name].address, state=state, born=self.replicas[name].born
+            )
             | {"version": self.replicas[name].version},
         )
 
