--- a/damasklead/gateway/callers.py
+++ b/damasklead/gateway/callers.py
@@ -9,6 +9,7 @@
 from abc import ABC, abstractmethod
 from collections.abc import Callable, Iterable, Sequence
 from enum import Enum
+from io import BytesIO
 from typing import Any
 
 import gevent
@@ -313,16 +314,16 @@
         if self._http.they_are_waiting_for_100_continue:
             continue_response = h11.InformationalResponse(status_code=100, headers=[])
             self._socket.sendall(self._http.send(continue_response) or b"")
-        body = bytearray()
+        body = BytesIO()
         self._socket.settimeout(limits.idle_seconds)
         while True:
             event = self._next_event(limits)
             if isinstance(event, h11.EndOfMessage):
-                return bytes(body)
+                return body.getvalue()
             if not isinstance(event, h11.Data):
                 raise CallerDisconnected
-            body += event.data
-            if len(body) > limits.body_bytes:
+            body.write(event.data)
+            if body.tell() > limits.body_bytes:
                 raise h11.RemoteProtocolError("body is too long", 413)
             if not charge.add(len(event.data)):
                 raise _OutOfMemory
--- a/damasklead/gateway/upstream_http.py
+++ b/damasklead/gateway/upstream_http.py
@@ -8,6 +8,7 @@
 
 from collections import deque
 from collections.abc import Sequence
+from io import BytesIO
 
 import gevent
 import h11
@@ -225,15 +226,15 @@
         SendError
             ``BROKEN`` when the body is too long or the connection ends before it does.
         """
-        body = bytearray()
+        body = BytesIO()
         with MemoryCharge(budget=memory or MemoryBudget()) as charge:
             while data := self.read_body_data():
-                body += data
-                if not charge.add(len(data)) or len(body) > limit:
+                body.write(data)
+                if not charge.add(len(data)) or body.tell() > limit:
                     raise SendError(
-                        Failure.BROKEN, f"body of {len(body)} bytes is too long"
+                        Failure.BROKEN, f"body of {body.tell()} bytes is too long"
                     )
-            return bytes(body)
+            return body.getvalue()
 
     def skip_stray_response(self) -> None:
         """
--- a/damasklead/upstreams/transport.py
+++ b/damasklead/upstreams/transport.py
@@ -13,6 +13,7 @@
 import weakref
 from collections import deque
 from collections.abc import Callable, Iterable
+from io import BytesIO
 
 from gevent import socket
 from geventhttpclient.response import HTTPResponse
@@ -335,15 +336,15 @@
         UpstreamError
             ``BROKEN`` when the body is longer, and as ``read_chunk``.
         """
-        body = bytearray()
+        body = BytesIO()
         while part := self.read_chunk():
-            body += part
-            if len(body) > limit:
+            body.write(part)
+            if body.tell() > limit:
                 self.close()
                 raise UpstreamError(
                     Failure.BROKEN, f"the response is longer than {limit} bytes"
                 )
-        return bytes(body)
+        return body.getvalue()
 
     def close(self) -> None:
         """Close the connection; a reader in another greenlet gets ``BROKEN``."""
