Give turns to waiting loops in order

Cause: loops that had used up their budgets queued for a lock. gevent wakes the waiters of a lock in the event loop, but the endless loop released it and acquired it again before that.

Change: each loop waits for the turn before its own, so that none waits longer than one turn of each of the others.

--- a/damasklead/turns.py
+++ b/damasklead/turns.py
@@ -11,7 +11,7 @@
 """
 
 import gevent
-from gevent.lock import BoundedSemaphore
+from gevent.event import Event
 
 __all__ = ["BYTES_PER_TURN", "PIECES_PER_TURN", "TurnBudget", "wait_for_turn"]
 
@@ -19,9 +19,10 @@
 PIECES_PER_TURN = 64
 BYTES_PER_TURN = 262_144
 
-# Loops that have used up their budgets continue one at a time, so that many of them
-# delay the other work of the process by no more than one does.
-_queue = BoundedSemaphore(1)
+# Loops that have used up their budgets go on one at a time, in this order, so that many
+# of them delay the other work of the process by no more than one does.
+_last_turn = Event()
+_last_turn.set()
 
 
 def wait_for_turn() -> None:
@@ -29,12 +30,19 @@
     Wait for one iteration of the event loop, which polls sockets and fires timers.
 
     ``gevent.sleep(0)`` isn't enough: the loop runs up to 50 such callbacks in a row
-    before it polls.
+    before it polls.  Nor is a lock: a loop that releases one acquires it again before
+    those that wait are woken.
     """
-    with _queue:
+    global _last_turn
+    previous_turn, turn = _last_turn, Event()
+    _last_turn = turn
+    try:
+        previous_turn.wait()
         hub = gevent.get_hub()
         with hub.loop.timer(0.0) as timer:
             hub.wait(timer)
+    finally:
+        turn.set()
 
 
 class TurnBudget:
