Don't ask the only replica of a service for its start in advance

Such a stream's origin is the start in the list, not confirmed: a caller that takes it up gets it only from this start, which is asked for then. The same holds for replicas that don't report in time.

--- a/damasklead/gateway/calls.py
+++ b/damasklead/gateway/calls.py
@@ -26,6 +26,7 @@
     "Header",
     "LoadHint",
     "PromptPart",
+    "ReplicaStart",
     "ResponseHead",
     "ResponseKind",
     "UpstreamRecord",
@@ -33,6 +34,8 @@
 ]
 
 Header = tuple[bytes, bytes]
+# Id and incarnation of a replica.
+ReplicaStart = tuple[InstanceId, int]
 
 # Callers abandon a stream that sends no event for the longest of these times: seconds,
 # multiples of the route's target, and multiples of its event gap target.
@@ -121,6 +124,9 @@
     version : SoftwareVersion or None
         Version of the replicas that may execute the request, since a part of its stream
         was written by one of them; ``None`` if any may.
+    start : ReplicaStart or None
+        The only start of a replica that may execute the request; ``None`` if others of
+        the version may, too.
     """
 
     head: CallHead
@@ -133,6 +139,7 @@
     tier: int
     body: bytes = b""
     version: SoftwareVersion | None = None
+    start: ReplicaStart | None = None
 
     def accepts_version(self, version: SoftwareVersion) -> bool:
         """Return whether a replica of a version may execute the request."""
@@ -140,6 +147,10 @@
             return True
         return version == self.version != UNKNOWN_VERSION
 
+    def accepts_start(self, record: "UpstreamRecord") -> bool:
+        """Return whether a start of a replica may execute the request."""
+        return self.start in (None, (record.instance, record.incarnation))
+
     @property
     def is_resumable_stream(self) -> bool:
         """Whether the response is a stream that another replica may continue."""
--- a/damasklead/gateway/proxied_request.py
+++ b/damasklead/gateway/proxied_request.py
@@ -223,7 +223,7 @@
         self._upstream = self._context.connections.acquire(record.address)
         if self._call.version is not None:
             self._check_version(self._upstream, record)
-        elif self._call.is_resumable_stream and record.version != UNKNOWN_VERSION:
+        elif self._call.is_resumable_stream and self._may_go_on_elsewhere(record):
             self._identify(self._upstream, record)
         if self._selector.may_send_to(record.instance):
             return True
@@ -238,8 +238,15 @@
         """
         if not self._call.accepts_version(record.version):
             raise SendError(Failure.REFUSED, f"version {record.version!r}")
+        if not self._call.accepts_start(record):
+            raise SendError(Failure.REFUSED, f"start {record.incarnation}")
         check_incarnation(upstream, record, self._context.dialect)
 
+    def _may_go_on_elsewhere(self, record: UpstreamRecord) -> bool:
+        """Return whether another replica might continue a stream of this one."""
+        others = len(self._placement.eligible_instances) > 1
+        return others and record.version != UNKNOWN_VERSION
+
     def _identify(self, upstream: Connection, record: UpstreamRecord) -> None:
         """
         Ask the replica for its start, so that its stream can go on elsewhere.
--- a/damasklead/gateway/stream_origins/origins.py
+++ b/damasklead/gateway/stream_origins/origins.py
@@ -67,6 +67,9 @@
         stream's connection.
     began_ms : int
         Milliseconds of Unix time of the first event, by the gateway's clock.
+    is_confirmed : bool
+        Whether the replica has reported this start; otherwise it is that of its entry,
+        and the stream began there if the replica reports it later.
     """
 
     attempt: AttemptId
@@ -76,6 +79,7 @@
     instance: InstanceId
     incarnation: Incarnation
     began_ms: int
+    is_confirmed: bool = True
 
 
 def compute_request_key(call: Call) -> int:
--- a/damasklead/gateway/stream_origins/registry.py
+++ b/damasklead/gateway/stream_origins/registry.py
@@ -188,8 +188,10 @@
         SoftwareVersion
             The version that began the stream; ``UNKNOWN_VERSION`` if it is not known.
         """
-        if not call.is_resumable_stream or incarnation is None:
+        if not call.is_resumable_stream:
             return UNKNOWN_VERSION
+        is_confirmed = incarnation is not None
+        incarnation = record.incarnation if incarnation is None else incarnation
         origin = StreamOrigin(
             attempt=call.id,
             request_key=compute_request_key(call),
@@ -201,11 +203,12 @@
             instance=record.instance,
             incarnation=Incarnation(incarnation),
             began_ms=int(self._get_unix_time() * 1000),
+            is_confirmed=is_confirmed,
         )
         self._origins.add(origin)
         for rank, name in enumerate(self._rank_keepers(call.id)[:COPIES]):
             self._report(name, OriginReport(origin, is_writer=rank < WRITERS))
-        return origin.version
+        return origin.version if is_confirmed else UNKNOWN_VERSION
 
     def resolve(self, call: Call) -> Refusal | None:
         """
@@ -231,6 +234,8 @@
         )
         if origin is not None:
             call.version = self._get_version(origin)
+            if not origin.is_confirmed:
+                call.start = (origin.instance, origin.incarnation)
             return None
         is_transient = source in _TRANSIENT_SOURCES
         return Refusal(
@@ -245,7 +250,9 @@
         ``UNKNOWN_VERSION`` if it is not known.
         """
         origin = self._origins.find(attempt)
-        return UNKNOWN_VERSION if origin is None else self._get_version(origin)
+        if origin is None or not origin.is_confirmed:
+            return UNKNOWN_VERSION
+        return self._get_version(origin)
 
     def _get_version(self, origin: StreamOrigin) -> SoftwareVersion:
         """Return an origin's version, which may have been listed since it began."""
