Limit the memory of all callers' requests at entries

By reading: each body was limited, but not what all callers make an entry hold, with bodies that are read before the class of the request is known. Bodies are charged to one budget until their responses end; a request beyond it gets 503 with the outcome not-run. memory_budget.py is no longer of the gateway alone.

--- a/damasklead/daemon/caller_server.py
+++ b/damasklead/daemon/caller_server.py
@@ -14,12 +14,15 @@
 from damasklead.daemon.callers import OUTCOME_HEADER, CallerApplication, Environ
 from damasklead.daemon.entry import Entry
 from damasklead.daemon.paced_wsgi import PacedHandler
+from damasklead.memory_budget import MemoryBudget, MemoryCharge
 from damasklead.problems import Problem
 from damasklead.util import split_address
 
 __all__ = ["CallerServer"]
 
 BACKLOG = 1024  # connections
+# Memory for the bodies of all callers' requests; half of it for large ones.
+REQUEST_MEMORY_BYTES = 67_108_864
 
 
 class _Handler(PacedHandler):
@@ -28,9 +31,17 @@
 
     Requests with ambiguous framing are refused, since servers that frame them
     differently allow request smuggling. The application gets the caller's socket as
-    ``damasklead.socket``.
+    ``damasklead.socket``, and the memory charge of the request, which ends with the
+    response, as ``damasklead.charge``.
+
+    Attributes
+    ----------
+    memory : MemoryBudget
+        Budget of the requests on all connections.
     """
 
+    memory: MemoryBudget
+
     def read_request(self, raw_requestline: str) -> Any:
         """Read a request's head; returns whether it is valid and not ambiguous."""
         return super().read_request(raw_requestline) and not self._has_ambiguous_framing
@@ -65,11 +76,17 @@
         return (result[0], head.encode() + body)
 
     def get_environ(self) -> Environ:
-        """Return the WSGI environment with the caller's socket."""
+        """Return the WSGI environment with the caller's socket and the charge."""
         environ: Environ = super().get_environ()
         environ["damasklead.socket"] = self.socket
+        self._charge = environ["damasklead.charge"] = MemoryCharge(budget=self.memory)
         return environ
 
+    def handle_one_response(self) -> None:
+        """Serve a request, whose body is charged until its response has ended."""
+        with self._charge:
+            super().handle_one_response()
+
     def _sendall(self, data: bytes) -> None:
         """Send data, with one call where that suffices, as for events of a stream."""
         try:
@@ -117,6 +134,10 @@
             {
                 "max_header_bytes": limits.header_bytes,
                 "max_discarded_bytes": limits.body_bytes,
+                "memory": MemoryBudget(
+                    limit_bytes=REQUEST_MEMORY_BYTES // 2,
+                    hard_limit_bytes=REQUEST_MEMORY_BYTES,
+                ),
             },
         )
         options: dict[str, Any] = {}
--- a/damasklead/daemon/callers.py
+++ b/damasklead/daemon/callers.py
@@ -8,6 +8,7 @@
 import hashlib
 import re
 from collections.abc import Callable, Iterable, Iterator
+from io import BytesIO
 from typing import Any
 
 import msgspec
@@ -26,6 +27,7 @@
 from damasklead.daemon.pools import Pool
 from damasklead.daemon.replies import ResponseHead, digest_request
 from damasklead.ids import AttemptId, Fingerprint, RequestId, ServiceName
+from damasklead.memory_budget import MemoryCharge
 from damasklead.problems import Problem
 from damasklead.requests import Outcome, Request
 from damasklead.upstreams import UpstreamRequest
@@ -37,6 +39,7 @@
 MODELS_PATH = "/v1/models"
 SERVICES_PREFIX = "/services/"
 OUTCOME_HEADER = "X-Damasklead-Outcome"
+READ_BYTES = 65_536  # of a body at once
 BYTES_PER_TOKEN = 4  # of the encoded messages, for estimating the prompt's tokens
 PREFIX_BYTES = 1024  # of the encoded messages, for finding a shared prefix
 ID_PATTERN = re.compile(r"^[A-Za-z0-9._:-]{1,128}$")
@@ -259,15 +262,30 @@
             )
         if int(content_length) > limit:
             raise _make_too_large_problem(limit)
-        body: bytes = environ["wsgi.input"].read(limit + 1)
-        if len(body) > limit:
-            raise _make_too_large_problem(limit)
+        body = self._read_charged(environ, limit)
         if len(body) < int(content_length):
             raise _make_problem(
                 "body", "The body is shorter than its stated length", "Content-Length"
             )
         return body
 
+    def _read_charged(self, environ: Environ, limit: int) -> bytes:
+        """Read a body and charge it to the budget of all callers' requests."""
+        charge: MemoryCharge = environ["damasklead.charge"]
+        body = BytesIO()
+        while data := environ["wsgi.input"].read(READ_BYTES):
+            body.write(data)
+            if body.tell() > limit:
+                raise _make_too_large_problem(limit)
+            if not charge.add(len(data)):
+                raise Problem(
+                    status=503,
+                    kind="no-memory",
+                    title="Too many large requests",
+                    retry_after=1.0,
+                )
+        return body.getvalue()
+
 
 class _ResponseBody:
     """
--- a/damasklead/gateway/callers.py
+++ b/damasklead/gateway/callers.py
@@ -18,9 +18,9 @@
 
 from damasklead.clock import Clock
 from damasklead.gateway.calls import Header
-from damasklead.gateway.memory_budget import MemoryBudget, MemoryCharge
 from damasklead.gateway.routing import CallerLimits
 from damasklead.gateway.sockets import is_readable, set_tcp_options
+from damasklead.memory_budget import MemoryBudget, MemoryCharge
 from damasklead.turns import TurnBudget
 
 __all__ = ["CallerConnection", "CallerDisconnected", "RawRequest", "RequestHandler"]
--- a/damasklead/gateway/context.py
+++ b/damasklead/gateway/context.py
@@ -16,11 +16,11 @@
 from damasklead.gateway.crash_containment import Containment
 from damasklead.gateway.dialect import Dialect
 from damasklead.gateway.journal import Journal
-from damasklead.gateway.memory_budget import MemoryBudget
 from damasklead.gateway.replica_probe import ReplicaProbe
 from damasklead.gateway.stop_schedule import StopSchedule
 from damasklead.gateway.stream_origins.registry import OriginRegistry
 from damasklead.gateway.upstream_http import ConnectionPool
+from damasklead.memory_budget import MemoryBudget
 from damasklead.rate_limits import RateLimits
 
 __all__ = ["GatewayContext"]
--- a/damasklead/gateway/listeners.py
+++ b/damasklead/gateway/listeners.py
@@ -20,10 +20,10 @@
     RawRequest,
     RequestHandler,
 )
-from damasklead.gateway.memory_budget import MemoryBudget
 from damasklead.gateway.routing import CallerLimits
 from damasklead.gateway.snapshot import SNAPSHOT_PATH, Snapshot
 from damasklead.listening_socket import BACKLOG
+from damasklead.memory_budget import MemoryBudget
 from damasklead.util import split_address
 
 __all__ = ["Listener", "ReadyHandler", "StatusHandler"]
--- a/damasklead/gateway/upstream_http.py
+++ b/damasklead/gateway/upstream_http.py
@@ -17,8 +17,8 @@
 from damasklead.clock import Clock
 from damasklead.failures import Failure
 from damasklead.gateway.calls import Header
-from damasklead.gateway.memory_budget import MemoryBudget, MemoryCharge
 from damasklead.gateway.sockets import connect, is_readable
+from damasklead.memory_budget import MemoryBudget, MemoryCharge
 from damasklead.turns import TurnBudget
 
 __all__ = ["Connection", "ConnectionPool", "SendError"]
--- a/tests/gateway_kit.py
+++ b/tests/gateway_kit.py
@@ -25,7 +25,6 @@
 from damasklead.gateway.forwarding import Forwarder
 from damasklead.gateway.journal import Journal
 from damasklead.gateway.listeners import Listener
-from damasklead.gateway.memory_budget import MemoryBudget
 from damasklead.gateway.metrics import GatewayMetrics
 from damasklead.gateway.placements import Placement, new_placement
 from damasklead.gateway.replica_probe import ReplicaProbe
@@ -57,6 +56,7 @@
     WorkspaceId,
 )
 from damasklead.loop import LoopClock
+from damasklead.memory_budget import MemoryBudget
 from damasklead.platform.headers import PlatformDialect
 from damasklead.rate_limits import RateLimits
 from damasklead.util import split_address
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -14,7 +14,7 @@
 from absl import logging
 from gevent import socket
 
-from damasklead.daemon import EntryService
+from damasklead.daemon import EntryService, caller_server
 from damasklead.demo.local import (
     WORKSPACE_KEYS,
     find_free_address,
@@ -150,6 +150,23 @@
     assert len(limited.request_ids) + len(other.request_ids) == 20
 
 
+def test_bodies_of_all_callers_take_a_limited_memory(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(caller_server, "REQUEST_MEMORY_BYTES", 1_000)
+    harness = EntryHarness()
+    harness.start()
+    try:
+        for _ in range(3):
+            response, _ = harness.send_completion("x" * 1_500, tokens=2)
+            assert response.status == 503
+            assert decode_problem(response)["outcome"] == "not-run"
+            response, _ = harness.send_completion("hello", tokens=2)
+            extract_text(response)
+    finally:
+        harness.stop()
+
+
 def extract_text(response: UpstreamResponse) -> str:
     body = response.read_body(limit=1_000_000)
     assert body.endswith(b"data: [DONE]\n\n"), body[-200:]
--- a/tests/test_gateway_faulty_replicas.py
+++ b/tests/test_gateway_faulty_replicas.py
@@ -21,10 +21,10 @@
     DepartureLog,
 )
 from damasklead.gateway.directory import UpstreamDirectory
-from damasklead.gateway.memory_budget import MemoryBudget
 from damasklead.gateway.proxied_request import MAX_REPLICA_ATTEMPTS
 from damasklead.gateway.replica_state import MAX_PAUSE_SECONDS
 from damasklead.ids import InstanceId
+from damasklead.memory_budget import MemoryBudget
 from tests.gateway_kit import (
     ROUTES,
     ForwarderHarness,
--- a/tests/test_gateway_floods.py
+++ b/tests/test_gateway_floods.py
@@ -19,7 +19,6 @@
     RequestHandler,
 )
 from damasklead.gateway.events import EventSplitter
-from damasklead.gateway.memory_budget import MemoryBudget
 from damasklead.gateway.proxied_request import MAX_SPLIT_BYTES
 from damasklead.gateway.routing import CallerLimits
 from damasklead.gateway.upstream_http import (
@@ -28,6 +27,7 @@
     SendError,
 )
 from damasklead.loop import LoopClock
+from damasklead.memory_budget import MemoryBudget
 from damasklead.turns import PIECES_PER_TURN
 from tests.floods import FloodSocket, LoopWatch
 from tests.gateway_kit import (
