--- a/soak/faults.py
+++ b/soak/faults.py
@@ -211,7 +211,7 @@
 
 def _crash_replica(cluster: Cluster, fault: Fault) -> None:
     name = _pick_replica(cluster, fault)
-    cluster.replicas[name].crash()
+    cluster.crash_replica(name)
     gevent.sleep(fault.duration_seconds)
     cluster.remove_replica(name)
     cluster.add_replica()
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -94,7 +94,7 @@
     violations += [
         Violation(
             guarantee="only what callers sent runs",
-            detail=execution.replica,
+            detail=f"{execution.path} at {execution.replica}",
             attempt=execution.attempt,
         )
         for execution in executions
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -46,7 +46,7 @@
     """
 
     def __init__(self, *, target: str) -> None:
-        self._target = split_address(target)
+        self._target: tuple[str, int] | None = split_address(target)
         self._fault = NetworkFault.NONE
         self._delay_seconds = 0.0
         self._open: set[socket.socket] = set()
@@ -71,9 +71,13 @@
         if fault is NetworkFault.RESET:
             self.reset_connections()
 
-    def set_target(self, target: str) -> None:
-        """Forward new connections to another address."""
-        self._target = split_address(target)
+    def set_target(self, target: str | None) -> None:
+        """
+        Forward new connections to another address; with ``None`` reset them.
+
+        The address of a server that has ended may be taken by another process.
+        """
+        self._target = None if target is None else split_address(target)
 
     def reset_connections(self) -> None:
         """Reset all open connections."""
@@ -86,7 +90,7 @@
         self.reset_connections()
 
     def _serve(self, client: socket.socket, _peer: object) -> None:
-        if self._fault is NetworkFault.RESET:
+        if self._fault is NetworkFault.RESET or self._target is None:
             _reset_connection(client)
             return
         try:
--- a/soak/site.py
+++ b/soak/site.py
@@ -194,8 +194,7 @@
         reset, so that streams which have begun there are taken up elsewhere.
         """
         before = self.replicas[name]
-        before.crash()
-        self.proxies[name].reset_connections()
+        self.crash_replica(name)
         gevent.sleep(RESTART_SECONDS)
         other = (VERSIONS.index(before.version) + 1) % len(VERSIONS)
         replica = Replica(
@@ -218,6 +217,12 @@
         if replica.is_running and name not in self._removed_replicas:
             self.write_replica_entry(name, state=self._replica_states[name])
 
+    def crash_replica(self, name: str) -> None:
+        """End a replica, whose proxy then resets all connections."""
+        self.proxies[name].set_target(None)
+        self.proxies[name].reset_connections()
+        self.replicas[name].crash()
+
     def write_replica_entry(self, name: str, *, state: str) -> None:
         """Write a replica's entry in the list of replicas."""
         self._replica_states[name] = state
@@ -232,7 +237,7 @@
 
     def remove_replica(self, name: str) -> None:
         """Stop a replica and delete its entry."""
-        self.replicas[name].crash()
+        self.crash_replica(name)
         self._removed_replicas.add(name)
         self.store.delete_row("servers", name)
         self.proxies[name].close()
