--- a/damasklead/gateway/calls.py
+++ b/damasklead/gateway/calls.py
@@ -303,6 +303,12 @@
         Seconds until the replica reaches its full speed.
     version : SoftwareVersion
         ``UNKNOWN_VERSION`` if the entry has none.
+    is_preemptible : bool
+        Whether the platform may take the replica away, together with all others of its
+        kind in the data centre.
+    leaves_in : float or None
+        Seconds, from when the entry was written, until the replica is taken away;
+        ``None`` if it is not or the time is not known.
     """
 
     instance: InstanceId
@@ -314,3 +320,5 @@
     incarnation: int = 0
     warm_up: float = 0.0
     version: SoftwareVersion = UNKNOWN_VERSION
+    is_preemptible: bool = False
+    leaves_in: float | None = None
--- /dev/null
+++ b/damasklead/gateway/duties/base.py
@@ -0,0 +1,158 @@
+"""
+Base of duties
+==============
+
+Interfaces between the holder of the duties' lease, the duties, and the adapter of the
+platform's API.
+"""
+
+from abc import ABC, abstractmethod
+from collections.abc import Mapping
+from enum import Enum
+
+import msgspec
+
+from damasklead.ids import DataCentre, InstanceId, ServiceName, WorkspaceId
+
+__all__ = [
+    "ApiError",
+    "ApiFault",
+    "Authority",
+    "CallIdentity",
+    "Duty",
+    "DutyName",
+    "PlatformApi",
+    "UsageReport",
+]
+
+
+class DutyName(Enum):
+    """The duties that a deployment may ask for."""
+
+    USAGE_REPORT = "usage_report"
+    AUTOSCALE = "autoscale"
+
+
+class ApiFault(Enum):
+    """
+    Why a call of the platform's API failed.
+
+    ``UNREACHABLE``: no complete response arrived in time, so that the call may have
+    taken effect or may still do so.  ``LIMITED``: all gateways together have made too
+    many calls.  ``UNAVAILABLE``: the replicas that were ordered can't be had now.
+    ``REFUSED``: the API responded with another error status.
+    """
+
+    UNREACHABLE = "unreachable"
+    LIMITED = "limited"
+    UNAVAILABLE = "unavailable"
+    REFUSED = "refused"
+
+
+class ApiError(Exception):
+    """
+    A call of the platform's API failed.
+
+    Attributes
+    ----------
+    fault : ApiFault
+        Kind of the failure.
+    """
+
+    def __init__(self, fault: ApiFault, detail: str) -> None:
+        super().__init__(f"{fault.value}: {detail}")
+        self.fault = fault
+
+
+class CallIdentity(msgspec.Struct, kw_only=True, frozen=True):
+    """
+    The holder in whose name a call is made.
+
+    Attributes
+    ----------
+    holder : InstanceId
+    token : int
+        Fencing token of the holder's lease.
+    """
+
+    holder: InstanceId
+    token: int
+
+
+class UsageReport(msgspec.Struct, kw_only=True, frozen=True):
+    """
+    Usage of one window.
+
+    Attributes
+    ----------
+    window : int
+        Number of the window, which begins this many window lengths after 1970.
+    counts : dict
+        Requests of each workspace that replicas began to execute in the window.
+    """
+
+    window: int
+    counts: Mapping[WorkspaceId, int]
+
+
+class PlatformApi(ABC):
+    """
+    The platform's API for duties.
+
+    All methods raise ``ApiError`` if the call fails.
+    """
+
+    @property
+    @abstractmethod
+    def timeout_seconds(self) -> float:
+        """Longest time from the start of a call until it has taken effect or failed."""
+
+    @abstractmethod
+    def report_usage(self, report: UsageReport, *, identity: CallIdentity) -> None:
+        """Report the usage of a window; an exact repetition is ignored."""
+
+    @abstractmethod
+    def order_replicas(
+        self,
+        service: ServiceName,
+        data_centre: DataCentre,
+        *,
+        count: int,
+        preemptible: bool,
+        identity: CallIdentity,
+    ) -> None:
+        """Order that a service has this number of replicas of one kind there."""
+
+
+class Authority(ABC):
+    """Proof that this gateway holds the lease of the duties."""
+
+    @property
+    @abstractmethod
+    def identity(self) -> CallIdentity:
+        """The name and the token for calls of the platform's API."""
+
+    @abstractmethod
+    def may_act_for(self, seconds: float) -> bool:
+        """
+        Return whether the lease is held and stays valid for this time.
+
+        It must be asked directly before each call with the call's timeout.
+        """
+
+
+class Duty(ABC):
+    """A task of the gateway that holds the lease of the duties."""
+
+    @property
+    @abstractmethod
+    def name(self) -> DutyName:
+        """The duty's name in the settings."""
+
+    @abstractmethod
+    def perform(self, authority: Authority) -> None:
+        """
+        Do what is due now; called at short intervals while the lease is held.
+
+        Errors of the platform's API are handled and logged here.
+        """
--- a/damasklead/gateway/routing.py
+++ b/damasklead/gateway/routing.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from damasklead.ids import ServiceName, WorkspaceId
+from damasklead.ids import DataCentre, ServiceName, WorkspaceId
 from damasklead.util import stable_hash
 
 __all__ = [
@@ -23,6 +23,7 @@
     "RouteName",
     "RoutingContent",
     "RoutingTable",
+    "ScalingSpec",
     "ServiceSpec",
     "Workspace",
 ]
@@ -83,6 +84,29 @@
     tokens_per_event: int = 1
 
 
+class ScalingSpec(msgspec.Struct, kw_only=True, frozen=True):
+    """
+    Limits and prices of the replicas that can be ordered for a service.
+
+    Attributes
+    ----------
+    min_replicas, max_replicas : int
+        Bounds of the replicas ordered in each data centre, of both kinds together.
+    boot_seconds : float
+        Time from an order until the new replica serves.
+    preemptible_price : float
+        Price of a preemptible replica as a fraction of that of another one.
+    prices : dict
+        Price of a replica for a second, by data centre.
+    """
+
+    min_replicas: int
+    max_replicas: int
+    boot_seconds: float
+    preemptible_price: float = 1.0
+    prices: dict[DataCentre, float] = {}
+
+
 class ServiceSpec(msgspec.Struct, kw_only=True, frozen=True):
     """
     A service that routes send requests to.
@@ -93,11 +117,14 @@
         Connections that a replica accepts from all gateways together.
     engine : EngineSpec or None
         ``None`` for a service that runs no model.
+    scaling : ScalingSpec or None
+        ``None`` for a service whose replicas can't be ordered.
     """
 
     name: ServiceName
     max_connections: int
     engine: EngineSpec | None = None
+    scaling: ScalingSpec | None = None
 
 
 class Route(msgspec.Struct, kw_only=True, frozen=True):
--- a/damasklead/gateway/settings.py
+++ b/damasklead/gateway/settings.py
@@ -13,9 +13,11 @@
 from damasklead.findings import Findings
 
 __all__ = [
+    "DutyBounds",
     "GatewaySettings",
     "ListenSettings",
     "OperationalLimits",
+    "PlatformApiSettings",
     "check_gateway_settings",
 ]
 
@@ -69,6 +71,46 @@
     stop_seconds: Seconds = 8.0
 
 
+class PlatformApiSettings(
+    msgspec.Struct, kw_only=True, frozen=True, forbid_unknown_fields=True
+):
+    """
+    The platform's API for the duties of one gateway at a time.
+
+    Attributes
+    ----------
+    address : str
+        Address of the API, as ``ip:port``.
+    duties : list of str
+        Names of the duties that the deployment asks for; unknown ones are ignored.
+    calls_per_second : float
+        Calls that the API accepts from all gateways together.
+    """
+
+    address: Address
+    duties: list[str] = []
+    calls_per_second: Annotated[float, msgspec.Meta(gt=0)] = 50.0
+
+
+class DutyBounds(msgspec.Struct, kw_only=True, frozen=True, forbid_unknown_fields=True):
+    """
+    Bounds of the platform on the duties.
+
+    Attributes
+    ----------
+    handover_seconds : float
+        Within this time, no instance may act again after another one has acted.
+    usage_window_seconds : float
+        Length of the windows of usage reports.
+    usage_delay_seconds : float
+        Time after the end of a window by which its report is due.
+    """
+
+    handover_seconds: Seconds = 3.0
+    usage_window_seconds: Seconds = 5.0
+    usage_delay_seconds: Seconds = 10.0
+
+
 class GatewaySettings(
     msgspec.Struct, kw_only=True, frozen=True, forbid_unknown_fields=True
 ):
@@ -92,6 +134,14 @@
         share of the requests.
     bounds : OperationalLimits
         Limits that operators set for all gateways.
+    memory_megabytes : float or None
+        Memory of the instance in megabytes; ``None`` if it is not known.
+    max_descriptors : int or None
+        Descriptors that the process may open; ``None`` if the number is not known.
+    platform_api : PlatformApiSettings or None
+        ``None`` for a deployment without duties.
+    duty_bounds : DutyBounds
+        Bounds of the platform on the duties.
     """
 
     instance: Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
@@ -102,6 +152,10 @@
     seeds: list[Address] = []
     cores: Annotated[float, msgspec.Meta(gt=0)] = 1.0
     bounds: OperationalLimits = msgspec.field(default_factory=OperationalLimits)
+    memory_megabytes: Annotated[float, msgspec.Meta(gt=0)] | None = None
+    max_descriptors: Annotated[int, msgspec.Meta(gt=0)] | None = None
+    platform_api: PlatformApiSettings | None = None
+    duty_bounds: DutyBounds = msgspec.field(default_factory=DutyBounds)
 
 
 def check_gateway_settings(
--- a/damasklead/platform/documents.py
+++ b/damasklead/platform/documents.py
@@ -6,6 +6,8 @@
 store.
 """
 
+from typing import Annotated
+
 import msgspec
 
 from damasklead.decoding import (
@@ -27,6 +29,7 @@
     RouteName,
     RoutingContent,
     RoutingTable,
+    ScalingSpec,
     ServiceSpec,
     Workspace,
 )
@@ -48,6 +51,8 @@
 _REPLICA_STATES = {"ready": UpstreamState.LIVE, "draining": UpstreamState.LEAVING}
 MILLISECONDS_PER_SECOND = 1000.0
 
+_Price = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
+
 
 class _Share(msgspec.Struct):
     service: str
@@ -81,10 +86,21 @@
     stride: Count = 1
 
 
+class _Scaling(msgspec.Struct):
+    # Bounds of the replicas in each zone.
+    min: Count
+    max: Count
+    boot_s: Annotated[float, msgspec.Meta(ge=0, le=1e6)] = 0.0
+    # Price of a preemptible replica as a fraction of that of another one.
+    spot_price: _Price = 1.0
+    zone_prices: dict[str, _Price] = {}
+
+
 class _Service(msgspec.Struct):
     name: str
     max_connections: Count = 100
     engine: _Engine | None = None
+    scaling: _Scaling | None = None
 
 
 class _Limits(msgspec.Struct):
@@ -119,6 +135,9 @@
     version: str = ""
     # Start time of the replica in Unix milliseconds, which identifies its incarnation.
     born: UnixMilliseconds = 0
+    preemptible: bool = False
+    # Milliseconds until the replica is taken away, if that is known.
+    leaves_ms: Milliseconds | None = None
 
 
 class _Report(msgspec.Struct):
@@ -188,6 +207,10 @@
         incarnation=entry.born,
         warm_up=entry.warmup_left_ms / MILLISECONDS_PER_SECOND,
         version=SoftwareVersion(entry.version),
+        is_preemptible=entry.preemptible,
+        leaves_in=None
+        if entry.leaves_ms is None
+        else entry.leaves_ms / MILLISECONDS_PER_SECOND,
     )
 
 
@@ -228,7 +251,7 @@
 
 
 def _build_service(document: _Service) -> ServiceSpec:
-    engine = document.engine
+    engine, scaling = document.engine, document.scaling
     return ServiceSpec(
         name=ServiceName(document.name),
         max_connections=document.max_connections,
@@ -239,6 +262,15 @@
             memory_tokens=engine.kv_capacity,
             tokens_per_event=engine.stride,
         ),
+        scaling=None
+        if scaling is None
+        else ScalingSpec(
+            min_replicas=scaling.min,
+            max_replicas=scaling.max,
+            boot_seconds=scaling.boot_s,
+            preemptible_price=scaling.spot_price,
+            prices={DataCentre(name): x for name, x in scaling.zone_prices.items()},
+        ),
     )
 
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -7,6 +7,7 @@
 
 import base64
 import json
+import re
 from collections.abc import Callable, Iterator
 from pathlib import Path
 
@@ -247,6 +248,27 @@
         record = decode_upstream("i-1", json.dumps(UPSTREAM).encode())
         assert record is not None and record.state is UpstreamState.LIVE
         assert record.incarnation == 1733280000123 and record.warm_up == 0.5
+        assert not record.is_preemptible and record.leaves_in is None
+
+    def test_a_preemptible_replica_is_decoded(self) -> None:
+        entry = UPSTREAM | {"state": "draining", "preemptible": True, "leaves_ms": 2100}
+        record = decode_upstream("i-1", json.dumps(entry).encode())
+        assert record is not None and record.state is UpstreamState.LEAVING
+        assert record.is_preemptible and record.leaves_in == 2.1
+
+    def test_limits_and_prices_of_replicas_are_decoded(self) -> None:
+        scaling = {
+            "min": 1, "max": 30, "boot_s": 4.0, "spot_price": 0.15,
+            "zone_prices": {"hout": 0.8},
+        }  # fmt: skip
+        services = [item | {"scaling": scaling} for item in CONFIGURATION["services"]]
+        table = decode_configuration(
+            json.dumps(CONFIGURATION | {"services": services}).encode()
+        )
+        spec = table.services[ServiceName("huvo11a")].scaling
+        assert spec is not None
+        assert (spec.min_replicas, spec.max_replicas, spec.boot_seconds) == (1, 30, 4.0)
+        assert (spec.preemptible_price, spec.prices) == (0.15, {"hout": 0.8})
 
     @pytest.mark.parametrize(
         "change",
@@ -550,24 +572,50 @@
     assert main(["check", "--gateway", str(file)]) == 2
 
 
-def test_the_settings_template_yields_valid_settings() -> None:
+DUTY_VALUES: dict[str, object] = {
+    "cloud.address": "10.0.0.9:84", "cloud.duty_per_s": 50.0,
+    "cloud.duties": ["usage_report", "autoscale"], "bounds.lease_ms": 3000,
+    "bounds.report_window_s": 5, "bounds.usage_delay_s": 10,
+}  # fmt: skip
+
+
+def render_template(text: str, values: dict[str, object]) -> str:
+    """Render placeholders and sections of the settings template."""
+    text = re.sub(
+        r"\{\{#cloud.duties\}\}.*?\{\{/cloud.duties\}\}",
+        lambda _: json.dumps(values.get("cloud.duties", []))[1:-1],
+        text,
+    )
+    for name in re.findall(r"\{\{#([\w.]+)\}\}", text):
+        section = re.compile(
+            r"\{\{#" + name + r"\}\}(.*?)\{\{/" + name + r"\}\}", re.DOTALL
+        )
+        text = section.sub(
+            lambda match, key=name: match[1] if key in values else "", text
+        )
+    return re.sub(r"\{\{([\w.]+)\|json\}\}", lambda m: json.dumps(values[m[1]]), text)
+
+
+@pytest.mark.parametrize("duties", [{}, DUTY_VALUES], ids=["without duties", "with"])
+def test_the_settings_template_yields_valid_settings(duties: dict[str, object]) -> None:
     values = {
         "node_name": "edge-1", "zone": "hout", "listen.http": "10.0.0.1:80",
         "listen.ready": "10.0.0.1:81", "listen.admin": "10.0.0.1:82",
         "platform.address": "10.0.0.9:83", "internal_ports": [7340, 7355],
         "seeds": [], "bounds.retry_ratio": 0.2, "bounds.budget_slack": 56,
         "bounds.retry_window_s": 10, "bounds.grace_s": 8,
-        "limits.cpu_quota": 0.5,
+        "limits.cpu_quota": 0.5, "limits.memory_mb": 88, "limits.max_fds": 4100,
     }  # fmt: skip
     root = Path(__file__).parent.parent
     text = (root / "deploy" / "settings.json.template").read_text()
-    for name in ("listen.admin", "limits.cpu_quota"):
-        for tag in ("{{#" + name + "}}", "{{/" + name + "}}"):
-            text = text.replace(tag, "")
-    for name, value in values.items():
-        text = text.replace("{{" + name + "|json}}", json.dumps(value))
     findings = Findings()
-    assert check_gateway_settings(text, file="t", findings=findings), list(findings)
+    settings = check_gateway_settings(
+        render_template(text, values | duties), file="t", findings=findings
+    )
+    assert settings is not None, list(findings)
+    assert (settings.memory_megabytes, settings.max_descriptors) == (88, 4100)
+    assert (settings.platform_api is not None) is bool(duties)
+    assert settings.duty_bounds.handover_seconds == 3.0
 
 
 PLATFORM_NAMES = (
