--- a/damasklead/gateway/coordination/cellmap.py
+++ b/damasklead/gateway/coordination/cellmap.py
@@ -6,7 +6,6 @@
 and of those that are suspected to have failed.  No I/O.
 """
 
-import math
 from collections.abc import Callable, Container, Iterable
 
 from damasklead.clock import Clock
@@ -19,6 +18,13 @@
     select_home_cell,
     select_home_engine,
 )
+from damasklead.gateway.coordination.remote_share import (
+    CellLoads,
+    RemoteTraffic,
+    choose_candidates,
+    compute_remote_share,
+    estimate_remote_cost,
+)
 from damasklead.ids import InstanceId, ServiceName
 from damasklead.util import stable_hash
 
@@ -30,8 +36,6 @@
 # Interval between pings to a suspected gateway; it doubles with each ping.
 MIN_PING_INTERVAL_SECONDS = 0.3
 MAX_PING_INTERVAL_SECONDS = 5.0
-# Age at which the last known load of a cell is ignored.
-LOAD_TTL_SECONDS = 1.0
 # A request spills over from its home cell to another one whose backlog is shorter by
 # more than this.  Each spillover costs capacity, since the other cell has to prefill
 # the shared prefix again.
@@ -39,6 +43,9 @@
 # Fraction of the requests of an overloaded home cell that probe a cell of unknown load:
 # they are sent there, and the responses report its load.
 PROBE_FRACTION = 0.25
+# Load of the home cell from which requests probe other cells when traffic between data
+# centres has a cost; below it, the extra latency of a probe gains nothing.
+MIN_PROBED_LOAD_SECONDS = 0.1
 
 
 class CellMap:
@@ -53,6 +60,9 @@
     refresh_members : callable
         Called before coordinators are listed; calls ``set_members`` if the gateways
         have changed.
+    remote_traffic : RemoteTraffic or None
+        What traffic between data centres costs, by which requests leave their home
+        cell; ``None`` for a threshold that doesn't depend on the request.
     """
 
     def __init__(
@@ -61,7 +71,9 @@
         clock: Clock,
         local_member: Member,
         refresh_members: Callable[[], None] = lambda: None,
+        remote_traffic: RemoteTraffic | None = None,
     ) -> None:
+        self._remote_traffic = remote_traffic
         self._refresh_members = refresh_members
         self._clock = clock
         self._local_member = local_member
@@ -71,7 +83,8 @@
         self._cells_by_engine: dict[InstanceId, Cell] = {}
         self._rankings: dict[Cell, list[InstanceId]] = {}
         self._suspects: dict[str, tuple[float, float]] = {}
-        self._loads: dict[Cell, tuple[float, float]] = {}
+        self._loads = CellLoads(clock=clock, is_smoothed=remote_traffic is not None)
+        self._weights: dict[ServiceName, dict[Cell, float]] = {}
 
     @property
     def cells(self) -> list[Cell]:
@@ -90,9 +103,30 @@
             self._members = members
             self._rankings.clear()
 
-    def set_engines(self, service: ServiceName, records: list[UpstreamRecord]) -> None:
-        """Set the engines of a service that accept new requests."""
-        self._cells[service] = partition_engines(records)
+    def set_engines(
+        self,
+        service: ServiceName,
+        records: list[UpstreamRecord],
+        *,
+        is_scaled: bool = False,
+    ) -> None:
+        """
+        Set the engines of a service that accept new requests.
+
+        Parameters
+        ----------
+        is_scaled : bool
+            Whether the number of engines in each data centre changes with the load.
+            Cells then stay within their data centres and are the home of prefixes in
+            proportion to their engines.
+        """
+        cells = partition_engines(records, by_data_centre_only=is_scaled)
+        self._cells[service] = cells
+        self._weights.pop(service, None)
+        if is_scaled:
+            self._weights[service] = {
+                cell: float(len(engines)) for cell, engines in cells.items()
+            }
         self._index_engines()
 
     def retain_services(self, services: Container[ServiceName]) -> None:
@@ -112,7 +146,7 @@
 
     def record_load(self, cell: Cell, load: float) -> None:
         """Record a cell's load: its mean backlog of prefill work in seconds."""
-        self._loads[cell] = (load, self._clock.now())
+        self._loads.record(cell, load)
 
     def select_cell(self, call: Call, *, is_first_attempt: bool) -> Cell | None:
         """
@@ -128,18 +162,45 @@
         home = self.find_home_cell(call)
         if home is None or not is_first_attempt or call.version is not None:
             return home
-        load = self._get_fresh_load(home)
-        if load is None or load <= SPILLOVER_THRESHOLD_SECONDS:
+        load = self._loads.get(home)
+        if load is None:
+            return home
+        if self._remote_traffic is not None:
+            return self._select_by_cost(call, home, load, self._remote_traffic)
+        if load <= SPILLOVER_THRESHOLD_SECONDS:
             return home
         other = self._select_spillover_cell(home)
         if other is None:
             return home
-        other_load = self._get_fresh_load(other)
+        other_load = self._loads.get(other)
         if other_load is None:
-            is_probe = stable_hash("look", call.id) < PROBE_FRACTION * 2**64
-            return other if is_probe else home
+            return other if _is_probe(call) else home
         return other if other_load + SPILLOVER_THRESHOLD_SECONDS < load else home
 
+    def _select_by_cost(
+        self, call: Call, home: Cell, load: float, traffic: RemoteTraffic
+    ) -> Cell:
+        """Return the home cell, or another one for a share of the requests."""
+        others = [cell for cell in self._cells.get(home.service, {}) if cell != home]
+        candidates = choose_candidates(call, others)
+        known = [
+            (other_load, cell)
+            for cell in candidates
+            if (other_load := self._loads.get(cell)) is not None
+        ]
+        if len(known) < len(candidates) and load > MIN_PROBED_LOAD_SECONDS:
+            unknown = next(cell for cell in candidates if self._loads.get(cell) is None)
+            if _is_probe(call):
+                return unknown
+        if not known:
+            return home
+        other_load, other = min(known, key=lambda item: item[0])
+        cost = estimate_remote_cost(
+            call, traffic, is_remote=other.data_centre != home.data_centre
+        )
+        share = compute_remote_share(load, other_load, cost)
+        return other if stable_hash("leave", call.id) < share * 2**64 else home
+
     def find_home_cell(self, call: Call) -> Cell | None:
         """
         Return the home cell of a request.
@@ -152,7 +213,12 @@
             if call.version is None
             or any(call.accepts_version(engine.version) for engine in engines)
         ]
-        return select_home_cell(cells, call, self._local_member.data_centre)
+        return select_home_cell(
+            cells,
+            call,
+            self._local_member.data_centre,
+            weights=self._weights.get(call.service),
+        )
 
     def find_copy_source(self, call: Call, cell: Cell) -> str | None:
         """
@@ -174,10 +240,6 @@
             for record in group
         }
 
-    def _get_fresh_load(self, cell: Cell) -> float | None:
-        load, measured_at = self._loads.get(cell, (0.0, -math.inf))
-        return load if self._clock.now() - measured_at < LOAD_TTL_SECONDS else None
-
     def _select_spillover_cell(self, home: Cell) -> Cell | None:
         """
         Return the cell to which requests of an overloaded home cell spill over.
@@ -262,3 +324,8 @@
                 self._suspects[name] = (now + interval, interval)
                 due_names.append(name)
         return due_names
+
+
+def _is_probe(call: Call) -> bool:
+    """Return whether a request is one of those that probe cells of unknown load."""
+    return stable_hash("look", call.id) < PROBE_FRACTION * 2**64
--- a/damasklead/gateway/coordination/cells.py
+++ b/damasklead/gateway/coordination/cells.py
@@ -13,7 +13,7 @@
 """
 
 import math
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 
 import msgspec
 
@@ -44,6 +44,8 @@
 # A gateway with twice the CPU cores coordinates eight times as many cells, because a
 # coordinator needs a large part of the CPU time of a small gateway.
 CORES_EXPONENT = 3
+# Largest number below 1 that a float represents; its logarithm is not 0.
+MAX_UNIFORM = math.nextafter(1.0, 0.0)
 
 
 class Cell(msgspec.Struct, array_like=True, frozen=True):
@@ -82,18 +84,25 @@
 
 
 def partition_engines(
-    records: Sequence[UpstreamRecord],
+    records: Sequence[UpstreamRecord], *, by_data_centre_only: bool = False
 ) -> dict[Cell, list[UpstreamRecord]]:
     """
     Partition a service's engines into cells of about equal size.
 
     While the number of cells stays the same, adding or removing one engine moves at
     most one other engine across each boundary between cells.
+
+    Parameters
+    ----------
+    records : sequence of UpstreamRecord
+        The engines of one service.
+    by_data_centre_only : bool
+        Whether no cell spans data centres, however few engines one of them has.
     """
     by_data_centre: dict[DataCentre, list[UpstreamRecord]] = {}
     for record in records:
         by_data_centre.setdefault(record.data_centre, []).append(record)
-    if (
+    if not by_data_centre_only and (
         min((len(group) for group in by_data_centre.values()), default=0)
         < MIN_DATA_CENTRE_ENGINES
     ):
@@ -109,24 +118,39 @@
 
 
 def select_home_cell(
-    cells: Iterable[Cell], call: Call, data_centre: DataCentre
+    cells: Iterable[Cell],
+    call: Call,
+    data_centre: DataCentre,
+    *,
+    weights: Mapping[Cell, float] | None = None,
 ) -> Cell | None:
     """
     Return the cell where a request's shared prefix is most likely cached.
 
     A short shared prefix has a home cell in each data centre.  Requests without a
     shared prefix are distributed over the cells by the hash of their id.
+
+    Parameters
+    ----------
+    weights : mapping or None
+        Share of the prefixes that each cell is the home of, in any unit; ``None`` for
+        equal shares.  A change of one cell's weight moves homes only from or to it.
     """
     cells = list(cells)
     local_cells = [cell for cell in cells if cell.data_centre == data_centre]
     shared = call.head.prompt[:-1]
     key = shared[-1].key if shared else call.id
     across_data_centres = sum(part.tokens for part in shared) >= REMOTE_PREFIX_TOKENS
-    return max(
-        cells if across_data_centres else local_cells or cells,
-        key=lambda cell: stable_hash(key, cell.data_centre, str(cell.number)),
-        default=None,
-    )
+    candidates = cells if across_data_centres else local_cells or cells
+
+    def compute_score(cell: Cell) -> float:
+        score = stable_hash(key, cell.data_centre, str(cell.number))
+        if weights is None:
+            return score
+        uniform = min((score + 1) / 2**64, MAX_UNIFORM)
+        return weights.get(cell, 0.0) / -math.log(uniform)
+
+    return max(candidates, key=compute_score, default=None)
 
 
 def select_home_engine(
--- a/damasklead/gateway/coordination/service.py
+++ b/damasklead/gateway/coordination/service.py
@@ -25,6 +25,7 @@
     RequestRejected,
     RunningRequests,
 )
+from damasklead.gateway.coordination.remote_share import RemoteTraffic
 from damasklead.gateway.journal import Journal
 from damasklead.gateway.peers import Peers
 from damasklead.gateway.routing import RoutingTable
@@ -59,6 +60,8 @@
     journal : Journal
     rate_limits : RateLimits
         The limits that engines name in their responses.
+    remote_traffic : RemoteTraffic or None
+        What traffic between data centres costs; ``None`` if the settings don't say.
 
     Attributes
     ----------
@@ -76,6 +79,7 @@
         peers: Peers | None,
         journal: Journal,
         rate_limits: RateLimits,
+        remote_traffic: RemoteTraffic | None = None,
     ) -> None:
         self._instance = local_member.instance
         self._peers = peers
@@ -86,6 +90,7 @@
             clock=clock,
             local_member=local_member,
             refresh_members=self._refresh_members,
+            remote_traffic=remote_traffic,
         )
         self.client = AssignmentClient(
             instance=local_member.instance,
--- a/damasklead/gateway/fleet.py
+++ b/damasklead/gateway/fleet.py
@@ -14,7 +14,7 @@
 from damasklead.gateway.bootstrap import Bootstrap, ConfigurationRecovery
 from damasklead.gateway.broadcasts import Broadcasts
 from damasklead.gateway.calls import UpstreamRecord
-from damasklead.gateway.coordination.cells import Member
+from damasklead.gateway.coordination.cells import MIN_DATA_CENTRE_ENGINES, Member
 from damasklead.gateway.coordination.service import Coordination
 from damasklead.gateway.crash_containment import Containment
 from damasklead.gateway.crash_reports import ObservedCrash
@@ -157,6 +157,7 @@
             peers=self._peers,
             journal=journal,
             rate_limits=self.rate_limits,
+            remote_traffic=settings.remote_traffic,
         )
         self._broadcasts = self._make_broadcasts(incarnation)
         self.origins = OriginRegistry(
@@ -332,7 +333,10 @@
         for name, spec in ({} if table is None else table.services).items():
             if spec.engine is not None:
                 self.coordination.cells.set_engines(
-                    name, self._directory.get_eligible_records(name)
+                    name,
+                    self._directory.get_eligible_records(name),
+                    is_scaled=spec.scaling is not None
+                    and spec.scaling.max_replicas >= MIN_DATA_CENTRE_ENGINES,
                 )
         self.coordination.coordinators.apply_configuration()
         self._on_replicas_changed()
--- a/damasklead/gateway/settings.py
+++ b/damasklead/gateway/settings.py
@@ -11,6 +11,7 @@
 
 from damasklead import jsonc
 from damasklead.findings import Findings
+from damasklead.gateway.coordination.remote_share import RemoteTraffic
 
 __all__ = [
     "DutyBounds",
@@ -142,6 +143,9 @@
         ``None`` for a deployment without duties.
     duty_bounds : DutyBounds
         Bounds of the platform on the duties.
+    remote_traffic : RemoteTraffic or None
+        What traffic between data centres costs; ``None`` for requests that spill over
+        by a threshold only.
     """
 
     instance: Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
@@ -156,6 +160,7 @@
     max_descriptors: Annotated[int, msgspec.Meta(gt=0)] | None = None
     platform_api: PlatformApiSettings | None = None
     duty_bounds: DutyBounds = msgspec.field(default_factory=DutyBounds)
+    remote_traffic: RemoteTraffic | None = None
 
 
 def check_gateway_settings(
