--- a/damasklead/gateway/coordination/cellmap.py
+++ b/damasklead/gateway/coordination/cellmap.py
@@ -20,12 +20,15 @@
 )
 from damasklead.gateway.coordination.remote_share import (
     CellLoads,
+    RemoteReason,
+    RemoteTally,
     RemoteTraffic,
+    ShareChange,
     choose_candidates,
     compute_remote_share,
     estimate_remote_cost,
 )
-from damasklead.ids import InstanceId, ServiceName
+from damasklead.ids import DataCentre, InstanceId, ServiceName
 from damasklead.util import stable_hash
 
 __all__ = ["CellMap"]
@@ -63,6 +66,9 @@
     remote_traffic : RemoteTraffic or None
         What traffic between data centres costs, by which requests leave their home
         cell; ``None`` for a threshold that doesn't depend on the request.
+    on_remote : callable
+        Called with each request that is sent to another data centre, that data centre
+        and the reason, if traffic between data centres has a cost.
     """
 
     def __init__(
@@ -72,8 +78,13 @@
         local_member: Member,
         refresh_members: Callable[[], None] = lambda: None,
         remote_traffic: RemoteTraffic | None = None,
+        on_remote: Callable[
+            [Call, DataCentre, RemoteReason], None
+        ] = lambda _call, _target, _reason: None,
     ) -> None:
         self._remote_traffic = remote_traffic
+        self._on_remote = on_remote
+        self._tally = RemoteTally(data_centre=local_member.data_centre)
         self._refresh_members = refresh_members
         self._clock = clock
         self._local_member = local_member
@@ -162,11 +173,14 @@
         home = self.find_home_cell(call)
         if home is None or not is_first_attempt or call.version is not None:
             return home
+        if self._remote_traffic is not None:
+            cell, reason = self._select_by_cost(call, home, self._remote_traffic)
+            if self._tally.record(call.service, cell.data_centre):
+                self._on_remote(call, cell.data_centre, reason)
+            return cell
         load = self._loads.get(home)
         if load is None:
             return home
-        if self._remote_traffic is not None:
-            return self._select_by_cost(call, home, load, self._remote_traffic)
         if load <= SPILLOVER_THRESHOLD_SECONDS:
             return home
         other = self._select_spillover_cell(home)
@@ -177,29 +191,35 @@
             return other if _is_probe(call) else home
         return other if other_load + SPILLOVER_THRESHOLD_SECONDS < load else home
 
+    def collect_share_changes(self) -> list[ShareChange]:
+        """Return the shares of requests to other data centres that have changed."""
+        return self._tally.collect_changes()
+
     def _select_by_cost(
-        self, call: Call, home: Cell, load: float, traffic: RemoteTraffic
-    ) -> Cell:
+        self, call: Call, home: Cell, traffic: RemoteTraffic
+    ) -> tuple[Cell, RemoteReason]:
         """Return the home cell, or another one for a share of the requests."""
+        load = self._loads.get(home)
+        if load is None:
+            return home, RemoteReason.HOME
         others = [cell for cell in self._cells.get(home.service, {}) if cell != home]
-        candidates = choose_candidates(call, others)
-        known = [
-            (other_load, cell)
-            for cell in candidates
-            if (other_load := self._loads.get(cell)) is not None
-        ]
-        if len(known) < len(candidates) and load > MIN_PROBED_LOAD_SECONDS:
-            unknown = next(cell for cell in candidates if self._loads.get(cell) is None)
-            if _is_probe(call):
-                return unknown
+        loads = {
+            cell: self._loads.get(cell) for cell in choose_candidates(call, others)
+        }
+        known = [(item, cell) for cell, item in loads.items() if item is not None]
+        unknown = [cell for cell, item in loads.items() if item is None]
+        if unknown and load > MIN_PROBED_LOAD_SECONDS and _is_probe(call):
+            return unknown[0], RemoteReason.PROBE
         if not known:
-            return home
+            return home, RemoteReason.HOME
         other_load, other = min(known, key=lambda item: item[0])
         cost = estimate_remote_cost(
             call, traffic, is_remote=other.data_centre != home.data_centre
         )
         share = compute_remote_share(load, other_load, cost)
-        return other if stable_hash("leave", call.id) < share * 2**64 else home
+        if stable_hash("leave", call.id) < share * 2**64:
+            return other, RemoteReason.LOAD
+        return home, RemoteReason.HOME
 
     def find_home_cell(self, call: Call) -> Cell | None:
         """
--- a/damasklead/gateway/coordination/remote_share.py
+++ b/damasklead/gateway/coordination/remote_share.py
@@ -13,18 +13,24 @@
 """
 
 import math
+from collections import Counter
 from collections.abc import Collection
+from enum import Enum
 
 import msgspec
 
 from damasklead.clock import Clock
 from damasklead.gateway.calls import Call
 from damasklead.gateway.coordination.cells import Cell
+from damasklead.ids import DataCentre, ServiceName
 from damasklead.util import stable_hash
 
 __all__ = [
     "CellLoads",
+    "RemoteReason",
+    "RemoteTally",
     "RemoteTraffic",
+    "ShareChange",
     "choose_candidates",
     "compute_remote_share",
     "estimate_remote_cost",
@@ -42,6 +48,36 @@
 # stay in their data centre.
 GAP_LATENCIES = 10.0
 BYTES_PER_MEGABYTE = 1_000_000.0
+# Change of the fraction of a data centre's requests that leave it which is reported.
+REPORTED_SHARE_CHANGE = 0.1
+
+
+class RemoteReason(Enum):
+    """
+    Why a request is sent to another data centre.
+
+    ``HOME``: its shared prefix has its home there.  ``LOAD``: the engines here have a
+    longer backlog.  ``PROBE``: the load there is not known.
+    """
+
+    HOME = "home"
+    LOAD = "load"
+    PROBE = "probe"
+
+
+class ShareChange(msgspec.Struct, kw_only=True, frozen=True):
+    """
+    A changed share of the requests that leave a data centre.
+
+    Attributes
+    ----------
+    share : float
+        Fraction of the service's requests of the last interval that were sent there.
+    """
+
+    service: ServiceName
+    target: DataCentre
+    share: float
 
 
 class RemoteTraffic(
@@ -160,3 +196,49 @@
             "remote", call.id, cell.data_centre, str(cell.number)
         ),
     )[:2]
+
+
+class RemoteTally:
+    """
+    Counts the requests of this gateway that leave its data centre.
+
+    Parameters
+    ----------
+    data_centre : DataCentre
+        This gateway's data centre.
+    """
+
+    def __init__(self, *, data_centre: DataCentre) -> None:
+        self._data_centre = data_centre
+        self._sent: Counter[tuple[ServiceName, DataCentre]] = Counter()
+        self._totals: Counter[ServiceName] = Counter()
+        self._reported: dict[tuple[ServiceName, DataCentre], float] = {}
+
+    def record(self, service: ServiceName, target: DataCentre) -> bool:
+        """
+        Record where a request is sent; returns whether that is another data centre.
+
+        Cells that span data centres count as this one.
+        """
+        self._totals[service] += 1
+        if target in ("", self._data_centre):
+            return False
+        self._sent[service, target] += 1
+        return True
+
+    def collect_changes(self) -> list[ShareChange]:
+        """Return the shares that have changed, and begin the next interval."""
+        changes: list[ShareChange] = []
+        for key in self._sent.keys() | self._reported.keys():
+            service, target = key
+            if not self._totals[service]:
+                continue
+            share = self._sent[key] / self._totals[service]
+            if abs(share - self._reported.get(key, 0.0)) >= REPORTED_SHARE_CHANGE:
+                self._reported[key] = share
+                changes.append(
+                    ShareChange(service=service, target=target, share=round(share, 2))
+                )
+        self._sent.clear()
+        self._totals.clear()
+        return changes
--- a/damasklead/gateway/coordination/service.py
+++ b/damasklead/gateway/coordination/service.py
@@ -11,6 +11,7 @@
 from gevent.event import Event
 
 from damasklead.clock import Clock
+from damasklead.gateway.calls import Call
 from damasklead.gateway.coordination.assignment_client import AssignmentClient
 from damasklead.gateway.coordination.cellmap import CellMap
 from damasklead.gateway.coordination.cells import Member
@@ -25,10 +26,11 @@
     RequestRejected,
     RunningRequests,
 )
-from damasklead.gateway.coordination.remote_share import RemoteTraffic
+from damasklead.gateway.coordination.remote_share import RemoteReason, RemoteTraffic
 from damasklead.gateway.journal import Journal
 from damasklead.gateway.peers import Peers
 from damasklead.gateway.routing import RoutingTable
+from damasklead.ids import DataCentre
 from damasklead.rate_limits import RateLimits
 
 __all__ = ["Coordination"]
@@ -62,6 +64,9 @@
         The limits that engines name in their responses.
     remote_traffic : RemoteTraffic or None
         What traffic between data centres costs; ``None`` if the settings don't say.
+    on_remote : callable
+        Called with each request that is sent to another data centre, that data centre
+        and the reason, if the settings say what such traffic costs.
 
     Attributes
     ----------
@@ -80,6 +85,9 @@
         journal: Journal,
         rate_limits: RateLimits,
         remote_traffic: RemoteTraffic | None = None,
+        on_remote: Callable[
+            [Call, DataCentre, RemoteReason], None
+        ] = lambda _call, _target, _reason: None,
     ) -> None:
         self._instance = local_member.instance
         self._peers = peers
@@ -91,6 +99,7 @@
             local_member=local_member,
             refresh_members=self._refresh_members,
             remote_traffic=remote_traffic,
+            on_remote=on_remote,
         )
         self.client = AssignmentClient(
             instance=local_member.instance,
@@ -152,6 +161,16 @@
                 elapsed = 0.0
                 self.client.report_running_requests()
                 self.coordinators.process_queues()
+                self._log_share_changes()
+
+    def _log_share_changes(self) -> None:
+        for change in self.cells.collect_share_changes():
+            self._journal.event(
+                "remote-share",
+                service=change.service,
+                target=change.target,
+                share=change.share,
+            )
 
     def _send(self, name: str, message: object) -> None:
         if name == self._instance:
--- a/damasklead/gateway/fleet.py
+++ b/damasklead/gateway/fleet.py
@@ -13,8 +13,9 @@
 from damasklead.clock import Clock
 from damasklead.gateway.bootstrap import Bootstrap, ConfigurationRecovery
 from damasklead.gateway.broadcasts import Broadcasts
-from damasklead.gateway.calls import UpstreamRecord
+from damasklead.gateway.calls import Call, UpstreamRecord
 from damasklead.gateway.coordination.cells import MIN_DATA_CENTRE_ENGINES, Member
+from damasklead.gateway.coordination.remote_share import RemoteReason
 from damasklead.gateway.coordination.service import Coordination
 from damasklead.gateway.crash_containment import Containment
 from damasklead.gateway.crash_reports import ObservedCrash
@@ -64,6 +65,9 @@
         Called with each configuration that becomes active.
     on_replicas_changed : callable
         Called after the known replicas have changed.
+    on_remote : callable
+        Called with each request that is sent to another data centre, that data centre
+        and the reason, if the settings say what such traffic costs.
     on_unavailable : callable
         Called when the configuration can't be read from the platform; at the start,
         other gateways have been asked before.
@@ -98,6 +102,7 @@
         on_configuration: Callable[[RoutingTable], None],
         on_replicas_changed: Callable[[], None],
         on_unavailable: Callable[[], None],
+        on_remote: Callable[[Call, DataCentre, RemoteReason], None],
     ) -> None:
         self._settings = settings
         self._clock = clock
@@ -158,6 +163,7 @@
             journal=journal,
             rate_limits=self.rate_limits,
             remote_traffic=settings.remote_traffic,
+            on_remote=on_remote,
         )
         self._broadcasts = self._make_broadcasts(incarnation)
         self.origins = OriginRegistry(
--- a/damasklead/gateway/metrics.py
+++ b/damasklead/gateway/metrics.py
@@ -14,7 +14,9 @@
 )
 
 from damasklead.gateway.calls import Call
+from damasklead.gateway.coordination.remote_share import RemoteReason
 from damasklead.gateway.refusals import Refusal
+from damasklead.ids import DataCentre
 
 __all__ = ["GatewayMetrics"]
 
@@ -51,6 +53,18 @@
             registry=self.registry,
             buckets=FIRST_BYTE_BUCKETS_SECONDS,
         )
+        self._remote_requests = Counter(
+            "damasklead_remote_requests",
+            "Requests sent to another data centre by reason",
+            ["service", "source", "target", "reason"],
+            registry=self.registry,
+        )
+        self._remote_bytes = Counter(
+            "damasklead_remote_body_bytes",
+            "Bytes of bodies of requests sent to another data centre by reason",
+            ["service", "source", "target", "reason"],
+            registry=self.registry,
+        )
         self.configuration_version = Gauge(
             "damasklead_configuration_version",
             "The version in force",
@@ -131,6 +145,18 @@
         """Count a request whose caller disconnected before the response's end."""
         self._disconnects.labels(call.service).inc()
 
+    def count_remote(
+        self,
+        call: Call,
+        source: DataCentre,
+        target: DataCentre,
+        reason: RemoteReason,
+    ) -> None:
+        """Count a request that is sent to another data centre."""
+        labels = (call.service, source, target, reason.value)
+        self._remote_requests.labels(*labels).inc()
+        self._remote_bytes.labels(*labels).inc(len(call.body))
+
     def render(self) -> bytes:
         """Return the metrics in Prometheus' text exposition format."""
         return generate_latest(self.registry)
--- a/damasklead/gateway/process.py
+++ b/damasklead/gateway/process.py
@@ -17,8 +17,9 @@
 
 from damasklead.gateway.budget import SharedRetryBudget
 from damasklead.gateway.callers import RequestHandler
-from damasklead.gateway.calls import UpstreamRecord
+from damasklead.gateway.calls import Call, UpstreamRecord
 from damasklead.gateway.context import GatewayContext
+from damasklead.gateway.coordination.remote_share import RemoteReason
 from damasklead.gateway.dialect import Dialect, PlatformLink
 from damasklead.gateway.directory import UpstreamDirectory
 from damasklead.gateway.fleet import Fleet
@@ -109,6 +110,7 @@
             on_configuration=self._apply_configuration,
             on_replicas_changed=self._update_placements,
             on_unavailable=self._gate.open,
+            on_remote=self._count_remote,
         )
         self._forwarder = Forwarder(
             context=GatewayContext(
@@ -287,6 +289,13 @@
         self._connections.close_idle(record.address)
         self._fleet.record_departure(record, sign)
 
+    def _count_remote(
+        self, call: Call, target: DataCentre, reason: RemoteReason
+    ) -> None:
+        self._metrics.count_remote(
+            call, DataCentre(self._settings.data_centre), target, reason
+        )
+
     def _create_listener(
         self,
         address: str,
--- a/tests/test_gateway_remote_share.py
+++ b/tests/test_gateway_remote_share.py
@@ -26,6 +26,8 @@
 from damasklead.gateway.coordination.remote_share import (
     LOAD_TTL_SECONDS,
     CellLoads,
+    RemoteReason,
+    RemoteTally,
     RemoteTraffic,
     compute_remote_share,
     estimate_remote_cost,
@@ -277,3 +279,41 @@
             (old, new) for old, new in zip(before, after, strict=True) if old != new
         }
         assert {old for old, _ in moved} == {cells[2]}
+
+
+class TestReports:
+    def test_changed_shares_are_reported_once(self) -> None:
+        tally = RemoteTally(data_centre=DataCentre("hout"))
+        for number in range(10):
+            target = DataCentre("mossel" if number < 3 else "hout")
+            assert tally.record(SERVICE, target) is (number < 3)
+        (change,) = tally.collect_changes()
+        assert (change.target, change.share) == ("mossel", 0.3)
+        for number in range(10):
+            tally.record(SERVICE, DataCentre("mossel" if number < 3 else "hout"))
+        assert tally.collect_changes() == []
+        tally.record(SERVICE, DataCentre("hout"))
+        (change,) = tally.collect_changes()
+        assert change.share == 0.0
+
+    def test_each_request_that_leaves_is_reported_with_its_reason(self) -> None:
+        clock = ManualClock(start=5.0)
+        reasons: list[tuple[DataCentre, RemoteReason]] = []
+        cells = CellMap(
+            clock=clock,
+            local_member=Member(InstanceId("g0"), DataCentre("hout")),
+            remote_traffic=TRAFFIC,
+            on_remote=lambda _call, target, reason: reasons.append((target, reason)),
+        )
+        cells.set_engines(SERVICE, make_engines(30, "hout", "mossel"))
+        hout, mossel = sorted(cells.cells, key=lambda cell: cell.data_centre)
+        cells.record_load(hout, 5.0)
+        for number in range(40):
+            cells.select_cell(make_quote(f"p{number}"), is_first_attempt=True)
+        assert set(reasons) == {(mossel.data_centre, RemoteReason.PROBE)}
+        reasons.clear()
+        cells.record_load(mossel, 0.0)
+        for number in range(40):
+            cells.select_cell(make_quote(f"l{number}"), is_first_attempt=True)
+        assert set(reasons) == {(mossel.data_centre, RemoteReason.LOAD)}
+        assert len(reasons) > 20
