--- a/damasklead/gateway/peers.py
+++ b/damasklead/gateway/peers.py
@@ -26,6 +26,11 @@
     RunningRequests,
 )
 from damasklead.gateway.dialect import FeedError, PeerDirectory, PeerEntry
+from damasklead.gateway.duties.messages import (
+    HolderNotice,
+    ReportCopies,
+    UsageCounts,
+)
 from damasklead.gateway.journal import Journal
 from damasklead.gateway.message_batch import MessageBatch
 from damasklead.gateway.messages import (
@@ -74,6 +79,7 @@
     | RequestEnded | RunningRequests
     | Announcement | LeaveNotice | Ping | Broadcast | PeerReport
     | OriginReport | OriginQuery | OriginReply
+    | HolderNotice | UsageCounts | ReportCopies
 )  # fmt: skip
 
 _DECODER = msgspec.msgpack.Decoder(_Message)
@@ -119,6 +125,10 @@
         self._names: dict[tuple[str, int], str] = {}
         self._last_received_at: dict[str, float] = {}
         self._handlers: dict[type, Callable[[Any, str], None]] = {}
+        self._types_of_leaving: set[type] = set()
+        # Names of gateways that sent a leave notice, by address; they still send
+        # messages until they have stopped.
+        self._leaving_names: dict[tuple[str, int], str] = {}
         self._is_discovery_complete = False
         self._is_leaving = False
         self._entry_written_at: float | None = None
@@ -144,10 +154,25 @@
         return [self._local_entry, *self._members.values()]
 
     def register_handler(
-        self, message_type: type, handler: Callable[[Any, str], None]
+        self,
+        message_type: type,
+        handler: Callable[[Any, str], None],
+        *,
+        accepts_leaving: bool = False,
     ) -> None:
-        """Set the handler that gets messages of a type and their sender's name."""
+        """
+        Set the handler that gets messages of a type and their sender's name.
+
+        Parameters
+        ----------
+        message_type : type
+        handler : callable
+        accepts_leaving : bool
+            Whether it also gets messages of gateways that have announced their leave.
+        """
         self._handlers[message_type] = handler
+        if accepts_leaving:
+            self._types_of_leaving.add(message_type)
 
     def apply_snapshot(self, entries: list[PeerEntry], *, is_complete: bool) -> None:
         """
@@ -249,7 +274,12 @@
             return
         elif isinstance(message, Ping):
             self._handle_ping(address)
-        elif name is None:
+        elif name is None and type(message) in self._types_of_leaving:
+            leaving_name = self._leaving_names.get(address)
+            if leaving_name is not None:
+                self._handlers[type(message)](message, leaving_name)
+                return
+        if name is None and not isinstance(message, Announcement | Ping):
             # The announcement of an unknown sender was lost.
             self._send_data(msgspec.msgpack.encode(Ping()), str(address), address)
             return
@@ -402,6 +432,9 @@
             self._departed[message.instance] = message.incarnation
             while len(self._departed) > MAX_DEPARTED_PEERS:
                 del self._departed[next(iter(self._departed))]
+            self._leaving_names[split_address(known.address)] = message.instance
+            while len(self._leaving_names) > MAX_DEPARTED_PEERS:
+                del self._leaving_names[next(iter(self._leaving_names))]
             self._remove_member(message.instance)
 
     def _handle_ping(self, address: tuple[str, int]) -> None:
@@ -444,6 +477,7 @@
             address = split_address(entry.address)
             self._addresses[entry.instance] = address
             self._names[address] = entry.instance
+            self._leaving_names.pop(address, None)
             self._journal.event("peer-found", peer=entry.instance)
             has_new_members = True
         if has_new_members:
