--- a/damasklead/gateway/duties/contention.py
+++ b/damasklead/gateway/duties/contention.py
@@ -96,6 +96,7 @@
     members: Iterable[PeerEntry],
     holder: str,
     deputy: str,
+    is_deputy_first: bool = True,
 ) -> int:
     """
     Return the number of gateways that contend before this one.
@@ -111,9 +112,13 @@
         The other gateways.
     holder, deputy : str
         The last holder that was announced and its deputy; empty without one.
+    is_deputy_first : bool
+        Whether the deputy does not wait for the holder.
     """
-    if instance in (holder, deputy):
+    if instance == holder:
         return 0
+    if instance == deputy:
+        return 0 if is_deputy_first else 1
     score = reader_score(instance, cores)
     others = {item.instance: item for item in members if item.instance != holder}
     has_deputy = others.pop(deputy, None) is not None  # type: ignore[call-overload]
--- a/damasklead/gateway/duties/lease_task.py
+++ b/damasklead/gateway/duties/lease_task.py
@@ -22,11 +22,11 @@
 from damasklead.gateway.duties.messages import HolderNotice
 from damasklead.gateway.journal import Journal
 from damasklead.ids import Incarnation, InstanceId, StoreEra
-from damasklead.leases import LeaseKeeper, LeaseTimings
+from damasklead.leases import LeaseKeeper, LeaseTimings, get_fencing_era
 from damasklead.protocol import ReadRows, Steps
 from damasklead.stores.base import Commit, Condition, StoreError, TableService
 
-__all__ = ["DUTIES_TABLE", "LEASE_TIMINGS", "LeaseTask"]
+__all__ = ["DUTIES_TABLE", "LEASE_TIMINGS", "HeldLease", "LeaseTask"]
 
 T = TypeVar("T")
 
@@ -42,6 +42,31 @@
 MAX_PAUSE_SECONDS = 0.5
 
 
+class HeldLease(msgspec.Struct, kw_only=True, frozen=True):
+    """
+    A lease that is held.
+
+    Attributes
+    ----------
+    row_condition : Condition
+        The condition that its row is as of the last renewal.
+    held_seconds : float
+        Seconds since it was acquired.
+    era : int
+        Era of the store in which it was acquired.
+    era_observed_at : float
+        Clock's time at which that era was observed.
+    token_at_restore : int or None
+        Token with which this gateway held the lease until then, ``None`` if it did not.
+    """
+
+    row_condition: Condition
+    held_seconds: float
+    era: int
+    era_observed_at: float
+    token_at_restore: int | None
+
+
 class LeaseTask(Authority):
     """
     The lease of the duties at one gateway.
@@ -103,6 +128,7 @@
         self._has_store_failed = False
         self._is_lost_logged = False
         self._is_releasing = False
+        self._retry_at = 0.0
         self._wake_up = Event()
         # A renewal and the release change the same row.
         self._row_lock = BoundedSemaphore()
@@ -113,25 +139,29 @@
         """Whether the lease is held, possibly without the right to act yet."""
         return self._keeper.fencing_token is not None
 
-    @property
-    def held_seconds(self) -> float:
-        """Seconds since the lease was acquired, 0 if it is not held."""
-        return self._keeper.held_seconds
-
     @property
     def identity(self) -> CallIdentity:
         """The name and the token for calls of the platform's API."""
         return self._identity
 
-    @property
-    def row_condition(self) -> Condition:
-        """The condition that the lease's row is as of the last renewal."""
-        return self._keeper.row_condition
+    def describe(self) -> HeldLease:
+        """Return the lease as duties need it that write rows of the store."""
+        token = self._identity.token
+        return HeldLease(
+            row_condition=self._keeper.row_condition,
+            held_seconds=self._keeper.held_seconds,
+            era=get_fencing_era(token),
+            era_observed_at=self._keeper.era_observed_at,
+            token_at_restore=self._keeper.token_at_restore,
+        )
 
     def may_act_for(self, seconds: float) -> bool:
         """Return whether the lease is held and stays valid for this time."""
         if self._is_releasing or self._keeper.remaining_seconds <= seconds:
             return False
+        if self._directory.token > self._identity.token:
+            # A later holder has announced itself.
+            return False
         return (
             not self._keeper.is_handover
             or self._keeper.held_seconds >= self._handover_seconds
@@ -166,7 +196,7 @@
         elif not was_held or self._keeper.remaining_seconds > remaining_seconds:
             self.announce()
         else:
-            gevent.sleep(RENEW_RETRY_SECONDS)
+            self._retry_at = self._clock.now() + RENEW_RETRY_SECONDS
 
     def announce(self) -> None:
         """Announce this gateway to all others, if it is the holder."""
@@ -204,7 +234,11 @@
         """Return the seconds until a poll may be due."""
         if self.is_held:
             validity = LEASE_TIMINGS.renew_deadline - RENEW_INTERVAL_SECONDS
-            return max(0.0, self._keeper.remaining_seconds - validity)
+            return max(
+                0.0,
+                self._keeper.remaining_seconds - validity,
+                self._retry_at - self._clock.now(),
+            )
         seconds = self._schedule.seconds_until_due
         if seconds is None:
             return MAX_PAUSE_SECONDS
--- a/damasklead/gateway/duties/runner.py
+++ b/damasklead/gateway/duties/runner.py
@@ -74,6 +74,11 @@
             for duty in self._duties.values()
         ]
 
+    def perform_all(self) -> None:
+        """Perform each duty once if the lease is held."""
+        for duty in self._duties.values():
+            self.perform(duty)
+
     def perform(self, duty: Duty) -> None:
         """Perform a duty once if the lease is held, whatever it raises."""
         if not self._is_held():
--- a/damasklead/gateway/duties/service.py
+++ b/damasklead/gateway/duties/service.py
@@ -169,8 +169,7 @@
                 true_time=self._true_time,
                 window_seconds=bounds.usage_window_seconds,
                 delay_seconds=bounds.usage_delay_seconds,
-                get_lease_condition=lambda: self._lease.row_condition,
-                get_held_seconds=lambda: self._lease.held_seconds,
+                get_lease=self._lease.describe,
                 on_closed=self._lease.announce,
                 clock=clock,
                 journal=journal,
@@ -251,6 +250,14 @@
             *self._runner.create_tasks(),
         ]
 
+    def poll_lease(self) -> None:
+        """Renew the lease or contend for it, if either is due."""
+        self._lease.poll()
+
+    def perform_duties(self) -> None:
+        """Perform each duty once if this gateway holds the lease."""
+        self._runner.perform_all()
+
     def release(self) -> None:
         """Release the lease, so that another gateway takes over at once."""
         if self._runner.has_duties:
@@ -261,6 +268,7 @@
 
     def send_counts(self) -> None:
         """Send the counts that have changed to the holder and its deputy."""
+        self._true_time.tick()
         windows = [] if self._counter is None else self._counter.take_changes()
         now = self._clock.now()
         if not windows and now - self._sent_at < IDLE_REPORT_SECONDS:
@@ -298,6 +306,8 @@
             members=[] if self._peers is None else self._peers.members,
             holder=self.directory.holder,
             deputy=self.directory.deputy,
+            # The last holder knows which windows were closed before a restore.
+            is_deputy_first=self._get_era() == get_fencing_era(self.directory.token),
         )
 
     def _make_notice(self, token: int, version: int) -> HolderNotice:
--- a/damasklead/gateway/duties/usage_reports.py
+++ b/damasklead/gateway/duties/usage_reports.py
@@ -22,7 +22,7 @@
     PlatformApi,
     UsageReport,
 )
-from damasklead.gateway.duties.lease_task import DUTIES_TABLE
+from damasklead.gateway.duties.lease_task import DUTIES_TABLE, HeldLease
 from damasklead.gateway.duties.messages import WindowCounts
 from damasklead.gateway.duties.true_time import TrueTime
 from damasklead.gateway.duties.usage_counts import UsageLedger, compute_window
@@ -48,10 +48,13 @@
 # Windows whose reports are this late are dropped, and those that nobody closed in time
 # are not closed any more.
 MAX_LATENESS_SECONDS = 60.0
+# Largest difference between the true times of two gateways.
+CLOCK_MARGIN_SECONDS = 1.0
 # Final counts that are kept in case the store loses them.
 MAX_COPIES = 50
-# First and longest pause after a failed call, doubled in between.
-MIN_RETRY_SECONDS, MAX_RETRY_SECONDS = 0.5, 4.0
+# First and longest pause after a failed call, doubled in between: a report is due 7.5 s
+# after its window was closed.  Calls are billed, so that overdue reports wait longer.
+MIN_RETRY_SECONDS, MAX_RETRY_SECONDS, OVERDUE_RETRY_SECONDS = 0.25, 1.0, 4.0
 # Rate of the reports after a failure of the API; low, since all calls of all gateways
 # share a rate limit.
 MAX_CALLS_PER_SECOND = 10.0
@@ -67,10 +70,13 @@
         Newest window whose counts are final; 0 before the first.
     unsent : list
         Closed windows that the API may not have accepted.
+    era : int
+        Era of the store in which the row was written.
     """
 
     closed: int = 0
     unsent: list[WindowCounts] = []
+    era: int = 0
 
 
 class UsageStatistics(msgspec.Struct, kw_only=True):
@@ -117,10 +123,8 @@
         Length of a window.
     delay_seconds : float
         Time after a window's end by which its report is due.
-    get_lease_condition : callable
-        Returns the condition that the lease's row is as of the last renewal.
-    get_held_seconds : callable
-        Returns the seconds since the lease was acquired.
+    get_lease : callable
+        Returns the lease that this gateway holds.
     on_closed : callable
         Called after windows were closed, before they are reported.
     clock : Clock
@@ -136,8 +140,7 @@
         true_time: TrueTime,
         window_seconds: float,
         delay_seconds: float,
-        get_lease_condition: Callable[[], Condition],
-        get_held_seconds: Callable[[], float],
+        get_lease: Callable[[], HeldLease],
         on_closed: Callable[[], None],
         clock: Clock,
         journal: Journal,
@@ -148,8 +151,7 @@
         self._true_time = true_time
         self._window_seconds = window_seconds
         self._delay_seconds = delay_seconds
-        self._get_lease_condition = get_lease_condition
-        self._get_held_seconds = get_held_seconds
+        self._get_lease = get_lease
         self._on_closed = on_closed
         self._clock = clock
         self._journal = journal
@@ -163,7 +165,10 @@
         self._row_version = ABSENT
         # Closed windows that a restored store has lost, to be written again.
         self._recovered: list[WindowCounts] = []
+        self._knows_lost_windows = False
         self._accepted: set[int] = set()
+        # Calls for each window that is not accepted.
+        self._attempts: dict[int, int] = {}
         self._retry_at = 0.0
         self._failures = 0
         self.statistics = UsageStatistics()
@@ -215,6 +220,12 @@
         if isinstance(result, Err):
             self._journal.event("usage-row-unread", cause=result.err_value.value)
             return
+        if self._tables().era != self._get_lease().era:
+            # The row is that of a restored store, in which the lease is not held.
+            return
+        if token != self._token:
+            token_at_restore = self._get_lease().token_at_restore
+            self._knows_lost_windows = token_at_restore == self._token
         self._token = token
         self._adopt_row(result.ok_value[0] if result.ok_value else None)
 
@@ -236,41 +247,66 @@
             state = UsageState()
         self._row_version = ABSENT if row is None else row.version
         self._recovered = []
-        if state.closed < self._announced_window:
-            state = self._recover(state)
+        lost_through = self._find_lost_windows(state)
+        if lost_through > state.closed:
+            state = self._recover(state, lost_through)
         self._state = state
         self._accepted &= {item.window for item in state.unsent}
+        if state.closed > self._announced_window:
+            self._announce_closed(state.closed)
+
+    def _announce_closed(self, window: int) -> None:
+        """Tell all gateways that windows are closed, before they are reported."""
+        self._announced_window = window
+        self._ledger.set_closed(window)
+        self._on_closed()
+
+    def _find_lost_windows(self, state: UsageState) -> int:
+        """
+        Return the newest window that may have been closed without a trace in the row.
+
+        A store that was restored has lost what was closed after the backup.  Only the
+        gateway that held the lease until the restore, and had read the row before,
+        knows all of it.
+        """
+        lease = self._get_lease()
+        if state.era == lease.era or self._knows_lost_windows:
+            return self._announced_window
+        restored_at = self._true_time.convert(lease.era_observed_at)
+        closable_until = restored_at + CLOCK_MARGIN_SECONDS - CLOSE_DELAY_SECONDS
+        return max(
+            self._announced_window,
+            compute_window(closable_until, self._window_seconds) - 1,
+        )
 
-    def _recover(self, state: UsageState) -> UsageState:
+    def _recover(self, state: UsageState, lost_through: int) -> UsageState:
         """
-        Return the state of a restored store without the windows that were closed later.
+        Return the state of a restored store without the windows that it may have lost.
 
         They may have been reported, so that they must not be closed with other counts.
         """
-        lost = range(state.closed + 1, self._announced_window + 1)
-        listed = {item.window for item in state.unsent}
+        lost = range(state.closed + 1, lost_through + 1)
         self._recovered = [
-            self._copies[window]
-            for window in sorted(self._copies)
-            if window in lost and window not in listed
+            self._copies[window] for window in sorted(self._copies) if window in lost
         ]
         self._journal.event(
             "usage-row-older",
             closed=state.closed,
             announced=self._announced_window,
+            lost=lost_through,
             recovered=len(self._recovered),
         )
         if state.closed:
-            # Without the copies it isn't known whether they were accepted.
-            known = {item.window for item in self._recovered} | self._accepted
-            self.statistics.missed += sum(window not in known for window in lost)
-        return msgspec.structs.replace(state, closed=self._announced_window)
+            known_through = max(state.closed, self._announced_window)
+            self.statistics.missed += max(0, lost_through - known_through)
+        return msgspec.structs.replace(state, closed=lost_through)
 
     def _close_windows(self) -> None:
         """Write the final counts of the windows that have ended."""
         state = self._state
         assert state is not None
-        if self._get_held_seconds() < COLLECTION_SECONDS:
+        lease = self._get_lease()
+        if lease.held_seconds < COLLECTION_SECONDS:
             return
         now = self._true_time.now()
         newest = compute_window(now - CLOSE_DELAY_SECONDS, self._window_seconds) - 1
@@ -290,6 +326,7 @@
         ]
         dropped_count = len(self.unsent_windows) + len(self._recovered) - len(kept)
         new_state = UsageState(
+            era=lease.era,
             closed=max(newest, state.closed),
             unsent=[
                 *kept,
@@ -317,7 +354,7 @@
         """Replace the row; returns whether this certainly took effect."""
         commit = Commit(
             conditions=(
-                self._get_lease_condition(),
+                self._get_lease().row_condition,
                 Condition(table=DUTIES_TABLE, key=USAGE_KEY, version=self._row_version),
             ),
             writes=(
@@ -339,16 +376,16 @@
             rows = {row.key: row for row in result.ok_value.rows}
             row = rows.get(USAGE_KEY)
             if (ABSENT if row is None else row.version) != self._row_version:
+                # The row is read by itself, so that its era is known.
                 self._keep_unsent()
-                self._adopt_row(row)
+                self._state = None
             return False
         self._state, self._row_version = state, result.ok_value.version
         self._recovered = []
         self._accepted.clear()
-        self._announced_window = max(self._announced_window, state.closed)
-        self._ledger.set_closed(state.closed)
-        # All gateways know that the windows are closed before a report of them is sent.
-        self._on_closed()
+        listed = {item.window for item in state.unsent}
+        self._attempts = {k: n for k, n in self._attempts.items() if k in listed}
+        self._announce_closed(state.closed)
         return True
 
     def _report_windows(self, authority: Authority) -> None:
@@ -363,10 +400,16 @@
             self._report(api, authority, item)
             self._retry_at = max(self._retry_at, self._clock.now() + pause)
 
-    def _compute_urgency(self, item: WindowCounts) -> tuple[bool, int]:
-        """Return a sort key: the oldest window that is not overdue comes first."""
-        is_overdue = self._compute_lateness(item.window) > self._delay_seconds
-        return is_overdue, item.window
+    def _compute_urgency(self, item: WindowCounts) -> tuple[bool, int, int]:
+        """
+        Return a sort key: among windows that are not overdue, those come first that
+        were tried least often, since an unanswered call may have taken effect.
+        """
+        attempt_count = self._attempts.get(item.window, 0)
+        return self._is_overdue(item.window), attempt_count, item.window
+
+    def _is_overdue(self, window: int) -> bool:
+        return self._compute_lateness(window) > self._delay_seconds
 
     def _compute_lateness(self, window: int) -> float:
         """Return the seconds since the end of a window."""
@@ -378,11 +421,17 @@
         statistics = self.statistics
         started_at = statistics.last_call_at = self._clock.now()
         identity = authority.identity
+        self._attempts[item.window] = self._attempts.get(item.window, 0) + 1
         try:
             report = UsageReport(window=item.window, counts=item.counts)
             api.report_usage(report, identity=identity)
         except ApiError as error:
-            pause = min(MAX_RETRY_SECONDS, MIN_RETRY_SECONDS * 2**self._failures)
+            longest = (
+                OVERDUE_RETRY_SECONDS
+                if self._is_overdue(item.window)
+                else MAX_RETRY_SECONDS
+            )
+            pause = min(longest, MIN_RETRY_SECONDS * 2**self._failures)
             self._failures = min(self._failures + 1, 10)
             self._retry_at = self._clock.now() + pause
             statistics.last_result = error.fault.value
@@ -397,6 +446,7 @@
             return
         self._failures = 0
         self._accepted.add(item.window)
+        del self._attempts[item.window]
         lateness = self._compute_lateness(item.window)
         statistics.sent += 1
         statistics.late += lateness > self._delay_seconds
--- a/damasklead/leases.py
+++ b/damasklead/leases.py
@@ -141,6 +141,7 @@
         self._table = table
         self._era = get_era()
         self._era_observed_at = clock.now()
+        self._token_at_restore: int | None = None
         self._held: Lease | None = None
         self._row_version = ABSENT
         self._valid_until = 0.0
@@ -178,6 +179,19 @@
         """
         return self._is_handover
 
+    @property
+    def era_observed_at(self) -> float:
+        """Clock's time at which the present era was observed."""
+        return self._era_observed_at
+
+    @property
+    def token_at_restore(self) -> int | None:
+        """
+        The fencing token with which this instance held the lease when it observed the
+        present era, so that no other one held it since; ``None`` if it did not.
+        """
+        return self._token_at_restore
+
     @property
     def row_condition(self) -> Condition:
         """The condition that the row is as of the last renewal or acquisition."""
@@ -252,6 +266,7 @@
             return False
         self._era = era
         self._era_observed_at = self._clock.now()
+        self._token_at_restore = self.fencing_token
         self._observed_version = None
         self._clear_held()
         return True
