--- a/damasklead/commands/inspecting.py
+++ b/damasklead/commands/inspecting.py
@@ -28,13 +28,14 @@
 __all__ = ["Audit", "ShowStatus"]
 
 
-@cappa.command(name="status", help="Print an entry's state.")
+@cappa.command(name="status", help="Print an entry's or a gateway's state.")
 @dataclass(kw_only=True)
 class ShowStatus:
-    """Fetch the state from an entry's listener for operators."""
+    """Fetch the state from a listener for operators."""
 
     entry: Annotated[
-        str, cappa.Arg(help="Address of the entry's listener for operators, ip:port.")
+        str,
+        cappa.Arg(help="Address of the process's listener for operators, ip:port."),
     ]
     json: JsonOption = False
 
@@ -52,7 +53,8 @@
         for key, value in msgspec.json.decode(content).items():
             if key != "pools":
                 print(f"{key:16} {value}")
-        for pool in msgspec.json.decode(content)["pools"]:
+        # The state of a gateway has no pools.
+        for pool in msgspec.json.decode(content).get("pools", ()):
             print(
                 f"pool {pool['pool']}: "
                 + ", ".join(f"{k}={v}" for k, v in pool.items())
--- a/damasklead/gateway/duties/service.py
+++ b/damasklead/gateway/duties/service.py
@@ -231,6 +231,10 @@
             "last_result": statistics.last_result,
         }
 
+    def get_age(self, at: float) -> float:
+        """Return the seconds since a time of the gateway's clock."""
+        return self._clock.now() - at
+
     def register(self, duty: Duty) -> None:
         """Add a duty; must be called before the tasks are created."""
         self._runner.register(duty)
--- a/damasklead/gateway/metrics.py
+++ b/damasklead/gateway/metrics.py
@@ -5,6 +5,9 @@
 Prometheus metrics of a gateway, exposed at ``/metrics``.
 """
 
+import math
+from collections.abc import Callable
+
 from prometheus_client import (
     CollectorRegistry,
     Counter,
@@ -14,6 +17,7 @@
 )
 
 from damasklead.gateway.calls import Call
+from damasklead.gateway.duties.service import Duties
 from damasklead.gateway.refusals import Refusal
 
 __all__ = ["GatewayMetrics"]
@@ -104,6 +108,59 @@
             registry=self.registry,
         )
 
+    def add_duties(self, duties: Duties) -> None:
+        """Add the metrics of duties, which only some deployments have."""
+        statistics = duties.statistics
+
+        def get_call_age() -> float:
+            called_at = statistics.last_call_at
+            return math.nan if called_at is None else duties.get_age(called_at)
+
+        values: dict[str, tuple[str, Callable[[], float]]] = {
+            "damasklead_duties_holder": (
+                "Whether this gateway holds the lease of the duties",
+                lambda: float(duties.is_holder),
+            ),
+            "damasklead_duties_token": (
+                "Fencing token of the last holder that was announced",
+                lambda: float(duties.directory.token),
+            ),
+            "damasklead_duties_silence_seconds": (
+                "Seconds since the holder was heard",
+                lambda: duties.directory.silence_seconds,
+            ),
+            "damasklead_duties_clock_error_seconds": (
+                "Seconds by which the wall clock is ahead of the estimated true time",
+                lambda: duties.true_time.clock_error,
+            ),
+            "damasklead_duties_last_call_seconds": (
+                "Seconds since this gateway's last call of the platform's API",
+                get_call_age,
+            ),
+            "damasklead_usage_lateness_seconds": (
+                "Seconds from the end of the last reported window to its report",
+                lambda: statistics.last_lateness,
+            ),
+            "damasklead_usage_unsent_windows": (
+                "Closed windows that are not reported yet",
+                lambda: float(duties.unsent_count),
+            ),
+            "damasklead_usage_sent_windows": (
+                "Windows reported by this gateway since its start",
+                lambda: float(statistics.sent),
+            ),
+            "damasklead_usage_late_windows": (
+                "Windows reported by this gateway when they were overdue",
+                lambda: float(statistics.late),
+            ),
+            "damasklead_usage_missed_windows": (
+                "Windows that this gateway has given up as the holder",
+                lambda: float(statistics.missed),
+            ),
+        }
+        for name, (text, function) in values.items():
+            Gauge(name, text, registry=self.registry).set_function(function)
+
     def count_response(
         self, call: Call, status: int, first_byte_seconds: float
     ) -> None:
--- a/damasklead/gateway/process.py
+++ b/damasklead/gateway/process.py
@@ -358,6 +358,8 @@
             lambda: len(self._fleet.containment.refused_fingerprints)
         )
         metrics.log_lines_dropped.set_function(lambda: self._journal.dropped_count)
+        if self._fleet.duties is not None:
+            metrics.add_duties(self._fleet.duties)
         for follower in (self._fleet.configuration, self._fleet.upstreams):
             metrics.feed_age.labels(follower.name).set_function(follower.get_age)
 
--- a/damasklead/gateway/proxied_request.py
+++ b/damasklead/gateway/proxied_request.py
@@ -372,6 +372,9 @@
             failure = Failure.REFUSED if reply.retry_after is None else Failure.PAUSED
             raise SendError(failure, f"status {reply.status}, not run")
         if reply.kind is ResponseKind.INVALID:
+            if reply.identified:
+                # The replica has executed the request, whatever is wrong with the head.
+                self._record_execution()
             raise SendError(Failure.BROKEN, reply.detail)
 
     def _relay_response(
--- a/tests/gateway_kit.py
+++ b/tests/gateway_kit.py
@@ -15,7 +15,7 @@
 from damasklead.clock import Clock, ManualClock
 from damasklead.demo.local import find_free_address
 from damasklead.gateway.budget import SharedRetryBudget
-from damasklead.gateway.calls import UpstreamRecord, UpstreamState
+from damasklead.gateway.calls import Call, UpstreamRecord, UpstreamState
 from damasklead.gateway.context import GatewayContext
 from damasklead.gateway.coordination.assignment_client import AssignmentClient
 from damasklead.gateway.coordination.cells import Member
@@ -318,6 +318,7 @@
         self.table: RoutingTable | None = make_table()
         self.is_stopping = False
         self.departed_instances: list[InstanceId] = []
+        self.executions: list[Call] = []
         self.response_memory = MemoryBudget()
         self.rate_limits = RateLimits(
             clock=self.clock, instance=InstanceId("gateway-1")
@@ -376,6 +377,7 @@
                 origins=self.origins,
                 stop_schedule=self.stop_schedule,
                 on_replica_left=self._handle_departure,
+                on_execution=self.executions.append,
                 response_memory=self.response_memory,
             ),
             placement_of=lambda name: self.placement,
