--- a/damasklead/gateway/duties/announcements.py
+++ b/damasklead/gateway/duties/announcements.py
@@ -46,7 +46,10 @@
         self._handlers: dict[type, Callable[[Any, str], None]] = {}
         self._listeners: list[Callable[[HolderNotice], None]] = []
         if peers is not None:
-            peers.register_handler(HolderNotice, self.record_notice)
+            # The holder announces its release after its leave.
+            peers.register_handler(
+                HolderNotice, self.record_notice, accepts_leaving=True
+            )
 
     @property
     def holder(self) -> str:
--- a/damasklead/gateway/duties/contention.py
+++ b/damasklead/gateway/duties/contention.py
@@ -16,10 +16,15 @@
 from damasklead.gateway.dialect import PeerEntry
 from damasklead.gateway.poll_schedule import reader_score
 
-__all__ = ["ContentionSchedule", "choose_deputy", "compute_contention_rank"]
-
-# Time for the discovery of the other gateways before the first poll.
-START_DELAY_SECONDS = 0.5
+__all__ = [
+    "MAX_CONTENDERS",
+    "ContentionSchedule",
+    "choose_deputy",
+    "compute_contention_rank",
+]
+
+# Gateways that start within 0.3 s find each other before the first poll.
+START_DELAY_SECONDS = 1.0
 # An acquisition takes two calls, some 20 ms, before the next rank hears its notice.
 RANK_DELAY_SECONDS = 0.3
 # Gateways that contend at all; the store may reject some of them.
--- a/damasklead/gateway/duties/lease_task.py
+++ b/damasklead/gateway/duties/lease_task.py
@@ -182,7 +182,7 @@
         """Renew the lease or contend for it, if either is due."""
         with self._row_lock:
             self._keeper.check_era()
-            if self._is_releasing or self._compute_pause() > 0.0:
+            if self._compute_pause() > 0.0:
                 self._record_state()
                 return
             was_held = self.is_held
@@ -232,6 +232,8 @@
 
     def _compute_pause(self) -> float:
         """Return the seconds until a poll may be due."""
+        if self._is_releasing:
+            return MAX_PAUSE_SECONDS
         if self.is_held:
             validity = LEASE_TIMINGS.renew_deadline - RENEW_INTERVAL_SECONDS
             return max(
--- a/damasklead/gateway/duties/service.py
+++ b/damasklead/gateway/duties/service.py
@@ -15,7 +15,11 @@
 from damasklead.clock import Clock
 from damasklead.gateway.duties.announcements import HolderDirectory
 from damasklead.gateway.duties.base import Authority, Duty, DutyName, PlatformApi
-from damasklead.gateway.duties.contention import choose_deputy, compute_contention_rank
+from damasklead.gateway.duties.contention import (
+    MAX_CONTENDERS,
+    choose_deputy,
+    compute_contention_rank,
+)
 from damasklead.gateway.duties.lease_task import LeaseTask
 from damasklead.gateway.duties.messages import (
     HolderNotice,
@@ -304,6 +308,8 @@
         return StoreEra(max(self._get_store_era(), self._tables().era, announced_era))
 
     def _get_rank(self) -> int:
+        if self._peers is not None and not self._peers.is_discovery_complete:
+            return MAX_CONTENDERS
         return compute_contention_rank(
             instance=self._instance,
             cores=self._cores,
--- a/models/__main__.py
+++ b/models/__main__.py
@@ -14,7 +14,7 @@
 
 from minicheck import Protocol, check_liveness, check_safety
 
-from models import claim, following, lease, leaving, manifest
+from models import claim, duties, following, lease, leaving, manifest
 
 MAX_STATES = 500_000
 
@@ -27,6 +27,7 @@
         (manifest.build_protocol, manifest.MUTATIONS),
         (following.build_protocol, following.MUTATIONS),
         (leaving.build_protocol, leaving.MUTATIONS),
+        (duties.build_protocol, duties.MUTATIONS),
     ]
     all_passed = check_specification(
         lease.build_protocol("", engine_checks_token=False)
--- a/tests/duties_kit.py
+++ b/tests/duties_kit.py
@@ -193,6 +193,10 @@
         self._heard_at: dict[str, float] = {}
         self.queue: list[tuple[object, str]] = []
 
+    @property
+    def is_discovery_complete(self) -> bool:
+        return True
+
     @property
     def members(self) -> list[PeerEntry]:
         return [
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -15,6 +15,7 @@
 from damasklead.gateway import peers as peers_module
 from damasklead.gateway.coordination.messages import AssignmentRequest
 from damasklead.gateway.dialect import FeedError, FeedFault, PeerDirectory, PeerEntry
+from damasklead.gateway.duties.messages import UsageCounts
 from damasklead.gateway.journal import Journal
 from damasklead.gateway.message_batch import (
     MAX_BATCH_MESSAGES,
@@ -177,6 +178,28 @@
     assert group.member_names("g1") == set()
 
 
+def test_messages_of_duties_are_accepted_after_a_leave_notice(group: PeerGroup) -> None:
+    """Guards against counts that a stopping gateway sends while its requests end."""
+    first, second = group.start("a"), group.start("b")
+    wait_until(lambda: len(first.members) == 1 and len(second.members) == 1)
+    counts: list[tuple[UsageCounts, str]] = []
+    reports: list[PeerReport] = []
+    first.register_handler(
+        UsageCounts,
+        lambda message, name: counts.append((message, name)),
+        accepts_leaving=True,
+    )
+    first.register_handler(PeerReport, lambda message, _name: reports.append(message))
+    second.send_leave_notice()
+    wait_until(lambda: not first.members)
+    message = UsageCounts(1, 5.0, [])
+    second.send("a", REPORT)
+    second.send("a", message)
+    wait_until(lambda: bool(counts))
+    assert counts == [(message, "b")] and reports == []
+    assert not first.members
+
+
 def test_messages_reach_their_handler_with_their_senders_name(group: PeerGroup) -> None:
     group.start("g1")
     wait_until(lambda: "g1" in group.directory.entries)
