--- a/damasklead/gateway/coordination/coordinator.py
+++ b/damasklead/gateway/coordination/coordinator.py
@@ -20,6 +20,7 @@
 from damasklead.gateway.admission import AdmissionController, Admit, Decision
 from damasklead.gateway.calls import Call, CallHead, UpstreamRecord
 from damasklead.gateway.coordination.cells import Cell
+from damasklead.gateway.coordination.load_meter import LoadMeter
 from damasklead.gateway.coordination.messages import (
     UNKNOWN_RATE_LIMIT,
     AssignmentRequest,
@@ -36,7 +37,7 @@
 from damasklead.ids import AttemptId, InstanceId
 from damasklead.rate_limits import RateLimits
 
-__all__ = ["AddressedResponse", "Coordinator"]
+__all__ = ["AddressedResponse", "Coordinator", "CoordinatorLoad"]
 
 # Interval between ``RequestQueued`` messages for a request that stays queued.
 QUEUED_INTERVAL_SECONDS = 0.2
@@ -63,6 +64,36 @@
     response: AssignmentResponse
 
 
+class CoordinatorLoad(msgspec.Struct, kw_only=True, frozen=True):
+    """
+    Load of a cell since it was last taken.
+
+    Attributes
+    ----------
+    seconds : float
+        Time that the counts cover.
+    running, queued : int
+        Requests at engines and in the queue.
+    arrivals, refusals : int
+        Requests that arrived, and those that were refused.
+    prefill_tokens : int
+        Prompt tokens of the assigned requests that were estimated to be uncached.
+    backlog : float
+        Mean seconds of prefill work that the engines have pending.
+    shared_tokens : int
+        Tokens of the different shared parts that were used recently.
+    """
+
+    seconds: float = 1.0
+    running: int = 0
+    queued: int = 0
+    arrivals: int = 0
+    refusals: int = 0
+    prefill_tokens: int = 0
+    backlog: float = 0.0
+    shared_tokens: int = 0
+
+
 class _TrackedRequest(msgspec.Struct, kw_only=True):
     """
     A queued or running request.
@@ -143,6 +174,9 @@
         self._backlog_at = -math.inf
         self._routes: dict[str, Route] = {}
         self._requests: dict[AttemptId, _TrackedRequest] = {}
+        self._meter = LoadMeter(clock=clock)
+        self._taken_prefill_tokens = 0
+        self._is_metered = False
         self.configure(service, routes)
 
     @property
@@ -184,12 +218,32 @@
     def configure(self, service: ServiceSpec, routes: list[Route]) -> None:
         """Apply the current specification of the service and its routes."""
         self._routes = {route.name: route for route in routes}
+        self._is_metered = service.scaling is not None
         self._placement.configure(service, routes)
 
     def set_engines(self, records: list[UpstreamRecord]) -> None:
         """Set the cell's engines."""
         self._placement.update_replicas(records)
 
+    def take_load(self) -> CoordinatorLoad:
+        """Return the load since the last call."""
+        counts = self._meter.take_counts()
+        prefill_tokens = self._placement.sent_prefill_tokens
+        prefill_before, self._taken_prefill_tokens = (
+            self._taken_prefill_tokens,
+            prefill_tokens,
+        )
+        return CoordinatorLoad(
+            seconds=counts.seconds,
+            running=len(self._requests) - self.queue_length,
+            queued=self.queue_length,
+            arrivals=counts.arrivals,
+            refusals=counts.refusals,
+            prefill_tokens=prefill_tokens - prefill_before,
+            backlog=self.backlog,
+            shared_tokens=counts.shared_tokens,
+        )
+
     def handle_assignment_request(
         self, request: AssignmentRequest
     ) -> list[AddressedResponse]:
@@ -213,6 +267,8 @@
         self._requests[request.attempt] = entry
         if not request.is_first_attempt:
             return [self._assign_replica(entry)]
+        if self._is_metered:
+            self._meter.record_arrival(request.prompt)
         decision = self._admission.submit_call(entry.call)
         if decision is not None:
             return [self._apply_decision(decision)]
@@ -359,6 +415,7 @@
         if isinstance(decision, Admit):
             return self._assign_replica(entry)
         del self._requests[decision.call.id]
+        self._meter.record_refusal()
         rejection = RequestRejected(
             decision.call.id, decision.retry_after, self.backlog
         )
--- a/damasklead/gateway/coordination/coordinators.py
+++ b/damasklead/gateway/coordination/coordinators.py
@@ -11,7 +11,11 @@
 from damasklead.clock import Clock
 from damasklead.gateway.coordination.cellmap import CellMap
 from damasklead.gateway.coordination.cells import Cell
-from damasklead.gateway.coordination.coordinator import AddressedResponse, Coordinator
+from damasklead.gateway.coordination.coordinator import (
+    AddressedResponse,
+    Coordinator,
+    CoordinatorLoad,
+)
 from damasklead.gateway.coordination.messages import (
     AssignmentRequest,
     AssignmentResponse,
@@ -76,6 +80,30 @@
             for cell, item in self._coordinators.items()
         }
 
+    def take_loads(self) -> dict[Cell, CoordinatorLoad]:
+        """
+        Return the loads of the cells of scaled services since the last call.
+
+        They include the cells that this gateway would coordinate and that have had no
+        request, so that no demand differs from no report.
+        """
+        table = self._table()
+        if table is None:
+            return {}
+        scaled = {
+            name for name, spec in table.services.items() if spec.scaling is not None
+        }
+        loads = {
+            cell: CoordinatorLoad()
+            for cell in self._cells.cells
+            if cell.service in scaled and self._cells.is_coordinator(cell)
+        }
+        return loads | {
+            cell: coordinator.take_load()
+            for cell, coordinator in self._coordinators.items()
+            if cell.service in scaled
+        }
+
     def apply_configuration(self) -> None:
         """Apply the current configuration and engines; remove idle coordinators."""
         table = self._table()
--- a/damasklead/gateway/fleet.py
+++ b/damasklead/gateway/fleet.py
@@ -211,6 +211,11 @@
         """Whether the other gateways have been discovered."""
         return self._peers is None or self._peers.is_discovery_complete
 
+    @property
+    def replica_list_age(self) -> float:
+        """Seconds since the store confirmed the list of replicas."""
+        return self._plans[ListName.UPSTREAMS].confirmed_age
+
     @property
     def restore_count(self) -> int:
         """How often the platform's store was restored from a backup."""
--- a/damasklead/gateway/metrics.py
+++ b/damasklead/gateway/metrics.py
@@ -104,6 +104,35 @@
             registry=self.registry,
         )
 
+        self.needed_replicas = Gauge(
+            "damasklead_needed_replicas",
+            "Replicas that the demand needs, at the gateway that orders them",
+            ["service"],
+            registry=self.registry,
+        )
+        self.ordered_replicas = Gauge(
+            "damasklead_ordered_replicas",
+            "Replicas ordered last",
+            ["service", "data_centre", "kind"],
+            registry=self.registry,
+        )
+        self.replica_price = Gauge(
+            "damasklead_replica_price",
+            "Price of the ordered replicas for a second",
+            ["service"],
+            registry=self.registry,
+        )
+        self._replica_orders = Counter(
+            "damasklead_replica_orders",
+            "Calls that order replicas by service and outcome",
+            ["service", "outcome"],
+            registry=self.registry,
+        )
+
+    def count_replica_order(self, service: str, outcome: str) -> None:
+        """Count a call that orders replicas."""
+        self._replica_orders.labels(service, outcome).inc()
+
     def count_response(
         self, call: Call, status: int, first_byte_seconds: float
     ) -> None:
--- a/damasklead/gateway/peers.py
+++ b/damasklead/gateway/peers.py
@@ -32,6 +32,7 @@
     ReportCopies,
     UsageCounts,
 )
+from damasklead.gateway.duties.scaling.messages import CellLoad
 from damasklead.gateway.journal import Journal
 from damasklead.gateway.message_batch import MessageBatch
 from damasklead.gateway.messages import (
@@ -80,7 +81,7 @@
     | RequestEnded | RunningRequests
     | Announcement | LeaveNotice | Ping | Broadcast | PeerReport
     | OriginReport | OriginQuery | OriginReply
-    | HolderNotice | UsageCounts | ReportCopies
+    | HolderNotice | UsageCounts | ReportCopies | CellLoad
 )  # fmt: skip
 
 _DECODER = msgspec.msgpack.Decoder(_Message)
--- a/damasklead/gateway/placements/base.py
+++ b/damasklead/gateway/placements/base.py
@@ -66,6 +66,12 @@
         self._replicas: dict[InstanceId, ReplicaState] = {}
         self._eligible_replicas: dict[InstanceId, ReplicaState] = {}
         self._eligible_keys: frozenset[int] = frozenset()
+        self._sent_prefill_tokens = 0
+
+    @property
+    def sent_prefill_tokens(self) -> int:
+        """Prompt tokens of all requests sent that replicas had to prefill."""
+        return self._sent_prefill_tokens
 
     @property
     def service(self) -> ServiceSpec:
@@ -250,10 +256,10 @@
         if state is not None:
             for part in call.head.prompt[:-1]:
                 self._part_locations.record_sent(part.key, part.tokens, instance)
+            prefill_tokens = self._count_prefill_tokens(state, call)
+            self._sent_prefill_tokens += prefill_tokens
             state.record_sent(
-                call,
-                prefill_tokens=self._count_prefill_tokens(state, call),
-                now=self._clock.now(),
+                call, prefill_tokens=prefill_tokens, now=self._clock.now()
             )
 
     def record_response_head(self, instance: InstanceId, hint: LoadHint | None) -> None:
--- a/damasklead/gateway/poll_schedule.py
+++ b/damasklead/gateway/poll_schedule.py
@@ -227,6 +227,19 @@
             self._last_change, self._complete_up_to
         )
 
+    @property
+    def confirmed_age(self) -> float:
+        """
+        Seconds since the store confirmed this gateway's copy of the list, either to it
+        or to a peer; infinite before.
+        """
+        confirmed_at = self._polled_at
+        if self.is_caught_up:
+            confirmed_at = max(
+                confirmed_at, self._reports.get_confirmation_time(self._name)
+            )
+        return self._clock.now() - confirmed_at
+
     def is_missing_from_store(self, change: Position) -> bool:
         """
         Return whether the store lacks a change that another gateway has.
--- a/damasklead/gateway/process.py
+++ b/damasklead/gateway/process.py
@@ -21,7 +21,9 @@
 from damasklead.gateway.context import GatewayContext
 from damasklead.gateway.dialect import Dialect, PlatformLink
 from damasklead.gateway.directory import UpstreamDirectory
-from damasklead.gateway.duties.base import PlatformApi
+from damasklead.gateway.duties.base import DutyName, PlatformApi
+from damasklead.gateway.duties.scaling.service import Scaling
+from damasklead.gateway.duties.service import find_known_duties
 from damasklead.gateway.fleet import Fleet
 from damasklead.gateway.forwarding import Forwarder
 from damasklead.gateway.journal import Journal
@@ -118,6 +120,7 @@
             on_unavailable=self._gate.open,
             api=lambda: self._api,
         )
+        self._scaling = self._make_scaling(settings)
         self._forwarder = Forwarder(
             context=GatewayContext(
                 dialect=dialect,
@@ -301,6 +304,32 @@
             return None
         return self._open_api(settings.platform_api.address)
 
+    def _make_scaling(self, settings: GatewaySettings) -> Scaling | None:
+        """Return the scaling, ``None`` if the settings don't ask for it."""
+        duties, api_settings = self._fleet.duties, settings.platform_api
+        if (
+            duties is None
+            or api_settings is None
+            or DutyName.AUTOSCALE not in find_known_duties(api_settings.duties)
+        ):
+            return None
+
+        def get_api() -> PlatformApi:
+            assert self._api is not None
+            return self._api
+
+        return Scaling(
+            duties=duties,
+            api=get_api,
+            table=lambda: self._fleet.configuration.table,
+            directory=self._directory,
+            get_list_age=lambda: self._fleet.replica_list_age,
+            coordinators=self._fleet.coordination.coordinators,
+            clock=self._clock,
+            journal=self._journal,
+            metrics=self._metrics,
+        )
+
     def _record_execution(self, call: Call) -> None:
         """Count a request of a workspace that a replica has begun to execute."""
         if self._fleet.duties is not None and call.workspace is not None:
@@ -384,6 +413,7 @@
             TaskChild(name="journal", function=self._journal.run),
             TaskChild(name="ticks", function=self._run_maintenance),
             *self._fleet.create_tasks(),
+            *([] if self._scaling is None else self._scaling.create_tasks()),
         ]
         listeners: list[Child] = [
             ServerChild(name=name, start_server=server.start, stop_server=server.stop)
--- a/tests/test_package.py
+++ b/tests/test_package.py
@@ -87,7 +87,9 @@
     "admission", "budget", "calls", "change_log", "crash_containment", "departures",
     "directory", "events", "message_batch", "part_locations", "poll_schedule", "refusals",
     "replica_state", "routing", "coordination/cellmap", "coordination/cells",
-    "coordination/coordinator", "coordination/coordinators", "coordination/messages",
+    "coordination/coordinator", "coordination/coordinators", "coordination/load_meter",
+    "coordination/messages", "duties/scaling/demand", "duties/scaling/messages",
+    "duties/scaling/mix", "duties/scaling/orders", "duties/scaling/planner",
     "placements/base", "placements/engine", "placements/plain", "placements/shared_parts",
 )  # fmt: skip
 
