--- a/damasklead/gateway/coordination/cellmap.py
+++ b/damasklead/gateway/coordination/cellmap.py
@@ -90,9 +90,24 @@
             self._members = members
             self._rankings.clear()
 
-    def set_engines(self, service: ServiceName, records: list[UpstreamRecord]) -> None:
-        """Set the engines of a service that accept new requests."""
-        self._cells[service] = partition_engines(records)
+    def set_engines(
+        self,
+        service: ServiceName,
+        records: list[UpstreamRecord],
+        *,
+        is_scaled: bool = False,
+    ) -> None:
+        """
+        Set the engines of a service that accept new requests.
+
+        Parameters
+        ----------
+        service : ServiceName
+        records : list of UpstreamRecord
+        is_scaled : bool
+            Whether the service's engines are ordered as needed.
+        """
+        self._cells[service] = partition_engines(records, is_scaled=is_scaled)
         self._index_engines()
 
     def retain_services(self, services: Container[ServiceName]) -> None:
--- a/damasklead/gateway/coordination/cells.py
+++ b/damasklead/gateway/coordination/cells.py
@@ -36,7 +36,7 @@
 # the cost of every engine for each request.
 CELL_ENGINES = 24
 # If any data centre has fewer engines of a service than this, the service's cells span
-# data centres.
+# data centres.  In a scaled service, only those engines change their cell.
 MIN_DATA_CENTRE_ENGINES = 6
 # Shared prefixes of at least this many tokens have one home cell over all data centres:
 # one prefill in total saves more than the network delay to another data centre costs.
@@ -82,17 +82,27 @@
 
 
 def partition_engines(
-    records: Sequence[UpstreamRecord],
+    records: Sequence[UpstreamRecord], *, is_scaled: bool = False
 ) -> dict[Cell, list[UpstreamRecord]]:
     """
     Partition a service's engines into cells of about equal size.
 
     While the number of cells stays the same, adding or removing one engine moves at
     most one other engine across each boundary between cells.
+
+    Parameters
+    ----------
+    records : sequence of UpstreamRecord
+    is_scaled : bool
+        Whether the service's engines are ordered as needed.  Then a data centre may
+        lose nearly all of them for some seconds.  The few that are left join the cells
+        of another data centre, so that the cells of the others stay.
     """
     by_data_centre: dict[DataCentre, list[UpstreamRecord]] = {}
     for record in records:
         by_data_centre.setdefault(record.data_centre, []).append(record)
+    if is_scaled:
+        _merge_small_groups(by_data_centre)
     if (
         min((len(group) for group in by_data_centre.values()), default=0)
         < MIN_DATA_CENTRE_ENGINES
@@ -108,6 +118,22 @@
     return cells
 
 
+def _merge_small_groups(
+    by_data_centre: dict[DataCentre, list[UpstreamRecord]],
+) -> None:
+    """Let the engines of small data centres join the first one that is not small."""
+    small = [
+        name
+        for name, group in by_data_centre.items()
+        if len(group) < MIN_DATA_CENTRE_ENGINES
+    ]
+    host = min(by_data_centre.keys() - set(small), default=None)
+    if host is None:
+        return
+    for name in small:
+        by_data_centre[host].extend(by_data_centre.pop(name))
+
+
 def select_home_cell(
     cells: Iterable[Cell], call: Call, data_centre: DataCentre
 ) -> Cell | None:
--- a/damasklead/gateway/fleet.py
+++ b/damasklead/gateway/fleet.py
@@ -359,7 +359,9 @@
         for name, spec in ({} if table is None else table.services).items():
             if spec.engine is not None:
                 self.coordination.cells.set_engines(
-                    name, self._directory.get_eligible_records(name)
+                    name,
+                    self._directory.get_eligible_records(name),
+                    is_scaled=spec.scaling is not None,
                 )
         self.coordination.coordinators.apply_configuration()
         self._on_replicas_changed()
--- a/tests/test_gateway_coordination.py
+++ b/tests/test_gateway_coordination.py
@@ -167,6 +167,33 @@
             moved = [name for name in after if after[name] != before[name]]
             assert len(moved) <= len(set(before.values()))
 
+    @pytest.mark.parametrize("left", [0, 1, 5, 6, 13])
+    def test_the_loss_of_a_data_centre_leaves_the_cells_of_others(
+        self, left: int
+    ) -> None:
+        """
+        Guards against all caches of a scaled service being lost to a reclaim.
+
+        Its cells spanned data centres while one of them had only a few engines, so that
+        each prompt part got another home.
+        """
+        records = make_engines(42, "hout", "mossel", "saldanha")
+        before = partition_engines(records, is_scaled=True)
+        lost = [item for item in records if item.data_centre == "mossel"][left:]
+        after = partition_engines(
+            [item for item in records if item not in lost], is_scaled=True
+        )
+        for name in ("hout", "saldanha"):
+            cell = Cell(SERVICE, DataCentre(name), 0)
+            engines = {item.instance for item in before[cell]}
+            assert engines <= {item.instance for item in after[cell]}
+        assert sum(map(len, after.values())) == 28 + left
+
+    def test_a_small_scaled_service_has_one_cell_across_data_centres(self) -> None:
+        """Guards against cells of one or two engines."""
+        records = make_engines(9, "hout", "mossel", "saldanha")
+        assert len(partition_engines(records, is_scaled=True)) == 1
+
     def test_a_service_without_engines_has_no_cells(self) -> None:
         assert partition_engines([]) == {}
         assert select_home_cell([], make_review_call("r"), DataCentre("hout")) is None
