--- a/damasklead/gateway/duties/scaling/duty.py
+++ b/damasklead/gateway/duties/scaling/duty.py
@@ -21,7 +21,7 @@
     PlatformApi,
 )
 from damasklead.gateway.duties.scaling.load_reports import LoadCollector
-from damasklead.gateway.duties.scaling.mix import compute_price
+from damasklead.gateway.duties.scaling.mix import ReplicaGroup, compute_price
 from damasklead.gateway.duties.scaling.orders import ReplicaOrder
 from damasklead.gateway.duties.scaling.planner import CentreReplicas, ScalingPlanner
 from damasklead.gateway.journal import Journal
@@ -104,6 +104,20 @@
         """The duty's name in the settings."""
         return DutyName.AUTOSCALE
 
+    @property
+    def state(self) -> dict[str, object]:
+        """The state of each service for operators, as of this gateway's last lease."""
+        return {
+            name: {
+                **planner.get_log_fields(),
+                "groups": {
+                    _describe_group(group): count
+                    for group, count in planner.targets.items()
+                },
+            }
+            for name, (_, planner) in self._planners.items()
+        }
+
     def perform(self, authority: Authority) -> None:
         """
         Place the orders that are due, and wait for the API's answers.
@@ -219,13 +233,21 @@
             self._metrics.ordered_replicas.labels(
                 spec.name,
                 group.data_centre,
-                "preemptible" if group.is_preemptible else "ordinary",
+                _describe_kind(group),
             ).set(count)
         if spec.scaling is not None:
             price = compute_price(planner.targets, spec.scaling)
             self._metrics.replica_price.labels(spec.name).set(price)
 
 
+def _describe_kind(group: ReplicaGroup) -> str:
+    return "preemptible" if group.is_preemptible else "ordinary"
+
+
+def _describe_group(group: ReplicaGroup) -> str:
+    return f"{group.data_centre}/{_describe_kind(group)}"
+
+
 def count_replicas(
     records: Iterable[UpstreamRecord],
 ) -> dict[ServiceName, dict[DataCentre, CentreReplicas]]:
--- a/damasklead/gateway/duties/scaling/planner.py
+++ b/damasklead/gateway/duties/scaling/planner.py
@@ -157,7 +157,8 @@
             self._initial_needed = self._to_needed(sum(self._book.live.values()))
         demand = self._history.latest
         orders: dict[ReplicaGroup, ReplicaOrder] = {
-            order.group: order for order in self._book.find_repeats()
+            order.group: order
+            for order in [*self._book.find_repeats(), *self._restore_minimum()]
         }
         if demand is not None:
             self._detect_stress(demand)
@@ -206,6 +207,36 @@
                 leaving.add(ReplicaGroup(centre, True))
         self._book.update(live, leaving=leaving)
 
+    def _restore_minimum(self) -> list[ReplicaOrder]:
+        """
+        Return the orders for data centres in which too few replicas are ordered.
+
+        A new holder may find none there after a reclaim.
+        """
+        targets, unavailable = self._book.targets, self._book.unavailable
+        orders = []
+        for centre in sorted(self._centres):
+            preemptible = ReplicaGroup(centre, True)
+            ordinary = ReplicaGroup(centre, False)
+            missing = self._spec.min_replicas - targets[preemptible] - targets[ordinary]
+            if missing <= 0:
+                continue
+            is_offered = self._spec.preemptible_price < 1.0
+            group = (
+                preemptible
+                if is_offered and preemptible not in unavailable
+                else ordinary
+            )
+            orders.append(
+                ReplicaOrder(
+                    group=group,
+                    count=targets[group] + missing,
+                    previous=targets[group],
+                    reason=OrderReason.DEMAND,
+                )
+            )
+        return orders
+
     def _decide(self, demand: Demand) -> list[ReplicaOrder]:
         """Return the orders that the demand and the prices ask for."""
         expected = self._book.expected
--- a/damasklead/gateway/duties/scaling/service.py
+++ b/damasklead/gateway/duties/scaling/service.py
@@ -60,22 +60,24 @@
         self._reporter = LoadReporter(
             coordinators=coordinators, send=duties.directory.send
         )
-        duties.register(
-            ScalingDuty(
-                api=api,
-                table=table,
-                list_records=lambda: [
-                    row.record
-                    for row in directory.list_rows()
-                    if row.record is not None
-                ],
-                get_list_age=get_list_age,
-                collector=LoadCollector(directory=duties.directory, clock=clock),
-                clock=clock,
-                journal=journal,
-                metrics=metrics,
-            )
+        self._duty = ScalingDuty(
+            api=api,
+            table=table,
+            list_records=lambda: [
+                row.record for row in directory.list_rows() if row.record is not None
+            ],
+            get_list_age=get_list_age,
+            collector=LoadCollector(directory=duties.directory, clock=clock),
+            clock=clock,
+            journal=journal,
+            metrics=metrics,
         )
+        duties.register(self._duty)
+
+    @property
+    def state(self) -> dict[str, object]:
+        """The state for operators."""
+        return self._duty.state
 
     def create_tasks(self) -> list[Child]:
         """Return the tasks to supervise."""
--- a/damasklead/gateway/process.py
+++ b/damasklead/gateway/process.py
@@ -369,6 +369,7 @@
                 for name, placement in self._placements.items()
             },
             **({} if duties is None else {"duties": duties.state}),
+            **({} if self._scaling is None else {"scaling": self._scaling.state}),
         }
 
     def _bind_gauges(self) -> None:
--- a/tests/test_gateway_scaling.py
+++ b/tests/test_gateway_scaling.py
@@ -20,7 +20,7 @@
     count_surviving,
     find_cheapest_mix,
 )
-from damasklead.gateway.duties.scaling.orders import OrderReason
+from damasklead.gateway.duties.scaling.orders import OrderReason, ReplicaOrder
 from damasklead.gateway.duties.scaling.planner import (
     MAX_STEP_FRACTION,
     CentreReplicas,
@@ -28,6 +28,7 @@
 from tests.scaling_replay import (
     CENTRES,
     SPEC,
+    STEP_SECONDS,
     PlannerHarness,
     ReplayResult,
     replay,
@@ -327,6 +328,15 @@
             harness.clock.advance(0.25)
             assert not harness.planner.plan(replicas | {CENTRES[0]: crashed})
 
+    def test_a_new_holder_restores_the_minimum(self) -> None:
+        """Guards against a data centre that stays empty since a reclaim."""
+        harness = PlannerHarness()
+        replicas = harness.platform.count() | {CENTRES[0]: CentreReplicas()}
+        orders = harness.planner.plan(replicas)
+        assert [(order.group, order.count) for order in orders] == [
+            (ReplicaGroup(CENTRES[0], True), 1)
+        ]
+
     def test_an_empty_list_at_the_start_changes_nothing(self) -> None:
         """Guards against orders by a holder that doesn't know the replicas yet."""
         harness = PlannerHarness()
@@ -334,6 +344,126 @@
         assert not harness.planner.plan({CENTRES[0]: CentreReplicas()})
 
 
+class ChaosReplay:
+    """
+    A planner under random demand, reclaims, faults of calls and changes of the holder.
+
+    Calls take up to two seconds, may fail, and may take effect without an answer.
+    """
+
+    def __init__(self, seed: int) -> None:
+        self._random = random.Random(seed)
+        self._spec = msgspec.structs.replace(
+            SPEC,
+            preemptible_price=self._random.choice([0.15, 0.15, 0.6, 1.0]),
+            min_replicas=self._random.choice([0, 1, 3]),
+            max_replicas=self._random.choice([10, 20, 30]),
+        )
+        ordinary = self._random.choice([3, 6, 10])
+        self._harness = PlannerHarness(spec=self._spec, ordinary=ordinary)
+        self._calls: list[tuple[float, ReplicaOrder, ApiFault | None, object]] = []
+        self._level = 100.0
+        self._quiet_until = self._faulty_until = 0.0
+        self._fault: ApiFault | None = None
+        self._seconds_below_minimum = dict.fromkeys(CENTRES, 0.0)
+
+    def run(self, seconds: float) -> None:
+        """Run, and check the bounds after each step."""
+        harness = self._harness
+        for step in range(int(seconds / STEP_SECONDS)):
+            self._disturb()
+            if step % 4 == 0 and harness.clock.now() > self._quiet_until:
+                harness.history.record(self._make_demand())
+            self._end_calls()
+            self._begin_calls()
+            self._check_bounds()
+            harness.platform.advance()
+            harness.clock.advance(STEP_SECONDS)
+
+    def _disturb(self) -> None:
+        now, choose = self._harness.clock.now(), self._random.choice
+        event = self._random.random()
+        if event < 0.003:
+            self._level = choose([0, 10, 50, 100, 200, 300])
+        elif event < 0.006:
+            self._harness.platform.reclaim(choose(CENTRES))
+        elif event < 0.009:
+            self._quiet_until = now + choose([2, 10, 40])
+        elif event < 0.012:
+            self._faulty_until, self._fault = (
+                now + choose([2, 10, 30]),
+                choose(list(ApiFault)),
+            )
+        elif event < 0.014:
+            self._harness.planner = self._harness.make_planner()
+
+    def _make_demand(self) -> Demand:
+        burst = 2.7 if self._random.random() < 0.05 else 1.0
+        running = self._level * burst * self._random.uniform(0.9, 1.1)
+        return Demand(
+            running=running,
+            arrivals=2 * running,
+            queued=self._random.choice([0, 0, 5]),
+            refusals=self._random.choice([0, 0, 3]),
+            prefill_tokens=3000 * running,
+            backlog=self._random.uniform(0.0, 0.2),
+            shared_tokens=self._random.choice([0, 2_000_000]),
+        )
+
+    def _end_calls(self) -> None:
+        now = self._harness.clock.now()
+        for call in [item for item in self._calls if item[0] <= now]:
+            self._calls.remove(call)
+            _, order, fault, planner = call
+            if fault is None or (
+                fault is ApiFault.UNREACHABLE and self._random.random() < 0.5
+            ):
+                result = self._harness.platform.order(order.group, order.count)
+                fault = fault or result
+            if planner is self._harness.planner:
+                self._harness.planner.record_result(order, fault)
+
+    def _begin_calls(self) -> None:
+        harness = self._harness
+        now = harness.clock.now()
+        busy = {
+            order.group.data_centre
+            for _, order, _, planner in self._calls
+            if planner is harness.planner
+        }
+        for order in harness.planner.plan(harness.platform.count()):
+            assert order.group.data_centre not in busy
+            busy.add(order.group.data_centre)
+            harness.planner.record_call(order)
+            fault = self._fault if now < self._faulty_until else None
+            ends_at = now + self._random.choice([0.05, 0.05, 0.5, 2.0])
+            self._calls.append((ends_at, order, fault, harness.planner))
+
+    def _check_bounds(self) -> None:
+        targets = self._harness.planner.targets
+        for centre in CENTRES:
+            count = sum(
+                item for group, item in targets.items() if group.data_centre == centre
+            )
+            assert count <= self._spec.max_replicas
+            is_below = count < self._spec.min_replicas
+            self._seconds_below_minimum[centre] += STEP_SECONDS
+            if not is_below:
+                self._seconds_below_minimum[centre] = 0.0
+            # A new holder may find too few, and calls fail for up to 30 s.
+            assert self._seconds_below_minimum[centre] < 45.0
+        if self._spec.preemptible_price >= 1.0:
+            assert not any(
+                count for group, count in targets.items() if group.is_preemptible
+            )
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_random_faults_never_break_the_bounds(seed: int) -> None:
+    """Guards against numbers out of bounds and two calls at once, in any order."""
+    ChaosReplay(seed).run(400.0)
+
+
 class TestDemand:
     def test_shared_parts_keep_replicas(self) -> None:
         """Guards against scaling in below the memory of the cached parts."""
--- a/tests/test_gateway_scaling_duty.py
+++ b/tests/test_gateway_scaling_duty.py
@@ -202,6 +202,8 @@
         assert {item.token for item in harness.api.identities} == {7}
         assert "replicas-ordered" in harness.journal.pending_lines[-1]
         assert b'outcome="accepted"' in harness.metrics.render()
+        state = harness.duty.state[SERVICE]
+        assert isinstance(state, dict) and state["groups"]["dc-1/preemptible"] == 5
 
     def test_calls_of_several_data_centres_are_made_at_the_same_time(self) -> None:
         """Guards against a slow API that delays one data centre for another one."""
