--- a/damasklead/gateway/duties/contention.py
+++ b/damasklead/gateway/duties/contention.py
@@ -16,10 +16,15 @@
 from damasklead.gateway.dialect import PeerEntry
 from damasklead.gateway.poll_schedule import reader_score
 
-__all__ = ["ContentionSchedule", "choose_deputy", "compute_contention_rank"]
-
-# Time for the discovery of the other gateways before the first poll.
-START_DELAY_SECONDS = 0.5
+__all__ = [
+    "MAX_CONTENDERS",
+    "ContentionSchedule",
+    "choose_deputy",
+    "compute_contention_rank",
+]
+
+# Gateways that start within 0.3 s find each other before the first poll.
+START_DELAY_SECONDS = 1.0
 # An acquisition takes two calls, some 20 ms, before the next rank hears its notice.
 RANK_DELAY_SECONDS = 0.3
 # Gateways that contend at all; the store may reject some of them.
@@ -96,6 +101,7 @@
     members: Iterable[PeerEntry],
     holder: str,
     deputy: str,
+    is_deputy_first: bool = True,
 ) -> int:
     """
     Return the number of gateways that contend before this one.
@@ -111,9 +117,13 @@
         The other gateways.
     holder, deputy : str
         The last holder that was announced and its deputy; empty without one.
+    is_deputy_first : bool
+        Whether the deputy does not wait for the holder.
     """
-    if instance in (holder, deputy):
+    if instance == holder:
         return 0
+    if instance == deputy:
+        return 0 if is_deputy_first else 1
     score = reader_score(instance, cores)
     others = {item.instance: item for item in members if item.instance != holder}
     has_deputy = others.pop(deputy, None) is not None  # type: ignore[call-overload]
--- a/damasklead/gateway/duties/scaling/duty.py
+++ b/damasklead/gateway/duties/scaling/duty.py
@@ -21,11 +21,11 @@
     PlatformApi,
 )
 from damasklead.gateway.duties.scaling.load_reports import LoadCollector
-from damasklead.gateway.duties.scaling.mix import ReplicaGroup, compute_price
+from damasklead.gateway.duties.scaling.metrics import ScalingMetrics
+from damasklead.gateway.duties.scaling.mix import compute_price
 from damasklead.gateway.duties.scaling.orders import ReplicaOrder
 from damasklead.gateway.duties.scaling.planner import CentreReplicas, ScalingPlanner
 from damasklead.gateway.journal import Journal
-from damasklead.gateway.metrics import GatewayMetrics
 from damasklead.gateway.routing import RoutingTable, ServiceSpec
 from damasklead.ids import DataCentre, ServiceName
 
@@ -74,7 +74,7 @@
         Collects the services' demand.
     clock : Clock
     journal : Journal
-    metrics : GatewayMetrics
+    metrics : ScalingMetrics
     """
 
     def __init__(
@@ -87,7 +87,7 @@
         collector: LoadCollector,
         clock: Clock,
         journal: Journal,
-        metrics: GatewayMetrics,
+        metrics: ScalingMetrics,
     ) -> None:
         self._api = api
         self._table = table
@@ -111,7 +111,7 @@
             name: {
                 **planner.get_log_fields(),
                 "groups": {
-                    _describe_group(group): count
+                    f"{group.data_centre}/{group.kind}": count
                     for group, count in planner.targets.items()
                 },
             }
@@ -183,7 +183,7 @@
         finally:
             planner.record_result(order, fault)
         outcome = "accepted" if fault is None else fault.value
-        self._metrics.count_replica_order(spec.name, outcome)
+        self._metrics.count_order(spec.name, outcome)
         self._journal.event(
             "replicas-ordered",
             service=spec.name,
@@ -228,24 +228,13 @@
             del self._planners[name]
 
     def _update_gauges(self, spec: ServiceSpec, planner: ScalingPlanner) -> None:
-        self._metrics.needed_replicas.labels(spec.name).set(planner.needed)
-        for group, count in planner.targets.items():
-            self._metrics.ordered_replicas.labels(
-                spec.name,
-                group.data_centre,
-                _describe_kind(group),
-            ).set(count)
         if spec.scaling is not None:
-            price = compute_price(planner.targets, spec.scaling)
-            self._metrics.replica_price.labels(spec.name).set(price)
-
-
-def _describe_kind(group: ReplicaGroup) -> str:
-    return "preemptible" if group.is_preemptible else "ordinary"
-
-
-def _describe_group(group: ReplicaGroup) -> str:
-    return f"{group.data_centre}/{_describe_kind(group)}"
+            self._metrics.set_replicas(
+                spec.name,
+                needed=planner.needed,
+                price=compute_price(planner.targets, spec.scaling),
+                ordered=planner.targets,
+            )
 
 
 def count_replicas(
--- a/damasklead/gateway/duties/scaling/mix.py
+++ b/damasklead/gateway/duties/scaling/mix.py
@@ -37,6 +37,11 @@
     data_centre: DataCentre
     is_preemptible: bool
 
+    @property
+    def kind(self) -> str:
+        """The kind in metrics and in the status."""
+        return "preemptible" if self.is_preemptible else "ordinary"
+
 
 Mix = Mapping[ReplicaGroup, int]
 
--- a/damasklead/gateway/duties/scaling/service.py
+++ b/damasklead/gateway/duties/scaling/service.py
@@ -7,15 +7,17 @@
 
 from collections.abc import Callable
 
+from prometheus_client import CollectorRegistry
+
 from damasklead.clock import Clock
 from damasklead.gateway.coordination.coordinators import Coordinators
 from damasklead.gateway.directory import UpstreamDirectory
 from damasklead.gateway.duties.base import PlatformApi
 from damasklead.gateway.duties.scaling.duty import ScalingDuty
 from damasklead.gateway.duties.scaling.load_reports import LoadCollector, LoadReporter
+from damasklead.gateway.duties.scaling.metrics import ScalingMetrics
 from damasklead.gateway.duties.service import Duties
 from damasklead.gateway.journal import Journal
-from damasklead.gateway.metrics import GatewayMetrics
 from damasklead.gateway.routing import RoutingTable
 from damasklead.supervision import Child, TaskChild
 
@@ -41,7 +43,8 @@
     coordinators : Coordinators
     clock : Clock
     journal : Journal
-    metrics : GatewayMetrics
+    registry : CollectorRegistry
+        Registry of the gateway's metrics.
     """
 
     def __init__(
@@ -55,7 +58,7 @@
         coordinators: Coordinators,
         clock: Clock,
         journal: Journal,
-        metrics: GatewayMetrics,
+        registry: CollectorRegistry,
     ) -> None:
         self._reporter = LoadReporter(
             coordinators=coordinators, send=duties.directory.send
@@ -70,7 +73,7 @@
             collector=LoadCollector(directory=duties.directory, clock=clock),
             clock=clock,
             journal=journal,
-            metrics=metrics,
+            metrics=ScalingMetrics(registry=registry),
         )
         duties.register(self._duty)
 
--- a/damasklead/gateway/duties/service.py
+++ b/damasklead/gateway/duties/service.py
@@ -15,7 +15,11 @@
 from damasklead.clock import Clock
 from damasklead.gateway.duties.announcements import HolderDirectory
 from damasklead.gateway.duties.base import Authority, Duty, DutyName, PlatformApi
-from damasklead.gateway.duties.contention import choose_deputy, compute_contention_rank
+from damasklead.gateway.duties.contention import (
+    MAX_CONTENDERS,
+    choose_deputy,
+    compute_contention_rank,
+)
 from damasklead.gateway.duties.lease_task import LeaseTask
 from damasklead.gateway.duties.messages import (
     HolderNotice,
@@ -169,8 +173,7 @@
                 true_time=self._true_time,
                 window_seconds=bounds.usage_window_seconds,
                 delay_seconds=bounds.usage_delay_seconds,
-                get_lease_condition=lambda: self._lease.row_condition,
-                get_held_seconds=lambda: self._lease.held_seconds,
+                get_lease=self._lease.describe,
                 on_closed=self._lease.announce,
                 clock=clock,
                 journal=journal,
@@ -232,6 +235,10 @@
             "last_result": statistics.last_result,
         }
 
+    def get_age(self, at: float) -> float:
+        """Return the seconds since a time of the gateway's clock."""
+        return self._clock.now() - at
+
     def register(self, duty: Duty) -> None:
         """Add a duty; must be called before the tasks are created."""
         self._runner.register(duty)
@@ -251,6 +258,14 @@
             *self._runner.create_tasks(),
         ]
 
+    def poll_lease(self) -> None:
+        """Renew the lease or contend for it, if either is due."""
+        self._lease.poll()
+
+    def perform_duties(self) -> None:
+        """Perform each duty once if this gateway holds the lease."""
+        self._runner.perform_all()
+
     def release(self) -> None:
         """Release the lease, so that another gateway takes over at once."""
         if self._runner.has_duties:
@@ -261,6 +276,7 @@
 
     def send_counts(self) -> None:
         """Send the counts that have changed to the holder and its deputy."""
+        self._true_time.tick()
         windows = [] if self._counter is None else self._counter.take_changes()
         now = self._clock.now()
         if not windows and now - self._sent_at < IDLE_REPORT_SECONDS:
@@ -292,12 +308,16 @@
         return StoreEra(max(self._get_store_era(), self._tables().era, announced_era))
 
     def _get_rank(self) -> int:
+        if self._peers is not None and not self._peers.is_discovery_complete:
+            return MAX_CONTENDERS
         return compute_contention_rank(
             instance=self._instance,
             cores=self._cores,
             members=[] if self._peers is None else self._peers.members,
             holder=self.directory.holder,
             deputy=self.directory.deputy,
+            # The last holder knows which windows were closed before a restore.
+            is_deputy_first=self._get_era() == get_fencing_era(self.directory.token),
         )
 
     def _make_notice(self, token: int, version: int) -> HolderNotice:
--- a/damasklead/gateway/process.py
+++ b/damasklead/gateway/process.py
@@ -327,7 +327,7 @@
             coordinators=self._fleet.coordination.coordinators,
             clock=self._clock,
             journal=self._journal,
-            metrics=self._metrics,
+            registry=self._metrics.registry,
         )
 
     def _record_execution(self, call: Call) -> None:
@@ -388,6 +388,8 @@
             lambda: len(self._fleet.containment.refused_fingerprints)
         )
         metrics.log_lines_dropped.set_function(lambda: self._journal.dropped_count)
+        if self._fleet.duties is not None:
+            metrics.add_duties(self._fleet.duties)
         for follower in (self._fleet.configuration, self._fleet.upstreams):
             metrics.feed_age.labels(follower.name).set_function(follower.get_age)
 
--- a/tests/test_gateway_scaling_duty.py
+++ b/tests/test_gateway_scaling_duty.py
@@ -11,6 +11,7 @@
 import gevent
 import msgspec
 import pytest
+from prometheus_client import CollectorRegistry, generate_latest
 
 from damasklead import ManualClock
 from damasklead.gateway.calls import UpstreamRecord, UpstreamState
@@ -37,9 +38,9 @@
 )
 from damasklead.gateway.duties.scaling.load_reports import LoadCollector, LoadReporter
 from damasklead.gateway.duties.scaling.messages import CellLoad
+from damasklead.gateway.duties.scaling.metrics import ScalingMetrics
 from damasklead.gateway.duties.scaling.planner import CentreReplicas
 from damasklead.gateway.journal import Journal
-from damasklead.gateway.metrics import GatewayMetrics
 from damasklead.gateway.routing import RoutingTable, ServiceSpec
 from damasklead.ids import DataCentre, InstanceId, ServiceName
 from damasklead.rate_limits import RateLimits
@@ -157,7 +158,7 @@
         self.api = ScriptedApi()
         self.authority = ScriptedAuthority()
         self.journal = Journal(instance="g1")
-        self.metrics = GatewayMetrics()
+        self.registry = CollectorRegistry()
         self.records = [
             record for centre in CENTRES for record in make_records(5, centre)
         ]
@@ -175,7 +176,7 @@
             collector=self.collector,
             clock=self.clock,
             journal=self.journal,
-            metrics=self.metrics,
+            metrics=ScalingMetrics(registry=self.registry),
         )
         self.directory.announce(HolderNotice(7, "", 1))
         self.report(running=0, queued=0, arrivals=0.0, refusals=0.0)
@@ -201,7 +202,7 @@
         }
         assert {item.token for item in harness.api.identities} == {7}
         assert "replicas-ordered" in harness.journal.pending_lines[-1]
-        assert b'outcome="accepted"' in harness.metrics.render()
+        assert b'outcome="accepted"' in generate_latest(harness.registry)
         state = harness.duty.state[SERVICE]
         assert isinstance(state, dict) and state["groups"]["dc-1/preemptible"] == 5
 
