--- a/damasklead/gateway/duties/scaling/orders.py
+++ b/damasklead/gateway/duties/scaling/orders.py
@@ -36,6 +36,9 @@
 MIN_RETRY_SECONDS = 1.0
 MAX_RETRY_SECONDS = 8.0
 BACKOFF_FACTOR = 1.5
+# An accepted order that the list never shows is repeated at intervals that double this
+# often, to about four minutes.
+MAX_REPEAT_DOUBLINGS = 5
 # Pause of all calls after one that exceeded the API's rate limit.
 LIMITED_SECONDS = 1.0
 # Leaving replicas were taken away if fewer than this fraction of the ordered ones stay;
@@ -101,6 +104,8 @@
         replicas can be had.
     failures : int
         Calls that failed one after the other.
+    repeats : int
+        Accepted repetitions after which the list still differed.
     """
 
     target: int
@@ -113,6 +118,7 @@
     blocked_until: float = -math.inf
     unavailable_until: float = -math.inf
     failures: int = 0
+    repeats: int = 0
 
 
 class OrderBook:
@@ -195,10 +201,14 @@
             if count == state.target:
                 state.differs_since = None
                 state.has_lapsed = False
+                state.repeats = 0
                 continue
             if state.differs_since is None:
                 state.differs_since = now
-            if self._is_overdue(state, now) and not self._is_unavailability_over(state):
+            # Replicas that could not be had are ordered again; only an accepted order
+            # can have brought nothing.
+            is_accepted = state.unavailable_until <= state.ordered_at
+            if is_accepted and self._is_overdue(state, now):
                 state.has_lapsed = True
             if (
                 group.is_preemptible
@@ -262,6 +272,8 @@
             state.differs_since = None if state.live == order.count else now
         if fault is None:
             state.failures = 0
+            is_repeat = order.reason is OrderReason.REPEAT
+            state.repeats = state.repeats + 1 if is_repeat else 0
             return
         if fault is ApiFault.LIMITED:
             self._paused_until = now + LIMITED_SECONDS
@@ -286,7 +298,9 @@
         if state.differs_since is None:
             return False
         since = max(state.differs_since, state.ordered_at)
-        return now - since > self._arrival_seconds
+        # The platform may count differently from the list for good.
+        doublings = min(state.repeats, MAX_REPEAT_DOUBLINGS)
+        return now - since > self._arrival_seconds * 2**doublings
 
     def _is_repeat_due(self, state: _GroupState) -> bool:
         now = self._clock.now()
--- a/tests/test_gateway_scaling.py
+++ b/tests/test_gateway_scaling.py
@@ -326,6 +326,35 @@
         orders = harness.run(10.0, demand=QUIET)
         assert {order.reason for order in orders[:3]} == {OrderReason.REPEAT}
 
+    def test_an_order_that_is_never_obeyed_is_repeated_ever_more_seldom(self) -> None:
+        """Guards against a call every few seconds since the platform keeps a replica."""
+        harness = PlannerHarness()
+        harness.run(16.0, demand=QUIET)
+        kept = dict(harness.platform.count())
+        kept[CENTRES[0]] = msgspec.structs.replace(kept[CENTRES[0]], ordinary=1)
+        calls = 0
+        for _ in range(4 * 600):
+            harness.clock.advance(0.25)
+            for order in harness.planner.plan(kept):
+                calls += 1
+                harness.planner.record_call(order)
+                harness.planner.record_result(order, None)
+        assert 3 <= calls <= 7
+
+    def test_a_reclaim_that_others_cover_is_only_made_up_for(self) -> None:
+        """
+        Guards against more replicas elsewhere when the lost ones come back.
+
+        The lost ones counted as not to come when they were ordered again.
+        """
+        harness = PlannerHarness()
+        harness.run(16.0, demand=QUIET)
+        demand = Demand(running=300.0, arrivals=600.0)
+        harness.run(30.0, demand=demand)
+        harness.platform.reclaim(CENTRES[0])
+        orders = harness.run(30.0, demand=demand)
+        assert {order.group.data_centre for order in orders} == {CENTRES[0]}
+
     def test_a_crash_of_some_seconds_changes_nothing(self) -> None:
         """Guards against orders for replicas that come back by themselves."""
         harness = PlannerHarness()
