--- a/damasklead/gateway/coordination/cellmap.py
+++ b/damasklead/gateway/coordination/cellmap.py
@@ -117,15 +117,18 @@
 
         Parameters
         ----------
+        service : ServiceName
+        records : list of UpstreamRecord
         is_scaled : bool
             Whether the number of engines in each data centre changes with the load.
-            If traffic between data centres has a cost, cells of such a service stay
-            within their data centres, so that a data centre that loses its engines
-            changes no other cell, and are homes of prefixes in proportion to their
-            engines.
+            Cells are then homes of prefixes in proportion to their engines.  If traffic
+            between data centres has a cost, they also stay within their data centres.
         """
-        is_scaled = is_scaled and self._shares is not None
-        cells = partition_engines(records, by_data_centre_only=is_scaled)
+        cells = partition_engines(
+            records,
+            is_scaled=is_scaled,
+            by_data_centre_only=is_scaled and self._shares is not None,
+        )
         self._cells[service] = cells
         self._weights.pop(service, None)
         if is_scaled:
--- a/damasklead/gateway/process.py
+++ b/damasklead/gateway/process.py
@@ -22,7 +22,9 @@
 from damasklead.gateway.coordination.remote_share import RemoteReason
 from damasklead.gateway.dialect import Dialect, PlatformLink
 from damasklead.gateway.directory import UpstreamDirectory
-from damasklead.gateway.duties.base import PlatformApi
+from damasklead.gateway.duties.base import DutyName, PlatformApi
+from damasklead.gateway.duties.scaling.service import Scaling
+from damasklead.gateway.duties.service import find_known_duties
 from damasklead.gateway.fleet import Fleet
 from damasklead.gateway.forwarding import Forwarder
 from damasklead.gateway.journal import Journal
@@ -120,6 +122,7 @@
             on_remote=self._count_remote,
             api=lambda: self._api,
         )
+        self._scaling = self._make_scaling(settings)
         self._forwarder = Forwarder(
             context=GatewayContext(
                 dialect=dialect,
@@ -303,6 +306,32 @@
             return None
         return self._open_api(settings.platform_api.address)
 
+    def _make_scaling(self, settings: GatewaySettings) -> Scaling | None:
+        """Return the scaling, ``None`` if the settings don't ask for it."""
+        duties, api_settings = self._fleet.duties, settings.platform_api
+        if (
+            duties is None
+            or api_settings is None
+            or DutyName.AUTOSCALE not in find_known_duties(api_settings.duties)
+        ):
+            return None
+
+        def get_api() -> PlatformApi:
+            assert self._api is not None
+            return self._api
+
+        return Scaling(
+            duties=duties,
+            api=get_api,
+            table=lambda: self._fleet.configuration.table,
+            directory=self._directory,
+            get_list_age=lambda: self._fleet.replica_list_age,
+            coordinators=self._fleet.coordination.coordinators,
+            clock=self._clock,
+            journal=self._journal,
+            registry=self._metrics.registry,
+        )
+
     def _record_execution(self, call: Call) -> None:
         """Count a request of a workspace that a replica has begun to execute."""
         if self._fleet.duties is not None and call.workspace is not None:
@@ -349,6 +378,7 @@
                 for name, placement in self._placements.items()
             },
             **({} if duties is None else {"duties": duties.state}),
+            **({} if self._scaling is None else {"scaling": self._scaling.state}),
         }
 
     def _bind_gauges(self) -> None:
@@ -395,6 +425,7 @@
             TaskChild(name="journal", function=self._journal.run),
             TaskChild(name="ticks", function=self._run_maintenance),
             *self._fleet.create_tasks(),
+            *([] if self._scaling is None else self._scaling.create_tasks()),
         ]
         listeners: list[Child] = [
             ServerChild(name=name, start_server=server.start, stop_server=server.stop)
