--- a/damasklead/gateway/duties/scaling/duty.py
+++ b/damasklead/gateway/duties/scaling/duty.py
@@ -33,6 +33,10 @@
 
 # Age of the platform's list from which no decision is based on it.
 MAX_LIST_AGE_SECONDS = 5.0
+# Time for which the list must not have grown before the first orders: at the start of a
+# deployment the replicas register one by one, and those that are listed last would be
+# given up.
+LIST_GROWTH_SECONDS = 2.0
 # Latency target of a service that no route sends requests to.
 DEFAULT_TARGET_SECONDS = 1.0
 
@@ -98,6 +102,10 @@
         self._journal = journal
         self._metrics = metrics
         self._planners: dict[ServiceName, tuple[_PlannerInput, ScalingPlanner]] = {}
+        # Length of the list while it grows at the start, and when it last grew.
+        self._listed_count = 0
+        self._listed_at = clock.now()
+        self._is_list_complete = False
 
     @property
     def name(self) -> DutyName:
@@ -124,9 +132,11 @@
 
         The calls of one pass, one for each data centre, are made at the same time.
         """
+        self._watch_list()
         table = self._table()
         if (
             table is None
+            or not self._is_list_complete
             or self._get_list_age() > MAX_LIST_AGE_SECONDS
             or not authority.may_act_for(self._api().timeout_seconds)
         ):
@@ -152,6 +162,16 @@
             self._update_gauges(spec, planner)
         gevent.joinall(calls)
 
+    def _watch_list(self) -> None:
+        """Find out when the list has stopped growing after the start."""
+        if self._is_list_complete:
+            return
+        count = sum(1 for _ in self._list_records())
+        if count > self._listed_count:
+            self._listed_count, self._listed_at = count, self._clock.now()
+        elapsed = self._clock.now() - self._listed_at
+        self._is_list_complete = count > 0 and elapsed >= LIST_GROWTH_SECONDS
+
     def _call(
         self,
         spec: ServiceSpec,
--- a/tests/test_gateway_scaling_duty.py
+++ b/tests/test_gateway_scaling_duty.py
@@ -32,6 +32,7 @@
 )
 from damasklead.gateway.duties.messages import HolderNotice
 from damasklead.gateway.duties.scaling.duty import (
+    LIST_GROWTH_SECONDS,
     MAX_LIST_AGE_SECONDS,
     ScalingDuty,
     count_replicas,
@@ -168,7 +169,16 @@
             instance="g1", peers=None, clock=self.clock, journal=self.journal
         )
         self.collector = LoadCollector(directory=self.directory, clock=self.clock)
-        self.duty = ScalingDuty(
+        self.metrics = ScalingMetrics(registry=self.registry)
+        self.duty = self.make_duty()
+        self.duty.perform(self.authority)
+        self.clock.advance(LIST_GROWTH_SECONDS)
+        self.directory.announce(HolderNotice(7, "", 1))
+        self.report(running=0, queued=0, arrivals=0.0, refusals=0.0)
+
+    def make_duty(self) -> ScalingDuty:
+        """Return a duty as a gateway has it after its start."""
+        return ScalingDuty(
             api=lambda: self.api,
             table=lambda: self.table,
             list_records=lambda: self.records,
@@ -176,10 +186,8 @@
             collector=self.collector,
             clock=self.clock,
             journal=self.journal,
-            metrics=ScalingMetrics(registry=self.registry),
+            metrics=self.metrics,
         )
-        self.directory.announce(HolderNotice(7, "", 1))
-        self.report(running=0, queued=0, arrivals=0.0, refusals=0.0)
 
     def report(self, **changes: object) -> None:
         """Send this gateway a report of one cell."""
@@ -237,6 +245,24 @@
         harness.list_age = 0.0
         assert harness.perform()
 
+    def test_the_first_orders_wait_for_the_whole_list(self) -> None:
+        """Guards against giving up replicas that register last at the start."""
+        harness = DutyHarness()
+        duty = harness.make_duty()
+        whole, harness.records = harness.records, harness.records[:6]
+        duty.perform(harness.authority)
+        harness.clock.advance(0.9 * LIST_GROWTH_SECONDS)
+        harness.records = whole
+        harness.report(running=0, queued=0, arrivals=0.0, refusals=0.0)
+        duty.perform(harness.authority)
+        harness.clock.advance(0.9 * LIST_GROWTH_SECONDS)
+        harness.report(running=0, queued=0, arrivals=0.0, refusals=0.0)
+        duty.perform(harness.authority)
+        assert not harness.api.orders
+        harness.clock.advance(0.2 * LIST_GROWTH_SECONDS)
+        duty.perform(harness.authority)
+        assert len(harness.api.orders) == 3
+
     def test_missing_configuration_or_reports_prevent_orders(self) -> None:
         """Guards against orders by a gateway that has just started."""
         harness = DutyHarness()
