--- a/damasklead/experiment/description.py
+++ b/damasklead/experiment/description.py
@@ -15,6 +15,7 @@
 
 __all__ = [
     "Burst",
+    "Contention",
     "EngineParameters",
     "Experiment",
     "Fault",
@@ -110,6 +111,25 @@
     resumable: bool = False
 
 
+class Contention(msgspec.Struct, kw_only=True, frozen=True, forbid_unknown_fields=True):
+    """
+    Times at which the engines' machines do other work, at random for each engine.
+
+    Attributes
+    ----------
+    interval : float
+        Mean seconds from the end of such a time to the next one at the same engine.
+    seconds : float
+        Duration.
+    factor : float
+        Factor of the time of steps meanwhile.
+    """
+
+    interval: float
+    seconds: float
+    factor: float
+
+
 class EngineParameters(
     msgspec.Struct, kw_only=True, frozen=True, forbid_unknown_fields=True
 ):
@@ -141,6 +161,11 @@
         Seconds to copy prompt parts from another engine, and what each token adds.
     speeds : tuple of float
         Factors of the time of all steps, assigned to the engines in turn.
+    contention : Contention or None
+        ``None`` if the engines don't share their machines.
+    reports_slowdown : bool
+        Whether the load that engines report states how much slower than usual they are,
+        without their own factor of ``speeds``.
     """
 
     count: int
@@ -157,6 +182,8 @@
     copy_setup: float = 0.002
     copy_token: float = 0.0000012
     speeds: tuple[float, ...] = (1.0,)
+    contention: Contention | None = None
+    reports_slowdown: bool = False
 
 
 class Burst(msgspec.Struct, kw_only=True, frozen=True, forbid_unknown_fields=True):
--- a/damasklead/experiment/engines.py
+++ b/damasklead/experiment/engines.py
@@ -126,6 +126,8 @@
         Rises at each restart.
     slowdown_factor : float
         Multiplies the time of all steps during a fault; 1 otherwise.
+    contention_factor : float
+        Multiplies the time of all steps while the machine does other work; 1 otherwise.
     prefilled_tokens, recomputed_tokens, copied_tokens : int
         Prompt tokens prefilled, those of shared parts that some engine had prefilled
         before, and those copied from other engines.
@@ -142,6 +144,7 @@
         self.is_running = True
         self.incarnation = 1
         self.slowdown_factor = 1.0
+        self.contention_factor = 1.0
         self.prefilled_tokens = 0
         self.recomputed_tokens = 0
         self.copied_tokens = 0
@@ -167,12 +170,20 @@
             running=len(self._running),
             waiting=len(self._queue),
             slots=self._parameters.slots,
+            slowdown=self.current_slowdown
+            if self._parameters.reports_slowdown
+            else None,
         )
 
+    @property
+    def current_slowdown(self) -> float:
+        """Factor of the time of a step over that of the same engine undisturbed."""
+        return self.slowdown_factor * self.contention_factor
+
     @property
     def step_time_factor(self) -> float:
         """Factor of the time of a step at present, including a fault's."""
-        return self._step_time_factor * self.slowdown_factor
+        return self._step_time_factor * self.current_slowdown
 
     def count_pending_prefill_tokens(self) -> int:
         """Return the prompt tokens that running and queued requests have to prefill."""
--- a/damasklead/experiment/fleet.py
+++ b/damasklead/experiment/fleet.py
@@ -5,6 +5,8 @@
 All gateways, engines and callers of one run, and its faults.
 """
 
+import random
+
 import msgspec
 
 from damasklead.experiment.callers import Caller
@@ -115,6 +117,9 @@
             self._simulator.schedule(arrival.arrival_time, self._start_caller, arrival)
         for fault in self._experiment.faults:
             self._simulator.schedule(fault.at, self._inject_fault, fault)
+        if self._experiment.engines.contention is not None:
+            for name, engine in self._engines.items():
+                self._schedule_contention(engine, random.Random(f"{name} contention"))
         for gateway in self._gateways:
             self._simulator.schedule(0.0, self._process_queues, gateway)
         max_timeout = max(kind.timeout for kind in self._experiment.kinds)
@@ -224,6 +229,18 @@
                 fault.seconds + LIST_DELAY_SECONDS, self._update_listed_engines
             )
 
+    def _schedule_contention(self, engine: Engine, rng: random.Random) -> None:
+        """Let other work slow an engine's machine down, again and again."""
+        contention = self._experiment.engines.contention
+        assert contention is not None
+        wait = rng.expovariate(1 / contention.interval)
+        end = wait + contention.seconds
+        for delay, factor in ((wait, contention.factor), (end, 1.0)):
+            self._simulator.schedule(
+                delay, setattr, engine, "contention_factor", factor
+            )
+        self._simulator.schedule(end, self._schedule_contention, engine, rng)
+
     def _update_listed_engines(self) -> None:
         """Give all gateways the list of the running engines."""
         listed = [
--- a/damasklead/experiment/policies.py
+++ b/damasklead/experiment/policies.py
@@ -81,6 +81,10 @@
 
     engines: Mapping[InstanceId, Engine] = {}
 
+    def _get_slowdown(self, state: ReplicaState) -> float:
+        # The methods below return what the engines' speed makes of the tokens.
+        return 1.0
+
     def _compute_backlog_seconds(self, state: ReplicaState) -> float:
         engine = self.engines[state.record.instance]
         return (
--- a/damasklead/gateway/calls.py
+++ b/damasklead/gateway/calls.py
@@ -215,7 +215,7 @@
     INVALID = "invalid"
 
 
-class LoadHint(msgspec.Struct, frozen=True):
+class LoadHint(msgspec.Struct, frozen=True, omit_defaults=True):
     """
     Load that a replica reports of itself, over the requests of all gateways.
 
@@ -226,12 +226,17 @@
     waiting : int
         Requests in the replica's queue.
     slots : int
-        Requests that the replica can execute at once.
+        Requests that the replica can execute at once; 0 if not stated.
+    slowdown : float or None
+        How long work takes on the replica's machine at present; 1 is normal, 2.5 two
+        and a half times as long.  ``None`` if not stated, which is not encoded: the
+        messages of replicas without the figure are those of older versions.
     """
 
     running: int
     waiting: int
     slots: int
+    slowdown: float | None = None
 
 
 class ResponseHead(msgspec.Struct, kw_only=True, frozen=True):
@@ -262,6 +267,8 @@
     rate_limit : float or None
         Requests per second that the replica accepts from all gateways together, if it
         names a limit.
+    dropped_figure : str
+        Text of a figure of the load that is invalid and was dropped, if any.
     detail : str
         Reason for the classification, for the log.
     """
@@ -276,6 +283,7 @@
     keep_alive: float | None = None
     retry_after: float | None = None
     rate_limit: float | None = None
+    dropped_figure: str = ""
     detail: str = ""
 
 
--- a/damasklead/gateway/context.py
+++ b/damasklead/gateway/context.py
@@ -16,6 +16,7 @@
 from damasklead.gateway.crash_containment import Containment
 from damasklead.gateway.dialect import Dialect
 from damasklead.gateway.journal import Journal
+from damasklead.gateway.log_limiter import LogLimiter
 from damasklead.gateway.replica_probe import ReplicaProbe
 from damasklead.gateway.stop_schedule import StopSchedule
 from damasklead.gateway.stream_origins.registry import OriginRegistry
@@ -58,6 +59,8 @@
         this was detected.
     response_memory : MemoryBudget
         Limits the total size of the response bodies that are being read.
+    dropped_figures : LogLimiter
+        Limits the log lines on invalid figures of replicas' loads.
     """
 
     dialect: Dialect
@@ -73,3 +76,4 @@
     stop_schedule: StopSchedule
     on_replica_left: Callable[[UpstreamRecord, str], None]
     response_memory: MemoryBudget = msgspec.field(default_factory=MemoryBudget)
+    dropped_figures: LogLimiter = msgspec.field(default_factory=LogLimiter)
--- a/damasklead/gateway/metrics.py
+++ b/damasklead/gateway/metrics.py
@@ -93,6 +93,16 @@
             "Replicas that name a limit on requests per second",
             registry=self.registry,
         )
+        self.slowest_replica = Gauge(
+            "damasklead_slowest_replica_factor",
+            "How much longer work takes at the slowest replica than usual",
+            registry=self.registry,
+        )
+        self.load_figures_dropped = Gauge(
+            "damasklead_load_figures_dropped",
+            "Invalid figures of replicas' loads since the start",
+            registry=self.registry,
+        )
         self.crash_causes = Gauge(
             "damasklead_crash_causes",
             "Requests and prompt parts that are refused since they crash replicas",
--- a/damasklead/gateway/placements/base.py
+++ b/damasklead/gateway/placements/base.py
@@ -14,7 +14,8 @@
 from damasklead.failures import Failure
 from damasklead.gateway.calls import Call, LoadHint, UpstreamRecord
 from damasklead.gateway.part_locations import PartLocations
-from damasklead.gateway.replica_state import ReplicaState
+from damasklead.gateway.replica_speeds import ReplicaSpeeds
+from damasklead.gateway.replica_state import ReplicaState, ServiceTime
 from damasklead.gateway.routing import Route, ServiceSpec
 from damasklead.ids import DataCentre, InstanceId
 from damasklead.rate_limits import OWNER_INTERVAL_SECONDS
@@ -26,6 +27,12 @@
 STALL_TARGETS = 3.0
 # Minimum of that time: TCP retransmits a lost packet after 0.2 s, which is no stall.
 MIN_STALL_SECONDS = 0.5
+# Upper bound of the slowdown by which a stall may be longer: a replica that takes more
+# time is of no use to the callers that wait for it.
+MAX_STALL_SLOWDOWN = 10.0
+# A response that times out is no failure of a replica that is this much slower than
+# usual: machines that do other work are about 2.5 times slower.
+SLOW_REPLICA_SLOWDOWN = 1.5
 # Retry time when the limits of all replicas leave this gateway no request: the interval
 # at which each owner of a limited replica may send one.
 NO_ALLOWANCE_SECONDS = OWNER_INTERVAL_SECONDS
@@ -62,6 +69,7 @@
         self._service = service
         self._clock = clock
         self._part_locations = PartLocations(clock=clock)
+        self._speeds = ReplicaSpeeds(clock=clock)
         self._data_centre = data_centre
         self._replicas: dict[InstanceId, ReplicaState] = {}
         self._eligible_replicas: dict[InstanceId, ReplicaState] = {}
@@ -72,6 +80,12 @@
         """Specification of the service in the configuration in force."""
         return self._service
 
+    @property
+    def max_slowdown(self) -> float:
+        """How much longer work takes at the slowest replica than usual; at least 1."""
+        slowdowns = map(self._get_slowdown, self._eligible_replicas.values())
+        return max(1.0, max(slowdowns, default=1.0))
+
     @property
     def is_coordinated(self) -> bool:
         """Whether coordinators choose among the service's replicas."""
@@ -120,6 +134,7 @@
                 self._replicas[record.instance] = state
             elif state.update_record(record):
                 self._part_locations.remove_replica(record.instance)
+                self._speeds.remove_replica(record.instance)
             eligible[record.instance] = state
         self._eligible_replicas = eligible
         self._eligible_keys = frozenset(state.key for state in eligible.values())
@@ -128,6 +143,7 @@
             state = self._replicas[instance]
             if not state.own_requests and state.paused_until <= now:
                 del self._replicas[instance]
+        self._speeds.retain_replicas(self._replicas.keys())
 
     def configure(self, service: ServiceSpec, routes: Iterable[Route]) -> None:
         """
@@ -242,6 +258,7 @@
             "hint_age": round(state.compute_hint_age(now), 3),
             "unread": self._count_prefill_tokens(state, call),
             "backlog": state.pending_prefill_tokens,
+            **self._explain_speed(state),
         }
 
     def record_sent(self, instance: InstanceId, call: Call) -> None:
@@ -261,12 +278,16 @@
         state = self._replicas.get(instance)
         if state is not None:
             state.record_response_head(hint, now=self._clock.now())
+            if hint is not None and hint.slowdown is not None:
+                self._speeds.record_stated(instance, hint.slowdown)
 
     def record_stream_event(self, instance: InstanceId, call: Call) -> None:
         """Record an event of a request's stream."""
         state = self._replicas.get(instance)
         if state is not None:
-            state.record_stream_event(call, now=self._clock.now())
+            time = state.record_stream_event(call, now=self._clock.now())
+            if time is not None:
+                self._record_service_time(state, time)
 
     def record_success(self, instance: InstanceId, call: Call) -> None:
         """Record that a request received its complete response."""
@@ -282,6 +303,11 @@
         state = self._replicas.get(instance)
         if state is not None:
             state.remove_request(call)
+            if (
+                failure is Failure.TIMED_OUT
+                and self._get_slowdown(state) >= SLOW_REPLICA_SLOWDOWN
+            ):
+                failure = Failure.REFUSED
             state.record_failure(failure, now=self._clock.now())
 
     def record_cancellation(self, instance: InstanceId, call: Call) -> None:
@@ -346,6 +372,24 @@
         """Return the prompt tokens that a replica has to prefill for a request."""
         return 0
 
+    def _get_slowdown(self, state: ReplicaState) -> float:
+        """Return how much longer work takes at a replica than usual; 1 is normal."""
+        return self._speeds.get_slowdown(state.record.instance)
+
+    def _record_service_time(self, state: ReplicaState, time: ServiceTime) -> None:
+        """Record how long an event of a stream took at a replica."""
+        self._speeds.record_service_time(
+            state.record.instance,
+            "first event" if time.is_first else "event gap",
+            observed=time.seconds,
+            expected=1.0,
+        )
+
+    def _explain_speed(self, state: ReplicaState) -> dict[str, object]:
+        if not self._speeds.is_active:
+            return {}
+        return {"slowdown": round(self._get_slowdown(state), 2)}
+
     def _get_memory_tokens(self) -> int:
         engine = self._service.engine
         return 0 if engine is None else engine.memory_tokens
@@ -374,6 +418,7 @@
         if now < state.penalty_until:
             return False
         max_stall = max(MIN_STALL_SECONDS, STALL_TARGETS * call.route.target)
+        max_stall *= min(max(1.0, self._get_slowdown(state)), MAX_STALL_SLOWDOWN)
         return state.compute_stall_seconds(now) < max_stall
 
 
--- a/damasklead/gateway/placements/engine.py
+++ b/damasklead/gateway/placements/engine.py
@@ -12,7 +12,7 @@
 from damasklead.gateway.calls import Call, LoadHint, UpstreamRecord
 from damasklead.gateway.placements.base import FAILURE_COST, Placement, tie_breaker
 from damasklead.gateway.placements.shared_parts import SharedParts
-from damasklead.gateway.replica_state import ReplicaState
+from damasklead.gateway.replica_state import ReplicaState, ServiceTime
 from damasklead.gateway.routing import Route, ServiceSpec
 from damasklead.ids import AttemptId, DataCentre, InstanceId
 from damasklead.util import stable_hash
@@ -22,6 +22,9 @@
 # Prefill rate of an engine in tokens per second.  It is only used to compare costs, for
 # which the order of magnitude is enough.
 PREFILL_TOKENS_PER_SECOND = 38_000.0
+# Approximate seconds from the end of prefill to the first event of a stream, which is
+# only used to compare observed times.
+FIRST_EVENT_DECODE_SECONDS = 0.03
 # Maximum prefill backlog of an engine with capacity, as a fraction of the shortest
 # latency target of the requests that share the engines, so that these meet it.
 BACKLOG_LIMIT_FRACTION = 0.5
@@ -208,11 +211,21 @@
         Return the seconds that all engines that are not reserved need together to
         prefill a request, under the assumption that its shared parts are cached.
         """
-        engines = max(1, len(self._eligible_replicas) - len(self._reserved))
+        engines = max(1.0, self._compute_pool_speed())
         parts = call.head.prompt
         tokens = parts[-1].tokens if parts else call.head.prompt_tokens
         return tokens / (engines * PREFILL_TOKENS_PER_SECOND)
 
+    def _compute_pool_speed(self) -> float:
+        """Return the speed of all engines that are not reserved; 1 for a normal one."""
+        if not self._speeds.is_active:
+            return float(len(self._eligible_replicas) - len(self._reserved))
+        return sum(
+            1 / self._get_slowdown(state)
+            for item, state in self._eligible_replicas.items()
+            if item not in self._reserved
+        )
+
     def estimate_prefill_seconds(self, call: Call) -> float:
         """
         Return the seconds that one engine needs to prefill the part of a request that
@@ -281,7 +294,30 @@
 
     def _compute_backlog_seconds(self, state: ReplicaState) -> float:
         """Return the seconds that an engine needs for its pending prefill."""
-        return state.pending_prefill_tokens / PREFILL_TOKENS_PER_SECOND
+        return (
+            state.pending_prefill_tokens
+            * self._get_slowdown(state)
+            / PREFILL_TOKENS_PER_SECOND
+        )
+
+    def _record_service_time(self, state: ReplicaState, time: ServiceTime) -> None:
+        instance = state.record.instance
+        if time.is_first:
+            work = time.work_tokens / PREFILL_TOKENS_PER_SECOND
+            self._speeds.record_service_time(
+                instance,
+                "first event",
+                observed=time.seconds,
+                expected=work + FIRST_EVENT_DECODE_SECONDS,
+            )
+        else:
+            # Reserved engines prefill less between events than others.
+            self._speeds.record_service_time(
+                instance,
+                ("event gap", instance in self._reserved),
+                observed=time.seconds,
+                expected=1.0,
+            )
 
     def _resize_reservation(self) -> None:
         """Reserve one engine more or one fewer, according to their load."""
@@ -345,6 +381,7 @@
         """
         gap = self._reserved_event_gap or 0.0
         prefill = self._estimate_prefill_tokens(state, call) / PREFILL_TOKENS_PER_SECOND
+        prefill *= self._get_slowdown(state)
         return (
             self._compute_backlog_seconds(state) + prefill
             <= INTERLEAVED_PREFILL_FRACTION * gap
@@ -430,7 +467,10 @@
         prefill_tokens = self._estimate_prefill_tokens(state, call)
         prefill = prefill_tokens / PREFILL_TOKENS_PER_SECOND
         backlog = self._compute_backlog_seconds(state)
+        slowdown = self._get_slowdown(state)
         cost = PREFILL_WEIGHT * prefill + backlog
+        # The weight is for the capacity that prefill takes, the rest for its duration.
+        cost += (slowdown - 1.0) * prefill
         cost += (
             COPY_WEIGHT
             * self._count_copied_tokens(state, call)
@@ -438,9 +478,8 @@
         )
         excess = backlog - self._mean_backlog - HOT_BACKLOG_FRACTION * call.route.target
         cost += HOT_WEIGHT * max(0.0, excess)
-        cost += RUNNING_REQUEST_SECONDS * (
-            state.own_requests + self._estimate_other_requests(state, now)
-        )
+        running = state.own_requests + self._estimate_other_requests(state, now)
+        cost += RUNNING_REQUEST_SECONDS * slowdown * running
         if state.record.data_centre != self._data_centre:
             cost += REMOTE_CENTRE_SECONDS
             cost += REMOTE_CENTRE_SECONDS_PER_BYTE * len(call.body)
--- a/damasklead/gateway/placements/plain.py
+++ b/damasklead/gateway/placements/plain.py
@@ -31,6 +31,9 @@
             state.own_requests
             + OTHER_REQUESTS_WEIGHT * self._estimate_other_requests(state, now)
         )
+        # The request itself takes longer, too: of two idle replicas the faster one.
+        slowdown = self._get_slowdown(state)
+        cost = cost * slowdown + (slowdown - 1.0)
         if state.record.data_centre != self._data_centre:
             cost += REMOTE_CENTRE_REQUESTS
         cost += FAILURE_COST * state.failure_rate
--- a/damasklead/gateway/process.py
+++ b/damasklead/gateway/process.py
@@ -25,6 +25,7 @@
 from damasklead.gateway.forwarding import Forwarder
 from damasklead.gateway.journal import Journal
 from damasklead.gateway.listeners import Listener, ReadyHandler, StatusHandler
+from damasklead.gateway.log_limiter import LogLimiter
 from damasklead.gateway.metrics import GatewayMetrics
 from damasklead.gateway.placements import Placement, new_placement
 from damasklead.gateway.replica_probe import ReplicaProbe
@@ -83,6 +84,7 @@
             path=settings_file, settings=settings, journal=self._journal
         )
         self._metrics = GatewayMetrics()
+        self._dropped_figures = LogLimiter()
         self._gate = StartGate()
         self._stop_schedule = StopSchedule(clock=self._clock)
         self._is_stopping = False
@@ -126,6 +128,7 @@
                 origins=self._fleet.origins,
                 stop_schedule=self._stop_schedule,
                 on_replica_left=self._handle_departure,
+                dropped_figures=self._dropped_figures,
             ),
             placement_of=self._get_placement,
             table=lambda: self._fleet.configuration.table,
@@ -330,6 +333,14 @@
         metrics.limited_replicas.set_function(
             lambda: self._fleet.rate_limits.limited_count
         )
+        metrics.slowest_replica.set_function(
+            lambda: max(
+                (item.max_slowdown for item in self._placements.values()), default=1.0
+            )
+        )
+        metrics.load_figures_dropped.set_function(
+            lambda: self._dropped_figures.total_count
+        )
         metrics.crash_causes.set_function(
             lambda: len(self._fleet.containment.refused_fingerprints)
         )
--- a/damasklead/gateway/replica_signals.py
+++ b/damasklead/gateway/replica_signals.py
@@ -3,7 +3,7 @@
 ===================
 
 What replicas say of themselves in the heads of their responses: that they leave, ask
-for a pause or limit requests.
+for a pause, limit requests, or state a load that is invalid in part.
 """
 
 from damasklead.gateway.calls import ResponseHead, ResponseKind, UpstreamRecord
@@ -40,6 +40,8 @@
         """
         if reply.kind in (ResponseKind.ANSWER, ResponseKind.REFUSED):
             self._record_rate_limit(reply, record)
+        if reply.dropped_figure:
+            self._log_dropped_figure(reply, record)
         if reply.kind is ResponseKind.MISPLACED:
             self._context.on_replica_left(record, "another replica has the address")
         elif reply.leaving:
@@ -56,6 +58,17 @@
                 seconds=granted,
             )
 
+    def _log_dropped_figure(self, reply: ResponseHead, record: UpstreamRecord) -> None:
+        count = self._context.dropped_figures.record(self._context.clock.now())
+        if count:
+            self._context.journal.event(
+                "load-figure-dropped",
+                request=self._request,
+                replica=record.instance,
+                figure=reply.dropped_figure,
+                count=count,
+            )
+
     def _record_rate_limit(self, reply: ResponseHead, record: UpstreamRecord) -> None:
         """Record the limit that a response names, or that it names none."""
         rate_limits = self._context.rate_limits
--- a/damasklead/gateway/replica_state.py
+++ b/damasklead/gateway/replica_state.py
@@ -16,7 +16,7 @@
 from damasklead.ids import AttemptId
 from damasklead.util import hash_name
 
-__all__ = ["PartCacheModel", "ReplicaState"]
+__all__ = ["PartCacheModel", "ReplicaState", "ServiceTime"]
 
 # First and maximum penalty after a failed connection or a broken response; it doubles
 # with each further failure.
@@ -86,11 +86,37 @@
         Prompt tokens that the replica has still to prefill.
     events : int
         Number of events of the response stream received so far.
+    work_tokens : int
+        Prompt tokens that the replica had to prefill until the first event, with those
+        of earlier requests.
+    last_event_at : float
+        Clock time in seconds of the last event, or of sending.
     """
 
     sent_at: float
     pending_prefill_tokens: int
     events: int = 0
+    work_tokens: int = 0
+    last_event_at: float = 0.0
+
+
+class ServiceTime(msgspec.Struct, frozen=True):
+    """
+    How long a replica took for an event of a stream.
+
+    Attributes
+    ----------
+    seconds : float
+        Time since the last event, or since the request was sent.
+    is_first : bool
+        Whether it is the first event.
+    work_tokens : int
+        Prompt tokens that the replica had to prefill until the first event.
+    """
+
+    seconds: float
+    is_first: bool
+    work_tokens: int
 
 
 class ReplicaState:
@@ -177,20 +203,33 @@
         self.remove_request(call)
         self.last_sent_at = now
         self._active_requests[call.id] = _ActiveRequest(
-            sent_at=now, pending_prefill_tokens=prefill_tokens
+            sent_at=now,
+            pending_prefill_tokens=prefill_tokens,
+            work_tokens=self._pending_prefill_tokens + prefill_tokens,
+            last_event_at=now,
         )
         self._pending_prefill_tokens += prefill_tokens
         for part in call.head.prompt:
             self.cached_parts.add(part.key, part.tokens)
 
-    def record_stream_event(self, call: Call, *, now: float) -> None:
-        """Record an event of a request's stream: its prompt is prefilled."""
+    def record_stream_event(self, call: Call, *, now: float) -> ServiceTime | None:
+        """
+        Record an event of a request's stream: its prompt is prefilled.
+
+        Returns
+        -------
+        ServiceTime or None
+            ``None`` for a request that is not known.
+        """
         self._last_response_at = now
         request = self._active_requests.get(call.id)
-        if request is not None:
-            self._pending_prefill_tokens -= request.pending_prefill_tokens
-            request.pending_prefill_tokens = 0
-            request.events += 1
+        if request is None:
+            return None
+        self._pending_prefill_tokens -= request.pending_prefill_tokens
+        request.pending_prefill_tokens = 0
+        request.events += 1
+        seconds, request.last_event_at = now - request.last_event_at, now
+        return ServiceTime(seconds, request.events == 1, request.work_tokens)
 
     def remove_request(self, call: Call) -> None:
         """Remove a request that has ended."""
--- a/damasklead/platform/headers.py
+++ b/damasklead/platform/headers.py
@@ -44,6 +44,8 @@
 REQUEST_PRIORITY = b"request-priority"
 RESPONSE_SIGNATURE = b"response-signature"
 NOT_EXECUTED = b"not-executed"
+# Requests that run and wait, slots, and how long work takes on the replica's machine at
+# present, in hundredths.  Figures may be left out from the end.
 BACKEND_LOAD = b"backend-load"
 SERVER_LEAVING = b"server-leaving"
 # Requests per second, a decimal number, that the replica accepts from all gateways.
@@ -53,6 +55,10 @@
 # Largest number of tokens or requests that a header may name.
 MAX_COUNT_DIGITS = 9
 MAX_COUNT = 10**MAX_COUNT_DIGITS - 1
+# Range of the last figure of BACKEND_LOAD; one beyond it is an error of the replica.
+MIN_SLOWDOWN_PERCENT, MAX_SLOWDOWN_PERCENT = 5, 10_000
+# Most bytes of a dropped figure that are passed on for the log.
+MAX_DROPPED_BYTES = 32
 # Longest id of another attempt that a request may name.
 MAX_ATTEMPT_ID_BYTES = 64
 # Range of REQUEST_PRIORITY; 0 is served first.
@@ -145,6 +151,7 @@
         """Classify the head of a replica's response."""
         values = join_headers(headers)
         kind, detail = _classify(status, values, attempt)
+        load, dropped_figure = _parse_load(values.get(BACKEND_LOAD))
         dropped = _HOP_BY_HOP_HEADERS | _parse_connection_options(values)
         return ResponseHead(
             status=status,
@@ -154,7 +161,8 @@
                 (name, value) for name, value in headers if name.lower() not in dropped
             ),
             identified=ATTEMPT_ID in values,
-            load=_parse_load(values.get(BACKEND_LOAD)),
+            load=load,
+            dropped_figure=dropped_figure,
             closing=b"close" in values.get(b"connection", b"").lower(),
             leaving=values.get(SERVER_LEAVING, b"0").strip() not in (b"", b"0"),
             keep_alive=_parse_keep_alive(values.get(b"keep-alive", b"")),
@@ -269,19 +277,47 @@
     return tuple(parts)
 
 
-def _parse_load(value: bytes | None) -> LoadHint | None:
+def _parse_load(value: bytes | None) -> tuple[LoadHint | None, str]:
+    """
+    Parse the load of a replica.
+
+    Returns
+    -------
+    tuple of LoadHint or None, and str
+        ``None`` if the header is absent or one of its first three figures is invalid;
+        the text of the fourth figure if that is invalid, else an empty text.
+    """
+    if value is None:
+        return None, ""
+    figures = value.split(b",")
     try:
-        running, waiting, slots = (int(item) for item in (value or b"").split(b","))
+        counts = [int(item) for item in figures[:3]]
+    except ValueError:
+        return None, ""
+    if not 0 <= min(counts) <= max(counts) <= MAX_COUNT:
+        return None, ""
+    running, waiting, slots = (*counts, 0, 0)[:3]
+    if len(figures) <= 3:
+        return LoadHint(running, waiting, slots), ""
+    slowdown = _parse_slowdown(figures[3])
+    dropped = "" if slowdown is not None else _describe_dropped(figures[3])
+    return LoadHint(running, waiting, slots, slowdown), dropped
+
+
+def _parse_slowdown(value: bytes) -> float | None:
+    """Convert hundredths to a factor; ``None`` if the value is invalid."""
+    try:
+        percent = float(value)
     except ValueError:
         return None
-    if (
-        not 0
-        <= min(running, waiting, slots)
-        <= max(running, waiting, slots)
-        <= MAX_COUNT
-    ):
+    # Comparisons with NaN are false.
+    if not MIN_SLOWDOWN_PERCENT <= percent <= MAX_SLOWDOWN_PERCENT:
         return None
-    return LoadHint(running, waiting, slots)
+    return percent / 100
+
+
+def _describe_dropped(figure: bytes) -> str:
+    return figure.strip()[:MAX_DROPPED_BYTES].decode("latin-1") or "empty"
 
 
 def _parse_keep_alive(value: bytes) -> float | None:
