--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -11,7 +11,7 @@
 import signal
 import subprocess
 import sys
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from pathlib import Path
 
 import gevent
@@ -56,9 +56,11 @@
 class Site:
     """Stand-ins of the store and of two replicas, and one gateway process."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(
+        self, folder: Path, *, serve: Callable[..., None] = serve_requests
+    ) -> None:
         self.store = StoreStandin()
-        self.replicas = [ScriptedReplica(name, serve_requests) for name in ("r0", "r1")]
+        self.replicas = [ScriptedReplica(name, serve) for name in ("r0", "r1")]
         self.settings_file = folder / "settings.json"
         self.log_file = folder / "log"
         names = ("callers", "ready", "operators", "peers")
@@ -86,6 +88,10 @@
         """Address of the operators' port as ``ip:port``."""
         return f"127.0.0.1:{self._ports['operators']}"
 
+    def get_port(self, name: str) -> int:
+        """Return the number of a port."""
+        return self._ports[name]
+
     def populate_store(self) -> None:
         """Write a configuration and the replicas' entries."""
         self.store.write_row("op", "config", make_configuration(1))
