--- a/damasklead/memory_budget.py
+++ b/damasklead/memory_budget.py
@@ -4,19 +4,38 @@
 
 Limits the memory that all messages in progress hold together.  No I/O.
 
-Load pattern: many faulty peers send endless bodies at the same time; small messages of
-sound ones must still succeed.
+``MemoryBudget`` limits the bodies that are being read.  Load pattern: many faulty peers
+send endless bodies at the same time; small messages of sound ones must still succeed.
+
+``MemoryAccount`` covers everything that is held for callers; its limit is derived from
+the instance's memory.  What happens at the limit is decided in ``memory_shortage``.
 """
 
 import math
+from collections.abc import Callable
+from enum import Enum
 from types import TracebackType
 
-__all__ = ["MemoryBudget", "MemoryCharge"]
+from damasklead.clock import Clock
+from damasklead.memory_shortage import (
+    REQUEST_FRACTION,
+    Stage,
+    choose_closed,
+    compute_relay_threshold,
+    has_room_for_request,
+)
+
+__all__ = ["HeldKind", "Holding", "MemoryAccount", "MemoryBudget", "MemoryCharge"]
 
 # Memory for all bodies that are being read, and the size up to which a body may still
 # grow when they exceed it.
 BODY_MEMORY_BYTES = 25_165_824
 SMALL_BODY_BYTES = 262_144
+# Fixed charge of an open connection: greenlet, socket, parser and buffers.
+CONNECTION_BYTES = 24_576
+# Time until the next search for connections to close, after one has found too few: each
+# search looks at all connections.
+SEARCH_INTERVAL_SECONDS = 0.05
 
 
 class MemoryBudget:
@@ -98,3 +117,263 @@
         self._size += size
         self._budget.used_bytes += size
         return not self._budget.must_drop(self._size)
+
+
+class HeldKind(Enum):
+    """
+    What bytes are held for.
+
+    ``CONNECTION``: the fixed charge of an open connection, and that of a request in
+    progress.  ``REQUEST``: bytes received from the caller.  ``RESPONSE``: bytes of a
+    response that the caller's socket has not accepted yet.
+    """
+
+    CONNECTION = "connection"
+    REQUEST = "request"
+    RESPONSE = "response"
+
+
+class MemoryAccount:
+    """
+    All bytes that a process holds for its callers, from the first byte read until the
+    last one has been passed to the caller's socket.
+
+    Parameters
+    ----------
+    clock : Clock
+    limit_bytes : float
+        Limit of the sum; infinite if the instance's memory is not known.
+
+    Attributes
+    ----------
+    limit_bytes : float
+        Limit of the sum, which may change.
+    used_bytes : int
+        Bytes held at present.
+    peak_bytes : int
+        Largest number of bytes held at once.
+    used_by_kind : dict
+        Bytes held at present, by kind.
+    closed_count : int
+        Connections that were closed for the sake of others.
+
+    Examples
+    --------
+    >>> from damasklead.clock import ManualClock
+    >>> account = MemoryAccount(clock=ManualClock(), limit_bytes=100_000)
+    >>> with account.open(close=lambda cause: None) as held:
+    ...     held.hold(HeldKind.RESPONSE, 60_000)
+    ...     held.hold(HeldKind.RESPONSE, 20_000)
+    ...     account.used_bytes - CONNECTION_BYTES
+    True
+    True
+    20000
+    >>> account.used_bytes
+    0
+    """
+
+    def __init__(self, *, clock: Clock, limit_bytes: float = math.inf) -> None:
+        self.limit_bytes = limit_bytes
+        self.used_bytes = self.peak_bytes = 0
+        self.used_by_kind = dict.fromkeys(HeldKind, 0)
+        self.closed_count = 0
+        self._clock = clock
+        self._holdings: set[Holding] = set()
+        self._next_search_at = -math.inf
+
+    @property
+    def is_limited(self) -> bool:
+        """Whether the instance's memory is known."""
+        return self.limit_bytes < math.inf
+
+    @property
+    def connection_count(self) -> int:
+        """Number of open connections."""
+        return len(self._holdings)
+
+    @property
+    def relay_threshold(self) -> int:
+        """Size in bytes above which a response is relayed instead of buffered."""
+        return compute_relay_threshold(
+            used_bytes=self.used_bytes, limit_bytes=self.limit_bytes
+        )
+
+    def open(self, *, close: Callable[[str], None]) -> "Holding":
+        """
+        Return the holding of a new connection, with its fixed charge.
+
+        Parameters
+        ----------
+        close : callable
+            Closes the connection unless it has left the stage that it was in; called
+            with the cause.
+        """
+        holding = Holding(account=self, clock=self._clock, close=close)
+        self._holdings.add(holding)
+        holding.hold(HeldKind.CONNECTION, CONNECTION_BYTES)
+        return holding
+
+    def admit_request(self) -> bool:
+        """
+        Return whether a new request may be sent to a replica.
+
+        Closes slow callers if there is no room.
+        """
+        room_bytes = REQUEST_FRACTION * self.limit_bytes
+        if self.used_bytes <= room_bytes:
+            return True
+        self._relieve(excess_bytes=self.used_bytes - room_bytes)
+        return has_room_for_request(
+            used_bytes=self.used_bytes - self._get_closing_bytes(),
+            limit_bytes=self.limit_bytes,
+        )
+
+    def close_connections(self, count: int) -> int:
+        """
+        Close slow or idle connections; returns the number that are being closed.
+
+        Parameters
+        ----------
+        count : int
+            Number of connections that have to be closed.
+        """
+        self._close(
+            choose_closed(
+                self._holdings, now=self._clock.now(), excess_connections=count
+            ),
+            "descriptors",
+        )
+        return sum(holding.is_closing for holding in self._holdings)
+
+    def _change(self, kind: HeldKind, size: int) -> bool:
+        """Add to a kind; returns whether the sum stays within the limit."""
+        self.used_by_kind[kind] += size
+        self.used_bytes += size
+        if self.used_bytes > self.peak_bytes:
+            self.peak_bytes = self.used_bytes
+        if size <= 0 or self.used_bytes <= self.limit_bytes:
+            return True
+        self._relieve(excess_bytes=self.used_bytes - self.limit_bytes)
+        return self.used_bytes - self._get_closing_bytes() <= self.limit_bytes
+
+    def _get_closing_bytes(self) -> int:
+        return sum(item.held_bytes for item in self._holdings if item.is_closing)
+
+    def _relieve(self, *, excess_bytes: float) -> None:
+        """Close connections until the excess is released."""
+        now = self._clock.now()
+        if now < self._next_search_at:
+            return
+        chosen = choose_closed(self._holdings, now=now, excess_bytes=excess_bytes)
+        self._close(chosen, "memory")
+        if self._get_closing_bytes() < excess_bytes:
+            self._next_search_at = now + SEARCH_INTERVAL_SECONDS
+
+    def _close(self, chosen: "list[Holding]", cause: str) -> None:
+        for holding in chosen:
+            holding.close(cause)
+        self.closed_count += len(chosen)
+
+    def _end(self, holding: "Holding") -> None:
+        self._holdings.discard(holding)
+
+
+class Holding:
+    """
+    What is held for one connection, as a context manager that ends with it.
+
+    Parameters
+    ----------
+    account : MemoryAccount
+    clock : Clock
+    close : callable
+        See ``MemoryAccount.open``.
+    """
+
+    def __init__(
+        self, *, account: MemoryAccount, clock: Clock, close: Callable[[str], None]
+    ) -> None:
+        self._account = account
+        self._clock = clock
+        self._close = close
+        self._by_kind = dict.fromkeys(HeldKind, 0)
+        self._held_bytes = 0
+        self._stage = Stage.IDLE
+        self._waiting_since: float | None = clock.now()
+        self._is_closing = False
+
+    def __enter__(self) -> "Holding":
+        return self
+
+    def __exit__(
+        self,
+        error_type: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self.end()
+
+    @property
+    def stage(self) -> Stage:
+        """What the connection is doing."""
+        return self._stage
+
+    @property
+    def held_bytes(self) -> int:
+        """Bytes held for the connection."""
+        return self._held_bytes
+
+    @property
+    def waiting_since(self) -> float | None:
+        """Clock time since when it is idle or its caller accepts no bytes."""
+        return self._waiting_since
+
+    @property
+    def is_closing(self) -> bool:
+        """Whether the connection is being closed for the sake of others."""
+        return self._is_closing
+
+    def enter(self, stage: Stage) -> None:
+        """Record what the connection does from now on."""
+        self._stage = stage
+        self._is_closing = False
+        self._waiting_since = self._clock.now() if stage is Stage.IDLE else None
+
+    def record_stall(self) -> None:
+        """Record that the caller's socket accepts no more bytes of a response."""
+        if self._waiting_since is None:
+            self._waiting_since = self._clock.now()
+
+    def record_progress(self) -> None:
+        """Record that the caller's socket has accepted bytes of a response."""
+        self._waiting_since = None
+        self._is_closing = False
+
+    def hold(self, kind: HeldKind, size: int) -> bool:
+        """
+        Set the bytes that are held of a kind.
+
+        Returns
+        -------
+        bool
+            Whether they may be held; otherwise the request has to be given up.
+        """
+        change = size - self._by_kind[kind]
+        self._by_kind[kind] = size
+        self._held_bytes += change
+        return self._account._change(kind, change)
+
+    def add(self, kind: HeldKind, size: int) -> bool:
+        """Add to the bytes that are held of a kind; returns whether they may be."""
+        return self.hold(kind, self._by_kind[kind] + size)
+
+    def close(self, cause: str) -> None:
+        """Close the connection for the sake of others."""
+        self._is_closing = True
+        self._close(cause)
+
+    def end(self) -> None:
+        """Release everything that is held."""
+        for kind in HeldKind:
+            self.hold(kind, 0)
+        self._account._end(self)
