--- a/damasklead/experiment/gateways.py
+++ b/damasklead/experiment/gateways.py
@@ -35,8 +35,8 @@
     RunningRequests,
 )
 from damasklead.gateway.placements import Placement
-from damasklead.gateway.proxied_request import MAX_REPLICA_ATTEMPTS, RETRY_AFTER_SECONDS
 from damasklead.gateway.routing import RoutingTable
+from damasklead.gateway.verdict import MAX_REPLICA_ATTEMPTS, RETRY_AFTER_SECONDS
 from damasklead.ids import DataCentre, InstanceId, ServiceName
 from damasklead.rate_limits import RateLimits
 
--- /dev/null
+++ b/damasklead/gateway/verdict.py
@@ -0,0 +1,110 @@
+"""
+Verdict
+=======
+
+Decides after each attempt of a request whether another one may follow, and what the
+caller is told otherwise.  No I/O.
+
+A request that a replica may have executed is repeated only if its route allows it, and
+never gets a status which states that it was not executed.
+"""
+
+from damasklead.failures import Failure
+from damasklead.gateway.calls import Call
+from damasklead.gateway.refusals import Reason, Refusal
+from damasklead.gateway.routing import RouteKind
+
+__all__ = ["MAX_REPLICA_ATTEMPTS", "RETRY_AFTER_SECONDS", "Verdict"]
+
+# Attempts for a request that no replica has executed; a route's ``max_attempts`` bounds
+# those that may have been executed.
+MAX_REPLICA_ATTEMPTS = 4
+# Retry-After when no replica is known or all are full.
+RETRY_AFTER_SECONDS = 0.4
+# An idempotent request is retried when its replica sends no response head within this
+# multiple of the route's latency target, but not before the minimum.
+RESPONSE_TIMEOUT_TARGETS = 2.5
+MIN_RESPONSE_TIMEOUT_SECONDS = 0.25
+# A resumable stream moves to another replica after this fraction of the time that its
+# caller waits for the next event.
+RESUME_TIMEOUT_FRACTION = 0.5
+
+
+class Verdict:
+    """
+    The attempts of one request so far, and what they allow.
+
+    Parameters
+    ----------
+    call : Call
+
+    Attributes
+    ----------
+    attempt_count : int
+        Attempts so far, including those that failed to connect.
+    possible_executions : int
+        Failed attempts that a replica may have executed.
+    is_sent : bool
+        Whether the request was sent in the present attempt.
+    """
+
+    def __init__(self, *, call: Call) -> None:
+        self._call = call
+        self.attempt_count = 0
+        self.possible_executions = 0
+        self.is_sent = False
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a replica may have executed the request."""
+        return self.is_sent or self.possible_executions > 0
+
+    @property
+    def allows_repetition(self) -> bool:
+        """Whether the request may be repeated if the present attempt fails."""
+        route = self._call.route
+        return route.may_repeat and self.possible_executions + 1 < route.max_attempts
+
+    @property
+    def response_timeout(self) -> float | None:
+        """
+        Seconds within which a response head is due.
+
+        ``None`` if only the request's deadline counts: for all but idempotent requests,
+        and for the last execution that the route allows.
+        """
+        route = self._call.route
+        if route.kind is not RouteKind.IDEMPOTENT or not self.allows_repetition:
+            return None
+        return max(
+            MIN_RESPONSE_TIMEOUT_SECONDS, RESPONSE_TIMEOUT_TARGETS * route.target
+        )
+
+    @property
+    def event_timeout(self) -> float:
+        """Seconds that a stream may go without a complete event."""
+        seconds = self._call.stream_idle_timeout
+        return RESUME_TIMEOUT_FRACTION * seconds if self.allows_repetition else seconds
+
+    def record_failure(self, failure: Failure) -> None:
+        """Record that the present attempt has failed."""
+        self.is_sent = False
+        if not failure.rules_out_execution:
+            self.possible_executions += 1
+
+    def may_retry(self, failure: Failure) -> bool:
+        """Return whether the request may be sent again after a failure."""
+        route = self._call.route
+        if failure.rules_out_execution:
+            return self.attempt_count < MAX_REPLICA_ATTEMPTS
+        return route.may_repeat and self.possible_executions < route.max_attempts
+
+    def make_refusal(
+        self, reason: Reason, detail: str, *, retry_after: float = RETRY_AFTER_SECONDS
+    ) -> Refusal:
+        """Return the refusal for a reason, or one that allows for an execution."""
+        if not self.may_have_run:
+            return Refusal(reason=reason, detail=detail, retry_after=retry_after)
+        if reason is not Reason.TIMED_OUT:
+            reason = Reason.UPSTREAM_FAILED
+        return Refusal(reason=reason, detail=detail)
--- a/tests/test_gateway_faulty_replicas.py
+++ b/tests/test_gateway_faulty_replicas.py
@@ -21,8 +21,8 @@
     DepartureLog,
 )
 from damasklead.gateway.directory import UpstreamDirectory
-from damasklead.gateway.proxied_request import MAX_REPLICA_ATTEMPTS
 from damasklead.gateway.replica_state import MAX_PAUSE_SECONDS
+from damasklead.gateway.verdict import MAX_REPLICA_ATTEMPTS
 from damasklead.ids import InstanceId
 from damasklead.memory_budget import MemoryBudget
 from tests.gateway_kit import (
--- a/tests/test_gateway_floods.py
+++ b/tests/test_gateway_floods.py
@@ -19,7 +19,7 @@
     RequestHandler,
 )
 from damasklead.gateway.events import EventSplitter
-from damasklead.gateway.proxied_request import MAX_SPLIT_BYTES
+from damasklead.gateway.response_relay import MAX_SPLIT_BYTES
 from damasklead.gateway.routing import CallerLimits
 from damasklead.gateway.upstream_http import (
     Connection,
--- a/tests/test_package.py
+++ b/tests/test_package.py
@@ -14,8 +14,8 @@
 # Modules that decide only: their callers do the I/O and pass them a clock.
 DECISION_MODULES = (
     "claims", "configuration", "cost_model", "dispatching", "duties", "gossip", "leases",
-    "manifest", "membership", "memory_budget", "memory_shortage", "protocol", "quarantine", "queueing", "replicas",
-    "retry_budget", "sharing",
+    "manifest", "membership", "memory_budget", "memory_shortage", "protocol",
+    "quarantine", "queueing", "replicas", "retry_budget", "sharing",
 )  # fmt: skip
 IO_AND_CLOCK_MODULES = {"gevent", "geventhttpclient", "zmq", "time", "socket"}
 
@@ -86,7 +86,7 @@
 GATEWAY_DECISION_MODULES = (
     "admission", "budget", "calls", "change_log", "crash_containment", "departures",
     "directory", "events", "message_batch", "part_locations", "poll_schedule", "refusals",
-    "replica_state", "routing", "coordination/cellmap", "coordination/cells",
+    "replica_state", "routing", "verdict", "coordination/cellmap", "coordination/cells",
     "coordination/coordinator", "coordination/coordinators", "coordination/messages",
     "placements/base", "placements/engine", "placements/plain", "placements/shared_parts",
 )  # fmt: skip
