--- a/tests/test_package.py
+++ b/tests/test_package.py
@@ -13,8 +13,8 @@
 PACKAGE = Path(__file__).parent.parent / "damasklead"
 # Modules that decide only: their callers do the I/O and pass them a clock.
 DECISION_MODULES = (
-    "claims", "configuration", "cost_model", "dispatching", "duties", "gossip", "leases",
-    "manifest", "membership", "memory_budget", "memory_shortage", "protocol",
+    "body_buffer", "claims", "configuration", "cost_model", "descriptor_budget",
+    "dispatching", "duties", "gossip", "leases", "manifest", "membership", "memory_budget", "memory_shortage", "protocol",
     "quarantine", "queueing", "replicas", "retry_budget", "sharing",
 )  # fmt: skip
 IO_AND_CLOCK_MODULES = {"gevent", "geventhttpclient", "zmq", "time", "socket"}
