--- a/damasklead/gateway/stream_progress.py
+++ b/damasklead/gateway/stream_progress.py
@@ -39,6 +39,10 @@
         """Seconds that the stream may go without a complete event."""
         return self._event_timeout
 
+    def record_pause(self, seconds: float) -> None:
+        """Record that the stream was not read for some time."""
+        self._last_event_at += seconds
+
     def record_data(self, *, events: bool, buffered_bytes: int) -> None:
         """
         Record that bytes of the stream arrived, and check its limits.
--- a/damasklead/gateway/upstream_http.py
+++ b/damasklead/gateway/upstream_http.py
@@ -6,8 +6,9 @@
 yields the response as it arrives.  Parsing is done by h11, I/O by gevent's sockets.
 """
 
+import math
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from io import BytesIO
 
 import gevent
@@ -21,7 +22,7 @@
 from damasklead.memory_budget import MemoryBudget, MemoryCharge
 from damasklead.turns import TurnBudget
 
-__all__ = ["Connection", "ConnectionPool", "SendError"]
+__all__ = ["Connection", "ConnectionLimitError", "ConnectionPool", "SendError"]
 
 RECEIVE_BYTES = 65_536
 # Connect timeout; replicas are on the same network and accept within milliseconds.
@@ -63,6 +64,10 @@
         self.failure = failure
 
 
+class ConnectionLimitError(SendError):
+    """No further connection may be opened; no failure of the replica."""
+
+
 class Connection:
     """
     A connection to a replica, for one request at a time.
@@ -73,6 +78,8 @@
         ``ip:port`` of the replica.
     raw : socket
         The open TCP connection.
+    on_close : callable
+        Called when the connection is closed.
 
     Attributes
     ----------
@@ -81,8 +88,15 @@
         reported it on this connection; ``None`` if it was not asked.
     """
 
-    def __init__(self, *, address: str, raw: socket.socket) -> None:
+    def __init__(
+        self,
+        *,
+        address: str,
+        raw: socket.socket,
+        on_close: Callable[[], None] = lambda: None,
+    ) -> None:
         self.incarnation: int | None = None
+        self._on_close = on_close
         self._address = address
         self._socket = raw
         self._http = h11.Connection(h11.CLIENT)
@@ -95,6 +109,8 @@
         self._has_ended = False
         self._is_unframed = False
         self._is_reused = False
+        self._body_length: int | None = None
+        self._receive_bytes = RECEIVE_BYTES
 
     @property
     def address(self) -> str:
@@ -136,6 +152,15 @@
             return True
         return states == (h11.DONE, h11.DONE) and not self._http.trailing_data[0]
 
+    @property
+    def body_length(self) -> int | None:
+        """Length of the response's body in bytes, if its head states one."""
+        return self._body_length
+
+    def limit_receive(self, size: int) -> None:
+        """Receive at most some bytes of the present response at once."""
+        self._receive_bytes = size
+
     def send_request(
         self, *, method: str, target: str, headers: Sequence[Header], body: bytes
     ) -> None:
@@ -159,7 +184,7 @@
         if len(body) <= MAX_BLOCKING_SEND_BYTES:
             self._send_all(head + body)
         else:
-            self._writer = gevent.spawn(self._send_in_background, head + body)
+            self._writer = gevent.spawn(self._send_in_background, head, body)
 
     def read_head(self) -> h11.Response:
         """
@@ -175,6 +200,7 @@
             if isinstance(event, h11.Response):
                 names = {name for name, _ in event.headers}
                 self._is_unframed = names.isdisjoint(_FRAMING_HEADERS)
+                self._body_length = _get_body_length(event)
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise SendError(Failure.BROKEN, f"unexpected {type(event).__name__}")
@@ -283,6 +309,7 @@
             the next one.
         """
         self.set_read_timeout(None)
+        self._receive_bytes = RECEIVE_BYTES
         if self._http.our_state is not h11.IDLE:
             self._http.start_next_cycle()
             self._is_reused = self._is_reused or is_reuse
@@ -292,6 +319,7 @@
         """Close the connection, which cancels a request that runs on the replica."""
         if not self._closed:
             self._closed = True
+            self._on_close()
             if self._writer is not None:
                 self._writer.kill(block=False)
             self._socket.close()
@@ -313,7 +341,7 @@
     def _receive(self) -> int:
         """Receive data once and pass it to the parser; returns its length."""
         try:
-            data = self._socket.recv(RECEIVE_BYTES)
+            data = self._socket.recv(self._receive_bytes)
         except TimeoutError as error:
             raise SendError(Failure.TIMED_OUT, "no data within the timeout") from error
         except OSError as error:
@@ -336,7 +364,15 @@
             raise SendError(Failure.BROKEN, f"send: {error}") from error
         self._is_sent = True
 
-    def _send_in_background(self, data: bytes) -> None:
+    def _send_in_background(self, head: bytes, body: bytes) -> None:
+        # Only the first piece of the body is copied.
+        if self._send_pieces(head + body[:MAX_SEND_BYTES]) and self._send_pieces(
+            memoryview(body)[MAX_SEND_BYTES:]
+        ):
+            self._is_sent = True
+
+    def _send_pieces(self, data: bytes | memoryview) -> bool:
+        """Send data piece by piece; returns whether the connection has not ended."""
         turn = TurnBudget()
         unsent = memoryview(data)
         while unsent:
@@ -348,10 +384,18 @@
             except OSError:
                 # The reader reports a failure, since an early response may still
                 # arrive.
-                return
+                return False
             unsent = unsent[sent_bytes:]
             turn.spend(size=sent_bytes)
-        self._is_sent = True
+        return True
+
+
+def _get_body_length(head: h11.Response) -> int | None:
+    """Return the length that a head states; a transfer coding takes precedence."""
+    headers = dict(head.headers)
+    if b"transfer-encoding" in headers or b"content-length" not in headers:
+        return None
+    return int(headers[b"content-length"])
 
 
 class ConnectionPool:
@@ -362,10 +406,19 @@
     ----------
     clock : Clock
         Measures how long connections have been idle.
+    get_max_connections : callable
+        Returns the largest number of open connections, idle ones included.
     """
 
-    def __init__(self, *, clock: Clock) -> None:
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        get_max_connections: Callable[[], float] = lambda: math.inf,
+    ) -> None:
         self._clock = clock
+        self._get_max_connections = get_max_connections
+        self._open_count = 0
         self._idle: dict[str, deque[tuple[float, Connection]]] = {}
         self._opened = 0
         self._max_idle = MAX_IDLE_CONNECTIONS
@@ -402,6 +455,8 @@
         ------
         SendError
             ``NOT_SENT`` when the connection can't be opened.
+        ConnectionLimitError
+            When all connections that may be open are in use.
         """
         idle = self._idle.get(address)
         now = self._clock.now()
@@ -470,10 +525,45 @@
                 connection.close()
         self._idle.clear()
 
+    @property
+    def open_count(self) -> int:
+        """Number of open connections, idle ones included."""
+        return self._open_count
+
+    def _make_room(self) -> None:
+        """
+        Close the idle connections that exceed the limit with a further one.
+
+        Raises
+        ------
+        ConnectionLimitError
+            When too few of the connections are idle.
+        """
+        excess = self._open_count + 1 - self._get_max_connections()
+        for address in list(self._idle):
+            idle = self._idle[address]
+            while idle and excess > 0:
+                idle.popleft()[1].close()
+                excess -= 1
+            if not idle:
+                del self._idle[address]
+        if excess > 0:
+            raise ConnectionLimitError(
+                Failure.NOT_SENT, "too many connections to replicas"
+            )
+
+    def _record_close(self) -> None:
+        self._open_count -= 1
+
     def _open(self, address: str) -> Connection:
+        self._make_room()
+        self._open_count += 1
         try:
             raw = connect(address, timeout=CONNECT_TIMEOUT_SECONDS)
-        except OSError as error:
+        except BaseException as error:
+            self._open_count -= 1
+            if not isinstance(error, OSError):
+                raise
             raise SendError(Failure.NOT_SENT, f"connect: {error}") from error
         self._opened += 1
-        return Connection(address=address, raw=raw)
+        return Connection(address=address, raw=raw, on_close=self._record_close)
