--- a/damasklead/gateway/callers.py
+++ b/damasklead/gateway/callers.py
@@ -6,24 +6,42 @@
 sends the responses.  Parsing is done by h11, I/O by gevent's sockets.
 """
 
+import struct
 from abc import ABC, abstractmethod
 from collections.abc import Callable, Iterable, Sequence
-from enum import Enum
-from io import BytesIO
 from typing import Any
 
 import gevent
 import h11
 from gevent import socket
 
+from damasklead.body_buffer import BodyBuffer
 from damasklead.clock import Clock
+from damasklead.gateway.caller_sender import (
+    CallerClosed,
+    CallerDisconnected,
+    CallerSender,
+)
 from damasklead.gateway.calls import Header
 from damasklead.gateway.routing import CallerLimits
 from damasklead.gateway.sockets import is_readable, set_tcp_options
-from damasklead.memory_budget import MemoryBudget, MemoryCharge
+from damasklead.memory_budget import (
+    HeldKind,
+    Holding,
+    MemoryAccount,
+    MemoryBudget,
+    MemoryCharge,
+)
+from damasklead.memory_shortage import Stage
 from damasklead.turns import TurnBudget
 
-__all__ = ["CallerConnection", "CallerDisconnected", "RawRequest", "RequestHandler"]
+__all__ = [
+    "CallerClosed",
+    "CallerConnection",
+    "CallerDisconnected",
+    "RawRequest",
+    "RequestHandler",
+]
 
 RECEIVE_BYTES = 65_536
 # Bytes of pipelined requests that are buffered while a request is being answered.
@@ -32,10 +50,10 @@
 MAX_SCARCE_PIPELINED_BYTES = 4_096
 # Retry-After of a request that found no memory for its body.
 OUT_OF_MEMORY_RETRY_SECONDS = 0.5
-
-
-class CallerDisconnected(BaseException):
-    """The caller closed its connection; raised in the greenlet that serves it."""
+# Longest response that is copied in order to pass it to the system in one call.
+MAX_JOINED_BYTES = 16_384
+# Linger option with which closing a connection resets it and drops what is queued.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 class _OutOfMemory(Exception):
@@ -46,14 +64,6 @@
     """The process closes an idle connection; ends the wait for its next request."""
 
 
-class ConnectionState(Enum):
-    """Whether a caller's connection is idle, reads a request or sends a response."""
-
-    IDLE = "idle"
-    READING = "reading"
-    ANSWERING = "answering"
-
-
 class RawRequest:
     """
     A request as it was read from the connection, before it is decoded.
@@ -113,6 +123,16 @@
         Returns whether the process is stopping; responses then close the connection.
     memory : MemoryBudget
         Budget of the requests on all connections, from their bodies to their responses.
+    account : MemoryAccount or None
+        Account of all bytes held for callers.  If it is limited, so are the sends to
+        this caller.
+    get_stall_seconds : callable
+        Returns the seconds without an accepted byte after which a caller is
+        disconnected; ``None`` for the configured idle timeout if the account is
+        limited, and for no such limit otherwise.
+    on_closed : callable or None
+        Called with the cause when the connection is closed since its caller is slow, or
+        for the sake of others.
 
     Attributes
     ----------
@@ -129,8 +149,24 @@
         clock: Clock,
         is_stopping: Callable[[], bool],
         memory: MemoryBudget,
+        account: MemoryAccount | None = None,
+        get_stall_seconds: Callable[[], float | None] = lambda: None,
+        on_closed: Callable[[str], None] | None = None,
     ) -> None:
         self._memory = memory
+        self._account = account or MemoryAccount(clock=clock)
+        self._on_closed = on_closed
+        self._holding = self._account.open(close=self._close_for_others)
+        self._sender: CallerSender | None = None
+        if self._account.is_limited or get_stall_seconds() is not None:
+            self._sender = CallerSender(
+                raw=raw,
+                clock=clock,
+                holding=self._holding,
+                get_stall_seconds=lambda: (
+                    get_stall_seconds() or handler.limits().idle_seconds
+                ),
+            )
         self._socket = raw
         self._handler = handler
         self._clock = clock
@@ -139,16 +175,35 @@
             h11.SERVER, max_incomplete_event_size=handler.limits().head_bytes
         )
         self._turn = TurnBudget()
-        self._state = ConnectionState.IDLE
         self._idle_watcher: Any = None
         self._half_closed = False
         self._head_sent = False
         self.cancel_on_disconnect = True
 
     @property
-    def state(self) -> ConnectionState:
-        """Whether the connection is idle, reads a request or sends a response."""
-        return self._state
+    def stage(self) -> Stage:
+        """What the connection is doing."""
+        return self._holding.stage
+
+    @property
+    def holding(self) -> Holding:
+        """What is held for the connection."""
+        return self._holding
+
+    @property
+    def is_limited(self) -> bool:
+        """Whether the bytes held for this and all other callers are limited."""
+        return self._account.is_limited
+
+    @property
+    def longest_wait_seconds(self) -> float:
+        """Longest time that the caller has held up the present response."""
+        return 0.0 if self._sender is None else self._sender.longest_wait_seconds
+
+    @property
+    def waited_seconds(self) -> float:
+        """Time that the caller has held up its responses."""
+        return 0.0 if self._sender is None else self._sender.waited_seconds
 
     @property
     def head_sent(self) -> bool:
@@ -159,12 +214,36 @@
         """Serve requests one after the other until the connection ends."""
         try:
             set_tcp_options(self._socket)
+            if self._sender is not None:
+                self._sender.set_options()
+            if self._account.is_exceeded:
+                self._refuse_connection("memory")
+                return
+            self._holding.enter(Stage.IDLE)
             while self._serve_request():
                 pass
+            if self._holding.is_closing:
+                self._report_closed(self._holding.closing_cause)
+        except CallerClosed as error:
+            self._reset()
+            self._report_closed(error.cause)
         except (CallerDisconnected, OSError):
             pass  # the caller has disconnected, so no response can be sent
         finally:
+            if self._sender is not None:
+                self._sender.prepare_close()
             self._socket.close()
+            self._holding.end()
+
+    def refuse(self) -> None:
+        """Refuse the connection since there are too many, and close it."""
+        try:
+            self._refuse_connection("descriptors")
+        except OSError:
+            pass  # the caller has disconnected
+        finally:
+            self._socket.close()
+            self._holding.end()
 
     def close_if_idle(self) -> None:
         """
@@ -190,28 +269,71 @@
         head = self._render_head(status, framed, close=close)
         data = self._http.send(h11.Data(data=body)) or b""
         end = self._http.send(h11.EndOfMessage()) or b""
-        self._socket.sendall(head + data + end)
+        if self._sender is None or len(data) <= MAX_JOINED_BYTES:
+            self._send(head + data + end)
+        else:
+            self._send(head + data[:MAX_JOINED_BYTES])
+            self._send(memoryview(data)[MAX_JOINED_BYTES:])
+            self._send(end)
 
     def start_response(
         self, status: int, headers: Sequence[Header], data: bytes
     ) -> None:
-        """Send the head and the first body bytes of a response of unknown length."""
+        """
+        Send the head and the first bytes of a response that is relayed as it arrives.
+
+        Its body is chunked unless the headers state a length.
+        """
         head = self._render_head(status, headers, close=False)
-        self._socket.sendall(head + (self._http.send(h11.Data(data=data)) or b""))
+        self._send(head + (self._http.send(h11.Data(data=data)) or b""))
 
     def send_body_data(self, data: bytes) -> None:
         """Send further bytes of the response's body."""
-        self._socket.sendall(self._http.send(h11.Data(data=data)) or b"")
+        self._send(self._http.send(h11.Data(data=data)) or b"")
 
     def end_response(self) -> None:
         """Mark the response as complete."""
-        self._socket.sendall(self._http.send(h11.EndOfMessage()) or b"")
+        self._send(self._http.send(h11.EndOfMessage()) or b"")
 
     def abort(self) -> None:
         """Close the connection without marking the response as complete."""
+        if self._http.their_http_version == b"1.0":
+            # The end of the connection would mark it.
+            self._reset()
         self._http.send_failed()
         self._socket.close()
 
+    def _send(self, data: bytes | memoryview) -> None:
+        if self._sender is None:
+            self._socket.sendall(data)
+        else:
+            self._sender.send(data)
+
+    def _reset(self) -> None:
+        """Make the end of the connection a reset, which drops what is queued."""
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+
+    def _refuse_connection(self, cause: str) -> None:
+        self._report_closed(cause)
+        self._send_error(
+            503, "too many connections", retry_after=OUT_OF_MEMORY_RETRY_SECONDS
+        )
+
+    def _report_closed(self, cause: str) -> None:
+        if self._on_closed is not None:
+            self._on_closed(cause)
+
+    def _close_for_others(self, cause: str) -> None:
+        """Close the connection for the sake of others, unless its stage changes."""
+        stage = self._holding.stage
+        if stage is Stage.IDLE:
+            self.close_if_idle()
+        elif stage is Stage.READING:
+            # Has no effect if the wait has already ended.
+            socket.cancel_wait(self._socket._read_event, TimeoutError())
+        elif stage is Stage.SENDING and self._sender is not None:
+            self._sender.cancel(cause)
+
     def _render_head(
         self, status: int, headers: Sequence[Header], *, close: bool
     ) -> bytes:
@@ -219,6 +341,8 @@
         if close or self._is_stopping():
             all_headers.append((b"Connection", b"close"))
         self._head_sent = True
+        if self._holding.stage is not Stage.SENDING:
+            self._holding.enter(Stage.SENDING)
         return (
             self._http.send(h11.Response(status_code=status, headers=all_headers))
             or b""
@@ -228,8 +352,11 @@
         """Read and serve one request; returns whether another may follow."""
         self._head_sent = False
         self.cancel_on_disconnect = True
+        self._holding.hold(HeldKind.REQUEST, len(self._http.trailing_data[0]))
         with MemoryCharge(budget=self._memory) as charge:
-            return self._read_and_handle(charge)
+            may_continue = self._read_and_handle(charge)
+        self._holding.end_request()
+        return may_continue
 
     def _read_and_handle(self, charge: MemoryCharge) -> bool:
         try:
@@ -238,7 +365,9 @@
             self._send_error(error.error_status_hint, str(error))
             return False
         except TimeoutError:
-            if self._state is ConnectionState.READING:
+            if self._holding.is_closing:
+                self._report_closed(self._holding.closing_cause)
+            if self._holding.stage is Stage.READING:
                 self._send_error(408, "the request did not arrive in time")
             return False
         except _OutOfMemory:
@@ -248,7 +377,10 @@
             return False
         if request is None:
             return False
-        self._state = ConnectionState.ANSWERING
+        self._holding.enter(Stage.WAITING)
+        self._holding.begin_request()
+        if self._sender is not None:
+            self._sender.longest_wait_seconds = 0.0
         disconnect_watcher = gevent.spawn(
             self._watch_for_disconnect, gevent.getcurrent(), charge
         )
@@ -266,7 +398,7 @@
         if self._http.their_state is not h11.DONE or self._is_stopping():
             return False
         self._http.start_next_cycle()
-        self._state = ConnectionState.IDLE
+        self._holding.enter(Stage.IDLE)
         return True
 
     def _read_request(self, charge: MemoryCharge) -> RawRequest | None:
@@ -298,6 +430,8 @@
 
     def _wait_for_request(self, seconds: float) -> bool:
         """Wait for a request's first byte; returns whether there is data to read."""
+        if self._holding.is_closing:
+            return is_readable(self._socket)
         watcher = self._idle_watcher = gevent.get_hub().loop.io(
             self._socket.fileno(), 1
         )
@@ -314,16 +448,16 @@
         if self._http.they_are_waiting_for_100_continue:
             continue_response = h11.InformationalResponse(status_code=100, headers=[])
             self._socket.sendall(self._http.send(continue_response) or b"")
-        body = BytesIO()
+        body = BodyBuffer()
         self._socket.settimeout(limits.idle_seconds)
         while True:
             event = self._next_event(limits)
             if isinstance(event, h11.EndOfMessage):
-                return body.getvalue()
+                return body.take()
             if not isinstance(event, h11.Data):
                 raise CallerDisconnected
-            body.write(event.data)
-            if body.tell() > limits.body_bytes:
+            body.add(event.data)
+            if body.size > limits.body_bytes:
                 raise h11.RemoteProtocolError("body is too long", 413)
             if not charge.add(len(event.data)):
                 raise _OutOfMemory
@@ -340,6 +474,8 @@
                 return event
             if self._http.trailing_data[0] and started_at is None:
                 started_at = self._start_reading(limits)
+            if self._holding.is_closing:
+                raise TimeoutError
             if started_at is not None:
                 remaining = started_at + limits.head_seconds - self._clock.now()
                 if remaining <= 0:
@@ -350,9 +486,11 @@
                 started_at = self._start_reading(limits)
             self._http.receive_data(data)
             received_bytes = len(data)
+            if not self._holding.add(HeldKind.REQUEST, received_bytes):
+                raise _OutOfMemory
 
     def _start_reading(self, limits: CallerLimits) -> float:
-        self._state = ConnectionState.READING
+        self._holding.enter(Stage.READING)
         return self._clock.now()
 
     def _send_error(
@@ -372,7 +510,7 @@
         """Cancel the request when its caller disconnects; buffer pipelined ones."""
         turn = TurnBudget()
         pipelined_bytes = len(self._http.trailing_data[0])
-        has_memory = charge.add(pipelined_bytes)
+        has_memory = charge.add(pipelined_bytes) and not self._account.is_exceeded
         while pipelined_bytes < (
             MAX_PIPELINED_BYTES if has_memory else MAX_SCARCE_PIPELINED_BYTES
         ):
@@ -387,6 +525,7 @@
                 return
             pipelined_bytes += len(data)
             has_memory = charge.add(len(data))
+            has_memory &= self._holding.add(HeldKind.REQUEST, len(data))
             self._http.receive_data(data)
             turn.spend(size=len(data))
 
--- a/damasklead/gateway/context.py
+++ b/damasklead/gateway/context.py
@@ -20,7 +20,7 @@
 from damasklead.gateway.stop_schedule import StopSchedule
 from damasklead.gateway.stream_origins.registry import OriginRegistry
 from damasklead.gateway.upstream_http import ConnectionPool
-from damasklead.memory_budget import MemoryBudget
+from damasklead.memory_budget import MemoryAccount, MemoryBudget
 from damasklead.rate_limits import RateLimits
 
 __all__ = ["GatewayContext"]
@@ -57,7 +57,10 @@
         Called with a replica that is leaving or gone, and a text that describes how
         this was detected.
     response_memory : MemoryBudget
-        Limits the total size of the response bodies that are being read.
+        Limits the total size of the response bodies that are being read, if the account
+        is not limited.
+    account : MemoryAccount
+        All bytes held for callers.
     """
 
     dialect: Dialect
@@ -72,4 +75,5 @@
     origins: OriginRegistry
     stop_schedule: StopSchedule
     on_replica_left: Callable[[UpstreamRecord, str], None]
+    account: MemoryAccount
     response_memory: MemoryBudget = msgspec.field(default_factory=MemoryBudget)
--- a/damasklead/gateway/forwarding.py
+++ b/damasklead/gateway/forwarding.py
@@ -11,6 +11,7 @@
 import gevent
 
 from damasklead.gateway.callers import (
+    CallerClosed,
     CallerConnection,
     CallerDisconnected,
     RawRequest,
@@ -31,6 +32,8 @@
 
 # Retry-After before the first configuration is read, which takes about this long.
 NO_CONFIGURATION_RETRY_SECONDS = 0.5
+# Retry-After of a request that finds no memory: slow callers are closed after a second.
+MEMORY_RETRY_SECONDS = 1.0
 # Retry-After while this gateway stops: another one takes the request.
 STOPPING_RETRY_SECONDS = 0.05
 
@@ -154,7 +157,17 @@
         # it can't be undone, and the caller may still read the response.
         connection.cancel_on_disconnect = call.route.kind is not RouteKind.ONCE
         if not self._context.stop_schedule.accepts(call):
-            self._refuse_while_stopping(call, connection)
+            self._refuse_unsent(
+                call, connection, Reason.STOPPING, retry_after=STOPPING_RETRY_SECONDS
+            )
+            return
+        if not self._context.account.admit_request():
+            self._refuse_unsent(
+                call,
+                connection,
+                Reason.MEMORY_SHORTAGE,
+                retry_after=MEMORY_RETRY_SECONDS,
+            )
             return
         self._context.budget.record_first_attempt(call.service)
         proxied_request = ProxiedRequest(
@@ -172,7 +185,7 @@
         except _DeadlineExceeded:
             refusal = proxied_request.handle_timeout()
         except (CallerDisconnected, OSError) as error:
-            self._record_disconnect(call, proxied_request, error)
+            self._record_disconnect(call, proxied_request, connection, error)
             raise
         finally:
             timer.close()
@@ -183,13 +196,16 @@
         else:
             self._refuse_call(call, proxied_request, refusal, connection)
 
-    def _refuse_while_stopping(self, call: Call, connection: CallerConnection) -> None:
-        """Refuse a request that might not end before the process does."""
-        refusal = Refusal(
-            reason=Reason.STOPPING,
-            attempt=call.id,
-            retry_after=STOPPING_RETRY_SECONDS,
-        )
+    def _refuse_unsent(
+        self,
+        call: Call,
+        connection: CallerConnection,
+        reason: Reason,
+        *,
+        retry_after: float,
+    ) -> None:
+        """Refuse a request for which no replica is looked for."""
+        refusal = Refusal(reason=reason, attempt=call.id, retry_after=retry_after)
         self._metrics.count_refusal(call, refusal)
         self._context.journal.event(
             "refused",
@@ -197,13 +213,32 @@
             route=call.route.name,
             reason=refusal.reason.value,
             status=refusal.status,
-            retry_after=refusal.retry_after or 0.0,
+            retry_after=retry_after,
         )
         self._send_refusal(refusal, connection)
 
     def _record_disconnect(
-        self, call: Call, proxied_request: ProxiedRequest, error: BaseException
+        self,
+        call: Call,
+        proxied_request: ProxiedRequest,
+        connection: CallerConnection,
+        error: BaseException,
     ) -> None:
+        if isinstance(error, CallerClosed):
+            self._context.journal.event(
+                "caller-closed",
+                request=call.id,
+                route=call.route.name,
+                replica=proxied_request.replica,
+                cause=error.cause,
+                held=connection.holding.held_bytes,
+                held_by_all=self._context.account.used_bytes,
+                limit=self._context.account.limit_bytes,
+                waited=connection.waited_seconds,
+                events=proxied_request.event_count,
+                seconds=self._context.clock.now() - call.arrival,
+            )
+            return
         self._metrics.count_disconnect(call)
         self._context.journal.event(
             "caller-gone",
@@ -258,6 +293,7 @@
             events=proxied_request.event_count,
             prompt=call.head.prompt_tokens,
             assigned=proxied_request.first_assignment_seconds,
+            held=connection.holding.held_bytes,
             seconds=self._context.clock.now() - call.arrival,
         )
         if connection.head_sent:
--- a/damasklead/gateway/listeners.py
+++ b/damasklead/gateway/listeners.py
@@ -6,7 +6,9 @@
 and metrics ports.
 """
 
+import math
 import socket as standard_socket
+import sys
 from collections.abc import Callable
 
 import gevent
@@ -23,7 +25,7 @@
 from damasklead.gateway.routing import CallerLimits
 from damasklead.gateway.snapshot import SNAPSHOT_PATH, Snapshot
 from damasklead.listening_socket import BACKLOG
-from damasklead.memory_budget import MemoryBudget
+from damasklead.memory_budget import MemoryAccount, MemoryBudget
 from damasklead.util import split_address
 
 __all__ = ["Listener", "ReadyHandler", "StatusHandler"]
@@ -31,6 +33,9 @@
 DRAIN_POLL_SECONDS = 0.05
 # Memory for the bodies of all callers' requests, however small these are.
 REQUEST_MEMORY_BYTES = 33_554_432
+# Connections accepted in one go where their number is limited; those beyond the limit
+# are open until their greenlets run.
+MAX_ACCEPTED_AT_ONCE = 8
 # Consecutive polls without an open connection after which a drain is complete.
 REQUIRED_IDLE_POLLS = 2
 
@@ -50,6 +55,15 @@
         Returns whether the process is stopping.
     listening_socket : socket or None
         Socket that already listens; it is used if it is bound to the address.
+    account : MemoryAccount or None
+        Account of all bytes held for callers; by default one of its own, unlimited.
+    get_stall_seconds : callable
+        Returns the seconds without an accepted byte after which a caller is
+        disconnected; see ``CallerConnection``.
+    get_max_connections : callable
+        Returns the largest number of connections.
+    on_closed : callable or None
+        Called with the cause when the connection of a caller is closed or refused.
     """
 
     def __init__(
@@ -60,7 +74,15 @@
         clock: Clock,
         is_stopping: Callable[[], bool],
         listening_socket: standard_socket.socket | None = None,
+        account: MemoryAccount | None = None,
+        get_stall_seconds: Callable[[], float | None] = lambda: None,
+        get_max_connections: Callable[[], float] = lambda: math.inf,
+        on_closed: Callable[[str], None] | None = None,
     ) -> None:
+        self._account = account or MemoryAccount(clock=clock)
+        self._get_stall_seconds = get_stall_seconds
+        self._get_max_connections = get_max_connections
+        self._on_closed = on_closed
         self._address = address
         self._listening_socket = listening_socket
         self._handler = handler
@@ -68,7 +90,11 @@
         self._is_stopping = is_stopping
         self._server: StreamServer | None = None
         self._connections: set[CallerConnection] = set()
-        self._memory = MemoryBudget(hard_limit_bytes=REQUEST_MEMORY_BYTES)
+        self._memory = (
+            MemoryBudget(limit_bytes=sys.maxsize)
+            if self._account.is_limited
+            else MemoryBudget(hard_limit_bytes=REQUEST_MEMORY_BYTES)
+        )
 
     @property
     def connection_count(self) -> int:
@@ -83,6 +109,8 @@
             self._server = StreamServer(address, self._serve, backlog=BACKLOG)
         else:
             self._server = StreamServer(listening_socket, self._serve)
+        if self._get_max_connections() < math.inf:
+            self._server.max_accept = MAX_ACCEPTED_AT_ONCE
         self._server.start()
 
     def stop(self) -> None:
@@ -139,14 +167,26 @@
             fileno=listening_socket.detach(),
         )
 
+    def _make_room(self) -> bool:
+        """Close connections beyond the limit; returns whether a new one is served."""
+        excess = len(self._connections) + 1 - self._get_max_connections()
+        return excess <= 0 or self._account.close_connections(int(excess)) >= excess
+
     def _serve(self, raw: socket.socket, _peer: object) -> None:
+        has_room = self._make_room()
         connection = CallerConnection(
             raw=raw,
             handler=self._handler,
             clock=self._clock,
             is_stopping=self._is_stopping,
             memory=self._memory,
+            account=self._account,
+            get_stall_seconds=self._get_stall_seconds,
+            on_closed=self._on_closed,
         )
+        if not has_room:
+            connection.refuse()
+            return
         self._connections.add(connection)
         try:
             connection.serve()
--- a/damasklead/gateway/metrics.py
+++ b/damasklead/gateway/metrics.py
@@ -44,6 +44,29 @@
             ["service"],
             registry=self.registry,
         )
+        self._callers_closed = Counter(
+            "damasklead_callers_closed",
+            "Connections of slow or idle callers closed or refused, by cause",
+            ["cause"],
+            registry=self.registry,
+        )
+        self.held_bytes = Gauge(
+            "damasklead_held_bytes",
+            "Bytes held for callers, by kind",
+            ["kind"],
+            registry=self.registry,
+        )
+        self.held_bytes_limit = Gauge(
+            "damasklead_held_bytes_limit",
+            "Limit of the bytes held for callers",
+            registry=self.registry,
+        )
+        self.open_connections = Gauge(
+            "damasklead_open_connections",
+            "Open connections, from callers and to replicas",
+            ["side"],
+            registry=self.registry,
+        )
         self._first_byte = Histogram(
             "damasklead_first_byte_seconds",
             "Seconds from a request's head to its answer's first byte",
@@ -131,6 +154,10 @@
         """Count a request whose caller disconnected before the response's end."""
         self._disconnects.labels(call.service).inc()
 
+    def count_closed_caller(self, cause: str) -> None:
+        """Count a connection that was closed since its caller was slow or idle."""
+        self._callers_closed.labels(cause).inc()
+
     def render(self) -> bytes:
         """Return the metrics in Prometheus' text exposition format."""
         return generate_latest(self.registry)
--- a/damasklead/gateway/process.py
+++ b/damasklead/gateway/process.py
@@ -6,15 +6,18 @@
 graceful stop.
 """
 
+import math
 import os
 import signal
 import socket
 from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 
 import gevent
 from gevent.event import Event
 
+from damasklead.descriptor_budget import make_descriptor_budget
 from damasklead.gateway.budget import SharedRetryBudget
 from damasklead.gateway.callers import RequestHandler
 from damasklead.gateway.calls import UpstreamRecord
@@ -36,6 +39,9 @@
 from damasklead.gateway.upstream_http import ConnectionPool
 from damasklead.ids import DataCentre, ServiceName
 from damasklead.loop import LoopClock
+from damasklead.memory_budget import HeldKind, MemoryAccount
+from damasklead.memory_shortage import compute_memory_limit
+from damasklead.process_memory import read_resident_bytes
 from damasklead.supervision import Child, ServerChild, Supervisor, TaskChild
 
 __all__ = ["GatewayProcess"]
@@ -90,7 +96,13 @@
         self._link = open_link(settings.platform)
         self._directory = UpstreamDirectory(clock=self._clock)
         self._placements: dict[ServiceName, Placement] = {}
-        self._connections = ConnectionPool(clock=self._clock)
+        self._account = MemoryAccount(clock=self._clock)
+        self._descriptors = make_descriptor_budget(settings.max_descriptors)
+        self._update_limits()
+        self._connections = ConnectionPool(
+            clock=self._clock,
+            get_max_connections=lambda: self._descriptors.upstream_connections,
+        )
         self._budget = SharedRetryBudget(
             clock=self._clock,
             ratio=settings.bounds.retry_ratio,
@@ -126,14 +138,23 @@
                 origins=self._fleet.origins,
                 stop_schedule=self._stop_schedule,
                 on_replica_left=self._handle_departure,
+                account=self._account,
             ),
             placement_of=self._get_placement,
             table=lambda: self._fleet.configuration.table,
             metrics=self._metrics,
             gate=self._gate,
         )
-        self._caller_listener = self._create_listener(
-            settings.listen.callers, self._forwarder, listening_socket=caller_socket
+        self._caller_listener = Listener(
+            listening_socket=caller_socket,
+            address=settings.listen.callers,
+            handler=self._forwarder,
+            clock=self._clock,
+            is_stopping=lambda: self._is_stopping,
+            account=self._account,
+            get_stall_seconds=lambda: self._settings.send_stall_seconds,
+            get_max_connections=lambda: self._descriptors.caller_connections,
+            on_closed=self._metrics.count_closed_caller,
         )
         self._tree = self._build_tree()
         self._bind_gauges()
@@ -225,6 +246,7 @@
             gevent.sleep(MAINTENANCE_INTERVAL_SECONDS)
             self._fleet.upstreams.expire()
             self._connections.close_expired()
+            self._update_limits()
             self._fleet.containment.update_quarantine()
             if self._fleet.is_gateway_count_known:
                 self._apply_gateway_count(self._fleet.gateway_count)
@@ -287,15 +309,21 @@
         self._connections.close_idle(record.address)
         self._fleet.record_departure(record, sign)
 
-    def _create_listener(
-        self,
-        address: str,
-        handler: RequestHandler,
-        *,
-        listening_socket: socket.socket | None = None,
-    ) -> Listener:
+    def _update_limits(self) -> None:
+        """Derive the limits on callers from the instance's memory and descriptors."""
+        settings = self._settings
+        self._descriptors = make_descriptor_budget(settings.max_descriptors)
+        if settings.memory_megabytes is None:
+            self._account.limit_bytes = math.inf
+            return
+        self._account.limit_bytes = compute_memory_limit(
+            memory_bytes=1_000_000 * settings.memory_megabytes,
+            resident_bytes=read_resident_bytes(),
+            peak_held_bytes=self._account.peak_bytes,
+        )
+
+    def _create_listener(self, address: str, handler: RequestHandler) -> Listener:
         return Listener(
-            listening_socket=listening_socket,
             address=address,
             handler=handler,
             clock=self._clock,
@@ -333,6 +361,17 @@
         metrics.crash_causes.set_function(
             lambda: len(self._fleet.containment.refused_fingerprints)
         )
+        for kind in HeldKind:
+            metrics.held_bytes.labels(kind.value).set_function(
+                partial(self._account.used_by_kind.__getitem__, kind)
+            )
+        metrics.held_bytes_limit.set_function(lambda: self._account.limit_bytes)
+        metrics.open_connections.labels("callers").set_function(
+            lambda: self._caller_listener.connection_count
+        )
+        metrics.open_connections.labels("replicas").set_function(
+            lambda: self._connections.open_count
+        )
         metrics.log_lines_dropped.set_function(lambda: self._journal.dropped_count)
         for follower in (self._fleet.configuration, self._fleet.upstreams):
             metrics.feed_age.labels(follower.name).set_function(follower.get_age)
--- a/damasklead/gateway/proxied_request.py
+++ b/damasklead/gateway/proxied_request.py
@@ -13,8 +13,9 @@
 from damasklead.gateway.placements import Placement
 from damasklead.gateway.refusals import Reason, Refusal, get_refusal_reason
 from damasklead.gateway.replica_selection import ReplicaSelector
-from damasklead.gateway.response_relay import ResponseRelay
-from damasklead.gateway.upstream_http import SendError
+from damasklead.gateway.response_relay import ResponseDroppedError, ResponseRelay
+from damasklead.gateway.routing import RouteKind
+from damasklead.gateway.upstream_http import ConnectionLimitError, SendError
 from damasklead.gateway.verdict import RETRY_AFTER_SECONDS, Verdict
 from damasklead.ids import UNKNOWN_VERSION, InstanceId
 from damasklead.util import stable_hash
@@ -136,12 +137,18 @@
                 if is_connected:
                     self._run_attempt(attempt)
                     return None
+            except ConnectionLimitError as error:
+                return self._refuse_or_send_error(Reason.NO_DESCRIPTOR, str(error))
             except SendError as error:
                 self._record_failure(attempt, error)
                 if not self._may_retry(error.failure):
                     return self._refuse_or_send_error(
                         get_refusal_reason(error.failure), str(error)
                     )
+            except ResponseDroppedError as error:
+                # The attempt is cancelled at the end, which is no failure of its
+                # replica; another one would need the same memory.
+                return self._verdict.make_refusal(Reason.RESPONSE_DROPPED, str(error))
 
     def handle_timeout(self) -> Refusal | None:
         """Return the refusal of a request whose deadline has passed."""
@@ -260,6 +267,8 @@
         if self._context.containment.should_refuse(self._call):
             return False
         if self._caller.head_sent:
+            if self._call.route.kind is not RouteKind.STREAM:
+                return False
             self._call.version = self._context.origins.find_version(self._call.id)
             if self._call.version == UNKNOWN_VERSION:
                 return False
--- a/damasklead/gateway/refusals.py
+++ b/damasklead/gateway/refusals.py
@@ -32,6 +32,9 @@
     QUARANTINED = "quarantined"
     UNKNOWN_ORIGIN = "unknown-origin"
     STOPPING = "stopping"
+    MEMORY_SHORTAGE = "memory-shortage"
+    NO_DESCRIPTOR = "no-descriptor"
+    RESPONSE_DROPPED = "response-dropped"
     UPSTREAM_FAILED = "upstream-failed"
     TIMED_OUT = "timed-out"
 
@@ -50,6 +53,9 @@
     Reason.QUARANTINED: 503,
     Reason.UNKNOWN_ORIGIN: 503,
     Reason.STOPPING: 503,
+    Reason.MEMORY_SHORTAGE: 503,
+    Reason.NO_DESCRIPTOR: 503,
+    Reason.RESPONSE_DROPPED: 502,
     Reason.UPSTREAM_FAILED: 502,
     Reason.TIMED_OUT: 504,
 }
--- a/damasklead/gateway/response_relay.py
+++ b/damasklead/gateway/response_relay.py
@@ -2,13 +2,20 @@
 Response relay
 ==============
 
-Passes a replica's response on to the caller: complete, or event by event.
+Passes a replica's response on to the caller: complete, as it arrives, or event by
+event.
+
+Where the memory for callers is limited, a response that exceeds a threshold is relayed
+as it arrives: the replica is read no faster than the caller reads.  A response that
+breaks after its caller has held it up is blamed on the caller, since a replica cuts off
+what stays unread.
 """
 
 from collections.abc import Callable
+from io import BytesIO
 
 from damasklead.failures import Failure
-from damasklead.gateway.callers import CallerConnection
+from damasklead.gateway.callers import CallerClosed, CallerConnection
 from damasklead.gateway.calls import Call, ResponseHead, UpstreamRecord
 from damasklead.gateway.context import GatewayContext
 from damasklead.gateway.events import EventSplitter, continues_after
@@ -17,9 +24,10 @@
 from damasklead.gateway.stream_progress import StreamProgress
 from damasklead.gateway.upstream_http import Connection, SendError
 from damasklead.gateway.verdict import Verdict
+from damasklead.memory_budget import HeldKind
 from damasklead.turns import TurnBudget
 
-__all__ = ["ResponseRelay"]
+__all__ = ["ResponseDroppedError", "ResponseRelay"]
 
 # Status of a replica that resumes a stream.
 RESUMED_STREAM_STATUS = 200
@@ -27,6 +35,17 @@
 MAX_BODY_BYTES = 16_777_216
 # Bytes of a stream that are split into events at once.
 MAX_SPLIT_BYTES = 4_096
+# Bytes of a relayed response that are received and sent at once, and the charge for the
+# buffers of the connection to the replica, of both parsers and of the send.
+PIECE_BYTES = 16_384
+RELAY_BYTES = 3 * PIECE_BYTES
+# A response that its caller has held up for this long may have been cut off for that.
+# Replicas cut off after some seconds, and healthy callers hold up for less.
+HELD_UP_SECONDS = 1.0
+
+
+class ResponseDroppedError(Exception):
+    """There is no memory for a response; no failure of its replica."""
 
 
 class ResponseRelay:
@@ -94,16 +113,25 @@
         ------
         SendError
             When the response is not complete or not valid.
+        CallerClosed
+            When the response broke after the caller had held it up.
+        ResponseDroppedError
+            When there is no memory for it.
         """
         if self._caller.head_sent and reply.status != RESUMED_STREAM_STATUS:
             raise SendError(
                 Failure.BROKEN, f"status {reply.status} after the stream began"
             )
-        is_buffered = self._call.route.kind is not RouteKind.STREAM
-        if is_buffered or not 200 <= reply.status < 300:
-            self._relay_buffered(upstream, reply, record)
-        else:
-            self._relay_stream(upstream, reply, record)
+        is_complete = self._call.route.kind is not RouteKind.STREAM
+        try:
+            if is_complete or not 200 <= reply.status < 300:
+                self._relay_complete(upstream, reply, record)
+            else:
+                self._relay_stream(upstream, reply, record)
+        except SendError as error:
+            if self._caller.longest_wait_seconds < HELD_UP_SECONDS:
+                raise
+            raise CallerClosed("cut-off") from error
 
     def send_error_response(self) -> bool:
         """
@@ -124,13 +152,22 @@
         if self._context.probe.check(record) is Liveness.REFUSES:
             raise SendError(Failure.BROKEN, "the replica ended with the connection")
 
-    def _relay_buffered(
+    def _relay_complete(
         self, upstream: Connection, reply: ResponseHead, record: UpstreamRecord
     ) -> None:
         self.is_body_pending = True
-        body = upstream.read_body(
-            limit=MAX_BODY_BYTES, memory=self._context.response_memory
-        )
+        if self._caller.is_limited:
+            body, is_whole = self._read_start(upstream)
+        else:
+            body, is_whole = (
+                upstream.read_body(
+                    limit=MAX_BODY_BYTES, memory=self._context.response_memory
+                ),
+                True,
+            )
+        if not is_whole:
+            self._relay_long(upstream, reply, record, body)
+            return
         self._check_unframed_end(upstream, record)
         self.is_body_pending = False
         if reply.status >= 500 and self._call.route.may_repeat:
@@ -138,6 +175,72 @@
             raise SendError(Failure.BROKEN, f"status {reply.status}")
         self._send_response(reply, body)
 
+    def _read_start(self, upstream: Connection) -> tuple[bytes, bool]:
+        """
+        Read a body until its end or the threshold for relaying.
+
+        Returns
+        -------
+        tuple
+            What was read, and whether it is the whole body.
+        """
+        threshold = self._context.account.relay_threshold
+        if (upstream.body_length or 0) > threshold:
+            threshold = PIECE_BYTES  # it will be relayed in any case
+        body = BytesIO()
+        while data := upstream.read_body_data():
+            body.write(data)
+            if not self._caller.holding.hold(HeldKind.RESPONSE, body.tell()):
+                raise ResponseDroppedError("no memory for the response")
+            if body.tell() > threshold:
+                return body.getvalue(), False
+        return body.getvalue(), True
+
+    def _relay_long(
+        self,
+        upstream: Connection,
+        reply: ResponseHead,
+        record: UpstreamRecord,
+        start: bytes,
+    ) -> None:
+        """Relay a response as it arrives, after its start was read."""
+        length = upstream.body_length
+        if length is not None and length > MAX_BODY_BYTES:
+            raise SendError(Failure.BROKEN, f"body of {length} bytes is too long")
+        if reply.status >= 500 and self._verdict.allows_repetition:
+            raise SendError(Failure.BROKEN, f"status {reply.status}")
+        self._reserve_relay()
+        upstream.limit_receive(PIECE_BYTES)
+        headers = list(reply.headers)
+        if length is not None:
+            headers.append((b"Content-Length", b"%d" % length))
+        self._record_start(reply.status)
+        self._caller.start_response(reply.status, headers, b"")
+        size = len(start)
+        unsent = memoryview(start)
+        while unsent:
+            self._send_piece(bytes(unsent[:PIECE_BYTES]))
+            unsent = unsent[PIECE_BYTES:]
+        del start, unsent
+        while data := upstream.read_body_data(max_bytes=PIECE_BYTES):
+            size += len(data)
+            if size > MAX_BODY_BYTES:
+                raise SendError(Failure.BROKEN, f"body of {size} bytes is too long")
+            self._send_piece(data)
+        self._check_unframed_end(upstream, record)
+        self.is_body_pending = False
+        self._caller.end_response()
+
+    def _reserve_relay(self) -> None:
+        """Charge the buffers of a relay, in place of what was read so far."""
+        if not self._caller.holding.hold(HeldKind.RESPONSE, RELAY_BYTES):
+            raise ResponseDroppedError("no memory to relay the response")
+
+    def _send_piece(self, data: bytes) -> None:
+        self.is_body_pending = False
+        self._caller.send_body_data(data)
+        self.is_body_pending = self._caller.longest_wait_seconds < HELD_UP_SECONDS
+
     def _send_response(self, reply: ResponseHead, body: bytes) -> None:
         self._record_start(reply.status)
         self._caller.send_response(reply.status, reply.headers, body)
@@ -151,10 +254,19 @@
             clock=self._context.clock, event_timeout=self._verdict.event_timeout
         )
         upstream.set_read_timeout(progress.event_timeout)
+        held_bytes = 0
+        if self._caller.is_limited:
+            self._reserve_relay()
+            upstream.limit_receive(PIECE_BYTES)
+            held_bytes = RELAY_BYTES
         turn = TurnBudget()
         while data := upstream.read_body_data(max_bytes=MAX_SPLIT_BYTES):
             complete_events = splitter.feed(data)
             turn.spend(size=len(data), pieces=splitter.block_count)
+            if held_bytes:
+                held_bytes = self._hold_events(
+                    held_bytes, splitter.buffered_bytes + len(complete_events)
+                )
             progress.record_data(
                 events=bool(complete_events), buffered_bytes=splitter.buffered_bytes
             )
@@ -170,7 +282,9 @@
             if not self.event_count:
                 self._on_first_event(reply)
             self._on_events()
+            waited_before = self._caller.waited_seconds
             self._send_events(reply, complete_events)
+            progress.record_pause(self._caller.waited_seconds - waited_before)
             self.event_count += splitter.take_event_count()
         if splitter.has_partial_event:
             raise SendError(Failure.BROKEN, "the stream ended within an event")
@@ -195,12 +309,31 @@
                 Failure.BROKEN, f"the stream resumes at event {splitter.first_id!r}"
             )
 
+    def _hold_events(self, held_bytes: int, size: int) -> int:
+        """
+        Charge the events of a stream that are longer than the buffers of the relay.
+
+        Returns the bytes that are charged then.
+        """
+        needed_bytes = RELAY_BYTES + max(0, size - PIECE_BYTES)
+        if needed_bytes != held_bytes and not self._caller.holding.hold(
+            HeldKind.RESPONSE, needed_bytes
+        ):
+            raise ResponseDroppedError("no memory for an event")
+        return needed_bytes
+
     def _send_events(self, reply: ResponseHead, data: bytes) -> None:
+        # The framing of a long event would copy all of it.
+        is_cut = self._caller.is_limited and len(data) > PIECE_BYTES
+        first = data[:PIECE_BYTES] if is_cut else data
         if self._caller.head_sent:
-            self._caller.send_body_data(data)
-            return
-        self._record_start(reply.status)
-        self._caller.start_response(reply.status, reply.headers, data)
+            self._caller.send_body_data(first)
+        else:
+            self._record_start(reply.status)
+            self._caller.start_response(reply.status, reply.headers, first)
+        if is_cut:
+            for start in range(PIECE_BYTES, len(data), PIECE_BYTES):
+                self._caller.send_body_data(data[start : start + PIECE_BYTES])
 
     def _record_start(self, status: int) -> None:
         self.status = status
--- a/damasklead/gateway/verdict.py
+++ b/damasklead/gateway/verdict.py
@@ -105,6 +105,6 @@
         """Return the refusal for a reason, or one that allows for an execution."""
         if not self.may_have_run:
             return Refusal(reason=reason, detail=detail, retry_after=retry_after)
-        if reason is not Reason.TIMED_OUT:
+        if reason not in (Reason.TIMED_OUT, Reason.RESPONSE_DROPPED):
             reason = Reason.UPSTREAM_FAILED
         return Refusal(reason=reason, detail=detail)
--- a/damasklead/memory_budget.py
+++ b/damasklead/memory_budget.py
@@ -33,6 +33,9 @@
 SMALL_BODY_BYTES = 262_144
 # Fixed charge of an open connection: greenlet, socket, parser and buffers.
 CONNECTION_BYTES = 24_576
+# Fixed charge of a request in progress: the decoded call, the connection to a replica
+# and its parser, a second greenlet.
+REQUEST_BYTES = 24_576
 # Time until the next search for connections to close, after one has found too few: each
 # search looks at all connections.
 SEARCH_INTERVAL_SECONDS = 0.05
@@ -178,7 +181,7 @@
         self.used_by_kind = dict.fromkeys(HeldKind, 0)
         self.closed_count = 0
         self._clock = clock
-        self._holdings: set[Holding] = set()
+        self._holdings: dict[Holding, None] = {}  # in the order in which they began
         self._next_search_at = -math.inf
 
     @property
@@ -191,6 +194,14 @@
         """Number of open connections."""
         return len(self._holdings)
 
+    @property
+    def is_exceeded(self) -> bool:
+        """Whether more is held than the limit, without what is being closed."""
+        return (
+            self.used_bytes > self.limit_bytes
+            and self.used_bytes - self._get_closing_bytes() > self.limit_bytes
+        )
+
     @property
     def relay_threshold(self) -> int:
         """Size in bytes above which a response is relayed instead of buffered."""
@@ -202,6 +213,8 @@
         """
         Return the holding of a new connection, with its fixed charge.
 
+        It counts as waiting, so that it is not closed, until another stage is entered.
+
         Parameters
         ----------
         close : callable
@@ -209,7 +222,7 @@
             with the cause.
         """
         holding = Holding(account=self, clock=self._clock, close=close)
-        self._holdings.add(holding)
+        self._holdings[holding] = None
         holding.hold(HeldKind.CONNECTION, CONNECTION_BYTES)
         return holding
 
@@ -254,7 +267,7 @@
         if size <= 0 or self.used_bytes <= self.limit_bytes:
             return True
         self._relieve(excess_bytes=self.used_bytes - self.limit_bytes)
-        return self.used_bytes - self._get_closing_bytes() <= self.limit_bytes
+        return not self.is_exceeded
 
     def _get_closing_bytes(self) -> int:
         return sum(item.held_bytes for item in self._holdings if item.is_closing)
@@ -275,7 +288,7 @@
         self.closed_count += len(chosen)
 
     def _end(self, holding: "Holding") -> None:
-        self._holdings.discard(holding)
+        self._holdings.pop(holding, None)
 
 
 class Holding:
@@ -298,9 +311,10 @@
         self._close = close
         self._by_kind = dict.fromkeys(HeldKind, 0)
         self._held_bytes = 0
-        self._stage = Stage.IDLE
-        self._waiting_since: float | None = clock.now()
-        self._is_closing = False
+        # Not closed for its own sake before it is served.
+        self._stage = Stage.WAITING
+        self._waiting_since: float | None = None
+        self._closing_cause = ""
 
     def __enter__(self) -> "Holding":
         return self
@@ -325,19 +339,35 @@
 
     @property
     def waiting_since(self) -> float | None:
-        """Clock time since when it is idle or its caller accepts no bytes."""
+        """Clock time since when it is idle, being read, or accepts no bytes."""
         return self._waiting_since
 
     @property
     def is_closing(self) -> bool:
         """Whether the connection is being closed for the sake of others."""
-        return self._is_closing
+        return bool(self._closing_cause)
+
+    @property
+    def closing_cause(self) -> str:
+        """What the connection is being closed for; empty if it is not."""
+        return self._closing_cause
+
+    def begin_request(self) -> None:
+        """Add the fixed charge of a request in progress."""
+        self.hold(HeldKind.CONNECTION, CONNECTION_BYTES + REQUEST_BYTES)
+
+    def end_request(self) -> None:
+        """Release what is held for the request and its response."""
+        self.hold(HeldKind.CONNECTION, CONNECTION_BYTES)
+        self.hold(HeldKind.REQUEST, 0)
+        self.hold(HeldKind.RESPONSE, 0)
 
     def enter(self, stage: Stage) -> None:
         """Record what the connection does from now on."""
         self._stage = stage
-        self._is_closing = False
-        self._waiting_since = self._clock.now() if stage is Stage.IDLE else None
+        self._closing_cause = ""
+        is_waiting = stage in (Stage.IDLE, Stage.READING)
+        self._waiting_since = self._clock.now() if is_waiting else None
 
     def record_stall(self) -> None:
         """Record that the caller's socket accepts no more bytes of a response."""
@@ -347,7 +377,7 @@
     def record_progress(self) -> None:
         """Record that the caller's socket has accepted bytes of a response."""
         self._waiting_since = None
-        self._is_closing = False
+        self._closing_cause = ""
 
     def hold(self, kind: HeldKind, size: int) -> bool:
         """
@@ -369,7 +399,7 @@
 
     def close(self, cause: str) -> None:
         """Close the connection for the sake of others."""
-        self._is_closing = True
+        self._closing_cause = cause
         self._close(cause)
 
     def end(self) -> None:
--- a/damasklead/memory_shortage.py
+++ b/damasklead/memory_shortage.py
@@ -10,11 +10,12 @@
 
 * A new request is refused before it is sent to a replica once less than a fifth of the
   limit is free.  What is free belongs to the requests in progress.
-* To make room, responses whose callers accept no bytes are closed, those with the most
-  bytes held for the longest time first; then idle connections, the longest idle first.
-  A request that is being read or executed is never closed.
+* To make room, responses whose callers accept no bytes and requests that arrive slowly
+  are closed, those with the most bytes held for the longest time first; then idle
+  connections, the longest idle first.  A request that is executed is never closed.
 """
 
+import math
 from collections.abc import Iterable
 from enum import Enum
 from typing import Protocol, TypeVar
@@ -30,7 +31,7 @@
 
 # New requests are refused above this fraction of the limit.
 REQUEST_FRACTION = 0.8
-# Responses that need no more than this are buffered, so that they can be retried; less
+# Responses that take no more than this are buffered, so that they can be retried; less
 # while more than half of the limit is used.
 RELAY_THRESHOLD_BYTES = 262_144
 SCARCE_RELAY_THRESHOLD_BYTES = 32_768
@@ -38,6 +39,9 @@
 # A response may be closed for the sake of others when its caller has accepted nothing
 # for this long.  A caller with a round trip of half a second is not slow.
 MIN_STALLED_SECONDS = 1.0
+# The same for a request that has not arrived completely; one of some megabytes takes
+# this long over a slow link.
+MIN_READING_SECONDS = 3.0
 # What a process takes without callers, and the part of the memory that is left for what
 # the account doesn't see: copies on the way, and blocks that the allocator keeps.
 PROCESS_BYTES = 41_943_040
@@ -73,8 +77,8 @@
     held_bytes : int
         Bytes that are held for it.
     waiting_since : float or None
-        Clock time since when it is idle, or since when its caller has accepted no
-        bytes of a response; ``None`` if neither applies.
+        Clock time since when it is idle, a request is being read, or its caller's
+        socket has accepted no bytes of a response; ``None`` if none applies.
     is_closing : bool
         Whether it is being closed already.
     """
@@ -94,6 +98,11 @@
 
 H = TypeVar("H", bound=Holder)
 
+_MIN_SECONDS = {
+    Stage.READING: MIN_READING_SECONDS,
+    Stage.SENDING: MIN_STALLED_SECONDS,
+}
+
 
 def has_room_for_request(*, used_bytes: float, limit_bytes: float) -> bool:
     """
@@ -158,9 +167,7 @@
             excess_connections -= 1
         elif holder.stage is Stage.IDLE:
             idle.append(holder)
-        elif (
-            holder.stage is Stage.SENDING and get_seconds(holder) >= MIN_STALLED_SECONDS
-        ):
+        elif get_seconds(holder) >= _MIN_SECONDS.get(holder.stage, math.inf):
             stalled.append(holder)
     stalled.sort(key=lambda item: item.held_bytes * get_seconds(item), reverse=True)
     idle.sort(key=get_seconds, reverse=True)
--- a/tests/gateway_kit.py
+++ b/tests/gateway_kit.py
@@ -56,7 +56,7 @@
     WorkspaceId,
 )
 from damasklead.loop import LoopClock
-from damasklead.memory_budget import MemoryBudget
+from damasklead.memory_budget import MemoryAccount, MemoryBudget
 from damasklead.platform.headers import PlatformDialect
 from damasklead.rate_limits import RateLimits
 from damasklead.util import split_address
@@ -318,7 +318,9 @@
         self.table: RoutingTable | None = make_table()
         self.is_stopping = False
         self.departed_instances: list[InstanceId] = []
+        self.closed_callers: list[str] = []
         self.response_memory = MemoryBudget()
+        self.account = MemoryAccount(clock=self.clock)
         self.rate_limits = RateLimits(
             clock=self.clock, instance=InstanceId("gateway-1")
         )
@@ -376,6 +378,7 @@
                 origins=self.origins,
                 stop_schedule=self.stop_schedule,
                 on_replica_left=self._handle_departure,
+                account=self.account,
                 response_memory=self.response_memory,
             ),
             placement_of=lambda name: self.placement,
@@ -389,6 +392,8 @@
             handler=self.forwarder,
             clock=self.clock,
             is_stopping=lambda: self.is_stopping,
+            account=self.account,
+            on_closed=self.closed_callers.append,
         )
         self.listener.start()
 
--- /dev/null
+++ b/tests/test_gateway_relay.py
@@ -0,0 +1,504 @@
+"""
+Tests of relayed responses and of slow callers
+==============================================
+
+The memory for callers is limited here, so that long responses are relayed.
+"""
+
+from collections.abc import Iterator
+
+import gevent
+import msgspec
+import pytest
+from gevent import socket
+
+from damasklead.gateway.caller_sender import SEND_BUFFER_BYTES
+from damasklead.gateway.listeners import Listener
+from damasklead.gateway.upstream_http import (
+    ConnectionLimitError,
+    ConnectionPool,
+)
+from damasklead.loop import LoopClock
+from damasklead.memory_budget import HeldKind
+from damasklead.memory_shortage import (
+    RELAY_THRESHOLD_BYTES,
+    SCARCE_RELAY_THRESHOLD_BYTES,
+)
+from tests.gateway_kit import (
+    IDEMPOTENT,
+    ONCE,
+    RESUMABLE,
+    STREAM,
+    ForwarderHarness,
+    ScriptedReplica,
+    find_free_ports,
+    make_chunk,
+    make_event,
+    make_request,
+    make_stream_head,
+    make_table,
+    read_all,
+    wait_until,
+)
+from tests.test_gateway_response_forms import FRAMINGS, make_framed
+from tests.test_gateway_responses import make_harness
+
+SIGNED = "Response-Signature: s"
+LONG_BODY = bytes(range(256)) * 8_192
+LIMIT_BYTES = 50_000_000
+
+
+@pytest.fixture
+def harnesses() -> Iterator[list[ForwarderHarness]]:
+    created_harnesses: list[ForwarderHarness] = []
+    yield created_harnesses
+    for harness in created_harnesses:
+        harness.stop()
+
+
+def make_limited_harness(
+    harnesses: list[ForwarderHarness], *scripts: object, seconds: float = 20.0
+) -> ForwarderHarness:
+    """Return a harness with a limited account, whose routes have a long timeout."""
+    harness = make_harness(harnesses, *scripts)
+    harness.account.limit_bytes = LIMIT_BYTES
+    harness.table = make_table(
+        routes=[
+            msgspec.structs.replace(route, timeout=seconds, target=seconds / 10)
+            for route in (IDEMPOTENT, ONCE, STREAM, RESUMABLE)
+        ]
+    )
+    return harness
+
+
+def set_idle_seconds(harness: ForwarderHarness, seconds: float) -> None:
+    """Change the idle timeout, which is also that of sends without progress."""
+    table = harness.table
+    assert table is not None
+    harness.table = make_table(
+        routes=table.routes,
+        limits=msgspec.structs.replace(table.limits, idle_seconds=seconds),
+    )
+
+
+def make_body_script(
+    body: bytes, *, framing: str = "length", cut_at: int | None = None
+) -> object:
+    """
+    Return the script of a replica that responds with a body.
+
+    With ``cut_at`` it closes the connection after so many bytes of the response.
+    """
+
+    def serve(replica: ScriptedReplica, connection: socket.socket) -> None:
+        while True:
+            attempt = replica.receive_request(connection)
+            data = make_framed(body, f"Attempt-Id: {attempt}", SIGNED, framing=framing)
+            connection.sendall(data[:cut_at])
+            if framing == "connection" or cut_at is not None:
+                return
+
+    return serve
+
+
+def decode_chunks(data: bytes) -> bytes:
+    """Return the body of a chunked response, which must be complete."""
+    body = b""
+    while True:
+        size, _, data = data.partition(b"\r\n")
+        length = int(size, 16)
+        if not length:
+            assert data == b"\r\n"
+            return body
+        body, data = body + data[:length], data[length + 2 :]
+
+
+@pytest.mark.parametrize("path", ["/read/1", "/order/1"])
+@pytest.mark.parametrize("framing", FRAMINGS)
+def test_a_long_response_keeps_its_framing_and_is_whole(
+    harnesses: list[ForwarderHarness], framing: str, path: str
+) -> None:
+    harness = make_limited_harness(
+        harnesses, make_body_script(LONG_BODY, framing=framing)
+    )
+    head, _, body = harness.send_request(path, method="POST", body="x").partition(
+        b"\r\n\r\n"
+    )
+    assert head.startswith(b"HTTP/1.1 200")
+    if framing == "length":
+        assert b"Content-Length: %d" % len(LONG_BODY) in head
+        assert b"chunked" not in head
+    else:
+        assert b"Content-Length" not in head
+        body = decode_chunks(body)
+    assert body == LONG_BODY
+    wait_until(lambda: not harness.account.used_bytes)
+    held_bytes = RELAY_THRESHOLD_BYTES + 65_536
+    assert harness.account.peak_bytes < 2 * held_bytes < len(LONG_BODY)
+
+
+@pytest.mark.parametrize("framing", ["length", "chunks"])
+def test_a_long_response_that_breaks_is_not_retried_and_does_not_look_whole(
+    harnesses: list[ForwarderHarness], framing: str
+) -> None:
+    script = make_body_script(LONG_BODY, framing=framing, cut_at=1_000_000)
+    harness = make_limited_harness(harnesses, script, script)
+    response = harness.send_request("/read/1")
+    head, _, body = response.partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 200")
+    assert len(body) < len(LONG_BODY) and not body.endswith(b"0\r\n\r\n")
+    assert sum(len(replica.requests) for replica in harness.replicas) == 1
+    assert len(harness.get_log_lines("attempt-failed")) == 1
+
+
+@pytest.mark.parametrize("framing", ["chunks", "connection"])
+def test_a_broken_response_does_not_look_whole_to_an_old_caller(
+    harnesses: list[ForwarderHarness], framing: str
+) -> None:
+    """
+    Guards against a truncated body whose end is that of the connection.
+
+    A caller that uses HTTP/1.0 gets no chunks.
+    """
+
+    def serve(replica: ScriptedReplica, connection: socket.socket) -> None:
+        make_body_script(LONG_BODY, framing=framing, cut_at=1_000_000)(
+            replica, connection
+        )
+        if framing == "connection":
+            replica.stop()
+
+    harness = make_limited_harness(harnesses, serve)
+    with harness.connect() as connection:
+        request = make_request("/order/1", method="POST", body="x")
+        connection.sendall(request.replace(b"HTTP/1.1", b"HTTP/1.0"))
+        with pytest.raises(ConnectionResetError):
+            while connection.recv(65_536):
+                pass
+
+
+def test_the_last_chunk_waits_for_the_check_of_an_unframed_end(
+    harnesses: list[ForwarderHarness],
+) -> None:
+    def serve(replica: ScriptedReplica, connection: socket.socket) -> None:
+        attempt = replica.receive_request(connection)
+        connection.sendall(
+            make_framed(
+                LONG_BODY, f"Attempt-Id: {attempt}", SIGNED, framing="connection"
+            )
+        )
+        replica.stop()
+
+    harness = make_limited_harness(harnesses, serve)
+    response = harness.send_request("/order/1", method="POST", body="x")
+    assert response.startswith(b"HTTP/1.1 200")
+    assert not response.endswith(b"0\r\n\r\n")
+
+
+def test_a_response_below_the_threshold_is_still_retried(
+    harnesses: list[ForwarderHarness],
+) -> None:
+    body = LONG_BODY[: RELAY_THRESHOLD_BYTES - 1000]
+    harness = make_limited_harness(
+        harnesses,
+        make_body_script(body, framing="chunks", cut_at=len(body) - 1000),
+        make_body_script(body, framing="chunks"),
+    )
+    responses = [
+        harness.send_request("/read/1", attempt=f"a{number}") for number in range(4)
+    ]
+    assert all(
+        item.endswith(b"0\r\n\r\n") or len(body) < len(item) for item in responses
+    )
+    assert harness.get_log_lines("attempt-failed")
+
+
+@pytest.mark.parametrize("is_repeatable", [True, False])
+def test_a_long_error_response_is_retried_or_relayed(
+    harnesses: list[ForwarderHarness], is_repeatable: bool
+) -> None:
+    def fail(replica: ScriptedReplica, connection: socket.socket) -> None:
+        attempt = replica.receive_request(connection)
+        connection.sendall(
+            make_framed(
+                LONG_BODY, f"Attempt-Id: {attempt}", SIGNED,
+                framing="length", status="500 Failed",
+            )
+        )  # fmt: skip
+
+    harness = make_limited_harness(harnesses, fail, fail)
+    path = "/read/1" if is_repeatable else "/order/1"
+    response = harness.send_request(path, method="POST", body="x")
+    assert response.startswith(b"HTTP/1.1 500") and response.endswith(LONG_BODY)
+    attempts = sum(len(replica.requests) for replica in harness.replicas)
+    assert attempts == (2 if is_repeatable else 1)
+
+
+def test_a_body_beyond_the_limit_ends_the_response(
+    harnesses: list[ForwarderHarness],
+) -> None:
+    def send_endlessly(replica: ScriptedReplica, connection: socket.socket) -> None:
+        attempt = replica.receive_request(connection)
+        connection.sendall(make_stream_head(attempt))
+        while True:
+            connection.sendall(make_chunk(b"x" * 60_000))
+
+    harness = make_limited_harness(harnesses, send_endlessly)
+    response = harness.send_request("/order/1", method="POST", body="x")
+    assert 16_000_000 < len(response) < 18_000_000
+    assert not response.endswith(b"0\r\n\r\n")
+    assert harness.account.peak_bytes < 1_000_000
+
+
+class TestSlowCallers:
+    @staticmethod
+    def open_slow(harness: ForwarderHarness, path: str) -> socket.socket:
+        """Send a request on a connection whose system buffers few bytes."""
+        connection = socket.socket()
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8_192)
+        connection.settimeout(10)
+        connection.connect(("127.0.0.1", harness._port))
+        connection.sendall(make_request(path, method="POST", body="x"))
+        return connection
+
+    @pytest.mark.parametrize("path", ["/read/1", "/order/1"])
+    def test_one_that_reads_nothing_is_disconnected(
+        self, harnesses: list[ForwarderHarness], path: str
+    ) -> None:
+        """Guards against responses that stay in memory as long as callers like."""
+        harness = make_limited_harness(harnesses, make_body_script(LONG_BODY))
+        with self.open_slow(harness, path) as connection:
+            wait_until(lambda: harness.closed_callers == ["stalled"], seconds=10)
+            with pytest.raises(ConnectionResetError):
+                while connection.recv(65_536):
+                    pass
+        (line,) = harness.get_log_lines("caller-closed")
+        assert "request=a1" in line.replace('"', "") and "held=" in line
+        wait_until(lambda: not harness.account.used_bytes)
+        assert not harness.get_log_lines("attempt-failed")
+
+    def test_one_that_reads_slowly_stays(
+        self, harnesses: list[ForwarderHarness]
+    ) -> None:
+        """
+        Guards against a send buffer that hides the progress of a slow caller.
+
+        The socket is not writable for several seconds while the caller reads.
+        """
+        harness = make_limited_harness(harnesses, make_body_script(LONG_BODY))
+        set_idle_seconds(harness, 2.0)
+        with self.open_slow(harness, "/order/1") as connection:
+            for _ in range(50):
+                gevent.sleep(0.1)
+                assert connection.recv(1_500)
+            assert not harness.closed_callers
+            assert read_all(connection).endswith(LONG_BODY[-65_536:])
+
+    @pytest.mark.parametrize("path", ["/order/1", "/draft/1"])
+    def test_a_replica_that_cuts_off_what_one_left_unread_has_not_failed(
+        self, harnesses: list[ForwarderHarness], path: str
+    ) -> None:
+        def cut_off(replica: ScriptedReplica, connection: socket.socket) -> None:
+            attempt = replica.receive_request(connection)
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 16_384)
+            connection.sendall(make_stream_head(attempt))
+            with gevent.Timeout(1.5, False):
+                for number in range(1, 100_000):
+                    connection.sendall(
+                        make_chunk(make_event(number) + b": " + b"x" * 4_096 + b"\n\n")
+                    )
+
+        harness = make_limited_harness(harnesses, cut_off, cut_off)
+        set_idle_seconds(harness, 8.0)
+        with self.open_slow(harness, path) as connection:
+            gevent.sleep(2.0)
+            read_all(connection)
+        wait_until(lambda: harness.closed_callers == ["cut-off"])
+        assert not harness.get_log_lines("attempt-failed")
+        assert sum(len(replica.requests) for replica in harness.replicas) == 1
+
+    def test_a_stream_that_its_caller_held_up_was_not_silent(
+        self, harnesses: list[ForwarderHarness]
+    ) -> None:
+        """Guards against time-outs of streams that were not read for a while."""
+        event = b"data: " + b"x" * 100_000 + b"\n\n"
+
+        def serve(replica: ScriptedReplica, connection: socket.socket) -> None:
+            attempt = replica.receive_request(connection)
+            connection.sendall(make_stream_head(attempt))
+            for _ in range(40):
+                connection.sendall(make_chunk(event))
+            connection.sendall(make_chunk(b""))
+
+        harness = make_limited_harness(harnesses, serve)
+        harness.table = make_table(
+            routes=[
+                msgspec.structs.replace(
+                    STREAM, timeout=20.0, event_gap=0.01, target=0.01
+                )
+            ],
+            limits=msgspec.structs.replace(harness.table.limits, idle_seconds=8.0),
+        )
+        with self.open_slow(harness, "/chat/1") as connection:
+            gevent.sleep(3.5)
+            assert read_all(connection).endswith(b"0\r\n\r\n")
+
+
+class TestShortage:
+    def test_a_new_request_is_refused_before_it_is_sent(
+        self, harnesses: list[ForwarderHarness]
+    ) -> None:
+        harness = make_limited_harness(harnesses, make_body_script(b"done"))
+        with harness.account.open(close=lambda _cause: None) as other:
+            other.hold(HeldKind.REQUEST, int(0.9 * LIMIT_BYTES))
+            response = harness.send_request("/order/1", method="POST", body="x")
+            assert response.startswith(b"HTTP/1.1 503")
+            assert b"retry-after: " in response.lower()
+            assert not harness.replicas[0].requests
+        response = harness.send_request("/order/1", method="POST", body="x")
+        assert response.startswith(b"HTTP/1.1 200")
+
+    @pytest.mark.parametrize("path", ["/read/1", "/order/1"])
+    def test_an_executed_request_gets_no_status_that_says_it_was_not(
+        self, harnesses: list[ForwarderHarness], path: str
+    ) -> None:
+        """It is no failure of the replica, and another one would do no better."""
+
+        def serve(replica: ScriptedReplica, connection: socket.socket) -> None:
+            attempt = replica.receive_request(connection)
+            other.hold(HeldKind.REQUEST, LIMIT_BYTES)
+            connection.sendall(
+                make_framed(
+                    LONG_BODY, f"Attempt-Id: {attempt}", SIGNED, framing="length"
+                )
+            )
+
+        harness = make_limited_harness(harnesses, serve, serve)
+        with harness.account.open(close=lambda _cause: None) as other:
+            response = harness.send_request(path, method="POST", body="x")
+        assert response.startswith(b"HTTP/1.1 502")
+        assert sum(len(replica.requests) for replica in harness.replicas) == 1
+        assert not harness.get_log_lines("attempt-failed")
+
+    def test_little_memory_lowers_the_threshold_for_relaying(
+        self, harnesses: list[ForwarderHarness]
+    ) -> None:
+        body = b"x" * (3 * SCARCE_RELAY_THRESHOLD_BYTES)
+        harness = make_limited_harness(
+            harnesses, make_body_script(body, framing="chunks")
+        )
+        is_chunked = []
+        for held_bytes in (0, int(0.6 * LIMIT_BYTES)):
+            with harness.account.open(close=lambda _cause: None) as other:
+                other.hold(HeldKind.REQUEST, held_bytes)
+                head = harness.send_request("/read/1").partition(b"\r\n\r\n")[0]
+                is_chunked.append(b"chunked" in head)
+        assert is_chunked == [False, True]
+
+    def test_a_caller_that_stops_to_send_makes_room(
+        self, harnesses: list[ForwarderHarness]
+    ) -> None:
+        harness = make_limited_harness(harnesses, make_body_script(b"done"))
+        harness.account.limit_bytes = 1_000_000
+        set_idle_seconds(harness, 8.0)
+        with harness.connect() as connection:
+            connection.sendall(
+                make_request(
+                    "/order/1",
+                    method="POST",
+                    extra_headers="Content-Length: 900001\r\n",
+                )
+                + b"x" * 900_000
+            )
+            wait_until(lambda: harness.account.used_bytes > 900_000)
+            request = {"method": "POST", "body": "x"}
+            assert harness.send_request("/order/1", **request)[9:12] == b"503"
+            wait_until(
+                lambda: harness.send_request("/order/1", **request)[9:12] == b"200",
+                seconds=8,
+            )
+            assert read_all(connection).startswith(b"HTTP/1.1 408")
+        assert harness.closed_callers == ["memory"]
+
+
+class TestDescriptors:
+    def test_connections_beyond_the_limit_replace_idle_ones(self) -> None:
+        harness = ForwarderHarness([])
+        (port,) = find_free_ports(1)
+        closed: list[str] = []
+        listener = Listener(
+            address=f"127.0.0.1:{port}",
+            handler=harness.forwarder,
+            clock=harness.clock,
+            is_stopping=lambda: False,
+            account=harness.account,
+            get_max_connections=lambda: 3,
+            on_closed=closed.append,
+        )
+        listener.start()
+        connections = []
+        try:
+            for _ in range(6):
+                connections.append(socket.create_connection(("127.0.0.1", port), 5))
+                gevent.sleep(0.02)
+            wait_until(lambda: len(closed) == 3)
+            assert listener.connection_count == 3
+            for connection in connections[:3]:
+                assert connection.recv(100) == b""
+            connections[5].sendall(make_request("/order/1", close=True))
+            assert connections[5].recv(100).startswith(b"HTTP/1.1 503")
+        finally:
+            for connection in connections:
+                connection.close()
+            listener.stop()
+            harness.stop()
+
+    def test_a_connection_is_refused_if_all_others_are_in_use(
+        self, harnesses: list[ForwarderHarness]
+    ) -> None:
+        def hang(replica: ScriptedReplica, connection: socket.socket) -> None:
+            replica.receive_request(connection)
+            gevent.sleep(2.0)
+
+        harness = make_limited_harness(harnesses, hang)
+        harness.listener._get_max_connections = lambda: 1
+        with harness.connect() as connection:
+            connection.sendall(make_request("/order/1", method="POST", body="x"))
+            wait_until(lambda: bool(harness.replicas[0].requests))
+            with harness.connect() as second:
+                assert read_all(second).startswith(b"HTTP/1.1 503")
+        assert harness.closed_callers == ["descriptors"]
+
+    def test_connections_to_replicas_stay_within_their_limit(self) -> None:
+        def serve(replica: ScriptedReplica, connection: socket.socket) -> None:
+            replica.receive_request(connection)
+
+        replicas = [ScriptedReplica(f"r{number}", serve) for number in range(3)]
+        addresses = [replica.record.address for replica in replicas]
+        pool = ConnectionPool(clock=LoopClock(), get_max_connections=lambda: 2)
+        try:
+            pool.preconnect(addresses[0])
+            used = [pool.acquire(address) for address in addresses[1:]]
+            assert pool.open_count == 2  # the idle one was closed
+            with pytest.raises(ConnectionLimitError):
+                pool.acquire(addresses[0])
+            used[0].close()
+            pool.acquire(addresses[0]).close()
+            used[1].close()
+            used[1].close()
+            assert pool.open_count == 0
+        finally:
+            pool.close()
+            for replica in replicas:
+                replica.stop()
+
+
+def test_the_kernel_buffers_little_for_a_slow_caller() -> None:
+    """Guards against send buffers that grow to megabytes for each slow caller."""
+    server = socket.socket()
+    try:
+        server.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+        size = server.getsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF)
+        assert size <= 2 * SEND_BUFFER_BYTES
+    finally:
+        server.close()
