--- a/damasklead/gateway/context.py
+++ b/damasklead/gateway/context.py
@@ -21,7 +21,7 @@
 from damasklead.gateway.stop_schedule import StopSchedule
 from damasklead.gateway.stream_origins.registry import OriginRegistry
 from damasklead.gateway.upstream_http import ConnectionPool
-from damasklead.memory_budget import MemoryBudget
+from damasklead.memory_budget import MemoryAccount, MemoryBudget
 from damasklead.rate_limits import RateLimits
 
 __all__ = ["GatewayContext"]
@@ -61,7 +61,10 @@
         Called once for each request when a replica has begun to execute it: with the
         first event of a stream, or the response head.
     response_memory : MemoryBudget
-        Limits the total size of the response bodies that are being read.
+        Limits the total size of the response bodies that are being read, if the account
+        is not limited.
+    account : MemoryAccount
+        All bytes held for callers.
     dropped_figures : LogLimiter
         Limits the log lines on invalid figures of replicas' loads.
     """
@@ -78,6 +81,7 @@
     origins: OriginRegistry
     stop_schedule: StopSchedule
     on_replica_left: Callable[[UpstreamRecord, str], None]
+    account: MemoryAccount
     on_execution: Callable[[Call], None] = lambda call: None
     response_memory: MemoryBudget = msgspec.field(default_factory=MemoryBudget)
     dropped_figures: LogLimiter = msgspec.field(default_factory=LogLimiter)
--- a/tests/test_gateway_remote_share.py
+++ b/tests/test_gateway_remote_share.py
@@ -300,6 +300,11 @@
 
 
 class TestUnevenDataCentres:
+    def test_a_small_service_has_one_cell_over_all_data_centres(self) -> None:
+        records = make_engines(15, *CENTRES)
+        cells = partition_engines(records, is_scaled=True, by_data_centre_only=True)
+        assert [len(group) for group in cells.values()] == [15]
+
     def test_a_small_data_centre_keeps_a_cell_of_its_own(self) -> None:
         records = [*make_engines(15, "hout"), *make_engines(2, "mossel")]
         cells = partition_engines(records, by_data_centre_only=True)
