--- a/damasklead/gateway/coordination/cells.py
+++ b/damasklead/gateway/coordination/cells.py
@@ -105,11 +105,15 @@
         lose nearly all of them for some seconds.  The few that are left join the cells
         of another data centre, so that the cells of the others stay.
     by_data_centre_only : bool
-        Whether no cell spans data centres, however few engines one of them has.
+        Whether no cell spans data centres, however few engines one of them has, if they
+        have ``MIN_DATA_CENTRE_ENGINES`` on average.
     """
     by_data_centre: dict[DataCentre, list[UpstreamRecord]] = {}
     for record in records:
         by_data_centre.setdefault(record.data_centre, []).append(record)
+    average_engines = len(records) / max(1, len(by_data_centre))
+    if average_engines < MIN_DATA_CENTRE_ENGINES:
+        by_data_centre_only = False
     if is_scaled and not by_data_centre_only:
         _merge_small_groups(by_data_centre)
     if not by_data_centre_only and (
--- a/tests/gateway_kit.py
+++ b/tests/gateway_kit.py
@@ -56,7 +56,7 @@
     WorkspaceId,
 )
 from damasklead.loop import LoopClock
-from damasklead.memory_budget import MemoryBudget
+from damasklead.memory_budget import MemoryAccount, MemoryBudget
 from damasklead.platform.headers import PlatformDialect
 from damasklead.rate_limits import RateLimits
 from damasklead.util import split_address
@@ -319,7 +319,9 @@
         self.is_stopping = False
         self.departed_instances: list[InstanceId] = []
         self.executions: list[Call] = []
+        self.closed_callers: list[str] = []
         self.response_memory = MemoryBudget()
+        self.account = MemoryAccount(clock=self.clock)
         self.rate_limits = RateLimits(
             clock=self.clock, instance=InstanceId("gateway-1")
         )
@@ -378,6 +380,7 @@
                 stop_schedule=self.stop_schedule,
                 on_replica_left=self._handle_departure,
                 on_execution=self.executions.append,
+                account=self.account,
                 response_memory=self.response_memory,
             ),
             placement_of=lambda name: self.placement,
@@ -391,6 +394,8 @@
             handler=self.forwarder,
             clock=self.clock,
             is_stopping=lambda: self.is_stopping,
+            account=self.account,
+            on_closed=self.closed_callers.append,
         )
         self.listener.start()
 
