--- a/damasklead/gateway/coordination/coordinator.py
+++ b/damasklead/gateway/coordination/coordinator.py
@@ -176,6 +176,11 @@
         """Number of queued requests."""
         return self._admission.queue_length
 
+    @property
+    def interleaved_requests(self) -> int:
+        """Number of requests assigned to engines reserved for more urgent ones."""
+        return self._placement.interleaved_requests
+
     @property
     def request_count(self) -> int:
         """Number of running and queued requests."""
@@ -396,7 +401,7 @@
         entry = self._make_entry(request, route)
         entry.instance = instance
         self._requests[attempt] = entry
-        self._placement.record_sent(instance, entry.call)
+        self._placement.record_running(instance, entry.call)
 
     def _drop_request(self, entry: _TrackedRequest) -> None:
         del self._requests[entry.call.id]
--- a/damasklead/gateway/coordination/coordinators.py
+++ b/damasklead/gateway/coordination/coordinators.py
@@ -68,6 +68,14 @@
         """Whether a coordinator has queued requests."""
         return any(item.queue_length for item in self._coordinators.values())
 
+    @property
+    def interleaved_requests(self) -> int:
+        """
+        Number of requests that the present coordinators have assigned to engines
+        reserved for more urgent ones.
+        """
+        return sum(item.interleaved_requests for item in self._coordinators.values())
+
     @property
     def state(self) -> dict[str, object]:
         """Number of requests of each cell, for operators."""
--- a/damasklead/gateway/metrics.py
+++ b/damasklead/gateway/metrics.py
@@ -93,6 +93,11 @@
             "Replicas that name a limit on requests per second",
             registry=self.registry,
         )
+        self.interleaved_requests = Gauge(
+            "damasklead_interleaved_requests",
+            "Requests that coordinators here put on engines of more urgent streams",
+            registry=self.registry,
+        )
         self.slowest_replica = Gauge(
             "damasklead_slowest_replica_factor",
             "How much longer work takes at the slowest replica than usual",
--- a/damasklead/gateway/placements/base.py
+++ b/damasklead/gateway/placements/base.py
@@ -133,8 +133,7 @@
                 )
                 self._replicas[record.instance] = state
             elif state.update_record(record):
-                self._part_locations.remove_replica(record.instance)
-                self._speeds.remove_replica(record.instance)
+                self._forget_replica(record.instance)
             eligible[record.instance] = state
         self._eligible_replicas = eligible
         self._eligible_keys = frozenset(state.key for state in eligible.values())
@@ -273,6 +272,17 @@
                 now=self._clock.now(),
             )
 
+    def record_running(self, instance: InstanceId, call: Call) -> None:
+        """Record a request that was sent to a replica some time ago."""
+        state = self._replicas.get(instance)
+        if state is not None:
+            state.record_sent(
+                call,
+                prefill_tokens=self._count_prefill_tokens(state, call),
+                now=self._clock.now(),
+                is_timed=False,
+            )
+
     def record_response_head(self, instance: InstanceId, hint: LoadHint | None) -> None:
         """Record a response head of a replica and the load that it reports, if any."""
         state = self._replicas.get(instance)
@@ -329,6 +339,11 @@
         """Seconds of pending prefill per replica, on average."""
         return 0.0
 
+    @property
+    def interleaved_requests(self) -> int:
+        """Number of requests sent to replicas reserved for more urgent ones."""
+        return 0
+
     def has_any_capacity(self) -> bool:
         """Return whether any replica can start a further request soon."""
         return True
@@ -372,6 +387,11 @@
         """Return the prompt tokens that a replica has to prefill for a request."""
         return 0
 
+    def _forget_replica(self, instance: InstanceId) -> None:
+        """Forget what is known of a replica that has restarted."""
+        self._part_locations.remove_replica(instance)
+        self._speeds.remove_replica(instance)
+
     def _get_slowdown(self, state: ReplicaState) -> float:
         """Return how much longer work takes at a replica than usual; 1 is normal."""
         return self._speeds.get_slowdown(state.record.instance)
--- a/damasklead/gateway/placements/engine.py
+++ b/damasklead/gateway/placements/engine.py
@@ -9,11 +9,14 @@
 from collections.abc import Callable, Collection, Iterable
 
 from damasklead.clock import Clock
+from damasklead.failures import Failure
 from damasklead.gateway.calls import Call, LoadHint, UpstreamRecord
+from damasklead.gateway.part_locations import PartLocations
 from damasklead.gateway.placements.base import FAILURE_COST, Placement, tie_breaker
 from damasklead.gateway.placements.shared_parts import SharedParts
 from damasklead.gateway.replica_state import ReplicaState, ServiceTime
 from damasklead.gateway.routing import Route, ServiceSpec
+from damasklead.gateway.stream_room import StreamRoom
 from damasklead.ids import AttemptId, DataCentre, InstanceId
 from damasklead.util import stable_hash
 
@@ -115,6 +118,10 @@
         self._shared_parts: SharedParts | None = None
         self._choice_parts: SharedParts | None = None
         self._extra_reserved = 0
+        self._interleaved_requests = 0
+        self._room: StreamRoom | None = None
+        # Where parts were prefilled; ``_part_locations`` has where they were sent.
+        self._prefilled_parts = PartLocations(clock=clock)
         self._resized_at = clock.now()
 
     @property
@@ -122,6 +129,11 @@
         """Engines reserved for the streams with the shortest event gap target."""
         return self._reserved
 
+    @property
+    def interleaved_requests(self) -> int:
+        """Number of requests sent to engines that are reserved for more urgent ones."""
+        return self._interleaved_requests
+
     @property
     def mean_backlog(self) -> float:
         """Seconds of pending prefill per engine, on average."""
@@ -143,8 +155,53 @@
             (item.target for item in routes if not self._uses_reserved_engines(item)),
             default=0.0,
         )
+        self._configure_room(routes)
         self._select_reserved_engines()
 
+    def _configure_room(self, routes: list[Route]) -> None:
+        """
+        Make room for the streams with the shortest event gap target if others, of less
+        urgent tiers, share the service with them.
+        """
+        gap = self._reserved_event_gap
+        urgent = [item.tier for item in routes if self._uses_reserved_engines(item)]
+        others = [
+            item.tier
+            for item in routes
+            if item.event_gap and not self._uses_reserved_engines(item)
+        ]
+        if gap is None or not urgent or not others or max(urgent) >= min(others):
+            self._room = None
+        elif self._room is None or self._room.event_gap != gap:
+            self._room = StreamRoom(clock=self._clock, event_gap=gap)
+
+    def record_sent(self, instance: InstanceId, call: Call) -> None:
+        """Record that a request is being sent to an engine."""
+        state = self._replicas.get(instance)
+        if not self._uses_reserved_engines(call.route):
+            self._interleaved_requests += instance in self._reserved
+        elif state is not None and self._room is not None:
+            tokens = self._estimate_prefill_tokens(state, call)
+            self._room.record_urgent(tokens / PREFILL_TOKENS_PER_SECOND)
+        super().record_sent(instance, call)
+
+    def record_stream_event(self, instance: InstanceId, call: Call) -> None:
+        """Record an event of a request's stream, whose prompt is prefilled."""
+        state = self._replicas.get(instance)
+        is_first = state is not None and state.awaits_first_event(call)
+        super().record_stream_event(instance, call)
+        if self._room is not None and is_first:
+            for part in call.head.shared_parts:
+                self._prefilled_parts.record_sent(part.key, part.tokens, instance)
+
+    def record_failure(
+        self, instance: InstanceId, call: Call, failure: Failure
+    ) -> None:
+        """Record a failed attempt; after a crash nothing is cached any more."""
+        super().record_failure(instance, call, failure)
+        if failure in (Failure.BROKEN, Failure.NOT_SENT):
+            self._prefilled_parts.remove_replica(instance)
+
     def update_replicas(self, records: Iterable[UpstreamRecord]) -> None:
         """Replace the eligible replicas and select the reserved engines anew."""
         super().update_replicas(records)
@@ -379,14 +436,54 @@
         Return whether a reserved engine can prefill a prompt within the event gap
         target of its streams.
         """
+        slowdown = self._get_slowdown(state)
+        if self._room is not None:
+            room = self._compute_room(state)
+            if room <= 0:
+                return False
+            tokens = self._estimate_max_prefill_tokens(state, call)
+            return tokens / PREFILL_TOKENS_PER_SECOND * slowdown <= room
         gap = self._reserved_event_gap or 0.0
         prefill = self._estimate_prefill_tokens(state, call) / PREFILL_TOKENS_PER_SECOND
-        prefill *= self._get_slowdown(state)
+        prefill *= slowdown
         return (
             self._compute_backlog_seconds(state) + prefill
             <= INTERLEAVED_PREFILL_FRACTION * gap
         )
 
+    def _estimate_max_prefill_tokens(self, state: ReplicaState, call: Call) -> int:
+        """
+        Return the prompt tokens that an engine may have to prefill.
+
+        Only parts that were prefilled at it or at the engine from which they are copied
+        count as cached, not those that were sent there a moment ago.
+        """
+        cached = 0
+        holder = self._locate_shared_parts(call).holder
+        for source in (state, holder or state):
+            tokens = 0
+            for part in call.head.shared_parts:
+                tokens += part.tokens
+                if (
+                    part.key in source.cached_parts
+                    and source.key in self._prefilled_parts.find_replicas(part.key)
+                ):
+                    cached = max(cached, tokens)
+        return call.head.prompt_tokens - cached
+
+    def _forget_replica(self, instance: InstanceId) -> None:
+        super()._forget_replica(instance)
+        self._prefilled_parts.remove_replica(instance)
+
+    def _compute_room(self, state: ReplicaState) -> float:
+        """Return the seconds of prefill that fit between the events of its streams."""
+        assert self._room is not None
+        return self._room.compute_room(
+            pending_seconds=self._compute_backlog_seconds(state),
+            slowdown=self._get_slowdown(state),
+            engine_count=len(self._reserved),
+        )
+
     def _count_prefill_tokens(self, state: ReplicaState, call: Call) -> int:
         return int(self._estimate_prefill_tokens(state, call))
 
--- a/damasklead/gateway/process.py
+++ b/damasklead/gateway/process.py
@@ -333,6 +333,9 @@
         metrics.limited_replicas.set_function(
             lambda: self._fleet.rate_limits.limited_count
         )
+        metrics.interleaved_requests.set_function(
+            lambda: self._fleet.coordination.coordinators.interleaved_requests
+        )
         metrics.slowest_replica.set_function(
             lambda: max(
                 (item.max_slowdown for item in self._placements.values()), default=1.0
--- a/damasklead/gateway/replica_state.py
+++ b/damasklead/gateway/replica_state.py
@@ -91,6 +91,8 @@
         of earlier requests.
     last_event_at : float
         Clock time in seconds of the last event, or of sending.
+    is_timed : bool
+        Whether it is known when the request was sent.
     """
 
     sent_at: float
@@ -98,6 +100,7 @@
     events: int = 0
     work_tokens: int = 0
     last_event_at: float = 0.0
+    is_timed: bool = True
 
 
 class ServiceTime(msgspec.Struct, frozen=True):
@@ -189,7 +192,9 @@
         self.record = record
         return restarted
 
-    def record_sent(self, call: Call, *, prefill_tokens: int, now: float) -> None:
+    def record_sent(
+        self, call: Call, *, prefill_tokens: int, now: float, is_timed: bool = True
+    ) -> None:
         """
         Record that a request is being sent.
 
@@ -199,6 +204,8 @@
             Prompt tokens that the replica has to prefill.
         now : float
             Clock time in seconds.
+        is_timed : bool
+            Whether the request is sent now, so that its times are of use.
         """
         self.remove_request(call)
         self.last_sent_at = now
@@ -207,6 +214,7 @@
             pending_prefill_tokens=prefill_tokens,
             work_tokens=self._pending_prefill_tokens + prefill_tokens,
             last_event_at=now,
+            is_timed=is_timed,
         )
         self._pending_prefill_tokens += prefill_tokens
         for part in call.head.prompt:
@@ -219,7 +227,7 @@
         Returns
         -------
         ServiceTime or None
-            ``None`` for a request that is not known.
+            ``None`` for a request that is not known, or not since when.
         """
         self._last_response_at = now
         request = self._active_requests.get(call.id)
@@ -229,8 +237,15 @@
         request.pending_prefill_tokens = 0
         request.events += 1
         seconds, request.last_event_at = now - request.last_event_at, now
+        if not request.is_timed:
+            return None
         return ServiceTime(seconds, request.events == 1, request.work_tokens)
 
+    def awaits_first_event(self, call: Call) -> bool:
+        """Return whether a request is at the replica and has no event yet."""
+        request = self._active_requests.get(call.id)
+        return request is not None and not request.events
+
     def remove_request(self, call: Call) -> None:
         """Remove a request that has ended."""
         request = self._active_requests.pop(call.id, None)
--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -26,7 +26,7 @@
 from damasklead.experiment.simulator import Simulator
 from damasklead.experiment.tally import Result, Tally
 from damasklead.findings import Findings
-from damasklead.gateway import admission
+from damasklead.gateway import admission, stream_room
 from damasklead.gateway.calls import PromptPart
 from damasklead.gateway.coordination import cells
 from damasklead.gateway.placements import engine as engine_placement
@@ -82,23 +82,31 @@
 
 
 @pytest.mark.parametrize(
-    ("constant", "without"),
+    ("module", "constant", "without", "has_tiers"),
     [
-        ("COPY_WEIGHT", 0.0),
-        ("INTERLEAVED_PREFILL_FRACTION", 0.0),
-        ("MIN_RESERVED_FRACTION", 0.0),
+        (engine_placement, "COPY_WEIGHT", 0.0, True),
+        (stream_room, "PREFILL_FRACTION", 0.0, True),
+        # The rule for streams of one tier.
+        (engine_placement, "INTERLEAVED_PREFILL_FRACTION", 0.0, False),
+        (engine_placement, "MIN_RESERVED_FRACTION", 0.0, True),
     ],
 )
 def test_each_part_of_the_placement_raises_attainment_in_a_burst(
     experiment: Experiment,
     monkeypatch: pytest.MonkeyPatch,
+    module: ModuleType,
     constant: str,
     without: float,
+    has_tiers: bool,
 ) -> None:
+    if not has_tiers:
+        monkeypatch.setattr(
+            engine_placement.EnginePlacement, "_configure_room", lambda *_: None
+        )
     with_part = compute_mean_attainment(
         [run_policy(experiment, seed=seed) for seed in SEEDS]
     )
-    monkeypatch.setattr(engine_placement, constant, without)
+    monkeypatch.setattr(module, constant, without)
     without_part = compute_mean_attainment(
         [run_policy(experiment, seed=seed) for seed in SEEDS]
     )
