--- a/damasklead/gateway/admission.py
+++ b/damasklead/gateway/admission.py
@@ -16,7 +16,8 @@
 more requests are served in total, and later ones with the same prefix hit the cache.
 While a burst lasts this alone would keep long prompts waiting behind newer short ones
 until they are rejected; hence prompt sizes that are admitted much less often than
-others precede them within their tier.
+others precede them within their tier.  So do the requests of workspaces that are
+admitted much less often than others, where gateways name the workspace.
 
 More urgent requests are sent at once; the engines order them by tier over all gateways.
 
@@ -33,6 +34,7 @@
 from damasklead.gateway.calls import Call
 from damasklead.gateway.refusals import Reason
 from damasklead.gateway.size_fairness import SizeFairness
+from damasklead.gateway.workspace_fairness import WorkspaceFairness
 from damasklead.ids import AttemptId
 from damasklead.util import stable_hash
 
@@ -139,6 +141,8 @@
         self._bypasses_queue = bypasses_queue
         self._queue: dict[AttemptId, _QueuedCall] = {}
         self._fairness = SizeFairness(clock=clock)
+        self._workspace_fairness = WorkspaceFairness(clock=clock)
+        self._displaced_calls: list[Call] = []
 
     @property
     def queue_length(self) -> int:
@@ -155,16 +159,41 @@
         if self._bypasses_queue(call):
             return Admit(call=call)
         self._fairness.record_submitted(call)
+        self._workspace_fairness.record_submitted(call)
         if not self._queue and self._has_capacity_for(call):
             return self._admit(call)
-        if len(self._queue) >= MAX_QUEUE_LENGTH:
+        if len(self._queue) >= MAX_QUEUE_LENGTH and not self._displace_for(call):
             return self._reject(call)
         self._queue[call.id] = _QueuedCall(call=call)
         return None
 
+    def _displace_for(self, call: Call) -> bool:
+        """
+        Remove the last queued request if a new one has a more urgent tier, or an
+        underserved workspace of the same tier; returns whether one was removed.
+
+        Only requests whose workspace is known are compared.
+        """
+        if call.workspace is None:
+            return False
+        now = self._clock.now()
+        last = max(
+            self._queue.values(), key=lambda item: self._sort_key(item, now)
+        ).call
+        if self._get_rank(call) >= self._get_rank(last):
+            return False
+        del self._queue[last.id]
+        self._displaced_calls.append(last)
+        return True
+
+    def _get_rank(self, call: Call) -> tuple[int, bool]:
+        """Return the tier, and whether the workspace is served as often as others."""
+        return call.tier, not self._workspace_fairness.is_underserved(call)
+
     def remove_call(self, call: Call) -> None:
         """Remove a request from the queue, if it is there."""
         self._queue.pop(call.id, None)
+        self._displaced_calls = [x for x in self._displaced_calls if x.id != call.id]
 
     def decide_next(self) -> Decision | None:
         """
@@ -173,6 +202,8 @@
         The caller must carry out each decision before it calls this again, since an
         admitted request uses capacity.
         """
+        if self._displaced_calls:
+            return self._reject(self._displaced_calls.pop())
         now = self._clock.now()
         if now - self._scanned_at >= EXPIRY_SCAN_INTERVAL_SECONDS:
             self._scanned_at = now
@@ -214,6 +245,7 @@
 
     def _admit(self, call: Call) -> Admit:
         self._fairness.record_admitted(call)
+        self._workspace_fairness.record_admitted(call)
         return Admit(call=call)
 
     def _reject(self, call: Call) -> Reject:
@@ -222,7 +254,9 @@
         seconds = max(0.0, MAX_RETRY_FRACTION * seconds_left * jitter)
         return Reject(call=call, reason=Reason.OVERLOADED, retry_after=seconds)
 
-    def _sort_key(self, item: _QueuedCall, now: float) -> tuple[bool, int, bool, float]:
+    def _sort_key(
+        self, item: _QueuedCall, now: float
+    ) -> tuple[bool, int, bool, bool, float]:
         """Return the sort key of a queued request; the lowest is served first."""
         call = item.call
         if now - item.estimated_at >= PREFILL_ESTIMATE_INTERVAL_SECONDS:
@@ -233,7 +267,7 @@
             )
         return (
             now > call.target_deadline,
-            call.tier,
+            *self._get_rank(call),
             not self._fairness.is_underserved(call),
             call.target_deadline + item.delay,
         )
--- a/damasklead/gateway/coordination/assignment_client.py
+++ b/damasklead/gateway/coordination/assignment_client.py
@@ -31,6 +31,7 @@
     RequestQueued,
     RequestRejected,
     RunningRequests,
+    WorkspaceAssignmentRequest,
 )
 from damasklead.gateway.journal import Journal
 from damasklead.ids import AttemptId, InstanceId
@@ -129,7 +130,12 @@
         return len(self._pending)
 
     def request_assignment(
-        self, call: Call, *, excluded: Collection[InstanceId], is_first_attempt: bool
+        self,
+        call: Call,
+        *,
+        excluded: Collection[InstanceId],
+        is_first_attempt: bool,
+        names_workspace: bool = False,
     ) -> Assignment | RequestRejected | None:
         """
         Return the assignment or rejection of a request, or ``None`` if the gateway has
@@ -143,13 +149,15 @@
         is_first_attempt : bool
             Whether the request has not been tried at a replica yet; only then may it
             be queued or rejected.
+        names_workspace : bool
+            Whether the coordinator is told the request's workspace.
         """
         cell = self._cells.select_cell(call, is_first_attempt=is_first_attempt)
         if cell is None:
             return None
         for coordinator in self._cells.list_coordinators(cell, limit=MAX_COORDINATORS):
             response = self._query_coordinator(
-                call, cell, coordinator, excluded, is_first_attempt
+                call, cell, coordinator, excluded, is_first_attempt, names_workspace
             )
             if isinstance(response, Grant):
                 return self._record_assignment(call, cell, coordinator, response)
@@ -219,6 +227,7 @@
         coordinator: str,
         excluded: Collection[InstanceId],
         is_first_attempt: bool,
+        names_workspace: bool,
     ) -> Grant | RequestRejected | None:
         """Return one coordinator's decision, ``None`` if it does not respond."""
         has_response = False
@@ -236,6 +245,7 @@
                     is_first_attempt=is_first_attempt,
                     source=self._cells.find_copy_source(call, cell),
                     rate_limits=self._select_rate_limits(cell, coordinator),
+                    names_workspace=names_workspace,
                 ),
             )
             has_response = response is not None
@@ -315,6 +325,7 @@
     is_first_attempt: bool,
     source: str | None = None,
     rate_limits: tuple[RateLimit, ...] = (),
+    names_workspace: bool = False,
 ) -> AssignmentRequest:
     """
     Return the assignment request for a call.
@@ -335,8 +346,10 @@
         Address of a replica of another cell that is likely to have the shared prefix.
     rate_limits : tuple of RateLimit
         Limits to tell the coordinator.
+    names_workspace : bool
+        Whether the request names the call's workspace, if it has one.
     """
-    return AssignmentRequest(
+    request = AssignmentRequest(
         instance,
         call.id,
         cell,
@@ -353,3 +366,7 @@
         rate_limits,
         call.version,
     )
+    if call.workspace is None or not names_workspace:
+        return request
+    fields = msgspec.structs.asdict(request) | {"workspace": call.workspace.name}
+    return WorkspaceAssignmentRequest(**fields)
--- a/damasklead/gateway/coordination/coordinator.py
+++ b/damasklead/gateway/coordination/coordinator.py
@@ -30,9 +30,10 @@
     RequestQueued,
     RequestRejected,
     RunningRequests,
+    WorkspaceAssignmentRequest,
 )
 from damasklead.gateway.placements import EnginePlacement, Placement
-from damasklead.gateway.routing import Route, ServiceSpec
+from damasklead.gateway.routing import Route, ServiceSpec, Workspace
 from damasklead.ids import AttemptId, InstanceId
 from damasklead.rate_limits import RateLimits
 
@@ -344,7 +345,7 @@
             head=head,
             route=route,
             service=self._cell.service,
-            workspace=None,
+            workspace=_get_workspace(request),
             arrival=now - request.age_seconds,
             deadline=now + request.seconds_left,
             caller_deadline=now + request.caller_seconds_left,
@@ -408,3 +409,10 @@
         self._admission.remove_call(entry.call)
         if entry.instance is not None:
             self._placement.record_cancellation(entry.instance, entry.call)
+
+
+def _get_workspace(request: AssignmentRequest) -> Workspace | None:
+    """Return the workspace that a request names, without its keys."""
+    if not isinstance(request, WorkspaceAssignmentRequest) or request.workspace is None:
+        return None
+    return Workspace(name=request.workspace, keys=())
--- a/damasklead/gateway/coordination/messages.py
+++ b/damasklead/gateway/coordination/messages.py
@@ -11,7 +11,7 @@
 
 from damasklead.gateway.calls import LoadHint, PromptPart
 from damasklead.gateway.coordination.cells import Cell
-from damasklead.ids import AttemptId, InstanceId, SoftwareVersion
+from damasklead.ids import AttemptId, InstanceId, SoftwareVersion, WorkspaceId
 from damasklead.rate_limits import RateLimit
 
 __all__ = [
@@ -24,6 +24,7 @@
     "RequestQueued",
     "RequestRejected",
     "RunningRequests",
+    "WorkspaceAssignmentRequest",
 ]
 
 # Rate limit in the messages of gateways of older versions, which don't have the field.
@@ -83,6 +84,24 @@
     version: SoftwareVersion | None = None
 
 
+class WorkspaceAssignmentRequest(
+    AssignmentRequest, array_like=True, frozen=True, tag=1
+):
+    """
+    An assignment request that names the workspace.
+
+    It is sent for services where requests of different tiers compete for the engines.
+    Requests without the field are decoded as this type, too, and gateways of older
+    versions ignore the field.
+
+    Attributes
+    ----------
+    workspace : WorkspaceId or None
+    """
+
+    workspace: WorkspaceId | None = None
+
+
 class RequestQueued(msgspec.Struct, array_like=True, frozen=True, tag=2):
     """The request is queued at the coordinator."""
 
--- a/damasklead/gateway/coordination/service.py
+++ b/damasklead/gateway/coordination/service.py
@@ -24,6 +24,7 @@
     RequestQueued,
     RequestRejected,
     RunningRequests,
+    WorkspaceAssignmentRequest,
 )
 from damasklead.gateway.journal import Journal
 from damasklead.gateway.peers import Peers
@@ -39,7 +40,13 @@
 # Interval between checks for suspected gateways that are due for a ping.
 PING_CHECK_INTERVAL_SECONDS = 0.25
 
-_COORDINATOR_MESSAGES = (AssignmentRequest, PrefillDone, RequestEnded, RunningRequests)
+_COORDINATOR_MESSAGES = (
+    AssignmentRequest,
+    WorkspaceAssignmentRequest,
+    PrefillDone,
+    RequestEnded,
+    RunningRequests,
+)
 _CLIENT_MESSAGES = (Grant, RequestQueued, RequestRejected)
 
 
--- a/damasklead/gateway/message_batch.py
+++ b/damasklead/gateway/message_batch.py
@@ -53,9 +53,8 @@
 
     def add(self, message_type: type, message: T) -> None:
         """Add a message of a type."""
-        (self._requests if message_type is AssignmentRequest else self._others).append(
-            message
-        )
+        is_request = issubclass(message_type, AssignmentRequest)
+        (self._requests if is_request else self._others).append(message)
 
     def select_messages(self) -> list[T]:
         """Return the messages to handle, assignment requests after all others."""
--- a/damasklead/gateway/peers.py
+++ b/damasklead/gateway/peers.py
@@ -17,13 +17,13 @@
 from damasklead.clock import Clock
 from damasklead.decoding import decode_msgpack, is_ip_address, is_token
 from damasklead.gateway.coordination.messages import (
-    AssignmentRequest,
     Grant,
     PrefillDone,
     RequestEnded,
     RequestQueued,
     RequestRejected,
     RunningRequests,
+    WorkspaceAssignmentRequest,
 )
 from damasklead.gateway.dialect import FeedError, PeerDirectory, PeerEntry
 from damasklead.gateway.journal import Journal
@@ -70,7 +70,7 @@
 
 _Address = tuple[str, int]
 _Message = (
-    AssignmentRequest | RequestQueued | Grant | RequestRejected | PrefillDone
+    WorkspaceAssignmentRequest | RequestQueued | Grant | RequestRejected | PrefillDone
     | RequestEnded | RunningRequests
     | Announcement | LeaveNotice | Ping | Broadcast | PeerReport
     | OriginReport | OriginQuery | OriginReply
--- a/damasklead/gateway/placements/base.py
+++ b/damasklead/gateway/placements/base.py
@@ -339,6 +339,11 @@
         """Seconds of pending prefill per replica, on average."""
         return 0.0
 
+    @property
+    def is_shared_by_tiers(self) -> bool:
+        """Whether streams of different tiers with event gap targets use the service."""
+        return False
+
     @property
     def interleaved_requests(self) -> int:
         """Number of requests sent to replicas reserved for more urgent ones."""
--- a/damasklead/gateway/placements/engine.py
+++ b/damasklead/gateway/placements/engine.py
@@ -129,6 +129,11 @@
         """Engines reserved for the streams with the shortest event gap target."""
         return self._reserved
 
+    @property
+    def is_shared_by_tiers(self) -> bool:
+        """Whether room is made for streams that are more urgent than others."""
+        return self._room is not None
+
     @property
     def interleaved_requests(self) -> int:
         """Number of requests sent to engines that are reserved for more urgent ones."""
--- a/damasklead/gateway/replica_selection.py
+++ b/damasklead/gateway/replica_selection.py
@@ -75,7 +75,10 @@
         skipped_replicas = set(excluded) | self._placement.find_paused_replicas()
         for _ in range(MAX_ASSIGNMENTS):
             result = self._client.request_assignment(
-                self._call, excluded=skipped_replicas, is_first_attempt=is_first_attempt
+                self._call,
+                excluded=skipped_replicas,
+                is_first_attempt=is_first_attempt,
+                names_workspace=self._placement.is_shared_by_tiers,
             )
             if result is None:
                 break
--- a/tests/test_gateway_admission.py
+++ b/tests/test_gateway_admission.py
@@ -15,8 +15,8 @@
     Reject,
 )
 from damasklead.gateway.calls import Call, CallHead
-from damasklead.gateway.routing import Route, RouteKind, RouteName
-from damasklead.ids import AttemptId, ServiceName
+from damasklead.gateway.routing import Route, RouteKind, RouteName, Workspace
+from damasklead.ids import AttemptId, ServiceName, WorkspaceId
 
 LLM = ServiceName("llm")
 
@@ -35,6 +35,10 @@
 CHAT = make_route("chat", 0, 0.25, 15.0)
 
 
+def make_workspace(name: str | None) -> Workspace | None:
+    return None if name is None else Workspace(name=WorkspaceId(name), keys=())
+
+
 class AdmissionHarness:
     """
     An admission controller and its decisions.
@@ -65,6 +69,7 @@
         caller_timeout: float | None = None,
         prompt_tokens: int = 0,
         tier: int | None = None,
+        workspace: str | None = None,
     ) -> None:
         now = self.clock.now()
         caller_timeout = route.timeout if caller_timeout is None else caller_timeout
@@ -73,7 +78,8 @@
             caller_timeout=caller_timeout, key=None, prompt_tokens=prompt_tokens,
         )  # fmt: skip
         call = Call(
-            head=head, route=route, service=LLM, workspace=None, arrival=now,
+            head=head, route=route, service=LLM, workspace=make_workspace(workspace),
+            arrival=now,
             deadline=now + min(caller_timeout, route.timeout),
             caller_deadline=now + caller_timeout,
             tier=route.tier if tier is None else tier,
@@ -277,3 +283,68 @@
     def test_long_prompts_of_a_more_urgent_tier_go_first(self) -> None:
         long_fraction, short_fraction = self.run_burst(long_tier=REVIEW.tier - 1)
         assert long_fraction > 0.9 > short_fraction
+
+
+class TestWorkspacesInALongBurst:
+    """
+    For seconds, more prompts arrive than the engines can prefill.  One workspace in
+    twenty requests asks about subjects that aren't cached.
+    """
+
+    BURST_SECONDS = 10.0
+
+    def run_burst(
+        self,
+        *,
+        is_named: bool = True,
+        arrivals_per_second: int = 100,
+        tier: int = REVIEW.tier,
+    ) -> tuple[float, float]:
+        """Return the admitted fractions of the small and of the large workspace."""
+        harness = AdmissionHarness(capacity=0)
+        count = int(self.BURST_SECONDS * arrivals_per_second)
+        for number in range(count):
+            is_small = number % 20 == 0
+            name = f"small-{number}" if is_small else f"large-{number}"
+            harness.prefill_seconds[name] = 0.8 if is_small else 0.0
+            harness.submit_call(
+                name,
+                REVIEW,
+                prompt_tokens=6000,
+                tier=tier if is_small else REVIEW.tier,
+                workspace=name.partition("-")[0] if is_named else None,
+            )
+            harness.clock.advance(1 / arrivals_per_second)
+            harness.add_capacity(number % (arrivals_per_second // 50) == 0)
+        small_count = sum(name.startswith("small") for name in harness.admitted)
+        return (
+            small_count / (0.05 * count),
+            (len(harness.admitted) - small_count) / (0.95 * count),
+        )
+
+    def test_each_workspace_is_served_a_quarter_as_often_as_all(self) -> None:
+        small, large = self.run_burst()
+        assert small >= 0.25 * large
+        small, large = self.run_burst(is_named=False)
+        assert small < 0.25 * large
+
+    def test_a_full_queue_has_a_place_for_a_workspace_that_is_not_served(self) -> None:
+        """With ten times as many requests, the queue was always full for others."""
+        small, large = self.run_burst(arrivals_per_second=1000)
+        assert small >= 0.25 * large
+
+    def test_a_workspace_of_a_less_urgent_tier_waits(self) -> None:
+        small, large = self.run_burst(tier=REVIEW.tier + 1)
+        assert small < 0.25 * large
+
+    def test_a_full_queue_refuses_the_least_urgent_request(self) -> None:
+        """A new request of a more urgent tier was refused instead."""
+        harness = AdmissionHarness(capacity=0)
+        for number in range(MAX_QUEUE_LENGTH):
+            harness.submit_call(f"r{number}", REVIEW, workspace="large")
+        harness.submit_call("q", REVIEW, tier=REVIEW.tier - 1, workspace="small")
+        harness.submit_call("z", REVIEW, workspace="large")
+        harness.decide_all()
+        assert len(harness.rejected) == 2
+        assert "q" not in harness.rejected and "z" in harness.rejected
+        assert harness.admission.queue_length == MAX_QUEUE_LENGTH
--- a/tests/test_gateway_coordination.py
+++ b/tests/test_gateway_coordination.py
@@ -51,10 +51,11 @@
     RequestQueued,
     RequestRejected,
     RunningRequests,
+    WorkspaceAssignmentRequest,
 )
 from damasklead.gateway.journal import Journal
-from damasklead.gateway.routing import EngineSpec, ServiceSpec
-from damasklead.ids import AttemptId, DataCentre, InstanceId, ServiceName
+from damasklead.gateway.routing import ApiKey, EngineSpec, ServiceSpec, Workspace
+from damasklead.ids import AttemptId, DataCentre, InstanceId, ServiceName, WorkspaceId
 from damasklead.loop import LoopClock
 from damasklead.rate_limits import RateLimits
 from tests.gateway_kit import SERVICE, make_table
@@ -699,3 +700,61 @@
             if isinstance(message, AssignmentRequest)
         }
         assert requested_gateways == {first}
+
+
+class TestWorkspaceOfARequest:
+    def encode(self, *, names_workspace: bool, workspace: Workspace | None) -> bytes:
+        call = make_call("q", REVIEW, tokens=1800)
+        call.workspace = workspace
+        request = make_assignment_request(
+            "g1", call, CELL, now=0.0, excluded=(), is_first_attempt=True,
+            names_workspace=names_workspace,
+        )  # fmt: skip
+        return msgspec.msgpack.encode(request)
+
+    def decode(self, data: bytes) -> WorkspaceAssignmentRequest:
+        """Decode a message as gateways do, as one of several types."""
+        message = msgspec.msgpack.decode(data, type=WorkspaceAssignmentRequest | Grant)
+        assert isinstance(message, WorkspaceAssignmentRequest)
+        return message
+
+    def test_a_coordinator_learns_the_workspace(self) -> None:
+        workspace = Workspace(name=WorkspaceId("w1"), keys=(ApiKey("secret"),))
+        data = self.encode(names_workspace=True, workspace=workspace)
+        request = self.decode(data)
+        assert request.workspace == "w1" and b"secret" not in data
+        assert request.prompt_tokens == 1800
+
+    @pytest.mark.parametrize("names_workspace", [True, False])
+    def test_messages_without_it_are_those_of_older_versions(
+        self, names_workspace: bool
+    ) -> None:
+        """Deployments that don't ask for the rule must send the same messages."""
+        workspace = Workspace(name=WorkspaceId("w1"), keys=())
+        data = self.encode(
+            names_workspace=names_workspace,
+            workspace=None if names_workspace else workspace,
+        )
+        fields = msgspec.structs.fields(AssignmentRequest)
+        assert len(msgspec.msgpack.decode(data)) == 1 + len(fields)
+        assert self.decode(data).workspace is None
+
+    def test_older_versions_read_the_message(self) -> None:
+        workspace = Workspace(name=WorkspaceId("w1"), keys=())
+        data = self.encode(names_workspace=True, workspace=workspace)
+        request = msgspec.msgpack.decode(data, type=AssignmentRequest)
+        assert request.attempt == "q"
+
+    @pytest.mark.parametrize("workspace", ["w1", None])
+    def test_underserved_workspaces_of_a_cell_are_known_to_its_coordinator(
+        self, workspace: str | None
+    ) -> None:
+        """Requests arrive without their workspace unless the message names it."""
+        harness = CoordinatorHarness(2)
+        call = make_call("q", LOW_PRIORITY, tokens=1800)
+        if workspace is not None:
+            call.workspace = Workspace(name=WorkspaceId(workspace), keys=())
+        harness.request_assignment(call, names_workspace=True)
+        (entry,) = harness.coordinator._requests.values()
+        named = entry.call.workspace
+        assert (None if named is None else named.name) == workspace
