--- a/damasklead/descriptor_budget.py
+++ b/damasklead/descriptor_budget.py
@@ -19,6 +19,9 @@
 FILE_DESCRIPTORS = 200
 # Listening sockets, the event loop, the store, peers, operators and probes.
 OWN_DESCRIPTORS = 60
+# Connections of callers above this fraction of their limit are closed for new ones; the
+# rest is for those that are being closed.
+CLOSING_FRACTION = 0.9
 # Smallest number of connections of each kind.
 MIN_CONNECTIONS = 8
 
@@ -30,12 +33,15 @@
     Attributes
     ----------
     caller_connections : float
-        Connections from callers.
+        Connections from callers; further ones are refused.
+    closing_threshold : float
+        Connections from callers above which slow or idle ones are closed.
     upstream_connections : float
         Connections to upstreams, idle ones included.
     """
 
     caller_connections: float = math.inf
+    closing_threshold: float = math.inf
     upstream_connections: float = math.inf
 
 
@@ -63,5 +69,7 @@
     connections = (max_descriptors - FILE_DESCRIPTORS - OWN_DESCRIPTORS) // 2
     connections = max(MIN_CONNECTIONS, connections)
     return DescriptorBudget(
-        caller_connections=connections, upstream_connections=connections
+        caller_connections=connections,
+        closing_threshold=int(CLOSING_FRACTION * connections),
+        upstream_connections=connections,
     )
--- a/damasklead/gateway/callers.py
+++ b/damasklead/gateway/callers.py
@@ -408,6 +408,7 @@
             limits.idle_seconds
         ):
             return None
+        self._holding.enter(Stage.READING)
         event = self._next_event(limits)
         if isinstance(event, h11.ConnectionClosed):
             return None
@@ -467,6 +468,8 @@
         received_bytes = 0
         while True:
             self._turn.spend(size=received_bytes)
+            if self._holding.is_closing:
+                raise TimeoutError
             event = self._http.next_event()
             if event is h11.PAUSED:
                 raise CallerDisconnected
@@ -474,8 +477,6 @@
                 return event
             if self._http.trailing_data[0] and started_at is None:
                 started_at = self._start_reading(limits)
-            if self._holding.is_closing:
-                raise TimeoutError
             if started_at is not None:
                 remaining = started_at + limits.head_seconds - self._clock.now()
                 if remaining <= 0:
--- a/damasklead/gateway/forwarding.py
+++ b/damasklead/gateway/forwarding.py
@@ -167,6 +167,7 @@
                 connection,
                 Reason.MEMORY_SHORTAGE,
                 retry_after=MEMORY_RETRY_SECONDS,
+                close=True,
             )
             return
         self._context.budget.record_first_attempt(call.service)
@@ -203,6 +204,7 @@
         reason: Reason,
         *,
         retry_after: float,
+        close: bool = False,
     ) -> None:
         """Refuse a request for which no replica is looked for."""
         refusal = Refusal(reason=reason, attempt=call.id, retry_after=retry_after)
@@ -215,7 +217,7 @@
             status=refusal.status,
             retry_after=retry_after,
         )
-        self._send_refusal(refusal, connection)
+        self._send_refusal(refusal, connection, close=close)
 
     def _record_disconnect(
         self,
@@ -315,8 +317,12 @@
         )
         self._send_refusal(refusal, connection)
 
-    def _send_refusal(self, refusal: Refusal, connection: CallerConnection) -> None:
+    def _send_refusal(
+        self, refusal: Refusal, connection: CallerConnection, *, close: bool = False
+    ) -> None:
         headers = self._context.dialect.build_response_headers(
             attempt=refusal.attempt, retry_after=refusal.retry_after
         )
-        connection.send_response(refusal.status, headers, refusal.reason.value.encode())
+        connection.send_response(
+            refusal.status, headers, refusal.reason.value.encode(), close=close
+        )
--- a/damasklead/gateway/listeners.py
+++ b/damasklead/gateway/listeners.py
@@ -17,6 +17,7 @@
 from gevent.server import StreamServer
 
 from damasklead.clock import Clock
+from damasklead.descriptor_budget import DescriptorBudget
 from damasklead.gateway.callers import (
     CallerConnection,
     RawRequest,
@@ -60,8 +61,8 @@
     get_stall_seconds : callable
         Returns the seconds without an accepted byte after which a caller is
         disconnected; see ``CallerConnection``.
-    get_max_connections : callable
-        Returns the largest number of connections.
+    get_budget : callable
+        Returns the limits on connections.
     on_closed : callable or None
         Called with the cause when the connection of a caller is closed or refused.
     """
@@ -76,12 +77,12 @@
         listening_socket: standard_socket.socket | None = None,
         account: MemoryAccount | None = None,
         get_stall_seconds: Callable[[], float | None] = lambda: None,
-        get_max_connections: Callable[[], float] = lambda: math.inf,
+        get_budget: Callable[[], DescriptorBudget] = DescriptorBudget,
         on_closed: Callable[[str], None] | None = None,
     ) -> None:
         self._account = account or MemoryAccount(clock=clock)
         self._get_stall_seconds = get_stall_seconds
-        self._get_max_connections = get_max_connections
+        self._get_budget = get_budget
         self._on_closed = on_closed
         self._address = address
         self._listening_socket = listening_socket
@@ -109,7 +110,7 @@
             self._server = StreamServer(address, self._serve, backlog=BACKLOG)
         else:
             self._server = StreamServer(listening_socket, self._serve)
-        if self._get_max_connections() < math.inf:
+        if self._get_budget().caller_connections < math.inf:
             self._server.max_accept = MAX_ACCEPTED_AT_ONCE
         self._server.start()
 
@@ -169,8 +170,12 @@
 
     def _make_room(self) -> bool:
         """Close connections beyond the limit; returns whether a new one is served."""
-        excess = len(self._connections) + 1 - self._get_max_connections()
-        return excess <= 0 or self._account.close_connections(int(excess)) >= excess
+        budget, count = self._get_budget(), len(self._connections) + 1
+        excess = count - budget.closing_threshold
+        if excess <= 0:
+            return True
+        closing_count = self._account.close_connections(int(excess))
+        return closing_count >= excess and count <= budget.caller_connections
 
     def _serve(self, raw: socket.socket, _peer: object) -> None:
         has_room = self._make_room()
--- a/damasklead/gateway/process.py
+++ b/damasklead/gateway/process.py
@@ -153,7 +153,7 @@
             is_stopping=lambda: self._is_stopping,
             account=self._account,
             get_stall_seconds=lambda: self._settings.send_stall_seconds,
-            get_max_connections=lambda: self._descriptors.caller_connections,
+            get_budget=lambda: self._descriptors,
             on_closed=self._metrics.count_closed_caller,
         )
         self._tree = self._build_tree()
@@ -339,6 +339,7 @@
             "configuration": None if table is None else table.version,
             "active": self._forwarder.active_requests,
             "gateways": self._fleet.gateway_count,
+            "callers": self._account.count_by_stage(),
             "cells": self._fleet.coordination.coordinators.state,
             "replicas": {
                 name: sorted(placement.eligible_instances)
--- a/damasklead/memory_budget.py
+++ b/damasklead/memory_budget.py
@@ -36,6 +36,9 @@
 # Fixed charge of a request in progress: the decoded call, the connection to a replica
 # and its parser, a second greenlet.
 REQUEST_BYTES = 24_576
+# Excess over the limit that is accepted since connections that hold as much are being
+# closed.  Their greenlets may wait for a turn for a second under load.
+MAX_CLOSING_FRACTION = 0.1
 # Time until the next search for connections to close, after one has found too few: each
 # search looks at all connections.
 SEARCH_INTERVAL_SECONDS = 0.05
@@ -196,10 +199,17 @@
 
     @property
     def is_exceeded(self) -> bool:
-        """Whether more is held than the limit, without what is being closed."""
+        """
+        Whether more is held than the limit.
+
+        What is being closed doesn't count unless it takes long to end.
+        """
+        excess_bytes = self.used_bytes - self.limit_bytes
+        if excess_bytes <= 0:
+            return False
         return (
-            self.used_bytes > self.limit_bytes
-            and self.used_bytes - self._get_closing_bytes() > self.limit_bytes
+            excess_bytes > MAX_CLOSING_FRACTION * self.limit_bytes
+            or excess_bytes > self._get_closing_bytes()
         )
 
     @property
@@ -226,6 +236,13 @@
         holding.hold(HeldKind.CONNECTION, CONNECTION_BYTES)
         return holding
 
+    def count_by_stage(self) -> dict[str, int]:
+        """Return the number of connections in each stage, and of those that close."""
+        counts = dict.fromkeys([*(stage.value for stage in Stage), "closing"], 0)
+        for holding in self._holdings:
+            counts["closing" if holding.is_closing else holding.stage.value] += 1
+        return counts
+
     def admit_request(self) -> bool:
         """
         Return whether a new request may be sent to a replica.
@@ -236,7 +253,7 @@
         if self.used_bytes <= room_bytes:
             return True
         self._relieve(excess_bytes=self.used_bytes - room_bytes)
-        return has_room_for_request(
+        return not self.is_exceeded and has_room_for_request(
             used_bytes=self.used_bytes - self._get_closing_bytes(),
             limit_bytes=self.limit_bytes,
         )
--- a/tests/odd_values.py
+++ b/tests/odd_values.py
@@ -51,10 +51,10 @@
             fields[field] = value
             yield field, encode_fields(fields)
     for field in document:
-        fields = [(name, json.dumps(item).encode()) for name, item in document.items()]
-        duplicates = [*fields, (field, b'"other"'), (field, b"7")]
+        pairs = [(name, json.dumps(item).encode()) for name, item in document.items()]
+        duplicates = [*pairs, (field, b'"other"'), (field, b"7")]
         yield field, b"{" + b",".join(encode_pair(*pair) for pair in duplicates) + b"}"
-        yield field, encode_fields({n: v for n, v in fields if n != field})
+        yield field, encode_fields({n: v for n, v in pairs if n != field})
 
 
 def encode_fields(fields: dict[str, bytes]) -> bytes:
--- a/tests/slow_callers.py
+++ b/tests/slow_callers.py
@@ -37,6 +37,7 @@
 TRICKLE_BYTES = 512
 TRICKLE_SECONDS = 0.05
 RECONNECT_SECONDS = 0.2
+CONNECT_SECONDS = 0.005
 
 
 class Variant(msgspec.Struct, kw_only=True, frozen=True):
@@ -152,15 +153,22 @@
         The gateway's port for callers, on the loopback address.
     callers : int or None
         Number of callers; by default that of the variant.
+    interval : float
+        Seconds after which each next caller connects.
     """
 
     def __init__(
-        self, variant: Variant, port: int, *, callers: int | None = None
+        self,
+        variant: Variant,
+        port: int,
+        *,
+        callers: int | None = None,
+        interval: float = CONNECT_SECONDS,
     ) -> None:
         self._variant = variant
         self._port = port
         self._greenlets = [
-            gevent.spawn_later(0.005 * number, self._run, number)
+            gevent.spawn_later(interval * number, self._run, number)
             for number in range(callers or variant.callers)
         ]
         self._connections: set[socket.socket] = set()
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -402,10 +402,10 @@
     gevent.sleep(1.2)
     site.start()
     wait_until(site.is_ready, seconds=10)
-    wait_until(lambda: site.store.list_keys("damasklead-gateways"), seconds=4)
+    wait_until(lambda: bool(site.store.list_keys("damasklead-gateways")), seconds=4)
     site.store.restore_backup(1.0)
     assert not site.store.list_keys("damasklead-gateways")
-    wait_until(lambda: site.store.list_keys("damasklead-gateways"), seconds=4)
+    wait_until(lambda: bool(site.store.list_keys("damasklead-gateways")), seconds=4)
 
 
 def test_connections_made_before_the_imports_are_served(site: Site) -> None:
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -12,6 +12,7 @@
 import pytest
 from gevent import socket
 
+from damasklead.descriptor_budget import DescriptorBudget
 from damasklead.gateway.caller_sender import SEND_BUFFER_BYTES
 from damasklead.gateway.listeners import Listener
 from damasklead.gateway.upstream_http import (
@@ -432,7 +433,9 @@
             clock=harness.clock,
             is_stopping=lambda: False,
             account=harness.account,
-            get_max_connections=lambda: 3,
+            get_budget=lambda: DescriptorBudget(
+                caller_connections=4, closing_threshold=3
+            ),
             on_closed=closed.append,
         )
         listener.start()
@@ -461,7 +464,9 @@
             gevent.sleep(2.0)
 
         harness = make_limited_harness(harnesses, hang)
-        harness.listener._get_max_connections = lambda: 1
+        harness.listener._get_budget = lambda: DescriptorBudget(
+            caller_connections=2, closing_threshold=1
+        )
         with harness.connect() as connection:
             connection.sendall(make_request("/order/1", method="POST", body="x"))
             wait_until(lambda: bool(harness.replicas[0].requests))
--- a/tests/test_gateway_slow_callers.py
+++ b/tests/test_gateway_slow_callers.py
@@ -17,6 +17,7 @@
 from tests.gateway_kit import make_request, read_all, wait_until
 from tests.platform_standin import make_configuration
 from tests.slow_callers import (
+    CONNECT_SECONDS,
     LARGE_BODY_BYTES,
     VARIANTS,
     Crowd,
@@ -61,10 +62,15 @@
         """Whether the gateway process has not ended."""
         return self._process is not None and self._process.poll() is None
 
-    def start_limited(self, *, max_descriptors: int = MAX_DESCRIPTORS) -> None:
+    def start_limited(
+        self,
+        *,
+        memory_megabytes: float = MEMORY_MEGABYTES,
+        max_descriptors: int = MAX_DESCRIPTORS,
+    ) -> None:
         """Start the gateway with the limits of a small instance."""
         self.write_settings(
-            memory_megabytes=MEMORY_MEGABYTES, max_descriptors=max_descriptors
+            memory_megabytes=memory_megabytes, max_descriptors=max_descriptors
         )
         configuration = make_configuration(1, timeout=60_000)
         for route in configuration["routes"]:
@@ -76,9 +82,16 @@
         self.start()
         wait_until(self.is_ready, seconds=15)
 
-    def start_crowd(self, variant: Variant, *, callers: int | None = None) -> Crowd:
+    def start_crowd(
+        self,
+        variant: Variant,
+        *,
+        callers: int | None = None,
+        interval: float = CONNECT_SECONDS,
+    ) -> Crowd:
         """Start the callers of a variant."""
-        return Crowd(variant, self.get_port("callers"), callers=callers)
+        port = self.get_port("callers")
+        return Crowd(variant, port, callers=callers, interval=interval)
 
     def serves_ordinary_caller(self) -> bool:
         """Return whether an ordinary request is answered; tried once."""
