--- a/bench/slowcallers.py
+++ b/bench/slowcallers.py
@@ -44,7 +44,7 @@
         whether an ordinary request was answered within 20 s.
     """
     with tempfile.TemporaryDirectory() as folder:
-        site = CrowdSite(Path(folder))
+        site = CrowdSite(Path(folder), is_exclusive=False)
         try:
             site.start_limited(memory_megabytes=MEMORY_MEGABYTES)
             crowd = site.start_crowd(variant, callers=callers, interval=CONNECT_SECONDS)
