--- a/damasklead/gateway/placements/engine.py
+++ b/damasklead/gateway/placements/engine.py
@@ -131,8 +131,13 @@
 
     @property
     def is_shared_by_tiers(self) -> bool:
-        """Whether room is made for streams that are more urgent than others."""
-        return self._room is not None
+        """
+        Whether room is made for streams that are more urgent than others.
+
+        It is where replicas share their machines, and so state their speed: there the
+        time between two events changes faster than engines can be reserved.
+        """
+        return self._room is not None and self._speeds.is_active
 
     @property
     def interleaved_requests(self) -> int:
@@ -442,7 +447,7 @@
         target of its streams.
         """
         slowdown = self._get_slowdown(state)
-        if self._room is not None:
+        if self.is_shared_by_tiers:
             room = self._compute_room(state)
             if room <= 0:
                 return False
--- a/tests/test_gateway_stream_room.py
+++ b/tests/test_gateway_stream_room.py
@@ -71,7 +71,11 @@
 
 class TestPlacement:
     def make_placement(
-        self, *routes: Route, count: int = 9, kind: type[EnginePlacement] | None = None
+        self,
+        *routes: Route,
+        count: int = 9,
+        kind: type[EnginePlacement] | None = None,
+        states_speeds: bool = True,
     ) -> EnginePlacement:
         self.clock = ManualClock(start=10.0)
         service = ServiceSpec(
@@ -84,6 +88,9 @@
         )
         placement.configure(service, routes or (CHAT, REVIEW))
         placement.update_replicas(make_record(f"e{number}") for number in range(count))
+        if states_speeds:
+            record = next(iter(placement.eligible_instances))
+            placement.record_response_head(record, LoadHint(0, 0, 64, 1.0))
         return placement
 
     def fill_open_engines(self, placement: EnginePlacement) -> None:
@@ -127,6 +134,13 @@
         self.clock.advance(10.0)
         assert self.choose(placement, "r3", tokens=4000)
 
+    def test_engines_that_state_no_speed_are_served_as_without_the_rule(self) -> None:
+        """Guards deployments whose engines have machines of their own."""
+        placement = self.make_placement(states_speeds=False)
+        self.fill_open_engines(placement)
+        self.add_chats(placement, 40)
+        assert self.choose(placement, "r", tokens=4000)
+
     def test_running_requests_that_are_taken_over_are_no_burst(self) -> None:
         """
         A new coordinator knows their number and not their tiers, and put short prompts
