--- a/damasklead/gateway/coordination/cellmap.py
+++ b/damasklead/gateway/coordination/cellmap.py
@@ -241,6 +241,18 @@
         """
         return self._list_candidates(cell)[:1] == [self._local_member.instance]
 
+    def is_candidate(self, cell: Cell, *, limit: int) -> bool:
+        """
+        Return whether this gateway is among the first ones that may coordinate a cell.
+
+        Parameters
+        ----------
+        cell : Cell
+        limit : int
+            Number of ranked gateways, without the suspected ones.
+        """
+        return self._local_member.instance in self._list_candidates(cell)[:limit]
+
     def _list_candidates(self, cell: Cell) -> list[InstanceId]:
         """Return the ranked gateways of a cell that are not suspected."""
         self._refresh_members()
--- a/damasklead/gateway/coordination/coordinators.py
+++ b/damasklead/gateway/coordination/coordinators.py
@@ -30,6 +30,10 @@
 
 __all__ = ["Coordinators"]
 
+# Number of ranked gateways that report on a cell without requests.  A gateway that was
+# killed is suspected only when requests reach it, and listed for a minute.
+IDLE_REPORTERS = 3
+
 
 class Coordinators:
     """
@@ -84,8 +88,8 @@
         """
         Return the loads of the cells of scaled services since the last call.
 
-        They include the cells that this gateway would coordinate and that have had no
-        request, so that no demand differs from no report.
+        They include cells without requests that this gateway may coordinate, so that no
+        demand differs from no report.
         """
         table = self._table()
         if table is None:
@@ -96,7 +100,8 @@
         loads = {
             cell: CoordinatorLoad()
             for cell in self._cells.cells
-            if cell.service in scaled and self._cells.is_coordinator(cell)
+            if cell.service in scaled
+            and self._cells.is_candidate(cell, limit=IDLE_REPORTERS)
         }
         return loads | {
             cell: coordinator.take_load()
--- a/damasklead/gateway/duties/scaling/load_reports.py
+++ b/damasklead/gateway/duties/scaling/load_reports.py
@@ -122,19 +122,23 @@
             if cell.service == service:
                 by_cell.setdefault(cell, []).append(item)
         loads: list[CellLoad] = []
+        backlogs: list[float] = []
         for items in by_cell.values():
             newest = max(items, key=lambda item: item[0])
-            loads += [
+            counted = [
                 load
                 for received_at, load in items
                 if now - received_at <= SHARED_REPORT_SECONDS or load is newest[1]
             ]
+            loads += counted
+            # Gateways without requests of the cell report zeros.
+            backlogs.append(max(load.backlog for load in counted))
         return Demand(
             running=sum(load.running for load in loads),
             queued=sum(load.queued for load in loads),
             arrivals=sum(load.arrivals for load in loads),
             refusals=sum(load.refusals for load in loads),
             prefill_tokens=sum(load.prefill_tokens for load in loads),
-            backlog=sum(load.backlog for load in loads) / len(loads),
+            backlog=sum(backlogs) / len(backlogs),
             shared_tokens=sum(load.shared_tokens for load in loads),
         )
--- a/tests/test_gateway_scaling_duty.py
+++ b/tests/test_gateway_scaling_duty.py
@@ -5,6 +5,7 @@
 With a scripted API and authority, and with a gateway process and the API's stand-in.
 """
 
+import signal
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -51,6 +52,7 @@
 from tests.test_gateway_coordination import make_review_call
 from tests.test_gateway_process import Site
 
+HANDOVER_SECONDS = 0.5
 CELL = Cell(SERVICE, DataCentre(""), 0)
 SCALED = ServiceSpec(name=SERVICE, max_connections=100, engine=ENGINE, scaling=SPEC)
 
@@ -334,6 +336,22 @@
         demand = collector.get_history(SERVICE).latest
         assert demand is not None and demand.running == 40
 
+    def test_idle_gateways_of_a_cell_do_not_lower_its_backlog(self) -> None:
+        """Guards against a backlog that is averaged with the zeros of others."""
+        collector, clock = self.make_collector()
+        idle = make_load(
+            running=0, queued=0, arrivals=0.0, refusals=0.0, backlog=0.0,
+            prefill_tokens=0.0, shared_tokens=0,
+        )  # fmt: skip
+        for _ in range(2):
+            collector.handle_report(idle, "b")
+            collector.handle_report(make_load(), "a")
+            clock.advance(1.0)
+        collector.handle_report(idle, "b")
+        demand = collector.get_history(SERVICE).latest
+        assert demand is not None
+        assert (demand.running, demand.backlog) == (40, 0.1)
+
     def test_a_lost_report_changes_nothing(self) -> None:
         """Guards against a dip in the demand for each lost datagram."""
         collector, clock = self.make_collector()
@@ -399,17 +417,24 @@
         assert not sent
 
 
-class ScaledSite:
-    """A gateway process that orders replicas from the API's stand-in."""
+class ScaledFleet:
+    """Gateway processes that order replicas from the API's stand-in."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, *, count: int) -> None:
         self.api = ApiStandin()
+        self.sites: list[Site] = []
         self._listed: set[str] = set()
-        self.site = Site(folder)
-        self.site.write_settings(
-            platform_api={"address": self.api.address, "duties": ["autoscale"]},
-            duty_bounds={"handover_seconds": 0.5},
-        )
+        for number in range(1, count + 1):
+            path = folder / str(number)
+            path.mkdir()
+            site = Site(path)
+            self.sites.append(site)
+            site.write_settings(
+                instance=f"gateway-{number}",
+                platform=self.sites[0].store.address,
+                platform_api={"address": self.api.address, "duties": ["autoscale"]},
+                duty_bounds={"handover_seconds": HANDOVER_SECONDS},
+            )
         configuration = make_configuration(1)
         configuration["services"][0] |= {
             "engine": {"slots": 16, "kv_capacity": 300_000, "stride": 6},
@@ -418,17 +443,18 @@
                 "zone_prices": {"hout": 1.0, "sal": 0.8, "bee": 1.25},
             },
         }  # fmt: skip
-        self.site.store.write_row("op", "config", configuration)
+        self.sites[0].store.write_row("op", "config", configuration)
         for name in ("r0", "r1"):
             self.list_replica(name, zone="hout")
-        self.site.start()
+        for site in self.sites:
+            site.start()
 
     def list_replica(self, name: str, **changes: object) -> None:
         """Add a replica to the platform's list."""
         address = f"127.0.0.1:{find_free_ports(1)[0]}"
         entry = make_upstream_entry(address) | changes
         self._listed.add(name)
-        self.site.store.write_row("servers", name, entry)
+        self.sites[0].store.write_row("servers", name, entry)
 
     def list_ordered_replicas(self) -> None:
         """Add the ordered replicas to the platform's list."""
@@ -448,37 +474,55 @@
             and call.content.get("preemptible", False) is preemptible
         ]
 
+    def find_reductions(self) -> list[ApiCall]:
+        """Return the calls that give up the replicas of the start."""
+        return [
+            call
+            for call in self.find_orders(preemptible=False)
+            if call.content["zone"] == "hout" and call.content["desired"] < 2
+        ]
+
+    def has_reduced(self) -> bool:
+        """List the ordered replicas; return whether those of the start are given up."""
+        self.list_ordered_replicas()
+        return bool(self.find_reductions())
+
     def close(self) -> None:
-        """Stop the process and the stand-ins."""
-        self.site.close()
+        """Stop the processes and the stand-ins."""
+        for site in reversed(self.sites):
+            site.close()
         self.api.stop()
 
 
-@pytest.fixture
-def scaled_site(tmp_path: Path) -> Iterator[ScaledSite]:
-    created_site = ScaledSite(tmp_path)
-    yield created_site
-    created_site.close()
+@pytest.fixture(params=[1])
+def fleet(tmp_path: Path, request: pytest.FixtureRequest) -> Iterator[ScaledFleet]:
+    created_fleet = ScaledFleet(tmp_path, count=request.param)
+    yield created_fleet
+    created_fleet.close()
 
 
 def test_a_gateway_exchanges_the_replicas_of_a_quiet_service(
-    scaled_site: ScaledSite,
+    fleet: ScaledFleet,
 ) -> None:
     """Guards against a duty that is registered but never gets reports or the lease."""
+    wait_until(lambda: bool(fleet.find_orders(preemptible=True)), seconds=20)
+    gevent.sleep(0.5)
+    assert not fleet.find_reductions()
+    wait_until(fleet.has_reduced, seconds=20)
+    assert fleet.sites[0].has_logged("event=replicas-ordered")
 
-    def find_reduction() -> list[ApiCall]:
-        return [
-            call
-            for call in scaled_site.find_orders(preemptible=False)
-            if call.content["zone"] == "hout" and call.content["desired"] < 2
-        ]
-
-    def is_reduced() -> bool:
-        scaled_site.list_ordered_replicas()
-        return bool(find_reduction())
 
-    wait_until(lambda: bool(scaled_site.find_orders(preemptible=True)), seconds=20)
-    gevent.sleep(0.5)
-    assert not find_reduction()
-    wait_until(is_reduced, seconds=20)
-    assert scaled_site.site.has_logged("event=replicas-ordered")
+@pytest.mark.parametrize("fleet", [2], indirect=True)
+def test_another_gateway_goes_on_when_the_holder_is_killed_between_two_orders(
+    fleet: ScaledFleet,
+) -> None:
+    """Guards against an exchange that is never ended, and calls of two holders."""
+    wait_until(lambda: bool(fleet.find_orders(preemptible=True)), seconds=20)
+    first = fleet.api.calls[0].owner
+    holder = fleet.sites[int(first.rpartition("-")[2]) - 1]
+    holder.send_signal(signal.SIGKILL)
+    calls = len(fleet.api.calls)
+    wait_until(fleet.has_reduced, seconds=40)
+    assert {call.owner for call in fleet.api.calls[calls:]} - {first}
+    assert {call.owner for call in fleet.find_reductions()} != {first}
+    fleet.api.check_order(handover_seconds=HANDOVER_SECONDS)
