--- a/damasklead/gateway/duties/scaling/load_reports.py
+++ b/damasklead/gateway/duties/scaling/load_reports.py
@@ -28,8 +28,11 @@
 SHARED_REPORT_SECONDS = 1.5
 # Age from which a report no longer counts: three lost ones.
 MAX_REPORT_AGE_SECONDS = 3.0
-# Maximum number of reports that are kept; anybody may send datagrams.
+# Maximum number of reports and of services that are kept, and of any number in a
+# report; anybody may send datagrams.
 MAX_REPORTS = 5_000
+MAX_SERVICES = 1_000
+MAX_VALUE = 1e12
 
 
 class LoadReporter:
@@ -103,13 +106,18 @@
 
     def handle_report(self, report: CellLoad, sender: str) -> None:
         """Record a report, and the demand of its service if a sample is due."""
+        if not _is_valid(report):
+            return
         now = self._clock.now()
         self._reports = {
             key: item
             for key, item in self._reports.items()
             if now - item[0] <= MAX_REPORT_AGE_SECONDS
         }
-        if len(self._reports) >= MAX_REPORTS:
+        is_known = report.cell.service in self._histories
+        if len(self._reports) >= MAX_REPORTS or (
+            not is_known and len(self._histories) >= MAX_SERVICES
+        ):
             return
         self._reports[report.cell, sender] = (now, report)
         history = self.get_history(report.cell.service)
@@ -142,3 +150,18 @@
             backlog=sum(backlogs) / len(backlogs),
             shared_tokens=sum(load.shared_tokens for load in loads),
         )
+
+
+def _is_valid(report: CellLoad) -> bool:
+    """Return whether all numbers are finite and not negative."""
+    values = (
+        report.running,
+        report.queued,
+        report.arrivals,
+        report.refusals,
+        report.prefill_tokens,
+        report.backlog,
+        report.shared_tokens,
+    )
+    # Comparisons with NaN are false.
+    return all(0 <= value <= MAX_VALUE for value in values)
--- a/damasklead/gateway/duties/scaling/mix.py
+++ b/damasklead/gateway/duties/scaling/mix.py
@@ -29,6 +29,9 @@
 # Fraction of the needed replicas that are ordinary, at least one, so that the service
 # stays up when all preemptible ones are taken away.
 FLOOR_FRACTION = 0.05
+# Maximum number of replicas that are planned for a service: twice the number that the
+# product is made for.  Bounds the search, whatever configuration and reports say.
+MAX_NEEDED = 2_200
 
 
 class ReplicaGroup(msgspec.Struct, frozen=True, order=True):
@@ -101,30 +104,37 @@
         data_centres, key=lambda item: (spec.prices.get(item, DEFAULT_PRICE), item)
     )
     most = len(centres) * spec.max_replicas
-    needed = min(max(needed, 1), most)
+    needed = min(max(needed, 1), most, MAX_NEEDED)
     if spec.preemptible_price >= 1.0:
         return _spread_ordinary(spec, centres, needed)
     limits = limits or {}
+    floor = max(1, round(FLOOR_FRACTION * needed))
+    # Ordinary replicas may have to leave room for preemptible ones where these can be
+    # had.
+    orders = [centres]
+    if limits:
+        orders.append(
+            sorted(centres, key=lambda item: ReplicaGroup(item, True) not in limits)
+        )
     best: dict[ReplicaGroup, int] | None = None
-    for ordinary in range(max(1, round(FLOOR_FRACTION * needed)), needed + 1):
-        if best is not None and ordinary < needed:
+    for ordinary in range(floor, needed + 1):
+        # Without limits, more ordinary replicas than are needed never pay off, unless
+        # all are ordinary.
+        if best is not None and ordinary < needed and not limits:
             continue
-        for domain in range(spec.max_replicas + 1):
-            mix = _fill(
+        for order in orders:
+            mix = _find_preemptible(
                 spec,
+                _place_ordinary(spec, order, ordinary, limits),
                 centres,
-                ordinary=ordinary,
-                preemptible=needed - ordinary + (domain if covers_loss else 0),
-                domain=domain,
+                needed=needed,
+                covers_loss=covers_loss,
                 limits=limits,
             )
-            if mix is None:
-                continue
-            if best is None or compute_price(mix, spec) < compute_price(best, spec):
+            if mix is not None and (
+                best is None or compute_price(mix, spec) < compute_price(best, spec)
+            ):
                 best = mix
-            if not covers_loss:
-                # The smallest domain: the next loss costs the fewest replicas.
-                break
     return best or _spread_ordinary(spec, centres, needed)
 
 
@@ -133,39 +143,90 @@
     return price * spec.preemptible_price if group.is_preemptible else price
 
 
-def _fill(
+def _find_preemptible(
     spec: ScalingSpec,
+    ordinary: Mix,
     centres: list[DataCentre],
     *,
-    ordinary: int,
-    preemptible: int,
-    domain: int,
+    needed: int,
+    covers_loss: bool,
     limits: Mix,
 ) -> dict[ReplicaGroup, int] | None:
     """
-    Return the mix with these numbers where they are cheapest, ``None`` if there is none
-    with at most ``domain`` preemptible replicas in a data centre.
+    Return the cheapest mix with these ordinary replicas, ``None`` if none is enough.
     """
+    rooms = {
+        centre: min(
+            limits.get(ReplicaGroup(centre, True), spec.max_replicas),
+            spec.max_replicas - ordinary.get(ReplicaGroup(centre, False), 0),
+        )
+        for centre in centres
+    }
+    missing = needed - sum(ordinary.values())
+    largest = min(max(rooms.values()), needed)
+    # If any size of a domain is enough, the largest one is.
+    if not _is_enough(rooms, missing, largest, covers_loss=covers_loss):
+        return None
+    best: dict[ReplicaGroup, int] | None = None
+    for domain in range(largest + 1):
+        if not _is_enough(rooms, missing, domain, covers_loss=covers_loss):
+            continue
+        count = missing + (domain if covers_loss else 0)
+        mix = _add_preemptible(
+            spec, ordinary, rooms, count=count, domain=domain, limits=limits
+        )
+        if best is None or compute_price(mix, spec) < compute_price(best, spec):
+            best = mix
+        if not covers_loss:
+            # The smallest domain: the next loss costs the fewest replicas.
+            break
+    return best
+
+
+def _place_ordinary(
+    spec: ScalingSpec, centres: list[DataCentre], count: int, limits: Mix
+) -> dict[ReplicaGroup, int]:
+    """Return ordinary replicas where they are cheapest, fewer if there is no room."""
     mix: dict[ReplicaGroup, int] = {}
     for centre in centres:
         group = ReplicaGroup(centre, False)
-        count = min(ordinary, spec.max_replicas, limits.get(group, spec.max_replicas))
-        if count:
-            mix[group] = count
-            ordinary -= count
-    for centre in centres:
-        others = mix.get(ReplicaGroup(centre, False), 0)
+        placed = min(count, spec.max_replicas, limits.get(group, spec.max_replicas))
+        if placed > 0:
+            mix[group] = placed
+            count -= placed
+    return mix
+
+
+def _is_enough(
+    rooms: Mapping[DataCentre, int], needed: int, domain: int, *, covers_loss: bool
+) -> bool:
+    """Return whether preemptible domains of at most a size hold enough replicas."""
+    available = sum(min(domain, room) for room in rooms.values())
+    return available >= needed + (domain if covers_loss else 0)
+
+
+def _add_preemptible(
+    spec: ScalingSpec,
+    ordinary: Mix,
+    rooms: Mapping[DataCentre, int],
+    *,
+    count: int,
+    domain: int,
+    limits: Mix,
+) -> dict[ReplicaGroup, int]:
+    """Return a mix with preemptible replicas added where they are cheapest."""
+    mix = dict(ordinary)
+    for centre, room in rooms.items():
         group = ReplicaGroup(centre, True)
-        available = min(domain, limits.get(group, spec.max_replicas))
-        count = min(preemptible, available, spec.max_replicas - others)
+        others = mix.get(ReplicaGroup(centre, False), 0)
         # The minimum is met by preemptible replicas where there are any.
-        least = max(0, min(spec.min_replicas - others, available))
-        mix[group] = max(count, least)
-        preemptible -= count
+        least = max(0, min(spec.min_replicas - others, room))
+        mix[group] = max(min(count, domain, room), least)
+        count -= min(count, domain, room)
         missing = spec.min_replicas - others - mix[group]
         if missing > 0 and group not in limits:
             mix[ReplicaGroup(centre, False)] = others + missing
-    return mix if ordinary <= 0 and preemptible <= 0 else None
+    return mix
 
 
 def _spread_ordinary(
--- a/tests/test_gateway_scaling_duty.py
+++ b/tests/test_gateway_scaling_duty.py
@@ -5,6 +5,7 @@
 With a scripted API and authority, and with a gateway process and the API's stand-in.
 """
 
+import math
 import signal
 from collections.abc import Iterator
 from pathlib import Path
@@ -352,6 +353,14 @@
         assert demand is not None
         assert (demand.running, demand.backlog) == (40, 0.1)
 
+    @pytest.mark.parametrize("value", [math.nan, math.inf, -1.0, 1e300])
+    def test_odd_numbers_are_ignored(self, value: float) -> None:
+        """Guards against a datagram that makes each decision fail for minutes."""
+        collector, _ = self.make_collector()
+        for field in ("running", "arrivals", "prefill_tokens", "backlog"):
+            collector.handle_report(make_load(**{field: value}), "a")
+        assert collector.get_history(SERVICE).latest is None
+
     def test_a_lost_report_changes_nothing(self) -> None:
         """Guards against a dip in the demand for each lost datagram."""
         collector, clock = self.make_collector()
