--- a/damasklead/gateway/duties/scaling/orders.py
+++ b/damasklead/gateway/duties/scaling/orders.py
@@ -26,12 +26,14 @@
 LISTING_SECONDS = 3.0
 # Time for which a data centre has no preemptible replicas after it took them away.
 RECLAIM_SECONDS = 10.0
-# Pause after an order of replicas that aren't available, and its bound.
+# Pause after an order of replicas that aren't available, and its bounds at first and
+# when that lasts.
 MIN_UNAVAILABLE_SECONDS = 2.0
+FIRST_UNAVAILABLE_SECONDS = 3.0
 MAX_UNAVAILABLE_SECONDS = 15.0
-# Failed orders in turn from which replicas are taken to be unavailable for long.  A
-# reclaim lasts for about 10 s, which is no more than two orders.
-LASTING_FAILURES = 4
+# Time from which replicas that can't be had are taken to be unavailable for long; a
+# reclaim lasts for about 10 s.
+LASTING_SECONDS = 20.0
 # Pause after a call without an answer or with an error, and its bound.
 MIN_RETRY_SECONDS = 1.0
 MAX_RETRY_SECONDS = 8.0
@@ -102,6 +104,8 @@
     blocked_until, unavailable_until : float
         Clock time in seconds until which no call is made, and until which no further
         replicas can be had.
+    unavailable_since : float
+        Clock time in seconds of the first sign of it.
     failures : int
         Calls that failed one after the other.
     repeats : int
@@ -117,6 +121,7 @@
     has_lapsed: bool = False
     blocked_until: float = -math.inf
     unavailable_until: float = -math.inf
+    unavailable_since: float = -math.inf
     failures: int = 0
     repeats: int = 0
 
@@ -160,13 +165,13 @@
         """
         Whether preemptible replicas can't be had in a data centre for the moment.
 
-        When several orders in turn have failed, the state counts as lasting.
+        When this goes on for longer than a reclaim, it counts as lasting.
         """
         now = self._clock.now()
         return any(
             group.is_preemptible
             and now < state.unavailable_until
-            and state.failures < LASTING_FAILURES
+            and now - state.unavailable_since < LASTING_SECONDS
             for group, state in self._groups.items()
         )
 
@@ -216,6 +221,7 @@
                 and count < RECLAIMED_FRACTION * _get_target(state)
                 and now >= state.unavailable_until
             ):
+                state.unavailable_since = now
                 state.unavailable_until = now + RECLAIM_SECONDS
 
     def find_repeats(self) -> list[ReplicaOrder]:
@@ -281,8 +287,14 @@
         pause = BACKOFF_FACTOR**state.failures
         state.failures += 1
         if fault is ApiFault.UNAVAILABLE:
+            if now - state.unavailable_until > MAX_UNAVAILABLE_SECONDS:
+                state.unavailable_since = now
+            is_lasting = now - state.unavailable_since >= LASTING_SECONDS
+            longest = (
+                MAX_UNAVAILABLE_SECONDS if is_lasting else FIRST_UNAVAILABLE_SECONDS
+            )
             state.unavailable_until = now + min(
-                MIN_UNAVAILABLE_SECONDS * pause, MAX_UNAVAILABLE_SECONDS
+                MIN_UNAVAILABLE_SECONDS * pause, longest
             )
         else:
             state.blocked_until = now + min(
--- a/damasklead/gateway/duties/scaling/planner.py
+++ b/damasklead/gateway/duties/scaling/planner.py
@@ -67,7 +67,7 @@
 # replicas of the steps.
 SCALE_IN_DELAY_SECONDS = 20.0
 SCALE_IN_INTERVAL_SECONDS = 20.0
-EXCHANGE_INTERVAL_SECONDS = 5.0
+EXCHANGE_INTERVAL_SECONDS = 3.0
 MAX_STEP_FRACTION = 0.2
 # Number of mixes that are cached; the needed number often stays the same for long.
 MAX_MIXES = 100
@@ -253,10 +253,14 @@
                 limits=unavailable,
             )
             return self._order_more(mix, OrderReason.DEMAND)
+        needed = max(needed, self._count_to_keep())
         if self._book.is_disrupted:
             self._saving_since = None
-            return []
-        return self._reduce_price(demand, max(needed, self._count_to_keep()))
+            # Replicas that others have replaced are given up nevertheless.
+            mix = self._find_mix(needed, covers_loss=True, limits={})
+            is_exchange = self._saves_by_exchange(mix)
+            return self._order_step(mix, needed, demand) if is_exchange else []
+        return self._reduce_price(demand, needed)
 
     def _reduce_price(self, demand: Demand, needed: int) -> list[ReplicaOrder]:
         """Return the orders that make the replicas cheaper."""
@@ -278,22 +282,27 @@
             live[group] < min(count, targets[group]) for group, count in mix.items()
         ):
             return []
-        is_exchange = self._saves_by_exchange(mix)
-        if not is_exchange and not self._may_scale_in(now):
+        if not self._saves_by_exchange(mix) and not self._may_scale_in(now):
             return []
+        return self._order_step(mix, needed, demand)
+
+    def _order_step(
+        self, mix: Mapping[ReplicaGroup, int], needed: int, demand: Demand
+    ) -> list[ReplicaOrder]:
+        """Return the orders of the next step towards a mix with fewer replicas."""
+        serving = sum(self._book.live.values())
+        is_exchange = self._saves_by_exchange(mix)
+        reason = OrderReason.EXCHANGE if is_exchange else OrderReason.SCALE_IN
+        if demand.is_quiet and not self._history.has_seen_traffic:
+            self._is_reducing = True
+            return self._order_fewer(mix, needed, step=serving, reason=reason)
         interval = (
             EXCHANGE_INTERVAL_SECONDS if is_exchange else SCALE_IN_INTERVAL_SECONDS
         )
-        is_before_traffic = demand.is_quiet and not self._history.has_seen_traffic
-        step = (
-            sum(live.values())
-            if is_before_traffic
-            else max(1, int(MAX_STEP_FRACTION * sum(live.values())))
-        )
-        if not is_before_traffic and now - self._reduced_at < interval:
+        if self._clock.now() - self._reduced_at < interval:
             return []
         self._is_reducing = True
-        reason = OrderReason.EXCHANGE if is_exchange else OrderReason.SCALE_IN
+        step = max(1, int(MAX_STEP_FRACTION * serving))
         return self._order_fewer(mix, needed, step=step, reason=reason)
 
     def _saves_by_exchange(self, mix: Mapping[ReplicaGroup, int]) -> bool:
@@ -348,12 +357,19 @@
     ) -> list[ReplicaOrder]:
         """Return the orders for groups that have more replicas than in a mix."""
         targets, live = self._book.targets, self._book.live
+        # Ordinary replicas stay where the preemptible ones for them don't serve yet.
+        kept = {
+            ReplicaGroup(group.data_centre, False)
+            for group, count in mix.items()
+            if group.is_preemptible and live[group] < count
+        }
         reduced = dict(targets)
         for _ in range(step):
             candidates = [
                 group
                 for group, count in reduced.items()
                 if count > mix.get(group, 0)
+                and group not in kept
                 and not (reason is OrderReason.EXCHANGE and group.is_preemptible)
             ]
             if not candidates:
--- a/tests/test_gateway_scaling.py
+++ b/tests/test_gateway_scaling.py
@@ -170,6 +170,19 @@
             harness.run(0.25, demand=QUIET)
             assert harness.platform.serving >= 44
 
+    def test_a_data_centre_without_preemptible_ones_does_not_stop_the_others(
+        self,
+    ) -> None:
+        """Guards against paying for all ordinary replicas because of one 409."""
+        harness = PlannerHarness()
+        harness.platform.reclaim(CENTRES[0])
+        harness.run(8.0, demand=QUIET)
+        counts = harness.platform.count()
+        assert counts[CENTRES[0]].ordinary == 15
+        assert counts[CENTRES[1]].ordinary <= 2 and not counts[CENTRES[2]].ordinary
+        harness.run(12.0, demand=QUIET)
+        assert sum(item.ordinary for item in harness.platform.count().values()) <= 2
+
     def test_under_load_replicas_are_exchanged_in_steps(self) -> None:
         """Guards against emptying most caches at once under load."""
         harness = PlannerHarness()
