--- a/damasklead/gateway/duties/messages.py
+++ b/damasklead/gateway/duties/messages.py
@@ -6,12 +6,17 @@
 lost or duplicated: notices and counts are repeated, and counts are cumulative.
 """
 
+from typing import Annotated
+
 import msgspec
 
 from damasklead.ids import WorkspaceId
 
 __all__ = ["HolderNotice", "ReportCopies", "UsageCounts", "WindowCounts"]
 
+# Anybody may send a datagram, whose numbers must not end calculations.
+_Number = Annotated[int, msgspec.Meta(ge=0, le=2**62)]
+
 
 class WindowCounts(msgspec.Struct, array_like=True, frozen=True):
     """
@@ -24,8 +29,8 @@
     counts : dict
     """
 
-    window: int
-    counts: dict[WorkspaceId, int]
+    window: _Number
+    counts: dict[WorkspaceId, _Number]
 
 
 class HolderNotice(msgspec.Struct, array_like=True, frozen=True, tag=20):
@@ -48,12 +53,12 @@
         Newest window whose counts are final; 0 without one.
     """
 
-    token: int
+    token: _Number
     deputy: str
-    version: int
+    version: _Number
     unix_time: float = 0.0
     has_majority: bool = False
-    closed_window: int = 0
+    closed_window: _Number = 0
 
 
 class UsageCounts(msgspec.Struct, array_like=True, frozen=True, tag=21):
@@ -87,5 +92,5 @@
         Windows that the API may not have accepted yet.
     """
 
-    token: int
+    token: _Number
     windows: list[WindowCounts]
--- a/damasklead/gateway/duties/true_time.py
+++ b/damasklead/gateway/duties/true_time.py
@@ -29,6 +29,8 @@
 # A process that did nothing for this long was frozen, and ignores the times in messages
 # for a while: they were sent before.
 FREEZE_SECONDS, QUEUE_SECONDS = 1.5, 0.5
+# Later than any time of use, and a number of milliseconds that fits 64 bits.
+MAX_UNIX_TIME = 1e12
 
 
 class TrueTime:
@@ -94,7 +96,7 @@
     def record_clock(self, name: str, unix_time: float) -> None:
         """Record the wall-clock time that another gateway has just sent."""
         now = self._clock.now()
-        if self._may_trust_messages():
+        if self._may_trust_messages() and _is_time(unix_time):
             samples = self._samples.setdefault(name, deque(maxlen=SAMPLES_PER_GATEWAY))
             samples.append((unix_time - now, now))
 
@@ -105,7 +107,7 @@
         A message that was delayed is outvoted by the estimate so far and by this
         gateway's own clock.
         """
-        if not self._may_trust_messages():
+        if not (self._may_trust_messages() and _is_time(unix_time)):
             return
         now = self._clock.now()
         offset = unix_time - now
@@ -144,3 +146,8 @@
         return (
             now - self._ticked_at < FREEZE_SECONDS and now >= self._trusts_messages_at
         )
+
+
+def _is_time(unix_time: float) -> bool:
+    """Return whether a number may be a time; others can't be calculated with."""
+    return 0.0 <= unix_time <= MAX_UNIX_TIME
--- a/damasklead/gateway/duties/usage_reports.py
+++ b/damasklead/gateway/duties/usage_reports.py
@@ -260,7 +260,7 @@
 
     def _announce_closed(self, window: int) -> None:
         """Tell all gateways that windows are closed, before they are reported."""
-        self._announced_window = window
+        self._announced_window = max(window, self._announced_window)
         self._ledger.set_closed(window)
         self._on_closed()
 
@@ -292,14 +292,14 @@
         self._recovered = [
             self._copies[window] for window in sorted(self._copies) if window in lost
         ]
-        self._journal.event(
-            "usage-row-older",
-            closed=state.closed,
-            announced=self._announced_window,
-            lost=lost_through,
-            recovered=len(self._recovered),
-        )
-        if state.closed:
+        if state.closed or self._announced_window:
+            self._journal.event(
+                "usage-row-older",
+                closed=state.closed,
+                announced=self._announced_window,
+                lost=lost_through,
+                recovered=len(self._recovered),
+            )
             known_through = max(state.closed, self._announced_window)
             self.statistics.missed += max(0, lost_through - known_through)
         return msgspec.structs.replace(state, closed=lost_through)
