--- a/damasklead/gateway/duties/announcements.py
+++ b/damasklead/gateway/duties/announcements.py
@@ -66,6 +66,11 @@
         """The highest fencing token that was announced; 0 before any was."""
         return 0 if self._notice is None else self._notice.token
 
+    @property
+    def handovers(self) -> int:
+        """Number of holders in turn that did not reach the API."""
+        return 0 if self._notice is None else self._notice.handovers
+
     @property
     def is_released(self) -> bool:
         """Whether the holder has announced that it released the lease."""
--- a/damasklead/gateway/duties/contention.py
+++ b/damasklead/gateway/duties/contention.py
@@ -73,6 +73,10 @@
         """Record that the holder has announced a renewal, or the release."""
         self._earliest = self._clock.now() + (0.0 if is_released else self._expiry)
 
+    def postpone(self, seconds: float) -> None:
+        """Let the other gateways contend before this one."""
+        self._earliest = self._clock.now() + seconds
+
     def record_poll(self, *, free_at: float, has_failed: bool) -> None:
         """
         Record a poll that did not acquire the lease.
--- a/damasklead/gateway/duties/lease_task.py
+++ b/damasklead/gateway/duties/lease_task.py
@@ -84,6 +84,10 @@
     directory : HolderDirectory
     make_notice : callable
         Returns this gateway's notice for a fencing token and the row's version.
+    should_step_down : callable
+        Returns whether another gateway should hold the lease.
+    step_down : callable
+        Releases the lease by ``release``.
     handover_seconds : float
         Time after an acquisition from another process before the first call.
     clock : Clock
@@ -100,6 +104,8 @@
         get_rank: Callable[[], int],
         directory: HolderDirectory,
         make_notice: Callable[[int, int], HolderNotice],
+        should_step_down: Callable[[], bool],
+        step_down: Callable[[], None],
         handover_seconds: float,
         clock: Clock,
         journal: Journal,
@@ -108,6 +114,8 @@
         self._tables = tables
         self._directory = directory
         self._make_notice = make_notice
+        self._should_step_down = should_step_down
+        self._step_down = step_down
         self._handover_seconds = handover_seconds
         self._clock = clock
         self._journal = journal
@@ -180,6 +188,9 @@
 
     def poll(self) -> None:
         """Renew the lease or contend for it, if either is due."""
+        if self.is_held and not self._is_releasing and self._should_step_down():
+            self._step_down()
+            return
         with self._row_lock:
             self._keeper.check_era()
             if self._compute_pause() > 0.0:
@@ -205,7 +216,13 @@
             version = self._keeper.row_condition.version
             self._directory.announce(self._make_notice(token, version))
 
-    def release(self, *, is_idle: Callable[[], bool], max_wait_seconds: float) -> None:
+    def release(
+        self,
+        *,
+        is_idle: Callable[[], bool],
+        max_wait_seconds: float,
+        pause_seconds: float | None = None,
+    ) -> None:
         """
         Release the lease after the calls in progress have ended.
 
@@ -215,20 +232,27 @@
             Returns whether no call is in progress.
         max_wait_seconds : float
             If a call takes longer, the lease expires instead.
+        pause_seconds : float or None
+            Time after which this gateway contends again; ``None`` for one that stops.
         """
+        if self._is_releasing:
+            return
         self._is_releasing = True
         token = self._keeper.fencing_token
-        if token is None:
-            return
         give_up_at = self._clock.now() + max_wait_seconds
-        while not is_idle():
+        while token is not None and not is_idle():
             if self._clock.now() >= give_up_at:
-                return
+                token = None
             gevent.sleep(0.02)
-        with self._row_lock:
-            self._run_steps(self._keeper.release())
-        self._journal.event("duties-lease-released", token=token)
-        self._directory.announce(self._make_notice(token, 0))
+        if token is not None:
+            with self._row_lock:
+                self._run_steps(self._keeper.release())
+                self._record_state()
+            self._journal.event("duties-lease-released", token=token)
+            self._directory.announce(self._make_notice(token, 0))
+        if pause_seconds is not None:
+            self._schedule.postpone(pause_seconds)
+            self._is_releasing = False
 
     def _compute_pause(self) -> float:
         """Return the seconds until a poll may be due."""
--- a/damasklead/gateway/duties/messages.py
+++ b/damasklead/gateway/duties/messages.py
@@ -51,6 +51,9 @@
         Whether the clocks of most gateways agree on that estimate.
     closed_window : int
         Newest window whose counts are final; 0 without one.
+    handovers : int
+        Number of holders in turn that released the lease because they did not reach the
+        API, the sender included if it does so.
     """
 
     token: _Number
@@ -59,6 +62,7 @@
     unix_time: float = 0.0
     has_majority: bool = False
     closed_window: _Number = 0
+    handovers: _Number = 0
 
 
 class UsageCounts(msgspec.Struct, array_like=True, frozen=True, tag=21):
--- a/damasklead/gateway/duties/service.py
+++ b/damasklead/gateway/duties/service.py
@@ -14,6 +14,7 @@
 
 from damasklead.clock import Clock
 from damasklead.gateway.duties.announcements import HolderDirectory
+from damasklead.gateway.duties.api_monitor import ApiMonitor
 from damasklead.gateway.duties.base import Authority, Duty, DutyName, PlatformApi
 from damasklead.gateway.duties.contention import (
     MAX_CONTENDERS,
@@ -58,6 +59,10 @@
 RELEASE_MARGIN_SECONDS = 0.3
 
 
+# A gateway that did not reach the API contends again if no other has the lease by then.
+STEP_DOWN_PAUSE_SECONDS = 5.0
+
+
 def find_known_duties(names: list[str]) -> set[DutyName]:
     """
     Return the duties that are known among those in the settings.
@@ -96,6 +101,8 @@
     ----------
     directory : HolderDirectory
         The announced holder, and messages to it and its deputy.
+    api : ApiMonitor
+        The platform's API, by which all duties must make their calls.
     """
 
     def __init__(
@@ -115,7 +122,7 @@
         get_unix_time: Callable[[], float],
         journal: Journal,
     ) -> None:
-        self._api = api
+        self.api = ApiMonitor(get_api=api, clock=clock)
         self._tables = tables
         self._get_store_era = get_era
         self._peers = peers
@@ -124,6 +131,7 @@
         self._data_centre = data_centre
         self._cores = cores
         self._clock = clock
+        self._journal = journal
         self._get_unix_time = get_unix_time
         self._window_seconds = bounds.usage_window_seconds
         self._deputy = ""
@@ -148,6 +156,8 @@
             get_rank=self._get_rank,
             directory=self.directory,
             make_notice=self._make_notice,
+            should_step_down=self._should_step_down,
+            step_down=self._step_down,
             handover_seconds=bounds.handover_seconds,
             clock=clock,
             journal=journal,
@@ -167,7 +177,7 @@
                 true_time=self._true_time,
             )
             self._reporter = UsageReporter(
-                api=api,
+                api=self.api,
                 tables=tables,
                 ledger=self._ledger,
                 true_time=self._true_time,
@@ -271,9 +281,24 @@
         if self._runner.has_duties:
             self._lease.release(
                 is_idle=lambda: self._runner.is_idle,
-                max_wait_seconds=self._api().timeout_seconds + RELEASE_MARGIN_SECONDS,
+                max_wait_seconds=self.api.timeout_seconds + RELEASE_MARGIN_SECONDS,
             )
 
+    def _should_step_down(self) -> bool:
+        """Return whether another gateway may reach the API that this one does not."""
+        has_others = self._peers is not None and bool(self._peers.members)
+        return has_others and self.api.is_out_of_reach
+
+    def _step_down(self) -> None:
+        """Leave the lease to a gateway that may reach the API."""
+        self._journal.event("duties-api-unreachable", handovers=self.api.handovers)
+        self.api.reset(handovers=self.api.handovers + 1)
+        self._lease.release(
+            is_idle=lambda: self._runner.is_idle,
+            max_wait_seconds=self.api.timeout_seconds + RELEASE_MARGIN_SECONDS,
+            pause_seconds=STEP_DOWN_PAUSE_SECONDS,
+        )
+
     def send_counts(self) -> None:
         """Send the counts that have changed to the holder and its deputy."""
         self._true_time.tick()
@@ -339,6 +364,7 @@
             self._true_time.now(),
             self._true_time.has_majority,
             0 if reporter is None else reporter.closed_window,
+            self.api.handovers,
         )
 
     def _send_copies(self, token: int, windows: list[WindowCounts]) -> None:
@@ -348,6 +374,9 @@
 
     def _handle_notice(self, notice: HolderNotice) -> None:
         is_own = self.directory.holder == self._instance
+        if not is_own:
+            # What this gateway begins with if it is the next holder.
+            self.api.reset(handovers=notice.handovers)
         if notice.has_majority and not is_own:
             self._true_time.adopt(notice.unix_time)
         if self._reporter is not None:
--- a/damasklead/gateway/duties/usage_reports.py
+++ b/damasklead/gateway/duties/usage_reports.py
@@ -53,6 +53,8 @@
 MAX_LATENESS_SECONDS = 60.0
 # Largest difference between the true times of two gateways.
 CLOCK_MARGIN_SECONDS = 1.0
+# Restores after which the counts in a row are still the ones that were reported.
+MAX_ERAS_BETWEEN = 1
 # Final counts that are kept in case the store loses them.
 MAX_COPIES = 50
 # First and longest pause after a failed call, doubled in between: a report is due 7.5 s
@@ -115,8 +117,7 @@
 
     Parameters
     ----------
-    api : callable
-        Returns the active platform API.
+    api : PlatformApi
     tables : callable
         Returns the active tables of the platform's store.
     ledger : UsageLedger
@@ -137,7 +138,7 @@
     def __init__(
         self,
         *,
-        api: Callable[[], PlatformApi],
+        api: PlatformApi,
         tables: Callable[[], TableService],
         ledger: UsageLedger,
         true_time: TrueTime,
@@ -250,6 +251,8 @@
             state = UsageState()
         self._row_version = ABSENT if row is None else row.version
         self._recovered = []
+        if self._get_lease().era - state.era > MAX_ERAS_BETWEEN:
+            state = self._drop_abandoned(state)
         lost_through = self._find_lost_windows(state)
         if lost_through > state.closed:
             state = self._recover(state, lost_through)
@@ -258,6 +261,21 @@
         if state.closed > self._announced_window:
             self._announce_closed(state.closed)
 
+    def _drop_abandoned(self, state: UsageState) -> UsageState:
+        """
+        Return the state without counts that may differ from those reported since.
+
+        A backup may have been made of rows that an earlier restore had undone, after
+        which their windows were closed anew.
+        """
+        kept = [
+            self._copies[item.window]
+            for item in state.unsent
+            if item.window in self._copies
+        ]
+        self.statistics.missed += len(state.unsent) - len(kept)
+        return msgspec.structs.replace(state, unsent=kept)
+
     def _announce_closed(self, window: int) -> None:
         """Tell all gateways that windows are closed, before they are reported."""
         self._announced_window = max(window, self._announced_window)
@@ -393,7 +411,7 @@
 
     def _report_windows(self, authority: Authority) -> None:
         """Report the closed windows, first those that are due first."""
-        api = self._api()
+        api = self._api
         pause = 1.0 / MAX_CALLS_PER_SECOND
         for item in sorted(self.unsent_windows, key=self._compute_urgency):
             if self._clock.now() < self._retry_at:
--- a/tests/test_duties_fleet.py
+++ b/tests/test_duties_fleet.py
@@ -322,7 +322,11 @@
     check_reports(world, since=world.clock.now() - 8.0)
 
 
-@pytest.mark.parametrize("seed", range(30))
+# The later seeds have found faults: 121 a time adopted from a notice that waited during
+# a freeze; 182 a row read after the restore under a lease from before; 230 and 453 a
+# window closed by a write whose response was lost, unannounced; 442 a backup of a
+# state that an earlier restore had undone.
+@pytest.mark.parametrize("seed", [*range(20), 121, 139, 182, 230, 442, 453])
 def test_no_rule_is_broken_by_failures_that_coincide(seed: int) -> None:
     """Guards against combinations of failures that no other test has."""
     world = World(count=5, seed=seed)
@@ -420,3 +424,47 @@
     world.run(START_SECONDS, rate=1.0)
     assert len(world.holders) == 1
     assert world.store_calls <= 40
+
+
+def test_holder_that_alone_is_cut_off_from_the_api_is_replaced(world: World) -> None:
+    """Guards against a holder that keeps the lease but can't use it."""
+    first = world.holder
+    first.api.is_cut = True
+    world.run(20.0)
+    assert world.holder is not first
+    first.api.is_cut = False
+    check_reports(world)
+
+
+def test_lease_does_not_move_without_end_while_the_api_is_down(world: World) -> None:
+    """Guards against gateways that hand the lease on faster than one of them reports."""
+    token = world.holder.duties.authority.identity.token
+    world.api_fault = ApiFault.UNREACHABLE
+    world.run(120.0)
+    assert world.holder.duties.authority.identity.token - token <= 6
+    world.api_fault = None
+    since = world.clock.now()
+    world.run(12.0)
+    check_reports(world, since=since)
+
+
+def test_api_that_responds_with_errors_does_not_move_the_lease(world: World) -> None:
+    """Guards against a handover that would help nobody."""
+    first = world.holder
+    world.api_fault = ApiFault.LIMITED
+    world.run(20.0)
+    assert world.holder is first
+
+
+def test_only_gateway_keeps_the_lease_while_the_api_is_down() -> None:
+    """Guards against a release that leaves no holder."""
+    world = World(count=1)
+    world.run(START_SECONDS)
+    world.api_fault = ApiFault.UNREACHABLE
+    world.run(20.0)
+    token = world.holder.duties.authority.identity.token
+    world.api_fault = None
+    since = world.clock.now()
+    world.run(12.0)
+    assert world.holder.duties.authority.identity.token == token
+    check_reports(world, since=since)
--- a/tests/test_package.py
+++ b/tests/test_package.py
@@ -88,7 +88,7 @@
     "directory", "events", "message_batch", "part_locations", "poll_schedule", "refusals",
     "replica_state", "routing", "coordination/cellmap", "coordination/cells",
     "coordination/coordinator", "coordination/coordinators", "coordination/messages",
-    "duties/base", "duties/contention", "duties/messages", "duties/true_time",
+    "duties/api_monitor", "duties/base", "duties/contention", "duties/messages", "duties/true_time",
     "duties/usage_counts",
     "placements/base", "placements/engine", "placements/plain", "placements/shared_parts",
 )  # fmt: skip
