--- a/damasklead/gateway/duties/scaling/duty.py
+++ b/damasklead/gateway/duties/scaling/duty.py
@@ -62,8 +62,7 @@
 
     Parameters
     ----------
-    api : callable
-        Returns the active platform API.
+    api : PlatformApi
     table : callable
         Returns the current configuration.
     list_records : callable
@@ -80,7 +79,7 @@
     def __init__(
         self,
         *,
-        api: Callable[[], PlatformApi],
+        api: PlatformApi,
         table: Callable[[], RoutingTable | None],
         list_records: Callable[[], Iterable[UpstreamRecord]],
         get_list_age: Callable[[], float],
@@ -128,7 +127,7 @@
         if (
             table is None
             or self._get_list_age() > MAX_LIST_AGE_SECONDS
-            or not authority.may_act_for(self._api().timeout_seconds)
+            or not authority.may_act_for(self._api.timeout_seconds)
         ):
             return
         token = authority.identity.token
@@ -165,13 +164,12 @@
         fault: ApiFault | None = None
         detail = ""
         try:
-            api = self._api()
             if (
-                not authority.may_act_for(api.timeout_seconds)
+                not authority.may_act_for(self._api.timeout_seconds)
                 or authority.identity.token != token
             ):
                 raise ApiError(ApiFault.REFUSED, "the lease is no longer held")
-            api.order_replicas(
+            self._api.order_replicas(
                 spec.name,
                 order.group.data_centre,
                 count=order.count,
--- a/damasklead/gateway/duties/scaling/service.py
+++ b/damasklead/gateway/duties/scaling/service.py
@@ -12,7 +12,6 @@
 from damasklead.clock import Clock
 from damasklead.gateway.coordination.coordinators import Coordinators
 from damasklead.gateway.directory import UpstreamDirectory
-from damasklead.gateway.duties.base import PlatformApi
 from damasklead.gateway.duties.scaling.duty import ScalingDuty
 from damasklead.gateway.duties.scaling.load_reports import LoadCollector, LoadReporter
 from damasklead.gateway.duties.scaling.metrics import ScalingMetrics
@@ -32,8 +31,6 @@
     ----------
     duties : Duties
         The duty of ordering replicas is registered there.
-    api : callable
-        Returns the active platform API.
     table : callable
         Returns the current configuration.
     directory : UpstreamDirectory
@@ -51,7 +48,6 @@
         self,
         *,
         duties: Duties,
-        api: Callable[[], PlatformApi],
         table: Callable[[], RoutingTable | None],
         directory: UpstreamDirectory,
         get_list_age: Callable[[], float],
@@ -64,7 +60,7 @@
             coordinators=coordinators, send=duties.directory.send
         )
         self._duty = ScalingDuty(
-            api=api,
+            api=duties.api,
             table=table,
             list_records=lambda: [
                 row.record for row in directory.list_rows() if row.record is not None
--- a/tests/test_gateway_scaling_duty.py
+++ b/tests/test_gateway_scaling_duty.py
@@ -172,7 +172,7 @@
         )
         self.collector = LoadCollector(directory=self.directory, clock=self.clock)
         self.duty = ScalingDuty(
-            api=lambda: self.api,
+            api=self.api,
             table=lambda: self.table,
             list_records=lambda: self.records,
             get_list_age=lambda: self.list_age,
--- a/tests/test_package.py
+++ b/tests/test_package.py
@@ -88,9 +88,10 @@
     "directory", "events", "message_batch", "part_locations", "poll_schedule", "refusals",
     "replica_state", "routing", "coordination/cellmap", "coordination/cells",
     "coordination/coordinator", "coordination/coordinators", "coordination/load_meter",
-    "coordination/messages", "duties/base", "duties/contention", "duties/messages",
-    "duties/scaling/demand", "duties/scaling/messages", "duties/scaling/mix",
-    "duties/scaling/orders", "duties/scaling/planner", "duties/true_time",
+    "coordination/messages", "duties/api_monitor", "duties/base", "duties/contention",
+    "duties/messages", "duties/scaling/demand", "duties/scaling/messages",
+    "duties/scaling/mix", "duties/scaling/orders", "duties/scaling/planner",
+    "duties/true_time",
     "duties/usage_counts",
     "placements/base", "placements/engine", "placements/plain", "placements/shared_parts",
 )  # fmt: skip
