--- a/damasklead/gateway/duties/scaling/mix.py
+++ b/damasklead/gateway/duties/scaling/mix.py
@@ -17,6 +17,7 @@
 from damasklead.ids import DataCentre
 
 __all__ = [
+    "FLOOR_FRACTION",
     "Mix",
     "ReplicaGroup",
     "compute_price",
--- a/damasklead/gateway/duties/scaling/planner.py
+++ b/damasklead/gateway/duties/scaling/planner.py
@@ -19,6 +19,7 @@
 from damasklead.gateway.duties.base import ApiFault
 from damasklead.gateway.duties.scaling.demand import Demand, DemandHistory
 from damasklead.gateway.duties.scaling.mix import (
+    FLOOR_FRACTION,
     ReplicaGroup,
     compute_price,
     count_surviving,
@@ -154,7 +155,7 @@
         if self._initial_needed is None:
             if not sum(self._book.live.values()):
                 return []
-            self._initial_needed = self._to_needed(sum(self._book.live.values()))
+            self._initial_needed = self._count_initially_needed()
         demand = self._history.latest
         orders: dict[ReplicaGroup, ReplicaOrder] = {
             order.group: order
@@ -444,6 +445,21 @@
             self._to_needed(math.ceil(max(prefill, memory))),
         )
 
+    def _count_initially_needed(self) -> int:
+        """
+        Return how many of the replicas found at the start are taken to be needed.
+
+        Another holder may have begun an exchange, so that both kinds serve.
+        """
+        ordinary = preemptible = 0
+        for group, count in self._book.live.items():
+            if group.is_preemptible:
+                preemptible += count
+            else:
+                ordinary += count
+        floor = math.ceil(FLOOR_FRACTION * preemptible)
+        return self._to_needed(max(ordinary, preemptible + min(ordinary, floor)))
+
     def _to_needed(self, total: int) -> int:
         """Return how many of a number of replicas are left after a loss."""
         centres = len(self._centres)
--- a/tests/test_gateway_scaling.py
+++ b/tests/test_gateway_scaling.py
@@ -204,14 +204,22 @@
         harness.planner = harness.make_planner()
         assert not harness.run(30.0, demand=BUSY)
 
-    def test_a_holder_lost_between_two_orders_is_succeeded(self) -> None:
-        """Guards against a half exchange that nobody continues."""
+    @pytest.mark.parametrize("seconds", [2.0, 4.0, 4.25, 6.0])
+    def test_a_holder_lost_between_two_orders_is_succeeded(
+        self, seconds: float
+    ) -> None:
+        """
+        Guards against a half exchange that nobody continues.
+
+        While both kinds served, a new holder took all of them to be needed.
+        """
         harness = PlannerHarness()
-        harness.run(2.0, demand=QUIET)
+        harness.run(seconds, demand=QUIET)
         harness.planner = harness.make_planner()
         harness.run(20.0, demand=QUIET)
         counts = harness.platform.count().values()
         assert sum(item.ordinary for item in counts) <= 4
+        assert 40 <= harness.platform.serving <= 48
 
     def test_without_preemptible_replicas_nothing_is_exchanged(self) -> None:
         """Guards against orders of a kind that the platform doesn't offer."""
