--- a/damasklead/gateway/duties/lease_task.py
+++ b/damasklead/gateway/duties/lease_task.py
@@ -182,8 +182,9 @@
             self._wake_up.clear()
             try:
                 self.poll()
-            except msgspec.DecodeError as error:
-                self._journal.event("duties-lease-unreadable", cause=str(error))
+            except Exception as error:
+                # Whatever the row holds must not end the gateway.
+                self._journal.event("duties-lease-failed", cause=repr(error))
                 gevent.sleep(MAX_PAUSE_SECONDS)
 
     def poll(self) -> None:
--- a/damasklead/gateway/duties/messages.py
+++ b/damasklead/gateway/duties/messages.py
@@ -12,10 +12,10 @@
 
 from damasklead.ids import WorkspaceId
 
-__all__ = ["HolderNotice", "ReportCopies", "UsageCounts", "WindowCounts"]
+__all__ = ["HolderNotice", "Number", "ReportCopies", "UsageCounts", "WindowCounts"]
 
 # Anybody may send a datagram, whose numbers must not end calculations.
-_Number = Annotated[int, msgspec.Meta(ge=0, le=2**62)]
+Number = Annotated[int, msgspec.Meta(ge=0, le=2**62)]
 
 
 class WindowCounts(msgspec.Struct, array_like=True, frozen=True):
@@ -29,8 +29,8 @@
     counts : dict
     """
 
-    window: _Number
-    counts: dict[WorkspaceId, _Number]
+    window: Number
+    counts: dict[WorkspaceId, Number]
 
 
 class HolderNotice(msgspec.Struct, array_like=True, frozen=True, tag=20):
@@ -56,13 +56,13 @@
         API, the sender included if it does so.
     """
 
-    token: _Number
+    token: Number
     deputy: str
-    version: _Number
+    version: Number
     unix_time: float = 0.0
     has_majority: bool = False
-    closed_window: _Number = 0
-    handovers: _Number = 0
+    closed_window: Number = 0
+    handovers: Number = 0
 
 
 class UsageCounts(msgspec.Struct, array_like=True, frozen=True, tag=21):
@@ -96,5 +96,5 @@
         Windows that the API may not have accepted yet.
     """
 
-    token: _Number
+    token: Number
     windows: list[WindowCounts]
--- a/damasklead/gateway/duties/service.py
+++ b/damasklead/gateway/duties/service.py
@@ -83,6 +83,8 @@
     names : set of DutyName
         The duties that the deployment asks for.
     bounds : DutyBounds
+    calls_per_second : float
+        Calls that the API accepts from all gateways together.
     api : callable
         Returns the active platform API.
     tables : callable
@@ -111,6 +113,7 @@
         *,
         names: set[DutyName],
         bounds: DutyBounds,
+        calls_per_second: float,
         api: Callable[[], PlatformApi],
         tables: Callable[[], TableService],
         get_era: Callable[[], StoreEra],
@@ -184,6 +187,7 @@
                 true_time=self._true_time,
                 window_seconds=bounds.usage_window_seconds,
                 delay_seconds=bounds.usage_delay_seconds,
+                calls_per_second=calls_per_second,
                 get_lease=self._lease.describe,
                 on_closed=self._lease.announce,
                 clock=clock,
--- a/damasklead/gateway/duties/usage_reports.py
+++ b/damasklead/gateway/duties/usage_reports.py
@@ -23,7 +23,7 @@
     UsageReport,
 )
 from damasklead.gateway.duties.lease_task import DUTIES_TABLE, HeldLease
-from damasklead.gateway.duties.messages import WindowCounts
+from damasklead.gateway.duties.messages import Number, WindowCounts
 from damasklead.gateway.duties.true_time import TrueTime
 from damasklead.gateway.duties.usage_counts import UsageLedger, compute_window
 from damasklead.gateway.journal import Journal
@@ -79,9 +79,9 @@
         Era of the store in which the row was written.
     """
 
-    closed: int = 0
+    closed: Number = 0
     unsent: list[WindowCounts] = []
-    era: int = 0
+    era: Number = 0
 
 
 class UsageStatistics(msgspec.Struct, kw_only=True):
@@ -127,6 +127,8 @@
         Length of a window.
     delay_seconds : float
         Time after a window's end by which its report is due.
+    calls_per_second : float
+        Calls that the API accepts from all gateways together.
     get_lease : callable
         Returns the lease that this gateway holds.
     on_closed : callable
@@ -144,6 +146,7 @@
         true_time: TrueTime,
         window_seconds: float,
         delay_seconds: float,
+        calls_per_second: float,
         get_lease: Callable[[], HeldLease],
         on_closed: Callable[[], None],
         clock: Clock,
@@ -155,6 +158,8 @@
         self._true_time = true_time
         self._window_seconds = window_seconds
         self._delay_seconds = delay_seconds
+        # Half of the rate is left to the other duties.
+        self._pause = 1.0 / min(MAX_CALLS_PER_SECOND, calls_per_second / 2)
         self._get_lease = get_lease
         self._on_closed = on_closed
         self._clock = clock
@@ -412,14 +417,13 @@
     def _report_windows(self, authority: Authority) -> None:
         """Report the closed windows, first those that are due first."""
         api = self._api
-        pause = 1.0 / MAX_CALLS_PER_SECOND
         for item in sorted(self.unsent_windows, key=self._compute_urgency):
             if self._clock.now() < self._retry_at:
                 return
             if not authority.may_act_for(api.timeout_seconds):
                 return
             self._report(api, authority, item)
-            self._retry_at = max(self._retry_at, self._clock.now() + pause)
+            self._retry_at = max(self._retry_at, self._clock.now() + self._pause)
 
     def _compute_urgency(self, item: WindowCounts) -> tuple[bool, int, int]:
         """
--- a/damasklead/gateway/fleet.py
+++ b/damasklead/gateway/fleet.py
@@ -468,6 +468,7 @@
         return Duties(
             names=names,
             bounds=self._settings.duty_bounds,
+            calls_per_second=platform_api.calls_per_second,
             api=get_api,
             tables=lambda: self._link().tables,
             get_era=lambda: self._era,
--- a/tests/duties_kit.py
+++ b/tests/duties_kit.py
@@ -242,6 +242,8 @@
     clock_error : float
         Seconds by which its wall clock is ahead.
     is_frozen : bool
+    catches_errors : bool
+        Whether the lease's task may meet a row that it can't handle.
     """
 
     def __init__(self, world: "World", name: str, *, incarnation: int) -> None:
@@ -250,6 +252,7 @@
         self.holder = (name, incarnation)
         self.clock_error = 0.0
         self.is_frozen = False
+        self.catches_errors = False
         self.is_leaving = False
         self.entry = world.entries.setdefault(
             name,
@@ -267,6 +270,7 @@
         self.duties = Duties(
             names={DutyName.USAGE_REPORT},
             bounds=BOUNDS,
+            calls_per_second=50.0,
             api=lambda: self.api,
             tables=lambda: self.tables,
             get_era=lambda: StoreEra(0),
@@ -285,7 +289,12 @@
         if self.is_frozen:
             return
         self.peers.handle_queue()
-        self.duties.poll_lease()
+        try:
+            self.duties.poll_lease()
+        except Exception:
+            # The lease's task logs it and goes on.
+            if not self.catches_errors:
+                raise
         if number % STEPS_PER_PERFORM == 0:
             self.duties.perform_duties()
         if number % self._world.steps_per_counts == 0:
--- a/tests/test_duties_fleet.py
+++ b/tests/test_duties_fleet.py
@@ -11,6 +11,8 @@
 import pytest
 
 from damasklead.gateway.duties.base import ApiFault
+from damasklead.gateway.duties.lease_task import DUTIES_TABLE
+from damasklead.stores.base import Commit, Put
 from damasklead.stores.memory import TableBackup
 from tests.duties_kit import BOUNDS, UNIX_START, World
 
@@ -468,3 +470,25 @@
     world.run(12.0)
     assert world.holder.duties.authority.identity.token == token
     check_reports(world, since=since)
+
+
+ODD_ROWS = [
+    b"", b"[]", b"\xff", b"[" * 10_000, b'{"closed":-1}', b'{"closed":1e400}',
+    b'{"closed":99999999999999999999999}', b'{"unsent":[[1]]}',
+    b'{"holder":"x","incarnation":1,"fencing":99999999999999999999999,"beat":0}',
+]  # fmt: skip
+
+
+@pytest.mark.parametrize("key", ["lease", "usage"])
+@pytest.mark.parametrize("value", ODD_ROWS)
+def test_odd_rows_do_not_end_a_gateway(world: World, key: str, value: bytes) -> None:
+    """Guards against a row that nobody can read and that ends one gateway by another."""
+    world.tables.commit(
+        Commit(conditions=(), writes=(Put(table=DUTIES_TABLE, key=key, value=value),))
+    )
+    for gateway in world.gateways.values():
+        gateway.catches_errors = True
+    world.run(12.0)
+    world.check_safety()
+    if key == "usage":
+        assert len(world.holders) == 1
