--- a/damasklead/gateway/duties/scaling/duty.py
+++ b/damasklead/gateway/duties/scaling/duty.py
@@ -33,6 +33,9 @@
 
 # Age of the platform's list from which no decision is based on it.
 MAX_LIST_AGE_SECONDS = 5.0
+# Maximum number of calls in one pass.  Passes follow each other after 0.25 s at least,
+# and usage reports leave half of the 50 calls per second that the API accepts.
+MAX_CALLS_PER_PASS = 6
 # Latency target of a service that no route sends requests to.
 DEFAULT_TARGET_SECONDS = 1.0
 
@@ -138,12 +141,13 @@
         ]
         self._retain_services({spec.name for spec in services})
         replicas = count_replicas(self._list_records())
-        calls = []
+        calls: list[gevent.Greenlet] = []
         for spec in services:
             planner = self._get_planner(spec, table, token)
             if planner is None:
                 continue
-            for order in planner.plan(replicas.get(spec.name, {})):
+            orders = planner.plan(replicas.get(spec.name, {}))
+            for order in orders[: MAX_CALLS_PER_PASS - len(calls)]:
                 planner.record_call(order)
                 calls.append(
                     gevent.spawn(self._call, spec, planner, order, authority, token)
--- a/tests/test_gateway_scaling_duty.py
+++ b/tests/test_gateway_scaling_duty.py
@@ -34,6 +34,7 @@
 )
 from damasklead.gateway.duties.messages import HolderNotice
 from damasklead.gateway.duties.scaling.duty import (
+    MAX_CALLS_PER_PASS,
     MAX_LIST_AGE_SECONDS,
     ScalingDuty,
     count_replicas,
@@ -216,6 +217,29 @@
         assert len(harness.perform()) == 3
         assert harness.api.most_calls == 3
 
+    def test_the_calls_of_many_services_are_spread_over_passes(self) -> None:
+        """Guards against exceeding the API's rate with many services."""
+        harness = DutyHarness()
+        names = [ServiceName(f"s{number}") for number in range(8)]
+        harness.table = make_table(
+            services=[msgspec.structs.replace(SCALED, name=name) for name in names]
+        )
+        harness.records = [
+            msgspec.structs.replace(record, service=name)
+            for name in names
+            for record in harness.records
+        ]
+        passes = []
+        for _ in range(5):
+            for name in names:
+                harness.report(
+                    cell=Cell(name, DataCentre(""), 0), running=0, queued=0,
+                    arrivals=0.0, refusals=0.0,
+                )  # fmt: skip
+            passes.append(len(harness.perform()))
+            harness.clock.advance(0.25)
+        assert max(passes) == MAX_CALLS_PER_PASS and sum(passes) == 24
+
     def test_nothing_is_ordered_without_the_lease(self) -> None:
         """Guards against calls of a gateway that doesn't hold the lease."""
         harness = DutyHarness()
