--- a/damasklead/gateway/coordination/coordinator.py
+++ b/damasklead/gateway/coordination/coordinator.py
@@ -31,9 +31,10 @@
     RequestQueued,
     RequestRejected,
     RunningRequests,
+    WorkspaceAssignmentRequest,
 )
 from damasklead.gateway.placements import EnginePlacement, Placement
-from damasklead.gateway.routing import Route, ServiceSpec
+from damasklead.gateway.routing import Route, ServiceSpec, Workspace
 from damasklead.ids import AttemptId, InstanceId
 from damasklead.rate_limits import RateLimits
 
@@ -210,6 +211,11 @@
         """Number of queued requests."""
         return self._admission.queue_length
 
+    @property
+    def interleaved_requests(self) -> int:
+        """Number of requests assigned to engines reserved for more urgent ones."""
+        return self._placement.interleaved_requests
+
     @property
     def request_count(self) -> int:
         """Number of running and queued requests."""
@@ -395,7 +401,7 @@
             head=head,
             route=route,
             service=self._cell.service,
-            workspace=None,
+            workspace=_get_workspace(request),
             arrival=now - request.age_seconds,
             deadline=now + request.seconds_left,
             caller_deadline=now + request.caller_seconds_left,
@@ -453,10 +459,17 @@
         entry = self._make_entry(request, route)
         entry.instance = instance
         self._requests[attempt] = entry
-        self._placement.record_sent(instance, entry.call)
+        self._placement.record_running(instance, entry.call)
 
     def _drop_request(self, entry: _TrackedRequest) -> None:
         del self._requests[entry.call.id]
         self._admission.remove_call(entry.call)
         if entry.instance is not None:
             self._placement.record_cancellation(entry.instance, entry.call)
+
+
+def _get_workspace(request: AssignmentRequest) -> Workspace | None:
+    """Return the workspace that a request names, without its keys."""
+    if not isinstance(request, WorkspaceAssignmentRequest) or request.workspace is None:
+        return None
+    return Workspace(name=request.workspace, keys=())
--- a/damasklead/gateway/coordination/coordinators.py
+++ b/damasklead/gateway/coordination/coordinators.py
@@ -30,6 +30,10 @@
 
 __all__ = ["Coordinators"]
 
+# Number of ranked gateways that report on a cell without requests.  A gateway that was
+# killed is suspected only when requests reach it, and listed for a minute.
+IDLE_REPORTERS = 3
+
 
 class Coordinators:
     """
@@ -72,6 +76,14 @@
         """Whether a coordinator has queued requests."""
         return any(item.queue_length for item in self._coordinators.values())
 
+    @property
+    def interleaved_requests(self) -> int:
+        """
+        Number of requests that the present coordinators have assigned to engines
+        reserved for more urgent ones.
+        """
+        return sum(item.interleaved_requests for item in self._coordinators.values())
+
     @property
     def state(self) -> dict[str, object]:
         """Number of requests of each cell, for operators."""
@@ -84,8 +96,8 @@
         """
         Return the loads of the cells of scaled services since the last call.
 
-        They include the cells that this gateway would coordinate and that have had no
-        request, so that no demand differs from no report.
+        They include cells without requests that this gateway may coordinate, so that no
+        demand differs from no report.
         """
         table = self._table()
         if table is None:
@@ -96,7 +108,8 @@
         loads = {
             cell: CoordinatorLoad()
             for cell in self._cells.cells
-            if cell.service in scaled and self._cells.is_coordinator(cell)
+            if cell.service in scaled
+            and self._cells.is_candidate(cell, limit=IDLE_REPORTERS)
         }
         return loads | {
             cell: coordinator.take_load()
--- a/damasklead/gateway/duties/messages.py
+++ b/damasklead/gateway/duties/messages.py
@@ -6,11 +6,16 @@
 lost or duplicated: notices and counts are repeated, and counts are cumulative.
 """
 
+from typing import Annotated
+
 import msgspec
 
 from damasklead.ids import WorkspaceId
 
-__all__ = ["HolderNotice", "ReportCopies", "UsageCounts", "WindowCounts"]
+__all__ = ["HolderNotice", "Number", "ReportCopies", "UsageCounts", "WindowCounts"]
+
+# Anybody may send a datagram, whose numbers must not end calculations.
+Number = Annotated[int, msgspec.Meta(ge=0, le=2**62)]
 
 
 class WindowCounts(msgspec.Struct, array_like=True, frozen=True):
@@ -24,8 +29,8 @@
     counts : dict
     """
 
-    window: int
-    counts: dict[WorkspaceId, int]
+    window: Number
+    counts: dict[WorkspaceId, Number]
 
 
 class HolderNotice(msgspec.Struct, array_like=True, frozen=True, tag=20):
@@ -46,14 +51,18 @@
         Whether the clocks of most gateways agree on that estimate.
     closed_window : int
         Newest window whose counts are final; 0 without one.
+    handovers : int
+        Number of holders in turn that released the lease because they did not reach the
+        API, the sender included if it does so.
     """
 
-    token: int
+    token: Number
     deputy: str
-    version: int
+    version: Number
     unix_time: float = 0.0
     has_majority: bool = False
-    closed_window: int = 0
+    closed_window: Number = 0
+    handovers: Number = 0
 
 
 class UsageCounts(msgspec.Struct, array_like=True, frozen=True, tag=21):
@@ -87,5 +96,5 @@
         Windows that the API may not have accepted yet.
     """
 
-    token: int
+    token: Number
     windows: list[WindowCounts]
--- a/damasklead/gateway/duties/scaling/duty.py
+++ b/damasklead/gateway/duties/scaling/duty.py
@@ -37,6 +37,9 @@
 # deployment the replicas register one by one, and those that are listed last would be
 # given up.
 LIST_GROWTH_SECONDS = 2.0
+# Maximum number of calls in one pass.  Passes follow each other after 0.25 s at least,
+# and usage reports leave half of the 50 calls per second that the API accepts.
+MAX_CALLS_PER_PASS = 6
 # Latency target of a service that no route sends requests to.
 DEFAULT_TARGET_SECONDS = 1.0
 
@@ -66,8 +69,7 @@
 
     Parameters
     ----------
-    api : callable
-        Returns the active platform API.
+    api : PlatformApi
     table : callable
         Returns the current configuration.
     list_records : callable
@@ -84,7 +86,7 @@
     def __init__(
         self,
         *,
-        api: Callable[[], PlatformApi],
+        api: PlatformApi,
         table: Callable[[], RoutingTable | None],
         list_records: Callable[[], Iterable[UpstreamRecord]],
         get_list_age: Callable[[], float],
@@ -138,7 +140,7 @@
             table is None
             or not self._is_list_complete
             or self._get_list_age() > MAX_LIST_AGE_SECONDS
-            or not authority.may_act_for(self._api().timeout_seconds)
+            or not authority.may_act_for(self._api.timeout_seconds)
         ):
             return
         token = authority.identity.token
@@ -149,12 +151,13 @@
         ]
         self._retain_services({spec.name for spec in services})
         replicas = count_replicas(self._list_records())
-        calls = []
+        calls: list[gevent.Greenlet] = []
         for spec in services:
             planner = self._get_planner(spec, table, token)
             if planner is None:
                 continue
-            for order in planner.plan(replicas.get(spec.name, {})):
+            orders = planner.plan(replicas.get(spec.name, {}))
+            for order in orders[: MAX_CALLS_PER_PASS - len(calls)]:
                 planner.record_call(order)
                 calls.append(
                     gevent.spawn(self._call, spec, planner, order, authority, token)
@@ -185,13 +188,12 @@
         fault: ApiFault | None = None
         detail = ""
         try:
-            api = self._api()
             if (
-                not authority.may_act_for(api.timeout_seconds)
+                not authority.may_act_for(self._api.timeout_seconds)
                 or authority.identity.token != token
             ):
                 raise ApiError(ApiFault.REFUSED, "the lease is no longer held")
-            api.order_replicas(
+            self._api.order_replicas(
                 spec.name,
                 order.group.data_centre,
                 count=order.count,
--- a/damasklead/gateway/process.py
+++ b/damasklead/gateway/process.py
@@ -170,7 +170,7 @@
             is_stopping=lambda: self._is_stopping,
             account=self._account,
             get_stall_seconds=lambda: self._settings.send_stall_seconds,
-            get_max_connections=lambda: self._descriptors.caller_connections,
+            get_budget=lambda: self._descriptors,
             on_closed=self._metrics.count_closed_caller,
         )
         self._tree = self._build_tree()
@@ -341,13 +341,8 @@
         ):
             return None
 
-        def get_api() -> PlatformApi:
-            assert self._api is not None
-            return self._api
-
         return Scaling(
             duties=duties,
-            api=get_api,
             table=lambda: self._fleet.configuration.table,
             directory=self._directory,
             get_list_age=lambda: self._fleet.replica_list_age,
@@ -403,6 +398,7 @@
             "configuration": None if table is None else table.version,
             "active": self._forwarder.active_requests,
             "gateways": self._fleet.gateway_count,
+            "callers": self._account.count_by_stage(),
             "cells": self._fleet.coordination.coordinators.state,
             "replicas": {
                 name: sorted(placement.eligible_instances)
@@ -424,6 +420,9 @@
         metrics.limited_replicas.set_function(
             lambda: self._fleet.rate_limits.limited_count
         )
+        metrics.interleaved_requests.set_function(
+            lambda: self._fleet.coordination.coordinators.interleaved_requests
+        )
         metrics.slowest_replica.set_function(
             lambda: max(
                 (item.max_slowdown for item in self._placements.values()), default=1.0
--- a/tests/duties_kit.py
+++ b/tests/duties_kit.py
@@ -242,6 +242,8 @@
     clock_error : float
         Seconds by which its wall clock is ahead.
     is_frozen : bool
+    catches_errors : bool
+        Whether the lease's task may meet a row that it can't handle.
     """
 
     def __init__(self, world: "World", name: str, *, incarnation: int) -> None:
@@ -250,6 +252,7 @@
         self.holder = (name, incarnation)
         self.clock_error = 0.0
         self.is_frozen = False
+        self.catches_errors = False
         self.is_leaving = False
         self.entry = world.entries.setdefault(
             name,
@@ -267,6 +270,7 @@
         self.duties = Duties(
             names={DutyName.USAGE_REPORT},
             bounds=BOUNDS,
+            calls_per_second=50.0,
             api=lambda: self.api,
             tables=lambda: self.tables,
             get_era=lambda: StoreEra(0),
@@ -285,10 +289,15 @@
         if self.is_frozen:
             return
         self.peers.handle_queue()
-        self.duties.poll_lease()
+        try:
+            self.duties.poll_lease()
+        except Exception:
+            # The lease's task logs it and goes on.
+            if not self.catches_errors:
+                raise
         if number % STEPS_PER_PERFORM == 0:
             self.duties.perform_duties()
-        if number % STEPS_PER_COUNTS == 0:
+        if number % self._world.steps_per_counts == 0:
             self.duties.send_counts()
 
     def execute(self, workspace: str) -> None:
@@ -307,6 +316,8 @@
         Calls that took effect.
     store_calls : int
         Calls of the store by all gateways.
+    steps_per_counts : int
+        Steps between two messages with counts.
     store_is_down : bool
     api_fault : ApiFault or None
         Fault of all calls of the API.
@@ -316,8 +327,8 @@
         Pairs of gateways without datagrams.
     """
 
-    def __init__(self, *, count: int = 6, seed: int = 1) -> None:
-        self.clock = ManualClock(start=1000.0)
+    def __init__(self, *, count: int = 6, seed: int = 1, start: float = 1000.0) -> None:
+        self.clock = ManualClock(start=start)
         self.random = random.Random(seed)
         random.seed(seed)
         self.tables = MemoryTableService(faults=Faults())
@@ -326,6 +337,7 @@
         self.entries: dict[str, PeerEntry] = {}
         self.calls: list[SimCall] = []
         self.store_calls = 0
+        self.steps_per_counts = STEPS_PER_COUNTS
         self.store_is_down = False
         self.api_fault: ApiFault | None = None
         self.loss = 0.0
--- a/tests/test_duties_fleet.py
+++ b/tests/test_duties_fleet.py
@@ -11,8 +11,10 @@
 import pytest
 
 from damasklead.gateway.duties.base import ApiFault
+from damasklead.gateway.duties.lease_task import DUTIES_TABLE
+from damasklead.stores.base import Commit, Put
 from damasklead.stores.memory import TableBackup
-from tests.duties_kit import World
+from tests.duties_kit import BOUNDS, UNIX_START, World
 
 # Time from the start until the first holder makes calls.
 START_SECONDS = 12.0
@@ -322,7 +324,11 @@
     check_reports(world, since=world.clock.now() - 8.0)
 
 
-@pytest.mark.parametrize("seed", range(30))
+# The later seeds have found faults: 121 a time adopted from a notice that waited during
+# a freeze; 182 a row read after the restore under a lease from before; 230 and 453 a
+# window closed by a write whose response was lost, unannounced; 442 a backup of a
+# state that an earlier restore had undone.
+@pytest.mark.parametrize("seed", [*range(20), 121, 139, 182, 230, 442, 453])
 def test_no_rule_is_broken_by_failures_that_coincide(seed: int) -> None:
     """Guards against combinations of failures that no other test has."""
     world = World(count=5, seed=seed)
@@ -398,3 +404,91 @@
         world.store_is_down = not world.store_is_down
     else:
         heal(world)
+
+
+def test_requests_of_the_first_moments_of_a_fleet_are_reported() -> None:
+    """Guards against requests that no gateway dates before the true time is known."""
+    world = World()
+    started_at = world.clock.now()
+    # The first window ends two seconds after the start.
+    length = BOUNDS.usage_window_seconds
+    assert (UNIX_START + started_at) % length == 0.0
+    world = World(start=started_at + length - 2.0)
+    # Counts are sent every 0.75 s, as in a large fleet.
+    world.steps_per_counts = 15
+    world.run(16.0)
+    check_reports(world, since=started_at - 0.1)
+
+
+def test_rate_of_calls_of_the_store_in_a_start_of_many_gateways() -> None:
+    """Guards against a start in which every gateway polls the lease."""
+    world = World(count=60)
+    world.run(START_SECONDS, rate=1.0)
+    assert len(world.holders) == 1
+    assert world.store_calls <= 40
+
+
+def test_holder_that_alone_is_cut_off_from_the_api_is_replaced(world: World) -> None:
+    """Guards against a holder that keeps the lease but can't use it."""
+    first = world.holder
+    first.api.is_cut = True
+    world.run(20.0)
+    assert world.holder is not first
+    first.api.is_cut = False
+    check_reports(world)
+
+
+def test_lease_does_not_move_without_end_while_the_api_is_down(world: World) -> None:
+    """Guards against gateways that hand the lease on faster than one of them reports."""
+    token = world.holder.duties.authority.identity.token
+    world.api_fault = ApiFault.UNREACHABLE
+    world.run(120.0)
+    assert world.holder.duties.authority.identity.token - token <= 6
+    world.api_fault = None
+    since = world.clock.now()
+    world.run(12.0)
+    check_reports(world, since=since)
+
+
+def test_api_that_responds_with_errors_does_not_move_the_lease(world: World) -> None:
+    """Guards against a handover that would help nobody."""
+    first = world.holder
+    world.api_fault = ApiFault.LIMITED
+    world.run(20.0)
+    assert world.holder is first
+
+
+def test_only_gateway_keeps_the_lease_while_the_api_is_down() -> None:
+    """Guards against a release that leaves no holder."""
+    world = World(count=1)
+    world.run(START_SECONDS)
+    world.api_fault = ApiFault.UNREACHABLE
+    world.run(20.0)
+    token = world.holder.duties.authority.identity.token
+    world.api_fault = None
+    since = world.clock.now()
+    world.run(12.0)
+    assert world.holder.duties.authority.identity.token == token
+    check_reports(world, since=since)
+
+
+ODD_ROWS = [
+    b"", b"[]", b"\xff", b"[" * 10_000, b'{"closed":-1}', b'{"closed":1e400}',
+    b'{"closed":99999999999999999999999}', b'{"unsent":[[1]]}',
+    b'{"holder":"x","incarnation":1,"fencing":99999999999999999999999,"beat":0}',
+]  # fmt: skip
+
+
+@pytest.mark.parametrize("key", ["lease", "usage"])
+@pytest.mark.parametrize("value", ODD_ROWS)
+def test_odd_rows_do_not_end_a_gateway(world: World, key: str, value: bytes) -> None:
+    """Guards against a row that nobody can read and that ends one gateway by another."""
+    world.tables.commit(
+        Commit(conditions=(), writes=(Put(table=DUTIES_TABLE, key=key, value=value),))
+    )
+    for gateway in world.gateways.values():
+        gateway.catches_errors = True
+    world.run(12.0)
+    world.check_safety()
+    if key == "usage":
+        assert len(world.holders) == 1
