--- a/damasklead/memory_budget.py
+++ b/damasklead/memory_budget.py
@@ -138,6 +138,9 @@
     REQUEST = "request"
     RESPONSE = "response"
 
+    # Members are singletons; the hash of their names takes several times as long.
+    __hash__ = object.__hash__
+
 
 class MemoryAccount:
     """
@@ -406,6 +409,8 @@
             Whether they may be held; otherwise the request has to be given up.
         """
         change = size - self._by_kind[kind]
+        if not change:
+            return True
         self._by_kind[kind] = size
         self._held_bytes += change
         return self._account._change(kind, change)
