--- a/tests/test_duties_fleet.py
+++ b/tests/test_duties_fleet.py
@@ -10,8 +10,14 @@
 
 import pytest
 
+from damasklead.clock import ManualClock
+from damasklead.gateway.dialect import PeerEntry
 from damasklead.gateway.duties.base import ApiFault
+from damasklead.gateway.duties.contention import compute_contention_rank
 from damasklead.gateway.duties.lease_task import DUTIES_TABLE
+from damasklead.gateway.duties.true_time import TrueTime
+from damasklead.gateway.duties.usage_counts import UsageCounter
+from damasklead.ids import InstanceId, WorkspaceId
 from damasklead.stores.base import Commit, Put
 from damasklead.stores.memory import TableBackup
 from tests.duties_kit import BOUNDS, UNIX_START, World
@@ -492,3 +498,80 @@
     world.check_safety()
     if key == "usage":
         assert len(world.holders) == 1
+
+
+def test_holder_whose_lease_was_taken_over_closes_no_window(world: World) -> None:
+    """Guards against counts that a holder makes final which gets no counts any more."""
+    first = world.holder
+    first.is_frozen = True
+    while [item for item in world.holders if item is not first] == []:
+        world.run(0.05)
+    (second,) = [item for item in world.holders if item is not first]
+    (row,) = world.tables.read(DUTIES_TABLE, ("usage",)).ok_value
+    # The first one's clock has stood still: it believes that its lease is valid.
+    lease = first.duties.authority
+    lease._keeper._valid_until = world.clock.now() + 1000.0  # type: ignore[attr-defined]
+    first.is_frozen = False
+    # The second one waits for the counts of all gateways before it closes a window.
+    world.run(1.5)
+    assert second.duties.is_holder
+    assert world.tables.read(DUTIES_TABLE, ("usage",)).ok_value == (row,)
+
+
+def test_holder_that_heard_no_notice_before_a_restore_passes_windows_over(
+    world: World,
+) -> None:
+    """Guards against other counts of windows that only killed gateways knew of."""
+    lone = next(
+        item
+        for item in world.gateways.values()
+        if item is not world.holder
+        and item.name != world.holder.duties.directory.deputy
+    )
+    world.cut_pairs = {
+        frozenset((lone.name, name)) for name in world.entries if name != lone.name
+    }
+    backup = world.tables.make_backup()
+    world.run(8.0)
+    for gateway in list(world.gateways.values()):
+        if gateway is not lone:
+            world.kill(gateway)
+    world.tables.restore_backup(backup)
+    call_count = len(world.calls)
+    world.run(25.0)
+    assert world.holder is lone and len(world.calls) > call_count
+    world.check_safety()
+
+
+def test_last_holder_contends_first_after_a_restore() -> None:
+    """Guards against windows that are passed over although the last holder is alive."""
+    members = [
+        PeerEntry(instance=InstanceId(name), address="127.0.0.1:1", incarnation=1)
+        for name in "abcdefgh"
+    ]
+
+    def rank(name: str, *, is_deputy_first: bool) -> int:
+        others = [entry for entry in members if entry.instance != name]
+        return compute_contention_rank(
+            instance=name, cores=1.0, members=others, holder="a", deputy="b",
+            is_deputy_first=is_deputy_first,
+        )  # fmt: skip
+
+    assert [rank(name, is_deputy_first=False) for name in "ab"] == [0, 1]
+    assert [rank(name, is_deputy_first=True) for name in "ab"] == [0, 0]
+    others = sorted(rank(name, is_deputy_first=True) for name in "cdefgh")
+    assert others == [1, 2, 3, 4, 5, 6]
+
+
+def test_each_change_of_counts_is_sent_three_times() -> None:
+    """Guards against the last change of a window that is lost with one datagram."""
+    clock = ManualClock(start=100.0)
+    true_time = TrueTime(
+        clock=clock, get_unix_time=lambda: UNIX_START + clock.now(), is_alone=True
+    )
+    counter = UsageCounter(window_seconds=5.0, clock=clock, true_time=true_time)
+    counter.record(WorkspaceId("skippers"))
+    sent = [counter.take_changes() for _ in range(5)]
+    assert [len(windows) for windows in sent] == [1, 1, 1, 0, 0]
+    counter.record(WorkspaceId("skippers"))
+    assert counter.take_changes()[0].counts == {"skippers": 2}
--- a/tests/test_true_time.py
+++ b/tests/test_true_time.py
@@ -102,7 +102,12 @@
         time.record_clock(name, sent_at)
     time.update()
     assert compute_error(time, clock) == 0.0
+    # The queue of the socket is not empty yet.
     time.adopt(sent_at)
+    for name in ("gw-0", "gw-1"):
+        time.record_clock(name, sent_at)
+    clock.advance(1.0)
+    time.update()
     assert compute_error(time, clock) == 0.0
 
 
