--- a/damasklead/gateway/duties/scaling/mix.py
+++ b/damasklead/gateway/duties/scaling/mix.py
@@ -33,6 +33,9 @@
 # Maximum number of replicas that are planned for a service: twice the number that the
 # product is made for.  Bounds the search, whatever configuration and reports say.
 MAX_NEEDED = 2_200
+# Numbers of ordinary replicas that are compared while a data centre has too few
+# preemptible ones.
+MAX_ORDINARY_STEPS = 50
 
 
 class ReplicaGroup(msgspec.Struct, frozen=True, order=True):
@@ -118,7 +121,10 @@
             sorted(centres, key=lambda item: ReplicaGroup(item, True) not in limits)
         )
     best: dict[ReplicaGroup, int] | None = None
-    for ordinary in range(floor, needed + 1):
+    # With limits each number is searched; for large services in steps, since a search
+    # of seconds would cost the lease.
+    step = max(1, needed // MAX_ORDINARY_STEPS) if limits else 1
+    for ordinary in (*range(floor, needed, step), *([needed] if needed else [])):
         # Without limits, more ordinary replicas than are needed never pay off, unless
         # all are ordinary.
         if best is not None and ordinary < needed and not limits:
--- a/damasklead/gateway/duties/scaling/orders.py
+++ b/damasklead/gateway/duties/scaling/orders.py
@@ -110,6 +110,8 @@
         Calls that failed one after the other.
     repeats : int
         Accepted repetitions after which the list still differed.
+    is_own : bool
+        Whether this holder has ordered the target; otherwise the list showed it.
     """
 
     target: int
@@ -124,6 +126,7 @@
     unavailable_since: float = -math.inf
     failures: int = 0
     repeats: int = 0
+    is_own: bool = False
 
 
 class OrderBook:
@@ -203,6 +206,9 @@
                 # The replicas that a new holder finds count as ordered.
                 state = self._groups[group] = _GroupState(target=count, live=count)
             state.live = count
+            if not state.is_own and count > state.target:
+                # Replicas that the holder before ordered have booted.
+                state.target = count
             if count == state.target:
                 state.differs_since = None
                 state.has_lapsed = False
@@ -275,6 +281,7 @@
         if fault is None or fault is ApiFault.UNREACHABLE:
             # A call without an answer may have taken effect.
             state.target = order.count
+            state.is_own = True
             state.differs_since = None if state.live == order.count else now
         if fault is None:
             state.failures = 0
--- a/tests/test_gateway_scaling.py
+++ b/tests/test_gateway_scaling.py
@@ -221,6 +221,30 @@
         assert sum(item.ordinary for item in counts) <= 4
         assert 40 <= harness.platform.serving <= 48
 
+    @pytest.mark.parametrize("demand", [None, BUSY], ids=["no reports", "reports"])
+    @pytest.mark.parametrize("seconds", [0.5, 2.0, 3.5])
+    def test_a_new_holder_keeps_replicas_that_boot(
+        self, seconds: float, demand: Demand | None
+    ) -> None:
+        """
+        Guards against giving up what the last holder has ordered.
+
+        The numbers listed at the handover were repeated when more had booted.
+        """
+        harness = PlannerHarness()
+        harness.run(30.0, demand=BUSY)
+        for group, count in list(harness.planner.targets.items()):
+            if group.is_preemptible:
+                assert harness.platform.order(group, count + 7) is None
+        for _ in range(int(seconds / STEP_SECONDS)):
+            harness.platform.advance()
+            harness.clock.advance(STEP_SECONDS)
+        serving = harness.platform.serving
+        harness.planner = harness.make_planner()
+        orders = harness.run(15.0, demand=demand)
+        assert not [order for order in orders if order.reason is OrderReason.REPEAT]
+        assert harness.platform.serving >= serving + 21
+
     def test_without_preemptible_replicas_nothing_is_exchanged(self) -> None:
         """Guards against orders of a kind that the platform doesn't offer."""
         harness = PlannerHarness(spec=ORDINARY_ONLY)
