--- a/damasklead/daemon/callers.py
+++ b/damasklead/daemon/callers.py
@@ -26,6 +26,7 @@
 from damasklead.daemon.exchange import Exchange
 from damasklead.daemon.pools import Pool
 from damasklead.daemon.replies import ResponseHead, digest_request
+from damasklead.decoding import decode_json
 from damasklead.ids import AttemptId, Fingerprint, RequestId, ServiceName
 from damasklead.memory_budget import MemoryCharge
 from damasklead.problems import Problem
@@ -423,7 +424,7 @@
 def _parse_completion(body: bytes) -> dict[str, Any]:
     """Decode the body of a completion request and check the fields that are used."""
     try:
-        document = msgspec.json.decode(body)
+        document = decode_json(body, type=object)
     except msgspec.DecodeError as error:
         raise _make_problem("json", "The body is not valid JSON", "body") from error
     if not isinstance(document, dict):
--- a/damasklead/daemon/exchange.py
+++ b/damasklead/daemon/exchange.py
@@ -489,7 +489,13 @@
             document["max_tokens"] = max(
                 1, document["max_tokens"] - self.request.generated_tokens
             )
-        return build_continuation_body(document, self._sent_text)
+        try:
+            return build_continuation_body(document, self._sent_text)
+        except RecursionError as error:
+            # The decoder, which has more of the stack left, accepts somewhat more.
+            raise UpstreamError(
+                Failure.NOT_SENT, "the request nests too deeply to be continued"
+            ) from error
 
 
 def _are_events(data: bytes) -> bool:
--- a/damasklead/daemon/replies.py
+++ b/damasklead/daemon/replies.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from damasklead.claims import Claim, ClaimState
+from damasklead.decoding import decode_json
 from damasklead.problems import Problem
 from damasklead.requests import Outcome
 from damasklead.upstreams import UpstreamResponse
@@ -75,19 +76,39 @@
 ResponsePart = ResponseHead | bytes | Problem
 
 
+class _Delta(msgspec.Struct):
+    content: str | None = None
+
+
+class _Choice(msgspec.Struct):
+    delta: _Delta = msgspec.field(default_factory=_Delta)
+
+
+class _Event(msgspec.Struct):
+    choices: tuple[_Choice, ...] = ()
+
+
 def digest_request(method: str, path: str, body: bytes) -> str:
     """Return the digest that two requests share if they are the same."""
     return hashlib.sha256(f"{method} {path}\n".encode() + body).hexdigest()
 
 
 def extract_text(events: bytes) -> str:
-    """Return the generated text in a sequence of server-sent events."""
+    """
+    Return the generated text in a sequence of server-sent events.
+
+    Events of another shape hold no text: callers can't read any in them either.
+    """
     text = ""
     for event in events.split(EVENT_END):
         if not event.startswith(b"data: {"):
             continue
-        for choice in msgspec.json.decode(event[6:]).get("choices", ()):
-            text += choice.get("delta", {}).get("content") or ""
+        try:
+            document = decode_json(event[6:], type=_Event)
+        except msgspec.DecodeError:
+            continue
+        for choice in document.choices:
+            text += choice.delta.content or ""
     return text
 
 
--- a/damasklead/decoding.py
+++ b/damasklead/decoding.py
@@ -15,6 +15,7 @@
     "Count",
     "Milliseconds",
     "PositiveCount",
+    "Seconds",
     "UnixMilliseconds",
     "decode_json",
     "decode_msgpack",
@@ -29,6 +30,7 @@
 PositiveCount = Annotated[int, msgspec.Meta(ge=1, le=2**31 - 1)]
 UnixMilliseconds = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=1e12)]
+Seconds = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
 MAX_PORT = 65_535
 # Longest id, as of a row's key.
 MAX_TOKEN_BYTES = 200
--- a/damasklead/sharing.py
+++ b/damasklead/sharing.py
@@ -15,6 +15,7 @@
 
 from damasklead.clock import Clock
 from damasklead.cost_model import BatchLimit, MovingAverage
+from damasklead.decoding import Count, Seconds
 from damasklead.ids import InstanceId, PoolId
 from damasklead.messages import Demand, Grant, ReplicaLoad
 from damasklead.util import hash_name, stable_hash
@@ -62,10 +63,10 @@
         Names of the loaded models, empty when it serves any model of its service.
     """
 
-    running: int
-    waiting: int
-    slots: int
-    token_gap: float = 0.0
+    running: Count
+    waiting: Count
+    slots: Count
+    token_gap: Seconds = 0.0
     models: tuple[str, ...] = ()
 
 
--- a/damasklead/upstreams/base.py
+++ b/damasklead/upstreams/base.py
@@ -7,10 +7,12 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Callable
+from typing import Annotated
 
 import msgspec
 from gevent import socket
 
+from damasklead.decoding import decode_json
 from damasklead.ids import AttemptId, Incarnation
 from damasklead.requests import Failure
 from damasklead.sharing import LoadReport
@@ -78,7 +80,8 @@
         For engines, the loaded models and those being loaded, as ``model@version``.
     """
 
-    incarnation: Incarnation
+    # Other entries get it in messages, which hold 64 bits.
+    incarnation: Annotated[Incarnation, msgspec.Meta(ge=0, le=2**63 - 1)]
     leaving: bool = False
     load: LoadReport | None = None
     models: tuple[str, ...] = ()
@@ -174,7 +177,7 @@
     def fetch_status(self, address: str) -> UpstreamStatus:
         """Return the state that an upstream reports; raises ``UpstreamError``."""
         try:
-            return msgspec.json.decode(
+            return decode_json(
                 self.send_control_request(address, "GET", "/load"), type=UpstreamStatus
             )
         except msgspec.DecodeError as error:
