--- a/damasklead/upstreams/transport.py
+++ b/damasklead/upstreams/transport.py
@@ -16,7 +16,7 @@
 from io import BytesIO
 
 from gevent import socket
-from geventhttpclient.response import HTTPResponse
+from geventhttpclient.response import HEADER_STATE_INIT, HTTPResponse
 
 from damasklead.rate_limits import parse_rate_limit
 from damasklead.requests import Failure
@@ -39,6 +39,7 @@
 MAX_FRAMING_BYTES = 65_536
 RATE_LIMIT_HEADER = "X-Rate-Limit"
 MAX_IDLE_CONNECTIONS = 64
+MIN_FINAL_STATUS = 200
 
 
 class UpstreamError(Exception):
@@ -64,14 +65,48 @@
         self.rate_limit: float | None = None
 
 
+class _SurplusDataError(Exception):
+    """Data that follows a complete response."""
+
+
 class _ResponseParser(HTTPResponse):
-    """Buffers the data of the body as it is parsed."""
+    """
+    Parses one final response and skips the interim ones before it.
+
+    The data of the body is buffered as it is parsed.
+
+    Attributes
+    ----------
+    status : int
+        Status of the last head. The parser's own one changes with surplus data.
+    body_parts : list of bytes
+        Data of the body that was not taken yet.
+    """
 
     def __init__(self, *, method: str) -> None:
         super().__init__(method)
+        self.status = 0
         self.body_parts: list[bytes] = []
         self._is_unframed = False
 
+    def _on_message_begin(self) -> None:
+        if self.message_complete:
+            raise _SurplusDataError
+        super()._on_message_begin()
+
+    def _on_headers_complete(self) -> int | bool | None:
+        self.status = self.get_code()
+        return super()._on_headers_complete()
+
+    def _on_message_complete(self) -> None:
+        if self.status >= MIN_FINAL_STATUS:
+            super()._on_message_complete()
+            return
+        # Prepares for the next head, which the base class does after a final response.
+        self.headers_complete = self.message_begun = False
+        self._headers_index.clear()
+        self._header_state = HEADER_STATE_INIT
+
     def _on_body(self, buf: bytearray) -> None:
         self.body_parts.append(bytes(buf))
 
@@ -181,12 +216,13 @@
         self._parser = parser
         self._turn = TurnBudget()
         self._unparsed = b""
+        self._has_surplus_data = False
         self._framing_bytes = 0
 
     @property
-    def has_unparsed_data(self) -> bool:
-        """Whether data was received that is not parsed yet."""
-        return bool(self._unparsed)
+    def has_surplus_data(self) -> bool:
+        """Whether data was received that is no part of the response."""
+        return bool(self._unparsed) or self._has_surplus_data
 
     def receive(self) -> None:
         """
@@ -208,7 +244,9 @@
         try:
             self._parser.feed(piece)
         except Exception as error:
-            raise UpstreamError(Failure.BROKEN, f"not HTTP: {error}") from error
+            if not self._parser.message_complete:
+                raise UpstreamError(Failure.BROKEN, f"not HTTP: {error}") from error
+            self._has_surplus_data = True
         part_count = len(self._parser.body_parts) - parts_before
         self._check_framing(len(piece), has_body_data=part_count > 0)
         self._turn.spend(size=len(piece), pieces=1 + part_count)
@@ -256,7 +294,7 @@
         pool: ConnectionPool,
     ) -> None:
         self._receiver = receiver
-        self.status: int = parser.get_code()
+        self.status = parser.status
         self._parser = parser
         self._connection: socket.socket | None = connection
         self._address = address
@@ -369,7 +407,7 @@
             return
         if (
             self._may_reuse
-            and not self._receiver.has_unparsed_data
+            and not self._receiver.has_surplus_data
             and self._parser.should_keep_alive()
             and not self._parser.is_unframed
         ):
--- a/tests/test_entry_response_forms.py
+++ b/tests/test_entry_response_forms.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Callable, Iterator
+from itertools import product
 
 import gevent
 import msgspec
@@ -285,3 +286,142 @@
     else:
         response, _ = harness.send_completion("x", stream=kind == "stream")
     assert response.status != 200
+
+
+BODIES = {
+    "stream": make_word(1) + make_word(2) + DONE_EVENT,
+    "completion": b'{"choices": []}',
+    "plain": b'{"in_stock": 7}',
+}
+INTERIM_RESPONSES = {
+    "continue": b"HTTP/1.1 100 Continue\r\n\r\n",
+    "early hints": b"HTTP/1.1 103 Early Hints\r\nX-Request-ID: other\r\nLink: x\r\n\r\n",
+}
+SURPLUS = {
+    "other response": make_framed(
+        b"surplus", "X-Request-ID: other", framing="length", status="503 Full"
+    ),
+    "refusal": make_framed(
+        b"surplus", "X-Not-Run: full", framing="chunks", status="503 Full"
+    ),
+    "begun response": b"HTTP/1.1 500 Fai",
+    "interim response": INTERIM_RESPONSES["continue"],
+    "no HTTP": b"surplus",
+}
+
+
+class ScriptedEntry:
+    """
+    An entry whose upstreams all respond by the same script.
+
+    Attributes
+    ----------
+    respond : callable
+        Writes a response to an attempt, given by its id.
+    connections : list
+        Connection of each request.
+    """
+
+    def __init__(self, make_entry: Callable[..., EntryHarness]) -> None:
+        self.respond: Callable[[socket.socket, str], None]
+        self.connections: list[socket.socket] = []
+        self._harness = make_entry(engine=self._serve, shop=self._serve)
+
+    def _serve(
+        self, _upstream: RawUpstream, connection: socket.socket, attempt: str, _: int
+    ) -> None:
+        self.connections.append(connection)
+        self.respond(connection, attempt)
+
+    def send(self, kind: str) -> UpstreamResponse:
+        """Send a request whose upstream gives the body of this kind."""
+        if kind == "plain":
+            return self._harness.send("GET", "/services/demo-app/stock/ice")
+        return self._harness.send_completion("x", stream=kind == "stream")[0]
+
+
+class TestResponsesBesideTheFirst:
+    """Each test starts one entry for all forms, since a start takes seconds."""
+
+    @pytest.fixture
+    def entry(self, make_entry: Callable[..., EntryHarness]) -> ScriptedEntry:
+        return ScriptedEntry(make_entry)
+
+    @pytest.mark.parametrize("framing", ["length", "chunks"])
+    @pytest.mark.parametrize("kind", BODIES)
+    def test_what_follows_a_response_is_no_part_of_it(
+        self, entry: ScriptedEntry, kind: str, framing: str
+    ) -> None:
+        """
+        The status, headers and body of a second response in the same segment replaced
+        or were joined to those of the first.
+        """
+        for surplus in SURPLUS.values():
+
+            def respond(
+                connection: socket.socket, attempt: str, data: bytes = surplus
+            ) -> None:
+                headers = (f"X-Request-ID: {attempt}", "X-Number: 1")
+                response = make_framed(BODIES[kind], *headers, framing=framing)
+                connection.sendall(response + data)
+
+            entry.respond = respond
+            for _ in range(2):
+                response = entry.send(kind)
+                assert response.status == 200, surplus
+                assert response.get_header("X-Number") == "1"
+                assert read(response) == BODIES[kind]
+        assert len(set(entry.connections)) == 2 * len(SURPLUS)
+
+    @pytest.mark.parametrize("framing", FRAMINGS)
+    @pytest.mark.parametrize("kind", BODIES)
+    def test_interim_responses_are_not_final(
+        self, entry: ScriptedEntry, kind: str, framing: str
+    ) -> None:
+        """An interim response that arrived alone was taken for the final one."""
+        for interim, count, is_alone in product(
+            INTERIM_RESPONSES.values(), (1, 2), (True, False)
+        ):
+
+            def respond(
+                connection: socket.socket,
+                attempt: str,
+                data: bytes = interim,
+                count: int = count,
+                pause: float = 0.05 * is_alone,
+            ) -> None:
+                for _ in range(count):
+                    connection.sendall(data)
+                    if pause:
+                        gevent.sleep(pause)
+                send_response(connection, attempt, BODIES[kind], framing)
+
+            entry.respond = respond
+            response = entry.send(kind)
+            assert response.status == 200, (interim, count, is_alone)
+            assert not response.get_header("Link")
+            assert read(response) == BODIES[kind]
+
+    @pytest.mark.parametrize("kind", BODIES)
+    def test_an_interim_response_without_a_final_one_is_no_response(
+        self, entry: ScriptedEntry, kind: str
+    ) -> None:
+        """The head of an interim response was relayed, with an empty body."""
+        head = b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n"
+        for data in (
+            INTERIM_RESPONSES["continue"],
+            head + b"\r\n",
+            head + b"Connection: upgrade\r\n\r\nsurplus",
+        ):
+
+            def respond(
+                connection: socket.socket, _attempt: str, data: bytes = data
+            ) -> None:
+                connection.sendall(data)
+                raise Close
+
+            entry.respond = respond
+            response = entry.send(kind)
+            assert response.status in (502, 503, 504), data
+            assert response.get_header(OUTCOME_HEADER) != "answered"
+            assert b"surplus" not in read(response)
