--- a/damasklead/crash_attribution.py
+++ b/damasklead/crash_attribution.py
@@ -53,7 +53,8 @@
 MAX_KEY_CHARACTERS = 40
 # A request is a more specific suspect than any part of its prompt.
 _REQUEST_DEPTH = MAX_PARTS
-# A stream that has sent this number of events did not crash its replica when it began.
+# When a stream has sent this number of events, its replica has read the parts of the
+# prompt; only the request itself may still crash it.
 MAX_SUSPECT_EVENTS = 2
 _PART_PREFIX = "part:"
 
--- a/damasklead/gateway/crash_containment.py
+++ b/damasklead/gateway/crash_containment.py
@@ -197,16 +197,18 @@
         record : UpstreamRecord
         call : Call
         event_count : int
-            Events of the response that had arrived.
+            Events of the response that had arrived.  After some of them, only the
+            request itself is suspected: the parts of its prompt have been read.
         """
-        if event_count >= MAX_SUSPECT_EVENTS:
-            return
         now = self._clock.now()
         last_success = self._successes.get(_hash_request(call), -SUCCESS_TTL_SECONDS)
         is_sound = now - last_success < SUCCESS_TTL_SECONDS
+        has_sound_parts = event_count >= MAX_SUSPECT_EVENTS
+        if is_sound and has_sound_parts:
+            return
         request = InterruptedRequest(
             Fingerprint("") if is_sound else compute_fingerprint(call),
-            _list_parts(call),
+            () if has_sound_parts else _list_parts(call),
         )
         key = (record.instance, record.incarnation)
         broken = self._broken_responses.setdefault(
--- a/tests/test_gateway_crash_containment.py
+++ b/tests/test_gateway_crash_containment.py
@@ -5,10 +5,17 @@
 
 import gevent
 import msgspec
+import pytest
 
 from damasklead.clock import ManualClock
-from damasklead.crash_attribution import MIN_CRASHES
-from damasklead.gateway.calls import Call, CallHead, UpstreamRecord, UpstreamState
+from damasklead.crash_attribution import MAX_SUSPECT_EVENTS, MIN_CRASHES
+from damasklead.gateway.calls import (
+    Call,
+    CallHead,
+    PromptPart,
+    UpstreamRecord,
+    UpstreamState,
+)
 from damasklead.gateway.crash_containment import (
     CRASH_CONFIRM_SECONDS,
     Containment,
@@ -17,7 +24,15 @@
 from damasklead.gateway.crash_reports import CrashReport, CrashSign, ObservedCrash
 from damasklead.gateway.messages import PeerReport
 from damasklead.ids import AttemptId, DataCentre, Fingerprint, InstanceId
-from tests.gateway_kit import IDEMPOTENT, SERVICE, ForwarderHarness, ScriptedReplica
+from tests.gateway_kit import (
+    IDEMPOTENT,
+    SERVICE,
+    ForwarderHarness,
+    ScriptedReplica,
+    make_chunk,
+    make_event,
+    make_stream_head,
+)
 
 # Retries that may still be sent to replicas after the third crash.
 MAX_LATE_RETRIES = 3
@@ -65,11 +80,16 @@
             for _ in range(gateways)
         ]
 
-    def crash(self, record: UpstreamRecord, calls: list[list[Call]]) -> None:
-        """Simulate the crash of a replica that executed these calls of each gateway."""
+    def crash(
+        self, record: UpstreamRecord, calls: list[list[Call]], *, event_count: int = 0
+    ) -> None:
+        """
+        Simulate the crash of a replica that executed these calls of each gateway, and
+        had sent this number of events of each.
+        """
         for gateway, own in zip(self.gateways, calls, strict=True):
             for item in own:
-                gateway.record_broken_response(record, item)
+                gateway.record_broken_response(record, item, event_count=event_count)
             gateway.record_connection_failure(record)
 
     def exchange(self) -> None:
@@ -99,6 +119,69 @@
     assert not fleet.gateways[0].should_refuse(call("/0/0"))
 
 
+@pytest.mark.parametrize("event_count", [1, MAX_SUSPECT_EVENTS, 20])
+def test_a_request_that_crashes_replicas_after_some_events_is_refused(
+    event_count: int,
+) -> None:
+    """Broken responses of two events and more weren't recorded at all."""
+    fleet = Fleet(2)
+    poison, sound, runs = call("/poison"), [], 0
+    for number in range(12):
+        gateway = number % 2
+        if fleet.gateways[gateway].should_refuse(poison):
+            continue
+        runs += 1
+        calls = [[call(f"/{number}/{index}")] for index in range(2)]
+        sound += [*calls[0], *calls[1]]
+        calls[gateway].append(poison)
+        fleet.crash(replica(f"r{number}"), calls, event_count=event_count)
+        fleet.exchange()
+    assert runs <= MIN_CRASHES + MAX_LATE_RETRIES
+    for item in fleet.gateways:
+        assert item.should_refuse(poison)
+        assert not any(item.should_refuse(other) for other in sound)
+
+
+def test_a_stream_that_goes_on_beside_a_crashing_one_is_released() -> None:
+    """A sound stream may be cut off by as many crashes as the request that causes them."""
+    fleet = Fleet(1)
+    (gateway,) = fleet.gateways
+    poison, sound = call("/poison"), call("/stream")
+    for number in range(MIN_CRASHES + 1):
+        calls = [poison, sound] if number < MIN_CRASHES else [poison]
+        fleet.crash(replica(f"r{number}"), [calls], event_count=MAX_SUSPECT_EVENTS)
+        fleet.exchange()
+    assert gateway.should_refuse(poison)
+    assert not gateway.should_refuse(sound)
+
+
+def test_a_frequent_stream_is_not_blamed_for_crashes_of_others() -> None:
+    """Long streams are on the crashing replica more often than any others."""
+    fleet = Fleet(2)
+    for number in range(9):
+        for gateway in fleet.gateways:
+            gateway.record_success(call("/stream"))
+        calls = [[call("/stream")], [call("/stream")]]
+        fleet.crash(replica(f"r{number}"), calls, event_count=20)
+        fleet.exchange()
+    assert not fleet.quarantined
+    assert not any(gateway.recent_crashes for gateway in fleet.gateways)
+
+
+def test_parts_of_a_stream_that_sent_events_are_not_blamed() -> None:
+    """The replica has read all parts of the prompt before its first event."""
+    fleet = Fleet(1)
+    (gateway,) = fleet.gateways
+    prompt = (PromptPart("shared", 100), PromptPart("own", 9))
+    for number in range(9):
+        item = call(f"/{number}")
+        item.head = msgspec.structs.replace(item.head, prompt=prompt)
+        fleet.crash(replica(f"r{number}"), [[item]], event_count=MAX_SUSPECT_EVENTS)
+        fleet.exchange()
+    assert not fleet.quarantined
+    assert gateway.recent_crashes
+
+
 def test_a_frequent_request_is_not_blamed_for_crashes_of_others() -> None:
     fleet = Fleet(2)
     for number in range(9):
@@ -196,3 +279,28 @@
         assert harness.quarantined
     finally:
         harness.stop()
+
+
+def test_a_gateway_stops_sending_a_stream_that_crashes_replicas_midway() -> None:
+    """Each replica sends two events of the stream before it ends."""
+
+    def crash(this: ScriptedReplica, connection: object) -> None:
+        attempt = this.receive_request(connection)
+        events = make_chunk(make_event(1)) + make_chunk(make_event(2))
+        connection.sendall(make_stream_head(attempt) + events)
+        this.stop()
+
+    harness = ForwarderHarness(
+        [ScriptedReplica(f"r{number}", crash) for number in range(9)]
+    )
+    try:
+        for _ in range(9):
+            answer = harness.send_request("/chat/1")
+            harness.containment.update_replicas([])
+            gevent.sleep(1.1)
+            harness.containment.update_quarantine()
+        runs = sum(len(item.requests) for item in harness.replicas)
+        assert MIN_CRASHES <= runs <= MIN_CRASHES + MAX_LATE_RETRIES
+        assert answer.startswith(b"HTTP/1.1 503")
+    finally:
+        harness.stop()
