--- a/damasklead/daemon/callers.py
+++ b/damasklead/daemon/callers.py
@@ -8,11 +8,11 @@
 import hashlib
 import re
 from collections.abc import Callable, Iterable, Iterator
-from io import BytesIO
 from typing import Any
 
 import msgspec
 
+from damasklead.body_buffer import BodyBuffer
 from damasklead.claims import Claim
 from damasklead.configuration import (
     Configuration,
@@ -22,13 +22,15 @@
     Workspace,
 )
 from damasklead.crash_attribution import make_part_fingerprint
+from damasklead.daemon.caller_connection import CallerConnection
 from damasklead.daemon.entry import Entry
 from damasklead.daemon.exchange import Exchange
 from damasklead.daemon.pools import Pool
 from damasklead.daemon.replies import ResponseHead, digest_request
 from damasklead.decoding import decode_json
 from damasklead.ids import AttemptId, Fingerprint, RequestId, ServiceName
-from damasklead.memory_budget import MemoryCharge
+from damasklead.memory_budget import HeldKind, MemoryCharge
+from damasklead.memory_shortage import Stage
 from damasklead.problems import Problem
 from damasklead.requests import Outcome, Request
 from damasklead.upstreams import UpstreamRequest
@@ -74,6 +76,9 @@
     ) -> Iterable[bytes]:
         """Serve one request."""
         request_id = _get_request_id(environ)
+        connection: CallerConnection | None = environ["damasklead.connection"]
+        if connection is not None:
+            connection.request_id = request_id
         try:
             exchange = self._open_exchange(environ)
         except Problem as problem:
@@ -107,6 +112,7 @@
                 retry_after=1.0,
             )
         workspace = _authenticate(configuration, environ)
+        self._admit(environ)
         path = environ["PATH_INFO"]
         method = environ["REQUEST_METHOD"]
         if path == MODELS_PATH and method == "GET":
@@ -121,6 +127,14 @@
             status=404, kind="not-found", title="There is nothing at this path"
         )
 
+    def _admit(self, environ: Environ) -> None:
+        """Charge a request; raise ``Problem`` if there is no memory for it."""
+        connection: CallerConnection | None = environ["damasklead.connection"]
+        if connection is not None and not (
+            self._entry.memory.admit_request() and connection.begin_request()
+        ):
+            raise _make_memory_problem()
+
     def _open_completion(
         self,
         environ: Environ,
@@ -225,6 +239,9 @@
             ),
         )
         exchange.caller_socket = environ.get("damasklead.socket")
+        exchange.connection = environ["damasklead.connection"]
+        if exchange.connection is not None:
+            exchange.connection.holding.enter(Stage.WAITING)
         return exchange
 
     def _get_pool(self, service: Service) -> Pool:
@@ -273,19 +290,18 @@
     def _read_charged(self, environ: Environ, limit: int) -> bytes:
         """Read a body and charge it to the budget of all callers' requests."""
         charge: MemoryCharge = environ["damasklead.charge"]
-        body = BytesIO()
+        connection: CallerConnection | None = environ["damasklead.connection"]
+        body = BodyBuffer()
         while data := environ["wsgi.input"].read(READ_BYTES):
-            body.write(data)
-            if body.tell() > limit:
+            body.add(data)
+            if body.size > limit:
                 raise _make_too_large_problem(limit)
-            if not charge.add(len(data)):
-                raise Problem(
-                    status=503,
-                    kind="no-memory",
-                    title="Too many large requests",
-                    retry_after=1.0,
-                )
-        return body.getvalue()
+            if not charge.add(len(data)) or not (
+                connection is None
+                or connection.holding.add(HeldKind.REQUEST, len(data))
+            ):
+                raise _make_memory_problem()
+        return body.take()
 
 
 class _ResponseBody:
@@ -463,6 +479,12 @@
     return Problem(status=status, kind=kind, title=title, field=field)
 
 
+def _make_memory_problem() -> Problem:
+    return Problem(
+        status=503, kind="no-memory", title="Too many large requests", retry_after=1.0
+    )
+
+
 def _make_too_large_problem(limit: int) -> Problem:
     return _make_problem(
         "too-large", f"The body is longer than {limit} bytes", "body", status=413
--- a/damasklead/daemon/entry.py
+++ b/damasklead/daemon/entry.py
@@ -22,6 +22,7 @@
 from damasklead.daemon.metrics import Metrics
 from damasklead.daemon.pools import Pool
 from damasklead.daemon.rate_limit_keeper import RateLimitKeeper
+from damasklead.descriptor_budget import make_descriptor_budget
 from damasklead.dispatching import PoolDispatcher
 from damasklead.gossip import GossipBuffer
 from damasklead.ids import (
@@ -36,6 +37,8 @@
 from damasklead.loop import LoopClock
 from damasklead.manifest import ConfigurationHolder
 from damasklead.membership import Member, Membership
+from damasklead.memory_budget import HeldKind, MemoryAccount
+from damasklead.memory_shortage import compute_memory_limit
 from damasklead.messages import (
     CrashNotice,
     GossipItem,
@@ -44,6 +47,7 @@
     ReleaseNotice,
     SoundPartNotice,
 )
+from damasklead.process_memory import read_resident_bytes
 from damasklead.protocol import Steps, T, run
 from damasklead.quarantine import Quarantine
 from damasklead.replicas import ReplicaInfo
@@ -68,6 +72,10 @@
 
 ENTRY_SERVICE = ServiceName("damasklead")
 
+BYTES_PER_MEGABYTE = 1_000_000
+# Part of the instance's memory from which the limit is derived.  Without the rest, what
+# the account doesn't see let crowds of trickling streams reach up to 102 % of it.
+COUNTED_FRACTION = 0.95
 # Share intervals that gossip may take to reach all entries.
 PROPAGATION_INTERVALS = 2.5
 # Share intervals without a grant after which a coordinator is suspected.
@@ -100,6 +108,10 @@
         Current generation of claims, by which expired claims are found.
     reported_version : int
         Configuration version that was last reported to the platform, 0 for none.
+    memory : MemoryAccount
+        What is held for callers; its limit is infinite without ``memory_megabytes``.
+    descriptors : DescriptorBudget
+        Largest numbers of connections from callers and to upstreams.
     platform_last_read_at : float
         Clock reading in seconds of the last successful read of the instance list.
     """
@@ -131,7 +143,12 @@
         )
         self.metrics = Metrics()
         self.claims = ClaimKeeper(run_protocol=self.run_protocol, clock=clock)
-        self.connections = ConnectionPool()
+        self.memory = MemoryAccount(clock=clock)
+        self.descriptors = make_descriptor_budget(settings.max_descriptors)
+        self.connections = ConnectionPool(
+            max_connections=self.descriptors.upstream_connections
+        )
+        self.update_memory_limit()
         self.pools: dict[ServiceName, Pool] = {}
         self.is_stopping = False
         self.generation = 0
@@ -147,6 +164,10 @@
         self.metrics.limited_upstreams.set_function(
             lambda: self.rate_limits.limited_count
         )
+        for kind in HeldKind:
+            self.metrics.held_bytes.labels(kind.value).set_function(
+                partial(self.memory.used_by_kind.__getitem__, kind)
+            )
         self.metrics.platform_age.set_function(
             lambda: clock.now() - self.platform_last_read_at
         )
@@ -167,6 +188,18 @@
         """Run a protocol against the platform and return its result."""
         return run(steps, self.platform)
 
+    def update_memory_limit(self) -> None:
+        """Derive the limit on what is held for callers from the instance's memory."""
+        if self.settings.memory_megabytes is None:
+            return
+        self.memory.limit_bytes = compute_memory_limit(
+            memory_bytes=COUNTED_FRACTION
+            * self.settings.memory_megabytes
+            * BYTES_PER_MEGABYTE,
+            resident_bytes=read_resident_bytes(),
+            peak_held_bytes=self.memory.peak_bytes,
+        )
+
     def record_change(
         self, action: str, subject: str, *writes: Put, before: str = "", after: str = ""
     ) -> None:
--- a/damasklead/daemon/exchange.py
+++ b/damasklead/daemon/exchange.py
@@ -15,6 +15,7 @@
 from gevent import socket
 from gevent.queue import SimpleQueue
 
+from damasklead.body_buffer import BodyBuffer
 from damasklead.claims import (
     BodyMismatch,
     Claim,
@@ -25,6 +26,7 @@
     RecordedResponse,
     acquire,
 )
+from damasklead.daemon.caller_connection import CallerConnection
 from damasklead.daemon.claim_keeper import ClaimKeeper
 from damasklead.daemon.pools import Pool
 from damasklead.daemon.replies import (
@@ -43,6 +45,7 @@
 from damasklead.event_buffer import MAX_EVENT_BYTES, EventBuffer
 from damasklead.ids import AttemptId, InstanceId
 from damasklead.loop import LoopClock
+from damasklead.memory_budget import HeldKind, MemoryAccount
 from damasklead.problems import make_problem
 from damasklead.protocol import Steps, T
 from damasklead.requests import (
@@ -61,6 +64,12 @@
 
 __all__ = ["Exchange", "ExchangeHost"]
 
+# What is held for the buffers of a response on its way: what was received at once, a
+# part of it that is parsed, and a part that is sent.
+RESPONSE_BUFFER_BYTES = 131_072
+# Longest text of a stream that is kept where memory is limited, as of a body that is
+# buffered so that it can be retried.
+MAX_KEPT_TEXT = 262_144
 # What an event of a stream, or a comment, begins with.
 EVENT_FIELDS = (b"data:", b"event:", b"id:", b"retry:", b":")
 
@@ -77,11 +86,14 @@
         Settings of the entry.
     claims : ClaimKeeper
         Settles and abandons the claims of idempotency keys.
+    memory : MemoryAccount
+        What is held for callers.
     """
 
     clock: LoopClock
     settings: Settings
     claims: ClaimKeeper
+    memory: MemoryAccount
 
     @abstractmethod
     def submit_exchange(self, pool: Pool, exchange: "Exchange") -> None:
@@ -169,6 +181,8 @@
         Whether the relay of a stream has begun.
     caller_socket : socket or None
         The caller's connection, checked for a disconnect until the response begins.
+    connection : CallerConnection or None
+        What is held for the caller's connection; ``None`` if memory isn't limited.
     """
 
     def __init__(
@@ -186,6 +200,7 @@
         self.claim = claim
         self.is_streaming = False
         self.caller_socket: socket.socket | None = None
+        self.connection: CallerConnection | None = None
         self._entry = entry
         self.pool = pool
         self._upstream_request = upstream_request
@@ -204,6 +219,8 @@
         self._sent_bytes = 0
         self._sent_text = ""
         self._is_complete = False
+        self._is_relaying = False
+        self._is_continuable = True
 
     @property
     def is_preemptable(self) -> bool:
@@ -238,7 +255,8 @@
         if response is None or self._current_attempt is None:
             return
         now = self._entry.clock.now()
-        if response.receive_count != self._last_receive[0]:
+        is_held_up = self.connection is not None and self.connection.is_held_up
+        if is_held_up or response.receive_count != self._last_receive[0]:
             self._last_receive = (response.receive_count, now)
         elif now - self._last_receive[1] > self._upstream_request.read_timeout:
             self._response = None
@@ -304,8 +322,35 @@
                 yield from self._relay_complete_response(response, start)
         except UpstreamError as error:
             if self._current_attempt == start.attempt:
+                self._check_held_up(error)
                 self._current_attempt = None
                 self._entry.fail_attempt(self.pool, start, error)
+            if self._is_relaying:
+                self._settle_claim_without_response(Outcome.UNKNOWN)
+                assert self.connection is not None
+                raise self.connection.abort("broken") from error
+
+    def _check_held_up(self, error: UpstreamError) -> None:
+        """
+        Raise ``CallerClosed`` if the caller has held up a response that broke off.
+
+        An upstream cuts off a response that stays unread: no failure of its own.
+        """
+        connection = self.connection
+        if (
+            error.failure is Failure.BROKEN
+            and (self.is_streaming or self._is_relaying)
+            and connection is not None
+            and connection.was_held_up
+        ):
+            self._settle_claim_without_response(Outcome.UNKNOWN)
+            raise connection.abort("cut-off") from error
+
+    def _hold_response(self, size: int) -> bool:
+        """Charge the bytes held of the response; returns whether they may be held."""
+        return self.connection is None or self.connection.holding.hold(
+            HeldKind.RESPONSE, size
+        )
 
     def _send_attempt(self, start: Start) -> UpstreamResponse:
         """
@@ -373,6 +418,17 @@
             if len(buffer) > MAX_EVENT_BYTES:
                 response.close()
                 raise UpstreamError(Failure.BROKEN, "an event is too long")
+            # The buffer grows ahead of what it holds and keeps its size after an event.
+            if not self._hold_response(
+                RESPONSE_BUFFER_BYTES
+                + 2 * len(buffer)
+                + 3 * len(events)
+                + self._sent_bytes
+                + len(self._sent_text)
+            ):
+                response.close()
+                assert self.connection is not None
+                raise self.connection.abort("memory")
             if not events:
                 continue
             if not _are_events(events):
@@ -395,8 +451,19 @@
     def _relay_complete_response(
         self, response: UpstreamResponse, start: Start
     ) -> Iterator[ResponsePart]:
-        """Read a response completely, record it in the claim and relay it."""
-        body = response.read_body(limit=self._entry.settings.limits.answer_bytes)
+        """
+        Read a response completely, record it in the claim and relay it.
+
+        If memory is limited, a body above a threshold is relayed as it arrives.
+        """
+        if self.connection is None:
+            body = response.read_body(limit=self._entry.settings.limits.answer_bytes)
+        else:
+            buffer = BodyBuffer()
+            if not self._read_body(response, buffer):
+                yield from self._relay_large_response(response, start, buffer)
+                return
+            body = buffer.take()
         address = self._entry.get_address(start.replica)
         if address is not None:
             self.pool.upstream.check_unframed_end(address, response)
@@ -410,6 +477,74 @@
         yield ResponseHead(status=response.status, headers=headers, is_complete=True)
         yield body
 
+    def _read_body(self, response: UpstreamResponse, buffer: BodyBuffer) -> bool:
+        """
+        Read a body up to the threshold; returns whether it is complete.
+
+        Raises
+        ------
+        CallerClosed
+            When there is no memory for it.
+        """
+        assert self.connection is not None
+        while data := response.read_chunk():
+            buffer.add(data)
+            if not self._hold_response(RESPONSE_BUFFER_BYTES + buffer.size):
+                response.close()
+                self._settle_claim_without_response(Outcome.UNKNOWN)
+                raise self.connection.abort("memory")
+            if buffer.size > self._entry.memory.relay_threshold:
+                return False
+        return True
+
+    def _relay_large_response(
+        self, response: UpstreamResponse, start: Start, buffer: BodyBuffer
+    ) -> Iterator[ResponsePart]:
+        """
+        Relay a response as fast as its caller reads, and record its end in the claim.
+
+        It can't be retried any more once its head has been sent.
+        """
+        length = response.get_header("Content-Length")
+        headers = select_end_to_end_headers(response)
+        if length:
+            headers.append(("Content-Length", length))
+        limit = self._entry.settings.limits.answer_bytes
+        if length.isdecimal() and int(length) > limit:
+            response.close()
+            raise UpstreamError(
+                Failure.BROKEN, f"the response is longer than {limit} bytes"
+            )
+        self._is_relaying = True
+        # The response begins, as far as the check for a disconnect is concerned.
+        self.caller_socket = None
+        self.pool.dispatcher.record_events(start.attempt, event_count=1)
+        size = buffer.size
+        try:
+            yield ResponseHead(
+                status=response.status, headers=headers, is_complete=False
+            )
+            yield buffer.take()
+            while data := response.read_chunk():
+                size += len(data)
+                if size > limit:
+                    response.close()
+                    raise UpstreamError(
+                        Failure.BROKEN, f"the response is longer than {limit} bytes"
+                    )
+                # The first part was sent when the next one is asked for.
+                self._hold_response(RESPONSE_BUFFER_BYTES)
+                yield data
+        except GeneratorExit:
+            # The caller has left; its order must not run again.
+            self._settle_claim_without_response(Outcome.UNKNOWN)
+            raise
+        address = self._entry.get_address(start.replica)
+        if address is not None:
+            self.pool.upstream.check_unframed_end(address, response)
+        self._record_response(response, None)
+        self._complete_attempt(start, is_successful=response.status < 400)
+
     def _complete_attempt(self, start: Start, *, is_successful: bool) -> None:
         self._is_complete = True
         self._current_attempt = None
@@ -437,13 +572,14 @@
         assert isinstance(result, ClaimHeld)
         return make_replayed_response(result.claim)
 
-    def _record_response(self, response: UpstreamResponse, body: bytes) -> None:
+    def _record_response(self, response: UpstreamResponse, body: bytes | None) -> None:
+        """Record a response in the claim, ``None`` for a body that isn't kept."""
         if self.claim is None or self._claim_version is None:
             return
         recorded = RecordedResponse(
             status=response.status,
             content_type=response.get_header("Content-Type"),
-            body=body if len(body) <= MAX_KEPT_ANSWER else None,
+            body=body if body is not None and len(body) <= MAX_KEPT_ANSWER else None,
         )
         self._settle_claim(ClaimState.ANSWERED, recorded)
 
@@ -468,7 +604,13 @@
         self._entry.claims.settle_claim(settled, version=self._claim_version)
 
     def _record_sent_events(self, events: bytes) -> None:
-        """Keep events sent to the caller, for continuing the stream elsewhere."""
+        """
+        Keep events sent to the caller, for continuing the stream elsewhere.
+
+        Where memory is limited, a long stream isn't kept.
+        """
+        if not self._is_continuable:
+            return
         self._sent_events.append(events)
         self._sent_bytes += len(events)
         if self._sent_bytes > MAX_RAW_BYTES:
@@ -479,11 +621,16 @@
         self._sent_text += extract_text(b"".join(self._sent_events))
         self._sent_events = []
         self._sent_bytes = 0
+        if self.connection is not None and len(self._sent_text) > MAX_KEPT_TEXT:
+            self._is_continuable = False
+            self._sent_text = ""
 
     def _make_continuation_body(self) -> bytes:
         """Return the body that asks a replica for the rest of the response."""
         assert self._document is not None
         self._compact_sent_events()
+        if not self._is_continuable:
+            raise UpstreamError(Failure.NOT_SENT, "the stream is too long to continue")
         document = dict(self._document)
         if isinstance(document.get("max_tokens"), int):
             document["max_tokens"] = max(
--- a/damasklead/daemon/metrics.py
+++ b/damasklead/daemon/metrics.py
@@ -102,6 +102,18 @@
             "Replicas that name a limit on requests per second",
             registry=self.registry,
         )
+        self.held_bytes = Gauge(
+            "damasklead_held_bytes",
+            "Bytes held for callers by kind",
+            ["kind"],
+            registry=self.registry,
+        )
+        self.callers_closed = Counter(
+            "damasklead_callers_closed",
+            "Connections of callers that the entry closed, by cause",
+            ["cause"],
+            registry=self.registry,
+        )
         self.peer_bytes = Counter(
             "damasklead_peer_bytes",
             "Bytes of messages between entries",
--- a/damasklead/daemon/service.py
+++ b/damasklead/daemon/service.py
@@ -175,6 +175,10 @@
                         TaskChild(
                             name="ticks", function=self._watchers.run_timeout_loop
                         ),
+                        TaskChild(
+                            name="memory", function=self._watchers.run_memory_loop
+                        ),
+                        TaskChild(name="crowds", function=self._callers.run_crowd_loop),
                         TaskChild(
                             name="callers-gone",
                             function=self._watchers.run_caller_check_loop,
--- a/damasklead/daemon/watchers.py
+++ b/damasklead/daemon/watchers.py
@@ -49,6 +49,7 @@
 
 TIMEOUT_CHECK_INTERVAL_SECONDS = 0.05
 EARLY_POLL_CHECK_INTERVAL_SECONDS = 0.2
+MEMORY_CHECK_INTERVAL_SECONDS = 0.25
 CALLER_CHECK_INTERVAL_SECONDS = 0.25
 MIN_POLL_INTERVAL_SECONDS = 1.0
 MAX_READS_PER_SECOND = 20.0  # of all entries together, for each kind of polled data
@@ -84,6 +85,12 @@
             self._entry.clock.sleep(TIMEOUT_CHECK_INTERVAL_SECONDS)
             self._entry.process_timeouts()
 
+    def run_memory_loop(self) -> None:
+        """Update the limit on what is held for callers until the task is stopped."""
+        while True:
+            self._entry.clock.sleep(MEMORY_CHECK_INTERVAL_SECONDS)
+            self._entry.update_memory_limit()
+
     def run_configuration_loop(self) -> None:
         """
         Poll the published configuration until the task is stopped.
--- a/damasklead/settings.py
+++ b/damasklead/settings.py
@@ -85,6 +85,9 @@
         Largest response that is buffered as a whole.
     idle_seconds : float
         Time without data after which a caller's connection is closed.
+    send_stall_seconds : float or None
+        Time without an accepted byte of a response after which a caller is
+        disconnected, with ``memory_megabytes``; by default ``idle_seconds``.
     upstream_idle_seconds : float
         Time without data after which an attempt at an upstream fails.
     stop_seconds : float
@@ -96,6 +99,7 @@
     body_bytes: Annotated[int, pydantic.Field(ge=1024)] = 4_194_304
     answer_bytes: Annotated[int, pydantic.Field(ge=1024)] = 16_777_216
     idle_seconds: Annotated[float, pydantic.Field(gt=0)] = 60.0
+    send_stall_seconds: Annotated[float, pydantic.Field(gt=0)] | None = None
     upstream_idle_seconds: Annotated[float, pydantic.Field(gt=0)] = 30.0
     stop_seconds: Annotated[float, pydantic.Field(gt=0)] = 300.0
 
@@ -130,6 +134,11 @@
         unavailable. A few that are likely to be up suffice.
     limits : Limits
         Bounds on requests, responses and connections.
+    memory_megabytes : float or None
+        Memory of the instance in units of 1,000,000 bytes, from which the limit on
+        what is held for callers is derived; ``None`` for no such limit.
+    max_descriptors : int or None
+        File descriptors that the process may open; ``None`` if the number is not known.
     """
 
     instance: Annotated[str, pydantic.Field(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
@@ -141,6 +150,8 @@
     peer_keys: PeerKeys | None = None
     seeds: list[Address] = []
     limits: Limits = Limits()
+    memory_megabytes: Annotated[float, pydantic.Field(gt=0)] | None = None
+    max_descriptors: Annotated[int, pydantic.Field(gt=0)] | None = None
 
 
 def check_settings(text: str, *, file: str, findings: Findings) -> Settings | None:
--- a/damasklead/upstreams/transport.py
+++ b/damasklead/upstreams/transport.py
@@ -10,6 +10,7 @@
 request twice.
 """
 
+import math
 import weakref
 from collections import deque
 from collections.abc import Callable, Iterable
@@ -139,9 +140,18 @@
 
 
 class ConnectionPool:
-    """Idle connections, by address and in the order of their last use."""
+    """
+    Idle connections, by address and in the order of their last use.
+
+    Parameters
+    ----------
+    max_connections : float
+        Largest number of open connections; idle ones are closed for new ones.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, *, max_connections: float = math.inf) -> None:
+        self._max_connections = max_connections
+        self._opened: weakref.WeakSet[socket.socket] = weakref.WeakSet()
         self._idle: dict[str, deque[socket.socket]] = {}
         self._used: weakref.WeakSet[socket.socket] = weakref.WeakSet()
 
@@ -164,7 +174,8 @@
         Raises
         ------
         UpstreamError
-            ``NOT_SENT`` when the upstream cannot be reached.
+            ``NOT_SENT`` when the upstream cannot be reached, or too many connections
+            are in use.
         """
         idle = self._idle.get(address)
         while idle and not force_new_connection:
@@ -172,6 +183,7 @@
             if _is_open(connection):
                 return connection
             connection.close()
+        self._make_room()
         try:
             connection = socket.create_connection(
                 split_address(address), timeout=CONNECT_TIMEOUT_SECONDS
@@ -179,6 +191,8 @@
         except OSError as error:
             raise UpstreamError(Failure.NOT_SENT, f"connect: {error}") from error
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if self._max_connections < math.inf:
+            self._opened.add(connection)
         return connection
 
     def release(self, address: str, connection: socket.socket) -> None:
@@ -200,6 +214,28 @@
                 connection.close()
         self._idle.clear()
 
+    def _make_room(self) -> None:
+        """
+        Close idle connections until another one may be opened.
+
+        Raises
+        ------
+        UpstreamError
+            ``NOT_SENT`` when too many connections are in use.
+        """
+        if len(self._opened) < self._max_connections:
+            return
+        for connection in list(self._opened):
+            if connection.fileno() < 0:
+                self._opened.discard(connection)
+        for idle in self._idle.values():
+            while idle and len(self._opened) >= self._max_connections:
+                connection = idle.popleft()
+                connection.close()
+                self._opened.discard(connection)
+        if len(self._opened) >= self._max_connections:
+            raise UpstreamError(Failure.NOT_SENT, "too many connections are in use")
+
 
 class _Receiver:
     """
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -42,9 +42,22 @@
 
 
 class EntryHarness:
-    """An entry with two engines and a plain service."""
-
-    def __init__(self) -> None:
+    """
+    An entry with two engines and a plain service.
+
+    Parameters
+    ----------
+    limits : dict or None
+        Further limits of its settings.
+    **settings
+        Further settings, at the top level of the file.
+    """
+
+    def __init__(
+        self, *, limits: dict[str, Any] | None = None, **settings: Any
+    ) -> None:
+        self._limits = limits or {}
+        self._settings = settings
         logging.set_verbosity(logging.ERROR)
         self.faults = Faults()
         self.platform = make_memory_platform(faults=self.faults)
@@ -69,8 +82,10 @@
             "operators": self.operators,
             "peers": find_free_address(),
         }
-        limits = {"body_bytes": 2048, "idle_seconds": 1.0}
-        text = make_settings_text("entry", listen, {"kind": "memory"}, limits=limits)
+        limits = {"body_bytes": 2048, "idle_seconds": 1.0} | self._limits
+        text = make_settings_text(
+            "entry", listen, {"kind": "memory"}, limits=limits, **self._settings
+        )
         settings = check_settings(text, file="t", findings=Findings())
         assert settings is not None
         return EntryService(settings=settings, platform=self.platform)
