--- a/damasklead/gateway/callers.py
+++ b/damasklead/gateway/callers.py
@@ -487,7 +487,7 @@
                 started_at = self._start_reading(limits)
             self._http.receive_data(data)
             received_bytes = len(data)
-            if not self._holding.add(HeldKind.REQUEST, received_bytes):
+            if not self._holding.receive(received_bytes):
                 raise _OutOfMemory
 
     def _start_reading(self, limits: CallerLimits) -> float:
--- a/damasklead/memory_budget.py
+++ b/damasklead/memory_budget.py
@@ -23,6 +23,7 @@
     choose_closed,
     compute_relay_threshold,
     has_room_for_request,
+    has_room_to_read,
 )
 
 __all__ = ["HeldKind", "Holding", "MemoryAccount", "MemoryBudget", "MemoryCharge"]
@@ -311,6 +312,10 @@
         self._holdings.pop(holding, None)
 
 
+def _ignore_cause(_cause: str) -> None:
+    """Do nothing, since the connection has ended."""
+
+
 class Holding:
     """
     What is held for one connection, as a context manager that ends with it.
@@ -419,6 +424,14 @@
         """Add to the bytes that are held of a kind; returns whether they may be."""
         return self.hold(kind, self._by_kind[kind] + size)
 
+    def receive(self, size: int) -> bool:
+        """Charge bytes of a request that is read; returns whether it may go on."""
+        return self.add(HeldKind.REQUEST, size) and has_room_to_read(
+            request_bytes=self._by_kind[HeldKind.REQUEST],
+            used_bytes=self._account.used_bytes,
+            limit_bytes=self._account.limit_bytes,
+        )
+
     def close(self, cause: str) -> None:
         """Close the connection for the sake of others."""
         self._closing_cause = cause
@@ -429,3 +442,5 @@
         for kind in HeldKind:
             self.hold(kind, 0)
         self._account._end(self)
+        # The connection and its buffers would otherwise wait for the cycle collector.
+        self._close = _ignore_cause
--- a/damasklead/memory_shortage.py
+++ b/damasklead/memory_shortage.py
@@ -27,10 +27,15 @@
     "compute_memory_limit",
     "compute_relay_threshold",
     "has_room_for_request",
+    "has_room_to_read",
 ]
 
 # New requests are refused above this fraction of the limit.
 REQUEST_FRACTION = 0.8
+# Requests larger than this are refused above the lower fraction while they are read, so
+# that callers that send large requests leave room for ordinary ones.
+LARGE_REQUEST_BYTES = 65_536
+LARGE_REQUEST_FRACTION = 0.6
 # Responses that take no more than this are buffered, so that they can be retried; less
 # while more than half of the limit is used.
 RELAY_THRESHOLD_BYTES = 262_144
@@ -119,6 +124,23 @@
     return used_bytes <= REQUEST_FRACTION * limit_bytes
 
 
+def has_room_to_read(
+    *, request_bytes: int, used_bytes: float, limit_bytes: float
+) -> bool:
+    """
+    Return whether a request of some bytes so far may be read further.
+
+    Examples
+    --------
+    >>> has_room_to_read(request_bytes=100_000, used_bytes=700, limit_bytes=1000)
+    False
+    >>> has_room_to_read(request_bytes=1_000, used_bytes=700, limit_bytes=1000)
+    True
+    """
+    is_large = request_bytes > LARGE_REQUEST_BYTES
+    return not is_large or used_bytes <= LARGE_REQUEST_FRACTION * limit_bytes
+
+
 def compute_relay_threshold(*, used_bytes: float, limit_bytes: float) -> int:
     """
     Return the size in bytes above which a response is relayed instead of buffered.
