--- a/damasklead/gateway/duties/lease_task.py
+++ b/damasklead/gateway/duties/lease_task.py
@@ -126,6 +126,7 @@
             clock=clock,
             new_event=None,
             get_era=get_era,
+            get_known_token=lambda: directory.token,
             timings=LEASE_TIMINGS,
             table=DUTIES_TABLE,
         )
--- a/damasklead/leases.py
+++ b/damasklead/leases.py
@@ -17,6 +17,9 @@
 after the backup are lost, so that their holders may still act.  Therefore a holder of
 an older era stops, a lease is acquired in a new era only after the expiry, and fencing
 tokens begin with the era.
+
+If the row alone is lost, an instance that knows a token acquires the lease only after
+the expiry, and with a higher token.
 """
 
 from collections.abc import Callable
@@ -114,6 +117,9 @@
         holder (empty if there is none); ``None`` for a lease without audit events.
     get_era : callable
         Returns the era of the table service, as of its last response.
+    get_known_token : callable
+        Returns the highest fencing token that is known from other sources than the row,
+        0 if none is.
     timings : LeaseTimings
     table : str
         Table of the row.
@@ -128,6 +134,7 @@
         clock: Clock,
         new_event: Callable[[str, str], AuditEvent] | None,
         get_era: Callable[[], StoreEra] = lambda: StoreEra(0),
+        get_known_token: Callable[[], int] = lambda: 0,
         timings: LeaseTimings = LeaseTimings(),  # noqa: B008 (immutable)
         table: str = LEASES_TABLE,
     ) -> None:
@@ -137,11 +144,14 @@
         self._clock = clock
         self._new_event = new_event
         self._get_era = get_era
+        self._get_known_token = get_known_token
         self._timings = timings
         self._table = table
         self._era = get_era()
         self._era_observed_at = clock.now()
         self._token_at_restore: int | None = None
+        # Highest fencing token with which this instance held the lease.
+        self._last_token = 0
         self._held: Lease | None = None
         self._row_version = ABSENT
         self._valid_until = 0.0
@@ -277,12 +287,29 @@
         self._is_era_new = get_fencing_era(fencing) < self._era
         if self._is_era_new:
             # Somebody may have acquired the lease after the backup was made.
-            return self._clock.now() - self._era_observed_at >= self._timings.expiry
-        if row is None or not decode_lease(row).holder:
-            return True
+            is_free = self._clock.now() - self._era_observed_at >= self._timings.expiry
+            return is_free and (row is not None or self._is_absence_safe())
+        if row is None:
+            return self._is_absence_safe()
+        return not decode_lease(row).holder or self._is_unchanged(row.version)
+
+    def _is_absence_safe(self) -> bool:
+        """
+        Return whether an absent row lets this instance acquire the lease.
+
+        If a token is known, the store has lost the row, and its holder may still act.
+        """
+        return self._find_known_token() == 0 or self._is_unchanged(ABSENT)
+
+    def _find_known_token(self) -> int:
+        """Return the highest fencing token that is known without the row, or 0."""
+        return max(self._last_token, self._get_known_token())
+
+    def _is_unchanged(self, version: int) -> bool:
+        """Return whether the row has had this version for the expiry."""
         now = self._clock.now()
-        if self._observed_version is None or self._observed_version[0] != row.version:
-            self._observed_version = (row.version, now)
+        if self._observed_version is None or self._observed_version[0] != version:
+            self._observed_version = (version, now)
         return now - self._observed_version[1] >= self._timings.expiry
 
     def _acquire(self, row: Row | None) -> Steps[None]:
@@ -313,7 +340,9 @@
 
     def _compute_fencing_token(self, previous: Lease | None) -> int:
         count = 0 if previous is None else previous.fencing
-        return max(count, self._era << FENCING_COUNT_BITS) + 1
+        era_start = self._era << FENCING_COUNT_BITS
+        # The store may have lost the row, or hold one that was begun again without it.
+        return max(count, era_start, self._find_known_token()) + 1
 
     def _renew(self, held: Lease) -> Steps[None]:
         renewed = msgspec.structs.replace(held, beat=held.beat + 1)
@@ -340,6 +369,7 @@
 
     def _set_held(self, lease: Lease, version: int, started_at: float) -> None:
         self._held = lease
+        self._last_token = max(self._last_token, lease.fencing)
         self._row_version = version
         self._valid_until = started_at + self._timings.renew_deadline
         self._observed_version = None
--- a/tests/test_duties_fleet.py
+++ b/tests/test_duties_fleet.py
@@ -18,7 +18,7 @@
 from damasklead.gateway.duties.true_time import TrueTime
 from damasklead.gateway.duties.usage_counts import UsageCounter
 from damasklead.ids import InstanceId, WorkspaceId
-from damasklead.stores.base import Commit, Put
+from damasklead.stores.base import Commit, Delete, Put
 from damasklead.stores.memory import TableBackup
 from tests.duties_kit import BOUNDS, UNIX_START, World
 
@@ -330,6 +330,19 @@
     check_reports(world, since=world.clock.now() - 8.0)
 
 
+def test_lost_lease_row_leads_to_no_token_twice(world: World) -> None:
+    """Guards against tokens that begin at 1 again when the store loses the row."""
+    token = world.holder.duties.authority.identity.token
+    removal = Delete(table=DUTIES_TABLE, key="lease")
+    world.tables.commit(Commit(conditions=(), writes=(removal,)))
+    call_count = len(world.calls)
+    world.run(12.0)
+    assert len(world.holders) == 1
+    assert world.holder.duties.authority.identity.token > token
+    assert max(call.token for call in world.calls[call_count:]) > token
+    check_reports(world)
+
+
 # The later seeds have found faults: 121 a time adopted from a notice that waited during
 # a freeze; 182 a row read after the restore under a lease from before; 230 and 453 a
 # window closed by a write whose response was lost, unannounced; 442 a backup of a
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -10,8 +10,14 @@
 from damasklead.audit import AuditEvent
 from damasklead.clock import ManualClock
 from damasklead.ids import Incarnation, InstanceId, StoreEra
-from damasklead.leases import EXPIRY, RENEW_DEADLINE_SECONDS, LeaseKeeper
+from damasklead.leases import (
+    EXPIRY,
+    LEASES_TABLE,
+    RENEW_DEADLINE_SECONDS,
+    LeaseKeeper,
+)
 from damasklead.protocol import perform, run
+from damasklead.stores.base import Commit, Delete
 from damasklead.stores.memory import MemoryTableService
 from tests.faulty import Fault, FaultyStore, Task
 
@@ -32,6 +38,7 @@
     tables: MemoryTableService | None = None,
     *,
     get_era: Callable[[], StoreEra] | None = None,
+    get_known_token: Callable[[], int] = lambda: 0,
 ) -> LeaseKeeper:
     def make_event(duty: str, previous_holder: str) -> AuditEvent:
         return AuditEvent(
@@ -45,6 +52,7 @@
         clock=clock,
         new_event=make_event,
         get_era=get_era or (lambda: StoreEra(0) if tables is None else tables.era),
+        get_known_token=get_known_token,
     )
 
 
@@ -112,6 +120,39 @@
     assert keeper.fencing_token == 1
 
 
+def test_lost_row_leads_to_a_higher_token_after_the_expiry(
+    clock: ManualClock, store: FaultyStore
+) -> None:
+    """Guards against a token that is used twice when the store loses only the row."""
+    tables = store.platform.tables
+    assert isinstance(tables, MemoryTableService)
+    tables.restore_backup(tables.make_backup())
+    first = make_lease_keeper("a", clock, tables)
+    announced = [0]
+    second = make_lease_keeper(
+        "b", clock, tables, get_known_token=lambda: announced[-1]
+    )
+    clock.advance(EXPIRY)
+    run(first.poll(), store.platform)
+    token = first.fencing_token
+    assert token is not None
+    announced.append(token)
+    removal = Delete(table=LEASES_TABLE, key="duty")
+    tables.commit(Commit(conditions=(first.row_condition,), writes=(removal,)))
+    run(second.poll(), store.platform)
+    assert second.fencing_token is None, "the first holder may still act"
+    run(first.poll(), store.platform)
+    assert first.fencing_token is None
+    run(first.poll(), store.platform)
+    assert first.fencing_token is None
+    clock.advance(EXPIRY - 0.1)
+    run(second.poll(), store.platform)
+    assert second.fencing_token is None
+    clock.advance(0.2)
+    run(second.poll(), store.platform)
+    assert second.fencing_token == token + 1
+
+
 class TestRestoredTables:
     """The table service comes back from a backup that is some seconds old."""
 
