--- a/damasklead/gateway/duties/lease_task.py
+++ b/damasklead/gateway/duties/lease_task.py
@@ -240,8 +240,10 @@
         if self._is_releasing:
             return
         self._is_releasing = True
-        token = self._keeper.fencing_token
         give_up_at = self._clock.now() + max_wait_seconds
+        with self._row_lock:
+            # An acquisition in progress ends first; no other one begins.
+            token = self._keeper.fencing_token
         while token is not None and not is_idle():
             if self._clock.now() >= give_up_at:
                 token = None
--- a/tests/test_duties_fleet.py
+++ b/tests/test_duties_fleet.py
@@ -8,7 +8,9 @@
 
 import random
 
+import gevent
 import pytest
+from result import Result
 
 from damasklead.clock import ManualClock
 from damasklead.gateway.dialect import PeerEntry
@@ -18,7 +20,15 @@
 from damasklead.gateway.duties.true_time import TrueTime
 from damasklead.gateway.duties.usage_counts import UsageCounter
 from damasklead.ids import InstanceId, WorkspaceId
-from damasklead.stores.base import Commit, Delete, Put
+from damasklead.leases import decode_lease
+from damasklead.stores.base import (
+    Commit,
+    Committed,
+    Conflict,
+    Delete,
+    Put,
+    StoreError,
+)
 from damasklead.stores.memory import TableBackup
 from tests.duties_kit import BOUNDS, UNIX_START, World
 
@@ -343,6 +353,33 @@
     check_reports(world)
 
 
+def test_gateway_that_stops_during_its_acquisition_releases_the_lease(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a lease that a stopped gateway keeps without renewing it."""
+    world = World(count=1)
+    (gateway,) = world.gateways.values()
+    commit = gateway.tables.commit
+
+    def commit_slowly(request: Commit) -> Result[Committed | Conflict, StoreError]:
+        gevent.sleep(0.02)
+        return commit(request)
+
+    monkeypatch.setattr(gateway.tables, "commit", commit_slowly)
+    for _ in range(2):
+        # The store's era is new to the gateway, which waits for the expiry.
+        world.clock.advance(5.0)
+        acquisition = gevent.spawn(gateway.duties.poll_lease)
+        gevent.sleep(0.0)
+    assert not gateway.duties.is_holder and not acquisition.ready()
+    gateway.duties.release()
+    acquisition.get(timeout=5.0)
+    assert not gateway.duties.is_holder
+    (row,) = world.tables.read(DUTIES_TABLE, ("lease",)).ok_value
+    assert decode_lease(row).holder == ""
+    assert gateway.duties.directory.is_released
+
+
 # The later seeds have found faults: 121 a time adopted from a notice that waited during
 # a freeze; 182 a row read after the restore under a lease from before; 230 and 453 a
 # window closed by a write whose response was lost, unannounced; 442 a backup of a
