--- a/damasklead/gateway/duties/lease_task.py
+++ b/damasklead/gateway/duties/lease_task.py
@@ -186,6 +186,9 @@
             except Exception as error:
                 # Whatever the row holds must not end the gateway.
                 self._journal.event("duties-lease-failed", cause=repr(error))
+                self._schedule.record_poll(
+                    free_at=self._keeper.free_at, has_failed=True
+                )
                 gevent.sleep(MAX_PAUSE_SECONDS)
 
     def poll(self) -> None:
--- a/tests/test_duties_fleet.py
+++ b/tests/test_duties_fleet.py
@@ -16,7 +16,7 @@
 from damasklead.gateway.dialect import PeerEntry
 from damasklead.gateway.duties.base import ApiFault
 from damasklead.gateway.duties.contention import compute_contention_rank
-from damasklead.gateway.duties.lease_task import DUTIES_TABLE
+from damasklead.gateway.duties.lease_task import DUTIES_TABLE, LeaseTask
 from damasklead.gateway.duties.true_time import TrueTime
 from damasklead.gateway.duties.usage_counts import UsageCounter
 from damasklead.ids import InstanceId, WorkspaceId
@@ -380,6 +380,38 @@
     assert gateway.duties.directory.is_released
 
 
+def test_unreadable_lease_row_is_read_less_and_less_often(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a read by each contender every 0.5 s while the row is damaged."""
+    world = World(count=1)
+    (gateway,) = world.gateways.values()
+    damage = Put(table=DUTIES_TABLE, key="lease", value=b"[")
+    world.tables.commit(Commit(conditions=(), writes=(damage,)))
+    lease = gateway.duties.authority
+    assert isinstance(lease, LeaseTask)
+    end = world.clock.now() + 60.0
+
+    def sleep(seconds: float) -> None:
+        world.clock.advance(max(seconds, 0.01))
+        if world.clock.now() >= end:
+            raise gevent.GreenletExit
+
+    class SimEvent:
+        def wait(self, timeout: float) -> None:
+            sleep(timeout)
+
+        def clear(self) -> None:
+            pass
+
+    monkeypatch.setattr(lease, "_wake_up", SimEvent())
+    monkeypatch.setattr(gevent, "sleep", sleep)
+    with pytest.raises(gevent.GreenletExit):
+        lease.run()
+    # The longest pause is 2 s, shortened by a fifth at random.
+    assert 20 <= world.store_calls <= 60.0 / 1.6 + 3
+
+
 # The later seeds have found faults: 121 a time adopted from a notice that waited during
 # a freeze; 182 a row read after the restore under a lease from before; 230 and 453 a
 # window closed by a write whose response was lost, unannounced; 442 a backup of a
