--- a/damasklead/gateway/duties/api_monitor.py
+++ b/damasklead/gateway/duties/api_monitor.py
@@ -73,11 +73,17 @@
         self._failures = 0
         self.handovers = handovers
 
-    def report_usage(self, report: UsageReport, *, identity: CallIdentity) -> None:
+    def report_usage(
+        self,
+        report: UsageReport,
+        *,
+        identity: CallIdentity,
+        may_send: Callable[[float], bool],
+    ) -> None:
         """Report the usage of a window; raises ``ApiError``."""
         started_at = self._clock.now()
         try:
-            self._get_api().report_usage(report, identity=identity)
+            self._get_api().report_usage(report, identity=identity, may_send=may_send)
         except ApiError as error:
             self._record_error(error, started_at)
             raise
@@ -91,6 +97,7 @@
         count: int,
         preemptible: bool,
         identity: CallIdentity,
+        may_send: Callable[[float], bool],
     ) -> None:
         """Order a number of replicas of one kind; raises ``ApiError``."""
         started_at = self._clock.now()
@@ -101,6 +108,7 @@
                 count=count,
                 preemptible=preemptible,
                 identity=identity,
+                may_send=may_send,
             )
         except ApiError as error:
             self._record_error(error, started_at)
--- a/damasklead/gateway/duties/base.py
+++ b/damasklead/gateway/duties/base.py
@@ -7,7 +7,7 @@
 """
 
 from abc import ABC, abstractmethod
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from enum import Enum
 
 import msgspec
@@ -99,7 +99,9 @@
     """
     The platform's API for duties.
 
-    All methods raise ``ApiError`` if the call fails.
+    All methods raise ``ApiError`` if the call fails.  Calls ask ``may_send`` directly
+    before the request is sent, with the seconds until the call ends at the latest; if
+    it returns false, nothing is sent.
     """
 
     @property
@@ -108,7 +110,13 @@
         """Longest time from the start of a call until it has taken effect or failed."""
 
     @abstractmethod
-    def report_usage(self, report: UsageReport, *, identity: CallIdentity) -> None:
+    def report_usage(
+        self,
+        report: UsageReport,
+        *,
+        identity: CallIdentity,
+        may_send: Callable[[float], bool],
+    ) -> None:
         """Report the usage of a window; an exact repetition is ignored."""
 
     @abstractmethod
@@ -120,6 +128,7 @@
         count: int,
         preemptible: bool,
         identity: CallIdentity,
+        may_send: Callable[[float], bool],
     ) -> None:
         """Order that a service has this number of replicas of one kind there."""
 
@@ -140,6 +149,14 @@
         It must be asked directly before each call with the call's timeout.
         """
 
+    def may_send_as(self, identity: CallIdentity, seconds: float) -> bool:
+        """
+        Return whether a call may still be sent in this name and take this time.
+
+        The process may have been suspended since ``may_act_for`` was asked.
+        """
+        return self.identity == identity and self.may_act_for(seconds)
+
 
 class Duty(ABC):
     """A task of the gateway that holds the lease of the duties."""
--- a/damasklead/gateway/duties/scaling/duty.py
+++ b/damasklead/gateway/duties/scaling/duty.py
@@ -187,10 +187,11 @@
         started_at = self._clock.now()
         fault: ApiFault | None = None
         detail = ""
+        identity = authority.identity
         try:
             if (
                 not authority.may_act_for(self._api.timeout_seconds)
-                or authority.identity.token != token
+                or identity.token != token
             ):
                 raise ApiError(ApiFault.REFUSED, "the lease is no longer held")
             self._api.order_replicas(
@@ -198,7 +199,8 @@
                 order.group.data_centre,
                 count=order.count,
                 preemptible=order.group.is_preemptible,
-                identity=authority.identity,
+                identity=identity,
+                may_send=lambda seconds: authority.may_send_as(identity, seconds),
             )
         except ApiError as error:
             fault, detail = error.fault, str(error)
--- a/damasklead/gateway/duties/usage_reports.py
+++ b/damasklead/gateway/duties/usage_reports.py
@@ -449,7 +449,11 @@
         self._attempts[item.window] = self._attempts.get(item.window, 0) + 1
         try:
             report = UsageReport(window=item.window, counts=item.counts)
-            api.report_usage(report, identity=identity)
+            api.report_usage(
+                report,
+                identity=identity,
+                may_send=lambda seconds: authority.may_send_as(identity, seconds),
+            )
         except ApiError as error:
             longest = (
                 OVERDUE_RETRY_SECONDS
--- a/damasklead/platform/api.py
+++ b/damasklead/platform/api.py
@@ -5,7 +5,7 @@
 Client of the platform's API for duties.
 """
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 import gevent
 import msgspec
@@ -54,10 +54,16 @@
         """Longest time from the start of a call until it has taken effect or failed."""
         return TIMEOUT_SECONDS
 
-    def report_usage(self, report: UsageReport, *, identity: CallIdentity) -> None:
+    def report_usage(
+        self,
+        report: UsageReport,
+        *,
+        identity: CallIdentity,
+        may_send: Callable[[float], bool],
+    ) -> None:
         """Report the usage of a window; raises ``ApiError``."""
         content = {"window_id": report.window, "counts": report.counts}
-        self._post("/usage", content, identity)
+        self._post("/usage", content, identity, may_send)
 
     def order_replicas(
         self,
@@ -67,6 +73,7 @@
         count: int,
         preemptible: bool,
         identity: CallIdentity,
+        may_send: Callable[[float], bool],
     ) -> None:
         """Order a number of replicas of one kind; raises ``ApiError``."""
         content: dict[str, object] = {
@@ -76,11 +83,16 @@
         }
         if preemptible:
             content["preemptible"] = True
-        self._post("/scale", content, identity)
+        self._post("/scale", content, identity, may_send)
 
     def _post(
-        self, target: str, content: Mapping[str, object], identity: CallIdentity
+        self,
+        target: str,
+        content: Mapping[str, object],
+        identity: CallIdentity,
+        may_send: Callable[[float], bool],
     ) -> None:
+        body = msgspec.json.encode(content)
         deadline = self._clock.now() + TIMEOUT_SECONDS
         timeout_error = ApiError(
             ApiFault.UNREACHABLE, f"no response in {TIMEOUT_SECONDS} s"
@@ -89,9 +101,15 @@
         try:
             with gevent.Timeout(TIMEOUT_SECONDS, timeout_error):
                 connection = self._connections.acquire(self._address)
-                if self._clock.now() >= deadline:
-                    # The process was suspended; the lease may belong to another one.
+                # The process may have been suspended before or during this call, so
+                # that the lease may belong to another one.
+                remaining_seconds = deadline - self._clock.now()
+                if remaining_seconds <= 0.0:
                     raise timeout_error
+                if not may_send(remaining_seconds):
+                    raise ApiError(
+                        ApiFault.UNREACHABLE, "the lease ended before the call was sent"
+                    )
                 connection.send_request(
                     method="POST",
                     target=target,
@@ -101,7 +119,7 @@
                         (b"Lease-Owner", identity.holder.encode("latin-1")),
                         (b"Fencing-Token", b"%d" % identity.token),
                     ],
-                    body=msgspec.json.encode(content),
+                    body=body,
                 )
                 status = connection.read_head().status_code
                 connection.read_body(limit=MAX_RESPONSE_BYTES)
--- a/tests/duties_kit.py
+++ b/tests/duties_kit.py
@@ -145,12 +145,20 @@
     def timeout_seconds(self) -> float:
         return API_TIMEOUT_SECONDS
 
-    def report_usage(self, report: UsageReport, *, identity: CallIdentity) -> None:
+    def report_usage(
+        self,
+        report: UsageReport,
+        *,
+        identity: CallIdentity,
+        may_send: Callable[[float], bool],
+    ) -> None:
         world = self._world
         if self.is_cut:
             raise ApiError(ApiFault.UNREACHABLE, "cut")
         if world.api_fault is not None:
             raise ApiError(world.api_fault, "injected")
+        if not may_send(API_TIMEOUT_SECONDS):
+            raise ApiError(ApiFault.UNREACHABLE, "not sent")
         at = world.clock.now() + self.delay
 
         def take_effect() -> None:
@@ -179,6 +187,7 @@
         count: int,
         preemptible: bool,
         identity: CallIdentity,
+        may_send: Callable[[float], bool],
     ) -> None:
         raise NotImplementedError
 
--- a/tests/test_duties_adapter.py
+++ b/tests/test_duties_adapter.py
@@ -34,6 +34,7 @@
     StoreError,
 )
 from tests.api_standin import ApiStandin
+from tests.duties_kit import World
 from tests.platform_standin import StoreStandin
 
 IDENTITY = CallIdentity(holder=InstanceId("gw-1"), token=(1 << 32) + 5)
@@ -68,7 +69,7 @@
 def test_calls_have_the_platforms_form(standin: ApiStandin) -> None:
     """Guards against bodies and headers that the platform does not read."""
     api = make_api(standin)
-    api.report_usage(REPORT, identity=IDENTITY)
+    api.report_usage(REPORT, identity=IDENTITY, may_send=lambda _: True)
     for is_preemptible in (False, True):
         api.order_replicas(
             ServiceName("llm"),
@@ -76,6 +77,7 @@
             count=6,
             preemptible=is_preemptible,
             identity=IDENTITY,
+            may_send=lambda _: True,
         )
     assert [(call.target, call.owner, call.token) for call in standin.calls] == [
         (target, "gw-1", (1 << 32) + 5) for target in ("/usage", "/scale", "/scale")
@@ -106,7 +108,9 @@
     """Guards against a call that seems accepted although it was not."""
     standin.status = status
     with pytest.raises(ApiError) as raised:
-        make_api(standin).report_usage(REPORT, identity=IDENTITY)
+        make_api(standin).report_usage(
+            REPORT, identity=IDENTITY, may_send=lambda _: True
+        )
     assert raised.value.fault is fault
 
 
@@ -118,15 +122,15 @@
     api = make_api(standin)
     standin.drops_responses = True
     with pytest.raises(ApiError) as raised:
-        api.report_usage(REPORT, identity=IDENTITY)
+        api.report_usage(REPORT, identity=IDENTITY, may_send=lambda _: True)
     assert raised.value.fault is ApiFault.UNREACHABLE
     standin.delay = 30.0
     with gevent.Timeout(5.0), pytest.raises(ApiError) as raised:
-        api.report_usage(REPORT, identity=IDENTITY)
+        api.report_usage(REPORT, identity=IDENTITY, may_send=lambda _: True)
     assert raised.value.fault is ApiFault.UNREACHABLE
     standin.stop()
     with pytest.raises(ApiError) as raised:
-        api.report_usage(REPORT, identity=IDENTITY)
+        api.report_usage(REPORT, identity=IDENTITY, may_send=lambda _: True)
     assert raised.value.fault is ApiFault.UNREACHABLE
 
 
@@ -144,8 +148,60 @@
 
     monkeypatch.setattr(api._connections, "acquire", acquire_slowly)
     with pytest.raises(ApiError):
-        api.report_usage(REPORT, identity=IDENTITY)
+        api.report_usage(REPORT, identity=IDENTITY, may_send=lambda _: True)
+    gevent.sleep(0.05)
+    assert standin.calls == []
+
+
+def test_holder_that_was_frozen_before_its_call_sends_nothing(
+    standin: ApiStandin, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a freeze between the check of the lease and the call."""
+    world = World(count=1)
+    (gateway,) = world.gateways.values()
+    api = DutyApi(address=standin.address, clock=world.clock)
+    monkeypatch.setattr(gateway, "api", api)
+    lease = gateway.duties.authority
+    may_act_for = lease.may_act_for
+    answers = []
+
+    def freeze_after_permission(seconds: float) -> bool:
+        answers.append(may_act_for(seconds))
+        if answers.count(True) == 1 and answers[-1]:
+            world.clock.advance(20.0)
+        return answers[-1]
+
+    monkeypatch.setattr(lease, "may_act_for", freeze_after_permission)
+    while True not in answers:
+        assert world.clock.now() < 1100.0
+        world.run(0.05)
+    gevent.sleep(0.05)
+    assert standin.calls == []
+
+
+def test_call_asks_for_permission_with_the_time_that_is_left(
+    standin: ApiStandin, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a call that is sent after the token changed while it connected."""
+    clock = ManualClock()
+    api = DutyApi(address=standin.address, clock=clock)
+    acquire = api._connections.acquire
+
+    def acquire_slowly(address: str) -> object:
+        clock.advance(0.5)
+        return acquire(address)
+
+    monkeypatch.setattr(api._connections, "acquire", acquire_slowly)
+    asked = []
+
+    def refuse(seconds: float) -> bool:
+        asked.append(seconds)
+        return False
+
+    with pytest.raises(ApiError):
+        api.report_usage(REPORT, identity=IDENTITY, may_send=refuse)
     gevent.sleep(0.05)
+    assert asked == [pytest.approx(api.timeout_seconds - 0.5)]
     assert standin.calls == []
 
 
--- a/tests/test_gateway_scaling_duty.py
+++ b/tests/test_gateway_scaling_duty.py
@@ -7,7 +7,7 @@
 
 import math
 import signal
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from pathlib import Path
 
 import gevent
@@ -109,7 +109,13 @@
     def timeout_seconds(self) -> float:
         return 1.0
 
-    def report_usage(self, report: UsageReport, *, identity: CallIdentity) -> None:
+    def report_usage(
+        self,
+        report: UsageReport,
+        *,
+        identity: CallIdentity,
+        may_send: Callable[[float], bool],
+    ) -> None:
         raise NotImplementedError
 
     def order_replicas(
@@ -120,6 +126,7 @@
         count: int,
         preemptible: bool,
         identity: CallIdentity,
+        may_send: Callable[[float], bool],
     ) -> None:
         self.orders.append((data_centre, preemptible, count))
         self.identities.append(identity)
