--- a/damasklead/gateway/duties/usage_reports.py
+++ b/damasklead/gateway/duties/usage_reports.py
@@ -53,6 +53,9 @@
 MAX_LATENESS_SECONDS = 60.0
 # Largest difference between the true times of two gateways.
 CLOCK_MARGIN_SECONDS = 1.0
+# A row whose closed window is further ahead than this is damaged.  Clocks jump by
+# seconds: nearer windows may have been reported, and this gateway's clock be late.
+MAX_AHEAD_SECONDS = 60.0
 # Restores after which the counts in a row are still the ones that were reported.
 MAX_ERAS_BETWEEN = 1
 # Final counts that are kept in case the store loses them.
@@ -256,6 +259,7 @@
             state = UsageState()
         self._row_version = ABSENT if row is None else row.version
         self._recovered = []
+        state = self._limit_closed(state)
         if self._get_lease().era - state.era > MAX_ERAS_BETWEEN:
             state = self._drop_abandoned(state)
         lost_through = self._find_lost_windows(state)
@@ -266,6 +270,28 @@
         if state.closed > self._announced_window:
             self._announce_closed(state.closed)
 
+    def _limit_closed(self, state: UsageState) -> UsageState:
+        """Return the state without closed windows that lie too far in the future."""
+        now = self._true_time.now()
+        current = compute_window(now, self._window_seconds)
+        if state.closed <= current:
+            return state
+        limit = compute_window(now + MAX_AHEAD_SECONDS, self._window_seconds)
+        is_damaged = state.closed > limit
+        self._journal.event(
+            "usage-row-ahead",
+            closed=state.closed,
+            current=current,
+            announced=self._announced_window,
+            damaged=is_damaged,
+        )
+        if not is_damaged:
+            return state
+        # Windows after the current one will be closed anew.
+        kept = [item for item in state.unsent if item.window <= current]
+        self.statistics.missed += len(state.unsent) - len(kept)
+        return msgspec.structs.replace(state, closed=current, unsent=kept)
+
     def _drop_abandoned(self, state: UsageState) -> UsageState:
         """
         Return the state without counts that may differ from those reported since.
--- a/tests/test_duties_fleet.py
+++ b/tests/test_duties_fleet.py
@@ -9,6 +9,7 @@
 import random
 
 import gevent
+import msgspec
 import pytest
 from result import Result
 
@@ -19,6 +20,7 @@
 from damasklead.gateway.duties.lease_task import DUTIES_TABLE, LeaseTask
 from damasklead.gateway.duties.true_time import TrueTime
 from damasklead.gateway.duties.usage_counts import UsageCounter
+from damasklead.gateway.duties.usage_reports import UsageState
 from damasklead.ids import InstanceId, WorkspaceId
 from damasklead.leases import decode_lease
 from damasklead.stores.base import (
@@ -412,6 +414,38 @@
     assert 20 <= world.store_calls <= 60.0 / 1.6 + 3
 
 
+@pytest.mark.parametrize("windows_ahead", [4, 10**6])
+def test_closed_window_in_the_future_does_not_end_the_reports(
+    world: World, monkeypatch: pytest.MonkeyPatch, windows_ahead: int
+) -> None:
+    """
+    Guards against a damaged row that ends the reports without a log line.
+
+    A row that is only some seconds ahead may be right and the clock late: its windows
+    must not be reported again.
+    """
+    events: list[str] = []
+    for gateway in world.gateways.values():
+        monkeypatch.setattr(
+            gateway.journal, "event", lambda name, **_: events.append(name)
+        )
+    length = BOUNDS.usage_window_seconds
+    current = int(world.unix_time // length)
+    state = UsageState(closed=current + windows_ahead, era=world.tables.era)
+    damage = Put(table=DUTIES_TABLE, key="usage", value=msgspec.json.encode(state))
+    world.tables.commit(Commit(conditions=(), writes=(damage,)))
+    call_count = len(world.calls)
+    world.run(10.0)
+    assert "usage-row-ahead" in events
+    world.run(5 * length)
+    world.check_safety()
+    reported = [call.window for call in world.calls[call_count:]]
+    assert reported
+    if windows_ahead == 4:
+        assert min(reported) > state.closed
+    check_reports(world, since=world.clock.now() - 2 * length)
+
+
 # The later seeds have found faults: 121 a time adopted from a notice that waited during
 # a freeze; 182 a row read after the restore under a lease from before; 230 and 453 a
 # window closed by a write whose response was lost, unannounced; 442 a backup of a
