--- a/damasklead/gateway/duties/lease_task.py
+++ b/damasklead/gateway/duties/lease_task.py
@@ -126,6 +126,7 @@
             clock=clock,
             new_event=None,
             get_era=get_era,
+            get_known_token=lambda: directory.token,
             timings=LEASE_TIMINGS,
             table=DUTIES_TABLE,
         )
@@ -185,6 +186,9 @@
             except Exception as error:
                 # Whatever the row holds must not end the gateway.
                 self._journal.event("duties-lease-failed", cause=repr(error))
+                self._schedule.record_poll(
+                    free_at=self._keeper.free_at, has_failed=True
+                )
                 gevent.sleep(MAX_PAUSE_SECONDS)
 
     def poll(self) -> None:
@@ -239,8 +243,10 @@
         if self._is_releasing:
             return
         self._is_releasing = True
-        token = self._keeper.fencing_token
         give_up_at = self._clock.now() + max_wait_seconds
+        with self._row_lock:
+            # An acquisition in progress ends first; no other one begins.
+            token = self._keeper.fencing_token
         while token is not None and not is_idle():
             if self._clock.now() >= give_up_at:
                 token = None
