--- a/damasklead/gateway/admission.py
+++ b/damasklead/gateway/admission.py
@@ -31,10 +31,9 @@
 import msgspec
 
 from damasklead.clock import Clock
+from damasklead.gateway.admission_fairness import SizeFairness, WorkspaceFairness
 from damasklead.gateway.calls import Call
 from damasklead.gateway.refusals import Reason
-from damasklead.gateway.size_fairness import SizeFairness
-from damasklead.gateway.workspace_fairness import WorkspaceFairness
 from damasklead.ids import AttemptId
 from damasklead.util import stable_hash
 
--- a/tests/test_package.py
+++ b/tests/test_package.py
@@ -84,7 +84,7 @@
 
 
 GATEWAY_DECISION_MODULES = (
-    "admission", "budget", "calls", "change_log", "crash_containment", "departures",
+    "admission", "admission_fairness", "budget", "calls", "change_log", "crash_containment", "departures",
     "directory", "events", "message_batch", "part_locations", "poll_schedule", "refusals",
     "replica_state", "routing", "verdict", "coordination/cellmap", "coordination/cells",
     "coordination/coordinator", "coordination/coordinators", "coordination/load_meter",
