--- a/damasklead/gateway/callers.py
+++ b/damasklead/gateway/callers.py
@@ -9,6 +9,7 @@
 import struct
 from abc import ABC, abstractmethod
 from collections.abc import Callable, Iterable, Sequence
+from contextlib import suppress
 from typing import Any
 
 import gevent
@@ -230,6 +231,11 @@
         except (CallerDisconnected, OSError):
             pass  # the caller has disconnected, so no response can be sent
         finally:
+            if self._http.our_state is h11.SEND_BODY:
+                # An orderly close would make a truncated body without a length look
+                # complete.
+                with suppress(OSError):
+                    self._reset()
             if self._sender is not None:
                 self._sender.prepare_close()
             self._socket.close()
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -178,6 +178,34 @@
                 pass
 
 
+def test_a_cancelled_response_does_not_look_whole_to_an_old_caller(
+    harnesses: list[ForwarderHarness],
+) -> None:
+    """
+    Guards against an orderly close of a response that was cancelled after its head.
+
+    The gateway cancels the request when its caller half-closes the connection.
+    """
+
+    def serve(replica: ScriptedReplica, connection: socket.socket) -> None:
+        attempt = replica.receive_request(connection)
+        data = make_framed(
+            LONG_BODY, f"Attempt-Id: {attempt}", SIGNED, framing="chunks"
+        )
+        connection.sendall(data[:1_000_000])
+        connection.recv(1)
+
+    harness = make_limited_harness(harnesses, serve)
+    with harness.connect() as connection:
+        request = make_request("/read/1").replace(b"HTTP/1.1", b"HTTP/1.0")
+        connection.sendall(request)
+        assert connection.recv(65_536).startswith(b"HTTP/1.1 200")
+        connection.shutdown(socket.SHUT_WR)
+        with pytest.raises(ConnectionResetError):
+            while connection.recv(65_536):
+                pass
+
+
 def test_the_last_chunk_waits_for_the_check_of_an_unframed_end(
     harnesses: list[ForwarderHarness],
 ) -> None:
