--- a/damasklead/gateway/replica_probe.py
+++ b/damasklead/gateway/replica_probe.py
@@ -12,7 +12,11 @@
 
 from damasklead.gateway.calls import UpstreamRecord
 from damasklead.gateway.crash_containment import Containment
-from damasklead.gateway.upstream_http import ConnectionPool, SendError
+from damasklead.gateway.upstream_http import (
+    ConnectionLimitError,
+    ConnectionPool,
+    SendError,
+)
 from damasklead.ids import InstanceId
 
 __all__ = ["Liveness", "ReplicaProbe"]
@@ -45,9 +49,18 @@
         self._probed: set[tuple[InstanceId, int]] = set()
 
     def check(self, record: UpstreamRecord) -> Liveness:
-        """Return whether a replica accepts a connection."""
+        """
+        Return whether a replica accepts a connection.
+
+        Raises
+        ------
+        ConnectionLimitError
+            When no connection may be opened to find out.
+        """
         try:
             self._connections.preconnect(record.address)
+        except ConnectionLimitError:
+            raise
         except SendError as error:
             if isinstance(error.__cause__, ConnectionRefusedError):
                 return Liveness.REFUSES
@@ -68,6 +81,8 @@
     def _run(self, record: UpstreamRecord) -> None:
         try:
             liveness = self.check(record)
+        except ConnectionLimitError:
+            return  # nothing was found out
         finally:
             self._probed.discard((record.instance, record.incarnation))
         if liveness is Liveness.REFUSES:
--- a/damasklead/gateway/response_relay.py
+++ b/damasklead/gateway/response_relay.py
@@ -150,9 +150,13 @@
         """
         Raise ``SendError`` if the end of the connection, which delimits the response,
         was the end of the replica.
+
+        ``ConnectionLimitError`` if that can't be found out.
         """
         if not upstream.is_unframed:
             return
+        # Makes room for the connection of the check if the pool is full.
+        upstream.close()
         if self._context.probe.check(record) is Liveness.REFUSES:
             raise SendError(Failure.BROKEN, "the replica ended with the connection")
 
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -63,13 +63,18 @@
     """Return a harness with a limited account, whose routes have a long timeout."""
     harness = make_harness(harnesses, *scripts)
     harness.account.limit_bytes = LIMIT_BYTES
+    set_long_timeouts(harness, seconds)
+    return harness
+
+
+def set_long_timeouts(harness: ForwarderHarness, seconds: float) -> None:
+    """Give all routes a long timeout."""
     harness.table = make_table(
         routes=[
             msgspec.structs.replace(route, timeout=seconds, target=seconds / 10)
             for route in (IDEMPOTENT, ONCE, STREAM, RESUMABLE)
         ]
     )
-    return harness
 
 
 def set_idle_seconds(harness: ForwarderHarness, seconds: float) -> None:
@@ -224,6 +229,42 @@
     assert not response.endswith(b"0\r\n\r\n")
 
 
+@pytest.mark.parametrize("is_limit_lowered", [False, True])
+def test_an_unframed_end_is_checked_while_the_connection_pool_is_full(
+    harnesses: list[ForwarderHarness], is_limit_lowered: bool
+) -> None:
+    """
+    Guards against a truncated body that gets its last chunk without a check.
+
+    The connection that has ended makes room for the check; if the limit has been
+    lowered since, there is no check, and the response must not look complete.
+    """
+    limit = 1
+
+    def serve(replica: ScriptedReplica, connection: socket.socket) -> None:
+        nonlocal limit
+        attempt = replica.receive_request(connection)
+        connection.sendall(
+            make_framed(
+                LONG_BODY, f"Attempt-Id: {attempt}", SIGNED, framing="connection"
+            )[:1_000_000]
+        )
+        replica.stop()
+        limit = 0 if is_limit_lowered else 1
+
+    pool = ConnectionPool(clock=LoopClock(), get_max_connections=lambda: limit)
+    harnesses.append(ForwarderHarness([ScriptedReplica("r0", serve)], connections=pool))
+    harness = harnesses[-1]
+    harness.account.limit_bytes = LIMIT_BYTES
+    set_long_timeouts(harness, 20.0)
+    response = harness.send_request("/order/1", method="POST", body="x")
+    assert response.startswith(b"HTTP/1.1 200")
+    assert not response.endswith(b"0\r\n\r\n")
+    # Only a refused connection shows that the replica has ended.
+    failures = len(harness.get_log_lines("attempt-failed"))
+    assert failures == (0 if is_limit_lowered else 1)
+
+
 def test_a_response_below_the_threshold_is_still_retried(
     harnesses: list[ForwarderHarness],
 ) -> None:
