--- a/damasklead/gateway/response_relay.py
+++ b/damasklead/gateway/response_relay.py
@@ -11,8 +11,8 @@
 what stays unread.
 """
 
+from collections import deque
 from collections.abc import Callable
-from io import BytesIO
 
 from damasklead.failures import Failure
 from damasklead.gateway.callers import CallerClosed, CallerConnection
@@ -166,17 +166,16 @@
         self._on_execution()
         self.is_body_pending = True
         if self._caller.is_limited:
-            body, is_whole = self._read_start(upstream)
+            pieces, is_whole = self._read_start(upstream)
+            if not is_whole:
+                self._relay_long(upstream, reply, record, pieces)
+                return
+            body = b"".join(pieces)
+            pieces.clear()
         else:
-            body, is_whole = (
-                upstream.read_body(
-                    limit=MAX_BODY_BYTES, memory=self._context.response_memory
-                ),
-                True,
+            body = upstream.read_body(
+                limit=MAX_BODY_BYTES, memory=self._context.response_memory
             )
-        if not is_whole:
-            self._relay_long(upstream, reply, record, body)
-            return
         self._check_unframed_end(upstream, record)
         self.is_body_pending = False
         if reply.status >= 500 and self._call.route.may_repeat:
@@ -184,53 +183,56 @@
             raise SendError(Failure.BROKEN, f"status {reply.status}")
         self._send_response(reply, body)
 
-    def _read_start(self, upstream: Connection) -> tuple[bytes, bool]:
+    def _read_start(self, upstream: Connection) -> tuple[deque[bytearray], bool]:
         """
         Read a body until its end or the threshold for relaying.
 
         Returns
         -------
         tuple
-            What was read, and whether it is the whole body.
+            What was read, in pieces of ``PIECE_BYTES``, and whether it is the whole
+            body.
         """
         threshold = self._context.account.relay_threshold
         if (upstream.body_length or 0) > threshold:
             threshold = PIECE_BYTES  # it will be relayed in any case
-        body = BytesIO()
+        pieces: deque[bytearray] = deque()
+        size = 0
         while data := upstream.read_body_data():
-            body.write(data)
-            if not self._caller.holding.hold(HeldKind.RESPONSE, body.tell()):
+            _append_data(pieces, data)
+            size += len(data)
+            if not self._caller.holding.hold(HeldKind.RESPONSE, size):
                 raise ResponseDroppedError("no memory for the response")
-            if body.tell() > threshold:
-                return body.getvalue(), False
-        return body.getvalue(), True
+            if size > threshold:
+                return pieces, False
+        return pieces, True
 
     def _relay_long(
         self,
         upstream: Connection,
         reply: ResponseHead,
         record: UpstreamRecord,
-        start: bytes,
+        pieces: deque[bytearray],
     ) -> None:
-        """Relay a response as it arrives, after its start was read."""
+        """Relay a response as it arrives, after the pieces of its start were read."""
         length = upstream.body_length
         if length is not None and length > MAX_BODY_BYTES:
             raise SendError(Failure.BROKEN, f"body of {length} bytes is too long")
         if reply.status >= 500 and self._verdict.allows_repetition:
             raise SendError(Failure.BROKEN, f"status {reply.status}")
-        self._reserve_relay()
+        size = unsent_bytes = sum(len(piece) for piece in pieces)
+        self._reserve_relay(unsent_bytes)
         upstream.limit_receive(PIECE_BYTES)
         headers = list(reply.headers)
         if length is not None:
             headers.append((b"Content-Length", b"%d" % length))
         self._record_start(reply.status)
         self._caller.start_response(reply.status, headers, b"")
-        size = len(start)
-        unsent = memoryview(start)
-        while unsent:
-            self._send_piece(bytes(unsent[:PIECE_BYTES]))
-            unsent = unsent[PIECE_BYTES:]
-        del start, unsent
+        while pieces:
+            piece = bytes(pieces.popleft())
+            self._send_piece(piece)
+            unsent_bytes -= len(piece)
+            self._reserve_relay(unsent_bytes)
         while data := upstream.read_body_data(max_bytes=PIECE_BYTES):
             size += len(data)
             if size > MAX_BODY_BYTES:
@@ -240,9 +242,9 @@
         self.is_body_pending = False
         self._caller.end_response()
 
-    def _reserve_relay(self) -> None:
-        """Charge the buffers of a relay, in place of what was read so far."""
-        if not self._caller.holding.hold(HeldKind.RESPONSE, RELAY_BYTES):
+    def _reserve_relay(self, unsent_bytes: int = 0) -> None:
+        """Charge the buffers of a relay, and what was read before it and not sent."""
+        if not self._caller.holding.hold(HeldKind.RESPONSE, RELAY_BYTES + unsent_bytes):
             raise ResponseDroppedError("no memory to relay the response")
 
     def _send_piece(self, data: bytes) -> None:
@@ -349,3 +351,18 @@
     def _record_start(self, status: int) -> None:
         self.status = status
         self.first_byte_seconds = self._context.clock.now() - self._call.arrival
+
+
+def _append_data(pieces: deque[bytearray], data: bytes) -> None:
+    """
+    Append data to pieces of ``PIECE_BYTES``, of which only the last is shorter.
+
+    A response in tiny chunks would otherwise become as many objects.
+    """
+    unread = memoryview(data)
+    while unread:
+        if not pieces or len(pieces[-1]) == PIECE_BYTES:
+            pieces.append(bytearray())
+        room_bytes = PIECE_BYTES - len(pieces[-1])
+        pieces[-1] += unread[:room_bytes]
+        unread = unread[room_bytes:]
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -15,6 +15,7 @@
 from damasklead.descriptor_budget import DescriptorBudget
 from damasklead.gateway.caller_sender import SEND_BUFFER_BYTES
 from damasklead.gateway.listeners import Listener
+from damasklead.gateway.response_relay import PIECE_BYTES, RELAY_BYTES
 from damasklead.gateway.upstream_http import (
     ConnectionLimitError,
     ConnectionPool,
@@ -364,6 +365,30 @@
             assert not harness.closed_callers
             assert read_all(connection).endswith(LONG_BODY[-65_536:])
 
+    def test_the_start_of_a_relayed_response_is_charged_until_it_is_sent(
+        self, harnesses: list[ForwarderHarness]
+    ) -> None:
+        """Guards against bytes that are held for slow callers without a charge."""
+        harness = make_limited_harness(
+            harnesses, make_body_script(LONG_BODY, framing="chunks")
+        )
+        set_idle_seconds(harness, 8.0)
+        used_by_kind = harness.account.used_by_kind
+        with self.open_slow(harness, "/order/1") as connection:
+            wait_until(lambda: harness.account.count_by_stage()["sending"] == 1)
+            gevent.sleep(0.3)
+            held_bytes = used_by_kind[HeldKind.RESPONSE]
+            assert held_bytes > RELAY_BYTES + PIECE_BYTES
+            received_bytes = 0
+            while received_bytes < len(LONG_BODY) // 2:
+                data = connection.recv(65_536)
+                assert data
+                received_bytes += len(data)
+            gevent.sleep(0.3)
+            assert used_by_kind[HeldKind.RESPONSE] == RELAY_BYTES
+            assert read_all(connection).endswith(b"0\r\n\r\n")
+        wait_until(lambda: not harness.account.used_bytes)
+
     @pytest.mark.parametrize("path", ["/order/1", "/draft/1"])
     def test_a_replica_that_cuts_off_what_one_left_unread_has_not_failed(
         self, harnesses: list[ForwarderHarness], path: str
