--- a/damasklead/gateway/caller_sender.py
+++ b/damasklead/gateway/caller_sender.py
@@ -161,6 +161,9 @@
                     started_at = now
                     self._holding.record_progress()
                     self._holding.record_stall()
+                elif self._holding.is_closing:
+                    # The wait may have timed out before the cancel reached it.
+                    raise CallerClosed(self._holding.closing_cause)
                 # A process that was suspended has not given its caller this time.
                 stalled_seconds += min(now - checked_at, 2 * STEP_SECONDS)
                 if sent or now_queued < queued:
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -13,7 +13,11 @@
 from gevent import socket
 
 from damasklead.descriptor_budget import DescriptorBudget
-from damasklead.gateway.caller_sender import SEND_BUFFER_BYTES
+from damasklead.gateway.caller_sender import (
+    SEND_BUFFER_BYTES,
+    CallerClosed,
+    CallerSender,
+)
 from damasklead.gateway.listeners import Listener
 from damasklead.gateway.response_relay import PIECE_BYTES, RELAY_BYTES
 from damasklead.gateway.upstream_http import (
@@ -21,10 +25,11 @@
     ConnectionPool,
 )
 from damasklead.loop import LoopClock
-from damasklead.memory_budget import HeldKind
+from damasklead.memory_budget import HeldKind, MemoryAccount
 from damasklead.memory_shortage import (
     RELAY_THRESHOLD_BYTES,
     SCARCE_RELAY_THRESHOLD_BYTES,
+    Stage,
 )
 from tests.gateway_kit import (
     IDEMPOTENT,
@@ -438,6 +443,39 @@
             gevent.sleep(3.5)
             assert read_all(connection).endswith(b"0\r\n\r\n")
 
+    def test_one_that_is_closed_for_others_is_closed_without_a_cancelled_wait(
+        self,
+    ) -> None:
+        """
+        Guards against a lost cancel: the wait may time out in the same iteration of
+        the event loop.
+        """
+        clock = LoopClock()
+        account = MemoryAccount(clock=clock)
+        with (
+            socket.socket() as server,
+            socket.socket() as caller,
+            # This cancel is lost.
+            account.open(close=lambda _cause: None) as holding,
+        ):
+            server.bind(("127.0.0.1", 0))
+            server.listen()
+            caller.connect(server.getsockname())
+            raw, _ = server.accept()
+            sender = CallerSender(
+                raw=raw, clock=clock, holding=holding, get_stall_seconds=lambda: 60.0
+            )
+            sender.set_options()
+            holding.enter(Stage.SENDING)
+            greenlet = gevent.spawn(sender.send, bytes(20_000_000))
+            wait_until(lambda: holding.waiting_since is not None)
+            gevent.sleep(0.3)
+            holding.close("memory")
+            with gevent.Timeout(10), pytest.raises(CallerClosed) as raised:
+                greenlet.get()
+            raw.close()
+            assert raised.value.cause == "memory"
+
 
 class TestShortage:
     def test_a_new_request_is_refused_before_it_is_sent(
