--- a/damasklead/gateway/callers.py
+++ b/damasklead/gateway/callers.py
@@ -303,8 +303,10 @@
 
     def abort(self) -> None:
         """Close the connection without marking the response as complete."""
-        if self._http.their_http_version == b"1.0":
-            # The end of the connection would mark it.
+        if self._sender is not None or self._http.their_http_version == b"1.0":
+            # The end of the connection would mark it for a caller that uses HTTP/1.0.
+            # A limited sender has switched off the kernel's timeout, so that what is
+            # queued of this worthless response would stay as long as callers like.
             self._reset()
         self._http.send_failed()
         self._socket.close()
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -476,6 +476,23 @@
             raw.close()
             assert raised.value.cause == "memory"
 
+    def test_what_is_queued_of_an_aborted_response_is_dropped(
+        self, harnesses: list[ForwarderHarness]
+    ) -> None:
+        """Guards against kernel queues that outlive the connections of slow callers."""
+        harness = make_limited_harness(
+            harnesses, make_body_script(LONG_BODY, cut_at=60_000)
+        )
+        with self.open_slow(harness, "/order/1") as connection:
+            wait_until(lambda: bool(harness.get_log_lines("attempt-failed")))
+            wait_until(lambda: not harness.account.connection_count)
+            gevent.sleep(0.1)
+            received_bytes = 0
+            with pytest.raises(ConnectionResetError):
+                while data := connection.recv(65_536):
+                    received_bytes += len(data)
+            assert received_bytes < 40_000
+
 
 class TestShortage:
     def test_a_new_request_is_refused_before_it_is_sent(
