--- a/damasklead/gateway/caller_sender.py
+++ b/damasklead/gateway/caller_sender.py
@@ -7,6 +7,7 @@
 """
 
 import fcntl
+import math
 import struct
 import termios
 from collections.abc import Callable
@@ -27,8 +28,11 @@
 # Time without writing after which the kernel's queue is examined.  A caller that reads
 # slowly empties it long before the socket becomes writable.
 STEP_SECONDS = 1.0
-# Time in which the kernel gives up what is queued when a connection is closed.
+# Time in which the kernel gives up what is queued when a connection is closed since its
+# caller is slow or for the sake of others, or before its response is complete.
 CLOSING_TIMEOUT_MS = 2_500
+# Largest value of the kernel's option for it.
+MAX_CLOSING_TIMEOUT_MS = 2**31 - 1
 _WRITE_EVENT = 2
 _QUEUE_LENGTH = struct.Struct("i")
 
@@ -103,11 +107,24 @@
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
         self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 0)
 
-    def prepare_close(self) -> None:
-        """Let the kernel drop what the caller doesn't read soon after the close."""
+    def prepare_close(self, *, may_stall: bool) -> None:
+        """
+        Let the kernel drop what the caller doesn't read after the close.
+
+        Parameters
+        ----------
+        may_stall : bool
+            Whether the caller may pause for as long as it could before the close;
+            otherwise what it doesn't read soon is dropped.
+        """
+        timeout_ms = CLOSING_TIMEOUT_MS
+        if may_stall:
+            timeout_ms = min(
+                math.ceil(1_000 * self._get_stall_seconds()), MAX_CLOSING_TIMEOUT_MS
+            )
         with suppress(OSError):
             self._socket.setsockopt(
-                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, CLOSING_TIMEOUT_MS
+                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms
             )
 
     def send(self, data: bytes | memoryview) -> None:
--- a/damasklead/gateway/callers.py
+++ b/damasklead/gateway/callers.py
@@ -55,6 +55,8 @@
 MAX_JOINED_BYTES = 16_384
 # Linger option with which closing a connection resets it and drops what is queued.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+# States of the parser in which all responses that began are complete.
+_WHOLE_STATES = (h11.IDLE, h11.DONE, h11.MUST_CLOSE)
 
 
 class _OutOfMemory(Exception):
@@ -179,6 +181,7 @@
         self._idle_watcher: Any = None
         self._half_closed = False
         self._head_sent = False
+        self._was_closed = False  # since it is slow, or for the sake of others
         self.cancel_on_disconnect = True
 
     @property
@@ -213,6 +216,7 @@
 
     def serve(self) -> None:
         """Serve requests one after the other until the connection ends."""
+        may_stall = False
         try:
             set_tcp_options(self._socket)
             if self._sender is not None:
@@ -225,6 +229,7 @@
                 pass
             if self._holding.is_closing:
                 self._report_closed(self._holding.closing_cause)
+            may_stall = not self._was_closed and self._http.our_state in _WHOLE_STATES
         except CallerClosed as error:
             self._reset()
             self._report_closed(error.cause)
@@ -237,7 +242,7 @@
                 with suppress(OSError):
                     self._reset()
             if self._sender is not None:
-                self._sender.prepare_close()
+                self._sender.prepare_close(may_stall=may_stall)
             self._socket.close()
             self._holding.end()
 
@@ -328,6 +333,7 @@
         )
 
     def _report_closed(self, cause: str) -> None:
+        self._was_closed = True
         if self._on_closed is not None:
             self._on_closed(cause)
 
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -328,13 +328,17 @@
 
 class TestSlowCallers:
     @staticmethod
-    def open_slow(harness: ForwarderHarness, path: str) -> socket.socket:
+    def open_slow(
+        harness: ForwarderHarness, path: str, *, extra_headers: str = ""
+    ) -> socket.socket:
         """Send a request on a connection whose system buffers few bytes."""
         connection = socket.socket()
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8_192)
         connection.settimeout(10)
         connection.connect(("127.0.0.1", harness._port))
-        connection.sendall(make_request(path, method="POST", body="x"))
+        connection.sendall(
+            make_request(path, method="POST", body="x", extra_headers=extra_headers)
+        )
         return connection
 
     @pytest.mark.parametrize("path", ["/read/1", "/order/1"])
@@ -476,6 +480,25 @@
             raw.close()
             assert raised.value.cause == "memory"
 
+    def test_one_may_pause_before_it_reads_the_end_of_the_last_response(
+        self, harnesses: list[ForwarderHarness]
+    ) -> None:
+        """
+        Guards against a reset of what the kernel has queued when a connection closes.
+
+        A caller may pause for the idle timeout, there as before.
+        """
+        body = LONG_BODY[:60_000]
+        harness = make_limited_harness(harnesses, make_body_script(body))
+        set_idle_seconds(harness, 9.0)
+        with self.open_slow(
+            harness, "/order/1", extra_headers="Connection: close\r\n"
+        ) as connection:
+            wait_until(lambda: bool(harness.get_log_lines("answered")))
+            wait_until(lambda: not harness.account.connection_count)
+            gevent.sleep(5.0)
+            assert read_all(connection).endswith(body[-30_000:])
+
     def test_what_is_queued_of_an_aborted_response_is_dropped(
         self, harnesses: list[ForwarderHarness]
     ) -> None:
