--- a/damasklead/gateway/response_relay.py
+++ b/damasklead/gateway/response_relay.py
@@ -101,6 +101,11 @@
         self._on_events = on_events
         self._has_contiguous_ids = False
         self._error_response: tuple[ResponseHead, bytes] | None = None
+        # Whether the caller has recently held up the response of the present attempt,
+        # its waits until the last read, and how long the replica was waited for since.
+        self._is_held_up = False
+        self._waited_at_read = 0.0
+        self._replica_seconds = 0.0
         self.status = 0
         self.event_count = 0
         self.first_byte_seconds = 0.0
@@ -118,7 +123,8 @@
         SendError
             When the response is not complete or not valid.
         CallerClosed
-            When the response broke after the caller had held it up.
+            When the replica ended the connection after the caller had held the
+            response up.
         ResponseDroppedError
             When there is no memory for it.
         """
@@ -127,13 +133,16 @@
                 Failure.BROKEN, f"status {reply.status} after the stream began"
             )
         is_complete = self._call.route.kind is not RouteKind.STREAM
+        self._is_held_up = False
+        self._waited_at_read = self._caller.waited_seconds
         try:
             if is_complete or not 200 <= reply.status < 300:
                 self._relay_complete(upstream, reply, record)
             else:
                 self._relay_stream(upstream, reply, record)
         except SendError as error:
-            if self._caller.longest_wait_seconds < HELD_UP_SECONDS:
+            is_end = error.failure is Failure.BROKEN and upstream.has_ended
+            if not is_end or not self._is_held_up:
                 raise
             raise CallerClosed("cut-off") from error
 
@@ -146,6 +155,26 @@
         self._send_response(*self._error_response)
         return True
 
+    def _read_data(self, upstream: Connection, *, max_bytes: int) -> bytes:
+        """
+        Return the next bytes of a response that is passed on as it arrives.
+
+        What was queued before a replica cut off the response arrives afterwards without
+        a pause, however late it is read.  So the response counts as held up until the
+        replica has been waited for, and has sent data, for as long as the caller.
+        """
+        clock, waited_seconds = self._context.clock, self._caller.waited_seconds
+        if waited_seconds - self._waited_at_read >= HELD_UP_SECONDS:
+            self._is_held_up = True
+            self._replica_seconds = 0.0
+        self._waited_at_read = waited_seconds
+        started_at = clock.now()
+        data = upstream.read_body_data(max_bytes=max_bytes)
+        self._replica_seconds += clock.now() - started_at
+        if self._replica_seconds >= HELD_UP_SECONDS:
+            self._is_held_up = False
+        return data
+
     def _check_unframed_end(self, upstream: Connection, record: UpstreamRecord) -> None:
         """
         Raise ``SendError`` if the end of the connection, which delimits the response,
@@ -158,6 +187,8 @@
         # Makes room for the connection of the check if the pool is full.
         upstream.close()
         if self._context.probe.check(record) is Liveness.REFUSES:
+            # A replica that cuts off a response still accepts connections.
+            self._is_held_up = False
             raise SendError(Failure.BROKEN, "the replica ended with the connection")
 
     def _relay_complete(
@@ -233,7 +264,7 @@
             self._send_piece(piece)
             unsent_bytes -= len(piece)
             self._reserve_relay(unsent_bytes)
-        while data := upstream.read_body_data(max_bytes=PIECE_BYTES):
+        while data := self._read_data(upstream, max_bytes=PIECE_BYTES):
             size += len(data)
             if size > MAX_BODY_BYTES:
                 raise SendError(Failure.BROKEN, f"body of {size} bytes is too long")
@@ -271,7 +302,7 @@
             upstream.limit_receive(PIECE_BYTES)
             held_bytes = RELAY_BYTES
         turn = TurnBudget()
-        while data := upstream.read_body_data(max_bytes=MAX_SPLIT_BYTES):
+        while data := self._read_data(upstream, max_bytes=MAX_SPLIT_BYTES):
             complete_events = splitter.feed(data)
             turn.spend(size=len(data), pieces=splitter.block_count)
             if held_bytes:
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -421,6 +421,74 @@
         assert not harness.get_log_lines("attempt-failed")
         assert sum(len(replica.requests) for replica in harness.replicas) == 1
 
+    @pytest.mark.parametrize("failure", ["broken", "timed-out"])
+    def test_a_replica_that_fails_after_one_has_paused_has_failed(
+        self, harnesses: list[ForwarderHarness], failure: str
+    ) -> None:
+        """Guards against a pause that hides all later failures of replicas."""
+        long_events, short_events = 200, 20
+
+        def serve(replica: ScriptedReplica, connection: socket.socket) -> None:
+            attempt = replica.receive_request(connection)
+            after = int(replica.requests[-1][1].get("last-event-id", 0))
+            connection.sendall(make_stream_head(attempt))
+            if after:
+                last_event = make_event(after + 1)
+                connection.sendall(make_chunk(last_event) + make_chunk(b""))
+                return
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 16_384)
+            for number in range(1, long_events + 1):
+                comment = b": " + b"x" * 4_096 + b"\n\n"
+                connection.sendall(make_chunk(make_event(number) + comment))
+            for number in range(1, short_events + 1):
+                gevent.sleep(0.1)
+                connection.sendall(make_chunk(make_event(long_events + number)))
+            if failure == "timed-out":
+                connection.recv(1)
+
+        harness = make_limited_harness(harnesses, serve, serve)
+        harness.table = make_table(
+            routes=[
+                msgspec.structs.replace(
+                    RESUMABLE, timeout=20.0, event_gap=0.7, target=2.0
+                )
+            ]
+        )
+        set_idle_seconds(harness, 8.0)
+        with self.open_slow(harness, "/draft/1") as connection:
+            gevent.sleep(2.0)
+            response = read_all(connection)
+        assert response.endswith(
+            make_chunk(make_event(long_events + short_events + 1)) + b"0\r\n\r\n"
+        )
+        (line,) = harness.get_log_lines("attempt-failed")
+        assert f'failure="{failure}"' in line
+        assert not harness.closed_callers
+
+    def test_a_replica_that_ends_after_one_has_paused_has_failed(
+        self, harnesses: list[ForwarderHarness]
+    ) -> None:
+        """A replica that cuts off a response still accepts connections."""
+
+        def serve(replica: ScriptedReplica, connection: socket.socket) -> None:
+            attempt = replica.receive_request(connection)
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 16_384)
+            connection.sendall(
+                make_framed(
+                    LONG_BODY, f"Attempt-Id: {attempt}", SIGNED, framing="connection"
+                )
+            )
+            replica.stop()
+
+        harness = make_limited_harness(harnesses, serve)
+        set_idle_seconds(harness, 8.0)
+        with self.open_slow(harness, "/order/1") as connection:
+            gevent.sleep(2.0)
+            assert not read_all(connection).endswith(b"0\r\n\r\n")
+        (line,) = harness.get_log_lines("attempt-failed")
+        assert 'failure="broken"' in line
+        assert not harness.closed_callers
+
     def test_a_stream_that_its_caller_held_up_was_not_silent(
         self, harnesses: list[ForwarderHarness]
     ) -> None:
