--- a/damasklead/gateway/budget.py
+++ b/damasklead/gateway/budget.py
@@ -119,14 +119,17 @@
         """Count the first attempt of a request."""
         self._get_recent(self._first_attempts, service).append(self._clock.now())
 
+    def allows_retry(self, service: ServiceName) -> bool:
+        """Return whether the budget allows a retry now."""
+        first_attempts = len(self._get_recent(self._first_attempts, service))
+        retries = len(self._get_recent(self._retries, service))
+        return retries + 1 <= self._ratio * first_attempts + self._compute_share()
+
     def acquire_retry(self, service: ServiceName) -> bool:
         """Count a retry if the budget allows it; return whether it does."""
-        first_attempts = len(self._get_recent(self._first_attempts, service))
-        retries = self._get_recent(self._retries, service)
-        allowed = self._ratio * first_attempts + self._compute_share()
-        if len(retries) + 1 > allowed:
+        if not self.allows_retry(service):
             return False
-        retries.append(self._clock.now())
+        self._get_recent(self._retries, service).append(self._clock.now())
         return True
 
     def _get_divisor(self) -> int:
--- a/damasklead/gateway/proxied_request.py
+++ b/damasklead/gateway/proxied_request.py
@@ -74,6 +74,7 @@
             call=call,
             caller=caller,
             verdict=self._verdict,
+            may_repeat=self._may_repeat,
             on_execution=self._record_execution,
             on_first_event=self._record_first_event,
             on_events=self._record_events,
@@ -196,6 +197,11 @@
         reply = attempt.read_head(timeout=self._verdict.response_timeout)
         assert attempt.upstream is not None
         self._relay.relay(attempt.upstream, reply, record)
+        if self._relay.is_failure_relayed:
+            self._record_failure(
+                attempt, SendError(Failure.BROKEN, f"status {reply.status}")
+            )
+            return
         self._placement.record_success(record.instance, self._call)
         self._selector.end_assignment("whole")
         if 200 <= reply.status < 300:
@@ -274,6 +280,23 @@
             **self._context.budget.get_log_fields(self._call.service),
         )
 
+    def _may_repeat(self) -> bool:
+        """
+        Return whether the request, of whose response nothing was sent, would be sent to
+        another replica if the present attempt failed after its execution.
+
+        The conditions are those of ``_may_retry`` and of the choice of a replica.
+        """
+        if not self._verdict.allows_repetition:
+            return False
+        if self._context.containment.should_refuse(self._call):
+            return False
+        if not self._context.budget.allows_retry(self._call.service):
+            return False
+        excluded = {*self._excluded_replicas, self.replica}
+        other = self._placement.choose_replica(self._call, excluded=excluded)
+        return other is not None
+
     def _may_retry(self, failure: Failure) -> bool:
         if not self._verdict.may_retry(failure):
             return False
--- a/damasklead/gateway/response_relay.py
+++ b/damasklead/gateway/response_relay.py
@@ -60,6 +60,8 @@
         Connection on which the response is sent.
     verdict : Verdict
         The attempts of the request so far.
+    may_repeat : callable
+        Returns whether another attempt would follow if the present one failed.
     on_execution : callable
         Called when the response shows that the replica has executed the request.
     on_first_event : callable
@@ -79,6 +81,9 @@
         Id of the last event that was sent to the caller.
     is_body_pending : bool
         Whether a body is being read before anything was sent to the caller.
+    is_failure_relayed : bool
+        Whether the response is a failure of its replica, relayed since no other attempt
+        can follow.
     """
 
     def __init__(
@@ -88,6 +93,7 @@
         call: Call,
         caller: CallerConnection,
         verdict: Verdict,
+        may_repeat: Callable[[], bool],
         on_execution: Callable[[], None],
         on_first_event: Callable[[ResponseHead], None],
         on_events: Callable[[], None],
@@ -96,6 +102,7 @@
         self._call = call
         self._caller = caller
         self._verdict = verdict
+        self._may_repeat = may_repeat
         self._on_execution = on_execution
         self._on_first_event = on_first_event
         self._on_events = on_events
@@ -111,6 +118,7 @@
         self.first_byte_seconds = 0.0
         self.last_event_id: bytes | None = None
         self.is_body_pending = False
+        self.is_failure_relayed = False
 
     def relay(
         self, upstream: Connection, reply: ResponseHead, record: UpstreamRecord
@@ -249,8 +257,10 @@
         length = upstream.body_length
         if length is not None and length > MAX_BODY_BYTES:
             raise SendError(Failure.BROKEN, f"body of {length} bytes is too long")
-        if reply.status >= 500 and self._verdict.allows_repetition:
-            raise SendError(Failure.BROKEN, f"status {reply.status}")
+        if reply.status >= 500 and self._call.route.may_repeat:
+            if self._may_repeat():
+                raise SendError(Failure.BROKEN, f"status {reply.status}")
+            self.is_failure_relayed = True
         size = unsent_bytes = sum(len(piece) for piece in pieces)
         self._reserve_relay(unsent_bytes)
         upstream.limit_receive(PIECE_BYTES)
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -310,6 +310,34 @@
     assert attempts == (2 if is_repeatable else 1)
 
 
+@pytest.mark.parametrize("has_other_replica", [True, False])
+def test_a_long_error_response_is_relayed_if_none_can_follow(
+    harnesses: list[ForwarderHarness], has_other_replica: bool
+) -> None:
+    """
+    Guards against error responses that are dropped for a retry that doesn't follow.
+
+    Either the retry budget is used up, or there is no other replica.
+    """
+
+    def fail(replica: ScriptedReplica, connection: socket.socket) -> None:
+        attempt = replica.receive_request(connection)
+        connection.sendall(
+            make_framed(
+                LONG_BODY, f"Attempt-Id: {attempt}", SIGNED,
+                framing="length", status="500 Failed",
+            )
+        )  # fmt: skip
+
+    harness = make_limited_harness(harnesses, *[fail] * (1 + has_other_replica))
+    if has_other_replica:
+        harness.budget.configure(ratio=0.0, allowance=0.0, window=10.0)
+    response = harness.send_request("/read/1")
+    assert response.startswith(b"HTTP/1.1 500") and response.endswith(LONG_BODY)
+    assert sum(len(replica.requests) for replica in harness.replicas) == 1
+    wait_until(lambda: len(harness.get_log_lines("attempt-failed")) == 1)
+
+
 def test_a_body_beyond_the_limit_ends_the_response(
     harnesses: list[ForwarderHarness],
 ) -> None:
