--- a/damasklead/gateway/callers.py
+++ b/damasklead/gateway/callers.py
@@ -9,6 +9,7 @@
 import struct
 from abc import ABC, abstractmethod
 from collections.abc import Callable, Iterable, Sequence
+from contextlib import suppress
 from typing import Any
 
 import gevent
@@ -54,6 +55,8 @@
 MAX_JOINED_BYTES = 16_384
 # Linger option with which closing a connection resets it and drops what is queued.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+# States of the parser in which all responses that began are complete.
+_WHOLE_STATES = (h11.IDLE, h11.DONE, h11.MUST_CLOSE)
 
 
 class _OutOfMemory(Exception):
@@ -178,6 +181,7 @@
         self._idle_watcher: Any = None
         self._half_closed = False
         self._head_sent = False
+        self._was_closed = False  # since it is slow, or for the sake of others
         self.cancel_on_disconnect = True
 
     @property
@@ -212,6 +216,7 @@
 
     def serve(self) -> None:
         """Serve requests one after the other until the connection ends."""
+        may_stall = False
         try:
             set_tcp_options(self._socket)
             if self._sender is not None:
@@ -224,14 +229,20 @@
                 pass
             if self._holding.is_closing:
                 self._report_closed(self._holding.closing_cause)
+            may_stall = not self._was_closed and self._http.our_state in _WHOLE_STATES
         except CallerClosed as error:
             self._reset()
             self._report_closed(error.cause)
         except (CallerDisconnected, OSError):
             pass  # the caller has disconnected, so no response can be sent
         finally:
+            if self._http.our_state is h11.SEND_BODY:
+                # An orderly close would make a truncated body without a length look
+                # complete.
+                with suppress(OSError):
+                    self._reset()
             if self._sender is not None:
-                self._sender.prepare_close()
+                self._sender.prepare_close(may_stall=may_stall)
             self._socket.close()
             self._holding.end()
 
@@ -297,8 +308,10 @@
 
     def abort(self) -> None:
         """Close the connection without marking the response as complete."""
-        if self._http.their_http_version == b"1.0":
-            # The end of the connection would mark it.
+        if self._sender is not None or self._http.their_http_version == b"1.0":
+            # The end of the connection would mark it for a caller that uses HTTP/1.0.
+            # A limited sender has switched off the kernel's timeout, so that what is
+            # queued of this worthless response would stay as long as callers like.
             self._reset()
         self._http.send_failed()
         self._socket.close()
@@ -320,6 +333,7 @@
         )
 
     def _report_closed(self, cause: str) -> None:
+        self._was_closed = True
         if self._on_closed is not None:
             self._on_closed(cause)
 
--- a/damasklead/gateway/response_relay.py
+++ b/damasklead/gateway/response_relay.py
@@ -11,8 +11,8 @@
 what stays unread.
 """
 
+from collections import deque
 from collections.abc import Callable
-from io import BytesIO
 
 from damasklead.failures import Failure
 from damasklead.gateway.callers import CallerClosed, CallerConnection
@@ -60,6 +60,8 @@
         Connection on which the response is sent.
     verdict : Verdict
         The attempts of the request so far.
+    may_repeat : callable
+        Returns whether another attempt would follow if the present one failed.
     on_execution : callable
         Called when the response shows that the replica has executed the request.
     on_first_event : callable
@@ -79,6 +81,9 @@
         Id of the last event that was sent to the caller.
     is_body_pending : bool
         Whether a body is being read before anything was sent to the caller.
+    is_failure_relayed : bool
+        Whether the response is a failure of its replica, relayed since no other attempt
+        can follow.
     """
 
     def __init__(
@@ -88,6 +93,7 @@
         call: Call,
         caller: CallerConnection,
         verdict: Verdict,
+        may_repeat: Callable[[], bool],
         on_execution: Callable[[], None],
         on_first_event: Callable[[ResponseHead], None],
         on_events: Callable[[], None],
@@ -96,16 +102,23 @@
         self._call = call
         self._caller = caller
         self._verdict = verdict
+        self._may_repeat = may_repeat
         self._on_execution = on_execution
         self._on_first_event = on_first_event
         self._on_events = on_events
         self._has_contiguous_ids = False
         self._error_response: tuple[ResponseHead, bytes] | None = None
+        # Whether the caller has recently held up the response of the present attempt,
+        # its waits until the last read, and how long the replica was waited for since.
+        self._is_held_up = False
+        self._waited_at_read = 0.0
+        self._replica_seconds = 0.0
         self.status = 0
         self.event_count = 0
         self.first_byte_seconds = 0.0
         self.last_event_id: bytes | None = None
         self.is_body_pending = False
+        self.is_failure_relayed = False
 
     def relay(
         self, upstream: Connection, reply: ResponseHead, record: UpstreamRecord
@@ -118,7 +131,8 @@
         SendError
             When the response is not complete or not valid.
         CallerClosed
-            When the response broke after the caller had held it up.
+            When the replica ended the connection after the caller had held the
+            response up.
         ResponseDroppedError
             When there is no memory for it.
         """
@@ -127,13 +141,16 @@
                 Failure.BROKEN, f"status {reply.status} after the stream began"
             )
         is_complete = self._call.route.kind is not RouteKind.STREAM
+        self._is_held_up = False
+        self._waited_at_read = self._caller.waited_seconds
         try:
             if is_complete or not 200 <= reply.status < 300:
                 self._relay_complete(upstream, reply, record)
             else:
                 self._relay_stream(upstream, reply, record)
         except SendError as error:
-            if self._caller.longest_wait_seconds < HELD_UP_SECONDS:
+            is_end = error.failure is Failure.BROKEN and upstream.has_ended
+            if not is_end or not self._is_held_up:
                 raise
             raise CallerClosed("cut-off") from error
 
@@ -146,14 +163,40 @@
         self._send_response(*self._error_response)
         return True
 
+    def _read_data(self, upstream: Connection, *, max_bytes: int) -> bytes:
+        """
+        Return the next bytes of a response that is passed on as it arrives.
+
+        What was queued before a replica cut off the response arrives afterwards without
+        a pause, however late it is read.  So the response counts as held up until the
+        replica has been waited for, and has sent data, for as long as the caller.
+        """
+        clock, waited_seconds = self._context.clock, self._caller.waited_seconds
+        if waited_seconds - self._waited_at_read >= HELD_UP_SECONDS:
+            self._is_held_up = True
+            self._replica_seconds = 0.0
+        self._waited_at_read = waited_seconds
+        started_at = clock.now()
+        data = upstream.read_body_data(max_bytes=max_bytes)
+        self._replica_seconds += clock.now() - started_at
+        if self._replica_seconds >= HELD_UP_SECONDS:
+            self._is_held_up = False
+        return data
+
     def _check_unframed_end(self, upstream: Connection, record: UpstreamRecord) -> None:
         """
         Raise ``SendError`` if the end of the connection, which delimits the response,
         was the end of the replica.
+
+        ``ConnectionLimitError`` if that can't be found out.
         """
         if not upstream.is_unframed:
             return
+        # Makes room for the connection of the check if the pool is full.
+        upstream.close()
         if self._context.probe.check(record) is Liveness.REFUSES:
+            # A replica that cuts off a response still accepts connections.
+            self._is_held_up = False
             raise SendError(Failure.BROKEN, "the replica ended with the connection")
 
     def _relay_complete(
@@ -162,17 +205,16 @@
         self._on_execution()
         self.is_body_pending = True
         if self._caller.is_limited:
-            body, is_whole = self._read_start(upstream)
+            pieces, is_whole = self._read_start(upstream)
+            if not is_whole:
+                self._relay_long(upstream, reply, record, pieces)
+                return
+            body = b"".join(pieces)
+            pieces.clear()
         else:
-            body, is_whole = (
-                upstream.read_body(
-                    limit=MAX_BODY_BYTES, memory=self._context.response_memory
-                ),
-                True,
+            body = upstream.read_body(
+                limit=MAX_BODY_BYTES, memory=self._context.response_memory
             )
-        if not is_whole:
-            self._relay_long(upstream, reply, record, body)
-            return
         self._check_unframed_end(upstream, record)
         self.is_body_pending = False
         if reply.status >= 500 and self._call.route.may_repeat:
@@ -180,54 +222,59 @@
             raise SendError(Failure.BROKEN, f"status {reply.status}")
         self._send_response(reply, body)
 
-    def _read_start(self, upstream: Connection) -> tuple[bytes, bool]:
+    def _read_start(self, upstream: Connection) -> tuple[deque[bytearray], bool]:
         """
         Read a body until its end or the threshold for relaying.
 
         Returns
         -------
         tuple
-            What was read, and whether it is the whole body.
+            What was read, in pieces of ``PIECE_BYTES``, and whether it is the whole
+            body.
         """
         threshold = self._context.account.relay_threshold
         if (upstream.body_length or 0) > threshold:
             threshold = PIECE_BYTES  # it will be relayed in any case
-        body = BytesIO()
+        pieces: deque[bytearray] = deque()
+        size = 0
         while data := upstream.read_body_data():
-            body.write(data)
-            if not self._caller.holding.hold(HeldKind.RESPONSE, body.tell()):
+            _append_data(pieces, data)
+            size += len(data)
+            if not self._caller.holding.hold(HeldKind.RESPONSE, size):
                 raise ResponseDroppedError("no memory for the response")
-            if body.tell() > threshold:
-                return body.getvalue(), False
-        return body.getvalue(), True
+            if size > threshold:
+                return pieces, False
+        return pieces, True
 
     def _relay_long(
         self,
         upstream: Connection,
         reply: ResponseHead,
         record: UpstreamRecord,
-        start: bytes,
+        pieces: deque[bytearray],
     ) -> None:
-        """Relay a response as it arrives, after its start was read."""
+        """Relay a response as it arrives, after the pieces of its start were read."""
         length = upstream.body_length
         if length is not None and length > MAX_BODY_BYTES:
             raise SendError(Failure.BROKEN, f"body of {length} bytes is too long")
-        if reply.status >= 500 and self._verdict.allows_repetition:
-            raise SendError(Failure.BROKEN, f"status {reply.status}")
-        self._reserve_relay()
+        if reply.status >= 500 and self._call.route.may_repeat:
+            if self._may_repeat():
+                raise SendError(Failure.BROKEN, f"status {reply.status}")
+            self.is_failure_relayed = True
+        size = unsent_bytes = sum(len(piece) for piece in pieces)
+        self._reserve_relay(unsent_bytes)
         upstream.limit_receive(PIECE_BYTES)
         headers = list(reply.headers)
         if length is not None:
             headers.append((b"Content-Length", b"%d" % length))
         self._record_start(reply.status)
         self._caller.start_response(reply.status, headers, b"")
-        size = len(start)
-        unsent = memoryview(start)
-        while unsent:
-            self._send_piece(bytes(unsent[:PIECE_BYTES]))
-            unsent = unsent[PIECE_BYTES:]
-        del start, unsent
-        while data := upstream.read_body_data(max_bytes=PIECE_BYTES):
+        while pieces:
+            piece = bytes(pieces.popleft())
+            self._send_piece(piece)
+            unsent_bytes -= len(piece)
+            self._reserve_relay(unsent_bytes)
+        while data := self._read_data(upstream, max_bytes=PIECE_BYTES):
             size += len(data)
             if size > MAX_BODY_BYTES:
                 raise SendError(Failure.BROKEN, f"body of {size} bytes is too long")
@@ -236,9 +283,9 @@
         self.is_body_pending = False
         self._caller.end_response()
 
-    def _reserve_relay(self) -> None:
-        """Charge the buffers of a relay, in place of what was read so far."""
-        if not self._caller.holding.hold(HeldKind.RESPONSE, RELAY_BYTES):
+    def _reserve_relay(self, unsent_bytes: int = 0) -> None:
+        """Charge the buffers of a relay, and what was read before it and not sent."""
+        if not self._caller.holding.hold(HeldKind.RESPONSE, RELAY_BYTES + unsent_bytes):
             raise ResponseDroppedError("no memory to relay the response")
 
     def _send_piece(self, data: bytes) -> None:
@@ -265,7 +312,7 @@
             upstream.limit_receive(PIECE_BYTES)
             held_bytes = RELAY_BYTES
         turn = TurnBudget()
-        while data := upstream.read_body_data(max_bytes=MAX_SPLIT_BYTES):
+        while data := self._read_data(upstream, max_bytes=MAX_SPLIT_BYTES):
             complete_events = splitter.feed(data)
             turn.spend(size=len(data), pieces=splitter.block_count)
             if held_bytes:
@@ -345,3 +392,18 @@
     def _record_start(self, status: int) -> None:
         self.status = status
         self.first_byte_seconds = self._context.clock.now() - self._call.arrival
+
+
+def _append_data(pieces: deque[bytearray], data: bytes) -> None:
+    """
+    Append data to pieces of ``PIECE_BYTES``, of which only the last is shorter.
+
+    A response in tiny chunks would otherwise become as many objects.
+    """
+    unread = memoryview(data)
+    while unread:
+        if not pieces or len(pieces[-1]) == PIECE_BYTES:
+            pieces.append(bytearray())
+        room_bytes = PIECE_BYTES - len(pieces[-1])
+        pieces[-1] += unread[:room_bytes]
+        unread = unread[room_bytes:]
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -13,17 +13,23 @@
 from gevent import socket
 
 from damasklead.descriptor_budget import DescriptorBudget
-from damasklead.gateway.caller_sender import SEND_BUFFER_BYTES
+from damasklead.gateway.caller_sender import (
+    SEND_BUFFER_BYTES,
+    CallerClosed,
+    CallerSender,
+)
 from damasklead.gateway.listeners import Listener
+from damasklead.gateway.response_relay import PIECE_BYTES, RELAY_BYTES
 from damasklead.gateway.upstream_http import (
     ConnectionLimitError,
     ConnectionPool,
 )
 from damasklead.loop import LoopClock
-from damasklead.memory_budget import HeldKind
+from damasklead.memory_budget import HeldKind, MemoryAccount
 from damasklead.memory_shortage import (
     RELAY_THRESHOLD_BYTES,
     SCARCE_RELAY_THRESHOLD_BYTES,
+    Stage,
 )
 from tests.gateway_kit import (
     IDEMPOTENT,
@@ -63,13 +69,18 @@
     """Return a harness with a limited account, whose routes have a long timeout."""
     harness = make_harness(harnesses, *scripts)
     harness.account.limit_bytes = LIMIT_BYTES
+    set_long_timeouts(harness, seconds)
+    return harness
+
+
+def set_long_timeouts(harness: ForwarderHarness, seconds: float) -> None:
+    """Give all routes a long timeout."""
     harness.table = make_table(
         routes=[
             msgspec.structs.replace(route, timeout=seconds, target=seconds / 10)
             for route in (IDEMPOTENT, ONCE, STREAM, RESUMABLE)
         ]
     )
-    return harness
 
 
 def set_idle_seconds(harness: ForwarderHarness, seconds: float) -> None:
@@ -178,6 +189,34 @@
                 pass
 
 
+def test_a_cancelled_response_does_not_look_whole_to_an_old_caller(
+    harnesses: list[ForwarderHarness],
+) -> None:
+    """
+    Guards against an orderly close of a response that was cancelled after its head.
+
+    The gateway cancels the request when its caller half-closes the connection.
+    """
+
+    def serve(replica: ScriptedReplica, connection: socket.socket) -> None:
+        attempt = replica.receive_request(connection)
+        data = make_framed(
+            LONG_BODY, f"Attempt-Id: {attempt}", SIGNED, framing="chunks"
+        )
+        connection.sendall(data[:1_000_000])
+        connection.recv(1)
+
+    harness = make_limited_harness(harnesses, serve)
+    with harness.connect() as connection:
+        request = make_request("/read/1").replace(b"HTTP/1.1", b"HTTP/1.0")
+        connection.sendall(request)
+        assert connection.recv(65_536).startswith(b"HTTP/1.1 200")
+        connection.shutdown(socket.SHUT_WR)
+        with pytest.raises(ConnectionResetError):
+            while connection.recv(65_536):
+                pass
+
+
 def test_the_last_chunk_waits_for_the_check_of_an_unframed_end(
     harnesses: list[ForwarderHarness],
 ) -> None:
@@ -196,6 +235,42 @@
     assert not response.endswith(b"0\r\n\r\n")
 
 
+@pytest.mark.parametrize("is_limit_lowered", [False, True])
+def test_an_unframed_end_is_checked_while_the_connection_pool_is_full(
+    harnesses: list[ForwarderHarness], is_limit_lowered: bool
+) -> None:
+    """
+    Guards against a truncated body that gets its last chunk without a check.
+
+    The connection that has ended makes room for the check; if the limit has been
+    lowered since, there is no check, and the response must not look complete.
+    """
+    limit = 1
+
+    def serve(replica: ScriptedReplica, connection: socket.socket) -> None:
+        nonlocal limit
+        attempt = replica.receive_request(connection)
+        connection.sendall(
+            make_framed(
+                LONG_BODY, f"Attempt-Id: {attempt}", SIGNED, framing="connection"
+            )[:1_000_000]
+        )
+        replica.stop()
+        limit = 0 if is_limit_lowered else 1
+
+    pool = ConnectionPool(clock=LoopClock(), get_max_connections=lambda: limit)
+    harnesses.append(ForwarderHarness([ScriptedReplica("r0", serve)], connections=pool))
+    harness = harnesses[-1]
+    harness.account.limit_bytes = LIMIT_BYTES
+    set_long_timeouts(harness, 20.0)
+    response = harness.send_request("/order/1", method="POST", body="x")
+    assert response.startswith(b"HTTP/1.1 200")
+    assert not response.endswith(b"0\r\n\r\n")
+    # Only a refused connection shows that the replica has ended.
+    failures = len(harness.get_log_lines("attempt-failed"))
+    assert failures == (0 if is_limit_lowered else 1)
+
+
 def test_a_response_below_the_threshold_is_still_retried(
     harnesses: list[ForwarderHarness],
 ) -> None:
@@ -235,6 +310,34 @@
     assert attempts == (2 if is_repeatable else 1)
 
 
+@pytest.mark.parametrize("has_other_replica", [True, False])
+def test_a_long_error_response_is_relayed_if_none_can_follow(
+    harnesses: list[ForwarderHarness], has_other_replica: bool
+) -> None:
+    """
+    Guards against error responses that are dropped for a retry that doesn't follow.
+
+    Either the retry budget is used up, or there is no other replica.
+    """
+
+    def fail(replica: ScriptedReplica, connection: socket.socket) -> None:
+        attempt = replica.receive_request(connection)
+        connection.sendall(
+            make_framed(
+                LONG_BODY, f"Attempt-Id: {attempt}", SIGNED,
+                framing="length", status="500 Failed",
+            )
+        )  # fmt: skip
+
+    harness = make_limited_harness(harnesses, *[fail] * (1 + has_other_replica))
+    if has_other_replica:
+        harness.budget.configure(ratio=0.0, allowance=0.0, window=10.0)
+    response = harness.send_request("/read/1")
+    assert response.startswith(b"HTTP/1.1 500") and response.endswith(LONG_BODY)
+    assert sum(len(replica.requests) for replica in harness.replicas) == 1
+    wait_until(lambda: len(harness.get_log_lines("attempt-failed")) == 1)
+
+
 def test_a_body_beyond_the_limit_ends_the_response(
     harnesses: list[ForwarderHarness],
 ) -> None:
@@ -253,13 +356,17 @@
 
 class TestSlowCallers:
     @staticmethod
-    def open_slow(harness: ForwarderHarness, path: str) -> socket.socket:
+    def open_slow(
+        harness: ForwarderHarness, path: str, *, extra_headers: str = ""
+    ) -> socket.socket:
         """Send a request on a connection whose system buffers few bytes."""
         connection = socket.socket()
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8_192)
         connection.settimeout(10)
         connection.connect(("127.0.0.1", harness._port))
-        connection.sendall(make_request(path, method="POST", body="x"))
+        connection.sendall(
+            make_request(path, method="POST", body="x", extra_headers=extra_headers)
+        )
         return connection
 
     @pytest.mark.parametrize("path", ["/read/1", "/order/1"])
@@ -295,6 +402,30 @@
             assert not harness.closed_callers
             assert read_all(connection).endswith(LONG_BODY[-65_536:])
 
+    def test_the_start_of_a_relayed_response_is_charged_until_it_is_sent(
+        self, harnesses: list[ForwarderHarness]
+    ) -> None:
+        """Guards against bytes that are held for slow callers without a charge."""
+        harness = make_limited_harness(
+            harnesses, make_body_script(LONG_BODY, framing="chunks")
+        )
+        set_idle_seconds(harness, 8.0)
+        used_by_kind = harness.account.used_by_kind
+        with self.open_slow(harness, "/order/1") as connection:
+            wait_until(lambda: harness.account.count_by_stage()["sending"] == 1)
+            gevent.sleep(0.3)
+            held_bytes = used_by_kind[HeldKind.RESPONSE]
+            assert held_bytes > RELAY_BYTES + PIECE_BYTES
+            received_bytes = 0
+            while received_bytes < len(LONG_BODY) // 2:
+                data = connection.recv(65_536)
+                assert data
+                received_bytes += len(data)
+            gevent.sleep(0.3)
+            assert used_by_kind[HeldKind.RESPONSE] == RELAY_BYTES
+            assert read_all(connection).endswith(b"0\r\n\r\n")
+        wait_until(lambda: not harness.account.used_bytes)
+
     @pytest.mark.parametrize("path", ["/order/1", "/draft/1"])
     def test_a_replica_that_cuts_off_what_one_left_unread_has_not_failed(
         self, harnesses: list[ForwarderHarness], path: str
@@ -318,6 +449,74 @@
         assert not harness.get_log_lines("attempt-failed")
         assert sum(len(replica.requests) for replica in harness.replicas) == 1
 
+    @pytest.mark.parametrize("failure", ["broken", "timed-out"])
+    def test_a_replica_that_fails_after_one_has_paused_has_failed(
+        self, harnesses: list[ForwarderHarness], failure: str
+    ) -> None:
+        """Guards against a pause that hides all later failures of replicas."""
+        long_events, short_events = 200, 20
+
+        def serve(replica: ScriptedReplica, connection: socket.socket) -> None:
+            attempt = replica.receive_request(connection)
+            after = int(replica.requests[-1][1].get("last-event-id", 0))
+            connection.sendall(make_stream_head(attempt))
+            if after:
+                last_event = make_event(after + 1)
+                connection.sendall(make_chunk(last_event) + make_chunk(b""))
+                return
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 16_384)
+            for number in range(1, long_events + 1):
+                comment = b": " + b"x" * 4_096 + b"\n\n"
+                connection.sendall(make_chunk(make_event(number) + comment))
+            for number in range(1, short_events + 1):
+                gevent.sleep(0.1)
+                connection.sendall(make_chunk(make_event(long_events + number)))
+            if failure == "timed-out":
+                connection.recv(1)
+
+        harness = make_limited_harness(harnesses, serve, serve)
+        harness.table = make_table(
+            routes=[
+                msgspec.structs.replace(
+                    RESUMABLE, timeout=20.0, event_gap=0.7, target=2.0
+                )
+            ]
+        )
+        set_idle_seconds(harness, 8.0)
+        with self.open_slow(harness, "/draft/1") as connection:
+            gevent.sleep(2.0)
+            response = read_all(connection)
+        assert response.endswith(
+            make_chunk(make_event(long_events + short_events + 1)) + b"0\r\n\r\n"
+        )
+        (line,) = harness.get_log_lines("attempt-failed")
+        assert f'failure="{failure}"' in line
+        assert not harness.closed_callers
+
+    def test_a_replica_that_ends_after_one_has_paused_has_failed(
+        self, harnesses: list[ForwarderHarness]
+    ) -> None:
+        """A replica that cuts off a response still accepts connections."""
+
+        def serve(replica: ScriptedReplica, connection: socket.socket) -> None:
+            attempt = replica.receive_request(connection)
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 16_384)
+            connection.sendall(
+                make_framed(
+                    LONG_BODY, f"Attempt-Id: {attempt}", SIGNED, framing="connection"
+                )
+            )
+            replica.stop()
+
+        harness = make_limited_harness(harnesses, serve)
+        set_idle_seconds(harness, 8.0)
+        with self.open_slow(harness, "/order/1") as connection:
+            gevent.sleep(2.0)
+            assert not read_all(connection).endswith(b"0\r\n\r\n")
+        (line,) = harness.get_log_lines("attempt-failed")
+        assert 'failure="broken"' in line
+        assert not harness.closed_callers
+
     def test_a_stream_that_its_caller_held_up_was_not_silent(
         self, harnesses: list[ForwarderHarness]
     ) -> None:
@@ -344,6 +543,75 @@
             gevent.sleep(3.5)
             assert read_all(connection).endswith(b"0\r\n\r\n")
 
+    def test_one_that_is_closed_for_others_is_closed_without_a_cancelled_wait(
+        self,
+    ) -> None:
+        """
+        Guards against a lost cancel: the wait may time out in the same iteration of
+        the event loop.
+        """
+        clock = LoopClock()
+        account = MemoryAccount(clock=clock)
+        with (
+            socket.socket() as server,
+            socket.socket() as caller,
+            # This cancel is lost.
+            account.open(close=lambda _cause: None) as holding,
+        ):
+            server.bind(("127.0.0.1", 0))
+            server.listen()
+            caller.connect(server.getsockname())
+            raw, _ = server.accept()
+            sender = CallerSender(
+                raw=raw, clock=clock, holding=holding, get_stall_seconds=lambda: 60.0
+            )
+            sender.set_options()
+            holding.enter(Stage.SENDING)
+            greenlet = gevent.spawn(sender.send, bytes(20_000_000))
+            wait_until(lambda: holding.waiting_since is not None)
+            gevent.sleep(0.3)
+            holding.close("memory")
+            with gevent.Timeout(10), pytest.raises(CallerClosed) as raised:
+                greenlet.get()
+            raw.close()
+            assert raised.value.cause == "memory"
+
+    def test_one_may_pause_before_it_reads_the_end_of_the_last_response(
+        self, harnesses: list[ForwarderHarness]
+    ) -> None:
+        """
+        Guards against a reset of what the kernel has queued when a connection closes.
+
+        A caller may pause for the idle timeout, there as before.
+        """
+        body = LONG_BODY[:60_000]
+        harness = make_limited_harness(harnesses, make_body_script(body))
+        set_idle_seconds(harness, 9.0)
+        with self.open_slow(
+            harness, "/order/1", extra_headers="Connection: close\r\n"
+        ) as connection:
+            wait_until(lambda: bool(harness.get_log_lines("answered")))
+            wait_until(lambda: not harness.account.connection_count)
+            gevent.sleep(5.0)
+            assert read_all(connection).endswith(body[-30_000:])
+
+    def test_what_is_queued_of_an_aborted_response_is_dropped(
+        self, harnesses: list[ForwarderHarness]
+    ) -> None:
+        """Guards against kernel queues that outlive the connections of slow callers."""
+        harness = make_limited_harness(
+            harnesses, make_body_script(LONG_BODY, cut_at=60_000)
+        )
+        with self.open_slow(harness, "/order/1") as connection:
+            wait_until(lambda: bool(harness.get_log_lines("attempt-failed")))
+            wait_until(lambda: not harness.account.connection_count)
+            gevent.sleep(0.1)
+            received_bytes = 0
+            with pytest.raises(ConnectionResetError):
+                while data := connection.recv(65_536):
+                    received_bytes += len(data)
+            assert received_bytes < 40_000
+
 
 class TestShortage:
     def test_a_new_request_is_refused_before_it_is_sent(
