--- a/damasklead/gateway/response_relay.py
+++ b/damasklead/gateway/response_relay.py
@@ -186,7 +186,7 @@
     def _check_unframed_end(self, upstream: Connection, record: UpstreamRecord) -> None:
         """
         Raise ``SendError`` if the end of the connection, which delimits the response,
-        was the end of the replica.
+        was the end of the replica, or may be a cut-off of what the caller held up.
 
         ``ConnectionLimitError`` if that can't be found out.
         """
@@ -198,6 +198,8 @@
             # A replica that cuts off a response still accepts connections.
             self._is_held_up = False
             raise SendError(Failure.BROKEN, "the replica ended with the connection")
+        if self._is_held_up:
+            raise SendError(Failure.BROKEN, "the end may be that of a held-up response")
 
     def _relay_complete(
         self, upstream: Connection, reply: ResponseHead, record: UpstreamRecord
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -449,6 +449,27 @@
         assert not harness.get_log_lines("attempt-failed")
         assert sum(len(replica.requests) for replica in harness.replicas) == 1
 
+    def test_a_cut_off_response_without_framing_does_not_look_complete(
+        self, harnesses: list[ForwarderHarness]
+    ) -> None:
+        """Guards against a last chunk after what a replica cut off unread."""
+
+        def cut_off(replica: ScriptedReplica, connection: socket.socket) -> None:
+            attempt = replica.receive_request(connection)
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 16_384)
+            data = make_framed(
+                LONG_BODY * 8, f"Attempt-Id: {attempt}", SIGNED, framing="connection"
+            )
+            with gevent.Timeout(1.5, False):
+                connection.sendall(data)
+
+        harness = make_limited_harness(harnesses, cut_off)
+        set_idle_seconds(harness, 8.0)
+        with self.open_slow(harness, "/order/1") as connection:
+            gevent.sleep(2.0)
+            assert not read_all(connection).endswith(b"0\r\n\r\n")
+        wait_until(lambda: harness.closed_callers == ["cut-off"])
+
     @pytest.mark.parametrize("failure", ["broken", "timed-out"])
     def test_a_replica_that_fails_after_one_has_paused_has_failed(
         self, harnesses: list[ForwarderHarness], failure: str
