--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -82,13 +82,13 @@
 
 
 @pytest.mark.parametrize(
-    ("module", "constant", "without", "has_tiers"),
+    ("module", "constant", "without", "states_speeds"),
     [
-        (engine_placement, "COPY_WEIGHT", 0.0, True),
-        (stream_room, "PREFILL_FRACTION", 0.0, True),
-        # The rule for streams of one tier.
+        (engine_placement, "COPY_WEIGHT", 0.0, False),
         (engine_placement, "INTERLEAVED_PREFILL_FRACTION", 0.0, False),
-        (engine_placement, "MIN_RESERVED_FRACTION", 0.0, True),
+        (engine_placement, "MIN_RESERVED_FRACTION", 0.0, False),
+        # Takes the place of the fraction above where engines state their speed.
+        (stream_room, "PREFILL_FRACTION", 0.0, True),
     ],
 )
 def test_each_part_of_the_placement_raises_attainment_in_a_burst(
@@ -97,12 +97,12 @@
     module: ModuleType,
     constant: str,
     without: float,
-    has_tiers: bool,
+    states_speeds: bool,
 ) -> None:
-    if not has_tiers:
-        monkeypatch.setattr(
-            engine_placement.EnginePlacement, "_configure_room", lambda *_: None
-        )
+    engines = msgspec.structs.replace(
+        experiment.engines, reports_slowdown=states_speeds
+    )
+    experiment = msgspec.structs.replace(experiment, engines=engines)
     with_part = compute_mean_attainment(
         [run_policy(experiment, seed=seed) for seed in SEEDS]
     )
