--- a/damasklead/gateway/calls.py
+++ b/damasklead/gateway/calls.py
@@ -268,7 +268,8 @@
         Requests per second that the replica accepts from all gateways together, if it
         names a limit.
     dropped_figure : str
-        Text of a figure of the load that is invalid and was dropped, if any.
+        Text of what was dropped of the load as invalid, its fourth figure or the whole
+        header; empty if nothing was.
     detail : str
         Reason for the classification, for the log.
     """
--- a/damasklead/memory_shortage.py
+++ b/damasklead/memory_shortage.py
@@ -51,8 +51,8 @@
 # the account doesn't see: copies on the way, and blocks that the allocator keeps.
 PROCESS_BYTES = 41_943_040
 UNSEEN_FRACTION = 0.08
-# Memory that a held byte takes, with copies and the loss of the allocator: 1.5 measured
-# with 1,600 callers of chunked responses.
+# Memory that a held byte takes, with copies and the loss of the allocator, as seen with
+# 1,600 callers of chunked responses.
 BYTES_PER_HELD_BYTE = 1.5
 # Smallest limit, for an instance whose memory the process itself takes.
 MIN_LIMIT_BYTES = 4_194_304
--- a/damasklead/platform/headers.py
+++ b/damasklead/platform/headers.py
@@ -285,7 +285,8 @@
     -------
     tuple of LoadHint or None, and str
         ``None`` if the header is absent or one of its first three figures is invalid;
-        the text of the fourth figure if that is invalid, else an empty text.
+        the text of what was dropped, the whole header or its fourth figure, else an
+        empty text.
     """
     if value is None:
         return None, ""
@@ -293,9 +294,9 @@
     try:
         counts = [int(item) for item in figures[:3]]
     except ValueError:
-        return None, ""
+        return None, _describe_dropped(value)
     if not 0 <= min(counts) <= max(counts) <= MAX_COUNT:
-        return None, ""
+        return None, _describe_dropped(value)
     running, waiting, slots = (*counts, 0, 0)[:3]
     if len(figures) <= 3:
         return LoadHint(running, waiting, slots), ""
