--- a/review/stage_2.py
+++ b/review/stage_2.py
@@ -29,6 +29,10 @@
 HOST = "ficu95.example"
 KEY = "n2ctnfzs989anu6wsjnb"
 ZONES = ("saldanha", "hout", "mossel")
+# Names and keys; the first one sends what tests don't send for others.
+TENANTS = {"hule930": KEY} | {
+    f"fida{item}": f"anfqasnmgkcuyj{item}" for item in range(9)
+}
 HEARTBEAT_SECONDS = 1.2
 START_SECONDS = 25.0
 
@@ -212,6 +216,11 @@
                 words, cwd=ROOT, env=environment, stdout=file, stderr=file
             )
 
+    @property
+    def pid(self) -> int:
+        """The process's id."""
+        return self._process.pid
+
     @property
     def exit_code(self) -> int | None:
         """The exit code, ``None`` while it runs."""
@@ -236,6 +245,89 @@
     return inherited | {"PYTHONPATH": deps} | variables
 
 
+class Proxy:
+    """
+    The way to a replica, which can be made silent.
+
+    While it is silent nothing is passed on, and new connections get no answer: the
+    accept queue of the listening socket is full, so that the kernel drops their first
+    packet.
+    """
+
+    def __init__(self, target_port: int) -> None:
+        self._target_port = target_port
+        self._socket = socket.socket()
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._socket.bind(("127.0.0.1", find_free_ports(1)[0]))
+        self._socket.listen(512)
+        self._socket.setblocking(False)
+        self._fillers: list[socket.socket] = []
+        self._passing = asyncio.Event()
+        self._passing.set()
+        self._acceptor: asyncio.Task | None = None
+        self._tasks: set[asyncio.Task] = set()
+
+    @property
+    def port(self) -> int:
+        """Port at which it listens."""
+        return self._socket.getsockname()[1]
+
+    def start(self) -> None:
+        """Begin to accept connections."""
+        self._acceptor = asyncio.create_task(self._accept())
+
+    def silence(self) -> None:
+        """Pass nothing on, and accept nothing."""
+        assert self._acceptor is not None
+        self._acceptor.cancel()
+        self._passing.clear()
+        self._socket.listen(0)
+        for _ in range(3):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(("127.0.0.1", self.port))
+            self._fillers.append(filler)
+
+    def resume(self) -> None:
+        """End the silence."""
+        for filler in self._fillers:
+            filler.close()
+        self._fillers.clear()
+        self._socket.listen(512)
+        self._passing.set()
+        self.start()
+
+    async def _accept(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            raw, _ = await loop.sock_accept(self._socket)
+            task = asyncio.create_task(self._serve(raw))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _serve(self, raw: socket.socket) -> None:
+        reader, writer = await asyncio.open_connection(sock=raw)
+        try:
+            target = await asyncio.open_connection("127.0.0.1", self._target_port)
+        except OSError:
+            writer.transport.abort()
+            return
+        await asyncio.gather(
+            self._copy(reader, target[1]), self._copy(target[0], writer)
+        )
+
+    async def _copy(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with contextlib.suppress(OSError):
+            while data := await reader.read(65_536):
+                await self._passing.wait()
+                writer.write(data)
+                await writer.drain()
+        await self._passing.wait()
+        writer.close()
+
+
 class Gateway:
     """A gateway, started with the command of the deploy file."""
 
@@ -322,6 +414,7 @@
         self.zone = zone
         self.port = find_free_ports(1)[0]
         self.born = int(time.time() * 1000)
+        self.proxy: Proxy | None = None
         self.runs = folder / f"{name}.runs"
         self._log = folder / f"{name}.log"
         self._process: Process | None = None
@@ -344,9 +437,10 @@
 
     def make_entry(self, *, slots: int, state: str = "ready") -> dict:
         """Return its entry in the store."""
+        port = self.port if self.proxy is None else self.proxy.port
         return {
             "service": self.service,
-            "address": f"127.0.0.1:{self.port}",
+            "address": f"127.0.0.1:{port}",
             "zone": self.zone,
             "version": "v1",
             "slots": slots,
@@ -395,6 +489,9 @@
         self._slots = 6
         self._service = ""
         self._options: dict[str, object] = {}
+        self._has_proxies = False
+        self._seeds: list[int] = []
+        self._memory_mb = 150
 
     async def start(
         self,
@@ -405,11 +502,14 @@
         routes: list[dict],
         spec: dict | None = None,
         slots: int = 6,
+        has_proxies: bool = False,
+        memory_mb: int = 150,
         **options: object,
     ) -> None:
         """Start everything, and wait until all gateways are ready."""
         await self.store.start()
         self._slots, self._service, self._options = slots, service, options
+        self._has_proxies = has_proxies
         for _ in range(replicas):
             self.add_replica()
         services = [{"name": service, "max_connections": 370, **(spec or {})}]
@@ -426,7 +526,9 @@
                     "header_timeout_ms": 3000,
                     "idle_timeout_ms": 15000,
                 },
-                "tenants": [{"name": "hule930", "api_keys": [KEY]}],
+                "tenants": [
+                    {"name": name, "api_keys": [key]} for name, key in TENANTS.items()
+                ],
             },
         )
         self.gateways = [
@@ -434,8 +536,9 @@
             for number in range(gateways)
         ]
         seeds = [gateway.operators for gateway in self.gateways]
+        self._seeds, self._memory_mb = seeds, memory_mb
         for gateway in self.gateways:
-            gateway.start(store=self.store.address, seeds=seeds)
+            self.start_gateway(gateway)
         ends_at = time.monotonic() + START_SECONDS
         while not all([await item.is_ready() for item in self.gateways]):
             if time.monotonic() > ends_at:
@@ -443,6 +546,12 @@
             await asyncio.sleep(0.1)
         await asyncio.sleep(3.0)  # until the gateways know each other
 
+    def start_gateway(self, gateway: Gateway) -> None:
+        """Start a gateway, or start it again after its end."""
+        gateway.start(
+            store=self.store.address, seeds=self._seeds, memory_mb=self._memory_mb
+        )
+
     def add_replica(self) -> Replica:
         """Start a replica and list it."""
         number = len(self.replicas)
@@ -453,6 +562,9 @@
             zone=ZONES[number % len(ZONES)],
         )
         replica.start(**self._options)
+        if self._has_proxies:
+            replica.proxy = Proxy(replica.port)
+            replica.proxy.start()
         self.replicas.append(replica)
         self.list_replica(replica)
         return replica
@@ -624,8 +736,10 @@
     name : str
     options : dict
         ``born``, ``runs``, and how it answers: ``events`` and ``interval`` of a stream
-        (0 events: a short answer), ``work`` in seconds, and ``unframed_every``, the
-        number of answers of which one has no length.
+        (0 events: a short answer), ``work`` in seconds, ``unframed_every``, the number
+        of answers of which one has no length, and ``pause_file``: a file that names a
+        replica which rejects requests, the seconds that it asks for, and until when it
+        rejects, by the monotonic clock.
     """
 
     def __init__(self, name: str, options: dict) -> None:
@@ -680,6 +794,13 @@
             text = f"HTTP/1.1 421 Misdirected\r\n{head}Content-Length: 0\r\n\r\n"
             writer.write(text.encode())
             return True
+        pause = self._read_pause()
+        if pause is not None:
+            self._note("rejects", id=attempt, retry_after=pause)
+            text = f"HTTP/1.1 503 Busy\r\n{head}Not-Executed: 1\r\n"
+            text += f"Retry-After: {pause}\r\nContent-Length: 0\r\n\r\n"
+            writer.write(text.encode())
+            return True
         self._count += 1
         every = self._options.get("unframed_every", 0)
         is_unframed = bool(every) and self._count % every == 0
@@ -694,6 +815,15 @@
         self._note("ends", id=attempt)
         return not is_unframed
 
+    def _read_pause(self) -> int | None:
+        """Return the seconds that it asks for while it rejects requests."""
+        file = self._options.get("pause_file")
+        if file is None or not Path(file).exists():
+            return None
+        instance, seconds, ends_at = Path(file).read_text().split()
+        is_over = instance != self._name or time.monotonic() >= float(ends_at)
+        return None if is_over else int(seconds)
+
     async def _stream(
         self, head: str, writer: asyncio.StreamWriter, *, is_unframed: bool
     ) -> None:
