--- a/review/stage_2.py
+++ b/review/stage_2.py
@@ -574,6 +574,21 @@
         entry = replica.make_entry(slots=self._slots, state=state)
         self.store.put("servers", replica.name, entry)
 
+    async def replace_crashed(self, *, back_after: float) -> None:
+        """Drop crashed replicas after three heartbeats, and start others."""
+        loop = asyncio.get_running_loop()
+        seen: set[str] = set()
+        while True:
+            await asyncio.sleep(0.05)
+            for replica in list(self.replicas):
+                if replica.name in seen or replica.process.exit_code is None:
+                    continue
+                seen.add(replica.name)
+                self.record.add(f"replica {replica.name} has ended")
+                seconds = 3 * HEARTBEAT_SECONDS
+                loop.call_later(seconds, self.store.remove, "servers", replica.name)
+                loop.call_later(back_after, self.add_replica)
+
     def kill_replicas(self, replicas: list[Replica]) -> None:
         """Crash replicas; the store drops their entries after three heartbeats."""
         for replica in replicas:
@@ -805,6 +820,10 @@
         every = self._options.get("unframed_every", 0)
         is_unframed = bool(every) and self._count % every == 0
         self._note("runs", id=attempt, path=path, unframed=is_unframed)
+        if path.endswith("/crash"):
+            if self._options.get("events"):
+                self._begin_stream(head, writer)
+            await self._crash(int(headers["deadline-ms"]) / 1000)
         await asyncio.sleep(self._options.get("work", 0.015))
         if not self._options.get("events"):
             body = f"done {attempt}".encode()
@@ -815,6 +834,22 @@
         self._note("ends", id=attempt)
         return not is_unframed
 
+    def _begin_stream(self, head: str, writer: asyncio.StreamWriter) -> None:
+        """Send the head and the first event of a stream."""
+        text = f"HTTP/1.1 200 OK\r\n{head}Content-Type: text/event-stream\r\n"
+        text += "Transfer-Encoding: chunked\r\n\r\n"
+        event = b"id: 1\ndata: x\n\n"
+        writer.write(text.encode() + b"%x\r\n%s\r\n" % (len(event), event))
+
+    async def _crash(self, seconds_left: float) -> None:
+        """End the process, unless the deadline comes first, which ends the work."""
+        crash_seconds = self._options["crash_after"]
+        if crash_seconds <= seconds_left:
+            await asyncio.sleep(crash_seconds)
+            self._note("crashes")
+            os._exit(1)
+        await asyncio.sleep(seconds_left)
+
     def _read_pause(self) -> int | None:
         """Return the seconds that it asks for while it rejects requests."""
         file = self._options.get("pause_file")
