--- a/review/stage_2.py
+++ b/review/stage_2.py
@@ -245,89 +245,6 @@
     return inherited | {"PYTHONPATH": deps} | variables
 
 
-class Proxy:
-    """
-    The way to a replica, which can be made silent.
-
-    While it is silent nothing is passed on, and new connections get no answer: the
-    accept queue of the listening socket is full, so that the kernel drops their first
-    packet.
-    """
-
-    def __init__(self, target_port: int) -> None:
-        self._target_port = target_port
-        self._socket = socket.socket()
-        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._socket.bind(("127.0.0.1", find_free_ports(1)[0]))
-        self._socket.listen(512)
-        self._socket.setblocking(False)
-        self._fillers: list[socket.socket] = []
-        self._passing = asyncio.Event()
-        self._passing.set()
-        self._acceptor: asyncio.Task | None = None
-        self._tasks: set[asyncio.Task] = set()
-
-    @property
-    def port(self) -> int:
-        """Port at which it listens."""
-        return self._socket.getsockname()[1]
-
-    def start(self) -> None:
-        """Begin to accept connections."""
-        self._acceptor = asyncio.create_task(self._accept())
-
-    def silence(self) -> None:
-        """Pass nothing on, and accept nothing."""
-        assert self._acceptor is not None
-        self._acceptor.cancel()
-        self._passing.clear()
-        self._socket.listen(0)
-        for _ in range(3):
-            filler = socket.socket()
-            filler.setblocking(False)
-            filler.connect_ex(("127.0.0.1", self.port))
-            self._fillers.append(filler)
-
-    def resume(self) -> None:
-        """End the silence."""
-        for filler in self._fillers:
-            filler.close()
-        self._fillers.clear()
-        self._socket.listen(512)
-        self._passing.set()
-        self.start()
-
-    async def _accept(self) -> None:
-        loop = asyncio.get_running_loop()
-        while True:
-            raw, _ = await loop.sock_accept(self._socket)
-            task = asyncio.create_task(self._serve(raw))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
-
-    async def _serve(self, raw: socket.socket) -> None:
-        reader, writer = await asyncio.open_connection(sock=raw)
-        try:
-            target = await asyncio.open_connection("127.0.0.1", self._target_port)
-        except OSError:
-            writer.transport.abort()
-            return
-        await asyncio.gather(
-            self._copy(reader, target[1]), self._copy(target[0], writer)
-        )
-
-    async def _copy(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        with contextlib.suppress(OSError):
-            while data := await reader.read(65_536):
-                await self._passing.wait()
-                writer.write(data)
-                await writer.drain()
-        await self._passing.wait()
-        writer.close()
-
-
 class Gateway:
     """A gateway, started with the command of the deploy file."""
 
@@ -414,7 +331,6 @@
         self.zone = zone
         self.port = find_free_ports(1)[0]
         self.born = int(time.time() * 1000)
-        self.proxy: Proxy | None = None
         self.runs = folder / f"{name}.runs"
         self._log = folder / f"{name}.log"
         self._process: Process | None = None
@@ -437,10 +353,9 @@
 
     def make_entry(self, *, slots: int, state: str = "ready") -> dict:
         """Return its entry in the store."""
-        port = self.port if self.proxy is None else self.proxy.port
         return {
             "service": self.service,
-            "address": f"127.0.0.1:{port}",
+            "address": f"127.0.0.1:{self.port}",
             "zone": self.zone,
             "version": "v1",
             "slots": slots,
@@ -489,7 +404,6 @@
         self._slots = 6
         self._service = ""
         self._options: dict[str, object] = {}
-        self._has_proxies = False
         self._seeds: list[int] = []
         self._memory_mb = 150
 
@@ -502,14 +416,12 @@
         routes: list[dict],
         spec: dict | None = None,
         slots: int = 6,
-        has_proxies: bool = False,
         memory_mb: int = 150,
         **options: object,
     ) -> None:
         """Start everything, and wait until all gateways are ready."""
         await self.store.start()
         self._slots, self._service, self._options = slots, service, options
-        self._has_proxies = has_proxies
         for _ in range(replicas):
             self.add_replica()
         services = [{"name": service, "max_connections": 370, **(spec or {})}]
@@ -562,9 +474,6 @@
             zone=ZONES[number % len(ZONES)],
         )
         replica.start(**self._options)
-        if self._has_proxies:
-            replica.proxy = Proxy(replica.port)
-            replica.proxy.start()
         self.replicas.append(replica)
         self.list_replica(replica)
         return replica
