--- a/review/stage_2.py
+++ b/review/stage_2.py
@@ -602,7 +602,12 @@
     return answer
 
 
-def run_case(main: Callable[[Stage, bool], AsyncIterator[str]], folder: Path) -> int:
+def run_case(
+    main: Callable[[Stage, bool], AsyncIterator[str]],
+    folder: Path,
+    *,
+    has_trouble: bool,
+) -> int:
     """
     Run a test, and write its record.
 
@@ -613,6 +618,8 @@
         of the rule.
     folder : Path
         Folder of the case.
+    has_trouble : bool
+        Whether the disruption takes place.
 
     Returns
     -------
@@ -620,7 +627,6 @@
         1 if the rule was broken, 0 if it held, 2 if the test couldn't run.
     """
     record = Record()
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
     violations: list[str] = []
 
     async def run() -> None:
