--- a/review/stage_2.py
+++ b/review/stage_2.py
@@ -37,25 +37,50 @@
 START_SECONDS = 25.0
 
 
-# Ports below those that the kernel gives to outgoing connections, in random order, so
-# that tests beside each other seldom choose the same.
-_PORTS = iter(random.sample(range(20_000, 32_000), 12_000))
+# Ports below those that the kernel gives to outgoing connections.  Each test takes a
+# block of them for itself, so that tests beside each other don't choose the same.
+FIRST_PORT, LAST_PORT, BLOCK_PORTS = 20_000, 32_000, 200
+
+
+class PortBlock:
+    """A block of ports, whose first one is held as long as the test runs."""
+
+    def __init__(self) -> None:
+        self._socket = socket.socket()
+        bases = list(range(FIRST_PORT, LAST_PORT, BLOCK_PORTS))
+        random.shuffle(bases)
+        self._next = next(base for base in bases if self._claim(base)) + 1
+
+    def _claim(self, base: int) -> bool:
+        try:
+            self._socket.bind(("127.0.0.1", base))
+        except OSError:
+            return False
+        return True
+
+    def take(self) -> int:
+        """Return the next port that is free for TCP and UDP."""
+        while True:
+            address = ("127.0.0.1", self._next)
+            self._next += 1
+            with (
+                contextlib.suppress(OSError),
+                socket.socket() as tcp,
+                socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp,
+            ):
+                tcp.bind(address)
+                udp.bind(address)
+                return address[1]
+
+
+_ports: list[PortBlock] = []
 
 
 def find_free_ports(count: int) -> list[int]:
     """Return ports that are free for TCP and UDP, others with each call."""
-    ports: list[int] = []
-    while len(ports) < count:
-        address = ("127.0.0.1", next(_PORTS))
-        with (
-            contextlib.suppress(OSError),
-            socket.socket() as tcp,
-            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp,
-        ):
-            tcp.bind(address)
-            udp.bind(address)
-            ports.append(address[1])
-    return ports
+    if not _ports:
+        _ports.append(PortBlock())
+    return [_ports[0].take() for _ in range(count)]
 
 
 async def read_head(reader: asyncio.StreamReader) -> tuple[str, list[tuple[str, str]]]:
@@ -211,6 +236,7 @@
     """A process of the test, which ends with it."""
 
     def __init__(self, words: list[str], *, environment: dict, log: Path) -> None:
+        self.is_signalled = False
         with log.open("ab") as file:
             self._process = subprocess.Popen(
                 words, cwd=ROOT, env=environment, stdout=file, stderr=file
@@ -229,6 +255,7 @@
     def send(self, number: signal.Signals) -> None:
         """Send a signal, if the process runs."""
         if self._process.poll() is None:
+            self.is_signalled = True
             self._process.send_signal(number)
 
     def end(self) -> None:
@@ -455,8 +482,17 @@
         while not all([await item.is_ready() for item in self.gateways]):
             if time.monotonic() > ends_at:
                 raise RuntimeError("a gateway did not become ready")
+            self.check_gateways()
             await asyncio.sleep(0.1)
         await asyncio.sleep(3.0)  # until the gateways know each other
+        self.check_gateways()
+
+    def check_gateways(self) -> None:
+        """Raise ``RuntimeError`` if a gateway has ended that nobody stopped."""
+        for gateway in self.gateways:
+            code = gateway.process.exit_code
+            if code is not None and not gateway.process.is_signalled:
+                raise RuntimeError(f"{gateway.name} has ended, exit code {code}")
 
     def start_gateway(self, gateway: Gateway) -> None:
         """Start a gateway, or start it again after its end."""
@@ -637,6 +673,7 @@
                     async for item in main(stage, has_trouble):
                         violations.append(item)
                         record.add(f"VIOLATION {item}")
+                    stage.check_gateways()
             finally:
                 stage.close()
                 if keep := os.environ.get("KEEP_LOGS"):
