--- a/soak/callers.py
+++ b/soak/callers.py
@@ -16,7 +16,7 @@
 from soak.replicas import CRASHING_PART
 from tests.gateway_kit import make_request
 
-__all__ = ["Caller", "ObservedResponse"]
+__all__ = ["Caller", "ObservedResponse", "read_response"]
 
 RESUMABLE_PATH = "/draft/1"
 PATHS = ("/order/1", "/read/1", "/chat/1", RESUMABLE_PATH)
@@ -69,7 +69,10 @@
     @property
     def events(self) -> bytes:
         """The complete events that all attempts at the stream have brought."""
-        return self.events_before + self.body[: self.body.rfind(b"\n\n") + 2]
+        if self.status != 200:
+            return self.events_before
+        events, delimiter, _ = self.body.rpartition(b"\n\n")
+        return self.events_before + events + delimiter
 
 
 class Caller:
@@ -195,7 +198,7 @@
                 )
             connection.sendall(data)
             self._responses.append(response)
-            if _read_response(connection, response):
+            if read_response(connection, response):
                 self._connections[gateway] = connection
             else:
                 connection.close()
@@ -213,7 +216,7 @@
     return bool(poller.poll(0))
 
 
-def _read_response(connection: socket.socket, response: ObservedResponse) -> bool:
+def read_response(connection: socket.socket, response: ObservedResponse) -> bool:
     """Read a response into its record; returns whether the connection is reusable."""
     stream = connection.makefile("rb")
     line = stream.readline()
--- a/tests/gateway_kit.py
+++ b/tests/gateway_kit.py
@@ -60,6 +60,7 @@
 from damasklead.platform.headers import PlatformDialect
 from damasklead.rate_limits import RateLimits
 from damasklead.util import split_address
+from tests.http_messages import make_chunk as make_chunk, read_request
 
 SERVICE = ServiceName("shop")
 KEY = "key-1"
@@ -102,37 +103,6 @@
     return Position(StoreEra(era), version)
 
 
-def read_request(connection: socket.socket) -> tuple[str, dict[str, str], bytes]:
-    """
-    Read a request.
-
-    Returns
-    -------
-    tuple
-        The request line, the headers by lowercase name, and the body.
-
-    Raises
-    ------
-    EOFError
-        If the connection is closed before the head is complete.
-    """
-    data = b""
-    while b"\r\n\r\n" not in data:
-        received = connection.recv(65536)
-        if not received:
-            raise EOFError
-        data += received
-    head, _, body = data.partition(b"\r\n\r\n")
-    lines = head.decode().split("\r\n")
-    headers = {
-        name.lower(): value.strip()
-        for name, _, value in (line.partition(":") for line in lines[1:])
-    }
-    while len(body) < int(headers.get("content-length", 0)):
-        body += connection.recv(65536)
-    return lines[0], headers, body
-
-
 def make_response(
     attempt: str,
     body: bytes = b"done",
@@ -152,11 +122,6 @@
     return f"id: {number}\ndata: piece {number}\n\n".encode()
 
 
-def make_chunk(data: bytes) -> bytes:
-    """Return a chunk of a chunked body."""
-    return b"%x\r\n" % len(data) + data + b"\r\n"
-
-
 def make_stream_head(attempt: str) -> bytes:
     """Return the response head of an event stream."""
     return (
