Log what the end of a response without a length is taken for

The event unframed-end names what was found out about the replica, from a kept connection, a new one or another gateway, and whether the gateway counted as isolated.

The stand-in for a cut reports a connection that the kernel has given up once, and then its end, as the kernel does; a fault of the check of resumed streams is mended.

--- a/damasklead/gateway/replica_probe.py
+++ b/damasklead/gateway/replica_probe.py
@@ -12,6 +12,7 @@
 from enum import Enum
 
 import gevent
+import msgspec
 
 from damasklead.gateway.calls import UpstreamRecord
 from damasklead.gateway.crash_containment import Containment
@@ -22,7 +23,7 @@
 )
 from damasklead.ids import InstanceId
 
-__all__ = ["Liveness", "ReplicaProbe"]
+__all__ = ["Liveness", "ProbeResult", "ProbeWay", "ReplicaProbe"]
 
 
 class Liveness(Enum):
@@ -38,6 +39,21 @@
     UNKNOWN = "unknown"
 
 
+class ProbeWay(Enum):
+    """How the liveness of a replica was found out."""
+
+    KEPT_CONNECTION = "kept-connection"
+    NEW_CONNECTION = "new-connection"
+    OTHER_GATEWAY = "other-gateway"
+
+
+class ProbeResult(msgspec.Struct, frozen=True):
+    """What was found out about a replica, and how."""
+
+    liveness: Liveness
+    way: ProbeWay
+
+
 class ReplicaProbe:
     """
     Probes replicas and reports the results to the crash containment.
@@ -68,9 +84,9 @@
         self._ask_others = ask_others
         self._probed: set[tuple[InstanceId, int]] = set()
 
-    def check(self, record: UpstreamRecord) -> Liveness:
+    def check(self, record: UpstreamRecord) -> ProbeResult:
         """
-        Return whether a replica accepts a connection.
+        Find out whether a replica accepts a connection.
 
         Raises
         ------
@@ -78,13 +94,14 @@
             When no connection may be opened to find out.
         """
         try:
-            self._connections.preconnect(record.address)
+            was_open = self._connections.preconnect(record.address)
         except ConnectionLimitError:
             raise
         except SendError as error:
             is_refusal = isinstance(error.__cause__, ConnectionRefusedError)
             return self._confirm(record, is_refusal=is_refusal)
-        return Liveness.ACCEPTS
+        way = ProbeWay.KEPT_CONNECTION if was_open else ProbeWay.NEW_CONNECTION
+        return ProbeResult(Liveness.ACCEPTS, way)
 
     def report_failed_connection(self, record: UpstreamRecord) -> None:
         """Report to the containment, if others confirm it, that a replica is gone."""
@@ -93,17 +110,19 @@
         elif self._containment.has_broken_responses(record):
             self.start(record)
 
-    def _confirm(self, record: UpstreamRecord, *, is_refusal: bool) -> Liveness:
+    def _confirm(self, record: UpstreamRecord, *, is_refusal: bool) -> ProbeResult:
         """Return what other gateways find after a connection has failed."""
+        liveness = Liveness.REFUSES if is_refusal else Liveness.UNKNOWN
         if self._ask_others is None:
-            return Liveness.REFUSES if is_refusal else Liveness.UNKNOWN
-        is_reached = self._ask_others(record.address)
-        if is_reached:
-            return Liveness.ACCEPTS
-        if self._is_isolated():
+            return ProbeResult(liveness, ProbeWay.NEW_CONNECTION)
+        if self._ask_others(record.address):
+            liveness = Liveness.ACCEPTS
+        elif self._is_isolated():
             # All replicas are out of reach here, and maybe from the other gateway.
-            return Liveness.UNKNOWN
-        return Liveness.REFUSES if is_refusal else Liveness.UNREACHABLE
+            liveness = Liveness.UNKNOWN
+        elif not is_refusal:
+            liveness = Liveness.UNREACHABLE
+        return ProbeResult(liveness, ProbeWay.OTHER_GATEWAY)
 
     def start(self, record: UpstreamRecord) -> None:
         """
@@ -118,7 +137,7 @@
 
     def _run(self, record: UpstreamRecord) -> None:
         try:
-            liveness = self.check(record)
+            liveness = self.check(record).liveness
         except ConnectionLimitError:
             return  # nothing was found out
         finally:
--- a/damasklead/gateway/response_relay.py
+++ b/damasklead/gateway/response_relay.py
@@ -123,6 +123,9 @@
         self._is_held_up = False
         self._waited_at_read = 0.0
         self._replica_seconds = 0.0
+        # Longest time between two reads of the present attempt, in seconds.
+        self._longest_gap = 0.0
+        self._read_at = 0.0
         self.status = 0
         self.is_signed = False
         self.event_count = 0
@@ -154,6 +157,7 @@
         is_complete = self._call.route.kind is not RouteKind.STREAM
         self._is_held_up = False
         self._waited_at_read = self._caller.waited_seconds
+        self._longest_gap, self._read_at = 0.0, self._context.clock.now()
         try:
             if is_complete or not 200 <= reply.status < 300:
                 self._relay_complete(upstream, reply, record)
@@ -191,7 +195,10 @@
         try:
             data = upstream.read_body_data(max_bytes=max_bytes)
         finally:
-            self._replica_seconds += clock.now() - started_at
+            now = clock.now()
+            self._replica_seconds += now - started_at
+            self._longest_gap = max(self._longest_gap, now - self._read_at)
+            self._read_at = now
         if self._replica_seconds >= HELD_UP_SECONDS:
             self._is_held_up = False
         return data
@@ -209,7 +216,21 @@
             raise SendError(Failure.BROKEN, "the end may be that of the tunnel")
         # Makes room for the connection of the check if the pool is full.
         upstream.close()
-        if self._context.probe.check(record) is Liveness.REFUSES:
+        result = self._context.probe.check(record)
+        self._context.journal.event(
+            "unframed-end",
+            request=self._call.id,
+            replica=record.instance,
+            incarnation=record.incarnation,
+            reported=upstream.incarnation or 0,
+            liveness=result.liveness.value,
+            way=result.way.value,
+            isolated=self._context.is_isolated(),
+            held_up=self._is_held_up,
+            longest_gap=self._longest_gap,
+            events=self.event_count,
+        )
+        if result.liveness is Liveness.REFUSES:
             # A replica that cuts off a response still accepts connections.
             self._is_held_up = False
             raise SendError(Failure.BROKEN, "the replica ended with the connection")
--- a/damasklead/gateway/upstream_http.py
+++ b/damasklead/gateway/upstream_http.py
@@ -556,16 +556,20 @@
             connection.close()
         return self._open(address)
 
-    def preconnect(self, address: str) -> None:
+    def preconnect(self, address: str) -> bool:
         """
         Have an idle connection ready, which shows that the replica accepts one.
 
+        Returns whether it was open before.
+
         Raises
         ------
         SendError
             ``NOT_SENT`` when the connection can't be opened.
         """
+        opened_count = self._opened
         self.release(self.acquire(address), keep_alive=None)
+        return self._opened == opened_count
 
     def release(self, connection: Connection, *, keep_alive: float | None) -> None:
         """
--- a/soak/partition.py
+++ b/soak/partition.py
@@ -102,10 +102,13 @@
 
     file: _PartitionFile
     _held = b""
+    _is_given_up = False
 
     def recv(self, size: int, flags: int = 0) -> bytes:
         deadline = None if self.timeout is None else time.monotonic() + self.timeout
         while True:
+            if self._is_given_up:
+                return b""  # the kernel reports the error once
             partition = self._check()
             if partition.kind in (PartitionKind.NONE, PartitionKind.REFUSE):
                 self._flush()
@@ -120,6 +123,8 @@
             gevent.sleep(POLL_SECONDS)
 
     def send(self, data: Any, flags: int = 0, timeout: Any = None) -> int:
+        if self._is_given_up:
+            raise BrokenPipeError(errno.EPIPE, "given up before")
         if self._check().kind is PartitionKind.SILENT:
             self._held += bytes(data)
             return len(data)
@@ -138,6 +143,7 @@
             raise ConnectionResetError(errno.ECONNRESET, "reset by the partition")
         is_silent = partition.kind in (PartitionKind.SILENT, PartitionKind.NO_RESPONSES)
         if is_silent and time.monotonic() - partition.since > USER_TIMEOUT_SECONDS:
+            self._is_given_up = True
             raise TimeoutError(errno.ETIMEDOUT, "no acknowledgement")
         return partition
 
--- a/soak/streams/checks.py
+++ b/soak/streams/checks.py
@@ -124,8 +124,8 @@
         last, last_run = number, token
     if stream.is_complete and last != kind.events:
         return BreachKind.EARLY, f"{last} of {kind.events} events"
-    part = stream.parts[-1]
-    if part.is_complete and part.status == 200 and not part.body.endswith(b"\n\n"):
+    body = stream.parts[-1].body
+    if stream.is_complete and body and not body.endswith(b"\n\n"):
         return BreachKind.EARLY, "ends within an event"
     return None
 
--- a/tests/test_soak_streams.py
+++ b/tests/test_soak_streams.py
@@ -106,6 +106,16 @@
     assert find_breaches([stream], RUNS) == []
 
 
+def test_the_empty_rest_of_a_stream_is_no_breach() -> None:
+    events = make_events(
+        *((number, "r") for number in range(1, KINDS["draft"].events + 1))
+    )
+    stream = make_stream("draft", events, is_complete=False)
+    stream.parts += make_stream("draft", b"").parts
+    stream.parts[-1].events_before = events
+    assert find_breaches([stream], RUNS) == []
+
+
 def test_whole_responses_that_callers_did_not_get_whole_are_counted() -> None:
     ends = [make_run("r", is_end=True), make_run("s", is_end=True, is_unframed=False)]
     counts = count_ends([make_stream("chat", b"", is_complete=False)], ends)
