Take a connection that the kernel gave up for broken, not for silent

ETIMEDOUT, by which the kernel reports a connection without acknowledgements, is the exception of a read timeout in Python. It counted as a silence, and the next read returned the end of the data, which ends such a response. The sender of a long body passed over it as well.

The errno tells both apart now, for gateways and entries. Without the change both cases of the test fail: the responses look complete.

--- a/damasklead/gateway/upstream_http.py
+++ b/damasklead/gateway/upstream_http.py
@@ -22,6 +22,7 @@
 from damasklead.response_grammar import ChunkHeaderCheck, check_head, check_head_lines
 from damasklead.sockets import (
     UNACKNOWLEDGED_TIMEOUT_MS,
+    is_given_up,
     is_readable,
     set_user_timeout,
 )
@@ -409,9 +410,11 @@
         """Receive data once and pass it to the parser; returns its length."""
         try:
             data = self._socket.recv(self._receive_bytes)
-        except TimeoutError as error:
-            raise SendError(Failure.TIMED_OUT, "no data within the timeout") from error
         except OSError as error:
+            if isinstance(error, TimeoutError) and not is_given_up(error):
+                raise SendError(
+                    Failure.TIMED_OUT, "no data within the timeout"
+                ) from error
             self._record_end()
             raise SendError(Failure.BROKEN, f"receive: {error}") from error
         if data:
@@ -459,13 +462,13 @@
         while unsent:
             try:
                 sent_bytes = self._socket.send(unsent[:MAX_SEND_BYTES])
-            except TimeoutError:
-                # The timeout is that of the reader, and nothing was sent.
-                continue
             except BrokenPipeError:
                 # The replica has ended its side in order, and left the rest unread.
                 return False
             except OSError as error:
+                if isinstance(error, TimeoutError) and not is_given_up(error):
+                    # The timeout is that of the reader, and nothing was sent.
+                    continue
                 # An early response may still arrive, so the reader reports it.
                 self._reset_error = error
                 return False
--- a/damasklead/sockets.py
+++ b/damasklead/sockets.py
@@ -20,6 +20,7 @@
     "connect",
     "count_unread_bytes",
     "count_unsent_bytes",
+    "is_given_up",
     "is_readable",
     "set_tcp_options",
     "set_user_timeout",
@@ -97,6 +98,16 @@
     return True
 
 
+def is_given_up(error: OSError) -> bool:
+    """
+    Return whether the kernel has given a connection up without acknowledgements.
+
+    Python raises the same exception as after the timeout of a read or a send.  The
+    kernel reports it once; the next read returns the end of the data.
+    """
+    return error.errno == errno.ETIMEDOUT
+
+
 def count_unread_bytes(connection: socket.socket) -> int:
     """Return the bytes that were received and not read; raises ``OSError``."""
     return _read_queue_length(connection, termios.FIONREAD)
--- a/damasklead/upstreams/transport.py
+++ b/damasklead/upstreams/transport.py
@@ -28,6 +28,7 @@
     PROTOCOL_VERSIONS,
     check_status_line,
 )
+from damasklead.sockets import is_given_up
 from damasklead.tunnels.dialing import Dialer, DirectDialer, Link
 from damasklead.turns import TurnBudget
 from damasklead.util import split_address
@@ -415,11 +416,11 @@
     def _receive_data(self) -> bytes:
         try:
             data = self._link.raw.recv(RECEIVE_BYTES)
-        except TimeoutError as error:
-            raise UpstreamError(
-                Failure.TIMED_OUT, "no data within the read timeout"
-            ) from error
         except OSError as error:
+            if isinstance(error, TimeoutError) and not is_given_up(error):
+                raise UpstreamError(
+                    Failure.TIMED_OUT, "no data within the read timeout"
+                ) from error
             self._link.record_end()
             raise UpstreamError(Failure.BROKEN, f"receive: {error}") from error
         if data:
