Take a response without a length for complete only if its replica is shown to run

The end of the connection counted as the end of the response unless the replica was known to refuse connections. An isolation of the gateway, a replica that nobody reached, an idle connection from before, and whoever listened at the address all completed it; gateways and entries had rules of their own.

damasklead/unframed_ends.py is the one rule now: the start that ran the request must have answered another request after the end, directly or through another gateway, the deadline must not have passed, and no interruption may have given the replica a reason to cut the body off. The probe of the crash containment asks for the same report, so that a connection to the next start no longer clears the request that crashed the one before.

Each such response costs one report.

--- a/damasklead/daemon/entry.py
+++ b/damasklead/daemon/entry.py
@@ -367,9 +367,13 @@
         location = self.settings.region if in_region else self.settings.data_centre
         return PoolId(f"{service.name}@{location}")
 
+    def get_member(self, instance: InstanceId) -> Member | None:
+        """Return what is known of an instance, ``None`` when it is unknown."""
+        return self.membership.get_member(instance)
+
     def get_address(self, instance: InstanceId) -> str | None:
         """Return an instance's address, ``None`` when the instance is unknown."""
-        member = self.membership.get_member(instance)
+        member = self.get_member(instance)
         return None if member is None else member.address
 
     def mark_leaving(
--- a/damasklead/daemon/exchange.py
+++ b/damasklead/daemon/exchange.py
@@ -43,8 +43,9 @@
     select_end_to_end_headers,
 )
 from damasklead.event_buffer import MAX_EVENT_BYTES, EventBuffer
-from damasklead.ids import AttemptId, InstanceId
+from damasklead.ids import AttemptId, Incarnation, InstanceId
 from damasklead.loop import LoopClock
+from damasklead.membership import Member
 from damasklead.memory_budget import HeldKind, MemoryAccount
 from damasklead.problems import make_problem
 from damasklead.protocol import Steps, T
@@ -144,8 +145,8 @@
         """Record the time from arrival to the first event in the metrics."""
 
     @abstractmethod
-    def get_address(self, instance: InstanceId) -> str | None:
-        """Return an instance's address, ``None`` when the instance is unknown."""
+    def get_member(self, instance: InstanceId) -> Member | None:
+        """Return what is known of an instance, ``None`` when it is unknown."""
 
     @abstractmethod
     def run_protocol(self, steps: Steps[T]) -> T:
@@ -210,6 +211,8 @@
         self._pending_actions: SimpleQueue[Action] = SimpleQueue()
         self._current_attempt: AttemptId | None = None
         self._upstream_socket: socket.socket | None = None
+        # Address and start of the upstream of the present attempt.
+        self._upstream_start: tuple[str, Incarnation] | None = None
         self._last_start: Start | None = None
         self._response: UpstreamResponse | None = None
         # Receive count of the response and the clock reading when it was first seen.
@@ -360,9 +363,11 @@
         made the previous attempt is asked to resume it. Any other replica, and one that
         refuses to resume, continues the response after the text sent so far.
         """
-        address = self._entry.get_address(start.replica)
-        if address is None:
+        member = self._entry.get_member(start.replica)
+        if member is None:
             raise UpstreamError(Failure.NOT_SENT, "the replica has no known address")
+        address = member.address
+        self._upstream_start = (address, member.incarnation)
         upstream_request = msgspec.structs.replace(
             self._upstream_request, attempt=start.attempt
         )
@@ -465,9 +470,7 @@
                 yield from self._relay_large_response(response, start, buffer)
                 return
             body = buffer.take()
-        address = self._entry.get_address(start.replica)
-        if address is not None:
-            self.pool.upstream.check_unframed_end(address, response)
+        self._check_unframed_end(response)
         self.pool.dispatcher.record_events(start.attempt, event_count=1)
         headers = [
             *select_end_to_end_headers(response),
@@ -540,12 +543,18 @@
             # The caller has left; its order must not run again.
             self._settle_claim_without_response(Outcome.UNKNOWN)
             raise
-        address = self._entry.get_address(start.replica)
-        if address is not None:
-            self.pool.upstream.check_unframed_end(address, response)
+        self._check_unframed_end(response)
         self._record_response(response, None)
         self._complete_attempt(start, is_successful=response.status < 400)
 
+    def _check_unframed_end(self, response: UpstreamResponse) -> None:
+        """Raise ``UpstreamError`` unless a response is shown to be complete."""
+        assert self._upstream_start is not None
+        address, incarnation = self._upstream_start
+        self.pool.upstream.check_unframed_end(
+            address, response, incarnation=incarnation
+        )
+
     def _complete_attempt(self, start: Start, *, is_successful: bool) -> None:
         self._is_complete = True
         self._current_attempt = None
--- a/damasklead/gateway/context.py
+++ b/damasklead/gateway/context.py
@@ -24,6 +24,7 @@
 from damasklead.gateway.verdict import RetryDenial
 from damasklead.memory_budget import MemoryAccount, MemoryBudget
 from damasklead.rate_limits import RateLimits
+from damasklead.unframed_ends import EndDoubt
 
 __all__ = ["REPORT_MEMORY_BYTES", "GatewayContext"]
 
@@ -31,7 +32,8 @@
 REPORT_MEMORY_BYTES = 8_388_608
 
 
-def _make_report_memory() -> MemoryBudget:
+def make_report_memory() -> MemoryBudget:
+    """Return a budget for the reports of replicas that are being read."""
     return MemoryBudget(
         limit_bytes=REPORT_MEMORY_BYTES, hard_limit_bytes=REPORT_MEMORY_BYTES
     )
@@ -72,6 +74,9 @@
         first event of a stream, or the response head.
     on_retry_denied : callable
         Called with a request whose attempt has failed and what rules out another one.
+    on_unframed_end : callable
+        Called at the end of each response without a length, with the reason for which
+        it isn't taken for complete, or ``None``.
     response_memory : MemoryBudget
         Limits the total size of the response bodies that are being read, if the account
         is not limited.
@@ -100,7 +105,8 @@
     account: MemoryAccount
     on_execution: Callable[[Call], None] = lambda call: None
     on_retry_denied: Callable[[Call, RetryDenial], None] = lambda call, denial: None
+    on_unframed_end: Callable[[EndDoubt | None], None] = lambda doubt: None
     is_isolated: Callable[[], bool] = lambda: False
     response_memory: MemoryBudget = msgspec.field(default_factory=MemoryBudget)
-    report_memory: MemoryBudget = msgspec.field(default_factory=_make_report_memory)
+    report_memory: MemoryBudget = msgspec.field(default_factory=make_report_memory)
     dropped_figures: LogLimiter = msgspec.field(default_factory=LogLimiter)
--- a/damasklead/gateway/metrics.py
+++ b/damasklead/gateway/metrics.py
@@ -23,6 +23,7 @@
 from damasklead.gateway.refusals import Refusal
 from damasklead.gateway.verdict import RetryDenial
 from damasklead.ids import DataCentre
+from damasklead.unframed_ends import EndDoubt
 
 __all__ = ["GatewayMetrics"]
 
@@ -58,6 +59,12 @@
             ["service", "cause"],
             registry=self.registry,
         )
+        self._unframed_ends = Counter(
+            "damasklead_unframed_ends",
+            "Ends of answers without a length, by what is in doubt; empty: complete",
+            ["doubt"],
+            registry=self.registry,
+        )
         self._rejections = Counter(
             "damasklead_rejected_requests",
             "Requests that were rejected before they were read to their end, by status",
@@ -295,6 +302,10 @@
         """Count a failed attempt after which no other one could follow."""
         self._retry_denials.labels(call.service, denial.value).inc()
 
+    def count_unframed_end(self, doubt: EndDoubt | None) -> None:
+        """Count the end of a response without a length."""
+        self._unframed_ends.labels("" if doubt is None else doubt.value).inc()
+
     def count_unread_close(self) -> None:
         """Count a caller's connection that was closed with bytes unread."""
         self._unread_closes.inc()
--- a/damasklead/gateway/process.py
+++ b/damasklead/gateway/process.py
@@ -21,7 +21,7 @@
 from damasklead.gateway.budget import SharedRetryBudget
 from damasklead.gateway.callers import RequestHandler
 from damasklead.gateway.calls import Call, UpstreamRecord
-from damasklead.gateway.context import GatewayContext
+from damasklead.gateway.context import GatewayContext, make_report_memory
 from damasklead.gateway.coordination.remote_share import RemoteReason
 from damasklead.gateway.dialect import Dialect, PlatformLink
 from damasklead.gateway.directory import UpstreamDirectory
@@ -168,6 +168,7 @@
             api=lambda: self._api,
         )
         self._scaling = self._make_scaling(settings)
+        report_memory = make_report_memory()
         self._forwarder = Forwarder(
             context=GatewayContext(
                 dialect=dialect,
@@ -179,7 +180,9 @@
                 probe=ReplicaProbe(
                     connections=self._connections,
                     containment=self._fleet.containment,
-                    ask_others=self._dialer.is_reached_by_others,
+                    dialect=dialect,
+                    report_memory=report_memory,
+                    open_elsewhere=self._dialer.open_elsewhere,
                     is_isolated=lambda: self._reachability.is_isolated,
                 ),
                 journal=self._journal,
@@ -189,6 +192,8 @@
                 on_replica_left=self._handle_departure,
                 on_execution=self._record_execution,
                 on_retry_denied=self._metrics.count_retry_denial,
+                on_unframed_end=self._metrics.count_unframed_end,
+                report_memory=report_memory,
                 is_isolated=lambda: self._reachability.is_isolated,
                 dropped_figures=self._dropped_figures,
                 account=self._account,
--- a/damasklead/gateway/response_relay.py
+++ b/damasklead/gateway/response_relay.py
@@ -19,12 +19,12 @@
 from damasklead.gateway.calls import Call, ResponseHead, UpstreamRecord
 from damasklead.gateway.context import GatewayContext
 from damasklead.gateway.events import EventSplitter, continues_after
-from damasklead.gateway.replica_probe import Liveness
 from damasklead.gateway.routing import RouteKind
 from damasklead.gateway.stream_progress import StreamProgress
 from damasklead.gateway.upstream_http import Connection, SendError
 from damasklead.memory_budget import HeldKind
 from damasklead.turns import TurnBudget
+from damasklead.unframed_ends import EndDoubt, find_end_doubt
 
 __all__ = ["ResponseDroppedError", "ResponseRelay"]
 
@@ -123,9 +123,6 @@
         self._is_held_up = False
         self._waited_at_read = 0.0
         self._replica_seconds = 0.0
-        # Longest time between two reads of the present attempt, in seconds.
-        self._longest_gap = 0.0
-        self._read_at = 0.0
         self.status = 0
         self.is_signed = False
         self.event_count = 0
@@ -157,7 +154,6 @@
         is_complete = self._call.route.kind is not RouteKind.STREAM
         self._is_held_up = False
         self._waited_at_read = self._caller.waited_seconds
-        self._longest_gap, self._read_at = 0.0, self._context.clock.now()
         try:
             if is_complete or not 200 <= reply.status < 300:
                 self._relay_complete(upstream, reply, record)
@@ -195,10 +191,7 @@
         try:
             data = upstream.read_body_data(max_bytes=max_bytes)
         finally:
-            now = clock.now()
-            self._replica_seconds += now - started_at
-            self._longest_gap = max(self._longest_gap, now - self._read_at)
-            self._read_at = now
+            self._replica_seconds += clock.now() - started_at
         if self._replica_seconds >= HELD_UP_SECONDS:
             self._is_held_up = False
         return data
@@ -206,36 +199,44 @@
     def _check_unframed_end(self, upstream: Connection, record: UpstreamRecord) -> None:
         """
         Raise ``SendError`` if the end of the connection, which delimits the response,
-        was the end of the replica, or may be a cut-off of what the caller held up.
+        isn't shown to be the end of the response.
 
         ``ConnectionLimitError`` if that can't be found out.
         """
         if not upstream.is_unframed:
             return
-        if upstream.is_tunnel:
-            raise SendError(Failure.BROKEN, "the end may be that of the tunnel")
-        # Makes room for the connection of the check if the pool is full.
+        context = self._context
+        incarnation = upstream.incarnation or record.incarnation
+        # Makes room for the connection of the probe if the pool is full.
         upstream.close()
-        result = self._context.probe.check(record)
-        self._context.journal.event(
+        result = None if upstream.is_tunnel else context.probe.check(record)
+        doubt = find_end_doubt(
+            is_tunnel=upstream.is_tunnel,
+            incarnation=incarnation,
+            reported=None if result is None else result.incarnation,
+            is_late=context.clock.now() >= self._call.deadline,
+            is_interrupted=upstream.is_interrupted or self._is_held_up,
+        )
+        context.on_unframed_end(doubt)
+        context.journal.event(
             "unframed-end",
             request=self._call.id,
             replica=record.instance,
-            incarnation=record.incarnation,
-            reported=upstream.incarnation or 0,
-            liveness=result.liveness.value,
-            way=result.way.value,
-            isolated=self._context.is_isolated(),
+            incarnation=incarnation,
+            doubt="" if doubt is None else doubt.value,
+            liveness="" if result is None else result.liveness.value,
+            way="" if result is None else result.way.value,
+            reported=0 if result is None else result.incarnation or 0,
+            isolated=context.is_isolated(),
             held_up=self._is_held_up,
-            longest_gap=self._longest_gap,
             events=self.event_count,
         )
-        if result.liveness is Liveness.REFUSES:
-            # A replica that cuts off a response still accepts connections.
+        if doubt is None:
+            return
+        if doubt is not EndDoubt.INTERRUPTED:
+            # It is no cut-off of what the caller held up.
             self._is_held_up = False
-            raise SendError(Failure.BROKEN, "the replica ended with the connection")
-        if self._is_held_up:
-            raise SendError(Failure.BROKEN, "the end may be that of a held-up response")
+        raise SendError(Failure.BROKEN, f"the end proves nothing: {doubt.value}")
 
     def _relay_complete(
         self, upstream: Connection, reply: ResponseHead, record: UpstreamRecord
--- a/damasklead/gateway/upstream_http.py
+++ b/damasklead/gateway/upstream_http.py
@@ -28,6 +28,7 @@
 )
 from damasklead.tunnels.dialing import Dialer, DirectDialer, Link
 from damasklead.turns import TurnBudget
+from damasklead.unframed_ends import BodyFlow
 
 __all__ = ["Connection", "ConnectionLimitError", "ConnectionPool", "SendError"]
 
@@ -87,6 +88,8 @@
         ``ip:port`` of the replica.
     link : Link
         The open TCP connection.
+    clock : Clock
+        Measures interruptions of bodies.
     on_close : callable
         Called when the connection is closed.
 
@@ -102,8 +105,11 @@
         *,
         address: str,
         link: Link,
+        clock: Clock,
         on_close: Callable[[], None] = lambda: None,
     ) -> None:
+        self._clock = clock
+        self._flow = BodyFlow(started_at=clock.now())
         self.incarnation: int | None = None
         self._on_close = on_close
         self._address = address
@@ -160,6 +166,11 @@
         """Whether the end of the connection delimited the response's body."""
         return self._is_unframed and self._has_ended
 
+    @property
+    def is_interrupted(self) -> bool:
+        """Whether the body was interrupted shortly before its present end."""
+        return self._flow.is_interrupted
+
     @property
     def is_reusable(self) -> bool:
         """
@@ -230,6 +241,7 @@
                 names = {name for name, _ in event.headers}
                 self._is_unframed = names.isdisjoint(_FRAMING_HEADERS)
                 self._body_length = _get_body_length(event)
+                self._flow = BodyFlow(started_at=self._clock.now())
                 self._restore_user_timeout()
                 return event
             if not isinstance(event, h11.InformationalResponse):
@@ -408,6 +420,7 @@
 
     def _receive(self) -> int:
         """Receive data once and pass it to the parser; returns its length."""
+        waited_since = self._clock.now()
         try:
             data = self._socket.recv(self._receive_bytes)
         except OSError as error:
@@ -417,6 +430,7 @@
                 ) from error
             self._record_end()
             raise SendError(Failure.BROKEN, f"receive: {error}") from error
+        self._flow.record(waited_since=waited_since, received_at=self._clock.now())
         if data:
             self._link.record_data()
         else:
@@ -549,6 +563,10 @@
         ConnectionLimitError
             When all connections that may be open are in use.
         """
+        return self.take_idle(address) or self.open(address)
+
+    def take_idle(self, address: str) -> Connection | None:
+        """Return an idle connection, ``None`` if there is none that can be used."""
         idle = self._idle.get(address)
         now = self._clock.now()
         while idle:
@@ -557,22 +575,43 @@
                 connection.prepare_next_request()
                 return connection
             connection.close()
-        return self._open(address)
+        return None
 
-    def preconnect(self, address: str) -> bool:
+    def open(self, address: str) -> Connection:
         """
-        Have an idle connection ready, which shows that the replica accepts one.
-
-        Returns whether it was open before.
+        Open a new connection.
 
         Raises
         ------
         SendError
-            ``NOT_SENT`` when the connection can't be opened.
+            ``NOT_SENT`` when that fails.
+        ConnectionLimitError
+            When all connections that may be open are in use.
         """
-        opened_count = self._opened
-        self.release(self.acquire(address), keep_alive=None)
-        return self._opened == opened_count
+        self._make_room()
+        self._open_count += 1
+        try:
+            link = self._dialer.dial(address)
+        except BaseException as error:
+            self._open_count -= 1
+            if not isinstance(error, OSError):
+                raise
+            raise SendError(Failure.NOT_SENT, f"connect: {error}") from error
+        self._opened += 1
+        return self._make_connection(address, link)
+
+    def adopt(self, address: str, link: Link) -> Connection:
+        """
+        Return the connection over a link that was opened elsewhere.
+
+        Raises
+        ------
+        ConnectionLimitError
+            When none may be open.
+        """
+        self._make_room()
+        self._open_count += 1
+        return self._make_connection(address, link)
 
     def release(self, connection: Connection, *, keep_alive: float | None) -> None:
         """
@@ -662,15 +701,7 @@
     def _record_close(self) -> None:
         self._open_count -= 1
 
-    def _open(self, address: str) -> Connection:
-        self._make_room()
-        self._open_count += 1
-        try:
-            link = self._dialer.dial(address)
-        except BaseException as error:
-            self._open_count -= 1
-            if not isinstance(error, OSError):
-                raise
-            raise SendError(Failure.NOT_SENT, f"connect: {error}") from error
-        self._opened += 1
-        return Connection(address=address, link=link, on_close=self._record_close)
+    def _make_connection(self, address: str, link: Link) -> Connection:
+        return Connection(
+            address=address, link=link, clock=self._clock, on_close=self._record_close
+        )
--- a/damasklead/tunnels/dialer.py
+++ b/damasklead/tunnels/dialer.py
@@ -235,6 +235,24 @@
         self._helpers.record_refusal(peer.instance)
         self._journal.event("tunnel-refused", helper=peer.instance, cause=str(error))
 
+    def open_elsewhere(self, address: str) -> Link | None:
+        """
+        Open a connection through another gateway, whether or not this one is isolated.
+
+        Raises
+        ------
+        UnreachableReplicaError
+            If other gateways can't reach the replica.
+        OSError
+            If it sends data before a request.
+
+        Returns
+        -------
+        Link or None
+            ``None`` if no other gateway opens tunnels at present.
+        """
+        return self._open_tunnel(address)
+
     def is_reached_by_others(self, address: str) -> bool | None:
         """
         Return whether another gateway can connect to a replica.
--- a/damasklead/upstreams/base.py
+++ b/damasklead/upstreams/base.py
@@ -16,6 +16,7 @@
 from damasklead.ids import AttemptId, Incarnation
 from damasklead.requests import Failure
 from damasklead.sharing import LoadReport
+from damasklead.unframed_ends import find_end_doubt
 from damasklead.upstreams.calls import fetch_response
 from damasklead.upstreams.transport import (
     ConnectionPool,
@@ -40,6 +41,8 @@
 # The same until the response is complete.
 CONTROL_TOTAL_SECONDS = 2.0
 MAX_CONTROL_RESPONSE_BYTES = 1_000_000
+# The first one may go over an idle connection that the upstream is closing.
+REPORT_ATTEMPTS = 2
 
 
 class UpstreamRequest(msgspec.Struct, kw_only=True, frozen=True):
@@ -196,30 +199,48 @@
         except msgspec.DecodeError as error:
             raise UpstreamError(Failure.BROKEN, f"load report: {error}") from error
 
-    def check_unframed_end(self, address: str, response: UpstreamResponse) -> None:
+    def check_unframed_end(
+        self, address: str, response: UpstreamResponse, *, incarnation: Incarnation
+    ) -> None:
         """
-        Check that the end of the connection, if it delimits a response, was not the end
-        of the upstream, which would cut off the response in the same way.
+        Check that the end of the connection, if it delimits a response, is shown to be
+        the end of the response.
+
+        Parameters
+        ----------
+        address : str
+            Address of the upstream, ``ip:port``.
+        response : UpstreamResponse
+        incarnation : Incarnation
+            Start of the upstream that the request was sent to.
 
         Raises
         ------
         UpstreamError
-            ``BROKEN`` when the upstream refuses connections, or the end may be that
-            of a tunnel.
+            ``BROKEN`` when it isn't.
         """
         if not response.is_unframed:
             return
-        if response.is_tunnel:
-            raise UpstreamError(Failure.BROKEN, "the end may be that of the tunnel")
-        try:
-            link = self._pool.acquire(address, force_new_connection=True)
-        except UpstreamError as error:
-            if isinstance(error.__cause__, ConnectionRefusedError):
-                raise UpstreamError(
-                    Failure.BROKEN, "the upstream ended with the connection"
-                ) from error
-            return
-        self._pool.release(address, link)
+        doubt = find_end_doubt(
+            is_tunnel=response.is_tunnel,
+            incarnation=incarnation,
+            reported=None if response.is_tunnel else self._ask_incarnation(address),
+            is_late=False,  # upstreams are given no deadline
+            is_interrupted=response.is_interrupted,
+        )
+        if doubt is not None:
+            raise UpstreamError(
+                Failure.BROKEN, f"the end proves nothing: {doubt.value}"
+            )
+
+    def _ask_incarnation(self, address: str) -> Incarnation | None:
+        """Return the start that an upstream reports now, ``None`` if it doesn't."""
+        for _ in range(REPORT_ATTEMPTS):
+            try:
+                return self.fetch_status(address).incarnation
+            except UpstreamError:
+                continue
+        return None
 
     def cancel_attempt(self, address: str, attempt: AttemptId) -> None:
         """Cancel an attempt, on kinds of upstreams that support it."""
--- a/damasklead/upstreams/transport.py
+++ b/damasklead/upstreams/transport.py
@@ -19,6 +19,8 @@
 from gevent import socket
 from geventhttpclient.response import HEADER_STATE_INIT, HTTPResponse
 
+from damasklead.clock import Clock
+from damasklead.loop import LoopClock
 from damasklead.memory_budget import BODY_MEMORY_BYTES, MemoryBudget, MemoryCharge
 from damasklead.rate_limits import parse_rate_limit
 from damasklead.requests import Failure
@@ -31,6 +33,7 @@
 from damasklead.sockets import is_given_up
 from damasklead.tunnels.dialing import Dialer, DirectDialer, Link
 from damasklead.turns import TurnBudget
+from damasklead.unframed_ends import BodyFlow
 from damasklead.util import split_address
 
 __all__ = [
@@ -207,9 +210,12 @@
         Opens the connections; by default directly.
     get_reserved_count : callable
         Returns how many of ``max_connections`` are used by others at present.
+    clock : Clock or None
+        Measures interruptions of responses; by default the system's.
 
     Attributes
     ----------
+    clock : Clock
     body_memory : MemoryBudget
         Budget of these bodies.
     """
@@ -221,7 +227,9 @@
         body_limit: int = BODY_MEMORY_BYTES,
         dialer: Dialer | None = None,
         get_reserved_count: Callable[[], int] = lambda: 0,
+        clock: Clock | None = None,
     ) -> None:
+        self.clock = clock or LoopClock()
         self.body_memory = MemoryBudget(
             limit_bytes=body_limit, hard_limit_bytes=2 * body_limit
         )
@@ -353,9 +361,13 @@
     link : Link
         Its connection.
     parser : _ResponseParser
+    clock : Clock
+        Measures interruptions of the response.
     """
 
-    def __init__(self, *, link: Link, parser: _ResponseParser) -> None:
+    def __init__(self, *, link: Link, parser: _ResponseParser, clock: Clock) -> None:
+        self._clock = clock
+        self._flow = BodyFlow(started_at=clock.now())
         self._link = link
         self._parser = parser
         self._turn = TurnBudget()
@@ -370,6 +382,15 @@
         """Whether data was received that is no part of the response."""
         return bool(self._unparsed) or self._has_surplus_data
 
+    @property
+    def is_interrupted(self) -> bool:
+        """Whether the response was interrupted shortly before its present end."""
+        return self._flow.is_interrupted
+
+    def begin_body(self) -> None:
+        """Count no pause before the body as an interruption of it."""
+        self._flow = BodyFlow(started_at=self._clock.now())
+
     def receive(self) -> None:
         """
         Parse the next piece of the response, and receive it if necessary.
@@ -414,6 +435,7 @@
             self._heads.clear()
 
     def _receive_data(self) -> bytes:
+        waited_since = self._clock.now()
         try:
             data = self._link.raw.recv(RECEIVE_BYTES)
         except OSError as error:
@@ -423,6 +445,7 @@
                 ) from error
             self._link.record_end()
             raise UpstreamError(Failure.BROKEN, f"receive: {error}") from error
+        self._flow.record(waited_since=waited_since, received_at=self._clock.now())
         if data:
             self._link.record_data()
         else:
@@ -495,6 +518,11 @@
         """Whether the end of the connection delimited the body."""
         return self._parser.is_unframed
 
+    @property
+    def is_interrupted(self) -> bool:
+        """Whether the body was interrupted shortly before its present end."""
+        return self._receiver.is_interrupted
+
     def forbid_reuse(self) -> None:
         """Close the connection after this response, though it could be kept."""
         self._may_reuse = False
@@ -643,12 +671,13 @@
         on_connect(connection)
     connection.settimeout(read_timeout)
     parser = _ResponseParser(method=method)
-    receiver = _Receiver(link=link, parser=parser)
+    receiver = _Receiver(link=link, parser=parser, clock=pool.clock)
     link.record_sent()
     try:
         connection.sendall(_encode_request(address, method, path, headers, body))
         while not parser.headers_complete:
             receiver.receive()
+        receiver.begin_body()
     except OSError as error:
         link.record_end()
         connection.close()
--- a/tests/gateway_kit.py
+++ b/tests/gateway_kit.py
@@ -16,7 +16,7 @@
 from damasklead.demo.local import find_free_address
 from damasklead.gateway.budget import SharedRetryBudget
 from damasklead.gateway.calls import Call, UpstreamRecord, UpstreamState
-from damasklead.gateway.context import GatewayContext
+from damasklead.gateway.context import GatewayContext, make_report_memory
 from damasklead.gateway.coordination.assignment_client import AssignmentClient
 from damasklead.gateway.coordination.cells import Member
 from damasklead.gateway.coordination.service import Coordination
@@ -59,6 +59,7 @@
 from damasklead.memory_budget import MemoryAccount, MemoryBudget
 from damasklead.platform.headers import PlatformDialect
 from damasklead.rate_limits import RateLimits
+from damasklead.tunnels.dialing import Link
 from damasklead.util import split_address
 from tests.http_messages import make_chunk as make_chunk, read_request
 
@@ -277,6 +278,7 @@
         connections: ConnectionPool | None = None,
         containment_clock: Clock | None = None,
         origin_store: "MemoryOriginStore | None" = None,
+        open_elsewhere: Callable[[str], Link | None] | None = None,
     ) -> None:
         self.clock = LoopClock()
         self.replicas = list(replicas)
@@ -333,6 +335,7 @@
             journal=self.journal,
             get_record=lambda instance: self.listed_records.get(instance),
         )
+        report_memory = make_report_memory()
         self.forwarder = Forwarder(
             context=GatewayContext(
                 dialect=PlatformDialect(),
@@ -342,8 +345,14 @@
                 assignment_client=self._make_assignment_client(),
                 containment=self.containment,
                 probe=ReplicaProbe(
-                    connections=self.connections, containment=self.containment
+                    connections=self.connections,
+                    containment=self.containment,
+                    dialect=PlatformDialect(),
+                    report_memory=report_memory,
+                    open_elsewhere=open_elsewhere,
+                    is_isolated=lambda: self.is_isolated,
                 ),
+                report_memory=report_memory,
                 journal=self.journal,
                 rate_limits=self.rate_limits,
                 origins=self.origins,
--- a/tests/test_entry_response_forms.py
+++ b/tests/test_entry_response_forms.py
@@ -17,6 +17,7 @@
 
 from damasklead.daemon.callers import OUTCOME_HEADER
 from damasklead.daemon.replies import DONE_EVENT
+from damasklead.ids import Incarnation
 from damasklead.sharing import LoadReport
 from damasklead.standins.base import StandinServer
 from damasklead.stores.base import InstanceRecord
@@ -39,6 +40,7 @@
         self._serve = serve
         self._server: StreamServer | None = None
         self.request_count = 0
+        self.is_silent = False
 
     def start(self) -> None:
         self._server = StreamServer(split_address(self.record.address), self._handle)
@@ -54,6 +56,8 @@
         try:
             while True:
                 line, headers, _ = read_request(connection)
+                if self.is_silent:
+                    gevent.sleep(SILENCE_SECONDS)
                 if line.split()[1] == "/load":
                     load = LoadReport(running=0, waiting=0, slots=SLOTS)
                     status = UpstreamStatus(
@@ -72,6 +76,10 @@
             connection.close()
 
 
+# Longer than entries wait for a report.
+SILENCE_SECONDS = 5.0
+
+
 class Close(EOFError):
     """Raised by a script to close its connection."""
 
@@ -167,6 +175,43 @@
     assert response.status != 200 or (kind == "stream" and DONE_EVENT not in body)
 
 
+def start_again(upstream: RawUpstream) -> None:
+    """Report from now on as the next start at the address."""
+    incarnation = Incarnation(upstream.record.incarnation + 1)
+    upstream.record = msgspec.structs.replace(upstream.record, incarnation=incarnation)
+
+
+def stand_still(upstream: RawUpstream) -> None:
+    """Accept connections from now on without an answer, as the kernel does."""
+    upstream.is_silent = True
+
+
+@pytest.mark.parametrize("kind", ["completion", "plain"])
+@pytest.mark.parametrize("crash", [start_again, stand_still])
+def test_an_unframed_response_is_no_success_because_something_listens(
+    make_entry: Callable[..., EntryHarness],
+    kind: str,
+    crash: Callable[[RawUpstream], None],
+) -> None:
+    """A connection to the next start at the address counted as a sign of life."""
+
+    def serve(
+        upstream: RawUpstream, connection: socket.socket, attempt: str, _count: int
+    ) -> None:
+        crash(upstream)
+        send_response(connection, attempt, b'{"in_', "connection")
+
+    harness = make_entry(engine=serve, shop=serve)
+    try:
+        if kind == "plain":
+            response = harness.send("GET", "/services/demo-app/stock/ice")
+        else:
+            response, _ = harness.send_completion("x", stream=False)
+    except UpstreamError:
+        return  # no response at all
+    assert response.status != 200
+
+
 @pytest.mark.parametrize("framing", FRAMINGS)
 def test_an_earlier_refusal_on_a_kept_connection_is_not_believed(
     make_entry: Callable[..., EntryHarness], framing: str
--- a/tests/test_entry_tunnels.py
+++ b/tests/test_entry_tunnels.py
@@ -305,7 +305,9 @@
     response = upstream.send_attempt(unframed.address, request)
     assert response.read_body(limit=100) == b"half"
     with pytest.raises(UpstreamError) as caught:
-        upstream.check_unframed_end(unframed.address, response)
+        upstream.check_unframed_end(
+            unframed.address, response, incarnation=Incarnation(1)
+        )
     assert caught.value.failure is Failure.BROKEN
 
 
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -10,7 +10,7 @@
 
 from damasklead.daemon.exchange import Exchange
 from damasklead.daemon.replies import DONE_EVENT, ResponseHead
-from damasklead.ids import AttemptId, InstanceId
+from damasklead.ids import AttemptId, Incarnation, InstanceId
 from damasklead.requests import Cancel, Start
 from damasklead.upstreams import UpstreamRequest
 
@@ -63,8 +63,8 @@
 
     clock = SimpleNamespace(now=lambda: 0.0)
 
-    def get_address(self, instance: InstanceId) -> str:
-        return "127.0.0.1:1"
+    def get_member(self, instance: InstanceId) -> Any:
+        return SimpleNamespace(address="127.0.0.1:1", incarnation=Incarnation(1))
 
     def __getattr__(self, name: str) -> Any:
         return lambda *_args, **_options: None
--- a/tests/test_gateway_floods.py
+++ b/tests/test_gateway_floods.py
@@ -47,7 +47,9 @@
 
 
 def make_connection(flood: FloodSocket) -> Connection:
-    connection = Connection(address="127.0.0.1:1", link=Link(raw=flood))
+    connection = Connection(
+        address="127.0.0.1:1", link=Link(raw=flood), clock=LoopClock()
+    )
     connection.send_request(
         method="GET", target="/", headers=[(b"Host", b"h")], body=b""
     )
@@ -147,7 +149,9 @@
         self._flood = flood
 
     def acquire(self, address: str) -> Connection:
-        return Connection(address=address, link=Link(raw=self._flood))
+        return Connection(
+            address=address, link=Link(raw=self._flood), clock=LoopClock()
+        )
 
 
 @pytest.fixture
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -773,7 +773,7 @@
         addresses = [replica.record.address for replica in replicas]
         pool = ConnectionPool(clock=LoopClock(), get_max_connections=lambda: 2)
         try:
-            pool.preconnect(addresses[0])
+            pool.release(pool.acquire(addresses[0]), keep_alive=None)
             used = [pool.acquire(address) for address in addresses[1:]]
             assert pool.open_count == 2  # the idle one was closed
             with pytest.raises(ConnectionLimitError):
--- a/tests/test_gateway_response_heads.py
+++ b/tests/test_gateway_response_heads.py
@@ -14,6 +14,7 @@
 from gevent import socket
 
 from damasklead.gateway.upstream_http import Connection, SendError
+from damasklead.loop import LoopClock
 from damasklead.response_grammar import ChunkHeaderCheck
 from damasklead.sockets import connect
 from damasklead.tunnels.dialing import Link
@@ -141,7 +142,9 @@
     try:
         for method in ("HEAD", "GET"):
             link = Link(raw=connect(replica.address, timeout=1))
-            connection = Connection(address=replica.address, link=link)
+            connection = Connection(
+                address=replica.address, link=link, clock=LoopClock()
+            )
             connection.send_request(
                 method=method, target="/", headers=[(b"Host", b"x")], body=b""
             )
@@ -176,7 +179,7 @@
             assert link.is_tunnel
         else:
             link = Link(raw=connect(replica.address, timeout=1))
-        connection = Connection(address=replica.address, link=link)
+        connection = Connection(address=replica.address, link=link, clock=LoopClock())
         with pytest.raises(SendError):
             connection.send_request(
                 method="POST",
@@ -217,7 +220,7 @@
     replica = Replica(serve)
     try:
         link = Link(raw=connect(replica.address, timeout=1))
-        connection = Connection(address=replica.address, link=link)
+        connection = Connection(address=replica.address, link=link, clock=LoopClock())
         with pytest.raises(SendError):
             connection.send_request(
                 method="POST",
--- a/tests/test_socket_timeouts.py
+++ b/tests/test_socket_timeouts.py
@@ -112,7 +112,7 @@
         self, server: SilentServer
     ) -> None:
         link = DirectDialer().dial(server.address)
-        connection = Connection(address=server.address, link=link)
+        connection = Connection(address=server.address, link=link, clock=LoopClock())
         connection.send_request(
             method="POST", target="/", headers=[(b"Host", b"h")], body=LONG_BODY
         )
