Check that a resumed stream goes on after the events that its caller has

A stream that a caller takes up was passed on from whatever event a replica began with: the check of the first event knew only those of the same response, so that numbers went back if the replica did not heed Last-Event-Id. A stream whose events had no ids began anew at another replica, and its events came twice.

The event that the caller names counts like one that was sent here, and nothing continues events without ids.

--- a/damasklead/gateway/events.py
+++ b/damasklead/gateway/events.py
@@ -129,7 +129,7 @@
     event_id : bytes or None
         Id of the event, if it carries one.
     last_id : bytes or None
-        Id of the last event before.
+        Id of the last event before, if any event before carried one.
     contiguous : bool
         Whether the ids of the stream increase by one.
 
@@ -143,7 +143,12 @@
     True
     >>> continues_after(None, b"2", contiguous=True)
     False
+    >>> continues_after(b"1", None, contiguous=False)
+    False
     """
+    if last_id is None:
+        # Nothing says which events the caller has.
+        return False
     number, last_number = _parse_id(event_id), _parse_id(last_id)
     if number is None or last_number is None:
         # Ids that are no numbers have no order that could be checked.
--- a/damasklead/gateway/response_relay.py
+++ b/damasklead/gateway/response_relay.py
@@ -340,7 +340,8 @@
         self, upstream: Connection, reply: ResponseHead, record: UpstreamRecord
     ) -> None:
         splitter = EventSplitter()
-        is_continuation, is_joined = self._caller.head_sent, False
+        is_continuation = self._caller.head_sent
+        is_joined = not is_continuation and self._call.head.last_event is None
         progress = StreamProgress(
             clock=self._context.clock, event_timeout=self._call.stream_idle_timeout
         )
@@ -365,11 +366,11 @@
                 continue
             if splitter.has_events:
                 self._on_execution()
-            if not is_continuation:
-                self._has_contiguous_ids = splitter.has_contiguous_ids
-            elif splitter.has_events and not is_joined:
+            if splitter.has_events and not is_joined:
                 self.check_first_event(splitter.first_id)
                 is_joined = True
+            if not is_continuation:
+                self._has_contiguous_ids = splitter.has_contiguous_ids
             if splitter.last_id is not None:
                 self.last_event_id = splitter.last_id
             if not self.event_count:
@@ -407,13 +408,14 @@
     def check_first_event(self, first_id: bytes | None) -> None:
         """
         Raise ``SendError`` unless the first event of a resumed stream, with this id,
-        follows the last one that was sent to the caller.
+        follows the last one that the caller has, from here or from another response.
         """
-        if not continues_after(
-            first_id,
-            self.last_event_id,
-            contiguous=self._has_contiguous_ids,
-        ):
+        last_id = self.last_event_id
+        if not self.event_count and last_id is None:
+            last_id = self._call.head.last_event
+            if last_id is None:
+                return  # the stream begins here
+        if not continues_after(first_id, last_id, contiguous=self._has_contiguous_ids):
             raise SendError(Failure.BROKEN, f"the stream resumes at event {first_id!r}")
 
     def _hold_events(self, held_bytes: int, size: int) -> int:
--- a/tests/test_gateway_responses.py
+++ b/tests/test_gateway_responses.py
@@ -393,3 +393,45 @@
     response = harness.send_request("/read/1")
     assert count_requests(harness) == 1
     assert not response.startswith(b"HTTP/1.1 200")
+
+
+@pytest.mark.parametrize("first", [1, 2])
+def test_a_stream_that_is_taken_up_never_goes_back(
+    harnesses: list[ForwarderHarness], first: int
+) -> None:
+    """The first event was compared only with those of the same response."""
+
+    def ignore_last_event(replica: ScriptedReplica, connection: object) -> None:
+        attempt = replica.receive_request(connection)
+        start = first if attempt == "a2" else 1
+        events = [make_chunk(make_event(number)) for number in range(start, 5)]
+        end = make_chunk(b"")
+        connection.sendall(make_stream_head(attempt) + b"".join(events) + end)
+
+    harness = make_harness(harnesses, ignore_last_event, ignore_last_event)
+    harness.send_request("/draft/1", method="POST", body="x", attempt="a1")
+    response = harness.send_request(
+        "/draft/1", method="POST", body="x", attempt="a2",
+        extra_headers="Last-Event-Id: 2\r\nResumes: a1\r\n",
+    )  # fmt: skip
+    assert len(harness.replicas[0].requests + harness.replicas[1].requests) > 1
+    assert make_event(1) not in response and make_event(2) not in response
+
+
+def test_events_without_ids_do_not_come_twice(
+    harnesses: list[ForwarderHarness],
+) -> None:
+    """Another replica began anew, since nothing said where to go on."""
+
+    def stream_without_ids(replica: ScriptedReplica, connection: object) -> None:
+        attempt = replica.receive_request(connection)
+        count = sum(len(item.requests) for item in harness.replicas)
+        event = b"data: one\n\n" if count == 1 else b"id: 1\ndata: one\n\n"
+        connection.sendall(make_stream_head(attempt) + make_chunk(event))
+        if count > 1:
+            connection.sendall(make_chunk(b""))
+
+    harness = make_harness(harnesses, stream_without_ids, stream_without_ids)
+    response = harness.send_request("/draft/1", method="POST", body="x")
+    assert response.count(b"data: one") == 1
+    assert not response.endswith(b"0\r\n\r\n")
