--- a/tests/test_gateway_fleet_two_versions.py
+++ b/tests/test_gateway_fleet_two_versions.py
@@ -35,7 +35,7 @@
 )
 
 # The landing before this one.
-PREVIOUS_VERSION = "36638c2"
+PREVIOUS_VERSION = "a6e36bb"
 ROOT = Path(__file__).parent.parent
 # Events that say that a message or row of another gateway was not understood.
 MISUNDERSTANDINGS = (
--- a/tests/test_soak_streams.py
+++ b/tests/test_soak_streams.py
@@ -3,11 +3,14 @@
 ==================================================
 """
 
+from pathlib import Path
+
 import pytest
 
 from soak.callers import ObservedResponse
 from soak.streams.callers import ObservedStream
 from soak.streams.checks import BreachKind, count_ends, find_breaches
+from soak.streams.play import run_play
 from soak.streams.replica import BODY_PIECES, KINDS, Run, make_event
 
 
@@ -123,3 +126,10 @@
     assert (counts.framed, counts.framed_cut) == (1, 1)
     counts = count_ends([make_stream("chat", WHOLE)], ends)
     assert (counts.unframed, counts.unframed_cut) == (1, 0)
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_no_stream_of_a_play_breaks(seed: int, tmp_path: Path) -> None:
+    result = run_play(seed, folder=tmp_path, seconds=8.0)
+    assert result.breaches == [], result.logs
+    assert result.ends.unframed > 2 * result.ends.unframed_cut
