Count unanswered pings, not silence, when gateways are removed

A gateway that is cut off from the others for a minute, or was suspended for one, removed all of them. Those that read the directory then forget each other, count the members of the fleet too low, and use too large a share of the retry budget and of limits of replicas.

A gateway that had sent nothing for 60 s was removed, although quiet gateways send nothing to anyone but the broadcaster, and the one that takes over has pinged none of them.

--- a/damasklead/gateway/peers.py
+++ b/damasklead/gateway/peers.py
@@ -5,7 +5,6 @@
 Discovery of the other gateways, and the datagrams to and from them.
 """
 
-import math
 import random
 from collections.abc import Callable
 from typing import Any
@@ -42,6 +41,7 @@
     PeerReport,
     Ping,
 )
+from damasklead.gateway.peer_liveness import PeerLiveness
 from damasklead.gateway.stream_origins.messages import (
     OriginQuery,
     OriginReply,
@@ -62,11 +62,6 @@
 DISCOVERY_SECONDS_PER_GATEWAY = 0.5
 # Least pause after a failed read, before jitter.
 MIN_RETRY_SECONDS = 0.7
-# A gateway that sends nothing for this long, though it is pinged, is removed together
-# with its directory entry.
-REMOVAL_TIMEOUT_SECONDS = 60.0
-# A gateway that sends nothing for this long is pinged.
-PING_TIMEOUT_SECONDS = 15.0
 MAX_DATAGRAM_BYTES = 65_536
 # An entry older than this is contained in the backup from which a store is restored.
 MAX_BACKUP_AGE_SECONDS = 30.0
@@ -125,7 +120,7 @@
         self._members: dict[str, PeerEntry] = {}
         self._addresses: dict[str, tuple[str, int]] = {}
         self._names: dict[tuple[str, int], str] = {}
-        self._last_received_at: dict[str, float] = {}
+        self._liveness = PeerLiveness(clock=clock)
         self._handlers: dict[type, Callable[[Any, str], None]] = {}
         self._types_of_leaving: set[type] = set()
         # Names of gateways that sent a leave notice, by address; they still send
@@ -293,7 +288,7 @@
             self._send_data(msgspec.msgpack.encode(Ping()), str(address), address)
             return
         if name is not None:
-            self._last_received_at[name] = self._clock.now()
+            self._liveness.record_message(name)
             self._on_message(name)
             handler = self._handlers.get(type(message))
             if handler is not None:
@@ -301,8 +296,7 @@
 
     def get_silence(self, name: str) -> float:
         """Return the seconds since a gateway was heard, infinite if it never was."""
-        heard_at = self._last_received_at.get(name)
-        return math.inf if heard_at is None else self._clock.now() - heard_at
+        return self._liveness.get_silence(name)
 
     def get_operators_address(self, name: str) -> str:
         """Return a gateway's operators' address, empty when there is none."""
@@ -362,25 +356,25 @@
 
     def check_liveness(self) -> None:
         """
-        Ping silent gateways, and remove those that have been silent for too long.
+        Ping silent gateways, and remove those that have answered no ping for long.
 
         Raises
         ------
         FeedError
             When the directory can't be changed.
         """
-        now = self._clock.now()
+        check = self._liveness.check(self._members)
+        for name in check.pinged:
+            self.ping(name)
         for entry in list(self._restored_entries.values()):
             self._directory().withdraw(entry)
             del self._restored_entries[entry.instance]
-        for entry in self.members:
-            silence = now - self._last_received_at.setdefault(entry.instance, now)
-            if silence > REMOVAL_TIMEOUT_SECONDS:
-                self._directory().withdraw(entry)
-                self._remove_member(entry.instance)
-                self._journal.event("peer-forgotten", peer=entry.instance)
-            elif silence > PING_TIMEOUT_SECONDS:
-                self.ping(entry.instance)
+        for entry in [self._members[name] for name in check.ended]:
+            self._directory().withdraw(entry)
+            if self._members.get(entry.instance) is not entry:
+                continue  # it has left, or started again, during the call
+            self._remove_member(entry.instance)
+            self._journal.event("peer-forgotten", peer=entry.instance)
 
     def ping(self, name: str) -> None:
         """Request a gateway's announcement."""
@@ -440,7 +434,7 @@
             operators=message.operators,
         )
         self._merge_members([entry])
-        self._last_received_at[entry.instance] = self._clock.now()
+        self._liveness.record_announcement(entry.instance)
         self._on_message(entry.instance)
 
     def _handle_leave_notice(self, message: LeaveNotice) -> None:
@@ -467,10 +461,9 @@
         """Apply the directory's entries and remove gateways without one."""
         self._is_discovery_complete = True
         listed = {entry.instance for entry in entries}
-        now = self._clock.now()
         for name in [item for item in self._members if item not in listed]:
             # A gateway that was in contact just now may have started after the read.
-            if now - self._last_received_at.get(name, 0.0) > SECOND_DISCOVERY_SECONDS:
+            if self.get_silence(name) > SECOND_DISCOVERY_SECONDS:
                 self._remove_member(name)
         known = set(self._members)
         # A restored directory may hold entries that were withdrawn after the backup.
@@ -505,7 +498,7 @@
 
     def _remove_member(self, name: str) -> None:
         self._members.pop(name, None)
-        self._last_received_at.pop(name, None)
+        self._liveness.forget(name)
         address = self._addresses.pop(name, None)
         if address is not None:
             self._names.pop(address, None)
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -23,11 +23,11 @@
     MessageBatch,
 )
 from damasklead.gateway.messages import PeerReport, Ping
-from damasklead.gateway.peers import (
+from damasklead.gateway.peer_liveness import (
     PING_TIMEOUT_SECONDS,
     REMOVAL_TIMEOUT_SECONDS,
-    Peers,
 )
+from damasklead.gateway.peers import Peers
 from damasklead.ids import DataCentre, InstanceId
 from damasklead.turns import PIECES_PER_TURN
 from damasklead.util import split_address
