Take a list that nothing confirms for unreadable, also without a failed call

Callers got 503 from gateways that knew no replica any more, for up to two seconds after an outage of the store of about four, although all replicas were sound. Entries expire in such an outage, and are kept for a grace time by the gateways whose own calls to the store have failed. Most gateways of a large fleet make no calls: one that has seen none fail took the removals in the next broadcast for real.

The absence of a failed call was taken for a list that can be read. The maintenance task now counts the time for which neither the store nor another gateway has confirmed the list; after 2.5 s it counts as unreadable, as after a failed call. The time in which the process was suspended doesn't count, so that removals after it still apply at once, and so they do after the loss of the gateway that reads the list.

--- a/damasklead/gateway/list_follower.py
+++ b/damasklead/gateway/list_follower.py
@@ -207,6 +207,12 @@
         if self._is_unavailable:
             self._record_recovery()
 
+    def _record_outage(self, cause: str) -> None:
+        if not self._is_unavailable:
+            self._is_unavailable = True
+            self._journal.event("dependency-lost", feed=self._name, cause=cause)
+        self.handle_outage()
+
     def _record_recovery(self) -> None:
         if self._is_unavailable:
             self._is_unavailable = False
@@ -232,7 +238,10 @@
         """Apply a response of the feed to the gateway's copy of the list."""
 
     def handle_outage(self) -> None:
-        """Handle a failed call, unless its fault is one of ``_RESYNC_FAULTS``."""
+        """
+        Handle that the list can't be read: a call has failed, by no fault of
+        ``_RESYNC_FAULTS``, or nothing confirms the list.
+        """
 
     def handle_recovery(self) -> None:
         """Handle a successful call, or a peer's confirmation after an outage."""
@@ -248,10 +257,7 @@
             self._journal.event("list-restarted", feed=self._name, cause=str(error))
             self._cursor = None
             return RESYNC_DELAY_SECONDS
-        if not self._is_unavailable:
-            self._is_unavailable = True
-            self._journal.event("dependency-lost", feed=self._name, cause=str(error))
-        self.handle_outage()
+        self._record_outage(str(error))
         jitter = self._random.uniform(0.5, 1.0)
         self._plan.record_failure(gateway_count=self._gateway_count(), jitter=jitter)
         return self._plan.get_remaining_backoff()
--- a/damasklead/gateway/replica_follower.py
+++ b/damasklead/gateway/replica_follower.py
@@ -20,6 +20,13 @@
 
 __all__ = ["UpstreamFollower"]
 
+# A list that neither the store nor another gateway has confirmed for this long can't be
+# read, as far as this gateway can know.  Entries outlive an outage that is shorter.
+MAX_UNCONFIRMED_SECONDS = 2.5
+# Longest time between two calls of ``expire`` that counts: a process that was suspended
+# has received no confirmations.
+MAX_STEP_SECONDS = 0.5
+
 
 class UpstreamFollower(Follower[ListedRow]):
     """
@@ -64,6 +71,8 @@
         self.change_log: ChangeLog[ListedRow] = ChangeLog(clock=clock)
         self._directory = directory
         self._on_change = on_change
+        self._expired_at = clock.now()
+        self._unconfirmed_seconds = 0.0
 
     def apply_changes(self, changes: Changes[ListedRow]) -> None:
         """Apply the entries of a response to the directory and the change log."""
@@ -197,9 +206,26 @@
         self._directory.mark_list_reachable()
 
     def expire(self) -> None:
-        """Remove replicas that haven't renewed their entry in time after an outage."""
+        """
+        Remove replicas that haven't renewed their entry in time after an outage.
+
+        Has to be called several times a second, since it also notices the outages in
+        which this gateway doesn't poll the store.
+        """
+        self._check_confirmation()
         self._report_changes(self._directory.drop_expired())
 
+    def _check_confirmation(self) -> None:
+        """Record an outage if nothing has confirmed the list for too long."""
+        now = self._clock.now()
+        step = min(now - self._expired_at, MAX_STEP_SECONDS)
+        self._expired_at = now
+        self._unconfirmed_seconds = min(
+            self._unconfirmed_seconds + step, self._plan.confirmed_age
+        )
+        if self._unconfirmed_seconds >= MAX_UNCONFIRMED_SECONDS:
+            self._record_outage(f"not confirmed for {self._unconfirmed_seconds:.1f} s")
+
     def _report_changes(self, changes: list[str]) -> None:
         if changes:
             self._journal.event("replicas", changes="; ".join(changes))
