Give a peer's address to the start that has it now

Operators would see a gateway whose messages one of the others drops for good: its broadcasts, grants and reports. The messages of peers are told apart by address. When a gateway had ended without a notice and another one had got its address, the removal of the former took the address from the present one; the announcements that followed didn't give it back, since they named no new start. After a gateway had moved, messages from its former address still counted as its own, and an old entry of the directory took the address over.

Each address now belongs to one gateway: that of the latest start, or the one whose announcement comes from the address, and a gateway only gives up what is its own.

Found by reading. Before the change three of the four cases fail: the report is dropped, or counts as that of the former gateway; the fourth, a gateway whose clock went back, held before.

--- a/damasklead/gateway/peers.py
+++ b/damasklead/gateway/peers.py
@@ -272,7 +272,7 @@
     def _handle_message(self, message: object, address: _Address) -> None:
         name = self._names.get(address)
         if isinstance(message, Announcement):
-            self._handle_announcement(message)
+            self._handle_announcement(message, address)
         elif isinstance(message, LeaveNotice):
             self._handle_leave_notice(message)
             return
@@ -419,7 +419,7 @@
             own.operators,
         )
 
-    def _handle_announcement(self, message: Announcement) -> None:
+    def _handle_announcement(self, message: Announcement, source: _Address) -> None:
         if not (is_token(message.instance) and is_ip_address(message.address)):
             self._journal.event(
                 "peer-message-unreadable", cause=f"address {message.address!r}"
@@ -434,6 +434,11 @@
             operators=message.operators,
         )
         self._merge_members([entry])
+        address = split_address(entry.address)
+        known = self._members.get(entry.instance)
+        if source == address and known is not None and known.address == entry.address:
+            # Only one process has the port that the datagram came from.
+            self._set_address(entry.instance, address)
         self._liveness.record_announcement(entry.instance)
         self._on_message(entry.instance)
 
@@ -487,10 +492,11 @@
             if entry.incarnation == self._departed.get(entry.instance):
                 continue
             self._members[entry.instance] = entry
+            self._drop_address(entry.instance)
             address = split_address(entry.address)
-            self._addresses[entry.instance] = address
-            self._names[address] = entry.instance
-            self._leaving_names.pop(address, None)
+            holder = self._members.get(self._names.get(address, ""))
+            if holder is None or holder.incarnation < entry.incarnation:
+                self._set_address(entry.instance, address)
             self._journal.event("peer-found", peer=entry.instance)
             has_new_members = True
         if has_new_members:
@@ -499,8 +505,21 @@
     def _remove_member(self, name: str) -> None:
         self._members.pop(name, None)
         self._liveness.forget(name)
-        address = self._addresses.pop(name, None)
-        if address is not None:
-            self._names.pop(address, None)
+        self._drop_address(name)
         self._journal.event("peer-gone", peer=name)
         self._on_members_changed()
+
+    def _set_address(self, name: str, address: _Address) -> None:
+        """Record a gateway's address, which no other gateway has any more."""
+        self._drop_address(name)
+        former = self._names.get(address)
+        if former is not None:
+            self._drop_address(former)
+        self._addresses[name] = address
+        self._names[address] = name
+        self._leaving_names.pop(address, None)
+
+    def _drop_address(self, name: str) -> None:
+        address = self._addresses.pop(name, None)
+        if address is not None:
+            del self._names[address]
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -22,7 +22,7 @@
     MAX_BATCH_REQUESTS,
     MessageBatch,
 )
-from damasklead.gateway.messages import PeerReport, Ping
+from damasklead.gateway.messages import Announcement, PeerReport, Ping
 from damasklead.gateway.peer_liveness import (
     PING_TIMEOUT_SECONDS,
     REMOVAL_TIMEOUT_SECONDS,
@@ -336,6 +336,52 @@
     wait_until(lambda: "g1" in group.directory.entries)
 
 
+@pytest.mark.parametrize("change", ["ended", "moved"])
+def test_a_gateway_at_the_former_address_of_another_one_is_heard(change: str) -> None:
+    """Guards against messages that are dropped, or taken for those of the former."""
+    peers = make_peers(InstanceId("a"))
+    received: list[tuple[PeerReport, str]] = []
+    peers.register_handler(
+        PeerReport, lambda message, sender: received.append((message, sender))
+    )
+    address = split_address(OTHER.address)
+    peers.apply_snapshot([OTHER], is_complete=True)
+    successor = PeerEntry(
+        instance=InstanceId("c"), address=OTHER.address, incarnation=2
+    )
+    if change == "ended":
+        peers.apply_snapshot([successor], is_complete=True)
+        peers._apply_directory([successor])
+    else:
+        moved = msgspec.structs.replace(OTHER, address="127.0.0.1:7", incarnation=2)
+        peers.apply_snapshot([moved], is_complete=True)
+        # The announcement of the gateway that has the address now was lost.
+        peers.handle_datagram(msgspec.msgpack.encode(REPORT), address)
+        assert received == []
+        peers.apply_snapshot([successor], is_complete=True)
+    peers.handle_datagram(msgspec.msgpack.encode(REPORT), address)
+    assert received == [(REPORT, "c")]
+
+
+@pytest.mark.parametrize("is_announced", [False, True])
+def test_only_its_own_datagram_gives_an_earlier_start_an_address(
+    is_announced: bool,
+) -> None:
+    """A directory may still list a gateway whose address another one has now."""
+    peers = make_peers(InstanceId("a"))
+    senders: list[str] = []
+    peers.register_handler(PeerReport, lambda _message, name: senders.append(name))
+    address = split_address(OTHER.address)
+    holder = PeerEntry(instance=InstanceId("c"), address=OTHER.address, incarnation=2)
+    peers.apply_snapshot([holder], is_complete=True)
+    peers.apply_snapshot([OTHER], is_complete=True)
+    if is_announced:
+        announcement = Announcement("b", OTHER.address, OTHER.incarnation, "", 1.0)
+        peers.handle_datagram(msgspec.msgpack.encode(announcement), address)
+    peers.handle_datagram(msgspec.msgpack.encode(REPORT), address)
+    assert senders == ["b" if is_announced else "c"]
+
+
 @pytest.mark.parametrize(
     "data",
     [b"", b"odd", msgspec.msgpack.encode(Ping()), msgspec.msgpack.encode(REPORT)],
