Drop a missing replica only after a read that doesn't show it

Callers got 503 from gateways that knew no replica, as long as the store was away, if it had come back for a second or two between two outages. Replicas whose entries had expired in the first one are kept for a grace time, in which they renew them. Its end alone, with no failed call of the gateway's own, counted as a sign that they were gone, although the store was away again and no entry could be renewed or read.

A missing replica is dropped, and an entry of a restored store used, only if the store has confirmed the list since, at the end of the grace time less a margin: entries that are renewed in time are listed by then. Another gateway's confirmation counts as well.

--- a/damasklead/gateway/directory.py
+++ b/damasklead/gateway/directory.py
@@ -20,6 +20,9 @@
 # Entries that expired during an outage are listed again within about 2 s of its end if
 # their replicas are live.
 LAPSE_GRACE_SECONDS = 2.3
+# A read of the list this long before the end of a grace time shows entries that are
+# listed again.
+READ_MARGIN_SECONDS = 0.3
 # Time after an outage in which a removed entry may have expired because of the outage.
 LAPSE_WINDOW_SECONDS = 1.5
 # The platform removes an entry after three missing heartbeats, which are sent about
@@ -312,25 +315,34 @@
             self._rebuild_index()
         return new
 
-    def drop_expired(self) -> list[str]:
+    def drop_expired(self, *, list_age: float) -> list[str]:
         """
         Drop the missing entries whose grace time is over, and use the unconfirmed ones
         that are still listed.
 
+        Both only if the list has been read since: as long as it isn't, nobody can tell
+        which entries have come back, or are gone.
+
+        Parameters
+        ----------
+        list_age : float
+            Seconds since the store confirmed the list; infinite before.
+
         Returns
         -------
         list of str
             The changes, for the log.
         """
         now = self._clock.now()
-        expired = [item for item, until in self._grace_until.items() if now >= until]
+        due = min(now, now - list_age + READ_MARGIN_SECONDS)
+        expired = [item for item, until in self._grace_until.items() if due >= until]
         changes: list[str] = []
         if self._list_unreachable:
             return changes
         for instance in expired:
             changes.extend(self._drop_record(instance, why="has not come back"))
         for instance in [
-            i for i, item in self._unconfirmed.items() if now >= item.until
+            i for i, item in self._unconfirmed.items() if due >= item.until
         ]:
             changes.extend(self._put_record(self._unconfirmed[instance].record))
         if changes:
--- a/damasklead/gateway/replica_follower.py
+++ b/damasklead/gateway/replica_follower.py
@@ -213,7 +213,8 @@
         which this gateway doesn't poll the store.
         """
         self._check_confirmation()
-        self._report_changes(self._directory.drop_expired())
+        list_age = self._plan.confirmed_age
+        self._report_changes(self._directory.drop_expired(list_age=list_age))
 
     def _check_confirmation(self) -> None:
         """Record an outage if nothing has confirmed the list for too long."""
--- a/tests/test_gateway_unnoticed_outages.py
+++ b/tests/test_gateway_unnoticed_outages.py
@@ -45,6 +45,32 @@
     assert not any("r0" in gateway.replicas for gateway in fleet.running_gateways)
 
 
+@pytest.mark.parametrize("return_seconds", [0.6, 1.8])
+@pytest.mark.parametrize("count", [12, 30])
+def test_no_gateway_drops_missing_replicas_while_the_store_is_away_again(
+    count: int, return_seconds: float
+) -> None:
+    """Guards against grace times that end although nobody can read the list."""
+    fleet = Fleet(count)
+    fleet.run(6.0)
+    fleet.store.is_down = True
+    fleet.run(4.0)
+    for name in REPLICAS:
+        fleet.store.remove(name)
+    fleet.store.is_down = False
+    fleet.run(return_seconds)
+    fleet.store.is_down = True
+    for _ in range(80):
+        fleet.run(STEP_SECONDS)
+        assert not find_gateways_without(fleet, REPLICAS)
+    fleet.store.is_down = False
+    for name in REPLICAS[1:]:
+        fleet.store.write(name)
+    fleet.run(5.0)
+    assert not find_gateways_without(fleet, REPLICAS[1:])
+    assert not any("r0" in gateway.replicas for gateway in fleet.running_gateways)
+
+
 @pytest.mark.parametrize("position", ["reader", "last"])
 def test_a_removal_applies_at_once_after_a_gateway_was_suspended(position: str) -> None:
     """A silence while the process didn't run is no outage of the store."""
