Confirm no crash by a replica's silence or a limit of the entry

Operators of entries without tunnels would see sound requests become suspects of crashes at all entries, and be quarantined after a second such crash. When a connection to a replica broke, the entry asked the replica for its state, and counted each failure of that request as a crash: a replica that was too busy to answer within a second, one that answered 503, and a lack of free connections at the entry itself.

Without another entry that could tell, only a refused or ended connection, or another incarnation, shows the end of a replica. With tunnels, other entries are asked as before.

Found by reading. Before the change three of the seven cases of the test fail: silent, busy and limit.

--- a/damasklead/daemon/crashes.py
+++ b/damasklead/daemon/crashes.py
@@ -13,6 +13,7 @@
 
 from damasklead.crash_attribution import MAX_SUSPECT_EVENTS, InterruptedRequest
 from damasklead.daemon.pools import Pool
+from damasklead.failures import Failure
 from damasklead.gossip import GossipBuffer
 from damasklead.ids import Fingerprint, InstanceId
 from damasklead.membership import Member
@@ -41,7 +42,7 @@
         Adds a change to the audit trail.
     may_be_alive : callable
         Returns whether the upstream at an address, which can't be reached from here,
-        may be alive nevertheless.
+        may be alive nevertheless; ``None`` if no other entry can tell.
     """
 
     def __init__(
@@ -51,7 +52,7 @@
         quarantine: Quarantine,
         gossip: GossipBuffer,
         record_change: Callable[..., None],
-        may_be_alive: Callable[[str], bool] = lambda _: False,
+        may_be_alive: Callable[[str], bool | None] = lambda _: None,
     ) -> None:
         self._may_be_alive = may_be_alive
         self._instance = instance
@@ -152,18 +153,24 @@
         A replica that still reports the same incarnation has not crashed, and neither
         has one that only this entry can't reach.
         """
-        try:
-            status = pool.upstream.fetch_status(address)
-        except UpstreamError:
-            status = None
-        if (
-            self._may_be_alive(address)
-            if status is None
-            else status.incarnation == notice.incarnation
-        ):
+        if self._may_still_run(pool, address, notice):
             self._quarantine.retract_crash(notice.instance, notice.incarnation)
             return
         if self._gossip.add_item(notice):
             self._record_change(
                 "crash", notice.instance, after=f"{len(notice.fingerprints)} suspects"
             )
+
+    def _may_still_run(self, pool: Pool, address: str, notice: CrashNotice) -> bool:
+        """Return whether a replica may run in the incarnation of a notice."""
+        try:
+            status = pool.upstream.fetch_status(address)
+        except UpstreamError as error:
+            may_be_alive = self._may_be_alive(address)
+            if may_be_alive is not None:
+                return may_be_alive
+            # A replica that is silent, or answers with an error, may be busy, and this
+            # entry may be cut off.
+            is_refused = isinstance(error.__cause__, ConnectionRefusedError)
+            return not is_refused and error.failure is not Failure.BROKEN
+        return status.incarnation == notice.incarnation
--- a/damasklead/daemon/entry.py
+++ b/damasklead/daemon/entry.py
@@ -573,9 +573,13 @@
             clock=self.clock,
         )
 
-    def _may_be_alive(self, address: str) -> bool:
-        """Return whether an upstream that can't be reached may still be alive."""
-        return self.tunnels is not None and self.tunnels.may_be_alive(address)
+    def _may_be_alive(self, address: str) -> bool | None:
+        """
+        Return whether an upstream that can't be reached may still be alive.
+
+        ``None`` if no other entry can be asked.
+        """
+        return None if self.tunnels is None else self.tunnels.may_be_alive(address)
 
     def _update_pools(self) -> None:
         """
