Let a pause that a former start asked for not hold up the next one

Callers could get 503 with a long Retry-After from a gateway while the only replica was free: a replica that asks for a pause and then starts again under its id may be listed with its new start before its response is read, which waits in a buffer while a gateway is suspended. The pause, up to 60 s, then counted for the new start, since it was recorded under the replica's id.

A pause now names the entry by which the request was sent, and counts only for the same start. Found by reading; the test fails without the comparison.

--- a/damasklead/gateway/placements/base.py
+++ b/damasklead/gateway/placements/base.py
@@ -236,21 +236,26 @@
         )
         return first_end - now if first_end > now else None
 
-    def pause_replica(self, instance: InstanceId, seconds: float) -> float:
+    def pause_replica(self, record: UpstreamRecord, seconds: float) -> float:
         """
         Pause requests to a replica for the seconds that it asked for.
 
+        Parameters
+        ----------
+        record : UpstreamRecord
+            The entry by which the request was sent that it responds to.
+        seconds : float
+
         Returns
         -------
         float
-            Seconds for which requests are paused; 0 for an unknown replica.
+            Seconds for which requests are paused; 0 for an unknown replica, and for one
+            that has started again since.
         """
-        state = self._replicas.get(instance)
-        return (
-            0.0
-            if state is None
-            else state.pause_requests(seconds, now=self._clock.now())
-        )
+        state = self._replicas.get(record.instance)
+        if state is None or state.record.incarnation != record.incarnation:
+            return 0.0
+        return state.pause_requests(seconds, now=self._clock.now())
 
     def explain_choice(self, instance: InstanceId, call: Call) -> dict[str, object]:
         """
--- a/tests/test_gateway_faulty_replicas.py
+++ b/tests/test_gateway_faulty_replicas.py
@@ -196,7 +196,8 @@
         self, harnesses: list[ForwarderHarness], asked: float, least: float, most: float
     ) -> None:
         harness = make_harness(harnesses, respond)
-        assert least <= harness.placement.pause_replica(InstanceId("r0"), asked) <= most
+        record = harness.replicas[0].record
+        assert least <= harness.placement.pause_replica(record, asked) <= most
         for is_assigned in (False, True):
             assert harness.placement.accepts_requests(
                 InstanceId("r0"), is_assigned=is_assigned
@@ -213,7 +214,7 @@
     ) -> None:
         harness = make_harness(harnesses, respond)
         record = harness.replicas[0].record
-        harness.placement.pause_replica(record.instance, 30.0)
+        harness.placement.pause_replica(record, 30.0)
         harness.placement.update_replicas([])
         harness.placement.update_replicas([record])
         assert harness.placement.get_remaining_pause() is not None
@@ -224,13 +225,32 @@
         harness.placement.update_replicas([restarted])
         assert harness.placement.get_remaining_pause() is None
 
+    def test_a_late_response_of_the_former_start_pauses_no_requests(
+        self, harnesses: list[ForwarderHarness]
+    ) -> None:
+        """The new entry may be applied before a response that waited in a buffer."""
+
+        def start_again(replica: ScriptedReplica, connection: object) -> None:
+            attempt = replica.receive_request(connection)
+            replica.incarnation = 2
+            harnesses[0].placement.update_replicas([replica.record])
+            connection.sendall(
+                f"HTTP/1.1 503 X\r\nAttempt-Id: {attempt}\r\nNot-Executed: 1\r\n"
+                "Retry-After: 30\r\nContent-Length: 0\r\n\r\n".encode()
+            )
+
+        harness = make_harness(harnesses, start_again)
+        harness.send_request("/order/1", method="POST", body="x")
+        assert harness.placement.get_record(InstanceId("r0")).incarnation == 2
+        assert harness.placement.get_remaining_pause() is None
+
     def test_a_shorter_pause_does_not_replace_a_longer_one(
         self, harnesses: list[ForwarderHarness]
     ) -> None:
         harness = make_harness(harnesses, respond)
-        name = InstanceId("r0")
-        harness.placement.pause_replica(name, 30.0)
-        harness.placement.pause_replica(name, 0.1)
+        record = harness.replicas[0].record
+        harness.placement.pause_replica(record, 30.0)
+        harness.placement.pause_replica(record, 0.1)
         left = harness.placement.get_remaining_pause()
         assert left is not None and left > 29.0
 
