Drop the kept connections to the store after a timeout on one of them

Gateways would lack the configuration and the list of replicas for several timeouts in a row after the network had dropped open connections without a reset: each kept connection was tried, one call after the other, since a timeout said something of its own connection only. A call without a response now closes the others that are idle, and the next one opens a new connection.

Found by reading. Before the change the test fails: with three kept connections that are silent the second call times out, too.

--- a/damasklead/platform/store.py
+++ b/damasklead/platform/store.py
@@ -362,6 +362,8 @@
             if connection is not None:
                 connection.close()
             if isinstance(error, FeedError):
+                # What has silenced one connection may have silenced the kept ones.
+                self._connections.close_idle(self._address)
                 raise
             raise FeedError(FeedFault.UNREACHABLE, str(error)) from error
         self._connections.release(connection, keep_alive=KEEP_ALIVE_SECONDS)
