Check every event that goes on with a resumed stream

gateway/stream_order.py holds what the caller has, here or from the response that it takes up, and checks each event before it is sent. The events that a replica sends from the start on stay as they are.

--- a/damasklead/gateway/events.py
+++ b/damasklead/gateway/events.py
@@ -33,8 +33,8 @@
     b'id: 2\ndata: b\n\n'
     >>> splitter.last_id, splitter.has_partial_event, splitter.take_event_count()
     (b'2', False, 2)
-    >>> splitter.first_id, splitter.has_contiguous_ids
-    (b'1', True)
+    >>> splitter.first_id, splitter.new_ids, splitter.has_contiguous_ids
+    (b'1', [b'2'], True)
     """
 
     def __init__(self) -> None:
@@ -45,6 +45,7 @@
         self._has_contiguous_ids = True
         self._event_count = 0
         self._block_count = 0
+        self._new_ids: list[bytes | None] = []
 
     @property
     def has_events(self) -> bool:
@@ -56,6 +57,11 @@
         """The id of the first complete event, ``None`` if it carries none."""
         return self._first_id
 
+    @property
+    def new_ids(self) -> list[bytes | None]:
+        """The ids of the events that the last call of ``feed`` completed, if any."""
+        return self._new_ids
+
     @property
     def last_id(self) -> bytes | None:
         """The id of the last complete event that carries one."""
@@ -85,6 +91,7 @@
         """Add bytes of the stream; returns all complete events, unchanged."""
         complete = self._buffer.feed(data)
         events = _BLANK_LINE.split(complete) if complete else []
+        self._new_ids = []
         for event in events:
             self._record_event(event)
         self._block_count = len(events)
@@ -106,6 +113,7 @@
                 self._event_count += 1
         if not has_fields:
             return
+        self._new_ids.append(event_id)
         if not self._has_events:
             self._has_events = True
             self._first_id = event_id
--- a/damasklead/gateway/response_relay.py
+++ b/damasklead/gateway/response_relay.py
@@ -18,8 +18,9 @@
 from damasklead.gateway.callers import CallerClosed, CallerConnection
 from damasklead.gateway.calls import Call, ResponseHead, UpstreamRecord
 from damasklead.gateway.context import GatewayContext
-from damasklead.gateway.events import EventSplitter, continues_after
+from damasklead.gateway.events import EventSplitter
 from damasklead.gateway.routing import RouteKind
+from damasklead.gateway.stream_order import StreamOrder
 from damasklead.gateway.stream_progress import StreamProgress
 from damasklead.gateway.upstream_http import Connection, SendError
 from damasklead.memory_budget import HeldKind
@@ -83,8 +84,6 @@
         Events of a stream that were sent to the caller.
     first_byte_seconds : float
         Seconds from the request's arrival to the first byte of the response.
-    last_event_id : bytes or None
-        Id of the last event that was sent to the caller.
     is_body_pending : bool
         Whether a body is being read before anything was sent to the caller.
     is_failure_relayed : bool
@@ -116,7 +115,7 @@
         self._on_events = on_events
         self._on_stall = on_stall
         self._get_stall_timeout = get_stall_timeout
-        self._has_contiguous_ids = False
+        self._order = StreamOrder(resumed_after=call.head.last_event)
         self._error_response: tuple[ResponseHead, bytes] | None = None
         # Whether the caller has recently held up the response of the present attempt,
         # its waits until the last read, and how long the replica was waited for since.
@@ -127,10 +126,14 @@
         self.is_signed = False
         self.event_count = 0
         self.first_byte_seconds = 0.0
-        self.last_event_id: bytes | None = None
         self.is_body_pending = False
         self.is_failure_relayed = False
 
+    @property
+    def last_event_id(self) -> bytes | None:
+        """Id of the last event that was sent to the caller and carried one."""
+        return self._order.last_id
+
     def relay(
         self, upstream: Connection, reply: ResponseHead, record: UpstreamRecord
     ) -> None:
@@ -341,7 +344,7 @@
     ) -> None:
         splitter = EventSplitter()
         is_continuation = self._caller.head_sent
-        is_joined = not is_continuation and self._call.head.last_event is None
+        self._order.begin_part(is_continuation=is_continuation)
         progress = StreamProgress(
             clock=self._context.clock, event_timeout=self._call.stream_idle_timeout
         )
@@ -366,13 +369,10 @@
                 continue
             if splitter.has_events:
                 self._on_execution()
-            if splitter.has_events and not is_joined:
-                self.check_first_event(splitter.first_id)
-                is_joined = True
-            if not is_continuation:
-                self._has_contiguous_ids = splitter.has_contiguous_ids
-            if splitter.last_id is not None:
-                self.last_event_id = splitter.last_id
+            self._order.check(splitter.new_ids)
+            self._order.record(
+                splitter.new_ids, has_contiguous_ids=splitter.has_contiguous_ids
+            )
             if not self.event_count:
                 self._on_first_event(reply)
             self._on_events()
@@ -408,15 +408,9 @@
     def check_first_event(self, first_id: bytes | None) -> None:
         """
         Raise ``SendError`` unless the first event of a resumed stream, with this id,
-        follows the last one that the caller has, from here or from another response.
+        follows the last one that the caller has.
         """
-        last_id = self.last_event_id
-        if not self.event_count and last_id is None:
-            last_id = self._call.head.last_event
-            if last_id is None:
-                return  # the stream begins here
-        if not continues_after(first_id, last_id, contiguous=self._has_contiguous_ids):
-            raise SendError(Failure.BROKEN, f"the stream resumes at event {first_id!r}")
+        self._order.check_first(first_id)
 
     def _hold_events(self, held_bytes: int, size: int) -> int:
         """
