Know replicas that report no start by an earlier connection

The rule asked for a start in every case.

A connection that was opened before the request was sent, and on which the replica answers after the end, leads to the same process. The probe prefers such a connection, and one is kept ready for requests to services that needed it in the last minute: one connection for each gateway and replica. An answer over a new connection without a start still completes nothing.

--- a/damasklead/gateway/attempt.py
+++ b/damasklead/gateway/attempt.py
@@ -144,6 +144,7 @@
             **self._placement.explain_choice(record.instance, call),
             **self._selector.get_log_fields(),
         )
+        self._context.probe.prepare(record)
         self._placement.record_sent(record.instance, call)
         headers = self._context.dialect.build_upstream_headers(
             call,
--- a/damasklead/gateway/process.py
+++ b/damasklead/gateway/process.py
@@ -182,6 +182,7 @@
                     containment=self._fleet.containment,
                     dialect=dialect,
                     report_memory=report_memory,
+                    clock=self._clock,
                     open_elsewhere=self._dialer.open_elsewhere,
                     is_isolated=lambda: self._reachability.is_isolated,
                 ),
--- a/damasklead/gateway/replica_identity.py
+++ b/damasklead/gateway/replica_identity.py
@@ -13,12 +13,13 @@
 import gevent
 
 from damasklead.failures import Failure
-from damasklead.gateway.calls import UpstreamRecord
+from damasklead.gateway.calls import ResponseKind, UpstreamRecord
 from damasklead.gateway.dialect import Dialect
 from damasklead.gateway.upstream_http import Connection, SendError
+from damasklead.ids import AttemptId
 from damasklead.memory_budget import MemoryBudget
 
-__all__ = ["check_incarnation", "identify_replica"]
+__all__ = ["check_incarnation", "identify_replica", "request_report"]
 
 # A replica reports on itself within a few milliseconds.
 REPORT_TIMEOUT_SECONDS = 0.3
@@ -88,13 +89,27 @@
     return connection.incarnation
 
 
-def _request_incarnation(
+def request_report(
     connection: Connection,
     record: UpstreamRecord,
     dialect: Dialect,
+    *,
     memory: MemoryBudget,
     timeout: float,
-) -> int:
+) -> int | None:
+    """
+    Ask a replica for its report, whether or not it was asked before on the connection.
+
+    Returns
+    -------
+    int or None
+        The incarnation; ``None`` if the replica has answered without one.
+
+    Raises
+    ------
+    SendError
+        ``REFUSED`` if it doesn't answer; the connection can't be used then.
+    """
     timeout_error = SendError(Failure.REFUSED, "no report within the timeout")
     try:
         with gevent.Timeout(timeout, timeout_error):
@@ -104,14 +119,34 @@
                 headers=[(b"Host", record.address.encode())],
                 body=b"",
             )
-            status = connection.read_head().status_code
+            head = connection.read_head()
             body = connection.read_body(limit=MAX_REPORT_BYTES, memory=memory)
     except SendError as error:
         raise SendError(Failure.REFUSED, f"report: {error}") from error
-    incarnation = dialect.parse_reported_incarnation(body) if status == 200 else None
+    headers = [(bytes(name), bytes(value)) for name, value in head.headers.raw_items()]
+    reply = dialect.classify_response(
+        status=head.status_code, headers=headers, attempt=AttemptId("")
+    )
+    if reply.kind is ResponseKind.STRAY:
+        raise SendError(Failure.REFUSED, "report: a response to another request")
+    if connection.is_reusable:
+        connection.prepare_next_request(is_reuse=False)
+    is_report = head.status_code == 200
+    return dialect.parse_reported_incarnation(body) if is_report else None
+
+
+def _request_incarnation(
+    connection: Connection,
+    record: UpstreamRecord,
+    dialect: Dialect,
+    memory: MemoryBudget,
+    timeout: float,
+) -> int:
+    incarnation = request_report(
+        connection, record, dialect, memory=memory, timeout=timeout
+    )
     if incarnation is None:
-        raise SendError(Failure.REFUSED, f"no start in a report, status {status}")
+        raise SendError(Failure.REFUSED, "no start in a report")
     if not connection.is_reusable:
         raise SendError(Failure.REFUSED, "the replica closes the connection")
-    connection.prepare_next_request(is_reuse=False)
     return incarnation
--- a/damasklead/gateway/replica_probe.py
+++ b/damasklead/gateway/replica_probe.py
@@ -6,26 +6,30 @@
 response that broke off, or one that only the end of its connection delimits.  The
 replica is asked for its report, which names its start; that it accepts connections, or
 keeps one open, doesn't show that this start still runs.  If it doesn't answer, it is
-asked again through another gateway, since this one may be cut off from it.
+asked again through another gateway, since this one may be cut off from it.  Replicas of
+some services report no start; these are known by a connection that was opened before.
 """
 
+import math
 from collections.abc import Callable
+from contextlib import suppress
 from enum import Enum
 
 import gevent
 import msgspec
 
+from damasklead.clock import Clock
 from damasklead.gateway.calls import UpstreamRecord
 from damasklead.gateway.crash_containment import Containment
 from damasklead.gateway.dialect import Dialect
-from damasklead.gateway.replica_identity import identify_replica
+from damasklead.gateway.replica_identity import request_report
 from damasklead.gateway.upstream_http import (
     Connection,
     ConnectionLimitError,
     ConnectionPool,
     SendError,
 )
-from damasklead.ids import InstanceId
+from damasklead.ids import InstanceId, ServiceName
 from damasklead.memory_budget import MemoryBudget
 from damasklead.tunnels.dialer import UnreachableReplicaError
 from damasklead.tunnels.dialing import Link
@@ -34,6 +38,8 @@
 
 # A replica that is busy reports later than one that is about to get a request.
 REPORT_TIMEOUT_SECONDS = 1.0
+# Time for which connections are prepared after they were needed.
+PREPARED_SECONDS = 60.0
 
 
 class Liveness(Enum):
@@ -44,6 +50,8 @@
     ----------
     REPORTS
         It has answered.
+    ANSWERS
+        A process at its address has answered without naming a start.
     REPLACED
         A later start has answered at its address.
     REFUSES
@@ -55,6 +63,7 @@
     """
 
     REPORTS = "reports"
+    ANSWERS = "answers"
     REPLACED = "replaced"
     REFUSES = "refuses"
     UNREACHABLE = "unreachable"
@@ -84,11 +93,15 @@
     way : ProbeWay
     incarnation : int or None
         Start that has reported; ``None`` if none has.
+    is_same_process : bool
+        Whether the answer came over a connection that was opened before the time that
+        the caller of the probe has named.
     """
 
     liveness: Liveness
     way: ProbeWay
     incarnation: int | None = None
+    is_same_process: bool = False
 
 
 class ReplicaProbe:
@@ -104,6 +117,7 @@
         Knows how replicas are asked for their reports.
     report_memory : MemoryBudget
         Budget that reports are charged to.
+    clock : Clock
     open_elsewhere : callable or None
         Opens a connection to an address through another gateway; returns ``None`` if
         none opens one, and raises ``OSError`` if they can't connect either.  By default
@@ -119,30 +133,50 @@
         containment: Containment,
         dialect: Dialect,
         report_memory: MemoryBudget,
+        clock: Clock,
         open_elsewhere: Callable[[str], Link | None] | None = None,
         is_isolated: Callable[[], bool] = lambda: False,
     ) -> None:
+        self._clock = clock
         self._is_isolated = is_isolated
         self._connections = connections
         self._containment = containment
         self._dialect = dialect
         self._report_memory = report_memory
         self._open_elsewhere = open_elsewhere
+        # When replicas of a service last reported no start that was asked for.
+        self._unreported_at: dict[ServiceName, float] = {}
         self._probed: set[tuple[InstanceId, int]] = set()
 
-    def check(self, record: UpstreamRecord) -> ProbeResult:
+    def check(
+        self, record: UpstreamRecord, *, sent_at: float = -math.inf
+    ) -> ProbeResult:
         """
         Find out whether the start of a replica still runs.
 
+        Parameters
+        ----------
+        record : UpstreamRecord
+        sent_at : float
+            Clock time in seconds at which that start ran: a connection that was opened
+            before leads to the same process.
+
         Raises
         ------
         ConnectionLimitError
             When no connection may be opened to find out.
         """
-        kept = self._connections.take_idle(record.address)
+        kept = self._connections.take_idle(record.address, opened_before=sent_at)
+        kept = kept or self._connections.take_idle(record.address)
         if kept is not None:
+            is_same_process = kept.opened_at < sent_at
             try:
-                return self._ask(kept, record, ProbeWay.KEPT_CONNECTION)
+                return self._ask(
+                    kept,
+                    record,
+                    ProbeWay.KEPT_CONNECTION,
+                    is_same_process=is_same_process,
+                )
             except SendError:
                 # The replica may have closed it while it was idle.
                 self._connections.close_idle(record.address)
@@ -178,14 +212,32 @@
             self._probed.add(key)
             gevent.spawn(self._run, record)
 
+    def prepare(self, record: UpstreamRecord) -> None:
+        """
+        Have a connection to a replica before a request is sent, which can show later
+        that the same process runs, if its service has needed that lately.
+        """
+        now = self._clock.now()
+        if now - self._unreported_at.get(record.service, -math.inf) > PREPARED_SECONDS:
+            return
+        with suppress(SendError):  # the request itself finds out
+            self._connections.ensure_idle(record.address)
+
+    def record_unreported_end(self, record: UpstreamRecord) -> None:
+        """Record that the replica of a response without a length reports no start."""
+        self._unreported_at[record.service] = self._clock.now()
+
     def _ask(
-        self, connection: Connection, record: UpstreamRecord, way: ProbeWay
+        self,
+        connection: Connection,
+        record: UpstreamRecord,
+        way: ProbeWay,
+        *,
+        is_same_process: bool = False,
     ) -> ProbeResult:
         """Ask for a report, and keep the connection; raises ``SendError``."""
-        # A report from before doesn't show that the replica still runs.
-        connection.incarnation = None
         try:
-            incarnation = identify_replica(
+            incarnation = request_report(
                 connection,
                 record,
                 self._dialect,
@@ -197,12 +249,21 @@
             raise
         if connection.is_tunnel and way is not ProbeWay.KEPT_CONNECTION:
             way = ProbeWay.OTHER_GATEWAY
+        connection.incarnation = incarnation
         self._connections.release(connection, keep_alive=None)
-        liveness = Liveness.REPORTS
-        if incarnation != record.incarnation:
+        if is_same_process or incarnation == record.incarnation:
+            liveness = Liveness.REPORTS
+        elif incarnation is None:
+            liveness = Liveness.ANSWERS
+        else:
             is_later = incarnation > record.incarnation
             liveness = Liveness.REPLACED if is_later else Liveness.UNKNOWN
-        return ProbeResult(liveness=liveness, way=way, incarnation=incarnation)
+        return ProbeResult(
+            liveness=liveness,
+            way=way,
+            incarnation=incarnation,
+            is_same_process=is_same_process,
+        )
 
     def _check_elsewhere(
         self, record: UpstreamRecord, liveness: Liveness
@@ -258,5 +319,5 @@
             self._probed.discard((record.instance, record.incarnation))
         if liveness.shows_end:
             self._containment.record_connection_failure(record)
-        elif liveness is Liveness.REPORTS:
+        elif liveness in (Liveness.REPORTS, Liveness.ANSWERS):
             self._containment.record_connection(record)
--- a/damasklead/gateway/response_relay.py
+++ b/damasklead/gateway/response_relay.py
@@ -212,11 +212,16 @@
         incarnation = upstream.incarnation or record.incarnation
         # Makes room for the connection of the probe if the pool is full.
         upstream.close()
-        result = None if upstream.is_tunnel else context.probe.check(record)
+        result = (
+            None
+            if upstream.is_tunnel
+            else context.probe.check(record, sent_at=upstream.sent_at)
+        )
         doubt = find_end_doubt(
             is_tunnel=upstream.is_tunnel,
             incarnation=incarnation,
             reported=None if result is None else result.incarnation,
+            is_same_process=result is not None and result.is_same_process,
             is_late=context.clock.now() >= self._call.deadline,
             is_interrupted=upstream.is_interrupted or self._is_held_up,
         )
@@ -234,6 +239,8 @@
             held_up=self._is_held_up,
             events=self.event_count,
         )
+        if result is not None and result.incarnation is None:
+            context.probe.record_unreported_end(record)
         if doubt is None:
             return
         if doubt is not EndDoubt.INTERRUPTED:
--- a/damasklead/gateway/upstream_http.py
+++ b/damasklead/gateway/upstream_http.py
@@ -98,6 +98,9 @@
     incarnation : int or None
         Start of the replica at the other end, in milliseconds of Unix time, as it has
         reported it on this connection; ``None`` if it was not asked.
+    opened_at, sent_at : float
+        Clock times in seconds at which the connection was opened, and at which the
+        latest request began to be sent.
     """
 
     def __init__(
@@ -109,7 +112,8 @@
         on_close: Callable[[], None] = lambda: None,
     ) -> None:
         self._clock = clock
-        self._flow = BodyFlow(started_at=clock.now())
+        self.opened_at = self.sent_at = clock.now()
+        self._flow = BodyFlow(started_at=self.opened_at)
         self.incarnation: int | None = None
         self._on_close = on_close
         self._address = address
@@ -215,6 +219,7 @@
         self._http.send(h11.Data(data=body))
         self._http.send(h11.EndOfMessage())
         self._is_sent = False
+        self.sent_at = self._clock.now()
         self._link.record_sent()
         if len(body) <= MAX_BLOCKING_SEND_BYTES:
             self._send_all(head + body)
@@ -565,18 +570,37 @@
         """
         return self.take_idle(address) or self.open(address)
 
-    def take_idle(self, address: str) -> Connection | None:
-        """Return an idle connection, ``None`` if there is none that can be used."""
-        idle = self._idle.get(address)
+    def take_idle(
+        self, address: str, *, opened_before: float = math.inf
+    ) -> Connection | None:
+        """
+        Return the idle connection that was used last, ``None`` if none can be used.
+
+        Parameters
+        ----------
+        address : str
+        opened_before : float
+            Clock time in seconds before which it must have been opened.
+        """
+        idle = self._idle.get(address, deque())
         now = self._clock.now()
-        while idle:
-            expires_at, connection = idle.pop()
+        for item in reversed(list(idle)):
+            expires_at, connection = item
             if now < expires_at and connection.is_usable and connection.is_open:
-                connection.prepare_next_request()
-                return connection
+                if connection.opened_at < opened_before:
+                    idle.remove(item)
+                    connection.prepare_next_request()
+                    return connection
+                continue
+            idle.remove(item)
             connection.close()
         return None
 
+    def ensure_idle(self, address: str) -> None:
+        """Have an idle connection to an address; raises ``SendError`` as ``open``."""
+        kept = self.take_idle(address)
+        self.release(self.open(address) if kept is None else kept, keep_alive=None)
+
     def open(self, address: str) -> Connection:
         """
         Open a new connection.
--- a/damasklead/unframed_ends.py
+++ b/damasklead/unframed_ends.py
@@ -10,8 +10,10 @@
 
 * The connection was ended in order, by the replica and not by a tunnel.
 * The start of the replica that ran the request has answered another request, sent after
-  the end.  An open connection, a listening socket or another start at the same address
-  is not enough.
+  the end.  Its report names the start; a replica that reports none must have answered
+  over a connection that was opened before the request was sent, and that only the same
+  process can have.  An open connection, a listening socket or another start at the same
+  address is not enough.
 * The deadline that the replica was given has not passed.
 * The body arrived without a long interruption before the end.  Replicas cut off what
   stays unread for some seconds, whether the caller, this process or the network has
@@ -60,6 +62,7 @@
     is_tunnel: bool,
     incarnation: int,
     reported: int | None,
+    is_same_process: bool = False,
     is_late: bool,
     is_interrupted: bool,
 ) -> EndDoubt | None:
@@ -75,6 +78,9 @@
     reported : int or None
         Start that has answered a request which was sent after the end; ``None`` if none
         has.
+    is_same_process : bool
+        Whether such a request was answered over a connection that was opened before
+        the request at issue was sent.
     is_late : bool
         Whether the deadline of the request has passed.
     is_interrupted : bool
@@ -91,10 +97,11 @@
     """
     if is_tunnel:
         return EndDoubt.TUNNEL
-    if reported is None:
-        return EndDoubt.NO_REPORT
-    if not incarnation or reported != incarnation:
-        return EndDoubt.OTHER_START
+    if not is_same_process:
+        if reported is None:
+            return EndDoubt.NO_REPORT
+        if not incarnation or reported != incarnation:
+            return EndDoubt.OTHER_START
     if is_late:
         return EndDoubt.LATE
     return EndDoubt.INTERRUPTED if is_interrupted else None
--- a/tests/gateway_kit.py
+++ b/tests/gateway_kit.py
@@ -349,6 +349,7 @@
                     containment=self.containment,
                     dialect=PlatformDialect(),
                     report_memory=report_memory,
+                    clock=self.clock,
                     open_elsewhere=open_elsewhere,
                     is_isolated=lambda: self.is_isolated,
                 ),
--- a/tests/test_gateway_unframed_ends.py
+++ b/tests/test_gateway_unframed_ends.py
@@ -31,6 +31,7 @@
     read_all,
     wait_until,
 )
+from tests.http_messages import read_request
 
 # Requests that run once, so that a failure is seen by the caller.
 PATHS = ["/order/1", "/chat/1"]
@@ -225,6 +226,62 @@
     elsewhere.stop()
 
 
+def make_plain_script(replica_ends: Callable[[], bool]) -> Script:
+    """
+    Return the script of a replica that reports no start, and crashes if it is asked to.
+    """
+
+    def serve(replica: ScriptedReplica, connection: socket.socket) -> None:
+        while True:
+            line, headers, _ = read_request(connection)
+            if line.split()[1] == "/-/report":
+                connection.sendall(b"HTTP/1.1 404 X\r\nContent-Length: 0\r\n\r\n")
+                continue
+            connection.sendall(make_head(headers["attempt-id"]) + make_event(1))
+            if replica_ends():
+                replica.stop()
+                for other in replica.open_connections:
+                    other.close()
+            return
+
+    return serve
+
+
+class PlainReplica(ScriptedReplica):
+    """A replica that knows its open connections."""
+
+    def __init__(self, name: str, serve: Script) -> None:
+        self.open_connections: list[socket.socket] = []
+        super().__init__(name, serve)
+
+    def _handle(self, connection: socket.socket, peer: object) -> None:
+        self.open_connections.append(connection)
+        super()._handle(connection, peer)
+
+
+def test_a_replica_without_reports_is_known_by_an_earlier_connection(
+    harnesses: list[ForwarderHarness],
+) -> None:
+    """Sound responses of services whose replicas report no start were cut off."""
+    replica = PlainReplica("r0", make_plain_script(lambda: False))
+    harnesses.append(ForwarderHarness([replica]))
+    # A connection from after the request could lead to the next start.
+    assert not is_complete(send(harnesses[-1], "/order/1"))
+    for _ in range(5):
+        assert is_complete(send(harnesses[-1], "/order/1"))
+
+
+def test_a_crash_of_a_replica_without_reports_completes_no_response(
+    harnesses: list[ForwarderHarness],
+) -> None:
+    crashes = [False, False, True]
+    replica = PlainReplica("r0", make_plain_script(lambda: crashes.pop(0)))
+    harnesses.append(ForwarderHarness([replica]))
+    send(harnesses[-1], "/order/1")
+    assert is_complete(send(harnesses[-1], "/order/1"))
+    assert not is_complete(send(harnesses[-1], "/order/1"))
+
+
 @pytest.mark.parametrize("path", PATHS)
 def test_a_response_that_nobody_read_for_some_time_does_not_look_complete(
     harnesses: list[ForwarderHarness], path: str
