--- a/damasklead/gateway/replica_probe.py
+++ b/damasklead/gateway/replica_probe.py
@@ -39,7 +39,7 @@
 # A replica that is busy reports later than one that is about to get a request.
 REPORT_TIMEOUT_SECONDS = 1.0
 # Time for which connections are prepared after they were needed.
-PREPARED_SECONDS = 60.0
+PREPARED_SECONDS = 600.0
 
 
 class Liveness(Enum):
