Pause requests to a replica for as long as it asks

Cause: ReplicaState bounded each pause by MAX_PAUSE_SECONDS = 60 and took a longer one for an error of the replica. The bound also kept the memory for paused replicas that are gone small, and Retry-After for callers short.

Change: a pause lasts as long as the replica asked. What bounded it otherwise is now explicit:

* Pauses are kept by start of a replica in ReplicaPauses, the latest 4,096 of them, so that neither an endless pause of a replica that is gone keeps its state, nor does a list that lacks the replica, or a configuration without its service, end a pause.
The latter did before.
* A new start isn't bound, also if an answer to its predecessor comes late.
* NaN and negative times are no pause; infinity ends with the replica's start.
A faulty replica thus takes itself out of use, for the gateways that it asked.
* Callers get a Retry-After of 60 s at most when all replicas pause.

--- a/damasklead/gateway/placements/__init__.py
+++ b/damasklead/gateway/placements/__init__.py
@@ -13,6 +13,7 @@
 from damasklead.gateway.placements.base import Placement
 from damasklead.gateway.placements.engine import EnginePlacement
 from damasklead.gateway.placements.plain import PlainPlacement
+from damasklead.gateway.replica_pauses import ReplicaPauses
 from damasklead.gateway.routing import ServiceSpec
 from damasklead.ids import DataCentre
 from damasklead.rejection_limits import SlotShare
@@ -38,6 +39,7 @@
     data_centre: DataCentre,
     get_request_rate: Callable[[UpstreamRecord], float | None] = lambda _: None,
     get_slot_share: Callable[[UpstreamRecord], SlotShare | None] = lambda _: None,
+    pauses: ReplicaPauses | None = None,
 ) -> Placement:
     """Return a placement of the class for the service's kind."""
     kind = "plain" if service.engine is None else "engine"
@@ -47,4 +49,5 @@
         data_centre=data_centre,
         get_request_rate=get_request_rate,
         get_slot_share=get_slot_share,
+        pauses=pauses,
     )
--- a/damasklead/gateway/placements/base.py
+++ b/damasklead/gateway/placements/base.py
@@ -14,6 +14,7 @@
 from damasklead.failures import Failure
 from damasklead.gateway.calls import Call, LoadHint, UpstreamRecord
 from damasklead.gateway.part_locations import PartLocations
+from damasklead.gateway.replica_pauses import ReplicaPauses
 from damasklead.gateway.replica_speeds import ReplicaSpeeds
 from damasklead.gateway.replica_state import ReplicaState, ServiceTime
 from damasklead.gateway.routing import Route, ServiceSpec
@@ -58,6 +59,9 @@
         ``None`` when they are not limited.
     get_slot_share : callable
         Returns what this placement may use of a replica, ``None`` if it isn't brittle.
+    pauses : ReplicaPauses or None
+        The pauses that replicas asked this gateway for; by default those of this
+        placement only.
     """
 
     def __init__(
@@ -68,7 +72,9 @@
         data_centre: DataCentre,
         get_request_rate: Callable[[UpstreamRecord], float | None] = lambda _: None,
         get_slot_share: Callable[[UpstreamRecord], SlotShare | None] = lambda _: None,
+        pauses: ReplicaPauses | None = None,
     ) -> None:
+        self._pauses = ReplicaPauses(clock=clock) if pauses is None else pauses
         self._get_slot_share = get_slot_share
         self._get_request_rate = get_request_rate
         self._service = service
@@ -133,7 +139,7 @@
         Replace the eligible replicas.
 
         The state of a replica that is no longer eligible is kept while it has requests
-        of this gateway or is paused, so that both still count if it is listed again.
+        of this gateway, so that they still count if it is listed again.
         """
         eligible: dict[InstanceId, ReplicaState] = {}
         for record in records:
@@ -142,16 +148,16 @@
                 state = ReplicaState(
                     record=record, memory_tokens=self._get_memory_tokens()
                 )
+                state.paused_until = self._pauses.get_end(record)
                 self._replicas[record.instance] = state
             elif state.update_record(record):
+                state.paused_until = self._pauses.get_end(record)
                 self._forget_replica(record.instance)
             eligible[record.instance] = state
         self._eligible_replicas = eligible
         self._eligible_keys = frozenset(state.key for state in eligible.values())
-        now = self._clock.now()
         for instance in [item for item in self._replicas if item not in eligible]:
-            state = self._replicas[instance]
-            if not state.own_requests and state.paused_until <= now:
+            if not self._replicas[instance].own_requests:
                 del self._replicas[instance]
         self._speeds.retain_replicas(self._replicas.keys())
 
@@ -236,21 +242,26 @@
         )
         return first_end - now if first_end > now else None
 
-    def pause_replica(self, instance: InstanceId, seconds: float) -> float:
+    def pause_replica(self, record: UpstreamRecord, seconds: float) -> float:
         """
         Pause requests to a replica for the seconds that it asked for.
 
+        Parameters
+        ----------
+        record : UpstreamRecord
+            The replica, in the start that the request was sent to.
+        seconds : float
+
         Returns
         -------
         float
-            Seconds for which requests are paused; 0 for an unknown replica.
+            Seconds until the pause ends; 0 if there is none.
         """
-        state = self._replicas.get(instance)
-        return (
-            0.0
-            if state is None
-            else state.pause_requests(seconds, now=self._clock.now())
-        )
+        end = self._pauses.record(record, seconds)
+        state = self._replicas.get(record.instance)
+        if state is not None and state.record.incarnation == record.incarnation:
+            state.paused_until = end
+        return max(end - self._clock.now(), 0.0)
 
     def explain_choice(self, instance: InstanceId, call: Call) -> dict[str, object]:
         """
--- a/damasklead/gateway/placements/engine.py
+++ b/damasklead/gateway/placements/engine.py
@@ -14,6 +14,7 @@
 from damasklead.gateway.part_locations import PartLocations
 from damasklead.gateway.placements.base import FAILURE_COST, Placement, tie_breaker
 from damasklead.gateway.placements.shared_parts import SharedParts
+from damasklead.gateway.replica_pauses import ReplicaPauses
 from damasklead.gateway.replica_state import ReplicaState, ServiceTime
 from damasklead.gateway.routing import Route, ServiceSpec
 from damasklead.gateway.stream_room import StreamRoom
@@ -103,6 +104,7 @@
         data_centre: DataCentre,
         get_request_rate: Callable[[UpstreamRecord], float | None] = lambda _: None,
         get_slot_share: Callable[[UpstreamRecord], SlotShare | None] = lambda _: None,
+        pauses: ReplicaPauses | None = None,
     ) -> None:
         super().__init__(
             service=service,
@@ -110,6 +112,7 @@
             data_centre=data_centre,
             get_request_rate=get_request_rate,
             get_slot_share=get_slot_share,
+            pauses=pauses,
         )
         self._lowest_priority_tier = 0
         self._mean_backlog = 0.0
--- a/damasklead/gateway/process.py
+++ b/damasklead/gateway/process.py
@@ -35,6 +35,7 @@
 from damasklead.gateway.log_limiter import LogLimiter
 from damasklead.gateway.metrics import GatewayMetrics
 from damasklead.gateway.placements import Placement, new_placement
+from damasklead.gateway.replica_pauses import ReplicaPauses
 from damasklead.gateway.replica_probe import ReplicaProbe
 from damasklead.gateway.routing import RoutingTable, ServiceSpec
 from damasklead.gateway.settings import GatewaySettings
@@ -117,6 +118,8 @@
         self._api = self._connect_api(settings)
         self._directory = UpstreamDirectory(clock=self._clock)
         self._placements: dict[ServiceName, Placement] = {}
+        # Kept when a configuration without a service drops its placement.
+        self._pauses = ReplicaPauses(clock=self._clock)
         self._account = MemoryAccount(clock=self._clock)
         self._descriptors = make_descriptor_budget(settings.max_descriptors)
         self._update_limits()
@@ -402,6 +405,7 @@
                 data_centre=DataCentre(self._settings.data_centre),
                 get_request_rate=self._get_request_rate,
                 get_slot_share=self._get_slot_share,
+                pauses=self._pauses,
             )
             placement.update_replicas(self._directory.get_eligible_records(name))
             self._placements[name] = placement
--- a/damasklead/gateway/proxied_request.py
+++ b/damasklead/gateway/proxied_request.py
@@ -25,6 +25,9 @@
 
 # Retry-After for a request that crashes replicas, which operators have to look into.
 QUARANTINED_RETRY_AFTER_SECONDS = 60.0
+# Longest Retry-After when all replicas pause: others may be added, and paused ones
+# start again, before the pauses end.
+MAX_RETRY_AFTER_SECONDS = 60.0
 # Largest delay added to Retry-After when all replicas pause, so that callers don't
 # retry at the same instant.
 RETRY_AFTER_JITTER_SECONDS = 0.5
@@ -321,7 +324,9 @@
             )
         jitter = RETRY_AFTER_JITTER_SECONDS * stable_hash(self._call.id) / 2**64
         return self._refuse_or_send_error(
-            Reason.REPLICAS_PAUSED, "all replicas pause", retry_after=pause + jitter
+            Reason.REPLICAS_PAUSED,
+            "all replicas pause",
+            retry_after=min(pause, MAX_RETRY_AFTER_SECONDS) + jitter,
         )
 
     def _record_failure(self, attempt: Attempt, error: SendError) -> None:
--- a/damasklead/gateway/replica_signals.py
+++ b/damasklead/gateway/replica_signals.py
@@ -50,7 +50,7 @@
                 record, "its response announces that it leaves"
             )
         if reply.retry_after is not None:
-            granted = self._placement.pause_replica(record.instance, reply.retry_after)
+            granted = self._placement.pause_replica(record, reply.retry_after)
             self._context.journal.event(
                 "replica-paused",
                 request=self._request,
--- a/damasklead/gateway/replica_state.py
+++ b/damasklead/gateway/replica_state.py
@@ -24,9 +24,6 @@
 # with each further failure.
 MIN_PENALTY_SECONDS = 0.5
 MAX_PENALTY_SECONDS = 4.0
-# Upper bound of the pause that a replica can ask for; a longer one is an error of the
-# replica.
-MAX_PAUSE_SECONDS = 60.0
 # Penalty of a replica that reports that it is full: about the duration of a request.
 FULL_PENALTY_SECONDS = 0.1
 # Half-life of the load that a replica has reported: requests last about a second.
@@ -139,7 +136,8 @@
     penalty_until : float
         Clock time in seconds until which other replicas are preferred.
     paused_until : float
-        Clock time in seconds until which this gateway sends the replica no request.
+        Clock time in seconds until which this gateway sends the replica no request;
+        infinity until it starts again.
     last_sent_at : float
         Clock time in seconds at which the last request was sent; minus infinity before.
     """
@@ -283,22 +281,6 @@
         if hint is not None:
             self._hint, self._hint_received_at = hint, now
 
-    def pause_requests(self, seconds: float, *, now: float) -> float:
-        """
-        Pause requests to the replica for a time that it asked for.
-
-        A shorter pause doesn't end a longer one that has begun before.
-
-        Returns
-        -------
-        float
-            Seconds for which requests are paused, within the upper bound.
-        """
-        # Comparisons with NaN are false, so NaN is treated as no pause.
-        granted = min(seconds, MAX_PAUSE_SECONDS) if seconds > 0 else 0.0
-        self.paused_until = max(self.paused_until, now + granted)
-        return granted
-
     def record_success(self) -> None:
         """Record a complete response, which ends the penalty."""
         self._penalty_seconds = 0.0
