Keep the causes of crashes in the store

Cause: the causes live in the memory of the gateways and in what they tell each other. When all are lost, three crashes have to be seen and their reports waited for again.

Change: the causes are kept in one row of the platform's store (gateway/stored_causes.py). Each gateway reads it once when it starts, and after the store was restored. The first gateway by rank writes it 0.5 s after the causes have changed; the next three follow 2, 4 and 6 s later if it hasn't, and find in the conflict what it wrote. No gateway replaces a row that it hasn't read; rows of two that write at once are merged.

A cause counts as 10 s older than stored, so that clocks which differ or step by seconds revive none that a replica has responded to since, also when the store returns to an older copy.

Evidence: test_gateway_fleet_stored_causes.py kills three real gateways; with the task left out, and pauses in place of the log lines that it waits for, it counts 20 crashes instead of the 9 before the kill. With the rows not adopted 17 of 21 tests of test_gateway_stored_causes.py fail.

--- a/damasklead/gateway/fleet.py
+++ b/damasklead/gateway/fleet.py
@@ -41,6 +41,7 @@
 from damasklead.gateway.settings import GatewaySettings
 from damasklead.gateway.snapshot_exchange import SnapshotExchange
 from damasklead.gateway.store_positions import Position
+from damasklead.gateway.stored_causes import StoredCauses
 from damasklead.gateway.stream_origins.registry import OriginRegistry
 from damasklead.gateway.upstream_http import ConnectionPool
 from damasklead.ids import (
@@ -236,6 +237,14 @@
             journal=journal,
             get_record=directory.get_record,
         )
+        self._stored_causes = StoredCauses(
+            containment=self.containment,
+            tables=lambda: link().tables,
+            get_rank=lambda: 0 if self._broadcasts is None else self._broadcasts.rank,
+            clock=clock,
+            get_unix_time=get_unix_time,
+            journal=journal,
+        )
         self.duties = self._make_duties(
             api=api, get_unix_time=get_unix_time, incarnation=incarnation
         )
@@ -323,6 +332,7 @@
             TaskChild(name="decisions", function=self.coordination.run_queue_loop),
             TaskChild(name="running", function=self.coordination.run_report_loop),
             TaskChild(name="origins", function=self.origins.writer.run),
+            TaskChild(name="crash-causes", function=self._stored_causes.run),
         ]
         if self._peers is not None and self._broadcasts is not None:
             self._peers.listen()
