Take an open connection with a request for a sign that its replica runs

Seen by reading: a replica that has no room for another connection may refuse it, to this gateway and to others. The watch of replicas at which requests were given up then took it for crashed, unless an idle connection was open; under load none is, while callers leave more often than at other times. The same request given up at three such replicas would be refused.

Change: connections that carry requests count as well; a crash ends them. Also, Attempt.close closes the connection before it computes the fingerprint.

Evidence: test_a_replica_without_room_for_a_connection_blames_nothing fails if idle connections alone count.

--- a/damasklead/gateway/attempt.py
+++ b/damasklead/gateway/attempt.py
@@ -225,11 +225,11 @@
         if upstream is None:
             return
         is_over = has_broken_off or upstream.has_whole_response
+        upstream.close()
         if self._may_be_executed and not is_over:
             self._context.containment.record_abandoned(
                 self.record, self._call, event_count=event_count
             )
-        upstream.close()
 
     def _check_version(self, upstream: Connection) -> None:
         """
--- a/damasklead/gateway/upstream_http.py
+++ b/damasklead/gateway/upstream_http.py
@@ -7,7 +7,7 @@
 """
 
 import math
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable, Sequence
 from contextlib import suppress
 from io import BytesIO
@@ -515,6 +515,7 @@
         self._clock = clock
         self._get_max_connections = get_max_connections
         self._open_count = 0
+        self._open_counts: Counter[str] = Counter()
         self._idle: dict[str, deque[tuple[float, Connection]]] = {}
         self._opened = 0
         self._max_idle = MAX_IDLE_CONNECTIONS
@@ -580,11 +581,15 @@
         return self._opened == opened_count
 
     def has_open(self, address: str) -> bool:
-        """Return whether an idle connection to an address is open."""
-        return any(
-            connection.is_usable and connection.is_open
-            for _, connection in self._idle.get(address, ())
-        )
+        """
+        Return whether a connection to an address is open.
+
+        One that carries a request counts until its end is noticed.
+        """
+        idle = self._idle.get(address, ())
+        if self._open_counts[address] > len(idle):
+            return True
+        return any(item.is_usable and item.is_open for _, item in idle)
 
     def release(self, connection: Connection, *, keep_alive: float | None) -> None:
         """
@@ -671,8 +676,11 @@
                 Failure.NOT_SENT, "too many connections to replicas"
             )
 
-    def _record_close(self) -> None:
+    def _record_close(self, address: str) -> None:
         self._open_count -= 1
+        self._open_counts[address] -= 1
+        if not self._open_counts[address]:
+            del self._open_counts[address]
 
     def _open(self, address: str) -> Connection:
         self._make_room()
@@ -685,4 +693,9 @@
                 raise
             raise SendError(Failure.NOT_SENT, f"connect: {error}") from error
         self._opened += 1
-        return Connection(address=address, link=link, on_close=self._record_close)
+        self._open_counts[address] += 1
+        return Connection(
+            address=address,
+            link=link,
+            on_close=lambda: self._record_close(address),
+        )
--- a/tests/test_gateway_abandoned_requests.py
+++ b/tests/test_gateway_abandoned_requests.py
@@ -517,6 +517,47 @@
     assert not harness.containment.recent_crashes
 
 
+def test_a_replica_without_room_for_a_connection_blames_nothing(
+    harnesses: list[ForwarderHarness],
+) -> None:
+    """It works on other requests of this gateway, whose connections are open."""
+
+    def hang(this: ScriptedReplica, connection: socket.socket) -> None:
+        this.receive_request(connection)
+        connection.recv(1)
+        raise EOFError
+
+    clock = ManualClock()
+    full = ScriptedReplica("r0", hang)
+    harness = ForwarderHarness([full], containment_clock=clock)
+    harnesses.append(harness)
+    watch = AbandonmentWatch(
+        connections=harness.connections,
+        probe=ReplicaProbe(
+            connections=harness.connections, containment=harness.containment
+        ),
+        containment=harness.containment,
+    )
+    with harness.connect() as staying:
+        staying.sendall(make_request("/chat/1", attempt="a1"))
+        wait_until(lambda: len(full.requests) == 1)
+        with harness.connect() as leaving:
+            leaving.sendall(make_request("/chat/2", attempt="a2"))
+            wait_until(lambda: len(full.requests) == 2)
+            gevent.sleep(0.05)
+        wait_until(lambda: full.closed_by_gateway_count == 1)
+        full.stop()
+        for _ in range(4):
+            clock.advance(1.0)
+            watch.check_due()
+            gevent.sleep(0.05)
+        assert not harness.containment.recent_crashes
+    wait_until(lambda: full.closed_by_gateway_count == 2)
+    clock.advance(2.0)
+    watch.check_due()
+    wait_until(lambda: harness.containment.recent_crashes)
+
+
 def test_a_request_that_got_its_whole_response_or_was_rejected_is_no_suspect(
     harnesses: list[ForwarderHarness],
 ) -> None:
