--- a/damasklead/gateway/abandonment_watch.py
+++ b/damasklead/gateway/abandonment_watch.py
@@ -3,8 +3,9 @@
 ====================================
 
 Finds out whether a replica has crashed that may have gone on with requests which this
-gateway gave up.  A connection that is still open shows that it hasn't, without any traffic and
-also if the replica has no room for another one; otherwise the replica is probed.
+gateway gave up.  A connection that is still open shows that it hasn't, without any
+traffic and also if the replica has no room for another one; otherwise the replica is
+probed.
 """
 
 import gevent
