--- a/damasklead/gateway/process.py
+++ b/damasklead/gateway/process.py
@@ -18,6 +18,7 @@
 from gevent.event import Event
 
 from damasklead.descriptor_budget import make_descriptor_budget
+from damasklead.gateway.abandonment_watch import AbandonmentWatch
 from damasklead.gateway.budget import SharedRetryBudget
 from damasklead.gateway.callers import RequestHandler
 from damasklead.gateway.calls import Call, UpstreamRecord
@@ -35,6 +36,7 @@
 from damasklead.gateway.log_limiter import LogLimiter
 from damasklead.gateway.metrics import GatewayMetrics
 from damasklead.gateway.placements import Placement, new_placement
+from damasklead.gateway.replica_pauses import ReplicaPauses
 from damasklead.gateway.replica_probe import ReplicaProbe
 from damasklead.gateway.routing import RoutingTable, ServiceSpec
 from damasklead.gateway.settings import GatewaySettings
@@ -117,6 +119,8 @@
         self._api = self._connect_api(settings)
         self._directory = UpstreamDirectory(clock=self._clock)
         self._placements: dict[ServiceName, Placement] = {}
+        # Kept when a configuration without a service drops its placement.
+        self._pauses = ReplicaPauses(clock=self._clock)
         self._account = MemoryAccount(clock=self._clock)
         self._descriptors = make_descriptor_budget(settings.max_descriptors)
         self._update_limits()
@@ -167,8 +171,22 @@
             on_catch_up=self._metrics.count_catch_up,
             api=lambda: self._api,
         )
-        self._scaling = self._make_scaling(settings)
         report_memory = make_report_memory()
+        probe = ReplicaProbe(
+            connections=self._connections,
+            containment=self._fleet.containment,
+            dialect=dialect,
+            report_memory=report_memory,
+            clock=self._clock,
+            open_elsewhere=self._dialer.open_elsewhere,
+            is_isolated=lambda: self._reachability.is_isolated,
+        )
+        self._abandonment_watch = AbandonmentWatch(
+            connections=self._connections,
+            probe=probe,
+            containment=self._fleet.containment,
+        )
+        self._scaling = self._make_scaling(settings)
         self._forwarder = Forwarder(
             context=GatewayContext(
                 dialect=dialect,
@@ -177,15 +195,7 @@
                 budget=self._budget,
                 assignment_client=self._fleet.coordination.client,
                 containment=self._fleet.containment,
-                probe=ReplicaProbe(
-                    connections=self._connections,
-                    containment=self._fleet.containment,
-                    dialect=dialect,
-                    report_memory=report_memory,
-                    clock=self._clock,
-                    open_elsewhere=self._dialer.open_elsewhere,
-                    is_isolated=lambda: self._reachability.is_isolated,
-                ),
+                probe=probe,
                 journal=self._journal,
                 rate_limits=self._fleet.rate_limits,
                 origins=self._fleet.origins,
@@ -332,6 +342,7 @@
             self._connections.close_unusable()
             self._update_limits()
             self._fleet.containment.update_quarantine()
+            self._abandonment_watch.check_due()
             if self._fleet.is_gateway_count_known:
                 self._apply_gateway_count(self._fleet.gateway_count)
             if self._settings_file.has_changed:
@@ -408,6 +419,7 @@
                 data_centre=DataCentre(self._settings.data_centre),
                 get_request_rate=self._get_request_rate,
                 get_slot_share=self._get_slot_share,
+                pauses=self._pauses,
             )
             placement.update_replicas(self._directory.get_eligible_records(name))
             self._placements[name] = placement
--- a/damasklead/gateway/proxied_request.py
+++ b/damasklead/gateway/proxied_request.py
@@ -25,6 +25,9 @@
 
 # Retry-After for a request that crashes replicas, which operators have to look into.
 QUARANTINED_RETRY_AFTER_SECONDS = 60.0
+# Longest Retry-After when all replicas pause: others may be added, and paused ones
+# start again, before the pauses end.
+MAX_RETRY_AFTER_SECONDS = 60.0
 # Largest delay added to Retry-After when all replicas pause, so that callers don't
 # retry at the same instant.
 RETRY_AFTER_JITTER_SECONDS = 0.5
@@ -195,7 +198,7 @@
         """Close the replica's connection, which cancels a request that runs there."""
         self._hedge.cancel()
         if self._attempt is not None:
-            self._attempt.close()
+            self._attempt.close(event_count=self.event_count)
         # A request that ends while it is connecting was already counted there.
         self._placement.record_cancellation(self.replica, self._call)
         self._selector.end_assignment("withdrawn")
@@ -321,7 +324,9 @@
             )
         jitter = RETRY_AFTER_JITTER_SECONDS * stable_hash(self._call.id) / 2**64
         return self._refuse_or_send_error(
-            Reason.REPLICAS_PAUSED, "all replicas pause", retry_after=pause + jitter
+            Reason.REPLICAS_PAUSED,
+            "all replicas pause",
+            retry_after=min(pause, MAX_RETRY_AFTER_SECONDS) + jitter,
         )
 
     def _record_failure(self, attempt: Attempt, error: SendError) -> None:
@@ -342,7 +347,8 @@
     ) -> None:
         failure, record = error.failure, attempt.record
         has_ended = attempt.upstream is not None and attempt.upstream.has_ended
-        attempt.close()
+        has_broken_off = failure is Failure.BROKEN and has_ended
+        attempt.close(has_broken_off=has_broken_off, event_count=self.event_count)
         if failure in _FAILURES_OF_THE_WAY and self._context.is_isolated():
             # The replica works for others, whose coordinator must not avoid it.
             self._placement.record_cancellation(record.instance, self._call)
@@ -353,7 +359,7 @@
         self._excluded_replicas.add(record.instance)
         if failure is Failure.NOT_SENT:
             self._context.probe.report_failed_connection(record)
-        elif failure is Failure.BROKEN and has_ended:
+        elif has_broken_off:
             self._context.containment.record_broken_response(
                 record, self._call, event_count=self.event_count
             )
--- a/damasklead/gateway/upstream_http.py
+++ b/damasklead/gateway/upstream_http.py
@@ -7,7 +7,7 @@
 """
 
 import math
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable, Sequence
 from contextlib import suppress
 from io import BytesIO
@@ -190,6 +190,11 @@
             return True
         return states == (h11.DONE, h11.DONE) and not self._http.trailing_data[0]
 
+    @property
+    def has_whole_response(self) -> bool:
+        """Whether the response has arrived to its end."""
+        return self._http.their_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
+
     @property
     def body_length(self) -> int | None:
         """Length of the response's body in bytes, if its head states one."""
@@ -529,6 +534,7 @@
         self._clock = clock
         self._get_max_connections = get_max_connections
         self._open_count = 0
+        self._open_counts: Counter[str] = Counter()
         self._idle: dict[str, deque[tuple[float, Connection]]] = {}
         self._opened = 0
         self._max_idle = MAX_IDLE_CONNECTIONS
@@ -637,6 +643,17 @@
         self._open_count += 1
         return self._make_connection(address, link)
 
+    def has_open(self, address: str) -> bool:
+        """
+        Return whether a connection to an address is open.
+
+        One that carries a request counts until its end is noticed.
+        """
+        idle = self._idle.get(address, ())
+        if self._open_counts[address] > len(idle):
+            return True
+        return any(item.is_usable and item.is_open for _, item in idle)
+
     def release(self, connection: Connection, *, keep_alive: float | None) -> None:
         """
         Return a connection to the pool, or close it if it can't be reused.
@@ -722,10 +739,17 @@
                 Failure.NOT_SENT, "too many connections to replicas"
             )
 
-    def _record_close(self) -> None:
+    def _record_close(self, address: str) -> None:
         self._open_count -= 1
+        self._open_counts[address] -= 1
+        if not self._open_counts[address]:
+            del self._open_counts[address]
 
     def _make_connection(self, address: str, link: Link) -> Connection:
+        self._open_counts[address] += 1
         return Connection(
-            address=address, link=link, clock=self._clock, on_close=self._record_close
+            address=address,
+            link=link,
+            clock=self._clock,
+            on_close=lambda: self._record_close(address),
         )
--- a/tests/gateway_kit.py
+++ b/tests/gateway_kit.py
@@ -255,6 +255,26 @@
             raise FeedError(FeedFault.UNREACHABLE, "away")
 
 
+def make_probe(
+    *,
+    connections: ConnectionPool,
+    containment: Containment,
+    clock: Clock,
+    open_elsewhere: Callable[[str], Link | None] | None = None,
+    is_isolated: Callable[[], bool] = lambda: False,
+) -> ReplicaProbe:
+    """Return a probe of replicas that speak the platform's dialect."""
+    return ReplicaProbe(
+        connections=connections,
+        containment=containment,
+        dialect=PlatformDialect(),
+        report_memory=make_report_memory(),
+        clock=clock,
+        open_elsewhere=open_elsewhere,
+        is_isolated=is_isolated,
+    )
+
+
 class ForwarderHarness:
     """
     A forwarder behind a listener, with scripted replicas.
@@ -335,7 +355,6 @@
             journal=self.journal,
             get_record=lambda instance: self.listed_records.get(instance),
         )
-        report_memory = make_report_memory()
         self.forwarder = Forwarder(
             context=GatewayContext(
                 dialect=PlatformDialect(),
@@ -344,16 +363,13 @@
                 budget=self.budget,
                 assignment_client=self._make_assignment_client(),
                 containment=self.containment,
-                probe=ReplicaProbe(
+                probe=make_probe(
                     connections=self.connections,
                     containment=self.containment,
-                    dialect=PlatformDialect(),
-                    report_memory=report_memory,
                     clock=self.clock,
                     open_elsewhere=open_elsewhere,
                     is_isolated=lambda: self.is_isolated,
                 ),
-                report_memory=report_memory,
                 journal=self.journal,
                 rate_limits=self.rate_limits,
                 origins=self.origins,
