Keep long bodies in pages that go back to the system, and refuse them at their heads

Cause: freed bodies stayed with the process. Segments of 64 KB lie between small objects, and glibc raises its threshold for blocks of their own with each one that is freed, so that joined bodies came from the heap as well. Added to that were copies: a body beside its segments when it was joined, and the decoded and encoded ones of its fingerprint. The limit didn't notice: it forgave 1.5 times the most bytes ever held.

Fingerprints stay what they were. A request above 64 KB reserves memory for its whole length at its head, within six tenths of the limit and within what the instance has left beside the resident size; it is refused there otherwise, and what its caller still sends is dropped so that the refusal can be read. Reservations don't count in the peak that the limit forgives. A stated length above the configured limit gets 413 at once.

--- a/damasklead/gateway/caller_closing.py
+++ b/damasklead/gateway/caller_closing.py
@@ -73,11 +73,12 @@
     turn: TurnBudget,
     longest_seconds: float,
     may_go_on: Callable[[], bool],
+    expects_more: bool = False,
 ) -> None:
     """
     Drop what a caller has sent after its last request, until it ends its side.
 
-    Has no effect if nothing was sent.
+    Has no effect if nothing was sent, unless more is expected.
 
     Parameters
     ----------
@@ -90,13 +91,15 @@
         Time after which a caller that still reads, or still sends, is cut off.
     may_go_on : callable
         Returns whether the connection may stay open.
+    expects_more : bool
+        Whether the caller was refused before it has sent all of its request.
 
     Raises
     ------
     OSError
         When the connection has ended.
     """
-    if not count_unread_bytes(raw):
+    if not expects_more and not count_unread_bytes(raw):
         return
     raw.shutdown(socket.SHUT_WR)
     raw.settimeout(POLL_SECONDS)
@@ -110,6 +113,8 @@
             if not data:
                 return
             turn.spend(size=len(data))
+            if expects_more:
+                acknowledged_at = clock.now()
         now = clock.now()
         if count_unsent_bytes(raw):
             acknowledged_at = now
--- a/damasklead/gateway/callers.py
+++ b/damasklead/gateway/callers.py
@@ -19,7 +19,7 @@
 import msgspec
 from gevent import socket
 
-from damasklead.body_buffer import BodyBuffer
+from damasklead.body_buffer import Body, BodyBuffer
 from damasklead.clock import Clock
 from damasklead.gateway.caller_closing import UnreadClose, drop_unread, find_unread
 from damasklead.gateway.caller_sender import (
@@ -88,7 +88,7 @@
         From the request line; the target in origin form.
     headers : list
         Names, in the caller's spelling, and values.
-    body : bytes
+    body : Body
         The complete body, without its transfer coding.
     arrival : float
         Clock reading in seconds when the head was complete.
@@ -100,7 +100,7 @@
         method: str,
         target: str,
         headers: list[Header],
-        body: bytes,
+        body: Body,
         arrival: float,
     ) -> None:
         self.method = method
@@ -109,6 +109,11 @@
         self.body = body
         self.arrival = arrival
 
+    def release(self) -> None:
+        """Release the memory of a long body."""
+        if isinstance(self.body, BodyBuffer):
+            self.body.release()
+
     @property
     def host(self) -> str:
         """The Host header; empty without one."""
@@ -301,6 +306,7 @@
                     turn=self._turn,
                     longest_seconds=self._handler.limits().idle_seconds,
                     may_go_on=lambda: not self._account.is_exceeded,
+                    expects_more=self._http.their_state is h11.SEND_BODY,
                 )
         except CallerClosed as error:
             self._reset()
@@ -475,9 +481,7 @@
                 self._send_error(408, "the request did not arrive in time")
             return False
         except _OutOfMemory:
-            self._send_error(
-                503, "too many large requests", retry_after=OUT_OF_MEMORY_RETRY_SECONDS
-            )
+            self._refuse_large()
             return False
         if request is None:
             return False
@@ -492,6 +496,7 @@
         try:
             self._handler.handle(request, self)
         finally:
+            request.release()
             # Blocks until the watcher has ended: only one greenlet may read from a
             # socket.
             disconnect_watcher.kill()
@@ -523,7 +528,9 @@
         ]
         _check_framing(event.headers)
         target, headers = to_origin_form(event.target.decode("latin-1"), headers)
+        self._reserve_body(event, limits)
         body = self._read_body(limits, charge)
+        self._holding.end_reading()
         self._socket.settimeout(None)
         return RawRequest(
             method=event.method.decode("ascii"),
@@ -597,7 +604,15 @@
             watcher.close()
         return is_readable(self._socket)
 
-    def _read_body(self, limits: CallerLimits, charge: MemoryCharge) -> bytes:
+    def _reserve_body(self, head: h11.Request, limits: CallerLimits) -> None:
+        """Reserve memory for a body whose length is known, before it is read."""
+        length = int(dict(head.headers).get(b"content-length", b"0"))
+        if length > limits.body_bytes:
+            raise h11.RemoteProtocolError("body is too long", 413)
+        if not self._holding.reserve(length - len(self._http.trailing_data[0])):
+            raise _OutOfMemory
+
+    def _read_body(self, limits: CallerLimits, charge: MemoryCharge) -> Body:
         if self._http.they_are_waiting_for_100_continue:
             continue_response = h11.InformationalResponse(status_code=100, headers=[])
             self._socket.sendall(self._http.send(continue_response) or b"")
@@ -606,7 +621,7 @@
         while True:
             event = self._next_event(limits)
             if isinstance(event, h11.EndOfMessage):
-                return body.take()
+                return body.finish()
             if not isinstance(event, h11.Data):
                 raise CallerDisconnected
             body.add(event.data)
@@ -656,8 +671,21 @@
         self._holding.enter(Stage.READING)
         return self._clock.now()
 
+    def _refuse_large(self) -> None:
+        """Refuse a request for which there is no memory."""
+        detail = "too many large requests"
+        self._report_rejected(503, detail)
+        self._send_error(503, detail, retry_after=OUT_OF_MEMORY_RETRY_SECONDS)
+
     def _reject(self, status: int, detail: str) -> None:
         """Reject a request that is not valid, or may not be."""
+        self._report_rejected(status, detail)
+        if status in _LIMIT_STATUSES and not self._knows_limits:
+            self._send_error(503, detail, retry_after=UNKNOWN_LIMITS_RETRY_SECONDS)
+        else:
+            self._send_error(status, detail)
+
+    def _report_rejected(self, status: int, detail: str) -> None:
         if self._on_rejected is not None:
             self._on_rejected(
                 Rejection(
@@ -667,10 +695,6 @@
                     request_count=self._request_count,
                 )
             )
-        if status in _LIMIT_STATUSES and not self._knows_limits:
-            self._send_error(503, detail, retry_after=UNKNOWN_LIMITS_RETRY_SECONDS)
-        else:
-            self._send_error(status, detail)
 
     def _send_error(
         self, status: int, detail: str, *, retry_after: float | None = None
--- a/damasklead/gateway/calls.py
+++ b/damasklead/gateway/calls.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from damasklead.body_buffer import Body
 from damasklead.gateway.routing import ApiKey, Route, RouteKind, Workspace
 from damasklead.ids import (
     UNKNOWN_VERSION,
@@ -121,6 +122,8 @@
         Clock time in seconds at which the caller gives up.
     tier : int
         Priority of the request; 0 is the most urgent.
+    body : Body
+        The complete body; a long one is released when the request ends.
     version : SoftwareVersion or None
         Version of the replicas that may execute the request, since a part of its stream
         was written by one of them; ``None`` if any may.
@@ -137,7 +140,7 @@
     deadline: float
     caller_deadline: float
     tier: int
-    body: bytes = b""
+    body: Body = b""
     version: SoftwareVersion | None = None
     start: ReplicaStart | None = None
 
--- a/damasklead/gateway/crash_containment.py
+++ b/damasklead/gateway/crash_containment.py
@@ -15,9 +15,11 @@
 import math
 from collections import OrderedDict
 from collections.abc import Callable, Iterable
+from itertools import chain
 
 import msgspec
 
+from damasklead.body_buffer import iterate_pieces
 from damasklead.clock import Clock
 from damasklead.crash_attribution import (
     MAX_SUSPECT_EVENTS,
@@ -41,7 +43,7 @@
 )
 from damasklead.gateway.exonerations import Exonerations
 from damasklead.ids import Fingerprint, Incarnation, InstanceId
-from damasklead.util import stable_hash
+from damasklead.util import stable_hash_pieces
 
 __all__ = ["Containment", "compute_fingerprint"]
 
@@ -86,8 +88,10 @@
     It is the same for all retries of a request and at all gateways.
     """
     workspace = "" if call.workspace is None else call.workspace.name
-    body = call.body.decode("latin-1")
-    return Fingerprint(f"{stable_hash(workspace, call.head.target, body):016x}")
+    # Pieces, since a long body is not copied.
+    body = (str(piece, "latin-1") for piece in iterate_pieces(call.body))
+    pieces = chain([f"{workspace}\x00{call.head.target}\x00"], body)
+    return Fingerprint(f"{stable_hash_pieces(pieces):016x}")
 
 
 class Containment:
@@ -511,4 +515,5 @@
 def _hash_request(call: Call) -> int:
     """Return a hash of a request that is fast but valid in this process only."""
     workspace = "" if call.workspace is None else call.workspace.name
-    return hash((workspace, call.head.target, call.body))
+    body = (hash(piece.toreadonly()) for piece in iterate_pieces(call.body))
+    return hash((workspace, call.head.target, *body))
--- a/damasklead/gateway/process.py
+++ b/damasklead/gateway/process.py
@@ -46,7 +46,7 @@
 from damasklead.ids import DataCentre, InstanceId, ServiceName
 from damasklead.loop import LoopClock
 from damasklead.memory_budget import HeldKind, MemoryAccount
-from damasklead.memory_shortage import compute_memory_limit
+from damasklead.memory_shortage import compute_memory_limit, compute_reading_room
 from damasklead.process_memory import read_resident_bytes
 from damasklead.rejection_limits import SlotShare
 from damasklead.supervision import Child, ServerChild, Supervisor, TaskChild
@@ -476,10 +476,17 @@
         if settings.memory_megabytes is None:
             self._account.limit_bytes = math.inf
             return
-        self._account.limit_bytes = compute_memory_limit(
-            memory_bytes=1_000_000 * settings.memory_megabytes,
-            resident_bytes=read_resident_bytes(),
-            peak_held_bytes=self._account.peak_bytes,
+        memory_bytes = 1_000_000 * settings.memory_megabytes
+        account, resident_bytes = self._account, read_resident_bytes()
+        account.limit_bytes = compute_memory_limit(
+            memory_bytes=memory_bytes,
+            resident_bytes=resident_bytes - account.received_reserved_bytes,
+            peak_held_bytes=account.peak_bytes,
+        )
+        account.reading_room_bytes = compute_reading_room(
+            memory_bytes=memory_bytes,
+            resident_bytes=resident_bytes,
+            unread_bytes=account.unread_bytes,
         )
 
     def _create_listener(self, address: str, handler: RequestHandler) -> Listener:
--- a/damasklead/gateway/upstream_http.py
+++ b/damasklead/gateway/upstream_http.py
@@ -11,10 +11,13 @@
 from collections.abc import Callable, Sequence
 from contextlib import suppress
 from io import BytesIO
+from itertools import chain
+from typing import cast
 
 import gevent
 import h11
 
+from damasklead.body_buffer import Body, iterate_pieces
 from damasklead.clock import Clock
 from damasklead.failures import Failure
 from damasklead.gateway.calls import Header
@@ -185,10 +188,10 @@
         self._receive_bytes = size
 
     def send_request(
-        self, *, method: str, target: str, headers: Sequence[Header], body: bytes
+        self, *, method: str, target: str, headers: Sequence[Header], body: Body
     ) -> None:
         """
-        Send a request; a long body is sent in the background.
+        Send a request; a long body is sent in the background, and not copied.
 
         Raises
         ------
@@ -201,12 +204,11 @@
         request = h11.Request(method=method, target=target, headers=framed_headers)
         self._request = request
         head = self._http.send(request) or b""
-        self._http.send(h11.Data(data=body))
-        self._http.send(h11.EndOfMessage())
+        self._record_body(len(body))
         self._is_sent = False
         self._link.record_sent()
         if len(body) <= MAX_BLOCKING_SEND_BYTES:
-            self._send_all(head + body)
+            self._send_all(b"".join([head, *iterate_pieces(body)]))
         else:
             # A replica may leave a long body unread until it has a slot; the caller's
             # deadline ends that.
@@ -328,8 +330,7 @@
         has_body = self._http.our_state is h11.SEND_BODY
         if has_body:
             length = dict(self._request.headers).get(b"content-length", b"0")
-            self._http.send(h11.Data(data=bytes(int(length))))
-            self._http.send(h11.EndOfMessage())
+            self._record_body(int(length))
         if remaining_data:
             self._http.receive_data(remaining_data)
         if ended:
@@ -362,6 +363,12 @@
                 self._writer.kill(block=False)
             self._socket.close()
 
+    def _record_body(self, size: int) -> None:
+        """Let the parser know that a body was sent; it needs only the length."""
+        unread = cast(bytes, range(size))
+        self._http.send_with_data_passthrough(h11.Data(data=unread))
+        self._http.send(h11.EndOfMessage())
+
     def _restore_user_timeout(self) -> None:
         """Limit the wait for acknowledgements again, once a long body was sent."""
         if self._writer is not None and self._is_sent:
@@ -448,17 +455,20 @@
             raise SendError(Failure.BROKEN, f"send: {error}") from error
         self._is_sent = True
 
-    def _send_in_background(self, head: bytes, body: bytes) -> None:
-        # Only the first piece of the body is copied.
-        if self._send_pieces(head + body[:MAX_SEND_BYTES]) and self._send_pieces(
-            memoryview(body)[MAX_SEND_BYTES:]
+    def _send_in_background(self, head: bytes, body: Body) -> None:
+        pieces = iterate_pieces(body)
+        first = next(pieces)
+        # Only the first bytes are copied, to be sent together with the head.
+        start = b"".join([head, first[:MAX_SEND_BYTES]])
+        turn = TurnBudget()
+        if self._send_piece(memoryview(start), turn) and all(
+            self._send_piece(piece, turn)
+            for piece in chain([first[MAX_SEND_BYTES:]], pieces)
         ):
             self._is_sent = True
 
-    def _send_pieces(self, data: bytes | memoryview) -> bool:
-        """Send data piece by piece; returns whether the connection has not ended."""
-        turn = TurnBudget()
-        unsent = memoryview(data)
+    def _send_piece(self, unsent: memoryview, turn: TurnBudget) -> bool:
+        """Send all bytes of a piece; returns whether the connection has not ended."""
         while unsent:
             try:
                 sent_bytes = self._socket.send(unsent[:MAX_SEND_BYTES])
--- a/damasklead/memory_budget.py
+++ b/damasklead/memory_budget.py
@@ -22,8 +22,9 @@
     Stage,
     choose_closed,
     compute_relay_threshold,
+    has_room_for_large_request,
     has_room_for_request,
-    has_room_to_read,
+    is_large_request,
 )
 
 __all__ = [
@@ -44,6 +45,8 @@
 # Fixed charge of a request in progress: the decoded call, the connection to a replica
 # and its parser, a second greenlet.
 REQUEST_BYTES = 24_576
+# Bytes for which a request without a stated length reserves room at a time.
+RESERVATION_STEP_BYTES = 262_144
 # Excess over the limit that is accepted since connections that hold as much are being
 # closed.  Their greenlets may wait for a turn for a second under load.
 MAX_CLOSING_FRACTION = 0.1
@@ -167,8 +170,16 @@
         Limit of the sum, which may change.
     used_bytes : int
         Bytes held at present.
+    reserved_bytes : int
+        Of these, what large requests have reserved.
+    unread_bytes : int
+        Of these, what has not been received yet.
     peak_bytes : int
-        Largest number of bytes held at once.
+        Largest number of bytes held at once, without those of large requests.
+    reading_room_bytes : float
+        Bytes of further large requests for which the instance has memory, as known from
+        the process's resident size; infinite if that is not limited.  Reservations
+        reduce it until it is determined again.
     used_by_kind : dict
         Bytes held at present, by kind.
     closed_count : int
@@ -191,7 +202,9 @@
 
     def __init__(self, *, clock: Clock, limit_bytes: float = math.inf) -> None:
         self.limit_bytes = limit_bytes
-        self.used_bytes = self.peak_bytes = 0
+        self.used_bytes = self.reserved_bytes = self.unread_bytes = 0
+        self.peak_bytes = 0
+        self.reading_room_bytes = math.inf
         self.used_by_kind = dict.fromkeys(HeldKind, 0)
         self.closed_count = 0
         self._clock = clock
@@ -203,6 +216,11 @@
         """Whether the instance's memory is known."""
         return self.limit_bytes < math.inf
 
+    @property
+    def received_reserved_bytes(self) -> int:
+        """Bytes of large requests that were received, and are held."""
+        return self.reserved_bytes - self.unread_bytes
+
     @property
     def connection_count(self) -> int:
         """Number of open connections."""
@@ -290,13 +308,30 @@
         """Add to a kind; returns whether the sum stays within the limit."""
         self.used_by_kind[kind] += size
         self.used_bytes += size
-        if self.used_bytes > self.peak_bytes:
-            self.peak_bytes = self.used_bytes
-        if size <= 0 or self.used_bytes <= self.limit_bytes:
+        if size <= 0:
+            return True
+        self.peak_bytes = max(self.peak_bytes, self.used_bytes - self.reserved_bytes)
+        if self.used_bytes <= self.limit_bytes:
             return True
         self._relieve(excess_bytes=self.used_bytes - self.limit_bytes)
         return not self.is_exceeded
 
+    def _reserve(self, size: int) -> bool:
+        """
+        Reserve room for bytes of a large request; returns whether there is room.
+
+        No connection is closed for it: another large request would only be lost in
+        its place.
+        """
+        if size > self.reading_room_bytes or not has_room_for_large_request(
+            size=size, used_bytes=self.used_bytes, limit_bytes=self.limit_bytes
+        ):
+            return False
+        self.reserved_bytes += size
+        self.unread_bytes += size
+        self.reading_room_bytes -= size
+        return True
+
     def _get_closing_bytes(self) -> int:
         return sum(item.held_bytes for item in self._holdings if item.is_closing)
 
@@ -343,6 +378,8 @@
         self._close = close
         self._by_kind = dict.fromkeys(HeldKind, 0)
         self._held_bytes = 0
+        self._reserved_bytes = 0
+        self._unread_bytes = 0
         # Not closed for its own sake before it is served.
         self._stage = Stage.WAITING
         self._waiting_since: float | None = None
@@ -390,6 +427,7 @@
 
     def end_request(self) -> None:
         """Release what is held for the request and its response."""
+        self._end_reservation()
         self.hold(HeldKind.CONNECTION, CONNECTION_BYTES)
         self.hold(HeldKind.REQUEST, 0)
         self.hold(HeldKind.RESPONSE, 0)
@@ -431,13 +469,53 @@
         """Add to the bytes that are held of a kind; returns whether they may be."""
         return self.hold(kind, self._by_kind[kind] + size)
 
+    def reserve(self, size: int) -> bool:
+        """
+        Reserve room for bytes of a request that have not been received yet.
+
+        Returns
+        -------
+        bool
+            Whether there is room; otherwise the request has to be refused.
+        """
+        is_large = is_large_request(size + self._by_kind[HeldKind.REQUEST])
+        if size <= 0 or not is_large:
+            return True
+        if not self._account._reserve(size):
+            return False
+        self._reserved_bytes += size
+        self._unread_bytes += size
+        return self.add(HeldKind.REQUEST, size)
+
     def receive(self, size: int) -> bool:
         """Charge bytes of a request that is read; returns whether it may go on."""
-        return self.add(HeldKind.REQUEST, size) and has_room_to_read(
-            request_bytes=self._by_kind[HeldKind.REQUEST],
-            used_bytes=self._account.used_bytes,
-            limit_bytes=self._account.limit_bytes,
-        )
+        reserved_bytes = min(size, self._unread_bytes)
+        self._read_reserved(reserved_bytes)
+        size -= reserved_bytes
+        if reserved_bytes or not is_large_request(
+            size + self._by_kind[HeldKind.REQUEST]
+        ):
+            return self.add(HeldKind.REQUEST, size) if size else True
+        may_go_on = self.reserve(size + RESERVATION_STEP_BYTES)
+        self._read_reserved(min(size, self._unread_bytes))
+        return may_go_on
+
+    def end_reading(self) -> None:
+        """Release what was reserved for a request and has not been received."""
+        unread_bytes = self._unread_bytes
+        self._read_reserved(unread_bytes)
+        self._reserved_bytes -= unread_bytes
+        self._account.reserved_bytes -= unread_bytes
+        self.add(HeldKind.REQUEST, -unread_bytes)
+
+    def _read_reserved(self, size: int) -> None:
+        self._unread_bytes -= size
+        self._account.unread_bytes -= size
+
+    def _end_reservation(self) -> None:
+        self.end_reading()
+        self._account.reserved_bytes -= self._reserved_bytes
+        self._reserved_bytes = 0
 
     def close(self, cause: str) -> None:
         """Close the connection for the sake of others."""
@@ -446,6 +524,7 @@
 
     def end(self) -> None:
         """Release everything that is held."""
+        self._end_reservation()
         for kind in HeldKind:
             self.hold(kind, 0)
         self._account._end(self)
--- a/damasklead/memory_shortage.py
+++ b/damasklead/memory_shortage.py
@@ -10,6 +10,8 @@
 
 * A new request is refused before it is sent to a replica once less than a fifth of the
   limit is free.  What is free belongs to the requests in progress.
+* A long request is refused before its body is read, unless there is room for all of it
+  within a part of the limit and beside the memory that the process takes.
 * To make room, responses whose callers accept no bytes and requests that arrive slowly
   are closed, those with the most bytes held for the longest time first; then idle
   connections, the longest idle first.  A request that is executed is never closed.
@@ -25,15 +27,17 @@
     "Stage",
     "choose_closed",
     "compute_memory_limit",
+    "compute_reading_room",
     "compute_relay_threshold",
+    "has_room_for_large_request",
     "has_room_for_request",
-    "has_room_to_read",
+    "is_large_request",
 ]
 
 # New requests are refused above this fraction of the limit.
 REQUEST_FRACTION = 0.8
-# Requests larger than this are refused above the lower fraction while they are read, so
-# that callers that send large requests leave room for ordinary ones.
+# Requests larger than this may take no more than the lower fraction, so that callers
+# that send large requests leave room for ordinary ones.
 LARGE_REQUEST_BYTES = 65_536
 LARGE_REQUEST_FRACTION = 0.6
 # Responses that take no more than this are buffered, so that they can be retried; less
@@ -124,21 +128,25 @@
     return used_bytes <= REQUEST_FRACTION * limit_bytes
 
 
-def has_room_to_read(
-    *, request_bytes: int, used_bytes: float, limit_bytes: float
+def is_large_request(size: int) -> bool:
+    """Return whether a request needs a reservation before it is read."""
+    return size > LARGE_REQUEST_BYTES
+
+
+def has_room_for_large_request(
+    *, size: int, used_bytes: float, limit_bytes: float
 ) -> bool:
     """
-    Return whether a request of some bytes so far may be read further.
+    Return whether some more bytes of a large request may be read.
 
     Examples
     --------
-    >>> has_room_to_read(request_bytes=100_000, used_bytes=700, limit_bytes=1000)
+    >>> has_room_for_large_request(size=200, used_bytes=700, limit_bytes=1000)
     False
-    >>> has_room_to_read(request_bytes=1_000, used_bytes=700, limit_bytes=1000)
+    >>> has_room_for_large_request(size=200, used_bytes=100, limit_bytes=1000)
     True
     """
-    is_large = request_bytes > LARGE_REQUEST_BYTES
-    return not is_large or used_bytes <= LARGE_REQUEST_FRACTION * limit_bytes
+    return used_bytes + size <= LARGE_REQUEST_FRACTION * limit_bytes
 
 
 def compute_relay_threshold(*, used_bytes: float, limit_bytes: float) -> int:
@@ -217,8 +225,9 @@
     resident_bytes : float
         Memory that the process takes at present.
     peak_held_bytes : float
-        Largest number of bytes that were held at once since the start.  The allocator
-        may keep their memory, which therefore still counts as theirs.
+        Largest number of bytes that were held at once since the start, without those of
+        large requests.  The allocator may keep their memory, which therefore still
+        counts as theirs.
 
     Examples
     --------
@@ -232,3 +241,32 @@
     )
     free_bytes = (1 - UNSEEN_FRACTION) * memory_bytes - process_bytes
     return max(MIN_LIMIT_BYTES, int(free_bytes / BYTES_PER_HELD_BYTE))
+
+
+def compute_reading_room(
+    *, memory_bytes: float, resident_bytes: float, unread_bytes: float
+) -> float:
+    """
+    Return the bytes of large requests for which an instance has memory at present.
+
+    Unlike the limit on what is held, it covers whatever the process takes: memory that
+    the allocator keeps, and copies that no account sees.
+
+    Parameters
+    ----------
+    memory_bytes : float
+        Memory of the instance.
+    resident_bytes : float
+        Memory that the process takes at present.
+    unread_bytes : float
+        Bytes of requests that are being read, and have not arrived yet.
+
+    Examples
+    --------
+    >>> compute_reading_room(memory_bytes=100e6, resident_bytes=80e6, unread_bytes=2e6)
+    10000000.0
+    >>> compute_reading_room(memory_bytes=100e6, resident_bytes=95e6, unread_bytes=0)
+    0.0
+    """
+    free_bytes = (1 - UNSEEN_FRACTION) * memory_bytes - resident_bytes
+    return max(0.0, free_bytes - unread_bytes)
--- a/damasklead/util.py
+++ b/damasklead/util.py
@@ -7,9 +7,16 @@
 
 import hashlib
 import uuid
+from collections.abc import Iterable
 from functools import lru_cache
 
-__all__ = ["hash_name", "new_id", "split_address", "stable_hash"]
+__all__ = [
+    "hash_name",
+    "new_id",
+    "split_address",
+    "stable_hash",
+    "stable_hash_pieces",
+]
 
 # The names of replicas and prompt parts recur; an entry takes about 150 bytes.
 HASH_CACHE_ENTRIES = 4_096
@@ -36,8 +43,22 @@
 
     Unlike ``hash``, it is the same in every process.
     """
-    digest = hashlib.blake2b("\x00".join(parts).encode(), digest_size=8).digest()
-    return int.from_bytes(digest, "big")
+    return stable_hash_pieces(["\x00".join(parts)])
+
+
+def stable_hash_pieces(pieces: Iterable[str]) -> int:
+    r"""
+    Return a 64-bit hash of a text that is given in pieces, like ``stable_hash``.
+
+    Examples
+    --------
+    >>> stable_hash_pieces(["a\x00", "b"]) == stable_hash("a", "b")
+    True
+    """
+    hasher = hashlib.blake2b(digest_size=8)
+    for piece in pieces:
+        hasher.update(piece.encode())
+    return int.from_bytes(hasher.digest(), "big")
 
 
 @lru_cache(maxsize=HASH_CACHE_ENTRIES)
