Limit the receive buffers of callers' connections where memory is limited

While a gateway was paused, callers on kept connections that had sent long requests before filled receive buffers beyond what its limits leave for what no account sees; bytes that were received and not read count as its memory.

Cause: the kernel enlarges the receive buffer of a connection with each long request that is read from it, and keeps it so.

Change: such connections get a receive buffer of 128 KB (which the kernel doubles), as their send buffers have a fixed size.

--- a/damasklead/gateway/callers.py
+++ b/damasklead/gateway/callers.py
@@ -51,6 +51,9 @@
 ]
 
 RECEIVE_BYTES = 65_536
+# Receive buffer of a connection if memory is limited; the kernel doubles it.  Its own
+# choice grows with each long request, and what it holds unread counts as memory.
+RECEIVE_BUFFER_BYTES = 131_072
 # Bytes of pipelined requests that are buffered while a request is being answered.
 MAX_PIPELINED_BYTES = 131_072
 # The same while the requests of all callers exceed their budget.
@@ -286,6 +289,7 @@
             set_tcp_options(self._socket)
             if self._sender is not None:
                 self._sender.set_options()
+                self._limit_receive_buffer()
             else:
                 # The kernel's timeout would also reset callers that read slowly; the
                 # deadline of a request ends its send.
@@ -327,6 +331,12 @@
             self._socket.close()
             self._holding.end()
 
+    def _limit_receive_buffer(self) -> None:
+        if self._account.is_limited:
+            self._socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+            )
+
     def _report_unread(self) -> None:
         if self._on_unread_close is None:
             return
--- a/tests/test_gateway_long_requests.py
+++ b/tests/test_gateway_long_requests.py
@@ -9,6 +9,7 @@
 import os
 import random
 import re
+import signal
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -35,6 +36,12 @@
 SHORT_REQUEST_SECONDS = 0.1
 TIMEOUT_SECONDS = 10.0
 SEED = 46
+# Callers that send while the gateway is paused, and the part of the memory that is left
+# for what no account sees.
+PAUSED_CALLERS = 40
+UPLOADS_AT_ONCE = 8
+MAX_UNREAD_BYTES = 0.08 * MEMORY_MEGABYTES * 1_000_000
+ESTABLISHED = "01"
 
 
 def serve_orders(replica: ScriptedReplica, connection: socket.socket) -> None:
@@ -143,6 +150,7 @@
         self.populate_store()
         configuration = make_configuration(1, timeout=10_000)
         configuration["limits"]["max_body_bytes"] = MAX_BODY_BYTES
+        configuration["limits"]["idle_timeout_ms"] = 15_000
         for route in configuration["routes"]:
             route["timeout_ms"] = 10_000
         for service in configuration["services"]:
@@ -164,6 +172,16 @@
         assert match is not None
         return int(match[1]) * 1024
 
+    def count_unread_bytes(self) -> int:
+        """Return the bytes that callers have sent and the gateway has not read."""
+        port = f":{self.get_port('callers'):04X}"
+        unread_bytes = 0
+        for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
+            fields = line.split()
+            if fields[1].endswith(port) and fields[3] == ESTABLISHED:
+                unread_bytes += int(fields[4].partition(":")[2], 16)
+        return unread_bytes
+
 
 @pytest.fixture
 def site(tmp_path: Path) -> Iterator[LongRequestSite]:
@@ -216,3 +234,44 @@
     refused = {name for name, status in long.statuses.items() if status == 503}
     assert not executed.intersection(refused)
     assert list(long.statuses.values()).count(200) >= 50
+
+
+def test_a_paused_gateway_receives_no_more_than_it_has_memory_for(
+    site: LongRequestSite,
+) -> None:
+    """
+    Guards against buffers of the system that grow with each upload on a connection:
+    bytes that were received and not read count as memory of the process.
+    """
+    site.start_limited()
+    connections = [
+        socket.create_connection(("127.0.0.1", site.get_port("callers")))
+        for _ in range(PAUSED_CALLERS)
+    ]
+
+    def post(connection: socket.socket) -> None:
+        connection.settimeout(TIMEOUT_SECONDS)
+        size = max(BODY_BYTES)
+        head = make_request(
+            "/order/1",
+            method="POST",
+            extra_headers=f"Content-Length: {size}\r\n",
+        )
+        connection.sendall(head + BODY[:size])
+        response, rest = read_head(connection)
+        assert response.startswith(b"HTTP/1.1 200")
+        read_exactly(connection, find_length(response) - len(rest))
+
+    for start in range(0, PAUSED_CALLERS, UPLOADS_AT_ONCE):
+        uploading = connections[start : start + UPLOADS_AT_ONCE]
+        greenlets = [gevent.spawn(post, connection) for connection in uploading]
+        gevent.joinall(greenlets, raise_error=True)
+    site.send_signal(signal.SIGSTOP)
+    try:
+        sending = [gevent.spawn(connection.sendall, BODY) for connection in connections]
+        gevent.sleep(PAUSE_SECONDS)
+        unread_bytes = site.count_unread_bytes()
+        gevent.killall(sending)
+    finally:
+        site.send_signal(signal.SIGCONT)
+    assert 0 < unread_bytes <= MAX_UNREAD_BYTES
