--- a/damasklead/util.py
+++ b/damasklead/util.py
@@ -7,12 +7,17 @@
 
 import hashlib
 import uuid
+from collections.abc import Iterable
 from functools import lru_cache
 
-__all__ = ["hash_name", "new_id", "split_address", "stable_hash"]
+__all__ = [
+    "hash_name",
+    "new_id",
+    "split_address",
+    "stable_hash",
+    "stable_hash_pieces",
+]
 
-# Bytes that are hashed at once.
-HASHED_PIECE_BYTES = 65_536
 # The names of replicas and prompt parts recur; an entry takes about 150 bytes.
 HASH_CACHE_ENTRIES = 4_096
 
@@ -32,30 +37,28 @@
     return host.strip("[]"), int(port)
 
 
-def stable_hash(*parts: str, data: bytes | None = None) -> int:
-    r"""
+def stable_hash(*parts: str) -> int:
+    """
     Return a 64-bit hash of some texts.
 
     Unlike ``hash``, it is the same in every process.
+    """
+    return stable_hash_pieces(["\x00".join(parts)])
 
-    Parameters
-    ----------
-    data : bytes or None
-        Hashed like a last text that it is the Latin-1 encoding of, without a copy of
-        the whole.
+
+def stable_hash_pieces(pieces: Iterable[str]) -> int:
+    r"""
+    Return a 64-bit hash of a text that is given in pieces, like ``stable_hash``.
 
     Examples
     --------
-    >>> stable_hash("a", data=b"\xe9" * 70_000) == stable_hash("a", "\xe9" * 70_000)
+    >>> stable_hash_pieces(["a\x00", "b"]) == stable_hash("a", "b")
     True
     """
-    texts = parts if data is None else (*parts, "")
-    digest = hashlib.blake2b("\x00".join(texts).encode(), digest_size=8)
-    view = memoryview(data or b"")
-    for offset in range(0, len(view), HASHED_PIECE_BYTES):
-        piece = bytes(view[offset : offset + HASHED_PIECE_BYTES])
-        digest.update(piece.decode("latin-1").encode())
-    return int.from_bytes(digest.digest(), "big")
+    hasher = hashlib.blake2b(digest_size=8)
+    for piece in pieces:
+        hasher.update(piece.encode())
+    return int.from_bytes(hasher.digest(), "big")
 
 
 @lru_cache(maxsize=HASH_CACHE_ENTRIES)
