Differences replace fields of items that keep their names

Cause: a difference sent each changed route in full, and so was as long as the configuration. It was not kept, and each gateway fetched everything from the few that had it.

Builds before this one ignore the fourth element of a piece and would report a mismatch, so that they don't get it: a fetch states that it accepts changed fields, and broadcasts have a field of their own for them. Forged pieces are limited as before.

--- a/damasklead/gateway/broadcasts.py
+++ b/damasklead/gateway/broadcasts.py
@@ -335,6 +335,7 @@
             routing.differences,
             [] if causes is None else self._containment.exonerated_causes,
             [] if causes is None else self._containment.crash_summaries,
+            routing.field_differences,
         )
 
     def _select_causes(self) -> list[CrashCause] | None:
@@ -377,7 +378,11 @@
         if self._containment.lacks_crashes(message.crash_summaries):
             self._catch_up.record_missed_broadcasts()
         self._routing.apply(
-            EncodedRouting(content=message.routing, differences=message.differences),
+            EncodedRouting(
+                content=message.routing,
+                differences=message.differences,
+                field_differences=message.field_differences,
+            ),
             message.lists[ListName.ROUTING].age_seconds,
         )
         lists = message.lists
--- a/damasklead/gateway/configuration_differences.py
+++ b/damasklead/gateway/configuration_differences.py
@@ -4,17 +4,25 @@
 
 What each version of the configuration changes, for gateways that have an earlier one.
 
-Load pattern: most versions add, change or remove one of thousands of routes, and many
-gateways fetch them at the same moment from one with a slow link.  No I/O.
+Load pattern: most versions add, change or remove one of thousands of routes, some
+replace one field of all of them, and many gateways fetch them at the same moment from
+one with a slow link.  No I/O.
 """
 
 import zlib
 from collections import deque
 from collections.abc import Sequence
-from typing import Generic, TypeVar
 
 import msgspec
 
+from damasklead.gateway.list_pieces import (
+    MAX_CHANGED_ITEMS,
+    DifferenceError,
+    ListPiece,
+    assemble_list,
+    compare_lists,
+    count_changed_items,
+)
 from damasklead.gateway.routing import (
     CallerLimits,
     Route,
@@ -25,8 +33,6 @@
 
 __all__ = [
     "ConfigurationHistory",
-    "DifferenceError",
-    "ListPiece",
     "RoutingDifference",
     "apply_differences",
     "compute_difference",
@@ -36,30 +42,6 @@
 # configuration.
 MAX_DIFFERENCES = 64
 MAX_DIFFERENCE_BYTES = 8_192
-# Other programs may send pieces that repeat a list without end.
-MAX_LIST_ITEMS = 100_000
-
-T = TypeVar("T")
-
-
-class DifferenceError(Exception):
-    """A difference doesn't give the version that it states."""
-
-
-class ListPiece(msgspec.Struct, Generic[T], array_like=True, frozen=True):
-    """
-    Part of a list: items of the list before, followed by others.
-
-    Attributes
-    ----------
-    start, count : int
-        Index of the first item of the list before, and number of items.
-    added : list
-    """
-
-    start: int
-    count: int
-    added: list[T] = []
 
 
 class RoutingDifference(msgspec.Struct, kw_only=True, frozen=True):
@@ -85,6 +67,20 @@
     workspaces: list[ListPiece[Workspace]] | None
     limits: CallerLimits
 
+    @property
+    def changes_fields(self) -> bool:
+        """Whether it replaces fields of items, which earlier builds can't apply."""
+        return self.changed_items > 0
+
+    @property
+    def changed_items(self) -> int:
+        """Number of items of which it replaces fields."""
+        return (
+            count_changed_items(self.routes)
+            + count_changed_items(self.services)
+            + count_changed_items(self.workspaces or [])
+        )
+
 
 class ConfigurationHistory:
     """
@@ -112,7 +108,7 @@
         difference = (
             None
             if before is None
-            else _compute_difference(before, after, checksum=zlib.crc32(encoded))
+            else _compute_short_difference(before, after, zlib.crc32(encoded))
         )
         if difference is None or _measure([difference]) > MAX_DIFFERENCE_BYTES:
             self._differences.clear()
@@ -133,35 +129,83 @@
         """Return the differences from a version to the newest; empty if unknown."""
         return _select_from(self.differences, version)
 
-    def get_short_differences(self, version: int) -> list[RoutingDifference]:
+    def get_short_differences(
+        self, version: int, *, accepts_fields: bool
+    ) -> list[RoutingDifference]:
         """
-        Return the differences from a version to the newest; empty if they are unknown,
-        or longer than the newest version, as many changes of a short one are.
+        Return the differences from a version to the newest.
+
+        Parameters
+        ----------
+        version : int
+        accepts_fields : bool
+            Whether the receiver applies those that replace fields of items.
+
+        Returns
+        -------
+        list of RoutingDifference
+            Empty if they are unknown, can't be applied, or are longer than the newest
+            version, as many changes of a short one are.
         """
         differences = self.get_differences(version)
-        return differences if _measure(differences) < self._content_bytes else []
+        changed_items = sum(item.changed_items for item in differences)
+        is_usable = (
+            changed_items <= (MAX_CHANGED_ITEMS if accepts_fields else 0)
+            and _measure(differences) < self._content_bytes
+        )
+        return differences if is_usable else []
 
 
 def compute_difference(
-    before: RoutingContent, after: RoutingContent
+    before: RoutingContent, after: RoutingContent, *, with_fields: bool = False
+) -> RoutingDifference:
+    """
+    Return what replaces one version by another one.
+
+    Parameters
+    ----------
+    before, after : RoutingContent
+    with_fields : bool
+        Whether fields of items are replaced, where items keep their names.
+    """
+    return _compute_difference(
+        before, after, checksum=_compute_checksum(after), with_fields=with_fields
+    )
+
+
+def _compute_short_difference(
+    before: RoutingContent, after: RoutingContent, checksum: int
 ) -> RoutingDifference:
-    """Return what replaces one version by another one."""
-    return _compute_difference(before, after, checksum=_compute_checksum(after))
+    """Return a difference that all builds can apply unless it is too long."""
+    difference = _compute_difference(
+        before, after, checksum=checksum, with_fields=False
+    )
+    if _measure([difference]) <= MAX_DIFFERENCE_BYTES:
+        return difference
+    return _compute_difference(before, after, checksum=checksum, with_fields=True)
 
 
 def _compute_difference(
-    before: RoutingContent, after: RoutingContent, *, checksum: int
+    before: RoutingContent,
+    after: RoutingContent,
+    *,
+    checksum: int,
+    with_fields: bool,
 ) -> RoutingDifference:
     return RoutingDifference(
         base=before.version,
         version=after.version,
         checksum=checksum,
-        routes=_compare(before.routes, after.routes),
-        services=_compare(before.services, after.services),
+        routes=compare_lists(before.routes, after.routes, with_fields=with_fields),
+        services=compare_lists(
+            before.services, after.services, with_fields=with_fields
+        ),
         workspaces=(
             None
             if after.workspaces is None
-            else _compare(before.workspaces or [], after.workspaces)
+            else compare_lists(
+                before.workspaces or [], after.workspaces, with_fields=with_fields
+            )
         ),
         limits=after.limits,
     )
@@ -189,7 +233,7 @@
     ------
     DifferenceError
         If the result isn't the version that was compared, or if there are more than
-        ``MAX_DIFFERENCES``.
+        ``MAX_DIFFERENCES``, or ``MAX_CHANGED_ITEMS``.
     """
     selected = _select_from(differences, content.version)
     if not selected:
@@ -197,18 +241,20 @@
     # Other programs may send some that copy a long list each.
     if len(selected) > MAX_DIFFERENCES:
         raise DifferenceError(f"more than {MAX_DIFFERENCES} differences")
+    if sum(difference.changed_items for difference in selected) > MAX_CHANGED_ITEMS:
+        raise DifferenceError(f"more than {MAX_CHANGED_ITEMS} changed items")
     for difference in selected:
         if difference.base != content.version:
             raise DifferenceError(f"a difference before {difference.base} is missing")
         workspaces = difference.workspaces
         content = RoutingContent(
             version=difference.version,
-            routes=_assemble(content.routes, difference.routes),
-            services=_assemble(content.services, difference.services),
+            routes=assemble_list(content.routes, difference.routes),
+            services=assemble_list(content.services, difference.services),
             workspaces=(
                 None
                 if workspaces is None
-                else _assemble(content.workspaces or [], workspaces)
+                else assemble_list(content.workspaces or [], workspaces)
             ),
             limits=difference.limits,
         )
@@ -232,66 +278,3 @@
 
 def _compute_checksum(content: RoutingContent) -> int:
     return zlib.crc32(msgspec.msgpack.encode(content))
-
-
-def _compare(before: Sequence[T], after: Sequence[T]) -> list[ListPiece[T]]:
-    """
-    Return the pieces that make up a list.
-
-    Examples
-    --------
-    >>> _compare(["a", "b", "c"], ["a", "x", "c"])
-    [ListPiece(start=0, count=1, added=['x']), ListPiece(start=2, count=1, added=[])]
-    """
-    # Most items are the same and in the same place, and encoding all takes long.
-    head = _count_equal(before, after)
-    tail = _count_equal(before[head:][::-1], after[head:][::-1])
-    rest = before[head : len(before) - tail]
-    positions = {_encode(item): index for index, item in enumerate(rest, head)}
-    pieces: list[ListPiece[T]] = []
-    start, count = 0, head
-    added: list[T] = []
-    for item in after[head : len(after) - tail]:
-        index = positions.get(_encode(item))
-        if index is None:
-            added.append(item)
-        elif not added and index == start + count:
-            count += 1
-        else:
-            pieces.append(ListPiece(start, count, added))
-            start, count, added = index, 1, []
-    if not added and start + count == len(before) - tail:
-        return [*pieces, ListPiece(start, count + tail)]
-    pieces.append(ListPiece(start, count, added))
-    if tail:
-        pieces.append(ListPiece(len(before) - tail, tail))
-    return pieces
-
-
-def _count_equal(first: Sequence[T], second: Sequence[T]) -> int:
-    """Return the number of equal items at the beginning of two lists."""
-    pairs = zip(first, second, strict=False)
-    unequal = (index for index, (a, b) in enumerate(pairs) if a != b)
-    return next(unequal, min(len(first), len(second)))
-
-
-def _encode(item: object) -> bytes:
-    return msgspec.msgpack.encode(item)
-
-
-def _assemble(before: Sequence[T], pieces: Sequence[ListPiece[T]]) -> list[T]:
-    """
-    Return the list that pieces make up.
-
-    Examples
-    --------
-    >>> _assemble(["a", "b", "c"], [ListPiece(0, 1, ["x"]), ListPiece(2, 1)])
-    ['a', 'x', 'c']
-    """
-    items: list[T] = []
-    for piece in pieces:
-        items += before[piece.start : piece.start + piece.count]
-        items += piece.added
-        if len(items) > MAX_LIST_ITEMS:
-            raise DifferenceError(f"more than {MAX_LIST_ITEMS} items")
-    return items
--- a/damasklead/gateway/list_follower.py
+++ b/damasklead/gateway/list_follower.py
@@ -21,12 +21,12 @@
 from damasklead.gateway.configuration_changes import describe_changes
 from damasklead.gateway.configuration_differences import (
     ConfigurationHistory,
-    DifferenceError,
     RoutingDifference,
     apply_differences,
 )
 from damasklead.gateway.dialect import Changes, Feed, FeedError, FeedFault
 from damasklead.gateway.journal import Journal
+from damasklead.gateway.list_pieces import DifferenceError
 from damasklead.gateway.poll_schedule import (
     CHANGE_BATCH_SECONDS,
     LONG_POLL_SECONDS,
--- a/damasklead/gateway/messages.py
+++ b/damasklead/gateway/messages.py
@@ -104,6 +104,9 @@
         ``causes``.
     crash_summaries : list
         How much the sender knows of each recent crash; sent with ``causes``.
+    field_differences : bytes
+        Instead of ``differences``, if some replace fields of items, which earlier
+        builds can't apply.
     """
 
     sender: str
@@ -124,6 +127,7 @@
     differences: bytes = b""
     exonerated_causes: list[CrashCause] = []
     crash_summaries: list[CrashSummary] = []
+    field_differences: bytes = b""
 
 
 class PeerReport(msgspec.Struct, array_like=True, frozen=True, tag=13):
--- a/damasklead/gateway/routing_broadcasts.py
+++ b/damasklead/gateway/routing_broadcasts.py
@@ -50,10 +50,13 @@
     differences : bytes
         The compressed differences from the versions before, if ``content`` is empty;
         empty if they are too long, too.
+    field_differences : bytes
+        Instead of ``differences``, if some replace fields of items.
     """
 
     content: bytes = b""
     differences: bytes = b""
+    field_differences: bytes = b""
 
 
 class RoutingBroadcasts:
@@ -98,8 +101,8 @@
         if self._version != table.version:
             self._version, self._transmissions = table.version, 0
             content = self._compress(table.content)
-            self._encoded = EncodedRouting(
-                content=content, differences=b"" if content else self._encode_changes()
+            self._encoded = (
+                EncodedRouting(content=content) if content else self._encode_changes()
             )
         self._transmissions += 1
         if self._transmissions > MAX_TRANSMISSIONS:
@@ -125,21 +128,23 @@
                 source=ConfigurationSource.BROADCAST,
                 age_seconds=age_seconds,
             )
-        elif encoded.differences:
+        elif data := encoded.differences or encoded.field_differences:
             self._configuration.apply_peer_differences(
-                _DIFFERENCES_DECODER.decode(_decompress(encoded.differences)),
+                _DIFFERENCES_DECODER.decode(_decompress(data)),
                 source=ConfigurationSource.BROADCAST,
                 age_seconds=age_seconds,
             )
 
-    def _encode_changes(self) -> bytes:
+    def _encode_changes(self) -> EncodedRouting:
         """Return differences from as many earlier versions as a broadcast carries."""
         differences = self._configuration.history.differences[-MAX_BASES:]
         while differences:
             if data := self._compress(differences):
-                return data
+                if any(difference.changes_fields for difference in differences):
+                    return EncodedRouting(field_differences=data)
+                return EncodedRouting(differences=data)
             differences = differences[1:]
-        return b""
+        return EncodedRouting()
 
     def _compress(self, value: object) -> bytes:
         """Return an encoded value, empty if it is too long."""
--- a/damasklead/gateway/snapshot.py
+++ b/damasklead/gateway/snapshot.py
@@ -30,6 +30,7 @@
 __all__ = [
     "COMPRESSED_ENCODING",
     "DIFFERENCES_HEADER",
+    "FIELDS_HEADER",
     "HELD_CONFIGURATION_HEADER",
     "HOLDERS_HEADER",
     "INSTANCE_HEADER",
@@ -52,6 +53,8 @@
 KNOWN_REPLICAS_HEADER = b"known-replicas"
 # Whether the configuration may be sent as differences; "1" if so.
 DIFFERENCES_HEADER = b"accept-differences"
+# Whether differences may replace fields of items; "1" if so.
+FIELDS_HEADER = b"accept-changed-fields"
 # Name of the gateway that fetches.
 INSTANCE_HEADER = b"gateway-instance"
 # In a response that a gateway is busy: others that have fetched its configuration, and
@@ -85,11 +88,14 @@
         limits and causes of crashes in any case, since broadcasts were missed.
     accepts_differences : bool
         Whether differences to its configuration may be sent instead of a newer one.
+    accepts_fields : bool
+        Whether these may replace fields of items.
     """
 
     configuration: int = 0
     replicas: Position | None = None
     accepts_differences: bool = False
+    accepts_fields: bool = False
 
 
 class Referral(msgspec.Struct, kw_only=True, frozen=True):
@@ -289,6 +295,8 @@
             headers.append((KNOWN_REPLICAS_HEADER, position.encode()))
         if known.accepts_differences:
             headers.append((DIFFERENCES_HEADER, b"1"))
+        if known.accepts_fields:
+            headers.append((FIELDS_HEADER, b"1"))
     return headers
 
 
--- a/damasklead/gateway/snapshot_exchange.py
+++ b/damasklead/gateway/snapshot_exchange.py
@@ -91,6 +91,7 @@
             configuration=self._version,
             replicas=None if needs_events else self._upstreams.cursor,
             accepts_differences=self._accepts_differences,
+            accepts_fields=True,
         )
 
     def build(self, known: KnownState | None = None) -> Snapshot | None:
@@ -119,7 +120,9 @@
         )
         has_newer_routing = known is None or table.version > known.configuration
         differences = (
-            self._configuration.history.get_short_differences(known.configuration)
+            self._configuration.history.get_short_differences(
+                known.configuration, accepts_fields=known.accepts_fields
+            )
             if known is not None and known.accepts_differences
             else []
         )
--- a/damasklead/gateway/snapshot_responses.py
+++ b/damasklead/gateway/snapshot_responses.py
@@ -24,6 +24,7 @@
 from damasklead.gateway.snapshot import (
     COMPRESSED_ENCODING,
     DIFFERENCES_HEADER,
+    FIELDS_HEADER,
     HELD_CONFIGURATION_HEADER,
     HOLDERS_HEADER,
     INSTANCE_HEADER,
@@ -284,4 +285,5 @@
         configuration=configuration,
         replicas=replicas,
         accepts_differences=fields.get(DIFFERENCES_HEADER) == b"1",
+        accepts_fields=fields.get(FIELDS_HEADER) == b"1",
     )
--- a/tests/test_gateway_broadcasts.py
+++ b/tests/test_gateway_broadcasts.py
@@ -531,6 +531,38 @@
     assert receiver.configuration.table.content == tables[-1].content
 
 
+def test_a_change_of_all_routes_is_not_broadcast() -> None:
+    """Each gateway reads thousands of routes again when one field of all changes."""
+    routes = make_long_routes()
+    fleet = Fleet(30, link_megabits=10.0)
+    fleet.run(4.0)
+    fleet.store.publish_configuration(routes=routes)
+    fleet.run(3.0)
+    before = fleet.store.calls
+    routes = [msgspec.structs.replace(route, timeout=77.0) for route in routes]
+    version = fleet.store.publish_configuration(routes=routes)
+    fleet.run(1.0)
+    assert all(gateway.version == version for gateway in fleet.running_gateways)
+    for gateway in fleet.running_gateways:
+        assert gateway.configuration.table is not None
+        assert gateway.configuration.table.routes == routes
+    assert fleet.store.calls - before < 15
+
+
+def test_an_earlier_build_gets_fields_that_it_can_not_replace() -> None:
+    """It would take the result for a mismatch and accept no differences any more."""
+    routes = make_long_routes()
+    gateway = Fleet(1).first_ranked
+    changed = [msgspec.structs.replace(route, timeout=77.0) for route in routes]
+    for version, items in enumerate([routes, changed, changed[1:]], 1):
+        gateway.configuration.apply_peer_configuration(
+            make_table(version, routes=items), source=ConfigurationSource.STORE
+        )
+        encoded = gateway.broadcasts._routing.encode()
+        assert not encoded.content and not encoded.differences
+    assert encoded.field_differences
+
+
 def test_many_changes_do_not_saturate_the_link_of_the_broadcaster() -> None:
     """
     Broadcasts of many changes must leave capacity on the broadcaster's link.
@@ -766,7 +798,7 @@
         assert "r1" in gateway.replicas
 
 
-@pytest.mark.parametrize("field", ["content", "differences"])
+@pytest.mark.parametrize("field", ["content", "differences", "field_differences"])
 def test_a_compressed_configuration_does_not_expand_without_limit(field: str) -> None:
     fleet = Fleet(2)
     fleet.run(2.0)
--- a/tests/test_gateway_catch_up_fleets.py
+++ b/tests/test_gateway_catch_up_fleets.py
@@ -70,11 +70,13 @@
 
     ONE_ROUTE = 1
     ALL_ROUTES = 2
+    # No route keeps its name, so that no difference is shorter than all of them.
+    OTHER_ROUTES = 3
 
 
-@lru_cache
-def make_routes(count: int) -> list[Route]:
-    source = random.Random(1)
+@lru_cache(maxsize=64)
+def make_routes(count: int, seed: int) -> list[Route]:
+    source = random.Random(seed)
     route = make_table().routes[0]
     return [
         msgspec.structs.replace(
@@ -121,7 +123,9 @@
         has_newer_rows = known.replicas is None or cursor > known.replicas
         is_newer = table.version > known.configuration
         history = self.configuration.history
-        differences = history.get_short_differences(known.configuration)
+        differences = history.get_short_differences(
+            known.configuration, accepts_fields=known.accepts_fields
+        )
         return Snapshot(
             routing=table.content if is_newer and not differences else None,
             differences=differences,
@@ -166,6 +170,7 @@
             configuration=self.version,
             replicas=None if wants_all else self.upstreams.cursor,
             accepts_differences=True,
+            accepts_fields=True,
         )
         source = self.fleet.gateways[fetch.peer]
         response = None
@@ -246,7 +251,7 @@
     gateways: dict[str, CatchingUpGateway]  # type: ignore[assignment]
 
     def __init__(
-        self, count: int, route_count: int, change: Change = Change.ALL_ROUTES
+        self, count: int, route_count: int, change: Change = Change.OTHER_ROUTES
     ) -> None:
         self.change = change
         self.unreached: set[tuple[str, str]] = set()
@@ -259,7 +264,8 @@
         self._pending: dict[int, float] = {}
         self._measured_since = 0.0
         self._calls_before = 0
-        self._routes = make_routes(route_count)
+        self._seed = 1
+        self._routes = make_routes(route_count, self._seed)
         super().__init__(count, link_megabits=LINK_MEGABITS)
         self.bound = MAX_PROPAGATION_SECONDS[count]
         self.ranked = sorted(self.gateways, key=reader_score)
@@ -274,11 +280,15 @@
     def publish(self, **changes: object) -> int:
         changed = 1 if self.change is Change.ONE_ROUTE else len(self._routes)
         timeout = self._routes[0].timeout + 0.01
+        before = self._routes
+        if self.change is Change.OTHER_ROUTES:
+            self._seed += 1
+            before = make_routes(len(before), self._seed)
         self._routes = [
-            *self._routes[changed:],
+            *before[changed:],
             *(
                 msgspec.structs.replace(route, timeout=timeout)
-                for route in self._routes[:changed]
+                for route in before[:changed]
             ),
         ]
         version = self.store.publish_configuration(routes=self._routes, **changes)
@@ -421,13 +431,19 @@
 CASES = [
     pytest.param(store, change, id=f"{store.__name__}-{change.name.lower()}")
     for store, change in [
+        (turn_half_away, Change.OTHER_ROUTES),
         (turn_half_away, Change.ALL_ROUTES),
         (turn_half_away, Change.ONE_ROUTE),
+        (turn_lower_half_away, Change.OTHER_ROUTES),
         (turn_lower_half_away, Change.ALL_ROUTES),
+        (turn_one_away, Change.OTHER_ROUTES),
         (turn_one_away, Change.ALL_ROUTES),
+        (turn_broadcaster_away, Change.OTHER_ROUTES),
         (turn_broadcaster_away, Change.ALL_ROUTES),
+        (serve_broadcaster_only, Change.OTHER_ROUTES),
         (serve_broadcaster_only, Change.ALL_ROUTES),
         (serve_broadcaster_only, Change.ONE_ROUTE),
+        (serve_last_only, Change.OTHER_ROUTES),
         (serve_last_only, Change.ALL_ROUTES),
         (serve_last_only, Change.ONE_ROUTE),
     ]
--- a/tests/test_gateway_configuration_differences.py
+++ b/tests/test_gateway_configuration_differences.py
@@ -11,27 +11,27 @@
 import pytest
 from hypothesis import given, strategies as st
 
-from damasklead.gateway import configuration_differences
+from damasklead.gateway import list_pieces
 from damasklead.gateway.configuration_differences import (
     MAX_DIFFERENCE_BYTES,
     MAX_DIFFERENCES,
-    MAX_LIST_ITEMS,
     ConfigurationHistory,
-    DifferenceError,
-    ListPiece,
     RoutingDifference,
     apply_differences,
     compute_difference,
 )
+from damasklead.gateway.list_pieces import MAX_LIST_ITEMS, DifferenceError, ListPiece
 from damasklead.gateway.routing import (
     ApiKey,
     CallerLimits,
+    RouteKind,
     RouteName,
     RoutingContent,
     Workspace,
     WorkspaceId,
 )
 from damasklead.gateway.snapshot import KnownState, Snapshot
+from damasklead.ids import ServiceName
 from tests.gateway_kit import ROUTES, make_table
 from tests.test_gateway_applied_snapshots import Applying, make_snapshot
 from tests.test_gateway_broadcasts import make_long_routes
@@ -98,13 +98,13 @@
     before = make_table(1, routes=routes).content
     after = make_table(2, routes=[*routes[:7], changed, *routes[8:]]).content
     encoded: list[object] = []
-    encode = configuration_differences._encode
+    encode = list_pieces._encode
 
     def count(item: object) -> bytes:
         encoded.append(item)
         return encode(item)
 
-    monkeypatch.setattr(configuration_differences, "_encode", count)
+    monkeypatch.setattr(list_pieces, "_encode", count)
     difference = compute_difference(before, after)
     assert len(encoded) < 10
     assert difference.routes == [
@@ -113,6 +113,76 @@
     ]
 
 
+def change_all_routes(before: RoutingContent, timeout: float) -> RoutingContent:
+    routes = [
+        msgspec.structs.replace(route, timeout=timeout) for route in before.routes
+    ]
+    return msgspec.structs.replace(before, version=before.version + 1, routes=routes)
+
+
+def test_a_change_of_one_field_of_all_routes_is_as_long_as_the_configuration() -> None:
+    before = make_table(1, routes=make_long_routes()).content
+    after = change_all_routes(before, 77.0)
+    difference = compute_difference(before, after, with_fields=True)
+    assert len(msgspec.msgpack.encode(difference)) < 1_000
+    assert apply_differences(before, [transmit(difference)]) == after
+
+
+@given(*[st.lists(st.tuples(st.integers(0, 9), st.integers(0, 2))) for _ in range(2)])
+def test_changed_fields_lead_to_another_configuration(
+    first: list[tuple[int, int]], second: list[tuple[int, int]]
+) -> None:
+    contents = [
+        msgspec.structs.replace(
+            content := make_content(version, [number for number, _ in items]),
+            routes=[
+                msgspec.structs.replace(
+                    route,
+                    tier=change,
+                    kind=list(RouteKind)[change],
+                    event_gap=[None, 0.5, 1.0][change],
+                    split=((ServiceName("shop"), 1.0 + change),),
+                )
+                for route, (_, change) in zip(content.routes, items, strict=True)
+            ],
+        )
+        for version, items in enumerate([first, second], 1)
+    ]
+    difference = transmit(compute_difference(*contents, with_fields=True))
+    assert apply_differences(contents[0], [difference]) == contents[1]
+
+
+@pytest.mark.parametrize(
+    "piece",
+    [
+        ListPiece(0, 1, [], {"colour": "red"}),
+        ListPiece(0, 1, [], {"timeout": "long"}),
+        ListPiece(-2, 1),
+        ListPiece(1, -1, [], {"timeout": 1.0}),
+    ],
+)
+def test_forged_pieces_are_applied(piece: ListPiece) -> None:
+    before = make_content(1, [1, 2, 3])
+    difference = compute_difference(before, make_content(2, [1]))
+    forged = msgspec.structs.replace(difference, routes=[piece])
+    with pytest.raises(DifferenceError):
+        apply_differences(before, [transmit(forged)])
+
+
+def test_forged_changes_of_fields_stop_the_gateway() -> None:
+    before = make_content(0, list(range(1_000)))
+    difference = compute_difference(before, before)
+    pieces = [ListPiece(0, 1_000, [], {"timeout": 1.0}), ListPiece(0, -(10**9))]
+    differences = [
+        msgspec.structs.replace(difference, base=n, version=n + 1, routes=50 * pieces)
+        for n in range(MAX_DIFFERENCES)
+    ]
+    began_at = time.perf_counter()
+    with pytest.raises(DifferenceError):
+        apply_differences(before, differences)
+    assert time.perf_counter() - began_at < 1.0
+
+
 def test_keys_begin_or_cease_to_be_required() -> None:
     with_keys = make_content(1, [1, 2])
     without_keys = msgspec.structs.replace(with_keys, version=2, workspaces=None)
@@ -200,6 +270,35 @@
         difference = compute_difference(contents[1], contents[2])
         assert len(msgspec.msgpack.encode(difference)) > MAX_DIFFERENCE_BYTES
 
+    def test_a_change_of_one_field_of_all_routes_leaves_a_gap(self) -> None:
+        history = ConfigurationHistory()
+        contents = [make_table(1, routes=make_long_routes()).content]
+        contents += [
+            change_all_routes(contents[0], 77.0),
+            make_table(3, routes=make_long_routes()[1:]).content,
+        ]
+        history.record_change(None, contents[0])
+        for before, after in itertools.pairwise(contents):
+            history.record_change(before, after)
+        for content in contents[:-1]:
+            differences = history.get_short_differences(
+                content.version, accepts_fields=True
+            )
+            assert apply_differences(content, differences) == contents[-1]
+
+    def test_more_fields_are_sent_than_others_replace(self) -> None:
+        """A chain of differences is refused, and fetched again each time."""
+        history = ConfigurationHistory()
+        content = make_content(1, list(range(4_000)))
+        history.record_change(None, content)
+        for n in range(MAX_DIFFERENCES):
+            changed = change_all_routes(content, 10.0 + n)
+            history.record_change(content, changed)
+            content = changed
+        assert len(history.differences) == MAX_DIFFERENCES
+        assert not history.get_short_differences(1, accepts_fields=True)
+        assert history.get_short_differences(MAX_DIFFERENCES, accepts_fields=True)
+
     def test_the_history_grows_forever(self) -> None:
         history = ConfigurationHistory()
         for n in range(3 * MAX_DIFFERENCES):
@@ -260,6 +359,19 @@
         snapshot = build(holder, KnownState(configuration=2))
         assert snapshot.routing is not None and not snapshot.differences
 
+    def test_a_gateway_of_an_earlier_build_gets_changed_fields(self) -> None:
+        """It ignores them, and takes the result for a mismatch."""
+        content = make_table(2, routes=make_long_routes()).content
+        holder = make_gateway(content)
+        holder.apply(make_snapshot(routing=change_all_routes(content, 77.0)))
+        earlier = KnownState(configuration=2, accepts_differences=True)
+        snapshot = build(holder, earlier)
+        assert snapshot.routing is not None and not snapshot.differences
+        other = make_gateway(content)
+        snapshot = build(holder, other.fleet.snapshots.describe_known_state(False))
+        assert snapshot.routing is None and snapshot.differences
+        assert other.apply(snapshot)
+
     def test_a_mismatch_is_repeated_forever(self) -> None:
         holder, other = (
             make_gateway(make_content(2, [1])),
