Keep a connection open for reading while its last response is queued

Cause: the kernel answers bytes for a closed connection with a reset, and drops what is queued. What had come before the close was read; nobody read later bytes.

Such a connection is now shut down for sending and handed over to LingeringConnections, which drops what arrives and closes it when the caller has acknowledged everything or has closed its side. No greenlet, buffer or holding of the caller stays. At most 64 linger, for 15 s at most; none does while memory is short; they are closed first when descriptors run out. They don't count as connections, so that a stop waits no longer than before, and one that lingers when the process ends is left to the kernel, as all were before.

--- a/damasklead/gateway/callers.py
+++ b/damasklead/gateway/callers.py
@@ -28,6 +28,7 @@
     CallerSender,
 )
 from damasklead.gateway.calls import Header
+from damasklead.gateway.lingering_connections import LingeringConnections
 from damasklead.gateway.routing import CallerLimits
 from damasklead.memory_budget import (
     HeldKind,
@@ -184,6 +185,9 @@
         Called with each request that is rejected before it is read to its end.
     on_unread_close : callable or None
         Called when the connection is closed with bytes that were not read.
+    lingering : LingeringConnections or None
+        Gets the connection when a complete response may still be queued; ``None`` to
+        close it at once.
 
     Attributes
     ----------
@@ -207,7 +211,9 @@
         on_closed: Callable[[str], None] | None = None,
         on_rejected: Callable[[Rejection], None] | None = None,
         on_unread_close: Callable[[UnreadClose], None] | None = None,
+        lingering: LingeringConnections | None = None,
     ) -> None:
+        self._lingering = lingering
         self._on_rejected = on_rejected
         self._on_unread_close = on_unread_close
         self._memory = memory
@@ -317,8 +323,15 @@
                 self._sender.prepare_close(may_stall=may_stall)
             else:
                 self._limit_close()
-            self._report_unread()
-            self._socket.close()
+            if may_stall and self._lingering is not None:
+                self._lingering.close(
+                    self._socket,
+                    request=self.request_id,
+                    request_count=self._request_count,
+                )
+            else:
+                self._report_unread()
+                self._socket.close()
             self._holding.end()
 
     def _report_unread(self) -> None:
--- a/damasklead/gateway/listeners.py
+++ b/damasklead/gateway/listeners.py
@@ -25,6 +25,7 @@
     Rejection,
     RequestHandler,
 )
+from damasklead.gateway.lingering_connections import LingeringConnections
 from damasklead.gateway.routing import CallerLimits
 from damasklead.gateway.snapshot import SNAPSHOT_PATH
 from damasklead.gateway.snapshot_responses import SnapshotResponder
@@ -102,6 +103,11 @@
         self._is_stopping = is_stopping
         self._server: StreamServer | None = None
         self._connections: set[CallerConnection] = set()
+        self._lingering = LingeringConnections(
+            clock=clock,
+            may_go_on=lambda: not self._account.is_exceeded,
+            on_unread_close=on_unread_close,
+        )
         self._memory = (
             MemoryBudget(limit_bytes=sys.maxsize)
             if self._account.is_limited
@@ -110,7 +116,7 @@
 
     @property
     def connection_count(self) -> int:
-        """Number of open connections."""
+        """Number of open connections, without those that linger."""
         return len(self._connections)
 
     def start(self) -> None:
@@ -182,6 +188,10 @@
     def _make_room(self) -> bool:
         """Close connections beyond the limit; returns whether a new one is served."""
         budget, count = self._get_budget(), len(self._connections) + 1
+        # They have got their responses, unlike the connections that are served.
+        self._lingering.close_oldest(
+            count + len(self._lingering) - budget.closing_threshold
+        )
         excess = count - budget.closing_threshold
         if excess <= 0:
             return True
@@ -201,6 +211,7 @@
             on_closed=self._on_closed,
             on_rejected=self._on_rejected,
             on_unread_close=self._on_unread_close,
+            lingering=self._lingering,
         )
         if not has_room:
             connection.refuse()
