--- a/damasklead/gateway/snapshot_responses.py
+++ b/damasklead/gateway/snapshot_responses.py
@@ -24,6 +24,7 @@
 from damasklead.gateway.snapshot import (
     COMPRESSED_ENCODING,
     DIFFERENCES_HEADER,
+    FIELDS_HEADER,
     HELD_CONFIGURATION_HEADER,
     HOLDERS_HEADER,
     INSTANCE_HEADER,
@@ -91,6 +92,12 @@
         """Clock reading until which earlier transfers take the link."""
         return self._exhausted_until
 
+    @property
+    def transferred_at(self) -> float:
+        """Clock reading when earlier transfers end, which take all of the link."""
+        now = self._clock.now()
+        return now + LINK_SHARE * max(0.0, self._exhausted_until - now)
+
     def spend(self, size: int) -> None:
         """Record a transfer of ``size`` bytes."""
         begin = max(self._exhausted_until, self._clock.now())
@@ -217,7 +224,7 @@
                 self._holders.add(
                     _get_instance(fields),
                     version=snapshot.configuration,
-                    at=self._budget.exhausted_until,
+                    at=self._budget.transferred_at,
                 )
         return SnapshotResponse(status=200, headers=sent, body=body)
 
@@ -284,4 +291,5 @@
         configuration=configuration,
         replicas=replicas,
         accepts_differences=fields.get(DIFFERENCES_HEADER) == b"1",
+        accepts_fields=fields.get(FIELDS_HEADER) == b"1",
     )
