Decide trials by the order of answers, not by a time for them

Seen once in tests/test_gateway_fleet_partitions.py, beside other work at a load of about 30: two gateways whose connections opened, though they were cut off from all replicas, took about 5 s (otherwise 1.1 s) to open tunnels, and served 41 of 99 first tries.

Cause: a trial compared an absolute time with what the whole machine took. Another gateway had 0.45 s to open a tunnel, the replica 0.3 s to answer over it, and both together 0.75 s. On a machine on which everything is late, the gateways that do get answers count like those that get none, in each trial alike, and trials waited for each other. The gateway kept using connections that led nowhere.

Once it is answered, two requests are sent to the replica together, one directly and one through that gateway; a failure is recorded if the direct one, with the shorter way, isn't answered first (0.3 s at least, as before). A late replica or a busy machine makes both late, so that neither isolates a gateway nor keeps it from noticing. Trials no longer wait for earlier ones.

Evidence: tests/test_gateway_slow_trials.py, with stand-ins that answer 0.675 s late. On four of its six tests fail: with late replicas, and with late gateways, nothing is decided; a late direct answer is not waited for; a trial waits for the one before. All pass now, with the tests of tunnels.

--- a/damasklead/tunnels/dialer.py
+++ b/damasklead/tunnels/dialer.py
@@ -9,21 +9,24 @@
 from collections.abc import Callable, Iterable, Sequence
 
 import gevent
-import h11
 from gevent import socket
 
 from damasklead.clock import Clock
 from damasklead.ids import InstanceId
 from damasklead.logs import EventLog
-from damasklead.sockets import connect
+from damasklead.sockets import UNACKNOWLEDGED_TIMEOUT_MS
 from damasklead.tunnels.dialing import Link, ObservedDialer, connect_to_replica
 from damasklead.tunnels.helpers import HelperAddress, Helpers
 from damasklead.tunnels.probes import Probe
 from damasklead.tunnels.reachability import Reachability
+from damasklead.tunnels.requests import (
+    UnexpectedDataError,
+    UnreachableReplicaError,
+    request_tunnel,
+)
 
 __all__ = ["TunnelDialer", "UnreachableReplicaError"]
 
-HELPER_CONNECT_SECONDS = 0.3
 # A helper needs a round trip and the time until its own connection is open or fails.
 HELPER_RESPONSE_SECONDS = 0.45
 # Helpers that are asked for one connection, and the time for all of them.
@@ -31,29 +34,14 @@
 MAX_SECONDS = 0.9
 # Time in which a replica must answer a request for its report; it needs no slot for it.
 ANSWER_SECONDS = 0.3
-# Other gateways that are asked at once for an answer of a replica, and the time for
-# opening the tunnel and for the answer.
+# Other gateways that are asked at once for an answer of a replica, and the time after
+# which they are given up, as connections without acknowledgements are.  An answer
+# counts by its order, not by this time.
 ASKED_FOR_ANSWER = 4
-ANSWER_ELSEWHERE_SECONDS = HELPER_RESPONSE_SECONDS + ANSWER_SECONDS
+ANSWER_ELSEWHERE_SECONDS = UNACKNOWLEDGED_TIMEOUT_MS / 1000
 # Helpers that must have failed to reach a replica until it counts as unreachable; the
 # first may be cut off without having noticed.
 REQUIRED_OPINIONS = 2
-OPENED_STATUS = 200
-UNREACHABLE_STATUSES = frozenset({502, 504})
-REFUSED_STATUS = 502
-MAX_RESPONSE_BYTES = 4_096
-
-
-class UnreachableReplicaError(OSError):
-    """Other gateways can't connect to the replica either."""
-
-
-class _UnexpectedDataError(OSError):
-    """The replica sent data before a request; no failure of the other gateway."""
-
-
-class _RefusedError(OSError):
-    """The other gateway opens no tunnels at present."""
 
 
 class _TunnelLink(Link):
@@ -143,7 +131,8 @@
         Send some replicas a request at once, each over a new direct connection.
 
         If one doesn't answer, while this gateway isn't isolated, other gateways are
-        asked whether it answers them.
+        asked whether it answers them.  Returns when all are decided, which may take
+        seconds.
 
         Parameters
         ----------
@@ -170,12 +159,15 @@
             if probe.wait(ANSWER_SECONDS):
                 return
             self._reachability.record_unanswered()
-            if self._reachability.is_isolated or not self._is_answered_elsewhere(
-                address
-            ):
+            if self._reachability.is_isolated:
                 return
+            peer = self._find_answered_peer(address, probe)
             # The replica may have paused, or have started again, between the requests.
-            if not self._answers_now(address) and not probe.has_answer:
+            if (
+                peer is not None
+                and self._is_answered_first_at(peer, address)
+                and not probe.has_answer
+            ):
                 self._reachability.record_answered_elsewhere(address)
         finally:
             probe.close()
@@ -186,52 +178,83 @@
             link=super().dial(address), address=address, target=self._probe_target
         )
 
-    def _answers_now(self, address: str) -> bool:
-        try:
-            probe = self._start_probe(address)
-        except OSError:
-            return False
-        try:
-            return probe.wait(ANSWER_SECONDS)
-        finally:
-            probe.close()
+    def _find_answered_peer(self, address: str, probe: Probe) -> HelperAddress | None:
+        """
+        Return another gateway that a replica answers.
 
-    def _is_answered_elsewhere(self, address: str) -> bool:
-        """Return whether a replica answers a request of another gateway at present."""
+        Returns
+        -------
+        HelperAddress or None
+            ``None`` if the replica answers none of those that are asked, or answers the
+            request of this gateway meanwhile.
+        """
         candidates = self._helpers.list_candidates(self._get_peers())
         first = self._next_asked % max(1, len(candidates))
         asked = [*candidates[first:], *candidates[:first]][:ASKED_FOR_ANSWER]
         self._next_asked += len(asked)
-        questions = [
-            gevent.spawn(self._is_answered_at, peer, address) for peer in asked
-        ]
+        questions = {
+            gevent.spawn(self._is_answered_at, peer, address): peer for peer in asked
+        }
         try:
-            finished = gevent.iwait(questions, timeout=ANSWER_ELSEWHERE_SECONDS)
-            return any(question.value for question in finished)
+            for ended in gevent.iwait(
+                [probe.exchange, *questions], timeout=ANSWER_ELSEWHERE_SECONDS
+            ):
+                if probe.has_answer:
+                    return None
+                if ended in questions and ended.value:
+                    return questions[ended]
+            return None
         finally:
             gevent.killall(questions)
 
+    def _is_answered_first_at(self, peer: HelperAddress, address: str) -> bool:
+        """
+        Return whether a replica answers another gateway before this one.
+
+        Both requests start together, and the direct one has the shorter way, so that
+        neither slow replicas nor busy machines look like a cut.
+        """
+        question = gevent.spawn(self._is_answered_at, peer, address)
+        try:
+            probe = self._start_probe(address)
+        except OSError:
+            question.kill()
+            return False  # the failure was recorded
+        try:
+            if probe.wait(ANSWER_SECONDS):
+                return False
+            for _ in gevent.iwait(
+                [probe.exchange, question], timeout=ANSWER_ELSEWHERE_SECONDS
+            ):
+                if probe.has_answer or question.ready():
+                    break
+            return question.value is True and not probe.has_answer
+        finally:
+            probe.close()
+            question.kill()
+
     def _is_answered_at(self, peer: HelperAddress, address: str) -> bool:
         """Return whether a replica answers a request through another gateway."""
         try:
-            raw = _ask(peer.address, address)
-        except _UnexpectedDataError:
+            raw = request_tunnel(peer.address, address)
+        except UnexpectedDataError:
             return True
         except UnreachableReplicaError:
             return False
         except OSError as error:
-            self._record_refusal(peer, error)
+            self._record_failure(peer, error)
             return False
         probe = Probe(link=Link(raw=raw), address=address, target=self._probe_target)
         try:
-            has_answer = probe.wait(ANSWER_SECONDS)
+            has_answer = probe.wait(ANSWER_ELSEWHERE_SECONDS)
         finally:
             probe.close()
         if has_answer:
             self._helpers.record_opened(peer.instance)
         return has_answer
 
-    def _record_refusal(self, peer: HelperAddress, error: OSError) -> None:
+    def _record_failure(self, peer: HelperAddress, error: OSError) -> None:
+        """Record that another gateway opened no tunnel."""
         self._helpers.record_refusal(peer.instance)
         self._journal.event("tunnel-refused", helper=peer.instance, cause=str(error))
 
@@ -250,7 +273,7 @@
             link = self._open_tunnel(address)
         except UnreachableReplicaError:
             return False
-        except _UnexpectedDataError:
+        except UnexpectedDataError:
             return True
         if link is None:
             return None
@@ -280,17 +303,20 @@
             if self._clock.now() >= ends_at:
                 break
             try:
-                raw = _ask(peer.address, address)
+                with gevent.Timeout(
+                    HELPER_RESPONSE_SECONDS, TimeoutError("no response")
+                ):
+                    raw = request_tunnel(peer.address, address)
             except UnreachableReplicaError as error:
                 failures.append(f"{peer.instance}: {error}")
                 if len(failures) >= REQUIRED_OPINIONS:
                     break
                 continue
-            except _UnexpectedDataError:
+            except UnexpectedDataError:
                 self._helpers.record_opened(peer.instance)
                 raise
             except OSError as error:
-                self._record_refusal(peer, error)
+                self._record_failure(peer, error)
                 continue
             self._helpers.record_opened(peer.instance)
             self._on_tunnel(peer.instance)
@@ -306,49 +332,3 @@
             )
 
         return _TunnelLink(raw=raw, is_wanted=is_wanted)
-
-
-def _ask(helper: str, address: str) -> socket.socket:
-    """
-    Have a gateway connect to a replica; return the connection.
-
-    Raises
-    ------
-    UnreachableReplicaError
-        If it can't.
-    OSError
-        If it doesn't open connections for others, or doesn't respond; another kind if
-        the replica sends data before a request.
-    """
-    raw = connect(helper, timeout=HELPER_CONNECT_SECONDS)
-    try:
-        with gevent.Timeout(HELPER_RESPONSE_SECONDS, TimeoutError("no response")):
-            status = _request_tunnel(raw, address)
-        if status in UNREACHABLE_STATUSES:
-            raise UnreachableReplicaError(
-                "refused" if status == REFUSED_STATUS else "timed out"
-            )
-        if status != OPENED_STATUS:
-            raise _RefusedError(f"status {status}")
-    except BaseException:
-        raw.close()
-        raise
-    return raw
-
-
-def _request_tunnel(raw: socket.socket, address: str) -> int:
-    """Send the request for a tunnel; returns the status of the response."""
-    http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_RESPONSE_BYTES)
-    request = h11.Request(method="CONNECT", target=address, headers=[("Host", address)])
-    head = http.send(request) or b""
-    raw.sendall(head + (http.send(h11.EndOfMessage()) or b""))
-    try:
-        while (event := http.next_event()) is h11.NEED_DATA:
-            http.receive_data(raw.recv(MAX_RESPONSE_BYTES))
-    except h11.RemoteProtocolError as error:
-        raise _RefusedError(f"not HTTP: {error}") from error
-    if not isinstance(event, h11.Response):
-        raise _RefusedError(f"unexpected {type(event).__name__}")
-    if event.status_code == OPENED_STATUS and http.trailing_data[0]:
-        raise _UnexpectedDataError("the replica sent data before a request")
-    return event.status_code
--- a/damasklead/tunnels/probes.py
+++ b/damasklead/tunnels/probes.py
@@ -39,6 +39,11 @@
         """Whether data has arrived; any response will do."""
         return self._exchange.value is True
 
+    @property
+    def exchange(self) -> gevent.Greenlet:
+        """Ends when data has arrived, or the connection has ended."""
+        return self._exchange
+
     def wait(self, seconds: float) -> bool:
         """Wait for data, or the end of the connection; returns whether data came."""
         self._exchange.join(timeout=seconds)
--- a/damasklead/tunnels/trials.py
+++ b/damasklead/tunnels/trials.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Sequence
 
 import gevent
+from gevent.pool import Group
 
 from damasklead.tunnels.dialer import TunnelDialer
 from damasklead.tunnels.reachability import Reachability
@@ -37,10 +38,15 @@
     list_addresses : callable
         Returns the addresses of all replicas, ``ip:port``.
     """
-    while True:
-        gevent.sleep(INTERVAL_SECONDS)
-        if reachability.is_isolated:
-            dialer.try_replicas(list_addresses(), count=1)
-        elif reachability.should_try:
-            reachability.record_trial()
-            dialer.try_replicas(list_addresses(), count=SILENT_COUNT)
+    trials = Group()
+    try:
+        while True:
+            gevent.sleep(INTERVAL_SECONDS)
+            if reachability.is_isolated:
+                dialer.try_replicas(list_addresses(), count=1)
+            elif reachability.should_try:
+                reachability.record_trial()
+                # The next one asks other gateways, which these may be waiting for.
+                trials.spawn(dialer.try_replicas, list_addresses(), count=SILENT_COUNT)
+    finally:
+        trials.kill(block=False)
