Measure the limits of waits for several greenlets from now

A trial asked other gateways for an answer of a replica, and could give them up at once: gevent's wait(), iwait() and joinall() count their timeout from when the event loop last read the clock, which in a busy process is long ago (0.0 s instead of 0.3 s after a second of computation, measured; sleep, Timeout, join and socket timeouts wait 0.3 s). The trial decided nothing then. An entry's polls of load reports, which joinall() waited for, had the same fault.

time_limit() counts from now, and is used for both.

Evidence: "a busy process gives others the whole time to answer" fails without the change (no isolation), and passes with it.

--- a/damasklead/daemon/share_tasks.py
+++ b/damasklead/daemon/share_tasks.py
@@ -17,6 +17,7 @@
 from damasklead.daemon.pools import Pool
 from damasklead.membership import Member
 from damasklead.sharing import Coordinator, compute_share_interval
+from damasklead.time_limits import time_limit
 from damasklead.upstreams import UpstreamError
 
 __all__ = ["ShareTasks"]
@@ -100,7 +101,8 @@
             gevent.spawn(self._poll_replica, pool, coordinator, member)
             for member in members
         ]
-        gevent.joinall(polls, timeout=POLL_TIMEOUT_SECONDS)
+        with time_limit(POLL_TIMEOUT_SECONDS):
+            gevent.joinall(polls)
         for entry, grant in coordinator.allocate_slots().items():
             if entry == self._entry.instance:
                 self._peers.handle_body(entry, grant)
--- a/damasklead/tunnels/dialer.py
+++ b/damasklead/tunnels/dialer.py
@@ -15,6 +15,7 @@
 from damasklead.ids import InstanceId
 from damasklead.logs import EventLog
 from damasklead.sockets import UNACKNOWLEDGED_TIMEOUT_MS
+from damasklead.time_limits import time_limit
 from damasklead.tunnels.dialing import Link, ObservedDialer, connect_to_replica
 from damasklead.tunnels.helpers import HelperAddress, Helpers
 from damasklead.tunnels.probes import Probe
@@ -196,13 +197,12 @@
             gevent.spawn(self._is_answered_at, peer, address): peer for peer in asked
         }
         try:
-            for ended in gevent.iwait(
-                [probe.exchange, *questions], timeout=ANSWER_ELSEWHERE_SECONDS
-            ):
-                if probe.has_answer:
-                    return None
-                if ended in questions and ended.value:
-                    return questions[ended]
+            with time_limit(ANSWER_ELSEWHERE_SECONDS):
+                for ended in gevent.iwait([probe.exchange, *questions]):
+                    if probe.has_answer:
+                        return None
+                    if ended in questions and ended.value:
+                        return questions[ended]
             return None
         finally:
             gevent.killall(questions)
@@ -223,11 +223,10 @@
         try:
             if probe.wait(ANSWER_SECONDS):
                 return False
-            for _ in gevent.iwait(
-                [probe.exchange, question], timeout=ANSWER_ELSEWHERE_SECONDS
-            ):
-                if probe.has_answer or question.ready():
-                    break
+            with time_limit(ANSWER_ELSEWHERE_SECONDS):
+                for _ in gevent.iwait([probe.exchange, question]):
+                    if probe.has_answer or question.ready():
+                        break
             return question.value is True and not probe.has_answer
         finally:
             probe.close()
--- a/tests/test_gateway_slow_trials.py
+++ b/tests/test_gateway_slow_trials.py
@@ -6,14 +6,20 @@
 whether a gateway is cut off.
 """
 
-from collections.abc import Callable, Iterator
+import time
+from collections.abc import Callable, Iterable, Iterator
 
 import gevent
 import pytest
 from gevent import socket
 
 from damasklead.clock import ManualClock
-from damasklead.tunnels.dialer import ANSWER_SECONDS, HELPER_RESPONSE_SECONDS
+from damasklead.tunnels.dialer import (
+    ANSWER_ELSEWHERE_SECONDS,
+    ANSWER_SECONDS,
+    HELPER_RESPONSE_SECONDS,
+)
+from damasklead.tunnels.helpers import HelperAddress
 from damasklead.tunnels.reachability import MIN_TRIAL_INTERVAL_SECONDS
 from damasklead.tunnels.trials import run_trials
 from damasklead.util import split_address
@@ -78,6 +84,24 @@
     assert site.changes == [True]
 
 
+def test_a_busy_process_gives_others_the_whole_time_to_answer(site: Site) -> None:
+    """The limit began when the event loop had last read the clock."""
+    site.add_replicas()
+    site.cut(stay_silent)
+    helper = site.add_helper()
+    dialer = site.make_dialer(helper)
+    list_peers = dialer._get_peers
+    delays = [ANSWER_ELSEWHERE_SECONDS]
+
+    def compute_and_list_peers() -> Iterable[HelperAddress]:
+        time.sleep(delays.pop() if delays else 0.0)
+        return list_peers()
+
+    dialer._get_peers = compute_and_list_peers
+    site.run_trial(dialer)
+    assert site.changes == [True]
+
+
 def test_late_replicas_that_start_again_isolate_no_gateway(site: Site) -> None:
     """They answer a second request directly as late as one of another gateway."""
     ended: set[int] = set()
