Open tunnels through other gateways that respond late

Isolated gateways beside a busy machine refused requests, or sent them over connections that lead nowhere: one that asked another gateway for a tunnel gave it up after 0.45 s and didn't ask it for 2 s. On a machine on which everything is late that soon holds for all of them, and nobody is left.

Cause: no response in time was taken for a refusal. A refusal says that asking again is in vain; lateness doesn't, least of all when all are late.

After 0.45 s the next gateway is asked as well, and the first that opens the connection serves; the others' are closed. A late gateway comes after all others for 2 s, and is asked if these can't serve.

--- a/damasklead/tunnels/dialer.py
+++ b/damasklead/tunnels/dialer.py
@@ -6,7 +6,9 @@
 isolated.
 """
 
-from collections.abc import Callable, Iterable, Sequence
+from collections import deque
+from collections.abc import Callable, Generator, Iterable, Sequence
+from contextlib import closing
 
 import gevent
 from gevent import socket
@@ -21,6 +23,7 @@
 from damasklead.tunnels.probes import Probe
 from damasklead.tunnels.reachability import Reachability
 from damasklead.tunnels.requests import (
+    TunnelRequest,
     UnexpectedDataError,
     UnreachableReplicaError,
     request_tunnel,
@@ -28,7 +31,8 @@
 
 __all__ = ["TunnelDialer", "UnreachableReplicaError"]
 
-# A helper needs a round trip and the time until its own connection is open or fails.
+# Time after which another helper is asked as well; a helper needs a round trip and the
+# time until its own connection is open or fails.
 HELPER_RESPONSE_SECONDS = 0.45
 # Helpers that are asked for one connection, and the time for all of them.
 MAX_ASKED = 8
@@ -257,6 +261,11 @@
         self._helpers.record_refusal(peer.instance)
         self._journal.event("tunnel-refused", helper=peer.instance, cause=str(error))
 
+    def _record_silence(self, peer: HelperAddress) -> None:
+        """Record that another gateway has not responded in time, and may yet."""
+        self._helpers.record_silence(peer.instance)
+        self._journal.event("tunnel-refused", helper=peer.instance, cause="no response")
+
     def is_reached_by_others(self, address: str) -> bool | None:
         """
         Return whether another gateway can connect to a replica.
@@ -295,35 +304,67 @@
         OSError
             If it sends data before a request.
         """
-        ends_at = self._clock.now() + MAX_SECONDS
         failures: list[str] = []
-        candidates = self._helpers.list_candidates(self._get_peers())
-        for peer in candidates[:MAX_ASKED]:
-            if self._clock.now() >= ends_at:
-                break
-            try:
-                with gevent.Timeout(
-                    HELPER_RESPONSE_SECONDS, TimeoutError("no response")
-                ):
-                    raw = request_tunnel(peer.address, address)
-            except UnreachableReplicaError as error:
-                failures.append(f"{peer.instance}: {error}")
-                if len(failures) >= REQUIRED_OPINIONS:
-                    break
-                continue
-            except UnexpectedDataError:
-                self._helpers.record_opened(peer.instance)
-                raise
-            except OSError as error:
-                self._record_failure(peer, error)
-                continue
-            self._helpers.record_opened(peer.instance)
-            self._on_tunnel(peer.instance)
-            return self._make_link(raw, peer)
+        with closing(self._ask_in_turn(address)) as requests:
+            for request in requests:
+                peer = request.peer
+                try:
+                    raw = request.take_connection()
+                except UnreachableReplicaError as error:
+                    failures.append(f"{peer.instance}: {error}")
+                    if len(failures) >= REQUIRED_OPINIONS:
+                        break
+                except UnexpectedDataError:
+                    self._helpers.record_opened(peer.instance)
+                    raise
+                except OSError as error:
+                    self._record_failure(peer, error)
+                else:
+                    self._helpers.record_opened(peer.instance)
+                    self._on_tunnel(peer.instance)
+                    return self._make_link(raw, peer)
         if failures:
             raise UnreachableReplicaError("; ".join(failures))
         return None
 
+    def _ask_in_turn(self, address: str) -> Generator[TunnelRequest]:
+        """
+        Ask other gateways for a connection to a replica.
+
+        Another one is asked when a request has ended, or isn't answered in time; those
+        that were asked before may still answer.
+
+        Yields
+        ------
+        TunnelRequest
+            Each request that has ended.
+        """
+        ends_at = self._clock.now() + MAX_SECONDS
+        candidates = self._helpers.list_candidates(self._get_peers())
+        waiting = deque(candidates[:MAX_ASKED])
+        requests: list[TunnelRequest] = []
+        try:
+            while waiting or requests:
+                rest = ends_at - self._clock.now()
+                if rest <= 0:
+                    break
+                if waiting:
+                    peer = waiting.popleft()
+                    requests.append(TunnelRequest(peer=peer, address=address))
+                seconds = min(rest, HELPER_RESPONSE_SECONDS) if waiting else rest
+                TunnelRequest.wait_for_one(requests, seconds=seconds)
+                ended = next((item for item in requests if item.has_ended), None)
+                if ended is not None:
+                    requests.remove(ended)
+                    yield ended
+                    continue
+                self._record_silence(requests[-1].peer)
+                if not waiting:
+                    break
+        finally:
+            for request in requests:
+                request.close()
+
     def _make_link(self, raw: socket.socket, helper: HelperAddress) -> Link:
         def is_wanted() -> bool:
             return self._reachability.is_isolated and any(
--- a/damasklead/tunnels/helpers.py
+++ b/damasklead/tunnels/helpers.py
@@ -24,7 +24,8 @@
 
 # Helpers that are used in turn, so that one that ends takes a part of the connections.
 MAX_PREFERRED = 8
-# Time for which a gateway that opened no tunnel isn't asked again.
+# Time for which a gateway that opened no tunnel isn't asked again, and for which one
+# that responds late is asked after the others.
 AVOID_SECONDS = 2.0
 
 
@@ -100,6 +101,7 @@
         self._clock = clock
         self._preferred: list[InstanceId] = []
         self._avoided_until: dict[InstanceId, float] = {}
+        self._late_until: dict[InstanceId, float] = {}
 
     def list_candidates(self, peers: Iterable[H]) -> list[H]:
         """
@@ -107,19 +109,33 @@
 
         Those that opened the last tunnels come first, the one whose turn it is before
         the others, and before them another one that may join them.  Until one has
-        opened a tunnel, those of this data centre and of others come by turns.
+        opened a tunnel, those of this data centre and of others come by turns.  Those
+        that responded late come last: on a busy machine these may be all.
         """
-        now = self._clock.now()
-        self._avoided_until = {
-            name: until for name, until in self._avoided_until.items() if until > now
-        }
+        self._forget_expired()
         candidates: dict[InstanceId, H] = {}
+        late: list[H] = []
         nearby_refusals = 0
         for peer in peers:
-            if peer.instance not in self._avoided_until:
+            is_refusing = peer.instance in self._avoided_until
+            is_late = peer.instance in self._late_until
+            if not is_refusing and not is_late:
                 candidates[peer.instance] = peer
-            elif self._is_nearby(peer):
-                nearby_refusals += 1
+            else:
+                nearby_refusals += self._is_nearby(peer)
+                if not is_refusing:
+                    late.append(peer)
+        ordered = self._order(candidates, nearby_refusals)
+        return [*ordered, *self._alternate(sorted(late, key=self._rank))]
+
+    def _forget_expired(self) -> None:
+        now = self._clock.now()
+        for ends in (self._avoided_until, self._late_until):
+            for name in [name for name, until in ends.items() if until <= now]:
+                del ends[name]
+
+    def _order(self, candidates: dict[InstanceId, H], nearby_refusals: int) -> list[H]:
+        """Return the gateways that are expected to respond at once."""
         self._preferred = [name for name in self._preferred if name in candidates]
         preferred = [candidates.pop(name) for name in self._preferred]
         others = sorted(candidates.values(), key=self._rank)
@@ -166,6 +182,8 @@
 
     def record_opened(self, name: InstanceId) -> None:
         """Record that a gateway has opened a connection, and end its turn."""
+        if name in self._late_until:
+            return
         if name in self._preferred:
             self._preferred.remove(name)
         self._preferred.append(name)
@@ -177,6 +195,12 @@
         if name in self._preferred:
             self._preferred.remove(name)
 
+    def record_silence(self, name: InstanceId) -> None:
+        """Record that a gateway has not responded in time, and may yet."""
+        self._late_until[name] = self._clock.now() + AVOID_SECONDS
+        if name in self._preferred:
+            self._preferred.remove(name)
+
     def _rank(self, peer: HelperAddress) -> tuple[bool, float]:
         """Return the place of a gateway: weighted rendezvous hashing by its cores."""
         is_remote = not self._is_nearby(peer)
--- a/damasklead/tunnels/requests.py
+++ b/damasklead/tunnels/requests.py
@@ -5,13 +5,19 @@
 Asks other gateways for connections to replicas.
 """
 
+from collections.abc import Iterable
+
+import gevent
 import h11
 from gevent import socket
 
 from damasklead.sockets import connect
+from damasklead.time_limits import time_limit
+from damasklead.tunnels.helpers import HelperAddress
 
 __all__ = [
     "RefusedTunnelError",
+    "TunnelRequest",
     "UnexpectedDataError",
     "UnreachableReplicaError",
     "request_tunnel",
@@ -36,6 +42,67 @@
     """The other gateway opens no tunnels at present."""
 
 
+class TunnelRequest:
+    """
+    A request to another gateway, which is sent at once.
+
+    Parameters
+    ----------
+    peer : HelperAddress
+        The other gateway.
+    address : str
+        Address of the replica, ``ip:port``.
+
+    Attributes
+    ----------
+    peer : HelperAddress
+    """
+
+    def __init__(self, *, peer: HelperAddress, address: str) -> None:
+        self.peer = peer
+        self._exchange = gevent.spawn(self._run, address)
+        self._is_taken = False
+
+    @property
+    def has_ended(self) -> bool:
+        """Whether the tunnel is open, or will not be opened."""
+        return self._exchange.ready()
+
+    @staticmethod
+    def wait_for_one(requests: Iterable["TunnelRequest"], *, seconds: float) -> None:
+        """Wait until one of some requests has ended, or the time is over."""
+        exchanges = [request._exchange for request in requests]
+        with time_limit(seconds):
+            gevent.wait(exchanges, count=1)
+
+    def take_connection(self) -> socket.socket:
+        """
+        Return the connection of a request that has ended.
+
+        Raises
+        ------
+        OSError
+            As ``request_tunnel``.
+        """
+        self._is_taken = True
+        outcome: socket.socket | OSError = self._exchange.get()
+        if isinstance(outcome, OSError):
+            raise outcome
+        return outcome
+
+    def close(self) -> None:
+        """Give the request up, or close its connection unless it was taken."""
+        self._exchange.kill()
+        if not self._is_taken and isinstance(self._exchange.value, socket.socket):
+            self._exchange.value.close()
+
+    def _run(self, address: str) -> socket.socket | OSError:
+        try:
+            return request_tunnel(self.peer.address, address)
+        except OSError as error:
+            return error
+
+
 def request_tunnel(helper: str, address: str) -> socket.socket:
     """
     Have a gateway connect to a replica; return the connection.
--- a/tests/test_gateway_slow_trials.py
+++ b/tests/test_gateway_slow_trials.py
@@ -31,7 +31,7 @@
     open_nothing,
     stay_silent,
 )
-from tests.tunnel_kit import Helper
+from tests.tunnel_kit import Helper, echo, isolate
 
 LATE_SECONDS = 1.5 * max(ANSWER_SECONDS, HELPER_RESPONSE_SECONDS)
 
@@ -153,3 +153,39 @@
     site.add_replicas(end)
     site.run_trial(site.make_dialer(site.add_helper()))
     assert not site.changes
+
+
+def test_a_tunnel_opens_through_a_gateway_that_responds_late(site: Site) -> None:
+    site.add_replicas()
+    isolate(site.reachability)
+    helper = site.add_helper()
+    dialer = site.make_dialer(site.add_server(make_late(helper)))
+    for _ in range(2):
+        link = dialer.dial(site.replicas[0].address)
+        assert link.is_tunnel
+        link.raw.close()
+    assert helper.server.opened_count == 2
+
+
+def test_a_late_gateway_delays_a_tunnel_through_another_one_once(site: Site) -> None:
+    site.add_replicas()
+    isolate(site.reachability)
+    late = site.add_server(make_late(site.add_helper()))
+    sound = site.add_helper()
+    dialer = site.make_dialer(late, sound)
+    for _ in range(4):
+        assert dialer.dial(site.replicas[0].address).is_tunnel
+    assert sound.server.opened_count == 4
+    assert late.connection_count <= 1
+
+
+def test_tunnels_that_open_after_another_one_are_closed(site: Site) -> None:
+    site.add_replicas(echo)
+    isolate(site.reachability)
+    helper = site.add_helper()
+    late = [site.add_server(make_late(helper)) for _ in range(2)]
+    link = site.make_dialer(*late).dial(site.replicas[0].address)
+    assert link.is_tunnel
+    gevent.sleep(LATE_SECONDS)
+    assert helper.server.open_count == 1
+    link.raw.close()
--- a/tests/test_gateway_tunnel_helpers.py
+++ b/tests/test_gateway_tunnel_helpers.py
@@ -183,6 +183,23 @@
     assert refused in helpers.list_candidates(peers[1:])
 
 
+def test_a_gateway_that_responds_late_is_asked_after_the_others() -> None:
+    """If all respond late, as on a busy machine, each is still asked."""
+    peers = make_peers(3, data_centres=1)
+    clock = ManualClock()
+    helpers = make_helpers(peers[0], clock)
+    late, other = helpers.list_candidates(peers[1:])
+    helpers.record_silence(late.instance)
+    assert helpers.list_candidates(peers[1:]) == [other, late]
+    helpers.record_opened(late.instance)
+    assert helpers.list_candidates(peers[1:]) == [other, late]
+    helpers.record_silence(other.instance)
+    assert helpers.list_candidates(peers[1:]) == [late, other]
+    clock.advance(AVOID_SECONDS)
+    helpers.record_opened(other.instance)
+    assert helpers.list_candidates(peers[1:]) == [late, other]
+
+
 def test_a_helper_that_left_is_not_asked() -> None:
     peers = make_peers(4, data_centres=1)
     helpers = make_helpers(peers[0], ManualClock())
