End tunnels of gateways whose host is lost

Callers saw nothing of it; the replica did: if the host of a gateway that has opened a tunnel is lost with bytes on the way to it, the tunnel, and the request at the replica, lasted until the kernel gave up (about 15 minutes, by reading).

Keepalive probes are not sent while bytes are on the way.

A slow reader's kernel acknowledges both. One task per server watches all tunnels. Nothing changes between gateways.

What remains: while the window is closed, the intervals of the kernel's probes double up to two minutes, and two of them have to be lost.

--- a/bench/tunnels.py
+++ b/bench/tunnels.py
@@ -21,6 +21,7 @@
 from damasklead.clock import ManualClock
 from damasklead.demo.local import find_free_address
 from damasklead.gateway.journal import Journal
+from damasklead.loop import LoopClock
 from damasklead.memory_budget import MemoryAccount
 from damasklead.tunnels.reachability import Reachability
 from damasklead.tunnels.server import TunnelServer
@@ -46,6 +47,7 @@
         is_stopping=lambda: False,
         account=MemoryAccount(clock=clock),
         get_max_tunnels=lambda: 1e9,
+        clock=LoopClock(),
         journal=Journal(instance="helper"),
     ).start()
     gevent.sleep(3600)
--- a/damasklead/daemon/tunnels.py
+++ b/damasklead/daemon/tunnels.py
@@ -120,6 +120,7 @@
             is_stopping=is_stopping,
             account=memory,
             get_max_tunnels=self._compute_max_tunnels,
+            clock=clock,
             journal=logs,
         )
         metrics.isolated.set_function(lambda: self._reachability.is_isolated)
--- a/damasklead/gateway/process.py
+++ b/damasklead/gateway/process.py
@@ -358,6 +358,7 @@
             get_max_tunnels=lambda: self._descriptors.compute_max_tunnels(
                 connections=self._connections.open_count
             ),
+            clock=self._clock,
             journal=self._journal,
         )
 
--- a/damasklead/sockets.py
+++ b/damasklead/sockets.py
@@ -12,16 +12,19 @@
 import struct
 import termios
 
+import msgspec
 from gevent import socket
 
 from damasklead.util import split_address
 
 __all__ = [
+    "Acknowledgements",
     "connect",
     "count_unread_bytes",
     "count_unsent_bytes",
     "is_given_up",
     "is_readable",
+    "read_acknowledgements",
     "set_tcp_options",
     "set_user_timeout",
 ]
@@ -38,6 +41,10 @@
 KEEPALIVE_PROBES = 3
 
 _QUEUE_LENGTH = struct.Struct("i")
+# The first fields of Linux' struct tcp_info: 8 of one byte, with the numbers of
+# retransmissions and probes as the third and the fourth, then those of four bytes, the
+# 13th of which is the time since the last acknowledgement in milliseconds.
+_TCP_INFO = struct.Struct("=2xBB4x48xI")
 
 _OPTIONS = (
     (std_socket.SOL_SOCKET, std_socket.SO_KEEPALIVE, 1),
@@ -118,6 +125,34 @@
     return _read_queue_length(connection, termios.TIOCOUTQ)
 
 
+class Acknowledgements(msgspec.Struct, kw_only=True, frozen=True):
+    """
+    What the peer's kernel has acknowledged.
+
+    Attributes
+    ----------
+    repetitions : int
+        Retransmissions, or probes of a closed window, since the last acknowledgement
+        of new data or of a probe.
+    last_seconds : float
+        Seconds since the last acknowledgement of any kind.
+    """
+
+    repetitions: int
+    last_seconds: float
+
+
+def read_acknowledgements(connection: socket.socket) -> Acknowledgements:
+    """Return what the peer's kernel has acknowledged; raises ``OSError``."""
+    answer = connection.getsockopt(
+        std_socket.IPPROTO_TCP, std_socket.TCP_INFO, _TCP_INFO.size
+    )
+    retransmissions, probes, milliseconds = _TCP_INFO.unpack(answer)
+    return Acknowledgements(
+        repetitions=retransmissions + probes, last_seconds=milliseconds / 1000
+    )
+
+
 def _read_queue_length(connection: socket.socket, request: int) -> int:
     descriptor = connection.fileno()
     if descriptor < 0:
--- a/damasklead/tunnels/server.py
+++ b/damasklead/tunnels/server.py
@@ -15,6 +15,7 @@
 from gevent import socket
 from gevent.server import StreamServer
 
+from damasklead.clock import Clock
 from damasklead.logs import EventLog
 from damasklead.memory_budget import HeldKind, MemoryAccount
 from damasklead.sockets import (
@@ -23,6 +24,7 @@
     set_tcp_options,
     set_user_timeout,
 )
+from damasklead.tunnels.acknowledgements import LostHostWatch
 from damasklead.tunnels.dialing import CONNECT_TIMEOUT_SECONDS, Link, ObservedLink
 from damasklead.tunnels.reachability import Reachability
 from damasklead.turns import TurnBudget
@@ -68,6 +70,7 @@
         Account that the buffers are charged to.
     get_max_tunnels : callable
         Returns the largest number of open tunnels.
+    clock : Clock
     journal : EventLog
     """
 
@@ -81,6 +84,7 @@
         is_stopping: Callable[[], bool],
         account: MemoryAccount,
         get_max_tunnels: Callable[[], float],
+        clock: Clock,
         journal: EventLog,
     ) -> None:
         self._address = address
@@ -90,6 +94,7 @@
         self._is_stopping = is_stopping
         self._account = account
         self._get_max_tunnels = get_max_tunnels
+        self._lost_host_watch = LostHostWatch(clock=clock)
         self._journal = journal
         self._server: StreamServer | None = None
         self._open_count = 0
@@ -175,7 +180,8 @@
             set_user_timeout(replica, 0)
             try:
                 _respond(raw, http, OPENED)
-                _pass_on(raw, link, http.trailing_data[0])
+                with self._lost_host_watch.watch(raw):
+                    _pass_on(raw, link, http.trailing_data[0])
             finally:
                 replica.close()
 
--- a/tests/test_socket_timeouts.py
+++ b/tests/test_socket_timeouts.py
@@ -137,6 +137,7 @@
         is_stopping=lambda: False,
         account=MemoryAccount(clock=ManualClock()),
         get_max_tunnels=lambda: 10,
+        clock=LoopClock(),
         journal=Journal(instance="gateway-1"),
     )
     tunnels.start()
--- a/tests/tunnel_kit.py
+++ b/tests/tunnel_kit.py
@@ -13,6 +13,7 @@
 from damasklead.gateway.dialect import PeerEntry
 from damasklead.gateway.journal import Journal
 from damasklead.ids import DataCentre, InstanceId
+from damasklead.loop import LoopClock
 from damasklead.memory_budget import MemoryAccount
 from damasklead.tunnels.dialer import TunnelDialer
 from damasklead.tunnels.dialing import connect_to_replica
@@ -69,6 +70,7 @@
             is_stopping=lambda: self.is_stopping,
             account=self.account,
             get_max_tunnels=lambda: self.max_tunnels,
+            clock=LoopClock(),
             journal=self.journal,
         )
         self.server.start()
