--- a/tests/test_gateway_unframed_ends_review.py
+++ b/tests/test_gateway_unframed_ends_review.py
@@ -7,6 +7,7 @@
 """
 
 import socket as std_socket
+import struct
 import threading
 import time
 from collections.abc import Iterator
@@ -15,6 +16,10 @@
 import pytest
 from gevent import socket
 
+from damasklead.gateway.upstream_http import ConnectionPool
+from damasklead.loop import LoopClock
+from damasklead.sockets import connect
+from damasklead.tunnels.dialing import Dialer, Link
 from damasklead.unframed_ends import BodyFlow
 from tests.gateway_kit import (
     ForwarderHarness,
@@ -199,3 +204,113 @@
     opened = harness.connections.opened_count
     ask("c", "/read/1")
     assert harness.connections.opened_count == opened
+
+
+REPORT = b'{"phase":"unified","born":1}'
+RESET = struct.pack("ii", 1, 0)
+
+
+def test_a_report_after_which_the_replica_closes_the_connection_counts(
+    harnesses: list[ForwarderHarness],
+) -> None:
+    """Replicas that leave close their connections after each response."""
+
+    def serve(replica: ScriptedReplica, connection: socket.socket) -> None:
+        line, headers, _ = read_request(connection)
+        if line.split()[1] != "/-/report":
+            connection.sendall(make_head(headers["attempt-id"]) + make_event(1))
+            return
+        connection.sendall(
+            b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s"
+            % (len(REPORT), REPORT)
+        )
+
+    harnesses.append(ForwarderHarness([ScriptedReplica("r0", serve)]))
+    assert is_complete(send(harnesses[-1], "/chat/1"))
+
+
+def test_a_replica_that_was_full_for_a_moment_is_asked_again(
+    harnesses: list[ForwarderHarness],
+) -> None:
+    """Replicas reset the connections beyond their limit."""
+    has_reset = False
+
+    def serve(replica: ScriptedReplica, connection: socket.socket) -> None:
+        nonlocal has_reset
+        if replica.requests and not has_reset:
+            has_reset = True
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            return
+        respond(replica, connection)
+
+    harnesses.append(ForwarderHarness([ScriptedReplica("r0", serve)]))
+    assert is_complete(send(harnesses[-1], "/chat/1"))
+    assert has_reset
+
+
+class TunnelDialer(Dialer):
+    """Opens connections that count as those through another gateway."""
+
+    def dial(self, address: str) -> Link:
+        link = Link(raw=connect(address, timeout=1.0))
+        link.is_tunnel = True
+        return link
+
+
+def test_the_end_of_a_tunnel_is_no_failure_of_the_replica(
+    harnesses: list[ForwarderHarness],
+) -> None:
+    """Replicas were avoided after an isolation that ended during their responses."""
+    pool = ConnectionPool(clock=LoopClock(), dialer=TunnelDialer())
+    replica = ScriptedReplica("r0", respond)
+    harnesses.append(ForwarderHarness([replica], connections=pool))
+    send(harnesses[-1], "/chat/1")
+    (state,) = harnesses[-1].placement._replicas.values()
+    assert state.penalty_until <= harnesses[-1].clock.now()
+
+
+def test_a_late_report_is_no_failure_of_the_response(
+    harnesses: list[ForwarderHarness],
+) -> None:
+    """The whole response came 0.6 s before the deadline, and the report after it."""
+
+    def serve(replica: ScriptedReplica, connection: socket.socket) -> None:
+        line, headers, _ = read_request(connection)
+        if line.split()[1] == "/-/report":
+            gevent.sleep(0.9)
+            return
+        connection.sendall(make_head(headers["attempt-id"]) + make_event(1))
+
+    harnesses.append(ForwarderHarness([ScriptedReplica("r0", serve)]))
+    send(harnesses[-1], "/order/1")
+    (state,) = harnesses[-1].placement._replicas.values()
+    assert state.penalty_until <= harnesses[-1].clock.now()
+
+
+def test_a_planned_release_makes_no_request_a_suspect(
+    harnesses: list[ForwarderHarness],
+) -> None:
+    """Three replicas left in turn, each after a sound response to one request."""
+
+    def serve(replica: ScriptedReplica, connection: socket.socket) -> None:
+        line, headers, _ = read_request(connection)
+        if line.split()[1] != "/-/report":
+            connection.sendall(make_head(headers["attempt-id"]) + make_event(1))
+            return
+        connection.sendall(
+            b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s"
+            % (len(REPORT), REPORT)
+        )
+
+    replicas = [ScriptedReplica(f"r{number}", serve) for number in range(3)]
+    harnesses.append(ForwarderHarness(replicas))
+    harness = harnesses[-1]
+    for number, replica in enumerate(replicas):
+        harness.placement.update_replicas([replica.record])
+        send(harness, "/order/1")
+        gevent.sleep(0.2)
+        remaining = [item.record for item in replicas[number + 1 :]]
+        harness.containment.update_replicas(remaining)
+    gevent.sleep(1.2)
+    harness.containment.update_quarantine()
+    assert not harness.quarantined
