--- a/soak/streams/callers.py
+++ b/soak/streams/callers.py
@@ -20,7 +20,9 @@
 
 __all__ = ["ObservedStream", "StreamCaller"]
 
-KIND_WEIGHTS = {"contract": 2, "draft": 3, "chat": 3, "order": 1, "read": 1}
+KIND_WEIGHTS = {
+    "contract": 2, "draft": 3, "chat": 3, "order": 1, "read": 1, "summary": 3,
+}  # fmt: skip
 MAX_RESUMPTIONS = 2
 TIMEOUT_SECONDS = 8.0
 MEAN_PAUSE_SECONDS = 0.1
--- a/soak/streams/cluster.py
+++ b/soak/streams/cluster.py
@@ -28,6 +28,7 @@
 PROBE_INTERVAL_SECONDS = 0.1
 ROUTE_TIMEOUTS = {
     "contract": 6000,
+    "summary": 8000,
     "draft": 4000,
     "chat": 8000,
     "read": 2000,
@@ -258,7 +259,7 @@
         content = make_configuration(1, timeout=2000)
         routes = {route["name"]: route for route in content["routes"]}
         chat = routes["chat"]
-        for name in ("contract", "draft"):
+        for name in ("contract", "draft", "summary"):
             routes[name] = chat | {"name": name, "prefix": f"/{name}/"}
         routes["draft"] |= {"resumable": True, "max_attempts": 2}
         routes["contract"] |= {"itl_target_ms": 600}
--- a/soak/streams/replica.py
+++ b/soak/streams/replica.py
@@ -53,12 +53,19 @@
         Bytes that each event has beside its number.
     is_resumable : bool
         Whether another run may go on after ``Last-Event-Id``.
+    head_delay : float
+        Seconds until the head of the response.
+    ends_after_event : bool
+        Whether a response that nobody reads is cut off after the present event, as by
+        servers that send what they have queued before they close.
     """
 
     events: int = 0
     interval: float = 0.0
     padding: int = 40
     is_resumable: bool = False
+    head_delay: float = 0.0
+    ends_after_event: bool = False
 
 
 # By the first part of the path.
@@ -66,6 +73,9 @@
     "contract": Kind(events=13, interval=0.1, padding=30_000),
     "draft": Kind(events=12, interval=0.06, is_resumable=True),
     "chat": Kind(events=50, interval=0.04),
+    "summary": Kind(
+        events=13, interval=0.02, padding=30_000, head_delay=1.2, ends_after_event=True
+    ),
     "order": Kind(),
     "read": Kind(),
 }
@@ -246,22 +256,46 @@
             "Connection: close" if run.is_unframed else "Transfer-Encoding: chunked"
         )
         head += f"Content-Type: text/event-stream\r\n{framing}\r\n\r\n"
+        gevent.sleep(kind.head_delay)
         connection.sendall(f"HTTP/1.1 200 OK\r\n{head}".encode())
         for number in range(run.after + 1, kind.events + 1):
             event = make_event(number, run.run, kind.padding)
             cut = len(event)
-            if self._random.random() < SPLIT_FRACTION:
+            if not kind.ends_after_event and self._random.random() < SPLIT_FRACTION:
                 cut = self._random.randrange(1, len(event))
             for piece in (event[:cut], event[cut:]):
                 if piece:
                     data = piece if run.is_unframed else make_chunk(piece)
-                    connection.sendall(data)
+                    if kind.ends_after_event:
+                        _send_whole(connection, data)
+                    else:
+                        connection.sendall(data)
                     gevent.sleep(SPLIT_PAUSE_SECONDS)
             gevent.sleep(kind.interval)
         if not run.is_unframed:
             connection.sendall(make_chunk(b""))
 
 
+def _send_whole(connection: socket.socket, data: bytes) -> None:
+    """
+    Send data, all of it even if nobody reads it in time.
+
+    Raises
+    ------
+    OSError
+        In that case afterwards, and if the connection has ended.
+    """
+    unsent, late_error = memoryview(data), None
+    while unsent:
+        try:
+            unsent = unsent[connection.send(unsent) :]
+        except TimeoutError as error:
+            late_error = error
+            connection.settimeout(None)
+    if late_error is not None:
+        raise late_error
+
+
 def main() -> int:
     """Serve until the process is killed."""
     options = msgspec.json.decode(sys.argv[1], type=ReplicaOptions)
