Close the gaps that a review of the rule for unframed ends found

Sound requests that were blamed: a report that closes its connection counts; a start that ran before the request was sent is no crash of the one that the list still named; an end that is only doubted, or was that of a tunnel, is no failure of the replica; a replica that resets one connection is asked again. A probed connection keeps its time.

The stand-in's crash in test_gateway_prompt_part_crashes.py left the replica's other connections open and served, over which it reported; a crash ends them, as that of a process does, so that the same requests have to be refused as before.

--- a/damasklead/daemon/entry.py
+++ b/damasklead/daemon/entry.py
@@ -65,6 +65,7 @@
 )
 from damasklead.settings import Settings
 from damasklead.sharing import choose_coordinators, compute_share_interval
+from damasklead.stall_meter import StallMeter
 from damasklead.stores import Platform
 from damasklead.stores.base import Put
 from damasklead.upstreams import UPSTREAMS, ConnectionPool, UpstreamError
@@ -170,6 +171,8 @@
                 body_limit=body_limit,
             )
         )
+        self.stalls = StallMeter(clock=clock)
+        self.connections.get_stall = self.stalls.get_stall
         self.update_memory_limit()
         self.pools: dict[ServiceName, Pool] = {}
         self.is_stopping = False
--- a/damasklead/daemon/service.py
+++ b/damasklead/daemon/service.py
@@ -171,6 +171,7 @@
                             name="records", function=self._watchers.run_record_loop
                         ),
                         TaskChild(name="duties", function=self._duties.run),
+                        TaskChild(name="stalls", function=self.entry.stalls.run),
                     ],
                 ),
                 Supervisor(
--- a/damasklead/gateway/abandonment_watch.py
+++ b/damasklead/gateway/abandonment_watch.py
@@ -59,7 +59,7 @@
             return  # nothing was found out; checked again later
         finally:
             self._checked.discard((record.instance, record.incarnation))
-        if liveness in (Liveness.REFUSES, Liveness.REPLACED):
+        if liveness is Liveness.REFUSES:
             self._containment.record_refused_connection(record)
         elif liveness in (Liveness.REPORTS, Liveness.ANSWERS):
             self._containment.record_running(record)
--- a/damasklead/gateway/attempt.py
+++ b/damasklead/gateway/attempt.py
@@ -102,7 +102,7 @@
             the version that the request needs, or doesn't report though it has to.
         """
         record = self.record
-        self.upstream = self._context.connections.acquire(record.address)
+        self.upstream = self._acquire()
         if must_report:
             self.upstream.incarnation = None
             identify_replica(
@@ -232,6 +232,19 @@
                 self.record, self._call, event_count=event_count
             )
 
+    def _acquire(self) -> Connection:
+        """Return a connection to the replica; raises ``SendError``."""
+        address, incarnation = self.record.address, self.record.incarnation
+        connections = self._context.connections
+        connection = connections.acquire(address)
+        if connection.listed_incarnation not in (None, incarnation):
+            # It may lead to the start before, which ends its connections later.
+            connection.close()
+            connections.close_idle(address)
+            connection = connections.open(address)
+        connection.listed_incarnation = incarnation
+        return connection
+
     def _check_version(self, upstream: Connection) -> None:
         """
         Raise ``SendError`` unless the replica has the version that the request needs.
@@ -278,7 +291,7 @@
                 cause=str(error),
             )
             upstream.close()
-            self.upstream = self._context.connections.acquire(record.address)
+            self.upstream = self._acquire()
 
     def _read_own_head(self) -> ResponseHead:
         upstream = self.upstream
--- a/damasklead/gateway/process.py
+++ b/damasklead/gateway/process.py
@@ -51,6 +51,7 @@
 from damasklead.memory_shortage import compute_memory_limit, compute_reading_room
 from damasklead.process_memory import read_resident_bytes
 from damasklead.rejection_limits import SlotShare
+from damasklead.stall_meter import StallMeter
 from damasklead.supervision import Child, ServerChild, Supervisor, TaskChild
 from damasklead.tunnels.dialer import TunnelDialer
 from damasklead.tunnels.helpers import Helpers
@@ -142,12 +143,14 @@
             journal=self._journal,
             probe_target=dialect.report_target,
         )
+        self._stalls = StallMeter(clock=self._clock)
         self._connections = ConnectionPool(
             clock=self._clock,
             get_max_connections=lambda: self._descriptors.compute_max_connections(
                 tunnels=0 if self._tunnels is None else self._tunnels.open_count
             ),
             dialer=self._dialer,
+            get_stall=self._stalls.get_stall,
         )
         self._budget = SharedRetryBudget(
             clock=self._clock,
@@ -178,6 +181,7 @@
             dialect=dialect,
             report_memory=report_memory,
             clock=self._clock,
+            get_unix_time=self._clock.get_unix_time,
             open_elsewhere=self._dialer.open_elsewhere,
             is_isolated=lambda: self._reachability.is_isolated,
         )
@@ -616,6 +620,7 @@
             servers["metrics"] = self._create_listener(address, status_handler)
         tasks: list[Child] = [
             TaskChild(name="journal", function=self._journal.run),
+            TaskChild(name="stalls", function=self._stalls.run),
             TaskChild(name="ticks", function=self._run_maintenance),
             TaskChild(name="reachability", function=self._watch_reachability),
             *self._fleet.create_tasks(),
--- a/damasklead/gateway/proxied_request.py
+++ b/damasklead/gateway/proxied_request.py
@@ -14,7 +14,11 @@
 from damasklead.gateway.placements import Placement
 from damasklead.gateway.refusals import Reason, Refusal, get_refusal_reason
 from damasklead.gateway.replica_selection import ReplicaSelector
-from damasklead.gateway.response_relay import ResponseDroppedError, ResponseRelay
+from damasklead.gateway.response_relay import (
+    ResponseDroppedError,
+    ResponseRelay,
+    UnprovenEndError,
+)
 from damasklead.gateway.routing import RouteKind
 from damasklead.gateway.upstream_http import ConnectionLimitError, SendError
 from damasklead.gateway.verdict import RETRY_AFTER_SECONDS, RetryDenial, Verdict
@@ -346,10 +350,16 @@
         self, attempt: Attempt, selector: ReplicaSelector, error: SendError
     ) -> None:
         failure, record = error.failure, attempt.record
-        has_ended = attempt.upstream is not None and attempt.upstream.has_ended
+        upstream = attempt.upstream
+        has_ended = upstream is not None and upstream.has_ended
         has_broken_off = failure is Failure.BROKEN and has_ended
+        # An end that only isn't proven is no failure of the replica.
+        is_doubt = isinstance(error, UnprovenEndError) and not error.is_of_replica
         attempt.close(has_broken_off=has_broken_off, event_count=self.event_count)
-        if failure in _FAILURES_OF_THE_WAY and self._context.is_isolated():
+        is_of_way = failure in _FAILURES_OF_THE_WAY and (
+            self._context.is_isolated() or (upstream is not None and upstream.is_tunnel)
+        )
+        if is_of_way or is_doubt:
             # The replica works for others, whose coordinator must not avoid it.
             self._placement.record_cancellation(record.instance, self._call)
             selector.end_assignment("withdrawn")
@@ -359,11 +369,11 @@
         self._excluded_replicas.add(record.instance)
         if failure is Failure.NOT_SENT:
             self._context.probe.report_failed_connection(record)
-        elif has_broken_off:
+        elif has_broken_off and upstream is not None and not is_doubt:
             self._context.containment.record_broken_response(
                 record, self._call, event_count=self.event_count
             )
-            self._context.probe.start(record)
+            self._context.probe.start(record, sent_at=upstream.sent_at)
         self._context.journal.event(
             "attempt-failed",
             request=self._call.id,
--- a/damasklead/gateway/replica_probe.py
+++ b/damasklead/gateway/replica_probe.py
@@ -38,6 +38,11 @@
 
 # A replica that is busy reports later than one that is about to get a request.
 REPORT_TIMEOUT_SECONDS = 1.0
+# Differences between the clocks of machines, and the longest time of a request.
+MAX_SKEW_SECONDS = 2.0
+MAX_REQUEST_SECONDS = 3_600.0
+# New connections over which it is asked.
+REPORT_ATTEMPTS = 2
 # Time for which connections are prepared after they were needed.
 PREPARED_SECONDS = 600.0
 
@@ -118,6 +123,8 @@
     report_memory : MemoryBudget
         Budget that reports are charged to.
     clock : Clock
+    get_unix_time : callable
+        Returns Unix time in seconds, by which starts are numbered.
     open_elsewhere : callable or None
         Opens a connection to an address through another gateway; returns ``None`` if
         none opens one, and raises ``OSError`` if they can't connect either.  By default
@@ -134,10 +141,12 @@
         dialect: Dialect,
         report_memory: MemoryBudget,
         clock: Clock,
+        get_unix_time: Callable[[], float],
         open_elsewhere: Callable[[str], Link | None] | None = None,
         is_isolated: Callable[[], bool] = lambda: False,
     ) -> None:
         self._clock = clock
+        self._get_unix_time = get_unix_time
         self._is_isolated = is_isolated
         self._connections = connections
         self._containment = containment
@@ -180,19 +189,20 @@
             except SendError:
                 # The replica may have closed it while it was idle.
                 self._connections.close_idle(record.address)
-        try:
-            connection = self._connections.open(record.address)
-        except ConnectionLimitError:
-            raise
-        except SendError as error:
-            is_refusal = isinstance(error.__cause__, ConnectionRefusedError)
-            return self._check_elsewhere(
-                record, Liveness.REFUSES if is_refusal else Liveness.UNREACHABLE
-            )
-        try:
-            return self._ask(connection, record, ProbeWay.NEW_CONNECTION)
-        except SendError:
-            return self._check_elsewhere(record, Liveness.UNKNOWN)
+        for _ in range(REPORT_ATTEMPTS):
+            try:
+                connection = self._connections.open(record.address)
+            except ConnectionLimitError:
+                raise
+            except SendError as error:
+                is_refusal = isinstance(error.__cause__, ConnectionRefusedError)
+                return self._check_elsewhere(
+                    record, Liveness.REFUSES if is_refusal else Liveness.UNREACHABLE
+                )
+            # A replica resets connections beyond its limit.
+            with suppress(SendError):
+                return self._ask(connection, record, ProbeWay.NEW_CONNECTION)
+        return self._check_elsewhere(record, Liveness.UNKNOWN)
 
     def report_failed_connection(self, record: UpstreamRecord) -> None:
         """Report to the containment, if others confirm it, that a replica is gone."""
@@ -201,16 +211,22 @@
         elif self._containment.has_broken_responses(record):
             self.start(record)
 
-    def start(self, record: UpstreamRecord) -> None:
+    def start(self, record: UpstreamRecord, *, sent_at: float = -math.inf) -> None:
         """
         Probe a replica in the background after it broke off a response.
 
         Responses that break off while a replica is being probed share the result.
+
+        Parameters
+        ----------
+        record : UpstreamRecord
+        sent_at : float
+            Clock time in seconds at which the request was sent.
         """
         key = (record.instance, record.incarnation)
         if key not in self._probed:
             self._probed.add(key)
-            gevent.spawn(self._run, record)
+            gevent.spawn(self._run, record, sent_at)
 
     def prepare(self, record: UpstreamRecord) -> None:
         """
@@ -250,13 +266,13 @@
         if connection.is_tunnel and way is not ProbeWay.KEPT_CONNECTION:
             way = ProbeWay.OTHER_GATEWAY
         connection.incarnation = incarnation
-        self._connections.release(connection, keep_alive=None)
+        self._connections.release(connection, keep_alive=connection.keep_alive)
         if is_same_process or incarnation == record.incarnation:
             liveness = Liveness.REPORTS
         elif incarnation is None:
             liveness = Liveness.ANSWERS
         else:
-            is_later = incarnation > record.incarnation
+            is_later = 0 < record.incarnation < incarnation
             liveness = Liveness.REPLACED if is_later else Liveness.UNKNOWN
         return ProbeResult(
             liveness=liveness,
@@ -310,14 +326,27 @@
             # A replica that stands still accepts connections as well.
             return ProbeResult(liveness=Liveness.UNKNOWN, way=way)
 
-    def _run(self, record: UpstreamRecord) -> None:
+    def _run(self, record: UpstreamRecord, sent_at: float) -> None:
         try:
-            liveness = self.check(record).liveness
+            result = self.check(record)
         except ConnectionLimitError:
             return  # nothing was found out
         finally:
             self._probed.discard((record.instance, record.incarnation))
-        if liveness.shows_end:
+        if self._has_ended_since(result, sent_at):
             self._containment.record_connection_failure(record)
-        elif liveness in (Liveness.REPORTS, Liveness.ANSWERS):
+        elif result.liveness in (Liveness.REPORTS, Liveness.ANSWERS):
             self._containment.record_connection(record)
+
+    def _has_ended_since(self, result: ProbeResult, sent_at: float) -> bool:
+        """
+        Return whether the start that ran a request has ended.
+
+        A later start that ran before the request was sent has run it itself: the list
+        was behind.
+        """
+        if result.liveness is not Liveness.REPLACED or result.incarnation is None:
+            return result.liveness.shows_end
+        age = min(self._clock.now() - sent_at, MAX_REQUEST_SECONDS)
+        sent_unix = self._get_unix_time() - age
+        return result.incarnation / 1000 >= sent_unix - MAX_SKEW_SECONDS
--- a/damasklead/gateway/response_relay.py
+++ b/damasklead/gateway/response_relay.py
@@ -27,7 +27,7 @@
 from damasklead.turns import TurnBudget
 from damasklead.unframed_ends import EndDoubt, find_end_doubt
 
-__all__ = ["ResponseDroppedError", "ResponseRelay"]
+__all__ = ["ResponseDroppedError", "ResponseRelay", "UnprovenEndError"]
 
 # Status of a replica that resumes a stream.
 RESUMED_STREAM_STATUS = 200
@@ -42,6 +42,27 @@
 # A response that its caller has held up for this long may have been cut off for that.
 # Replicas cut off after some seconds, and healthy callers hold up for less.
 HELD_UP_SECONDS = 1.0
+# A replica may measure the time that it was given a little shorter.
+DEADLINE_MARGIN_SECONDS = 0.05
+
+
+class UnprovenEndError(SendError):
+    """
+    The end of a connection isn't shown to be the end of a response.
+
+    Attributes
+    ----------
+    doubt : EndDoubt
+    """
+
+    def __init__(self, doubt: EndDoubt) -> None:
+        super().__init__(Failure.BROKEN, f"the end proves nothing: {doubt.value}")
+        self.doubt = doubt
+
+    @property
+    def is_of_replica(self) -> bool:
+        """Whether the replica may have crashed."""
+        return self.doubt in (EndDoubt.NO_REPORT, EndDoubt.OTHER_START)
 
 
 class ResponseDroppedError(Exception):
@@ -210,8 +231,10 @@
             return
         context = self._context
         incarnation = upstream.incarnation or record.incarnation
+        self.is_body_pending = False  # the response has ended
         # Makes room for the connection of the probe if the pool is full.
         upstream.close()
+        last_moment = self._call.deadline - DEADLINE_MARGIN_SECONDS
         result = (
             None
             if upstream.is_tunnel
@@ -222,7 +245,7 @@
             incarnation=incarnation,
             reported=None if result is None else result.incarnation,
             is_same_process=result is not None and result.is_same_process,
-            is_late=context.clock.now() >= self._call.deadline,
+            is_late=context.clock.now() >= last_moment,
             is_interrupted=upstream.is_interrupted or self._is_held_up,
         )
         context.on_unframed_end(doubt)
@@ -246,7 +269,7 @@
         if doubt is not EndDoubt.INTERRUPTED:
             # It is no cut-off of what the caller held up.
             self._is_held_up = False
-        raise SendError(Failure.BROKEN, f"the end proves nothing: {doubt.value}")
+        raise UnprovenEndError(doubt)
 
     def _relay_complete(
         self, upstream: Connection, reply: ResponseHead, record: UpstreamRecord
--- a/damasklead/gateway/upstream_http.py
+++ b/damasklead/gateway/upstream_http.py
@@ -95,12 +95,19 @@
         Measures interruptions of bodies.
     on_close : callable
         Called when the connection is closed.
+    get_stall : callable
+        Returns for how many seconds this process stood still lately, 0 if that ended
+        before the clock time that it is called with.
 
     Attributes
     ----------
     incarnation : int or None
         Start of the replica at the other end, in milliseconds of Unix time, as it has
         reported it on this connection; ``None`` if it was not asked.
+    listed_incarnation : int or None
+        Start that the list named when the connection was first used.
+    keep_alive : float or None
+        Seconds for which the replica keeps it open when idle, if it has stated them.
     opened_at, sent_at : float
         Clock times in seconds at which the connection was opened, and at which the
         latest request began to be sent.
@@ -113,8 +120,12 @@
         link: Link,
         clock: Clock,
         on_close: Callable[[], None] = lambda: None,
+        get_stall: Callable[[float], float] = lambda _: 0.0,
     ) -> None:
         self._clock = clock
+        self._get_stall = get_stall
+        self.listed_incarnation: int | None = None
+        self.keep_alive: float | None = None
         self.opened_at = self.sent_at = clock.now()
         self._flow = BodyFlow(started_at=self.opened_at)
         self.incarnation: int | None = None
@@ -253,7 +264,10 @@
                 names = {name for name, _ in event.headers}
                 self._is_unframed = names.isdisjoint(_FRAMING_HEADERS)
                 self._body_length = _get_body_length(event)
-                self._flow = BodyFlow(started_at=self._clock.now())
+                self._flow = BodyFlow(
+                    started_at=self._clock.now(),
+                    stalled_seconds=self._get_stall(self.sent_at),
+                )
                 self._restore_user_timeout()
                 return event
             if not isinstance(event, h11.InformationalResponse):
@@ -531,6 +545,8 @@
         Returns the largest number of open connections, idle ones included.
     dialer : Dialer or None
         Opens the connections; by default directly.
+    get_stall : callable
+        See ``Connection``.
     """
 
     def __init__(
@@ -539,7 +555,9 @@
         clock: Clock,
         get_max_connections: Callable[[], float] = lambda: math.inf,
         dialer: Dialer | None = None,
+        get_stall: Callable[[float], float] = lambda _: 0.0,
     ) -> None:
+        self._get_stall = get_stall
         self._dialer = dialer or DirectDialer()
         self._clock = clock
         self._get_max_connections = get_max_connections
@@ -614,8 +632,11 @@
 
     def ensure_idle(self, address: str) -> None:
         """Have an idle connection to an address; raises ``SendError`` as ``open``."""
-        kept = self.take_idle(address)
-        self.release(self.open(address) if kept is None else kept, keep_alive=None)
+        now = self._clock.now()
+        for expires_at, connection in self._idle.get(address, ()):
+            if now < expires_at and connection.is_usable and connection.is_open:
+                return
+        self.release(self.open(address), keep_alive=None)
 
     def open(self, address: str) -> Connection:
         """
@@ -678,6 +699,7 @@
         if not connection.is_reusable:
             connection.close()
             return
+        connection.keep_alive = keep_alive
         seconds = (
             DEFAULT_KEEP_ALIVE_SECONDS
             if keep_alive is None
@@ -762,4 +784,5 @@
             link=link,
             clock=self._clock,
             on_close=lambda: self._record_close(address),
+            get_stall=self._get_stall,
         )
--- a/damasklead/unframed_ends.py
+++ b/damasklead/unframed_ends.py
@@ -15,9 +15,9 @@
   process can have.  An open connection, a listening socket or another start at the same
   address is not enough.
 * The deadline that the replica was given has not passed.
-* The body arrived without a long interruption before the end.  Replicas cut off what
-  stays unread for some seconds, whether the caller, this process or the network has
-  held it up.
+* The body arrived without a long interruption before the end, and this process did not
+  stand still before its start.  Replicas cut off what stays unread for some seconds,
+  whether the caller, this process or the network has held it up.
 
 ``find_end_doubt`` is this rule.
 """
@@ -111,7 +111,7 @@
     """
     Whether a body was interrupted shortly before its present end.
 
-    What was queued while nobody read it arrives without a pause afterwards.  So the
+    What was queued while nobody read it arrives without a pause afterwards.  So an
     interruption counts until the other side has been waited for, and has sent data, for
     as long again.
 
@@ -119,6 +119,8 @@
     ----------
     started_at : float
         Clock time in seconds at which the body begins.
+    stalled_seconds : float
+        Time for which this process stood still while it waited for the body.
 
     Examples
     --------
@@ -126,24 +128,24 @@
     >>> flow.record(waited_since=5.0, received_at=5.1)
     >>> flow.is_interrupted
     False
-    >>> flow.record(waited_since=8.0, received_at=8.0)
+    >>> flow.record(waited_since=6.1, received_at=6.1)
     >>> flow.is_interrupted
     True
-    >>> for second in (8.0, 8.5):
+    >>> for second in (6.1, 6.6):
     ...     flow.record(waited_since=second, received_at=second + 0.5)
     >>> flow.is_interrupted
     False
     """
 
-    def __init__(self, *, started_at: float) -> None:
+    def __init__(self, *, started_at: float, stalled_seconds: float = 0.0) -> None:
         self._received_at = started_at
         self._flowing_seconds = 0.0
-        self._is_interrupted = False
+        self._interrupted_seconds = stalled_seconds
 
     @property
     def is_interrupted(self) -> bool:
         """Whether nothing arrived for some time shortly before."""
-        return self._is_interrupted
+        return self._interrupted_seconds > 0.0
 
     def record(self, *, waited_since: float, received_at: float) -> None:
         """
@@ -154,11 +156,12 @@
         waited_since, received_at : float
             Clock times in seconds at which the read began and returned.
         """
-        if received_at - self._received_at >= INTERRUPTION_SECONDS:
-            self._is_interrupted = True
-            self._flowing_seconds = 0.0
-        else:
-            self._flowing_seconds += received_at - waited_since
-            if self._flowing_seconds >= INTERRUPTION_SECONDS:
-                self._is_interrupted = False
+        pause = received_at - self._received_at
         self._received_at = received_at
+        if pause >= INTERRUPTION_SECONDS:
+            self._interrupted_seconds = max(self._interrupted_seconds, pause)
+            self._flowing_seconds = 0.0
+            return
+        self._flowing_seconds += received_at - waited_since
+        if self._flowing_seconds >= self._interrupted_seconds:
+            self._interrupted_seconds = 0.0
--- a/damasklead/upstreams/transport.py
+++ b/damasklead/upstreams/transport.py
@@ -212,10 +212,14 @@
         Returns how many of ``max_connections`` are used by others at present.
     clock : Clock or None
         Measures interruptions of responses; by default the system's.
+    get_stall : callable
+        Returns for how many seconds this process stood still lately, 0 if that ended
+        before the clock time that it is called with.
 
     Attributes
     ----------
     clock : Clock
+    get_stall : callable
     body_memory : MemoryBudget
         Budget of these bodies.
     """
@@ -228,8 +232,10 @@
         dialer: Dialer | None = None,
         get_reserved_count: Callable[[], int] = lambda: 0,
         clock: Clock | None = None,
+        get_stall: Callable[[float], float] = lambda _: 0.0,
     ) -> None:
         self.clock = clock or LoopClock()
+        self.get_stall = get_stall
         self.body_memory = MemoryBudget(
             limit_bytes=body_limit, hard_limit_bytes=2 * body_limit
         )
@@ -387,9 +393,18 @@
         """Whether the response was interrupted shortly before its present end."""
         return self._flow.is_interrupted
 
-    def begin_body(self) -> None:
-        """Count no pause before the body as an interruption of it."""
-        self._flow = BodyFlow(started_at=self._clock.now())
+    def begin_body(self, *, stalled_seconds: float) -> None:
+        """
+        Count no pause before the body as an interruption of it, but a stall.
+
+        Parameters
+        ----------
+        stalled_seconds : float
+            Time for which this process stood still meanwhile.
+        """
+        self._flow = BodyFlow(
+            started_at=self._clock.now(), stalled_seconds=stalled_seconds
+        )
 
     def receive(self) -> None:
         """
@@ -673,11 +688,12 @@
     parser = _ResponseParser(method=method)
     receiver = _Receiver(link=link, parser=parser, clock=pool.clock)
     link.record_sent()
+    sent_at = pool.clock.now()
     try:
         connection.sendall(_encode_request(address, method, path, headers, body))
         while not parser.headers_complete:
             receiver.receive()
-        receiver.begin_body()
+        receiver.begin_body(stalled_seconds=pool.get_stall(sent_at))
     except OSError as error:
         link.record_end()
         connection.close()
--- a/tests/gateway_kit.py
+++ b/tests/gateway_kit.py
@@ -6,7 +6,9 @@
 callers and replicas send.
 """
 
+import time
 from collections.abc import Callable, Sequence
+from contextlib import suppress
 
 import gevent
 from gevent import socket
@@ -59,6 +61,7 @@
 from damasklead.memory_budget import MemoryAccount, MemoryBudget
 from damasklead.platform.headers import PlatformDialect
 from damasklead.rate_limits import RateLimits
+from damasklead.stall_meter import StallMeter
 from damasklead.tunnels.dialing import Link
 from damasklead.util import split_address
 from tests.http_messages import make_chunk as make_chunk, read_request
@@ -169,6 +172,7 @@
         self.extra_headers = ""
         self.closed_by_gateway_count = 0
         self._serve = serve
+        self._open: set[socket.socket] = set()
         self._server = StreamServer(("127.0.0.1", 0), self._handle)
         self._server.start()
 
@@ -204,12 +208,21 @@
         """Stop accepting connections."""
         self._server.stop(timeout=0)
 
+    def crash(self) -> None:
+        """Stop accepting connections, and end all open ones, as a killed process."""
+        self.stop()
+        for connection in list(self._open):
+            with suppress(OSError):  # it may have ended
+                connection.shutdown(socket.SHUT_RDWR)
+
     def _handle(self, connection: socket.socket, _peer: object) -> None:
+        self._open.add(connection)
         try:
             self._serve(self, connection)
         except (EOFError, OSError):
             self.closed_by_gateway_count += 1
         finally:
+            self._open.discard(connection)
             connection.close()
 
 
@@ -270,6 +283,7 @@
         dialect=PlatformDialect(),
         report_memory=make_report_memory(),
         clock=clock,
+        get_unix_time=time.time,
         open_elsewhere=open_elsewhere,
         is_isolated=is_isolated,
     )
@@ -335,7 +349,11 @@
             clock=containment_clock or self.clock,
             on_quarantine=self.quarantined.append,
         )
-        self.connections = connections or ConnectionPool(clock=self.clock)
+        self._stalls = StallMeter(clock=self.clock)
+        self._stall_task = gevent.spawn(self._stalls.run)
+        self.connections = connections or ConnectionPool(
+            clock=self.clock, get_stall=self._stalls.get_stall
+        )
         self.journal = Journal(instance="gateway-1")
         self.gate = StartGate()
         self.gate.open()
@@ -434,6 +452,7 @@
 
     def stop(self) -> None:
         """Stop the listener and the replicas."""
+        self._stall_task.kill()
         self.listener.stop()
         for replica in self.replicas:
             replica.stop()
--- a/tests/test_gateway_prompt_part_crashes.py
+++ b/tests/test_gateway_prompt_part_crashes.py
@@ -86,7 +86,7 @@
             is_stream = line.split()[1].startswith(STREAM_PATHS)
             if f"{POISON}:" in headers.get("prefix-hash", ""):
                 connection.sendall(crash(attempt))
-                replica.stop()
+                replica.crash()
                 return
             if is_stream:
                 events = make_chunk(make_event(1)) + make_chunk(make_event(2))
--- a/tests/test_gateway_unframed_ends.py
+++ b/tests/test_gateway_unframed_ends.py
@@ -6,6 +6,7 @@
 """
 
 import errno
+import time
 from collections.abc import Callable, Iterator
 
 import gevent
@@ -136,7 +137,7 @@
 
 def start_again(replica: ScriptedReplica) -> None:
     """Answer from now on as the next start at the address."""
-    replica.born += 1
+    replica.born = int(time.time() * 1000)
 
 
 def stand_still(replica: ScriptedReplica) -> None:
@@ -239,31 +240,17 @@
                 continue
             connection.sendall(make_head(headers["attempt-id"]) + make_event(1))
             if replica_ends():
-                replica.stop()
-                for other in replica.open_connections:
-                    other.close()
+                replica.crash()
             return
 
     return serve
 
 
-class PlainReplica(ScriptedReplica):
-    """A replica that knows its open connections."""
-
-    def __init__(self, name: str, serve: Script) -> None:
-        self.open_connections: list[socket.socket] = []
-        super().__init__(name, serve)
-
-    def _handle(self, connection: socket.socket, peer: object) -> None:
-        self.open_connections.append(connection)
-        super()._handle(connection, peer)
-
-
 def test_a_replica_without_reports_is_known_by_an_earlier_connection(
     harnesses: list[ForwarderHarness],
 ) -> None:
     """Sound responses of services whose replicas report no start were cut off."""
-    replica = PlainReplica("r0", make_plain_script(lambda: False))
+    replica = ScriptedReplica("r0", make_plain_script(lambda: False))
     harnesses.append(ForwarderHarness([replica]))
     # A connection from after the request could lead to the next start.
     assert not is_complete(send(harnesses[-1], "/order/1"))
@@ -275,7 +262,7 @@
     harnesses: list[ForwarderHarness],
 ) -> None:
     crashes = [False, False, True]
-    replica = PlainReplica("r0", make_plain_script(lambda: crashes.pop(0)))
+    replica = ScriptedReplica("r0", make_plain_script(lambda: crashes.pop(0)))
     harnesses.append(ForwarderHarness([replica]))
     send(harnesses[-1], "/order/1")
     assert is_complete(send(harnesses[-1], "/order/1"))
