Ask an upstream again before a cut that ends makes it a crash

Cause: an entry whose connection breaks asks the upstream for its incarnation; if that fails, it asks others whether they reach it, and tries other upstreams itself. The answers hold for different moments.

An upstream that seems to be gone is asked once more. One that answers with the same incarnation has not crashed; one that has crashed refuses at once.

Evidence: "a cut that ends while others are asked blames nothing" fails without the change.

--- a/damasklead/daemon/crashes.py
+++ b/damasklead/daemon/crashes.py
@@ -20,7 +20,7 @@
 from damasklead.quarantine import Quarantine
 from damasklead.quarantine_rows import QuarantineRow, make_quarantine_write
 from damasklead.requests import Request, Start
-from damasklead.upstreams import UpstreamError
+from damasklead.upstreams import UpstreamError, UpstreamStatus
 
 __all__ = ["CrashDetector"]
 
@@ -152,18 +152,24 @@
         A replica that still reports the same incarnation has not crashed, and neither
         has one that only this entry can't reach.
         """
-        try:
-            status = pool.upstream.fetch_status(address)
-        except UpstreamError:
-            status = None
-        if (
-            self._may_be_alive(address)
-            if status is None
-            else status.incarnation == notice.incarnation
-        ):
+        status = self._fetch_status(pool, address)
+        is_alive = status is None and self._may_be_alive(address)
+        if status is None and not is_alive:
+            # A cut may have ended between the requests that found it unreachable.
+            status = self._fetch_status(pool, address)
+        if status is not None:
+            is_alive = status.incarnation == notice.incarnation
+        if is_alive:
             self._quarantine.retract_crash(notice.instance, notice.incarnation)
             return
         if self._gossip.add_item(notice):
             self._record_change(
                 "crash", notice.instance, after=f"{len(notice.fingerprints)} suspects"
             )
+
+    def _fetch_status(self, pool: Pool, address: str) -> UpstreamStatus | None:
+        """Return what a replica reports, ``None`` if it can't be asked."""
+        try:
+            return pool.upstream.fetch_status(address)
+        except UpstreamError:
+            return None
--- a/tests/test_entry_tunnels.py
+++ b/tests/test_entry_tunnels.py
@@ -360,3 +360,28 @@
         detector._confirm_crash(pool, "127.0.0.1:1", notice)
         assert changes == ([] if is_alive else ["crash"])
         assert detector._quarantine.has_suspects is not is_alive
+
+    @pytest.mark.parametrize("incarnation", [1, 2])
+    def test_a_cut_that_ends_while_others_are_asked_blames_nothing(
+        self, incarnation: int
+    ) -> None:
+        """The first requests failed during the cut, the last ones came after it."""
+        detector, changes = self.make_detector(is_alive=False)
+        notice = CrashNotice(
+            instance=InstanceId("engine"),
+            incarnation=Incarnation(1),
+            fingerprints=(Fingerprint("f"),),
+            prompts=((),),
+        )
+        detector.record_crash_notice(notice)
+        failures = [UpstreamError(Failure.NOT_SENT, "cut")]
+
+        def fetch_status(_address: str) -> Any:
+            if failures:
+                raise failures.pop()
+            return SimpleNamespace(incarnation=Incarnation(incarnation))
+
+        pool: Any = SimpleNamespace(upstream=SimpleNamespace(fetch_status=fetch_status))
+        detector._confirm_crash(pool, "127.0.0.1:1", notice)
+        assert changes == ([] if incarnation == 1 else ["crash"])
+        assert detector._quarantine.has_suspects is (incarnation == 2)
