--- a/damasklead/daemon/crashes.py
+++ b/damasklead/daemon/crashes.py
@@ -8,6 +8,7 @@
 """
 
 from collections.abc import Callable
+from contextlib import suppress
 
 import gevent
 
@@ -164,13 +165,22 @@
     def _may_still_run(self, pool: Pool, address: str, notice: CrashNotice) -> bool:
         """Return whether a replica may run in the incarnation of a notice."""
         try:
-            status = pool.upstream.fetch_status(address)
+            return self._has_reported(pool, address, notice)
         except UpstreamError as error:
             may_be_alive = self._may_be_alive(address)
+            if may_be_alive:
+                return True
+            # A cut may have ended between the requests that found it unreachable.
+            with suppress(UpstreamError):
+                return self._has_reported(pool, address, notice)
             if may_be_alive is not None:
-                return may_be_alive
+                return False
             # A replica that is silent, or answers with an error, may be busy, and this
             # entry may be cut off.
             is_refused = isinstance(error.__cause__, ConnectionRefusedError)
             return not is_refused and error.failure is not Failure.BROKEN
+
+    def _has_reported(self, pool: Pool, address: str, notice: CrashNotice) -> bool:
+        """Return whether the incarnation of a notice reports."""
+        status = pool.upstream.fetch_status(address)
         return status.incarnation == notice.incarnation
