--- a/tests/test_gateway_endless_responses.py
+++ b/tests/test_gateway_endless_responses.py
@@ -23,6 +23,7 @@
     SendError,
 )
 from damasklead.ids import DataCentre, InstanceId
+from damasklead.loop import LoopClock
 from damasklead.memory_budget import SMALL_BODY_BYTES, MemoryBudget
 from damasklead.platform.headers import PlatformDialect
 from damasklead.tunnels.dialing import Link
@@ -130,6 +131,7 @@
             Connection(
                 address=record.address,
                 link=Link(raw=FloodSocket(head=CHUNKED_HEAD, piece=piece, count=1_000)),
+                clock=LoopClock(),
             )
             for _ in range(count)
         ]
