Prepare connections only for replicas that answered without a start

After a crash, whose replica answered nothing, a connection was kept ready for each request to the service for ten minutes. The time of the end counts for the deadline, not that of the report. A replica that seemed to be gone here and elsewhere is asked once more before a crash is recorded, as entries do: a cut may have ended between the questions. Found by reading; the tests of probes and containment pass.

--- a/damasklead/gateway/replica_probe.py
+++ b/damasklead/gateway/replica_probe.py
@@ -108,6 +108,12 @@
     incarnation: int | None = None
     is_same_process: bool = False
 
+    @property
+    def has_unnamed_start(self) -> bool:
+        """Whether the replica has answered without naming its start."""
+        has_answered = self.is_same_process or self.liveness is Liveness.ANSWERS
+        return has_answered and self.incarnation is None
+
 
 class ReplicaProbe:
     """
@@ -329,6 +335,9 @@
     def _run(self, record: UpstreamRecord, sent_at: float) -> None:
         try:
             result = self.check(record)
+            if result.way is ProbeWay.OTHER_GATEWAY and result.liveness.shows_end:
+                # A cut of this gateway may have ended before the others were asked.
+                result = self.check(record)
         except ConnectionLimitError:
             return  # nothing was found out
         finally:
--- a/damasklead/gateway/response_relay.py
+++ b/damasklead/gateway/response_relay.py
@@ -235,6 +235,7 @@
         # Makes room for the connection of the probe if the pool is full.
         upstream.close()
         last_moment = self._call.deadline - DEADLINE_MARGIN_SECONDS
+        is_late = context.clock.now() >= last_moment
         result = (
             None
             if upstream.is_tunnel
@@ -245,7 +246,7 @@
             incarnation=incarnation,
             reported=None if result is None else result.incarnation,
             is_same_process=result is not None and result.is_same_process,
-            is_late=context.clock.now() >= last_moment,
+            is_late=is_late,
             is_interrupted=upstream.is_interrupted or self._is_held_up,
         )
         context.on_unframed_end(doubt)
@@ -262,7 +263,7 @@
             held_up=self._is_held_up,
             events=self.event_count,
         )
-        if result is not None and result.incarnation is None:
+        if result is not None and result.has_unnamed_start:
             context.probe.record_unreported_end(record)
         if doubt is None:
             return
