Plays: start a gateway again once

Two disruptions that ended the same gateway both started it, so that one of the two processes lived on after the play and sent its requests to whoever had got its store's port.

--- a/soak/streams/cluster.py
+++ b/soak/streams/cluster.py
@@ -217,9 +217,13 @@
                 self.ended_gateways.append((time.monotonic(), name))
             process.send_signal(number)
 
+    def is_running(self, name: str) -> bool:
+        """Return whether a gateway's process runs."""
+        return self._gateways[name].poll() is None
+
     def wait_until_gateway_ended(self, name: str) -> None:
         """Wait until a gateway's process has ended."""
-        while self._gateways[name].poll() is None:
+        while self.is_running(name):
             gevent.sleep(PROBE_INTERVAL_SECONDS)
 
     def monitor_gateways(self) -> None:
--- a/soak/streams/disruptions.py
+++ b/soak/streams/disruptions.py
@@ -124,7 +124,9 @@
     cluster.send_signal(name, how)
     cluster.wait_until_gateway_ended(name)
     gevent.sleep(0.5)
-    cluster.start_gateway(name)
+    # Another disruption that ended the same process may have started it again.
+    if not cluster.is_running(name):
+        cluster.start_gateway(name)
 
 
 def _freeze_gateway(cluster: StreamCluster, source: random.Random) -> None:
